--- /dev/null
+++ b/cornelnotch/balancing/balancers.py
@@ -0,0 +1,87 @@
+"""Choose among servers with a free slot; the adaptive rule and its baselines."""
+
+import itertools
+from abc import ABC, abstractmethod
+
+from cornelnotch.balancing.servers import ServerState
+from cornelnotch.kernel import register_plugin
+from cornelnotch.queueing.models import Waiting
+
+__all__ = [
+    "AdaptiveBalancer",
+    "Balancer",
+    "LeastInFlightBalancer",
+    "RoundRobinBalancer",
+]
+
+AFFINITY_BONUS = 0.25
+
+
+class Balancer(ABC):
+    """Choose the server of one request."""
+
+    binds_late = True
+
+    @abstractmethod
+    def choose(
+        self, servers: list[ServerState], item: Waiting, now: float
+    ) -> ServerState | None:
+        """Return a server, or None when the request must wait."""
+
+
+@register_plugin("balancer", "adaptive")
+class AdaptiveBalancer(Balancer):
+    """Prefer free, fast servers that cache the request's prefix."""
+
+    def choose(
+        self, servers: list[ServerState], item: Waiting, now: float
+    ) -> ServerState | None:
+        """Return the free server with the lowest score."""
+        free = [server for server in servers if server.count_free(now) > 0]
+        preferred = [server for server in free if server.name not in item.excluded]
+        return min(
+            preferred or free,
+            key=lambda server: (self._score(server, item), server.name),
+            default=None,
+        )
+
+    @staticmethod
+    def _score(server: ServerState, item: Waiting) -> float:
+        """Return the share of busy slots, less a bonus for a cached prefix."""
+        score = (server.busy + server.external) / server.slots
+        if server.slow or server.failures:
+            score += 1.0
+        if item.affinity and item.affinity in server.affinity:
+            score -= AFFINITY_BONUS
+        return score
+
+
+@register_plugin("balancer", "round-robin")
+class RoundRobinBalancer(Balancer):
+    """Take the next server in turn, busy or not; a baseline."""
+
+    binds_late = False
+
+    def __init__(self) -> None:
+        self._turns = itertools.count()
+
+    def choose(
+        self, servers: list[ServerState], item: Waiting, now: float
+    ) -> ServerState | None:
+        """Return the next server."""
+        usable = [server for server in servers if not server.leaving]
+        return usable[next(self._turns) % len(usable)] if usable else None
+
+
+@register_plugin("balancer", "least-in-flight")
+class LeastInFlightBalancer(Balancer):
+    """Take the server with the fewest own requests, busy or not; a baseline."""
+
+    binds_late = False
+
+    def choose(
+        self, servers: list[ServerState], item: Waiting, now: float
+    ) -> ServerState | None:
+        """Return the server with the fewest requests."""
+        usable = [server for server in servers if not server.leaving]
+        return min(usable, key=lambda s: (s.busy, s.name), default=None)
--- /dev/null
+++ b/cornelnotch/balancing/servers.py
@@ -0,0 +1,121 @@
+"""Keep what a dispatcher knows of one server."""
+
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+
+__all__ = ["Pace", "ServerState", "find_median", "judge_pace"]
+
+PACE_GAIN = 0.25
+MIN_PACE_SAMPLES = 3
+SLOW_RATIO = 2.0
+REST_BASE_MS = 1000.0
+REST_LIMIT_MS = 15_000.0
+AFFINITY_KEYS = 512
+LOAD_WINDOW_MS = 3000.0
+
+
+@dataclass(slots=True)
+class Pace:
+    """Smooth one duration that a server shows, in ms."""
+
+    mean: float = 0.0
+    samples: int = 0
+
+    def update(self, value: float) -> None:
+        """Take in one duration."""
+        gain = max(PACE_GAIN, 1.0 / (self.samples + 1))
+        self.mean += gain * (value - self.mean)
+        self.samples += 1
+
+
+@dataclass(slots=True)
+class ServerState:
+    """Hold slots, own counts, pace and failures of one server.
+
+    `busy` counts own requests that hold a slot; `external` corrects it for load
+    that came from elsewhere, as the server's lagging reports show it.
+    """
+
+    name: str
+    address: str
+    slots: int
+    leaving: bool = False
+    busy: int = 0
+    external: int = 0
+    failures: int = 0
+    rest_until_ms: float = 0.0
+    slow: bool = False
+    first_token: Pace = field(default_factory=Pace)
+    between_tokens: Pace = field(default_factory=Pace)
+    affinity: OrderedDict[str, None] = field(default_factory=OrderedDict)
+    history: deque[tuple[float, int]] = field(default_factory=deque)
+
+    def count_free(self, now: float) -> int:
+        """Return the slots that a new request may take."""
+        if self.leaving or now < self.rest_until_ms:
+            return 0
+        limit = self.slots
+        if self.slow or self.failures:
+            # One request at a time shows whether the server has recovered.
+            limit = 1
+        return max(limit - self.busy - self.external, 0)
+
+    def fail(self, now: float) -> None:
+        """Let the server rest, longer after each failure in a row."""
+        if now < self.rest_until_ms:
+            return
+        self.failures += 1
+        rest = min(REST_BASE_MS * 2 ** (self.failures - 1), REST_LIMIT_MS)
+        self.rest_until_ms = now + rest
+
+    def succeed(self) -> None:
+        """Forget earlier failures."""
+        self.failures = 0
+
+    def remember_affinity(self, key: str) -> None:
+        """Note that the server now caches the prefix of `key`."""
+        self.affinity[key] = None
+        self.affinity.move_to_end(key)
+        while len(self.affinity) > AFFINITY_KEYS:
+            self.affinity.popitem(last=False)
+
+    def note_busy(self, now: float) -> None:
+        """Keep the own count for comparison with lagging reports."""
+        self.history.append((now, self.busy))
+        while self.history and self.history[0][0] < now - LOAD_WINDOW_MS:
+            self.history.popleft()
+
+    def take_report(self, reported: int, now: float) -> None:
+        """Attribute to others only what own requests in the window cannot explain."""
+        self.note_busy(now)
+        own = max(count for _, count in self.history)
+        self.external = max(reported - own, 0)
+
+
+def find_median(values: list[float]) -> float | None:
+    """Return the median, or None without values."""
+    if not values:
+        return None
+    ordered = sorted(values)
+    middle = len(ordered) // 2
+    if len(ordered) % 2:
+        return ordered[middle]
+    return (ordered[middle - 1] + ordered[middle]) / 2
+
+
+def _collect_means(servers: list[ServerState], name: str) -> list[float]:
+    paces = [getattr(server, name) for server in servers]
+    return [pace.mean for pace in paces if pace.samples >= MIN_PACE_SAMPLES]
+
+
+def judge_pace(server: ServerState, servers: list[ServerState]) -> bool:
+    """Tell whether a server is a straggler against the median of the others."""
+    others = [other for other in servers if other is not server]
+    for name in ("first_token", "between_tokens"):
+        median = find_median(_collect_means(others, name))
+        pace = getattr(server, name)
+        if median is None or pace.samples < MIN_PACE_SAMPLES:
+            continue
+        if pace.mean > SLOW_RATIO * median + 1.0:
+            return True
+    return False
--- /dev/null
+++ b/cornelnotch/claims/__init__.py
@@ -0,0 +1,29 @@
+"""Run work that may not repeat at most once, by claims in the log."""
+
+from cornelnotch.claims.client import ClaimClient, ClaimVerdict
+from cornelnotch.claims.keeper import ClaimKeeper
+from cornelnotch.claims.keys import KeyAge, judge_key_age
+from cornelnotch.claims.ledger import (
+    ClaimLedger,
+    ClaimOperation,
+    OperationKind,
+    decode_operation,
+    decode_operations,
+    encode_operation,
+    encode_operations,
+)
+
+__all__ = [
+    "ClaimClient",
+    "ClaimKeeper",
+    "ClaimLedger",
+    "ClaimOperation",
+    "ClaimVerdict",
+    "KeyAge",
+    "OperationKind",
+    "decode_operation",
+    "decode_operations",
+    "encode_operation",
+    "encode_operations",
+    "judge_key_age",
+]
--- /dev/null
+++ b/cornelnotch/claims/client.py
@@ -0,0 +1,159 @@
+"""Claim a key, release it and record its outcome through a stream's keeper."""
+
+import asyncio
+from dataclasses import dataclass
+
+from returns.result import Success
+
+from cornelnotch.claims.ledger import (
+    ClaimOperation,
+    OperationKind,
+    decode_operation,
+    encode_operation,
+)
+from cornelnotch.kernel import (
+    Clock,
+    Event,
+    EventLog,
+    TaskGroup,
+    create_identifier,
+    hash_text,
+)
+from cornelnotch.routing.fleet import FleetView
+from cornelnotch.wire import PeerNetwork
+from cornelnotch.wire.messages import ClaimAnswer, ClaimAsk
+
+__all__ = ["ClaimClient", "ClaimVerdict"]
+
+KEEPER_TIMEOUT_MS = 1000.0
+PERSIST_PAUSE_MS = 500.0
+PERSIST_LIMIT_MS = 1_800_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimVerdict:
+    """Tell what the log says: won, lost, answered, mismatch, free, unavailable."""
+
+    state: str
+    outcome: ClaimOperation | None = None
+
+
+class ClaimClient:
+    """Send claim operations to the usual keeper, or to the next when it is silent."""
+
+    def __init__(
+        self,
+        fleet: FleetView,
+        peers: PeerNetwork,
+        clock: Clock,
+        events: EventLog,
+        tasks: TaskGroup,
+    ) -> None:
+        self._fleet = fleet
+        self._peers = peers
+        self._clock = clock
+        self._events = events
+        self._tasks = tasks
+        self._pending: dict[str, asyncio.Future[ClaimAnswer]] = {}
+        self.unsettled = 0
+        peers.subscribe(ClaimAnswer, self._receive)
+
+    async def claim(
+        self, key: str, attempt: str, fingerprint: str, timeout_ms: float
+    ) -> ClaimVerdict:
+        """Append a claim and return the verdict read back from the log."""
+        operation = ClaimOperation(OperationKind.CLAIM, key, attempt, fingerprint)
+        return await self._settle(operation, timeout_ms)
+
+    async def look_up(
+        self, key: str, fingerprint: str, timeout_ms: float
+    ) -> ClaimVerdict:
+        """Return what the log says of a key, without claiming it."""
+        operation = ClaimOperation(OperationKind.LOOKUP, key, "", fingerprint)
+        return await self._settle(operation, timeout_ms)
+
+    async def release(self, key: str, attempt: str, timeout_ms: float) -> bool:
+        """Free a key of which no byte was sent; tell whether it is in the log.
+
+        When it is not, a task goes on until the log has taken it.
+        """
+        operation = ClaimOperation(OperationKind.RELEASE, key, attempt)
+        verdict = await self._settle(operation, timeout_ms)
+        if verdict.state == "kept":
+            return True
+        self._events.record(Event.CLAIM_RELEASE_DELAYED, key=key)
+        self._start_persisting(operation)
+        return False
+
+    def release_later(self, key: str, attempt: str) -> None:
+        """Free a key in the background."""
+        self._start_persisting(ClaimOperation(OperationKind.RELEASE, key, attempt))
+
+    def record_outcome(self, operation: ClaimOperation) -> None:
+        """Keep the answer for repeats of its key."""
+        self._start_persisting(operation)
+
+    def _start_persisting(self, operation: ClaimOperation) -> None:
+        self.unsettled += 1
+        self._tasks.start(f"persist-{operation.attempt}", self._persist(operation))
+
+    async def _persist(self, operation: ClaimOperation) -> None:
+        try:
+            limit = self._clock.read() + PERSIST_LIMIT_MS
+            while self._clock.read() < limit:
+                verdict = await self._settle(operation, KEEPER_TIMEOUT_MS * 2)
+                if verdict.state == "kept":
+                    return
+                await self._clock.sleep(PERSIST_PAUSE_MS)
+        finally:
+            self.unsettled -= 1
+
+    async def _settle(
+        self, operation: ClaimOperation, timeout_ms: float
+    ) -> ClaimVerdict:
+        limit = self._clock.read() + timeout_ms
+        count = self._fleet.configuration.claims.streams
+        stream = hash_text(operation.key) % count
+        hops = 0
+        while (left_ms := limit - self._clock.read()) > 0:
+            ranking = self._fleet.rank_keepers(stream)
+            if not ranking:
+                break
+            keeper = ranking[hops % len(ranking)]
+            wait_ms = min(left_ms, KEEPER_TIMEOUT_MS)
+            answer = await self._ask(keeper, stream, operation, wait_ms)
+            if answer is not None and answer.state != "unavailable":
+                return self._read_answer(answer)
+            hops += 1
+        return ClaimVerdict("unavailable")
+
+    async def _ask(
+        self, keeper: str, stream: int, operation: ClaimOperation, wait_ms: float
+    ) -> ClaimAnswer | None:
+        ask_id = create_identifier()
+        future = asyncio.get_running_loop().create_future()
+        self._pending[ask_id] = future
+        body = encode_operation(operation)
+        self._peers.send(
+            keeper, ClaimAsk(ask_id, self._fleet.name, stream, body, wait_ms)
+        )
+        try:
+            async with asyncio.timeout(wait_ms / 1000.0):
+                return await future
+        except TimeoutError:
+            return None
+        finally:
+            del self._pending[ask_id]
+
+    @staticmethod
+    def _read_answer(answer: ClaimAnswer) -> ClaimVerdict:
+        if not answer.outcome:
+            return ClaimVerdict(answer.state)
+        decoded = decode_operation(answer.outcome)
+        outcome = decoded.unwrap() if isinstance(decoded, Success) else None
+        return ClaimVerdict(answer.state, outcome)
+
+    def _receive(self, sender: str, answer: ClaimAnswer) -> None:
+        future = self._pending.get(answer.ask_id)
+        if future is not None and not future.done():
+            future.set_result(answer)
--- /dev/null
+++ b/cornelnotch/claims/keeper.py
@@ -0,0 +1,221 @@
+"""Append claim operations in batches and judge them by reading back."""
+
+import asyncio
+from dataclasses import dataclass
+
+from returns.result import Failure, Success
+
+from cornelnotch.claims.ledger import (
+    ClaimLedger,
+    ClaimOperation,
+    OperationKind,
+    OutcomePlace,
+    decode_operation,
+    decode_operations,
+    encode_operation,
+    encode_operations,
+)
+from cornelnotch.exceptions import LogTrimmedError, LogUnavailableError
+from cornelnotch.kernel import Clock, Event, EventLog, TaskGroup
+from cornelnotch.logservice import LogService
+from cornelnotch.wire import PeerNetwork
+from cornelnotch.wire.messages import ClaimAnswer, ClaimAsk
+
+__all__ = ["ClaimKeeper"]
+
+APPEND_INTERVAL_MS = 20.0
+MAX_BATCH = 256
+SETTLE_PAUSE_MS = 100.0
+EVICT_MARGIN_MS = 60_000.0
+
+
+@dataclass(slots=True)
+class PendingAsk:
+    """Hold an ask that waits for its verdict."""
+
+    ask: ClaimAsk
+    operation: ClaimOperation
+    expires_ms: float
+
+
+class StreamKeeper:
+    """Own the ledger of one claim stream and append to it one batch at a time."""
+
+    def __init__(
+        self,
+        stream: int,
+        log: LogService,
+        clock: Clock,
+        events: EventLog,
+        peers: PeerNetwork,
+        retention_ms: float,
+    ) -> None:
+        self.ledger = ClaimLedger()
+        self.queue: asyncio.Queue[PendingAsk] = asyncio.Queue()
+        self.appends = 0
+        self._name = f"claims-{stream}"
+        self._log = log
+        self._clock = clock
+        self._events = events
+        self._peers = peers
+        self._retention_ms = retention_ms
+        self._position = 0
+
+    async def run(self) -> None:
+        """Settle batches until cancelled."""
+        while True:
+            batch = [await self.queue.get()]
+            while len(batch) < MAX_BATCH and not self.queue.empty():
+                batch.append(self.queue.get_nowait())
+            started = self._clock.read()
+            await self._settle(batch)
+            spent = self._clock.read() - started
+            await self._clock.sleep(APPEND_INTERVAL_MS - spent)
+
+    async def _settle(self, batch: list[PendingAsk]) -> None:
+        """Bring every ask of the batch to a verdict or to its timeout."""
+        waiting = batch
+        while waiting:
+            try:
+                await self._read_to_end()
+                await self._append(waiting)
+                await self._read_to_end()
+                for pending in waiting:
+                    await self._answer(pending)
+                return
+            except LogUnavailableError:
+                # The append may have landed; reading tells, and appending the
+                # same attempts again changes nothing.
+                waiting = self._expire(waiting)
+            except LogTrimmedError as error:
+                self._restart(error.earliest)
+            if waiting:
+                await self._clock.sleep(SETTLE_PAUSE_MS)
+
+    def _expire(self, waiting: list[PendingAsk]) -> list[PendingAsk]:
+        now = self._clock.read()
+        for pending in waiting:
+            if now >= pending.expires_ms:
+                self._events.record(Event.CLAIM_UNSETTLED, stream=self._name)
+                self._send(pending, "unavailable")
+        return [pending for pending in waiting if now < pending.expires_ms]
+
+    def _restart(self, earliest: int) -> None:
+        self.ledger = ClaimLedger()
+        self._position = earliest
+
+    async def _append(self, waiting: list[PendingAsk]) -> None:
+        operations = [p.operation for p in waiting if self._is_needed(p.operation)]
+        if not operations:
+            return
+        self.appends += 1
+        await self._log.append(self._name, encode_operations(operations))
+
+    def _is_needed(self, operation: ClaimOperation) -> bool:
+        """Tell whether an operation would change the ledger."""
+        if operation.kind is OperationKind.LOOKUP:
+            return False
+        if operation.attempt in self.ledger.released:
+            return False
+        known = self.ledger.find(operation.key)
+        if operation.kind is OperationKind.CLAIM:
+            return known is None
+        if operation.kind is OperationKind.OUTCOME:
+            owned = known is not None and known.attempt == operation.attempt
+            return owned and known is not None and known.outcome is None
+        return True
+
+    async def _read_to_end(self) -> None:
+        while True:
+            page = await self._log.read(self._name, self._position)
+            for record in page.records:
+                decoded = decode_operations(record.body)
+                if isinstance(decoded, Success):
+                    for index, operation in enumerate(decoded.unwrap()):
+                        self.ledger.apply(
+                            operation, record.offset, index, record.time_ms
+                        )
+                self._position = record.offset + 1
+            if self._position >= page.end:
+                break
+        margin = self._retention_ms + EVICT_MARGIN_MS
+        self.ledger.evict(self._clock.read_wall() - margin)
+
+    async def _answer(self, pending: PendingAsk) -> None:
+        operation = pending.operation
+        claim = self.ledger.find(operation.key)
+        if operation.kind in {OperationKind.RELEASE, OperationKind.OUTCOME}:
+            self._send(pending, "kept")
+        elif claim is None:
+            # Only a lookup, or a claim whose attempt was released, gets here.
+            self._send(pending, "free")
+        elif claim.attempt == operation.attempt:
+            self._send(pending, "won")
+        elif operation.fingerprint and claim.fingerprint != operation.fingerprint:
+            self._send(pending, "mismatch", claim.attempt)
+        elif claim.outcome is None:
+            self._send(pending, "lost", claim.attempt)
+        else:
+            outcome = await self._read_outcome(claim.outcome)
+            self._send(pending, "answered", claim.attempt, outcome)
+
+    async def _read_outcome(self, place: OutcomePlace) -> bytes:
+        page = await self._log.read(self._name, place.offset)
+        operations = decode_operations(page.records[0].body).unwrap()
+        return encode_operation(operations[place.index])
+
+    def _send(
+        self, pending: PendingAsk, state: str, attempt: str = "", outcome: bytes = b""
+    ) -> None:
+        answer = ClaimAnswer(pending.ask.ask_id, state, attempt, outcome)
+        self._peers.send(pending.ask.host, answer)
+
+
+class ClaimKeeper:
+    """Hand asks to the keeper of their stream."""
+
+    def __init__(
+        self,
+        log: LogService,
+        clock: Clock,
+        events: EventLog,
+        peers: PeerNetwork,
+        tasks: TaskGroup,
+        retention_ms: float,
+    ) -> None:
+        self.streams: dict[int, StreamKeeper] = {}
+        self._log = log
+        self._clock = clock
+        self._events = events
+        self._peers = peers
+        self._tasks = tasks
+        self._retention_ms = retention_ms
+        peers.subscribe(ClaimAsk, self._receive)
+
+    def count_appends(self) -> int:
+        """Return the appends since the start."""
+        return sum(stream.appends for stream in self.streams.values())
+
+    def _receive(self, sender: str, ask: ClaimAsk) -> None:
+        decoded = decode_operation(ask.operation)
+        if isinstance(decoded, Failure):
+            self._events.record(Event.PEER_MESSAGE_REFUSED, error=decoded.failure())
+            return
+        expires_ms = self._clock.read() + ask.timeout_ms
+        keeper = self._open(ask.stream)
+        keeper.queue.put_nowait(PendingAsk(ask, decoded.unwrap(), expires_ms))
+
+    def _open(self, stream: int) -> StreamKeeper:
+        keeper = self.streams.get(stream)
+        if keeper is None:
+            keeper = StreamKeeper(
+                stream,
+                self._log,
+                self._clock,
+                self._events,
+                self._peers,
+                self._retention_ms,
+            )
+            self.streams[stream] = keeper
+            self._tasks.start(f"claims-{stream}", keeper.run())
+        return keeper
--- /dev/null
+++ b/cornelnotch/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Offer the command line."""
--- /dev/null
+++ b/cornelnotch/commands/node.py
@@ -0,0 +1,39 @@
+"""Run a node."""
+
+import asyncio
+import signal
+from pathlib import Path
+
+import typer
+
+from cornelnotch.kernel import set_up_logging
+from cornelnotch.node import create_node
+from cornelnotch.settings import NodeSettings, read_node_settings
+
+__all__ = ["register_commands", "run_node"]
+
+
+async def serve_node(settings: NodeSettings) -> None:
+    """Run a node until it has drained; SIGTERM starts the drain."""
+    node = create_node(settings)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, node.start_drain)
+    loop.add_signal_handler(signal.SIGINT, node.stopped.set)
+    await node.start()
+    await node.stopped.wait()
+    await node.stop()
+
+
+def run_node(settings: Path = typer.Argument(help="INI file of the node")) -> None:
+    """Run one host until it is told to leave."""
+    read = read_node_settings(settings)
+    content = read.value_or(None)
+    if content is None:
+        raise read.failure()
+    set_up_logging(content.logging.style, content.logging.level)
+    asyncio.run(serve_node(content))
+
+
+def register_commands(program: typer.Typer) -> None:
+    """Add the commands of this module."""
+    program.command("node")(run_node)
--- /dev/null
+++ b/cornelnotch/configuration/__init__.py
@@ -0,0 +1,52 @@
+"""Fold operators' records into the configuration in force."""
+
+from cornelnotch.configuration.fold import (
+    Change,
+    ConfigurationState,
+    Snapshot,
+    Verdict,
+    choose_snapshot,
+    create_snapshot,
+    decode_record,
+    encode_record,
+    fold_record,
+    restore_snapshot,
+)
+from cornelnotch.configuration.models import (
+    ClaimSettings,
+    Configuration,
+    PoolSection,
+    SelectorSection,
+    ServerSection,
+    ServiceClass,
+    WorkspaceSection,
+    parse_labels,
+)
+from cornelnotch.configuration.selection import Selection, select_class
+from cornelnotch.configuration.shards import ShardPlan, find_shards, plan_shards
+
+__all__ = [
+    "Change",
+    "ClaimSettings",
+    "Configuration",
+    "ConfigurationState",
+    "PoolSection",
+    "Selection",
+    "SelectorSection",
+    "ServerSection",
+    "ServiceClass",
+    "ShardPlan",
+    "Snapshot",
+    "Verdict",
+    "WorkspaceSection",
+    "choose_snapshot",
+    "create_snapshot",
+    "decode_record",
+    "encode_record",
+    "find_shards",
+    "fold_record",
+    "parse_labels",
+    "plan_shards",
+    "restore_snapshot",
+    "select_class",
+]
--- /dev/null
+++ b/cornelnotch/configuration/follower.py
@@ -0,0 +1,196 @@
+"""Follow the configuration stream and keep the newest state."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from returns.result import Success
+
+from cornelnotch.configuration.fold import (
+    ConfigurationState,
+    Snapshot,
+    choose_snapshot,
+    create_snapshot,
+    decode_record,
+    encode_record,
+    fold_record,
+    restore_snapshot,
+)
+from cornelnotch.exceptions import (
+    CornelnotchError,
+    LogTrimmedError,
+    LogUnavailableError,
+)
+from cornelnotch.kernel import Clock, Event, EventLog
+from cornelnotch.logservice import LogPage, LogService
+
+__all__ = ["CONFIGURATION_STREAM", "ConfigurationFollower"]
+
+CONFIGURATION_STREAM = "configuration"
+RETRY_MS = 250.0
+NEVER = float("-inf")
+
+Listener = Callable[[ConfigurationState], None]
+
+
+@dataclass(slots=True)
+class SnapshotSeen:
+    """Remember the newest snapshot in the stream; times in ms."""
+
+    covers: int = -1
+    time_ms: float = 0.0
+
+
+class ConfigurationFollower:
+    """Own the configuration state of one host; its version never goes down."""
+
+    def __init__(
+        self, log: LogService, clock: Clock, events: EventLog, poll_ms: float
+    ) -> None:
+        self.state = ConfigurationState()
+        self.log_read_ms = NEVER
+        self.snapshot = SnapshotSeen()
+        self.oldest_record_ms: float | None = None
+        self.earliest = 0
+        self._log = log
+        self._clock = clock
+        self._events = events
+        self._poll_ms = poll_ms
+        self._position = 0
+        self._listeners: list[Listener] = []
+        self._available = True
+
+    def subscribe(self, listener: Listener) -> None:
+        """Call `listener` with each newer state."""
+        self._listeners.append(listener)
+
+    def read_log_age(self) -> float:
+        """Return ms since the log last answered."""
+        return self._clock.read() - self.log_read_ms
+
+    async def run(self) -> None:
+        """Read the stream until cancelled."""
+        while True:
+            try:
+                await self._read_once()
+                self._note_available(True)
+            except LogTrimmedError as error:
+                await self._recover(error.earliest)
+            except LogUnavailableError:
+                self._note_available(False)
+                await self._clock.sleep(RETRY_MS)
+
+    async def _read_once(self) -> None:
+        wait_ms = self._poll_ms if self.log_read_ms != NEVER else 0.0
+        page = await self._log.read(CONFIGURATION_STREAM, self._position, wait_ms)
+        self.log_read_ms = self._clock.read()
+        self._fold_page(page)
+        self._note_bounds(page)
+
+    def _fold_page(self, page: LogPage) -> None:
+        state = self.state
+        for record in page.records:
+            self._note_snapshot(record.offset, record.time_ms, record.body)
+            verdict = fold_record(state, record.offset, record.body)
+            state = verdict.state
+            self._position = record.offset + 1
+            if verdict.error is not None:
+                self._events.record(
+                    Event.CONFIGURATION_REJECTED,
+                    offset=record.offset,
+                    reason=verdict.error,
+                )
+        self._adopt(state)
+
+    def _note_bounds(self, page: LogPage) -> None:
+        self.earliest = page.earliest
+        if page.records and page.records[0].offset == page.earliest:
+            self.oldest_record_ms = page.records[0].time_ms
+
+    def _note_snapshot(self, offset: int, time_ms: float, body: bytes) -> None:
+        decoded = decode_record(body)
+        if not isinstance(decoded, Success):
+            return
+        record = decoded.unwrap()
+        if isinstance(record, Snapshot) and record.covers > self.snapshot.covers:
+            self.snapshot = SnapshotSeen(record.covers, time_ms)
+
+    async def _recover(self, earliest: int) -> None:
+        """Start again from the earliest record with the best snapshot."""
+        self.earliest = earliest
+        snapshots: list[Snapshot] = []
+        records = []
+        position = earliest
+        try:
+            while True:
+                page = await self._log.read(CONFIGURATION_STREAM, position)
+                for record in page.records:
+                    decoded = decode_record(record.body)
+                    if isinstance(decoded, Success):
+                        content = decoded.unwrap()
+                        if isinstance(content, Snapshot):
+                            snapshots.append(content)
+                    self._note_snapshot(record.offset, record.time_ms, record.body)
+                    records.append(record)
+                    position = record.offset + 1
+                if position >= page.end:
+                    break
+        except (LogTrimmedError, LogUnavailableError):
+            await self._clock.sleep(RETRY_MS)
+            return
+        self.log_read_ms = self._clock.read()
+        self._position = position
+        if self.state.covers >= earliest - 1:
+            base: ConfigurationState | None = self.state
+        else:
+            base = choose_snapshot(snapshots, earliest)
+        if base is None or base.covers < self.state.covers:
+            base = self.state
+        if base.covers < earliest - 1:
+            # Without a usable snapshot only a peer can tell what was trimmed.
+            return
+        for record in records:
+            base = fold_record(base, record.offset, record.body).state
+        self._adopt(base)
+
+    def adopt_snapshot(self, body: bytes) -> None:
+        """Take over a peer's state when it is ahead of this host's."""
+        decoded = decode_record(body)
+        if not isinstance(decoded, Success):
+            return
+        snapshot = decoded.unwrap()
+        if not isinstance(snapshot, Snapshot) or snapshot.covers <= self.state.covers:
+            return
+        try:
+            state = restore_snapshot(snapshot)
+        except CornelnotchError as error:
+            self._events.record(Event.PEER_MESSAGE_REFUSED, error=error)
+            return
+        self._events.record(Event.CONFIGURATION_BOOTSTRAPPED, version=state.version)
+        self._adopt(state)
+
+    def encode_state(self) -> bytes:
+        """Return the state as a snapshot record."""
+        return encode_record(create_snapshot(self.state))
+
+    async def append_snapshot(self) -> None:
+        """Append the state to the stream; raise LogUnavailableError."""
+        covers = self.state.covers
+        await self._log.append(CONFIGURATION_STREAM, self.encode_state())
+        self._events.record(Event.SNAPSHOT_WRITTEN, covers=covers)
+
+    def _adopt(self, state: ConfigurationState) -> None:
+        if state.covers <= self.state.covers or state.version < self.state.version:
+            return
+        newer = state.version > self.state.version
+        self.state = state
+        if newer:
+            self._events.record(Event.CONFIGURATION_APPLIED, version=state.version)
+            for listener in self._listeners:
+                listener(state)
+
+    def _note_available(self, available: bool) -> None:
+        if available == self._available:
+            return
+        self._available = available
+        event = Event.LOG_RECOVERED if available else Event.LOG_UNAVAILABLE
+        self._events.record(event, stream=CONFIGURATION_STREAM)
--- /dev/null
+++ b/cornelnotch/configuration/shards.py
@@ -0,0 +1,50 @@
+"""Cut pools into shards; a pure function of the configuration."""
+
+from dataclasses import dataclass
+
+from cornelnotch.configuration.models import Configuration
+from cornelnotch.kernel import hash_text
+
+__all__ = ["ShardPlan", "find_shards", "plan_shards"]
+
+
+@dataclass(frozen=True, slots=True)
+class ShardPlan:
+    """Name a shard, its pool, its region and its servers."""
+
+    name: str
+    pool: str
+    region: str
+    servers: tuple[str, ...]
+
+
+def _group_servers(configuration: Configuration) -> dict[tuple[str, str], list[str]]:
+    groups: dict[tuple[str, str], list[str]] = {}
+    for name, server in configuration.servers.items():
+        key = (server.pool, configuration.find_region(server.place))
+        groups.setdefault(key, []).append(name)
+    return groups
+
+
+def plan_shards(configuration: Configuration) -> dict[str, ShardPlan]:
+    """Return the shards of all pools, each of one region."""
+    plans: dict[str, ShardPlan] = {}
+    for (pool, region), names in sorted(_group_servers(configuration).items()):
+        limit = configuration.pools[pool].shard_servers
+        count = -(-len(names) // limit)
+        # Hash order spreads each place's servers over all shards.
+        names.sort(key=lambda name: (hash_text(name), name))
+        for index in range(count):
+            shard = f"{pool}/{region}/{index}"
+            members = tuple(names[index::count])
+            plans[shard] = ShardPlan(shard, pool, region, members)
+    return plans
+
+
+def find_shards(
+    plans: dict[str, ShardPlan], pool: str, region: str
+) -> tuple[list[ShardPlan], list[ShardPlan]]:
+    """Return the shards of `pool` inside `region` and those elsewhere."""
+    near = [p for p in plans.values() if p.pool == pool and p.region == region]
+    far = [p for p in plans.values() if p.pool == pool and p.region != region]
+    return near, far
--- /dev/null
+++ b/cornelnotch/kernel/__init__.py
@@ -0,0 +1,34 @@
+"""Hold the small core that plug-ins build on."""
+
+from cornelnotch.kernel.clock import Clock, ManualClock, SystemClock, create_clock
+from cornelnotch.kernel.events import (
+    Event,
+    EventLog,
+    create_event_log,
+    set_up_logging,
+)
+from cornelnotch.kernel.hashing import hash_text, rank_owners, select_owner
+from cornelnotch.kernel.identifiers import create_identifier, read_key_time
+from cornelnotch.kernel.registry import create_plugin, list_plugins, register_plugin
+from cornelnotch.kernel.tasks import MailboxTask, TaskGroup
+
+__all__ = [
+    "Clock",
+    "Event",
+    "EventLog",
+    "MailboxTask",
+    "ManualClock",
+    "SystemClock",
+    "TaskGroup",
+    "create_clock",
+    "create_event_log",
+    "create_identifier",
+    "create_plugin",
+    "hash_text",
+    "list_plugins",
+    "rank_owners",
+    "read_key_time",
+    "register_plugin",
+    "select_owner",
+    "set_up_logging",
+]
--- /dev/null
+++ b/cornelnotch/kernel/clock.py
@@ -0,0 +1,61 @@
+"""Provide the one clock type of the project, in milliseconds."""
+
+import asyncio
+import time
+from abc import ABC, abstractmethod
+
+__all__ = ["Clock", "ManualClock", "SystemClock", "create_clock"]
+
+MS_PER_SECOND = 1000.0
+
+
+class Clock(ABC):
+    """Tell time in milliseconds and wait for it to pass."""
+
+    @abstractmethod
+    def read(self) -> float:
+        """Return monotonic time in ms, for intervals and deadlines."""
+
+    @abstractmethod
+    def read_wall(self) -> float:
+        """Return ms since the Unix epoch, for ages shared between hosts."""
+
+    async def sleep(self, duration_ms: float) -> None:
+        """Wait for `duration_ms`."""
+        await asyncio.sleep(max(duration_ms, 0.0) / MS_PER_SECOND)
+
+
+class SystemClock(Clock):
+    """Read the clocks of the operating system."""
+
+    def read(self) -> float:
+        """Return monotonic time in ms."""
+        return time.monotonic() * MS_PER_SECOND
+
+    def read_wall(self) -> float:
+        """Return ms since the Unix epoch."""
+        return time.time() * MS_PER_SECOND
+
+
+class ManualClock(Clock):
+    """Stand still until a test moves it."""
+
+    def __init__(self, start_ms: float = 0.0) -> None:
+        self.current_ms = start_ms
+
+    def read(self) -> float:
+        """Return the time last set, in ms."""
+        return self.current_ms
+
+    def read_wall(self) -> float:
+        """Return the time last set, in ms."""
+        return self.current_ms
+
+    def advance(self, duration_ms: float) -> None:
+        """Move the clock forward by `duration_ms`."""
+        self.current_ms += duration_ms
+
+
+def create_clock() -> Clock:
+    """Return the clock used outside tests."""
+    return SystemClock()
--- /dev/null
+++ b/cornelnotch/kernel/events.py
@@ -0,0 +1,114 @@
+"""Number every log event and write events as text or JSON lines."""
+
+import logging
+import sys
+from enum import Enum
+from typing import Any
+
+import orjson
+
+__all__ = ["Event", "EventLog", "create_event_log", "set_up_logging"]
+
+
+class Event(Enum):
+    """Number, level and meaning of each event."""
+
+    NODE_STARTED = (1001, logging.INFO, "the node listens")
+    NODE_READY = (1002, logging.INFO, "a configuration is in force")
+    NODE_DRAINING = (1003, logging.INFO, "the node takes no new callers")
+    NODE_STOPPED = (1004, logging.INFO, "the node has ended every stream")
+    TASK_FAILED = (1101, logging.ERROR, "a task failed and was contained")
+    SETTINGS_REFUSED = (1102, logging.ERROR, "the settings cannot be used")
+    CONFIGURATION_APPLIED = (2001, logging.INFO, "a newer configuration is in force")
+    CONFIGURATION_REJECTED = (2002, logging.WARNING, "a record was rejected")
+    CONFIGURATION_BOOTSTRAPPED = (
+        2003,
+        logging.INFO,
+        "the configuration came from another host",
+    )
+    SNAPSHOT_WRITTEN = (2004, logging.INFO, "a configuration snapshot was appended")
+    LOG_UNAVAILABLE = (2101, logging.WARNING, "the log service does not answer")
+    LOG_RECOVERED = (2102, logging.INFO, "the log service answers again")
+    MEMBER_CHANGED = (3001, logging.INFO, "a host changed its membership state")
+    SERVER_LEAVING = (3002, logging.INFO, "a server takes no new work")
+    HOST_ISOLATED = (3003, logging.WARNING, "neither log nor peers are reachable")
+    PEER_MESSAGE_REFUSED = (3101, logging.WARNING, "a peer sent a malformed message")
+    SERVER_EJECTED = (4001, logging.WARNING, "a server failed and rests")
+    SERVER_SLOW = (4002, logging.WARNING, "a server is slower than its shard")
+    STREAM_RESUMED = (4003, logging.WARNING, "a broken stream went on elsewhere")
+    ANSWER_MISMATCHED = (4004, logging.ERROR, "an answer belonged to another request")
+    CLAIM_UNSETTLED = (5001, logging.WARNING, "a claim could not be read back")
+    CLAIM_RELEASE_DELAYED = (5002, logging.WARNING, "a release waits for the log")
+    REQUEST_REFUSED = (6001, logging.DEBUG, "a request was refused")
+    REQUEST_MALFORMED = (6002, logging.DEBUG, "a request was malformed")
+
+    def __init__(self, number: int, level: int, meaning: str) -> None:
+        self.number = number
+        self.level = level
+        self.meaning = meaning
+
+
+class EventLog:
+    """Write events under the name of one process."""
+
+    def __init__(self, source: str) -> None:
+        self._logger = logging.getLogger(f"cornelnotch.{source}")
+        self._source = source
+
+    def record(self, event: Event, **fields: Any) -> None:
+        """Write `event` with its fields."""
+        if not self._logger.isEnabledFor(event.level):
+            return
+        self._logger.log(
+            event.level,
+            event.meaning,
+            extra={"event": event, "source": self._source, "fields": fields},
+        )
+
+
+class TextFormatter(logging.Formatter):
+    """Write one event as a line of text."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line."""
+        event = getattr(record, "event", None)
+        if event is None:
+            return super().format(record)
+        fields = " ".join(f"{k}={v}" for k, v in record.__dict__["fields"].items())
+        stamp = self.formatTime(record)
+        source = record.__dict__["source"]
+        line = f"{stamp} {record.levelname} {event.number} {source}: {event.meaning}"
+        return f"{line} {fields}".rstrip()
+
+
+class JsonFormatter(logging.Formatter):
+    """Write one event as a line of JSON."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        """Return the line."""
+        event = getattr(record, "event", None)
+        content = {
+            "time_ms": int(record.created * 1000),
+            "level": record.levelname,
+            "event": event.number if event else 0,
+            "name": event.name if event else record.name,
+            "source": record.__dict__.get("source", record.name),
+            "message": record.getMessage(),
+            "fields": record.__dict__.get("fields", {}),
+        }
+        return orjson.dumps(content, default=str).decode()
+
+
+def create_event_log(source: str) -> EventLog:
+    """Return the event log of one process."""
+    return EventLog(source)
+
+
+def set_up_logging(style: str = "text", level: str = "INFO") -> None:
+    """Send the events to standard error as `text` or `json`."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(JsonFormatter() if style == "json" else TextFormatter())
+    logger = logging.getLogger("cornelnotch")
+    logger.handlers[:] = [handler]
+    logger.setLevel(level)
+    logger.propagate = False
--- /dev/null
+++ b/cornelnotch/load/caller.py
@@ -0,0 +1,254 @@
+"""Call a fleet as a workspace's program would."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+import orjson
+
+from cornelnotch.exceptions import UpstreamError
+from cornelnotch.kernel import Clock, create_identifier
+from cornelnotch.web import HttpAnswer, HttpClient
+
+__all__ = ["CallResult", "Caller", "CallerOptions"]
+
+ENTRY_TIMEOUT_MS = 1000.0
+DEFAULT_RETRY_MS = 200.0
+EVENT_END = b"\n\n"
+CHAT_TARGET = "/v1/chat/completions"
+STATUS_OK = 200
+
+
+@dataclass(frozen=True, slots=True)
+class CallerOptions:
+    """Set how a caller behaves; `attempts` includes the first."""
+
+    workspace: str
+    place: str | None = None
+    attempts: int = 4
+    deadline_ms: int = 10_000
+    patience_ms: float = 15_000.0
+
+
+@dataclass(slots=True)
+class CallResult:
+    """Hold what one call came to; times in ms from its first attempt."""
+
+    status: int = 0
+    outcome: str = "unknown"
+    kind: str = ""
+    text: str = ""
+    body: bytes = b""
+    complete: bool = False
+    request_id: str = ""
+    attempts: int = 0
+    first_token_ms: float = 0.0
+    between_tokens_ms: float = 0.0
+    whole_ms: float = 0.0
+    retry_after_ms: float = 0.0
+    outcomes: list[str] = field(default_factory=list)
+
+
+class Caller:
+    """Ask the fleet which host to use, keep the answer and connect to it."""
+
+    def __init__(self, seeds: list[str], options: CallerOptions, clock: Clock) -> None:
+        self.options = options
+        self._seeds = seeds
+        self._clock = clock
+        self._client = HttpClient()
+        self._addresses: list[str] = []
+        self._valid_until_ms = 0.0
+        self._turn = 0
+
+    def close(self) -> None:
+        """Drop idle connections."""
+        self._client.close()
+
+    async def ask_entry(self) -> list[str]:
+        """Return the addresses to use, asking again once they have expired."""
+        if self._addresses and self._clock.read() < self._valid_until_ms:
+            return self._addresses
+        place = f"&place={self.options.place}" if self.options.place else ""
+        target = f"/v1/entry?workspace={self.options.workspace}{place}"
+        for address in [*self._addresses, *self._seeds]:
+            try:
+                status, content = await self._client.request_json(
+                    address, "GET", target, timeout_ms=ENTRY_TIMEOUT_MS
+                )
+            except UpstreamError:
+                continue
+            if status == STATUS_OK and isinstance(content, dict):
+                self._addresses = list(content["addresses"])
+                self._valid_until_ms = self._clock.read() + content["ttl_ms"]
+                return self._addresses
+        return self._addresses or self._seeds
+
+    async def chat(
+        self,
+        prompt: str,
+        tokens: int,
+        labels: str,
+        stream: bool = True,
+        retry: bool = True,
+    ) -> CallResult:
+        """Send a chat completion and return its whole answer."""
+        content = {
+            "model": "default",
+            "messages": [{"role": "user", "content": prompt}],
+            "max_tokens": tokens,
+            "stream": stream,
+        }
+        body = orjson.dumps(content)
+        return await self._repeat("POST", CHAT_TARGET, labels, body, None, retry)
+
+    async def call(
+        self,
+        service: str,
+        path: str,
+        content: object,
+        labels: str,
+        key: str | None = None,
+        retry: bool = True,
+    ) -> CallResult:
+        """Call a plain service; a key makes repeats safe."""
+        target = f"/v1/services/{service}{path}"
+        body = orjson.dumps(content)
+        return await self._repeat("POST", target, labels, body, key, retry)
+
+    async def book(
+        self, service: str, path: str, content: object, labels: str
+    ) -> CallResult:
+        """Call a service for work that must not repeat, under a new key."""
+        key = create_identifier()
+        return await self.call(service, path, content, labels, key)
+
+    async def _repeat(
+        self,
+        method: str,
+        target: str,
+        labels: str,
+        body: bytes,
+        key: str | None,
+        retry: bool,
+    ) -> CallResult:
+        started_ms = self._clock.read()
+        limit = started_ms + self.options.patience_ms
+        result = CallResult()
+        attempts = self.options.attempts if retry else 1
+        for attempt in range(1, attempts + 1):
+            addresses = await self.ask_entry()
+            address = addresses[self._turn % len(addresses)]
+            result = await self._send(
+                address, method, target, labels, body, key, attempt, result, started_ms
+            )
+            if result.complete or not self._is_worth_repeating(result, key):
+                break
+            pause_ms = result.retry_after_ms or DEFAULT_RETRY_MS
+            if attempt == attempts or self._clock.read() + pause_ms > limit:
+                break
+            await self._clock.sleep(pause_ms)
+        result.whole_ms = self._clock.read() - started_ms
+        return result
+
+    @staticmethod
+    def _is_worth_repeating(result: CallResult, key: str | None) -> bool:
+        if result.status in {400, 404, 405, 413, 422}:
+            return False
+        return result.outcome != "ran" or key is not None
+
+    def _create_headers(
+        self, labels: str, key: str | None, attempt: int
+    ) -> dict[str, str]:
+        headers = {
+            "cornelnotch-workspace": self.options.workspace,
+            "cornelnotch-labels": labels,
+            "cornelnotch-deadline-ms": str(self.options.deadline_ms),
+            "cornelnotch-attempt": str(attempt),
+            "content-type": "application/json",
+        }
+        if key is not None:
+            headers["idempotency-key"] = key
+        return headers
+
+    async def _send(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        labels: str,
+        body: bytes,
+        key: str | None,
+        attempt: int,
+        previous: CallResult,
+        started_ms: float,
+    ) -> CallResult:
+        result = CallResult(attempts=attempt, outcomes=previous.outcomes)
+        timeout_ms = self.options.deadline_ms + DEFAULT_RETRY_MS * 5
+        try:
+            async with asyncio.timeout(timeout_ms / 1000.0):
+                headers = self._create_headers(labels, key, attempt)
+                answer = await self._client.request(
+                    address, method, target, headers, body
+                )
+                await self._read(answer, result, started_ms)
+        except (UpstreamError, TimeoutError) as error:
+            # Another host may be reached while this one is cut off.
+            self._turn += 1
+            self._valid_until_ms = 0.0
+            result.kind = type(error).__name__
+        result.outcomes.append(result.outcome)
+        return result
+
+    async def _read(
+        self, answer: HttpAnswer, result: CallResult, started_ms: float
+    ) -> None:
+        headers = answer.headers
+        result.status = answer.status
+        result.request_id = headers.get("cornelnotch-request-id", "")
+        result.retry_after_ms = float(headers.get("cornelnotch-retry-after-ms", "0"))
+        if headers.get("content-type") == "text/event-stream":
+            await self._read_stream(answer, result, started_ms)
+            result.outcome = "ran" if result.complete else "unknown"
+            return
+        result.body = await answer.read()
+        result.outcome = headers.get("cornelnotch-outcome", "unknown")
+        content = orjson.loads(result.body) if result.body else {}
+        if isinstance(content, dict) and "error" in content:
+            result.kind = str(content["error"].get("kind", ""))
+        elif isinstance(content, dict) and "choices" in content:
+            result.text = content["choices"][0]["message"]["content"]
+        result.complete = answer.status == STATUS_OK
+
+    async def _read_stream(
+        self, answer: HttpAnswer, result: CallResult, started_ms: float
+    ) -> None:
+        texts: list[str] = []
+        first_ms = 0.0
+        last_ms = 0.0
+        async for event in _split_events(answer):
+            data = event.removeprefix(b"data: ")
+            if data == b"[DONE]":
+                result.complete = True
+                continue
+            content = orjson.loads(data)
+            if "error" in content:
+                result.kind = str(content["error"].get("kind", ""))
+                continue
+            last_ms = self._clock.read()
+            if not texts:
+                first_ms = last_ms
+            texts.append(content["choices"][0]["delta"].get("content", ""))
+        result.text = "".join(texts)
+        if texts:
+            result.first_token_ms = first_ms - started_ms
+        if len(texts) > 1:
+            result.between_tokens_ms = (last_ms - first_ms) / (len(texts) - 1)
+
+
+async def _split_events(answer: HttpAnswer) -> AsyncIterator[bytes]:
+    buffer = b""
+    async for part in answer.iterate():
+        *events, buffer = (buffer + part).split(EVENT_END)
+        for event in events:
+            yield event
--- /dev/null
+++ b/cornelnotch/logservice/__init__.py
@@ -0,0 +1,22 @@
+"""Reach the platform's log service and host list."""
+
+from cornelnotch.logservice.base import (
+    HostEntry,
+    HostList,
+    LogPage,
+    LogRecord,
+    LogService,
+    PlatformHosts,
+)
+from cornelnotch.logservice.http import HttpHostList, HttpLogService
+
+__all__ = [
+    "HostEntry",
+    "HostList",
+    "HttpHostList",
+    "HttpLogService",
+    "LogPage",
+    "LogRecord",
+    "LogService",
+    "PlatformHosts",
+]
--- /dev/null
+++ b/cornelnotch/node/frontdoor.py
@@ -0,0 +1,228 @@
+"""Answer callers and operators over HTTP."""
+
+from collections.abc import Awaitable, Callable
+
+from returns.result import Failure
+
+from cornelnotch.configuration import select_class
+from cornelnotch.exceptions import CallerGoneError, RequestError
+from cornelnotch.kernel import create_identifier
+from cornelnotch.node.status import StatusReader
+from cornelnotch.observation import DecisionLog
+from cornelnotch.routing.engines import EngineFlow
+from cornelnotch.routing.flow import FlowParts, RequestFlow
+from cornelnotch.routing.intake import CallerRequest, read_caller_request
+from cornelnotch.routing.replies import (
+    Outcome,
+    Problem,
+    create_headers,
+    encode_problem,
+)
+from cornelnotch.routing.services import ServiceFlow
+from cornelnotch.settings import NodeSettings
+from cornelnotch.web import Exchange
+
+__all__ = ["FrontDoor"]
+
+SERVICE_PREFIX = "/v1/services/"
+EXPLAIN_PREFIX = "/v1/explain/"
+CHAT_PATH = "/v1/chat/completions"
+OBSTACLE_RETRY_MS = 1000.0
+NO_CLASS = "none"
+
+Handler = Callable[[Exchange], Awaitable[None]]
+
+
+class FrontDoor:
+    """Route each exchange to its handler; every refusal is answered at once."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        parts: FlowParts,
+        status: StatusReader,
+        decisions: DecisionLog,
+        start_drain: Callable[[], None],
+    ) -> None:
+        self.active = 0
+        self._settings = settings
+        self._parts = parts
+        self._status = status
+        self._decisions = decisions
+        self._start_drain = start_drain
+        self._handlers: dict[str, Handler] = {
+            "/v1/entry": self._answer_entry,
+            "/healthz": self._answer_health,
+            "/readyz": self._answer_ready,
+            "/status": self._answer_status,
+            "/metrics": self._answer_metrics,
+            "/v1/drain": self._answer_drain,
+            CHAT_PATH: self._route_chat,
+        }
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one exchange."""
+        self.active += 1
+        try:
+            await self._choose(exchange)(exchange)
+        except RequestError as error:
+            await self._refuse_malformed(exchange, error)
+        finally:
+            self.active -= 1
+
+    def _choose(self, exchange: Exchange) -> Handler:
+        handler = self._handlers.get(exchange.path)
+        if handler is not None:
+            return handler
+        if exchange.path.startswith(SERVICE_PREFIX):
+            return self._route_service
+        if exchange.path.startswith(EXPLAIN_PREFIX):
+            return self._answer_explain
+        return self._answer_unknown
+
+    async def _refuse_malformed(self, exchange: Exchange, error: RequestError) -> None:
+        if exchange.started:
+            raise CallerGoneError("the request broke off", "send it again")
+        problem = Problem(error.status, error.kind, str(error), Outcome.NOT_RUN)
+        self._parts.metrics.count_request(NO_CLASS, error.kind, problem.outcome.value)
+        await self._send_problem(exchange, problem, create_identifier())
+
+    @staticmethod
+    async def _send_problem(
+        exchange: Exchange, problem: Problem, request_id: str
+    ) -> None:
+        headers = create_headers(request_id, problem.outcome, problem.retry_after_ms)
+        headers["content-type"] = "application/json"
+        body = encode_problem(problem, request_id)
+        await exchange.respond(problem.status, headers, body)
+
+    async def _answer_entry(self, exchange: Exchange) -> None:
+        workspace = exchange.query.get("workspace", "")
+        place = exchange.query.get("place")
+        addresses = self._status.list_entries(workspace, place)
+        content = {
+            "addresses": addresses,
+            "ttl_ms": self._settings.timing.entry_ttl_ms,
+            "version": self._parts.fleet.configuration.version,
+        }
+        await exchange.respond_json(200 if addresses else 503, content)
+
+    async def _answer_health(self, exchange: Exchange) -> None:
+        await exchange.respond_json(200, {"alive": True})
+
+    async def _answer_ready(self, exchange: Exchange) -> None:
+        status = self._status.describe()
+        code = 200 if status.ready else 503
+        await exchange.respond_json(
+            code, {"ready": status.ready, "reason": status.reason}
+        )
+
+    async def _answer_status(self, exchange: Exchange) -> None:
+        content = self._status.describe_json()
+        content["active"] = self.active
+        content["unsettled_claims"] = self._parts.claims.unsettled
+        await exchange.respond_json(200, content)
+
+    async def _answer_metrics(self, exchange: Exchange) -> None:
+        self._parts.metrics.set_state("active", self.active)
+        self._parts.metrics.set_state(
+            "version", self._parts.fleet.configuration.version
+        )
+        body = self._parts.metrics.render()
+        await exchange.respond(200, {"content-type": "text/plain; version=0.0.4"}, body)
+
+    async def _answer_drain(self, exchange: Exchange) -> None:
+        if exchange.method != "POST":
+            raise RequestError("draining needs POST", "send POST", 405, "bad-method")
+        self._start_drain()
+        await exchange.respond_json(202, {"draining": True})
+
+    async def _answer_explain(self, exchange: Exchange) -> None:
+        request_id = exchange.path.removeprefix(EXPLAIN_PREFIX)
+        trace = self._decisions.find(request_id)
+        if trace is None:
+            raise RequestError(
+                "the request is not known here",
+                "ask the host that its id names, soon after the request",
+                404,
+                "unknown-request",
+            )
+        await exchange.respond_json(200, trace.describe())
+
+    async def _answer_unknown(self, exchange: Exchange) -> None:
+        raise RequestError(
+            f"{exchange.path} is not served",
+            "use /v1/entry, /v1/chat/completions or /v1/services/SERVICE/PATH",
+            404,
+            "unknown-path",
+        )
+
+    async def _route_chat(self, exchange: Exchange) -> None:
+        if exchange.method != "POST":
+            raise RequestError("a chat needs POST", "send POST", 405, "bad-method")
+        await self._route(exchange, None)
+
+    async def _route_service(self, exchange: Exchange) -> None:
+        rest = exchange.path.removeprefix(SERVICE_PREFIX)
+        service, _, _ = rest.partition("/")
+        if not service:
+            raise RequestError("the path names no service", "use /v1/services/NAME/")
+        await self._route(exchange, service)
+
+    async def _route(self, exchange: Exchange, service: str | None) -> None:
+        body = await exchange.read_body(self._settings.limits.body_bytes)
+        read = read_caller_request(
+            self._settings.node.name,
+            exchange.method,
+            exchange.target,
+            service,
+            exchange.headers,
+            body,
+        )
+        if isinstance(read, Failure):
+            raise read.failure()
+        request = read.unwrap()
+        trace = self._decisions.open(request.request_id)
+        obstacle = self._status.find_obstacle()
+        if obstacle is not None:
+            trace.note("refused", reason=obstacle)
+            problem = self._report_obstacle(obstacle, request)
+            await self._send_problem(exchange, problem, request.request_id)
+            return
+        flow = self._create_flow(exchange, request)
+        self._parts.budget.earn()
+        await flow.run()
+
+    def _report_obstacle(self, obstacle: str, request: CallerRequest) -> Problem:
+        repeated = request.key is not None and not request.is_first_attempt
+        return Problem(
+            503,
+            obstacle,
+            "this host takes no work now; ask /v1/entry for another",
+            Outcome.UNKNOWN if repeated else Outcome.NOT_RUN,
+            OBSTACLE_RETRY_MS,
+        )
+
+    def _create_flow(self, exchange: Exchange, request: CallerRequest) -> RequestFlow:
+        trace = self._decisions.find(request.request_id)
+        assert trace is not None
+        selected = select_class(
+            self._parts.fleet.configuration,
+            request.workspace,
+            request.labels,
+            request.service,
+        )
+        if isinstance(selected, Failure):
+            trace.note("refused", reason="no-selector")
+            raise selected.failure()
+        selection = selected.unwrap()
+        trace.note(
+            "classified",
+            selector=selection.selector,
+            class_name=selection.class_name,
+            tier=selection.tier,
+            pool=selection.pool,
+            version=selection.version,
+        )
+        kind = ServiceFlow if request.service is not None else EngineFlow
+        return kind(self._parts, exchange, request, selection, trace)
--- /dev/null
+++ b/cornelnotch/node/node.py
@@ -0,0 +1,232 @@
+"""Build and run one host."""
+
+import asyncio
+import random
+
+from cornelnotch.claims import ClaimClient, ClaimKeeper
+from cornelnotch.configuration.fold import ConfigurationState
+from cornelnotch.configuration.follower import ConfigurationFollower
+from cornelnotch.configuration.snapshots import SnapshotWriter
+from cornelnotch.kernel import (
+    Clock,
+    Event,
+    TaskGroup,
+    create_clock,
+    create_event_log,
+    create_plugin,
+    select_owner,
+)
+from cornelnotch.membership import MemberState, MemberTable, Prober, ServerTable
+from cornelnotch.membership.prober import ProberTiming
+from cornelnotch.node.frontdoor import FrontDoor
+from cornelnotch.node.status import StatusReader
+from cornelnotch.observation import DecisionLog, NodeMetrics
+from cornelnotch.routing.budget import RetryBudget
+from cornelnotch.routing.dispatcher import Dispatcher
+from cornelnotch.routing.fleet import FleetView
+from cornelnotch.routing.flow import FlowParts
+from cornelnotch.routing.permits import PermitClient
+from cornelnotch.routing.upstreams import EngineUpstream, ServiceUpstream
+from cornelnotch.settings import NodeSettings
+from cornelnotch.web import HttpClient, HttpServer, parse_address
+from cornelnotch.wire import PeerNetwork
+from cornelnotch.wire.messages import (
+    ConfigurationFetch,
+    ConfigurationOffer,
+    MemberUpdate,
+)
+
+__all__ = ["Node", "create_node"]
+
+SNAPSHOT_DUTY = "configuration-snapshot"
+DRAIN_MARGIN_MS = 1000.0
+DRAIN_CHECK_MS = 50.0
+HANDOVER_MS = 1000.0
+FETCH_INTERVAL_MS = 200.0
+
+
+class Node:
+    """Own every task of one host."""
+
+    def __init__(self, settings: NodeSettings, clock: Clock) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.events = create_event_log(settings.node.name)
+        self.tasks = TaskGroup(self.events)
+        self.stopped = asyncio.Event()
+        self.boot = int(clock.read_wall())
+        self._client = HttpClient()
+        self._draining = False
+        self._fetched_ms = float("-inf")
+        self._build_membership()
+        self._build_configuration()
+        self._build_routing()
+
+    def _build_membership(self) -> None:
+        node = self.settings.node
+        self.peers = PeerNetwork(node.name, self.boot, self.events, self.tasks)
+        update = MemberUpdate(
+            node.name,
+            node.http,
+            node.peer_advertised or node.peer,
+            node.place,
+            "alive",
+            self.boot,
+        )
+        table = MemberTable(update, self.clock.read())
+        timing = self.settings.membership
+        self.prober = Prober(
+            table,
+            ServerTable(),
+            self.peers,
+            create_plugin("host-list", "http", self.settings.platform.hosts),
+            self.clock,
+            self.events,
+            self.tasks,
+            ProberTiming(
+                timing.period_ms,
+                timing.timeout_ms,
+                timing.suspicion_ms,
+                listing_ms=timing.listing_ms,
+            ),
+            random.Random(f"{node.seed}/{node.name}"),
+        )
+        self.fleet = FleetView(table, self.prober.servers)
+        self.prober.subscribe(self._apply_members)
+
+    def _build_configuration(self) -> None:
+        log = create_plugin("log-service", "http", self.settings.platform.log)
+        self.follower = ConfigurationFollower(
+            log, self.clock, self.events, self.settings.timing.log_poll_ms
+        )
+        self.follower.subscribe(self._apply_configuration)
+        retention_ms = self.settings.platform.retention_ms
+        self.snapshots = SnapshotWriter(self.follower, self.clock, retention_ms)
+        self.prober.log_age_ms = self.follower.read_log_age
+        self.prober.subscribe_ahead(self._fetch_configuration)
+        self.peers.subscribe(ConfigurationFetch, self._offer_configuration)
+        self.peers.subscribe(
+            ConfigurationOffer,
+            lambda sender, offer: self.follower.adopt_snapshot(offer.snapshot),
+        )
+
+    def _build_routing(self) -> None:
+        log = create_plugin("log-service", "http", self.settings.platform.log)
+        self.metrics = NodeMetrics(self.settings.node.name, self.clock)
+        self.dispatcher = Dispatcher(self.fleet, self.peers, self.clock, self.events)
+        self.permits = PermitClient(self.fleet, self.peers, self.clock)
+        self.keeper = ClaimKeeper(
+            log,
+            self.clock,
+            self.events,
+            self.peers,
+            self.tasks,
+            self.settings.platform.retention_ms,
+        )
+        self.claims = ClaimClient(
+            self.fleet, self.peers, self.clock, self.events, self.tasks
+        )
+        parts = FlowParts(
+            self.fleet,
+            self.permits,
+            self.claims,
+            EngineUpstream(self._client),
+            ServiceUpstream(self._client),
+            self.metrics,
+            RetryBudget(),
+            self.clock,
+            self.events,
+        )
+        self.status = StatusReader(
+            self.settings, self.fleet, self.follower, self.prober, self.clock
+        )
+        self.front = FrontDoor(
+            self.settings,
+            parts,
+            self.status,
+            DecisionLog(self.clock),
+            self.start_drain,
+        )
+        self.server = HttpServer(self.front.handle)
+
+    async def start(self) -> None:
+        """Open the listeners and start every task."""
+        await self.peers.start(*parse_address(self.settings.node.peer))
+        await self.server.start(*parse_address(self.settings.node.http))
+        self.tasks.start("configuration", self.follower.run())
+        self.tasks.start("snapshots", self.snapshots.run())
+        self.tasks.start("probes", self.prober.run_probes())
+        self.tasks.start("listing", self.prober.run_listing())
+        self.tasks.start("dispatcher", self.dispatcher.run())
+        self.tasks.start("ticks", self.dispatcher.run_ticks())
+        self.tasks.start("load-reports", self.dispatcher.run_load_reports())
+        self.tasks.start("held-permits", self.permits.run_held_reports())
+        self.events.record(Event.NODE_STARTED, http=self.settings.node.http)
+
+    async def stop(self) -> None:
+        """Stop at once."""
+        await self.server.stop()
+        await self.peers.stop()
+        await self.tasks.stop()
+        self._client.close()
+        self.stopped.set()
+
+    def start_drain(self) -> None:
+        """Begin to leave: callers go elsewhere, streams end, then the node stops."""
+        if self._draining:
+            return
+        self._draining = True
+        self.tasks.start("drain", self._drain())
+
+    async def _drain(self) -> None:
+        self.events.record(Event.NODE_DRAINING)
+        self.status.draining = True
+        self.prober.share_leaving(MemberState.LEAVING)
+        # Callers may keep an old entry answer for its whole lifetime.
+        ttl_ms = self.settings.timing.entry_ttl_ms
+        await self.clock.sleep(ttl_ms + DRAIN_MARGIN_MS)
+        limit = self.clock.read() + self.settings.timing.drain_limit_ms
+        self.server.refuse_new()
+        while self._has_work() and self.clock.read() < limit:
+            await self.clock.sleep(DRAIN_CHECK_MS)
+        await self.clock.sleep(HANDOVER_MS)
+        self.events.record(Event.NODE_STOPPED)
+        self.stopped.set()
+
+    def _has_work(self) -> bool:
+        if self.front.active or self.permits.count_held() or self.claims.unsettled:
+            return True
+        return any(shard.running for shard in self.dispatcher.shards.values())
+
+    def _apply_configuration(self, state: ConfigurationState) -> None:
+        first = self.prober.version < 0
+        self.prober.version = state.version
+        self.fleet.apply_configuration(state)
+        if first:
+            self.events.record(Event.NODE_READY, version=state.version)
+
+    def _apply_members(self) -> None:
+        live = [member.name for member in self.fleet.list_live()]
+        owner = select_owner(SNAPSHOT_DUTY, live)
+        self.snapshots.owned = owner == self.fleet.name
+        self.fleet.apply_members()
+
+    def _fetch_configuration(self, host: str, version: int) -> None:
+        now = self.clock.read()
+        if now - self._fetched_ms < FETCH_INTERVAL_MS:
+            return
+        self._fetched_ms = now
+        fetch = ConfigurationFetch(self.fleet.name, self.follower.state.version)
+        self.peers.send(host, fetch)
+
+    def _offer_configuration(self, sender: str, fetch: ConfigurationFetch) -> None:
+        state = self.follower.state
+        if state.version <= fetch.version:
+            return
+        offer = ConfigurationOffer(state.version, self.follower.encode_state())
+        self.peers.send(fetch.host, offer)
+
+
+def create_node(settings: NodeSettings, clock: Clock | None = None) -> Node:
+    """Return a node that has not started yet."""
+    return Node(settings, clock or create_clock())
--- /dev/null
+++ b/cornelnotch/node/tests/conftest.py
@@ -0,0 +1,50 @@
+"""Share a running fleet between process tests."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+
+from cornelnotch.testing.processes import ProcessFleet
+from cornelnotch.testing.samples import create_heelmark_text, create_server_section
+
+Scenario = Callable[[ProcessFleet], Awaitable[None]]
+
+FAST_SETTINGS = (
+    "[timing]\nentry_ttl_ms = 1000\n"
+    "[membership]\nperiod_ms = 200\nsuspicion_ms = 800\nlisting_ms = 300\n"
+)
+
+
+async def start_heelmark(
+    fleet: ProcessFleet, hosts: int = 3, engines: int = 2, services: int = 1
+) -> None:
+    """Start a small Heelmark fleet and wait until it takes work."""
+    fleet.settings = FAST_SETTINGS
+    await fleet.start_platform()
+    sections = ""
+    for number in range(engines):
+        server = await fleet.start_engine(f"engine-{number}")
+        sections += create_server_section(server.name, "cobbler-assist", server.http)
+    for number in range(services):
+        server = await fleet.start_service(f"desk-{number}")
+        sections += create_server_section(server.name, "counter-desk", server.http)
+    version = await fleet.publish(create_heelmark_text(sections))
+    for number in range(hosts):
+        await fleet.start_host(f"host-{number}")
+    await fleet.wait_ready(version)
+
+
+@pytest.fixture
+def run_fleet(tmp_path: Path) -> Callable[[Scenario], None]:
+    """Return a function that runs a scenario on a fleet and ends the fleet."""
+
+    async def run(scenario: Scenario) -> None:
+        fleet = ProcessFleet(tmp_path)
+        try:
+            await scenario(fleet)
+        finally:
+            await fleet.stop()
+
+    return lambda scenario: asyncio.run(run(scenario))
--- /dev/null
+++ b/cornelnotch/node/tests/test_path.py
@@ -0,0 +1,43 @@
+"""Serve requests end to end with separate processes."""
+
+from cornelnotch.kernel import create_identifier
+from cornelnotch.node.tests.conftest import start_heelmark
+from cornelnotch.standins.engine import predict_answer
+
+
+def test_chat_and_booking_get_whole_answers(run_fleet):
+    async def scenario(fleet):
+        await start_heelmark(fleet)
+        caller = fleet.create_caller()
+        assert len(await caller.ask_entry()) == 3
+        for stream in (True, False):
+            result = await caller.chat("resole brown boots", 12, "kind=quote", stream)
+            assert (result.status, result.complete) == (200, True)
+            assert result.text == predict_answer("resole brown boots", 12)
+        key = create_identifier()
+        content = {"reference": "slot-7"}
+        booked = await caller.call(
+            "counter-desk", "/book", content, "kind=booking", key
+        )
+        assert (booked.status, booked.outcome) == (200, "ran")
+        repeated = await caller.call(
+            "counter-desk", "/book", content, "kind=booking", key
+        )
+        assert repeated.body == booked.body
+        assert await fleet.read_ledger("desk-0") == {"slot-7": 1}
+
+    run_fleet(scenario)
+
+
+def test_explain_names_selector_server_and_outcome(run_fleet):
+    async def scenario(fleet):
+        await start_heelmark(fleet, hosts=2, engines=1)
+        caller = fleet.create_caller()
+        result = await caller.chat("draft", 4, "kind=draft")
+        trace = await fleet.explain(result.request_id)
+        stages = {d["stage"]: d["details"] for d in trace["decisions"]}
+        assert stages["classified"]["selector"] == "drafts"
+        assert stages["permit"]["server"] == "engine-0"
+        assert stages["answered"]["tokens"] == 4
+
+    run_fleet(scenario)
--- /dev/null
+++ b/cornelnotch/observation/__init__.py
@@ -0,0 +1,13 @@
+"""Measure attainment and explain decisions."""
+
+from cornelnotch.observation.decisions import Decision, DecisionLog, Trace
+from cornelnotch.observation.metrics import NodeMetrics
+from cornelnotch.observation.windows import AttainmentWindows
+
+__all__ = [
+    "AttainmentWindows",
+    "Decision",
+    "DecisionLog",
+    "NodeMetrics",
+    "Trace",
+]
--- /dev/null
+++ b/cornelnotch/observation/decisions.py
@@ -0,0 +1,61 @@
+"""Keep why each recent request was queued, refused or routed."""
+
+from collections import OrderedDict
+from dataclasses import asdict, dataclass, field
+
+from cornelnotch.kernel import Clock
+
+__all__ = ["Decision", "DecisionLog", "Trace"]
+
+MAX_TRACES = 5000
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """Hold one step; `at_ms` counts from the request's arrival."""
+
+    at_ms: float
+    stage: str
+    details: dict[str, object]
+
+
+@dataclass(slots=True)
+class Trace:
+    """Hold the decisions on one request."""
+
+    request_id: str
+    clock: Clock
+    arrived_ms: float
+    decisions: list[Decision] = field(default_factory=list)
+
+    def note(self, stage: str, **details: object) -> None:
+        """Add one decision."""
+        at_ms = self.clock.read() - self.arrived_ms
+        self.decisions.append(Decision(round(at_ms, 3), stage, details))
+
+    def describe(self) -> dict[str, object]:
+        """Return the trace for JSON."""
+        return {
+            "request_id": self.request_id,
+            "decisions": [asdict(decision) for decision in self.decisions],
+        }
+
+
+class DecisionLog:
+    """Keep the traces of the most recent requests of one host."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._traces: OrderedDict[str, Trace] = OrderedDict()
+
+    def open(self, request_id: str) -> Trace:
+        """Start the trace of a request."""
+        trace = Trace(request_id, self._clock, self._clock.read())
+        self._traces[request_id] = trace
+        if len(self._traces) > MAX_TRACES:
+            self._traces.popitem(last=False)
+        return trace
+
+    def find(self, request_id: str) -> Trace | None:
+        """Return the trace of a request while it is kept."""
+        return self._traces.get(request_id)
--- /dev/null
+++ b/cornelnotch/observation/metrics.py
@@ -0,0 +1,112 @@
+"""Expose a host's measurements to Prometheus."""
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.renderer import render
+
+from cornelnotch.kernel import Clock
+from cornelnotch.observation.windows import AttainmentWindows
+
+__all__ = ["NodeMetrics"]
+
+LATENCY_BUCKETS_S = (
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.46,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+    30.0,
+    float("inf"),
+)
+
+
+class NodeMetrics:
+    """Own the metrics registry of one host."""
+
+    def __init__(self, host: str, clock: Clock) -> None:
+        self.windows = AttainmentWindows(clock)
+        self._registry = Registry()
+        labels = {"host": host}
+        self._requests = Counter(
+            "cornelnotch_requests_total",
+            "Requests by class, result and outcome.",
+            labels,
+            registry=self._registry,
+        )
+        self._tokens = Counter(
+            "cornelnotch_tokens_total",
+            "Tokens received from engines, by fate.",
+            labels,
+            registry=self._registry,
+        )
+        self._retries = Counter(
+            "cornelnotch_retries_total",
+            "Repeated dispatches by cause.",
+            labels,
+            registry=self._registry,
+        )
+        self._first_token = Histogram(
+            "cornelnotch_first_token_seconds",
+            "Time to first token by class.",
+            labels,
+            self._registry,
+            LATENCY_BUCKETS_S,
+        )
+        self._queued = Histogram(
+            "cornelnotch_queued_seconds",
+            "Time from arrival to permit by class.",
+            labels,
+            self._registry,
+            LATENCY_BUCKETS_S,
+        )
+        self._window = Gauge(
+            "cornelnotch_attainment_window",
+            "Requests that ended within a window of minutes, by class and result.",
+            labels,
+            registry=self._registry,
+        )
+        self._state = Gauge(
+            "cornelnotch_state",
+            "State of the host by name.",
+            labels,
+            registry=self._registry,
+        )
+
+    def count_request(self, class_name: str, result: str, outcome: str) -> None:
+        """Count one finished request."""
+        self._requests.inc({"class": class_name, "result": result, "outcome": outcome})
+
+    def count_tokens(self, fate: str, tokens: int) -> None:
+        """Count tokens as delivered or wasted."""
+        self._tokens.add({"fate": fate}, tokens)
+
+    def count_retry(self, cause: str) -> None:
+        """Count one repeated dispatch."""
+        self._retries.inc({"cause": cause})
+
+    def observe_first_token(self, class_name: str, duration_ms: float) -> None:
+        """Observe the time to first token in ms."""
+        self._first_token.observe({"class": class_name}, duration_ms / 1000.0)
+
+    def observe_queued(self, class_name: str, duration_ms: float) -> None:
+        """Observe the time from arrival to permit in ms."""
+        self._queued.observe({"class": class_name}, duration_ms / 1000.0)
+
+    def set_state(self, name: str, value: float) -> None:
+        """Set one figure of the host's state."""
+        self._state.set({"name": name}, value)
+
+    def render(self) -> bytes:
+        """Return the Prometheus text."""
+        for row in self.windows.count():
+            window = str(row.minutes)
+            labels = {"class": row.class_name, "minutes": window}
+            self._window.set({**labels, "result": "attained"}, row.attained)
+            self._window.set({**labels, "result": "total"}, row.total)
+        content, _ = render(self._registry, ["text/plain"])
+        return content
--- /dev/null
+++ b/cornelnotch/queueing/estimates.py
@@ -0,0 +1,61 @@
+"""Estimate durations whose lengths are unknown from what was seen."""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+__all__ = ["DurationEstimator", "Estimate"]
+
+GAIN = 0.125
+DEVIATION_GAIN = 0.25
+MIN_SAMPLES = 5
+MAX_KEYS = 4096
+
+
+@dataclass(slots=True)
+class Estimate:
+    """Hold a smoothed mean and mean deviation in ms."""
+
+    mean: float
+    deviation: float
+    samples: int = 1
+
+    def update(self, value: float) -> None:
+        """Take in one duration."""
+        error = value - self.mean
+        gain = max(GAIN, 1.0 / (self.samples + 1))
+        self.mean += gain * error
+        self.deviation += DEVIATION_GAIN * (abs(error) - self.deviation)
+        self.samples += 1
+
+    @property
+    def low(self) -> float:
+        """Return a duration that most requests exceed."""
+        return max(self.mean - 2.0 * self.deviation, 0.0)
+
+
+class DurationEstimator:
+    """Estimate by class and workspace, or by class while samples are few."""
+
+    def __init__(self, expected_ms: float) -> None:
+        self._expected_ms = expected_ms
+        self._estimates: OrderedDict[tuple[str, str], Estimate] = OrderedDict()
+
+    def update(self, class_name: str, workspace: str, duration_ms: float) -> None:
+        """Take in one duration."""
+        for key in ((class_name, workspace), (class_name, "")):
+            estimate = self._estimates.get(key)
+            if estimate is None:
+                self._estimates[key] = Estimate(duration_ms, duration_ms / 2)
+            else:
+                estimate.update(duration_ms)
+            self._estimates.move_to_end(key)
+        while len(self._estimates) > MAX_KEYS:
+            self._estimates.popitem(last=False)
+
+    def find(self, class_name: str, workspace: str) -> Estimate:
+        """Return the best estimate at hand."""
+        for key in ((class_name, workspace), (class_name, "")):
+            estimate = self._estimates.get(key)
+            if estimate is not None and estimate.samples >= MIN_SAMPLES:
+                return estimate
+        return Estimate(self._expected_ms, self._expected_ms / 2, 0)
--- /dev/null
+++ b/cornelnotch/queueing/shard.py
@@ -0,0 +1,458 @@
+"""Decide over one shard: state and message in, effects out; no input or output."""
+
+import itertools
+
+from cornelnotch.balancing.balancers import Balancer
+from cornelnotch.balancing.servers import ServerState, judge_pace
+from cornelnotch.kernel import create_plugin
+from cornelnotch.queueing.disciplines import Discipline
+from cornelnotch.queueing.estimates import DurationEstimator
+from cornelnotch.queueing.limits import WorkspaceLimiter
+from cornelnotch.queueing.models import (
+    Effect,
+    Grant,
+    Pause,
+    Refusal,
+    Running,
+    ShardRule,
+    Waiting,
+)
+from cornelnotch.wire.messages import (
+    HeldPermits,
+    Occupancy,
+    PermitAsk,
+    PermitFinish,
+)
+
+__all__ = ["Shard", "create_shard"]
+
+DISPLACE_MARGIN_MS = 60.0
+MIN_RETRY_MS = 100.0
+MAX_RETRY_MS = 30_000.0
+MIN_QUEUE_PLACES = 16
+FAILED_OUTCOMES = frozenset({"unreachable", "broken", "stalled", "mismatched"})
+HELD_GRACE_MS = 1000.0
+
+
+class Shard:
+    """Own the queue and the servers of one shard."""
+
+    def __init__(
+        self, rule: ShardRule, discipline: Discipline, balancer: Balancer
+    ) -> None:
+        self.rule = rule
+        self.servers: dict[str, ServerState] = {}
+        self.running: dict[str, Running] = {}
+        self.discipline = discipline
+        self.whole = DurationEstimator(rule.expected_ms)
+        self.first_token = DurationEstimator(rule.expected_ms / 4)
+        self._balancer = balancer
+        self._limiter = WorkspaceLimiter()
+        self._orders = itertools.count()
+        self._counts: dict[str, int] = {}
+        self._leaving: frozenset[str] = frozenset()
+        self.configure(rule, frozenset())
+
+    def configure(self, rule: ShardRule, leaving: frozenset[str]) -> None:
+        """Take over a newer configuration and the platform's leaving servers."""
+        self.rule = rule
+        self._leaving = leaving
+        for name, server_rule in rule.servers.items():
+            server = self.servers.get(name)
+            if server is None or server.address != server_rule.address:
+                server = ServerState(name, server_rule.address, server_rule.slots)
+                self.servers[name] = server
+                self._recount(server)
+            server.slots = server_rule.slots
+            server.leaving = server_rule.leaving or name in leaving
+        for name in [n for n in self.servers if n not in rule.servers]:
+            del self.servers[name]
+        slots = self.count_slots()
+        self.discipline.configure(rule.classes, slots, self.count_queue_places())
+        self._limiter.configure(rule.workspaces)
+
+    def _recount(self, server: ServerState) -> None:
+        held = [r for r in self.running.values() if r.server == server.name]
+        server.busy = sum(1 for r in held if not r.displaced)
+
+    def count_slots(self) -> int:
+        """Return the slots of servers that take work."""
+        return sum(s.slots for s in self.servers.values() if not s.leaving)
+
+    def count_queue_places(self) -> int:
+        """Return how many requests may wait."""
+        return max(MIN_QUEUE_PLACES, int(self.count_slots() * self.rule.queue_per_slot))
+
+    def ask(self, ask: PermitAsk, now: float) -> list[Effect]:
+        """Queue a request, grant it a place or refuse it."""
+        known = self.running.get(ask.request_id)
+        if known is not None:
+            # A repeated ask means that the grant was lost on its way.
+            return [self._regrant(known, now)]
+        if self.discipline.find(ask.request_id) is not None:
+            return []
+        item = self._create_waiting(ask, now)
+        refusal = self._check_admission(item, now)
+        if refusal is not None:
+            return [refusal]
+        effects: list[Effect] = []
+        if self.discipline.size() >= self.count_queue_places():
+            effects += self.pump(now)
+        if self.discipline.size() >= self.count_queue_places():
+            effects += self._make_room(item, now)
+            if any(e.request_id == item.request_id for e in effects):
+                return effects
+        self.discipline.add(item, now)
+        return effects + self.pump(now)
+
+    def _create_waiting(self, ask: PermitAsk, now: float) -> Waiting:
+        arrived = now - ask.waited_ms
+        rule = self.rule.classes.get(ask.class_name)
+        whole = self.whole.find(ask.class_name, ask.workspace)
+        first = self.first_token.find(ask.class_name, ask.workspace)
+        give_up = now + ask.deadline_in_ms - whole.low
+        start_by = give_up
+        if rule is not None and rule.whole_ms is not None:
+            start_by = min(start_by, arrived + rule.whole_ms - whole.mean)
+        if rule is not None and rule.first_token_ms is not None:
+            margin = first.mean + first.deviation
+            start_by = min(start_by, arrived + rule.first_token_ms - margin)
+        return Waiting(
+            ask.request_id,
+            ask.holder,
+            ask.class_name,
+            ask.tier,
+            ask.workspace,
+            ask.affinity,
+            arrived,
+            start_by,
+            give_up,
+            next(self._orders),
+            frozenset(ask.excluded),
+        )
+
+    def _check_admission(self, item: Waiting, now: float) -> Refusal | None:
+        if item.class_name not in self.rule.classes:
+            return self._refuse(item, "configuration-behind", MIN_RETRY_MS)
+        if not any(not s.leaving for s in self.servers.values()):
+            return self._refuse(item, "no-server", MAX_RETRY_MS / 30)
+        if item.give_up_ms < now:
+            return self._refuse(item, "deadline", self.estimate_retry(item.tier, now))
+        retry_ms = self._limiter.check(item.workspace, self.count_workspace, now)
+        if retry_ms is not None:
+            return self._refuse(item, "workspace-limit", retry_ms)
+        return None
+
+    def count_workspace(self, workspace: str) -> int:
+        """Return the requests of a workspace that hold a place or wait."""
+        running = sum(1 for r in self.running.values() if r.workspace == workspace)
+        waiting = sum(
+            1 for w in self.discipline.list_waiting() if w.workspace == workspace
+        )
+        return running + waiting
+
+    def _make_room(self, item: Waiting, now: float) -> list[Effect]:
+        victim = self.discipline.choose_victim(item)
+        if victim is not item:
+            self.discipline.remove(victim.request_id)
+            return [self._refuse(victim, "queue-full", self._retry(victim, now))]
+        displacement = self._displace(item, now)
+        if displacement:
+            return displacement
+        return [self._refuse(item, "queue-full", self._retry(item, now))]
+
+    def cancel(self, request_id: str, now: float) -> list[Effect]:
+        """Forget a request whose holder gave it up."""
+        self.discipline.remove(request_id)
+        effects: list[Effect] = []
+        if request_id in self.running:
+            effects = self._release(request_id, now)
+        return effects + self.pump(now)
+
+    def note_first_token(
+        self, request_id: str, elapsed_ms: float, now: float
+    ) -> list[Effect]:
+        """Learn how long a server took to its first token."""
+        running = self.running.get(request_id)
+        if running is None or running.first_token_seen:
+            return []
+        running.first_token_seen = True
+        self.first_token.update(running.class_name, running.workspace, elapsed_ms)
+        server = self.servers.get(running.server)
+        if server is not None and not running.displaced:
+            server.first_token.update(elapsed_ms)
+            self._judge_servers()
+        return []
+
+    def finish(self, finish: PermitFinish, now: float) -> list[Effect]:
+        """Take a permit back and learn from what its holder saw."""
+        running = self.running.get(finish.request_id)
+        if running is None or running.server != finish.server:
+            return []
+        server = self.servers.get(finish.server)
+        if server is not None:
+            self._learn(server, running, finish, now)
+        return self._release(finish.request_id, now) + self.pump(now)
+
+    def _learn(
+        self, server: ServerState, running: Running, finish: PermitFinish, now: float
+    ) -> None:
+        if finish.outcome in FAILED_OUTCOMES:
+            server.fail(now)
+        elif finish.outcome == "done":
+            server.succeed()
+            self.whole.update(running.class_name, running.workspace, finish.elapsed_ms)
+            if finish.between_tokens_ms > 0 and not running.displaced:
+                server.between_tokens.update(finish.between_tokens_ms)
+            self._judge_servers()
+
+    def _judge_servers(self) -> None:
+        servers = list(self.servers.values())
+        for server in servers:
+            server.slow = judge_pace(server, servers)
+
+    def take_held(self, held: HeldPermits, now: float) -> list[Effect]:
+        """Adopt what a host holds and drop what it no longer holds."""
+        names = {permit.request_id for permit in held.permits}
+        effects: list[Effect] = []
+        for running in list(self.running.values()):
+            old = now - running.granted_ms > HELD_GRACE_MS
+            if (
+                running.holder == held.holder
+                and old
+                and running.request_id not in names
+            ):
+                effects += self._release(running.request_id, now)
+        for permit in held.permits:
+            if permit.request_id in self.running:
+                continue
+            self._occupy(
+                Running(
+                    permit.request_id,
+                    held.holder,
+                    permit.class_name,
+                    permit.tier,
+                    permit.workspace,
+                    permit.server,
+                    now,
+                    next(self._orders),
+                ),
+                now,
+            )
+        return effects + self.pump(now)
+
+    def drop_holder(self, holder: str, now: float) -> list[Effect]:
+        """Free every place of a host that is gone."""
+        effects: list[Effect] = []
+        for running in list(self.running.values()):
+            if running.holder == holder:
+                effects += self._release(running.request_id, now)
+        for item in list(self.discipline.list_waiting()):
+            if item.holder == holder:
+                self.discipline.remove(item.request_id)
+        return effects + self.pump(now)
+
+    def take_report(self, server: str, reported: int, now: float) -> list[Effect]:
+        """Correct a server's load by its own lagging report."""
+        state = self.servers.get(server)
+        if state is None:
+            return []
+        state.take_report(reported, now)
+        return self.pump(now)
+
+    def pump(self, now: float) -> list[Effect]:
+        """Refuse what came too late and fill every free place."""
+        effects: list[Effect] = []
+        effects += self._rescue(now)
+        for item in self.discipline.expire(now):
+            effects.append(self._refuse(item, "deadline", self._retry(item, now)))
+        while True:
+            pick = self.discipline.choose(now, self._counts, self.estimate_place())
+            if pick is None:
+                break
+            servers = list(self.servers.values())
+            server = self._balancer.choose(servers, pick.item, now)
+            if server is None:
+                break
+            effects.append(self._grant(pick.item, server, pick.reason, now))
+        effects += self._rescue(now)
+        return effects
+
+    def _rescue(self, now: float) -> list[Effect]:
+        """Displace lower tiers for requests that cannot wait any longer."""
+        effects: list[Effect] = []
+        if not self.rule.preemptible:
+            return effects
+        progress = True
+        while progress:
+            progress = False
+            for item in self.discipline.list_urgent(now, DISPLACE_MARGIN_MS):
+                if item.give_up_ms < now:
+                    continue
+                displacement = self._displace(item, now)
+                if displacement:
+                    effects += displacement
+                    progress = True
+                    break
+        return effects
+
+    def _displace(self, item: Waiting, now: float) -> list[Effect]:
+        """Put `item` before the newest lowest-tier request outside its floor."""
+        if not self.rule.preemptible:
+            return []
+        victim = self._choose_displaced(item, now)
+        if victim is None:
+            return []
+        victim.displaced = True
+        self._counts[victim.class_name] -= 1
+        server = self.servers[victim.server]
+        server.busy -= 1
+        grant = self._grant(item, server, "displaced-lower-tier", now)
+        return [Pause(victim.request_id, victim.holder, True), grant]
+
+    def _choose_displaced(self, item: Waiting, now: float) -> Running | None:
+        candidates = [
+            running
+            for running in self.running.values()
+            if running.tier > item.tier
+            and not running.displaced
+            and self._counts[running.class_name]
+            > self.discipline.get_floor_places(running.class_name)
+            and self._is_usable(running.server, now)
+        ]
+        return max(candidates, key=lambda r: (r.tier, r.order), default=None)
+
+    def _is_usable(self, name: str, now: float) -> bool:
+        server = self.servers.get(name)
+        if server is None or server.leaving or server.slow:
+            return False
+        return now >= server.rest_until_ms
+
+    def _grant(
+        self, item: Waiting, server: ServerState, reason: str, now: float
+    ) -> Grant:
+        self.discipline.remove(item.request_id)
+        self.discipline.note_service(item.class_name, now)
+        running = Running(
+            item.request_id,
+            item.holder,
+            item.class_name,
+            item.tier,
+            item.workspace,
+            server.name,
+            now,
+            next(self._orders),
+        )
+        self._occupy(running, now)
+        if item.affinity:
+            server.remember_affinity(item.affinity)
+        return Grant(
+            item.request_id,
+            item.holder,
+            server.name,
+            server.address,
+            now - item.arrived_ms,
+            reason,
+        )
+
+    def _regrant(self, running: Running, now: float) -> Effect:
+        server = self.servers.get(running.server)
+        address = server.address if server else ""
+        queued_ms = now - running.granted_ms
+        return Grant(
+            running.request_id,
+            running.holder,
+            running.server,
+            address,
+            queued_ms,
+            "repeated",
+        )
+
+    def _occupy(self, running: Running, now: float) -> None:
+        self.running[running.request_id] = running
+        name = running.class_name
+        self._counts[name] = self._counts.get(name, 0) + 1
+        server = self.servers.get(running.server)
+        if server is not None:
+            server.busy += 1
+            server.note_busy(now)
+
+    def _release(self, request_id: str, now: float) -> list[Effect]:
+        running = self.running.pop(request_id)
+        if running.displaced:
+            return []
+        self._counts[running.class_name] -= 1
+        server = self.servers.get(running.server)
+        if server is None:
+            return []
+        server.busy -= 1
+        server.note_busy(now)
+        return self._readmit(server)
+
+    def _readmit(self, server: ServerState) -> list[Effect]:
+        """Give a freed slot back to the best displaced request of a server."""
+        displaced = [
+            r for r in self.running.values() if r.displaced and r.server == server.name
+        ]
+        best = min(displaced, key=lambda r: (r.tier, r.order), default=None)
+        if best is None:
+            return []
+        best.displaced = False
+        server.busy += 1
+        self._counts[best.class_name] = self._counts.get(best.class_name, 0) + 1
+        return [Pause(best.request_id, best.holder, False)]
+
+    def estimate_place(self) -> float:
+        """Return the ms until a place is likely to become free."""
+        slots = max(self.count_slots(), 1)
+        total = sum(
+            self.whole.find(r.class_name, r.workspace).mean
+            for r in itertools.islice(self.running.values(), 32)
+        )
+        count = min(len(self.running), 32)
+        mean = total / count if count else self.rule.expected_ms
+        return mean / slots
+
+    def estimate_retry(self, tier: int, now: float) -> float:
+        """Return when a refused request of `tier` is likely to find a place."""
+        ahead = sum(1 for w in self.discipline.list_waiting() if w.tier <= tier)
+        expected = self.estimate_place() * (ahead + 1)
+        return min(max(expected, MIN_RETRY_MS), MAX_RETRY_MS)
+
+    def estimate_backlog(self) -> float:
+        """Return the ms of work that waits, for choosing between shards."""
+        return self.estimate_place() * self.discipline.size()
+
+    def _retry(self, item: Waiting, now: float) -> float:
+        return self.estimate_retry(item.tier, now)
+
+    def _refuse(self, item: Waiting, reason: str, retry_after_ms: float) -> Refusal:
+        return Refusal(
+            item.request_id,
+            item.holder,
+            reason,
+            retry_after_ms,
+            self.describe_occupancy(),
+        )
+
+    def describe_occupancy(self) -> tuple[Occupancy, ...]:
+        """Return the places that each class holds at this moment."""
+        rows: dict[tuple[str, int], list[int]] = {}
+        for running in self.running.values():
+            if not running.displaced:
+                rows.setdefault((running.class_name, running.tier), [0, 0])[1] += 1
+        for item in self.discipline.list_waiting():
+            rows.setdefault((item.class_name, item.tier), [0, 0])[0] += 1
+        return tuple(
+            Occupancy(
+                name, tier, counts[0], counts[1], self.discipline.get_floor_places(name)
+            )
+            for (name, tier), counts in sorted(rows.items())
+        )
+
+
+def create_shard(rule: ShardRule) -> Shard:
+    """Return an empty shard with the plug-ins that `rule` names."""
+    discipline = create_plugin("discipline", rule.discipline)
+    balancer = create_plugin("balancer", rule.balancer)
+    return Shard(rule, discipline, balancer)
--- /dev/null
+++ b/cornelnotch/routing/budget.py
@@ -0,0 +1,25 @@
+"""Keep retries under a fixed share of first attempts."""
+
+__all__ = ["RetryBudget"]
+
+RETRY_SHARE = 0.2
+MIN_TOKENS = 5.0
+MAX_TOKENS = 100.0
+
+
+class RetryBudget:
+    """Earn a share of a retry with each first attempt."""
+
+    def __init__(self) -> None:
+        self._tokens = MIN_TOKENS
+
+    def earn(self) -> None:
+        """Count one first attempt."""
+        self._tokens = min(self._tokens + RETRY_SHARE, MAX_TOKENS)
+
+    def spend(self) -> bool:
+        """Take one retry; tell whether the budget allows it."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
--- /dev/null
+++ b/cornelnotch/routing/dispatcher.py
@@ -0,0 +1,304 @@
+"""Dispatch permits for the shards that this host owns."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Any
+
+from cornelnotch.configuration import Configuration, ShardPlan
+from cornelnotch.exceptions import UpstreamError
+from cornelnotch.kernel import Clock, EventLog, MailboxTask
+from cornelnotch.queueing import (
+    ClassRule,
+    Grant,
+    Pause,
+    ServerRule,
+    Shard,
+    ShardRule,
+    create_shard,
+)
+from cornelnotch.queueing.models import Effect, WorkspaceRule
+from cornelnotch.routing.fleet import FleetView
+from cornelnotch.web import HttpClient
+from cornelnotch.wire import PeerNetwork
+from cornelnotch.wire.messages import (
+    HeldPermits,
+    PermitAsk,
+    PermitCancel,
+    PermitFinish,
+    PermitFirstToken,
+    PermitGrant,
+    PermitMoved,
+    PermitPause,
+    PermitQueued,
+    PermitRefusal,
+)
+
+__all__ = ["Dispatcher", "create_shard_rule"]
+
+TICK_MS = 20.0
+LOAD_PERIOD_MS = 1000.0
+LOAD_TIMEOUT_MS = 800.0
+BEHIND_RETRY_MS = 100.0
+HOLDER_TIMEOUT_MS = 10_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Refresh:
+    """Ask the dispatcher to look at configuration and members again."""
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Ask the dispatcher to look at the time."""
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """Carry what a server says of its own load."""
+
+    shard: str
+    server: str
+    load: int
+
+
+def create_shard_rule(plan: ShardPlan, configuration: Configuration) -> ShardRule:
+    """Return what the configuration says of one shard."""
+    pool = configuration.pools[plan.pool]
+    classes = {
+        name: ClassRule(
+            name,
+            section.tier,
+            section.first_token_ms,
+            section.whole_ms,
+            section.longest_wait_ms,
+            section.floor,
+        )
+        for name, section in configuration.classes.items()
+    }
+    servers = {}
+    for name in plan.servers:
+        section = configuration.servers[name]
+        leaving = section.state == "leaving"
+        servers[name] = ServerRule(name, section.address, section.slots, leaving)
+    workspaces = {
+        name: WorkspaceRule(w.requests_per_second, w.burst, w.concurrent)
+        for name, w in configuration.workspaces.items()
+        if w.requests_per_second is not None or w.concurrent is not None
+    }
+    return ShardRule(
+        plan.name,
+        pool.discipline,
+        pool.balancer,
+        pool.protocol == "engine",
+        pool.queue_per_slot,
+        pool.expected_ms,
+        classes,
+        servers,
+        workspaces,
+    )
+
+
+class Dispatcher(MailboxTask):
+    """Own the shards of this host; every change arrives as a message."""
+
+    def __init__(
+        self, fleet: FleetView, peers: PeerNetwork, clock: Clock, events: EventLog
+    ) -> None:
+        super().__init__(events)
+        self.shards: dict[str, Shard] = {}
+        self._fleet = fleet
+        self._peers = peers
+        self._clock = clock
+        self._client = HttpClient()
+        self._heard: dict[tuple[str, str], float] = {}
+        fleet.subscribe(lambda: self.post(Refresh()))
+        for kind in (
+            PermitAsk,
+            PermitCancel,
+            PermitFinish,
+            PermitFirstToken,
+            HeldPermits,
+        ):
+            peers.subscribe(kind, lambda sender, message: self.post(message))
+
+    async def run_ticks(self) -> None:
+        """Let waiting requests notice the time until cancelled."""
+        while True:
+            await self._clock.sleep(TICK_MS)
+            if any(shard.discipline.size() for shard in self.shards.values()):
+                self.post(Tick())
+
+    async def run_load_reports(self) -> None:
+        """Ask the servers of owned shards for their load until cancelled."""
+        while True:
+            await self._clock.sleep(LOAD_PERIOD_MS)
+            polls = [
+                self._poll_load(shard.rule.name, server.name, server.address)
+                for shard in list(self.shards.values())
+                if self._owns(shard.rule.name)
+                for server in shard.servers.values()
+            ]
+            await asyncio.gather(*polls)
+            self._drop_silent_holders()
+
+    async def _poll_load(self, shard: str, server: str, address: str) -> None:
+        try:
+            status, content = await self._client.request_json(
+                address, "GET", "/load", timeout_ms=LOAD_TIMEOUT_MS
+            )
+        except UpstreamError:
+            return
+        if status != 200 or not isinstance(content, dict):
+            return
+        load = int(content.get("running", 0)) + int(content.get("waiting", 0))
+        self.post(LoadReport(shard, server, load))
+
+    def _drop_silent_holders(self) -> None:
+        now = self._clock.read()
+        for (holder, name), heard in list(self._heard.items()):
+            if now - heard < HOLDER_TIMEOUT_MS:
+                continue
+            del self._heard[(holder, name)]
+            shard = self.shards.get(name)
+            if shard is not None:
+                self._perform(shard, shard.drop_holder(holder, now))
+
+    def _owns(self, shard: str) -> bool:
+        if shard not in self._fleet.plans:
+            return False
+        ranking = self._fleet.rank_dispatchers(shard)
+        return bool(ranking) and ranking[0] == self._fleet.name
+
+    async def handle(self, message: Any) -> None:
+        """Act on one message."""
+        if isinstance(message, PermitAsk):
+            self._handle_ask(message)
+        elif isinstance(message, Refresh):
+            self._refresh()
+        elif isinstance(message, Tick):
+            for shard in self.shards.values():
+                if shard.discipline.size():
+                    self._perform(shard, shard.pump(self._clock.read()))
+        else:
+            self._handle_report(message)
+
+    def _handle_report(self, message: Any) -> None:
+        shard = self.shards.get(message.shard)
+        if shard is None and isinstance(message, HeldPermits):
+            shard = self._open_shard(message.shard)
+        if shard is None:
+            return
+        now = self._clock.read()
+        effects: list[Effect] = []
+        if isinstance(message, PermitFinish):
+            effects = shard.finish(message, now)
+        elif isinstance(message, PermitFirstToken):
+            effects = shard.note_first_token(
+                message.request_id, message.elapsed_ms, now
+            )
+        elif isinstance(message, PermitCancel):
+            effects = shard.cancel(message.request_id, now)
+        elif isinstance(message, HeldPermits):
+            self._heard[(message.holder, message.shard)] = now
+            effects = shard.take_held(message, now)
+        elif isinstance(message, LoadReport):
+            effects = shard.take_report(message.server, message.load, now)
+        self._perform(shard, effects)
+
+    def _handle_ask(self, ask: PermitAsk) -> None:
+        if ask.hops == 0 and not self._owns(ask.shard):
+            self._peers.send(ask.holder, PermitMoved(ask.request_id, ask.shard))
+            return
+        shard = self._open_shard(ask.shard)
+        if shard is None:
+            refusal = PermitRefusal(
+                ask.request_id,
+                ask.shard,
+                "configuration-behind",
+                BEHIND_RETRY_MS,
+                [],
+                0.0,
+            )
+            self._peers.send(ask.holder, refusal)
+            return
+        now = self._clock.read()
+        self._heard[(ask.holder, ask.shard)] = now
+        self._perform(shard, shard.ask(ask, now))
+        if shard.discipline.find(ask.request_id) is not None:
+            queued = PermitQueued(ask.request_id, ask.shard, shard.estimate_backlog())
+            self._peers.send(ask.holder, queued)
+
+    def _open_shard(self, name: str) -> Shard | None:
+        shard = self.shards.get(name)
+        plan = self._fleet.plans.get(name)
+        if shard is not None or plan is None:
+            return shard
+        rule = create_shard_rule(plan, self._fleet.configuration)
+        shard = create_shard(rule)
+        shard.configure(rule, self._fleet.leaving_servers)
+        self.shards[name] = shard
+        return shard
+
+    def _refresh(self) -> None:
+        now = self._clock.read()
+        for name, shard in list(self.shards.items()):
+            plan = self._fleet.plans.get(name)
+            if plan is None:
+                self._move_waiting(shard)
+                del self.shards[name]
+                continue
+            rule = create_shard_rule(plan, self._fleet.configuration)
+            shard.configure(rule, self._fleet.leaving_servers)
+            self._drop_dead_holders(shard, now)
+            if not self._owns(name):
+                self._move_waiting(shard)
+                if not shard.running:
+                    del self.shards[name]
+                    continue
+            self._perform(shard, shard.pump(now))
+
+    def _drop_dead_holders(self, shard: Shard, now: float) -> None:
+        known = {m.name for m in self._fleet.list_known()}
+        holders = {running.holder for running in shard.running.values()}
+        holders |= {item.holder for item in shard.discipline.list_waiting()}
+        for holder in holders - known:
+            self._perform(shard, shard.drop_holder(holder, now))
+
+    def _move_waiting(self, shard: Shard) -> None:
+        """Send the queue's requests to the shard's new owner."""
+        for item in list(shard.discipline.list_waiting()):
+            shard.discipline.remove(item.request_id)
+            moved = PermitMoved(item.request_id, shard.rule.name)
+            self._peers.send(item.holder, moved)
+
+    def _perform(self, shard: Shard, effects: list[Effect]) -> None:
+        if not effects:
+            return
+        backlog = shard.estimate_backlog()
+        for effect in effects:
+            self._peers.send(effect.holder, self._create_reply(shard, effect, backlog))
+
+    def _create_reply(
+        self, shard: Shard, effect: Effect, backlog_ms: float
+    ) -> PermitGrant | PermitRefusal | PermitPause:
+        if isinstance(effect, Pause):
+            return PermitPause(effect.request_id, shard.rule.name, effect.paused)
+        if isinstance(effect, Grant):
+            return PermitGrant(
+                effect.request_id,
+                shard.rule.name,
+                effect.server,
+                effect.address,
+                self._fleet.name,
+                effect.queued_ms,
+                effect.reason,
+                backlog_ms,
+            )
+        return PermitRefusal(
+            effect.request_id,
+            shard.rule.name,
+            effect.reason,
+            effect.retry_after_ms,
+            list(effect.occupancy),
+            backlog_ms,
+        )
--- /dev/null
+++ b/cornelnotch/routing/engines.py
@@ -0,0 +1,233 @@
+"""Carry chat completions to engines and resume broken streams."""
+
+import asyncio
+from contextlib import aclosing
+from dataclasses import dataclass
+
+import orjson
+
+from cornelnotch.exceptions import UpstreamError, UpstreamStalledError
+from cornelnotch.kernel import Event
+from cornelnotch.routing.flow import FlowError, RequestFlow
+from cornelnotch.routing.permits import PermitReport
+from cornelnotch.routing.replies import (
+    Outcome,
+    Problem,
+    create_headers,
+    encode_problem,
+)
+from cornelnotch.routing.upstreams import EngineChunk, StallGuard
+from cornelnotch.wire.messages import PermitGrant
+
+__all__ = ["EngineFlow"]
+
+STALL_FACTOR = 30.0
+MIN_STALL_MS = 1500.0
+DEFAULT_STALL_MS = 5000.0
+
+
+@dataclass(slots=True)
+class Progress:
+    """Hold what one dispatch has shown so far; times are local ms."""
+
+    started_ms: float
+    first_ms: float = 0.0
+    last_ms: float = 0.0
+    tokens: int = 0
+
+    def note_token(self, now: float) -> bool:
+        """Count a token; tell whether it was the first."""
+        self.last_ms = now
+        self.tokens += 1
+        if self.tokens == 1:
+            self.first_ms = now
+            return True
+        return False
+
+    def compute_pace(self) -> float:
+        """Return the mean ms between tokens."""
+        if self.tokens < 2:
+            return 0.0
+        return (self.last_ms - self.first_ms) / (self.tokens - 1)
+
+    def create_report(self, outcome: str, now: float) -> PermitReport:
+        """Return what the dispatcher learns from."""
+        first_ms = self.first_ms - self.started_ms if self.tokens else 0.0
+        return PermitReport(
+            outcome, now - self.started_ms, first_ms, self.compute_pace(), self.tokens
+        )
+
+
+class EngineFlow(RequestFlow):
+    """Stream from an engine; a broken stream goes on elsewhere if it may."""
+
+    def __init__(self, *arguments: object) -> None:
+        super().__init__(*arguments)  # type: ignore[arg-type]
+        self._texts: list[str] = []
+        self._first_token_at_ms = 0.0
+        self._content = orjson.loads(self.request.body)
+        body = {**self._content, "stream": True}
+        self._body = orjson.dumps(body)
+
+    async def carry(self) -> None:
+        """Dispatch until the answer is whole or must not be tried again."""
+        while True:
+            try:
+                grant = await self.acquire()
+                error = await self._dispatch(grant)
+            except FlowError as failure:
+                if not self.exchange.started:
+                    raise
+                await self._break_off(failure.problem)
+                return
+            if error is None:
+                await self._finish()
+                return
+            if not self.may_try_again(error, grant):
+                problem = self.report_failure(error)
+                if not self.exchange.started:
+                    raise FlowError(problem)
+                await self._break_off(problem)
+                return
+            if self._texts:
+                self.parts.events.record(
+                    Event.STREAM_RESUMED,
+                    request_id=self.request.request_id,
+                    position=len(self._texts),
+                )
+
+    async def _dispatch(self, grant: PermitGrant) -> UpstreamError | None:
+        """Run one dispatch; return what broke it, or None when it is whole."""
+        progress = Progress(self.parts.clock.read())
+        outcome = "cancelled"
+        try:
+            await self._stream_within(grant, progress)
+            outcome = "done"
+            return None
+        except UpstreamError as error:
+            outcome = error.kind
+            if outcome == "mismatched":
+                self.parts.events.record(Event.ANSWER_MISMATCHED, server=grant.server)
+            return error
+        finally:
+            report = progress.create_report(outcome, self.parts.clock.read())
+            self.give_back(grant, report)
+
+    async def _stream_within(self, grant: PermitGrant, progress: Progress) -> None:
+        try:
+            async with asyncio.timeout(self.read_left() / 1000.0) as limit:
+                guard = StallGuard(limit, self._compute_stall(), self.read_left())
+                self.parts.permits.watch_pauses(grant, guard.pause)
+                await self._stream(grant, progress, guard)
+        except TimeoutError as error:
+            raise UpstreamStalledError(
+                f"{grant.server} sent nothing in time", "check the engine"
+            ) from error
+
+    def _compute_stall(self) -> float:
+        pace = self.selection.service_class.between_tokens_ms
+        if pace is None:
+            return DEFAULT_STALL_MS
+        return max(pace * STALL_FACTOR, MIN_STALL_MS)
+
+    async def _stream(
+        self, grant: PermitGrant, progress: Progress, guard: StallGuard
+    ) -> None:
+        answer_id = f"{self.request.request_id}.{len(self.excluded)}"
+        chunks = self.parts.engines.stream(
+            grant.address,
+            answer_id,
+            self._body,
+            self.selection.tier,
+            len(self._texts),
+            guard,
+        )
+        self.dispatched = True
+        async with aclosing(chunks) as stream:
+            async for chunk in stream:
+                if progress.note_token(self.parts.clock.read()):
+                    self._note_first_token(grant, progress)
+                await self._deliver(chunk)
+
+    def _note_first_token(self, grant: PermitGrant, progress: Progress) -> None:
+        elapsed_ms = progress.first_ms - progress.started_ms
+        self.parts.permits.report_first_token(grant, elapsed_ms)
+        if not self._texts:
+            self._first_token_at_ms = progress.first_ms - self.trace.arrived_ms
+            self.parts.metrics.observe_first_token(
+                self.selection.class_name, self._first_token_at_ms
+            )
+
+    async def _deliver(self, chunk: EngineChunk) -> None:
+        self._texts.append(chunk.text)
+        if not self.request.stream:
+            return
+        if not self.exchange.started:
+            headers = create_headers(self.request.request_id, Outcome.RAN)
+            headers["content-type"] = "text/event-stream"
+            await self.exchange.start(200, headers)
+        chunk.content["id"] = self.request.request_id
+        await self.exchange.send(b"data: " + orjson.dumps(chunk.content) + b"\n\n")
+
+    async def _finish(self) -> None:
+        whole_ms = self.parts.clock.read() - self.trace.arrived_ms
+        self.parts.metrics.count_tokens("delivered", len(self._texts))
+        if self.request.stream:
+            if not self.exchange.started:
+                headers = create_headers(self.request.request_id, Outcome.RAN)
+                await self.exchange.start(
+                    200, {**headers, "content-type": "text/event-stream"}
+                )
+            await self.exchange.send(b"data: [DONE]\n\n")
+            await self.exchange.finish()
+        else:
+            await self._respond_whole()
+        pace_ms = 0.0
+        if len(self._texts) > 1:
+            span = whole_ms - self._first_token_at_ms
+            pace_ms = span / (len(self._texts) - 1)
+        self.finish_well(
+            self._judge(whole_ms, pace_ms),
+            first_token_ms=round(self._first_token_at_ms, 1),
+            between_tokens_ms=round(pace_ms, 2),
+            whole_ms=round(whole_ms, 1),
+            tokens=len(self._texts),
+        )
+
+    async def _respond_whole(self) -> None:
+        content = {
+            "id": self.request.request_id,
+            "object": "chat.completion",
+            "model": self._content.get("model"),
+            "choices": [
+                {
+                    "index": 0,
+                    "message": {"role": "assistant", "content": "".join(self._texts)},
+                    "finish_reason": "stop",
+                }
+            ],
+            "usage": {"completion_tokens": len(self._texts)},
+        }
+        body = orjson.dumps(content)
+        self.keep_outcome(200, "application/json", body)
+        headers = create_headers(self.request.request_id, Outcome.RAN)
+        headers["content-type"] = "application/json"
+        await self.exchange.respond(200, headers, body)
+
+    def _judge(self, whole_ms: float, pace_ms: float) -> bool:
+        targets = self.selection.service_class
+        limits = (
+            (targets.first_token_ms, self._first_token_at_ms),
+            (targets.between_tokens_ms, pace_ms),
+            (targets.whole_ms, whole_ms),
+        )
+        return all(limit is None or seen <= limit for limit, seen in limits)
+
+    async def _break_off(self, problem: Problem) -> None:
+        """End a stream that cannot be made whole; [DONE] is never sent."""
+        self.trace.note("broken-off", kind=problem.kind, tokens=len(self._texts))
+        self.parts.metrics.count_tokens("wasted", len(self._texts))
+        self.parts.metrics.windows.record(self.selection.class_name, False)
+        body = encode_problem(problem, self.request.request_id)
+        await self.exchange.send(b"data: " + body + b"\n\n")
+        await self.exchange.finish()
--- /dev/null
+++ b/cornelnotch/routing/fleet.py
@@ -0,0 +1,81 @@
+"""Share one host's view of configuration and members between its tasks."""
+
+from collections.abc import Callable
+
+from cornelnotch.configuration import (
+    Configuration,
+    ConfigurationState,
+    ShardPlan,
+    plan_shards,
+)
+from cornelnotch.membership import Member, MemberState, MemberTable, ServerTable
+from cornelnotch.routing.ownership import rank_dispatchers, rank_keepers
+
+__all__ = ["FleetView"]
+
+
+class FleetView:
+    """Hold the newest configuration, its shards and the live hosts."""
+
+    def __init__(self, table: MemberTable, servers: ServerTable) -> None:
+        self.configuration = Configuration()
+        self.plans: dict[str, ShardPlan] = {}
+        self.leaving_servers: frozenset[str] = frozenset()
+        self._table = table
+        self._servers = servers
+        self._listeners: list[Callable[[], None]] = []
+        self._rankings: dict[str, list[str]] = {}
+
+    @property
+    def name(self) -> str:
+        """Return this host's name."""
+        return self._table.name
+
+    @property
+    def region(self) -> str:
+        """Return this host's region."""
+        return self.configuration.find_region(self._table.own.place)
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Call `listener` after each change."""
+        self._listeners.append(listener)
+
+    def apply_configuration(self, state: ConfigurationState) -> None:
+        """Take over a newer configuration."""
+        self.configuration = state.configuration
+        self.plans = plan_shards(self.configuration)
+        self.apply_members()
+
+    def apply_members(self) -> None:
+        """Take over changed members and leaving servers."""
+        self.leaving_servers = self._servers.list_leaving()
+        self._rankings.clear()
+        for listener in self._listeners:
+            listener()
+
+    def list_live(self) -> list[Member]:
+        """Return hosts that take duties."""
+        return self._table.list_live()
+
+    def list_known(self) -> list[Member]:
+        """Return hosts that are not known to be dead."""
+        members = self._table.members.values()
+        return [m for m in members if m.state is not MemberState.DEAD]
+
+    def rank_dispatchers(self, shard: str) -> list[str]:
+        """Return hosts in the order in which they dispatch `shard`."""
+        ranking = self._rankings.get(shard)
+        if ranking is None:
+            plan = self.plans[shard]
+            ranking = rank_dispatchers(plan, self.configuration, self.list_live())
+            self._rankings[shard] = ranking
+        return ranking
+
+    def rank_keepers(self, stream: int) -> list[str]:
+        """Return hosts in the order in which they keep a claim stream."""
+        key = f"claims/{stream}"
+        ranking = self._rankings.get(key)
+        if ranking is None:
+            ranking = rank_keepers(stream, self.list_live())
+            self._rankings[key] = ranking
+        return ranking
--- /dev/null
+++ b/cornelnotch/routing/permits.py
@@ -0,0 +1,282 @@
+"""Get permits from dispatchers and give them back."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from returns.result import Failure, Result, Success
+
+from cornelnotch.configuration import ShardPlan, find_shards
+from cornelnotch.kernel import Clock, rank_owners
+from cornelnotch.routing.fleet import FleetView
+from cornelnotch.wire import PeerNetwork
+from cornelnotch.wire.messages import (
+    HeldPermit,
+    HeldPermits,
+    PermitAsk,
+    PermitCancel,
+    PermitFinish,
+    PermitFirstToken,
+    PermitGrant,
+    PermitMoved,
+    PermitPause,
+    PermitQueued,
+    PermitRefusal,
+)
+
+__all__ = ["PermitClient", "PermitNeed", "PermitReport"]
+
+ACK_TIMEOUT_MS = 400.0
+REFRESH_MS = 1000.0
+HELD_PERIOD_MS = 2000.0
+BEHIND_WAIT_MS = 100.0
+NO_SERVER_RETRY_MS = 1000.0
+SHARD_CHOICES = 2
+
+Reply = PermitGrant | PermitRefusal | PermitMoved | PermitQueued
+
+
+@dataclass(slots=True)
+class PermitNeed:
+    """Describe a request that needs a place; times are local ms."""
+
+    request_id: str
+    class_name: str
+    tier: int
+    pool: str
+    workspace: str
+    affinity: str
+    arrived_ms: float
+    deadline_ms: float
+    excluded: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class PermitReport:
+    """Tell what the holder of a permit saw."""
+
+    outcome: str
+    elapsed_ms: float
+    first_token_ms: float = 0.0
+    between_tokens_ms: float = 0.0
+    tokens: int = 0
+
+
+@dataclass(slots=True)
+class HeldEntry:
+    """Remember a permit in use and who hears that it is paused."""
+
+    need: PermitNeed
+    grant: PermitGrant
+    listener: Callable[[bool], None] | None = None
+
+
+class PermitClient:
+    """Own the permits of one host."""
+
+    def __init__(self, fleet: FleetView, peers: PeerNetwork, clock: Clock) -> None:
+        self._fleet = fleet
+        self._peers = peers
+        self._clock = clock
+        self._pending: dict[str, asyncio.Queue[Reply]] = {}
+        self._held: dict[str, HeldEntry] = {}
+        self._backlogs: dict[str, float] = {}
+        self._told: set[str] = set()
+        for kind in (PermitGrant, PermitRefusal, PermitMoved, PermitQueued):
+            peers.subscribe(kind, self._receive)
+        peers.subscribe(PermitPause, self._receive_pause)
+
+    def count_held(self) -> int:
+        """Return how many permits are in use."""
+        return len(self._held)
+
+    async def acquire(self, need: PermitNeed) -> Result[PermitGrant, PermitRefusal]:
+        """Return a grant, or the refusal that ends the request."""
+        near, far = find_shards(self._fleet.plans, need.pool, self._fleet.region)
+        result: Result[PermitGrant, PermitRefusal] = Failure(self._report_empty(need))
+        for plans in (near, far):
+            if not plans:
+                continue
+            result = await self._acquire_from(self._choose_shard(plans, need), need)
+            if isinstance(result, Success):
+                return result
+            if result.failure().reason != "no-server":
+                return result
+        return result
+
+    def _choose_shard(self, plans: list[ShardPlan], need: PermitNeed) -> str:
+        """Return the less loaded of the two shards that the prefix hashes to."""
+        names = [plan.name for plan in plans]
+        choices = rank_owners(need.affinity or need.request_id, names)[:SHARD_CHOICES]
+        return min(choices, key=lambda name: self._backlogs.get(name, 0.0))
+
+    async def _acquire_from(
+        self, shard: str, need: PermitNeed
+    ) -> Result[PermitGrant, PermitRefusal]:
+        replies: asyncio.Queue[Reply] = asyncio.Queue()
+        self._pending[need.request_id] = replies
+        settled = False
+        asked: str | None = None
+        try:
+            hops = 0
+            while self._clock.read() < need.deadline_ms:
+                target = self._choose_dispatcher(shard, hops)
+                if target is None:
+                    break
+                if asked is not None and asked != target:
+                    self._peers.send(asked, PermitCancel(need.request_id, shard))
+                asked = target
+                reply = await self._ask(shard, need, target, hops, replies)
+                if isinstance(reply, PermitGrant):
+                    settled = True
+                    self._held[need.request_id] = HeldEntry(need, reply)
+                    return Success(reply)
+                if isinstance(reply, PermitRefusal):
+                    if reply.reason != "configuration-behind":
+                        settled = True
+                        return Failure(reply)
+                    await self._clock.sleep(BEHIND_WAIT_MS)
+                if not isinstance(reply, PermitQueued):
+                    hops += 1
+            return Failure(self._report_deadline(shard, need))
+        finally:
+            del self._pending[need.request_id]
+            if not settled and asked is not None:
+                self._peers.send(asked, PermitCancel(need.request_id, shard))
+
+    def _choose_dispatcher(self, shard: str, hops: int) -> str | None:
+        if shard not in self._fleet.plans:
+            return None
+        ranking = self._fleet.rank_dispatchers(shard)
+        return ranking[hops % len(ranking)] if ranking else None
+
+    async def _ask(
+        self,
+        shard: str,
+        need: PermitNeed,
+        target: str,
+        hops: int,
+        replies: asyncio.Queue[Reply],
+    ) -> Reply | None:
+        """Ask once; return the decision, PermitQueued to ask again, or None."""
+        now = self._clock.read()
+        ask = PermitAsk(
+            need.request_id,
+            self._fleet.name,
+            shard,
+            need.class_name,
+            need.tier,
+            need.workspace,
+            need.affinity,
+            now - need.arrived_ms,
+            need.deadline_ms - now,
+            sorted(need.excluded),
+            hops,
+        )
+        self._peers.send(target, ask)
+        wait_ms = ACK_TIMEOUT_MS
+        queued: PermitQueued | None = None
+        while True:
+            left_ms = need.deadline_ms - self._clock.read()
+            try:
+                async with asyncio.timeout(max(min(wait_ms, left_ms), 0.0) / 1000.0):
+                    reply = await replies.get()
+            except TimeoutError:
+                return queued
+            if not isinstance(reply, PermitQueued):
+                return reply
+            # A queued request asks again now and then, so that it notices when
+            # its dispatcher has gone.
+            queued = reply
+            wait_ms = REFRESH_MS
+
+    def _receive(self, sender: str, reply: Reply) -> None:
+        if isinstance(reply, PermitGrant | PermitRefusal | PermitQueued):
+            self._backlogs[reply.shard] = reply.backlog_ms
+        replies = self._pending.get(reply.request_id)
+        if replies is not None:
+            replies.put_nowait(reply)
+            return
+        if isinstance(reply, PermitGrant):
+            self._return_unused(reply)
+
+    def _return_unused(self, grant: PermitGrant) -> None:
+        held = self._held.get(grant.request_id)
+        if held is not None and held.grant.dispatcher == grant.dispatcher:
+            return
+        finish = PermitFinish(
+            grant.request_id, grant.shard, grant.server, "unused", 0.0, 0.0, 0.0, 0
+        )
+        self._peers.send(grant.dispatcher, finish)
+
+    def _receive_pause(self, sender: str, pause: PermitPause) -> None:
+        held = self._held.get(pause.request_id)
+        if held is not None and held.listener is not None:
+            held.listener(pause.paused)
+
+    def watch_pauses(
+        self, grant: PermitGrant, listener: Callable[[bool], None]
+    ) -> None:
+        """Call `listener` when the request starts or stops waiting in its engine."""
+        held = self._held.get(grant.request_id)
+        if held is not None:
+            held.listener = listener
+
+    def report_first_token(self, grant: PermitGrant, elapsed_ms: float) -> None:
+        """Tell the dispatcher how long the server took to its first token."""
+        message = PermitFirstToken(grant.request_id, grant.shard, elapsed_ms)
+        self._peers.send(grant.dispatcher, message)
+
+    def give_back(self, grant: PermitGrant, report: PermitReport) -> None:
+        """Return a permit with what was seen."""
+        self._held.pop(grant.request_id, None)
+        finish = PermitFinish(
+            grant.request_id,
+            grant.shard,
+            grant.server,
+            report.outcome,
+            report.elapsed_ms,
+            report.first_token_ms,
+            report.between_tokens_ms,
+            report.tokens,
+        )
+        self._peers.send(grant.dispatcher, finish)
+        current = self._choose_dispatcher(grant.shard, 0)
+        if current is not None and current != grant.dispatcher:
+            self._peers.send(current, finish)
+
+    async def run_held_reports(self) -> None:
+        """Tell dispatchers what this host holds until cancelled."""
+        while True:
+            await self._clock.sleep(HELD_PERIOD_MS)
+            self._report_held()
+
+    def _report_held(self) -> None:
+        by_shard: dict[str, list[HeldPermit]] = {}
+        for entry in self._held.values():
+            permit = HeldPermit(
+                entry.need.request_id,
+                entry.grant.server,
+                entry.need.class_name,
+                entry.need.tier,
+                entry.need.workspace,
+            )
+            by_shard.setdefault(entry.grant.shard, []).append(permit)
+        # A shard is told once more when the host no longer holds anything there.
+        for shard in by_shard.keys() | self._told:
+            target = self._choose_dispatcher(shard, 0)
+            if target is None:
+                continue
+            permits = by_shard.get(shard, [])
+            self._peers.send(target, HeldPermits(self._fleet.name, shard, permits))
+        self._told = set(by_shard)
+
+    def _report_empty(self, need: PermitNeed) -> PermitRefusal:
+        return PermitRefusal(
+            need.request_id, need.pool, "no-server", NO_SERVER_RETRY_MS, [], 0.0
+        )
+
+    def _report_deadline(self, shard: str, need: PermitNeed) -> PermitRefusal:
+        return PermitRefusal(
+            need.request_id, shard, "deadline", NO_SERVER_RETRY_MS, [], 0.0
+        )
--- /dev/null
+++ b/cornelnotch/routing/services.py
@@ -0,0 +1,78 @@
+"""Carry calls to plain services."""
+
+from cornelnotch.exceptions import UpstreamError, UpstreamUnreachableError
+from cornelnotch.routing.flow import FlowError, RequestFlow
+from cornelnotch.routing.permits import PermitReport
+from cornelnotch.routing.replies import Outcome, create_headers
+from cornelnotch.routing.upstreams import ServiceAnswer
+from cornelnotch.wire.messages import PermitGrant
+
+__all__ = ["ServiceFlow"]
+
+
+class ServiceFlow(RequestFlow):
+    """Call a plain service and pass on its whole answer."""
+
+    async def carry(self) -> None:
+        """Call until there is an answer or the work must not be tried again."""
+        while True:
+            grant = await self.acquire()
+            answer = await self._dispatch(grant)
+            if isinstance(answer, ServiceAnswer):
+                await self._finish(answer)
+                return
+            if not self.may_try_again(answer, grant):
+                raise FlowError(self.report_failure(answer))
+
+    async def _dispatch(self, grant: PermitGrant) -> ServiceAnswer | UpstreamError:
+        clock = self.parts.clock
+        started_ms = clock.read()
+        outcome = "cancelled"
+        before = self.dispatched
+        self.dispatched = True
+        try:
+            answer = await self.parts.services.call(
+                grant.address,
+                self.request.method,
+                self._create_target(),
+                self._create_headers(),
+                self.request.body,
+                not self.once,
+                self.read_left(),
+            )
+            outcome = "done"
+            return answer
+        except UpstreamUnreachableError as error:
+            # No byte was sent, so this dispatch did not happen.
+            self.dispatched = before
+            outcome = error.kind
+            return error
+        except UpstreamError as error:
+            outcome = error.kind
+            return error
+        finally:
+            report = PermitReport(outcome, clock.read() - started_ms)
+            self.give_back(grant, report)
+
+    def _create_target(self) -> str:
+        """Return the path that the service knows."""
+        prefix = f"/v1/services/{self.request.service}"
+        return self.request.target.removeprefix(prefix) or "/"
+
+    def _create_headers(self) -> dict[str, str]:
+        headers = dict(self.request.headers)
+        headers["x-request-id"] = self.request.request_id
+        headers["x-priority"] = str(self.selection.tier)
+        if self.request.key is not None:
+            headers["idempotency-key"] = self.request.key
+        return headers
+
+    async def _finish(self, answer: ServiceAnswer) -> None:
+        self.keep_outcome(answer.status, answer.content_type, answer.body)
+        whole_ms = self.parts.clock.read() - self.trace.arrived_ms
+        target = self.selection.service_class.whole_ms
+        attained = answer.status < 500 and (target is None or whole_ms <= target)
+        headers = create_headers(self.request.request_id, Outcome.RAN)
+        headers["content-type"] = answer.content_type
+        self.finish_well(attained, status=answer.status, whole_ms=round(whole_ms, 1))
+        await self.exchange.respond(answer.status, headers, answer.body)
--- /dev/null
+++ b/cornelnotch/routing/upstreams.py
@@ -0,0 +1,211 @@
+"""Speak with engines and plain services."""
+
+import asyncio
+from collections.abc import AsyncGenerator, AsyncIterator
+from dataclasses import dataclass
+
+import orjson
+
+from cornelnotch.exceptions import (
+    AnswerMismatchError,
+    UpstreamError,
+)
+from cornelnotch.web import HttpAnswer, HttpClient
+
+__all__ = [
+    "EngineChunk",
+    "EngineUpstream",
+    "ServiceAnswer",
+    "ServiceUpstream",
+    "StallGuard",
+]
+
+EVENT_END = b"\n\n"
+DATA_PREFIX = b"data: "
+DONE_MARK = b"[DONE]"
+MAX_EVENT_BYTES = 1024 * 1024
+MAX_ANSWER_BYTES = 4 * 1024 * 1024
+STATUS_OK = 200
+REQUEST_ID_HEADER = "x-request-id"
+
+
+@dataclass(frozen=True, slots=True)
+class EngineChunk:
+    """Hold one part of an engine's answer."""
+
+    content: dict
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceAnswer:
+    """Hold the whole answer of a plain service."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class StallGuard:
+    """End a wait for an engine that sends nothing, unless it is paused."""
+
+    def __init__(self, limit: asyncio.Timeout, stall_ms: float, left_ms: float) -> None:
+        self._limit = limit
+        self._loop = asyncio.get_running_loop()
+        self._stall_s = stall_ms / 1000.0
+        self._end_s = self._loop.time() + left_ms / 1000.0
+        self._paused = False
+
+    def touch(self) -> None:
+        """Start the wait again."""
+        if self._paused or self._limit.expired():
+            return
+        self._limit.reschedule(min(self._loop.time() + self._stall_s, self._end_s))
+
+    def pause(self, paused: bool) -> None:
+        """Wait as long as the deadline allows while the engine serves others."""
+        if self._limit.expired():
+            return
+        self._paused = paused
+        if paused:
+            self._limit.reschedule(self._end_s)
+        else:
+            self.touch()
+
+
+class EngineUpstream:
+    """Stream chat completions from an engine."""
+
+    def __init__(self, client: HttpClient) -> None:
+        self._client = client
+
+    async def stream(
+        self,
+        address: str,
+        answer_id: str,
+        body: bytes,
+        priority: int,
+        position: int,
+        guard: "StallGuard",
+    ) -> AsyncGenerator[EngineChunk, None]:
+        """Yield the chunks from token `position` on.
+
+        Raise UpstreamError when the engine fails, sends nothing until the
+        guard ends the wait, or sends an answer to another request.
+        """
+        headers = {
+            "content-type": "application/json",
+            REQUEST_ID_HEADER: answer_id,
+            "x-priority": str(priority),
+            "x-resume-from": str(position),
+        }
+        guard.touch()
+        answer = await self._open(address, headers, body)
+        try:
+            parts = answer.iterate().__aiter__()
+            buffer = b""
+            while True:
+                buffer += await self._read_part(parts, address)
+                guard.touch()
+                *events, buffer = buffer.split(EVENT_END)
+                if len(buffer) > MAX_EVENT_BYTES:
+                    raise UpstreamError(f"{address} sent too long an event", "check it")
+                for event in events:
+                    chunk = self._read_event(event, address, answer_id)
+                    if chunk is None:
+                        await self._finish(parts)
+                        return
+                    yield chunk
+        finally:
+            answer.close()
+
+    async def _open(
+        self, address: str, headers: dict[str, str], body: bytes
+    ) -> HttpAnswer:
+        answer = await self._client.request(
+            address, "POST", "/v1/chat/completions", headers, body
+        )
+        if answer.status != STATUS_OK:
+            answer.close()
+            raise UpstreamError(f"{address} answered {answer.status}", "check it")
+        if answer.headers.get(REQUEST_ID_HEADER) != headers[REQUEST_ID_HEADER]:
+            answer.close()
+            raise AnswerMismatchError(
+                f"{address} answered another request", "check the engine"
+            )
+        return answer
+
+    @staticmethod
+    async def _read_part(parts: AsyncIterator[bytes], address: str) -> bytes:
+        try:
+            return await anext(parts)
+        except StopAsyncIteration as error:
+            raise UpstreamError(
+                f"{address} ended without [DONE]", "check it"
+            ) from error
+
+    @staticmethod
+    async def _finish(parts: AsyncIterator[bytes]) -> None:
+        # Reading the end of the answer lets the connection be used again.
+        async for _ in parts:
+            pass
+
+    @staticmethod
+    def _read_event(event: bytes, address: str, answer_id: str) -> EngineChunk | None:
+        data = event.strip().removeprefix(DATA_PREFIX)
+        if data == DONE_MARK:
+            return None
+        try:
+            content = orjson.loads(data)
+            text = content["choices"][0]["delta"].get("content") or ""
+        except (ValueError, KeyError, IndexError, TypeError, AttributeError) as error:
+            raise UpstreamError(
+                f"{address} sent a malformed event", "check it"
+            ) from error
+        if content.get("id") != answer_id:
+            raise AnswerMismatchError(
+                f"{address} mixed in another answer", "check the engine"
+            )
+        return EngineChunk(content, text)
+
+
+class ServiceUpstream:
+    """Call plain services."""
+
+    def __init__(self, client: HttpClient) -> None:
+        self._client = client
+
+    async def call(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        body: bytes,
+        repeatable: bool,
+        timeout_ms: float,
+    ) -> ServiceAnswer:
+        """Return the whole answer.
+
+        UpstreamUnreachableError proves that no byte was sent; any other
+        UpstreamError leaves open whether the work ran.
+        """
+        try:
+            async with asyncio.timeout(max(timeout_ms, 0.0) / 1000.0):
+                answer = await self._client.request(
+                    address, method, target, headers, body, fresh=not repeatable
+                )
+                echoed = answer.headers.get(REQUEST_ID_HEADER)
+                if echoed is not None and echoed != headers[REQUEST_ID_HEADER]:
+                    answer.close()
+                    raise AnswerMismatchError(
+                        f"{address} answered another request", "check the service"
+                    )
+                content = await answer.read(MAX_ANSWER_BYTES)
+        except TimeoutError as error:
+            raise UpstreamError(
+                f"{address} did not answer within {timeout_ms:.0f} ms",
+                "ask the service whether the work ran",
+            ) from error
+        kind = answer.headers.get("content-type", "application/octet-stream")
+        return ServiceAnswer(answer.status, kind, content)
--- /dev/null
+++ b/cornelnotch/settings/__init__.py
@@ -0,0 +1,6 @@
+"""Read and validate the settings of each program."""
+
+from cornelnotch.settings.ini import read_ini
+from cornelnotch.settings.node import NodeSettings, read_node_settings
+
+__all__ = ["NodeSettings", "read_ini", "read_node_settings"]
--- /dev/null
+++ b/cornelnotch/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand in for the platform, the engines and the plain services."""
--- /dev/null
+++ b/cornelnotch/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Start fleets of real processes for tests and benchmarks."""
--- /dev/null
+++ b/cornelnotch/web/__init__.py
@@ -0,0 +1,6 @@
+"""Speak HTTP/1.1 with callers, servers and the platform."""
+
+from cornelnotch.web.client import HttpAnswer, HttpClient, parse_address
+from cornelnotch.web.server import Exchange, HttpServer
+
+__all__ = ["Exchange", "HttpAnswer", "HttpClient", "HttpServer", "parse_address"]
--- /dev/null
+++ b/cornelnotch/web/client.py
@@ -0,0 +1,255 @@
+"""Send HTTP/1.1 requests with h11 on asyncio streams."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+import h11
+import orjson
+
+from cornelnotch.exceptions import (
+    SettingsError,
+    UpstreamError,
+    UpstreamUnreachableError,
+)
+
+__all__ = ["HttpAnswer", "HttpClient", "parse_address"]
+
+READ_BYTES = 65536
+MAX_IDLE_PER_ADDRESS = 64
+CONNECT_TIMEOUT_S = 2.0
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+
+
+def parse_address(text: str) -> tuple[str, int]:
+    """Return IP number and port of `text`; raise SettingsError if malformed."""
+    name, separator, port = text.rpartition(":")
+    if not separator or not port.isdigit() or not 0 <= int(port) <= 65535:
+        raise SettingsError(f"{text!r} is no address", "write it as 127.0.0.1:8080")
+    return name.strip("[]"), int(port)
+
+
+class ClientConnection:
+    """Own one socket to a server."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._protocol = h11.Connection(h11.CLIENT)
+        self.sent = False
+
+    async def send(self, head: h11.Request, body: bytes) -> None:
+        """Write a whole request."""
+        data = self._protocol.send(head) or b""
+        data += self._protocol.send(h11.Data(data=body)) or b""
+        data += self._protocol.send(h11.EndOfMessage()) or b""
+        self.sent = True
+        self._writer.write(data)
+        await self._writer.drain()
+
+    async def read_event(self) -> object:
+        """Return the next h11 event of the answer."""
+        while True:
+            event = self._protocol.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            self._protocol.receive_data(await self._reader.read(READ_BYTES))
+
+    def is_reusable(self) -> bool:
+        """Tell whether the answer ended cleanly and the server keeps open."""
+        done = self._protocol.our_state is h11.DONE
+        return done and self._protocol.their_state is h11.DONE
+
+    def is_closed(self) -> bool:
+        """Tell whether the server has closed an idle connection."""
+        return self._reader.at_eof() or self._writer.is_closing()
+
+    def restart(self) -> None:
+        """Make ready for the next request."""
+        self._protocol.start_next_cycle()
+        self.sent = False
+
+    def abort(self) -> None:
+        """Drop the connection at once."""
+        self._writer.transport.abort()
+
+
+@dataclass(slots=True)
+class HttpAnswer:
+    """Hold the head of an answer and read its body."""
+
+    status: int
+    headers: dict[str, str]
+    address: str
+    connection: ClientConnection
+    client: "HttpClient"
+    complete: bool = field(default=False)
+
+    async def iterate(self) -> AsyncIterator[bytes]:
+        """Yield the body in parts; raise UpstreamError when it breaks off."""
+        while True:
+            try:
+                event = await self.connection.read_event()
+            except (OSError, h11.ProtocolError) as error:
+                self.close()
+                raise UpstreamError(
+                    f"the answer of {self.address} broke off: {error!r}",
+                    "send it again if the work may repeat",
+                ) from error
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                self.complete = True
+                self.client.give_back(self.address, self.connection)
+                return
+            else:
+                self.close()
+                raise UpstreamError(
+                    f"the answer of {self.address} broke off",
+                    "send it again if the work may repeat",
+                )
+
+    async def read(self, limit_bytes: int = MAX_ANSWER_BYTES) -> bytes:
+        """Return the whole body."""
+        parts = []
+        size = 0
+        async for part in self.iterate():
+            size += len(part)
+            if size > limit_bytes:
+                self.close()
+                raise UpstreamError(
+                    f"the answer of {self.address} is above {limit_bytes} bytes",
+                    "ask for a smaller answer",
+                )
+            parts.append(part)
+        return b"".join(parts)
+
+    async def read_json(self) -> object:
+        """Return the whole body as JSON; raise UpstreamError if malformed."""
+        body = await self.read()
+        try:
+            return orjson.loads(body)
+        except orjson.JSONDecodeError as error:
+            raise UpstreamError(
+                f"{self.address} sent malformed JSON", "check the server"
+            ) from error
+
+    def close(self) -> None:
+        """Give up the rest of the answer; the server sees the cut."""
+        if not self.complete:
+            self.connection.abort()
+
+
+class HttpClient:
+    """Keep idle connections per address and send requests on them."""
+
+    def __init__(self) -> None:
+        self._idle: dict[str, list[ClientConnection]] = {}
+
+    async def request(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        headers: dict[str, str] | None = None,
+        body: bytes = b"",
+        fresh: bool = False,
+    ) -> HttpAnswer:
+        """Send a request and return the head of its answer.
+
+        `fresh` forbids an idle connection, so that UpstreamUnreachableError
+        proves that no byte was sent; any later failure is an UpstreamError.
+        """
+        connection = await self._take(address, fresh)
+        head = self._create_head(address, method, target, headers or {}, body)
+        try:
+            await connection.send(head, body)
+            event = await connection.read_event()
+            while isinstance(event, h11.InformationalResponse):
+                event = await connection.read_event()
+        except (OSError, h11.ProtocolError) as error:
+            connection.abort()
+            raise UpstreamError(
+                f"{address} did not answer: {error!r}",
+                "send it again if the work may repeat",
+            ) from error
+        except asyncio.CancelledError:
+            connection.abort()
+            raise
+        if not isinstance(event, h11.Response):
+            connection.abort()
+            raise UpstreamError(
+                f"{address} closed without an answer",
+                "send it again if the work may repeat",
+            )
+        return HttpAnswer(
+            event.status_code,
+            {k.decode(): v.decode("latin-1") for k, v in event.headers},
+            address,
+            connection,
+            self,
+        )
+
+    async def request_json(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        content: object = None,
+        timeout_ms: float = 5000.0,
+    ) -> tuple[int, object]:
+        """Send JSON and return status and decoded answer within `timeout_ms`."""
+        body = b"" if content is None else orjson.dumps(content)
+        try:
+            async with asyncio.timeout(timeout_ms / 1000.0):
+                answer = await self.request(address, method, target, {}, body)
+                return answer.status, await answer.read_json()
+        except TimeoutError as error:
+            raise UpstreamError(
+                f"{address} did not answer within {timeout_ms:.0f} ms",
+                "try again later",
+            ) from error
+
+    def give_back(self, address: str, connection: ClientConnection) -> None:
+        """Keep a clean connection for the next request to `address`."""
+        idle = self._idle.setdefault(address, [])
+        if not connection.is_reusable() or len(idle) >= MAX_IDLE_PER_ADDRESS:
+            connection.abort()
+            return
+        connection.restart()
+        idle.append(connection)
+
+    def close(self) -> None:
+        """Drop all idle connections."""
+        for connections in self._idle.values():
+            for connection in connections:
+                connection.abort()
+        self._idle.clear()
+
+    async def _take(self, address: str, fresh: bool) -> ClientConnection:
+        idle = self._idle.get(address, [])
+        while idle and not fresh:
+            connection = idle.pop()
+            if not connection.is_closed():
+                return connection
+            connection.abort()
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                reader, writer = await asyncio.open_connection(
+                    *parse_address(address), limit=READ_BYTES
+                )
+        except (OSError, TimeoutError) as error:
+            raise UpstreamUnreachableError(
+                f"{address} cannot be reached: {error!r}", "check that it runs"
+            ) from error
+        return ClientConnection(reader, writer)
+
+    @staticmethod
+    def _create_head(
+        address: str, method: str, target: str, headers: dict[str, str], body: bytes
+    ) -> h11.Request:
+        pairs = [("host", address), ("content-length", str(len(body)))]
+        pairs.extend((name, value) for name, value in headers.items())
+        return h11.Request(method=method, target=target, headers=pairs)
--- /dev/null
+++ b/cornelnotch/web/server.py
@@ -0,0 +1,321 @@
+"""Serve HTTP/1.1 with h11 on asyncio streams."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from urllib.parse import parse_qsl, urlsplit
+
+import h11
+import orjson
+
+from cornelnotch.exceptions import (
+    BodyTooLargeError,
+    CallerGoneError,
+    RequestError,
+)
+
+__all__ = ["Exchange", "Handler", "HttpServer"]
+
+READ_BYTES = 65536
+MAX_HEADER_BYTES = 32768
+HEADER_TIMEOUT_S = 60.0
+WRITE_BUFFER_BYTES = 65536
+
+
+class Exchange:
+    """Carry one request of a caller and its answer."""
+
+    def __init__(self, connection: "ServerConnection", request: h11.Request) -> None:
+        self._connection = connection
+        self.method = request.method.decode()
+        target = urlsplit(request.target.decode("ascii", "replace"))
+        self.path = target.path
+        self.target = request.target.decode("ascii", "replace")
+        self.query = dict(parse_qsl(target.query))
+        self.headers = {
+            name.decode(): value.decode("latin-1") for name, value in request.headers
+        }
+        self.started = False
+        self.finished = False
+
+    @property
+    def gone(self) -> asyncio.Event:
+        """Return the event set once the caller has closed."""
+        return self._connection.gone
+
+    async def read_body(self, limit_bytes: int) -> bytes:
+        """Return the whole body; raise BodyTooLargeError above the limit."""
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            event = await self._connection.read_event()
+            if isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > limit_bytes:
+                    raise BodyTooLargeError(limit_bytes)
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self._connection.watch()
+                return b"".join(parts)
+            else:
+                raise CallerGoneError("the caller closed early", "send it again")
+
+    async def start(self, status: int, headers: dict[str, str]) -> None:
+        """Send the head of an answer whose length is not known yet."""
+        self.started = True
+        pairs = list(headers.items())
+        if "content-length" not in {name.lower() for name in headers}:
+            pairs.append(("transfer-encoding", "chunked"))
+        await self._connection.send(h11.Response(status_code=status, headers=pairs))
+
+    async def send(self, data: bytes) -> None:
+        """Send a part of the body and wait while the caller reads slowly."""
+        await self._connection.send(h11.Data(data=data))
+
+    async def finish(self) -> None:
+        """End the answer."""
+        self.finished = True
+        await self._connection.send(h11.EndOfMessage())
+
+    async def respond(self, status: int, headers: dict[str, str], body: bytes) -> None:
+        """Send a whole answer in one write."""
+        self.started = True
+        self.finished = True
+        pairs = list(headers.items())
+        pairs.append(("content-length", str(len(body))))
+        await self._connection.send(
+            h11.Response(status_code=status, headers=pairs),
+            h11.Data(data=body),
+            h11.EndOfMessage(),
+        )
+
+    async def respond_json(
+        self, status: int, content: object, headers: dict[str, str] | None = None
+    ) -> None:
+        """Send a whole answer as JSON."""
+        merged = {"content-type": "application/json", **(headers or {})}
+        await self.respond(status, merged, orjson.dumps(content))
+
+    def abort(self) -> None:
+        """Break the connection so that the caller sees an incomplete answer."""
+        self._connection.abort()
+
+
+Handler = Callable[[Exchange], Awaitable[None]]
+
+
+class ServerConnection:
+    """Own the socket of one caller."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._protocol = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES
+        )
+        self._watcher: asyncio.Task[None] | None = None
+        self._busy = False
+        self._closing = False
+        self.gone = asyncio.Event()
+        writer.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+
+    async def serve(self, handler: Handler) -> None:
+        """Answer requests until the caller closes or an error ends it."""
+        while not self.gone.is_set():
+            request = await self._read_request()
+            if request is None:
+                return
+            exchange = Exchange(self, request)
+            self._busy = True
+            await handler(exchange)
+            self._busy = False
+            if not exchange.finished or self._closing:
+                return
+            await self._stop_watching()
+            if self._protocol.our_state is h11.MUST_CLOSE:
+                return
+            if self._protocol.their_state is not h11.DONE:
+                return
+            self._protocol.start_next_cycle()
+
+    async def _read_request(self) -> h11.Request | None:
+        try:
+            async with asyncio.timeout(HEADER_TIMEOUT_S):
+                event = await self.read_event()
+        except (TimeoutError, CallerGoneError):
+            return None
+        except h11.RemoteProtocolError as error:
+            await self._refuse(error)
+            return None
+        return event if isinstance(event, h11.Request) else None
+
+    async def _refuse(self, error: h11.RemoteProtocolError) -> None:
+        if self._protocol.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+            return
+        body = orjson.dumps(
+            {
+                "error": {
+                    "kind": "bad-http",
+                    "message": f"{error}; send well-formed HTTP/1.1",
+                }
+            }
+        )
+        head = h11.Response(
+            status_code=error.error_status_hint,
+            headers=[
+                ("content-type", "application/json"),
+                ("cornelnotch-outcome", "not-run"),
+                ("connection", "close"),
+                ("content-length", str(len(body))),
+            ],
+        )
+        with suppress(CallerGoneError, h11.LocalProtocolError):
+            await self.send(head, h11.Data(data=body), h11.EndOfMessage())
+
+    async def read_event(self) -> object:
+        """Return the next h11 event; raise RequestError when it is malformed."""
+        while True:
+            event = self._next_event()
+            if event is h11.NEED_DATA:
+                await self._receive()
+                continue
+            return event
+
+    def _next_event(self) -> object:
+        try:
+            return self._protocol.next_event()
+        except h11.RemoteProtocolError as error:
+            if self._protocol.our_state is h11.IDLE:
+                raise
+            if self._protocol.our_state is h11.SEND_RESPONSE and self._reading_head():
+                raise
+            raise RequestError(
+                f"the body is malformed: {error}", "send a well-formed body"
+            ) from error
+
+    def _reading_head(self) -> bool:
+        return self._protocol.their_state is h11.IDLE
+
+    async def _receive(self) -> None:
+        if self._protocol.they_are_waiting_for_100_continue:
+            informational = h11.InformationalResponse(status_code=100, headers=[])
+            await self.send(informational)
+        try:
+            data = await self._reader.read(READ_BYTES)
+        except OSError as error:
+            self.gone.set()
+            raise CallerGoneError("the caller closed", "send it again") from error
+        if not data:
+            self.gone.set()
+        self._protocol.receive_data(data)
+
+    def watch(self) -> None:
+        """Notice while the answer is made that the caller has closed."""
+        if self._watcher is None:
+            self._watcher = asyncio.create_task(self._watch())
+
+    async def _watch(self) -> None:
+        # Bytes that arrive here are the start of the caller's next request.
+        try:
+            data = await self._reader.read(READ_BYTES)
+        except OSError:
+            data = b""
+        if not data:
+            self.gone.set()
+        with suppress(h11.RemoteProtocolError):
+            self._protocol.receive_data(data)
+
+    async def _stop_watching(self) -> None:
+        if self._watcher is None:
+            return
+        self._watcher.cancel()
+        with suppress(asyncio.CancelledError):
+            await self._watcher
+        self._watcher = None
+
+    async def send(self, *events: h11.Event) -> None:
+        """Write events; raise CallerGoneError when the caller has closed."""
+        data = b"".join(self._protocol.send(event) or b"" for event in events)
+        try:
+            self._writer.write(data)
+            await self._writer.drain()
+        except OSError as error:
+            self.gone.set()
+            raise CallerGoneError("the caller closed", "send it again") from error
+
+    def abort(self) -> None:
+        """Drop the connection at once."""
+        self._writer.transport.abort()
+
+    def close_when_idle(self) -> None:
+        """Close after the exchange in work, or at once when there is none."""
+        self._closing = True
+        if not self._busy:
+            self._writer.close()
+
+    async def close(self) -> None:
+        """Close the socket after what was written has gone out."""
+        await self._stop_watching()
+        self._writer.close()
+        with suppress(OSError):
+            await self._writer.wait_closed()
+
+
+class HttpServer:
+    """Listen on one address and hand each request to a handler."""
+
+    def __init__(self, handler: Handler) -> None:
+        self._handler = handler
+        self._server: asyncio.Server | None = None
+        self._connections: set[asyncio.Task[None]] = set()
+        self._open: set[ServerConnection] = set()
+        self._refusing = False
+        self.port = 0
+
+    async def start(self, address: str, port: int) -> None:
+        """Open the listening socket; port 0 picks a free one."""
+        self._server = await asyncio.start_server(
+            self._accept, address, port, limit=READ_BYTES, backlog=1024
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def refuse_new(self) -> None:
+        """Close the listener and idle connections; exchanges in work go on."""
+        self._refusing = True
+        if self._server is not None:
+            self._server.close()
+        for connection in self._open:
+            connection.close_when_idle()
+
+    async def stop(self) -> None:
+        """Close the listener and every connection."""
+        if self._server is not None:
+            self._server.close()
+        tasks = list(self._connections)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._connections.add(task)
+        connection = ServerConnection(reader, writer)
+        if self._refusing:
+            connection.close_when_idle()
+        self._open.add(connection)
+        try:
+            await connection.serve(self._handler)
+        except (CallerGoneError, RequestError, h11.ProtocolError, OSError):
+            connection.abort()
+        except asyncio.CancelledError:
+            # asyncio would print a traceback for a cancelled accept callback.
+            connection.abort()
+        finally:
+            self._connections.discard(task)
+            self._open.discard(connection)
+            await connection.close()
--- /dev/null
+++ b/cornelnotch/wire/__init__.py
@@ -0,0 +1,6 @@
+"""Carry typed messages between hosts."""
+
+from cornelnotch.wire.codec import FrameReader, decode_message, encode_message
+from cornelnotch.wire.peers import PeerNetwork
+
+__all__ = ["FrameReader", "PeerNetwork", "decode_message", "encode_message"]
--- /dev/null
+++ b/cornelnotch/wire/messages.py
@@ -0,0 +1,286 @@
+"""Define the messages that hosts send each other.
+
+All times on the wire are durations in ms, since hosts share no clock.
+"""
+
+from dataclasses import dataclass
+
+__all__ = [
+    "Ack",
+    "ClaimAnswer",
+    "ClaimAsk",
+    "ConfigurationFetch",
+    "ConfigurationOffer",
+    "HeldPermit",
+    "HeldPermits",
+    "Hello",
+    "MemberUpdate",
+    "Occupancy",
+    "PermitAsk",
+    "PermitCancel",
+    "PermitFinish",
+    "PermitFirstToken",
+    "PermitGrant",
+    "PermitMoved",
+    "PermitPause",
+    "PermitQueued",
+    "PermitRefusal",
+    "Ping",
+    "PingRequest",
+    "ServerUpdate",
+    "list_message_types",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """Name the sender of everything that follows on a connection."""
+
+    host: str
+    boot: int
+
+
+@dataclass(frozen=True, slots=True)
+class MemberUpdate:
+    """Tell the state of a host; the higher incarnation wins."""
+
+    host: str
+    http: str
+    peer: str
+    place: str
+    state: str
+    incarnation: int
+
+
+@dataclass(frozen=True, slots=True)
+class ServerUpdate:
+    """Tell that the platform lists a server as leaving or live."""
+
+    server: str
+    state: str
+    sequence: int
+
+
+@dataclass(frozen=True, slots=True)
+class Ping:
+    """Ask whether a host is alive; carry news."""
+
+    sequence: int
+    host: str
+    version: int
+    log_age_ms: float
+    members: list[MemberUpdate]
+    servers: list[ServerUpdate]
+
+
+@dataclass(frozen=True, slots=True)
+class Ack:
+    """Answer a ping; carry news."""
+
+    sequence: int
+    host: str
+    version: int
+    log_age_ms: float
+    members: list[MemberUpdate]
+    servers: list[ServerUpdate]
+
+
+@dataclass(frozen=True, slots=True)
+class PingRequest:
+    """Ask another host to ping `target` for `host`."""
+
+    sequence: int
+    host: str
+    target: str
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationFetch:
+    """Ask for the configuration when the receiver is ahead of `version`."""
+
+    host: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationOffer:
+    """Carry a folded configuration as a snapshot record."""
+
+    version: int
+    snapshot: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Occupancy:
+    """Tell how many places a class holds in a shard."""
+
+    class_name: str
+    tier: int
+    waiting: int
+    running: int
+    floor_places: int
+
+
+@dataclass(frozen=True, slots=True)
+class PermitAsk:
+    """Ask for a place on a server of `shard`."""
+
+    request_id: str
+    holder: str
+    shard: str
+    class_name: str
+    tier: int
+    workspace: str
+    affinity: str
+    waited_ms: float
+    deadline_in_ms: float
+    excluded: list[str]
+    hops: int
+
+
+@dataclass(frozen=True, slots=True)
+class PermitQueued:
+    """Confirm that a request waits in a queue."""
+
+    request_id: str
+    shard: str
+    backlog_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class PermitGrant:
+    """Bind a request to a server."""
+
+    request_id: str
+    shard: str
+    server: str
+    address: str
+    dispatcher: str
+    queued_ms: float
+    reason: str
+    backlog_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class PermitRefusal:
+    """Refuse a request and name what held the places."""
+
+    request_id: str
+    shard: str
+    reason: str
+    retry_after_ms: float
+    occupancy: list[Occupancy]
+    backlog_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class PermitMoved:
+    """Say that the receiver should ask another dispatcher."""
+
+    request_id: str
+    shard: str
+
+
+@dataclass(frozen=True, slots=True)
+class PermitPause:
+    """Say whether a running request waits in its engine for higher tiers."""
+
+    request_id: str
+    shard: str
+    paused: bool
+
+
+@dataclass(frozen=True, slots=True)
+class PermitCancel:
+    """Give up a request that waits or runs."""
+
+    request_id: str
+    shard: str
+
+
+@dataclass(frozen=True, slots=True)
+class PermitFirstToken:
+    """Report the time from grant to first token."""
+
+    request_id: str
+    shard: str
+    elapsed_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class PermitFinish:
+    """Return a permit with what the holder saw."""
+
+    request_id: str
+    shard: str
+    server: str
+    outcome: str
+    elapsed_ms: float
+    first_token_ms: float
+    between_tokens_ms: float
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class HeldPermit:
+    """Describe one permit that a host holds."""
+
+    request_id: str
+    server: str
+    class_name: str
+    tier: int
+    workspace: str
+
+
+@dataclass(frozen=True, slots=True)
+class HeldPermits:
+    """List every permit of `shard` that `holder` holds."""
+
+    holder: str
+    shard: str
+    permits: list[HeldPermit]
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimAsk:
+    """Ask the keeper of a claim stream to append one operation and judge it."""
+
+    ask_id: str
+    host: str
+    stream: int
+    operation: bytes
+    timeout_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimAnswer:
+    """Tell what the claim stream says about an operation."""
+
+    ask_id: str
+    state: str
+    attempt: str
+    outcome: bytes
+
+
+def list_message_types() -> list[type]:
+    """Return the message types; the position of each is its number."""
+    return [
+        Hello,
+        Ping,
+        Ack,
+        PingRequest,
+        ConfigurationFetch,
+        ConfigurationOffer,
+        PermitAsk,
+        PermitQueued,
+        PermitGrant,
+        PermitRefusal,
+        PermitMoved,
+        PermitPause,
+        PermitCancel,
+        PermitFirstToken,
+        PermitFinish,
+        HeldPermits,
+        ClaimAsk,
+        ClaimAnswer,
+    ]
