Model one shard in virtual time and let displaced requests wait by the rule

Cause: in a burst the model showed higher-tier refusals while a lower tier held more than its floor: late requests near their deadline were never rescued while timely ones waited, and a freed slot went back to a displaced request at once.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measure cornelnotch; each module is a command that prints its figures."""
--- /dev/null
+++ b/benchmarks/burst.py
@@ -0,0 +1,197 @@
+"""Compare policies and an oracle in a burst at twice the capacity.
+
+Run with ``python -m benchmarks.burst [SEEDS]``. Virtual time; figures depend on
+the seeds alone and not on the machine.
+"""
+
+import heapq
+import sys
+from dataclasses import dataclass
+
+from cornelnotch.queueing.models import ShardRule
+from cornelnotch.testing.shardmodel import (
+    Arrival,
+    ModelClass,
+    ModelEngine,
+    ModelResult,
+    ShardModel,
+    create_arrivals,
+    create_rule,
+)
+
+DURATION_MS = 60_000.0
+SETTLE_MS = 40_000.0
+BURST_START_MS = 10_000.0
+BURST_END_MS = 40_000.0
+ENGINES = 5
+SLOTS = 8
+TOKEN_MS = 20.0
+PREFILL_MS = 60.0
+QUOTE_TOKENS = 40.0
+DRAFT_TOKENS = 150.0
+WINDOW_MS = 10_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """Name a discipline and a balancer."""
+
+    name: str
+    discipline: str
+    balancer: str
+
+
+POLICIES = (
+    Policy("cornelnotch", "tiered", "adaptive"),
+    Policy("fifo, late binding", "fifo", "adaptive"),
+    Policy("round robin", "fifo", "round-robin"),
+    Policy("least in flight", "fifo", "least-in-flight"),
+)
+
+
+def create_classes(load: float) -> list[ModelClass]:
+    """Return the traffic; quotes alone reach `load` times the capacity."""
+    service_ms = PREFILL_MS + QUOTE_TOKENS * 1.083 * TOKEN_MS
+    capacity = ENGINES * SLOTS / service_ms * 1000.0
+    quote = ModelClass(
+        "quote",
+        1,
+        capacity * 0.4,
+        QUOTE_TOKENS,
+        460.0,
+        8000.0,
+        burst_rate=capacity * load,
+        burst_start_ms=BURST_START_MS,
+        burst_end_ms=BURST_END_MS,
+    )
+    draft = ModelClass("draft", 5, capacity * 0.1, DRAFT_TOKENS, 5000.0, 30_000.0)
+    return [quote, draft]
+
+
+def create_engines(faults: bool) -> list[ModelEngine]:
+    """Return the engines; with faults one is slow and one crashes in the burst."""
+    engines = [
+        ModelEngine(f"engine-{i}", SLOTS, TOKEN_MS, PREFILL_MS) for i in range(ENGINES)
+    ]
+    if faults:
+        engines[1].slowdown = 4.0
+        engines[2].crash_ms = 20_000.0
+        engines[2].recover_ms = 30_000.0
+    return engines
+
+
+def count_oracle(arrivals: list[Arrival], engines: list[ModelEngine]) -> int:
+    """Return the quotes that meet their target when lengths are known.
+
+    The oracle serves quotes alone, the shortest first among those that can still
+    meet their target, and leaves the rest. It is a greedy bound.
+    """
+    places = [
+        (0.0, index, engine)
+        for index, engine in enumerate(engines)
+        for _ in range(engine.slots)
+    ]
+    free = [(time, number, place) for number, (time, _, place) in enumerate(places)]
+    heapq.heapify(free)
+    quotes = [a for a in arrivals if a.model.name == "quote"]
+    waiting: list[tuple[int, float]] = []
+    position = 0
+    attained = 0
+    while position < len(quotes) or waiting:
+        time_ms, number, engine = heapq.heappop(free)
+        if not waiting and position < len(quotes):
+            time_ms = max(time_ms, quotes[position].time_ms)
+        while position < len(quotes) and quotes[position].time_ms <= time_ms:
+            waiting.append((quotes[position].tokens, quotes[position].time_ms))
+            position += 1
+        if engine.is_down(time_ms):
+            heapq.heappush(free, (engine.recover_ms, number, engine))
+            continue
+        first = (engine.prefill_ms + engine.token_ms) * engine.slowdown
+        limit = quotes[0].model.first_token_ms - first
+        waiting = [w for w in waiting if time_ms - w[1] <= limit]
+        if not waiting:
+            heapq.heappush(free, (time_ms + 1.0, number, engine))
+            continue
+        chosen = min(waiting)
+        waiting.remove(chosen)
+        attained += 1
+        busy = (engine.prefill_ms + chosen[0] * engine.token_ms) * engine.slowdown
+        heapq.heappush(free, (time_ms + busy, number, engine))
+    return attained
+
+
+def count_broken_promises(result: ModelResult, rule: ShardRule) -> int:
+    """Count refusals for capacity while a lower tier held more than its floor."""
+    slots = sum(server.slots for server in rule.servers.values())
+    broken = 0
+    for record in result.refusals:
+        if record.reason == "workspace-limit":
+            continue
+        for row in record.occupancy:
+            if row.tier <= record.arrival.model.tier:
+                continue
+            floor = rule.classes[row.class_name].floor
+            places = max(1, int(floor * slots * rule.queue_per_slot))
+            above_slots = row.running > max(row.floor_places, 1)
+            if above_slots or row.waiting > places:
+                broken += 1
+                break
+    return broken
+
+
+def run_policy(
+    policy: Policy, seed: int, faults: bool
+) -> tuple[ModelResult, ShardRule]:
+    """Run one policy on one seed."""
+    classes = create_classes(2.0)
+    engines = create_engines(faults)
+    rule = create_rule(classes, engines, policy.discipline, policy.balancer)
+    arrivals = create_arrivals(classes, DURATION_MS, seed)
+    model = ShardModel(rule, engines)
+    return model.run(arrivals, DURATION_MS + SETTLE_MS), rule
+
+
+def print_comparison(seeds: range, faults: bool) -> None:
+    """Print every policy side by side."""
+    print(f"faults: {'one straggler, one crash' if faults else 'none'}")
+    print(
+        f"{'policy':20} {'quote':>7} {'of oracle':>9} {'draft':>7} {'goodput':>8} "
+        f"{'wasted':>7} {'broken':>6} {'gap s':>6}"
+    )
+    for policy in POLICIES:
+        rows = []
+        for seed in seeds:
+            result, rule = run_policy(policy, seed, faults)
+            healthy = create_engines(faults)
+            oracle = count_oracle(result.arrivals, healthy)
+            rows.append(
+                (
+                    result.compute_attainment("quote"),
+                    result.count_attained("quote") / oracle,
+                    result.compute_attainment("draft"),
+                    result.compute_goodput(),
+                    result.compute_waste(),
+                    count_broken_promises(result, rule),
+                    result.find_longest_gap("draft", BURST_START_MS, BURST_END_MS)
+                    / 1000.0,
+                )
+            )
+        mean = [sum(column) / len(rows) for column in zip(*rows, strict=True)]
+        gap = max(row[6] for row in rows)
+        broken = sum(row[5] for row in rows)
+        print(
+            f"{policy.name:20} {mean[0]:7.3f} {mean[1]:9.3f} {mean[2]:7.3f} "
+            f"{mean[3]:8.0f} {mean[4]:7.4f} {broken:6d} {gap:6.1f}"
+        )
+
+
+def run_benchmark(count: int) -> None:
+    """Print both comparisons."""
+    for faults in (False, True):
+        print_comparison(range(count), faults)
+        print()
+
+
+if __name__ == "__main__":
+    run_benchmark(int(sys.argv[1]) if len(sys.argv) > 1 else 3)
--- a/cornelnotch/queueing/disciplines.py
+++ b/cornelnotch/queueing/disciplines.py
@@ -1,15 +1,18 @@
 """Order waiting requests; the tiered rule and its baselines.
 
-The tiered rule, in one paragraph. When a place is free it goes, first, to the
-class that has had no service for its longest wait, the most overdue first;
-second, to a waiting class that holds fewer places than its floor, provided the
-head of every higher tier would still keep its deadline after waiting for one
-more place; third, to the highest tier that waits, and within it to the request
-with the earliest latest-start among those that can still meet their target, and
-only when there is none to the one with the earliest deadline. When the queue is
-full the lowest tier that holds more queue places than its floor leaves first,
-late requests before timely ones and the newest first, and the newcomer itself is
-refused only when no waiting request ranks below it.
+The tiered rule, in one paragraph. When a place is free it goes, first, to a
+class that holds fewer places than its floor and has been given none for its
+longest wait, the most overdue first; second, to a waiting class that holds fewer
+places than its floor, provided the head of every higher tier would still keep its
+target, or once that is missed its deadline, after waiting for one more place;
+third, to the highest tier that waits, and within it to the request with the
+earliest latest-start among those that can still meet their target, and only when
+there is none to the one with the earliest deadline. A displaced request counts as
+waiting for its own server and goes before the waiting requests of its tier. When
+the queue is full the lowest tier that holds more queue places than its floor
+leaves first, late requests before timely ones and the newest first; the newcomer
+itself is refused only when no waiting request ranks below it and no running
+request of a lower tier outside its floor can be displaced.
 """
 
 from abc import ABC, abstractmethod
@@ -19,7 +22,7 @@
 from sortedcontainers import SortedList
 
 from cornelnotch.kernel import register_plugin
-from cornelnotch.queueing.models import ClassRule, Waiting
+from cornelnotch.queueing.models import ClassRule, Running, Waiting
 
 __all__ = ["ClassQueue", "Discipline", "FifoDiscipline", "Pick", "TieredDiscipline"]
 
@@ -69,6 +72,12 @@
     def list_urgent(self, now: float, margin_ms: float) -> list[Waiting]:
         """Return heads that must start within the margin, highest tier first."""
 
+    def allows_floor(
+        self, item: Running, now: float, running: dict[str, int], next_place_ms: float
+    ) -> bool:
+        """Tell whether a displaced request may go on within its class's floor."""
+        return False
+
     @abstractmethod
     def list_waiting(self) -> Iterable[Waiting]:
         """Return everything that waits."""
@@ -133,8 +142,7 @@
 
 
 def _rank_head(item: Waiting) -> tuple[bool, float, int]:
-    moment = item.give_up_ms if item.late else item.start_by_ms
-    return (item.late, moment, item.order)
+    return (item.late, _get_limit(item), item.order)
 
 
 @register_plugin("discipline", "tiered")
@@ -199,7 +207,7 @@
         heads = self._list_heads()
         if not heads:
             return None
-        overdue = self._choose_overdue(now)
+        overdue = self._choose_overdue(now, running)
         if overdue is not None:
             return Pick(overdue, "longest-wait")
         floor = self._choose_floor(heads, now, running, next_place_ms)
@@ -228,12 +236,10 @@
 
     def list_urgent(self, now: float, margin_ms: float) -> list[Waiting]:
         """Return heads whose target, or once late deadline, is about to pass."""
-        urgent = []
-        for item in self._list_heads():
-            moment = item.give_up_ms if item.late else item.start_by_ms
-            if moment - now <= margin_ms:
-                urgent.append(item)
-        return urgent
+        heads = self._list_heads()
+        heads += [q.late[0] for q in self._queues.values() if q.timely and q.late]
+        urgent = [item for item in heads if _get_limit(item) - now <= margin_ms]
+        return sorted(urgent, key=lambda item: (item.tier, *_rank_head(item)))
 
     def list_waiting(self) -> Iterable[Waiting]:
         """Return everything that waits."""
@@ -274,11 +280,16 @@
         present.sort(key=lambda item: (item.tier, *_rank_head(item)))
         return present
 
-    def _choose_overdue(self, now: float) -> Waiting | None:
+    def _is_below_floor(self, class_name: str, running: dict[str, int]) -> bool:
+        return running.get(class_name, 0) < self.get_floor_places(class_name)
+
+    def _choose_overdue(self, now: float, running: dict[str, int]) -> Waiting | None:
         overdue = [
             (now - q.hungry_since_ms - q.rule.longest_wait_ms, q)
             for q in self._queues.values()
-            if q and now - q.hungry_since_ms >= q.rule.longest_wait_ms
+            if q
+            and now - q.hungry_since_ms >= q.rule.longest_wait_ms
+            and self._is_below_floor(q.rule.name, running)
         ]
         if not overdue:
             return None
@@ -296,14 +307,31 @@
         for position, item in enumerate(heads):
             if item.tier == highest:
                 continue
-            floor = self.get_floor_places(item.class_name)
-            if running.get(item.class_name, 0) >= floor:
+            if not self._is_below_floor(item.class_name, running):
                 continue
-            higher = [h for h in heads[:position] if h.tier < item.tier]
-            if all(_get_limit(h) - now > next_place_ms for h in higher):
+            if self._can_wait(heads[:position], item.tier, now, next_place_ms):
                 return item
         return None
 
+    @staticmethod
+    def _can_wait(
+        heads: list[Waiting], tier: int, now: float, next_place_ms: float
+    ) -> bool:
+        """Tell whether every head above `tier` keeps its promise one place later."""
+        higher = [h for h in heads if h.tier < tier]
+        return all(_get_limit(h) - now > next_place_ms for h in higher)
+
+    def allows_floor(
+        self, item: Running, now: float, running: dict[str, int], next_place_ms: float
+    ) -> bool:
+        """Apply the first two clauses of the rule to a displaced request."""
+        if not self._is_below_floor(item.class_name, running):
+            return False
+        rule = self._rules.get(item.class_name)
+        if rule is not None and now - item.displaced_ms >= rule.longest_wait_ms:
+            return True
+        return self._can_wait(self._list_heads(), item.tier, now, next_place_ms)
+
 
 def _get_limit(item: Waiting) -> float:
     """Return the moment by which a request must start to keep its promise."""
--- a/cornelnotch/queueing/models.py
+++ b/cornelnotch/queueing/models.py
@@ -102,6 +102,7 @@
     granted_ms: float
     order: int
     displaced: bool = False
+    displaced_ms: float = 0.0
     first_token_seen: bool = False
 
 
--- a/cornelnotch/queueing/shard.py
+++ b/cornelnotch/queueing/shard.py
@@ -5,7 +5,7 @@
 from cornelnotch.balancing.balancers import Balancer
 from cornelnotch.balancing.servers import ServerState, judge_pace
 from cornelnotch.kernel import create_plugin
-from cornelnotch.queueing.disciplines import Discipline
+from cornelnotch.queueing.disciplines import Discipline, Pick
 from cornelnotch.queueing.estimates import DurationEstimator
 from cornelnotch.queueing.limits import WorkspaceLimiter
 from cornelnotch.queueing.models import (
@@ -164,10 +164,9 @@
     def cancel(self, request_id: str, now: float) -> list[Effect]:
         """Forget a request whose holder gave it up."""
         self.discipline.remove(request_id)
-        effects: list[Effect] = []
         if request_id in self.running:
-            effects = self._release(request_id, now)
-        return effects + self.pump(now)
+            self._release(request_id, now)
+        return self.pump(now)
 
     def note_first_token(
         self, request_id: str, elapsed_ms: float, now: float
@@ -192,7 +191,8 @@
         server = self.servers.get(finish.server)
         if server is not None:
             self._learn(server, running, finish, now)
-        return self._release(finish.request_id, now) + self.pump(now)
+        self._release(finish.request_id, now)
+        return self.pump(now)
 
     def _learn(
         self, server: ServerState, running: Running, finish: PermitFinish, now: float
@@ -214,7 +214,6 @@
     def take_held(self, held: HeldPermits, now: float) -> list[Effect]:
         """Adopt what a host holds and drop what it no longer holds."""
         names = {permit.request_id for permit in held.permits}
-        effects: list[Effect] = []
         for running in list(self.running.values()):
             old = now - running.granted_ms > HELD_GRACE_MS
             if (
@@ -222,7 +221,7 @@
                 and old
                 and running.request_id not in names
             ):
-                effects += self._release(running.request_id, now)
+                self._release(running.request_id, now)
         for permit in held.permits:
             if permit.request_id in self.running:
                 continue
@@ -239,18 +238,17 @@
                 ),
                 now,
             )
-        return effects + self.pump(now)
+        return self.pump(now)
 
     def drop_holder(self, holder: str, now: float) -> list[Effect]:
         """Free every place of a host that is gone."""
-        effects: list[Effect] = []
         for running in list(self.running.values()):
             if running.holder == holder:
-                effects += self._release(running.request_id, now)
+                self._release(running.request_id, now)
         for item in list(self.discipline.list_waiting()):
             if item.holder == holder:
                 self.discipline.remove(item.request_id)
-        return effects + self.pump(now)
+        return self.pump(now)
 
     def take_report(self, server: str, reported: int, now: float) -> list[Effect]:
         """Correct a server's load by its own lagging report."""
@@ -268,6 +266,10 @@
             effects.append(self._refuse(item, "deadline", self._retry(item, now)))
         while True:
             pick = self.discipline.choose(now, self._counts, self.estimate_place())
+            readmitted = self._choose_readmitted(pick, now)
+            if readmitted is not None:
+                effects.append(self._readmit(readmitted, now))
+                continue
             if pick is None:
                 break
             servers = list(self.servers.values())
@@ -304,6 +306,7 @@
         if victim is None:
             return []
         victim.displaced = True
+        victim.displaced_ms = now
         self._counts[victim.class_name] -= 1
         server = self.servers[victim.server]
         server.busy -= 1
@@ -377,30 +380,48 @@
             server.busy += 1
             server.note_busy(now)
 
-    def _release(self, request_id: str, now: float) -> list[Effect]:
+    def _release(self, request_id: str, now: float) -> None:
         running = self.running.pop(request_id)
         if running.displaced:
-            return []
+            return
         self._counts[running.class_name] -= 1
         server = self.servers.get(running.server)
         if server is None:
-            return []
+            return
         server.busy -= 1
         server.note_busy(now)
-        return self._readmit(server)
 
-    def _readmit(self, server: ServerState) -> list[Effect]:
-        """Give a freed slot back to the best displaced request of a server."""
+    def _list_readmittable(self) -> list[Running]:
+        """Return displaced requests whose own server has a free slot."""
         displaced = [
-            r for r in self.running.values() if r.displaced and r.server == server.name
+            running
+            for running in self.running.values()
+            if running.displaced
+            and (server := self.servers.get(running.server)) is not None
+            and server.slots > server.busy + server.external
         ]
-        best = min(displaced, key=lambda r: (r.tier, r.order), default=None)
-        if best is None:
-            return []
-        best.displaced = False
+        displaced.sort(key=lambda running: (running.tier, running.order))
+        return displaced
+
+    def _choose_readmitted(self, pick: Pick | None, now: float) -> Running | None:
+        """Return the displaced request that goes before `pick`."""
+        place_ms = self.estimate_place()
+        for running in self._list_readmittable():
+            if pick is None or running.tier <= pick.item.tier:
+                return running
+            if self.discipline.allows_floor(running, now, self._counts, place_ms):
+                return running
+        return None
+
+    def _readmit(self, running: Running, now: float) -> Effect:
+        running.displaced = False
+        server = self.servers[running.server]
         server.busy += 1
-        self._counts[best.class_name] = self._counts.get(best.class_name, 0) + 1
-        return [Pause(best.request_id, best.holder, False)]
+        server.note_busy(now)
+        name = running.class_name
+        self._counts[name] = self._counts.get(name, 0) + 1
+        self.discipline.note_service(name, now)
+        return Pause(running.request_id, running.holder, False)
 
     def estimate_place(self) -> float:
         """Return the ms until a place is likely to become free."""
--- /dev/null
+++ b/cornelnotch/testing/shardmodel.py
@@ -0,0 +1,357 @@
+"""Drive one shard against modelled engines in virtual time, without sockets.
+
+The shard is the one that nodes run; only its servers and callers are modelled,
+so that policies can be compared on the same seeded arrivals in seconds.
+"""
+
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+
+from cornelnotch.queueing import Grant, Pause, Refusal, Shard, create_shard
+from cornelnotch.queueing.models import ClassRule, Effect, ServerRule, ShardRule
+from cornelnotch.wire.messages import Occupancy, PermitAsk, PermitFinish
+
+__all__ = [
+    "Arrival",
+    "ModelClass",
+    "ModelEngine",
+    "ModelResult",
+    "RefusalRecord",
+    "ShardModel",
+    "create_arrivals",
+    "create_rule",
+]
+
+STEP_MS = 5.0
+TICK_MS = 20.0
+STALL_MS = 2000.0
+
+
+@dataclass(frozen=True, slots=True)
+class ModelClass:
+    """Describe the traffic of one class; rates per second, times in ms."""
+
+    name: str
+    tier: int
+    rate: float
+    tokens: float
+    first_token_ms: float
+    deadline_ms: float
+    between_tokens_ms: float = 71.0
+    longest_wait_ms: float = 5000.0
+    floor: float = 0.02
+    burst_rate: float = 0.0
+    burst_start_ms: float = 0.0
+    burst_end_ms: float = 0.0
+    spread: float = 0.4
+
+
+@dataclass(slots=True)
+class Arrival:
+    """Hold one request and what became of it."""
+
+    name: str
+    model: ModelClass
+    workspace: str
+    time_ms: float
+    tokens: int
+    made: int = 0
+    first_token_at_ms: float | None = None
+    end_ms: float | None = None
+    result: str = "open"
+    wasted: int = 0
+    dispatches: int = 0
+    excluded: frozenset[str] = frozenset()
+
+    def is_attained(self) -> bool:
+        """Tell whether the whole answer met its targets."""
+        if self.result != "done" or self.first_token_at_ms is None:
+            return False
+        if self.end_ms is None:
+            return False
+        if self.first_token_at_ms - self.time_ms > self.model.first_token_ms:
+            return False
+        pace = (self.end_ms - self.first_token_at_ms) / max(self.tokens - 1, 1)
+        return pace <= self.model.between_tokens_ms
+
+
+@dataclass(slots=True)
+class ModelEngine:
+    """Describe one modelled engine; `slowdown` above 1 makes a straggler."""
+
+    name: str
+    slots: int = 8
+    token_ms: float = 20.0
+    prefill_ms: float = 60.0
+    slowdown: float = 1.0
+    crash_ms: float = float("inf")
+    recover_ms: float = float("inf")
+
+    def is_down(self, now: float) -> bool:
+        """Tell whether the engine is crashed at `now`."""
+        return self.crash_ms <= now < self.recover_ms
+
+
+@dataclass(slots=True)
+class Stream:
+    """Hold one dispatch in progress."""
+
+    arrival: Arrival
+    engine: ModelEngine
+    started_ms: float
+    worked_ms: float = 0.0
+    paused: bool = False
+    quiet_ms: float = 0.0
+    first_ms: float | None = None
+    made: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class RefusalRecord:
+    """Hold a refusal and what held the places at that moment."""
+
+    time_ms: float
+    arrival: Arrival
+    reason: str
+    occupancy: tuple[Occupancy, ...]
+
+
+@dataclass(slots=True)
+class ModelResult:
+    """Hold everything that one run showed."""
+
+    arrivals: list[Arrival]
+    refusals: list[RefusalRecord] = field(default_factory=list)
+    pauses: int = 0
+
+    def compute_attainment(self, class_name: str) -> float:
+        """Return the share of a class's requests that met their targets."""
+        mine = [a for a in self.arrivals if a.model.name == class_name]
+        return sum(a.is_attained() for a in mine) / max(len(mine), 1)
+
+    def count_attained(self, class_name: str) -> int:
+        """Return how many requests of a class met their targets."""
+        return sum(a.is_attained() for a in self.arrivals if a.model.name == class_name)
+
+    def compute_waste(self) -> float:
+        """Return the share of all tokens that reached nobody."""
+        made = sum(a.made + a.wasted for a in self.arrivals)
+        lost = sum(
+            a.wasted + (a.made if a.result != "done" else 0) for a in self.arrivals
+        )
+        return lost / max(made, 1)
+
+    def compute_goodput(self) -> float:
+        """Return tokens of whole answers per second of arrivals."""
+        end_ms = max((a.time_ms for a in self.arrivals), default=1.0)
+        return sum(a.made for a in self.arrivals if a.result == "done") / end_ms * 1000
+
+    def find_longest_gap(
+        self, class_name: str, start_ms: float, end_ms: float
+    ) -> float:
+        """Return the longest time without a finished request of a class."""
+        ends = sorted(
+            a.end_ms
+            for a in self.arrivals
+            if a.model.name == class_name and a.result == "done" and a.end_ms
+        )
+        moments = [start_ms, *(e for e in ends if start_ms < e < end_ms), end_ms]
+        return max(b - a for a, b in zip(moments, moments[1:], strict=False))
+
+
+def create_arrivals(
+    classes: list[ModelClass], duration_ms: float, seed: int, workspaces: int = 10
+) -> list[Arrival]:
+    """Return seeded Poisson arrivals with log-normal lengths."""
+    generator = random.Random(seed)
+    arrivals: list[Arrival] = []
+    for model in classes:
+        now = 0.0
+        while True:
+            bursting = model.burst_start_ms <= now < model.burst_end_ms
+            rate = model.burst_rate if bursting else model.rate
+            now += generator.expovariate(rate) * 1000.0
+            if now >= duration_ms:
+                break
+            tokens = generator.lognormvariate(0.0, model.spread) * model.tokens
+            arrivals.append(
+                Arrival(
+                    f"{model.name}-{len(arrivals)}",
+                    model,
+                    f"w{generator.randrange(workspaces)}",
+                    now,
+                    max(int(tokens), 2),
+                )
+            )
+    arrivals.sort(key=lambda a: a.time_ms)
+    return arrivals
+
+
+def create_rule(
+    classes: list[ModelClass],
+    engines: list[ModelEngine],
+    discipline: str = "tiered",
+    balancer: str = "adaptive",
+    queue_per_slot: float = 6.0,
+) -> ShardRule:
+    """Return the shard's configuration."""
+    return ShardRule(
+        "model",
+        discipline,
+        balancer,
+        True,
+        queue_per_slot,
+        800.0,
+        {
+            c.name: ClassRule(
+                c.name, c.tier, c.first_token_ms, None, c.longest_wait_ms, c.floor
+            )
+            for c in classes
+        },
+        {e.name: ServerRule(e.name, "127.0.0.1:1", e.slots, False) for e in engines},
+        {},
+    )
+
+
+class ShardModel:
+    """Step arrivals, shard and engines through virtual time."""
+
+    def __init__(self, rule: ShardRule, engines: list[ModelEngine]) -> None:
+        self.shard: Shard = create_shard(rule)
+        self._engines = {engine.name: engine for engine in engines}
+        self._streams: dict[str, Stream] = {}
+        self._arrivals: dict[str, Arrival] = {}
+        self._active: Counter[str] = Counter()
+        self._result = ModelResult([])
+
+    def run(self, arrivals: list[Arrival], duration_ms: float) -> ModelResult:
+        """Return what became of the arrivals."""
+        self._result = ModelResult(arrivals)
+        pending = list(reversed(arrivals))
+        now = 0.0
+        while now < duration_ms:
+            now += STEP_MS
+            while pending and pending[-1].time_ms <= now:
+                arrival = pending.pop()
+                self._arrivals[arrival.name] = arrival
+                self._ask(arrival, now)
+            self._count_streams()
+            for stream in list(self._streams.values()):
+                self._advance(stream, now)
+            if now % TICK_MS < STEP_MS:
+                self._perform(self.shard.pump(now), now)
+        return self._result
+
+    def _ask(self, arrival: Arrival, now: float) -> None:
+        ask = PermitAsk(
+            arrival.name,
+            "host",
+            "model",
+            arrival.model.name,
+            arrival.model.tier,
+            arrival.workspace,
+            arrival.workspace,
+            now - arrival.time_ms,
+            arrival.model.deadline_ms - (now - arrival.time_ms),
+            sorted(arrival.excluded),
+            0,
+        )
+        self._perform(self.shard.ask(ask, now), now)
+
+    def _perform(self, effects: list[Effect], now: float) -> None:
+        for effect in effects:
+            if isinstance(effect, Grant):
+                arrival = self._arrivals[effect.request_id]
+                arrival.dispatches += 1
+                engine = self._engines[effect.server]
+                self._streams[effect.request_id] = Stream(arrival, engine, now)
+            elif isinstance(effect, Pause):
+                self._result.pauses += effect.paused
+                stream = self._streams.get(effect.request_id)
+                if stream is not None:
+                    stream.paused = effect.paused
+            elif isinstance(effect, Refusal):
+                self._refuse(effect, now)
+
+    def _refuse(self, refusal: Refusal, now: float) -> None:
+        arrival = self._arrivals[refusal.request_id]
+        arrival.result = refusal.reason
+        arrival.end_ms = now
+        record = RefusalRecord(now, arrival, refusal.reason, refusal.occupancy)
+        self._result.refusals.append(record)
+
+    def _advance(self, stream: Stream, now: float) -> None:
+        arrival = stream.arrival
+        if now - arrival.time_ms > arrival.model.deadline_ms:
+            self._end(stream, now, "deadline-cut", "cancelled")
+            return
+        if stream.engine.is_down(now):
+            self._retry(stream, now, "broken")
+            return
+        if stream.paused:
+            return
+        share = self._compute_share(stream.engine)
+        stream.worked_ms += STEP_MS * share
+        engine = stream.engine
+        ready = stream.worked_ms - engine.prefill_ms * engine.slowdown
+        made = max(int(ready / (engine.token_ms * engine.slowdown)), 0)
+        stream.quiet_ms = 0.0 if made > stream.made else stream.quiet_ms + STEP_MS
+        if made > stream.made:
+            self._note_tokens(stream, made - stream.made, now)
+        if arrival.made >= arrival.tokens:
+            self._end(stream, now, "done", "done")
+        elif stream.quiet_ms > STALL_MS:
+            self._retry(stream, now, "stalled")
+
+    def _count_streams(self) -> None:
+        self._active.clear()
+        for stream in self._streams.values():
+            if not stream.paused:
+                self._active[stream.engine.name] += 1
+
+    def _compute_share(self, engine: ModelEngine) -> float:
+        """Return the speed of each stream when more run than there are slots."""
+        return min(1.0, engine.slots / max(self._active[engine.name], 1))
+
+    def _note_tokens(self, stream: Stream, count: int, now: float) -> None:
+        arrival = stream.arrival
+        if stream.first_ms is None:
+            stream.first_ms = now
+            elapsed = now - stream.started_ms
+            self._perform(self.shard.note_first_token(arrival.name, elapsed, now), now)
+        if arrival.first_token_at_ms is None:
+            arrival.first_token_at_ms = now
+        stream.made += count
+        arrival.made = min(arrival.made + count, arrival.tokens)
+
+    def _end(self, stream: Stream, now: float, result: str, outcome: str) -> None:
+        arrival = stream.arrival
+        arrival.result = result
+        arrival.end_ms = now
+        self._finish(stream, now, outcome)
+
+    def _retry(self, stream: Stream, now: float, outcome: str) -> None:
+        arrival = stream.arrival
+        arrival.excluded = arrival.excluded | {stream.engine.name}
+        self._finish(stream, now, outcome)
+        self._ask(arrival, now)
+
+    def _finish(self, stream: Stream, now: float, outcome: str) -> None:
+        arrival = stream.arrival
+        self._streams.pop(arrival.name, None)
+        first = stream.first_ms
+        pace = 0.0
+        if first is not None and stream.made > 1:
+            pace = (now - first) / (stream.made - 1)
+        finish = PermitFinish(
+            arrival.name,
+            "model",
+            stream.engine.name,
+            outcome,
+            now - stream.started_ms,
+            (first or now) - stream.started_ms,
+            pace,
+            stream.made,
+        )
+        self._perform(self.shard.finish(finish, now), now)
