--- a/cornelnotch/claims/client.py
+++ b/cornelnotch/claims/client.py
@@ -26,6 +26,7 @@
 __all__ = ["ClaimClient", "ClaimVerdict"]
 
 KEEPER_TIMEOUT_MS = 1000.0
+MAX_REFUSALS = 2
 PERSIST_PAUSE_MS = 500.0
 PERSIST_LIMIT_MS = 1_800_000.0
 
@@ -115,6 +116,7 @@
         count = self._fleet.configuration.claims.streams
         stream = hash_text(operation.key) % count
         hops = 0
+        refusals = 0
         while (left_ms := limit - self._clock.read()) > 0:
             ranking = self._fleet.rank_keepers(stream)
             if not ranking:
@@ -124,6 +126,10 @@
             answer = await self._ask(keeper, stream, operation, wait_ms)
             if answer is not None and answer.state != "unavailable":
                 return self._read_answer(answer)
+            refusals += answer is not None
+            if refusals >= MAX_REFUSALS:
+                # Two hosts cannot reach the log, so the caller is told at once.
+                break
             hops += 1
         return ClaimVerdict("unavailable")
 
--- a/cornelnotch/claims/keeper.py
+++ b/cornelnotch/claims/keeper.py
@@ -36,6 +36,7 @@
     ask: ClaimAsk
     operation: ClaimOperation
     expires_ms: float
+    appended: bool = False
 
 
 class StreamKeeper:
@@ -93,22 +94,28 @@
                 await self._clock.sleep(SETTLE_PAUSE_MS)
 
     def _expire(self, waiting: list[PendingAsk]) -> list[PendingAsk]:
+        """Give up on asks that were never appended or whose time is up."""
         now = self._clock.read()
+        hopeful = [p for p in waiting if p.appended and now < p.expires_ms]
         for pending in waiting:
-            if now >= pending.expires_ms:
-                self._events.record(Event.CLAIM_UNSETTLED, stream=self._name)
-                self._send(pending, "unavailable")
-        return [pending for pending in waiting if now < pending.expires_ms]
+            if pending in hopeful:
+                continue
+            self._events.record(Event.CLAIM_UNSETTLED, stream=self._name)
+            self._send(pending, "unavailable")
+        return hopeful
 
     def _restart(self, earliest: int) -> None:
         self.ledger = ClaimLedger()
         self._position = earliest
 
     async def _append(self, waiting: list[PendingAsk]) -> None:
-        operations = [p.operation for p in waiting if self._is_needed(p.operation)]
-        if not operations:
+        needed = [p for p in waiting if self._is_needed(p.operation)]
+        if not needed:
             return
         self.appends += 1
+        for pending in needed:
+            pending.appended = True
+        operations = [pending.operation for pending in needed]
         await self._log.append(self._name, encode_operations(operations))
 
     def _is_needed(self, operation: ClaimOperation) -> bool:
--- /dev/null
+++ b/cornelnotch/claims/tests/test_ledger.py
@@ -0,0 +1,81 @@
+"""Fold claims, releases and outcomes in any order."""
+
+from hypothesis import given, settings, strategies as st
+
+from cornelnotch.claims import (
+    ClaimLedger,
+    ClaimOperation,
+    KeyAge,
+    OperationKind,
+    decode_operations,
+    encode_operations,
+    judge_key_age,
+)
+
+ATTEMPTS = ("a", "b", "c")
+OPERATIONS = st.builds(
+    ClaimOperation,
+    st.sampled_from(
+        [OperationKind.CLAIM, OperationKind.RELEASE, OperationKind.OUTCOME]
+    ),
+    st.sampled_from(["k", "l"]),
+    st.sampled_from(ATTEMPTS),
+    st.just("f"),
+    st.just(200),
+    st.just("text/plain"),
+    st.just(b"done"),
+)
+
+
+def fold(operations):
+    ledger = ClaimLedger()
+    for offset, operation in enumerate(operations):
+        ledger.apply(operation, offset, 0, float(offset))
+    return ledger
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(st.lists(OPERATIONS, max_size=12))
+def test_the_holder_of_a_key_changes_only_by_its_own_release(operations):
+    ledger = ClaimLedger()
+    for offset, operation in enumerate(operations):
+        before = ledger.find(operation.key)
+        holder = before.attempt if before else None
+        ledger.apply(operation, offset, 0, float(offset))
+        after = ledger.find(operation.key)
+        if holder is not None and (after is None or after.attempt != holder):
+            assert operation.kind is OperationKind.RELEASE
+            assert operation.attempt == holder
+
+
+def test_a_claim_that_lands_after_its_release_is_void():
+    release = ClaimOperation(OperationKind.RELEASE, "k", "a")
+    late = ClaimOperation(OperationKind.CLAIM, "k", "a", "f")
+    assert fold([release, late]).find("k") is None
+
+
+@settings(max_examples=50, deadline=None, derandomize=True)
+@given(st.lists(OPERATIONS, max_size=5))
+def test_records_survive_encoding(operations):
+    decoded = decode_operations(encode_operations(operations)).unwrap()
+    assert [(o.kind, o.key, o.attempt) for o in decoded] == [
+        (o.kind, o.key, o.attempt) for o in operations
+    ]
+
+
+def test_age_of_a_key():
+    assert judge_key_age(0, 10, 20, 5) is KeyAge.USABLE
+    assert judge_key_age(0, 21, 20, 5) is KeyAge.EXPIRED
+    assert judge_key_age(16, 10, 20, 5) is KeyAge.FUTURE
+
+
+def test_eviction_forgets_only_what_is_old():
+    ledger = fold(
+        [
+            ClaimOperation(OperationKind.CLAIM, "k", "a", "f"),
+            ClaimOperation(OperationKind.CLAIM, "l", "b", "f"),
+        ]
+    )
+    ledger.evict(1.0)
+    assert ledger.find("k") is None
+    assert ledger.find("l") is not None
--- a/cornelnotch/configuration/fold.py
+++ b/cornelnotch/configuration/fold.py
@@ -220,9 +220,21 @@
         removed.pop(name, None)
     configuration = _collect(models, offset)
     configuration.check()
+    _check_streams(state, configuration)
     return ConfigurationState(offset, offset, sections, removed, models, configuration)
 
 
+def _check_streams(state: ConfigurationState, after: Configuration) -> None:
+    """Refuse another number of claim streams, which would move keys to new ones."""
+    before = state.configuration.claims.streams
+    if state.version == NO_OFFSET or after.claims.streams == before:
+        return
+    raise ConfigurationError(
+        f"[claims] streams is {before} and cannot change",
+        "keep it; keys claimed before would be looked for in other streams",
+    )
+
+
 def fold_record(state: ConfigurationState, offset: int, body: bytes) -> Verdict:
     """Return the state after the record at `offset`; older offsets change nothing."""
     if offset <= state.covers:
--- a/cornelnotch/load/caller.py
+++ b/cornelnotch/load/caller.py
@@ -41,6 +41,7 @@
     body: bytes = b""
     complete: bool = False
     request_id: str = ""
+    address: str = ""
     attempts: int = 0
     first_token_ms: float = 0.0
     between_tokens_ms: float = 0.0
@@ -65,6 +66,12 @@
         """Drop idle connections."""
         self._client.close()
 
+    def pin(self, address: str) -> None:
+        """Use one host whatever the fleet answers, as a fault test needs."""
+        self._seeds = [address]
+        self._addresses = [address]
+        self._valid_until_ms = float("inf")
+
     async def ask_entry(self) -> list[str]:
         """Return the addresses to use, asking again once they have expired."""
         if self._addresses and self._clock.read() < self._valid_until_ms:
@@ -183,7 +190,8 @@
         previous: CallResult,
         started_ms: float,
     ) -> CallResult:
-        result = CallResult(attempts=attempt, outcomes=previous.outcomes)
+        result = CallResult(address=address, attempts=attempt)
+        result.outcomes = previous.outcomes
         timeout_ms = self.options.deadline_ms + DEFAULT_RETRY_MS * 5
         try:
             async with asyncio.timeout(timeout_ms / 1000.0):
@@ -196,7 +204,7 @@
             # Another host may be reached while this one is cut off.
             self._turn += 1
             self._valid_until_ms = 0.0
-            result.kind = type(error).__name__
+            result.kind = f"{type(error).__name__}: {error}"
         result.outcomes.append(result.outcome)
         return result
 
--- /dev/null
+++ b/cornelnotch/load/driver.py
@@ -0,0 +1,257 @@
+"""Run a scenario against a fleet: open loop, seeded arrivals, faults in time."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from cornelnotch.exceptions import UpstreamError
+from cornelnotch.kernel import Clock, create_identifier
+from cornelnotch.load.caller import Caller, CallerOptions, CallResult
+from cornelnotch.load.results import RunResult, Sample
+from cornelnotch.load.scenario import FaultEvent, Scenario, TrafficClass
+from cornelnotch.standins.engine import predict_answer
+from cornelnotch.web import HttpClient
+
+__all__ = ["Driver", "FleetAddresses", "PlannedCall", "plan_calls"]
+
+SAMPLE_PERIOD_MS = 500.0
+LEAVE_SHARE_OF_DEADLINE = 0.1
+MS_PER_SECOND = 1000.0
+
+Progress = Callable[[str], None]
+
+
+@dataclass(frozen=True, slots=True)
+class FleetAddresses:
+    """Name where the fleet and its stand-ins listen."""
+
+    hosts: list[str]
+    platform: str = ""
+    engines: dict[str, str] = field(default_factory=dict)
+    services: dict[str, str] = field(default_factory=dict)
+
+    def find(self, target: str) -> str | None:
+        """Return the address of a stand-in."""
+        if target == "platform":
+            return self.platform or None
+        return self.engines.get(target) or self.services.get(target)
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedCall:
+    """Hold one arrival."""
+
+    number: int
+    class_name: str
+    at_ms: float
+    workspace: str
+    tokens: int
+    leaves: bool
+
+
+def _choose_workspace(generator: random.Random, count: int, large: float) -> str:
+    """Return a workspace; the first few send a large share of all traffic."""
+    few = max(count // 5, 1)
+    if generator.random() < large:
+        return f"w{generator.randrange(few)}"
+    return f"w{generator.randrange(count)}"
+
+
+def plan_calls(scenario: Scenario) -> list[PlannedCall]:
+    """Return every arrival of the scenario, in order."""
+    general = scenario.general
+    calls: list[PlannedCall] = []
+    for name, traffic in scenario.classes.items():
+        generator = random.Random(f"{general.seed}/{name}")
+        at_s = 0.0
+        while True:
+            bursting = traffic.burst_start_s <= at_s < traffic.burst_end_s
+            rate = traffic.burst_rate if bursting else None
+            at_s += generator.expovariate(rate or traffic.rate)
+            if at_s >= general.duration_s:
+                break
+            length = generator.lognormvariate(0.0, traffic.spread) * traffic.tokens
+            calls.append(
+                PlannedCall(
+                    len(calls),
+                    name,
+                    at_s * MS_PER_SECOND,
+                    _choose_workspace(
+                        generator, general.workspaces, general.large_share
+                    ),
+                    max(int(length), 1),
+                    generator.random() < traffic.leave_share,
+                )
+            )
+    return sorted(calls, key=lambda call: call.at_ms)
+
+
+class Driver:
+    """Own the callers of one run."""
+
+    def __init__(self, scenario: Scenario, fleet: FleetAddresses, clock: Clock) -> None:
+        self._scenario = scenario
+        self._fleet = fleet
+        self._clock = clock
+        self._client = HttpClient()
+        self._callers: dict[tuple[str, str], Caller] = {}
+        self._result = RunResult(scenario.general.name, scenario.general.seed)
+
+    async def run(self, progress: Progress) -> RunResult:
+        """Run the whole scenario and return what it showed."""
+        begin = self._clock.read()
+        watchers = [
+            asyncio.create_task(self._watch_versions(begin)),
+            *(
+                asyncio.create_task(self._inject(event, begin))
+                for event in self._scenario.faults.values()
+            ),
+        ]
+        before = await self._read_engines()
+        calls = plan_calls(self._scenario)
+        running = []
+        announced = 0.0
+        for call in calls:
+            await self._clock.sleep(begin + call.at_ms - self._clock.read())
+            running.append(asyncio.create_task(self._make(call)))
+            if call.at_ms - announced >= 5 * MS_PER_SECOND:
+                announced = call.at_ms
+                progress(f"{call.at_ms / MS_PER_SECOND:.0f} s: {call.number} calls")
+        await asyncio.gather(*running)
+        for watcher in watchers:
+            watcher.cancel()
+        await self._finish(before)
+        return self._result
+
+    async def _finish(self, before: int) -> None:
+        self._result.tokens_generated = await self._read_engines() - before
+        for name, address in self._fleet.services.items():
+            self._result.ledgers[name] = await self._read_ledger(address)
+        for caller in self._callers.values():
+            caller.close()
+        self._client.close()
+
+    def _find_caller(self, call: PlannedCall, traffic: TrafficClass) -> Caller:
+        key = (call.class_name, call.workspace)
+        caller = self._callers.get(key)
+        if caller is None:
+            options = CallerOptions(
+                call.workspace,
+                attempts=traffic.attempts,
+                deadline_ms=traffic.deadline_ms,
+                patience_ms=float(traffic.deadline_ms),
+            )
+            caller = Caller(self._fleet.hosts, options, self._clock)
+            self._callers[key] = caller
+        return caller
+
+    async def _make(self, call: PlannedCall) -> None:
+        traffic = self._scenario.classes[call.class_name]
+        caller = self._find_caller(call, traffic)
+        work = asyncio.create_task(self._send(call, traffic, caller))
+        if call.leaves:
+            wait_s = traffic.deadline_ms * LEAVE_SHARE_OF_DEADLINE / MS_PER_SECOND
+            done, _ = await asyncio.wait({work}, timeout=wait_s)
+            if not done:
+                work.cancel()
+                await asyncio.wait({work})
+                self._record_left(call)
+                return
+        result = await work
+        self._record(call, traffic, result)
+
+    async def _send(
+        self, call: PlannedCall, traffic: TrafficClass, caller: Caller
+    ) -> CallResult:
+        reference = f"{call.class_name}-{call.number}"
+        if traffic.kind == "chat":
+            return await caller.chat(reference, call.tokens, traffic.labels)
+        key = create_identifier() if traffic.kind == "once" else None
+        content = {"reference": reference}
+        return await caller.call(
+            traffic.service, traffic.path, content, traffic.labels, key
+        )
+
+    def _record_left(self, call: PlannedCall) -> None:
+        sample = Sample(call.class_name, call.at_ms, "left", False, False)
+        self._result.samples.append(sample)
+
+    def _record(
+        self, call: PlannedCall, traffic: TrafficClass, result: CallResult
+    ) -> None:
+        reference = f"{call.class_name}-{call.number}"
+        wrong = False
+        if traffic.kind == "chat" and result.complete:
+            wrong = result.text != predict_answer(reference, call.tokens)
+        sample = Sample(
+            call.class_name,
+            call.at_ms,
+            "complete" if result.complete else result.kind or "failed",
+            result.complete and _is_attained(traffic, result),
+            wrong,
+            result.outcome,
+            reference if traffic.kind == "once" else "",
+            tuple(result.outcomes),
+            result.first_token_ms,
+            result.between_tokens_ms,
+            result.whole_ms,
+            call.tokens if traffic.kind == "chat" else 0,
+        )
+        self._result.samples.append(sample)
+
+    async def _inject(self, event: FaultEvent, begin: float) -> None:
+        await self._clock.sleep(begin + event.at_s * MS_PER_SECOND - self._clock.read())
+        address = self._fleet.find(event.target)
+        if address is None:
+            self._result.notes.append(f"no stand-in is named {event.target}")
+            return
+        await self._client.request_json(
+            address, "POST", "/faults", _parse_faults(event.set)
+        )
+
+    async def _watch_versions(self, begin: float) -> None:
+        while True:
+            for address in self._fleet.hosts:
+                status = await self._read(address, "/status")
+                if status is not None:
+                    at_ms = self._clock.read() - begin
+                    self._result.add_version(status["host"], at_ms, status["version"])
+            await self._clock.sleep(SAMPLE_PERIOD_MS)
+
+    async def _read(self, address: str, target: str) -> dict | None:
+        try:
+            _, content = await self._client.request_json(
+                address, "GET", target, timeout_ms=1000.0
+            )
+        except UpstreamError:
+            return None
+        return content if isinstance(content, dict) else None
+
+    async def _read_engines(self) -> int:
+        counts = [await self._read(a, "/counts") for a in self._fleet.engines.values()]
+        return sum(c["generated"] for c in counts if c is not None)
+
+    async def _read_ledger(self, address: str) -> dict[str, int]:
+        return await self._read(address, "/ledger") or {}
+
+
+def _is_attained(traffic: TrafficClass, result: CallResult) -> bool:
+    limits = (
+        (traffic.first_token_ms, result.first_token_ms),
+        (traffic.between_tokens_ms, result.between_tokens_ms),
+        (traffic.whole_ms, result.whole_ms),
+    )
+    return all(limit is None or seen <= limit for limit, seen in limits)
+
+
+def _parse_faults(text: str) -> dict[str, object]:
+    """Return ``name=value`` pairs with numbers and truth values decoded."""
+    faults: dict[str, object] = {}
+    for part in text.split(","):
+        name, _, value = part.strip().partition("=")
+        if value in {"true", "false"}:
+            faults[name] = value == "true"
+        else:
+            faults[name] = float(value)
+    return faults
--- /dev/null
+++ b/cornelnotch/load/embedded.py
@@ -0,0 +1,292 @@
+"""Run platform, engines, services and hosts of a deployment in one process."""
+
+import asyncio
+import socket
+from dataclasses import dataclass, field
+
+from cornelnotch.configuration import Change, encode_record
+from cornelnotch.configuration.follower import CONFIGURATION_STREAM
+from cornelnotch.kernel import Clock, create_identifier
+from cornelnotch.load.driver import FleetAddresses
+from cornelnotch.logservice import HostEntry, HttpLogService
+from cornelnotch.node import Node, create_node
+from cornelnotch.settings import NodeSettings
+from cornelnotch.standins.engine import EngineProfile, EngineStandin
+from cornelnotch.standins.platform import PlatformStandin
+from cornelnotch.standins.service import ServiceProfile, ServiceStandin
+
+__all__ = ["Deployment", "EmbeddedFleet", "create_deployment", "list_deployments"]
+
+ADDRESS = "127.0.0.1"
+READY_LIMIT_S = 15.0
+POLL_S = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """Describe a deployment: its places, servers and classes."""
+
+    name: str
+    hosts: dict[str, str]
+    engines: dict[str, str]
+    engine_pool: str
+    services: dict[str, str]
+    service_pool: str
+    classes: str
+
+
+HEELMARK = Deployment(
+    "heelmark",
+    {"host-1": "taipei-a", "host-2": "taoyuan-b", "host-3": "taipei-a"},
+    {f"cobbler-{n}": "taipei-a" if n % 2 else "taoyuan-b" for n in range(1, 6)},
+    "cobbler-assist",
+    {f"desk-{n}": "taipei-a" for n in range(1, 4)},
+    "counter-desk",
+    """
+[place taipei-a]
+region = north-tw
+[place taoyuan-b]
+region = north-tw
+[place kaohsiung-a]
+region = south-tw
+[class quote]
+tier = 1
+first_token_ms = 460
+between_tokens_ms = 71
+deadline_ms = 8000
+longest_wait_ms = 8000
+[class draft]
+tier = 5
+first_token_ms = 3000
+deadline_ms = 30000
+longest_wait_ms = 4000
+floor = 0.05
+[class booking]
+tier = 1
+whole_ms = 1000
+deadline_ms = 5000
+repeat = once
+[class availability]
+tier = 2
+whole_ms = 500
+deadline_ms = 3000
+[selector quotes]
+order = 10
+labels = kind=quote
+class = quote
+pool = cobbler-assist
+[selector drafts]
+order = 90
+class = draft
+pool = cobbler-assist
+[selector bookings]
+order = 10
+service = counter-desk
+labels = kind=booking
+class = booking
+pool = counter-desk
+[selector availability]
+order = 20
+service = counter-desk
+class = availability
+pool = counter-desk
+""",
+)
+
+GUILD = Deployment(
+    "guild",
+    {"host-1": "surabaya-a", "host-2": "malang-a", "host-3": "surabaya-a"},
+    {f"juru-{n}": "surabaya-a" if n % 2 else "malang-a" for n in range(1, 7)},
+    "juru-assist",
+    {f"booking-{n}": "surabaya-a" for n in range(1, 4)},
+    "juru-booking",
+    """
+[place surabaya-a]
+region = jawa-timur
+[place malang-a]
+region = jawa-timur
+[place bandung-a]
+region = jawa-barat
+[class terminology]
+tier = 2
+first_token_ms = 460
+between_tokens_ms = 71
+deadline_ms = 8000
+[class glossary]
+tier = 6
+first_token_ms = 5000
+deadline_ms = 60000
+longest_wait_ms = 5000
+floor = 0.05
+objective = 0.9
+[class confirmation]
+tier = 1
+whole_ms = 1000
+deadline_ms = 5000
+repeat = once
+[class availability]
+tier = 3
+whole_ms = 500
+deadline_ms = 3000
+[selector terminology]
+order = 10
+labels = kind=terminology
+class = terminology
+pool = juru-assist
+[selector glossary]
+order = 90
+class = glossary
+pool = juru-assist
+[selector confirmations]
+order = 10
+service = juru-booking
+labels = kind=confirmation
+class = confirmation
+pool = juru-booking
+[selector availability]
+order = 20
+service = juru-booking
+class = availability
+pool = juru-booking
+""",
+)
+
+
+def list_deployments() -> dict[str, Deployment]:
+    """Return the deployments of the demo, by name."""
+    return {d.name: d for d in (HEELMARK, GUILD)}
+
+
+def _find_free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind((ADDRESS, 0))
+        return probe.getsockname()[1]
+
+
+@dataclass(slots=True)
+class EmbeddedFleet:
+    """Own every part of one deployment."""
+
+    deployment: Deployment
+    clock: Clock
+    platform: PlatformStandin
+    engines: dict[str, EngineStandin] = field(default_factory=dict)
+    services: dict[str, ServiceStandin] = field(default_factory=dict)
+    nodes: dict[str, Node] = field(default_factory=dict)
+
+    async def start(self) -> FleetAddresses:
+        """Start everything and wait until every host takes work."""
+        await self.platform.start(ADDRESS, 0)
+        for name in self.deployment.engines:
+            profile = EngineProfile(batch=4, token_ms=20.0, prefill_ms=40.0)
+            engine = EngineStandin(name, self.clock, profile)
+            await engine.start(ADDRESS, 0)
+            self.engines[name] = engine
+        for name in self.deployment.services:
+            service = ServiceStandin(name, self.clock, ServiceProfile(work_ms=20.0))
+            await service.start(ADDRESS, 0)
+            self.services[name] = service
+        log = HttpLogService(self._name(self.platform.server.port))
+        change = Change(create_identifier(), -1, self.create_text(), "demo")
+        await log.append(CONFIGURATION_STREAM, encode_record(change))
+        for name, place in self.deployment.hosts.items():
+            await self._start_node(name, place)
+        await self._wait_ready()
+        return self.list_addresses()
+
+    async def _start_node(self, name: str, place: str) -> None:
+        platform = self._name(self.platform.server.port)
+        settings = NodeSettings.model_validate(
+            {
+                "node": {
+                    "name": name,
+                    "place": place,
+                    "http": self._name(_find_free_port()),
+                    "peer": self._name(_find_free_port()),
+                },
+                "platform": {"log": platform, "hosts": platform},
+                "timing": {"entry_ttl_ms": 1000},
+                "membership": {"period_ms": 200, "listing_ms": 300},
+            }
+        )
+        node = create_node(settings, self.clock)
+        await node.start()
+        self.nodes[name] = node
+        entry = HostEntry(
+            name, "router", "live", settings.node.http, settings.node.peer, place
+        )
+        self.platform.list_host(entry)
+
+    async def _wait_ready(self) -> None:
+        async with asyncio.timeout(READY_LIMIT_S):
+            while not self._is_whole():  # noqa: ASYNC110
+                await asyncio.sleep(POLL_S)
+
+    def _is_whole(self) -> bool:
+        return all(self._is_ready(node) for node in self.nodes.values())
+
+    def _is_ready(self, node: Node) -> bool:
+        status = node.status.describe()
+        alive = [s for s in status.members.values() if s == "alive"]
+        return status.ready and len(alive) == len(self.nodes)
+
+    def create_text(self) -> str:
+        """Return the deployment's configuration as INI."""
+        deployment = self.deployment
+        text = deployment.classes
+        text += f"[pool {deployment.engine_pool}]\nprotocol = engine\n"
+        text += f"[pool {deployment.service_pool}]\nprotocol = service\n"
+        for name, engine in self.engines.items():
+            text += self._create_server(
+                name,
+                deployment.engine_pool,
+                engine.server.port,
+                deployment.engines[name],
+                engine.profile.batch,
+            )
+        for name, service in self.services.items():
+            text += self._create_server(
+                name,
+                deployment.service_pool,
+                service.server.port,
+                deployment.services[name],
+                8,
+            )
+        return text
+
+    def _create_server(
+        self, name: str, pool: str, port: int, place: str, slots: int
+    ) -> str:
+        address = self._name(port)
+        return (
+            f"[server {name}]\npool = {pool}\naddress = {address}\n"
+            f"place = {place}\nslots = {slots}\n"
+        )
+
+    def list_addresses(self) -> FleetAddresses:
+        """Return where everything listens."""
+        return FleetAddresses(
+            [node.settings.node.http for node in self.nodes.values()],
+            self._name(self.platform.server.port),
+            {n: self._name(e.server.port) for n, e in self.engines.items()},
+            {n: self._name(s.server.port) for n, s in self.services.items()},
+        )
+
+    @staticmethod
+    def _name(port: int) -> str:
+        return f"{ADDRESS}:{port}"
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        for node in self.nodes.values():
+            await node.stop()
+        for engine in self.engines.values():
+            await engine.stop()
+        for service in self.services.values():
+            await service.stop()
+        await self.platform.stop()
+
+
+def create_deployment(name: str, clock: Clock) -> EmbeddedFleet:
+    """Return a fleet of the deployment `name` that has not started yet."""
+    return EmbeddedFleet(list_deployments()[name], clock, PlatformStandin(clock))
--- /dev/null
+++ b/cornelnotch/load/results.py
@@ -0,0 +1,175 @@
+"""Keep, judge and compare what runs showed."""
+
+from collections import Counter
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+
+import orjson
+
+from cornelnotch.exceptions import SettingsError
+
+__all__ = [
+    "ClassSummary",
+    "PromiseSummary",
+    "RunResult",
+    "Sample",
+    "judge_promises",
+    "read_result",
+    "summarize_classes",
+    "write_result",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """Hold one call; times in ms, `reference` names work that must not repeat."""
+
+    class_name: str
+    at_ms: float
+    result: str
+    attained: bool
+    wrong: bool
+    outcome: str = "unknown"
+    reference: str = ""
+    outcomes: tuple[str, ...] = ()
+    first_token_ms: float = 0.0
+    between_tokens_ms: float = 0.0
+    whole_ms: float = 0.0
+    tokens: int = 0
+
+
+@dataclass(slots=True)
+class RunResult:
+    """Hold everything that one run showed."""
+
+    name: str
+    seed: int
+    samples: list[Sample] = field(default_factory=list)
+    versions: dict[str, list[tuple[float, int]]] = field(default_factory=dict)
+    ledgers: dict[str, dict[str, int]] = field(default_factory=dict)
+    tokens_generated: int = 0
+    notes: list[str] = field(default_factory=list)
+
+    def add_version(self, host: str, at_ms: float, version: int) -> None:
+        """Note which version a host had in force."""
+        self.versions.setdefault(host, []).append((at_ms, version))
+
+
+@dataclass(frozen=True, slots=True)
+class ClassSummary:
+    """Tell how one class fared."""
+
+    class_name: str
+    calls: int
+    complete: int
+    attained: int
+    attainment: float
+    first_token_p95_ms: float
+    whole_p95_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class PromiseSummary:
+    """Count broken promises and wasted work over a run."""
+
+    doubled: int
+    lost: int
+    wrong_answers: int
+    false_not_run: int
+    version_reversals: int
+    tokens_generated: int
+    tokens_delivered: int
+    wasted_share: float
+    goodput_per_second: float
+
+    @property
+    def broken(self) -> int:
+        """Return how many promises were broken."""
+        return (
+            self.doubled
+            + self.lost
+            + self.wrong_answers
+            + self.false_not_run
+            + self.version_reversals
+        )
+
+
+def _find_percentile(values: list[float], share: float) -> float:
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return ordered[min(int(len(ordered) * share), len(ordered) - 1)]
+
+
+def summarize_classes(result: RunResult) -> list[ClassSummary]:
+    """Return a summary of every class; callers who left are not counted."""
+    rows = []
+    for name in sorted({s.class_name for s in result.samples}):
+        mine = [s for s in result.samples if s.class_name == name]
+        mine = [s for s in mine if s.result != "left"]
+        complete = [s for s in mine if s.result == "complete"]
+        attained = sum(s.attained for s in mine)
+        firsts = [s.first_token_ms for s in complete if s.first_token_ms]
+        rows.append(
+            ClassSummary(
+                name,
+                len(mine),
+                len(complete),
+                attained,
+                attained / len(mine) if mine else 0.0,
+                _find_percentile(firsts, 0.95),
+                _find_percentile([s.whole_ms for s in complete], 0.95),
+            )
+        )
+    return rows
+
+
+def judge_promises(result: RunResult) -> PromiseSummary:
+    """Compare what callers were told with what the services' ledgers show."""
+    ran: Counter[str] = Counter()
+    for ledger in result.ledgers.values():
+        ran.update(ledger)
+    once = [s for s in result.samples if s.reference]
+    delivered = sum(s.tokens for s in result.samples if s.result == "complete")
+    generated = result.tokens_generated
+    span_ms = max((s.at_ms for s in result.samples), default=1.0)
+    reversals = sum(
+        later[1] < earlier[1]
+        for track in result.versions.values()
+        for earlier, later in zip(track, track[1:], strict=False)
+    )
+    return PromiseSummary(
+        sum(ran[s.reference] > 1 for s in once),
+        sum(ran[s.reference] == 0 for s in once if s.outcome == "ran"),
+        sum(s.wrong for s in result.samples),
+        sum(ran[s.reference] > 0 for s in once if s.outcome == "not-run"),
+        reversals,
+        generated,
+        delivered,
+        max(generated - delivered, 0) / generated if generated else 0.0,
+        delivered / span_ms * 1000.0,
+    )
+
+
+def write_result(result: RunResult, path: Path) -> None:
+    """Write a run to a JSON file."""
+    path.write_bytes(orjson.dumps(asdict(result)))
+
+
+def read_result(path: Path) -> RunResult:
+    """Read a run; raise SettingsError when the file is none."""
+    try:
+        content = orjson.loads(path.read_bytes())
+        content["samples"] = [
+            Sample(**{**s, "outcomes": tuple(s["outcomes"])})
+            for s in content["samples"]
+        ]
+        content["versions"] = {
+            host: [(at, version) for at, version in track]
+            for host, track in content["versions"].items()
+        }
+        return RunResult(**content)
+    except (OSError, ValueError, KeyError, TypeError) as error:
+        raise SettingsError(
+            f"{path} is no result file: {error!r}", "write one with `cornelnotch load`"
+        ) from error
--- a/cornelnotch/membership/prober.py
+++ b/cornelnotch/membership/prober.py
@@ -34,6 +34,7 @@
     suspicion_ms: float = 1500.0
     forget_ms: float = 60_000.0
     listing_ms: float = 1000.0
+    seeds: tuple[str, ...] = ()
 
 
 class Prober:
@@ -85,6 +86,7 @@
     async def run_probes(self) -> None:
         """Probe one host per period until cancelled."""
         while True:
+            self._greet_seeds()
             target = self.table.choose_probe(self._generator)
             if target is not None:
                 self._tasks.start(f"probe-{target}", self._probe(target))
@@ -98,6 +100,15 @@
                 self._notify()
             await self._clock.sleep(self._timing.period_ms)
 
+    def _greet_seeds(self) -> None:
+        """Introduce this host to its seeds while it knows nobody."""
+        if len(self.table.members) > 1:
+            return
+        for address in self._timing.seeds:
+            name = f"seed {address}"
+            self._peers.set_address(name, address)
+            self._peers.send(name, self._create_ping())
+
     async def run_listing(self) -> None:
         """Read the platform's host list until cancelled."""
         while True:
@@ -120,11 +131,11 @@
             return
         # The list lags, so it only introduces hosts; probes decide the rest.
         update = MemberUpdate(
-            entry.name, entry.http, entry.peer, entry.place, "alive", 0
+            entry.name, entry.http, entry.peer, entry.place, "suspect", 0
         )
         self._merge([update])
 
-    def share_leaving(self, state: MemberState) -> None:
+    def share_state(self, state: MemberState) -> None:
         """Announce this host's own state to every host at once."""
         self.table.announce(state)
         for member in self.table.list_live():
--- a/cornelnotch/membership/table.py
+++ b/cornelnotch/membership/table.py
@@ -21,6 +21,7 @@
 class MemberState(StrEnum):
     """Name what a host is believed to be."""
 
+    JOINING = "joining"
     ALIVE = "alive"
     LEAVING = "leaving"
     SUSPECT = "suspect"
@@ -28,6 +29,7 @@
 
 
 _rank = {
+    MemberState.JOINING: 0,
     MemberState.ALIVE: 0,
     MemberState.LEAVING: 1,
     MemberState.SUSPECT: 2,
@@ -48,6 +50,7 @@
     since_ms: float
     version: int = -1
     sends_left: int = 0
+    before_suspicion: MemberState = MemberState.ALIVE
 
     def create_update(self) -> MemberUpdate:
         """Return the update that tells others."""
@@ -125,6 +128,7 @@
         member = self.members.get(name)
         if member is None or member.state in {MemberState.SUSPECT, MemberState.DEAD}:
             return
+        member.before_suspicion = member.state
         member.state = MemberState.SUSPECT
         member.since_ms = now
         member.sends_left = self._count_sends()
@@ -137,7 +141,7 @@
         member.version = max(version, member.version)
         if member.state is MemberState.SUSPECT:
             # Only local: others hear it from the host itself, which refutes.
-            member.state = MemberState.ALIVE
+            member.state = member.before_suspicion
             member.since_ms = now
 
     def expire(self, now: float, suspicion_ms: float, forget_ms: float) -> list[str]:
--- a/cornelnotch/node/node.py
+++ b/cornelnotch/node/node.py
@@ -70,7 +70,7 @@
             node.http,
             node.peer_advertised or node.peer,
             node.place,
-            "alive",
+            "joining",
             self.boot,
         )
         table = MemberTable(update, self.clock.read())
@@ -88,6 +88,7 @@
                 timing.timeout_ms,
                 timing.suspicion_ms,
                 listing_ms=timing.listing_ms,
+                seeds=tuple(timing.seeds.replace(",", " ").split()),
             ),
             random.Random(f"{node.seed}/{node.name}"),
         )
@@ -181,7 +182,7 @@
     async def _drain(self) -> None:
         self.events.record(Event.NODE_DRAINING)
         self.status.draining = True
-        self.prober.share_leaving(MemberState.LEAVING)
+        self.prober.share_state(MemberState.LEAVING)
         # Callers may keep an old entry answer for its whole lifetime.
         ttl_ms = self.settings.timing.entry_ttl_ms
         await self.clock.sleep(ttl_ms + DRAIN_MARGIN_MS)
@@ -202,7 +203,8 @@
         first = self.prober.version < 0
         self.prober.version = state.version
         self.fleet.apply_configuration(state)
-        if first:
+        if first and not self._draining:
+            self.prober.share_state(MemberState.ALIVE)
             self.events.record(Event.NODE_READY, version=state.version)
 
     def _apply_members(self) -> None:
--- a/cornelnotch/node/tests/conftest.py
+++ b/cornelnotch/node/tests/conftest.py
@@ -11,17 +11,16 @@
 
 Scenario = Callable[[ProcessFleet], Awaitable[None]]
 
-FAST_SETTINGS = (
-    "[timing]\nentry_ttl_ms = 1000\n"
-    "[membership]\nperiod_ms = 200\nsuspicion_ms = 800\nlisting_ms = 300\n"
-)
+FAST_TIMING = "[timing]\nentry_ttl_ms = 1000\n"
+FAST_MEMBERSHIP = "period_ms = 200\nsuspicion_ms = 800\nlisting_ms = 300\n"
 
 
 async def start_heelmark(
     fleet: ProcessFleet, hosts: int = 3, engines: int = 2, services: int = 1
 ) -> None:
     """Start a small Heelmark fleet and wait until it takes work."""
-    fleet.settings = FAST_SETTINGS
+    fleet.settings = FAST_TIMING
+    fleet.membership = FAST_MEMBERSHIP
     await fleet.start_platform()
     sections = ""
     for number in range(engines):
--- /dev/null
+++ b/cornelnotch/queueing/tests/test_shard.py
@@ -0,0 +1,186 @@
+"""Check the order rule on a shard: tiers, floors, displacement, limits, failures."""
+
+import pytest
+
+from cornelnotch.queueing import Grant, Pause, Refusal, create_shard
+from cornelnotch.queueing.models import (
+    ClassRule,
+    ServerRule,
+    ShardRule,
+    WorkspaceRule,
+)
+from cornelnotch.wire.messages import (
+    HeldPermit,
+    HeldPermits,
+    PermitAsk,
+    PermitFinish,
+)
+
+TIERS = {"high": 1, "low": 5}
+
+
+def create_rule(servers=1, slots=2, preemptible=True, workspaces=None):
+    return ShardRule(
+        "s",
+        "tiered",
+        "adaptive",
+        preemptible,
+        2.0,
+        100.0,
+        {
+            name: ClassRule(name, tier, 500.0, None, 2000.0, 0.0)
+            for name, tier in TIERS.items()
+        },
+        {
+            f"e{n}": ServerRule(f"e{n}", f"127.0.0.1:{n + 1}", slots, False)
+            for n in range(servers)
+        },
+        workspaces or {},
+    )
+
+
+def ask(shard, name, number, now, deadline_ms=5000.0, workspace="w"):
+    message = PermitAsk(
+        f"{name}-{number}",
+        "host",
+        "s",
+        name,
+        TIERS[name],
+        workspace,
+        "",
+        0.0,
+        deadline_ms,
+        [],
+        0,
+    )
+    return shard.ask(message, now)
+
+
+def finish(shard, request_id, now, outcome="done"):
+    server = shard.running[request_id].server
+    message = PermitFinish(request_id, "s", server, outcome, 100.0, 10.0, 5.0, 10)
+    return shard.finish(message, now)
+
+
+def list_granted(effects):
+    return [e.request_id for e in effects if isinstance(e, Grant)]
+
+
+def test_a_free_place_goes_to_the_highest_tier():
+    shard = create_shard(create_rule())
+    for number in range(2):
+        ask(shard, "high", number, 0.0)
+    ask(shard, "low", 2, 1.0)
+    ask(shard, "high", 3, 2.0)
+    assert list_granted(finish(shard, "high-0", 450.0)) == ["high-3"]
+
+
+def test_an_urgent_request_displaces_a_lower_tier_and_tells_its_holder():
+    shard = create_shard(create_rule())
+    ask(shard, "low", 0, 0.0)
+    ask(shard, "low", 1, 0.0)
+    ask(shard, "high", 2, 10.0)
+    effects = shard.pump(480.0)
+    assert [e for e in effects if isinstance(e, Pause)] == [
+        Pause("low-1", "host", True)
+    ]
+    assert list_granted(effects) == ["high-2"]
+    back = finish(shard, "high-2", 600.0)
+    assert Pause("low-1", "host", False) in back
+
+
+def test_the_last_place_of_a_lower_tier_is_not_displaced():
+    shard = create_shard(create_rule(slots=1))
+    ask(shard, "low", 0, 0.0)
+    ask(shard, "high", 1, 0.0)
+    assert shard.pump(495.0) == []
+
+
+def test_a_full_queue_drops_the_newest_of_the_lowest_tier():
+    shard = create_shard(create_rule(slots=1))
+    ask(shard, "high", 0, 0.0)
+    for number in range(1, 17):
+        ask(shard, "low", number, 1.0, 60_000.0)
+    effects = ask(shard, "high", 99, 2.0)
+    refused = [e for e in effects if isinstance(e, Refusal)]
+    assert [e.request_id for e in refused] == ["low-16"]
+    assert refused[0].retry_after_ms > 0
+    assert refused[0].occupancy
+
+
+def test_a_request_that_cannot_meet_its_deadline_is_refused_at_once():
+    shard = create_shard(create_rule())
+    for number in range(8):
+        ask(shard, "high", number, 0.0)
+        if f"high-{number}" in shard.running:
+            finish(shard, f"high-{number}", 0.0)
+    (refusal,) = ask(shard, "high", 50, 0.0, deadline_ms=10.0)
+    assert isinstance(refusal, Refusal)
+    assert refusal.reason == "deadline"
+
+
+def test_an_overdue_class_gets_one_place_before_a_higher_tier():
+    shard = create_shard(create_rule(preemptible=False))
+    for number in range(2):
+        ask(shard, "high", number, 0.0, 60_000.0)
+    ask(shard, "low", 2, 0.0, 60_000.0)
+    for number in range(3, 6):
+        ask(shard, "high", number, 1.0, 60_000.0)
+    assert list_granted(finish(shard, "high-0", 2100.0)) == ["low-2"]
+
+
+def test_a_failed_server_rests_and_work_goes_elsewhere():
+    shard = create_shard(create_rule(servers=2))
+    ask(shard, "high", 0, 0.0)
+    failed = shard.running["high-0"].server
+    finish(shard, "high-0", 10.0, "broken")
+    for number in range(1, 3):
+        ask(shard, "high", number, 20.0)
+    servers = {r.server for r in shard.running.values()}
+    assert failed not in servers
+
+
+def test_a_straggler_is_found_by_its_pace():
+    shard = create_shard(create_rule(servers=3, slots=4))
+    for number in range(12):
+        ask(shard, "high", number, 0.0)
+    for request_id, running in list(shard.running.items()):
+        pace = 10.0 if running.server == "e0" else 1.0
+        shard.note_first_token(request_id, 10.0 * pace, 0.0)
+        message = PermitFinish(
+            request_id, "s", running.server, "done", 90.0 * pace, 10.0, 5.0 * pace, 10
+        )
+        shard.finish(message, 100.0)
+    assert shard.servers["e0"].slow
+    assert not shard.servers["e1"].slow
+
+
+@pytest.mark.parametrize(
+    ("rule", "admitted"),
+    [(WorkspaceRule(None, 1, 1), 1), (WorkspaceRule(1.0, 2, None), 2)],
+)
+def test_workspace_limits_refuse_with_a_time_to_come_back(rule, admitted):
+    shard = create_shard(create_rule(slots=8, workspaces={"w": rule}))
+    effects = [e for n in range(4) for e in ask(shard, "high", n, 0.0)]
+    refused = [e for e in effects if isinstance(e, Refusal)]
+    assert len(effects) - len(refused) == admitted
+    assert {e.reason for e in refused} == {"workspace-limit"}
+    assert all(e.retry_after_ms > 0 for e in refused)
+
+
+def test_a_new_dispatcher_learns_what_is_held_and_forgets_what_is_not():
+    shard = create_shard(create_rule())
+    permits = [HeldPermit(f"r{n}", "e0", "high", 1, "w") for n in range(2)]
+    shard.take_held(HeldPermits("host", "s", permits), 0.0)
+    assert ask(shard, "high", 9, 1.0) == []
+    effects = shard.take_held(HeldPermits("host", "s", permits[:1]), 3000.0)
+    assert list_granted(effects) == [] or list_granted(effects) == ["high-9"]
+    assert set(shard.running) - {"high-9"} == {"r0"}
+
+
+def test_a_repeated_ask_is_granted_the_same_place():
+    shard = create_shard(create_rule())
+    first = ask(shard, "high", 0, 0.0)
+    again = ask(shard, "high", 0, 5.0)
+    assert [e.server for e in first] == [e.server for e in again]
+    assert len(shard.running) == 1
--- a/cornelnotch/settings/node.py
+++ b/cornelnotch/settings/node.py
@@ -91,6 +91,11 @@
     listing_ms: Milliseconds = Field(
         default=1000, description="time between readings of the host list"
     )
+    seeds: str = Field(
+        default="",
+        pattern=r"^[0-9a-fA-F.:\[\], ]*$",
+        description="peer addresses to try first, for a start without the platform",
+    )
 
 
 class LoggingSettings(SettingsSection):
--- a/cornelnotch/testing/processes.py
+++ b/cornelnotch/testing/processes.py
@@ -53,6 +53,7 @@
     servers: dict[str, HostProcess] = field(default_factory=dict)
     client: HttpClient = field(default_factory=HttpClient)
     settings: str = ""
+    membership: str = ""
     log_address: str = ""
     callers: list[Caller] = field(default_factory=list)
 
@@ -107,12 +108,14 @@
         http = f"{ADDRESS}:{find_free_port()}"
         peer = f"{ADDRESS}:{find_free_port()}"
         shown = advertised or peer
+        seeds = ", ".join(h.peer for h in self.hosts.values() if h.peer)
         path = self.folder / f"{name}.ini"
         path.write_text(
             f"[node]\nname = {name}\nplace = {place}\nhttp = {http}\npeer = {peer}\n"
             f"peer_advertised = {shown}\n"
             f"[platform]\nlog = {log or self.log_address}\n"
-            f"hosts = {log or self.log_address}\n{self.settings}"
+            f"hosts = {log or self.log_address}\n"
+            f"{self.settings}[membership]\nseeds = {seeds}\n{self.membership}"
         )
         host = await self._start(name, http, "node", str(path))
         host.peer = shown
@@ -133,7 +136,11 @@
             "place": host.place,
         }
         assert self.platform is not None
-        await self.client.request_json(self.platform.http, "POST", "/hosts", entry)
+        try:
+            await self.client.request_json(self.platform.http, "POST", "/hosts", entry)
+        except UpstreamError:
+            # During an outage the platform learns of the host later.
+            return
 
     async def list_server(self, name: str, state: str) -> None:
         """Tell the platform's host list of an upstream server."""
--- /dev/null
+++ b/cornelnotch/verification/__init__.py
@@ -0,0 +1,17 @@
+"""Specify the core protocols for exhaustive checking with the node's functions."""
+
+from cornelnotch.verification.claims import ClaimMutant, create_claim_protocol
+from cornelnotch.verification.configuration import (
+    ConfigurationMutant,
+    create_configuration_protocol,
+)
+from cornelnotch.verification.order import OrderMutant, create_order_protocol
+
+__all__ = [
+    "ClaimMutant",
+    "ConfigurationMutant",
+    "OrderMutant",
+    "create_claim_protocol",
+    "create_configuration_protocol",
+    "create_order_protocol",
+]
--- /dev/null
+++ b/cornelnotch/verification/configuration.py
@@ -0,0 +1,233 @@
+"""Specify the configuration fold: races, snapshots, trimming and peers.
+
+Three changes are appended in any order, a writer prepares a snapshot and may
+pause before appending it, the log trims what a snapshot covers, and a new host
+joins from the log or from a peer. Fold and choice of snapshot are the node's own.
+"""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+from minicheck import Protocol
+
+from cornelnotch.configuration import (
+    Change,
+    ConfigurationState,
+    choose_snapshot,
+    create_snapshot,
+    encode_record,
+    fold_record,
+    restore_snapshot,
+)
+
+__all__ = ["ConfigurationMutant", "create_configuration_protocol"]
+
+MAX_SNAPSHOTS = 2
+OLD = 0
+NEW = 1
+CHANGES = (
+    Change("one", -1, "[place a]\nregion = x\n"),
+    Change("two", -1, "[place a]\nregion = y\n"),
+    Change("three", -1, "[place b]\nregion = z\n"),
+)
+
+
+class ConfigurationMutant(StrEnum):
+    """Name the mechanism that a mutant lacks."""
+
+    NONE = "none"
+    NEWEST_SNAPSHOT = "take the snapshot that stands last in the log"
+    NO_BASE = "accept a change whose base is outdated"
+    ANY_PEER = "adopt a peer's state even when it is behind"
+
+
+class Host(NamedTuple):
+    """Hold what one host has folded; `covers` is -1 at the start."""
+
+    covers: int
+    version: int
+    content: tuple[tuple[str, str], ...]
+
+
+class State(NamedTuple):
+    """Hold one state; a record is the number of a change or what a snapshot covers."""
+
+    log: tuple[tuple[str, int], ...]
+    trimmed: int
+    prepared: int
+    snapshots: int
+    hosts: tuple[Host, Host]
+    went_down: bool
+
+
+def _describe(state: ConfigurationState) -> Host:
+    content = tuple(sorted((n, s.values["region"]) for n, s in state.sections.items()))
+    return Host(state.covers, state.version, content)
+
+
+class ConfigurationSystem:
+    """Generate the steps of the specification or of one of its mutants."""
+
+    def __init__(self, mutant: ConfigurationMutant) -> None:
+        self._mutant = mutant
+        self._folds: dict[tuple, ConfigurationState] = {}
+
+    def fold(self, log: tuple[tuple[str, int], ...]) -> ConfigurationState:
+        """Return the true state after a whole log."""
+        if not log:
+            return ConfigurationState()
+        known = self._folds.get(log)
+        if known is None:
+            before = self.fold(log[:-1])
+            known = self._fold_one(before, len(log) - 1, log)
+            self._folds[log] = known
+        return known
+
+    def _fold_one(
+        self, state: ConfigurationState, offset: int, log: tuple[tuple[str, int], ...]
+    ) -> ConfigurationState:
+        kind, number = log[offset]
+        if kind == "snapshot":
+            return fold_record(state, offset, b"{}").state
+        change = CHANGES[number]
+        if self._mutant is ConfigurationMutant.NO_BASE and offset % 2:
+            # A host that skips the check decides by its own position.
+            change = Change(change.change_id, state.version, change.text)
+        return fold_record(state, offset, encode_record(change)).state
+
+    def list_steps(self, values: tuple) -> list[tuple[str, tuple]]:
+        """Return every step that may come next."""
+        state = State(*values)
+        steps = [*self._list_appends(state), *self._list_snapshots(state)]
+        trimmed = state.trimmed
+        covered = any(
+            kind == "snapshot" and number >= trimmed
+            for kind, number in state.log[trimmed + 1 :]
+        )
+        if covered:
+            steps.append(("trim", state._replace(trimmed=trimmed + 1)))
+        steps += self._list_reads(state)
+        steps += self._list_offers(state)
+        return [(name, tuple(after)) for name, after in steps]
+
+    def _list_appends(self, state: State) -> list[tuple[str, State]]:
+        steps = []
+        for number in range(len(CHANGES)):
+            if ("change", number) not in state.log:
+                log = (*state.log, ("change", number))
+                steps.append(("append", state._replace(log=log)))
+        return steps
+
+    def _list_snapshots(self, state: State) -> list[tuple[str, State]]:
+        covers = state.hosts[OLD].covers
+        if state.prepared < 0 <= covers and state.snapshots < MAX_SNAPSHOTS:
+            after = state._replace(prepared=covers, snapshots=state.snapshots + 1)
+            return [("prepare", after)]
+        if state.prepared < 0:
+            return []
+        steps = []
+        log = (*state.log, ("snapshot", state.prepared))
+        steps.append(("append-snapshot", state._replace(log=log, prepared=-1)))
+        if state.snapshots < MAX_SNAPSHOTS and covers > state.prepared:
+            # Another host writes a newer one while this writer is paused.
+            newer = (*state.log, ("snapshot", covers))
+            after = state._replace(log=newer, snapshots=state.snapshots + 1)
+            steps.append(("overtake-snapshot", after))
+        return steps
+
+    def _list_reads(self, state: State) -> list[tuple[str, State]]:
+        steps = []
+        for index, host in enumerate(state.hosts):
+            position = host.covers + 1
+            if position >= len(state.log):
+                continue
+            if position >= state.trimmed:
+                after = _describe(self._read_one(host, position, state))
+                steps.append(("read", self._set_host(state, index, after)))
+            else:
+                recovered = self._recover(state)
+                if recovered is not None:
+                    after = _describe(recovered)
+                    steps.append(("recover", self._set_host(state, index, after)))
+        return steps
+
+    def _read_one(self, host: Host, position: int, state: State) -> ConfigurationState:
+        before = self.fold(state.log[:position])
+        if host != _describe(before):
+            # The host went astray earlier; the invariants have caught it.
+            return before
+        return self._fold_one(before, position, state.log)
+
+    def _recover(self, state: State) -> ConfigurationState | None:
+        snapshots = [
+            create_snapshot(self.fold(state.log[: number + 1]))
+            for kind, number in state.log[state.trimmed :]
+            if kind == "snapshot"
+        ]
+        if self._mutant is ConfigurationMutant.NEWEST_SNAPSHOT:
+            base = restore_snapshot(snapshots[-1]) if snapshots else None
+        else:
+            base = choose_snapshot(snapshots, state.trimmed)
+        if base is None:
+            return None
+        for offset in range(max(base.covers + 1, state.trimmed), len(state.log)):
+            base = self._fold_one(base, offset, state.log)
+        return base
+
+    def _list_offers(self, state: State) -> list[tuple[str, State]]:
+        old, new = state.hosts
+        steps = []
+        if old.covers > new.covers or self._mutant is ConfigurationMutant.ANY_PEER:
+            steps.append(("peer", self._set_host(state, NEW, old)))
+        return steps
+
+    @staticmethod
+    def _set_host(state: State, index: int, host: Host) -> State:
+        hosts = list(state.hosts)
+        down = host.version < hosts[index].version
+        hosts[index] = host
+        return state._replace(
+            hosts=(hosts[0], hosts[1]), went_down=state.went_down or down
+        )
+
+    def is_true(self, values: dict) -> bool:
+        """Tell whether each host holds the fold of the whole log it covers."""
+        return all(
+            host == _describe(self.fold(values["log"][: host.covers + 1]))
+            for host in values["hosts"]
+        )
+
+
+def create_configuration_protocol(
+    mutant: ConfigurationMutant = ConfigurationMutant.NONE,
+) -> Protocol:
+    """Return the specification, or a mutant that a check must catch."""
+    system = ConfigurationSystem(mutant)
+    empty = _describe(ConfigurationState())
+    initial = State((), 0, -1, 0, (empty, empty), False)
+    return Protocol(
+        name=f"configuration: {mutant.value}",
+        candidate=False,
+        fields=State._fields,
+        initial=tuple(initial),
+        transitions=system.list_steps,
+        invariants={
+            "never_reverts": lambda s: not s["went_down"],
+            "same_everywhere": system.is_true,
+            "one_of_a_race": lambda s: all(
+                _accepted_once(system, s["log"][: host.covers + 1])
+                for host in s["hosts"]
+            ),
+        },
+    )
+
+
+def _accepted_once(
+    system: ConfigurationSystem, log: tuple[tuple[str, int], ...]
+) -> bool:
+    """Tell whether of two racing changes the first in the log stayed in force."""
+    racing = [number for kind, number in log if kind == "change" and number < 2]
+    if not racing:
+        return True
+    expected = "x" if racing[0] == 0 else "y"
+    return system.fold(log).sections["place a"].values["region"] == expected
--- /dev/null
+++ b/cornelnotch/verification/order.py
@@ -0,0 +1,251 @@
+"""Specify the order rule: every short history of a shard with two servers' slots.
+
+A state is the history of events that led to it; the shard is the node's own and
+is built again from the history. Time advances in steps no longer than the margin
+within which urgent requests are served, as the node's ticks do.
+"""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from minicheck import Protocol
+
+from cornelnotch.queueing import Grant, Refusal, Shard, create_shard
+from cornelnotch.queueing.disciplines import TieredDiscipline
+from cornelnotch.queueing.models import (
+    ClassRule,
+    Effect,
+    Running,
+    ServerRule,
+    ShardRule,
+    Waiting,
+)
+from cornelnotch.wire.messages import PermitAsk, PermitFinish
+
+__all__ = ["OrderMutant", "create_order_protocol"]
+
+TICK_MS = 20.0
+LONG_MS = 340.0
+LONGEST_WAIT_MS = 300.0
+SERVICE_MS = 100.0
+DEADLINE_MS = {"high": 520.0, "low": 100_000.0}
+TIERS = {"high": 1, "low": 5}
+QUEUE_PLACES = 3
+SLOTS = 2
+
+
+class OrderMutant(StrEnum):
+    """Name the mechanism that a mutant lacks."""
+
+    NONE = "none"
+    NO_VICTIM = "refuse the newcomer whatever waits below it"
+    NO_DISPLACEMENT = "never displace a lower tier"
+    NO_LONGEST_WAIT = "never serve an overdue class"
+
+
+class NoVictimDiscipline(TieredDiscipline):
+    """Refuse the newcomer; a mutant."""
+
+    def choose_victim(self, newcomer: Waiting) -> Waiting:
+        """Return the newcomer."""
+        return newcomer
+
+
+class NoLongestWaitDiscipline(TieredDiscipline):
+    """Keep floors only while that costs nothing; a mutant."""
+
+    def _choose_overdue(self, now: float, running: dict[str, int]) -> Waiting | None:
+        return None
+
+
+class NoDisplacementShard(Shard):
+    """Let lower tiers keep their places; a mutant."""
+
+    def _choose_displaced(self, item: Waiting, now: float) -> Running | None:
+        return None
+
+
+@dataclass(slots=True)
+class Replay:
+    """Hold the shard after a history and what it decided on the way."""
+
+    shard: Shard
+    now: float = 0.0
+    number: int = 0
+    low_waits_since: float | None = None
+    shed_for_lower: bool = False
+    starved: bool = False
+    sizes: list[int] = field(default_factory=list)
+
+
+def _create_rule() -> ShardRule:
+    return ShardRule(
+        "order",
+        "tiered",
+        "adaptive",
+        True,
+        QUEUE_PLACES / SLOTS,
+        SERVICE_MS,
+        {
+            name: ClassRule(name, tier, 300.0, None, LONGEST_WAIT_MS, 0.0)
+            for name, tier in TIERS.items()
+        },
+        {"s": ServerRule("s", "127.0.0.1:1", SLOTS, False)},
+        {},
+    )
+
+
+class SmallShard(Shard):
+    """Bound the queue tightly, so that short histories fill it."""
+
+    def count_queue_places(self) -> int:
+        """Return the bound of the specification."""
+        return QUEUE_PLACES
+
+
+class SmallNoDisplacementShard(NoDisplacementShard, SmallShard):
+    """Combine the tight bound with the mutant."""
+
+
+class OrderSystem:
+    """Generate histories of the specification or of one of its mutants."""
+
+    def __init__(self, mutant: OrderMutant, depth: int) -> None:
+        self._mutant = mutant
+        self._depth = depth
+        self._verdicts: dict[tuple[str, ...], Replay] = {}
+
+    def list_steps(self, values: tuple) -> list[tuple[str, tuple]]:
+        """Return every longer history by one event."""
+        (history,) = values
+        if len(history) >= self._depth:
+            return []
+        return [(event, ((*history, event),)) for event in EVENTS]
+
+    def replay(self, history: tuple[str, ...]) -> Replay:
+        """Run a history from an empty shard."""
+        replay = Replay(self._create_shard())
+        for event in history:
+            EVENTS[event](self, replay)
+        return replay
+
+    def _create_shard(self) -> Shard:
+        rule = _create_rule()
+        shard = create_shard(rule)
+        discipline = TieredDiscipline()
+        if self._mutant is OrderMutant.NO_VICTIM:
+            discipline = NoVictimDiscipline()
+        elif self._mutant is OrderMutant.NO_LONGEST_WAIT:
+            discipline = NoLongestWaitDiscipline()
+        kind = SmallShard
+        if self._mutant is OrderMutant.NO_DISPLACEMENT:
+            kind = SmallNoDisplacementShard
+        return kind(rule, discipline, shard._balancer)
+
+    def arrive(self, replay: Replay, name: str) -> None:
+        """Let a request of class `name` arrive."""
+        replay.number += 1
+        ask = PermitAsk(
+            f"{name}-{replay.number}",
+            "host",
+            "order",
+            name,
+            TIERS[name],
+            "w",
+            "",
+            0.0,
+            DEADLINE_MS[name],
+            [],
+            0,
+        )
+        self._take(replay, replay.shard.ask(ask, replay.now))
+
+    def finish(self, replay: Replay) -> None:
+        """Let the longest-running request finish."""
+        active = [r for r in replay.shard.running.values() if not r.displaced]
+        if not active:
+            return
+        oldest = min(active, key=lambda r: r.order)
+        finish = PermitFinish(
+            oldest.request_id, "order", "s", "done", SERVICE_MS, 10.0, 1.0, 2
+        )
+        self._take(replay, replay.shard.finish(finish, replay.now))
+
+    def wait(self, replay: Replay) -> None:
+        """Let a long time pass in ticks."""
+        for _ in range(int(LONG_MS / TICK_MS)):
+            replay.now += TICK_MS
+            self._take(replay, replay.shard.pump(replay.now))
+
+    def _take(self, replay: Replay, effects: list[Effect]) -> None:
+        granted = [e for e in effects if isinstance(e, Grant)]
+        for effect in effects:
+            if isinstance(effect, Refusal):
+                self._audit(replay, effect)
+        self._audit_wait(replay, granted)
+
+    @staticmethod
+    def _audit(replay: Replay, refusal: Refusal) -> None:
+        tier = TIERS[refusal.request_id.partition("-")[0]]
+        for row in refusal.occupancy:
+            if row.tier <= tier:
+                continue
+            above_floor = row.running > row.floor_places
+            above_queue = refusal.reason == "queue-full" and row.waiting > 1
+            if above_floor or above_queue:
+                replay.shed_for_lower = True
+
+    @staticmethod
+    def _audit_wait(replay: Replay, granted: list[Grant]) -> None:
+        """Note a place that went to the high class while the low was overdue."""
+        counts = {"high": 0, "low": 0}
+        for running in replay.shard.running.values():
+            counts[running.class_name] += 1
+        waits = replay.shard.discipline.count("low") > 0 and counts["low"] == 0
+        for grant in granted:
+            name = grant.request_id.partition("-")[0]
+            since = replay.low_waits_since
+            if name == "high" and waits and since is not None:
+                late = replay.now - since > LONGEST_WAIT_MS + TICK_MS
+                if late and grant.reason != "displaced-lower-tier":
+                    replay.starved = True
+        if not waits:
+            replay.low_waits_since = None
+        elif replay.low_waits_since is None:
+            replay.low_waits_since = replay.now
+
+    def holds(self, values: dict, name: str) -> bool:
+        """Tell whether a history keeps the promise `name`."""
+        history = values["history"]
+        replay = self._verdicts.pop(history, None)
+        if replay is None:
+            # Each history is asked for once by either invariant.
+            replay = self.replay(history)
+            self._verdicts[history] = replay
+        return not getattr(replay, name)
+
+
+EVENTS = {
+    "high": lambda system, replay: system.arrive(replay, "high"),
+    "low": lambda system, replay: system.arrive(replay, "low"),
+    "finish": lambda system, replay: system.finish(replay),
+    "wait": lambda system, replay: system.wait(replay),
+}
+
+
+def create_order_protocol(
+    mutant: OrderMutant = OrderMutant.NONE, depth: int = 7
+) -> Protocol:
+    """Return the specification up to `depth` events, or a mutant to be caught."""
+    system = OrderSystem(mutant, depth)
+    return Protocol(
+        name=f"order: {mutant.value}",
+        candidate=False,
+        fields=("history",),
+        initial=((),),
+        transitions=system.list_steps,
+        invariants={
+            "not_shed_for_lower": lambda s: system.holds(s, "shed_for_lower"),
+            "no_starvation": lambda s: system.holds(s, "starved"),
+        },
+    )
--- /dev/null
+++ b/cornelnotch/verification/tests/test_models.py
@@ -0,0 +1,75 @@
+"""Check the specifications exhaustively, and that each mutant is caught."""
+
+import pytest
+from minicheck import check_safety
+
+from cornelnotch.verification import (
+    ClaimMutant,
+    ConfigurationMutant,
+    OrderMutant,
+    create_claim_protocol,
+    create_configuration_protocol,
+    create_order_protocol,
+)
+
+MAX_STATES = 150_000
+
+
+def list_broken(protocol):
+    result = check_safety(protocol, max_states=MAX_STATES)
+    return [n for n, p in result["properties"].items() if p["holds"] is False]
+
+
+def prove(protocol):
+    result = check_safety(protocol, max_states=MAX_STATES)
+    assert result["exhaustive"]
+    assert all(p["holds"] is True for p in result["properties"].values()), result
+
+
+def test_claims_run_at_most_once_and_not_run_is_true():
+    prove(create_claim_protocol())
+
+
+@pytest.mark.parametrize(
+    ("mutant", "broken"),
+    [
+        (ClaimMutant.NO_READ_BACK, "at_most_once"),
+        (ClaimMutant.EARLY_AGE, "at_most_once"),
+        (ClaimMutant.RUN_AFTER_RELEASE, "at_most_once"),
+        (ClaimMutant.EARLY_NOT_RUN, "not_run_is_true"),
+    ],
+)
+def test_claim_mutants_are_caught(mutant, broken):
+    assert broken in list_broken(create_claim_protocol(mutant))
+
+
+def test_configuration_never_reverts_and_agrees():
+    prove(create_configuration_protocol())
+
+
+@pytest.mark.parametrize(
+    ("mutant", "broken"),
+    [
+        (ConfigurationMutant.NEWEST_SNAPSHOT, "same_everywhere"),
+        (ConfigurationMutant.NO_BASE, "one_of_a_race"),
+        (ConfigurationMutant.ANY_PEER, "never_reverts"),
+    ],
+)
+def test_configuration_mutants_are_caught(mutant, broken):
+    assert broken in list_broken(create_configuration_protocol(mutant))
+
+
+def test_order_sheds_nothing_for_a_lower_tier_and_starves_nobody():
+    prove(create_order_protocol(depth=6))
+
+
+@pytest.mark.parametrize(
+    ("mutant", "broken"),
+    [
+        (OrderMutant.NO_VICTIM, "not_shed_for_lower"),
+        (OrderMutant.NO_DISPLACEMENT, "not_shed_for_lower"),
+        (OrderMutant.NO_LONGEST_WAIT, "no_starvation"),
+    ],
+)
+def test_order_mutants_are_caught(mutant, broken):
+    assert broken in list_broken(create_order_protocol(mutant, depth=6))
--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -19,6 +19,8 @@
 READ_BYTES = 65536
 MAX_HEADER_BYTES = 32768
 HEADER_TIMEOUT_S = 60.0
+SKIP_TIMEOUT_S = 1.0
+MAX_SKIPPED_BYTES = 4 * 1024 * 1024
 WRITE_BUFFER_BYTES = 65536
 
 
@@ -37,6 +39,8 @@
         }
         self.started = False
         self.finished = False
+        self._early = connection.take_early_event()
+        self._body_ended = isinstance(self._early, h11.EndOfMessage)
 
     @property
     def gone(self) -> asyncio.Event:
@@ -47,23 +51,32 @@
         """Return the whole body; raise BodyTooLargeError above the limit."""
         parts: list[bytes] = []
         size = 0
-        while True:
-            event = await self._connection.read_event()
+        while not self._body_ended:
+            event = self._early or await self._connection.read_event()
+            self._early = None
             if isinstance(event, h11.Data):
                 size += len(event.data)
                 if size > limit_bytes:
                     raise BodyTooLargeError(limit_bytes)
                 parts.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                self._connection.watch()
-                return b"".join(parts)
+                self._body_ended = True
             else:
                 raise CallerGoneError("the caller closed early", "send it again")
+        self._connection.watch()
+        return b"".join(parts)
+
+    def _list_headers(self, headers: dict[str, str]) -> list[tuple[str, str]]:
+        pairs = list(headers.items())
+        if not self._body_ended:
+            # What is left of the body cannot be told from the next request.
+            pairs.append(("connection", "close"))
+        return pairs
 
     async def start(self, status: int, headers: dict[str, str]) -> None:
         """Send the head of an answer whose length is not known yet."""
         self.started = True
-        pairs = list(headers.items())
+        pairs = self._list_headers(headers)
         if "content-length" not in {name.lower() for name in headers}:
             pairs.append(("transfer-encoding", "chunked"))
         await self._connection.send(h11.Response(status_code=status, headers=pairs))
@@ -81,7 +94,7 @@
         """Send a whole answer in one write."""
         self.started = True
         self.finished = True
-        pairs = list(headers.items())
+        pairs = self._list_headers(headers)
         pairs.append(("content-length", str(len(body))))
         await self._connection.send(
             h11.Response(status_code=status, headers=pairs),
@@ -135,6 +148,9 @@
                 return
             await self._stop_watching()
             if self._protocol.our_state is h11.MUST_CLOSE:
+                if self._protocol.their_state is h11.SEND_BODY:
+                    self._writer.write_eof()
+                    await self._skip_rest()
                 return
             if self._protocol.their_state is not h11.DONE:
                 return
@@ -174,6 +190,25 @@
         with suppress(CallerGoneError, h11.LocalProtocolError):
             await self.send(head, h11.Data(data=body), h11.EndOfMessage())
 
+    def take_early_event(self) -> object:
+        """Return what already follows the head, or None when nothing does."""
+        try:
+            event = self._protocol.next_event()
+        except h11.RemoteProtocolError:
+            return None
+        return None if event is h11.NEED_DATA else event
+
+    async def _skip_rest(self) -> None:
+        """Read what a refused caller still sends, so that it sees the answer."""
+        skipped = 0
+        with suppress(OSError, TimeoutError):
+            async with asyncio.timeout(SKIP_TIMEOUT_S):
+                while skipped < MAX_SKIPPED_BYTES:
+                    data = await self._reader.read(READ_BYTES)
+                    if not data:
+                        return
+                    skipped += len(data)
+
     async def read_event(self) -> object:
         """Return the next h11 event; raise RequestError when it is malformed."""
         while True:
--- a/cornelnotch/wire/messages.py
+++ b/cornelnotch/wire/messages.py
@@ -4,6 +4,7 @@
 """
 
 from dataclasses import dataclass
+from typing import Literal
 
 __all__ = [
     "Ack",
@@ -32,6 +33,9 @@
 ]
 
 
+MemberStateName = Literal["joining", "alive", "leaving", "suspect", "dead"]
+
+
 @dataclass(frozen=True, slots=True)
 class Hello:
     """Name the sender of everything that follows on a connection."""
@@ -48,7 +52,7 @@
     http: str
     peer: str
     place: str
-    state: str
+    state: MemberStateName
     incarnation: int
 
 
