--- a/cornelnotch/node/tests/conftest.py
+++ b/cornelnotch/node/tests/conftest.py
@@ -22,16 +22,16 @@
     fleet.settings = FAST_TIMING
     fleet.membership = FAST_MEMBERSHIP
     await fleet.start_platform()
+    *servers, _ = await asyncio.gather(
+        *(fleet.start_engine(f"engine-{n}") for n in range(engines)),
+        *(fleet.start_service(f"desk-{n}") for n in range(services)),
+        asyncio.gather(*(fleet.start_host(f"host-{n}") for n in range(hosts))),
+    )
     sections = ""
-    for number in range(engines):
-        server = await fleet.start_engine(f"engine-{number}")
-        sections += create_server_section(server.name, "cobbler-assist", server.http)
-    for number in range(services):
-        server = await fleet.start_service(f"desk-{number}")
-        sections += create_server_section(server.name, "counter-desk", server.http)
+    for server in servers:
+        pool = "cobbler-assist" if server.name.startswith("engine") else "counter-desk"
+        sections += create_server_section(server.name, pool, server.http)
     version = await fleet.publish(create_heelmark_text(sections))
-    for number in range(hosts):
-        await fleet.start_host(f"host-{number}")
     await fleet.wait_ready(version)
 
 
