--- a/cornelnotch/claims/keeper.py
+++ b/cornelnotch/claims/keeper.py
@@ -15,6 +15,7 @@
     encode_operation,
     encode_operations,
 )
+from cornelnotch.configuration import ClaimSettings
 from cornelnotch.exceptions import LogTrimmedError, LogUnavailableError
 from cornelnotch.kernel import Clock, Event, EventLog, TaskGroup
 from cornelnotch.logservice import LogService
@@ -23,7 +24,8 @@
 
 __all__ = ["ClaimKeeper"]
 
-APPEND_INTERVAL_MS = 20.0
+DEFAULT_INTERVAL_MS = 20.0
+MS_PER_SECOND = 1000.0
 MAX_BATCH = 256
 SETTLE_PAUSE_MS = 100.0
 EVICT_MARGIN_MS = 60_000.0
@@ -54,6 +56,7 @@
         self.ledger = ClaimLedger()
         self.queue: asyncio.Queue[PendingAsk] = asyncio.Queue()
         self.appends = 0
+        self.interval_ms = DEFAULT_INTERVAL_MS
         self._name = f"claims-{stream}"
         self._log = log
         self._clock = clock
@@ -71,7 +74,7 @@
             started = self._clock.read()
             await self._settle(batch)
             spent = self._clock.read() - started
-            await self._clock.sleep(APPEND_INTERVAL_MS - spent)
+            await self._clock.sleep(self.interval_ms - spent)
 
     async def _settle(self, batch: list[PendingAsk]) -> None:
         """Bring every ask of the batch to a verdict or to its timeout."""
@@ -191,6 +194,7 @@
         retention_ms: float,
     ) -> None:
         self.streams: dict[int, StreamKeeper] = {}
+        self.interval_ms = DEFAULT_INTERVAL_MS
         self._log = log
         self._clock = clock
         self._events = events
@@ -199,6 +203,10 @@
         self._retention_ms = retention_ms
         peers.subscribe(ClaimAsk, self._receive)
 
+    def apply_settings(self, claims: ClaimSettings) -> None:
+        """Share the log's budget of appends among the streams."""
+        self.interval_ms = claims.streams * MS_PER_SECOND / claims.appends_per_second
+
     def count_appends(self) -> int:
         """Return the appends since the start."""
         return sum(stream.appends for stream in self.streams.values())
@@ -210,6 +218,7 @@
             return
         expires_ms = self._clock.read() + ask.timeout_ms
         keeper = self._open(ask.stream)
+        keeper.interval_ms = self.interval_ms
         keeper.queue.put_nowait(PendingAsk(ask, decoded.unwrap(), expires_ms))
 
     def _open(self, stream: int) -> StreamKeeper:
--- /dev/null
+++ b/cornelnotch/commands/tests/test_program.py
@@ -0,0 +1,114 @@
+"""Run commands as an operator would, with good and bad input."""
+
+import asyncio
+import subprocess
+import sys
+
+import pytest
+
+from cornelnotch.node.tests.conftest import start_heelmark
+from cornelnotch.testing.processes import ProcessFleet
+
+NODE = (
+    "[node]\nname = a\nplace = p\nhttp = 127.0.0.1:0\npeer = 127.0.0.1:0\n"
+    "[platform]\nlog = 127.0.0.1:1\nhosts = 127.0.0.1:1\n"
+)
+
+
+def run_command(*arguments):
+    """Return the finished program."""
+    return subprocess.run(
+        [sys.executable, "-m", "cornelnotch", *arguments],
+        capture_output=True,
+        text=True,
+        timeout=30,
+        check=False,
+    )
+
+
+@pytest.mark.parametrize(
+    ("text", "named"),
+    [
+        (NODE + "[timing]\nspeed = 3\n", "[timing] speed is unknown"),
+        (NODE.replace("place = p\n", ""), "[node] place is missing"),
+        (NODE.replace("127.0.0.1:1", "nowhere"), "[platform] log"),
+        (NODE + "[timing]\nentry_ttl_ms = fast\n", "[timing] entry_ttl_ms"),
+        (NODE + "[node]\n", "already exists"),
+        ("name = a\n", "no section headers"),
+    ],
+)
+def test_bad_settings_end_with_code_2_and_one_line(tmp_path, text, named):
+    path = tmp_path / "node.ini"
+    path.write_text(text)
+    done = run_command("node", str(path))
+    assert done.returncode == 2
+    assert named in done.stderr
+    assert done.stderr.count("\n") == 1
+
+
+def test_missing_files_end_with_code_2(tmp_path):
+    for arguments in (("node",), ("config", "check"), ("load",)):
+        done = run_command(*arguments, str(tmp_path / "none"))
+        assert done.returncode == 2, arguments
+        assert "none" in done.stderr
+        assert done.stderr.count("\n") == 1
+
+
+def test_config_check_names_section_key_and_remedy(tmp_path):
+    path = tmp_path / "bad.ini"
+    path.write_text("[class x]\ntier = 99\n")
+    done = run_command("config", "check", str(path))
+    assert done.returncode == 2
+    assert "[class x] tier" in done.stderr
+
+
+def test_operators_commands_on_a_running_fleet(tmp_path):
+    async def scenario():
+        fleet = ProcessFleet(tmp_path)
+        try:
+            await start_heelmark(fleet, hosts=2, engines=1)
+            await run_commands(fleet, tmp_path)
+        finally:
+            await fleet.stop()
+
+    asyncio.run(scenario())
+
+
+async def run_commands(fleet, folder):
+    """Publish, show, explain and read the burn report."""
+    platform = ("--platform", fleet.platform.http)
+    change = folder / "change.ini"
+    change.write_text("[workspace big]\nconcurrent = 9\n")
+    published = await asyncio.to_thread(
+        run_command, "config", "publish", str(change), *platform
+    )
+    assert published.returncode == 0, published.stderr
+    assert published.stdout.count("in force") == 2
+    stale = await asyncio.to_thread(
+        run_command, "config", "publish", str(change), *platform, "--base", "0"
+    )
+    assert stale.returncode == 2
+    assert "changed at version" in stale.stderr
+    shown = await asyncio.to_thread(run_command, "config", "show", *platform)
+    assert "[workspace big]\nconcurrent = 9" in shown.stdout
+    for command in ("status", "history"):
+        done = await asyncio.to_thread(run_command, "config", command, *platform)
+        assert done.returncode == 0, done.stderr
+    result = await fleet.create_caller().chat("boots", 4, "kind=quote")
+    explained = await asyncio.to_thread(
+        run_command, "explain", result.request_id, *platform
+    )
+    assert "classified" in explained.stdout
+    unknown = await asyncio.to_thread(run_command, "explain", "x.y", *platform)
+    assert unknown.returncode == 2
+    entry = await asyncio.to_thread(run_command, "entry", "w", *platform)
+    assert fleet.hosts["host-0"].http in entry.stdout
+    burn = await asyncio.to_thread(run_command, "burn", *platform, "--format", "json")
+    assert '"class_name": "quote"' in burn.stdout
+    assert burn.returncode == 0
+    gone = fleet.hosts["host-1"]
+    gone.process.kill()
+    await gone.process.wait()
+    partial = await asyncio.to_thread(run_command, "burn", *platform)
+    assert partial.returncode == 1
+    assert "did not answer" in partial.stdout
--- a/cornelnotch/configuration/models.py
+++ b/cornelnotch/configuration/models.py
@@ -126,9 +126,14 @@
 
 
 class ClaimSettings(Section):
-    """Set how work that may not repeat is claimed; times in ms."""
+    """Set how work that may not repeat is claimed; times in ms.
+
+    `appends_per_second` is the whole fleet's share of the log, divided among
+    the streams; each append carries every operation that waits.
+    """
 
     streams: int = Field(default=4, ge=1, le=64)
+    appends_per_second: float = Field(default=200.0, gt=0, le=10_000)
     horizon_ms: float = Field(default=1_800_000, gt=0)
     skew_ms: float = Field(default=5_000, ge=0)
 
--- a/cornelnotch/logservice/http.py
+++ b/cornelnotch/logservice/http.py
@@ -1,6 +1,7 @@
 """Reach the platform over HTTP."""
 
 import asyncio
+from dataclasses import dataclass
 from typing import Any
 
 import orjson
@@ -24,11 +25,21 @@
 __all__ = ["HttpHostList", "HttpLogService"]
 
 STATUS_OK = 200
+STATUS_NOT_MODIFIED = 304
 STATUS_GONE = 410
 READ_MARGIN_MS = 1500.0
 APPEND_TIMEOUT_MS = 2000.0
 
 
+@dataclass(frozen=True, slots=True)
+class PlatformAnswer:
+    """Hold what the platform answered."""
+
+    status: int
+    content: Any
+    tag: str
+
+
 async def _call(
     client: HttpClient,
     address: str,
@@ -36,12 +47,17 @@
     target: str,
     body: bytes,
     timeout_ms: float,
-) -> tuple[int, Any]:
+    tag: str = "",
+) -> PlatformAnswer:
+    headers = {"if-none-match": tag} if tag else {}
     try:
         async with asyncio.timeout(timeout_ms / 1000.0):
-            answer = await client.request(address, method, target, {}, body)
+            answer = await client.request(address, method, target, headers, body)
             content = await answer.read()
-            return answer.status, orjson.loads(content)
+            decoded = orjson.loads(content) if content else None
+            return PlatformAnswer(
+                answer.status, decoded, answer.headers.get("etag", "")
+            )
     except (UpstreamError, TimeoutError, orjson.JSONDecodeError) as error:
         raise LogUnavailableError(
             f"the platform at {address} does not answer: {error!r}",
@@ -68,21 +84,22 @@
     async def append(self, stream: str, body: bytes) -> int:
         """Append one record and return its offset."""
         target = f"/streams/{stream}/records"
-        status, content = await _call(
+        answer = await _call(
             self._client, self._address, "POST", target, body, APPEND_TIMEOUT_MS
         )
-        _check_status(status, self._address)
-        return int(content["offset"])
+        _check_status(answer.status, self._address)
+        return int(answer.content["offset"])
 
     async def read(self, stream: str, offset: int, wait_ms: float = 0.0) -> LogPage:
         """Return records from `offset` on."""
         target = f"/streams/{stream}/records?from={offset}&wait_ms={wait_ms:.0f}"
-        status, content = await _call(
+        answer = await _call(
             self._client, self._address, "GET", target, b"", wait_ms + READ_MARGIN_MS
         )
-        if status == STATUS_GONE:
+        content = answer.content
+        if answer.status == STATUS_GONE:
             raise LogTrimmedError(int(content["earliest"]))
-        _check_status(status, self._address)
+        _check_status(answer.status, self._address)
         records = [
             LogRecord(int(r["offset"]), float(r["time_ms"]), r["body"].encode())
             for r in content["records"]
@@ -97,12 +114,24 @@
     def __init__(self, address: str) -> None:
         self._address = address
         self._client = HttpClient()
+        self._tag = ""
+        self._known = PlatformHosts(())
 
     async def read(self) -> PlatformHosts:
-        """Return the list."""
-        status, content = await _call(
-            self._client, self._address, "GET", "/hosts", b"", APPEND_TIMEOUT_MS
+        """Return the list; one that has not changed costs no transfer."""
+        answer = await _call(
+            self._client,
+            self._address,
+            "GET",
+            "/hosts",
+            b"",
+            APPEND_TIMEOUT_MS,
+            self._tag,
         )
-        _check_status(status, self._address)
-        entries = tuple(HostEntry(**entry) for entry in content["hosts"])
-        return PlatformHosts(entries)
+        if answer.status == STATUS_NOT_MODIFIED:
+            return self._known
+        _check_status(answer.status, self._address)
+        entries = tuple(HostEntry(**entry) for entry in answer.content["hosts"])
+        self._tag = answer.tag
+        self._known = PlatformHosts(entries)
+        return self._known
--- a/cornelnotch/membership/prober.py
+++ b/cornelnotch/membership/prober.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from cornelnotch.exceptions import LogUnavailableError
-from cornelnotch.kernel import Clock, Event, EventLog, TaskGroup
+from cornelnotch.kernel import Clock, Event, EventLog, TaskGroup, rank_owners
 from cornelnotch.logservice.base import HostEntry, HostList
 from cornelnotch.membership.table import MemberState, MemberTable, ServerTable
 from cornelnotch.wire import PeerNetwork
@@ -22,6 +22,10 @@
 INDIRECT_HELPERS = 3
 UNKNOWN_AGE_MS = 1e12
 NO_VERSION = -1
+SMALL_FLEET = 12
+LISTING_DUTY = "host-list"
+LISTING_WATCHERS = 3
+IDLE_LISTING_TURNS = 300
 ROUTER_ROLE = "router"
 
 
@@ -111,15 +115,28 @@
 
     async def run_listing(self) -> None:
         """Read the platform's host list until cancelled."""
+        turn = 0
         while True:
-            try:
-                listed = await self._hosts.read()
-                for entry in listed.entries:
-                    self._take_entry(entry)
-            except LogUnavailableError:
-                pass
+            if turn % IDLE_LISTING_TURNS == 0 or self._reads_list():
+                await self._read_list()
+            turn += 1
             await self._clock.sleep(self._timing.listing_ms)
 
+    async def _read_list(self) -> None:
+        try:
+            listed = await self._hosts.read()
+        except LogUnavailableError:
+            return
+        for entry in listed.entries:
+            self._take_entry(entry)
+
+    def _reads_list(self) -> bool:
+        """Tell whether this host watches the list for the whole fleet."""
+        if len(self.table.members) <= SMALL_FLEET:
+            return True
+        live = [member.name for member in self.table.list_live()]
+        return self.table.name in rank_owners(LISTING_DUTY, live)[:LISTING_WATCHERS]
+
     def _take_entry(self, entry: HostEntry) -> None:
         if entry.role != ROUTER_ROLE:
             size = len(self.table.members)
--- a/cornelnotch/node/frontdoor.py
+++ b/cornelnotch/node/frontdoor.py
@@ -21,6 +21,7 @@
 from cornelnotch.routing.services import ServiceFlow
 from cornelnotch.settings import NodeSettings
 from cornelnotch.web import Exchange
+from cornelnotch.wire import PeerNetwork
 
 __all__ = ["FrontDoor"]
 
@@ -42,6 +43,7 @@
         parts: FlowParts,
         status: StatusReader,
         decisions: DecisionLog,
+        peers: PeerNetwork,
         start_drain: Callable[[], None],
     ) -> None:
         self.active = 0
@@ -49,6 +51,7 @@
         self._parts = parts
         self._status = status
         self._decisions = decisions
+        self._peers = peers
         self._start_drain = start_drain
         self._handlers: dict[str, Handler] = {
             "/v1/entry": self._answer_entry,
@@ -128,6 +131,7 @@
         self._parts.metrics.set_state(
             "version", self._parts.fleet.configuration.version
         )
+        self._parts.metrics.set_state("peer_bytes", self._peers.sent_bytes)
         body = self._parts.metrics.render()
         await exchange.respond(200, {"content-type": "text/plain; version=0.0.4"}, body)
 
--- a/cornelnotch/node/node.py
+++ b/cornelnotch/node/node.py
@@ -146,6 +146,7 @@
             parts,
             self.status,
             DecisionLog(self.clock),
+            self.peers,
             self.start_drain,
         )
         self.server = HttpServer(self.front.handle)
@@ -202,6 +203,7 @@
     def _apply_configuration(self, state: ConfigurationState) -> None:
         first = self.prober.version < 0
         self.prober.version = state.version
+        self.keeper.apply_settings(state.configuration.claims)
         self.fleet.apply_configuration(state)
         if first and not self._draining:
             self.prober.share_state(MemberState.ALIVE)
--- a/cornelnotch/node/tests/conftest.py
+++ b/cornelnotch/node/tests/conftest.py
@@ -22,13 +22,13 @@
     fleet.settings = FAST_TIMING
     fleet.membership = FAST_MEMBERSHIP
     await fleet.start_platform()
-    *servers, _ = await asyncio.gather(
+    await asyncio.gather(
         *(fleet.start_engine(f"engine-{n}") for n in range(engines)),
         *(fleet.start_service(f"desk-{n}") for n in range(services)),
-        asyncio.gather(*(fleet.start_host(f"host-{n}") for n in range(hosts))),
+        *(fleet.start_host(f"host-{n}") for n in range(hosts)),
     )
     sections = ""
-    for server in servers:
+    for server in fleet.servers.values():
         pool = "cobbler-assist" if server.name.startswith("engine") else "counter-desk"
         sections += create_server_section(server.name, pool, server.http)
     version = await fleet.publish(create_heelmark_text(sections))
--- a/cornelnotch/queueing/shard.py
+++ b/cornelnotch/queueing/shard.py
@@ -51,6 +51,7 @@
         self._limiter = WorkspaceLimiter()
         self._orders = itertools.count()
         self._counts: dict[str, int] = {}
+        self._displaced: dict[str, Running] = {}
         self._leaving: frozenset[str] = frozenset()
         self._mean_ms = rule.expected_ms
         self._slots = 0
@@ -194,7 +195,7 @@
         server = self.servers.get(running.server)
         if server is not None and not running.displaced:
             server.first_token.update(elapsed_ms)
-            self._judge_servers()
+            self._judge(server)
         return []
 
     def finish(self, finish: PermitFinish, now: float) -> list[Effect]:
@@ -219,12 +220,10 @@
             self._mean_ms += MEAN_GAIN * (finish.elapsed_ms - self._mean_ms)
             if finish.between_tokens_ms > 0 and not running.displaced:
                 server.between_tokens.update(finish.between_tokens_ms)
-            self._judge_servers()
+            self._judge(server)
 
-    def _judge_servers(self) -> None:
-        servers = list(self.servers.values())
-        for server in servers:
-            server.slow = judge_pace(server, servers)
+    def _judge(self, server: ServerState) -> None:
+        server.slow = judge_pace(server, list(self.servers.values()))
 
     def take_held(self, held: HeldPermits, now: float) -> list[Effect]:
         """Adopt what a host holds and drop what it no longer holds."""
@@ -329,6 +328,7 @@
             return []
         victim.displaced = True
         victim.displaced_ms = now
+        self._displaced[victim.request_id] = victim
         self._counts[victim.class_name] -= 1
         server = self.servers[victim.server]
         server.busy -= 1
@@ -406,6 +406,7 @@
     def _release(self, request_id: str, now: float) -> None:
         running = self.running.pop(request_id)
         if running.displaced:
+            del self._displaced[request_id]
             return
         self._counts[running.class_name] -= 1
         server = self.servers.get(running.server)
@@ -418,9 +419,8 @@
         """Return displaced requests whose own server has a free slot."""
         displaced = [
             running
-            for running in self.running.values()
-            if running.displaced
-            and (server := self.servers.get(running.server)) is not None
+            for running in self._displaced.values()
+            if (server := self.servers.get(running.server)) is not None
             and server.slots > server.busy + server.external
         ]
         displaced.sort(key=lambda running: (running.tier, running.order))
@@ -428,6 +428,8 @@
 
     def _choose_readmitted(self, pick: Pick | None, now: float) -> Running | None:
         """Return the displaced request that goes before `pick`."""
+        if not self._displaced:
+            return None
         place_ms = self.estimate_place()
         for running in self._list_readmittable():
             if pick is None or running.tier <= pick.item.tier:
@@ -438,6 +440,7 @@
 
     def _readmit(self, running: Running, now: float) -> Effect:
         running.displaced = False
+        del self._displaced[running.request_id]
         server = self.servers[running.server]
         server.busy += 1
         server.note_busy(now)
--- a/cornelnotch/routing/dispatcher.py
+++ b/cornelnotch/routing/dispatcher.py
@@ -39,7 +39,7 @@
 LOAD_PERIOD_MS = 1000.0
 LOAD_TIMEOUT_MS = 800.0
 BEHIND_RETRY_MS = 100.0
-HOLDER_TIMEOUT_MS = 10_000.0
+HOLDER_TIMEOUT_MS = 30_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,6 +111,7 @@
         self._clock = clock
         self._client = HttpClient()
         self._heard: dict[tuple[str, str], float] = {}
+        self._waiting = asyncio.Event()
         fleet.subscribe(lambda: self.post(Refresh()))
         for kind in (
             PermitAsk,
@@ -124,9 +125,12 @@
     async def run_ticks(self) -> None:
         """Let waiting requests notice the time until cancelled."""
         while True:
+            await self._waiting.wait()
             await self._clock.sleep(TICK_MS)
             if any(shard.discipline.size() for shard in self.shards.values()):
                 self.post(Tick())
+            else:
+                self._waiting.clear()
 
     async def run_load_reports(self) -> None:
         """Ask the servers of owned shards for their load until cancelled."""
@@ -225,6 +229,7 @@
         self._heard[(ask.holder, ask.shard)] = now
         self._perform(shard, shard.ask(ask, now))
         if shard.discipline.find(ask.request_id) is not None:
+            self._waiting.set()
             queued = PermitQueued(ask.request_id, ask.shard, shard.estimate_backlog())
             self._peers.send(ask.holder, queued)
 
--- a/cornelnotch/routing/permits.py
+++ b/cornelnotch/routing/permits.py
@@ -28,7 +28,8 @@
 
 ACK_TIMEOUT_MS = 400.0
 REFRESH_MS = 1000.0
-HELD_PERIOD_MS = 2000.0
+HELD_CHECK_MS = 1000.0
+HELD_REPORT_TURNS = 10
 BEHIND_WAIT_MS = 100.0
 NO_SERVER_RETRY_MS = 1000.0
 SHARD_CHOICES = 2
@@ -81,7 +82,7 @@
         self._pending: dict[str, asyncio.Queue[Reply]] = {}
         self._held: dict[str, HeldEntry] = {}
         self._backlogs: dict[str, float] = {}
-        self._told: set[str] = set()
+        self._told: dict[str, str] = {}
         for kind in (PermitGrant, PermitRefusal, PermitMoved, PermitQueued):
             peers.subscribe(kind, self._receive)
         peers.subscribe(PermitPause, self._receive_pause)
@@ -247,11 +248,14 @@
 
     async def run_held_reports(self) -> None:
         """Tell dispatchers what this host holds until cancelled."""
+        turn = 0
         while True:
-            await self._clock.sleep(HELD_PERIOD_MS)
-            self._report_held()
+            await self._clock.sleep(HELD_CHECK_MS)
+            turn += 1
+            self._report_held(turn % HELD_REPORT_TURNS == 0)
 
-    def _report_held(self) -> None:
+    def _report_held(self, everything: bool) -> None:
+        """Tell new dispatchers at once and the known ones now and then."""
         by_shard: dict[str, list[HeldPermit]] = {}
         for entry in self._held.values():
             permit = HeldPermit(
@@ -263,13 +267,17 @@
             )
             by_shard.setdefault(entry.grant.shard, []).append(permit)
         # A shard is told once more when the host no longer holds anything there.
-        for shard in by_shard.keys() | self._told:
+        for shard in by_shard.keys() | self._told.keys():
             target = self._choose_dispatcher(shard, 0)
-            if target is None:
+            known = self._told.get(shard)
+            if target is None or (target == known and not everything):
                 continue
             permits = by_shard.get(shard, [])
             self._peers.send(target, HeldPermits(self._fleet.name, shard, permits))
-        self._told = set(by_shard)
+            if permits:
+                self._told[shard] = target
+            else:
+                self._told.pop(shard, None)
 
     def _report_empty(self, need: PermitNeed) -> PermitRefusal:
         return PermitRefusal(
--- a/cornelnotch/standins/platform.py
+++ b/cornelnotch/standins/platform.py
@@ -103,9 +103,12 @@
         limit = self._clock.read() - self.faults.host_list_lag_ms
         visible = [hosts for time_ms, hosts in self._shown if time_ms <= limit]
         hosts = visible[-1] if visible else {}
-        await exchange.respond_json(
-            200, {"hosts": [asdict(entry) for entry in hosts.values()]}
-        )
+        tag = f'"{len(visible)}"'
+        if exchange.headers.get("if-none-match") == tag:
+            await exchange.respond(304, {"etag": tag}, b"")
+            return
+        content = {"hosts": [asdict(entry) for entry in hosts.values()]}
+        await exchange.respond_json(200, content, {"etag": tag})
 
     async def _answer_stream(self, exchange: Exchange, name: str, body: bytes) -> None:
         stream = self._streams.setdefault(name, Stream())
