--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 PYTHON ?= python3
 
-.PHONY: demo test lint setup binary bench docs
+.PHONY: demo test lint setup binary bench docs fuzz
 
 setup: $(VENV)/.ready
 
@@ -10,13 +10,36 @@
 	$(VENV)/bin/pip install --quiet --editable '.[test]'
 	touch $@
 
-test: setup
+test: setup binary
 	$(VENV)/bin/python -m cornelnotch.testing.suite
 
 lint: setup
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
 	$(VENV)/bin/mypy cornelnotch
+	$(VENV)/bin/cornelnotch catalogue docs
 
 docs: setup
-	$(VENV)/bin/cornelnotch catalogue --write docs
+	$(VENV)/bin/cornelnotch catalogue docs --write
+
+demo: setup
+	$(VENV)/bin/cornelnotch demo
+
+binary: setup
+	mkdir -p dist
+	$(VENV)/bin/shiv --compressed --root /dev/shm/cornelnotch \
+		--python '/usr/bin/env python3' \
+		--entry-point cornelnotch.commands.program:run_program \
+		--output-file dist/cornelnotch --quiet .
+
+bench: setup
+	$(VENV)/bin/python -m benchmarks.overhead
+	$(VENV)/bin/python -m benchmarks.burst
+	$(VENV)/bin/python -m benchmarks.inforce
+	$(VENV)/bin/python -m benchmarks.idle
+	$(VENV)/bin/python -m benchmarks.capacity
+	$(VENV)/bin/python -m benchmarks.keying
+
+fuzz: setup
+	CORNELNOTCH_FUZZ=40000 $(VENV)/bin/python -m pytest -q --timeout 600 \
+		cornelnotch/web cornelnotch/wire cornelnotch/configuration cornelnotch/routing
--- a/cornelnotch/commands/program.py
+++ b/cornelnotch/commands/program.py
@@ -10,7 +10,7 @@
 __all__ = ["EXIT_BAD_INPUT", "program", "run_program"]
 
 EXIT_BAD_INPUT = 2
-COMMAND_MODULES = ("node", "config", "hosts", "burn", "load", "standin")
+COMMAND_MODULES = ("node", "config", "hosts", "burn", "load", "standin", "catalogue")
 
 program = typer.Typer(
     name="cornelnotch",
