--- /dev/null
+++ b/cornelnotch/node/tests/test_border.py
@@ -0,0 +1,117 @@
+"""Meet callers that send nonsense, go away or read slowly."""
+
+import asyncio
+
+import orjson
+
+from cornelnotch.kernel import create_identifier
+from cornelnotch.node.tests.conftest import start_heelmark
+from cornelnotch.web import HttpClient
+
+CHAT_PATH = "/v1/chat/completions"
+BOOK_PATH = "/v1/services/counter-desk/book"
+GOOD = {"cornelnotch-workspace": "w", "cornelnotch-labels": "kind=quote"}
+
+
+def create_body(tokens=10):
+    return orjson.dumps(
+        {
+            "messages": [{"role": "user", "content": "x"}],
+            "max_tokens": tokens,
+            "stream": True,
+        }
+    )
+
+
+CASES = [
+    ("POST", CHAT_PATH, {}, create_body(), 400),
+    ("POST", CHAT_PATH, GOOD, b"{broken", 400),
+    ("POST", CHAT_PATH, GOOD, b"x" * 2_000_000, 413),
+    ("POST", CHAT_PATH, {**GOOD, "x": "y" * 40_000}, b"", 431),
+    ("POST", CHAT_PATH, {**GOOD, "cornelnotch-deadline-ms": "x"}, create_body(), 400),
+    ("GET", CHAT_PATH, GOOD, b"", 405),
+    ("GET", "/nowhere", GOOD, b"", 404),
+    ("POST", "/v1/services/", GOOD, b"", 400),
+    ("POST", "/v1/services/unknown/x", GOOD, b"", 422),
+    ("POST", BOOK_PATH, {**GOOD, "idempotency-key": "1"}, b"{}", 400),
+]
+
+
+def test_nonsense_gets_a_typed_refusal_and_runs_nothing(run_fleet):
+    async def scenario(fleet):
+        await start_heelmark(fleet, hosts=1, engines=1)
+        address = fleet.hosts["host-0"].http
+        client = HttpClient()
+        for method, target, headers, body, status in CASES:
+            answer = await client.request(address, method, target, headers, body)
+            content = orjson.loads(await answer.read())
+            assert answer.status == status, (target, headers)
+            assert answer.headers["cornelnotch-outcome"] == "not-run"
+            assert content["error"]["kind"]
+            assert "; " in content["error"]["message"]
+        assert await fleet.read_ledger("desk-0") == {}
+        counts = await fleet.wait_answer(fleet.servers["engine-0"].http, "/counts")
+        assert counts["prefills"] == 0
+        client.close()
+
+    run_fleet(scenario)
+
+
+def test_keys_too_old_or_reused_are_told_apart(run_fleet):
+    async def scenario(fleet):
+        await start_heelmark(fleet, hosts=1, engines=1)
+        caller = fleet.create_caller()
+        old = "01800000-0000-7000-8000-000000000000"
+        labels = "kind=booking"
+        aged = await caller.call("counter-desk", "/book", {}, labels, old, retry=False)
+        assert (aged.status, aged.kind) == (400, "key-expired")
+        key = create_identifier()
+        content = {"reference": "slot"}
+        await caller.call("counter-desk", "/book", content, labels, key)
+        other = await caller.call(
+            "counter-desk", "/book", {"reference": "other"}, labels, key
+        )
+        assert (other.status, other.kind) == (422, "key-reused")
+        assert await fleet.read_ledger("desk-0") == {"slot": 1}
+
+    run_fleet(scenario)
+
+
+def test_a_caller_that_goes_away_stops_the_engine(run_fleet):
+    async def scenario(fleet):
+        await start_heelmark(fleet, hosts=1, engines=1)
+        engine = fleet.servers["engine-0"].http
+        client = HttpClient()
+        answer = await client.request(
+            fleet.hosts["host-0"].http, "POST", CHAT_PATH, GOOD, create_body(500)
+        )
+        await anext(answer.iterate())
+        answer.close()
+        await asyncio.sleep(0.5)
+        before = await fleet.wait_answer(engine, "/counts")
+        await asyncio.sleep(0.5)
+        after = await fleet.wait_answer(engine, "/counts")
+        assert after["generated"] == before["generated"] < 100
+        status = await fleet.read_status(fleet.hosts["host-0"])
+        assert status["active"] == 1
+
+    run_fleet(scenario)
+
+
+def test_a_booking_goes_on_when_its_caller_goes_away(run_fleet):
+    async def scenario(fleet):
+        await start_heelmark(fleet, hosts=1, engines=1)
+        await fleet.set_faults(fleet.servers["desk-0"].http, frozen_ms=500)
+        key = create_identifier()
+        caller = fleet.create_caller()
+        content = {"reference": "slot"}
+        first = asyncio.create_task(
+            caller.call("counter-desk", "/book", content, "kind=booking", key)
+        )
+        await asyncio.sleep(0.3)
+        first.cancel()
+        again = await caller.call("counter-desk", "/book", content, "kind=booking", key)
+        assert (again.status, again.outcome) == (200, "ran")
+        assert await fleet.read_ledger("desk-0") == {"slot": 1}
+
+    run_fleet(scenario)
--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -165,7 +165,18 @@
         except h11.RemoteProtocolError as error:
             await self._refuse(error)
             return None
-        return event if isinstance(event, h11.Request) else None
+        if not isinstance(event, h11.Request):
+            return None
+        size = sum(len(name) + len(value) for name, value in event.headers)
+        if size > MAX_HEADER_BYTES:
+            # h11 bounds only heads that arrive in more than one piece.
+            await self._refuse(
+                h11.RemoteProtocolError(
+                    f"headers above {MAX_HEADER_BYTES} bytes", error_status_hint=431
+                )
+            )
+            return None
+        return event
 
     async def _refuse(self, error: h11.RemoteProtocolError) -> None:
         if self._protocol.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
@@ -187,8 +198,10 @@
                 ("content-length", str(len(body))),
             ],
         )
-        with suppress(CallerGoneError, h11.LocalProtocolError):
+        with suppress(CallerGoneError, h11.LocalProtocolError, OSError):
             await self.send(head, h11.Data(data=body), h11.EndOfMessage())
+            self._writer.write_eof()
+            await self._skip_rest()
 
     def take_early_event(self) -> object:
         """Return what already follows the head, or None when nothing does."""
