--- a/cornelnotch/balancing/servers.py
+++ b/cornelnotch/balancing/servers.py
@@ -33,8 +33,9 @@
 class ServerState:
     """Hold slots, own counts, pace and failures of one server.
 
-    `busy` counts own requests that hold a slot; `external` corrects it for load
-    that came from elsewhere, as the server's lagging reports show it.
+    `busy` counts own requests that hold a slot and `paused` those displaced;
+    `external` corrects them for load that came from elsewhere, as the server's
+    lagging reports show it.
     """
 
     name: str
@@ -42,6 +43,7 @@
     slots: int
     leaving: bool = False
     busy: int = 0
+    paused: int = 0
     external: int = 0
     failures: int = 0
     rest_until_ms: float = 0.0
@@ -88,7 +90,7 @@
 
     def note_busy(self, now: float) -> None:
         """Keep the own count for comparison with lagging reports."""
-        self.history.append((now, self.busy))
+        self.history.append((now, self.busy + self.paused))
         while self.history and self.history[0][0] < now - LOAD_WINDOW_MS:
             self.history.popleft()
 
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -18,7 +18,6 @@
     NODE_DRAINING = (1003, logging.INFO, "the node takes no new callers")
     NODE_STOPPED = (1004, logging.INFO, "the node has ended every stream")
     TASK_FAILED = (1101, logging.ERROR, "a task failed and was contained")
-    SETTINGS_REFUSED = (1102, logging.ERROR, "the settings cannot be used")
     CONFIGURATION_APPLIED = (2001, logging.INFO, "a newer configuration is in force")
     CONFIGURATION_REJECTED = (2002, logging.WARNING, "a record was rejected")
     CONFIGURATION_BOOTSTRAPPED = (
@@ -31,7 +30,8 @@
     LOG_RECOVERED = (2102, logging.INFO, "the log service answers again")
     MEMBER_CHANGED = (3001, logging.INFO, "a host changed its membership state")
     SERVER_LEAVING = (3002, logging.INFO, "a server takes no new work")
-    HOST_ISOLATED = (3003, logging.WARNING, "neither log nor peers are reachable")
+    HOST_REFUSING = (3003, logging.WARNING, "the host takes no work")
+    HOST_SERVING = (3004, logging.INFO, "the host takes work again")
     PEER_MESSAGE_REFUSED = (3101, logging.WARNING, "a peer sent a malformed message")
     SERVER_EJECTED = (4001, logging.WARNING, "a server failed and rests")
     SERVER_SLOW = (4002, logging.WARNING, "a server is slower than its shard")
--- /dev/null
+++ b/cornelnotch/membership/tests/test_table.py
@@ -0,0 +1,87 @@
+"""Merge updates about hosts and servers in any order."""
+
+import random
+
+from hypothesis import given, settings, strategies as st
+
+from cornelnotch.membership import MemberState, MemberTable, ServerTable
+from cornelnotch.wire.messages import MemberUpdate, ServerUpdate
+
+STATES = ["joining", "alive", "leaving", "suspect", "dead"]
+
+
+def create_update(host, state="alive", incarnation=1):
+    return MemberUpdate(host, "h", "p", "place", state, incarnation)
+
+
+def create_table():
+    table = MemberTable(create_update("a"), 0.0)
+    table.merge(create_update("b"), 0.0)
+    return table
+
+
+@settings(max_examples=100, deadline=None, derandomize=True)
+@given(
+    st.lists(st.tuples(st.sampled_from(STATES[1:]), st.integers(1, 3)), max_size=6),
+    st.randoms(use_true_random=False),
+)
+def test_updates_converge_whatever_their_order(updates, generator):
+    shuffled = list(updates)
+    generator.shuffle(shuffled)
+    tables = [create_table(), create_table()]
+    for table, order in zip(tables, (updates, shuffled), strict=True):
+        for state, incarnation in order:
+            table.merge(create_update("b", state, incarnation), 0.0)
+    first, second = (table.members["b"] for table in tables)
+    assert (first.state, first.incarnation) == (second.state, second.incarnation)
+
+
+def test_a_suspected_host_refutes_with_a_higher_incarnation():
+    table = create_table()
+    assert table.merge(create_update("a", "suspect", 1), 0.0)
+    assert table.own.incarnation == 2
+    assert table.own.state is MemberState.ALIVE
+
+
+def test_a_leaving_host_that_answers_stays_leaving():
+    table = create_table()
+    table.merge(create_update("b", "leaving", 2), 0.0)
+    table.suspect("b", 0.0)
+    table.confirm("b", 0, 1.0)
+    assert table.members["b"].state is MemberState.LEAVING
+
+
+def test_a_silent_host_is_suspected_declared_dead_and_forgotten():
+    table = create_table()
+    table.suspect("b", 0.0)
+    assert [m.name for m in table.list_live()] == ["a", "b"]
+    assert table.expire(2000.0, 1500.0, 60_000.0) == ["b"]
+    assert [m.name for m in table.list_live()] == ["a"]
+    table.expire(70_000.0, 1500.0, 60_000.0)
+    assert "b" not in table.members
+
+
+def test_every_host_is_probed_once_a_round():
+    table = create_table()
+    for name in "cde":
+        table.merge(create_update(name), 0.0)
+    generator = random.Random(1)
+    probed = [table.choose_probe(generator) for _ in range(4)]
+    assert sorted(probed) == ["b", "c", "d", "e"]
+
+
+def test_news_is_passed_on_a_bounded_number_of_times():
+    table = create_table()
+    rounds = 0
+    while table.take_news():
+        rounds += 1
+        assert rounds < 50
+
+
+def test_a_server_stays_leaving_until_newer_news():
+    servers = ServerTable()
+    assert servers.note_listing("s", "leaving", 10.0, 3)
+    assert not servers.merge(ServerUpdate("s", "live", 5), 3)
+    assert servers.list_leaving() == {"s"}
+    assert servers.merge(ServerUpdate("s", "live", 11), 3)
+    assert servers.list_leaving() == frozenset()
--- a/cornelnotch/node/frontdoor.py
+++ b/cornelnotch/node/frontdoor.py
@@ -6,7 +6,7 @@
 
 from cornelnotch.configuration import select_class
 from cornelnotch.exceptions import CallerGoneError, RequestError
-from cornelnotch.kernel import create_identifier
+from cornelnotch.kernel import Event, create_identifier
 from cornelnotch.node.status import StatusReader
 from cornelnotch.observation import DecisionLog
 from cornelnotch.routing.engines import EngineFlow
@@ -87,6 +87,9 @@
         if exchange.started:
             raise CallerGoneError("the request broke off", "send it again")
         problem = Problem(error.status, error.kind, str(error), Outcome.NOT_RUN)
+        self._parts.events.record(
+            Event.REQUEST_MALFORMED, kind=error.kind, path=exchange.path
+        )
         self._parts.metrics.count_request(NO_CLASS, error.kind, problem.outcome.value)
         await self._send_problem(exchange, problem, create_identifier())
 
--- a/cornelnotch/node/node.py
+++ b/cornelnotch/node/node.py
@@ -137,9 +137,15 @@
             RetryBudget(),
             self.clock,
             self.events,
+            self.settings.platform.retention_ms,
         )
         self.status = StatusReader(
-            self.settings, self.fleet, self.follower, self.prober, self.clock
+            self.settings,
+            self.fleet,
+            self.follower,
+            self.prober,
+            self.clock,
+            self.events,
         )
         self.front = FrontDoor(
             self.settings,
@@ -156,6 +162,7 @@
         await self.peers.start(*parse_address(self.settings.node.peer))
         await self.server.start(*parse_address(self.settings.node.http))
         self.tasks.start("configuration", self.follower.run())
+        self.tasks.start("status", self.status.run())
         self.tasks.start("snapshots", self.snapshots.run())
         self.tasks.start("probes", self.prober.run_probes())
         self.tasks.start("listing", self.prober.run_listing())
--- a/cornelnotch/node/status.py
+++ b/cornelnotch/node/status.py
@@ -4,13 +4,15 @@
 
 from cornelnotch import __version__
 from cornelnotch.configuration.follower import ConfigurationFollower
-from cornelnotch.kernel import Clock, rank_owners
+from cornelnotch.kernel import Clock, Event, EventLog, rank_owners
 from cornelnotch.membership import MemberState, Prober
 from cornelnotch.routing.fleet import FleetView
 from cornelnotch.settings import NodeSettings
 
 __all__ = ["HostStatus", "StatusReader"]
 
+CHECK_MS = 1000.0
+
 
 @dataclass(frozen=True, slots=True)
 class HostStatus:
@@ -39,14 +41,28 @@
         follower: ConfigurationFollower,
         prober: Prober,
         clock: Clock,
+        events: EventLog,
     ) -> None:
         self.draining = False
+        self._events = events
         self._settings = settings
         self._fleet = fleet
         self._follower = follower
         self._prober = prober
         self._clock = clock
 
+    async def run(self) -> None:
+        """Record when the host stops or starts taking work, until cancelled."""
+        known: str | None = "no-configuration"
+        while True:
+            obstacle = self.find_obstacle()
+            if obstacle is not None and obstacle != known:
+                self._events.record(Event.HOST_REFUSING, reason=obstacle)
+            elif obstacle is None and known is not None:
+                self._events.record(Event.HOST_SERVING)
+            known = obstacle
+            await self._clock.sleep(CHECK_MS)
+
     def find_obstacle(self) -> str | None:
         """Return why the host must not take work, or None."""
         if self._fleet.configuration.version < 0:
--- a/cornelnotch/queueing/shard.py
+++ b/cornelnotch/queueing/shard.py
@@ -79,6 +79,7 @@
     def _recount(self, server: ServerState) -> None:
         held = [r for r in self.running.values() if r.server == server.name]
         server.busy = sum(1 for r in held if not r.displaced)
+        server.paused = len(held) - server.busy
 
     def count_slots(self) -> int:
         """Return the slots of servers that take work."""
@@ -332,6 +333,7 @@
         self._counts[victim.class_name] -= 1
         server = self.servers[victim.server]
         server.busy -= 1
+        server.paused += 1
         grant = self._grant(item, server, "displaced-lower-tier", now)
         return [Pause(victim.request_id, victim.holder, True), grant]
 
@@ -405,11 +407,13 @@
 
     def _release(self, request_id: str, now: float) -> None:
         running = self.running.pop(request_id)
+        server = self.servers.get(running.server)
         if running.displaced:
             del self._displaced[request_id]
+            if server is not None:
+                server.paused -= 1
             return
         self._counts[running.class_name] -= 1
-        server = self.servers.get(running.server)
         if server is None:
             return
         server.busy -= 1
@@ -443,6 +447,7 @@
         del self._displaced[running.request_id]
         server = self.servers[running.server]
         server.busy += 1
+        server.paused -= 1
         server.note_busy(now)
         name = running.class_name
         self._counts[name] = self._counts.get(name, 0) + 1
--- a/cornelnotch/queueing/tests/test_shard.py
+++ b/cornelnotch/queueing/tests/test_shard.py
@@ -89,6 +89,16 @@
     assert Pause("low-1", "host", False) in back
 
 
+def test_displaced_requests_are_not_taken_for_load_from_elsewhere():
+    shard = create_shard(create_rule())
+    ask(shard, "low", 0, 0.0)
+    ask(shard, "low", 1, 0.0)
+    ask(shard, "high", 2, 10.0)
+    shard.pump(480.0)
+    shard.take_report("e0", 3, 4000.0)
+    assert shard.servers["e0"].external == 0
+
+
 def test_the_last_place_of_a_lower_tier_is_not_displaced():
     shard = create_shard(create_rule(slots=1))
     ask(shard, "low", 0, 0.0)
--- a/cornelnotch/routing/dispatcher.py
+++ b/cornelnotch/routing/dispatcher.py
@@ -6,7 +6,7 @@
 
 from cornelnotch.configuration import Configuration, ShardPlan
 from cornelnotch.exceptions import UpstreamError
-from cornelnotch.kernel import Clock, EventLog, MailboxTask
+from cornelnotch.kernel import Clock, Event, EventLog, MailboxTask
 from cornelnotch.queueing import (
     ClassRule,
     Grant,
@@ -52,6 +52,14 @@
     """Ask the dispatcher to look at the time."""
 
 
+@dataclass(frozen=True, slots=True)
+class ServerHealth:
+    """Hold what a shard thinks of a server's health."""
+
+    failures: int
+    slow: bool
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReport:
     """Carry what a server says of its own load."""
@@ -195,7 +203,9 @@
         now = self._clock.read()
         effects: list[Effect] = []
         if isinstance(message, PermitFinish):
+            before = self._read_health(shard, message.server)
             effects = shard.finish(message, now)
+            self._record_health(shard, message.server, before)
         elif isinstance(message, PermitFirstToken):
             effects = shard.note_first_token(
                 message.request_id, message.elapsed_ms, now
@@ -209,6 +219,22 @@
             effects = shard.take_report(message.server, message.load, now)
         self._perform(shard, effects)
 
+    @staticmethod
+    def _read_health(shard: Shard, name: str) -> ServerHealth:
+        server = shard.servers.get(name)
+        if server is None:
+            return ServerHealth(0, False)
+        return ServerHealth(server.failures, server.slow)
+
+    def _record_health(self, shard: Shard, name: str, before: ServerHealth) -> None:
+        after = self._read_health(shard, name)
+        if after.failures > before.failures:
+            self.events.record(
+                Event.SERVER_EJECTED, server=name, failures=after.failures
+            )
+        if after.slow and not before.slow:
+            self.events.record(Event.SERVER_SLOW, server=name)
+
     def _handle_ask(self, ask: PermitAsk) -> None:
         if ask.hops == 0 and not self._owns(ask.shard):
             self._peers.send(ask.holder, PermitMoved(ask.request_id, ask.shard))
--- a/cornelnotch/routing/fleet.py
+++ b/cornelnotch/routing/fleet.py
@@ -62,6 +62,11 @@
         members = self._table.members.values()
         return [m for m in members if m.state is not MemberState.DEAD]
 
+    def find_incarnation(self, name: str) -> int:
+        """Return the incarnation of a host, which a restart raises."""
+        member = self._table.members.get(name)
+        return member.incarnation if member is not None else -1
+
     def rank_dispatchers(self, shard: str) -> list[str]:
         """Return hosts in the order in which they dispatch `shard`."""
         ranking = self._rankings.get(shard)
--- a/cornelnotch/routing/flow.py
+++ b/cornelnotch/routing/flow.py
@@ -19,7 +19,7 @@
     UpstreamError,
     UpstreamUnreachableError,
 )
-from cornelnotch.kernel import Clock, EventLog, create_identifier
+from cornelnotch.kernel import Clock, Event, EventLog, create_identifier
 from cornelnotch.observation import NodeMetrics, Trace
 from cornelnotch.routing.budget import RetryBudget
 from cornelnotch.routing.fleet import FleetView
@@ -60,6 +60,7 @@
     budget: RetryBudget
     clock: Clock
     events: EventLog
+    retention_ms: float
 
 
 class FlowError(Exception):
@@ -172,9 +173,10 @@
     def _check_age(self) -> None:
         claims = self.parts.fleet.configuration.claims
         wall_ms = self.parts.clock.read_wall()
-        age = judge_key_age(
-            self.request.key_ms, wall_ms, claims.horizon_ms, claims.skew_ms
-        )
+        # A claim must outlast its key in the log, whatever the configuration says.
+        kept_ms = self.parts.retention_ms - 2 * claims.skew_ms
+        horizon_ms = min(claims.horizon_ms, kept_ms)
+        age = judge_key_age(self.request.key_ms, wall_ms, horizon_ms, claims.skew_ms)
         if age is KeyAge.USABLE:
             return
         outcome = self._judge_unclaimed()
@@ -371,6 +373,12 @@
             kind=problem.kind,
             outcome=problem.outcome.value,
         )
+        self.parts.events.record(
+            Event.REQUEST_REFUSED,
+            request_id=self.request.request_id,
+            kind=problem.kind,
+            outcome=problem.outcome.value,
+        )
         self._count(problem.kind, problem.outcome)
         excluded = problem.status in {400, 409, 422, 429}
         if not excluded:
--- a/cornelnotch/routing/permits.py
+++ b/cornelnotch/routing/permits.py
@@ -119,14 +119,16 @@
         settled = False
         asked: str | None = None
         try:
-            hops = 0
+            silent = 0
+            moves = 0
             while self._clock.read() < need.deadline_ms:
-                target = self._choose_dispatcher(shard, hops)
+                target = self._choose_dispatcher(shard, silent)
                 if target is None:
                     break
                 if asked is not None and asked != target:
                     self._peers.send(asked, PermitCancel(need.request_id, shard))
                 asked = target
+                hops = silent + moves
                 reply = await self._ask(shard, need, target, hops, replies)
                 if isinstance(reply, PermitGrant):
                     settled = True
@@ -137,19 +139,22 @@
                         settled = True
                         return Failure(reply)
                     await self._clock.sleep(BEHIND_WAIT_MS)
-                if not isinstance(reply, PermitQueued):
-                    hops += 1
+                # A dispatcher that has moved the shard names no successor: this
+                # host's own ranking does, and a second ask is always taken.
+                moves += isinstance(reply, PermitMoved)
+                silent += reply is None
             return Failure(self._report_deadline(shard, need))
         finally:
             del self._pending[need.request_id]
             if not settled and asked is not None:
                 self._peers.send(asked, PermitCancel(need.request_id, shard))
 
-    def _choose_dispatcher(self, shard: str, hops: int) -> str | None:
+    def _choose_dispatcher(self, shard: str, silent: int) -> str | None:
+        """Return the usual dispatcher, or a later one after `silent` time-outs."""
         if shard not in self._fleet.plans:
             return None
         ranking = self._fleet.rank_dispatchers(shard)
-        return ranking[hops % len(ranking)] if ranking else None
+        return ranking[silent % len(ranking)] if ranking else None
 
     async def _ask(
         self,
@@ -269,13 +274,15 @@
         # A shard is told once more when the host no longer holds anything there.
         for shard in by_shard.keys() | self._told.keys():
             target = self._choose_dispatcher(shard, 0)
-            known = self._told.get(shard)
-            if target is None or (target == known and not everything):
+            if target is None:
+                continue
+            boot = f"{target}/{self._fleet.find_incarnation(target)}"
+            if boot == self._told.get(shard) and not everything:
                 continue
             permits = by_shard.get(shard, [])
             self._peers.send(target, HeldPermits(self._fleet.name, shard, permits))
             if permits:
-                self._told[shard] = target
+                self._told[shard] = boot
             else:
                 self._told.pop(shard, None)
 
