--- a/cornelnotch/node/tests/test_faults.py
+++ b/cornelnotch/node/tests/test_faults.py
@@ -171,6 +171,28 @@
     run_fleet(scenario)
 
 
+def test_streams_of_a_killed_engine_go_on_elsewhere(run_fleet):
+    async def scenario(fleet):
+        await start_heelmark(fleet, hosts=2, engines=3)
+        caller = fleet.create_caller(attempts=1)
+        prompts = [f"owner {n}" for n in range(9)]
+        asked = [
+            asyncio.create_task(caller.chat(p, 60, "kind=quote", retry=False))
+            for p in prompts
+        ]
+        await asyncio.sleep(0.7)
+        fleet.send_signal(fleet.servers["engine-1"], signal.SIGKILL)
+        results = await asyncio.gather(*asked)
+        for prompt, result in zip(prompts, results, strict=True):
+            assert result.complete
+            assert result.text == predict_answer(prompt, 60)
+        traces = [await fleet.explain(r.request_id) for r in results]
+        stages = [d["stage"] for t in traces for d in t["decisions"]]
+        assert "failed" in stages, "no stream ran on the killed engine"
+
+    run_fleet(scenario)
+
+
 def test_crossed_answers_reach_nobody(run_fleet):
     async def scenario(fleet):
         await start_heelmark(fleet, hosts=2, engines=2)
