--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -28,6 +28,7 @@
 )
 from cornelnotch.kernel import create_clock, create_identifier
 from cornelnotch.membership import MemberTable
+from cornelnotch.observation import DecisionLog
 from cornelnotch.queueing import create_shard
 from cornelnotch.queueing.models import ClassRule, ServerRule, ShardRule
 from cornelnotch.testing.samples import create_heelmark_text, create_server_section
@@ -293,6 +294,39 @@
         print(f"  {count:6d} {held:8.0f} {spent:8.2f} {size:6d}")
 
 
+def print_traces() -> None:
+    """Print what the traces of recent requests hold."""
+    print("explaining: traces kept, KB of state")
+    clock = create_clock()
+    for count in (500, 1000, 5000):
+
+        def build(count: int = count) -> DecisionLog:
+            log = DecisionLog(clock)
+            for number in range(count):
+                trace = log.open(f"host-000.{create_identifier()}")
+                trace.note(
+                    "classified",
+                    selector="quotes",
+                    class_name="quote",
+                    tier=1,
+                    pool="cobbler-assist",
+                    version=7,
+                )
+                trace.note(
+                    "permit",
+                    server=f"server-{number % 16}",
+                    dispatcher="host-001",
+                    queued_ms=number * 0.5,
+                    reason="tier",
+                )
+                trace.note(
+                    "answered", attained=True, whole_ms=number * 1.5, tokens=number
+                )
+            return log
+
+        print(f"  {count:6d} {measure_kilobytes(build):8.0f}")
+
+
 def print_slopes() -> None:
     """Print every part."""
     print(f"python {sys.version.split()[0]}")
@@ -300,6 +334,7 @@
     print_membership()
     print_dispatcher()
     print_claims()
+    print_traces()
 
 
 if __name__ == "__main__":
--- a/cornelnotch/node/tests/test_regions.py
+++ b/cornelnotch/node/tests/test_regions.py
@@ -7,6 +7,7 @@
 from cornelnotch.testing.proxy import FaultProxy
 from cornelnotch.testing.samples import create_heelmark_text, create_server_section
 
+WAVE_QUOTES = 180
 LINK_DELAY_MS = 30.0
 LINK_BITS_PER_SECOND = 15_000_000.0
 
@@ -133,17 +134,20 @@
             "guild", deadline_ms=30_000, attempts=20, patience_ms=30_000.0
         )
         quotes = fleet.create_caller("heelmark", deadline_ms=8000, attempts=1)
-        glossary = [
-            asyncio.create_task(drafts.chat(f"draft {n}", 20, "kind=draft"))
-            for n in range(6)
-        ]
-        await asyncio.sleep(0.3)
+        glossary = []
         wave = []
-        for number in range(120):
+        for number in range(WAVE_QUOTES):
+            if number == WAVE_QUOTES // 9:
+                glossary = [
+                    asyncio.create_task(drafts.chat(f"draft {n}", 20, "kind=draft"))
+                    for n in range(6)
+                ]
             wave.append(
                 asyncio.create_task(quotes.chat(f"quote {number}", 20, "kind=quote"))
             )
             await asyncio.sleep(0.05)
+        # A draft that began to wait within the wave is served within the wave.
+        assert any(task.done() for task in glossary)
         answered = await asyncio.gather(*wave)
         finished = await asyncio.gather(*glossary)
         assert all(r.complete for r in finished), [r.kind for r in finished]
