Keep a queue place for every class

Cause: with the queue full of a higher tier a class that did not wait yet was always refused, so it never became overdue and starved; the morning wave showed it. The specification did not ask; it now has the invariant not_shut_out and the mutant that breaks it. Also seen: a timely newcomer took the protected place of a late request of its own class. Ruled out: the longest-wait rule itself (a waiting draft was served after 5.3 s). Two checks were too weak, as mutants passed them: the engine stand-in now really crosses answers, and a caller of a whole answer goes away too.

--- a/cornelnotch/node/tests/test_border.py
+++ b/cornelnotch/node/tests/test_border.py
@@ -13,12 +13,12 @@
 GOOD = {"cornelnotch-workspace": "w", "cornelnotch-labels": "kind=quote"}
 
 
-def create_body(tokens=10):
+def create_body(tokens=10, stream=True):
     return orjson.dumps(
         {
             "messages": [{"role": "user", "content": "x"}],
             "max_tokens": tokens,
-            "stream": True,
+            "stream": stream,
         }
     )
 
@@ -82,11 +82,16 @@
         await start_heelmark(fleet, hosts=1, engines=1)
         engine = fleet.servers["engine-0"].http
         client = HttpClient()
-        answer = await client.request(
-            fleet.hosts["host-0"].http, "POST", CHAT_PATH, GOOD, create_body(500)
-        )
-        await anext(answer.iterate())
-        answer.close()
+        address = fleet.hosts["host-0"].http
+        for stream in (True, False):
+            body = create_body(500, stream)
+            work = asyncio.create_task(
+                client.request(address, "POST", CHAT_PATH, GOOD, body)
+            )
+            await asyncio.sleep(0.4)
+            if work.done():
+                work.result().close()
+            work.cancel()
         await asyncio.sleep(0.5)
         before = await fleet.wait_answer(engine, "/counts")
         await asyncio.sleep(0.5)
--- a/cornelnotch/queueing/disciplines.py
+++ b/cornelnotch/queueing/disciplines.py
@@ -8,8 +8,9 @@
 third, to the highest tier that waits, and within it to the request with the
 earliest latest-start among those that can still meet their target, and only when
 there is none to the one with the earliest deadline. A displaced request counts as
-waiting for its own server and goes before the waiting requests of its tier. When
-the queue is full the lowest tier that holds more queue places than its floor
+waiting for its own server and goes before the waiting requests of its tier. A class
+that waits in fewer queue places than its floor is always let in. Otherwise, when
+the queue is full, the lowest tier that holds more queue places than its floor
 leaves first, late requests before timely ones and the newest first; the newcomer
 itself is refused only when no waiting request ranks below it and no running
 request of a lower tier outside its floor can be displaced.
@@ -102,6 +103,10 @@
         """Return the slots kept for a class; 0 without floors."""
         return 0
 
+    def has_queue_floor(self, item: Waiting) -> bool:
+        """Tell whether a full queue still keeps a place for the class of `item`."""
+        return False
+
     def size(self) -> int:
         """Return how many requests wait."""
         return sum(1 for _ in self.list_waiting())
@@ -239,11 +244,10 @@
             assert candidate is not None
             if candidate.tier < newcomer.tier:
                 break
-            if candidate.tier == newcomer.tier:
-                if candidate.late and not newcomer.late:
-                    return candidate
+            if len(queue) <= self._get_queue_floor(candidate.class_name):
                 continue
-            if len(queue) > self._get_queue_floor(candidate.class_name):
+            later = candidate.late and not newcomer.late
+            if candidate.tier > newcomer.tier or later:
                 return candidate
         return newcomer
 
@@ -277,6 +281,10 @@
         rule = self._rules.get(class_name)
         return max(1, int(rule.floor * self._slots)) if rule else 0
 
+    def has_queue_floor(self, item: Waiting) -> bool:
+        """Tell whether the class waits in fewer places than its floor."""
+        return self.count(item.class_name) < self._get_queue_floor(item.class_name)
+
     def _get_queue_floor(self, class_name: str) -> int:
         rule = self._rules.get(class_name)
         return max(1, int(rule.floor * self._places)) if rule else 0
--- a/cornelnotch/queueing/shard.py
+++ b/cornelnotch/queueing/shard.py
@@ -102,15 +102,19 @@
         if refusal is not None:
             return [refusal]
         effects: list[Effect] = []
-        if self.discipline.size() >= self.count_queue_places():
+        if self._is_full_for(item):
             effects += self.pump(now)
-        if self.discipline.size() >= self.count_queue_places():
+        if self._is_full_for(item):
             effects += self._make_room(item, now)
             if any(e.request_id == item.request_id for e in effects):
                 return effects
         self.discipline.add(item, now)
         return effects + self.pump(now)
 
+    def _is_full_for(self, item: Waiting) -> bool:
+        full = self.discipline.size() >= self.count_queue_places()
+        return full and not self.discipline.has_queue_floor(item)
+
     def _create_waiting(self, ask: PermitAsk, now: float) -> Waiting:
         arrived = now - ask.waited_ms
         rule = self.rule.classes.get(ask.class_name)
--- a/cornelnotch/queueing/tests/test_shard.py
+++ b/cornelnotch/queueing/tests/test_shard.py
@@ -111,9 +111,12 @@
     ask(shard, "high", 0, 0.0)
     for number in range(1, 17):
         ask(shard, "low", number, 1.0, 60_000.0)
+    # The first is let in by its class's own queue place.
+    assert ask(shard, "high", 98, 2.0) == []
     effects = ask(shard, "high", 99, 2.0)
     refused = [e for e in effects if isinstance(e, Refusal)]
     assert [e.request_id for e in refused] == ["low-16"]
+    assert shard.discipline.find("high-99") is not None
     assert refused[0].retry_after_ms > 0
     assert refused[0].occupancy
 
--- a/cornelnotch/standins/engine.py
+++ b/cornelnotch/standins/engine.py
@@ -146,6 +146,8 @@
 
     def _admit(self, exchange: Exchange, content: dict) -> Sequence:
         prompt = content["messages"][-1]["content"]
+        if self.profile.cross_answers:
+            prompt = f"another caller's {prompt}"
         prefix = content.get("user", "") + prompt[:64]
         hit = prefix in self._prefixes
         self._prefixes[prefix] = None
--- a/cornelnotch/verification/order.py
+++ b/cornelnotch/verification/order.py
@@ -41,6 +41,7 @@
     NO_VICTIM = "refuse the newcomer whatever waits below it"
     NO_DISPLACEMENT = "never displace a lower tier"
     NO_LONGEST_WAIT = "never serve an overdue class"
+    NO_QUEUE_FLOOR = "keep no queue place for a class"
 
 
 class NoVictimDiscipline(TieredDiscipline):
@@ -58,6 +59,14 @@
         return None
 
 
+class NoQueueFloorDiscipline(TieredDiscipline):
+    """Keep no queue places; a mutant."""
+
+    def has_queue_floor(self, item: Waiting) -> bool:
+        """Return False."""
+        return False
+
+
 class NoDisplacementShard(Shard):
     """Let lower tiers keep their places; a mutant."""
 
@@ -75,6 +84,7 @@
     low_waits_since: float | None = None
     shed_for_lower: bool = False
     starved: bool = False
+    shut_out: bool = False
     sizes: list[int] = field(default_factory=list)
 
 
@@ -113,7 +123,7 @@
     def __init__(self, mutant: OrderMutant, depth: int) -> None:
         self._mutant = mutant
         self._depth = depth
-        self._verdicts: dict[tuple[str, ...], Replay] = {}
+        self._last: tuple[tuple[str, ...], Replay] | None = None
 
     def list_steps(self, values: tuple) -> list[tuple[str, tuple]]:
         """Return every longer history by one event."""
@@ -137,6 +147,8 @@
             discipline = NoVictimDiscipline()
         elif self._mutant is OrderMutant.NO_LONGEST_WAIT:
             discipline = NoLongestWaitDiscipline()
+        elif self._mutant is OrderMutant.NO_QUEUE_FLOOR:
+            discipline = NoQueueFloorDiscipline()
         kind = SmallShard
         if self._mutant is OrderMutant.NO_DISPLACEMENT:
             kind = SmallNoDisplacementShard
@@ -186,7 +198,11 @@
 
     @staticmethod
     def _audit(replay: Replay, refusal: Refusal) -> None:
-        tier = TIERS[refusal.request_id.partition("-")[0]]
+        name = refusal.request_id.partition("-")[0]
+        tier = TIERS[name]
+        waiting = {row.class_name: row.waiting for row in refusal.occupancy}
+        if refusal.reason == "queue-full" and waiting.get(name, 0) == 0:
+            replay.shut_out = True
         for row in refusal.occupancy:
             if row.tier <= tier:
                 continue
@@ -217,12 +233,10 @@
     def holds(self, values: dict, name: str) -> bool:
         """Tell whether a history keeps the promise `name`."""
         history = values["history"]
-        replay = self._verdicts.pop(history, None)
-        if replay is None:
-            # Each history is asked for once by either invariant.
-            replay = self.replay(history)
-            self._verdicts[history] = replay
-        return not getattr(replay, name)
+        if self._last is None or self._last[0] != history:
+            # Every invariant asks for the same history in turn.
+            self._last = (history, self.replay(history))
+        return not getattr(self._last[1], name)
 
 
 EVENTS = {
@@ -247,5 +261,6 @@
         invariants={
             "not_shed_for_lower": lambda s: system.holds(s, "shed_for_lower"),
             "no_starvation": lambda s: system.holds(s, "starved"),
+            "not_shut_out": lambda s: system.holds(s, "shut_out"),
         },
     )
--- a/cornelnotch/verification/tests/test_models.py
+++ b/cornelnotch/verification/tests/test_models.py
@@ -69,6 +69,7 @@
         (OrderMutant.NO_VICTIM, "not_shed_for_lower"),
         (OrderMutant.NO_DISPLACEMENT, "not_shed_for_lower"),
         (OrderMutant.NO_LONGEST_WAIT, "no_starvation"),
+        (OrderMutant.NO_QUEUE_FLOOR, "not_shut_out"),
     ],
 )
 def test_order_mutants_are_caught(mutant, broken):
