--- /dev/null
+++ b/examples/queue.py
@@ -0,0 +1,37 @@
+"""Let an urgent request displace one of a lower tier."""
+
+from cornelnotch.queueing import create_shard
+from cornelnotch.testing.shardmodel import ModelClass, ModelEngine, create_rule
+from cornelnotch.wire.messages import PermitAsk
+
+CLASSES = [
+    ModelClass("quote", 1, 1.0, 40, 460.0, 8000.0),
+    ModelClass("draft", 5, 1.0, 150, 3000.0, 30_000.0),
+]
+shard = create_shard(create_rule(CLASSES, [ModelEngine("engine", slots=2)]))
+
+
+def ask(name: str, number: int, now: float) -> None:
+    """Ask for a place and print what is decided."""
+    model = next(c for c in CLASSES if c.name == name)
+    request = PermitAsk(
+        f"{name}-{number}",
+        "host",
+        "model",
+        name,
+        model.tier,
+        "shop",
+        "",
+        0.0,
+        model.deadline_ms,
+        [],
+        0,
+    )
+    print(f"{now:5.0f} ms", request.request_id, shard.ask(request, now))
+
+
+ask("draft", 0, 0.0)
+ask("draft", 1, 0.0)
+ask("quote", 2, 10.0)
+for moment in (100.0, 200.0):
+    print(f"{moment:5.0f} ms", shard.pump(moment))
