Tell which servers were considered; one copy of the deployments' INI

explain now merges what the host that took the request and its dispatcher know. The wave test is two: one with waiting drafts (floors), one with drafts that hold every slot (displacement), since a mutant without displacement passed the first.

--- a/cornelnotch/commands/hosts.py
+++ b/cornelnotch/commands/hosts.py
@@ -42,19 +42,28 @@
 ) -> None:
     addresses = await find_hosts(hosts, platform)
     answers = await ask_hosts(addresses, f"/v1/explain/{request_id}")
-    silent = [a.address for a in answers if a.content is None]
-    for answer in answers:
-        if answer.content is None:
-            continue
-        print(f"{request_id}, as told by {answer.address}")
-        for decision in answer.content["decisions"]:
-            details = "  ".join(f"{k}={v}" for k, v in decision["details"].items())
-            print(f"{decision['at_ms']:10.1f} ms  {decision['stage']:12} {details}")
+    known = [a.content for a in answers if a.content is not None]
+    if not known:
+        raise RequestError(
+            f"none of {len(answers)} hosts knows {request_id}",
+            "ask soon after the request, while the host that its id names runs",
+        )
+    for content in sorted(known, key=lambda c: not c["decisions"]):
+        _print_decisions(content["host"], "took the request", content["decisions"])
+        _print_decisions(content["host"], "dispatched it", content["dispatched"])
+
+
+def _print_decisions(host: str, role: str, decisions: list[dict]) -> None:
+    if not decisions:
         return
-    raise RequestError(
-        f"none of {len(silent)} hosts knows {request_id}",
-        "ask soon after the request, while the host that its id names runs",
-    )
+    print(f"{host} {role}:")
+    for decision in decisions:
+        details = dict(decision["details"])
+        considered = details.pop("considered", {})
+        shown = "  ".join(f"{name}={value}" for name, value in details.items())
+        print(f"{decision['at_ms']:10.1f} ms  {decision['stage']:12} {shown}")
+        for server, state in considered.items():
+            print(f"{'':15}{server}: {state}")
 
 
 def explain_request(
--- a/cornelnotch/commands/tests/test_program.py
+++ b/cornelnotch/commands/tests/test_program.py
@@ -99,6 +99,7 @@
         run_command, "explain", result.request_id, *platform
     )
     assert "classified" in explained.stdout
+    assert "slots busy" in explained.stdout
     unknown = await asyncio.to_thread(run_command, "explain", "x.y", *platform)
     assert unknown.returncode == 2
     entry = await asyncio.to_thread(run_command, "entry", "w", *platform)
--- a/cornelnotch/load/embedded.py
+++ b/cornelnotch/load/embedded.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 from dataclasses import dataclass, field
+from pathlib import Path
 
 from cornelnotch.configuration import Change, encode_record
 from cornelnotch.configuration.follower import CONFIGURATION_STREAM
@@ -15,7 +16,13 @@
 from cornelnotch.standins.platform import PlatformStandin
 from cornelnotch.standins.service import ServiceProfile, ServiceStandin
 
-__all__ = ["Deployment", "EmbeddedFleet", "create_deployment", "list_deployments"]
+__all__ = [
+    "Deployment",
+    "EmbeddedFleet",
+    "create_deployment",
+    "list_deployments",
+    "read_deployment_text",
+]
 
 ADDRESS = "127.0.0.1"
 READY_LIMIT_S = 15.0
@@ -24,7 +31,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Deployment:
-    """Describe a deployment: its places, servers and classes."""
+    """Describe a deployment: its hosts, servers and pools, with their places."""
 
     name: str
     hosts: dict[str, str]
@@ -32,7 +39,6 @@
     engine_pool: str
     services: dict[str, str]
     service_pool: str
-    classes: str
 
 
 HEELMARK = Deployment(
@@ -42,55 +48,6 @@
     "cobbler-assist",
     {f"desk-{n}": "taipei-a" for n in range(1, 4)},
     "counter-desk",
-    """
-[place taipei-a]
-region = north-tw
-[place taoyuan-b]
-region = north-tw
-[place kaohsiung-a]
-region = south-tw
-[class quote]
-tier = 1
-first_token_ms = 460
-between_tokens_ms = 71
-deadline_ms = 8000
-longest_wait_ms = 8000
-[class draft]
-tier = 5
-first_token_ms = 3000
-deadline_ms = 30000
-longest_wait_ms = 4000
-floor = 0.05
-[class booking]
-tier = 1
-whole_ms = 1000
-deadline_ms = 5000
-repeat = once
-[class availability]
-tier = 2
-whole_ms = 500
-deadline_ms = 3000
-[selector quotes]
-order = 10
-labels = kind=quote
-class = quote
-pool = cobbler-assist
-[selector drafts]
-order = 90
-class = draft
-pool = cobbler-assist
-[selector bookings]
-order = 10
-service = counter-desk
-labels = kind=booking
-class = booking
-pool = counter-desk
-[selector availability]
-order = 20
-service = counter-desk
-class = availability
-pool = counter-desk
-""",
 )
 
 GUILD = Deployment(
@@ -100,58 +57,15 @@
     "juru-assist",
     {f"booking-{n}": "surabaya-a" for n in range(1, 4)},
     "juru-booking",
-    """
-[place surabaya-a]
-region = jawa-timur
-[place malang-a]
-region = jawa-timur
-[place bandung-a]
-region = jawa-barat
-[class terminology]
-tier = 2
-first_token_ms = 460
-between_tokens_ms = 71
-deadline_ms = 8000
-[class glossary]
-tier = 6
-first_token_ms = 5000
-deadline_ms = 60000
-longest_wait_ms = 5000
-floor = 0.05
-objective = 0.9
-[class confirmation]
-tier = 1
-whole_ms = 1000
-deadline_ms = 5000
-repeat = once
-[class availability]
-tier = 3
-whole_ms = 500
-deadline_ms = 3000
-[selector terminology]
-order = 10
-labels = kind=terminology
-class = terminology
-pool = juru-assist
-[selector glossary]
-order = 90
-class = glossary
-pool = juru-assist
-[selector confirmations]
-order = 10
-service = juru-booking
-labels = kind=confirmation
-class = confirmation
-pool = juru-booking
-[selector availability]
-order = 20
-service = juru-booking
-class = availability
-pool = juru-booking
-""",
 )
 
 
+def read_deployment_text(name: str) -> str:
+    """Return the places, classes, pools and selectors of a deployment as INI."""
+    path = Path(__file__).parent / "deployments" / f"{name}.ini"
+    return path.read_text(encoding="utf-8")
+
+
 def list_deployments() -> dict[str, Deployment]:
     """Return the deployments of the demo, by name."""
     return {d.name: d for d in (HEELMARK, GUILD)}
@@ -233,9 +147,7 @@
     def create_text(self) -> str:
         """Return the deployment's configuration as INI."""
         deployment = self.deployment
-        text = deployment.classes
-        text += f"[pool {deployment.engine_pool}]\nprotocol = engine\n"
-        text += f"[pool {deployment.service_pool}]\nprotocol = service\n"
+        text = read_deployment_text(deployment.name)
         for name, engine in self.engines.items():
             text += self._create_server(
                 name,
--- a/cornelnotch/node/frontdoor.py
+++ b/cornelnotch/node/frontdoor.py
@@ -43,6 +43,7 @@
         parts: FlowParts,
         status: StatusReader,
         decisions: DecisionLog,
+        dispatched: DecisionLog,
         peers: PeerNetwork,
         start_drain: Callable[[], None],
     ) -> None:
@@ -51,6 +52,7 @@
         self._parts = parts
         self._status = status
         self._decisions = decisions
+        self._dispatched = dispatched
         self._peers = peers
         self._start_drain = start_drain
         self._handlers: dict[str, Handler] = {
@@ -146,15 +148,22 @@
 
     async def _answer_explain(self, exchange: Exchange) -> None:
         request_id = exchange.path.removeprefix(EXPLAIN_PREFIX)
-        trace = self._decisions.find(request_id)
-        if trace is None:
+        own = self._decisions.find(request_id)
+        dispatched = self._dispatched.find(request_id)
+        if own is None and dispatched is None:
             raise RequestError(
                 "the request is not known here",
                 "ask the host that its id names, soon after the request",
                 404,
                 "unknown-request",
             )
-        await exchange.respond_json(200, trace.describe())
+        content = {
+            "request_id": request_id,
+            "host": self._settings.node.name,
+            "decisions": own.describe() if own else [],
+            "dispatched": dispatched.describe() if dispatched else [],
+        }
+        await exchange.respond_json(200, content)
 
     async def _answer_unknown(self, exchange: Exchange) -> None:
         raise RequestError(
--- a/cornelnotch/node/node.py
+++ b/cornelnotch/node/node.py
@@ -152,6 +152,7 @@
             parts,
             self.status,
             DecisionLog(self.clock),
+            self.dispatcher.decisions,
             self.peers,
             self.start_drain,
         )
--- a/cornelnotch/node/tests/test_regions.py
+++ b/cornelnotch/node/tests/test_regions.py
@@ -117,45 +117,72 @@
         await fleet.wait_answer(host.http, "/healthz")
 
 
-def test_a_morning_wave_starves_nobody_and_sheds_by_tier(run_fleet):
+async def start_wave(fleet):
+    """Start two hosts before one engine of four slots."""
+    fleet.settings = FAST_TIMING
+    fleet.membership = FAST_MEMBERSHIP
+    await fleet.start_platform()
+    engine = await fleet.start_engine("engine-0", "--batch", "4")
+    await asyncio.gather(*(fleet.start_host(f"host-{n}") for n in range(2)))
+    section = create_server_section("engine-0", "cobbler-assist", engine.http, slots=4)
+    version = await fleet.publish(create_heelmark_text(section))
+    await fleet.wait_ready(version)
+
+
+async def send_quotes(fleet, count):
+    """Send quotes at about twice the capacity; return the tasks."""
+    caller = fleet.create_caller("heelmark", deadline_ms=8000, attempts=1)
+    tasks = []
+    for number in range(count):
+        call = caller.chat(f"quote {number}", 20, "kind=quote")
+        tasks.append(asyncio.create_task(call))
+        await asyncio.sleep(0.05)
+    return tasks
+
+
+def start_drafts(fleet, count, tokens):
+    """Send drafts whose callers come back when a full queue sends them away."""
+    caller = fleet.create_caller(
+        "guild", deadline_ms=30_000, attempts=20, patience_ms=30_000.0
+    )
+    calls = [caller.chat(f"draft {n}", tokens, "kind=draft") for n in range(count)]
+    return [asyncio.create_task(call) for call in calls]
+
+
+async def audit_refusals(fleet, results):
+    """Check every refusal from outside by its own record."""
+    refused = [r for r in results if not r.complete]
+    assert refused, "nothing was refused; the check shows nothing"
+    for result in refused:
+        assert result.outcome == "not-run"
+        assert result.retry_after_ms > 0
+        await assert_not_shed_for_lower(fleet, result)
+
+
+def test_a_morning_wave_starves_nobody(run_fleet):
     async def scenario(fleet):
-        fleet.settings = FAST_TIMING
-        fleet.membership = FAST_MEMBERSHIP
-        await fleet.start_platform()
-        engine = await fleet.start_engine("engine-0", "--batch", "4")
-        await asyncio.gather(*(fleet.start_host(f"host-{n}") for n in range(2)))
-        section = create_server_section(
-            "engine-0", "cobbler-assist", engine.http, slots=4
-        )
-        version = await fleet.publish(create_heelmark_text(section))
-        await fleet.wait_ready(version)
-        # A full queue may send the lowest tier away; its callers come back.
-        drafts = fleet.create_caller(
-            "guild", deadline_ms=30_000, attempts=20, patience_ms=30_000.0
-        )
-        quotes = fleet.create_caller("heelmark", deadline_ms=8000, attempts=1)
-        glossary = []
-        wave = []
-        for number in range(WAVE_QUOTES):
-            if number == WAVE_QUOTES // 9:
-                glossary = [
-                    asyncio.create_task(drafts.chat(f"draft {n}", 20, "kind=draft"))
-                    for n in range(6)
-                ]
-            wave.append(
-                asyncio.create_task(quotes.chat(f"quote {number}", 20, "kind=quote"))
-            )
-            await asyncio.sleep(0.05)
+        await start_wave(fleet)
+        wave = await send_quotes(fleet, WAVE_QUOTES // 9)
+        drafts = start_drafts(fleet, 6, 20)
+        wave += await send_quotes(fleet, WAVE_QUOTES)
         # A draft that began to wait within the wave is served within the wave.
-        assert any(task.done() for task in glossary)
-        answered = await asyncio.gather(*wave)
-        finished = await asyncio.gather(*glossary)
+        assert any(task.done() for task in drafts)
+        await audit_refusals(fleet, await asyncio.gather(*wave))
+        finished = await asyncio.gather(*drafts)
+        assert all(r.complete for r in finished), [r.kind for r in finished]
+
+    run_fleet(scenario)
+
+
+def test_drafts_that_hold_every_slot_cost_no_quote_its_place(run_fleet):
+    async def scenario(fleet):
+        await start_wave(fleet)
+        drafts = start_drafts(fleet, 4, 250)
+        await asyncio.sleep(0.5)
+        wave = await send_quotes(fleet, WAVE_QUOTES // 3)
+        await audit_refusals(fleet, await asyncio.gather(*wave))
+        finished = await asyncio.gather(*drafts)
         assert all(r.complete for r in finished), [r.kind for r in finished]
-        refused = [r for r in answered if not r.complete]
-        assert all(r.outcome == "not-run" for r in refused), refused
-        assert all(r.retry_after_ms > 0 for r in refused)
-        for result in refused:
-            await assert_not_shed_for_lower(fleet, result)
 
     run_fleet(scenario)
 
--- a/cornelnotch/observation/decisions.py
+++ b/cornelnotch/observation/decisions.py
@@ -33,12 +33,9 @@
         at_ms = self.clock.read() - self.arrived_ms
         self.decisions.append(Decision(round(at_ms, 3), stage, details))
 
-    def describe(self) -> dict[str, object]:
-        """Return the trace for JSON."""
-        return {
-            "request_id": self.request_id,
-            "decisions": [asdict(decision) for decision in self.decisions],
-        }
+    def describe(self) -> list[dict[str, object]]:
+        """Return the decisions for JSON."""
+        return [asdict(decision) for decision in self.decisions]
 
 
 class DecisionLog:
--- a/cornelnotch/queueing/shard.py
+++ b/cornelnotch/queueing/shard.py
@@ -484,6 +484,21 @@
             self.describe_occupancy(),
         )
 
+    def describe_servers(self, now: float) -> dict[str, str]:
+        """Return by server what a request would have met at this moment."""
+        return {name: self._describe(s, now) for name, s in self.servers.items()}
+
+    @staticmethod
+    def _describe(server: ServerState, now: float) -> str:
+        if server.leaving:
+            return "leaving"
+        if now < server.rest_until_ms:
+            return f"rests {server.rest_until_ms - now:.0f} ms after a failure"
+        health = "slow, " if server.slow else ""
+        health += "recovering, " if server.failures else ""
+        free = server.count_free(now)
+        return f"{health}{server.busy} of {server.slots} slots busy, {free} usable"
+
     def describe_occupancy(self) -> tuple[Occupancy, ...]:
         """Return the places that each class holds at this moment."""
         rows: dict[tuple[str, int], list[int]] = {}
--- a/cornelnotch/routing/dispatcher.py
+++ b/cornelnotch/routing/dispatcher.py
@@ -7,10 +7,12 @@
 from cornelnotch.configuration import Configuration, ShardPlan
 from cornelnotch.exceptions import UpstreamError
 from cornelnotch.kernel import Clock, Event, EventLog, MailboxTask
+from cornelnotch.observation import DecisionLog
 from cornelnotch.queueing import (
     ClassRule,
     Grant,
     Pause,
+    Refusal,
     ServerRule,
     Shard,
     ShardRule,
@@ -114,6 +116,7 @@
     ) -> None:
         super().__init__(events)
         self.shards: dict[str, Shard] = {}
+        self.decisions = DecisionLog(clock)
         self._fleet = fleet
         self._peers = peers
         self._clock = clock
@@ -307,8 +310,29 @@
             return
         backlog = shard.estimate_backlog()
         for effect in effects:
+            if not isinstance(effect, Pause):
+                self._note_decision(shard, effect)
             self._peers.send(effect.holder, self._create_reply(shard, effect, backlog))
 
+    def _note_decision(self, shard: Shard, effect: Grant | Refusal) -> None:
+        trace = self.decisions.open(effect.request_id)
+        servers = shard.describe_servers(self._clock.read())
+        if isinstance(effect, Grant):
+            trace.note(
+                "granted",
+                shard=shard.rule.name,
+                server=effect.server,
+                reason=effect.reason,
+                considered=servers,
+            )
+        else:
+            trace.note(
+                "refused",
+                shard=shard.rule.name,
+                reason=effect.reason,
+                considered=servers,
+            )
+
     def _create_reply(
         self, shard: Shard, effect: Effect, backlog_ms: float
     ) -> PermitGrant | PermitRefusal | PermitPause:
