--- /dev/null
+++ b/benchmarks/experiment.py
@@ -0,0 +1,102 @@
+"""Run a deployment's scenario under several policies and compare them.
+
+Run with ``python -m benchmarks.experiment [SCENARIO] [SECONDS]``. Each policy is
+published as the pool's discipline and balancer; every run has the same seed.
+"""
+
+import asyncio
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+
+from cornelnotch.configuration import Change, encode_record
+from cornelnotch.configuration.follower import CONFIGURATION_STREAM
+from cornelnotch.kernel import create_clock, create_identifier, set_up_logging
+from cornelnotch.load.driver import Driver
+from cornelnotch.load.embedded import create_deployment
+from cornelnotch.load.report import write_page
+from cornelnotch.load.results import RunResult, judge_promises, summarize_classes
+from cornelnotch.load.scenario import Scenario, read_scenario
+from cornelnotch.logservice import HttpLogService
+
+SETTLE_S = 1.0
+RESULTS = Path("results")
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """Name a discipline and a balancer."""
+
+    name: str
+    discipline: str
+    balancer: str
+
+
+POLICIES = (
+    Policy("cornelnotch", "tiered", "adaptive"),
+    Policy("fifo", "fifo", "adaptive"),
+    Policy("round-robin", "fifo", "round-robin"),
+    Policy("least-in-flight", "fifo", "least-in-flight"),
+)
+
+
+def load_scenario(name: str, seconds: float) -> Scenario:
+    """Return a shipped scenario, shortened."""
+    scenario = read_scenario(Path(name)).unwrap()
+    general = scenario.general.model_copy(update={"duration_s": seconds})
+    return scenario.model_copy(update={"general": general})
+
+
+async def run_policy(policy: Policy, name: str, scenario: Scenario) -> RunResult:
+    """Run one policy on a fresh fleet."""
+    clock = create_clock()
+    fleet = create_deployment(name, clock)
+    try:
+        addresses = await fleet.start()
+        pool = fleet.deployment.engine_pool
+        text = (
+            f"[pool {pool}]\nprotocol = engine\nexpected_ms = 800\n"
+            f"discipline = {policy.discipline}\nbalancer = {policy.balancer}\n"
+        )
+        change = Change(create_identifier(), 0, text, "experiment")
+        log = HttpLogService(addresses.platform)
+        await log.append(CONFIGURATION_STREAM, encode_record(change))
+        await asyncio.sleep(SETTLE_S)
+        result = await Driver(scenario, addresses, clock).run(lambda line: None)
+        result.name = policy.name
+        return result
+    finally:
+        await fleet.stop()
+
+
+def print_result(result: RunResult) -> None:
+    """Print one policy's line."""
+    promises = judge_promises(result)
+    attained = "  ".join(
+        f"{row.class_name} {row.attainment:.3f}" for row in summarize_classes(result)
+    )
+    print(
+        f"{result.name:16} {attained}  goodput {promises.goodput_per_second:.0f}/s  "
+        f"wasted {promises.wasted_share:.2%}  broken {promises.broken}",
+        flush=True,
+    )
+
+
+def run_experiment(name: str, seconds: float) -> None:
+    """Run every policy and write the page."""
+    set_up_logging(level="CRITICAL")
+    scenario = load_scenario(name, seconds)
+    results = []
+    for policy in POLICIES:
+        result = asyncio.run(run_policy(policy, name, scenario))
+        print_result(result)
+        results.append(result)
+    RESULTS.mkdir(exist_ok=True)
+    write_page(results, RESULTS / f"{name}.html")
+
+
+if __name__ == "__main__":
+    run_experiment(
+        sys.argv[1] if len(sys.argv) > 1 else "heelmark",
+        float(sys.argv[2]) if len(sys.argv) > 2 else 25.0,
+    )
--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -19,6 +19,7 @@
 READ_BYTES = 65536
 MAX_HEADER_BYTES = 32768
 HEADER_TIMEOUT_S = 60.0
+BODY_TIMEOUT_S = 20.0
 SKIP_TIMEOUT_S = 1.0
 MAX_SKIPPED_BYTES = 4 * 1024 * 1024
 WRITE_BUFFER_BYTES = 65536
@@ -52,7 +53,7 @@
         parts: list[bytes] = []
         size = 0
         while not self._body_ended:
-            event = self._early or await self._connection.read_event()
+            event = self._early or await self._read_timely()
             self._early = None
             if isinstance(event, h11.Data):
                 size += len(event.data)
@@ -66,6 +67,15 @@
         self._connection.watch()
         return b"".join(parts)
 
+    async def _read_timely(self) -> object:
+        try:
+            async with asyncio.timeout(BODY_TIMEOUT_S):
+                return await self._connection.read_event()
+        except TimeoutError as error:
+            raise RequestError(
+                "the body stopped arriving", "send it again", 408, "body-timeout"
+            ) from error
+
     def _list_headers(self, headers: dict[str, str]) -> list[tuple[str, str]]:
         pairs = list(headers.items())
         if not self._body_ended:
