--- a/cornelnotch/queueing/__init__.py
+++ b/cornelnotch/queueing/__init__.py
@@ -1,7 +1,8 @@
 """Queue requests by tier and deadline and bind them late to servers."""
 
-from cornelnotch.queueing.disciplines import Discipline
+from cornelnotch.queueing.disciplines import Discipline, Pick
 from cornelnotch.queueing.estimates import DurationEstimator
+from cornelnotch.queueing.fifo import FifoDiscipline
 from cornelnotch.queueing.models import (
     ClassRule,
     Grant,
@@ -12,17 +13,21 @@
     Waiting,
 )
 from cornelnotch.queueing.shard import Shard, create_shard
+from cornelnotch.queueing.tiered import TieredDiscipline
 
 __all__ = [
     "ClassRule",
     "Discipline",
     "DurationEstimator",
+    "FifoDiscipline",
     "Grant",
     "Pause",
+    "Pick",
     "Refusal",
     "ServerRule",
     "Shard",
     "ShardRule",
+    "TieredDiscipline",
     "Waiting",
     "create_shard",
 ]
--- a/cornelnotch/queueing/shard.py
+++ b/cornelnotch/queueing/shard.py
@@ -5,7 +5,9 @@
 from cornelnotch.balancing.balancers import Balancer
 from cornelnotch.balancing.servers import ServerState, judge_pace
 from cornelnotch.kernel import create_plugin
+from cornelnotch.queueing.descriptions import describe_occupancy
 from cornelnotch.queueing.disciplines import Discipline, Pick
+from cornelnotch.queueing.displacement import choose_displaced, list_readmittable
 from cornelnotch.queueing.estimates import DurationEstimator, Estimate
 from cornelnotch.queueing.limits import WorkspaceLimiter
 from cornelnotch.queueing.models import (
@@ -19,7 +21,6 @@
 )
 from cornelnotch.wire.messages import (
     HeldPermits,
-    Occupancy,
     PermitAsk,
     PermitFinish,
 )
@@ -328,7 +329,7 @@
         """Put `item` before the newest lowest-tier request outside its floor."""
         if not self.rule.preemptible:
             return []
-        victim = self._choose_displaced(item, now)
+        victim = self._choose_victim(item, now)
         if victim is None:
             return []
         victim.displaced = True
@@ -341,23 +342,15 @@
         grant = self._grant(item, server, "displaced-lower-tier", now)
         return [Pause(victim.request_id, victim.holder, True), grant]
 
-    def _choose_displaced(self, item: Waiting, now: float) -> Running | None:
-        candidates = [
-            running
-            for running in self.running.values()
-            if running.tier > item.tier
-            and not running.displaced
-            and self._counts[running.class_name]
-            > self.discipline.get_floor_places(running.class_name)
-            and self._is_usable(running.server, now)
-        ]
-        return max(candidates, key=lambda r: (r.tier, r.order), default=None)
-
-    def _is_usable(self, name: str, now: float) -> bool:
-        server = self.servers.get(name)
-        if server is None or server.leaving or server.slow:
-            return False
-        return now >= server.rest_until_ms
+    def _choose_victim(self, item: Waiting, now: float) -> Running | None:
+        return choose_displaced(
+            item,
+            self.running.values(),
+            self._counts,
+            self.discipline.get_floor_places,
+            self.servers,
+            now,
+        )
 
     def _grant(
         self, item: Waiting, server: ServerState, reason: str, now: float
@@ -423,23 +416,12 @@
         server.busy -= 1
         server.note_busy(now)
 
-    def _list_readmittable(self) -> list[Running]:
-        """Return displaced requests whose own server has a free slot."""
-        displaced = [
-            running
-            for running in self._displaced.values()
-            if (server := self.servers.get(running.server)) is not None
-            and server.slots > server.busy + server.external
-        ]
-        displaced.sort(key=lambda running: (running.tier, running.order))
-        return displaced
-
     def _choose_readmitted(self, pick: Pick | None, now: float) -> Running | None:
         """Return the displaced request that goes before `pick`."""
         if not self._displaced:
             return None
         place_ms = self.estimate_place()
-        for running in self._list_readmittable():
+        for running in list_readmittable(self._displaced.values(), self.servers):
             if pick is None or running.tier <= pick.item.tier:
                 return running
             if self.discipline.allows_floor(running, now, self._counts, place_ms):
@@ -481,37 +463,7 @@
             item.holder,
             reason,
             retry_after_ms,
-            self.describe_occupancy(),
-        )
-
-    def describe_servers(self, now: float) -> dict[str, str]:
-        """Return by server what a request would have met at this moment."""
-        return {name: self._describe(s, now) for name, s in self.servers.items()}
-
-    @staticmethod
-    def _describe(server: ServerState, now: float) -> str:
-        if server.leaving:
-            return "leaving"
-        if now < server.rest_until_ms:
-            return f"rests {server.rest_until_ms - now:.0f} ms after a failure"
-        health = "slow, " if server.slow else ""
-        health += "recovering, " if server.failures else ""
-        free = server.count_free(now)
-        return f"{health}{server.busy} of {server.slots} slots busy, {free} usable"
-
-    def describe_occupancy(self) -> tuple[Occupancy, ...]:
-        """Return the places that each class holds at this moment."""
-        rows: dict[tuple[str, int], list[int]] = {}
-        for running in self.running.values():
-            if not running.displaced:
-                rows.setdefault((running.class_name, running.tier), [0, 0])[1] += 1
-        for item in self.discipline.list_waiting():
-            rows.setdefault((item.class_name, item.tier), [0, 0])[0] += 1
-        return tuple(
-            Occupancy(
-                name, tier, counts[0], counts[1], self.discipline.get_floor_places(name)
-            )
-            for (name, tier), counts in sorted(rows.items())
+            describe_occupancy(self.running.values(), self.discipline),
         )
 
 
--- /dev/null
+++ b/cornelnotch/queueing/tiered.py
@@ -0,0 +1,275 @@
+"""Serve strict tiers with floors, by deadline within a tier.
+
+When a place is free it goes, first, to a
+class that holds fewer places than its floor and has been given none for its
+longest wait, the most overdue first; second, to a waiting class that holds fewer
+places than its floor, provided the head of every higher tier would still keep its
+target, or once that is missed its deadline, after waiting for one more place;
+third, to the highest tier that waits, and within it to the request with the
+earliest latest-start among those that can still meet their target, and only when
+there is none to the one with the earliest deadline. A displaced request counts as
+waiting for its own server and goes before the waiting requests of its tier. A class
+that waits in fewer queue places than its floor is always let in. Otherwise, when
+the queue is full, the lowest tier that holds more queue places than its floor
+leaves first, late requests before timely ones and the newest first; the newcomer
+itself is refused only when no waiting request ranks below it and no running
+request of a lower tier outside its floor can be displaced.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from sortedcontainers import SortedList
+
+from cornelnotch.kernel import register_plugin
+from cornelnotch.queueing.disciplines import Discipline, Pick
+from cornelnotch.queueing.models import ClassRule, Running, Waiting
+
+__all__ = ["ClassQueue", "TieredDiscipline"]
+
+
+def _rank_timely(item: Waiting) -> tuple[float, int]:
+    return (item.start_by_ms, item.order)
+
+
+def _rank_late(item: Waiting) -> tuple[float, int]:
+    return (item.give_up_ms, item.order)
+
+
+@dataclass(slots=True)
+class ClassQueue:
+    """Hold the waiting requests of one class.
+
+    `hungry_since_ms` is when the class last got a place or began to wait.
+    """
+
+    rule: ClassRule
+    timely: SortedList = field(default_factory=lambda: SortedList(key=_rank_timely))
+    late: SortedList = field(default_factory=lambda: SortedList(key=_rank_late))
+    hungry_since_ms: float = 0.0
+
+    def __len__(self) -> int:
+        return len(self.timely) + len(self.late)
+
+    def get_head(self) -> Waiting | None:
+        """Return the request that goes next within the class."""
+        if self.timely:
+            return self.timely[0]
+        return self.late[0] if self.late else None
+
+    def get_newest(self) -> Waiting | None:
+        """Return the request that leaves first: late ones, then the newest."""
+        candidates = self.late or self.timely
+        return max(candidates, key=lambda item: item.order, default=None)
+
+    def shift_late(self, now: float) -> None:
+        """Move requests that can no longer meet their target."""
+        while self.timely and self.timely[0].start_by_ms < now:
+            item = self.timely.pop(0)
+            item.late = True
+            self.late.add(item)
+
+
+def _rank_head(item: Waiting) -> tuple[bool, float, int]:
+    return (item.late, _get_limit(item), item.order)
+
+
+@register_plugin("discipline", "tiered")
+class TieredDiscipline(Discipline):
+    """Serve strict tiers with floors, by deadline within a tier."""
+
+    def __init__(self) -> None:
+        self._queues: dict[tuple[str, int], ClassQueue] = {}
+        self._items: dict[str, Waiting] = {}
+        self._rules: dict[str, ClassRule] = {}
+        self._slots = 0
+        self._places = 0
+
+    def configure(self, classes: dict[str, ClassRule], slots: int, places: int) -> None:
+        """Take over rules and sizes; waiting requests keep their places."""
+        self._rules = classes
+        self._slots = slots
+        self._places = places
+        for key, queue in self._queues.items():
+            queue.rule = classes.get(key[0], queue.rule)
+
+    def add(self, item: Waiting, now: float) -> None:
+        """Add a request to the queue of its class and tier."""
+        key = (item.class_name, item.tier)
+        queue = self._queues.get(key)
+        if queue is None:
+            queue = ClassQueue(self._rules[item.class_name])
+            self._queues[key] = queue
+        if not queue:
+            queue.hungry_since_ms = now
+        item.late = item.start_by_ms < now
+        (queue.late if item.late else queue.timely).add(item)
+        self._items[item.request_id] = item
+
+    def remove(self, request_id: str) -> Waiting | None:
+        """Take a request out."""
+        item = self._items.pop(request_id, None)
+        if item is None:
+            return None
+        queue = self._queues[(item.class_name, item.tier)]
+        (queue.late if item.late else queue.timely).remove(item)
+        return item
+
+    def find(self, request_id: str) -> Waiting | None:
+        """Return a waiting request."""
+        return self._items.get(request_id)
+
+    def expire(self, now: float) -> list[Waiting]:
+        """Take out the requests whose deadline is out of reach."""
+        expired = []
+        for queue in self._queues.values():
+            queue.shift_late(now)
+            while queue.late and queue.late[0].give_up_ms < now:
+                expired.append(queue.late[0])
+                self.remove(queue.late[0].request_id)
+        return expired
+
+    def choose(
+        self,
+        now: float,
+        running: dict[str, int],
+        next_place_ms: float,
+        floors: bool = True,
+    ) -> Pick | None:
+        """Return the next request by the rule of this module."""
+        heads = self._list_heads()
+        if not heads:
+            return None
+        if floors:
+            overdue = self._choose_overdue(now, running)
+            if overdue is not None:
+                return Pick(overdue, "longest-wait", by_floor=True)
+            floor = self._choose_floor(heads, now, running, next_place_ms)
+            if floor is not None:
+                return Pick(floor, "floor", by_floor=True)
+        return Pick(heads[0], "late" if heads[0].late else "tier")
+
+    def choose_victim(self, newcomer: Waiting) -> Waiting:
+        """Return the lowest-ranked waiting request, or the newcomer."""
+        lowest = sorted(
+            (q for q in self._queues.values() if q),
+            key=lambda q: -self._get_tier(q),
+        )
+        for queue in lowest:
+            candidate = queue.get_newest()
+            assert candidate is not None
+            if candidate.tier < newcomer.tier:
+                break
+            if len(queue) <= self._get_queue_floor(candidate.class_name):
+                continue
+            later = candidate.late and not newcomer.late
+            if candidate.tier > newcomer.tier or later:
+                return candidate
+        return newcomer
+
+    def list_urgent(self, now: float, margin_ms: float) -> list[Waiting]:
+        """Return heads whose target, or once late deadline, is about to pass."""
+        heads = self._list_heads()
+        heads += [q.late[0] for q in self._queues.values() if q.timely and q.late]
+        urgent = [item for item in heads if _get_limit(item) - now <= margin_ms]
+        return sorted(urgent, key=lambda item: (item.tier, *_rank_head(item)))
+
+    def list_waiting(self) -> Iterable[Waiting]:
+        """Return everything that waits."""
+        return self._items.values()
+
+    def size(self) -> int:
+        """Return how many requests wait."""
+        return len(self._items)
+
+    def count(self, class_name: str) -> int:
+        """Return how many requests of a class wait."""
+        return sum(len(q) for key, q in self._queues.items() if key[0] == class_name)
+
+    def note_service(self, class_name: str, now: float) -> None:
+        """Restart the longest wait of a class."""
+        for key, queue in self._queues.items():
+            if key[0] == class_name:
+                queue.hungry_since_ms = now
+
+    def get_floor_places(self, class_name: str) -> int:
+        """Return the slots kept for a class: at least one of a shard."""
+        rule = self._rules.get(class_name)
+        return max(1, int(rule.floor * self._slots)) if rule else 0
+
+    def has_queue_floor(self, item: Waiting) -> bool:
+        """Tell whether the class waits in fewer places than its floor."""
+        return self.count(item.class_name) < self._get_queue_floor(item.class_name)
+
+    def _get_queue_floor(self, class_name: str) -> int:
+        rule = self._rules.get(class_name)
+        return max(1, int(rule.floor * self._places)) if rule else 0
+
+    @staticmethod
+    def _get_tier(queue: ClassQueue) -> int:
+        head = queue.get_head()
+        return head.tier if head else 0
+
+    def _list_heads(self) -> list[Waiting]:
+        """Return the head of every queue, the next in strict order first."""
+        heads = [q.get_head() for q in self._queues.values()]
+        present = [head for head in heads if head is not None]
+        present.sort(key=lambda item: (item.tier, *_rank_head(item)))
+        return present
+
+    def _is_below_floor(self, class_name: str, running: dict[str, int]) -> bool:
+        return running.get(class_name, 0) < self.get_floor_places(class_name)
+
+    def _choose_overdue(self, now: float, running: dict[str, int]) -> Waiting | None:
+        overdue = [
+            (now - q.hungry_since_ms - q.rule.longest_wait_ms, q)
+            for q in self._queues.values()
+            if q
+            and now - q.hungry_since_ms >= q.rule.longest_wait_ms
+            and self._is_below_floor(q.rule.name, running)
+        ]
+        if not overdue:
+            return None
+        return max(overdue, key=lambda pair: pair[0])[1].get_head()
+
+    def _choose_floor(
+        self,
+        heads: list[Waiting],
+        now: float,
+        running: dict[str, int],
+        next_place_ms: float,
+    ) -> Waiting | None:
+        """Return a head within its floor that delays no higher tier too long."""
+        highest = heads[0].tier
+        for position, item in enumerate(heads):
+            if item.tier == highest:
+                continue
+            if not self._is_below_floor(item.class_name, running):
+                continue
+            if self._can_wait(heads[:position], item.tier, now, next_place_ms):
+                return item
+        return None
+
+    @staticmethod
+    def _can_wait(
+        heads: list[Waiting], tier: int, now: float, next_place_ms: float
+    ) -> bool:
+        """Tell whether every head above `tier` keeps its promise one place later."""
+        higher = [h for h in heads if h.tier < tier]
+        return all(_get_limit(h) - now > next_place_ms for h in higher)
+
+    def allows_floor(
+        self, item: Running, now: float, running: dict[str, int], next_place_ms: float
+    ) -> bool:
+        """Apply the first two clauses of the rule to a displaced request."""
+        if not self._is_below_floor(item.class_name, running):
+            return False
+        rule = self._rules.get(item.class_name)
+        if rule is not None and now - item.displaced_ms >= rule.longest_wait_ms:
+            return True
+        return self._can_wait(self._list_heads(), item.tier, now, next_place_ms)
+
+
+def _get_limit(item: Waiting) -> float:
+    """Return the moment by which a request must start to keep its promise."""
+    return item.give_up_ms if item.late else item.start_by_ms
--- a/cornelnotch/routing/dispatcher.py
+++ b/cornelnotch/routing/dispatcher.py
@@ -4,22 +4,20 @@
 from dataclasses import dataclass
 from typing import Any
 
-from cornelnotch.configuration import Configuration, ShardPlan
 from cornelnotch.exceptions import UpstreamError
 from cornelnotch.kernel import Clock, Event, EventLog, MailboxTask
 from cornelnotch.observation import DecisionLog
 from cornelnotch.queueing import (
-    ClassRule,
     Grant,
     Pause,
     Refusal,
-    ServerRule,
     Shard,
-    ShardRule,
     create_shard,
 )
-from cornelnotch.queueing.models import Effect, WorkspaceRule
+from cornelnotch.queueing.descriptions import describe_servers
+from cornelnotch.queueing.models import Effect
 from cornelnotch.routing.fleet import FleetView
+from cornelnotch.routing.rules import create_shard_rule
 from cornelnotch.web import HttpClient
 from cornelnotch.wire import PeerNetwork
 from cornelnotch.wire.messages import (
@@ -35,7 +33,7 @@
     PermitRefusal,
 )
 
-__all__ = ["Dispatcher", "create_shard_rule"]
+__all__ = ["Dispatcher"]
 
 TICK_MS = 20.0
 LOAD_PERIOD_MS = 1000.0
@@ -71,43 +69,6 @@
     load: int
 
 
-def create_shard_rule(plan: ShardPlan, configuration: Configuration) -> ShardRule:
-    """Return what the configuration says of one shard."""
-    pool = configuration.pools[plan.pool]
-    classes = {
-        name: ClassRule(
-            name,
-            section.tier,
-            section.first_token_ms,
-            section.whole_ms,
-            section.longest_wait_ms,
-            section.floor,
-        )
-        for name, section in configuration.classes.items()
-    }
-    servers = {}
-    for name in plan.servers:
-        section = configuration.servers[name]
-        leaving = section.state == "leaving"
-        servers[name] = ServerRule(name, section.address, section.slots, leaving)
-    workspaces = {
-        name: WorkspaceRule(w.requests_per_second, w.burst, w.concurrent)
-        for name, w in configuration.workspaces.items()
-        if w.requests_per_second is not None or w.concurrent is not None
-    }
-    return ShardRule(
-        plan.name,
-        pool.discipline,
-        pool.balancer,
-        pool.protocol == "engine",
-        pool.queue_per_slot,
-        pool.expected_ms,
-        classes,
-        servers,
-        workspaces,
-    )
-
-
 class Dispatcher(MailboxTask):
     """Own the shards of this host; every change arrives as a message."""
 
@@ -316,7 +277,7 @@
 
     def _note_decision(self, shard: Shard, effect: Grant | Refusal) -> None:
         trace = self.decisions.open(effect.request_id)
-        servers = shard.describe_servers(self._clock.read())
+        servers = describe_servers(shard.servers, self._clock.read())
         if isinstance(effect, Grant):
             trace.note(
                 "granted",
--- a/cornelnotch/verification/order.py
+++ b/cornelnotch/verification/order.py
@@ -10,8 +10,13 @@
 
 from minicheck import Protocol
 
-from cornelnotch.queueing import Grant, Refusal, Shard, create_shard
-from cornelnotch.queueing.disciplines import TieredDiscipline
+from cornelnotch.queueing import (
+    Grant,
+    Refusal,
+    Shard,
+    TieredDiscipline,
+    create_shard,
+)
 from cornelnotch.queueing.models import (
     ClassRule,
     Effect,
@@ -70,7 +75,7 @@
 class NoDisplacementShard(Shard):
     """Let lower tiers keep their places; a mutant."""
 
-    def _choose_displaced(self, item: Waiting, now: float) -> Running | None:
+    def _choose_victim(self, item: Waiting, now: float) -> Running | None:
         return None
 
 
