--- a/cornelnotch/node/frontdoor.py
+++ b/cornelnotch/node/frontdoor.py
@@ -10,8 +10,9 @@
 from cornelnotch.node.status import StatusReader
 from cornelnotch.observation import DecisionLog
 from cornelnotch.routing.engines import EngineFlow
-from cornelnotch.routing.flow import FlowParts, RequestFlow
+from cornelnotch.routing.flow import RequestFlow
 from cornelnotch.routing.intake import CallerRequest, read_caller_request
+from cornelnotch.routing.parts import FlowParts
 from cornelnotch.routing.replies import (
     Outcome,
     Problem,
--- a/cornelnotch/node/node.py
+++ b/cornelnotch/node/node.py
@@ -24,7 +24,7 @@
 from cornelnotch.routing.budget import RetryBudget
 from cornelnotch.routing.dispatcher import Dispatcher
 from cornelnotch.routing.fleet import FleetView
-from cornelnotch.routing.flow import FlowParts
+from cornelnotch.routing.parts import FlowParts
 from cornelnotch.routing.permits import PermitClient
 from cornelnotch.routing.upstreams import EngineUpstream, ServiceUpstream
 from cornelnotch.settings import NodeSettings
--- a/cornelnotch/routing/engines.py
+++ b/cornelnotch/routing/engines.py
@@ -8,7 +8,8 @@
 
 from cornelnotch.exceptions import UpstreamError, UpstreamStalledError
 from cornelnotch.kernel import Event
-from cornelnotch.routing.flow import FlowError, RequestFlow
+from cornelnotch.routing.flow import RequestFlow
+from cornelnotch.routing.parts import FlowError
 from cornelnotch.routing.permits import PermitReport
 from cornelnotch.routing.replies import (
     Outcome,
@@ -181,6 +182,7 @@
                 await self.exchange.start(
                     200, {**headers, "content-type": "text/event-stream"}
                 )
+            self.keep_outcome(200, "text/event-stream", None)
             await self.exchange.send(b"data: [DONE]\n\n")
             await self.exchange.finish()
         else:
@@ -229,6 +231,8 @@
     async def _break_off(self, problem: Problem) -> None:
         """End a stream that cannot be made whole; [DONE] is never sent."""
         self.trace.note("broken-off", kind=problem.kind, tokens=len(self._texts))
+        if self.guard is not None:
+            problem = await self.guard.settle(problem, self.dispatched)
         self.parts.metrics.count_tokens("wasted", len(self._texts))
         self.parts.metrics.windows.record(self.selection.class_name, False)
         body = encode_problem(problem, self.request.request_id)
--- /dev/null
+++ b/cornelnotch/routing/once.py
@@ -0,0 +1,184 @@
+"""Guard work that must not run twice: claim, answer repeats, release, record."""
+
+from collections.abc import Callable
+from dataclasses import replace
+
+from cornelnotch.claims import (
+    ClaimOperation,
+    ClaimVerdict,
+    KeyAge,
+    OperationKind,
+    judge_key_age,
+)
+from cornelnotch.kernel import create_identifier
+from cornelnotch.observation import Trace
+from cornelnotch.routing.intake import CallerRequest
+from cornelnotch.routing.parts import FlowError, FlowParts
+from cornelnotch.routing.replies import Outcome, Problem
+
+__all__ = ["OnceGuard"]
+
+CLAIM_TIMEOUT_MS = 3000.0
+RELEASE_TIMEOUT_MS = 500.0
+LOOKUP_TIMEOUT_MS = 1000.0
+LOOKUP_PAUSE_MS = 200.0
+LOG_RETRY_MS = 2000.0
+RUNNING_RETRY_MS = 1000.0
+MAX_KEPT_ANSWER_BYTES = 16 * 1024
+
+
+class OnceGuard:
+    """Own the claim of one request under an idempotency key."""
+
+    def __init__(
+        self,
+        parts: FlowParts,
+        request: CallerRequest,
+        trace: Trace,
+        read_left: Callable[[], float],
+    ) -> None:
+        self._parts = parts
+        self._request = request
+        self._trace = trace
+        self._read_left = read_left
+        self._attempt = create_identifier()
+        self._fingerprint = request.compute_fingerprint()
+        self._claimed = False
+
+    async def claim(self) -> ClaimOperation | None:
+        """Return None once the work may run, or what an earlier attempt came to.
+
+        Raise FlowError when neither is known.
+        """
+        self._check_age()
+        self._claimed = True
+        verdict = await self._parts.claims.claim(
+            self._request.claim_key,
+            self._attempt,
+            self._fingerprint,
+            min(CLAIM_TIMEOUT_MS, max(self._read_left(), 0.0)),
+        )
+        self._trace.note("claim", state=verdict.state, attempt=self._attempt)
+        if verdict.state == "won":
+            # Only now is it sure that an earlier claim would have been seen.
+            self._check_age()
+            return None
+        if verdict.state == "unavailable":
+            raise FlowError(self._report_log())
+        self._claimed = False
+        return await self._wait_for_winner(verdict)
+
+    def judge_unclaimed(self) -> Outcome:
+        """Return what is true of the key when the claims were not read."""
+        first = self._request.is_first_attempt
+        return Outcome.NOT_RUN if first else Outcome.UNKNOWN
+
+    async def settle(self, problem: Problem, dispatched: bool) -> Problem:
+        """Return what may be said of a failure; free the key if nothing ran."""
+        if not self._claimed:
+            return problem
+        if dispatched:
+            self.keep_outcome(0, "", None)
+            return problem
+        key = self._request.claim_key
+        if problem.outcome is Outcome.NOT_RUN and self._request.is_first_attempt:
+            # True at once: nothing else was ever sent under this key.
+            self._parts.claims.release_later(key, self._attempt)
+            return problem
+        released = await self._parts.claims.release(
+            key, self._attempt, RELEASE_TIMEOUT_MS
+        )
+        outcome = problem.outcome if released else Outcome.UNKNOWN
+        return replace(problem, outcome=outcome)
+
+    def abandon(self, dispatched: bool) -> None:
+        """Free the key in the background when its work was not dispatched."""
+        if self._claimed and not dispatched:
+            key = self._request.claim_key
+            self._parts.claims.release_later(key, self._attempt)
+
+    def keep_outcome(self, status: int, content_type: str, body: bytes | None) -> None:
+        """Record what became of the work; status 0 means that nobody knows."""
+        if not self._claimed:
+            return
+        kept = body if body is not None and len(body) <= MAX_KEPT_ANSWER_BYTES else None
+        operation = ClaimOperation(
+            OperationKind.OUTCOME,
+            self._request.claim_key,
+            self._attempt,
+            "",
+            status,
+            content_type,
+            kept,
+        )
+        self._parts.claims.record_outcome(operation)
+
+    def _check_age(self) -> None:
+        claims = self._parts.fleet.configuration.claims
+        wall_ms = self._parts.clock.read_wall()
+        # A claim must outlast its key in the log, whatever the configuration says.
+        kept_ms = self._parts.retention_ms - 2 * claims.skew_ms
+        horizon_ms = min(claims.horizon_ms, kept_ms)
+        key_ms = self._request.key_ms
+        age = judge_key_age(key_ms, wall_ms, horizon_ms, claims.skew_ms)
+        if age is KeyAge.USABLE:
+            return
+        message = f"the key is {age.value}; make a new UUIDv7 for new work"
+        raise FlowError(
+            Problem(400, f"key-{age.value}", message, self.judge_unclaimed())
+        )
+
+    async def _wait_for_winner(self, verdict: ClaimVerdict) -> ClaimOperation:
+        """Return the winner's outcome; raise FlowError while it is unknown."""
+        while verdict.state == "lost" and self._read_left() > LOOKUP_PAUSE_MS:
+            await self._parts.clock.sleep(LOOKUP_PAUSE_MS)
+            timeout_ms = min(LOOKUP_TIMEOUT_MS, self._read_left())
+            verdict = await self._parts.claims.look_up(
+                self._request.claim_key, self._fingerprint, timeout_ms
+            )
+        self._trace.note("repeat", state=verdict.state)
+        if verdict.state == "mismatch":
+            raise FlowError(self._report_mismatch())
+        outcome = verdict.outcome
+        if verdict.state != "answered" or outcome is None or outcome.status == 0:
+            raise FlowError(self._report_running())
+        if outcome.body is None:
+            raise FlowError(self._report_too_large())
+        return outcome
+
+    def _report_log(self) -> Problem:
+        return Problem(
+            503,
+            "log-unavailable",
+            "the claim could not be read back; come back later with the same key",
+            self.judge_unclaimed(),
+            LOG_RETRY_MS,
+        )
+
+    @staticmethod
+    def _report_mismatch() -> Problem:
+        return Problem(
+            422,
+            "key-reused",
+            "the key was used for other work; make a new UUIDv7 for new work",
+            Outcome.UNKNOWN,
+        )
+
+    @staticmethod
+    def _report_running() -> Problem:
+        return Problem(
+            409,
+            "claimed-elsewhere",
+            "another attempt holds the key; come back later with the same key",
+            Outcome.UNKNOWN,
+            RUNNING_RETRY_MS,
+        )
+
+    @staticmethod
+    def _report_too_large() -> Problem:
+        return Problem(
+            409,
+            "answer-not-kept",
+            "the work ran; its answer was too large to keep, ask the service",
+            Outcome.RAN,
+        )
--- a/cornelnotch/routing/services.py
+++ b/cornelnotch/routing/services.py
@@ -1,7 +1,8 @@
 """Carry calls to plain services."""
 
 from cornelnotch.exceptions import UpstreamError, UpstreamUnreachableError
-from cornelnotch.routing.flow import FlowError, RequestFlow
+from cornelnotch.routing.flow import RequestFlow
+from cornelnotch.routing.parts import FlowError
 from cornelnotch.routing.permits import PermitReport
 from cornelnotch.routing.replies import Outcome, create_headers
 from cornelnotch.routing.upstreams import ServiceAnswer
