Send no victim away while something below it holds a slot

Cause: with three tiers a full queue sent the middle one away although the lowest held slots outside its floor, since only the newcomer could displace. Found by reading; the specification had two tiers and could not ask. It now has three (21,845 histories), failed first, and a mutant without the mend is caught.

--- a/cornelnotch/queueing/shard.py
+++ b/cornelnotch/queueing/shard.py
@@ -173,14 +173,13 @@
         return running + waiting
 
     def _make_room(self, item: Waiting, now: float) -> list[Effect]:
+        """Let the lowest-ranked request go: to a lower tier's slot, or away."""
         victim = self.discipline.choose_victim(item)
-        if victim is not item:
-            self.discipline.remove(victim.request_id)
-            return [self._refuse(victim, "queue-full", self._retry(victim, now))]
-        displacement = self._displace(item, now)
+        displacement = self._displace(victim, now)
         if displacement:
             return displacement
-        return [self._refuse(item, "queue-full", self._retry(item, now))]
+        self.discipline.remove(victim.request_id)
+        return [self._refuse(victim, "queue-full", self._retry(victim, now))]
 
     def cancel(self, request_id: str, now: float) -> list[Effect]:
         """Forget a request whose holder gave it up."""
--- a/cornelnotch/verification/__init__.py
+++ b/cornelnotch/verification/__init__.py
@@ -5,11 +5,16 @@
     ConfigurationMutant,
     create_configuration_protocol,
 )
-from cornelnotch.verification.order import OrderMutant, create_order_protocol
+from cornelnotch.verification.order import (
+    THREE_TIERS,
+    OrderMutant,
+    create_order_protocol,
+)
 
 __all__ = [
     "ClaimMutant",
     "ConfigurationMutant",
+    "THREE_TIERS",
     "OrderMutant",
     "create_claim_protocol",
     "create_configuration_protocol",
--- a/cornelnotch/verification/tests/test_models.py
+++ b/cornelnotch/verification/tests/test_models.py
@@ -4,6 +4,7 @@
 from minicheck import check_safety
 
 from cornelnotch.verification import (
+    THREE_TIERS,
     ClaimMutant,
     ConfigurationMutant,
     OrderMutant,
@@ -63,6 +64,16 @@
     prove(create_order_protocol(depth=6))
 
 
+def test_order_of_three_tiers_sheds_nothing_for_a_lower_tier():
+    prove(create_order_protocol(depth=7, events=THREE_TIERS))
+
+
+def test_a_victim_sent_away_before_a_lower_running_tier_is_caught():
+    mutant = OrderMutant.NO_VICTIM_RESCUE
+    protocol = create_order_protocol(mutant, depth=7, events=THREE_TIERS)
+    assert "not_shed_for_lower" in list_broken(protocol)
+
+
 @pytest.mark.parametrize(
     ("mutant", "broken"),
     [
