--- a/cornelnotch/load/caller.py
+++ b/cornelnotch/load/caller.py
@@ -165,12 +165,12 @@
         return result.outcome != "ran" or key is not None
 
     def _create_headers(
-        self, labels: str, key: str | None, attempt: int
+        self, labels: str, key: str | None, attempt: int, deadline_ms: float
     ) -> dict[str, str]:
         headers = {
             "cornelnotch-workspace": self.options.workspace,
             "cornelnotch-labels": labels,
-            "cornelnotch-deadline-ms": str(self.options.deadline_ms),
+            "cornelnotch-deadline-ms": str(max(int(deadline_ms), 1)),
             "cornelnotch-attempt": str(attempt),
             "content-type": "application/json",
         }
@@ -192,10 +192,14 @@
     ) -> CallResult:
         result = CallResult(address=address, attempts=attempt)
         result.outcomes = previous.outcomes
-        timeout_ms = self.options.deadline_ms + DEFAULT_RETRY_MS * 5
+        # A later attempt has only what is left of the caller's patience.
+        elapsed_ms = self._clock.read() - started_ms
+        left_ms = self.options.patience_ms - elapsed_ms
+        deadline_ms = min(self.options.deadline_ms, left_ms)
+        timeout_ms = deadline_ms + DEFAULT_RETRY_MS * 5
         try:
             async with asyncio.timeout(timeout_ms / 1000.0):
-                headers = self._create_headers(labels, key, attempt)
+                headers = self._create_headers(labels, key, attempt, deadline_ms)
                 answer = await self._client.request(
                     address, method, target, headers, body
                 )
--- a/cornelnotch/load/driver.py
+++ b/cornelnotch/load/driver.py
@@ -112,12 +112,12 @@
         calls = plan_calls(self._scenario)
         running = []
         announced = 0.0
-        for call in calls:
+        for index, call in enumerate(calls):
             await self._clock.sleep(begin + call.at_ms - self._clock.read())
             running.append(asyncio.create_task(self._make(call)))
             if call.at_ms - announced >= 5 * MS_PER_SECOND:
                 announced = call.at_ms
-                progress(f"{call.at_ms / MS_PER_SECOND:.0f} s: {call.number} calls")
+                progress(f"{call.at_ms / MS_PER_SECOND:.0f} s: {index} calls")
         await asyncio.gather(*running)
         for watcher in watchers:
             watcher.cancel()
