Name things by the field's terms

keeper -> claim writer, front door -> front end, rest -> ejection, hungry -> unserved, earn and spend -> deposit and withdraw, pump -> schedule, start_by and give_up -> target_start and deadline_start.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -145,7 +145,7 @@
 
         table = build()
         held = measure_kilobytes(build)
-        full = Ping(1, "host-000", 7, 3.0, table.take_news(), [])
+        full = Ping(1, "host-000", 7, 3.0, table.take_updates(), [])
         quiet = Ping(1, "host-000", 7, 3.0, members[:1], [])
         data = encode_message(full)
 
@@ -260,7 +260,7 @@
 
 def print_claims() -> None:
     """Print what keeping claims costs."""
-    print("claim keeper: claims held, KB of state, us to fold one, bytes in the log of")
+    print("claim writer: claims held, KB of state, us to fold one, bytes in the log of")
     print("one claim with its outcome")
     for count in (1000, 10_000, 50_000):
         operations = [
--- a/benchmarks/keying.py
+++ b/benchmarks/keying.py
@@ -3,7 +3,7 @@
 Run with ``python -m benchmarks.keying``. The idea of keying neighbouring stages
 by the same key, so that one instance serves them, is that of CBP (docs/design/
 keying.md cites it). Stages of a request: entry, limits and permit at the shard's
-dispatcher, and for a share of requests the claim at its stream's keeper.
+dispatcher, and for a share of requests the claim at its stream's writer.
 """
 
 import random
@@ -45,7 +45,7 @@
 
     entry: str
     dispatcher: str
-    keeper: str
+    writer: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,7 +143,7 @@
             messages += 4
             size += permit_bytes
         claimed = generator.random() < CLAIM_SHARE
-        if claimed and placement.keeper != placement.entry:
+        if claimed and placement.writer != placement.entry:
             messages += 4
             size += claim_bytes
         moved += placement != after[key]
--- a/cornelnotch/balancing/servers.py
+++ b/cornelnotch/balancing/servers.py
@@ -9,8 +9,8 @@
 MIN_PACE_SAMPLES = 3
 SLOW_RATIO = 2.0
 PROBE_PERIOD_MS = 3000.0
-REST_BASE_MS = 500.0
-REST_LIMIT_MS = 4000.0
+EJECTION_BASE_MS = 500.0
+EJECTION_LIMIT_MS = 4000.0
 AFFINITY_KEYS = 512
 LOAD_WINDOW_MS = 3000.0
 
@@ -46,7 +46,7 @@
     paused: int = 0
     external: int = 0
     failures: int = 0
-    rest_until_ms: float = 0.0
+    ejected_until_ms: float = 0.0
     probe_ms: float = 0.0
     slow: bool = False
     first_token: Pace = field(default_factory=Pace)
@@ -56,7 +56,7 @@
 
     def count_free(self, now: float) -> int:
         """Return the slots that a new request may take."""
-        if self.leaving or now < self.rest_until_ms:
+        if self.leaving or now < self.ejected_until_ms:
             return 0
         limit = self.slots
         if self.slow or self.failures:
@@ -66,11 +66,11 @@
 
     def fail(self, now: float) -> None:
         """Let the server rest, longer after each failure in a row."""
-        if now < self.rest_until_ms:
+        if now < self.ejected_until_ms:
             return
         self.failures += 1
-        rest = min(REST_BASE_MS * 2 ** (self.failures - 1), REST_LIMIT_MS)
-        self.rest_until_ms = now + rest
+        rest = min(EJECTION_BASE_MS * 2 ** (self.failures - 1), EJECTION_LIMIT_MS)
+        self.ejected_until_ms = now + rest
 
     def succeed(self) -> None:
         """Forget earlier failures."""
--- a/cornelnotch/claims/__init__.py
+++ b/cornelnotch/claims/__init__.py
@@ -1,7 +1,6 @@
 """Run work that may not repeat at most once, by claims in the log."""
 
 from cornelnotch.claims.client import ClaimClient, ClaimVerdict
-from cornelnotch.claims.keeper import ClaimKeeper
 from cornelnotch.claims.keys import KeyAge, judge_key_age
 from cornelnotch.claims.ledger import (
     ClaimLedger,
@@ -12,10 +11,11 @@
     encode_operation,
     encode_operations,
 )
+from cornelnotch.claims.writer import ClaimWriter
 
 __all__ = [
     "ClaimClient",
-    "ClaimKeeper",
+    "ClaimWriter",
     "ClaimLedger",
     "ClaimOperation",
     "ClaimVerdict",
--- a/cornelnotch/claims/client.py
+++ b/cornelnotch/claims/client.py
@@ -1,4 +1,4 @@
-"""Claim a key, release it and record its outcome through a stream's keeper."""
+"""Claim a key, release it and record its outcome through a stream's writer."""
 
 import asyncio
 from dataclasses import dataclass
@@ -25,7 +25,7 @@
 
 __all__ = ["ClaimClient", "ClaimVerdict"]
 
-KEEPER_TIMEOUT_MS = 1000.0
+WRITER_TIMEOUT_MS = 1000.0
 MAX_REFUSALS = 2
 PERSIST_PAUSE_MS = 500.0
 PERSIST_LIMIT_MS = 1_800_000.0
@@ -40,7 +40,7 @@
 
 
 class ClaimClient:
-    """Send claim operations to the usual keeper, or to the next when it is silent."""
+    """Send claim operations to the usual writer, or to the next when it is silent."""
 
     def __init__(
         self,
@@ -102,7 +102,7 @@
         try:
             limit = self._clock.read() + PERSIST_LIMIT_MS
             while self._clock.read() < limit:
-                verdict = await self._settle(operation, KEEPER_TIMEOUT_MS * 2)
+                verdict = await self._settle(operation, WRITER_TIMEOUT_MS * 2)
                 if verdict.state == "kept":
                     return
                 await self._clock.sleep(PERSIST_PAUSE_MS)
@@ -118,12 +118,12 @@
         hops = 0
         refusals = 0
         while (left_ms := limit - self._clock.read()) > 0:
-            ranking = self._fleet.rank_keepers(stream)
+            ranking = self._fleet.rank_writers(stream)
             if not ranking:
                 break
-            keeper = ranking[hops % len(ranking)]
-            wait_ms = min(left_ms, KEEPER_TIMEOUT_MS)
-            answer = await self._ask(keeper, stream, operation, wait_ms)
+            writer = ranking[hops % len(ranking)]
+            wait_ms = min(left_ms, WRITER_TIMEOUT_MS)
+            answer = await self._ask(writer, stream, operation, wait_ms)
             if answer is not None and answer.state != "unavailable":
                 return self._read_answer(answer)
             refusals += answer is not None
@@ -134,14 +134,14 @@
         return ClaimVerdict("unavailable")
 
     async def _ask(
-        self, keeper: str, stream: int, operation: ClaimOperation, wait_ms: float
+        self, writer: str, stream: int, operation: ClaimOperation, wait_ms: float
     ) -> ClaimAnswer | None:
         ask_id = create_identifier()
         future = asyncio.get_running_loop().create_future()
         self._pending[ask_id] = future
         body = encode_operation(operation)
         self._peers.send(
-            keeper, ClaimAsk(ask_id, self._fleet.name, stream, body, wait_ms)
+            writer, ClaimAsk(ask_id, self._fleet.name, stream, body, wait_ms)
         )
         try:
             async with asyncio.timeout(wait_ms / 1000.0):
--- a/cornelnotch/claims/keeper.py
+++ b/cornelnotch/claims/writer.py
@@ -22,7 +22,7 @@
 from cornelnotch.wire import PeerNetwork
 from cornelnotch.wire.messages import ClaimAnswer, ClaimAsk
 
-__all__ = ["ClaimKeeper"]
+__all__ = ["ClaimWriter"]
 
 DEFAULT_INTERVAL_MS = 20.0
 MS_PER_SECOND = 1000.0
@@ -32,7 +32,7 @@
 
 
 @dataclass(slots=True)
-class PendingAsk:
+class PendingOperation:
     """Hold an ask that waits for its verdict."""
 
     ask: ClaimAsk
@@ -41,7 +41,7 @@
     appended: bool = False
 
 
-class StreamKeeper:
+class ClaimStreamWriter:
     """Own the ledger of one claim stream and append to it one batch at a time."""
 
     def __init__(
@@ -54,7 +54,7 @@
         retention_ms: float,
     ) -> None:
         self.ledger = ClaimLedger()
-        self.queue: asyncio.Queue[PendingAsk] = asyncio.Queue()
+        self.queue: asyncio.Queue[PendingOperation] = asyncio.Queue()
         self.appends = 0
         self.interval_ms = DEFAULT_INTERVAL_MS
         self._name = f"claims-{stream}"
@@ -76,7 +76,7 @@
             spent = self._clock.read() - started
             await self._clock.sleep(self.interval_ms - spent)
 
-    async def _settle(self, batch: list[PendingAsk]) -> None:
+    async def _settle(self, batch: list[PendingOperation]) -> None:
         """Bring every ask of the batch to a verdict or to its timeout."""
         waiting = batch
         while waiting:
@@ -96,7 +96,7 @@
             if waiting:
                 await self._clock.sleep(SETTLE_PAUSE_MS)
 
-    def _expire(self, waiting: list[PendingAsk]) -> list[PendingAsk]:
+    def _expire(self, waiting: list[PendingOperation]) -> list[PendingOperation]:
         """Give up on asks that were never appended or whose time is up."""
         now = self._clock.read()
         hopeful = [p for p in waiting if p.appended and now < p.expires_ms]
@@ -111,7 +111,7 @@
         self.ledger = ClaimLedger()
         self._position = earliest
 
-    async def _append(self, waiting: list[PendingAsk]) -> None:
+    async def _append(self, waiting: list[PendingOperation]) -> None:
         needed = [p for p in waiting if self._is_needed(p.operation)]
         if not needed:
             return
@@ -151,7 +151,7 @@
         margin = self._retention_ms + EVICT_MARGIN_MS
         self.ledger.evict(self._clock.read_wall() - margin)
 
-    async def _answer(self, pending: PendingAsk) -> None:
+    async def _answer(self, pending: PendingOperation) -> None:
         operation = pending.operation
         claim = self.ledger.find(operation.key)
         if operation.kind in {OperationKind.RELEASE, OperationKind.OUTCOME}:
@@ -175,14 +175,18 @@
         return encode_operation(operations[place.index])
 
     def _send(
-        self, pending: PendingAsk, state: str, attempt: str = "", outcome: bytes = b""
+        self,
+        pending: PendingOperation,
+        state: str,
+        attempt: str = "",
+        outcome: bytes = b"",
     ) -> None:
         answer = ClaimAnswer(pending.ask.ask_id, state, attempt, outcome)
         self._peers.send(pending.ask.host, answer)
 
 
-class ClaimKeeper:
-    """Hand asks to the keeper of their stream."""
+class ClaimWriter:
+    """Hand asks to the writer of their stream."""
 
     def __init__(
         self,
@@ -193,7 +197,7 @@
         tasks: TaskGroup,
         retention_ms: float,
     ) -> None:
-        self.streams: dict[int, StreamKeeper] = {}
+        self.streams: dict[int, ClaimStreamWriter] = {}
         self.interval_ms = DEFAULT_INTERVAL_MS
         self._log = log
         self._clock = clock
@@ -217,14 +221,14 @@
             self._events.record(Event.PEER_MESSAGE_REFUSED, error=decoded.failure())
             return
         expires_ms = self._clock.read() + ask.timeout_ms
-        keeper = self._open(ask.stream)
-        keeper.interval_ms = self.interval_ms
-        keeper.queue.put_nowait(PendingAsk(ask, decoded.unwrap(), expires_ms))
-
-    def _open(self, stream: int) -> StreamKeeper:
-        keeper = self.streams.get(stream)
-        if keeper is None:
-            keeper = StreamKeeper(
+        writer = self._open(ask.stream)
+        writer.interval_ms = self.interval_ms
+        writer.queue.put_nowait(PendingOperation(ask, decoded.unwrap(), expires_ms))
+
+    def _open(self, stream: int) -> ClaimStreamWriter:
+        writer = self.streams.get(stream)
+        if writer is None:
+            writer = ClaimStreamWriter(
                 stream,
                 self._log,
                 self._clock,
@@ -232,6 +236,6 @@
                 self._peers,
                 self._retention_ms,
             )
-            self.streams[stream] = keeper
-            self._tasks.start(f"claims-{stream}", keeper.run())
-        return keeper
+            self.streams[stream] = writer
+            self._tasks.start(f"claims-{stream}", writer.run())
+        return writer
--- a/cornelnotch/membership/prober.py
+++ b/cornelnotch/membership/prober.py
@@ -20,7 +20,7 @@
 __all__ = ["Prober", "ProberTiming"]
 
 INDIRECT_HELPERS = 3
-GREET_DEAD_SHARE = 0.2
+PING_DEAD_SHARE = 0.2
 UNKNOWN_AGE_MS = 1e12
 NO_VERSION = -1
 SMALL_FLEET = 12
@@ -91,11 +91,11 @@
     async def run_probes(self) -> None:
         """Probe one host per period until cancelled."""
         while True:
-            self._greet_seeds()
+            self._ping_seeds()
             target = self.table.choose_probe(self._generator)
             if target is not None:
                 self._tasks.start(f"probe-{target}", self._probe(target))
-            self._greet_dead()
+            self._ping_dead()
             now = self._clock.read()
             dead = self.table.expire(
                 now, self._timing.suspicion_ms, self._timing.forget_ms
@@ -106,7 +106,7 @@
                 self._notify()
             await self._clock.sleep(self._timing.period_ms)
 
-    def _greet_seeds(self) -> None:
+    def _ping_seeds(self) -> None:
         """Introduce this host to its seeds while it knows nobody."""
         if len(self.table.members) > 1:
             return
@@ -115,9 +115,9 @@
             self._peers.set_address(name, address)
             self._peers.send(name, self._create_ping())
 
-    def _greet_dead(self) -> None:
+    def _ping_dead(self) -> None:
         """Ping a dead host now and then; after a cut both sides think so."""
-        if self._generator.random() >= GREET_DEAD_SHARE:
+        if self._generator.random() >= PING_DEAD_SHARE:
             return
         name = self.table.choose_dead(self._generator)
         if name is not None:
@@ -202,15 +202,15 @@
             self.version,
             self._read_shared_age(),
             self._take_members(target),
-            self.servers.take_news(),
+            self.servers.take_updates(),
         )
 
     def _take_members(self, receiver: str) -> list[MemberUpdate]:
         """Return this host's state, what the receiver may refute, and news."""
         own = self.table.own.create_update()
-        doubt = self.table.find_doubt(receiver)
+        doubt = self.table.find_suspicion(receiver)
         told = {own.host, receiver} if doubt else {own.host}
-        others = [u for u in self.table.take_news() if u.host not in told]
+        others = [u for u in self.table.take_updates() if u.host not in told]
         return [own, doubt, *others] if doubt else [own, *others]
 
     def _read_shared_age(self) -> float:
@@ -227,7 +227,7 @@
             self._shared_at_ms = self._clock.read()
 
     def _receive_ping(self, sender: str, ping: Ping) -> None:
-        self._take_news(ping.host, ping.version, ping.members, ping.servers)
+        self._take_updates(ping.host, ping.version, ping.members, ping.servers)
         self._note_log_age(ping.log_age_ms)
         ack = Ack(
             ping.sequence,
@@ -235,12 +235,12 @@
             self.version,
             self._read_shared_age(),
             self._take_members(ping.host),
-            self.servers.take_news(),
+            self.servers.take_updates(),
         )
         self._peers.send(ping.host, ack)
 
     def _receive_ack(self, sender: str, ack: Ack) -> None:
-        self._take_news(ack.host, ack.version, ack.members, ack.servers)
+        self._take_updates(ack.host, ack.version, ack.members, ack.servers)
         self._note_log_age(ack.log_age_ms)
         relayed = self._relayed.pop(ack.sequence, None)
         if relayed is not None:
@@ -258,7 +258,7 @@
         if len(self._relayed) > 256:
             self._relayed.pop(next(iter(self._relayed)))
 
-    def _take_news(
+    def _take_updates(
         self,
         host: str,
         version: int,
--- a/cornelnotch/membership/table.py
+++ b/cornelnotch/membership/table.py
@@ -14,7 +14,7 @@
 
 __all__ = ["Member", "MemberState", "MemberTable", "ServerTable"]
 
-NEWS_PER_MESSAGE = 6
+UPDATES_PER_MESSAGE = 6
 RETRANSMIT_FACTOR = 4
 
 
@@ -189,7 +189,7 @@
         dead = [m.name for m in self.members.values() if m.state is MemberState.DEAD]
         return generator.choice(dead) if dead else None
 
-    def find_doubt(self, name: str) -> MemberUpdate | None:
+    def find_suspicion(self, name: str) -> MemberUpdate | None:
         """Return what a host must hear to refute that it is suspected or dead."""
         member = self.members.get(name)
         if member is None:
@@ -206,11 +206,11 @@
         ]
         return generator.sample(names, min(count, len(names)))
 
-    def take_news(self) -> list[MemberUpdate]:
+    def take_updates(self) -> list[MemberUpdate]:
         """Return the freshest updates and count them as sent."""
         fresh = [m for m in self.members.values() if m.sends_left > 0]
         fresh.sort(key=lambda m: -m.sends_left)
-        chosen = fresh[:NEWS_PER_MESSAGE]
+        chosen = fresh[:UPDATES_PER_MESSAGE]
         for member in chosen:
             member.sends_left -= 1
         return [m.create_update() for m in chosen]
@@ -252,10 +252,10 @@
         """Return the servers that must get no new work."""
         return frozenset(u.server for u in self._updates.values() if u.state != "live")
 
-    def take_news(self) -> list[ServerUpdate]:
+    def take_updates(self) -> list[ServerUpdate]:
         """Return updates not yet passed on often enough."""
         names: Iterable[str] = [n for n, left in self._sends.items() if left > 0]
-        chosen = list(names)[:NEWS_PER_MESSAGE]
+        chosen = list(names)[:UPDATES_PER_MESSAGE]
         for name in chosen:
             self._sends[name] -= 1
         return [self._updates[name] for name in chosen]
--- a/cornelnotch/membership/tests/test_table.py
+++ b/cornelnotch/membership/tests/test_table.py
@@ -73,7 +73,7 @@
 def test_news_is_passed_on_a_bounded_number_of_times():
     table = create_table()
     rounds = 0
-    while table.take_news():
+    while table.take_updates():
         rounds += 1
         assert rounds < 50
 
--- a/cornelnotch/node/frontdoor.py
+++ b/cornelnotch/node/frontend.py
@@ -24,7 +24,7 @@
 from cornelnotch.web import Exchange
 from cornelnotch.wire import PeerNetwork
 
-__all__ = ["FrontDoor"]
+__all__ = ["Frontend"]
 
 SERVICE_PREFIX = "/v1/services/"
 EXPLAIN_PREFIX = "/v1/explain/"
@@ -35,7 +35,7 @@
 Handler = Callable[[Exchange], Awaitable[None]]
 
 
-class FrontDoor:
+class Frontend:
     """Route each exchange to its handler; every refusal is answered at once."""
 
     def __init__(
@@ -207,7 +207,7 @@
             await self._send_problem(exchange, problem, request.request_id)
             return
         flow = self._create_flow(exchange, request)
-        self._parts.budget.earn()
+        self._parts.budget.deposit()
         await flow.run()
 
     def _report_obstacle(self, obstacle: str, request: CallerRequest) -> Problem:
--- a/cornelnotch/node/node.py
+++ b/cornelnotch/node/node.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 
-from cornelnotch.claims import ClaimClient, ClaimKeeper
+from cornelnotch.claims import ClaimClient, ClaimWriter
 from cornelnotch.configuration.fold import ConfigurationState
 from cornelnotch.configuration.follower import ConfigurationFollower
 from cornelnotch.configuration.snapshots import SnapshotWriter
@@ -18,7 +18,7 @@
 )
 from cornelnotch.membership import MemberState, MemberTable, Prober, ServerTable
 from cornelnotch.membership.prober import ProberTiming
-from cornelnotch.node.frontdoor import FrontDoor
+from cornelnotch.node.frontend import Frontend
 from cornelnotch.node.status import StatusReader
 from cornelnotch.observation import DecisionLog, NodeMetrics
 from cornelnotch.routing.budget import RetryBudget
@@ -116,7 +116,7 @@
         self.metrics = NodeMetrics(self.settings.node.name, self.clock)
         self.dispatcher = Dispatcher(self.fleet, self.peers, self.clock, self.events)
         self.permits = PermitClient(self.fleet, self.peers, self.clock)
-        self.keeper = ClaimKeeper(
+        self.writer = ClaimWriter(
             log,
             self.clock,
             self.events,
@@ -147,7 +147,7 @@
             self.clock,
             self.events,
         )
-        self.front = FrontDoor(
+        self.front = Frontend(
             self.settings,
             parts,
             self.status,
@@ -211,7 +211,7 @@
     def _apply_configuration(self, state: ConfigurationState) -> None:
         first = self.prober.version < 0
         self.prober.version = state.version
-        self.keeper.apply_settings(state.configuration.claims)
+        self.writer.apply_settings(state.configuration.claims)
         self.fleet.apply_configuration(state)
         if first and not self._draining:
             self.prober.share_state(MemberState.ALIVE)
--- a/cornelnotch/queueing/descriptions.py
+++ b/cornelnotch/queueing/descriptions.py
@@ -13,8 +13,8 @@
 def _describe_server(server: ServerState, now: float) -> str:
     if server.leaving:
         return "leaving"
-    if now < server.rest_until_ms:
-        return f"rests {server.rest_until_ms - now:.0f} ms after a failure"
+    if now < server.ejected_until_ms:
+        return f"rests {server.ejected_until_ms - now:.0f} ms after a failure"
     health = "slow, " if server.slow else ""
     health += "recovering, " if server.failures else ""
     free = server.count_free(now)
--- a/cornelnotch/queueing/displacement.py
+++ b/cornelnotch/queueing/displacement.py
@@ -12,7 +12,7 @@
     """Tell whether an urgent request would be served well by `server`."""
     if server is None or server.leaving or server.slow:
         return False
-    return now >= server.rest_until_ms
+    return now >= server.ejected_until_ms
 
 
 def choose_displaced(
--- a/cornelnotch/queueing/fifo.py
+++ b/cornelnotch/queueing/fifo.py
@@ -33,7 +33,7 @@
 
     def expire(self, now: float) -> list[Waiting]:
         """Take out the requests whose deadline has passed."""
-        expired = [i for i in self._items.values() if i.give_up_ms < now]
+        expired = [i for i in self._items.values() if i.deadline_start_ms < now]
         for item in expired:
             del self._items[item.request_id]
         return expired
--- a/cornelnotch/queueing/models.py
+++ b/cornelnotch/queueing/models.py
@@ -67,8 +67,8 @@
 class Waiting:
     """Hold a request that waits.
 
-    It misses its target if it starts after `start_by_ms`, and its deadline if
-    it starts after `give_up_ms`.
+    It misses its target if it starts after `target_start_ms`, and its deadline if
+    it starts after `deadline_start_ms`.
     """
 
     request_id: str
@@ -78,8 +78,8 @@
     workspace: str
     affinity: str
     arrived_ms: float
-    start_by_ms: float
-    give_up_ms: float
+    target_start_ms: float
+    deadline_start_ms: float
     order: int
     excluded: frozenset[str] = frozenset()
     late: bool = False
--- a/cornelnotch/queueing/shard.py
+++ b/cornelnotch/queueing/shard.py
@@ -104,13 +104,13 @@
             return [refusal]
         effects: list[Effect] = []
         if self._is_full_for(item):
-            effects += self.pump(now)
+            effects += self.schedule(now)
         if self._is_full_for(item):
             effects += self._make_room(item, now)
             if any(e.request_id == item.request_id for e in effects):
                 return effects
         self.discipline.add(item, now)
-        return effects + self.pump(now)
+        return effects + self.schedule(now)
 
     def _is_full_for(self, item: Waiting) -> bool:
         full = self.discipline.size() >= self.count_queue_places()
@@ -121,7 +121,7 @@
         rule = self.rule.classes.get(ask.class_name)
         whole = self.whole.find(ask.class_name, ask.workspace)
         first = self.first_token.find(ask.class_name, ask.workspace)
-        give_up = self._compute_give_up(now, now + ask.deadline_in_ms, whole)
+        give_up = self._compute_deadline_start(now, now + ask.deadline_in_ms, whole)
         start_by = give_up
         if rule is not None and rule.whole_ms is not None:
             start_by = min(start_by, arrived + rule.whole_ms - whole.mean)
@@ -143,7 +143,9 @@
         )
 
     @staticmethod
-    def _compute_give_up(now: float, deadline_ms: float, whole: Estimate) -> float:
+    def _compute_deadline_start(
+        now: float, deadline_ms: float, whole: Estimate
+    ) -> float:
         """Return the last moment at which a start is worth the engine's time.
 
         A request whose deadline is tight from the outset is given the benefit of
@@ -157,7 +159,7 @@
             return self._refuse(item, "configuration-behind", MIN_RETRY_MS)
         if not any(not s.leaving for s in self.servers.values()):
             return self._refuse(item, "no-server", MAX_RETRY_MS / 30)
-        if item.give_up_ms < now:
+        if item.deadline_start_ms < now:
             return self._refuse(item, "deadline", self.estimate_retry(item.tier, now))
         retry_ms = self._limiter.check(item.workspace, self.count_workspace, now)
         if retry_ms is not None:
@@ -186,7 +188,7 @@
         self.discipline.remove(request_id)
         if request_id in self.running:
             self._release(request_id, now)
-        return self.pump(now)
+        return self.schedule(now)
 
     def note_first_token(
         self, request_id: str, elapsed_ms: float, now: float
@@ -212,7 +214,7 @@
         if server is not None:
             self._learn(server, running, finish, now)
         self._release(finish.request_id, now)
-        return self.pump(now)
+        return self.schedule(now)
 
     def _learn(
         self, server: ServerState, running: Running, finish: PermitFinish, now: float
@@ -257,7 +259,7 @@
                 ),
                 now,
             )
-        return self.pump(now)
+        return self.schedule(now)
 
     def drop_holder(self, holder: str, now: float) -> list[Effect]:
         """Free every place of a host that is gone."""
@@ -267,7 +269,7 @@
         for item in list(self.discipline.list_waiting()):
             if item.holder == holder:
                 self.discipline.remove(item.request_id)
-        return self.pump(now)
+        return self.schedule(now)
 
     def take_report(self, server: str, reported: int, now: float) -> list[Effect]:
         """Correct a server's load by its own lagging report."""
@@ -275,12 +277,12 @@
         if state is None:
             return []
         state.take_report(reported, now)
-        return self.pump(now)
+        return self.schedule(now)
 
-    def pump(self, now: float) -> list[Effect]:
+    def schedule(self, now: float) -> list[Effect]:
         """Refuse what came too late and fill every free place."""
         effects: list[Effect] = []
-        effects += self._rescue(now)
+        effects += self._displace_for_urgent(now)
         for item in self.discipline.expire(now):
             effects.append(self._refuse(item, "deadline", self._retry(item, now)))
         while True:
@@ -298,7 +300,7 @@
             if server is None or pick is None:
                 break
             effects.append(self._grant(pick.item, server, pick.reason, now))
-        effects += self._rescue(now)
+        effects += self._displace_for_urgent(now)
         return effects
 
     def _choose_server(self, pick: Pick, now: float) -> ServerState | None:
@@ -306,7 +308,7 @@
         servers = [s for s in self.servers.values() if not (pick.by_floor and s.slow)]
         return self._balancer.choose(servers, pick.item, now)
 
-    def _rescue(self, now: float) -> list[Effect]:
+    def _displace_for_urgent(self, now: float) -> list[Effect]:
         """Displace lower tiers for requests that cannot wait any longer."""
         effects: list[Effect] = []
         if not self.rule.preemptible:
@@ -315,7 +317,7 @@
         while progress:
             progress = False
             for item in self.discipline.list_urgent(now, DISPLACE_MARGIN_MS):
-                if item.give_up_ms < now:
+                if item.deadline_start_ms < now:
                     continue
                 displacement = self._displace(item, now)
                 if displacement:
--- a/cornelnotch/queueing/tests/test_shard.py
+++ b/cornelnotch/queueing/tests/test_shard.py
@@ -80,7 +80,7 @@
     ask(shard, "low", 0, 0.0)
     ask(shard, "low", 1, 0.0)
     ask(shard, "high", 2, 10.0)
-    effects = shard.pump(480.0)
+    effects = shard.schedule(480.0)
     assert [e for e in effects if isinstance(e, Pause)] == [
         Pause("low-1", "host", True)
     ]
@@ -94,7 +94,7 @@
     ask(shard, "low", 0, 0.0)
     ask(shard, "low", 1, 0.0)
     ask(shard, "high", 2, 10.0)
-    shard.pump(480.0)
+    shard.schedule(480.0)
     shard.take_report("e0", 3, 4000.0)
     assert shard.servers["e0"].external == 0
 
@@ -103,7 +103,7 @@
     shard = create_shard(create_rule(slots=1))
     ask(shard, "low", 0, 0.0)
     ask(shard, "high", 1, 0.0)
-    assert shard.pump(495.0) == []
+    assert shard.schedule(495.0) == []
 
 
 def test_a_full_queue_drops_the_newest_of_the_lowest_tier():
--- a/cornelnotch/queueing/tiered.py
+++ b/cornelnotch/queueing/tiered.py
@@ -1,19 +1,18 @@
 """Serve strict tiers with floors, by deadline within a tier.
 
-When a place is free it goes, first, to a
-class that holds fewer places than its floor and has been given none for its
-longest wait, the most overdue first; second, to a waiting class that holds fewer
-places than its floor, provided the head of every higher tier would still keep its
-target, or once that is missed its deadline, after waiting for one more place;
-third, to the highest tier that waits, and within it to the request with the
-earliest latest-start among those that can still meet their target, and only when
+When a place is free it goes, first, to a class that holds fewer places than its floor
+and has been given none for its longest wait, the most overdue first; second, to a
+waiting class that holds fewer places than its floor, provided the head of every higher
+tier would still keep its target, or once that is missed its deadline, after waiting for
+one more place; third, to the highest tier that waits, and within it to the request with
+the earliest latest-start among those that can still meet their target, and only when
 there is none to the one with the earliest deadline. A displaced request counts as
 waiting for its own server and goes before the waiting requests of its tier. A class
-that waits in fewer queue places than its floor is always let in. Otherwise, when
-the queue is full, the lowest tier that holds more queue places than its floor
-leaves first, late requests before timely ones and the newest first; the newcomer
-itself is refused only when no waiting request ranks below it and no running
-request of a lower tier outside its floor can be displaced.
+that waits in fewer queue places than its floor is always let in. Otherwise, when the
+queue is full, the lowest tier that holds more queue places than its floor leaves first,
+late requests before timely ones and the newest first; the newcomer itself is refused
+only when no waiting request ranks below it and no running request of a lower tier
+outside its floor can be displaced.
 """
 
 from collections.abc import Iterable
@@ -29,24 +28,24 @@
 
 
 def _rank_timely(item: Waiting) -> tuple[float, int]:
-    return (item.start_by_ms, item.order)
+    return (item.target_start_ms, item.order)
 
 
 def _rank_late(item: Waiting) -> tuple[float, int]:
-    return (item.give_up_ms, item.order)
+    return (item.deadline_start_ms, item.order)
 
 
 @dataclass(slots=True)
 class ClassQueue:
     """Hold the waiting requests of one class.
 
-    `hungry_since_ms` is when the class last got a place or began to wait.
+    `unserved_since_ms` is when the class last got a place or began to wait.
     """
 
     rule: ClassRule
     timely: SortedList = field(default_factory=lambda: SortedList(key=_rank_timely))
     late: SortedList = field(default_factory=lambda: SortedList(key=_rank_late))
-    hungry_since_ms: float = 0.0
+    unserved_since_ms: float = 0.0
 
     def __len__(self) -> int:
         return len(self.timely) + len(self.late)
@@ -64,7 +63,7 @@
 
     def shift_late(self, now: float) -> None:
         """Move requests that can no longer meet their target."""
-        while self.timely and self.timely[0].start_by_ms < now:
+        while self.timely and self.timely[0].target_start_ms < now:
             item = self.timely.pop(0)
             item.late = True
             self.late.add(item)
@@ -101,8 +100,8 @@
             queue = ClassQueue(self._rules[item.class_name])
             self._queues[key] = queue
         if not queue:
-            queue.hungry_since_ms = now
-        item.late = item.start_by_ms < now
+            queue.unserved_since_ms = now
+        item.late = item.target_start_ms < now
         (queue.late if item.late else queue.timely).add(item)
         self._items[item.request_id] = item
 
@@ -124,7 +123,7 @@
         expired = []
         for queue in self._queues.values():
             queue.shift_late(now)
-            while queue.late and queue.late[0].give_up_ms < now:
+            while queue.late and queue.late[0].deadline_start_ms < now:
                 expired.append(queue.late[0])
                 self.remove(queue.late[0].request_id)
         return expired
@@ -190,7 +189,7 @@
         """Restart the longest wait of a class."""
         for key, queue in self._queues.items():
             if key[0] == class_name:
-                queue.hungry_since_ms = now
+                queue.unserved_since_ms = now
 
     def get_floor_places(self, class_name: str) -> int:
         """Return the slots kept for a class: at least one of a shard."""
@@ -222,10 +221,10 @@
 
     def _choose_overdue(self, now: float, running: dict[str, int]) -> Waiting | None:
         overdue = [
-            (now - q.hungry_since_ms - q.rule.longest_wait_ms, q)
+            (now - q.unserved_since_ms - q.rule.longest_wait_ms, q)
             for q in self._queues.values()
             if q
-            and now - q.hungry_since_ms >= q.rule.longest_wait_ms
+            and now - q.unserved_since_ms >= q.rule.longest_wait_ms
             and self._is_below_floor(q.rule.name, running)
         ]
         if not overdue:
@@ -272,4 +271,4 @@
 
 def _get_limit(item: Waiting) -> float:
     """Return the moment by which a request must start to keep its promise."""
-    return item.give_up_ms if item.late else item.start_by_ms
+    return item.deadline_start_ms if item.late else item.target_start_ms
--- a/cornelnotch/routing/budget.py
+++ b/cornelnotch/routing/budget.py
@@ -13,11 +13,11 @@
     def __init__(self) -> None:
         self._tokens = MIN_TOKENS
 
-    def earn(self) -> None:
+    def deposit(self) -> None:
         """Count one first attempt."""
         self._tokens = min(self._tokens + RETRY_SHARE, MAX_TOKENS)
 
-    def spend(self) -> bool:
+    def withdraw(self) -> bool:
         """Take one retry; tell whether the budget allows it."""
         if self._tokens < 1.0:
             return False
--- a/cornelnotch/routing/dispatcher.py
+++ b/cornelnotch/routing/dispatcher.py
@@ -154,7 +154,7 @@
         elif isinstance(message, Tick):
             for shard in self.shards.values():
                 if shard.discipline.size():
-                    self._perform(shard, shard.pump(self._clock.read()))
+                    self._perform(shard, shard.schedule(self._clock.read()))
         else:
             self._handle_report(message)
 
@@ -250,7 +250,7 @@
                 if not shard.running:
                     del self.shards[name]
                     continue
-            self._perform(shard, shard.pump(now))
+            self._perform(shard, shard.schedule(now))
 
     def _drop_dead_holders(self, shard: Shard, now: float) -> None:
         known = {m.name for m in self._fleet.list_known()}
--- a/cornelnotch/routing/engines.py
+++ b/cornelnotch/routing/engines.py
@@ -112,7 +112,7 @@
             return error
         finally:
             report = progress.create_report(outcome, self.parts.clock.read())
-            self.give_back(grant, report)
+            self.release(grant, report)
 
     async def _stream_within(self, grant: PermitGrant, progress: Progress) -> None:
         try:
--- a/cornelnotch/routing/fleet.py
+++ b/cornelnotch/routing/fleet.py
@@ -9,7 +9,7 @@
     plan_shards,
 )
 from cornelnotch.membership import Member, MemberState, MemberTable, ServerTable
-from cornelnotch.routing.ownership import rank_dispatchers, rank_keepers
+from cornelnotch.routing.ownership import rank_dispatchers, rank_writers
 
 __all__ = ["FleetView"]
 
@@ -76,11 +76,11 @@
             self._rankings[shard] = ranking
         return ranking
 
-    def rank_keepers(self, stream: int) -> list[str]:
+    def rank_writers(self, stream: int) -> list[str]:
         """Return hosts in the order in which they keep a claim stream."""
         key = f"claims/{stream}"
         ranking = self._rankings.get(key)
         if ranking is None:
-            ranking = rank_keepers(stream, self.list_live())
+            ranking = rank_writers(stream, self.list_live())
             self._rankings[key] = ranking
         return ranking
--- a/cornelnotch/routing/flow.py
+++ b/cornelnotch/routing/flow.py
@@ -174,7 +174,7 @@
         unsent = isinstance(error, UpstreamUnreachableError)
         if self.once and not unsent:
             return False
-        if self.read_left() <= 0 or not self.parts.budget.spend():
+        if self.read_left() <= 0 or not self.parts.budget.withdraw():
             self.trace.note("no-retry", left_ms=round(self.read_left(), 1))
             return False
         self.parts.metrics.count_retry(error.kind)
@@ -191,9 +191,9 @@
             FAILED_RETRY_MS,
         )
 
-    def give_back(self, grant: PermitGrant, report: PermitReport) -> None:
+    def release(self, grant: PermitGrant, report: PermitReport) -> None:
         """Return the permit of a dispatch that ended."""
-        self.parts.permits.give_back(grant, report)
+        self.parts.permits.release(grant, report)
 
     async def _refuse(self, problem: Problem) -> None:
         self.trace.note(
--- a/cornelnotch/routing/ownership.py
+++ b/cornelnotch/routing/ownership.py
@@ -6,7 +6,7 @@
 from cornelnotch.kernel import rank_owners
 from cornelnotch.membership import Member
 
-__all__ = ["rank_dispatchers", "rank_keepers"]
+__all__ = ["rank_dispatchers", "rank_writers"]
 
 
 def rank_dispatchers(
@@ -25,6 +25,6 @@
     return rank_owners(plan.name, near) + rank_owners(plan.name, far)
 
 
-def rank_keepers(stream: int, members: Iterable[Member]) -> list[str]:
+def rank_writers(stream: int, members: Iterable[Member]) -> list[str]:
     """Return hosts in the order in which they keep a claim stream."""
     return rank_owners(f"claims/{stream}", [member.name for member in members])
--- a/cornelnotch/routing/permits.py
+++ b/cornelnotch/routing/permits.py
@@ -233,7 +233,7 @@
         message = PermitFirstToken(grant.request_id, grant.shard, elapsed_ms)
         self._peers.send(grant.dispatcher, message)
 
-    def give_back(self, grant: PermitGrant, report: PermitReport) -> None:
+    def release(self, grant: PermitGrant, report: PermitReport) -> None:
         """Return a permit with what was seen."""
         self._held.pop(grant.request_id, None)
         finish = PermitFinish(
--- a/cornelnotch/routing/services.py
+++ b/cornelnotch/routing/services.py
@@ -53,7 +53,7 @@
             return error
         finally:
             report = PermitReport(outcome, clock.read() - started_ms)
-            self.give_back(grant, report)
+            self.release(grant, report)
 
     def _create_target(self) -> str:
         """Return the path that the service knows."""
--- a/cornelnotch/routing/tests/test_intake.py
+++ b/cornelnotch/routing/tests/test_intake.py
@@ -98,6 +98,6 @@
     budget = RetryBudget()
     spent = 0
     for _ in range(1000):
-        budget.earn()
-        spent += budget.spend()
+        budget.deposit()
+        spent += budget.withdraw()
     assert spent <= 0.2 * 1000 + 5
--- a/cornelnotch/testing/shardmodel.py
+++ b/cornelnotch/testing/shardmodel.py
@@ -240,7 +240,7 @@
             for stream in list(self._streams.values()):
                 self._advance(stream, now)
             if now % TICK_MS < STEP_MS:
-                self._perform(self.shard.pump(now), now)
+                self._perform(self.shard.schedule(now), now)
         return self._result
 
     def _ask(self, arrival: Arrival, now: float) -> None:
--- a/cornelnotch/verification/order.py
+++ b/cornelnotch/verification/order.py
@@ -222,7 +222,7 @@
         """Let a long time pass in ticks."""
         for _ in range(int(LONG_MS / TICK_MS)):
             replay.now += TICK_MS
-            self._take(replay, replay.shard.pump(replay.now))
+            self._take(replay, replay.shard.schedule(replay.now))
 
     def _take(self, replay: Replay, effects: list[Effect]) -> None:
         granted = [e for e in effects if isinstance(e, Grant)]
--- a/cornelnotch/web/client.py
+++ b/cornelnotch/web/client.py
@@ -125,7 +125,7 @@
             if data:
                 yield data
         self.complete = True
-        self.client.give_back(self.address, self.connection)
+        self.client.release(self.address, self.connection)
 
     async def read(self, limit_bytes: int = MAX_ANSWER_BYTES) -> bytes:
         """Return the whole body."""
@@ -228,7 +228,7 @@
                 "try again later",
             ) from error
 
-    def give_back(self, address: str, connection: ClientConnection) -> None:
+    def release(self, address: str, connection: ClientConnection) -> None:
         """Keep a clean connection for the next request to `address`."""
         idle = self._idle.setdefault(address, [])
         if not connection.is_reusable() or len(idle) >= MAX_IDLE_PER_ADDRESS:
--- a/cornelnotch/wire/messages.py
+++ b/cornelnotch/wire/messages.py
@@ -247,7 +247,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimAsk:
-    """Ask the keeper of a claim stream to append one operation and judge it."""
+    """Ask the writer of a claim stream to append one operation and judge it."""
 
     ask_id: str
     host: str
--- a/examples/queue.py
+++ b/examples/queue.py
@@ -34,4 +34,4 @@
 ask("draft", 1, 0.0)
 ask("quote", 2, 10.0)
 for moment in (100.0, 200.0):
-    print(f"{moment:5.0f} ms", shard.pump(moment))
+    print(f"{moment:5.0f} ms", shard.schedule(moment))
