Let the second host in rank read each claim stream; drive the load tool in a test

Cause: a new claim writer reads its whole stream before it can judge, about a second at today's size and tens at two years'. The second in rank now reads every 2 s. The writer is tested against a log that loses answers, is down or trimmed.

--- /dev/null
+++ b/cornelnotch/claims/tests/test_writer.py
@@ -0,0 +1,164 @@
+"""Drive the claim writer against a small log that loses, delays and trims."""
+
+import asyncio
+from typing import Any
+
+from cornelnotch.claims import (
+    ClaimOperation,
+    ClaimWriter,
+    OperationKind,
+    encode_operation,
+    encode_operations,
+)
+from cornelnotch.exceptions import LogTrimmedError, LogUnavailableError
+from cornelnotch.kernel import SystemClock, TaskGroup, create_event_log
+from cornelnotch.logservice import LogPage, LogRecord, LogService
+from cornelnotch.wire.messages import ClaimAsk
+
+WAIT_S = 3.0
+
+
+class SmallLog(LogService):
+    """Keep records in memory and misbehave as told."""
+
+    def __init__(self):
+        self.bodies = []
+        self.earliest = 0
+        self.lose_answers = 0
+        self.down = False
+        self.appends = 0
+
+    async def append(self, stream, body):
+        if self.down:
+            raise LogUnavailableError("down", "wait")
+        self.appends += 1
+        self.bodies.append(body)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise LogUnavailableError("lost", "read")
+        return len(self.bodies) - 1
+
+    async def read(self, stream, offset, wait_ms=0.0):
+        if self.down:
+            raise LogUnavailableError("down", "wait")
+        if offset < self.earliest:
+            raise LogTrimmedError(self.earliest)
+        now = SystemClock().read_wall()
+        records = [
+            LogRecord(number, now, body)
+            for number, body in enumerate(self.bodies)
+            if number >= offset
+        ]
+        return LogPage(records, self.earliest, len(self.bodies))
+
+
+class SmallPeers:
+    """Collect what the writer sends."""
+
+    name = "h"
+
+    def __init__(self):
+        self.receivers = {}
+        self.answers: asyncio.Queue[Any] = asyncio.Queue()
+
+    def subscribe(self, kind, receiver):
+        self.receivers[kind] = receiver
+
+    def send(self, host, message):
+        self.answers.put_nowait(message)
+
+    async def ask(self, operation, timeout_ms=1000.0):
+        ask = ClaimAsk("ask", "h", 0, encode_operation(operation), timeout_ms)
+        self.receivers[ClaimAsk]("h", ask)
+        return await asyncio.wait_for(self.answers.get(), WAIT_S)
+
+
+def claim(key, attempt):
+    return ClaimOperation(OperationKind.CLAIM, key, attempt, "f")
+
+
+def run(scenario):
+    async def prepare():
+        log = SmallLog()
+        peers: Any = SmallPeers()
+        events = create_event_log("test")
+        tasks = TaskGroup(events)
+        clock = SystemClock()
+        writer = ClaimWriter(log, clock, events, peers, tasks, 3_600_000.0)
+        try:
+            await scenario(log, peers, writer)
+        finally:
+            await tasks.stop()
+
+    asyncio.run(prepare())
+
+
+def test_the_first_claim_wins_and_the_second_needs_no_append():
+    async def scenario(log, peers, writer):
+        assert (await peers.ask(claim("k", "a"))).state == "won"
+        assert (await peers.ask(claim("k", "b"))).state == "lost"
+        assert log.appends == 1
+
+    run(scenario)
+
+
+def test_a_lost_append_answer_is_settled_by_reading():
+    async def scenario(log, peers, writer):
+        log.lose_answers = 1
+        assert (await peers.ask(claim("k", "a"))).state == "won"
+        assert log.appends == 1
+
+    run(scenario)
+
+
+def test_a_claim_that_landed_before_this_writer_looked_wins():
+    async def scenario(log, peers, writer):
+        log.bodies.append(encode_operations([claim("k", "other")]))
+        assert (await peers.ask(claim("k", "a"))).state == "lost"
+
+    run(scenario)
+
+
+def test_a_log_that_is_down_is_told_at_once():
+    async def scenario(log, peers, writer):
+        log.down = True
+        started = SystemClock().read()
+        assert (await peers.ask(claim("k", "a"), 60_000.0)).state == "unavailable"
+        assert SystemClock().read() - started < 1000.0
+
+    run(scenario)
+
+
+def test_an_answer_is_read_from_the_log_for_a_repeat():
+    async def scenario(log, peers, writer):
+        await peers.ask(claim("k", "a"))
+        outcome = ClaimOperation(
+            OperationKind.OUTCOME, "k", "a", "", 200, "text/plain", b"booked"
+        )
+        assert (await peers.ask(outcome)).state == "kept"
+        answer = await peers.ask(claim("k", "b"))
+        assert answer.state == "answered"
+        assert b"Ym9va2Vk" in answer.outcome
+
+    run(scenario)
+
+
+def test_a_trimmed_stream_is_read_again_from_its_start():
+    async def scenario(log, peers, writer):
+        await peers.ask(claim("k", "a"))
+        log.earliest = 1
+        writer.streams[0]._position = 0
+        assert (await peers.ask(claim("l", "b"))).state == "won"
+
+    run(scenario)
+
+
+def test_a_standby_has_read_its_stream_before_it_is_asked():
+    async def scenario(log, peers, writer):
+        log.bodies.append(encode_operations([claim("k", "other")]))
+        writer.refresh([0])
+        await asyncio.wait_for(peers.answers.get(), WAIT_S)
+        assert writer.streams[0].ledger.find("k") is not None
+        assert log.appends == 0
+
+    run(scenario)
--- a/cornelnotch/claims/writer.py
+++ b/cornelnotch/claims/writer.py
@@ -29,6 +29,7 @@
 MAX_BATCH = 256
 SETTLE_PAUSE_MS = 100.0
 EVICT_MARGIN_MS = 60_000.0
+REFRESH_TIMEOUT_MS = 2000.0
 
 
 @dataclass(slots=True)
@@ -207,6 +208,15 @@
         self._retention_ms = retention_ms
         peers.subscribe(ClaimAsk, self._receive)
 
+    def refresh(self, streams: list[int]) -> None:
+        """Read streams to their end, so that this host can take them over at once."""
+        expires_ms = self._clock.read() + REFRESH_TIMEOUT_MS
+        operation = ClaimOperation(OperationKind.LOOKUP, "", "")
+        for stream in streams:
+            ask = ClaimAsk("", self._peers.name, stream, b"", REFRESH_TIMEOUT_MS)
+            pending = PendingOperation(ask, operation, expires_ms)
+            self._open(stream).queue.put_nowait(pending)
+
     def apply_settings(self, claims: ClaimSettings) -> None:
         """Share the log's budget of appends among the streams."""
         self.interval_ms = claims.streams * MS_PER_SECOND / claims.appends_per_second
--- a/cornelnotch/commands/tests/test_program.py
+++ b/cornelnotch/commands/tests/test_program.py
@@ -107,9 +107,60 @@
     burn = await asyncio.to_thread(run_command, "burn", *platform, "--format", "json")
     assert '"class_name": "quote"' in burn.stdout
     assert burn.returncode == 0
+    await run_experiments(fleet, folder, platform)
     gone = fleet.hosts["host-1"]
     gone.process.kill()
     await gone.process.wait()
     partial = await asyncio.to_thread(run_command, "burn", *platform)
     assert partial.returncode == 1
     assert "did not answer" in partial.stdout
+
+
+SCENARIO = """
+[general]
+name = small
+duration_s = 2
+[class quote]
+labels = kind=quote
+rate = 10
+tokens = 5
+first_token_ms = 460
+[class booking]
+labels = kind=booking
+kind = once
+service = counter-desk
+path = /book
+rate = 10
+[fault slow]
+at_s = 1
+target = engine-0
+set = slowdown=2
+"""
+
+
+async def run_experiments(fleet, folder, platform):
+    """Drive the fleet by a scenario and compare the run with itself."""
+    scenario = folder / "small.ini"
+    scenario.write_text(SCENARIO)
+    names = {name: server.http for name, server in fleet.servers.items()}
+    done = await asyncio.to_thread(
+        run_command,
+        "load",
+        str(scenario),
+        *platform,
+        "--engine",
+        f"engine-0={names['engine-0']}",
+        "--service",
+        f"desk-0={names['desk-0']}",
+        "--output",
+        str(folder / "run.json"),
+        "--page",
+        str(folder / "run.html"),
+    )
+    assert done.returncode == 0, done.stdout + done.stderr
+    assert "doubled 0, lost 0" in done.stdout
+    assert "<svg" in (folder / "run.html").read_text()
+    compared = await asyncio.to_thread(
+        run_command, "compare", str(folder / "run.json"), str(folder / "run.json")
+    )
+    assert compared.stdout.count("small, seed 1") == 2
--- a/cornelnotch/node/node.py
+++ b/cornelnotch/node/node.py
@@ -43,6 +43,8 @@
 DRAIN_CHECK_MS = 50.0
 HANDOVER_MS = 1000.0
 FETCH_INTERVAL_MS = 200.0
+STANDBY_PERIOD_MS = 2000.0
+STANDBY_RANKS = 2
 
 
 class Node:
@@ -170,6 +172,7 @@
         self.tasks.start("dispatcher", self.dispatcher.run())
         self.tasks.start("ticks", self.dispatcher.run_ticks())
         self.tasks.start("load-reports", self.dispatcher.run_load_reports())
+        self.tasks.start("standby", self._run_standby())
         self.tasks.start("held-permits", self.permits.run_held_reports())
         self.events.record(Event.NODE_STARTED, http=self.settings.node.http)
 
@@ -208,6 +211,20 @@
             return True
         return any(shard.running for shard in self.dispatcher.shards.values())
 
+    async def _run_standby(self) -> None:
+        """Keep the claim streams read that this host writes or would take over."""
+        while True:
+            await self.clock.sleep(STANDBY_PERIOD_MS)
+            if self.fleet.configuration.version < 0:
+                continue
+            count = self.fleet.configuration.claims.streams
+            mine = [
+                stream
+                for stream in range(count)
+                if self.fleet.name in self.fleet.rank_writers(stream)[:STANDBY_RANKS]
+            ]
+            self.writer.refresh(mine)
+
     def _apply_configuration(self, state: ConfigurationState) -> None:
         first = self.prober.version < 0
         self.prober.version = state.version
--- a/cornelnotch/wire/peers.py
+++ b/cornelnotch/wire/peers.py
@@ -106,6 +106,11 @@
         self._server: asyncio.Server | None = None
         self._incoming: set[asyncio.Task[None]] = set()
 
+    @property
+    def name(self) -> str:
+        """Return this host's name."""
+        return self.hello.host
+
     async def start(self, address: str, port: int) -> None:
         """Listen for other hosts; port 0 picks a free one."""
         self._server = await asyncio.start_server(
