Validate the platform's and servers' answers; keep tasks that fail running

Found by reading: a malformed load report or host list ended the task that read it for good. Answers are validated at the border, and the node's own tasks start again a second after a failure. An address in use ends with code 2 and a remedy.

--- a/cornelnotch/claims/writer.py
+++ b/cornelnotch/claims/writer.py
@@ -247,5 +247,5 @@
                 self._retention_ms,
             )
             self.streams[stream] = writer
-            self._tasks.start(f"claims-{stream}", writer.run())
+            self._tasks.keep(f"claims-{stream}", writer.run)
         return writer
--- a/cornelnotch/commands/node.py
+++ b/cornelnotch/commands/node.py
@@ -6,6 +6,7 @@
 
 import typer
 
+from cornelnotch.exceptions import SettingsError
 from cornelnotch.kernel import set_up_logging
 from cornelnotch.node import create_node
 from cornelnotch.settings import NodeSettings, read_node_settings
@@ -19,7 +20,14 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, node.start_drain)
     loop.add_signal_handler(signal.SIGINT, node.stopped.set)
-    await node.start()
+    try:
+        await node.start()
+    except OSError as error:
+        await node.stop()
+        raise SettingsError(
+            f"the host cannot listen: {error.strerror or error}",
+            "name free addresses of this machine as [node] http and peer",
+        ) from error
     await node.stopped.wait()
     await node.stop()
 
--- a/cornelnotch/commands/tests/test_program.py
+++ b/cornelnotch/commands/tests/test_program.py
@@ -1,6 +1,7 @@
 """Run commands as an operator would, with good and bad input."""
 
 import asyncio
+import socket
 import subprocess
 import sys
 
@@ -46,6 +47,19 @@
     assert done.stderr.count("\n") == 1
 
 
+def test_an_address_in_use_ends_with_code_2(tmp_path):
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        port = taken.getsockname()[1]
+        path = tmp_path / "node.ini"
+        path.write_text(NODE.replace("http = 127.0.0.1:0", f"http = 127.0.0.1:{port}"))
+        done = run_command("node", str(path))
+    assert done.returncode == 2
+    assert "cannot listen" in done.stderr
+    assert "Traceback" not in done.stderr
+
+
 def test_missing_files_end_with_code_2(tmp_path):
     for arguments in (("node",), ("config", "check"), ("load",)):
         done = run_command(*arguments, str(tmp_path / "none"))
--- a/cornelnotch/kernel/tasks.py
+++ b/cornelnotch/kernel/tasks.py
@@ -2,13 +2,15 @@
 
 import asyncio
 from abc import ABC, abstractmethod
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from cornelnotch.kernel.events import Event, EventLog
 
 __all__ = ["MailboxTask", "TaskGroup"]
 
+RESTART_S = 1.0
+
 
 class TaskGroup:
     """Own the running tasks of one process and report their failures."""
@@ -24,6 +26,22 @@
         task.add_done_callback(self._forget)
         return task
 
+    def keep(
+        self, name: str, create_work: Callable[[], Coroutine[Any, Any, None]]
+    ) -> asyncio.Task[Any]:
+        """Run work that must not end; start it again a while after a failure."""
+        return self.start(name, self._repeat(name, create_work))
+
+    async def _repeat(
+        self, name: str, create_work: Callable[[], Coroutine[Any, Any, None]]
+    ) -> None:
+        while True:
+            try:
+                await create_work()
+            except Exception as error:
+                self._events.record(Event.TASK_FAILED, task=name, error=repr(error))
+            await asyncio.sleep(RESTART_S)
+
     async def stop(self) -> None:
         """Cancel every task and wait for its end."""
         tasks = list(self._tasks)
--- a/cornelnotch/logservice/http.py
+++ b/cornelnotch/logservice/http.py
@@ -2,9 +2,10 @@
 
 import asyncio
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, TypeVar
 
 import orjson
+from pydantic import BaseModel, ValidationError
 
 from cornelnotch.exceptions import (
     LogTrimmedError,
@@ -24,6 +25,8 @@
 
 __all__ = ["HttpHostList", "HttpLogService"]
 
+Answer = TypeVar("Answer", bound=BaseModel)
+
 STATUS_OK = 200
 STATUS_NOT_MODIFIED = 304
 STATUS_GONE = 410
@@ -31,6 +34,40 @@
 APPEND_TIMEOUT_MS = 2000.0
 
 
+class AppendAnswer(BaseModel):
+    """Validate the answer to an append."""
+
+    offset: int
+
+
+class RecordAnswer(BaseModel):
+    """Validate one record."""
+
+    offset: int
+    time_ms: float
+    body: str
+
+
+class RecordsAnswer(BaseModel):
+    """Validate the answer to a read."""
+
+    records: list[RecordAnswer]
+    earliest: int
+    end: int
+
+
+class TrimmedAnswer(BaseModel):
+    """Validate the answer to a read past retention."""
+
+    earliest: int
+
+
+class HostsAnswer(BaseModel):
+    """Validate the host list."""
+
+    hosts: list[HostEntry]
+
+
 @dataclass(frozen=True, slots=True)
 class PlatformAnswer:
     """Hold what the platform answered."""
@@ -65,6 +102,16 @@
         ) from error
 
 
+def _read_answer(model: type[Answer], answer: PlatformAnswer, address: str) -> Answer:
+    try:
+        return model.model_validate(answer.content)
+    except ValidationError as error:
+        raise LogUnavailableError(
+            f"the platform at {address} sent a malformed answer",
+            "check that the address is the platform's",
+        ) from error
+
+
 def _check_status(status: int, address: str) -> None:
     if status != STATUS_OK:
         raise LogUnavailableError(
@@ -88,7 +135,7 @@
             self._client, self._address, "POST", target, body, APPEND_TIMEOUT_MS
         )
         _check_status(answer.status, self._address)
-        return int(answer.content["offset"])
+        return _read_answer(AppendAnswer, answer, self._address).offset
 
     async def read(self, stream: str, offset: int, wait_ms: float = 0.0) -> LogPage:
         """Return records from `offset` on."""
@@ -96,15 +143,15 @@
         answer = await _call(
             self._client, self._address, "GET", target, b"", wait_ms + READ_MARGIN_MS
         )
-        content = answer.content
         if answer.status == STATUS_GONE:
-            raise LogTrimmedError(int(content["earliest"]))
+            trimmed = _read_answer(TrimmedAnswer, answer, self._address)
+            raise LogTrimmedError(trimmed.earliest)
         _check_status(answer.status, self._address)
+        page = _read_answer(RecordsAnswer, answer, self._address)
         records = [
-            LogRecord(int(r["offset"]), float(r["time_ms"]), r["body"].encode())
-            for r in content["records"]
+            LogRecord(r.offset, r.time_ms, r.body.encode()) for r in page.records
         ]
-        return LogPage(records, int(content["earliest"]), int(content["end"]))
+        return LogPage(records, page.earliest, page.end)
 
 
 @register_plugin("host-list", "http")
@@ -131,7 +178,7 @@
         if answer.status == STATUS_NOT_MODIFIED:
             return self._known
         _check_status(answer.status, self._address)
-        entries = tuple(HostEntry(**entry) for entry in answer.content["hosts"])
+        listed = _read_answer(HostsAnswer, answer, self._address)
         self._tag = answer.tag
-        self._known = PlatformHosts(entries)
+        self._known = PlatformHosts(tuple(listed.hosts))
         return self._known
--- a/cornelnotch/routing/dispatcher.py
+++ b/cornelnotch/routing/dispatcher.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from pydantic import BaseModel, Field, ValidationError
+
 from cornelnotch.exceptions import UpstreamError
 from cornelnotch.kernel import Clock, Event, EventLog, MailboxTask
 from cornelnotch.observation import DecisionLog
@@ -35,6 +37,7 @@
 
 __all__ = ["Dispatcher"]
 
+STATUS_OK = 200
 TICK_MS = 20.0
 LOAD_PERIOD_MS = 1000.0
 LOAD_TIMEOUT_MS = 800.0
@@ -60,6 +63,13 @@
     slow: bool
 
 
+class ServerLoad(BaseModel):
+    """Validate a server's own report."""
+
+    running: int = Field(default=0, ge=0)
+    waiting: int = Field(default=0, ge=0)
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReport:
     """Carry what a server says of its own load."""
@@ -124,10 +134,14 @@
             )
         except UpstreamError:
             return
-        if status != 200 or not isinstance(content, dict):
+        if status != STATUS_OK:
+            return
+        try:
+            load = ServerLoad.model_validate(content)
+        except ValidationError:
+            # A server that reports nonsense is judged by own counts alone.
             return
-        load = int(content.get("running", 0)) + int(content.get("waiting", 0))
-        self.post(LoadReport(shard, server, load))
+        self.post(LoadReport(shard, server, load.running + load.waiting))
 
     def _drop_silent_holders(self) -> None:
         now = self._clock.read()
