--- a/cornelnotch/load/driver.py
+++ b/cornelnotch/load/driver.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -109,6 +110,7 @@
             ),
         ]
         before = await self._read_engines()
+        watchers.append(asyncio.create_task(self._watch_tokens(begin, before)))
         calls = plan_calls(self._scenario)
         running = []
         announced = 0.0
@@ -212,11 +214,20 @@
 
     async def _watch_versions(self, begin: float) -> None:
         while True:
+            queued: Counter[str] = Counter()
             for address in self._fleet.hosts:
                 status = await self._read(address, "/status")
                 if status is not None:
                     at_ms = self._clock.read() - begin
                     self._result.add_version(status["host"], at_ms, status["version"])
+                    queued.update(status["queued"])
+            self._result.queued.append((self._clock.read() - begin, dict(queued)))
+            await self._clock.sleep(SAMPLE_PERIOD_MS)
+
+    async def _watch_tokens(self, begin: float, before: int) -> None:
+        while True:
+            total = await self._read_engines() - before
+            self._result.generated.append((self._clock.read() - begin, total))
             await self._clock.sleep(SAMPLE_PERIOD_MS)
 
     async def _read(self, address: str, target: str) -> dict | None:
--- a/cornelnotch/load/report.py
+++ b/cornelnotch/load/report.py
@@ -1,5 +1,6 @@
 """Draw a run as a page with plots, and two runs side by side."""
 
+import itertools
 from collections import defaultdict
 from pathlib import Path
 
@@ -77,6 +78,33 @@
     return chart.render(is_unicode=True, disable_xml_declaration=True)
 
 
+def _draw_queues(result: RunResult, seconds: int) -> str:
+    chart = _create_chart("requests that wait, by class", seconds)
+    by_second = {int(at // BUCKET_MS): counts for at, counts in result.queued}
+    names = sorted({name for _, counts in result.queued for name in counts})
+    for name in names:
+        series = [
+            by_second[s].get(name, 0) if s in by_second else None
+            for s in range(seconds)
+        ]
+        chart.add(name, series)
+    return chart.render(is_unicode=True, disable_xml_declaration=True)
+
+
+def _draw_tokens(result: RunResult, seconds: int) -> str:
+    """Draw what engines made against what callers got whole; the gap is wasted."""
+    chart = _create_chart("tokens made and delivered whole, in total", seconds)
+    made = {int(at // BUCKET_MS): total for at, total in result.generated}
+    delivered = [0] * seconds
+    for sample in result.samples:
+        second = int((sample.at_ms + sample.whole_ms) // BUCKET_MS)
+        if sample.result == "complete" and second < seconds:
+            delivered[second] += sample.tokens
+    chart.add("made", [made.get(s) for s in range(seconds)])
+    chart.add("delivered", list(itertools.accumulate(delivered)))
+    return chart.render(is_unicode=True, disable_xml_declaration=True)
+
+
 def _draw_versions(result: RunResult, seconds: int) -> str:
     chart = _create_chart("configuration version by host", seconds)
     for host, track in sorted(result.versions.items()):
@@ -123,6 +151,8 @@
         parts.append(f"<h2>{result.name}, seed {result.seed}</h2>")
         parts.append(_draw_attainment(result, seconds))
         parts.append(_draw_first_token(result, seconds))
+        parts.append(_draw_queues(result, seconds))
+        parts.append(_draw_tokens(result, seconds))
         parts.append(_draw_versions(result, seconds))
     return "\n".join(parts)
 
--- a/cornelnotch/load/results.py
+++ b/cornelnotch/load/results.py
@@ -49,6 +49,8 @@
     ledgers: dict[str, dict[str, int]] = field(default_factory=dict)
     tokens_generated: int = 0
     notes: list[str] = field(default_factory=list)
+    queued: list[tuple[float, dict[str, int]]] = field(default_factory=list)
+    generated: list[tuple[float, int]] = field(default_factory=list)
 
     def add_version(self, host: str, at_ms: float, version: int) -> None:
         """Note which version a host had in force."""
@@ -168,6 +170,8 @@
             host: [(at, version) for at, version in track]
             for host, track in content["versions"].items()
         }
+        content["queued"] = [(at, counts) for at, counts in content["queued"]]
+        content["generated"] = [(at, total) for at, total in content["generated"]]
         return RunResult(**content)
     except (OSError, ValueError, KeyError, TypeError) as error:
         raise SettingsError(
--- a/cornelnotch/load/tests/test_load.py
+++ b/cornelnotch/load/tests/test_load.py
@@ -77,7 +77,7 @@
     write_result(result, path)
     assert read_result(path) == result
     page = create_page([result, result])
-    assert page.count("<svg") == 6
+    assert page.count("<svg") == 10
     assert "quote: attainment" in page
     assert [row.class_name for row in summarize_classes(result)] == ["booking", "quote"]
     path.write_text("{}")
--- a/cornelnotch/node/node.py
+++ b/cornelnotch/node/node.py
@@ -149,6 +149,7 @@
             self.clock,
             self.events,
         )
+        self.status.count_queued = self.dispatcher.count_queued
         self.front = Frontend(
             self.settings,
             parts,
--- a/cornelnotch/node/status.py
+++ b/cornelnotch/node/status.py
@@ -1,5 +1,6 @@
 """Judge and describe the state of one host."""
 
+from collections.abc import Callable
 from dataclasses import asdict, dataclass
 
 from cornelnotch import __version__
@@ -29,6 +30,7 @@
     peer_age_ms: float
     members: dict[str, str]
     leaving_servers: list[str]
+    queued: dict[str, int]
 
 
 class StatusReader:
@@ -44,6 +46,7 @@
         events: EventLog,
     ) -> None:
         self.draining = False
+        self.count_queued: Callable[[], dict[str, int]] = dict
         self._events = events
         self._settings = settings
         self._fleet = fleet
@@ -99,6 +102,7 @@
             self._clock.read() - self._prober.peer_heard_ms,
             {m.name: m.state.value for m in members},
             sorted(self._fleet.leaving_servers),
+            self.count_queued(),
         )
 
     def describe_json(self) -> dict[str, object]:
--- a/cornelnotch/routing/dispatcher.py
+++ b/cornelnotch/routing/dispatcher.py
@@ -1,6 +1,7 @@
 """Dispatch permits for the shards that this host owns."""
 
 import asyncio
+from collections import Counter
 from dataclasses import dataclass
 from typing import Any
 
@@ -104,6 +105,13 @@
         ):
             peers.subscribe(kind, lambda sender, message: self.post(message))
 
+    def count_queued(self) -> dict[str, int]:
+        """Return how many requests wait here, by class."""
+        counts: Counter[str] = Counter()
+        for shard in self.shards.values():
+            counts.update(item.class_name for item in shard.discipline.list_waiting())
+        return dict(counts)
+
     async def run_ticks(self) -> None:
         """Let waiting requests notice the time until cancelled."""
         while True:
