Drop idle connections on which a late answer arrives; cross 300 streams

Cause: a kept connection on which a server sent a second answer gave that answer to the next request; only engines and servers that echo the request id were protected. Idle connections are now watched.

--- a/cornelnotch/node/tests/conftest.py
+++ b/cornelnotch/node/tests/conftest.py
@@ -16,21 +16,28 @@
 
 
 async def start_heelmark(
-    fleet: ProcessFleet, hosts: int = 3, engines: int = 2, services: int = 1
+    fleet: ProcessFleet,
+    hosts: int = 3,
+    engines: int = 2,
+    services: int = 1,
+    slots: int = 8,
 ) -> None:
     """Start a small Heelmark fleet and wait until it takes work."""
     fleet.settings = FAST_TIMING
     fleet.membership = FAST_MEMBERSHIP
     await fleet.start_platform()
     await asyncio.gather(
-        *(fleet.start_engine(f"engine-{n}") for n in range(engines)),
+        *(
+            fleet.start_engine(f"engine-{n}", "--batch", str(slots))
+            for n in range(engines)
+        ),
         *(fleet.start_service(f"desk-{n}") for n in range(services)),
         *(fleet.start_host(f"host-{n}") for n in range(hosts)),
     )
     sections = ""
     for server in fleet.servers.values():
         pool = "cobbler-assist" if server.name.startswith("engine") else "counter-desk"
-        sections += create_server_section(server.name, pool, server.http)
+        sections += create_server_section(server.name, pool, server.http, slots=slots)
     version = await fleet.publish(create_heelmark_text(sections))
     await fleet.wait_ready(version)
 
--- a/cornelnotch/node/tests/test_faults.py
+++ b/cornelnotch/node/tests/test_faults.py
@@ -195,16 +195,21 @@
 
 def test_crossed_answers_reach_nobody(run_fleet):
     async def scenario(fleet):
-        await start_heelmark(fleet, hosts=2, engines=2)
-        await fleet.set_faults(fleet.servers["engine-0"].http, cross_answers=True)
+        await start_heelmark(fleet, hosts=2, engines=3, slots=100)
         caller = fleet.create_caller()
-        prompts = [f"case {n}" for n in range(40)]
-        results = await asyncio.gather(
-            *(caller.chat(p, 10, "kind=quote") for p in prompts)
-        )
+        prompts = [f"case {n}" for n in range(200)]
+        asked = [asyncio.create_task(caller.chat(p, 40, "kind=quote")) for p in prompts]
+        await asyncio.sleep(0.5)
+        # New streams on this engine get another caller's text from now on.
+        await fleet.set_faults(fleet.servers["engine-0"].http, cross_answers=True)
+        prompts += [f"later case {n}" for n in range(100)]
+        asked += [
+            asyncio.create_task(caller.chat(p, 40, "kind=quote")) for p in prompts[200:]
+        ]
+        results = await asyncio.gather(*asked)
         for prompt, result in zip(prompts, results, strict=True):
-            assert result.complete
-            assert result.text == predict_answer(prompt, 10)
+            assert result.complete, result
+            assert result.text == predict_answer(prompt, 40)
 
     run_fleet(scenario)
 
--- a/cornelnotch/web/client.py
+++ b/cornelnotch/web/client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 import h11
@@ -39,6 +40,8 @@
         self._writer = writer
         self._protocol = h11.Connection(h11.CLIENT)
         self._ended = False
+        self._spoiled = False
+        self._idle: asyncio.Task[None] | None = None
 
     async def send(self, head: h11.Request, body: bytes) -> None:
         """Write a whole request."""
@@ -84,19 +87,35 @@
     def is_reusable(self) -> bool:
         """Tell whether the answer ended cleanly and the server keeps open."""
         done = self._protocol.our_state is h11.DONE
-        return done and self._protocol.their_state is h11.DONE
+        clean = not self._protocol.trailing_data[0]
+        return done and clean and self._protocol.their_state is h11.DONE
 
-    def is_closed(self) -> bool:
-        """Tell whether the server has closed an idle connection."""
-        return self._reader.at_eof() or self._writer.is_closing()
-
-    def restart(self) -> None:
-        """Make ready for the next request."""
+    def idle(self) -> None:
+        """Wait for the next request; whatever arrives meanwhile spoils this."""
         self._protocol.start_next_cycle()
         self._ended = False
+        self._idle = asyncio.create_task(self._watch_idle())
+
+    async def _watch_idle(self) -> None:
+        # An answer that comes late belongs to nobody any more.
+        with suppress(OSError):
+            await self._reader.read(READ_BYTES)
+        self._spoiled = True
+        self.abort()
+
+    async def wake(self) -> bool:
+        """End the wait; tell whether the connection may carry a request."""
+        if self._idle is not None:
+            self._idle.cancel()
+            with suppress(asyncio.CancelledError):
+                await self._idle
+            self._idle = None
+        return not self._spoiled and not self._writer.is_closing()
 
     def abort(self) -> None:
         """Drop the connection at once."""
+        if self._idle is not None and not self._spoiled:
+            self._idle.cancel()
         self._writer.transport.abort()
 
 
@@ -234,7 +253,7 @@
         if not connection.is_reusable() or len(idle) >= MAX_IDLE_PER_ADDRESS:
             connection.abort()
             return
-        connection.restart()
+        connection.idle()
         idle.append(connection)
 
     def close(self) -> None:
@@ -248,7 +267,7 @@
         idle = self._idle.get(address, [])
         while idle and not fresh:
             connection = idle.pop()
-            if not connection.is_closed():
+            if await connection.wake():
                 return connection
             connection.abort()
         try:
--- a/cornelnotch/web/tests/test_border.py
+++ b/cornelnotch/web/tests/test_border.py
@@ -94,6 +94,37 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize("delay_s", [0.0, 0.05])
+def test_an_answer_that_comes_late_reaches_no_other_request(delay_s):
+    async def scenario():
+        numbers = iter(range(100))
+
+        async def serve(reader, writer):
+            while True:
+                try:
+                    await reader.readuntil(b"\r\n\r\n")
+                except (asyncio.IncompleteReadError, ConnectionError):
+                    break
+                number = next(numbers)
+                answer = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n%d" % number
+                writer.write(answer)
+                await asyncio.sleep(delay_s)
+                # The same answer once more, as a confused server would send it.
+                writer.write(answer)
+
+        server = await asyncio.start_server(serve, ADDRESS, 0)
+        port = server.sockets[0].getsockname()[1]
+        client = HttpClient()
+        for expected in range(4):
+            answer = await client.request(f"{ADDRESS}:{port}", "GET", "/")
+            assert await answer.read() == b"%d" % expected
+            await asyncio.sleep(0.1)
+        client.close()
+        server.close()
+
+    asyncio.run(scenario())
+
+
 def mutate(generator, data):
     """Return `data` with a few bytes changed, dropped or doubled."""
     changed = bytearray(data)
