--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 
 binary: setup
 	mkdir -p dist
-	$(VENV)/bin/shiv --compressed --root /dev/shm/cornelnotch \
+	$(VENV)/bin/shiv --compressed --root /tmp/cornelnotch \
 		--python '/usr/bin/env python3' \
 		--entry-point cornelnotch.commands.program:run_program \
 		--output-file dist/cornelnotch --quiet .
