--- a/benchmarks/burst.py
+++ b/benchmarks/burst.py
@@ -6,8 +6,8 @@
 
 import heapq
 import sys
-from dataclasses import dataclass
 
+from benchmarks.policies import POLICIES, Policy
 from cornelnotch.queueing.models import ShardRule
 from cornelnotch.testing.shardmodel import (
     Arrival,
@@ -32,23 +32,6 @@
 WINDOW_MS = 10_000.0
 
 
-@dataclass(frozen=True, slots=True)
-class Policy:
-    """Name a discipline and a balancer."""
-
-    name: str
-    discipline: str
-    balancer: str
-
-
-POLICIES = (
-    Policy("cornelnotch", "tiered", "adaptive"),
-    Policy("fifo, late binding", "fifo", "adaptive"),
-    Policy("round robin", "fifo", "round-robin"),
-    Policy("least in flight", "fifo", "least-in-flight"),
-)
-
-
 def create_classes(load: float) -> list[ModelClass]:
     """Return the traffic; quotes alone reach `load` times the capacity."""
     service_ms = PREFILL_MS + QUOTE_TOKENS * 1.083 * TOKEN_MS
--- a/benchmarks/experiment.py
+++ b/benchmarks/experiment.py
@@ -6,9 +6,9 @@
 
 import asyncio
 import sys
-from dataclasses import dataclass
 from pathlib import Path
 
+from benchmarks.policies import POLICIES, Policy
 from cornelnotch.configuration import Change, encode_record
 from cornelnotch.configuration.follower import CONFIGURATION_STREAM
 from cornelnotch.kernel import create_clock, create_identifier, set_up_logging
@@ -23,23 +23,6 @@
 RESULTS = Path("results")
 
 
-@dataclass(frozen=True, slots=True)
-class Policy:
-    """Name a discipline and a balancer."""
-
-    name: str
-    discipline: str
-    balancer: str
-
-
-POLICIES = (
-    Policy("cornelnotch", "tiered", "adaptive"),
-    Policy("fifo", "fifo", "adaptive"),
-    Policy("round-robin", "fifo", "round-robin"),
-    Policy("least-in-flight", "fifo", "least-in-flight"),
-)
-
-
 def load_scenario(name: str, seconds: float) -> Scenario:
     """Return a shipped scenario, shortened."""
     scenario = read_scenario(Path(name)).unwrap()
