--- a/Makefile
+++ b/Makefile
@@ -27,10 +27,11 @@
 
 binary: setup
 	mkdir -p dist
-	$(VENV)/bin/shiv --compressed --root /tmp/cornelnotch \
+	$(VENV)/bin/shiv --compressed \
 		--python '/usr/bin/env python3' \
 		--entry-point cornelnotch.commands.program:run_program \
 		--output-file dist/cornelnotch --quiet .
+	$(VENV)/bin/python -m cornelnotch.packaging.archive dist/cornelnotch
 
 bench: setup
 	$(VENV)/bin/python -m benchmarks.overhead
--- /dev/null
+++ b/cornelnotch/packaging/__init__.py
@@ -0,0 +1,1 @@
+"""Turn the installed program into one file."""
--- a/cornelnotch/settings/node.py
+++ b/cornelnotch/settings/node.py
@@ -42,6 +42,9 @@
     peer_advertised: Address | None = Field(
         default=None, description="address that other hosts use instead of `peer`"
     )
+    unpack: str | None = Field(
+        default=None, description="folder that the one-file program unpacks to"
+    )
     seed: int = Field(default=0, description="seed of the host's random choices")
 
 
--- a/cornelnotch/testing/tests/test_binary.py
+++ b/cornelnotch/testing/tests/test_binary.py
@@ -13,7 +13,8 @@
 
 
 def create_environment(folder):
-    return {"PATH": os.environ["PATH"], "SHIV_ROOT": str(folder), "HOME": str(folder)}
+    home = str(folder)
+    return {"PATH": os.environ["PATH"], "CORNELNOTCH_HOME": home, "HOME": home}
 
 
 def list_children(process_id):
@@ -39,9 +40,10 @@
 
 def test_a_node_from_the_binary_is_one_process(tmp_path):
     port = find_free_port()
+    folder = tmp_path / "unpacked"
     settings = tmp_path / "node.ini"
     settings.write_text(
-        f"[node]\nname = a\nplace = p\nhttp = 127.0.0.1:{port}\n"
+        f"[node]\nname = a\nplace = p\nunpack = {folder}\nhttp = 127.0.0.1:{port}\n"
         f"peer = 127.0.0.1:{find_free_port()}\n"
         "[platform]\nlog = 127.0.0.1:1\nhosts = 127.0.0.1:1\n"
     )
@@ -61,6 +63,8 @@
             assert list_children(process.pid) == []
             time.sleep(0.01)
         assert process.poll() is None
+        assert len(list(folder.iterdir())) >= 1
+        assert not (tmp_path / "home").exists()
     finally:
         process.kill()
         process.wait()
