--- a/cornelnotch/node/tests/test_faults.py
+++ b/cornelnotch/node/tests/test_faults.py
@@ -3,6 +3,8 @@
 import asyncio
 import signal
 
+import pytest
+
 from cornelnotch.kernel import create_identifier
 from cornelnotch.load.caller import CallResult
 from cornelnotch.node.tests.conftest import (
@@ -107,7 +109,8 @@
     run_fleet(scenario)
 
 
-def test_winner_paused_between_claim_and_dispatch_is_not_overtaken(run_fleet):
+@pytest.mark.parametrize("number", [signal.SIGSTOP, signal.SIGKILL])
+def test_winner_stopped_between_claim_and_dispatch_is_not_overtaken(run_fleet, number):
     async def scenario(fleet):
         await start_heelmark(fleet)
         host = fleet.hosts["host-0"]
@@ -131,7 +134,7 @@
             )
         )
         await asyncio.sleep(0.5)
-        fleet.send_signal(host, signal.SIGSTOP)
+        fleet.send_signal(host, number)
         other = fleet.create_caller(deadline_ms=2000)
         other.pin(fleet.hosts["host-1"].http)
         overtaking = await other.call(
