--- a/cornelnotch/web/__init__.py
+++ b/cornelnotch/web/__init__.py
@@ -1,6 +1,7 @@
 """Speak HTTP/1.1 with callers, servers and the platform."""
 
 from cornelnotch.web.client import HttpAnswer, HttpClient, parse_address
-from cornelnotch.web.server import Exchange, HttpServer
+from cornelnotch.web.exchange import Exchange
+from cornelnotch.web.server import HttpServer
 
 __all__ = ["Exchange", "HttpAnswer", "HttpClient", "HttpServer", "parse_address"]
--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -3,127 +3,23 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
-from urllib.parse import parse_qsl, urlsplit
 
 import h11
 import orjson
 
-from cornelnotch.exceptions import (
-    BodyTooLargeError,
-    CallerGoneError,
-    RequestError,
-)
+from cornelnotch.exceptions import CallerGoneError, RequestError
+from cornelnotch.web.exchange import Exchange
 
-__all__ = ["Exchange", "Handler", "HttpServer"]
+__all__ = ["Handler", "HttpServer", "ServerConnection"]
 
 READ_BYTES = 65536
 MAX_HEADER_BYTES = 32768
 HEADER_TIMEOUT_S = 60.0
-BODY_TIMEOUT_S = 20.0
 SKIP_TIMEOUT_S = 1.0
 MAX_SKIPPED_BYTES = 4 * 1024 * 1024
 WRITE_BUFFER_BYTES = 65536
 
 
-class Exchange:
-    """Carry one request of a caller and its answer."""
-
-    def __init__(self, connection: "ServerConnection", request: h11.Request) -> None:
-        self._connection = connection
-        self.method = request.method.decode()
-        target = urlsplit(request.target.decode("ascii", "replace"))
-        self.path = target.path
-        self.target = request.target.decode("ascii", "replace")
-        self.query = dict(parse_qsl(target.query))
-        self.headers = {
-            name.decode(): value.decode("latin-1") for name, value in request.headers
-        }
-        self.started = False
-        self.finished = False
-        self._early = connection.take_early_event()
-        self._body_ended = isinstance(self._early, h11.EndOfMessage)
-
-    @property
-    def gone(self) -> asyncio.Event:
-        """Return the event set once the caller has closed."""
-        return self._connection.gone
-
-    async def read_body(self, limit_bytes: int) -> bytes:
-        """Return the whole body; raise BodyTooLargeError above the limit."""
-        parts: list[bytes] = []
-        size = 0
-        while not self._body_ended:
-            event = self._early or await self._read_timely()
-            self._early = None
-            if isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > limit_bytes:
-                    raise BodyTooLargeError(limit_bytes)
-                parts.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                self._body_ended = True
-            else:
-                raise CallerGoneError("the caller closed early", "send it again")
-        self._connection.watch()
-        return b"".join(parts)
-
-    async def _read_timely(self) -> object:
-        try:
-            async with asyncio.timeout(BODY_TIMEOUT_S):
-                return await self._connection.read_event()
-        except TimeoutError as error:
-            raise RequestError(
-                "the body stopped arriving", "send it again", 408, "body-timeout"
-            ) from error
-
-    def _list_headers(self, headers: dict[str, str]) -> list[tuple[str, str]]:
-        pairs = list(headers.items())
-        if not self._body_ended:
-            # What is left of the body cannot be told from the next request.
-            pairs.append(("connection", "close"))
-        return pairs
-
-    async def start(self, status: int, headers: dict[str, str]) -> None:
-        """Send the head of an answer whose length is not known yet."""
-        self.started = True
-        pairs = self._list_headers(headers)
-        if "content-length" not in {name.lower() for name in headers}:
-            pairs.append(("transfer-encoding", "chunked"))
-        await self._connection.send(h11.Response(status_code=status, headers=pairs))
-
-    async def send(self, data: bytes) -> None:
-        """Send a part of the body and wait while the caller reads slowly."""
-        await self._connection.send(h11.Data(data=data))
-
-    async def finish(self) -> None:
-        """End the answer."""
-        self.finished = True
-        await self._connection.send(h11.EndOfMessage())
-
-    async def respond(self, status: int, headers: dict[str, str], body: bytes) -> None:
-        """Send a whole answer in one write."""
-        self.started = True
-        self.finished = True
-        pairs = self._list_headers(headers)
-        pairs.append(("content-length", str(len(body))))
-        await self._connection.send(
-            h11.Response(status_code=status, headers=pairs),
-            h11.Data(data=body),
-            h11.EndOfMessage(),
-        )
-
-    async def respond_json(
-        self, status: int, content: object, headers: dict[str, str] | None = None
-    ) -> None:
-        """Send a whole answer as JSON."""
-        merged = {"content-type": "application/json", **(headers or {})}
-        await self.respond(status, merged, orjson.dumps(content))
-
-    def abort(self) -> None:
-        """Break the connection so that the caller sees an incomplete answer."""
-        self._connection.abort()
-
-
 Handler = Callable[[Exchange], Awaitable[None]]
 
 
