--- /dev/null
+++ b/cornelnotch/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Route callers' requests to servers on hosts that keep nothing."""
--- /dev/null
+++ b/cornelnotch/gateway/flow.py
@@ -0,0 +1,313 @@
+"""Carry one request from its route to its answer."""
+
+import asyncio
+from dataclasses import dataclass
+
+from cornelnotch.exceptions import CallerGoneError, UpstreamError
+from cornelnotch.gateway.dialect import DispatchTerms
+from cornelnotch.gateway.dispatch import Answer, Fate, open_answer
+from cornelnotch.gateway.models import (
+    CallerRequest,
+    Route,
+    WorkKind,
+    Workspace,
+)
+from cornelnotch.gateway.parts import GatewayParts
+from cornelnotch.gateway.placing import Placement
+from cornelnotch.gateway.servers import Flight
+from cornelnotch.gateway.streams import EventCutter
+from cornelnotch.kernel.events import Event
+from cornelnotch.web import Exchange
+
+__all__ = ["RequestFlow"]
+
+STATUS_OK = 200
+STATUS_BAD_GATEWAY = 502
+STATUS_UNAVAILABLE = 503
+STATUS_GATEWAY_TIMEOUT = 504
+MAX_REFUSED_SENDS = 3
+MAX_UNSENT = 4
+# The pause after which callers without a better figure come back.
+RETRY_MS = 500.0
+# Without a deadline of the caller's the route's limit holds alone.
+NO_DEADLINE_MS = 600_000.0
+
+
+@dataclass(slots=True)
+class Progress:
+    """Count what became of the dispatches of one request."""
+
+    ran: int = 0
+    refused: int = 0
+    unsent: int = 0
+
+
+class RequestFlow:
+    """Own the state of one request."""
+
+    def __init__(
+        self,
+        parts: GatewayParts,
+        exchange: Exchange,
+        request: CallerRequest,
+        route: Route,
+        workspace: Workspace | None,
+        arrived_ms: float,
+    ) -> None:
+        self.parts = parts
+        self.exchange = exchange
+        self.request = request
+        self.route = route
+        self.workspace = workspace
+        self.arrived_ms = arrived_ms
+        deadline = request.deadline_ms or NO_DEADLINE_MS
+        self.deadline_ms = arrived_ms + deadline
+        self.limit_ms = arrived_ms + min(deadline, route.timeout_ms)
+        self.progress = Progress()
+        self.excluded: set[str] = set()
+        self.events = EventCutter(request.last_event)
+        self.service = parts.choose_service(route, request.request_id)
+
+    async def run(self) -> None:
+        """Serve the request; the caller's going away ends the work."""
+        work = asyncio.create_task(self._serve())
+        gone = asyncio.create_task(self.exchange.gone.wait())
+        try:
+            await asyncio.wait({work, gone}, return_when=asyncio.FIRST_COMPLETED)
+            if not work.done():
+                work.cancel()
+                self._note(Event.CALLER_LEFT, ran=self.progress.ran)
+            await work
+        except asyncio.CancelledError:
+            work.cancel()
+            raise CallerGoneError("the caller closed", "send it again") from None
+        finally:
+            gone.cancel()
+
+    async def _serve(self) -> None:
+        loop = asyncio.get_running_loop()
+        left_s = (self.limit_ms - self.parts.clock.read()) / 1000.0
+        try:
+            async with asyncio.timeout_at(loop.time() + max(left_s, 0.0)):
+                await self._carry()
+        except TimeoutError:
+            await self._give_up()
+
+    async def _carry(self) -> None:
+        while True:
+            placement = self._place()
+            if placement is None:
+                await self._refuse(STATUS_UNAVAILABLE, "no-server")
+                return
+            answer = await self._dispatch(placement)
+            if answer is None:
+                return
+            self.excluded.add(placement.server.record.name)
+            if not self._may_repeat(answer):
+                await self._finish_failed(answer)
+                return
+            answer.close()
+
+    def _place(self) -> Placement | None:
+        now = self.parts.clock.read()
+        servers = self.parts.pool.list_usable(self.service, now)
+        placement = self.parts.placer.choose(
+            servers, self.route, self.request, self.excluded, now
+        )
+        if placement is not None:
+            self._note(
+                Event.SERVER_CHOSEN,
+                server=placement.server.record.name,
+                service=self.service,
+                cost_ms=round(placement.cost_ms, 1),
+                prefill=placement.prefill_tokens,
+                candidates=placement.candidates,
+                version=self.parts.table.version,
+            )
+        return placement
+
+    async def _dispatch(self, placement: Placement) -> Answer | None:
+        """Return None when the caller has its answer, else why there is none."""
+        view = placement.server
+        now = self.parts.clock.read()
+        request = self.request
+        flight = Flight(
+            request.request_id,
+            now,
+            placement.prefill_tokens,
+            request.prompt_tokens + request.answer_tokens,
+            self.route.target_gap_ms,
+        )
+        terms = DispatchTerms(
+            view.record.name,
+            self.deadline_ms - now,
+            self.workspace.name if self.workspace else "",
+            self._choose_priority(),
+            self.events.last_event,
+        )
+        view.start(flight)
+        answer: Answer | None = None
+        try:
+            answer = await open_answer(
+                self.parts.client,
+                self.parts.dialect,
+                view.record.address,
+                request,
+                terms,
+                self.route.kind is WorkKind.ONCE,
+            )
+            self._count(answer)
+            if answer.head is not None and answer.head.load is not None:
+                view.take_load(answer.head.load, self.parts.clock.read())
+            if answer.fate is Fate.DONE:
+                view.hear(flight, self.parts.clock.read())
+                answer = await self._pass_on(answer, view, flight)
+            self._judge(view, answer)
+            return answer
+        except asyncio.CancelledError:
+            if answer is not None:
+                answer.close()
+            else:
+                self.progress.ran += 1
+            raise
+        finally:
+            view.finish(flight)
+
+    def _choose_priority(self) -> int | None:
+        if self.workspace is not None and self.workspace.priority is not None:
+            return self.workspace.priority
+        return self.route.priority
+
+    def _count(self, answer: Answer) -> None:
+        if answer.fate is Fate.NOT_SENT:
+            self.progress.unsent += 1
+        elif answer.fate is Fate.REFUSED:
+            self.progress.refused += 1
+        else:
+            self.progress.ran += 1
+
+    def _judge(self, view, answer: Answer | None) -> None:  # type: ignore[no-untyped-def]
+        now = self.parts.clock.read()
+        if answer is None:
+            view.succeed()
+            if self.route.kind is WorkKind.STREAM:
+                view.remember(self.request.prompt, now)
+            return
+        self._note(
+            Event.DISPATCH_FAILED,
+            server=view.record.name,
+            fate=answer.fate.value,
+            reason=answer.reason,
+        )
+        if answer.fate in {Fate.NOT_SENT, Fate.BROKEN}:
+            view.fail(now)
+
+    async def _pass_on(self, answer: Answer, view, flight: Flight) -> Answer | None:  # type: ignore[no-untyped-def]
+        if self.route.kind is WorkKind.STREAM:
+            return await self._pass_on_stream(answer, view, flight)
+        try:
+            body = await answer.read()
+        except UpstreamError as error:
+            return Answer(Fate.BROKEN, error.problem)
+        assert answer.head is not None
+        await self.exchange.respond(answer.head.status, answer.pairs, body)
+        self._note(Event.REQUEST_ANSWERED, status=answer.head.status)
+        return None
+
+    async def _pass_on_stream(
+        self, answer: Answer, view, flight: Flight  # type: ignore[no-untyped-def]
+    ) -> Answer | None:
+        assert answer.head is not None
+        if answer.head.status != STATUS_OK and self.exchange.started:
+            return Answer(Fate.BROKEN, f"status {answer.head.status} on resumption")
+        if not self.exchange.started:
+            await self.exchange.start(answer.head.status, answer.pairs)
+        try:
+            async for data in answer.iterate():
+                view.hear(flight, self.parts.clock.read())
+                whole = self.events.feed(data)
+                if whole:
+                    await self.exchange.send(whole)
+        except UpstreamError as error:
+            return Answer(Fate.BROKEN, error.problem)
+        rest = self.events.take_rest()
+        if rest:
+            await self.exchange.send(rest)
+        await self.exchange.finish()
+        self._note(
+            Event.REQUEST_ANSWERED,
+            status=answer.head.status,
+            count=self.events.count,
+            first_ms=round(flight.first_ms - self.arrived_ms, 1),
+        )
+        return None
+
+    def _may_repeat(self, answer: Answer) -> bool:
+        now = self.parts.clock.read()
+        if now >= self.limit_ms:
+            return False
+        if answer.fate is Fate.NOT_SENT:
+            return self.progress.unsent < MAX_UNSENT
+        if answer.fate is Fate.REFUSED:
+            if self.progress.refused >= MAX_REFUSED_SENDS:
+                return False
+        elif not self._may_run_again():
+            return False
+        return self.parts.find_budget(self.service).withdraw(now)
+
+    def _may_run_again(self) -> bool:
+        if self.progress.ran >= self.route.attempts:
+            return False
+        if self.route.kind is WorkKind.REPEATABLE:
+            return True
+        self.events.take_rest()
+        return self.route.kind is WorkKind.STREAM and self.route.resumable
+
+    async def _finish_failed(self, answer: Answer) -> None:
+        if self.exchange.started:
+            self._note(Event.REQUEST_BROKEN_OFF, reason=answer.reason)
+            self.exchange.abort()
+            raise CallerGoneError("the answer broke off", "send it again")
+        if answer.fate is Fate.FAILED:
+            assert answer.head is not None
+            try:
+                body = await answer.read()
+            except UpstreamError:
+                await self._refuse(STATUS_BAD_GATEWAY, "broken")
+                return
+            await self.exchange.respond(answer.head.status, answer.pairs, body)
+            self._note(Event.REQUEST_ANSWERED, status=answer.head.status)
+            return
+        answer.close()
+        if self.progress.ran:
+            await self._refuse(STATUS_BAD_GATEWAY, answer.fate.value)
+        else:
+            await self._refuse(STATUS_UNAVAILABLE, answer.fate.value)
+
+    async def _give_up(self) -> None:
+        if self.exchange.started:
+            self._note(Event.REQUEST_BROKEN_OFF, reason="timeout")
+            self.exchange.abort()
+            raise CallerGoneError("the answer took too long", "send it again")
+        ran = self.progress.ran > 0
+        status = STATUS_GATEWAY_TIMEOUT if ran else STATUS_UNAVAILABLE
+        await self._refuse(status, "timeout")
+
+    async def _refuse(self, status: int, reason: str) -> None:
+        retry_ms = RETRY_MS if status == STATUS_UNAVAILABLE else None
+        self._note(
+            Event.REQUEST_REFUSED,
+            status=status,
+            reason=reason,
+            ran=self.progress.ran,
+            refused=self.progress.refused,
+            unsent=self.progress.unsent,
+            retry_after_ms=retry_ms,
+        )
+        await self.parts.refuse(self.exchange, self.request, status, reason, retry_ms)
+
+    def _note(self, event: Event, **fields: object) -> None:
+        after_ms = round(self.parts.clock.read() - self.arrived_ms, 1)
+        self.parts.events.record(
+            event, request_id=self.request.request_id, after_ms=after_ms, **fields
+        )
--- /dev/null
+++ b/cornelnotch/gateway/front.py
@@ -0,0 +1,88 @@
+"""Route each caller's request to its flow; refusals are answered at once."""
+
+from urllib.parse import urlsplit
+
+from cornelnotch.exceptions import CallerGoneError, RequestError
+from cornelnotch.gateway.flow import RequestFlow
+from cornelnotch.gateway.models import CallerRequest, Route, Workspace
+from cornelnotch.gateway.parts import NO_VERSION, GatewayParts
+from cornelnotch.kernel.events import Event
+from cornelnotch.web import Exchange
+
+__all__ = ["Front"]
+
+STATUS_UNAUTHORIZED = 401
+STATUS_NOT_FOUND = 404
+STATUS_UNAVAILABLE = 503
+NOT_READY_RETRY_MS = 300.0
+
+
+class Front:
+    """Answer the callers of one host."""
+
+    def __init__(self, parts: GatewayParts) -> None:
+        self._parts = parts
+        self.active = 0
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one exchange."""
+        self.active += 1
+        try:
+            await self._route(exchange)
+        except RequestError as error:
+            if exchange.started:
+                raise CallerGoneError("the request broke off", "send it again") from error
+            self._parts.events.record(
+                Event.REQUEST_MALFORMED, kind=error.kind, path=exchange.path
+            )
+            await self._parts.refuse(exchange, None, error.status, str(error), None)
+        finally:
+            self.active -= 1
+
+    async def _route(self, exchange: Exchange) -> None:
+        parts = self._parts
+        arrived_ms = parts.clock.read()
+        table = parts.table
+        request = parts.dialect.read_request(
+            exchange.method, exchange.target, exchange.pairs
+        )
+        if table.version == NO_VERSION:
+            await self._refuse(exchange, request, STATUS_UNAVAILABLE, "no-configuration")
+            return
+        route = table.find_route(request.host, urlsplit(request.target).path)
+        if route is None:
+            await self._refuse(exchange, request, STATUS_NOT_FOUND, "no-route")
+            return
+        workspace = self._find_workspace(route, request)
+        if workspace is None and table.workspaces is not None and not route.open:
+            await self._refuse(exchange, request, STATUS_UNAUTHORIZED, "unknown-key")
+            return
+        request.body = await exchange.read_body(table.limits.body_bytes)
+        flow = RequestFlow(parts, exchange, request, route, workspace, arrived_ms)
+        parts.events.record(
+            Event.REQUEST_ROUTED,
+            request_id=request.request_id,
+            route=route.name,
+            service=flow.service,
+            workspace=workspace.name if workspace else "",
+            deadline_ms=request.deadline_ms,
+            version=table.version,
+        )
+        parts.find_budget(flow.service).deposit(arrived_ms)
+        await flow.run()
+
+    def _find_workspace(self, route: Route, request: CallerRequest) -> Workspace | None:
+        return self._parts.table.find_workspace(request.key) if request.key else None
+
+    async def _refuse(
+        self, exchange: Exchange, request: CallerRequest, status: int, reason: str
+    ) -> None:
+        retry_ms = NOT_READY_RETRY_MS if status == STATUS_UNAVAILABLE else None
+        self._parts.events.record(
+            Event.REQUEST_REFUSED,
+            request_id=request.request_id,
+            status=status,
+            reason=reason,
+            version=self._parts.table.version,
+        )
+        await self._parts.refuse(exchange, request, status, reason, retry_ms)
--- /dev/null
+++ b/cornelnotch/gateway/host.py
@@ -0,0 +1,152 @@
+"""Build and run one host on the platform."""
+
+import asyncio
+import random
+
+from cornelnotch.gateway.dialect import Dialect
+from cornelnotch.gateway.directory import Directory
+from cornelnotch.gateway.follower import RecordFollower
+from cornelnotch.gateway.front import Front
+from cornelnotch.gateway.parts import NO_VERSION, GatewayParts
+from cornelnotch.gateway.records import RecordDecoder, RecordSource
+from cornelnotch.gateway.settings import HostSettings
+from cornelnotch.kernel.clock import Clock
+from cornelnotch.kernel.events import Event, EventLog
+from cornelnotch.kernel.tasks import TaskGroup
+from cornelnotch.logservice.base import HostList, PlatformHosts
+from cornelnotch.membership import MemberState, MemberTable, Prober, ServerTable
+from cornelnotch.membership.prober import ProberTiming
+from cornelnotch.web import HttpClient, HttpServer, parse_address
+from cornelnotch.wire import PeerNetwork
+from cornelnotch.wire.messages import MemberUpdate
+
+__all__ = ["GatewayHost"]
+
+# Callers keep an answer of the directory up to three times as long as told.
+ENTRY_LIFETIME_S = 1.0
+KEPT_ENTRY_FACTOR = 3.0
+CHECK_MS = 50.0
+# What is left of the grace period for closing connections and leaving.
+EXIT_MARGIN_S = 0.6
+
+
+class NoHostList(HostList):
+    """List no hosts; they find each other by seeds and news."""
+
+    async def read(self) -> PlatformHosts:
+        """Return an empty list."""
+        return PlatformHosts([])
+
+
+class GatewayHost:
+    """Own every task of one host."""
+
+    def __init__(
+        self,
+        settings: HostSettings,
+        clock: Clock,
+        events: EventLog,
+        dialect: Dialect,
+        source: RecordSource,
+        decoder: RecordDecoder,
+        client: HttpClient,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.events = events
+        self.tasks = TaskGroup(events)
+        self.stopped = asyncio.Event()
+        self.leaving = False
+        self.parts = GatewayParts(settings, clock, events, dialect, client)
+        self.follower = RecordFollower(self.parts, source, decoder)
+        self.front = Front(self.parts)
+        self.server = HttpServer(self.front.handle)
+        self._build_membership()
+        self.directory = Directory(
+            self._list_entries, settings.regions, ENTRY_LIFETIME_S
+        )
+
+    def _build_membership(self) -> None:
+        host = self.settings.host
+        listen = self.settings.listen
+        boot = int(self.clock.read_wall())
+        self.peers = PeerNetwork(host.name, boot, self.events, self.tasks)
+        update = MemberUpdate(
+            host.name, listen.callers, listen.peers, host.domain, "joining", boot
+        )
+        seeds = [seed for seed in listen.seeds.split(",") if seed != listen.peers]
+        self.prober = Prober(
+            MemberTable(update, self.clock.read()),
+            ServerTable(),
+            self.peers,
+            NoHostList(),
+            self.clock,
+            self.events,
+            self.tasks,
+            ProberTiming(seeds=tuple(filter(None, seeds))),
+            random.Random(host.name),
+        )
+        self.prober.subscribe(self._count_hosts)
+
+    def _count_hosts(self) -> None:
+        self.parts.hosts = max(len(self.prober.table.list_entries()), 1)
+
+    def _list_entries(self):  # type: ignore[no-untyped-def]
+        return self.prober.table.list_entries()
+
+    def is_ready(self) -> bool:
+        """Tell whether callers may be sent here."""
+        return not self.leaving and self.parts.table.version != NO_VERSION
+
+    async def start(self) -> None:
+        """Open the listeners and start every task."""
+        await self.peers.start(*parse_address(self.settings.listen.peers))
+        await self.server.start(*parse_address(self.settings.listen.callers))
+        self.tasks.keep("configuration", self.follower.run_configuration)
+        self.tasks.keep("servers", self.follower.run_servers)
+        self.tasks.keep("probes", self.prober.run_probes)
+        self.tasks.keep("limits", self._run_readiness)
+        self.events.record(Event.NODE_STARTED, http=self.settings.listen.callers)
+
+    async def _run_readiness(self) -> None:
+        """Join the hosts that take callers once a configuration is known."""
+        while self.parts.table.version == NO_VERSION:
+            await self.clock.sleep(CHECK_MS)
+        if not self.leaving:
+            self.prober.share_state(MemberState.ALIVE)
+            self.events.record(Event.NODE_READY, version=self.parts.table.version)
+        while True:
+            limits = self.parts.table.limits
+            self.server.limits.header_bytes = limits.header_bytes
+            self.server.limits.header_timeout_s = limits.header_timeout_ms / 1000.0
+            self.server.limits.idle_timeout_s = limits.idle_timeout_ms / 1000.0
+            await self.clock.sleep(CHECK_MS * 4)
+
+    def start_drain(self) -> None:
+        """Begin to leave: callers go elsewhere, requests end, then the host stops."""
+        if self.leaving:
+            return
+        self.leaving = True
+        self.server.limits.leaving = True
+        self.events.record(Event.NODE_DRAINING, active=self.front.active)
+        self.prober.share_state(MemberState.LEAVING)
+        self.tasks.start("drain", self._drain())
+
+    async def _drain(self) -> None:
+        began_ms = self.clock.read()
+        grace_ms = (self.settings.bounds.grace_s - EXIT_MARGIN_S) * 1000.0
+        kept_ms = ENTRY_LIFETIME_S * KEPT_ENTRY_FACTOR * 1000.0
+        while self.clock.read() < began_ms + grace_ms:
+            passed = self.clock.read() - began_ms
+            if passed >= kept_ms and not self.front.active:
+                break
+            await self.clock.sleep(CHECK_MS)
+        self.events.record(Event.NODE_STOPPED, active=self.front.active)
+        self.stopped.set()
+
+    async def stop(self) -> None:
+        """Stop at once."""
+        await self.server.stop()
+        await self.peers.stop()
+        await self.tasks.stop()
+        self.parts.client.close()
--- /dev/null
+++ b/cornelnotch/gateway/parts.py
@@ -0,0 +1,79 @@
+"""Bundle what every request needs of its host."""
+
+import random
+
+import orjson
+
+from cornelnotch.gateway.budget import RepeatBudget
+from cornelnotch.gateway.dialect import Dialect
+from cornelnotch.gateway.models import CallerLimits, CallerRequest, Route, RoutingTable
+from cornelnotch.gateway.placing import Placer
+from cornelnotch.gateway.servers import ServerPool
+from cornelnotch.kernel.clock import Clock
+from cornelnotch.kernel.events import EventLog
+from cornelnotch.kernel.hashing import hash_text
+from cornelnotch.gateway.settings import HostSettings
+from cornelnotch.web import Exchange, HttpClient
+
+__all__ = ["GatewayParts"]
+
+NO_VERSION = -1
+
+
+class GatewayParts:
+    """Hold the state that the requests of one host share."""
+
+    def __init__(
+        self,
+        settings: HostSettings,
+        clock: Clock,
+        events: EventLog,
+        dialect: Dialect,
+        client: HttpClient,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.events = events
+        self.dialect = dialect
+        self.client = client
+        self.pool = ServerPool()
+        self.placer = Placer(settings.host.domain, settings.regions)
+        self.table = RoutingTable(NO_VERSION, {}, {}, None, CallerLimits())
+        self.generator = random.Random(settings.host.name)
+        self.hosts = 1
+        self._budgets: dict[str, RepeatBudget] = {}
+
+    def find_budget(self, service: str) -> RepeatBudget:
+        """Return the budget of repeats at a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            bounds = self.settings.bounds
+            budget = RepeatBudget(
+                bounds.retry_share, bounds.retry_extra, bounds.retry_window_s * 1000.0
+            )
+            self._budgets[service] = budget
+        budget.hosts = self.hosts
+        return budget
+
+    @staticmethod
+    def choose_service(route: Route, request_id: str) -> str:
+        """Return the service of one request by the weights of its route."""
+        total = sum(share.weight for share in route.shares)
+        point = hash_text(request_id) / 2**64 * total
+        for share in route.shares:
+            point -= share.weight
+            if point < 0 and share.weight > 0:
+                return share.service
+        return route.shares[-1].service
+
+    async def refuse(
+        self,
+        exchange: Exchange,
+        request: CallerRequest | None,
+        status: int,
+        reason: str,
+        retry_after_ms: float | None,
+    ) -> None:
+        """Send an answer of the gateway's own."""
+        pairs = self.dialect.create_refusal_pairs(request, retry_after_ms)
+        await exchange.respond(status, pairs, orjson.dumps({"error": reason}))
--- /dev/null
+++ b/cornelnotch/gateway/placing.py
@@ -0,0 +1,96 @@
+"""Choose the server of a request; pure, without sockets or clocks."""
+
+from collections.abc import Collection
+from dataclasses import dataclass
+
+from cornelnotch.gateway.models import CallerRequest, Route, WorkKind
+from cornelnotch.gateway.servers import ServerView
+from cornelnotch.kernel.hashing import rank_owners
+
+__all__ = ["Placement", "Placer"]
+
+# Prompt tokens that an engine reads in a ms, by the deployments' sheets.
+PREFILL_TOKENS_PER_MS = 62.4
+# Round trips beyond the failure domain and beyond the region.
+DOMAIN_COST_MS = 2.0
+REGION_COST_MS = 70.0
+# Each running stream lengthens a step of the engine by 0.165 ms of 6.55 ms.
+STREAM_COST_MS = 8.0
+CALL_COST_MS = 20.0
+# Shared parts cheaper than this to read again are not worth a detour.
+WORTHWHILE_TOKENS = 500
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """Hold the choice of a server and what spoke for it."""
+
+    server: ServerView
+    cost_ms: float
+    prefill_tokens: int
+    candidates: int
+
+
+class Placer:
+    """Weigh the servers of a service for one host."""
+
+    def __init__(self, domain: str, regions: dict[str, str]) -> None:
+        self._domain = domain
+        self._regions = regions
+
+    def choose(
+        self,
+        servers: list[ServerView],
+        route: Route,
+        request: CallerRequest,
+        excluded: Collection[str],
+        now: float,
+    ) -> Placement | None:
+        """Return the cheapest server, or None when there is none."""
+        candidates = [s for s in servers if s.record.name not in excluded]
+        if not candidates:
+            return None
+        owner = self._find_owner(candidates, request)
+        best: Placement | None = None
+        for server in candidates:
+            prefill = self._count_prefill(server, request, server is owner)
+            cost = self._weigh(server, route, prefill)
+            if best is None or cost < best.cost_ms:
+                best = Placement(server, cost, prefill, len(candidates))
+        return best
+
+    @staticmethod
+    def _find_owner(
+        candidates: list[ServerView], request: CallerRequest
+    ) -> ServerView | None:
+        """Return the server that all hosts prefer for the request's shared parts."""
+        shared = request.prompt[:-1]
+        if sum(part.tokens for part in shared) < WORTHWHILE_TOKENS:
+            return None
+        names = {server.record.name: server for server in candidates}
+        return names[rank_owners(shared[-1].name, names)[0]]
+
+    @staticmethod
+    def _count_prefill(server: ServerView, request: CallerRequest, owner: bool) -> int:
+        """Return the prompt tokens that the server probably has to read."""
+        cached = 0
+        for part in request.prompt[:-1]:
+            if not owner and part.name not in server.parts:
+                break
+            cached += part.tokens
+        return max(request.prompt_tokens - cached, 0)
+
+    def _weigh(self, server: ServerView, route: Route, prefill: int) -> float:
+        cost = self._weigh_distance(server.record.domain)
+        if route.kind is not WorkKind.STREAM:
+            return cost + CALL_COST_MS * len(server.flights) / server.record.slots * 6
+        backlog = server.count_backlog()
+        cost += (backlog + prefill) / PREFILL_TOKENS_PER_MS
+        return cost + STREAM_COST_MS * len(server.flights)
+
+    def _weigh_distance(self, domain: str) -> float:
+        if domain == self._domain:
+            return 0.0
+        if self._regions.get(domain) == self._regions.get(self._domain):
+            return DOMAIN_COST_MS
+        return REGION_COST_MS
--- /dev/null
+++ b/cornelnotch/gateway/records.py
@@ -0,0 +1,89 @@
+"""Keep the newest records of a keyed topic; pure, without sockets or clocks."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass, field
+
+from cornelnotch.gateway.models import RoutingTable, ServerRecord
+
+__all__ = ["KeyedView", "Record", "RecordDecoder", "RecordPage", "RecordSource"]
+
+
+@dataclass(frozen=True, slots=True)
+class Record:
+    """Hold one record; an empty value drops the key."""
+
+    key: str
+    value: bytes
+    offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class RecordPage:
+    """Hold records in order, where to read on and the topic's end."""
+
+    records: list[Record]
+    next_offset: int
+    end_offset: int
+
+
+@dataclass(slots=True)
+class KeyedView:
+    """Hold the newest record of each key up to offset `head`."""
+
+    head: int = -1
+    records: dict[str, Record] = field(default_factory=dict)
+
+    def apply(self, page: RecordPage) -> list[Record]:
+        """Take in records that follow; return those that changed something."""
+        changed = []
+        for record in page.records:
+            known = self.records.get(record.key)
+            if known is not None and known.offset >= record.offset:
+                continue
+            if record.value:
+                self.records[record.key] = record
+            else:
+                self.records.pop(record.key, None)
+            changed.append(record)
+        self.head = max(self.head, page.next_offset)
+        return changed
+
+    def replace(self, page: RecordPage) -> None:
+        """Take in the newest record of every key; others are gone."""
+        listed = {record.key: record for record in page.records}
+        # A key that is not listed may have been written after the page's end.
+        later = {
+            key: record
+            for key, record in self.records.items()
+            if key not in listed and record.offset >= page.end_offset
+        }
+        self.records = {**later, **listed}
+        self.head = max(self.head, page.next_offset)
+
+
+class RecordSource(ABC):
+    """Read the topics `configuration` and `servers`."""
+
+    @abstractmethod
+    async def read_newest(self, topic: str) -> RecordPage:
+        """Return the newest record of each key; raise LogUnavailableError."""
+
+    @abstractmethod
+    async def read_from(self, topic: str, start: int, wait_ms: float) -> RecordPage:
+        """Return records from `start` on.
+
+        Wait up to `wait_ms` for the first. Raise LogTrimmedError when records at
+        `start` are gone and LogUnavailableError when the store does not answer.
+        """
+
+
+class RecordDecoder(ABC):
+    """Decode the values of records."""
+
+    @abstractmethod
+    def decode_table(self, records: dict[str, Record]) -> RoutingTable | None:
+        """Return the routing table; raise ConfigurationError when malformed."""
+
+    @abstractmethod
+    def decode_server(self, record: Record) -> ServerRecord | None:
+        """Return a server, or None when the record names none to use."""
--- /dev/null
+++ b/cornelnotch/gateway/servers.py
@@ -0,0 +1,120 @@
+"""Keep what this host knows of each server; pure, without sockets or clocks."""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from cornelnotch.gateway.dialect import ServerLoad
+from cornelnotch.gateway.models import PromptPart, ServerRecord
+
+__all__ = ["Flight", "ServerPool", "ServerView"]
+
+# A failed server rests this long, doubled for each failure in a row.
+EJECTION_BASE_MS = 300.0
+EJECTION_LIMIT_MS = 3000.0
+# Parts remembered per server; an engine of 600,000 tokens keeps about 100.
+REMEMBERED_PARTS = 400
+
+
+@dataclass(slots=True)
+class Flight:
+    """Hold one dispatch that has not ended; `first_ms` is 0 until its answer."""
+
+    request_id: str
+    started_ms: float
+    prefill_tokens: int
+    tokens: int
+    target_gap_ms: float = 0.0
+    first_ms: float = 0.0
+    heard_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class ServerView:
+    """Hold record, own dispatches, reported load and failures of one server."""
+
+    record: ServerRecord
+    flights: dict[str, Flight] = field(default_factory=dict)
+    load: ServerLoad | None = None
+    load_ms: float = 0.0
+    failures: int = 0
+    ejected_until_ms: float = 0.0
+    heard_ms: float = 0.0
+    parts: OrderedDict[str, float] = field(default_factory=OrderedDict)
+
+    def is_usable(self, now: float) -> bool:
+        """Tell whether the server may get new work."""
+        return not self.record.leaving and now >= self.ejected_until_ms
+
+    def start(self, flight: Flight) -> None:
+        """Note that work was sent."""
+        self.flights[flight.request_id] = flight
+
+    def finish(self, flight: Flight) -> None:
+        """Note that work ended."""
+        self.flights.pop(flight.request_id, None)
+
+    def hear(self, flight: Flight, now: float) -> None:
+        """Note that bytes of an answer arrived."""
+        flight.first_ms = flight.first_ms or now
+        flight.heard_ms = now
+        self.heard_ms = now
+
+    def take_load(self, load: ServerLoad, now: float) -> None:
+        """Keep what the server said of its load."""
+        self.load = load
+        self.load_ms = now
+
+    def fail(self, now: float) -> None:
+        """Let the server rest, longer after each failure in a row."""
+        if now < self.ejected_until_ms:
+            return
+        self.failures += 1
+        rest = min(EJECTION_BASE_MS * 2 ** (self.failures - 1), EJECTION_LIMIT_MS)
+        self.ejected_until_ms = now + rest
+
+    def succeed(self) -> None:
+        """Forget earlier failures."""
+        self.failures = 0
+
+    def remember(self, prompt: Iterable[PromptPart], now: float) -> None:
+        """Note that the server now caches the parts of a prompt."""
+        for part in prompt:
+            self.parts[part.name] = now
+            self.parts.move_to_end(part.name)
+        while len(self.parts) > REMEMBERED_PARTS:
+            self.parts.popitem(last=False)
+
+    def count_backlog(self) -> int:
+        """Return the prompt tokens of own dispatches that have no answer yet."""
+        return sum(f.prefill_tokens for f in self.flights.values() if not f.first_ms)
+
+
+class ServerPool:
+    """Hold the servers of all services by name."""
+
+    def __init__(self) -> None:
+        self.servers: dict[str, ServerView] = {}
+
+    def replace(self, records: Iterable[ServerRecord]) -> None:
+        """Take in the platform's list; what is known of others is dropped."""
+        listed = {record.name: record for record in records}
+        for name in list(self.servers):
+            if name not in listed:
+                del self.servers[name]
+        for name, record in listed.items():
+            known = self.servers.get(name)
+            if known is None or known.record.boot_ms != record.boot_ms:
+                self.servers[name] = ServerView(record)
+            else:
+                known.record = record
+
+    def list_usable(self, service: str, now: float) -> list[ServerView]:
+        """Return servers that may get new work, or all that are not leaving."""
+        ready = [
+            view
+            for view in self.servers.values()
+            if view.record.service == service and not view.record.leaving
+        ]
+        usable = [view for view in ready if view.is_usable(now)]
+        return usable or ready
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -3,7 +3,7 @@
 import logging
 import sys
 from enum import Enum
-from typing import Any
+from typing import Any, TextIO
 
 import orjson
 
@@ -39,8 +39,15 @@
     ANSWER_MISMATCHED = (4004, logging.ERROR, "an answer belonged to another request")
     CLAIM_UNSETTLED = (5001, logging.WARNING, "a claim could not be read back")
     CLAIM_RELEASE_DELAYED = (5002, logging.WARNING, "a release waits for the log")
-    REQUEST_REFUSED = (6001, logging.DEBUG, "a request was refused")
+    SERVER_LISTED = (3005, logging.INFO, "the platform's list of servers changed")
+    REQUEST_REFUSED = (6001, logging.INFO, "a request was refused")
     REQUEST_MALFORMED = (6002, logging.DEBUG, "a request was malformed")
+    REQUEST_ROUTED = (6003, logging.INFO, "a request was mapped to a service")
+    SERVER_CHOSEN = (6004, logging.INFO, "a server was chosen for a request")
+    DISPATCH_FAILED = (6005, logging.INFO, "a server did not answer a request")
+    REQUEST_ANSWERED = (6006, logging.INFO, "a request has its whole answer")
+    REQUEST_BROKEN_OFF = (6007, logging.INFO, "an answer was broken off")
+    CALLER_LEFT = (6008, logging.INFO, "a caller left before its answer")
 
     def __init__(self, number: int, level: int, meaning: str) -> None:
         self.number = number
@@ -104,9 +111,11 @@
     return EventLog(source)
 
 
-def set_up_logging(style: str = "text", level: str = "INFO") -> None:
-    """Send the events to standard error as `text` or `json`."""
-    handler = logging.StreamHandler(sys.stderr)
+def set_up_logging(
+    style: str = "text", level: str = "INFO", stream: TextIO | None = None
+) -> None:
+    """Send the events to `stream`, by default standard error, as `text` or `json`."""
+    handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(JsonFormatter() if style == "json" else TextFormatter())
     logger = logging.getLogger("cornelnotch")
     logger.handlers[:] = [handler]
--- /dev/null
+++ b/cornelnotch/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translate between the users' platform and the gateway."""
--- /dev/null
+++ b/cornelnotch/platform/callers.py
@@ -0,0 +1,49 @@
+"""Serve the platform's questions: which address to use, and whether ready."""
+
+from collections.abc import Callable
+
+from cornelnotch.gateway.directory import Directory
+from cornelnotch.web import Exchange
+
+__all__ = ["DirectoryInterface", "ReadinessInterface"]
+
+RESOLUTION_PATH = "/resolution"
+READY_PATH = "/readyz"
+STATUS_OK = 200
+STATUS_NOT_FOUND = 404
+STATUS_UNAVAILABLE = 503
+
+
+class DirectoryInterface:
+    """Answer `GET /resolution`."""
+
+    def __init__(self, directory: Directory) -> None:
+        self._directory = directory
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one exchange."""
+        if exchange.path != RESOLUTION_PATH:
+            await exchange.respond_json(STATUS_NOT_FOUND, {"error": "unknown path"})
+            return
+        choice = self._directory.choose(
+            exchange.query.get("region", ""), exchange.query.get("zone", "")
+        )
+        status = STATUS_OK if choice.addresses else STATUS_UNAVAILABLE
+        content = {"addresses": choice.addresses, "ttl_s": choice.lifetime_s}
+        await exchange.respond_json(status, content)
+
+
+class ReadinessInterface:
+    """Answer `GET /readyz`."""
+
+    def __init__(self, is_ready: Callable[[], bool]) -> None:
+        self._is_ready = is_ready
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one exchange."""
+        if exchange.path != READY_PATH:
+            await exchange.respond_json(STATUS_NOT_FOUND, {"error": "unknown path"})
+            return
+        ready = self._is_ready()
+        status = STATUS_OK if ready else STATUS_UNAVAILABLE
+        await exchange.respond_json(status, {"ready": ready})
--- /dev/null
+++ b/cornelnotch/platform/records.py
@@ -0,0 +1,199 @@
+"""Decode the records that operators and servers write to the store."""
+
+import msgspec
+
+from cornelnotch.exceptions import ConfigurationError
+from cornelnotch.gateway.models import (
+    CallerLimits,
+    Engine,
+    Route,
+    RoutingTable,
+    ServerRecord,
+    Service,
+    ServiceShare,
+    WorkKind,
+    Workspace,
+)
+
+__all__ = ["decode_server", "decode_table"]
+
+KINDS = {
+    "idempotent": WorkKind.REPEATABLE,
+    "non_idempotent": WorkKind.ONCE,
+    "streaming": WorkKind.STREAM,
+}
+STATE_LEAVING = "draining"
+STATE_READY = "ready"
+
+
+class SplitModel(msgspec.Struct):
+    """Validate one share of a route."""
+
+    service: str
+    weight: float
+
+
+class RouteModel(msgspec.Struct):
+    """Validate a route; `route_type` is the kind of its work."""
+
+    name: str
+    hostname: str
+    path_prefix: str
+    route_type: str
+    timeout_ms: float
+    target_latency_ms: float = 0.0
+    priority: int = 5
+    service: str = ""
+    traffic_split: list[SplitModel] = []
+    max_attempts: int = 1
+    anonymous: bool = False
+    stream_resume: bool = False
+    target_itl_ms: float = 0.0
+
+
+class EngineModel(msgspec.Struct):
+    """Validate what is told of a service's engines."""
+
+    capacity: int = 1
+    kv_capacity: int = 0
+
+
+class ServiceModel(msgspec.Struct):
+    """Validate a service."""
+
+    name: str
+    max_connections: int = 0
+    engine: EngineModel | None = None
+
+
+class TenantModel(msgspec.Struct):
+    """Validate a workspace."""
+
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class LimitsModel(msgspec.Struct):
+    """Validate what callers may send."""
+
+    max_header_bytes: int = 32768
+    max_body_bytes: int = 4 * 1024 * 1024
+    header_timeout_ms: float = 5000.0
+    idle_timeout_ms: float = 60_000.0
+
+
+class ConfigModel(msgspec.Struct):
+    """Validate a whole configuration."""
+
+    version: int
+    routes: list[RouteModel] = []
+    services: list[ServiceModel] = []
+    tenants: list[TenantModel] | None = None
+    limits: LimitsModel = msgspec.field(default_factory=LimitsModel)
+
+
+class ServerModel(msgspec.Struct):
+    """Validate a server's entry; `warmup_left_ms` is how long it stays slow."""
+
+    service: str
+    address: str
+    zone: str
+    capacity: int
+    state: str
+    warmup_left_ms: float = 0.0
+    born: int = 0
+
+
+_config_decoder = msgspec.json.Decoder(ConfigModel)
+_server_decoder = msgspec.json.Decoder(ServerModel)
+
+
+def decode_table(value: bytes) -> RoutingTable:
+    """Return the operator's configuration; raise ConfigurationError if malformed."""
+    try:
+        model = _config_decoder.decode(value)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise ConfigurationError(
+            f"the operator's configuration is malformed: {error}",
+            "write a valid configuration",
+        ) from error
+    routes: dict[str, list[Route]] = {}
+    for entry in model.routes:
+        routes.setdefault(entry.hostname.lower(), []).append(_create_route(entry))
+    return RoutingTable(
+        model.version,
+        {
+            host: tuple(sorted(items, key=lambda r: -len(r.prefix)))
+            for host, items in routes.items()
+        },
+        {entry.name: _create_service(entry) for entry in model.services},
+        _index_keys(model.tenants),
+        CallerLimits(
+            model.limits.max_header_bytes,
+            model.limits.max_body_bytes,
+            model.limits.header_timeout_ms,
+            model.limits.idle_timeout_ms,
+        ),
+    )
+
+
+def _create_route(model: RouteModel) -> Route:
+    split = tuple(ServiceShare(s.service, s.weight) for s in model.traffic_split)
+    return Route(
+        model.name,
+        model.hostname.lower(),
+        model.path_prefix,
+        # An unknown kind must not be repeated.
+        KINDS.get(model.route_type, WorkKind.ONCE),
+        model.timeout_ms,
+        model.target_latency_ms,
+        max(model.max_attempts, 1),
+        model.priority,
+        split or (ServiceShare(model.service, 1.0),),
+        model.anonymous,
+        model.stream_resume,
+        model.target_itl_ms,
+    )
+
+
+def _create_service(model: ServiceModel) -> Service:
+    engine = None
+    if model.engine is not None:
+        engine = Engine(model.engine.capacity, model.engine.kv_capacity)
+    return Service(model.name, model.max_connections, engine)
+
+
+def _index_keys(models: list[TenantModel] | None) -> dict[str, Workspace] | None:
+    if models is None:
+        return None
+    return {
+        key: Workspace(model.name, model.priority)
+        for model in models
+        for key in model.api_keys
+    }
+
+
+def decode_server(name: str, value: bytes) -> ServerRecord | None:
+    """Return a server's entry, or None when it names no server to use."""
+    try:
+        model = _server_decoder.decode(value)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return None
+    if model.state not in {STATE_READY, STATE_LEAVING} or not _is_address(model):
+        return None
+    return ServerRecord(
+        name,
+        model.service,
+        model.address,
+        model.zone,
+        max(model.capacity, 1),
+        model.state == STATE_LEAVING,
+        model.warmup_left_ms,
+        model.born,
+    )
+
+
+def _is_address(model: ServerModel) -> bool:
+    host, _, port = model.address.rpartition(":")
+    return bool(host) and port.isdigit() and 0 < int(port) < 65536
--- a/cornelnotch/web/__init__.py
+++ b/cornelnotch/web/__init__.py
@@ -2,6 +2,13 @@
 
 from cornelnotch.web.client import HttpAnswer, HttpClient, parse_address
 from cornelnotch.web.exchange import Exchange
-from cornelnotch.web.server import HttpServer
+from cornelnotch.web.server import HttpServer, ServerLimits
 
-__all__ = ["Exchange", "HttpAnswer", "HttpClient", "HttpServer", "parse_address"]
+__all__ = [
+    "Exchange",
+    "HttpAnswer",
+    "HttpClient",
+    "HttpServer",
+    "ServerLimits",
+    "parse_address",
+]
--- a/cornelnotch/web/client.py
+++ b/cornelnotch/web/client.py
@@ -42,11 +42,15 @@
         self._ended = False
         self._spoiled = False
         self._idle: asyncio.Task[None] | None = None
+        self._head: h11.Request | None = None
+        self.idle_since_ms = 0.0
 
     async def send(self, head: h11.Request, body: bytes) -> None:
         """Write a whole request."""
+        self._head = head
         data = self._protocol.send(head) or b""
-        data += self._protocol.send(h11.Data(data=body)) or b""
+        if body:
+            data += self._protocol.send(h11.Data(data=body)) or b""
         data += self._protocol.send(h11.EndOfMessage()) or b""
         self._writer.write(data)
         await self._writer.drain()
@@ -124,12 +128,17 @@
     """Hold the head of an answer and read its body."""
 
     status: int
-    headers: dict[str, str]
+    pairs: list[tuple[bytes, bytes]]
     address: str
     connection: ClientConnection
     client: "HttpClient"
     complete: bool = field(default=False)
 
+    @property
+    def headers(self) -> dict[str, str]:
+        """Return the headers by lower-case name."""
+        return {k.decode(): v.decode("latin-1") for k, v in self.pairs}
+
     async def iterate(self) -> AsyncIterator[bytes]:
         """Yield the body in parts; raise UpstreamError when it breaks off."""
         while not self.connection.has_ended():
@@ -197,8 +206,14 @@
         `fresh` forbids an idle connection, so that UpstreamUnreachableError
         proves that no byte was sent; any later failure is an UpstreamError.
         """
-        connection = await self._take(address, fresh)
         head = self._create_head(address, method, target, headers or {}, body)
+        return await self.send(address, head, body, fresh)
+
+    async def send(
+        self, address: str, head: h11.Request, body: bytes, fresh: bool = False
+    ) -> HttpAnswer:
+        """Send a request whose head is made and return the head of its answer."""
+        connection = await self._take(address, fresh)
         try:
             await connection.send(head, body)
             event = await connection.read_event()
@@ -220,11 +235,7 @@
                 "send it again if the work may repeat",
             )
         return HttpAnswer(
-            event.status_code,
-            {k.decode(): v.decode("latin-1") for k, v in event.headers},
-            address,
-            connection,
-            self,
+            event.status_code, list(event.headers), address, connection, self
         )
 
     async def request_json(
--- a/cornelnotch/web/exchange.py
+++ b/cornelnotch/web/exchange.py
@@ -1,7 +1,7 @@
 """Carry one request of a caller and its answer."""
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qsl, urlsplit
 
 import h11
@@ -19,6 +19,14 @@
 __all__ = ["Exchange"]
 
 BODY_TIMEOUT_S = 20.0
+LENGTH_HEADER = "content-length"
+
+Headers = dict[str, str] | list[tuple[Any, Any]]
+
+
+def _is_length(name: str | bytes) -> bool:
+    text = name.decode("latin-1") if isinstance(name, bytes) else name
+    return text.lower() == LENGTH_HEADER
 
 
 class Exchange:
@@ -34,6 +42,7 @@
         self.headers = {
             name.decode(): value.decode("latin-1") for name, value in request.headers
         }
+        self.pairs = list(request.headers)
         self.started = False
         self.finished = False
         self._early = connection.take_early_event()
@@ -72,18 +81,18 @@
                 "the body stopped arriving", "send it again", 408, "body-timeout"
             ) from error
 
-    def _list_headers(self, headers: dict[str, str]) -> list[tuple[str, str]]:
-        pairs = list(headers.items())
-        if not self._body_ended:
-            # What is left of the body cannot be told from the next request.
+    def _list_headers(self, headers: Headers) -> Headers:
+        pairs = list(headers.items()) if isinstance(headers, dict) else list(headers)
+        if not self._body_ended or self._connection.is_leaving():
+            # What is left of a body cannot be told from the next request.
             pairs.append(("connection", "close"))
         return pairs
 
-    async def start(self, status: int, headers: dict[str, str]) -> None:
+    async def start(self, status: int, headers: Headers) -> None:
         """Send the head of an answer whose length is not known yet."""
         self.started = True
         pairs = self._list_headers(headers)
-        if "content-length" not in {name.lower() for name in headers}:
+        if not any(_is_length(name) for name, _ in pairs):
             pairs.append(("transfer-encoding", "chunked"))
         await self._connection.send(h11.Response(status_code=status, headers=pairs))
 
@@ -96,17 +105,15 @@
         self.finished = True
         await self._connection.send(h11.EndOfMessage())
 
-    async def respond(self, status: int, headers: dict[str, str], body: bytes) -> None:
+    async def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a whole answer in one write."""
         self.started = True
         self.finished = True
         pairs = self._list_headers(headers)
         pairs.append(("content-length", str(len(body))))
-        await self._connection.send(
-            h11.Response(status_code=status, headers=pairs),
-            h11.Data(data=body),
-            h11.EndOfMessage(),
-        )
+        head = h11.Response(status_code=status, headers=pairs)
+        parts: list[h11.Event] = [h11.Data(data=body)] if body else []
+        await self._connection.send(head, *parts, h11.EndOfMessage())
 
     async def respond_json(
         self, status: int, content: object, headers: dict[str, str] | None = None
--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from dataclasses import dataclass
 
 import h11
 import orjson
@@ -10,7 +11,7 @@
 from cornelnotch.exceptions import CallerGoneError, RequestError
 from cornelnotch.web.exchange import Exchange
 
-__all__ = ["Handler", "HttpServer", "ServerConnection"]
+__all__ = ["Handler", "HttpServer", "ServerConnection", "ServerLimits"]
 
 READ_BYTES = 65536
 MAX_HEADER_BYTES = 32768
@@ -18,21 +19,36 @@
 SKIP_TIMEOUT_S = 1.0
 MAX_SKIPPED_BYTES = 4 * 1024 * 1024
 WRITE_BUFFER_BYTES = 65536
+MAX_EARLY_BYTES = 65536
 
 
 Handler = Callable[[Exchange], Awaitable[None]]
 
 
+@dataclass(slots=True)
+class ServerLimits:
+    """Bound what callers may send; may be changed while the server runs."""
+
+    header_bytes: int = MAX_HEADER_BYTES
+    header_timeout_s: float = HEADER_TIMEOUT_S
+    idle_timeout_s: float = HEADER_TIMEOUT_S
+    leaving: bool = False
+
+
 class ServerConnection:
     """Own the socket of one caller."""
 
     def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        limits: ServerLimits,
     ) -> None:
         self._reader = reader
         self._writer = writer
+        self._limits = limits
         self._protocol = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES
+            h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
         self._watcher: asyncio.Task[None] | None = None
         self._busy = False
@@ -64,7 +80,8 @@
 
     async def _read_request(self) -> h11.Request | None:
         try:
-            async with asyncio.timeout(HEADER_TIMEOUT_S):
+            await self._wait_for_bytes()
+            async with asyncio.timeout(self._limits.header_timeout_s):
                 event = await self.read_event()
         except (TimeoutError, CallerGoneError):
             return None
@@ -74,16 +91,28 @@
         if not isinstance(event, h11.Request):
             return None
         size = sum(len(name) + len(value) for name, value in event.headers)
-        if size > MAX_HEADER_BYTES:
+        if size > self._limits.header_bytes:
             # h11 bounds only heads that arrive in more than one piece.
             await self._refuse(
                 h11.RemoteProtocolError(
-                    f"headers above {MAX_HEADER_BYTES} bytes", error_status_hint=431
+                    f"headers above {self._limits.header_bytes} bytes",
+                    error_status_hint=431,
                 )
             )
             return None
         return event
 
+    async def _wait_for_bytes(self) -> None:
+        """Wait for the first bytes of a request; raise TimeoutError when idle."""
+        if self._protocol.trailing_data[0]:
+            return
+        async with asyncio.timeout(self._limits.idle_timeout_s):
+            await self._receive()
+
+    def is_leaving(self) -> bool:
+        """Tell whether the caller is to open its next connection elsewhere."""
+        return self._limits.leaving
+
     async def _refuse(self, error: h11.RemoteProtocolError) -> None:
         if self._protocol.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
@@ -172,14 +201,18 @@
 
     async def _watch(self) -> None:
         # Bytes that arrive here are the start of the caller's next request.
-        try:
-            data = await self._reader.read(READ_BYTES)
-        except OSError:
-            data = b""
-        if not data:
-            self.gone.set()
-        with suppress(h11.RemoteProtocolError):
-            self._protocol.receive_data(data)
+        received = 0
+        while received < MAX_EARLY_BYTES:
+            try:
+                data = await self._reader.read(READ_BYTES)
+            except OSError:
+                data = b""
+            received += len(data)
+            with suppress(h11.RemoteProtocolError):
+                self._protocol.receive_data(data)
+            if not data:
+                self.gone.set()
+                return
 
     async def _stop_watching(self) -> None:
         if self._watcher is None:
@@ -220,7 +253,8 @@
 class HttpServer:
     """Listen on one address and hand each request to a handler."""
 
-    def __init__(self, handler: Handler) -> None:
+    def __init__(self, handler: Handler, limits: ServerLimits | None = None) -> None:
+        self.limits = limits or ServerLimits()
         self._handler = handler
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.Task[None]] = set()
@@ -258,7 +292,7 @@
         task = asyncio.current_task()
         assert task is not None
         self._connections.add(task)
-        connection = ServerConnection(reader, writer)
+        connection = ServerConnection(reader, writer, self.limits)
         if self._refusing:
             connection.close_when_idle()
         self._open.add(connection)
