--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -14,7 +14,7 @@
 )
 from cornelnotch.gateway.parts import GatewayParts
 from cornelnotch.gateway.placing import Placement
-from cornelnotch.gateway.servers import Flight
+from cornelnotch.gateway.servers import Flight, ServerView
 from cornelnotch.gateway.streams import EventCutter
 from cornelnotch.kernel.events import Event
 from cornelnotch.web import Exchange
@@ -186,7 +186,7 @@
         else:
             self.progress.ran += 1
 
-    def _judge(self, view, answer: Answer | None) -> None:  # type: ignore[no-untyped-def]
+    def _judge(self, view: ServerView, answer: Answer | None) -> None:
         now = self.parts.clock.read()
         if answer is None:
             view.succeed()
@@ -202,7 +202,9 @@
         if answer.fate in {Fate.NOT_SENT, Fate.BROKEN}:
             view.fail(now)
 
-    async def _pass_on(self, answer: Answer, view, flight: Flight) -> Answer | None:  # type: ignore[no-untyped-def]
+    async def _pass_on(
+        self, answer: Answer, view: ServerView, flight: Flight
+    ) -> Answer | None:
         if self.route.kind is WorkKind.STREAM:
             return await self._pass_on_stream(answer, view, flight)
         try:
@@ -215,7 +217,10 @@
         return None
 
     async def _pass_on_stream(
-        self, answer: Answer, view, flight: Flight  # type: ignore[no-untyped-def]
+        self,
+        answer: Answer,
+        view,
+        flight: Flight,
     ) -> Answer | None:
         assert answer.head is not None
         if answer.head.status != STATUS_OK and self.exchange.started:
--- a/cornelnotch/gateway/follower.py
+++ b/cornelnotch/gateway/follower.py
@@ -1,138 +1,252 @@
-"""Follow the platform's records and keep the routing state up to date."""
+"""Follow the platform's records, by own reading or by other hosts' news."""
 
+import random
+import zlib
 from collections.abc import Callable
 
-from cornelnotch.exceptions import (
-    ConfigurationError,
-    LogTrimmedError,
-    LogUnavailableError,
-)
-from cornelnotch.gateway.parts import GatewayParts
-from cornelnotch.gateway.records import KeyedView, Record, RecordDecoder, RecordSource
-from cornelnotch.kernel.events import Event
+from cornelnotch.exceptions import LogTrimmedError, LogUnavailableError
+from cornelnotch.gateway.records import KeyedView, Record, RecordPage, RecordSource
+from cornelnotch.gateway.relay import RelayPlan, split_targets
+from cornelnotch.kernel.clock import Clock
+from cornelnotch.kernel.events import Event, EventLog
+from cornelnotch.wire import PeerNetwork
+from cornelnotch.wire.messages import RecordFetch, RecordItem, RecordNews
 
 __all__ = ["CONFIGURATION", "SERVERS", "RecordFollower"]
 
 CONFIGURATION = "configuration"
 SERVERS = "servers"
-# Server records change with every heartbeat, so reads are paced.
-SERVERS_PERIOD_MS = 700.0
-# A change must be in force within 3 s, also when one read goes unanswered.
-CONFIGURATION_WAIT_MS = 1200.0
+TOPICS = (CONFIGURATION, SERVERS)
+# Server records change often, so reads are paced: first reader, standby, others.
+FIRST_PERIOD_MS = 600.0
+STANDBY_PERIOD_MS = 1100.0
+# Reads of the configuration wait at the store for the next change.
+CONFIGURATION_WAIT_MS = 1000.0
 RETRY_MS = 200.0
-# Entries that lapse in an outage of the store are back within 2 s of its return.
+TICK_MS = 100.0
+# Hosts that nobody tells anything ask two others this often.
+ASK_PERIOD_MS = 500.0
+ASKED_HOSTS = 2
+# After a gap of this length, entries may have lapsed that are about to return.
 OUTAGE_MS = 2000.0
-RETURN_MS = 2200.0
+MAX_VALUE_BYTES = 8 * 1024 * 1024
+
+Listener = Callable[[str, bool], None]
 
 
 class RecordFollower:
     """Own this host's copies of both topics."""
 
     def __init__(
-        self, parts: GatewayParts, source: RecordSource, decoder: RecordDecoder
+        self,
+        clock: Clock,
+        events: EventLog,
+        source: RecordSource,
+        peers: PeerNetwork,
+        plan: RelayPlan,
+        list_hosts: Callable[[], list[str]],
+        generator: random.Random,
     ) -> None:
-        self._parts = parts
+        self.views = {topic: KeyedView() for topic in TOPICS}
+        self._clock = clock
+        self._events = events
         self._source = source
-        self._decoder = decoder
-        self.views = {CONFIGURATION: KeyedView(), SERVERS: KeyedView()}
-        self.read_ms = {CONFIGURATION: float("-inf"), SERVERS: float("-inf")}
+        self._peers = peers
+        self._plan = plan
+        self._list_hosts = list_hosts
+        self._generator = generator
         self._lost: set[str] = set()
-        self._outage_ended_ms = float("-inf")
-        self._listeners: list[Callable[[str, list[Record]], None]] = []
+        self._asked_ms = {topic: float("-inf") for topic in TOPICS}
+        self._listener: Listener = lambda topic, after_outage: None
+        peers.subscribe(RecordNews, self._receive_news)
+        peers.subscribe(RecordFetch, self._receive_fetch)
 
-    def subscribe(self, listener: Callable[[str, list[Record]], None]) -> None:
-        """Call `listener` with topic and changed records."""
-        self._listeners.append(listener)
+    def subscribe(self, listener: Listener) -> None:
+        """Call `listener` with a changed topic and whether an outage ended."""
+        self._listener = listener
 
     async def run_configuration(self) -> None:
         """Follow the operator's configuration until cancelled."""
         while True:
-            if not await self._read(CONFIGURATION, CONFIGURATION_WAIT_MS):
-                await self._parts.clock.sleep(RETRY_MS)
+            pause = await self._step(CONFIGURATION, CONFIGURATION_WAIT_MS)
+            await self._clock.sleep(0.0 if pause is None else pause)
 
     async def run_servers(self) -> None:
         """Follow the servers' entries until cancelled."""
         while True:
-            done = await self._read(SERVERS, 0.0)
-            pause = SERVERS_PERIOD_MS if done else RETRY_MS
-            await self._parts.clock.sleep(pause)
+            pause = await self._step(SERVERS, 0.0)
+            await self._clock.sleep(self._choose_period() if pause is None else pause)
+
+    async def _step(self, topic: str, wait_ms: float) -> float | None:
+        """Read if it is this host's turn; return the pause, None after success."""
+        now = self._clock.read()
+        if not self._plan.must_read(topic, now):
+            return TICK_MS
+        if await self._read(topic, wait_ms):
+            return None
+        self._tell_age(topic)
+        self._ask(topic)
+        return RETRY_MS
+
+    def _choose_period(self) -> float:
+        readers = self._plan.list_readers(self._clock.read())
+        if readers[:1] == [self._plan.name]:
+            return FIRST_PERIOD_MS
+        return STANDBY_PERIOD_MS * self._generator.uniform(0.9, 1.0)
 
     async def _read(self, topic: str, wait_ms: float) -> bool:
         view = self.views[topic]
+        start = view.head
         try:
-            if view.head < 0:
-                await self._read_newest(topic)
+            if start < 0:
+                page = await self._source.read_newest(topic)
             else:
-                page = await self._source.read_from(topic, view.head, wait_ms)
-                self._note_read(topic)
-                if view.apply(page):
-                    self._apply(topic)
+                page = await self._source.read_from(topic, start, wait_ms)
         except LogTrimmedError:
             view.head = -1
-            return True
+            return await self._read(topic, wait_ms) if start >= 0 else False
         except LogUnavailableError as error:
             self._note_lost(topic, error)
             return False
+        self._note_read(topic)
+        self._take(self._plan.name, topic, page, 0.0, start < 0)
+        self._tell(topic, start, page)
         return True
 
-    async def _read_newest(self, topic: str) -> None:
-        page = await self._source.read_newest(topic)
-        self.views[topic].replace(page)
-        self._note_read(topic)
-        self._apply(topic)
+    def _take(
+        self, origin: str, topic: str, page: RecordPage, age_ms: float, whole: bool
+    ) -> None:
+        """Take in records and how old they are."""
+        now = self._clock.read()
+        after_outage = self._plan.read_age(topic, now) > OUTAGE_MS
+        self._plan.note_age(origin, topic, age_ms, now)
+        view = self.views[topic]
+        if whole:
+            before = view.records
+            view.replace(page)
+            changed = before != view.records
+        else:
+            changed = bool(view.apply(page))
+        if changed:
+            self._listener(topic, after_outage)
+
+    def _tell(self, topic: str, start: int, page: RecordPage) -> None:
+        """Pass on what was just read, or that nothing has changed."""
+        if not self._plan.must_tell(self._clock.read()):
+            return
+        items = [_pack(record) for record in page.records]
+        whole = start < 0
+        self._send_news(
+            RecordNews(
+                self._plan.name,
+                topic,
+                max(start, 0),
+                page.next_offset,
+                0.0,
+                whole,
+                items,
+                [],
+            ),
+            [name for name in self._list_hosts() if name != self._plan.name],
+        )
+
+    def _tell_age(self, topic: str) -> None:
+        """Say that this host cannot read, so that others do."""
+        now = self._clock.read()
+        head = self.views[topic].head
+        if head < 0 or not self._plan.must_tell(now):
+            return
+        age_ms = min(self._plan.read_age(topic, now), 1e9)
+        news = RecordNews(self._plan.name, topic, head, head, age_ms, False, [], [])
+        self._send_news(news, [n for n in self._list_hosts() if n != self._plan.name])
+
+    def _send_news(self, news: RecordNews, names: list[str]) -> None:
+        for branch in split_targets(names):
+            told = RecordNews(
+                news.origin,
+                news.topic,
+                news.start,
+                news.end,
+                news.age_ms,
+                news.whole,
+                news.items,
+                branch.rest,
+            )
+            self._peers.send(branch.head, told)
+
+    def _receive_news(self, sender: str, news: RecordNews) -> None:
+        self._send_news(news, news.targets)
+        if news.topic not in self.views or news.origin == self._plan.name:
+            return
+        view = self.views[news.topic]
+        now = self._clock.read()
+        if news.whole and news.end < view.head:
+            return
+        if not news.whole and (view.head < news.start or view.head < 0):
+            self._plan.note_age(news.origin, news.topic, news.age_ms, now)
+            self._ask_host(news.topic, news.origin)
+            return
+        records = [_unpack(item) for item in news.items]
+        page = RecordPage(records, news.end, news.end)
+        self._take(news.origin, news.topic, page, news.age_ms, news.whole)
+
+    def _receive_fetch(self, sender: str, fetch: RecordFetch) -> None:
+        view = self.views.get(fetch.topic)
+        if view is None or view.head < 0 or view.head < fetch.head:
+            return
+        now = self._clock.read()
+        age_ms = self._plan.read_age(fetch.topic, now)
+        items = [_pack(record) for record in view.records.values()]
+        self._peers.send(
+            fetch.host,
+            RecordNews(
+                self._plan.name,
+                fetch.topic,
+                0,
+                view.head,
+                min(age_ms, 1e9),
+                True,
+                items,
+                [],
+            ),
+        )
+
+    def _ask(self, topic: str) -> None:
+        """Ask some hosts for what they know when nobody tells anything."""
+        if not self._plan.is_stale(topic, self._clock.read()):
+            return
+        others = [name for name in self._list_hosts() if name != self._plan.name]
+        chosen = self._generator.sample(others, min(ASKED_HOSTS, len(others)))
+        now = self._clock.read()
+        if now - self._asked_ms[topic] < ASK_PERIOD_MS:
+            return
+        for name in chosen:
+            self._asked_ms[topic] = float("-inf")
+            self._ask_host(topic, name)
+
+    def _ask_host(self, topic: str, name: str) -> None:
+        now = self._clock.read()
+        if now - self._asked_ms[topic] < ASK_PERIOD_MS:
+            return
+        self._asked_ms[topic] = now
+        head = self.views[topic].head
+        self._peers.send(name, RecordFetch(self._plan.name, topic, head))
 
     def _note_read(self, topic: str) -> None:
-        now = self._parts.clock.read()
-        if now - self.read_ms[topic] > OUTAGE_MS and topic == SERVERS:
-            self._outage_ended_ms = now
-        self.read_ms[topic] = now
         if topic in self._lost:
             self._lost.discard(topic)
-            self._parts.events.record(Event.LOG_RECOVERED, topic=topic)
+            self._events.record(Event.LOG_RECOVERED, topic=topic)
 
     def _note_lost(self, topic: str, error: LogUnavailableError) -> None:
         if topic not in self._lost:
             self._lost.add(topic)
-            self._parts.events.record(
-                Event.LOG_UNAVAILABLE, topic=topic, error=str(error)
-            )
+            self._events.record(Event.LOG_UNAVAILABLE, topic=topic, error=str(error))
 
-    def _apply(self, topic: str) -> None:
-        if topic == CONFIGURATION:
-            self._apply_configuration()
-        else:
-            self._apply_servers()
 
-    def _apply_configuration(self) -> None:
-        try:
-            table = self._decoder.decode_table(self.views[CONFIGURATION].records)
-        except ConfigurationError as error:
-            self._parts.events.record(Event.CONFIGURATION_REJECTED, error=str(error))
-            return
-        if table is None or table.version <= self._parts.table.version:
-            return
-        self._parts.table = table
-        self._parts.events.record(Event.CONFIGURATION_APPLIED, version=table.version)
-
-    def _apply_servers(self) -> None:
-        found = [
-            self._decoder.decode_server(record)
-            for record in self.views[SERVERS].records.values()
-        ]
-        records = {server.name: server for server in found if server is not None}
-        now = self._parts.clock.read()
-        if now < self._outage_ended_ms + RETURN_MS:
-            # Lapsed entries of live servers are about to come back.
-            for name, view in self._parts.pool.servers.items():
-                records.setdefault(name, view.record)
-        known = {name: v.record for name, v in self._parts.pool.servers.items()}
-        self._parts.pool.replace(records.values())
-        for name in known.keys() | records.keys():
-            self._note_server(name, known.get(name), records.get(name))
-
-    def _note_server(self, name, before, after) -> None:  # type: ignore[no-untyped-def]
-        if before is None or after is None or before.leaving != after.leaving:
-            state = "gone"
-            if after is not None:
-                state = "leaving" if after.leaving else "ready"
-            self._parts.events.record(Event.SERVER_LISTED, server=name, state=state)
+def _pack(record: Record) -> RecordItem:
+    return RecordItem(record.key, zlib.compress(record.value), record.offset)
+
+
+def _unpack(item: RecordItem) -> Record:
+    value = zlib.decompressobj().decompress(item.value, MAX_VALUE_BYTES)
+    return Record(item.key, value, item.offset)
--- a/cornelnotch/gateway/front.py
+++ b/cornelnotch/gateway/front.py
@@ -31,7 +31,9 @@
             await self._route(exchange)
         except RequestError as error:
             if exchange.started:
-                raise CallerGoneError("the request broke off", "send it again") from error
+                raise CallerGoneError(
+                    "the request broke off", "send it again"
+                ) from error
             self._parts.events.record(
                 Event.REQUEST_MALFORMED, kind=error.kind, path=exchange.path
             )
@@ -47,7 +49,9 @@
             exchange.method, exchange.target, exchange.pairs
         )
         if table.version == NO_VERSION:
-            await self._refuse(exchange, request, STATUS_UNAVAILABLE, "no-configuration")
+            await self._refuse(
+                exchange, request, STATUS_UNAVAILABLE, "no-configuration"
+            )
             return
         route = table.find_route(request.host, urlsplit(request.target).path)
         if route is None:
--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -9,12 +9,14 @@
 from cornelnotch.gateway.front import Front
 from cornelnotch.gateway.parts import NO_VERSION, GatewayParts
 from cornelnotch.gateway.records import RecordDecoder, RecordSource
+from cornelnotch.gateway.relay import RelayPlan, Source
 from cornelnotch.gateway.settings import HostSettings
+from cornelnotch.gateway.state import RoutingState
 from cornelnotch.kernel.clock import Clock
 from cornelnotch.kernel.events import Event, EventLog
 from cornelnotch.kernel.tasks import TaskGroup
 from cornelnotch.logservice.base import HostList, PlatformHosts
-from cornelnotch.membership import MemberState, MemberTable, Prober, ServerTable
+from cornelnotch.membership import Member, MemberState, MemberTable, Prober, ServerTable
 from cornelnotch.membership.prober import ProberTiming
 from cornelnotch.web import HttpClient, HttpServer, parse_address
 from cornelnotch.wire import PeerNetwork
@@ -35,7 +37,7 @@
 
     async def read(self) -> PlatformHosts:
         """Return an empty list."""
-        return PlatformHosts([])
+        return PlatformHosts(())
 
 
 class GatewayHost:
@@ -58,10 +60,10 @@
         self.stopped = asyncio.Event()
         self.leaving = False
         self.parts = GatewayParts(settings, clock, events, dialect, client)
-        self.follower = RecordFollower(self.parts, source, decoder)
         self.front = Front(self.parts)
         self.server = HttpServer(self.front.handle)
         self._build_membership()
+        self._build_state(source, decoder)
         self.directory = Directory(
             self._list_entries, settings.regions, ENTRY_LIFETIME_S
         )
@@ -86,14 +88,35 @@
             ProberTiming(seeds=tuple(filter(None, seeds))),
             random.Random(host.name),
         )
-        self.prober.subscribe(self._count_hosts)
 
-    def _count_hosts(self) -> None:
-        self.parts.hosts = max(len(self.prober.table.list_entries()), 1)
+    def _build_state(self, source: RecordSource, decoder: RecordDecoder) -> None:
+        self.plan = RelayPlan(self.settings.host.name)
+        self.follower = RecordFollower(
+            self.clock,
+            self.events,
+            source,
+            self.peers,
+            self.plan,
+            self._list_peers,
+            random.Random(f"{self.settings.host.name}/records"),
+        )
+        self.state = RoutingState(self.parts, self.follower, decoder)
+        self.prober.subscribe(self._apply_members)
+
+    def _apply_members(self) -> None:
+        members = self._list_entries()
+        self.parts.hosts = max(len(members), 1)
+        self.plan.set_hosts([Source(m.name, m.place) for m in members])
 
-    def _list_entries(self):  # type: ignore[no-untyped-def]
+    def _list_entries(self) -> list[Member]:
         return self.prober.table.list_entries()
 
+    def _list_peers(self) -> list[str]:
+        """Return every host that may want news, also those still starting."""
+        table = self.prober.table
+        dead = MemberState.DEAD
+        return [name for name, m in table.members.items() if m.state is not dead]
+
     def is_ready(self) -> bool:
         """Tell whether callers may be sent here."""
         return not self.leaving and self.parts.table.version != NO_VERSION
@@ -104,6 +127,7 @@
         await self.server.start(*parse_address(self.settings.listen.callers))
         self.tasks.keep("configuration", self.follower.run_configuration)
         self.tasks.keep("servers", self.follower.run_servers)
+        self.tasks.keep("state", self.state.run)
         self.tasks.keep("probes", self.prober.run_probes)
         self.tasks.keep("limits", self._run_readiness)
         self.events.record(Event.NODE_STARTED, http=self.settings.listen.callers)
--- a/cornelnotch/gateway/parts.py
+++ b/cornelnotch/gateway/parts.py
@@ -9,10 +9,10 @@
 from cornelnotch.gateway.models import CallerLimits, CallerRequest, Route, RoutingTable
 from cornelnotch.gateway.placing import Placer
 from cornelnotch.gateway.servers import ServerPool
+from cornelnotch.gateway.settings import HostSettings
 from cornelnotch.kernel.clock import Clock
 from cornelnotch.kernel.events import EventLog
 from cornelnotch.kernel.hashing import hash_text
-from cornelnotch.gateway.settings import HostSettings
 from cornelnotch.web import Exchange, HttpClient
 
 __all__ = ["GatewayParts"]
--- /dev/null
+++ b/cornelnotch/gateway/relay.py
@@ -0,0 +1,107 @@
+"""Decide which hosts read the store and whom they tell; pure.
+
+Two hosts read for the whole fleet and pass changes on. A host that hears nothing
+fresh reads by itself, and one that cannot read either asks others.
+"""
+
+from collections.abc import Collection
+from dataclasses import dataclass
+
+from cornelnotch.kernel.hashing import rank_owners
+
+__all__ = ["Branch", "RelayPlan", "Source", "split_targets"]
+
+READERS = 2
+READING_DUTY = "records"
+# News older than this means that the sender cannot read the store.
+UNABLE_AGE_MS = 1500.0
+# Hosts without news this fresh read by themselves, in time for a bound of 3 s.
+STALE_MS = {"configuration": 1700.0, "servers": 1400.0}
+# What a host said of itself is forgotten when it is not repeated.
+UNABLE_MEMORY_MS = 3000.0
+# Messages that one host sends for one change, whatever the size of the fleet.
+FAN_OUT = 16
+
+
+@dataclass(frozen=True, slots=True)
+class Source:
+    """Name a host that may read, with its failure domain."""
+
+    name: str
+    domain: str
+
+
+@dataclass(frozen=True, slots=True)
+class Branch:
+    """Name the host that gets news and those that it passes them on to."""
+
+    head: str
+    rest: list[str]
+
+
+def split_targets(names: Collection[str]) -> list[Branch]:
+    """Split hosts into at most FAN_OUT branches of like size."""
+    ordered = list(names)
+    heads = ordered[:FAN_OUT]
+    others = ordered[FAN_OUT:]
+    return [Branch(head, others[i::FAN_OUT]) for i, head in enumerate(heads)]
+
+
+class RelayPlan:
+    """Hold what one host believes about the readers of the store."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self._order: list[Source] = []
+        self._unable: dict[str, float] = {}
+        self._fresh_ms: dict[str, float] = {}
+
+    def set_hosts(self, hosts: Collection[Source]) -> None:
+        """Take in the hosts that are alive."""
+        found = {host.name: host for host in hosts}
+        self._order = [found[name] for name in rank_owners(READING_DUTY, found)]
+
+    def note_age(self, host: str, topic: str, age_ms: float, now: float) -> None:
+        """Take in how old a host's reading of a topic is."""
+        if age_ms > UNABLE_AGE_MS:
+            self._unable[host] = now
+        else:
+            self._unable.pop(host, None)
+        read_ms = now - age_ms
+        self._fresh_ms[topic] = max(self._fresh_ms.get(topic, read_ms), read_ms)
+
+    def read_age(self, topic: str, now: float) -> float:
+        """Return ms since somebody read the topic, as far as this host knows."""
+        return now - self._fresh_ms.get(topic, float("-inf"))
+
+    def is_stale(self, topic: str, now: float) -> bool:
+        """Tell whether what this host knows of a topic is too old."""
+        return self.read_age(topic, now) > STALE_MS[topic]
+
+    def list_readers(self, now: float) -> list[str]:
+        """Return the hosts that are to read, in different domains if possible."""
+        able = [
+            host
+            for host in self._order
+            if now - self._unable.get(host.name, float("-inf")) > UNABLE_MEMORY_MS
+        ]
+        return self._choose(able)
+
+    def _choose(self, hosts: list[Source]) -> list[str]:
+        """Return the first hosts in order, in different domains if possible."""
+        first = hosts[:1]
+        others = [h for h in hosts[1:] if h.domain != first[0].domain]
+        chosen = first + (others or hosts[1:])[: READERS - 1]
+        return [host.name for host in chosen]
+
+    def must_read(self, topic: str, now: float) -> bool:
+        """Tell whether this host is to read the topic now."""
+        if self.name in self.list_readers(now):
+            return True
+        # The usual readers go on trying, so that others learn when they can again.
+        return self.name in self._choose(self._order) or self.is_stale(topic, now)
+
+    def must_tell(self, now: float) -> bool:
+        """Tell whether this host is to pass on what it reads."""
+        usual = self._choose(self._order)
+        return self.name in usual or self.name in self.list_readers(now)
--- /dev/null
+++ b/cornelnotch/gateway/state.py
@@ -0,0 +1,81 @@
+"""Turn followed records into the table and servers that requests use."""
+
+from cornelnotch.exceptions import ConfigurationError
+from cornelnotch.gateway.follower import CONFIGURATION, SERVERS, RecordFollower
+from cornelnotch.gateway.models import ServerRecord
+from cornelnotch.gateway.parts import GatewayParts
+from cornelnotch.gateway.records import RecordDecoder
+from cornelnotch.kernel.events import Event
+
+__all__ = ["RoutingState"]
+
+# Entries that lapsed in an outage of the store are back within 2 s of its return.
+RETURN_MS = 2100.0
+TICK_MS = 200.0
+
+
+class RoutingState:
+    """Own what the platform's records mean for this host's requests."""
+
+    def __init__(
+        self, parts: GatewayParts, follower: RecordFollower, decoder: RecordDecoder
+    ) -> None:
+        self._parts = parts
+        self._follower = follower
+        self._decoder = decoder
+        self._kept: dict[str, ServerRecord] = {}
+        self._kept_until_ms = float("-inf")
+        follower.subscribe(self.apply)
+
+    async def run(self) -> None:
+        """Drop servers that did not come back after an outage."""
+        while True:
+            await self._parts.clock.sleep(TICK_MS)
+            if self._kept and self._parts.clock.read() >= self._kept_until_ms:
+                self._kept.clear()
+                self._apply_servers(False)
+
+    def apply(self, topic: str, after_outage: bool) -> None:
+        """Bring a changed topic into force."""
+        if topic == CONFIGURATION:
+            self._apply_configuration()
+        else:
+            self._apply_servers(after_outage)
+
+    def _apply_configuration(self) -> None:
+        records = self._follower.views[CONFIGURATION].records
+        try:
+            table = self._decoder.decode_table(records)
+        except ConfigurationError as error:
+            self._parts.events.record(Event.CONFIGURATION_REJECTED, error=str(error))
+            return
+        if table is None or table.version <= self._parts.table.version:
+            return
+        self._parts.table = table
+        self._parts.events.record(Event.CONFIGURATION_APPLIED, version=table.version)
+
+    def _apply_servers(self, after_outage: bool) -> None:
+        views = self._follower.views[SERVERS].records.values()
+        found = [self._decoder.decode_server(record) for record in views]
+        records = {server.name: server for server in found if server is not None}
+        known = {name: v.record for name, v in self._parts.pool.servers.items()}
+        if after_outage:
+            self._kept = {n: r for n, r in known.items() if n not in records}
+            self._kept_until_ms = self._parts.clock.read() + RETURN_MS
+        for name in list(self._kept):
+            if name in records:
+                del self._kept[name]
+        merged = {**self._kept, **records}
+        self._parts.pool.replace(merged.values())
+        for name in known.keys() | merged.keys():
+            self._note_server(name, known.get(name), merged.get(name))
+
+    def _note_server(
+        self, name: str, before: ServerRecord | None, after: ServerRecord | None
+    ) -> None:
+        if before is not None and after is not None and before.leaving == after.leaving:
+            return
+        state = "gone"
+        if after is not None:
+            state = "leaving" if after.leaving else "ready"
+        self._parts.events.record(Event.SERVER_LISTED, server=name, state=state)
--- a/cornelnotch/platform/store.py
+++ b/cornelnotch/platform/store.py
@@ -119,7 +119,7 @@
         return split_records(body, start)
 
     @staticmethod
-    def _decode(decoder: msgspec.json.Decoder, body: bytes):  # type: ignore[no-untyped-def]
+    def _decode(decoder: msgspec.json.Decoder, body: bytes):
         try:
             return decoder.decode(body)
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
--- a/cornelnotch/web/exchange.py
+++ b/cornelnotch/web/exchange.py
@@ -81,7 +81,8 @@
                 "the body stopped arriving", "send it again", 408, "body-timeout"
             ) from error
 
-    def _list_headers(self, headers: Headers) -> Headers:
+    def _list_headers(self, headers: Headers) -> list[tuple[Any, Any]]:
+        pairs: list[tuple[Any, Any]]
         pairs = list(headers.items()) if isinstance(headers, dict) else list(headers)
         if not self._body_ended or self._connection.is_leaving():
             # What is left of a body cannot be told from the next request.
--- a/cornelnotch/wire/messages.py
+++ b/cornelnotch/wire/messages.py
@@ -28,6 +28,9 @@
     "PermitRefusal",
     "Ping",
     "PingRequest",
+    "RecordFetch",
+    "RecordItem",
+    "RecordNews",
     "ServerUpdate",
     "list_message_types",
 ]
@@ -266,6 +269,42 @@
     outcome: bytes
 
 
+@dataclass(frozen=True, slots=True)
+class RecordItem:
+    """Carry one record of the platform's store; the value is deflated."""
+
+    key: str
+    value: bytes
+    offset: int
+
+
+@dataclass(frozen=True, slots=True)
+class RecordNews:
+    """Carry the records of a topic between two offsets.
+
+    `age_ms` tells how long ago `origin` read the store. The receiver passes
+    the message on to `targets`. `whole` says that keys not listed are gone.
+    """
+
+    origin: str
+    topic: str
+    start: int
+    end: int
+    age_ms: float
+    whole: bool
+    items: list[RecordItem]
+    targets: list[str]
+
+
+@dataclass(frozen=True, slots=True)
+class RecordFetch:
+    """Ask a host for what it knows of a topic beyond offset `head`."""
+
+    host: str
+    topic: str
+    head: int
+
+
 def list_message_types() -> list[type]:
     """Return the message types; the position of each is its number."""
     return [
@@ -287,4 +326,6 @@
         HeldPermits,
         ClaimAsk,
         ClaimAnswer,
+        RecordNews,
+        RecordFetch,
     ]
