--- a/cornelnotch/gateway/dialect.py
+++ b/cornelnotch/gateway/dialect.py
@@ -10,13 +10,17 @@
 
 @dataclass(frozen=True, slots=True)
 class DispatchTerms:
-    """Hold what one dispatch tells the server beside the caller's request."""
+    """Hold what one dispatch tells the server beside the caller's request.
+
+    `cache_source` is the address of a server to fetch cached parts from.
+    """
 
     server: str
     left_ms: float
     workspace: str
     priority: int | None
     last_event: str = ""
+    cache_source: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -125,6 +125,7 @@
                 cost_ms=round(placement.cost_ms, 1),
                 prefill=placement.prefill_tokens,
                 candidates=placement.candidates,
+                source=placement.source.record.name if placement.source else "",
                 version=self.parts.table.version,
             )
         return placement
@@ -147,6 +148,7 @@
             self.workspace.name if self.workspace else "",
             self.priority,
             self.events.last_event,
+            placement.source.record.address if placement.source else "",
         )
         view.start(flight)
         answer: Answer | None = None
--- a/cornelnotch/gateway/placing.py
+++ b/cornelnotch/gateway/placing.py
@@ -1,7 +1,7 @@
 """Choose the server of a request; pure, without sockets or clocks."""
 
 from collections.abc import Collection
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from cornelnotch.gateway.loads import LoadSums, add_uses
 from cornelnotch.gateway.models import CallerRequest, Route, WorkKind
@@ -27,12 +27,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Placement:
-    """Hold the choice of a server and what spoke for it."""
+    """Hold the choice of a server and what spoke for it.
+
+    `source` is a server that probably caches parts which the chosen one lacks.
+    """
 
     server: ServerView
     cost_ms: float
     prefill_tokens: int
     candidates: int
+    source: ServerView | None = None
 
 
 class Placer:
@@ -64,7 +68,28 @@
             cost += self._weigh_prefill(request, prefill)
             if best is None or cost < best.cost_ms:
                 best = Placement(server, cost, prefill, len(candidates))
-        return best
+        if best is None:
+            return best
+        source = self._find_source(best.server, servers, request, now)
+        return replace(best, source=source)
+
+    def _find_source(
+        self,
+        chosen: ServerView,
+        servers: list[ServerView],
+        request: CallerRequest,
+        now: float,
+    ) -> ServerView | None:
+        """Return a server to fetch shared parts from, if the chosen one lacks them."""
+        shared = request.prompt[:-1]
+        tokens = sum(part.tokens for part in shared)
+        if tokens < WORTHWHILE_TOKENS or shared[-1].name in chosen.parts:
+            return None
+        others = [s for s in servers if s is not chosen and not s.failures]
+        holders = [s for s in others if shared[-1].name in s.parts]
+        if holders:
+            return max(holders, key=lambda s: s.parts[shared[-1].name])
+        return self._find_owner(others, request) if others else None
 
     @staticmethod
     def _find_owner(
--- a/cornelnotch/platform/dialect.py
+++ b/cornelnotch/platform/dialect.py
@@ -22,6 +22,8 @@
 SIGNATURE = b"x-server-signature"
 NOT_RUN = b"x-not-executed"
 LOAD = b"x-server-load"
+# The server fetches what another one caches of the prompt before it reads the rest.
+CACHE_SOURCE = b"kv-fetch"
 RETRY_AFTER = b"retry-after"
 
 # Headers that concern one connection only.
@@ -52,7 +54,7 @@
         b"x-pin-ms",
         b"x-kv-backup",
         b"kv-from",
-        b"kv-fetch",
+        CACHE_SOURCE,
         b"x-expected-version",
     }
 )
@@ -145,6 +147,8 @@
         if terms.priority is not None:
             priority = min(max(terms.priority, 0), MAX_PRIORITY)
             own.append((PRIORITY, str(priority).encode()))
+        if terms.cache_source:
+            own.append((CACHE_SOURCE, terms.cache_source.encode("latin-1")))
         return [*pairs, *own]
 
     def read_answer(self, status: int, pairs: Pairs) -> AnswerHead:
