Keep some engines for streams with short pauses; share failures

Also: up to 12 refused connections before giving up, failures of servers are shared, full engines cost more.

--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -13,7 +13,7 @@
     Workspace,
 )
 from cornelnotch.gateway.parts import GatewayParts
-from cornelnotch.gateway.placing import Placement
+from cornelnotch.gateway.placing import Placement, PlacementNeed
 from cornelnotch.gateway.servers import Flight, ServerView
 from cornelnotch.gateway.streams import EventCutter
 from cornelnotch.kernel.events import Event
@@ -25,8 +25,9 @@
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
 STATUS_GATEWAY_TIMEOUT = 504
-MAX_REFUSED_SENDS = 3
-MAX_UNSENT = 4
+MAX_REFUSED_SENDS = 4
+# A refused connection costs a round trip, and a quarter of servers may be down.
+MAX_UNSENT = 12
 # The pause after which callers without a better figure come back.
 RETRY_MS = 500.0
 # Without a deadline of the caller's the route's limit holds alone.
@@ -114,8 +115,14 @@
     def _place(self) -> Placement | None:
         now = self.parts.clock.read()
         servers = self.parts.pool.list_usable(self.service, now)
+        need = PlacementNeed(
+            self.priority,
+            self.excluded,
+            self.parts.is_tight(self.route),
+            self.parts.find_reserved(self.service),
+        )
         placement = self.parts.placer.choose(
-            servers, self.route, self.request, self.priority, self.excluded, now
+            servers, self.route, self.request, need, now
         )
         if placement is not None:
             self._note(
@@ -245,6 +252,7 @@
             Event.REQUEST_ANSWERED,
             status=answer.head.status,
             count=self.events.count,
+            longest_gap_ms=round(flight.gap_ms, 1),
             first_ms=round(flight.first_ms - self.arrived_ms, 1),
         )
         return None
--- a/cornelnotch/gateway/loads.py
+++ b/cornelnotch/gateway/loads.py
@@ -29,6 +29,8 @@
     return ServerUse(
         left.server,
         left.running + right.running,
+        left.waiting + right.waiting,
+        left.failures + right.failures,
         _merge(left.backlog, right.backlog, lambda a, b: a + b),
         _merge(left.waits_ms, right.waits_ms, max),
         min(left.silent_ms, right.silent_ms),
@@ -86,6 +88,8 @@
     return ServerUse(
         total.server,
         max(total.running - own.running, 0),
+        max(total.waiting - own.waiting, 0),
+        max(total.failures - own.failures, 0),
         _merge(total.backlog, own.backlog, lambda a, b: max(a - b, 0)),
         total.waits_ms,
         total.silent_ms,
--- a/cornelnotch/gateway/models.py
+++ b/cornelnotch/gateway/models.py
@@ -109,6 +109,15 @@
                 return route
         return None
 
+    def list_gaps(self) -> dict[str, list[float]]:
+        """Return the longest pauses allowed, by service, in ms."""
+        gaps: dict[str, list[float]] = {}
+        for routes in self.routes.values():
+            for route in routes:
+                for share in route.shares:
+                    gaps.setdefault(share.service, []).append(route.target_gap_ms)
+        return gaps
+
     def find_workspace(self, key: str) -> Workspace | None:
         """Return the workspace that holds `key`."""
         return (self.workspaces or {}).get(key)
--- a/cornelnotch/gateway/parts.py
+++ b/cornelnotch/gateway/parts.py
@@ -1,6 +1,7 @@
 """Bundle what every request needs of its host."""
 
 import random
+from dataclasses import dataclass
 
 import orjson
 
@@ -8,6 +9,7 @@
 from cornelnotch.gateway.dialect import Dialect
 from cornelnotch.gateway.models import CallerLimits, CallerRequest, Route, RoutingTable
 from cornelnotch.gateway.placing import Placer
+from cornelnotch.gateway.reserving import choose_reserved, find_tight_gap
 from cornelnotch.gateway.servers import ServerPool
 from cornelnotch.gateway.settings import HostSettings
 from cornelnotch.kernel.clock import Clock
@@ -20,6 +22,14 @@
 NO_VERSION = -1
 
 
+@dataclass(frozen=True, slots=True)
+class Reserved:
+    """Hold the reserved engines of one service for one list of servers."""
+
+    generation: int
+    names: frozenset[str]
+
+
 class GatewayParts:
     """Hold the state that the requests of one host share."""
 
@@ -41,6 +51,9 @@
         self.table = RoutingTable(NO_VERSION, {}, {}, None, CallerLimits())
         self.generator = random.Random(settings.host.name)
         self.hosts = 1
+        self._reserved: dict[str, Reserved] = {}
+        self._gaps: dict[str, list[float]] = {}
+        self._gaps_version = NO_VERSION
         self._budgets: dict[str, RepeatBudget] = {}
 
     def find_budget(self, service: str) -> RepeatBudget:
@@ -55,6 +68,24 @@
         budget.hosts = self.hosts
         return budget
 
+    def find_reserved(self, service: str) -> frozenset[str]:
+        """Return the engines of a service that are kept for tight streams."""
+        known = self._reserved.get(service)
+        if known is None or known.generation != self.pool.generation:
+            records = [view.record for view in self.pool.list_ready(service)]
+            names = choose_reserved(records, self.settings.regions)
+            known = Reserved(self.pool.generation, names)
+            self._reserved[service] = known
+        return known.names
+
+    def is_tight(self, route: Route) -> bool:
+        """Tell whether the pauses of a route's streams must be short."""
+        if self._gaps_version != self.table.version:
+            self._gaps = self.table.list_gaps()
+            self._gaps_version = self.table.version
+        gaps = self._gaps.get(route.shares[0].service, [])
+        return 0 < route.target_gap_ms <= find_tight_gap(gaps)
+
     @staticmethod
     def choose_service(route: Route, request_id: str) -> str:
         """Return the service of one request by the weights of its route."""
--- a/cornelnotch/gateway/placing.py
+++ b/cornelnotch/gateway/placing.py
@@ -8,7 +8,7 @@
 from cornelnotch.gateway.servers import ServerView
 from cornelnotch.kernel.hashing import rank_owners
 
-__all__ = ["Placement", "Placer"]
+__all__ = ["Placement", "PlacementNeed", "Placer"]
 
 # Prompt tokens that an engine reads in a ms between the tokens of other requests:
 # a chunk of 1,024 takes 16 ms to read and the step around it 10 ms and more.
@@ -21,6 +21,15 @@
 # Each running stream lengthens a step of the engine by 0.165 ms of 6.55 ms.
 STREAM_COST_MS = 8.0
 CALL_COST_MS = 20.0
+# A slot of a full engine is freed about this often.
+SLOT_COST_MS = 40.0
+# What a failure in a row weighs, and how many count.
+FAILURE_COST_MS = 700.0
+MAX_FAILURES = 4
+# A long prompt beside tight streams spoils their pauses.
+INTRUSION_COST_MS = 1500.0
+# A tight stream beside long prompts may be late.
+OUTSIDE_COST_MS = 400.0
 # Shared parts cheaper than this to read again are not worth a detour.
 WORTHWHILE_TOKENS = 500
 
@@ -39,6 +48,19 @@
     source: ServerView | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class PlacementNeed:
+    """Hold what a request needs beside its route and prompt.
+
+    `reserved` names the engines kept for `tight` streams, whose pauses are short.
+    """
+
+    priority: int
+    excluded: Collection[str]
+    tight: bool = False
+    reserved: frozenset[str] = frozenset()
+
+
 class Placer:
     """Weigh the servers of a service for one host."""
 
@@ -52,20 +74,22 @@
         servers: list[ServerView],
         route: Route,
         request: CallerRequest,
-        priority: int,
-        excluded: Collection[str],
+        need: PlacementNeed,
         now: float,
     ) -> Placement | None:
         """Return the cheapest server, or None when there is none."""
-        candidates = [s for s in servers if s.record.name not in excluded]
+        candidates = [s for s in servers if s.record.name not in need.excluded]
         if not candidates:
             return None
-        owner = self._find_owner(candidates, request)
+        usual = [s for s in candidates if s.record.name not in need.reserved]
+        owner = self._find_owner(usual or candidates, request)
         best: Placement | None = None
         for server in candidates:
             prefill = self._count_prefill(server, request, server is owner)
-            cost = self._weigh(server, route, priority, now)
+            cost = self._weigh(server, route, need.priority, now)
             cost += self._weigh_prefill(request, prefill)
+            if need.reserved and need.tight != (server.record.name in need.reserved):
+                cost += OUTSIDE_COST_MS if need.tight else INTRUSION_COST_MS
             if best is None or cost < best.cost_ms:
                 best = Placement(server, cost, prefill, len(candidates))
         if best is None:
@@ -125,11 +149,14 @@
         if others is not None:
             use = add_uses(use, others)
         if route.kind is not WorkKind.STREAM:
-            busy = use.running + len(server.flights)
-            return cost + CALL_COST_MS * 6 * busy / server.record.slots
+            cost += FAILURE_COST_MS * min(use.failures, MAX_FAILURES)
+            return cost + CALL_COST_MS * (use.running + use.waiting)
         # Engines read the prompts of more urgent requests first.
         ahead = sum(use.backlog[: priority + 1]) / PREFILL_TOKENS_PER_MS
-        return cost + ahead + STREAM_COST_MS * use.running
+        cost += ahead + STREAM_COST_MS * use.running
+        cost += FAILURE_COST_MS * min(use.failures, MAX_FAILURES)
+        over = use.running + use.waiting + 1 - server.record.slots
+        return cost + SLOT_COST_MS * max(over, 0)
 
     @staticmethod
     def _weigh_prefill(request: CallerRequest, prefill: int) -> float:
--- a/cornelnotch/gateway/servers.py
+++ b/cornelnotch/gateway/servers.py
@@ -13,6 +13,8 @@
 # A failed server rests this long, doubled for each failure in a row.
 EJECTION_BASE_MS = 300.0
 EJECTION_LIMIT_MS = 3000.0
+# After this long without a failure a server is tried like any other.
+FAILURE_MEMORY_MS = 4000.0
 # Parts remembered per server; an engine of 600,000 tokens keeps about 100.
 REMEMBERED_PARTS = 400
 
@@ -39,6 +41,7 @@
     priority: int = 0
     first_ms: float = 0.0
     heard_ms: float = 0.0
+    gap_ms: float = 0.0
 
 
 @dataclass(slots=True)
@@ -50,14 +53,11 @@
     load: ServerLoad | None = None
     load_ms: float = 0.0
     failures: int = 0
+    failed_ms: float = 0.0
     ejected_until_ms: float = 0.0
     heard_ms: float = 0.0
     parts: OrderedDict[str, float] = field(default_factory=OrderedDict)
 
-    def is_usable(self, now: float) -> bool:
-        """Tell whether the server may get new work."""
-        return not self.record.leaving and now >= self.ejected_until_ms
-
     def start(self, flight: Flight) -> None:
         """Note that work was sent."""
         self.flights[flight.request_id] = flight
@@ -68,7 +68,10 @@
 
     def hear(self, flight: Flight, now: float) -> None:
         """Note that bytes of an answer arrived."""
-        flight.first_ms = flight.first_ms or now
+        if flight.first_ms:
+            flight.gap_ms = max(flight.gap_ms, now - flight.heard_ms)
+        else:
+            flight.first_ms = now
         flight.heard_ms = now
         self.heard_ms = now
 
@@ -79,12 +82,15 @@
 
     def fail(self, now: float) -> None:
         """Let the server rest, longer after each failure in a row."""
-        if now < self.ejected_until_ms:
-            return
-        self.failures += 1
+        self.failures = self.count_failures(now) + 1
+        self.failed_ms = now
         rest = min(EJECTION_BASE_MS * 2 ** (self.failures - 1), EJECTION_LIMIT_MS)
         self.ejected_until_ms = now + rest
 
+    def count_failures(self, now: float) -> int:
+        """Return the failures in a row, 0 once the last is long past."""
+        return self.failures if now - self.failed_ms < FAILURE_MEMORY_MS else 0
+
     def disown(self) -> None:
         """Give the server nothing until its record changes; it is not there."""
         self.ejected_until_ms = float("inf")
@@ -105,12 +111,13 @@
         """Return what this host has under way at the server."""
         backlog = [0] * PRIORITIES
         waits = [0] * PRIORITIES
-        running = 0
+        running = waiting = 0
         oldest_ms = now
         for flight in self.flights.values():
             if flight.first_ms:
                 running += 1
                 continue
+            waiting += 1
             priority = min(max(flight.priority, 0), PRIORITIES - 1)
             backlog[priority] += flight.prefill_tokens
             waited = int(now - flight.started_ms)
@@ -120,6 +127,8 @@
         return ServerUse(
             self.record.name,
             running,
+            waiting,
+            self.count_failures(now),
             _trim(backlog),
             _trim(waits),
             max(silent_ms, 0) if self.flights else 0,
@@ -131,9 +140,11 @@
 
     def __init__(self) -> None:
         self.servers: dict[str, ServerView] = {}
+        self.generation = 0
 
     def replace(self, records: Iterable[ServerRecord]) -> None:
         """Take in the platform's list; what is known of others is dropped."""
+        self.generation += 1
         listed = {record.name: record for record in records}
         for name in list(self.servers):
             if name not in listed:
@@ -147,12 +158,16 @@
                 if known.ejected_until_ms == float("inf"):
                     known.ejected_until_ms = 0.0
 
-    def list_usable(self, service: str, now: float) -> list[ServerView]:
-        """Return servers that may get new work, or all that are not leaving."""
-        ready = [
+    def list_ready(self, service: str) -> list[ServerView]:
+        """Return the servers of a service that are not leaving."""
+        return [
             view
             for view in self.servers.values()
             if view.record.service == service and not view.record.leaving
         ]
-        usable = [view for view in ready if view.is_usable(now)]
+
+    def list_usable(self, service: str, now: float) -> list[ServerView]:
+        """Return servers that may get new work, or all that are not leaving."""
+        ready = self.list_ready(service)
+        usable = [view for view in ready if now >= view.ejected_until_ms]
         return usable or ready
--- a/cornelnotch/wire/messages.py
+++ b/cornelnotch/wire/messages.py
@@ -313,11 +313,14 @@
     """Tell what is under way at a server.
 
     `backlog` holds the prompt tokens that wait, and `waits_ms` the longest wait
-    so far, both indexed by priority. `silent_ms` is how long nothing was heard.
+    so far, both indexed by priority. `silent_ms` is how long nothing was heard,
+    `failures` how many dispatches in a row have failed lately.
     """
 
     server: str
     running: int
+    waiting: int
+    failures: int
     backlog: list[int]
     waits_ms: list[int]
     silent_ms: int
