--- /dev/null
+++ b/cornelnotch/gateway/tests/test_path.py
@@ -0,0 +1,238 @@
+"""Send requests through a host to stand-ins and check what callers get."""
+
+import asyncio
+
+import pytest
+
+from cornelnotch.exceptions import UpstreamError
+from cornelnotch.gateway.tests.conftest import (
+    create_configuration,
+    run_deployment,
+    wait_until,
+)
+
+
+def play(scenario):
+    async def run():
+        async with run_deployment() as deployment:
+            await scenario(deployment)
+
+    asyncio.run(run())
+
+
+def count_runs(servers, request_id="a1"):
+    return sum(server.ran[request_id] for server in servers)
+
+
+def test_a_call_reaches_a_server_unchanged_and_its_answer_comes_back():
+    async def scenario(d):
+        answer = await d.send("/book/x?y=1", "POST", b"body", x_other="kept")
+        body = await answer.read()
+        assert answer.status == 200
+        assert body.startswith(b"done by desk")
+        assert answer.headers["x-server-signature"].endswith(".a1")
+        server = next(s for s in d.desks if s.seen)
+        assert server.targets == ["/book/x?y=1"]
+        assert server.bodies == [b"body"]
+        seen = server.seen[0]
+        assert seen["x-tenant"] == "acme"
+        assert seen["x-other"] == "kept"
+        assert "x-key" not in seen
+        assert 0 < int(seen["x-deadline-ms"]) <= 3000
+
+    play(scenario)
+
+
+def test_what_only_the_system_may_set_is_not_passed_on():
+    async def scenario(d):
+        answer = await d.send(
+            "/read/x", x_tenant="other", kv_fetch="1.2.3.4:5", x_request_priority="0"
+        )
+        await answer.read()
+        seen = next(s for s in d.desks if s.seen).seen[0]
+        assert seen["x-tenant"] == "acme"
+        assert seen["x-request-priority"] == "1"
+        assert "kv-fetch" not in seen
+
+    play(scenario)
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [
+        ("/nowhere/x", "key-1", 404),
+        ("/read/x", "wrong", 401),
+        ("/read/x", "", 401),
+        ("/open/x", "", 200),
+    ],
+)
+def test_routes_and_keys_decide_who_is_served(path, key, status):
+    async def scenario(d):
+        answer = await d.send(path, x_key=key)
+        await answer.read()
+        assert answer.status == status
+
+    play(scenario)
+
+
+def test_work_that_must_not_repeat_is_sent_once_when_its_answer_is_lost():
+    async def scenario(d):
+        for server in d.desks:
+            server.faults.cut = True
+        answer = await d.send("/book/x", "POST", b"b")
+        await answer.read()
+        assert answer.status == 502
+        assert count_runs(d.desks) == 1
+
+    play(scenario)
+
+
+def test_repeatable_work_is_sent_to_another_server_when_one_breaks():
+    async def scenario(d):
+        d.desks[0].faults.cut = True
+        for number in range(6):
+            answer = await d.send("/read/x", x_attempt_id=f"r{number}")
+            assert (await answer.read()) == b"done by desk-2"
+
+    play(scenario)
+
+
+def test_a_refusal_by_every_server_says_not_run_and_when_to_come_back():
+    async def scenario(d):
+        for server in d.desks:
+            server.faults.refuse = True
+        answer = await d.send("/book/x", "POST", b"b")
+        await answer.read()
+        assert answer.status == 503
+        assert float(answer.headers["retry-after"]) > 0
+        assert count_runs(d.desks) == 0
+
+    play(scenario)
+
+
+@pytest.mark.parametrize("fault", ["wrong_id", "unsigned"])
+def test_bytes_that_are_not_the_answer_never_reach_the_caller(fault):
+    async def scenario(d):
+        for server in d.desks:
+            setattr(server.faults, fault, True)
+        answer = await d.send("/read/x")
+        assert b"done" not in await answer.read()
+        assert answer.status == 502
+        assert "x-server-signature" not in answer.headers
+
+    play(scenario)
+
+
+def test_a_failure_of_the_server_is_passed_on_with_its_signature():
+    async def scenario(d):
+        for server in d.desks:
+            server.faults.fail = True
+        answer = await d.send("/book/x", "POST", b"b")
+        assert answer.status == 500
+        assert (await answer.read()).startswith(b"done by")
+        assert "x-server-signature" in answer.headers
+
+    play(scenario)
+
+
+def test_a_broken_stream_goes_on_elsewhere_without_gap_or_repeat():
+    async def scenario(d):
+        for server in d.engines:
+            server.faults.break_after = 3
+        answer = await d.send("/stream/x", "POST", b"p")
+        first = d.engines[0] if d.engines[0].seen else d.engines[1]
+        other = d.engines[1] if first is d.engines[0] else d.engines[0]
+        other.faults.break_after = None
+        body = await answer.read()
+        numbers = [line for line in body.split(b"\n") if line.startswith(b"id:")]
+        assert numbers == [b"id: %d" % n for n in range(1, 7)]
+        assert other.seen[0]["last-event-id"] == "3"
+
+    play(scenario)
+
+
+def test_a_stream_that_may_not_resume_ends_incomplete():
+    async def scenario(d):
+        for server in d.engines:
+            server.faults.break_after = 3
+        answer = await d.send("/stream/draft/x", "POST", b"p")
+        with pytest.raises(UpstreamError):
+            await answer.read()
+        assert count_runs(d.engines) == 1
+
+    play(scenario)
+
+
+def test_a_caller_that_leaves_ends_the_work_of_its_server():
+    async def scenario(d):
+        for server in d.engines:
+            server.faults.hang = True
+        task = asyncio.create_task(d.send("/stream/x", "POST", b"p"))
+        await wait_until(lambda: count_runs(d.engines) == 1)
+        task.cancel()
+        await wait_until(lambda: sum(s.left for s in d.engines) == 1, 1.0)
+
+    play(scenario)
+
+
+def test_the_final_answer_comes_at_the_routes_limit():
+    async def scenario(d):
+        for server in d.desks:
+            server.faults.hang = True
+        began = asyncio.get_running_loop().time()
+        answer = await d.send("/read/x", x_deadline_ms="300")
+        await answer.read()
+        assert answer.status == 504
+        assert asyncio.get_running_loop().time() - began < 1.0
+
+    play(scenario)
+
+
+def test_a_new_configuration_comes_into_force_and_an_older_one_does_not():
+    async def scenario(d):
+        d.configure(create_configuration(5, tenants=[]))
+        await wait_until(lambda: d.host.parts.table.version == 5, 3.0)
+        d.configure(create_configuration(4))
+        await asyncio.sleep(0.3)
+        answer = await d.send("/read/x")
+        assert answer.status == 401
+        assert d.host.parts.table.version == 5
+
+    play(scenario)
+
+
+def test_a_leaving_server_gets_no_new_work():
+    async def scenario(d):
+        d.list_server(d.desks[0], "desk", state="draining")
+        view = d.host.parts.pool.servers["desk-1"]
+        await wait_until(lambda: view.record.leaving, 3.0)
+        for number in range(4):
+            answer = await d.send("/read/x", x_attempt_id=f"r{number}")
+            assert (await answer.read()) == b"done by desk-2"
+
+    play(scenario)
+
+
+def test_a_server_at_a_used_address_is_not_asked_again():
+    async def scenario(d):
+        d.desks[0].name = "someone-else"
+        for number in range(6):
+            answer = await d.send("/book/x", "POST", b"b", x_attempt_id=f"b{number}")
+            assert (await answer.read()) == b"done by desk-2"
+        assert len(d.desks[0].seen) <= 1
+
+    play(scenario)
+
+
+def test_draining_answers_what_comes_and_ends_the_host():
+    async def scenario(d):
+        d.host.start_drain()
+        assert not d.host.is_ready()
+        answer = await d.send("/read/x")
+        assert answer.status == 200
+        assert answer.headers["connection"] == "close"
+        await answer.read()
+        async with asyncio.timeout(6.0):
+            await d.host.stopped.wait()
+
+    play(scenario)
--- /dev/null
+++ b/cornelnotch/standins/upstream.py
@@ -0,0 +1,113 @@
+"""Stand in for a server of the platform: calls and streams of events, with faults."""
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass, field
+
+from cornelnotch.web import Exchange, HttpServer
+
+__all__ = ["UpstreamFaults", "UpstreamStandin"]
+
+MAX_BODY_BYTES = 8 * 1024 * 1024
+STATUS_FULL = 503
+STATUS_ELSEWHERE = 421
+STREAM_PREFIX = "/stream/"
+
+
+@dataclass(slots=True)
+class UpstreamFaults:
+    """Say how the server misbehaves; each holds for every request.
+
+    `break_after` cuts a stream within the event after so many whole ones.
+    """
+
+    refuse: bool = False
+    fail: bool = False
+    cut: bool = False
+    wrong_id: bool = False
+    unsigned: bool = False
+    hang: bool = False
+    break_after: int | None = None
+    event_ms: float = 5.0
+
+
+@dataclass
+class UpstreamStandin:
+    """Run requests, count each id that ran and keep the headers it saw."""
+
+    name: str
+    events: int = 6
+    faults: UpstreamFaults = field(default_factory=UpstreamFaults)
+    ran: Counter[str] = field(default_factory=Counter)
+    seen: list[dict[str, str]] = field(default_factory=list)
+    targets: list[str] = field(default_factory=list)
+    bodies: list[bytes] = field(default_factory=list)
+    left: int = 0
+
+    def __post_init__(self) -> None:
+        self.server = HttpServer(self._handle)
+
+    @property
+    def address(self) -> str:
+        """Return where the server listens."""
+        return f"127.0.0.1:{self.server.port}"
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        await self.server.start("127.0.0.1", 0)
+
+    async def stop(self) -> None:
+        """Stop at once."""
+        await self.server.stop()
+
+    async def _handle(self, exchange: Exchange) -> None:
+        body = await exchange.read_body(MAX_BODY_BYTES)
+        self.seen.append(exchange.headers)
+        self.targets.append(exchange.target)
+        self.bodies.append(body)
+        request_id = exchange.headers.get("x-attempt-id", "")
+        headers = {"x-attempt-id": request_id}
+        if exchange.headers.get("x-target-instance") != self.name:
+            await exchange.respond(STATUS_ELSEWHERE, headers, b"")
+            return
+        if self.faults.refuse:
+            headers["x-not-executed"] = "1"
+            await exchange.respond(STATUS_FULL, headers, b"")
+            return
+        self.ran[request_id] += 1
+        if self.faults.wrong_id:
+            headers["x-attempt-id"] = "another"
+        if not self.faults.unsigned:
+            headers["x-server-signature"] = f"{self.name}.{request_id}"
+        await self._answer(exchange, headers)
+
+    async def _answer(self, exchange: Exchange, headers: dict[str, str]) -> None:
+        if self.faults.cut:
+            exchange.abort()
+            return
+        if self.faults.hang:
+            await exchange.gone.wait()
+            self.left += 1
+            return
+        if exchange.path.startswith(STREAM_PREFIX):
+            await self._stream(exchange, headers)
+            return
+        status = 500 if self.faults.fail else 200
+        await exchange.respond(status, headers, b"done by " + self.name.encode())
+
+    async def _stream(self, exchange: Exchange, headers: dict[str, str]) -> None:
+        start = int(exchange.headers.get("last-event-id", "0"))
+        await exchange.start(200, {**headers, "content-type": "text/event-stream"})
+        for number in range(start + 1, self.events + 1):
+            if exchange.gone.is_set():
+                self.left += 1
+                exchange.abort()
+                return
+            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            if self.faults.break_after is not None and number > self.faults.break_after:
+                await exchange.send(event[:7])
+                exchange.abort()
+                return
+            await exchange.send(event)
+            await asyncio.sleep(self.faults.event_ms / 1000.0)
+        await exchange.finish()
