--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -7,7 +7,7 @@
 from cornelnotch.gateway.directory import Directory
 from cornelnotch.gateway.follower import RecordFollower
 from cornelnotch.gateway.front import Front
-from cornelnotch.gateway.parts import NO_VERSION, GatewayParts
+from cornelnotch.gateway.parts import GatewayParts
 from cornelnotch.gateway.records import RecordDecoder, RecordSource
 from cornelnotch.gateway.relay import RelayPlan, Source
 from cornelnotch.gateway.settings import HostSettings
@@ -59,6 +59,7 @@
         self.events = events
         self.tasks = TaskGroup(events)
         self.stopped = asyncio.Event()
+        self.serving = False
         self.leaving = False
         self.parts = GatewayParts(settings, clock, events, dialect, client)
         self.front = Front(self.parts)
@@ -101,7 +102,7 @@
             self._list_peers,
             random.Random(f"{self.settings.host.name}/records"),
         )
-        self.state = RoutingState(self.parts, self.follower, decoder)
+        self.state = RoutingState(self.parts, self.follower, decoder, self._apply_table)
         self.sharing = LoadSharing(self.parts, self.peers, self.plan, self._list_takers)
         self.prober.subscribe(self._apply_members)
 
@@ -124,7 +125,7 @@
 
     def is_ready(self) -> bool:
         """Tell whether callers may be sent here."""
-        return not self.leaving and self.parts.table.version != NO_VERSION
+        return self.serving and not self.leaving
 
     async def start(self) -> None:
         """Open the listeners and start every task."""
@@ -135,22 +136,18 @@
         self.tasks.keep("state", self.state.run)
         self.tasks.keep("loads", self.sharing.run)
         self.tasks.keep("probes", self.prober.run_probes)
-        self.tasks.keep("limits", self._run_readiness)
         self.events.record(Event.NODE_STARTED, http=self.settings.listen.callers)
 
-    async def _run_readiness(self) -> None:
-        """Join the hosts that take callers once a configuration is known."""
-        while self.parts.table.version == NO_VERSION:
-            await self.clock.sleep(CHECK_MS)
-        if not self.leaving:
+    def _apply_table(self) -> None:
+        """Bring a new table's limits into force; the first makes the host ready."""
+        limits = self.parts.table.limits
+        self.server.limits.header_bytes = limits.header_bytes
+        self.server.limits.header_timeout_s = limits.header_timeout_ms / 1000.0
+        self.server.limits.idle_timeout_s = limits.idle_timeout_ms / 1000.0
+        if not self.serving and not self.leaving:
+            self.serving = True
             self.prober.share_state(MemberState.ALIVE)
             self.events.record(Event.NODE_READY, version=self.parts.table.version)
-        while True:
-            limits = self.parts.table.limits
-            self.server.limits.header_bytes = limits.header_bytes
-            self.server.limits.header_timeout_s = limits.header_timeout_ms / 1000.0
-            self.server.limits.idle_timeout_s = limits.idle_timeout_ms / 1000.0
-            await self.clock.sleep(CHECK_MS * 4)
 
     def start_drain(self) -> None:
         """Begin to leave: callers go elsewhere, requests end, then the host stops."""
--- a/cornelnotch/gateway/state.py
+++ b/cornelnotch/gateway/state.py
@@ -1,5 +1,7 @@
 """Turn followed records into the table and servers that requests use."""
 
+from collections.abc import Callable
+
 from cornelnotch.exceptions import ConfigurationError
 from cornelnotch.gateway.follower import CONFIGURATION, SERVERS, RecordFollower
 from cornelnotch.gateway.models import ServerRecord
@@ -18,11 +20,16 @@
     """Own what the platform's records mean for this host's requests."""
 
     def __init__(
-        self, parts: GatewayParts, follower: RecordFollower, decoder: RecordDecoder
+        self,
+        parts: GatewayParts,
+        follower: RecordFollower,
+        decoder: RecordDecoder,
+        apply_table: Callable[[], None],
     ) -> None:
         self._parts = parts
         self._follower = follower
         self._decoder = decoder
+        self._apply_table = apply_table
         self._kept: dict[str, ServerRecord] = {}
         self._kept_until_ms = float("-inf")
         follower.subscribe(self.apply)
@@ -31,9 +38,13 @@
         """Drop servers that did not come back after an outage."""
         while True:
             await self._parts.clock.sleep(TICK_MS)
-            if self._kept and self._parts.clock.read() >= self._kept_until_ms:
-                self._kept.clear()
-                self._apply_servers(False)
+            self.expire()
+
+    def expire(self) -> None:
+        """Drop the servers whose time to come back is over."""
+        if self._kept and self._parts.clock.read() >= self._kept_until_ms:
+            self._kept.clear()
+            self._apply_servers(False)
 
     def apply(self, topic: str, after_outage: bool) -> None:
         """Bring a changed topic into force."""
@@ -53,6 +64,7 @@
             return
         self._parts.table = table
         self._parts.events.record(Event.CONFIGURATION_APPLIED, version=table.version)
+        self._apply_table()
 
     def _apply_servers(self, after_outage: bool) -> None:
         views = self._follower.views[SERVERS].records.values()
--- a/cornelnotch/gateway/tests/conftest.py
+++ b/cornelnotch/gateway/tests/conftest.py
@@ -1,6 +1,7 @@
 """Run a host of the gateway in this process against stand-ins."""
 
 import asyncio
+import inspect
 import socket
 from contextlib import asynccontextmanager
 
@@ -102,9 +103,16 @@
 
 
 async def wait_until(condition, wait_s=WAIT_S):
-    async with asyncio.timeout(wait_s):
-        while not condition():
-            await asyncio.sleep(0.01)
+    """Wait until `condition`, a function or coroutine function, is true."""
+    deadline = asyncio.get_running_loop().time() + wait_s
+    while asyncio.get_running_loop().time() < deadline:
+        found = condition()
+        if inspect.isawaitable(found):
+            found = await found
+        if found:
+            return
+        await asyncio.sleep(0.01)
+    raise TimeoutError("the condition did not come true")
 
 
 class Deployment:
--- /dev/null
+++ b/cornelnotch/gateway/tests/test_relay.py
@@ -0,0 +1,64 @@
+"""Check who reads the store, whom news reaches and what a host falls back to."""
+
+import pytest
+
+from cornelnotch.gateway.relay import RelayPlan, Source, split_targets
+
+DOMAINS = ("a", "b", "c")
+
+
+def create_plans(count):
+    hosts = [Source(f"host-{i}", DOMAINS[i % 3]) for i in range(count)]
+    plans = {host.name: RelayPlan(host.name) for host in hosts}
+    for plan in plans.values():
+        plan.set_hosts(hosts)
+    return plans
+
+
+def list_active(plans, topic, now):
+    return [name for name, plan in plans.items() if plan.must_read(topic, now)]
+
+
+def note_everywhere(plans, origin, age_ms, now):
+    for plan in plans.values():
+        plan.note_age(origin, "servers", age_ms, now)
+
+
+@pytest.mark.parametrize("count", [2, 9, 79, 320])
+def test_two_hosts_of_different_domains_read_whatever_the_size(count):
+    plans = create_plans(count)
+    reader = next(iter(plans.values())).list_readers(0.0)
+    note_everywhere(plans, reader[0], 0.0, 0.0)
+    assert sorted(list_active(plans, "servers", 100.0)) == sorted(reader)
+    domains = {DOMAINS[int(name.split("-")[1]) % 3] for name in reader}
+    assert len(reader) == len(domains) == 2
+
+
+def test_every_host_reads_by_itself_when_both_readers_fall_silent():
+    plans = create_plans(9)
+    reader = next(iter(plans.values())).list_readers(0.0)
+    note_everywhere(plans, reader[0], 0.0, 0.0)
+    # The bound is 3 s, and a read takes a few ms.
+    assert len(list_active(plans, "servers", 2000.0)) == 9
+
+
+def test_others_take_over_when_a_reader_says_that_it_cannot_read():
+    plans = create_plans(9)
+    readers = plans["host-0"].list_readers(0.0)
+    note_everywhere(plans, readers[0], 5000.0, 0.0)
+    now = plans["host-0"].list_readers(10.0)
+    assert readers[0] not in now
+    assert len(now) == 2
+    # It goes on trying, so that it can say when it reads again.
+    assert plans[readers[0]].must_read("servers", 10.0)
+    note_everywhere(plans, readers[0], 0.0, 20.0)
+    assert plans["host-0"].list_readers(30.0) == readers
+
+
+@pytest.mark.parametrize("count", [0, 1, 16, 17, 320])
+def test_branches_reach_every_host_once(count):
+    names = [f"host-{i}" for i in range(count)]
+    branches = split_targets(names)
+    reached = [b.head for b in branches] + [n for b in branches for n in b.rest]
+    assert sorted(reached) == sorted(names)
+    assert len(branches) <= 16
--- /dev/null
+++ b/cornelnotch/platform/tests/test_process.py
@@ -0,0 +1,160 @@
+"""Run the real program against the store's stand-in."""
+
+import asyncio
+import os
+import signal
+import sys
+
+import orjson
+import pytest
+
+from cornelnotch.gateway.tests.conftest import (
+    create_configuration,
+    create_entry,
+    find_free_port,
+    wait_until,
+)
+from cornelnotch.standins.store import StoreStandin
+from cornelnotch.standins.upstream import UpstreamStandin
+from cornelnotch.web import HttpClient
+
+SETTINGS = """
+[host]
+name = host-{number}
+domain = north-a
+region = north
+[listen]
+callers = 127.0.0.1:{callers}
+readiness = 127.0.0.1:{ready}
+directory = 127.0.0.1:{directory}
+peers = 127.0.0.1:{peers}
+seeds = {seeds}
+[store]
+address = {store}
+[bounds]
+grace_s = 5
+[regions]
+north-a = north
+"""
+KINDS = ("callers", "ready", "directory", "peers")
+
+
+class Program:
+    def __init__(self, folder, number, store, seeds=""):
+        self.ports = {kind: find_free_port() for kind in KINDS}
+        self.path = folder / f"host-{number}.ini"
+        text = SETTINGS.format(
+            number=number, store=store.address, seeds=seeds, **self.ports
+        )
+        self.path.write_text(text)
+
+    async def start(self):
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "cornelnotch.platform",
+            env={**os.environ, "CORNELNOTCH_NODE_FILE": str(self.path)},
+            stdout=asyncio.subprocess.PIPE,
+        )
+
+    async def wait_ready(self, client):
+        async def is_ready():
+            return await self.ask(client, "ready", "/readyz") == 200
+
+        await wait_until(is_ready, 15)
+
+    async def ask(self, client, kind, path):
+        try:
+            answer = await client.request(f"127.0.0.1:{self.ports[kind]}", "GET", path)
+        except Exception:
+            return 0
+        self.content = await answer.read()
+        return answer.status
+
+    def address(self, kind):
+        return f"127.0.0.1:{self.ports[kind]}"
+
+    async def end(self):
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.communicate()
+
+
+async def start_store(server):
+    store = StoreStandin()
+    await store.start()
+    await server.start()
+    store.topics["keyed.op"].write("config", orjson.dumps(create_configuration()))
+    entry = orjson.dumps(create_entry(server, "desk"))
+    store.topics["keyed.servers"].write("desk-1", entry)
+    return store
+
+
+async def find_addresses(program, client):
+    path = "/resolution?name=app.example&region=north&zone=north-a"
+    assert await program.ask(client, "directory", path) == 200
+    return orjson.loads(program.content)["addresses"]
+
+
+def test_hosts_find_each_other_relay_and_leave(tmp_path):
+    async def scenario():
+        server = UpstreamStandin("desk-1")
+        store = await start_store(server)
+        client = HttpClient()
+        first = Program(tmp_path, 1, store)
+        second = Program(tmp_path, 2, store, first.address("peers"))
+        third = Program(tmp_path, 3, store, first.address("peers"))
+        programs = [first, second, third]
+        try:
+            for program in programs:
+                await program.start()
+            for program in programs:
+                await program.wait_ready(client)
+            everyone = sorted(p.address("callers") for p in programs)
+
+            async def lists_everyone():
+                return sorted(await find_addresses(first, client)) == everyone
+
+            await wait_until(lists_everyone, 10)
+            first.process.send_signal(signal.SIGHUP)
+            first.process.send_signal(signal.SIGTERM)
+
+            async def has_left():
+                listed = await find_addresses(third, client)
+                return first.address("callers") not in listed
+
+            await wait_until(has_left, 3)
+            assert await first.ask(client, "ready", "/readyz") == 503
+            async with asyncio.timeout(6):
+                assert await first.process.wait() == 0
+        finally:
+            client.close()
+            for program in programs:
+                await program.end()
+            await server.stop()
+            await store.stop()
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("text", "remedy"),
+    [("[host]\nname = a\n", "correct the value"), ("no section", "correct the line")],
+)
+def test_bad_settings_end_with_one_line_that_names_the_remedy(tmp_path, text, remedy):
+    async def scenario():
+        path = tmp_path / "bad.ini"
+        path.write_text(text)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "cornelnotch.platform",
+            env={**os.environ, "CORNELNOTCH_NODE_FILE": str(path)},
+            stderr=asyncio.subprocess.PIPE,
+        )
+        _, errors = await process.communicate()
+        assert process.returncode == 2
+        assert remedy in errors.decode()
+        assert len(errors.decode().splitlines()) == 1
+
+    asyncio.run(scenario())
--- a/cornelnotch/standins/store.py
+++ b/cornelnotch/standins/store.py
@@ -65,8 +65,10 @@
     async def _handle(self, exchange: Exchange) -> None:
         await exchange.read_body(0)
         self.calls += 1
-        while self.fault == "silent":
-            await asyncio.sleep(POLL_S)
+        if self.fault == "silent":
+            await exchange.gone.wait()
+            exchange.abort()
+            return
         if self.fault == "busy":
             await exchange.respond_json(STATUS_UNAVAILABLE, {})
             return
