--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -22,6 +22,7 @@
 __all__ = ["RequestFlow"]
 
 STATUS_OK = 200
+STATUS_SERVER_ERROR = 500
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
 STATUS_GATEWAY_TIMEOUT = 504
@@ -222,7 +223,7 @@
             return Answer(Fate.BROKEN, error.problem)
         assert answer.head is not None
         await self.exchange.respond(answer.head.status, answer.pairs, body)
-        self._note(Event.REQUEST_ANSWERED, status=answer.head.status)
+        self._finish(answer.head.status, self.parts.clock.read())
         return None
 
     async def _pass_on_stream(
@@ -248,15 +249,29 @@
         if rest:
             await self.exchange.send(rest)
         await self.exchange.finish()
-        self._note(
-            Event.REQUEST_ANSWERED,
-            status=answer.head.status,
+        self._finish(
+            answer.head.status,
+            flight.first_ms,
             count=self.events.count,
             longest_gap_ms=round(flight.gap_ms, 1),
-            first_ms=round(flight.first_ms - self.arrived_ms, 1),
         )
         return None
 
+    def _finish(self, status: int, first_ms: float, **details: object) -> None:
+        """Record a whole answer whose first byte came at `first_ms`."""
+        waited_ms = first_ms - self.arrived_ms
+        attained = status < STATUS_SERVER_ERROR and waited_ms <= self.route.target_ms
+        metrics = self.parts.metrics
+        metrics.count_request(self.route.name, "answered", str(status))
+        metrics.observe_first_token(self.route.name, waited_ms)
+        metrics.windows.record(self.route.name, attained)
+        self._note(
+            Event.REQUEST_ANSWERED,
+            status=status,
+            first_ms=round(waited_ms, 1),
+            **details,
+        )
+
     def _may_repeat(self, answer: Answer) -> bool:
         now = self.parts.clock.read()
         if now >= self.limit_ms:
@@ -268,7 +283,10 @@
                 return False
         elif not self._may_run_again():
             return False
-        return self.parts.find_budget(self.service).withdraw(now)
+        allowed = self.parts.find_budget(self.service).withdraw(now)
+        if allowed:
+            self.parts.metrics.count_retry(answer.fate.value)
+        return allowed
 
     def _may_run_again(self) -> bool:
         if self.progress.ran >= self.route.attempts:
@@ -291,7 +309,7 @@
                 await self._refuse(STATUS_BAD_GATEWAY, "broken")
                 return
             await self.exchange.respond(answer.head.status, answer.pairs, body)
-            self._note(Event.REQUEST_ANSWERED, status=answer.head.status)
+            self._finish(answer.head.status, self.parts.clock.read())
             return
         answer.close()
         if self.progress.ran:
@@ -310,6 +328,9 @@
 
     async def _refuse(self, status: int, reason: str) -> None:
         retry_ms = RETRY_MS if status == STATUS_UNAVAILABLE else None
+        outcome = "unknown" if self.progress.ran else "not-run"
+        self.parts.metrics.count_request(self.route.name, reason, outcome)
+        self.parts.metrics.windows.record(self.route.name, False)
         self._note(
             Event.REQUEST_REFUSED,
             status=status,
--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -127,6 +127,16 @@
         """Tell whether callers may be sent here."""
         return self.serving and not self.leaving
 
+    def render_metrics(self) -> bytes:
+        """Return the host's measurements as text."""
+        metrics = self.parts.metrics
+        metrics.set_state("active", self.front.active)
+        metrics.set_state("hosts", self.parts.hosts)
+        metrics.set_state("version", self.parts.table.version)
+        metrics.set_state("peer_bytes", self.peers.sent_bytes)
+        metrics.set_state("servers", len(self.parts.pool.servers))
+        return metrics.render()
+
     async def start(self) -> None:
         """Open the listeners and start every task."""
         await self.peers.start(*parse_address(self.settings.listen.peers))
--- a/cornelnotch/gateway/loads.py
+++ b/cornelnotch/gateway/loads.py
@@ -32,8 +32,6 @@
         left.waiting + right.waiting,
         left.failures + right.failures,
         _merge(left.backlog, right.backlog, lambda a, b: a + b),
-        _merge(left.waits_ms, right.waits_ms, max),
-        min(left.silent_ms, right.silent_ms),
     )
 
 
@@ -91,6 +89,4 @@
         max(total.waiting - own.waiting, 0),
         max(total.failures - own.failures, 0),
         _merge(total.backlog, own.backlog, lambda a, b: max(a - b, 0)),
-        total.waits_ms,
-        total.silent_ms,
     )
--- a/cornelnotch/gateway/parts.py
+++ b/cornelnotch/gateway/parts.py
@@ -15,6 +15,7 @@
 from cornelnotch.kernel.clock import Clock
 from cornelnotch.kernel.events import EventLog
 from cornelnotch.kernel.hashing import hash_text
+from cornelnotch.observation.metrics import NodeMetrics
 from cornelnotch.web import Exchange, HttpClient
 
 __all__ = ["GatewayParts"]
@@ -46,6 +47,7 @@
         self.events = events
         self.dialect = dialect
         self.client = client
+        self.metrics = NodeMetrics(settings.host.name, clock)
         self.pool = ServerPool()
         self.placer = Placer(settings.host.domain, settings.regions)
         self.table = RoutingTable(NO_VERSION, {}, {}, None, CallerLimits())
--- a/cornelnotch/gateway/servers.py
+++ b/cornelnotch/gateway/servers.py
@@ -110,9 +110,7 @@
     def measure_use(self, now: float) -> ServerUse:
         """Return what this host has under way at the server."""
         backlog = [0] * PRIORITIES
-        waits = [0] * PRIORITIES
         running = waiting = 0
-        oldest_ms = now
         for flight in self.flights.values():
             if flight.first_ms:
                 running += 1
@@ -120,18 +118,12 @@
             waiting += 1
             priority = min(max(flight.priority, 0), PRIORITIES - 1)
             backlog[priority] += flight.prefill_tokens
-            waited = int(now - flight.started_ms)
-            waits[priority] = max(waits[priority], waited)
-            oldest_ms = min(oldest_ms, flight.started_ms)
-        silent_ms = int(now - max(self.heard_ms, oldest_ms))
         return ServerUse(
             self.record.name,
             running,
             waiting,
             self.count_failures(now),
             _trim(backlog),
-            _trim(waits),
-            max(silent_ms, 0) if self.flights else 0,
         )
 
 
--- a/cornelnotch/gateway/settings.py
+++ b/cornelnotch/gateway/settings.py
@@ -26,6 +26,7 @@
     readiness: str
     directory: str
     peers: str = ""
+    metrics: str = ""
     seeds: str = ""
 
 
--- a/cornelnotch/kernel/__init__.py
+++ b/cornelnotch/kernel/__init__.py
@@ -1,5 +1,7 @@
 """Hold the small core that plug-ins build on."""
 
+from typing import TYPE_CHECKING, Any
+
 from cornelnotch.kernel.clock import Clock, ManualClock, SystemClock, create_clock
 from cornelnotch.kernel.events import (
     Event,
@@ -8,10 +10,12 @@
     set_up_logging,
 )
 from cornelnotch.kernel.hashing import hash_text, rank_owners, select_owner
-from cornelnotch.kernel.identifiers import create_identifier, read_key_time
 from cornelnotch.kernel.registry import create_plugin, list_plugins, register_plugin
 from cornelnotch.kernel.tasks import MailboxTask, TaskGroup
 
+if TYPE_CHECKING:
+    from cornelnotch.kernel.identifiers import create_identifier, read_key_time
+
 __all__ = [
     "Clock",
     "Event",
@@ -32,3 +36,12 @@
     "select_owner",
     "set_up_logging",
 ]
+
+
+def __getattr__(name: str) -> Any:
+    # Hosts of the platform make no identifiers; importing them costs 4 MB.
+    if name in {"create_identifier", "read_key_time"}:
+        from cornelnotch.kernel import identifiers
+
+        return getattr(identifiers, name)
+    raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
--- a/cornelnotch/logservice/http.py
+++ b/cornelnotch/logservice/http.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
+import msgspec
 import orjson
-from pydantic import BaseModel, ValidationError
 
 from cornelnotch.exceptions import (
     LogTrimmedError,
@@ -25,7 +25,7 @@
 
 __all__ = ["HttpHostList", "HttpLogService"]
 
-Answer = TypeVar("Answer", bound=BaseModel)
+Answer = TypeVar("Answer", bound=msgspec.Struct)
 
 STATUS_OK = 200
 STATUS_NOT_MODIFIED = 304
@@ -34,13 +34,13 @@
 APPEND_TIMEOUT_MS = 2000.0
 
 
-class AppendAnswer(BaseModel):
+class AppendAnswer(msgspec.Struct):
     """Validate the answer to an append."""
 
     offset: int
 
 
-class RecordAnswer(BaseModel):
+class RecordAnswer(msgspec.Struct):
     """Validate one record."""
 
     offset: int
@@ -48,7 +48,7 @@
     body: str
 
 
-class RecordsAnswer(BaseModel):
+class RecordsAnswer(msgspec.Struct):
     """Validate the answer to a read."""
 
     records: list[RecordAnswer]
@@ -56,13 +56,13 @@
     end: int
 
 
-class TrimmedAnswer(BaseModel):
+class TrimmedAnswer(msgspec.Struct):
     """Validate the answer to a read past retention."""
 
     earliest: int
 
 
-class HostsAnswer(BaseModel):
+class HostsAnswer(msgspec.Struct):
     """Validate the host list."""
 
     hosts: list[HostEntry]
@@ -104,8 +104,8 @@
 
 def _read_answer(model: type[Answer], answer: PlatformAnswer, address: str) -> Answer:
     try:
-        return model.model_validate(answer.content)
-    except ValidationError as error:
+        return msgspec.convert(answer.content, model)
+    except msgspec.ValidationError as error:
         raise LogUnavailableError(
             f"the platform at {address} sent a malformed answer",
             "check that the address is the platform's",
--- a/cornelnotch/platform/__main__.py
+++ b/cornelnotch/platform/__main__.py
@@ -12,7 +12,11 @@
 from cornelnotch.gateway.settings import HostSettings, read_host_settings
 from cornelnotch.kernel.clock import create_clock
 from cornelnotch.kernel.events import create_event_log, set_up_logging
-from cornelnotch.platform.callers import DirectoryInterface, ReadinessInterface
+from cornelnotch.platform.callers import (
+    DirectoryInterface,
+    MetricsInterface,
+    ReadinessInterface,
+)
 from cornelnotch.platform.decoder import PlatformDecoder
 from cornelnotch.platform.dialect import PlatformDialect
 from cornelnotch.platform.store import PlatformStore
@@ -46,12 +50,15 @@
     )
     directory = HttpServer(DirectoryInterface(host.directory).handle)
     readiness = HttpServer(ReadinessInterface(host.is_ready).handle)
+    metrics = HttpServer(MetricsInterface(host.render_metrics).handle)
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, host.start_drain)
     loop.add_signal_handler(signal.SIGINT, host.stopped.set)
     loop.add_signal_handler(signal.SIGHUP, lambda: None)
     await directory.start(*parse_address(settings.listen.directory))
     await readiness.start(*parse_address(settings.listen.readiness))
+    if settings.listen.metrics:
+        await metrics.start(*parse_address(settings.listen.metrics))
     await host.start()
     gc.collect()
     gc.freeze()
--- a/cornelnotch/platform/callers.py
+++ b/cornelnotch/platform/callers.py
@@ -5,10 +5,11 @@
 from cornelnotch.gateway.directory import Directory
 from cornelnotch.web import Exchange
 
-__all__ = ["DirectoryInterface", "ReadinessInterface"]
+__all__ = ["DirectoryInterface", "MetricsInterface", "ReadinessInterface"]
 
 RESOLUTION_PATH = "/resolution"
 READY_PATH = "/readyz"
+METRICS_PATH = "/metrics"
 STATUS_OK = 200
 STATUS_NOT_FOUND = 404
 STATUS_UNAVAILABLE = 503
@@ -47,3 +48,18 @@
         ready = self._is_ready()
         status = STATUS_OK if ready else STATUS_UNAVAILABLE
         await exchange.respond_json(status, {"ready": ready})
+
+
+class MetricsInterface:
+    """Answer `GET /metrics` in the text form of Prometheus."""
+
+    def __init__(self, render: Callable[[], bytes]) -> None:
+        self._render = render
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one exchange."""
+        if exchange.path != METRICS_PATH:
+            await exchange.respond_json(STATUS_NOT_FOUND, {"error": "unknown path"})
+            return
+        headers = {"content-type": "text/plain; version=0.0.4"}
+        await exchange.respond(STATUS_OK, headers, self._render())
--- a/cornelnotch/wire/codec.py
+++ b/cornelnotch/wire/codec.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import msgpack
-from pydantic import TypeAdapter, ValidationError
+import msgspec
 
 from cornelnotch.exceptions import WireError
 from cornelnotch.wire.messages import list_message_types
@@ -18,7 +18,6 @@
 
 _types = list_message_types()
 _numbers = {kind: number for number, kind in enumerate(_types)}
-_adapters: list[TypeAdapter[Any]] = [TypeAdapter(kind) for kind in _types]
 _names = {kind: [field.name for field in dataclasses.fields(kind)] for kind in _types}
 
 
@@ -52,12 +51,12 @@
         if number < 0 or len(fields) != len(names):
             raise ValueError("wrong number of fields")
         content = dict(zip(names, fields, strict=True))
-        return _adapters[number].validate_python(content)
+        return msgspec.convert(content, kind)
     except (
         ValueError,
         TypeError,
         IndexError,
-        ValidationError,
+        msgspec.ValidationError,
         msgpack.UnpackException,
         RecursionError,
     ) as error:
--- a/cornelnotch/wire/messages.py
+++ b/cornelnotch/wire/messages.py
@@ -312,9 +312,8 @@
 class ServerUse:
     """Tell what is under way at a server.
 
-    `backlog` holds the prompt tokens that wait, and `waits_ms` the longest wait
-    so far, both indexed by priority. `silent_ms` is how long nothing was heard,
-    `failures` how many dispatches in a row have failed lately.
+    `backlog` holds the prompt tokens that wait, indexed by priority, `failures`
+    how many dispatches in a row have failed lately.
     """
 
     server: str
@@ -322,8 +321,6 @@
     waiting: int
     failures: int
     backlog: list[int]
-    waits_ms: list[int]
-    silent_ms: int
 
 
 @dataclass(frozen=True, slots=True)
