--- a/cornelnotch/commands/catalogue.py
+++ b/cornelnotch/commands/catalogue.py
@@ -3,14 +3,16 @@
 import logging
 from pathlib import Path
 from types import NoneType, UnionType
-from typing import Annotated, Any, Literal, Union, get_args, get_origin
+from typing import Annotated, Any, Literal, Union, get_args, get_origin, get_type_hints
 
+import msgspec
 import typer
 from pydantic import BaseModel
 from pydantic_core import PydanticUndefined
 
 from cornelnotch.configuration.models import SECTION_MODELS
 from cornelnotch.exceptions import SettingsError
+from cornelnotch.gateway.settings import HostSettings
 from cornelnotch.kernel import Event
 from cornelnotch.load.scenario import FaultEvent, General, TrafficClass
 from cornelnotch.settings import NodeSettings
@@ -70,6 +72,28 @@
     return text
 
 
+def _describe_struct(title: str, struct: type[msgspec.Struct]) -> str:
+    text = f"\n## [{title}]\n\n{(struct.__doc__ or '').strip()}\n\n"
+    text += "| key | type | default | meaning |\n| --- | --- | --- | --- |\n"
+    hints = get_type_hints(struct, include_extras=True)
+    for field in msgspec.structs.fields(struct):
+        required = field.default is msgspec.NODEFAULT
+        default = "required" if required else _show_default(field.default)
+        meaning = hints[field.name].__metadata__[0].description
+        shown = _show_type(hints[field.name])
+        text += f"| {field.name} | {shown} | {default} | {meaning} |\n"
+    return text
+
+
+def _describe_host_settings() -> str:
+    text = ""
+    for field in msgspec.structs.fields(HostSettings):
+        if isinstance(field.type, type) and issubclass(field.type, msgspec.Struct):
+            text += _describe_struct(field.name, field.type)
+    text += "\n## [regions]\n\nMap each failure domain to its region.\n"
+    return text
+
+
 def create_settings_catalogue() -> str:
     """Return the page of settings, configuration and scenarios."""
     text = "# Settings\n\n" + GENERATED
@@ -78,6 +102,8 @@
         annotation = field.annotation
         assert isinstance(annotation, type)
         text += _describe_model(name, annotation)
+    text += "\n# Settings of a host on the platform\n"
+    text += _describe_host_settings()
     text += "\n# Configuration published by operators\n"
     for kind, model in SECTION_MODELS.items():
         title = kind if kind == "claims" else f"{kind} NAME"
--- a/cornelnotch/commands/program.py
+++ b/cornelnotch/commands/program.py
@@ -10,7 +10,16 @@
 __all__ = ["EXIT_BAD_INPUT", "program", "run_program"]
 
 EXIT_BAD_INPUT = 2
-COMMAND_MODULES = ("node", "config", "hosts", "burn", "load", "standin", "catalogue")
+COMMAND_MODULES = (
+    "node",
+    "platform",
+    "config",
+    "hosts",
+    "burn",
+    "load",
+    "standin",
+    "catalogue",
+)
 
 program = typer.Typer(
     name="cornelnotch",
--- a/cornelnotch/gateway/follower.py
+++ b/cornelnotch/gateway/follower.py
@@ -3,10 +3,12 @@
 import random
 import zlib
 from collections.abc import Callable
+from dataclasses import replace
 
 from cornelnotch.exceptions import LogTrimmedError, LogUnavailableError
 from cornelnotch.gateway.records import KeyedView, Record, RecordPage, RecordSource
-from cornelnotch.gateway.relay import RelayPlan, split_targets
+from cornelnotch.gateway.relay import RelayPlan
+from cornelnotch.gateway.spreading import Spreader
 from cornelnotch.kernel.clock import Clock
 from cornelnotch.kernel.events import Event, EventLog
 from cornelnotch.wire import PeerNetwork
@@ -44,6 +46,7 @@
         source: RecordSource,
         peers: PeerNetwork,
         plan: RelayPlan,
+        spreader: Spreader,
         list_hosts: Callable[[], list[str]],
         generator: random.Random,
     ) -> None:
@@ -53,6 +56,7 @@
         self._source = source
         self._peers = peers
         self._plan = plan
+        self._spreader = spreader
         self._list_hosts = list_hosts
         self._generator = generator
         self._lost: set[str] = set()
@@ -147,7 +151,7 @@
                 items,
                 [],
             ),
-            [name for name in self._list_hosts() if name != self._plan.name],
+            self._list_hosts(),
         )
 
     def _tell_age(self, topic: str) -> None:
@@ -158,21 +162,10 @@
             return
         age_ms = min(self._plan.read_age(topic, now), 1e9)
         news = RecordNews(self._plan.name, topic, head, head, age_ms, False, [], [])
-        self._send_news(news, [n for n in self._list_hosts() if n != self._plan.name])
+        self._send_news(news, self._list_hosts())
 
     def _send_news(self, news: RecordNews, names: list[str]) -> None:
-        for branch in split_targets(names):
-            told = RecordNews(
-                news.origin,
-                news.topic,
-                news.start,
-                news.end,
-                news.age_ms,
-                news.whole,
-                news.items,
-                branch.rest,
-            )
-            self._peers.send(branch.head, told)
+        self._spreader.spread(names, lambda rest: replace(news, targets=rest))
 
     def _receive_news(self, sender: str, news: RecordNews) -> None:
         self._send_news(news, news.targets)
--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -12,6 +12,7 @@
 from cornelnotch.gateway.relay import RelayPlan, Source
 from cornelnotch.gateway.settings import HostSettings
 from cornelnotch.gateway.sharing import LoadSharing
+from cornelnotch.gateway.spreading import Spreader
 from cornelnotch.gateway.state import RoutingState
 from cornelnotch.kernel.clock import Clock
 from cornelnotch.kernel.events import Event, EventLog
@@ -92,18 +93,28 @@
         )
 
     def _build_state(self, source: RecordSource, decoder: RecordDecoder) -> None:
-        self.plan = RelayPlan(self.settings.host.name)
+        name = self.settings.host.name
+        self.plan = RelayPlan(name)
+        spreader = Spreader(
+            self.peers,
+            self.prober.table,
+            self.settings.regions,
+            random.Random(f"{name}/spreading"),
+        )
         self.follower = RecordFollower(
             self.clock,
             self.events,
             source,
             self.peers,
             self.plan,
+            spreader,
             self._list_peers,
-            random.Random(f"{self.settings.host.name}/records"),
+            random.Random(f"{name}/records"),
         )
         self.state = RoutingState(self.parts, self.follower, decoder, self._apply_table)
-        self.sharing = LoadSharing(self.parts, self.peers, self.plan, self._list_takers)
+        self.sharing = LoadSharing(
+            self.parts, self.peers, self.plan, spreader, self._list_takers
+        )
         self.prober.subscribe(self._apply_members)
 
     def _apply_members(self) -> None:
--- a/cornelnotch/gateway/relay.py
+++ b/cornelnotch/gateway/relay.py
@@ -4,7 +4,7 @@
 fresh reads by itself, and one that cannot read either asks others.
 """
 
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
 from cornelnotch.kernel.hashing import rank_owners
@@ -19,7 +19,7 @@
 STALE_MS = {"configuration": 1700.0, "servers": 1400.0}
 # What a host said of itself is forgotten when it is not repeated.
 UNABLE_MEMORY_MS = 3000.0
-# Messages that one host sends for one change, whatever the size of the fleet.
+# Messages that one host sends within its region for one change.
 FAN_OUT = 16
 
 
@@ -39,12 +39,24 @@
     rest: list[str]
 
 
-def split_targets(names: Collection[str]) -> list[Branch]:
-    """Split hosts into at most FAN_OUT branches of like size."""
-    ordered = list(names)
-    heads = ordered[:FAN_OUT]
-    others = ordered[FAN_OUT:]
-    return [Branch(head, others[i::FAN_OUT]) for i, head in enumerate(heads)]
+def split_targets(
+    names: Collection[str], own: str, regions: Mapping[str, str]
+) -> list[Branch]:
+    """Split hosts into branches; other regions get one copy each.
+
+    `regions` maps hosts to regions; `own` is the sender's region. The first host
+    of a branch passes the message on, so callers shuffle `names`: a head that is
+    dead then misses one message and not all.
+    """
+    by_region: dict[str, list[str]] = {}
+    for name in names:
+        by_region.setdefault(regions.get(name, own), []).append(name)
+    near = by_region.pop(own, [])
+    branches = [
+        Branch(head, near[FAN_OUT + i :: FAN_OUT])
+        for i, head in enumerate(near[:FAN_OUT])
+    ]
+    return branches + [Branch(far[0], far[1:]) for far in by_region.values()]
 
 
 class RelayPlan:
--- a/cornelnotch/gateway/settings.py
+++ b/cornelnotch/gateway/settings.py
@@ -2,6 +2,7 @@
 
 import configparser
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 
@@ -10,45 +11,55 @@
 __all__ = ["HostSettings", "read_host_settings"]
 
 
+def describe(meaning: str) -> msgspec.Meta:
+    """Return what the catalogue of settings says of a key."""
+    return msgspec.Meta(description=meaning)
+
+
+def describe_amount(meaning: str) -> msgspec.Meta:
+    """Return the same for a key whose value must not be negative."""
+    return msgspec.Meta(ge=0, description=meaning)
+
+
 class HostSection(msgspec.Struct):
     """Name the host and where it stands."""
 
-    name: str
-    domain: str
-    region: str
-    memory_mb: float = 0.0
+    name: Annotated[str, describe("name of the host, unique")]
+    domain: Annotated[str, describe("failure domain of the host")]
+    region: Annotated[str, describe("region of the host")]
+    memory_mb: Annotated[float, describe_amount("memory of the host; 0: unknown")] = 0.0
 
 
 class ListenSection(msgspec.Struct):
     """Name the addresses that the host listens on."""
 
-    callers: str
-    readiness: str
-    directory: str
-    peers: str = ""
-    metrics: str = ""
-    seeds: str = ""
+    callers: Annotated[str, describe("address for callers")]
+    readiness: Annotated[str, describe("address for the platform's readiness checks")]
+    directory: Annotated[str, describe("address that tells callers where to connect")]
+    peers: Annotated[str, describe("address for other hosts")]
+    metrics: Annotated[str, describe("address for metrics; none when empty")] = ""
+    seeds: Annotated[str, describe("addresses of other hosts, with commas")] = ""
 
 
 class StoreSection(msgspec.Struct):
     """Tell where the platform's store is."""
 
-    address: str
+    address: Annotated[str, describe("address of the store")]
 
 
 class BoundsSection(msgspec.Struct):
     """Set what the deployment promises."""
 
-    drain_ms: float = 3000.0
-    grace_s: float = 8.0
-    contact_ms: float = 4000.0
-    configuration_ms: float = 3000.0
-    address_ttl_s: float = 5.0
-    retry_share: float = 0.2
-    retry_window_s: float = 10.0
-    retry_extra: float = 10.0
-    heartbeat_ms: float = 1200.0
-    prompt_reuse_s: float = 10.0
+    grace_s: Annotated[float, describe_amount("time from SIGTERM to SIGKILL")] = 8.0
+    retry_share: Annotated[
+        float, describe_amount("repeats that all hosts may add, per request")
+    ] = 0.2
+    retry_window_s: Annotated[
+        float, describe_amount("length of the window in which repeats count")
+    ] = 10.0
+    retry_extra: Annotated[
+        float, describe_amount("repeats allowed beyond the share")
+    ] = 10.0
 
 
 class HostSettings(msgspec.Struct):
--- a/cornelnotch/gateway/sharing.py
+++ b/cornelnotch/gateway/sharing.py
@@ -1,16 +1,19 @@
 """Tell other hosts what this one has under way, and hear the sums."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from cornelnotch.gateway.loads import LoadBoard
 from cornelnotch.gateway.parts import GatewayParts
-from cornelnotch.gateway.relay import RelayPlan, split_targets
+from cornelnotch.gateway.relay import RelayPlan
+from cornelnotch.gateway.spreading import Spreader
 from cornelnotch.wire import PeerNetwork
 from cornelnotch.wire.messages import LoadReport, LoadSummary, ServerUse
 
 __all__ = ["LoadSharing"]
 
-PERIOD_MS = 200.0
+# Half of the time that a long prompt takes to read.
+PERIOD_MS = 250.0
 
 
 class LoadSharing:
@@ -21,11 +24,13 @@
         parts: GatewayParts,
         peers: PeerNetwork,
         plan: RelayPlan,
+        spreader: Spreader,
         list_hosts: Callable[[], list[str]],
     ) -> None:
         self._parts = parts
         self._peers = peers
         self._plan = plan
+        self._spreader = spreader
         self._list_hosts = list_hosts
         self._board = LoadBoard()
         self._reported: list[ServerUse] = []
@@ -55,12 +60,10 @@
     def _publish(self, now: float) -> None:
         summary = LoadSummary(self._plan.name, self._board.sum_up(now), [])
         self._apply(summary)
-        self._pass_on(summary, [n for n in self._list_hosts() if n != self._plan.name])
+        self._pass_on(summary, self._list_hosts())
 
     def _pass_on(self, summary: LoadSummary, names: list[str]) -> None:
-        for branch in split_targets(names):
-            told = LoadSummary(summary.origin, summary.uses, branch.rest)
-            self._peers.send(branch.head, told)
+        self._spreader.spread(names, lambda rest: replace(summary, targets=rest))
 
     def _receive_report(self, sender: str, report: LoadReport) -> None:
         self._board.take(report, self._parts.clock.read())
--- /dev/null
+++ b/cornelnotch/gateway/spreading.py
@@ -0,0 +1,41 @@
+"""Send a message to many hosts, over other hosts where that saves bytes."""
+
+import random
+from collections.abc import Callable, Collection, Mapping
+from typing import Any
+
+from cornelnotch.gateway.relay import split_targets
+from cornelnotch.membership import MemberTable
+from cornelnotch.wire import PeerNetwork
+
+__all__ = ["Spreader"]
+
+
+class Spreader:
+    """Know which region each host is in and pass messages on."""
+
+    def __init__(
+        self,
+        peers: PeerNetwork,
+        table: MemberTable,
+        regions: Mapping[str, str],
+        generator: random.Random,
+    ) -> None:
+        self._peers = peers
+        self._table = table
+        self._regions = regions
+        self._generator = generator
+
+    def spread(
+        self, names: Collection[str], create: Callable[[list[str]], Any]
+    ) -> None:
+        """Send what `create` makes of the hosts that the receiver is to tell."""
+        shuffled = [name for name in names if name != self._table.name]
+        self._generator.shuffle(shuffled)
+        members = self._table.members
+        places = {n: members[n].place for n in shuffled if n in members}
+        regions = {n: self._regions.get(p, p) for n, p in places.items()}
+        place = self._table.own.place
+        own = self._regions.get(place, place)
+        for branch in split_targets(shuffled, own, regions):
+            self._peers.send(branch.head, create(branch.rest))
--- a/cornelnotch/gateway/tests/test_relay.py
+++ b/cornelnotch/gateway/tests/test_relay.py
@@ -56,9 +56,13 @@
 
 
 @pytest.mark.parametrize("count", [0, 1, 16, 17, 320])
-def test_branches_reach_every_host_once(count):
-    names = [f"host-{i}" for i in range(count)]
-    branches = split_targets(names)
+def test_branches_reach_every_host_once_and_cross_to_a_region_once(count):
+    regions = {f"host-{i}": "north" if i % 2 else "south" for i in range(count)}
+    branches = split_targets(list(regions), "north", regions)
     reached = [b.head for b in branches] + [n for b in branches for n in b.rest]
-    assert sorted(reached) == sorted(names)
-    assert len(branches) <= 16
+    assert sorted(reached) == sorted(regions)
+    far = [b for b in branches if regions[b.head] == "south"]
+    assert len(far) == min(count, 1)
+    assert len(branches) - len(far) <= 16
+    for branch in branches:
+        assert {regions[name] for name in branch.rest} <= {regions[branch.head]}
--- /dev/null
+++ b/cornelnotch/platform/program.py
@@ -0,0 +1,60 @@
+"""Assemble and run one host on the platform."""
+
+import asyncio
+import gc
+import signal
+import sys
+from pathlib import Path
+
+from cornelnotch.gateway.host import GatewayHost
+from cornelnotch.gateway.settings import HostSettings, read_host_settings
+from cornelnotch.kernel.clock import create_clock
+from cornelnotch.kernel.events import create_event_log, set_up_logging
+from cornelnotch.platform.callers import (
+    DirectoryInterface,
+    MetricsInterface,
+    ReadinessInterface,
+)
+from cornelnotch.platform.decoder import PlatformDecoder
+from cornelnotch.platform.dialect import PlatformDialect
+from cornelnotch.platform.store import PlatformStore
+from cornelnotch.web import HttpClient, HttpServer, parse_address
+
+__all__ = ["run_host"]
+
+
+async def serve_host(settings: HostSettings) -> None:
+    """Run a host until it has drained; SIGTERM starts the drain."""
+    clock = create_clock()
+    host = GatewayHost(
+        settings,
+        clock,
+        create_event_log(settings.host.name),
+        PlatformDialect(),
+        PlatformStore(settings.store.address, HttpClient()),
+        PlatformDecoder(),
+        HttpClient(),
+    )
+    directory = HttpServer(DirectoryInterface(host.directory).handle)
+    readiness = HttpServer(ReadinessInterface(host.is_ready).handle)
+    metrics = HttpServer(MetricsInterface(host.render_metrics).handle)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, host.start_drain)
+    loop.add_signal_handler(signal.SIGINT, host.stopped.set)
+    loop.add_signal_handler(signal.SIGHUP, lambda: None)
+    await directory.start(*parse_address(settings.listen.directory))
+    await readiness.start(*parse_address(settings.listen.readiness))
+    if settings.listen.metrics:
+        await metrics.start(*parse_address(settings.listen.metrics))
+    await host.start()
+    gc.collect()
+    gc.freeze()
+    await host.stopped.wait()
+    await host.stop()
+
+
+def run_host(path: Path) -> None:
+    """Run a host with the settings in `path`; raise SettingsError if malformed."""
+    settings = read_host_settings(path)
+    set_up_logging("json", "INFO", sys.stdout)
+    asyncio.run(serve_host(settings))
