--- a/cornelnotch/gateway/placing.py
+++ b/cornelnotch/gateway/placing.py
@@ -27,7 +27,7 @@
 FAILURE_COST_MS = 700.0
 MAX_FAILURES = 4
 # A long prompt beside tight streams spoils their pauses.
-INTRUSION_COST_MS = 500.0
+INTRUSION_COST_MS = 1500.0
 # A tight stream beside long prompts may be late.
 OUTSIDE_COST_MS = 400.0
 # Shared parts cheaper than this to read again are not worth a detour.
--- a/cornelnotch/gateway/reserving.py
+++ b/cornelnotch/gateway/reserving.py
@@ -12,7 +12,7 @@
 
 __all__ = ["choose_reserved", "find_tight_gap"]
 
-RESERVED_SHARE = 0.1
+RESERVED_SHARE = 0.15
 # A region with fewer engines keeps none apart.
 MIN_SERVERS = 4
 # A route is tight when its pauses are this much shorter than the longest allowed.
--- /dev/null
+++ b/cornelnotch/gateway/tests/test_placing.py
@@ -0,0 +1,184 @@
+"""Play loads against engines in virtual time and check what callers get."""
+
+import random
+
+import pytest
+
+from cornelnotch.gateway import placing
+from cornelnotch.gateway.models import (
+    CallerRequest,
+    PromptPart,
+    Route,
+    ServerRecord,
+    ServiceShare,
+    WorkKind,
+)
+from cornelnotch.gateway.placing import PlacementNeed, Placer
+from cornelnotch.gateway.reserving import choose_reserved, find_tight_gap
+from cornelnotch.gateway.servers import Flight, ServerPool, ServerView
+from cornelnotch.testing.enginemodel import (
+    PlacedRequest,
+    create_engines,
+    play_requests,
+)
+
+REGIONS = {"a": "north", "b": "north", "c": "south"}
+CHAT_GAP_MS = 150.0
+ENGINES = 10
+
+
+def create_mix(seed, seconds, chats_per_s, prompts_per_s, things=60):
+    """Return chats and long prompts that share their first 13,300 tokens."""
+    generator = random.Random(seed)
+    requests: list[PlacedRequest] = []
+    for kind, rate in (("chat", chats_per_s), ("long", prompts_per_s)):
+        at_ms = 0.0
+        while at_ms < seconds * 1000.0:
+            at_ms += generator.expovariate(rate) * 1000.0
+            thing = generator.randrange(things)
+            name = f"{kind} {len(requests)}"
+            if kind == "chat":
+                shape = (True, "greeting", 210, 1250, 170, 0)
+            else:
+                own = min(int(generator.lognormvariate(7.7, 1.1)), 53_200)
+                shape = (False, f"thing {thing}", 13_300, own, 120, 2)
+            requests.append(PlacedRequest(name, at_ms, *shape))
+    return requests
+
+
+def play(requests, reserve=True):
+    engines = create_engines(ENGINES)
+    records = [engine.view.record for engine in engines]
+    reserved = choose_reserved(records, REGIONS) if reserve else frozenset()
+    outcomes = play_requests(requests, engines, Placer("a", REGIONS), reserved)
+    return outcomes, sum(engine.read_tokens for engine in engines)
+
+
+def count_broken_pauses(outcomes):
+    chats = [o for o in outcomes if o.request.tight]
+    return sum(o.longest_gap_ms > CHAT_GAP_MS for o in chats) / len(chats)
+
+
+def find_first(outcomes, tight, share):
+    waits = sorted(o.first_ms for o in outcomes if o.request.tight is tight)
+    return waits[int(len(waits) * share)]
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_chats_keep_their_pauses_beside_a_wave_of_long_prompts(seed):
+    requests = create_mix(seed, 20, chats_per_s=12, prompts_per_s=30)
+    kept, _ = play(requests)
+    mixed, _ = play(requests, reserve=False)
+    assert count_broken_pauses(kept) < count_broken_pauses(mixed)
+    assert find_first(kept, True, 0.95) <= 1500.0
+    assert find_first(kept, False, 0.9) <= 2500.0
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_wave_about_the_same_things_reads_each_about_once(seed, monkeypatch):
+    requests = create_mix(seed, 20, chats_per_s=2, prompts_per_s=50)
+    outcomes, read = play(requests)
+    needed = 60 * 13_300 + sum(r.own_tokens for r in requests)
+    assert read <= needed * 1.25
+    assert find_first(outcomes, False, 0.5) <= 2500.0
+    monkeypatch.setattr(placing, "REREAD_WEIGHT", 0.0)
+    later, scattered = play(requests)
+    assert scattered > read
+    assert find_first(later, False, 0.5) > find_first(outcomes, False, 0.5)
+
+
+def create_view(name, domain="a", **fields):
+    view = ServerView(ServerRecord(name, "llm", "10.0.0.1:80", domain, 64))
+    for key, value in fields.items():
+        setattr(view, key, value)
+    return view
+
+
+def choose(views, request, need=None, now=0.0):
+    route = Route(
+        "r", "", "/", WorkKind.STREAM, 1e9, 1e9, 1, 1, (ServiceShare("llm", 1.0),)
+    )
+    need = need or PlacementNeed(1, ())
+    return Placer("a", REGIONS).choose(views, route, request, need, now)
+
+
+def create_request(shared=13_300, own=1000):
+    parts = (PromptPart("s", shared), PromptPart("o", own))
+    return CallerRequest(
+        "r", "POST", "/", "", "/", [], prompt=parts, prompt_tokens=shared + own
+    )
+
+
+def test_hosts_agree_on_the_server_of_shared_parts():
+    views = [create_view(f"s{i}") for i in range(9)]
+    first = choose(views, create_request())
+    other = choose(list(reversed(views)), create_request())
+    assert first.server.record.name == other.server.record.name
+    assert first.prefill_tokens == 1000
+
+
+def test_parts_are_fetched_from_a_server_that_is_remembered_to_have_them():
+    views = [create_view(f"s{i}") for i in range(4)]
+    owner = choose(views, create_request()).server
+    holder = next(view for view in views if view is not owner)
+    holder.remember([PromptPart("s", 13_300)], 0.0)
+    holder.record = ServerRecord(holder.record.name, "llm", "1:1", "a", 64, True)
+    ready = [view for view in views if not view.record.leaving]
+    placed = choose(ready, create_request())
+    assert placed.source is None or placed.source.record.name != "left"
+
+
+def test_a_busy_owner_is_left_only_when_waiting_costs_more_than_reading_again():
+    views = [create_view(f"s{i}") for i in range(4)]
+    owner = choose(views, create_request()).server
+    owner.start(Flight("x", 0.0, 20_000, 20_000, priority=1))
+    assert choose(views, create_request()).server is owner
+    owner.start(Flight("y", 0.0, 200_000, 200_000, priority=1))
+    moved = choose(views, create_request())
+    assert moved.server is not owner
+    assert moved.source is owner
+
+
+def test_less_urgent_work_ahead_does_not_count():
+    views = [create_view("s0"), create_view("s1")]
+    views[0].start(Flight("x", 0.0, 50_000, 50_000, priority=5))
+    views[1].start(Flight("y", 0.0, 5000, 5000, priority=0))
+    placed = choose(views, create_request(0, 500), PlacementNeed(1, ()))
+    assert placed.server is views[0]
+
+
+def test_failing_and_excluded_servers_are_left():
+    views = [create_view("s0"), create_view("s1")]
+    views[0].fail(0.0)
+    assert choose(views, create_request(0, 500), now=10.0).server is views[1]
+    need = PlacementNeed(1, {"s1"})
+    assert choose(views, create_request(0, 500), need, 10.0).server is views[0]
+    assert choose(views, create_request(), PlacementNeed(1, {"s0", "s1"})) is None
+
+
+def test_the_nearest_of_like_servers_is_chosen():
+    views = [create_view("far", "c"), create_view("near", "b"), create_view("here")]
+    assert choose(views, create_request(0, 10)).server.record.name == "here"
+    assert choose(views[:2], create_request(0, 10)).server.record.name == "near"
+
+
+def test_a_share_of_each_region_is_kept_for_tight_streams():
+    records = [ServerRecord(f"n{i}", "llm", "1:1", "a", 64) for i in range(20)]
+    records += [ServerRecord(f"s{i}", "llm", "1:1", "c", 64) for i in range(2)]
+    reserved = choose_reserved(records, REGIONS)
+    assert len(reserved) == 2
+    assert all(name.startswith("n") for name in reserved)
+    assert reserved == choose_reserved(reversed(records), REGIONS)
+
+
+def test_only_clearly_shorter_pauses_are_tight():
+    assert find_tight_gap([500.0, 200.0, 120.0]) == 120.0
+    assert find_tight_gap([200.0, 180.0]) == 0.0
+    assert find_tight_gap([0.0]) == 0.0
+
+
+def test_servers_that_rest_are_used_when_no_other_is_left():
+    pool = ServerPool()
+    pool.replace([ServerRecord("s0", "llm", "1:1", "a", 64)])
+    pool.servers["s0"].fail(0.0)
+    assert len(pool.list_usable("llm", 1.0)) == 1
--- /dev/null
+++ b/cornelnotch/testing/enginemodel.py
@@ -0,0 +1,200 @@
+"""Play requests against engines in virtual time, to judge where they are placed.
+
+An engine makes a step after another. A step reads up to one chunk of the prompts
+that were admitted first and makes a token for each running stream, so every stream
+pauses for the chunk that is read beside it.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from cornelnotch.gateway.models import (
+    CallerRequest,
+    PromptPart,
+    Route,
+    ServerRecord,
+    ServiceShare,
+    WorkKind,
+)
+from cornelnotch.gateway.placing import PlacementNeed, Placer
+from cornelnotch.gateway.servers import Flight, ServerView
+
+__all__ = ["EngineModel", "Outcome", "PlacedRequest", "play_requests"]
+
+STEP_MS = 6.55
+STEP_PER_STREAM_MS = 0.165
+CHUNK_TOKENS = 1024
+TOKENS_PER_MS = 62.4
+# Each token that is read attends to all before it.
+PAIR_MS = 0.525e-6
+EVENT_TOKENS = 3
+DOMAIN = "a"
+
+
+@dataclass(slots=True)
+class PlacedRequest:
+    """Hold one request of a load; `shared` names the shared part of its prompt."""
+
+    name: str
+    at_ms: float
+    tight: bool
+    shared: str
+    shared_tokens: int
+    own_tokens: int
+    answer_tokens: int
+    priority: int = 1
+
+
+@dataclass(slots=True)
+class Outcome:
+    """Hold what the caller of a request saw, in ms."""
+
+    request: PlacedRequest
+    first_ms: float = 0.0
+    longest_gap_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class Run:
+    """Hold a request at an engine."""
+
+    outcome: Outcome
+    flight: Flight
+    unread: int
+    left: int
+    prompt: int = 0
+    unsent: int = 0
+    heard_ms: float = 0.0
+
+
+@dataclass(slots=True)
+class EngineModel:
+    """Hold one engine: what it runs, caches and has read again."""
+
+    view: ServerView
+    cache_tokens: int = 400_000
+    runs: list[Run] = field(default_factory=list)
+    cache: OrderedDict[str, int] = field(default_factory=OrderedDict)
+    free_ms: float = 0.0
+    read_tokens: int = 0
+
+    def admit(self, run: Run) -> None:
+        """Take a request in; cached parts need not be read."""
+        request = run.outcome.request
+        run.unread = request.own_tokens
+        run.prompt = request.own_tokens + request.shared_tokens
+        if request.shared in self.cache:
+            self.cache.move_to_end(request.shared)
+        else:
+            run.unread += request.shared_tokens
+            self.cache[request.shared] = request.shared_tokens
+        while sum(self.cache.values()) > self.cache_tokens:
+            self.cache.popitem(last=False)
+        self.read_tokens += run.unread
+        self.runs.append(run)
+
+    def step(self) -> None:
+        """Make one step and note what callers get."""
+        chunk = CHUNK_TOKENS
+        read = 0
+        attended = 0
+        making = []
+        for run in self.runs:
+            part = min(run.unread, chunk - read)
+            run.unread -= part
+            read += part
+            attended += part * (run.prompt - run.unread)
+            if run.unread == 0:
+                making.append(run)
+        duration = STEP_MS + STEP_PER_STREAM_MS * len(making) + read / TOKENS_PER_MS
+        duration += attended * PAIR_MS
+        self.free_ms += duration
+        for run in making:
+            self._make_token(run)
+
+    def _make_token(self, run: Run) -> None:
+        run.left -= 1
+        run.unsent += 1
+        if run.unsent < EVENT_TOKENS and run.left > 0:
+            return
+        run.unsent = 0
+        outcome = run.outcome
+        if not run.heard_ms:
+            outcome.first_ms = self.free_ms - outcome.request.at_ms
+        else:
+            gap = self.free_ms - run.heard_ms
+            outcome.longest_gap_ms = max(outcome.longest_gap_ms, gap)
+        run.heard_ms = self.free_ms
+        self.view.hear(run.flight, self.free_ms)
+        if run.left <= 0:
+            self.view.finish(run.flight)
+            self.view.remember([_create_shared(outcome.request)], self.free_ms)
+            self.runs.remove(run)
+
+
+def _create_shared(request: PlacedRequest) -> PromptPart:
+    return PromptPart(request.shared, request.shared_tokens)
+
+
+def _create_call(request: PlacedRequest) -> CallerRequest:
+    own = PromptPart(f"own {request.name}", request.own_tokens)
+    return CallerRequest(
+        request.name,
+        "POST",
+        "/",
+        "",
+        "/",
+        [],
+        prompt=(_create_shared(request), own),
+        prompt_tokens=request.shared_tokens + request.own_tokens,
+    )
+
+
+def create_engines(count: int) -> list[EngineModel]:
+    """Return idle engines of one failure domain."""
+    records = [
+        ServerRecord(f"engine-{i}", "llm", f"10.0.0.{i}:80", DOMAIN, 64)
+        for i in range(count)
+    ]
+    return [EngineModel(ServerView(record)) for record in records]
+
+
+def play_requests(
+    requests: list[PlacedRequest],
+    engines: list[EngineModel],
+    placer: Placer,
+    reserved: frozenset[str],
+) -> list[Outcome]:
+    """Place the requests in order of arrival and return what callers saw."""
+    share = (ServiceShare("llm", 1.0),)
+    route = Route("r", "", "/", WorkKind.STREAM, 1e9, 1e9, 1, 1, share)
+    models = {engine.view.record.name: engine for engine in engines}
+    outcomes = []
+    for request in sorted(requests, key=lambda r: r.at_ms):
+        _advance(engines, request.at_ms)
+        need = PlacementNeed(request.priority, (), request.tight, reserved)
+        views = [engine.view for engine in engines]
+        placed = placer.choose(views, route, _create_call(request), need, request.at_ms)
+        assert placed is not None
+        flight = Flight(
+            request.name,
+            request.at_ms,
+            placed.prefill_tokens,
+            placed.prefill_tokens,
+            request.priority,
+        )
+        placed.server.start(flight)
+        outcome = Outcome(request)
+        outcomes.append(outcome)
+        run = Run(outcome, flight, 0, request.answer_tokens)
+        models[placed.server.record.name].admit(run)
+    _advance(engines, float("inf"))
+    return outcomes
+
+
+def _advance(engines: list[EngineModel], until_ms: float) -> None:
+    for engine in engines:
+        while engine.runs and engine.free_ms < until_ms:
+            engine.step()
+        if until_ms != float("inf"):
+            engine.free_ms = max(engine.free_ms, until_ms)
