--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -1,6 +1,7 @@
 """Carry one request from its route to its answer."""
 
 import asyncio
+from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
 from cornelnotch.exceptions import CallerGoneError, UpstreamError
@@ -35,6 +36,18 @@
 NO_DEADLINE_MS = 600_000.0
 
 
+# A call that takes this many times its target has probably lost its answer.
+PATIENT_TARGETS = 2.5
+MIN_PATIENCE_MS = 400.0
+# Streams pause for long prompts beside them; a silent engine pauses for good.
+STALL_GAPS = 5.0
+MIN_STALL_MS = 1200.0
+
+
+class StalledError(Exception):
+    """Report a stream whose next event does not come."""
+
+
 @dataclass(slots=True)
 class Progress:
     """Count what became of the dispatches of one request."""
@@ -161,14 +174,7 @@
         view.start(flight)
         answer: Answer | None = None
         try:
-            answer = await open_answer(
-                self.parts.client,
-                self.parts.dialect,
-                view.record.address,
-                request,
-                terms,
-                self.route.kind is WorkKind.ONCE,
-            )
+            answer = await self._open(view, terms)
             self._count(answer)
             if answer.head is not None and answer.head.load is not None:
                 view.take_load(answer.head.load, self.parts.clock.read())
@@ -177,7 +183,8 @@
                 answer = await self._pass_on(answer, view, flight)
             self._judge(view, answer)
             return answer
-        except asyncio.CancelledError:
+        except BaseException:
+            # Also when the caller is gone: the server must not work on.
             if answer is not None:
                 answer.close()
             else:
@@ -186,6 +193,29 @@
         finally:
             view.finish(flight)
 
+    async def _open(self, view: ServerView, terms: DispatchTerms) -> Answer:
+        """Send the request; silence ends the wait where another server may help."""
+        patience_s = None
+        if self.route.kind is WorkKind.REPEATABLE and self._has_attempts():
+            patience_ms = max(self.route.target_ms * PATIENT_TARGETS, MIN_PATIENCE_MS)
+            patience_s = patience_ms / 1000.0
+        try:
+            async with asyncio.timeout(patience_s):
+                return await open_answer(
+                    self.parts.client,
+                    self.parts.dialect,
+                    view.record.address,
+                    self.request,
+                    terms,
+                    self.route.kind is WorkKind.ONCE,
+                )
+        except TimeoutError:
+            return Answer(Fate.BROKEN, f"silent for {patience_s} s")
+
+    def _has_attempts(self) -> bool:
+        """Tell whether the work may run at one more server after the next."""
+        return self.progress.ran + 1 < self.route.attempts
+
     def _count(self, answer: Answer) -> None:
         if answer.fate is Fate.NOT_SENT:
             self.progress.unsent += 1
@@ -237,14 +267,19 @@
             return Answer(Fate.BROKEN, f"status {answer.head.status} on resumption")
         if not self.exchange.started:
             await self.exchange.start(answer.head.status, answer.pairs)
+        parts = answer.iterate().__aiter__()
+        stall_s = self._find_stall_s()
         try:
-            async for data in answer.iterate():
+            while data := await self._read_part(parts, stall_s):
                 view.hear(flight, self.parts.clock.read())
                 whole = self.events.feed(data)
                 if whole:
                     await self.exchange.send(whole)
         except UpstreamError as error:
             return Answer(Fate.BROKEN, error.problem)
+        except StalledError:
+            answer.close()
+            return Answer(Fate.BROKEN, f"no event for {stall_s} s")
         rest = self.events.take_rest()
         if rest:
             await self.exchange.send(rest)
@@ -257,6 +292,22 @@
         )
         return None
 
+    def _find_stall_s(self) -> float | None:
+        """Return the pause after which the stream goes on elsewhere, in s."""
+        # The run in progress is counted already.
+        if not self.route.resumable or self.progress.ran >= self.route.attempts:
+            return None
+        return max(self.route.target_gap_ms * STALL_GAPS, MIN_STALL_MS) / 1000.0
+
+    @staticmethod
+    async def _read_part(parts: AsyncIterator[bytes], stall_s: float | None) -> bytes:
+        """Return the next bytes, none at the end; raise StalledError on silence."""
+        try:
+            async with asyncio.timeout(stall_s):
+                return await anext(parts, b"")
+        except TimeoutError as error:
+            raise StalledError from error
+
     def _finish(self, status: int, first_ms: float, **details: object) -> None:
         """Record a whole answer whose first byte came at `first_ms`."""
         waited_ms = first_ms - self.arrived_ms
--- a/cornelnotch/gateway/tests/test_path.py
+++ b/cornelnotch/gateway/tests/test_path.py
@@ -175,6 +175,46 @@
     play(scenario)
 
 
+def test_a_caller_that_leaves_within_a_stream_ends_the_work():
+    async def scenario(d):
+        for server in d.engines:
+            server.events = 10_000
+        answer = await d.send("/stream/x", "POST", b"p")
+        parts = answer.iterate()
+        await anext(parts)
+        answer.connection.abort()
+        await wait_until(lambda: sum(s.left for s in d.engines) == 1, 1.0)
+
+    play(scenario)
+
+
+def test_a_stream_that_falls_silent_goes_on_elsewhere():
+    async def scenario(d):
+        for server in d.engines:
+            server.faults.stall_after = 3
+        answer = await d.send("/stream/x", "POST", b"p", x_deadline_ms="6000")
+        first = d.engines[0] if d.engines[0].seen else d.engines[1]
+        other = d.engines[1] if first is d.engines[0] else d.engines[0]
+        other.faults.stall_after = None
+        body = await answer.read()
+        numbers = [line for line in body.split(b"\n") if line.startswith(b"id:")]
+        assert numbers == [b"id: %d" % n for n in range(1, 7)]
+        # The server that fell silent must not go on with it.
+        await wait_until(lambda: first.left == 1, 0.4)
+
+    play(scenario)
+
+
+def test_a_call_whose_answer_is_lost_is_sent_elsewhere_in_time():
+    async def scenario(d):
+        d.desks[0].faults.hang = True
+        for number in range(4):
+            answer = await d.send("/read/x", x_attempt_id=f"r{number}")
+            assert (await answer.read()) == b"done by desk-2"
+
+    play(scenario)
+
+
 def test_the_final_answer_comes_at_the_routes_limit():
     async def scenario(d):
         for server in d.desks:
--- a/cornelnotch/standins/upstream.py
+++ b/cornelnotch/standins/upstream.py
@@ -18,7 +18,8 @@
 class UpstreamFaults:
     """Say how the server misbehaves; each holds for every request.
 
-    `break_after` cuts a stream within the event after so many whole ones.
+    `break_after` cuts a stream within the event after so many whole ones, and
+    `stall_after` stops it there without a word.
     """
 
     refuse: bool = False
@@ -28,6 +29,7 @@
     unsigned: bool = False
     hang: bool = False
     break_after: int | None = None
+    stall_after: int | None = None
     event_ms: float = 5.0
 
 
@@ -108,6 +110,11 @@
                 await exchange.send(event[:7])
                 exchange.abort()
                 return
+            if self.faults.stall_after is not None and number > self.faults.stall_after:
+                await exchange.gone.wait()
+                self.left += 1
+                exchange.abort()
+                return
             await exchange.send(event)
             await asyncio.sleep(self.faults.event_ms / 1000.0)
         await exchange.finish()
