--- a/cornelnotch/gateway/dialect.py
+++ b/cornelnotch/gateway/dialect.py
@@ -5,7 +5,7 @@
 
 from cornelnotch.gateway.models import CallerRequest, Pairs
 
-__all__ = ["AnswerHead", "Dialect", "DispatchTerms", "ServerLoad"]
+__all__ = ["AnswerHead", "Dialect", "DispatchTerms"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,15 +23,6 @@
     cache_source: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class ServerLoad:
-    """Hold what a server says of its load."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
 @dataclass(frozen=True, slots=True)
 class AnswerHead:
     """Hold what the head of a server's answer says.
@@ -46,7 +37,6 @@
     not_run: bool
     other_server: bool
     pairs: Pairs
-    load: ServerLoad | None = None
 
 
 class Dialect(ABC):
--- a/cornelnotch/gateway/directory.py
+++ b/cornelnotch/gateway/directory.py
@@ -33,7 +33,7 @@
         self._regions = regions
         self._lifetime_s = lifetime_s
 
-    def choose(self, region: str, domain: str) -> EntryChoice:
+    def choose(self, region: str) -> EntryChoice:
         """Return the hosts of the caller's region, or all when it has none."""
         members = self._list_members()
         near = [m for m in members if self._regions.get(m.place) == region]
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -1,7 +1,6 @@
 """Carry one request from its route to its answer."""
 
 import asyncio
-from collections.abc import AsyncIterator
 from dataclasses import dataclass
 
 from cornelnotch.exceptions import CallerGoneError, UpstreamError
@@ -14,6 +13,7 @@
     Workspace,
 )
 from cornelnotch.gateway.parts import GatewayParts
+from cornelnotch.gateway.patience import find_patience_s, find_stall_s, read_part
 from cornelnotch.gateway.placing import Placement, PlacementNeed
 from cornelnotch.gateway.servers import Flight, ServerView
 from cornelnotch.gateway.streams import EventCutter
@@ -27,6 +27,7 @@
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
 STATUS_GATEWAY_TIMEOUT = 504
+# A server that refuses has read the request, so each try counts as a repeat.
 MAX_REFUSED_SENDS = 4
 # A refused connection costs a round trip, and a quarter of servers may be down.
 MAX_UNSENT = 12
@@ -36,18 +37,6 @@
 NO_DEADLINE_MS = 600_000.0
 
 
-# A call that takes this many times its target has probably lost its answer.
-PATIENT_TARGETS = 2.5
-MIN_PATIENCE_MS = 400.0
-# Streams pause for long prompts beside them; a silent engine pauses for good.
-STALL_GAPS = 5.0
-MIN_STALL_MS = 1200.0
-
-
-class StalledError(Exception):
-    """Report a stream whose next event does not come."""
-
-
 @dataclass(slots=True)
 class Progress:
     """Count what became of the dispatches of one request."""
@@ -160,7 +149,6 @@
             request.request_id,
             now,
             placement.prefill_tokens,
-            request.prompt_tokens + request.answer_tokens,
             self.priority,
         )
         terms = DispatchTerms(
@@ -176,8 +164,6 @@
         try:
             answer = await self._open(view, terms)
             self._count(answer)
-            if answer.head is not None and answer.head.load is not None:
-                view.take_load(answer.head.load, self.parts.clock.read())
             if answer.fate is Fate.DONE:
                 view.hear(flight, self.parts.clock.read())
                 answer = await self._pass_on(answer, view, flight)
@@ -195,10 +181,7 @@
 
     async def _open(self, view: ServerView, terms: DispatchTerms) -> Answer:
         """Send the request; silence ends the wait where another server may help."""
-        patience_s = None
-        if self.route.kind is WorkKind.REPEATABLE and self._has_attempts():
-            patience_ms = max(self.route.target_ms * PATIENT_TARGETS, MIN_PATIENCE_MS)
-            patience_s = patience_ms / 1000.0
+        patience_s = find_patience_s(self.route, self.progress.ran)
         try:
             async with asyncio.timeout(patience_s):
                 return await open_answer(
@@ -212,10 +195,6 @@
         except TimeoutError:
             return Answer(Fate.BROKEN, f"silent for {patience_s} s")
 
-    def _has_attempts(self) -> bool:
-        """Tell whether the work may run at one more server after the next."""
-        return self.progress.ran + 1 < self.route.attempts
-
     def _count(self, answer: Answer) -> None:
         if answer.fate is Fate.NOT_SENT:
             self.progress.unsent += 1
@@ -268,18 +247,16 @@
         if not self.exchange.started:
             await self.exchange.start(answer.head.status, answer.pairs)
         parts = answer.iterate().__aiter__()
-        stall_s = self._find_stall_s()
+        stall_s = find_stall_s(self.route, self.progress.ran)
         try:
-            while data := await self._read_part(parts, stall_s):
+            while data := await read_part(parts, stall_s):
                 view.hear(flight, self.parts.clock.read())
                 whole = self.events.feed(data)
                 if whole:
                     await self.exchange.send(whole)
         except UpstreamError as error:
-            return Answer(Fate.BROKEN, error.problem)
-        except StalledError:
             answer.close()
-            return Answer(Fate.BROKEN, f"no event for {stall_s} s")
+            return Answer(Fate.BROKEN, error.problem)
         rest = self.events.take_rest()
         if rest:
             await self.exchange.send(rest)
@@ -292,22 +269,6 @@
         )
         return None
 
-    def _find_stall_s(self) -> float | None:
-        """Return the pause after which the stream goes on elsewhere, in s."""
-        # The run in progress is counted already.
-        if not self.route.resumable or self.progress.ran >= self.route.attempts:
-            return None
-        return max(self.route.target_gap_ms * STALL_GAPS, MIN_STALL_MS) / 1000.0
-
-    @staticmethod
-    async def _read_part(parts: AsyncIterator[bytes], stall_s: float | None) -> bytes:
-        """Return the next bytes, none at the end; raise StalledError on silence."""
-        try:
-            async with asyncio.timeout(stall_s):
-                return await anext(parts, b"")
-        except TimeoutError as error:
-            raise StalledError from error
-
     def _finish(self, status: int, first_ms: float, **details: object) -> None:
         """Record a whole answer whose first byte came at `first_ms`."""
         waited_ms = first_ms - self.arrived_ms
--- a/cornelnotch/gateway/front.py
+++ b/cornelnotch/gateway/front.py
@@ -4,7 +4,7 @@
 
 from cornelnotch.exceptions import CallerGoneError, RequestError
 from cornelnotch.gateway.flow import RequestFlow
-from cornelnotch.gateway.models import CallerRequest, Route, Workspace
+from cornelnotch.gateway.models import CallerRequest
 from cornelnotch.gateway.parts import NO_VERSION, GatewayParts
 from cornelnotch.kernel.events import Event
 from cornelnotch.web import Exchange
@@ -57,7 +57,7 @@
         if route is None:
             await self._refuse(exchange, request, STATUS_NOT_FOUND, "no-route")
             return
-        workspace = self._find_workspace(route, request)
+        workspace = table.find_workspace(request.key) if request.key else None
         if workspace is None and table.workspaces is not None and not route.open:
             await self._refuse(exchange, request, STATUS_UNAUTHORIZED, "unknown-key")
             return
@@ -75,9 +75,6 @@
         parts.find_budget(flow.service).deposit(arrived_ms)
         await flow.run()
 
-    def _find_workspace(self, route: Route, request: CallerRequest) -> Workspace | None:
-        return self._parts.table.find_workspace(request.key) if request.key else None
-
     async def _refuse(
         self, exchange: Exchange, request: CallerRequest, status: int, reason: str
     ) -> None:
--- a/cornelnotch/gateway/models.py
+++ b/cornelnotch/gateway/models.py
@@ -158,9 +158,6 @@
     key: str = ""
     deadline_ms: float = 0.0
     last_event: str = ""
-    model: str = ""
     prompt: tuple[PromptPart, ...] = ()
     prompt_tokens: int = 0
-    answer_tokens: int = 0
-    likely_answer_tokens: int = 0
     body: bytes = field(default=b"", repr=False)
--- a/cornelnotch/gateway/parts.py
+++ b/cornelnotch/gateway/parts.py
@@ -1,6 +1,5 @@
 """Bundle what every request needs of its host."""
 
-import random
 from dataclasses import dataclass
 
 import orjson
@@ -51,7 +50,6 @@
         self.pool = ServerPool()
         self.placer = Placer(settings.host.domain, settings.regions)
         self.table = RoutingTable(NO_VERSION, {}, {}, None, CallerLimits())
-        self.generator = random.Random(settings.host.name)
         self.hosts = 1
         self._reserved: dict[str, Reserved] = {}
         self._gaps: dict[str, list[float]] = {}
--- a/cornelnotch/gateway/servers.py
+++ b/cornelnotch/gateway/servers.py
@@ -4,7 +4,6 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from cornelnotch.gateway.dialect import ServerLoad
 from cornelnotch.gateway.models import PromptPart, ServerRecord
 from cornelnotch.wire.messages import ServerUse
 
@@ -37,7 +36,6 @@
     request_id: str
     started_ms: float
     prefill_tokens: int
-    tokens: int
     priority: int = 0
     first_ms: float = 0.0
     heard_ms: float = 0.0
@@ -46,16 +44,13 @@
 
 @dataclass(slots=True)
 class ServerView:
-    """Hold record, own dispatches, reported load and failures of one server."""
+    """Hold record, own dispatches, failures and cached parts of one server."""
 
     record: ServerRecord
     flights: dict[str, Flight] = field(default_factory=dict)
-    load: ServerLoad | None = None
-    load_ms: float = 0.0
     failures: int = 0
     failed_ms: float = 0.0
     ejected_until_ms: float = 0.0
-    heard_ms: float = 0.0
     parts: OrderedDict[str, float] = field(default_factory=OrderedDict)
 
     def start(self, flight: Flight) -> None:
@@ -66,19 +61,14 @@
         """Note that work ended."""
         self.flights.pop(flight.request_id, None)
 
-    def hear(self, flight: Flight, now: float) -> None:
+    @staticmethod
+    def hear(flight: Flight, now: float) -> None:
         """Note that bytes of an answer arrived."""
         if flight.first_ms:
             flight.gap_ms = max(flight.gap_ms, now - flight.heard_ms)
         else:
             flight.first_ms = now
         flight.heard_ms = now
-        self.heard_ms = now
-
-    def take_load(self, load: ServerLoad, now: float) -> None:
-        """Keep what the server said of its load."""
-        self.load = load
-        self.load_ms = now
 
     def fail(self, now: float) -> None:
         """Let the server rest, longer after each failure in a row."""
--- a/cornelnotch/gateway/settings.py
+++ b/cornelnotch/gateway/settings.py
@@ -27,7 +27,6 @@
     name: Annotated[str, describe("name of the host, unique")]
     domain: Annotated[str, describe("failure domain of the host")]
     region: Annotated[str, describe("region of the host")]
-    memory_mb: Annotated[float, describe_amount("memory of the host; 0: unknown")] = 0.0
 
 
 class ListenSection(msgspec.Struct):
--- a/cornelnotch/gateway/tests/test_placing.py
+++ b/cornelnotch/gateway/tests/test_placing.py
@@ -131,9 +131,9 @@
 def test_a_busy_owner_is_left_only_when_waiting_costs_more_than_reading_again():
     views = [create_view(f"s{i}") for i in range(4)]
     owner = choose(views, create_request()).server
-    owner.start(Flight("x", 0.0, 20_000, 20_000, priority=1))
+    owner.start(Flight("x", 0.0, 20_000, priority=1))
     assert choose(views, create_request()).server is owner
-    owner.start(Flight("y", 0.0, 200_000, 200_000, priority=1))
+    owner.start(Flight("y", 0.0, 200_000, priority=1))
     moved = choose(views, create_request())
     assert moved.server is not owner
     assert moved.source is owner
@@ -141,8 +141,8 @@
 
 def test_less_urgent_work_ahead_does_not_count():
     views = [create_view("s0"), create_view("s1")]
-    views[0].start(Flight("x", 0.0, 50_000, 50_000, priority=5))
-    views[1].start(Flight("y", 0.0, 5000, 5000, priority=0))
+    views[0].start(Flight("x", 0.0, 50_000, priority=5))
+    views[1].start(Flight("y", 0.0, 5000, priority=0))
     placed = choose(views, create_request(0, 500), PlacementNeed(1, ()))
     assert placed.server is views[0]
 
--- a/cornelnotch/platform/callers.py
+++ b/cornelnotch/platform/callers.py
@@ -26,9 +26,7 @@
         if exchange.path != RESOLUTION_PATH:
             await exchange.respond_json(STATUS_NOT_FOUND, {"error": "unknown path"})
             return
-        choice = self._directory.choose(
-            exchange.query.get("region", ""), exchange.query.get("zone", "")
-        )
+        choice = self._directory.choose(exchange.query.get("region", ""))
         status = STATUS_OK if choice.addresses else STATUS_UNAVAILABLE
         content = {"addresses": choice.addresses, "ttl_s": choice.lifetime_s}
         await exchange.respond_json(status, content)
--- a/cornelnotch/platform/dialect.py
+++ b/cornelnotch/platform/dialect.py
@@ -3,7 +3,7 @@
 from urllib.parse import urlsplit
 
 from cornelnotch.exceptions import RequestError
-from cornelnotch.gateway.dialect import AnswerHead, Dialect, DispatchTerms, ServerLoad
+from cornelnotch.gateway.dialect import AnswerHead, Dialect, DispatchTerms
 from cornelnotch.gateway.models import CallerRequest, Pairs, PromptPart
 
 __all__ = ["PlatformDialect"]
@@ -12,16 +12,13 @@
 DEADLINE = b"x-deadline-ms"
 KEY = b"x-key"
 LAST_EVENT = b"last-event-id"
-MODEL = b"x-model"
 TOKENS = b"x-token-usage"
 PROMPT = b"x-prompt-prefix"
-LENGTH_HINT = b"x-length-hint"
 SERVER = b"x-target-instance"
 WORKSPACE = b"x-tenant"
 PRIORITY = b"x-request-priority"
 SIGNATURE = b"x-server-signature"
 NOT_RUN = b"x-not-executed"
-LOAD = b"x-server-load"
 # The server fetches what another one caches of the prompt before it reads the rest.
 CACHE_SOURCE = b"kv-fetch"
 RETRY_AFTER = b"retry-after"
@@ -90,14 +87,6 @@
     return tuple(parts)
 
 
-def read_load(text: str) -> ServerLoad | None:
-    """Return running and waiting requests and slots, if they are told."""
-    fields = text.split(",")
-    if len(fields) != 3 or not all(field.strip().isdigit() for field in fields):
-        return None
-    return ServerLoad(*(int(field) for field in fields))
-
-
 def drop_connection_headers(pairs: Pairs) -> Pairs:
     """Return the headers that go beyond one connection."""
     named = find_header(pairs, b"connection").lower().encode("latin-1")
@@ -125,11 +114,8 @@
             key=find_header(pairs, KEY),
             deadline_ms=read_number(find_header(pairs, DEADLINE)),
             last_event=find_header(pairs, LAST_EVENT),
-            model=find_header(pairs, MODEL),
             prompt=read_prompt(find_header(pairs, PROMPT)),
             prompt_tokens=int(tokens[0]),
-            answer_tokens=int(tokens[1]) if len(tokens) > 1 else 0,
-            likely_answer_tokens=int(read_number(find_header(pairs, LENGTH_HINT))),
         )
 
     def create_pairs(self, request: CallerRequest, terms: DispatchTerms) -> Pairs:
@@ -161,7 +147,6 @@
             misdirected or bool(find_header(pairs, NOT_RUN)),
             misdirected,
             drop_connection_headers(pairs),
-            read_load(find_header(pairs, LOAD)),
         )
 
     def create_refusal_pairs(
--- a/cornelnotch/platform/tests/test_translation.py
+++ b/cornelnotch/platform/tests/test_translation.py
@@ -5,7 +5,7 @@
 from hypothesis import given, strategies as st
 
 from cornelnotch.exceptions import ConfigurationError, RequestError
-from cornelnotch.gateway.dialect import DispatchTerms, ServerLoad
+from cornelnotch.gateway.dialect import DispatchTerms
 from cornelnotch.gateway.models import WorkKind
 from cornelnotch.platform.dialect import PlatformDialect
 from cornelnotch.platform.records import decode_server, decode_table
@@ -37,7 +37,7 @@
     request = dialect.read_request("POST", "/a/b?c", PAIRS)
     assert (request.host, request.path) == ("app.example", "/a/b")
     assert request.deadline_ms == 1500.0
-    assert (request.prompt_tokens, request.answer_tokens) == (1460, 80)
+    assert request.prompt_tokens == 1460
     assert [part.tokens for part in request.prompt] == [800, 410, 250]
     names = [name for name, _ in request.pairs]
     assert b"x-hop" not in names
@@ -75,13 +75,6 @@
     assert dialect.read_answer(status, pairs).not_run is not_run
 
 
-def test_load_is_read_and_nonsense_is_not():
-    assert dialect.read_answer(200, [(b"X-Server-Load", b"3,0,8")]).load == ServerLoad(
-        3, 0, 8
-    )
-    assert dialect.read_answer(200, [(b"x-server-load", b"3,x")]).load is None
-
-
 def test_a_server_entry_is_decoded():
     server = decode_server("i-1", orjson.dumps({**ENTRY, "state": "draining"}))
     assert server is not None
--- a/cornelnotch/testing/enginemodel.py
+++ b/cornelnotch/testing/enginemodel.py
@@ -180,7 +180,6 @@
             request.name,
             request.at_ms,
             placed.prefill_tokens,
-            placed.prefill_tokens,
             request.priority,
         )
         placed.server.start(flight)
