Ignore late news of records that are known

Cause: a record below the head was taken in again when its key had been dropped since, so late news of a slower reader could bring a server back that had left (DRAIN). Found by taking the check for repeated news out: no test failed. Test seen failing first.

--- a/cornelnotch/gateway/records.py
+++ b/cornelnotch/gateway/records.py
@@ -37,8 +37,8 @@
         """Take in records that follow; return those that changed something."""
         changed = []
         for record in page.records:
-            known = self.records.get(record.key)
-            if known is not None and known.offset >= record.offset:
+            # What is below the head is known, also of keys that are gone since.
+            if record.offset < self.head:
                 continue
             if record.value:
                 self.records[record.key] = record
--- a/cornelnotch/gateway/tests/test_records.py
+++ b/cornelnotch/gateway/tests/test_records.py
@@ -32,8 +32,8 @@
         if whole_first and end >= view.head:
             view.replace(create_newest(log, end))
         view.apply(create_page(log, view.head, max(end, view.head)))
-        # What comes twice changes nothing.
-        view.apply(create_page(log, 0, view.head))
+        # What comes twice, or late from a slower reader, changes nothing.
+        view.apply(create_page(log, 0, min(cut, view.head)))
     view.apply(create_page(log, view.head, len(log)))
     assert view.head == len(log)
     assert set(view.records.values()) == set(expected.records)
@@ -52,3 +52,11 @@
     view.replace(RecordPage([Record("b", b"1", 1)], 4, 4))
     assert set(view.records) == {"a", "b"}
     assert view.head == 6
+
+
+def test_late_news_of_a_slower_reader_brings_no_dropped_key_back():
+    view = KeyedView()
+    view.apply(create_page([("a", True), ("a", False)], 0, 2))
+    view.apply(create_page([("a", True)], 0, 1))
+    assert view.records == {}
+    assert view.head == 2
