Call nothing refused that may have run when no server is left

Cause: with every server tried or gone the answer was 503 also after a dispatch that may have run, and within a stream a second head was tried on the started answer. Found by reading the flow; the test was seen failing first (503 for 502). The unfinished event is dropped where the next dispatch begins.

--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -104,7 +104,7 @@
         while True:
             placement = self._place()
             if placement is None:
-                await self._refuse(STATUS_UNAVAILABLE, "no-server")
+                await self._finish_failed(Answer(Fate.NOT_SENT, "no server is left"))
                 return
             answer = await self._dispatch(placement)
             if answer is None:
@@ -114,6 +114,8 @@
                 await self._finish_failed(answer)
                 return
             answer.close()
+            # The next server sends the unfinished event again, whole.
+            self.events.take_rest()
 
     def _place(self) -> Placement | None:
         now = self.parts.clock.read()
@@ -236,10 +238,7 @@
         return None
 
     async def _pass_on_stream(
-        self,
-        answer: Answer,
-        view,
-        flight: Flight,
+        self, answer: Answer, view: ServerView, flight: Flight
     ) -> Answer | None:
         assert answer.head is not None
         if answer.head.status != STATUS_OK and self.exchange.started:
@@ -305,7 +304,6 @@
             return False
         if self.route.kind is WorkKind.REPEATABLE:
             return True
-        self.events.take_rest()
         return self.route.kind is WorkKind.STREAM and self.route.resumable
 
     async def _finish_failed(self, answer: Answer) -> None:
--- a/cornelnotch/gateway/tests/test_path.py
+++ b/cornelnotch/gateway/tests/test_path.py
@@ -110,6 +110,23 @@
     play(scenario)
 
 
+def test_work_that_may_have_run_is_not_called_refused_when_no_server_is_left():
+    async def scenario(d):
+        d.desks[0].faults.cut = True
+        d.engines[0].faults.break_after = 3
+        for gone in (d.desks[1], d.engines[1]):
+            d.drop_server(gone)
+        await wait_until(lambda: d.count_servers() == 2)
+        answer = await d.send("/read/x")
+        await answer.read()
+        assert answer.status == 502
+        stream = await d.send("/stream/x", "POST", b"p", x_attempt_id="a2")
+        with pytest.raises(UpstreamError):
+            await stream.read()
+
+    play(scenario)
+
+
 @pytest.mark.parametrize("fault", ["wrong_id", "unsigned"])
 def test_bytes_that_are_not_the_answer_never_reach_the_caller(fault):
     async def scenario(d):
