Write log lines on a thread, bounded, with a count of those dropped

Cause: each line was a blocking write to standard output: a reader of the logs that stops would have stopped the host. Lines now wait in a queue of 2,000; those beyond are dropped, counted on the metrics address and told in the log (event 1102).

--- a/cornelnotch/commands/node.py
+++ b/cornelnotch/commands/node.py
@@ -8,7 +8,7 @@
 import typer
 
 from cornelnotch.exceptions import SettingsError
-from cornelnotch.kernel import set_up_logging
+from cornelnotch.kernel.output import LogOutput
 from cornelnotch.node import create_node
 from cornelnotch.settings import NodeSettings, read_node_settings
 
@@ -42,8 +42,9 @@
     content = read.value_or(None)
     if content is None:
         raise read.failure()
-    set_up_logging(content.logging.style, content.logging.level)
-    asyncio.run(serve_node(content))
+    logging = content.logging
+    with LogOutput(content.node.name, logging.style, logging.level):
+        asyncio.run(serve_node(content))
 
 
 def register_commands(program: typer.Typer) -> None:
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -7,7 +7,14 @@
 
 import orjson
 
-__all__ = ["Event", "EventLog", "create_event_log", "set_up_logging"]
+__all__ = [
+    "Event",
+    "EventLog",
+    "create_event_log",
+    "create_formatter",
+    "create_record",
+    "set_up_logging",
+]
 
 
 class Event(Enum):
@@ -18,6 +25,11 @@
     NODE_DRAINING = (1003, logging.INFO, "the node takes no new callers")
     NODE_STOPPED = (1004, logging.INFO, "the node has ended every stream")
     TASK_FAILED = (1101, logging.ERROR, "a task failed and was contained")
+    LOG_LINES_DROPPED = (
+        1102,
+        logging.WARNING,
+        "lines were dropped, as nobody read them in time",
+    )
     CONFIGURATION_APPLIED = (2001, logging.INFO, "a newer configuration is in force")
     CONFIGURATION_REJECTED = (2002, logging.WARNING, "a record was rejected")
     CONFIGURATION_BOOTSTRAPPED = (
@@ -106,6 +118,23 @@
         return orjson.dumps(content, default=str).decode()
 
 
+def create_record(
+    event: Event, source: str, fields: dict[str, Any]
+) -> logging.LogRecord:
+    """Return the log record of an event that no logger has to pass on."""
+    name = f"cornelnotch.{source}"
+    record = logging.LogRecord(name, event.level, "", 0, event.meaning, None, None)
+    record.event = event
+    record.source = source
+    record.fields = fields
+    return record
+
+
+def create_formatter(style: str) -> logging.Formatter:
+    """Return the formatter of lines of `text` or `json`."""
+    return JsonFormatter() if style == "json" else TextFormatter()
+
+
 def create_event_log(source: str) -> EventLog:
     """Return the event log of one process."""
     return EventLog(source)
@@ -116,7 +145,7 @@
 ) -> None:
     """Send the events to `stream`, by default standard error, as `text` or `json`."""
     handler = logging.StreamHandler(stream or sys.stderr)
-    handler.setFormatter(JsonFormatter() if style == "json" else TextFormatter())
+    handler.setFormatter(create_formatter(style))
     logger = logging.getLogger("cornelnotch")
     logger.handlers[:] = [handler]
     logger.setLevel(level)
--- /dev/null
+++ b/cornelnotch/kernel/tests/test_output.py
@@ -0,0 +1,100 @@
+"""Check that lines are bounded and that a blocked reader holds up nothing."""
+
+import logging
+import os
+import subprocess
+import sys
+import time
+
+import orjson
+import pytest
+
+from cornelnotch.kernel import Event, create_event_log
+from cornelnotch.kernel.output import LogOutput
+
+LIMIT = 50
+LINES = 3000
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+    logging.getLogger("cornelnotch").handlers.clear()
+
+
+def read_lines(descriptor, wanted):
+    """Return the lines up to the one of event `wanted`."""
+    content = b""
+    deadline = time.monotonic() + 10.0
+    while time.monotonic() < deadline:
+        content += os.read(descriptor, 65536)
+        lines = [orjson.loads(line) for line in content.splitlines(True) if line[-1:]]
+        if lines and lines[-1]["event"] == wanted:
+            return lines
+    raise AssertionError("the last line did not come")
+
+
+def test_lines_come_in_order_with_their_fields(pipe):
+    reader, writer = pipe
+    with LogOutput("h", descriptor=writer) as output:
+        log = create_event_log("h")
+        for number in range(5):
+            log.record(Event.NODE_STARTED, number=number)
+        log.record(Event.NODE_STOPPED)
+    lines = read_lines(reader, Event.NODE_STOPPED.number)
+    assert [line["fields"].get("number") for line in lines] == [0, 1, 2, 3, 4, None]
+    assert output.dropped == 0
+
+
+def test_lines_that_nobody_reads_are_dropped_and_counted(pipe):
+    reader, writer = pipe
+    with LogOutput("h", descriptor=writer, limit=LIMIT) as output:
+        log = create_event_log("h")
+        for number in range(LINES):
+            log.record(Event.NODE_STARTED, number=number, padding="x" * 100)
+        assert output.dropped > 0
+        before = output.dropped
+        os.set_blocking(reader, False)
+        kept = drain(reader)
+        log.record(Event.NODE_STOPPED)
+        os.set_blocking(reader, True)
+        kept += read_lines(reader, Event.NODE_STOPPED.number)
+    notices = [n for n in kept if n["event"] == Event.LOG_LINES_DROPPED.number]
+    started = [n for n in kept if n["event"] == Event.NODE_STARTED.number]
+    assert sum(notice["fields"]["lines"] for notice in notices) == before
+    assert notices[-1]["fields"]["in_total"] == before
+    assert len(started) == LINES - before
+
+
+def drain(descriptor):
+    """Read until nothing has come for a while."""
+    content = b""
+    idle = 0
+    while idle < 20:
+        try:
+            content += os.read(descriptor, 65536)
+            idle = 0
+        except BlockingIOError:
+            idle += 1
+            time.sleep(0.01)
+    return [orjson.loads(line) for line in content.splitlines()]
+
+
+def test_a_process_ends_although_nobody_reads_its_lines():
+    code = (
+        "from cornelnotch.kernel.output import LogOutput\n"
+        "from cornelnotch.kernel import Event, create_event_log\n"
+        "with LogOutput('h', limit=50):\n"
+        "    log = create_event_log('h')\n"
+        "    for _ in range(3000):\n"
+        "        log.record(Event.NODE_STARTED, padding='x' * 100)\n"
+    )
+    command = [sys.executable, "-c", code]
+    with subprocess.Popen(command, stdout=subprocess.PIPE) as process:
+        try:
+            assert process.wait(timeout=20) == 0
+        finally:
+            process.kill()
--- a/cornelnotch/observation/metrics.py
+++ b/cornelnotch/observation/metrics.py
@@ -1,5 +1,7 @@
 """Expose a host's measurements to Prometheus."""
 
+from collections.abc import Callable
+
 from aioprometheus import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
@@ -31,6 +33,7 @@
     def __init__(self, host: str, clock: Clock) -> None:
         self.windows = AttainmentWindows(clock)
         self._registry = Registry()
+        self._watched: dict[str, Callable[[], float]] = {}
         labels = {"host": host}
         self._requests = Counter(
             "cornelnotch_requests_total",
@@ -101,8 +104,14 @@
         """Set one figure of the host's state."""
         self._state.set({"name": name}, value)
 
+    def watch_state(self, name: str, read: Callable[[], float]) -> None:
+        """Read one figure of the host's state whenever the figures are asked for."""
+        self._watched[name] = read
+
     def render(self) -> bytes:
         """Return the Prometheus text."""
+        for name, read in self._watched.items():
+            self.set_state(name, read())
         for row in self.windows.count():
             window = str(row.minutes)
             labels = {"class": row.class_name, "minutes": window}
--- a/cornelnotch/platform/program.py
+++ b/cornelnotch/platform/program.py
@@ -3,13 +3,13 @@
 import asyncio
 import gc
 import signal
-import sys
 from pathlib import Path
 
 from cornelnotch.gateway.host import GatewayHost
 from cornelnotch.gateway.settings import HostSettings, read_host_settings
 from cornelnotch.kernel.clock import create_clock
-from cornelnotch.kernel.events import create_event_log, set_up_logging
+from cornelnotch.kernel.events import create_event_log
+from cornelnotch.kernel.output import LogOutput
 from cornelnotch.platform.callers import (
     DirectoryInterface,
     MetricsInterface,
@@ -23,7 +23,7 @@
 __all__ = ["run_host"]
 
 
-async def serve_host(settings: HostSettings) -> None:
+async def serve_host(settings: HostSettings, output: LogOutput) -> None:
     """Run a host until it has drained; SIGTERM starts the drain."""
     clock = create_clock()
     host = GatewayHost(
@@ -35,6 +35,7 @@
         PlatformDecoder(),
         HttpClient(),
     )
+    host.parts.metrics.watch_state("dropped_log_lines", lambda: output.dropped)
     directory = HttpServer(DirectoryInterface(host.directory).handle)
     readiness = HttpServer(ReadinessInterface(host.is_ready).handle)
     metrics = HttpServer(MetricsInterface(host.render_metrics).handle)
@@ -56,5 +57,5 @@
 def run_host(path: Path) -> None:
     """Run a host with the settings in `path`; raise SettingsError if malformed."""
     settings = read_host_settings(path)
-    set_up_logging("json", "INFO", sys.stdout)
-    asyncio.run(serve_host(settings))
+    with LogOutput(settings.host.name) as output:
+        asyncio.run(serve_host(settings, output))
