--- a/cornelnotch/gateway/placing.py
+++ b/cornelnotch/gateway/placing.py
@@ -28,9 +28,9 @@
 FAILURE_COST_MS = 700.0
 MAX_FAILURES = 4
 # A long prompt beside tight streams spoils their pauses.
-INTRUSION_COST_MS = 1500.0
+INTRUSION_COST_MS = 3000.0
 # A tight stream beside long prompts may be late.
-OUTSIDE_COST_MS = 100.0
+OUTSIDE_COST_MS = 250.0
 # Turns let short prompts overtake long ones: of the tokens that wait at the same
 # priority, those of an equal prompt count by this share, those of longer ones less.
 # Counting all moves prompts away from engines that cache their parts: 29.3 instead
--- a/cornelnotch/gateway/reserving.py
+++ b/cornelnotch/gateway/reserving.py
@@ -16,8 +16,9 @@
 
 # A region with fewer engines keeps none apart.
 MIN_SERVERS = 4
-# Engines kept for each that tight streams would fill, and the most of all.
-HEADROOM = 1.4
+# Engines kept for each that tight streams would fill, and the least and most of all.
+HEADROOM = 2.0
+MIN_SHARE = 0.12
 MAX_SHARE = 0.5
 # A route is tight when its pauses are this much shorter than the longest allowed.
 TIGHT_RATIO = 0.5
@@ -28,7 +29,8 @@
     if servers < MIN_SERVERS:
         return 0
     wanted = math.ceil(tight * HEADROOM / slots)
-    return max(min(wanted, int(servers * MAX_SHARE)), 1)
+    least = max(round(servers * MIN_SHARE), 1)
+    return max(min(wanted, int(servers * MAX_SHARE)), least)
 
 
 def choose_reserved(
