Refuse at once what would wait for its turn longer than its caller waits

The keeper estimates the wait from what is ahead and from the share that later, shorter prompts have taken in the last 3 s; a clear excess over the caller's patience is answered 503 with a Retry-After of the estimate, at most a third of the time left, spread by a quarter.

--- a/cornelnotch/gateway/asking.py
+++ b/cornelnotch/gateway/asking.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 
 from cornelnotch.gateway.models import CallerRequest, PromptPart
+from cornelnotch.gateway.returning import is_hopeless
 from cornelnotch.gateway.servers import Flight, ServerView
 from cornelnotch.kernel.clock import Clock
 from cornelnotch.kernel.hashing import select_owner
@@ -31,14 +32,16 @@
 
 
 class Turn(StrEnum):
-    """Name how a wait ended: GRANTED, ALONE without an answer, or LOST.
+    """Name how a wait ended: GRANTED, ALONE without an answer, LOST or HOPELESS.
 
-    LOST means that the engine is no longer to be used.
+    LOST means that the engine is no longer to be used, HOPELESS that the caller
+    would leave before its turn.
     """
 
     GRANTED = "granted"
     ALONE = "alone"
     LOST = "lost"
+    HOPELESS = "hopeless"
 
 
 @dataclass(slots=True)
@@ -48,14 +51,16 @@
     request_id: str
     shared: list[PromptPart]
     own_tokens: int
-    arrived_ms: float
     keeper: str
     view: ServerView
     flight: Flight
+    arrived_ms: float = 0.0
+    patience_ms: float = float("inf")
     heard_ms: float = 0.0
     told_ms: float = 0.0
     begun: bool = False
-    granted: asyncio.Event = field(default_factory=asyncio.Event)
+    granted: bool = False
+    decided: asyncio.Event = field(default_factory=asyncio.Event)
 
 
 class TurnClient:
@@ -88,20 +93,26 @@
         view: ServerView,
         flight: Flight,
         arrived_ms: float,
+        patience_ms: float,
     ) -> Turn:
         """Wait until the request may be sent; `end` must follow in any case.
 
-        Its caller has waited since `arrived_ms`, maybe for another engine before.
+        Its caller has waited since `arrived_ms`, maybe for another engine before, and
+        leaves after `patience_ms`.
         """
-        claim = self._open_claim(request, view, flight, arrived_ms)
+        claim = self._open_claim(request, view, flight)
+        claim.arrived_ms = arrived_ms
+        claim.patience_ms = patience_ms
         if self._is_silent(claim.keeper):
             return self._go_alone(claim)
         self._ask(claim, "waiting")
         while True:
             try:
                 async with asyncio.timeout(ASK_MS / 1000.0):
-                    await claim.granted.wait()
-                return Turn.GRANTED if self._is_listed(view) else Turn.LOST
+                    await claim.decided.wait()
+                if not self._is_listed(view):
+                    return Turn.LOST
+                return Turn.GRANTED if claim.granted else Turn.HOPELESS
             except TimeoutError:
                 turn = self._look_again(claim)
                 if turn is not None:
@@ -126,7 +137,7 @@
             await self._clock.sleep(ASK_MS)
             now = self._clock.read()
             for claim in list(self._claims.values()):
-                if claim.granted.is_set():
+                if claim.granted:
                     self._tell(claim, now)
 
     def _tell(self, claim: Claim, now: float) -> None:
@@ -138,14 +149,13 @@
         request: CallerRequest,
         view: ServerView,
         flight: Flight,
-        arrived_ms: float,
     ) -> Claim:
         now = self._clock.read()
         shared = list(request.prompt[:-1])
         own = request.prompt_tokens - sum(part.tokens for part in shared)
         keeper = self._find_keeper(view)
         name = request.request_id
-        claim = Claim(name, shared, max(own, 0), arrived_ms, keeper, view, flight)
+        claim = Claim(name, shared, max(own, 0), keeper, view, flight)
         claim.heard_ms = claim.told_ms = now
         self._claims[name] = claim
         return claim
@@ -180,7 +190,7 @@
 
     def _go_alone(self, claim: Claim) -> Turn:
         """Send without an answer; the keeper learns of it if it is there."""
-        claim.granted.set()
+        claim.granted = True
         self._ask(claim, "sent")
         return Turn.ALONE
 
@@ -217,12 +227,17 @@
         claim = self._hear(sender, grant.request_id, grant.server)
         if claim is not None:
             claim.flight.prefill_tokens = grant.unread
-            claim.granted.set()
+            claim.granted = True
+            claim.decided.set()
 
     def _receive_wait(self, sender: str, wait: TurnWait) -> None:
         claim = self._hear(sender, wait.request_id, wait.server)
         if claim is not None:
             claim.flight.prefill_tokens = wait.unread
+            claim.flight.wait_ms = wait.wait_ms
+            left_ms = claim.patience_ms - (claim.heard_ms - claim.arrived_ms)
+            if is_hopeless(wait.wait_ms, left_ms) and not claim.granted:
+                claim.decided.set()
 
     def _hear(self, sender: str, request_id: str, server: str) -> Claim | None:
         self._silent.pop(sender, None)
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -20,6 +20,7 @@
     read_part,
 )
 from cornelnotch.gateway.placing import Placement, PlacementNeed
+from cornelnotch.gateway.returning import choose_return_ms, find_caller_patience
 from cornelnotch.gateway.servers import Flight, ServerView
 from cornelnotch.gateway.streams import EventCutter
 from cornelnotch.kernel.events import Event
@@ -113,8 +114,12 @@
                 return
             flight = self._open_flight(placement)
             try:
-                if not await self._wait_for_turn(placement.server, flight):
+                turn = await self._wait_for_turn(placement.server, flight)
+                if turn is Turn.LOST:
                     continue
+                if turn is Turn.HOPELESS:
+                    await self._send_away(flight)
+                    return
                 answer = await self._dispatch(placement, flight)
             finally:
                 placement.server.finish(flight)
@@ -165,11 +170,13 @@
         placement.server.start(flight)
         return flight
 
-    async def _wait_for_turn(self, view: ServerView, flight: Flight) -> bool:
-        """Wait until an engine may get the prompt; tell whether it still may."""
+    async def _wait_for_turn(self, view: ServerView, flight: Flight) -> Turn:
+        """Wait until an engine may get the prompt, or must not."""
         if self.route.kind is not WorkKind.STREAM or not self.request.prompt:
-            return True
-        turn = await self.parts.turns.wait(self.request, view, flight, self.arrived_ms)
+            return Turn.GRANTED
+        turn = await self.parts.turns.wait(
+            self.request, view, flight, self.arrived_ms, self._find_patience()
+        )
         waited_ms = self.parts.clock.read() - flight.started_ms
         self.parts.metrics.observe_queued(self.route.name, waited_ms)
         self._note(
@@ -178,8 +185,21 @@
             turn=turn.value,
             waited_ms=round(waited_ms, 1),
             unread=flight.prefill_tokens,
+            wait_ms=flight.wait_ms,
         )
-        return turn is not Turn.LOST
+        return turn
+
+    def _find_patience(self) -> float:
+        """Return for how long the caller can be sent away, in ms since it came."""
+        if self.progress.ran or self.exchange.started:
+            return float("inf")
+        return find_caller_patience(self.route, self.limit_ms - self.arrived_ms)
+
+    async def _send_away(self, flight: Flight) -> None:
+        """Refuse at once what would wait in vain."""
+        left_ms = self.deadline_ms - self.parts.clock.read()
+        retry_ms = choose_return_ms(flight.wait_ms, left_ms, self.parts.generator)
+        await self._refuse(STATUS_UNAVAILABLE, "backlog", round(retry_ms))
 
     async def _dispatch(self, placement: Placement, flight: Flight) -> Answer | None:
         """Return None when the caller has its answer, else why there is none."""
@@ -367,8 +387,11 @@
         status = STATUS_GATEWAY_TIMEOUT if ran else STATUS_UNAVAILABLE
         await self._refuse(status, "timeout")
 
-    async def _refuse(self, status: int, reason: str) -> None:
-        retry_ms = RETRY_MS if status == STATUS_UNAVAILABLE else None
+    async def _refuse(
+        self, status: int, reason: str, retry_ms: float | None = None
+    ) -> None:
+        if status == STATUS_UNAVAILABLE and retry_ms is None:
+            retry_ms = RETRY_MS
         outcome = "unknown" if self.progress.ran else "not-run"
         self.parts.metrics.count_request(self.route.name, reason, outcome)
         self.parts.metrics.windows.record(self.route.name, False)
--- a/cornelnotch/gateway/parts.py
+++ b/cornelnotch/gateway/parts.py
@@ -1,5 +1,6 @@
 """Bundle what every request needs of its host."""
 
+import random
 from dataclasses import dataclass
 
 import orjson
@@ -55,6 +56,7 @@
         self.pool = ServerPool()
         self.placer = Placer(settings.host.domain, settings.regions)
         self.table = RoutingTable(NO_VERSION, {}, {}, None, CallerLimits())
+        self.generator = random.Random(settings.host.name)
         self.hosts: list[Source] = []
         self.turns = TurnClient(peers, clock, self._list_near, self.pool.lists)
         self._reserved: dict[str, Reserved] = {}
--- a/cornelnotch/gateway/servers.py
+++ b/cornelnotch/gateway/servers.py
@@ -33,7 +33,8 @@
 class Flight:
     """Hold one dispatch that has not ended; `first_ms` is 0 until its answer.
 
-    `sent` is false while it waits for its turn, `tight` true if its pauses are short.
+    `sent` is false while it waits for its turn, for about `wait_ms` more; `tight` is
+    true if its pauses are short.
     """
 
     request_id: str
@@ -43,6 +44,7 @@
     first_ms: float = 0.0
     heard_ms: float = 0.0
     gap_ms: float = 0.0
+    wait_ms: float = 0.0
     sent: bool = False
     tight: bool = False
 
--- a/cornelnotch/gateway/turns.py
+++ b/cornelnotch/gateway/turns.py
@@ -7,7 +7,7 @@
 so that most callers are served in time and no long reading holds up urgent prompts.
 """
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -31,6 +31,11 @@
 # Hosts repeat what they wait for each 200 ms and what they run each 1.5 s.
 WAITING_LIFETIME_MS = 1000.0
 GRANTED_LIFETIME_MS = 4000.0
+# Arrivals of this time tell how much will come ahead of a request that waits, at
+# least this much of it is taken to have passed, and at most this share is lost to it.
+ARRIVALS_MS = 3000.0
+MIN_ARRIVALS_MS = 1000.0
+MAX_OVERTAKEN = 0.9
 
 
 @dataclass(slots=True)
@@ -57,6 +62,15 @@
         return self.own_tokens + sum(part.tokens for part in self.shared)
 
 
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """Remember the reading that one request brought."""
+
+    at_ms: float
+    priority: int
+    unread: int
+
+
 class TurnQueue:
     """Order the requests for one engine and grant them as it reads."""
 
@@ -68,12 +82,15 @@
         self._cached = 0
         self._unread = 0.0
         self._at_ms = 0.0
+        self._arrivals: deque[Arrival] = deque()
+        self._began_ms = float("inf")
 
     def ask(self, ticket: Ticket) -> Ticket:
         """Take in a request, or hear of a known one again; return what is known."""
         known = self.tickets.get(ticket.request_id)
         if known is None:
             known = self.tickets[ticket.request_id] = ticket
+            self._note_arrival(ticket)
             if ticket.granted:
                 self._count_reading(ticket)
         known.heard_ms = ticket.heard_ms
@@ -120,14 +137,37 @@
         return max(self._unread - UNREAD_LIMIT, 0.0) / READ_TOKENS_PER_MS
 
     def estimate_wait(self, ticket: Ticket, now: float) -> float:
-        """Return how long a request may have to wait for its grant, in ms."""
+        """Return how long a request may have to wait for its grant, in ms.
+
+        Requests that come later and are read sooner take a part of the engine.
+        """
         rank = self._rank(ticket, now)
         ahead = sum(
             self.count_unread(other)
             for other in self.tickets.values()
             if not other.granted and self._rank(other, now) < rank
         )
-        return (ahead + self._unread) / READ_TOKENS_PER_MS
+        alone_ms = (ahead + self._unread) / READ_TOKENS_PER_MS
+        return alone_ms / (1.0 - self._measure_overtaken(ticket, now))
+
+    def _measure_overtaken(self, ticket: Ticket, now: float) -> float:
+        """Return the share of the reading that goes to later, sooner read requests."""
+        while self._arrivals and self._arrivals[0].at_ms < now - ARRIVALS_MS:
+            self._arrivals.popleft()
+        unread = self.count_unread(ticket)
+        sooner = sum(
+            other.unread
+            for other in self._arrivals
+            if (other.priority, other.unread) < (ticket.priority, unread)
+        )
+        passed_ms = max(min(now - self._began_ms, ARRIVALS_MS), MIN_ARRIVALS_MS)
+        return min(sooner / (passed_ms * READ_TOKENS_PER_MS), MAX_OVERTAKEN)
+
+    def _note_arrival(self, ticket: Ticket) -> None:
+        unread = self.count_unread(ticket)
+        arrival = Arrival(ticket.heard_ms, ticket.priority, unread)
+        self._arrivals.append(arrival)
+        self._began_ms = min(self._began_ms, ticket.heard_ms)
 
     def has_waiting(self) -> bool:
         """Tell whether a request waits for its grant."""
