Ask other engines before a request is sent away

Cause, found by reading: loads of other hosts are known late and waiting tokens of equal priority count by share, so that a hot engine may look cheap: its keeper would call a request hopeless that an idle engine could read. Two others are asked first. test_another_engine_is_asked_before_anyone_is_sent_away fails with one.

--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -37,6 +37,9 @@
 MAX_REFUSED_SENDS = 4
 # A refused connection costs a round trip, and a quarter of servers may be down.
 MAX_UNSENT = 12
+# Other hosts' loads are known late, so that a hot engine is seldom the only choice;
+# each ask costs a round trip, and a refusal is to come within a part of the target.
+MAX_CROWDED = 3
 # The pause after which callers without a better figure come back.
 RETRY_MS = 500.0
 # Without a deadline of the caller's the route's limit holds alone.
@@ -75,6 +78,8 @@
         self.limit_ms = arrived_ms + min(deadline, route.timeout_ms)
         self.progress = Progress()
         self.excluded: set[str] = set()
+        self.crowded: set[str] = set()
+        self.crowded_wait_ms = 0.0
         self.events = EventCutter(request.last_event)
         self.priority = route.priority
         if workspace is not None and workspace.priority is not None:
@@ -109,6 +114,9 @@
     async def _carry(self) -> None:
         while True:
             placement = self._place()
+            if placement is None and self.crowded and not self.progress.ran:
+                await self._send_away()
+                return
             if placement is None:
                 await self._finish_failed(Answer(Fate.NOT_SENT, "no server is left"))
                 return
@@ -118,8 +126,12 @@
                 if turn is Turn.LOST:
                     continue
                 if turn is Turn.HOPELESS:
-                    await self._send_away(flight)
-                    return
+                    self.crowded.add(placement.server.record.name)
+                    self.crowded_wait_ms = flight.wait_ms
+                    if len(self.crowded) == MAX_CROWDED:
+                        await self._send_away()
+                        return
+                    continue
                 answer = await self._dispatch(placement, flight)
             finally:
                 placement.server.finish(flight)
@@ -139,7 +151,7 @@
         servers = self.parts.pool.list_usable(self.service, now)
         need = PlacementNeed(
             self.priority,
-            self.excluded,
+            self.excluded | self.crowded,
             self.parts.is_tight(self.route),
             self.parts.find_reserved(self.service),
         )
@@ -195,10 +207,10 @@
             return float("inf")
         return find_caller_patience(self.route, self.limit_ms - self.arrived_ms)
 
-    async def _send_away(self, flight: Flight) -> None:
+    async def _send_away(self) -> None:
         """Refuse at once what would wait in vain."""
         left_ms = self.deadline_ms - self.parts.clock.read()
-        retry_ms = choose_return_ms(flight.wait_ms, left_ms, self.parts.generator)
+        retry_ms = choose_return_ms(self.crowded_wait_ms, left_ms, self.parts.generator)
         await self._refuse(STATUS_UNAVAILABLE, "backlog", round(retry_ms))
 
     async def _dispatch(self, placement: Placement, flight: Flight) -> Answer | None:
--- a/cornelnotch/gateway/tests/test_waiting.py
+++ b/cornelnotch/gateway/tests/test_waiting.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from cornelnotch.gateway.tests.conftest import run_deployment, wait_until
+from cornelnotch.wire.messages import TurnAsk
 
 LONG = {"x_token_usage": "20000,10", "x_prompt_prefix": "aa:20000"}
 HUGE = {"x_token_usage": "150000,10", "x_prompt_prefix": "cc:150000"}
@@ -105,6 +106,23 @@
     play(scenario)
 
 
+def test_another_engine_is_asked_before_anyone_is_sent_away():
+    async def scenario():
+        async with run_deployment() as d:
+            await read(d.send("/stream/x", "POST", b"b", x_attempt_id="a", **LONG))
+            owner = next(engine for engine in d.engines if engine.seen)
+            # What other hosts have sent there is not known here yet.
+            ask = TurnAsk("o", owner.name, 0, [], 200_000, 0.0, "sent")
+            d.host.peers.send(d.host.peers.name, ask)
+            await asyncio.sleep(0.05)
+            answer = await d.send("/stream/x", "POST", b"b", x_attempt_id="b", **LONG)
+            assert answer.status == 200
+            await answer.read()
+            assert "b" not in list_sent(owner)
+
+    asyncio.run(scenario())
+
+
 def test_who_would_wait_in_vain_is_told_at_once_when_to_come_back():
     async def scenario(d, engine):
         engine.faults.first_ms = 800.0
