--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -39,7 +39,7 @@
 MAX_UNSENT = 12
 # Other hosts' loads are known late, so that a hot engine is seldom the only choice;
 # each ask costs a round trip, and a refusal is to come within a part of the target.
-MAX_CROWDED = 3
+MAX_CROWDED = 2
 # The pause after which callers without a better figure come back.
 RETRY_MS = 500.0
 # Without a deadline of the caller's the route's limit holds alone.
