Forget engines that are gone or started anew; split the flow of a request

Found by reading: a keeper kept a queue for each name of an engine it ever heard of, and believed an engine cached what it had read in an earlier life.

--- a/cornelnotch/gateway/asking.py
+++ b/cornelnotch/gateway/asking.py
@@ -45,7 +45,7 @@
 
 
 @dataclass(slots=True)
-class Claim:
+class TurnState:
     """Hold what this host has told of one request at one engine; times in ms."""
 
     request_id: str
@@ -77,7 +77,7 @@
         self._clock = clock
         self._list_hosts = list_hosts
         self._is_listed = is_listed
-        self._claims: dict[str, Claim] = {}
+        self._states: dict[str, TurnState] = {}
         self._keepers: dict[str, str] = {}
         self._silent: dict[str, float] = {}
         peers.subscribe(TurnGrant, self._receive_grant)
@@ -86,6 +86,7 @@
     def forget_keepers(self) -> None:
         """Choose keepers anew, as hosts came or went."""
         self._keepers.clear()
+        self._silent = {k: t for k, t in self._silent.items() if self._is_silent(k)}
 
     async def wait(
         self,
@@ -100,113 +101,113 @@
         Its caller has waited since `arrived_ms`, maybe for another engine before, and
         leaves after `patience_ms`.
         """
-        claim = self._open_claim(request, view, flight)
-        claim.arrived_ms = arrived_ms
-        claim.patience_ms = patience_ms
-        if self._is_silent(claim.keeper):
-            return self._go_alone(claim)
-        self._ask(claim, "waiting")
+        state = self._open_state(request, view, flight)
+        state.arrived_ms = arrived_ms
+        state.patience_ms = patience_ms
+        if self._is_silent(state.keeper):
+            return self._go_alone(state)
+        self._ask(state, "waiting")
         while True:
             try:
                 async with asyncio.timeout(ASK_MS / 1000.0):
-                    await claim.decided.wait()
+                    await state.decided.wait()
                 if not self._is_listed(view):
                     return Turn.LOST
-                return Turn.GRANTED if claim.granted else Turn.HOPELESS
+                return Turn.GRANTED if state.granted else Turn.HOPELESS
             except TimeoutError:
-                turn = self._look_again(claim)
+                turn = self._look_again(state)
                 if turn is not None:
                     return turn
 
     def begin(self, flight: Flight) -> None:
         """Tell that the engine has read the prompt."""
-        claim = self._claims.get(flight.request_id)
-        if claim is not None:
-            claim.begun = True
-            self._ask(claim, "begun")
+        state = self._states.get(flight.request_id)
+        if state is not None:
+            state.begun = True
+            self._ask(state, "begun")
 
     def end(self, flight: Flight) -> None:
         """Tell that the request has ended or was given up."""
-        claim = self._claims.pop(flight.request_id, None)
-        if claim is not None:
-            self._send_end(claim)
+        state = self._states.pop(flight.request_id, None)
+        if state is not None:
+            self._send_end(state)
 
     async def run(self) -> None:
         """Tell keepers again what runs, until cancelled."""
         while True:
             await self._clock.sleep(ASK_MS)
             now = self._clock.read()
-            for claim in list(self._claims.values()):
-                if claim.granted:
-                    self._tell(claim, now)
+            for state in list(self._states.values()):
+                if state.granted:
+                    self._tell(state, now)
 
-    def _tell(self, claim: Claim, now: float) -> None:
-        if self._change_keeper(claim) or now - claim.told_ms >= TELL_MS:
-            self._ask(claim, "begun" if claim.begun else "sent")
+    def _tell(self, state: TurnState, now: float) -> None:
+        if self._change_keeper(state) or now - state.told_ms >= TELL_MS:
+            self._ask(state, "begun" if state.begun else "sent")
 
-    def _open_claim(
+    def _open_state(
         self,
         request: CallerRequest,
         view: ServerView,
         flight: Flight,
-    ) -> Claim:
+    ) -> TurnState:
         now = self._clock.read()
         shared = list(request.prompt[:-1])
         own = request.prompt_tokens - sum(part.tokens for part in shared)
         keeper = self._find_keeper(view)
         name = request.request_id
-        claim = Claim(name, shared, max(own, 0), keeper, view, flight)
-        claim.heard_ms = claim.told_ms = now
-        self._claims[name] = claim
-        return claim
+        state = TurnState(name, shared, max(own, 0), keeper, view, flight)
+        state.heard_ms = state.told_ms = now
+        self._states[name] = state
+        return state
 
-    def _look_again(self, claim: Claim) -> Turn | None:
+    def _look_again(self, state: TurnState) -> Turn | None:
         """Return how the wait ended, or ask once more."""
         now = self._clock.read()
-        if not self._is_listed(claim.view) or now < claim.view.ejected_until_ms:
+        if not self._is_listed(state.view) or now < state.view.ejected_until_ms:
             return Turn.LOST
-        if self._change_keeper(claim):
-            claim.heard_ms = now
-        elif self._is_silent(claim.keeper):
-            return self._go_alone(claim)
-        elif now - claim.heard_ms >= SILENT_MS:
-            self._silent[claim.keeper] = now
-            return self._go_alone(claim)
-        self._ask(claim, "waiting")
+        if self._change_keeper(state):
+            state.heard_ms = now
+        elif self._is_silent(state.keeper):
+            return self._go_alone(state)
+        elif now - state.heard_ms >= SILENT_MS:
+            self._silent[state.keeper] = now
+            return self._go_alone(state)
+        self._ask(state, "waiting")
         return None
 
-    def _change_keeper(self, claim: Claim) -> bool:
+    def _change_keeper(self, state: TurnState) -> bool:
         """Turn to the keeper of now; tell whether it is another one."""
-        keeper = self._find_keeper(claim.view)
-        if keeper == claim.keeper:
+        keeper = self._find_keeper(state.view)
+        if keeper == state.keeper:
             return False
-        self._send_end(claim)
-        claim.keeper = keeper
+        self._send_end(state)
+        state.keeper = keeper
         return True
 
-    def _send_end(self, claim: Claim) -> None:
-        end = TurnEnd(claim.request_id, claim.view.record.name)
-        self._peers.send(claim.keeper, end)
+    def _send_end(self, state: TurnState) -> None:
+        end = TurnEnd(state.request_id, state.view.record.name)
+        self._peers.send(state.keeper, end)
 
-    def _go_alone(self, claim: Claim) -> Turn:
+    def _go_alone(self, state: TurnState) -> Turn:
         """Send without an answer; the keeper learns of it if it is there."""
-        claim.granted = True
-        self._ask(claim, "sent")
+        state.granted = True
+        self._ask(state, "sent")
         return Turn.ALONE
 
-    def _ask(self, claim: Claim, stage: TurnStage) -> None:
+    def _ask(self, state: TurnState, stage: TurnStage) -> None:
         now = self._clock.read()
-        claim.told_ms = now
+        state.told_ms = now
         ask = TurnAsk(
-            claim.request_id,
-            claim.view.record.name,
-            claim.flight.priority,
-            claim.shared,
-            claim.own_tokens,
-            round(now - claim.arrived_ms, 1),
+            state.request_id,
+            state.view.record.name,
+            state.flight.priority,
+            state.shared,
+            state.own_tokens,
+            round(now - state.arrived_ms, 1),
             stage,
         )
-        self._peers.send(claim.keeper, ask)
+        self._peers.send(state.keeper, ask)
 
     def _is_silent(self, keeper: str) -> bool:
         """Tell whether a keeper did not answer lately."""
@@ -224,25 +225,25 @@
         return keeper
 
     def _receive_grant(self, sender: str, grant: TurnGrant) -> None:
-        claim = self._hear(sender, grant.request_id, grant.server)
-        if claim is not None:
-            claim.flight.prefill_tokens = grant.unread
-            claim.granted = True
-            claim.decided.set()
+        state = self._hear(sender, grant.request_id, grant.server)
+        if state is not None:
+            state.flight.prefill_tokens = grant.unread
+            state.granted = True
+            state.decided.set()
 
     def _receive_wait(self, sender: str, wait: TurnWait) -> None:
-        claim = self._hear(sender, wait.request_id, wait.server)
-        if claim is not None:
-            claim.flight.prefill_tokens = wait.unread
-            claim.flight.wait_ms = wait.wait_ms
-            left_ms = claim.patience_ms - (claim.heard_ms - claim.arrived_ms)
-            if is_hopeless(wait.wait_ms, left_ms) and not claim.granted:
-                claim.decided.set()
-
-    def _hear(self, sender: str, request_id: str, server: str) -> Claim | None:
+        state = self._hear(sender, wait.request_id, wait.server)
+        if state is not None:
+            state.flight.prefill_tokens = wait.unread
+            state.flight.wait_ms = wait.wait_ms
+            left_ms = state.patience_ms - (state.heard_ms - state.arrived_ms)
+            if is_hopeless(wait.wait_ms, left_ms) and not state.granted:
+                state.decided.set()
+
+    def _hear(self, sender: str, request_id: str, server: str) -> TurnState | None:
         self._silent.pop(sender, None)
-        claim = self._claims.get(request_id)
-        if claim is None or claim.view.record.name != server:
+        state = self._states.get(request_id)
+        if state is None or state.view.record.name != server:
             return None
-        claim.heard_ms = self._clock.read()
-        return claim
+        state.heard_ms = self._clock.read()
+        return state
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -112,39 +112,52 @@
             await self._give_up()
 
     async def _carry(self) -> None:
-        while True:
+        done = False
+        while not done:
             placement = self._place()
-            if placement is None and self.crowded and not self.progress.ran:
-                await self._send_away()
-                return
             if placement is None:
-                await self._finish_failed(Answer(Fate.NOT_SENT, "no server is left"))
+                await self._end_without_server()
                 return
             flight = self._open_flight(placement)
             try:
-                turn = await self._wait_for_turn(placement.server, flight)
-                if turn is Turn.LOST:
-                    continue
-                if turn is Turn.HOPELESS:
-                    self.crowded.add(placement.server.record.name)
-                    self.crowded_wait_ms = flight.wait_ms
-                    if len(self.crowded) == MAX_CROWDED:
-                        await self._send_away()
-                        return
-                    continue
-                answer = await self._dispatch(placement, flight)
+                done = await self._try_server(placement, flight)
             finally:
                 placement.server.finish(flight)
                 self.parts.turns.end(flight)
-            if answer is None:
-                return
-            self.excluded.add(placement.server.record.name)
-            if not self._may_repeat(answer):
-                await self._finish_failed(answer)
-                return
-            answer.close()
-            # The next server sends the unfinished event again, whole.
-            self.events.take_rest()
+
+    async def _end_without_server(self) -> None:
+        if self.crowded and not self.progress.ran:
+            await self._send_away()
+        else:
+            await self._finish_failed(Answer(Fate.NOT_SENT, "no server is left"))
+
+    async def _try_server(self, placement: Placement, flight: Flight) -> bool:
+        """Tell whether the caller has its final answer."""
+        turn = await self._wait_for_turn(placement.server, flight)
+        if turn is Turn.LOST:
+            return False
+        if turn is Turn.HOPELESS:
+            return await self._leave_crowded(placement.server, flight)
+        answer = await self._dispatch(placement, flight)
+        if answer is None:
+            return True
+        self.excluded.add(placement.server.record.name)
+        if not self._may_repeat(answer):
+            await self._finish_failed(answer)
+            return True
+        answer.close()
+        # The next server sends the unfinished event again, whole.
+        self.events.take_rest()
+        return False
+
+    async def _leave_crowded(self, view: ServerView, flight: Flight) -> bool:
+        """Tell whether the caller was sent away; else another server is asked."""
+        self.crowded.add(view.record.name)
+        self.crowded_wait_ms = flight.wait_ms
+        if len(self.crowded) < MAX_CROWDED:
+            return False
+        await self._send_away()
+        return True
 
     def _place(self) -> Placement | None:
         now = self.parts.clock.read()
--- a/cornelnotch/gateway/keeping.py
+++ b/cornelnotch/gateway/keeping.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from cornelnotch.gateway.parts import GatewayParts
+from cornelnotch.gateway.servers import ServerView
 from cornelnotch.gateway.turns import Ticket, TurnQueue
 from cornelnotch.wire import PeerNetwork
 from cornelnotch.wire.messages import TurnAsk, TurnEnd, TurnGrant, TurnWait
@@ -17,13 +18,15 @@
 # What an engine of unknown memory is taken to cache.
 UNKNOWN_CACHE_TOKENS = 400_000
 UNKNOWN_SLOTS = 64
+UNKNOWN_BOOT_MS = -1
 
 
 @dataclass(slots=True)
 class Desk:
-    """Hold the queue of one engine and when it is looked at next."""
+    """Hold the queue of one life of an engine and when it is looked at next."""
 
     queue: TurnQueue
+    boot_ms: int
     timer: asyncio.TimerHandle | None = None
 
 
@@ -78,12 +81,25 @@
 
     def _find_desk(self, server: str) -> Desk:
         desk = self._desks.get(server)
-        if desk is None:
-            desk = self._desks[server] = Desk(self._create_queue(server))
+        view = self._parts.pool.servers.get(server)
+        boot_ms = view.record.boot_ms if view else UNKNOWN_BOOT_MS
+        # A list that lapsed says nothing new of an engine.
+        if desk is not None and boot_ms in {desk.boot_ms, UNKNOWN_BOOT_MS}:
+            return desk
+        self._drop_idle()
+        if desk is not None and desk.timer is not None:
+            desk.timer.cancel()
+        desk = self._desks[server] = Desk(self._create_queue(view), boot_ms)
         return desk
 
-    def _create_queue(self, server: str) -> TurnQueue:
-        view = self._parts.pool.servers.get(server)
+    def _drop_idle(self) -> None:
+        """Forget engines that are gone and for which nothing waits or runs."""
+        listed = self._parts.pool.servers
+        for name, desk in list(self._desks.items()):
+            if name not in listed and not desk.queue.tickets:
+                del self._desks[name]
+
+    def _create_queue(self, view: ServerView | None) -> TurnQueue:
         if view is None:
             return TurnQueue(UNKNOWN_SLOTS, UNKNOWN_CACHE_TOKENS)
         service = self._parts.table.services.get(view.record.service)
--- /dev/null
+++ b/cornelnotch/gateway/tests/test_keeping.py
@@ -0,0 +1,87 @@
+"""Check what a keeper tells hosts and what it forgets."""
+
+import asyncio
+
+from cornelnotch.gateway.models import PromptPart, ServerRecord
+from cornelnotch.gateway.tests.conftest import run_deployment
+from cornelnotch.wire.messages import TurnAsk, TurnEnd, TurnGrant, TurnWait
+
+THING = [PromptPart("thing", 40_000)]
+
+
+class Keeper:
+    """Hold a host's keeper and what it sends to other hosts."""
+
+    def __init__(self, host):
+        self.host = host
+        self.sent: list[tuple[str, object]] = []
+        host.peers.send = lambda name, message: self.sent.append((name, message))
+
+    def list_engine(self, name="engine", boot_ms=1):
+        record = ServerRecord(name, "llm", "10.0.0.1:80", "north-a", 64, False, boot_ms)
+        pool = self.host.parts.pool
+        pool.replace([record, *(v.record for v in pool.servers.values())])
+
+    def ask(self, name, sender="h2", stage="waiting", own=1000, server="engine"):
+        self.sent.clear()
+        message = TurnAsk(name, server, 1, THING, own, 0.0, stage)
+        self.host.peers._receive(sender, message)
+        return self.sent[-1] if self.sent else None
+
+    def end(self, name, server="engine"):
+        self.host.peers._receive("h2", TurnEnd(name, server))
+
+
+def play(scenario):
+    async def run():
+        async with run_deployment() as deployment:
+            scenario(Keeper(deployment.host))
+
+    asyncio.run(run())
+
+
+def test_a_grant_that_was_lost_is_sent_again():
+    def scenario(keeper):
+        first = keeper.ask("a")
+        assert first == ("h2", TurnGrant("a", "engine", 41_000))
+        assert keeper.ask("a") == first
+
+    play(scenario)
+
+
+def test_who_waits_hears_how_much_is_to_be_read():
+    def scenario(keeper):
+        keeper.ask("a")
+        name, wait = keeper.ask("b", "h3")
+        assert name == "h3"
+        assert isinstance(wait, TurnWait)
+        assert wait.unread == 1000
+        assert wait.wait_ms > 0
+
+    play(scenario)
+
+
+def test_an_engine_that_started_anew_caches_nothing():
+    def scenario(keeper):
+        keeper.list_engine(boot_ms=1)
+        keeper.ask("a")
+        keeper.end("a")
+        assert keeper.ask("b")[1].unread == 1000
+        keeper.end("b")
+        keeper.host.parts.pool.replace([])
+        assert keeper.ask("c")[1].unread == 1000
+        keeper.end("c")
+        keeper.list_engine(boot_ms=2)
+        assert keeper.ask("d")[1].unread == 41_000
+
+    play(scenario)
+
+
+def test_engines_that_are_gone_are_forgotten():
+    def scenario(keeper):
+        for number in range(50):
+            keeper.ask("a", server=f"gone-{number}")
+            keeper.end("a", server=f"gone-{number}")
+        assert len(keeper.host.keeper._desks) <= 2
+
+    play(scenario)
