Let a broken stream wait for a crowded engine; count reading from when it was told

A stream whose server broke it off could not go on at an engine that had been called crowded before, and was broken off although waiting was allowed (test_a_broken_stream_waits_for_a_crowded_engine fails without). And a queue took the time before its first request as reading time, so that what a new keeper is told counted for nothing (test_time_before_a_request_was_told_reads_nothing_of_it failed).

--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -126,7 +126,7 @@
                 self.parts.turns.end(flight)
 
     async def _end_without_server(self) -> None:
-        if self.crowded and not self.progress.ran:
+        if self.crowded:
             await self._send_away()
         else:
             await self._finish_failed(Answer(Fate.NOT_SENT, "no server is left"))
@@ -142,6 +142,9 @@
         if answer is None:
             return True
         self.excluded.add(placement.server.record.name)
+        if self.progress.ran:
+            # What has begun is not sent away: a long wait is better than its end.
+            self.crowded.clear()
         if not self._may_repeat(answer):
             await self._finish_failed(answer)
             return True
--- a/cornelnotch/gateway/tests/test_keeping.py
+++ b/cornelnotch/gateway/tests/test_keeping.py
@@ -1,9 +1,10 @@
 """Check what a keeper tells hosts and what it forgets."""
 
 import asyncio
+import inspect
 
 from cornelnotch.gateway.models import PromptPart, ServerRecord
-from cornelnotch.gateway.tests.conftest import run_deployment
+from cornelnotch.gateway.tests.conftest import run_deployment, wait_until
 from cornelnotch.wire.messages import TurnAsk, TurnEnd, TurnGrant, TurnWait
 
 THING = [PromptPart("thing", 40_000)]
@@ -22,12 +23,16 @@
         pool = self.host.parts.pool
         pool.replace([record, *(v.record for v in pool.servers.values())])
 
-    def ask(self, name, sender="h2", stage="waiting", own=1000, server="engine"):
+    def ask(self, name, sender="h2", own=1000, server="engine", shared=THING):
         self.sent.clear()
-        message = TurnAsk(name, server, 1, THING, own, 0.0, stage)
+        message = TurnAsk(name, server, 1, shared, own, 0.0, "waiting")
         self.host.peers._receive(sender, message)
         return self.sent[-1] if self.sent else None
 
+    def list_grants(self):
+        messages = [message for _, message in self.sent]
+        return [m.request_id for m in messages if isinstance(m, TurnGrant)]
+
     def end(self, name, server="engine"):
         self.host.peers._receive("h2", TurnEnd(name, server))
 
@@ -35,7 +40,9 @@
 def play(scenario):
     async def run():
         async with run_deployment() as deployment:
-            scenario(Keeper(deployment.host))
+            played = scenario(Keeper(deployment.host))
+            if inspect.isawaitable(played):
+                await played
 
     asyncio.run(run())
 
@@ -85,3 +92,24 @@
         assert len(keeper.host.keeper._desks) <= 2
 
     play(scenario)
+
+
+def test_who_waits_is_granted_when_the_engine_has_had_time_to_read():
+    async def scenario(keeper):
+        keeper.ask("a", own=9000, shared=[])
+        keeper.ask("b", own=9000, shared=[])
+        assert not keeper.list_grants()
+        await wait_until(lambda: keeper.list_grants() == ["b"], 2.0)
+
+    play(scenario)
+
+
+def test_who_waits_is_granted_at_once_when_another_ends():
+    def scenario(keeper):
+        keeper.ask("a", own=90_000, shared=[])
+        keeper.ask("b", own=9000, shared=[])
+        assert not keeper.list_grants()
+        keeper.end("a")
+        assert keeper.list_grants() == ["b"]
+
+    play(scenario)
--- a/cornelnotch/gateway/tests/test_turns.py
+++ b/cornelnotch/gateway/tests/test_turns.py
@@ -125,6 +125,16 @@
     assert list_granted(queue) == ["waits"]
 
 
+def test_time_before_a_request_was_told_reads_nothing_of_it():
+    now = 1_000_000.0
+    queue = create_queue(create_ticket("sent", own=200_000, at=now, granted=True))
+    late = create_ticket("late", at=now)
+    queue.ask(late)
+    assert list_granted(queue, now) == []
+    rate = turns.READ_TOKENS_PER_MS
+    assert queue.estimate_wait(late, now) == pytest.approx(200_000 / rate)
+
+
 def test_a_host_that_went_ahead_is_counted_once():
     queue = create_queue(create_ticket("a", own=3000), create_ticket("b", own=3000))
     queue.ask(create_ticket("a", own=3000, granted=True))
@@ -147,19 +157,16 @@
 
 
 def test_the_wait_grows_with_what_is_likely_to_come_ahead():
-    rate = turns.READ_TOKENS_PER_MS
-    queue = create_queue(create_ticket("a", own=30_000))
+    queue = create_queue(create_ticket("a", own=300_000))
     queue.grant(0.0)
     long = create_ticket("l", own=90_000)
     queue.ask(long)
-    alone = queue.estimate_wait(long, 0.0)
+    half = int(turns.READ_TOKENS_PER_MS * 150.0)
     for number in range(10):
-        at = number * 300.0
-        half = int(rate * 150.0)
-        queue.ask(create_ticket(f"s{number}", own=half, at=at, granted=True))
+        queue.ask(create_ticket(f"s{number}", own=half, at=number * 300.0))
         queue.end(f"s{number}")
-    assert queue.estimate_wait(long, 3000.0) > 1.8 * alone
-    assert queue.estimate_wait(create_ticket("x", own=10), 3000.0) < 1.8 * alone
+    alone = queue.estimate_wait(create_ticket("x", own=10), 3000.0)
+    assert queue.estimate_wait(long, 3000.0) == pytest.approx(2.0 * alone)
 
 
 def create_overload(seed, seconds=12):
--- a/cornelnotch/gateway/tests/test_waiting.py
+++ b/cornelnotch/gateway/tests/test_waiting.py
@@ -2,8 +2,10 @@
 
 import asyncio
 
+import pytest
+
 from cornelnotch.gateway.tests.conftest import run_deployment, wait_until
-from cornelnotch.wire.messages import TurnAsk
+from cornelnotch.wire.messages import TurnAsk, TurnEnd
 
 LONG = {"x_token_usage": "20000,10", "x_prompt_prefix": "aa:20000"}
 HUGE = {"x_token_usage": "150000,10", "x_prompt_prefix": "cc:150000"}
@@ -106,15 +108,37 @@
     play(scenario)
 
 
+async def crowd(d, engine):
+    """Let another host's prompt be read there, of which this one has not heard."""
+    ask = TurnAsk("o", engine.name, 0, [], 200_000, 0.0, "sent")
+    d.host.peers.send(d.host.peers.name, ask)
+    await asyncio.sleep(0.05)
+
+
+@pytest.mark.parametrize("first", [0, 1])
+def test_a_broken_stream_waits_for_a_crowded_engine(first):
+    async def scenario():
+        async with run_deployment() as d:
+            # Either may be tried first.
+            breaking, crowded = d.engines[first], d.engines[1 - first]
+            breaking.faults.break_after = 3
+            await crowd(d, crowded)
+            stream = start(d, "a", SHORT, "/stream/x")
+            await wait_until(lambda: list_sent(breaking) == ["a"])
+            await wait_until(lambda: d.host.keeper.count_waiting() == 1)
+            d.host.peers.send(d.host.peers.name, TurnEnd("o", crowded.name))
+            assert (await stream).count(b"data: piece") == 6
+            assert list_sent(crowded) == ["a"]
+
+    asyncio.run(scenario())
+
+
 def test_another_engine_is_asked_before_anyone_is_sent_away():
     async def scenario():
         async with run_deployment() as d:
             await read(d.send("/stream/x", "POST", b"b", x_attempt_id="a", **LONG))
             owner = next(engine for engine in d.engines if engine.seen)
-            # What other hosts have sent there is not known here yet.
-            ask = TurnAsk("o", owner.name, 0, [], 200_000, 0.0, "sent")
-            d.host.peers.send(d.host.peers.name, ask)
-            await asyncio.sleep(0.05)
+            await crowd(d, owner)
             answer = await d.send("/stream/x", "POST", b"b", x_attempt_id="b", **LONG)
             assert answer.status == 200
             await answer.read()
--- a/cornelnotch/gateway/turns.py
+++ b/cornelnotch/gateway/turns.py
@@ -87,6 +87,7 @@
 
     def ask(self, ticket: Ticket) -> Ticket:
         """Take in a request, or hear of a known one again; return what is known."""
+        self._drain(ticket.heard_ms)
         known = self.tickets.get(ticket.request_id)
         if known is None:
             known = self.tickets[ticket.request_id] = ticket
