--- a/Makefile
+++ b/Makefile
@@ -40,6 +40,7 @@
 	$(VENV)/bin/python -m benchmarks.idle
 	$(VENV)/bin/python -m benchmarks.capacity
 	$(VENV)/bin/python -m benchmarks.keying
+	$(VENV)/bin/python -m benchmarks.turns
 
 fuzz: setup
 	CORNELNOTCH_FUZZ=40000 $(VENV)/bin/python -m pytest -q --timeout 600 \
--- a/cornelnotch/gateway/placing.py
+++ b/cornelnotch/gateway/placing.py
@@ -12,7 +12,8 @@
 __all__ = ["Placement", "PlacementNeed", "Placer"]
 
 # Prompt tokens that an engine reads in a ms between the tokens of other requests:
-# a chunk of 1,024 takes 16 ms to read and the step around it 10 ms and more.
+# a chunk of 1,024 takes 16 ms to read and the step around it 10 ms and more. Long
+# prompts are read more slowly, which only the keeper of turns has to know.
 PREFILL_TOKENS_PER_MS = 35.0
 # Reading shared parts again takes capacity from all that wait at the server.
 REREAD_WEIGHT = 6.0
@@ -31,9 +32,9 @@
 INTRUSION_COST_MS = 3000.0
 # A tight stream beside long prompts may be late.
 OUTSIDE_COST_MS = 250.0
-# Turns let short prompts overtake long ones: of the tokens that wait at the same
-# priority, those of an equal prompt count by this share, those of longer ones less.
-# Counting all moves prompts away from engines that cache their parts: 29.3 instead
+# Turns let short prompts overtake long ones. Of the tokens that wait at the same
+# priority a prompt as long as the others counts this share, a shorter one less, but
+# never less than the second. Counting all moves prompts away from engines that cache their parts: 29.3 instead
 # of 24.2 million tokens read in the virtual time of an overload.
 EQUAL_SHARE = 0.7
 MIN_SHARE = 0.1
