--- a/cornelnotch/gateway/placing.py
+++ b/cornelnotch/gateway/placing.py
@@ -34,8 +34,8 @@
 OUTSIDE_COST_MS = 250.0
 # Turns let short prompts overtake long ones. Of the tokens that wait at the same
 # priority a prompt as long as the others counts this share, a shorter one less, but
-# never less than the second. Counting all moves prompts away from engines that cache their parts: 29.3 instead
-# of 24.2 million tokens read in the virtual time of an overload.
+# never less than the second. Counting all moves prompts away from engines that cache
+# their parts: 29.3 instead of 24.2 million tokens read in a simulated overload.
 EQUAL_SHARE = 0.7
 MIN_SHARE = 0.1
 # Shared parts cheaper than this to read again are not worth a detour.
