--- a/cornelnotch/testing/tests/test_binary.py
+++ b/cornelnotch/testing/tests/test_binary.py
@@ -51,6 +51,7 @@
     process = subprocess.Popen(
         [BINARY, "node", str(settings)],
         env=create_environment(tmp_path / "home"),
+        stdout=log,
         stderr=log,
     )
     try:
