Tell every host that counted a permit of its end; keep test ports to listeners

Both tests of KNOWN-RED.txt are traced with the logs of the failed run. - test_all_hosts_replaced_under_load_cut_nothing: a host that drained waited for permits that had ended (active 0, held 0, running 2, all of one holder; 4 of 35 plays, seven at once). It had owned the shard for a moment while members were suspected, was told of the permits, and their end went only to the first and the current dispatcher. Now all that were told hear it: test_every_host_that_heard_of_a_permit_hears_of_its_end failed before. Ruled out: the thread for log lines, callers, claims. - test_winner_stopped_between_claim_and_dispatch_is_not_overtaken[9]: its host could not bind 127.0.0.1:36701: an outgoing connection had taken the port between its choice and the start. Ports for listeners now lie below those of connections (test_ports_for_listeners_are_never_those_of_outgoing_connections failed before).

--- a/cornelnotch/gateway/tests/conftest.py
+++ b/cornelnotch/gateway/tests/conftest.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import inspect
-import socket
 from contextlib import asynccontextmanager
 
 import h11
@@ -22,6 +21,7 @@
 from cornelnotch.platform.store import PlatformStore
 from cornelnotch.standins.store import StoreStandin
 from cornelnotch.standins.upstream import UpstreamStandin
+from cornelnotch.testing.processes import find_free_port
 from cornelnotch.web import HttpClient
 
 HOST_NAME = "app.example"
@@ -29,12 +29,6 @@
 WAIT_S = 5.0
 
 
-def find_free_port():
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return listener.getsockname()[1]
-
-
 def create_route(name, prefix, kind, service, **fields):
     return {
         "name": name,
--- a/cornelnotch/routing/permits.py
+++ b/cornelnotch/routing/permits.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from returns.result import Failure, Result, Success
 
@@ -65,11 +65,12 @@
 
 @dataclass(slots=True)
 class HeldEntry:
-    """Remember a permit in use and who hears that it is paused."""
+    """Remember a permit in use, who hears that it is paused and who counts it."""
 
     need: PermitNeed
     grant: PermitGrant
     listener: Callable[[bool], None] | None = None
+    told: set[str] = field(default_factory=set)
 
 
 class PermitClient:
@@ -235,7 +236,7 @@
 
     def release(self, grant: PermitGrant, report: PermitReport) -> None:
         """Return a permit with what was seen."""
-        self._held.pop(grant.request_id, None)
+        held = self._held.pop(grant.request_id, None)
         finish = PermitFinish(
             grant.request_id,
             grant.shard,
@@ -246,10 +247,14 @@
             report.between_tokens_ms,
             report.tokens,
         )
-        self._peers.send(grant.dispatcher, finish)
+        receivers = {grant.dispatcher}
+        # A host that owned the shard in between would count the permit for ever.
+        receivers |= held.told if held is not None else set()
         current = self._choose_dispatcher(grant.shard, 0)
-        if current is not None and current != grant.dispatcher:
-            self._peers.send(current, finish)
+        if current is not None:
+            receivers.add(current)
+        for receiver in receivers:
+            self._peers.send(receiver, finish)
 
     async def run_held_reports(self) -> None:
         """Tell dispatchers what this host holds until cancelled."""
@@ -280,6 +285,8 @@
             if boot == self._told.get(shard) and not everything:
                 continue
             permits = by_shard.get(shard, [])
+            for permit in permits:
+                self._held[permit.request_id].told.add(target)
             self._peers.send(target, HeldPermits(self._fleet.name, shard, permits))
             if permits:
                 self._told[shard] = boot
--- a/cornelnotch/testing/processes.py
+++ b/cornelnotch/testing/processes.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import os
+import random
 import signal
 import socket
 import sys
+from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -22,13 +24,21 @@
 START_LIMIT_S = 15.0
 POLL_S = 0.03
 ADDRESS = "127.0.0.1"
+# Below the ports that systems give to outgoing connections, which would take one
+# between its choice and the start of the process that is to listen there.
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
+
+_generator = random.SystemRandom()
 
 
 def find_free_port() -> int:
-    """Return a port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind((ADDRESS, 0))
-        return probe.getsockname()[1]
+    """Return a port that was free a moment ago and that no connection will take."""
+    while True:
+        port = _generator.randrange(FIRST_PORT, LAST_PORT)
+        with socket.socket() as probe, suppress(OSError):
+            probe.bind((ADDRESS, port))
+            return port
 
 
 @dataclass(slots=True)
