Hide no cancellation while a connection wakes or ends its watch

A request whose caller had left was still sent (test_a_request_that_is_cancelled_while_a_connection_wakes_is_not_sent failed), a connection or a polling task went on and the stop waited for it (test_a_server_stops_while_its_connections_end_their_watches failed).

--- a/cornelnotch/kernel/tasks.py
+++ b/cornelnotch/kernel/tasks.py
@@ -7,11 +7,24 @@
 
 from cornelnotch.kernel.events import Event, EventLog
 
-__all__ = ["MailboxTask", "TaskGroup"]
+__all__ = ["MailboxTask", "TaskGroup", "end_task"]
 
 RESTART_S = 1.0
 
 
+async def end_task(task: asyncio.Task[Any]) -> None:
+    """Cancel a task and wait for its end; raise the error that it ended with.
+
+    Awaiting the task itself would not tell its cancellation from the caller's, and a
+    caller that hides its own would go on for ever.
+    """
+    task.cancel()
+    await asyncio.wait({task})
+    error = None if task.cancelled() else task.exception()
+    if error is not None:
+        raise error
+
+
 class TaskGroup:
     """Own the running tasks of one process and report their failures."""
 
--- a/cornelnotch/web/client.py
+++ b/cornelnotch/web/client.py
@@ -13,6 +13,7 @@
     UpstreamError,
     UpstreamUnreachableError,
 )
+from cornelnotch.kernel.tasks import end_task
 
 __all__ = ["HttpAnswer", "HttpClient", "parse_address"]
 
@@ -110,9 +111,11 @@
     async def wake(self) -> bool:
         """End the wait; tell whether the connection may carry a request."""
         if self._idle is not None:
-            self._idle.cancel()
-            with suppress(asyncio.CancelledError):
-                await self._idle
+            try:
+                await end_task(self._idle)
+            except asyncio.CancelledError:
+                self.abort()
+                raise
             self._idle = None
         return not self._spoiled and not self._writer.is_closing()
 
--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -9,6 +9,7 @@
 import orjson
 
 from cornelnotch.exceptions import CallerGoneError, RequestError
+from cornelnotch.kernel.tasks import end_task
 from cornelnotch.web.exchange import Exchange
 
 __all__ = ["Handler", "HttpServer", "ServerConnection", "ServerLimits"]
@@ -217,9 +218,7 @@
     async def _stop_watching(self) -> None:
         if self._watcher is None:
             return
-        self._watcher.cancel()
-        with suppress(asyncio.CancelledError):
-            await self._watcher
+        await end_task(self._watcher)
         self._watcher = None
 
     async def send(self, *events: h11.Event) -> None:
--- /dev/null
+++ b/cornelnotch/web/tests/test_cancel.py
@@ -0,0 +1,89 @@
+"""Cancel work at the moments at which it ends another task."""
+
+import asyncio
+
+import pytest
+
+from cornelnotch.kernel.tasks import end_task
+from cornelnotch.web import HttpClient, HttpServer
+
+
+async def start_server(handler):
+    server = HttpServer(handler)
+    await server.start("127.0.0.1", 0)
+    return server, f"127.0.0.1:{server.port}"
+
+
+def test_a_request_that_is_cancelled_while_a_connection_wakes_is_not_sent():
+    async def run():
+        seen = []
+
+        async def handle(exchange):
+            seen.append(exchange.path)
+            await exchange.respond(200, {}, b"")
+
+        server, address = await start_server(handle)
+        client = HttpClient()
+        await (await client.request(address, "GET", "/first")).read()
+        second = asyncio.create_task(client.request(address, "GET", "/second"))
+        await asyncio.sleep(0)
+        second.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await second
+        await asyncio.sleep(0.05)
+        assert seen == ["/first"]
+        client.close()
+        await server.stop()
+
+    asyncio.run(run())
+
+
+def test_the_end_of_a_task_hides_no_cancel_of_its_caller():
+    async def run():
+        inner = asyncio.create_task(asyncio.sleep(60))
+        outer = asyncio.create_task(end_task(inner))
+        await asyncio.sleep(0)
+        outer.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await outer
+        await asyncio.sleep(0)
+        assert inner.cancelled()
+
+    asyncio.run(run())
+
+
+def test_a_task_that_failed_tells_why_when_it_is_ended():
+    async def run():
+        async def fail():
+            raise ValueError("broken")
+
+        inner = asyncio.create_task(fail())
+        await asyncio.sleep(0)
+        with pytest.raises(ValueError, match="broken"):
+            await end_task(inner)
+
+    asyncio.run(run())
+
+
+def test_a_server_stops_while_its_connections_end_their_watches():
+    async def run():
+        connections = []
+
+        async def handle(exchange):
+            await exchange.read_body(1000)
+            await exchange.respond(200, {}, b"")
+            connection = asyncio.current_task()
+            assert connection is not None
+            connections.append(connection)
+            # The connection ends its watch right after this handler.
+            asyncio.get_running_loop().call_soon(connection.cancel)
+
+        server, address = await start_server(handle)
+        client = HttpClient()
+        await (await client.request(address, "GET", "/x")).read()
+        done, _ = await asyncio.wait(connections, timeout=2.0)
+        assert len(done) == 1
+        client.close()
+        await server.stop()
+
+    asyncio.run(run())
