Heed servers that say they leave or want a rest

Now an answer's head tells both to the flow: a server that leaves is out at once here and, told once, at every host, until a start with a later birth; one that wants a rest gets nothing from this host until its end, also no turn granted before. If all servers rest, callers are told when to return. A time that is none is logged; one above 600 s is cut. Others are not told of a rest: the word is for one host, and a fault may hold for some callers only; the failures they see anyway weigh in the load sums.

--- a/cornelnotch/gateway/dialect.py
+++ b/cornelnotch/gateway/dialect.py
@@ -28,7 +28,9 @@
     """Hold what the head of a server's answer says.
 
     `request_id` is empty when the server named none. `not_run` is the server's
-    word that the work did not run and never will.
+    word that the work did not run and never will. `leaving` is its word that it
+    takes no new work, `rest_ms` for how long it wants none from this host.
+    `malformed_rest` holds what it wrote in place of a time.
     """
 
     status: int
@@ -37,6 +39,9 @@
     not_run: bool
     other_server: bool
     pairs: Pairs
+    leaving: bool = False
+    rest_ms: float = 0.0
+    malformed_rest: str = ""
 
 
 class Dialect(ABC):
--- a/cornelnotch/gateway/dispatch.py
+++ b/cornelnotch/gateway/dispatch.py
@@ -89,7 +89,7 @@
     head = dialect.read_answer(source.status, source.pairs)
     if head.request_id and head.request_id != request.request_id:
         source.close()
-        return Answer(Fate.BROKEN, "the answer belongs to another request")
+        return Answer(Fate.BROKEN, "the answer belongs to another request", head)
     if head.not_run:
         return Answer(Fate.REFUSED, f"status {head.status}", head, source)
     if not head.signed:
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -113,8 +113,12 @@
                 self.parts.turns.end(flight)
 
     async def _end_without_server(self) -> None:
+        now = self.parts.clock.read()
+        rest_ms = self.parts.pool.find_rest_ms(self.service, now)
         if self.crowded:
-            await self._send_away()
+            await self._send_away(self.crowded_wait_ms, "backlog")
+        elif rest_ms > 0 and not self.progress.ran and not self.exchange.started:
+            await self._send_away(rest_ms, "servers-rest")
         else:
             await self._finish_failed(Answer(Fate.NOT_SENT, "no server is left"))
 
@@ -146,7 +150,7 @@
         self.crowded_wait_ms = flight.wait_ms
         if len(self.crowded) < MAX_CROWDED:
             return False
-        await self._send_away()
+        await self._send_away(self.crowded_wait_ms, "backlog")
         return True
 
     def _place(self) -> Placement | None:
@@ -210,11 +214,11 @@
             return float("inf")
         return find_caller_patience(self.route, self.limit_ms - self.arrived_ms)
 
-    async def _send_away(self) -> None:
+    async def _send_away(self, wait_ms: float, reason: str) -> None:
         """Refuse at once what would wait in vain."""
         left_ms = self.deadline_ms - self.parts.clock.read()
-        retry_ms = choose_return_ms(self.crowded_wait_ms, left_ms, self.parts.generator)
-        await self._refuse(STATUS_UNAVAILABLE, "backlog", round(retry_ms))
+        retry_ms = choose_return_ms(wait_ms, left_ms, self.parts.generator)
+        await self._refuse(STATUS_UNAVAILABLE, reason, round(retry_ms))
 
     async def _dispatch(self, placement: Placement, flight: Flight) -> Answer | None:
         """Return None when the caller has its answer, else why there is none."""
@@ -233,6 +237,7 @@
         try:
             answer = await self._open(view, terms)
             self.progress.count(answer.fate)
+            self._heed(view, answer)
             if answer.fate is Fate.DONE:
                 view.hear(flight, self.parts.clock.read())
                 self.parts.turns.begin(flight)
@@ -263,6 +268,25 @@
         except TimeoutError:
             return Answer(Fate.BROKEN, f"silent for {patience_s} s")
 
+    def _heed(self, view: ServerView, answer: Answer) -> None:
+        """Take in what a server says of itself in any answer."""
+        head = answer.head
+        if head is None or head.other_server:
+            return
+        name, boot_ms = view.record.name, view.record.boot_ms
+        if head.leaving and self.parts.pool.note_leaving(name, boot_ms):
+            self._note(Event.SERVER_SAID_LEAVING, server=name, boot_ms=boot_ms)
+            self.parts.tell_leaving(name, boot_ms)
+        if head.malformed_rest:
+            self._note(
+                Event.SERVER_REST_MALFORMED, server=name, rest=head.malformed_rest[:80]
+            )
+        if head.rest_ms > 0:
+            rest_ms = view.rest(head.rest_ms, self.parts.clock.read())
+            self._note(
+                Event.SERVER_RESTS, server=name, asked_ms=head.rest_ms, rest_ms=rest_ms
+            )
+
     def _judge(self, view: ServerView, answer: Answer | None) -> None:
         now = self.parts.clock.read()
         if answer is None:
--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -8,6 +8,7 @@
 from cornelnotch.gateway.follower import RecordFollower
 from cornelnotch.gateway.front import Front
 from cornelnotch.gateway.keeping import TurnKeeper
+from cornelnotch.gateway.leaving import LeavingNews
 from cornelnotch.gateway.parts import GatewayParts
 from cornelnotch.gateway.records import RecordDecoder, RecordSource
 from cornelnotch.gateway.relay import RelayPlan, Source
@@ -117,6 +118,10 @@
         self.sharing = LoadSharing(
             self.parts, self.peers, self.plan, spreader, self._list_takers
         )
+        self.leaving_news = LeavingNews(
+            self.parts, self.peers, spreader, self._list_peers
+        )
+        self.parts.tell_leaving = self.leaving_news.tell
         self.prober.subscribe(self._apply_members)
 
     def _apply_members(self) -> None:
--- a/cornelnotch/gateway/parts.py
+++ b/cornelnotch/gateway/parts.py
@@ -1,6 +1,7 @@
 """Bundle what every request needs of its host."""
 
 import random
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import orjson
@@ -58,12 +59,17 @@
         self.table = RoutingTable(NO_VERSION, {}, {}, None, CallerLimits())
         self.generator = random.Random(settings.host.name)
         self.hosts: list[Source] = []
-        self.turns = TurnClient(peers, clock, self._list_near, self.pool.lists)
+        self.turns = TurnClient(peers, clock, self._list_near, self.accepts)
+        self.tell_leaving: Callable[[str, int], None] = lambda server, boot_ms: None
         self._reserved: dict[str, Reserved] = {}
         self._gaps: dict[str, list[float]] = {}
         self._gaps_version = NO_VERSION
         self._budgets: dict[str, RepeatBudget] = {}
 
+    def accepts(self, server: ServerView) -> bool:
+        """Tell whether a server may get work from this host now."""
+        return self.pool.accepts(server, self.clock.read())
+
     def find_budget(self, service: str) -> RepeatBudget:
         """Return the budget of repeats at a service."""
         budget = self._budgets.get(service)
--- a/cornelnotch/gateway/servers.py
+++ b/cornelnotch/gateway/servers.py
@@ -14,6 +14,12 @@
 EJECTION_LIMIT_MS = 3000.0
 # After this long without a failure a server is tried like any other.
 FAILURE_MEMORY_MS = 4000.0
+# The longest rest that a server may ask for; what asks for more is malformed.
+MAX_REST_MS = 600_000.0
+# Before the first life of a server; lives whose start is not told begin at 0.
+NEVER_BOOTED = -1
+# Servers remembered that said they leave; names are not used again by the thousand.
+REMEMBERED_LEAVING = 4096
 # Parts remembered per server; an engine of 600,000 tokens keeps about 100.
 REMEMBERED_PARTS = 400
 
@@ -59,6 +65,19 @@
     failed_ms: float = 0.0
     ejected_until_ms: float = 0.0
     parts: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    said_leaving: bool = False
+    rest_until_ms: float = 0.0
+
+    @property
+    def leaving(self) -> bool:
+        """Tell whether the platform or the server itself says that it leaves."""
+        return self.said_leaving or self.record.leaving
+
+    def rest(self, asked_ms: float, now: float) -> float:
+        """Give the server nothing for as long as it asked; return the time in ms."""
+        rest_ms = min(asked_ms, MAX_REST_MS)
+        self.rest_until_ms = max(self.rest_until_ms, now + rest_ms)
+        return rest_ms
 
     def start(self, flight: Flight) -> None:
         """Note that work was sent."""
@@ -136,6 +155,7 @@
     def __init__(self) -> None:
         self.servers: dict[str, ServerView] = {}
         self.generation = 0
+        self._leaving: OrderedDict[str, int] = OrderedDict()
 
     def replace(self, records: Iterable[ServerRecord]) -> None:
         """Take in the platform's list; what is known of others is dropped."""
@@ -148,26 +168,51 @@
             known = self.servers.get(name)
             if known is None or known.record.boot_ms != record.boot_ms:
                 self.servers[name] = ServerView(record)
+                self.servers[name].said_leaving = self._has_left(record)
             elif known.record != record:
                 known.record = record
                 if known.ejected_until_ms == float("inf"):
                     known.ejected_until_ms = 0.0
 
-    def lists(self, view: ServerView) -> bool:
-        """Tell whether a server is still listed, in the same life, and not leaving."""
+    def note_leaving(self, name: str, boot_ms: int) -> bool:
+        """Take a life of a server out for good; tell whether that is news.
+
+        A later record or an older word does not bring it back, only a new start.
+        """
+        if boot_ms <= self._leaving.get(name, NEVER_BOOTED):
+            return False
+        self._leaving[name] = boot_ms
+        if len(self._leaving) > REMEMBERED_LEAVING:
+            self._leaving.popitem(last=False)
+        view = self.servers.get(name)
+        if view is not None and self._has_left(view.record):
+            view.said_leaving = True
+            self.generation += 1
+        return True
+
+    def _has_left(self, record: ServerRecord) -> bool:
+        return record.boot_ms <= self._leaving.get(record.name, NEVER_BOOTED)
+
+    def accepts(self, view: ServerView, now: float) -> bool:
+        """Tell whether a server, in the same life, may get work from this host."""
         known = self.servers.get(view.record.name)
-        return known is view and not view.record.leaving
+        return known is view and not view.leaving and now >= view.rest_until_ms
 
     def list_ready(self, service: str) -> list[ServerView]:
         """Return the servers of a service that are not leaving."""
         return [
             view
             for view in self.servers.values()
-            if view.record.service == service and not view.record.leaving
+            if view.record.service == service and not view.leaving
         ]
 
     def list_usable(self, service: str, now: float) -> list[ServerView]:
-        """Return servers that may get new work, or all that are not leaving."""
-        ready = self.list_ready(service)
+        """Return servers that may get new work, or all that did not decline it."""
+        ready = [v for v in self.list_ready(service) if now >= v.rest_until_ms]
         usable = [view for view in ready if now >= view.ejected_until_ms]
         return usable or ready
+
+    def find_rest_ms(self, service: str, now: float) -> float:
+        """Return the time until a server's rest ends, in ms; 0 if none rests."""
+        rests = [v.rest_until_ms - now for v in self.list_ready(service)]
+        return max(min(rests, default=0.0), 0.0)
--- /dev/null
+++ b/cornelnotch/gateway/tests/test_leaving.py
@@ -0,0 +1,226 @@
+"""Servers say that they leave or want a rest; check that hosts heed it at once."""
+
+import asyncio
+from contextlib import asynccontextmanager
+from dataclasses import replace
+
+import pytest
+
+from cornelnotch.gateway.models import ServerRecord
+from cornelnotch.gateway.servers import MAX_REST_MS, ServerPool
+from cornelnotch.gateway.tests.conftest import (
+    create_host,
+    create_settings,
+    run_deployment,
+    wait_until,
+)
+from cornelnotch.platform.dialect import PlatformDialect
+
+RECORD = ServerRecord("s1", "desk", "10.0.0.1:80", "north-a", 8, boot_ms=100)
+
+
+def play(scenario):
+    async def run():
+        async with run_deployment() as deployment:
+            await scenario(deployment)
+
+    asyncio.run(run())
+
+
+@asynccontextmanager
+async def run_second_host(deployment):
+    seeds = deployment.settings.listen.peers
+    host = create_host(create_settings(deployment.store, "host-2", seeds=seeds))
+    await host.start()
+    try:
+        await wait_until(lambda: len(host.parts.hosts) == 2)
+        await wait_until(lambda: len(host.parts.pool.servers) == 4)
+        await wait_until(lambda: len(deployment.host.parts.hosts) == 2)
+        yield host
+    finally:
+        await host.stop()
+
+
+async def send_calls(deployment, count, path="/read/x"):
+    for number in range(count):
+        answer = await deployment.send(path, x_attempt_id=f"{path}{number}")
+        await answer.read()
+
+
+@pytest.mark.parametrize(
+    ("faults", "path", "method"),
+    [
+        ({}, "/read/x", "GET"),
+        ({"fail": True}, "/read/x", "GET"),
+        ({"refuse": True}, "/read/x", "GET"),
+        ({"wrong_id": True}, "/read/x", "GET"),
+        ({}, "/stream/x", "POST"),
+    ],
+)
+def test_a_server_that_says_it_leaves_gets_nothing_more(faults, path, method):
+    async def scenario(d):
+        servers = d.engines if path.startswith("/stream/") else d.desks
+        leaving = servers[0]
+        leaving.faults.leaving = True
+        for name, value in faults.items():
+            setattr(leaving.faults, name, value)
+        for number in range(8):
+            answer = await d.send(path, method, x_attempt_id=f"a{number}")
+            await answer.read()
+        assert len(leaving.seen) == 1
+        assert len(servers[1].seen) >= 7
+
+    play(scenario)
+
+
+def test_other_hosts_hear_that_a_server_leaves():
+    async def scenario(d):
+        d.desks[0].faults.leaving = True
+        async with run_second_host(d) as other:
+            await send_calls(d, 4)
+            view = other.parts.pool.servers["desk-1"]
+            await wait_until(lambda: view.leaving, 1.0)
+            assert not other.parts.accepts(view)
+
+    play(scenario)
+
+
+def test_a_stale_record_does_not_bring_a_leaving_server_back():
+    async def scenario(d):
+        d.list_server(d.desks[0], "desk", born=100)
+        pool = d.host.parts.pool
+        await wait_until(lambda: pool.servers["desk-1"].record.boot_ms == 100, 3.0)
+        d.desks[0].faults.leaving = True
+        await send_calls(d, 4)
+        d.drop_server(d.desks[0])
+        await wait_until(lambda: "desk-1" not in pool.servers, 3.0)
+        d.list_server(d.desks[0], "desk", born=100)
+        await wait_until(lambda: "desk-1" in pool.servers, 3.0)
+        await send_calls(d, 4)
+        assert len(d.desks[0].seen) == 1
+        d.desks[0].faults.leaving = False
+        d.list_server(d.desks[0], "desk", born=200)
+        await wait_until(lambda: pool.servers["desk-1"].record.boot_ms == 200, 3.0)
+        d.drop_server(d.desks[1])
+        await wait_until(lambda: "desk-2" not in pool.servers, 3.0)
+        answer = await d.send("/read/x", x_attempt_id="again")
+        assert (await answer.read()) == b"done by desk-1"
+
+    play(scenario)
+
+
+def test_an_older_word_takes_out_no_later_life():
+    pool = ServerPool()
+    pool.replace([replace(RECORD, boot_ms=200)])
+    assert pool.note_leaving("s1", 100)
+    assert not pool.servers["s1"].leaving
+    assert pool.note_leaving("s1", 200)
+    assert not pool.note_leaving("s1", 200)
+    assert pool.servers["s1"].leaving
+    pool.replace([])
+    pool.replace([replace(RECORD, boot_ms=100)])
+    assert pool.servers["s1"].leaving
+
+
+def test_a_word_that_comes_before_the_record_holds():
+    pool = ServerPool()
+    assert pool.note_leaving("s1", 100)
+    pool.replace([RECORD])
+    assert not pool.list_usable("desk", 0.0)
+    pool.replace([replace(RECORD, boot_ms=101)])
+    assert pool.list_usable("desk", 0.0)
+
+
+def test_a_server_that_wants_a_rest_gets_nothing_until_its_end():
+    async def scenario(d):
+        resting = d.desks[0]
+        resting.faults.refuse = True
+        resting.faults.retry_after = "0.8"
+        began = asyncio.get_running_loop().time()
+        await send_calls(d, 8)
+        assert len(resting.seen) == 1
+        resting.faults.refuse = False
+        await asyncio.sleep(began + 1.0 - asyncio.get_running_loop().time())
+        d.desks[1].faults.refuse = True
+        answer = await d.send("/read/x", x_attempt_id="later")
+        assert (await answer.read()) == b"done by desk-1"
+
+    play(scenario)
+
+
+def test_callers_hear_when_to_return_if_all_servers_rest():
+    async def scenario(d):
+        for server in d.desks:
+            server.faults.refuse = True
+            server.faults.retry_after = "0.9"
+        await send_calls(d, 1)
+        seen = sum(len(server.seen) for server in d.desks)
+        answer = await d.send("/book/x", "POST", x_attempt_id="later")
+        await answer.read()
+        assert answer.status == 503
+        assert 0.4 <= float(answer.headers["retry-after"]) <= 0.9
+        assert sum(len(server.seen) for server in d.desks) == seen
+
+    play(scenario)
+
+
+def test_a_request_that_waits_for_its_turn_turns_away_from_a_resting_server():
+    async def scenario(d):
+        view = d.host.parts.pool.servers["llm-1"]
+        view.rest(60_000.0, d.host.clock.read())
+        assert not d.host.parts.accepts(view)
+        for number in range(4):
+            answer = await d.send(
+                "/stream/x",
+                "POST",
+                x_attempt_id=f"s{number}",
+                x_token_usage="1000,50",
+                x_prompt_prefix="aa:900,bb:100",
+            )
+            await answer.read()
+        assert not d.engines[0].seen
+
+    play(scenario)
+
+
+@pytest.mark.parametrize(
+    ("status", "text", "rest_ms", "malformed"),
+    [
+        (503, "2", 2000.0, ""),
+        (503, "0.25", 250.0, ""),
+        (503, "1e9", 1e12, ""),
+        (503, "nan", 0.0, "nan"),
+        (503, "inf", 0.0, "inf"),
+        (503, "-1", 0.0, "-1"),
+        (503, "soon", 0.0, "soon"),
+        (500, "2", 0.0, ""),
+        (503, "", 0.0, ""),
+    ],
+)
+def test_the_time_of_a_rest_is_read_with_care(status, text, rest_ms, malformed):
+    pairs = [(b"Retry-After", text.encode())] if text else []
+    head = PlatformDialect().read_answer(status, pairs)
+    assert head.rest_ms == rest_ms
+    assert head.malformed_rest == malformed
+
+
+def test_a_rest_is_bounded_and_never_shortened():
+    pool = ServerPool()
+    pool.replace([RECORD])
+    view = pool.servers["s1"]
+    assert view.rest(1e12, 0.0) == MAX_REST_MS
+    view.rest(10.0, 5.0)
+    assert view.rest_until_ms == MAX_REST_MS
+    assert pool.find_rest_ms("desk", 0.0) == MAX_REST_MS
+    assert not pool.list_usable("desk", MAX_REST_MS - 1)
+    assert pool.list_usable("desk", MAX_REST_MS)
+
+
+def test_an_address_used_by_another_server_speaks_only_for_itself():
+    async def scenario(d):
+        d.desks[0].name = "someone-else"
+        d.desks[0].faults.leaving = True
+        await send_calls(d, 6)
+        assert not d.host.parts.pool.servers["desk-1"].said_leaving
+
+    play(scenario)
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -52,6 +52,13 @@
     CLAIM_UNSETTLED = (5001, logging.WARNING, "a claim could not be read back")
     CLAIM_RELEASE_DELAYED = (5002, logging.WARNING, "a release waits for the log")
     SERVER_LISTED = (3005, logging.INFO, "the platform's list of servers changed")
+    SERVER_SAID_LEAVING = (3006, logging.INFO, "a server said that it leaves")
+    SERVER_RESTS = (3007, logging.INFO, "a server wants nothing from this host")
+    SERVER_REST_MALFORMED = (
+        3008,
+        logging.WARNING,
+        "a server asked for a rest that is no time",
+    )
     REQUEST_REFUSED = (6001, logging.INFO, "a request was refused")
     REQUEST_MALFORMED = (6002, logging.DEBUG, "a request was malformed")
     REQUEST_ROUTED = (6003, logging.INFO, "a request was mapped to a service")
--- a/cornelnotch/platform/dialect.py
+++ b/cornelnotch/platform/dialect.py
@@ -1,5 +1,6 @@
 """Translate the headers of callers and servers."""
 
+import math
 from urllib.parse import urlsplit
 
 from cornelnotch.exceptions import RequestError
@@ -22,6 +23,8 @@
 # The server fetches what another one caches of the prompt before it reads the rest.
 CACHE_SOURCE = b"kv-fetch"
 RETRY_AFTER = b"retry-after"
+LEAVING = b"server-leaving"
+SAYS_LEAVING = "1"
 
 # Headers that concern one connection only.
 CONNECTION_HEADERS = frozenset(
@@ -56,6 +59,7 @@
     }
 )
 STATUS_MISDIRECTED = 421
+STATUS_UNAVAILABLE = 503
 MAX_PRIORITY = 9
 MS_PER_SECOND = 1000.0
 
@@ -76,6 +80,22 @@
         return 0.0
 
 
+def read_rest(status: int, text: str) -> float | None:
+    """Return for how long a server that sent `text` wants nothing, in ms.
+
+    Return None when `text` names no time.
+    """
+    if status != STATUS_UNAVAILABLE or not text:
+        return 0.0
+    try:
+        seconds = float(text)
+    except ValueError:
+        return None
+    if not math.isfinite(seconds) or seconds < 0:
+        return None
+    return seconds * MS_PER_SECOND
+
+
 def read_prompt(text: str) -> tuple[PromptPart, ...]:
     """Return the parts of a prompt in order; malformed ones end the list."""
     parts = []
@@ -140,6 +160,8 @@
     def read_answer(self, status: int, pairs: Pairs) -> AnswerHead:
         """Return what the head of an answer says."""
         misdirected = status == STATUS_MISDIRECTED
+        rest = find_header(pairs, RETRY_AFTER)
+        rest_ms = read_rest(status, rest)
         return AnswerHead(
             status,
             find_header(pairs, REQUEST_ID),
@@ -147,6 +169,9 @@
             misdirected or bool(find_header(pairs, NOT_RUN)),
             misdirected,
             drop_connection_headers(pairs),
+            find_header(pairs, LEAVING) == SAYS_LEAVING,
+            rest_ms or 0.0,
+            rest if rest_ms is None else "",
         )
 
     def create_refusal_pairs(
--- a/cornelnotch/standins/upstream.py
+++ b/cornelnotch/standins/upstream.py
@@ -20,6 +20,7 @@
 
     `break_after` cuts a stream within the event after so many whole ones, and
     `stall_after` stops it there without a word. A stream begins after `first_ms`.
+    `leaving` is said in every answer, `retry_after` with every refusal.
     """
 
     refuse: bool = False
@@ -32,6 +33,8 @@
     stall_after: int | None = None
     event_ms: float = 5.0
     first_ms: float = 0.0
+    leaving: bool = False
+    retry_after: str = ""
 
 
 @dataclass
@@ -70,11 +73,15 @@
         self.bodies.append(body)
         request_id = exchange.headers.get("x-attempt-id", "")
         headers = {"x-attempt-id": request_id}
+        if self.faults.leaving:
+            headers["server-leaving"] = "1"
         if exchange.headers.get("x-target-instance") != self.name:
             await exchange.respond(STATUS_ELSEWHERE, headers, b"")
             return
         if self.faults.refuse:
             headers["x-not-executed"] = "1"
+            if self.faults.retry_after:
+                headers["retry-after"] = self.faults.retry_after
             await exchange.respond(STATUS_FULL, headers, b"")
             return
         self.ran[request_id] += 1
--- a/cornelnotch/wire/messages.py
+++ b/cornelnotch/wire/messages.py
@@ -34,6 +34,7 @@
     "RecordFetch",
     "RecordItem",
     "RecordNews",
+    "ServerLeaving",
     "ServerUpdate",
     "ServerUse",
     "TurnAsk",
@@ -350,6 +351,18 @@
     targets: list[str]
 
 
+@dataclass(frozen=True, slots=True)
+class ServerLeaving:
+    """Tell that a server said in an answer that it leaves; passed on to `targets`.
+
+    `boot_ms` names the life of the server that ends.
+    """
+
+    server: str
+    boot_ms: int
+    targets: list[str]
+
+
 @dataclass(frozen=True, slots=True)
 class PromptPart:
     """Name a part of a prompt; requests with the same first parts share them."""
@@ -434,4 +447,5 @@
         TurnWait,
         TurnGrant,
         TurnEnd,
+        ServerLeaving,
     ]
