--- a/cornelnotch/gateway/asking.py
+++ b/cornelnotch/gateway/asking.py
@@ -56,6 +56,7 @@
     flight: Flight
     arrived_ms: float = 0.0
     patience_ms: float = float("inf")
+    gap_ms: float = 0.0
     heard_ms: float = 0.0
     told_ms: float = 0.0
     begun: bool = False
@@ -95,13 +96,15 @@
         flight: Flight,
         arrived_ms: float,
         patience_ms: float,
+        gap_ms: float = 0.0,
     ) -> Turn:
         """Wait until the request may be sent; `end` must follow in any case.
 
         Its caller has waited since `arrived_ms`, maybe for another engine before, and
-        leaves after `patience_ms`.
+        leaves after `patience_ms`; it accepts pauses of `gap_ms`.
         """
         state = self._open_state(request, view, flight)
+        state.gap_ms = gap_ms
         state.arrived_ms = arrived_ms
         state.patience_ms = patience_ms
         if self._is_silent(state.keeper):
@@ -186,7 +189,8 @@
         return True
 
     def _send_end(self, state: TurnState) -> None:
-        end = TurnEnd(state.request_id, state.view.record.name)
+        progress = state.flight.take_progress()
+        end = TurnEnd(state.request_id, state.view.record.name, progress)
         self._peers.send(state.keeper, end)
 
     def _go_alone(self, state: TurnState) -> Turn:
@@ -206,6 +210,8 @@
             state.own_tokens,
             round(now - state.arrived_ms, 1),
             stage,
+            state.gap_ms,
+            state.flight.take_progress(),
         )
         self._peers.send(state.keeper, ask)
 
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -161,6 +161,7 @@
             self.excluded | self.crowded,
             self.parts.is_tight(self.route),
             self.parts.find_reserved(self.service),
+            self.parts.find_tight_gap(self.service),
         )
         placement = self.parts.placer.choose(
             servers, self.route, self.request, need, now
@@ -194,7 +195,12 @@
         if self.route.kind is not WorkKind.STREAM or not self.request.prompt:
             return Turn.GRANTED
         turn = await self.parts.turns.wait(
-            self.request, view, flight, self.arrived_ms, self._find_patience()
+            self.request,
+            view,
+            flight,
+            self.arrived_ms,
+            self._find_patience(),
+            self.route.target_gap_ms if flight.tight else 0.0,
         )
         waited_ms = self.parts.clock.read() - flight.started_ms
         self.parts.metrics.observe_queued(self.route.name, waited_ms)
@@ -332,7 +338,9 @@
         try:
             while data := await read_part(parts, stall_s):
                 view.hear(flight, self.parts.clock.read())
+                known = self.events.count
                 whole = self.events.feed(data)
+                flight.count_events(self.events.count - known, self.parts.clock.read())
                 if whole:
                     await self.exchange.send(whole)
         except UpstreamError as error:
--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -116,7 +116,12 @@
         )
         self.state = RoutingState(self.parts, self.follower, decoder, self._apply_table)
         self.sharing = LoadSharing(
-            self.parts, self.peers, self.plan, spreader, self._list_takers
+            self.parts,
+            self.peers,
+            self.plan,
+            spreader,
+            self._list_takers,
+            self.keeper.list_paces,
         )
         self.leaving_news = LeavingNews(
             self.parts, self.peers, spreader, self._list_peers
--- a/cornelnotch/gateway/keeping.py
+++ b/cornelnotch/gateway/keeping.py
@@ -3,11 +3,12 @@
 import asyncio
 from dataclasses import dataclass
 
+from cornelnotch.gateway.engines import EngineEstimate
 from cornelnotch.gateway.parts import GatewayParts
 from cornelnotch.gateway.servers import ServerView
 from cornelnotch.gateway.turns import Ticket, TurnQueue
 from cornelnotch.wire import PeerNetwork
-from cornelnotch.wire.messages import TurnAsk, TurnEnd, TurnGrant, TurnWait
+from cornelnotch.wire.messages import EnginePace, TurnAsk, TurnEnd, TurnGrant, TurnWait
 
 __all__ = ["TurnKeeper"]
 
@@ -58,9 +59,12 @@
             now,
             ask.stage != "waiting",
             ask.stage == "begun",
+            gap_ms=ask.gap_ms,
         )
         ticket = desk.queue.ask(asked)
         granted_before = ticket.granted
+        if ask.progress is not None:
+            desk.queue.note_progress(ask.request_id, ask.progress, now)
         self._serve(ask.server, desk)
         if ask.stage != "waiting":
             return
@@ -76,6 +80,9 @@
     def _receive_end(self, sender: str, end: TurnEnd) -> None:
         desk = self._desks.get(end.server)
         if desk is not None:
+            if end.progress is not None:
+                now = self._parts.clock.read()
+                desk.queue.note_progress(end.request_id, end.progress, now)
             desk.queue.end(end.request_id)
             self._serve(end.server, desk)
 
@@ -89,7 +96,7 @@
         self._drop_idle()
         if desk is not None and desk.timer is not None:
             desk.timer.cancel()
-        desk = self._desks[server] = Desk(self._create_queue(view), boot_ms)
+        desk = self._desks[server] = Desk(self._create_queue(server, view), boot_ms)
         return desk
 
     def _drop_idle(self) -> None:
@@ -99,13 +106,19 @@
             if name not in listed and not desk.queue.tickets:
                 del self._desks[name]
 
-    def _create_queue(self, view: ServerView | None) -> TurnQueue:
+    def _create_queue(self, server: str, view: ServerView | None) -> TurnQueue:
         if view is None:
             return TurnQueue(UNKNOWN_SLOTS, UNKNOWN_CACHE_TOKENS)
         service = self._parts.table.services.get(view.record.service)
         engine = service.engine if service else None
         tokens = engine.tokens if engine else UNKNOWN_CACHE_TOKENS
-        return TurnQueue(view.record.slots, tokens)
+        usual = self._parts.paces.find_usual(view.record.service)
+        estimate = EngineEstimate(server, usual)
+        return TurnQueue(view.record.slots, tokens, estimate)
+
+    def list_paces(self) -> list[EnginePace]:
+        """Return what is known of the engines whose turns this host keeps."""
+        return [desk.queue.estimate.pace for desk in self._desks.values()]
 
     def _serve(self, server: str, desk: Desk) -> None:
         """Grant what there is room for and set the time of the next look."""
@@ -120,7 +133,8 @@
             return
         wake_ms = IDLE_WAKE_MS
         if desk.queue.has_waiting():
-            wake_ms = min(max(desk.queue.find_next_ms(), MIN_WAKE_MS), IDLE_WAKE_MS)
+            next_ms = desk.queue.find_next_ms(now)
+            wake_ms = min(max(next_ms, MIN_WAKE_MS), IDLE_WAKE_MS)
         loop = asyncio.get_running_loop()
         desk.timer = loop.call_later(wake_ms / 1000.0, self._serve, server, desk)
 
--- a/cornelnotch/gateway/loads.py
+++ b/cornelnotch/gateway/loads.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from cornelnotch.wire.messages import LoadReport, LoadSummary, ServerUse
+from cornelnotch.wire.messages import EnginePace, LoadReport, LoadSummary, ServerUse
 
 __all__ = ["LoadBoard", "LoadSums", "add_uses"]
 
@@ -42,10 +42,18 @@
 
     def __init__(self) -> None:
         self._reports: dict[str, tuple[float, LoadReport]] = {}
+        self._paces: dict[str, EnginePace] = {}
 
     def take(self, report: LoadReport, now: float) -> None:
         """Keep the newest report of a host."""
         self._reports[report.host] = (now, report)
+        self._paces.update({pace.server: pace for pace in report.paces})
+
+    def take_paces(self) -> list[EnginePace]:
+        """Return the paces that were reported since the last call."""
+        paces = list(self._paces.values())
+        self._paces.clear()
+        return paces
 
     def sum_up(self, now: float) -> list[ServerUse]:
         """Return the sums over all hosts that reported lately."""
--- a/cornelnotch/gateway/parts.py
+++ b/cornelnotch/gateway/parts.py
@@ -10,6 +10,7 @@
 from cornelnotch.gateway.budget import RepeatBudget
 from cornelnotch.gateway.dialect import Dialect
 from cornelnotch.gateway.models import CallerLimits, CallerRequest, Route, RoutingTable
+from cornelnotch.gateway.paces import PaceBook
 from cornelnotch.gateway.placing import Placer
 from cornelnotch.gateway.relay import Source
 from cornelnotch.gateway.reserving import choose_reserved, find_tight_gap
@@ -55,14 +56,15 @@
         self.client = client
         self.metrics = NodeMetrics(settings.host.name, clock)
         self.pool = ServerPool()
-        self.placer = Placer(settings.host.domain, settings.regions)
+        self.paces = PaceBook()
+        self.placer = Placer(settings.host.domain, settings.regions, self.paces)
         self.table = RoutingTable(NO_VERSION, {}, {}, None, CallerLimits())
         self.generator = random.Random(settings.host.name)
         self.hosts: list[Source] = []
         self.turns = TurnClient(peers, clock, self._list_near, self.accepts)
         self.tell_leaving: Callable[[str, int], None] = lambda server, boot_ms: None
         self._reserved: dict[str, Reserved] = {}
-        self._gaps: dict[str, list[float]] = {}
+        self._gaps: dict[str, float] = {}
         self._gaps_version = NO_VERSION
         self._budgets: dict[str, RepeatBudget] = {}
 
@@ -108,15 +110,21 @@
         ready = self.pool.list_ready(service)
         tight = {v.record.name: self.placer.measure_use(v, now).tight for v in ready}
         records = [view.record for view in ready]
-        return choose_reserved(records, self.settings.regions, tight)
+        strained = self.paces.is_strained(service)
+        return choose_reserved(records, self.settings.regions, tight, strained)
 
-    def is_tight(self, route: Route) -> bool:
-        """Tell whether the pauses of a route's streams must be short."""
+    def find_tight_gap(self, service: str) -> float:
+        """Return the pause in ms up to which a service's streams count as tight."""
         if self._gaps_version != self.table.version:
-            self._gaps = self.table.list_gaps()
+            gaps = self.table.list_gaps()
+            self._gaps = {name: find_tight_gap(found) for name, found in gaps.items()}
             self._gaps_version = self.table.version
-        gaps = self._gaps.get(route.shares[0].service, [])
-        return 0 < route.target_gap_ms <= find_tight_gap(gaps)
+        return self._gaps.get(service, 0.0)
+
+    def is_tight(self, route: Route) -> bool:
+        """Tell whether the pauses of a route's streams must be short."""
+        gap_ms = self.find_tight_gap(route.shares[0].service)
+        return 0 < route.target_gap_ms <= gap_ms
 
     @staticmethod
     def choose_service(route: Route, request_id: str) -> str:
--- a/cornelnotch/gateway/placing.py
+++ b/cornelnotch/gateway/placing.py
@@ -3,28 +3,27 @@
 from collections.abc import Collection
 from dataclasses import dataclass, replace
 
+from cornelnotch.gateway.engines import find_reading_budget
 from cornelnotch.gateway.loads import LoadSums, add_uses
 from cornelnotch.gateway.models import CallerRequest, Route, WorkKind
+from cornelnotch.gateway.paces import PaceBook
 from cornelnotch.gateway.servers import ServerView
 from cornelnotch.kernel.hashing import rank_owners
-from cornelnotch.wire.messages import ServerUse
+from cornelnotch.wire.messages import EnginePace, ServerUse
 
 __all__ = ["Placement", "PlacementNeed", "Placer"]
 
-# Prompt tokens that an engine reads in a ms between the tokens of other requests:
-# a chunk of 1,024 takes 16 ms to read and the step around it 10 ms and more. Long
-# prompts are read more slowly, which only the keeper of turns has to know.
-PREFILL_TOKENS_PER_MS = 35.0
 # Reading shared parts again takes capacity from all that wait at the server.
 REREAD_WEIGHT = 6.0
 # Round trips beyond the failure domain and beyond the region.
 DOMAIN_COST_MS = 2.0
 REGION_COST_MS = 70.0
-# Each running stream lengthens a step of the engine by 0.165 ms of 6.55 ms.
-STREAM_COST_MS = 8.0
+# A batch that is full slows each of its streams, as this much waiting would.
+FULL_BATCH_COST_MS = 500.0
 CALL_COST_MS = 20.0
-# A slot of a full engine is freed about this often.
-SLOT_COST_MS = 40.0
+# About the time that a request holds a slot; a full engine frees one each time that is
+# shorter by as many times as it has slots.
+HELD_SLOT_MS = 2500.0
 # What a failure in a row weighs, and how many count.
 FAILURE_COST_MS = 700.0
 MAX_FAILURES = 4
@@ -38,8 +37,8 @@
 # their parts: 29.3 instead of 24.2 million tokens read in a simulated overload.
 EQUAL_SHARE = 0.7
 MIN_SHARE = 0.1
-# Shared parts cheaper than this to read again are not worth a detour.
-WORTHWHILE_TOKENS = 500
+# Shared parts that are read again sooner than this are not worth a detour.
+WORTHWHILE_MS = 14.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,20 +59,25 @@
 class PlacementNeed:
     """Hold what a request needs beside its route and prompt.
 
-    `reserved` names the engines kept for `tight` streams, whose pauses are short.
+    `reserved` names the engines kept for `tight` streams, whose pauses must not be
+    longer than `tight_gap_ms`.
     """
 
     priority: int
     excluded: Collection[str]
     tight: bool = False
     reserved: frozenset[str] = frozenset()
+    tight_gap_ms: float = 0.0
 
 
 class Placer:
     """Weigh the servers of a service for one host."""
 
-    def __init__(self, domain: str, regions: dict[str, str]) -> None:
+    def __init__(
+        self, domain: str, regions: dict[str, str], paces: PaceBook | None = None
+    ) -> None:
         self.sums = LoadSums({})
+        self._paces = paces or PaceBook()
         self._domain = domain
         self._regions = regions
 
@@ -94,10 +98,10 @@
         best: Placement | None = None
         for server in candidates:
             prefill = self._count_prefill(server, request, server is owner)
-            cost = self._weigh(server, route, need.priority, prefill, now)
-            cost += self._weigh_prefill(request, prefill)
-            if need.reserved and need.tight != (server.record.name in need.reserved):
-                cost += OUTSIDE_COST_MS if need.tight else INTRUSION_COST_MS
+            pace = self._find_pace(server)
+            cost = self._weigh(server, route, need.priority, prefill, pace, now)
+            cost += self._weigh_prefill(request, prefill, pace)
+            cost += self._weigh_pauses(server, need, prefill, pace)
             if best is None or cost < best.cost_ms:
                 best = Placement(server, cost, prefill, len(candidates))
         if best is None:
@@ -121,7 +125,8 @@
         """Return a server to fetch shared parts from, if the chosen one lacks them."""
         shared = request.prompt[:-1]
         tokens = sum(part.tokens for part in shared)
-        if tokens < WORTHWHILE_TOKENS or shared[-1].name in chosen.parts:
+        pace = self._find_pace(chosen)
+        if tokens < WORTHWHILE_MS * pace.read_rate or shared[-1].name in chosen.parts:
             return None
         others = [s for s in servers if s is not chosen and not s.failures]
         holders = [s for s in others if shared[-1].name in s.parts]
@@ -129,13 +134,16 @@
             return max(holders, key=lambda s: s.parts[shared[-1].name])
         return self._find_owner(others, request) if others else None
 
-    @staticmethod
+    def _find_pace(self, server: ServerView) -> EnginePace:
+        return self._paces.find(server.record.name, server.record.service)
+
     def _find_owner(
-        candidates: list[ServerView], request: CallerRequest
+        self, candidates: list[ServerView], request: CallerRequest
     ) -> ServerView | None:
         """Return the server that all hosts prefer for the request's shared parts."""
         shared = request.prompt[:-1]
-        if sum(part.tokens for part in shared) < WORTHWHILE_TOKENS:
+        usual = self._paces.find_usual(candidates[0].record.service)
+        if sum(part.tokens for part in shared) < WORTHWHILE_MS * usual.read_rate:
             return None
         names = {server.record.name: server for server in candidates}
         return names[rank_owners(shared[-1].name, names)[0]]
@@ -156,6 +164,7 @@
         route: Route,
         priority: int,
         prefill: int,
+        pace: EnginePace,
         now: float,
     ) -> float:
         cost = self._weigh_distance(server.record.domain)
@@ -163,11 +172,11 @@
         if route.kind is not WorkKind.STREAM:
             cost += FAILURE_COST_MS * min(use.failures, MAX_FAILURES)
             return cost + CALL_COST_MS * (use.running + use.waiting)
-        cost += self._count_ahead(use, priority, prefill) / PREFILL_TOKENS_PER_MS
-        cost += STREAM_COST_MS * use.running
+        cost += self._count_ahead(use, priority, prefill) / pace.read_rate
+        cost += FULL_BATCH_COST_MS * use.running / server.record.slots
         cost += FAILURE_COST_MS * min(use.failures, MAX_FAILURES)
         over = use.running + use.waiting + 1 - server.record.slots
-        return cost + SLOT_COST_MS * max(over, 0)
+        return cost + HELD_SLOT_MS / server.record.slots * max(over, 0)
 
     @staticmethod
     def _count_ahead(use: ServerUse, priority: int, prefill: int) -> float:
@@ -178,10 +187,23 @@
         return use.sent + sum(use.backlog[:priority]) + share * equals
 
     @staticmethod
-    def _weigh_prefill(request: CallerRequest, prefill: int) -> float:
+    def _weigh_prefill(request: CallerRequest, prefill: int, pace: EnginePace) -> float:
         own = request.prompt[-1].tokens if request.prompt else prefill
         again = max(prefill - own, 0)
-        return (prefill + again * REREAD_WEIGHT) / PREFILL_TOKENS_PER_MS
+        return (prefill + again * REREAD_WEIGHT) / pace.read_rate
+
+    @staticmethod
+    def _weigh_pauses(
+        server: ServerView, need: PlacementNeed, prefill: int, pace: EnginePace
+    ) -> float:
+        """Return what pauses of streams cost beside long prompts."""
+        if not need.reserved:
+            return 0.0
+        kept = server.record.name in need.reserved
+        if need.tight:
+            return 0.0 if kept else OUTSIDE_COST_MS
+        harmful = kept and prefill > find_reading_budget(pace, need.tight_gap_ms)
+        return INTRUSION_COST_MS if harmful else 0.0
 
     def _weigh_distance(self, domain: str) -> float:
         if domain == self._domain:
--- a/cornelnotch/gateway/servers.py
+++ b/cornelnotch/gateway/servers.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from cornelnotch.gateway.models import PromptPart, ServerRecord
-from cornelnotch.wire.messages import ServerUse
+from cornelnotch.wire.messages import ServerUse, StreamProgress
 
 __all__ = ["Flight", "ServerPool", "ServerView"]
 
@@ -40,7 +40,8 @@
     """Hold one dispatch that has not ended; `first_ms` is 0 until its answer.
 
     `sent` is false while it waits for its turn, for about `wait_ms` more; `tight` is
-    true if its pauses are short.
+    true if its pauses are short. The last of `events` whole ones came at `event_ms`;
+    `pause_ms` is the longest between two since `take_progress`.
     """
 
     request_id: str
@@ -53,6 +54,36 @@
     wait_ms: float = 0.0
     sent: bool = False
     tight: bool = False
+    events: int = 0
+    event_ms: float = 0.0
+    pause_ms: float = 0.0
+    told_events: int = 0
+    told_ms: float = 0.0
+
+    def count_events(self, events: int, now: float) -> None:
+        """Note that so many whole events arrived."""
+        if not events:
+            return
+        if self.events:
+            self.pause_ms = max(self.pause_ms, now - self.event_ms)
+        else:
+            # The first is no pause, and events that came with it took no time.
+            self.told_events = events
+            self.told_ms = now
+        self.events += events
+        self.event_ms = now
+
+    def take_progress(self) -> StreamProgress | None:
+        """Return how far the stream came since the last call, None if it did not."""
+        events = self.events - self.told_events
+        if not events:
+            return None
+        spent_ms = self.event_ms - self.told_ms
+        progress = StreamProgress(events, round(spent_ms, 1), round(self.pause_ms, 1))
+        self.told_events = self.events
+        self.told_ms = self.event_ms
+        self.pause_ms = 0.0
+        return progress
 
 
 @dataclass(slots=True)
--- a/cornelnotch/gateway/sharing.py
+++ b/cornelnotch/gateway/sharing.py
@@ -4,11 +4,12 @@
 from dataclasses import replace
 
 from cornelnotch.gateway.loads import LoadBoard
+from cornelnotch.gateway.paces import PaceNews
 from cornelnotch.gateway.parts import GatewayParts
 from cornelnotch.gateway.relay import RelayPlan
 from cornelnotch.gateway.spreading import Spreader
 from cornelnotch.wire import PeerNetwork
-from cornelnotch.wire.messages import LoadReport, LoadSummary, ServerUse
+from cornelnotch.wire.messages import EnginePace, LoadReport, LoadSummary, ServerUse
 
 __all__ = ["LoadSharing"]
 
@@ -26,6 +27,7 @@
         plan: RelayPlan,
         spreader: Spreader,
         list_hosts: Callable[[], list[str]],
+        list_paces: Callable[[], list[EnginePace]],
     ) -> None:
         self._parts = parts
         self._peers = peers
@@ -34,6 +36,9 @@
         self._list_hosts = list_hosts
         self._board = LoadBoard()
         self._reported: list[ServerUse] = []
+        self._list_paces = list_paces
+        self._own_news = PaceNews()
+        self._news = PaceNews()
         peers.subscribe(LoadReport, self._receive_report)
         peers.subscribe(LoadSummary, self._receive_summary)
 
@@ -51,14 +56,16 @@
             collectors = self._plan.list_readers(now)[:1]
             if uses or not quiet:
                 self._reported = uses
+                paces = self._own_news.select(self._list_paces(), now)
                 for name in collectors:
-                    self._peers.send(name, LoadReport(self._plan.name, uses))
+                    self._peers.send(name, LoadReport(self._plan.name, uses, paces))
             quiet = not uses
             if self._plan.name in collectors:
                 self._publish(now)
 
     def _publish(self, now: float) -> None:
-        summary = LoadSummary(self._plan.name, self._board.sum_up(now), [])
+        paces = self._news.select(self._board.take_paces(), now)
+        summary = LoadSummary(self._plan.name, self._board.sum_up(now), paces, [])
         self._apply(summary)
         self._pass_on(summary, self._list_hosts())
 
@@ -75,3 +82,6 @@
     def _apply(self, summary: LoadSummary) -> None:
         now = self._parts.clock.read()
         self._parts.placer.sums.take(summary, self._reported, now)
+        servers = self._parts.pool.servers
+        services = {name: view.record.service for name, view in servers.items()}
+        self._parts.paces.take(summary.paces, services)
--- /dev/null
+++ b/cornelnotch/gateway/tests/test_engines.py
@@ -0,0 +1,194 @@
+"""Check that the pace of unknown engines is found, and that pauses then hold."""
+
+import random
+from dataclasses import replace
+
+import pytest
+
+from cornelnotch.gateway.engines import (
+    PRIOR_PACE,
+    EngineEstimate,
+    average_paces,
+    find_reading_budget,
+)
+from cornelnotch.gateway.paces import REPEAT_MS, PaceBook, PaceNews
+from cornelnotch.gateway.placing import Placer
+from cornelnotch.testing.enginemodel import (
+    EngineShape,
+    PlacedRequest,
+    create_engines,
+    play_requests,
+)
+from cornelnotch.wire.messages import EnginePace, StreamProgress
+
+USUAL = EngineShape(event_tokens=4)
+SLOW = replace(
+    USUAL,
+    step_ms=USUAL.step_ms * 5,
+    step_per_stream_ms=USUAL.step_per_stream_ms * 5,
+    tokens_per_ms=USUAL.tokens_per_ms / 5,
+    pair_ms=USUAL.pair_ms * 5,
+)
+SMALL = replace(USUAL, cache_tokens=USUAL.cache_tokens // 10)
+# A step that reads a whole chunk takes 300 ms.
+COARSE = replace(USUAL, chunk_tokens=12_000, tokens_per_ms=40.0, pair_ms=0.0)
+CHAT_GAP_MS = 250.0
+
+
+def create_load(seed, chats, prompts, seconds=10, shared=2000, longest=20_000):
+    """Return chats beside prompts, at rates a second."""
+    generator = random.Random(seed)
+    requests: list[PlacedRequest] = []
+    for tight, rate in ((True, chats), (False, prompts)):
+        at_ms = 0.0
+        while rate and at_ms < seconds * 1000.0:
+            at_ms += generator.expovariate(rate) * 1000.0
+            name = f"{tight} {len(requests)}"
+            if tight:
+                request = PlacedRequest(
+                    name, at_ms, True, "hello", 150, 550, 250, 0, CHAT_GAP_MS
+                )
+            else:
+                own = min(int(generator.lognormvariate(7.5, 0.8)), longest)
+                thing = f"thing {generator.randrange(20)}"
+                request = PlacedRequest(name, at_ms, False, thing, shared, own, 60, 2)
+            requests.append(request)
+    return requests
+
+
+def play(shape, requests, count=1):
+    engines = create_engines(count, True, shape)
+    outcomes = play_requests(requests, engines, Placer("a", {}), False)
+    return engines, outcomes
+
+
+def measure_reading(shape):
+    """Return the tokens that an engine reads in a ms beside no stream."""
+    step = shape.step_ms + shape.chunk_tokens / shape.tokens_per_ms
+    return shape.chunk_tokens / step
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("shape", [USUAL, SLOW, SMALL, COARSE])
+def test_the_pace_of_an_unknown_engine_is_found_within_ten_seconds(shape, seed):
+    speed = shape.tokens_per_ms / USUAL.tokens_per_ms
+    load = create_load(seed, chats=2.0 * speed, prompts=6.0 * speed)
+    engines, _ = play(shape, load)
+    pace = engines[0].turns.estimate.pace
+    reading = measure_reading(shape)
+    assert 0.5 * reading <= pace.read_rate <= 1.3 * reading
+    assert 0.5 * shape.tokens_per_ms <= pace.chunk_rate <= 2.0 * shape.tokens_per_ms
+    event_ms = shape.step_ms * shape.event_tokens
+    assert 0.5 * event_ms <= pace.event_ms <= 2.0 * event_ms
+
+
+def test_an_engine_that_nobody_has_seen_has_the_prior_pace():
+    assert EngineEstimate("e").pace == PRIOR_PACE
+    assert average_paces([]) == PRIOR_PACE
+    book = PaceBook()
+    assert book.find("e", "llm") == PRIOR_PACE
+
+
+def test_one_odd_prompt_changes_little():
+    estimate = EngineEstimate("e")
+    for number in range(20):
+        estimate.note_reading(5000, 200.0, number * 250.0)
+    known = estimate.pace.read_rate
+    estimate.note_reading(100, 60_000.0, 5000.0)
+    estimate.note_reading(5000, 0.0, 5000.0)
+    assert 0.9 * known <= estimate.pace.read_rate <= 1.1 * known
+
+
+def test_what_was_seen_long_ago_is_forgotten():
+    estimate = EngineEstimate("e")
+    for number in range(20):
+        estimate.note_reading(5000, 1000.0, number * 1000.0)
+    assert estimate.pace.read_rate < 0.4 * PRIOR_PACE.read_rate
+    for number in range(20):
+        estimate.note_reading(5000, 100.0, 60_000.0 + number * 250.0)
+    assert estimate.pace.read_rate > 1.5 * PRIOR_PACE.read_rate
+
+
+def test_strains_are_kept_until_they_are_rare():
+    estimate = EngineEstimate("e")
+    calm = StreamProgress(40, 1500.0, 100.0)
+    for _ in range(4):
+        estimate.note_progress(StreamProgress(10, 1500.0, 240.0), 0, 250.0, 0.0)
+    assert estimate.pace.strained
+    for second in range(1, 20):
+        estimate.note_progress(calm, 0, 250.0, second * 100.0)
+    assert estimate.pace.strained
+    for second in range(20, 600):
+        estimate.note_progress(calm, 0, 250.0, second * 1000.0)
+    assert not estimate.pace.strained
+
+
+def test_streams_that_may_pause_strain_nothing():
+    estimate = EngineEstimate("e")
+    for _ in range(20):
+        estimate.note_progress(StreamProgress(2, 1500.0, 900.0), 0, 0.0, 0.0)
+    assert not estimate.pace.strained
+
+
+def test_reading_fills_what_a_pause_leaves():
+    pace = EnginePace("e", 30.0, 40.0, 50.0, True)
+    assert find_reading_budget(pace, 0.0) == float("inf")
+    assert find_reading_budget(pace, 1000.0) < 40.0 * 1000.0
+    assert find_reading_budget(pace, 200.0) > 0
+    # Streams whose events alone take as long as the pause do not stop all reading.
+    assert find_reading_budget(replace(pace, event_ms=400.0), 200.0) > 0
+
+
+def share_in_time(outcomes):
+    chats = [o for o in outcomes if o.request.tight]
+    return sum(o.longest_gap_ms <= CHAT_GAP_MS for o in chats) / len(chats)
+
+
+def play_calm_chats(monkeypatch, paced, seed):
+    """Return the share of chats that kept their pauses once the pace was known."""
+    if not paced:
+        monkeypatch.setattr(EngineEstimate, "note_progress", lambda *_: None)
+    shape = EngineShape(
+        step_ms=5.0, chunk_tokens=2048, tokens_per_ms=38.0, event_tokens=4
+    )
+    load = create_load(seed, 3.0, 11.0, seconds=30, shared=0, longest=5000)
+    _, outcomes = play(shape, load)
+    return share_in_time([o for o in outcomes if o.request.at_ms > 5000.0])
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_chats_keep_their_pauses_beside_a_burst_of_prompts(monkeypatch, seed):
+    with monkeypatch.context() as patch:
+        unpaced = play_calm_chats(patch, False, seed)
+    paced = play_calm_chats(monkeypatch, True, seed)
+    assert unpaced < 0.5
+    assert paced >= 0.95
+
+
+def create_pace(name, rate=30.0, strained=False):
+    return EnginePace(name, rate, 40.0, 40.0, strained)
+
+
+def test_only_changes_are_told_and_all_is_told_again():
+    news = PaceNews()
+    assert news.select([create_pace("a"), create_pace("b")], 0.0)
+    assert news.select([create_pace("a", 31.0)], 100.0) == []
+    assert news.select([create_pace("a", 34.0)], 200.0)
+    assert news.select([create_pace("a", 34.0, True)], 300.0)
+    assert news.select([create_pace("b")], REPEAT_MS + 1.0)
+    # A queue of an engine that this host does not know tells nothing.
+    assert news.select([create_pace("")], 0.0) == []
+
+
+def test_engines_of_unknown_pace_are_taken_for_usual():
+    book = PaceBook()
+    services = {"a": "llm", "b": "llm", "c": "llm", "d": "other"}
+    book.take([create_pace("a", 20.0), create_pace("b", 40.0, True)], services)
+    assert book.find("c", "llm").read_rate == 30.0
+    assert book.find("a", "llm").read_rate == 20.0
+    assert book.find("d", "other") == PRIOR_PACE
+    assert book.is_strained("llm")
+    assert not book.is_strained("other")
+    book.take([create_pace("a", 20.0)], {"a": "llm"})
+    assert book.find("b", "llm").read_rate == 20.0
+    assert not book.is_strained("llm")
--- a/cornelnotch/gateway/tests/test_loads.py
+++ b/cornelnotch/gateway/tests/test_loads.py
@@ -10,8 +10,8 @@
 
 def test_sums_hold_every_host_and_forget_those_that_fell_silent():
     board = LoadBoard()
-    board.take(LoadReport("a", [create_use(backlog=(5,))]), 0.0)
-    board.take(LoadReport("b", [create_use(backlog=(0, 100))]), 1000.0)
+    board.take(LoadReport("a", [create_use(backlog=(5,))], []), 0.0)
+    board.take(LoadReport("b", [create_use(backlog=(0, 100))], []), 1000.0)
     (total,) = board.sum_up(1000.0)
     assert (total.running, total.waiting, total.backlog) == (2, 2, [5, 100])
     (later,) = board.sum_up(2000.0)
@@ -23,7 +23,7 @@
     sums = LoadSums({})
     own = create_use(running=1, waiting=2, backlog=(0, 40))
     total = create_use(running=3, waiting=2, backlog=(0, 100))
-    sums.take(LoadSummary("c", [total], []), [own], 0.0)
+    sums.take(LoadSummary("c", [total], [], []), [own], 0.0)
     others = sums.find("s", 100.0)
     assert others is not None
     assert (others.running, others.waiting, others.backlog) == (2, 0, [0, 60])
@@ -31,5 +31,5 @@
 
 def test_an_old_summary_counts_for_nothing():
     sums = LoadSums({})
-    sums.take(LoadSummary("c", [create_use()], []), [], 0.0)
+    sums.take(LoadSummary("c", [create_use()], [], []), [], 0.0)
     assert sums.find("s", 5000.0) is None
--- a/cornelnotch/gateway/tests/test_turns.py
+++ b/cornelnotch/gateway/tests/test_turns.py
@@ -5,6 +5,7 @@
 import pytest
 
 from cornelnotch.gateway import turns
+from cornelnotch.gateway.engines import PRIOR_PACE
 from cornelnotch.gateway.models import PromptPart
 from cornelnotch.gateway.placing import Placer
 from cornelnotch.gateway.turns import Ticket, TurnQueue
@@ -15,6 +16,7 @@
 )
 
 CACHE_TOKENS = 100_000
+RATE = PRIOR_PACE.read_rate
 
 
 def create_ticket(name, own=1000, shared=0, thing="", priority=1, at=0.0, **fields):
@@ -47,10 +49,12 @@
     ):
         queue.ask(ticket)
     assert list_granted(queue) == []
-    queue.begin("first")
-    assert list_granted(queue) == ["urgent"]
-    queue.begin("urgent")
-    assert list_granted(queue) == ["short", "long"]
+    read_ms = 20_000 / RATE
+    queue.begin("first", read_ms)
+    assert list_granted(queue, read_ms) == ["urgent"]
+    read_ms += 9000 / RATE
+    queue.begin("urgent", read_ms)
+    assert list_granted(queue, read_ms) == ["short", "long"]
 
 
 def test_a_prompt_whose_parts_the_engine_has_read_is_short():
@@ -81,14 +85,14 @@
     queue.grant(0.0)
     queue.ask(create_ticket("long", own=15_000, at=0.0))
     queue.ask(create_ticket("short", own=9000, at=6000.0))
-    queue.begin("running")
+    queue.begin("running", 30_000 / RATE)
     assert list_granted(queue, 6000.0)[0] == "long"
 
 
 def test_the_next_prompt_is_sent_before_the_engine_runs_dry():
     queue = create_queue(create_ticket("a", own=15_000), create_ticket("b", own=15_000))
     assert list_granted(queue) == ["a"]
-    due_ms = queue.find_next_ms()
+    due_ms = queue.find_next_ms(0.0)
     assert list_granted(queue, due_ms - 1.0) == []
     assert list_granted(queue, due_ms + 1.0) == ["b"]
 
@@ -98,7 +102,7 @@
     granted = []
     for second in range(5):
         granted += list_granted(queue, second * 1000.0)
-    assert len(granted) * 7000 <= turns.UNBEGUN_LIMIT + 7000
+    assert len(granted) * 7000 <= turns.MAX_UNBEGUN_MS * RATE + 7000
 
 
 def test_slots_bound_what_runs():
@@ -131,8 +135,7 @@
     late = create_ticket("late", at=now)
     queue.ask(late)
     assert list_granted(queue, now) == []
-    rate = turns.READ_TOKENS_PER_MS
-    assert queue.estimate_wait(late, now) == pytest.approx(200_000 / rate)
+    assert queue.estimate_wait(late, now) == pytest.approx(200_000 / RATE)
 
 
 def test_a_host_that_went_ahead_is_counted_once():
@@ -150,10 +153,9 @@
     short, long = create_ticket("s", own=3000), create_ticket("l", own=9000)
     queue.ask(short)
     queue.ask(long)
-    rate = turns.READ_TOKENS_PER_MS
     later = 2 * turns.ARRIVALS_MS
-    assert queue.estimate_wait(short, later) == pytest.approx(30_000 / rate)
-    assert queue.estimate_wait(long, later) == pytest.approx(33_000 / rate)
+    assert queue.estimate_wait(short, later) == pytest.approx(30_000 / RATE)
+    assert queue.estimate_wait(long, later) == pytest.approx(33_000 / RATE)
 
 
 def test_the_wait_grows_with_what_is_likely_to_come_ahead():
@@ -161,7 +163,7 @@
     queue.grant(0.0)
     long = create_ticket("l", own=90_000)
     queue.ask(long)
-    half = int(turns.READ_TOKENS_PER_MS * 150.0)
+    half = int(RATE * 150.0)
     for number in range(10):
         queue.ask(create_ticket(f"s{number}", own=half, at=number * 300.0))
         queue.end(f"s{number}")
--- a/cornelnotch/gateway/turns.py
+++ b/cornelnotch/gateway/turns.py
@@ -5,24 +5,29 @@
 a sixth of a second of reading at a time. It answers days on which more prompts
 come than engines can read: urgent ones first, then those that need least reading,
 so that most callers are served in time and no long reading holds up urgent prompts.
+
+Where streams paused for too long, the queue grants no more reading within the
+shortest pause that a running stream allows than fits into it. It answers bursts of
+prompts beside chats: prompts come a little later, and the chats keep their pauses.
 """
 
 from collections import OrderedDict, deque
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from cornelnotch.gateway.engines import EngineEstimate, find_reading_budget
 from cornelnotch.gateway.models import PromptPart
+from cornelnotch.wire.messages import StreamProgress
 
 __all__ = ["Ticket", "TurnQueue"]
 
-# Prompt tokens that an engine reads in a ms beside its streams: on a played day 17
-# of the longest prompts to 44 of short ones.
-READ_TOKENS_PER_MS = 25.0
-# Unread tokens up to which an engine is given more: 160 ms of reading, enough that
-# it does not wait for the next grant, also from another region.
-UNREAD_LIMIT = 4000
-# Tokens sent and not begun beyond which an engine is slower than it should be.
-UNBEGUN_LIMIT = 4 * UNREAD_LIMIT
+# Unread prompts up to which an engine is given more, as the time that it reads them:
+# enough that it does not wait for the next grant, also from another region.
+READ_AHEAD_MS = 160.0
+# What is sent and not begun beyond this shows that an engine is slower than it was.
+MAX_UNBEGUN_MS = 4 * READ_AHEAD_MS
+# How long a grant is remembered: longer than the pauses that callers accept.
+READING_LIFETIME_MS = 5000.0
 # A request that waits gains on shorter ones by this share of its wait, so that
 # long ones are late rather than lost.
 AGE_SHARE = 0.05
@@ -42,7 +47,8 @@
 class Ticket:
     """Hold one request that a host has for an engine; times are in ms.
 
-    `unread` counts the tokens to read, as of the grant once there is one.
+    `unread` counts the tokens to read, as of the grant once there is one. The caller
+    accepts pauses of `gap_ms`, any if that is 0.
     """
 
     request_id: str
@@ -55,6 +61,8 @@
     granted: bool = False
     begun: bool = False
     unread: int = 0
+    gap_ms: float = 0.0
+    granted_ms: float = 0.0
 
     @property
     def tokens(self) -> int:
@@ -62,6 +70,15 @@
         return self.own_tokens + sum(part.tokens for part in self.shared)
 
 
+@dataclass(frozen=True, slots=True)
+class Reading:
+    """Remember a prompt that was granted or read, and when."""
+
+    at_ms: float
+    request_id: str
+    tokens: int
+
+
 @dataclass(frozen=True, slots=True)
 class Arrival:
     """Remember the reading that one request brought."""
@@ -74,8 +91,11 @@
 class TurnQueue:
     """Order the requests for one engine and grant them as it reads."""
 
-    def __init__(self, slots: int, cache_tokens: int) -> None:
+    def __init__(
+        self, slots: int, cache_tokens: int, estimate: EngineEstimate | None = None
+    ) -> None:
         self.slots = slots
+        self.estimate = estimate or EngineEstimate()
         self.tickets: dict[str, Ticket] = {}
         self._cache_tokens = cache_tokens
         self._cache: OrderedDict[str, int] = OrderedDict()
@@ -84,6 +104,8 @@
         self._at_ms = 0.0
         self._arrivals: deque[Arrival] = deque()
         self._began_ms = float("inf")
+        self._granted: deque[Reading] = deque()
+        self._read: deque[Reading] = deque()
 
     def ask(self, ticket: Ticket) -> Ticket:
         """Take in a request, or hear of a known one again; return what is known."""
@@ -99,15 +121,41 @@
             # The host went ahead without an answer.
             self._count_reading(known)
             known.granted = True
+        if ticket.begun and not known.begun:
+            self._note_begun(known, ticket.heard_ms)
         known.begun = known.begun or ticket.begun
         return known
 
-    def begin(self, request_id: str) -> None:
+    def begin(self, request_id: str, now: float | None = None) -> None:
         """Note that the engine has read a prompt."""
         ticket = self.tickets.get(request_id)
-        if ticket is not None:
+        if ticket is not None and not ticket.begun:
+            self._note_begun(ticket, self._at_ms if now is None else now)
             ticket.begun = True
 
+    def note_progress(
+        self, request_id: str, progress: StreamProgress, now: float
+    ) -> None:
+        """Learn from how far a stream came beside what the engine read."""
+        began_ms = now - progress.spent_ms
+        tokens = sum(
+            reading.tokens
+            for reading in self._read
+            if reading.at_ms >= began_ms and reading.request_id != request_id
+        )
+        ticket = self.tickets.get(request_id)
+        gap_ms = ticket.gap_ms if ticket is not None else 0.0
+        self.estimate.note_progress(progress, tokens, gap_ms, now)
+
+    def _note_begun(self, ticket: Ticket, now: float) -> None:
+        """Learn from the time that the engine took for a prompt."""
+        free_ms = self._read[-1].at_ms if self._read else float("-inf")
+        elapsed_ms = now - max(ticket.granted_ms, free_ms)
+        self.estimate.note_reading(ticket.unread, elapsed_ms, now)
+        self._read.append(Reading(now, ticket.request_id, ticket.unread))
+        while self._read[0].at_ms < now - READING_LIFETIME_MS:
+            self._read.popleft()
+
     def end(self, request_id: str) -> None:
         """Forget a request that ended or was given up."""
         self.tickets.pop(request_id, None)
@@ -126,6 +174,8 @@
         granted = []
         while waiting and self._has_room():
             ticket = min(waiting, key=lambda t: self._rank(t, now))
+            if self._find_pause_ms(ticket, now) > 0:
+                break
             waiting.remove(ticket)
             ticket.granted = True
             ticket.heard_ms = now
@@ -133,9 +183,37 @@
             granted.append(ticket)
         return granted
 
-    def find_next_ms(self) -> float:
+    def find_next_ms(self, now: float) -> float:
         """Return the time until room may come by reading alone, in ms."""
-        return max(self._unread - UNREAD_LIMIT, 0.0) / READ_TOKENS_PER_MS
+        reading_ms = max(self._count_reading_ms(self._unread) - READ_AHEAD_MS, 0.0)
+        waiting = [t for t in self.tickets.values() if not t.granted]
+        first = min(waiting, key=lambda t: self._rank(t, now), default=None)
+        if first is None:
+            return reading_ms
+        return max(reading_ms, self._find_pause_ms(first, now))
+
+    def _find_pause_ms(self, ticket: Ticket, now: float) -> float:
+        """Return how long a prompt must wait for the pauses of running streams."""
+        pace = self.estimate.pace
+        if not pace.strained:
+            return 0.0
+        gap_ms = min(
+            (t.gap_ms for t in self.tickets.values() if t.begun and t.gap_ms > 0),
+            default=0.0,
+        )
+        left = find_reading_budget(pace, gap_ms)
+        left -= self.count_unread(ticket)
+        for reading in reversed(self._granted):
+            if reading.at_ms <= now - gap_ms:
+                break
+            left -= reading.tokens
+            if left < 0:
+                # A prompt that is too long by itself waits for a whole pause.
+                return reading.at_ms + gap_ms - now
+        return 0.0
+
+    def _count_reading_ms(self, tokens: float) -> float:
+        return tokens / self.estimate.pace.read_rate
 
     def estimate_wait(self, ticket: Ticket, now: float) -> float:
         """Return how long a request may have to wait for its grant, in ms.
@@ -148,7 +226,7 @@
             for other in self.tickets.values()
             if not other.granted and self._rank(other, now) < rank
         )
-        alone_ms = (ahead + self._unread) / READ_TOKENS_PER_MS
+        alone_ms = self._count_reading_ms(ahead + self._unread)
         return alone_ms / (1.0 - self._measure_overtaken(ticket, now))
 
     def _measure_overtaken(self, ticket: Ticket, now: float) -> float:
@@ -162,7 +240,7 @@
             if (other.priority, other.unread) < (ticket.priority, unread)
         )
         passed_ms = max(min(now - self._began_ms, ARRIVALS_MS), MIN_ARRIVALS_MS)
-        return min(sooner / (passed_ms * READ_TOKENS_PER_MS), MAX_OVERTAKEN)
+        return min(self._count_reading_ms(sooner) / passed_ms, MAX_OVERTAKEN)
 
     def _note_arrival(self, ticket: Ticket) -> None:
         unread = self.count_unread(ticket)
@@ -180,19 +258,20 @@
         # What is begun has been read, so less is left than reading time tells.
         self._unread = min(self._unread, float(unbegun))
         return (
-            self._unread <= UNREAD_LIMIT
-            and unbegun <= UNBEGUN_LIMIT
+            self._count_reading_ms(self._unread) <= READ_AHEAD_MS
+            and self._count_reading_ms(unbegun) <= MAX_UNBEGUN_MS
             and len(granted) < self.slots + SPARE_GRANTS
         )
 
     def _rank(self, ticket: Ticket, now: float) -> tuple[int, float]:
         """Return what orders requests, the first to be read being the least."""
-        reading_ms = self.count_unread(ticket) / READ_TOKENS_PER_MS
+        reading_ms = self._count_reading_ms(self.count_unread(ticket))
         return ticket.priority, reading_ms - AGE_SHARE * (now - ticket.asked_ms)
 
     def _drain(self, now: float) -> None:
         passed = max(now - self._at_ms, 0.0)
-        self._unread = max(self._unread - passed * READ_TOKENS_PER_MS, 0.0)
+        read = passed * self.estimate.pace.read_rate
+        self._unread = max(self._unread - read, 0.0)
         self._at_ms = now
 
     def count_unread(self, ticket: Ticket) -> int:
@@ -206,8 +285,14 @@
 
     def _count_reading(self, ticket: Ticket) -> None:
         ticket.unread = self.count_unread(ticket)
+        ticket.granted_ms = ticket.heard_ms
         if not ticket.begun:
             self._unread += ticket.unread
+            self._granted.append(
+                Reading(ticket.heard_ms, ticket.request_id, ticket.unread)
+            )
+            while self._granted[0].at_ms < ticket.heard_ms - READING_LIFETIME_MS:
+                self._granted.popleft()
         self._remember(ticket.shared)
 
     def _remember(self, parts: Iterable[PromptPart]) -> None:
--- a/cornelnotch/testing/enginemodel.py
+++ b/cornelnotch/testing/enginemodel.py
@@ -8,6 +8,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
+from cornelnotch.gateway.engines import EngineEstimate
 from cornelnotch.gateway.models import (
     CallerRequest,
     PromptPart,
@@ -21,18 +22,25 @@
 from cornelnotch.gateway.servers import Flight, ServerView
 from cornelnotch.gateway.turns import Ticket, TurnQueue
 
-__all__ = ["EngineModel", "Outcome", "PlacedRequest", "play_requests"]
-
-STEP_MS = 6.55
-STEP_PER_STREAM_MS = 0.165
-CHUNK_TOKENS = 1024
-TOKENS_PER_MS = 62.4
-# Each token that is read attends to all before it.
-PAIR_MS = 0.525e-6
-EVENT_TOKENS = 3
-SLOTS = 64
-CACHE_TOKENS = 400_000
+__all__ = ["EngineModel", "EngineShape", "Outcome", "PlacedRequest", "play_requests"]
+
 DOMAIN = "a"
+# Hosts tell how far a stream came this often.
+TELL_MS = 1500.0
+
+
+@dataclass(frozen=True, slots=True)
+class EngineShape:
+    """Say what an engine can do; each token that is read attends to all before it."""
+
+    step_ms: float = 6.55
+    step_per_stream_ms: float = 0.165
+    chunk_tokens: int = 1024
+    tokens_per_ms: float = 62.4
+    pair_ms: float = 0.525e-6
+    event_tokens: int = 3
+    slots: int = 64
+    cache_tokens: int = 400_000
 
 
 @dataclass(slots=True)
@@ -47,6 +55,7 @@
     own_tokens: int
     answer_tokens: int
     priority: int = 1
+    gap_ms: float = 0.0
 
 
 @dataclass(slots=True)
@@ -69,6 +78,7 @@
     prompt: int = 0
     unsent: int = 0
     heard_ms: float = 0.0
+    told_ms: float = 0.0
 
 
 @dataclass(slots=True)
@@ -77,7 +87,7 @@
 
     view: ServerView
     turns: TurnQueue | None = None
-    cache_tokens: int = CACHE_TOKENS
+    shape: EngineShape = EngineShape()
     runs: list[Run] = field(default_factory=list)
     cache: OrderedDict[str, int] = field(default_factory=OrderedDict)
     waiting: dict[str, Run] = field(default_factory=dict)
@@ -111,7 +121,7 @@
         else:
             run.unread += request.shared_tokens
             self.cache[request.shared] = request.shared_tokens
-        while sum(self.cache.values()) > self.cache_tokens:
+        while sum(self.cache.values()) > self.shape.cache_tokens:
             self.cache.popitem(last=False)
         run.flight.prefill_tokens = run.unread
         self.read_tokens += run.unread
@@ -119,7 +129,7 @@
 
     def step(self) -> None:
         """Make one step and note what callers get."""
-        chunk = CHUNK_TOKENS
+        chunk = self.shape.chunk_tokens
         read = 0
         attended = 0
         making = []
@@ -130,8 +140,9 @@
             attended += part * (run.prompt - run.unread)
             if run.unread == 0:
                 making.append(run)
-        duration = STEP_MS + STEP_PER_STREAM_MS * len(making) + read / TOKENS_PER_MS
-        duration += attended * PAIR_MS
+        shape = self.shape
+        duration = shape.step_ms + shape.step_per_stream_ms * len(making)
+        duration += read / shape.tokens_per_ms + attended * shape.pair_ms
         self.free_ms += duration
         for run in making:
             self._make_token(run)
@@ -139,19 +150,23 @@
     def _make_token(self, run: Run) -> None:
         run.left -= 1
         run.unsent += 1
-        if run.unsent < EVENT_TOKENS and run.left > 0:
+        if run.unsent < self.shape.event_tokens and run.left > 0:
             return
         run.unsent = 0
         outcome = run.outcome
         if not run.heard_ms:
             if self.turns is not None:
-                self.turns.begin(outcome.request.name)
+                self.turns.begin(outcome.request.name, self.free_ms)
+            run.told_ms = self.free_ms
             outcome.first_ms = self.free_ms - outcome.request.at_ms
         else:
             gap = self.free_ms - run.heard_ms
             outcome.longest_gap_ms = max(outcome.longest_gap_ms, gap)
         run.heard_ms = self.free_ms
         self.view.hear(run.flight, self.free_ms)
+        run.flight.count_events(1, self.free_ms)
+        if run.left <= 0 or self.free_ms - run.told_ms >= TELL_MS:
+            self._tell(run)
         if run.left <= 0:
             self.view.finish(run.flight)
             self.view.remember([_create_shared(outcome.request)], self.free_ms)
@@ -159,6 +174,14 @@
             if self.turns is not None:
                 self.turns.end(outcome.request.name)
 
+    def _tell(self, run: Run) -> None:
+        """Tell the queue how far a stream came."""
+        run.told_ms = self.free_ms
+        progress = run.flight.take_progress()
+        if self.turns is not None and progress is not None:
+            name = run.outcome.request.name
+            self.turns.note_progress(name, progress, self.free_ms)
+
 
 def _create_ticket(request: PlacedRequest, now: float) -> Ticket:
     parts = (_create_shared(request),)
@@ -170,6 +193,7 @@
         request.own_tokens,
         now,
         now,
+        gap_ms=request.gap_ms,
     )
 
 
@@ -191,18 +215,19 @@
     )
 
 
-def create_engines(count: int, turns: bool = False) -> list[EngineModel]:
+def create_engines(
+    count: int, turns: bool = False, shape: EngineShape | None = None
+) -> list[EngineModel]:
     """Return idle engines of one failure domain, with or without turns."""
-    records = [
-        ServerRecord(f"engine-{i}", "llm", f"10.0.0.{i}:80", DOMAIN, SLOTS)
-        for i in range(count)
-    ]
-    return [
-        EngineModel(
-            ServerView(record), TurnQueue(SLOTS, CACHE_TOKENS) if turns else None
-        )
-        for record in records
-    ]
+    shape = shape or EngineShape()
+    engines = []
+    for number in range(count):
+        name = f"engine-{number}"
+        record = ServerRecord(name, "llm", f"10.0.0.{number}:80", DOMAIN, shape.slots)
+        estimate = EngineEstimate(name)
+        queue = TurnQueue(shape.slots, shape.cache_tokens, estimate) if turns else None
+        engines.append(EngineModel(ServerView(record), queue, shape))
+    return engines
 
 
 def play_requests(
@@ -219,8 +244,10 @@
     for request in sorted(requests, key=lambda r: r.at_ms):
         _advance(engines, request.at_ms)
         views = [engine.view for engine in engines]
-        reserved = _choose_reserved(views) if reserve else frozenset()
-        need = PlacementNeed(request.priority, (), request.tight, reserved)
+        reserved = _choose_reserved(engines) if reserve else frozenset()
+        need = PlacementNeed(
+            request.priority, (), request.tight, reserved, request.gap_ms
+        )
         placed = placer.choose(views, route, _create_call(request), need, request.at_ms)
         assert placed is not None
         flight = Flight(
@@ -239,9 +266,11 @@
     return outcomes
 
 
-def _choose_reserved(views: list[ServerView]) -> frozenset[str]:
+def _choose_reserved(engines: list[EngineModel]) -> frozenset[str]:
+    views = [engine.view for engine in engines]
     tight = {v.record.name: sum(f.tight for f in v.flights.values()) for v in views}
-    return choose_reserved([view.record for view in views], {}, tight)
+    strained = any(e.turns and e.turns.estimate.pace.strained for e in engines)
+    return choose_reserved([view.record for view in views], {}, tight, strained)
 
 
 def _advance(engines: list[EngineModel], until_ms: float) -> None:
--- a/cornelnotch/wire/messages.py
+++ b/cornelnotch/wire/messages.py
@@ -12,6 +12,7 @@
     "ClaimAsk",
     "ConfigurationFetch",
     "ConfigurationOffer",
+    "EnginePace",
     "HeldPermit",
     "HeldPermits",
     "Hello",
@@ -37,6 +38,7 @@
     "ServerLeaving",
     "ServerUpdate",
     "ServerUse",
+    "StreamProgress",
     "TurnAsk",
     "TurnEnd",
     "TurnGrant",
@@ -334,20 +336,42 @@
     backlog: list[int]
 
 
+@dataclass(frozen=True, slots=True)
+class EnginePace:
+    """Tell how fast an engine is.
+
+    `read_rate` counts the prompt tokens read in a ms as callers see it, `chunk_rate`
+    those read while a stream pauses for them. `event_ms` is the time between two events
+    of a stream beside which nothing is read. `strained` says that streams paused for
+    too long.
+    """
+
+    server: str
+    read_rate: float
+    chunk_rate: float
+    event_ms: float
+    strained: bool
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """Tell what one host has under way."""
+    """Tell what one host has under way, and of engines whose turns it keeps."""
 
     host: str
     uses: list[ServerUse]
+    paces: list[EnginePace]
 
 
 @dataclass(frozen=True, slots=True)
 class LoadSummary:
-    """Tell what all hosts have under way; passed on to `targets`."""
+    """Tell what all hosts have under way; passed on to `targets`.
+
+    `paces` holds engines of which there is news.
+    """
 
     origin: str
     uses: list[ServerUse]
+    paces: list[EnginePace]
     targets: list[str]
 
 
@@ -371,6 +395,15 @@
     tokens: int
 
 
+@dataclass(frozen=True, slots=True)
+class StreamProgress:
+    """Tell how many events of a stream came in how many ms, and its longest pause."""
+
+    events: int
+    spent_ms: float
+    longest_ms: float
+
+
 TurnStage = Literal["waiting", "sent", "begun"]
 
 
@@ -379,7 +412,7 @@
     """Tell what a host has for an engine; asked again until it has ended.
 
     `stage` is "waiting" until the host has sent the request and "begun" once the
-    engine has read it.
+    engine has read it. A stream that must not pause for longer tells `gap_ms`.
     """
 
     request_id: str
@@ -389,6 +422,8 @@
     own_tokens: int
     waited_ms: float
     stage: TurnStage
+    gap_ms: float = 0.0
+    progress: StreamProgress | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -416,6 +451,7 @@
 
     request_id: str
     server: str
+    progress: StreamProgress | None = None
 
 
 def list_message_types() -> list[type]:
