Bound what servers in trouble may send; cut no slow stream that nobody can go on with

Cause: heads had no time limit, provisional answers no count, events no length, bodies of calls were held up to 16 MB each, and a byte now and then kept a stalled stream alive; a stream that was only slow was cut even when nobody could go on with it. Now a head that began ends within 2 s, an event within 256 KB; bodies over 256 KB are passed on as they come, up to 64 MB, and never look whole when cut; only whole events are progress; a stall cuts a stream only if budget and another server are there. Chunk headers, trailers and heads were bounded by the HTTP library before.

--- a/cornelnotch/gateway/budget.py
+++ b/cornelnotch/gateway/budget.py
@@ -23,13 +23,17 @@
         """Count one request of a caller."""
         self._requests.append(now)
 
-    def withdraw(self, now: float) -> bool:
-        """Take one repeat; tell whether the budget allows it."""
+    def allows(self, now: float) -> bool:
+        """Tell whether a repeat is left."""
         for times in (self._requests, self._repeats):
             while times and times[0] <= now - self._window_ms:
                 times.popleft()
         limit = self._share * len(self._requests) + self._extra / self.hosts
-        if len(self._repeats) + 1 > limit * SAFETY_SHARE:
-            return False
-        self._repeats.append(now)
-        return True
+        return len(self._repeats) + 1 <= limit * SAFETY_SHARE
+
+    def withdraw(self, now: float) -> bool:
+        """Take one repeat; tell whether the budget allows it."""
+        allowed = self.allows(now)
+        if allowed:
+            self._repeats.append(now)
+        return allowed
--- a/cornelnotch/gateway/dispatch.py
+++ b/cornelnotch/gateway/dispatch.py
@@ -1,6 +1,5 @@
 """Send a request to one server and read the answer."""
 
-from collections.abc import AsyncIterator
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -44,15 +43,26 @@
         """Return the headers to pass on."""
         return self.head.pairs if self.head is not None else []
 
-    def iterate(self) -> AsyncIterator[bytes]:
-        """Yield the body as it arrives; raise UpstreamError when it breaks off."""
-        assert self.source is not None
-        return self.source.iterate()
+    async def read_part(self) -> bytes:
+        """Return the next part of the body, nothing at its end.
 
-    async def read(self) -> bytes:
-        """Return the whole body; raise UpstreamError when it breaks off."""
+        Raise UpstreamError when it breaks off; a call that is cancelled loses nothing.
+        """
         assert self.source is not None
-        return await self.source.read()
+        return await self.source.read_part()
+
+    async def read_start(self, limit_bytes: int) -> bytes:
+        """Return the whole body, or its start once that is above the limit."""
+        parts = []
+        size = 0
+        while size <= limit_bytes and (part := await self.read_part()):
+            parts.append(part)
+            size += len(part)
+        return b"".join(parts)
+
+    def is_whole(self) -> bool:
+        """Tell whether the body has been read to its end."""
+        return self.source is not None and self.source.complete
 
     def close(self) -> None:
         """Give up the rest of the answer; the server sees the cut."""
--- a/cornelnotch/gateway/patience.py
+++ b/cornelnotch/gateway/patience.py
@@ -1,12 +1,8 @@
 """Decide how long a server may stay silent where another one may help."""
 
-import asyncio
-from collections.abc import AsyncIterator
-
-from cornelnotch.exceptions import UpstreamStalledError
 from cornelnotch.gateway.models import Route, WorkKind
 
-__all__ = ["find_patience_s", "find_stall_s", "read_part"]
+__all__ = ["find_patience_s", "find_stall_s"]
 
 # A call that takes this many times its target has probably lost its answer.
 PATIENT_TARGETS = 2.5
@@ -34,14 +30,3 @@
     if not route.resumable or ran >= route.attempts:
         return None
     return max(route.target_gap_ms * STALL_GAPS, MIN_STALL_MS) / 1000.0
-
-
-async def read_part(parts: AsyncIterator[bytes], stall_s: float | None) -> bytes:
-    """Return the next bytes, none at the end; raise UpstreamStalledError on silence."""
-    try:
-        async with asyncio.timeout(stall_s):
-            return await anext(parts, b"")
-    except TimeoutError as error:
-        raise UpstreamStalledError(
-            f"no event for {stall_s} s", "go on at another server"
-        ) from error
--- a/cornelnotch/gateway/streams.py
+++ b/cornelnotch/gateway/streams.py
@@ -1,10 +1,13 @@
 """Cut a stream of events into whole events; pure."""
 
+from cornelnotch.exceptions import UpstreamError
+
 __all__ = ["EventCutter"]
 
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
-MAX_EVENT_BYTES = 1024 * 1024
+# The longest event: hosts hold so much of each stream, on machines with 128 MB.
+MAX_EVENT_BYTES = 256 * 1024
 
 
 class EventCutter:
@@ -16,10 +19,18 @@
         self._rest = b""
 
     def feed(self, data: bytes) -> bytes:
-        """Return all whole events at hand."""
+        """Return all whole events at hand; raise UpstreamError if one has no end."""
         buffer = self._rest + data
-        end = buffer.rfind(EVENT_END)
+        # The end may stand astride what is known and what is new.
+        known = max(len(self._rest) - len(EVENT_END) + 1, 0)
+        end = buffer.rfind(EVENT_END, known)
         if end < 0:
+            if len(buffer) > MAX_EVENT_BYTES:
+                self._rest = b""
+                raise UpstreamError(
+                    f"an event is longer than {MAX_EVENT_BYTES} bytes",
+                    "check the server",
+                )
             self._rest = buffer
             return b""
         end += len(EVENT_END)
--- /dev/null
+++ b/cornelnotch/gateway/tests/test_troubled_servers.py
@@ -0,0 +1,215 @@
+"""Servers send bytes without end or sense; check that hosts cut them and stay small."""
+
+import asyncio
+import tracemalloc
+
+import pytest
+
+from cornelnotch.exceptions import UpstreamError
+from cornelnotch.gateway import flow, patience
+from cornelnotch.gateway.servers import Flight
+from cornelnotch.gateway.streams import MAX_EVENT_BYTES, EventCutter
+from cornelnotch.gateway.tests.conftest import run_deployment, wait_until
+from cornelnotch.standins.raw import RawAnswer, RawUpstream
+from cornelnotch.web import client
+
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nx-attempt-id: ID\r\nx-server-signature: s\r\n"
+    b"content-type: text/event-stream\r\n"
+)
+CHUNKED = HEAD + b"transfer-encoding: chunked\r\n\r\n"
+SLOW_MS = 50.0
+ENDLESS = {
+    "head": RawAnswer(b"HTTP/1.1 200 OK\r\n", b"x-more: " + b"y" * 500 + b"\r\n"),
+    "header": RawAnswer(b"HTTP/1.1 200 OK\r\nx-more: ", b"y" * 4096),
+    "slow head": RawAnswer(b"HTTP/1.1 200 OK\r\nx-more: ", b"y", SLOW_MS),
+    "status": RawAnswer(b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "slow status": RawAnswer(b"", b"HTTP/1.1 100 Continue\r\n\r\n", SLOW_MS),
+    "no head": RawAnswer(b"", b"\x00\xff" * 4096),
+    "chunk header": RawAnswer(CHUNKED + b"5;", b"e" * 4096),
+    "trailers": RawAnswer(CHUNKED + b"0\r\n", b"x-more: " + b"y" * 4096),
+    "event": RawAnswer(CHUNKED, b"1000\r\n" + b"d" * 4096 + b"\r\n"),
+}
+# Machines of 128 MB hold a host of 30 MB and what 50 servers in trouble send.
+MAX_HELD_BYTES = 64 * 1024 * 1024
+TROUBLED = 50
+
+
+@pytest.fixture(autouse=True)
+def quick(monkeypatch):
+    monkeypatch.setattr(client, "HEAD_TIMEOUT_S", 0.4)
+    monkeypatch.setattr(patience, "MIN_STALL_MS", 400.0)
+
+
+def play(answer, scenario, service="llm"):
+    """Play with one sound server of a service and one that answers `answer`."""
+
+    async def run():
+        async with run_deployment() as d:
+            server = RawUpstream("raw", answer)
+            await server.start()
+            sound = d.engines if service == "llm" else d.desks
+            d.drop_server(sound[0])
+            d.list_server(server, service)
+            servers = d.host.parts.pool.servers
+            await wait_until(lambda: "raw" in servers and sound[0].name not in servers)
+            try:
+                await scenario(d, server)
+            finally:
+                await server.stop()
+
+    asyncio.run(run())
+
+
+def list_events(body):
+    """Return the numbers of the events in a body."""
+    lines = [line for line in body.split(b"\n") if line.startswith(b"id:")]
+    return [int(line[3:]) for line in lines]
+
+
+def occupy(d, name):
+    """Make a server look busy, so that the other one is tried first."""
+    for number in range(5):
+        d.host.parts.pool.servers[name].start(Flight(f"busy {number}", 0.0, 5000))
+
+
+@pytest.mark.parametrize("trouble", ENDLESS)
+def test_a_stream_goes_on_elsewhere_and_the_server_is_cut(trouble):
+    async def scenario(d, server):
+        occupy(d, "llm-2")
+        answer = await d.send("/stream/x", "POST")
+        assert list_events(await answer.read()) == list(range(1, 7))
+        assert server.requests == 1
+        await wait_until(lambda: server.closed == server.requests, 2.0)
+
+    play(ENDLESS[trouble], scenario)
+
+
+@pytest.mark.parametrize("trouble", [t for t in ENDLESS if t != "event"])
+def test_a_call_goes_elsewhere_and_the_server_is_cut(trouble):
+    async def scenario(d, server):
+        occupy(d, "desk-2")
+        answer = await d.send("/read/x")
+        assert await answer.read() == b"done by desk-2"
+        assert server.requests == 1
+        await wait_until(lambda: server.closed == server.requests, 2.0)
+
+    play(ENDLESS[trouble], scenario, "desk")
+
+
+def test_a_body_without_end_is_passed_on_in_bounds_and_never_looks_whole(monkeypatch):
+    monkeypatch.setattr(flow, "MAX_BODY_BYTES", 3_000_000)
+
+    async def scenario(d, server):
+        d.drop_server(d.desks[1])
+        await wait_until(lambda: "desk-2" not in d.host.parts.pool.servers)
+        answer = await d.send("/read/x")
+        with pytest.raises(UpstreamError):
+            await answer.read()
+        await wait_until(lambda: server.closed == 1, 2.0)
+        assert d.host.parts.pool.servers["raw"].failures == 1
+
+    play(RawAnswer(CHUNKED, b"1000\r\n" + b"d" * 4096 + b"\r\n"), scenario, "desk")
+
+
+def test_a_large_sound_body_is_passed_on_whole():
+    body = b"z" * (flow.MAX_HELD_BYTES * 3)
+    head = HEAD + b"content-length: %d\r\n\r\n" % len(body)
+
+    async def scenario(d, server):
+        d.drop_server(d.desks[1])
+        await wait_until(lambda: "desk-2" not in d.host.parts.pool.servers)
+        answer = await d.send("/read/x")
+        assert await answer.read() == body
+
+    play(RawAnswer(head + body), scenario, "desk")
+
+
+def test_bytes_after_the_length_go_to_nobody():
+    async def scenario(d, server):
+        d.drop_server(d.desks[1])
+        await wait_until(lambda: "desk-2" not in d.host.parts.pool.servers)
+        for number in range(3):
+            answer = await d.send("/read/x", x_attempt_id=f"r{number}")
+            assert await answer.read() == b"mine"
+
+    whole = HEAD + b"content-length: 4\r\n\r\nmine"
+    play(RawAnswer(whole + whole), scenario, "desk")
+
+
+def test_fifty_servers_without_end_leave_a_host_small():
+    async def scenario(d, server):
+        d.drop_server(d.engines[1])
+        await wait_until(lambda: "llm-2" not in d.host.parts.pool.servers)
+        tracemalloc.start()
+        try:
+            before, _ = tracemalloc.get_traced_memory()
+            headers = {"x_deadline_ms": "1500"}
+            sends = [
+                d.send("/stream/draft/x", "POST", x_attempt_id=f"r{n}", **headers)
+                for n in range(TROUBLED)
+            ]
+            answers = await asyncio.gather(*sends)
+            for answer in answers:
+                with pytest.raises(UpstreamError):
+                    await answer.read()
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert server.requests == TROUBLED
+        assert peak - before < MAX_HELD_BYTES
+
+    play(RawAnswer(CHUNKED, b"10000\r\n" + b"d" * 65536 + b"\r\n"), scenario)
+
+
+def test_a_stream_that_sends_a_byte_now_and_then_goes_on_elsewhere():
+    start = CHUNKED + b"15\r\nid: 1\ndata: piece 1\n\n\r\n"
+
+    async def scenario(d, server):
+        occupy(d, "llm-2")
+        answer = await d.send("/stream/x", "POST")
+        assert list_events(await answer.read()) == list(range(1, 7))
+        assert server.requests == 1
+
+    play(RawAnswer(start, b"1\r\nd\r\n", SLOW_MS), scenario)
+
+
+def test_a_slow_sound_stream_that_nobody_else_can_go_on_with_is_not_cut():
+    async def scenario(d, server):
+        d.drop_server(d.engines[1])
+        await wait_until(lambda: "llm-2" not in d.host.parts.pool.servers)
+        answer = await d.send("/stream/x", "POST")
+        body = await answer.read()
+        assert body.count(b"\n\n") == 2
+        assert server.requests == 1
+
+    class SlowUpstream(RawUpstream):
+        async def _repeat(self, writer):
+            await asyncio.sleep(1.0)
+            writer.write(b"15\r\nid: 2\ndata: piece 2\n\n\r\n0\r\n\r\n")
+            await writer.drain()
+            await asyncio.sleep(1.0)
+            raise ConnectionResetError
+
+    async def run():
+        async with run_deployment() as d:
+            start = CHUNKED + b"15\r\nid: 1\ndata: piece 1\n\n\r\n"
+            server = SlowUpstream("raw", RawAnswer(start, b"-"))
+            await server.start()
+            d.drop_server(d.engines[0])
+            d.list_server(server, "llm")
+            await wait_until(lambda: "raw" in d.host.parts.pool.servers)
+            try:
+                await scenario(d, server)
+            finally:
+                await server.stop()
+
+    asyncio.run(run())
+
+
+def test_an_event_without_end_is_bounded():
+    cutter = EventCutter()
+    with pytest.raises(UpstreamError):
+        for _ in range(1 + MAX_EVENT_BYTES // 1000 + 1):
+            cutter.feed(b"d" * 1000)
+    assert cutter.take_rest() == b""
--- a/cornelnotch/web/client.py
+++ b/cornelnotch/web/client.py
@@ -21,6 +21,9 @@
 MAX_IDLE_PER_ADDRESS = 64
 CONNECT_TIMEOUT_S = 0.6  # ten round trips between regions
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# The head of an answer comes in one piece; one that has begun ends within this time.
+HEAD_TIMEOUT_S = 2.0
+MAX_INFORMATIONAL = 8
 
 
 def parse_address(text: str) -> tuple[str, int]:
@@ -56,19 +59,36 @@
         self._writer.write(data)
         await self._writer.drain()
 
-    async def read_event(self) -> object:
-        """Return the next h11 event of the answer."""
-        while True:
-            event = self._protocol.next_event()
-            if event is not h11.NEED_DATA:
-                return event
-            self._protocol.receive_data(await self._reader.read(READ_BYTES))
+    async def read_head(self) -> object:
+        """Return the event that begins the answer; raise OSError when it takes long.
+
+        The wait for its first byte has no limit, that for its last has one.
+        """
+        informational = 0
+        async with asyncio.timeout(None) as limit:
+            while True:
+                event = self._protocol.next_event()
+                if event is h11.NEED_DATA:
+                    await self._receive()
+                    if limit.when() is None:
+                        now = asyncio.get_running_loop().time()
+                        limit.reschedule(now + HEAD_TIMEOUT_S)
+                elif not isinstance(event, h11.InformationalResponse):
+                    return event
+                else:
+                    informational += 1
+                    if informational > MAX_INFORMATIONAL:
+                        raise h11.RemoteProtocolError("no answer but promises of one")
+
+    async def _receive(self) -> None:
+        self._protocol.receive_data(await self._reader.read(READ_BYTES))
 
     async def read_data(self) -> bytes:
         """Return all body bytes at hand, or nothing at the end of the answer.
 
         Parts that arrived together are joined, so that a busy host passes them on
-        in one write. Raise UpstreamError when the answer breaks off.
+        in one write. A call that is cancelled loses nothing. Raise ProtocolError when
+        the answer breaks off.
         """
         parts: list[bytes] = []
         while True:
@@ -78,7 +98,7 @@
             elif event is h11.NEED_DATA:
                 if parts:
                     return b"".join(parts)
-                self._protocol.receive_data(await self._reader.read(READ_BYTES))
+                await self._receive()
             elif isinstance(event, h11.EndOfMessage):
                 self._ended = True
                 return b"".join(parts)
@@ -142,8 +162,12 @@
         """Return the headers by lower-case name."""
         return {k.decode(): v.decode("latin-1") for k, v in self.pairs}
 
-    async def iterate(self) -> AsyncIterator[bytes]:
-        """Yield the body in parts; raise UpstreamError when it breaks off."""
+    async def read_part(self) -> bytes:
+        """Return the next part of the body, nothing at its end.
+
+        A call that is cancelled loses nothing. Raise UpstreamError when the body breaks
+        off.
+        """
         while not self.connection.has_ended():
             try:
                 data = await self.connection.read_data()
@@ -154,9 +178,16 @@
                     "send it again if the work may repeat",
                 ) from error
             if data:
-                yield data
-        self.complete = True
-        self.client.release(self.address, self.connection)
+                return data
+        if not self.complete:
+            self.complete = True
+            self.client.release(self.address, self.connection)
+        return b""
+
+    async def iterate(self) -> AsyncIterator[bytes]:
+        """Yield the body in parts; raise UpstreamError when it breaks off."""
+        while data := await self.read_part():
+            yield data
 
     async def read(self, limit_bytes: int = MAX_ANSWER_BYTES) -> bytes:
         """Return the whole body."""
@@ -219,9 +250,7 @@
         connection = await self._take(address, fresh)
         try:
             await connection.send(head, body)
-            event = await connection.read_event()
-            while isinstance(event, h11.InformationalResponse):
-                event = await connection.read_event()
+            event = await connection.read_head()
         except (OSError, h11.ProtocolError) as error:
             connection.abort()
             raise UpstreamError(
