--- a/cornelnotch/gateway/engines.py
+++ b/cornelnotch/gateway/engines.py
@@ -13,13 +13,15 @@
 
 __all__ = ["EngineEstimate", "PRIOR_PACE", "average_paces", "find_reading_budget"]
 
-# What is assumed of an engine that nobody has seen at work.
-PRIOR_PACE = EnginePace("", 25.0, 40.0, 40.0, False)
+# What is assumed of an engine that nobody has seen at work. Pauses are protected until
+# it is known that they hold.
+PRIOR_PACE = EnginePace("", 25.0, 40.0, 40.0, True)
 # What the prior weighs: so much reading, and so many events of one progress.
 PRIOR_READING_MS = 400.0
 PRIOR_EVENTS = 10.0
 PRIOR_KILOTOKENS = 10.0
 PRIOR_PROGRESSES = 10.0
+PRIOR_STRAINS = 0.3
 # Estimates stay within this factor of the prior.
 MAX_FACTOR = 40.0
 # What was seen so long ago weighs half; strains are rare, so they are kept longer.
@@ -154,13 +156,14 @@
         event_ms, kilotoken_ms = self._solve()
         chunk_rate = TOKENS_PER_KILOTOKEN / max(kilotoken_ms, 1e-3)
         bound = MAX_CALM if self.pace.strained else MAX_STRAINED
-        strained = bound * (self._progresses + PRIOR_PROGRESSES)
+        allowed = bound * (self._progresses + PRIOR_PROGRESSES)
+        strains = self._strains + (PRIOR_STRAINS if self._prior.strained else 0.0)
         self.pace = EnginePace(
             self._server,
             _bound(read_rate, PRIOR_PACE.read_rate),
             _bound(chunk_rate, PRIOR_PACE.chunk_rate),
             _bound(event_ms, PRIOR_PACE.event_ms),
-            self._strains > strained,
+            strains > allowed,
         )
 
     def _solve(self) -> tuple[float, float]:
--- a/cornelnotch/gateway/tests/test_engines.py
+++ b/cornelnotch/gateway/tests/test_engines.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from cornelnotch.gateway import turns
 from cornelnotch.gateway.engines import (
     PRIOR_PACE,
     EngineEstimate,
@@ -123,8 +124,18 @@
     assert not estimate.pace.strained
 
 
-def test_streams_that_may_pause_strain_nothing():
+def test_pauses_are_protected_until_they_are_known_to_hold():
     estimate = EngineEstimate("e")
+    assert estimate.pace.strained
+    for second in range(60):
+        estimate.note_progress(
+            StreamProgress(40, 1500.0, 100.0), 0, 250.0, second * 100.0
+        )
+    assert not estimate.pace.strained
+
+
+def test_streams_that_may_pause_strain_nothing():
+    estimate = EngineEstimate("e", replace(PRIOR_PACE, strained=False))
     for _ in range(20):
         estimate.note_progress(StreamProgress(2, 1500.0, 900.0), 0, 0.0, 0.0)
     assert not estimate.pace.strained
@@ -147,7 +158,7 @@
 def play_calm_chats(monkeypatch, paced, seed):
     """Return the share of chats that kept their pauses once the pace was known."""
     if not paced:
-        monkeypatch.setattr(EngineEstimate, "note_progress", lambda *_: None)
+        monkeypatch.setattr(turns, "find_reading_budget", lambda *_: float("inf"))
     shape = EngineShape(
         step_ms=5.0, chunk_tokens=2048, tokens_per_ms=38.0, event_tokens=4
     )
