--- a/cornelnotch/gateway/engines.py
+++ b/cornelnotch/gateway/engines.py
@@ -13,15 +13,13 @@
 
 __all__ = ["EngineEstimate", "PRIOR_PACE", "average_paces", "find_reading_budget"]
 
-# What is assumed of an engine that nobody has seen at work. Pauses are protected until
-# it is known that they hold.
-PRIOR_PACE = EnginePace("", 25.0, 40.0, 40.0, True)
+# What is assumed of an engine that nobody has seen at work.
+PRIOR_PACE = EnginePace("", 25.0, 40.0, 40.0, None, 1.0)
 # What the prior weighs: so much reading, and so many events of one progress.
 PRIOR_READING_MS = 400.0
 PRIOR_EVENTS = 10.0
 PRIOR_KILOTOKENS = 10.0
 PRIOR_PROGRESSES = 10.0
-PRIOR_STRAINS = 0.3
 # Estimates stay within this factor of the prior.
 MAX_FACTOR = 40.0
 # What was seen so long ago weighs half; strains are rare, so they are kept longer.
@@ -31,13 +29,22 @@
 MAX_DELAY_FACTOR = 8.0
 # A pause over this share of what is allowed is a strain. Over the first share of
 # strained progress an engine is strained, until it falls below the second: what is done
-# about it makes strains rare.
+# about it makes strains rare. Without strains it is calm after so many progresses.
 STRAINED_GAP = 0.9
 MAX_STRAINED = 0.05
 MAX_CALM = 0.01
+CALM_PROGRESSES = 12.0
 # The share of a pause that reading and one event may take, and the least for reading.
 USED_GAP = 0.85
 MIN_READING_GAP = 0.25
+# Reading beside streams grows while their pauses hold although the budget is used, and
+# shrinks when one does not, so that few do not.
+USED_BUDGET = 0.7
+EASE_GROWTH = 1.003
+EASE_LOSS = 0.8
+MIN_EASE = 0.5
+MAX_EASE = 4.0
+EASE_LOSS_PAUSE_MS = 500.0
 TOKENS_PER_KILOTOKEN = 1000.0
 
 
@@ -49,7 +56,7 @@
     if gap_ms <= 0:
         return float("inf")
     reading_ms = max(gap_ms * USED_GAP - pace.event_ms, gap_ms * MIN_READING_GAP)
-    return reading_ms * pace.chunk_rate
+    return reading_ms * pace.chunk_rate * pace.ease
 
 
 def average_paces(paces: Iterable[EnginePace]) -> EnginePace:
@@ -63,7 +70,8 @@
         sum(pace.read_rate for pace in known) / size,
         sum(pace.chunk_rate for pace in known) / size,
         sum(pace.event_ms for pace in known) / size,
-        2 * sum(pace.strained for pace in known) > size,
+        None,
+        sum(pace.ease for pace in known) / size,
     )
 
 
@@ -110,6 +118,8 @@
         self._progresses = 0.0
         self._strains = 0.0
         self._at_ms = 0.0
+        self._ease = prior.ease
+        self._lost_ms = float("-inf")
         self.pace = prior
 
     def note_reading(self, tokens: int, elapsed_ms: float, now: float) -> None:
@@ -123,21 +133,44 @@
         self._update()
 
     def note_progress(
-        self, progress: StreamProgress, tokens: int, gap_ms: float, now: float
+        self, progress: StreamProgress, prompts: list[int], gap_ms: float, now: float
     ) -> None:
-        """Take in how far a stream came while the engine read `tokens` beside it.
+        """Take in how far a stream came while the engine read `prompts` beside it.
 
-        `gap_ms` is the longest pause that its caller accepts, 0 for any.
+        `prompts` holds the tokens of each, `gap_ms` the longest pause that the caller
+        accepts, 0 for any.
         """
         self._decay(now)
         self._sums.add(
-            progress.events, tokens / TOKENS_PER_KILOTOKEN, progress.spent_ms
+            progress.events, sum(prompts) / TOKENS_PER_KILOTOKEN, progress.spent_ms
         )
         if gap_ms > 0:
+            strained = progress.longest_ms > gap_ms * STRAINED_GAP
             self._progresses += 1
-            self._strains += progress.longest_ms > gap_ms * STRAINED_GAP
+            self._strains += strained
+            self._change_ease(progress, prompts, gap_ms, strained, now)
         self._update()
 
+    def _change_ease(
+        self,
+        progress: StreamProgress,
+        prompts: list[int],
+        gap_ms: float,
+        strained: bool,
+        now: float,
+    ) -> None:
+        budget = find_reading_budget(self.pace, gap_ms)
+        if max(prompts, default=0) > budget:
+            # Such a prompt breaks a pause however the others are spread.
+            return
+        used = sum(prompts) * gap_ms >= USED_BUDGET * budget * progress.spent_ms
+        if strained:
+            if now - self._lost_ms >= EASE_LOSS_PAUSE_MS:
+                self._lost_ms = now
+                self._ease = max(self._ease * EASE_LOSS, MIN_EASE)
+        elif used:
+            self._ease = min(self._ease * EASE_GROWTH, MAX_EASE)
+
     def _decay(self, now: float) -> None:
         passed = max(now - self._at_ms, 0.0)
         self._at_ms = now
@@ -155,17 +188,23 @@
         read_rate = read / (self._reading_ms + PRIOR_READING_MS)
         event_ms, kilotoken_ms = self._solve()
         chunk_rate = TOKENS_PER_KILOTOKEN / max(kilotoken_ms, 1e-3)
-        bound = MAX_CALM if self.pace.strained else MAX_STRAINED
-        allowed = bound * (self._progresses + PRIOR_PROGRESSES)
-        strains = self._strains + (PRIOR_STRAINS if self._prior.strained else 0.0)
         self.pace = EnginePace(
             self._server,
             _bound(read_rate, PRIOR_PACE.read_rate),
             _bound(chunk_rate, PRIOR_PACE.chunk_rate),
             _bound(event_ms, PRIOR_PACE.event_ms),
-            strains > allowed,
+            self._judge_strain(),
+            self._ease,
         )
 
+    def _judge_strain(self) -> bool | None:
+        bound = MAX_CALM if self.pace.strained else MAX_STRAINED
+        if self._strains > bound * (self._progresses + PRIOR_PROGRESSES):
+            return True
+        if self.pace.strained is None and self._progresses < CALM_PROGRESSES:
+            return None
+        return False
+
     def _solve(self) -> tuple[float, float]:
         """Return the ms of an event and of reading 1,000 tokens, by least squares."""
         sums = self._sums
--- a/cornelnotch/gateway/paces.py
+++ b/cornelnotch/gateway/paces.py
@@ -19,7 +19,7 @@
     def __init__(self) -> None:
         self._paces: dict[str, EnginePace] = {}
         self._usual: dict[str, EnginePace] = {}
-        self._strained: frozenset[str] = frozenset()
+        self._calm: frozenset[str] = frozenset()
 
     def take(self, paces: Iterable[EnginePace], services: Mapping[str, str]) -> None:
         """Take in news; `services` maps the servers that are listed to services."""
@@ -32,10 +32,8 @@
         for name, pace in self._paces.items():
             members.setdefault(services[name], []).append(pace)
         self._usual = {name: average_paces(found) for name, found in members.items()}
-        self._strained = frozenset(
-            name
-            for name, found in members.items()
-            if any(pace.strained for pace in found)
+        self._calm = frozenset(
+            name for name, found in members.items() if _are_calm(found)
         )
 
     def find(self, server: str, service: str) -> EnginePace:
@@ -43,14 +41,22 @@
         return self._paces.get(server) or self.find_usual(service)
 
     def is_strained(self, service: str) -> bool:
-        """Tell whether streams pause for too long at an engine of a service."""
-        return service in self._strained
+        """Tell whether streams pause for too long at an engine of a service.
+
+        They are taken to do so until an engine is known where they do not.
+        """
+        return service not in self._calm
 
     def find_usual(self, service: str) -> EnginePace:
         """Return what to assume of an engine of a service."""
         return self._usual.get(service, PRIOR_PACE)
 
 
+def _are_calm(paces: Iterable[EnginePace]) -> bool:
+    known = [pace.strained for pace in paces if pace.strained is not None]
+    return bool(known) and not any(known)
+
+
 class PaceNews:
     """Remember what was told of each engine."""
 
@@ -76,5 +82,6 @@
             (pace.read_rate, told.read_rate),
             (pace.chunk_rate, told.chunk_rate),
             (pace.event_ms, told.event_ms),
+            (pace.ease, told.ease),
         )
         return any(abs(new - old) > NEWS_SHARE * old for new, old in pairs)
--- a/cornelnotch/gateway/sharing.py
+++ b/cornelnotch/gateway/sharing.py
@@ -8,6 +8,7 @@
 from cornelnotch.gateway.parts import GatewayParts
 from cornelnotch.gateway.relay import RelayPlan
 from cornelnotch.gateway.spreading import Spreader
+from cornelnotch.kernel.events import Event
 from cornelnotch.wire import PeerNetwork
 from cornelnotch.wire.messages import EnginePace, LoadReport, LoadSummary, ServerUse
 
@@ -57,12 +58,25 @@
             if uses or not quiet:
                 self._reported = uses
                 paces = self._own_news.select(self._list_paces(), now)
+                for pace in paces:
+                    self._note_pace(pace)
                 for name in collectors:
                     self._peers.send(name, LoadReport(self._plan.name, uses, paces))
             quiet = not uses
             if self._plan.name in collectors:
                 self._publish(now)
 
+    def _note_pace(self, pace: EnginePace) -> None:
+        self._parts.events.record(
+            Event.ENGINE_PACE_TOLD,
+            server=pace.server,
+            read_rate=round(pace.read_rate, 2),
+            chunk_rate=round(pace.chunk_rate, 2),
+            event_ms=round(pace.event_ms, 1),
+            strained=pace.strained,
+            ease=round(pace.ease, 2),
+        )
+
     def _publish(self, now: float) -> None:
         paces = self._news.select(self._board.take_paces(), now)
         summary = LoadSummary(self._plan.name, self._board.sum_up(now), paces, [])
--- a/cornelnotch/gateway/tests/test_engines.py
+++ b/cornelnotch/gateway/tests/test_engines.py
@@ -114,35 +114,54 @@
     estimate = EngineEstimate("e")
     calm = StreamProgress(40, 1500.0, 100.0)
     for _ in range(4):
-        estimate.note_progress(StreamProgress(10, 1500.0, 240.0), 0, 250.0, 0.0)
+        estimate.note_progress(StreamProgress(10, 1500.0, 240.0), [], 250.0, 0.0)
     assert estimate.pace.strained
     for second in range(1, 20):
-        estimate.note_progress(calm, 0, 250.0, second * 100.0)
+        estimate.note_progress(calm, [], 250.0, second * 100.0)
     assert estimate.pace.strained
     for second in range(20, 600):
-        estimate.note_progress(calm, 0, 250.0, second * 1000.0)
+        estimate.note_progress(calm, [], 250.0, second * 1000.0)
     assert not estimate.pace.strained
 
 
-def test_pauses_are_protected_until_they_are_known_to_hold():
+def test_an_engine_is_called_calm_once_pauses_are_known_to_hold():
     estimate = EngineEstimate("e")
-    assert estimate.pace.strained
+    assert estimate.pace.strained is None
     for second in range(60):
         estimate.note_progress(
-            StreamProgress(40, 1500.0, 100.0), 0, 250.0, second * 100.0
+            StreamProgress(40, 1500.0, 100.0), [], 250.0, second * 100.0
         )
-    assert not estimate.pace.strained
+    assert estimate.pace.strained is False
+
+
+def test_reading_grows_while_pauses_hold_and_shrinks_when_they_do_not():
+    estimate = EngineEstimate("e")
+    for second in range(200):
+        budget = find_reading_budget(estimate.pace, 250.0)
+        busy = [int(budget / 2)] * 12
+        progress = StreamProgress(40, 1500.0, 200.0)
+        estimate.note_progress(progress, busy, 250.0, second * 100.0)
+    grown = estimate.pace.ease
+    assert grown > 1.3
+    estimate.note_progress(StreamProgress(9, 1500.0, 300.0), busy, 250.0, 21_000.0)
+    assert estimate.pace.ease < grown
+    calm = estimate.pace.ease
+    estimate.note_progress(StreamProgress(40, 1500.0, 90.0), [], 250.0, 22_000.0)
+    assert estimate.pace.ease == calm
+    huge = [10_000_000]
+    estimate.note_progress(StreamProgress(2, 1500.0, 900.0), huge, 250.0, 23_000.0)
+    assert estimate.pace.ease == calm
 
 
 def test_streams_that_may_pause_strain_nothing():
-    estimate = EngineEstimate("e", replace(PRIOR_PACE, strained=False))
+    estimate = EngineEstimate("e")
     for _ in range(20):
-        estimate.note_progress(StreamProgress(2, 1500.0, 900.0), 0, 0.0, 0.0)
-    assert not estimate.pace.strained
+        estimate.note_progress(StreamProgress(2, 1500.0, 900.0), [], 0.0, 0.0)
+    assert estimate.pace.strained is None
 
 
 def test_reading_fills_what_a_pause_leaves():
-    pace = EnginePace("e", 30.0, 40.0, 50.0, True)
+    pace = EnginePace("e", 30.0, 40.0, 50.0, True, 1.0)
     assert find_reading_budget(pace, 0.0) == float("inf")
     assert find_reading_budget(pace, 1000.0) < 40.0 * 1000.0
     assert find_reading_budget(pace, 200.0) > 0
@@ -177,7 +196,7 @@
 
 
 def create_pace(name, rate=30.0, strained=False):
-    return EnginePace(name, rate, 40.0, 40.0, strained)
+    return EnginePace(name, rate, 40.0, 40.0, strained, 1.0)
 
 
 def test_only_changes_are_told_and_all_is_told_again():
@@ -199,7 +218,10 @@
     assert book.find("a", "llm").read_rate == 20.0
     assert book.find("d", "other") == PRIOR_PACE
     assert book.is_strained("llm")
-    assert not book.is_strained("other")
+    # Pauses are protected until they are known to hold.
+    assert book.is_strained("other")
     book.take([create_pace("a", 20.0)], {"a": "llm"})
     assert book.find("b", "llm").read_rate == 20.0
     assert not book.is_strained("llm")
+    book.take([create_pace("c", 20.0, None)], {"c": "llm"})
+    assert book.is_strained("llm")
--- a/cornelnotch/gateway/turns.py
+++ b/cornelnotch/gateway/turns.py
@@ -6,9 +6,9 @@
 come than engines can read: urgent ones first, then those that need least reading,
 so that most callers are served in time and no long reading holds up urgent prompts.
 
-Where streams paused for too long, the queue grants no more reading within the
-shortest pause that a running stream allows than fits into it. It answers bursts of
-prompts beside chats: prompts come a little later, and the chats keep their pauses.
+The queue grants no more reading within the shortest pause that a running stream
+allows than fits into it. It answers bursts of prompts beside chats: prompts come a
+little later, and the chats keep their pauses.
 """
 
 from collections import OrderedDict, deque
@@ -138,14 +138,14 @@
     ) -> None:
         """Learn from how far a stream came beside what the engine read."""
         began_ms = now - progress.spent_ms
-        tokens = sum(
+        prompts = [
             reading.tokens
             for reading in self._read
             if reading.at_ms >= began_ms and reading.request_id != request_id
-        )
+        ]
         ticket = self.tickets.get(request_id)
         gap_ms = ticket.gap_ms if ticket is not None else 0.0
-        self.estimate.note_progress(progress, tokens, gap_ms, now)
+        self.estimate.note_progress(progress, prompts, gap_ms, now)
 
     def _note_begun(self, ticket: Ticket, now: float) -> None:
         """Learn from the time that the engine took for a prompt."""
@@ -194,14 +194,11 @@
 
     def _find_pause_ms(self, ticket: Ticket, now: float) -> float:
         """Return how long a prompt must wait for the pauses of running streams."""
-        pace = self.estimate.pace
-        if not pace.strained:
-            return 0.0
         gap_ms = min(
             (t.gap_ms for t in self.tickets.values() if t.begun and t.gap_ms > 0),
             default=0.0,
         )
-        left = find_reading_budget(pace, gap_ms)
+        left = find_reading_budget(self.estimate.pace, gap_ms)
         left -= self.count_unread(ticket)
         for reading in reversed(self._granted):
             if reading.at_ms <= now - gap_ms:
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -49,6 +49,7 @@
     SERVER_SLOW = (4002, logging.WARNING, "a server is slower than its shard")
     STREAM_RESUMED = (4003, logging.WARNING, "a broken stream went on elsewhere")
     ANSWER_MISMATCHED = (4004, logging.ERROR, "an answer belonged to another request")
+    ENGINE_PACE_TOLD = (4005, logging.INFO, "an engine's estimated pace changed")
     CLAIM_UNSETTLED = (5001, logging.WARNING, "a claim could not be read back")
     CLAIM_RELEASE_DELAYED = (5002, logging.WARNING, "a release waits for the log")
     SERVER_LISTED = (3005, logging.INFO, "the platform's list of servers changed")
--- a/cornelnotch/testing/enginemodel.py
+++ b/cornelnotch/testing/enginemodel.py
@@ -17,6 +17,7 @@
     ServiceShare,
     WorkKind,
 )
+from cornelnotch.gateway.paces import PaceBook
 from cornelnotch.gateway.placing import PlacementNeed, Placer
 from cornelnotch.gateway.reserving import choose_reserved
 from cornelnotch.gateway.servers import Flight, ServerView
@@ -269,7 +270,10 @@
 def _choose_reserved(engines: list[EngineModel]) -> frozenset[str]:
     views = [engine.view for engine in engines]
     tight = {v.record.name: sum(f.tight for f in v.flights.values()) for v in views}
-    strained = any(e.turns and e.turns.estimate.pace.strained for e in engines)
+    book = PaceBook()
+    paces = [engine.turns.estimate.pace for engine in engines if engine.turns]
+    book.take(paces, {view.record.name: "llm" for view in views})
+    strained = book.is_strained("llm")
     return choose_reserved([view.record for view in views], {}, tight, strained)
 
 
--- a/cornelnotch/wire/messages.py
+++ b/cornelnotch/wire/messages.py
@@ -342,15 +342,17 @@
 
     `read_rate` counts the prompt tokens read in a ms as callers see it, `chunk_rate`
     those read while a stream pauses for them. `event_ms` is the time between two events
-    of a stream beside which nothing is read. `strained` says that streams paused for
-    too long.
+    of a stream beside which nothing is read. `strained` says whether streams paused for
+    too long, if that is known, `ease` how much more may be read in a pause than these
+    rates tell.
     """
 
     server: str
     read_rate: float
     chunk_rate: float
     event_ms: float
-    strained: bool
+    strained: bool | None
+    ease: float
 
 
 @dataclass(frozen=True, slots=True)
