Bring no crowd to a store that is down

In an outage of the store every host's knowledge is stale, so every host read both topics each 200 ms.

--- a/cornelnotch/gateway/follower.py
+++ b/cornelnotch/gateway/follower.py
@@ -24,7 +24,9 @@
 STANDBY_PERIOD_MS = 1100.0
 # Reads of the configuration wait at the store for the next change.
 CONFIGURATION_WAIT_MS = 1000.0
+# The pause after a failed reading, doubled with each in a row up to the second.
 RETRY_MS = 200.0
+MAX_RETRY_MS = 800.0
 TICK_MS = 100.0
 # Hosts that nobody tells anything ask two others this often.
 ASK_PERIOD_MS = 500.0
@@ -60,6 +62,7 @@
         self._list_hosts = list_hosts
         self._generator = generator
         self._lost: set[str] = set()
+        self._failures = dict.fromkeys(TOPICS, 0)
         self._asked_ms = {topic: float("-inf") for topic in TOPICS}
         self._listener: Listener = lambda topic, after_outage: None
         peers.subscribe(RecordNews, self._receive_news)
@@ -87,10 +90,13 @@
         if not self._plan.must_read(topic, now):
             return TICK_MS
         if await self._read(topic, wait_ms):
+            self._failures[topic] = 0
             return None
         self._tell_age(topic)
         self._ask(topic)
-        return RETRY_MS
+        pause = RETRY_MS * 2.0 ** self._failures[topic]
+        self._failures[topic] += pause < MAX_RETRY_MS
+        return pause * self._generator.uniform(0.8, 1.0)
 
     def _choose_period(self) -> float:
         readers = self._plan.list_readers(self._clock.read())
