--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -210,6 +210,7 @@
             self.route.target_gap_ms if flight.tight else 0.0,
         )
         waited_ms = self.parts.clock.read() - flight.started_ms
+        pace = self.parts.paces.find(view.record.name, self.service)
         self.parts.metrics.observe_queued(self.route.name, waited_ms)
         self._note(
             Event.TURN_CAME,
@@ -218,6 +219,8 @@
             waited_ms=round(waited_ms, 1),
             unread=flight.prefill_tokens,
             wait_ms=flight.wait_ms,
+            read_ms=round(flight.prefill_tokens / pace.read_rate, 1),
+            event_ms=round(pace.event_ms, 1),
         )
         return turn
 
