Count the time for which a host is suspended; send nothing that has run out

Now the clock counts that time, and a dispatch looks at the limit. Before: the new test of a paused host failed ('late' was sent). After: both pass.

--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -240,6 +240,9 @@
         """Return None when the caller has its answer, else why there is none."""
         view = placement.server
         now = self.parts.clock.read()
+        if now >= self.limit_ms:
+            # The host was paused for longer than its timers tell.
+            raise TimeoutError
         flight.sent = True
         terms = DispatchTerms(
             view.record.name,
--- a/cornelnotch/gateway/tests/test_waiting.py
+++ b/cornelnotch/gateway/tests/test_waiting.py
@@ -193,3 +193,20 @@
         assert list_sent(engine) == ["first"]
 
     play(scenario)
+
+
+def test_a_host_that_was_paused_sends_nothing_that_has_run_out(monkeypatch):
+    async def scenario(d, engine):
+        engine.faults.first_ms = 300.0
+        first = start(d, "first", LONG)
+        await wait_until(lambda: list_sent(engine) == ["first"])
+        late = start(d, "late", LONG)
+        await wait_until(lambda: d.host.keeper.count_waiting() == 1)
+        clock = d.host.clock
+        before = clock.read
+        # A suspended machine: its timers do not see the time that passed.
+        monkeypatch.setattr(clock, "read", lambda: before() + 60_000.0)
+        await asyncio.gather(first, late)
+        assert list_sent(engine) == ["first"]
+
+    play(scenario)
--- a/cornelnotch/kernel/clock.py
+++ b/cornelnotch/kernel/clock.py
@@ -7,6 +7,9 @@
 __all__ = ["Clock", "ManualClock", "SystemClock", "create_clock"]
 
 MS_PER_SECOND = 1000.0
+# The usual monotonic clock stands still while a machine is suspended, so that what ran
+# out meanwhile would look valid.
+STEADY_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
 
 
 class Clock(ABC):
@@ -29,8 +32,8 @@
     """Read the clocks of the operating system."""
 
     def read(self) -> float:
-        """Return monotonic time in ms."""
-        return time.monotonic() * MS_PER_SECOND
+        """Return monotonic time in ms, also of time spent suspended."""
+        return time.clock_gettime(STEADY_CLOCK) * MS_PER_SECOND
 
     def read_wall(self) -> float:
         """Return ms since the Unix epoch."""
--- a/cornelnotch/kernel/tests/test_kernel.py
+++ b/cornelnotch/kernel/tests/test_kernel.py
@@ -1,6 +1,7 @@
 """Check events, hashing, identifiers and the registry."""
 
 import logging
+import time
 from pathlib import Path
 
 import orjson
@@ -10,6 +11,7 @@
 from cornelnotch.exceptions import SettingsError
 from cornelnotch.kernel import (
     Event,
+    create_clock,
     create_event_log,
     create_identifier,
     create_plugin,
@@ -57,3 +59,15 @@
 def test_an_unknown_plugin_names_the_known_ones():
     with pytest.raises(SettingsError, match="use one of"):
         create_plugin("discipline", "none")
+
+
+def test_time_for_which_the_machine_is_suspended_counts(monkeypatch):
+    clock = create_clock()
+    before = clock.read()
+    usual = time.clock_gettime
+
+    def wake(kind):
+        return usual(kind) + (5.0 if kind == time.CLOCK_BOOTTIME else 0.0)
+
+    monkeypatch.setattr(time, "clock_gettime", wake)
+    assert clock.read() - before >= 5000.0
