--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -2,11 +2,7 @@
 
 import asyncio
 
-from cornelnotch.exceptions import (
-    CallerGoneError,
-    UpstreamError,
-    UpstreamStalledError,
-)
+from cornelnotch.exceptions import CallerGoneError, UpstreamError
 from cornelnotch.gateway.asking import Turn
 from cornelnotch.gateway.dialect import DispatchTerms
 from cornelnotch.gateway.dispatch import Answer, Fate, open_answer
@@ -17,6 +13,7 @@
     Workspace,
 )
 from cornelnotch.gateway.parts import GatewayParts
+from cornelnotch.gateway.passing import MAX_HELD_BYTES, EventReader, pass_body
 from cornelnotch.gateway.patience import (
     find_patience_s,
     find_stall_s,
@@ -39,10 +36,6 @@
 # Other hosts' loads are known late, so that a hot engine is seldom the only choice;
 # each ask costs a round trip, and a refusal is to come within a part of the target.
 MAX_CROWDED = 2
-# A body up to this size is held whole, so that another server may answer if it breaks
-# off; a larger one is passed on as it comes, up to the second size.
-MAX_HELD_BYTES = 256 * 1024
-MAX_BODY_BYTES = 64 * 1024 * 1024
 # The pause after which callers without a better figure come back.
 RETRY_MS = 500.0
 # Without a deadline of the caller's the route's limit holds alone.
@@ -331,33 +324,13 @@
             return await self._pass_on_stream(answer, view, flight)
         assert answer.head is not None
         try:
-            body = await answer.read_start(MAX_HELD_BYTES)
-            if answer.is_whole():
-                await self.exchange.respond(answer.head.status, answer.pairs, body)
-            else:
-                await self._relay(answer, body)
+            await pass_body(answer, self.exchange)
         except UpstreamError as error:
             answer.close()
             return Answer(Fate.BROKEN, error.problem)
         self._finish(answer.head.status, self.parts.clock.read())
         return None
 
-    async def _relay(self, answer: Answer, start: bytes) -> None:
-        """Pass on a body too large to hold; raise UpstreamError when it breaks off."""
-        assert answer.head is not None
-        await self.exchange.start(answer.head.status, answer.pairs)
-        part = start
-        size = 0
-        while part:
-            size += len(part)
-            if size > MAX_BODY_BYTES:
-                raise UpstreamError(
-                    f"the body is above {MAX_BODY_BYTES} bytes", "check the server"
-                )
-            await self.exchange.send(part)
-            part = await answer.read_part()
-        await self.exchange.finish()
-
     async def _pass_on_stream(
         self, answer: Answer, view: ServerView, flight: Flight
     ) -> Answer | None:
@@ -366,8 +339,15 @@
             return Answer(Fate.BROKEN, f"status {answer.head.status} on resumption")
         if not self.exchange.started:
             await self.exchange.start(answer.head.status, answer.pairs)
+        reader = EventReader(
+            answer,
+            flight,
+            self.parts.clock,
+            find_stall_s(self.route, self.progress.ran),
+            lambda: self._may_go_on_elsewhere(view),
+        )
         try:
-            while data := await self._read_events(answer, view, flight):
+            while data := await reader.read():
                 view.hear(flight, self.parts.clock.read())
                 known = self.events.count
                 whole = self.events.feed(data)
@@ -389,30 +369,6 @@
         )
         return None
 
-    async def _read_events(
-        self, answer: Answer, view: ServerView, flight: Flight
-    ) -> bytes:
-        """Return the next bytes; raise UpstreamStalledError if a stream stands still.
-
-        Bytes that end no event are no progress. A stream that nobody can go on with is
-        not cut: a slow server may be all that is left.
-        """
-        stall_s = find_stall_s(self.route, self.progress.ran)
-        if stall_s is None:
-            return await answer.read_part()
-        while True:
-            heard_ms = flight.event_ms or flight.first_ms
-            left_s = stall_s - (self.parts.clock.read() - heard_ms) / 1000.0
-            if left_s <= 0 and self._may_go_on_elsewhere(view):
-                raise UpstreamStalledError(
-                    f"no event for {stall_s} s", "go on at another server"
-                )
-            try:
-                async with asyncio.timeout(left_s if left_s > 0 else stall_s):
-                    return await answer.read_part()
-            except TimeoutError:
-                continue
-
     def _may_go_on_elsewhere(self, view: ServerView) -> bool:
         now = self.parts.clock.read()
         if not self.parts.find_budget(self.service).allows(now):
--- a/cornelnotch/gateway/paces.py
+++ b/cornelnotch/gateway/paces.py
@@ -11,6 +11,8 @@
 # hosts that came since.
 NEWS_SHARE = 0.1
 REPEAT_MS = 10_000.0
+# Estimates sway at first; an engine is told of at most this often.
+MIN_NEWS_MS = 1000.0
 
 
 class PaceBook:
@@ -78,6 +80,8 @@
         at_ms, told = self._told.get(pace.server, (float("-inf"), pace))
         if now - at_ms > REPEAT_MS or pace.strained is not told.strained:
             return True
+        if now - at_ms < MIN_NEWS_MS:
+            return False
         pairs = (
             (pace.read_rate, told.read_rate),
             (pace.chunk_rate, told.chunk_rate),
--- a/cornelnotch/gateway/tests/test_engines.py
+++ b/cornelnotch/gateway/tests/test_engines.py
@@ -12,7 +12,7 @@
     average_paces,
     find_reading_budget,
 )
-from cornelnotch.gateway.paces import REPEAT_MS, PaceBook, PaceNews
+from cornelnotch.gateway.paces import MIN_NEWS_MS, REPEAT_MS, PaceBook, PaceNews
 from cornelnotch.gateway.placing import Placer
 from cornelnotch.testing.enginemodel import (
     EngineShape,
@@ -203,8 +203,9 @@
     news = PaceNews()
     assert news.select([create_pace("a"), create_pace("b")], 0.0)
     assert news.select([create_pace("a", 31.0)], 100.0) == []
-    assert news.select([create_pace("a", 34.0)], 200.0)
-    assert news.select([create_pace("a", 34.0, True)], 300.0)
+    assert news.select([create_pace("a", 34.0)], MIN_NEWS_MS - 1.0) == []
+    assert news.select([create_pace("a", 34.0)], MIN_NEWS_MS + 1.0)
+    assert news.select([create_pace("a", 34.0, True)], MIN_NEWS_MS + 2.0)
     assert news.select([create_pace("b")], REPEAT_MS + 1.0)
     # A queue of an engine that this host does not know tells nothing.
     assert news.select([create_pace("")], 0.0) == []
--- a/cornelnotch/gateway/tests/test_troubled_servers.py
+++ b/cornelnotch/gateway/tests/test_troubled_servers.py
@@ -6,7 +6,7 @@
 import pytest
 
 from cornelnotch.exceptions import UpstreamError
-from cornelnotch.gateway import flow, patience
+from cornelnotch.gateway import passing, patience
 from cornelnotch.gateway.servers import Flight
 from cornelnotch.gateway.streams import MAX_EVENT_BYTES, EventCutter
 from cornelnotch.gateway.tests.conftest import run_deployment, wait_until
@@ -98,7 +98,7 @@
 
 
 def test_a_body_without_end_is_passed_on_in_bounds_and_never_looks_whole(monkeypatch):
-    monkeypatch.setattr(flow, "MAX_BODY_BYTES", 3_000_000)
+    monkeypatch.setattr(passing, "MAX_BODY_BYTES", 3_000_000)
 
     async def scenario(d, server):
         d.drop_server(d.desks[1])
@@ -113,7 +113,7 @@
 
 
 def test_a_large_sound_body_is_passed_on_whole():
-    body = b"z" * (flow.MAX_HELD_BYTES * 3)
+    body = b"z" * (passing.MAX_HELD_BYTES * 3)
     head = HEAD + b"content-length: %d\r\n\r\n" % len(body)
 
     async def scenario(d, server):
--- a/cornelnotch/platform/program.py
+++ b/cornelnotch/platform/program.py
@@ -22,6 +22,10 @@
 
 __all__ = ["run_host"]
 
+# Nearly all objects of a request go when their last reference does, so that young ones
+# are seldom looked through for cycles.
+YOUNG_OBJECTS = 10_000
+
 
 async def serve_host(settings: HostSettings, output: LogOutput) -> None:
     """Run a host until it has drained; SIGTERM starts the drain."""
@@ -50,6 +54,7 @@
     await host.start()
     gc.collect()
     gc.freeze()
+    gc.set_threshold(YOUNG_OBJECTS)
     await host.stopped.wait()
     await host.stop()
 
