Keep an engine in small regions only while strain is known

An engine was kept from the start and given back once calm was seen, and each change moves the owners of shared parts. Ruled out: pacing (its budget lies above what those engines read).

--- a/cornelnotch/gateway/paces.py
+++ b/cornelnotch/gateway/paces.py
@@ -21,7 +21,7 @@
     def __init__(self) -> None:
         self._paces: dict[str, EnginePace] = {}
         self._usual: dict[str, EnginePace] = {}
-        self._calm: frozenset[str] = frozenset()
+        self._strained: frozenset[str] = frozenset()
 
     def take(self, paces: Iterable[EnginePace], services: Mapping[str, str]) -> None:
         """Take in news; `services` maps the servers that are listed to services."""
@@ -34,8 +34,10 @@
         for name, pace in self._paces.items():
             members.setdefault(services[name], []).append(pace)
         self._usual = {name: average_paces(found) for name, found in members.items()}
-        self._calm = frozenset(
-            name for name, found in members.items() if _are_calm(found)
+        self._strained = frozenset(
+            name
+            for name, found in members.items()
+            if any(pace.strained for pace in found)
         )
 
     def find(self, server: str, service: str) -> EnginePace:
@@ -43,22 +45,14 @@
         return self._paces.get(server) or self.find_usual(service)
 
     def is_strained(self, service: str) -> bool:
-        """Tell whether streams pause for too long at an engine of a service.
-
-        They are taken to do so until an engine is known where they do not.
-        """
-        return service not in self._calm
+        """Tell whether streams are known to pause for too long at an engine."""
+        return service in self._strained
 
     def find_usual(self, service: str) -> EnginePace:
         """Return what to assume of an engine of a service."""
         return self._usual.get(service, PRIOR_PACE)
 
 
-def _are_calm(paces: Iterable[EnginePace]) -> bool:
-    known = [pace.strained for pace in paces if pace.strained is not None]
-    return bool(known) and not any(known)
-
-
 class PaceNews:
     """Remember what was told of each engine."""
 
