--- a/cornelnotch/gateway/tests/test_keeping.py
+++ b/cornelnotch/gateway/tests/test_keeping.py
@@ -3,9 +3,17 @@
 import asyncio
 import inspect
 
+import pytest
+
 from cornelnotch.gateway.models import PromptPart, ServerRecord
 from cornelnotch.gateway.tests.conftest import run_deployment, wait_until
-from cornelnotch.wire.messages import TurnAsk, TurnEnd, TurnGrant, TurnWait
+from cornelnotch.wire.messages import (
+    StreamProgress,
+    TurnAsk,
+    TurnEnd,
+    TurnGrant,
+    TurnWait,
+)
 
 THING = [PromptPart("thing", 40_000)]
 
@@ -113,3 +121,16 @@
         assert keeper.list_grants() == ["b"]
 
     play(scenario)
+
+
+def test_progress_that_is_told_with_an_ask_is_learned_from():
+    def scenario(keeper):
+        keeper.list_engine()
+        keeper.ask("a")
+        progress = StreamProgress(100, 1000.0, 20.0)
+        begun = TurnAsk("a", "engine", 1, THING, 1000, 0.0, "begun", 250.0, progress)
+        keeper.host.peers._receive("h2", begun)
+        (pace,) = keeper.host.keeper.list_paces()
+        assert pace.event_ms == pytest.approx(10.0, rel=0.1)
+
+    play(scenario)
--- a/cornelnotch/gateway/tests/test_troubled_servers.py
+++ b/cornelnotch/gateway/tests/test_troubled_servers.py
@@ -213,3 +213,19 @@
         for _ in range(1 + MAX_EVENT_BYTES // 1000 + 1):
             cutter.feed(b"d" * 1000)
     assert cutter.take_rest() == b""
+
+
+def test_promises_of_an_answer_are_counted(monkeypatch):
+    monkeypatch.setattr(client, "HEAD_TIMEOUT_S", 60.0)
+
+    async def run():
+        server = RawUpstream("raw", ENDLESS["slow status"])
+        await server.start()
+        try:
+            async with asyncio.timeout(5.0):
+                with pytest.raises(UpstreamError):
+                    await client.HttpClient().request(server.address, "GET", "/")
+        finally:
+            await server.stop()
+
+    asyncio.run(run())
--- a/cornelnotch/gateway/tests/test_waiting.py
+++ b/cornelnotch/gateway/tests/test_waiting.py
@@ -4,7 +4,13 @@
 
 import pytest
 
-from cornelnotch.gateway.tests.conftest import run_deployment, wait_until
+from cornelnotch.gateway.engines import PRIOR_PACE
+from cornelnotch.gateway.tests.conftest import (
+    create_configuration,
+    create_route,
+    run_deployment,
+    wait_until,
+)
 from cornelnotch.wire.messages import TurnAsk, TurnEnd
 
 LONG = {"x_token_usage": "20000,10", "x_prompt_prefix": "aa:20000"}
@@ -210,3 +216,47 @@
         assert list_sent(engine) == ["first"]
 
     play(scenario)
+
+
+def test_hosts_learn_the_pace_of_an_engine_from_the_streams_they_carry():
+    async def scenario(d, engine):
+        engine.events = 40
+        engine.faults.event_ms = 20.0
+        engine.faults.first_ms = 400.0
+        await asyncio.gather(*(start(d, f"s{n}", LONG, "/stream/x") for n in range(3)))
+        paces = d.host.parts.paces
+        name = engine.name
+        await wait_until(lambda: paces.find(name, "llm") != PRIOR_PACE, 2.0)
+        pace = paces.find(name, "llm")
+        # 20,000 tokens in 400 ms and more, the other prompts cached; events of 20 ms.
+        assert pace.read_rate > PRIOR_PACE.read_rate
+        assert 18.0 <= pace.event_ms <= 32.0
+
+    play(scenario)
+
+
+def test_keepers_hear_which_streams_must_not_pause_and_how_they_get_on():
+    async def scenario(d, engine):
+        routes = [
+            create_route("chat", "/stream/", "streaming", "llm", target_itl_ms=100),
+            create_route(
+                "doc", "/stream/draft/", "streaming", "llm", target_itl_ms=900
+            ),
+        ]
+        d.configure(create_configuration(2, routes=routes))
+        await wait_until(lambda: d.host.parts.table.version == 2, 3.0)
+        heard = []
+        d.host.peers.subscribe(TurnAsk, lambda sender, ask: heard.append(ask))
+        engine.events = 30
+        engine.faults.event_ms = 80.0
+        chat = start(d, "chat", SHORT, "/stream/x")
+        doc = start(d, "doc", SHORT, "/stream/draft/x")
+        await wait_until(lambda: any(ask.progress for ask in heard), 4.0)
+        gaps = {ask.request_id: ask.gap_ms for ask in heard}
+        assert gaps == {"chat": 100.0, "doc": 0.0}
+        told = next(ask.progress for ask in heard if ask.progress)
+        assert told.events >= 10
+        assert 0.7 <= told.spent_ms / (80.0 * told.events) <= 2.0
+        await asyncio.gather(chat, doc)
+
+    play(scenario)
