Send nothing on connections to a life of a server that has ended

Ruled out: the bound on connections (the engine was idle). Hosts now drop idle connections when a life ends in the server list, when a connection cannot be opened, and when one that was reused is reset.

--- a/cornelnotch/gateway/servers.py
+++ b/cornelnotch/gateway/servers.py
@@ -188,22 +188,26 @@
         self.generation = 0
         self._leaving: OrderedDict[str, int] = OrderedDict()
 
-    def replace(self, records: Iterable[ServerRecord]) -> None:
-        """Take in the platform's list; what is known of others is dropped."""
+    def replace(self, records: Iterable[ServerRecord]) -> list[ServerRecord]:
+        """Apply the platform's list; return the servers whose life has ended."""
         self.generation += 1
         listed = {record.name: record for record in records}
+        ended = []
         for name in list(self.servers):
             if name not in listed:
-                del self.servers[name]
+                ended.append(self.servers.pop(name).record)
         for name, record in listed.items():
             known = self.servers.get(name)
             if known is None or known.record.boot_ms != record.boot_ms:
+                if known is not None:
+                    ended.append(known.record)
                 self.servers[name] = ServerView(record)
                 self.servers[name].said_leaving = self._has_left(record)
             elif known.record != record:
                 known.record = record
                 if known.ejected_until_ms == float("inf"):
                     known.ejected_until_ms = 0.0
+        return ended
 
     def note_leaving(self, name: str, boot_ms: int) -> bool:
         """Take a life of a server out for good; tell whether that is news.
--- a/cornelnotch/gateway/state.py
+++ b/cornelnotch/gateway/state.py
@@ -78,7 +78,9 @@
             if name in records:
                 del self._kept[name]
         merged = {**self._kept, **records}
-        self._parts.pool.replace(merged.values())
+        for ended in self._parts.pool.replace(merged.values()):
+            # A request on a connection of an ended life is reset, as if it had run.
+            self._parts.client.drop_idle(ended.address)
         for name in known.keys() | merged.keys():
             self._note_server(name, known.get(name), merged.get(name))
 
--- a/cornelnotch/gateway/tests/test_state.py
+++ b/cornelnotch/gateway/tests/test_state.py
@@ -30,8 +30,17 @@
         self.views[SERVERS].apply(page)
 
 
+class Client:
+    def __init__(self):
+        self.dropped = []
+
+    def drop_idle(self, address):
+        self.dropped.append(address)
+
+
 class Parts:
     def __init__(self):
+        self.client = Client()
         self.clock = ManualClock()
         self.pool = ServerPool()
         self.events = create_event_log("test")
@@ -85,3 +94,12 @@
     record = ServerRecord("a", "llm", "1.2.3.4:5", "a", 8, boot_ms=7)
     parts.pool.replace([record])
     assert parts.pool.servers["a"].failures == 0
+
+
+def test_connections_to_a_life_that_ended_are_dropped():
+    # Streams that may not be repeated were lost on connections that the engine had
+    # forgotten in a restart.
+    parts, follower, state = create_state()
+    follower.write(3, "a", b"")
+    state.apply(SERVERS, False)
+    assert parts.client.dropped == ["1.2.3.4:5"]
--- a/cornelnotch/web/client.py
+++ b/cornelnotch/web/client.py
@@ -47,7 +47,7 @@
         self._spoiled = False
         self._idle: asyncio.Task[None] | None = None
         self._head: h11.Request | None = None
-        self.idle_since_ms = 0.0
+        self.reused = False
 
     async def send(self, head: h11.Request, body: bytes) -> None:
         """Write a whole request."""
@@ -117,6 +117,7 @@
 
     def idle(self) -> None:
         """Wait for the next request; whatever arrives meanwhile spoils this."""
+        self.reused = True
         self._protocol.start_next_cycle()
         self._ended = False
         self._idle = asyncio.create_task(self._watch_idle())
@@ -253,6 +254,9 @@
             event = await connection.read_head()
         except (OSError, h11.ProtocolError) as error:
             connection.abort()
+            if connection.reused:
+                # Others that were opened before may be as dead.
+                self.drop_idle(address)
             raise UpstreamError(
                 f"{address} did not answer: {error!r}",
                 "send it again if the work may repeat",
@@ -299,12 +303,15 @@
         connection.idle()
         idle.append(connection)
 
+    def drop_idle(self, address: str) -> None:
+        """Drop the idle connections to `address`, as its server may have gone."""
+        for connection in self._idle.pop(address, []):
+            connection.abort()
+
     def close(self) -> None:
         """Drop all idle connections."""
-        for connections in self._idle.values():
-            for connection in connections:
-                connection.abort()
-        self._idle.clear()
+        for address in list(self._idle):
+            self.drop_idle(address)
 
     async def _take(self, address: str, fresh: bool) -> ClientConnection:
         idle = self._idle.get(address, [])
@@ -319,6 +326,7 @@
                     *parse_address(address), limit=READ_BYTES
                 )
         except (OSError, TimeoutError) as error:
+            self.drop_idle(address)
             raise UpstreamUnreachableError(
                 f"{address} cannot be reached: {error!r}", "check that it runs"
             ) from error
