Take callers once routes and servers are known, and hold the first ones

A host is ready once it has read both; requests wait for the rest of the first 0.6 s; without a store and other hosts that know, callers are asked to return after the third of their time that they honour.

--- a/cornelnotch/gateway/follower.py
+++ b/cornelnotch/gateway/follower.py
@@ -65,6 +65,7 @@
         self._failures = dict.fromkeys(TOPICS, 0)
         self._asked_ms = {topic: float("-inf") for topic in TOPICS}
         self._listener: Listener = lambda topic, after_outage: None
+        self._lost_listener: Callable[[], None] = lambda: None
         peers.subscribe(RecordNews, self._receive_news)
         peers.subscribe(RecordFetch, self._receive_fetch)
 
@@ -72,6 +73,14 @@
         """Call `listener` with a changed topic and whether an outage ended."""
         self._listener = listener
 
+    def subscribe_lost(self, listener: Callable[[], None]) -> None:
+        """Call `listener` when the store does not answer any more."""
+        self._lost_listener = listener
+
+    def has_read(self) -> bool:
+        """Tell whether every topic was read once, here or elsewhere."""
+        return all(view.head >= 0 for view in self.views.values())
+
     async def run_configuration(self) -> None:
         """Follow the operator's configuration until cancelled."""
         while True:
@@ -133,8 +142,9 @@
         view = self.views[topic]
         if whole:
             before = view.records
+            is_first = view.head < 0
             view.replace(page)
-            changed = before != view.records
+            changed = is_first or before != view.records
         else:
             changed = bool(view.apply(page))
         if changed:
@@ -240,6 +250,7 @@
         if topic not in self._lost:
             self._lost.add(topic)
             self._events.record(Event.LOG_UNAVAILABLE, topic=topic, error=str(error))
+            self._lost_listener()
 
 
 def _pack(record: Record) -> RecordItem:
--- a/cornelnotch/gateway/front.py
+++ b/cornelnotch/gateway/front.py
@@ -14,7 +14,6 @@
 STATUS_UNAUTHORIZED = 401
 STATUS_NOT_FOUND = 404
 STATUS_UNAVAILABLE = 503
-NOT_READY_RETRY_MS = 300.0
 
 
 class Front:
@@ -44,15 +43,13 @@
     async def _route(self, exchange: Exchange) -> None:
         parts = self._parts
         arrived_ms = parts.clock.read()
-        table = parts.table
         request = parts.dialect.read_request(
             exchange.method, exchange.target, exchange.pairs
         )
-        if table.version == NO_VERSION:
-            await self._refuse(
-                exchange, request, STATUS_UNAVAILABLE, "no-configuration"
-            )
+        if not await parts.startup.wait():
+            await self._refuse_at_start(exchange, request, arrived_ms)
             return
+        table = parts.table
         route = table.find_route(request.host, urlsplit(request.target).path)
         if route is None:
             await self._refuse(exchange, request, STATUS_NOT_FOUND, "no-route")
@@ -75,15 +72,30 @@
         parts.find_budget(flow.service).deposit(arrived_ms)
         await flow.run()
 
+    async def _refuse_at_start(
+        self, exchange: Exchange, request: CallerRequest, arrived_ms: float
+    ) -> None:
+        known = self._parts.table.version != NO_VERSION
+        reason = "no-servers" if known else "no-configuration"
+        waited_ms = self._parts.clock.read() - arrived_ms
+        left_ms = max(request.deadline_ms - waited_ms, 0.0)
+        retry_ms = self._parts.startup.choose_return_ms(left_ms)
+        await self._refuse(exchange, request, STATUS_UNAVAILABLE, reason, retry_ms)
+
     async def _refuse(
-        self, exchange: Exchange, request: CallerRequest, status: int, reason: str
+        self,
+        exchange: Exchange,
+        request: CallerRequest,
+        status: int,
+        reason: str,
+        retry_ms: float | None = None,
     ) -> None:
-        retry_ms = NOT_READY_RETRY_MS if status == STATUS_UNAVAILABLE else None
         self._parts.events.record(
             Event.REQUEST_REFUSED,
             request_id=request.request_id,
             status=status,
             reason=reason,
             version=self._parts.table.version,
+            retry_after_ms=retry_ms,
         )
         await self._parts.refuse(exchange, request, status, reason, retry_ms)
--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -9,7 +9,7 @@
 from cornelnotch.gateway.front import Front
 from cornelnotch.gateway.keeping import TurnKeeper
 from cornelnotch.gateway.leaving import LeavingNews
-from cornelnotch.gateway.parts import GatewayParts
+from cornelnotch.gateway.parts import NO_VERSION, GatewayParts
 from cornelnotch.gateway.records import RecordDecoder, RecordSource
 from cornelnotch.gateway.relay import RelayPlan, Source
 from cornelnotch.gateway.settings import HostSettings
@@ -114,7 +114,10 @@
             self._list_peers,
             random.Random(f"{name}/records"),
         )
-        self.state = RoutingState(self.parts, self.follower, decoder, self._apply_table)
+        self.follower.subscribe_lost(self.parts.startup.note_store_lost)
+        self.state = RoutingState(
+            self.parts, self.follower, decoder, self._apply_table, self._become_ready
+        )
         self.sharing = LoadSharing(
             self.parts,
             self.peers,
@@ -175,13 +178,18 @@
         self.events.record(Event.HOST_STARTED, http=self.settings.listen.callers)
 
     def _apply_table(self) -> None:
-        """Bring a new table's limits into force; the first makes the host ready."""
+        """Bring a new table's limits into force."""
         limits = self.parts.table.limits
         self.server.limits.header_bytes = limits.header_bytes
         self.server.limits.header_timeout_s = limits.header_timeout_ms / 1000.0
         self.server.limits.idle_timeout_s = limits.idle_timeout_ms / 1000.0
-        if not self.serving and not self.leaving:
+
+    def _become_ready(self) -> None:
+        """Take callers once routes and servers are known."""
+        known = self.parts.table.version != NO_VERSION and self.follower.has_read()
+        if known and not self.serving and not self.leaving:
             self.serving = True
+            self.parts.startup.note_known()
             self.prober.share_state(MemberState.ALIVE)
             self.events.record(Event.HOST_READY, version=self.parts.table.version)
 
--- a/cornelnotch/gateway/parts.py
+++ b/cornelnotch/gateway/parts.py
@@ -16,6 +16,7 @@
 from cornelnotch.gateway.reserving import choose_reserved, find_tight_gap
 from cornelnotch.gateway.servers import ServerPool, ServerView
 from cornelnotch.gateway.settings import HostSettings
+from cornelnotch.gateway.starting import Startup
 from cornelnotch.kernel.clock import Clock
 from cornelnotch.kernel.events import EventLog
 from cornelnotch.kernel.hashing import hash_text
@@ -55,6 +56,7 @@
         self.dialect = dialect
         self.client = client
         self.metrics = NodeMetrics(settings.host.name, clock)
+        self.startup = Startup(clock)
         self.pool = ServerPool()
         self.paces = PaceBook()
         self.placer = Placer(settings.host.domain, settings.regions, self.paces)
--- a/cornelnotch/gateway/state.py
+++ b/cornelnotch/gateway/state.py
@@ -25,11 +25,13 @@
         follower: RecordFollower,
         decoder: RecordDecoder,
         apply_table: Callable[[], None],
+        note_applied: Callable[[], None],
     ) -> None:
         self._parts = parts
         self._follower = follower
         self._decoder = decoder
         self._apply_table = apply_table
+        self._note_applied = note_applied
         self._kept: dict[str, ServerRecord] = {}
         self._kept_until_ms = float("-inf")
         follower.subscribe(self.apply)
@@ -52,6 +54,7 @@
             self._apply_configuration()
         else:
             self._apply_servers(after_outage)
+        self._note_applied()
 
     def _apply_configuration(self) -> None:
         records = self._follower.views[CONFIGURATION].records
--- a/cornelnotch/gateway/tests/test_state.py
+++ b/cornelnotch/gateway/tests/test_state.py
@@ -49,7 +49,7 @@
 def create_state():
     parts: Any = Parts()
     follower: Any = Follower()
-    state = RoutingState(parts, follower, NameDecoder(), lambda: None)
+    state = RoutingState(parts, follower, NameDecoder(), lambda: None, lambda: None)
     for offset, name in enumerate("abc"):
         follower.write(offset, name)
     state.apply(SERVERS, False)
--- a/cornelnotch/standins/store.py
+++ b/cornelnotch/standins/store.py
@@ -41,12 +41,16 @@
 
 
 class StoreStandin:
-    """Answer reads of keyed topics; `fault` is empty, `busy` or `silent`."""
+    """Answer reads of keyed topics; `fault` is empty, `busy` or `silent`.
+
+    Reads of `silent_topics` get no answer.
+    """
 
     def __init__(self) -> None:
         self.server = HttpServer(self._handle)
         self.topics = {"keyed.op": StoreTopic(), "keyed.servers": StoreTopic()}
         self.fault = ""
+        self.silent_topics: set[str] = set()
         self.calls = 0
 
     @property
@@ -65,7 +69,7 @@
     async def _handle(self, exchange: Exchange) -> None:
         await exchange.read_body(0)
         self.calls += 1
-        if self.fault == "silent":
+        if self.fault == "silent" or exchange.query["topic"] in self.silent_topics:
             await exchange.gone.wait()
             exchange.abort()
             return
