Put silent engines aside, and move who waits when another engine is clearly better

Nobody counted a failure, as requests went out on open connections: nine chats of 8.1 to 10.6 s waited there until their callers left after 2 s, six more were reset when it was back. Streams that run there tell after half a second that it is silent: the host then rests it, opens new connections only (they fail before a request is sent), and does so as well where other hosts count failures. Requests that wait for their turn are placed again each 200 ms, and move where another engine is better by the age of the loads. Ruled out: the bound on unbegun prompts.

--- a/cornelnotch/gateway/asking.py
+++ b/cornelnotch/gateway/asking.py
@@ -32,15 +32,17 @@
 
 
 class Turn(StrEnum):
-    """Name how a wait ended: GRANTED, ALONE without an answer, LOST or HOPELESS.
+    """Name how a wait ended.
 
-    LOST means that the engine is no longer to be used, HOPELESS that the caller
-    would leave before its turn.
+    ALONE is a grant without an answer. LOST means that the engine is no longer to be
+    used, BETTER that another one is likely to serve the request sooner, HOPELESS that
+    the caller would leave before its turn.
     """
 
     GRANTED = "granted"
     ALONE = "alone"
     LOST = "lost"
+    BETTER = "better"
     HOPELESS = "hopeless"
 
 
@@ -57,6 +59,7 @@
     arrived_ms: float = 0.0
     patience_ms: float = float("inf")
     gap_ms: float = 0.0
+    is_better_elsewhere: Callable[[], bool] = lambda: False
     heard_ms: float = 0.0
     told_ms: float = 0.0
     begun: bool = False
@@ -97,13 +100,16 @@
         arrived_ms: float,
         patience_ms: float,
         gap_ms: float = 0.0,
+        is_better_elsewhere: Callable[[], bool] = lambda: False,
     ) -> Turn:
         """Wait until the request may be sent; `end` must follow in any case.
 
         Its caller has waited since `arrived_ms`, maybe for another engine before, and
-        leaves after `patience_ms`; it accepts pauses of `gap_ms`.
+        leaves after `patience_ms`; it accepts pauses of `gap_ms`. While it waits,
+        `is_better_elsewhere` is asked whether another engine is clearly better by now.
         """
         state = self._open_state(request, view, flight)
+        state.is_better_elsewhere = is_better_elsewhere
         state.gap_ms = gap_ms
         state.arrived_ms = arrived_ms
         state.patience_ms = patience_ms
@@ -176,6 +182,8 @@
         elif now - state.heard_ms >= SILENT_MS:
             self._silent[state.keeper] = now
             return self._go_alone(state)
+        if state.is_better_elsewhere():
+            return Turn.BETTER
         self._ask(state, "waiting")
         return None
 
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -36,6 +36,8 @@
 # Other hosts' loads are known late, so that a hot engine is seldom the only choice;
 # each ask costs a round trip, and a refusal is to come within a part of the target.
 MAX_CROWDED = 2
+# Each move costs a round trip; loads that sway must not keep a request on its way.
+MAX_MOVES = 4
 # The pause after which callers without a better figure come back.
 RETRY_MS = 500.0
 # Without a deadline of the caller's the route's limit holds alone.
@@ -67,6 +69,7 @@
         self.excluded: set[str] = set()
         self.crowded: set[str] = set()
         self.crowded_wait_ms = 0.0
+        self.moves = 0
         self.events = EventCutter(request.last_event)
         self.priority = route.priority
         if workspace is not None and workspace.priority is not None:
@@ -125,7 +128,9 @@
     async def _try_server(self, placement: Placement, flight: Flight) -> bool:
         """Tell whether the caller has its final answer."""
         turn = await self._wait_for_turn(placement.server, flight)
-        if turn is Turn.LOST:
+        if turn is Turn.BETTER:
+            self.moves += 1
+        if turn in {Turn.LOST, Turn.BETTER}:
             return False
         if turn is Turn.HOPELESS:
             return await self._leave_crowded(placement.server, flight)
@@ -153,7 +158,7 @@
         await self._send_away(self.crowded_wait_ms, "backlog")
         return True
 
-    def _place(self) -> Placement | None:
+    def _choose(self, current: str = "") -> Placement | None:
         now = self.parts.clock.read()
         servers = self.parts.pool.list_usable(self.service, now)
         need = PlacementNeed(
@@ -162,10 +167,23 @@
             self.parts.is_tight(self.route),
             self.parts.find_reserved(self.service),
             self.parts.find_tight_gap(self.service),
+            current,
         )
-        placement = self.parts.placer.choose(
-            servers, self.route, self.request, need, now
-        )
+        return self.parts.placer.choose(servers, self.route, self.request, need, now)
+
+    def _is_better_elsewhere(self, view: ServerView, flight: Flight) -> bool:
+        """Tell whether a request that waits would now be placed at another engine."""
+        if self.moves >= MAX_MOVES:
+            return False
+        view.finish(flight)
+        try:
+            placement = self._choose(view.record.name)
+        finally:
+            view.start(flight)
+        return placement is not None and placement.server is not view
+
+    def _place(self) -> Placement | None:
+        placement = self._choose()
         if placement is not None:
             self._note(
                 Event.SERVER_CHOSEN,
@@ -201,6 +219,7 @@
             self.arrived_ms,
             self._find_patience(),
             self.route.target_gap_ms if flight.tight else 0.0,
+            lambda: self._is_better_elsewhere(view, flight),
         )
         waited_ms = self.parts.clock.read() - flight.started_ms
         pace = self.parts.paces.find(view.record.name, self.service)
@@ -275,11 +294,18 @@
                     view.record.address,
                     self.request,
                     terms,
-                    self.route.kind is WorkKind.ONCE,
+                    self._needs_new_connection(view),
                 )
         except TimeoutError:
             return Answer(Fate.BROKEN, f"silent for {patience_s} s")
 
+    def _needs_new_connection(self, view: ServerView) -> bool:
+        """Tell whether the work may be lost on a connection that has died silently."""
+        if self.route.kind is WorkKind.ONCE:
+            return True
+        now = self.parts.clock.read()
+        return self.parts.placer.measure_use(view, now).failures > 0
+
     def _heed(self, view: ServerView, answer: Answer) -> None:
         """Take in what a server says of itself in any answer."""
         head = answer.head
--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -14,6 +14,7 @@
 from cornelnotch.gateway.relay import RelayPlan, Source
 from cornelnotch.gateway.settings import HostSettings
 from cornelnotch.gateway.sharing import LoadSharing
+from cornelnotch.gateway.silence import SilenceWatch
 from cornelnotch.gateway.spreading import Spreader
 from cornelnotch.gateway.state import RoutingState
 from cornelnotch.kernel.clock import Clock
@@ -173,6 +174,7 @@
         self.tasks.keep("servers", self.follower.run_servers)
         self.tasks.keep("state", self.state.run)
         self.tasks.keep("loads", self.sharing.run)
+        self.tasks.keep("silence", SilenceWatch(self.parts).run)
         self.tasks.keep("turns", self.parts.turns.run)
         self.tasks.keep("probes", self.prober.run_probes)
         self.events.record(Event.HOST_STARTED, http=self.settings.listen.callers)
--- a/cornelnotch/gateway/placing.py
+++ b/cornelnotch/gateway/placing.py
@@ -37,6 +37,8 @@
 # their parts: 29.3 instead of 24.2 million tokens read in a simulated overload.
 EQUAL_SHARE = 0.7
 MIN_SHARE = 0.1
+# Loads of other hosts are known this late, so that a smaller gain may be none.
+MOVE_COST_MS = 250.0
 # Shared parts that are read again sooner than this are not worth a detour.
 WORTHWHILE_MS = 14.0
 
@@ -60,7 +62,7 @@
     """Hold what a request needs beside its route and prompt.
 
     `reserved` names the engines kept for `tight` streams, whose pauses must not be
-    longer than `tight_gap_ms`.
+    longer than `tight_gap_ms`. `current` names the server at which it waits, if any.
     """
 
     priority: int
@@ -68,6 +70,7 @@
     tight: bool = False
     reserved: frozenset[str] = frozenset()
     tight_gap_ms: float = 0.0
+    current: str = ""
 
 
 class Placer:
@@ -102,6 +105,8 @@
             cost = self._weigh(server, route, need.priority, prefill, pace, now)
             cost += self._weigh_prefill(request, prefill, pace)
             cost += self._weigh_pauses(server, need, prefill, pace)
+            if server.record.name == need.current:
+                cost -= MOVE_COST_MS
             if best is None or cost < best.cost_ms:
                 best = Placement(server, cost, prefill, len(candidates))
         if best is None:
--- a/cornelnotch/gateway/servers.py
+++ b/cornelnotch/gateway/servers.py
@@ -20,6 +20,10 @@
 NEVER_BOOTED = -1
 # Servers remembered that said they leave; names are not used again by the thousand.
 REMEMBERED_LEAVING = 4096
+# The longest pause of late is forgotten by half in this time, and grows by this factor
+# at a time, so that a silence does not teach to bear the next.
+PAUSE_HALF_LIFE_MS = 10_000.0
+MAX_PAUSE_GROWTH = 1.5
 # Parts remembered per server; an engine of 600,000 tokens keeps about 100.
 REMEMBERED_PARTS = 400
 
@@ -98,6 +102,8 @@
     parts: OrderedDict[str, float] = field(default_factory=OrderedDict)
     said_leaving: bool = False
     rest_until_ms: float = 0.0
+    heard_ms: float = 0.0
+    longest_pause_ms: float = 0.0
 
     @property
     def leaving(self) -> bool:
@@ -118,15 +124,31 @@
         """Note that work ended."""
         self.flights.pop(flight.request_id, None)
 
-    @staticmethod
-    def hear(flight: Flight, now: float) -> None:
+    def hear(self, flight: Flight, now: float) -> None:
         """Note that bytes of an answer arrived."""
+        heard_ms = self.find_heard_ms()
+        if heard_ms is not None:
+            self._learn_pause(now - heard_ms, now)
+        self.heard_ms = now
         if flight.first_ms:
             flight.gap_ms = max(flight.gap_ms, now - flight.heard_ms)
         else:
             flight.first_ms = now
         flight.heard_ms = now
 
+    def find_heard_ms(self) -> float | None:
+        """Return when a running stream was last heard here, None if none runs."""
+        began = [f.first_ms for f in self.flights.values() if f.first_ms]
+        return max(self.heard_ms, min(began)) if began else None
+
+    def _learn_pause(self, pause_ms: float, now: float) -> None:
+        """Remember the longest pause of late; one that is much longer counts less."""
+        kept = 0.5 ** (max(now - self.heard_ms, 0.0) / PAUSE_HALF_LIFE_MS)
+        known_ms = self.longest_pause_ms * kept
+        if self.longest_pause_ms:
+            pause_ms = min(pause_ms, self.longest_pause_ms * MAX_PAUSE_GROWTH)
+        self.longest_pause_ms = max(pause_ms, known_ms)
+
     def fail(self, now: float) -> None:
         """Let the server rest, longer after each failure in a row."""
         self.failures = self.count_failures(now) + 1
--- a/cornelnotch/gateway/starting.py
+++ b/cornelnotch/gateway/starting.py
@@ -2,8 +2,8 @@
 
 A host that starts learns both within a fraction of a second, from the store or from
 other hosts, so a short wait serves its first callers. Where the store does not answer
-and no host knows either, nobody can tell how long it takes: callers are refused at once,
-and as most come back only once, they are asked to come as late as they would.
+and no host knows either, nobody can tell how long it takes: callers are refused at
+once, and as most come back only once, they are asked to come as late as they would.
 """
 
 import asyncio
--- a/cornelnotch/gateway/tests/test_waiting.py
+++ b/cornelnotch/gateway/tests/test_waiting.py
@@ -120,6 +120,24 @@
     play(scenario)
 
 
+def test_who_waits_for_an_engine_moves_when_another_is_clearly_better():
+    # Chats waited until their callers left for an engine that had gone dark.
+    async def scenario(d, engine):
+        engine.faults.first_ms = 1500.0
+        first = start(d, "first", LONG)
+        await wait_until(lambda: list_sent(engine) == ["first"])
+        second = start(d, "second", LONG)
+        await wait_until(lambda: d.host.keeper.count_waiting() == 1)
+        d.list_server(d.engines[1], "llm")
+        assert (await second).endswith(b"piece 6\n\n")
+        assert not first.done()
+        assert list_sent(d.engines[1]) == ["second"]
+        await first
+        assert d.host.keeper.count_waiting() == 0
+
+    play(scenario)
+
+
 def test_who_still_waits_at_its_limit_is_told_that_it_has_not_run():
     async def scenario(d, engine):
         engine.faults.first_ms = 1500.0
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -54,6 +54,11 @@
     CLAIM_RELEASE_DELAYED = (5002, logging.WARNING, "a release waits for the log")
     SERVER_LISTED = (3005, logging.INFO, "the platform's list of servers changed")
     SERVER_SAID_LEAVING = (3006, logging.INFO, "a server said that it leaves")
+    SERVER_SILENT = (
+        4006,
+        logging.WARNING,
+        "a server with running streams fell silent",
+    )
     SERVER_RESTS = (3007, logging.INFO, "a server wants nothing from this host")
     SERVER_REST_MALFORMED = (
         3008,
