Follow a store that comes back from an older copy

Cause (read, shown by tests): a host knew a topic by its offset alone; after a restoration a reader whose offset had been given out again missed what lay before, whole news of the new life were dropped as old, a configuration could go back at hosts that started in the gap, and servers that had left were listed again. Timeline and offset together now order what is known, every answer is checked, and what the copy lacks is held or kept until it is written again. Ruled out: comparing contents only (two versions cannot be told apart by a host that starts).

--- a/cornelnotch/exceptions.py
+++ b/cornelnotch/exceptions.py
@@ -66,22 +66,33 @@
 
 
 class LogUnavailableError(CornelnotchError):
-    """Report that the log service did not answer; an append may have landed."""
+    """Report that the log service did not answer; an append may have landed.
+
+    `timeline` is that of an answer which names it.
+    """
 
     kind = "log-unavailable"
 
+    def __init__(self, problem: str, remedy: str, timeline: int | None = None) -> None:
+        super().__init__(problem, remedy)
+        self.timeline = timeline
+
 
 class LogTrimmedError(CornelnotchError):
-    """Report that records at the requested offset are past their retention."""
+    """Report that the log does not hold records at the requested offset.
+
+    `timeline` is that of an answer which names it.
+    """
 
     kind = "log-trimmed"
 
-    def __init__(self, earliest: int) -> None:
+    def __init__(self, earliest: int, timeline: int | None = None) -> None:
         super().__init__(
             f"records before offset {earliest} are gone",
             "read from the earliest offset or from a snapshot",
         )
         self.earliest = earliest
+        self.timeline = timeline
 
 
 class WireError(CornelnotchError):
--- a/cornelnotch/gateway/follower.py
+++ b/cornelnotch/gateway/follower.py
@@ -6,7 +6,13 @@
 from dataclasses import replace
 
 from cornelnotch.exceptions import LogTrimmedError, LogUnavailableError
-from cornelnotch.gateway.records import KeyedView, Record, RecordPage, RecordSource
+from cornelnotch.gateway.records import (
+    NO_TIMELINE,
+    KeyedView,
+    Record,
+    RecordPage,
+    RecordSource,
+)
 from cornelnotch.gateway.relay import RelayPlan
 from cornelnotch.gateway.spreading import Spreader
 from cornelnotch.kernel.clock import Clock
@@ -33,6 +39,10 @@
 ASKED_HOSTS = 2
 # After a gap of this length, entries may have lapsed that are about to return.
 OUTAGE_MS = 2000.0
+# A host tells for so long after it entered a timeline what is held from before it.
+TELL_HELD_MS = 60_000.0
+# About so many hosts tell a reader what it does not mention.
+OFFERING_HOSTS = 3
 MAX_VALUE_BYTES = 8 * 1024 * 1024
 
 Listener = Callable[[str, bool], None]
@@ -61,7 +71,10 @@
         self._spreader = spreader
         self._list_hosts = list_hosts
         self._generator = generator
+        self._timeline = NO_TIMELINE
+        self._entered_ms = clock.read()
         self._lost: set[str] = set()
+        self._unnamed: set[str] = set()
         self._failures = dict.fromkeys(TOPICS, 0)
         self._asked_ms = {topic: float("-inf") for topic in TOPICS}
         self._listener: Listener = lambda topic, after_outage: None
@@ -77,6 +90,15 @@
         """Call `listener` when the store does not answer any more."""
         self._lost_listener = listener
 
+    @property
+    def timeline(self) -> int:
+        """Return the latest timeline of the store that this host knows of."""
+        return self._timeline
+
+    def count_held(self) -> int:
+        """Return the records of older timelines that were not written again."""
+        return sum(len(view.held) for view in self.views.values())
+
     def has_read(self) -> bool:
         """Tell whether every topic was read once, here or elsewhere."""
         return all(view.head >= 0 for view in self.views.values())
@@ -116,30 +138,74 @@
     async def _read(self, topic: str, wait_ms: float) -> bool:
         view = self.views[topic]
         start = view.head
+        began = view.timeline
         try:
             if start < 0:
                 page = await self._source.read_newest(topic)
             else:
                 page = await self._source.read_from(topic, start, wait_ms)
-        except LogTrimmedError:
+        except LogTrimmedError as error:
+            self._enter(error.timeline)
             view.head = -1
             return await self._read(topic, wait_ms) if start >= 0 else False
         except LogUnavailableError as error:
+            self._enter(error.timeline)
             self._note_lost(topic, error)
             return False
+        if page.timeline is None:
+            self._note_unnamed(topic)
+        elif page.timeline < self._timeline:
+            self._note_lost(topic, self._create_outdated(page.timeline))
+            return False
+        self._enter(page.timeline)
+        if view.timeline != began and (start >= 0 or page.timeline is None):
+            # Offsets of another timeline, or of one that nobody can tell.
+            return await self._read(topic, wait_ms) if start >= 0 else False
         self._note_read(topic)
         self._take(self._plan.name, topic, page, 0.0, start < 0)
         self._tell(topic, start, page)
         return True
 
+    def _enter(self, timeline: int | None) -> None:
+        """Turn to a later timeline of the store, in which nothing was read yet."""
+        if timeline is None or timeline <= self._timeline:
+            return
+        before = self._timeline
+        self._timeline = timeline
+        self._entered_ms = self._clock.read()
+        restored = [view.enter(timeline) for view in self.views.values()]
+        if not any(restored):
+            return
+        held = sum(len(view.held) for view in self.views.values())
+        self._events.record(
+            Event.LOG_TIMELINE_ENTERED, timeline=timeline, before=before, held=held
+        )
+
+    def _create_outdated(self, timeline: int) -> LogUnavailableError:
+        return LogUnavailableError(
+            f"the store answered in timeline {timeline}, {self._timeline} is known",
+            "restart what answers from an older copy",
+        )
+
+    def _note_unnamed(self, topic: str) -> None:
+        """Note an answer without a timeline where others named one."""
+        if self._timeline == NO_TIMELINE or topic in self._unnamed:
+            return
+        self._unnamed.add(topic)
+        self._events.record(
+            Event.LOG_TIMELINE_UNNAMED, topic=topic, timeline=self._timeline
+        )
+
     def _take(
         self, origin: str, topic: str, page: RecordPage, age_ms: float, whole: bool
     ) -> None:
         """Take in records and how old they are."""
         now = self._clock.read()
-        after_outage = self._plan.read_age(topic, now) > OUTAGE_MS
-        self._plan.note_age(origin, topic, age_ms, now)
         view = self.views[topic]
+        after_outage = (
+            view.awaits_reading or self._plan.read_age(topic, now) > OUTAGE_MS
+        )
+        self._plan.note_age(origin, topic, age_ms, now)
         if whole:
             before = view.records
             is_first = view.head < 0
@@ -166,10 +232,19 @@
                 whole,
                 items,
                 [],
+                self.views[topic].timeline,
+                self._list_held(topic),
             ),
             self._list_hosts(),
         )
 
+    def _list_held(self, topic: str) -> list[RecordItem]:
+        """Return what hosts that started since the restoration should know of."""
+        view = self.views[topic]
+        if not view.held or self._clock.read() - self._entered_ms > TELL_HELD_MS:
+            return []
+        return [_pack(record) for record in view.held.values()]
+
     def _tell_age(self, topic: str) -> None:
         """Say that this host cannot read, so that others do."""
         now = self._clock.read()
@@ -177,7 +252,10 @@
         if head < 0 or not self._plan.must_tell(now):
             return
         age_ms = min(self._plan.read_age(topic, now), 1e9)
-        news = RecordNews(self._plan.name, topic, head, head, age_ms, False, [], [])
+        timeline = self.views[topic].timeline
+        news = RecordNews(
+            self._plan.name, topic, head, head, age_ms, False, [], [], timeline
+        )
         self._send_news(news, self._list_hosts())
 
     def _send_news(self, news: RecordNews, names: list[str]) -> None:
@@ -187,8 +265,16 @@
         self._send_news(news, news.targets)
         if news.topic not in self.views or news.origin == self._plan.name:
             return
+        if news.timeline < self._timeline:
+            return
+        self._enter(news.timeline)
         view = self.views[news.topic]
         now = self._clock.read()
+        if news.held:
+            view.hold(_unpack(item) for item in news.held)
+            self._listener(news.topic, False)
+        elif news.topic == CONFIGURATION:
+            self._offer_held(news.origin)
         if news.whole and news.end < view.head:
             return
         if not news.whole and (view.head < news.start or view.head < 0):
@@ -199,9 +285,33 @@
         page = RecordPage(records, news.end, news.end)
         self._take(news.origin, news.topic, page, news.age_ms, news.whole)
 
+    def _offer_held(self, host: str) -> None:
+        """Tell a host that reads what it may lack, as it started in the gap."""
+        held = self._list_held(CONFIGURATION)
+        share = OFFERING_HOSTS / max(len(self._list_hosts()), 1)
+        if not held or self._generator.random() > share:
+            return
+        view = self.views[CONFIGURATION]
+        start = max(view.head, 0)
+        news = RecordNews(
+            self._plan.name,
+            CONFIGURATION,
+            start,
+            start,
+            min(self._plan.read_age(CONFIGURATION, self._clock.read()), 1e9),
+            False,
+            [],
+            [],
+            view.timeline,
+            held,
+        )
+        self._peers.send(host, news)
+
     def _receive_fetch(self, sender: str, fetch: RecordFetch) -> None:
         view = self.views.get(fetch.topic)
-        if view is None or view.head < 0 or view.head < fetch.head:
+        if view is None or view.head < 0 or fetch.timeline > view.timeline:
+            return
+        if fetch.timeline == view.timeline and view.head < fetch.head:
             return
         now = self._clock.read()
         age_ms = self._plan.read_age(fetch.topic, now)
@@ -217,6 +327,8 @@
                 True,
                 items,
                 [],
+                view.timeline,
+                self._list_held(fetch.topic),
             ),
         )
 
@@ -238,8 +350,9 @@
         if now - self._asked_ms[topic] < ASK_PERIOD_MS:
             return
         self._asked_ms[topic] = now
-        head = self.views[topic].head
-        self._peers.send(name, RecordFetch(self._plan.name, topic, head))
+        view = self.views[topic]
+        fetch = RecordFetch(self._plan.name, topic, view.head, view.timeline)
+        self._peers.send(name, fetch)
 
     def _note_read(self, topic: str) -> None:
         if topic in self._lost:
--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -162,6 +162,8 @@
         metrics.set_state("hosts", len(self.parts.hosts))
         metrics.set_state("turns_waiting", self.keeper.count_waiting())
         metrics.set_state("version", self.parts.table.version)
+        metrics.set_state("store_timeline", self.follower.timeline)
+        metrics.set_state("held_records", self.follower.count_held())
         metrics.set_state("peer_bytes", self.peers.sent_bytes)
         metrics.set_state("servers", len(self.parts.pool.servers))
         return metrics.render()
--- a/cornelnotch/gateway/models.py
+++ b/cornelnotch/gateway/models.py
@@ -125,7 +125,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerRecord:
-    """Hold what the platform lists about one server."""
+    """Hold what the platform lists about one server.
+
+    `written` counts the entries that this life of the server has written.
+    """
 
     name: str
     service: str
@@ -134,6 +137,7 @@
     slots: int
     leaving: bool = False
     boot_ms: int = 0
+    written: int = field(default=0, compare=False)
 
 
 @dataclass(slots=True)
--- a/cornelnotch/gateway/records.py
+++ b/cornelnotch/gateway/records.py
@@ -1,11 +1,26 @@
-"""Keep the newest records of a keyed topic; pure, without sockets or clocks."""
+"""Keep the newest records of a keyed topic; pure, without sockets or clocks.
+
+A log that is restored from an older copy gives offsets out again. Each restoration
+begins a new timeline; what was known of older ones is held until it is written again.
+"""
 
 from abc import ABC, abstractmethod
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from cornelnotch.gateway.models import RoutingTable, ServerRecord
 
-__all__ = ["KeyedView", "Record", "RecordDecoder", "RecordPage", "RecordSource"]
+__all__ = [
+    "NO_TIMELINE",
+    "KeyedView",
+    "Record",
+    "RecordDecoder",
+    "RecordPage",
+    "RecordSource",
+]
+
+# Before the first answer that names a timeline.
+NO_TIMELINE = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,19 +34,51 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordPage:
-    """Hold records in order, where to read on and the topic's end."""
+    """Hold records in order, where to read on and the topic's end.
+
+    `timeline` is None where the answer names none.
+    """
 
     records: list[Record]
     next_offset: int
     end_offset: int
+    timeline: int | None = None
 
 
 @dataclass(slots=True)
 class KeyedView:
-    """Hold the newest record of each key up to offset `head`."""
+    """Hold the newest record of each key up to offset `head` of a timeline.
+
+    `held` keeps what was known of older timelines. `was_restored` is true once a
+    timeline followed another, `awaits_reading` until its records are known.
+    """
 
     head: int = -1
     records: dict[str, Record] = field(default_factory=dict)
+    timeline: int = NO_TIMELINE
+    held: dict[str, Record] = field(default_factory=dict)
+    was_restored: bool = False
+    awaits_reading: bool = False
+
+    def enter(self, timeline: int) -> bool:
+        """Turn to a later timeline; tell whether records of an older one are held."""
+        if timeline <= self.timeline:
+            return False
+        self.timeline = timeline
+        if self.head < 0 and not self.records:
+            return False
+        # What is held already is newer than what a copy brought since.
+        self.hold(self.records.values())
+        self.records = {}
+        self.head = -1
+        self.was_restored = True
+        self.awaits_reading = True
+        return True
+
+    def hold(self, records: Iterable[Record]) -> None:
+        """Hold what another host knows of older timelines."""
+        for record in records:
+            self.held.setdefault(record.key, record)
 
     def apply(self, page: RecordPage) -> list[Record]:
         """Take in records that follow; return those that changed something."""
@@ -59,6 +106,7 @@
         }
         self.records = {**later, **listed}
         self.head = max(self.head, page.next_offset)
+        self.awaits_reading = False
 
 
 class RecordSource(ABC):
--- a/cornelnotch/gateway/tests/test_silence.py
+++ b/cornelnotch/gateway/tests/test_silence.py
@@ -1,6 +1,6 @@
 """Notice engines that fall silent, and only those."""
 
-from typing import Any
+from typing import Any, cast
 
 import pytest
 
@@ -40,7 +40,7 @@
     """Hold an engine with one running stream and the watch over it."""
 
     def __init__(self):
-        self.parts: Any = Parts()
+        self.parts = cast(Any, Parts())
         self.view = self.parts.pool.servers["engine"]
         self.watch = SilenceWatch(self.parts)
         self.flight = Flight("r1", self.now, 0)
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -39,6 +39,16 @@
     )
     SNAPSHOT_WRITTEN = (2004, logging.INFO, "a configuration snapshot was appended")
     LOG_UNAVAILABLE = (2101, logging.WARNING, "the log service does not answer")
+    LOG_TIMELINE_ENTERED = (
+        2103,
+        logging.WARNING,
+        "the store was restored from an older copy",
+    )
+    LOG_TIMELINE_UNNAMED = (
+        2104,
+        logging.WARNING,
+        "an answer of the store names no timeline that can be read",
+    )
     LOG_RECOVERED = (2102, logging.INFO, "the log service answers again")
     MEMBER_CHANGED = (3001, logging.INFO, "a host changed its membership state")
     SERVER_LEAVING = (3002, logging.INFO, "a server takes no new work")
--- a/cornelnotch/platform/records.py
+++ b/cornelnotch/platform/records.py
@@ -190,6 +190,7 @@
         max(model.capacity, 1),
         model.state == STATE_LEAVING,
         model.born,
+        model.sequence,
     )
 
 
--- a/cornelnotch/platform/store.py
+++ b/cornelnotch/platform/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import struct
+from dataclasses import dataclass
 from urllib.parse import quote
 
 import msgspec
@@ -23,6 +24,8 @@
 READ_TIMEOUT_MS = 800.0
 HEAD = struct.Struct(">QQ")
 LENGTH = struct.Struct(">I")
+# Rises by one each time that the store comes back from an older copy.
+TIMELINE = "store-era"
 TOPICS = {"configuration": "keyed.op", "servers": "keyed.servers"}
 # The page's names of what lasts: `op/config`, `servers/ID`.
 PART = 0
@@ -54,7 +57,13 @@
 _trimmed_decoder = msgspec.json.Decoder(TrimmedAnswer)
 
 
-def split_records(body: bytes, start: int) -> RecordPage:
+def read_timeline(headers: dict[str, str]) -> int | None:
+    """Return the timeline that an answer names, None if it names none to be read."""
+    text = headers.get(TIMELINE, "").strip()
+    return int(text) if text.isascii() and text.isdigit() else None
+
+
+def split_records(body: bytes, start: int, timeline: int | None = None) -> RecordPage:
     """Return the records of a read that began at offset `start`."""
     end, first = HEAD.unpack_from(body, 0)
     records = []
@@ -69,7 +78,7 @@
         position += length
         records.append(_read_keyed(content, offset))
         offset += 1
-    return RecordPage(records, offset, max(end, offset))
+    return RecordPage(records, offset, max(end, offset), timeline)
 
 
 def _read_keyed(content: bytes, offset: int) -> Record:
@@ -78,6 +87,15 @@
     return Record(key, content[1 + size :], offset)
 
 
+@dataclass(frozen=True, slots=True)
+class StoreAnswer:
+    """Hold an answer of the store; `timeline` is None where it names none."""
+
+    status: int
+    body: bytes
+    timeline: int | None
+
+
 class PlatformStore(RecordSource):
     """Call the store over HTTP."""
 
@@ -91,19 +109,27 @@
         records: list[Record] = []
         after = ""
         end: int | None = None
+        first: int | None = None
         while True:
             target = f"/log-newest?topic={TOPICS[topic]}&part={PART}"
             if after:
                 target += f"&after={quote(after, safe='')}"
-            _, body = await self._call(target, READ_TIMEOUT_MS)
-            page = self._decode(_newest_decoder, body)
+            answer = await self._call(target, READ_TIMEOUT_MS)
+            first = first if after else answer.timeline
+            if answer.timeline != first:
+                raise LogUnavailableError(
+                    "the store was restored between two pages",
+                    "read again",
+                    answer.timeline,
+                )
+            page = self._decode(_newest_decoder, answer)
             for entry in page.entries:
                 value = base64.b64decode(entry.value)
                 records.append(Record(entry.key, value, entry.offset))
             # Pages are no snapshot, so reading goes on from the end of the first.
             end = page.end_offset if end is None else end
             if not page.has_more or not page.entries:
-                return RecordPage(records, end, end)
+                return RecordPage(records, end, end, first)
             after = page.entries[-1].key
 
     async def read_from(self, topic: str, start: int, wait_ms: float) -> RecordPage:
@@ -111,23 +137,28 @@
         target = f"/log-read?topic={TOPICS[topic]}&part={PART}&from={start}"
         if wait_ms > 0:
             target += f"&wait_ms={wait_ms:.0f}"
-        status, body = await self._call(target, READ_TIMEOUT_MS + wait_ms)
-        if status == STATUS_GONE:
-            raise LogTrimmedError(self._decode(_trimmed_decoder, body).earliest_offset)
-        if len(body) < HEAD.size:
-            raise LogUnavailableError("the store's answer is cut", "read again")
-        return split_records(body, start)
+        answer = await self._call(target, READ_TIMEOUT_MS + wait_ms)
+        if answer.status == STATUS_GONE:
+            earliest = self._decode(_trimmed_decoder, answer).earliest_offset
+            raise LogTrimmedError(earliest, answer.timeline)
+        if len(answer.body) < HEAD.size:
+            raise LogUnavailableError(
+                "the store's answer is cut", "read again", answer.timeline
+            )
+        return split_records(answer.body, start, answer.timeline)
 
     @staticmethod
-    def _decode(decoder: msgspec.json.Decoder, body: bytes):
+    def _decode(decoder: msgspec.json.Decoder, answer: StoreAnswer):
         try:
-            return decoder.decode(body)
+            return decoder.decode(answer.body)
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
             raise LogUnavailableError(
-                f"the store's answer is malformed: {error}", "read again"
+                f"the store's answer is malformed: {error}",
+                "read again",
+                answer.timeline,
             ) from error
 
-    async def _call(self, target: str, timeout_ms: float) -> tuple[int, bytes]:
+    async def _call(self, target: str, timeout_ms: float) -> StoreAnswer:
         self.calls += 1
         try:
             async with asyncio.timeout(timeout_ms / 1000.0):
@@ -137,8 +168,9 @@
             raise LogUnavailableError(
                 f"the store does not answer: {error!r}", "read again later"
             ) from error
+        timeline = read_timeline(answer.headers)
         if answer.status not in {STATUS_OK, STATUS_GONE}:
             raise LogUnavailableError(
-                f"the store answered {answer.status}", "read again later"
+                f"the store answered {answer.status}", "read again later", timeline
             )
-        return answer.status, body
+        return StoreAnswer(answer.status, body, timeline)
--- a/cornelnotch/standins/store.py
+++ b/cornelnotch/standins/store.py
@@ -43,7 +43,8 @@
 class StoreStandin:
     """Answer reads of keyed topics; `fault` is empty, `busy` or `silent`.
 
-    Reads of `silent_topics` get no answer.
+    Reads of `silent_topics` get no answer. Every answer names `timeline`, unless that
+    is empty.
     """
 
     def __init__(self) -> None:
@@ -51,8 +52,22 @@
         self.topics = {"keyed.op": StoreTopic(), "keyed.servers": StoreTopic()}
         self.fault = ""
         self.silent_topics: set[str] = set()
+        self.timeline = "1"
         self.calls = 0
 
+    def copy(self) -> dict[str, int]:
+        """Return how much of each topic a copy made now would hold."""
+        return {name: len(topic.records) for name, topic in self.topics.items()}
+
+    def restore(self, copy: dict[str, int]) -> None:
+        """Come back from a copy, in the next timeline."""
+        for name, size in copy.items():
+            del self.topics[name].records[size:]
+        self.timeline = str(int(self.timeline) + 1)
+
+    def _create_headers(self) -> dict[str, str]:
+        return {"store-era": self.timeline} if self.timeline else {}
+
     @property
     def address(self) -> str:
         """Return where the store listens."""
@@ -74,7 +89,8 @@
             exchange.abort()
             return
         if self.fault == "busy":
-            await exchange.respond_json(STATUS_UNAVAILABLE, {})
+            headers = self._create_headers()
+            await exchange.respond_json(STATUS_UNAVAILABLE, {}, headers)
             return
         topic = self.topics[exchange.query["topic"]]
         if exchange.path == "/log-newest":
@@ -95,21 +111,23 @@
             "has_more": len(rows) > PAGE_ENTRIES,
             "end_offset": len(topic.records),
         }
-        await exchange.respond_json(200, content)
+        await exchange.respond_json(200, content, self._create_headers())
 
     async def _answer_read(self, exchange: Exchange, topic: StoreTopic) -> None:
         start = int(exchange.query["from"])
         wait_s = float(exchange.query.get("wait_ms", "0")) / 1000.0
-        while start >= len(topic.records) and wait_s > 0:
+        while start == len(topic.records) and wait_s > 0:
             await asyncio.sleep(POLL_S)
             wait_s -= POLL_S
-        if start < topic.earliest:
+        headers = self._create_headers()
+        if start < topic.earliest or start > len(topic.records):
             content = {"earliest_offset": topic.earliest}
-            await exchange.respond_json(STATUS_GONE, content)
+            await exchange.respond_json(STATUS_GONE, content, headers)
             return
         body = HEAD.pack(len(topic.records), topic.earliest)
         for key, value in topic.records[start:]:
             name = key.encode()
             content_bytes = bytes([len(name)]) + name + value
             body += LENGTH.pack(len(content_bytes)) + content_bytes
-        await exchange.respond(200, {"content-type": "application/octet-stream"}, body)
+        headers["content-type"] = "application/octet-stream"
+        await exchange.respond(200, headers, body)
--- a/cornelnotch/wire/messages.py
+++ b/cornelnotch/wire/messages.py
@@ -3,7 +3,7 @@
 All times on the wire are durations in ms, since hosts share no clock.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Literal
 
 __all__ = [
@@ -295,7 +295,8 @@
     """Carry the records of a topic between two offsets.
 
     `age_ms` tells how long ago `origin` read the store. The receiver passes
-    the message on to `targets`. `whole` says that keys not listed are gone.
+    the message on to `targets`. `whole` says that keys not listed are gone. `held`
+    carries what the origin knows of timelines before `timeline`.
     """
 
     origin: str
@@ -306,6 +307,8 @@
     whole: bool
     items: list[RecordItem]
     targets: list[str]
+    timeline: int = -1
+    held: list[RecordItem] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
@@ -315,6 +318,7 @@
     host: str
     topic: str
     head: int
+    timeline: int = -1
 
 
 @dataclass(frozen=True, slots=True)
