--- a/cornelnotch/gateway/placing.py
+++ b/cornelnotch/gateway/placing.py
@@ -27,10 +27,10 @@
 # What a failure in a row weighs, and how many count.
 FAILURE_COST_MS = 700.0
 MAX_FAILURES = 4
-# A long prompt beside tight streams spoils their pauses.
+# What it costs tight streams when a prompt fills a whole pause.
 INTRUSION_COST_MS = 3000.0
-# Prompts that take less of what may be read within a pause leave room for others.
-MAX_INTRUSION = 1.0 / 3.0
+# Prompts that take this share of what may be read within a pause leave room for others.
+HARMLESS_SHARE = 1.0 / 3.0
 # A tight stream beside long prompts may be late.
 OUTSIDE_COST_MS = 250.0
 # Turns let short prompts overtake long ones. Of the tokens that wait at the same
@@ -209,9 +209,11 @@
         kept = server.record.name in need.reserved
         if need.tight:
             return 0.0 if kept else OUTSIDE_COST_MS
-        budget = find_reading_budget(pace, need.tight_gap_ms)
-        is_harmful = kept and prefill > budget * MAX_INTRUSION
-        return INTRUSION_COST_MS if is_harmful else 0.0
+        if not kept:
+            return 0.0
+        used = prefill / find_reading_budget(pace, need.tight_gap_ms)
+        harm = (used - HARMLESS_SHARE) / (1.0 - HARMLESS_SHARE)
+        return INTRUSION_COST_MS * min(max(harm, 0.0), 1.0)
 
     def _weigh_distance(self, domain: str) -> float:
         if domain == self._domain:
