Take nothing from a list that ends before what is known

Found by the specification of restorations: a host that starts reads everything while news of other hosts arrive; its own late list then put older values, and keys dropped since, back until their next change, so that a server that had left could be used again. The test that a key written after a list's end stays now begins from a known list, as hosts do, and another asks for older values and dropped keys too; it failed before.

--- a/cornelnotch/gateway/records.py
+++ b/cornelnotch/gateway/records.py
@@ -96,7 +96,12 @@
         return changed
 
     def replace(self, page: RecordPage) -> None:
-        """Take in the newest record of every key; others are gone."""
+        """Take in the newest record of every key; others are gone.
+
+        A list that ends before what is known tells nothing new.
+        """
+        if page.end_offset < self.head:
+            return
         listed = {record.key: record for record in page.records}
         # A key that is not listed may have been written after the page's end.
         later = {
--- a/cornelnotch/gateway/tests/test_records.py
+++ b/cornelnotch/gateway/tests/test_records.py
@@ -48,12 +48,23 @@
 
 def test_a_key_written_after_the_newest_page_began_stays():
     view = KeyedView()
+    view.replace(RecordPage([Record("b", b"1", 1)], 4, 4))
     view.apply(RecordPage([Record("a", b"1", 5)], 6, 6))
     view.replace(RecordPage([Record("b", b"1", 1)], 4, 4))
     assert set(view.records) == {"a", "b"}
     assert view.head == 6
 
 
+def test_a_late_list_brings_back_no_older_value_and_no_dropped_key():
+    # A host that starts hears news while its own first reading is under way.
+    view = KeyedView()
+    first = RecordPage([Record("a", b"1", 0), Record("b", b"1", 1)], 2, 2)
+    view.replace(RecordPage([Record("a", b"2", 2)], 4, 4))
+    view.replace(first)
+    assert view.records == {"a": Record("a", b"2", 2)}
+    assert view.head == 4
+
+
 def test_late_news_of_a_slower_reader_brings_no_dropped_key_back():
     view = KeyedView()
     view.apply(create_page([("a", True), ("a", False)], 0, 2))
