--- a/cornelnotch/verification/__init__.py
+++ b/cornelnotch/verification/__init__.py
@@ -10,13 +10,19 @@
     OrderMutant,
     create_order_protocol,
 )
+from cornelnotch.verification.restoration import (
+    RestorationMutant,
+    create_restoration_protocol,
+)
 
 __all__ = [
     "ClaimMutant",
     "ConfigurationMutant",
     "THREE_TIERS",
     "OrderMutant",
+    "RestorationMutant",
     "create_claim_protocol",
     "create_configuration_protocol",
     "create_order_protocol",
+    "create_restoration_protocol",
 ]
--- a/cornelnotch/verification/tests/test_models.py
+++ b/cornelnotch/verification/tests/test_models.py
@@ -8,9 +8,11 @@
     ClaimMutant,
     ConfigurationMutant,
     OrderMutant,
+    RestorationMutant,
     create_claim_protocol,
     create_configuration_protocol,
     create_order_protocol,
+    create_restoration_protocol,
 )
 
 MAX_STATES = 150_000
@@ -85,3 +87,24 @@
 )
 def test_order_mutants_are_caught(mutant, broken):
     assert broken in list_broken(create_order_protocol(mutant, depth=6))
+
+
+@pytest.mark.parametrize(("timelines", "restarts"), [(2, 1), (3, 0)])
+def test_a_restored_store_takes_nothing_back(timelines, restarts):
+    prove(create_restoration_protocol(timelines=timelines, restarts=restarts))
+
+
+@pytest.mark.parametrize(
+    ("mutant", "timelines", "broken"),
+    [
+        (RestorationMutant.NO_TIMELINE, 2, "never_forgets"),
+        (RestorationMutant.NO_HOLD, 2, "never_forgets"),
+        (RestorationMutant.COPY_FIRST, 3, "never_forgets"),
+        (RestorationMutant.OLD_NEWS, 2, "misses_nothing"),
+        (RestorationMutant.OLD_ANSWER, 2, "misses_nothing"),
+        (RestorationMutant.ANY_VERSION, 2, "never_reverts"),
+    ],
+)
+def test_restoration_mutants_are_caught(mutant, timelines, broken):
+    protocol = create_restoration_protocol(mutant, timelines, restarts=0)
+    assert broken in list_broken(protocol)
