--- a/cornelnotch/platform/tests/test_restoration.py
+++ b/cornelnotch/platform/tests/test_restoration.py
@@ -101,3 +101,19 @@
             assert await answer.read() == b"done by desk-1"
 
     asyncio.run(run())
+
+
+def test_hosts_only_read_so_that_a_restoration_loses_nothing_of_theirs():
+    async def run():
+        async with run_deployment() as d:
+            for path in ("/read/x", "/stream/x", "/nowhere/x"):
+                answer = await d.send(path, "POST", b"b", x_attempt_id=path)
+                await answer.read()
+            copy = d.store.copy()
+            d.configure(create_configuration(2))
+            await wait_until(lambda: d.host.parts.table.version == 2)
+            d.store.restore(copy)
+            await wait_until(lambda: d.host.follower.timeline == 2)
+            assert d.store.paths == {"/log-newest", "/log-read"}
+
+    asyncio.run(run())
--- a/cornelnotch/standins/store.py
+++ b/cornelnotch/standins/store.py
@@ -54,6 +54,7 @@
         self.silent_topics: set[str] = set()
         self.timeline = "1"
         self.calls = 0
+        self.paths: set[str] = set()
 
     def copy(self) -> dict[str, int]:
         """Return how much of each topic a copy made now would hold."""
@@ -84,6 +85,7 @@
     async def _handle(self, exchange: Exchange) -> None:
         await exchange.read_body(0)
         self.calls += 1
+        self.paths.add(exchange.path)
         if self.fault == "silent" or exchange.query["topic"] in self.silent_topics:
             await exchange.gone.wait()
             exchange.abort()
