--- a/cornelnotch/balancing/servers.py
+++ b/cornelnotch/balancing/servers.py
@@ -3,20 +3,20 @@
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 
-__all__ = ["Pace", "ServerState", "find_median", "judge_pace"]
+__all__ = ["SmoothedDuration", "ServerState", "find_median", "is_straggler"]
 
-PACE_GAIN = 0.25
+SMOOTHING_GAIN = 0.25
 MIN_PACE_SAMPLES = 3
 SLOW_RATIO = 2.0
 PROBE_PERIOD_MS = 3000.0
 EJECTION_BASE_MS = 500.0
 EJECTION_LIMIT_MS = 4000.0
-AFFINITY_KEYS = 512
+MAX_AFFINITY_KEYS = 512
 LOAD_WINDOW_MS = 3000.0
 
 
 @dataclass(slots=True)
-class Pace:
+class SmoothedDuration:
     """Smooth one duration that a server shows, in ms."""
 
     mean: float = 0.0
@@ -24,7 +24,7 @@
 
     def update(self, value: float) -> None:
         """Take in one duration."""
-        gain = max(PACE_GAIN, 1.0 / (self.samples + 1))
+        gain = max(SMOOTHING_GAIN, 1.0 / (self.samples + 1))
         self.mean += gain * (value - self.mean)
         self.samples += 1
 
@@ -49,8 +49,8 @@
     ejected_until_ms: float = 0.0
     probe_ms: float = 0.0
     slow: bool = False
-    first_token: Pace = field(default_factory=Pace)
-    between_tokens: Pace = field(default_factory=Pace)
+    first_token: SmoothedDuration = field(default_factory=SmoothedDuration)
+    between_tokens: SmoothedDuration = field(default_factory=SmoothedDuration)
     affinity: OrderedDict[str, None] = field(default_factory=OrderedDict)
     history: deque[tuple[float, int]] = field(default_factory=deque)
 
@@ -64,39 +64,41 @@
             limit = 1 if now >= self.probe_ms else 0
         return max(limit - self.busy - self.external, 0)
 
-    def fail(self, now: float) -> None:
+    def record_failure(self, now: float) -> None:
         """Let the server rest, longer after each failure in a row."""
         if now < self.ejected_until_ms:
             return
         self.failures += 1
-        rest = min(EJECTION_BASE_MS * 2 ** (self.failures - 1), EJECTION_LIMIT_MS)
-        self.ejected_until_ms = now + rest
+        ejection_ms = min(
+            EJECTION_BASE_MS * 2 ** (self.failures - 1), EJECTION_LIMIT_MS
+        )
+        self.ejected_until_ms = now + ejection_ms
 
-    def succeed(self) -> None:
+    def record_success(self) -> None:
         """Forget earlier failures."""
         self.failures = 0
 
-    def note_probe(self, now: float) -> None:
+    def schedule_probe(self, now: float) -> None:
         """Space out the requests that try a slow or failed server."""
         if self.slow or self.failures:
             self.probe_ms = now + PROBE_PERIOD_MS
 
-    def remember_affinity(self, key: str) -> None:
+    def add_affinity(self, key: str) -> None:
         """Note that the server now caches the prefix of `key`."""
         self.affinity[key] = None
         self.affinity.move_to_end(key)
-        while len(self.affinity) > AFFINITY_KEYS:
+        while len(self.affinity) > MAX_AFFINITY_KEYS:
             self.affinity.popitem(last=False)
 
-    def note_busy(self, now: float) -> None:
+    def record_busy(self, now: float) -> None:
         """Keep the own count for comparison with lagging reports."""
         self.history.append((now, self.busy + self.paused))
         while self.history and self.history[0][0] < now - LOAD_WINDOW_MS:
             self.history.popleft()
 
-    def take_report(self, reported: int, now: float) -> None:
+    def apply_load_report(self, reported: int, now: float) -> None:
         """Attribute to others only what own requests in the window cannot explain."""
-        self.note_busy(now)
+        self.record_busy(now)
         own = max(count for _, count in self.history)
         self.external = max(reported - own, 0)
 
@@ -117,7 +119,7 @@
     return [pace.mean for pace in paces if pace.samples >= MIN_PACE_SAMPLES]
 
 
-def judge_pace(server: ServerState, servers: list[ServerState]) -> bool:
+def is_straggler(server: ServerState, servers: list[ServerState]) -> bool:
     """Tell whether a server is a straggler against the median of the others."""
     others = [other for other in servers if other is not server]
     for name in ("first_token", "between_tokens"):
--- a/cornelnotch/claims/client.py
+++ b/cornelnotch/claims/client.py
@@ -86,7 +86,7 @@
         self._start_persisting(operation)
         return False
 
-    def release_later(self, key: str, attempt: str) -> None:
+    def release_in_background(self, key: str, attempt: str) -> None:
         """Free a key in the background."""
         self._start_persisting(ClaimOperation(OperationKind.RELEASE, key, attempt))
 
--- a/cornelnotch/claims/ledger.py
+++ b/cornelnotch/claims/ledger.py
@@ -20,7 +20,7 @@
     "ClaimLedger",
     "ClaimOperation",
     "OperationKind",
-    "OutcomePlace",
+    "OutcomeLocation",
     "decode_operation",
     "decode_operations",
     "encode_operation",
@@ -51,7 +51,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class OutcomePlace:
+class OutcomeLocation:
     """Tell where in the stream an outcome stands."""
 
     offset: int
@@ -65,7 +65,7 @@
     attempt: str
     fingerprint: str
     time_ms: float
-    outcome: OutcomePlace | None = None
+    outcome: OutcomeLocation | None = None
 
 
 @dataclass(slots=True)
@@ -96,7 +96,7 @@
             if owned:
                 del self.claims[operation.key]
         elif operation.kind is OperationKind.OUTCOME and known is not None and owned:
-            known.outcome = OutcomePlace(offset, index)
+            known.outcome = OutcomeLocation(offset, index)
 
     def find(self, key: str) -> Claim | None:
         """Return the winning claim of `key`."""
@@ -116,7 +116,7 @@
             del self.released[attempt]
 
 
-def _dump(operation: ClaimOperation) -> dict[str, object]:
+def _to_content(operation: ClaimOperation) -> dict[str, object]:
     content: dict[str, object] = {
         "op": operation.kind.value,
         "key": operation.key,
@@ -132,7 +132,7 @@
     return content
 
 
-def _load(content: dict) -> ClaimOperation:
+def _from_content(content: dict) -> ClaimOperation:
     body = content.get("body")
     return ClaimOperation(
         OperationKind(content["op"]),
@@ -147,15 +147,15 @@
 
 def encode_operation(operation: ClaimOperation) -> bytes:
     """Return one operation as bytes."""
-    return orjson.dumps(_dump(operation))
+    return orjson.dumps(_to_content(operation))
 
 
 def encode_operations(operations: list[ClaimOperation]) -> bytes:
     """Return the body of one log record."""
-    return orjson.dumps([_dump(operation) for operation in operations])
+    return orjson.dumps([_to_content(operation) for operation in operations])
 
 
-def _report_malformed(error: Exception) -> WireError:
+def _create_malformed_error(error: Exception) -> WireError:
     return WireError(
         f"a claim record is malformed: {error!r}", "keep others off the claim streams"
     )
@@ -164,14 +164,14 @@
 def decode_operation(body: bytes) -> Result[ClaimOperation, WireError]:
     """Return the operation in `body`."""
     try:
-        return Success(_load(orjson.loads(body)))
+        return Success(_from_content(orjson.loads(body)))
     except (ValueError, TypeError, KeyError, AttributeError) as error:
-        return Failure(_report_malformed(error))
+        return Failure(_create_malformed_error(error))
 
 
 def decode_operations(body: bytes) -> Result[list[ClaimOperation], WireError]:
     """Return the operations of one log record."""
     try:
-        return Success([_load(content) for content in orjson.loads(body)])
+        return Success([_from_content(content) for content in orjson.loads(body)])
     except (ValueError, TypeError, KeyError, AttributeError) as error:
-        return Failure(_report_malformed(error))
+        return Failure(_create_malformed_error(error))
--- a/cornelnotch/claims/tests/test_ledger.py
+++ b/cornelnotch/claims/tests/test_ledger.py
@@ -27,7 +27,7 @@
 )
 
 
-def fold(operations):
+def apply_operations(operations):
     ledger = ClaimLedger()
     for offset, operation in enumerate(operations):
         ledger.apply(operation, offset, 0, float(offset))
@@ -51,7 +51,7 @@
 def test_a_claim_that_lands_after_its_release_is_void():
     release = ClaimOperation(OperationKind.RELEASE, "k", "a")
     late = ClaimOperation(OperationKind.CLAIM, "k", "a", "f")
-    assert fold([release, late]).find("k") is None
+    assert apply_operations([release, late]).find("k") is None
 
 
 @settings(max_examples=50, deadline=None, derandomize=True)
@@ -70,7 +70,7 @@
 
 
 def test_eviction_forgets_only_what_is_old():
-    ledger = fold(
+    ledger = apply_operations(
         [
             ClaimOperation(OperationKind.CLAIM, "k", "a", "f"),
             ClaimOperation(OperationKind.CLAIM, "l", "b", "f"),
--- a/cornelnotch/claims/tests/test_writer.py
+++ b/cornelnotch/claims/tests/test_writer.py
@@ -18,7 +18,7 @@
 WAIT_S = 3.0
 
 
-class SmallLog(LogService):
+class FakeLog(LogService):
     """Keep records in memory and misbehave as told."""
 
     def __init__(self):
@@ -52,7 +52,7 @@
         return LogPage(records, self.earliest, len(self.bodies))
 
 
-class SmallPeers:
+class FakePeers:
     """Collect what the writer sends."""
 
     name = "h"
@@ -79,8 +79,8 @@
 
 def run(scenario):
     async def prepare():
-        log = SmallLog()
-        peers: Any = SmallPeers()
+        log = FakeLog()
+        peers: Any = FakePeers()
         events = create_event_log("test")
         tasks = TaskGroup(events)
         clock = SystemClock()
--- a/cornelnotch/claims/writer.py
+++ b/cornelnotch/claims/writer.py
@@ -9,7 +9,7 @@
     ClaimLedger,
     ClaimOperation,
     OperationKind,
-    OutcomePlace,
+    OutcomeLocation,
     decode_operation,
     decode_operations,
     encode_operation,
@@ -91,29 +91,31 @@
             except LogUnavailableError:
                 # The append may have landed; reading tells, and appending the
                 # same attempts again changes nothing.
-                waiting = self._expire(waiting)
+                waiting = self._expire_pending(waiting)
             except LogTrimmedError as error:
-                self._restart(error.earliest)
+                self._reset(error.earliest)
             if waiting:
                 await self._clock.sleep(SETTLE_PAUSE_MS)
 
-    def _expire(self, waiting: list[PendingOperation]) -> list[PendingOperation]:
+    def _expire_pending(
+        self, waiting: list[PendingOperation]
+    ) -> list[PendingOperation]:
         """Give up on asks that were never appended or whose time is up."""
         now = self._clock.read()
-        hopeful = [p for p in waiting if p.appended and now < p.expires_ms]
+        retained = [p for p in waiting if p.appended and now < p.expires_ms]
         for pending in waiting:
-            if pending in hopeful:
+            if pending in retained:
                 continue
             self._events.record(Event.CLAIM_UNSETTLED, stream=self._name)
             self._send(pending, "unavailable")
-        return hopeful
+        return retained
 
-    def _restart(self, earliest: int) -> None:
+    def _reset(self, earliest: int) -> None:
         self.ledger = ClaimLedger()
         self._position = earliest
 
     async def _append(self, waiting: list[PendingOperation]) -> None:
-        needed = [p for p in waiting if self._is_needed(p.operation)]
+        needed = [p for p in waiting if self._changes_ledger(p.operation)]
         if not needed:
             return
         self.appends += 1
@@ -122,7 +124,7 @@
         operations = [pending.operation for pending in needed]
         await self._log.append(self._name, encode_operations(operations))
 
-    def _is_needed(self, operation: ClaimOperation) -> bool:
+    def _changes_ledger(self, operation: ClaimOperation) -> bool:
         """Tell whether an operation would change the ledger."""
         if operation.kind is OperationKind.LOOKUP:
             return False
@@ -170,10 +172,10 @@
             outcome = await self._read_outcome(claim.outcome)
             self._send(pending, "answered", claim.attempt, outcome)
 
-    async def _read_outcome(self, place: OutcomePlace) -> bytes:
-        page = await self._log.read(self._name, place.offset)
+    async def _read_outcome(self, location: OutcomeLocation) -> bytes:
+        page = await self._log.read(self._name, location.offset)
         operations = decode_operations(page.records[0].body).unwrap()
-        return encode_operation(operations[place.index])
+        return encode_operation(operations[location.index])
 
     def _send(
         self,
@@ -215,7 +217,7 @@
         for stream in streams:
             ask = ClaimAsk("", self._peers.name, stream, b"", REFRESH_TIMEOUT_MS)
             pending = PendingOperation(ask, operation, expires_ms)
-            self._open(stream).queue.put_nowait(pending)
+            self._get_stream_writer(stream).queue.put_nowait(pending)
 
     def apply_settings(self, claims: ClaimSettings) -> None:
         """Share the log's budget of appends among the streams."""
@@ -231,11 +233,11 @@
             self._events.record(Event.PEER_MESSAGE_REFUSED, error=decoded.failure())
             return
         expires_ms = self._clock.read() + ask.timeout_ms
-        writer = self._open(ask.stream)
+        writer = self._get_stream_writer(ask.stream)
         writer.interval_ms = self.interval_ms
         writer.queue.put_nowait(PendingOperation(ask, decoded.unwrap(), expires_ms))
 
-    def _open(self, stream: int) -> ClaimStreamWriter:
+    def _get_stream_writer(self, stream: int) -> ClaimStreamWriter:
         writer = self.streams.get(stream)
         if writer is None:
             writer = ClaimStreamWriter(
--- a/cornelnotch/queueing/disciplines.py
+++ b/cornelnotch/queueing/disciplines.py
@@ -46,7 +46,7 @@
         self,
         now: float,
         running: dict[str, int],
-        next_place_ms: float,
+        place_wait_ms: float,
         floors: bool = True,
     ) -> Pick | None:
         """Return the request that gets the next place, without removing it.
@@ -62,8 +62,8 @@
     def list_urgent(self, now: float, margin_ms: float) -> list[Waiting]:
         """Return heads that must start within the margin, highest tier first."""
 
-    def allows_floor(
-        self, item: Running, now: float, running: dict[str, int], next_place_ms: float
+    def can_resume_within_floor(
+        self, item: Running, now: float, running: dict[str, int], place_wait_ms: float
     ) -> bool:
         """Tell whether a displaced request may go on within its class's floor."""
         return False
@@ -77,7 +77,7 @@
         """Return how many requests of a class wait."""
 
     @abstractmethod
-    def note_service(self, class_name: str, now: float) -> None:
+    def record_service(self, class_name: str, now: float) -> None:
         """Remember that a class got a place."""
 
     def get_floor_places(self, class_name: str) -> int:
--- a/cornelnotch/queueing/displacement.py
+++ b/cornelnotch/queueing/displacement.py
@@ -5,7 +5,7 @@
 from cornelnotch.balancing.servers import ServerState
 from cornelnotch.queueing.models import Running, Waiting
 
-__all__ = ["choose_displaced", "list_readmittable"]
+__all__ = ["choose_displaced", "list_resumable"]
 
 
 def _is_usable(server: ServerState | None, now: float) -> bool:
@@ -35,7 +35,7 @@
     return max(candidates, key=lambda c: (c.tier, c.order), default=None)
 
 
-def list_readmittable(
+def list_resumable(
     displaced: Iterable[Running], servers: dict[str, ServerState]
 ) -> list[Running]:
     """Return displaced requests whose own server has a free slot, best first."""
--- a/cornelnotch/queueing/estimates.py
+++ b/cornelnotch/queueing/estimates.py
@@ -5,10 +5,10 @@
 
 __all__ = ["DurationEstimator", "Estimate"]
 
-GAIN = 0.125
+MEAN_GAIN = 0.125
 DEVIATION_GAIN = 0.25
 MIN_SAMPLES = 5
-MAX_KEYS = 4096
+MAX_ESTIMATES = 4096
 
 
 @dataclass(slots=True)
@@ -22,7 +22,7 @@
     def update(self, value: float) -> None:
         """Take in one duration."""
         error = value - self.mean
-        gain = max(GAIN, 1.0 / (self.samples + 1))
+        gain = max(MEAN_GAIN, 1.0 / (self.samples + 1))
         self.mean += gain * error
         self.deviation += DEVIATION_GAIN * (abs(error) - self.deviation)
         self.samples += 1
@@ -49,7 +49,7 @@
             else:
                 estimate.update(duration_ms)
             self._estimates.move_to_end(key)
-        while len(self._estimates) > MAX_KEYS:
+        while len(self._estimates) > MAX_ESTIMATES:
             self._estimates.popitem(last=False)
 
     def find(self, class_name: str, workspace: str) -> Estimate:
--- a/cornelnotch/queueing/fifo.py
+++ b/cornelnotch/queueing/fifo.py
@@ -42,7 +42,7 @@
         self,
         now: float,
         running: dict[str, int],
-        next_place_ms: float,
+        place_wait_ms: float,
         floors: bool = True,
     ) -> Pick | None:
         """Return the oldest request."""
@@ -65,5 +65,5 @@
         """Return how many requests of a class wait."""
         return sum(1 for i in self._items.values() if i.class_name == class_name)
 
-    def note_service(self, class_name: str, now: float) -> None:
+    def record_service(self, class_name: str, now: float) -> None:
         """Need no memory of service."""
--- a/cornelnotch/queueing/shard.py
+++ b/cornelnotch/queueing/shard.py
@@ -3,11 +3,11 @@
 import itertools
 
 from cornelnotch.balancing.balancers import Balancer
-from cornelnotch.balancing.servers import ServerState, judge_pace
+from cornelnotch.balancing.servers import ServerState, is_straggler
 from cornelnotch.kernel import create_plugin
 from cornelnotch.queueing.descriptions import describe_occupancy
 from cornelnotch.queueing.disciplines import Discipline, Pick
-from cornelnotch.queueing.displacement import choose_displaced, list_readmittable
+from cornelnotch.queueing.displacement import choose_displaced, list_resumable
 from cornelnotch.queueing.estimates import DurationEstimator, Estimate
 from cornelnotch.queueing.limits import WorkspaceLimiter
 from cornelnotch.queueing.models import (
@@ -33,7 +33,7 @@
 MIN_QUEUE_PLACES = 16
 FAILED_OUTCOMES = frozenset({"unreachable", "broken", "stalled", "mismatched"})
 HELD_GRACE_MS = 1000.0
-MEAN_GAIN = 0.05
+DURATION_GAIN = 0.05
 
 
 class Shard:
@@ -50,11 +50,11 @@
         self.first_token = DurationEstimator(rule.expected_ms / 4)
         self._balancer = balancer
         self._limiter = WorkspaceLimiter()
-        self._orders = itertools.count()
-        self._counts: dict[str, int] = {}
+        self._sequence = itertools.count()
+        self._running_by_class: dict[str, int] = {}
         self._displaced: dict[str, Running] = {}
         self._leaving: frozenset[str] = frozenset()
-        self._mean_ms = rule.expected_ms
+        self._mean_duration_ms = rule.expected_ms
         self._slots = 0
         self.configure(rule, frozenset())
 
@@ -67,7 +67,7 @@
             if server is None or server.address != server_rule.address:
                 server = ServerState(name, server_rule.address, server_rule.slots)
                 self.servers[name] = server
-                self._recount(server)
+                self._recount_running(server)
             server.slots = server_rule.slots
             server.leaving = server_rule.leaving or name in leaving
         for name in [n for n in self.servers if n not in rule.servers]:
@@ -77,7 +77,7 @@
         self.discipline.configure(rule.classes, self._slots, places)
         self._limiter.configure(rule.workspaces)
 
-    def _recount(self, server: ServerState) -> None:
+    def _recount_running(self, server: ServerState) -> None:
         held = [r for r in self.running.values() if r.server == server.name]
         server.busy = sum(1 for r in held if not r.displaced)
         server.paused = len(held) - server.busy
@@ -95,7 +95,7 @@
         known = self.running.get(ask.request_id)
         if known is not None:
             # A repeated ask means that the grant was lost on its way.
-            return [self._regrant(known, now)]
+            return [self._repeat_grant(known, now)]
         if self.discipline.find(ask.request_id) is not None:
             return []
         item = self._create_waiting(ask, now)
@@ -121,13 +121,17 @@
         rule = self.rule.classes.get(ask.class_name)
         whole = self.whole.find(ask.class_name, ask.workspace)
         first = self.first_token.find(ask.class_name, ask.workspace)
-        give_up = self._compute_deadline_start(now, now + ask.deadline_in_ms, whole)
-        start_by = give_up
+        deadline_start_ms = self._compute_deadline_start(
+            now, now + ask.deadline_in_ms, whole
+        )
+        target_start_ms = deadline_start_ms
         if rule is not None and rule.whole_ms is not None:
-            start_by = min(start_by, arrived + rule.whole_ms - whole.mean)
+            target_start_ms = min(target_start_ms, arrived + rule.whole_ms - whole.mean)
         if rule is not None and rule.first_token_ms is not None:
             margin = first.mean + first.deviation
-            start_by = min(start_by, arrived + rule.first_token_ms - margin)
+            target_start_ms = min(
+                target_start_ms, arrived + rule.first_token_ms - margin
+            )
         return Waiting(
             ask.request_id,
             ask.holder,
@@ -136,9 +140,9 @@
             ask.workspace,
             ask.affinity,
             arrived,
-            start_by,
-            give_up,
-            next(self._orders),
+            target_start_ms,
+            deadline_start_ms,
+            next(self._sequence),
             frozenset(ask.excluded),
         )
 
@@ -160,7 +164,9 @@
         if not any(not s.leaving for s in self.servers.values()):
             return self._refuse(item, "no-server", MAX_RETRY_MS / 30)
         if item.deadline_start_ms < now:
-            return self._refuse(item, "deadline", self.estimate_retry(item.tier, now))
+            return self._refuse(
+                item, "deadline", self.estimate_retry_ms(item.tier, now)
+            )
         retry_ms = self._limiter.check(item.workspace, self.count_workspace, now)
         if retry_ms is not None:
             return self._refuse(item, "workspace-limit", retry_ms)
@@ -181,7 +187,9 @@
         if displacement:
             return displacement
         self.discipline.remove(victim.request_id)
-        return [self._refuse(victim, "queue-full", self._retry(victim, now))]
+        return [
+            self._refuse(victim, "queue-full", self._estimate_retry_ms(victim, now))
+        ]
 
     def cancel(self, request_id: str, now: float) -> list[Effect]:
         """Forget a request whose holder gave it up."""
@@ -202,7 +210,7 @@
         server = self.servers.get(running.server)
         if server is not None and not running.displaced:
             server.first_token.update(elapsed_ms)
-            self._judge(server)
+            self._update_slow(server)
         return []
 
     def finish(self, finish: PermitFinish, now: float) -> list[Effect]:
@@ -212,27 +220,29 @@
             return []
         server = self.servers.get(finish.server)
         if server is not None:
-            self._learn(server, running, finish, now)
+            self._update_statistics(server, running, finish, now)
         self._release(finish.request_id, now)
         return self.schedule(now)
 
-    def _learn(
+    def _update_statistics(
         self, server: ServerState, running: Running, finish: PermitFinish, now: float
     ) -> None:
         if finish.outcome in FAILED_OUTCOMES:
-            server.fail(now)
+            server.record_failure(now)
         elif finish.outcome == "done":
-            server.succeed()
+            server.record_success()
             self.whole.update(running.class_name, running.workspace, finish.elapsed_ms)
-            self._mean_ms += MEAN_GAIN * (finish.elapsed_ms - self._mean_ms)
+            self._mean_duration_ms += DURATION_GAIN * (
+                finish.elapsed_ms - self._mean_duration_ms
+            )
             if finish.between_tokens_ms > 0 and not running.displaced:
                 server.between_tokens.update(finish.between_tokens_ms)
-            self._judge(server)
+            self._update_slow(server)
 
-    def _judge(self, server: ServerState) -> None:
-        server.slow = judge_pace(server, list(self.servers.values()))
+    def _update_slow(self, server: ServerState) -> None:
+        server.slow = is_straggler(server, list(self.servers.values()))
 
-    def take_held(self, held: HeldPermits, now: float) -> list[Effect]:
+    def sync_held_permits(self, held: HeldPermits, now: float) -> list[Effect]:
         """Adopt what a host holds and drop what it no longer holds."""
         names = {permit.request_id for permit in held.permits}
         for running in list(self.running.values()):
@@ -246,7 +256,7 @@
         for permit in held.permits:
             if permit.request_id in self.running:
                 continue
-            self._occupy(
+            self._add_running(
                 Running(
                     permit.request_id,
                     held.holder,
@@ -255,13 +265,13 @@
                     permit.workspace,
                     permit.server,
                     now,
-                    next(self._orders),
+                    next(self._sequence),
                 ),
                 now,
             )
         return self.schedule(now)
 
-    def drop_holder(self, holder: str, now: float) -> list[Effect]:
+    def release_holder(self, holder: str, now: float) -> list[Effect]:
         """Free every place of a host that is gone."""
         for running in list(self.running.values()):
             if running.holder == holder:
@@ -271,12 +281,12 @@
                 self.discipline.remove(item.request_id)
         return self.schedule(now)
 
-    def take_report(self, server: str, reported: int, now: float) -> list[Effect]:
+    def apply_load_report(self, server: str, reported: int, now: float) -> list[Effect]:
         """Correct a server's load by its own lagging report."""
         state = self.servers.get(server)
         if state is None:
             return []
-        state.take_report(reported, now)
+        state.apply_load_report(reported, now)
         return self.schedule(now)
 
     def schedule(self, now: float) -> list[Effect]:
@@ -284,18 +294,24 @@
         effects: list[Effect] = []
         effects += self._displace_for_urgent(now)
         for item in self.discipline.expire(now):
-            effects.append(self._refuse(item, "deadline", self._retry(item, now)))
+            effects.append(
+                self._refuse(item, "deadline", self._estimate_retry_ms(item, now))
+            )
         while True:
-            pick = self.discipline.choose(now, self._counts, self.estimate_place())
-            readmitted = self._choose_readmitted(pick, now)
-            if readmitted is not None:
-                effects.append(self._readmit(readmitted, now))
+            pick = self.discipline.choose(
+                now, self._running_by_class, self.estimate_place_wait_ms()
+            )
+            resumed = self._choose_resumed(pick, now)
+            if resumed is not None:
+                effects.append(self._resume(resumed, now))
                 continue
             if pick is None:
                 break
             server = self._choose_server(pick, now)
             if server is None and pick.by_floor:
-                pick = self.discipline.choose(now, self._counts, 0.0, floors=False)
+                pick = self.discipline.choose(
+                    now, self._running_by_class, 0.0, floors=False
+                )
                 server = self._choose_server(pick, now) if pick else None
             if server is None or pick is None:
                 break
@@ -336,7 +352,7 @@
         victim.displaced = True
         victim.displaced_ms = now
         self._displaced[victim.request_id] = victim
-        self._counts[victim.class_name] -= 1
+        self._running_by_class[victim.class_name] -= 1
         server = self.servers[victim.server]
         server.busy -= 1
         server.paused += 1
@@ -347,7 +363,7 @@
         return choose_displaced(
             item,
             self.running.values(),
-            self._counts,
+            self._running_by_class,
             self.discipline.get_floor_places,
             self.servers,
             now,
@@ -357,7 +373,7 @@
         self, item: Waiting, server: ServerState, reason: str, now: float
     ) -> Grant:
         self.discipline.remove(item.request_id)
-        self.discipline.note_service(item.class_name, now)
+        self.discipline.record_service(item.class_name, now)
         running = Running(
             item.request_id,
             item.holder,
@@ -366,11 +382,11 @@
             item.workspace,
             server.name,
             now,
-            next(self._orders),
+            next(self._sequence),
         )
-        self._occupy(running, now)
+        self._add_running(running, now)
         if item.affinity:
-            server.remember_affinity(item.affinity)
+            server.add_affinity(item.affinity)
         return Grant(
             item.request_id,
             item.holder,
@@ -380,7 +396,7 @@
             reason,
         )
 
-    def _regrant(self, running: Running, now: float) -> Effect:
+    def _repeat_grant(self, running: Running, now: float) -> Effect:
         server = self.servers.get(running.server)
         address = server.address if server else ""
         queued_ms = now - running.granted_ms
@@ -393,15 +409,15 @@
             "repeated",
         )
 
-    def _occupy(self, running: Running, now: float) -> None:
+    def _add_running(self, running: Running, now: float) -> None:
         self.running[running.request_id] = running
         name = running.class_name
-        self._counts[name] = self._counts.get(name, 0) + 1
+        self._running_by_class[name] = self._running_by_class.get(name, 0) + 1
         server = self.servers.get(running.server)
         if server is not None:
             server.busy += 1
-            server.note_busy(now)
-            server.note_probe(now)
+            server.record_busy(now)
+            server.schedule_probe(now)
 
     def _release(self, request_id: str, now: float) -> None:
         running = self.running.pop(request_id)
@@ -411,52 +427,54 @@
             if server is not None:
                 server.paused -= 1
             return
-        self._counts[running.class_name] -= 1
+        self._running_by_class[running.class_name] -= 1
         if server is None:
             return
         server.busy -= 1
-        server.note_busy(now)
+        server.record_busy(now)
 
-    def _choose_readmitted(self, pick: Pick | None, now: float) -> Running | None:
+    def _choose_resumed(self, pick: Pick | None, now: float) -> Running | None:
         """Return the displaced request that goes before `pick`."""
         if not self._displaced:
             return None
-        place_ms = self.estimate_place()
-        for running in list_readmittable(self._displaced.values(), self.servers):
+        place_ms = self.estimate_place_wait_ms()
+        for running in list_resumable(self._displaced.values(), self.servers):
             if pick is None or running.tier <= pick.item.tier:
                 return running
-            if self.discipline.allows_floor(running, now, self._counts, place_ms):
+            if self.discipline.can_resume_within_floor(
+                running, now, self._running_by_class, place_ms
+            ):
                 return running
         return None
 
-    def _readmit(self, running: Running, now: float) -> Effect:
+    def _resume(self, running: Running, now: float) -> Effect:
         running.displaced = False
         del self._displaced[running.request_id]
         server = self.servers[running.server]
         server.busy += 1
         server.paused -= 1
-        server.note_busy(now)
+        server.record_busy(now)
         name = running.class_name
-        self._counts[name] = self._counts.get(name, 0) + 1
-        self.discipline.note_service(name, now)
+        self._running_by_class[name] = self._running_by_class.get(name, 0) + 1
+        self.discipline.record_service(name, now)
         return Pause(running.request_id, running.holder, False)
 
-    def estimate_place(self) -> float:
+    def estimate_place_wait_ms(self) -> float:
         """Return the ms until a place is likely to become free."""
-        return self._mean_ms / max(self._slots, 1)
+        return self._mean_duration_ms / max(self._slots, 1)
 
-    def estimate_retry(self, tier: int, now: float) -> float:
+    def estimate_retry_ms(self, tier: int, now: float) -> float:
         """Return when a refused request of `tier` is likely to find a place."""
         ahead = sum(1 for w in self.discipline.list_waiting() if w.tier <= tier)
-        expected = self.estimate_place() * (ahead + 1)
+        expected = self.estimate_place_wait_ms() * (ahead + 1)
         return min(max(expected, MIN_RETRY_MS), MAX_RETRY_MS)
 
-    def estimate_backlog(self) -> float:
+    def estimate_backlog_ms(self) -> float:
         """Return the ms of work that waits, for choosing between shards."""
-        return self.estimate_place() * self.discipline.size()
+        return self.estimate_place_wait_ms() * self.discipline.size()
 
-    def _retry(self, item: Waiting, now: float) -> float:
-        return self.estimate_retry(item.tier, now)
+    def _estimate_retry_ms(self, item: Waiting, now: float) -> float:
+        return self.estimate_retry_ms(item.tier, now)
 
     def _refuse(self, item: Waiting, reason: str, retry_after_ms: float) -> Refusal:
         return Refusal(
--- a/cornelnotch/queueing/tests/test_machine.py
+++ b/cornelnotch/queueing/tests/test_machine.py
@@ -48,7 +48,7 @@
         self.granted = {}
         self.answered = set()
 
-    def take(self, effects):
+    def check_effects(self, effects):
         for effect in effects:
             name = effect.request_id
             if isinstance(effect, Grant):
@@ -87,7 +87,7 @@
         ask = PermitAsk(
             request_id, "h", "s", name, TIERS[name], "w", "", 0.0, deadline, [], 0
         )
-        self.take(self.shard.ask(ask, self.now))
+        self.check_effects(self.shard.ask(ask, self.now))
 
     @rule(data=st.data(), outcome=st.sampled_from(OUTCOMES))
     def finish(self, data, outcome):
@@ -97,40 +97,42 @@
         server = self.granted.pop(name)
         self.answered.add(name)
         message = PermitFinish(name, "s", server, outcome, 80.0, 20.0, 5.0, 10)
-        self.take(self.shard.finish(message, self.now))
+        self.check_effects(self.shard.finish(message, self.now))
 
     @rule(data=st.data())
     def cancel(self, data):
-        open_names = sorted(set(self.asked) - self.answered)
-        if not open_names:
+        unanswered = sorted(set(self.asked) - self.answered)
+        if not unanswered:
             return
-        name = data.draw(st.sampled_from(open_names))
+        name = data.draw(st.sampled_from(unanswered))
         self.granted.pop(name, None)
         self.answered.add(name)
-        self.take(self.shard.cancel(name, self.now))
+        self.check_effects(self.shard.cancel(name, self.now))
 
     @rule(duration=st.floats(1, 60))
     def tick(self, duration):
         self.now += duration
-        self.take(self.shard.schedule(self.now))
+        self.check_effects(self.shard.schedule(self.now))
 
     @rule(slots=st.integers(1, 4), leaving=st.sets(st.integers(0, 2), max_size=2))
     def configure(self, slots, leaving):
         self.shard.configure(create_rule(slots, leaving), frozenset())
-        self.take(self.shard.schedule(self.now))
+        self.check_effects(self.shard.schedule(self.now))
 
     @rule(server=st.sampled_from(["e0", "e1"]), load=st.integers(0, 6))
     def report(self, server, load):
-        self.take(self.shard.take_report(server, load, self.now))
+        self.check_effects(self.shard.apply_load_report(server, load, self.now))
 
     @rule()
-    def hold(self):
+    def report_held(self):
         self.now += 1500.0
         permits = [
             HeldPermit(n, s, self.asked[n], TIERS[self.asked[n]], "w")
             for n, s in self.granted.items()
         ]
-        self.take(self.shard.take_held(HeldPermits("h", "s", permits), self.now))
+        self.check_effects(
+            self.shard.sync_held_permits(HeldPermits("h", "s", permits), self.now)
+        )
 
     @invariant()
     def counts_match_what_runs(self):
@@ -144,7 +146,7 @@
                 for r in self.shard.running.values()
                 if r.class_name == name and not r.displaced
             ]
-            assert self.shard._counts.get(name, 0) == len(active)
+            assert self.shard._running_by_class.get(name, 0) == len(active)
 
     @invariant()
     def every_grant_is_known(self):
--- a/cornelnotch/queueing/tests/test_shard.py
+++ b/cornelnotch/queueing/tests/test_shard.py
@@ -95,7 +95,7 @@
     ask(shard, "low", 1, 0.0)
     ask(shard, "high", 2, 10.0)
     shard.schedule(480.0)
-    shard.take_report("e0", 3, 4000.0)
+    shard.apply_load_report("e0", 3, 4000.0)
     assert shard.servers["e0"].external == 0
 
 
@@ -184,9 +184,9 @@
 def test_a_new_dispatcher_learns_what_is_held_and_forgets_what_is_not():
     shard = create_shard(create_rule())
     permits = [HeldPermit(f"r{n}", "e0", "high", 1, "w") for n in range(2)]
-    shard.take_held(HeldPermits("host", "s", permits), 0.0)
+    shard.sync_held_permits(HeldPermits("host", "s", permits), 0.0)
     assert ask(shard, "high", 9, 1.0) == []
-    effects = shard.take_held(HeldPermits("host", "s", permits[:1]), 3000.0)
+    effects = shard.sync_held_permits(HeldPermits("host", "s", permits[:1]), 3000.0)
     assert list_granted(effects) == [] or list_granted(effects) == ["high-9"]
     assert set(shard.running) - {"high-9"} == {"r0"}
 
--- a/cornelnotch/queueing/tiered.py
+++ b/cornelnotch/queueing/tiered.py
@@ -61,7 +61,7 @@
         candidates = self.late or self.timely
         return max(candidates, key=lambda item: item.order, default=None)
 
-    def shift_late(self, now: float) -> None:
+    def move_late_requests(self, now: float) -> None:
         """Move requests that can no longer meet their target."""
         while self.timely and self.timely[0].target_start_ms < now:
             item = self.timely.pop(0)
@@ -70,7 +70,7 @@
 
 
 def _rank_head(item: Waiting) -> tuple[bool, float, int]:
-    return (item.late, _get_limit(item), item.order)
+    return (item.late, _get_latest_start(item), item.order)
 
 
 @register_plugin("discipline", "tiered")
@@ -82,13 +82,13 @@
         self._items: dict[str, Waiting] = {}
         self._rules: dict[str, ClassRule] = {}
         self._slots = 0
-        self._places = 0
+        self._queue_places = 0
 
     def configure(self, classes: dict[str, ClassRule], slots: int, places: int) -> None:
         """Take over rules and sizes; waiting requests keep their places."""
         self._rules = classes
         self._slots = slots
-        self._places = places
+        self._queue_places = places
         for key, queue in self._queues.items():
             queue.rule = classes.get(key[0], queue.rule)
 
@@ -122,7 +122,7 @@
         """Take out the requests whose deadline is out of reach."""
         expired = []
         for queue in self._queues.values():
-            queue.shift_late(now)
+            queue.move_late_requests(now)
             while queue.late and queue.late[0].deadline_start_ms < now:
                 expired.append(queue.late[0])
                 self.remove(queue.late[0].request_id)
@@ -132,7 +132,7 @@
         self,
         now: float,
         running: dict[str, int],
-        next_place_ms: float,
+        place_wait_ms: float,
         floors: bool = True,
     ) -> Pick | None:
         """Return the next request by the rule of this module."""
@@ -143,7 +143,7 @@
             overdue = self._choose_overdue(now, running)
             if overdue is not None:
                 return Pick(overdue, "longest-wait", by_floor=True)
-            floor = self._choose_floor(heads, now, running, next_place_ms)
+            floor = self._choose_floor(heads, now, running, place_wait_ms)
             if floor is not None:
                 return Pick(floor, "floor", by_floor=True)
         return Pick(heads[0], "late" if heads[0].late else "tier")
@@ -170,7 +170,7 @@
         """Return heads whose target, or once late deadline, is about to pass."""
         heads = self._list_heads()
         heads += [q.late[0] for q in self._queues.values() if q.timely and q.late]
-        urgent = [item for item in heads if _get_limit(item) - now <= margin_ms]
+        urgent = [item for item in heads if _get_latest_start(item) - now <= margin_ms]
         return sorted(urgent, key=lambda item: (item.tier, *_rank_head(item)))
 
     def list_waiting(self) -> Iterable[Waiting]:
@@ -185,7 +185,7 @@
         """Return how many requests of a class wait."""
         return sum(len(q) for key, q in self._queues.items() if key[0] == class_name)
 
-    def note_service(self, class_name: str, now: float) -> None:
+    def record_service(self, class_name: str, now: float) -> None:
         """Restart the longest wait of a class."""
         for key, queue in self._queues.items():
             if key[0] == class_name:
@@ -202,7 +202,7 @@
 
     def _get_queue_floor(self, class_name: str) -> int:
         rule = self._rules.get(class_name)
-        return max(1, int(rule.floor * self._places)) if rule else 0
+        return max(1, int(rule.floor * self._queue_places)) if rule else 0
 
     @staticmethod
     def _get_tier(queue: ClassQueue) -> int:
@@ -236,7 +236,7 @@
         heads: list[Waiting],
         now: float,
         running: dict[str, int],
-        next_place_ms: float,
+        place_wait_ms: float,
     ) -> Waiting | None:
         """Return a head within its floor that delays no higher tier too long."""
         highest = heads[0].tier
@@ -245,20 +245,20 @@
                 continue
             if not self._is_below_floor(item.class_name, running):
                 continue
-            if self._can_wait(heads[:position], item.tier, now, next_place_ms):
+            if self._can_heads_wait(heads[:position], item.tier, now, place_wait_ms):
                 return item
         return None
 
     @staticmethod
-    def _can_wait(
-        heads: list[Waiting], tier: int, now: float, next_place_ms: float
+    def _can_heads_wait(
+        heads: list[Waiting], tier: int, now: float, place_wait_ms: float
     ) -> bool:
         """Tell whether every head above `tier` keeps its promise one place later."""
         higher = [h for h in heads if h.tier < tier]
-        return all(_get_limit(h) - now > next_place_ms for h in higher)
+        return all(_get_latest_start(h) - now > place_wait_ms for h in higher)
 
-    def allows_floor(
-        self, item: Running, now: float, running: dict[str, int], next_place_ms: float
+    def can_resume_within_floor(
+        self, item: Running, now: float, running: dict[str, int], place_wait_ms: float
     ) -> bool:
         """Apply the first two clauses of the rule to a displaced request."""
         if not self._is_below_floor(item.class_name, running):
@@ -266,9 +266,9 @@
         rule = self._rules.get(item.class_name)
         if rule is not None and now - item.displaced_ms >= rule.longest_wait_ms:
             return True
-        return self._can_wait(self._list_heads(), item.tier, now, next_place_ms)
+        return self._can_heads_wait(self._list_heads(), item.tier, now, place_wait_ms)
 
 
-def _get_limit(item: Waiting) -> float:
+def _get_latest_start(item: Waiting) -> float:
     """Return the moment by which a request must start to keep its promise."""
     return item.deadline_start_ms if item.late else item.target_start_ms
--- a/cornelnotch/routing/budget.py
+++ b/cornelnotch/routing/budget.py
@@ -3,7 +3,7 @@
 __all__ = ["RetryBudget"]
 
 RETRY_SHARE = 0.2
-MIN_TOKENS = 5.0
+INITIAL_TOKENS = 5.0
 MAX_TOKENS = 100.0
 
 
@@ -11,7 +11,7 @@
     """Earn a share of a retry with each first attempt."""
 
     def __init__(self) -> None:
-        self._tokens = MIN_TOKENS
+        self._tokens = INITIAL_TOKENS
 
     def deposit(self) -> None:
         """Count one first attempt."""
--- a/cornelnotch/routing/dispatcher.py
+++ b/cornelnotch/routing/dispatcher.py
@@ -42,7 +42,7 @@
 TICK_MS = 20.0
 LOAD_PERIOD_MS = 1000.0
 LOAD_TIMEOUT_MS = 800.0
-BEHIND_RETRY_MS = 100.0
+OUTDATED_CONFIGURATION_RETRY_MS = 100.0
 HOLDER_TIMEOUT_MS = 30_000.0
 
 
@@ -72,7 +72,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LoadReport:
+class ServerLoadReport:
     """Carry what a server says of its own load."""
 
     shard: str
@@ -93,7 +93,7 @@
         self._peers = peers
         self._clock = clock
         self._client = HttpClient()
-        self._heard: dict[tuple[str, str], float] = {}
+        self._last_heard_ms: dict[tuple[str, str], float] = {}
         self._waiting = asyncio.Event()
         fleet.subscribe(lambda: self.post(Refresh()))
         for kind in (
@@ -126,14 +126,14 @@
         """Ask the servers of owned shards for their load until cancelled."""
         while True:
             await self._clock.sleep(LOAD_PERIOD_MS)
-            polls = [
+            requests = [
                 self._poll_load(shard.rule.name, server.name, server.address)
                 for shard in list(self.shards.values())
-                if self._owns(shard.rule.name)
+                if self._is_owner(shard.rule.name)
                 for server in shard.servers.values()
             ]
-            await asyncio.gather(*polls)
-            self._drop_silent_holders()
+            await asyncio.gather(*requests)
+            self._release_silent_holders()
 
     async def _poll_load(self, shard: str, server: str, address: str) -> None:
         try:
@@ -149,19 +149,19 @@
         except ValidationError:
             # A server that reports nonsense is judged by own counts alone.
             return
-        self.post(LoadReport(shard, server, load.running + load.waiting))
+        self.post(ServerLoadReport(shard, server, load.running + load.waiting))
 
-    def _drop_silent_holders(self) -> None:
+    def _release_silent_holders(self) -> None:
         now = self._clock.read()
-        for (holder, name), heard in list(self._heard.items()):
-            if now - heard < HOLDER_TIMEOUT_MS:
+        for (holder, name), last_heard_ms in list(self._last_heard_ms.items()):
+            if now - last_heard_ms < HOLDER_TIMEOUT_MS:
                 continue
-            del self._heard[(holder, name)]
+            del self._last_heard_ms[(holder, name)]
             shard = self.shards.get(name)
             if shard is not None:
-                self._perform(shard, shard.drop_holder(holder, now))
+                self._apply_effects(shard, shard.release_holder(holder, now))
 
-    def _owns(self, shard: str) -> bool:
+    def _is_owner(self, shard: str) -> bool:
         if shard not in self._fleet.plans:
             return False
         ranking = self._fleet.rank_dispatchers(shard)
@@ -176,7 +176,7 @@
         elif isinstance(message, Tick):
             for shard in self.shards.values():
                 if shard.discipline.size():
-                    self._perform(shard, shard.schedule(self._clock.read()))
+                    self._apply_effects(shard, shard.schedule(self._clock.read()))
         else:
             self._handle_report(message)
 
@@ -199,11 +199,11 @@
         elif isinstance(message, PermitCancel):
             effects = shard.cancel(message.request_id, now)
         elif isinstance(message, HeldPermits):
-            self._heard[(message.holder, message.shard)] = now
-            effects = shard.take_held(message, now)
-        elif isinstance(message, LoadReport):
-            effects = shard.take_report(message.server, message.load, now)
-        self._perform(shard, effects)
+            self._last_heard_ms[(message.holder, message.shard)] = now
+            effects = shard.sync_held_permits(message, now)
+        elif isinstance(message, ServerLoadReport):
+            effects = shard.apply_load_report(message.server, message.load, now)
+        self._apply_effects(shard, effects)
 
     @staticmethod
     def _read_health(shard: Shard, name: str) -> ServerHealth:
@@ -222,7 +222,7 @@
             self.events.record(Event.SERVER_SLOW, server=name)
 
     def _handle_ask(self, ask: PermitAsk) -> None:
-        if ask.hops == 0 and not self._owns(ask.shard):
+        if ask.hops == 0 and not self._is_owner(ask.shard):
             self._peers.send(ask.holder, PermitMoved(ask.request_id, ask.shard))
             return
         shard = self._open_shard(ask.shard)
@@ -231,18 +231,20 @@
                 ask.request_id,
                 ask.shard,
                 "configuration-behind",
-                BEHIND_RETRY_MS,
+                OUTDATED_CONFIGURATION_RETRY_MS,
                 [],
                 0.0,
             )
             self._peers.send(ask.holder, refusal)
             return
         now = self._clock.read()
-        self._heard[(ask.holder, ask.shard)] = now
-        self._perform(shard, shard.ask(ask, now))
+        self._last_heard_ms[(ask.holder, ask.shard)] = now
+        self._apply_effects(shard, shard.ask(ask, now))
         if shard.discipline.find(ask.request_id) is not None:
             self._waiting.set()
-            queued = PermitQueued(ask.request_id, ask.shard, shard.estimate_backlog())
+            queued = PermitQueued(
+                ask.request_id, ask.shard, shard.estimate_backlog_ms()
+            )
             self._peers.send(ask.holder, queued)
 
     def _open_shard(self, name: str) -> Shard | None:
@@ -261,43 +263,43 @@
         for name, shard in list(self.shards.items()):
             plan = self._fleet.plans.get(name)
             if plan is None:
-                self._move_waiting(shard)
+                self._redirect_waiting(shard)
                 del self.shards[name]
                 continue
             rule = create_shard_rule(plan, self._fleet.configuration)
             shard.configure(rule, self._fleet.leaving_servers)
-            self._drop_dead_holders(shard, now)
-            if not self._owns(name):
-                self._move_waiting(shard)
+            self._release_dead_holders(shard, now)
+            if not self._is_owner(name):
+                self._redirect_waiting(shard)
                 if not shard.running:
                     del self.shards[name]
                     continue
-            self._perform(shard, shard.schedule(now))
+            self._apply_effects(shard, shard.schedule(now))
 
-    def _drop_dead_holders(self, shard: Shard, now: float) -> None:
+    def _release_dead_holders(self, shard: Shard, now: float) -> None:
         known = {m.name for m in self._fleet.list_known()}
         holders = {running.holder for running in shard.running.values()}
         holders |= {item.holder for item in shard.discipline.list_waiting()}
         for holder in holders - known:
-            self._perform(shard, shard.drop_holder(holder, now))
+            self._apply_effects(shard, shard.release_holder(holder, now))
 
-    def _move_waiting(self, shard: Shard) -> None:
+    def _redirect_waiting(self, shard: Shard) -> None:
         """Send the queue's requests to the shard's new owner."""
         for item in list(shard.discipline.list_waiting()):
             shard.discipline.remove(item.request_id)
             moved = PermitMoved(item.request_id, shard.rule.name)
             self._peers.send(item.holder, moved)
 
-    def _perform(self, shard: Shard, effects: list[Effect]) -> None:
+    def _apply_effects(self, shard: Shard, effects: list[Effect]) -> None:
         if not effects:
             return
-        backlog = shard.estimate_backlog()
+        backlog = shard.estimate_backlog_ms()
         for effect in effects:
             if not isinstance(effect, Pause):
-                self._note_decision(shard, effect)
+                self._record_decision(shard, effect)
             self._peers.send(effect.holder, self._create_reply(shard, effect, backlog))
 
-    def _note_decision(self, shard: Shard, effect: Grant | Refusal) -> None:
+    def _record_decision(self, shard: Shard, effect: Grant | Refusal) -> None:
         trace = self.decisions.open(effect.request_id)
         servers = describe_servers(shard.servers, self._clock.read())
         if isinstance(effect, Grant):
--- a/cornelnotch/routing/engines.py
+++ b/cornelnotch/routing/engines.py
@@ -17,7 +17,7 @@
     create_headers,
     encode_problem,
 )
-from cornelnotch.routing.upstreams import EngineChunk, StallGuard
+from cornelnotch.routing.upstreams import EngineChunk, StallTimeout
 from cornelnotch.wire.messages import PermitGrant
 
 __all__ = ["EngineFlow"]
@@ -36,7 +36,7 @@
     last_ms: float = 0.0
     tokens: int = 0
 
-    def note_tokens(self, count: int, now: float) -> bool:
+    def record_tokens(self, count: int, now: float) -> bool:
         """Count tokens; tell whether the first was among them."""
         first = self.tokens == 0
         if first:
@@ -66,8 +66,8 @@
         super().__init__(*arguments)  # type: ignore[arg-type]
         self._texts: list[str] = []
         self._first_token_at_ms = 0.0
-        self._content = orjson.loads(self.request.body)
-        body = {**self._content, "stream": True}
+        self._chat = orjson.loads(self.request.body)
+        body = {**self._chat, "stream": True}
         self._body = orjson.dumps(body)
 
     async def carry(self) -> None:
@@ -79,16 +79,16 @@
             except FlowError as failure:
                 if not self.exchange.started:
                     raise
-                await self._break_off(failure.problem)
+                await self._abort_stream(failure.problem)
                 return
             if error is None:
                 await self._finish()
                 return
-            if not self.may_try_again(error, grant):
-                problem = self.report_failure(error)
+            if not self.should_retry(error, grant):
+                problem = self.create_failure_problem(error)
                 if not self.exchange.started:
                     raise FlowError(problem)
-                await self._break_off(problem)
+                await self._abort_stream(problem)
                 return
             if self._texts:
                 self.parts.events.record(
@@ -102,7 +102,7 @@
         progress = Progress(self.parts.clock.read())
         outcome = "cancelled"
         try:
-            await self._stream_within(grant, progress)
+            await self._stream_with_timeout(grant, progress)
             outcome = "done"
             return None
         except UpstreamError as error:
@@ -114,25 +114,29 @@
             report = progress.create_report(outcome, self.parts.clock.read())
             self.release(grant, report)
 
-    async def _stream_within(self, grant: PermitGrant, progress: Progress) -> None:
+    async def _stream_with_timeout(
+        self, grant: PermitGrant, progress: Progress
+    ) -> None:
         try:
-            async with asyncio.timeout(self.read_left() / 1000.0) as limit:
-                guard = StallGuard(limit, self._compute_stall(), self.read_left())
-                self.parts.permits.watch_pauses(grant, guard.pause)
-                await self._stream(grant, progress, guard)
+            async with asyncio.timeout(self.get_remaining_ms() / 1000.0) as limit:
+                stall_timeout = StallTimeout(
+                    limit, self._compute_stall_timeout_ms(), self.get_remaining_ms()
+                )
+                self.parts.permits.set_pause_listener(grant, stall_timeout.set_paused)
+                await self._stream(grant, progress, stall_timeout)
         except TimeoutError as error:
             raise UpstreamStalledError(
                 f"{grant.server} sent nothing in time", "check the engine"
             ) from error
 
-    def _compute_stall(self) -> float:
+    def _compute_stall_timeout_ms(self) -> float:
         pace = self.selection.service_class.between_tokens_ms
         if pace is None:
             return DEFAULT_STALL_MS
         return max(pace * STALL_FACTOR, MIN_STALL_MS)
 
     async def _stream(
-        self, grant: PermitGrant, progress: Progress, guard: StallGuard
+        self, grant: PermitGrant, progress: Progress, stall_timeout: StallTimeout
     ) -> None:
         answer_id = f"{self.request.request_id}.{len(self.excluded)}"
         batches = self.parts.engines.stream(
@@ -141,12 +145,12 @@
             self._body,
             self.selection.tier,
             len(self._texts),
-            guard,
+            stall_timeout,
         )
         self.dispatched = True
         async with aclosing(batches) as stream:
             async for chunks in stream:
-                if progress.note_tokens(len(chunks), self.parts.clock.read()):
+                if progress.record_tokens(len(chunks), self.parts.clock.read()):
                     self._note_first_token(grant, progress)
                 await self._deliver(chunks)
 
@@ -182,19 +186,19 @@
                 await self.exchange.start(
                     200, {**headers, "content-type": "text/event-stream"}
                 )
-            self.keep_outcome(200, "text/event-stream", None)
+            self.store_outcome(200, "text/event-stream", None)
             await self.exchange.send(b"data: [DONE]\n\n")
             await self.exchange.finish()
         else:
             await self._respond_whole()
-        pace_ms = 0.0
+        between_tokens_ms = 0.0
         if len(self._texts) > 1:
             span = whole_ms - self._first_token_at_ms
-            pace_ms = span / (len(self._texts) - 1)
+            between_tokens_ms = span / (len(self._texts) - 1)
         self.finish_well(
-            self._judge(whole_ms, pace_ms),
+            self._meets_targets(whole_ms, between_tokens_ms),
             first_token_ms=round(self._first_token_at_ms, 1),
-            between_tokens_ms=round(pace_ms, 2),
+            between_tokens_ms=round(between_tokens_ms, 2),
             whole_ms=round(whole_ms, 1),
             tokens=len(self._texts),
         )
@@ -203,7 +207,7 @@
         content = {
             "id": self.request.request_id,
             "object": "chat.completion",
-            "model": self._content.get("model"),
+            "model": self._chat.get("model"),
             "choices": [
                 {
                     "index": 0,
@@ -214,25 +218,27 @@
             "usage": {"completion_tokens": len(self._texts)},
         }
         body = orjson.dumps(content)
-        self.keep_outcome(200, "application/json", body)
+        self.store_outcome(200, "application/json", body)
         headers = create_headers(self.request.request_id, Outcome.RAN)
         headers["content-type"] = "application/json"
         await self.exchange.respond(200, headers, body)
 
-    def _judge(self, whole_ms: float, pace_ms: float) -> bool:
+    def _meets_targets(self, whole_ms: float, between_tokens_ms: float) -> bool:
         targets = self.selection.service_class
         limits = (
             (targets.first_token_ms, self._first_token_at_ms),
-            (targets.between_tokens_ms, pace_ms),
+            (targets.between_tokens_ms, between_tokens_ms),
             (targets.whole_ms, whole_ms),
         )
         return all(limit is None or seen <= limit for limit, seen in limits)
 
-    async def _break_off(self, problem: Problem) -> None:
+    async def _abort_stream(self, problem: Problem) -> None:
         """End a stream that cannot be made whole; [DONE] is never sent."""
         self.trace.note("broken-off", kind=problem.kind, tokens=len(self._texts))
-        if self.guard is not None:
-            problem = await self.guard.settle(problem, self.dispatched)
+        if self.idempotency_guard is not None:
+            problem = await self.idempotency_guard.finalize_problem(
+                problem, self.dispatched
+            )
         self.parts.metrics.count_tokens("wasted", len(self._texts))
         self.parts.metrics.windows.record(self.selection.class_name, False)
         body = encode_problem(problem, self.request.request_id)
--- a/cornelnotch/routing/flow.py
+++ b/cornelnotch/routing/flow.py
@@ -13,10 +13,10 @@
 )
 from cornelnotch.kernel import Event
 from cornelnotch.observation import Trace
+from cornelnotch.routing.idempotency import IdempotencyGuard
 from cornelnotch.routing.intake import CallerRequest
-from cornelnotch.routing.once import OnceGuard
 from cornelnotch.routing.parts import FlowError, FlowParts
-from cornelnotch.routing.permits import PermitNeed, PermitReport
+from cornelnotch.routing.permits import PermitReport, PermitRequest
 from cornelnotch.routing.replies import (
     Outcome,
     Problem,
@@ -30,7 +30,7 @@
 
 FAILED_RETRY_MS = 500.0
 LIMIT_REASONS = frozenset({"workspace-limit"})
-CALLERS_OWN_STATUSES = frozenset({400, 409, 422, 429})
+CALLER_ERROR_STATUSES = frozenset({400, 409, 422, 429})
 
 
 class RequestFlow:
@@ -54,16 +54,18 @@
         deadline = request.deadline_ms or selection.service_class.deadline_ms
         self.deadline_ms = trace.arrived_ms + deadline
         self.once = selection.service_class.repeat == "once"
-        self.guard: OnceGuard | None = None
+        self.idempotency_guard: IdempotencyGuard | None = None
         if self.once and request.key is not None:
-            self.guard = OnceGuard(parts, request, trace, self.read_left)
+            self.idempotency_guard = IdempotencyGuard(
+                parts, request, trace, self.get_remaining_ms
+            )
 
     @property
     def cancellable(self) -> bool:
         """Tell whether the work may stop when the caller goes away."""
         return not (self.once and self.dispatched)
 
-    def read_left(self) -> float:
+    def get_remaining_ms(self) -> float:
         """Return the ms until the deadline."""
         return self.deadline_ms - self.parts.clock.read()
 
@@ -86,19 +88,25 @@
 
     async def _serve(self) -> None:
         try:
-            earlier = await self.guard.claim() if self.guard is not None else None
+            earlier = (
+                await self.idempotency_guard.claim()
+                if self.idempotency_guard is not None
+                else None
+            )
             if earlier is None:
                 await self.carry()
             else:
                 await self._repeat_answer(earlier)
         except FlowError as error:
             problem = error.problem
-            if self.guard is not None:
-                problem = await self.guard.settle(problem, self.dispatched)
+            if self.idempotency_guard is not None:
+                problem = await self.idempotency_guard.finalize_problem(
+                    problem, self.dispatched
+                )
             await self._refuse(problem)
         except asyncio.CancelledError:
-            if self.guard is not None:
-                self.guard.abandon(self.dispatched)
+            if self.idempotency_guard is not None:
+                self.idempotency_guard.release_undispatched(self.dispatched)
             raise
 
     async def carry(self) -> None:
@@ -112,14 +120,14 @@
         self._count("repeated", Outcome.RAN)
         await self.exchange.respond(outcome.status, headers, outcome.body or b"")
 
-    def keep_outcome(self, status: int, content_type: str, body: bytes | None) -> None:
+    def store_outcome(self, status: int, content_type: str, body: bytes | None) -> None:
         """Record the answer of claimed work for repeats of its key."""
-        if self.guard is not None:
-            self.guard.keep_outcome(status, content_type, body)
+        if self.idempotency_guard is not None:
+            self.idempotency_guard.store_outcome(status, content_type, body)
 
     async def acquire(self) -> PermitGrant:
         """Return a permit; raise FlowError when the request is refused."""
-        need = PermitNeed(
+        permit_request = PermitRequest(
             self.request.request_id,
             self.selection.class_name,
             self.selection.tier,
@@ -130,9 +138,9 @@
             self.deadline_ms,
             frozenset(self.excluded),
         )
-        result = await self.parts.permits.acquire(need)
+        result = await self.parts.permits.acquire(permit_request)
         if isinstance(result, Failure):
-            raise FlowError(self._report_refusal(result.failure()))
+            raise FlowError(self._create_refusal_problem(result.failure()))
         grant = result.unwrap()
         self.trace.note(
             "permit",
@@ -145,7 +153,7 @@
         self.parts.metrics.observe_queued(self.selection.class_name, queued_ms)
         return grant
 
-    def _report_refusal(self, refusal: PermitRefusal) -> Problem:
+    def _create_refusal_problem(self, refusal: PermitRefusal) -> Problem:
         self.trace.note(
             "refused",
             reason=refusal.reason,
@@ -165,7 +173,7 @@
             tuple(refusal.occupancy),
         )
 
-    def may_try_again(self, error: UpstreamError, grant: PermitGrant) -> bool:
+    def should_retry(self, error: UpstreamError, grant: PermitGrant) -> bool:
         """Tell whether the work may be dispatched once more after `error`."""
         self.trace.note(
             "failed", server=grant.server, kind=error.kind, error=str(error)
@@ -174,13 +182,13 @@
         unsent = isinstance(error, UpstreamUnreachableError)
         if self.once and not unsent:
             return False
-        if self.read_left() <= 0 or not self.parts.budget.withdraw():
-            self.trace.note("no-retry", left_ms=round(self.read_left(), 1))
+        if self.get_remaining_ms() <= 0 or not self.parts.budget.withdraw():
+            self.trace.note("no-retry", left_ms=round(self.get_remaining_ms(), 1))
             return False
         self.parts.metrics.count_retry(error.kind)
         return True
 
-    def report_failure(self, error: UpstreamError) -> Problem:
+    def create_failure_problem(self, error: UpstreamError) -> Problem:
         """Return the problem that ends the request after `error`."""
         unsent = isinstance(error, UpstreamUnreachableError) and not self.dispatched
         return Problem(
@@ -209,7 +217,7 @@
             outcome=problem.outcome.value,
         )
         self._count(problem.kind, problem.outcome)
-        if problem.status not in CALLERS_OWN_STATUSES:
+        if problem.status not in CALLER_ERROR_STATUSES:
             self.parts.metrics.windows.record(self.selection.class_name, False)
         await self._send_problem(problem)
 
--- a/cornelnotch/routing/once.py
+++ b/cornelnotch/routing/idempotency.py
@@ -16,7 +16,7 @@
 from cornelnotch.routing.parts import FlowError, FlowParts
 from cornelnotch.routing.replies import Outcome, Problem
 
-__all__ = ["OnceGuard"]
+__all__ = ["IdempotencyGuard"]
 
 CLAIM_TIMEOUT_MS = 3000.0
 RELEASE_TIMEOUT_MS = 500.0
@@ -27,7 +27,7 @@
 MAX_KEPT_ANSWER_BYTES = 16 * 1024
 
 
-class OnceGuard:
+class IdempotencyGuard:
     """Own the claim of one request under an idempotency key."""
 
     def __init__(
@@ -35,12 +35,12 @@
         parts: FlowParts,
         request: CallerRequest,
         trace: Trace,
-        read_left: Callable[[], float],
+        get_remaining_ms: Callable[[], float],
     ) -> None:
         self._parts = parts
         self._request = request
         self._trace = trace
-        self._read_left = read_left
+        self._get_remaining_ms = get_remaining_ms
         self._attempt = create_identifier()
         self._fingerprint = request.compute_fingerprint()
         self._claimed = False
@@ -50,40 +50,40 @@
 
         Raise FlowError when neither is known.
         """
-        self._check_age()
+        self._check_key_age()
         self._claimed = True
         verdict = await self._parts.claims.claim(
             self._request.claim_key,
             self._attempt,
             self._fingerprint,
-            min(CLAIM_TIMEOUT_MS, max(self._read_left(), 0.0)),
+            min(CLAIM_TIMEOUT_MS, max(self._get_remaining_ms(), 0.0)),
         )
         self._trace.note("claim", state=verdict.state, attempt=self._attempt)
         if verdict.state == "won":
             # Only now is it sure that an earlier claim would have been seen.
-            self._check_age()
+            self._check_key_age()
             return None
         if verdict.state == "unavailable":
-            raise FlowError(self._report_log())
+            raise FlowError(self._create_log_problem())
         self._claimed = False
         return await self._wait_for_winner(verdict)
 
-    def judge_unclaimed(self) -> Outcome:
+    def get_unclaimed_outcome(self) -> Outcome:
         """Return what is true of the key when the claims were not read."""
         first = self._request.is_first_attempt
         return Outcome.NOT_RUN if first else Outcome.UNKNOWN
 
-    async def settle(self, problem: Problem, dispatched: bool) -> Problem:
+    async def finalize_problem(self, problem: Problem, dispatched: bool) -> Problem:
         """Return what may be said of a failure; free the key if nothing ran."""
         if not self._claimed:
             return problem
         if dispatched:
-            self.keep_outcome(0, "", None)
+            self.store_outcome(0, "", None)
             return problem
         key = self._request.claim_key
         if problem.outcome is Outcome.NOT_RUN and self._request.is_first_attempt:
             # True at once: nothing else was ever sent under this key.
-            self._parts.claims.release_later(key, self._attempt)
+            self._parts.claims.release_in_background(key, self._attempt)
             return problem
         released = await self._parts.claims.release(
             key, self._attempt, RELEASE_TIMEOUT_MS
@@ -91,17 +91,19 @@
         outcome = problem.outcome if released else Outcome.UNKNOWN
         return replace(problem, outcome=outcome)
 
-    def abandon(self, dispatched: bool) -> None:
+    def release_undispatched(self, dispatched: bool) -> None:
         """Free the key in the background when its work was not dispatched."""
         if self._claimed and not dispatched:
             key = self._request.claim_key
-            self._parts.claims.release_later(key, self._attempt)
+            self._parts.claims.release_in_background(key, self._attempt)
 
-    def keep_outcome(self, status: int, content_type: str, body: bytes | None) -> None:
+    def store_outcome(self, status: int, content_type: str, body: bytes | None) -> None:
         """Record what became of the work; status 0 means that nobody knows."""
         if not self._claimed:
             return
-        kept = body if body is not None and len(body) <= MAX_KEPT_ANSWER_BYTES else None
+        stored_body = (
+            body if body is not None and len(body) <= MAX_KEPT_ANSWER_BYTES else None
+        )
         operation = ClaimOperation(
             OperationKind.OUTCOME,
             self._request.claim_key,
@@ -109,11 +111,11 @@
             "",
             status,
             content_type,
-            kept,
+            stored_body,
         )
         self._parts.claims.record_outcome(operation)
 
-    def _check_age(self) -> None:
+    def _check_key_age(self) -> None:
         claims = self._parts.fleet.configuration.claims
         wall_ms = self._parts.clock.read_wall()
         # A claim must outlast its key in the log, whatever the configuration says.
@@ -125,38 +127,38 @@
             return
         message = f"the key is {age.value}; make a new UUIDv7 for new work"
         raise FlowError(
-            Problem(400, f"key-{age.value}", message, self.judge_unclaimed())
+            Problem(400, f"key-{age.value}", message, self.get_unclaimed_outcome())
         )
 
     async def _wait_for_winner(self, verdict: ClaimVerdict) -> ClaimOperation:
         """Return the winner's outcome; raise FlowError while it is unknown."""
-        while verdict.state == "lost" and self._read_left() > LOOKUP_PAUSE_MS:
+        while verdict.state == "lost" and self._get_remaining_ms() > LOOKUP_PAUSE_MS:
             await self._parts.clock.sleep(LOOKUP_PAUSE_MS)
-            timeout_ms = min(LOOKUP_TIMEOUT_MS, self._read_left())
+            timeout_ms = min(LOOKUP_TIMEOUT_MS, self._get_remaining_ms())
             verdict = await self._parts.claims.look_up(
                 self._request.claim_key, self._fingerprint, timeout_ms
             )
         self._trace.note("repeat", state=verdict.state)
         if verdict.state == "mismatch":
-            raise FlowError(self._report_mismatch())
+            raise FlowError(self._create_mismatch_problem())
         outcome = verdict.outcome
         if verdict.state != "answered" or outcome is None or outcome.status == 0:
-            raise FlowError(self._report_running())
+            raise FlowError(self._create_claimed_problem())
         if outcome.body is None:
-            raise FlowError(self._report_too_large())
+            raise FlowError(self._create_too_large_problem())
         return outcome
 
-    def _report_log(self) -> Problem:
+    def _create_log_problem(self) -> Problem:
         return Problem(
             503,
             "log-unavailable",
             "the claim could not be read back; come back later with the same key",
-            self.judge_unclaimed(),
+            self.get_unclaimed_outcome(),
             LOG_RETRY_MS,
         )
 
     @staticmethod
-    def _report_mismatch() -> Problem:
+    def _create_mismatch_problem() -> Problem:
         return Problem(
             422,
             "key-reused",
@@ -165,7 +167,7 @@
         )
 
     @staticmethod
-    def _report_running() -> Problem:
+    def _create_claimed_problem() -> Problem:
         return Problem(
             409,
             "claimed-elsewhere",
@@ -175,7 +177,7 @@
         )
 
     @staticmethod
-    def _report_too_large() -> Problem:
+    def _create_too_large_problem() -> Problem:
         return Problem(
             409,
             "answer-not-kept",
--- a/cornelnotch/routing/intake.py
+++ b/cornelnotch/routing/intake.py
@@ -38,7 +38,7 @@
 
     @field_validator("labels", mode="before")
     @classmethod
-    def read_labels(cls, value: object) -> object:
+    def parse_labels_header(cls, value: object) -> object:
         """Accept ``name=value, name=value``."""
         return parse_labels(value) if isinstance(value, str) else value
 
@@ -98,17 +98,17 @@
         return xxhash.xxh3_128_hexdigest(content)
 
 
-def _explain(error: ValidationError) -> tuple[str, str]:
+def _describe_error(error: ValidationError) -> tuple[str, str]:
     first = error.errors()[0]
     location = ".".join(str(part) for part in first["loc"])
     return location, str(first["msg"])
 
 
-def _read_headers(headers: dict[str, str]) -> Result[CallerHeaders, RequestError]:
+def _parse_headers(headers: dict[str, str]) -> Result[CallerHeaders, RequestError]:
     try:
         return Success(CallerHeaders.model_validate(headers))
     except ValidationError as error:
-        name, message = _explain(error)
+        name, message = _describe_error(error)
         if name == "cornelnotch-workspace" and name not in headers:
             message = "the header is missing"
         return Failure(
@@ -118,7 +118,7 @@
         )
 
 
-def _read_chat(body: bytes) -> Result[ChatBody, RequestError]:
+def _parse_chat(body: bytes) -> Result[ChatBody, RequestError]:
     try:
         content = orjson.loads(body)
     except orjson.JSONDecodeError as error:
@@ -127,13 +127,13 @@
     try:
         return Success(ChatBody.model_validate(content))
     except ValidationError as error:
-        name, message = _explain(error)
+        name, message = _describe_error(error)
         return Failure(
             RequestError(f"{name or 'body'}: {message}", "correct the body", 422)
         )
 
 
-def _read_key_ms(key: str | None) -> Result[float, RequestError]:
+def _parse_key_ms(key: str | None) -> Result[float, RequestError]:
     return Success(0.0) if key is None else read_key_time(key)
 
 
@@ -146,17 +146,17 @@
     body: bytes,
 ) -> Result[CallerRequest, RequestError]:
     """Return the validated request, or what is wrong with it."""
-    read = _read_headers(headers)
-    if isinstance(read, Failure):
-        return read
-    fields = read.unwrap()
-    key_ms = _read_key_ms(fields.key)
+    parsed = _parse_headers(headers)
+    if isinstance(parsed, Failure):
+        return parsed
+    fields = parsed.unwrap()
+    key_ms = _parse_key_ms(fields.key)
     if isinstance(key_ms, Failure):
         return key_ms
     stream = False
     affinity = ""
     if service is None:
-        chat = _read_chat(body)
+        chat = _parse_chat(body)
         if isinstance(chat, Failure):
             return chat
         stream = chat.unwrap().stream
--- a/cornelnotch/routing/ownership.py
+++ b/cornelnotch/routing/ownership.py
@@ -17,12 +17,12 @@
     Hosts of the shard's region come first, so that permits stay off the narrow
     link while that region has a live host.
     """
-    near: list[str] = []
-    far: list[str] = []
+    local: list[str] = []
+    remote: list[str] = []
     for member in members:
         same = configuration.find_region(member.place) == plan.region
-        (near if same else far).append(member.name)
-    return rank_owners(plan.name, near) + rank_owners(plan.name, far)
+        (local if same else remote).append(member.name)
+    return rank_owners(plan.name, local) + rank_owners(plan.name, remote)
 
 
 def rank_writers(stream: int, members: Iterable[Member]) -> list[str]:
--- a/cornelnotch/routing/permits.py
+++ b/cornelnotch/routing/permits.py
@@ -24,13 +24,13 @@
     PermitRefusal,
 )
 
-__all__ = ["PermitClient", "PermitNeed", "PermitReport"]
+__all__ = ["PermitClient", "PermitRequest", "PermitReport"]
 
 ACK_TIMEOUT_MS = 400.0
 REFRESH_MS = 1000.0
 HELD_CHECK_MS = 1000.0
-HELD_REPORT_TURNS = 10
-BEHIND_WAIT_MS = 100.0
+FULL_REPORT_PERIODS = 10
+OUTDATED_CONFIGURATION_WAIT_MS = 100.0
 NO_SERVER_RETRY_MS = 1000.0
 SHARD_CHOICES = 2
 
@@ -38,7 +38,7 @@
 
 
 @dataclass(slots=True)
-class PermitNeed:
+class PermitRequest:
     """Describe a request that needs a place; times are local ms."""
 
     request_id: str
@@ -67,10 +67,10 @@
 class HeldEntry:
     """Remember a permit in use, who hears that it is paused and who counts it."""
 
-    need: PermitNeed
+    request: PermitRequest
     grant: PermitGrant
     listener: Callable[[bool], None] | None = None
-    told: set[str] = field(default_factory=set)
+    reported_to: set[str] = field(default_factory=set)
 
 
 class PermitClient:
@@ -83,7 +83,7 @@
         self._pending: dict[str, asyncio.Queue[Reply]] = {}
         self._held: dict[str, HeldEntry] = {}
         self._backlogs: dict[str, float] = {}
-        self._told: dict[str, str] = {}
+        self._reported_boots: dict[str, str] = {}
         for kind in (PermitGrant, PermitRefusal, PermitMoved, PermitQueued):
             peers.subscribe(kind, self._receive)
         peers.subscribe(PermitPause, self._receive_pause)
@@ -92,75 +92,83 @@
         """Return how many permits are in use."""
         return len(self._held)
 
-    async def acquire(self, need: PermitNeed) -> Result[PermitGrant, PermitRefusal]:
+    async def acquire(
+        self, request: PermitRequest
+    ) -> Result[PermitGrant, PermitRefusal]:
         """Return a grant, or the refusal that ends the request."""
-        near, far = find_shards(self._fleet.plans, need.pool, self._fleet.region)
-        result: Result[PermitGrant, PermitRefusal] = Failure(self._report_empty(need))
-        for plans in (near, far):
+        local, remote = find_shards(self._fleet.plans, request.pool, self._fleet.region)
+        result: Result[PermitGrant, PermitRefusal] = Failure(
+            self._create_no_server_refusal(request)
+        )
+        for plans in (local, remote):
             if not plans:
                 continue
-            result = await self._acquire_from(self._choose_shard(plans, need), need)
+            result = await self._acquire_from(
+                self._choose_shard(plans, request), request
+            )
             if isinstance(result, Success):
                 return result
             if result.failure().reason != "no-server":
                 return result
         return result
 
-    def _choose_shard(self, plans: list[ShardPlan], need: PermitNeed) -> str:
+    def _choose_shard(self, plans: list[ShardPlan], request: PermitRequest) -> str:
         """Return the less loaded of the two shards that the prefix hashes to."""
         names = [plan.name for plan in plans]
-        choices = rank_owners(need.affinity or need.request_id, names)[:SHARD_CHOICES]
+        choices = rank_owners(request.affinity or request.request_id, names)[
+            :SHARD_CHOICES
+        ]
         return min(choices, key=lambda name: self._backlogs.get(name, 0.0))
 
     async def _acquire_from(
-        self, shard: str, need: PermitNeed
+        self, shard: str, request: PermitRequest
     ) -> Result[PermitGrant, PermitRefusal]:
         replies: asyncio.Queue[Reply] = asyncio.Queue()
-        self._pending[need.request_id] = replies
+        self._pending[request.request_id] = replies
         settled = False
         asked: str | None = None
         try:
-            silent = 0
+            timeouts = 0
             moves = 0
-            while self._clock.read() < need.deadline_ms:
-                target = self._choose_dispatcher(shard, silent)
+            while self._clock.read() < request.deadline_ms:
+                target = self._choose_dispatcher(shard, timeouts)
                 if target is None:
                     break
                 if asked is not None and asked != target:
-                    self._peers.send(asked, PermitCancel(need.request_id, shard))
+                    self._peers.send(asked, PermitCancel(request.request_id, shard))
                 asked = target
-                hops = silent + moves
-                reply = await self._ask(shard, need, target, hops, replies)
+                hops = timeouts + moves
+                reply = await self._ask(shard, request, target, hops, replies)
                 if isinstance(reply, PermitGrant):
                     settled = True
-                    self._held[need.request_id] = HeldEntry(need, reply)
+                    self._held[request.request_id] = HeldEntry(request, reply)
                     return Success(reply)
                 if isinstance(reply, PermitRefusal):
                     if reply.reason != "configuration-behind":
                         settled = True
                         return Failure(reply)
-                    await self._clock.sleep(BEHIND_WAIT_MS)
+                    await self._clock.sleep(OUTDATED_CONFIGURATION_WAIT_MS)
                 # A dispatcher that has moved the shard names no successor: this
                 # host's own ranking does, and a second ask is always taken.
                 moves += isinstance(reply, PermitMoved)
-                silent += reply is None
-            return Failure(self._report_deadline(shard, need))
+                timeouts += reply is None
+            return Failure(self._create_deadline_refusal(shard, request))
         finally:
-            del self._pending[need.request_id]
+            del self._pending[request.request_id]
             if not settled and asked is not None:
-                self._peers.send(asked, PermitCancel(need.request_id, shard))
+                self._peers.send(asked, PermitCancel(request.request_id, shard))
 
-    def _choose_dispatcher(self, shard: str, silent: int) -> str | None:
+    def _choose_dispatcher(self, shard: str, timeouts: int) -> str | None:
         """Return the usual dispatcher, or a later one after `silent` time-outs."""
         if shard not in self._fleet.plans:
             return None
         ranking = self._fleet.rank_dispatchers(shard)
-        return ranking[silent % len(ranking)] if ranking else None
+        return ranking[timeouts % len(ranking)] if ranking else None
 
     async def _ask(
         self,
         shard: str,
-        need: PermitNeed,
+        request: PermitRequest,
         target: str,
         hops: int,
         replies: asyncio.Queue[Reply],
@@ -168,23 +176,23 @@
         """Ask once; return the decision, PermitQueued to ask again, or None."""
         now = self._clock.read()
         ask = PermitAsk(
-            need.request_id,
+            request.request_id,
             self._fleet.name,
             shard,
-            need.class_name,
-            need.tier,
-            need.workspace,
-            need.affinity,
-            now - need.arrived_ms,
-            need.deadline_ms - now,
-            sorted(need.excluded),
+            request.class_name,
+            request.tier,
+            request.workspace,
+            request.affinity,
+            now - request.arrived_ms,
+            request.deadline_ms - now,
+            sorted(request.excluded),
             hops,
         )
         self._peers.send(target, ask)
         wait_ms = ACK_TIMEOUT_MS
         queued: PermitQueued | None = None
         while True:
-            left_ms = need.deadline_ms - self._clock.read()
+            left_ms = request.deadline_ms - self._clock.read()
             try:
                 async with asyncio.timeout(max(min(wait_ms, left_ms), 0.0) / 1000.0):
                     reply = await replies.get()
@@ -205,9 +213,9 @@
             replies.put_nowait(reply)
             return
         if isinstance(reply, PermitGrant):
-            self._return_unused(reply)
+            self._release_unused(reply)
 
-    def _return_unused(self, grant: PermitGrant) -> None:
+    def _release_unused(self, grant: PermitGrant) -> None:
         held = self._held.get(grant.request_id)
         if held is not None and held.grant.dispatcher == grant.dispatcher:
             return
@@ -221,7 +229,7 @@
         if held is not None and held.listener is not None:
             held.listener(pause.paused)
 
-    def watch_pauses(
+    def set_pause_listener(
         self, grant: PermitGrant, listener: Callable[[bool], None]
     ) -> None:
         """Call `listener` when the request starts or stops waiting in its engine."""
@@ -249,7 +257,7 @@
         )
         receivers = {grant.dispatcher}
         # A host that owned the shard in between would count the permit for ever.
-        receivers |= held.told if held is not None else set()
+        receivers |= held.reported_to if held is not None else set()
         current = self._choose_dispatcher(grant.shard, 0)
         if current is not None:
             receivers.add(current)
@@ -258,47 +266,49 @@
 
     async def run_held_reports(self) -> None:
         """Tell dispatchers what this host holds until cancelled."""
-        turn = 0
+        period = 0
         while True:
             await self._clock.sleep(HELD_CHECK_MS)
-            turn += 1
-            self._report_held(turn % HELD_REPORT_TURNS == 0)
+            period += 1
+            self._report_held(period % FULL_REPORT_PERIODS == 0)
 
     def _report_held(self, everything: bool) -> None:
         """Tell new dispatchers at once and the known ones now and then."""
         by_shard: dict[str, list[HeldPermit]] = {}
         for entry in self._held.values():
             permit = HeldPermit(
-                entry.need.request_id,
+                entry.request.request_id,
                 entry.grant.server,
-                entry.need.class_name,
-                entry.need.tier,
-                entry.need.workspace,
+                entry.request.class_name,
+                entry.request.tier,
+                entry.request.workspace,
             )
             by_shard.setdefault(entry.grant.shard, []).append(permit)
         # A shard is told once more when the host no longer holds anything there.
-        for shard in by_shard.keys() | self._told.keys():
+        for shard in by_shard.keys() | self._reported_boots.keys():
             target = self._choose_dispatcher(shard, 0)
             if target is None:
                 continue
             boot = f"{target}/{self._fleet.find_incarnation(target)}"
-            if boot == self._told.get(shard) and not everything:
+            if boot == self._reported_boots.get(shard) and not everything:
                 continue
             permits = by_shard.get(shard, [])
             for permit in permits:
-                self._held[permit.request_id].told.add(target)
+                self._held[permit.request_id].reported_to.add(target)
             self._peers.send(target, HeldPermits(self._fleet.name, shard, permits))
             if permits:
-                self._told[shard] = boot
+                self._reported_boots[shard] = boot
             else:
-                self._told.pop(shard, None)
+                self._reported_boots.pop(shard, None)
 
-    def _report_empty(self, need: PermitNeed) -> PermitRefusal:
+    def _create_no_server_refusal(self, request: PermitRequest) -> PermitRefusal:
         return PermitRefusal(
-            need.request_id, need.pool, "no-server", NO_SERVER_RETRY_MS, [], 0.0
+            request.request_id, request.pool, "no-server", NO_SERVER_RETRY_MS, [], 0.0
         )
 
-    def _report_deadline(self, shard: str, need: PermitNeed) -> PermitRefusal:
+    def _create_deadline_refusal(
+        self, shard: str, request: PermitRequest
+    ) -> PermitRefusal:
         return PermitRefusal(
-            need.request_id, shard, "deadline", NO_SERVER_RETRY_MS, [], 0.0
+            request.request_id, shard, "deadline", NO_SERVER_RETRY_MS, [], 0.0
         )
--- a/cornelnotch/routing/services.py
+++ b/cornelnotch/routing/services.py
@@ -22,8 +22,8 @@
             if isinstance(answer, ServiceAnswer):
                 await self._finish(answer)
                 return
-            if not self.may_try_again(answer, grant):
-                raise FlowError(self.report_failure(answer))
+            if not self.should_retry(answer, grant):
+                raise FlowError(self.create_failure_problem(answer))
 
     async def _dispatch(self, grant: PermitGrant) -> ServiceAnswer | UpstreamError:
         clock = self.parts.clock
@@ -39,7 +39,7 @@
                 self._create_headers(),
                 self.request.body,
                 not self.once,
-                self.read_left(),
+                self.get_remaining_ms(),
             )
             outcome = "done"
             return answer
@@ -69,7 +69,7 @@
         return headers
 
     async def _finish(self, answer: ServiceAnswer) -> None:
-        self.keep_outcome(answer.status, answer.content_type, answer.body)
+        self.store_outcome(answer.status, answer.content_type, answer.body)
         whole_ms = self.parts.clock.read() - self.trace.arrived_ms
         target = self.selection.service_class.whole_ms
         attained = answer.status < 500 and (target is None or whole_ms <= target)
--- a/cornelnotch/routing/tests/test_permits.py
+++ b/cornelnotch/routing/tests/test_permits.py
@@ -7,8 +7,8 @@
 from cornelnotch.routing.permits import (
     HeldEntry,
     PermitClient,
-    PermitNeed,
     PermitReport,
+    PermitRequest,
 )
 from cornelnotch.wire import PeerNetwork
 from cornelnotch.wire.messages import (
@@ -52,9 +52,9 @@
 def test_every_host_that_heard_of_a_permit_hears_of_its_end():
     fleet, peers = FixedFleet(), RecordingPeers()
     permits = PermitClient(fleet, peers, ManualClock())
-    need = PermitNeed("r1", "chat", 1, "pool", "w", "", 0.0, 9e9)
+    request = PermitRequest("r1", "chat", 1, "pool", "w", "", 0.0, 9e9)
     grant = PermitGrant("r1", SHARD, "engine", "1:3", "gone", 0.0, "", 0.0)
-    permits._held["r1"] = HeldEntry(need, grant)
+    permits._held["r1"] = HeldEntry(request, grant)
     # Ownership moves twice while the request runs.
     for dispatcher in ("passing", "current"):
         fleet.ranking = [dispatcher]
--- a/cornelnotch/routing/upstreams.py
+++ b/cornelnotch/routing/upstreams.py
@@ -17,12 +17,12 @@
     "EngineUpstream",
     "ServiceAnswer",
     "ServiceUpstream",
-    "StallGuard",
+    "StallTimeout",
 ]
 
 EVENT_END = b"\n\n"
 DATA_PREFIX = b"data: "
-DONE_MARK = b"[DONE]"
+DONE_EVENT = b"[DONE]"
 MAX_EVENT_BYTES = 1024 * 1024
 MAX_ANSWER_BYTES = 4 * 1024 * 1024
 STATUS_OK = 200
@@ -46,7 +46,7 @@
     body: bytes
 
 
-class StallGuard:
+class StallTimeout:
     """End a wait for an engine that sends nothing, unless it is paused."""
 
     def __init__(self, limit: asyncio.Timeout, stall_ms: float, left_ms: float) -> None:
@@ -56,13 +56,13 @@
         self._end_s = self._loop.time() + left_ms / 1000.0
         self._paused = False
 
-    def touch(self) -> None:
+    def restart(self) -> None:
         """Start the wait again."""
         if self._paused or self._limit.expired():
             return
         self._limit.reschedule(min(self._loop.time() + self._stall_s, self._end_s))
 
-    def pause(self, paused: bool) -> None:
+    def set_paused(self, paused: bool) -> None:
         """Wait as long as the deadline allows while the engine serves others."""
         if self._limit.expired():
             return
@@ -70,7 +70,7 @@
         if paused:
             self._limit.reschedule(self._end_s)
         else:
-            self.touch()
+            self.restart()
 
 
 class EngineUpstream:
@@ -86,12 +86,12 @@
         body: bytes,
         priority: int,
         position: int,
-        guard: "StallGuard",
+        stall_timeout: StallTimeout,
     ) -> AsyncGenerator[list[EngineChunk], None]:
         """Yield the chunks from token `position` on, those at hand together.
 
         Raise UpstreamError when the engine fails, sends nothing until the
-        guard ends the wait, or sends an answer to another request.
+        stall_timeout ends the wait, or sends an answer to another request.
         """
         headers = {
             "content-type": "application/json",
@@ -99,18 +99,18 @@
             "x-priority": str(priority),
             "x-resume-from": str(position),
         }
-        guard.touch()
+        stall_timeout.restart()
         answer = await self._open(address, headers, body)
         try:
             parts = answer.iterate().__aiter__()
             buffer = b""
             while True:
-                buffer += await self._read_part(parts, address)
-                guard.touch()
+                buffer += await self._read_chunk(parts, address)
+                stall_timeout.restart()
                 *events, buffer = buffer.split(EVENT_END)
                 if len(buffer) > MAX_EVENT_BYTES:
                     raise UpstreamError(f"{address} sent too long an event", "check it")
-                read = [self._read_event(e, address, answer_id) for e in events]
+                read = [self._parse_event(e, address, answer_id) for e in events]
                 chunks = [chunk for chunk in read if chunk is not None]
                 if chunks:
                     yield chunks
@@ -137,7 +137,7 @@
         return answer
 
     @staticmethod
-    async def _read_part(parts: AsyncIterator[bytes], address: str) -> bytes:
+    async def _read_chunk(parts: AsyncIterator[bytes], address: str) -> bytes:
         try:
             return await anext(parts)
         except StopAsyncIteration as error:
@@ -152,9 +152,9 @@
             pass
 
     @staticmethod
-    def _read_event(event: bytes, address: str, answer_id: str) -> EngineChunk | None:
+    def _parse_event(event: bytes, address: str, answer_id: str) -> EngineChunk | None:
         data = event.strip().removeprefix(DATA_PREFIX)
-        if data == DONE_MARK:
+        if data == DONE_EVENT:
             return None
         try:
             content = orjson.loads(data)
