--- a/cornelnotch/queueing/__init__.py
+++ b/cornelnotch/queueing/__init__.py
@@ -1,4 +1,4 @@
-"""Queue requests by tier and deadline and bind them late to servers."""
+"""Queue requests by tier and deadline, with late binding to servers."""
 
 from cornelnotch.queueing.disciplines import Discipline, Pick
 from cornelnotch.queueing.estimates import DurationEstimator
--- a/cornelnotch/queueing/descriptions.py
+++ b/cornelnotch/queueing/descriptions.py
@@ -1,4 +1,4 @@
-"""Describe a shard for refusals and explanations."""
+"""Describe the state of a shard in refusals and decision traces."""
 
 from collections.abc import Iterable
 
@@ -22,14 +22,14 @@
 
 
 def describe_servers(servers: dict[str, ServerState], now: float) -> dict[str, str]:
-    """Return by server what a request would have met at `now`."""
+    """Return the state of each server at `now`, by server name."""
     return {name: _describe_server(server, now) for name, server in servers.items()}
 
 
 def describe_occupancy(
     running: Iterable[Running], discipline: Discipline
 ) -> tuple[Occupancy, ...]:
-    """Return the places that each class holds and waits for."""
+    """Return the running and waiting requests of each class."""
     waiting: dict[tuple[str, int], int] = {}
     held: dict[tuple[str, int], int] = {}
     for request in running:
--- a/cornelnotch/queueing/disciplines.py
+++ b/cornelnotch/queueing/disciplines.py
@@ -1,4 +1,4 @@
-"""Define how a shard orders its waiting requests."""
+"""Interface of the queue disciplines of a shard."""
 
 from abc import ABC, abstractmethod
 from collections.abc import Iterable
@@ -11,7 +11,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Pick:
-    """Name the next request and the rule that chose it."""
+    """Next request to serve, with the rule that chose it."""
 
     item: Waiting
     reason: str
@@ -19,27 +19,27 @@
 
 
 class Discipline(ABC):
-    """Hold the waiting requests of one shard and decide their order."""
+    """Base class of the queues of a shard."""
 
     @abstractmethod
     def configure(self, classes: dict[str, ClassRule], slots: int, places: int) -> None:
-        """Take over rules and the number of slots and queue places."""
+        """Apply class rules and the number of slots and queue places."""
 
     @abstractmethod
     def add(self, item: Waiting, now: float) -> None:
-        """Add a request."""
+        """Enqueue a request."""
 
     @abstractmethod
     def remove(self, request_id: str) -> Waiting | None:
-        """Take a request out, wherever it waits."""
+        """Remove and return a waiting request, or return None if there is none."""
 
     @abstractmethod
     def find(self, request_id: str) -> Waiting | None:
-        """Return a waiting request."""
+        """Return a waiting request, or None if there is none."""
 
     @abstractmethod
     def expire(self, now: float) -> list[Waiting]:
-        """Take out the requests that cannot meet their deadline any more."""
+        """Remove and return the requests that can no longer meet their deadline."""
 
     @abstractmethod
     def choose(
@@ -49,45 +49,45 @@
         place_wait_ms: float,
         floors: bool = True,
     ) -> Pick | None:
-        """Return the request that gets the next place, without removing it.
+        """Return the request to serve next, without removing it.
 
-        Without `floors` only the strict order counts.
+        If `floors` is false, the strict tier order applies.
         """
 
     @abstractmethod
     def choose_victim(self, newcomer: Waiting) -> Waiting:
-        """Return who leaves a full queue; it may be the newcomer."""
+        """Return the request to evict from a full queue, which may be `newcomer`."""
 
     @abstractmethod
     def list_urgent(self, now: float, margin_ms: float) -> list[Waiting]:
-        """Return heads that must start within the margin, highest tier first."""
+        """Return queue heads that must start within the margin, highest tier first."""
 
     def can_resume_within_floor(
         self, item: Running, now: float, running: dict[str, int], place_wait_ms: float
     ) -> bool:
-        """Tell whether a displaced request may go on within its class's floor."""
+        """Return whether a displaced request may resume within its class's floor."""
         return False
 
     @abstractmethod
     def list_waiting(self) -> Iterable[Waiting]:
-        """Return everything that waits."""
+        """Return all waiting requests."""
 
     @abstractmethod
     def count(self, class_name: str) -> int:
-        """Return how many requests of a class wait."""
+        """Return the number of waiting requests of a class."""
 
     @abstractmethod
     def record_service(self, class_name: str, now: float) -> None:
-        """Remember that a class got a place."""
+        """Record that a request of a class was granted a slot."""
 
     def get_floor_places(self, class_name: str) -> int:
-        """Return the slots kept for a class; 0 without floors."""
+        """Return the slots reserved for a class; 0 without floors."""
         return 0
 
     def has_queue_floor(self, item: Waiting) -> bool:
-        """Tell whether a full queue still keeps a place for the class of `item`."""
+        """Return whether a full queue reserves a place for the class of `item`."""
         return False
 
     def size(self) -> int:
-        """Return how many requests wait."""
+        """Return the number of waiting requests."""
         return sum(1 for _ in self.list_waiting())
--- a/cornelnotch/queueing/displacement.py
+++ b/cornelnotch/queueing/displacement.py
@@ -1,4 +1,4 @@
-"""Choose which running requests wait in their engines, and which go on."""
+"""Choose which running requests are displaced and which are resumed."""
 
 from collections.abc import Callable, Iterable
 
@@ -9,7 +9,7 @@
 
 
 def _is_usable(server: ServerState | None, now: float) -> bool:
-    """Tell whether an urgent request would be served well by `server`."""
+    """Return whether `server` is healthy enough for an urgent request."""
     if server is None or server.leaving or server.slow:
         return False
     return now >= server.ejected_until_ms
@@ -23,7 +23,7 @@
     servers: dict[str, ServerState],
     now: float,
 ) -> Running | None:
-    """Return the newest lowest-tier request outside its floor, below `item`."""
+    """Return the newest lowest-tier request below `item` and outside its floor."""
     candidates = [
         candidate
         for candidate in running
@@ -38,7 +38,7 @@
 def list_resumable(
     displaced: Iterable[Running], servers: dict[str, ServerState]
 ) -> list[Running]:
-    """Return displaced requests whose own server has a free slot, best first."""
+    """Return displaced requests whose server has a free slot, in order of priority."""
     ready = [
         running
         for running in displaced
--- a/cornelnotch/queueing/estimates.py
+++ b/cornelnotch/queueing/estimates.py
@@ -1,4 +1,4 @@
-"""Estimate durations whose lengths are unknown from what was seen."""
+"""Estimate the duration of requests from earlier ones."""
 
 from collections import OrderedDict
 from dataclasses import dataclass
@@ -13,14 +13,14 @@
 
 @dataclass(slots=True)
 class Estimate:
-    """Hold a smoothed mean and mean deviation in ms."""
+    """Exponentially smoothed mean and mean deviation, in ms."""
 
     mean: float
     deviation: float
     samples: int = 1
 
     def update(self, value: float) -> None:
-        """Take in one duration."""
+        """Add one duration to the estimate."""
         error = value - self.mean
         gain = max(MEAN_GAIN, 1.0 / (self.samples + 1))
         self.mean += gain * error
@@ -29,19 +29,19 @@
 
     @property
     def low(self) -> float:
-        """Return a duration that most requests exceed."""
+        """Return the mean less two deviations, which most requests exceed."""
         return max(self.mean - 2.0 * self.deviation, 0.0)
 
 
 class DurationEstimator:
-    """Estimate by class and workspace, or by class while samples are few."""
+    """Duration estimates by class and workspace, or by class while samples are few."""
 
     def __init__(self, expected_ms: float) -> None:
         self._expected_ms = expected_ms
         self._estimates: OrderedDict[tuple[str, str], Estimate] = OrderedDict()
 
     def update(self, class_name: str, workspace: str, duration_ms: float) -> None:
-        """Take in one duration."""
+        """Add one duration to the estimate."""
         for key in ((class_name, workspace), (class_name, "")):
             estimate = self._estimates.get(key)
             if estimate is None:
@@ -53,7 +53,7 @@
             self._estimates.popitem(last=False)
 
     def find(self, class_name: str, workspace: str) -> Estimate:
-        """Return the best estimate at hand."""
+        """Return the most specific estimate that has enough samples."""
         for key in ((class_name, workspace), (class_name, "")):
             estimate = self._estimates.get(key)
             if estimate is not None and estimate.samples >= MIN_SAMPLES:
--- a/cornelnotch/queueing/fifo.py
+++ b/cornelnotch/queueing/fifo.py
@@ -1,4 +1,4 @@
-"""Serve in order of arrival, without tiers; a baseline."""
+"""First-in, first-out queue without tiers, for comparison."""
 
 from collections.abc import Iterable
 
@@ -11,28 +11,28 @@
 
 @register_plugin("discipline", "fifo")
 class FifoDiscipline(Discipline):
-    """Serve in order of arrival, without tiers; a baseline."""
+    """First-in, first-out queue without tiers, for comparison."""
 
     def __init__(self) -> None:
         self._items: dict[str, Waiting] = {}
 
     def configure(self, classes: dict[str, ClassRule], slots: int, places: int) -> None:
-        """Need no rules."""
+        """Do nothing; this discipline has no class rules."""
 
     def add(self, item: Waiting, now: float) -> None:
-        """Add a request at the end."""
+        """Append a request."""
         self._items[item.request_id] = item
 
     def remove(self, request_id: str) -> Waiting | None:
-        """Take a request out."""
+        """Remove and return a waiting request, or return None if there is none."""
         return self._items.pop(request_id, None)
 
     def find(self, request_id: str) -> Waiting | None:
-        """Return a waiting request."""
+        """Return a waiting request, or None if there is none."""
         return self._items.get(request_id)
 
     def expire(self, now: float) -> list[Waiting]:
-        """Take out the requests whose deadline has passed."""
+        """Remove and return the requests that can no longer meet their deadline."""
         expired = [i for i in self._items.values() if i.deadline_start_ms < now]
         for item in expired:
             del self._items[item.request_id]
@@ -50,20 +50,20 @@
         return Pick(item, "arrival") if item else None
 
     def choose_victim(self, newcomer: Waiting) -> Waiting:
-        """Return the newcomer."""
+        """Return `newcomer`."""
         return newcomer
 
     def list_urgent(self, now: float, margin_ms: float) -> list[Waiting]:
-        """Return nothing; no request goes before another."""
+        """Return an empty list; no request takes precedence over another."""
         return []
 
     def list_waiting(self) -> Iterable[Waiting]:
-        """Return everything that waits."""
+        """Return all waiting requests."""
         return self._items.values()
 
     def count(self, class_name: str) -> int:
-        """Return how many requests of a class wait."""
+        """Return the number of waiting requests of a class."""
         return sum(1 for i in self._items.values() if i.class_name == class_name)
 
     def record_service(self, class_name: str, now: float) -> None:
-        """Need no memory of service."""
+        """Do nothing; this discipline has no longest wait."""
--- a/cornelnotch/queueing/limits.py
+++ b/cornelnotch/queueing/limits.py
@@ -13,13 +13,13 @@
 
 @dataclass(slots=True)
 class TokenBucket:
-    """Refill at a rate per second up to a burst."""
+    """Token bucket that refills at a rate per second up to a burst."""
 
     tokens: float
     updated_ms: float
 
     def take(self, rate: float, burst: int, now: float) -> float | None:
-        """Take a token; return the ms until there is one when it is empty."""
+        """Take a token, or return the ms until one is available."""
         elapsed = now - self.updated_ms
         self.tokens = min(burst, self.tokens + elapsed * rate / MS_PER_SECOND)
         self.updated_ms = now
@@ -30,14 +30,14 @@
 
 
 class WorkspaceLimiter:
-    """Check the limits that operators set for workspaces."""
+    """Rate and concurrency limits that operators set for workspaces."""
 
     def __init__(self) -> None:
         self._rules: dict[str, WorkspaceRule] = {}
         self._buckets: dict[str, TokenBucket] = {}
 
     def configure(self, rules: dict[str, WorkspaceRule]) -> None:
-        """Take over newer limits."""
+        """Replace the limits."""
         self._rules = rules
         for name in [n for n in self._buckets if n not in rules]:
             del self._buckets[name]
@@ -45,7 +45,7 @@
     def check(
         self, workspace: str, count: Callable[[str], int], now: float
     ) -> float | None:
-        """Return None when admitted, or the ms after which to come back."""
+        """Return None if admitted, otherwise the ms after which to retry."""
         rule = self._rules.get(workspace)
         if rule is None:
             return None
--- a/cornelnotch/queueing/models.py
+++ b/cornelnotch/queueing/models.py
@@ -1,4 +1,7 @@
-"""Define what a shard holds and what it decides; all times in local ms."""
+"""Data model of a shard: its configuration, its requests and its decisions.
+
+All times are ms of the local monotonic clock.
+"""
 
 from dataclasses import dataclass, field
 
@@ -19,7 +22,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ClassRule:
-    """Hold the targets and the rank of a class."""
+    """Targets and priority of a service class."""
 
     name: str
     tier: int
@@ -31,7 +34,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerRule:
-    """Hold what the configuration says of a server."""
+    """Configuration of a server."""
 
     name: str
     address: str
@@ -41,7 +44,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkspaceRule:
-    """Hold the limits of a workspace within one shard."""
+    """Rate and concurrency limits of a workspace within one shard."""
 
     requests_per_second: float | None
     burst: int
@@ -50,7 +53,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ShardRule:
-    """Hold everything that the configuration says of a shard."""
+    """Configuration of a shard."""
 
     name: str
     discipline: str
@@ -65,7 +68,7 @@
 
 @dataclass(slots=True)
 class Waiting:
-    """Hold a request that waits.
+    """Queued request.
 
     It misses its target if it starts after `target_start_ms`, and its deadline if
     it starts after `deadline_start_ms`.
@@ -87,9 +90,9 @@
 
 @dataclass(slots=True)
 class Running:
-    """Hold a request that was granted a place on a server.
+    """Request that was granted a slot on a server.
 
-    A displaced request keeps its stream, but the engine lets a higher tier go
+    A displaced request keeps its stream, but the engine serves a higher tier
     first, so it does not count against the server's slots.
     """
 
@@ -108,7 +111,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Grant:
-    """Bind a request to a server, with the rule that chose it."""
+    """Assignment of a request to a server, with the rule that chose it."""
 
     request_id: str
     holder: str
@@ -120,7 +123,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
-    """Refuse a request and name what held the places at that moment."""
+    """Refusal of a request, with the classes that occupied the shard at that time."""
 
     request_id: str
     holder: str
@@ -131,7 +134,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Pause:
-    """Tell a holder whether its request waits in the engine."""
+    """Notification to a holder that its request was paused or resumed in the engine."""
 
     request_id: str
     holder: str
--- a/cornelnotch/queueing/shard.py
+++ b/cornelnotch/queueing/shard.py
@@ -1,4 +1,7 @@
-"""Decide over one shard: state and message in, effects out; no input or output."""
+"""Schedule the requests of one shard.
+
+Each event returns its effects, which the caller carries out; this module does no I/O.
+"""
 
 import itertools
 
@@ -37,7 +40,7 @@
 
 
 class Shard:
-    """Own the queue and the servers of one shard."""
+    """Queue, running requests and servers of one shard."""
 
     def __init__(
         self, rule: ShardRule, discipline: Discipline, balancer: Balancer
@@ -59,7 +62,7 @@
         self.configure(rule, frozenset())
 
     def configure(self, rule: ShardRule, leaving: frozenset[str]) -> None:
-        """Take over a newer configuration and the platform's leaving servers."""
+        """Apply a configuration and the servers that the platform lists as leaving."""
         self.rule = rule
         self._leaving = leaving
         for name, server_rule in rule.servers.items():
@@ -83,18 +86,18 @@
         server.paused = len(held) - server.busy
 
     def count_slots(self) -> int:
-        """Return the slots of servers that take work."""
+        """Return the total slots of the servers that accept requests."""
         return sum(s.slots for s in self.servers.values() if not s.leaving)
 
     def count_queue_places(self) -> int:
-        """Return how many requests may wait."""
+        """Return the capacity of the queue."""
         return max(MIN_QUEUE_PLACES, int(self._slots * self.rule.queue_per_slot))
 
     def ask(self, ask: PermitAsk, now: float) -> list[Effect]:
-        """Queue a request, grant it a place or refuse it."""
+        """Queue, grant or refuse a request."""
         known = self.running.get(ask.request_id)
         if known is not None:
-            # A repeated ask means that the grant was lost on its way.
+            # A repeated request means that the grant was lost in transit.
             return [self._repeat_grant(known, now)]
         if self.discipline.find(ask.request_id) is not None:
             return []
@@ -150,10 +153,12 @@
     def _compute_deadline_start(
         now: float, deadline_ms: float, whole: Estimate
     ) -> float:
-        """Return the last moment at which a start is worth the engine's time.
+        """Return the latest start at which the request is likely to complete.
 
-        A request whose deadline is tight from the outset is given the benefit of
-        the doubt; one that has waited long is not, since most would be cut.
+        If the mean plus one deviation does not fit from the outset, the low
+        estimate applies, so that a tight deadline is not refused at once. A
+        request that has waited long gets no such allowance, since most would
+        be cut off at their deadline.
         """
         likely = deadline_ms - whole.mean - whole.deviation
         return likely if likely > now else deadline_ms - whole.low
@@ -173,7 +178,7 @@
         return None
 
     def count_workspace(self, workspace: str) -> int:
-        """Return the requests of a workspace that hold a place or wait."""
+        """Return the number of running and waiting requests of a workspace."""
         running = sum(1 for r in self.running.values() if r.workspace == workspace)
         waiting = sum(
             1 for w in self.discipline.list_waiting() if w.workspace == workspace
@@ -181,7 +186,7 @@
         return running + waiting
 
     def _make_room(self, item: Waiting, now: float) -> list[Effect]:
-        """Let the lowest-ranked request go: to a lower tier's slot, or away."""
+        """Grant the lowest-ranked request a lower tier's slot, or refuse it."""
         victim = self.discipline.choose_victim(item)
         displacement = self._displace(victim, now)
         if displacement:
@@ -192,7 +197,7 @@
         ]
 
     def cancel(self, request_id: str, now: float) -> list[Effect]:
-        """Forget a request whose holder gave it up."""
+        """Remove a request that its holder cancelled."""
         self.discipline.remove(request_id)
         if request_id in self.running:
             self._release(request_id, now)
@@ -201,7 +206,7 @@
     def note_first_token(
         self, request_id: str, elapsed_ms: float, now: float
     ) -> list[Effect]:
-        """Learn how long a server took to its first token."""
+        """Record the time that a server took to its first token."""
         running = self.running.get(request_id)
         if running is None or running.first_token_seen:
             return []
@@ -214,7 +219,7 @@
         return []
 
     def finish(self, finish: PermitFinish, now: float) -> list[Effect]:
-        """Take a permit back and learn from what its holder saw."""
+        """Release a permit and update statistics from its holder's report."""
         running = self.running.get(finish.request_id)
         if running is None or running.server != finish.server:
             return []
@@ -243,7 +248,10 @@
         server.slow = is_straggler(server, list(self.servers.values()))
 
     def sync_held_permits(self, held: HeldPermits, now: float) -> list[Effect]:
-        """Adopt what a host holds and drop what it no longer holds."""
+        """Add the permits that a host reports and release those it no longer holds.
+
+        Permits granted within the last HELD_GRACE_MS are not released.
+        """
         names = {permit.request_id for permit in held.permits}
         for running in list(self.running.values()):
             old = now - running.granted_ms > HELD_GRACE_MS
@@ -272,7 +280,7 @@
         return self.schedule(now)
 
     def release_holder(self, holder: str, now: float) -> list[Effect]:
-        """Free every place of a host that is gone."""
+        """Remove all requests of a host that has failed."""
         for running in list(self.running.values()):
             if running.holder == holder:
                 self._release(running.request_id, now)
@@ -282,7 +290,7 @@
         return self.schedule(now)
 
     def apply_load_report(self, server: str, reported: int, now: float) -> list[Effect]:
-        """Correct a server's load by its own lagging report."""
+        """Update a server's external load from its own delayed report."""
         state = self.servers.get(server)
         if state is None:
             return []
@@ -290,7 +298,7 @@
         return self.schedule(now)
 
     def schedule(self, now: float) -> list[Effect]:
-        """Refuse what came too late and fill every free place."""
+        """Refuse expired requests and grant all free slots."""
         effects: list[Effect] = []
         effects += self._displace_for_urgent(now)
         for item in self.discipline.expire(now):
@@ -320,12 +328,12 @@
         return effects
 
     def _choose_server(self, pick: Pick, now: float) -> ServerState | None:
-        # A floor place on a straggler would keep its class waiting for longer.
+        # A floor slot on a straggler would prolong the wait of its class.
         servers = [s for s in self.servers.values() if not (pick.by_floor and s.slow)]
         return self._balancer.choose(servers, pick.item, now)
 
     def _displace_for_urgent(self, now: float) -> list[Effect]:
-        """Displace lower tiers for requests that cannot wait any longer."""
+        """Displace lower tiers in favour of requests that must start now."""
         effects: list[Effect] = []
         if not self.rule.preemptible:
             return effects
@@ -343,7 +351,7 @@
         return effects
 
     def _displace(self, item: Waiting, now: float) -> list[Effect]:
-        """Put `item` before the newest lowest-tier request outside its floor."""
+        """Grant `item` the slot of the newest lowest-tier request outside its floor."""
         if not self.rule.preemptible:
             return []
         victim = self._choose_victim(item, now)
@@ -434,7 +442,7 @@
         server.record_busy(now)
 
     def _choose_resumed(self, pick: Pick | None, now: float) -> Running | None:
-        """Return the displaced request that goes before `pick`."""
+        """Return the displaced request that takes precedence over `pick`."""
         if not self._displaced:
             return None
         place_ms = self.estimate_place_wait_ms()
@@ -460,17 +468,17 @@
         return Pause(running.request_id, running.holder, False)
 
     def estimate_place_wait_ms(self) -> float:
-        """Return the ms until a place is likely to become free."""
+        """Return the expected ms until a slot becomes free."""
         return self._mean_duration_ms / max(self._slots, 1)
 
     def estimate_retry_ms(self, tier: int, now: float) -> float:
-        """Return when a refused request of `tier` is likely to find a place."""
+        """Return the expected ms until a refused request of `tier` finds a slot."""
         ahead = sum(1 for w in self.discipline.list_waiting() if w.tier <= tier)
         expected = self.estimate_place_wait_ms() * (ahead + 1)
         return min(max(expected, MIN_RETRY_MS), MAX_RETRY_MS)
 
     def estimate_backlog_ms(self) -> float:
-        """Return the ms of work that waits, for choosing between shards."""
+        """Return the expected ms to serve the queue, for the choice between shards."""
         return self.estimate_place_wait_ms() * self.discipline.size()
 
     def _estimate_retry_ms(self, item: Waiting, now: float) -> float:
@@ -487,7 +495,7 @@
 
 
 def create_shard(rule: ShardRule) -> Shard:
-    """Return an empty shard with the plug-ins that `rule` names."""
+    """Return an empty shard with the discipline and balancer that `rule` names."""
     discipline = create_plugin("discipline", rule.discipline)
     balancer = create_plugin("balancer", rule.balancer)
     return Shard(rule, discipline, balancer)
--- a/cornelnotch/queueing/tests/test_machine.py
+++ b/cornelnotch/queueing/tests/test_machine.py
@@ -1,4 +1,4 @@
-"""Let hypothesis drive a shard through any order of events."""
+"""Test the invariants of a shard under arbitrary orders of events."""
 
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -37,7 +37,7 @@
 
 
 class ShardMachine(RuleBasedStateMachine):
-    """Keep what callers were told and compare it with the shard."""
+    """Model of what callers were told, to compare with the shard."""
 
     def __init__(self):
         super().__init__()
@@ -135,7 +135,7 @@
         )
 
     @invariant()
-    def counts_match_what_runs(self):
+    def counts_match_running_requests(self):
         for server in self.shard.servers.values():
             mine = [r for r in self.shard.running.values() if r.server == server.name]
             assert server.busy == sum(1 for r in mine if not r.displaced)
@@ -153,7 +153,7 @@
         assert set(self.granted) == set(self.shard.running)
 
     @invariant()
-    def nothing_waits_and_runs(self):
+    def waiting_and_running_are_disjoint(self):
         waiting = {i.request_id for i in self.shard.discipline.list_waiting()}
         assert not waiting & set(self.shard.running)
         assert not waiting & self.answered
--- a/cornelnotch/queueing/tests/test_shard.py
+++ b/cornelnotch/queueing/tests/test_shard.py
@@ -1,4 +1,4 @@
-"""Check the order rule on a shard: tiers, floors, displacement, limits, failures."""
+"""Test the scheduling of a shard: tiers, floors, displacement, limits, failures."""
 
 import pytest
 
@@ -66,7 +66,7 @@
     return [e.request_id for e in effects if isinstance(e, Grant)]
 
 
-def test_a_free_place_goes_to_the_highest_tier():
+def test_free_slot_is_granted_to_highest_tier():
     shard = create_shard(create_rule())
     for number in range(2):
         ask(shard, "high", number, 0.0)
@@ -75,7 +75,7 @@
     assert list_granted(finish(shard, "high-0", 450.0)) == ["high-3"]
 
 
-def test_an_urgent_request_displaces_a_lower_tier_and_tells_its_holder():
+def test_urgent_request_displaces_lower_tier_and_notifies_holder():
     shard = create_shard(create_rule())
     ask(shard, "low", 0, 0.0)
     ask(shard, "low", 1, 0.0)
@@ -89,7 +89,7 @@
     assert Pause("low-1", "host", False) in back
 
 
-def test_displaced_requests_are_not_taken_for_load_from_elsewhere():
+def test_displaced_requests_do_not_count_as_external_load():
     shard = create_shard(create_rule())
     ask(shard, "low", 0, 0.0)
     ask(shard, "low", 1, 0.0)
@@ -99,19 +99,19 @@
     assert shard.servers["e0"].external == 0
 
 
-def test_the_last_place_of_a_lower_tier_is_not_displaced():
+def test_last_slot_of_lower_tier_is_not_displaced():
     shard = create_shard(create_rule(slots=1))
     ask(shard, "low", 0, 0.0)
     ask(shard, "high", 1, 0.0)
     assert shard.schedule(495.0) == []
 
 
-def test_a_full_queue_drops_the_newest_of_the_lowest_tier():
+def test_full_queue_evicts_newest_request_of_lowest_tier():
     shard = create_shard(create_rule(slots=1))
     ask(shard, "high", 0, 0.0)
     for number in range(1, 17):
         ask(shard, "low", number, 1.0, 60_000.0)
-    # The first is let in by its class's own queue place.
+    # The first is admitted to the queue place reserved for its class.
     assert ask(shard, "high", 98, 2.0) == []
     effects = ask(shard, "high", 99, 2.0)
     refused = [e for e in effects if isinstance(e, Refusal)]
@@ -121,7 +121,7 @@
     assert refused[0].occupancy
 
 
-def test_a_request_that_cannot_meet_its_deadline_is_refused_at_once():
+def test_request_that_cannot_meet_deadline_is_refused_at_once():
     shard = create_shard(create_rule())
     for number in range(8):
         ask(shard, "high", number, 0.0)
@@ -132,7 +132,7 @@
     assert refusal.reason == "deadline"
 
 
-def test_an_overdue_class_gets_one_place_before_a_higher_tier():
+def test_overdue_class_is_granted_slot_before_higher_tier():
     shard = create_shard(create_rule(preemptible=False))
     for number in range(2):
         ask(shard, "high", number, 0.0, 60_000.0)
@@ -142,7 +142,7 @@
     assert list_granted(finish(shard, "high-0", 2100.0)) == ["low-2"]
 
 
-def test_a_failed_server_rests_and_work_goes_elsewhere():
+def test_failed_server_is_ejected_and_requests_go_to_others():
     shard = create_shard(create_rule(servers=2))
     ask(shard, "high", 0, 0.0)
     failed = shard.running["high-0"].server
@@ -153,7 +153,7 @@
     assert failed not in servers
 
 
-def test_a_straggler_is_found_by_its_pace():
+def test_straggler_is_detected_by_its_durations():
     shard = create_shard(create_rule(servers=3, slots=4))
     for number in range(12):
         ask(shard, "high", number, 0.0)
@@ -172,7 +172,7 @@
     ("rule", "admitted"),
     [(WorkspaceRule(None, 1, 1), 1), (WorkspaceRule(1.0, 2, None), 2)],
 )
-def test_workspace_limits_refuse_with_a_time_to_come_back(rule, admitted):
+def test_workspace_limits_refuse_with_retry_time(rule, admitted):
     shard = create_shard(create_rule(slots=8, workspaces={"w": rule}))
     effects = [e for n in range(4) for e in ask(shard, "high", n, 0.0)]
     refused = [e for e in effects if isinstance(e, Refusal)]
@@ -181,7 +181,7 @@
     assert all(e.retry_after_ms > 0 for e in refused)
 
 
-def test_a_new_dispatcher_learns_what_is_held_and_forgets_what_is_not():
+def test_held_permits_are_added_and_missing_ones_released():
     shard = create_shard(create_rule())
     permits = [HeldPermit(f"r{n}", "e0", "high", 1, "w") for n in range(2)]
     shard.sync_held_permits(HeldPermits("host", "s", permits), 0.0)
@@ -191,7 +191,7 @@
     assert set(shard.running) - {"high-9"} == {"r0"}
 
 
-def test_a_repeated_ask_is_granted_the_same_place():
+def test_repeated_request_is_granted_same_server():
     shard = create_shard(create_rule())
     first = ask(shard, "high", 0, 0.0)
     again = ask(shard, "high", 0, 5.0)
--- a/cornelnotch/queueing/tiered.py
+++ b/cornelnotch/queueing/tiered.py
@@ -1,18 +1,24 @@
-"""Serve strict tiers with floors, by deadline within a tier.
-
-When a place is free it goes, first, to a class that holds fewer places than its floor
-and has been given none for its longest wait, the most overdue first; second, to a
-waiting class that holds fewer places than its floor, provided the head of every higher
-tier would still keep its target, or once that is missed its deadline, after waiting for
-one more place; third, to the highest tier that waits, and within it to the request with
-the earliest latest-start among those that can still meet their target, and only when
-there is none to the one with the earliest deadline. A displaced request counts as
-waiting for its own server and goes before the waiting requests of its tier. A class
-that waits in fewer queue places than its floor is always let in. Otherwise, when the
-queue is full, the lowest tier that holds more queue places than its floor leaves first,
-late requests before timely ones and the newest first; the newcomer itself is refused
-only when no waiting request ranks below it and no running request of a lower tier
-outside its floor can be displaced.
+"""Strict priority between tiers with reserved floors, by deadline within a tier.
+
+A free slot is granted by the first rule that applies:
+
+1. To a class that occupies fewer slots than its floor and has been granted none for
+   its longest wait, the most overdue first.
+2. To a waiting class that occupies fewer slots than its floor, provided that the head
+   of every higher tier would still meet its target, or its deadline once the target is
+   missed, after waiting for one more slot.
+3. To the highest waiting tier, and within it to the request with the earliest latest
+   start among those that can still meet their target; if there is none, to the request
+   with the earliest deadline.
+
+A displaced request counts as waiting for its own server and takes precedence over the
+waiting requests of its tier.
+
+A class that occupies fewer queue places than its floor is always admitted. Otherwise,
+when the queue is full, the lowest tier that occupies more queue places than its floor
+is evicted first, late requests before timely ones and the newest first. A new request
+is itself refused only when no waiting request ranks below it and no running request of
+a lower tier outside its floor can be displaced.
 """
 
 from collections.abc import Iterable
@@ -37,9 +43,9 @@
 
 @dataclass(slots=True)
 class ClassQueue:
-    """Hold the waiting requests of one class.
+    """Waiting requests of one class.
 
-    `unserved_since_ms` is when the class last got a place or began to wait.
+    `unserved_since_ms` is when the class was last granted a slot or began to wait.
     """
 
     rule: ClassRule
@@ -51,18 +57,18 @@
         return len(self.timely) + len(self.late)
 
     def get_head(self) -> Waiting | None:
-        """Return the request that goes next within the class."""
+        """Return the request of the class to serve next."""
         if self.timely:
             return self.timely[0]
         return self.late[0] if self.late else None
 
     def get_newest(self) -> Waiting | None:
-        """Return the request that leaves first: late ones, then the newest."""
+        """Return the request to evict first: the newest late one, or the newest."""
         candidates = self.late or self.timely
         return max(candidates, key=lambda item: item.order, default=None)
 
     def move_late_requests(self, now: float) -> None:
-        """Move requests that can no longer meet their target."""
+        """Move requests that can no longer meet their target to the late queue."""
         while self.timely and self.timely[0].target_start_ms < now:
             item = self.timely.pop(0)
             item.late = True
@@ -75,7 +81,7 @@
 
 @register_plugin("discipline", "tiered")
 class TieredDiscipline(Discipline):
-    """Serve strict tiers with floors, by deadline within a tier."""
+    """Strict priority between tiers with reserved floors, by deadline within a tier."""
 
     def __init__(self) -> None:
         self._queues: dict[tuple[str, int], ClassQueue] = {}
@@ -85,7 +91,7 @@
         self._queue_places = 0
 
     def configure(self, classes: dict[str, ClassRule], slots: int, places: int) -> None:
-        """Take over rules and sizes; waiting requests keep their places."""
+        """Apply rules and sizes; waiting requests keep their order."""
         self._rules = classes
         self._slots = slots
         self._queue_places = places
@@ -93,7 +99,7 @@
             queue.rule = classes.get(key[0], queue.rule)
 
     def add(self, item: Waiting, now: float) -> None:
-        """Add a request to the queue of its class and tier."""
+        """Enqueue a request by its class and tier."""
         key = (item.class_name, item.tier)
         queue = self._queues.get(key)
         if queue is None:
@@ -106,7 +112,7 @@
         self._items[item.request_id] = item
 
     def remove(self, request_id: str) -> Waiting | None:
-        """Take a request out."""
+        """Remove and return a waiting request, or return None if there is none."""
         item = self._items.pop(request_id, None)
         if item is None:
             return None
@@ -115,11 +121,11 @@
         return item
 
     def find(self, request_id: str) -> Waiting | None:
-        """Return a waiting request."""
+        """Return a waiting request, or None if there is none."""
         return self._items.get(request_id)
 
     def expire(self, now: float) -> list[Waiting]:
-        """Take out the requests whose deadline is out of reach."""
+        """Remove and return the requests that can no longer meet their deadline."""
         expired = []
         for queue in self._queues.values():
             queue.move_late_requests(now)
@@ -135,7 +141,7 @@
         place_wait_ms: float,
         floors: bool = True,
     ) -> Pick | None:
-        """Return the next request by the rule of this module."""
+        """Return the next request by the rules in the module docstring."""
         heads = self._list_heads()
         if not heads:
             return None
@@ -149,7 +155,7 @@
         return Pick(heads[0], "late" if heads[0].late else "tier")
 
     def choose_victim(self, newcomer: Waiting) -> Waiting:
-        """Return the lowest-ranked waiting request, or the newcomer."""
+        """Return the lowest-ranked waiting request, or `newcomer`."""
         lowest = sorted(
             (q for q in self._queues.values() if q),
             key=lambda q: -self._get_tier(q),
@@ -167,37 +173,37 @@
         return newcomer
 
     def list_urgent(self, now: float, margin_ms: float) -> list[Waiting]:
-        """Return heads whose target, or once late deadline, is about to pass."""
+        """Return heads whose target, or deadline if late, is about to pass."""
         heads = self._list_heads()
         heads += [q.late[0] for q in self._queues.values() if q.timely and q.late]
         urgent = [item for item in heads if _get_latest_start(item) - now <= margin_ms]
         return sorted(urgent, key=lambda item: (item.tier, *_rank_head(item)))
 
     def list_waiting(self) -> Iterable[Waiting]:
-        """Return everything that waits."""
+        """Return all waiting requests."""
         return self._items.values()
 
     def size(self) -> int:
-        """Return how many requests wait."""
+        """Return the number of waiting requests."""
         return len(self._items)
 
     def count(self, class_name: str) -> int:
-        """Return how many requests of a class wait."""
+        """Return the number of waiting requests of a class."""
         return sum(len(q) for key, q in self._queues.items() if key[0] == class_name)
 
     def record_service(self, class_name: str, now: float) -> None:
-        """Restart the longest wait of a class."""
+        """Restart the measurement of a class's longest wait."""
         for key, queue in self._queues.items():
             if key[0] == class_name:
                 queue.unserved_since_ms = now
 
     def get_floor_places(self, class_name: str) -> int:
-        """Return the slots kept for a class: at least one of a shard."""
+        """Return the slots reserved for a class: at least one per shard."""
         rule = self._rules.get(class_name)
         return max(1, int(rule.floor * self._slots)) if rule else 0
 
     def has_queue_floor(self, item: Waiting) -> bool:
-        """Tell whether the class waits in fewer places than its floor."""
+        """Return whether the class occupies fewer queue places than its floor."""
         return self.count(item.class_name) < self._get_queue_floor(item.class_name)
 
     def _get_queue_floor(self, class_name: str) -> int:
@@ -210,7 +216,7 @@
         return head.tier if head else 0
 
     def _list_heads(self) -> list[Waiting]:
-        """Return the head of every queue, the next in strict order first."""
+        """Return the head of every queue in strict order."""
         heads = [q.get_head() for q in self._queues.values()]
         present = [head for head in heads if head is not None]
         present.sort(key=lambda item: (item.tier, *_rank_head(item)))
@@ -238,7 +244,7 @@
         running: dict[str, int],
         place_wait_ms: float,
     ) -> Waiting | None:
-        """Return a head within its floor that delays no higher tier too long."""
+        """Return a head below its floor that makes no higher tier miss its target."""
         highest = heads[0].tier
         for position, item in enumerate(heads):
             if item.tier == highest:
@@ -253,14 +259,14 @@
     def _can_heads_wait(
         heads: list[Waiting], tier: int, now: float, place_wait_ms: float
     ) -> bool:
-        """Tell whether every head above `tier` keeps its promise one place later."""
+        """Return whether every head above `tier` can wait for one more slot."""
         higher = [h for h in heads if h.tier < tier]
         return all(_get_latest_start(h) - now > place_wait_ms for h in higher)
 
     def can_resume_within_floor(
         self, item: Running, now: float, running: dict[str, int], place_wait_ms: float
     ) -> bool:
-        """Apply the first two clauses of the rule to a displaced request."""
+        """Apply the first two rules of the module docstring to a displaced request."""
         if not self._is_below_floor(item.class_name, running):
             return False
         rule = self._rules.get(item.class_name)
@@ -270,5 +276,5 @@
 
 
 def _get_latest_start(item: Waiting) -> float:
-    """Return the moment by which a request must start to keep its promise."""
+    """Return the latest start that meets the target, or the deadline if late."""
     return item.deadline_start_ms if item.late else item.target_start_ms
