--- a/cornelnotch/routing/__init__.py
+++ b/cornelnotch/routing/__init__.py
@@ -1,1 +1,1 @@
-"""Take requests in, decide on them and carry them to servers."""
+"""Validate requests, obtain permits for them and forward them to servers."""
--- a/cornelnotch/routing/budget.py
+++ b/cornelnotch/routing/budget.py
@@ -1,4 +1,4 @@
-"""Keep retries under a fixed share of first attempts."""
+"""Limit retries to a fixed share of first attempts."""
 
 __all__ = ["RetryBudget"]
 
@@ -8,17 +8,17 @@
 
 
 class RetryBudget:
-    """Earn a share of a retry with each first attempt."""
+    """Retry budget that grows by a fixed share with each first attempt."""
 
     def __init__(self) -> None:
         self._tokens = INITIAL_TOKENS
 
     def deposit(self) -> None:
-        """Count one first attempt."""
+        """Add the share of one first attempt."""
         self._tokens = min(self._tokens + RETRY_SHARE, MAX_TOKENS)
 
     def withdraw(self) -> bool:
-        """Take one retry; tell whether the budget allows it."""
+        """Take one retry from the budget and return whether it is allowed."""
         if self._tokens < 1.0:
             return False
         self._tokens -= 1.0
--- a/cornelnotch/routing/dispatcher.py
+++ b/cornelnotch/routing/dispatcher.py
@@ -1,4 +1,4 @@
-"""Dispatch permits for the shards that this host owns."""
+"""Grant permits for the shards that this host owns."""
 
 import asyncio
 from collections import Counter
@@ -48,24 +48,24 @@
 
 @dataclass(frozen=True, slots=True)
 class Refresh:
-    """Ask the dispatcher to look at configuration and members again."""
+    """Message that makes the dispatcher apply configuration and member changes."""
 
 
 @dataclass(frozen=True, slots=True)
 class Tick:
-    """Ask the dispatcher to look at the time."""
+    """Message that makes the dispatcher reschedule its shards."""
 
 
 @dataclass(frozen=True, slots=True)
 class ServerHealth:
-    """Hold what a shard thinks of a server's health."""
+    """Health of a server as seen by a shard."""
 
     failures: int
     slow: bool
 
 
 class ServerLoad(BaseModel):
-    """Validate a server's own report."""
+    """Response of a server's load endpoint."""
 
     running: int = Field(default=0, ge=0)
     waiting: int = Field(default=0, ge=0)
@@ -73,7 +73,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerLoadReport:
-    """Carry what a server says of its own load."""
+    """Message with the load that a server reports."""
 
     shard: str
     server: str
@@ -81,7 +81,7 @@
 
 
 class Dispatcher(MailboxTask):
-    """Own the shards of this host; every change arrives as a message."""
+    """Actor that owns the shards of this host; every change arrives as a message."""
 
     def __init__(
         self, fleet: FleetView, peers: PeerNetwork, clock: Clock, events: EventLog
@@ -106,14 +106,14 @@
             peers.subscribe(kind, lambda sender, message: self.post(message))
 
     def count_queued(self) -> dict[str, int]:
-        """Return how many requests wait here, by class."""
+        """Return the number of waiting requests by class."""
         counts: Counter[str] = Counter()
         for shard in self.shards.values():
             counts.update(item.class_name for item in shard.discipline.list_waiting())
         return dict(counts)
 
     async def run_ticks(self) -> None:
-        """Let waiting requests notice the time until cancelled."""
+        """Reschedule shards with waiting requests periodically until cancelled."""
         while True:
             await self._waiting.wait()
             await self._clock.sleep(TICK_MS)
@@ -123,7 +123,7 @@
                 self._waiting.clear()
 
     async def run_load_reports(self) -> None:
-        """Ask the servers of owned shards for their load until cancelled."""
+        """Poll the load of the servers of owned shards until cancelled."""
         while True:
             await self._clock.sleep(LOAD_PERIOD_MS)
             requests = [
@@ -147,7 +147,7 @@
         try:
             load = ServerLoad.model_validate(content)
         except ValidationError:
-            # A server that reports nonsense is judged by own counts alone.
+            # Without a valid report, only own requests count towards the load.
             return
         self.post(ServerLoadReport(shard, server, load.running + load.waiting))
 
@@ -168,7 +168,7 @@
         return bool(ranking) and ranking[0] == self._fleet.name
 
     async def handle(self, message: Any) -> None:
-        """Act on one message."""
+        """Process one message."""
         if isinstance(message, PermitAsk):
             self._handle_ask(message)
         elif isinstance(message, Refresh):
@@ -284,7 +284,7 @@
             self._apply_effects(shard, shard.release_holder(holder, now))
 
     def _redirect_waiting(self, shard: Shard) -> None:
-        """Send the queue's requests to the shard's new owner."""
+        """Redirect the waiting requests to the shard's new owner."""
         for item in list(shard.discipline.list_waiting()):
             shard.discipline.remove(item.request_id)
             moved = PermitMoved(item.request_id, shard.rule.name)
--- a/cornelnotch/routing/engines.py
+++ b/cornelnotch/routing/engines.py
@@ -1,4 +1,4 @@
-"""Carry chat completions to engines and resume broken streams."""
+"""Forward chat completions to engines and resume interrupted streams."""
 
 import asyncio
 from contextlib import aclosing
@@ -29,7 +29,7 @@
 
 @dataclass(slots=True)
 class Progress:
-    """Hold what one dispatch has shown so far; times are local ms."""
+    """Progress of one dispatch; times are local ms."""
 
     started_ms: float
     first_ms: float = 0.0
@@ -37,7 +37,7 @@
     tokens: int = 0
 
     def record_tokens(self, count: int, now: float) -> bool:
-        """Count tokens; tell whether the first was among them."""
+        """Add tokens and return whether the first was among them."""
         first = self.tokens == 0
         if first:
             self.first_ms = now
@@ -52,7 +52,7 @@
         return (self.last_ms - self.first_ms) / (self.tokens - 1)
 
     def create_report(self, outcome: str, now: float) -> PermitReport:
-        """Return what the dispatcher learns from."""
+        """Return the report for the dispatcher."""
         first_ms = self.first_ms - self.started_ms if self.tokens else 0.0
         return PermitReport(
             outcome, now - self.started_ms, first_ms, self.compute_pace(), self.tokens
@@ -60,7 +60,7 @@
 
 
 class EngineFlow(RequestFlow):
-    """Stream from an engine; a broken stream goes on elsewhere if it may."""
+    """Stream from an engine and resume interrupted streams on another engine."""
 
     def __init__(self, *arguments: object) -> None:
         super().__init__(*arguments)  # type: ignore[arg-type]
@@ -71,7 +71,7 @@
         self._body = orjson.dumps(body)
 
     async def carry(self) -> None:
-        """Dispatch until the answer is whole or must not be tried again."""
+        """Dispatch until the response is complete or a retry is not allowed."""
         while True:
             try:
                 grant = await self.acquire()
@@ -98,7 +98,7 @@
                 )
 
     async def _dispatch(self, grant: PermitGrant) -> UpstreamError | None:
-        """Run one dispatch; return what broke it, or None when it is whole."""
+        """Run one dispatch and return its error, or None if it completed."""
         progress = Progress(self.parts.clock.read())
         outcome = "cancelled"
         try:
@@ -126,7 +126,7 @@
                 await self._stream(grant, progress, stall_timeout)
         except TimeoutError as error:
             raise UpstreamStalledError(
-                f"{grant.server} sent nothing in time", "check the engine"
+                f"{grant.server} sent nothing within the timeout", "check the engine"
             ) from error
 
     def _compute_stall_timeout_ms(self) -> float:
@@ -233,7 +233,7 @@
         return all(limit is None or seen <= limit for limit, seen in limits)
 
     async def _abort_stream(self, problem: Problem) -> None:
-        """End a stream that cannot be made whole; [DONE] is never sent."""
+        """End a stream that cannot be completed, without sending [DONE]."""
         self.trace.note("broken-off", kind=problem.kind, tokens=len(self._texts))
         if self.idempotency_guard is not None:
             problem = await self.idempotency_guard.finalize_problem(
--- a/cornelnotch/routing/fleet.py
+++ b/cornelnotch/routing/fleet.py
@@ -1,4 +1,4 @@
-"""Share one host's view of configuration and members between its tasks."""
+"""View of configuration and members shared by the tasks of a host."""
 
 from collections.abc import Callable
 
@@ -15,7 +15,7 @@
 
 
 class FleetView:
-    """Hold the newest configuration, its shards and the live hosts."""
+    """Latest configuration, its shards and the live hosts."""
 
     def __init__(self, table: MemberTable, servers: ServerTable) -> None:
         self.configuration = Configuration()
@@ -37,38 +37,41 @@
         return self.configuration.find_region(self._table.own.place)
 
     def subscribe(self, listener: Callable[[], None]) -> None:
-        """Call `listener` after each change."""
+        """Register `listener` to be called after each change."""
         self._listeners.append(listener)
 
     def apply_configuration(self, state: ConfigurationState) -> None:
-        """Take over a newer configuration."""
+        """Apply a newer configuration."""
         self.configuration = state.configuration
         self.plans = plan_shards(self.configuration)
         self.apply_members()
 
     def apply_members(self) -> None:
-        """Take over changed members and leaving servers."""
+        """Apply changes of members and leaving servers."""
         self.leaving_servers = self._servers.list_leaving()
         self._rankings.clear()
         for listener in self._listeners:
             listener()
 
     def list_live(self) -> list[Member]:
-        """Return hosts that take duties."""
+        """Return the hosts that are eligible for duties."""
         return self._table.list_live()
 
     def list_known(self) -> list[Member]:
-        """Return hosts that are not known to be dead."""
+        """Return the hosts that are not known to be dead."""
         members = self._table.members.values()
         return [m for m in members if m.state is not MemberState.DEAD]
 
     def find_incarnation(self, name: str) -> int:
-        """Return the incarnation of a host, which a restart raises."""
+        """Return the incarnation of a host, which increases at each restart.
+
+        Return -1 for an unknown host.
+        """
         member = self._table.members.get(name)
         return member.incarnation if member is not None else -1
 
     def rank_dispatchers(self, shard: str) -> list[str]:
-        """Return hosts in the order in which they dispatch `shard`."""
+        """Return hosts in order of preference as the dispatcher of `shard`."""
         ranking = self._rankings.get(shard)
         if ranking is None:
             plan = self.plans[shard]
@@ -77,7 +80,7 @@
         return ranking
 
     def rank_writers(self, stream: int) -> list[str]:
-        """Return hosts in the order in which they keep a claim stream."""
+        """Return hosts in order of preference as the writer of a claim stream."""
         key = f"claims/{stream}"
         ranking = self._rankings.get(key)
         if ranking is None:
--- a/cornelnotch/routing/flow.py
+++ b/cornelnotch/routing/flow.py
@@ -1,4 +1,4 @@
-"""Carry one request from its classification to its answer."""
+"""Process one request from its classification to its response."""
 
 import asyncio
 
@@ -34,7 +34,7 @@
 
 
 class RequestFlow:
-    """Own the state of one request; subclasses carry it to a server."""
+    """State of one request; subclasses forward it to a server."""
 
     def __init__(
         self,
@@ -62,15 +62,15 @@
 
     @property
     def cancellable(self) -> bool:
-        """Tell whether the work may stop when the caller goes away."""
+        """Return whether the work may be cancelled when the caller disconnects."""
         return not (self.once and self.dispatched)
 
     def get_remaining_ms(self) -> float:
-        """Return the ms until the deadline."""
+        """Return the ms left until the deadline."""
         return self.deadline_ms - self.parts.clock.read()
 
     async def run(self) -> None:
-        """Serve the request; the caller's going away ends what may be ended."""
+        """Serve the request and cancel cancellable work when the caller disconnects."""
         work = asyncio.create_task(self._serve())
         gone = asyncio.create_task(self.exchange.gone.wait())
         try:
@@ -82,7 +82,9 @@
         except asyncio.CancelledError:
             work.cancel()
             self._count("cancelled", Outcome.UNKNOWN)
-            raise CallerGoneError("the caller closed", "send it again") from None
+            raise CallerGoneError(
+                "the caller closed the connection", "send it again"
+            ) from None
         finally:
             gone.cancel()
 
@@ -110,7 +112,7 @@
             raise
 
     async def carry(self) -> None:
-        """Take the request to a server and its answer to the caller."""
+        """Forward the request to a server and the response to the caller."""
         raise NotImplementedError
 
     async def _repeat_answer(self, outcome: ClaimOperation) -> None:
@@ -121,12 +123,15 @@
         await self.exchange.respond(outcome.status, headers, outcome.body or b"")
 
     def store_outcome(self, status: int, content_type: str, body: bytes | None) -> None:
-        """Record the answer of claimed work for repeats of its key."""
+        """Record the response to a claimed request for repeats of its key."""
         if self.idempotency_guard is not None:
             self.idempotency_guard.store_outcome(status, content_type, body)
 
     async def acquire(self) -> PermitGrant:
-        """Return a permit; raise FlowError when the request is refused."""
+        """Return a permit.
+
+        Raise FlowError if the request is refused.
+        """
         permit_request = PermitRequest(
             self.request.request_id,
             self.selection.class_name,
@@ -167,14 +172,14 @@
         return Problem(
             429 if refusal.reason in LIMIT_REASONS else 503,
             refusal.reason,
-            f"refused by {refusal.shard}; come back after the time given",
+            f"refused by {refusal.shard}; retry after the given time",
             Outcome.UNKNOWN if self.dispatched else Outcome.NOT_RUN,
             refusal.retry_after_ms,
             tuple(refusal.occupancy),
         )
 
     def should_retry(self, error: UpstreamError, grant: PermitGrant) -> bool:
-        """Tell whether the work may be dispatched once more after `error`."""
+        """Return whether the request may be dispatched again after `error`."""
         self.trace.note(
             "failed", server=grant.server, kind=error.kind, error=str(error)
         )
@@ -189,7 +194,7 @@
         return True
 
     def create_failure_problem(self, error: UpstreamError) -> Problem:
-        """Return the problem that ends the request after `error`."""
+        """Return the problem to report to the caller after `error`."""
         unsent = isinstance(error, UpstreamUnreachableError) and not self.dispatched
         return Problem(
             503 if unsent else 502,
@@ -200,7 +205,7 @@
         )
 
     def release(self, grant: PermitGrant, report: PermitReport) -> None:
-        """Return the permit of a dispatch that ended."""
+        """Release the permit of a completed dispatch."""
         self.parts.permits.release(grant, report)
 
     async def _refuse(self, problem: Problem) -> None:
@@ -229,7 +234,7 @@
         await self.exchange.respond(problem.status, headers, body)
 
     def finish_well(self, attained: bool, **details: object) -> None:
-        """Record a whole answer."""
+        """Record a complete response."""
         self.trace.note("answered", attained=attained, **details)
         self._count("attained" if attained else "late", Outcome.RAN)
         self.parts.metrics.windows.record(self.selection.class_name, attained)
--- a/cornelnotch/routing/idempotency.py
+++ b/cornelnotch/routing/idempotency.py
@@ -1,4 +1,8 @@
-"""Guard work that must not run twice: claim, answer repeats, release, record."""
+"""Execute work with an idempotency key at most once.
+
+The guard claims the key, replays the recorded response to repeats, releases the claim
+of work that was not dispatched and records the outcome.
+"""
 
 from collections.abc import Callable
 from dataclasses import replace
@@ -28,7 +32,7 @@
 
 
 class IdempotencyGuard:
-    """Own the claim of one request under an idempotency key."""
+    """Claim of one request on its idempotency key."""
 
     def __init__(
         self,
@@ -46,9 +50,9 @@
         self._claimed = False
 
     async def claim(self) -> ClaimOperation | None:
-        """Return None once the work may run, or what an earlier attempt came to.
+        """Return None if the work may run, or the outcome of an earlier attempt.
 
-        Raise FlowError when neither is known.
+        Raise FlowError if neither is known.
         """
         self._check_key_age()
         self._claimed = True
@@ -60,7 +64,8 @@
         )
         self._trace.note("claim", state=verdict.state, attempt=self._attempt)
         if verdict.state == "won":
-            # Only now is it sure that an earlier claim would have been seen.
+            # Repeats the check after the claim was read back: only if the key is
+            # still usable was an earlier claim certain to be seen in the log.
             self._check_key_age()
             return None
         if verdict.state == "unavailable":
@@ -69,12 +74,12 @@
         return await self._wait_for_winner(verdict)
 
     def get_unclaimed_outcome(self) -> Outcome:
-        """Return what is true of the key when the claims were not read."""
+        """Return the outcome to report when the claims could not be read."""
         first = self._request.is_first_attempt
         return Outcome.NOT_RUN if first else Outcome.UNKNOWN
 
     async def finalize_problem(self, problem: Problem, dispatched: bool) -> Problem:
-        """Return what may be said of a failure; free the key if nothing ran."""
+        """Return the problem with its final outcome; release the key if nothing ran."""
         if not self._claimed:
             return problem
         if dispatched:
@@ -82,7 +87,7 @@
             return problem
         key = self._request.claim_key
         if problem.outcome is Outcome.NOT_RUN and self._request.is_first_attempt:
-            # True at once: nothing else was ever sent under this key.
+            # The outcome is certain: nothing else was ever sent under this key.
             self._parts.claims.release_in_background(key, self._attempt)
             return problem
         released = await self._parts.claims.release(
@@ -92,13 +97,13 @@
         return replace(problem, outcome=outcome)
 
     def release_undispatched(self, dispatched: bool) -> None:
-        """Free the key in the background when its work was not dispatched."""
+        """Release the key in the background if the work was not dispatched."""
         if self._claimed and not dispatched:
             key = self._request.claim_key
             self._parts.claims.release_in_background(key, self._attempt)
 
     def store_outcome(self, status: int, content_type: str, body: bytes | None) -> None:
-        """Record what became of the work; status 0 means that nobody knows."""
+        """Record the outcome of the work; status 0 means that it is unknown."""
         if not self._claimed:
             return
         stored_body = (
@@ -118,20 +123,24 @@
     def _check_key_age(self) -> None:
         claims = self._parts.fleet.configuration.claims
         wall_ms = self._parts.clock.read_wall()
-        # A claim must outlast its key in the log, whatever the configuration says.
+        # The horizon is capped, whatever the configuration says, so that the log
+        # retains a claim for longer than its key is usable.
         kept_ms = self._parts.retention_ms - 2 * claims.skew_ms
         horizon_ms = min(claims.horizon_ms, kept_ms)
         key_ms = self._request.key_ms
         age = judge_key_age(key_ms, wall_ms, horizon_ms, claims.skew_ms)
         if age is KeyAge.USABLE:
             return
-        message = f"the key is {age.value}; make a new UUIDv7 for new work"
+        message = f"the key is {age.value}; generate a new UUIDv7 for new work"
         raise FlowError(
             Problem(400, f"key-{age.value}", message, self.get_unclaimed_outcome())
         )
 
     async def _wait_for_winner(self, verdict: ClaimVerdict) -> ClaimOperation:
-        """Return the winner's outcome; raise FlowError while it is unknown."""
+        """Return the outcome of the attempt that holds the key.
+
+        Raise FlowError if it is unknown.
+        """
         while verdict.state == "lost" and self._get_remaining_ms() > LOOKUP_PAUSE_MS:
             await self._parts.clock.sleep(LOOKUP_PAUSE_MS)
             timeout_ms = min(LOOKUP_TIMEOUT_MS, self._get_remaining_ms())
@@ -152,7 +161,7 @@
         return Problem(
             503,
             "log-unavailable",
-            "the claim could not be read back; come back later with the same key",
+            "the claim could not be read back; retry later with the same key",
             self.get_unclaimed_outcome(),
             LOG_RETRY_MS,
         )
@@ -162,7 +171,7 @@
         return Problem(
             422,
             "key-reused",
-            "the key was used for other work; make a new UUIDv7 for new work",
+            "the key was used for other work; generate a new UUIDv7 for new work",
             Outcome.UNKNOWN,
         )
 
@@ -171,7 +180,7 @@
         return Problem(
             409,
             "claimed-elsewhere",
-            "another attempt holds the key; come back later with the same key",
+            "another attempt holds the key; retry later with the same key",
             Outcome.UNKNOWN,
             RUNNING_RETRY_MS,
         )
@@ -181,6 +190,6 @@
         return Problem(
             409,
             "answer-not-kept",
-            "the work ran; its answer was too large to keep, ask the service",
+            "the work ran, but its response was too large to store; ask the service",
             Outcome.RAN,
         )
--- a/cornelnotch/routing/intake.py
+++ b/cornelnotch/routing/intake.py
@@ -1,4 +1,4 @@
-"""Validate what callers send."""
+"""Validate the requests of callers."""
 
 from dataclasses import dataclass, field
 from typing import Any
@@ -20,7 +20,7 @@
 
 
 class CallerHeaders(BaseModel):
-    """Validate the headers that steer a request."""
+    """Request headers that control routing."""
 
     model_config = ConfigDict(populate_by_name=True)
 
@@ -39,12 +39,12 @@
     @field_validator("labels", mode="before")
     @classmethod
     def parse_labels_header(cls, value: object) -> object:
-        """Accept ``name=value, name=value``."""
+        """Parse labels of the form ``name=value, name=value``."""
         return parse_labels(value) if isinstance(value, str) else value
 
 
 class ChatMessage(BaseModel):
-    """Validate one message of a chat."""
+    """Message of a chat."""
 
     model_config = ConfigDict(extra="allow")
 
@@ -53,7 +53,7 @@
 
 
 class ChatBody(BaseModel):
-    """Validate the body of a chat completion."""
+    """Body of a chat completion request."""
 
     model_config = ConfigDict(extra="allow")
 
@@ -65,7 +65,7 @@
 
 @dataclass(slots=True)
 class CallerRequest:
-    """Hold one validated request of a caller; `service` is None for chats."""
+    """Validated request of a caller; `service` is None for chat completions."""
 
     request_id: str
     method: str
@@ -84,16 +84,16 @@
 
     @property
     def is_first_attempt(self) -> bool:
-        """Tell whether the caller declared that it never sent this key before."""
+        """Return whether the caller declared that it never sent this key before."""
         return self.attempt == 1
 
     @property
     def claim_key(self) -> str:
-        """Return the key within its workspace."""
+        """Return the idempotency key qualified by its workspace."""
         return f"{self.workspace}/{self.key}"
 
     def compute_fingerprint(self) -> str:
-        """Return a hash that tells a repeat from other work under the same key."""
+        """Return a hash that distinguishes repeats from other work under the key."""
         content = b"\x00".join([self.method.encode(), self.target.encode(), self.body])
         return xxhash.xxh3_128_hexdigest(content)
 
@@ -122,7 +122,7 @@
     try:
         content = orjson.loads(body)
     except orjson.JSONDecodeError as error:
-        problem = f"the body is no JSON: {error}"
+        problem = f"the body is not valid JSON: {error}"
         return Failure(RequestError(problem, "send JSON", 400, "bad-json"))
     try:
         return Success(ChatBody.model_validate(content))
@@ -145,7 +145,7 @@
     headers: dict[str, str],
     body: bytes,
 ) -> Result[CallerRequest, RequestError]:
-    """Return the validated request, or what is wrong with it."""
+    """Return the validated request, or the error that makes it invalid."""
     parsed = _parse_headers(headers)
     if isinstance(parsed, Failure):
         return parsed
@@ -182,6 +182,6 @@
 
 
 def _create_affinity(workspace: str, chat: ChatBody) -> str:
-    """Return a short key for the prefix that an engine may have cached."""
+    """Return a hash of the prompt prefix that an engine may have cached."""
     content = str(chat.messages[0].content)[:AFFINITY_CHARACTERS]
     return f"{hash_text(f'{workspace}|{chat.model}|{content}'):016x}"
--- a/cornelnotch/routing/ownership.py
+++ b/cornelnotch/routing/ownership.py
@@ -1,4 +1,4 @@
-"""Tell which hosts usually do which duty."""
+"""Rank hosts as dispatchers of shards and writers of claim streams."""
 
 from collections.abc import Iterable
 
@@ -12,10 +12,10 @@
 def rank_dispatchers(
     plan: ShardPlan, configuration: Configuration, members: Iterable[Member]
 ) -> list[str]:
-    """Return hosts in the order in which they dispatch a shard.
+    """Return hosts in order of preference as the dispatcher of a shard.
 
-    Hosts of the shard's region come first, so that permits stay off the narrow
-    link while that region has a live host.
+    Hosts of the shard's region come first, so that permits do not use the
+    narrow link between regions while that region has a live host.
     """
     local: list[str] = []
     remote: list[str] = []
@@ -26,5 +26,5 @@
 
 
 def rank_writers(stream: int, members: Iterable[Member]) -> list[str]:
-    """Return hosts in the order in which they keep a claim stream."""
+    """Return hosts in order of preference as the writer of a claim stream."""
     return rank_owners(f"claims/{stream}", [member.name for member in members])
--- a/cornelnotch/routing/parts.py
+++ b/cornelnotch/routing/parts.py
@@ -1,4 +1,4 @@
-"""Hold what every request of a host shares, and how a request ends early."""
+"""Components shared by all requests of a host, and the error that ends a request."""
 
 from dataclasses import dataclass
 
@@ -16,7 +16,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FlowParts:
-    """Hold what every request of a host shares."""
+    """Components shared by all requests of a host."""
 
     fleet: FleetView
     permits: PermitClient
@@ -31,7 +31,7 @@
 
 
 class FlowError(Exception):
-    """End a request with the problem that the caller is told."""
+    """Error that ends a request with the problem reported to the caller."""
 
     def __init__(self, problem: Problem) -> None:
         super().__init__(problem.message)
--- a/cornelnotch/routing/permits.py
+++ b/cornelnotch/routing/permits.py
@@ -1,4 +1,4 @@
-"""Get permits from dispatchers and give them back."""
+"""Acquire permits from dispatchers and release them."""
 
 import asyncio
 from collections.abc import Callable
@@ -39,7 +39,7 @@
 
 @dataclass(slots=True)
 class PermitRequest:
-    """Describe a request that needs a place; times are local ms."""
+    """Request for a permit; times are local ms."""
 
     request_id: str
     class_name: str
@@ -54,7 +54,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PermitReport:
-    """Tell what the holder of a permit saw."""
+    """Outcome and durations observed by the holder of a permit."""
 
     outcome: str
     elapsed_ms: float
@@ -65,7 +65,7 @@
 
 @dataclass(slots=True)
 class HeldEntry:
-    """Remember a permit in use, who hears that it is paused and who counts it."""
+    """Permit in use, with its pause listener and the dispatchers that count it."""
 
     request: PermitRequest
     grant: PermitGrant
@@ -74,7 +74,7 @@
 
 
 class PermitClient:
-    """Own the permits of one host."""
+    """Client that acquires and holds the permits of one host."""
 
     def __init__(self, fleet: FleetView, peers: PeerNetwork, clock: Clock) -> None:
         self._fleet = fleet
@@ -89,7 +89,7 @@
         peers.subscribe(PermitPause, self._receive_pause)
 
     def count_held(self) -> int:
-        """Return how many permits are in use."""
+        """Return the number of permits in use."""
         return len(self._held)
 
     async def acquire(
@@ -113,7 +113,7 @@
         return result
 
     def _choose_shard(self, plans: list[ShardPlan], request: PermitRequest) -> str:
-        """Return the less loaded of the two shards that the prefix hashes to."""
+        """Return the shard with the shorter backlog of the two the prefix hashes to."""
         names = [plan.name for plan in plans]
         choices = rank_owners(request.affinity or request.request_id, names)[
             :SHARD_CHOICES
@@ -148,8 +148,8 @@
                         settled = True
                         return Failure(reply)
                     await self._clock.sleep(OUTDATED_CONFIGURATION_WAIT_MS)
-                # A dispatcher that has moved the shard names no successor: this
-                # host's own ranking does, and a second ask is always taken.
+                # PermitMoved names no successor: this host's own ranking does.
+                # An ask with hops > 0 is accepted by any dispatcher.
                 moves += isinstance(reply, PermitMoved)
                 timeouts += reply is None
             return Failure(self._create_deadline_refusal(shard, request))
@@ -159,7 +159,7 @@
                 self._peers.send(asked, PermitCancel(request.request_id, shard))
 
     def _choose_dispatcher(self, shard: str, timeouts: int) -> str | None:
-        """Return the usual dispatcher, or a later one after `silent` time-outs."""
+        """Return the preferred dispatcher, or a lower-ranked one after timeouts."""
         if shard not in self._fleet.plans:
             return None
         ranking = self._fleet.rank_dispatchers(shard)
@@ -173,7 +173,11 @@
         hops: int,
         replies: asyncio.Queue[Reply],
     ) -> Reply | None:
-        """Ask once; return the decision, PermitQueued to ask again, or None."""
+        """Send one ask and return its decision.
+
+        Return PermitQueued if the request waits and must be asked for again, and
+        None if the dispatcher did not reply.
+        """
         now = self._clock.read()
         ask = PermitAsk(
             request.request_id,
@@ -200,8 +204,8 @@
                 return queued
             if not isinstance(reply, PermitQueued):
                 return reply
-            # A queued request asks again now and then, so that it notices when
-            # its dispatcher has gone.
+            # A queued request repeats its ask after REFRESH_MS, to detect that
+            # its dispatcher has failed.
             queued = reply
             wait_ms = REFRESH_MS
 
@@ -232,18 +236,18 @@
     def set_pause_listener(
         self, grant: PermitGrant, listener: Callable[[bool], None]
     ) -> None:
-        """Call `listener` when the request starts or stops waiting in its engine."""
+        """Call `listener` when the request is paused or resumed in its engine."""
         held = self._held.get(grant.request_id)
         if held is not None:
             held.listener = listener
 
     def report_first_token(self, grant: PermitGrant, elapsed_ms: float) -> None:
-        """Tell the dispatcher how long the server took to its first token."""
+        """Report the time to first token to the dispatcher."""
         message = PermitFirstToken(grant.request_id, grant.shard, elapsed_ms)
         self._peers.send(grant.dispatcher, message)
 
     def release(self, grant: PermitGrant, report: PermitReport) -> None:
-        """Return a permit with what was seen."""
+        """Release a permit and report its outcome and durations."""
         held = self._held.pop(grant.request_id, None)
         finish = PermitFinish(
             grant.request_id,
@@ -256,7 +260,8 @@
             report.tokens,
         )
         receivers = {grant.dispatcher}
-        # A host that owned the shard in between would count the permit for ever.
+        # Without the message, a host that owned the shard in between would count
+        # the permit forever.
         receivers |= held.reported_to if held is not None else set()
         current = self._choose_dispatcher(grant.shard, 0)
         if current is not None:
@@ -265,7 +270,7 @@
             self._peers.send(receiver, finish)
 
     async def run_held_reports(self) -> None:
-        """Tell dispatchers what this host holds until cancelled."""
+        """Report the permits of this host to dispatchers until cancelled."""
         period = 0
         while True:
             await self._clock.sleep(HELD_CHECK_MS)
@@ -273,7 +278,7 @@
             self._report_held(period % FULL_REPORT_PERIODS == 0)
 
     def _report_held(self, everything: bool) -> None:
-        """Tell new dispatchers at once and the known ones now and then."""
+        """Report to new dispatchers, and to known ones only if `everything` is true."""
         by_shard: dict[str, list[HeldPermit]] = {}
         for entry in self._held.values():
             permit = HeldPermit(
@@ -284,7 +289,7 @@
                 entry.request.workspace,
             )
             by_shard.setdefault(entry.grant.shard, []).append(permit)
-        # A shard is told once more when the host no longer holds anything there.
+        # An empty report is sent once when the host holds no more permits there.
         for shard in by_shard.keys() | self._reported_boots.keys():
             target = self._choose_dispatcher(shard, 0)
             if target is None:
--- a/cornelnotch/routing/replies.py
+++ b/cornelnotch/routing/replies.py
@@ -1,4 +1,4 @@
-"""Build the answers that the router itself gives to callers."""
+"""Build the responses that the router itself sends to callers."""
 
 import math
 from dataclasses import dataclass
@@ -14,7 +14,7 @@
 
 
 class Outcome(StrEnum):
-    """Say what became of the work under a request."""
+    """Whether the work of a request was executed."""
 
     RAN = "ran"
     NOT_RUN = "not-run"
@@ -23,7 +23,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Problem:
-    """Hold a refusal or failure; `retry_after_ms` is None when a repeat is vain."""
+    """Refusal or failure; `retry_after_ms` is None if a retry cannot succeed."""
 
     status: int
     kind: str
@@ -36,7 +36,7 @@
 def create_headers(
     request_id: str, outcome: Outcome, retry_after_ms: float | None = None
 ) -> dict[str, str]:
-    """Return the headers that every reply carries."""
+    """Return the headers of every response."""
     headers = {
         "cornelnotch-request-id": request_id,
         "cornelnotch-outcome": outcome.value,
@@ -48,7 +48,7 @@
 
 
 def encode_problem(problem: Problem, request_id: str) -> bytes:
-    """Return the typed error body of a problem."""
+    """Return the JSON error body of a problem."""
     content = {
         "error": {
             "kind": problem.kind,
--- a/cornelnotch/routing/rules.py
+++ b/cornelnotch/routing/rules.py
@@ -1,4 +1,4 @@
-"""Turn the configuration into the rules of one shard."""
+"""Derive the configuration of a shard from the global configuration."""
 
 from cornelnotch.configuration import Configuration, ShardPlan
 from cornelnotch.queueing import ClassRule, ServerRule, ShardRule
@@ -8,7 +8,7 @@
 
 
 def create_shard_rule(plan: ShardPlan, configuration: Configuration) -> ShardRule:
-    """Return what the configuration says of one shard."""
+    """Return the configuration of one shard."""
     pool = configuration.pools[plan.pool]
     classes = {
         name: ClassRule(
--- a/cornelnotch/routing/services.py
+++ b/cornelnotch/routing/services.py
@@ -1,4 +1,4 @@
-"""Carry calls to plain services."""
+"""Forward requests to plain services."""
 
 from cornelnotch.exceptions import UpstreamError, UpstreamUnreachableError
 from cornelnotch.routing.flow import RequestFlow
@@ -12,10 +12,10 @@
 
 
 class ServiceFlow(RequestFlow):
-    """Call a plain service and pass on its whole answer."""
+    """Call a plain service and forward its complete response."""
 
     async def carry(self) -> None:
-        """Call until there is an answer or the work must not be tried again."""
+        """Call until there is a response or a retry is not allowed."""
         while True:
             grant = await self.acquire()
             answer = await self._dispatch(grant)
@@ -44,7 +44,7 @@
             outcome = "done"
             return answer
         except UpstreamUnreachableError as error:
-            # No byte was sent, so this dispatch did not happen.
+            # No byte was sent, so the request does not count as dispatched.
             self.dispatched = before
             outcome = error.kind
             return error
@@ -56,7 +56,7 @@
             self.release(grant, report)
 
     def _create_target(self) -> str:
-        """Return the path that the service knows."""
+        """Return the path without the router's prefix."""
         prefix = f"/v1/services/{self.request.service}"
         return self.request.target.removeprefix(prefix) or "/"
 
--- a/cornelnotch/routing/tests/test_intake.py
+++ b/cornelnotch/routing/tests/test_intake.py
@@ -1,4 +1,4 @@
-"""Validate callers' requests: good, bad and random."""
+"""Test the validation of valid, invalid and random requests, and the retry budget."""
 
 import os
 import random
@@ -24,7 +24,7 @@
     return read_caller_request("h", "POST", "/x", service, merged, content)
 
 
-def test_a_good_request_is_read():
+def test_valid_request_is_parsed():
     request = read({"idempotency-key": create_identifier()}).unwrap()
     assert request.stream
     assert request.labels == {"kind": "quote"}
@@ -52,13 +52,13 @@
         ({}, b'{"messages":[{"role":"user"}]}', 422, "bad-request"),
     ],
 )
-def test_a_bad_request_gets_a_typed_error_with_a_remedy(headers, body, status, kind):
+def test_invalid_request_returns_typed_error_with_remedy(headers, body, status, kind):
     error = read(headers, body).failure()
     assert (error.status, error.kind) == (status, kind)
     assert error.remedy
 
 
-def test_a_missing_workspace_is_named():
+def test_missing_workspace_header_is_named_in_error():
     result = read_caller_request("h", "POST", "/x", None, {}, orjson.dumps(CHAT))
     assert "cornelnotch-workspace" in str(result.failure())
 
@@ -79,12 +79,12 @@
     ),
     st.binary(max_size=100),
 )
-def test_any_headers_and_body_give_a_request_or_a_typed_error(headers, body):
+def test_any_headers_and_body_return_request_or_typed_error(headers, body):
     result = read_caller_request("h", "POST", "/x", None, headers, body)
     assert isinstance(result, Success | Failure)
 
 
-def test_mutated_bodies_give_a_request_or_a_typed_error():
+def test_mutated_bodies_return_request_or_typed_error():
     generator = random.Random(SEED)
     whole = orjson.dumps(CHAT)
     for _ in range(CASES):
@@ -94,7 +94,7 @@
         assert isinstance(read(body=bytes(body)), Success | Failure)
 
 
-def test_retries_stay_under_their_share_of_first_attempts():
+def test_retries_stay_below_share_of_first_attempts():
     budget = RetryBudget()
     spent = 0
     for _ in range(1000):
--- a/cornelnotch/routing/tests/test_permits.py
+++ b/cornelnotch/routing/tests/test_permits.py
@@ -1,4 +1,4 @@
-"""Check who hears that a permit is held and that it is given back."""
+"""Test which dispatchers are notified of held and released permits."""
 
 from cornelnotch.configuration import ShardPlan
 from cornelnotch.kernel import ManualClock, TaskGroup, create_event_log
@@ -22,7 +22,7 @@
 
 
 class RecordingPeers(PeerNetwork):
-    """Keep what a host sends."""
+    """Peer network that records sent messages."""
 
     def __init__(self):
         events = create_event_log("h1")
@@ -37,7 +37,7 @@
 
 
 class FixedFleet(FleetView):
-    """Rank the dispatchers that a test names."""
+    """View with a fixed ranking of dispatchers."""
 
     def __init__(self):
         own = MemberUpdate("h1", "1:1", "1:2", "p", "alive", 1)
@@ -49,7 +49,7 @@
         return self.ranking
 
 
-def test_every_host_that_heard_of_a_permit_hears_of_its_end():
+def test_every_dispatcher_that_counts_permit_is_notified_of_release():
     fleet, peers = FixedFleet(), RecordingPeers()
     permits = PermitClient(fleet, peers, ManualClock())
     request = PermitRequest("r1", "chat", 1, "pool", "w", "", 0.0, 9e9)
--- a/cornelnotch/routing/upstreams.py
+++ b/cornelnotch/routing/upstreams.py
@@ -1,4 +1,4 @@
-"""Speak with engines and plain services."""
+"""HTTP clients of engines and plain services."""
 
 import asyncio
 from collections.abc import AsyncGenerator, AsyncIterator
@@ -31,7 +31,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineChunk:
-    """Hold one part of an engine's answer."""
+    """One event of an engine's response."""
 
     content: dict
     text: str
@@ -39,7 +39,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceAnswer:
-    """Hold the whole answer of a plain service."""
+    """Complete response of a plain service."""
 
     status: int
     content_type: str
@@ -47,7 +47,7 @@
 
 
 class StallTimeout:
-    """End a wait for an engine that sends nothing, unless it is paused."""
+    """Timeout for an engine that sends nothing, suspended while a request is paused."""
 
     def __init__(self, limit: asyncio.Timeout, stall_ms: float, left_ms: float) -> None:
         self._limit = limit
@@ -57,13 +57,13 @@
         self._paused = False
 
     def restart(self) -> None:
-        """Start the wait again."""
+        """Restart the timeout."""
         if self._paused or self._limit.expired():
             return
         self._limit.reschedule(min(self._loop.time() + self._stall_s, self._end_s))
 
     def set_paused(self, paused: bool) -> None:
-        """Wait as long as the deadline allows while the engine serves others."""
+        """Extend the timeout to the deadline while the engine serves other requests."""
         if self._limit.expired():
             return
         self._paused = paused
@@ -88,10 +88,10 @@
         position: int,
         stall_timeout: StallTimeout,
     ) -> AsyncGenerator[list[EngineChunk], None]:
-        """Yield the chunks from token `position` on, those at hand together.
+        """Yield the chunks from token `position` on, in batches as they arrive.
 
-        Raise UpstreamError when the engine fails, sends nothing until the
-        stall_timeout ends the wait, or sends an answer to another request.
+        Raise UpstreamError if the engine fails or responds to another request.
+        `stall_timeout` ends the wait if the engine sends nothing.
         """
         headers = {
             "content-type": "application/json",
@@ -109,7 +109,10 @@
                 stall_timeout.restart()
                 *events, buffer = buffer.split(EVENT_END)
                 if len(buffer) > MAX_EVENT_BYTES:
-                    raise UpstreamError(f"{address} sent too long an event", "check it")
+                    raise UpstreamError(
+                        f"{address} sent an event that exceeds the size limit",
+                        "check it",
+                    )
                 read = [self._parse_event(e, address, answer_id) for e in events]
                 chunks = [chunk for chunk in read if chunk is not None]
                 if chunks:
@@ -142,12 +145,12 @@
             return await anext(parts)
         except StopAsyncIteration as error:
             raise UpstreamError(
-                f"{address} ended without [DONE]", "check it"
+                f"{address} ended the stream without [DONE]", "check it"
             ) from error
 
     @staticmethod
     async def _finish(parts: AsyncIterator[bytes]) -> None:
-        # Reading the end of the answer lets the connection be used again.
+        # Reading to the end of the response allows the connection to be reused.
         async for _ in parts:
             pass
 
@@ -165,13 +168,13 @@
             ) from error
         if content.get("id") != answer_id:
             raise AnswerMismatchError(
-                f"{address} mixed in another answer", "check the engine"
+                f"{address} mixed in an event of another response", "check the engine"
             )
         return EngineChunk(content, text)
 
 
 class ServiceUpstream:
-    """Call plain services."""
+    """Client of plain services."""
 
     def __init__(self, client: HttpClient) -> None:
         self._client = client
@@ -186,10 +189,10 @@
         repeatable: bool,
         timeout_ms: float,
     ) -> ServiceAnswer:
-        """Return the whole answer.
+        """Return the complete response.
 
-        UpstreamUnreachableError proves that no byte was sent; any other
-        UpstreamError leaves open whether the work ran.
+        Raise UpstreamUnreachableError if no byte was sent, and another
+        UpstreamError if it is unknown whether the work was executed.
         """
         try:
             async with asyncio.timeout(max(timeout_ms, 0.0) / 1000.0):
