--- a/cornelnotch/balancing/__init__.py
+++ b/cornelnotch/balancing/__init__.py
@@ -1,4 +1,4 @@
-"""Choose the server of a request."""
+"""Load balancing of requests between servers."""
 
 from cornelnotch.balancing.balancers import (
     AdaptiveBalancer,
--- a/cornelnotch/balancing/balancers.py
+++ b/cornelnotch/balancing/balancers.py
@@ -1,4 +1,4 @@
-"""Choose among servers with a free slot; the adaptive rule and its baselines."""
+"""Load balancers: the adaptive one, and two simple ones for comparison."""
 
 import itertools
 from abc import ABC, abstractmethod
@@ -18,7 +18,10 @@
 
 
 class Balancer(ABC):
-    """Choose the server of one request."""
+    """Base class of load balancers.
+
+    `binds_late` is whether a request waits in the queue until a server has a free slot.
+    """
 
     binds_late = True
 
@@ -26,12 +29,12 @@
     def choose(
         self, servers: list[ServerState], item: Waiting, now: float
     ) -> ServerState | None:
-        """Return a server, or None when the request must wait."""
+        """Return a server, or None if the request must wait."""
 
 
 @register_plugin("balancer", "adaptive")
 class AdaptiveBalancer(Balancer):
-    """Prefer free, fast servers that cache the request's prefix."""
+    """Balancer that prefers free, fast servers that cache the request's prefix."""
 
     def choose(
         self, servers: list[ServerState], item: Waiting, now: float
@@ -47,7 +50,7 @@
 
     @staticmethod
     def _score(server: ServerState, item: Waiting) -> float:
-        """Return the share of busy slots, less a bonus for a cached prefix."""
+        """Return the load, raised if unhealthy and lowered for a cached prefix."""
         score = (server.busy + server.external) / server.slots
         if server.slow or server.failures:
             score += 1.0
@@ -58,7 +61,7 @@
 
 @register_plugin("balancer", "round-robin")
 class RoundRobinBalancer(Balancer):
-    """Take the next server in turn, busy or not; a baseline."""
+    """Balancer that cycles through servers regardless of load, for comparison."""
 
     binds_late = False
 
@@ -75,13 +78,16 @@
 
 @register_plugin("balancer", "least-in-flight")
 class LeastInFlightBalancer(Balancer):
-    """Take the server with the fewest own requests, busy or not; a baseline."""
+    """Balancer that chooses the server with the fewest own requests, for comparison.
+
+    It assigns requests to a server even if all its slots are busy.
+    """
 
     binds_late = False
 
     def choose(
         self, servers: list[ServerState], item: Waiting, now: float
     ) -> ServerState | None:
-        """Return the server with the fewest requests."""
+        """Return the server with the fewest own requests."""
         usable = [server for server in servers if not server.leaving]
         return min(usable, key=lambda s: (s.busy, s.name), default=None)
--- a/cornelnotch/balancing/servers.py
+++ b/cornelnotch/balancing/servers.py
@@ -1,4 +1,4 @@
-"""Keep what a dispatcher knows of one server."""
+"""State of one server as seen by a dispatcher."""
 
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
@@ -17,13 +17,13 @@
 
 @dataclass(slots=True)
 class SmoothedDuration:
-    """Smooth one duration that a server shows, in ms."""
+    """Exponentially smoothed mean of a duration, in ms."""
 
     mean: float = 0.0
     samples: int = 0
 
     def update(self, value: float) -> None:
-        """Take in one duration."""
+        """Add one duration to the mean."""
         gain = max(SMOOTHING_GAIN, 1.0 / (self.samples + 1))
         self.mean += gain * (value - self.mean)
         self.samples += 1
@@ -31,11 +31,11 @@
 
 @dataclass(slots=True)
 class ServerState:
-    """Hold slots, own counts, pace and failures of one server.
+    """Slots, own requests, durations and failures of one server.
 
-    `busy` counts own requests that hold a slot and `paused` those displaced;
-    `external` corrects them for load that came from elsewhere, as the server's
-    lagging reports show it.
+    `busy` counts own requests that occupy a slot and `paused` those displaced;
+    `external` is the load from other sources, derived from the server's delayed
+    reports.
     """
 
     name: str
@@ -60,12 +60,12 @@
             return 0
         limit = self.slots
         if self.slow or self.failures:
-            # One request now and then shows whether the server has recovered.
+            # A periodic probe request shows whether the server has recovered.
             limit = 1 if now >= self.probe_ms else 0
         return max(limit - self.busy - self.external, 0)
 
     def record_failure(self, now: float) -> None:
-        """Let the server rest, longer after each failure in a row."""
+        """Eject the server, for longer after each consecutive failure."""
         if now < self.ejected_until_ms:
             return
         self.failures += 1
@@ -75,36 +75,36 @@
         self.ejected_until_ms = now + ejection_ms
 
     def record_success(self) -> None:
-        """Forget earlier failures."""
+        """Reset the count of consecutive failures."""
         self.failures = 0
 
     def schedule_probe(self, now: float) -> None:
-        """Space out the requests that try a slow or failed server."""
+        """Set the time of the next probe of a slow or failed server."""
         if self.slow or self.failures:
             self.probe_ms = now + PROBE_PERIOD_MS
 
     def add_affinity(self, key: str) -> None:
-        """Note that the server now caches the prefix of `key`."""
+        """Record that the server now caches the prefix of `key`."""
         self.affinity[key] = None
         self.affinity.move_to_end(key)
         while len(self.affinity) > MAX_AFFINITY_KEYS:
             self.affinity.popitem(last=False)
 
     def record_busy(self, now: float) -> None:
-        """Keep the own count for comparison with lagging reports."""
+        """Record the number of own requests, to compare with delayed reports."""
         self.history.append((now, self.busy + self.paused))
         while self.history and self.history[0][0] < now - LOAD_WINDOW_MS:
             self.history.popleft()
 
     def apply_load_report(self, reported: int, now: float) -> None:
-        """Attribute to others only what own requests in the window cannot explain."""
+        """Set the external load to what exceeds own requests within the window."""
         self.record_busy(now)
         own = max(count for _, count in self.history)
         self.external = max(reported - own, 0)
 
 
 def find_median(values: list[float]) -> float | None:
-    """Return the median, or None without values."""
+    """Return the median, or None if there are no values."""
     if not values:
         return None
     ordered = sorted(values)
@@ -120,7 +120,7 @@
 
 
 def is_straggler(server: ServerState, servers: list[ServerState]) -> bool:
-    """Tell whether a server is a straggler against the median of the others."""
+    """Return whether a server is slow compared to the median of the others."""
     others = [other for other in servers if other is not server]
     for name in ("first_token", "between_tokens"):
         median = find_median(_collect_means(others, name))
--- a/cornelnotch/claims/__init__.py
+++ b/cornelnotch/claims/__init__.py
@@ -1,4 +1,4 @@
-"""Run work that may not repeat at most once, by claims in the log."""
+"""At-most-once execution of non-repeatable work, by claims in the log."""
 
 from cornelnotch.claims.client import ClaimClient, ClaimVerdict
 from cornelnotch.claims.keys import KeyAge, judge_key_age
--- a/cornelnotch/claims/client.py
+++ b/cornelnotch/claims/client.py
@@ -1,4 +1,4 @@
-"""Claim a key, release it and record its outcome through a stream's writer."""
+"""Client that claims and releases keys and records outcomes via stream writers."""
 
 import asyncio
 from dataclasses import dataclass
@@ -33,14 +33,17 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimVerdict:
-    """Tell what the log says: won, lost, answered, mismatch, free, unavailable."""
+    """State of a key in the log.
+
+    `state` is one of won, lost, answered, mismatch, free, kept and unavailable.
+    """
 
     state: str
     outcome: ClaimOperation | None = None
 
 
 class ClaimClient:
-    """Send claim operations to the usual writer, or to the next when it is silent."""
+    """Client that sends claim operations to the preferred writer that responds."""
 
     def __init__(
         self,
@@ -62,21 +65,21 @@
     async def claim(
         self, key: str, attempt: str, fingerprint: str, timeout_ms: float
     ) -> ClaimVerdict:
-        """Append a claim and return the verdict read back from the log."""
+        """Append a claim and return the result read back from the log."""
         operation = ClaimOperation(OperationKind.CLAIM, key, attempt, fingerprint)
         return await self._settle(operation, timeout_ms)
 
     async def look_up(
         self, key: str, fingerprint: str, timeout_ms: float
     ) -> ClaimVerdict:
-        """Return what the log says of a key, without claiming it."""
+        """Return the state of a key in the log, without claiming it."""
         operation = ClaimOperation(OperationKind.LOOKUP, key, "", fingerprint)
         return await self._settle(operation, timeout_ms)
 
     async def release(self, key: str, attempt: str, timeout_ms: float) -> bool:
-        """Free a key of which no byte was sent; tell whether it is in the log.
+        """Release a key whose work was not sent, and return whether it is in the log.
 
-        When it is not, a task goes on until the log has taken it.
+        If it is not, a background task retries until the log has accepted it.
         """
         operation = ClaimOperation(OperationKind.RELEASE, key, attempt)
         verdict = await self._settle(operation, timeout_ms)
@@ -87,11 +90,11 @@
         return False
 
     def release_in_background(self, key: str, attempt: str) -> None:
-        """Free a key in the background."""
+        """Release a key in the background."""
         self._start_persisting(ClaimOperation(OperationKind.RELEASE, key, attempt))
 
     def record_outcome(self, operation: ClaimOperation) -> None:
-        """Keep the answer for repeats of its key."""
+        """Record the response for repeats of its key, in the background."""
         self._start_persisting(operation)
 
     def _start_persisting(self, operation: ClaimOperation) -> None:
@@ -128,7 +131,7 @@
                 return self._read_answer(answer)
             refusals += answer is not None
             if refusals >= MAX_REFUSALS:
-                # Two hosts cannot reach the log, so the caller is told at once.
+                # Fails fast, since MAX_REFUSALS hosts cannot reach the log.
                 break
             hops += 1
         return ClaimVerdict("unavailable")
--- a/cornelnotch/claims/keys.py
+++ b/cornelnotch/claims/keys.py
@@ -1,4 +1,4 @@
-"""Judge the age of a key."""
+"""Validity of idempotency keys by age."""
 
 from enum import StrEnum
 
@@ -6,7 +6,7 @@
 
 
 class KeyAge(StrEnum):
-    """Name what the age of a key allows."""
+    """Validity of a key by its age."""
 
     USABLE = "usable"
     EXPIRED = "expired"
@@ -16,7 +16,10 @@
 def judge_key_age(
     key_ms: float, wall_ms: float, horizon_ms: float, skew_ms: float
 ) -> KeyAge:
-    """Return whether every claim of a key made at `key_ms` is still in the log."""
+    """Return the validity of a key generated at `key_ms`.
+
+    A key is usable only while every claim on it is still in the log.
+    """
     if key_ms > wall_ms + skew_ms:
         return KeyAge.FUTURE
     if wall_ms - key_ms > horizon_ms:
--- a/cornelnotch/claims/ledger.py
+++ b/cornelnotch/claims/ledger.py
@@ -1,8 +1,8 @@
-"""Fold claim records with one pure function.
+"""Ledger of claims, computed from the records of a claim stream.
 
-The first claim of a key in offset order wins. A release frees the key and makes
-every later record of the released attempt void, so that an append that lands
-late changes nothing.
+The first claim of a key in offset order wins. A release frees the key and
+invalidates every later record of the released attempt, so that a delayed append
+has no effect.
 """
 
 import base64
@@ -29,7 +29,7 @@
 
 
 class OperationKind(StrEnum):
-    """Name what a claim record does."""
+    """Kind of a claim operation."""
 
     CLAIM = "claim"
     RELEASE = "release"
@@ -39,7 +39,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimOperation:
-    """Hold one operation on a key; status 0 means that nobody knows."""
+    """Operation on a key; status 0 means that the outcome is unknown."""
 
     kind: OperationKind
     key: str
@@ -52,7 +52,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OutcomeLocation:
-    """Tell where in the stream an outcome stands."""
+    """Location of an outcome in the stream: record offset and index within it."""
 
     offset: int
     index: int
@@ -60,7 +60,7 @@
 
 @dataclass(slots=True)
 class Claim:
-    """Hold the winning claim of a key."""
+    """Winning claim of a key."""
 
     attempt: str
     fingerprint: str
@@ -70,9 +70,9 @@
 
 @dataclass(slots=True)
 class ClaimLedger:
-    """Hold the claims of one stream.
+    """Claims of one stream.
 
-    Outcomes stay in the log and only their places in memory.
+    Outcomes stay in the log; only their locations are kept in memory.
     """
 
     claims: OrderedDict[str, Claim] = field(default_factory=OrderedDict)
@@ -81,7 +81,7 @@
     def apply(
         self, operation: ClaimOperation, offset: int, index: int, time_ms: float
     ) -> None:
-        """Take in the operation at `index` of the record at `offset`."""
+        """Apply the operation at `index` of the record at `offset`."""
         if operation.attempt in self.released:
             return
         known = self.claims.get(operation.key)
@@ -99,11 +99,14 @@
             known.outcome = OutcomeLocation(offset, index)
 
     def find(self, key: str) -> Claim | None:
-        """Return the winning claim of `key`."""
+        """Return the winning claim of `key`, or None if it is not claimed."""
         return self.claims.get(key)
 
     def evict(self, before_ms: float) -> None:
-        """Forget what no usable key can refer to any more."""
+        """Remove claims and releases older than `before_ms`.
+
+        The caller chooses it so that no usable key can refer to them.
+        """
         while self.claims:
             key, claim = next(iter(self.claims.items()))
             if claim.time_ms >= before_ms:
@@ -146,7 +149,7 @@
 
 
 def encode_operation(operation: ClaimOperation) -> bytes:
-    """Return one operation as bytes."""
+    """Return one operation encoded as JSON."""
     return orjson.dumps(_to_content(operation))
 
 
@@ -157,12 +160,13 @@
 
 def _create_malformed_error(error: Exception) -> WireError:
     return WireError(
-        f"a claim record is malformed: {error!r}", "keep others off the claim streams"
+        f"a claim record is malformed: {error!r}",
+        "prevent other writers from appending to the claim streams",
     )
 
 
 def decode_operation(body: bytes) -> Result[ClaimOperation, WireError]:
-    """Return the operation in `body`."""
+    """Return the operation encoded in `body`."""
     try:
         return Success(_from_content(orjson.loads(body)))
     except (ValueError, TypeError, KeyError, AttributeError) as error:
--- a/cornelnotch/claims/tests/test_ledger.py
+++ b/cornelnotch/claims/tests/test_ledger.py
@@ -1,4 +1,4 @@
-"""Fold claims, releases and outcomes in any order."""
+"""Test the claim ledger with claims, releases and outcomes in any order."""
 
 from hypothesis import given, settings, strategies as st
 
@@ -36,7 +36,7 @@
 
 @settings(max_examples=200, deadline=None, derandomize=True)
 @given(st.lists(OPERATIONS, max_size=12))
-def test_the_holder_of_a_key_changes_only_by_its_own_release(operations):
+def test_holder_of_key_changes_only_by_its_own_release(operations):
     ledger = ClaimLedger()
     for offset, operation in enumerate(operations):
         before = ledger.find(operation.key)
@@ -48,7 +48,7 @@
             assert operation.attempt == holder
 
 
-def test_a_claim_that_lands_after_its_release_is_void():
+def test_claim_appended_after_its_release_is_ignored():
     release = ClaimOperation(OperationKind.RELEASE, "k", "a")
     late = ClaimOperation(OperationKind.CLAIM, "k", "a", "f")
     assert apply_operations([release, late]).find("k") is None
@@ -56,20 +56,20 @@
 
 @settings(max_examples=50, deadline=None, derandomize=True)
 @given(st.lists(OPERATIONS, max_size=5))
-def test_records_survive_encoding(operations):
+def test_operations_round_trip_through_encoding(operations):
     decoded = decode_operations(encode_operations(operations)).unwrap()
     assert [(o.kind, o.key, o.attempt) for o in decoded] == [
         (o.kind, o.key, o.attempt) for o in operations
     ]
 
 
-def test_age_of_a_key():
+def test_key_age_is_judged_with_clock_skew():
     assert judge_key_age(0, 10, 20, 5) is KeyAge.USABLE
     assert judge_key_age(0, 21, 20, 5) is KeyAge.EXPIRED
     assert judge_key_age(16, 10, 20, 5) is KeyAge.FUTURE
 
 
-def test_eviction_forgets_only_what_is_old():
+def test_eviction_removes_only_old_claims():
     ledger = apply_operations(
         [
             ClaimOperation(OperationKind.CLAIM, "k", "a", "f"),
--- a/cornelnotch/claims/tests/test_writer.py
+++ b/cornelnotch/claims/tests/test_writer.py
@@ -1,4 +1,4 @@
-"""Drive the claim writer against a small log that loses, delays and trims."""
+"""Test the claim writer against a log that fails, loses answers and is trimmed."""
 
 import asyncio
 from typing import Any
@@ -19,7 +19,7 @@
 
 
 class FakeLog(LogService):
-    """Keep records in memory and misbehave as told."""
+    """In-memory log with fault injection."""
 
     def __init__(self):
         self.bodies = []
@@ -53,7 +53,7 @@
 
 
 class FakePeers:
-    """Collect what the writer sends."""
+    """Peer network that records sent messages."""
 
     name = "h"
 
@@ -93,7 +93,7 @@
     asyncio.run(prepare())
 
 
-def test_the_first_claim_wins_and_the_second_needs_no_append():
+def test_first_claim_wins_and_second_needs_no_append():
     async def scenario(log, peers, writer):
         assert (await peers.ask(claim("k", "a"))).state == "won"
         assert (await peers.ask(claim("k", "b"))).state == "lost"
@@ -102,7 +102,7 @@
     run(scenario)
 
 
-def test_a_lost_append_answer_is_settled_by_reading():
+def test_lost_append_answer_is_resolved_by_reading_log():
     async def scenario(log, peers, writer):
         log.lose_answers = 1
         assert (await peers.ask(claim("k", "a"))).state == "won"
@@ -111,7 +111,7 @@
     run(scenario)
 
 
-def test_a_claim_that_landed_before_this_writer_looked_wins():
+def test_claim_appended_before_writer_reads_wins():
     async def scenario(log, peers, writer):
         log.bodies.append(encode_operations([claim("k", "other")]))
         assert (await peers.ask(claim("k", "a"))).state == "lost"
@@ -119,7 +119,7 @@
     run(scenario)
 
 
-def test_a_log_that_is_down_is_told_at_once():
+def test_unavailable_log_is_reported_at_once():
     async def scenario(log, peers, writer):
         log.down = True
         started = SystemClock().read()
@@ -129,7 +129,7 @@
     run(scenario)
 
 
-def test_an_answer_is_read_from_the_log_for_a_repeat():
+def test_repeat_receives_answer_read_from_log():
     async def scenario(log, peers, writer):
         await peers.ask(claim("k", "a"))
         outcome = ClaimOperation(
@@ -143,7 +143,7 @@
     run(scenario)
 
 
-def test_a_trimmed_stream_is_read_again_from_its_start():
+def test_trimmed_stream_is_reread_from_its_start():
     async def scenario(log, peers, writer):
         await peers.ask(claim("k", "a"))
         log.earliest = 1
@@ -153,7 +153,7 @@
     run(scenario)
 
 
-def test_a_standby_has_read_its_stream_before_it_is_asked():
+def test_standby_reads_stream_before_first_request():
     async def scenario(log, peers, writer):
         log.bodies.append(encode_operations([claim("k", "other")]))
         writer.refresh([0])
--- a/cornelnotch/claims/writer.py
+++ b/cornelnotch/claims/writer.py
@@ -1,4 +1,4 @@
-"""Append claim operations in batches and judge them by reading back."""
+"""Append claim operations in batches and read their results back from the log."""
 
 import asyncio
 from dataclasses import dataclass
@@ -34,7 +34,7 @@
 
 @dataclass(slots=True)
 class PendingOperation:
-    """Hold an ask that waits for its verdict."""
+    """Operation that awaits its result."""
 
     ask: ClaimAsk
     operation: ClaimOperation
@@ -43,7 +43,7 @@
 
 
 class ClaimStreamWriter:
-    """Own the ledger of one claim stream and append to it one batch at a time."""
+    """Writer of one claim stream, which appends one batch at a time."""
 
     def __init__(
         self,
@@ -67,7 +67,7 @@
         self._position = 0
 
     async def run(self) -> None:
-        """Settle batches until cancelled."""
+        """Process batches until cancelled."""
         while True:
             batch = [await self.queue.get()]
             while len(batch) < MAX_BATCH and not self.queue.empty():
@@ -78,7 +78,7 @@
             await self._clock.sleep(self.interval_ms - spent)
 
     async def _settle(self, batch: list[PendingOperation]) -> None:
-        """Bring every ask of the batch to a verdict or to its timeout."""
+        """Process a batch until each operation has a result or has timed out."""
         waiting = batch
         while waiting:
             try:
@@ -89,8 +89,8 @@
                     await self._answer(pending)
                 return
             except LogUnavailableError:
-                # The append may have landed; reading tells, and appending the
-                # same attempts again changes nothing.
+                # The append may have succeeded despite the error. Reading shows
+                # whether it did, and appending the same attempts again is harmless.
                 waiting = self._expire_pending(waiting)
             except LogTrimmedError as error:
                 self._reset(error.earliest)
@@ -100,7 +100,7 @@
     def _expire_pending(
         self, waiting: list[PendingOperation]
     ) -> list[PendingOperation]:
-        """Give up on asks that were never appended or whose time is up."""
+        """Fail operations that were never appended or have timed out."""
         now = self._clock.read()
         retained = [p for p in waiting if p.appended and now < p.expires_ms]
         for pending in waiting:
@@ -125,7 +125,7 @@
         await self._log.append(self._name, encode_operations(operations))
 
     def _changes_ledger(self, operation: ClaimOperation) -> bool:
-        """Tell whether an operation would change the ledger."""
+        """Return whether an operation would change the ledger."""
         if operation.kind is OperationKind.LOOKUP:
             return False
         if operation.attempt in self.ledger.released:
@@ -160,7 +160,7 @@
         if operation.kind in {OperationKind.RELEASE, OperationKind.OUTCOME}:
             self._send(pending, "kept")
         elif claim is None:
-            # Only a lookup, or a claim whose attempt was released, gets here.
+            # Reached only by a lookup or by a claim whose attempt was released.
             self._send(pending, "free")
         elif claim.attempt == operation.attempt:
             self._send(pending, "won")
@@ -189,7 +189,7 @@
 
 
 class ClaimWriter:
-    """Hand asks to the writer of their stream."""
+    """Route claim operations to the writers of their streams."""
 
     def __init__(
         self,
@@ -211,7 +211,7 @@
         peers.subscribe(ClaimAsk, self._receive)
 
     def refresh(self, streams: list[int]) -> None:
-        """Read streams to their end, so that this host can take them over at once."""
+        """Read streams to their end, so that this host can take over without delay."""
         expires_ms = self._clock.read() + REFRESH_TIMEOUT_MS
         operation = ClaimOperation(OperationKind.LOOKUP, "", "")
         for stream in streams:
@@ -220,11 +220,11 @@
             self._get_stream_writer(stream).queue.put_nowait(pending)
 
     def apply_settings(self, claims: ClaimSettings) -> None:
-        """Share the log's budget of appends among the streams."""
+        """Divide the log's append rate evenly among the streams."""
         self.interval_ms = claims.streams * MS_PER_SECOND / claims.appends_per_second
 
     def count_appends(self) -> int:
-        """Return the appends since the start."""
+        """Return the number of appends since startup."""
         return sum(stream.appends for stream in self.streams.values())
 
     def _receive(self, sender: str, ask: ClaimAsk) -> None:
