--- a/cornelnotch/claims/client.py
+++ b/cornelnotch/claims/client.py
@@ -67,14 +67,14 @@
     ) -> ClaimVerdict:
         """Append a claim and return the result read back from the log."""
         operation = ClaimOperation(OperationKind.CLAIM, key, attempt, fingerprint)
-        return await self._settle(operation, timeout_ms)
+        return await self._submit(operation, timeout_ms)
 
     async def look_up(
         self, key: str, fingerprint: str, timeout_ms: float
     ) -> ClaimVerdict:
         """Return the state of a key in the log, without claiming it."""
         operation = ClaimOperation(OperationKind.LOOKUP, key, "", fingerprint)
-        return await self._settle(operation, timeout_ms)
+        return await self._submit(operation, timeout_ms)
 
     async def release(self, key: str, attempt: str, timeout_ms: float) -> bool:
         """Release a key whose work was not sent, and return whether it is in the log.
@@ -82,37 +82,39 @@
         If it is not, a background task retries until the log has accepted it.
         """
         operation = ClaimOperation(OperationKind.RELEASE, key, attempt)
-        verdict = await self._settle(operation, timeout_ms)
+        verdict = await self._submit(operation, timeout_ms)
         if verdict.state == "kept":
             return True
         self._events.record(Event.CLAIM_RELEASE_DELAYED, key=key)
-        self._start_persisting(operation)
+        self._start_recording(operation)
         return False
 
     def release_in_background(self, key: str, attempt: str) -> None:
         """Release a key in the background."""
-        self._start_persisting(ClaimOperation(OperationKind.RELEASE, key, attempt))
+        self._start_recording(ClaimOperation(OperationKind.RELEASE, key, attempt))
 
     def record_outcome(self, operation: ClaimOperation) -> None:
         """Record the response for repeats of its key, in the background."""
-        self._start_persisting(operation)
+        self._start_recording(operation)
 
-    def _start_persisting(self, operation: ClaimOperation) -> None:
+    def _start_recording(self, operation: ClaimOperation) -> None:
         self.unsettled += 1
-        self._tasks.start(f"persist-{operation.attempt}", self._persist(operation))
+        self._tasks.start(
+            f"persist-{operation.attempt}", self._retry_until_recorded(operation)
+        )
 
-    async def _persist(self, operation: ClaimOperation) -> None:
+    async def _retry_until_recorded(self, operation: ClaimOperation) -> None:
         try:
             limit = self._clock.read() + PERSIST_LIMIT_MS
             while self._clock.read() < limit:
-                verdict = await self._settle(operation, WRITER_TIMEOUT_MS * 2)
+                verdict = await self._submit(operation, WRITER_TIMEOUT_MS * 2)
                 if verdict.state == "kept":
                     return
                 await self._clock.sleep(PERSIST_PAUSE_MS)
         finally:
             self.unsettled -= 1
 
-    async def _settle(
+    async def _submit(
         self, operation: ClaimOperation, timeout_ms: float
     ) -> ClaimVerdict:
         limit = self._clock.read() + timeout_ms
--- a/cornelnotch/claims/writer.py
+++ b/cornelnotch/claims/writer.py
@@ -73,11 +73,11 @@
             while len(batch) < MAX_BATCH and not self.queue.empty():
                 batch.append(self.queue.get_nowait())
             started = self._clock.read()
-            await self._settle(batch)
+            await self._process_batch(batch)
             spent = self._clock.read() - started
             await self._clock.sleep(self.interval_ms - spent)
 
-    async def _settle(self, batch: list[PendingOperation]) -> None:
+    async def _process_batch(self, batch: list[PendingOperation]) -> None:
         """Process a batch until each operation has a result or has timed out."""
         waiting = batch
         while waiting:
--- a/cornelnotch/queueing/shard.py
+++ b/cornelnotch/queueing/shard.py
@@ -49,8 +49,8 @@
         self.servers: dict[str, ServerState] = {}
         self.running: dict[str, Running] = {}
         self.discipline = discipline
-        self.whole = DurationEstimator(rule.expected_ms)
-        self.first_token = DurationEstimator(rule.expected_ms / 4)
+        self.durations = DurationEstimator(rule.expected_ms)
+        self.first_token_durations = DurationEstimator(rule.expected_ms / 4)
         self._balancer = balancer
         self._limiter = WorkspaceLimiter()
         self._sequence = itertools.count()
@@ -122,14 +122,16 @@
     def _create_waiting(self, ask: PermitAsk, now: float) -> Waiting:
         arrived = now - ask.waited_ms
         rule = self.rule.classes.get(ask.class_name)
-        whole = self.whole.find(ask.class_name, ask.workspace)
-        first = self.first_token.find(ask.class_name, ask.workspace)
+        duration = self.durations.find(ask.class_name, ask.workspace)
+        first = self.first_token_durations.find(ask.class_name, ask.workspace)
         deadline_start_ms = self._compute_deadline_start(
-            now, now + ask.deadline_in_ms, whole
+            now, now + ask.deadline_in_ms, duration
         )
         target_start_ms = deadline_start_ms
         if rule is not None and rule.whole_ms is not None:
-            target_start_ms = min(target_start_ms, arrived + rule.whole_ms - whole.mean)
+            target_start_ms = min(
+                target_start_ms, arrived + rule.whole_ms - duration.mean
+            )
         if rule is not None and rule.first_token_ms is not None:
             margin = first.mean + first.deviation
             target_start_ms = min(
@@ -151,7 +153,7 @@
 
     @staticmethod
     def _compute_deadline_start(
-        now: float, deadline_ms: float, whole: Estimate
+        now: float, deadline_ms: float, duration: Estimate
     ) -> float:
         """Return the latest start at which the request is likely to complete.
 
@@ -160,8 +162,8 @@
         request that has waited long gets no such allowance, since most would
         be cut off at their deadline.
         """
-        likely = deadline_ms - whole.mean - whole.deviation
-        return likely if likely > now else deadline_ms - whole.low
+        likely = deadline_ms - duration.mean - duration.deviation
+        return likely if likely > now else deadline_ms - duration.low
 
     def _check_admission(self, item: Waiting, now: float) -> Refusal | None:
         if item.class_name not in self.rule.classes:
@@ -211,7 +213,9 @@
         if running is None or running.first_token_seen:
             return []
         running.first_token_seen = True
-        self.first_token.update(running.class_name, running.workspace, elapsed_ms)
+        self.first_token_durations.update(
+            running.class_name, running.workspace, elapsed_ms
+        )
         server = self.servers.get(running.server)
         if server is not None and not running.displaced:
             server.first_token.update(elapsed_ms)
@@ -236,7 +240,9 @@
             server.record_failure(now)
         elif finish.outcome == "done":
             server.record_success()
-            self.whole.update(running.class_name, running.workspace, finish.elapsed_ms)
+            self.durations.update(
+                running.class_name, running.workspace, finish.elapsed_ms
+            )
             self._mean_duration_ms += DURATION_GAIN * (
                 finish.elapsed_ms - self._mean_duration_ms
             )
--- a/cornelnotch/routing/dispatcher.py
+++ b/cornelnotch/routing/dispatcher.py
@@ -94,7 +94,7 @@
         self._clock = clock
         self._client = HttpClient()
         self._last_heard_ms: dict[tuple[str, str], float] = {}
-        self._waiting = asyncio.Event()
+        self._has_waiting = asyncio.Event()
         fleet.subscribe(lambda: self.post(Refresh()))
         for kind in (
             PermitAsk,
@@ -115,12 +115,12 @@
     async def run_ticks(self) -> None:
         """Reschedule shards with waiting requests periodically until cancelled."""
         while True:
-            await self._waiting.wait()
+            await self._has_waiting.wait()
             await self._clock.sleep(TICK_MS)
             if any(shard.discipline.size() for shard in self.shards.values()):
                 self.post(Tick())
             else:
-                self._waiting.clear()
+                self._has_waiting.clear()
 
     async def run_load_reports(self) -> None:
         """Poll the load of the servers of owned shards until cancelled."""
@@ -241,7 +241,7 @@
         self._last_heard_ms[(ask.holder, ask.shard)] = now
         self._apply_effects(shard, shard.ask(ask, now))
         if shard.discipline.find(ask.request_id) is not None:
-            self._waiting.set()
+            self._has_waiting.set()
             queued = PermitQueued(
                 ask.request_id, ask.shard, shard.estimate_backlog_ms()
             )
--- a/cornelnotch/routing/engines.py
+++ b/cornelnotch/routing/engines.py
@@ -70,7 +70,7 @@
         body = {**self._chat, "stream": True}
         self._body = orjson.dumps(body)
 
-    async def carry(self) -> None:
+    async def forward(self) -> None:
         """Dispatch until the response is complete or a retry is not allowed."""
         while True:
             try:
--- a/cornelnotch/routing/flow.py
+++ b/cornelnotch/routing/flow.py
@@ -83,7 +83,7 @@
             work.cancel()
             self._count("cancelled", Outcome.UNKNOWN)
             raise CallerGoneError(
-                "the caller closed the connection", "send it again"
+                "the caller closed the connection", "retry the request"
             ) from None
         finally:
             gone.cancel()
@@ -96,7 +96,7 @@
                 else None
             )
             if earlier is None:
-                await self.carry()
+                await self.forward()
             else:
                 await self._repeat_answer(earlier)
         except FlowError as error:
@@ -111,7 +111,7 @@
                 self.idempotency_guard.release_undispatched(self.dispatched)
             raise
 
-    async def carry(self) -> None:
+    async def forward(self) -> None:
         """Forward the request to a server and the response to the caller."""
         raise NotImplementedError
 
--- a/cornelnotch/routing/idempotency.py
+++ b/cornelnotch/routing/idempotency.py
@@ -125,8 +125,8 @@
         wall_ms = self._parts.clock.read_wall()
         # The horizon is capped, whatever the configuration says, so that the log
         # retains a claim for longer than its key is usable.
-        kept_ms = self._parts.retention_ms - 2 * claims.skew_ms
-        horizon_ms = min(claims.horizon_ms, kept_ms)
+        retained_ms = self._parts.retention_ms - 2 * claims.skew_ms
+        horizon_ms = min(claims.horizon_ms, retained_ms)
         key_ms = self._request.key_ms
         age = judge_key_age(key_ms, wall_ms, horizon_ms, claims.skew_ms)
         if age is KeyAge.USABLE:
--- a/cornelnotch/routing/services.py
+++ b/cornelnotch/routing/services.py
@@ -14,7 +14,7 @@
 class ServiceFlow(RequestFlow):
     """Call a plain service and forward its complete response."""
 
-    async def carry(self) -> None:
+    async def forward(self) -> None:
         """Call until there is a response or a retry is not allowed."""
         while True:
             grant = await self.acquire()
--- a/cornelnotch/routing/upstreams.py
+++ b/cornelnotch/routing/upstreams.py
@@ -111,7 +111,7 @@
                 if len(buffer) > MAX_EVENT_BYTES:
                     raise UpstreamError(
                         f"{address} sent an event that exceeds the size limit",
-                        "check it",
+                        "check the engine",
                     )
                 read = [self._parse_event(e, address, answer_id) for e in events]
                 chunks = [chunk for chunk in read if chunk is not None]
@@ -131,11 +131,13 @@
         )
         if answer.status != STATUS_OK:
             answer.close()
-            raise UpstreamError(f"{address} answered {answer.status}", "check it")
+            raise UpstreamError(
+                f"{address} responded with status {answer.status}", "check the engine"
+            )
         if answer.headers.get(REQUEST_ID_HEADER) != headers[REQUEST_ID_HEADER]:
             answer.close()
             raise AnswerMismatchError(
-                f"{address} answered another request", "check the engine"
+                f"{address} responded to another request", "check the engine"
             )
         return answer
 
@@ -145,7 +147,7 @@
             return await anext(parts)
         except StopAsyncIteration as error:
             raise UpstreamError(
-                f"{address} ended the stream without [DONE]", "check it"
+                f"{address} ended the stream without [DONE]", "check the engine"
             ) from error
 
     @staticmethod
@@ -164,7 +166,7 @@
             text = content["choices"][0]["delta"].get("content") or ""
         except (ValueError, KeyError, IndexError, TypeError, AttributeError) as error:
             raise UpstreamError(
-                f"{address} sent a malformed event", "check it"
+                f"{address} sent a malformed event", "check the engine"
             ) from error
         if content.get("id") != answer_id:
             raise AnswerMismatchError(
@@ -203,12 +205,12 @@
                 if echoed is not None and echoed != headers[REQUEST_ID_HEADER]:
                     answer.close()
                     raise AnswerMismatchError(
-                        f"{address} answered another request", "check the service"
+                        f"{address} responded to another request", "check the service"
                     )
                 content = await answer.read(MAX_ANSWER_BYTES)
         except TimeoutError as error:
             raise UpstreamError(
-                f"{address} did not answer within {timeout_ms:.0f} ms",
+                f"{address} did not respond within {timeout_ms:.0f} ms",
                 "ask the service whether the work ran",
             ) from error
         kind = answer.headers.get("content-type", "application/octet-stream")
