--- a/cornelnotch/claims/tests/test_writer.py
+++ b/cornelnotch/claims/tests/test_writer.py
@@ -73,11 +73,11 @@
         return await asyncio.wait_for(self.answers.get(), WAIT_S)
 
 
-def claim(key, attempt):
+def create_claim(key, attempt):
     return ClaimOperation(OperationKind.CLAIM, key, attempt, "f")
 
 
-def run(scenario):
+def run_scenario(scenario):
     async def prepare():
         log = FakeLog()
         peers: Any = FakePeers()
@@ -95,70 +95,72 @@
 
 def test_first_claim_wins_and_second_needs_no_append():
     async def scenario(log, peers, writer):
-        assert (await peers.ask(claim("k", "a"))).state == "won"
-        assert (await peers.ask(claim("k", "b"))).state == "lost"
+        assert (await peers.ask(create_claim("k", "a"))).state == "won"
+        assert (await peers.ask(create_claim("k", "b"))).state == "lost"
         assert log.appends == 1
 
-    run(scenario)
+    run_scenario(scenario)
 
 
 def test_lost_append_answer_is_resolved_by_reading_log():
     async def scenario(log, peers, writer):
         log.lose_answers = 1
-        assert (await peers.ask(claim("k", "a"))).state == "won"
+        assert (await peers.ask(create_claim("k", "a"))).state == "won"
         assert log.appends == 1
 
-    run(scenario)
+    run_scenario(scenario)
 
 
 def test_claim_appended_before_writer_reads_wins():
     async def scenario(log, peers, writer):
-        log.bodies.append(encode_operations([claim("k", "other")]))
-        assert (await peers.ask(claim("k", "a"))).state == "lost"
+        log.bodies.append(encode_operations([create_claim("k", "other")]))
+        assert (await peers.ask(create_claim("k", "a"))).state == "lost"
 
-    run(scenario)
+    run_scenario(scenario)
 
 
 def test_unavailable_log_is_reported_at_once():
     async def scenario(log, peers, writer):
         log.down = True
         started = SystemClock().read()
-        assert (await peers.ask(claim("k", "a"), 60_000.0)).state == "unavailable"
+        assert (
+            await peers.ask(create_claim("k", "a"), 60_000.0)
+        ).state == "unavailable"
         assert SystemClock().read() - started < 1000.0
 
-    run(scenario)
+    run_scenario(scenario)
 
 
 def test_repeat_receives_answer_read_from_log():
     async def scenario(log, peers, writer):
-        await peers.ask(claim("k", "a"))
+        await peers.ask(create_claim("k", "a"))
         outcome = ClaimOperation(
             OperationKind.OUTCOME, "k", "a", "", 200, "text/plain", b"booked"
         )
         assert (await peers.ask(outcome)).state == "kept"
-        answer = await peers.ask(claim("k", "b"))
+        answer = await peers.ask(create_claim("k", "b"))
         assert answer.state == "answered"
         assert b"Ym9va2Vk" in answer.outcome
 
-    run(scenario)
+    run_scenario(scenario)
 
 
 def test_trimmed_stream_is_reread_from_its_start():
     async def scenario(log, peers, writer):
-        await peers.ask(claim("k", "a"))
+        await peers.ask(create_claim("k", "a"))
         log.earliest = 1
         writer.streams[0]._position = 0
-        assert (await peers.ask(claim("l", "b"))).state == "won"
+        assert (await peers.ask(create_claim("l", "b"))).state == "won"
 
-    run(scenario)
+    run_scenario(scenario)
 
 
 def test_standby_reads_stream_before_first_request():
     async def scenario(log, peers, writer):
-        log.bodies.append(encode_operations([claim("k", "other")]))
+        log.bodies.append(encode_operations([create_claim("k", "other")]))
         writer.refresh([0])
         await asyncio.wait_for(peers.answers.get(), WAIT_S)
         assert writer.streams[0].ledger.find("k") is not None
         assert log.appends == 0
 
-    run(scenario)
+    run_scenario(scenario)
--- a/cornelnotch/queueing/tests/test_machine.py
+++ b/cornelnotch/queueing/tests/test_machine.py
@@ -37,7 +37,7 @@
 
 
 class ShardMachine(RuleBasedStateMachine):
-    """Model of what callers were told, to compare with the shard."""
+    """Compare the shard with a model of the replies sent to callers."""
 
     def __init__(self):
         super().__init__()
--- a/cornelnotch/queueing/tiered.py
+++ b/cornelnotch/queueing/tiered.py
@@ -62,7 +62,7 @@
             return self.timely[0]
         return self.late[0] if self.late else None
 
-    def get_newest(self) -> Waiting | None:
+    def get_eviction_candidate(self) -> Waiting | None:
         """Return the request to evict first: the newest late one, or the newest."""
         candidates = self.late or self.timely
         return max(candidates, key=lambda item: item.order, default=None)
@@ -161,7 +161,7 @@
             key=lambda q: -self._get_tier(q),
         )
         for queue in lowest:
-            candidate = queue.get_newest()
+            candidate = queue.get_eviction_candidate()
             assert candidate is not None
             if candidate.tier < newcomer.tier:
                 break
--- a/cornelnotch/routing/idempotency.py
+++ b/cornelnotch/routing/idempotency.py
@@ -27,8 +27,8 @@
 LOOKUP_TIMEOUT_MS = 1000.0
 LOOKUP_PAUSE_MS = 200.0
 LOG_RETRY_MS = 2000.0
-RUNNING_RETRY_MS = 1000.0
-MAX_KEPT_ANSWER_BYTES = 16 * 1024
+CLAIMED_RETRY_MS = 1000.0
+MAX_STORED_BODY_BYTES = 16 * 1024
 
 
 class IdempotencyGuard:
@@ -64,8 +64,8 @@
         )
         self._trace.note("claim", state=verdict.state, attempt=self._attempt)
         if verdict.state == "won":
-            # Repeats the check after the claim was read back: only if the key is
-            # still usable was an earlier claim certain to be seen in the log.
+            # Checks again after the claim was read back: an earlier claim is certain
+            # to have been seen in the log only if the key is still usable.
             self._check_key_age()
             return None
         if verdict.state == "unavailable":
@@ -107,7 +107,7 @@
         if not self._claimed:
             return
         stored_body = (
-            body if body is not None and len(body) <= MAX_KEPT_ANSWER_BYTES else None
+            body if body is not None and len(body) <= MAX_STORED_BODY_BYTES else None
         )
         operation = ClaimOperation(
             OperationKind.OUTCOME,
@@ -182,7 +182,7 @@
             "claimed-elsewhere",
             "another attempt holds the key; retry later with the same key",
             Outcome.UNKNOWN,
-            RUNNING_RETRY_MS,
+            CLAIMED_RETRY_MS,
         )
 
     @staticmethod
--- a/cornelnotch/routing/permits.py
+++ b/cornelnotch/routing/permits.py
@@ -149,7 +149,7 @@
                         return Failure(reply)
                     await self._clock.sleep(OUTDATED_CONFIGURATION_WAIT_MS)
                 # PermitMoved names no successor: this host's own ranking does.
-                # An ask with hops > 0 is accepted by any dispatcher.
+                # Any dispatcher accepts a PermitAsk with hops > 0.
                 moves += isinstance(reply, PermitMoved)
                 timeouts += reply is None
             return Failure(self._create_deadline_refusal(shard, request))
@@ -173,7 +173,7 @@
         hops: int,
         replies: asyncio.Queue[Reply],
     ) -> Reply | None:
-        """Send one ask and return its decision.
+        """Send one PermitAsk and return the reply.
 
         Return PermitQueued if the request waits and must be asked for again, and
         None if the dispatcher did not reply.
@@ -204,7 +204,7 @@
                 return queued
             if not isinstance(reply, PermitQueued):
                 return reply
-            # A queued request repeats its ask after REFRESH_MS, to detect that
+            # A queued request repeats its PermitAsk after REFRESH_MS, to detect that
             # its dispatcher has failed.
             queued = reply
             wait_ms = REFRESH_MS
--- a/cornelnotch/routing/tests/test_intake.py
+++ b/cornelnotch/routing/tests/test_intake.py
@@ -18,14 +18,14 @@
 CHAT = {"messages": [{"role": "user", "content": "boots"}], "stream": True}
 
 
-def read(headers=None, body=None, service=None):
+def parse_request(headers=None, body=None, service=None):
     merged = {**HEADERS, **(headers or {})}
     content = orjson.dumps(CHAT) if body is None else body
     return read_caller_request("h", "POST", "/x", service, merged, content)
 
 
 def test_valid_request_is_parsed():
-    request = read({"idempotency-key": create_identifier()}).unwrap()
+    request = parse_request({"idempotency-key": create_identifier()}).unwrap()
     assert request.stream
     assert request.labels == {"kind": "quote"}
     assert request.request_id.startswith("h.")
@@ -53,7 +53,7 @@
     ],
 )
 def test_invalid_request_returns_typed_error_with_remedy(headers, body, status, kind):
-    error = read(headers, body).failure()
+    error = parse_request(headers, body).failure()
     assert (error.status, error.kind) == (status, kind)
     assert error.remedy
 
@@ -91,7 +91,7 @@
         body = bytearray(whole)
         for _ in range(generator.randint(1, 4)):
             body[generator.randrange(len(body))] = generator.randrange(256)
-        assert isinstance(read(body=bytes(body)), Success | Failure)
+        assert isinstance(parse_request(body=bytes(body)), Success | Failure)
 
 
 def test_retries_stay_below_share_of_first_attempts():
