--- a/cornelnotch/queueing/__init__.py
+++ b/cornelnotch/queueing/__init__.py
@@ -1,6 +1,6 @@
 """Queue requests by tier and deadline, with late binding to servers."""
 
-from cornelnotch.queueing.disciplines import Discipline, Pick
+from cornelnotch.queueing.disciplines import Discipline, QueueChoice
 from cornelnotch.queueing.estimates import DurationEstimator
 from cornelnotch.queueing.fifo import FifoDiscipline
 from cornelnotch.queueing.models import (
@@ -22,7 +22,7 @@
     "FifoDiscipline",
     "Grant",
     "Pause",
-    "Pick",
+    "QueueChoice",
     "Refusal",
     "ServerRule",
     "Shard",
--- a/cornelnotch/queueing/disciplines.py
+++ b/cornelnotch/queueing/disciplines.py
@@ -6,11 +6,11 @@
 
 from cornelnotch.queueing.models import ClassRule, Running, Waiting
 
-__all__ = ["Discipline", "Pick"]
+__all__ = ["Discipline", "QueueChoice"]
 
 
 @dataclass(frozen=True, slots=True)
-class Pick:
+class QueueChoice:
     """Next request to serve, with the rule that chose it."""
 
     item: Waiting
@@ -48,7 +48,7 @@
         running: dict[str, int],
         place_wait_ms: float,
         floors: bool = True,
-    ) -> Pick | None:
+    ) -> QueueChoice | None:
         """Return the request to serve next, without removing it.
 
         If `floors` is false, the strict tier order applies.
--- a/cornelnotch/queueing/fifo.py
+++ b/cornelnotch/queueing/fifo.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 from cornelnotch.kernel import register_plugin
-from cornelnotch.queueing.disciplines import Discipline, Pick
+from cornelnotch.queueing.disciplines import Discipline, QueueChoice
 from cornelnotch.queueing.models import ClassRule, Waiting
 
 __all__ = ["FifoDiscipline"]
@@ -44,10 +44,10 @@
         running: dict[str, int],
         place_wait_ms: float,
         floors: bool = True,
-    ) -> Pick | None:
+    ) -> QueueChoice | None:
         """Return the oldest request."""
         item = next(iter(self._items.values()), None)
-        return Pick(item, "arrival") if item else None
+        return QueueChoice(item, "arrival") if item else None
 
     def choose_victim(self, newcomer: Waiting) -> Waiting:
         """Return `newcomer`."""
--- a/cornelnotch/queueing/shard.py
+++ b/cornelnotch/queueing/shard.py
@@ -9,7 +9,7 @@
 from cornelnotch.balancing.servers import ServerState, is_straggler
 from cornelnotch.kernel import create_plugin
 from cornelnotch.queueing.descriptions import describe_occupancy
-from cornelnotch.queueing.disciplines import Discipline, Pick
+from cornelnotch.queueing.disciplines import Discipline, QueueChoice
 from cornelnotch.queueing.displacement import choose_displaced, list_resumable
 from cornelnotch.queueing.estimates import DurationEstimator, Estimate
 from cornelnotch.queueing.limits import WorkspaceLimiter
@@ -286,7 +286,7 @@
         return self.schedule(now)
 
     def release_holder(self, holder: str, now: float) -> list[Effect]:
-        """Remove all requests of a host that has failed."""
+        """Remove all requests of a host that is no longer alive."""
         for running in list(self.running.values()):
             if running.holder == holder:
                 self._release(running.request_id, now)
@@ -312,31 +312,31 @@
                 self._refuse(item, "deadline", self._estimate_retry_ms(item, now))
             )
         while True:
-            pick = self.discipline.choose(
+            choice = self.discipline.choose(
                 now, self._running_by_class, self.estimate_place_wait_ms()
             )
-            resumed = self._choose_resumed(pick, now)
+            resumed = self._choose_resumed(choice, now)
             if resumed is not None:
                 effects.append(self._resume(resumed, now))
                 continue
-            if pick is None:
+            if choice is None:
                 break
-            server = self._choose_server(pick, now)
-            if server is None and pick.by_floor:
-                pick = self.discipline.choose(
+            server = self._choose_server(choice, now)
+            if server is None and choice.by_floor:
+                choice = self.discipline.choose(
                     now, self._running_by_class, 0.0, floors=False
                 )
-                server = self._choose_server(pick, now) if pick else None
-            if server is None or pick is None:
+                server = self._choose_server(choice, now) if choice else None
+            if server is None or choice is None:
                 break
-            effects.append(self._grant(pick.item, server, pick.reason, now))
+            effects.append(self._grant(choice.item, server, choice.reason, now))
         effects += self._displace_for_urgent(now)
         return effects
 
-    def _choose_server(self, pick: Pick, now: float) -> ServerState | None:
+    def _choose_server(self, choice: QueueChoice, now: float) -> ServerState | None:
         # A floor slot on a straggler would prolong the wait of its class.
-        servers = [s for s in self.servers.values() if not (pick.by_floor and s.slow)]
-        return self._balancer.choose(servers, pick.item, now)
+        servers = [s for s in self.servers.values() if not (choice.by_floor and s.slow)]
+        return self._balancer.choose(servers, choice.item, now)
 
     def _displace_for_urgent(self, now: float) -> list[Effect]:
         """Displace lower tiers in favour of requests that must start now."""
@@ -447,13 +447,13 @@
         server.busy -= 1
         server.record_busy(now)
 
-    def _choose_resumed(self, pick: Pick | None, now: float) -> Running | None:
-        """Return the displaced request that takes precedence over `pick`."""
+    def _choose_resumed(self, choice: QueueChoice | None, now: float) -> Running | None:
+        """Return the displaced request that takes precedence over `choice`."""
         if not self._displaced:
             return None
         place_ms = self.estimate_place_wait_ms()
         for running in list_resumable(self._displaced.values(), self.servers):
-            if pick is None or running.tier <= pick.item.tier:
+            if choice is None or running.tier <= choice.item.tier:
                 return running
             if self.discipline.can_resume_within_floor(
                 running, now, self._running_by_class, place_ms
--- a/cornelnotch/queueing/tiered.py
+++ b/cornelnotch/queueing/tiered.py
@@ -27,7 +27,7 @@
 from sortedcontainers import SortedList
 
 from cornelnotch.kernel import register_plugin
-from cornelnotch.queueing.disciplines import Discipline, Pick
+from cornelnotch.queueing.disciplines import Discipline, QueueChoice
 from cornelnotch.queueing.models import ClassRule, Running, Waiting
 
 __all__ = ["ClassQueue", "TieredDiscipline"]
@@ -140,7 +140,7 @@
         running: dict[str, int],
         place_wait_ms: float,
         floors: bool = True,
-    ) -> Pick | None:
+    ) -> QueueChoice | None:
         """Return the next request by the rules in the module docstring."""
         heads = self._list_heads()
         if not heads:
@@ -148,11 +148,11 @@
         if floors:
             overdue = self._choose_overdue(now, running)
             if overdue is not None:
-                return Pick(overdue, "longest-wait", by_floor=True)
+                return QueueChoice(overdue, "longest-wait", by_floor=True)
             floor = self._choose_floor(heads, now, running, place_wait_ms)
             if floor is not None:
-                return Pick(floor, "floor", by_floor=True)
-        return Pick(heads[0], "late" if heads[0].late else "tier")
+                return QueueChoice(floor, "floor", by_floor=True)
+        return QueueChoice(heads[0], "late" if heads[0].late else "tier")
 
     def choose_victim(self, newcomer: Waiting) -> Waiting:
         """Return the lowest-ranked waiting request, or `newcomer`."""
--- a/cornelnotch/routing/budget.py
+++ b/cornelnotch/routing/budget.py
@@ -17,7 +17,7 @@
         """Add the share of one first attempt."""
         self._tokens = min(self._tokens + RETRY_SHARE, MAX_TOKENS)
 
-    def withdraw(self) -> bool:
+    def take_retry(self) -> bool:
         """Take one retry from the budget and return whether it is allowed."""
         if self._tokens < 1.0:
             return False
--- a/cornelnotch/routing/engines.py
+++ b/cornelnotch/routing/engines.py
@@ -9,7 +9,7 @@
 from cornelnotch.exceptions import UpstreamError, UpstreamStalledError
 from cornelnotch.kernel import Event
 from cornelnotch.routing.flow import RequestFlow
-from cornelnotch.routing.parts import FlowError
+from cornelnotch.routing.parts import RequestFailedError
 from cornelnotch.routing.permits import PermitReport
 from cornelnotch.routing.replies import (
     Outcome,
@@ -76,7 +76,7 @@
             try:
                 grant = await self.acquire()
                 error = await self._dispatch(grant)
-            except FlowError as failure:
+            except RequestFailedError as failure:
                 if not self.exchange.started:
                     raise
                 await self._abort_stream(failure.problem)
@@ -87,7 +87,7 @@
             if not self.should_retry(error, grant):
                 problem = self.create_failure_problem(error)
                 if not self.exchange.started:
-                    raise FlowError(problem)
+                    raise RequestFailedError(problem)
                 await self._abort_stream(problem)
                 return
             if self._texts:
--- a/cornelnotch/routing/flow.py
+++ b/cornelnotch/routing/flow.py
@@ -15,7 +15,7 @@
 from cornelnotch.observation import Trace
 from cornelnotch.routing.idempotency import IdempotencyGuard
 from cornelnotch.routing.intake import CallerRequest
-from cornelnotch.routing.parts import FlowError, FlowParts
+from cornelnotch.routing.parts import FlowParts, RequestFailedError
 from cornelnotch.routing.permits import PermitReport, PermitRequest
 from cornelnotch.routing.replies import (
     Outcome,
@@ -99,7 +99,7 @@
                 await self.forward()
             else:
                 await self._repeat_answer(earlier)
-        except FlowError as error:
+        except RequestFailedError as error:
             problem = error.problem
             if self.idempotency_guard is not None:
                 problem = await self.idempotency_guard.finalize_problem(
@@ -130,7 +130,7 @@
     async def acquire(self) -> PermitGrant:
         """Return a permit.
 
-        Raise FlowError if the request is refused.
+        Raise RequestFailedError if the request is refused.
         """
         permit_request = PermitRequest(
             self.request.request_id,
@@ -145,7 +145,7 @@
         )
         result = await self.parts.permits.acquire(permit_request)
         if isinstance(result, Failure):
-            raise FlowError(self._create_refusal_problem(result.failure()))
+            raise RequestFailedError(self._create_refusal_problem(result.failure()))
         grant = result.unwrap()
         self.trace.note(
             "permit",
@@ -187,7 +187,7 @@
         unsent = isinstance(error, UpstreamUnreachableError)
         if self.once and not unsent:
             return False
-        if self.get_remaining_ms() <= 0 or not self.parts.budget.withdraw():
+        if self.get_remaining_ms() <= 0 or not self.parts.budget.take_retry():
             self.trace.note("no-retry", left_ms=round(self.get_remaining_ms(), 1))
             return False
         self.parts.metrics.count_retry(error.kind)
--- a/cornelnotch/routing/idempotency.py
+++ b/cornelnotch/routing/idempotency.py
@@ -17,7 +17,7 @@
 from cornelnotch.kernel import create_identifier
 from cornelnotch.observation import Trace
 from cornelnotch.routing.intake import CallerRequest
-from cornelnotch.routing.parts import FlowError, FlowParts
+from cornelnotch.routing.parts import FlowParts, RequestFailedError
 from cornelnotch.routing.replies import Outcome, Problem
 
 __all__ = ["IdempotencyGuard"]
@@ -52,7 +52,7 @@
     async def claim(self) -> ClaimOperation | None:
         """Return None if the work may run, or the outcome of an earlier attempt.
 
-        Raise FlowError if neither is known.
+        Raise RequestFailedError if neither is known.
         """
         self._check_key_age()
         self._claimed = True
@@ -69,7 +69,7 @@
             self._check_key_age()
             return None
         if verdict.state == "unavailable":
-            raise FlowError(self._create_log_problem())
+            raise RequestFailedError(self._create_log_problem())
         self._claimed = False
         return await self._wait_for_winner(verdict)
 
@@ -132,14 +132,14 @@
         if age is KeyAge.USABLE:
             return
         message = f"the key is {age.value}; generate a new UUIDv7 for new work"
-        raise FlowError(
+        raise RequestFailedError(
             Problem(400, f"key-{age.value}", message, self.get_unclaimed_outcome())
         )
 
     async def _wait_for_winner(self, verdict: ClaimVerdict) -> ClaimOperation:
         """Return the outcome of the attempt that holds the key.
 
-        Raise FlowError if it is unknown.
+        Raise RequestFailedError if it is unknown.
         """
         while verdict.state == "lost" and self._get_remaining_ms() > LOOKUP_PAUSE_MS:
             await self._parts.clock.sleep(LOOKUP_PAUSE_MS)
@@ -149,12 +149,12 @@
             )
         self._trace.note("repeat", state=verdict.state)
         if verdict.state == "mismatch":
-            raise FlowError(self._create_mismatch_problem())
+            raise RequestFailedError(self._create_mismatch_problem())
         outcome = verdict.outcome
         if verdict.state != "answered" or outcome is None or outcome.status == 0:
-            raise FlowError(self._create_claimed_problem())
+            raise RequestFailedError(self._create_claimed_problem())
         if outcome.body is None:
-            raise FlowError(self._create_too_large_problem())
+            raise RequestFailedError(self._create_too_large_problem())
         return outcome
 
     def _create_log_problem(self) -> Problem:
--- a/cornelnotch/routing/parts.py
+++ b/cornelnotch/routing/parts.py
@@ -11,7 +11,7 @@
 from cornelnotch.routing.replies import Problem
 from cornelnotch.routing.upstreams import EngineUpstream, ServiceUpstream
 
-__all__ = ["FlowError", "FlowParts"]
+__all__ = ["RequestFailedError", "FlowParts"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,7 +30,7 @@
     retention_ms: float
 
 
-class FlowError(Exception):
+class RequestFailedError(Exception):
     """Error that ends a request with the problem reported to the caller."""
 
     def __init__(self, problem: Problem) -> None:
--- a/cornelnotch/routing/services.py
+++ b/cornelnotch/routing/services.py
@@ -2,7 +2,7 @@
 
 from cornelnotch.exceptions import UpstreamError, UpstreamUnreachableError
 from cornelnotch.routing.flow import RequestFlow
-from cornelnotch.routing.parts import FlowError
+from cornelnotch.routing.parts import RequestFailedError
 from cornelnotch.routing.permits import PermitReport
 from cornelnotch.routing.replies import Outcome, create_headers
 from cornelnotch.routing.upstreams import ServiceAnswer
@@ -23,7 +23,7 @@
                 await self._finish(answer)
                 return
             if not self.should_retry(answer, grant):
-                raise FlowError(self.create_failure_problem(answer))
+                raise RequestFailedError(self.create_failure_problem(answer))
 
     async def _dispatch(self, grant: PermitGrant) -> ServiceAnswer | UpstreamError:
         clock = self.parts.clock
--- a/cornelnotch/routing/tests/test_intake.py
+++ b/cornelnotch/routing/tests/test_intake.py
@@ -99,5 +99,5 @@
     spent = 0
     for _ in range(1000):
         budget.deposit()
-        spent += budget.withdraw()
+        spent += budget.take_retry()
     assert spent <= 0.2 * 1000 + 5
