--- a/cornelnotch/wire/__init__.py
+++ b/cornelnotch/wire/__init__.py
@@ -1,4 +1,4 @@
-"""Carry typed messages between hosts."""
+"""Typed messages between hosts and the connections that carry them."""
 
 from cornelnotch.wire.codec import FrameReader, decode_message, encode_message
 from cornelnotch.wire.peers import PeerNetwork
--- a/cornelnotch/wire/codec.py
+++ b/cornelnotch/wire/codec.py
@@ -1,4 +1,4 @@
-"""Encode messages with msgpack and validate what arrives."""
+"""Encode messages with msgpack and validate incoming frames."""
 
 import dataclasses
 import struct
@@ -14,29 +14,34 @@
 
 MAX_FRAME_BYTES = 8 * 1024 * 1024
 MAX_ITEMS = 65536
-LENGTH = struct.Struct(">I")
+LENGTH_PREFIX = struct.Struct(">I")
 
-_types = list_message_types()
-_numbers = {kind: number for number, kind in enumerate(_types)}
-_names = {kind: [field.name for field in dataclasses.fields(kind)] for kind in _types}
+_message_types = list_message_types()
+_type_ids = {
+    message_type: type_id for type_id, message_type in enumerate(_message_types)
+}
+_field_names = {
+    message_type: [field.name for field in dataclasses.fields(message_type)]
+    for message_type in _message_types
+}
 
 
-def _flatten(value: Any) -> Any:
+def _to_mapping(value: Any) -> Any:
     return {
         field.name: getattr(value, field.name) for field in dataclasses.fields(value)
     }
 
 
 def encode_message(message: Any) -> bytes:
-    """Return one frame: length, then number and fields of the message."""
-    kind = type(message)
-    values = [getattr(message, name) for name in _names[kind]]
-    body = msgpack.packb([_numbers[kind], *values], default=_flatten)
-    return LENGTH.pack(len(body)) + body
+    """Return `message` as one frame: length prefix, type id, then field values."""
+    message_type = type(message)
+    values = [getattr(message, name) for name in _field_names[message_type]]
+    body = msgpack.packb([_type_ids[message_type], *values], default=_to_mapping)
+    return LENGTH_PREFIX.pack(len(body)) + body
 
 
 def decode_message(body: bytes) -> Any:
-    """Return the message of one frame; raise WireError when it is malformed."""
+    """Return the message in a frame body; raise WireError if it is malformed."""
     try:
         values = msgpack.unpackb(
             body,
@@ -45,13 +50,13 @@
             max_str_len=MAX_FRAME_BYTES,
             max_bin_len=MAX_FRAME_BYTES,
         )
-        number, *fields = values
-        kind = _types[number]
-        names = _names[kind]
-        if number < 0 or len(fields) != len(names):
+        type_id, *fields = values
+        message_type = _message_types[type_id]
+        names = _field_names[message_type]
+        if type_id < 0 or len(fields) != len(names):
             raise ValueError("wrong number of fields")
         content = dict(zip(names, fields, strict=True))
-        return msgspec.convert(content, kind)
+        return msgspec.convert(content, message_type)
     except (
         ValueError,
         TypeError,
@@ -61,33 +66,33 @@
         RecursionError,
     ) as error:
         raise WireError(
-            f"a frame of {len(body)} bytes is malformed: {type(error).__name__}",
+            f"malformed frame of {len(body)} bytes: {type(error).__name__}",
             "run the same release on all hosts",
         ) from error
 
 
 class FrameReader:
-    """Cut a byte stream into frames."""
+    """Split a byte stream into length-prefixed frames."""
 
     def __init__(self) -> None:
         self._buffer = bytearray()
 
     def feed(self, data: bytes) -> list[bytes]:
-        """Return the frames that `data` completes; raise WireError if too long."""
+        """Return the frames completed by `data`; raise WireError if one is too long."""
         self._buffer += data
         frames = []
         start = 0
-        while len(self._buffer) - start >= LENGTH.size:
-            (length,) = LENGTH.unpack_from(self._buffer, start)
+        while len(self._buffer) - start >= LENGTH_PREFIX.size:
+            (length,) = LENGTH_PREFIX.unpack_from(self._buffer, start)
             if length > MAX_FRAME_BYTES:
                 raise WireError(
-                    f"a frame of {length} bytes is too long",
+                    f"frame of {length} bytes exceeds the maximum frame size",
                     "run the same release on all hosts",
                 )
-            end = start + LENGTH.size + length
+            end = start + LENGTH_PREFIX.size + length
             if len(self._buffer) < end:
                 break
-            frames.append(bytes(self._buffer[start + LENGTH.size : end]))
+            frames.append(bytes(self._buffer[start + LENGTH_PREFIX.size : end]))
             start = end
         del self._buffer[:start]
         return frames
--- a/cornelnotch/wire/messages.py
+++ b/cornelnotch/wire/messages.py
@@ -1,6 +1,6 @@
-"""Define the messages that hosts send each other.
+"""Messages exchanged between hosts.
 
-All times on the wire are durations in ms, since hosts share no clock.
+All times on the wire are durations in ms, because host clocks are not synchronized.
 """
 
 from dataclasses import dataclass, field
@@ -53,7 +53,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Hello:
-    """Name the sender of everything that follows on a connection."""
+    """Identify the sender of all later messages on a connection."""
 
     host: str
     boot: int
@@ -61,7 +61,7 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberUpdate:
-    """Tell the state of a host; the higher incarnation wins."""
+    """Announce the state of a host; the higher incarnation takes precedence."""
 
     host: str
     http: str
@@ -73,7 +73,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerUpdate:
-    """Tell that the platform lists a server as leaving or live."""
+    """Announce that the platform lists a server as leaving or live."""
 
     server: str
     state: str
@@ -82,7 +82,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Ping:
-    """Ask whether a host is alive; carry news."""
+    """Probe whether a host is alive; piggybacks membership updates."""
 
     sequence: int
     host: str
@@ -94,7 +94,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Ack:
-    """Answer a ping; carry news."""
+    """Acknowledge a ping; piggybacks membership updates."""
 
     sequence: int
     host: str
@@ -106,7 +106,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PingRequest:
-    """Ask another host to ping `target` for `host`."""
+    """Request an indirect probe: the receiver pings `target` for `host`."""
 
     sequence: int
     host: str
@@ -115,7 +115,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationFetch:
-    """Ask for the configuration when the receiver is ahead of `version`."""
+    """Request the configuration if the receiver has one newer than `version`."""
 
     host: str
     version: int
@@ -123,7 +123,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationOffer:
-    """Carry a folded configuration as a snapshot record."""
+    """Send the current configuration as a snapshot record."""
 
     version: int
     snapshot: bytes
@@ -131,7 +131,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Occupancy:
-    """Tell how many places a class holds in a shard."""
+    """Report the number of waiting and running requests of a class in a shard."""
 
     class_name: str
     tier: int
@@ -142,7 +142,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PermitAsk:
-    """Ask for a place on a server of `shard`."""
+    """Request a slot on a server of `shard`."""
 
     request_id: str
     holder: str
@@ -159,7 +159,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PermitQueued:
-    """Confirm that a request waits in a queue."""
+    """Confirm that a request has been queued."""
 
     request_id: str
     shard: str
@@ -168,7 +168,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PermitGrant:
-    """Bind a request to a server."""
+    """Assign a request to a server."""
 
     request_id: str
     shard: str
@@ -182,7 +182,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PermitRefusal:
-    """Refuse a request and name what held the places."""
+    """Reject a request and report which classes occupied the slots."""
 
     request_id: str
     shard: str
@@ -194,7 +194,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PermitMoved:
-    """Say that the receiver should ask another dispatcher."""
+    """Redirect the receiver to another dispatcher."""
 
     request_id: str
     shard: str
@@ -202,7 +202,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PermitPause:
-    """Say whether a running request waits in its engine for higher tiers."""
+    """Report whether a running request is preempted in its engine by higher tiers."""
 
     request_id: str
     shard: str
@@ -211,7 +211,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PermitCancel:
-    """Give up a request that waits or runs."""
+    """Cancel a queued or running request."""
 
     request_id: str
     shard: str
@@ -219,7 +219,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PermitFirstToken:
-    """Report the time from grant to first token."""
+    """Report the time from the grant to the first token."""
 
     request_id: str
     shard: str
@@ -228,7 +228,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PermitFinish:
-    """Return a permit with what the holder saw."""
+    """Release a permit and report the outcome and latencies of its request."""
 
     request_id: str
     shard: str
@@ -242,7 +242,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HeldPermit:
-    """Describe one permit that a host holds."""
+    """Describe one permit held by a host."""
 
     request_id: str
     server: str
@@ -253,7 +253,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HeldPermits:
-    """List every permit of `shard` that `holder` holds."""
+    """List all permits of `shard` held by `holder`."""
 
     holder: str
     shard: str
@@ -262,7 +262,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimAsk:
-    """Ask the writer of a claim stream to append one operation and judge it."""
+    """Ask the writer of a claim stream to append and evaluate one operation."""
 
     ask_id: str
     host: str
@@ -273,7 +273,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimAnswer:
-    """Tell what the claim stream says about an operation."""
+    """Report the result of an operation on a claim stream."""
 
     ask_id: str
     state: str
@@ -283,7 +283,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordItem:
-    """Carry one record of the platform's store; the value is deflated."""
+    """A record of the platform's store; the value is DEFLATE-compressed."""
 
     key: str
     value: bytes
@@ -292,11 +292,11 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordNews:
-    """Carry the records of a topic between two offsets.
+    """Replicate the records of a topic between two offsets.
 
-    `age_ms` tells how long ago `origin` read the store. The receiver passes
-    the message on to `targets`. `whole` says that keys not listed are gone. `held`
-    carries what the origin knows of timelines before `timeline`.
+    `age_ms` is the time since `origin` read the store. The receiver forwards the
+    message to `targets`. If `whole` is set, keys not listed have been deleted. `held`
+    contains the records that the origin keeps from timelines before `timeline`.
     """
 
     origin: str
@@ -313,7 +313,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordFetch:
-    """Ask a host for what it knows of a topic beyond offset `head`."""
+    """Request the records of a topic that a host knows beyond offset `head`."""
 
     host: str
     topic: str
@@ -323,12 +323,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerUse:
-    """Tell what is under way at a server.
+    """Report the load of a server.
 
-    `waiting` counts what has no first piece, `tight` the streams with short pauses.
-    `sent` holds the prompt tokens that the server has and has not read, `backlog`
-    those that wait for their turn, indexed by priority, `failures` how many
-    dispatches in a row have failed lately.
+    `waiting` is the number of requests without a first chunk, `tight` the number of
+    streams with a short limit between tokens. `sent` is the number of prompt tokens
+    sent to the server and not yet prefilled. `backlog` is the number of prompt tokens
+    waiting to be sent, indexed by priority. `failures` is the number of recent
+    consecutive dispatch failures.
     """
 
     server: str
@@ -342,12 +343,12 @@
 
 @dataclass(frozen=True, slots=True)
 class EnginePace:
-    """Tell how fast an engine is.
+    """Report the measured throughput of an engine.
 
-    `read_rate` counts the prompt tokens read in a ms as callers see it, `chunk_rate`
-    those read while a stream pauses for them. `event_ms` is the time between two events
-    of a stream beside which nothing is read. `ease` says how much more may be read in a
-    pause than these rates tell.
+    `read_rate` is the prefill rate observed by callers in prompt tokens per ms, and
+    `chunk_rate` the rate while prefill stalls a decoding stream. `event_ms` is the time
+    between two events of a stream while nothing is prefilled. `ease` states how much
+    more may be prefilled during a stall than these rates predict.
     """
 
     server: str
@@ -359,7 +360,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """Tell what one host has under way, and of engines whose turns it keeps."""
+    """Report one host's load and the throughput of the engines it schedules."""
 
     host: str
     uses: list[ServerUse]
@@ -368,9 +369,9 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadSummary:
-    """Tell what all hosts have under way; passed on to `targets`.
+    """Report the total load of all hosts; forwarded to `targets`.
 
-    `paces` holds engines of which there is news.
+    `paces` contains only engines whose throughput has changed.
     """
 
     origin: str
@@ -381,9 +382,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerLeaving:
-    """Tell that a server said in an answer that it leaves; passed on to `targets`.
+    """Announce that a server declared in a response that it is shutting down.
 
-    `boot_ms` names the life of the server that ends.
+    The receiver forwards the message to `targets`. `boot_ms` identifies the server
+    process that is shutting down.
     """
 
     server: str
@@ -393,7 +395,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PromptPart:
-    """Name a part of a prompt; requests with the same first parts share them."""
+    """A segment of a prompt; requests with equal leading segments share a prefix."""
 
     name: str
     tokens: int
@@ -401,7 +403,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StreamProgress:
-    """Tell how many events of a stream came in how many ms, and its longest pause."""
+    """Report a stream's event count, elapsed time and longest gap between events."""
 
     events: int
     spent_ms: float
@@ -413,11 +415,11 @@
 
 @dataclass(frozen=True, slots=True)
 class TurnAsk:
-    """Tell what a host has for an engine; asked again until it has ended.
+    """Request admission of a request to an engine; repeated until the request ends.
 
     `stage` is "waiting" until the host has sent the request and "begun" once the
-    engine has read it. A stream that must not pause for longer tells `gap_ms`, one
-    that should begin within a time of its arrival `target_ms`.
+    engine has prefilled its prompt. `gap_ms` is the longest permitted gap between the
+    events of a stream, `target_ms` the target time from arrival to its first event.
     """
 
     request_id: str
@@ -434,7 +436,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TurnWait:
-    """Confirm that a request waits, and tell for how long it may."""
+    """Confirm that a request is queued, and for how long it may wait."""
 
     request_id: str
     server: str
@@ -444,7 +446,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TurnGrant:
-    """Tell a host to send a request now; `unread` tokens are to be read."""
+    """Admit a request to its engine; `unread` is the number of tokens to prefill."""
 
     request_id: str
     server: str
@@ -453,7 +455,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TurnEnd:
-    """Tell that a request has ended or was given up."""
+    """Report that a request has ended or was cancelled."""
 
     request_id: str
     server: str
@@ -461,7 +463,7 @@
 
 
 def list_message_types() -> list[type]:
-    """Return the message types; the position of each is its number."""
+    """Return the message types; the index of each is its type id on the wire."""
     return [
         Hello,
         Ping,
--- a/cornelnotch/wire/peers.py
+++ b/cornelnotch/wire/peers.py
@@ -1,4 +1,4 @@
-"""Send messages to other hosts and hand out what arrives."""
+"""Send messages to other hosts and dispatch incoming ones to subscribers."""
 
 import asyncio
 from collections.abc import Callable
@@ -22,8 +22,8 @@
 Receiver = Callable[[str, Any], None]
 
 
-class PeerLink:
-    """Own the outgoing connection to one host."""
+class PeerConnection:
+    """The outgoing connection to one host and its send queue."""
 
     def __init__(self, network: "PeerNetwork", host: str) -> None:
         self._network = network
@@ -31,7 +31,7 @@
         self.queue: asyncio.Queue[bytes] = asyncio.Queue(MAX_QUEUED_MESSAGES)
 
     async def run(self) -> None:
-        """Send queued messages until idle; drop what cannot be delivered."""
+        """Send queued messages until idle; drop messages that cannot be delivered."""
         writer: asyncio.StreamWriter | None = None
         try:
             while True:
@@ -39,15 +39,15 @@
                     data = await self.queue.get()
                 while not self.queue.empty():
                     data += self.queue.get_nowait()
-                writer = await self._deliver(writer, data)
+                writer = await self._write(writer, data)
         except TimeoutError:
             return
         finally:
-            self._network.forget_link(self._host)
+            self._network.remove_connection(self._host)
             if writer is not None:
                 writer.close()
 
-    async def _deliver(
+    async def _write(
         self, writer: asyncio.StreamWriter | None, data: bytes
     ) -> asyncio.StreamWriter | None:
         try:
@@ -59,7 +59,7 @@
             self._network.count_sent(len(data))
             return writer
         except (OSError, TimeoutError):
-            # The message is lost; every protocol above repeats or gives up.
+            # The message is lost; the protocols built on this retry or time out.
             if writer is not None:
                 writer.transport.abort()
             return None
@@ -67,20 +67,20 @@
     async def _connect(self) -> asyncio.StreamWriter:
         address = self._network.resolve(self._host)
         if address is None:
-            raise ConnectionError(f"no address for {self._host}")
+            raise ConnectionError(f"no known address for host {self._host}")
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             reader, writer = await asyncio.open_connection(*parse_address(address))
         self._network.tasks.start(
-            f"watch-{self._host}", self._watch_close(reader, writer)
+            f"watch-{self._host}", self._wait_until_closed(reader, writer)
         )
         writer.write(encode_message(self._network.hello))
         return writer
 
     @staticmethod
-    async def _watch_close(
+    async def _wait_until_closed(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        # Nothing is ever sent back here, so a read ends when the peer closes.
+        # Peers never reply on this connection; read() ends only when the peer closes it.
         with suppress(OSError):
             while await reader.read(READ_BYTES):
                 pass
@@ -88,7 +88,7 @@
 
 
 class PeerNetwork:
-    """Listen for hosts, keep one link to each and route messages by type."""
+    """Connections to all other hosts; dispatches incoming messages by type."""
 
     def __init__(
         self, host: str, boot: int, events: EventLog, tasks: TaskGroup
@@ -100,65 +100,65 @@
         self.sent_messages = 0
         self.received_messages = 0
         self._events = events
-        self._links: dict[str, PeerLink] = {}
+        self._connections: dict[str, PeerConnection] = {}
         self._addresses: dict[str, str] = {}
         self._receivers: dict[type, Receiver] = {}
         self._server: asyncio.Server | None = None
-        self._incoming: set[asyncio.Task[None]] = set()
+        self._incoming_tasks: set[asyncio.Task[None]] = set()
 
     @property
     def name(self) -> str:
-        """Return this host's name."""
+        """Return the name of this host."""
         return self.hello.host
 
     async def start(self, address: str, port: int) -> None:
-        """Listen for other hosts; port 0 picks a free one."""
+        """Listen for other hosts; port 0 selects a free port."""
         self._server = await asyncio.start_server(
             self._accept, address, port, backlog=LISTEN_BACKLOG
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
-        """Stop listening and drop every connection."""
+        """Stop listening and close all incoming connections."""
         if self._server is not None:
             self._server.close()
-        incoming = list(self._incoming)
+        incoming = list(self._incoming_tasks)
         for task in incoming:
             task.cancel()
         await asyncio.gather(*incoming, return_exceptions=True)
 
     def subscribe(self, kind: type, receiver: Receiver) -> None:
-        """Hand each message of `kind` to `receiver` with its sender's name."""
+        """Call `receiver` with the sender's name and each message of type `kind`."""
         self._receivers[kind] = receiver
 
     def set_address(self, host: str, address: str) -> None:
-        """Remember where `host` listens."""
+        """Set the address at which `host` listens."""
         if self._addresses.get(host) != address:
             self._addresses[host] = address
 
     def resolve(self, host: str) -> str | None:
-        """Return where `host` listens."""
+        """Return the address at which `host` listens, or None if unknown."""
         return self._addresses.get(host)
 
     def send(self, host: str, message: Any) -> None:
-        """Queue `message` for `host`; a host's own messages come straight back."""
+        """Queue `message` for `host`; messages to this host are dispatched locally."""
         if host == self.hello.host:
             asyncio.get_running_loop().call_soon(self._receive, host, message)
             return
-        link = self._links.get(host)
-        if link is None:
-            link = PeerLink(self, host)
-            self._links[host] = link
-            self.tasks.start(f"link-{host}", link.run())
+        connection = self._connections.get(host)
+        if connection is None:
+            connection = PeerConnection(self, host)
+            self._connections[host] = connection
+            self.tasks.start(f"link-{host}", connection.run())
         with suppress(asyncio.QueueFull):
-            link.queue.put_nowait(encode_message(message))
+            connection.queue.put_nowait(encode_message(message))
 
-    def forget_link(self, host: str) -> None:
-        """Drop the link to `host` once its task has ended."""
-        self._links.pop(host, None)
+    def remove_connection(self, host: str) -> None:
+        """Remove the connection to `host` after its task has ended."""
+        self._connections.pop(host, None)
 
     def count_sent(self, size: int) -> None:
-        """Count one write to a peer."""
+        """Add one write of `size` bytes to the traffic counters."""
         self.sent_bytes += size
         self.sent_messages += 1
 
@@ -172,18 +172,18 @@
     ) -> None:
         task = asyncio.current_task()
         assert task is not None
-        self._incoming.add(task)
+        self._incoming_tasks.add(task)
         try:
-            await self._serve(reader)
+            await self._read_messages(reader)
         except (WireError, OSError) as error:
             self._events.record(Event.PEER_MESSAGE_REFUSED, error=error)
         except asyncio.CancelledError:
             pass
         finally:
-            self._incoming.discard(task)
+            self._incoming_tasks.discard(task)
             writer.transport.abort()
 
-    async def _serve(self, reader: asyncio.StreamReader) -> None:
+    async def _read_messages(self, reader: asyncio.StreamReader) -> None:
         frames = FrameReader()
         sender: str | None = None
         while data := await reader.read(READ_BYTES):
@@ -193,6 +193,8 @@
                 if isinstance(message, Hello):
                     sender = message.host
                 elif sender is None:
-                    raise WireError("a peer did not name itself", "check the port")
+                    raise WireError(
+                        "peer sent a message before Hello", "check the port"
+                    )
                 else:
                     self._receive(sender, message)
--- a/cornelnotch/wire/tests/test_codec.py
+++ b/cornelnotch/wire/tests/test_codec.py
@@ -1,4 +1,4 @@
-"""Round-trip every message and refuse malformed frames with a typed error."""
+"""Tests of message round trips and of WireError for malformed frames."""
 
 import os
 import random
@@ -17,8 +17,8 @@
     Ping,
 )
 
-SEED = 20261204
-CASES = int(os.environ.get("CORNELNOTCH_FUZZ", "3000"))
+RANDOM_SEED = 20261204
+FUZZ_CASES = int(os.environ.get("CORNELNOTCH_FUZZ", "3000"))
 MESSAGES = [
     Ping(1, "a", 7, 3.5, [MemberUpdate("a", "h", "p", "x", "alive", 3)], []),
     HeldPermits("a", "s/r/0", [HeldPermit("r", "e", "quote", 1, "w")]),
@@ -27,7 +27,7 @@
 
 
 @pytest.mark.parametrize("message", MESSAGES)
-def test_messages_survive_any_cutting_of_the_stream(message):
+def test_messages_round_trip_through_a_fragmented_stream(message):
     data = encode_message(message) * 3
     reader = FrameReader()
     frames = [f for i in range(0, len(data), 7) for f in reader.feed(data[i : i + 7])]
@@ -47,15 +47,15 @@
         msgpack.packb(["x"]),
     ],
 )
-def test_malformed_frames_are_typed_errors(body):
+def test_malformed_frames_raise_wire_error(body):
     with pytest.raises(WireError):
         decode_message(body)
 
 
-def test_random_frames_give_a_message_or_a_typed_error():
-    generator = random.Random(SEED)
+def test_corrupted_frames_decode_or_raise_wire_error():
+    generator = random.Random(RANDOM_SEED)
     bodies = [encode_message(message)[4:] for message in MESSAGES]
-    for _ in range(CASES):
+    for _ in range(FUZZ_CASES):
         body = bytearray(generator.choice(bodies))
         for _ in range(generator.randint(1, 5)):
             body[generator.randrange(len(body))] = generator.randrange(256)
@@ -65,6 +65,6 @@
             continue
 
 
-def test_too_long_a_frame_is_refused_before_it_is_read():
+def test_oversized_frame_is_rejected_by_its_length_prefix():
     with pytest.raises(WireError):
         FrameReader().feed(b"\xff\xff\xff\xff")
