--- a/cornelnotch/platform/__init__.py
+++ b/cornelnotch/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Translate between the users' platform and the gateway."""
+"""Adapters between the hosting platform and the gateway."""
--- a/cornelnotch/platform/__main__.py
+++ b/cornelnotch/platform/__main__.py
@@ -1,4 +1,4 @@
-"""Start a host the way the platform does: settings by an environment variable."""
+"""Run one host with the settings file named by an environment variable."""
 
 import os
 import sys
@@ -7,22 +7,23 @@
 from cornelnotch.exceptions import CornelnotchError, SettingsError
 from cornelnotch.platform.program import run_host
 
-SETTINGS_VARIABLE = "CORNELNOTCH_NODE_FILE"
+SETTINGS_FILE_VARIABLE = "CORNELNOTCH_NODE_FILE"
 EXIT_BAD_INPUT = 2
 
 
 def find_settings() -> Path:
-    """Return the path of the settings file."""
-    path = os.environ.get(SETTINGS_VARIABLE)
+    """Return the path of the settings file; raise SettingsError if it is not set."""
+    path = os.environ.get(SETTINGS_FILE_VARIABLE)
     if not path:
         raise SettingsError(
-            f"{SETTINGS_VARIABLE} is not set", "set it to the path of the settings"
+            f"{SETTINGS_FILE_VARIABLE} is not set",
+            "set it to the path of the settings file",
         )
     return Path(path)
 
 
 def main() -> None:
-    """Run a host; errors end with one line that names the remedy."""
+    """Run a host; print expected errors as one line that includes the remedy."""
     try:
         run_host(find_settings())
     except CornelnotchError as error:
--- a/cornelnotch/platform/callers.py
+++ b/cornelnotch/platform/callers.py
@@ -1,4 +1,4 @@
-"""Serve the platform's questions: which address to use, and whether ready."""
+"""HTTP endpoints of the platform: address resolution, readiness and metrics."""
 
 from collections.abc import Callable
 
@@ -16,13 +16,13 @@
 
 
 class DirectoryInterface:
-    """Answer `GET /resolution`."""
+    """Endpoint `GET /resolution`: the addresses to which callers connect."""
 
     def __init__(self, directory: Directory) -> None:
         self._directory = directory
 
     async def handle(self, exchange: Exchange) -> None:
-        """Answer one exchange."""
+        """Respond to one request."""
         if exchange.path != RESOLUTION_PATH:
             await exchange.respond_json(STATUS_NOT_FOUND, {"error": "unknown path"})
             return
@@ -33,13 +33,13 @@
 
 
 class ReadinessInterface:
-    """Answer `GET /readyz`."""
+    """Endpoint `GET /readyz`: readiness of this host."""
 
     def __init__(self, is_ready: Callable[[], bool]) -> None:
         self._is_ready = is_ready
 
     async def handle(self, exchange: Exchange) -> None:
-        """Answer one exchange."""
+        """Respond to one request."""
         if exchange.path != READY_PATH:
             await exchange.respond_json(STATUS_NOT_FOUND, {"error": "unknown path"})
             return
@@ -49,13 +49,13 @@
 
 
 class MetricsInterface:
-    """Answer `GET /metrics` in the text form of Prometheus."""
+    """Endpoint `GET /metrics` in the Prometheus text format."""
 
     def __init__(self, render: Callable[[], bytes]) -> None:
         self._render = render
 
     async def handle(self, exchange: Exchange) -> None:
-        """Answer one exchange."""
+        """Respond to one request."""
         if exchange.path != METRICS_PATH:
             await exchange.respond_json(STATUS_NOT_FOUND, {"error": "unknown path"})
             return
--- a/cornelnotch/platform/decoder.py
+++ b/cornelnotch/platform/decoder.py
@@ -1,4 +1,4 @@
-"""Find the records that matter among those of the store."""
+"""Decode the store's records into routing tables and servers."""
 
 from cornelnotch.gateway.models import RoutingTable, ServerRecord
 from cornelnotch.gateway.records import Record, RecordDecoder
@@ -10,13 +10,16 @@
 
 
 class PlatformDecoder(RecordDecoder):
-    """Decode what the operator and the servers write."""
+    """Decode the records written by the operator and by servers."""
 
     def decode_table(self, records: dict[str, Record]) -> RoutingTable | None:
-        """Return the routing table; raise ConfigurationError when malformed."""
+        """Return the routing table, or None if there is no configuration record.
+
+        Raise ConfigurationError if the record is malformed.
+        """
         record = records.get(CONFIGURATION_KEY)
         return None if record is None else decode_table(record.value)
 
     def decode_server(self, record: Record) -> ServerRecord | None:
-        """Return a server, or None when the record names none to use."""
+        """Return the server, or None if the record describes no usable server."""
         return decode_server(record.key, record.value)
--- a/cornelnotch/platform/dialect.py
+++ b/cornelnotch/platform/dialect.py
@@ -1,4 +1,4 @@
-"""Translate the headers of callers and servers."""
+"""Translate between HTTP headers and the gateway's requests and responses."""
 
 import math
 from urllib.parse import urlsplit
@@ -11,26 +11,28 @@
 
 REQUEST_ID = b"x-attempt-id"
 DEADLINE = b"x-deadline-ms"
-KEY = b"x-key"
-LAST_EVENT = b"last-event-id"
-TOKENS = b"x-token-usage"
-PROMPT = b"x-prompt-prefix"
-SERVER = b"x-target-instance"
-WORKSPACE = b"x-tenant"
+IDEMPOTENCY_KEY = b"x-key"
+LAST_EVENT_ID = b"last-event-id"
+TOKEN_USAGE = b"x-token-usage"
+PROMPT_PREFIX = b"x-prompt-prefix"
+TARGET_INSTANCE = b"x-target-instance"
+TENANT = b"x-tenant"
 PRIORITY = b"x-request-priority"
 SIGNATURE = b"x-server-signature"
-NOT_RUN = b"x-not-executed"
-# The server fetches what another one caches of the prompt before it reads the rest.
-CACHE_SOURCE = b"kv-fetch"
-# The memory of the run is copied there, and the run may go on from such a copy.
-BACKUP = b"x-kv-backup"
-COPY = b"kv-from"
+NOT_EXECUTED = b"x-not-executed"
+# The server fetches the cached prefix of the prompt from another server before it
+# prefills the retry_after.
+PREFIX_SOURCE = b"kv-fetch"
+# The KV cache of the request is replicated to the backup address; another server can
+# resume the request from such a copy.
+KV_BACKUP = b"x-kv-backup"
+KV_SOURCE = b"kv-from"
 RETRY_AFTER = b"retry-after"
 LEAVING = b"server-leaving"
-SAYS_LEAVING = "1"
+LEAVING_VALUE = "1"
 
-# Headers that concern one connection only.
-CONNECTION_HEADERS = frozenset(
+# Hop-by-hop headers, which must not be forwarded.
+HOP_BY_HOP_HEADERS = frozenset(
     {
         b"connection",
         b"keep-alive",
@@ -45,19 +47,19 @@
         b"expect",
     }
 )
-# Headers that only the system may set towards a server.
-OWN_HEADERS = frozenset(
+# Headers that only the gateway may set on requests to servers.
+GATEWAY_HEADERS = frozenset(
     {
-        KEY,
+        IDEMPOTENCY_KEY,
         DEADLINE,
-        SERVER,
-        WORKSPACE,
+        TARGET_INSTANCE,
+        TENANT,
         PRIORITY,
         b"x-cache-hold",
         b"x-pin-ms",
-        BACKUP,
-        COPY,
-        CACHE_SOURCE,
+        KV_BACKUP,
+        KV_SOURCE,
+        PREFIX_SOURCE,
         b"x-expected-version",
     }
 )
@@ -68,25 +70,25 @@
 
 
 def find_header(pairs: Pairs, name: bytes) -> str:
-    """Return the first value of `name`, or an empty text."""
+    """Return the first value of header `name`, or an empty string."""
     for key, value in pairs:
         if key.lower() == name:
             return value.decode("latin-1").strip()
     return ""
 
 
-def read_number(text: str) -> float:
-    """Return the number in `text`, 0 when there is none."""
+def parse_number(text: str) -> float:
+    """Return `text` as a non-negative number, or 0 if it is not a number."""
     try:
         return max(float(text), 0.0)
     except ValueError:
         return 0.0
 
 
-def read_rest(status: int, text: str) -> float | None:
-    """Return for how long a server that sent `text` wants nothing, in ms.
+def parse_retry_after(status: int, text: str) -> float | None:
+    """Return the Retry-After delay of a response in ms.
 
-    Return None when `text` names no time.
+    Return 0 if the status is not 503 or `text` is empty, None if it is malformed.
     """
     if status != STATUS_UNAVAILABLE or not text:
         return 0.0
@@ -99,8 +101,8 @@
     return seconds * MS_PER_SECOND
 
 
-def read_prompt(text: str) -> tuple[PromptPart, ...]:
-    """Return the parts of a prompt in order; malformed ones end the list."""
+def parse_prompt_segments(text: str) -> tuple[PromptPart, ...]:
+    """Return the segments of a prompt in order, up to the first malformed one."""
     parts = []
     for entry in filter(None, text.split(",")):
         name, separator, tokens = entry.strip().partition(":")
@@ -110,81 +112,83 @@
     return tuple(parts)
 
 
-def drop_connection_headers(pairs: Pairs) -> Pairs:
-    """Return the headers that go beyond one connection."""
-    named = find_header(pairs, b"connection").lower().encode("latin-1")
-    dropped = CONNECTION_HEADERS | {name.strip() for name in named.split(b",")}
+def drop_hop_by_hop_headers(pairs: Pairs) -> Pairs:
+    """Return `pairs` without hop-by-hop headers."""
+    listed = find_header(pairs, b"connection").lower().encode("latin-1")
+    dropped = HOP_BY_HOP_HEADERS | {name.strip() for name in listed.split(b",")}
     return [(k, v) for k, v in pairs if k.lower() not in dropped]
 
 
 class PlatformDialect(Dialect):
-    """Speak the platform's headers."""
+    """Read and write the headers defined by the platform."""
 
     def read_request(self, method: str, target: str, pairs: Pairs) -> CallerRequest:
-        """Return the caller's request; raise RequestError when it is malformed."""
+        """Return the caller's request; raise RequestError if it is malformed."""
         request_id = find_header(pairs, REQUEST_ID)
         if not request_id:
-            raise RequestError("the request has no id", "send X-Attempt-Id")
-        tokens = [read_number(t) for t in find_header(pairs, TOKENS).split(",")]
-        passed = drop_connection_headers(pairs)
+            raise RequestError("request id is missing", "send X-Attempt-Id")
+        tokens = [parse_number(t) for t in find_header(pairs, TOKEN_USAGE).split(",")]
+        forwarded = drop_hop_by_hop_headers(pairs)
         return CallerRequest(
             request_id,
             method,
             target,
             find_header(pairs, b"host").lower(),
             urlsplit(target).path,
-            [(k, v) for k, v in passed if k.lower() not in OWN_HEADERS],
-            key=find_header(pairs, KEY),
-            deadline_ms=read_number(find_header(pairs, DEADLINE)),
-            last_event=find_header(pairs, LAST_EVENT),
-            prompt=read_prompt(find_header(pairs, PROMPT)),
+            [(k, v) for k, v in forwarded if k.lower() not in GATEWAY_HEADERS],
+            key=find_header(pairs, IDEMPOTENCY_KEY),
+            deadline_ms=parse_number(find_header(pairs, DEADLINE)),
+            last_event=find_header(pairs, LAST_EVENT_ID),
+            prompt=parse_prompt_segments(find_header(pairs, PROMPT_PREFIX)),
             prompt_tokens=int(tokens[0]),
         )
 
     def create_pairs(self, request: CallerRequest, terms: DispatchTerms) -> Pairs:
-        """Return the headers of one dispatch, without its length."""
+        """Return the headers of one dispatch, without Content-Length."""
         pairs = request.pairs
         if terms.last_event != request.last_event:
-            pairs = [(k, v) for k, v in pairs if k.lower() != LAST_EVENT]
-            pairs.append((LAST_EVENT, terms.last_event.encode("latin-1")))
-        own = [
+            pairs = [(k, v) for k, v in pairs if k.lower() != LAST_EVENT_ID]
+            pairs.append((LAST_EVENT_ID, terms.last_event.encode("latin-1")))
+        gateway_headers = [
             (DEADLINE, str(max(int(terms.left_ms), 1)).encode()),
-            (SERVER, terms.server.encode("latin-1")),
+            (TARGET_INSTANCE, terms.server.encode("latin-1")),
         ]
         if terms.workspace:
-            own.append((WORKSPACE, terms.workspace.encode("latin-1")))
+            gateway_headers.append((TENANT, terms.workspace.encode("latin-1")))
         if terms.priority is not None:
             priority = min(max(terms.priority, 0), MAX_PRIORITY)
-            own.append((PRIORITY, str(priority).encode()))
+            gateway_headers.append((PRIORITY, str(priority).encode()))
         if terms.cache_source:
-            own.append((CACHE_SOURCE, terms.cache_source.encode("latin-1")))
+            gateway_headers.append(
+                (PREFIX_SOURCE, terms.cache_source.encode("latin-1"))
+            )
         if terms.backup_address:
-            own.append((BACKUP, terms.backup_address.encode("latin-1")))
+            gateway_headers.append((KV_BACKUP, terms.backup_address.encode("latin-1")))
         if terms.copy:
-            own.append((COPY, terms.copy.encode("latin-1")))
-        return [*pairs, *own]
+            gateway_headers.append((KV_SOURCE, terms.copy.encode("latin-1")))
+        return [*pairs, *gateway_headers]
 
     def read_answer(self, status: int, pairs: Pairs) -> AnswerHead:
-        """Return what the head of an answer says."""
+        """Return the status and headers of a server's response in decoded form."""
         misdirected = status == STATUS_MISDIRECTED
-        rest = find_header(pairs, RETRY_AFTER)
-        rest_ms = read_rest(status, rest)
+        retry_after = find_header(pairs, RETRY_AFTER)
+        retry_after_ms = parse_retry_after(status, retry_after)
         return AnswerHead(
             status,
             find_header(pairs, REQUEST_ID),
             bool(find_header(pairs, SIGNATURE)),
-            misdirected or bool(find_header(pairs, NOT_RUN)),
+            misdirected or bool(find_header(pairs, NOT_EXECUTED)),
             misdirected,
-            drop_connection_headers(pairs),
-            find_header(pairs, LEAVING) == SAYS_LEAVING,
-            rest_ms or 0.0,
-            rest if rest_ms is None else "",
+            drop_hop_by_hop_headers(pairs),
+            find_header(pairs, LEAVING) == LEAVING_VALUE,
+            retry_after_ms or 0.0,
+            retry_after if retry_after_ms is None else "",
         )
 
     def create_refusal_pairs(
         self, request: CallerRequest | None, retry_after_ms: float | None
     ) -> Pairs:
-        """Return the headers of an answer of the gateway's own."""
+        """Return the headers of a response generated by the gateway itself."""
         pairs = [(b"content-type", b"application/json")]
         if request is not None:
             pairs.append((REQUEST_ID, request.request_id.encode("latin-1")))
--- a/cornelnotch/platform/program.py
+++ b/cornelnotch/platform/program.py
@@ -1,4 +1,4 @@
-"""Assemble and run one host on the platform."""
+"""Create and run one host on the platform."""
 
 import asyncio
 import gc
@@ -22,13 +22,13 @@
 
 __all__ = ["run_host"]
 
-# Nearly all objects of a request go when their last reference does, so that young ones
-# are seldom looked through for cycles.
-YOUNG_OBJECTS = 10_000
+# Nearly all objects of a request are freed by reference counting, so the youngest
+# generation is rarely scanned for reference cycles.
+GC_YOUNG_THRESHOLD_OBJECTS = 10_000
 
 
 async def serve_host(settings: HostSettings, output: LogOutput) -> None:
-    """Run a host until it has drained; SIGTERM starts the drain."""
+    """Run a host until it has drained; SIGTERM starts draining."""
     clock = create_clock()
     host = GatewayHost(
         settings,
@@ -54,13 +54,13 @@
     await host.start()
     gc.collect()
     gc.freeze()
-    gc.set_threshold(YOUNG_OBJECTS)
+    gc.set_threshold(GC_YOUNG_THRESHOLD_OBJECTS)
     await host.stopped.wait()
     await host.stop()
 
 
 def run_host(path: Path) -> None:
-    """Run a host with the settings in `path`; raise SettingsError if malformed."""
+    """Run a host with the settings file `path`; raise SettingsError if malformed."""
     settings = read_host_settings(path)
     with LogOutput(settings.host.name) as output:
         asyncio.run(serve_host(settings, output))
--- a/cornelnotch/platform/records.py
+++ b/cornelnotch/platform/records.py
@@ -1,4 +1,4 @@
-"""Decode the records that operators and servers write to the store."""
+"""Decode the records written to the store by operators and servers."""
 
 import msgspec
 
@@ -17,7 +17,7 @@
 
 __all__ = ["decode_server", "decode_table"]
 
-KINDS = {
+WORK_KINDS = {
     "idempotent": WorkKind.REPEATABLE,
     "non_idempotent": WorkKind.ONCE,
     "streaming": WorkKind.STREAM,
@@ -27,14 +27,14 @@
 
 
 class SplitModel(msgspec.Struct):
-    """Validate one share of a route."""
+    """Schema of one weighted service of a route."""
 
     service: str
     weight: float
 
 
 class RouteModel(msgspec.Struct):
-    """Validate a route; `route_type` is the kind of its work."""
+    """Schema of a route; `route_type` states whether its work may be repeated."""
 
     name: str
     hostname: str
@@ -52,21 +52,21 @@
 
 
 class EngineModel(msgspec.Struct):
-    """Validate what is told of a service's engines."""
+    """Schema of the inference engine settings of a service."""
 
     kv_capacity: int = 0
     backups: bool = False
 
 
 class ServiceModel(msgspec.Struct):
-    """Validate a service."""
+    """Schema of a service."""
 
     name: str
     engine: EngineModel | None = None
 
 
 class TenantModel(msgspec.Struct):
-    """Validate a workspace."""
+    """Schema of a workspace."""
 
     name: str
     api_keys: list[str] = []
@@ -74,7 +74,7 @@
 
 
 class LimitsModel(msgspec.Struct):
-    """Validate what callers may send."""
+    """Schema of the limits on requests from callers."""
 
     max_header_bytes: int = 32768
     max_body_bytes: int = 4 * 1024 * 1024
@@ -83,7 +83,7 @@
 
 
 class ConfigModel(msgspec.Struct):
-    """Validate a whole configuration."""
+    """Schema of the complete configuration."""
 
     version: int
     routes: list[RouteModel] = []
@@ -93,7 +93,7 @@
 
 
 class ServerModel(msgspec.Struct):
-    """Validate a server's entry; other writers leave fields out or change types."""
+    """Schema of a server entry; other writers may omit fields or change types."""
 
     service: str
     address: str
@@ -111,12 +111,12 @@
 
 
 def decode_table(value: bytes) -> RoutingTable:
-    """Return the operator's configuration; raise ConfigurationError if malformed."""
+    """Return the routing table in `value`; raise ConfigurationError if malformed."""
     try:
         model = _config_decoder.decode(value)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise ConfigurationError(
-            f"the operator's configuration is malformed: {error}",
+            f"malformed operator configuration: {error}",
             "write a valid configuration",
         ) from error
     routes: dict[str, list[Route]] = {}
@@ -129,7 +129,7 @@
             for host, items in routes.items()
         },
         {entry.name: _create_service(entry) for entry in model.services},
-        _index_keys(model.tenants),
+        _index_workspaces_by_key(model.tenants),
         CallerLimits(
             model.limits.max_header_bytes,
             model.limits.max_body_bytes,
@@ -145,8 +145,8 @@
         model.name,
         model.hostname.lower(),
         model.path_prefix,
-        # An unknown kind must not be repeated.
-        KINDS.get(model.route_type, WorkKind.ONCE),
+        # Work of an unknown type must not be repeated.
+        WORK_KINDS.get(model.route_type, WorkKind.ONCE),
         model.timeout_ms,
         model.target_latency_ms,
         max(model.max_attempts, 1),
@@ -165,7 +165,9 @@
     return Service(model.name, engine)
 
 
-def _index_keys(models: list[TenantModel] | None) -> dict[str, Workspace] | None:
+def _index_workspaces_by_key(
+    models: list[TenantModel] | None,
+) -> dict[str, Workspace] | None:
     if models is None:
         return None
     return {
@@ -176,12 +178,12 @@
 
 
 def decode_server(name: str, value: bytes) -> ServerRecord | None:
-    """Return a server's entry, or None when it names no server to use."""
+    """Return the server in `value`, or None if it is malformed or not usable."""
     try:
         model = _server_decoder.decode(value)
     except (msgspec.MsgspecError, UnicodeDecodeError):
         return None
-    if model.state not in {STATE_READY, STATE_LEAVING} or not _is_address(model):
+    if model.state not in {STATE_READY, STATE_LEAVING} or not _has_valid_address(model):
         return None
     return ServerRecord(
         name,
@@ -195,6 +197,6 @@
     )
 
 
-def _is_address(model: ServerModel) -> bool:
+def _has_valid_address(model: ServerModel) -> bool:
     host, _, port = model.address.rpartition(":")
     return bool(host) and port.isdigit() and 0 < int(port) < 65536
--- a/cornelnotch/platform/store.py
+++ b/cornelnotch/platform/store.py
@@ -1,4 +1,4 @@
-"""Read and write the keyed topics of the platform's store."""
+"""Client of the keyed topics of the platform's store."""
 
 import asyncio
 import base64
@@ -20,19 +20,19 @@
 
 STATUS_OK = 200
 STATUS_GONE = 410
-# The store answers within 4 ms; fifty times that is a store in trouble.
+# The store responds within 4 ms; fifty times as long indicates a fault.
 READ_TIMEOUT_MS = 800.0
-HEAD = struct.Struct(">QQ")
-LENGTH = struct.Struct(">I")
-# Rises by one each time that the store comes back from an older copy.
-TIMELINE = "store-era"
+PAGE_HEADER = struct.Struct(">QQ")
+RECORD_LENGTH = struct.Struct(">I")
+# Header that increases by one each time the store is restored from an older copy.
+TIMELINE_HEADER = "store-era"
 TOPICS = {"configuration": "keyed.op", "servers": "keyed.servers"}
-# The page's names of what lasts: `op/config`, `servers/ID`.
-PART = 0
+# The platform's documentation calls the keys `op/config` and `servers/ID`.
+PARTITION = 0
 
 
 class NewestEntry(msgspec.Struct):
-    """Validate the newest record of a key; `value` is in base64."""
+    """Schema of the newest record of a key; `value` is base64-encoded."""
 
     key: str
     value: str = ""
@@ -40,7 +40,7 @@
 
 
 class NewestPage(msgspec.Struct):
-    """Validate one page of newest records."""
+    """Schema of one page of newest records."""
 
     entries: list[NewestEntry]
     end_offset: int
@@ -48,7 +48,7 @@
 
 
 class TrimmedAnswer(msgspec.Struct):
-    """Validate the answer to a read of records that are gone."""
+    """Schema of the response to a read of trimmed records."""
 
     earliest_offset: int = 0
 
@@ -57,39 +57,39 @@
 _trimmed_decoder = msgspec.json.Decoder(TrimmedAnswer)
 
 
-def read_timeline(headers: dict[str, str]) -> int | None:
-    """Return the timeline that an answer names, None if it names none to be read."""
-    text = headers.get(TIMELINE, "").strip()
+def parse_timeline(headers: dict[str, str]) -> int | None:
+    """Return the timeline in `headers`, or None if it is missing or malformed."""
+    text = headers.get(TIMELINE_HEADER, "").strip()
     return int(text) if text.isascii() and text.isdigit() else None
 
 
 def split_records(body: bytes, start: int, timeline: int | None = None) -> RecordPage:
-    """Return the records of a read that began at offset `start`."""
-    end, first = HEAD.unpack_from(body, 0)
+    """Return the records in the response to a read from offset `start`."""
+    end, first = PAGE_HEADER.unpack_from(body, 0)
     records = []
-    position = HEAD.size
+    position = PAGE_HEADER.size
     offset = start
-    while position + LENGTH.size <= len(body):
-        (length,) = LENGTH.unpack_from(body, position)
-        position += LENGTH.size
+    while position + RECORD_LENGTH.size <= len(body):
+        (length,) = RECORD_LENGTH.unpack_from(body, position)
+        position += RECORD_LENGTH.size
         content = body[position : position + length]
         if len(content) < length:
             break
         position += length
-        records.append(_read_keyed(content, offset))
+        records.append(_parse_record(content, offset))
         offset += 1
     return RecordPage(records, offset, max(end, offset), timeline)
 
 
-def _read_keyed(content: bytes, offset: int) -> Record:
+def _parse_record(content: bytes, offset: int) -> Record:
     size = content[0] if content else 0
     key = content[1 : 1 + size].decode("utf-8", "replace")
     return Record(key, content[1 + size :], offset)
 
 
 @dataclass(frozen=True, slots=True)
-class StoreAnswer:
-    """Hold an answer of the store; `timeline` is None where it names none."""
+class StoreResponse:
+    """A response of the store; `timeline` is None if the header is missing."""
 
     status: int
     body: bytes
@@ -97,7 +97,7 @@
 
 
 class PlatformStore(RecordSource):
-    """Call the store over HTTP."""
+    """Read records from the store over HTTP."""
 
     def __init__(self, address: str, client: HttpClient) -> None:
         self._address = address
@@ -105,20 +105,20 @@
         self.calls = 0
 
     async def read_newest(self, topic: str) -> RecordPage:
-        """Return the newest record of each key."""
+        """Return the newest record of each key; raise LogUnavailableError."""
         records: list[Record] = []
         after = ""
         end: int | None = None
         first: int | None = None
         while True:
-            target = f"/log-newest?topic={TOPICS[topic]}&part={PART}"
+            target = f"/log-newest?topic={TOPICS[topic]}&part={PARTITION}"
             if after:
                 target += f"&after={quote(after, safe='')}"
             answer = await self._call(target, READ_TIMEOUT_MS)
             first = first if after else answer.timeline
             if answer.timeline != first:
                 raise LogUnavailableError(
-                    "the store was restored between two pages",
+                    "store was restored between two pages",
                     "read again",
                     answer.timeline,
                 )
@@ -126,39 +126,40 @@
             for entry in page.entries:
                 value = base64.b64decode(entry.value)
                 records.append(Record(entry.key, value, entry.offset))
-            # Pages are no snapshot, so reading goes on from the end of the first.
+            # Pages do not form a consistent snapshot, so later reads must start at the
+            # end offset of the first page.
             end = page.end_offset if end is None else end
             if not page.has_more or not page.entries:
                 return RecordPage(records, end, end, first)
             after = page.entries[-1].key
 
     async def read_from(self, topic: str, start: int, wait_ms: float) -> RecordPage:
-        """Return the records from `start` on, waiting for the first."""
-        target = f"/log-read?topic={TOPICS[topic]}&part={PART}&from={start}"
+        """Return records from offset `start`, waiting up to `wait_ms` for the first."""
+        target = f"/log-read?topic={TOPICS[topic]}&part={PARTITION}&from={start}"
         if wait_ms > 0:
             target += f"&wait_ms={wait_ms:.0f}"
         answer = await self._call(target, READ_TIMEOUT_MS + wait_ms)
         if answer.status == STATUS_GONE:
             earliest = self._decode(_trimmed_decoder, answer).earliest_offset
             raise LogTrimmedError(earliest, answer.timeline)
-        if len(answer.body) < HEAD.size:
+        if len(answer.body) < PAGE_HEADER.size:
             raise LogUnavailableError(
-                "the store's answer is cut", "read again", answer.timeline
+                "store response is truncated", "read again", answer.timeline
             )
         return split_records(answer.body, start, answer.timeline)
 
     @staticmethod
-    def _decode(decoder: msgspec.json.Decoder, answer: StoreAnswer):
+    def _decode(decoder: msgspec.json.Decoder, answer: StoreResponse):
         try:
             return decoder.decode(answer.body)
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
             raise LogUnavailableError(
-                f"the store's answer is malformed: {error}",
+                f"malformed store response: {error}",
                 "read again",
                 answer.timeline,
             ) from error
 
-    async def _call(self, target: str, timeout_ms: float) -> StoreAnswer:
+    async def _call(self, target: str, timeout_ms: float) -> StoreResponse:
         self.calls += 1
         try:
             async with asyncio.timeout(timeout_ms / 1000.0):
@@ -166,11 +167,11 @@
                 body = await answer.read()
         except (UpstreamError, TimeoutError) as error:
             raise LogUnavailableError(
-                f"the store does not answer: {error!r}", "read again later"
+                f"store did not respond: {error!r}", "read again later"
             ) from error
-        timeline = read_timeline(answer.headers)
+        timeline = parse_timeline(answer.headers)
         if answer.status not in {STATUS_OK, STATUS_GONE}:
             raise LogUnavailableError(
-                f"the store answered {answer.status}", "read again later", timeline
+                f"store returned status {answer.status}", "read again later", timeline
             )
-        return StoreAnswer(answer.status, body, timeline)
+        return StoreResponse(answer.status, body, timeline)
--- a/cornelnotch/platform/tests/test_process.py
+++ b/cornelnotch/platform/tests/test_process.py
@@ -1,4 +1,4 @@
-"""Run the real program against the store's stand-in."""
+"""Tests that run host processes against a fake store."""
 
 import asyncio
 import os
@@ -36,12 +36,12 @@
 [regions]
 north-a = north
 """
-KINDS = ("callers", "ready", "directory", "peers")
+LISTENERS = ("callers", "ready", "directory", "peers")
 
 
-class Program:
+class HostProcess:
     def __init__(self, folder, number, store, seeds=""):
-        self.ports = {kind: find_free_port() for kind in KINDS}
+        self.ports = {kind: find_free_port() for kind in LISTENERS}
         self.path = folder / f"host-{number}.ini"
         text = SETTINGS.format(
             number=number, store=store.address, seeds=seeds, **self.ports
@@ -74,7 +74,7 @@
     def address(self, kind):
         return f"127.0.0.1:{self.ports[kind]}"
 
-    async def end(self):
+    async def kill(self):
         if self.process.returncode is None:
             self.process.kill()
         await self.process.communicate()
@@ -90,47 +90,47 @@
     return store
 
 
-async def find_addresses(program, client):
+async def find_addresses(process, client):
     path = "/resolution?name=app.example&region=north&zone=north-a"
-    assert await program.ask(client, "directory", path) == 200
-    return orjson.loads(program.content)["addresses"]
+    assert await process.ask(client, "directory", path) == 200
+    return orjson.loads(process.content)["addresses"]
 
 
-def test_hosts_find_each_other_relay_and_leave(tmp_path):
+def test_hosts_discover_each_other_and_drain(tmp_path):
     async def scenario():
         server = UpstreamStandin("desk-1")
         store = await start_store(server)
         client = HttpClient()
-        first = Program(tmp_path, 1, store)
-        second = Program(tmp_path, 2, store, first.address("peers"))
-        third = Program(tmp_path, 3, store, first.address("peers"))
-        programs = [first, second, third]
+        first = HostProcess(tmp_path, 1, store)
+        second = HostProcess(tmp_path, 2, store, first.address("peers"))
+        third = HostProcess(tmp_path, 3, store, first.address("peers"))
+        processes = [first, second, third]
         try:
-            for program in programs:
-                await program.start()
-            for program in programs:
-                await program.wait_ready(client)
-            everyone = sorted(p.address("callers") for p in programs)
+            for process in processes:
+                await process.start()
+            for process in processes:
+                await process.wait_ready(client)
+            all_addresses = sorted(p.address("callers") for p in processes)
 
-            async def lists_everyone():
-                return sorted(await find_addresses(first, client)) == everyone
+            async def lists_all_addresses():
+                return sorted(await find_addresses(first, client)) == all_addresses
 
-            await wait_until(lists_everyone, 10)
+            await wait_until(lists_all_addresses, 10)
             first.process.send_signal(signal.SIGHUP)
             first.process.send_signal(signal.SIGTERM)
 
-            async def has_left():
+            async def is_unlisted():
                 listed = await find_addresses(third, client)
                 return first.address("callers") not in listed
 
-            await wait_until(has_left, 3)
+            await wait_until(is_unlisted, 3)
             assert await first.ask(client, "ready", "/readyz") == 503
             async with asyncio.timeout(6):
                 assert await first.process.wait() == 0
         finally:
             client.close()
-            for program in programs:
-                await program.end()
+            for process in processes:
+                await process.kill()
             await server.stop()
             await store.stop()
 
@@ -141,7 +141,7 @@
     ("text", "remedy"),
     [("[host]\nname = a\n", "correct the value"), ("no section", "correct the line")],
 )
-def test_bad_settings_end_with_one_line_that_names_the_remedy(tmp_path, text, remedy):
+def test_invalid_settings_exit_with_a_one_line_error(tmp_path, text, remedy):
     async def scenario():
         path = tmp_path / "bad.ini"
         path.write_text(text)
--- a/cornelnotch/platform/tests/test_restoration.py
+++ b/cornelnotch/platform/tests/test_restoration.py
@@ -1,4 +1,4 @@
-"""Read a store that comes back from an older copy, over HTTP."""
+"""Tests of reading a store that was restored from an older copy."""
 
 import asyncio
 
@@ -10,7 +10,7 @@
     run_deployment,
     wait_until,
 )
-from cornelnotch.platform.store import PlatformStore, read_timeline
+from cornelnotch.platform.store import PlatformStore, parse_timeline
 from cornelnotch.standins.store import StoreStandin
 from cornelnotch.web import HttpClient
 
@@ -28,11 +28,11 @@
         ({"store-era": "\u0663"}, None),
     ],
 )
-def test_a_timeline_that_cannot_be_read_is_none(headers, timeline):
-    assert read_timeline(headers) == timeline
+def test_missing_or_malformed_timeline_is_none(headers, timeline):
+    assert parse_timeline(headers) == timeline
 
 
-def play(scenario):
+def run_with_store(scenario):
     async def run():
         store = StoreStandin()
         await store.start()
@@ -46,7 +46,7 @@
     asyncio.run(run())
 
 
-def test_every_answer_names_its_timeline_also_those_that_fail():
+def test_responses_and_errors_include_the_timeline():
     async def scenario(store, source):
         store.topics["keyed.op"].write("config", b"1")
         copy = store.copy()
@@ -62,10 +62,10 @@
             await source.read_newest("configuration")
         assert unavailable.value.timeline == 2
 
-    play(scenario)
+    run_with_store(scenario)
 
 
-def test_pages_of_two_timelines_make_no_list():
+def test_pages_of_different_timelines_are_rejected():
     async def scenario(store, source):
         for number in range(8):
             store.topics["keyed.servers"].write(f"s{number}", b"x")
@@ -80,10 +80,10 @@
             await source.read_newest("servers")
         assert len((await source.read_newest("servers")).records) == 8
 
-    play(scenario)
+    run_with_store(scenario)
 
 
-def test_a_host_goes_on_with_what_it_knew_and_takes_what_is_written_next():
+def test_host_keeps_its_state_after_a_restoration_and_applies_new_records():
     async def run():
         async with run_deployment() as d:
             copy = d.store.copy()
@@ -103,7 +103,7 @@
     asyncio.run(run())
 
 
-def test_hosts_only_read_so_that_a_restoration_loses_nothing_of_theirs():
+def test_hosts_never_write_to_the_store():
     async def run():
         async with run_deployment() as d:
             for path in ("/read/x", "/stream/x", "/nowhere/x"):
--- a/cornelnotch/platform/tests/test_translation.py
+++ b/cornelnotch/platform/tests/test_translation.py
@@ -1,4 +1,4 @@
-"""Check headers, entries and configurations against the platform's pages."""
+"""Tests of header translation and of decoding entries and configurations."""
 
 import orjson
 import pytest
@@ -33,7 +33,7 @@
 dialect = PlatformDialect()
 
 
-def test_a_request_is_decoded_once():
+def test_request_headers_are_decoded():
     request = dialect.read_request("POST", "/a/b?c", PAIRS)
     assert (request.host, request.path) == ("app.example", "/a/b")
     assert request.deadline_ms == 1500.0
@@ -45,12 +45,12 @@
     assert b"x-token-usage" in names
 
 
-def test_a_request_without_an_id_is_refused_with_the_remedy():
+def test_request_without_an_id_is_rejected():
     with pytest.raises(RequestError, match="X-Attempt-Id"):
         dialect.read_request("GET", "/", [(b"host", b"a")])
 
 
-def test_a_resumed_dispatch_names_the_last_event_once():
+def test_resumed_dispatch_sends_last_event_id_once():
     request = dialect.read_request("POST", "/", [*PAIRS, (b"last-event-id", b"3")])
     terms = DispatchTerms("i-1", 20.4, "acme", 12, "7", "10.0.0.2:80")
     pairs = dialect.create_pairs(request, terms)
@@ -71,11 +71,13 @@
         (500, [], False),
     ],
 )
-def test_only_the_servers_word_says_that_work_did_not_run(status, pairs, not_run):
+def test_work_counts_as_not_executed_only_if_the_server_declares_it(
+    status, pairs, not_run
+):
     assert dialect.read_answer(status, pairs).not_run is not_run
 
 
-def test_a_server_entry_is_decoded():
+def test_server_entry_is_decoded():
     server = decode_server("i-1", orjson.dumps({**ENTRY, "state": "draining"}))
     assert server is not None
     assert server.leaving
@@ -95,18 +97,18 @@
         {"sequence": None},
     ],
 )
-def test_an_entry_of_another_writer_names_no_server(change):
+def test_invalid_server_entries_are_ignored(change):
     assert decode_server("i-1", orjson.dumps({**ENTRY, **change})) is None
-    lacking = {key: ENTRY[key] for key in ENTRY if key not in change}
-    assert decode_server("i-1", orjson.dumps(lacking)) is None
+    incomplete = {key: ENTRY[key] for key in ENTRY if key not in change}
+    assert decode_server("i-1", orjson.dumps(incomplete)) is None
 
 
 @given(st.binary(max_size=200))
-def test_bytes_that_cannot_be_read_name_no_server(value):
+def test_arbitrary_bytes_decode_to_no_server(value):
     assert decode_server("i-1", value) is None
 
 
-def test_routes_are_sorted_by_prefix_and_kinds_are_strict():
+def test_routes_prefer_longer_prefixes_and_unknown_types_run_once():
     route = {
         "name": "r",
         "hostname": "A.example",
@@ -123,6 +125,6 @@
     assert table.workspaces is None
 
 
-def test_a_malformed_configuration_is_an_error_with_a_remedy():
+def test_malformed_configuration_raises_configuration_error():
     with pytest.raises(ConfigurationError, match="write a valid"):
         decode_table(b'{"version": "x"}')
--- a/cornelnotch/wire/peers.py
+++ b/cornelnotch/wire/peers.py
@@ -80,7 +80,7 @@
     async def _wait_until_closed(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        # Peers never reply on this connection; read() ends only when the peer closes it.
+        # Peers never reply on this connection; read() returns b"" once the peer closes.
         with suppress(OSError):
             while await reader.read(READ_BYTES):
                 pass
