--- a/cornelnotch/configuration/__init__.py
+++ b/cornelnotch/configuration/__init__.py
@@ -1,10 +1,10 @@
-"""Fold operators' records into the configuration in force."""
+"""Derive the current configuration from the records published by operators."""
 
 from cornelnotch.configuration.fold import (
     Change,
     ConfigurationState,
+    RecordResult,
     Snapshot,
-    Verdict,
     choose_snapshot,
     create_snapshot,
     decode_record,
@@ -31,13 +31,13 @@
     "Configuration",
     "ConfigurationState",
     "PoolSection",
+    "RecordResult",
     "Selection",
     "SelectorSection",
     "ServerSection",
     "ServiceClass",
     "ShardPlan",
     "Snapshot",
-    "Verdict",
     "WorkspaceSection",
     "choose_snapshot",
     "create_snapshot",
--- a/cornelnotch/configuration/fold.py
+++ b/cornelnotch/configuration/fold.py
@@ -1,9 +1,9 @@
-"""Fold configuration records with one pure function.
+"""Fold configuration records into a state with one pure function.
 
-A change replaces or removes whole sections. It is accepted when the result is
-valid and no section it touches has changed since its base version; its offset
-then is the new version. Every host folds the same records in offset order and
-so comes to the same verdicts.
+A change replaces or removes whole sections. It is accepted if the result is valid
+and none of its sections has changed since its base version; its offset becomes the
+new version. All hosts fold the same records in offset order and therefore accept
+the same changes.
 """
 
 import configparser
@@ -24,9 +24,9 @@
 __all__ = [
     "Change",
     "ConfigurationState",
+    "RecordResult",
     "SectionState",
     "Snapshot",
-    "Verdict",
     "choose_snapshot",
     "create_snapshot",
     "decode_record",
@@ -43,7 +43,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Change:
-    """Hold an operator's change: INI text against a base version."""
+    """An operator's change: INI text relative to a base version."""
 
     change_id: str
     base: int
@@ -53,7 +53,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SectionState:
-    """Hold the values of a section and the version that set them."""
+    """The values of a section and the version that set them."""
 
     version: int
     values: dict[str, str]
@@ -61,7 +61,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Snapshot:
-    """Hold every section as of offset `covers`."""
+    """All sections as of offset `covers`."""
 
     covers: int
     version: int
@@ -70,10 +70,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationState:
-    """Hold the fold's result after offset `covers`.
+    """The result of folding all records up to offset `covers`.
 
-    `removed` keeps the versions of removed sections, so that a change based on
-    an older version still conflicts with the removal.
+    `removed` keeps the versions at which sections were removed, so that a change
+    based on an older version still conflicts with the removal.
     """
 
     covers: int = NO_OFFSET
@@ -85,8 +85,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Verdict:
-    """Tell what became of one record."""
+class RecordResult:
+    """The state after one record and whether the record was accepted."""
 
     state: ConfigurationState
     accepted: bool
@@ -94,13 +94,13 @@
 
 
 def encode_record(record: Change | Snapshot) -> bytes:
-    """Return the bytes that stand in the log."""
+    """Return `record` in the encoding used in the log."""
     kind = "change" if isinstance(record, Change) else "snapshot"
     return orjson.dumps({"kind": kind, "record": record})
 
 
 def decode_record(body: bytes) -> Result[Change | Snapshot, ConfigurationError]:
-    """Return the record in `body`; anything else is a failure."""
+    """Return the record in `body`, or a failure if it is malformed."""
     try:
         content = orjson.loads(body)
         record = content["record"]
@@ -122,7 +122,7 @@
     except (ValueError, TypeError, KeyError, AttributeError) as error:
         return Failure(
             ConfigurationError(
-                f"the record is malformed: {error!r}",
+                f"malformed record: {error!r}",
                 "publish with the config command",
             )
         )
@@ -131,7 +131,7 @@
 def parse_sections(
     text: str,
 ) -> Result[dict[str, dict[str, str]], ConfigurationError]:
-    """Return the sections of an INI text."""
+    """Return the sections of an INI text, or a failure if it cannot be parsed."""
     parser = configparser.ConfigParser(
         interpolation=None, strict=True, default_section="\x00none"
     )
@@ -148,12 +148,12 @@
     model = SECTION_MODELS.get(kind)
     if model is None:
         raise ConfigurationError(
-            f"[{name}] is no known section",
+            f"[{name}] is not a known section type",
             f"start it with one of {', '.join(SECTION_MODELS)}",
         )
     if (kind == "claims") == bool(label.strip()):
         remedy = "write [claims]" if label else f"write [{kind} NAME]"
-        raise ConfigurationError(f"[{name}] has a wrong name", remedy)
+        raise ConfigurationError(f"[{name}] is not a valid section name", remedy)
     try:
         return model.model_validate(values)
     except ValidationError as error:
@@ -164,7 +164,7 @@
         ) from error
 
 
-def _collect(models: dict[str, Any], version: int) -> Configuration:
+def _build_configuration(models: dict[str, Any], version: int) -> Configuration:
     groups: dict[str, dict[str, Any]] = {kind: {} for kind in SECTION_MODELS}
     for name, model in models.items():
         kind, _, label = name.partition(" ")
@@ -196,7 +196,7 @@
 def _apply_change(
     state: ConfigurationState, change: Change, offset: int
 ) -> ConfigurationState:
-    """Return the state with `change` in force; raise ConfigurationError."""
+    """Return the state after `change`; raise ConfigurationError if it is rejected."""
     parsed = parse_sections(change.text)
     if isinstance(parsed, Failure):
         raise parsed.failure()
@@ -205,7 +205,7 @@
         raise ConfigurationError("the change is empty", "add a section")
     conflict = _find_conflict(state, change, changed)
     if conflict is not None:
-        raise ConfigurationError(conflict, "read the current version and try again")
+        raise ConfigurationError(conflict, "fetch the current version and retry")
     sections = dict(state.sections)
     models = dict(state.models)
     removed = dict(state.removed)
@@ -218,38 +218,38 @@
         models[name] = _build_model(name, values)
         sections[name] = SectionState(offset, values)
         removed.pop(name, None)
-    configuration = _collect(models, offset)
+    configuration = _build_configuration(models, offset)
     configuration.check()
-    _check_streams(state, configuration)
+    _check_stream_count(state, configuration)
     return ConfigurationState(offset, offset, sections, removed, models, configuration)
 
 
-def _check_streams(state: ConfigurationState, after: Configuration) -> None:
-    """Refuse another number of claim streams, which would move keys to new ones."""
+def _check_stream_count(state: ConfigurationState, after: Configuration) -> None:
+    """Reject a change of the number of claim streams, which would move keys."""
     before = state.configuration.claims.streams
     if state.version == NO_OFFSET or after.claims.streams == before:
         return
     raise ConfigurationError(
         f"[claims] streams is {before} and cannot change",
-        "keep it; keys claimed before would be looked for in other streams",
+        "keep it; existing keys would be looked up in other streams",
     )
 
 
-def fold_record(state: ConfigurationState, offset: int, body: bytes) -> Verdict:
-    """Return the state after the record at `offset`; older offsets change nothing."""
+def fold_record(state: ConfigurationState, offset: int, body: bytes) -> RecordResult:
+    """Return the state after the record at `offset`; older offsets are ignored."""
     if offset <= state.covers:
-        return Verdict(state, False)
-    passed = replace(state, covers=offset)
+        return RecordResult(state, False)
+    skipped = replace(state, covers=offset)
     decoded = decode_record(body)
     if isinstance(decoded, Failure):
-        return Verdict(passed, False, decoded.failure())
+        return RecordResult(skipped, False, decoded.failure())
     record = decoded.unwrap()
     if isinstance(record, Snapshot):
-        return Verdict(passed, False)
+        return RecordResult(skipped, False)
     try:
-        return Verdict(_apply_change(state, record, offset), True)
+        return RecordResult(_apply_change(state, record, offset), True)
     except ConfigurationError as error:
-        return Verdict(passed, False, error)
+        return RecordResult(skipped, False, error)
 
 
 def create_snapshot(state: ConfigurationState) -> Snapshot:
@@ -261,7 +261,7 @@
 
 
 def restore_snapshot(snapshot: Snapshot) -> ConfigurationState:
-    """Return the state that `snapshot` holds; raise ConfigurationError."""
+    """Return the state stored in `snapshot`; raise ConfigurationError if invalid."""
     sections: dict[str, SectionState] = {}
     removed: dict[str, int] = {}
     for name, section in snapshot.sections.items():
@@ -270,7 +270,7 @@
         else:
             sections[name] = section
     models = {name: _build_model(name, s.values) for name, s in sections.items()}
-    configuration = _collect(models, snapshot.version)
+    configuration = _build_configuration(models, snapshot.version)
     return ConfigurationState(
         snapshot.covers, snapshot.version, sections, removed, models, configuration
     )
@@ -279,10 +279,10 @@
 def choose_snapshot(
     snapshots: list[Snapshot], earliest: int
 ) -> ConfigurationState | None:
-    """Return the state of the newest snapshot from which every record is readable.
+    """Return the state of the newest snapshot after which no record was trimmed.
 
-    A snapshot written late by a paused host may cover less than an earlier one,
-    so the covered offset decides and not the snapshot's own.
+    Snapshots are ordered by the offset they cover, not by their own offset: one
+    appended late by a paused host may cover less than an earlier one.
     """
     usable = [s for s in snapshots if s.covers >= earliest - 1]
     newest = max(usable, key=lambda s: s.covers, default=None)
--- a/cornelnotch/configuration/follower.py
+++ b/cornelnotch/configuration/follower.py
@@ -1,4 +1,4 @@
-"""Follow the configuration stream and keep the newest state."""
+"""Read the configuration stream and maintain the newest state."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -27,28 +27,28 @@
 
 CONFIGURATION_STREAM = "configuration"
 RETRY_MS = 250.0
-NEVER = float("-inf")
+NEVER_READ_MS = float("-inf")
 
 Listener = Callable[[ConfigurationState], None]
 
 
 @dataclass(slots=True)
-class SnapshotSeen:
-    """Remember the newest snapshot in the stream; times in ms."""
+class SnapshotInfo:
+    """Covered offset and time in ms of the newest snapshot in the stream."""
 
     covers: int = -1
     time_ms: float = 0.0
 
 
 class ConfigurationFollower:
-    """Own the configuration state of one host; its version never goes down."""
+    """The configuration state of one host; its version never decreases."""
 
     def __init__(
         self, log: LogService, clock: Clock, events: EventLog, poll_ms: float
     ) -> None:
         self.state = ConfigurationState()
-        self.log_read_ms = NEVER
-        self.snapshot = SnapshotSeen()
+        self.log_read_ms = NEVER_READ_MS
+        self.snapshot = SnapshotInfo()
         self.oldest_record_ms: float | None = None
         self.earliest = 0
         self._log = log
@@ -64,7 +64,7 @@
         self._listeners.append(listener)
 
     def read_log_age(self) -> float:
-        """Return ms since the log last answered."""
+        """Return the time since the log was last read, in ms."""
         return self._clock.read() - self.log_read_ms
 
     async def run(self) -> None:
@@ -72,50 +72,50 @@
         while True:
             try:
                 await self._read_once()
-                self._note_available(True)
+                self._set_available(True)
             except LogTrimmedError as error:
-                await self._recover(error.earliest)
+                await self._rebuild_after_trim(error.earliest)
             except LogUnavailableError:
-                self._note_available(False)
+                self._set_available(False)
                 await self._clock.sleep(RETRY_MS)
 
     async def _read_once(self) -> None:
-        wait_ms = self._poll_ms if self.log_read_ms != NEVER else 0.0
+        wait_ms = self._poll_ms if self.log_read_ms != NEVER_READ_MS else 0.0
         page = await self._log.read(CONFIGURATION_STREAM, self._position, wait_ms)
         self.log_read_ms = self._clock.read()
         self._fold_page(page)
-        self._note_bounds(page)
+        self._update_bounds(page)
 
     def _fold_page(self, page: LogPage) -> None:
         state = self.state
         for record in page.records:
-            self._note_snapshot(record.offset, record.time_ms, record.body)
-            verdict = fold_record(state, record.offset, record.body)
-            state = verdict.state
+            self._update_newest_snapshot(record.offset, record.time_ms, record.body)
+            result = fold_record(state, record.offset, record.body)
+            state = result.state
             self._position = record.offset + 1
-            if verdict.error is not None:
+            if result.error is not None:
                 self._events.record(
                     Event.CONFIGURATION_REJECTED,
                     offset=record.offset,
-                    reason=verdict.error,
+                    reason=result.error,
                 )
-        self._adopt(state)
+        self._replace_state(state)
 
-    def _note_bounds(self, page: LogPage) -> None:
+    def _update_bounds(self, page: LogPage) -> None:
         self.earliest = page.earliest
         if page.records and page.records[0].offset == page.earliest:
             self.oldest_record_ms = page.records[0].time_ms
 
-    def _note_snapshot(self, offset: int, time_ms: float, body: bytes) -> None:
+    def _update_newest_snapshot(self, offset: int, time_ms: float, body: bytes) -> None:
         decoded = decode_record(body)
         if not isinstance(decoded, Success):
             return
         record = decoded.unwrap()
         if isinstance(record, Snapshot) and record.covers > self.snapshot.covers:
-            self.snapshot = SnapshotSeen(record.covers, time_ms)
+            self.snapshot = SnapshotInfo(record.covers, time_ms)
 
-    async def _recover(self, earliest: int) -> None:
-        """Start again from the earliest record with the best snapshot."""
+    async def _rebuild_after_trim(self, earliest: int) -> None:
+        """Rebuild the state from the newest usable snapshot and later records."""
         self.earliest = earliest
         snapshots: list[Snapshot] = []
         records = []
@@ -129,7 +129,9 @@
                         content = decoded.unwrap()
                         if isinstance(content, Snapshot):
                             snapshots.append(content)
-                    self._note_snapshot(record.offset, record.time_ms, record.body)
+                    self._update_newest_snapshot(
+                        record.offset, record.time_ms, record.body
+                    )
                     records.append(record)
                     position = record.offset + 1
                 if position >= page.end:
@@ -146,14 +148,14 @@
         if base is None or base.covers < self.state.covers:
             base = self.state
         if base.covers < earliest - 1:
-            # Without a usable snapshot only a peer can tell what was trimmed.
+            # Without a usable snapshot, the trimmed records are known only to peers.
             return
         for record in records:
             base = fold_record(base, record.offset, record.body).state
-        self._adopt(base)
+        self._replace_state(base)
 
     def adopt_snapshot(self, body: bytes) -> None:
-        """Take over a peer's state when it is ahead of this host's."""
+        """Replace the state by a peer's snapshot if that is newer."""
         decoded = decode_record(body)
         if not isinstance(decoded, Success):
             return
@@ -166,19 +168,19 @@
             self._events.record(Event.PEER_MESSAGE_REFUSED, error=error)
             return
         self._events.record(Event.CONFIGURATION_BOOTSTRAPPED, version=state.version)
-        self._adopt(state)
+        self._replace_state(state)
 
     def encode_state(self) -> bytes:
         """Return the state as a snapshot record."""
         return encode_record(create_snapshot(self.state))
 
     async def append_snapshot(self) -> None:
-        """Append the state to the stream; raise LogUnavailableError."""
+        """Append the state to the stream as a snapshot; raise LogUnavailableError."""
         covers = self.state.covers
         await self._log.append(CONFIGURATION_STREAM, self.encode_state())
         self._events.record(Event.SNAPSHOT_WRITTEN, covers=covers)
 
-    def _adopt(self, state: ConfigurationState) -> None:
+    def _replace_state(self, state: ConfigurationState) -> None:
         if state.covers <= self.state.covers or state.version < self.state.version:
             return
         newer = state.version > self.state.version
@@ -188,7 +190,7 @@
             for listener in self._listeners:
                 listener(state)
 
-    def _note_available(self, available: bool) -> None:
+    def _set_available(self, available: bool) -> None:
         if available == self._available:
             return
         self._available = available
--- a/cornelnotch/configuration/models.py
+++ b/cornelnotch/configuration/models.py
@@ -1,4 +1,4 @@
-"""Validate the sections of the configuration that operators publish."""
+"""Models of the configuration sections published by operators."""
 
 from dataclasses import dataclass, field
 from typing import Annotated, Literal
@@ -28,40 +28,40 @@
 
 
 def parse_labels(text: str) -> Labels:
-    """Return the labels of ``name=value, name=value``; raise ValueError."""
+    """Return the labels in ``name=value, name=value``; raise ValueError if invalid."""
     labels: Labels = {}
     for part in text.split(","):
         if not part.strip():
             continue
         name, separator, value = part.partition("=")
         if not separator or not name.strip() or not value.strip():
-            raise ValueError(f"{part.strip()!r} is not name=value")
+            raise ValueError(f"{part.strip()!r} is not of the form name=value")
         labels[name.strip()] = value.strip()
     return labels
 
 
-def _read_labels(value: object) -> object:
+def _parse_label_field(value: object) -> object:
     return parse_labels(value) if isinstance(value, str) else value
 
 
 class Section(BaseModel):
-    """Refuse unknown keys in every section."""
+    """Base class of all sections; rejects unknown keys."""
 
     model_config = ConfigDict(extra="forbid", frozen=True)
 
 
 class PlaceSection(Section):
-    """Put a failure domain into a region."""
+    """Assign a failure domain to a region."""
 
     region: str = Field(min_length=1)
 
 
 class ServiceClass(Section):
-    """Set the targets and the rank of a class of requests; times in ms.
+    """Define the latency targets and priority tier of a request class; times in ms.
 
-    Tier 1 is the highest. `floor` is the share of a pool kept for the class.
-    `repeat` says whether its work may run twice: `allowed`, `once`, or
-    `deduplicated` when the service itself drops repeated keys.
+    Tier 1 is the highest. `floor` is the share of a pool reserved for the class.
+    `repeat` states whether its work may run more than once: `allowed`, `once`, or
+    `deduplicated` if the service itself discards repeated keys.
     """
 
     tier: int = Field(ge=HIGHEST_TIER, le=LOWEST_TIER)
@@ -76,7 +76,7 @@
 
 
 class PoolSection(Section):
-    """Describe a pool of servers that answer alike."""
+    """Define a pool of interchangeable servers."""
 
     protocol: Literal["engine", "service"]
     discipline: str = "tiered"
@@ -87,7 +87,7 @@
 
 
 class ServerSection(Section):
-    """Describe one back end."""
+    """Define one server."""
 
     pool: str
     address: str = Field(pattern=r"^[0-9a-fA-F.:\[\]]+:\d+$")
@@ -96,22 +96,22 @@
     state: Literal["ready", "leaving"] = "ready"
     labels: Labels = Field(default_factory=dict)
 
-    _labels = field_validator("labels", mode="before")(_read_labels)
+    _labels = field_validator("labels", mode="before")(_parse_label_field)
 
 
 class WorkspaceSection(Section):
-    """Label a workspace and limit what it may use."""
+    """Define the labels and rate limits of a workspace."""
 
     labels: Labels = Field(default_factory=dict)
     requests_per_second: float | None = Field(default=None, gt=0)
     burst: int = Field(default=20, ge=1)
     concurrent: int | None = Field(default=None, ge=1)
 
-    _labels = field_validator("labels", mode="before")(_read_labels)
+    _labels = field_validator("labels", mode="before")(_parse_label_field)
 
 
 class SelectorSection(Section):
-    """Map labelled traffic to a class and a pool; the lowest order wins."""
+    """Map labelled traffic to a class and a pool; the lowest order takes precedence."""
 
     order: int = 100
     labels: Labels = Field(default_factory=dict)
@@ -122,14 +122,16 @@
     tier: int | None = Field(default=None, ge=HIGHEST_TIER, le=LOWEST_TIER)
     pool: str
 
-    _labels = field_validator("labels", "workspace_labels", mode="before")(_read_labels)
+    _labels = field_validator("labels", "workspace_labels", mode="before")(
+        _parse_label_field
+    )
 
 
 class ClaimSettings(Section):
-    """Set how work that may not repeat is claimed; times in ms.
+    """Configure claims on work that must not be repeated; times in ms.
 
-    `appends_per_second` is the whole fleet's share of the log, divided among
-    the streams; each append carries every operation that waits.
+    `appends_per_second` is the append rate of all hosts together, divided among
+    the streams; each append contains all pending operations.
     """
 
     streams: int = Field(default=4, ge=1, le=64)
@@ -151,7 +153,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Configuration:
-    """Hold the validated configuration of one version."""
+    """The validated configuration of one version."""
 
     version: int = -1
     places: dict[str, PlaceSection] = field(default_factory=dict)
@@ -163,25 +165,25 @@
     claims: ClaimSettings = field(default_factory=ClaimSettings)
 
     def find_region(self, place: str) -> str:
-        """Return the region of `place`, or the place itself when unlisted."""
+        """Return the region of `place`, or `place` itself if it is not listed."""
         section = self.places.get(place)
         return section.region if section else place
 
     def check(self) -> None:
-        """Raise ConfigurationError when a section names one that is missing."""
+        """Raise ConfigurationError if a section refers to one that does not exist."""
         for name, server in self.servers.items():
-            self._require(f"server {name}", "pool", server.pool, self.pools)
-            self._require(f"server {name}", "place", server.place, self.places)
+            self._check_reference(f"server {name}", "pool", server.pool, self.pools)
+            self._check_reference(f"server {name}", "place", server.place, self.places)
         for name, selector in self.selectors:
-            owner = f"selector {name}"
-            self._require(owner, "class", selector.class_name, self.classes)
-            self._require(owner, "pool", selector.pool, self.pools)
+            section = f"selector {name}"
+            self._check_reference(section, "class", selector.class_name, self.classes)
+            self._check_reference(section, "pool", selector.pool, self.pools)
 
     @staticmethod
-    def _require(owner: str, key: str, value: str, known: dict) -> None:
-        if value in known:
+    def _check_reference(section: str, key: str, value: str, sections: dict) -> None:
+        if value in sections:
             return
         raise ConfigurationError(
-            f"[{owner}] {key} = {value}: there is no [{key} {value}]",
+            f"[{section}] {key} = {value}: section [{key} {value}] does not exist",
             f"add [{key} {value}] or change the key",
         )
--- a/cornelnotch/configuration/publisher.py
+++ b/cornelnotch/configuration/publisher.py
@@ -1,4 +1,4 @@
-"""Publish changes and tell what became of them."""
+"""Publish changes and report whether they were accepted."""
 
 from dataclasses import dataclass
 
@@ -21,13 +21,13 @@
 
 __all__ = ["HistoryEntry", "History", "Publication", "publish_change", "read_history"]
 
-SETTLE_ATTEMPTS = 10
-SETTLE_PAUSE_MS = 300.0
+CONFIRM_ATTEMPTS = 10
+CONFIRM_RETRY_MS = 300.0
 
 
 @dataclass(frozen=True, slots=True)
 class HistoryEntry:
-    """Tell what became of one record."""
+    """One record of the stream and whether it was accepted."""
 
     offset: int
     time_ms: float
@@ -40,7 +40,7 @@
 
 @dataclass(frozen=True, slots=True)
 class History:
-    """Hold the verdicts on the readable records and the state after them."""
+    """The readable records with their results, and the state after them."""
 
     entries: list[HistoryEntry]
     state: ConfigurationState
@@ -48,7 +48,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Publication:
-    """Tell the offset of a change and whether it was accepted."""
+    """The offset of a published change and whether it was accepted."""
 
     offset: int
     accepted: bool
@@ -72,7 +72,7 @@
 
 
 async def read_history(log: LogService) -> History:
-    """Fold the readable stream; raise LogUnavailableError."""
+    """Fold all readable records; raise LogUnavailableError."""
     records, earliest = await _read_records(log)
     state = ConfigurationState()
     if earliest > 0:
@@ -82,8 +82,8 @@
     entries = []
     for record in records:
         content = decode_record(record.body).value_or(None)
-        verdict = fold_record(state, record.offset, record.body)
-        state = verdict.state
+        result = fold_record(state, record.offset, record.body)
+        state = result.state
         change = content if isinstance(content, Change) else None
         entries.append(
             HistoryEntry(
@@ -92,29 +92,32 @@
                 "snapshot" if isinstance(content, Snapshot) else "change",
                 change.change_id if change else "",
                 change.author if change else "",
-                verdict.accepted,
-                str(verdict.error) if verdict.error else "",
+                result.accepted,
+                str(result.error) if result.error else "",
             )
         )
     return History(entries, state)
 
 
 async def publish_change(log: LogService, clock: Clock, change: Change) -> Publication:
-    """Append a change and read its verdict back.
+    """Append a change and read back whether it was accepted.
 
-    A lost answer is settled by reading; raise LogUnavailableError when the log
-    stays silent, ConfigurationError when the change is refused beforehand.
+    Reading also shows whether an append landed whose response was lost. Raise
+    LogUnavailableError if the log does not confirm the change, ConfigurationError if
+    the change is already invalid against the current state.
     """
     history = await read_history(log)
-    trial = fold_record(history.state, history.state.covers + 1, encode_record(change))
-    if trial.error is not None:
-        raise trial.error
+    preview = fold_record(
+        history.state, history.state.covers + 1, encode_record(change)
+    )
+    if preview.error is not None:
+        raise preview.error
     body = encode_record(change)
-    for _ in range(SETTLE_ATTEMPTS):
+    for _ in range(CONFIRM_ATTEMPTS):
         try:
             await log.append(CONFIGURATION_STREAM, body)
         except LogUnavailableError:
-            await clock.sleep(SETTLE_PAUSE_MS)
+            await clock.sleep(CONFIRM_RETRY_MS)
         try:
             history = await read_history(log)
         except LogUnavailableError:
@@ -124,5 +127,5 @@
                 return Publication(entry.offset, entry.accepted, entry.reason)
     raise LogUnavailableError(
         "the log did not confirm the change",
-        f"look for {change.change_id} with `config history` before publishing again",
+        f"search `config history` for {change.change_id} before publishing again",
     )
--- a/cornelnotch/configuration/selection.py
+++ b/cornelnotch/configuration/selection.py
@@ -1,4 +1,4 @@
-"""Select class, tier and pool of a request."""
+"""Select the class, tier and pool of a request."""
 
 from dataclasses import dataclass
 
@@ -16,7 +16,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Selection:
-    """Tell how a request was classified, and by which selector."""
+    """The classification of a request and the selector that produced it."""
 
     selector: str
     class_name: str
@@ -42,8 +42,10 @@
     if not selector.workspace_labels:
         return True
     section = configuration.workspaces.get(workspace)
-    known = section.labels if section else {}
-    return all(known.get(n) == v for n, v in selector.workspace_labels.items())
+    workspace_labels = section.labels if section else {}
+    return all(
+        workspace_labels.get(n) == v for n, v in selector.workspace_labels.items()
+    )
 
 
 def select_class(
@@ -52,7 +54,10 @@
     labels: dict[str, str],
     service: str | None,
 ) -> Result[Selection, RequestError]:
-    """Return the first selector's choice; `service` is None for model traffic."""
+    """Return the result of the first matching selector.
+
+    `service` is None for model traffic.
+    """
     for name, selector in configuration.selectors:
         if not _matches(selector, configuration, workspace, labels, service):
             continue
@@ -70,7 +75,7 @@
     return Failure(
         RequestError(
             f"no selector matches workspace {workspace!r} with labels {labels}",
-            "send labels that a selector names, or publish a selector",
+            "send labels that match a selector, or publish a selector for them",
             422,
             "no-selector",
         )
--- a/cornelnotch/configuration/shards.py
+++ b/cornelnotch/configuration/shards.py
@@ -1,4 +1,4 @@
-"""Cut pools into shards; a pure function of the configuration."""
+"""Partition pools into shards, as a pure function of the configuration."""
 
 from dataclasses import dataclass
 
@@ -10,7 +10,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ShardPlan:
-    """Name a shard, its pool, its region and its servers."""
+    """A shard with its pool, region and servers."""
 
     name: str
     pool: str
@@ -27,12 +27,12 @@
 
 
 def plan_shards(configuration: Configuration) -> dict[str, ShardPlan]:
-    """Return the shards of all pools, each of one region."""
+    """Return the shards of all pools by name; a shard lies within one region."""
     plans: dict[str, ShardPlan] = {}
     for (pool, region), names in sorted(_group_servers(configuration).items()):
         limit = configuration.pools[pool].shard_servers
         count = -(-len(names) // limit)
-        # Hash order spreads each place's servers over all shards.
+        # Hash order spreads the servers of each failure domain over all shards.
         names.sort(key=lambda name: (hash_text(name), name))
         for index in range(count):
             shard = f"{pool}/{region}/{index}"
@@ -44,7 +44,7 @@
 def find_shards(
     plans: dict[str, ShardPlan], pool: str, region: str
 ) -> tuple[list[ShardPlan], list[ShardPlan]]:
-    """Return the shards of `pool` inside `region` and those elsewhere."""
-    near = [p for p in plans.values() if p.pool == pool and p.region == region]
-    far = [p for p in plans.values() if p.pool == pool and p.region != region]
-    return near, far
+    """Return the shards of `pool` in `region` and those in other regions."""
+    local = [p for p in plans.values() if p.pool == pool and p.region == region]
+    remote = [p for p in plans.values() if p.pool == pool and p.region != region]
+    return local, remote
--- a/cornelnotch/configuration/snapshots.py
+++ b/cornelnotch/configuration/snapshots.py
@@ -1,4 +1,4 @@
-"""Append a snapshot before needed records expire."""
+"""Append a snapshot before records that are still needed expire."""
 
 from cornelnotch.configuration.follower import ConfigurationFollower
 from cornelnotch.exceptions import LogUnavailableError
@@ -6,17 +6,17 @@
 
 __all__ = ["SnapshotWriter", "needs_snapshot"]
 
-CHECK_MS = 1000.0
-RETENTION_SHARE = 0.5
+CHECK_INTERVAL_MS = 1000.0
+SNAPSHOT_AGE_RETENTION_RATIO = 0.5
 
 
 def needs_snapshot(
     follower: ConfigurationFollower, wall_ms: float, retention_ms: float
 ) -> bool:
-    """Tell whether records that a new host needs are about to expire."""
+    """Return whether records needed by a new host are about to expire."""
     if follower.state.version < 0:
         return False
-    due_ms = retention_ms * RETENTION_SHARE
+    due_ms = retention_ms * SNAPSHOT_AGE_RETENTION_RATIO
     covered = follower.snapshot.covers
     if covered < 0 and follower.earliest > 0:
         return True
@@ -27,7 +27,7 @@
 
 
 class SnapshotWriter:
-    """Append snapshots when this host is the usual owner of that duty."""
+    """Append snapshots while this host is the assigned snapshot writer."""
 
     def __init__(
         self, follower: ConfigurationFollower, clock: Clock, retention_ms: float
@@ -40,8 +40,8 @@
     async def run(self) -> None:
         """Check every second until cancelled."""
         while True:
-            await self._clock.sleep(CHECK_MS)
-            if not self.owned or self._follower.read_log_age() > CHECK_MS * 30:
+            await self._clock.sleep(CHECK_INTERVAL_MS)
+            if not self.owned or self._follower.read_log_age() > CHECK_INTERVAL_MS * 30:
                 continue
             wall_ms = self._clock.read_wall()
             if not needs_snapshot(self._follower, wall_ms, self._retention_ms):
--- a/cornelnotch/configuration/tests/test_fold.py
+++ b/cornelnotch/configuration/tests/test_fold.py
@@ -1,4 +1,4 @@
-"""Fold races, conflicts, removals and malformed records."""
+"""Tests of folding: concurrent changes, conflicts, removals, malformed records."""
 
 import os
 import random
@@ -20,9 +20,11 @@
 )
 from cornelnotch.testing.samples import create_heelmark_text, create_server_section
 
-SEED = 20261204
-CASES = int(os.environ.get("CORNELNOTCH_FUZZ", "400"))
-TEXT = create_heelmark_text(create_server_section("e", "cobbler-assist", "127.0.0.1:1"))
+RANDOM_SEED = 20261204
+FUZZ_CASES = int(os.environ.get("CORNELNOTCH_FUZZ", "400"))
+INITIAL_TEXT = create_heelmark_text(
+    create_server_section("e", "cobbler-assist", "127.0.0.1:1")
+)
 
 
 def fold(state, offset, base, text):
@@ -30,10 +32,10 @@
 
 
 def create_state():
-    return fold(ConfigurationState(), 0, -1, TEXT).state
+    return fold(ConfigurationState(), 0, -1, INITIAL_TEXT).state
 
 
-def test_the_first_of_two_racing_changes_wins_and_the_other_says_why():
+def test_second_of_two_concurrent_changes_is_rejected_as_a_conflict():
     state = create_state()
     first = fold(state, 1, 0, "[workspace w]\nconcurrent = 1\n")
     second = fold(first.state, 2, 0, "[workspace w]\nconcurrent = 2\n")
@@ -43,7 +45,7 @@
     assert other.state.configuration.workspaces["w"].concurrent == 1
 
 
-def test_the_same_record_twice_is_accepted_once():
+def test_duplicate_record_is_accepted_once():
     state = create_state()
     text = "[workspace w]\nconcurrent = 1\n"
     first = fold(state, 1, 0, text)
@@ -59,7 +61,7 @@
 
 
 @pytest.mark.parametrize(
-    ("text", "named"),
+    ("text", "expected"),
     [
         ("[class x]\ntier = 9\n", "[class x] tier"),
         ("[class x]\ntier = 1\nspeed = 3\n", "[class x] speed"),
@@ -71,19 +73,19 @@
         ("", "empty"),
     ],
 )
-def test_a_bad_change_is_rejected_and_names_the_key(text, named):
-    verdict = fold(create_state(), 1, 0, text)
-    assert not verdict.accepted
-    assert named in str(verdict.error)
-    assert verdict.state.version == 0
+def test_invalid_change_is_rejected_with_the_offending_key(text, expected):
+    result = fold(create_state(), 1, 0, text)
+    assert not result.accepted
+    assert expected in str(result.error)
+    assert result.state.version == 0
 
 
-def test_streams_of_claims_cannot_change():
-    verdict = fold(create_state(), 1, 0, "[claims]\nstreams = 9\n")
-    assert "streams" in str(verdict.error)
+def test_number_of_claim_streams_cannot_change():
+    result = fold(create_state(), 1, 0, "[claims]\nstreams = 9\n")
+    assert "streams" in str(result.error)
 
 
-def test_a_late_snapshot_of_an_older_state_is_passed_over():
+def test_late_snapshot_of_an_older_state_is_ignored():
     old = create_state()
     new = fold(old, 1, 0, "[workspace w]\nconcurrent = 1\n").state
     chosen = choose_snapshot([create_snapshot(new), create_snapshot(old)], 1)
@@ -92,7 +94,7 @@
     assert choose_snapshot([create_snapshot(old)], 5) is None
 
 
-def test_selection_takes_the_first_matching_selector():
+def test_first_matching_selector_is_used():
     configuration = create_state().configuration
     quote = select_class(configuration, "w", parse_labels("kind=quote"), None).unwrap()
     assert (quote.selector, quote.tier) == ("quotes", 1)
@@ -101,15 +103,15 @@
     assert select_class(configuration, "w", {}, "nowhere").failure().status == 422
 
 
-def test_random_records_never_stop_the_fold():
-    generator = random.Random(SEED)
+def test_corrupted_records_never_abort_the_fold():
+    generator = random.Random(RANDOM_SEED)
     state = create_state()
-    alphabet = string.printable
-    for offset in range(1, CASES):
-        body = bytearray(encode_record(Change("id", 0, TEXT)))
+    characters = string.printable
+    for offset in range(1, FUZZ_CASES):
+        body = bytearray(encode_record(Change("id", 0, INITIAL_TEXT)))
         for _ in range(generator.randint(1, 20)):
-            letter = generator.choice(alphabet).encode()
-            body[generator.randrange(len(body))] = letter[0]
+            byte = generator.choice(characters).encode()
+            body[generator.randrange(len(body))] = byte[0]
         after = fold_record(state, offset, bytes(body)).state
         assert after.version >= state.version
         state = after
@@ -117,7 +119,7 @@
 
 @settings(max_examples=60, deadline=None, derandomize=True)
 @given(st.lists(st.tuples(st.integers(-1, 6), st.integers(0, 2)), max_size=8))
-def test_versions_never_go_down_and_snapshots_lose_nothing(changes):
+def test_versions_never_decrease_and_snapshots_are_lossless(changes):
     state = create_state()
     for offset, (base, number) in enumerate(changes, 1):
         text = f"[workspace w{number}]\nconcurrent = {offset}\n"
