--- a/cornelnotch/membership/__init__.py
+++ b/cornelnotch/membership/__init__.py
@@ -1,4 +1,4 @@
-"""Know which hosts and servers are live, leaving or dead."""
+"""Membership of hosts and servers, and detection of failed hosts."""
 
 from cornelnotch.membership.prober import Prober
 from cornelnotch.membership.table import (
--- a/cornelnotch/membership/prober.py
+++ b/cornelnotch/membership/prober.py
@@ -1,4 +1,4 @@
-"""Probe other hosts and spread news with the probes."""
+"""Probe other hosts and disseminate membership updates with the probes."""
 
 import random
 from collections.abc import Callable
@@ -19,20 +19,20 @@
 
 __all__ = ["Prober", "ProberTiming"]
 
-INDIRECT_HELPERS = 3
-PING_DEAD_SHARE = 0.2
+INDIRECT_PROBE_HOSTS = 3
+PING_DEAD_PROBABILITY = 0.2
 UNKNOWN_AGE_MS = 1e12
 NO_VERSION = -1
-SMALL_FLEET = 12
+SMALL_FLEET_HOSTS = 12
 LISTING_DUTY = "host-list"
-LISTING_WATCHERS = 3
-IDLE_LISTING_TURNS = 300
+LISTING_READERS = 3
+FALLBACK_LISTING_ROUNDS = 300
 ROUTER_ROLE = "router"
 
 
 @dataclass(frozen=True, slots=True)
 class ProberTiming:
-    """Set the prober's periods in ms."""
+    """Periods and timeouts of the prober in ms, and the addresses of seed hosts."""
 
     period_ms: float = 500.0
     timeout_ms: float = 200.0
@@ -43,7 +43,7 @@
 
 
 class Prober:
-    """Own the member table of one host."""
+    """Failure detector of one host, which maintains its member table."""
 
     def __init__(
         self,
@@ -63,7 +63,7 @@
         self.version = NO_VERSION
         self.log_age_ms: Callable[[], float] = lambda: UNKNOWN_AGE_MS
         self.shared_log_age_ms = UNKNOWN_AGE_MS
-        self._shared_at_ms = clock.read()
+        self._shared_log_age_set_ms = clock.read()
         self._peers = peers
         self._hosts = hosts
         self._clock = clock
@@ -72,21 +72,23 @@
         self._timing = timing
         self._generator = generator
         self._sequence = 0
-        self._answered: set[int] = set()
-        self._relayed: dict[int, tuple[str, int]] = {}
+        self._acked_sequences: set[int] = set()
+        self._relayed_pings: dict[int, tuple[str, int]] = {}
         self._listeners: list[Callable[[], None]] = []
-        self._ahead: Callable[[str, int], None] = lambda host, version: None
+        self._newer_version_listener: Callable[[str, int], None] = (
+            lambda host, version: None
+        )
         peers.subscribe(Ping, self._receive_ping)
         peers.subscribe(Ack, self._receive_ack)
-        peers.subscribe(PingRequest, self._receive_request)
+        peers.subscribe(PingRequest, self._receive_ping_request)
 
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Call `listener` after each change of hosts or servers."""
         self._listeners.append(listener)
 
     def subscribe_ahead(self, listener: Callable[[str, int], None]) -> None:
-        """Call `listener` when a host with a newer configuration answers."""
-        self._ahead = listener
+        """Call `listener` when a host with a newer configuration sends a message."""
+        self._newer_version_listener = listener
 
     async def run_probes(self) -> None:
         """Probe one host per period until cancelled."""
@@ -107,7 +109,7 @@
             await self._clock.sleep(self._timing.period_ms)
 
     def _ping_seeds(self) -> None:
-        """Introduce this host to its seeds while it knows nobody."""
+        """Ping the seed hosts while this host knows no other members."""
         if len(self.table.members) > 1:
             return
         for address in self._timing.seeds:
@@ -116,20 +118,23 @@
             self._peers.send(name, self._create_ping())
 
     def _ping_dead(self) -> None:
-        """Ping a dead host now and then; after a cut both sides think so."""
-        if self._generator.random() >= PING_DEAD_SHARE:
+        """Occasionally ping a dead host.
+
+        After a network partition, each side considers the other dead.
+        """
+        if self._generator.random() >= PING_DEAD_PROBABILITY:
             return
-        name = self.table.choose_dead(self._generator)
+        name = self.table.choose_dead_host(self._generator)
         if name is not None:
             self._send_ping(name)
 
     async def run_listing(self) -> None:
         """Read the platform's host list until cancelled."""
-        turn = 0
+        round_number = 0
         while True:
-            if turn % IDLE_LISTING_TURNS == 0 or self._reads_list():
+            if round_number % FALLBACK_LISTING_ROUNDS == 0 or self._should_read_list():
                 await self._read_list()
-            turn += 1
+            round_number += 1
             await self._clock.sleep(self._timing.listing_ms)
 
     async def _read_list(self) -> None:
@@ -138,32 +143,33 @@
         except LogUnavailableError:
             return
         for entry in listed.entries:
-            self._take_entry(entry)
+            self._process_list_entry(entry)
 
-    def _reads_list(self) -> bool:
-        """Tell whether this host watches the list for the whole fleet."""
-        if len(self.table.members) <= SMALL_FLEET:
+    def _should_read_list(self) -> bool:
+        """Return whether this host reads the list on behalf of all hosts."""
+        if len(self.table.members) <= SMALL_FLEET_HOSTS:
             return True
         live = [member.name for member in self.table.list_live()]
-        return self.table.name in rank_owners(LISTING_DUTY, live)[:LISTING_WATCHERS]
+        return self.table.name in rank_owners(LISTING_DUTY, live)[:LISTING_READERS]
 
-    def _take_entry(self, entry: HostEntry) -> None:
+    def _process_list_entry(self, entry: HostEntry) -> None:
         if entry.role != ROUTER_ROLE:
             size = len(self.table.members)
             wall_ms = self._clock.read_wall()
-            if self.servers.note_listing(entry.name, entry.state, wall_ms, size):
-                self._note_server(entry.name, entry.state)
+            if self.servers.update_from_listing(entry.name, entry.state, wall_ms, size):
+                self._report_server_change(entry.name, entry.state)
             return
         if entry.name in self.table.members or entry.state != "live":
             return
-        # The list lags, so it only introduces hosts; probes decide the rest.
+        # The list lags, so it is used only to discover hosts; probes determine
+        # their state.
         update = MemberUpdate(
             entry.name, entry.http, entry.peer, entry.place, "suspect", 0
         )
         self._merge([update])
 
     def share_state(self, state: MemberState) -> None:
-        """Announce this host's own state to every host at once."""
+        """Set this host's own state and send it to all live hosts immediately."""
         self.table.announce(state)
         for member in self.table.list_live():
             if member.name != self.table.name:
@@ -173,19 +179,21 @@
     async def _probe(self, target: str) -> None:
         sequence = self._send_ping(target)
         await self._clock.sleep(self._timing.timeout_ms)
-        if sequence in self._answered:
-            self._answered.discard(sequence)
+        if sequence in self._acked_sequences:
+            self._acked_sequences.discard(sequence)
             return
-        helpers = self.table.choose_helpers(target, INDIRECT_HELPERS, self._generator)
-        for helper in helpers:
-            self._peers.send(helper, PingRequest(sequence, self.table.name, target))
+        probers = self.table.choose_indirect_probers(
+            target, INDIRECT_PROBE_HOSTS, self._generator
+        )
+        for prober in probers:
+            self._peers.send(prober, PingRequest(sequence, self.table.name, target))
         await self._clock.sleep(self._timing.timeout_ms * 2)
-        if sequence in self._answered:
-            self._answered.discard(sequence)
+        if sequence in self._acked_sequences:
+            self._acked_sequences.discard(sequence)
             return
         member = self.table.members.get(target)
         if member is not None and member.state is not MemberState.DEAD:
-            self.table.suspect(target, self._clock.read())
+            self.table.mark_suspect(target, self._clock.read())
             self._events.record(Event.MEMBER_CHANGED, host=target, state="suspect")
             self._notify()
 
@@ -200,65 +208,65 @@
             self._sequence,
             self.table.name,
             self.version,
-            self._read_shared_age(),
-            self._take_members(target),
+            self._compute_shared_log_age(),
+            self._select_member_updates(target),
             self.servers.take_updates(),
         )
 
-    def _take_members(self, receiver: str) -> list[MemberUpdate]:
-        """Return this host's state, what the receiver may refute, and news."""
+    def _select_member_updates(self, receiver: str) -> list[MemberUpdate]:
+        """Return this host's state, a suspicion of the receiver, and recent updates."""
         own = self.table.own.create_update()
-        doubt = self.table.find_suspicion(receiver)
-        told = {own.host, receiver} if doubt else {own.host}
-        others = [u for u in self.table.take_updates() if u.host not in told]
-        return [own, doubt, *others] if doubt else [own, *others]
+        refutable = self.table.find_refutable_update(receiver)
+        excluded = {own.host, receiver} if refutable else {own.host}
+        others = [u for u in self.table.take_updates() if u.host not in excluded]
+        return [own, refutable, *others] if refutable else [own, *others]
 
-    def _read_shared_age(self) -> float:
-        passed = self._clock.read() - self._shared_at_ms
-        return min(self.log_age_ms(), self.shared_log_age_ms + passed, UNKNOWN_AGE_MS)
+    def _compute_shared_log_age(self) -> float:
+        elapsed = self._clock.read() - self._shared_log_age_set_ms
+        return min(self.log_age_ms(), self.shared_log_age_ms + elapsed, UNKNOWN_AGE_MS)
 
     def read_log_age(self) -> float:
-        """Return ms since this host or one it heard of last read the log."""
-        return self._read_shared_age()
+        """Return the time since any known host last read the log, in ms."""
+        return self._compute_shared_log_age()
 
-    def _note_log_age(self, age_ms: float) -> None:
-        if age_ms < self._read_shared_age():
+    def _update_shared_log_age(self, age_ms: float) -> None:
+        if age_ms < self._compute_shared_log_age():
             self.shared_log_age_ms = age_ms
-            self._shared_at_ms = self._clock.read()
+            self._shared_log_age_set_ms = self._clock.read()
 
     def _receive_ping(self, sender: str, ping: Ping) -> None:
-        self._take_updates(ping.host, ping.version, ping.members, ping.servers)
-        self._note_log_age(ping.log_age_ms)
+        self._apply_updates(ping.host, ping.version, ping.members, ping.servers)
+        self._update_shared_log_age(ping.log_age_ms)
         ack = Ack(
             ping.sequence,
             self.table.name,
             self.version,
-            self._read_shared_age(),
-            self._take_members(ping.host),
+            self._compute_shared_log_age(),
+            self._select_member_updates(ping.host),
             self.servers.take_updates(),
         )
         self._peers.send(ping.host, ack)
 
     def _receive_ack(self, sender: str, ack: Ack) -> None:
-        self._take_updates(ack.host, ack.version, ack.members, ack.servers)
-        self._note_log_age(ack.log_age_ms)
-        relayed = self._relayed.pop(ack.sequence, None)
+        self._apply_updates(ack.host, ack.version, ack.members, ack.servers)
+        self._update_shared_log_age(ack.log_age_ms)
+        relayed = self._relayed_pings.pop(ack.sequence, None)
         if relayed is not None:
             origin, sequence = relayed
             answer = Ack(sequence, ack.host, ack.version, ack.log_age_ms, [], [])
             self._peers.send(origin, answer)
             return
-        self._answered.add(ack.sequence)
-        if len(self._answered) > 1024:
-            self._answered.clear()
+        self._acked_sequences.add(ack.sequence)
+        if len(self._acked_sequences) > 1024:
+            self._acked_sequences.clear()
 
-    def _receive_request(self, sender: str, request: PingRequest) -> None:
+    def _receive_ping_request(self, sender: str, request: PingRequest) -> None:
         sequence = self._send_ping(request.target)
-        self._relayed[sequence] = (request.host, request.sequence)
-        if len(self._relayed) > 256:
-            self._relayed.pop(next(iter(self._relayed)))
+        self._relayed_pings[sequence] = (request.host, request.sequence)
+        if len(self._relayed_pings) > 256:
+            self._relayed_pings.pop(next(iter(self._relayed_pings)))
 
-    def _take_updates(
+    def _apply_updates(
         self,
         host: str,
         version: int,
@@ -267,14 +275,14 @@
     ) -> None:
         self.peer_heard_ms = self._clock.read()
         self._merge(members)
-        self.table.confirm(host, version, self._clock.read())
+        self.table.mark_reachable(host, version, self._clock.read())
         for update in servers:
             if self.servers.merge(update, len(self.table.members)):
-                self._note_server(update.server, update.state)
+                self._report_server_change(update.server, update.state)
         if version > self.version:
-            self._ahead(host, version)
+            self._newer_version_listener(host, version)
 
-    def _note_server(self, server: str, state: str) -> None:
+    def _report_server_change(self, server: str, state: str) -> None:
         if state != "live":
             self._events.record(Event.SERVER_LEAVING, server=server)
         self._notify()
--- a/cornelnotch/membership/table.py
+++ b/cornelnotch/membership/table.py
@@ -1,8 +1,8 @@
-"""Keep the state of hosts and servers; pure, without sockets or clocks.
+"""State tables of hosts and servers, without I/O or clocks.
 
-The rules are those of SWIM: an update with a higher incarnation wins, at the
-same incarnation the worse state wins, and a host that hears it is suspected
-raises its own incarnation.
+The rules are those of SWIM: the update with the higher incarnation takes precedence,
+at equal incarnations the worse state does, and a host that learns that it is suspected
+increments its own incarnation.
 """
 
 import random
@@ -14,12 +14,12 @@
 
 __all__ = ["Member", "MemberState", "MemberTable", "ServerTable"]
 
-UPDATES_PER_MESSAGE = 6
+MAX_UPDATES_PER_MESSAGE = 6
 RETRANSMIT_FACTOR = 4
 
 
 class MemberState(StrEnum):
-    """Name what a host is believed to be."""
+    """State of a host as seen by the local host."""
 
     JOINING = "joining"
     ALIVE = "alive"
@@ -28,7 +28,7 @@
     DEAD = "dead"
 
 
-_rank = {
+_precedence = {
     MemberState.JOINING: 0,
     MemberState.ALIVE: 0,
     MemberState.LEAVING: 1,
@@ -39,7 +39,7 @@
 
 @dataclass(slots=True)
 class Member:
-    """Hold what is known of one host; `since_ms` is local monotonic time."""
+    """Local view of one host; `since_ms` is in local monotonic time."""
 
     name: str
     http: str
@@ -49,11 +49,11 @@
     incarnation: int
     since_ms: float
     version: int = -1
-    sends_left: int = 0
-    before_suspicion: MemberState = MemberState.ALIVE
+    retransmissions_left: int = 0
+    state_before_suspicion: MemberState = MemberState.ALIVE
 
     def create_update(self) -> MemberUpdate:
-        """Return the update that tells others."""
+        """Return the update that announces this state to other hosts."""
         return MemberUpdate(
             self.name,
             self.http,
@@ -65,12 +65,12 @@
 
 
 class MemberTable:
-    """Merge updates about hosts and choose what to pass on."""
+    """Merge updates about hosts and select the updates to disseminate."""
 
     def __init__(self, self_update: MemberUpdate, now: float) -> None:
         self.name = self_update.host
         self.members: dict[str, Member] = {}
-        self._order: list[str] = []
+        self._probe_order: list[str] = []
         self.merge(self_update, now)
 
     @property
@@ -79,11 +79,11 @@
         return self.members[self.name]
 
     def merge(self, update: MemberUpdate, now: float) -> bool:
-        """Take in an update; tell whether it changed anything."""
+        """Apply an update and return whether it changed the table."""
         state = MemberState(update.state)
         known = self.members.get(update.host)
         if update.host == self.name and known is not None:
-            return self._defend(known, state, update.incarnation)
+            return self._refute(known, state, update.incarnation)
         if known is not None and not self._supersedes(known, state, update):
             return False
         member = Member(
@@ -95,7 +95,7 @@
             update.incarnation,
             now,
             known.version if known else -1,
-            self._count_sends(),
+            self._compute_retransmissions(),
         )
         self.members[update.host] = member
         return True
@@ -105,142 +105,150 @@
     ) -> bool:
         if update.incarnation != known.incarnation:
             return update.incarnation > known.incarnation
-        return _rank[state] > _rank[known.state]
+        return _precedence[state] > _precedence[known.state]
 
-    def _defend(self, own: Member, state: MemberState, incarnation: int) -> bool:
-        """Refute what others believe of this host when it is worse than true."""
+    def _refute(self, own: Member, state: MemberState, incarnation: int) -> bool:
+        """Refute an update about this host that differs from its own state."""
         if incarnation < own.incarnation:
             return False
         if state == own.state and incarnation == own.incarnation:
             return False
         own.incarnation = incarnation + 1
-        own.sends_left = self._count_sends()
+        own.retransmissions_left = self._compute_retransmissions()
         return True
 
     def announce(self, state: MemberState) -> None:
-        """Change this host's own state and tell others."""
+        """Set this host's own state and schedule its dissemination."""
         self.own.state = state
         self.own.incarnation += 1
-        self.own.sends_left = self._count_sends()
+        self.own.retransmissions_left = self._compute_retransmissions()
 
-    def suspect(self, name: str, now: float) -> None:
-        """Doubt a host that did not answer."""
+    def mark_suspect(self, name: str, now: float) -> None:
+        """Mark a host that did not respond as suspected."""
         member = self.members.get(name)
         if member is None or member.state in {MemberState.SUSPECT, MemberState.DEAD}:
             return
-        member.before_suspicion = member.state
+        member.state_before_suspicion = member.state
         member.state = MemberState.SUSPECT
         member.since_ms = now
-        member.sends_left = self._count_sends()
+        member.retransmissions_left = self._compute_retransmissions()
 
-    def confirm(self, name: str, version: int, now: float) -> None:
-        """Note direct evidence that a host answers."""
+    def mark_reachable(self, name: str, version: int, now: float) -> None:
+        """Record that a message was received directly from a host."""
         member = self.members.get(name)
         if member is None:
             return
         member.version = max(version, member.version)
         if member.state is MemberState.SUSPECT:
-            # Only local: others hear it from the host itself, which refutes.
-            member.state = member.before_suspicion
+            # Not disseminated: the host itself refutes the suspicion at other hosts.
+            member.state = member.state_before_suspicion
             member.since_ms = now
 
     def expire(self, now: float, suspicion_ms: float, forget_ms: float) -> list[str]:
-        """Declare long-suspected hosts dead; return their names."""
+        """Declare hosts dead once their suspicion times out and return their names.
+
+        Dead hosts are removed after `forget_ms`.
+        """
         dead = []
         for member in list(self.members.values()):
             age = now - member.since_ms
             if member.state is MemberState.SUSPECT and age >= suspicion_ms:
                 member.state = MemberState.DEAD
                 member.since_ms = now
-                member.sends_left = self._count_sends()
+                member.retransmissions_left = self._compute_retransmissions()
                 dead.append(member.name)
             elif member.state is MemberState.DEAD and age >= forget_ms:
                 del self.members[member.name]
         return dead
 
     def list_live(self) -> list[Member]:
-        """Return hosts that take duties: alive or suspected."""
-        usable = {MemberState.ALIVE, MemberState.SUSPECT}
-        return [m for m in self.members.values() if m.state in usable]
+        """Return the hosts that are assigned duties: alive or suspected."""
+        live_states = {MemberState.ALIVE, MemberState.SUSPECT}
+        return [m for m in self.members.values() if m.state in live_states]
 
     def list_entries(self) -> list[Member]:
-        """Return hosts that callers may be sent to."""
+        """Return the hosts to which callers may be directed."""
         return [m for m in self.members.values() if m.state is MemberState.ALIVE]
 
     def choose_probe(self, generator: random.Random) -> str | None:
-        """Return the next host to probe; each is probed once per round."""
+        """Return the next host to probe, or None if there are no other hosts.
+
+        Each round covers all hosts in random order.
+        """
         while True:
-            if not self._order:
-                self._order = [
+            if not self._probe_order:
+                self._probe_order = [
                     m.name
                     for m in self.members.values()
                     if m.name != self.name and m.state is not MemberState.DEAD
                 ]
-                generator.shuffle(self._order)
-                if not self._order:
+                generator.shuffle(self._probe_order)
+                if not self._probe_order:
                     return None
-            name = self._order.pop()
+            name = self._probe_order.pop()
             member = self.members.get(name)
             if member is not None and member.state is not MemberState.DEAD:
                 return name
 
-    def choose_dead(self, generator: random.Random) -> str | None:
-        """Return a host believed dead that may be worth a greeting."""
+    def choose_dead_host(self, generator: random.Random) -> str | None:
+        """Return a random host that is believed dead, or None if there is none."""
         dead = [m.name for m in self.members.values() if m.state is MemberState.DEAD]
         return generator.choice(dead) if dead else None
 
-    def find_suspicion(self, name: str) -> MemberUpdate | None:
-        """Return what a host must hear to refute that it is suspected or dead."""
+    def find_refutable_update(self, name: str) -> MemberUpdate | None:
+        """Return the update that lets a host refute that it is suspected or dead."""
         member = self.members.get(name)
         if member is None:
             return None
-        doubted = member.state in {MemberState.SUSPECT, MemberState.DEAD}
-        return member.create_update() if doubted else None
+        refutable = member.state in {MemberState.SUSPECT, MemberState.DEAD}
+        return member.create_update() if refutable else None
 
-    def choose_helpers(
+    def choose_indirect_probers(
         self, target: str, count: int, generator: random.Random
     ) -> list[str]:
-        """Return hosts that may probe `target` on this host's behalf."""
+        """Return up to `count` random hosts to probe `target` indirectly."""
         names = [
             m.name for m in self.list_entries() if m.name not in {self.name, target}
         ]
         return generator.sample(names, min(count, len(names)))
 
     def take_updates(self) -> list[MemberUpdate]:
-        """Return the freshest updates and count them as sent."""
-        fresh = [m for m in self.members.values() if m.sends_left > 0]
-        fresh.sort(key=lambda m: -m.sends_left)
-        chosen = fresh[:UPDATES_PER_MESSAGE]
+        """Return the least transmitted updates and count them as sent."""
+        pending = [m for m in self.members.values() if m.retransmissions_left > 0]
+        pending.sort(key=lambda m: -m.retransmissions_left)
+        chosen = pending[:MAX_UPDATES_PER_MESSAGE]
         for member in chosen:
-            member.sends_left -= 1
+            member.retransmissions_left -= 1
         return [m.create_update() for m in chosen]
 
-    def _count_sends(self) -> int:
+    def _compute_retransmissions(self) -> int:
         size = max(len(self.members), 1)
         return RETRANSMIT_FACTOR * size.bit_length()
 
 
 class ServerTable:
-    """Keep which servers the platform lists as leaving."""
+    """Table of the servers that the platform lists as leaving."""
 
     def __init__(self) -> None:
         self._updates: dict[str, ServerUpdate] = {}
-        self._sends: dict[str, int] = {}
+        self._retransmissions_left: dict[str, int] = {}
 
     def merge(self, update: ServerUpdate, fleet_size: int) -> bool:
-        """Take in an update; the higher sequence wins."""
+        """Apply an update with a higher sequence; return whether the state changed."""
         known = self._updates.get(update.server)
         if known is not None and update.sequence <= known.sequence:
             return False
         changed = known is None or known.state != update.state
         self._updates[update.server] = update
-        self._sends[update.server] = RETRANSMIT_FACTOR * fleet_size.bit_length()
+        self._retransmissions_left[update.server] = (
+            RETRANSMIT_FACTOR * fleet_size.bit_length()
+        )
         return changed
 
-    def note_listing(
+    def update_from_listing(
         self, server: str, state: str, wall_ms: float, fleet_size: int
     ) -> bool:
-        """Take in what the host list says; tell whether it is news."""
+        """Apply a state read from the host list; return whether it changed."""
         known = self._updates.get(server)
         if known is None and state == "live":
             return False
@@ -249,13 +257,15 @@
         return self.merge(ServerUpdate(server, state, int(wall_ms)), fleet_size)
 
     def list_leaving(self) -> frozenset[str]:
-        """Return the servers that must get no new work."""
+        """Return the servers that must not receive new requests."""
         return frozenset(u.server for u in self._updates.values() if u.state != "live")
 
     def take_updates(self) -> list[ServerUpdate]:
-        """Return updates not yet passed on often enough."""
-        names: Iterable[str] = [n for n, left in self._sends.items() if left > 0]
-        chosen = list(names)[:UPDATES_PER_MESSAGE]
+        """Return updates with retransmissions left and count them as sent."""
+        names: Iterable[str] = [
+            n for n, left in self._retransmissions_left.items() if left > 0
+        ]
+        chosen = list(names)[:MAX_UPDATES_PER_MESSAGE]
         for name in chosen:
-            self._sends[name] -= 1
+            self._retransmissions_left[name] -= 1
         return [self._updates[name] for name in chosen]
--- a/cornelnotch/membership/tests/test_table.py
+++ b/cornelnotch/membership/tests/test_table.py
@@ -1,4 +1,4 @@
-"""Merge updates about hosts and servers in any order."""
+"""Tests of merging, expiring and disseminating updates."""
 
 import random
 
@@ -25,7 +25,7 @@
     st.lists(st.tuples(st.sampled_from(STATES[1:]), st.integers(1, 3)), max_size=6),
     st.randoms(use_true_random=False),
 )
-def test_updates_converge_whatever_their_order(updates, generator):
+def test_updates_converge_in_any_order(updates, generator):
     shuffled = list(updates)
     generator.shuffle(shuffled)
     tables = [create_table(), create_table()]
@@ -36,24 +36,24 @@
     assert (first.state, first.incarnation) == (second.state, second.incarnation)
 
 
-def test_a_suspected_host_refutes_with_a_higher_incarnation():
+def test_suspected_host_increments_its_incarnation():
     table = create_table()
     assert table.merge(create_update("a", "suspect", 1), 0.0)
     assert table.own.incarnation == 2
     assert table.own.state is MemberState.ALIVE
 
 
-def test_a_leaving_host_that_answers_stays_leaving():
+def test_reachable_host_returns_to_leaving_after_suspicion():
     table = create_table()
     table.merge(create_update("b", "leaving", 2), 0.0)
-    table.suspect("b", 0.0)
-    table.confirm("b", 0, 1.0)
+    table.mark_suspect("b", 0.0)
+    table.mark_reachable("b", 0, 1.0)
     assert table.members["b"].state is MemberState.LEAVING
 
 
-def test_a_silent_host_is_suspected_declared_dead_and_forgotten():
+def test_unresponsive_host_is_suspected_declared_dead_and_removed():
     table = create_table()
-    table.suspect("b", 0.0)
+    table.mark_suspect("b", 0.0)
     assert [m.name for m in table.list_live()] == ["a", "b"]
     assert table.expire(2000.0, 1500.0, 60_000.0) == ["b"]
     assert [m.name for m in table.list_live()] == ["a"]
@@ -61,7 +61,7 @@
     assert "b" not in table.members
 
 
-def test_every_host_is_probed_once_a_round():
+def test_each_host_is_probed_once_per_round():
     table = create_table()
     for name in "cde":
         table.merge(create_update(name), 0.0)
@@ -70,7 +70,7 @@
     assert sorted(probed) == ["b", "c", "d", "e"]
 
 
-def test_news_is_passed_on_a_bounded_number_of_times():
+def test_updates_are_retransmitted_a_bounded_number_of_times():
     table = create_table()
     rounds = 0
     while table.take_updates():
@@ -78,9 +78,9 @@
         assert rounds < 50
 
 
-def test_a_server_stays_leaving_until_newer_news():
+def test_server_stays_leaving_until_a_newer_update():
     servers = ServerTable()
-    assert servers.note_listing("s", "leaving", 10.0, 3)
+    assert servers.update_from_listing("s", "leaving", 10.0, 3)
     assert not servers.merge(ServerUpdate("s", "live", 5), 3)
     assert servers.list_leaving() == {"s"}
     assert servers.merge(ServerUpdate("s", "live", 11), 3)
