--- a/cornelnotch/web/__init__.py
+++ b/cornelnotch/web/__init__.py
@@ -1,4 +1,4 @@
-"""Speak HTTP/1.1 with callers, servers and the platform."""
+"""HTTP/1.1 client and server."""
 
 from cornelnotch.web.client import HttpAnswer, HttpClient, parse_address
 from cornelnotch.web.exchange import Exchange
--- a/cornelnotch/web/client.py
+++ b/cornelnotch/web/client.py
@@ -1,4 +1,4 @@
-"""Send HTTP/1.1 requests with h11 on asyncio streams."""
+"""HTTP/1.1 client based on h11 and asyncio streams."""
 
 import asyncio
 from collections.abc import AsyncIterator
@@ -18,24 +18,27 @@
 __all__ = ["HttpAnswer", "HttpClient", "parse_address"]
 
 READ_BYTES = 65536
-MAX_IDLE_PER_ADDRESS = 64
+MAX_IDLE_CONNECTIONS_PER_ADDRESS = 64
 CONNECT_TIMEOUT_S = 0.6  # ten round trips between regions
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
-# The head of an answer comes in one piece; one that has begun ends within this time.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# Servers send a response head in one piece, so one that has begun must be complete
+# within this time.
 HEAD_TIMEOUT_S = 2.0
-MAX_INFORMATIONAL = 8
+MAX_INFORMATIONAL_RESPONSES = 8
 
 
 def parse_address(text: str) -> tuple[str, int]:
-    """Return IP number and port of `text`; raise SettingsError if malformed."""
+    """Return the IP address and port in `text`; raise SettingsError if malformed."""
     name, separator, port = text.rpartition(":")
     if not separator or not port.isdigit() or not 0 <= int(port) <= 65535:
-        raise SettingsError(f"{text!r} is no address", "write it as 127.0.0.1:8080")
+        raise SettingsError(
+            f"{text!r} is not a valid address", "write it as 127.0.0.1:8080"
+        )
     return name.strip("[]"), int(port)
 
 
 class ClientConnection:
-    """Own one socket to a server."""
+    """One connection to a server, used for one request at a time."""
 
     def __init__(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -43,14 +46,14 @@
         self._reader = reader
         self._writer = writer
         self._protocol = h11.Connection(h11.CLIENT)
-        self._ended = False
-        self._spoiled = False
-        self._idle: asyncio.Task[None] | None = None
+        self._response_ended = False
+        self._invalidated = False
+        self._idle_task: asyncio.Task[None] | None = None
         self._head: h11.Request | None = None
         self.reused = False
 
     async def send(self, head: h11.Request, body: bytes) -> None:
-        """Write a whole request."""
+        """Send a complete request."""
         self._head = head
         data = self._protocol.send(head) or b""
         if body:
@@ -60,9 +63,10 @@
         await self._writer.drain()
 
     async def read_head(self) -> object:
-        """Return the event that begins the answer; raise OSError when it takes long.
+        """Return the h11 event of the response head.
 
-        The wait for its first byte has no limit, that for its last has one.
+        Raise OSError if the head is not complete within HEAD_TIMEOUT_S of its first
+        byte. The wait for the first byte is not limited.
         """
         informational = 0
         async with asyncio.timeout(None) as limit:
@@ -77,18 +81,20 @@
                     return event
                 else:
                     informational += 1
-                    if informational > MAX_INFORMATIONAL:
-                        raise h11.RemoteProtocolError("no answer but promises of one")
+                    if informational > MAX_INFORMATIONAL_RESPONSES:
+                        raise h11.RemoteProtocolError(
+                            "too many informational responses"
+                        )
 
     async def _receive(self) -> None:
         self._protocol.receive_data(await self._reader.read(READ_BYTES))
 
     async def read_data(self) -> bytes:
-        """Return all body bytes at hand, or nothing at the end of the answer.
+        """Return all available body bytes, or b"" at the end of the response.
 
-        Parts that arrived together are joined, so that a busy host passes them on
-        in one write. A call that is cancelled loses nothing. Raise ProtocolError when
-        the answer breaks off.
+        Parts that arrived together are joined, so that a busy host forwards them in
+        one write. Cancelling a call loses no data. Raise ProtocolError if the response
+        ends prematurely.
         """
         parts: list[bytes] = []
         while True:
@@ -100,56 +106,56 @@
                     return b"".join(parts)
                 await self._receive()
             elif isinstance(event, h11.EndOfMessage):
-                self._ended = True
+                self._response_ended = True
                 return b"".join(parts)
             else:
-                raise h11.RemoteProtocolError("closed within the body")
+                raise h11.RemoteProtocolError("connection closed within the body")
 
     def has_ended(self) -> bool:
-        """Tell whether the whole answer has been read."""
-        return self._ended
+        """Return whether the whole response has been read."""
+        return self._response_ended
 
     def is_reusable(self) -> bool:
-        """Tell whether the answer ended cleanly and the server keeps open."""
+        """Return whether the response ended cleanly and the connection stays open."""
         done = self._protocol.our_state is h11.DONE
         clean = not self._protocol.trailing_data[0]
         return done and clean and self._protocol.their_state is h11.DONE
 
-    def idle(self) -> None:
-        """Wait for the next request; whatever arrives meanwhile spoils this."""
+    def start_idle(self) -> None:
+        """Make the connection idle; any data received while idle invalidates it."""
         self.reused = True
         self._protocol.start_next_cycle()
-        self._ended = False
-        self._idle = asyncio.create_task(self._watch_idle())
+        self._response_ended = False
+        self._idle_task = asyncio.create_task(self._invalidate_on_data())
 
-    async def _watch_idle(self) -> None:
-        # An answer that comes late belongs to nobody any more.
+    async def _invalidate_on_data(self) -> None:
+        # Data received while idle, such as a late response, belongs to no request.
         with suppress(OSError):
             await self._reader.read(READ_BYTES)
-        self._spoiled = True
+        self._invalidated = True
         self.abort()
 
-    async def wake(self) -> bool:
-        """End the wait; tell whether the connection may carry a request."""
-        if self._idle is not None:
+    async def resume_from_idle(self) -> bool:
+        """End the idle state and return whether the connection is usable."""
+        if self._idle_task is not None:
             try:
-                await end_task(self._idle)
+                await end_task(self._idle_task)
             except asyncio.CancelledError:
                 self.abort()
                 raise
-            self._idle = None
-        return not self._spoiled and not self._writer.is_closing()
+            self._idle_task = None
+        return not self._invalidated and not self._writer.is_closing()
 
     def abort(self) -> None:
-        """Drop the connection at once."""
-        if self._idle is not None and not self._spoiled:
-            self._idle.cancel()
+        """Abort the connection immediately."""
+        if self._idle_task is not None and not self._invalidated:
+            self._idle_task.cancel()
         self._writer.transport.abort()
 
 
 @dataclass(slots=True)
 class HttpAnswer:
-    """Hold the head of an answer and read its body."""
+    """The head of a response, with methods to read its body."""
 
     status: int
     pairs: list[tuple[bytes, bytes]]
@@ -160,14 +166,14 @@
 
     @property
     def headers(self) -> dict[str, str]:
-        """Return the headers by lower-case name."""
+        """Return the headers as a mapping from lower-case name to value."""
         return {k.decode(): v.decode("latin-1") for k, v in self.pairs}
 
     async def read_part(self) -> bytes:
-        """Return the next part of the body, nothing at its end.
+        """Return the next part of the body, or b"" at its end.
 
-        A call that is cancelled loses nothing. Raise UpstreamError when the body breaks
-        off.
+        Cancelling a call loses no data. Raise UpstreamError if the body ends
+        prematurely.
         """
         while not self.connection.has_ended():
             try:
@@ -175,8 +181,8 @@
             except (OSError, h11.ProtocolError) as error:
                 self.close()
                 raise UpstreamError(
-                    f"the answer of {self.address} broke off: {error!r}",
-                    "send it again if the work may repeat",
+                    f"response of {self.address} ended prematurely: {error!r}",
+                    "retry if the work may be repeated",
                 ) from error
             if data:
                 return data
@@ -186,12 +192,12 @@
         return b""
 
     async def iterate(self) -> AsyncIterator[bytes]:
-        """Yield the body in parts; raise UpstreamError when it breaks off."""
+        """Yield the parts of the body; raise UpstreamError if it ends prematurely."""
         while data := await self.read_part():
             yield data
 
-    async def read(self, limit_bytes: int = MAX_ANSWER_BYTES) -> bytes:
-        """Return the whole body."""
+    async def read(self, limit_bytes: int = MAX_RESPONSE_BYTES) -> bytes:
+        """Return the whole body; raise UpstreamError if it exceeds `limit_bytes`."""
         parts = []
         size = 0
         async for part in self.iterate():
@@ -199,14 +205,14 @@
             if size > limit_bytes:
                 self.close()
                 raise UpstreamError(
-                    f"the answer of {self.address} is above {limit_bytes} bytes",
-                    "ask for a smaller answer",
+                    f"response of {self.address} exceeds {limit_bytes} bytes",
+                    "request a smaller response",
                 )
             parts.append(part)
         return b"".join(parts)
 
     async def read_json(self) -> object:
-        """Return the whole body as JSON; raise UpstreamError if malformed."""
+        """Return the body decoded as JSON; raise UpstreamError if malformed."""
         body = await self.read()
         try:
             return orjson.loads(body)
@@ -216,16 +222,16 @@
             ) from error
 
     def close(self) -> None:
-        """Give up the rest of the answer; the server sees the cut."""
+        """Discard the rest of the response by aborting the connection."""
         if not self.complete:
             self.connection.abort()
 
 
 class HttpClient:
-    """Keep idle connections per address and send requests on them."""
+    """HTTP client with a pool of idle connections per address."""
 
     def __init__(self) -> None:
-        self._idle: dict[str, list[ClientConnection]] = {}
+        self._idle_connections: dict[str, list[ClientConnection]] = {}
 
     async def request(
         self,
@@ -236,10 +242,10 @@
         body: bytes = b"",
         fresh: bool = False,
     ) -> HttpAnswer:
-        """Send a request and return the head of its answer.
+        """Send a request and return the head of its response.
 
-        `fresh` forbids an idle connection, so that UpstreamUnreachableError
-        proves that no byte was sent; any later failure is an UpstreamError.
+        If `fresh` is set, no idle connection is used, so that UpstreamUnreachableError
+        proves that no byte was sent; any later failure raises UpstreamError.
         """
         head = self._create_head(address, method, target, headers or {}, body)
         return await self.send(address, head, body, fresh)
@@ -247,19 +253,19 @@
     async def send(
         self, address: str, head: h11.Request, body: bytes, fresh: bool = False
     ) -> HttpAnswer:
-        """Send a request whose head is made and return the head of its answer."""
-        connection = await self._take(address, fresh)
+        """Send a request with a prepared head and return the head of its response."""
+        connection = await self._acquire(address, fresh)
         try:
             await connection.send(head, body)
             event = await connection.read_head()
         except (OSError, h11.ProtocolError) as error:
             connection.abort()
             if connection.reused:
-                # Others that were opened before may be as dead.
+                # Other idle connections to the server may be dead too.
                 self.drop_idle(address)
             raise UpstreamError(
-                f"{address} did not answer: {error!r}",
-                "send it again if the work may repeat",
+                f"{address} did not respond: {error!r}",
+                "retry if the work may be repeated",
             ) from error
         except asyncio.CancelledError:
             connection.abort()
@@ -267,8 +273,8 @@
         if not isinstance(event, h11.Response):
             connection.abort()
             raise UpstreamError(
-                f"{address} closed without an answer",
-                "send it again if the work may repeat",
+                f"{address} closed the connection without a response",
+                "retry if the work may be repeated",
             )
         return HttpAnswer(
             event.status_code, list(event.headers), address, connection, self
@@ -282,7 +288,7 @@
         content: object = None,
         timeout_ms: float = 5000.0,
     ) -> tuple[int, object]:
-        """Send JSON and return status and decoded answer within `timeout_ms`."""
+        """Send JSON and return the status and the decoded JSON response."""
         body = b"" if content is None else orjson.dumps(content)
         try:
             async with asyncio.timeout(timeout_ms / 1000.0):
@@ -290,34 +296,37 @@
                 return answer.status, await answer.read_json()
         except TimeoutError as error:
             raise UpstreamError(
-                f"{address} did not answer within {timeout_ms:.0f} ms",
+                f"{address} did not respond within {timeout_ms:.0f} ms",
                 "try again later",
             ) from error
 
     def release(self, address: str, connection: ClientConnection) -> None:
-        """Keep a clean connection for the next request to `address`."""
-        idle = self._idle.setdefault(address, [])
-        if not connection.is_reusable() or len(idle) >= MAX_IDLE_PER_ADDRESS:
+        """Return a connection to the pool, or abort it if it cannot be reused."""
+        idle = self._idle_connections.setdefault(address, [])
+        if (
+            not connection.is_reusable()
+            or len(idle) >= MAX_IDLE_CONNECTIONS_PER_ADDRESS
+        ):
             connection.abort()
             return
-        connection.idle()
+        connection.start_idle()
         idle.append(connection)
 
     def drop_idle(self, address: str) -> None:
-        """Drop the idle connections to `address`, as its server may have gone."""
-        for connection in self._idle.pop(address, []):
+        """Abort all idle connections to `address`, whose server may have restarted."""
+        for connection in self._idle_connections.pop(address, []):
             connection.abort()
 
     def close(self) -> None:
-        """Drop all idle connections."""
-        for address in list(self._idle):
+        """Abort all idle connections."""
+        for address in list(self._idle_connections):
             self.drop_idle(address)
 
-    async def _take(self, address: str, fresh: bool) -> ClientConnection:
-        idle = self._idle.get(address, [])
+    async def _acquire(self, address: str, fresh: bool) -> ClientConnection:
+        idle = self._idle_connections.get(address, [])
         while idle and not fresh:
             connection = idle.pop()
-            if await connection.wake():
+            if await connection.resume_from_idle():
                 return connection
             connection.abort()
         try:
@@ -328,7 +337,8 @@
         except (OSError, TimeoutError) as error:
             self.drop_idle(address)
             raise UpstreamUnreachableError(
-                f"{address} cannot be reached: {error!r}", "check that it runs"
+                f"{address} is unreachable: {error!r}",
+                "check that the server is running",
             ) from error
         return ClientConnection(reader, writer)
 
--- a/cornelnotch/web/exchange.py
+++ b/cornelnotch/web/exchange.py
@@ -1,4 +1,4 @@
-"""Carry one request of a caller and its answer."""
+"""One request of a caller and its response."""
 
 import asyncio
 from typing import TYPE_CHECKING, Any
@@ -19,18 +19,18 @@
 __all__ = ["Exchange"]
 
 BODY_TIMEOUT_S = 20.0
-LENGTH_HEADER = "content-length"
+CONTENT_LENGTH = "content-length"
 
 Headers = dict[str, str] | list[tuple[Any, Any]]
 
 
-def _is_length(name: str | bytes) -> bool:
+def _is_content_length(name: str | bytes) -> bool:
     text = name.decode("latin-1") if isinstance(name, bytes) else name
-    return text.lower() == LENGTH_HEADER
+    return text.lower() == CONTENT_LENGTH
 
 
 class Exchange:
-    """Carry one request of a caller and its answer."""
+    """One request of a caller and its response."""
 
     def __init__(self, connection: "ServerConnection", request: h11.Request) -> None:
         self._connection = connection
@@ -45,21 +45,21 @@
         self.pairs = list(request.headers)
         self.started = False
         self.finished = False
-        self._early = connection.take_early_event()
-        self._body_ended = isinstance(self._early, h11.EndOfMessage)
+        self._buffered_event = connection.take_buffered_event()
+        self._body_ended = isinstance(self._buffered_event, h11.EndOfMessage)
 
     @property
     def gone(self) -> asyncio.Event:
-        """Return the event set once the caller has closed."""
+        """Return the event that is set once the caller has closed the connection."""
         return self._connection.gone
 
     async def read_body(self, limit_bytes: int) -> bytes:
-        """Return the whole body; raise BodyTooLargeError above the limit."""
+        """Return the body; raise BodyTooLargeError if it exceeds `limit_bytes`."""
         parts: list[bytes] = []
         size = 0
         while not self._body_ended:
-            event = self._early or await self._read_timely()
-            self._early = None
+            event = self._buffered_event or await self._read_event_with_timeout()
+            self._buffered_event = None
             if isinstance(event, h11.Data):
                 size += len(event.data)
                 if size > limit_bytes:
@@ -68,49 +68,51 @@
             elif isinstance(event, h11.EndOfMessage):
                 self._body_ended = True
             else:
-                raise CallerGoneError("the caller closed early", "send it again")
-        self._connection.watch()
+                raise CallerGoneError(
+                    "caller closed the connection within the body", "retry"
+                )
+        self._connection.watch_for_close()
         return b"".join(parts)
 
-    async def _read_timely(self) -> object:
+    async def _read_event_with_timeout(self) -> object:
         try:
             async with asyncio.timeout(BODY_TIMEOUT_S):
                 return await self._connection.read_event()
         except TimeoutError as error:
             raise RequestError(
-                "the body stopped arriving", "send it again", 408, "body-timeout"
+                "timed out while reading the body", "retry", 408, "body-timeout"
             ) from error
 
-    def _list_headers(self, headers: Headers) -> list[tuple[Any, Any]]:
+    def _build_headers(self, headers: Headers) -> list[tuple[Any, Any]]:
         pairs: list[tuple[Any, Any]]
         pairs = list(headers.items()) if isinstance(headers, dict) else list(headers)
-        if not self._body_ended or self._connection.is_leaving():
-            # What is left of a body cannot be told from the next request.
+        if not self._body_ended or self._connection.is_closing_after_response():
+            # Unread body bytes cannot be told apart from the next request.
             pairs.append(("connection", "close"))
         return pairs
 
     async def start(self, status: int, headers: Headers) -> None:
-        """Send the head of an answer whose length is not known yet."""
+        """Send the head of a response with a streamed body."""
         self.started = True
-        pairs = self._list_headers(headers)
-        if not any(_is_length(name) for name, _ in pairs):
+        pairs = self._build_headers(headers)
+        if not any(_is_content_length(name) for name, _ in pairs):
             pairs.append(("transfer-encoding", "chunked"))
         await self._connection.send(h11.Response(status_code=status, headers=pairs))
 
     async def send(self, data: bytes) -> None:
-        """Send a part of the body and wait while the caller reads slowly."""
+        """Send a part of the body, waiting while the write buffer is full."""
         await self._connection.send(h11.Data(data=data))
 
     async def finish(self) -> None:
-        """End the answer."""
+        """End the response."""
         self.finished = True
         await self._connection.send(h11.EndOfMessage())
 
     async def respond(self, status: int, headers: Headers, body: bytes) -> None:
-        """Send a whole answer in one write."""
+        """Send a complete response in one write."""
         self.started = True
         self.finished = True
-        pairs = self._list_headers(headers)
+        pairs = self._build_headers(headers)
         pairs.append(("content-length", str(len(body))))
         head = h11.Response(status_code=status, headers=pairs)
         parts: list[h11.Event] = [h11.Data(data=body)] if body else []
@@ -119,10 +121,10 @@
     async def respond_json(
         self, status: int, content: object, headers: dict[str, str] | None = None
     ) -> None:
-        """Send a whole answer as JSON."""
+        """Send a complete response with a JSON body."""
         merged = {"content-type": "application/json", **(headers or {})}
         await self.respond(status, merged, orjson.dumps(content))
 
     def abort(self) -> None:
-        """Break the connection so that the caller sees an incomplete answer."""
+        """Abort the connection, so that the caller detects an incomplete response."""
         self._connection.abort()
--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -1,4 +1,4 @@
-"""Serve HTTP/1.1 with h11 on asyncio streams."""
+"""HTTP/1.1 server based on h11 and asyncio streams."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
@@ -17,10 +17,10 @@
 READ_BYTES = 65536
 MAX_HEADER_BYTES = 32768
 HEADER_TIMEOUT_S = 60.0
-SKIP_TIMEOUT_S = 1.0
-MAX_SKIPPED_BYTES = 4 * 1024 * 1024
-WRITE_BUFFER_BYTES = 65536
-MAX_EARLY_BYTES = 65536
+DISCARD_TIMEOUT_S = 1.0
+MAX_DISCARDED_BYTES = 4 * 1024 * 1024
+WRITE_BUFFER_HIGH_BYTES = 65536
+MAX_BUFFERED_BYTES = 65536
 
 
 Handler = Callable[[Exchange], Awaitable[None]]
@@ -28,7 +28,10 @@
 
 @dataclass(slots=True)
 class ServerLimits:
-    """Bound what callers may send; may be changed while the server runs."""
+    """Limits on requests of callers; may be changed while the server runs.
+
+    If `leaving` is set, responses ask callers to close their connections.
+    """
 
     header_bytes: int = MAX_HEADER_BYTES
     header_timeout_s: float = HEADER_TIMEOUT_S
@@ -37,7 +40,7 @@
 
 
 class ServerConnection:
-    """Own the socket of one caller."""
+    """One connection of a caller."""
 
     def __init__(
         self,
@@ -51,14 +54,14 @@
         self._protocol = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
-        self._watcher: asyncio.Task[None] | None = None
+        self._close_watcher: asyncio.Task[None] | None = None
         self._busy = False
         self._closing = False
         self.gone = asyncio.Event()
-        writer.transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
+        writer.transport.set_write_buffer_limits(high=WRITE_BUFFER_HIGH_BYTES)
 
     async def serve(self, handler: Handler) -> None:
-        """Answer requests until the caller closes or an error ends it."""
+        """Handle requests until the caller or an error closes the connection."""
         while not self.gone.is_set():
             request = await self._read_request()
             if request is None:
@@ -73,7 +76,7 @@
             if self._protocol.our_state is h11.MUST_CLOSE:
                 if self._protocol.their_state is h11.SEND_BODY:
                     self._writer.write_eof()
-                    await self._skip_rest()
+                    await self._discard_input()
                 return
             if self._protocol.their_state is not h11.DONE:
                 return
@@ -87,16 +90,16 @@
         except (TimeoutError, CallerGoneError):
             return None
         except h11.RemoteProtocolError as error:
-            await self._refuse(error)
+            await self._reject(error)
             return None
         if not isinstance(event, h11.Request):
             return None
         size = sum(len(name) + len(value) for name, value in event.headers)
         if size > self._limits.header_bytes:
-            # h11 bounds only heads that arrive in more than one piece.
-            await self._refuse(
+            # h11 limits the size only of heads that arrive in more than one piece.
+            await self._reject(
                 h11.RemoteProtocolError(
-                    f"headers above {self._limits.header_bytes} bytes",
+                    f"headers exceed {self._limits.header_bytes} bytes",
                     error_status_hint=431,
                 )
             )
@@ -104,17 +107,17 @@
         return event
 
     async def _wait_for_bytes(self) -> None:
-        """Wait for the first bytes of a request; raise TimeoutError when idle."""
+        """Wait for the first bytes of a request; raise TimeoutError if none arrive."""
         if self._protocol.trailing_data[0]:
             return
         async with asyncio.timeout(self._limits.idle_timeout_s):
             await self._receive()
 
-    def is_leaving(self) -> bool:
-        """Tell whether the caller is to open its next connection elsewhere."""
+    def is_closing_after_response(self) -> bool:
+        """Return whether the caller should open its next connection to another host."""
         return self._limits.leaving
 
-    async def _refuse(self, error: h11.RemoteProtocolError) -> None:
+    async def _reject(self, error: h11.RemoteProtocolError) -> None:
         if self._protocol.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
         body = orjson.dumps(
@@ -137,29 +140,33 @@
         with suppress(CallerGoneError, h11.LocalProtocolError, OSError):
             await self.send(head, h11.Data(data=body), h11.EndOfMessage())
             self._writer.write_eof()
-            await self._skip_rest()
+            await self._discard_input()
 
-    def take_early_event(self) -> object:
-        """Return what already follows the head, or None when nothing does."""
+    def take_buffered_event(self) -> object:
+        """Return the event after the head if it has already arrived, else None."""
         try:
             event = self._protocol.next_event()
         except h11.RemoteProtocolError:
             return None
         return None if event is h11.NEED_DATA else event
 
-    async def _skip_rest(self) -> None:
-        """Read what a refused caller still sends, so that it sees the answer."""
-        skipped = 0
+    async def _discard_input(self) -> None:
+        """Read and discard the rest of a rejected request.
+
+        Closing with unread data would reset the connection before the caller has read
+        the response.
+        """
+        discarded = 0
         with suppress(OSError, TimeoutError):
-            async with asyncio.timeout(SKIP_TIMEOUT_S):
-                while skipped < MAX_SKIPPED_BYTES:
+            async with asyncio.timeout(DISCARD_TIMEOUT_S):
+                while discarded < MAX_DISCARDED_BYTES:
                     data = await self._reader.read(READ_BYTES)
                     if not data:
                         return
-                    skipped += len(data)
+                    discarded += len(data)
 
     async def read_event(self) -> object:
-        """Return the next h11 event; raise RequestError when it is malformed."""
+        """Return the next h11 event; raise RequestError if the body is malformed."""
         while True:
             event = self._next_event()
             if event is h11.NEED_DATA:
@@ -173,13 +180,16 @@
         except h11.RemoteProtocolError as error:
             if self._protocol.our_state is h11.IDLE:
                 raise
-            if self._protocol.our_state is h11.SEND_RESPONSE and self._reading_head():
+            if (
+                self._protocol.our_state is h11.SEND_RESPONSE
+                and self._is_reading_head()
+            ):
                 raise
             raise RequestError(
-                f"the body is malformed: {error}", "send a well-formed body"
+                f"malformed body: {error}", "send a well-formed body"
             ) from error
 
-    def _reading_head(self) -> bool:
+    def _is_reading_head(self) -> bool:
         return self._protocol.their_state is h11.IDLE
 
     async def _receive(self) -> None:
@@ -190,20 +200,20 @@
             data = await self._reader.read(READ_BYTES)
         except OSError as error:
             self.gone.set()
-            raise CallerGoneError("the caller closed", "send it again") from error
+            raise CallerGoneError("caller closed the connection", "retry") from error
         if not data:
             self.gone.set()
         self._protocol.receive_data(data)
 
-    def watch(self) -> None:
-        """Notice while the answer is made that the caller has closed."""
-        if self._watcher is None:
-            self._watcher = asyncio.create_task(self._watch())
+    def watch_for_close(self) -> None:
+        """Detect during the response that the caller closes the connection."""
+        if self._close_watcher is None:
+            self._close_watcher = asyncio.create_task(self._watch_for_close())
 
-    async def _watch(self) -> None:
-        # Bytes that arrive here are the start of the caller's next request.
+    async def _watch_for_close(self) -> None:
+        # Data received here is the beginning of the caller's next request.
         received = 0
-        while received < MAX_EARLY_BYTES:
+        while received < MAX_BUFFERED_BYTES:
             try:
                 data = await self._reader.read(READ_BYTES)
             except OSError:
@@ -216,33 +226,33 @@
                 return
 
     async def _stop_watching(self) -> None:
-        if self._watcher is None:
+        if self._close_watcher is None:
             return
-        await end_task(self._watcher)
-        self._watcher = None
+        await end_task(self._close_watcher)
+        self._close_watcher = None
 
     async def send(self, *events: h11.Event) -> None:
-        """Write events; raise CallerGoneError when the caller has closed."""
+        """Send events; raise CallerGoneError if the connection has been closed."""
         data = b"".join(self._protocol.send(event) or b"" for event in events)
         try:
             self._writer.write(data)
             await self._writer.drain()
         except OSError as error:
             self.gone.set()
-            raise CallerGoneError("the caller closed", "send it again") from error
+            raise CallerGoneError("caller closed the connection", "retry") from error
 
     def abort(self) -> None:
-        """Drop the connection at once."""
+        """Abort the connection immediately."""
         self._writer.transport.abort()
 
     def close_when_idle(self) -> None:
-        """Close after the exchange in work, or at once when there is none."""
+        """Close the connection after the current request, or now if there is none."""
         self._closing = True
         if not self._busy:
             self._writer.close()
 
     async def close(self) -> None:
-        """Close the socket after what was written has gone out."""
+        """Close the connection after flushing the write buffer."""
         await self._stop_watching()
         self._writer.close()
         with suppress(OSError):
@@ -250,37 +260,37 @@
 
 
 class HttpServer:
-    """Listen on one address and hand each request to a handler."""
+    """HTTP server that calls a handler for each request."""
 
     def __init__(self, handler: Handler, limits: ServerLimits | None = None) -> None:
         self.limits = limits or ServerLimits()
         self._handler = handler
         self._server: asyncio.Server | None = None
-        self._connections: set[asyncio.Task[None]] = set()
-        self._open: set[ServerConnection] = set()
-        self._refusing = False
+        self._connection_tasks: set[asyncio.Task[None]] = set()
+        self._open_connections: set[ServerConnection] = set()
+        self._draining = False
         self.port = 0
 
     async def start(self, address: str, port: int) -> None:
-        """Open the listening socket; port 0 picks a free one."""
+        """Open the listening socket; port 0 selects a free port."""
         self._server = await asyncio.start_server(
             self._accept, address, port, limit=READ_BYTES, backlog=1024
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
     def refuse_new(self) -> None:
-        """Close the listener and idle connections; exchanges in work go on."""
-        self._refusing = True
+        """Close the listener and idle connections; current requests are completed."""
+        self._draining = True
         if self._server is not None:
             self._server.close()
-        for connection in self._open:
+        for connection in self._open_connections:
             connection.close_when_idle()
 
     async def stop(self) -> None:
-        """Close the listener and every connection."""
+        """Close the listener and all connections."""
         if self._server is not None:
             self._server.close()
-        tasks = list(self._connections)
+        tasks = list(self._connection_tasks)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -290,11 +300,11 @@
     ) -> None:
         task = asyncio.current_task()
         assert task is not None
-        self._connections.add(task)
+        self._connection_tasks.add(task)
         connection = ServerConnection(reader, writer, self.limits)
-        if self._refusing:
+        if self._draining:
             connection.close_when_idle()
-        self._open.add(connection)
+        self._open_connections.add(connection)
         try:
             await connection.serve(self._handler)
         except (CallerGoneError, RequestError, h11.ProtocolError, OSError):
@@ -303,6 +313,6 @@
             # asyncio would print a traceback for a cancelled accept callback.
             connection.abort()
         finally:
-            self._connections.discard(task)
-            self._open.discard(connection)
+            self._connection_tasks.discard(task)
+            self._open_connections.discard(connection)
             await connection.close()
--- a/cornelnotch/web/tests/test_border.py
+++ b/cornelnotch/web/tests/test_border.py
@@ -1,4 +1,4 @@
-"""Send malformed HTTP to a server and expect typed refusals, never a crash."""
+"""Tests of malformed HTTP: it is rejected and never crashes the server."""
 
 import asyncio
 import os
@@ -12,19 +12,19 @@
 
 ADDRESS = "127.0.0.1"
 LIMIT_BYTES = 1000
-SEED = 20261204
-CASES = int(os.environ.get("CORNELNOTCH_FUZZ", "300"))
-VALID = (
+RANDOM_SEED = 20261204
+FUZZ_CASES = int(os.environ.get("CORNELNOTCH_FUZZ", "300"))
+VALID_REQUEST = (
     b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-type: application/json\r\n"
     b"content-length: 13\r\n\r\n" + b'{"a":"bcdefg"}'[:13]
 )
 
 
 class Echo:
-    """Answer with the size of the body and count what was served."""
+    """Handler that responds with the size of the body and counts requests."""
 
     def __init__(self) -> None:
-        self.served = 0
+        self.handled = 0
 
     async def handle(self, exchange: Exchange) -> None:
         try:
@@ -32,7 +32,7 @@
         except RequestError as error:
             await exchange.respond_json(error.status, {"kind": error.kind})
             return
-        self.served += 1
+        self.handled += 1
         await exchange.respond_json(200, {"size": len(body)})
 
 
@@ -57,7 +57,7 @@
         writer.transport.abort()
 
 
-def test_two_requests_on_one_connection_and_an_unread_body():
+def test_connection_reuse_and_rejection_of_a_large_body():
     async def scenario():
         _, server = await start_echo()
         client = HttpClient()
@@ -65,11 +65,11 @@
         for size in (0, 10, 1000):
             answer = await client.request(address, "POST", "/", {}, b"x" * size)
             assert orjson.loads(await answer.read()) == {"size": size}
-        refused = await client.request(address, "POST", "/", {}, b"x" * 300_000)
-        assert refused.status == 413
-        assert orjson.loads(await refused.read())["kind"] == "body-too-large"
-        again = await client.request(address, "GET", "/")
-        assert again.status == 200
+        rejected = await client.request(address, "POST", "/", {}, b"x" * 300_000)
+        assert rejected.status == 413
+        assert orjson.loads(await rejected.read())["kind"] == "body-too-large"
+        next_response = await client.request(address, "GET", "/")
+        assert next_response.status == 200
         await server.stop()
 
     asyncio.run(scenario())
@@ -83,7 +83,7 @@
         (b"GET / HTTP/1.1\r\n\r\n", b"400"),
     ],
 )
-def test_malformed_heads_get_a_typed_refusal(data, status):
+def test_malformed_heads_are_rejected(data, status):
     async def scenario():
         _, server = await start_echo()
         answer = await send_raw(server.port, data)
@@ -95,7 +95,7 @@
 
 
 @pytest.mark.parametrize("delay_s", [0.0, 0.05])
-def test_an_answer_that_comes_late_reaches_no_other_request(delay_s):
+def test_late_response_is_not_delivered_to_another_request(delay_s):
     async def scenario():
         numbers = iter(range(100))
 
@@ -109,7 +109,7 @@
                 answer = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n%d" % number
                 writer.write(answer)
                 await asyncio.sleep(delay_s)
-                # The same answer once more, as a confused server would send it.
+                # A duplicate of the response, as from a faulty server.
                 writer.write(answer)
 
         server = await asyncio.start_server(serve, ADDRESS, 0)
@@ -126,7 +126,7 @@
 
 
 def mutate(generator, data):
-    """Return `data` with a few bytes changed, dropped or doubled."""
+    """Return `data` with a few bytes changed, removed or inserted."""
     changed = bytearray(data)
     for _ in range(generator.randint(1, 6)):
         position = generator.randrange(len(changed))
@@ -142,14 +142,14 @@
     return bytes(changed)
 
 
-def test_random_bytes_never_stop_the_server():
+def test_corrupted_requests_never_crash_the_server():
     async def scenario():
         echo, server = await start_echo()
-        generator = random.Random(SEED)
-        for _ in range(0, CASES, 50):
-            batch = [mutate(generator, VALID) for _ in range(50)]
+        generator = random.Random(RANDOM_SEED)
+        for _ in range(0, FUZZ_CASES, 50):
+            batch = [mutate(generator, VALID_REQUEST) for _ in range(50)]
             await asyncio.gather(*(send_raw(server.port, data) for data in batch))
-        answer = await send_raw(server.port, VALID)
+        answer = await send_raw(server.port, VALID_REQUEST)
         assert answer.startswith(b"HTTP/1.1 200")
         await server.stop()
 
--- a/cornelnotch/web/tests/test_cancel.py
+++ b/cornelnotch/web/tests/test_cancel.py
@@ -1,4 +1,4 @@
-"""Cancel work at the moments at which it ends another task."""
+"""Tests of cancelling a task while it waits for another task to end."""
 
 import asyncio
 
@@ -14,7 +14,7 @@
     return server, f"127.0.0.1:{server.port}"
 
 
-def test_a_request_that_is_cancelled_while_a_connection_wakes_is_not_sent():
+def test_request_cancelled_while_reusing_a_connection_is_not_sent():
     async def run():
         seen = []
 
@@ -38,7 +38,7 @@
     asyncio.run(run())
 
 
-def test_the_end_of_a_task_hides_no_cancel_of_its_caller():
+def test_end_task_does_not_swallow_cancellation_of_its_caller():
     async def run():
         inner = asyncio.create_task(asyncio.sleep(60))
         outer = asyncio.create_task(end_task(inner))
@@ -52,7 +52,7 @@
     asyncio.run(run())
 
 
-def test_a_task_that_failed_tells_why_when_it_is_ended():
+def test_end_task_raises_the_exception_of_a_failed_task():
     async def run():
         async def fail():
             raise ValueError("broken")
@@ -65,7 +65,7 @@
     asyncio.run(run())
 
 
-def test_a_server_stops_while_its_connections_end_their_watches():
+def test_connection_task_ends_when_cancelled_while_stopping_its_watcher():
     async def run():
         connections = []
 
@@ -75,7 +75,7 @@
             connection = asyncio.current_task()
             assert connection is not None
             connections.append(connection)
-            # The connection ends its watch right after this handler.
+            # Cancels the connection while it stops its watcher after this handler.
             asyncio.get_running_loop().call_soon(connection.cancel)
 
         server, address = await start_server(handle)
--- a/cornelnotch/web/tests/test_idle.py
+++ b/cornelnotch/web/tests/test_idle.py
@@ -1,4 +1,4 @@
-"""Reuse connections to a server that has lost them without a word."""
+"""Tests of reusing idle connections to a server that has restarted."""
 
 import asyncio
 from contextlib import asynccontextmanager
@@ -12,19 +12,19 @@
 
 
 class RestartingServer:
-    """Answer on connections of this life and reset what comes on older ones."""
+    """Server that resets connections opened before its last restart."""
 
     def __init__(self):
-        self.life = 1
+        self.generation = 1
         self.opened = 0
-        self.resets_new = False
+        self.resets_new_connections = False
 
     async def handle(self, reader, writer):
-        born = self.life
+        opened_generation = self.generation
         self.opened += 1
-        is_reset = self.resets_new
+        reset = self.resets_new_connections
         while await reader.read(65536):
-            if is_reset or born != self.life:
+            if reset or opened_generation != self.generation:
                 writer.transport.abort()
                 return
             writer.write(ANSWER)
@@ -50,12 +50,12 @@
         await answer.read()
 
 
-def test_one_reset_on_an_old_connection_spares_the_others_theirs():
+def test_reset_of_an_idle_connection_discards_the_others():
     async def run():
         async with run_server() as (server, client, address):
             await open_connections(client, address, 4)
             assert server.opened == 4
-            server.life = 2
+            server.generation = 2
             with pytest.raises(UpstreamError):
                 await client.request(address, "GET", "/")
             await open_connections(client, address, 3)
@@ -63,22 +63,22 @@
     asyncio.run(run())
 
 
-def test_nothing_is_sent_on_connections_to_a_life_that_has_ended():
+def test_drop_idle_prevents_reuse_after_a_restart():
     async def run():
         async with run_server() as (server, client, address):
             await open_connections(client, address, 4)
-            server.life = 2
+            server.generation = 2
             client.drop_idle(address)
             await open_connections(client, address, 2)
 
     asyncio.run(run())
 
 
-def test_a_reset_on_a_new_connection_costs_no_idle_ones():
+def test_reset_of_a_new_connection_keeps_idle_ones():
     async def run():
         async with run_server() as (server, client, address):
             await open_connections(client, address, 2)
-            server.resets_new = True
+            server.resets_new_connections = True
             with pytest.raises(UpstreamError):
                 await client.request(address, "GET", "/", fresh=True)
             opened = server.opened
