--- a/cornelnotch/logservice/__init__.py
+++ b/cornelnotch/logservice/__init__.py
@@ -1,4 +1,4 @@
-"""Reach the platform's log service and host list."""
+"""Clients of the platform's log service and host list."""
 
 from cornelnotch.logservice.base import (
     HostEntry,
--- a/cornelnotch/logservice/base.py
+++ b/cornelnotch/logservice/base.py
@@ -1,4 +1,4 @@
-"""Define what the platform offers: an append-only log and a host list."""
+"""Interfaces of the platform's append-only log and host list."""
 
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
@@ -8,7 +8,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LogRecord:
-    """Hold one record of a stream."""
+    """One record of a stream."""
 
     offset: int
     time_ms: float
@@ -17,9 +17,10 @@
 
 @dataclass(frozen=True, slots=True)
 class LogPage:
-    """Hold consecutive records and the bounds of their stream.
+    """Consecutive records and the bounds of their stream.
 
-    `earliest` is the lowest offset still readable; `end` is one past the last.
+    `earliest` is the lowest offset that is still readable, `end` the offset after the
+    last record.
     """
 
     records: list[LogRecord]
@@ -29,7 +30,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HostEntry:
-    """Describe one machine in the platform's list."""
+    """One host or server in the platform's host list."""
 
     name: str
     role: str
@@ -41,30 +42,33 @@
 
 @dataclass(frozen=True, slots=True)
 class PlatformHosts:
-    """Hold one reading of the host list."""
+    """The host list as returned by one read."""
 
     entries: tuple[HostEntry, ...]
 
 
 class LogService(ABC):
-    """Append to and read from named streams."""
+    """Interface for appending to and reading from named streams."""
 
     @abstractmethod
     async def append(self, stream: str, body: bytes) -> int:
-        """Return the offset; LogUnavailableError leaves it unknown if it landed."""
+        """Append a record and return its offset.
+
+        Raise LogUnavailableError on failure; the record may have been appended anyway.
+        """
 
     @abstractmethod
     async def read(self, stream: str, offset: int, wait_ms: float = 0.0) -> LogPage:
-        """Return records from `offset` on, waiting up to `wait_ms` for one.
+        """Return records from `offset`, waiting up to `wait_ms` for the first.
 
-        Raise LogTrimmedError if `offset` is past retention, and
-        LogUnavailableError when the service does not answer.
+        Raise LogTrimmedError if the record at `offset` has expired, and
+        LogUnavailableError if the service does not respond.
         """
 
 
 class HostList(ABC):
-    """Read the platform's lagging list of hosts."""
+    """Interface of the platform's host list, which may lag behind."""
 
     @abstractmethod
     async def read(self) -> PlatformHosts:
-        """Return the list; raise LogUnavailableError when there is no answer."""
+        """Return the list; raise LogUnavailableError if there is no response."""
--- a/cornelnotch/logservice/http.py
+++ b/cornelnotch/logservice/http.py
@@ -1,4 +1,4 @@
-"""Reach the platform over HTTP."""
+"""HTTP clients of the log service and the host list."""
 
 import asyncio
 from dataclasses import dataclass
@@ -25,23 +25,23 @@
 
 __all__ = ["HttpHostList", "HttpLogService"]
 
-Answer = TypeVar("Answer", bound=msgspec.Struct)
+Response = TypeVar("Response", bound=msgspec.Struct)
 
 STATUS_OK = 200
 STATUS_NOT_MODIFIED = 304
 STATUS_GONE = 410
-READ_MARGIN_MS = 1500.0
-APPEND_TIMEOUT_MS = 2000.0
+READ_TIMEOUT_MARGIN_MS = 1500.0
+CALL_TIMEOUT_MS = 2000.0
 
 
 class AppendAnswer(msgspec.Struct):
-    """Validate the answer to an append."""
+    """Schema of the response to an append."""
 
     offset: int
 
 
 class RecordAnswer(msgspec.Struct):
-    """Validate one record."""
+    """Schema of one record."""
 
     offset: int
     time_ms: float
@@ -49,7 +49,7 @@
 
 
 class RecordsAnswer(msgspec.Struct):
-    """Validate the answer to a read."""
+    """Schema of the response to a read."""
 
     records: list[RecordAnswer]
     earliest: int
@@ -57,20 +57,20 @@
 
 
 class TrimmedAnswer(msgspec.Struct):
-    """Validate the answer to a read past retention."""
+    """Schema of the response to a read of expired records."""
 
     earliest: int
 
 
 class HostsAnswer(msgspec.Struct):
-    """Validate the host list."""
+    """Schema of the host list."""
 
     hosts: list[HostEntry]
 
 
 @dataclass(frozen=True, slots=True)
-class PlatformAnswer:
-    """Hold what the platform answered."""
+class PlatformResponse:
+    """A decoded response; `tag` is its ETag."""
 
     status: int
     content: Any
@@ -85,44 +85,46 @@
     body: bytes,
     timeout_ms: float,
     tag: str = "",
-) -> PlatformAnswer:
+) -> PlatformResponse:
     headers = {"if-none-match": tag} if tag else {}
     try:
         async with asyncio.timeout(timeout_ms / 1000.0):
-            answer = await client.request(address, method, target, headers, body)
-            content = await answer.read()
+            response = await client.request(address, method, target, headers, body)
+            content = await response.read()
             decoded = orjson.loads(content) if content else None
-            return PlatformAnswer(
-                answer.status, decoded, answer.headers.get("etag", "")
+            return PlatformResponse(
+                response.status, decoded, response.headers.get("etag", "")
             )
     except (UpstreamError, TimeoutError, orjson.JSONDecodeError) as error:
         raise LogUnavailableError(
-            f"the platform at {address} does not answer: {error!r}",
-            "wait until it answers again",
+            f"platform at {address} did not respond: {error!r}",
+            "retry later",
         ) from error
 
 
-def _read_answer(model: type[Answer], answer: PlatformAnswer, address: str) -> Answer:
+def _convert_response(
+    model: type[Response], response: PlatformResponse, address: str
+) -> Response:
     try:
-        return msgspec.convert(answer.content, model)
+        return msgspec.convert(response.content, model)
     except msgspec.ValidationError as error:
         raise LogUnavailableError(
-            f"the platform at {address} sent a malformed answer",
-            "check that the address is the platform's",
+            f"platform at {address} sent a malformed response",
+            "check that this is the address of the platform",
         ) from error
 
 
 def _check_status(status: int, address: str) -> None:
     if status != STATUS_OK:
         raise LogUnavailableError(
-            f"the platform at {address} answered {status}",
-            "wait until it answers again",
+            f"platform at {address} returned status {status}",
+            "retry later",
         )
 
 
 @register_plugin("log-service", "http")
 class HttpLogService(LogService):
-    """Use the log service's HTTP interface."""
+    """Client of the log service's HTTP interface."""
 
     def __init__(self, address: str) -> None:
         self._address = address
@@ -131,23 +133,28 @@
     async def append(self, stream: str, body: bytes) -> int:
         """Append one record and return its offset."""
         target = f"/streams/{stream}/records"
-        answer = await _call(
-            self._client, self._address, "POST", target, body, APPEND_TIMEOUT_MS
+        response = await _call(
+            self._client, self._address, "POST", target, body, CALL_TIMEOUT_MS
         )
-        _check_status(answer.status, self._address)
-        return _read_answer(AppendAnswer, answer, self._address).offset
+        _check_status(response.status, self._address)
+        return _convert_response(AppendAnswer, response, self._address).offset
 
     async def read(self, stream: str, offset: int, wait_ms: float = 0.0) -> LogPage:
-        """Return records from `offset` on."""
+        """Return records from `offset`, waiting up to `wait_ms` for the first."""
         target = f"/streams/{stream}/records?from={offset}&wait_ms={wait_ms:.0f}"
-        answer = await _call(
-            self._client, self._address, "GET", target, b"", wait_ms + READ_MARGIN_MS
+        response = await _call(
+            self._client,
+            self._address,
+            "GET",
+            target,
+            b"",
+            wait_ms + READ_TIMEOUT_MARGIN_MS,
         )
-        if answer.status == STATUS_GONE:
-            trimmed = _read_answer(TrimmedAnswer, answer, self._address)
+        if response.status == STATUS_GONE:
+            trimmed = _convert_response(TrimmedAnswer, response, self._address)
             raise LogTrimmedError(trimmed.earliest)
-        _check_status(answer.status, self._address)
-        page = _read_answer(RecordsAnswer, answer, self._address)
+        _check_status(response.status, self._address)
+        page = _convert_response(RecordsAnswer, response, self._address)
         records = [
             LogRecord(r.offset, r.time_ms, r.body.encode()) for r in page.records
         ]
@@ -156,29 +163,29 @@
 
 @register_plugin("host-list", "http")
 class HttpHostList(HostList):
-    """Use the host list's HTTP interface."""
+    """Client of the host list's HTTP interface."""
 
     def __init__(self, address: str) -> None:
         self._address = address
         self._client = HttpClient()
-        self._tag = ""
-        self._known = PlatformHosts(())
+        self._etag = ""
+        self._cached_hosts = PlatformHosts(())
 
     async def read(self) -> PlatformHosts:
-        """Return the list; one that has not changed costs no transfer."""
-        answer = await _call(
+        """Return the list; an unchanged list is not transferred again."""
+        response = await _call(
             self._client,
             self._address,
             "GET",
             "/hosts",
             b"",
-            APPEND_TIMEOUT_MS,
-            self._tag,
+            CALL_TIMEOUT_MS,
+            self._etag,
         )
-        if answer.status == STATUS_NOT_MODIFIED:
-            return self._known
-        _check_status(answer.status, self._address)
-        listed = _read_answer(HostsAnswer, answer, self._address)
-        self._tag = answer.tag
-        self._known = PlatformHosts(tuple(listed.hosts))
-        return self._known
+        if response.status == STATUS_NOT_MODIFIED:
+            return self._cached_hosts
+        _check_status(response.status, self._address)
+        listed = _convert_response(HostsAnswer, response, self._address)
+        self._etag = response.tag
+        self._cached_hosts = PlatformHosts(tuple(listed.hosts))
+        return self._cached_hosts
--- a/cornelnotch/logservice/tests/test_http.py
+++ b/cornelnotch/logservice/tests/test_http.py
@@ -1,4 +1,4 @@
-"""Meet a platform that answers nonsense, late or not at all."""
+"""Tests of malformed responses, trimmed records and outages of the platform."""
 
 import asyncio
 
@@ -20,7 +20,7 @@
 @pytest.mark.parametrize(
     "body", [b"", b"{", b"[]", b'{"records": 3}', b'{"hosts": [{"name": 1}]}', b"null"]
 )
-def test_nonsense_is_a_typed_error(body):
+def test_malformed_responses_raise_log_unavailable_error(body):
     async def scenario():
         async def answer(exchange):
             await exchange.read_body(1000)
@@ -40,7 +40,7 @@
     run(scenario)
 
 
-def test_offsets_trimming_and_outage():
+def test_offsets_trimmed_records_and_outage():
     async def scenario():
         platform = PlatformStandin(SystemClock(), PlatformFaults(retention_ms=50.0))
         await platform.start(ADDRESS, 0)
