--- a/cornelnotch/logservice/tests/test_http.py
+++ b/cornelnotch/logservice/tests/test_http.py
@@ -22,11 +22,11 @@
 )
 def test_malformed_responses_raise_log_unavailable_error(body):
     async def scenario():
-        async def answer(exchange):
+        async def respond_with_body(exchange):
             await exchange.read_body(1000)
             await exchange.respond(200, {}, body)
 
-        server = HttpServer(answer)
+        server = HttpServer(respond_with_body)
         await server.start(ADDRESS, 0)
         address = f"{ADDRESS}:{server.port}"
         log = HttpLogService(address)
--- a/cornelnotch/platform/dialect.py
+++ b/cornelnotch/platform/dialect.py
@@ -21,7 +21,7 @@
 SIGNATURE = b"x-server-signature"
 NOT_EXECUTED = b"x-not-executed"
 # The server fetches the cached prefix of the prompt from another server before it
-# prefills the retry_after.
+# prefills the rest.
 PREFIX_SOURCE = b"kv-fetch"
 # The KV cache of the request is replicated to the backup address; another server can
 # resume the request from such a copy.
--- a/cornelnotch/platform/store.py
+++ b/cornelnotch/platform/store.py
@@ -114,15 +114,15 @@
             target = f"/log-newest?topic={TOPICS[topic]}&part={PARTITION}"
             if after:
                 target += f"&after={quote(after, safe='')}"
-            answer = await self._call(target, READ_TIMEOUT_MS)
-            first = first if after else answer.timeline
-            if answer.timeline != first:
+            response = await self._call(target, READ_TIMEOUT_MS)
+            first = first if after else response.timeline
+            if response.timeline != first:
                 raise LogUnavailableError(
                     "store was restored between two pages",
                     "read again",
-                    answer.timeline,
+                    response.timeline,
                 )
-            page = self._decode(_newest_decoder, answer)
+            page = self._decode(_newest_decoder, response)
             for entry in page.entries:
                 value = base64.b64decode(entry.value)
                 records.append(Record(entry.key, value, entry.offset))
@@ -138,40 +138,40 @@
         target = f"/log-read?topic={TOPICS[topic]}&part={PARTITION}&from={start}"
         if wait_ms > 0:
             target += f"&wait_ms={wait_ms:.0f}"
-        answer = await self._call(target, READ_TIMEOUT_MS + wait_ms)
-        if answer.status == STATUS_GONE:
-            earliest = self._decode(_trimmed_decoder, answer).earliest_offset
-            raise LogTrimmedError(earliest, answer.timeline)
-        if len(answer.body) < PAGE_HEADER.size:
+        response = await self._call(target, READ_TIMEOUT_MS + wait_ms)
+        if response.status == STATUS_GONE:
+            earliest = self._decode(_trimmed_decoder, response).earliest_offset
+            raise LogTrimmedError(earliest, response.timeline)
+        if len(response.body) < PAGE_HEADER.size:
             raise LogUnavailableError(
-                "store response is truncated", "read again", answer.timeline
+                "store response is truncated", "read again", response.timeline
             )
-        return split_records(answer.body, start, answer.timeline)
+        return split_records(response.body, start, response.timeline)
 
     @staticmethod
-    def _decode(decoder: msgspec.json.Decoder, answer: StoreResponse):
+    def _decode(decoder: msgspec.json.Decoder, response: StoreResponse):
         try:
-            return decoder.decode(answer.body)
+            return decoder.decode(response.body)
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
             raise LogUnavailableError(
                 f"malformed store response: {error}",
                 "read again",
-                answer.timeline,
+                response.timeline,
             ) from error
 
     async def _call(self, target: str, timeout_ms: float) -> StoreResponse:
         self.calls += 1
         try:
             async with asyncio.timeout(timeout_ms / 1000.0):
-                answer = await self._client.request(self._address, "GET", target)
-                body = await answer.read()
+                response = await self._client.request(self._address, "GET", target)
+                body = await response.read()
         except (UpstreamError, TimeoutError) as error:
             raise LogUnavailableError(
                 f"store did not respond: {error!r}", "read again later"
             ) from error
-        timeline = parse_timeline(answer.headers)
-        if answer.status not in {STATUS_OK, STATUS_GONE}:
+        timeline = parse_timeline(response.headers)
+        if response.status not in {STATUS_OK, STATUS_GONE}:
             raise LogUnavailableError(
-                f"store returned status {answer.status}", "read again later", timeline
+                f"store returned status {response.status}", "read again later", timeline
             )
-        return StoreResponse(answer.status, body, timeline)
+        return StoreResponse(response.status, body, timeline)
--- a/cornelnotch/platform/tests/test_process.py
+++ b/cornelnotch/platform/tests/test_process.py
@@ -41,7 +41,7 @@
 
 class HostProcess:
     def __init__(self, folder, number, store, seeds=""):
-        self.ports = {kind: find_free_port() for kind in LISTENERS}
+        self.ports = {listener: find_free_port() for listener in LISTENERS}
         self.path = folder / f"host-{number}.ini"
         text = SETTINGS.format(
             number=number, store=store.address, seeds=seeds, **self.ports
@@ -59,20 +59,22 @@
 
     async def wait_ready(self, client):
         async def is_ready():
-            return await self.ask(client, "ready", "/readyz") == 200
+            return await self.get(client, "ready", "/readyz") == 200
 
         await wait_until(is_ready, 15)
 
-    async def ask(self, client, kind, path):
+    async def get(self, client, listener, path):
         try:
-            answer = await client.request(f"127.0.0.1:{self.ports[kind]}", "GET", path)
+            answer = await client.request(
+                f"127.0.0.1:{self.ports[listener]}", "GET", path
+            )
         except Exception:
             return 0
         self.content = await answer.read()
         return answer.status
 
-    def address(self, kind):
-        return f"127.0.0.1:{self.ports[kind]}"
+    def address(self, listener):
+        return f"127.0.0.1:{self.ports[listener]}"
 
     async def kill(self):
         if self.process.returncode is None:
@@ -92,7 +94,7 @@
 
 async def find_addresses(process, client):
     path = "/resolution?name=app.example&region=north&zone=north-a"
-    assert await process.ask(client, "directory", path) == 200
+    assert await process.get(client, "directory", path) == 200
     return orjson.loads(process.content)["addresses"]
 
 
@@ -124,7 +126,7 @@
                 return first.address("callers") not in listed
 
             await wait_until(is_unlisted, 3)
-            assert await first.ask(client, "ready", "/readyz") == 503
+            assert await first.get(client, "ready", "/readyz") == 503
             async with asyncio.timeout(6):
                 assert await first.process.wait() == 0
         finally:
--- a/cornelnotch/web/client.py
+++ b/cornelnotch/web/client.py
@@ -292,8 +292,8 @@
         body = b"" if content is None else orjson.dumps(content)
         try:
             async with asyncio.timeout(timeout_ms / 1000.0):
-                answer = await self.request(address, method, target, {}, body)
-                return answer.status, await answer.read_json()
+                response = await self.request(address, method, target, {}, body)
+                return response.status, await response.read_json()
         except TimeoutError as error:
             raise UpstreamError(
                 f"{address} did not respond within {timeout_ms:.0f} ms",
--- a/cornelnotch/web/exchange.py
+++ b/cornelnotch/web/exchange.py
@@ -69,7 +69,7 @@
                 self._body_ended = True
             else:
                 raise CallerGoneError(
-                    "caller closed the connection within the body", "retry"
+                    "caller closed the connection within the body", "retry the request"
                 )
         self._connection.watch_for_close()
         return b"".join(parts)
@@ -80,7 +80,10 @@
                 return await self._connection.read_event()
         except TimeoutError as error:
             raise RequestError(
-                "timed out while reading the body", "retry", 408, "body-timeout"
+                "timed out while reading the body",
+                "retry the request",
+                408,
+                "body-timeout",
             ) from error
 
     def _build_headers(self, headers: Headers) -> list[tuple[Any, Any]]:
--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -200,7 +200,9 @@
             data = await self._reader.read(READ_BYTES)
         except OSError as error:
             self.gone.set()
-            raise CallerGoneError("caller closed the connection", "retry") from error
+            raise CallerGoneError(
+                "caller closed the connection", "retry the request"
+            ) from error
         if not data:
             self.gone.set()
         self._protocol.receive_data(data)
@@ -239,7 +241,9 @@
             await self._writer.drain()
         except OSError as error:
             self.gone.set()
-            raise CallerGoneError("caller closed the connection", "retry") from error
+            raise CallerGoneError(
+                "caller closed the connection", "retry the request"
+            ) from error
 
     def abort(self) -> None:
         """Abort the connection immediately."""
--- a/cornelnotch/web/tests/test_border.py
+++ b/cornelnotch/web/tests/test_border.py
@@ -63,8 +63,8 @@
         client = HttpClient()
         address = f"{ADDRESS}:{server.port}"
         for size in (0, 10, 1000):
-            answer = await client.request(address, "POST", "/", {}, b"x" * size)
-            assert orjson.loads(await answer.read()) == {"size": size}
+            response = await client.request(address, "POST", "/", {}, b"x" * size)
+            assert orjson.loads(await response.read()) == {"size": size}
         rejected = await client.request(address, "POST", "/", {}, b"x" * 300_000)
         assert rejected.status == 413
         assert orjson.loads(await rejected.read())["kind"] == "body-too-large"
@@ -86,9 +86,9 @@
 def test_malformed_heads_are_rejected(data, status):
     async def scenario():
         _, server = await start_echo()
-        answer = await send_raw(server.port, data)
-        assert answer.startswith(b"HTTP/1.1 " + status)
-        assert b"cornelnotch-outcome: not-run" in answer
+        response = await send_raw(server.port, data)
+        assert response.startswith(b"HTTP/1.1 " + status)
+        assert b"cornelnotch-outcome: not-run" in response
         await server.stop()
 
     asyncio.run(scenario())
@@ -106,18 +106,18 @@
                 except (asyncio.IncompleteReadError, ConnectionError):
                     break
                 number = next(numbers)
-                answer = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n%d" % number
-                writer.write(answer)
+                response = b"HTTP/1.1 200 OK\r\ncontent-length: 1\r\n\r\n%d" % number
+                writer.write(response)
                 await asyncio.sleep(delay_s)
                 # A duplicate of the response, as from a faulty server.
-                writer.write(answer)
+                writer.write(response)
 
         server = await asyncio.start_server(serve, ADDRESS, 0)
         port = server.sockets[0].getsockname()[1]
         client = HttpClient()
         for expected in range(4):
-            answer = await client.request(f"{ADDRESS}:{port}", "GET", "/")
-            assert await answer.read() == b"%d" % expected
+            response = await client.request(f"{ADDRESS}:{port}", "GET", "/")
+            assert await response.read() == b"%d" % expected
             await asyncio.sleep(0.1)
         client.close()
         server.close()
@@ -149,8 +149,8 @@
         for _ in range(0, FUZZ_CASES, 50):
             batch = [mutate(generator, VALID_REQUEST) for _ in range(50)]
             await asyncio.gather(*(send_raw(server.port, data) for data in batch))
-        answer = await send_raw(server.port, VALID_REQUEST)
-        assert answer.startswith(b"HTTP/1.1 200")
+        response = await send_raw(server.port, VALID_REQUEST)
+        assert response.startswith(b"HTTP/1.1 200")
         await server.stop()
 
     asyncio.run(scenario())
--- a/cornelnotch/web/tests/test_idle.py
+++ b/cornelnotch/web/tests/test_idle.py
@@ -1,4 +1,7 @@
-"""Tests of reusing idle connections to a server that has restarted."""
+"""Tests of reusing idle connections to a server that has restarted.
+
+Such a server does not close its old connections; it resets them on their next use.
+"""
 
 import asyncio
 from contextlib import asynccontextmanager
@@ -8,7 +11,7 @@
 from cornelnotch.exceptions import UpstreamError
 from cornelnotch.web import HttpClient
 
-ANSWER = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+RESPONSE = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
 
 
 class RestartingServer:
@@ -27,7 +30,7 @@
             if reset or opened_generation != self.generation:
                 writer.transport.abort()
                 return
-            writer.write(ANSWER)
+            writer.write(RESPONSE)
         writer.close()
 
 
@@ -45,9 +48,9 @@
 
 
 async def open_connections(client, address, count):
-    answers = [await client.request(address, "GET", "/") for _ in range(count)]
-    for answer in answers:
-        await answer.read()
+    responses = [await client.request(address, "GET", "/") for _ in range(count)]
+    for response in responses:
+        await response.read()
 
 
 def test_reset_of_an_idle_connection_discards_the_others():
--- a/cornelnotch/wire/messages.py
+++ b/cornelnotch/wire/messages.py
@@ -131,7 +131,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Occupancy:
-    """Report the number of waiting and running requests of a class in a shard."""
+    """Report queued and running requests and reserved slots of a class in a shard."""
 
     class_name: str
     tier: int
@@ -415,7 +415,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TurnAsk:
-    """Request admission of a request to an engine; repeated until the request ends.
+    """Ask the scheduling host to admit a request to an engine; repeated until it ends.
 
     `stage` is "waiting" until the host has sent the request and "begun" once the
     engine has prefilled its prompt. `gap_ms` is the longest permitted gap between the
