--- a/cornelnotch/platform/callers.py
+++ b/cornelnotch/platform/endpoints.py
@@ -5,7 +5,7 @@
 from cornelnotch.gateway.directory import Directory
 from cornelnotch.web import Exchange
 
-__all__ = ["DirectoryInterface", "MetricsInterface", "ReadinessInterface"]
+__all__ = ["MetricsEndpoint", "ReadinessEndpoint", "ResolutionEndpoint"]
 
 RESOLUTION_PATH = "/resolution"
 READY_PATH = "/readyz"
@@ -15,7 +15,7 @@
 STATUS_UNAVAILABLE = 503
 
 
-class DirectoryInterface:
+class ResolutionEndpoint:
     """Endpoint `GET /resolution`: the addresses to which callers connect."""
 
     def __init__(self, directory: Directory) -> None:
@@ -32,7 +32,7 @@
         await exchange.respond_json(status, content)
 
 
-class ReadinessInterface:
+class ReadinessEndpoint:
     """Endpoint `GET /readyz`: readiness of this host."""
 
     def __init__(self, is_ready: Callable[[], bool]) -> None:
@@ -48,7 +48,7 @@
         await exchange.respond_json(status, {"ready": ready})
 
 
-class MetricsInterface:
+class MetricsEndpoint:
     """Endpoint `GET /metrics` in the Prometheus text format."""
 
     def __init__(self, render: Callable[[], bytes]) -> None:
--- a/cornelnotch/platform/program.py
+++ b/cornelnotch/platform/program.py
@@ -10,13 +10,13 @@
 from cornelnotch.kernel.clock import create_clock
 from cornelnotch.kernel.events import create_event_log
 from cornelnotch.kernel.output import LogOutput
-from cornelnotch.platform.callers import (
-    DirectoryInterface,
-    MetricsInterface,
-    ReadinessInterface,
-)
 from cornelnotch.platform.decoder import PlatformDecoder
 from cornelnotch.platform.dialect import PlatformDialect
+from cornelnotch.platform.endpoints import (
+    MetricsEndpoint,
+    ReadinessEndpoint,
+    ResolutionEndpoint,
+)
 from cornelnotch.platform.store import PlatformStore
 from cornelnotch.web import HttpClient, HttpServer, parse_address
 
@@ -40,9 +40,9 @@
         HttpClient(),
     )
     host.parts.metrics.watch_state("dropped_log_lines", lambda: output.dropped)
-    directory = HttpServer(DirectoryInterface(host.directory).handle)
-    readiness = HttpServer(ReadinessInterface(host.is_ready).handle)
-    metrics = HttpServer(MetricsInterface(host.render_metrics).handle)
+    directory = HttpServer(ResolutionEndpoint(host.directory).handle)
+    readiness = HttpServer(ReadinessEndpoint(host.is_ready).handle)
+    metrics = HttpServer(MetricsEndpoint(host.render_metrics).handle)
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, host.start_drain)
     loop.add_signal_handler(signal.SIGINT, host.stopped.set)
