--- a/cornelnotch/configuration/fold.py
+++ b/cornelnotch/configuration/fold.py
@@ -225,7 +225,7 @@
 
 
 def _check_stream_count(state: ConfigurationState, after: Configuration) -> None:
-    """Reject a change of the number of claim streams, which would move keys."""
+    """Reject a new number of claim streams, which would move keys to other streams."""
     before = state.configuration.claims.streams
     if state.version == NO_OFFSET or after.claims.streams == before:
         return
--- a/cornelnotch/membership/table.py
+++ b/cornelnotch/membership/table.py
@@ -134,7 +134,7 @@
         member.retransmissions_left = self._compute_retransmissions()
 
     def mark_reachable(self, name: str, version: int, now: float) -> None:
-        """Record that a message was received directly from a host."""
+        """Record that a host responded; a suspected host regains its previous state."""
         member = self.members.get(name)
         if member is None:
             return
--- a/cornelnotch/web/client.py
+++ b/cornelnotch/web/client.py
@@ -313,7 +313,7 @@
         idle.append(connection)
 
     def drop_idle(self, address: str) -> None:
-        """Abort all idle connections to `address`, whose server may have restarted."""
+        """Abort all idle connections to `address`, as its server may be gone."""
         for connection in self._idle_connections.pop(address, []):
             connection.abort()
 
