--- a/cornelnotch/platform/callers.py
+++ b/cornelnotch/platform/endpoints.py
@@ -1,11 +1,11 @@
-"""Serve the platform's questions: which address to use, and whether ready."""
+"""HTTP endpoints of the platform: address resolution, readiness and metrics."""
 
 from collections.abc import Callable
 
 from cornelnotch.gateway.directory import Directory
 from cornelnotch.web import Exchange
 
-__all__ = ["DirectoryInterface", "MetricsInterface", "ReadinessInterface"]
+__all__ = ["MetricsEndpoint", "ReadinessEndpoint", "ResolutionEndpoint"]
 
 RESOLUTION_PATH = "/resolution"
 READY_PATH = "/readyz"
@@ -15,14 +15,14 @@
 STATUS_UNAVAILABLE = 503
 
 
-class DirectoryInterface:
-    """Answer `GET /resolution`."""
+class ResolutionEndpoint:
+    """Endpoint `GET /resolution`: the addresses to which callers connect."""
 
     def __init__(self, directory: Directory) -> None:
         self._directory = directory
 
     async def handle(self, exchange: Exchange) -> None:
-        """Answer one exchange."""
+        """Respond to one request."""
         if exchange.path != RESOLUTION_PATH:
             await exchange.respond_json(STATUS_NOT_FOUND, {"error": "unknown path"})
             return
@@ -32,14 +32,14 @@
         await exchange.respond_json(status, content)
 
 
-class ReadinessInterface:
-    """Answer `GET /readyz`."""
+class ReadinessEndpoint:
+    """Endpoint `GET /readyz`: readiness of this host."""
 
     def __init__(self, is_ready: Callable[[], bool]) -> None:
         self._is_ready = is_ready
 
     async def handle(self, exchange: Exchange) -> None:
-        """Answer one exchange."""
+        """Respond to one request."""
         if exchange.path != READY_PATH:
             await exchange.respond_json(STATUS_NOT_FOUND, {"error": "unknown path"})
             return
@@ -48,14 +48,14 @@
         await exchange.respond_json(status, {"ready": ready})
 
 
-class MetricsInterface:
-    """Answer `GET /metrics` in the text form of Prometheus."""
+class MetricsEndpoint:
+    """Endpoint `GET /metrics` in the Prometheus text format."""
 
     def __init__(self, render: Callable[[], bytes]) -> None:
         self._render = render
 
     async def handle(self, exchange: Exchange) -> None:
-        """Answer one exchange."""
+        """Respond to one request."""
         if exchange.path != METRICS_PATH:
             await exchange.respond_json(STATUS_NOT_FOUND, {"error": "unknown path"})
             return
