--- a/cornelnotch/gateway/__init__.py
+++ b/cornelnotch/gateway/__init__.py
@@ -1,1 +1,1 @@
-"""Route callers' requests to servers on hosts that keep nothing."""
+"""Gateway hosts, without persistent state, that route caller requests to servers."""
--- a/cornelnotch/gateway/asking.py
+++ b/cornelnotch/gateway/asking.py
@@ -1,4 +1,4 @@
-"""Ask for a turn at an engine, and go ahead when nobody answers."""
+"""Request admission to an engine, and proceed when the coordinator is silent."""
 
 import asyncio
 from collections.abc import Callable
@@ -19,24 +19,24 @@
     TurnWait,
 )
 
-__all__ = ["Turn", "TurnClient"]
+__all__ = ["AdmissionResult", "TurnClient"]
 
-# Waiting hosts ask again this often; answers also tell how long it may take.
-ASK_MS = 200.0
-# What runs is told again, so that a keeper that is new learns of it.
-TELL_MS = 1500.0
-# A keeper answers within a round trip between regions; after this it is silent.
-SILENT_MS = 400.0
-# After a silence nobody waits for that keeper for so long.
-DISTRUST_MS = 2000.0
+# Period at which waiting requests are sent again; answers carry a wait estimate.
+ASK_PERIOD_MS = 200.0
+# Running requests are reported again so that a new coordinator learns of them.
+REPORT_PERIOD_MS = 1500.0
+# A coordinator answers within one round trip between regions; later is silence.
+ANSWER_TIMEOUT_MS = 400.0
+# Time during which requests do not wait for a coordinator that was silent.
+UNRESPONSIVE_MS = 2000.0
 
 
-class Turn(StrEnum):
-    """Name how a wait ended.
+class AdmissionResult(StrEnum):
+    """Outcome of a wait for admission.
 
-    ALONE is a grant without an answer. LOST means that the engine is no longer to be
-    used, BETTER that another one is likely to serve the request sooner, HOPELESS that
-    the caller would leave before its turn.
+    ALONE is a grant without an answer of the coordinator. LOST means that the engine
+    must no longer be used, BETTER that another one is likely to serve the request
+    sooner, HOPELESS that the caller would leave before the request is admitted.
     """
 
     GRANTED = "granted"
@@ -47,29 +47,29 @@
 
 
 @dataclass(slots=True)
-class TurnState:
-    """Hold what this host has told of one request at one engine; times in ms."""
+class AdmissionState:
+    """Admission state of one request at one engine; times in ms."""
 
     request_id: str
     shared: list[PromptPart]
     own_tokens: int
-    keeper: str
+    coordinator: str
     view: ServerView
     flight: Flight
     arrived_ms: float = 0.0
-    patience_ms: float = float("inf")
+    wait_limit_ms: float = float("inf")
     gap_ms: float = 0.0
     target_ms: float = 0.0
-    is_better_elsewhere: Callable[[], bool] = lambda: False
-    heard_ms: float = 0.0
-    told_ms: float = 0.0
+    has_better_server: Callable[[], bool] = lambda: False
+    answered_ms: float = 0.0
+    sent_ms: float = 0.0
     begun: bool = False
     granted: bool = False
     decided: asyncio.Event = field(default_factory=asyncio.Event)
 
 
 class TurnClient:
-    """Own the requests of this host that wait for engines or run there."""
+    """Requests of this host that wait for admission to engines or run there."""
 
     def __init__(
         self,
@@ -82,16 +82,18 @@
         self._clock = clock
         self._list_hosts = list_hosts
         self._is_listed = is_listed
-        self._states: dict[str, TurnState] = {}
-        self._keepers: dict[str, str] = {}
-        self._silent: dict[str, float] = {}
+        self._states: dict[str, AdmissionState] = {}
+        self._coordinators: dict[str, str] = {}
+        self._silent_since_ms: dict[str, float] = {}
         peers.subscribe(TurnGrant, self._receive_grant)
         peers.subscribe(TurnWait, self._receive_wait)
 
     def forget_keepers(self) -> None:
-        """Choose keepers anew, as hosts came or went."""
-        self._keepers.clear()
-        self._silent = {k: t for k, t in self._silent.items() if self._is_silent(k)}
+        """Clear the cached coordinators after a change of the set of hosts."""
+        self._coordinators.clear()
+        self._silent_since_ms = {
+            k: t for k, t in self._silent_since_ms.items() if self._is_unresponsive(k)
+        }
 
     async def wait(
         self,
@@ -99,121 +101,125 @@
         view: ServerView,
         flight: Flight,
         arrived_ms: float,
-        patience_ms: float,
+        wait_limit_ms: float,
         gap_ms: float = 0.0,
         target_ms: float = 0.0,
-        is_better_elsewhere: Callable[[], bool] = lambda: False,
-    ) -> Turn:
-        """Wait until the request may be sent; `end` must follow in any case.
-
-        Its caller has waited since `arrived_ms`, maybe for another engine before, and
-        leaves after `patience_ms`; it accepts pauses of `gap_ms` and wants its first
-        piece within `target_ms`. While it waits, `is_better_elsewhere` is asked whether
-        another engine is clearly better by now.
+        has_better_server: Callable[[], bool] = lambda: False,
+    ) -> AdmissionResult:
+        """Wait until the request may be sent; `end` must be called in any case.
+
+        The caller has waited since `arrived_ms`, possibly for another engine, and
+        leaves after `wait_limit_ms`. It accepts pauses of `gap_ms` between events and
+        wants the first event within `target_ms`. During the wait,
+        `has_better_server` is polled for whether another engine is clearly better.
         """
         state = self._open_state(request, view, flight)
-        state.is_better_elsewhere = is_better_elsewhere
+        state.has_better_server = has_better_server
         state.gap_ms = gap_ms
         state.target_ms = target_ms
         state.arrived_ms = arrived_ms
-        state.patience_ms = patience_ms
-        if self._is_silent(state.keeper):
-            return self._go_alone(state)
-        self._ask(state, "waiting")
+        state.wait_limit_ms = wait_limit_ms
+        if self._is_unresponsive(state.coordinator):
+            return self._proceed_unanswered(state)
+        self._send_ask(state, "waiting")
         while True:
             try:
-                async with asyncio.timeout(ASK_MS / 1000.0):
+                async with asyncio.timeout(ASK_PERIOD_MS / 1000.0):
                     await state.decided.wait()
                 if not self._is_listed(view):
-                    return Turn.LOST
-                return Turn.GRANTED if state.granted else Turn.HOPELESS
+                    return AdmissionResult.LOST
+                return (
+                    AdmissionResult.GRANTED
+                    if state.granted
+                    else AdmissionResult.HOPELESS
+                )
             except TimeoutError:
-                turn = self._look_again(state)
-                if turn is not None:
-                    return turn
+                result = self._recheck(state)
+                if result is not None:
+                    return result
 
     def begin(self, flight: Flight) -> None:
-        """Tell that the engine has read the prompt."""
+        """Report that the engine has finished the prefill."""
         state = self._states.get(flight.request_id)
         if state is not None:
             state.begun = True
-            self._ask(state, "begun")
+            self._send_ask(state, "begun")
 
     def end(self, flight: Flight) -> None:
-        """Tell that the request has ended or was given up."""
+        """Report that the request has ended or was cancelled."""
         state = self._states.pop(flight.request_id, None)
         if state is not None:
             self._send_end(state)
 
     async def run(self) -> None:
-        """Tell keepers again what runs, until cancelled."""
+        """Report running requests to their coordinators until cancelled."""
         while True:
-            await self._clock.sleep(ASK_MS)
+            await self._clock.sleep(ASK_PERIOD_MS)
             now = self._clock.read()
             for state in list(self._states.values()):
                 if state.granted:
-                    self._tell(state, now)
+                    self._report(state, now)
 
-    def _tell(self, state: TurnState, now: float) -> None:
-        if self._change_keeper(state) or now - state.told_ms >= TELL_MS:
-            self._ask(state, "begun" if state.begun else "sent")
+    def _report(self, state: AdmissionState, now: float) -> None:
+        if self._update_coordinator(state) or now - state.sent_ms >= REPORT_PERIOD_MS:
+            self._send_ask(state, "begun" if state.begun else "sent")
 
     def _open_state(
         self,
         request: CallerRequest,
         view: ServerView,
         flight: Flight,
-    ) -> TurnState:
+    ) -> AdmissionState:
         now = self._clock.read()
         shared = list(request.prompt[:-1])
         own = request.prompt_tokens - sum(part.tokens for part in shared)
-        keeper = self._find_keeper(view)
+        coordinator = self._find_coordinator(view)
         name = request.request_id
-        state = TurnState(name, shared, max(own, 0), keeper, view, flight)
-        state.heard_ms = state.told_ms = now
+        state = AdmissionState(name, shared, max(own, 0), coordinator, view, flight)
+        state.answered_ms = state.sent_ms = now
         self._states[name] = state
         return state
 
-    def _look_again(self, state: TurnState) -> Turn | None:
-        """Return how the wait ended, or ask once more."""
+    def _recheck(self, state: AdmissionState) -> AdmissionResult | None:
+        """Return the outcome of the wait, or send the request for admission again."""
         now = self._clock.read()
         if not self._is_listed(state.view) or now < state.view.ejected_until_ms:
-            return Turn.LOST
-        if self._change_keeper(state):
-            state.heard_ms = now
-        elif self._is_silent(state.keeper):
-            return self._go_alone(state)
-        elif now - state.heard_ms >= SILENT_MS:
-            self._silent[state.keeper] = now
-            return self._go_alone(state)
-        if state.is_better_elsewhere():
-            return Turn.BETTER
-        self._ask(state, "waiting")
+            return AdmissionResult.LOST
+        if self._update_coordinator(state):
+            state.answered_ms = now
+        elif self._is_unresponsive(state.coordinator):
+            return self._proceed_unanswered(state)
+        elif now - state.answered_ms >= ANSWER_TIMEOUT_MS:
+            self._silent_since_ms[state.coordinator] = now
+            return self._proceed_unanswered(state)
+        if state.has_better_server():
+            return AdmissionResult.BETTER
+        self._send_ask(state, "waiting")
         return None
 
-    def _change_keeper(self, state: TurnState) -> bool:
-        """Turn to the keeper of now; tell whether it is another one."""
-        keeper = self._find_keeper(state.view)
-        if keeper == state.keeper:
+    def _update_coordinator(self, state: AdmissionState) -> bool:
+        """Switch to the current coordinator; return whether it has changed."""
+        coordinator = self._find_coordinator(state.view)
+        if coordinator == state.coordinator:
             return False
         self._send_end(state)
-        state.keeper = keeper
+        state.coordinator = coordinator
         return True
 
-    def _send_end(self, state: TurnState) -> None:
+    def _send_end(self, state: AdmissionState) -> None:
         progress = state.flight.take_progress()
         end = TurnEnd(state.request_id, state.view.record.name, progress)
-        self._peers.send(state.keeper, end)
+        self._peers.send(state.coordinator, end)
 
-    def _go_alone(self, state: TurnState) -> Turn:
-        """Send without an answer; the keeper learns of it if it is there."""
+    def _proceed_unanswered(self, state: AdmissionState) -> AdmissionResult:
+        """Proceed without an answer, reporting the request to the coordinator."""
         state.granted = True
-        self._ask(state, "sent")
-        return Turn.ALONE
+        self._send_ask(state, "sent")
+        return AdmissionResult.ALONE
 
-    def _ask(self, state: TurnState, stage: TurnStage) -> None:
+    def _send_ask(self, state: AdmissionState, stage: TurnStage) -> None:
         now = self._clock.read()
-        state.told_ms = now
+        state.sent_ms = now
         ask = TurnAsk(
             state.request_id,
             state.view.record.name,
@@ -226,43 +232,48 @@
             state.flight.take_progress(),
             state.target_ms,
         )
-        self._peers.send(state.keeper, ask)
+        self._peers.send(state.coordinator, ask)
 
-    def _is_silent(self, keeper: str) -> bool:
-        """Tell whether a keeper did not answer lately."""
+    def _is_unresponsive(self, coordinator: str) -> bool:
+        """Return whether a coordinator recently failed to answer."""
         now = self._clock.read()
-        return now - self._silent.get(keeper, float("-inf")) < DISTRUST_MS
+        return (
+            now - self._silent_since_ms.get(coordinator, float("-inf"))
+            < UNRESPONSIVE_MS
+        )
 
-    def _find_keeper(self, view: ServerView) -> str:
-        """Return the host that keeps the turns at an engine."""
+    def _find_coordinator(self, view: ServerView) -> str:
+        """Return the host that coordinates admission to an engine."""
         name = view.record.name
-        keeper = self._keepers.get(name)
-        if keeper is None:
+        coordinator = self._coordinators.get(name)
+        if coordinator is None:
             hosts = self._list_hosts(view)
-            keeper = select_owner(f"turns {name}", hosts) or self._peers.name
-            self._keepers[name] = keeper
-        return keeper
+            coordinator = select_owner(f"turns {name}", hosts) or self._peers.name
+            self._coordinators[name] = coordinator
+        return coordinator
 
     def _receive_grant(self, sender: str, grant: TurnGrant) -> None:
-        state = self._hear(sender, grant.request_id, grant.server)
+        state = self._note_answer(sender, grant.request_id, grant.server)
         if state is not None:
             state.flight.prefill_tokens = grant.unread
             state.granted = True
             state.decided.set()
 
     def _receive_wait(self, sender: str, wait: TurnWait) -> None:
-        state = self._hear(sender, wait.request_id, wait.server)
+        state = self._note_answer(sender, wait.request_id, wait.server)
         if state is not None:
             state.flight.prefill_tokens = wait.unread
             state.flight.wait_ms = wait.wait_ms
-            left_ms = state.patience_ms - (state.heard_ms - state.arrived_ms)
+            left_ms = state.wait_limit_ms - (state.answered_ms - state.arrived_ms)
             if is_hopeless(wait.wait_ms, left_ms) and not state.granted:
                 state.decided.set()
 
-    def _hear(self, sender: str, request_id: str, server: str) -> TurnState | None:
-        self._silent.pop(sender, None)
+    def _note_answer(
+        self, sender: str, request_id: str, server: str
+    ) -> AdmissionState | None:
+        self._silent_since_ms.pop(sender, None)
         state = self._states.get(request_id)
         if state is None or state.view.record.name != server:
             return None
-        state.heard_ms = self._clock.read()
+        state.answered_ms = self._clock.read()
         return state
--- a/cornelnotch/gateway/backups.py
+++ b/cornelnotch/gateway/backups.py
@@ -1,9 +1,9 @@
-"""Choose which streams keep a copy of their memory at a second engine; pure.
+"""Choose which streams copy their KV cache to a second engine; pure.
 
-A stream that may not be repeated ends with its engine, unless the memory of its run is
-at another one, where the same run goes on. It answers engines that crash under long
-chats: copying costs as much as prompt and answer are large, and protects a chat for as
-long as it streams.
+A stream that may not be repeated fails with its engine, unless another engine holds a
+copy of its KV cache and can resume the same run. This guards against engines that crash
+during long chats. The cost of a copy grows with the size of prompt and answer, its
+benefit with the duration of the stream.
 """
 
 from collections.abc import Iterable, Mapping
@@ -15,40 +15,40 @@
 
 __all__ = ["ExposureBook", "choose_backup", "is_worth_backup"]
 
-# A stream that lasts this long for each token of its prompt is worth a copy.
+# A copy pays off for streams that last this long per token of their prompt.
 MIN_EXPOSURE_MS_PER_TOKEN = 1.0
-# What a new stream weighs in the usual exposure of its route.
-NEW_SHARE = 0.1
+# Weight of the newest stream in the moving average of its route.
+NEWEST_WEIGHT = 0.1
 
 
 @dataclass(slots=True)
 class Exposure:
-    """Hold how long a route's streams last, in ms, and the tokens of their prompts."""
+    """Average duration of a route's streams, in ms, and their prompt tokens."""
 
     stream_ms: float
     tokens: float
 
 
 class ExposureBook:
-    """Hold the usual exposure of each route's streams."""
+    """Moving averages of the exposure of each route's streams."""
 
     def __init__(self) -> None:
         self._routes: dict[str, Exposure] = {}
 
     def note(self, route: str, stream_ms: float, tokens: int) -> None:
-        """Learn from a stream that has ended."""
-        known = self._routes.setdefault(route, Exposure(stream_ms, tokens))
-        known.stream_ms += NEW_SHARE * (stream_ms - known.stream_ms)
-        known.tokens += NEW_SHARE * (tokens - known.tokens)
+        """Update the averages with a stream that has ended."""
+        average = self._routes.setdefault(route, Exposure(stream_ms, tokens))
+        average.stream_ms += NEWEST_WEIGHT * (stream_ms - average.stream_ms)
+        average.tokens += NEWEST_WEIGHT * (tokens - average.tokens)
 
     def find(self, route: str) -> Exposure | None:
-        """Return the usual exposure of a route, None before its first stream."""
+        """Return the average exposure of a route, or None before its first stream."""
         return self._routes.get(route)
 
 
 def is_worth_backup(route: Route, service: Service, exposure: Exposure | None) -> bool:
-    """Tell whether a copy is worth its cost for streams of a route."""
-    if service.engine is None or not service.engine.takes_copies or exposure is None:
+    """Return whether copies are worth their cost for the streams of a route."""
+    if service.engine is None or not service.engine.accepts_copies or exposure is None:
         return False
     if route.kind is not WorkKind.STREAM or route.resumable:
         return False
@@ -61,10 +61,10 @@
     others: Iterable[ServerView],
     regions: Mapping[str, str],
 ) -> ServerView | None:
-    """Return the engine that gets the copy of run `name`, in its region if possible."""
+    """Return the engine that stores the copy of run `name`, by region if possible."""
     region = regions.get(server.record.domain)
-    sound = [other for other in others if other is not server and not other.failures]
-    near = [o for o in sound if regions.get(o.record.domain) == region]
-    by_name = {other.record.name: other for other in near or sound}
+    healthy = [other for other in others if other is not server and not other.failures]
+    same_region = [o for o in healthy if regions.get(o.record.domain) == region]
+    by_name = {other.record.name: other for other in same_region or healthy}
     ranked = rank_owners(f"backup {name}", by_name)
     return by_name[ranked[0]] if ranked else None
--- a/cornelnotch/gateway/dialect.py
+++ b/cornelnotch/gateway/dialect.py
@@ -1,4 +1,4 @@
-"""Define what the gateway needs to know of headers, whatever their names."""
+"""Interface for the headers of callers and servers, independent of their names."""
 
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
@@ -10,11 +10,11 @@
 
 @dataclass(frozen=True, slots=True)
 class DispatchTerms:
-    """Hold what one dispatch tells the server beside the caller's request.
+    """Parameters of one dispatch that the server gets besides the caller's request.
 
-    `cache_source` is the address of a server to fetch cached parts from. The memory of
-    the run is copied to the server at `backup_address`; `copy` names the copy from
-    which the run of this request goes on.
+    `cache_source` is the address of a server to fetch cached prompt parts from. The
+    KV cache of the run is copied to the server at `backup_address`; `copy` names the
+    copy from which the run of this request resumes.
     """
 
     server: str
@@ -29,12 +29,12 @@
 
 @dataclass(frozen=True, slots=True)
 class AnswerHead:
-    """Hold what the head of a server's answer says.
+    """Parsed head of a server's answer.
 
-    `request_id` is empty when the server named none. `not_run` is the server's
-    word that the work did not run and never will. `leaving` is its word that it
-    takes no new work, `rest_ms` for how long it wants none from this host.
-    `malformed_rest` holds what it wrote in place of a time.
+    `request_id` is empty if the server sent none. With `not_run` the server states
+    that the work did not run and never will, with `leaving` that it accepts no new
+    work, and with `rest_ms` for how long this host should send it none.
+    `malformed_rest` is the text that the server sent in place of a valid duration.
     """
 
     status: int
@@ -49,22 +49,22 @@
 
 
 class Dialect(ABC):
-    """Translate heads between callers, the gateway and servers."""
+    """Translate message heads between callers, the gateway and servers."""
 
     @abstractmethod
     def read_request(self, method: str, target: str, pairs: Pairs) -> CallerRequest:
-        """Return the caller's request; raise RequestError when it is malformed."""
+        """Return the caller's request; raise RequestError if it is malformed."""
 
     @abstractmethod
     def create_pairs(self, request: CallerRequest, terms: DispatchTerms) -> Pairs:
-        """Return the headers of one dispatch, without its length."""
+        """Return the headers of one dispatch, without the content length."""
 
     @abstractmethod
     def read_answer(self, status: int, pairs: Pairs) -> AnswerHead:
-        """Return what the head of an answer says."""
+        """Parse the head of a server's answer."""
 
     @abstractmethod
     def create_refusal_pairs(
         self, request: CallerRequest | None, retry_after_ms: float | None
     ) -> Pairs:
-        """Return the headers of an answer of the gateway's own."""
+        """Return the headers of a refusal by the gateway itself."""
--- a/cornelnotch/gateway/directory.py
+++ b/cornelnotch/gateway/directory.py
@@ -1,4 +1,4 @@
-"""Choose the hosts that callers are to connect to; pure."""
+"""Choose the hosts that callers should connect to; pure."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -8,20 +8,20 @@
 __all__ = ["Directory", "EntryChoice"]
 
 MAX_ADDRESSES = 64
-# Fewer hosts than this in a region, and callers get those of all regions.
-MIN_HOSTS = 1
+# With fewer hosts in their region, callers get the hosts of all regions.
+MIN_REGION_HOSTS = 1
 
 
 @dataclass(frozen=True, slots=True)
 class EntryChoice:
-    """Hold addresses for callers and how long they hold, in s."""
+    """Addresses for callers and how long these are valid, in s."""
 
     addresses: list[str]
     lifetime_s: float
 
 
 class Directory:
-    """Choose among the hosts that take callers."""
+    """Choose among the hosts that serve callers."""
 
     def __init__(
         self,
@@ -34,9 +34,9 @@
         self._lifetime_s = lifetime_s
 
     def choose(self, region: str) -> EntryChoice:
-        """Return the hosts of the caller's region, or all when it has none."""
+        """Return the hosts of the caller's region, or all hosts if it has too few."""
         members = self._list_members()
         near = [m for m in members if self._regions.get(m.place) == region]
-        chosen = near if len(near) >= MIN_HOSTS else members
+        chosen = near if len(near) >= MIN_REGION_HOSTS else members
         addresses = sorted(member.http for member in chosen)
         return EntryChoice(addresses[:MAX_ADDRESSES], self._lifetime_s)
--- a/cornelnotch/gateway/follower.py
+++ b/cornelnotch/gateway/follower.py
@@ -1,4 +1,4 @@
-"""Follow the platform's records, by own reading or by other hosts' news."""
+"""Replicate the platform's records, by polling the store or from other hosts."""
 
 import random
 import zlib
@@ -25,31 +25,32 @@
 CONFIGURATION = "configuration"
 SERVERS = "servers"
 TOPICS = (CONFIGURATION, SERVERS)
-# Server records change often, so reads are paced: first reader, standby, others.
-FIRST_PERIOD_MS = 600.0
+# Server records change often, so reads are paced: the first reader polls faster than
+# the standby and other readers.
+PRIMARY_PERIOD_MS = 600.0
 STANDBY_PERIOD_MS = 1100.0
-# Reads of the configuration wait at the store for the next change.
+# Reads of the configuration are long polls that wait for the next change.
 CONFIGURATION_WAIT_MS = 1000.0
-# The pause after a failed reading, doubled with each in a row up to the second.
+# Delay after a failed read, doubled per consecutive failure up to the maximum.
 RETRY_MS = 200.0
 MAX_RETRY_MS = 800.0
 TICK_MS = 100.0
-# Hosts that nobody tells anything ask two others this often.
-ASK_PERIOD_MS = 500.0
-ASKED_HOSTS = 2
-# After a gap of this length, entries may have lapsed that are about to return.
+# Period at which hosts that receive no updates fetch from two others.
+FETCH_PERIOD_MS = 500.0
+FETCH_HOSTS = 2
+# After a gap of this length, lapsed entries may be about to be written again.
 OUTAGE_MS = 2000.0
-# A host tells for so long after it entered a timeline what is held from before it.
-TELL_HELD_MS = 60_000.0
-# About so many hosts tell a reader what it does not mention.
-OFFERING_HOSTS = 3
+# Time after entering a timeline during which records held from before are announced.
+ANNOUNCE_HELD_MS = 60_000.0
+# Expected number of hosts that send a reader the held records it does not announce.
+HELD_SENDERS = 3
 MAX_VALUE_BYTES = 8 * 1024 * 1024
 
 Listener = Callable[[str, bool], None]
 
 
 class RecordFollower:
-    """Own this host's copies of both topics."""
+    """Replicas of both topics on this host."""
 
     def __init__(
         self,
@@ -73,101 +74,103 @@
         self._generator = generator
         self._timeline = NO_TIMELINE
         self._entered_ms = clock.read()
-        self._lost: set[str] = set()
+        self._unavailable: set[str] = set()
         self._unnamed: set[str] = set()
         self._failures = dict.fromkeys(TOPICS, 0)
-        self._asked_ms = {topic: float("-inf") for topic in TOPICS}
+        self._fetched_ms = {topic: float("-inf") for topic in TOPICS}
         self._listener: Listener = lambda topic, after_outage: None
-        self._lost_listener: Callable[[], None] = lambda: None
+        self._unavailable_listener: Callable[[], None] = lambda: None
         peers.subscribe(RecordNews, self._receive_news)
         peers.subscribe(RecordFetch, self._receive_fetch)
 
     def subscribe(self, listener: Listener) -> None:
-        """Call `listener` with a changed topic and whether an outage ended."""
+        """Call `listener` with each changed topic and whether an outage has ended."""
         self._listener = listener
 
-    def subscribe_lost(self, listener: Callable[[], None]) -> None:
-        """Call `listener` when the store does not answer any more."""
-        self._lost_listener = listener
+    def subscribe_unavailable(self, listener: Callable[[], None]) -> None:
+        """Call `listener` when the store becomes unavailable."""
+        self._unavailable_listener = listener
 
     @property
     def timeline(self) -> int:
-        """Return the latest timeline of the store that this host knows of."""
+        """Return the latest known timeline of the store."""
         return self._timeline
 
     def count_held(self) -> int:
-        """Return the records of older timelines that were not written again."""
+        """Return the number of records of older timelines not yet written again."""
         return sum(len(view.held) for view in self.views.values())
 
     def has_read(self) -> bool:
-        """Tell whether every topic was read once, here or elsewhere."""
+        """Return whether every topic has been read, here or by another host."""
         return all(view.head >= 0 for view in self.views.values())
 
     async def run_configuration(self) -> None:
         """Follow the operator's configuration until cancelled."""
         while True:
-            pause = await self._step(CONFIGURATION, CONFIGURATION_WAIT_MS)
-            await self._clock.sleep(0.0 if pause is None else pause)
+            delay_ms = await self._poll(CONFIGURATION, CONFIGURATION_WAIT_MS)
+            await self._clock.sleep(0.0 if delay_ms is None else delay_ms)
 
     async def run_servers(self) -> None:
         """Follow the servers' entries until cancelled."""
         while True:
-            pause = await self._step(SERVERS, 0.0)
-            await self._clock.sleep(self._choose_period() if pause is None else pause)
+            delay_ms = await self._poll(SERVERS, 0.0)
+            await self._clock.sleep(
+                self._choose_period_ms() if delay_ms is None else delay_ms
+            )
 
-    async def _step(self, topic: str, wait_ms: float) -> float | None:
-        """Read if it is this host's turn; return the pause, None after success."""
+    async def _poll(self, topic: str, wait_ms: float) -> float | None:
+        """Read if this host is a reader; return the delay, or None after success."""
         now = self._clock.read()
         if not self._plan.must_read(topic, now):
             return TICK_MS
         if await self._read(topic, wait_ms):
             self._failures[topic] = 0
             return None
-        self._tell_age(topic)
-        self._ask(topic)
-        pause = RETRY_MS * 2.0 ** self._failures[topic]
-        self._failures[topic] += pause < MAX_RETRY_MS
-        return pause * self._generator.uniform(0.8, 1.0)
+        self._publish_age(topic)
+        self._fetch_if_stale(topic)
+        delay_ms = RETRY_MS * 2.0 ** self._failures[topic]
+        self._failures[topic] += delay_ms < MAX_RETRY_MS
+        return delay_ms * self._generator.uniform(0.8, 1.0)
 
-    def _choose_period(self) -> float:
+    def _choose_period_ms(self) -> float:
         readers = self._plan.list_readers(self._clock.read())
         if readers[:1] == [self._plan.name]:
-            return FIRST_PERIOD_MS
+            return PRIMARY_PERIOD_MS
         return STANDBY_PERIOD_MS * self._generator.uniform(0.9, 1.0)
 
     async def _read(self, topic: str, wait_ms: float) -> bool:
         view = self.views[topic]
         start = view.head
-        began = view.timeline
+        timeline_before = view.timeline
         try:
             if start < 0:
                 page = await self._source.read_newest(topic)
             else:
                 page = await self._source.read_from(topic, start, wait_ms)
         except LogTrimmedError as error:
-            self._enter(error.timeline)
+            self._enter_timeline(error.timeline)
             view.head = -1
             return await self._read(topic, wait_ms) if start >= 0 else False
         except LogUnavailableError as error:
-            self._enter(error.timeline)
-            self._note_lost(topic, error)
+            self._enter_timeline(error.timeline)
+            self._record_unavailable(topic, error)
             return False
         if page.timeline is None:
-            self._note_unnamed(topic)
+            self._record_unnamed(topic)
         elif page.timeline < self._timeline:
-            self._note_lost(topic, self._create_outdated(page.timeline))
+            self._record_unavailable(topic, self._create_outdated_error(page.timeline))
             return False
-        self._enter(page.timeline)
-        if view.timeline != began and (start >= 0 or page.timeline is None):
-            # Offsets of another timeline, or of one that nobody can tell.
+        self._enter_timeline(page.timeline)
+        if view.timeline != timeline_before and (start >= 0 or page.timeline is None):
+            # The offsets belong to another timeline, or to an unknown one.
             return await self._read(topic, wait_ms) if start >= 0 else False
-        self._note_read(topic)
-        self._take(self._plan.name, topic, page, 0.0, start < 0)
-        self._tell(topic, start, page)
+        self._record_recovery(topic)
+        self._apply_page(self._plan.name, topic, page, 0.0, start < 0)
+        self._publish(topic, start, page)
         return True
 
-    def _enter(self, timeline: int | None) -> None:
-        """Turn to a later timeline of the store, in which nothing was read yet."""
+    def _enter_timeline(self, timeline: int | None) -> None:
+        """Switch to a later timeline of the store, from which nothing was read yet."""
         if timeline is None or timeline <= self._timeline:
             return
         before = self._timeline
@@ -181,14 +184,14 @@
             Event.LOG_TIMELINE_ENTERED, timeline=timeline, before=before, held=held
         )
 
-    def _create_outdated(self, timeline: int) -> LogUnavailableError:
+    def _create_outdated_error(self, timeline: int) -> LogUnavailableError:
         return LogUnavailableError(
-            f"the store answered in timeline {timeline}, {self._timeline} is known",
-            "restart what answers from an older copy",
+            f"the store answered in timeline {timeline}, older than {self._timeline}",
+            "restart the store instance that serves an older copy",
         )
 
-    def _note_unnamed(self, topic: str) -> None:
-        """Note an answer without a timeline where others named one."""
+    def _record_unnamed(self, topic: str) -> None:
+        """Record an answer without a timeline after others had one."""
         if self._timeline == NO_TIMELINE or topic in self._unnamed:
             return
         self._unnamed.add(topic)
@@ -196,10 +199,10 @@
             Event.LOG_TIMELINE_UNNAMED, topic=topic, timeline=self._timeline
         )
 
-    def _take(
+    def _apply_page(
         self, origin: str, topic: str, page: RecordPage, age_ms: float, whole: bool
     ) -> None:
-        """Take in records and how old they are."""
+        """Apply records and their age."""
         now = self._clock.read()
         view = self.views[topic]
         after_outage = (
@@ -216,8 +219,8 @@
         if changed:
             self._listener(topic, after_outage)
 
-    def _tell(self, topic: str, start: int, page: RecordPage) -> None:
-        """Pass on what was just read, or that nothing has changed."""
+    def _publish(self, topic: str, start: int, page: RecordPage) -> None:
+        """Publish the records just read, or that nothing has changed."""
         if not self._plan.must_tell(self._clock.read()):
             return
         items = [_pack(record) for record in page.records]
@@ -239,14 +242,14 @@
         )
 
     def _list_held(self, topic: str) -> list[RecordItem]:
-        """Return what hosts that started since the restoration should know of."""
+        """Return the held records that hosts started since the restoration may lack."""
         view = self.views[topic]
-        if not view.held or self._clock.read() - self._entered_ms > TELL_HELD_MS:
+        if not view.held or self._clock.read() - self._entered_ms > ANNOUNCE_HELD_MS:
             return []
         return [_pack(record) for record in view.held.values()]
 
-    def _tell_age(self, topic: str) -> None:
-        """Say that this host cannot read, so that others do."""
+    def _publish_age(self, topic: str) -> None:
+        """Publish the age of this host's replica so that other hosts read instead."""
         now = self._clock.read()
         head = self.views[topic].head
         if head < 0 or not self._plan.must_tell(now):
@@ -267,28 +270,28 @@
             return
         if news.timeline < self._timeline:
             return
-        self._enter(news.timeline)
+        self._enter_timeline(news.timeline)
         view = self.views[news.topic]
         now = self._clock.read()
         if news.held:
             view.hold(_unpack(item) for item in news.held)
             self._listener(news.topic, False)
         elif news.topic == CONFIGURATION:
-            self._offer_held(news.origin)
+            self._send_held(news.origin)
         if news.whole and news.end < view.head:
             return
         if not news.whole and (view.head < news.start or view.head < 0):
             self._plan.note_age(news.origin, news.topic, news.age_ms, now)
-            self._ask_host(news.topic, news.origin)
+            self._send_fetch(news.topic, news.origin)
             return
         records = [_unpack(item) for item in news.items]
         page = RecordPage(records, news.end, news.end)
-        self._take(news.origin, news.topic, page, news.age_ms, news.whole)
+        self._apply_page(news.origin, news.topic, page, news.age_ms, news.whole)
 
-    def _offer_held(self, host: str) -> None:
-        """Tell a host that reads what it may lack, as it started in the gap."""
+    def _send_held(self, host: str) -> None:
+        """Send held records to a reader that may have started during the outage."""
         held = self._list_held(CONFIGURATION)
-        share = OFFERING_HOSTS / max(len(self._list_hosts()), 1)
+        share = HELD_SENDERS / max(len(self._list_hosts()), 1)
         if not held or self._generator.random() > share:
             return
         view = self.views[CONFIGURATION]
@@ -332,38 +335,38 @@
             ),
         )
 
-    def _ask(self, topic: str) -> None:
-        """Ask some hosts for what they know when nobody tells anything."""
+    def _fetch_if_stale(self, topic: str) -> None:
+        """Fetch from some hosts when no updates have arrived for too long."""
         if not self._plan.is_stale(topic, self._clock.read()):
             return
         others = [name for name in self._list_hosts() if name != self._plan.name]
-        chosen = self._generator.sample(others, min(ASKED_HOSTS, len(others)))
+        chosen = self._generator.sample(others, min(FETCH_HOSTS, len(others)))
         now = self._clock.read()
-        if now - self._asked_ms[topic] < ASK_PERIOD_MS:
+        if now - self._fetched_ms[topic] < FETCH_PERIOD_MS:
             return
         for name in chosen:
-            self._asked_ms[topic] = float("-inf")
-            self._ask_host(topic, name)
+            self._fetched_ms[topic] = float("-inf")
+            self._send_fetch(topic, name)
 
-    def _ask_host(self, topic: str, name: str) -> None:
+    def _send_fetch(self, topic: str, name: str) -> None:
         now = self._clock.read()
-        if now - self._asked_ms[topic] < ASK_PERIOD_MS:
+        if now - self._fetched_ms[topic] < FETCH_PERIOD_MS:
             return
-        self._asked_ms[topic] = now
+        self._fetched_ms[topic] = now
         view = self.views[topic]
         fetch = RecordFetch(self._plan.name, topic, view.head, view.timeline)
         self._peers.send(name, fetch)
 
-    def _note_read(self, topic: str) -> None:
-        if topic in self._lost:
-            self._lost.discard(topic)
+    def _record_recovery(self, topic: str) -> None:
+        if topic in self._unavailable:
+            self._unavailable.discard(topic)
             self._events.record(Event.LOG_RECOVERED, topic=topic)
 
-    def _note_lost(self, topic: str, error: LogUnavailableError) -> None:
-        if topic not in self._lost:
-            self._lost.add(topic)
+    def _record_unavailable(self, topic: str, error: LogUnavailableError) -> None:
+        if topic not in self._unavailable:
+            self._unavailable.add(topic)
             self._events.record(Event.LOG_UNAVAILABLE, topic=topic, error=str(error))
-            self._lost_listener()
+            self._unavailable_listener()
 
 
 def _pack(record: Record) -> RecordItem:
--- a/cornelnotch/gateway/front.py
+++ b/cornelnotch/gateway/front.py
@@ -1,4 +1,4 @@
-"""Route each caller's request to its flow; refusals are answered at once."""
+"""Handle requests of callers: find the route, authenticate and dispatch."""
 
 from urllib.parse import urlsplit
 
@@ -9,29 +9,29 @@
 from cornelnotch.kernel.events import Event
 from cornelnotch.web import Exchange
 
-__all__ = ["Front"]
+__all__ = ["RequestHandler"]
 
 STATUS_UNAUTHORIZED = 401
 STATUS_NOT_FOUND = 404
 STATUS_UNAVAILABLE = 503
 
 
-class Front:
-    """Answer the callers of one host."""
+class RequestHandler:
+    """Handle all caller requests of one host."""
 
     def __init__(self, parts: GatewayParts) -> None:
         self._parts = parts
         self.active = 0
 
     async def handle(self, exchange: Exchange) -> None:
-        """Answer one exchange."""
+        """Handle one HTTP exchange."""
         self.active += 1
         try:
             await self._route(exchange)
         except RequestError as error:
             if exchange.started:
                 raise CallerGoneError(
-                    "the request broke off", "send it again"
+                    "the request broke off", "send the request again"
                 ) from error
             self._parts.events.record(
                 Event.REQUEST_MALFORMED, kind=error.kind, path=exchange.path
@@ -47,7 +47,7 @@
             exchange.method, exchange.target, exchange.pairs
         )
         if not await parts.startup.wait():
-            await self._refuse_at_start(exchange, request, arrived_ms)
+            await self._refuse_not_ready(exchange, request, arrived_ms)
             return
         table = parts.table
         route = table.find_route(request.host, urlsplit(request.target).path)
@@ -72,11 +72,11 @@
         parts.find_budget(flow.service).deposit(arrived_ms)
         await flow.run()
 
-    async def _refuse_at_start(
+    async def _refuse_not_ready(
         self, exchange: Exchange, request: CallerRequest, arrived_ms: float
     ) -> None:
-        known = self._parts.table.version != NO_VERSION
-        reason = "no-servers" if known else "no-configuration"
+        is_configured = self._parts.table.version != NO_VERSION
+        reason = "no-servers" if is_configured else "no-configuration"
         waited_ms = self._parts.clock.read() - arrived_ms
         left_ms = max(request.deadline_ms - waited_ms, 0.0)
         retry_ms = self._parts.startup.choose_return_ms(left_ms)
--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -1,4 +1,4 @@
-"""Build and run one host on the platform."""
+"""Build and run one gateway host on the platform."""
 
 import asyncio
 import random
@@ -6,9 +6,9 @@
 from cornelnotch.gateway.dialect import Dialect
 from cornelnotch.gateway.directory import Directory
 from cornelnotch.gateway.follower import RecordFollower
-from cornelnotch.gateway.front import Front
+from cornelnotch.gateway.front import RequestHandler
 from cornelnotch.gateway.keeping import TurnKeeper
-from cornelnotch.gateway.leaving import LeavingNews
+from cornelnotch.gateway.leaving import LeavingBroadcast
 from cornelnotch.gateway.parts import NO_VERSION, GatewayParts
 from cornelnotch.gateway.records import RecordDecoder, RecordSource
 from cornelnotch.gateway.relay import RelayPlan, Source
@@ -29,16 +29,16 @@
 
 __all__ = ["GatewayHost"]
 
-# Callers keep an answer of the directory up to three times as long as told.
+# Callers cache an answer of the directory for up to three times its lifetime.
 ENTRY_LIFETIME_S = 1.0
-KEPT_ENTRY_FACTOR = 3.0
-CHECK_MS = 50.0
-# What is left of the grace period for closing connections and leaving.
+MAX_CACHED_LIFETIMES = 3.0
+DRAIN_CHECK_MS = 50.0
+# Part of the grace period reserved for closing connections and exiting.
 EXIT_MARGIN_S = 0.6
 
 
-class NoHostList(HostList):
-    """List no hosts; they find each other by seeds and news."""
+class EmptyHostList(HostList):
+    """Empty host list; hosts discover each other through seeds and gossip."""
 
     async def read(self) -> PlatformHosts:
         """Return an empty list."""
@@ -46,7 +46,7 @@
 
 
 class GatewayHost:
-    """Own every task of one host."""
+    """All components and tasks of one host."""
 
     def __init__(
         self,
@@ -69,8 +69,8 @@
         self.peers = PeerNetwork(settings.host.name, self.boot, events, self.tasks)
         self.parts = GatewayParts(settings, clock, events, dialect, client, self.peers)
         self.keeper = TurnKeeper(self.parts, self.peers)
-        self.front = Front(self.parts)
-        self.server = HttpServer(self.front.handle)
+        self.handler = RequestHandler(self.parts)
+        self.server = HttpServer(self.handler.handle)
         self._build_membership()
         self._build_state(source, decoder)
         self.directory = Directory(
@@ -88,7 +88,7 @@
             MemberTable(update, self.clock.read()),
             ServerTable(),
             self.peers,
-            NoHostList(),
+            EmptyHostList(),
             self.clock,
             self.events,
             self.tasks,
@@ -115,7 +115,7 @@
             self._list_peers,
             random.Random(f"{name}/records"),
         )
-        self.follower.subscribe_lost(self.parts.startup.note_store_lost)
+        self.follower.subscribe_unavailable(self.parts.startup.note_store_unavailable)
         self.state = RoutingState(
             self.parts, self.follower, decoder, self._apply_table, self._become_ready
         )
@@ -124,13 +124,13 @@
             self.peers,
             self.plan,
             spreader,
-            self._list_takers,
+            self._list_entry_hosts,
             self.keeper.list_paces,
         )
-        self.leaving_news = LeavingNews(
+        self.leaving_broadcast = LeavingBroadcast(
             self.parts, self.peers, spreader, self._list_peers
         )
-        self.parts.tell_leaving = self.leaving_news.tell
+        self.parts.tell_leaving = self.leaving_broadcast.broadcast
         self.prober.subscribe(self._apply_members)
 
     def _apply_members(self) -> None:
@@ -142,23 +142,23 @@
     def _list_entries(self) -> list[Member]:
         return self.prober.table.list_entries()
 
-    def _list_takers(self) -> list[str]:
+    def _list_entry_hosts(self) -> list[str]:
         return [member.name for member in self._list_entries()]
 
     def _list_peers(self) -> list[str]:
-        """Return every host that may want news, also those still starting."""
+        """Return every host that receives updates, including those still starting."""
         table = self.prober.table
         dead = MemberState.DEAD
         return [name for name, m in table.members.items() if m.state is not dead]
 
     def is_ready(self) -> bool:
-        """Tell whether callers may be sent here."""
+        """Return whether callers may be sent to this host."""
         return self.serving and not self.leaving
 
     def render_metrics(self) -> bytes:
-        """Return the host's measurements as text."""
+        """Return the host's metrics in the text exposition format."""
         metrics = self.parts.metrics
-        metrics.set_state("active", self.front.active)
+        metrics.set_state("active", self.handler.active)
         metrics.set_state("hosts", len(self.parts.hosts))
         metrics.set_state("turns_waiting", self.keeper.count_waiting())
         metrics.set_state("version", self.parts.table.version)
@@ -182,45 +182,45 @@
         self.events.record(Event.HOST_STARTED, http=self.settings.listen.callers)
 
     def _apply_table(self) -> None:
-        """Bring a new table's limits into force."""
+        """Apply the limits of a new routing table."""
         limits = self.parts.table.limits
         self.server.limits.header_bytes = limits.header_bytes
         self.server.limits.header_timeout_s = limits.header_timeout_ms / 1000.0
         self.server.limits.idle_timeout_s = limits.idle_timeout_ms / 1000.0
 
     def _become_ready(self) -> None:
-        """Take callers once routes and servers are known."""
+        """Start serving callers once routes and servers are known."""
         known = self.parts.table.version != NO_VERSION and self.follower.has_read()
         if known and not self.serving and not self.leaving:
             self.serving = True
-            self.parts.startup.note_known()
+            self.parts.startup.set_ready()
             self.prober.share_state(MemberState.ALIVE)
             self.events.record(Event.HOST_READY, version=self.parts.table.version)
 
     def start_drain(self) -> None:
-        """Begin to leave: callers go elsewhere, requests end, then the host stops."""
+        """Start draining; the host stops once callers and requests are gone."""
         if self.leaving:
             return
         self.leaving = True
         self.server.limits.leaving = True
-        self.events.record(Event.HOST_LEAVING, active=self.front.active)
+        self.events.record(Event.HOST_LEAVING, active=self.handler.active)
         self.prober.share_state(MemberState.LEAVING)
         self.tasks.start("drain", self._drain())
 
     async def _drain(self) -> None:
-        began_ms = self.clock.read()
+        started_ms = self.clock.read()
         grace_ms = (self.settings.bounds.grace_s - EXIT_MARGIN_S) * 1000.0
-        kept_ms = ENTRY_LIFETIME_S * KEPT_ENTRY_FACTOR * 1000.0
-        while self.clock.read() < began_ms + grace_ms:
-            passed = self.clock.read() - began_ms
-            if passed >= kept_ms and not self.front.active:
+        cached_ms = ENTRY_LIFETIME_S * MAX_CACHED_LIFETIMES * 1000.0
+        while self.clock.read() < started_ms + grace_ms:
+            elapsed_ms = self.clock.read() - started_ms
+            if elapsed_ms >= cached_ms and not self.handler.active:
                 break
-            await self.clock.sleep(CHECK_MS)
-        self.events.record(Event.HOST_STOPPED, active=self.front.active)
+            await self.clock.sleep(DRAIN_CHECK_MS)
+        self.events.record(Event.HOST_STOPPED, active=self.handler.active)
         self.stopped.set()
 
     async def stop(self) -> None:
-        """Stop at once."""
+        """Stop immediately."""
         await self.server.stop()
         await self.peers.stop()
         await self.tasks.stop()
--- a/cornelnotch/gateway/keeping.py
+++ b/cornelnotch/gateway/keeping.py
@@ -1,4 +1,4 @@
-"""Keep the turns at the engines that this host is chosen for."""
+"""Coordinate admission to the engines that are assigned to this host."""
 
 import asyncio
 from dataclasses import dataclass
@@ -12,19 +12,19 @@
 
 __all__ = ["TurnKeeper"]
 
-# The shortest pause before a queue is looked at again.
-MIN_WAKE_MS = 5.0
-# A queue whose hosts say nothing is looked at this often.
-IDLE_WAKE_MS = 250.0
-# What an engine of unknown memory is taken to cache.
+# Minimum delay before a queue is processed again.
+MIN_CHECK_DELAY_MS = 5.0
+# Period at which a queue without messages is processed.
+MAX_CHECK_DELAY_MS = 250.0
+# Assumed cache size of an engine whose KV cache capacity is unknown.
 UNKNOWN_CACHE_TOKENS = 400_000
 UNKNOWN_SLOTS = 64
 UNKNOWN_BOOT_MS = -1
 
 
 @dataclass(slots=True)
-class Desk:
-    """Hold the queue of one life of an engine and when it is looked at next."""
+class QueueEntry:
+    """Admission queue of one boot of an engine, and its wake-up timer."""
 
     queue: TurnQueue
     boot_ms: int
@@ -32,24 +32,26 @@
 
 
 class TurnKeeper:
-    """Own the queues of engines; hosts ask, and hear when their turn is."""
+    """Admission queues of engines; answers requests of hosts with grants."""
 
     def __init__(self, parts: GatewayParts, peers: PeerNetwork) -> None:
         self._parts = parts
         self._peers = peers
-        self._desks: dict[str, Desk] = {}
+        self._entries: dict[str, QueueEntry] = {}
         peers.subscribe(TurnAsk, self._receive_ask)
         peers.subscribe(TurnEnd, self._receive_end)
 
     def count_waiting(self) -> int:
-        """Return the requests that wait for a turn."""
-        desks = self._desks.values()
-        return sum(not t.granted for d in desks for t in d.queue.tickets.values())
+        """Return the number of requests that wait for admission."""
+        entries = self._entries.values()
+        return sum(
+            not t.granted for entry in entries for t in entry.queue.tickets.values()
+        )
 
     def _receive_ask(self, sender: str, ask: TurnAsk) -> None:
         now = self._parts.clock.read()
-        desk = self._find_desk(ask.server)
-        asked = Ticket(
+        entry = self._find_desk(ask.server)
+        request = Ticket(
             ask.request_id,
             sender,
             ask.priority,
@@ -62,50 +64,52 @@
             gap_ms=ask.gap_ms,
             target_ms=ask.target_ms,
         )
-        ticket = desk.queue.ask(asked)
+        ticket = entry.queue.ask(request)
         granted_before = ticket.granted
         if ask.progress is not None:
-            desk.queue.note_progress(ask.request_id, ask.progress, now)
-        self._serve(ask.server, desk)
+            entry.queue.note_progress(ask.request_id, ask.progress, now)
+        self._grant_waiting(ask.server, entry)
         if ask.stage != "waiting":
             return
         if granted_before:
             # The grant may have been lost.
             self._send_grant(ask.server, ticket)
         elif not ticket.granted:
-            wait = desk.queue.estimate_wait(ticket, now)
-            unread = desk.queue.count_unread(ticket)
+            wait = entry.queue.estimate_wait(ticket, now)
+            unread = entry.queue.count_unread(ticket)
             answer = TurnWait(ask.request_id, ask.server, unread, round(wait, 1))
             self._peers.send(sender, answer)
 
     def _receive_end(self, sender: str, end: TurnEnd) -> None:
-        desk = self._desks.get(end.server)
-        if desk is not None:
+        entry = self._entries.get(end.server)
+        if entry is not None:
             if end.progress is not None:
                 now = self._parts.clock.read()
-                desk.queue.note_progress(end.request_id, end.progress, now)
-            desk.queue.end(end.request_id)
-            self._serve(end.server, desk)
+                entry.queue.note_progress(end.request_id, end.progress, now)
+            entry.queue.end(end.request_id)
+            self._grant_waiting(end.server, entry)
 
-    def _find_desk(self, server: str) -> Desk:
-        desk = self._desks.get(server)
+    def _find_desk(self, server: str) -> QueueEntry:
+        entry = self._entries.get(server)
         view = self._parts.pool.servers.get(server)
         boot_ms = view.record.boot_ms if view else UNKNOWN_BOOT_MS
-        # A list that lapsed says nothing new of an engine.
-        if desk is not None and boot_ms in {desk.boot_ms, UNKNOWN_BOOT_MS}:
-            return desk
-        self._drop_idle()
-        if desk is not None and desk.timer is not None:
-            desk.timer.cancel()
-        desk = self._desks[server] = Desk(self._create_queue(server, view), boot_ms)
-        return desk
-
-    def _drop_idle(self) -> None:
-        """Forget engines that are gone and for which nothing waits or runs."""
+        # A lapsed record does not show that the engine has restarted.
+        if entry is not None and boot_ms in {entry.boot_ms, UNKNOWN_BOOT_MS}:
+            return entry
+        self._drop_unlisted()
+        if entry is not None and entry.timer is not None:
+            entry.timer.cancel()
+        entry = self._entries[server] = QueueEntry(
+            self._create_queue(server, view), boot_ms
+        )
+        return entry
+
+    def _drop_unlisted(self) -> None:
+        """Drop queues of unlisted engines without waiting or running requests."""
         listed = self._parts.pool.servers
-        for name, desk in list(self._desks.items()):
-            if name not in listed and not desk.queue.tickets:
-                del self._desks[name]
+        for name, entry in list(self._entries.items()):
+            if name not in listed and not entry.queue.tickets:
+                del self._entries[name]
 
     def _create_queue(self, server: str, view: ServerView | None) -> TurnQueue:
         if view is None:
@@ -118,26 +122,28 @@
         return TurnQueue(view.record.slots, tokens, estimate)
 
     def list_paces(self) -> list[EnginePace]:
-        """Return what is known of the engines whose turns this host keeps."""
-        return [desk.queue.estimate.pace for desk in self._desks.values()]
+        """Return the measured paces of the engines that this host coordinates."""
+        return [entry.queue.estimate.pace for entry in self._entries.values()]
 
-    def _serve(self, server: str, desk: Desk) -> None:
-        """Grant what there is room for and set the time of the next look."""
+    def _grant_waiting(self, server: str, entry: QueueEntry) -> None:
+        """Grant the requests for which there is room and schedule the next check."""
         now = self._parts.clock.read()
-        desk.queue.expire(now)
-        for ticket in desk.queue.grant(now):
+        entry.queue.expire(now)
+        for ticket in entry.queue.grant(now):
             self._send_grant(server, ticket)
-        if desk.timer is not None:
-            desk.timer.cancel()
-            desk.timer = None
-        if not desk.queue.tickets:
+        if entry.timer is not None:
+            entry.timer.cancel()
+            entry.timer = None
+        if not entry.queue.tickets:
             return
-        wake_ms = IDLE_WAKE_MS
-        if desk.queue.has_waiting():
-            next_ms = desk.queue.find_next_ms(now)
-            wake_ms = min(max(next_ms, MIN_WAKE_MS), IDLE_WAKE_MS)
+        delay_ms = MAX_CHECK_DELAY_MS
+        if entry.queue.has_waiting():
+            next_ms = entry.queue.find_next_ms(now)
+            delay_ms = min(max(next_ms, MIN_CHECK_DELAY_MS), MAX_CHECK_DELAY_MS)
         loop = asyncio.get_running_loop()
-        desk.timer = loop.call_later(wake_ms / 1000.0, self._serve, server, desk)
+        entry.timer = loop.call_later(
+            delay_ms / 1000.0, self._grant_waiting, server, entry
+        )
 
     def _send_grant(self, server: str, ticket: Ticket) -> None:
         grant = TurnGrant(ticket.request_id, server, ticket.unread)
--- a/cornelnotch/gateway/leaving.py
+++ b/cornelnotch/gateway/leaving.py
@@ -1,4 +1,4 @@
-"""Tell other hosts which servers said that they leave."""
+"""Broadcast the leaving notices of servers to other hosts."""
 
 from collections.abc import Callable
 
@@ -8,11 +8,11 @@
 from cornelnotch.wire import PeerNetwork
 from cornelnotch.wire.messages import ServerLeaving
 
-__all__ = ["LeavingNews"]
+__all__ = ["LeavingBroadcast"]
 
 
-class LeavingNews:
-    """Own the exchange of servers' own words; each is told once."""
+class LeavingBroadcast:
+    """Exchange of leaving notices between hosts; each is broadcast once."""
 
     def __init__(
         self,
@@ -26,19 +26,19 @@
         self._list_hosts = list_hosts
         peers.subscribe(ServerLeaving, self._receive)
 
-    def tell(self, server: str, boot_ms: int) -> None:
-        """Tell every host what a server said here."""
-        self._pass_on(server, boot_ms, self._list_hosts())
+    def broadcast(self, server: str, boot_ms: int) -> None:
+        """Broadcast a leaving notice that this host received from a server."""
+        self._send(server, boot_ms, self._list_hosts())
 
-    def _pass_on(self, server: str, boot_ms: int, names: list[str]) -> None:
+    def _send(self, server: str, boot_ms: int, names: list[str]) -> None:
         self._spreader.spread(names, lambda rest: ServerLeaving(server, boot_ms, rest))
 
-    def _receive(self, sender: str, news: ServerLeaving) -> None:
-        self._pass_on(news.server, news.boot_ms, news.targets)
-        if self._parts.pool.note_leaving(news.server, news.boot_ms):
+    def _receive(self, sender: str, notice: ServerLeaving) -> None:
+        self._send(notice.server, notice.boot_ms, notice.targets)
+        if self._parts.pool.note_leaving(notice.server, notice.boot_ms):
             self._parts.events.record(
                 Event.SERVER_SAID_LEAVING,
-                server=news.server,
-                boot_ms=news.boot_ms,
+                server=notice.server,
+                boot_ms=notice.boot_ms,
                 told_by=sender,
             )
--- a/cornelnotch/gateway/models.py
+++ b/cornelnotch/gateway/models.py
@@ -1,4 +1,4 @@
-"""Describe routes, workspaces, servers and callers' requests."""
+"""Data classes of routes, workspaces, servers and caller requests."""
 
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -23,7 +23,7 @@
 
 
 class WorkKind(StrEnum):
-    """Name what may be repeated: REPEATABLE work, ONCE work or a STREAM."""
+    """Whether work may be repeated: REPEATABLE, at most ONCE, or a STREAM."""
 
     REPEATABLE = "repeatable"
     ONCE = "once"
@@ -32,7 +32,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceShare:
-    """Give a service a weighted share of a route's requests."""
+    """Weighted share of a service in the requests of a route."""
 
     service: str
     weight: float
@@ -40,7 +40,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """Map paths of one host name to services; times are in ms."""
+    """Mapping from paths of one host name to services; times are in ms."""
 
     name: str
     host: str
@@ -58,18 +58,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Engine:
-    """Describe the engines of a service; `tokens` is the memory of each.
+    """Properties of a service's engines; `tokens` is the KV cache size of each.
 
-    `takes_copies` tells that an engine keeps copies of the memory of others' runs.
+    `accepts_copies` is set if an engine stores KV cache copies of others' runs.
     """
 
     tokens: int
-    takes_copies: bool = False
+    accepts_copies: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """Describe a group of servers that answer alike."""
+    """Group of interchangeable servers."""
 
     name: str
     engine: Engine | None = None
@@ -77,7 +77,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Workspace:
-    """Describe a customer; `priority` goes before that of a route."""
+    """A customer; `priority` overrides the priority of a route."""
 
     name: str
     priority: int | None = None
@@ -85,7 +85,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerLimits:
-    """Bound what one caller may send and how long it may take."""
+    """Limits on the size and the duration of what one caller sends."""
 
     header_bytes: int = 32768
     body_bytes: int = 4 * 1024 * 1024
@@ -95,9 +95,9 @@
 
 @dataclass(frozen=True, slots=True)
 class RoutingTable:
-    """Hold one version of routes, services and workspaces.
+    """One version of routes, services and workspaces.
 
-    `workspaces` is indexed by key; None means that no request needs a key.
+    `workspaces` is indexed by API key; None means that no request needs a key.
     """
 
     version: int
@@ -114,7 +114,7 @@
         return None
 
     def list_gaps(self) -> dict[str, list[float]]:
-        """Return the longest pauses allowed, by service, in ms."""
+        """Return the longest allowed pauses between events, by service, in ms."""
         gaps: dict[str, list[float]] = {}
         for routes in self.routes.values():
             for route in routes:
@@ -123,15 +123,15 @@
         return gaps
 
     def find_workspace(self, key: str) -> Workspace | None:
-        """Return the workspace that holds `key`."""
+        """Return the workspace that owns the API key `key`."""
         return (self.workspaces or {}).get(key)
 
 
 @dataclass(frozen=True, slots=True)
 class ServerRecord:
-    """Hold what the platform lists about one server.
+    """Platform record of one server.
 
-    `written` counts the entries that this life of the server has written.
+    `written` counts the entries that the server has written since its boot.
     """
 
     name: str
@@ -146,7 +146,7 @@
 
 @dataclass(slots=True)
 class CallerRequest:
-    """Hold one request of a caller; `pairs` are the headers to pass on."""
+    """One request of a caller; `pairs` are the headers to forward."""
 
     request_id: str
     method: str
--- a/cornelnotch/gateway/repeating.py
+++ b/cornelnotch/gateway/repeating.py
@@ -1,47 +1,49 @@
-"""Decide what may be sent to another server; pure.
+"""Decide which requests may be sent to another server; pure.
 
-Work that must not repeat goes on only while every server so far has proved that it
-did not run it.
+A request that must not repeat is sent again only while every server so far has proved
+that it did not run it.
 """
 
 from dataclasses import dataclass
 
-from cornelnotch.gateway.dispatch import Fate
+from cornelnotch.gateway.dispatch import DispatchOutcome
 from cornelnotch.gateway.models import Route, WorkKind
 
-__all__ = ["Progress", "may_send_again"]
+__all__ = ["DispatchCounts", "may_send_again"]
 
-# A server that refuses has read the request, so each try counts as a repeat.
-MAX_REFUSED_SENDS = 4
-# A refused connection costs a round trip, and a quarter of servers may be down.
-MAX_UNSENT = 12
+# A server that refuses has read the request, so each try counts as a retry.
+MAX_REFUSED_DISPATCHES = 4
+# A refused connection costs one round trip, and a quarter of the servers may be down.
+MAX_UNSENT_DISPATCHES = 12
 
 
 @dataclass(slots=True)
-class Progress:
-    """Count what became of the dispatches of one request."""
+class DispatchCounts:
+    """Count the dispatches of one request by outcome."""
 
     ran: int = 0
     refused: int = 0
     unsent: int = 0
 
-    def count(self, fate: Fate) -> None:
+    def count(self, outcome: DispatchOutcome) -> None:
         """Count one dispatch; `ran` counts all that may have run."""
-        if fate is Fate.NOT_SENT:
+        if outcome is DispatchOutcome.NOT_SENT:
             self.unsent += 1
-        elif fate is Fate.REFUSED:
+        elif outcome is DispatchOutcome.REFUSED:
             self.refused += 1
         else:
             self.ran += 1
 
 
-def may_send_again(route: Route, progress: Progress, fate: Fate) -> bool:
-    """Tell whether a request whose last dispatch ended so may go elsewhere."""
-    if fate is Fate.NOT_SENT:
-        return progress.unsent < MAX_UNSENT
-    if fate is Fate.REFUSED:
-        return progress.refused < MAX_REFUSED_SENDS
-    if progress.ran >= route.attempts:
+def may_send_again(
+    route: Route, counts: DispatchCounts, outcome: DispatchOutcome
+) -> bool:
+    """Return whether a request may be sent again after its last dispatch's outcome."""
+    if outcome is DispatchOutcome.NOT_SENT:
+        return counts.unsent < MAX_UNSENT_DISPATCHES
+    if outcome is DispatchOutcome.REFUSED:
+        return counts.refused < MAX_REFUSED_DISPATCHES
+    if counts.ran >= route.attempts:
         return False
     if route.kind is WorkKind.REPEATABLE:
         return True
--- a/cornelnotch/gateway/settings.py
+++ b/cornelnotch/gateway/settings.py
@@ -1,4 +1,4 @@
-"""Read the settings of a host that runs on the platform."""
+"""Read the settings of a gateway host on the platform."""
 
 import configparser
 from pathlib import Path
@@ -12,17 +12,17 @@
 
 
 def describe(meaning: str) -> msgspec.Meta:
-    """Return what the catalogue of settings says of a key."""
+    """Return metadata with the description of a setting."""
     return msgspec.Meta(description=meaning)
 
 
 def describe_amount(meaning: str) -> msgspec.Meta:
-    """Return the same for a key whose value must not be negative."""
+    """Return metadata of a setting whose value must not be negative."""
     return msgspec.Meta(ge=0, description=meaning)
 
 
 class HostSection(msgspec.Struct):
-    """Name the host and where it stands."""
+    """Name and location of the host."""
 
     name: Annotated[str, describe("name of the host, unique")]
     domain: Annotated[str, describe("failure domain of the host")]
@@ -30,39 +30,43 @@
 
 
 class ListenSection(msgspec.Struct):
-    """Name the addresses that the host listens on."""
+    """Addresses that the host listens on."""
 
     callers: Annotated[str, describe("address for callers")]
     readiness: Annotated[str, describe("address for the platform's readiness checks")]
-    directory: Annotated[str, describe("address that tells callers where to connect")]
+    directory: Annotated[
+        str, describe("address of the directory that lists hosts for callers")
+    ]
     peers: Annotated[str, describe("address for other hosts")]
     metrics: Annotated[str, describe("address for metrics; none when empty")] = ""
-    seeds: Annotated[str, describe("addresses of other hosts, with commas")] = ""
+    seeds: Annotated[str, describe("addresses of other hosts, separated by commas")] = (
+        ""
+    )
 
 
 class StoreSection(msgspec.Struct):
-    """Tell where the platform's store is."""
+    """Location of the platform's store."""
 
     address: Annotated[str, describe("address of the store")]
 
 
 class BoundsSection(msgspec.Struct):
-    """Set what the deployment promises."""
+    """Limits set by the deployment."""
 
     grace_s: Annotated[float, describe_amount("time from SIGTERM to SIGKILL")] = 8.0
     retry_share: Annotated[
-        float, describe_amount("repeats that all hosts may add, per request")
+        float, describe_amount("retries that all hosts together may send, per request")
     ] = 0.2
     retry_window_s: Annotated[
-        float, describe_amount("length of the window in which repeats count")
+        float, describe_amount("length of the window in which retries are counted")
     ] = 10.0
     retry_extra: Annotated[
-        float, describe_amount("repeats allowed beyond the share")
+        float, describe_amount("retries allowed beyond the share")
     ] = 10.0
 
 
 class HostSettings(msgspec.Struct):
-    """Hold all sections; `regions` maps failure domains to regions."""
+    """All settings sections; `regions` maps failure domains to regions."""
 
     host: HostSection
     listen: ListenSection
@@ -72,7 +76,7 @@
 
 
 def read_host_settings(path: Path) -> HostSettings:
-    """Return the validated settings; raise SettingsError when they cannot be used."""
+    """Return the validated settings; raise SettingsError if they are invalid."""
     parser = configparser.ConfigParser(
         interpolation=None, strict=True, default_section="\x00none", delimiters=("=",)
     )
@@ -81,7 +85,8 @@
         parser.read_string(path.read_text(encoding="utf-8"))
     except OSError as error:
         raise SettingsError(
-            f"{path} cannot be read: {error.strerror}", "name a readable file"
+            f"{path} cannot be read: {error.strerror}",
+            "name a readable file",
         ) from error
     except (configparser.Error, UnicodeDecodeError) as error:
         message = " ".join(str(error).split())
@@ -94,5 +99,5 @@
 
 
 def _drop_empty(parser: configparser.ConfigParser, section: str) -> dict[str, str]:
-    """Return the keys that have a value, so that others take their default."""
+    """Return the keys that have a value; the others use their default."""
     return {key: value for key, value in parser.items(section) if value}
--- a/cornelnotch/gateway/spreading.py
+++ b/cornelnotch/gateway/spreading.py
@@ -1,4 +1,4 @@
-"""Send a message to many hosts, over other hosts where that saves bytes."""
+"""Send a message to many hosts, relayed by other hosts where that saves bytes."""
 
 import random
 from collections.abc import Callable, Collection, Mapping
@@ -12,7 +12,7 @@
 
 
 class Spreader:
-    """Know which region each host is in and pass messages on."""
+    """Send messages to many hosts along a relay tree by region."""
 
     def __init__(
         self,
@@ -29,13 +29,13 @@
     def spread(
         self, names: Collection[str], create: Callable[[list[str]], Any]
     ) -> None:
-        """Send what `create` makes of the hosts that the receiver is to tell."""
+        """Send `create(targets)`, with the hosts that the receiver must relay it to."""
         shuffled = [name for name in names if name != self._table.name]
         self._generator.shuffle(shuffled)
         members = self._table.members
         places = {n: members[n].place for n in shuffled if n in members}
         regions = {n: self._regions.get(p, p) for n, p in places.items()}
         place = self._table.own.place
-        own = self._regions.get(place, place)
-        for branch in split_targets(shuffled, own, regions):
+        own_region = self._regions.get(place, place)
+        for branch in split_targets(shuffled, own_region, regions):
             self._peers.send(branch.head, create(branch.rest))
--- a/cornelnotch/gateway/tests/conftest.py
+++ b/cornelnotch/gateway/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Run a host of the gateway in this process against stand-ins."""
+"""Run a gateway host in the test process against simulated servers and a store."""
 
 import asyncio
 import inspect
@@ -107,11 +107,11 @@
         if found:
             return
         await asyncio.sleep(0.01)
-    raise TimeoutError("the condition did not come true")
+    raise TimeoutError("the condition did not become true in time")
 
 
 class Deployment:
-    """Hold a store, two servers of each service and one host."""
+    """A store, two servers of each of two services, and one gateway host."""
 
     def __init__(self):
         self.store = StoreStandin()
--- a/cornelnotch/gateway/tests/fleet.py
+++ b/cornelnotch/gateway/tests/fleet.py
@@ -1,4 +1,4 @@
-"""Follow a store with many hosts in virtual time, also when it is restored."""
+"""Simulate hosts that replicate a store, in virtual time, through restorations."""
 
 import random
 from collections.abc import Callable
@@ -30,7 +30,7 @@
 
 
 class Store:
-    """Hold both topics; `copy` and `restore` play a drill."""
+    """In-memory store of both topics; `copy` and `restore` act as a backup."""
 
     def __init__(self):
         self.topics: dict[str, list[tuple[str, bytes]]] = {t: [] for t in TOPICS}
@@ -63,17 +63,17 @@
 
 
 class StoreReader(RecordSource):
-    """Read the store for one host; `outdated` answers from a store of before."""
+    """Read the store for one host; `outdated` is an older store to answer from."""
 
     def __init__(self, store):
         self.store = store
         self.outdated = None
-        self.is_cut = False
+        self.is_unreachable = False
 
     def _call(self):
         store = self.outdated or self.store
         self.store.calls += 1
-        if store.is_down or self.is_cut:
+        if store.is_down or self.is_unreachable:
             raise LogUnavailableError("down", "wait")
         return store
 
@@ -93,7 +93,7 @@
 
 
 class Decoder(RecordDecoder):
-    """Read versions and servers from short texts."""
+    """Decode versions and servers from short texts."""
 
     def decode_table(self, records):
         record = records.get("config")
@@ -119,7 +119,7 @@
 
 
 class Parts:
-    """Hold what the state of a host changes."""
+    """The parts of a host that its routing state changes."""
 
     def __init__(self, clock, events):
         self.clock = clock
@@ -130,7 +130,7 @@
 
 
 class Peers:
-    """Carry a host's messages to the fleet."""
+    """Deliver a host's messages to other hosts of the fleet."""
 
     def __init__(self, fleet, name):
         self.fleet = fleet
@@ -141,7 +141,7 @@
         self.handlers[kind] = handler
 
     def send(self, host, message):
-        self.fleet.carry(self.name, host, message)
+        self.fleet.deliver(self.name, host, message)
 
     def spread(self, names, create):
         for name in names:
@@ -150,7 +150,7 @@
 
 
 class Host:
-    """Own the follower and the state of one host."""
+    """The follower and the routing state of one host."""
 
     def __init__(self, fleet, name, domain):
         self.name = name
@@ -192,16 +192,16 @@
         for topic in TOPICS:
             if now < self.due_ms[topic]:
                 continue
-            pause_ms = await self.follower._step(topic, 0.0)
-            if pause_ms is None:
-                pause_ms = self.follower._choose_period()
-            self.due_ms[topic] = now + pause_ms
+            delay_ms = await self.follower._poll(topic, 0.0)
+            if delay_ms is None:
+                delay_ms = self.follower._choose_period_ms()
+            self.due_ms[topic] = now + delay_ms
         if now % TICK_MS < STEP_MS:
             self.state.expire()
 
 
 class Fleet:
-    """Hold a store, hosts and the links between them."""
+    """A store, hosts and the links between them."""
 
     def __init__(self, count):
         self.clock = ManualClock(100_000.0)
@@ -216,21 +216,21 @@
         name = f"host-{len(self.hosts)}"
         host = Host(self, name, DOMAINS[len(self.hosts) % 3])
         self.hosts[name] = host
-        self._tell_members()
+        self._update_members()
         return host
 
     def kill(self, host):
         host.is_alive = False
-        self._tell_members()
+        self._update_members()
 
-    def _tell_members(self):
+    def _update_members(self):
         alive = [h for h in self.hosts.values() if h.is_alive]
         sources = [Source(host.name, host.domain) for host in alive]
         for host in alive:
             host.plan.set_hosts(sources)
 
-    def carry(self, sender, receiver, message):
-        """Deliver a message at once, if both hosts live and no cut link is between."""
+    def deliver(self, sender, receiver, message):
+        """Deliver a message at once if both hosts run and the link is not cut."""
         source, target = self.hosts[sender], self.hosts.get(receiver)
         if target is None or not target.is_alive or not source.is_alive:
             return
@@ -247,10 +247,10 @@
         return [self.hosts[name] for name in names]
 
     async def run(self, duration_ms, until=lambda: False):
-        """Let time pass; return how much did."""
-        began = self.clock.read()
-        while self.clock.read() - began < duration_ms and not until():
+        """Advance the clock; return the elapsed time in ms."""
+        started_ms = self.clock.read()
+        while self.clock.read() - started_ms < duration_ms and not until():
             self.clock.advance(STEP_MS)
             for host in self.list_alive():
                 await host.step(self.clock.read())
-        return self.clock.read() - began
+        return self.clock.read() - started_ms
--- a/cornelnotch/gateway/tests/test_asking.py
+++ b/cornelnotch/gateway/tests/test_asking.py
@@ -1,23 +1,23 @@
-"""Check how a host waits for turns, and what it does when nobody answers."""
+"""Test how a host waits for admission, also when the coordinator is silent."""
 
 import asyncio
 
 import pytest
 
 from cornelnotch.gateway import asking
-from cornelnotch.gateway.asking import Turn, TurnClient
+from cornelnotch.gateway.asking import AdmissionResult, TurnClient
 from cornelnotch.gateway.models import CallerRequest, PromptPart, ServerRecord
 from cornelnotch.gateway.servers import Flight, ServerView
 from cornelnotch.kernel import TaskGroup, create_clock, create_event_log
 from cornelnotch.wire import PeerNetwork
 from cornelnotch.wire.messages import TurnAsk, TurnEnd, TurnGrant, TurnWait
 
-PATIENCE_MS = 3000.0
+WAIT_LIMIT_MS = 3000.0
 PROMPT = (PromptPart("thing", 13_000), PromptPart("own", 400))
 
 
 class RecordingPeers(PeerNetwork):
-    """Keep what a host sends, and hand it what others would."""
+    """Record what a host sends and deliver messages of other hosts to it."""
 
     def __init__(self):
         events = create_event_log("h1")
@@ -35,8 +35,8 @@
         return [(h, m) for h, m in asks if stage in {None, m.stage}]
 
 
-class Scene:
-    """Hold a client, one engine and the hosts that may keep its turns."""
+class Setup:
+    """A client, one engine and the hosts that may coordinate its admission."""
 
     def __init__(self):
         self.peers = RecordingPeers()
@@ -58,139 +58,139 @@
         )
         self.flight = Flight(name, 0.0, 0, priority=2)
         now = create_clock().read()
-        wait = self.client.wait(request, self.view, self.flight, now, PATIENCE_MS)
+        wait = self.client.wait(request, self.view, self.flight, now, WAIT_LIMIT_MS)
         return asyncio.create_task(wait)
 
 
 @pytest.fixture(autouse=True)
-def quick(monkeypatch):
-    monkeypatch.setattr(asking, "ASK_MS", 20.0)
-    monkeypatch.setattr(asking, "SILENT_MS", 40.0)
-    monkeypatch.setattr(asking, "TELL_MS", 60.0)
+def shorten_periods(monkeypatch):
+    monkeypatch.setattr(asking, "ASK_PERIOD_MS", 20.0)
+    monkeypatch.setattr(asking, "ANSWER_TIMEOUT_MS", 40.0)
+    monkeypatch.setattr(asking, "REPORT_PERIOD_MS", 60.0)
 
 
-def play(scenario):
+def run_scenario(scenario):
     async def run():
         async with asyncio.timeout(5.0):
-            await scenario(Scene())
+            await scenario(Setup())
 
     asyncio.run(run())
 
 
-def test_a_request_waits_as_long_as_its_keeper_answers():
-    async def scenario(scene):
-        wait = scene.start()
+def test_a_request_waits_while_its_coordinator_answers():
+    async def scenario(setup):
+        wait = setup.start()
         for _ in range(8):
             await asyncio.sleep(0.02)
-            scene.peers.deliver(TurnWait("r1", "engine", 900, 50.0))
+            setup.peers.deliver(TurnWait("r1", "engine", 900, 50.0))
         assert not wait.done()
-        assert scene.flight.prefill_tokens == 900
-        scene.peers.deliver(TurnGrant("r1", "engine", 500))
-        assert await wait is Turn.GRANTED
-        assert scene.flight.prefill_tokens == 500
-        host, ask = scene.peers.list_asks()[0]
+        assert setup.flight.prefill_tokens == 900
+        setup.peers.deliver(TurnGrant("r1", "engine", 500))
+        assert await wait is AdmissionResult.GRANTED
+        assert setup.flight.prefill_tokens == 500
+        host, ask = setup.peers.list_asks()[0]
         assert (host, ask.own_tokens, ask.priority) == ("h2", 500, 2)
         assert [part.name for part in ask.shared] == ["thing"]
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_a_wait_beyond_the_callers_patience_ends_at_once():
-    async def scenario(scene):
-        wait = scene.start()
+def test_a_wait_estimate_beyond_the_callers_limit_ends_the_wait():
+    async def scenario(setup):
+        wait = setup.start()
         await asyncio.sleep(0)
-        scene.peers.deliver(TurnWait("r1", "engine", 900, PATIENCE_MS))
+        setup.peers.deliver(TurnWait("r1", "engine", 900, WAIT_LIMIT_MS))
         await asyncio.sleep(0)
         assert not wait.done()
-        scene.peers.deliver(TurnWait("r1", "engine", 900, PATIENCE_MS * 2))
-        assert await wait is Turn.HOPELESS
-        assert scene.flight.wait_ms == PATIENCE_MS * 2
-
-    play(scenario)
-
-
-def test_a_silent_keeper_holds_up_one_request_only():
-    async def scenario(scene):
-        assert await scene.start() is Turn.ALONE
-        assert scene.peers.list_asks("sent")
-        asked = len(scene.peers.list_asks("waiting"))
-        assert await scene.start("r2") is Turn.ALONE
-        assert len(scene.peers.list_asks("waiting")) == asked
-        scene.peers.deliver(TurnWait("r2", "engine", 0, 0.0))
-        wait = scene.start("r3")
+        setup.peers.deliver(TurnWait("r1", "engine", 900, WAIT_LIMIT_MS * 2))
+        assert await wait is AdmissionResult.HOPELESS
+        assert setup.flight.wait_ms == WAIT_LIMIT_MS * 2
+
+    run_scenario(scenario)
+
+
+def test_a_silent_coordinator_delays_only_one_request():
+    async def scenario(setup):
+        assert await setup.start() is AdmissionResult.ALONE
+        assert setup.peers.list_asks("sent")
+        asked = len(setup.peers.list_asks("waiting"))
+        assert await setup.start("r2") is AdmissionResult.ALONE
+        assert len(setup.peers.list_asks("waiting")) == asked
+        setup.peers.deliver(TurnWait("r2", "engine", 0, 0.0))
+        wait = setup.start("r3")
         await asyncio.sleep(0.01)
-        assert len(scene.peers.list_asks("waiting")) == asked + 1
+        assert len(setup.peers.list_asks("waiting")) == asked + 1
         wait.cancel()
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_a_new_keeper_is_asked_when_hosts_change():
-    async def scenario(scene):
-        wait = scene.start()
+def test_a_new_coordinator_is_asked_when_hosts_change():
+    async def scenario(setup):
+        wait = setup.start()
         await asyncio.sleep(0.01)
-        scene.hosts = ["h3"]
-        scene.client.forget_keepers()
+        setup.hosts = ["h3"]
+        setup.client.forget_keepers()
         await asyncio.sleep(0.03)
-        assert scene.peers.list_asks("waiting")[-1][0] == "h3"
-        assert ("h2", TurnEnd("r1", "engine")) in scene.peers.sent
-        scene.peers.deliver(TurnGrant("r1", "engine", 1), "h3")
-        assert await wait is Turn.GRANTED
+        assert setup.peers.list_asks("waiting")[-1][0] == "h3"
+        assert ("h2", TurnEnd("r1", "engine")) in setup.peers.sent
+        setup.peers.deliver(TurnGrant("r1", "engine", 1), "h3")
+        assert await wait is AdmissionResult.GRANTED
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_an_engine_that_leaves_is_not_waited_for():
-    async def scenario(scene):
-        wait = scene.start()
+def test_a_wait_ends_when_the_engine_is_delisted():
+    async def scenario(setup):
+        wait = setup.start()
         await asyncio.sleep(0.01)
-        scene.listed = False
-        assert await wait is Turn.LOST
-        other = scene.start("r2")
+        setup.listed = False
+        assert await wait is AdmissionResult.LOST
+        other = setup.start("r2")
         await asyncio.sleep(0)
-        scene.peers.deliver(TurnGrant("r2", "engine", 1))
-        assert await other is Turn.LOST
+        setup.peers.deliver(TurnGrant("r2", "engine", 1))
+        assert await other is AdmissionResult.LOST
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_an_engine_that_fails_others_is_not_waited_for():
-    async def scenario(scene):
-        wait = scene.start()
-        scene.view.fail(create_clock().read())
-        assert await wait is Turn.LOST
+def test_a_wait_ends_when_the_engine_is_ejected():
+    async def scenario(setup):
+        wait = setup.start()
+        setup.view.fail(create_clock().read())
+        assert await wait is AdmissionResult.LOST
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_a_request_that_is_given_up_frees_its_turn():
-    async def scenario(scene):
-        wait = scene.start()
+def test_a_cancelled_request_releases_its_admission_once():
+    async def scenario(setup):
+        wait = setup.start()
         await asyncio.sleep(0.01)
         wait.cancel()
-        scene.client.end(scene.flight)
-        scene.client.end(scene.flight)
-        ends = [m for _, m in scene.peers.sent if isinstance(m, TurnEnd)]
+        setup.client.end(setup.flight)
+        setup.client.end(setup.flight)
+        ends = [m for _, m in setup.peers.sent if isinstance(m, TurnEnd)]
         assert ends == [TurnEnd("r1", "engine")]
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_what_runs_is_told_again_and_at_once_to_a_new_keeper():
-    async def scenario(scene):
-        wait = scene.start()
+def test_running_requests_are_reported_again_and_at_once_to_a_new_coordinator():
+    async def scenario(setup):
+        wait = setup.start()
         await asyncio.sleep(0)
-        scene.peers.deliver(TurnGrant("r1", "engine", 1))
+        setup.peers.deliver(TurnGrant("r1", "engine", 1))
         await wait
-        telling = asyncio.create_task(scene.client.run())
-        scene.client.begin(scene.flight)
-        before = len(scene.peers.list_asks("begun"))
+        reporting = asyncio.create_task(setup.client.run())
+        setup.client.begin(setup.flight)
+        before = len(setup.peers.list_asks("begun"))
         await asyncio.sleep(0.15)
-        assert len(scene.peers.list_asks("begun")) > before
-        scene.hosts = ["h3"]
-        scene.client.forget_keepers()
+        assert len(setup.peers.list_asks("begun")) > before
+        setup.hosts = ["h3"]
+        setup.client.forget_keepers()
         await asyncio.sleep(0.03)
-        assert scene.peers.list_asks("begun")[-1][0] == "h3"
-        telling.cancel()
+        assert setup.peers.list_asks("begun")[-1][0] == "h3"
+        reporting.cancel()
 
-    play(scenario)
+    run_scenario(scenario)
--- a/cornelnotch/gateway/tests/test_backups.py
+++ b/cornelnotch/gateway/tests/test_backups.py
@@ -1,4 +1,4 @@
-"""Let streams that may not be repeated go on from copies of their memory."""
+"""Test that streams that may not be repeated resume from KV cache copies."""
 
 import asyncio
 
@@ -22,7 +22,7 @@
 )
 
 CHAT = {"x_token_usage": "20,60", "x_prompt_prefix": "aa:10,bb:10"}
-WHOLE = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 7))
+COMPLETE_BODY = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 7))
 
 
 def create_route(kind=WorkKind.STREAM, resumable=False):
@@ -30,16 +30,16 @@
     return Route("r", "h", "/", kind, 1e4, 400.0, 1, 0, shares, False, resumable, 250.0)
 
 
-def learn(stream_ms, tokens):
+def average_exposure(stream_ms, tokens):
     book = ExposureBook()
     for _ in range(5):
         book.note("r", stream_ms, tokens)
     return book.find("r")
 
 
-def test_only_long_streams_of_short_prompts_that_cannot_resume_are_worth_a_copy():
-    llm = Service("llm", Engine(1000, takes_copies=True))
-    chat, quote = learn(2000.0, 700), learn(400.0, 6000)
+def test_only_long_non_resumable_streams_of_short_prompts_are_copied():
+    llm = Service("llm", Engine(1000, accepts_copies=True))
+    chat, quote = average_exposure(2000.0, 700), average_exposure(400.0, 6000)
     assert is_worth_backup(create_route(), llm, chat)
     assert not is_worth_backup(create_route(), llm, quote)
     assert not is_worth_backup(create_route(), llm, None)
@@ -49,7 +49,7 @@
     assert not is_worth_backup(create_route(), Service("llm"), chat)
 
 
-def test_copies_are_spread_over_sound_engines_of_the_region():
+def test_copies_are_distributed_over_healthy_engines_of_the_region():
     regions = {"a": "north", "b": "north", "c": "south"}
     views = [
         ServerView(ServerRecord(f"s{n}", "llm", "1.2.3.4:5", domain, 8))
@@ -62,7 +62,7 @@
     assert choose_backup("r", views[0], views[:2], regions) is None
 
 
-def play(scenario):
+def run_scenario(scenario):
     async def run():
         async with run_deployment() as d:
             for engine in d.engines:
@@ -73,9 +73,9 @@
             ]
             d.configure(create_configuration(2, services=services))
             await wait_until(lambda: d.host.parts.table.version == 2)
-            # The first stream tells how long they last.
+            # The first stream provides the expected duration.
             answer = await send(d, "first")
-            assert await answer.read() == WHOLE
+            assert await answer.read() == COMPLETE_BODY
             await scenario(d)
 
     asyncio.run(run())
@@ -95,21 +95,21 @@
 
 
 @pytest.mark.parametrize("fault", ["break_after", "stall_after"])
-def test_a_stream_goes_on_from_its_copy_when_its_engine_is_gone(fault):
+def test_a_stream_resumes_from_its_copy_when_its_engine_fails(fault):
     async def scenario(d):
         set_fault(d, fault, 3)
         answer = await send(d, "chat")
-        assert await answer.read() == WHOLE
+        assert await answer.read() == COMPLETE_BODY
         first, second = find_runs(d, "chat")
         assert first is not second
-        going_on = next(h for e in d.engines for h in e.seen if "kv-from" in h)
-        assert going_on["last-event-id"] == "3"
-        assert "x-kv-backup" not in going_on
+        resumed = next(h for e in d.engines for h in e.seen if "kv-from" in h)
+        assert resumed["last-event-id"] == "3"
+        assert "x-kv-backup" not in resumed
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_a_run_whose_copy_is_missing_is_run_nowhere_else():
+def test_a_run_without_its_copy_is_not_repeated():
     async def scenario(d):
         set_fault(d, "break_after", 3)
         for engine in d.engines:
@@ -119,10 +119,10 @@
             await answer.read()
         assert len(find_runs(d, "chat")) == 1
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_a_run_that_broke_before_its_first_event_does_not_go_on():
+def test_a_run_that_broke_before_its_first_event_is_not_resumed():
     async def scenario(d):
         set_fault(d, "cut", True)
         answer = await send(d, "chat")
@@ -130,4 +130,4 @@
         assert answer.status == 502
         assert len(find_runs(d, "chat")) == 1
 
-    play(scenario)
+    run_scenario(scenario)
--- a/cornelnotch/gateway/tests/test_keeping.py
+++ b/cornelnotch/gateway/tests/test_keeping.py
@@ -1,4 +1,4 @@
-"""Check what a keeper tells hosts and what it forgets."""
+"""Test the answers of an admission coordinator and which state it drops."""
 
 import asyncio
 import inspect
@@ -15,11 +15,11 @@
     TurnWait,
 )
 
-THING = [PromptPart("thing", 40_000)]
+SHARED_PREFIX = [PromptPart("thing", 40_000)]
 
 
-class Keeper:
-    """Hold a host's keeper and what it sends to other hosts."""
+class CoordinatorHarness:
+    """The coordinator of a host, recording what it sends to other hosts."""
 
     def __init__(self, host):
         self.host = host
@@ -31,7 +31,7 @@
         pool = self.host.parts.pool
         pool.replace([record, *(v.record for v in pool.servers.values())])
 
-    def ask(self, name, sender="h2", own=1000, server="engine", shared=THING):
+    def ask(self, name, sender="h2", own=1000, server="engine", shared=SHARED_PREFIX):
         self.sent.clear()
         message = TurnAsk(name, server, 1, shared, own, 0.0, "waiting")
         self.host.peers._receive(sender, message)
@@ -45,92 +45,94 @@
         self.host.peers._receive("h2", TurnEnd(name, server))
 
 
-def play(scenario):
+def run_scenario(scenario):
     async def run():
         async with run_deployment() as deployment:
-            played = scenario(Keeper(deployment.host))
-            if inspect.isawaitable(played):
-                await played
+            result = scenario(CoordinatorHarness(deployment.host))
+            if inspect.isawaitable(result):
+                await result
 
     asyncio.run(run())
 
 
-def test_a_grant_that_was_lost_is_sent_again():
-    def scenario(keeper):
-        first = keeper.ask("a")
+def test_a_lost_grant_is_sent_again():
+    def scenario(harness):
+        first = harness.ask("a")
         assert first == ("h2", TurnGrant("a", "engine", 41_000))
-        assert keeper.ask("a") == first
+        assert harness.ask("a") == first
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_who_waits_hears_how_much_is_to_be_read():
-    def scenario(keeper):
-        keeper.ask("a")
-        name, wait = keeper.ask("b", "h3")
+def test_a_waiting_request_is_told_its_unread_tokens():
+    def scenario(harness):
+        harness.ask("a")
+        name, wait = harness.ask("b", "h3")
         assert name == "h3"
         assert isinstance(wait, TurnWait)
         assert wait.unread == 1000
         assert wait.wait_ms > 0
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_an_engine_that_started_anew_caches_nothing():
-    def scenario(keeper):
-        keeper.list_engine(boot_ms=1)
-        keeper.ask("a")
-        keeper.end("a")
-        assert keeper.ask("b")[1].unread == 1000
-        keeper.end("b")
-        keeper.host.parts.pool.replace([])
-        assert keeper.ask("c")[1].unread == 1000
-        keeper.end("c")
-        keeper.list_engine(boot_ms=2)
-        assert keeper.ask("d")[1].unread == 41_000
+def test_a_restarted_engine_has_an_empty_cache():
+    def scenario(harness):
+        harness.list_engine(boot_ms=1)
+        harness.ask("a")
+        harness.end("a")
+        assert harness.ask("b")[1].unread == 1000
+        harness.end("b")
+        harness.host.parts.pool.replace([])
+        assert harness.ask("c")[1].unread == 1000
+        harness.end("c")
+        harness.list_engine(boot_ms=2)
+        assert harness.ask("d")[1].unread == 41_000
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_engines_that_are_gone_are_forgotten():
-    def scenario(keeper):
+def test_queues_of_unlisted_engines_are_dropped():
+    def scenario(harness):
         for number in range(50):
-            keeper.ask("a", server=f"gone-{number}")
-            keeper.end("a", server=f"gone-{number}")
-        assert len(keeper.host.keeper._desks) <= 2
+            harness.ask("a", server=f"gone-{number}")
+            harness.end("a", server=f"gone-{number}")
+        assert len(harness.host.keeper._entries) <= 2
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_who_waits_is_granted_when_the_engine_has_had_time_to_read():
-    async def scenario(keeper):
-        keeper.ask("a", own=9000, shared=[])
-        keeper.ask("b", own=9000, shared=[])
-        assert not keeper.list_grants()
-        await wait_until(lambda: keeper.list_grants() == ["b"], 2.0)
+def test_a_waiting_request_is_granted_after_the_prefill_ahead_of_it():
+    async def scenario(harness):
+        harness.ask("a", own=9000, shared=[])
+        harness.ask("b", own=9000, shared=[])
+        assert not harness.list_grants()
+        await wait_until(lambda: harness.list_grants() == ["b"], 2.0)
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_who_waits_is_granted_at_once_when_another_ends():
-    def scenario(keeper):
-        keeper.ask("a", own=90_000, shared=[])
-        keeper.ask("b", own=9000, shared=[])
-        assert not keeper.list_grants()
-        keeper.end("a")
-        assert keeper.list_grants() == ["b"]
+def test_a_waiting_request_is_granted_at_once_when_another_ends():
+    def scenario(harness):
+        harness.ask("a", own=90_000, shared=[])
+        harness.ask("b", own=9000, shared=[])
+        assert not harness.list_grants()
+        harness.end("a")
+        assert harness.list_grants() == ["b"]
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_progress_that_is_told_with_an_ask_is_learned_from():
-    def scenario(keeper):
-        keeper.list_engine()
-        keeper.ask("a")
+def test_reported_progress_updates_the_estimated_pace():
+    def scenario(harness):
+        harness.list_engine()
+        harness.ask("a")
         progress = StreamProgress(100, 1000.0, 20.0)
-        begun = TurnAsk("a", "engine", 1, THING, 1000, 0.0, "begun", 250.0, progress)
-        keeper.host.peers._receive("h2", begun)
-        (pace,) = keeper.host.keeper.list_paces()
+        begun = TurnAsk(
+            "a", "engine", 1, SHARED_PREFIX, 1000, 0.0, "begun", 250.0, progress
+        )
+        harness.host.peers._receive("h2", begun)
+        (pace,) = harness.host.keeper.list_paces()
         assert pace.event_ms == pytest.approx(10.0, rel=0.1)
 
-    play(scenario)
+    run_scenario(scenario)
--- a/cornelnotch/gateway/tests/test_leaving.py
+++ b/cornelnotch/gateway/tests/test_leaving.py
@@ -1,4 +1,4 @@
-"""Servers say that they leave or want a rest; check that hosts heed it at once."""
+"""Test that hosts stop using servers that announce leaving or ask for a pause."""
 
 import asyncio
 from contextlib import asynccontextmanager
@@ -19,7 +19,7 @@
 RECORD = ServerRecord("s1", "desk", "10.0.0.1:80", "north-a", 8, boot_ms=100)
 
 
-def play(scenario):
+def run_scenario(scenario):
     async def run():
         async with run_deployment() as deployment:
             await scenario(deployment)
@@ -57,7 +57,7 @@
         ({}, "/stream/x", "POST"),
     ],
 )
-def test_a_server_that_says_it_leaves_gets_nothing_more(faults, path, method):
+def test_a_server_that_announces_leaving_gets_no_more_requests(faults, path, method):
     async def scenario(d):
         servers = d.engines if path.startswith("/stream/") else d.desks
         leaving = servers[0]
@@ -70,10 +70,10 @@
         assert len(leaving.seen) == 1
         assert len(servers[1].seen) >= 7
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_other_hosts_hear_that_a_server_leaves():
+def test_a_leaving_notice_reaches_other_hosts():
     async def scenario(d):
         d.desks[0].faults.leaving = True
         async with run_second_host(d) as other:
@@ -82,7 +82,7 @@
             await wait_until(lambda: view.leaving, 1.0)
             assert not other.parts.accepts(view)
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_a_stale_record_does_not_bring_a_leaving_server_back():
@@ -106,10 +106,10 @@
         answer = await d.send("/read/x", x_attempt_id="again")
         assert (await answer.read()) == b"done by desk-1"
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_an_older_word_takes_out_no_later_life():
+def test_an_older_leaving_notice_does_not_affect_a_later_boot():
     pool = ServerPool()
     pool.replace([replace(RECORD, boot_ms=200)])
     assert pool.note_leaving("s1", 100)
@@ -122,7 +122,7 @@
     assert pool.servers["s1"].leaving
 
 
-def test_a_word_that_comes_before_the_record_holds():
+def test_a_leaving_notice_applies_to_a_record_that_arrives_later():
     pool = ServerPool()
     assert pool.note_leaving("s1", 100)
     pool.replace([RECORD])
@@ -131,24 +131,24 @@
     assert pool.list_usable("desk", 0.0)
 
 
-def test_a_server_that_wants_a_rest_gets_nothing_until_its_end():
+def test_a_server_that_asks_for_a_pause_gets_no_requests_until_its_end():
     async def scenario(d):
-        resting = d.desks[0]
-        resting.faults.refuse = True
-        resting.faults.retry_after = "0.8"
+        paused = d.desks[0]
+        paused.faults.refuse = True
+        paused.faults.retry_after = "0.8"
         began = asyncio.get_running_loop().time()
         await send_calls(d, 8)
-        assert len(resting.seen) == 1
-        resting.faults.refuse = False
+        assert len(paused.seen) == 1
+        paused.faults.refuse = False
         await asyncio.sleep(began + 1.0 - asyncio.get_running_loop().time())
         d.desks[1].faults.refuse = True
         answer = await d.send("/read/x", x_attempt_id="later")
         assert (await answer.read()) == b"done by desk-1"
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_callers_hear_when_to_return_if_all_servers_rest():
+def test_callers_get_a_retry_delay_if_all_servers_are_paused():
     async def scenario(d):
         for server in d.desks:
             server.faults.refuse = True
@@ -161,10 +161,10 @@
         assert 0.4 <= float(answer.headers["retry-after"]) <= 0.9
         assert sum(len(server.seen) for server in d.desks) == seen
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_a_request_that_waits_for_its_turn_turns_away_from_a_resting_server():
+def test_streams_are_not_sent_to_a_paused_engine():
     async def scenario(d):
         view = d.host.parts.pool.servers["llm-1"]
         view.rest(60_000.0, d.host.clock.read())
@@ -180,7 +180,7 @@
             await answer.read()
         assert not d.engines[0].seen
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 @pytest.mark.parametrize(
@@ -197,14 +197,14 @@
         (503, "", 0.0, ""),
     ],
 )
-def test_the_time_of_a_rest_is_read_with_care(status, text, rest_ms, malformed):
+def test_the_duration_of_a_pause_is_validated(status, text, rest_ms, malformed):
     pairs = [(b"Retry-After", text.encode())] if text else []
     head = PlatformDialect().read_answer(status, pairs)
     assert head.rest_ms == rest_ms
     assert head.malformed_rest == malformed
 
 
-def test_a_rest_is_bounded_and_never_shortened():
+def test_a_pause_is_bounded_and_never_shortened():
     pool = ServerPool()
     pool.replace([RECORD])
     view = pool.servers["s1"]
@@ -216,11 +216,11 @@
     assert pool.list_usable("desk", MAX_REST_MS)
 
 
-def test_an_address_used_by_another_server_speaks_only_for_itself():
+def test_a_notice_from_a_reused_address_does_not_affect_the_listed_server():
     async def scenario(d):
         d.desks[0].name = "someone-else"
         d.desks[0].faults.leaving = True
         await send_calls(d, 6)
         assert not d.host.parts.pool.servers["desk-1"].said_leaving
 
-    play(scenario)
+    run_scenario(scenario)
--- a/cornelnotch/gateway/tests/test_path.py
+++ b/cornelnotch/gateway/tests/test_path.py
@@ -1,4 +1,4 @@
-"""Send requests through a host to stand-ins and check what callers get."""
+"""Test answers to callers whose requests pass through a host to fake servers."""
 
 import asyncio
 
@@ -12,7 +12,7 @@
 )
 
 
-def play(scenario):
+def run_scenario(scenario):
     async def run():
         async with run_deployment() as deployment:
             await scenario(deployment)
@@ -24,7 +24,7 @@
     return sum(server.ran[request_id] for server in servers)
 
 
-def test_a_call_reaches_a_server_unchanged_and_its_answer_comes_back():
+def test_a_call_and_its_answer_are_forwarded_unchanged():
     async def scenario(d):
         answer = await d.send("/book/x?y=1", "POST", b"body", x_other="kept")
         body = await answer.read()
@@ -40,10 +40,10 @@
         assert "x-key" not in seen
         assert 0 < int(seen["x-deadline-ms"]) <= 3000
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_what_only_the_system_may_set_is_not_passed_on():
+def test_headers_reserved_for_the_gateway_are_not_forwarded():
     async def scenario(d):
         answer = await d.send(
             "/read/x", x_tenant="other", kv_fetch="1.2.3.4:5", x_request_priority="0"
@@ -54,7 +54,7 @@
         assert seen["x-request-priority"] == "1"
         assert "kv-fetch" not in seen
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 @pytest.mark.parametrize(
@@ -66,16 +66,16 @@
         ("/open/x", "", 200),
     ],
 )
-def test_routes_and_keys_decide_who_is_served(path, key, status):
+def test_routes_and_api_keys_determine_the_status(path, key, status):
     async def scenario(d):
         answer = await d.send(path, x_key=key)
         await answer.read()
         assert answer.status == status
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_work_that_must_not_repeat_is_sent_once_when_its_answer_is_lost():
+def test_non_repeatable_work_is_sent_once_when_its_answer_is_lost():
     async def scenario(d):
         for server in d.desks:
             server.faults.cut = True
@@ -84,21 +84,21 @@
         assert answer.status == 502
         assert count_runs(d.desks) == 1
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_repeatable_work_is_sent_to_another_server_when_one_breaks():
+def test_repeatable_work_is_retried_at_another_server():
     async def scenario(d):
         d.desks[0].faults.cut = True
         for number in range(6):
             answer = await d.send("/read/x", x_attempt_id=f"r{number}")
             assert (await answer.read()) == b"done by desk-2"
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_a_call_that_its_only_server_failed_is_tried_there_once_more():
-    # It ended with 502, as no other server was left.
+def test_a_call_failed_by_the_only_server_is_retried_there_once():
+    # Guards against answering 502 because no other server is left.
     async def scenario(d):
         d.drop_server(d.desks[1])
         await wait_until(lambda: d.count_servers() == 3)
@@ -115,10 +115,10 @@
         await answer.read()
         assert answer.status == 500
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_a_refusal_by_every_server_says_not_run_and_when_to_come_back():
+def test_a_refusal_by_every_server_yields_503_with_a_retry_delay():
     async def scenario(d):
         for server in d.desks:
             server.faults.refuse = True
@@ -128,10 +128,10 @@
         assert float(answer.headers["retry-after"]) > 0
         assert count_runs(d.desks) == 0
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_work_that_may_have_run_is_not_called_refused_when_no_server_is_left():
+def test_work_that_may_have_run_is_not_reported_as_refused():
     async def scenario(d):
         d.desks[0].faults.cut = True
         d.engines[0].faults.break_after = 3
@@ -145,11 +145,11 @@
         with pytest.raises(UpstreamError):
             await stream.read()
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 @pytest.mark.parametrize("fault", ["wrong_id", "unsigned"])
-def test_bytes_that_are_not_the_answer_never_reach_the_caller(fault):
+def test_invalid_answers_never_reach_the_caller(fault):
     async def scenario(d):
         for server in d.desks:
             setattr(server.faults, fault, True)
@@ -158,10 +158,10 @@
         assert answer.status == 502
         assert "x-server-signature" not in answer.headers
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_a_failure_of_the_server_is_passed_on_with_its_signature():
+def test_a_server_error_is_forwarded_with_its_signature():
     async def scenario(d):
         for server in d.desks:
             server.faults.fail = True
@@ -170,10 +170,10 @@
         assert (await answer.read()).startswith(b"done by")
         assert "x-server-signature" in answer.headers
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_a_broken_stream_goes_on_elsewhere_without_gap_or_repeat():
+def test_a_broken_stream_resumes_elsewhere_without_gap_or_repeat():
     async def scenario(d):
         for server in d.engines:
             server.faults.break_after = 3
@@ -186,7 +186,7 @@
         assert numbers == [b"id: %d" % n for n in range(1, 7)]
         assert other.seen[0]["last-event-id"] == "3"
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_a_stream_that_may_not_resume_ends_incomplete():
@@ -198,10 +198,10 @@
             await answer.read()
         assert count_runs(d.engines) == 1
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_a_caller_that_leaves_ends_the_work_of_its_server():
+def test_a_caller_disconnecting_cancels_the_work_of_its_server():
     async def scenario(d):
         for server in d.engines:
             server.faults.hang = True
@@ -210,10 +210,10 @@
         task.cancel()
         await wait_until(lambda: sum(s.left for s in d.engines) == 1, 1.0)
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_a_caller_that_leaves_within_a_stream_ends_the_work():
+def test_a_caller_disconnecting_during_a_stream_cancels_the_work():
     async def scenario(d):
         for server in d.engines:
             server.events = 10_000
@@ -223,10 +223,10 @@
         answer.connection.abort()
         await wait_until(lambda: sum(s.left for s in d.engines) == 1, 1.0)
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_a_stream_that_falls_silent_goes_on_elsewhere():
+def test_a_stalled_stream_resumes_elsewhere():
     async def scenario(d):
         for server in d.engines:
             server.faults.stall_after = 3
@@ -237,23 +237,23 @@
         body = await answer.read()
         numbers = [line for line in body.split(b"\n") if line.startswith(b"id:")]
         assert numbers == [b"id: %d" % n for n in range(1, 7)]
-        # The server that fell silent must not go on with it.
+        # The silent server must not continue the stream.
         await wait_until(lambda: first.left == 1, 0.4)
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_a_call_whose_answer_is_lost_is_sent_elsewhere_in_time():
+def test_a_call_without_an_answer_is_retried_elsewhere_in_time():
     async def scenario(d):
         d.desks[0].faults.hang = True
         for number in range(4):
             answer = await d.send("/read/x", x_attempt_id=f"r{number}")
             assert (await answer.read()) == b"done by desk-2"
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_the_final_answer_comes_at_the_routes_limit():
+def test_the_final_answer_is_sent_by_the_deadline():
     async def scenario(d):
         for server in d.desks:
             server.faults.hang = True
@@ -263,10 +263,10 @@
         assert answer.status == 504
         assert asyncio.get_running_loop().time() - began < 1.0
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_a_new_configuration_comes_into_force_and_an_older_one_does_not():
+def test_a_newer_configuration_is_applied_and_an_older_one_is_not():
     async def scenario(d):
         d.configure(create_configuration(5, tenants=[]))
         await wait_until(lambda: d.host.parts.table.version == 5, 3.0)
@@ -276,7 +276,7 @@
         assert answer.status == 401
         assert d.host.parts.table.version == 5
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 def test_a_leaving_server_gets_no_new_work():
@@ -288,10 +288,10 @@
             answer = await d.send("/read/x", x_attempt_id=f"r{number}")
             assert (await answer.read()) == b"done by desk-2"
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_a_server_at_a_used_address_is_not_asked_again():
+def test_a_server_at_a_reused_address_is_not_used_again():
     async def scenario(d):
         d.desks[0].name = "someone-else"
         for number in range(6):
@@ -299,10 +299,10 @@
             assert (await answer.read()) == b"done by desk-2"
         assert len(d.desks[0].seen) <= 1
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_draining_answers_what_comes_and_ends_the_host():
+def test_a_draining_host_answers_requests_and_then_stops():
     async def scenario(d):
         d.host.start_drain()
         assert not d.host.is_ready()
@@ -313,4 +313,4 @@
         async with asyncio.timeout(6.0):
             await d.host.stopped.wait()
 
-    play(scenario)
+    run_scenario(scenario)
--- a/cornelnotch/gateway/tests/test_repeating.py
+++ b/cornelnotch/gateway/tests/test_repeating.py
@@ -1,17 +1,17 @@
-"""Check what may be sent again, for every kind of work and end of a dispatch."""
+"""Test which requests may be sent again, by kind of work and dispatch outcome."""
 
 import pytest
 
-from cornelnotch.gateway.dispatch import Fate
+from cornelnotch.gateway.dispatch import DispatchOutcome
 from cornelnotch.gateway.models import Route, ServiceShare, WorkKind
 from cornelnotch.gateway.repeating import (
-    MAX_REFUSED_SENDS,
-    MAX_UNSENT,
-    Progress,
+    MAX_REFUSED_DISPATCHES,
+    MAX_UNSENT_DISPATCHES,
+    DispatchCounts,
     may_send_again,
 )
 
-MAY_HAVE_RUN = [Fate.BROKEN, Fate.FAILED, Fate.DONE]
+MAY_HAVE_RUN = [DispatchOutcome.BROKEN, DispatchOutcome.FAILED, DispatchOutcome.DONE]
 
 
 def create_route(kind, resumable=False, attempts=3):
@@ -19,33 +19,33 @@
     return Route("r", "", "/", kind, 1.0, 1.0, attempts, 1, share, resumable=resumable)
 
 
-@pytest.mark.parametrize("fate", MAY_HAVE_RUN)
-def test_what_may_have_run_goes_on_only_where_it_may_repeat(fate):
-    progress = Progress()
-    progress.count(fate)
-    assert progress.ran == 1
-    assert not may_send_again(create_route(WorkKind.ONCE), progress, fate)
-    assert not may_send_again(create_route(WorkKind.STREAM), progress, fate)
-    assert may_send_again(create_route(WorkKind.REPEATABLE), progress, fate)
-    assert may_send_again(create_route(WorkKind.STREAM, True), progress, fate)
+@pytest.mark.parametrize("outcome", MAY_HAVE_RUN)
+def test_work_that_may_have_run_is_retried_only_if_repeatable(outcome):
+    counts = DispatchCounts()
+    counts.count(outcome)
+    assert counts.ran == 1
+    assert not may_send_again(create_route(WorkKind.ONCE), counts, outcome)
+    assert not may_send_again(create_route(WorkKind.STREAM), counts, outcome)
+    assert may_send_again(create_route(WorkKind.REPEATABLE), counts, outcome)
+    assert may_send_again(create_route(WorkKind.STREAM, True), counts, outcome)
 
 
-@pytest.mark.parametrize("fate", MAY_HAVE_RUN)
-def test_attempts_bound_what_may_have_run(fate):
-    progress = Progress(ran=3)
-    assert not may_send_again(create_route(WorkKind.REPEATABLE), progress, fate)
+@pytest.mark.parametrize("outcome", MAY_HAVE_RUN)
+def test_attempts_limit_retries_of_work_that_may_have_run(outcome):
+    counts = DispatchCounts(ran=3)
+    assert not may_send_again(create_route(WorkKind.REPEATABLE), counts, outcome)
 
 
 @pytest.mark.parametrize("kind", list(WorkKind))
-def test_proof_that_nothing_ran_lets_any_work_go_on_for_a_while(kind):
+def test_any_work_proved_not_run_is_retried_up_to_a_limit(kind):
     route = create_route(kind, attempts=1)
-    for fate, limit in (
-        (Fate.NOT_SENT, MAX_UNSENT),
-        (Fate.REFUSED, MAX_REFUSED_SENDS),
+    for outcome, limit in (
+        (DispatchOutcome.NOT_SENT, MAX_UNSENT_DISPATCHES),
+        (DispatchOutcome.REFUSED, MAX_REFUSED_DISPATCHES),
     ):
-        progress = Progress()
+        counts = DispatchCounts()
         for _ in range(limit - 1):
-            progress.count(fate)
-            assert may_send_again(route, progress, fate)
-        progress.count(fate)
-        assert not may_send_again(route, progress, fate)
+            counts.count(outcome)
+            assert may_send_again(route, counts, outcome)
+        counts.count(outcome)
+        assert not may_send_again(route, counts, outcome)
--- a/cornelnotch/gateway/tests/test_restoration.py
+++ b/cornelnotch/gateway/tests/test_restoration.py
@@ -1,4 +1,4 @@
-"""Bring the store back from an older copy; nothing that was known is taken back."""
+"""Test that restoring the store from an older copy reverts no known record."""
 
 import asyncio
 
@@ -8,11 +8,11 @@
 from cornelnotch.gateway.state import RETURN_MS
 from cornelnotch.gateway.tests.fleet import Fleet, Store
 
-# The tightest bound for changes on the users' pages.
+# The tightest documented bound on the delay of a change.
 BOUND_MS = 3000.0
 
 
-def play(scenario, count=8):
+def run_scenario(scenario, count=8):
     async def run():
         fleet = Fleet(count)
         fleet.store.configure(10)
@@ -36,39 +36,39 @@
     )
 
 
-async def lose(fleet, copy, away_ms=1000.0, by=1):
-    """Take the store away and bring it back from a copy."""
+async def restore_from(fleet, copy, outage_ms=1000.0, by=1):
+    """Stop the store and restore it from a copy."""
     fleet.store.is_down = True
-    await fleet.run(away_ms)
+    await fleet.run(outage_ms)
     fleet.store.restore(copy, by)
     fleet.store.is_down = False
 
 
 @pytest.mark.parametrize("count", [8, 60, 320])
-def test_the_readers_read_anew_and_the_others_hear_it(count):
+def test_readers_read_again_and_update_the_other_hosts(count):
     async def scenario(fleet):
         copy = fleet.store.copy()
         fleet.store.configure(11)
         await fleet.run(1500.0)
-        await lose(fleet, copy)
+        await restore_from(fleet, copy)
         calls, sent = fleet.store.calls, fleet.sent_bytes
-        passed = await fleet.run(BOUND_MS, lambda: is_current(fleet, 11))
-        assert passed < BOUND_MS
-        await fleet.run(10_000.0 - passed)
-        # Twenty calls a second are the goal for the whole fleet.
+        elapsed_ms = await fleet.run(BOUND_MS, lambda: is_current(fleet, 11))
+        assert elapsed_ms < BOUND_MS
+        await fleet.run(10_000.0 - elapsed_ms)
+        # The goal for the whole fleet is at most twenty calls per second.
         assert fleet.store.calls - calls <= 200
-        # 5 KB a second are what a host may send for control.
+        # Each host may send 5 KB of control messages per second.
         assert fleet.sent_bytes - sent <= 5000 * 10 * count
 
-    play(scenario, count)
+    run_scenario(scenario, count)
 
 
-def test_a_version_that_the_copy_lacks_stays_in_force_until_a_newer_one():
+def test_a_version_missing_from_the_copy_stays_active_until_a_newer_one():
     async def scenario(fleet):
         copy = fleet.store.copy()
         fleet.store.configure(11)
         await fleet.run(1500.0)
-        await lose(fleet, copy)
+        await restore_from(fleet, copy)
         await fleet.run(5000.0)
         assert is_current(fleet, 11)
         fleet.store.configure(11)
@@ -80,11 +80,11 @@
         await fleet.run(2000.0)
         assert is_current(fleet, 13)
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_offsets_that_are_given_out_again_hide_no_record():
-    # A reader whose offset was given out again read on from there.
+def test_reassigned_offsets_hide_no_record():
+    # Guards against a reader that continues from an offset that was reassigned.
     async def scenario(fleet):
         copy = fleet.store.copy()
         for written in range(2, 6):
@@ -97,16 +97,16 @@
         for host in fleet.list_alive():
             assert host.list_usable() == {f"s{n}" for n in range(1, 8)}
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_a_server_that_the_copy_lacks_is_kept_until_it_would_have_written_again():
+def test_a_server_missing_from_the_copy_is_kept_until_its_next_write_is_due():
     async def scenario(fleet):
         copy = fleet.store.copy()
         fleet.store.list_server("s3", 1)
         fleet.store.list_server("s4", 1)
         await fleet.run(1500.0)
-        await lose(fleet, copy, 200.0)
+        await restore_from(fleet, copy, 200.0)
         await fleet.run(1000.0)
         assert all(h.list_usable() >= {"s3", "s4"} for h in fleet.list_alive())
         fleet.store.list_server("s3", 2)
@@ -114,11 +114,11 @@
         for host in fleet.list_alive():
             assert host.list_usable() == {"s1", "s2", "s3"}
 
-    play(scenario)
+    run_scenario(scenario)
 
 
 @pytest.mark.parametrize("is_listed_leaving", [True, False])
-def test_a_server_that_left_or_leaves_gets_nothing_more_in_that_life(is_listed_leaving):
+def test_a_leaving_or_removed_server_is_not_used_until_it_restarts(is_listed_leaving):
     async def scenario(fleet):
         copy = fleet.store.copy()
         if is_listed_leaving:
@@ -126,120 +126,120 @@
         else:
             fleet.store.write("servers", "s1", b"")
         await fleet.run(1500.0)
-        await lose(fleet, copy, 200.0)
-        began = fleet.clock.read()
-        while fleet.clock.read() - began < 6000.0:
+        await restore_from(fleet, copy, 200.0)
+        started_ms = fleet.clock.read()
+        while fleet.clock.read() - started_ms < 6000.0:
             await fleet.run(50.0)
             assert not any("s1" in h.list_usable() for h in fleet.list_alive())
         fleet.store.list_server("s1", 1, boot_ms=2)
         await fleet.run(2000.0)
         assert all("s1" in h.list_usable() for h in fleet.list_alive())
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_a_server_whose_entry_had_lapsed_is_used_once_it_writes_again():
+def test_a_server_with_a_lapsed_entry_is_used_once_it_writes_again():
     async def scenario(fleet):
         copy = fleet.store.copy()
         fleet.store.write("servers", "s1", b"")
         await fleet.run(1500.0)
-        await lose(fleet, copy, 200.0)
+        await restore_from(fleet, copy, 200.0)
         fleet.store.list_server("s1", 4)
         await fleet.run(2000.0)
         assert all("s1" in h.list_usable() for h in fleet.list_alive())
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_a_host_that_starts_in_the_gap_hears_of_the_newer_version():
+def test_a_host_started_after_a_restoration_receives_the_newer_version():
     async def scenario(fleet):
         copy = fleet.store.copy()
         fleet.store.configure(11)
         await fleet.run(1500.0)
-        await lose(fleet, copy)
+        await restore_from(fleet, copy)
         await fleet.run(1000.0)
         started = fleet.add_host()
         await fleet.run(BOUND_MS, lambda: started.version == 11)
         assert started.version == 11
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_two_drills_in_a_row_take_nothing_back():
+def test_two_restorations_in_a_row_revert_nothing():
     async def scenario(fleet):
         copy = fleet.store.copy()
         fleet.store.configure(11)
         await fleet.run(1500.0)
-        await lose(fleet, copy, 500.0)
+        await restore_from(fleet, copy, 500.0)
         await fleet.run(1500.0)
-        await lose(fleet, copy, 500.0)
+        await restore_from(fleet, copy, 500.0)
         await fleet.run(3000.0)
         started = fleet.add_host()
         await fleet.run(3000.0)
         assert is_current(fleet, 11)
         assert started.versions[-1] == 11
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_readers_that_start_in_the_gap_hear_what_the_others_hold():
+def test_readers_started_after_a_restoration_receive_held_records():
     async def scenario(fleet):
         copy = fleet.store.copy()
         fleet.store.configure(11)
         await fleet.run(1500.0)
         old = fleet.list_alive()
-        await lose(fleet, copy, 500.0)
+        await restore_from(fleet, copy, 500.0)
         await fleet.run(1500.0)
         while any(reader in old for reader in fleet.list_readers()):
             fleet.add_host()
         await fleet.run(5000.0)
         assert is_current(fleet, 11)
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_a_timeline_that_is_two_higher_is_one_like_any_other():
+def test_a_timeline_may_advance_by_two():
     async def scenario(fleet):
         copy = fleet.store.copy()
         fleet.store.configure(11)
         await fleet.run(1500.0)
-        await lose(fleet, copy, by=2)
+        await restore_from(fleet, copy, by=2)
         await fleet.run(3000.0)
         assert is_current(fleet, 11)
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_a_reader_that_dies_at_the_return_costs_no_more_than_the_bound():
+def test_recovery_stays_within_the_bound_when_the_readers_fail():
     async def scenario(fleet):
         copy = fleet.store.copy()
         fleet.store.configure(11)
         await fleet.run(1500.0)
-        await lose(fleet, copy, 500.0)
+        await restore_from(fleet, copy, 500.0)
         for reader in fleet.list_readers():
             fleet.kill(reader)
         fleet.store.configure(12)
-        passed = await fleet.run(BOUND_MS, lambda: is_current(fleet, 12))
-        assert passed < BOUND_MS
+        elapsed_ms = await fleet.run(BOUND_MS, lambda: is_current(fleet, 12))
+        assert elapsed_ms < BOUND_MS
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_hosts_behind_a_cut_link_read_by_themselves():
+def test_partitioned_hosts_read_the_store_themselves():
     async def scenario(fleet):
         copy = fleet.store.copy()
         fleet.store.configure(11)
         await fleet.run(1500.0)
         fleet.cut_domains = {"b"}
-        await lose(fleet, copy, 500.0)
+        await restore_from(fleet, copy, 500.0)
         fleet.store.configure(12)
-        passed = await fleet.run(2 * BOUND_MS, lambda: is_current(fleet, 12))
-        assert passed < max(STALE_MS.values()) + 1000.0
+        elapsed_ms = await fleet.run(2 * BOUND_MS, lambda: is_current(fleet, 12))
+        assert elapsed_ms < max(STALE_MS.values()) + 1000.0
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_hosts_that_start_in_turn_through_a_drill_end_with_the_newest():
+def test_a_rolling_restart_during_a_restoration_ends_at_the_newest_version():
     async def scenario(fleet):
         copy = fleet.store.copy()
         fleet.store.configure(11)
@@ -255,55 +255,55 @@
         await fleet.run(3000.0)
         assert is_current(fleet, 11)
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_answers_of_the_store_of_before_are_dropped():
+def test_answers_from_an_outdated_store_are_dropped():
     async def scenario(fleet):
-        before = Store()
-        before.configure(10)
+        outdated = Store()
+        outdated.configure(10)
         copy = fleet.store.copy()
         fleet.store.configure(11)
         await fleet.run(1500.0)
-        await lose(fleet, copy, 500.0)
+        await restore_from(fleet, copy, 500.0)
         await fleet.run(1500.0)
         for host in fleet.list_readers():
-            host.reader.outdated = before
+            host.reader.outdated = outdated
         fleet.store.configure(12)
-        passed = await fleet.run(BOUND_MS, lambda: is_current(fleet, 12))
-        assert passed < BOUND_MS
+        elapsed_ms = await fleet.run(BOUND_MS, lambda: is_current(fleet, 12))
+        assert elapsed_ms < BOUND_MS
         for host in fleet.list_alive():
-            host.reader.outdated = before
+            host.reader.outdated = outdated
         await fleet.run(5000.0)
         assert is_current(fleet, 12)
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_late_news_of_the_timeline_of_before_is_dropped():
+def test_delayed_messages_of_an_older_timeline_are_dropped():
     async def scenario(fleet):
-        late = []
-        carry = fleet.carry
-        fleet.carry = lambda *message: late.append(message)
+        delayed = []
+        deliver = fleet.deliver
+        fleet.deliver = lambda *message: delayed.append(message)
         fleet.store.list_server("s9", 1)
-        await fleet.run(1000.0, lambda: any(m.items for _, _, m in late))
-        fleet.carry = carry
+        await fleet.run(1000.0, lambda: any(m.items for _, _, m in delayed))
+        fleet.deliver = deliver
         copy = {"configuration": 1, "servers": 2}
-        await lose(fleet, copy, 500.0)
+        await restore_from(fleet, copy, 500.0)
         await fleet.run(RETURN_MS + BOUND_MS)
-        for message in late:
-            carry(*message)
+        for message in delayed:
+            deliver(*message)
         for host in fleet.list_alive():
             assert host.list_usable() == {"s1", "s2"}
 
-    play(scenario)
+    run_scenario(scenario)
 
 
-def test_answers_that_name_no_timeline_are_taken_as_before():
+def test_answers_without_a_timeline_are_accepted():
     async def scenario(fleet):
         fleet.store.timeline = None
         fleet.store.configure(11)
         await fleet.run(2000.0)
         assert all(host.version == 11 for host in fleet.list_alive())
 
-    play(scenario)
+    run_scenario(scenario)
--- a/cornelnotch/gateway/tests/test_starting.py
+++ b/cornelnotch/gateway/tests/test_starting.py
@@ -1,4 +1,4 @@
-"""Ask hosts that know no routes or servers yet."""
+"""Test requests to hosts that know no routes or servers yet."""
 
 import asyncio
 
@@ -7,15 +7,15 @@
 from cornelnotch.kernel import ManualClock
 
 
-def test_callers_without_an_answer_in_sight_return_as_late_as_they_honour():
+def test_retry_delay_is_the_longest_honoured_while_the_store_is_unavailable():
     startup = Startup(ManualClock())
     assert startup.choose_return_ms(6000.0) == MIN_RETURN_MS
-    startup.note_store_lost()
+    startup.note_store_unavailable()
     assert startup.choose_return_ms(6000.0) == 2000.0
     assert startup.choose_return_ms(0.0) == MIN_RETURN_MS
 
 
-def test_requests_wait_for_the_rest_of_the_startup_only():
+def test_requests_wait_only_for_the_rest_of_the_startup():
     async def run():
         clock = ManualClock()
         startup = Startup(clock)
@@ -28,13 +28,13 @@
         began = loop.time()
         assert not await startup.wait()
         assert loop.time() - began < 0.02
-        startup.note_known()
+        startup.set_ready()
         assert await startup.wait()
 
     asyncio.run(run())
 
 
-def play_restart(scenario):
+def run_restart_scenario(scenario):
     async def run():
         deployment = Deployment()
         await deployment.start()
@@ -48,20 +48,20 @@
     asyncio.run(run())
 
 
-def test_the_first_callers_of_a_host_that_starts_are_served():
-    # They got 503 until the configuration was read.
+def test_first_callers_of_a_starting_host_are_served():
+    # Guards against answering 503 until the configuration has been read.
     async def scenario(d):
         await d.host.start()
         answer = await d.send("/book/x", "POST", b"b")
         assert answer.status == 200
         await answer.read()
 
-    play_restart(scenario)
+    run_restart_scenario(scenario)
 
 
-def test_callers_that_come_in_an_outage_are_told_to_return_late():
-    # All hosts had lost power while the store was down; callers came back after 0.3 s,
-    # were refused once more and gave up.
+def test_callers_during_an_outage_get_a_long_retry_delay():
+    # All hosts lose power while the store is down. Callers that retry after 0.3 s are
+    # refused once more and give up.
     async def scenario(d):
         d.store.fault = "busy"
         await d.host.start()
@@ -76,11 +76,11 @@
         assert answer.status == 200
         await answer.read()
 
-    play_restart(scenario)
+    run_restart_scenario(scenario)
 
 
-def test_a_host_that_knows_no_servers_is_not_ready():
-    # Hosts took callers once they had routes, and found no server for them.
+def test_a_host_without_known_servers_is_not_ready():
+    # Guards against accepting callers with routes but without any server for them.
     async def scenario(d):
         d.store.silent_topics = {"keyed.servers"}
         await d.host.start()
@@ -89,4 +89,4 @@
         d.store.silent_topics = set()
         await wait_until(d.host.is_ready)
 
-    play_restart(scenario)
+    run_restart_scenario(scenario)
--- a/cornelnotch/gateway/tests/test_troubled_servers.py
+++ b/cornelnotch/gateway/tests/test_troubled_servers.py
@@ -1,4 +1,4 @@
-"""Servers send bytes without end or sense; check that hosts cut them and stay small."""
+"""Test that hosts disconnect servers that send endless or malformed data."""
 
 import asyncio
 import tracemalloc
@@ -8,7 +8,7 @@
 from cornelnotch.exceptions import UpstreamError
 from cornelnotch.gateway import passing, patience
 from cornelnotch.gateway.servers import Flight
-from cornelnotch.gateway.streams import MAX_EVENT_BYTES, EventCutter
+from cornelnotch.gateway.streams import MAX_EVENT_BYTES, EventSplitter
 from cornelnotch.gateway.tests.conftest import run_deployment, wait_until
 from cornelnotch.standins.raw import RawAnswer, RawUpstream
 from cornelnotch.web import client
@@ -19,7 +19,7 @@
 )
 CHUNKED = HEAD + b"transfer-encoding: chunked\r\n\r\n"
 SLOW_MS = 50.0
-ENDLESS = {
+FAULTY_ANSWERS = {
     "head": RawAnswer(b"HTTP/1.1 200 OK\r\n", b"x-more: " + b"y" * 500 + b"\r\n"),
     "header": RawAnswer(b"HTTP/1.1 200 OK\r\nx-more: ", b"y" * 4096),
     "slow head": RawAnswer(b"HTTP/1.1 200 OK\r\nx-more: ", b"y", SLOW_MS),
@@ -30,29 +30,31 @@
     "trailers": RawAnswer(CHUNKED + b"0\r\n", b"x-more: " + b"y" * 4096),
     "event": RawAnswer(CHUNKED, b"1000\r\n" + b"d" * 4096 + b"\r\n"),
 }
-# Machines of 128 MB hold a host of 30 MB and what 50 servers in trouble send.
+# Machines with 128 MB run a host of 30 MB and buffer what 50 faulty servers send.
 MAX_HELD_BYTES = 64 * 1024 * 1024
-TROUBLED = 50
+FAULTY_SERVERS = 50
 
 
 @pytest.fixture(autouse=True)
-def quick(monkeypatch):
+def shorten_timeouts(monkeypatch):
     monkeypatch.setattr(client, "HEAD_TIMEOUT_S", 0.4)
     monkeypatch.setattr(patience, "MIN_STALL_MS", 400.0)
 
 
-def play(answer, scenario, service="llm"):
-    """Play with one sound server of a service and one that answers `answer`."""
+def run_scenario(answer, scenario, service="llm"):
+    """Run with one healthy server of a service and one that sends `answer`."""
 
     async def run():
         async with run_deployment() as d:
             server = RawUpstream("raw", answer)
             await server.start()
-            sound = d.engines if service == "llm" else d.desks
-            d.drop_server(sound[0])
+            healthy = d.engines if service == "llm" else d.desks
+            d.drop_server(healthy[0])
             d.list_server(server, service)
             servers = d.host.parts.pool.servers
-            await wait_until(lambda: "raw" in servers and sound[0].name not in servers)
+            await wait_until(
+                lambda: "raw" in servers and healthy[0].name not in servers
+            )
             try:
                 await scenario(d, server)
             finally:
@@ -67,37 +69,37 @@
     return [int(line[3:]) for line in lines]
 
 
-def occupy(d, name):
-    """Make a server look busy, so that the other one is tried first."""
+def make_busy(d, name):
+    """Make a server look busy so that the other one is tried first."""
     for number in range(5):
         d.host.parts.pool.servers[name].start(Flight(f"busy {number}", 0.0, 5000))
 
 
-@pytest.mark.parametrize("trouble", ENDLESS)
-def test_a_stream_goes_on_elsewhere_and_the_server_is_cut(trouble):
+@pytest.mark.parametrize("fault", FAULTY_ANSWERS)
+def test_a_stream_resumes_elsewhere_and_the_server_is_disconnected(fault):
     async def scenario(d, server):
-        occupy(d, "llm-2")
+        make_busy(d, "llm-2")
         answer = await d.send("/stream/x", "POST")
         assert list_events(await answer.read()) == list(range(1, 7))
         assert server.requests == 1
         await wait_until(lambda: server.closed == server.requests, 2.0)
 
-    play(ENDLESS[trouble], scenario)
+    run_scenario(FAULTY_ANSWERS[fault], scenario)
 
 
-@pytest.mark.parametrize("trouble", [t for t in ENDLESS if t != "event"])
-def test_a_call_goes_elsewhere_and_the_server_is_cut(trouble):
+@pytest.mark.parametrize("fault", [t for t in FAULTY_ANSWERS if t != "event"])
+def test_a_call_is_retried_elsewhere_and_the_server_is_disconnected(fault):
     async def scenario(d, server):
-        occupy(d, "desk-2")
+        make_busy(d, "desk-2")
         answer = await d.send("/read/x")
         assert await answer.read() == b"done by desk-2"
         assert server.requests == 1
         await wait_until(lambda: server.closed == server.requests, 2.0)
 
-    play(ENDLESS[trouble], scenario, "desk")
+    run_scenario(FAULTY_ANSWERS[fault], scenario, "desk")
 
 
-def test_a_body_without_end_is_passed_on_in_bounds_and_never_looks_whole(monkeypatch):
+def test_an_endless_body_is_limited_and_never_looks_complete(monkeypatch):
     monkeypatch.setattr(passing, "MAX_BODY_BYTES", 3_000_000)
 
     async def scenario(d, server):
@@ -109,10 +111,12 @@
         await wait_until(lambda: server.closed == 1, 2.0)
         assert d.host.parts.pool.servers["raw"].failures == 1
 
-    play(RawAnswer(CHUNKED, b"1000\r\n" + b"d" * 4096 + b"\r\n"), scenario, "desk")
+    run_scenario(
+        RawAnswer(CHUNKED, b"1000\r\n" + b"d" * 4096 + b"\r\n"), scenario, "desk"
+    )
 
 
-def test_a_large_sound_body_is_passed_on_whole():
+def test_a_large_valid_body_is_forwarded_completely():
     body = b"z" * (passing.MAX_HELD_BYTES * 3)
     head = HEAD + b"content-length: %d\r\n\r\n" % len(body)
 
@@ -122,10 +126,10 @@
         answer = await d.send("/read/x")
         assert await answer.read() == body
 
-    play(RawAnswer(head + body), scenario, "desk")
+    run_scenario(RawAnswer(head + body), scenario, "desk")
 
 
-def test_bytes_after_the_length_go_to_nobody():
+def test_bytes_beyond_the_content_length_are_dropped():
     async def scenario(d, server):
         d.drop_server(d.desks[1])
         await wait_until(lambda: "desk-2" not in d.host.parts.pool.servers)
@@ -134,10 +138,10 @@
             assert await answer.read() == b"mine"
 
     whole = HEAD + b"content-length: 4\r\n\r\nmine"
-    play(RawAnswer(whole + whole), scenario, "desk")
+    run_scenario(RawAnswer(whole + whole), scenario, "desk")
 
 
-def test_fifty_servers_without_end_leave_a_host_small():
+def test_fifty_endless_streams_keep_memory_bounded():
     async def scenario(d, server):
         d.drop_server(d.engines[1])
         await wait_until(lambda: "llm-2" not in d.host.parts.pool.servers)
@@ -147,7 +151,7 @@
             headers = {"x_deadline_ms": "1500"}
             sends = [
                 d.send("/stream/draft/x", "POST", x_attempt_id=f"r{n}", **headers)
-                for n in range(TROUBLED)
+                for n in range(FAULTY_SERVERS)
             ]
             answers = await asyncio.gather(*sends)
             for answer in answers:
@@ -156,25 +160,25 @@
             _, peak = tracemalloc.get_traced_memory()
         finally:
             tracemalloc.stop()
-        assert server.requests == TROUBLED
+        assert server.requests == FAULTY_SERVERS
         assert peak - before < MAX_HELD_BYTES
 
-    play(RawAnswer(CHUNKED, b"10000\r\n" + b"d" * 65536 + b"\r\n"), scenario)
+    run_scenario(RawAnswer(CHUNKED, b"10000\r\n" + b"d" * 65536 + b"\r\n"), scenario)
 
 
-def test_a_stream_that_sends_a_byte_now_and_then_goes_on_elsewhere():
+def test_a_stream_that_trickles_bytes_resumes_elsewhere():
     start = CHUNKED + b"15\r\nid: 1\ndata: piece 1\n\n\r\n"
 
     async def scenario(d, server):
-        occupy(d, "llm-2")
+        make_busy(d, "llm-2")
         answer = await d.send("/stream/x", "POST")
         assert list_events(await answer.read()) == list(range(1, 7))
         assert server.requests == 1
 
-    play(RawAnswer(start, b"1\r\nd\r\n", SLOW_MS), scenario)
+    run_scenario(RawAnswer(start, b"1\r\nd\r\n", SLOW_MS), scenario)
 
 
-def test_a_slow_sound_stream_that_nobody_else_can_go_on_with_is_not_cut():
+def test_a_slow_valid_stream_without_an_alternative_server_is_kept():
     async def scenario(d, server):
         d.drop_server(d.engines[1])
         await wait_until(lambda: "llm-2" not in d.host.parts.pool.servers)
@@ -207,19 +211,19 @@
     asyncio.run(run())
 
 
-def test_an_event_without_end_is_bounded():
-    cutter = EventCutter()
+def test_the_length_of_an_event_is_bounded():
+    splitter = EventSplitter()
     with pytest.raises(UpstreamError):
         for _ in range(1 + MAX_EVENT_BYTES // 1000 + 1):
-            cutter.feed(b"d" * 1000)
-    assert cutter.take_rest() == b""
+            splitter.feed(b"d" * 1000)
+    assert splitter.take_remainder() == b""
 
 
-def test_promises_of_an_answer_are_counted(monkeypatch):
+def test_the_number_of_interim_responses_is_bounded(monkeypatch):
     monkeypatch.setattr(client, "HEAD_TIMEOUT_S", 60.0)
 
     async def run():
-        server = RawUpstream("raw", ENDLESS["slow status"])
+        server = RawUpstream("raw", FAULTY_ANSWERS["slow status"])
         await server.start()
         try:
             async with asyncio.timeout(5.0):
