--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -43,7 +43,7 @@
 # Each change of engine costs a round trip; fluctuating loads must not keep a request
 # moving between engines.
 MAX_SERVER_CHANGES = 4
-# Retry delay told to callers when no better estimate exists.
+# Retry delay sent to callers when no better estimate exists.
 DEFAULT_RETRY_AFTER_MS = 500.0
 # Large enough that only the route's timeout applies.
 DEFAULT_DEADLINE_MS = 600_000.0
--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -190,15 +190,15 @@
 
     def _become_ready(self) -> None:
         """Start serving callers once routes and servers are known."""
-        known = self.parts.table.version != NO_VERSION and self.follower.has_read()
-        if known and not self.serving and not self.leaving:
+        can_route = self.parts.table.version != NO_VERSION and self.follower.has_read()
+        if can_route and not self.serving and not self.leaving:
             self.serving = True
             self.parts.startup.set_ready()
             self.prober.share_state(MemberState.ALIVE)
             self.events.record(Event.HOST_READY, version=self.parts.table.version)
 
     def start_drain(self) -> None:
-        """Start draining; the host stops once callers and requests are gone."""
+        """Start draining: redirect callers, finish requests, then stop the host."""
         if self.leaving:
             return
         self.leaving = True
--- a/cornelnotch/gateway/tests/test_keeping.py
+++ b/cornelnotch/gateway/tests/test_keeping.py
@@ -64,7 +64,7 @@
     run_scenario(scenario)
 
 
-def test_a_waiting_request_is_told_its_unread_tokens():
+def test_the_answer_to_a_waiting_request_counts_unread_tokens():
     def scenario(harness):
         harness.ask("a")
         name, wait = harness.ask("b", "h3")
--- a/cornelnotch/gateway/tests/test_path.py
+++ b/cornelnotch/gateway/tests/test_path.py
@@ -135,8 +135,8 @@
     async def scenario(d):
         d.desks[0].faults.cut = True
         d.engines[0].faults.break_after = 3
-        for gone in (d.desks[1], d.engines[1]):
-            d.drop_server(gone)
+        for removed in (d.desks[1], d.engines[1]):
+            d.drop_server(removed)
         await wait_until(lambda: d.count_servers() == 2)
         answer = await d.send("/read/x")
         await answer.read()
--- a/cornelnotch/gateway/tests/test_starting.py
+++ b/cornelnotch/gateway/tests/test_starting.py
@@ -60,8 +60,8 @@
 
 
 def test_callers_during_an_outage_get_a_long_retry_delay():
-    # All hosts lose power while the store is down. Callers that retry after 0.3 s are
-    # refused once more and give up.
+    # Guards against a retry delay of 0.3 s after all hosts lost power while the store
+    # is down: callers came back too soon, were refused once more and gave up.
     async def scenario(d):
         d.store.fault = "busy"
         await d.host.start()
