--- a/cornelnotch/gateway/placing.py
+++ b/cornelnotch/gateway/placing.py
@@ -21,8 +21,8 @@
 # A full batch slows each of its streams as much as this queueing delay.
 FULL_BATCH_COST_MS = 500.0
 CALL_COST_MS = 20.0
-# Mean time that a request occupies a slot. A full engine frees a slot once per this
-# time divided by its number of slots.
+# Approximate time that a request occupies a slot. A full engine frees one each time this
+# span, divided by its number of slots, has passed.
 SLOT_OCCUPANCY_MS = 2500.0
 # Cost per consecutive failure, and the most failures that count.
 FAILURE_COST_MS = 700.0
@@ -192,8 +192,8 @@
         cost += self._estimate_tokens_ahead(use, priority, prefill) / pace.read_rate
         cost += FULL_BATCH_COST_MS * use.running / server.record.slots
         cost += FAILURE_COST_MS * min(use.failures, MAX_FAILURES)
-        over = use.running + use.waiting + 1 - server.record.slots
-        return cost + SLOT_OCCUPANCY_MS / server.record.slots * max(over, 0)
+        excess_requests = use.running + use.waiting + 1 - server.record.slots
+        return cost + SLOT_OCCUPANCY_MS / server.record.slots * max(excess_requests, 0)
 
     @staticmethod
     def _estimate_tokens_ahead(use: ServerUse, priority: int, prefill: int) -> float:
@@ -220,13 +220,13 @@
         """Return the cost of long prompts on latency-sensitive streams."""
         if not need.reserved:
             return 0.0
-        kept = server.record.name in need.reserved
+        is_reserved = server.record.name in need.reserved
         if need.tight:
-            return 0.0 if kept else UNRESERVED_COST_MS
-        if not kept:
+            return 0.0 if is_reserved else UNRESERVED_COST_MS
+        if not is_reserved:
             return 0.0
-        used = prefill / find_reading_budget(pace, need.tight_gap_ms)
-        interference = (used - INTERFERENCE_FREE_SHARE) / (
+        budget_share = prefill / find_reading_budget(pace, need.tight_gap_ms)
+        interference = (budget_share - INTERFERENCE_FREE_SHARE) / (
             1.0 - INTERFERENCE_FREE_SHARE
         )
         return INTERFERENCE_COST_MS * min(max(interference, 0.0), 1.0)
--- a/cornelnotch/gateway/relay.py
+++ b/cornelnotch/gateway/relay.py
@@ -19,8 +19,8 @@
 UNABLE_AGE_MS = 1500.0
 # Hosts without an update this recent read the store themselves, to meet a 3 s bound.
 STALE_MS = {"configuration": 1700.0, "servers": 1400.0}
-# A host that recently heard from others, even that they cannot read, does not read
-# itself.
+# A host does not read the store within this time after a message from another host,
+# even if that message says that the other host cannot read.
 CONTACT_TTL_MS = 1500.0
 # An announcement that a host cannot read expires unless it is repeated.
 UNABLE_TTL_MS = 3000.0
@@ -115,10 +115,10 @@
 
     def list_readers(self, now: float) -> list[str]:
         """Return the hosts that should read, in different domains if possible."""
-        able = [
+        able_hosts = [
             host for host in self._ranked_hosts if not self._is_replaced(host.name, now)
         ]
-        return self._select_readers(able)
+        return self._select_readers(able_hosts)
 
     def _is_replaced(self, host: str, now: float) -> bool:
         known = self._unable.get(host)
--- a/cornelnotch/gateway/reserving.py
+++ b/cornelnotch/gateway/reserving.py
@@ -26,7 +26,7 @@
 
 
 def count_reserved(servers: int, slots: int, tight: int) -> int:
-    """Return how many engines of a region to reserve for `tight` running streams."""
+    """Return the number of engines to reserve while `tight` streams run."""
     if servers < MIN_SERVERS:
         return 0
     needed = math.ceil(tight * HEADROOM / slots)
--- a/cornelnotch/gateway/servers.py
+++ b/cornelnotch/gateway/servers.py
@@ -138,8 +138,8 @@
 
     def find_heard_ms(self) -> float | None:
         """Return when a running stream last got bytes, or None if none runs."""
-        began = [f.first_ms for f in self.flights.values() if f.first_ms]
-        return max(self.heard_ms, min(began)) if began else None
+        first_times_ms = [f.first_ms for f in self.flights.values() if f.first_ms]
+        return max(self.heard_ms, min(first_times_ms)) if first_times_ms else None
 
     def _update_longest_gap(self, pause_ms: float, now: float) -> None:
         """Update the longest recent gap; growth per gap is limited."""
@@ -153,8 +153,8 @@
         """Eject the server, longer after each consecutive failure."""
         self.failures = self.count_failures(now) + 1
         self.failed_ms = now
-        rest = min(EJECTION_BASE_MS * 2 ** (self.failures - 1), MAX_EJECTION_MS)
-        self.ejected_until_ms = now + rest
+        ejection_ms = min(EJECTION_BASE_MS * 2 ** (self.failures - 1), MAX_EJECTION_MS)
+        self.ejected_until_ms = now + ejection_ms
 
     def count_failures(self, now: float) -> int:
         """Return the number of consecutive failures, 0 once they are forgotten."""
--- a/cornelnotch/gateway/tests/test_placing.py
+++ b/cornelnotch/gateway/tests/test_placing.py
@@ -71,8 +71,8 @@
 def test_reserved_engines_keep_chat_gaps_short_during_a_burst_of_long_prompts(seed):
     requests = create_workload(seed, 20, chats_per_s=30, prompts_per_s=30)
     reserved, _ = simulate(requests)
-    mixed, _ = simulate(requests, reserve=False)
-    assert measure_violation_share(reserved) < measure_violation_share(mixed)
+    unreserved, _ = simulate(requests, reserve=False)
+    assert measure_violation_share(reserved) < measure_violation_share(unreserved)
     assert find_first_token_percentile(reserved, True, 0.95) <= 1500.0
     assert find_first_token_percentile(reserved, False, 0.9) <= 2500.0
 
@@ -84,9 +84,9 @@
     needed = 60 * 13_300 + sum(r.own_tokens for r in requests)
     assert read <= needed * 1.25
     assert find_first_token_percentile(outcomes, False, 0.5) <= 2500.0
-    at_once, _ = simulate(requests, turns=False)
+    unqueued, _ = simulate(requests, turns=False)
     assert find_first_token_percentile(
-        at_once, False, 0.5
+        unqueued, False, 0.5
     ) > find_first_token_percentile(outcomes, False, 0.5)
     monkeypatch.setattr(placing, "REPEATED_PREFILL_WEIGHT", 0.0)
     _, repeated = simulate(requests)
--- a/cornelnotch/gateway/tests/test_silence.py
+++ b/cornelnotch/gateway/tests/test_silence.py
@@ -52,11 +52,11 @@
 
     def stream(self, seconds, event_ms, flight=None):
         end_ms = self.now + seconds * 1000.0
-        heard_ms = self.now
+        last_event_ms = self.now
         while self.now < end_ms:
             self.parts.clock.advance(10.0)
-            if self.now - heard_ms >= event_ms:
-                heard_ms = self.now
+            if self.now - last_event_ms >= event_ms:
+                last_event_ms = self.now
                 self.view.hear(flight or self.flight, self.now)
             if self.now % PERIOD_MS < 10.0:
                 self.watch.check()
--- a/cornelnotch/gateway/tests/test_waiting.py
+++ b/cornelnotch/gateway/tests/test_waiting.py
@@ -91,12 +91,12 @@
         engine.faults.first_ms = 300.0
         first = start(d, "first", LONG)
         await wait_until(lambda: list_sent(engine) == ["first"])
-        gone = start(d, "gone", LONG)
+        cancelled = start(d, "gone", LONG)
         await wait_until(lambda: d.host.keeper.count_waiting() == 1)
-        gone.cancel()
+        cancelled.cancel()
         d.client.close()
         await wait_until(lambda: d.host.keeper.count_waiting() == 0)
-        await asyncio.gather(first, gone, return_exceptions=True)
+        await asyncio.gather(first, cancelled, return_exceptions=True)
         await asyncio.sleep(0.4)
         assert list_sent(engine) == ["first"]
 
@@ -121,7 +121,7 @@
 
 
 def test_queued_request_moves_when_another_engine_is_clearly_better():
-    # Regression test: chats waited for an unresponsive engine until their callers gave up.
+    # Regression test: chats waited for an unresponsive engine until callers gave up.
     async def scenario(d, engine):
         engine.faults.first_ms = 1500.0
         first = start(d, "first", LONG)
@@ -204,12 +204,12 @@
         engine.faults.first_ms = 800.0
         first = start(d, "first", HUGE)
         await wait_until(lambda: list_sent(engine) == ["first"])
-        began = asyncio.get_running_loop().time()
+        started_s = asyncio.get_running_loop().time()
         answer = await d.send(
             "/stream/draft/x", "POST", b"b", x_attempt_id="vain", **HUGE
         )
         await answer.read()
-        assert asyncio.get_running_loop().time() - began < 0.4
+        assert asyncio.get_running_loop().time() - started_s < 0.4
         assert answer.status == 503
         # Callers honour a third of their remaining 3 s.
         assert 0.5 <= float(answer.headers["retry-after"]) <= 1.0
@@ -246,7 +246,8 @@
         name = engine.name
         await wait_until(lambda: paces.find(name, "llm") != PRIOR_PACE, 2.0)
         pace = paces.find(name, "llm")
-        # 20,000 tokens take at least 400 ms, the other prompts are cached; events of 20 ms.
+        # 20,000 tokens take at least 400 ms, the other prompts are cached, and events
+        # are 20 ms apart.
         assert pace.read_rate > PRIOR_PACE.read_rate
         assert 18.0 <= pace.event_ms <= 32.0
 
@@ -263,18 +264,18 @@
         ]
         d.configure(create_configuration(2, routes=routes))
         await wait_until(lambda: d.host.parts.table.version == 2, 3.0)
-        heard = []
-        d.host.peers.subscribe(TurnAsk, lambda sender, ask: heard.append(ask))
+        asks = []
+        d.host.peers.subscribe(TurnAsk, lambda sender, ask: asks.append(ask))
         engine.events = 30
         engine.faults.event_ms = 80.0
         chat = start(d, "chat", SHORT, "/stream/x")
         doc = start(d, "doc", SHORT, "/stream/draft/x")
-        await wait_until(lambda: any(ask.progress for ask in heard), 4.0)
-        gaps = {ask.request_id: ask.gap_ms for ask in heard}
+        await wait_until(lambda: any(ask.progress for ask in asks), 4.0)
+        gaps = {ask.request_id: ask.gap_ms for ask in asks}
         assert gaps == {"chat": 100.0, "doc": 0.0}
-        told = next(ask.progress for ask in heard if ask.progress)
-        assert told.events >= 10
-        assert 0.7 <= told.spent_ms / (80.0 * told.events) <= 2.0
+        progress_report = next(ask.progress for ask in asks if ask.progress)
+        assert progress_report.events >= 10
+        assert 0.7 <= progress_report.spent_ms / (80.0 * progress_report.events) <= 2.0
         await asyncio.gather(chat, doc)
 
     run_scenario(scenario)
--- a/cornelnotch/gateway/turns.py
+++ b/cornelnotch/gateway/turns.py
@@ -148,11 +148,11 @@
         self, request_id: str, progress: StreamProgress, now: float
     ) -> None:
         """Update the estimate from a stream's progress and concurrent prefill work."""
-        began_ms = now - progress.spent_ms
+        started_ms = now - progress.spent_ms
         prompts = [
             record.tokens
             for record in self._recent_prefills
-            if record.at_ms >= began_ms and record.request_id != request_id
+            if record.at_ms >= started_ms and record.request_id != request_id
         ]
         ticket = self.tickets.get(request_id)
         gap_ms = ticket.gap_ms if ticket is not None else 0.0
@@ -220,15 +220,15 @@
         """
         first_latest_ms = self._compute_latest_start_ms(ranked[0])
         min_slack_ms = float("inf")
-        ahead_ms = self._estimate_prefill_ms(self._backlog_tokens)
+        queued_ahead_ms = self._estimate_prefill_ms(self._backlog_tokens)
         for ticket, following in pairwise(ranked):
             usable_slack_ms = (
                 self._compute_latest_start_ms(ticket) - ticket.asked_ms
             ) * OVERTAKING_SLACK_SHARE
             min_slack_ms = min(
-                min_slack_ms, ticket.asked_ms + usable_slack_ms - now - ahead_ms
+                min_slack_ms, ticket.asked_ms + usable_slack_ms - now - queued_ahead_ms
             )
-            ahead_ms += self._estimate_prefill_ms(self.count_unread(ticket))
+            queued_ahead_ms += self._estimate_prefill_ms(self.count_unread(ticket))
             if min_slack_ms <= 0:
                 return None
             prefill_ms = self._estimate_prefill_ms(self.count_unread(following))
@@ -265,13 +265,13 @@
             (t.gap_ms for t in self.tickets.values() if t.begun and t.gap_ms > 0),
             default=0.0,
         )
-        left = find_reading_budget(self.estimate.pace, gap_ms)
-        left -= self.count_unread(ticket)
+        remaining_tokens = find_reading_budget(self.estimate.pace, gap_ms)
+        remaining_tokens -= self.count_unread(ticket)
         for record in reversed(self._recent_grants):
             if record.at_ms <= now - gap_ms:
                 break
-            left -= record.tokens
-            if left < 0:
+            remaining_tokens -= record.tokens
+            if remaining_tokens < 0:
                 # A prompt that exceeds the budget alone waits for one full gap.
                 return record.at_ms + gap_ms - now
         return 0.0
