--- a/cornelnotch/gateway/placing.py
+++ b/cornelnotch/gateway/placing.py
@@ -21,8 +21,8 @@
 # A full batch slows each of its streams as much as this queueing delay.
 FULL_BATCH_COST_MS = 500.0
 CALL_COST_MS = 20.0
-# Approximate time that a request occupies a slot. A full engine frees one each time this
-# span, divided by its number of slots, has passed.
+# Approximate time that a request occupies a slot. A full engine frees one slot per
+# this time divided by its number of slots.
 SLOT_OCCUPANCY_MS = 2500.0
 # Cost per consecutive failure, and the most failures that count.
 FAILURE_COST_MS = 700.0
