--- a/cornelnotch/exceptions.py
+++ b/cornelnotch/exceptions.py
@@ -1,4 +1,4 @@
-"""Define every error kind; each message names the remedy."""
+"""Exceptions of the package; each message states the remedy."""
 
 __all__ = [
     "CornelnotchError",
@@ -18,7 +18,7 @@
 
 
 class CornelnotchError(Exception):
-    """Carry what went wrong and what to do about it."""
+    """Base class of errors, with a problem and its remedy."""
 
     kind = "internal"
 
@@ -29,19 +29,19 @@
 
 
 class SettingsError(CornelnotchError):
-    """Report a settings file that cannot be used."""
+    """Raised if a settings file is invalid."""
 
     kind = "settings"
 
 
 class ConfigurationError(CornelnotchError):
-    """Report a configuration that must not come into force."""
+    """Raised if a configuration change is invalid."""
 
     kind = "configuration"
 
 
 class RequestError(CornelnotchError):
-    """Report a caller's request that is malformed."""
+    """Raised if a request of a caller is malformed."""
 
     kind = "bad-request"
 
@@ -54,7 +54,7 @@
 
 
 class BodyTooLargeError(RequestError):
-    """Report a body above its limit."""
+    """Raised if a body exceeds its size limit."""
 
     def __init__(self, limit_bytes: int) -> None:
         super().__init__(
@@ -66,9 +66,9 @@
 
 
 class LogUnavailableError(CornelnotchError):
-    """Report that the log service did not answer; an append may have landed.
+    """Raised if the log service did not respond; an append may have succeeded.
 
-    `timeline` is that of an answer which names it.
+    `timeline` is the timeline given in the response, if any.
     """
 
     kind = "log-unavailable"
@@ -79,16 +79,16 @@
 
 
 class LogTrimmedError(CornelnotchError):
-    """Report that the log does not hold records at the requested offset.
+    """Raised if the log no longer has records at the requested offset.
 
-    `timeline` is that of an answer which names it.
+    `timeline` is the timeline given in the response, if any.
     """
 
     kind = "log-trimmed"
 
     def __init__(self, earliest: int, timeline: int | None = None) -> None:
         super().__init__(
-            f"records before offset {earliest} are gone",
+            f"records before offset {earliest} were removed",
             "read from the earliest offset or from a snapshot",
         )
         self.earliest = earliest
@@ -96,36 +96,36 @@
 
 
 class WireError(CornelnotchError):
-    """Report a malformed message from another host."""
+    """Raised if a message of another host is malformed."""
 
     kind = "wire"
 
 
 class UpstreamError(CornelnotchError):
-    """Report that a server failed after bytes of the request were sent."""
+    """Raised if a server failed after bytes of the request were sent."""
 
     kind = "broken"
 
 
 class UpstreamUnreachableError(UpstreamError):
-    """Report that no byte of the request reached the server."""
+    """Raised if no byte of the request reached the server."""
 
     kind = "unreachable"
 
 
 class UpstreamStalledError(UpstreamError):
-    """Report a server that sent nothing for too long."""
+    """Raised if a server sent no data within the time limit."""
 
     kind = "stalled"
 
 
 class AnswerMismatchError(UpstreamError):
-    """Report an answer that belongs to another request."""
+    """Raised if a response belongs to another request."""
 
     kind = "mismatched"
 
 
 class CallerGoneError(CornelnotchError):
-    """Report that the caller closed its connection."""
+    """Raised if the caller closed its connection."""
 
     kind = "caller-gone"
--- a/cornelnotch/kernel/__init__.py
+++ b/cornelnotch/kernel/__init__.py
@@ -1,4 +1,4 @@
-"""Hold the small core that plug-ins build on."""
+"""Core utilities that the other packages and the plug-ins build on."""
 
 from typing import TYPE_CHECKING, Any
 
@@ -39,7 +39,7 @@
 
 
 def __getattr__(name: str) -> Any:
-    # Hosts of the platform make no identifiers; importing them costs 4 MB.
+    # Hosts of the platform create no identifiers; the import takes 4 MB of memory.
     if name in {"create_identifier", "read_key_time"}:
         from cornelnotch.kernel import identifiers
 
--- a/cornelnotch/kernel/clock.py
+++ b/cornelnotch/kernel/clock.py
@@ -1,4 +1,4 @@
-"""Provide the one clock type of the project, in milliseconds."""
+"""Clocks that measure time in milliseconds."""
 
 import asyncio
 import time
@@ -7,13 +7,13 @@
 __all__ = ["Clock", "ManualClock", "SystemClock", "create_clock"]
 
 MS_PER_SECOND = 1000.0
-# The usual monotonic clock stands still while a machine is suspended, so that what ran
-# out meanwhile would look valid.
-STEADY_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+# CLOCK_MONOTONIC stops while the machine is suspended, so that timeouts which expired
+# in the meantime would still seem valid.
+MONOTONIC_CLOCK_ID = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
 
 
 class Clock(ABC):
-    """Tell time in milliseconds and wait for it to pass."""
+    """Base class of clocks with millisecond time."""
 
     @abstractmethod
     def read(self) -> float:
@@ -21,7 +21,7 @@
 
     @abstractmethod
     def read_wall(self) -> float:
-        """Return ms since the Unix epoch, for ages shared between hosts."""
+        """Return ms since the Unix epoch, for times compared between hosts."""
 
     async def sleep(self, duration_ms: float) -> None:
         """Wait for `duration_ms`."""
@@ -29,11 +29,11 @@
 
 
 class SystemClock(Clock):
-    """Read the clocks of the operating system."""
+    """Clock of the operating system."""
 
     def read(self) -> float:
-        """Return monotonic time in ms, also of time spent suspended."""
-        return time.clock_gettime(STEADY_CLOCK) * MS_PER_SECOND
+        """Return monotonic time in ms, including time spent suspended."""
+        return time.clock_gettime(MONOTONIC_CLOCK_ID) * MS_PER_SECOND
 
     def read_wall(self) -> float:
         """Return ms since the Unix epoch."""
@@ -41,7 +41,7 @@
 
 
 class ManualClock(Clock):
-    """Stand still until a test moves it."""
+    """Clock for tests that changes only when it is advanced."""
 
     def __init__(self, start_ms: float = 0.0) -> None:
         self.current_ms = start_ms
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -1,4 +1,4 @@
-"""Number every log event and write events as text or JSON lines."""
+"""Log events with stable numbers, written as lines of text or JSON."""
 
 import logging
 import sys
@@ -18,72 +18,112 @@
 
 
 class Event(Enum):
-    """Number, level and meaning of each event."""
+    """Log events with number, level and meaning."""
 
-    HOST_STARTED = (1001, logging.INFO, "the host listens")
-    HOST_READY = (1002, logging.INFO, "a configuration is in force")
-    HOST_LEAVING = (1003, logging.INFO, "the host takes no new callers")
-    HOST_STOPPED = (1004, logging.INFO, "the host has ended every stream")
-    TASK_FAILED = (1101, logging.ERROR, "a task failed and was contained")
+    HOST_STARTED = (1001, logging.INFO, "the host accepts connections")
+    HOST_READY = (1002, logging.INFO, "the first configuration is in force")
+    HOST_LEAVING = (1003, logging.INFO, "the host is draining")
+    HOST_STOPPED = (1004, logging.INFO, "the host has finished draining")
+    TASK_FAILED = (1101, logging.ERROR, "a task failed; the process continues")
     LOG_LINES_DROPPED = (
         1102,
         logging.WARNING,
-        "lines were dropped, as nobody read them in time",
+        "log lines were dropped because they were not read in time",
     )
     CONFIGURATION_APPLIED = (2001, logging.INFO, "a newer configuration is in force")
-    CONFIGURATION_REJECTED = (2002, logging.WARNING, "a record was rejected")
+    CONFIGURATION_REJECTED = (
+        2002,
+        logging.WARNING,
+        "a configuration record was rejected",
+    )
     CONFIGURATION_BOOTSTRAPPED = (
         2003,
         logging.INFO,
-        "the configuration came from another host",
+        "the configuration was received from another host",
     )
     SNAPSHOT_WRITTEN = (2004, logging.INFO, "a configuration snapshot was appended")
-    LOG_UNAVAILABLE = (2101, logging.WARNING, "the log service does not answer")
+    LOG_UNAVAILABLE = (2101, logging.WARNING, "the log service does not respond")
     LOG_TIMELINE_ENTERED = (
         2103,
         logging.WARNING,
-        "the store was restored from an older copy",
+        "the store was restored from an older copy; a new timeline begins",
     )
     LOG_TIMELINE_UNNAMED = (
         2104,
         logging.WARNING,
-        "an answer of the store names no timeline that can be read",
+        "a response of the store has a missing or malformed timeline",
     )
-    LOG_RECOVERED = (2102, logging.INFO, "the log service answers again")
-    MEMBER_CHANGED = (3001, logging.INFO, "a host changed its membership state")
-    SERVER_LEAVING = (3002, logging.INFO, "a server takes no new work")
-    HOST_REFUSING = (3003, logging.WARNING, "the host takes no work")
-    HOST_SERVING = (3004, logging.INFO, "the host takes work again")
+    LOG_RECOVERED = (2102, logging.INFO, "the log service responds again")
+    MEMBER_CHANGED = (3001, logging.INFO, "the membership state of a host changed")
+    SERVER_LEAVING = (3002, logging.INFO, "a server accepts no new requests")
+    HOST_REFUSING = (3003, logging.WARNING, "the host refuses requests")
+    HOST_SERVING = (3004, logging.INFO, "the host accepts requests again")
     PEER_MESSAGE_REFUSED = (3101, logging.WARNING, "a peer sent a malformed message")
-    SERVER_EJECTED = (4001, logging.WARNING, "a server failed and rests")
-    SERVER_SLOW = (4002, logging.WARNING, "a server is slower than its shard")
-    STREAM_RESUMED = (4003, logging.WARNING, "a broken stream went on elsewhere")
-    ANSWER_MISMATCHED = (4004, logging.ERROR, "an answer belonged to another request")
-    ENGINE_PACE_TOLD = (4005, logging.INFO, "an engine's estimated pace changed")
-    CLAIM_UNSETTLED = (5001, logging.WARNING, "a claim could not be read back")
-    CLAIM_RELEASE_DELAYED = (5002, logging.WARNING, "a release waits for the log")
-    SERVER_LISTED = (3005, logging.INFO, "the platform's list of servers changed")
-    SERVER_SAID_LEAVING = (3006, logging.INFO, "a server said that it leaves")
+    SERVER_EJECTED = (
+        4001,
+        logging.WARNING,
+        "a failing server was taken out of rotation for a while",
+    )
+    SERVER_SLOW = (
+        4002,
+        logging.WARNING,
+        "a server is slower than the others of its shard",
+    )
+    STREAM_RESUMED = (
+        4003,
+        logging.WARNING,
+        "a broken stream was resumed on another server",
+    )
+    ANSWER_MISMATCHED = (4004, logging.ERROR, "a response belonged to another request")
+    ENGINE_PACE_TOLD = (
+        4005,
+        logging.INFO,
+        "the estimated processing rate of an engine changed",
+    )
+    CLAIM_UNSETTLED = (
+        5001,
+        logging.WARNING,
+        "a claim could not be read back from the log",
+    )
+    CLAIM_RELEASE_DELAYED = (
+        5002,
+        logging.WARNING,
+        "the release of a claim waits for the log",
+    )
+    SERVER_LISTED = (3005, logging.INFO, "the server list of the platform changed")
+    SERVER_SAID_LEAVING = (3006, logging.INFO, "a server announced its shutdown")
     SERVER_SILENT = (
         4006,
         logging.WARNING,
-        "a server with running streams fell silent",
+        "a server with running streams stopped sending",
+    )
+    SERVER_RESTS = (
+        3007,
+        logging.INFO,
+        "a server asked this host to pause its requests",
     )
-    SERVER_RESTS = (3007, logging.INFO, "a server wants nothing from this host")
     SERVER_REST_MALFORMED = (
         3008,
         logging.WARNING,
-        "a server asked for a rest that is no time",
+        "a server asked for a pause of invalid length",
     )
     REQUEST_REFUSED = (6001, logging.INFO, "a request was refused")
     REQUEST_MALFORMED = (6002, logging.DEBUG, "a request was malformed")
     REQUEST_ROUTED = (6003, logging.INFO, "a request was mapped to a service")
     SERVER_CHOSEN = (6004, logging.INFO, "a server was chosen for a request")
-    DISPATCH_FAILED = (6005, logging.INFO, "a server did not answer a request")
-    REQUEST_ANSWERED = (6006, logging.INFO, "a request has its whole answer")
-    REQUEST_BROKEN_OFF = (6007, logging.INFO, "an answer was broken off")
-    TURN_CAME = (6009, logging.INFO, "a request may be sent to its engine, or not")
-    CALLER_LEFT = (6008, logging.INFO, "a caller left before its answer")
+    DISPATCH_FAILED = (6005, logging.INFO, "a server did not complete a request")
+    REQUEST_ANSWERED = (6006, logging.INFO, "a request was answered completely")
+    REQUEST_BROKEN_OFF = (6007, logging.INFO, "a response ended early")
+    TURN_CAME = (
+        6009,
+        logging.INFO,
+        "the wait of a request for admission to an engine ended",
+    )
+    CALLER_LEFT = (
+        6008,
+        logging.INFO,
+        "a caller disconnected before the response was complete",
+    )
 
     def __init__(self, number: int, level: int, meaning: str) -> None:
         self.number = number
@@ -92,14 +132,14 @@
 
 
 class EventLog:
-    """Write events under the name of one process."""
+    """Logger of events under the name of one process."""
 
     def __init__(self, source: str) -> None:
         self._logger = logging.getLogger(f"cornelnotch.{source}")
         self._source = source
 
     def record(self, event: Event, **fields: Any) -> None:
-        """Write `event` with its fields."""
+        """Log `event` with its fields."""
         if not self._logger.isEnabledFor(event.level):
             return
         self._logger.log(
@@ -110,10 +150,10 @@
 
 
 class TextFormatter(logging.Formatter):
-    """Write one event as a line of text."""
+    """Format an event as a line of text."""
 
     def format(self, record: logging.LogRecord) -> str:
-        """Return the line."""
+        """Return the formatted line."""
         event = getattr(record, "event", None)
         if event is None:
             return super().format(record)
@@ -125,10 +165,10 @@
 
 
 class JsonFormatter(logging.Formatter):
-    """Write one event as a line of JSON."""
+    """Format an event as a line of JSON."""
 
     def format(self, record: logging.LogRecord) -> str:
-        """Return the line."""
+        """Return the formatted line."""
         event = getattr(record, "event", None)
         content = {
             "time_ms": int(record.created * 1000),
@@ -145,7 +185,7 @@
 def create_record(
     event: Event, source: str, fields: dict[str, Any]
 ) -> logging.LogRecord:
-    """Return the log record of an event that no logger has to pass on."""
+    """Return the log record of an event, created without a logger."""
     name = f"cornelnotch.{source}"
     record = logging.LogRecord(name, event.level, "", 0, event.meaning, None, None)
     record.event = event
@@ -155,7 +195,7 @@
 
 
 def create_formatter(style: str) -> logging.Formatter:
-    """Return the formatter of lines of `text` or `json`."""
+    """Return the formatter of a style, `text` or `json`."""
     return JsonFormatter() if style == "json" else TextFormatter()
 
 
@@ -167,7 +207,7 @@
 def set_up_logging(
     style: str = "text", level: str = "INFO", stream: TextIO | None = None
 ) -> None:
-    """Send the events to `stream`, by default standard error, as `text` or `json`."""
+    """Write events as `text` or `json` to `stream`, by default standard error."""
     handler = logging.StreamHandler(stream or sys.stderr)
     handler.setFormatter(create_formatter(style))
     logger = logging.getLogger("cornelnotch")
--- a/cornelnotch/kernel/hashing.py
+++ b/cornelnotch/kernel/hashing.py
@@ -1,4 +1,4 @@
-"""Spread keys over names with stable hashes."""
+"""Assign keys to names by rendezvous hashing."""
 
 from collections.abc import Iterable
 
@@ -13,12 +13,12 @@
 
 
 def rank_owners(key: str, names: Iterable[str]) -> list[str]:
-    """Return `names` in rendezvous order for `key`, usual owner first."""
+    """Return `names` by descending rendezvous weight for `key`."""
     return sorted(names, key=lambda name: (-hash_text(f"{key}\x00{name}"), name))
 
 
 def select_owner(key: str, names: Iterable[str]) -> str | None:
-    """Return the usual owner of `key`, or None when there are no names."""
+    """Return the name of highest rendezvous weight for `key`, or None."""
     return max(
         names,
         key=lambda name: (hash_text(f"{key}\x00{name}"), name),
--- a/cornelnotch/kernel/identifiers.py
+++ b/cornelnotch/kernel/identifiers.py
@@ -1,4 +1,4 @@
-"""Make and read time-ordered identifiers."""
+"""Create and parse time-ordered identifiers."""
 
 import uuid
 
@@ -19,20 +19,20 @@
 
 
 def read_key_time(key: str) -> Result[float, RequestError]:
-    """Return the wall time in ms at which a UUIDv7 key was made."""
+    """Return the creation time of a UUIDv7 key, in ms since the Unix epoch."""
     try:
         value = uuid.UUID(key)
     except ValueError:
-        return Failure(_report_key(key))
+        return Failure(_create_key_error(key))
     if (value.int >> 76) & 0xF != UUID_VERSION:
-        return Failure(_report_key(key))
+        return Failure(_create_key_error(key))
     return Success(float(value.int >> TIMESTAMP_SHIFT_BITS))
 
 
-def _report_key(key: str) -> RequestError:
+def _create_key_error(key: str) -> RequestError:
     return RequestError(
         f"Idempotency-Key {key[:64]!r} is not a UUIDv7",
-        "make a new UUIDv7 for each piece of work and keep it for retries",
+        "create a new UUIDv7 for each operation and reuse it for its retries",
         400,
         "bad-key",
     )
--- a/cornelnotch/kernel/output.py
+++ b/cornelnotch/kernel/output.py
@@ -1,4 +1,4 @@
-"""Write log lines on a thread, so that a slow reader of them holds up nothing."""
+"""Write log lines on a separate thread, so that a slow reader does not block."""
 
 import logging
 import os
@@ -12,63 +12,63 @@
 
 __all__ = ["LogOutput"]
 
-# Lines kept for a reader that pauses: two seconds of a host under full load.
-QUEUED_LINES = 2000
-# How long the end of a process waits for a reader, and how often it looks.
-FLUSH_S = 0.3
-FLUSH_STEP_S = 0.01
+# Two seconds of log lines of a host under full load.
+MAX_QUEUED_LINES = 2000
+# Limits how long a process that exits waits until its log lines are read.
+FLUSH_TIMEOUT_S = 0.3
+FLUSH_POLL_S = 0.01
 
 
-class BoundedHandler(QueueHandler):
-    """Queue lines; drop and count those for which there is no room."""
+class BoundedQueueHandler(QueueHandler):
+    """Queue log records; drop and count those that exceed the queue's limit."""
 
     def __init__(self, lines: "Queue[Any]", source: str) -> None:
         super().__init__(lines)
         self.dropped = 0
-        self._untold = 0
+        self._unreported = 0
         self._source = source
 
     def enqueue(self, record: logging.LogRecord) -> None:
-        """Queue a line, after one that tells how many were dropped before it."""
+        """Queue a record, preceded by a notice of the records dropped before it."""
         try:
-            if self._untold:
+            if self._unreported:
                 self.queue.put_nowait(self._create_notice())
-                self._untold = 0
+                self._unreported = 0
             self.queue.put_nowait(record)
         except Full:
             self.dropped += 1
-            self._untold += 1
+            self._unreported += 1
 
     def _create_notice(self) -> logging.LogRecord:
-        fields = {"lines": self._untold, "in_total": self.dropped}
+        fields = {"lines": self._unreported, "in_total": self.dropped}
         record = create_record(Event.LOG_LINES_DROPPED, self._source, fields)
         prepared: logging.LogRecord = self.prepare(record)
         return prepared
 
 
 class DescriptorHandler(logging.Handler):
-    """Write lines to a file descriptor, on one thread."""
+    """Write log lines to a file descriptor, from a single thread."""
 
     def __init__(self, descriptor: int) -> None:
         super().__init__()
         self._descriptor = descriptor
 
     def createLock(self) -> None:  # noqa: N802 - the name is logging's
-        """Have no lock: a blocked write would hold it when the process ends."""
+        """Create no lock: a blocked write would still hold it at process exit."""
         self.lock = None
 
     def emit(self, record: logging.LogRecord) -> None:
-        """Write one line; a broken output is told on standard error."""
-        rest = f"{record.getMessage()}\n".encode()
+        """Write one line; report a failed write on standard error."""
+        remaining = f"{record.getMessage()}\n".encode()
         try:
-            while rest:
-                rest = rest[os.write(self._descriptor, rest) :]
+            while remaining:
+                remaining = remaining[os.write(self._descriptor, remaining) :]
         except OSError:
             self.handleError(record)
 
 
 class LogOutput:
-    """Own the queue of log lines and the thread that writes them."""
+    """Queue of log lines with the thread that writes them."""
 
     def __init__(
         self,
@@ -76,21 +76,21 @@
         style: str = "json",
         level: str = "INFO",
         descriptor: int = 1,
-        limit: int = QUEUED_LINES,
+        limit: int = MAX_QUEUED_LINES,
     ) -> None:
-        self._lines: Queue[Any] = Queue(limit)
-        self._handler = BoundedHandler(self._lines, source)
+        self._queue: Queue[Any] = Queue(limit)
+        self._handler = BoundedQueueHandler(self._queue, source)
         self._handler.setFormatter(create_formatter(style))
         self._level = level
-        self._listener = QueueListener(self._lines, DescriptorHandler(descriptor))
+        self._listener = QueueListener(self._queue, DescriptorHandler(descriptor))
 
     @property
     def dropped(self) -> int:
-        """Return how many lines were dropped since the start."""
+        """Return the number of lines dropped since the start."""
         return self._handler.dropped
 
     def __enter__(self) -> "LogOutput":
-        """Send the events of this process to the output."""
+        """Route the events of this process to the output."""
         logger = logging.getLogger("cornelnotch")
         logger.handlers[:] = [self._handler]
         logger.setLevel(self._level)
@@ -104,8 +104,8 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        """Give the reader a moment for the last lines; the thread ends by itself."""
+        """Wait briefly until the last lines are read; the thread is a daemon."""
         logging.getLogger("cornelnotch").handlers.clear()
-        until_s = time.monotonic() + FLUSH_S
-        while self._lines.unfinished_tasks and time.monotonic() < until_s:
-            time.sleep(FLUSH_STEP_S)
+        deadline_s = time.monotonic() + FLUSH_TIMEOUT_S
+        while self._queue.unfinished_tasks and time.monotonic() < deadline_s:
+            time.sleep(FLUSH_POLL_S)
--- a/cornelnotch/kernel/registry.py
+++ b/cornelnotch/kernel/registry.py
@@ -1,4 +1,4 @@
-"""Let plug-ins register themselves by kind and name."""
+"""Registry of plug-ins by kind and name."""
 
 from collections.abc import Callable
 from typing import Any, TypeVar
@@ -13,13 +13,13 @@
 
 
 def register_plugin(kind: str, name: str) -> Callable[[Factory], Factory]:
-    """Return a decorator that files a factory under `kind` and `name`."""
+    """Return a decorator that registers a factory under `kind` and `name`."""
 
-    def file_factory(factory: Factory) -> Factory:
+    def register_factory(factory: Factory) -> Factory:
         _factories.setdefault(kind, {})[name] = factory
         return factory
 
-    return file_factory
+    return register_factory
 
 
 def list_plugins(kind: str) -> list[str]:
@@ -28,7 +28,7 @@
 
 
 def create_plugin(kind: str, name: str, *arguments: Any) -> Any:
-    """Build the plug-in `name`; raise SettingsError when it is unknown."""
+    """Return a new plug-in `name`; raise SettingsError if it is unknown."""
     factory = _factories.get(kind, {}).get(name)
     if factory is None:
         raise SettingsError(
--- a/cornelnotch/kernel/tasks.py
+++ b/cornelnotch/kernel/tasks.py
@@ -1,4 +1,4 @@
-"""Run tasks that own their state and take messages."""
+"""Supervise asyncio tasks and process messages from a mailbox."""
 
 import asyncio
 from abc import ABC, abstractmethod
@@ -9,14 +9,14 @@
 
 __all__ = ["MailboxTask", "TaskGroup", "end_task"]
 
-RESTART_S = 1.0
+RESTART_DELAY_S = 1.0
 
 
 async def end_task(task: asyncio.Task[Any]) -> None:
-    """Cancel a task and wait for its end; raise the error that it ended with.
+    """Cancel a task and wait for it; raise the error it ended with, if any.
 
-    Awaiting the task itself would not tell its cancellation from the caller's, and a
-    caller that hides its own would go on for ever.
+    Awaiting the task directly could not distinguish its cancellation from that of the
+    awaiting task, which would keep running if it suppressed its own cancellation.
     """
     task.cancel()
     await asyncio.wait({task})
@@ -26,26 +26,26 @@
 
 
 class TaskGroup:
-    """Own the running tasks of one process and report their failures."""
+    """Set of running tasks whose failures are logged."""
 
     def __init__(self, events: EventLog) -> None:
         self._events = events
         self._tasks: set[asyncio.Task[Any]] = set()
 
     def start(self, name: str, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
-        """Run `work` until it ends or the group stops."""
+        """Start `work` as a task that runs until it ends or the group is stopped."""
         task = asyncio.get_running_loop().create_task(work, name=name)
         self._tasks.add(task)
-        task.add_done_callback(self._forget)
+        task.add_done_callback(self._handle_done)
         return task
 
     def keep(
         self, name: str, create_work: Callable[[], Coroutine[Any, Any, None]]
     ) -> asyncio.Task[Any]:
-        """Run work that must not end; start it again a while after a failure."""
-        return self.start(name, self._repeat(name, create_work))
+        """Start work that must not end; restart it after a delay when it does."""
+        return self.start(name, self._run_with_restarts(name, create_work))
 
-    async def _repeat(
+    async def _run_with_restarts(
         self, name: str, create_work: Callable[[], Coroutine[Any, Any, None]]
     ) -> None:
         while True:
@@ -53,16 +53,16 @@
                 await create_work()
             except Exception as error:
                 self._events.record(Event.TASK_FAILED, task=name, error=repr(error))
-            await asyncio.sleep(RESTART_S)
+            await asyncio.sleep(RESTART_DELAY_S)
 
     async def stop(self) -> None:
-        """Cancel every task and wait for its end."""
+        """Cancel all tasks and wait for them."""
         tasks = list(self._tasks)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    def _forget(self, task: asyncio.Task[Any]) -> None:
+    def _handle_done(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
         if task.cancelled():
             return
@@ -74,7 +74,7 @@
 
 
 class MailboxTask(ABC):
-    """Handle messages one at a time, in order of arrival."""
+    """Base class of tasks that handle messages one at a time, in order."""
 
     def __init__(self, events: EventLog) -> None:
         self.events = events
@@ -85,7 +85,7 @@
         self._mailbox.put_nowait(message)
 
     async def run(self) -> None:
-        """Handle messages until cancelled; one bad message ends only itself."""
+        """Handle messages until cancelled; log the errors of single messages."""
         while True:
             message = await self._mailbox.get()
             try:
@@ -99,4 +99,4 @@
 
     @abstractmethod
     async def handle(self, message: Any) -> None:
-        """Act on one message."""
+        """Process one message."""
--- a/cornelnotch/kernel/tests/test_kernel.py
+++ b/cornelnotch/kernel/tests/test_kernel.py
@@ -1,4 +1,4 @@
-"""Check events, hashing, identifiers and the registry."""
+"""Test events, hashing, identifiers, the registry and the clock."""
 
 import logging
 import time
@@ -43,7 +43,7 @@
         assert orjson.loads(line)["fields"] == {"http": "a:1"}
 
 
-def test_few_keys_move_when_a_name_goes():
+def test_removing_a_name_moves_only_its_own_keys():
     names = [f"h{n}" for n in range(10)]
     keys = [f"k{n}" for n in range(1000)]
     moved = [k for k in keys if select_owner(k, names) != select_owner(k, names[1:])]
@@ -51,23 +51,23 @@
     assert rank_owners("k", names)[0] == select_owner("k", names)
 
 
-def test_keys_tell_their_time():
+def test_key_contains_its_creation_time():
     assert read_key_time(create_identifier()).unwrap() > 1.6e12
     assert read_key_time("x").failure().kind == "bad-key"
 
 
-def test_an_unknown_plugin_names_the_known_ones():
+def test_unknown_plugin_error_lists_registered_plugins():
     with pytest.raises(SettingsError, match="use one of"):
         create_plugin("discipline", "none")
 
 
-def test_time_for_which_the_machine_is_suspended_counts(monkeypatch):
+def test_clock_includes_time_suspended(monkeypatch):
     clock = create_clock()
     before = clock.read()
-    usual = time.clock_gettime
+    clock_gettime = time.clock_gettime
 
-    def wake(kind):
-        return usual(kind) + (5.0 if kind == time.CLOCK_BOOTTIME else 0.0)
+    def get_time_after_suspension(kind):
+        return clock_gettime(kind) + (5.0 if kind == time.CLOCK_BOOTTIME else 0.0)
 
-    monkeypatch.setattr(time, "clock_gettime", wake)
+    monkeypatch.setattr(time, "clock_gettime", get_time_after_suspension)
     assert clock.read() - before >= 5000.0
--- a/cornelnotch/kernel/tests/test_output.py
+++ b/cornelnotch/kernel/tests/test_output.py
@@ -1,4 +1,4 @@
-"""Check that lines are bounded and that a blocked reader holds up nothing."""
+"""Test that queued log lines are bounded and a stalled reader blocks nothing."""
 
 import logging
 import os
@@ -25,19 +25,19 @@
     logging.getLogger("cornelnotch").handlers.clear()
 
 
-def read_lines(descriptor, wanted):
-    """Return the lines up to the one of event `wanted`."""
+def read_lines(descriptor, last_event):
+    """Return the lines up to the event of number `last_event`."""
     content = b""
     deadline = time.monotonic() + 10.0
     while time.monotonic() < deadline:
         content += os.read(descriptor, 65536)
         lines = [orjson.loads(line) for line in content.splitlines(True) if line[-1:]]
-        if lines and lines[-1]["event"] == wanted:
+        if lines and lines[-1]["event"] == last_event:
             return lines
-    raise AssertionError("the last line did not come")
+    raise AssertionError("the last line was not received")
 
 
-def test_lines_come_in_order_with_their_fields(pipe):
+def test_lines_are_written_in_order_with_fields(pipe):
     reader, writer = pipe
     with LogOutput("h", descriptor=writer) as output:
         log = create_event_log("h")
@@ -49,7 +49,7 @@
     assert output.dropped == 0
 
 
-def test_lines_that_nobody_reads_are_dropped_and_counted(pipe):
+def test_unread_lines_beyond_the_limit_are_dropped_and_counted(pipe):
     reader, writer = pipe
     with LogOutput("h", descriptor=writer, limit=LIMIT) as output:
         log = create_event_log("h")
@@ -70,7 +70,7 @@
 
 
 def drain(descriptor):
-    """Read until nothing has come for a while."""
+    """Read until no data has arrived for 0.2 s."""
     content = b""
     idle = 0
     while idle < 20:
@@ -83,7 +83,7 @@
     return [orjson.loads(line) for line in content.splitlines()]
 
 
-def test_a_process_ends_although_nobody_reads_its_lines():
+def test_process_exits_while_its_lines_are_not_read():
     code = (
         "from cornelnotch.kernel.output import LogOutput\n"
         "from cornelnotch.kernel import Event, create_event_log\n"
