--- a/cornelnotch/commands/tests/test_program.py
+++ b/cornelnotch/commands/tests/test_program.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from cornelnotch.node.tests.conftest import start_heelmark
+from cornelnotch.node.tests.conftest import start_sample_fleet
 from cornelnotch.testing.processes import ProcessFleet
 
 NODE = (
@@ -80,7 +80,7 @@
     async def scenario():
         fleet = ProcessFleet(tmp_path)
         try:
-            await start_heelmark(fleet, hosts=2, engines=1)
+            await start_sample_fleet(fleet, hosts=2, engines=1)
             await run_commands(fleet, tmp_path)
         finally:
             await fleet.stop()
--- a/cornelnotch/node/__init__.py
+++ b/cornelnotch/node/__init__.py
@@ -1,4 +1,4 @@
-"""Assemble the tasks of one host."""
+"""A host that serves requests, assembled from its parts."""
 
 from cornelnotch.node.node import Node, create_node
 
--- a/cornelnotch/node/frontend.py
+++ b/cornelnotch/node/frontend.py
@@ -1,4 +1,4 @@
-"""Answer callers and operators over HTTP."""
+"""HTTP endpoints for callers and operators."""
 
 from collections.abc import Awaitable, Callable
 
@@ -29,14 +29,14 @@
 SERVICE_PREFIX = "/v1/services/"
 EXPLAIN_PREFIX = "/v1/explain/"
 CHAT_PATH = "/v1/chat/completions"
-OBSTACLE_RETRY_MS = 1000.0
-NO_CLASS = "none"
+REFUSAL_RETRY_MS = 1000.0
+UNCLASSIFIED = "none"
 
 Handler = Callable[[Exchange], Awaitable[None]]
 
 
 class Frontend:
-    """Route each exchange to its handler; every refusal is answered at once."""
+    """Dispatcher of HTTP exchanges to their handlers."""
 
     def __init__(
         self,
@@ -67,16 +67,16 @@
         }
 
     async def handle(self, exchange: Exchange) -> None:
-        """Answer one exchange."""
+        """Respond to one exchange."""
         self.active += 1
         try:
-            await self._choose(exchange)(exchange)
+            await self._select_handler(exchange)(exchange)
         except RequestError as error:
-            await self._refuse_malformed(exchange, error)
+            await self._reject_malformed(exchange, error)
         finally:
             self.active -= 1
 
-    def _choose(self, exchange: Exchange) -> Handler:
+    def _select_handler(self, exchange: Exchange) -> Handler:
         handler = self._handlers.get(exchange.path)
         if handler is not None:
             return handler
@@ -86,14 +86,16 @@
             return self._answer_explain
         return self._answer_unknown
 
-    async def _refuse_malformed(self, exchange: Exchange, error: RequestError) -> None:
+    async def _reject_malformed(self, exchange: Exchange, error: RequestError) -> None:
         if exchange.started:
-            raise CallerGoneError("the request broke off", "send it again")
+            raise CallerGoneError("the request ended early", "send it again")
         problem = Problem(error.status, error.kind, str(error), Outcome.NOT_RUN)
         self._parts.events.record(
             Event.REQUEST_MALFORMED, kind=error.kind, path=exchange.path
         )
-        self._parts.metrics.count_request(NO_CLASS, error.kind, problem.outcome.value)
+        self._parts.metrics.count_request(
+            UNCLASSIFIED, error.kind, problem.outcome.value
+        )
         await self._send_problem(exchange, problem, create_identifier())
 
     @staticmethod
@@ -143,32 +145,32 @@
 
     async def _answer_drain(self, exchange: Exchange) -> None:
         if exchange.method != "POST":
-            raise RequestError("draining needs POST", "send POST", 405, "bad-method")
+            raise RequestError("draining requires POST", "send POST", 405, "bad-method")
         self._start_drain()
         await exchange.respond_json(202, {"draining": True})
 
     async def _answer_explain(self, exchange: Exchange) -> None:
         request_id = exchange.path.removeprefix(EXPLAIN_PREFIX)
-        own = self._decisions.find(request_id)
+        trace = self._decisions.find(request_id)
         dispatched = self._dispatched.find(request_id)
-        if own is None and dispatched is None:
+        if trace is None and dispatched is None:
             raise RequestError(
-                "the request is not known here",
-                "ask the host that its id names, soon after the request",
+                "this host has no trace of the request",
+                "ask the host named in its id, soon after the request",
                 404,
                 "unknown-request",
             )
         content = {
             "request_id": request_id,
             "host": self._settings.node.name,
-            "decisions": own.describe() if own else [],
+            "decisions": trace.describe() if trace else [],
             "dispatched": dispatched.describe() if dispatched else [],
         }
         await exchange.respond_json(200, content)
 
     async def _answer_unknown(self, exchange: Exchange) -> None:
         raise RequestError(
-            f"{exchange.path} is not served",
+            f"there is no endpoint {exchange.path}",
             "use /v1/entry, /v1/chat/completions or /v1/services/SERVICE/PATH",
             404,
             "unknown-path",
@@ -176,7 +178,9 @@
 
     async def _route_chat(self, exchange: Exchange) -> None:
         if exchange.method != "POST":
-            raise RequestError("a chat needs POST", "send POST", 405, "bad-method")
+            raise RequestError(
+                "a chat completion requires POST", "send POST", 405, "bad-method"
+            )
         await self._route(exchange, None)
 
     async def _route_service(self, exchange: Exchange) -> None:
@@ -188,7 +192,7 @@
 
     async def _route(self, exchange: Exchange, service: str | None) -> None:
         body = await exchange.read_body(self._settings.limits.body_bytes)
-        read = read_caller_request(
+        parsed = read_caller_request(
             self._settings.node.name,
             exchange.method,
             exchange.target,
@@ -196,28 +200,28 @@
             exchange.headers,
             body,
         )
-        if isinstance(read, Failure):
-            raise read.failure()
-        request = read.unwrap()
+        if isinstance(parsed, Failure):
+            raise parsed.failure()
+        request = parsed.unwrap()
         trace = self._decisions.open(request.request_id)
-        obstacle = self._status.find_obstacle()
-        if obstacle is not None:
-            trace.note("refused", reason=obstacle)
-            problem = self._report_obstacle(obstacle, request)
+        refusal_reason = self._status.find_refusal_reason()
+        if refusal_reason is not None:
+            trace.note("refused", reason=refusal_reason)
+            problem = self._create_refusal(refusal_reason, request)
             await self._send_problem(exchange, problem, request.request_id)
             return
         flow = self._create_flow(exchange, request)
         self._parts.budget.deposit()
         await flow.run()
 
-    def _report_obstacle(self, obstacle: str, request: CallerRequest) -> Problem:
+    def _create_refusal(self, refusal_reason: str, request: CallerRequest) -> Problem:
         repeated = request.key is not None and not request.is_first_attempt
         return Problem(
             503,
-            obstacle,
-            "this host takes no work now; ask /v1/entry for another",
+            refusal_reason,
+            "this host refuses requests now; ask /v1/entry for another",
             Outcome.UNKNOWN if repeated else Outcome.NOT_RUN,
-            OBSTACLE_RETRY_MS,
+            REFUSAL_RETRY_MS,
         )
 
     def _create_flow(self, exchange: Exchange, request: CallerRequest) -> RequestFlow:
--- a/cornelnotch/node/node.py
+++ b/cornelnotch/node/node.py
@@ -1,4 +1,4 @@
-"""Build and run one host."""
+"""Construction and lifecycle of one host."""
 
 import asyncio
 import random
@@ -38,17 +38,17 @@
 
 __all__ = ["Node", "create_node"]
 
-SNAPSHOT_DUTY = "configuration-snapshot"
+SNAPSHOT_OWNER_KEY = "configuration-snapshot"
 DRAIN_MARGIN_MS = 1000.0
-DRAIN_CHECK_MS = 50.0
+DRAIN_POLL_MS = 50.0
 HANDOVER_MS = 1000.0
-FETCH_INTERVAL_MS = 200.0
+MIN_FETCH_INTERVAL_MS = 200.0
 STANDBY_PERIOD_MS = 10_000.0
 STANDBY_RANKS = 2
 
 
 class Node:
-    """Own every task of one host."""
+    """One host with all its tasks."""
 
     def __init__(self, settings: NodeSettings, clock: Clock) -> None:
         self.settings = settings
@@ -59,7 +59,7 @@
         self.boot = int(clock.read_wall())
         self._client = HttpClient()
         self._draining = False
-        self._fetched_ms = float("-inf")
+        self._last_fetch_ms = float("-inf")
         self._build_membership()
         self._build_configuration()
         self._build_routing()
@@ -162,7 +162,7 @@
         self.server = HttpServer(self.front.handle)
 
     async def start(self) -> None:
-        """Open the listeners and start every task."""
+        """Open the listening sockets and start all tasks."""
         await self.peers.start(*parse_address(self.settings.node.peer))
         await self.server.start(*parse_address(self.settings.node.http))
         self.tasks.keep("configuration", self.follower.run)
@@ -178,7 +178,7 @@
         self.events.record(Event.HOST_STARTED, http=self.settings.node.http)
 
     async def stop(self) -> None:
-        """Stop at once."""
+        """Stop immediately, without draining."""
         await self.server.stop()
         await self.peers.stop()
         await self.tasks.stop()
@@ -186,7 +186,7 @@
         self.stopped.set()
 
     def start_drain(self) -> None:
-        """Begin to leave: callers go elsewhere, streams end, then the node stops."""
+        """Start to drain: refuse new callers, finish running streams, then stop."""
         if self._draining:
             return
         self._draining = True
@@ -196,24 +196,24 @@
         self.events.record(Event.HOST_LEAVING)
         self.status.draining = True
         self.prober.share_state(MemberState.LEAVING)
-        # Callers may keep an old entry answer for its whole lifetime.
+        # Callers may use a cached entry response until its TTL expires.
         ttl_ms = self.settings.timing.entry_ttl_ms
         await self.clock.sleep(ttl_ms + DRAIN_MARGIN_MS)
         limit = self.clock.read() + self.settings.timing.drain_limit_ms
         self.server.refuse_new()
-        while self._has_work() and self.clock.read() < limit:
-            await self.clock.sleep(DRAIN_CHECK_MS)
+        while self._is_busy() and self.clock.read() < limit:
+            await self.clock.sleep(DRAIN_POLL_MS)
         await self.clock.sleep(HANDOVER_MS)
         self.events.record(Event.HOST_STOPPED)
         self.stopped.set()
 
-    def _has_work(self) -> bool:
+    def _is_busy(self) -> bool:
         if self.front.active or self.permits.count_held() or self.claims.unsettled:
             return True
         return any(shard.running for shard in self.dispatcher.shards.values())
 
     async def _run_standby(self) -> None:
-        """Keep the claim streams read that this host writes or would take over."""
+        """Follow the claim streams that this host writes or would take over."""
         while True:
             await self.clock.sleep(STANDBY_PERIOD_MS)
             if self.fleet.configuration.version < 0:
@@ -237,15 +237,15 @@
 
     def _apply_members(self) -> None:
         live = [member.name for member in self.fleet.list_live()]
-        owner = select_owner(SNAPSHOT_DUTY, live)
+        owner = select_owner(SNAPSHOT_OWNER_KEY, live)
         self.snapshots.owned = owner == self.fleet.name
         self.fleet.apply_members()
 
     def _fetch_configuration(self, host: str, version: int) -> None:
         now = self.clock.read()
-        if now - self._fetched_ms < FETCH_INTERVAL_MS:
+        if now - self._last_fetch_ms < MIN_FETCH_INTERVAL_MS:
             return
-        self._fetched_ms = now
+        self._last_fetch_ms = now
         fetch = ConfigurationFetch(self.fleet.name, self.follower.state.version)
         self.peers.send(host, fetch)
 
--- a/cornelnotch/node/status.py
+++ b/cornelnotch/node/status.py
@@ -1,4 +1,4 @@
-"""Judge and describe the state of one host."""
+"""Status and readiness of one host."""
 
 from collections.abc import Callable
 from dataclasses import asdict, dataclass
@@ -12,12 +12,12 @@
 
 __all__ = ["HostStatus", "StatusReader"]
 
-CHECK_MS = 1000.0
+CHECK_INTERVAL_MS = 1000.0
 
 
 @dataclass(frozen=True, slots=True)
 class HostStatus:
-    """Tell whether a host takes work, and if not why; ages in ms."""
+    """Readiness of a host with the reason if it refuses requests; ages in ms."""
 
     host: str
     release: str
@@ -34,7 +34,7 @@
 
 
 class StatusReader:
-    """Read the state of one host from its tasks."""
+    """Reader of the state of one host."""
 
     def __init__(
         self,
@@ -55,19 +55,19 @@
         self._clock = clock
 
     async def run(self) -> None:
-        """Record when the host stops or starts taking work, until cancelled."""
-        known: str | None = "no-configuration"
+        """Log when the host starts or stops refusing requests, until cancelled."""
+        logged_reason: str | None = "no-configuration"
         while True:
-            obstacle = self.find_obstacle()
-            if obstacle is not None and obstacle != known:
-                self._events.record(Event.HOST_REFUSING, reason=obstacle)
-            elif obstacle is None and known is not None:
+            refusal_reason = self.find_refusal_reason()
+            if refusal_reason is not None and refusal_reason != logged_reason:
+                self._events.record(Event.HOST_REFUSING, reason=refusal_reason)
+            elif refusal_reason is None and logged_reason is not None:
                 self._events.record(Event.HOST_SERVING)
-            known = obstacle
-            await self._clock.sleep(CHECK_MS)
+            logged_reason = refusal_reason
+            await self._clock.sleep(CHECK_INTERVAL_MS)
 
-    def find_obstacle(self) -> str | None:
-        """Return why the host must not take work, or None."""
+    def find_refusal_reason(self) -> str | None:
+        """Return why the host must refuse requests, or None."""
         if self._fleet.configuration.version < 0:
             return "no-configuration"
         if self.is_isolated():
@@ -78,7 +78,7 @@
         return None
 
     def is_isolated(self) -> bool:
-        """Tell whether neither the log nor any other host has been heard."""
+        """Return whether neither the log nor any peer has responded recently."""
         limit = self._settings.timing.isolation_ms
         if self._follower.read_log_age() <= limit:
             return False
@@ -87,14 +87,14 @@
         return not alone and peer_age > limit
 
     def describe(self) -> HostStatus:
-        """Return the state for operators."""
-        obstacle = self.find_obstacle()
+        """Return the status shown to operators."""
+        refusal_reason = self.find_refusal_reason()
         members = self._prober.table.members.values()
         return HostStatus(
             self._fleet.name,
             __version__,
-            obstacle is None and not self.draining,
-            obstacle or "",
+            refusal_reason is None and not self.draining,
+            refusal_reason or "",
             self.draining,
             self._fleet.configuration.version,
             min(self._follower.read_log_age(), 1e12),
@@ -106,24 +106,27 @@
         )
 
     def describe_json(self) -> dict[str, object]:
-        """Return the state as plain data."""
+        """Return the status as a dictionary."""
         return asdict(self.describe())
 
     def list_entries(self, workspace: str, place: str | None) -> list[str]:
-        """Return addresses for a caller, best first; never a leaving host."""
+        """Return the addresses of live hosts in the caller's order of preference.
+
+        Hosts of the caller's region come first; leaving hosts are left out.
+        """
         members = {
             m.name: m
             for m in self._prober.table.members.values()
             if m.state is MemberState.ALIVE
         }
-        if self.find_obstacle() is not None:
+        if self.find_refusal_reason() is not None:
             members.pop(self._fleet.name, None)
         region = self._fleet.configuration.find_region(place) if place else None
         ranked = rank_owners(f"entry/{workspace}", members)
-        ranked.sort(key=lambda name: self._is_far(members[name].place, region))
+        ranked.sort(key=lambda name: self._is_other_region(members[name].place, region))
         return [members[name].http for name in ranked]
 
-    def _is_far(self, place: str, region: str | None) -> bool:
+    def _is_other_region(self, place: str, region: str | None) -> bool:
         if region is None:
             return False
         return self._fleet.configuration.find_region(place) != region
--- a/cornelnotch/node/tests/conftest.py
+++ b/cornelnotch/node/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Share a running fleet between process tests."""
+"""Fixtures that run a fleet of separate processes."""
 
 import asyncio
 from collections.abc import Awaitable, Callable
@@ -15,14 +15,14 @@
 FAST_MEMBERSHIP = "period_ms = 200\nsuspicion_ms = 800\nlisting_ms = 300\n"
 
 
-async def start_heelmark(
+async def start_sample_fleet(
     fleet: ProcessFleet,
     hosts: int = 3,
     engines: int = 2,
     services: int = 1,
     slots: int = 8,
 ) -> None:
-    """Start a small Heelmark fleet and wait until it takes work."""
+    """Start a small fleet with the sample configuration and wait until it is ready."""
     fleet.settings = FAST_TIMING
     fleet.membership = FAST_MEMBERSHIP
     await fleet.start_platform()
@@ -44,7 +44,7 @@
 
 @pytest.fixture
 def run_fleet(tmp_path: Path) -> Callable[[Scenario], None]:
-    """Return a function that runs a scenario on a fleet and ends the fleet."""
+    """Return a function that runs a scenario on a fleet and stops the fleet."""
 
     async def run(scenario: Scenario) -> None:
         fleet = ProcessFleet(tmp_path)
--- a/cornelnotch/node/tests/test_path.py
+++ b/cornelnotch/node/tests/test_end_to_end.py
@@ -1,13 +1,13 @@
-"""Serve requests end to end with separate processes."""
+"""Test requests end to end with separate processes."""
 
 from cornelnotch.kernel import create_identifier
-from cornelnotch.node.tests.conftest import start_heelmark
+from cornelnotch.node.tests.conftest import start_sample_fleet
 from cornelnotch.standins.engine import predict_answer
 
 
-def test_chat_and_booking_get_whole_answers(run_fleet):
+def test_chat_and_booking_get_complete_responses(run_fleet):
     async def scenario(fleet):
-        await start_heelmark(fleet)
+        await start_sample_fleet(fleet)
         caller = fleet.create_caller()
         assert len(await caller.ask_entry()) == 3
         for stream in (True, False):
@@ -16,14 +16,12 @@
             assert result.text == predict_answer("resole brown boots", 12)
         key = create_identifier()
         content = {"reference": "slot-7"}
-        booked = await caller.call(
-            "counter-desk", "/book", content, "kind=booking", key
-        )
-        assert (booked.status, booked.outcome) == (200, "ran")
+        first = await caller.call("counter-desk", "/book", content, "kind=booking", key)
+        assert (first.status, first.outcome) == (200, "ran")
         repeated = await caller.call(
             "counter-desk", "/book", content, "kind=booking", key
         )
-        assert repeated.body == booked.body
+        assert repeated.body == first.body
         assert await fleet.read_ledger("desk-0") == {"slot-7": 1}
 
     run_fleet(scenario)
@@ -31,7 +29,7 @@
 
 def test_explain_names_selector_server_and_outcome(run_fleet):
     async def scenario(fleet):
-        await start_heelmark(fleet, hosts=2, engines=1)
+        await start_sample_fleet(fleet, hosts=2, engines=1)
         caller = fleet.create_caller()
         result = await caller.chat("draft", 4, "kind=draft")
         trace = await fleet.explain(result.request_id)
--- a/cornelnotch/node/tests/test_faults.py
+++ b/cornelnotch/node/tests/test_faults.py
@@ -1,4 +1,4 @@
-"""Prove the promises with real processes under kills, freezes and outages."""
+"""Test the delivery guarantees with processes that are killed, frozen or cut off."""
 
 import asyncio
 import signal
@@ -10,7 +10,7 @@
 from cornelnotch.node.tests.conftest import (
     FAST_MEMBERSHIP,
     FAST_TIMING,
-    start_heelmark,
+    start_sample_fleet,
 )
 from cornelnotch.standins.engine import predict_answer
 from cornelnotch.testing.proxy import FaultProxy
@@ -19,8 +19,8 @@
 BOOKINGS = 12
 
 
-async def send_everywhere(fleet, reference, key, **options):
-    """Send one booking to every host at once under one key."""
+async def send_to_all_hosts(fleet, reference, key, **options):
+    """Send a booking to all hosts concurrently with the same key."""
     calls = []
     for host in fleet.hosts.values():
         caller = fleet.create_caller(**options)
@@ -40,9 +40,9 @@
 
 def test_booking_sent_to_three_hosts_runs_once(run_fleet):
     async def scenario(fleet):
-        await start_heelmark(fleet)
+        await start_sample_fleet(fleet)
         for number in range(BOOKINGS):
-            results = await send_everywhere(
+            results = await send_to_all_hosts(
                 fleet, f"slot-{number}", create_identifier()
             )
             bodies = {r.body for r in results if r.outcome == "ran"}
@@ -54,19 +54,20 @@
     run_fleet(scenario)
 
 
-def test_booking_runs_once_while_answers_are_lost_and_the_log_is_slow(run_fleet):
+def test_booking_runs_once_with_lost_responses_and_slow_log(run_fleet):
     async def scenario(fleet):
-        await start_heelmark(fleet)
+        await start_sample_fleet(fleet)
         await fleet.set_faults(fleet.platform.http, lose_answers=True, slow_ms=50)
         await fleet.set_faults(fleet.servers["desk-0"].http, lose_answers=True)
         keys = [create_identifier() for _ in range(4)]
         first = [
-            await send_everywhere(fleet, f"slot-{n}", key) for n, key in enumerate(keys)
+            await send_to_all_hosts(fleet, f"slot-{n}", key)
+            for n, key in enumerate(keys)
         ]
         await fleet.set_faults(fleet.platform.http, lose_answers=False, slow_ms=0)
         await fleet.set_faults(fleet.servers["desk-0"].http, lose_answers=False)
         for number, key in enumerate(keys):
-            again = await send_everywhere(fleet, f"slot-{number}", key)
+            again = await send_to_all_hosts(fleet, f"slot-{number}", key)
             assert all(r.outcome == "unknown" for r in [*first[number], *again])
         ledger = await fleet.read_ledger("desk-0")
         assert ledger == {f"slot-{n}": 1 for n in range(4)}
@@ -74,9 +75,9 @@
     run_fleet(scenario)
 
 
-def test_not_run_is_true_while_the_log_goes_down_and_comes_back(run_fleet):
+def test_not_run_outcome_is_correct_during_log_outage(run_fleet):
     async def scenario(fleet):
-        await start_heelmark(fleet)
+        await start_sample_fleet(fleet)
         caller = fleet.create_caller(attempts=1, deadline_ms=3000)
         results: dict[str, CallResult] = {}
 
@@ -91,16 +92,16 @@
                 key,
             )
 
-        async def break_log():
+        async def interrupt_log():
             await asyncio.sleep(0.5)
             await fleet.set_faults(fleet.platform.http, down=True)
             await asyncio.sleep(2.5)
             await fleet.set_faults(fleet.platform.http, down=False)
 
-        await asyncio.gather(break_log(), *(book(n) for n in range(80)))
+        await asyncio.gather(interrupt_log(), *(book(n) for n in range(80)))
         ledger = await fleet.read_ledger("desk-0")
         refused = [name for name, r in results.items() if r.outcome == "not-run"]
-        assert refused, "the outage refused nothing; the check shows nothing"
+        assert refused, "the outage caused no refusal, so the check is void"
         assert [name for name in refused if name in ledger] == []
         ran = [name for name, r in results.items() if r.outcome == "ran"]
         assert all(ledger[name] == 1 for name in ran)
@@ -110,20 +111,20 @@
 
 
 @pytest.mark.parametrize("number", [signal.SIGSTOP, signal.SIGKILL])
-def test_winner_stopped_between_claim_and_dispatch_is_not_overtaken(run_fleet, number):
+def test_claim_of_stopped_host_is_not_dispatched_by_another(run_fleet, number):
     async def scenario(fleet):
-        await start_heelmark(fleet)
+        await start_sample_fleet(fleet)
         host = fleet.hosts["host-0"]
         key = create_identifier()
-        # Without a free slot the winner waits between claim and dispatch.
+        # Without a free slot, the winner of the claim waits before its dispatch.
         await fleet.set_faults(fleet.servers["desk-0"].http, frozen_ms=1500)
-        fillers = [
+        blocking_calls = [
             fleet.create_caller(deadline_ms=9000).book(
                 "counter-desk", "/book", {"reference": f"filler-{n}"}, "kind=booking"
             )
             for n in range(8)
         ]
-        filling = [asyncio.create_task(f) for f in fillers]
+        blocking_tasks = [asyncio.create_task(f) for f in blocking_calls]
         await asyncio.sleep(0.6)
         winner = fleet.create_caller(deadline_ms=9000)
         winner.pin(host.http)
@@ -137,12 +138,12 @@
         fleet.send_signal(host, number)
         other = fleet.create_caller(deadline_ms=2000)
         other.pin(fleet.hosts["host-1"].http)
-        overtaking = await other.call(
+        second = await other.call(
             "counter-desk", "/book", content, "kind=booking", key, retry=False
         )
         fleet.send_signal(host, signal.SIGCONT)
-        assert overtaking.outcome == "unknown"
-        await asyncio.gather(*filling, first)
+        assert second.outcome == "unknown"
+        await asyncio.gather(*blocking_tasks, first)
         ledger = await fleet.read_ledger("desk-0")
         assert ledger.get("slot", 0) <= 1
         assert max(ledger.values()) == 1
@@ -150,9 +151,9 @@
     run_fleet(scenario)
 
 
-def test_killed_hosts_and_engines_cost_no_answer(run_fleet):
+def test_killed_hosts_and_engines_lose_no_response(run_fleet):
     async def scenario(fleet):
-        await start_heelmark(fleet, hosts=3, engines=3)
+        await start_sample_fleet(fleet, hosts=3, engines=3)
         callers = [fleet.create_caller() for _ in range(24)]
 
         async def ask(number, caller):
@@ -174,9 +175,9 @@
     run_fleet(scenario)
 
 
-def test_streams_of_a_killed_engine_go_on_elsewhere(run_fleet):
+def test_streams_of_killed_engine_resume_on_another(run_fleet):
     async def scenario(fleet):
-        await start_heelmark(fleet, hosts=2, engines=3)
+        await start_sample_fleet(fleet, hosts=2, engines=3)
         caller = fleet.create_caller(attempts=1)
         prompts = [f"owner {n}" for n in range(9)]
         asked = [
@@ -196,14 +197,14 @@
     run_fleet(scenario)
 
 
-def test_crossed_answers_reach_nobody(run_fleet):
+def test_mismatched_responses_are_not_delivered(run_fleet):
     async def scenario(fleet):
-        await start_heelmark(fleet, hosts=2, engines=3, slots=100)
+        await start_sample_fleet(fleet, hosts=2, engines=3, slots=100)
         caller = fleet.create_caller()
         prompts = [f"case {n}" for n in range(200)]
         asked = [asyncio.create_task(caller.chat(p, 40, "kind=quote")) for p in prompts]
         await asyncio.sleep(0.5)
-        # New streams on this engine get another caller's text from now on.
+        # From now on, new streams of this engine carry another caller's text.
         await fleet.set_faults(fleet.servers["engine-0"].http, cross_answers=True)
         prompts += [f"later case {n}" for n in range(100)]
         asked += [
@@ -217,9 +218,9 @@
     run_fleet(scenario)
 
 
-def test_leaving_server_gets_no_new_work_after_three_seconds(run_fleet):
+def test_leaving_server_gets_no_new_requests_after_three_seconds(run_fleet):
     async def scenario(fleet):
-        await start_heelmark(fleet, hosts=3, engines=2)
+        await start_sample_fleet(fleet, hosts=3, engines=2)
         caller = fleet.create_caller()
         await fleet.list_server("engine-0", "leaving")
         await asyncio.sleep(3.0)
@@ -235,9 +236,9 @@
     run_fleet(scenario)
 
 
-def test_all_hosts_replaced_under_load_cut_nothing(run_fleet):
+def test_rolling_replacement_of_hosts_breaks_no_request(run_fleet):
     async def scenario(fleet):
-        await start_heelmark(fleet, hosts=3, engines=2)
+        await start_sample_fleet(fleet, hosts=3, engines=2)
         stop = asyncio.Event()
         broken = []
 
@@ -266,23 +267,23 @@
 
 
 async def sample_versions(fleet, versions, stop):
-    """Record each host's version until told to stop."""
+    """Record each host's configuration version until `stop` is set."""
     while not stop.is_set():
         await sample_versions_once(fleet, versions)
         await asyncio.sleep(0.05)
 
 
 async def sample_versions_once(fleet, versions):
-    """Record each host's version."""
+    """Record each host's configuration version once."""
     for host in list(fleet.hosts.values()):
         status = await fleet.read_status(host)
         if status:
             versions.setdefault(host.name, []).append(status["version"])
 
 
-def test_versions_never_go_down_through_race_outage_and_restart(run_fleet):
+def test_versions_are_monotonic_across_race_outage_and_late_start(run_fleet):
     async def scenario(fleet):
-        await start_heelmark(fleet, hosts=3)
+        await start_sample_fleet(fleet, hosts=3)
         versions: dict[str, list[int]] = {}
         stop = asyncio.Event()
         sampling = asyncio.create_task(sample_versions(fleet, versions, stop))
@@ -293,7 +294,7 @@
         )
         await fleet.wait_ready(min(race))
         await fleet.set_faults(fleet.platform.http, down=True)
-        # A host that starts during the outage learns the version from a peer.
+        # A host that starts during the outage gets the configuration from a peer.
         late = await fleet.start_host("late")
         await fleet.wait_answer(late.http, "/readyz")
         await fleet.set_faults(fleet.platform.http, down=False)
@@ -310,7 +311,7 @@
     run_fleet(scenario)
 
 
-def test_isolated_host_refuses_new_work_and_says_so(run_fleet):
+def test_isolated_host_refuses_requests_with_its_reason(run_fleet):
     async def scenario(fleet):
         fleet.settings = FAST_TIMING + "isolation_ms = 1500\n"
         fleet.membership = FAST_MEMBERSHIP
@@ -323,12 +324,12 @@
         await fleet.start_host("host-0")
         await fleet.start_host("host-1", log=proxy.address)
         await fleet.wait_ready(version)
-        lonely = fleet.hosts["host-1"]
+        isolated = fleet.hosts["host-1"]
         proxy.cut()
         fleet.send_signal(fleet.hosts["host-0"], signal.SIGSTOP)
         await asyncio.sleep(3.0)
         caller = fleet.create_caller(attempts=1)
-        caller.pin(lonely.http)
+        caller.pin(isolated.http)
         refused = await caller.chat("boots", 4, "kind=quote", retry=False)
         assert (refused.status, refused.kind) == (503, "isolated")
         assert refused.outcome == "not-run"
--- a/cornelnotch/node/tests/test_border.py
+++ b/cornelnotch/node/tests/test_invalid_requests.py
@@ -1,16 +1,16 @@
-"""Meet callers that send nonsense, go away or read slowly."""
+"""Test malformed requests and callers that disconnect early."""
 
 import asyncio
 
 import orjson
 
 from cornelnotch.kernel import create_identifier
-from cornelnotch.node.tests.conftest import start_heelmark
+from cornelnotch.node.tests.conftest import start_sample_fleet
 from cornelnotch.web import HttpClient
 
 CHAT_PATH = "/v1/chat/completions"
 BOOK_PATH = "/v1/services/counter-desk/book"
-GOOD = {"cornelnotch-workspace": "w", "cornelnotch-labels": "kind=quote"}
+VALID_HEADERS = {"cornelnotch-workspace": "w", "cornelnotch-labels": "kind=quote"}
 
 
 def create_body(tokens=10, stream=True):
@@ -23,26 +23,32 @@
     )
 
 
-CASES = [
+INVALID_REQUESTS = [
     ("POST", CHAT_PATH, {}, create_body(), 400),
-    ("POST", CHAT_PATH, GOOD, b"{broken", 400),
-    ("POST", CHAT_PATH, GOOD, b"x" * 2_000_000, 413),
-    ("POST", CHAT_PATH, {**GOOD, "x": "y" * 40_000}, b"", 431),
-    ("POST", CHAT_PATH, {**GOOD, "cornelnotch-deadline-ms": "x"}, create_body(), 400),
-    ("GET", CHAT_PATH, GOOD, b"", 405),
-    ("GET", "/nowhere", GOOD, b"", 404),
-    ("POST", "/v1/services/", GOOD, b"", 400),
-    ("POST", "/v1/services/unknown/x", GOOD, b"", 422),
-    ("POST", BOOK_PATH, {**GOOD, "idempotency-key": "1"}, b"{}", 400),
+    ("POST", CHAT_PATH, VALID_HEADERS, b"{broken", 400),
+    ("POST", CHAT_PATH, VALID_HEADERS, b"x" * 2_000_000, 413),
+    ("POST", CHAT_PATH, {**VALID_HEADERS, "x": "y" * 40_000}, b"", 431),
+    (
+        "POST",
+        CHAT_PATH,
+        {**VALID_HEADERS, "cornelnotch-deadline-ms": "x"},
+        create_body(),
+        400,
+    ),
+    ("GET", CHAT_PATH, VALID_HEADERS, b"", 405),
+    ("GET", "/nowhere", VALID_HEADERS, b"", 404),
+    ("POST", "/v1/services/", VALID_HEADERS, b"", 400),
+    ("POST", "/v1/services/unknown/x", VALID_HEADERS, b"", 422),
+    ("POST", BOOK_PATH, {**VALID_HEADERS, "idempotency-key": "1"}, b"{}", 400),
 ]
 
 
-def test_nonsense_gets_a_typed_refusal_and_runs_nothing(run_fleet):
+def test_invalid_request_gets_typed_error_and_is_not_run(run_fleet):
     async def scenario(fleet):
-        await start_heelmark(fleet, hosts=1, engines=1)
+        await start_sample_fleet(fleet, hosts=1, engines=1)
         address = fleet.hosts["host-0"].http
         client = HttpClient()
-        for method, target, headers, body, status in CASES:
+        for method, target, headers, body, status in INVALID_REQUESTS:
             answer = await client.request(address, method, target, headers, body)
             content = orjson.loads(await answer.read())
             assert answer.status == status, (target, headers)
@@ -57,41 +63,43 @@
     run_fleet(scenario)
 
 
-def test_keys_too_old_or_reused_are_told_apart(run_fleet):
+def test_expired_and_reused_keys_have_distinct_errors(run_fleet):
     async def scenario(fleet):
-        await start_heelmark(fleet, hosts=1, engines=1)
+        await start_sample_fleet(fleet, hosts=1, engines=1)
         caller = fleet.create_caller()
         old = "01800000-0000-7000-8000-000000000000"
         labels = "kind=booking"
-        aged = await caller.call("counter-desk", "/book", {}, labels, old, retry=False)
-        assert (aged.status, aged.kind) == (400, "key-expired")
+        expired = await caller.call(
+            "counter-desk", "/book", {}, labels, old, retry=False
+        )
+        assert (expired.status, expired.kind) == (400, "key-expired")
         key = create_identifier()
         content = {"reference": "slot"}
         await caller.call("counter-desk", "/book", content, labels, key)
-        other = await caller.call(
+        reused = await caller.call(
             "counter-desk", "/book", {"reference": "other"}, labels, key
         )
-        assert (other.status, other.kind) == (422, "key-reused")
+        assert (reused.status, reused.kind) == (422, "key-reused")
         assert await fleet.read_ledger("desk-0") == {"slot": 1}
 
     run_fleet(scenario)
 
 
-def test_a_caller_that_goes_away_stops_the_engine(run_fleet):
+def test_caller_disconnect_stops_generation(run_fleet):
     async def scenario(fleet):
-        await start_heelmark(fleet, hosts=1, engines=1)
+        await start_sample_fleet(fleet, hosts=1, engines=1)
         engine = fleet.servers["engine-0"].http
         client = HttpClient()
         address = fleet.hosts["host-0"].http
         for stream in (True, False):
             body = create_body(500, stream)
-            work = asyncio.create_task(
-                client.request(address, "POST", CHAT_PATH, GOOD, body)
+            call = asyncio.create_task(
+                client.request(address, "POST", CHAT_PATH, VALID_HEADERS, body)
             )
             await asyncio.sleep(0.4)
-            if work.done():
-                work.result().close()
-            work.cancel()
+            if call.done():
+                call.result().close()
+            call.cancel()
         await asyncio.sleep(0.5)
         before = await fleet.wait_answer(engine, "/counts")
         await asyncio.sleep(0.5)
@@ -103,9 +111,9 @@
     run_fleet(scenario)
 
 
-def test_a_booking_goes_on_when_its_caller_goes_away(run_fleet):
+def test_booking_completes_after_caller_disconnects(run_fleet):
     async def scenario(fleet):
-        await start_heelmark(fleet, hosts=1, engines=1)
+        await start_sample_fleet(fleet, hosts=1, engines=1)
         await fleet.set_faults(fleet.servers["desk-0"].http, frozen_ms=500)
         key = create_identifier()
         caller = fleet.create_caller()
--- a/cornelnotch/node/tests/test_regions.py
+++ b/cornelnotch/node/tests/test_regions.py
@@ -1,4 +1,4 @@
-"""Prove configuration and service across regions, cuts and retention."""
+"""Test regions, network partitions, log retention and overload."""
 
 import asyncio
 import signal
@@ -8,13 +8,13 @@
 from cornelnotch.testing.proxy import FaultProxy
 from cornelnotch.testing.samples import create_heelmark_text, create_server_section
 
-WAVE_QUOTES = 180
+OVERLOAD_QUOTES = 180
 LINK_DELAY_MS = 30.0
 LINK_BITS_PER_SECOND = 15_000_000.0
 
 
 async def start_two_regions(fleet):
-    """Start two hosts near the store and one behind the narrow link."""
+    """Start two hosts near the store and one behind a slow link."""
     fleet.settings = FAST_TIMING
     fleet.membership = FAST_MEMBERSHIP
     await fleet.start_platform()
@@ -39,7 +39,7 @@
     return link
 
 
-def test_work_stays_in_its_region_while_that_has_a_server(run_fleet):
+def test_requests_stay_in_their_region_while_it_has_a_server(run_fleet):
     async def scenario(fleet):
         link = await start_two_regions(fleet)
         caller = fleet.create_caller(place="kaohsiung-a")
@@ -55,19 +55,19 @@
             "[server south-engine]\nremove = yes\n",
         )
         await asyncio.sleep(1.0)
-        moved = await caller.chat("far", 4, "kind=quote")
-        assert moved.complete
+        rerouted = await caller.chat("far", 4, "kind=quote")
+        assert rerouted.complete
         await link.stop()
 
     run_fleet(scenario)
 
 
-def test_a_region_cut_from_the_store_follows_its_peers(run_fleet):
+def test_region_without_store_gets_configuration_from_peers(run_fleet):
     async def scenario(fleet):
         link = await start_two_regions(fleet)
         link.cut()
         version = await fleet.publish("[workspace w]\nconcurrent = 4\n")
-        # The cut host hears of the version from peers within the promised 8 s.
+        # The disconnected host gets the version from peers within the required 8 s.
         async with asyncio.timeout(8.0):
             await fleet.wait_ready(version)
         await link.stop()
@@ -75,7 +75,7 @@
     run_fleet(scenario)
 
 
-def test_regions_that_lost_each_other_find_each_other_again(run_fleet):
+def test_partitioned_regions_reconnect(run_fleet):
     async def scenario(fleet):
         fleet.settings = FAST_TIMING
         fleet.membership = FAST_MEMBERSHIP
@@ -99,9 +99,9 @@
         await asyncio.sleep(6.0)
         north, south = fleet.hosts.values()
         assert (await fleet.read_status(north))["members"]["south"] == "dead"
-        cut_off = await fleet.read_status(south)
-        assert (cut_off["ready"], cut_off["reason"]) == (False, "isolated")
-        assert cut_off["version"] == version
+        isolated = await fleet.read_status(south)
+        assert (isolated["ready"], isolated["reason"]) == (False, "isolated")
+        assert isolated["version"] == version
         for link in links:
             link.heal()
         async with asyncio.timeout(8.0):
@@ -112,7 +112,7 @@
     run_fleet(scenario)
 
 
-def test_all_hosts_restarted_after_retention_keep_the_configuration(run_fleet):
+def test_configuration_survives_restart_of_all_hosts_after_retention(run_fleet):
     async def scenario(fleet):
         fleet.settings = FAST_TIMING
         fleet.membership = FAST_MEMBERSHIP
@@ -127,7 +127,7 @@
         await restart_hosts(fleet)
         version = await fleet.publish("[workspace w]\nconcurrent = 7\n")
         await fleet.wait_ready(version)
-        # Longer than two retentions: every change record is gone by then.
+        # After two retention periods, all records of changes have been removed.
         await asyncio.sleep(14.0)
         page = await fleet.wait_answer(
             platform.http, "/streams/configuration/records?from=100000"
@@ -142,21 +142,21 @@
 
 
 async def restart_hosts(fleet):
-    """Kill every host at once and start each again with its settings."""
+    """Kill all hosts at once and restart each with its settings."""
     for host in fleet.hosts.values():
         fleet.send_signal(host, signal.SIGKILL)
     for host in fleet.hosts.values():
         await host.process.wait()
-        again = await fleet._start(
+        restarted = await fleet._start(
             host.name, host.http, "node", str(fleet.folder / f"{host.name}.ini")
         )
-        host.process = again.process
+        host.process = restarted.process
     for host in fleet.hosts.values():
         await fleet.wait_answer(host.http, "/healthz")
 
 
-async def start_wave(fleet):
-    """Start two hosts before one engine of four slots."""
+async def start_overload_fleet(fleet):
+    """Start two hosts and one engine with four slots."""
     fleet.settings = FAST_TIMING
     fleet.membership = FAST_MEMBERSHIP
     await fleet.start_platform()
@@ -168,7 +168,7 @@
 
 
 async def send_quotes(fleet, count):
-    """Send quotes at about twice the capacity; return the tasks."""
+    """Send quote requests at about twice the capacity; return their tasks."""
     caller = fleet.create_caller("heelmark", deadline_ms=8000, attempts=1)
     tasks = []
     for number in range(count):
@@ -179,7 +179,7 @@
 
 
 def start_drafts(fleet, count, tokens):
-    """Send drafts whose callers come back when a full queue sends them away."""
+    """Start draft requests that are retried when the queue is full."""
     caller = fleet.create_caller(
         "guild", deadline_ms=30_000, attempts=20, patience_ms=30_000.0
     )
@@ -187,46 +187,46 @@
     return [asyncio.create_task(call) for call in calls]
 
 
-async def audit_refusals(fleet, results):
-    """Check every refusal from outside by its own record."""
+async def check_refusals(fleet, results):
+    """Check every refusal by the trace of its request."""
     refused = [r for r in results if not r.complete]
-    assert refused, "nothing was refused; the check shows nothing"
+    assert refused, "no request was refused, so the check is void"
     for result in refused:
         assert result.outcome == "not-run"
         assert result.retry_after_ms > 0
-        await assert_not_shed_for_lower(fleet, result)
+        await check_not_refused_for_lower_tier(fleet, result)
 
 
-def test_a_morning_wave_starves_nobody(run_fleet):
+def test_overload_does_not_starve_lower_tier(run_fleet):
     async def scenario(fleet):
-        await start_wave(fleet)
-        wave = await send_quotes(fleet, WAVE_QUOTES // 9)
+        await start_overload_fleet(fleet)
+        quotes = await send_quotes(fleet, OVERLOAD_QUOTES // 9)
         drafts = start_drafts(fleet, 6, 20)
-        wave += await send_quotes(fleet, WAVE_QUOTES)
-        # A draft that began to wait within the wave is served within the wave.
+        quotes += await send_quotes(fleet, OVERLOAD_QUOTES)
+        # Drafts are also served while the overload lasts.
         assert any(task.done() for task in drafts)
-        await audit_refusals(fleet, await asyncio.gather(*wave))
+        await check_refusals(fleet, await asyncio.gather(*quotes))
         finished = await asyncio.gather(*drafts)
         assert all(r.complete for r in finished), [r.kind for r in finished]
 
     run_fleet(scenario)
 
 
-def test_drafts_that_hold_every_slot_cost_no_quote_its_place(run_fleet):
+def test_quotes_are_not_refused_while_drafts_occupy_all_slots(run_fleet):
     async def scenario(fleet):
-        await start_wave(fleet)
+        await start_overload_fleet(fleet)
         drafts = start_drafts(fleet, 4, 250)
         await asyncio.sleep(0.5)
-        wave = await send_quotes(fleet, WAVE_QUOTES // 3)
-        await audit_refusals(fleet, await asyncio.gather(*wave))
+        quotes = await send_quotes(fleet, OVERLOAD_QUOTES // 3)
+        await check_refusals(fleet, await asyncio.gather(*quotes))
         finished = await asyncio.gather(*drafts)
         assert all(r.complete for r in finished), [r.kind for r in finished]
 
     run_fleet(scenario)
 
 
-async def assert_not_shed_for_lower(fleet, result):
-    """Audit a refusal from outside by its own record."""
+async def check_not_refused_for_lower_tier(fleet, result):
+    """Check that at most one lower-tier request ran when `result` was refused."""
     trace = await fleet.explain(result.request_id)
     (refusal,) = [d for d in trace["decisions"] if d["stage"] == "refused"]
     for row in refusal["details"]["occupancy"]:
