--- a/cornelnotch/commands/__init__.py
+++ b/cornelnotch/commands/__init__.py
@@ -1,1 +1,1 @@
-"""Offer the command line."""
+"""Commands of the command-line interface."""
--- a/cornelnotch/commands/burn.py
+++ b/cornelnotch/commands/burn.py
@@ -1,4 +1,4 @@
-"""Print the service-level burn report."""
+"""Command that reports burn rates of the error budgets."""
 
 import asyncio
 from dataclasses import asdict
@@ -27,7 +27,7 @@
 
 
 class BurnFormat(StrEnum):
-    """Name a form of the report."""
+    """Output format of the report."""
 
     TABLE = "table"
     JSON = "json"
@@ -43,7 +43,7 @@
         return HostSample(address, None)
 
 
-async def _collect(hosts: list[str] | None, platform: str) -> BurnReport:
+async def _create_report(hosts: list[str] | None, platform: str) -> BurnReport:
     history = await read_history(HttpLogService(platform))
     classes = history.state.configuration.classes
     objectives = {name: section.objective for name, section in classes.items()}
@@ -80,22 +80,22 @@
 def show_burn(
     platform: str = typer.Option(..., help="address of the platform"),
     hosts: list[str] = HOSTS_OPTION,
-    form: BurnFormat = typer.Option(BurnFormat.TABLE, "--format", help="form"),
+    form: BurnFormat = typer.Option(BurnFormat.TABLE, "--format", help="output format"),
 ) -> None:
     """Print attainment, error budget and burn rate of every class."""
-    report = run_async(_collect(hosts, platform))
+    report = run_async(_create_report(hosts, platform))
     if form is BurnFormat.JSON:
         print(orjson.dumps(asdict(report), option=orjson.OPT_INDENT_2).decode())
     else:
         console = Console(record=True, quiet=form is BurnFormat.HTML)
         console.print(_create_table(report))
         for address in report.silent:
-            console.print(f"{address} did not answer; its requests are not counted")
+            console.print(f"{address} did not respond; its requests are not counted")
         if form is BurnFormat.HTML:
             print(console.export_html())
     raise typer.Exit(EXIT_INCOMPLETE if report.silent else 0)
 
 
 def register_commands(program: typer.Typer) -> None:
-    """Add the commands of this module."""
+    """Register the commands of this module."""
     program.command("burn")(show_burn)
--- a/cornelnotch/commands/catalogue.py
+++ b/cornelnotch/commands/catalogue.py
@@ -1,4 +1,4 @@
-"""Write the catalogues of events and settings into the docs, or check them."""
+"""Command that generates or checks the docs of events and settings."""
 
 import logging
 from pathlib import Path
@@ -25,7 +25,7 @@
 
 
 def create_event_catalogue() -> str:
-    """Return the page of log events."""
+    """Return the documentation page of log events."""
     rows = [
         f"| {e.number} | {e.name} | {logging.getLevelName(e.level)} | {e.meaning} |"
         for e in sorted(Event, key=lambda event: event.number)
@@ -34,12 +34,14 @@
     return head + "| --- | --- | --- | --- |\n" + "\n".join(rows) + "\n"
 
 
-def _show_type(annotation: Any) -> str:
-    """Return a type without the constraints that pydantic keeps with it."""
+def _format_type(annotation: Any) -> str:
+    """Return the name of a type without its validation constraints."""
     if isinstance(annotation, type) and get_origin(annotation) is None:
         return annotation.__name__
     origin = get_origin(annotation)
-    names = [_show_type(part) for part in get_args(annotation) if part is not NoneType]
+    names = [
+        _format_type(part) for part in get_args(annotation) if part is not NoneType
+    ]
     if origin is Annotated:
         return names[0]
     if origin is Literal:
@@ -49,26 +51,28 @@
     return f"{getattr(origin, '__name__', origin)} of {', '.join(names)}"
 
 
-def _show_default(default: Any) -> str:
+def _format_default(default: Any) -> str:
     if default is PydanticUndefined:
         return "required"
     return "-" if default is None else f"`{default}`"
 
 
-def _show_factory(field: Any) -> str:
+def _format_field_default(field: Any) -> str:
     if field.default_factory is not None:
         return "empty"
-    return _show_default(field.default)
+    return _format_default(field.default)
 
 
 def _describe_model(title: str, model: type[BaseModel]) -> str:
     text = f"\n## [{title}]\n\n{(model.__doc__ or '').strip()}\n\n"
     text += "| key | type | default | meaning |\n| --- | --- | --- | --- |\n"
     for name, field in model.model_fields.items():
-        shown = _show_type(field.annotation).replace("|", "or")
+        type_text = _format_type(field.annotation).replace("|", "or")
         meaning = field.description or ""
         key = field.alias or name
-        text += f"| {key} | {shown} | {_show_factory(field)} | {meaning} |\n"
+        text += (
+            f"| {key} | {type_text} | {_format_field_default(field)} | {meaning} |\n"
+        )
     return text
 
 
@@ -78,10 +82,10 @@
     hints = get_type_hints(struct, include_extras=True)
     for field in msgspec.structs.fields(struct):
         required = field.default is msgspec.NODEFAULT
-        default = "required" if required else _show_default(field.default)
+        default = "required" if required else _format_default(field.default)
         meaning = hints[field.name].__metadata__[0].description
-        shown = _show_type(hints[field.name])
-        text += f"| {field.name} | {shown} | {default} | {meaning} |\n"
+        type_text = _format_type(hints[field.name])
+        text += f"| {field.name} | {type_text} | {default} | {meaning} |\n"
     return text
 
 
@@ -95,7 +99,7 @@
 
 
 def create_settings_catalogue() -> str:
-    """Return the page of settings, configuration and scenarios."""
+    """Return the documentation page of settings, configuration and scenarios."""
     text = "# Settings\n\n" + GENERATED
     text += "\n# Node settings\n"
     for name, field in NodeSettings.model_fields.items():
@@ -116,10 +120,12 @@
 
 
 def handle_catalogues(
-    folder: Path = typer.Argument(Path("docs"), help="folder of the docs"),
-    write: bool = typer.Option(False, "--write", help="write instead of check"),
+    folder: Path = typer.Argument(Path("docs"), help="directory of the docs"),
+    write: bool = typer.Option(
+        False, "--write", help="write the pages instead of checking them"
+    ),
 ) -> None:
-    """Check that the catalogues in the docs match the code, or write them."""
+    """Check that the generated pages of the docs match the code, or write them."""
     pages = {
         EVENTS_FILE: create_event_catalogue(),
         SETTINGS_FILE: create_settings_catalogue(),
@@ -133,5 +139,5 @@
 
 
 def register_commands(program: typer.Typer) -> None:
-    """Add the commands of this module."""
+    """Register the commands of this module."""
     program.command("catalogue")(handle_catalogues)
--- a/cornelnotch/commands/config.py
+++ b/cornelnotch/commands/config.py
@@ -1,4 +1,4 @@
-"""Check, publish and show the operators' configuration."""
+"""Commands that check, publish and show the configuration."""
 
 import asyncio
 from pathlib import Path
@@ -10,8 +10,8 @@
 from cornelnotch.commands.support import (
     HOSTS_OPTION,
     PLATFORM_OPTION,
-    ask_hosts,
     find_hosts,
+    request_from_hosts,
     run_async,
 )
 from cornelnotch.configuration import Change, ConfigurationState, encode_record
@@ -27,8 +27,8 @@
 
 __all__ = ["register_commands"]
 
-IN_FORCE_LIMIT_S = 8.0
-POLL_S = 0.1
+IN_FORCE_TIMEOUT_S = 8.0
+POLL_INTERVAL_S = 0.1
 EXIT_NOT_IN_FORCE = 1
 PLATFORM = typer.Option(..., "--platform", help="address of the platform")
 FILE = typer.Argument(..., help="INI file with the sections to set or remove")
@@ -39,12 +39,12 @@
         return path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise SettingsError(
-            f"{path} cannot be read: {error}", "name a readable file"
+            f"{path} cannot be read: {error}", "give the path of a readable file"
         ) from error
 
 
 def check_file(path: Path = FILE) -> None:
-    """Check a whole configuration without publishing it."""
+    """Validate a complete configuration without publishing it."""
     change = Change(create_identifier(), -1, _read_text(path))
     verdict = fold_record(ConfigurationState(), 0, encode_record(change))
     if verdict.error is not None:
@@ -70,16 +70,16 @@
 
 
 async def _wait_in_force(addresses: list[str], version: int) -> dict[str, int | None]:
-    """Return each host's version once all have it, or when time is up."""
+    """Return the version of each host once all have it, or after the timeout."""
     versions: dict[str, int | None] = {}
-    for _ in range(int(IN_FORCE_LIMIT_S / POLL_S)):
-        answers = await ask_hosts(addresses, "/status")
+    for _ in range(int(IN_FORCE_TIMEOUT_S / POLL_INTERVAL_S)):
+        responses = await request_from_hosts(addresses, "/status")
         versions = {
-            a.address: a.content["version"] if a.content else None for a in answers
+            a.address: a.content["version"] if a.content else None for a in responses
         }
         if all(v is not None and v >= version for v in versions.values()):
             break
-        await asyncio.sleep(POLL_S)
+        await asyncio.sleep(POLL_INTERVAL_S)
     return versions
 
 
@@ -101,7 +101,7 @@
             print(f"{address}: in force")
             continue
         code = EXIT_NOT_IN_FORCE
-        shown = "no answer" if version is None else f"still at version {version}"
+        shown = "no response" if version is None else f"still at version {version}"
         print(f"{address}: {shown}")
     return code
 
@@ -112,7 +112,7 @@
     base: int = typer.Option(None, help="version the change is based on"),
     author: str = typer.Option("", help="name kept with the change"),
 ) -> None:
-    """Publish a change and wait until every host has it in force."""
+    """Publish a change and wait until it is in force on every host."""
     code = run_async(_publish_and_wait(path, platform, base, author))
     raise typer.Exit(code)
 
@@ -128,7 +128,7 @@
 
 
 def show_history(platform: str = PLATFORM) -> None:
-    """Print every readable record and what became of it."""
+    """Print every record that can be read, with its verdict."""
     table = Table("offset", "kind", "author", "verdict", "reason")
     for entry in run_async(read_history(HttpLogService(platform))).entries:
         verdict = "accepted" if entry.accepted else "rejected"
@@ -140,35 +140,35 @@
     Console().print(table)
 
 
-async def _read_status(hosts: list[str] | None, platform: str | None) -> int:
-    answers = await ask_hosts(await find_hosts(hosts, platform), "/status")
+async def _print_status(hosts: list[str] | None, platform: str | None) -> int:
+    responses = await request_from_hosts(await find_hosts(hosts, platform), "/status")
     table = Table("host", "address", "version", "ready", "reason", "log age")
-    for answer in answers:
-        content = answer.content
+    for response in responses:
+        content = response.content
         if content is None:
-            table.add_row("?", answer.address, "?", "no answer", "", "")
+            table.add_row("?", response.address, "?", "no response", "", "")
             continue
         table.add_row(
             content["host"],
-            answer.address,
+            response.address,
             str(content["version"]),
             "yes" if content["ready"] else "no",
             content["reason"] or ("draining" if content["draining"] else ""),
             f"{content['log_age_ms'] / 1000:.1f} s",
         )
     Console().print(table)
-    return 0 if all(a.content and a.content["ready"] for a in answers) else 1
+    return 0 if all(a.content and a.content["ready"] for a in responses) else 1
 
 
 def show_status(
     hosts: list[str] = HOSTS_OPTION, platform: str = PLATFORM_OPTION
 ) -> None:
-    """Print which version each host has in force."""
-    raise typer.Exit(run_async(_read_status(hosts, platform)))
+    """Print the configuration version in force on each host."""
+    raise typer.Exit(run_async(_print_status(hosts, platform)))
 
 
 def register_commands(program: typer.Typer) -> None:
-    """Add the commands of this module."""
+    """Register the commands of this module."""
     group = typer.Typer(help="Check, publish and show the configuration.")
     group.command("check")(check_file)
     group.command("publish")(publish_file)
--- a/cornelnotch/commands/load.py
+++ b/cornelnotch/commands/load.py
@@ -1,4 +1,4 @@
-"""Run experiments: load, compare and demo."""
+"""Commands that run load tests and compare their results."""
 
 from pathlib import Path
 
@@ -26,17 +26,17 @@
 
 __all__ = ["register_commands"]
 
-EXIT_BROKEN = 1
+EXIT_VIOLATED = 1
 DEMO_SCENARIOS = ("heelmark", "guild")
-ENGINES = typer.Option(None, "--engine", help="NAME=ADDRESS of an engine stand-in")
-SERVICES = typer.Option(None, "--service", help="NAME=ADDRESS of a service stand-in")
+ENGINES = typer.Option(None, "--engine", help="NAME=ADDRESS of a simulated engine")
+SERVICES = typer.Option(None, "--service", help="NAME=ADDRESS of a simulated service")
 
 
 def _load_scenario(path: Path) -> Scenario:
-    read = read_scenario(path)
-    scenario = read.value_or(None)
+    parsed = read_scenario(path)
+    scenario = parsed.value_or(None)
     if scenario is None:
-        raise read.failure()
+        raise parsed.failure()
     return scenario
 
 
@@ -51,7 +51,7 @@
 
 
 def print_summary(result: RunResult) -> int:
-    """Print a run; return how many promises it broke."""
+    """Print the summary of a run; return the number of violated guarantees."""
     console = Console()
     table = Table(
         "class",
@@ -78,7 +78,7 @@
         f"wasted tokens {promises.wasted_share:.2%}"
     )
     console.print(
-        f"broken promises: doubled {promises.doubled}, lost {promises.lost}, "
+        f"violated guarantees: doubled {promises.doubled}, lost {promises.lost}, "
         f"wrong answers {promises.wrong_answers}, "
         f"false not-run {promises.false_not_run}, "
         f"version reversals {promises.version_reversals}"
@@ -88,7 +88,7 @@
     return promises.broken
 
 
-async def _drive(
+async def _run_scenario(
     scenario: Scenario,
     hosts: list[str] | None,
     platform: str | None,
@@ -101,7 +101,9 @@
 
 
 def run_load(
-    scenario: Path = typer.Argument(..., help="scenario file or shipped name"),
+    scenario: Path = typer.Argument(
+        ..., help="scenario file or name of a bundled scenario"
+    ),
     hosts: list[str] = HOSTS_OPTION,
     platform: str = PLATFORM_OPTION,
     engines: list[str] = ENGINES,
@@ -109,17 +111,19 @@
     output: Path = typer.Option(None, help="result file to write"),
     page: Path = typer.Option(None, help="report page to write"),
 ) -> None:
-    """Drive a running fleet as its callers would."""
+    """Generate the load of a scenario on a running fleet."""
     content = _load_scenario(scenario)
     result = run_async(
-        _drive(content, hosts, platform, _parse_names(engines), _parse_names(services))
+        _run_scenario(
+            content, hosts, platform, _parse_names(engines), _parse_names(services)
+        )
     )
-    _write(result, output, page)
+    _write_outputs(result, output, page)
     broken = print_summary(result)
-    raise typer.Exit(EXIT_BROKEN if broken else 0)
+    raise typer.Exit(EXIT_VIOLATED if broken else 0)
 
 
-def _write(result: RunResult, output: Path | None, page: Path | None) -> None:
+def _write_outputs(result: RunResult, output: Path | None, page: Path | None) -> None:
     if output is not None:
         write_result(result, output)
     if page is not None:
@@ -133,7 +137,7 @@
     second: Path = typer.Argument(..., help="result file"),
     page: Path = typer.Option(None, help="report page to write"),
 ) -> None:
-    """Show two runs side by side."""
+    """Print the summaries of two runs."""
     results = [read_result(first), read_result(second)]
     for result in results:
         print_summary(result)
@@ -144,7 +148,7 @@
 
 
 async def _run_demo(name: str, seconds: float) -> RunResult:
-    # Only the demo needs nodes and stand-ins in one process.
+    # Only the demo needs nodes and simulated servers in one process.
     from cornelnotch.load.embedded import create_deployment
 
     scenario = _load_scenario(Path(name))
@@ -163,10 +167,10 @@
 
 
 def run_demo(
-    seconds: float = typer.Option(20.0, help="length of each deployment's run"),
+    seconds: float = typer.Option(20.0, help="duration of each run in seconds"),
     page: Path = typer.Option(None, help="report page to write"),
 ) -> None:
-    """Run both deployments in one process and check every promise."""
+    """Run both sample deployments in one process and check all guarantees."""
     set_up_logging(level="ERROR")
     results = [run_async(_run_demo(name, seconds)) for name in DEMO_SCENARIOS]
     broken = sum(print_summary(result) for result in results)
@@ -174,12 +178,12 @@
         from cornelnotch.load.report import write_page
 
         write_page(results, page)
-    print("every promise held" if not broken else f"{broken} promises broken")
-    raise typer.Exit(EXIT_BROKEN if broken else 0)
+    print("all guarantees held" if not broken else f"{broken} guarantees violated")
+    raise typer.Exit(EXIT_VIOLATED if broken else 0)
 
 
 def register_commands(program: typer.Typer) -> None:
-    """Add the commands of this module."""
+    """Register the commands of this module."""
     program.command("load")(run_load)
     program.command("compare")(compare_runs)
     program.command("demo")(run_demo)
--- a/cornelnotch/commands/node.py
+++ b/cornelnotch/commands/node.py
@@ -1,4 +1,4 @@
-"""Run a node."""
+"""Command that runs a node."""
 
 import asyncio
 import gc
@@ -27,9 +27,10 @@
         await node.stop()
         raise SettingsError(
             f"the host cannot listen: {error.strerror or error}",
-            "name free addresses of this machine as [node] http and peer",
+            "set [node] http and peer to free addresses of this machine",
         ) from error
-    # What was loaded at the start stays; the collector need not visit it again.
+    # Objects created at startup live as long as the process; excludes them from
+    # garbage collection.
     gc.collect()
     gc.freeze()
     await node.stopped.wait()
@@ -37,16 +38,16 @@
 
 
 def run_node(settings: Path = typer.Argument(help="INI file of the node")) -> None:
-    """Run one host until it is told to leave."""
-    read = read_node_settings(settings)
-    content = read.value_or(None)
+    """Run one host until it is asked to drain."""
+    parsed = read_node_settings(settings)
+    content = parsed.value_or(None)
     if content is None:
-        raise read.failure()
+        raise parsed.failure()
     logging = content.logging
     with LogOutput(content.node.name, logging.style, logging.level):
         asyncio.run(serve_node(content))
 
 
 def register_commands(program: typer.Typer) -> None:
-    """Add the commands of this module."""
+    """Register the commands of this module."""
     program.command("node")(run_node)
--- a/cornelnotch/commands/platform.py
+++ b/cornelnotch/commands/platform.py
@@ -1,4 +1,4 @@
-"""Run a host on the users' platform."""
+"""Command that runs a host on the platform of the users."""
 
 from pathlib import Path
 
@@ -10,12 +10,12 @@
 def run_platform_host(
     settings: Path = typer.Argument(help="INI file of the host"),
 ) -> None:
-    """Run one host on the platform until it is told to leave."""
+    """Run one host on the platform until it is asked to drain."""
     from cornelnotch.platform.program import run_host
 
     run_host(settings)
 
 
 def register_commands(program: typer.Typer) -> None:
-    """Add the commands of this module."""
+    """Register the commands of this module."""
     program.command("platform")(run_platform_host)
--- a/cornelnotch/commands/program.py
+++ b/cornelnotch/commands/program.py
@@ -1,4 +1,4 @@
-"""Assemble the command line from its registered commands."""
+"""Entry point of the command-line interface."""
 
 import sys
 from importlib import import_module
@@ -31,7 +31,7 @@
 
 
 def run_program() -> None:
-    """Run the command line; errors end with one line that names the remedy."""
+    """Run the command line; print errors in one line that states the remedy."""
     for name in COMMAND_MODULES:
         import_module(f"cornelnotch.commands.{name}").register_commands(program)
     try:
--- a/cornelnotch/commands/standin.py
+++ b/cornelnotch/commands/standin.py
@@ -1,4 +1,4 @@
-"""Run a stand-in for the platform, an engine or a service."""
+"""Commands that run a simulated platform, engine or service."""
 
 import asyncio
 from typing import Protocol
@@ -17,7 +17,7 @@
 
 
 class Standin(Protocol):
-    """Start and then serve until the process ends."""
+    """Simulated server that serves until the process ends."""
 
     async def start(self, address: str, port: int) -> None:
         """Open the listening socket."""
@@ -30,11 +30,15 @@
 
 def run_platform(
     address: str = ADDRESS,
-    appends_per_second: float = typer.Option(400.0, help="most appends a second"),
-    retention_ms: float = typer.Option(3_600_000.0, help="life of a record"),
-    host_list_lag_ms: float = typer.Option(0.0, help="lag of the host list"),
+    appends_per_second: float = typer.Option(400.0, help="limit of appends per second"),
+    retention_ms: float = typer.Option(
+        3_600_000.0, help="retention period of records in ms"
+    ),
+    host_list_lag_ms: float = typer.Option(
+        0.0, help="delay of updates to the host list in ms"
+    ),
 ) -> None:
-    """Run a log service and host list in memory."""
+    """Run an in-memory log service and host list."""
     faults = PlatformFaults(
         appends_per_second=appends_per_second,
         retention_ms=retention_ms,
@@ -46,11 +50,11 @@
 def run_engine(
     name: str = typer.Option("engine", help="name of the engine"),
     address: str = ADDRESS,
-    batch: int = typer.Option(8, help="sequences in one batch"),
-    token_ms: float = typer.Option(20.0, help="time of one step"),
-    prefill_ms: float = typer.Option(40.0, help="time to the first token"),
+    batch: int = typer.Option(8, help="largest number of sequences in a batch"),
+    token_ms: float = typer.Option(20.0, help="duration of one decoding step in ms"),
+    prefill_ms: float = typer.Option(40.0, help="duration of the prefill in ms"),
 ) -> None:
-    """Run an engine that batches continuously."""
+    """Run a simulated engine with continuous batching."""
     profile = EngineProfile(batch=batch, token_ms=token_ms, prefill_ms=prefill_ms)
     asyncio.run(_serve(EngineStandin(name, create_clock(), profile), address))
 
@@ -58,16 +62,16 @@
 def run_service(
     name: str = typer.Option("service", help="name of the service"),
     address: str = ADDRESS,
-    work_ms: float = typer.Option(10.0, help="time of one call"),
+    work_ms: float = typer.Option(10.0, help="duration of one call in ms"),
 ) -> None:
-    """Run a plain service that keeps a ledger."""
+    """Run a simulated service that counts the executions of each request."""
     profile = ServiceProfile(work_ms=work_ms)
     asyncio.run(_serve(ServiceStandin(name, create_clock(), profile), address))
 
 
 def register_commands(program: typer.Typer) -> None:
-    """Add the commands of this module."""
-    group = typer.Typer(help="Run stand-ins for outside systems.")
+    """Register the commands of this module."""
+    group = typer.Typer(help="Run simulated external systems.")
     group.command("platform")(run_platform)
     group.command("engine")(run_engine)
     group.command("service")(run_service)
--- a/cornelnotch/commands/tests/test_program.py
+++ b/cornelnotch/commands/tests/test_program.py
@@ -1,4 +1,4 @@
-"""Run commands as an operator would, with good and bad input."""
+"""Test the commands with valid and invalid input."""
 
 import asyncio
 import socket
@@ -10,14 +10,14 @@
 from cornelnotch.node.tests.conftest import start_sample_fleet
 from cornelnotch.testing.processes import ProcessFleet
 
-NODE = (
+NODE_SETTINGS = (
     "[node]\nname = a\nplace = p\nhttp = 127.0.0.1:0\npeer = 127.0.0.1:0\n"
     "[platform]\nlog = 127.0.0.1:1\nhosts = 127.0.0.1:1\n"
 )
 
 
 def run_command(*arguments):
-    """Return the finished program."""
+    """Run the program and return the completed process."""
     return subprocess.run(
         [sys.executable, "-m", "cornelnotch", *arguments],
         capture_output=True,
@@ -30,15 +30,15 @@
 @pytest.mark.parametrize(
     ("text", "named"),
     [
-        (NODE + "[timing]\nspeed = 3\n", "[timing] speed is unknown"),
-        (NODE.replace("place = p\n", ""), "[node] place is missing"),
-        (NODE.replace("127.0.0.1:1", "nowhere"), "[platform] log"),
-        (NODE + "[timing]\nentry_ttl_ms = fast\n", "[timing] entry_ttl_ms"),
-        (NODE + "[node]\n", "already exists"),
+        (NODE_SETTINGS + "[timing]\nspeed = 3\n", "[timing] speed is unknown"),
+        (NODE_SETTINGS.replace("place = p\n", ""), "[node] place is missing"),
+        (NODE_SETTINGS.replace("127.0.0.1:1", "nowhere"), "[platform] log"),
+        (NODE_SETTINGS + "[timing]\nentry_ttl_ms = fast\n", "[timing] entry_ttl_ms"),
+        (NODE_SETTINGS + "[node]\n", "already exists"),
         ("name = a\n", "no section headers"),
     ],
 )
-def test_bad_settings_end_with_code_2_and_one_line(tmp_path, text, named):
+def test_invalid_settings_exit_with_code_2_and_one_line(tmp_path, text, named):
     path = tmp_path / "node.ini"
     path.write_text(text)
     done = run_command("node", str(path))
@@ -47,20 +47,22 @@
     assert done.stderr.count("\n") == 1
 
 
-def test_an_address_in_use_ends_with_code_2(tmp_path):
+def test_address_in_use_exits_with_code_2(tmp_path):
     with socket.socket() as taken:
         taken.bind(("127.0.0.1", 0))
         taken.listen()
         port = taken.getsockname()[1]
         path = tmp_path / "node.ini"
-        path.write_text(NODE.replace("http = 127.0.0.1:0", f"http = 127.0.0.1:{port}"))
+        path.write_text(
+            NODE_SETTINGS.replace("http = 127.0.0.1:0", f"http = 127.0.0.1:{port}")
+        )
         done = run_command("node", str(path))
     assert done.returncode == 2
     assert "cannot listen" in done.stderr
     assert "Traceback" not in done.stderr
 
 
-def test_missing_files_end_with_code_2(tmp_path):
+def test_missing_files_exit_with_code_2(tmp_path):
     for arguments in (("node",), ("config", "check"), ("load",)):
         done = run_command(*arguments, str(tmp_path / "none"))
         assert done.returncode == 2, arguments
@@ -68,7 +70,7 @@
         assert done.stderr.count("\n") == 1
 
 
-def test_config_check_names_section_key_and_remedy(tmp_path):
+def test_config_check_error_names_section_and_key(tmp_path):
     path = tmp_path / "bad.ini"
     path.write_text("[class x]\ntier = 99\n")
     done = run_command("config", "check", str(path))
@@ -76,20 +78,20 @@
     assert "[class x] tier" in done.stderr
 
 
-def test_operators_commands_on_a_running_fleet(tmp_path):
+def test_commands_on_running_fleet(tmp_path):
     async def scenario():
         fleet = ProcessFleet(tmp_path)
         try:
             await start_sample_fleet(fleet, hosts=2, engines=1)
-            await run_commands(fleet, tmp_path)
+            await check_commands(fleet, tmp_path)
         finally:
             await fleet.stop()
 
     asyncio.run(scenario())
 
 
-async def run_commands(fleet, folder):
-    """Publish, show, explain and read the burn report."""
+async def check_commands(fleet, folder):
+    """Check publish, show, explain, entry and burn on a running fleet."""
     platform = ("--platform", fleet.platform.http)
     change = folder / "change.ini"
     change.write_text("[workspace big]\nconcurrent = 9\n")
@@ -121,13 +123,13 @@
     burn = await asyncio.to_thread(run_command, "burn", *platform, "--format", "json")
     assert '"class_name": "quote"' in burn.stdout
     assert burn.returncode == 0
-    await run_experiments(fleet, folder, platform)
-    gone = fleet.hosts["host-1"]
-    gone.process.kill()
-    await gone.process.wait()
+    await check_load_commands(fleet, folder, platform)
+    killed = fleet.hosts["host-1"]
+    killed.process.kill()
+    await killed.process.wait()
     partial = await asyncio.to_thread(run_command, "burn", *platform)
     assert partial.returncode == 1
-    assert "did not answer" in partial.stdout
+    assert "did not respond" in partial.stdout
 
 
 SCENARIO = """
@@ -152,8 +154,8 @@
 """
 
 
-async def run_experiments(fleet, folder, platform):
-    """Drive the fleet by a scenario and compare the run with itself."""
+async def check_load_commands(fleet, folder, platform):
+    """Check a load run on the fleet and compare it with itself."""
     scenario = folder / "small.ini"
     scenario.write_text(SCENARIO)
     names = {name: server.http for name, server in fleet.servers.items()}
--- a/cornelnotch/node/tests/test_regions.py
+++ b/cornelnotch/node/tests/test_regions.py
@@ -203,7 +203,7 @@
         quotes = await send_quotes(fleet, OVERLOAD_QUOTES // 9)
         drafts = start_drafts(fleet, 6, 20)
         quotes += await send_quotes(fleet, OVERLOAD_QUOTES)
-        # Drafts are also served while the overload lasts.
+        # A draft that starts to wait during the overload is served during it.
         assert any(task.done() for task in drafts)
         await check_refusals(fleet, await asyncio.gather(*quotes))
         finished = await asyncio.gather(*drafts)
--- a/cornelnotch/observation/__init__.py
+++ b/cornelnotch/observation/__init__.py
@@ -1,4 +1,4 @@
-"""Measure attainment and explain decisions."""
+"""Metrics, attainment of objectives and traces of routing decisions."""
 
 from cornelnotch.observation.decisions import Decision, DecisionLog, Trace
 from cornelnotch.observation.metrics import NodeMetrics
--- a/cornelnotch/observation/burn.py
+++ b/cornelnotch/observation/burn.py
@@ -1,4 +1,4 @@
-"""Compute how fast classes burn their error budgets."""
+"""Burn rates of the error budgets of service classes."""
 
 from dataclasses import dataclass, field
 
@@ -13,7 +13,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HostSample:
-    """Hold one host's metrics text; None when it did not answer."""
+    """Metrics text of one host; `text` is None if the host did not respond."""
 
     address: str
     text: str | None
@@ -21,10 +21,10 @@
 
 @dataclass(frozen=True, slots=True)
 class BurnRow:
-    """Tell how a class did over one window.
+    """Attainment and burn rate of a class over one window.
 
-    A burn rate of 1 spends exactly the error budget; `budget_left` is the share
-    of the window's budget that is still unspent.
+    At a burn rate of 1 the error budget is used up exactly; `budget_left` is the
+    unused share of the window's budget.
     """
 
     class_name: str
@@ -39,7 +39,7 @@
 
 @dataclass(slots=True)
 class BurnReport:
-    """Hold the rows of all classes and the hosts that did not answer."""
+    """Rows of all classes, and the hosts that did not respond."""
 
     rows: list[BurnRow] = field(default_factory=list)
     silent: list[str] = field(default_factory=list)
@@ -78,7 +78,7 @@
 
 
 def compute_burn(samples: list[HostSample], objectives: dict[str, float]) -> BurnReport:
-    """Return the report; a silent host is named and never counted as good."""
+    """Return the report; hosts that did not respond are listed, not counted."""
     texts = [s.text for s in samples if s.text is not None]
     report = BurnReport(silent=[s.address for s in samples if s.text is None])
     sums = _sum_windows(texts)
--- a/cornelnotch/observation/decisions.py
+++ b/cornelnotch/observation/decisions.py
@@ -1,4 +1,4 @@
-"""Keep why each recent request was queued, refused or routed."""
+"""Traces of why recent requests were queued, refused or routed."""
 
 from collections import OrderedDict
 from dataclasses import dataclass, field
@@ -14,7 +14,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Decision:
-    """Hold one step; `at_ms` counts from the request's arrival."""
+    """One step in the handling of a request; `at_ms` is relative to its arrival."""
 
     at_ms: float
     stage: str
@@ -23,10 +23,10 @@
 
 @dataclass(slots=True)
 class Trace:
-    """Hold the decisions on one request.
+    """The decisions on one request.
 
-    They are kept as bytes: the garbage collector need not visit them, whose
-    pauses over thousands of traces would be seen in the latency of others.
+    They are stored as bytes, which the garbage collector does not traverse: its pauses
+    over thousands of traces would add to the latency of other requests.
     """
 
     request_id: str
@@ -35,17 +35,17 @@
     encoded: list[bytes] = field(default_factory=list)
 
     def note(self, stage: str, **details: object) -> None:
-        """Add one decision."""
+        """Append a decision."""
         at_ms = round(self.clock.read() - self.arrived_ms, 3)
         self.encoded.append(orjson.dumps(Decision(at_ms, stage, details)))
 
     def describe(self) -> list[dict[str, object]]:
-        """Return the decisions for JSON."""
+        """Return the decisions as dictionaries."""
         return [orjson.loads(decision) for decision in self.encoded]
 
 
 class DecisionLog:
-    """Keep the traces of the most recent requests of one host."""
+    """Traces of the most recent requests of one host."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
@@ -60,5 +60,5 @@
         return trace
 
     def find(self, request_id: str) -> Trace | None:
-        """Return the trace of a request while it is kept."""
+        """Return the trace of a request, or None if it is unknown or was evicted."""
         return self._traces.get(request_id)
--- a/cornelnotch/observation/metrics.py
+++ b/cornelnotch/observation/metrics.py
@@ -1,4 +1,4 @@
-"""Expose a host's measurements to Prometheus."""
+"""Prometheus metrics of a host."""
 
 from collections.abc import Callable
 
@@ -28,12 +28,12 @@
 
 
 class NodeMetrics:
-    """Own the metrics registry of one host."""
+    """Metrics registry of one host."""
 
     def __init__(self, host: str, clock: Clock) -> None:
         self.windows = AttainmentWindows(clock)
         self._registry = Registry()
-        self._watched: dict[str, Callable[[], float]] = {}
+        self._state_readers: dict[str, Callable[[], float]] = {}
         labels = {"host": host}
         self._requests = Counter(
             "cornelnotch_requests_total",
@@ -85,7 +85,7 @@
         self._requests.inc({"class": class_name, "result": result, "outcome": outcome})
 
     def count_tokens(self, fate: str, tokens: int) -> None:
-        """Count tokens as delivered or wasted."""
+        """Count tokens by fate, delivered or wasted."""
         self._tokens.add({"fate": fate}, tokens)
 
     def count_retry(self, cause: str) -> None:
@@ -101,16 +101,16 @@
         self._queued.observe({"class": class_name}, duration_ms / 1000.0)
 
     def set_state(self, name: str, value: float) -> None:
-        """Set one figure of the host's state."""
+        """Set the gauge of one state of the host."""
         self._state.set({"name": name}, value)
 
     def watch_state(self, name: str, read: Callable[[], float]) -> None:
-        """Read one figure of the host's state whenever the figures are asked for."""
-        self._watched[name] = read
+        """Register a function that is called for a state on each scrape."""
+        self._state_readers[name] = read
 
     def render(self) -> bytes:
-        """Return the Prometheus text."""
-        for name, read in self._watched.items():
+        """Return the metrics in the Prometheus text format."""
+        for name, read in self._state_readers.items():
             self.set_state(name, read())
         for row in self.windows.count():
             window = str(row.minutes)
--- a/cornelnotch/observation/tests/test_burn.py
+++ b/cornelnotch/observation/tests/test_burn.py
@@ -1,4 +1,4 @@
-"""Count windows and compute burn from hosts' metrics."""
+"""Test sliding windows, burn rates computed from metrics, and request traces."""
 
 import pytest
 
@@ -7,18 +7,18 @@
 from cornelnotch.observation.burn import HostSample, compute_burn
 
 
-def create_text(clock, attained, missed):
+def create_metrics_text(clock, attained, missed):
     metrics = NodeMetrics("h", clock)
-    for good in [True] * attained + [False] * missed:
-        metrics.windows.record("quote", good)
+    for attained_objective in [True] * attained + [False] * missed:
+        metrics.windows.record("quote", attained_objective)
     return metrics.render().decode()
 
 
-def test_burn_adds_hosts_up_and_never_counts_silent_ones_as_good():
+def test_burn_sums_hosts_and_excludes_unresponsive_ones():
     clock = ManualClock(1e6)
     samples = [
-        HostSample("a:1", create_text(clock, 90, 10)),
-        HostSample("b:1", create_text(clock, 100, 0)),
+        HostSample("a:1", create_metrics_text(clock, 90, 10)),
+        HostSample("b:1", create_metrics_text(clock, 100, 0)),
         HostSample("c:1", None),
     ]
     report = compute_burn(samples, {"quote": 0.95, "draft": 0.9})
@@ -31,7 +31,7 @@
     assert empty.total == 0
 
 
-def test_windows_forget_what_is_older():
+def test_windows_exclude_older_requests():
     clock = ManualClock(1e6)
     metrics = NodeMetrics("h", clock)
     metrics.windows.record("quote", False)
@@ -41,7 +41,7 @@
     assert counts == {1: (1, 1), 5: (1, 2), 60: (1, 2)}
 
 
-def test_only_recent_requests_are_explained():
+def test_traces_of_old_requests_are_evicted():
     log = DecisionLog(ManualClock())
     for number in range(6000):
         log.open(str(number)).note("classified", tier=1)
--- a/cornelnotch/observation/windows.py
+++ b/cornelnotch/observation/windows.py
@@ -1,4 +1,4 @@
-"""Count attained and missed requests per class over sliding windows."""
+"""Counts per class of requests that met their objective, over sliding windows."""
 
 from collections import deque
 from dataclasses import dataclass
@@ -14,7 +14,7 @@
 
 @dataclass(slots=True)
 class Bucket:
-    """Count requests that ended within one bucket of time."""
+    """Counts of the requests that ended within one time bucket."""
 
     start_ms: float
     attained: int = 0
@@ -23,7 +23,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WindowCount:
-    """Hold the counts of one class over one window."""
+    """Counts of one class over one window."""
 
     class_name: str
     minutes: int
@@ -32,12 +32,12 @@
 
 
 def list_windows() -> tuple[int, ...]:
-    """Return the window lengths in minutes."""
+    """Return the lengths of all windows in minutes."""
     return WINDOW_MINUTES
 
 
 class AttainmentWindows:
-    """Keep an hour of counts per class."""
+    """Sliding-window counts per class, kept for the longest window."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
--- a/cornelnotch/packaging/__init__.py
+++ b/cornelnotch/packaging/__init__.py
@@ -1,1 +1,1 @@
-"""Turn the installed program into one file."""
+"""Packaging of the program as a single executable file."""
--- a/cornelnotch/packaging/archive.py
+++ b/cornelnotch/packaging/archive.py
@@ -1,4 +1,4 @@
-"""Let an archive built by shiv choose its folder from the settings.
+"""Make an archive built by shiv read its unpack directory from the settings.
 
 Run with ``python -m cornelnotch.packaging.archive FILE``.
 """
@@ -12,10 +12,10 @@
 __all__ = ["rewrite_archive"]
 
 SHEBANG = b"#!/usr/bin/env python3\n"
-EXECUTABLE = 0o755
-ENTRY_NAME = "__main__.py"
+EXECUTABLE_MODE = 0o755
+ENTRY_POINT_NAME = "__main__.py"
 MODULE_NAME = "_unpacking.py"
-ENTRY = """import os
+ENTRY_POINT = """import os
 import sys
 
 from _unpacking import choose_folder
@@ -29,18 +29,18 @@
 
 
 def rewrite_archive(path: Path) -> None:
-    """Replace the entry of the archive at `path`."""
+    """Replace the entry point of the archive at `path`."""
     target = path.with_suffix(".new")
     with zipfile.ZipFile(path) as old, target.open("wb") as file:
         file.write(SHEBANG)
         with zipfile.ZipFile(file, "w", zipfile.ZIP_DEFLATED) as new:
             for entry in old.infolist():
-                if entry.filename != ENTRY_NAME:
+                if entry.filename != ENTRY_POINT_NAME:
                     new.writestr(entry, old.read(entry))
             module = Path(unpacking.__file__).read_text(encoding="utf-8")
             new.writestr(MODULE_NAME, module)
-            new.writestr(ENTRY_NAME, ENTRY)
-    target.chmod(EXECUTABLE)
+            new.writestr(ENTRY_POINT_NAME, ENTRY_POINT)
+    target.chmod(EXECUTABLE_MODE)
     target.replace(path)
 
 
--- a/cornelnotch/packaging/unpacking.py
+++ b/cornelnotch/packaging/unpacking.py
@@ -1,4 +1,4 @@
-"""Choose the folder that the one-file program unpacks to.
+"""Selection of the directory that the single-file executable unpacks to.
 
 This module runs from the archive before anything is unpacked, so it imports
 only the standard library.
@@ -14,14 +14,18 @@
 
 
 def choose_folder(arguments: list[str]) -> str:
-    """Return `[node] unpack` of the settings named, the variable or the default."""
+    """Return the directory to unpack to.
+
+    It is `[node] unpack` of the settings file in `arguments`, else the environment
+    variable, else the default.
+    """
     if len(arguments) == 2 and arguments[0] == "node":
         parser = configparser.ConfigParser(interpolation=None)
         try:
             parser.read(arguments[1], encoding="utf-8")
             folder = parser.get("node", "unpack", fallback="")
         except (configparser.Error, UnicodeDecodeError):
-            # The program itself reports what is wrong with the file.
+            # The program itself reports errors in the file.
             folder = ""
         if folder:
             return folder
--- a/cornelnotch/settings/__init__.py
+++ b/cornelnotch/settings/__init__.py
@@ -1,4 +1,4 @@
-"""Read and validate the settings of each program."""
+"""Settings of the programs, read from INI files and validated."""
 
 from cornelnotch.settings.ini import read_ini
 from cornelnotch.settings.node import NodeSettings, read_node_settings
--- a/cornelnotch/settings/ini.py
+++ b/cornelnotch/settings/ini.py
@@ -14,21 +14,25 @@
 Model = TypeVar("Model", bound=BaseModel)
 
 
-def _report(error: ValidationError, path: Path) -> SettingsError:
+def _create_error(error: ValidationError, path: Path) -> SettingsError:
     first = error.errors()[0]
     location = [str(part) for part in first["loc"]]
     section = location[0] if location else "?"
     key = ".".join(location[1:])
-    place = f"[{section}] {key}".rstrip()
+    location_text = f"[{section}] {key}".rstrip()
     if first["type"] == "extra_forbidden":
-        return SettingsError(f"{path}: {place} is unknown", "remove or rename it")
+        return SettingsError(
+            f"{path}: {location_text} is unknown", "remove or rename it"
+        )
     if first["type"] == "missing":
-        return SettingsError(f"{path}: {place} is missing", "add it")
-    return SettingsError(f"{path}: {place}: {first['msg']}", "correct the value")
+        return SettingsError(f"{path}: {location_text} is missing", "add it")
+    return SettingsError(
+        f"{path}: {location_text}: {first['msg']}", "correct the value"
+    )
 
 
 def read_ini(path: Path, model: type[Model]) -> Result[Model, SettingsError]:
-    """Return the validated content of `path`, a section for each field."""
+    """Return the validated content of `path`; sections map to fields of `model`."""
     parser = configparser.ConfigParser(
         interpolation=None, strict=True, default_section="\x00none"
     )
@@ -37,7 +41,7 @@
             parser.read_file(file)
     except OSError as error:
         problem = f"{path} cannot be read: {error.strerror}"
-        return Failure(SettingsError(problem, "name a readable file"))
+        return Failure(SettingsError(problem, "give the path of a readable file"))
     except (configparser.Error, UnicodeDecodeError) as error:
         message = " ".join(str(error).split())
         return Failure(SettingsError(f"{path}: {message}", "correct the line"))
@@ -45,4 +49,4 @@
     try:
         return Success(model.model_validate(content))
     except ValidationError as error:
-        return Failure(_report(error, path))
+        return Failure(_create_error(error, path))
