--- a/cornelnotch/commands/load.py
+++ b/cornelnotch/commands/load.py
@@ -72,20 +72,20 @@
             f"{row.whole_p95_ms:.0f} ms",
         )
     console.print(table)
-    promises = judge_promises(result)
+    guarantees = judge_promises(result)
     console.print(
-        f"goodput {promises.goodput_per_second:.0f} tokens/s, "
-        f"wasted tokens {promises.wasted_share:.2%}"
+        f"goodput {guarantees.goodput_per_second:.0f} tokens/s, "
+        f"wasted tokens {guarantees.wasted_share:.2%}"
     )
     console.print(
-        f"violated guarantees: doubled {promises.doubled}, lost {promises.lost}, "
-        f"wrong answers {promises.wrong_answers}, "
-        f"false not-run {promises.false_not_run}, "
-        f"version reversals {promises.version_reversals}"
+        f"violated guarantees: doubled {guarantees.doubled}, lost {guarantees.lost}, "
+        f"wrong answers {guarantees.wrong_answers}, "
+        f"false not-run {guarantees.false_not_run}, "
+        f"version reversals {guarantees.version_reversals}"
     )
     for note in result.notes:
         console.print(f"note: {note}")
-    return promises.broken
+    return guarantees.broken
 
 
 async def _run_scenario(
--- a/cornelnotch/load/__init__.py
+++ b/cornelnotch/load/__init__.py
@@ -1,4 +1,4 @@
-"""Drive a fleet as its callers would and judge what they got."""
+"""Load generator that checks the delivery guarantees of a fleet."""
 
 from cornelnotch.load.caller import Caller, CallerOptions, CallResult
 
--- a/cornelnotch/load/caller.py
+++ b/cornelnotch/load/caller.py
@@ -1,4 +1,4 @@
-"""Call a fleet as a workspace's program would."""
+"""Client of a fleet, with retries and cached entry addresses."""
 
 import asyncio
 from collections.abc import AsyncIterator
@@ -21,18 +21,18 @@
 
 @dataclass(frozen=True, slots=True)
 class CallerOptions:
-    """Set how a caller behaves; `attempts` includes the first."""
+    """Options of a caller; `attempts` includes the first."""
 
     workspace: str
     place: str | None = None
     attempts: int = 4
     deadline_ms: int = 10_000
-    patience_ms: float = 15_000.0
+    total_timeout_ms: float = 15_000.0
 
 
 @dataclass(slots=True)
 class CallResult:
-    """Hold what one call came to; times in ms from its first attempt."""
+    """Result of one call; times are in ms from its first attempt."""
 
     status: int = 0
     outcome: str = "unknown"
@@ -51,7 +51,7 @@
 
 
 class Caller:
-    """Ask the fleet which host to use, keep the answer and connect to it."""
+    """Caller that sends requests to the hosts named by the entry endpoint."""
 
     def __init__(self, seeds: list[str], options: CallerOptions, clock: Clock) -> None:
         self.options = options
@@ -60,20 +60,20 @@
         self._client = HttpClient()
         self._addresses: list[str] = []
         self._valid_until_ms = 0.0
-        self._turn = 0
+        self._address_index = 0
 
     def close(self) -> None:
-        """Drop idle connections."""
+        """Close idle connections."""
         self._client.close()
 
     def pin(self, address: str) -> None:
-        """Use one host whatever the fleet answers, as a fault test needs."""
+        """Send all requests to one host, for fault tests."""
         self._seeds = [address]
         self._addresses = [address]
         self._valid_until_ms = float("inf")
 
     async def ask_entry(self) -> list[str]:
-        """Return the addresses to use, asking again once they have expired."""
+        """Return the addresses of hosts, refreshed when they have expired."""
         if self._addresses and self._clock.read() < self._valid_until_ms:
             return self._addresses
         place = f"&place={self.options.place}" if self.options.place else ""
@@ -99,7 +99,7 @@
         stream: bool = True,
         retry: bool = True,
     ) -> CallResult:
-        """Send a chat completion and return its whole answer."""
+        """Send a chat completion and return its complete response."""
         content = {
             "model": "default",
             "messages": [{"role": "user", "content": prompt}],
@@ -107,7 +107,9 @@
             "stream": stream,
         }
         body = orjson.dumps(content)
-        return await self._repeat("POST", CHAT_TARGET, labels, body, None, retry)
+        return await self._send_with_retries(
+            "POST", CHAT_TARGET, labels, body, None, retry
+        )
 
     async def call(
         self,
@@ -118,19 +120,19 @@
         key: str | None = None,
         retry: bool = True,
     ) -> CallResult:
-        """Call a plain service; a key makes repeats safe."""
+        """Call a service; a key makes retries idempotent."""
         target = f"/v1/services/{service}{path}"
         body = orjson.dumps(content)
-        return await self._repeat("POST", target, labels, body, key, retry)
+        return await self._send_with_retries("POST", target, labels, body, key, retry)
 
     async def book(
         self, service: str, path: str, content: object, labels: str
     ) -> CallResult:
-        """Call a service for work that must not repeat, under a new key."""
+        """Call a service with a new key, so that retries run at most once."""
         key = create_identifier()
         return await self.call(service, path, content, labels, key)
 
-    async def _repeat(
+    async def _send_with_retries(
         self,
         method: str,
         target: str,
@@ -140,26 +142,26 @@
         retry: bool,
     ) -> CallResult:
         started_ms = self._clock.read()
-        limit = started_ms + self.options.patience_ms
+        limit = started_ms + self.options.total_timeout_ms
         result = CallResult()
         attempts = self.options.attempts if retry else 1
         for attempt in range(1, attempts + 1):
             addresses = await self.ask_entry()
-            address = addresses[self._turn % len(addresses)]
+            address = addresses[self._address_index % len(addresses)]
             result = await self._send(
                 address, method, target, labels, body, key, attempt, result, started_ms
             )
-            if result.complete or not self._is_worth_repeating(result, key):
+            if result.complete or not self._is_retryable(result, key):
                 break
-            pause_ms = result.retry_after_ms or DEFAULT_RETRY_MS
-            if attempt == attempts or self._clock.read() + pause_ms > limit:
+            delay_ms = result.retry_after_ms or DEFAULT_RETRY_MS
+            if attempt == attempts or self._clock.read() + delay_ms > limit:
                 break
-            await self._clock.sleep(pause_ms)
+            await self._clock.sleep(delay_ms)
         result.whole_ms = self._clock.read() - started_ms
         return result
 
     @staticmethod
-    def _is_worth_repeating(result: CallResult, key: str | None) -> bool:
+    def _is_retryable(result: CallResult, key: str | None) -> bool:
         if result.status in {400, 404, 405, 413, 422}:
             return False
         return result.outcome != "ran" or key is not None
@@ -192,53 +194,53 @@
     ) -> CallResult:
         result = CallResult(address=address, attempts=attempt)
         result.outcomes = previous.outcomes
-        # A later attempt has only what is left of the caller's patience.
+        # A later attempt has only the remainder of the total timeout.
         elapsed_ms = self._clock.read() - started_ms
-        left_ms = self.options.patience_ms - elapsed_ms
-        deadline_ms = min(self.options.deadline_ms, left_ms)
+        remaining_ms = self.options.total_timeout_ms - elapsed_ms
+        deadline_ms = min(self.options.deadline_ms, remaining_ms)
         timeout_ms = deadline_ms + DEFAULT_RETRY_MS * 5
         try:
             async with asyncio.timeout(timeout_ms / 1000.0):
                 headers = self._create_headers(labels, key, attempt, deadline_ms)
-                answer = await self._client.request(
+                response = await self._client.request(
                     address, method, target, headers, body
                 )
-                await self._read(answer, result, started_ms)
+                await self._read_response(response, result, started_ms)
         except (UpstreamError, TimeoutError) as error:
-            # Another host may be reached while this one is cut off.
-            self._turn += 1
+            # Other hosts may be reachable while this one is not.
+            self._address_index += 1
             self._valid_until_ms = 0.0
             result.kind = f"{type(error).__name__}: {error}"
         result.outcomes.append(result.outcome)
         return result
 
-    async def _read(
-        self, answer: HttpAnswer, result: CallResult, started_ms: float
+    async def _read_response(
+        self, response: HttpAnswer, result: CallResult, started_ms: float
     ) -> None:
-        headers = answer.headers
-        result.status = answer.status
+        headers = response.headers
+        result.status = response.status
         result.request_id = headers.get("cornelnotch-request-id", "")
         result.retry_after_ms = float(headers.get("cornelnotch-retry-after-ms", "0"))
         if headers.get("content-type") == "text/event-stream":
-            await self._read_stream(answer, result, started_ms)
+            await self._read_stream(response, result, started_ms)
             result.outcome = "ran" if result.complete else "unknown"
             return
-        result.body = await answer.read()
+        result.body = await response.read()
         result.outcome = headers.get("cornelnotch-outcome", "unknown")
         content = orjson.loads(result.body) if result.body else {}
         if isinstance(content, dict) and "error" in content:
             result.kind = str(content["error"].get("kind", ""))
         elif isinstance(content, dict) and "choices" in content:
             result.text = content["choices"][0]["message"]["content"]
-        result.complete = answer.status == STATUS_OK
+        result.complete = response.status == STATUS_OK
 
     async def _read_stream(
-        self, answer: HttpAnswer, result: CallResult, started_ms: float
+        self, response: HttpAnswer, result: CallResult, started_ms: float
     ) -> None:
         texts: list[str] = []
         first_ms = 0.0
         last_ms = 0.0
-        async for event in _split_events(answer):
+        async for event in _split_events(response):
             data = event.removeprefix(b"data: ")
             if data == b"[DONE]":
                 result.complete = True
@@ -258,9 +260,9 @@
             result.between_tokens_ms = (last_ms - first_ms) / (len(texts) - 1)
 
 
-async def _split_events(answer: HttpAnswer) -> AsyncIterator[bytes]:
+async def _split_events(response: HttpAnswer) -> AsyncIterator[bytes]:
     buffer = b""
-    async for part in answer.iterate():
+    async for part in response.iterate():
         *events, buffer = (buffer + part).split(EVENT_END)
         for event in events:
             yield event
--- a/cornelnotch/load/driver.py
+++ b/cornelnotch/load/driver.py
@@ -1,4 +1,4 @@
-"""Run a scenario against a fleet: open loop, seeded arrivals, faults in time."""
+"""Open-loop load generator with seeded arrivals and scheduled faults."""
 
 import asyncio
 import random
@@ -16,8 +16,8 @@
 
 __all__ = ["Driver", "FleetAddresses", "PlannedCall", "plan_calls"]
 
-SAMPLE_PERIOD_MS = 500.0
-LEAVE_SHARE_OF_DEADLINE = 0.1
+SAMPLE_INTERVAL_MS = 500.0
+DISCONNECT_SHARE_OF_DEADLINE = 0.1
 MS_PER_SECOND = 1000.0
 
 Progress = Callable[[str], None]
@@ -25,7 +25,7 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetAddresses:
-    """Name where the fleet and its stand-ins listen."""
+    """Addresses of the hosts of a fleet and of its simulated servers."""
 
     hosts: list[str]
     platform: str = ""
@@ -33,7 +33,7 @@
     services: dict[str, str] = field(default_factory=dict)
 
     def find(self, target: str) -> str | None:
-        """Return the address of a stand-in."""
+        """Return the address of a simulated server, or None if it is unknown."""
         if target == "platform":
             return self.platform or None
         return self.engines.get(target) or self.services.get(target)
@@ -41,18 +41,18 @@
 
 @dataclass(frozen=True, slots=True)
 class PlannedCall:
-    """Hold one arrival."""
+    """One scheduled call."""
 
     number: int
     class_name: str
     at_ms: float
     workspace: str
     tokens: int
-    leaves: bool
+    disconnects: bool
 
 
 def _choose_workspace(generator: random.Random, count: int, large: float) -> str:
-    """Return a workspace; the first few send a large share of all traffic."""
+    """Return a random workspace; a few workspaces get the share `large` of calls."""
     few = max(count // 5, 1)
     if generator.random() < large:
         return f"w{generator.randrange(few)}"
@@ -60,7 +60,7 @@
 
 
 def plan_calls(scenario: Scenario) -> list[PlannedCall]:
-    """Return every arrival of the scenario, in order."""
+    """Return all calls of the scenario by time of arrival."""
     general = scenario.general
     calls: list[PlannedCall] = []
     for name, traffic in scenario.classes.items():
@@ -89,7 +89,7 @@
 
 
 class Driver:
-    """Own the callers of one run."""
+    """Run of one scenario."""
 
     def __init__(self, scenario: Scenario, fleet: FleetAddresses, clock: Clock) -> None:
         self._scenario = scenario
@@ -100,34 +100,36 @@
         self._result = RunResult(scenario.general.name, scenario.general.seed)
 
     async def run(self, progress: Progress) -> RunResult:
-        """Run the whole scenario and return what it showed."""
-        begin = self._clock.read()
+        """Run the scenario and return its result."""
+        start_ms = self._clock.read()
         watchers = [
-            asyncio.create_task(self._watch_versions(begin)),
+            asyncio.create_task(self._watch_versions(start_ms)),
             *(
-                asyncio.create_task(self._inject(event, begin))
+                asyncio.create_task(self._inject_fault(event, start_ms))
                 for event in self._scenario.faults.values()
             ),
         ]
-        before = await self._read_engines()
-        watchers.append(asyncio.create_task(self._watch_tokens(begin, before)))
+        generated_before = await self._read_engines()
+        watchers.append(
+            asyncio.create_task(self._watch_tokens(start_ms, generated_before))
+        )
         calls = plan_calls(self._scenario)
         running = []
-        announced = 0.0
+        last_progress_ms = 0.0
         for index, call in enumerate(calls):
-            await self._clock.sleep(begin + call.at_ms - self._clock.read())
-            running.append(asyncio.create_task(self._make(call)))
-            if call.at_ms - announced >= 5 * MS_PER_SECOND:
-                announced = call.at_ms
+            await self._clock.sleep(start_ms + call.at_ms - self._clock.read())
+            running.append(asyncio.create_task(self._run_call(call)))
+            if call.at_ms - last_progress_ms >= 5 * MS_PER_SECOND:
+                last_progress_ms = call.at_ms
                 progress(f"{call.at_ms / MS_PER_SECOND:.0f} s: {index} calls")
         await asyncio.gather(*running)
         for watcher in watchers:
             watcher.cancel()
-        await self._finish(before)
+        await self._collect_totals(generated_before)
         return self._result
 
-    async def _finish(self, before: int) -> None:
-        self._result.tokens_generated = await self._read_engines() - before
+    async def _collect_totals(self, generated_before: int) -> None:
+        self._result.tokens_generated = await self._read_engines() - generated_before
         for name, address in self._fleet.services.items():
             self._result.ledgers[name] = await self._read_ledger(address)
         for caller in self._callers.values():
@@ -142,23 +144,23 @@
                 call.workspace,
                 attempts=traffic.attempts,
                 deadline_ms=traffic.deadline_ms,
-                patience_ms=float(traffic.deadline_ms),
+                total_timeout_ms=float(traffic.deadline_ms),
             )
             caller = Caller(self._fleet.hosts, options, self._clock)
             self._callers[key] = caller
         return caller
 
-    async def _make(self, call: PlannedCall) -> None:
+    async def _run_call(self, call: PlannedCall) -> None:
         traffic = self._scenario.classes[call.class_name]
         caller = self._find_caller(call, traffic)
         work = asyncio.create_task(self._send(call, traffic, caller))
-        if call.leaves:
-            wait_s = traffic.deadline_ms * LEAVE_SHARE_OF_DEADLINE / MS_PER_SECOND
+        if call.disconnects:
+            wait_s = traffic.deadline_ms * DISCONNECT_SHARE_OF_DEADLINE / MS_PER_SECOND
             done, _ = await asyncio.wait({work}, timeout=wait_s)
             if not done:
                 work.cancel()
                 await asyncio.wait({work})
-                self._record_left(call)
+                self._record_disconnect(call)
                 return
         result = await work
         self._record(call, traffic, result)
@@ -175,7 +177,7 @@
             traffic.service, traffic.path, content, traffic.labels, key
         )
 
-    def _record_left(self, call: PlannedCall) -> None:
+    def _record_disconnect(self, call: PlannedCall) -> None:
         sample = Sample(call.class_name, call.at_ms, "left", False, False)
         self._result.samples.append(sample)
 
@@ -202,33 +204,35 @@
         )
         self._result.samples.append(sample)
 
-    async def _inject(self, event: FaultEvent, begin: float) -> None:
-        await self._clock.sleep(begin + event.at_s * MS_PER_SECOND - self._clock.read())
+    async def _inject_fault(self, event: FaultEvent, start_ms: float) -> None:
+        await self._clock.sleep(
+            start_ms + event.at_s * MS_PER_SECOND - self._clock.read()
+        )
         address = self._fleet.find(event.target)
         if address is None:
-            self._result.notes.append(f"no stand-in is named {event.target}")
+            self._result.notes.append(f"there is no simulated server {event.target}")
             return
         await self._client.request_json(
             address, "POST", "/faults", _parse_faults(event.set)
         )
 
-    async def _watch_versions(self, begin: float) -> None:
+    async def _watch_versions(self, start_ms: float) -> None:
         while True:
             queued: Counter[str] = Counter()
             for address in self._fleet.hosts:
                 status = await self._read(address, "/status")
                 if status is not None:
-                    at_ms = self._clock.read() - begin
+                    at_ms = self._clock.read() - start_ms
                     self._result.add_version(status["host"], at_ms, status["version"])
                     queued.update(status["queued"])
-            self._result.queued.append((self._clock.read() - begin, dict(queued)))
-            await self._clock.sleep(SAMPLE_PERIOD_MS)
+            self._result.queued.append((self._clock.read() - start_ms, dict(queued)))
+            await self._clock.sleep(SAMPLE_INTERVAL_MS)
 
-    async def _watch_tokens(self, begin: float, before: int) -> None:
+    async def _watch_tokens(self, start_ms: float, generated_before: int) -> None:
         while True:
-            total = await self._read_engines() - before
-            self._result.generated.append((self._clock.read() - begin, total))
-            await self._clock.sleep(SAMPLE_PERIOD_MS)
+            total = await self._read_engines() - generated_before
+            self._result.generated.append((self._clock.read() - start_ms, total))
+            await self._clock.sleep(SAMPLE_INTERVAL_MS)
 
     async def _read(self, address: str, target: str) -> dict | None:
         try:
@@ -253,11 +257,11 @@
         (traffic.between_tokens_ms, result.between_tokens_ms),
         (traffic.whole_ms, result.whole_ms),
     )
-    return all(limit is None or seen <= limit for limit, seen in limits)
+    return all(limit is None or measured <= limit for limit, measured in limits)
 
 
 def _parse_faults(text: str) -> dict[str, object]:
-    """Return ``name=value`` pairs with numbers and truth values decoded."""
+    """Return ``name=value`` pairs with numbers and booleans decoded."""
     faults: dict[str, object] = {}
     for part in text.split(","):
         name, _, value = part.strip().partition("=")
--- a/cornelnotch/load/embedded.py
+++ b/cornelnotch/load/embedded.py
@@ -1,4 +1,4 @@
-"""Run platform, engines, services and hosts of a deployment in one process."""
+"""Sample deployments that run in a single process."""
 
 import asyncio
 import socket
@@ -25,13 +25,13 @@
 ]
 
 ADDRESS = "127.0.0.1"
-READY_LIMIT_S = 15.0
-POLL_S = 0.02
+READY_TIMEOUT_S = 15.0
+POLL_INTERVAL_S = 0.02
 
 
 @dataclass(frozen=True, slots=True)
 class Deployment:
-    """Describe a deployment: its hosts, servers and pools, with their places."""
+    """Hosts, servers and pools of a deployment, with their failure domains."""
 
     name: str
     hosts: dict[str, str]
@@ -61,7 +61,7 @@
 
 
 def read_deployment_text(name: str) -> str:
-    """Return the places, classes, pools and selectors of a deployment as INI."""
+    """Return failure domains, classes, pools and selectors of a deployment as INI."""
     path = Path(__file__).parent / "deployments" / f"{name}.ini"
     return path.read_text(encoding="utf-8")
 
@@ -79,7 +79,7 @@
 
 @dataclass(slots=True)
 class EmbeddedFleet:
-    """Own every part of one deployment."""
+    """Running deployment with hosts and simulated servers in this process."""
 
     deployment: Deployment
     clock: Clock
@@ -89,7 +89,7 @@
     nodes: dict[str, Node] = field(default_factory=dict)
 
     async def start(self) -> FleetAddresses:
-        """Start everything and wait until every host takes work."""
+        """Start all parts and wait until every host is ready."""
         await self.platform.start(ADDRESS, 0)
         for name in self.deployment.engines:
             profile = EngineProfile(batch=4, token_ms=20.0, prefill_ms=40.0)
@@ -100,7 +100,7 @@
             service = ServiceStandin(name, self.clock, ServiceProfile(work_ms=20.0))
             await service.start(ADDRESS, 0)
             self.services[name] = service
-        log = HttpLogService(self._name(self.platform.server.port))
+        log = HttpLogService(self._format_address(self.platform.server.port))
         change = Change(create_identifier(), -1, self.create_text(), "demo")
         await log.append(CONFIGURATION_STREAM, encode_record(change))
         for name, place in self.deployment.hosts.items():
@@ -109,14 +109,14 @@
         return self.list_addresses()
 
     async def _start_node(self, name: str, place: str) -> None:
-        platform = self._name(self.platform.server.port)
+        platform = self._format_address(self.platform.server.port)
         settings = NodeSettings.model_validate(
             {
                 "node": {
                     "name": name,
                     "place": place,
-                    "http": self._name(_find_free_port()),
-                    "peer": self._name(_find_free_port()),
+                    "http": self._format_address(_find_free_port()),
+                    "peer": self._format_address(_find_free_port()),
                 },
                 "platform": {"log": platform, "hosts": platform},
                 "timing": {"entry_ttl_ms": 1000},
@@ -132,11 +132,11 @@
         self.platform.list_host(entry)
 
     async def _wait_ready(self) -> None:
-        async with asyncio.timeout(READY_LIMIT_S):
-            while not self._is_whole():  # noqa: ASYNC110
-                await asyncio.sleep(POLL_S)
+        async with asyncio.timeout(READY_TIMEOUT_S):
+            while not self._is_fleet_ready():  # noqa: ASYNC110
+                await asyncio.sleep(POLL_INTERVAL_S)
 
-    def _is_whole(self) -> bool:
+    def _is_fleet_ready(self) -> bool:
         return all(self._is_ready(node) for node in self.nodes.values())
 
     def _is_ready(self, node: Node) -> bool:
@@ -145,7 +145,7 @@
         return status.ready and len(alive) == len(self.nodes)
 
     def create_text(self) -> str:
-        """Return the deployment's configuration as INI."""
+        """Return the configuration of the deployment as INI."""
         deployment = self.deployment
         text = read_deployment_text(deployment.name)
         for name, engine in self.engines.items():
@@ -169,27 +169,27 @@
     def _create_server(
         self, name: str, pool: str, port: int, place: str, slots: int
     ) -> str:
-        address = self._name(port)
+        address = self._format_address(port)
         return (
             f"[server {name}]\npool = {pool}\naddress = {address}\n"
             f"place = {place}\nslots = {slots}\n"
         )
 
     def list_addresses(self) -> FleetAddresses:
-        """Return where everything listens."""
+        """Return the addresses of all parts."""
         return FleetAddresses(
             [node.settings.node.http for node in self.nodes.values()],
-            self._name(self.platform.server.port),
-            {n: self._name(e.server.port) for n, e in self.engines.items()},
-            {n: self._name(s.server.port) for n, s in self.services.items()},
+            self._format_address(self.platform.server.port),
+            {n: self._format_address(e.server.port) for n, e in self.engines.items()},
+            {n: self._format_address(s.server.port) for n, s in self.services.items()},
         )
 
     @staticmethod
-    def _name(port: int) -> str:
+    def _format_address(port: int) -> str:
         return f"{ADDRESS}:{port}"
 
     async def stop(self) -> None:
-        """Stop everything."""
+        """Stop all parts."""
         for node in self.nodes.values():
             await node.stop()
         for engine in self.engines.values():
--- a/cornelnotch/load/report.py
+++ b/cornelnotch/load/report.py
@@ -1,4 +1,4 @@
-"""Draw a run as a page with plots, and two runs side by side."""
+"""HTML reports with plots of one run, or of several to compare."""
 
 import itertools
 from collections import defaultdict
@@ -26,7 +26,7 @@
 """
 
 
-def _group(result: RunResult) -> dict[str, dict[int, list[bool]]]:
+def _group_attainment(result: RunResult) -> dict[str, dict[int, list[bool]]]:
     groups: dict[str, dict[int, list[bool]]] = defaultdict(lambda: defaultdict(list))
     for sample in result.samples:
         if sample.result != "left":
@@ -52,7 +52,7 @@
 
 def _draw_attainment(result: RunResult, seconds: int) -> str:
     chart = _create_chart("attainment by second of arrival", seconds)
-    for name, buckets in sorted(_group(result).items()):
+    for name, buckets in sorted(_group_attainment(result).items()):
         series = [
             sum(buckets[s]) / len(buckets[s]) if s in buckets else None
             for s in range(seconds)
@@ -79,7 +79,7 @@
 
 
 def _draw_queues(result: RunResult, seconds: int) -> str:
-    chart = _create_chart("requests that wait, by class", seconds)
+    chart = _create_chart("waiting requests by class", seconds)
     by_second = {int(at // BUCKET_MS): counts for at, counts in result.queued}
     names = sorted({name for _, counts in result.queued for name in counts})
     for name in names:
@@ -92,8 +92,10 @@
 
 
 def _draw_tokens(result: RunResult, seconds: int) -> str:
-    """Draw what engines made against what callers got whole; the gap is wasted."""
-    chart = _create_chart("tokens made and delivered whole, in total", seconds)
+    """Draw generated against delivered tokens; the difference is wasted."""
+    chart = _create_chart(
+        "cumulative tokens, generated and delivered in complete responses", seconds
+    )
     made = {int(at // BUCKET_MS): total for at, total in result.generated}
     delivered = [0] * seconds
     for sample in result.samples:
@@ -125,12 +127,16 @@
             rows[f"{row.class_name}: first token p95"].append(
                 f"{row.first_token_p95_ms:.0f} ms"
             )
-        promises = judge_promises(result)
-        rows["wasted tokens"].append(f"{promises.wasted_share:.2%}")
-        rows["goodput"].append(f"{promises.goodput_per_second:.0f} tokens/s")
+        guarantees = judge_promises(result)
+        rows["wasted tokens"].append(f"{guarantees.wasted_share:.2%}")
+        rows["goodput"].append(f"{guarantees.goodput_per_second:.0f} tokens/s")
         for name in ("doubled", "lost", "wrong_answers", "false_not_run"):
-            rows[name.replace("_", " ")].append(_mark(getattr(promises, name)))
-        rows["version reversals"].append(_mark(promises.version_reversals))
+            rows[name.replace("_", " ")].append(
+                _format_violations(getattr(guarantees, name))
+            )
+        rows["version reversals"].append(
+            _format_violations(guarantees.version_reversals)
+        )
     body = "".join(
         f"<tr><td>{name}</td>{''.join(f'<td>{v}</td>' for v in values)}</tr>"
         for name, values in rows.items()
@@ -138,12 +144,12 @@
     return f"<table><tr><th></th>{head}</tr>{body}</table>"
 
 
-def _mark(count: int) -> str:
+def _format_violations(count: int) -> str:
     return f'<span class="bad">{count}</span>' if count else "0"
 
 
 def create_page(results: list[RunResult]) -> str:
-    """Return a page on one run, or on two side by side."""
+    """Return the HTML page of one run, or of several to compare."""
     parts = [PAGE_HEAD, "<h1>cornelnotch run</h1>", _write_table(results)]
     for result in results:
         last = max((s.at_ms for s in result.samples), default=0.0)
--- a/cornelnotch/load/results.py
+++ b/cornelnotch/load/results.py
@@ -1,4 +1,4 @@
-"""Keep, judge and compare what runs showed."""
+"""Results of runs, their summaries and the check of the guarantees."""
 
 from collections import Counter
 from dataclasses import asdict, dataclass, field
@@ -10,7 +10,7 @@
 
 __all__ = [
     "ClassSummary",
-    "PromiseSummary",
+    "GuaranteeSummary",
     "RunResult",
     "Sample",
     "judge_promises",
@@ -22,7 +22,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Sample:
-    """Hold one call; times in ms, `reference` names work that must not repeat."""
+    """One call; times are in ms, `reference` identifies work to run at most once."""
 
     class_name: str
     at_ms: float
@@ -40,7 +40,7 @@
 
 @dataclass(slots=True)
 class RunResult:
-    """Hold everything that one run showed."""
+    """All measurements of one run."""
 
     name: str
     seed: int
@@ -53,13 +53,13 @@
     generated: list[tuple[float, int]] = field(default_factory=list)
 
     def add_version(self, host: str, at_ms: float, version: int) -> None:
-        """Note which version a host had in force."""
+        """Record the configuration version of a host."""
         self.versions.setdefault(host, []).append((at_ms, version))
 
 
 @dataclass(frozen=True, slots=True)
 class ClassSummary:
-    """Tell how one class fared."""
+    """Attainment and latency of one class."""
 
     class_name: str
     calls: int
@@ -71,8 +71,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PromiseSummary:
-    """Count broken promises and wasted work over a run."""
+class GuaranteeSummary:
+    """Violated guarantees, wasted tokens and goodput of a run."""
 
     doubled: int
     lost: int
@@ -86,7 +86,7 @@
 
     @property
     def broken(self) -> int:
-        """Return how many promises were broken."""
+        """Return the number of violated guarantees."""
         return (
             self.doubled
             + self.lost
@@ -104,7 +104,7 @@
 
 
 def summarize_classes(result: RunResult) -> list[ClassSummary]:
-    """Return a summary of every class; callers who left are not counted."""
+    """Return a summary of every class, without callers that disconnected."""
     rows = []
     for name in sorted({s.class_name for s in result.samples}):
         mine = [s for s in result.samples if s.class_name == name]
@@ -126,8 +126,8 @@
     return rows
 
 
-def judge_promises(result: RunResult) -> PromiseSummary:
-    """Compare what callers were told with what the services' ledgers show."""
+def judge_promises(result: RunResult) -> GuaranteeSummary:
+    """Compare the outcomes given to callers with the ledgers of the services."""
     ran: Counter[str] = Counter()
     for ledger in result.ledgers.values():
         ran.update(ledger)
@@ -140,7 +140,7 @@
         for track in result.versions.values()
         for earlier, later in zip(track, track[1:], strict=False)
     )
-    return PromiseSummary(
+    return GuaranteeSummary(
         sum(ran[s.reference] > 1 for s in once),
         sum(ran[s.reference] == 0 for s in once if s.outcome == "ran"),
         sum(s.wrong for s in result.samples),
@@ -159,7 +159,7 @@
 
 
 def read_result(path: Path) -> RunResult:
-    """Read a run; raise SettingsError when the file is none."""
+    """Read a run; raise SettingsError if the file is not a result file."""
     try:
         content = orjson.loads(path.read_bytes())
         content["samples"] = [
--- a/cornelnotch/load/scenario.py
+++ b/cornelnotch/load/scenario.py
@@ -1,4 +1,4 @@
-"""Describe an experiment: classes, bursts and faults on a timeline."""
+"""Scenarios of load tests: traffic classes, bursts and scheduled faults."""
 
 from pathlib import Path
 from typing import Annotated, Literal
@@ -13,7 +13,7 @@
     "FaultEvent",
     "Scenario",
     "TrafficClass",
-    "list_shipped_scenarios",
+    "list_bundled_scenarios",
     "read_scenario",
 ]
 
@@ -22,13 +22,13 @@
 
 
 class ScenarioSection(BaseModel):
-    """Refuse unknown keys."""
+    """Base class of sections, which rejects unknown keys."""
 
     model_config = ConfigDict(extra="forbid", frozen=True)
 
 
 class General(ScenarioSection):
-    """Set length, seed and workspaces of the experiment."""
+    """Duration, seed and workspaces of the scenario."""
 
     name: str = Field(min_length=1)
     duration_s: Positive = 20
@@ -38,10 +38,10 @@
 
 
 class TrafficClass(ScenarioSection):
-    """Describe callers of one class; rates per second, times in ms.
+    """Traffic of one class; rates are per second, times in ms.
 
-    `kind` is `chat`, `once` for work under a key, or `call` for work that may
-    repeat. `leave_share` is the share of callers that go away half-way.
+    `kind` is `chat`, `once` for calls with an idempotency key, or `call` for calls that
+    may be repeated. `leave_share` is the share of callers that disconnect early.
     """
 
     labels: str
@@ -63,7 +63,7 @@
 
 
 class FaultEvent(ScenarioSection):
-    """Change a stand-in at a moment; `set` holds the stand-in's settings."""
+    """Fault set on a simulated server at a time; `set` lists the settings."""
 
     at_s: Seconds
     target: str
@@ -71,35 +71,37 @@
 
 
 class Scenario(ScenarioSection):
-    """Hold a whole experiment."""
+    """A complete scenario."""
 
     general: General
     classes: dict[str, TrafficClass]
     faults: dict[str, FaultEvent] = Field(default_factory=dict)
 
 
-def list_shipped_scenarios() -> dict[str, Path]:
-    """Return the scenarios that come with the program, by name."""
+def list_bundled_scenarios() -> dict[str, Path]:
+    """Return the scenarios bundled with the program, by name."""
     folder = Path(__file__).parent / "scenarios"
     return {path.stem: path for path in sorted(folder.glob("*.ini"))}
 
 
-def _report(path: Path, error: ValidationError) -> SettingsError:
+def _create_error(path: Path, error: ValidationError) -> SettingsError:
     first = error.errors()[0]
     location = ".".join(str(part) for part in first["loc"])
     return SettingsError(f"{path}: {location}: {first['msg']}", "correct the key")
 
 
 def read_scenario(path: Path) -> Result[Scenario, SettingsError]:
-    """Return the validated scenario in `path`, or a shipped one of that name."""
-    shipped = list_shipped_scenarios()
-    source = shipped.get(str(path), path)
+    """Return the validated scenario in `path`, or the bundled one of that name."""
+    bundled = list_bundled_scenarios()
+    source = bundled.get(str(path), path)
     try:
         text = source.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
-        names = ", ".join(shipped)
+        names = ", ".join(bundled)
         return Failure(
-            SettingsError(f"{path}: {error}", f"name a file or one of {names}")
+            SettingsError(
+                f"{path}: {error}", f"give the path of a file or one of {names}"
+            )
         )
     parsed = parse_sections(text)
     if isinstance(parsed, Failure):
@@ -121,4 +123,4 @@
             Scenario.model_validate({**content, "classes": classes, "faults": faults})
         )
     except ValidationError as error:
-        return Failure(_report(path, error))
+        return Failure(_create_error(path, error))
--- a/cornelnotch/load/tests/test_load.py
+++ b/cornelnotch/load/tests/test_load.py
@@ -1,4 +1,4 @@
-"""Plan, judge, keep and draw runs."""
+"""Test scenarios, the check of guarantees, result files and reports."""
 
 from dataclasses import replace
 
@@ -16,15 +16,15 @@
     summarize_classes,
     write_result,
 )
-from cornelnotch.load.scenario import list_shipped_scenarios, read_scenario
+from cornelnotch.load.scenario import list_bundled_scenarios, read_scenario
 
-ONCE = Sample("booking", 10.0, "complete", True, False, "ran", "booking-1")
+BOOKING = Sample("booking", 10.0, "complete", True, False, "ran", "booking-1")
 
 
-def test_shipped_scenarios_are_valid_and_their_arrivals_seeded():
-    shipped = list_shipped_scenarios()
-    assert set(shipped) == {"heelmark", "guild"}
-    for path in shipped.values():
+def test_bundled_scenarios_are_valid_and_arrivals_are_reproducible():
+    bundled = list_bundled_scenarios()
+    assert set(bundled) == {"heelmark", "guild"}
+    for path in bundled.values():
         scenario = read_scenario(path)
         assert isinstance(scenario, Success), scenario
         assert plan_calls(scenario.unwrap()) == plan_calls(scenario.unwrap())
@@ -39,7 +39,7 @@
         ("[general\n", "no section"),
     ],
 )
-def test_a_bad_scenario_names_the_key(tmp_path, text, named):
+def test_error_of_invalid_scenario_names_key(tmp_path, text, named):
     path = tmp_path / "bad.ini"
     path.write_text(text)
     assert named in str(read_scenario(path).failure())
@@ -48,31 +48,31 @@
 @pytest.mark.parametrize(
     ("sample", "ledger", "broken"),
     [
-        (ONCE, {"booking-1": 1}, None),
-        (ONCE, {"booking-1": 2}, "doubled"),
-        (ONCE, {}, "lost"),
-        (replace(ONCE, outcome="not-run"), {"booking-1": 1}, "false_not_run"),
-        (replace(ONCE, outcome="unknown"), {"booking-1": 1}, None),
-        (replace(ONCE, reference="", wrong=True), {}, "wrong_answers"),
+        (BOOKING, {"booking-1": 1}, None),
+        (BOOKING, {"booking-1": 2}, "doubled"),
+        (BOOKING, {}, "lost"),
+        (replace(BOOKING, outcome="not-run"), {"booking-1": 1}, "false_not_run"),
+        (replace(BOOKING, outcome="unknown"), {"booking-1": 1}, None),
+        (replace(BOOKING, reference="", wrong=True), {}, "wrong_answers"),
     ],
 )
-def test_the_ledger_judges_what_callers_were_told(sample, ledger, broken):
+def test_outcomes_are_checked_against_ledger(sample, ledger, broken):
     result = RunResult("x", 1, [sample], ledgers={"desk": ledger})
-    promises = judge_promises(result)
-    assert promises.broken == (0 if broken is None else 1)
+    guarantees = judge_promises(result)
+    assert guarantees.broken == (0 if broken is None else 1)
     if broken is not None:
-        assert getattr(promises, broken) == 1
+        assert getattr(guarantees, broken) == 1
 
 
-def test_a_version_that_goes_down_is_a_broken_promise():
-    result = RunResult("x", 1, [ONCE], {"h": [(0.0, 3), (1.0, 2)]})
+def test_decreasing_version_violates_guarantee():
+    result = RunResult("x", 1, [BOOKING], {"h": [(0.0, 3), (1.0, 2)]})
     result.ledgers = {"desk": {"booking-1": 1}}
     assert judge_promises(result).version_reversals == 1
 
 
-def test_results_survive_writing_and_are_drawn_side_by_side(tmp_path):
+def test_results_round_trip_and_are_compared_in_report(tmp_path):
     chat = Sample("quote", 5.0, "complete", True, False, "ran", "", (), 90.0, 20.0, 500)
-    result = RunResult("x", 1, [ONCE, chat], {"h": [(0.0, 3)]}, tokens_generated=10)
+    result = RunResult("x", 1, [BOOKING, chat], {"h": [(0.0, 3)]}, tokens_generated=10)
     path = tmp_path / "run.json"
     write_result(result, path)
     assert read_result(path) == result
--- a/cornelnotch/node/tests/test_regions.py
+++ b/cornelnotch/node/tests/test_regions.py
@@ -181,7 +181,7 @@
 def start_drafts(fleet, count, tokens):
     """Start draft requests that are retried when the queue is full."""
     caller = fleet.create_caller(
-        "guild", deadline_ms=30_000, attempts=20, patience_ms=30_000.0
+        "guild", deadline_ms=30_000, attempts=20, total_timeout_ms=30_000.0
     )
     calls = [caller.chat(f"draft {n}", tokens, "kind=draft") for n in range(count)]
     return [asyncio.create_task(call) for call in calls]
--- a/cornelnotch/standins/__init__.py
+++ b/cornelnotch/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Stand in for the platform, the engines and the plain services."""
+"""Simulated platform, engines and services, with fault injection."""
--- a/cornelnotch/standins/engine.py
+++ b/cornelnotch/standins/engine.py
@@ -1,4 +1,4 @@
-"""Stand in for an engine: continuous batching, prefix cache, faults."""
+"""Simulated engine with continuous batching, prefix cache and faults."""
 
 import asyncio
 import itertools
@@ -19,7 +19,7 @@
 
 @dataclass(slots=True)
 class EngineProfile:
-    """Say how fast an engine is and how it misbehaves; times in ms."""
+    """Speed and faults of an engine; times are in ms."""
 
     batch: int = 8
     token_ms: float = 20.0
@@ -34,7 +34,7 @@
 
 @dataclass(slots=True)
 class Sequence:
-    """Hold one request in the batch."""
+    """One request, in the batch or waiting for it."""
 
     request_id: str
     prompt: str
@@ -47,17 +47,17 @@
 
 
 def create_token(prompt: str, position: int) -> str:
-    """Return the token that every engine makes at `position` for `prompt`."""
+    """Return the token that all engines generate at `position` for `prompt`."""
     return f"{hash_text(f'{prompt}|{position}') & 0xFFFF:04x} "
 
 
 def predict_answer(prompt: str, tokens: int) -> str:
-    """Return the whole answer to `prompt`."""
+    """Return the complete response to `prompt`."""
     return "".join(create_token(prompt, i) for i in range(tokens))
 
 
 class EngineStandin:
-    """Serve chat completions; a step makes one token for each batch member."""
+    """Simulated engine; a step generates one token for each sequence of the batch."""
 
     def __init__(
         self, name: str, clock: Clock, profile: EngineProfile | None = None
@@ -71,24 +71,24 @@
         self.prefix_hits = 0
         self._clock = clock
         self._sequences: list[Sequence] = []
-        self._orders = itertools.count()
+        self._sequence_numbers = itertools.count()
         self._prefixes: OrderedDict[str, None] = OrderedDict()
         self._wake = asyncio.Event()
         self._loop: asyncio.Task[None] | None = None
-        self._reports: list[tuple[float, int, int]] = [(0.0, 0, 0)]
+        self._load_history: list[tuple[float, int, int]] = [(0.0, 0, 0)]
 
     async def start(self, address: str, port: int) -> None:
-        """Listen and start stepping the batch."""
+        """Listen and start to process the batch."""
         await self.server.start(address, port)
-        self._loop = asyncio.create_task(self._step_forever())
+        self._loop = asyncio.create_task(self._run_steps())
 
     async def stop(self) -> None:
-        """Stop at once, as a crash would."""
+        """Stop immediately, like a crash."""
         if self._loop is not None:
             self._loop.cancel()
         await self.server.stop()
 
-    async def _step_forever(self) -> None:
+    async def _run_steps(self) -> None:
         while True:
             if not self._sequences:
                 self._wake.clear()
@@ -109,22 +109,22 @@
             if sequence.position >= sequence.tokens:
                 sequence.output.put_nowait(None)
                 self._sequences.remove(sequence)
-        self._report(now)
+        self._record_load(now)
 
-    def _report(self, now: float) -> None:
+    def _record_load(self, now: float) -> None:
         running = min(len(self._sequences), self.profile.batch)
         waiting = len(self._sequences) - running
-        self._reports.append((now, running, waiting))
+        self._load_history.append((now, running, waiting))
         limit = now - self.profile.load_lag_ms
-        while len(self._reports) > 1 and self._reports[1][0] <= limit:
-            self._reports.pop(0)
+        while len(self._load_history) > 1 and self._load_history[1][0] <= limit:
+            self._load_history.pop(0)
 
     async def _handle(self, exchange: Exchange) -> None:
         body = await exchange.read_body(MAX_BODY_BYTES)
         if exchange.path == "/v1/chat/completions":
-            await self._complete(exchange, orjson.loads(body))
+            await self._handle_completion(exchange, orjson.loads(body))
         elif exchange.path == "/load":
-            _, running, waiting = self._reports[0]
+            _, running, waiting = self._load_history[0]
             await exchange.respond_json(200, {"running": running, "waiting": waiting})
         elif exchange.path == "/counts":
             await exchange.respond_json(200, self.count())
@@ -136,7 +136,7 @@
             await exchange.respond_json(404, {"error": "unknown path"})
 
     def count(self) -> dict[str, int]:
-        """Return the totals since the start."""
+        """Return the counters since the start."""
         return {
             "generated": self.generated,
             "delivered": self.delivered,
@@ -162,7 +162,7 @@
             prompt=prompt,
             tokens=int(content.get("max_tokens", DEFAULT_TOKENS)),
             priority=int(exchange.headers.get("x-priority", "0")),
-            order=next(self._orders),
+            order=next(self._sequence_numbers),
             position=int(exchange.headers.get("x-resume-from", "0")),
             ready_ms=self._clock.read() + prefill * self.profile.slowdown,
         )
@@ -170,21 +170,21 @@
         self._wake.set()
         return sequence
 
-    async def _complete(self, exchange: Exchange, content: dict) -> None:
+    async def _handle_completion(self, exchange: Exchange, content: dict) -> None:
         sequence = self._admit(exchange, content)
-        head = {"x-request-id": self._name_answer(sequence)}
+        headers = {"x-request-id": self._get_response_id(sequence)}
         try:
             if content.get("stream"):
-                await self._stream(exchange, sequence, head)
+                await self._stream(exchange, sequence, headers)
             else:
-                await self._answer_whole(exchange, sequence, head)
+                await self._respond_complete(exchange, sequence, headers)
         except CallerGoneError:
             pass
         finally:
             if sequence in self._sequences:
                 self._sequences.remove(sequence)
 
-    def _name_answer(self, sequence: Sequence) -> str:
+    def _get_response_id(self, sequence: Sequence) -> str:
         return "crossed" if self.profile.cross_answers else sequence.request_id
 
     async def _next_position(
@@ -198,14 +198,16 @@
         gone.cancel()
         if position not in done:
             position.cancel()
-            raise CallerGoneError("the caller closed", "send it again")
+            raise CallerGoneError(
+                "the caller closed the connection", "send the request again"
+            )
         return position.result()
 
     async def _stream(
-        self, exchange: Exchange, sequence: Sequence, head: dict[str, str]
+        self, exchange: Exchange, sequence: Sequence, headers: dict[str, str]
     ) -> None:
-        await exchange.start(200, {"content-type": "text/event-stream", **head})
-        name = head["x-request-id"]
+        await exchange.start(200, {"content-type": "text/event-stream", **headers})
+        name = headers["x-request-id"]
         while True:
             position = await self._next_position(exchange, sequence)
             if position is None:
@@ -225,8 +227,8 @@
         await exchange.send(b"data: [DONE]\n\n")
         await exchange.finish()
 
-    async def _answer_whole(
-        self, exchange: Exchange, sequence: Sequence, head: dict[str, str]
+    async def _respond_complete(
+        self, exchange: Exchange, sequence: Sequence, headers: dict[str, str]
     ) -> None:
         first = sequence.position
         while await self._next_position(exchange, sequence) is not None:
@@ -235,7 +237,7 @@
             create_token(sequence.prompt, i) for i in range(first, sequence.tokens)
         )
         content = {
-            "id": head["x-request-id"],
+            "id": headers["x-request-id"],
             "object": "chat.completion",
             "choices": [
                 {
@@ -246,5 +248,5 @@
             ],
             "usage": {"completion_tokens": sequence.tokens - first},
         }
-        await exchange.respond_json(200, content, head)
+        await exchange.respond_json(200, content, headers)
         self.delivered += sequence.tokens - first
--- a/cornelnotch/standins/platform.py
+++ b/cornelnotch/standins/platform.py
@@ -1,4 +1,4 @@
-"""Stand in for the platform: log service and host list, with faults."""
+"""Simulated platform with log service, host list and faults."""
 
 import asyncio
 from dataclasses import asdict, dataclass, field
@@ -18,7 +18,7 @@
 
 @dataclass(slots=True)
 class PlatformFaults:
-    """Say how the platform misbehaves; all times in ms."""
+    """Faults and limits of the platform; times are in ms."""
 
     down: bool = False
     slow_ms: float = 0.0
@@ -30,7 +30,7 @@
 
 @dataclass(slots=True)
 class Stream:
-    """Hold the records of one stream."""
+    """Records of one stream."""
 
     earliest: int = 0
     bodies: list[str] = field(default_factory=list)
@@ -38,7 +38,7 @@
     grown: asyncio.Event = field(default_factory=asyncio.Event)
 
     def trim(self, before_ms: float) -> None:
-        """Drop records that are past retention."""
+        """Remove the records written before `before_ms`."""
         count = 0
         while count < len(self.times) and self.times[count] < before_ms:
             count += 1
@@ -49,7 +49,7 @@
 
 
 class PlatformStandin:
-    """Serve streams and the host list from memory."""
+    """Simulated platform that keeps streams and the host list in memory."""
 
     def __init__(self, clock: Clock, faults: PlatformFaults | None = None) -> None:
         self.faults = faults or PlatformFaults()
@@ -58,11 +58,11 @@
         self._clock = clock
         self._streams: dict[str, Stream] = {}
         self._hosts: dict[str, HostEntry] = {}
-        self._shown: list[tuple[float, dict[str, HostEntry]]] = [(0.0, {})]
+        self._host_history: list[tuple[float, dict[str, HostEntry]]] = [(0.0, {})]
         self._next_append_ms = 0.0
 
     async def start(self, address: str, port: int) -> None:
-        """Listen for the system and its operators."""
+        """Start to listen."""
         await self.server.start(address, port)
 
     async def stop(self) -> None:
@@ -70,9 +70,9 @@
         await self.server.stop()
 
     def list_host(self, entry: HostEntry) -> None:
-        """Add or change a host; readers see it after the lag."""
+        """Add or update a host; the change is visible after the lag."""
         self._hosts[entry.name] = entry
-        self._shown.append((self._clock.read(), dict(self._hosts)))
+        self._host_history.append((self._clock.read(), dict(self._hosts)))
 
     async def _handle(self, exchange: Exchange) -> None:
         body = await exchange.read_body(MAX_RECORD_BYTES)
@@ -101,7 +101,7 @@
         if exchange.method == "POST":
             self.list_host(HostEntry(**orjson.loads(body)))
         limit = self._clock.read() - self.faults.host_list_lag_ms
-        visible = [hosts for time_ms, hosts in self._shown if time_ms <= limit]
+        visible = [hosts for time_ms, hosts in self._host_history if time_ms <= limit]
         hosts = visible[-1] if visible else {}
         tag = f'"{len(visible)}"'
         if exchange.headers.get("if-none-match") == tag:
--- a/cornelnotch/standins/raw.py
+++ b/cornelnotch/standins/raw.py
@@ -1,4 +1,4 @@
-"""Stand in for a server in trouble: answer with any bytes, with or without end."""
+"""Simulated faulty server that sends arbitrary, possibly endless responses."""
 
 import asyncio
 from contextlib import suppress
@@ -12,9 +12,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RawAnswer:
-    """Hold the bytes of an answer; `ID` in `start` becomes the id of the request.
+    """Bytes of a response; `ID` in `start` is replaced by the id of the request.
 
-    After `start`, `repeated` is written until the caller closes, each `pause_ms`.
+    After `start`, `repeated` is written every `pause_ms` until the caller closes the
+    connection.
     """
 
     start: bytes
@@ -23,7 +24,7 @@
 
 
 class RawUpstream:
-    """Answer each request on a connection with the same bytes."""
+    """Simulated server that sends the same bytes in response to each request."""
 
     def __init__(self, name: str, answer: RawAnswer) -> None:
         self.name = name
@@ -34,7 +35,7 @@
 
     @property
     def address(self) -> str:
-        """Return where the server listens."""
+        """Return the address that the server listens on."""
         assert self._server is not None
         return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
 
@@ -43,7 +44,7 @@
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
 
     async def stop(self) -> None:
-        """Close the listener."""
+        """Close the listening socket."""
         assert self._server is not None
         self._server.close()
 
@@ -57,16 +58,16 @@
                 writer.write(self.answer.start.replace(b"ID", _find_id(head)))
                 await writer.drain()
                 if self.answer.repeated:
-                    await self._repeat(writer)
+                    await self._write_repeatedly(writer)
         self.closed += 1
         writer.transport.abort()
 
-    async def _repeat(self, writer: asyncio.StreamWriter) -> None:
+    async def _write_repeatedly(self, writer: asyncio.StreamWriter) -> None:
         while not writer.is_closing():
             writer.write(self.answer.repeated)
             await writer.drain()
             await asyncio.sleep(self.answer.pause_ms / 1000.0)
-        raise ConnectionResetError("the caller closed")
+        raise ConnectionResetError("the caller closed the connection")
 
 
 def _find_id(head: bytes) -> bytes:
--- a/cornelnotch/standins/service.py
+++ b/cornelnotch/standins/service.py
@@ -1,4 +1,4 @@
-"""Stand in for a plain service that keeps a ledger of what it ran."""
+"""Simulated service that counts its executions in a ledger."""
 
 from collections import Counter
 from dataclasses import asdict, dataclass
@@ -15,7 +15,7 @@
 
 @dataclass(slots=True)
 class ServiceProfile:
-    """Say how a service behaves; times in ms."""
+    """Speed and faults of a service; times are in ms."""
 
     work_ms: float = 10.0
     lose_answers: bool = False
@@ -23,7 +23,7 @@
 
 
 class ServiceStandin:
-    """Book work and count each booking in the ledger."""
+    """Simulated service that counts the executions of each booking."""
 
     def __init__(
         self, name: str, clock: Clock, profile: ServiceProfile | None = None
@@ -35,11 +35,11 @@
         self._clock = clock
 
     async def start(self, address: str, port: int) -> None:
-        """Listen for work."""
+        """Start to listen."""
         await self.server.start(address, port)
 
     async def stop(self) -> None:
-        """Stop at once."""
+        """Stop immediately."""
         await self.server.stop()
 
     async def _handle(self, exchange: Exchange) -> None:
@@ -55,9 +55,9 @@
         if exchange.path == "/load":
             await exchange.respond_json(200, {"running": 0, "waiting": 0})
             return
-        await self._work(exchange, body)
+        await self._execute(exchange, body)
 
-    async def _work(self, exchange: Exchange, body: bytes) -> None:
+    async def _execute(self, exchange: Exchange, body: bytes) -> None:
         reference = orjson.loads(body or b"{}").get("reference", exchange.path)
         self.ledger[reference] += 1
         await self._clock.sleep(self.profile.work_ms + self.profile.frozen_ms)
--- a/cornelnotch/standins/store.py
+++ b/cornelnotch/standins/store.py
@@ -1,4 +1,4 @@
-"""Stand in for the platform's store: keyed topics, with faults."""
+"""Simulated store of the platform, with keyed topics and faults."""
 
 import asyncio
 import base64
@@ -9,28 +9,28 @@
 
 __all__ = ["StoreStandin", "StoreTopic"]
 
-HEAD = struct.Struct(">QQ")
-LENGTH = struct.Struct(">I")
-PAGE_ENTRIES = 3
+PAGE_HEADER = struct.Struct(">QQ")
+RECORD_LENGTH = struct.Struct(">I")
+MAX_PAGE_ENTRIES = 3
 STATUS_GONE = 410
 STATUS_UNAVAILABLE = 503
-POLL_S = 0.005
+POLL_INTERVAL_S = 0.005
 
 
 @dataclass(slots=True)
 class StoreTopic:
-    """Hold the records of one keyed topic; those before `earliest` are gone."""
+    """Records of one keyed topic; reads before `earliest` fail as trimmed."""
 
     records: list[tuple[str, bytes]] = field(default_factory=list)
     earliest: int = 0
 
     def write(self, key: str, value: bytes) -> int:
-        """Append a record; an empty value drops the key. Return its offset."""
+        """Append a record and return its offset; an empty value deletes the key."""
         self.records.append((key, value))
         return len(self.records) - 1
 
     def list_newest(self) -> dict[str, tuple[bytes, int]]:
-        """Return value and offset of each key."""
+        """Return the newest value and offset of each key."""
         newest: dict[str, tuple[bytes, int]] = {}
         for offset, (key, value) in enumerate(self.records):
             if value:
@@ -41,10 +41,10 @@
 
 
 class StoreStandin:
-    """Answer reads of keyed topics; `fault` is empty, `busy` or `silent`.
+    """Simulated store; `fault` is empty, `busy` or `silent`.
 
-    Reads of `silent_topics` get no answer. Every answer names `timeline`, unless that
-    is empty.
+    Reads of `silent_topics` get no response. Every response includes `timeline`, unless
+    it is empty.
     """
 
     def __init__(self) -> None:
@@ -57,11 +57,11 @@
         self.paths: set[str] = set()
 
     def copy(self) -> dict[str, int]:
-        """Return how much of each topic a copy made now would hold."""
+        """Return a backup: the current number of records of each topic."""
         return {name: len(topic.records) for name, topic in self.topics.items()}
 
     def restore(self, copy: dict[str, int]) -> None:
-        """Come back from a copy, in the next timeline."""
+        """Restore a backup and start the next timeline."""
         for name, size in copy.items():
             del self.topics[name].records[size:]
         self.timeline = str(int(self.timeline) + 1)
@@ -71,7 +71,7 @@
 
     @property
     def address(self) -> str:
-        """Return where the store listens."""
+        """Return the address that the store listens on."""
         return f"127.0.0.1:{self.server.port}"
 
     async def start(self) -> None:
@@ -79,7 +79,7 @@
         await self.server.start("127.0.0.1", 0)
 
     async def stop(self) -> None:
-        """Stop at once."""
+        """Stop immediately."""
         await self.server.stop()
 
     async def _handle(self, exchange: Exchange) -> None:
@@ -106,11 +106,11 @@
         rows = [row for row in rows if row[0] > after]
         entries = [
             {"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
-            for key, (value, offset) in rows[:PAGE_ENTRIES]
+            for key, (value, offset) in rows[:MAX_PAGE_ENTRIES]
         ]
         content = {
             "entries": entries,
-            "has_more": len(rows) > PAGE_ENTRIES,
+            "has_more": len(rows) > MAX_PAGE_ENTRIES,
             "end_offset": len(topic.records),
         }
         await exchange.respond_json(200, content, self._create_headers())
@@ -119,17 +119,17 @@
         start = int(exchange.query["from"])
         wait_s = float(exchange.query.get("wait_ms", "0")) / 1000.0
         while start == len(topic.records) and wait_s > 0:
-            await asyncio.sleep(POLL_S)
-            wait_s -= POLL_S
+            await asyncio.sleep(POLL_INTERVAL_S)
+            wait_s -= POLL_INTERVAL_S
         headers = self._create_headers()
         if start < topic.earliest or start > len(topic.records):
             content = {"earliest_offset": topic.earliest}
             await exchange.respond_json(STATUS_GONE, content, headers)
             return
-        body = HEAD.pack(len(topic.records), topic.earliest)
+        body = PAGE_HEADER.pack(len(topic.records), topic.earliest)
         for key, value in topic.records[start:]:
             name = key.encode()
             content_bytes = bytes([len(name)]) + name + value
-            body += LENGTH.pack(len(content_bytes)) + content_bytes
+            body += RECORD_LENGTH.pack(len(content_bytes)) + content_bytes
         headers["content-type"] = "application/octet-stream"
         await exchange.respond(200, headers, body)
--- a/cornelnotch/standins/upstream.py
+++ b/cornelnotch/standins/upstream.py
@@ -1,4 +1,4 @@
-"""Stand in for a server of the platform: calls and streams of events, with faults."""
+"""Simulated server of the platform, with calls, event streams and faults."""
 
 import asyncio
 from collections import Counter
@@ -9,19 +9,19 @@
 __all__ = ["UpstreamFaults", "UpstreamStandin"]
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
-STATUS_FULL = 503
-STATUS_ELSEWHERE = 421
+STATUS_UNAVAILABLE = 503
+STATUS_MISDIRECTED = 421
 STREAM_PREFIX = "/stream/"
 
 
 @dataclass(slots=True)
 class UpstreamFaults:
-    """Say how the server misbehaves; each holds for every request.
+    """Faults of the server, which apply to every request.
 
-    `break_after` cuts a stream within the event after so many whole ones, and
-    `stall_after` stops it there without a word. A stream begins after `first_ms`.
-    `fail_times` calls fail before others succeed. `leaving` is said in every answer,
-    `retry_after` with every refusal.
+    `break_after` is the number of complete events after which a stream is cut within
+    the next event; `stall_after` is the number after which it stops sending but stays
+    open. A stream starts after `first_ms`. The first `fail_times` calls fail. `leaving`
+    is announced in every response, `retry_after` in every refusal.
     """
 
     refuse: bool = False
@@ -41,10 +41,10 @@
 
 @dataclass
 class UpstreamStandin:
-    """Run requests, count each id that ran and keep the headers it saw.
+    """Simulated server that records requests and counts executions by id.
 
-    `others` are engines by address, to which it copies the memory of a run if asked to;
-    `copies` holds the ids of runs that were copied here.
+    `others` are engines by address, to which it copies the KV cache of a request if
+    asked to; `copies` contains the ids of requests that were copied to this server.
     """
 
     name: str
@@ -63,7 +63,7 @@
 
     @property
     def address(self) -> str:
-        """Return where the server listens."""
+        """Return the address that the server listens on."""
         return f"127.0.0.1:{self.server.port}"
 
     async def start(self) -> None:
@@ -71,7 +71,7 @@
         await self.server.start("127.0.0.1", 0)
 
     async def stop(self) -> None:
-        """Stop at once."""
+        """Stop immediately."""
         await self.server.stop()
 
     async def _handle(self, exchange: Exchange) -> None:
@@ -84,20 +84,20 @@
         if self.faults.leaving:
             headers["server-leaving"] = "1"
         if exchange.headers.get("x-target-instance") != self.name:
-            await exchange.respond(STATUS_ELSEWHERE, headers, b"")
+            await exchange.respond(STATUS_MISDIRECTED, headers, b"")
             return
         if self.faults.refuse:
             headers["x-not-executed"] = "1"
             if self.faults.retry_after:
                 headers["retry-after"] = self.faults.retry_after
-            await exchange.respond(STATUS_FULL, headers, b"")
+            await exchange.respond(STATUS_UNAVAILABLE, headers, b"")
             return
         copy = exchange.headers.get("kv-from", "")
         if copy and (
             copy != f"{self.address}/{request_id}" or request_id not in self.copies
         ):
             headers["x-not-executed"] = "1"
-            await exchange.respond(STATUS_FULL, headers, b"")
+            await exchange.respond(STATUS_UNAVAILABLE, headers, b"")
             return
         backup = self.others.get(exchange.headers.get("x-kv-backup", ""))
         if backup is not None:
