--- a/cornelnotch/standins/raw.py
+++ b/cornelnotch/standins/raw.py
@@ -58,11 +58,11 @@
                 writer.write(self.answer.start.replace(b"ID", _find_id(head)))
                 await writer.drain()
                 if self.answer.repeated:
-                    await self._write_repeatedly(writer)
+                    await self._repeat(writer)
         self.closed += 1
         writer.transport.abort()
 
-    async def _write_repeatedly(self, writer: asyncio.StreamWriter) -> None:
+    async def _repeat(self, writer: asyncio.StreamWriter) -> None:
         while not writer.is_closing():
             writer.write(self.answer.repeated)
             await writer.drain()
