--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Measure cornelnotch; each module is a command that prints its figures."""
+"""Benchmarks of cornelnotch; each module is a command that prints its results."""
--- a/benchmarks/burst.py
+++ b/benchmarks/burst.py
@@ -1,7 +1,7 @@
-"""Compare policies and an oracle in a burst at twice the capacity.
+"""Compare policies with an oracle during a burst at twice the capacity.
 
-Run with ``python -m benchmarks.burst [SEEDS]``. Virtual time; figures depend on
-the seeds alone and not on the machine.
+Run with ``python -m benchmarks.burst [SEEDS]``. The benchmark runs in virtual time, so
+the results depend only on the seeds and not on the machine.
 """
 
 import heapq
@@ -20,7 +20,7 @@
 )
 
 DURATION_MS = 60_000.0
-SETTLE_MS = 40_000.0
+DRAIN_MS = 40_000.0
 BURST_START_MS = 10_000.0
 BURST_END_MS = 40_000.0
 ENGINES = 5
@@ -33,7 +33,7 @@
 
 
 def create_classes(load: float) -> list[ModelClass]:
-    """Return the traffic; quotes alone reach `load` times the capacity."""
+    """Return the classes; in the burst, quotes reach `load` times the capacity."""
     service_ms = PREFILL_MS + QUOTE_TOKENS * 1.083 * TOKEN_MS
     capacity = ENGINES * SLOTS / service_ms * 1000.0
     quote = ModelClass(
@@ -52,7 +52,7 @@
 
 
 def create_engines(faults: bool) -> list[ModelEngine]:
-    """Return the engines; with faults one is slow and one crashes in the burst."""
+    """Return the engines; with faults, one is slow and one crashes in the burst."""
     engines = [
         ModelEngine(f"engine-{i}", SLOTS, TOKEN_MS, PREFILL_MS) for i in range(ENGINES)
     ]
@@ -63,14 +63,14 @@
     return engines
 
 
-def count_oracle(
+def count_attained_by_oracle(
     arrivals: list[Arrival], engines: list[ModelEngine], shortest_first: bool
 ) -> int:
-    """Return the quotes that meet their target when lengths are known.
+    """Return the number of quotes that meet their target if lengths are known.
 
-    The oracle serves quotes alone and leaves those that can no longer meet their
-    target. It takes the shortest first, or the oldest first for comparison with
-    policies that cannot tell short from long. Both are greedy.
+    The oracle serves only quotes and drops those that can no longer meet their target.
+    It serves the shortest first, or the oldest first for comparison with policies that
+    do not know the lengths. Both orders are greedy.
     """
     places = [
         (0.0, index, engine)
@@ -109,8 +109,8 @@
     return attained
 
 
-def count_broken_promises(result: ModelResult, rule: ShardRule) -> int:
-    """Count refusals for capacity while a lower tier held more than its floor."""
+def count_tier_violations(result: ModelResult, rule: ShardRule) -> int:
+    """Return the number of capacity refusals while a lower tier exceeds its floor."""
     slots = sum(server.slots for server in rule.servers.values())
     broken = 0
     for record in result.refusals:
@@ -122,7 +122,7 @@
             floor = rule.classes[row.class_name].floor
             places = max(1, int(floor * slots * rule.queue_per_slot))
             above_slots = row.running > max(row.floor_places, 1)
-            # Only a full queue makes a queue place matter to the refused request.
+            # Queue places matter only if the request was refused for a full queue.
             above_queue = record.reason == "queue-full" and row.waiting > places
             if above_slots or above_queue:
                 broken += 1
@@ -133,17 +133,17 @@
 def run_policy(
     policy: Policy, seed: int, faults: bool
 ) -> tuple[ModelResult, ShardRule]:
-    """Run one policy on one seed."""
+    """Run a policy with a seed."""
     classes = create_classes(2.0)
     engines = create_engines(faults)
     rule = create_rule(classes, engines, policy.discipline, policy.balancer)
     arrivals = create_arrivals(classes, DURATION_MS, seed)
     model = ShardModel(rule, engines)
-    return model.run(arrivals, DURATION_MS + SETTLE_MS), rule
+    return model.run(arrivals, DURATION_MS + DRAIN_MS), rule
 
 
 def print_comparison(seeds: range, faults: bool) -> None:
-    """Print every policy side by side."""
+    """Print a table with one row for each policy."""
     print(f"faults: {'one straggler, one crash' if faults else 'none'}")
     print(
         f"{'policy':20} {'quote':>7} {'of short':>9} {'of old':>7} {'draft':>7} "
@@ -154,10 +154,10 @@
         rows = []
         for seed in seeds:
             result, rule = run_policy(policy, seed, faults)
-            healthy = create_engines(faults)
+            engines = create_engines(faults)
             attained = result.count_attained("quote")
-            shortest = count_oracle(result.arrivals, healthy, True)
-            oldest = count_oracle(result.arrivals, healthy, False)
+            shortest = count_attained_by_oracle(result.arrivals, engines, True)
+            oldest = count_attained_by_oracle(result.arrivals, engines, False)
             rows.append(
                 (
                     result.compute_attainment("quote"),
@@ -166,7 +166,7 @@
                     result.compute_attainment("draft"),
                     result.compute_goodput(),
                     result.compute_waste(),
-                    count_broken_promises(result, rule),
+                    count_tier_violations(result, rule),
                     result.find_longest_gap("draft", BURST_START_MS, BURST_END_MS)
                     / 1000.0,
                 )
@@ -182,7 +182,7 @@
 
 
 def run_benchmark(count: int) -> None:
-    """Print both comparisons."""
+    """Print the comparison without and with faults."""
     for faults in (False, True):
         print_comparison(range(count), faults)
         print()
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -1,7 +1,8 @@
-"""Print slopes at three or more sizes for docs/CAPACITY.md.
+"""Print how the costs of a node scale with size, for docs/CAPACITY.md.
 
-Run with ``python -m benchmarks.capacity``. Each line gives size, processor time
-and state of one part of a node; the page extrapolates from them.
+Run with ``python -m benchmarks.capacity``. Each line gives the size, processor time
+and memory of one component of a node at one of three or more sizes; the page
+extrapolates from them.
 """
 
 import gc
@@ -49,8 +50,8 @@
 REPEATS = 5
 
 
-def time_ms(work: Callable[[], object], repeats: int = REPEATS) -> float:
-    """Return the least processor time of `work` in ms."""
+def measure_min_ms(work: Callable[[], object], repeats: int = REPEATS) -> float:
+    """Return the least time of `work` over the repeats, in ms."""
     best = float("inf")
     for _ in range(repeats):
         before = os.times()
@@ -64,7 +65,7 @@
 
 
 def measure_kilobytes(create: Callable[[], object]) -> float:
-    """Return the memory that the result of `create` holds."""
+    """Return the memory of the result of `create` in KB."""
     gc.collect()
     tracemalloc.start()
     held = create()
@@ -76,7 +77,7 @@
 
 
 def create_text(servers: int, workspaces: int) -> str:
-    """Return a configuration of a given size."""
+    """Return a configuration with the given numbers of servers and workspaces."""
     sections = "".join(
         create_server_section(
             f"server-{n}", "cobbler-assist", f"127.0.0.1:{n % 60000 + 1}"
@@ -91,35 +92,37 @@
 
 
 def print_configuration() -> None:
-    """Print what following the configuration costs."""
-    print("configuration reader: servers, workspaces, KB of state, ms to fold the")
-    print("whole, ms for one change, ms to plan shards, KB of a snapshot")
+    """Print the cost of following the configuration."""
+    print("configuration reader: servers, workspaces, KB of memory, ms to fold all")
+    print("sections, ms to fold one change, ms to plan shards, KB of a snapshot")
     for servers, workspaces in ((100, 68), (700, 475), (2800, 1900)):
         text = create_text(servers, workspaces)
         body = encode_record(Change("id", -1, text))
         state = fold_record(ConfigurationState(), 0, body).state
         change = encode_record(Change("id", 0, "[workspace w1]\nconcurrent = 9\n"))
         held = measure_kilobytes(lambda b=body: fold_record(ConfigurationState(), 0, b))
-        whole = time_ms(lambda b=body: fold_record(ConfigurationState(), 0, b), 2)
-        one = time_ms(lambda s=state, c=change: fold_record(s, 1, c))
-        plan = time_ms(lambda s=state: plan_shards(s.configuration))
+        fold_all_ms = measure_min_ms(
+            lambda b=body: fold_record(ConfigurationState(), 0, b), 2
+        )
+        one = measure_min_ms(lambda s=state, c=change: fold_record(s, 1, c))
+        plan = measure_min_ms(lambda s=state: plan_shards(s.configuration))
         size = len(encode_record(create_snapshot(state))) / KILOBYTE
         print(
-            f"  {servers:5d} {workspaces:5d} {held:8.0f} {whole:8.1f} {one:8.2f} "
+            f"  {servers:5d} {workspaces:5d} {held:8.0f} {fold_all_ms:8.1f} {one:8.2f} "
             f"{plan:8.2f} {size:8.0f}"
         )
     configuration = state.configuration
-    spent = time_ms(
+    spent = measure_min_ms(
         lambda: [
             select_class(configuration, "w1", {"kind": "quote"}, None)
             for _ in range(1000)
         ]
     )
-    print(f"  classification: {spent:.2f} us a request")
+    print(f"  classification: {spent:.2f} us per request")
 
 
 def create_member(number: int) -> MemberUpdate:
-    """Return one member's update."""
+    """Return the membership update of a host."""
     return MemberUpdate(
         f"host-{number:03d}",
         f"10.0.{number // 256}.{number % 256}:8080",
@@ -131,9 +134,11 @@
 
 
 def print_membership() -> None:
-    """Print what membership costs."""
-    print("membership: hosts, KB of state, us to make and read one probe, bytes of a")
-    print("probe with full news, bytes of a quiet probe")
+    """Print the cost of membership."""
+    print(
+        "membership: hosts, KB of memory, us to encode and decode one probe, bytes of"
+    )
+    print("a probe with all updates, bytes of a probe with one update")
     for count in (9, 80, 320):
         members = [create_member(n) for n in range(count)]
 
@@ -146,7 +151,7 @@
         table = build()
         held = measure_kilobytes(build)
         full = Ping(1, "host-000", 7, 3.0, table.take_updates(), [])
-        quiet = Ping(1, "host-000", 7, 3.0, members[:1], [])
+        minimal = Ping(1, "host-000", 7, 3.0, members[:1], [])
         data = encode_message(full)
 
         def probe(message: Ping = full, body: bytes = data[4:]) -> None:
@@ -154,15 +159,15 @@
                 encode_message(message)
                 decode_message(body)
 
-        spent = time_ms(probe) * 1000.0 / 200
+        spent = measure_min_ms(probe) * 1000.0 / 200
         print(
             f"  {count:5d} {held:8.0f} {spent:8.1f} {len(data):8d} "
-            f"{len(encode_message(quiet)):8d}"
+            f"{len(encode_message(minimal)):8d}"
         )
 
 
 def create_rule(servers: int) -> ShardRule:
-    """Return a shard of a given size."""
+    """Return a shard configuration with the given number of servers."""
     classes = {
         f"class-{tier}": ClassRule(f"class-{tier}", tier, 460.0, None, 8000.0, 0.02)
         for tier in range(1, 8)
@@ -183,8 +188,8 @@
     )
 
 
-def run_permits(servers: int, requests: int) -> None:
-    """Pass requests of seven tiers through a shard that is nearly full."""
+def process_permits(servers: int, requests: int) -> None:
+    """Process requests of seven tiers in a shard that is nearly full."""
     shard = create_shard(create_rule(servers))
     generator = random.Random(1)
     now = 0.0
@@ -218,11 +223,11 @@
 
 
 def print_dispatcher() -> None:
-    """Print what dispatching costs."""
-    print("dispatcher: servers of a shard, us of decisions a request")
+    """Print the cost of dispatching."""
+    print("dispatcher: servers of a shard, us of decisions per request")
     requests = 4000
     for servers in (4, 8, 16):
-        spent = time_ms(lambda s=servers: run_permits(s, requests), 2)
+        spent = measure_min_ms(lambda s=servers: process_permits(s, requests), 2)
         print(f"  {servers:5d} {spent * 1000.0 / requests:8.1f}")
     request_id = f"host-000.{create_identifier()}"
     shard = "cobbler-assist/north-tw/0"
@@ -245,23 +250,23 @@
     ]
     sizes = [len(encode_message(m)) for m in messages]
 
-    def carry() -> None:
+    def encode_and_decode() -> None:
         for _ in range(100):
             for message in messages:
                 decode_message(encode_message(message)[4:])
 
-    spent = time_ms(carry) * 10.0
+    spent = measure_min_ms(encode_and_decode) * 10.0
     print(f"  bytes of the messages of one request: {sum(sizes)} {sizes}")
-    print(f"  encoding and decoding them: {spent:.1f} us a request")
+    print(f"  encoding and decoding them: {spent:.1f} us per request")
     permits = [HeldPermit(request_id, "server-1", "quote", 1, "w") for _ in range(100)]
     held = len(encode_message(HeldPermits("host-000", shard, permits)))
-    print(f"  bytes of a held permit in the regular report: {held / 100:.0f}")
+    print(f"  bytes of a held permit in the periodic report: {held / 100:.0f}")
 
 
 def print_claims() -> None:
-    """Print what keeping claims costs."""
-    print("claim writer: claims held, KB of state, us to fold one, bytes in the log of")
-    print("one claim with its outcome")
+    """Print the cost of storing claims."""
+    print("claim writer: claims, KB of memory, us to fold one claim, bytes in the log")
+    print("of one claim with its outcome")
     for count in (1000, 10_000, 50_000):
         operations = [
             ClaimOperation(
@@ -280,7 +285,7 @@
             return ledger
 
         held = measure_kilobytes(build)
-        spent = time_ms(build, 2) * 1000.0 / count
+        spent = measure_min_ms(build, 2) * 1000.0 / count
         outcome = ClaimOperation(
             OperationKind.OUTCOME,
             operations[0].key,
@@ -295,8 +300,8 @@
 
 
 def print_traces() -> None:
-    """Print what the traces of recent requests hold."""
-    print("explaining: traces kept, KB of state")
+    """Print the memory of the traces of recent requests."""
+    print("decision log: traces, KB of memory")
     clock = create_clock()
     for count in (500, 1000, 5000):
 
@@ -327,8 +332,8 @@
         print(f"  {count:6d} {measure_kilobytes(build):8.0f}")
 
 
-def print_slopes() -> None:
-    """Print every part."""
+def print_costs() -> None:
+    """Print the costs of all components."""
     print(f"python {sys.version.split()[0]}")
     print_configuration()
     print_membership()
@@ -338,4 +343,4 @@
 
 
 if __name__ == "__main__":
-    print_slopes()
+    print_costs()
--- a/benchmarks/experiment.py
+++ b/benchmarks/experiment.py
@@ -1,7 +1,7 @@
-"""Run a deployment's scenario under several policies and compare them.
+"""Compare scheduling policies on the scenario of a deployment.
 
 Run with ``python -m benchmarks.experiment [SCENARIO] [SECONDS]``. Each policy is
-published as the pool's discipline and balancer; every run has the same seed.
+published as the discipline and balancer of the pool; all runs use the same seed.
 """
 
 import asyncio
@@ -19,19 +19,19 @@
 from cornelnotch.load.scenario import Scenario, read_scenario
 from cornelnotch.logservice import HttpLogService
 
-SETTLE_S = 1.0
-RESULTS = Path("results")
+PROPAGATION_DELAY_S = 1.0
+RESULTS_FOLDER = Path("results")
 
 
 def load_scenario(name: str, seconds: float) -> Scenario:
-    """Return a shipped scenario, shortened."""
+    """Return a bundled scenario with the given duration."""
     scenario = read_scenario(Path(name)).unwrap()
     general = scenario.general.model_copy(update={"duration_s": seconds})
     return scenario.model_copy(update={"general": general})
 
 
 async def run_policy(policy: Policy, name: str, scenario: Scenario) -> RunResult:
-    """Run one policy on a fresh fleet."""
+    """Run a policy on a new fleet."""
     clock = create_clock()
     fleet = create_deployment(name, clock)
     try:
@@ -44,7 +44,7 @@
         change = Change(create_identifier(), 0, text, "experiment")
         log = HttpLogService(addresses.platform)
         await log.append(CONFIGURATION_STREAM, encode_record(change))
-        await asyncio.sleep(SETTLE_S)
+        await asyncio.sleep(PROPAGATION_DELAY_S)
         result = await Driver(scenario, addresses, clock).run(lambda line: None)
         result.name = policy.name
         return result
@@ -53,7 +53,7 @@
 
 
 def print_result(result: RunResult) -> None:
-    """Print one policy's line."""
+    """Print the results of one policy."""
     promises = judge_promises(result)
     attained = "  ".join(
         f"{row.class_name} {row.attainment:.3f}" for row in summarize_classes(result)
@@ -66,7 +66,7 @@
 
 
 def run_experiment(name: str, seconds: float) -> None:
-    """Run every policy and write the page."""
+    """Run all policies and write the report page."""
     set_up_logging(level="CRITICAL")
     scenario = load_scenario(name, seconds)
     results = []
@@ -74,8 +74,8 @@
         result = asyncio.run(run_policy(policy, name, scenario))
         print_result(result)
         results.append(result)
-    RESULTS.mkdir(exist_ok=True)
-    write_page(results, RESULTS / f"{name}.html")
+    RESULTS_FOLDER.mkdir(exist_ok=True)
+    write_page(results, RESULTS_FOLDER / f"{name}.html")
 
 
 if __name__ == "__main__":
--- a/benchmarks/forecast.py
+++ b/benchmarks/forecast.py
@@ -1,8 +1,9 @@
-"""Compare what hosts expected of engines with what callers saw, by route.
+"""Compare the latencies that hosts predicted with the observed ones, by route.
 
-Run with ``python -m benchmarks.forecast LOG``, where LOG holds the log lines of hosts
-as JSON, each maybe behind other words. A host notes with each turn how long the engine
-should read the prompt; the answer tells when it began and its longest pause.
+Run with ``python -m benchmarks.forecast LOG``, where LOG contains the JSON log lines of
+hosts, each with an optional prefix. A host logs the predicted prefill time when a
+request gets its turn, and the observed time to the first event and the longest pause
+when the request is answered.
 """
 
 import sys
@@ -23,7 +24,7 @@
 
 @dataclass(slots=True)
 class Forecast:
-    """Hold what one request was expected to take and what it took, in ms."""
+    """Predicted and observed latencies of a request, in ms."""
 
     route: str = ""
     turn_ms: float = 0.0
@@ -32,13 +33,13 @@
     first_ms: float = 0.0
     pause_ms: float = 0.0
 
-    def is_whole(self) -> bool:
-        """Tell whether the request got its turn and its answer."""
+    def is_complete(self) -> bool:
+        """Return whether the request has both a prediction and an observation."""
         return self.read_ms > 0 and self.first_ms > 0
 
 
 def read_events(path: Path) -> Iterator[dict[str, Any]]:
-    """Yield the log events of a file; lines that hold none are passed over."""
+    """Yield the log events of a file, skipping lines without one."""
     with path.open(encoding="utf-8", errors="replace") as lines:
         for line in lines:
             start = line.find('{"time_ms"')
@@ -47,15 +48,15 @@
             try:
                 yield orjson.loads(line[start:])
             except orjson.JSONDecodeError:
-                print(f"passed over: {line[:60]!r}", file=sys.stderr)
+                print(f"skipping malformed line: {line[:60]!r}", file=sys.stderr)
 
 
 def collect_forecasts(events: Iterable[dict[str, Any]]) -> list[Forecast]:
     """Return the forecasts of all requests that were answered after a turn."""
-    found: dict[str, Forecast] = defaultdict(Forecast)
+    forecasts: dict[str, Forecast] = defaultdict(Forecast)
     for event in events:
         fields = event["fields"]
-        forecast = found[fields.get("request_id", "")]
+        forecast = forecasts[fields.get("request_id", "")]
         if event["name"] == REQUEST_ROUTED:
             forecast.route = fields["route"]
         elif event["name"] == TURN_CAME and "read_ms" in fields:
@@ -65,29 +66,29 @@
         elif event["name"] == REQUEST_ANSWERED and "longest_gap_ms" in fields:
             forecast.first_ms = fields["first_ms"]
             forecast.pause_ms = fields["longest_gap_ms"]
-    return [forecast for forecast in found.values() if forecast.is_whole()]
+    return [forecast for forecast in forecasts.values() if forecast.is_complete()]
 
 
 def print_route(route: str, forecasts: list[Forecast]) -> None:
-    """Print how far the forecasts of one route were off."""
+    """Print the forecast errors of a route."""
     errors = [f.first_ms - f.turn_ms - f.read_ms for f in forecasts]
     pauses = [f.pause_ms for f in forecasts]
-    tenths = quantiles(errors, n=10)
+    deciles = quantiles(errors, n=10)
     print(
         f"{route:14} {len(forecasts):8} {median(f.read_ms for f in forecasts):9.0f}"
-        f" {median(errors):9.0f} {tenths[0]:9.0f} {tenths[-1]:9.0f}"
+        f" {median(errors):9.0f} {deciles[0]:9.0f} {deciles[-1]:9.0f}"
         f" {median(f.event_ms for f in forecasts):9.0f} {median(pauses):9.0f}"
     )
 
 
 def run_benchmark(path: Path) -> None:
-    """Print a table of forecasts and errors."""
+    """Print a table of forecasts and errors by route."""
     routes: dict[str, list[Forecast]] = defaultdict(list)
     for forecast in collect_forecasts(read_events(path)):
         routes[forecast.route].append(forecast)
     print(
-        "route          requests   reading     error  a tenth  nine tenths"
-        "    event  longest pause"
+        "route          requests   prefill     error error p10 error p90"
+        "     event  longest pause"
     )
     for route, forecasts in sorted(routes.items()):
         if len(forecasts) >= MIN_SAMPLES:
--- a/benchmarks/inforce.py
+++ b/benchmarks/inforce.py
@@ -1,4 +1,4 @@
-"""Print how long a change takes to be in force on nine hosts.
+"""Measure the time until a configuration change is in force on nine hosts.
 
 Run with ``python -m benchmarks.inforce``.
 """
@@ -14,11 +14,11 @@
 
 HOSTS = 9
 CHANGES = 20
-POLL_S = 0.005
+POLL_INTERVAL_S = 0.005
 
 
 async def measure(folder: Path) -> None:
-    """Publish changes and poll every host for each."""
+    """Publish changes and poll all hosts after each one."""
     fleet = ProcessFleet(folder)
     clock = create_clock()
     try:
@@ -35,17 +35,17 @@
             )
             durations.append(clock.read() - started)
         print(f"changes: {CHANGES}, hosts: {HOSTS}")
-        print(f"in force everywhere, median: {statistics.median(durations):.0f} ms")
-        print(f"in force everywhere, longest: {max(durations):.0f} ms")
+        print(f"in force on all hosts, median: {statistics.median(durations):.0f} ms")
+        print(f"in force on all hosts, longest: {max(durations):.0f} ms")
     finally:
         await fleet.stop()
 
 
 async def wait_version(fleet: ProcessFleet, host: HostProcess, offset: int) -> None:
-    """Poll one host until it has the version."""
+    """Poll a host until the version is in force."""
     status = await fleet.read_status(host)
     while status.get("version", -1) < offset:
-        await asyncio.sleep(POLL_S)
+        await asyncio.sleep(POLL_INTERVAL_S)
         status = await fleet.read_status(host)
 
 
--- a/benchmarks/keying.py
+++ b/benchmarks/keying.py
@@ -1,9 +1,9 @@
-"""Compare stages keyed alike with stages keyed apart.
+"""Compare co-partitioned request stages with independently partitioned ones.
 
-Run with ``python -m benchmarks.keying``. The idea of keying neighbouring stages
-by the same key, so that one instance serves them, is that of CBP (docs/design/
-keying.md cites it). Stages of a request: entry, limits and permit at the shard's
-dispatcher, and for a share of requests the claim at its stream's writer.
+Run with ``python -m benchmarks.keying``. Partitioning adjacent stages by the same key,
+so that one instance serves them, follows CBP (docs/design/keying.md cites it). The
+stages of a request are the entry, the limits and the permit at the dispatcher of the
+shard and, for a fraction of requests, the claim at the writer of its stream.
 """
 
 import random
@@ -25,12 +25,12 @@
 REQUESTS = 20_000
 SEED = 3
 CLAIM_SHARE = 0.1
-LARGE_SHARE = 0.5
+LARGE_WORKSPACE_SHARE = 0.5
 
 
 @dataclass(frozen=True, slots=True)
 class Fleet:
-    """Hold the sizes of one comparison."""
+    """Sizes of one comparison."""
 
     hosts: int
     shards: int
@@ -41,7 +41,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Placement:
-    """Name the hosts that serve one request."""
+    """Hosts that serve the stages of a request."""
 
     entry: str
     dispatcher: str
@@ -50,7 +50,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Comparison:
-    """Hold what one way of keying costs."""
+    """Costs of a partitioning, per request."""
 
     messages: float
     bytes: float
@@ -66,8 +66,8 @@
 )
 
 
-def list_message_bytes() -> tuple[int, int]:
-    """Return the bytes of a permit's messages and of a claim's."""
+def measure_message_bytes() -> tuple[int, int]:
+    """Return the bytes of the messages of a permit and of a claim."""
     request_id = f"host-000.{create_identifier()}"
     shard = "cobbler-assist/north-tw/0"
     permit = (
@@ -93,13 +93,17 @@
 
 
 def choose_workspace(generator: random.Random, fleet: Fleet) -> str:
-    """Return a workspace; a few large ones send half of the traffic."""
-    count = fleet.large if generator.random() < LARGE_SHARE else fleet.workspaces
+    """Return a random workspace; a few large ones send half of the traffic."""
+    count = (
+        fleet.large if generator.random() < LARGE_WORKSPACE_SHARE else fleet.workspaces
+    )
     return f"w{generator.randrange(count)}"
 
 
-def place_apart(fleet: Fleet, names: list[str], workspace: str, key: str) -> Placement:
-    """Key entry by workspace, permits by shard and claims by key."""
+def place_independently(
+    fleet: Fleet, names: list[str], workspace: str, key: str
+) -> Placement:
+    """Partition entry by workspace, permits by shard and claims by key."""
     shard = rank_owners(workspace, [f"s{n}" for n in range(fleet.shards)])[0]
     stream = hash_text(key) % fleet.streams
     return Placement(
@@ -109,24 +113,26 @@
     )
 
 
-def place_alike(fleet: Fleet, names: list[str], workspace: str, key: str) -> Placement:
-    """Key every stage by the workspace's shard."""
+def place_together(
+    fleet: Fleet, names: list[str], workspace: str, key: str
+) -> Placement:
+    """Partition all stages by the shard of the workspace."""
     shard = rank_owners(workspace, [f"s{n}" for n in range(fleet.shards)])[0]
     owner = select_owner(shard, names) or ""
     return Placement(owner, owner, owner)
 
 
-Place = Callable[[Fleet, list[str], str, str], Placement]
+PlaceFunction = Callable[[Fleet, list[str], str, str], Placement]
 
 
-def compare(fleet: Fleet, place: Place) -> Comparison:
-    """Return what one way of keying costs over seeded requests."""
+def compare(fleet: Fleet, place: PlaceFunction) -> Comparison:
+    """Return the mean costs of a partitioning over seeded requests."""
     generator = random.Random(SEED)
     names = [f"host-{n:03d}" for n in range(fleet.hosts)]
-    fewer = names[:-1]
-    permit_bytes, claim_bytes = list_message_bytes()
-    known: dict[str, Placement] = {}
-    after: dict[str, Placement] = {}
+    remaining_names = names[:-1]
+    permit_bytes, claim_bytes = measure_message_bytes()
+    placements: dict[str, Placement] = {}
+    placements_after_leave: dict[str, Placement] = {}
     messages = 0
     size = 0
     moved = 0
@@ -134,10 +140,10 @@
     for number in range(REQUESTS):
         workspace = choose_workspace(generator, fleet)
         key = f"{workspace}/{number % 64}"
-        if key not in known:
-            known[key] = place(fleet, names, workspace, key)
-            after[key] = place(fleet, fewer, workspace, key)
-        placement = known[key]
+        if key not in placements:
+            placements[key] = place(fleet, names, workspace, key)
+            placements_after_leave[key] = place(fleet, remaining_names, workspace, key)
+        placement = placements[key]
         load[placement.entry] += 1
         if placement.dispatcher != placement.entry:
             messages += 4
@@ -146,7 +152,7 @@
         if claimed and placement.writer != placement.entry:
             messages += 4
             size += claim_bytes
-        moved += placement != after[key]
+        moved += placement != placements_after_leave[key]
     return Comparison(
         messages / REQUESTS,
         size / REQUESTS,
@@ -156,11 +162,11 @@
 
 
 def print_comparison() -> None:
-    """Print both ways for every size."""
-    print("hosts shards | keyed   | messages bytes per request | busiest entry host,")
-    print("times the mean | requests whose placement changes when one host goes")
+    """Print both partitionings for each fleet size."""
+    print("hosts shards | keyed   | messages bytes per request | load of the busiest")
+    print("entry host over the mean | share of requests moved when one host leaves")
     for fleet in FLEETS:
-        for name, place in (("apart", place_apart), ("alike", place_alike)):
+        for name, place in (("apart", place_independently), ("alike", place_together)):
             row = compare(fleet, place)
             print(
                 f"{fleet.hosts:5d} {fleet.shards:6d} | {name:7} | {row.messages:5.2f} "
--- a/benchmarks/overhead.py
+++ b/benchmarks/overhead.py
@@ -1,4 +1,4 @@
-"""Print one node's peak rate and the latency it adds over a direct call.
+"""Measure the peak rate of a node and its latency overhead over a direct call.
 
 Run with ``python -m benchmarks.overhead``.
 """
@@ -33,24 +33,24 @@
 
 @dataclass(slots=True)
 class Sample:
-    """Hold latencies in ms and the time that all requests took together."""
+    """Latencies and total duration of a run, in ms."""
 
     latencies: list[float]
     elapsed_ms: float
 
     def find_percentile(self, share: float) -> float:
-        """Return the latency that `share` of the requests stay under."""
+        """Return the latency at the quantile `share`."""
         ordered = sorted(self.latencies)
         return ordered[min(int(len(ordered) * share), len(ordered) - 1)]
 
     @property
     def rate(self) -> float:
-        """Return requests per second."""
+        """Return the rate in requests per second."""
         return len(self.latencies) / self.elapsed_ms * 1000.0
 
 
 def create_body(tokens: int, stream: bool) -> bytes:
-    """Return a chat body."""
+    """Return the body of a chat request."""
     return orjson.dumps(
         {
             "messages": [{"role": "user", "content": "bench"}],
@@ -61,39 +61,39 @@
 
 
 async def send(client: HttpClient, address: str, body: bytes) -> int:
-    """Send one chat and return the size of its answer."""
+    """Send a chat request and return the size of the response."""
     answer = await client.request(address, "POST", TARGET, HEADERS, body)
     content = await answer.read()
     if answer.status != 200:
-        raise RuntimeError(f"status {answer.status}: {content!r}")
+        raise RuntimeError(f"unexpected status {answer.status}: {content!r}")
     return len(content)
 
 
-async def run_closed(
+async def run_closed_loop(
     client: HttpClient, address: str, body: bytes, count: int, workers: int
 ) -> Sample:
-    """Send `count` requests with `workers` at a time."""
+    """Send `count` requests with `workers` concurrent clients (closed loop)."""
     clock = create_clock()
     latencies: list[float] = []
 
-    async def work(share: int) -> None:
+    async def send_requests(share: int) -> None:
         for _ in range(share):
             started = clock.read()
             await send(client, address, body)
             latencies.append(clock.read() - started)
 
     started = clock.read()
-    await asyncio.gather(*(work(count // workers) for _ in range(workers)))
+    await asyncio.gather(*(send_requests(count // workers) for _ in range(workers)))
     return Sample(latencies, clock.read() - started)
 
 
-async def run_open(
+async def run_open_loop(
     client: HttpClient, address: str, body: bytes, count: int, rate: float, clock: Clock
 ) -> Sample:
-    """Send `count` requests at a fixed rate per second."""
+    """Send `count` requests at a fixed rate per second (open loop)."""
     latencies: list[float] = []
 
-    async def work(due_ms: float) -> None:
+    async def send_requests(due_ms: float) -> None:
         await clock.sleep(due_ms - clock.read())
         started = clock.read()
         await send(client, address, body)
@@ -101,18 +101,18 @@
 
     begin = clock.read()
     interval = 1000.0 / rate
-    await asyncio.gather(*(work(begin + i * interval) for i in range(count)))
+    await asyncio.gather(*(send_requests(begin + i * interval) for i in range(count)))
     return Sample(latencies, clock.read() - begin)
 
 
 def read_processor_ms(process_id: int) -> float:
-    """Return the processor time of a process so far."""
+    """Return the processor time that a process has used, in ms."""
     fields = Path(f"/proc/{process_id}/stat").read_text().rsplit(")", 1)[1].split()
     return (int(fields[11]) + int(fields[12])) * 10.0
 
 
 async def start_fleet(folder: Path) -> tuple[ProcessFleet, str, str, int]:
-    """Start one host before one fast engine."""
+    """Start one host with one fast engine."""
     fleet = ProcessFleet(folder)
     fleet.settings = "[logging]\nlevel = WARNING\n"
     await fleet.start_platform()
@@ -127,31 +127,36 @@
 
 
 async def measure(folder: Path) -> None:
-    """Measure and print."""
+    """Measure peak rate, latency and streaming, and print the results."""
     fleet, routed, direct, process_id = await start_fleet(folder)
     client = HttpClient()
     clock = create_clock()
     try:
         short = create_body(SHORT_TOKENS, False)
-        await run_closed(client, routed, short, WARM_UP_REQUESTS, PEAK_WORKERS)
+        await run_closed_loop(client, routed, short, WARM_UP_REQUESTS, PEAK_WORKERS)
         before = read_processor_ms(process_id)
-        peak = await run_closed(client, routed, short, PEAK_REQUESTS, PEAK_WORKERS)
+        peak = await run_closed_loop(client, routed, short, PEAK_REQUESTS, PEAK_WORKERS)
         spent = read_processor_ms(process_id) - before
-        print(f"peak of one node, whole short requests: {peak.rate:.0f}/s")
+        print(f"peak rate of one node, short non-streaming requests: {peak.rate:.0f}/s")
         print(f"processor time of the node: {spent / PEAK_REQUESTS:.2f} ms/request")
         rate = peak.rate / 2
-        alone = await run_open(client, direct, short, LATENCY_REQUESTS, rate, clock)
-        added = await run_open(client, routed, short, LATENCY_REQUESTS, rate, clock)
+        direct_sample = await run_open_loop(
+            client, direct, short, LATENCY_REQUESTS, rate, clock
+        )
+        routed_sample = await run_open_loop(
+            client, routed, short, LATENCY_REQUESTS, rate, clock
+        )
         for name, share in (("p50", 0.5), ("p99", 0.99)):
-            near = alone.find_percentile(share)
-            far = added.find_percentile(share)
+            direct_ms = direct_sample.find_percentile(share)
+            routed_ms = routed_sample.find_percentile(share)
             print(
-                f"{name} at {rate:.0f}/s: direct {near:.2f} ms, routed {far:.2f} ms, "
-                f"added {far - near:.2f} ms, ratio {far / near:.2f}"
+                f"{name} at {rate:.0f}/s: direct {direct_ms:.2f} ms, "
+                f"routed {routed_ms:.2f} ms, added {routed_ms - direct_ms:.2f} ms, "
+                f"ratio {routed_ms / direct_ms:.2f}"
             )
         long = create_body(LONG_TOKENS, True)
         before = read_processor_ms(process_id)
-        streams = await run_closed(
+        streams = await run_closed_loop(
             client, routed, long, STREAM_WORKERS * 3, STREAM_WORKERS
         )
         spent = read_processor_ms(process_id) - before
--- a/benchmarks/policies.py
+++ b/benchmarks/policies.py
@@ -1,4 +1,4 @@
-"""Name the policies that benchmarks compare."""
+"""Scheduling policies that the benchmarks compare."""
 
 from dataclasses import dataclass
 
@@ -7,7 +7,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Policy:
-    """Name a discipline and a balancer."""
+    """Combination of a queue discipline and a balancer."""
 
     name: str
     discipline: str
--- a/benchmarks/turns.py
+++ b/benchmarks/turns.py
@@ -1,8 +1,8 @@
-"""Compare who is served in time with and without turns, over the load of prompts.
+"""Compare the share of requests served in time with and without turns.
 
 Run with ``python -m benchmarks.turns [PLOT]``. Chats and long prompts with shared
-parts reach ten engines in virtual time; the same requests meet each policy. A plot
-of the share in time is written to PLOT, a file that ends with ``.svg``.
+prefixes are sent to ten engines in virtual time, the same requests for each policy. A
+chart of the share in time over the load is written to PLOT, an ``.svg`` file.
 """
 
 import random
@@ -24,9 +24,9 @@
 ENGINES = 10
 SECONDS = 12.0
 SEED = 7
-THINGS = 220
+SHARED_PREFIXES = 220
 CHATS_PER_S = 12.0
-# Long prompts a second; ten engines read about 22 cold ones a second.
+# Long prompts per second; ten engines prefill about 22 uncached ones per second.
 LOADS = (8.0, 14.0, 20.0, 26.0, 32.0, 38.0)
 CHAT_TARGET_MS = 1500.0
 CHAT_GAP_MS = 150.0
@@ -36,7 +36,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TurnPolicy:
-    """Name whether prompts wait for turns and engines are kept for chats."""
+    """Whether prompts wait for turns and whether engines are reserved for chats."""
 
     name: str
     turns: bool
@@ -44,15 +44,15 @@
 
 
 POLICIES = (
-    TurnPolicy("sent at once", False, False),
-    TurnPolicy("sent at once, engines kept", False, True),
+    TurnPolicy("sent immediately", False, False),
+    TurnPolicy("sent immediately, engines reserved", False, True),
     TurnPolicy("turns", True, False),
-    TurnPolicy("turns, engines kept", True, True),
+    TurnPolicy("turns, engines reserved", True, True),
 )
 
 
 def create_load(prompts_per_s: float) -> list[PlacedRequest]:
-    """Return chats beside long prompts, the same for each policy."""
+    """Return a seeded mix of chats and long prompts."""
     generator = random.Random(SEED)
     requests: list[PlacedRequest] = []
     for tight, rate in ((True, CHATS_PER_S), (False, prompts_per_s)):
@@ -70,36 +70,36 @@
         return PlacedRequest(
             f"chat {number}", at_ms, True, "greeting", 350, 1110, 170, 0
         )
-    thing = f"thing {generator.randrange(THINGS)}"
+    prefix = f"thing {generator.randrange(SHARED_PREFIXES)}"
     own = min(int(generator.lognormvariate(7.7, 1.1)), 53_200)
-    return PlacedRequest(f"long {number}", at_ms, False, thing, 13_300, own, 120, 2)
+    return PlacedRequest(f"long {number}", at_ms, False, prefix, 13_300, own, 120, 2)
 
 
-def measure_in_time(outcomes: list[Outcome], tight: bool) -> float:
-    """Return the share of a kind that began in time and kept its pauses."""
+def compute_share_in_time(outcomes: list[Outcome], tight: bool) -> float:
+    """Return the share of a kind that met its first-token and gap targets."""
     target = CHAT_TARGET_MS if tight else LONG_TARGET_MS
     gap = CHAT_GAP_MS if tight else LONG_GAP_MS
     kind = [o for o in outcomes if o.request.tight is tight]
-    good = [o for o in kind if o.first_ms <= target and o.longest_gap_ms <= gap]
-    return len(good) / len(kind)
+    in_time = [o for o in kind if o.first_ms <= target and o.longest_gap_ms <= gap]
+    return len(in_time) / len(kind)
 
 
-def play_policy(policy: TurnPolicy, prompts_per_s: float) -> list[Outcome]:
-    """Play one load under one policy."""
+def simulate_policy(policy: TurnPolicy, prompts_per_s: float) -> list[Outcome]:
+    """Simulate a load under a policy."""
     engines = create_engines(ENGINES, policy.turns)
     requests = create_load(prompts_per_s)
     return play_requests(requests, engines, Placer("a", {}), policy.reserve)
 
 
-def draw_plot(rows: dict[str, list[float]], path: Path) -> None:
-    """Write the share in time over the load, a line for each kind and policy."""
+def write_chart(rows: dict[str, list[float]], path: Path) -> None:
+    """Write a chart of the share in time over the load by kind and policy."""
     chart = pygal.Line(
-        title="In time, over long prompts a second at ten engines",
+        title="Share in time by long prompts per second, ten engines",
         style=CleanStyle,
         range=(0, 1),
         legend_at_bottom=True,
         legend_at_bottom_columns=2,
-        x_title="long prompts a second",
+        x_title="long prompts per second",
         js=[],
     )
     chart.x_labels = [f"{load:g}" for load in LOADS]
@@ -109,19 +109,19 @@
 
 
 def run_benchmark(plot: Path | None) -> None:
-    """Print a table and draw the plot."""
+    """Print the results as a table and write the chart."""
     rows: dict[str, list[float]] = {}
     for policy in POLICIES:
         for load in LOADS:
-            outcomes = play_policy(policy, load)
+            outcomes = simulate_policy(policy, load)
             for kind, tight in (("chats", True), ("long prompts", False)):
-                share = measure_in_time(outcomes, tight)
+                share = compute_share_in_time(outcomes, tight)
                 rows.setdefault(f"{kind}: {policy.name}", []).append(share)
-    print("long prompts a second".ljust(44), *(f"{load:6g}" for load in LOADS))
+    print("long prompts per second".ljust(44), *(f"{load:6g}" for load in LOADS))
     for name, values in sorted(rows.items()):
         print(name.ljust(44), *(f"{value:6.3f}" for value in values))
     if plot is not None:
-        draw_plot(rows, plot)
+        write_chart(rows, plot)
 
 
 if __name__ == "__main__":
--- a/cornelnotch/testing/__init__.py
+++ b/cornelnotch/testing/__init__.py
@@ -1,1 +1,1 @@
-"""Start fleets of real processes for tests and benchmarks."""
+"""Process fleets, fault injection and simulations for tests and benchmarks."""
--- a/cornelnotch/testing/enginemodel.py
+++ b/cornelnotch/testing/enginemodel.py
@@ -1,8 +1,8 @@
-"""Play requests against engines in virtual time, to judge where they are placed.
+"""Simulate requests on engines in virtual time, to evaluate request placement.
 
-An engine makes a step after another. A step reads up to one chunk of the prompts
-that were admitted first and makes a token for each running stream, so every stream
-pauses for the chunk that is read beside it.
+An engine runs one step after another. A step prefills up to one chunk of the prompts
+that were admitted first and generates a token for each decoding stream, so every
+stream is delayed by the chunk that is prefilled in the same step.
 """
 
 from collections import OrderedDict
@@ -24,14 +24,18 @@
 
 __all__ = ["EngineModel", "EngineShape", "Outcome", "PlacedRequest", "play_requests"]
 
-DOMAIN = "a"
-# Hosts tell how far a stream came this often.
-TELL_MS = 1500.0
+FAILURE_DOMAIN = "a"
+# Interval at which hosts report the progress of a stream.
+REPORT_INTERVAL_MS = 1500.0
 
 
 @dataclass(frozen=True, slots=True)
 class EngineShape:
-    """Say what an engine can do; each token that is read attends to all before it."""
+    """Performance parameters of an engine.
+
+    `pair_ms` is the attention cost for each pair of a prefilled token and a token
+    before it.
+    """
 
     step_ms: float = 6.55
     step_per_stream_ms: float = 0.165
@@ -45,7 +49,7 @@
 
 @dataclass(slots=True)
 class PlacedRequest:
-    """Hold one request of a load; `shared` names the shared part of its prompt."""
+    """Request of a workload; `shared` names the shared prefix of its prompt."""
 
     name: str
     at_ms: float
@@ -61,7 +65,7 @@
 
 @dataclass(slots=True)
 class Outcome:
-    """Hold what the caller of a request saw, in ms."""
+    """Latencies that the caller of a request observed, in ms."""
 
     request: PlacedRequest
     first_ms: float = 0.0
@@ -69,115 +73,118 @@
 
 
 @dataclass(slots=True)
-class Run:
-    """Hold a request at an engine."""
+class EngineRequest:
+    """Request that an engine runs or that waits for admission."""
 
     outcome: Outcome
     flight: Flight
-    unread: int
-    left: int
-    prompt: int = 0
-    unsent: int = 0
-    heard_ms: float = 0.0
-    told_ms: float = 0.0
+    unread_tokens: int
+    remaining_tokens: int
+    prompt_tokens: int = 0
+    buffered_tokens: int = 0
+    last_event_ms: float = 0.0
+    last_report_ms: float = 0.0
 
 
 @dataclass(slots=True)
 class EngineModel:
-    """Hold one engine: what it runs, caches and has read again."""
+    """Simulated engine with its running requests, prefix cache and prefill count."""
 
     view: ServerView
     turns: TurnQueue | None = None
     shape: EngineShape = EngineShape()
-    runs: list[Run] = field(default_factory=list)
+    runs: list[EngineRequest] = field(default_factory=list)
     cache: OrderedDict[str, int] = field(default_factory=OrderedDict)
-    waiting: dict[str, Run] = field(default_factory=dict)
+    waiting: dict[str, EngineRequest] = field(default_factory=dict)
     free_ms: float = 0.0
     read_tokens: int = 0
 
-    def take(self, run: Run, now: float) -> None:
-        """Take a request in when its turn comes, or at once without turns."""
+    def submit(self, run: EngineRequest, now: float) -> None:
+        """Queue a request for its turn, or admit it immediately without turns."""
         if self.turns is None:
             self.admit(run)
             return
         request = run.outcome.request
         self.waiting[request.name] = run
         self.turns.ask(_create_ticket(request, now))
-        self.grant(now)
+        self.admit_granted(now)
 
-    def grant(self, now: float) -> None:
-        """Take in the requests whose turn it is."""
+    def admit_granted(self, now: float) -> None:
+        """Admit the requests whose turn has come."""
         if self.turns is not None:
             for ticket in self.turns.grant(now):
                 self.admit(self.waiting.pop(ticket.request_id))
 
-    def admit(self, run: Run) -> None:
-        """Take a request in; cached parts need not be read."""
+    def admit(self, run: EngineRequest) -> None:
+        """Admit a request; cached prompt parts are not prefilled again."""
         request = run.outcome.request
         run.flight.sent = True
-        run.unread = request.own_tokens
-        run.prompt = request.own_tokens + request.shared_tokens
+        run.unread_tokens = request.own_tokens
+        run.prompt_tokens = request.own_tokens + request.shared_tokens
         if request.shared in self.cache:
             self.cache.move_to_end(request.shared)
         else:
-            run.unread += request.shared_tokens
+            run.unread_tokens += request.shared_tokens
             self.cache[request.shared] = request.shared_tokens
         while sum(self.cache.values()) > self.shape.cache_tokens:
             self.cache.popitem(last=False)
-        run.flight.prefill_tokens = run.unread
-        self.read_tokens += run.unread
+        run.flight.prefill_tokens = run.unread_tokens
+        self.read_tokens += run.unread_tokens
         self.runs.append(run)
 
     def step(self) -> None:
-        """Make one step and note what callers get."""
+        """Run one step and record the tokens that callers receive."""
         chunk = self.shape.chunk_tokens
-        read = 0
-        attended = 0
-        making = []
+        prefilled = 0
+        attention_pairs = 0
+        decoding = []
         for run in self.runs:
-            part = min(run.unread, chunk - read)
-            run.unread -= part
-            read += part
-            attended += part * (run.prompt - run.unread)
-            if run.unread == 0:
-                making.append(run)
+            part = min(run.unread_tokens, chunk - prefilled)
+            run.unread_tokens -= part
+            prefilled += part
+            attention_pairs += part * (run.prompt_tokens - run.unread_tokens)
+            if run.unread_tokens == 0:
+                decoding.append(run)
         shape = self.shape
-        duration = shape.step_ms + shape.step_per_stream_ms * len(making)
-        duration += read / shape.tokens_per_ms + attended * shape.pair_ms
+        duration = shape.step_ms + shape.step_per_stream_ms * len(decoding)
+        duration += prefilled / shape.tokens_per_ms + attention_pairs * shape.pair_ms
         self.free_ms += duration
-        for run in making:
-            self._make_token(run)
+        for run in decoding:
+            self._generate_token(run)
 
-    def _make_token(self, run: Run) -> None:
-        run.left -= 1
-        run.unsent += 1
-        if run.unsent < self.shape.event_tokens and run.left > 0:
+    def _generate_token(self, run: EngineRequest) -> None:
+        run.remaining_tokens -= 1
+        run.buffered_tokens += 1
+        if run.buffered_tokens < self.shape.event_tokens and run.remaining_tokens > 0:
             return
-        run.unsent = 0
+        run.buffered_tokens = 0
         outcome = run.outcome
-        if not run.heard_ms:
+        if not run.last_event_ms:
             if self.turns is not None:
                 self.turns.begin(outcome.request.name, self.free_ms)
-            run.told_ms = self.free_ms
+            run.last_report_ms = self.free_ms
             outcome.first_ms = self.free_ms - outcome.request.at_ms
         else:
-            gap = self.free_ms - run.heard_ms
+            gap = self.free_ms - run.last_event_ms
             outcome.longest_gap_ms = max(outcome.longest_gap_ms, gap)
-        run.heard_ms = self.free_ms
+        run.last_event_ms = self.free_ms
         self.view.hear(run.flight, self.free_ms)
         run.flight.count_events(1, self.free_ms)
-        if run.left <= 0 or self.free_ms - run.told_ms >= TELL_MS:
-            self._tell(run)
-        if run.left <= 0:
+        if (
+            run.remaining_tokens <= 0
+            or self.free_ms - run.last_report_ms >= REPORT_INTERVAL_MS
+        ):
+            self._report_progress(run)
+        if run.remaining_tokens <= 0:
             self.view.finish(run.flight)
-            self.view.remember([_create_shared(outcome.request)], self.free_ms)
+            self.view.remember([_create_shared_part(outcome.request)], self.free_ms)
             self.runs.remove(run)
             if self.turns is not None:
                 self.turns.end(outcome.request.name)
 
-    def _tell(self, run: Run) -> None:
-        """Tell the queue how far a stream came."""
-        run.told_ms = self.free_ms
+    def _report_progress(self, run: EngineRequest) -> None:
+        """Report the progress of a stream to the turn queue."""
+        run.last_report_ms = self.free_ms
         progress = run.flight.take_progress()
         if self.turns is not None and progress is not None:
             name = run.outcome.request.name
@@ -185,7 +192,7 @@
 
 
 def _create_ticket(request: PlacedRequest, now: float) -> Ticket:
-    parts = (_create_shared(request),)
+    parts = (_create_shared_part(request),)
     return Ticket(
         request.name,
         "host",
@@ -199,7 +206,7 @@
     )
 
 
-def _create_shared(request: PlacedRequest) -> PromptPart:
+def _create_shared_part(request: PlacedRequest) -> PromptPart:
     return PromptPart(request.shared, request.shared_tokens)
 
 
@@ -212,7 +219,7 @@
         "",
         "/",
         [],
-        prompt=(_create_shared(request), own),
+        prompt=(_create_shared_part(request), own),
         prompt_tokens=request.shared_tokens + request.own_tokens,
     )
 
@@ -225,7 +232,9 @@
     engines = []
     for number in range(count):
         name = f"engine-{number}"
-        record = ServerRecord(name, "llm", f"10.0.0.{number}:80", DOMAIN, shape.slots)
+        record = ServerRecord(
+            name, "llm", f"10.0.0.{number}:80", FAILURE_DOMAIN, shape.slots
+        )
         estimate = EngineEstimate(name)
         queue = TurnQueue(shape.slots, shape.cache_tokens, estimate) if turns else None
         engines.append(EngineModel(ServerView(record), queue, shape))
@@ -238,7 +247,7 @@
     placer: Placer,
     reserve: bool = True,
 ) -> list[Outcome]:
-    """Place the requests in order of arrival and return what callers saw."""
+    """Simulate requests in order of arrival and return the observed latencies."""
     share = (ServiceShare("llm", 1.0),)
     route = Route("r", "", "/", WorkKind.STREAM, 1e9, 1e9, 1, 1, share)
     models = {engine.view.record.name: engine for engine in engines}
@@ -262,8 +271,8 @@
         placed.server.start(flight)
         outcome = Outcome(request)
         outcomes.append(outcome)
-        run = Run(outcome, flight, 0, request.answer_tokens)
-        models[placed.server.record.name].take(run, request.at_ms)
+        run = EngineRequest(outcome, flight, 0, request.answer_tokens)
+        models[placed.server.record.name].submit(run, request.at_ms)
     _advance(engines, float("inf"))
     return outcomes
 
@@ -278,6 +287,6 @@
     for engine in engines:
         while engine.runs and engine.free_ms < until_ms:
             engine.step()
-            engine.grant(engine.free_ms)
+            engine.admit_granted(engine.free_ms)
         if until_ms != float("inf"):
             engine.free_ms = max(engine.free_ms, until_ms)
--- a/cornelnotch/testing/processes.py
+++ b/cornelnotch/testing/processes.py
@@ -1,4 +1,4 @@
-"""Start hosts and stand-ins as separate processes on loopback."""
+"""Run hosts and stand-in servers as separate processes on the loopback interface."""
 
 import asyncio
 import os
@@ -21,11 +21,11 @@
 
 __all__ = ["HostProcess", "ProcessFleet", "find_free_port"]
 
-START_LIMIT_S = 15.0
-POLL_S = 0.03
+START_TIMEOUT_S = 15.0
+POLL_INTERVAL_S = 0.03
 ADDRESS = "127.0.0.1"
-# Below the ports that systems give to outgoing connections, which would take one
-# between its choice and the start of the process that is to listen there.
+# Below the ephemeral port range: an outgoing connection could otherwise take a port
+# between its selection and the start of the process that listens on it.
 FIRST_PORT = 10_000
 LAST_PORT = 32_000
 
@@ -33,7 +33,7 @@
 
 
 def find_free_port() -> int:
-    """Return a port that was free a moment ago and that no connection will take."""
+    """Return a port that was free when probed, outside the ephemeral port range."""
     while True:
         port = _generator.randrange(FIRST_PORT, LAST_PORT)
         with socket.socket() as probe, suppress(OSError):
@@ -43,7 +43,7 @@
 
 @dataclass(slots=True)
 class HostProcess:
-    """Hold one running program and its addresses."""
+    """Running process and its addresses."""
 
     name: str
     process: asyncio.subprocess.Process
@@ -55,7 +55,7 @@
 
 @dataclass(slots=True)
 class ProcessFleet:
-    """Own every process of one test; ends only what it started."""
+    """Processes of one test; stops only processes that it started."""
 
     folder: Path
     platform: HostProcess | None = None
@@ -82,7 +82,7 @@
         return HostProcess(name, process, http, log=path)
 
     async def start_platform(self, *options: str) -> HostProcess:
-        """Start the platform stand-in."""
+        """Start a stand-in for the platform."""
         http = f"{ADDRESS}:{find_free_port()}"
         self.platform = await self._start(
             "platform", http, "standin", "platform", "--address", http, *options
@@ -92,18 +92,18 @@
         return self.platform
 
     async def start_engine(self, name: str, *options: str) -> HostProcess:
-        """Start an engine stand-in."""
+        """Start a stand-in for an engine."""
         return await self._start_server("engine", name, options)
 
     async def start_service(self, name: str, *options: str) -> HostProcess:
-        """Start a service stand-in."""
+        """Start a stand-in for a service."""
         return await self._start_server("service", name, options)
 
     async def _start_server(
         self, kind: str, name: str, options: tuple[str, ...]
     ) -> HostProcess:
-        known = self.servers.get(name)
-        http = known.http if known else f"{ADDRESS}:{find_free_port()}"
+        existing = self.servers.get(name)
+        http = existing.http if existing else f"{ADDRESS}:{find_free_port()}"
         server = await self._start(
             name, http, "standin", kind, "--name", name, "--address", http, *options
         )
@@ -119,21 +119,21 @@
         advertised: str = "",
         peer: str = "",
     ) -> HostProcess:
-        """Start a node and list it in the platform's host list."""
+        """Start a node and register it in the platform's host list."""
         http = f"{ADDRESS}:{find_free_port()}"
         peer = peer or f"{ADDRESS}:{find_free_port()}"
-        shown = advertised or peer
+        advertised_address = advertised or peer
         seeds = ", ".join(h.peer for h in self.hosts.values() if h.peer)
         path = self.folder / f"{name}.ini"
         path.write_text(
             f"[node]\nname = {name}\nplace = {place}\nhttp = {http}\npeer = {peer}\n"
-            f"peer_advertised = {shown}\n"
+            f"peer_advertised = {advertised_address}\n"
             f"[platform]\nlog = {log or self.log_address}\n"
             f"hosts = {log or self.log_address}\n"
             f"{self.settings}[membership]\nseeds = {seeds}\n{self.membership}"
         )
         host = await self._start(name, http, "node", str(path))
-        host.peer = shown
+        host.peer = advertised_address
         host.place = place
         self.hosts[name] = host
         await self.list_host(host, "live")
@@ -141,7 +141,7 @@
         return host
 
     async def list_host(self, host: HostProcess, state: str) -> None:
-        """Tell the platform's host list of a router host."""
+        """Set the state of a router host in the platform's host list."""
         entry = {
             "name": host.name,
             "role": "router",
@@ -154,17 +154,17 @@
         try:
             await self.client.request_json(self.platform.http, "POST", "/hosts", entry)
         except UpstreamError:
-            # During an outage the platform learns of the host later.
+            # The platform may be unavailable; the test registers the host later.
             return
 
     async def list_server(self, name: str, state: str) -> None:
-        """Tell the platform's host list of an upstream server."""
+        """Set the state of an upstream server in the platform's host list."""
         entry = {"name": name, "role": "server", "state": state}
         assert self.platform is not None
         await self.client.request_json(self.platform.http, "POST", "/hosts", entry)
 
     async def set_faults(self, address: str, **faults: object) -> None:
-        """Change how a stand-in misbehaves."""
+        """Configure the faults that a stand-in injects."""
         await self.client.request_json(address, "POST", "/faults", faults)
 
     async def publish(self, text: str, base: int = 1_000_000) -> int:
@@ -183,8 +183,8 @@
         return int(content["offset"])
 
     async def wait_answer(self, address: str, target: str) -> object:
-        """Wait until an address answers 200 and return the answer."""
-        async with asyncio.timeout(START_LIMIT_S):
+        """Poll an address until it responds with status 200 and return the content."""
+        async with asyncio.timeout(START_TIMEOUT_S):
             while True:
                 try:
                     status, content = await self.client.request_json(
@@ -194,15 +194,15 @@
                         return content
                 except UpstreamError:
                     pass
-                await asyncio.sleep(POLL_S)
+                await asyncio.sleep(POLL_INTERVAL_S)
 
     async def wait_ready(self, version: int = 0, members: int | None = None) -> None:
-        """Wait until every host has `version` in force and sees every other."""
+        """Wait until every host has applied `version` and sees all members alive."""
         count = len(self.hosts) if members is None else members
-        async with asyncio.timeout(START_LIMIT_S):
+        async with asyncio.timeout(START_TIMEOUT_S):
             for host in list(self.hosts.values()):
                 while not await self._is_ready(host, version, count):  # noqa: ASYNC110
-                    await asyncio.sleep(POLL_S)
+                    await asyncio.sleep(POLL_INTERVAL_S)
 
     async def _is_ready(self, host: HostProcess, version: int, count: int) -> bool:
         status = await self.read_status(host)
@@ -215,7 +215,7 @@
         )
 
     async def read_status(self, host: HostProcess) -> dict:
-        """Return a host's status, or nothing when it does not answer."""
+        """Return a host's status, or an empty dict if it does not respond."""
         try:
             _, content = await self.client.request_json(
                 host.http, "GET", "/status", timeout_ms=1000
@@ -225,14 +225,14 @@
         return content if isinstance(content, dict) else {}
 
     async def read_ledger(self, name: str) -> dict[str, int]:
-        """Return how often a service ran each booking."""
+        """Return how many times a service executed each booking."""
         server = self.servers[name]
         _, content = await self.client.request_json(server.http, "GET", "/ledger")
         assert isinstance(content, dict)
         return content
 
     async def explain(self, request_id: str) -> dict:
-        """Return the decisions on a request from the host that its id names."""
+        """Return the decision trace of a request from the host named in its id."""
         host = self.hosts[request_id.partition(".")[0]]
         _, content = await self.client.request_json(
             host.http, "GET", f"/v1/explain/{request_id}"
@@ -241,7 +241,7 @@
         return content
 
     def create_caller(self, workspace: str = "heelmark", **options: object) -> Caller:
-        """Return a caller that knows every host as a seed."""
+        """Return a caller with all hosts as seeds."""
         seeds = [host.http for host in self.hosts.values()]
         settings = CallerOptions(workspace, **options)  # type: ignore[arg-type]
         caller = Caller(seeds, settings, create_clock())
@@ -249,26 +249,26 @@
         return caller
 
     def send_signal(self, host: HostProcess, number: signal.Signals) -> None:
-        """Send a signal to a process of this fleet."""
+        """Send a signal to a process unless it has exited."""
         if host.process.returncode is None:
             host.process.send_signal(number)
 
     async def stop(self) -> None:
-        """End every process that this fleet started."""
+        """Stop all processes that this fleet started."""
         for caller in self.callers:
             caller.close()
-        everything = [*self.hosts.values(), *self.servers.values()]
+        processes = [*self.hosts.values(), *self.servers.values()]
         if self.platform is not None:
-            everything.append(self.platform)
-        for host in everything:
+            processes.append(self.platform)
+        for host in processes:
             if host.process.returncode is None:
                 host.process.send_signal(signal.SIGCONT)
                 host.process.kill()
-        for host in everything:
+        for host in processes:
             await host.process.wait()
         self.client.close()
 
 
 def dump_json(content: object) -> str:
-    """Return indented JSON for reports."""
+    """Return indented JSON."""
     return orjson.dumps(content, option=orjson.OPT_INDENT_2).decode()
--- a/cornelnotch/testing/proxy.py
+++ b/cornelnotch/testing/proxy.py
@@ -1,4 +1,4 @@
-"""Put faults between processes: a TCP proxy that delays, cuts, freezes and drops."""
+"""TCP proxy that injects network faults between processes."""
 
 import asyncio
 from contextlib import suppress
@@ -9,16 +9,16 @@
 __all__ = ["FaultProxy", "ProxyFaults"]
 
 READ_BYTES = 16384
-ADDRESS = "127.0.0.1"
+LOOPBACK_ADDRESS = "127.0.0.1"
 BITS_PER_BYTE = 8
 
 
 @dataclass(slots=True)
 class ProxyFaults:
-    """Say what the proxy does to traffic.
+    """Faults that the proxy injects.
 
-    `drop_answers` lets requests through and swallows what comes back; `frozen`
-    keeps connections open and moves nothing; `cut` refuses and drops them.
+    `drop_answers` forwards requests and discards responses; `frozen` keeps connections
+    open without forwarding data; `cut` aborts new connections.
     """
 
     delay_ms: float = 0.0
@@ -29,7 +29,7 @@
 
 
 class FaultProxy:
-    """Forward one port to one address under faults that a test changes."""
+    """Proxy that forwards a port to an address with configurable faults."""
 
     def __init__(self, target: str) -> None:
         self.faults = ProxyFaults()
@@ -38,20 +38,20 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._free_at = 0.0
+        self._link_free_s = 0.0
 
     @property
     def address(self) -> str:
-        """Return where the proxy listens."""
+        """Return the address that the proxy listens on."""
         assert self._server is not None
-        return f"{ADDRESS}:{self._server.sockets[0].getsockname()[1]}"
+        return f"{LOOPBACK_ADDRESS}:{self._server.sockets[0].getsockname()[1]}"
 
     async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._accept, ADDRESS, 0)
+        """Start listening on a free port."""
+        self._server = await asyncio.start_server(self._accept, LOOPBACK_ADDRESS, 0)
 
     async def stop(self) -> None:
-        """Close everything."""
+        """Stop listening and close all connections."""
         if self._server is not None:
             self._server.close()
         self.drop_connections()
@@ -60,16 +60,16 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def cut(self) -> None:
-        """Drop every connection and refuse new ones."""
+        """Abort all connections and refuse new ones."""
         self.faults.cut = True
         self.drop_connections()
 
     def heal(self) -> None:
-        """Forward again without faults."""
+        """Remove all faults."""
         self.faults = ProxyFaults()
 
     def drop_connections(self) -> None:
-        """Abort every connection now open."""
+        """Abort all open connections."""
         for writer in list(self._writers):
             writer.transport.abort()
 
@@ -84,15 +84,15 @@
         self._tasks.add(task)
         self._writers.add(writer)
         try:
-            far_reader, far_writer = await asyncio.open_connection(
+            target_reader, target_writer = await asyncio.open_connection(
                 *parse_address(self._target)
             )
-            self._writers.add(far_writer)
+            self._writers.add(target_writer)
             await asyncio.gather(
-                self._forward(reader, far_writer, False),
-                self._forward(far_reader, writer, True),
+                self._forward(reader, target_writer, False),
+                self._forward(target_reader, writer, True),
             )
-            self._writers.discard(far_writer)
+            self._writers.discard(target_writer)
         except (OSError, asyncio.CancelledError):
             pass
         finally:
@@ -101,19 +101,22 @@
             writer.transport.abort()
 
     async def _forward(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, back: bool
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        is_response: bool,
     ) -> None:
         with suppress(OSError):
             while data := await reader.read(READ_BYTES):
-                await self._hold(len(data))
-                if back and self.faults.drop_answers:
+                await self._apply_delay(len(data))
+                if is_response and self.faults.drop_answers:
                     continue
                 self.forwarded_bytes += len(data)
                 writer.write(data)
                 await writer.drain()
         writer.close()
 
-    async def _hold(self, size: int) -> None:
+    async def _apply_delay(self, size: int) -> None:
         while self.faults.frozen:  # noqa: ASYNC110
             await asyncio.sleep(0.01)
         if self.faults.delay_ms:
@@ -121,6 +124,6 @@
         rate = self.faults.bits_per_second
         if rate is not None:
             loop = asyncio.get_running_loop()
-            start = max(self._free_at, loop.time())
-            self._free_at = start + size * BITS_PER_BYTE / rate
-            await asyncio.sleep(self._free_at - loop.time())
+            start = max(self._link_free_s, loop.time())
+            self._link_free_s = start + size * BITS_PER_BYTE / rate
+            await asyncio.sleep(self._link_free_s - loop.time())
--- a/cornelnotch/testing/samples.py
+++ b/cornelnotch/testing/samples.py
@@ -1,4 +1,4 @@
-"""Give sample configurations for tests, benchmarks and examples."""
+"""Sample configurations for tests, benchmarks and examples."""
 
 from cornelnotch.load.embedded import read_deployment_text
 
@@ -8,7 +8,7 @@
 def create_server_section(
     name: str, pool: str, address: str, place: str = "taipei-a", slots: int = 8
 ) -> str:
-    """Return the section of one server."""
+    """Return the configuration section of a server."""
     return (
         f"[server {name}]\npool = {pool}\naddress = {address}\n"
         f"place = {place}\nslots = {slots}\n"
@@ -16,5 +16,5 @@
 
 
 def create_heelmark_text(servers: str) -> str:
-    """Return Heelmark's classes and selectors with the given servers."""
+    """Return the Heelmark sample configuration with the given server sections."""
     return read_deployment_text("heelmark") + servers
--- a/cornelnotch/testing/shardmodel.py
+++ b/cornelnotch/testing/shardmodel.py
@@ -1,7 +1,7 @@
-"""Drive one shard against modelled engines in virtual time, without sockets.
+"""Simulate one shard with modelled engines in virtual time, without sockets.
 
-The shard is the one that nodes run; only its servers and callers are modelled,
-so that policies can be compared on the same seeded arrivals in seconds.
+The shard is the production code of a node; only its servers and callers are modelled,
+so that policies can be compared on the same seeded arrivals within seconds.
 """
 
 import random
@@ -25,12 +25,12 @@
 
 STEP_MS = 10.0
 TICK_MS = 20.0
-STALL_MS = 2000.0
+STALL_TIMEOUT_MS = 2000.0
 
 
 @dataclass(frozen=True, slots=True)
 class ModelClass:
-    """Describe the traffic of one class; rates per second, times in ms."""
+    """Traffic of a service class; rates are per second and times in ms."""
 
     name: str
     tier: int
@@ -49,14 +49,14 @@
 
 @dataclass(slots=True)
 class Arrival:
-    """Hold one request and what became of it."""
+    """Request and its result."""
 
     name: str
     model: ModelClass
     workspace: str
     time_ms: float
     tokens: int
-    made: int = 0
+    generated: int = 0
     first_token_at_ms: float | None = None
     end_ms: float | None = None
     result: str = "open"
@@ -65,20 +65,20 @@
     excluded: frozenset[str] = frozenset()
 
     def is_attained(self) -> bool:
-        """Tell whether the whole answer met its targets."""
+        """Return whether the complete response met its latency targets."""
         if self.result != "done" or self.first_token_at_ms is None:
             return False
         if self.end_ms is None:
             return False
         if self.first_token_at_ms - self.time_ms > self.model.first_token_ms:
             return False
-        pace = (self.end_ms - self.first_token_at_ms) / max(self.tokens - 1, 1)
-        return pace <= self.model.between_tokens_ms
+        ms_per_token = (self.end_ms - self.first_token_at_ms) / max(self.tokens - 1, 1)
+        return ms_per_token <= self.model.between_tokens_ms
 
 
 @dataclass(slots=True)
 class ModelEngine:
-    """Describe one modelled engine; `slowdown` above 1 makes a straggler."""
+    """Modelled engine; a `slowdown` above 1 makes it a straggler."""
 
     name: str
     slots: int = 8
@@ -89,27 +89,27 @@
     recover_ms: float = float("inf")
 
     def is_down(self, now: float) -> bool:
-        """Tell whether the engine is crashed at `now`."""
+        """Return whether the engine is down at `now`."""
         return self.crash_ms <= now < self.recover_ms
 
 
 @dataclass(slots=True)
 class Stream:
-    """Hold one dispatch in progress."""
+    """Dispatch in progress."""
 
     arrival: Arrival
     engine: ModelEngine
     started_ms: float
     worked_ms: float = 0.0
     paused: bool = False
-    quiet_ms: float = 0.0
+    stalled_ms: float = 0.0
     first_ms: float | None = None
-    made: int = 0
+    generated: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class RefusalRecord:
-    """Hold a refusal and what held the places at that moment."""
+    """Refusal with the occupancy of the shard at that time."""
 
     time_ms: float
     arrival: Arrival
@@ -119,45 +119,49 @@
 
 @dataclass(slots=True)
 class ModelResult:
-    """Hold everything that one run showed."""
+    """Results of one simulation run."""
 
     arrivals: list[Arrival]
     refusals: list[RefusalRecord] = field(default_factory=list)
     pauses: int = 0
 
     def compute_attainment(self, class_name: str) -> float:
-        """Return the share of a class's requests that met their targets."""
-        mine = [a for a in self.arrivals if a.model.name == class_name]
-        return sum(a.is_attained() for a in mine) / max(len(mine), 1)
+        """Return the fraction of a class's requests that met their targets."""
+        matching = [a for a in self.arrivals if a.model.name == class_name]
+        return sum(a.is_attained() for a in matching) / max(len(matching), 1)
 
     def count_attained(self, class_name: str) -> int:
-        """Return how many requests of a class met their targets."""
+        """Return the number of a class's requests that met their targets."""
         return sum(a.is_attained() for a in self.arrivals if a.model.name == class_name)
 
     def compute_waste(self) -> float:
-        """Return the share of all tokens that reached nobody."""
-        made = sum(a.made + a.wasted for a in self.arrivals)
+        """Return the fraction of generated tokens that no caller could use."""
+        generated = sum(a.generated + a.wasted for a in self.arrivals)
         lost = sum(
-            a.wasted + (a.made if a.result != "done" else 0) for a in self.arrivals
+            a.wasted + (a.generated if a.result != "done" else 0) for a in self.arrivals
         )
-        return lost / max(made, 1)
+        return lost / max(generated, 1)
 
     def compute_goodput(self) -> float:
-        """Return tokens of whole answers per second of arrivals."""
+        """Return tokens of complete responses per second of the arrival period."""
         end_ms = max((a.time_ms for a in self.arrivals), default=1.0)
-        return sum(a.made for a in self.arrivals if a.result == "done") / end_ms * 1000
+        return (
+            sum(a.generated for a in self.arrivals if a.result == "done")
+            / end_ms
+            * 1000
+        )
 
     def find_longest_gap(
         self, class_name: str, start_ms: float, end_ms: float
     ) -> float:
-        """Return the longest time without a finished request of a class."""
+        """Return the longest time in ms between completed requests of a class."""
         ends = sorted(
             a.end_ms
             for a in self.arrivals
             if a.model.name == class_name and a.result == "done" and a.end_ms
         )
-        moments = [start_ms, *(e for e in ends if start_ms < e < end_ms), end_ms]
-        return max(b - a for a, b in zip(moments, moments[1:], strict=False))
+        times_ms = [start_ms, *(e for e in ends if start_ms < e < end_ms), end_ms]
+        return max(b - a for a, b in zip(times_ms, times_ms[1:], strict=False))
 
 
 def create_arrivals(
@@ -195,7 +199,7 @@
     balancer: str = "adaptive",
     queue_per_slot: float = 6.0,
 ) -> ShardRule:
-    """Return the shard's configuration."""
+    """Return a shard configuration for the classes and engines."""
     return ShardRule(
         "model",
         discipline,
@@ -215,7 +219,7 @@
 
 
 class ShardModel:
-    """Step arrivals, shard and engines through virtual time."""
+    """Discrete-time simulation of arrivals, a shard and engines."""
 
     def __init__(self, rule: ShardRule, engines: list[ModelEngine]) -> None:
         self.shard: Shard = create_shard(rule)
@@ -226,7 +230,7 @@
         self._result = ModelResult([])
 
     def run(self, arrivals: list[Arrival], duration_ms: float) -> ModelResult:
-        """Return what became of the arrivals."""
+        """Simulate the arrivals and return the results."""
         self._result = ModelResult(arrivals)
         pending = list(reversed(arrivals))
         now = 0.0
@@ -235,15 +239,15 @@
             while pending and pending[-1].time_ms <= now:
                 arrival = pending.pop()
                 self._arrivals[arrival.name] = arrival
-                self._ask(arrival, now)
+                self._request_permit(arrival, now)
             self._count_streams()
             for stream in list(self._streams.values()):
                 self._advance(stream, now)
             if now % TICK_MS < STEP_MS:
-                self._perform(self.shard.schedule(now), now)
+                self._apply_effects(self.shard.schedule(now), now)
         return self._result
 
-    def _ask(self, arrival: Arrival, now: float) -> None:
+    def _request_permit(self, arrival: Arrival, now: float) -> None:
         ask = PermitAsk(
             arrival.name,
             "host",
@@ -257,9 +261,9 @@
             sorted(arrival.excluded),
             0,
         )
-        self._perform(self.shard.ask(ask, now), now)
+        self._apply_effects(self.shard.ask(ask, now), now)
 
-    def _perform(self, effects: list[Effect], now: float) -> None:
+    def _apply_effects(self, effects: list[Effect], now: float) -> None:
         for effect in effects:
             if isinstance(effect, Grant):
                 arrival = self._arrivals[effect.request_id]
@@ -272,9 +276,9 @@
                 if stream is not None:
                     stream.paused = effect.paused
             elif isinstance(effect, Refusal):
-                self._refuse(effect, now)
+                self._record_refusal(effect, now)
 
-    def _refuse(self, refusal: Refusal, now: float) -> None:
+    def _record_refusal(self, refusal: Refusal, now: float) -> None:
         arrival = self._arrivals[refusal.request_id]
         arrival.result = refusal.reason
         arrival.end_ms = now
@@ -284,7 +288,7 @@
     def _advance(self, stream: Stream, now: float) -> None:
         arrival = stream.arrival
         if now - arrival.time_ms > arrival.model.deadline_ms:
-            self._end(stream, now, "deadline-cut", "cancelled")
+            self._complete(stream, now, "deadline-cut", "cancelled")
             return
         if stream.engine.is_down(now):
             self._retry(stream, now, "broken")
@@ -295,13 +299,15 @@
         stream.worked_ms += STEP_MS * share
         engine = stream.engine
         ready = stream.worked_ms - engine.prefill_ms * engine.slowdown
-        made = max(int(ready / (engine.token_ms * engine.slowdown)), 0)
-        stream.quiet_ms = 0.0 if made > stream.made else stream.quiet_ms + STEP_MS
-        if made > stream.made:
-            self._note_tokens(stream, made - stream.made, now)
-        if arrival.made >= arrival.tokens:
-            self._end(stream, now, "done", "done")
-        elif stream.quiet_ms > STALL_MS:
+        generated = max(int(ready / (engine.token_ms * engine.slowdown)), 0)
+        stream.stalled_ms = (
+            0.0 if generated > stream.generated else stream.stalled_ms + STEP_MS
+        )
+        if generated > stream.generated:
+            self._record_tokens(stream, generated - stream.generated, now)
+        if arrival.generated >= arrival.tokens:
+            self._complete(stream, now, "done", "done")
+        elif stream.stalled_ms > STALL_TIMEOUT_MS:
             self._retry(stream, now, "stalled")
 
     def _count_streams(self) -> None:
@@ -311,21 +317,23 @@
                 self._active[stream.engine.name] += 1
 
     def _compute_share(self, engine: ModelEngine) -> float:
-        """Return the speed of each stream when more run than there are slots."""
+        """Return the relative speed of a stream when streams exceed the slots."""
         return min(1.0, engine.slots / max(self._active[engine.name], 1))
 
-    def _note_tokens(self, stream: Stream, count: int, now: float) -> None:
+    def _record_tokens(self, stream: Stream, count: int, now: float) -> None:
         arrival = stream.arrival
         if stream.first_ms is None:
             stream.first_ms = now
             elapsed = now - stream.started_ms
-            self._perform(self.shard.note_first_token(arrival.name, elapsed, now), now)
+            self._apply_effects(
+                self.shard.note_first_token(arrival.name, elapsed, now), now
+            )
         if arrival.first_token_at_ms is None:
             arrival.first_token_at_ms = now
-        stream.made += count
-        arrival.made = min(arrival.made + count, arrival.tokens)
+        stream.generated += count
+        arrival.generated = min(arrival.generated + count, arrival.tokens)
 
-    def _end(self, stream: Stream, now: float, result: str, outcome: str) -> None:
+    def _complete(self, stream: Stream, now: float, result: str, outcome: str) -> None:
         arrival = stream.arrival
         arrival.result = result
         arrival.end_ms = now
@@ -335,15 +343,15 @@
         arrival = stream.arrival
         arrival.excluded = arrival.excluded | {stream.engine.name}
         self._finish(stream, now, outcome)
-        self._ask(arrival, now)
+        self._request_permit(arrival, now)
 
     def _finish(self, stream: Stream, now: float, outcome: str) -> None:
         arrival = stream.arrival
         self._streams.pop(arrival.name, None)
         first = stream.first_ms
-        pace = 0.0
-        if first is not None and stream.made > 1:
-            pace = (now - first) / (stream.made - 1)
+        ms_per_token = 0.0
+        if first is not None and stream.generated > 1:
+            ms_per_token = (now - first) / (stream.generated - 1)
         finish = PermitFinish(
             arrival.name,
             "model",
@@ -351,7 +359,7 @@
             outcome,
             now - stream.started_ms,
             (first or now) - stream.started_ms,
-            pace,
-            stream.made,
+            ms_per_token,
+            stream.generated,
         )
-        self._perform(self.shard.finish(finish, now), now)
+        self._apply_effects(self.shard.finish(finish, now), now)
--- a/cornelnotch/testing/tests/test_binary.py
+++ b/cornelnotch/testing/tests/test_binary.py
@@ -1,4 +1,4 @@
-"""Run the one-file program that `make binary` builds."""
+"""Tests of the single-file executable that `make binary` builds."""
 
 import os
 import subprocess
@@ -8,8 +8,8 @@
 from cornelnotch.testing.processes import find_free_port
 
 BINARY = Path("dist/cornelnotch")
-WATCH_S = 2.0
-START_LIMIT_S = 30.0
+OBSERVATION_S = 2.0
+START_TIMEOUT_S = 30.0
 
 
 def create_environment(folder):
@@ -17,13 +17,13 @@
     return {"PATH": os.environ["PATH"], "CORNELNOTCH_HOME": home, "HOME": home}
 
 
-def list_children(process_id):
-    """Return the children of every thread of a process."""
+def list_child_process_ids(process_id):
+    """Return the child process ids of all threads of a process."""
     tasks = Path(f"/proc/{process_id}/task")
     return [c for t in tasks.iterdir() for c in (t / "children").read_text().split()]
 
 
-def test_the_binary_runs_every_command(tmp_path):
+def test_binary_lists_every_command(tmp_path):
     done = subprocess.run(
         [BINARY, "--help"],
         env=create_environment(tmp_path),
@@ -38,7 +38,7 @@
     )
 
 
-def test_a_node_from_the_binary_is_one_process(tmp_path):
+def test_node_from_binary_runs_without_child_processes(tmp_path):
     port = find_free_port()
     folder = tmp_path / "unpacked"
     settings = tmp_path / "node.ini"
@@ -55,13 +55,13 @@
         stderr=log,
     )
     try:
-        limit = time.monotonic() + START_LIMIT_S
+        deadline = time.monotonic() + START_TIMEOUT_S
         while b"1001" not in (tmp_path / "log").read_bytes():
-            assert time.monotonic() < limit
+            assert time.monotonic() < deadline
             time.sleep(0.05)
-        end = time.monotonic() + WATCH_S
+        end = time.monotonic() + OBSERVATION_S
         while time.monotonic() < end:
-            assert list_children(process.pid) == []
+            assert list_child_process_ids(process.pid) == []
             time.sleep(0.01)
         assert process.poll() is None
         assert len(list(folder.iterdir())) >= 1
--- a/cornelnotch/testing/tests/test_docs.py
+++ b/cornelnotch/testing/tests/test_docs.py
@@ -1,4 +1,4 @@
-"""Keep examples running and the repository's lists readable."""
+"""Tests of the examples, the list of known failures and the links in the docs."""
 
 import subprocess
 import sys
@@ -12,8 +12,8 @@
 
 
 @pytest.mark.parametrize("path", EXAMPLES, ids=lambda path: path.stem)
-def test_examples_run_as_they_stand(path):
-    done = subprocess.run(
+def test_example_runs_unmodified(path):
+    completed = subprocess.run(
         [sys.executable, str(path)],
         env={"PYTHONPATH": ".", "PATH": "/usr/bin:/bin"},
         capture_output=True,
@@ -21,17 +21,17 @@
         timeout=60,
         check=False,
     )
-    assert done.returncode == 0, done.stderr
-    assert done.stdout
+    assert completed.returncode == 0, completed.stderr
+    assert completed.stdout
 
 
-def test_known_failures_are_listed_by_test():
+def test_known_failures_are_parsed():
     text = "test: a/b.py::c\ncommand: pytest\nseen: x\nissue: 4\n"
     assert list_known_red(text) == ["a/b.py::c"]
     assert list_known_red("") == []
 
 
-def test_links_in_the_docs_lead_somewhere():
+def test_relative_links_in_docs_resolve():
     broken = []
     for page in [
         Path("README.md"),
--- a/cornelnotch/verification/__init__.py
+++ b/cornelnotch/verification/__init__.py
@@ -1,4 +1,7 @@
-"""Specify the core protocols for exhaustive checking with the node's functions."""
+"""Models of the core protocols for exhaustive state-space exploration.
+
+The models call the production functions of a node.
+"""
 
 from cornelnotch.verification.claims import ClaimMutant, create_claim_protocol
 from cornelnotch.verification.configuration import (
--- a/cornelnotch/verification/claims.py
+++ b/cornelnotch/verification/claims.py
@@ -1,9 +1,9 @@
-"""Specify at-most-once execution: two hosts, one key, a log that loses and delays.
+"""Model of at-most-once execution with two hosts, one key and an unreliable log.
 
-The key is made at time 0. An append may land at any later time or never, its
-answer may be lost, a host may pause between any two steps, and the log trims
-records that are older than its retention. The fold and the age rule are the
-node's own.
+The key is created at time 0. An append may be committed at any later time or never,
+its reply may be lost, a host may pause between any two steps, and the log trims
+records that are older than its retention. The ledger and the key age check are the
+production code of a node.
 """
 
 from enum import StrEnum
@@ -26,12 +26,12 @@
 HORIZON = 1
 END_OF_TIME = 3
 MAX_SENDS = (2, 1)
-FIRST = 0
-REPEAT = 1
+FIRST_HOST = 0
+RETRY_HOST = 1
 
 
 class ClaimMutant(StrEnum):
-    """Name the mechanism that a mutant lacks."""
+    """Mechanism that is removed from the protocol."""
 
     NONE = "none"
     NO_READ_BACK = "dispatch before the claim is read back"
@@ -41,7 +41,7 @@
 
 
 class Phase(StrEnum):
-    """Name what a host does with its attempt."""
+    """Progress of a host's attempt."""
 
     IDLE = "idle"
     SENT = "sent"
@@ -53,8 +53,8 @@
     RELEASED = "released"
 
 
-class Entry(NamedTuple):
-    """Hold one record of the log."""
+class LogRecord(NamedTuple):
+    """Record of the log."""
 
     kind: str
     host: int
@@ -62,11 +62,11 @@
 
 
 class State(NamedTuple):
-    """Hold one state of the system."""
+    """State of the modelled system."""
 
     time: int
-    log: tuple[Entry, ...]
-    flying: tuple[tuple[str, int], ...]
+    log: tuple[LogRecord, ...]
+    in_flight: tuple[tuple[str, int], ...]
     phases: tuple[Phase, Phase]
     sends: tuple[int, int]
     runs: int
@@ -84,7 +84,7 @@
     return ledger
 
 
-def _sees(state: State, kind: str, host: int) -> bool:
+def _has_visible_record(state: State, kind: str, host: int) -> bool:
     return any(
         e.kind == kind and e.host == host and state.time - e.time <= RETENTION
         for e in state.log
@@ -101,9 +101,9 @@
     return state._replace(phases=(phases[0], phases[1]))
 
 
-def _send(state: State, kind: str, host: int) -> State:
-    flying = tuple(sorted([*state.flying, (kind, host)]))
-    return state._replace(flying=flying)
+def _send_append(state: State, kind: str, host: int) -> State:
+    in_flight = tuple(sorted([*state.in_flight, (kind, host)]))
+    return state._replace(in_flight=in_flight)
 
 
 def _count_send(state: State, host: int) -> State:
@@ -112,41 +112,48 @@
     return state._replace(sends=(sends[0], sends[1]))
 
 
-def _answer_not_run(state: State, host: int) -> State:
-    """Note whether `not-run` is false; a superseded first attempt tells nobody."""
-    heard = host == REPEAT or state.phases[REPEAT] is Phase.IDLE
-    return state._replace(false_answer=state.false_answer or (heard and state.runs > 0))
+def _reply_not_run(state: State, host: int) -> State:
+    """Record whether a `not-run` reply is false.
+
+    The reply of a superseded first attempt reaches no caller.
+    """
+    reaches_caller = host == RETRY_HOST or state.phases[RETRY_HOST] is Phase.IDLE
+    return state._replace(
+        false_answer=state.false_answer or (reaches_caller and state.runs > 0)
+    )
 
 
 def _trim(state: State) -> State:
-    """Drop records past retention, which no host can read any more."""
-    kept = tuple(e for e in state.log if state.time - e.time <= RETENTION)
-    return state._replace(log=kept)
+    """Remove records that are older than the retention."""
+    retained = tuple(e for e in state.log if state.time - e.time <= RETENTION)
+    return state._replace(log=retained)
 
 
-class ClaimSystem:
-    """Generate the steps of the specification or of one of its mutants."""
+class ClaimTransitions:
+    """Transition system of the claim protocol or of one of its mutants."""
 
     def __init__(self, mutant: ClaimMutant) -> None:
         self._mutant = mutant
 
     def list_steps(self, values: tuple) -> list[tuple[str, tuple]]:
-        """Return every step that may come next."""
+        """Return all transitions that are enabled in a state."""
         state = State(*values)
         steps: list[tuple[str, State]] = []
         if state.time < END_OF_TIME:
             steps.append(("pass", state._replace(time=state.time + 1)))
         steps += self._list_log_steps(state)
-        for host in (FIRST, REPEAT):
+        for host in (FIRST_HOST, RETRY_HOST):
             steps += self._list_host_steps(state, host)
         return [(name, tuple(_trim(after))) for name, after in steps]
 
     def _list_log_steps(self, state: State) -> list[tuple[str, State]]:
         steps = []
-        for index, (kind, host) in enumerate(state.flying):
-            rest = state.flying[:index] + state.flying[index + 1 :]
-            landed = (*state.log, Entry(kind, host, state.time))
-            steps.append((f"land-{kind}", state._replace(flying=rest, log=landed)))
+        for index, (kind, host) in enumerate(state.in_flight):
+            rest = state.in_flight[:index] + state.in_flight[index + 1 :]
+            committed = (*state.log, LogRecord(kind, host, state.time))
+            steps.append(
+                (f"land-{kind}", state._replace(in_flight=rest, log=committed))
+            )
         return steps
 
     def _list_host_steps(self, state: State, host: int) -> list[tuple[str, State]]:
@@ -155,10 +162,10 @@
         if phase is Phase.IDLE:
             steps += self._start(state, host)
         elif phase is Phase.SENT:
-            steps += self._settle(state, host)
+            steps += self._read_back(state, host)
         elif phase is Phase.WON:
-            late = self._mutant is ClaimMutant.EARLY_AGE or _is_usable(state)
-            if late:
+            may_proceed = self._mutant is ClaimMutant.EARLY_AGE or _is_usable(state)
+            if may_proceed:
                 steps.append(("check-age", _set_phase(state, host, Phase.READY)))
         elif phase is Phase.READY:
             steps.append(self._run(state, host))
@@ -171,18 +178,18 @@
     def _start(self, state: State, host: int) -> list[tuple[str, State]]:
         if not _is_usable(state):
             return []
-        sent = _count_send(_send(state, "claim", host), host)
+        sent = _count_send(_send_append(state, "claim", host), host)
         phase = Phase.SENT
         if self._mutant is ClaimMutant.NO_READ_BACK:
             phase = Phase.READY
         return [("claim", _set_phase(sent, host, phase))]
 
-    def _settle(self, state: State, host: int) -> list[tuple[str, State]]:
+    def _read_back(self, state: State, host: int) -> list[tuple[str, State]]:
         steps = []
         if state.sends[host] < MAX_SENDS[host]:
-            again = _count_send(_send(state, "claim", host), host)
-            steps.append(("claim-again", again))
-        if _sees(state, "claim", host):
+            retried = _count_send(_send_append(state, "claim", host), host)
+            steps.append(("claim-again", retried))
+        if _has_visible_record(state, "claim", host):
             claim = _read_ledger(state).find(KEY)
             won = claim is not None and claim.attempt == str(host)
             phase = Phase.WON if won else Phase.LOST
@@ -195,19 +202,19 @@
         return ("run", _set_phase(ran, host, Phase.RAN))
 
     def _give_up(self, state: State, host: int) -> tuple[str, State]:
-        after = _set_phase(_send(state, "release", host), host, Phase.RELEASING)
-        if host == FIRST or self._mutant is ClaimMutant.EARLY_NOT_RUN:
-            after = _answer_not_run(after, host)
+        after = _set_phase(_send_append(state, "release", host), host, Phase.RELEASING)
+        if host == FIRST_HOST or self._mutant is ClaimMutant.EARLY_NOT_RUN:
+            after = _reply_not_run(after, host)
         return ("give-up", after)
 
     def _finish_release(self, state: State, host: int) -> list[tuple[str, State]]:
         steps = []
-        if _sees(state, "release", host):
-            # Only an attempt that was first may speak for the whole key.
+        if _has_visible_record(state, "release", host):
+            # `not-run` holds for the key only if no other attempt has claimed it.
             claimed = _read_ledger(state).find(KEY)
             after = _set_phase(state, host, Phase.RELEASED)
             if claimed is None and _is_usable(state):
-                after = _answer_not_run(after, host)
+                after = _reply_not_run(after, host)
             steps.append(("released", after))
         if self._mutant is ClaimMutant.RUN_AFTER_RELEASE:
             steps.append(self._run(state, host))
@@ -215,14 +222,14 @@
 
 
 def create_claim_protocol(mutant: ClaimMutant = ClaimMutant.NONE) -> Protocol:
-    """Return the specification, or a mutant that a check must catch."""
+    """Return the claim protocol, or a mutant that violates an invariant."""
     initial = State(0, (), (), (Phase.IDLE, Phase.IDLE), (0, 0), 0, False)
     return Protocol(
         name=f"claims: {mutant.value}",
         candidate=False,
         fields=State._fields,
         initial=tuple(initial),
-        transitions=ClaimSystem(mutant).list_steps,
+        transitions=ClaimTransitions(mutant).list_steps,
         invariants={
             "at_most_once": lambda s: s["runs"] <= 1,
             "not_run_is_true": lambda s: not s["false_answer"],
--- a/cornelnotch/verification/configuration.py
+++ b/cornelnotch/verification/configuration.py
@@ -1,8 +1,9 @@
-"""Specify the configuration fold: races, snapshots, trimming and peers.
+"""Model of configuration replication with races, snapshots, trimming and peers.
 
 Three changes are appended in any order, a writer prepares a snapshot and may
-pause before appending it, the log trims what a snapshot covers, and a new host
-joins from the log or from a peer. Fold and choice of snapshot are the node's own.
+pause before appending it, the log trims records that a snapshot covers, and a new
+host bootstraps from the log or from a peer. Folding records and choosing a snapshot
+use the production code of a node.
 """
 
 from enum import StrEnum
@@ -23,8 +24,8 @@
 __all__ = ["ConfigurationMutant", "create_configuration_protocol"]
 
 MAX_SNAPSHOTS = 2
-OLD = 0
-NEW = 1
+EXISTING_HOST = 0
+NEW_HOST = 1
 CHANGES = (
     Change("one", -1, "[place a]\nregion = x\n"),
     Change("two", -1, "[place a]\nregion = y\n"),
@@ -33,7 +34,7 @@
 
 
 class ConfigurationMutant(StrEnum):
-    """Name the mechanism that a mutant lacks."""
+    """Mechanism that is removed from the protocol."""
 
     NONE = "none"
     NEWEST_SNAPSHOT = "take the snapshot that stands last in the log"
@@ -42,7 +43,7 @@
 
 
 class Host(NamedTuple):
-    """Hold what one host has folded; `covers` is -1 at the start."""
+    """Configuration that a host has folded; `covers` is -1 initially."""
 
     covers: int
     version: int
@@ -50,7 +51,10 @@
 
 
 class State(NamedTuple):
-    """Hold one state; a record is the number of a change or what a snapshot covers."""
+    """State of the modelled system.
+
+    A log record holds the number of a change, or the offset that a snapshot covers.
+    """
 
     log: tuple[tuple[str, int], ...]
     trimmed: int
@@ -60,30 +64,30 @@
     went_down: bool
 
 
-def _describe(state: ConfigurationState) -> Host:
+def _summarize_state(state: ConfigurationState) -> Host:
     content = tuple(sorted((n, s.values["region"]) for n, s in state.sections.items()))
     return Host(state.covers, state.version, content)
 
 
-class ConfigurationSystem:
-    """Generate the steps of the specification or of one of its mutants."""
+class ConfigurationTransitions:
+    """Transition system of the protocol or of one of its mutants."""
 
     def __init__(self, mutant: ConfigurationMutant) -> None:
         self._mutant = mutant
         self._folds: dict[tuple, ConfigurationState] = {}
 
     def fold(self, log: tuple[tuple[str, int], ...]) -> ConfigurationState:
-        """Return the true state after a whole log."""
+        """Return the reference state after all records of a log."""
         if not log:
             return ConfigurationState()
-        known = self._folds.get(log)
-        if known is None:
+        cached = self._folds.get(log)
+        if cached is None:
             before = self.fold(log[:-1])
-            known = self._fold_one(before, len(log) - 1, log)
-            self._folds[log] = known
-        return known
+            cached = self._fold_next(before, len(log) - 1, log)
+            self._folds[log] = cached
+        return cached
 
-    def _fold_one(
+    def _fold_next(
         self, state: ConfigurationState, offset: int, log: tuple[tuple[str, int], ...]
     ) -> ConfigurationState:
         kind, number = log[offset]
@@ -91,12 +95,12 @@
             return fold_record(state, offset, b"{}").state
         change = CHANGES[number]
         if self._mutant is ConfigurationMutant.NO_BASE and offset % 2:
-            # A host that skips the check decides by its own position.
+            # Without the base check, the outcome depends on the position in the log.
             change = Change(change.change_id, state.version, change.text)
         return fold_record(state, offset, encode_record(change)).state
 
     def list_steps(self, values: tuple) -> list[tuple[str, tuple]]:
-        """Return every step that may come next."""
+        """Return all transitions that are enabled in a state."""
         state = State(*values)
         steps = [*self._list_appends(state), *self._list_snapshots(state)]
         trimmed = state.trimmed
@@ -107,7 +111,7 @@
         if covered:
             steps.append(("trim", state._replace(trimmed=trimmed + 1)))
         steps += self._list_reads(state)
-        steps += self._list_offers(state)
+        steps += self._list_peer_transfers(state)
         return [(name, tuple(after)) for name, after in steps]
 
     def _list_appends(self, state: State) -> list[tuple[str, State]]:
@@ -119,7 +123,7 @@
         return steps
 
     def _list_snapshots(self, state: State) -> list[tuple[str, State]]:
-        covers = state.hosts[OLD].covers
+        covers = state.hosts[EXISTING_HOST].covers
         if state.prepared < 0 <= covers and state.snapshots < MAX_SNAPSHOTS:
             after = state._replace(prepared=covers, snapshots=state.snapshots + 1)
             return [("prepare", after)]
@@ -129,7 +133,7 @@
         log = (*state.log, ("snapshot", state.prepared))
         steps.append(("append-snapshot", state._replace(log=log, prepared=-1)))
         if state.snapshots < MAX_SNAPSHOTS and covers > state.prepared:
-            # Another host writes a newer one while this writer is paused.
+            # Another host appends a newer snapshot while this writer is paused.
             newer = (*state.log, ("snapshot", covers))
             after = state._replace(log=newer, snapshots=state.snapshots + 1)
             steps.append(("overtake-snapshot", after))
@@ -142,21 +146,21 @@
             if position >= len(state.log):
                 continue
             if position >= state.trimmed:
-                after = _describe(self._read_one(host, position, state))
+                after = _summarize_state(self._read_next(host, position, state))
                 steps.append(("read", self._set_host(state, index, after)))
             else:
                 recovered = self._recover(state)
                 if recovered is not None:
-                    after = _describe(recovered)
+                    after = _summarize_state(recovered)
                     steps.append(("recover", self._set_host(state, index, after)))
         return steps
 
-    def _read_one(self, host: Host, position: int, state: State) -> ConfigurationState:
+    def _read_next(self, host: Host, position: int, state: State) -> ConfigurationState:
         before = self.fold(state.log[:position])
-        if host != _describe(before):
-            # The host went astray earlier; the invariants have caught it.
+        if host != _summarize_state(before):
+            # The host diverged earlier, which the invariants have reported already.
             return before
-        return self._fold_one(before, position, state.log)
+        return self._fold_next(before, position, state.log)
 
     def _recover(self, state: State) -> ConfigurationState | None:
         snapshots = [
@@ -171,29 +175,29 @@
         if base is None:
             return None
         for offset in range(max(base.covers + 1, state.trimmed), len(state.log)):
-            base = self._fold_one(base, offset, state.log)
+            base = self._fold_next(base, offset, state.log)
         return base
 
-    def _list_offers(self, state: State) -> list[tuple[str, State]]:
+    def _list_peer_transfers(self, state: State) -> list[tuple[str, State]]:
         old, new = state.hosts
         steps = []
         if old.covers > new.covers or self._mutant is ConfigurationMutant.ANY_PEER:
-            steps.append(("peer", self._set_host(state, NEW, old)))
+            steps.append(("peer", self._set_host(state, NEW_HOST, old)))
         return steps
 
     @staticmethod
     def _set_host(state: State, index: int, host: Host) -> State:
         hosts = list(state.hosts)
-        down = host.version < hosts[index].version
+        reverted = host.version < hosts[index].version
         hosts[index] = host
         return state._replace(
-            hosts=(hosts[0], hosts[1]), went_down=state.went_down or down
+            hosts=(hosts[0], hosts[1]), went_down=state.went_down or reverted
         )
 
-    def is_true(self, values: dict) -> bool:
-        """Tell whether each host holds the fold of the whole log it covers."""
+    def matches_reference(self, values: dict) -> bool:
+        """Return whether each host has the reference state at its offset."""
         return all(
-            host == _describe(self.fold(values["log"][: host.covers + 1]))
+            host == _summarize_state(self.fold(values["log"][: host.covers + 1]))
             for host in values["hosts"]
         )
 
@@ -201,9 +205,9 @@
 def create_configuration_protocol(
     mutant: ConfigurationMutant = ConfigurationMutant.NONE,
 ) -> Protocol:
-    """Return the specification, or a mutant that a check must catch."""
-    system = ConfigurationSystem(mutant)
-    empty = _describe(ConfigurationState())
+    """Return the replication protocol, or a mutant that violates an invariant."""
+    system = ConfigurationTransitions(mutant)
+    empty = _summarize_state(ConfigurationState())
     initial = State((), 0, -1, 0, (empty, empty), False)
     return Protocol(
         name=f"configuration: {mutant.value}",
@@ -213,21 +217,21 @@
         transitions=system.list_steps,
         invariants={
             "never_reverts": lambda s: not s["went_down"],
-            "same_everywhere": system.is_true,
+            "same_everywhere": system.matches_reference,
             "one_of_a_race": lambda s: all(
-                _accepted_once(system, s["log"][: host.covers + 1])
+                _is_first_change_in_force(system, s["log"][: host.covers + 1])
                 for host in s["hosts"]
             ),
         },
     )
 
 
-def _accepted_once(
-    system: ConfigurationSystem, log: tuple[tuple[str, int], ...]
+def _is_first_change_in_force(
+    system: ConfigurationTransitions, log: tuple[tuple[str, int], ...]
 ) -> bool:
-    """Tell whether of two racing changes the first in the log stayed in force."""
-    racing = [number for kind, number in log if kind == "change" and number < 2]
-    if not racing:
+    """Return whether the first of two concurrent changes in the log is in force."""
+    concurrent = [number for kind, number in log if kind == "change" and number < 2]
+    if not concurrent:
         return True
-    expected = "x" if racing[0] == 0 else "y"
+    expected = "x" if concurrent[0] == 0 else "y"
     return system.fold(log).sections["place a"].values["region"] == expected
--- a/cornelnotch/verification/order.py
+++ b/cornelnotch/verification/order.py
@@ -1,8 +1,8 @@
-"""Specify the order rule: every short history of a shard with two servers' slots.
+"""Model of queue scheduling: all short event histories of a shard with two slots.
 
-A state is the history of events that led to it; the shard is the node's own and
-is built again from the history. Time advances in steps no longer than the margin
-within which urgent requests are served, as the node's ticks do.
+A state is the history of events that led to it. The shard is the production code of
+a node and is rebuilt by replaying the history. Time advances in steps no longer than
+the margin within which urgent requests are served, like the ticks of a node.
 """
 
 from dataclasses import dataclass, field
@@ -30,7 +30,7 @@
 __all__ = ["THREE_TIERS", "TWO_TIERS", "OrderMutant", "create_order_protocol"]
 
 TICK_MS = 20.0
-LONG_MS = 340.0
+WAIT_EVENT_MS = 340.0
 LONGEST_WAIT_MS = 300.0
 SERVICE_MS = 100.0
 DEADLINE_MS = {"high": 520.0, "mid": 100_000.0, "low": 100_000.0}
@@ -43,7 +43,7 @@
 
 
 class OrderMutant(StrEnum):
-    """Name the mechanism that a mutant lacks."""
+    """Mechanism that is removed from the scheduler."""
 
     NONE = "none"
     NO_VICTIM = "refuse the newcomer whatever waits below it"
@@ -54,30 +54,33 @@
 
 
 class NoVictimDiscipline(TieredDiscipline):
-    """Refuse the newcomer; a mutant."""
+    """Mutant that always rejects the arriving request."""
 
     def choose_victim(self, newcomer: Waiting) -> Waiting:
-        """Return the newcomer."""
+        """Return the arriving request."""
         return newcomer
 
 
 class NoLongestWaitDiscipline(TieredDiscipline):
-    """Keep floors only while that costs nothing; a mutant."""
+    """Mutant that never prioritizes an overdue class.
+
+    It serves the floor of a class only if no other class is delayed.
+    """
 
     def _choose_overdue(self, now: float, running: dict[str, int]) -> Waiting | None:
         return None
 
 
 class NoQueueFloorDiscipline(TieredDiscipline):
-    """Keep no queue places; a mutant."""
+    """Mutant that reserves no queue places for a class."""
 
     def has_queue_floor(self, item: Waiting) -> bool:
-        """Return False."""
+        """Return False for all requests."""
         return False
 
 
 class NoDisplacementShard(Shard):
-    """Let lower tiers keep their places; a mutant."""
+    """Mutant that never displaces a running request of a lower tier."""
 
     def _choose_victim(self, item: Waiting, now: float) -> Running | None:
         return None
@@ -85,7 +88,7 @@
 
 @dataclass(slots=True)
 class Replay:
-    """Hold the shard after a history and what it decided on the way."""
+    """Shard after a replayed history, with the invariants it violated."""
 
     shard: Shard
     now: float = 0.0
@@ -115,7 +118,7 @@
 
 
 class NoVictimRescueShard(Shard):
-    """Refuse victims without trying to displace for them; a mutant."""
+    """Mutant that rejects queue victims instead of displacing for them."""
 
     def _make_room(self, item: Waiting, now: float) -> list[Effect]:
         victim = self.discipline.choose_victim(item)
@@ -126,25 +129,25 @@
 
 
 class SmallShard(Shard):
-    """Bound the queue tightly, so that short histories fill it."""
+    """Shard with a short queue, which short histories can fill."""
 
     places = QUEUE_PLACES
 
     def count_queue_places(self) -> int:
-        """Return the bound of the specification."""
+        """Return the queue length of the model."""
         return self.places
 
 
 class SmallNoDisplacementShard(NoDisplacementShard, SmallShard):
-    """Combine the tight bound with the mutant."""
+    """Mutant without displacement, with a short queue."""
 
 
 class SmallNoVictimRescueShard(NoVictimRescueShard, SmallShard):
-    """Combine the tight bound with the mutant."""
+    """Mutant without displacement for queue victims, with a short queue."""
 
 
-class OrderSystem:
-    """Generate histories of the specification or of one of its mutants."""
+class OrderTransitions:
+    """Transition system of the scheduler or of one of its mutants."""
 
     def __init__(
         self, mutant: OrderMutant, depth: int, events: tuple[str, ...]
@@ -152,17 +155,17 @@
         self._mutant = mutant
         self._events = events
         self._depth = depth
-        self._last: tuple[tuple[str, ...], Replay] | None = None
+        self._last_replay: tuple[tuple[str, ...], Replay] | None = None
 
     def list_steps(self, values: tuple) -> list[tuple[str, tuple]]:
-        """Return every longer history by one event."""
+        """Return all extensions of a history by one event."""
         (history,) = values
         if len(history) >= self._depth:
             return []
         return [(event, ((*history, event),)) for event in self._events]
 
     def replay(self, history: tuple[str, ...]) -> Replay:
-        """Run a history from an empty shard."""
+        """Replay a history on an empty shard."""
         replay = Replay(self._create_shard())
         for event in history:
             EVENTS[event](self, replay)
@@ -178,19 +181,19 @@
             discipline = NoLongestWaitDiscipline()
         elif self._mutant is OrderMutant.NO_QUEUE_FLOOR:
             discipline = NoQueueFloorDiscipline()
-        kind: type[SmallShard] = SmallShard
+        shard_type: type[SmallShard] = SmallShard
         if self._mutant is OrderMutant.NO_VICTIM_RESCUE:
-            kind = SmallNoVictimRescueShard
+            shard_type = SmallNoVictimRescueShard
         if self._mutant is OrderMutant.NO_DISPLACEMENT:
-            kind = SmallNoDisplacementShard
-        small = kind(rule, discipline, shard._balancer)
+            shard_type = SmallNoDisplacementShard
+        model_shard = shard_type(rule, discipline, shard._balancer)
         if "mid" in self._events:
-            small.places = THREE_TIER_QUEUE_PLACES
-            small.configure(rule, frozenset())
-        return small
+            model_shard.places = THREE_TIER_QUEUE_PLACES
+            model_shard.configure(rule, frozenset())
+        return model_shard
 
     def arrive(self, replay: Replay, name: str) -> None:
-        """Let a request of class `name` arrive."""
+        """Enqueue a request of class `name`."""
         replay.number += 1
         ask = PermitAsk(
             f"{name}-{replay.number}",
@@ -205,10 +208,10 @@
             [],
             0,
         )
-        self._take(replay, replay.shard.ask(ask, replay.now))
+        self._check_effects(replay, replay.shard.ask(ask, replay.now))
 
     def finish(self, replay: Replay) -> None:
-        """Let the longest-running request finish."""
+        """Finish the longest-running request."""
         active = [r for r in replay.shard.running.values() if not r.displaced]
         if not active:
             return
@@ -216,23 +219,23 @@
         finish = PermitFinish(
             oldest.request_id, "order", "s", "done", SERVICE_MS, 10.0, 1.0, 2
         )
-        self._take(replay, replay.shard.finish(finish, replay.now))
+        self._check_effects(replay, replay.shard.finish(finish, replay.now))
 
     def wait(self, replay: Replay) -> None:
-        """Let a long time pass in ticks."""
-        for _ in range(int(LONG_MS / TICK_MS)):
+        """Advance time by `WAIT_EVENT_MS` in ticks."""
+        for _ in range(int(WAIT_EVENT_MS / TICK_MS)):
             replay.now += TICK_MS
-            self._take(replay, replay.shard.schedule(replay.now))
+            self._check_effects(replay, replay.shard.schedule(replay.now))
 
-    def _take(self, replay: Replay, effects: list[Effect]) -> None:
+    def _check_effects(self, replay: Replay, effects: list[Effect]) -> None:
         granted = [e for e in effects if isinstance(e, Grant)]
         for effect in effects:
             if isinstance(effect, Refusal):
-                self._audit(replay, effect)
-        self._audit_wait(replay, granted)
+                self._check_refusal(replay, effect)
+        self._check_starvation(replay, granted)
 
     @staticmethod
-    def _audit(replay: Replay, refusal: Refusal) -> None:
+    def _check_refusal(replay: Replay, refusal: Refusal) -> None:
         name = refusal.request_id.partition("-")[0]
         tier = TIERS[name]
         waiting = {row.class_name: row.waiting for row in refusal.occupancy}
@@ -241,37 +244,37 @@
         for row in refusal.occupancy:
             if row.tier <= tier:
                 continue
-            above_floor = row.running > row.floor_places
-            above_queue = refusal.reason == "queue-full" and row.waiting > 1
-            if above_floor or above_queue:
+            runs_above_floor = row.running > row.floor_places
+            queues_above_floor = refusal.reason == "queue-full" and row.waiting > 1
+            if runs_above_floor or queues_above_floor:
                 replay.shed_for_lower = True
 
     @staticmethod
-    def _audit_wait(replay: Replay, granted: list[Grant]) -> None:
-        """Note a place that went to the high class while the low was overdue."""
+    def _check_starvation(replay: Replay, granted: list[Grant]) -> None:
+        """Detect a slot granted to the high class while the low class is overdue."""
         counts = dict.fromkeys(TIERS, 0)
         for running in replay.shard.running.values():
             counts[running.class_name] += 1
-        waits = replay.shard.discipline.count("low") > 0 and counts["low"] == 0
+        low_is_waiting = replay.shard.discipline.count("low") > 0 and counts["low"] == 0
         for grant in granted:
             name = grant.request_id.partition("-")[0]
             since = replay.low_waits_since
-            if name == "high" and waits and since is not None:
-                late = replay.now - since > LONGEST_WAIT_MS + TICK_MS
-                if late and grant.reason != "displaced-lower-tier":
+            if name == "high" and low_is_waiting and since is not None:
+                is_overdue = replay.now - since > LONGEST_WAIT_MS + TICK_MS
+                if is_overdue and grant.reason != "displaced-lower-tier":
                     replay.starved = True
-        if not waits:
+        if not low_is_waiting:
             replay.low_waits_since = None
         elif replay.low_waits_since is None:
             replay.low_waits_since = replay.now
 
-    def holds(self, values: dict, name: str) -> bool:
-        """Tell whether a history keeps the promise `name`."""
+    def satisfies(self, values: dict, name: str) -> bool:
+        """Return whether a history satisfies the invariant `name`."""
         history = values["history"]
-        if self._last is None or self._last[0] != history:
-            # Every invariant asks for the same history in turn.
-            self._last = (history, self.replay(history))
-        return not getattr(self._last[1], name)
+        if self._last_replay is None or self._last_replay[0] != history:
+            # The invariants are checked one after another for the same history.
+            self._last_replay = (history, self.replay(history))
+        return not getattr(self._last_replay[1], name)
 
 
 EVENTS = {
@@ -288,11 +291,12 @@
     depth: int = 6,
     events: tuple[str, ...] = TWO_TIERS,
 ) -> Protocol:
-    """Return the specification up to `depth` events, or a mutant to be caught.
+    """Return the scheduling model, or a mutant that violates an invariant.
 
-    Two tiers and time, or three tiers within a moment.
+    Histories have up to `depth` events: two tiers with the passing of time, or three
+    tiers without it.
     """
-    system = OrderSystem(mutant, depth, events)
+    system = OrderTransitions(mutant, depth, events)
     return Protocol(
         name=f"order: {mutant.value}",
         candidate=False,
@@ -300,8 +304,8 @@
         initial=((),),
         transitions=system.list_steps,
         invariants={
-            "not_shed_for_lower": lambda s: system.holds(s, "shed_for_lower"),
-            "no_starvation": lambda s: system.holds(s, "starved"),
-            "not_shut_out": lambda s: system.holds(s, "shut_out"),
+            "not_shed_for_lower": lambda s: system.satisfies(s, "shed_for_lower"),
+            "no_starvation": lambda s: system.satisfies(s, "starved"),
+            "not_shut_out": lambda s: system.satisfies(s, "shut_out"),
         },
     )
--- a/cornelnotch/verification/restoration.py
+++ b/cornelnotch/verification/restoration.py
@@ -1,8 +1,9 @@
-"""Specify how hosts follow a store that comes back from an older copy.
+"""Model of hosts that follow a store which is restored from an older backup.
 
-The operator writes versions of one key and writes the newest again when it is missing.
-The store is restored to any earlier state, in the next timeline. Two hosts read, tell
-each other, restart, and get one answer or news late. The views are the host's own.
+The operator writes versions of one key and rewrites the newest if it is missing. The
+store is restored to any earlier state, in the next timeline. Two hosts read, exchange
+gossip, restart, and receive one store response or gossip message late. The views are
+the production code of a host.
 """
 
 from enum import StrEnum
@@ -16,11 +17,11 @@
 
 KEY = "config"
 MAX_VERSION = 2
-NOTHING = 0
+NO_VERSION = 0
 
 
 class RestorationMutant(StrEnum):
-    """Name the mechanism that a mutant lacks."""
+    """Mechanism that is removed from the protocol."""
 
     NONE = "none"
     NO_TIMELINE = "order by offset alone"
@@ -32,21 +33,21 @@
 
 
 class Host(NamedTuple):
-    """Hold a host's view and the version in force; 0 stands for none."""
+    """View of a host and its version in force; 0 means none."""
 
     timeline: int = -1
     head: int = -1
-    listed: int = NOTHING
+    listed: int = NO_VERSION
     listed_at: int = 0
-    held: int = NOTHING
-    in_force: int = NOTHING
+    held: int = NO_VERSION
+    in_force: int = NO_VERSION
 
 
 class Message(NamedTuple):
-    """Hold an answer of the store or news of the other host on its way.
+    """Store response or gossip message in flight.
 
-    `start` is -1 where everything is listed. `began` is the timeline in which the
-    receiver had asked, -1 for news.
+    `start` is -1 for a complete listing. `began` is the timeline in which the receiver
+    sent its request, and -1 for gossip.
     """
 
     receiver: int
@@ -60,7 +61,7 @@
 
 
 class State(NamedTuple):
-    """Hold one state; the log lists the versions written in the last timeline."""
+    """State of the system; the log lists the versions in the last timeline."""
 
     timeline: int
     log: tuple[int, ...]
@@ -87,11 +88,11 @@
 
 def _read_version(records: dict[str, Record]) -> int:
     record = records.get(KEY)
-    return int(record.value) if record is not None else NOTHING
+    return int(record.value) if record is not None else NO_VERSION
 
 
-class RestorationSystem:
-    """Generate the steps of the specification or of one of its mutants."""
+class RestorationTransitions:
+    """Transition system of the protocol or of one of its mutants."""
 
     def __init__(
         self, mutant: RestorationMutant, timelines: int, restarts: int
@@ -101,7 +102,7 @@
         self._restarts = restarts
 
     def list_steps(self, values: tuple) -> list[tuple[str, tuple]]:
-        """Return every step that may come next."""
+        """Return all transitions that are enabled in a state."""
         state = State(*values)
         steps = [*self._list_writes(state), *self._list_restorations(state)]
         for index in range(len(state.hosts)):
@@ -114,8 +115,8 @@
     def _list_writes(state: State) -> list[tuple[str, State]]:
         steps = []
         if state.newest and state.newest not in state.log:
-            again = state._replace(log=(*state.log, state.newest))
-            steps.append(("write-again", again))
+            rewritten = state._replace(log=(*state.log, state.newest))
+            steps.append(("write-again", rewritten))
         elif state.newest < MAX_VERSION:
             version = state.newest + 1
             log = (*state.log, version)
@@ -132,13 +133,13 @@
 
     def _list_host_steps(self, state: State, index: int) -> list[tuple[str, State]]:
         host = state.hosts[index]
-        answer = self._create_answer(state, index)
-        steps = [("read", self._deliver(state, answer))]
+        response = self._create_response(state, index)
+        steps = [("read", self._deliver(state, response))]
         if state.message is None:
-            steps.append(("ask", state._replace(message=answer)))
+            steps.append(("ask", state._replace(message=response)))
             if host.head >= 0:
-                news = self._create_news(host, 1 - index)
-                steps.append(("tell", state._replace(message=news)))
+                gossip = self._create_gossip(host, 1 - index)
+                steps.append(("tell", state._replace(message=gossip)))
         if state.restarts < self._restarts and host != Host():
             steps.append(("restart", self._restart(state, index)))
         return steps
@@ -154,7 +155,7 @@
             hosts=(hosts[0], hosts[1]), message=message, restarts=state.restarts + 1
         )
 
-    def _create_answer(self, state: State, index: int) -> Message:
+    def _create_response(self, state: State, index: int) -> Message:
         host = state.hosts[index]
         size = len(state.log)
         start = host.head
@@ -162,14 +163,14 @@
         if 0 <= start <= size:
             records = tuple(enumerate(state.log))[start:]
         elif start > size:
-            # The store answers that it does not have the offset.
+            # The store responds that it does not have the offset.
             start = -1
         return Message(
-            index, True, host.timeline, state.timeline, start, size, records, NOTHING
+            index, True, host.timeline, state.timeline, start, size, records, NO_VERSION
         )
 
     @staticmethod
-    def _create_news(host: Host, receiver: int) -> Message:
+    def _create_gossip(host: Host, receiver: int) -> Message:
         records = ((host.listed_at, host.listed),) if host.listed else ()
         return Message(
             receiver, False, -1, host.timeline, -1, host.head, records, host.held
@@ -178,7 +179,7 @@
     def _deliver(self, state: State, message: Message) -> State:
         before = state.hosts[message.receiver]
         view = _create_view(before)
-        self._take(view, message)
+        self._apply_message(view, message)
         after = self._bring_into_force(before, view)
         hosts = list(state.hosts)
         hosts[message.receiver] = after
@@ -191,17 +192,21 @@
             forgot=state.forgot or known < after.in_force,
         )
 
-    def _take(self, view: KeyedView, message: Message) -> None:
-        """Apply an answer or news as a host does."""
+    def _apply_message(self, view: KeyedView, message: Message) -> None:
+        """Apply a store response or gossip message as a host does."""
         mutant = self._mutant
         if mutant is not RestorationMutant.NO_TIMELINE:
-            is_old = message.timeline < view.timeline
-            is_kept = mutant is RestorationMutant.OLD_NEWS and not message.is_answer
-            if is_old and not is_kept:
+            is_outdated = message.timeline < view.timeline
+            is_accepted = mutant is RestorationMutant.OLD_NEWS and not message.is_answer
+            if is_outdated and not is_accepted:
                 return
-            self._enter(view, message.timeline)
-        moved = message.is_answer and message.began != view.timeline
-        if moved and message.start >= 0 and mutant is not RestorationMutant.OLD_ANSWER:
+            self._enter_timeline(view, message.timeline)
+        timeline_changed = message.is_answer and message.began != view.timeline
+        if (
+            timeline_changed
+            and message.start >= 0
+            and mutant is not RestorationMutant.OLD_ANSWER
+        ):
             return
         if not message.is_answer and message.end < view.head:
             return
@@ -214,7 +219,7 @@
         else:
             view.apply(page)
 
-    def _enter(self, view: KeyedView, timeline: int) -> None:
+    def _enter_timeline(self, view: KeyedView, timeline: int) -> None:
         held = dict(view.held)
         listed = dict(view.records)
         entered = view.enter(timeline)
@@ -227,7 +232,7 @@
         listed = _read_version(view.records)
         held = _read_version(view.held)
         if listed >= held:
-            held = NOTHING
+            held = NO_VERSION
         in_force = max(before.in_force, listed, held)
         if self._mutant is RestorationMutant.ANY_VERSION:
             in_force = listed or in_force
@@ -236,10 +241,10 @@
         return Host(view.timeline, view.head, listed, at, held, in_force)
 
 
-def _misses_nothing(values: dict) -> bool:
-    """Tell whether hosts at the end of the log list what stands last in it."""
+def _lists_last_version(values: dict) -> bool:
+    """Return whether each host at the end of the log has its last version."""
     log = values["log"]
-    newest = log[-1] if log else NOTHING
+    newest = log[-1] if log else NO_VERSION
     return all(
         host.listed == newest
         for host in values["hosts"]
@@ -252,13 +257,13 @@
     timelines: int = 2,
     restarts: int = 1,
 ) -> Protocol:
-    """Return the specification, or a mutant that a check must catch.
+    """Return the protocol, or a mutant that violates an invariant.
 
-    The store is restored until it is in the last of `timelines`; hosts are restarted
-    so many times in all.
+    The store is restored until it reaches the last of `timelines`; `restarts` bounds
+    the restarts of all hosts together.
     """
-    system = RestorationSystem(mutant, timelines, restarts)
-    initial = State(1, (), NOTHING, (Host(), Host()), None, 0, False, False)
+    system = RestorationTransitions(mutant, timelines, restarts)
+    initial = State(1, (), NO_VERSION, (Host(), Host()), None, 0, False, False)
     return Protocol(
         name=f"restoration: {mutant.value}",
         candidate=False,
@@ -268,6 +273,6 @@
         invariants={
             "never_reverts": lambda s: not s["went_down"],
             "never_forgets": lambda s: not s["forgot"],
-            "misses_nothing": _misses_nothing,
+            "misses_nothing": _lists_last_version,
         },
     )
--- a/cornelnotch/verification/tests/test_models.py
+++ b/cornelnotch/verification/tests/test_models.py
@@ -1,4 +1,4 @@
-"""Check the specifications exhaustively, and that each mutant is caught."""
+"""Exhaustive checks of the protocol models, and of the mutants they must detect."""
 
 import pytest
 from minicheck import check_safety
@@ -18,19 +18,19 @@
 MAX_STATES = 150_000
 
 
-def list_broken(protocol):
+def list_violations(protocol):
     result = check_safety(protocol, max_states=MAX_STATES)
     return [n for n, p in result["properties"].items() if p["holds"] is False]
 
 
-def prove(protocol):
+def assert_exhaustively_safe(protocol):
     result = check_safety(protocol, max_states=MAX_STATES)
     assert result["exhaustive"]
     assert all(p["holds"] is True for p in result["properties"].values()), result
 
 
-def test_claims_run_at_most_once_and_not_run_is_true():
-    prove(create_claim_protocol())
+def test_claim_protocol_is_safe():
+    assert_exhaustively_safe(create_claim_protocol())
 
 
 @pytest.mark.parametrize(
@@ -42,12 +42,12 @@
         (ClaimMutant.EARLY_NOT_RUN, "not_run_is_true"),
     ],
 )
-def test_claim_mutants_are_caught(mutant, broken):
-    assert broken in list_broken(create_claim_protocol(mutant))
+def test_claim_mutants_are_detected(mutant, broken):
+    assert broken in list_violations(create_claim_protocol(mutant))
 
 
-def test_configuration_never_reverts_and_agrees():
-    prove(create_configuration_protocol())
+def test_configuration_protocol_is_safe():
+    assert_exhaustively_safe(create_configuration_protocol())
 
 
 @pytest.mark.parametrize(
@@ -58,22 +58,22 @@
         (ConfigurationMutant.ANY_PEER, "never_reverts"),
     ],
 )
-def test_configuration_mutants_are_caught(mutant, broken):
-    assert broken in list_broken(create_configuration_protocol(mutant))
+def test_configuration_mutants_are_detected(mutant, broken):
+    assert broken in list_violations(create_configuration_protocol(mutant))
 
 
-def test_order_sheds_nothing_for_a_lower_tier_and_starves_nobody():
-    prove(create_order_protocol(depth=6))
+def test_scheduling_of_two_tiers_is_safe():
+    assert_exhaustively_safe(create_order_protocol(depth=6))
 
 
-def test_order_of_three_tiers_sheds_nothing_for_a_lower_tier():
-    prove(create_order_protocol(depth=7, events=THREE_TIERS))
+def test_scheduling_of_three_tiers_is_safe():
+    assert_exhaustively_safe(create_order_protocol(depth=7, events=THREE_TIERS))
 
 
-def test_a_victim_sent_away_before_a_lower_running_tier_is_caught():
+def test_queue_victim_rejected_before_lower_running_tier_is_detected():
     mutant = OrderMutant.NO_VICTIM_RESCUE
     protocol = create_order_protocol(mutant, depth=7, events=THREE_TIERS)
-    assert "not_shed_for_lower" in list_broken(protocol)
+    assert "not_shed_for_lower" in list_violations(protocol)
 
 
 @pytest.mark.parametrize(
@@ -85,13 +85,15 @@
         (OrderMutant.NO_QUEUE_FLOOR, "not_shut_out"),
     ],
 )
-def test_order_mutants_are_caught(mutant, broken):
-    assert broken in list_broken(create_order_protocol(mutant, depth=6))
+def test_scheduling_mutants_are_detected(mutant, broken):
+    assert broken in list_violations(create_order_protocol(mutant, depth=6))
 
 
 @pytest.mark.parametrize(("timelines", "restarts"), [(2, 1), (3, 0)])
-def test_a_restored_store_takes_nothing_back(timelines, restarts):
-    prove(create_restoration_protocol(timelines=timelines, restarts=restarts))
+def test_restoration_protocol_is_safe(timelines, restarts):
+    assert_exhaustively_safe(
+        create_restoration_protocol(timelines=timelines, restarts=restarts)
+    )
 
 
 @pytest.mark.parametrize(
@@ -105,6 +107,6 @@
         (RestorationMutant.ANY_VERSION, 2, "never_reverts"),
     ],
 )
-def test_restoration_mutants_are_caught(mutant, timelines, broken):
+def test_restoration_mutants_are_detected(mutant, timelines, broken):
     protocol = create_restoration_protocol(mutant, timelines, restarts=0)
-    assert broken in list_broken(protocol)
+    assert broken in list_violations(protocol)
--- a/examples/claims.py
+++ b/examples/claims.py
@@ -1,4 +1,4 @@
-"""Fold claims of two attempts at one key."""
+"""Apply the claims and the release of several attempts for one key."""
 
 from cornelnotch.claims import ClaimLedger, ClaimOperation, OperationKind
 
--- a/examples/classify.py
+++ b/examples/classify.py
@@ -1,4 +1,4 @@
-"""Fold a configuration and classify a request."""
+"""Apply a configuration and classify requests."""
 
 from cornelnotch.configuration import (
     Change,
@@ -33,5 +33,8 @@
     selection = select_class(configuration, "shop", labels, None).unwrap()
     print(labels, "->", selection.class_name, "by selector", selection.selector)
 
-racing = Change("b", -1, "[class draft]\ntier = 4\n")
-print("racing change:", fold_record(verdict.state, 1, encode_record(racing)).error)
+concurrent_change = Change("b", -1, "[class draft]\ntier = 4\n")
+print(
+    "concurrent change:",
+    fold_record(verdict.state, 1, encode_record(concurrent_change)).error,
+)
--- a/examples/placing.py
+++ b/examples/placing.py
@@ -1,4 +1,4 @@
-"""Place a long prompt: where its first part is cached, unless that costs more."""
+"""Place a long prompt on the server that caches its prefix, unless that is slower."""
 
 from cornelnotch.gateway.models import (
     CallerRequest,
@@ -27,7 +27,7 @@
 )
 
 for backlog in (0, 20_000, 200_000, 0):
-    owner = placer.choose(engines, ROUTE, request, NEED, 0.0)
-    assert owner is not None
-    print(f"{owner.server.record.name}: {owner.cost_ms:.0f} ms")
-    owner.server.start(Flight(f"other {backlog}", 0.0, backlog, priority=1))
+    placed = placer.choose(engines, ROUTE, request, NEED, 0.0)
+    assert placed is not None
+    print(f"{placed.server.record.name}: {placed.cost_ms:.0f} ms")
+    placed.server.start(Flight(f"other {backlog}", 0.0, backlog, priority=1))
--- a/examples/queue.py
+++ b/examples/queue.py
@@ -1,4 +1,4 @@
-"""Let an urgent request displace one of a lower tier."""
+"""Displace a running request of a lower tier by an urgent one."""
 
 from cornelnotch.queueing import create_shard
 from cornelnotch.testing.shardmodel import ModelClass, ModelEngine, create_rule
@@ -12,7 +12,7 @@
 
 
 def ask(name: str, number: int, now: float) -> None:
-    """Ask for a place and print what is decided."""
+    """Request a permit and print the decision of the shard."""
     model = next(c for c in CLASSES if c.name == name)
     request = PermitAsk(
         f"{name}-{number}",
--- a/examples/whole.py
+++ b/examples/whole.py
@@ -1,4 +1,4 @@
-"""Run a fleet in one process; ask it for a chat and a booking."""
+"""Run a fleet in one process and send it a chat and a booking."""
 
 import asyncio
 
@@ -7,8 +7,8 @@
 from cornelnotch.load.embedded import create_deployment
 
 
-async def show() -> None:
-    """Start Heelmark's deployment and call it."""
+async def run_example() -> None:
+    """Start the Heelmark deployment and send requests to it."""
     clock = create_clock()
     fleet = create_deployment("heelmark", clock)
     addresses = await fleet.start()
@@ -27,4 +27,4 @@
     await fleet.stop()
 
 
-asyncio.run(show())
+asyncio.run(run_example())
