--- a/benchmarks/turns.py
+++ b/benchmarks/turns.py
@@ -44,8 +44,8 @@
 
 
 POLICIES = (
-    TurnPolicy("sent immediately", False, False),
-    TurnPolicy("sent immediately, engines reserved", False, True),
+    TurnPolicy("no turns", False, False),
+    TurnPolicy("no turns, engines reserved", False, True),
     TurnPolicy("turns", True, False),
     TurnPolicy("turns, engines reserved", True, True),
 )
