--- a/benchmarks/turns.py
+++ b/benchmarks/turns.py
@@ -13,7 +13,7 @@
 import pygal
 from pygal.style import CleanStyle
 
-from cornelnotch.gateway.placing import Placer
+from cornelnotch.gateway.placement import Placer
 from cornelnotch.testing.enginemodel import (
     Outcome,
     PlacedRequest,
@@ -55,18 +55,20 @@
     """Return a seeded mix of chats and long prompts."""
     generator = random.Random(SEED)
     requests: list[PlacedRequest] = []
-    for tight, rate in ((True, CHATS_PER_S), (False, prompts_per_s)):
+    for latency_sensitive, rate in ((True, CHATS_PER_S), (False, prompts_per_s)):
         at_ms = generator.expovariate(rate) * 1000.0
         while at_ms < SECONDS * 1000.0:
-            requests.append(_create_request(generator, len(requests), at_ms, tight))
+            requests.append(
+                _create_request(generator, len(requests), at_ms, latency_sensitive)
+            )
             at_ms += generator.expovariate(rate) * 1000.0
     return requests
 
 
 def _create_request(
-    generator: random.Random, number: int, at_ms: float, tight: bool
+    generator: random.Random, number: int, at_ms: float, latency_sensitive: bool
 ) -> PlacedRequest:
-    if tight:
+    if latency_sensitive:
         return PlacedRequest(
             f"chat {number}", at_ms, True, "greeting", 350, 1110, 170, 0
         )
@@ -75,11 +77,11 @@
     return PlacedRequest(f"long {number}", at_ms, False, prefix, 13_300, own, 120, 2)
 
 
-def compute_share_in_time(outcomes: list[Outcome], tight: bool) -> float:
+def compute_share_in_time(outcomes: list[Outcome], latency_sensitive: bool) -> float:
     """Return the share of a kind that met its first-token and gap targets."""
-    target = CHAT_TARGET_MS if tight else LONG_TARGET_MS
-    gap = CHAT_GAP_MS if tight else LONG_GAP_MS
-    kind = [o for o in outcomes if o.request.tight is tight]
+    target = CHAT_TARGET_MS if latency_sensitive else LONG_TARGET_MS
+    gap = CHAT_GAP_MS if latency_sensitive else LONG_GAP_MS
+    kind = [o for o in outcomes if o.request.latency_sensitive is latency_sensitive]
     in_time = [o for o in kind if o.first_ms <= target and o.longest_gap_ms <= gap]
     return len(in_time) / len(kind)
 
@@ -114,8 +116,8 @@
     for policy in POLICIES:
         for load in LOADS:
             outcomes = simulate_policy(policy, load)
-            for kind, tight in (("chats", True), ("long prompts", False)):
-                share = compute_share_in_time(outcomes, tight)
+            for kind, latency_sensitive in (("chats", True), ("long prompts", False)):
+                share = compute_share_in_time(outcomes, latency_sensitive)
                 rows.setdefault(f"{kind}: {policy.name}", []).append(share)
     print("long prompts per second".ljust(44), *(f"{load:6g}" for load in LOADS))
     for name, values in sorted(rows.items()):
--- a/cornelnotch/gateway/asking.py
+++ b/cornelnotch/gateway/admission_client.py
@@ -6,7 +6,7 @@
 from enum import StrEnum
 
 from cornelnotch.gateway.models import CallerRequest, PromptPart
-from cornelnotch.gateway.returning import is_hopeless
+from cornelnotch.gateway.retry_after import is_infeasible
 from cornelnotch.gateway.servers import Flight, ServerView
 from cornelnotch.kernel.clock import Clock
 from cornelnotch.kernel.hashing import select_owner
@@ -19,7 +19,7 @@
     TurnWait,
 )
 
-__all__ = ["AdmissionResult", "TurnClient"]
+__all__ = ["AdmissionResult", "AdmissionClient"]
 
 # Period at which waiting requests are sent again; answers carry a wait estimate.
 ASK_PERIOD_MS = 200.0
@@ -40,10 +40,10 @@
     """
 
     GRANTED = "granted"
-    ALONE = "alone"
-    LOST = "lost"
-    BETTER = "better"
-    HOPELESS = "hopeless"
+    UNANSWERED = "alone"
+    ENGINE_LOST = "lost"
+    BETTER_ENGINE = "better"
+    INFEASIBLE = "hopeless"
 
 
 @dataclass(slots=True)
@@ -63,12 +63,12 @@
     has_better_server: Callable[[], bool] = lambda: False
     answered_ms: float = 0.0
     sent_ms: float = 0.0
-    begun: bool = False
+    prefilled: bool = False
     granted: bool = False
     decided: asyncio.Event = field(default_factory=asyncio.Event)
 
 
-class TurnClient:
+class AdmissionClient:
     """Requests of this host that wait for admission to engines or run there."""
 
     def __init__(
@@ -88,14 +88,14 @@
         peers.subscribe(TurnGrant, self._receive_grant)
         peers.subscribe(TurnWait, self._receive_wait)
 
-    def forget_keepers(self) -> None:
+    def reset_controllers(self) -> None:
         """Clear the cached coordinators after a change of the set of hosts."""
         self._coordinators.clear()
         self._silent_since_ms = {
             k: t for k, t in self._silent_since_ms.items() if self._is_unresponsive(k)
         }
 
-    async def wait(
+    async def wait_for_admission(
         self,
         request: CallerRequest,
         view: ServerView,
@@ -127,31 +127,31 @@
                 async with asyncio.timeout(ASK_PERIOD_MS / 1000.0):
                     await state.decided.wait()
                 if not self._is_listed(view):
-                    return AdmissionResult.LOST
+                    return AdmissionResult.ENGINE_LOST
                 return (
                     AdmissionResult.GRANTED
                     if state.granted
-                    else AdmissionResult.HOPELESS
+                    else AdmissionResult.INFEASIBLE
                 )
             except TimeoutError:
                 result = self._recheck(state)
                 if result is not None:
                     return result
 
-    def begin(self, flight: Flight) -> None:
+    def report_prefilled(self, flight: Flight) -> None:
         """Report that the engine has finished the prefill."""
         state = self._states.get(flight.request_id)
         if state is not None:
-            state.begun = True
+            state.prefilled = True
             self._send_ask(state, "begun")
 
-    def end(self, flight: Flight) -> None:
+    def report_end(self, flight: Flight) -> None:
         """Report that the request has ended or was cancelled."""
         state = self._states.pop(flight.request_id, None)
         if state is not None:
             self._send_end(state)
 
-    async def run(self) -> None:
+    async def run_reports(self) -> None:
         """Report running requests to their coordinators until cancelled."""
         while True:
             await self._clock.sleep(ASK_PERIOD_MS)
@@ -162,7 +162,7 @@
 
     def _report(self, state: AdmissionState, now: float) -> None:
         if self._update_coordinator(state) or now - state.sent_ms >= REPORT_PERIOD_MS:
-            self._send_ask(state, "begun" if state.begun else "sent")
+            self._send_ask(state, "begun" if state.prefilled else "sent")
 
     def _open_state(
         self,
@@ -184,7 +184,7 @@
         """Return the outcome of the wait, or send the request for admission again."""
         now = self._clock.read()
         if not self._is_listed(state.view) or now < state.view.ejected_until_ms:
-            return AdmissionResult.LOST
+            return AdmissionResult.ENGINE_LOST
         if self._update_coordinator(state):
             state.answered_ms = now
         elif self._is_unresponsive(state.coordinator):
@@ -193,7 +193,7 @@
             self._silent_since_ms[state.coordinator] = now
             return self._proceed_unanswered(state)
         if state.has_better_server():
-            return AdmissionResult.BETTER
+            return AdmissionResult.BETTER_ENGINE
         self._send_ask(state, "waiting")
         return None
 
@@ -215,7 +215,7 @@
         """Proceed without an answer, reporting the request to the coordinator."""
         state.granted = True
         self._send_ask(state, "sent")
-        return AdmissionResult.ALONE
+        return AdmissionResult.UNANSWERED
 
     def _send_ask(self, state: AdmissionState, stage: TurnStage) -> None:
         now = self._clock.read()
@@ -265,7 +265,7 @@
             state.flight.prefill_tokens = wait.unread
             state.flight.wait_ms = wait.wait_ms
             left_ms = state.wait_limit_ms - (state.answered_ms - state.arrived_ms)
-            if is_hopeless(wait.wait_ms, left_ms) and not state.granted:
+            if is_infeasible(wait.wait_ms, left_ms) and not state.granted:
                 state.decided.set()
 
     def _note_answer(
--- a/cornelnotch/gateway/turns.py
+++ b/cornelnotch/gateway/admission_queue.py
@@ -20,11 +20,11 @@
 from dataclasses import dataclass
 from itertools import pairwise
 
-from cornelnotch.gateway.engines import EngineEstimate, find_reading_budget
+from cornelnotch.gateway.engine_estimates import EngineEstimate, find_prefill_budget
 from cornelnotch.gateway.models import PromptPart
 from cornelnotch.wire.messages import StreamProgress
 
-__all__ = ["Ticket", "TurnQueue"]
+__all__ = ["QueueEntry", "AdmissionQueue"]
 
 # Prefill backlog, in time, below which an engine gets more work. It covers the delay of
 # the next grant, also from another region, so the engine does not run idle.
@@ -53,7 +53,7 @@
 
 
 @dataclass(slots=True)
-class Ticket:
+class QueueEntry:
     """A request that a host wants to send to an engine; times are in ms.
 
     `unread` is the number of tokens to prefill, fixed when the request is granted. The
@@ -66,11 +66,11 @@
     priority: int
     shared: tuple[PromptPart, ...]
     own_tokens: int
-    asked_ms: float
-    heard_ms: float
+    queued_at_ms: float
+    refreshed_ms: float
     granted: bool = False
-    begun: bool = False
-    unread: int = 0
+    prefilled: bool = False
+    uncached_tokens: int = 0
     gap_ms: float = 0.0
     target_ms: float = 0.0
     granted_ms: float = 0.0
@@ -96,10 +96,10 @@
 
     at_ms: float
     priority: int
-    unread: int
+    uncached_tokens: int
 
 
-class TurnQueue:
+class AdmissionQueue:
     """Order the requests for one engine and grant them as its backlog shrinks."""
 
     def __init__(
@@ -107,7 +107,7 @@
     ) -> None:
         self.slots = slots
         self.estimate = estimate or EngineEstimate()
-        self.tickets: dict[str, Ticket] = {}
+        self.entries: dict[str, QueueEntry] = {}
         self._cache_tokens = cache_tokens
         self._prefix_cache: OrderedDict[str, int] = OrderedDict()
         self._cached_tokens = 0
@@ -118,33 +118,33 @@
         self._recent_grants: deque[PrefillRecord] = deque()
         self._recent_prefills: deque[PrefillRecord] = deque()
 
-    def ask(self, ticket: Ticket) -> Ticket:
+    def add_or_refresh(self, entry: QueueEntry) -> QueueEntry:
         """Add a request or refresh a known one, and return its current state."""
-        self._update_backlog(ticket.heard_ms)
-        known = self.tickets.get(ticket.request_id)
+        self._update_backlog(entry.refreshed_ms)
+        known = self.entries.get(entry.request_id)
         if known is None:
-            known = self.tickets[ticket.request_id] = ticket
-            self._record_arrival(ticket)
-            if ticket.granted:
-                self._add_to_backlog(ticket)
-        known.heard_ms = ticket.heard_ms
-        if ticket.granted and not known.granted:
+            known = self.entries[entry.request_id] = entry
+            self._record_arrival(entry)
+            if entry.granted:
+                self._add_to_backlog(entry)
+        known.refreshed_ms = entry.refreshed_ms
+        if entry.granted and not known.granted:
             # The host sent the request without waiting for a grant.
             self._add_to_backlog(known)
             known.granted = True
-        if ticket.begun and not known.begun:
-            self._record_prefill(known, ticket.heard_ms)
-        known.begun = known.begun or ticket.begun
+        if entry.prefilled and not known.prefilled:
+            self._record_prefill(known, entry.refreshed_ms)
+        known.prefilled = known.prefilled or entry.prefilled
         return known
 
-    def begin(self, request_id: str, now: float | None = None) -> None:
+    def mark_prefilled(self, request_id: str, now: float | None = None) -> None:
         """Record that the engine has finished the prefill of a prompt."""
-        ticket = self.tickets.get(request_id)
-        if ticket is not None and not ticket.begun:
-            self._record_prefill(ticket, self._updated_ms if now is None else now)
-            ticket.begun = True
+        entry = self.entries.get(request_id)
+        if entry is not None and not entry.prefilled:
+            self._record_prefill(entry, self._updated_ms if now is None else now)
+            entry.prefilled = True
 
-    def note_progress(
+    def record_progress(
         self, request_id: str, progress: StreamProgress, now: float
     ) -> None:
         """Update the estimate from a stream's progress and concurrent prefill work."""
@@ -154,51 +154,51 @@
             for record in self._recent_prefills
             if record.at_ms >= started_ms and record.request_id != request_id
         ]
-        ticket = self.tickets.get(request_id)
-        gap_ms = ticket.gap_ms if ticket is not None else 0.0
-        self.estimate.note_progress(progress, prompts, gap_ms, now)
+        entry = self.entries.get(request_id)
+        gap_ms = entry.gap_ms if entry is not None else 0.0
+        self.estimate.record_progress(progress, prompts, gap_ms, now)
 
-    def _record_prefill(self, ticket: Ticket, now: float) -> None:
+    def _record_prefill(self, entry: QueueEntry, now: float) -> None:
         """Update the estimate from the time that a prefill took."""
         idle_since_ms = (
             self._recent_prefills[-1].at_ms if self._recent_prefills else float("-inf")
         )
-        elapsed_ms = now - max(ticket.granted_ms, idle_since_ms)
-        self.estimate.note_reading(ticket.unread, elapsed_ms, now)
+        elapsed_ms = now - max(entry.granted_ms, idle_since_ms)
+        self.estimate.record_prefill(entry.uncached_tokens, elapsed_ms, now)
         self._recent_prefills.append(
-            PrefillRecord(now, ticket.request_id, ticket.unread)
+            PrefillRecord(now, entry.request_id, entry.uncached_tokens)
         )
         while self._recent_prefills[0].at_ms < now - PREFILL_HISTORY_MS:
             self._recent_prefills.popleft()
 
-    def end(self, request_id: str) -> None:
+    def remove(self, request_id: str) -> None:
         """Remove a request that ended or was cancelled."""
-        self.tickets.pop(request_id, None)
+        self.entries.pop(request_id, None)
 
-    def expire(self, now: float) -> None:
+    def remove_expired(self, now: float) -> None:
         """Remove requests that their hosts no longer report."""
-        for ticket in list(self.tickets.values()):
-            lifetime = GRANTED_TIMEOUT_MS if ticket.granted else WAITING_TIMEOUT_MS
-            if now - ticket.heard_ms > lifetime:
-                del self.tickets[ticket.request_id]
+        for entry in list(self.entries.values()):
+            lifetime = GRANTED_TIMEOUT_MS if entry.granted else WAITING_TIMEOUT_MS
+            if now - entry.refreshed_ms > lifetime:
+                del self.entries[entry.request_id]
 
-    def grant(self, now: float) -> list[Ticket]:
+    def grant(self, now: float) -> list[QueueEntry]:
         """Grant the requests to be sent now and return them in order."""
         self._update_backlog(now)
-        waiting = [t for t in self.tickets.values() if not t.granted]
+        waiting = [t for t in self.entries.values() if not t.granted]
         granted = []
         while waiting and self._has_capacity():
-            ticket = self._select_next(waiting, now)
-            if ticket is None:
+            entry = self._select_next(waiting, now)
+            if entry is None:
                 break
-            waiting.remove(ticket)
-            ticket.granted = True
-            ticket.heard_ms = now
-            self._add_to_backlog(ticket)
-            granted.append(ticket)
+            waiting.remove(entry)
+            entry.granted = True
+            entry.refreshed_ms = now
+            self._add_to_backlog(entry)
+            granted.append(entry)
         return granted
 
-    def _select_next(self, waiting: list[Ticket], now: float) -> Ticket | None:
+    def _select_next(self, waiting: list[QueueEntry], now: float) -> QueueEntry | None:
         """Return the request to grant next, or None if the first one must wait."""
         if len(waiting) == 1:
             first = waiting[0]
@@ -211,8 +211,8 @@
         return None if is_delayed else ranked[0]
 
     def _select_overtaking(
-        self, ranked: list[Ticket], is_delayed: bool, now: float
-    ) -> Ticket | None:
+        self, ranked: list[QueueEntry], is_delayed: bool, now: float
+    ) -> QueueEntry | None:
         """Return a request that can overtake those before it without making them late.
 
         It has an earlier latest start than the first request, or the first request is
@@ -221,17 +221,22 @@
         first_latest_ms = self._compute_latest_start_ms(ranked[0])
         min_slack_ms = float("inf")
         queued_ahead_ms = self._estimate_prefill_ms(self._backlog_tokens)
-        for ticket, following in pairwise(ranked):
+        for entry, following in pairwise(ranked):
             usable_slack_ms = (
-                self._compute_latest_start_ms(ticket) - ticket.asked_ms
+                self._compute_latest_start_ms(entry) - entry.queued_at_ms
             ) * OVERTAKING_SLACK_SHARE
             min_slack_ms = min(
-                min_slack_ms, ticket.asked_ms + usable_slack_ms - now - queued_ahead_ms
+                min_slack_ms,
+                entry.queued_at_ms + usable_slack_ms - now - queued_ahead_ms,
+            )
+            queued_ahead_ms += self._estimate_prefill_ms(
+                self.count_uncached_tokens(entry)
             )
-            queued_ahead_ms += self._estimate_prefill_ms(self.count_unread(ticket))
             if min_slack_ms <= 0:
                 return None
-            prefill_ms = self._estimate_prefill_ms(self.count_unread(following))
+            prefill_ms = self._estimate_prefill_ms(
+                self.count_uncached_tokens(following)
+            )
             may_overtake = (
                 is_delayed or self._compute_latest_start_ms(following) < first_latest_ms
             )
@@ -241,32 +246,32 @@
                 return following
         return None
 
-    def _compute_latest_start_ms(self, ticket: Ticket) -> float:
+    def _compute_latest_start_ms(self, entry: QueueEntry) -> float:
         """Return the latest time at which the prefill can start to meet the target."""
-        if ticket.target_ms <= 0:
+        if entry.target_ms <= 0:
             return float("-inf")
-        prefill_ms = self._estimate_prefill_ms(self.count_unread(ticket))
-        return ticket.asked_ms + ticket.target_ms - prefill_ms
+        prefill_ms = self._estimate_prefill_ms(self.count_uncached_tokens(entry))
+        return entry.queued_at_ms + entry.target_ms - prefill_ms
 
-    def find_next_ms(self, now: float) -> float:
+    def find_next_grant_ms(self, now: float) -> float:
         """Return the time until prefill progress alone may allow a grant, in ms."""
         prefill_ms = max(
             self._estimate_prefill_ms(self._backlog_tokens) - PREFILL_AHEAD_MS, 0.0
         )
-        waiting = [t for t in self.tickets.values() if not t.granted]
+        waiting = [t for t in self.entries.values() if not t.granted]
         first = min(waiting, key=lambda t: self._compute_sort_key(t, now), default=None)
         if first is None:
             return prefill_ms
         return max(prefill_ms, self._compute_gap_delay_ms(first, now))
 
-    def _compute_gap_delay_ms(self, ticket: Ticket, now: float) -> float:
+    def _compute_gap_delay_ms(self, entry: QueueEntry, now: float) -> float:
         """Return how long the gaps of running streams delay a prompt, in ms."""
         gap_ms = min(
-            (t.gap_ms for t in self.tickets.values() if t.begun and t.gap_ms > 0),
+            (t.gap_ms for t in self.entries.values() if t.prefilled and t.gap_ms > 0),
             default=0.0,
         )
-        remaining_tokens = find_reading_budget(self.estimate.pace, gap_ms)
-        remaining_tokens -= self.count_unread(ticket)
+        remaining_tokens = find_prefill_budget(self.estimate.rates, gap_ms)
+        remaining_tokens -= self.count_uncached_tokens(entry)
         for record in reversed(self._recent_grants):
             if record.at_ms <= now - gap_ms:
                 break
@@ -277,31 +282,32 @@
         return 0.0
 
     def _estimate_prefill_ms(self, tokens: float) -> float:
-        return tokens / self.estimate.pace.read_rate
+        return tokens / self.estimate.rates.read_rate
 
-    def estimate_wait(self, ticket: Ticket, now: float) -> float:
+    def estimate_wait_ms(self, entry: QueueEntry, now: float) -> float:
         """Return the expected time until a request is granted, in ms.
 
         Accounts for later arrivals that will be prefilled before it.
         """
-        rank = self._compute_sort_key(ticket, now)
+        rank = self._compute_sort_key(entry, now)
         ahead_tokens = sum(
-            self.count_unread(other)
-            for other in self.tickets.values()
+            self.count_uncached_tokens(other)
+            for other in self.entries.values()
             if not other.granted and self._compute_sort_key(other, now) < rank
         )
         queued_ms = self._estimate_prefill_ms(ahead_tokens + self._backlog_tokens)
-        return queued_ms / (1.0 - self._estimate_overtaken_share(ticket, now))
+        return queued_ms / (1.0 - self._estimate_overtaken_share(entry, now))
 
-    def _estimate_overtaken_share(self, ticket: Ticket, now: float) -> float:
+    def _estimate_overtaken_share(self, entry: QueueEntry, now: float) -> float:
         """Return the share of prefill capacity that later arrivals will take first."""
         while self._arrivals and self._arrivals[0].at_ms < now - ARRIVAL_WINDOW_MS:
             self._arrivals.popleft()
-        unread = self.count_unread(ticket)
+        uncached_tokens = self.count_uncached_tokens(entry)
         overtaking_tokens = sum(
-            other.unread
+            other.uncached_tokens
             for other in self._arrivals
-            if (other.priority, other.unread) < (ticket.priority, unread)
+            if (other.priority, other.uncached_tokens)
+            < (entry.priority, uncached_tokens)
         )
         window_ms = max(
             min(now - self._first_arrival_ms, ARRIVAL_WINDOW_MS), MIN_ARRIVAL_WINDOW_MS
@@ -311,19 +317,19 @@
             MAX_OVERTAKEN_SHARE,
         )
 
-    def _record_arrival(self, ticket: Ticket) -> None:
-        unread = self.count_unread(ticket)
-        arrival = ArrivalRecord(ticket.heard_ms, ticket.priority, unread)
+    def _record_arrival(self, entry: QueueEntry) -> None:
+        uncached_tokens = self.count_uncached_tokens(entry)
+        arrival = ArrivalRecord(entry.refreshed_ms, entry.priority, uncached_tokens)
         self._arrivals.append(arrival)
-        self._first_arrival_ms = min(self._first_arrival_ms, ticket.heard_ms)
+        self._first_arrival_ms = min(self._first_arrival_ms, entry.refreshed_ms)
 
     def has_waiting(self) -> bool:
         """Return whether any request waits for a grant."""
-        return any(not ticket.granted for ticket in self.tickets.values())
+        return any(not entry.granted for entry in self.entries.values())
 
     def _has_capacity(self) -> bool:
-        granted = [t for t in self.tickets.values() if t.granted]
-        unfinished = sum(t.unread for t in granted if not t.begun)
+        granted = [t for t in self.entries.values() if t.granted]
+        unfinished = sum(t.uncached_tokens for t in granted if not t.prefilled)
         # Prompts with a first token are prefilled, which may be sooner than estimated.
         self._backlog_tokens = min(self._backlog_tokens, float(unfinished))
         return (
@@ -332,37 +338,41 @@
             and len(granted) < self.slots + EXTRA_GRANTS
         )
 
-    def _compute_sort_key(self, ticket: Ticket, now: float) -> tuple[int, float]:
+    def _compute_sort_key(self, entry: QueueEntry, now: float) -> tuple[int, float]:
         """Return the key that sorts requests by the order of their grants."""
-        prefill_ms = self._estimate_prefill_ms(self.count_unread(ticket))
-        return ticket.priority, prefill_ms - AGING_RATE * (now - ticket.asked_ms)
+        prefill_ms = self._estimate_prefill_ms(self.count_uncached_tokens(entry))
+        return entry.priority, prefill_ms - AGING_RATE * (now - entry.queued_at_ms)
 
     def _update_backlog(self, now: float) -> None:
         elapsed_ms = max(now - self._updated_ms, 0.0)
-        read = elapsed_ms * self.estimate.pace.read_rate
+        read = elapsed_ms * self.estimate.rates.read_rate
         self._backlog_tokens = max(self._backlog_tokens - read, 0.0)
         self._updated_ms = now
 
-    def count_unread(self, ticket: Ticket) -> int:
+    def count_uncached_tokens(self, entry: QueueEntry) -> int:
         """Return the number of prompt tokens that the engine does not cache."""
-        unread = ticket.tokens
-        for part in ticket.shared:
+        uncached_tokens = entry.tokens
+        for part in entry.shared:
             if part.name not in self._prefix_cache:
                 break
-            unread -= part.tokens
-        return unread
-
-    def _add_to_backlog(self, ticket: Ticket) -> None:
-        ticket.unread = self.count_unread(ticket)
-        ticket.granted_ms = ticket.heard_ms
-        if not ticket.begun:
-            self._backlog_tokens += ticket.unread
+            uncached_tokens -= part.tokens
+        return uncached_tokens
+
+    def _add_to_backlog(self, entry: QueueEntry) -> None:
+        entry.uncached_tokens = self.count_uncached_tokens(entry)
+        entry.granted_ms = entry.refreshed_ms
+        if not entry.prefilled:
+            self._backlog_tokens += entry.uncached_tokens
             self._recent_grants.append(
-                PrefillRecord(ticket.heard_ms, ticket.request_id, ticket.unread)
+                PrefillRecord(
+                    entry.refreshed_ms, entry.request_id, entry.uncached_tokens
+                )
             )
-            while self._recent_grants[0].at_ms < ticket.heard_ms - PREFILL_HISTORY_MS:
+            while (
+                self._recent_grants[0].at_ms < entry.refreshed_ms - PREFILL_HISTORY_MS
+            ):
                 self._recent_grants.popleft()
-        self._update_cache(ticket.shared)
+        self._update_cache(entry.shared)
 
     def _update_cache(self, parts: Iterable[PromptPart]) -> None:
         for part in parts:
--- a/cornelnotch/gateway/engines.py
+++ b/cornelnotch/gateway/engine_estimates.py
@@ -9,12 +9,12 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from cornelnotch.wire.messages import EnginePace, StreamProgress
+from cornelnotch.wire.messages import EngineRates, StreamProgress
 
-__all__ = ["EngineEstimate", "PRIOR_PACE", "average_paces", "find_reading_budget"]
+__all__ = ["EngineEstimate", "PRIOR_RATES", "average_rates", "find_prefill_budget"]
 
 # Assumed for an engine without observations.
-PRIOR_PACE = EnginePace("", 25.0, 40.0, 40.0, 1.0)
+PRIOR_RATES = EngineRates("", 25.0, 40.0, 40.0, 1.0)
 # Weight of the prior, as equivalent prefill time, stream events and prefilled tokens.
 PRIOR_PREFILL_MS = 400.0
 PRIOR_EVENTS = 10.0
@@ -41,7 +41,7 @@
 TOKENS_PER_KILOTOKEN = 1000.0
 
 
-def find_reading_budget(pace: EnginePace, gap_ms: float) -> float:
+def find_prefill_budget(rates: EngineRates, gap_ms: float) -> float:
     """Return the number of tokens an engine may prefill within a gap of `gap_ms`.
 
     Infinity if `gap_ms` is 0.
@@ -49,23 +49,23 @@
     if gap_ms <= 0:
         return float("inf")
     prefill_ms = max(
-        gap_ms * USABLE_GAP_SHARE - pace.event_ms, gap_ms * MIN_PREFILL_SHARE
+        gap_ms * USABLE_GAP_SHARE - rates.event_ms, gap_ms * MIN_PREFILL_SHARE
     )
-    return prefill_ms * pace.chunk_rate * pace.ease
+    return prefill_ms * rates.chunk_rate * rates.ease
 
 
-def average_paces(paces: Iterable[EnginePace]) -> EnginePace:
+def average_rates(engine_rates: Iterable[EngineRates]) -> EngineRates:
     """Return the mean of the given paces, or the prior if there are none."""
-    known = list(paces)
+    known = list(engine_rates)
     if not known:
-        return PRIOR_PACE
+        return PRIOR_RATES
     size = len(known)
-    return EnginePace(
+    return EngineRates(
         "",
-        sum(pace.read_rate for pace in known) / size,
-        sum(pace.chunk_rate for pace in known) / size,
-        sum(pace.event_ms for pace in known) / size,
-        sum(pace.ease for pace in known) / size,
+        sum(rates.read_rate for rates in known) / size,
+        sum(rates.chunk_rate for rates in known) / size,
+        sum(rates.event_ms for rates in known) / size,
+        sum(rates.ease for rates in known) / size,
     )
 
 
@@ -103,7 +103,7 @@
 class EngineEstimate:
     """Estimate the pace of one engine from observations and a prior."""
 
-    def __init__(self, server: str = "", prior: EnginePace = PRIOR_PACE) -> None:
+    def __init__(self, server: str = "", prior: EngineRates = PRIOR_RATES) -> None:
         self._server = server
         self._prior = prior
         self._prefilled_tokens = 0.0
@@ -112,19 +112,19 @@
         self._updated_ms = 0.0
         self._ease = prior.ease
         self._ease_lowered_ms = float("-inf")
-        self.pace = prior
+        self.rates = prior
 
-    def note_reading(self, tokens: int, elapsed_ms: float, now: float) -> None:
+    def record_prefill(self, tokens: int, elapsed_ms: float, now: float) -> None:
         """Add the observation that a prefill took `elapsed_ms`."""
         self._decay(now)
-        expected_ms = tokens / self.pace.read_rate
-        slowest_ms = max(expected_ms * MAX_DELAY_FACTOR, self.pace.event_ms)
+        expected_ms = tokens / self.rates.read_rate
+        slowest_ms = max(expected_ms * MAX_DELAY_FACTOR, self.rates.event_ms)
         quickest_ms = expected_ms / MAX_DELAY_FACTOR
         self._prefilled_tokens += tokens
         self._prefill_ms += min(max(elapsed_ms, quickest_ms), slowest_ms)
         self._update()
 
-    def note_progress(
+    def record_progress(
         self, progress: StreamProgress, prompts: list[int], gap_ms: float, now: float
     ) -> None:
         """Add the progress of a stream while the engine prefilled `prompts`.
@@ -147,7 +147,7 @@
         gap_ms: float,
         now: float,
     ) -> None:
-        budget = find_reading_budget(self.pace, gap_ms)
+        budget = find_prefill_budget(self.rates, gap_ms)
         if max(prompts, default=0) > budget:
             # Such a prompt exceeds the gap however the others are scheduled.
             return
@@ -175,11 +175,11 @@
         read_rate = read_tokens / (self._prefill_ms + PRIOR_PREFILL_MS)
         event_ms, kilotoken_ms = self._fit()
         chunk_rate = TOKENS_PER_KILOTOKEN / max(kilotoken_ms, 1e-3)
-        self.pace = EnginePace(
+        self.rates = EngineRates(
             self._server,
-            _clamp(read_rate, PRIOR_PACE.read_rate),
-            _clamp(chunk_rate, PRIOR_PACE.chunk_rate),
-            _clamp(event_ms, PRIOR_PACE.event_ms),
+            _clamp(read_rate, PRIOR_RATES.read_rate),
+            _clamp(chunk_rate, PRIOR_RATES.chunk_rate),
+            _clamp(event_ms, PRIOR_RATES.event_ms),
             self._ease,
         )
 
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from cornelnotch.exceptions import CallerGoneError, UpstreamError
-from cornelnotch.gateway.asking import AdmissionResult
+from cornelnotch.gateway.admission_client import AdmissionResult
 from cornelnotch.gateway.dialect import DispatchTerms
 from cornelnotch.gateway.dispatch import Answer, DispatchOutcome, open_answer
 from cornelnotch.gateway.models import (
@@ -15,17 +15,20 @@
 )
 from cornelnotch.gateway.parts import GatewayParts
 from cornelnotch.gateway.passing import MAX_HELD_BYTES, EventReader, pass_body
-from cornelnotch.gateway.patience import (
-    find_longest_pause_s,
-    find_patience_s,
-    find_stall_s,
+from cornelnotch.gateway.placement import Placement, PlacementNeed
+from cornelnotch.gateway.retry_after import (
+    choose_retry_after_ms,
+    estimate_caller_timeout_ms,
 )
-from cornelnotch.gateway.placing import Placement, PlacementNeed
-from cornelnotch.gateway.repeating import DispatchCounts, may_send_again
-from cornelnotch.gateway.returning import choose_return_ms, find_caller_patience
+from cornelnotch.gateway.retry_policy import DispatchCounts, may_send_again
 from cornelnotch.gateway.servers import Flight, ServerView
 from cornelnotch.gateway.silence import is_silent
 from cornelnotch.gateway.streams import EventSplitter
+from cornelnotch.gateway.timeouts import (
+    find_max_gap_s,
+    find_response_timeout_s,
+    find_stall_timeout_s,
+)
 from cornelnotch.kernel.events import Event
 from cornelnotch.web import Exchange
 
@@ -125,7 +128,7 @@
                 answered = await self._try_server(placement, flight)
             finally:
                 placement.server.finish(flight)
-                self.parts.turns.end(flight)
+                self.parts.admission.report_end(flight)
 
     async def _fail_without_server(self) -> None:
         now = self.parts.clock.read()
@@ -144,11 +147,11 @@
         if self.resuming:
             return await self._resume_from_copy(placement, flight)
         result = await self._wait_for_admission(placement.server, flight)
-        if result is AdmissionResult.BETTER:
+        if result is AdmissionResult.BETTER_ENGINE:
             self.server_changes += 1
-        if result in {AdmissionResult.LOST, AdmissionResult.BETTER}:
+        if result in {AdmissionResult.ENGINE_LOST, AdmissionResult.BETTER_ENGINE}:
             return False
-        if result is AdmissionResult.HOPELESS:
+        if result is AdmissionResult.INFEASIBLE:
             return await self._skip_overloaded(placement.server, flight)
         answer = await self._dispatch(placement, flight)
         if answer is None:
@@ -178,7 +181,7 @@
         now = self.parts.clock.read()
         if now >= self.limit_ms or not self.parts.accepts(self.backup):
             return False
-        return self.parts.find_budget(self.service).withdraw(now)
+        return self.parts.find_retry_budget(self.service).try_acquire(now)
 
     def _place_at_backup(self) -> Placement | None:
         if not self.resuming or self.backup is None:
@@ -210,9 +213,9 @@
         need = PlacementNeed(
             self.priority,
             self.excluded | self.overloaded,
-            self.parts.is_tight(self.route),
+            self.parts.is_latency_sensitive(self.route),
             self.parts.find_reserved(self.service),
-            self.parts.find_tight_gap(self.service),
+            self.parts.find_latency_sensitive_gap_ms(self.service),
             current,
         )
         choose = self.parts.placer.choose
@@ -260,7 +263,7 @@
             self.parts.clock.read(),
             placement.prefill_tokens,
             self.priority,
-            tight=self.parts.is_tight(self.route),
+            latency_sensitive=self.parts.is_latency_sensitive(self.route),
         )
         placement.server.start(flight)
         return flight
@@ -271,18 +274,18 @@
         """Wait until the prompt may be sent to the engine, or must not be."""
         if self.route.kind is not WorkKind.STREAM or not self.request.prompt:
             return AdmissionResult.GRANTED
-        result = await self.parts.turns.wait(
+        result = await self.parts.admission.wait_for_admission(
             self.request,
             view,
             flight,
             self.arrived_ms,
             self._find_wait_limit_ms(),
-            self.route.target_gap_ms if flight.tight else 0.0,
+            self.route.target_itl_ms if flight.latency_sensitive else 0.0,
             self.route.target_ms,
             lambda: self._has_better_server(view, flight),
         )
         waited_ms = self.parts.clock.read() - flight.started_ms
-        pace = self.parts.paces.find(view.record.name, self.service)
+        rates = self.parts.engine_rates.get(view.record.name, self.service)
         self.parts.metrics.observe_queued(self.route.name, waited_ms)
         self._record_event(
             Event.TURN_CAME,
@@ -291,8 +294,8 @@
             waited_ms=round(waited_ms, 1),
             unread=flight.prefill_tokens,
             wait_ms=flight.wait_ms,
-            read_ms=round(flight.prefill_tokens / pace.read_rate, 1),
-            event_ms=round(pace.event_ms, 1),
+            read_ms=round(flight.prefill_tokens / rates.read_rate, 1),
+            event_ms=round(rates.event_ms, 1),
         )
         return result
 
@@ -300,12 +303,12 @@
         """Return until when the caller may be refused, in ms since its arrival."""
         if self.dispatches.ran or self.exchange.started:
             return float("inf")
-        return find_caller_patience(self.route, self.limit_ms - self.arrived_ms)
+        return estimate_caller_timeout_ms(self.route, self.limit_ms - self.arrived_ms)
 
     async def _refuse_with_retry(self, wait_ms: float, reason: str) -> None:
         """Refuse the request with a retry delay derived from the expected wait."""
         left_ms = self.deadline_ms - self.parts.clock.read()
-        retry_ms = choose_return_ms(wait_ms, left_ms, self.parts.generator)
+        retry_ms = choose_retry_after_ms(wait_ms, left_ms, self.parts.generator)
         await self._refuse(STATUS_UNAVAILABLE, reason, round(retry_ms))
 
     async def _dispatch(self, placement: Placement, flight: Flight) -> Answer | None:
@@ -332,7 +335,7 @@
             self._apply_server_signals(view, answer)
             if answer.outcome is DispatchOutcome.DONE:
                 view.hear(flight, self.parts.clock.read())
-                self.parts.turns.begin(flight)
+                self.parts.admission.report_prefilled(flight)
                 answer = await self._forward(answer, view, flight)
             self._record_outcome(view, answer)
             return answer
@@ -355,7 +358,7 @@
 
     async def _open_answer(self, view: ServerView, terms: DispatchTerms) -> Answer:
         """Send the request; time out on silence where another server may help."""
-        timeout_s = find_patience_s(self.route, self.dispatches.ran)
+        timeout_s = find_response_timeout_s(self.route, self.dispatches.ran)
         try:
             async with asyncio.timeout(timeout_s):
                 return await open_answer(
@@ -374,7 +377,7 @@
         if self.route.kind is WorkKind.ONCE:
             return True
         now = self.parts.clock.read()
-        return self.parts.placer.measure_use(view, now).failures > 0
+        return self.parts.placer.measure_usage(view, now).failures > 0
 
     def _apply_server_signals(self, view: ServerView, answer: Answer) -> None:
         """Apply what a server states about itself in the head of an answer."""
@@ -475,15 +478,15 @@
 
     def _find_stall_timeout_s(self) -> float | None:
         if self.backup is not None and not self.resuming:
-            return find_longest_pause_s(self.route)
-        return find_stall_s(self.route, self.dispatches.ran)
+            return find_max_gap_s(self.route)
+        return find_stall_timeout_s(self.route, self.dispatches.ran)
 
     def _can_switch_server(self, view: ServerView) -> bool:
         now = self.parts.clock.read()
         if self.backup is not None:
             # A stream that may not be repeated resumes only after its server failed.
             return is_silent(view, now) and self.parts.accepts(self.backup)
-        if not self.parts.find_budget(self.service).allows(now):
+        if not self.parts.find_retry_budget(self.service).can_retry(now):
             return False
         others = self.parts.pool.list_usable(self.service, now)
         excluded = self.excluded | {view.record.name}
@@ -512,7 +515,7 @@
             return False
         if answer.outcome is DispatchOutcome.NOT_SENT:
             return True
-        allowed = self.parts.find_budget(self.service).withdraw(now)
+        allowed = self.parts.find_retry_budget(self.service).try_acquire(now)
         if allowed:
             self.parts.metrics.count_retry(answer.outcome.value)
         return allowed
--- a/cornelnotch/gateway/front.py
+++ b/cornelnotch/gateway/front.py
@@ -69,7 +69,7 @@
             deadline_ms=request.deadline_ms,
             version=table.version,
         )
-        parts.find_budget(flow.service).deposit(arrived_ms)
+        parts.find_retry_budget(flow.service).record_request(arrived_ms)
         await flow.run()
 
     async def _refuse_not_ready(
@@ -79,7 +79,7 @@
         reason = "no-servers" if is_configured else "no-configuration"
         waited_ms = self._parts.clock.read() - arrived_ms
         left_ms = max(request.deadline_ms - waited_ms, 0.0)
-        retry_ms = self._parts.startup.choose_return_ms(left_ms)
+        retry_ms = self._parts.startup.choose_retry_after_ms(left_ms)
         await self._refuse(exchange, request, STATUS_UNAVAILABLE, reason, retry_ms)
 
     async def _refuse(
--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -3,17 +3,17 @@
 import asyncio
 import random
 
+from cornelnotch.gateway.admission_controller import AdmissionController
 from cornelnotch.gateway.dialect import Dialect
 from cornelnotch.gateway.directory import Directory
 from cornelnotch.gateway.follower import RecordFollower
 from cornelnotch.gateway.front import RequestHandler
-from cornelnotch.gateway.keeping import TurnKeeper
 from cornelnotch.gateway.leaving import LeavingBroadcast
+from cornelnotch.gateway.load_exchange import LoadExchange
 from cornelnotch.gateway.parts import NO_VERSION, GatewayParts
 from cornelnotch.gateway.records import RecordDecoder, RecordSource
 from cornelnotch.gateway.relay import RelayPlan, Source
 from cornelnotch.gateway.settings import HostSettings
-from cornelnotch.gateway.sharing import LoadSharing
 from cornelnotch.gateway.silence import SilenceWatch
 from cornelnotch.gateway.spreading import Spreader
 from cornelnotch.gateway.state import RoutingState
@@ -68,7 +68,7 @@
         self.boot = int(clock.read_wall())
         self.peers = PeerNetwork(settings.host.name, self.boot, events, self.tasks)
         self.parts = GatewayParts(settings, clock, events, dialect, client, self.peers)
-        self.keeper = TurnKeeper(self.parts, self.peers)
+        self.admission_controller = AdmissionController(self.parts, self.peers)
         self.handler = RequestHandler(self.parts)
         self.server = HttpServer(self.handler.handle)
         self._build_membership()
@@ -119,13 +119,13 @@
         self.state = RoutingState(
             self.parts, self.follower, decoder, self._apply_table, self._become_ready
         )
-        self.sharing = LoadSharing(
+        self.load_exchange = LoadExchange(
             self.parts,
             self.peers,
             self.plan,
             spreader,
             self._list_entry_hosts,
-            self.keeper.list_paces,
+            self.admission_controller.list_rates,
         )
         self.leaving_broadcast = LeavingBroadcast(
             self.parts, self.peers, spreader, self._list_peers
@@ -160,7 +160,7 @@
         metrics = self.parts.metrics
         metrics.set_state("active", self.handler.active)
         metrics.set_state("hosts", len(self.parts.hosts))
-        metrics.set_state("turns_waiting", self.keeper.count_waiting())
+        metrics.set_state("turns_waiting", self.admission_controller.count_waiting())
         metrics.set_state("version", self.parts.table.version)
         metrics.set_state("store_timeline", self.follower.timeline)
         metrics.set_state("held_records", self.follower.count_held())
@@ -175,9 +175,9 @@
         self.tasks.keep("configuration", self.follower.run_configuration)
         self.tasks.keep("servers", self.follower.run_servers)
         self.tasks.keep("state", self.state.run)
-        self.tasks.keep("loads", self.sharing.run)
+        self.tasks.keep("loads", self.load_exchange.run)
         self.tasks.keep("silence", SilenceWatch(self.parts).run)
-        self.tasks.keep("turns", self.parts.turns.run)
+        self.tasks.keep("turns", self.parts.admission.run_reports)
         self.tasks.keep("probes", self.prober.run_probes)
         self.events.record(Event.HOST_STARTED, http=self.settings.listen.callers)
 
--- a/cornelnotch/gateway/sharing.py
+++ b/cornelnotch/gateway/load_exchange.py
@@ -3,22 +3,22 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from cornelnotch.gateway.loads import LoadBoard
-from cornelnotch.gateway.paces import PaceNews
+from cornelnotch.gateway.engine_rates import RateUpdateFilter
+from cornelnotch.gateway.loads import LoadAggregator
 from cornelnotch.gateway.parts import GatewayParts
 from cornelnotch.gateway.relay import RelayPlan
 from cornelnotch.gateway.spreading import Spreader
 from cornelnotch.kernel.events import Event
 from cornelnotch.wire import PeerNetwork
-from cornelnotch.wire.messages import EnginePace, LoadReport, LoadSummary, ServerUse
+from cornelnotch.wire.messages import EngineRates, LoadReport, LoadSummary, ServerUsage
 
-__all__ = ["LoadSharing"]
+__all__ = ["LoadExchange"]
 
 # Half of the prefill time of a long prompt.
-PERIOD_MS = 250.0
+REPORT_INTERVAL_MS = 250.0
 
 
-class LoadSharing:
+class LoadExchange:
     """Exchange load reports; the first store reader acts as the collector."""
 
     def __init__(
@@ -28,18 +28,18 @@
         plan: RelayPlan,
         spreader: Spreader,
         list_hosts: Callable[[], list[str]],
-        list_paces: Callable[[], list[EnginePace]],
+        list_rates: Callable[[], list[EngineRates]],
     ) -> None:
         self._parts = parts
         self._peers = peers
         self._plan = plan
         self._spreader = spreader
         self._list_hosts = list_hosts
-        self._board = LoadBoard()
-        self._reported: list[ServerUse] = []
-        self._list_paces = list_paces
-        self._own_paces = PaceNews()
-        self._summary_paces = PaceNews()
+        self._aggregator = LoadAggregator()
+        self._reported: list[ServerUsage] = []
+        self._list_rates = list_rates
+        self._own_rate_filter = RateUpdateFilter()
+        self._summary_rate_filter = RateUpdateFilter()
         peers.subscribe(LoadReport, self._receive_report)
         peers.subscribe(LoadSummary, self._receive_summary)
 
@@ -47,46 +47,52 @@
         """Report loads, and publish totals as collector, until cancelled."""
         reported_idle = False
         while True:
-            await self._parts.clock.sleep(PERIOD_MS)
+            await self._parts.clock.sleep(REPORT_INTERVAL_MS)
             now = self._parts.clock.read()
-            uses = [
-                view.measure_use(now)
+            usages = [
+                view.measure_usage(now)
                 for view in self._parts.pool.servers.values()
                 if view.flights
             ]
             collectors = self._plan.list_readers(now)[:1]
-            if uses or not reported_idle:
-                self._reported = uses
-                paces = self._own_paces.select(self._list_paces(), now)
-                for pace in paces:
-                    self._log_pace(pace)
+            if usages or not reported_idle:
+                self._reported = usages
+                engine_rates = self._own_rate_filter.select(self._list_rates(), now)
+                for rates in engine_rates:
+                    self._log_rates(rates)
                 for name in collectors:
-                    self._peers.send(name, LoadReport(self._plan.name, uses, paces))
-            reported_idle = not uses
+                    self._peers.send(
+                        name, LoadReport(self._plan.name, usages, engine_rates)
+                    )
+            reported_idle = not usages
             if self._plan.name in collectors:
                 self._publish(now)
 
-    def _log_pace(self, pace: EnginePace) -> None:
+    def _log_rates(self, rates: EngineRates) -> None:
         self._parts.events.record(
             Event.ENGINE_PACE_TOLD,
-            server=pace.server,
-            read_rate=round(pace.read_rate, 2),
-            chunk_rate=round(pace.chunk_rate, 2),
-            event_ms=round(pace.event_ms, 1),
-            ease=round(pace.ease, 2),
+            server=rates.server,
+            read_rate=round(rates.read_rate, 2),
+            chunk_rate=round(rates.chunk_rate, 2),
+            event_ms=round(rates.event_ms, 1),
+            ease=round(rates.ease, 2),
         )
 
     def _publish(self, now: float) -> None:
-        paces = self._summary_paces.select(self._board.take_paces(), now)
-        summary = LoadSummary(self._plan.name, self._board.sum_up(now), paces, [])
+        engine_rates = self._summary_rate_filter.select(
+            self._aggregator.pop_rates(), now
+        )
+        summary = LoadSummary(
+            self._plan.name, self._aggregator.compute_totals(now), engine_rates, []
+        )
         self._apply(summary)
         self._forward(summary, self._list_hosts())
 
     def _forward(self, summary: LoadSummary, names: list[str]) -> None:
-        self._spreader.spread(names, lambda rest: replace(summary, targets=rest))
+        self._spreader.spread(names, lambda targets: replace(summary, targets=targets))
 
     def _receive_report(self, sender: str, report: LoadReport) -> None:
-        self._board.take(report, self._parts.clock.read())
+        self._aggregator.add_report(report, self._parts.clock.read())
 
     def _receive_summary(self, sender: str, summary: LoadSummary) -> None:
         self._forward(summary, summary.targets)
@@ -94,7 +100,7 @@
 
     def _apply(self, summary: LoadSummary) -> None:
         now = self._parts.clock.read()
-        self._parts.placer.sums.take(summary, self._reported, now)
+        self._parts.placer.aggregates.update(summary, self._reported, now)
         servers = self._parts.pool.servers
         services = {name: view.record.service for name, view in servers.items()}
-        self._parts.paces.take(summary.paces, services)
+        self._parts.engine_rates.update(summary.paces, services)
--- a/cornelnotch/gateway/loads.py
+++ b/cornelnotch/gateway/loads.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
-from cornelnotch.wire.messages import EnginePace, LoadReport, LoadSummary, ServerUse
+from cornelnotch.wire.messages import EngineRates, LoadReport, LoadSummary, ServerUsage
 
-__all__ = ["LoadBoard", "LoadSums", "add_uses"]
+__all__ = ["LoadAggregator", "LoadAggregates", "add_usages"]
 
 # Older reports come from hosts that have stopped or are unreachable.
 REPORT_TTL_MS = 1500.0
@@ -24,9 +24,9 @@
     return [combine(a, b) for a, b in zip(*padded, strict=True)]
 
 
-def add_uses(left: ServerUse, right: ServerUse) -> ServerUse:
+def add_usages(left: ServerUsage, right: ServerUsage) -> ServerUsage:
     """Return the sum of two loads of the same server."""
-    return ServerUse(
+    return ServerUsage(
         left.server,
         left.running + right.running,
         left.waiting + right.waiting,
@@ -37,64 +37,68 @@
     )
 
 
-class LoadBoard:
+class LoadAggregator:
     """Collect the load reports of hosts."""
 
     def __init__(self) -> None:
         self._reports: dict[str, tuple[float, LoadReport]] = {}
-        self._paces: dict[str, EnginePace] = {}
+        self._rates: dict[str, EngineRates] = {}
 
-    def take(self, report: LoadReport, now: float) -> None:
+    def add_report(self, report: LoadReport, now: float) -> None:
         """Store a report, replacing the previous one of the same host."""
         self._reports[report.host] = (now, report)
-        self._paces.update({pace.server: pace for pace in report.paces})
+        self._rates.update({rates.server: rates for rates in report.paces})
 
-    def take_paces(self) -> list[EnginePace]:
+    def pop_rates(self) -> list[EngineRates]:
         """Return the paces reported since the last call."""
-        paces = list(self._paces.values())
-        self._paces.clear()
-        return paces
+        engine_rates = list(self._rates.values())
+        self._rates.clear()
+        return engine_rates
 
-    def sum_up(self, now: float) -> list[ServerUse]:
+    def compute_totals(self, now: float) -> list[ServerUsage]:
         """Return the total per server over all hosts with a current report."""
-        sums: dict[str, ServerUse] = {}
+        totals: dict[str, ServerUsage] = {}
         for host, (at, report) in list(self._reports.items()):
             if now - at > REPORT_TTL_MS:
                 del self._reports[host]
                 continue
-            for use in report.uses:
-                known = sums.get(use.server)
-                sums[use.server] = use if known is None else add_uses(known, use)
-        return list(sums.values())
+            for usage in report.uses:
+                known = totals.get(usage.server)
+                totals[usage.server] = (
+                    usage if known is None else add_usages(known, usage)
+                )
+        return list(totals.values())
 
 
 @dataclass(slots=True)
-class LoadSums:
+class LoadAggregates:
     """Loads that other hosts put on servers, from the latest summary."""
 
-    others: dict[str, ServerUse]
+    by_server: dict[str, ServerUsage]
     at_ms: float = float("-inf")
 
-    def take(self, summary: LoadSummary, own: Iterable[ServerUse], now: float) -> None:
+    def update(
+        self, summary: LoadSummary, own: Iterable[ServerUsage], now: float
+    ) -> None:
         """Store a summary after subtracting the loads that this host had reported."""
-        own_by_server = {use.server: use for use in own}
-        self.others = {
-            use.server: _subtract(use, own_by_server.get(use.server))
-            for use in summary.uses
+        own_by_server = {usage.server: usage for usage in own}
+        self.by_server = {
+            usage.server: _subtract(usage, own_by_server.get(usage.server))
+            for usage in summary.uses
         }
         self.at_ms = now
 
-    def find(self, server: str, now: float) -> ServerUse | None:
+    def get(self, server: str, now: float) -> ServerUsage | None:
         """Return the load of other hosts at a server, or None if it is not known."""
         if now - self.at_ms > SUMMARY_TTL_MS:
             return None
-        return self.others.get(server)
+        return self.by_server.get(server)
 
 
-def _subtract(total: ServerUse, own: ServerUse | None) -> ServerUse:
+def _subtract(total: ServerUsage, own: ServerUsage | None) -> ServerUsage:
     if own is None:
         return total
-    return ServerUse(
+    return ServerUsage(
         total.server,
         max(total.running - own.running, 0),
         max(total.waiting - own.waiting, 0),
--- a/cornelnotch/gateway/models.py
+++ b/cornelnotch/gateway/models.py
@@ -53,7 +53,7 @@
     shares: tuple[ServiceShare, ...]
     open: bool = False
     resumable: bool = False
-    target_gap_ms: float = 0.0
+    target_itl_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,13 +113,13 @@
                 return route
         return None
 
-    def list_gaps(self) -> dict[str, list[float]]:
+    def list_itl_targets(self) -> dict[str, list[float]]:
         """Return the longest allowed pauses between events, by service, in ms."""
         gaps: dict[str, list[float]] = {}
         for routes in self.routes.values():
             for route in routes:
                 for share in route.shares:
-                    gaps.setdefault(share.service, []).append(route.target_gap_ms)
+                    gaps.setdefault(share.service, []).append(route.target_itl_ms)
         return gaps
 
     def find_workspace(self, key: str) -> Workspace | None:
--- a/cornelnotch/gateway/parts.py
+++ b/cornelnotch/gateway/parts.py
@@ -6,15 +6,18 @@
 
 import orjson
 
-from cornelnotch.gateway.asking import TurnClient
+from cornelnotch.gateway.admission_client import AdmissionClient
 from cornelnotch.gateway.backups import ExposureBook, choose_backup, is_worth_backup
-from cornelnotch.gateway.budget import RepeatBudget
 from cornelnotch.gateway.dialect import Dialect
+from cornelnotch.gateway.engine_rates import EngineRateTable
 from cornelnotch.gateway.models import CallerLimits, CallerRequest, Route, RoutingTable
-from cornelnotch.gateway.paces import PaceBook
-from cornelnotch.gateway.placing import Placer
+from cornelnotch.gateway.placement import Placer
 from cornelnotch.gateway.relay import Source
-from cornelnotch.gateway.reserving import choose_reserved, find_tight_gap
+from cornelnotch.gateway.reservation import (
+    choose_reserved,
+    find_latency_sensitive_gap_ms,
+)
+from cornelnotch.gateway.retry_budget import RetryBudget
 from cornelnotch.gateway.servers import ServerPool, ServerView
 from cornelnotch.gateway.settings import HostSettings
 from cornelnotch.gateway.starting import Startup
@@ -59,39 +62,41 @@
         self.metrics = NodeMetrics(settings.host.name, clock)
         self.startup = Startup(clock)
         self.pool = ServerPool()
-        self.paces = PaceBook()
+        self.engine_rates = EngineRateTable()
         self.exposures = ExposureBook()
-        self.placer = Placer(settings.host.domain, settings.regions, self.paces)
+        self.placer = Placer(settings.host.domain, settings.regions, self.engine_rates)
         self.table = RoutingTable(NO_VERSION, {}, {}, None, CallerLimits())
         self.generator = random.Random(settings.host.name)
         self.hosts: list[Source] = []
-        self.turns = TurnClient(peers, clock, self._list_nearby_hosts, self.accepts)
+        self.admission = AdmissionClient(
+            peers, clock, self._list_nearby_hosts, self.accepts
+        )
         self.tell_leaving: Callable[[str, int], None] = lambda server, boot_ms: None
         self._reserved: dict[str, ReservedEngines] = {}
         self._gaps: dict[str, float] = {}
         self._gaps_version = NO_VERSION
-        self._budgets: dict[str, RepeatBudget] = {}
+        self._budgets: dict[str, RetryBudget] = {}
 
     def accepts(self, server: ServerView) -> bool:
         """Return whether this host may send work to a server now."""
         return self.pool.accepts(server, self.clock.read())
 
-    def find_budget(self, service: str) -> RepeatBudget:
+    def find_retry_budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service."""
         budget = self._budgets.get(service)
         if budget is None:
             bounds = self.settings.bounds
-            budget = RepeatBudget(
+            budget = RetryBudget(
                 bounds.retry_share, bounds.retry_extra, bounds.retry_window_s * 1000.0
             )
             self._budgets[service] = budget
-        budget.hosts = max(len(self.hosts), 1)
+        budget.host_count = max(len(self.hosts), 1)
         return budget
 
     def set_hosts(self, hosts: list[Source]) -> None:
         """Replace the list of hosts that serve callers."""
         self.hosts = hosts
-        self.turns.forget_keepers()
+        self.admission.reset_controllers()
 
     def _list_nearby_hosts(self, server: ServerView) -> list[str]:
         """Return the hosts in a server's region, or all hosts if there are none."""
@@ -105,7 +110,7 @@
     def find_reserved(self, service: str) -> frozenset[str]:
         """Return the engines of a service reserved for latency-sensitive streams."""
         known = self._reserved.get(service)
-        basis = (self.pool.generation, self.placer.sums.at_ms)
+        basis = (self.pool.generation, self.placer.aggregates.at_ms)
         if known is None or basis != (known.generation, known.summed_ms):
             known = ReservedEngines(*basis, self._choose_reserved(service))
             self._reserved[service] = known
@@ -114,22 +119,27 @@
     def _choose_reserved(self, service: str) -> frozenset[str]:
         now = self.clock.read()
         ready = self.pool.list_ready(service)
-        tight = {v.record.name: self.placer.measure_use(v, now).tight for v in ready}
+        latency_sensitive = {
+            v.record.name: self.placer.measure_usage(v, now).tight for v in ready
+        }
         records = [view.record for view in ready]
-        return choose_reserved(records, self.settings.regions, tight)
+        return choose_reserved(records, self.settings.regions, latency_sensitive)
 
-    def find_tight_gap(self, service: str) -> float:
+    def find_latency_sensitive_gap_ms(self, service: str) -> float:
         """Return the longest gap of a service's latency-sensitive streams, in ms."""
         if self._gaps_version != self.table.version:
-            gaps = self.table.list_gaps()
-            self._gaps = {name: find_tight_gap(found) for name, found in gaps.items()}
+            gaps = self.table.list_itl_targets()
+            self._gaps = {
+                name: find_latency_sensitive_gap_ms(found)
+                for name, found in gaps.items()
+            }
             self._gaps_version = self.table.version
         return self._gaps.get(service, 0.0)
 
-    def is_tight(self, route: Route) -> bool:
+    def is_latency_sensitive(self, route: Route) -> bool:
         """Return whether a route's streams are latency-sensitive."""
-        gap_ms = self.find_tight_gap(route.shares[0].service)
-        return 0 < route.target_gap_ms <= gap_ms
+        gap_ms = self.find_latency_sensitive_gap_ms(route.shares[0].service)
+        return 0 < route.target_itl_ms <= gap_ms
 
     def choose_backup(
         self, route: Route, request_id: str, server: ServerView
--- a/cornelnotch/gateway/placing.py
+++ b/cornelnotch/gateway/placement.py
@@ -3,13 +3,13 @@
 from collections.abc import Collection
 from dataclasses import dataclass, replace
 
-from cornelnotch.gateway.engines import find_reading_budget
-from cornelnotch.gateway.loads import LoadSums, add_uses
+from cornelnotch.gateway.engine_estimates import find_prefill_budget
+from cornelnotch.gateway.engine_rates import EngineRateTable
+from cornelnotch.gateway.loads import LoadAggregates, add_usages
 from cornelnotch.gateway.models import CallerRequest, Route, WorkKind
-from cornelnotch.gateway.paces import PaceBook
 from cornelnotch.gateway.servers import ServerView
 from cornelnotch.kernel.hashing import rank_owners
-from cornelnotch.wire.messages import EnginePace, ServerUse
+from cornelnotch.wire.messages import EngineRates, ServerUsage
 
 __all__ = ["Placement", "PlacementNeed", "Placer"]
 
@@ -71,9 +71,9 @@
 
     priority: int
     excluded: Collection[str]
-    tight: bool = False
+    latency_sensitive: bool = False
     reserved: frozenset[str] = frozenset()
-    tight_gap_ms: float = 0.0
+    latency_sensitive_gap_ms: float = 0.0
     current: str = ""
 
 
@@ -81,10 +81,13 @@
     """Select servers by estimated cost, as seen from one host."""
 
     def __init__(
-        self, domain: str, regions: dict[str, str], paces: PaceBook | None = None
+        self,
+        domain: str,
+        regions: dict[str, str],
+        engine_rates: EngineRateTable | None = None,
     ) -> None:
-        self.sums = LoadSums({})
-        self._paces = paces or PaceBook()
+        self.aggregates = LoadAggregates({})
+        self._engine_rates = engine_rates or EngineRateTable()
         self._domain = domain
         self._regions = regions
 
@@ -105,12 +108,12 @@
         best: Placement | None = None
         for server in candidates:
             prefill = self._count_prefill(server, request, server is owner)
-            pace = self._get_pace(server)
+            rates = self._get_rates(server)
             cost = self._compute_load_cost(
-                server, route, need.priority, prefill, pace, now
+                server, route, need.priority, prefill, rates, now
             )
-            cost += self._compute_prefill_cost(request, prefill, pace)
-            cost += self._compute_gap_cost(server, need, prefill, pace)
+            cost += self._compute_prefill_cost(request, prefill, rates)
+            cost += self._compute_gap_cost(server, need, prefill, rates)
             if server.record.name == need.current:
                 cost -= MOVE_COST_MS
             if best is None or cost < best.cost_ms:
@@ -120,11 +123,11 @@
         source = self._find_source(best.server, servers, request, now)
         return replace(best, source=source)
 
-    def measure_use(self, server: ServerView, now: float) -> ServerUse:
+    def measure_usage(self, server: ServerView, now: float) -> ServerUsage:
         """Return the load of a server from this host and, if known, others."""
-        own = server.measure_use(now)
-        others = self.sums.find(server.record.name, now)
-        return own if others is None else add_uses(own, others)
+        own = server.measure_usage(now)
+        others = self.aggregates.get(server.record.name, now)
+        return own if others is None else add_usages(own, others)
 
     def _find_source(
         self,
@@ -136,9 +139,9 @@
         """Return a server to fetch shared parts from if `chosen` lacks them."""
         shared = request.prompt[:-1]
         tokens = sum(part.tokens for part in shared)
-        pace = self._get_pace(chosen)
+        rates = self._get_rates(chosen)
         if (
-            tokens < MIN_SHARED_PREFILL_MS * pace.read_rate
+            tokens < MIN_SHARED_PREFILL_MS * rates.read_rate
             or shared[-1].name in chosen.parts
         ):
             return None
@@ -148,15 +151,15 @@
             return max(holders, key=lambda s: s.parts[shared[-1].name])
         return self._find_owner(others, request) if others else None
 
-    def _get_pace(self, server: ServerView) -> EnginePace:
-        return self._paces.find(server.record.name, server.record.service)
+    def _get_rates(self, server: ServerView) -> EngineRates:
+        return self._engine_rates.get(server.record.name, server.record.service)
 
     def _find_owner(
         self, candidates: list[ServerView], request: CallerRequest
     ) -> ServerView | None:
         """Return the server that all hosts prefer for the shared parts of a request."""
         shared = request.prompt[:-1]
-        usual = self._paces.find_usual(candidates[0].record.service)
+        usual = self._engine_rates.get_average(candidates[0].record.service)
         if (
             sum(part.tokens for part in shared)
             < MIN_SHARED_PREFILL_MS * usual.read_rate
@@ -181,51 +184,55 @@
         route: Route,
         priority: int,
         prefill: int,
-        pace: EnginePace,
+        rates: EngineRates,
         now: float,
     ) -> float:
         cost = self._compute_distance_cost(server.record.domain)
-        use = self.measure_use(server, now)
+        usage = self.measure_usage(server, now)
         if route.kind is not WorkKind.STREAM:
-            cost += FAILURE_COST_MS * min(use.failures, MAX_FAILURES)
-            return cost + CALL_COST_MS * (use.running + use.waiting)
-        cost += self._estimate_tokens_ahead(use, priority, prefill) / pace.read_rate
-        cost += FULL_BATCH_COST_MS * use.running / server.record.slots
-        cost += FAILURE_COST_MS * min(use.failures, MAX_FAILURES)
-        excess_requests = use.running + use.waiting + 1 - server.record.slots
+            cost += FAILURE_COST_MS * min(usage.failures, MAX_FAILURES)
+            return cost + CALL_COST_MS * (usage.running + usage.waiting)
+        cost += self._estimate_tokens_ahead(usage, priority, prefill) / rates.read_rate
+        cost += FULL_BATCH_COST_MS * usage.running / server.record.slots
+        cost += FAILURE_COST_MS * min(usage.failures, MAX_FAILURES)
+        excess_requests = usage.running + usage.waiting + 1 - server.record.slots
         return cost + SLOT_OCCUPANCY_MS / server.record.slots * max(excess_requests, 0)
 
     @staticmethod
-    def _estimate_tokens_ahead(use: ServerUse, priority: int, prefill: int) -> float:
+    def _estimate_tokens_ahead(
+        usage: ServerUsage, priority: int, prefill: int
+    ) -> float:
         """Return the expected number of queued tokens prefilled before a prompt."""
-        mean = max(sum(use.backlog) / max(use.waiting, 1), 1.0)
+        mean = max(sum(usage.backlog) / max(usage.waiting, 1), 1.0)
         share = min(
             max(SAME_PRIORITY_SHARE * prefill / mean, MIN_SAME_PRIORITY_SHARE), 1.0
         )
-        same_priority_tokens = sum(use.backlog[priority : priority + 1])
-        return use.sent + sum(use.backlog[:priority]) + share * same_priority_tokens
+        same_priority_tokens = sum(usage.backlog[priority : priority + 1])
+        return usage.sent + sum(usage.backlog[:priority]) + share * same_priority_tokens
 
     @staticmethod
     def _compute_prefill_cost(
-        request: CallerRequest, prefill: int, pace: EnginePace
+        request: CallerRequest, prefill: int, rates: EngineRates
     ) -> float:
         own = request.prompt[-1].tokens if request.prompt else prefill
         repeated_tokens = max(prefill - own, 0)
-        return (prefill + repeated_tokens * REPEATED_PREFILL_WEIGHT) / pace.read_rate
+        return (prefill + repeated_tokens * REPEATED_PREFILL_WEIGHT) / rates.read_rate
 
     @staticmethod
     def _compute_gap_cost(
-        server: ServerView, need: PlacementNeed, prefill: int, pace: EnginePace
+        server: ServerView, need: PlacementNeed, prefill: int, rates: EngineRates
     ) -> float:
         """Return the cost of long prompts on latency-sensitive streams."""
         if not need.reserved:
             return 0.0
         is_reserved = server.record.name in need.reserved
-        if need.tight:
+        if need.latency_sensitive:
             return 0.0 if is_reserved else UNRESERVED_COST_MS
         if not is_reserved:
             return 0.0
-        budget_share = prefill / find_reading_budget(pace, need.tight_gap_ms)
+        budget_share = prefill / find_prefill_budget(
+            rates, need.latency_sensitive_gap_ms
+        )
         interference = (budget_share - INTERFERENCE_FREE_SHARE) / (
             1.0 - INTERFERENCE_FREE_SHARE
         )
--- a/cornelnotch/gateway/reserving.py
+++ b/cornelnotch/gateway/reservation.py
@@ -12,7 +12,7 @@
 from cornelnotch.gateway.models import ServerRecord
 from cornelnotch.kernel.hashing import rank_owners
 
-__all__ = ["choose_reserved", "count_reserved", "find_tight_gap"]
+__all__ = ["choose_reserved", "count_reserved", "find_latency_sensitive_gap_ms"]
 
 # A region with fewer engines reserves none.
 MIN_SERVERS = 2
@@ -22,14 +22,14 @@
 MIN_SHARE = 0.12
 MAX_SHARE = 0.5
 # A route is latency-sensitive (tight) if its gap is at most this share of the longest.
-TIGHT_RATIO = 0.5
+LATENCY_SENSITIVE_RATIO = 0.5
 
 
-def count_reserved(servers: int, slots: int, tight: int) -> int:
+def count_reserved(servers: int, slots: int, latency_sensitive: int) -> int:
     """Return the number of engines to reserve while `tight` streams run."""
     if servers < MIN_SERVERS:
         return 0
-    needed = math.ceil(tight * HEADROOM / slots)
+    needed = math.ceil(latency_sensitive * HEADROOM / slots)
     minimum = max(round(servers * MIN_SHARE), 1)
     return max(min(needed, int(servers * MAX_SHARE)), minimum)
 
@@ -37,7 +37,7 @@
 def choose_reserved(
     records: Iterable[ServerRecord],
     regions: Mapping[str, str],
-    tight: Mapping[str, int],
+    latency_sensitive: Mapping[str, int],
 ) -> frozenset[str]:
     """Return the names of the engines reserved for latency-sensitive streams.
 
@@ -51,15 +51,15 @@
     chosen: list[str] = []
     for region, members in by_region.items():
         names = [record.name for record in members]
-        streams = sum(tight.get(name, 0) for name in names)
+        streams = sum(latency_sensitive.get(name, 0) for name in names)
         count = count_reserved(len(names), members[0].slots, streams)
         chosen += rank_owners(f"reserved {region}", names)[:count]
     return frozenset(chosen)
 
 
-def find_tight_gap(gaps_ms: Iterable[float]) -> float:
+def find_latency_sensitive_gap_ms(gaps_ms: Iterable[float]) -> float:
     """Return the longest gap that counts as latency-sensitive, or 0 if none does."""
     known = [gap for gap in gaps_ms if gap > 0]
-    if not known or min(known) > max(known) * TIGHT_RATIO:
+    if not known or min(known) > max(known) * LATENCY_SENSITIVE_RATIO:
         return 0.0
     return min(known)
--- a/cornelnotch/gateway/returning.py
+++ b/cornelnotch/gateway/retry_after.py
@@ -9,38 +9,40 @@
 
 from cornelnotch.gateway.models import Route
 
-__all__ = ["choose_return_ms", "find_caller_patience", "is_hopeless"]
+__all__ = ["choose_retry_after_ms", "estimate_caller_timeout_ms", "is_infeasible"]
 
 # Callers state that they give up a stream without a first event after the longest of a
 # fixed time, a multiple of its target and a multiple of the gap that it accepts.
-CALLER_PATIENCE_MS = 2000.0
-CALLER_PATIENT_TARGETS = 4.0
-CALLER_PATIENT_GAPS = 8.0
+MIN_CALLER_TIMEOUT_MS = 2000.0
+CALLER_TIMEOUT_TARGETS = 4.0
+CALLER_TIMEOUT_GAPS = 8.0
 # Estimates ignore prompts that end early, so the wait must exceed the limit clearly.
 CLEAR_EXCESS = 1.25
 # Shortest retry delay, and the largest share of the remaining time that callers honour.
-MIN_RETURN_MS = 500.0
-HONOURED_SHARE = 1.0 / 3.0
+MIN_RETRY_AFTER_MS = 500.0
+MAX_RETRY_AFTER_SHARE = 1.0 / 3.0
 # Share of the retry delay, at its end, over which retries are jittered.
 JITTER_SHARE = 0.25
 
 
-def find_caller_patience(route: Route, left_ms: float) -> float:
+def estimate_caller_timeout_ms(route: Route, left_ms: float) -> float:
     """Return how long a caller waits for the first event of a stream, in ms."""
     timeout_ms = max(
-        CALLER_PATIENCE_MS,
-        CALLER_PATIENT_TARGETS * route.target_ms,
-        CALLER_PATIENT_GAPS * route.target_gap_ms,
+        MIN_CALLER_TIMEOUT_MS,
+        CALLER_TIMEOUT_TARGETS * route.target_ms,
+        CALLER_TIMEOUT_GAPS * route.target_itl_ms,
     )
     return min(timeout_ms, left_ms)
 
 
-def is_hopeless(wait_ms: float, left_ms: float) -> bool:
+def is_infeasible(wait_ms: float, left_ms: float) -> bool:
     """Return whether a caller will give up well before a wait ends."""
     return wait_ms > left_ms * CLEAR_EXCESS
 
 
-def choose_return_ms(wait_ms: float, left_ms: float, generator: random.Random) -> float:
+def choose_retry_after_ms(
+    wait_ms: float, left_ms: float, generator: random.Random
+) -> float:
     """Return the jittered delay after which a rejected caller may retry, in ms."""
-    delay_ms = max(min(wait_ms, left_ms * HONOURED_SHARE), MIN_RETURN_MS)
+    delay_ms = max(min(wait_ms, left_ms * MAX_RETRY_AFTER_SHARE), MIN_RETRY_AFTER_MS)
     return delay_ms * (1.0 - JITTER_SHARE * generator.random())
--- a/cornelnotch/gateway/budget.py
+++ b/cornelnotch/gateway/retry_budget.py
@@ -2,13 +2,13 @@
 
 from collections import deque
 
-__all__ = ["RepeatBudget"]
+__all__ = ["RetryBudget"]
 
 # Requests are spread unevenly over hosts, so part of the budget is left unused.
 SAFETY_SHARE = 0.75
 
 
-class RepeatBudget:
+class RetryBudget:
     """Allow retries up to a share of the requests in a sliding window."""
 
     def __init__(self, share: float, extra: float, window_ms: float) -> None:
@@ -17,23 +17,23 @@
         self._window_ms = window_ms
         self._requests: deque[float] = deque()
         self._retries: deque[float] = deque()
-        self.hosts = 1
+        self.host_count = 1
 
-    def deposit(self, now: float) -> None:
+    def record_request(self, now: float) -> None:
         """Count one caller request."""
         self._requests.append(now)
 
-    def allows(self, now: float) -> bool:
+    def can_retry(self, now: float) -> bool:
         """Return whether the budget allows another retry."""
         for times in (self._requests, self._retries):
             while times and times[0] <= now - self._window_ms:
                 times.popleft()
-        limit = self._share * len(self._requests) + self._extra / self.hosts
+        limit = self._share * len(self._requests) + self._extra / self.host_count
         return len(self._retries) + 1 <= limit * SAFETY_SHARE
 
-    def withdraw(self, now: float) -> bool:
+    def try_acquire(self, now: float) -> bool:
         """Use up one retry if the budget allows it; return whether it did."""
-        allowed = self.allows(now)
+        allowed = self.can_retry(now)
         if allowed:
             self._retries.append(now)
         return allowed
--- a/cornelnotch/gateway/servers.py
+++ b/cornelnotch/gateway/servers.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from cornelnotch.gateway.models import PromptPart, ServerRecord
-from cornelnotch.wire.messages import ServerUse, StreamProgress
+from cornelnotch.wire.messages import ServerUsage, StreamProgress
 
 __all__ = ["Flight", "ServerPool", "ServerView"]
 
@@ -57,7 +57,7 @@
     gap_ms: float = 0.0
     wait_ms: float = 0.0
     sent: bool = False
-    tight: bool = False
+    latency_sensitive: bool = False
     events: int = 0
     event_ms: float = 0.0
     pause_ms: float = 0.0
@@ -176,12 +176,12 @@
         while len(self.parts) > REMEMBERED_PARTS:
             self.parts.popitem(last=False)
 
-    def measure_use(self, now: float) -> ServerUse:
+    def measure_usage(self, now: float) -> ServerUsage:
         """Return the load that this host puts on the server."""
         backlog = [0] * PRIORITIES
-        running = waiting = tight = sent = 0
+        running = waiting = latency_sensitive = sent = 0
         for flight in self.flights.values():
-            tight += flight.tight
+            latency_sensitive += flight.latency_sensitive
             if flight.first_ms:
                 running += 1
                 continue
@@ -191,12 +191,12 @@
                 continue
             priority = min(max(flight.priority, 0), PRIORITIES - 1)
             backlog[priority] += flight.prefill_tokens
-        return ServerUse(
+        return ServerUsage(
             self.record.name,
             running,
             waiting,
             self.count_failures(now),
-            tight,
+            latency_sensitive,
             sent,
             _strip_trailing_zeros(backlog),
         )
--- a/cornelnotch/gateway/starting.py
+++ b/cornelnotch/gateway/starting.py
@@ -9,14 +9,14 @@
 
 import asyncio
 
-from cornelnotch.gateway.returning import HONOURED_SHARE
+from cornelnotch.gateway.retry_after import MAX_RETRY_AFTER_SHARE
 from cornelnotch.kernel.clock import Clock
 
 __all__ = ["Startup"]
 
 # Reading or receiving both topics takes a few round trips between regions.
 STARTUP_MS = 600.0
-MIN_RETURN_MS = 300.0
+MIN_RETRY_AFTER_MS = 300.0
 
 
 class Startup:
@@ -47,8 +47,8 @@
                 pass
         return self._ready.is_set()
 
-    def choose_return_ms(self, left_ms: float) -> float:
+    def choose_retry_after_ms(self, left_ms: float) -> float:
         """Return the retry delay for a refused caller with `left_ms` left, in ms."""
         if not self._is_store_unavailable:
-            return MIN_RETURN_MS
-        return max(left_ms * HONOURED_SHARE, MIN_RETURN_MS)
+            return MIN_RETRY_AFTER_MS
+        return max(left_ms * MAX_RETRY_AFTER_SHARE, MIN_RETRY_AFTER_MS)
--- a/cornelnotch/gateway/tests/test_asking.py
+++ b/cornelnotch/gateway/tests/test_admission_client.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from cornelnotch.gateway import asking
-from cornelnotch.gateway.asking import AdmissionResult, TurnClient
+from cornelnotch.gateway import admission_client
+from cornelnotch.gateway.admission_client import AdmissionClient, AdmissionResult
 from cornelnotch.gateway.models import CallerRequest, PromptPart, ServerRecord
 from cornelnotch.gateway.servers import Flight, ServerView
 from cornelnotch.kernel import TaskGroup, create_clock, create_event_log
@@ -42,7 +42,7 @@
         self.peers = RecordingPeers()
         self.hosts = ["h2"]
         self.listed = True
-        self.client = TurnClient(
+        self.client = AdmissionClient(
             self.peers,
             create_clock(),
             lambda view: self.hosts,
@@ -58,15 +58,17 @@
         )
         self.flight = Flight(name, 0.0, 0, priority=2)
         now = create_clock().read()
-        wait = self.client.wait(request, self.view, self.flight, now, WAIT_LIMIT_MS)
+        wait = self.client.wait_for_admission(
+            request, self.view, self.flight, now, WAIT_LIMIT_MS
+        )
         return asyncio.create_task(wait)
 
 
 @pytest.fixture(autouse=True)
 def shorten_periods(monkeypatch):
-    monkeypatch.setattr(asking, "ASK_PERIOD_MS", 20.0)
-    monkeypatch.setattr(asking, "ANSWER_TIMEOUT_MS", 40.0)
-    monkeypatch.setattr(asking, "REPORT_PERIOD_MS", 60.0)
+    monkeypatch.setattr(admission_client, "ASK_PERIOD_MS", 20.0)
+    monkeypatch.setattr(admission_client, "ANSWER_TIMEOUT_MS", 40.0)
+    monkeypatch.setattr(admission_client, "REPORT_PERIOD_MS", 60.0)
 
 
 def run_scenario(scenario):
@@ -103,7 +105,7 @@
         await asyncio.sleep(0)
         assert not wait.done()
         setup.peers.deliver(TurnWait("r1", "engine", 900, WAIT_LIMIT_MS * 2))
-        assert await wait is AdmissionResult.HOPELESS
+        assert await wait is AdmissionResult.INFEASIBLE
         assert setup.flight.wait_ms == WAIT_LIMIT_MS * 2
 
     run_scenario(scenario)
@@ -111,10 +113,10 @@
 
 def test_a_silent_coordinator_delays_only_one_request():
     async def scenario(setup):
-        assert await setup.start() is AdmissionResult.ALONE
+        assert await setup.start() is AdmissionResult.UNANSWERED
         assert setup.peers.list_asks("sent")
         asked = len(setup.peers.list_asks("waiting"))
-        assert await setup.start("r2") is AdmissionResult.ALONE
+        assert await setup.start("r2") is AdmissionResult.UNANSWERED
         assert len(setup.peers.list_asks("waiting")) == asked
         setup.peers.deliver(TurnWait("r2", "engine", 0, 0.0))
         wait = setup.start("r3")
@@ -130,7 +132,7 @@
         wait = setup.start()
         await asyncio.sleep(0.01)
         setup.hosts = ["h3"]
-        setup.client.forget_keepers()
+        setup.client.reset_controllers()
         await asyncio.sleep(0.03)
         assert setup.peers.list_asks("waiting")[-1][0] == "h3"
         assert ("h2", TurnEnd("r1", "engine")) in setup.peers.sent
@@ -145,11 +147,11 @@
         wait = setup.start()
         await asyncio.sleep(0.01)
         setup.listed = False
-        assert await wait is AdmissionResult.LOST
+        assert await wait is AdmissionResult.ENGINE_LOST
         other = setup.start("r2")
         await asyncio.sleep(0)
         setup.peers.deliver(TurnGrant("r2", "engine", 1))
-        assert await other is AdmissionResult.LOST
+        assert await other is AdmissionResult.ENGINE_LOST
 
     run_scenario(scenario)
 
@@ -158,7 +160,7 @@
     async def scenario(setup):
         wait = setup.start()
         setup.view.fail(create_clock().read())
-        assert await wait is AdmissionResult.LOST
+        assert await wait is AdmissionResult.ENGINE_LOST
 
     run_scenario(scenario)
 
@@ -168,8 +170,8 @@
         wait = setup.start()
         await asyncio.sleep(0.01)
         wait.cancel()
-        setup.client.end(setup.flight)
-        setup.client.end(setup.flight)
+        setup.client.report_end(setup.flight)
+        setup.client.report_end(setup.flight)
         ends = [m for _, m in setup.peers.sent if isinstance(m, TurnEnd)]
         assert ends == [TurnEnd("r1", "engine")]
 
@@ -182,13 +184,13 @@
         await asyncio.sleep(0)
         setup.peers.deliver(TurnGrant("r1", "engine", 1))
         await wait
-        reporting = asyncio.create_task(setup.client.run())
-        setup.client.begin(setup.flight)
+        reporting = asyncio.create_task(setup.client.run_reports())
+        setup.client.report_prefilled(setup.flight)
         before = len(setup.peers.list_asks("begun"))
         await asyncio.sleep(0.15)
         assert len(setup.peers.list_asks("begun")) > before
         setup.hosts = ["h3"]
-        setup.client.forget_keepers()
+        setup.client.reset_controllers()
         await asyncio.sleep(0.03)
         assert setup.peers.list_asks("begun")[-1][0] == "h3"
         reporting.cancel()
--- a/cornelnotch/gateway/tests/test_keeping.py
+++ b/cornelnotch/gateway/tests/test_admission_controller.py
@@ -97,7 +97,7 @@
         for number in range(50):
             harness.ask("a", server=f"gone-{number}")
             harness.end("a", server=f"gone-{number}")
-        assert len(harness.host.keeper._entries) <= 2
+        assert len(harness.host.admission_controller._queues) <= 2
 
     run_scenario(scenario)
 
@@ -132,7 +132,7 @@
             "a", "engine", 1, SHARED_PREFIX, 1000, 0.0, "begun", 250.0, progress
         )
         harness.host.peers._receive("h2", begun)
-        (pace,) = harness.host.keeper.list_paces()
-        assert pace.event_ms == pytest.approx(10.0, rel=0.1)
+        (rates,) = harness.host.admission_controller.list_rates()
+        assert rates.event_ms == pytest.approx(10.0, rel=0.1)
 
     run_scenario(scenario)
--- a/cornelnotch/gateway/tests/test_waiting.py
+++ b/cornelnotch/gateway/tests/test_admission_path.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cornelnotch.gateway.engines import PRIOR_PACE
+from cornelnotch.gateway.engine_estimates import PRIOR_RATES
 from cornelnotch.gateway.tests.conftest import (
     create_configuration,
     create_route,
@@ -47,13 +47,13 @@
         first = start(d, "first", LONG)
         await wait_until(lambda: list_sent(engine) == ["first"])
         others = [start(d, name, LONG) for name in ("b", "c")]
-        await wait_until(lambda: d.host.keeper.count_waiting() == 2)
+        await wait_until(lambda: d.host.admission_controller.count_waiting() == 2)
         assert list_sent(engine) == ["first"]
         short = start(d, "short", SHORT)
         await asyncio.gather(first, short, *others)
         assert list_sent(engine)[:2] == ["first", "short"]
         assert sorted(list_sent(engine)) == ["b", "c", "first", "short"]
-        assert d.host.keeper.count_waiting() == 0
+        assert d.host.admission_controller.count_waiting() == 0
 
     run_scenario(scenario)
 
@@ -77,11 +77,11 @@
         view = d.host.parts.pool.servers[engine.name]
         first = start(d, "first", LONG)
         await wait_until(lambda: list_sent(engine) == ["first"])
-        assert view.measure_use(0.0).sent == 20_000
+        assert view.measure_usage(0.0).sent == 20_000
         await first
-        assert view.measure_use(0.0).sent == 0
-        queue = d.host.keeper._find_desk(engine.name).queue
-        await wait_until(lambda: not queue.tickets, 1.0)
+        assert view.measure_usage(0.0).sent == 0
+        queue = d.host.admission_controller._find_engine_queue(engine.name).queue
+        await wait_until(lambda: not queue.entries, 1.0)
 
     run_scenario(scenario)
 
@@ -92,10 +92,10 @@
         first = start(d, "first", LONG)
         await wait_until(lambda: list_sent(engine) == ["first"])
         cancelled = start(d, "gone", LONG)
-        await wait_until(lambda: d.host.keeper.count_waiting() == 1)
+        await wait_until(lambda: d.host.admission_controller.count_waiting() == 1)
         cancelled.cancel()
         d.client.close()
-        await wait_until(lambda: d.host.keeper.count_waiting() == 0)
+        await wait_until(lambda: d.host.admission_controller.count_waiting() == 0)
         await asyncio.gather(first, cancelled, return_exceptions=True)
         await asyncio.sleep(0.4)
         assert list_sent(engine) == ["first"]
@@ -109,7 +109,7 @@
         first = start(d, "first", LONG)
         await wait_until(lambda: list_sent(engine) == ["first"])
         second = start(d, "second", LONG)
-        await wait_until(lambda: d.host.keeper.count_waiting() == 1)
+        await wait_until(lambda: d.host.admission_controller.count_waiting() == 1)
         d.list_server(d.engines[1], "llm")
         d.list_server(engine, "llm", state="draining")
         assert (await second).endswith(b"piece 6\n\n")
@@ -127,13 +127,13 @@
         first = start(d, "first", LONG)
         await wait_until(lambda: list_sent(engine) == ["first"])
         second = start(d, "second", LONG)
-        await wait_until(lambda: d.host.keeper.count_waiting() == 1)
+        await wait_until(lambda: d.host.admission_controller.count_waiting() == 1)
         d.list_server(d.engines[1], "llm")
         assert (await second).endswith(b"piece 6\n\n")
         assert not first.done()
         assert list_sent(d.engines[1]) == ["second"]
         await first
-        assert d.host.keeper.count_waiting() == 0
+        assert d.host.admission_controller.count_waiting() == 0
 
     run_scenario(scenario)
 
@@ -177,7 +177,7 @@
             await fill_backlog(d, busy_engine)
             stream = start(d, "a", SHORT, "/stream/x")
             await wait_until(lambda: list_sent(failing_engine) == ["a"])
-            await wait_until(lambda: d.host.keeper.count_waiting() == 1)
+            await wait_until(lambda: d.host.admission_controller.count_waiting() == 1)
             d.host.peers.send(d.host.peers.name, TurnEnd("o", busy_engine.name))
             assert (await stream).count(b"data: piece") == 6
             assert list_sent(busy_engine) == ["a"]
@@ -225,7 +225,7 @@
         first = start(d, "first", LONG)
         await wait_until(lambda: list_sent(engine) == ["first"])
         late = start(d, "late", LONG)
-        await wait_until(lambda: d.host.keeper.count_waiting() == 1)
+        await wait_until(lambda: d.host.admission_controller.count_waiting() == 1)
         clock = d.host.clock
         before = clock.read
         # Simulates a suspended machine, whose timers miss the elapsed time.
@@ -242,14 +242,14 @@
         engine.faults.event_ms = 20.0
         engine.faults.first_ms = 400.0
         await asyncio.gather(*(start(d, f"s{n}", LONG, "/stream/x") for n in range(3)))
-        paces = d.host.parts.paces
+        engine_rates = d.host.parts.engine_rates
         name = engine.name
-        await wait_until(lambda: paces.find(name, "llm") != PRIOR_PACE, 2.0)
-        pace = paces.find(name, "llm")
+        await wait_until(lambda: engine_rates.get(name, "llm") != PRIOR_RATES, 2.0)
+        rates = engine_rates.get(name, "llm")
         # 20,000 tokens take at least 400 ms, the other prompts are cached, and events
         # are 20 ms apart.
-        assert pace.read_rate > PRIOR_PACE.read_rate
-        assert 18.0 <= pace.event_ms <= 32.0
+        assert rates.read_rate > PRIOR_RATES.read_rate
+        assert 18.0 <= rates.event_ms <= 32.0
 
     run_scenario(scenario)
 
--- a/cornelnotch/gateway/tests/test_engines.py
+++ b/cornelnotch/gateway/tests/test_engine_estimates.py
@@ -5,22 +5,27 @@
 
 import pytest
 
-from cornelnotch.gateway import turns
-from cornelnotch.gateway.engines import (
-    PRIOR_PACE,
+from cornelnotch.gateway import admission_queue
+from cornelnotch.gateway.engine_estimates import (
+    PRIOR_RATES,
     EngineEstimate,
-    average_paces,
-    find_reading_budget,
+    average_rates,
+    find_prefill_budget,
 )
-from cornelnotch.gateway.paces import MIN_NEWS_MS, REPEAT_MS, PaceBook, PaceNews
-from cornelnotch.gateway.placing import Placer
+from cornelnotch.gateway.engine_rates import (
+    MIN_PUBLISH_INTERVAL_MS,
+    REPUBLISH_INTERVAL_MS,
+    EngineRateTable,
+    RateUpdateFilter,
+)
+from cornelnotch.gateway.placement import Placer
 from cornelnotch.testing.enginemodel import (
     EngineShape,
     PlacedRequest,
     create_engines,
     play_requests,
 )
-from cornelnotch.wire.messages import EnginePace, StreamProgress
+from cornelnotch.wire.messages import EngineRates, StreamProgress
 
 USUAL = EngineShape(event_tokens=4)
 SLOW = replace(
@@ -40,12 +45,12 @@
     """Return chats and long prompts; rates are per second."""
     generator = random.Random(seed)
     requests: list[PlacedRequest] = []
-    for tight, rate in ((True, chats), (False, prompts)):
+    for latency_sensitive, rate in ((True, chats), (False, prompts)):
         at_ms = 0.0
         while rate and at_ms < seconds * 1000.0:
             at_ms += generator.expovariate(rate) * 1000.0
-            name = f"{tight} {len(requests)}"
-            if tight:
+            name = f"{latency_sensitive} {len(requests)}"
+            if latency_sensitive:
                 request = PlacedRequest(
                     name, at_ms, True, "hello", 150, 550, 250, 0, CHAT_GAP_MS
                 )
@@ -77,85 +82,87 @@
     speed = shape.tokens_per_ms / USUAL.tokens_per_ms
     load = create_load(seed, chats=2.0 * speed, prompts=6.0 * speed)
     engines, _ = simulate(shape, load)
-    pace = engines[0].turns.estimate.pace
+    rates = engines[0].queue.estimate.rates
     reading = measure_reading(shape)
-    assert 0.5 * reading <= pace.read_rate <= 1.3 * reading
-    assert 0.5 * shape.tokens_per_ms <= pace.chunk_rate <= 2.0 * shape.tokens_per_ms
+    assert 0.5 * reading <= rates.read_rate <= 1.3 * reading
+    assert 0.5 * shape.tokens_per_ms <= rates.chunk_rate <= 2.0 * shape.tokens_per_ms
     event_ms = shape.step_ms * shape.event_tokens
-    assert 0.5 * event_ms <= pace.event_ms <= 2.0 * event_ms
+    assert 0.5 * event_ms <= rates.event_ms <= 2.0 * event_ms
 
 
 def test_engine_without_observations_has_the_prior_pace():
-    assert EngineEstimate("e").pace == PRIOR_PACE
-    assert average_paces([]) == PRIOR_PACE
-    book = PaceBook()
-    assert book.find("e", "llm") == PRIOR_PACE
+    assert EngineEstimate("e").rates == PRIOR_RATES
+    assert average_rates([]) == PRIOR_RATES
+    table = EngineRateTable()
+    assert table.get("e", "llm") == PRIOR_RATES
 
 
 def test_outliers_change_the_estimate_little():
     estimate = EngineEstimate("e")
     for number in range(20):
-        estimate.note_reading(5000, 200.0, number * 250.0)
-    known = estimate.pace.read_rate
-    estimate.note_reading(100, 60_000.0, 5000.0)
-    estimate.note_reading(5000, 0.0, 5000.0)
-    assert 0.9 * known <= estimate.pace.read_rate <= 1.1 * known
+        estimate.record_prefill(5000, 200.0, number * 250.0)
+    known = estimate.rates.read_rate
+    estimate.record_prefill(100, 60_000.0, 5000.0)
+    estimate.record_prefill(5000, 0.0, 5000.0)
+    assert 0.9 * known <= estimate.rates.read_rate <= 1.1 * known
 
 
 def test_old_observations_decay():
     estimate = EngineEstimate("e")
     for number in range(20):
-        estimate.note_reading(5000, 1000.0, number * 1000.0)
-    assert estimate.pace.read_rate < 0.4 * PRIOR_PACE.read_rate
+        estimate.record_prefill(5000, 1000.0, number * 1000.0)
+    assert estimate.rates.read_rate < 0.4 * PRIOR_RATES.read_rate
     for number in range(20):
-        estimate.note_reading(5000, 100.0, 60_000.0 + number * 250.0)
-    assert estimate.pace.read_rate > 1.5 * PRIOR_PACE.read_rate
+        estimate.record_prefill(5000, 100.0, 60_000.0 + number * 250.0)
+    assert estimate.rates.read_rate > 1.5 * PRIOR_RATES.read_rate
 
 
 def test_budget_grows_without_violations_and_shrinks_on_violations():
     estimate = EngineEstimate("e")
     for second in range(200):
-        budget = find_reading_budget(estimate.pace, 250.0)
+        budget = find_prefill_budget(estimate.rates, 250.0)
         busy = [int(budget / 2)] * 12
         progress = StreamProgress(40, 1500.0, 200.0)
-        estimate.note_progress(progress, busy, 250.0, second * 100.0)
-    grown = estimate.pace.ease
+        estimate.record_progress(progress, busy, 250.0, second * 100.0)
+    grown = estimate.rates.ease
     assert grown > 1.3
-    estimate.note_progress(StreamProgress(9, 1500.0, 300.0), busy, 250.0, 21_000.0)
-    assert estimate.pace.ease < grown
-    lowered = estimate.pace.ease
-    estimate.note_progress(StreamProgress(40, 1500.0, 90.0), [], 250.0, 22_000.0)
-    assert estimate.pace.ease == lowered
+    estimate.record_progress(StreamProgress(9, 1500.0, 300.0), busy, 250.0, 21_000.0)
+    assert estimate.rates.ease < grown
+    lowered = estimate.rates.ease
+    estimate.record_progress(StreamProgress(40, 1500.0, 90.0), [], 250.0, 22_000.0)
+    assert estimate.rates.ease == lowered
     huge = [10_000_000]
-    estimate.note_progress(StreamProgress(2, 1500.0, 900.0), huge, 250.0, 23_000.0)
-    assert estimate.pace.ease == lowered
+    estimate.record_progress(StreamProgress(2, 1500.0, 900.0), huge, 250.0, 23_000.0)
+    assert estimate.rates.ease == lowered
 
 
 def test_streams_without_a_gap_limit_do_not_lower_the_budget():
     estimate = EngineEstimate("e")
     for _ in range(20):
-        estimate.note_progress(StreamProgress(2, 1500.0, 900.0), [], 0.0, 0.0)
-    assert estimate.pace.ease == PRIOR_PACE.ease
+        estimate.record_progress(StreamProgress(2, 1500.0, 900.0), [], 0.0, 0.0)
+    assert estimate.rates.ease == PRIOR_RATES.ease
 
 
 def test_reading_budget_fits_into_the_gap():
-    pace = EnginePace("e", 30.0, 40.0, 50.0, 1.0)
-    assert find_reading_budget(pace, 0.0) == float("inf")
-    assert find_reading_budget(pace, 1000.0) < 40.0 * 1000.0
-    assert find_reading_budget(pace, 200.0) > 0
+    rates = EngineRates("e", 30.0, 40.0, 50.0, 1.0)
+    assert find_prefill_budget(rates, 0.0) == float("inf")
+    assert find_prefill_budget(rates, 1000.0) < 40.0 * 1000.0
+    assert find_prefill_budget(rates, 200.0) > 0
     # Some prefill is allowed even if a single event takes as long as the gap.
-    assert find_reading_budget(replace(pace, event_ms=400.0), 200.0) > 0
+    assert find_prefill_budget(replace(rates, event_ms=400.0), 200.0) > 0
 
 
 def measure_share_in_time(outcomes):
-    chats = [o for o in outcomes if o.request.tight]
+    chats = [o for o in outcomes if o.request.latency_sensitive]
     return sum(o.longest_gap_ms <= CHAT_GAP_MS for o in chats) / len(chats)
 
 
 def simulate_chats(monkeypatch, paced, seed):
     """Return the share of chats without a gap violation after the first 5 s."""
     if not paced:
-        monkeypatch.setattr(turns, "find_reading_budget", lambda *_: float("inf"))
+        monkeypatch.setattr(
+            admission_queue, "find_prefill_budget", lambda *_: float("inf")
+        )
     shape = EngineShape(
         step_ms=5.0, chunk_tokens=2048, tokens_per_ms=38.0, event_tokens=4
     )
@@ -173,27 +180,30 @@
     assert paced >= 0.95
 
 
-def create_pace(name, rate=30.0):
-    return EnginePace(name, rate, 40.0, 40.0, 1.0)
+def create_rates(name, rate=30.0):
+    return EngineRates(name, rate, 40.0, 40.0, 1.0)
 
 
 def test_only_changes_are_published_and_all_paces_are_repeated():
-    news = PaceNews()
-    assert news.select([create_pace("a"), create_pace("b")], 0.0)
-    assert news.select([create_pace("a", 31.0)], 100.0) == []
-    assert news.select([create_pace("a", 34.0)], MIN_NEWS_MS - 1.0) == []
-    assert news.select([create_pace("a", 34.0)], MIN_NEWS_MS + 1.0)
-    assert news.select([create_pace("b")], REPEAT_MS + 1.0)
+    rate_filter = RateUpdateFilter()
+    assert rate_filter.select([create_rates("a"), create_rates("b")], 0.0)
+    assert rate_filter.select([create_rates("a", 31.0)], 100.0) == []
+    assert (
+        rate_filter.select([create_rates("a", 34.0)], MIN_PUBLISH_INTERVAL_MS - 1.0)
+        == []
+    )
+    assert rate_filter.select([create_rates("a", 34.0)], MIN_PUBLISH_INTERVAL_MS + 1.0)
+    assert rate_filter.select([create_rates("b")], REPUBLISH_INTERVAL_MS + 1.0)
     # The queue of an engine unknown to this host has no name to publish.
-    assert news.select([create_pace("")], 0.0) == []
+    assert rate_filter.select([create_rates("")], 0.0) == []
 
 
 def test_engine_of_unknown_pace_gets_the_mean_of_its_service():
-    book = PaceBook()
+    table = EngineRateTable()
     services = {"a": "llm", "b": "llm", "c": "llm", "d": "other"}
-    book.take([create_pace("a", 20.0), create_pace("b", 40.0)], services)
-    assert book.find("c", "llm").read_rate == 30.0
-    assert book.find("a", "llm").read_rate == 20.0
-    assert book.find("d", "other") == PRIOR_PACE
-    book.take([create_pace("a", 20.0)], {"a": "llm"})
-    assert book.find("b", "llm").read_rate == 20.0
+    table.update([create_rates("a", 20.0), create_rates("b", 40.0)], services)
+    assert table.get("c", "llm").read_rate == 30.0
+    assert table.get("a", "llm").read_rate == 20.0
+    assert table.get("d", "other") == PRIOR_RATES
+    table.update([create_rates("a", 20.0)], {"a": "llm"})
+    assert table.get("b", "llm").read_rate == 20.0
--- a/cornelnotch/gateway/tests/test_passing.py
+++ b/cornelnotch/gateway/tests/test_passing.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from cornelnotch.gateway import turns
-from cornelnotch.gateway.placing import Placer
-from cornelnotch.gateway.turns import Ticket, TurnQueue
+from cornelnotch.gateway import admission_queue
+from cornelnotch.gateway.admission_queue import AdmissionQueue, QueueEntry
+from cornelnotch.gateway.placement import Placer
 from cornelnotch.testing.enginemodel import (
     PlacedRequest,
     create_engines,
@@ -50,7 +50,7 @@
     """Return the share of chats in time gained, and of quotes lost, by overtaking."""
     overtaking = simulate(seed, quotes_per_s)
     with monkeypatch.context() as patch:
-        patch.setattr(turns, "OVERTAKING_SLACK_SHARE", 0.0)
+        patch.setattr(admission_queue, "OVERTAKING_SLACK_SHARE", 0.0)
         in_order = simulate(seed, quotes_per_s)
     gained = measure_in_time(overtaking, "chat") - measure_in_time(in_order, "chat")
     lost = measure_in_time(in_order, "quote") - measure_in_time(overtaking, "quote")
@@ -70,43 +70,41 @@
     assert lost <= 0.05
 
 
-def create_ticket(name, priority, tokens, target_ms, asked_ms=0.0, gap_ms=0.0):
-    return Ticket(
+def create_entry(name, priority, tokens, target_ms, queued_at_ms=0.0, gap_ms=0.0):
+    return QueueEntry(
         name,
         "host",
         priority,
         (),
         tokens,
-        asked_ms,
-        asked_ms,
+        queued_at_ms,
+        queued_at_ms,
         gap_ms=gap_ms,
         target_ms=target_ms,
     )
 
 
-def grant_first(tickets, now):
-    queue = TurnQueue(64, 100_000)
-    busy = create_ticket("busy", 0, 8000, 0.0)
-    queue.ask(busy)
+def grant_first(entries, now):
+    queue = AdmissionQueue(64, 100_000)
+    busy = create_entry("busy", 0, 8000, 0.0)
+    queue.add_or_refresh(busy)
     assert queue.grant(0.0) == [busy]
-    for ticket in tickets:
-        queue.ask(ticket)
-    queue.begin("busy", now)
+    for entry in entries:
+        queue.add_or_refresh(entry)
+    queue.mark_prefilled("busy", now)
     return queue.grant(now)[0].request_id
 
 
 def test_request_without_slack_is_not_overtaken():
-    chat = create_ticket("chat", 1, 100, 400.0)
-    quote = create_ticket("quote", 0, 3000, 2000.0)
+    chat = create_entry("chat", 1, 100, 400.0)
+    quote = create_entry("quote", 0, 3000, 2000.0)
     assert grant_first([quote, chat], 350.0) == "chat"
-    late = create_ticket("quote", 0, 3000, 2000.0, asked_ms=-1700.0)
+    late = create_entry("quote", 0, 3000, 2000.0, queued_at_ms=-1700.0)
     assert grant_first([late, chat], 350.0) == "quote"
-    unknown = create_ticket("quote", 0, 3000, 0.0)
+    unknown = create_entry("quote", 0, 3000, 0.0)
     assert grant_first([unknown, chat], 350.0) == "quote"
 
 
 def test_prefill_longer_than_the_slack_does_not_overtake():
-    long = create_ticket("long", 1, 40_000, 500.0)
-    assert (
-        grant_first([create_ticket("quote", 0, 3000, 2000.0), long], 350.0) == "quote"
-    )
+    long = create_entry("long", 1, 40_000, 500.0)
+    assert grant_first([create_entry("quote", 0, 3000, 2000.0), long], 350.0) == "quote"
--- a/cornelnotch/gateway/tests/test_placing.py
+++ b/cornelnotch/gateway/tests/test_placement.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from cornelnotch.gateway import placing
-from cornelnotch.gateway.engines import PRIOR_PACE, find_reading_budget
+from cornelnotch.gateway import placement
+from cornelnotch.gateway.engine_estimates import PRIOR_RATES, find_prefill_budget
 from cornelnotch.gateway.models import (
     CallerRequest,
     PromptPart,
@@ -14,11 +14,11 @@
     ServiceShare,
     WorkKind,
 )
-from cornelnotch.gateway.placing import PlacementNeed, Placer
-from cornelnotch.gateway.reserving import (
+from cornelnotch.gateway.placement import PlacementNeed, Placer
+from cornelnotch.gateway.reservation import (
     choose_reserved,
     count_reserved,
-    find_tight_gap,
+    find_latency_sensitive_gap_ms,
 )
 from cornelnotch.gateway.servers import Flight, ServerPool, ServerView
 from cornelnotch.testing.enginemodel import (
@@ -51,19 +51,21 @@
     return requests
 
 
-def simulate(requests, reserve=True, turns=True):
-    engines = create_engines(ENGINES, turns)
+def simulate(requests, reserve=True, queued=True):
+    engines = create_engines(ENGINES, queued)
     outcomes = play_requests(requests, engines, Placer("a", REGIONS), reserve)
     return outcomes, sum(engine.read_tokens for engine in engines)
 
 
 def measure_violation_share(outcomes):
-    chats = [o for o in outcomes if o.request.tight]
+    chats = [o for o in outcomes if o.request.latency_sensitive]
     return sum(o.longest_gap_ms > CHAT_GAP_MS for o in chats) / len(chats)
 
 
-def find_first_token_percentile(outcomes, tight, share):
-    waits = sorted(o.first_ms for o in outcomes if o.request.tight is tight)
+def find_first_token_percentile(outcomes, latency_sensitive, share):
+    waits = sorted(
+        o.first_ms for o in outcomes if o.request.latency_sensitive is latency_sensitive
+    )
     return waits[int(len(waits) * share)]
 
 
@@ -84,11 +86,11 @@
     needed = 60 * 13_300 + sum(r.own_tokens for r in requests)
     assert read <= needed * 1.25
     assert find_first_token_percentile(outcomes, False, 0.5) <= 2500.0
-    unqueued, _ = simulate(requests, turns=False)
+    unqueued, _ = simulate(requests, queued=False)
     assert find_first_token_percentile(
         unqueued, False, 0.5
     ) > find_first_token_percentile(outcomes, False, 0.5)
-    monkeypatch.setattr(placing, "REPEATED_PREFILL_WEIGHT", 0.0)
+    monkeypatch.setattr(placement, "REPEATED_PREFILL_WEIGHT", 0.0)
     _, repeated = simulate(requests)
     assert repeated > read * 1.05
 
@@ -199,8 +201,8 @@
     views = [create_view("kept"), create_view("other")]
     views[1].start(Flight("x", 0.0, 15_000, priority=0))
     need = PlacementNeed(1, (), False, frozenset({"kept"}), 250.0)
-    budget = find_reading_budget(PRIOR_PACE, 250.0)
-    harmless = int(budget * placing.INTERFERENCE_FREE_SHARE)
+    budget = find_prefill_budget(PRIOR_RATES, 250.0)
+    harmless = int(budget * placement.INTERFERENCE_FREE_SHARE)
     short = choose(views, create_request(0, harmless), need)
     assert short.server is views[0]
     long = choose(views, create_request(0, int(budget) + 1), need)
@@ -208,9 +210,9 @@
 
 
 def test_only_clearly_shorter_gaps_are_latency_sensitive():
-    assert find_tight_gap([500.0, 200.0, 120.0]) == 120.0
-    assert find_tight_gap([200.0, 180.0]) == 0.0
-    assert find_tight_gap([0.0]) == 0.0
+    assert find_latency_sensitive_gap_ms([500.0, 200.0, 120.0]) == 120.0
+    assert find_latency_sensitive_gap_ms([200.0, 180.0]) == 0.0
+    assert find_latency_sensitive_gap_ms([0.0]) == 0.0
 
 
 def test_ejected_servers_are_used_when_no_other_is_available():
--- a/cornelnotch/gateway/tests/test_repeating.py
+++ b/cornelnotch/gateway/tests/test_retry_policy.py
@@ -4,7 +4,7 @@
 
 from cornelnotch.gateway.dispatch import DispatchOutcome
 from cornelnotch.gateway.models import Route, ServiceShare, WorkKind
-from cornelnotch.gateway.repeating import (
+from cornelnotch.gateway.retry_policy import (
     MAX_REFUSED_DISPATCHES,
     MAX_UNSENT_DISPATCHES,
     DispatchCounts,
--- a/cornelnotch/gateway/tests/test_starting.py
+++ b/cornelnotch/gateway/tests/test_starting.py
@@ -2,17 +2,17 @@
 
 import asyncio
 
-from cornelnotch.gateway.starting import MIN_RETURN_MS, STARTUP_MS, Startup
+from cornelnotch.gateway.starting import MIN_RETRY_AFTER_MS, STARTUP_MS, Startup
 from cornelnotch.gateway.tests.conftest import Deployment, create_host, wait_until
 from cornelnotch.kernel import ManualClock
 
 
 def test_retry_delay_is_the_longest_honoured_while_the_store_is_unavailable():
     startup = Startup(ManualClock())
-    assert startup.choose_return_ms(6000.0) == MIN_RETURN_MS
+    assert startup.choose_retry_after_ms(6000.0) == MIN_RETRY_AFTER_MS
     startup.note_store_unavailable()
-    assert startup.choose_return_ms(6000.0) == 2000.0
-    assert startup.choose_return_ms(0.0) == MIN_RETURN_MS
+    assert startup.choose_retry_after_ms(6000.0) == 2000.0
+    assert startup.choose_retry_after_ms(0.0) == MIN_RETRY_AFTER_MS
 
 
 def test_requests_wait_only_for_the_rest_of_the_startup():
--- a/cornelnotch/gateway/tests/test_troubled_servers.py
+++ b/cornelnotch/gateway/tests/test_troubled_servers.py
@@ -6,7 +6,7 @@
 import pytest
 
 from cornelnotch.exceptions import UpstreamError
-from cornelnotch.gateway import passing, patience
+from cornelnotch.gateway import passing, timeouts
 from cornelnotch.gateway.servers import Flight
 from cornelnotch.gateway.streams import MAX_EVENT_BYTES, EventSplitter
 from cornelnotch.gateway.tests.conftest import run_deployment, wait_until
@@ -38,7 +38,7 @@
 @pytest.fixture(autouse=True)
 def shorten_timeouts(monkeypatch):
     monkeypatch.setattr(client, "HEAD_TIMEOUT_S", 0.4)
-    monkeypatch.setattr(patience, "MIN_STALL_MS", 400.0)
+    monkeypatch.setattr(timeouts, "MIN_STALL_MS", 400.0)
 
 
 def run_scenario(answer, scenario, service="llm"):
--- a/cornelnotch/gateway/patience.py
+++ b/cornelnotch/gateway/timeouts.py
@@ -2,7 +2,7 @@
 
 from cornelnotch.gateway.models import Route, WorkKind
 
-__all__ = ["find_longest_pause_s", "find_patience_s", "find_stall_s"]
+__all__ = ["find_max_gap_s", "find_response_timeout_s", "find_stall_timeout_s"]
 
 # The response to a call that takes this many times its target is probably lost.
 RESPONSE_TIMEOUT_TARGETS = 2.5
@@ -12,7 +12,7 @@
 MIN_STALL_MS = 1200.0
 
 
-def find_patience_s(route: Route, ran: int) -> float | None:
+def find_response_timeout_s(route: Route, ran: int) -> float | None:
     """Return the response timeout of the next dispatch in s, or None for no limit.
 
     `ran` is the number of earlier dispatches that may have run.
@@ -25,16 +25,16 @@
     )
 
 
-def find_stall_s(route: Route, ran: int) -> float | None:
+def find_stall_timeout_s(route: Route, ran: int) -> float | None:
     """Return the gap in s after which a stream is resumed elsewhere, or None for never.
 
     `ran` is the number of dispatches that may have run, including the current one.
     """
     if not route.resumable or ran >= route.attempts:
         return None
-    return find_longest_pause_s(route)
+    return find_max_gap_s(route)
 
 
-def find_longest_pause_s(route: Route) -> float:
+def find_max_gap_s(route: Route) -> float:
     """Return the gap after which a stream counts as stalled, in s."""
-    return max(route.target_gap_ms * STALL_GAPS, MIN_STALL_MS) / 1000.0
+    return max(route.target_itl_ms * STALL_GAPS, MIN_STALL_MS) / 1000.0
--- a/cornelnotch/testing/enginemodel.py
+++ b/cornelnotch/testing/enginemodel.py
@@ -8,7 +8,8 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from cornelnotch.gateway.engines import EngineEstimate
+from cornelnotch.gateway.admission_queue import AdmissionQueue, QueueEntry
+from cornelnotch.gateway.engine_estimates import EngineEstimate
 from cornelnotch.gateway.models import (
     CallerRequest,
     PromptPart,
@@ -17,10 +18,9 @@
     ServiceShare,
     WorkKind,
 )
-from cornelnotch.gateway.placing import PlacementNeed, Placer
-from cornelnotch.gateway.reserving import choose_reserved
+from cornelnotch.gateway.placement import PlacementNeed, Placer
+from cornelnotch.gateway.reservation import choose_reserved
 from cornelnotch.gateway.servers import Flight, ServerView
-from cornelnotch.gateway.turns import Ticket, TurnQueue
 
 __all__ = ["EngineModel", "EngineShape", "Outcome", "PlacedRequest", "play_requests"]
 
@@ -53,7 +53,7 @@
 
     name: str
     at_ms: float
-    tight: bool
+    latency_sensitive: bool
     shared: str
     shared_tokens: int
     own_tokens: int
@@ -91,7 +91,7 @@
     """Simulated engine with its running requests, prefix cache and prefill count."""
 
     view: ServerView
-    turns: TurnQueue | None = None
+    queue: AdmissionQueue | None = None
     shape: EngineShape = EngineShape()
     runs: list[EngineRequest] = field(default_factory=list)
     cache: OrderedDict[str, int] = field(default_factory=OrderedDict)
@@ -101,19 +101,19 @@
 
     def submit(self, run: EngineRequest, now: float) -> None:
         """Queue a request for its turn, or admit it immediately without turns."""
-        if self.turns is None:
+        if self.queue is None:
             self.admit(run)
             return
         request = run.outcome.request
         self.waiting[request.name] = run
-        self.turns.ask(_create_ticket(request, now))
+        self.queue.add_or_refresh(_create_entry(request, now))
         self.admit_granted(now)
 
     def admit_granted(self, now: float) -> None:
         """Admit the requests whose turn has come."""
-        if self.turns is not None:
-            for ticket in self.turns.grant(now):
-                self.admit(self.waiting.pop(ticket.request_id))
+        if self.queue is not None:
+            for entry in self.queue.grant(now):
+                self.admit(self.waiting.pop(entry.request_id))
 
     def admit(self, run: EngineRequest) -> None:
         """Admit a request; cached prompt parts are not prefilled again."""
@@ -160,8 +160,8 @@
         run.buffered_tokens = 0
         outcome = run.outcome
         if not run.last_event_ms:
-            if self.turns is not None:
-                self.turns.begin(outcome.request.name, self.free_ms)
+            if self.queue is not None:
+                self.queue.mark_prefilled(outcome.request.name, self.free_ms)
             run.last_report_ms = self.free_ms
             outcome.first_ms = self.free_ms - outcome.request.at_ms
         else:
@@ -179,21 +179,21 @@
             self.view.finish(run.flight)
             self.view.remember([_create_shared_part(outcome.request)], self.free_ms)
             self.runs.remove(run)
-            if self.turns is not None:
-                self.turns.end(outcome.request.name)
+            if self.queue is not None:
+                self.queue.remove(outcome.request.name)
 
     def _report_progress(self, run: EngineRequest) -> None:
         """Report the progress of a stream to the turn queue."""
         run.last_report_ms = self.free_ms
         progress = run.flight.take_progress()
-        if self.turns is not None and progress is not None:
+        if self.queue is not None and progress is not None:
             name = run.outcome.request.name
-            self.turns.note_progress(name, progress, self.free_ms)
+            self.queue.record_progress(name, progress, self.free_ms)
 
 
-def _create_ticket(request: PlacedRequest, now: float) -> Ticket:
+def _create_entry(request: PlacedRequest, now: float) -> QueueEntry:
     parts = (_create_shared_part(request),)
-    return Ticket(
+    return QueueEntry(
         request.name,
         "host",
         request.priority,
@@ -225,7 +225,7 @@
 
 
 def create_engines(
-    count: int, turns: bool = False, shape: EngineShape | None = None
+    count: int, queued: bool = False, shape: EngineShape | None = None
 ) -> list[EngineModel]:
     """Return idle engines of one failure domain, with or without turns."""
     shape = shape or EngineShape()
@@ -236,7 +236,11 @@
             name, "llm", f"10.0.0.{number}:80", FAILURE_DOMAIN, shape.slots
         )
         estimate = EngineEstimate(name)
-        queue = TurnQueue(shape.slots, shape.cache_tokens, estimate) if turns else None
+        queue = (
+            AdmissionQueue(shape.slots, shape.cache_tokens, estimate)
+            if queued
+            else None
+        )
         engines.append(EngineModel(ServerView(record), queue, shape))
     return engines
 
@@ -257,7 +261,7 @@
         views = [engine.view for engine in engines]
         reserved = _choose_reserved(engines) if reserve else frozenset()
         need = PlacementNeed(
-            request.priority, (), request.tight, reserved, request.gap_ms
+            request.priority, (), request.latency_sensitive, reserved, request.gap_ms
         )
         placed = placer.choose(views, route, _create_call(request), need, request.at_ms)
         assert placed is not None
@@ -266,7 +270,7 @@
             request.at_ms,
             placed.prefill_tokens,
             request.priority,
-            tight=request.tight,
+            latency_sensitive=request.latency_sensitive,
         )
         placed.server.start(flight)
         outcome = Outcome(request)
@@ -279,8 +283,11 @@
 
 def _choose_reserved(engines: list[EngineModel]) -> frozenset[str]:
     views = [engine.view for engine in engines]
-    tight = {v.record.name: sum(f.tight for f in v.flights.values()) for v in views}
-    return choose_reserved([view.record for view in views], {}, tight)
+    latency_sensitive = {
+        v.record.name: sum(f.latency_sensitive for f in v.flights.values())
+        for v in views
+    }
+    return choose_reserved([view.record for view in views], {}, latency_sensitive)
 
 
 def _advance(engines: list[EngineModel], until_ms: float) -> None:
--- a/cornelnotch/wire/messages.py
+++ b/cornelnotch/wire/messages.py
@@ -12,7 +12,7 @@
     "ClaimAsk",
     "ConfigurationFetch",
     "ConfigurationOffer",
-    "EnginePace",
+    "EngineRates",
     "HeldPermit",
     "HeldPermits",
     "Hello",
@@ -37,7 +37,7 @@
     "RecordNews",
     "ServerLeaving",
     "ServerUpdate",
-    "ServerUse",
+    "ServerUsage",
     "StreamProgress",
     "TurnAsk",
     "TurnEnd",
@@ -322,7 +322,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ServerUse:
+class ServerUsage:
     """Report the load of a server.
 
     `waiting` is the number of requests without a first chunk, `tight` the number of
@@ -342,7 +342,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class EnginePace:
+class EngineRates:
     """Report the measured throughput of an engine.
 
     `read_rate` is the prefill rate observed by callers in prompt tokens per ms, and
@@ -363,8 +363,8 @@
     """Report one host's load and the throughput of the engines it schedules."""
 
     host: str
-    uses: list[ServerUse]
-    paces: list[EnginePace]
+    uses: list[ServerUsage]
+    paces: list[EngineRates]
 
 
 @dataclass(frozen=True, slots=True)
@@ -375,8 +375,8 @@
     """
 
     origin: str
-    uses: list[ServerUse]
-    paces: list[EnginePace]
+    uses: list[ServerUsage]
+    paces: list[EngineRates]
     targets: list[str]
 
 
--- a/examples/placing.py
+++ b/examples/placing.py
@@ -8,7 +8,7 @@
     ServiceShare,
     WorkKind,
 )
-from cornelnotch.gateway.placing import PlacementNeed, Placer
+from cornelnotch.gateway.placement import PlacementNeed, Placer
 from cornelnotch.gateway.servers import Flight, ServerView
 
 PARTS = (PromptPart("history", 13_300), PromptPart("question", 900))
