--- a/cornelnotch/gateway/admission_client.py
+++ b/cornelnotch/gateway/admission_client.py
@@ -34,9 +34,10 @@
 class AdmissionResult(StrEnum):
     """Outcome of a wait for admission.
 
-    ALONE is a grant without an answer of the coordinator. LOST means that the engine
-    must no longer be used, BETTER that another one is likely to serve the request
-    sooner, HOPELESS that the caller would leave before the request is admitted.
+    UNANSWERED is a grant without an answer of the coordinator. ENGINE_LOST means that
+    the engine must no longer be used, BETTER_ENGINE that another one is likely to serve
+    the request sooner, INFEASIBLE that the caller would leave before the request is
+    admitted.
     """
 
     GRANTED = "granted"
@@ -106,7 +107,7 @@
         target_ms: float = 0.0,
         has_better_server: Callable[[], bool] = lambda: False,
     ) -> AdmissionResult:
-        """Wait until the request may be sent; `end` must be called in any case.
+        """Wait until the request may be sent; always call `report_end` afterwards.
 
         The caller has waited since `arrived_ms`, possibly for another engine, and
         leaves after `wait_limit_ms`. It accepts pauses of `gap_ms` between events and
--- a/cornelnotch/gateway/admission_controller.py
+++ b/cornelnotch/gateway/admission_controller.py
@@ -129,7 +129,7 @@
         return AdmissionQueue(view.record.slots, tokens, estimate)
 
     def list_rates(self) -> list[EngineRates]:
-        """Return the measured paces of the engines that this host coordinates."""
+        """Return the measured rates of the engines that this host coordinates."""
         return [
             engine_queue.queue.estimate.rates for engine_queue in self._queues.values()
         ]
--- a/cornelnotch/gateway/admission_queue.py
+++ b/cornelnotch/gateway/admission_queue.py
@@ -56,9 +56,9 @@
 class QueueEntry:
     """A request that a host wants to send to an engine; times are in ms.
 
-    `unread` is the number of tokens to prefill, fixed when the request is granted. The
-    caller accepts inter-token gaps of `gap_ms`, any if that is 0, and expects its first
-    token within `target_ms`, at any time if that is 0.
+    `uncached_tokens` is the number of tokens to prefill, fixed when the request is
+    granted. The caller accepts inter-token gaps of `gap_ms`, any if that is 0, and
+    expects its first token within `target_ms`, at any time if that is 0.
     """
 
     request_id: str
--- a/cornelnotch/gateway/engine_estimates.py
+++ b/cornelnotch/gateway/engine_estimates.py
@@ -55,7 +55,7 @@
 
 
 def average_rates(engine_rates: Iterable[EngineRates]) -> EngineRates:
-    """Return the mean of the given paces, or the prior if there are none."""
+    """Return the mean of the given rates, or the prior if there are none."""
     known = list(engine_rates)
     if not known:
         return PRIOR_RATES
@@ -101,7 +101,7 @@
 
 
 class EngineEstimate:
-    """Estimate the pace of one engine from observations and a prior."""
+    """Estimate the rates of one engine from observations and a prior."""
 
     def __init__(self, server: str = "", prior: EngineRates = PRIOR_RATES) -> None:
         self._server = server
--- a/cornelnotch/gateway/engine_rates.py
+++ b/cornelnotch/gateway/engine_rates.py
@@ -1,4 +1,4 @@
-"""Store the measured paces of engines and select changes to publish; no I/O."""
+"""Store the measured rates of engines and select changes to publish; no I/O."""
 
 from collections.abc import Iterable, Mapping
 
@@ -7,16 +7,16 @@
 
 __all__ = ["EngineRateTable", "RateUpdateFilter"]
 
-# A pace is published when it changes by this share, and repeated after an interval for
+# Rates are published when one changes by this share, and repeated after an interval for
 # hosts that joined since.
 MIN_CHANGE_SHARE = 0.1
 REPUBLISH_INTERVAL_MS = 10_000.0
-# Early estimates fluctuate, so the pace of an engine is published at most this often.
+# Early estimates fluctuate, so the rates of an engine are published at most this often.
 MIN_PUBLISH_INTERVAL_MS = 1000.0
 
 
 class EngineRateTable:
-    """Store the latest pace of each engine and the mean pace of each service."""
+    """Store the latest rates of each engine and the mean rates of each service."""
 
     def __init__(self) -> None:
         self._rates: dict[str, EngineRates] = {}
@@ -25,7 +25,7 @@
     def update(
         self, engine_rates: Iterable[EngineRates], services: Mapping[str, str]
     ) -> None:
-        """Store new paces; `services` maps the listed servers to their services."""
+        """Store new rates; `services` maps the listed servers to their services."""
         updates = {rates.server: rates for rates in engine_rates}
         if not updates:
             return
@@ -37,16 +37,16 @@
         self._averages = {name: average_rates(found) for name, found in members.items()}
 
     def get(self, server: str, service: str) -> EngineRates:
-        """Return the pace of an engine, or the mean pace of its service."""
+        """Return the rates of an engine, or the mean rates of its service."""
         return self._rates.get(server) or self.get_average(service)
 
     def get_average(self, service: str) -> EngineRates:
-        """Return the mean pace of a service, or the prior if none is known."""
+        """Return the mean rates of a service, or the prior if none are known."""
         return self._averages.get(service, PRIOR_RATES)
 
 
 class RateUpdateFilter:
-    """Track the pace last published for each engine."""
+    """Track the rates last published for each engine."""
 
     def __init__(self) -> None:
         self._published: dict[str, tuple[float, EngineRates]] = {}
@@ -54,7 +54,7 @@
     def select(
         self, engine_rates: Iterable[EngineRates], now: float
     ) -> list[EngineRates]:
-        """Return the paces to publish now and mark them as published."""
+        """Return the rates to publish now and mark them as published."""
         updates = [rates for rates in engine_rates if self._must_publish(rates, now)]
         self._published.update({rates.server: (now, rates) for rates in updates})
         for name, (published_ms, _) in list(self._published.items()):
--- a/cornelnotch/gateway/loads.py
+++ b/cornelnotch/gateway/loads.py
@@ -50,7 +50,7 @@
         self._rates.update({rates.server: rates for rates in report.paces})
 
     def pop_rates(self) -> list[EngineRates]:
-        """Return the paces reported since the last call."""
+        """Return the rates reported since the last call."""
         engine_rates = list(self._rates.values())
         self._rates.clear()
         return engine_rates
--- a/cornelnotch/gateway/placement.py
+++ b/cornelnotch/gateway/placement.py
@@ -33,11 +33,10 @@
 INTERFERENCE_FREE_SHARE = 1.0 / 3.0
 # Expected delay of a latency-sensitive stream that shares an engine with long prompts.
 UNRESERVED_COST_MS = 250.0
-# The turn queue grants short prompts before long ones. A prompt of mean length counts
-# the first share of the tokens queued at its priority, a shorter one proportionally
-# less, down to the second. Counting all of them moves prompts away from engines that
-# cache their parts: 29.3 instead of 24.2 million tokens were prefilled in a simulated
-# overload.
+# The admission queue grants short prompts before long ones. A prompt of mean length
+# counts the first share of the tokens queued at its priority, a shorter one
+# proportionally less, down to the second. Counting all of them moves prompts away from
+# engines that cache their parts, which costs repeated prefill.
 SAME_PRIORITY_SHARE = 0.7
 MIN_SAME_PRIORITY_SHARE = 0.1
 # Load reports of other hosts lag by this much, so a smaller gain may not be real.
@@ -64,9 +63,9 @@
 class PlacementNeed:
     """Constraints on placing a request, beside its route and prompt.
 
-    `reserved` names the engines reserved for latency-sensitive (`tight`) streams, whose
-    inter-token gaps must not exceed `tight_gap_ms`. `current` names the server at which
-    the request is queued, if any.
+    `reserved` names the engines reserved for `latency_sensitive` streams, whose
+    inter-token gaps must not exceed `latency_sensitive_gap_ms`. `current` names the
+    server at which the request is queued, if any.
     """
 
     priority: int
--- a/cornelnotch/gateway/reservation.py
+++ b/cornelnotch/gateway/reservation.py
@@ -21,12 +21,12 @@
 HEADROOM = 2.0
 MIN_SHARE = 0.12
 MAX_SHARE = 0.5
-# A route is latency-sensitive (tight) if its gap is at most this share of the longest.
+# A route is latency-sensitive if its gap is at most this share of the longest.
 LATENCY_SENSITIVE_RATIO = 0.5
 
 
 def count_reserved(servers: int, slots: int, latency_sensitive: int) -> int:
-    """Return the number of engines to reserve while `tight` streams run."""
+    """Return the number of engines to reserve for `latency_sensitive` streams."""
     if servers < MIN_SERVERS:
         return 0
     needed = math.ceil(latency_sensitive * HEADROOM / slots)
@@ -41,8 +41,8 @@
 ) -> frozenset[str]:
     """Return the names of the engines reserved for latency-sensitive streams.
 
-    `tight` maps servers to the number of such streams. The engines are ranked by hash,
-    so hosts with different counts differ only in the last ones.
+    `latency_sensitive` maps servers to the number of such streams. The engines are
+    ranked by hash, so hosts with different counts differ only in the last ones.
     """
     by_region: dict[str, list[ServerRecord]] = {}
     for record in records:
--- a/cornelnotch/gateway/tests/test_admission_controller.py
+++ b/cornelnotch/gateway/tests/test_admission_controller.py
@@ -64,7 +64,7 @@
     run_scenario(scenario)
 
 
-def test_the_answer_to_a_waiting_request_counts_unread_tokens():
+def test_the_answer_to_a_waiting_request_counts_uncached_tokens():
     def scenario(harness):
         harness.ask("a")
         name, wait = harness.ask("b", "h3")
@@ -123,7 +123,7 @@
     run_scenario(scenario)
 
 
-def test_reported_progress_updates_the_estimated_pace():
+def test_reported_progress_updates_the_estimated_rates():
     def scenario(harness):
         harness.list_engine()
         harness.ask("a")
--- a/cornelnotch/gateway/tests/test_admission_path.py
+++ b/cornelnotch/gateway/tests/test_admission_path.py
@@ -199,7 +199,7 @@
     asyncio.run(scenario())
 
 
-def test_hopeless_request_is_rejected_immediately_with_a_retry_delay():
+def test_infeasible_request_is_rejected_immediately_with_a_retry_delay():
     async def scenario(d, engine):
         engine.faults.first_ms = 800.0
         first = start(d, "first", HUGE)
@@ -236,7 +236,7 @@
     run_scenario(scenario)
 
 
-def test_engine_pace_is_estimated_from_forwarded_streams():
+def test_engine_rates_are_estimated_from_forwarded_streams():
     async def scenario(d, engine):
         engine.events = 40
         engine.faults.event_ms = 20.0
--- a/cornelnotch/gateway/tests/test_engine_estimates.py
+++ b/cornelnotch/gateway/tests/test_engine_estimates.py
@@ -1,4 +1,4 @@
-"""Test the pace estimate of engines and its effect on inter-token gaps."""
+"""Test the rate estimates of engines and their effect on inter-token gaps."""
 
 import random
 from dataclasses import replace
@@ -90,7 +90,7 @@
     assert 0.5 * event_ms <= rates.event_ms <= 2.0 * event_ms
 
 
-def test_engine_without_observations_has_the_prior_pace():
+def test_engine_without_observations_has_the_prior_rates():
     assert EngineEstimate("e").rates == PRIOR_RATES
     assert average_rates([]) == PRIOR_RATES
     table = EngineRateTable()
@@ -143,7 +143,7 @@
     assert estimate.rates.ease == PRIOR_RATES.ease
 
 
-def test_reading_budget_fits_into_the_gap():
+def test_prefill_budget_fits_into_the_gap():
     rates = EngineRates("e", 30.0, 40.0, 50.0, 1.0)
     assert find_prefill_budget(rates, 0.0) == float("inf")
     assert find_prefill_budget(rates, 1000.0) < 40.0 * 1000.0
@@ -172,7 +172,7 @@
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
-def test_reading_budget_keeps_chat_gaps_short_during_a_burst(monkeypatch, seed):
+def test_prefill_budget_keeps_chat_gaps_short_during_a_burst(monkeypatch, seed):
     with monkeypatch.context() as patch:
         unpaced = simulate_chats(patch, False, seed)
     paced = simulate_chats(monkeypatch, True, seed)
@@ -184,7 +184,7 @@
     return EngineRates(name, rate, 40.0, 40.0, 1.0)
 
 
-def test_only_changes_are_published_and_all_paces_are_repeated():
+def test_only_changes_are_published_and_all_rates_are_repeated():
     rate_filter = RateUpdateFilter()
     assert rate_filter.select([create_rates("a"), create_rates("b")], 0.0)
     assert rate_filter.select([create_rates("a", 31.0)], 100.0) == []
@@ -198,7 +198,7 @@
     assert rate_filter.select([create_rates("")], 0.0) == []
 
 
-def test_engine_of_unknown_pace_gets_the_mean_of_its_service():
+def test_engine_of_unknown_rates_gets_the_mean_of_its_service():
     table = EngineRateTable()
     services = {"a": "llm", "b": "llm", "c": "llm", "d": "other"}
     table.update([create_rates("a", 20.0), create_rates("b", 40.0)], services)
--- a/cornelnotch/gateway/tests/test_retry_after.py
+++ b/cornelnotch/gateway/tests/test_retry_after.py
@@ -27,13 +27,13 @@
     assert estimate_caller_timeout_ms(create_route(2500.0, 600.0), 3000.0) == 3000.0
 
 
-def test_only_waits_clearly_above_the_limit_are_hopeless():
+def test_only_waits_clearly_above_the_limit_are_infeasible():
     assert not is_infeasible(1000.0, 1000.0)
     assert not is_infeasible(1000.0 * CLEAR_EXCESS, 1000.0)
     assert is_infeasible(1000.0 * CLEAR_EXCESS + 1.0, 1000.0)
 
 
-def test_retry_delays_are_jittered_and_within_the_honoured_share():
+def test_retry_delays_are_jittered_and_within_the_maximum_share():
     generator = random.Random(1)
     delays = [choose_retry_after_ms(60_000.0, 12_000.0, generator) for _ in range(500)]
     assert max(delays) <= 12_000.0 * MAX_RETRY_AFTER_SHARE
