--- a/benchmarks/burst.py
+++ b/benchmarks/burst.py
@@ -8,7 +8,7 @@
 import sys
 
 from benchmarks.policies import POLICIES, Policy
-from cornelnotch.queueing.models import ShardRule
+from cornelnotch.queueing.models import ShardConfig
 from cornelnotch.testing.shardmodel import (
     Arrival,
     ModelClass,
@@ -109,7 +109,7 @@
     return attained
 
 
-def count_tier_violations(result: ModelResult, rule: ShardRule) -> int:
+def count_tier_violations(result: ModelResult, rule: ShardConfig) -> int:
     """Return the number of capacity refusals while a lower tier exceeds its floor."""
     slots = sum(server.slots for server in rule.servers.values())
     broken = 0
@@ -132,7 +132,7 @@
 
 def run_policy(
     policy: Policy, seed: int, faults: bool
-) -> tuple[ModelResult, ShardRule]:
+) -> tuple[ModelResult, ShardConfig]:
     """Run a policy with a seed."""
     classes = create_classes(2.0)
     engines = create_engines(faults)
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -21,9 +21,9 @@
 from cornelnotch.configuration import (
     Change,
     ConfigurationState,
+    apply_record,
     create_snapshot,
     encode_record,
-    fold_record,
     plan_shards,
     select_class,
 )
@@ -31,7 +31,7 @@
 from cornelnotch.membership import MemberTable
 from cornelnotch.observation import DecisionLog
 from cornelnotch.queueing import create_shard
-from cornelnotch.queueing.models import ClassRule, ServerRule, ShardRule
+from cornelnotch.queueing.models import ClassConfig, ServerConfig, ShardConfig
 from cornelnotch.testing.samples import create_heelmark_text, create_server_section
 from cornelnotch.wire import decode_message, encode_message
 from cornelnotch.wire.messages import (
@@ -39,9 +39,9 @@
     HeldPermits,
     MemberUpdate,
     PermitAsk,
-    PermitFinish,
     PermitFirstToken,
     PermitGrant,
+    PermitRelease,
     Ping,
 )
 
@@ -98,13 +98,15 @@
     for servers, workspaces in ((100, 68), (700, 475), (2800, 1900)):
         text = create_text(servers, workspaces)
         body = encode_record(Change("id", -1, text))
-        state = fold_record(ConfigurationState(), 0, body).state
+        state = apply_record(ConfigurationState(), 0, body).state
         change = encode_record(Change("id", 0, "[workspace w1]\nconcurrent = 9\n"))
-        held = measure_kilobytes(lambda b=body: fold_record(ConfigurationState(), 0, b))
+        held = measure_kilobytes(
+            lambda b=body: apply_record(ConfigurationState(), 0, b)
+        )
         fold_all_ms = measure_min_ms(
-            lambda b=body: fold_record(ConfigurationState(), 0, b), 2
+            lambda b=body: apply_record(ConfigurationState(), 0, b), 2
         )
-        one = measure_min_ms(lambda s=state, c=change: fold_record(s, 1, c))
+        one = measure_min_ms(lambda s=state, c=change: apply_record(s, 1, c))
         plan = measure_min_ms(lambda s=state: plan_shards(s.configuration))
         size = len(encode_record(create_snapshot(state))) / KILOBYTE
         print(
@@ -150,7 +152,7 @@
 
         table = build()
         held = measure_kilobytes(build)
-        full = Ping(1, "host-000", 7, 3.0, table.take_updates(), [])
+        full = Ping(1, "host-000", 7, 3.0, table.pop_updates(), [])
         minimal = Ping(1, "host-000", 7, 3.0, members[:1], [])
         data = encode_message(full)
 
@@ -166,13 +168,13 @@
         )
 
 
-def create_rule(servers: int) -> ShardRule:
+def create_rule(servers: int) -> ShardConfig:
     """Return a shard configuration with the given number of servers."""
     classes = {
-        f"class-{tier}": ClassRule(f"class-{tier}", tier, 460.0, None, 8000.0, 0.02)
+        f"class-{tier}": ClassConfig(f"class-{tier}", tier, 460.0, None, 8000.0, 0.02)
         for tier in range(1, 8)
     }
-    return ShardRule(
+    return ShardConfig(
         "pool/region/0",
         "tiered",
         "adaptive",
@@ -181,7 +183,7 @@
         500.0,
         classes,
         {
-            f"server-{n}": ServerRule(f"server-{n}", f"127.0.0.1:{n + 1}", 16, False)
+            f"server-{n}": ServerConfig(f"server-{n}", f"127.0.0.1:{n + 1}", 16, False)
             for n in range(servers)
         },
         {},
@@ -210,16 +212,16 @@
             [],
             0,
         )
-        shard.ask(ask, now)
+        shard.request_permit(ask, now)
         running.append(ask.request_id)
         if len(running) > servers * 17:
             request_id = running.pop(0)
             held = shard.running.get(request_id)
             if held is not None:
-                finish = PermitFinish(
+                finish = PermitRelease(
                     request_id, "s", held.server, "done", 400.0, 50.0, 20.0, 20
                 )
-                shard.finish(finish, now)
+                shard.finish_request(finish, now)
 
 
 def print_dispatcher() -> None:
@@ -246,7 +248,7 @@
             1.5,
         ),
         PermitFirstToken(request_id, shard, 50.5),
-        PermitFinish(request_id, shard, "server-1", "done", 900.5, 50.5, 20.5, 40),
+        PermitRelease(request_id, shard, "server-1", "done", 900.5, 50.5, 20.5, 40),
     ]
     sizes = [len(encode_message(m)) for m in messages]
 
--- a/benchmarks/keying.py
+++ b/benchmarks/keying.py
@@ -14,12 +14,12 @@
 from cornelnotch.kernel import create_identifier, hash_text, rank_owners, select_owner
 from cornelnotch.wire import encode_message
 from cornelnotch.wire.messages import (
-    ClaimAnswer,
-    ClaimAsk,
+    ClaimRequest,
+    ClaimResponse,
     PermitAsk,
-    PermitFinish,
     PermitFirstToken,
     PermitGrant,
+    PermitRelease,
 )
 
 REQUESTS = 20_000
@@ -78,13 +78,13 @@
             request_id, shard, "server-1", "10.0.0.1:80", "host-001", 0.5, "tier", 1.5
         ),
         PermitFirstToken(request_id, shard, 50.5),
-        PermitFinish(request_id, shard, "server-1", "done", 900.5, 50.5, 20.5, 40),
+        PermitRelease(request_id, shard, "server-1", "done", 900.5, 50.5, 20.5, 40),
     )
     claim = (
-        ClaimAsk(request_id, "host-000", 1, b"x" * 150, 1000.0),
-        ClaimAnswer(request_id, "won", "", b""),
-        ClaimAsk(request_id, "host-000", 1, b"x" * 250, 1000.0),
-        ClaimAnswer(request_id, "kept", "", b""),
+        ClaimRequest(request_id, "host-000", 1, b"x" * 150, 1000.0),
+        ClaimResponse(request_id, "won", "", b""),
+        ClaimRequest(request_id, "host-000", 1, b"x" * 250, 1000.0),
+        ClaimResponse(request_id, "kept", "", b""),
     )
     return (
         sum(len(encode_message(m)) for m in permit),
--- a/cornelnotch/balancing/balancers.py
+++ b/cornelnotch/balancing/balancers.py
@@ -5,7 +5,7 @@
 
 from cornelnotch.balancing.servers import ServerState
 from cornelnotch.kernel import register_plugin
-from cornelnotch.queueing.models import Waiting
+from cornelnotch.queueing.models import QueuedRequest
 
 __all__ = [
     "AdaptiveBalancer",
@@ -27,7 +27,7 @@
 
     @abstractmethod
     def choose(
-        self, servers: list[ServerState], item: Waiting, now: float
+        self, servers: list[ServerState], item: QueuedRequest, now: float
     ) -> ServerState | None:
         """Return a server, or None if the request must wait."""
 
@@ -37,7 +37,7 @@
     """Balancer that prefers free, fast servers that cache the request's prefix."""
 
     def choose(
-        self, servers: list[ServerState], item: Waiting, now: float
+        self, servers: list[ServerState], item: QueuedRequest, now: float
     ) -> ServerState | None:
         """Return the free server with the lowest score."""
         free = [server for server in servers if server.count_free(now) > 0]
@@ -49,7 +49,7 @@
         )
 
     @staticmethod
-    def _score(server: ServerState, item: Waiting) -> float:
+    def _score(server: ServerState, item: QueuedRequest) -> float:
         """Return the load, raised if unhealthy and lowered for a cached prefix."""
         score = (server.busy + server.external) / server.slots
         if server.slow or server.failures:
@@ -69,7 +69,7 @@
         self._turns = itertools.count()
 
     def choose(
-        self, servers: list[ServerState], item: Waiting, now: float
+        self, servers: list[ServerState], item: QueuedRequest, now: float
     ) -> ServerState | None:
         """Return the next server."""
         usable = [server for server in servers if not server.leaving]
@@ -86,7 +86,7 @@
     binds_late = False
 
     def choose(
-        self, servers: list[ServerState], item: Waiting, now: float
+        self, servers: list[ServerState], item: QueuedRequest, now: float
     ) -> ServerState | None:
         """Return the server with the fewest own requests."""
         usable = [server for server in servers if not server.leaving]
--- a/cornelnotch/claims/__init__.py
+++ b/cornelnotch/claims/__init__.py
@@ -1,7 +1,7 @@
 """At-most-once execution of non-repeatable work, by claims in the log."""
 
 from cornelnotch.claims.client import ClaimClient, ClaimVerdict
-from cornelnotch.claims.keys import KeyAge, judge_key_age
+from cornelnotch.claims.keys import KeyAge, check_key_age
 from cornelnotch.claims.ledger import (
     ClaimLedger,
     ClaimOperation,
@@ -25,5 +25,5 @@
     "decode_operations",
     "encode_operation",
     "encode_operations",
-    "judge_key_age",
+    "check_key_age",
 ]
--- a/cornelnotch/claims/client.py
+++ b/cornelnotch/claims/client.py
@@ -21,7 +21,7 @@
 )
 from cornelnotch.routing.fleet import FleetView
 from cornelnotch.wire import PeerNetwork
-from cornelnotch.wire.messages import ClaimAnswer, ClaimAsk
+from cornelnotch.wire.messages import ClaimRequest, ClaimResponse
 
 __all__ = ["ClaimClient", "ClaimVerdict"]
 
@@ -58,9 +58,9 @@
         self._clock = clock
         self._events = events
         self._tasks = tasks
-        self._pending: dict[str, asyncio.Future[ClaimAnswer]] = {}
-        self.unsettled = 0
-        peers.subscribe(ClaimAnswer, self._receive)
+        self._pending: dict[str, asyncio.Future[ClaimResponse]] = {}
+        self.pending_count = 0
+        peers.subscribe(ClaimResponse, self._receive)
 
     async def claim(
         self, key: str, attempt: str, fingerprint: str, timeout_ms: float
@@ -98,7 +98,7 @@
         self._start_recording(operation)
 
     def _start_recording(self, operation: ClaimOperation) -> None:
-        self.unsettled += 1
+        self.pending_count += 1
         self._tasks.start(
             f"persist-{operation.attempt}", self._retry_until_recorded(operation)
         )
@@ -112,7 +112,7 @@
                     return
                 await self._clock.sleep(PERSIST_PAUSE_MS)
         finally:
-            self.unsettled -= 1
+            self.pending_count -= 1
 
     async def _submit(
         self, operation: ClaimOperation, timeout_ms: float
@@ -140,13 +140,13 @@
 
     async def _ask(
         self, writer: str, stream: int, operation: ClaimOperation, wait_ms: float
-    ) -> ClaimAnswer | None:
+    ) -> ClaimResponse | None:
         ask_id = create_identifier()
         future = asyncio.get_running_loop().create_future()
         self._pending[ask_id] = future
         body = encode_operation(operation)
         self._peers.send(
-            writer, ClaimAsk(ask_id, self._fleet.name, stream, body, wait_ms)
+            writer, ClaimRequest(ask_id, self._fleet.name, stream, body, wait_ms)
         )
         try:
             async with asyncio.timeout(wait_ms / 1000.0):
@@ -157,14 +157,14 @@
             del self._pending[ask_id]
 
     @staticmethod
-    def _read_answer(answer: ClaimAnswer) -> ClaimVerdict:
+    def _read_answer(answer: ClaimResponse) -> ClaimVerdict:
         if not answer.outcome:
             return ClaimVerdict(answer.state)
         decoded = decode_operation(answer.outcome)
         outcome = decoded.unwrap() if isinstance(decoded, Success) else None
         return ClaimVerdict(answer.state, outcome)
 
-    def _receive(self, sender: str, answer: ClaimAnswer) -> None:
+    def _receive(self, sender: str, answer: ClaimResponse) -> None:
         future = self._pending.get(answer.ask_id)
         if future is not None and not future.done():
             future.set_result(answer)
--- a/cornelnotch/claims/keys.py
+++ b/cornelnotch/claims/keys.py
@@ -2,7 +2,7 @@
 
 from enum import StrEnum
 
-__all__ = ["KeyAge", "judge_key_age"]
+__all__ = ["KeyAge", "check_key_age"]
 
 
 class KeyAge(StrEnum):
@@ -13,7 +13,7 @@
     FUTURE = "future"
 
 
-def judge_key_age(
+def check_key_age(
     key_ms: float, wall_ms: float, horizon_ms: float, skew_ms: float
 ) -> KeyAge:
     """Return the validity of a key generated at `key_ms`.
--- a/cornelnotch/claims/ledger.py
+++ b/cornelnotch/claims/ledger.py
@@ -98,7 +98,7 @@
         elif operation.kind is OperationKind.OUTCOME and known is not None and owned:
             known.outcome = OutcomeLocation(offset, index)
 
-    def find(self, key: str) -> Claim | None:
+    def find_claim(self, key: str) -> Claim | None:
         """Return the winning claim of `key`, or None if it is not claimed."""
         return self.claims.get(key)
 
--- a/cornelnotch/claims/tests/test_ledger.py
+++ b/cornelnotch/claims/tests/test_ledger.py
@@ -7,9 +7,9 @@
     ClaimOperation,
     KeyAge,
     OperationKind,
+    check_key_age,
     decode_operations,
     encode_operations,
-    judge_key_age,
 )
 
 ATTEMPTS = ("a", "b", "c")
@@ -39,10 +39,10 @@
 def test_holder_of_key_changes_only_by_its_own_release(operations):
     ledger = ClaimLedger()
     for offset, operation in enumerate(operations):
-        before = ledger.find(operation.key)
+        before = ledger.find_claim(operation.key)
         holder = before.attempt if before else None
         ledger.apply(operation, offset, 0, float(offset))
-        after = ledger.find(operation.key)
+        after = ledger.find_claim(operation.key)
         if holder is not None and (after is None or after.attempt != holder):
             assert operation.kind is OperationKind.RELEASE
             assert operation.attempt == holder
@@ -51,7 +51,7 @@
 def test_claim_appended_after_its_release_is_ignored():
     release = ClaimOperation(OperationKind.RELEASE, "k", "a")
     late = ClaimOperation(OperationKind.CLAIM, "k", "a", "f")
-    assert apply_operations([release, late]).find("k") is None
+    assert apply_operations([release, late]).find_claim("k") is None
 
 
 @settings(max_examples=50, deadline=None, derandomize=True)
@@ -64,9 +64,9 @@
 
 
 def test_key_age_is_judged_with_clock_skew():
-    assert judge_key_age(0, 10, 20, 5) is KeyAge.USABLE
-    assert judge_key_age(0, 21, 20, 5) is KeyAge.EXPIRED
-    assert judge_key_age(16, 10, 20, 5) is KeyAge.FUTURE
+    assert check_key_age(0, 10, 20, 5) is KeyAge.USABLE
+    assert check_key_age(0, 21, 20, 5) is KeyAge.EXPIRED
+    assert check_key_age(16, 10, 20, 5) is KeyAge.FUTURE
 
 
 def test_eviction_removes_only_old_claims():
@@ -77,5 +77,5 @@
         ]
     )
     ledger.evict(1.0)
-    assert ledger.find("k") is None
-    assert ledger.find("l") is not None
+    assert ledger.find_claim("k") is None
+    assert ledger.find_claim("l") is not None
--- a/cornelnotch/claims/tests/test_writer.py
+++ b/cornelnotch/claims/tests/test_writer.py
@@ -13,7 +13,7 @@
 from cornelnotch.exceptions import LogTrimmedError, LogUnavailableError
 from cornelnotch.kernel import SystemClock, TaskGroup, create_event_log
 from cornelnotch.logservice import LogPage, LogRecord, LogService
-from cornelnotch.wire.messages import ClaimAsk
+from cornelnotch.wire.messages import ClaimRequest
 
 WAIT_S = 3.0
 
@@ -68,8 +68,8 @@
         self.answers.put_nowait(message)
 
     async def ask(self, operation, timeout_ms=1000.0):
-        ask = ClaimAsk("ask", "h", 0, encode_operation(operation), timeout_ms)
-        self.receivers[ClaimAsk]("h", ask)
+        ask = ClaimRequest("ask", "h", 0, encode_operation(operation), timeout_ms)
+        self.receivers[ClaimRequest]("h", ask)
         return await asyncio.wait_for(self.answers.get(), WAIT_S)
 
 
@@ -158,9 +158,9 @@
 def test_standby_reads_stream_before_first_request():
     async def scenario(log, peers, writer):
         log.bodies.append(encode_operations([create_claim("k", "other")]))
-        writer.refresh([0])
+        writer.catch_up([0])
         await asyncio.wait_for(peers.answers.get(), WAIT_S)
-        assert writer.streams[0].ledger.find("k") is not None
+        assert writer.streams[0].ledger.find_claim("k") is not None
         assert log.appends == 0
 
     run_scenario(scenario)
--- a/cornelnotch/claims/writer.py
+++ b/cornelnotch/claims/writer.py
@@ -20,7 +20,7 @@
 from cornelnotch.kernel import Clock, Event, EventLog, TaskGroup
 from cornelnotch.logservice import LogService
 from cornelnotch.wire import PeerNetwork
-from cornelnotch.wire.messages import ClaimAnswer, ClaimAsk
+from cornelnotch.wire.messages import ClaimRequest, ClaimResponse
 
 __all__ = ["ClaimWriter"]
 
@@ -36,7 +36,7 @@
 class PendingOperation:
     """Operation that awaits its result."""
 
-    ask: ClaimAsk
+    ask: ClaimRequest
     operation: ClaimOperation
     expires_ms: float
     appended: bool = False
@@ -130,7 +130,7 @@
             return False
         if operation.attempt in self.ledger.released:
             return False
-        known = self.ledger.find(operation.key)
+        known = self.ledger.find_claim(operation.key)
         if operation.kind is OperationKind.CLAIM:
             return known is None
         if operation.kind is OperationKind.OUTCOME:
@@ -156,7 +156,7 @@
 
     async def _answer(self, pending: PendingOperation) -> None:
         operation = pending.operation
-        claim = self.ledger.find(operation.key)
+        claim = self.ledger.find_claim(operation.key)
         if operation.kind in {OperationKind.RELEASE, OperationKind.OUTCOME}:
             self._send(pending, "kept")
         elif claim is None:
@@ -184,7 +184,7 @@
         attempt: str = "",
         outcome: bytes = b"",
     ) -> None:
-        answer = ClaimAnswer(pending.ask.ask_id, state, attempt, outcome)
+        answer = ClaimResponse(pending.ask.ask_id, state, attempt, outcome)
         self._peers.send(pending.ask.host, answer)
 
 
@@ -208,14 +208,14 @@
         self._peers = peers
         self._tasks = tasks
         self._retention_ms = retention_ms
-        peers.subscribe(ClaimAsk, self._receive)
+        peers.subscribe(ClaimRequest, self._receive)
 
-    def refresh(self, streams: list[int]) -> None:
+    def catch_up(self, streams: list[int]) -> None:
         """Read streams to their end, so that this host can take over without delay."""
         expires_ms = self._clock.read() + REFRESH_TIMEOUT_MS
         operation = ClaimOperation(OperationKind.LOOKUP, "", "")
         for stream in streams:
-            ask = ClaimAsk("", self._peers.name, stream, b"", REFRESH_TIMEOUT_MS)
+            ask = ClaimRequest("", self._peers.name, stream, b"", REFRESH_TIMEOUT_MS)
             pending = PendingOperation(ask, operation, expires_ms)
             self._get_stream_writer(stream).queue.put_nowait(pending)
 
@@ -227,7 +227,7 @@
         """Return the number of appends since startup."""
         return sum(stream.appends for stream in self.streams.values())
 
-    def _receive(self, sender: str, ask: ClaimAsk) -> None:
+    def _receive(self, sender: str, ask: ClaimRequest) -> None:
         decoded = decode_operation(ask.operation)
         if isinstance(decoded, Failure):
             self._events.record(Event.PEER_MESSAGE_REFUSED, error=decoded.failure())
--- a/cornelnotch/commands/config.py
+++ b/cornelnotch/commands/config.py
@@ -15,9 +15,9 @@
     run_async,
 )
 from cornelnotch.configuration import Change, ConfigurationState, encode_record
-from cornelnotch.configuration.fold import fold_record
+from cornelnotch.configuration.fold import apply_record
 from cornelnotch.configuration.publisher import (
-    Publication,
+    PublishResult,
     publish_change,
     read_history,
 )
@@ -46,7 +46,7 @@
 def check_file(path: Path = FILE) -> None:
     """Validate a complete configuration without publishing it."""
     change = Change(create_identifier(), -1, _read_text(path))
-    verdict = fold_record(ConfigurationState(), 0, encode_record(change))
+    verdict = apply_record(ConfigurationState(), 0, encode_record(change))
     if verdict.error is not None:
         raise ConfigurationError(
             f"{path}: {verdict.error.problem}", verdict.error.remedy
@@ -61,7 +61,7 @@
 
 async def _publish(
     path: Path, platform: str, base: int | None, author: str
-) -> Publication:
+) -> PublishResult:
     log = HttpLogService(platform)
     if base is None:
         base = (await read_history(log)).state.version
--- a/cornelnotch/configuration/__init__.py
+++ b/cornelnotch/configuration/__init__.py
@@ -5,11 +5,11 @@
     ConfigurationState,
     RecordResult,
     Snapshot,
+    apply_record,
     choose_snapshot,
     create_snapshot,
     decode_record,
     encode_record,
-    fold_record,
     restore_snapshot,
 )
 from cornelnotch.configuration.models import (
@@ -44,7 +44,7 @@
     "decode_record",
     "encode_record",
     "find_shards",
-    "fold_record",
+    "apply_record",
     "parse_labels",
     "plan_shards",
     "restore_snapshot",
--- a/cornelnotch/configuration/fold.py
+++ b/cornelnotch/configuration/fold.py
@@ -31,7 +31,7 @@
     "create_snapshot",
     "decode_record",
     "encode_record",
-    "fold_record",
+    "apply_record",
     "parse_sections",
     "restore_snapshot",
 ]
@@ -219,7 +219,7 @@
         sections[name] = SectionState(offset, values)
         removed.pop(name, None)
     configuration = _build_configuration(models, offset)
-    configuration.check()
+    configuration.check_references()
     _check_stream_count(state, configuration)
     return ConfigurationState(offset, offset, sections, removed, models, configuration)
 
@@ -235,7 +235,7 @@
     )
 
 
-def fold_record(state: ConfigurationState, offset: int, body: bytes) -> RecordResult:
+def apply_record(state: ConfigurationState, offset: int, body: bytes) -> RecordResult:
     """Return the state after the record at `offset`; older offsets are ignored."""
     if offset <= state.covers:
         return RecordResult(state, False)
--- a/cornelnotch/configuration/follower.py
+++ b/cornelnotch/configuration/follower.py
@@ -8,11 +8,11 @@
 from cornelnotch.configuration.fold import (
     ConfigurationState,
     Snapshot,
+    apply_record,
     choose_snapshot,
     create_snapshot,
     decode_record,
     encode_record,
-    fold_record,
     restore_snapshot,
 )
 from cornelnotch.exceptions import (
@@ -63,7 +63,7 @@
         """Call `listener` with each newer state."""
         self._listeners.append(listener)
 
-    def read_log_age(self) -> float:
+    def find_log_age_ms(self) -> float:
         """Return the time since the log was last read, in ms."""
         return self._clock.read() - self.log_read_ms
 
@@ -90,7 +90,7 @@
         state = self.state
         for record in page.records:
             self._update_newest_snapshot(record.offset, record.time_ms, record.body)
-            result = fold_record(state, record.offset, record.body)
+            result = apply_record(state, record.offset, record.body)
             state = result.state
             self._position = record.offset + 1
             if result.error is not None:
@@ -151,10 +151,10 @@
             # Without a usable snapshot, the trimmed records are known only to peers.
             return
         for record in records:
-            base = fold_record(base, record.offset, record.body).state
+            base = apply_record(base, record.offset, record.body).state
         self._replace_state(base)
 
-    def adopt_snapshot(self, body: bytes) -> None:
+    def install_snapshot(self, body: bytes) -> None:
         """Replace the state by a peer's snapshot if that is newer."""
         decoded = decode_record(body)
         if not isinstance(decoded, Success):
--- a/cornelnotch/configuration/models.py
+++ b/cornelnotch/configuration/models.py
@@ -169,7 +169,7 @@
         section = self.places.get(place)
         return section.region if section else place
 
-    def check(self) -> None:
+    def check_references(self) -> None:
         """Raise ConfigurationError if a section refers to one that does not exist."""
         for name, server in self.servers.items():
             self._check_reference(f"server {name}", "pool", server.pool, self.pools)
--- a/cornelnotch/configuration/publisher.py
+++ b/cornelnotch/configuration/publisher.py
@@ -6,10 +6,10 @@
     Change,
     ConfigurationState,
     Snapshot,
+    apply_record,
     choose_snapshot,
     decode_record,
     encode_record,
-    fold_record,
 )
 from cornelnotch.configuration.follower import CONFIGURATION_STREAM
 from cornelnotch.exceptions import (
@@ -19,7 +19,7 @@
 from cornelnotch.kernel import Clock
 from cornelnotch.logservice import LogRecord, LogService
 
-__all__ = ["HistoryEntry", "History", "Publication", "publish_change", "read_history"]
+__all__ = ["HistoryEntry", "History", "PublishResult", "publish_change", "read_history"]
 
 CONFIRM_ATTEMPTS = 10
 CONFIRM_RETRY_MS = 300.0
@@ -47,7 +47,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Publication:
+class PublishResult:
     """The offset of a published change and whether it was accepted."""
 
     offset: int
@@ -82,7 +82,7 @@
     entries = []
     for record in records:
         content = decode_record(record.body).value_or(None)
-        result = fold_record(state, record.offset, record.body)
+        result = apply_record(state, record.offset, record.body)
         state = result.state
         change = content if isinstance(content, Change) else None
         entries.append(
@@ -99,7 +99,9 @@
     return History(entries, state)
 
 
-async def publish_change(log: LogService, clock: Clock, change: Change) -> Publication:
+async def publish_change(
+    log: LogService, clock: Clock, change: Change
+) -> PublishResult:
     """Append a change and read back whether it was accepted.
 
     Reading also shows whether an append landed whose response was lost. Raise
@@ -107,7 +109,7 @@
     the change is already invalid against the current state.
     """
     history = await read_history(log)
-    preview = fold_record(
+    preview = apply_record(
         history.state, history.state.covers + 1, encode_record(change)
     )
     if preview.error is not None:
@@ -124,7 +126,7 @@
             continue
         for entry in history.entries:
             if entry.change_id == change.change_id:
-                return Publication(entry.offset, entry.accepted, entry.reason)
+                return PublishResult(entry.offset, entry.accepted, entry.reason)
     raise LogUnavailableError(
         "the log did not confirm the change",
         f"search `config history` for {change.change_id} before publishing again",
--- a/cornelnotch/configuration/snapshots.py
+++ b/cornelnotch/configuration/snapshots.py
@@ -41,7 +41,10 @@
         """Check every second until cancelled."""
         while True:
             await self._clock.sleep(CHECK_INTERVAL_MS)
-            if not self.owned or self._follower.read_log_age() > CHECK_INTERVAL_MS * 30:
+            if (
+                not self.owned
+                or self._follower.find_log_age_ms() > CHECK_INTERVAL_MS * 30
+            ):
                 continue
             wall_ms = self._clock.read_wall()
             if not needs_snapshot(self._follower, wall_ms, self._retention_ms):
--- a/cornelnotch/configuration/tests/test_fold.py
+++ b/cornelnotch/configuration/tests/test_fold.py
@@ -10,10 +10,10 @@
 from cornelnotch.configuration import (
     Change,
     ConfigurationState,
+    apply_record,
     choose_snapshot,
     create_snapshot,
     encode_record,
-    fold_record,
     parse_labels,
     restore_snapshot,
     select_class,
@@ -28,7 +28,7 @@
 
 
 def fold(state, offset, base, text):
-    return fold_record(state, offset, encode_record(Change("id", base, text)))
+    return apply_record(state, offset, encode_record(Change("id", base, text)))
 
 
 def create_state():
@@ -112,7 +112,7 @@
         for _ in range(generator.randint(1, 20)):
             byte = generator.choice(characters).encode()
             body[generator.randrange(len(body))] = byte[0]
-        after = fold_record(state, offset, bytes(body)).state
+        after = apply_record(state, offset, bytes(body)).state
         assert after.version >= state.version
         state = after
 
--- a/cornelnotch/gateway/admission_client.py
+++ b/cornelnotch/gateway/admission_client.py
@@ -12,11 +12,11 @@
 from cornelnotch.kernel.hashing import select_owner
 from cornelnotch.wire import PeerNetwork
 from cornelnotch.wire.messages import (
-    TurnAsk,
-    TurnEnd,
-    TurnGrant,
-    TurnStage,
-    TurnWait,
+    AdmissionEnd,
+    AdmissionGrant,
+    AdmissionQueued,
+    AdmissionRequest,
+    AdmissionStage,
 )
 
 __all__ = ["AdmissionResult", "AdmissionClient"]
@@ -86,8 +86,8 @@
         self._states: dict[str, AdmissionState] = {}
         self._coordinators: dict[str, str] = {}
         self._silent_since_ms: dict[str, float] = {}
-        peers.subscribe(TurnGrant, self._receive_grant)
-        peers.subscribe(TurnWait, self._receive_wait)
+        peers.subscribe(AdmissionGrant, self._receive_grant)
+        peers.subscribe(AdmissionQueued, self._receive_wait)
 
     def reset_controllers(self) -> None:
         """Clear the cached coordinators after a change of the set of hosts."""
@@ -209,7 +209,7 @@
 
     def _send_end(self, state: AdmissionState) -> None:
         progress = state.flight.take_progress()
-        end = TurnEnd(state.request_id, state.view.record.name, progress)
+        end = AdmissionEnd(state.request_id, state.view.record.name, progress)
         self._peers.send(state.coordinator, end)
 
     def _proceed_unanswered(self, state: AdmissionState) -> AdmissionResult:
@@ -218,10 +218,10 @@
         self._send_ask(state, "sent")
         return AdmissionResult.UNANSWERED
 
-    def _send_ask(self, state: AdmissionState, stage: TurnStage) -> None:
+    def _send_ask(self, state: AdmissionState, stage: AdmissionStage) -> None:
         now = self._clock.read()
         state.sent_ms = now
-        ask = TurnAsk(
+        ask = AdmissionRequest(
             state.request_id,
             state.view.record.name,
             state.flight.priority,
@@ -253,14 +253,14 @@
             self._coordinators[name] = coordinator
         return coordinator
 
-    def _receive_grant(self, sender: str, grant: TurnGrant) -> None:
+    def _receive_grant(self, sender: str, grant: AdmissionGrant) -> None:
         state = self._note_answer(sender, grant.request_id, grant.server)
         if state is not None:
             state.flight.prefill_tokens = grant.unread
             state.granted = True
             state.decided.set()
 
-    def _receive_wait(self, sender: str, wait: TurnWait) -> None:
+    def _receive_wait(self, sender: str, wait: AdmissionQueued) -> None:
         state = self._note_answer(sender, wait.request_id, wait.server)
         if state is not None:
             state.flight.prefill_tokens = wait.unread
--- a/cornelnotch/gateway/admission_controller.py
+++ b/cornelnotch/gateway/admission_controller.py
@@ -8,7 +8,13 @@
 from cornelnotch.gateway.parts import GatewayParts
 from cornelnotch.gateway.servers import ServerView
 from cornelnotch.wire import PeerNetwork
-from cornelnotch.wire.messages import EngineRates, TurnAsk, TurnEnd, TurnGrant, TurnWait
+from cornelnotch.wire.messages import (
+    AdmissionEnd,
+    AdmissionGrant,
+    AdmissionQueued,
+    AdmissionRequest,
+    EngineRates,
+)
 
 __all__ = ["AdmissionController"]
 
@@ -38,8 +44,8 @@
         self._parts = parts
         self._peers = peers
         self._queues: dict[str, EngineQueue] = {}
-        peers.subscribe(TurnAsk, self._receive_ask)
-        peers.subscribe(TurnEnd, self._receive_end)
+        peers.subscribe(AdmissionRequest, self._receive_ask)
+        peers.subscribe(AdmissionEnd, self._receive_end)
 
     def count_waiting(self) -> int:
         """Return the number of requests that wait for admission."""
@@ -50,7 +56,7 @@
             for t in engine_queue.queue.entries.values()
         )
 
-    def _receive_ask(self, sender: str, ask: TurnAsk) -> None:
+    def _receive_ask(self, sender: str, ask: AdmissionRequest) -> None:
         now = self._parts.clock.read()
         engine_queue = self._find_engine_queue(ask.server)
         request = QueueEntry(
@@ -79,12 +85,12 @@
         elif not queue_entry.granted:
             wait = engine_queue.queue.estimate_wait_ms(queue_entry, now)
             uncached_tokens = engine_queue.queue.count_uncached_tokens(queue_entry)
-            answer = TurnWait(
+            answer = AdmissionQueued(
                 ask.request_id, ask.server, uncached_tokens, round(wait, 1)
             )
             self._peers.send(sender, answer)
 
-    def _receive_end(self, sender: str, end: TurnEnd) -> None:
+    def _receive_end(self, sender: str, end: AdmissionEnd) -> None:
         engine_queue = self._queues.get(end.server)
         if engine_queue is not None:
             if end.progress is not None:
@@ -155,5 +161,7 @@
         )
 
     def _send_grant(self, server: str, queue_entry: QueueEntry) -> None:
-        grant = TurnGrant(queue_entry.request_id, server, queue_entry.uncached_tokens)
+        grant = AdmissionGrant(
+            queue_entry.request_id, server, queue_entry.uncached_tokens
+        )
         self._peers.send(queue_entry.host, grant)
--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -20,7 +20,7 @@
 from cornelnotch.kernel.clock import Clock
 from cornelnotch.kernel.events import Event, EventLog
 from cornelnotch.kernel.tasks import TaskGroup
-from cornelnotch.logservice.base import HostList, PlatformHosts
+from cornelnotch.logservice.base import HostList, HostListing
 from cornelnotch.membership import Member, MemberState, MemberTable, Prober, ServerTable
 from cornelnotch.membership.prober import ProberTiming
 from cornelnotch.web import HttpClient, HttpServer, parse_address
@@ -40,9 +40,9 @@
 class EmptyHostList(HostList):
     """Empty host list; hosts discover each other through seeds and gossip."""
 
-    async def read(self) -> PlatformHosts:
+    async def read(self) -> HostListing:
         """Return an empty list."""
-        return PlatformHosts(())
+        return HostListing(())
 
 
 class GatewayHost:
@@ -140,7 +140,7 @@
         self.plan.set_hosts(hosts)
 
     def _list_entries(self) -> list[Member]:
-        return self.prober.table.list_entries()
+        return self.prober.table.list_routable()
 
     def _list_entry_hosts(self) -> list[str]:
         return [member.name for member in self._list_entries()]
@@ -194,7 +194,7 @@
         if can_route and not self.serving and not self.leaving:
             self.serving = True
             self.parts.startup.set_ready()
-            self.prober.share_state(MemberState.ALIVE)
+            self.prober.announce_state(MemberState.ALIVE)
             self.events.record(Event.HOST_READY, version=self.parts.table.version)
 
     def start_drain(self) -> None:
@@ -204,7 +204,7 @@
         self.leaving = True
         self.server.limits.leaving = True
         self.events.record(Event.HOST_LEAVING, active=self.handler.active)
-        self.prober.share_state(MemberState.LEAVING)
+        self.prober.announce_state(MemberState.LEAVING)
         self.tasks.start("drain", self._drain())
 
     async def _drain(self) -> None:
--- a/cornelnotch/gateway/spreading.py
+++ b/cornelnotch/gateway/spreading.py
@@ -35,7 +35,7 @@
         members = self._table.members
         places = {n: members[n].place for n in shuffled if n in members}
         regions = {n: self._regions.get(p, p) for n, p in places.items()}
-        place = self._table.own.place
+        place = self._table.local_member.place
         own_region = self._regions.get(place, place)
         for branch in split_targets(shuffled, own_region, regions):
             self._peers.send(branch.head, create(branch.rest))
--- a/cornelnotch/gateway/tests/test_admission_client.py
+++ b/cornelnotch/gateway/tests/test_admission_client.py
@@ -10,7 +10,12 @@
 from cornelnotch.gateway.servers import Flight, ServerView
 from cornelnotch.kernel import TaskGroup, create_clock, create_event_log
 from cornelnotch.wire import PeerNetwork
-from cornelnotch.wire.messages import TurnAsk, TurnEnd, TurnGrant, TurnWait
+from cornelnotch.wire.messages import (
+    AdmissionEnd,
+    AdmissionGrant,
+    AdmissionQueued,
+    AdmissionRequest,
+)
 
 WAIT_LIMIT_MS = 3000.0
 PROMPT = (PromptPart("thing", 13_000), PromptPart("own", 400))
@@ -31,7 +36,7 @@
         self._receive(sender, message)
 
     def list_asks(self, stage=None):
-        asks = [(h, m) for h, m in self.sent if isinstance(m, TurnAsk)]
+        asks = [(h, m) for h, m in self.sent if isinstance(m, AdmissionRequest)]
         return [(h, m) for h, m in asks if stage in {None, m.stage}]
 
 
@@ -84,10 +89,10 @@
         wait = setup.start()
         for _ in range(8):
             await asyncio.sleep(0.02)
-            setup.peers.deliver(TurnWait("r1", "engine", 900, 50.0))
+            setup.peers.deliver(AdmissionQueued("r1", "engine", 900, 50.0))
         assert not wait.done()
         assert setup.flight.prefill_tokens == 900
-        setup.peers.deliver(TurnGrant("r1", "engine", 500))
+        setup.peers.deliver(AdmissionGrant("r1", "engine", 500))
         assert await wait is AdmissionResult.GRANTED
         assert setup.flight.prefill_tokens == 500
         host, ask = setup.peers.list_asks()[0]
@@ -101,10 +106,10 @@
     async def scenario(setup):
         wait = setup.start()
         await asyncio.sleep(0)
-        setup.peers.deliver(TurnWait("r1", "engine", 900, WAIT_LIMIT_MS))
+        setup.peers.deliver(AdmissionQueued("r1", "engine", 900, WAIT_LIMIT_MS))
         await asyncio.sleep(0)
         assert not wait.done()
-        setup.peers.deliver(TurnWait("r1", "engine", 900, WAIT_LIMIT_MS * 2))
+        setup.peers.deliver(AdmissionQueued("r1", "engine", 900, WAIT_LIMIT_MS * 2))
         assert await wait is AdmissionResult.INFEASIBLE
         assert setup.flight.wait_ms == WAIT_LIMIT_MS * 2
 
@@ -118,7 +123,7 @@
         asked = len(setup.peers.list_asks("waiting"))
         assert await setup.start("r2") is AdmissionResult.UNANSWERED
         assert len(setup.peers.list_asks("waiting")) == asked
-        setup.peers.deliver(TurnWait("r2", "engine", 0, 0.0))
+        setup.peers.deliver(AdmissionQueued("r2", "engine", 0, 0.0))
         wait = setup.start("r3")
         await asyncio.sleep(0.01)
         assert len(setup.peers.list_asks("waiting")) == asked + 1
@@ -135,8 +140,8 @@
         setup.client.reset_controllers()
         await asyncio.sleep(0.03)
         assert setup.peers.list_asks("waiting")[-1][0] == "h3"
-        assert ("h2", TurnEnd("r1", "engine")) in setup.peers.sent
-        setup.peers.deliver(TurnGrant("r1", "engine", 1), "h3")
+        assert ("h2", AdmissionEnd("r1", "engine")) in setup.peers.sent
+        setup.peers.deliver(AdmissionGrant("r1", "engine", 1), "h3")
         assert await wait is AdmissionResult.GRANTED
 
     run_scenario(scenario)
@@ -150,7 +155,7 @@
         assert await wait is AdmissionResult.ENGINE_LOST
         other = setup.start("r2")
         await asyncio.sleep(0)
-        setup.peers.deliver(TurnGrant("r2", "engine", 1))
+        setup.peers.deliver(AdmissionGrant("r2", "engine", 1))
         assert await other is AdmissionResult.ENGINE_LOST
 
     run_scenario(scenario)
@@ -172,8 +177,8 @@
         wait.cancel()
         setup.client.report_end(setup.flight)
         setup.client.report_end(setup.flight)
-        ends = [m for _, m in setup.peers.sent if isinstance(m, TurnEnd)]
-        assert ends == [TurnEnd("r1", "engine")]
+        ends = [m for _, m in setup.peers.sent if isinstance(m, AdmissionEnd)]
+        assert ends == [AdmissionEnd("r1", "engine")]
 
     run_scenario(scenario)
 
@@ -182,7 +187,7 @@
     async def scenario(setup):
         wait = setup.start()
         await asyncio.sleep(0)
-        setup.peers.deliver(TurnGrant("r1", "engine", 1))
+        setup.peers.deliver(AdmissionGrant("r1", "engine", 1))
         await wait
         reporting = asyncio.create_task(setup.client.run_reports())
         setup.client.report_prefilled(setup.flight)
--- a/cornelnotch/gateway/tests/test_admission_controller.py
+++ b/cornelnotch/gateway/tests/test_admission_controller.py
@@ -8,11 +8,11 @@
 from cornelnotch.gateway.models import PromptPart, ServerRecord
 from cornelnotch.gateway.tests.conftest import run_deployment, wait_until
 from cornelnotch.wire.messages import (
+    AdmissionEnd,
+    AdmissionGrant,
+    AdmissionQueued,
+    AdmissionRequest,
     StreamProgress,
-    TurnAsk,
-    TurnEnd,
-    TurnGrant,
-    TurnWait,
 )
 
 SHARED_PREFIX = [PromptPart("thing", 40_000)]
@@ -33,16 +33,16 @@
 
     def ask(self, name, sender="h2", own=1000, server="engine", shared=SHARED_PREFIX):
         self.sent.clear()
-        message = TurnAsk(name, server, 1, shared, own, 0.0, "waiting")
+        message = AdmissionRequest(name, server, 1, shared, own, 0.0, "waiting")
         self.host.peers._receive(sender, message)
         return self.sent[-1] if self.sent else None
 
     def list_grants(self):
         messages = [message for _, message in self.sent]
-        return [m.request_id for m in messages if isinstance(m, TurnGrant)]
+        return [m.request_id for m in messages if isinstance(m, AdmissionGrant)]
 
     def end(self, name, server="engine"):
-        self.host.peers._receive("h2", TurnEnd(name, server))
+        self.host.peers._receive("h2", AdmissionEnd(name, server))
 
 
 def run_scenario(scenario):
@@ -58,7 +58,7 @@
 def test_a_lost_grant_is_sent_again():
     def scenario(harness):
         first = harness.ask("a")
-        assert first == ("h2", TurnGrant("a", "engine", 41_000))
+        assert first == ("h2", AdmissionGrant("a", "engine", 41_000))
         assert harness.ask("a") == first
 
     run_scenario(scenario)
@@ -69,7 +69,7 @@
         harness.ask("a")
         name, wait = harness.ask("b", "h3")
         assert name == "h3"
-        assert isinstance(wait, TurnWait)
+        assert isinstance(wait, AdmissionQueued)
         assert wait.unread == 1000
         assert wait.wait_ms > 0
 
@@ -128,7 +128,7 @@
         harness.list_engine()
         harness.ask("a")
         progress = StreamProgress(100, 1000.0, 20.0)
-        begun = TurnAsk(
+        begun = AdmissionRequest(
             "a", "engine", 1, SHARED_PREFIX, 1000, 0.0, "begun", 250.0, progress
         )
         harness.host.peers._receive("h2", begun)
--- a/cornelnotch/gateway/tests/test_admission_path.py
+++ b/cornelnotch/gateway/tests/test_admission_path.py
@@ -11,7 +11,7 @@
     run_deployment,
     wait_until,
 )
-from cornelnotch.wire.messages import TurnAsk, TurnEnd
+from cornelnotch.wire.messages import AdmissionEnd, AdmissionRequest
 
 LONG = {"x_token_usage": "20000,10", "x_prompt_prefix": "aa:20000"}
 HUGE = {"x_token_usage": "150000,10", "x_prompt_prefix": "cc:150000"}
@@ -162,7 +162,7 @@
 
 async def fill_backlog(d, engine):
     """Add a prompt of another host, unknown to this one, to the engine's backlog."""
-    ask = TurnAsk("o", engine.name, 0, [], 200_000, 0.0, "sent")
+    ask = AdmissionRequest("o", engine.name, 0, [], 200_000, 0.0, "sent")
     d.host.peers.send(d.host.peers.name, ask)
     await asyncio.sleep(0.05)
 
@@ -178,7 +178,7 @@
             stream = start(d, "a", SHORT, "/stream/x")
             await wait_until(lambda: list_sent(failing_engine) == ["a"])
             await wait_until(lambda: d.host.admission_controller.count_waiting() == 1)
-            d.host.peers.send(d.host.peers.name, TurnEnd("o", busy_engine.name))
+            d.host.peers.send(d.host.peers.name, AdmissionEnd("o", busy_engine.name))
             assert (await stream).count(b"data: piece") == 6
             assert list_sent(busy_engine) == ["a"]
 
@@ -265,7 +265,7 @@
         d.configure(create_configuration(2, routes=routes))
         await wait_until(lambda: d.host.parts.table.version == 2, 3.0)
         asks = []
-        d.host.peers.subscribe(TurnAsk, lambda sender, ask: asks.append(ask))
+        d.host.peers.subscribe(AdmissionRequest, lambda sender, ask: asks.append(ask))
         engine.events = 30
         engine.faults.event_ms = 80.0
         chat = start(d, "chat", SHORT, "/stream/x")
--- a/cornelnotch/logservice/__init__.py
+++ b/cornelnotch/logservice/__init__.py
@@ -3,10 +3,10 @@
 from cornelnotch.logservice.base import (
     HostEntry,
     HostList,
+    HostListing,
     LogPage,
     LogRecord,
     LogService,
-    PlatformHosts,
 )
 from cornelnotch.logservice.http import HttpHostList, HttpLogService
 
@@ -18,5 +18,5 @@
     "LogPage",
     "LogRecord",
     "LogService",
-    "PlatformHosts",
+    "HostListing",
 ]
--- a/cornelnotch/logservice/base.py
+++ b/cornelnotch/logservice/base.py
@@ -41,7 +41,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PlatformHosts:
+class HostListing:
     """The host list as returned by one read."""
 
     entries: tuple[HostEntry, ...]
@@ -70,5 +70,5 @@
     """Interface of the platform's host list, which may lag behind."""
 
     @abstractmethod
-    async def read(self) -> PlatformHosts:
+    async def read(self) -> HostListing:
         """Return the list; raise LogUnavailableError if there is no response."""
--- a/cornelnotch/logservice/http.py
+++ b/cornelnotch/logservice/http.py
@@ -16,10 +16,10 @@
 from cornelnotch.logservice.base import (
     HostEntry,
     HostList,
+    HostListing,
     LogPage,
     LogRecord,
     LogService,
-    PlatformHosts,
 )
 from cornelnotch.web import HttpClient
 
@@ -34,13 +34,13 @@
 CALL_TIMEOUT_MS = 2000.0
 
 
-class AppendAnswer(msgspec.Struct):
+class AppendResponse(msgspec.Struct):
     """Schema of the response to an append."""
 
     offset: int
 
 
-class RecordAnswer(msgspec.Struct):
+class RecordModel(msgspec.Struct):
     """Schema of one record."""
 
     offset: int
@@ -48,21 +48,21 @@
     body: str
 
 
-class RecordsAnswer(msgspec.Struct):
+class RecordsResponse(msgspec.Struct):
     """Schema of the response to a read."""
 
-    records: list[RecordAnswer]
+    records: list[RecordModel]
     earliest: int
     end: int
 
 
-class TrimmedAnswer(msgspec.Struct):
+class TrimmedResponse(msgspec.Struct):
     """Schema of the response to a read of expired records."""
 
     earliest: int
 
 
-class HostsAnswer(msgspec.Struct):
+class HostsResponse(msgspec.Struct):
     """Schema of the host list."""
 
     hosts: list[HostEntry]
@@ -137,7 +137,7 @@
             self._client, self._address, "POST", target, body, CALL_TIMEOUT_MS
         )
         _check_status(response.status, self._address)
-        return _convert_response(AppendAnswer, response, self._address).offset
+        return _convert_response(AppendResponse, response, self._address).offset
 
     async def read(self, stream: str, offset: int, wait_ms: float = 0.0) -> LogPage:
         """Return records from `offset`, waiting up to `wait_ms` for the first."""
@@ -151,10 +151,10 @@
             wait_ms + READ_TIMEOUT_MARGIN_MS,
         )
         if response.status == STATUS_GONE:
-            trimmed = _convert_response(TrimmedAnswer, response, self._address)
+            trimmed = _convert_response(TrimmedResponse, response, self._address)
             raise LogTrimmedError(trimmed.earliest)
         _check_status(response.status, self._address)
-        page = _convert_response(RecordsAnswer, response, self._address)
+        page = _convert_response(RecordsResponse, response, self._address)
         records = [
             LogRecord(r.offset, r.time_ms, r.body.encode()) for r in page.records
         ]
@@ -169,9 +169,9 @@
         self._address = address
         self._client = HttpClient()
         self._etag = ""
-        self._cached_hosts = PlatformHosts(())
+        self._cached_hosts = HostListing(())
 
-    async def read(self) -> PlatformHosts:
+    async def read(self) -> HostListing:
         """Return the list; an unchanged list is not transferred again."""
         response = await _call(
             self._client,
@@ -185,7 +185,7 @@
         if response.status == STATUS_NOT_MODIFIED:
             return self._cached_hosts
         _check_status(response.status, self._address)
-        listed = _convert_response(HostsAnswer, response, self._address)
+        listed = _convert_response(HostsResponse, response, self._address)
         self._etag = response.tag
-        self._cached_hosts = PlatformHosts(tuple(listed.hosts))
+        self._cached_hosts = HostListing(tuple(listed.hosts))
         return self._cached_hosts
--- a/cornelnotch/membership/prober.py
+++ b/cornelnotch/membership/prober.py
@@ -59,7 +59,7 @@
     ) -> None:
         self.table = table
         self.servers = servers
-        self.peer_heard_ms = clock.read()
+        self.last_peer_message_ms = clock.read()
         self.version = NO_VERSION
         self.log_age_ms: Callable[[], float] = lambda: UNKNOWN_AGE_MS
         self.shared_log_age_ms = UNKNOWN_AGE_MS
@@ -86,7 +86,7 @@
         """Call `listener` after each change of hosts or servers."""
         self._listeners.append(listener)
 
-    def subscribe_ahead(self, listener: Callable[[str, int], None]) -> None:
+    def subscribe_newer_version(self, listener: Callable[[str, int], None]) -> None:
         """Call `listener` when a host with a newer configuration sends a message."""
         self._newer_version_listener = listener
 
@@ -128,7 +128,7 @@
         if name is not None:
             self._send_ping(name)
 
-    async def run_listing(self) -> None:
+    async def run_host_list_polling(self) -> None:
         """Read the platform's host list until cancelled."""
         round_number = 0
         while True:
@@ -168,7 +168,7 @@
         )
         self._merge([update])
 
-    def share_state(self, state: MemberState) -> None:
+    def announce_state(self, state: MemberState) -> None:
         """Set this host's own state and send it to all live hosts immediately."""
         self.table.announce(state)
         for member in self.table.list_live():
@@ -210,22 +210,22 @@
             self.version,
             self._compute_shared_log_age(),
             self._select_member_updates(target),
-            self.servers.take_updates(),
+            self.servers.pop_updates(),
         )
 
     def _select_member_updates(self, receiver: str) -> list[MemberUpdate]:
         """Return this host's state, a suspicion of the receiver, and recent updates."""
-        own = self.table.own.create_update()
+        own = self.table.local_member.create_update()
         refutable = self.table.find_refutable_update(receiver)
         excluded = {own.host, receiver} if refutable else {own.host}
-        others = [u for u in self.table.take_updates() if u.host not in excluded]
+        others = [u for u in self.table.pop_updates() if u.host not in excluded]
         return [own, refutable, *others] if refutable else [own, *others]
 
     def _compute_shared_log_age(self) -> float:
         elapsed = self._clock.read() - self._shared_log_age_set_ms
         return min(self.log_age_ms(), self.shared_log_age_ms + elapsed, UNKNOWN_AGE_MS)
 
-    def read_log_age(self) -> float:
+    def find_shared_log_age_ms(self) -> float:
         """Return the time since any known host last read the log, in ms."""
         return self._compute_shared_log_age()
 
@@ -243,7 +243,7 @@
             self.version,
             self._compute_shared_log_age(),
             self._select_member_updates(ping.host),
-            self.servers.take_updates(),
+            self.servers.pop_updates(),
         )
         self._peers.send(ping.host, ack)
 
@@ -273,7 +273,7 @@
         members: list[MemberUpdate],
         servers: list[ServerUpdate],
     ) -> None:
-        self.peer_heard_ms = self._clock.read()
+        self.last_peer_message_ms = self._clock.read()
         self._merge(members)
         self.table.mark_reachable(host, version, self._clock.read())
         for update in servers:
--- a/cornelnotch/membership/table.py
+++ b/cornelnotch/membership/table.py
@@ -74,7 +74,7 @@
         self.merge(self_update, now)
 
     @property
-    def own(self) -> Member:
+    def local_member(self) -> Member:
         """Return this host's own entry."""
         return self.members[self.name]
 
@@ -119,9 +119,9 @@
 
     def announce(self, state: MemberState) -> None:
         """Set this host's own state and schedule its dissemination."""
-        self.own.state = state
-        self.own.incarnation += 1
-        self.own.retransmissions_left = self._compute_retransmissions()
+        self.local_member.state = state
+        self.local_member.incarnation += 1
+        self.local_member.retransmissions_left = self._compute_retransmissions()
 
     def mark_suspect(self, name: str, now: float) -> None:
         """Mark a host that did not respond as suspected."""
@@ -166,7 +166,7 @@
         live_states = {MemberState.ALIVE, MemberState.SUSPECT}
         return [m for m in self.members.values() if m.state in live_states]
 
-    def list_entries(self) -> list[Member]:
+    def list_routable(self) -> list[Member]:
         """Return the hosts to which callers may be directed."""
         return [m for m in self.members.values() if m.state is MemberState.ALIVE]
 
@@ -208,11 +208,11 @@
     ) -> list[str]:
         """Return up to `count` random hosts to probe `target` indirectly."""
         names = [
-            m.name for m in self.list_entries() if m.name not in {self.name, target}
+            m.name for m in self.list_routable() if m.name not in {self.name, target}
         ]
         return generator.sample(names, min(count, len(names)))
 
-    def take_updates(self) -> list[MemberUpdate]:
+    def pop_updates(self) -> list[MemberUpdate]:
         """Return the least transmitted updates and count them as sent."""
         pending = [m for m in self.members.values() if m.retransmissions_left > 0]
         pending.sort(key=lambda m: -m.retransmissions_left)
@@ -260,7 +260,7 @@
         """Return the servers that must not receive new requests."""
         return frozenset(u.server for u in self._updates.values() if u.state != "live")
 
-    def take_updates(self) -> list[ServerUpdate]:
+    def pop_updates(self) -> list[ServerUpdate]:
         """Return updates with retransmissions left and count them as sent."""
         names: Iterable[str] = [
             n for n, left in self._retransmissions_left.items() if left > 0
--- a/cornelnotch/membership/tests/test_table.py
+++ b/cornelnotch/membership/tests/test_table.py
@@ -39,8 +39,8 @@
 def test_suspected_host_increments_its_incarnation():
     table = create_table()
     assert table.merge(create_update("a", "suspect", 1), 0.0)
-    assert table.own.incarnation == 2
-    assert table.own.state is MemberState.ALIVE
+    assert table.local_member.incarnation == 2
+    assert table.local_member.state is MemberState.ALIVE
 
 
 def test_reachable_host_returns_to_leaving_after_suspicion():
@@ -73,7 +73,7 @@
 def test_updates_are_retransmitted_a_bounded_number_of_times():
     table = create_table()
     rounds = 0
-    while table.take_updates():
+    while table.pop_updates():
         rounds += 1
         assert rounds < 50
 
--- a/cornelnotch/node/frontend.py
+++ b/cornelnotch/node/frontend.py
@@ -9,17 +9,17 @@
 from cornelnotch.kernel import Event, create_identifier
 from cornelnotch.node.status import StatusReader
 from cornelnotch.observation import DecisionLog
-from cornelnotch.routing.engines import EngineFlow
+from cornelnotch.routing.context import FlowContext
+from cornelnotch.routing.engine_flow import EngineFlow
 from cornelnotch.routing.flow import RequestFlow
-from cornelnotch.routing.intake import CallerRequest, read_caller_request
-from cornelnotch.routing.parts import FlowParts
-from cornelnotch.routing.replies import (
+from cornelnotch.routing.requests import CallerRequest, parse_caller_request
+from cornelnotch.routing.responses import (
     Outcome,
     Problem,
-    create_headers,
+    create_response_headers,
     encode_problem,
 )
-from cornelnotch.routing.services import ServiceFlow
+from cornelnotch.routing.service_flow import ServiceFlow
 from cornelnotch.settings import NodeSettings
 from cornelnotch.web import Exchange
 from cornelnotch.wire import PeerNetwork
@@ -41,7 +41,7 @@
     def __init__(
         self,
         settings: NodeSettings,
-        parts: FlowParts,
+        context: FlowContext,
         status: StatusReader,
         decisions: DecisionLog,
         dispatched: DecisionLog,
@@ -50,7 +50,7 @@
     ) -> None:
         self.active = 0
         self._settings = settings
-        self._parts = parts
+        self._context = context
         self._status = status
         self._decisions = decisions
         self._dispatched = dispatched
@@ -90,10 +90,10 @@
         if exchange.started:
             raise CallerGoneError("the request ended early", "send it again")
         problem = Problem(error.status, error.kind, str(error), Outcome.NOT_RUN)
-        self._parts.events.record(
+        self._context.events.record(
             Event.REQUEST_MALFORMED, kind=error.kind, path=exchange.path
         )
-        self._parts.metrics.count_request(
+        self._context.metrics.count_request(
             UNCLASSIFIED, error.kind, problem.outcome.value
         )
         await self._send_problem(exchange, problem, create_identifier())
@@ -102,7 +102,9 @@
     async def _send_problem(
         exchange: Exchange, problem: Problem, request_id: str
     ) -> None:
-        headers = create_headers(request_id, problem.outcome, problem.retry_after_ms)
+        headers = create_response_headers(
+            request_id, problem.outcome, problem.retry_after_ms
+        )
         headers["content-type"] = "application/json"
         body = encode_problem(problem, request_id)
         await exchange.respond(problem.status, headers, body)
@@ -114,7 +116,7 @@
         content = {
             "addresses": addresses,
             "ttl_ms": self._settings.timing.entry_ttl_ms,
-            "version": self._parts.fleet.configuration.version,
+            "version": self._context.fleet.configuration.version,
         }
         await exchange.respond_json(200 if addresses else 503, content)
 
@@ -131,16 +133,16 @@
     async def _answer_status(self, exchange: Exchange) -> None:
         content = self._status.describe_json()
         content["active"] = self.active
-        content["unsettled_claims"] = self._parts.claims.unsettled
+        content["unsettled_claims"] = self._context.claims.pending_count
         await exchange.respond_json(200, content)
 
     async def _answer_metrics(self, exchange: Exchange) -> None:
-        self._parts.metrics.set_state("active", self.active)
-        self._parts.metrics.set_state(
-            "version", self._parts.fleet.configuration.version
+        self._context.metrics.set_state("active", self.active)
+        self._context.metrics.set_state(
+            "version", self._context.fleet.configuration.version
         )
-        self._parts.metrics.set_state("peer_bytes", self._peers.sent_bytes)
-        body = self._parts.metrics.render()
+        self._context.metrics.set_state("peer_bytes", self._peers.sent_bytes)
+        body = self._context.metrics.render()
         await exchange.respond(200, {"content-type": "text/plain; version=0.0.4"}, body)
 
     async def _answer_drain(self, exchange: Exchange) -> None:
@@ -192,7 +194,7 @@
 
     async def _route(self, exchange: Exchange, service: str | None) -> None:
         body = await exchange.read_body(self._settings.limits.body_bytes)
-        parsed = read_caller_request(
+        parsed = parse_caller_request(
             self._settings.node.name,
             exchange.method,
             exchange.target,
@@ -211,7 +213,7 @@
             await self._send_problem(exchange, problem, request.request_id)
             return
         flow = self._create_flow(exchange, request)
-        self._parts.budget.deposit()
+        self._context.budget.record_request()
         await flow.run()
 
     def _create_refusal(self, refusal_reason: str, request: CallerRequest) -> Problem:
@@ -228,7 +230,7 @@
         trace = self._decisions.find(request.request_id)
         assert trace is not None
         selected = select_class(
-            self._parts.fleet.configuration,
+            self._context.fleet.configuration,
             request.workspace,
             request.labels,
             request.service,
@@ -246,4 +248,4 @@
             version=selection.version,
         )
         kind = ServiceFlow if request.service is not None else EngineFlow
-        return kind(self._parts, exchange, request, selection, trace)
+        return kind(self._context, exchange, request, selection, trace)
--- a/cornelnotch/node/node.py
+++ b/cornelnotch/node/node.py
@@ -22,9 +22,9 @@
 from cornelnotch.node.status import StatusReader
 from cornelnotch.observation import DecisionLog, NodeMetrics
 from cornelnotch.routing.budget import RetryBudget
+from cornelnotch.routing.context import FlowContext
 from cornelnotch.routing.dispatcher import Dispatcher
 from cornelnotch.routing.fleet import FleetView
-from cornelnotch.routing.parts import FlowParts
 from cornelnotch.routing.permits import PermitClient
 from cornelnotch.routing.upstreams import EngineUpstream, ServiceUpstream
 from cornelnotch.settings import NodeSettings
@@ -105,12 +105,12 @@
         self.follower.subscribe(self._apply_configuration)
         retention_ms = self.settings.platform.retention_ms
         self.snapshots = SnapshotWriter(self.follower, self.clock, retention_ms)
-        self.prober.log_age_ms = self.follower.read_log_age
-        self.prober.subscribe_ahead(self._fetch_configuration)
+        self.prober.log_age_ms = self.follower.find_log_age_ms
+        self.prober.subscribe_newer_version(self._fetch_configuration)
         self.peers.subscribe(ConfigurationFetch, self._offer_configuration)
         self.peers.subscribe(
             ConfigurationOffer,
-            lambda sender, offer: self.follower.adopt_snapshot(offer.snapshot),
+            lambda sender, offer: self.follower.install_snapshot(offer.snapshot),
         )
 
     def _build_routing(self) -> None:
@@ -129,7 +129,7 @@
         self.claims = ClaimClient(
             self.fleet, self.peers, self.clock, self.events, self.tasks
         )
-        parts = FlowParts(
+        context = FlowContext(
             self.fleet,
             self.permits,
             self.claims,
@@ -152,7 +152,7 @@
         self.status.count_queued = self.dispatcher.count_queued
         self.front = Frontend(
             self.settings,
-            parts,
+            context,
             self.status,
             DecisionLog(self.clock),
             self.dispatcher.decisions,
@@ -169,10 +169,10 @@
         self.tasks.keep("status", self.status.run)
         self.tasks.keep("snapshots", self.snapshots.run)
         self.tasks.keep("probes", self.prober.run_probes)
-        self.tasks.keep("listing", self.prober.run_listing)
+        self.tasks.keep("listing", self.prober.run_host_list_polling)
         self.tasks.keep("dispatcher", self.dispatcher.run)
-        self.tasks.keep("ticks", self.dispatcher.run_ticks)
-        self.tasks.keep("load-reports", self.dispatcher.run_load_reports)
+        self.tasks.keep("ticks", self.dispatcher.run_scheduling)
+        self.tasks.keep("load-reports", self.dispatcher.run_load_polling)
         self.tasks.keep("standby", self._run_standby)
         self.tasks.keep("held-permits", self.permits.run_held_reports)
         self.events.record(Event.HOST_STARTED, http=self.settings.node.http)
@@ -195,7 +195,7 @@
     async def _drain(self) -> None:
         self.events.record(Event.HOST_LEAVING)
         self.status.draining = True
-        self.prober.share_state(MemberState.LEAVING)
+        self.prober.announce_state(MemberState.LEAVING)
         # Callers may use a cached entry response until its TTL expires.
         ttl_ms = self.settings.timing.entry_ttl_ms
         await self.clock.sleep(ttl_ms + DRAIN_MARGIN_MS)
@@ -208,7 +208,7 @@
         self.stopped.set()
 
     def _is_busy(self) -> bool:
-        if self.front.active or self.permits.count_held() or self.claims.unsettled:
+        if self.front.active or self.permits.count_held() or self.claims.pending_count:
             return True
         return any(shard.running for shard in self.dispatcher.shards.values())
 
@@ -224,7 +224,7 @@
                 for stream in range(count)
                 if self.fleet.name in self.fleet.rank_writers(stream)[:STANDBY_RANKS]
             ]
-            self.writer.refresh(mine)
+            self.writer.catch_up(mine)
 
     def _apply_configuration(self, state: ConfigurationState) -> None:
         first = self.prober.version < 0
@@ -232,7 +232,7 @@
         self.writer.apply_settings(state.configuration.claims)
         self.fleet.apply_configuration(state)
         if first and not self._draining:
-            self.prober.share_state(MemberState.ALIVE)
+            self.prober.announce_state(MemberState.ALIVE)
             self.events.record(Event.HOST_READY, version=state.version)
 
     def _apply_members(self) -> None:
--- a/cornelnotch/node/status.py
+++ b/cornelnotch/node/status.py
@@ -73,17 +73,17 @@
         if self.is_isolated():
             return "isolated"
         limit = self._settings.timing.stale_limit_ms
-        if limit and self._prober.read_log_age() > limit:
+        if limit and self._prober.find_shared_log_age_ms() > limit:
             return "stale-configuration"
         return None
 
     def is_isolated(self) -> bool:
         """Return whether neither the log nor any peer has responded recently."""
         limit = self._settings.timing.isolation_ms
-        if self._follower.read_log_age() <= limit:
+        if self._follower.find_log_age_ms() <= limit:
             return False
         alone = len(self._prober.table.members) == 1
-        peer_age = self._clock.read() - self._prober.peer_heard_ms
+        peer_age = self._clock.read() - self._prober.last_peer_message_ms
         return not alone and peer_age > limit
 
     def describe(self) -> HostStatus:
@@ -97,9 +97,9 @@
             refusal_reason or "",
             self.draining,
             self._fleet.configuration.version,
-            min(self._follower.read_log_age(), 1e12),
-            self._prober.read_log_age(),
-            self._clock.read() - self._prober.peer_heard_ms,
+            min(self._follower.find_log_age_ms(), 1e12),
+            self._prober.find_shared_log_age_ms(),
+            self._clock.read() - self._prober.last_peer_message_ms,
             {m.name: m.state.value for m in members},
             sorted(self._fleet.leaving_servers),
             self.count_queued(),
--- a/cornelnotch/platform/store.py
+++ b/cornelnotch/platform/store.py
@@ -47,14 +47,14 @@
     has_more: bool = False
 
 
-class TrimmedAnswer(msgspec.Struct):
+class TrimmedResponse(msgspec.Struct):
     """Schema of the response to a read of trimmed records."""
 
     earliest_offset: int = 0
 
 
 _newest_decoder = msgspec.json.Decoder(NewestPage)
-_trimmed_decoder = msgspec.json.Decoder(TrimmedAnswer)
+_trimmed_decoder = msgspec.json.Decoder(TrimmedResponse)
 
 
 def parse_timeline(headers: dict[str, str]) -> int | None:
--- a/cornelnotch/queueing/__init__.py
+++ b/cornelnotch/queueing/__init__.py
@@ -4,30 +4,30 @@
 from cornelnotch.queueing.estimates import DurationEstimator
 from cornelnotch.queueing.fifo import FifoDiscipline
 from cornelnotch.queueing.models import (
-    ClassRule,
+    ClassConfig,
     Grant,
-    Pause,
+    PreemptionNotice,
+    QueuedRequest,
     Refusal,
-    ServerRule,
-    ShardRule,
-    Waiting,
+    ServerConfig,
+    ShardConfig,
 )
 from cornelnotch.queueing.shard import Shard, create_shard
 from cornelnotch.queueing.tiered import TieredDiscipline
 
 __all__ = [
-    "ClassRule",
+    "ClassConfig",
     "Discipline",
     "DurationEstimator",
     "FifoDiscipline",
     "Grant",
-    "Pause",
+    "PreemptionNotice",
     "QueueChoice",
     "Refusal",
-    "ServerRule",
+    "ServerConfig",
     "Shard",
-    "ShardRule",
+    "ShardConfig",
     "TieredDiscipline",
-    "Waiting",
+    "QueuedRequest",
     "create_shard",
 ]
--- a/cornelnotch/queueing/descriptions.py
+++ b/cornelnotch/queueing/descriptions.py
@@ -4,8 +4,8 @@
 
 from cornelnotch.balancing.servers import ServerState
 from cornelnotch.queueing.disciplines import Discipline
-from cornelnotch.queueing.models import Running
-from cornelnotch.wire.messages import Occupancy
+from cornelnotch.queueing.models import RunningRequest
+from cornelnotch.wire.messages import ClassOccupancy
 
 __all__ = ["describe_occupancy", "describe_servers"]
 
@@ -27,8 +27,8 @@
 
 
 def describe_occupancy(
-    running: Iterable[Running], discipline: Discipline
-) -> tuple[Occupancy, ...]:
+    running: Iterable[RunningRequest], discipline: Discipline
+) -> tuple[ClassOccupancy, ...]:
     """Return the running and waiting requests of each class."""
     waiting: dict[tuple[str, int], int] = {}
     held: dict[tuple[str, int], int] = {}
@@ -40,7 +40,7 @@
         key = (item.class_name, item.tier)
         waiting[key] = waiting.get(key, 0) + 1
     return tuple(
-        Occupancy(
+        ClassOccupancy(
             name,
             tier,
             waiting.get((name, tier), 0),
--- a/cornelnotch/queueing/disciplines.py
+++ b/cornelnotch/queueing/disciplines.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from cornelnotch.queueing.models import ClassRule, Running, Waiting
+from cornelnotch.queueing.models import ClassConfig, QueuedRequest, RunningRequest
 
 __all__ = ["Discipline", "QueueChoice"]
 
@@ -13,7 +13,7 @@
 class QueueChoice:
     """Next request to serve, with the rule that chose it."""
 
-    item: Waiting
+    item: QueuedRequest
     reason: str
     by_floor: bool = False
 
@@ -22,23 +22,25 @@
     """Base class of the queues of a shard."""
 
     @abstractmethod
-    def configure(self, classes: dict[str, ClassRule], slots: int, places: int) -> None:
+    def configure(
+        self, classes: dict[str, ClassConfig], slots: int, places: int
+    ) -> None:
         """Apply class rules and the number of slots and queue places."""
 
     @abstractmethod
-    def add(self, item: Waiting, now: float) -> None:
+    def add(self, item: QueuedRequest, now: float) -> None:
         """Enqueue a request."""
 
     @abstractmethod
-    def remove(self, request_id: str) -> Waiting | None:
+    def remove(self, request_id: str) -> QueuedRequest | None:
         """Remove and return a waiting request, or return None if there is none."""
 
     @abstractmethod
-    def find(self, request_id: str) -> Waiting | None:
+    def find(self, request_id: str) -> QueuedRequest | None:
         """Return a waiting request, or None if there is none."""
 
     @abstractmethod
-    def expire(self, now: float) -> list[Waiting]:
+    def expire(self, now: float) -> list[QueuedRequest]:
         """Remove and return the requests that can no longer meet their deadline."""
 
     @abstractmethod
@@ -55,21 +57,25 @@
         """
 
     @abstractmethod
-    def choose_victim(self, newcomer: Waiting) -> Waiting:
+    def choose_victim(self, newcomer: QueuedRequest) -> QueuedRequest:
         """Return the request to evict from a full queue, which may be `newcomer`."""
 
     @abstractmethod
-    def list_urgent(self, now: float, margin_ms: float) -> list[Waiting]:
+    def list_urgent(self, now: float, margin_ms: float) -> list[QueuedRequest]:
         """Return queue heads that must start within the margin, highest tier first."""
 
     def can_resume_within_floor(
-        self, item: Running, now: float, running: dict[str, int], place_wait_ms: float
+        self,
+        item: RunningRequest,
+        now: float,
+        running: dict[str, int],
+        place_wait_ms: float,
     ) -> bool:
         """Return whether a displaced request may resume within its class's floor."""
         return False
 
     @abstractmethod
-    def list_waiting(self) -> Iterable[Waiting]:
+    def list_waiting(self) -> Iterable[QueuedRequest]:
         """Return all waiting requests."""
 
     @abstractmethod
@@ -84,7 +90,7 @@
         """Return the slots reserved for a class; 0 without floors."""
         return 0
 
-    def has_queue_floor(self, item: Waiting) -> bool:
+    def has_reserved_queue_place(self, item: QueuedRequest) -> bool:
         """Return whether a full queue reserves a place for the class of `item`."""
         return False
 
--- a/cornelnotch/queueing/displacement.py
+++ b/cornelnotch/queueing/displacement.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable
 
 from cornelnotch.balancing.servers import ServerState
-from cornelnotch.queueing.models import Running, Waiting
+from cornelnotch.queueing.models import QueuedRequest, RunningRequest
 
 __all__ = ["choose_displaced", "list_resumable"]
 
@@ -16,13 +16,13 @@
 
 
 def choose_displaced(
-    item: Waiting,
-    running: Iterable[Running],
+    item: QueuedRequest,
+    running: Iterable[RunningRequest],
     counts: dict[str, int],
     get_floor_places: Callable[[str], int],
     servers: dict[str, ServerState],
     now: float,
-) -> Running | None:
+) -> RunningRequest | None:
     """Return the newest lowest-tier request below `item` and outside its floor."""
     candidates = [
         candidate
@@ -36,8 +36,8 @@
 
 
 def list_resumable(
-    displaced: Iterable[Running], servers: dict[str, ServerState]
-) -> list[Running]:
+    displaced: Iterable[RunningRequest], servers: dict[str, ServerState]
+) -> list[RunningRequest]:
     """Return displaced requests whose server has a free slot, in order of priority."""
     ready = [
         running
--- a/cornelnotch/queueing/fifo.py
+++ b/cornelnotch/queueing/fifo.py
@@ -4,7 +4,7 @@
 
 from cornelnotch.kernel import register_plugin
 from cornelnotch.queueing.disciplines import Discipline, QueueChoice
-from cornelnotch.queueing.models import ClassRule, Waiting
+from cornelnotch.queueing.models import ClassConfig, QueuedRequest
 
 __all__ = ["FifoDiscipline"]
 
@@ -14,24 +14,26 @@
     """First-in, first-out queue without tiers, for comparison."""
 
     def __init__(self) -> None:
-        self._items: dict[str, Waiting] = {}
+        self._items: dict[str, QueuedRequest] = {}
 
-    def configure(self, classes: dict[str, ClassRule], slots: int, places: int) -> None:
+    def configure(
+        self, classes: dict[str, ClassConfig], slots: int, places: int
+    ) -> None:
         """Do nothing; this discipline has no class rules."""
 
-    def add(self, item: Waiting, now: float) -> None:
+    def add(self, item: QueuedRequest, now: float) -> None:
         """Append a request."""
         self._items[item.request_id] = item
 
-    def remove(self, request_id: str) -> Waiting | None:
+    def remove(self, request_id: str) -> QueuedRequest | None:
         """Remove and return a waiting request, or return None if there is none."""
         return self._items.pop(request_id, None)
 
-    def find(self, request_id: str) -> Waiting | None:
+    def find(self, request_id: str) -> QueuedRequest | None:
         """Return a waiting request, or None if there is none."""
         return self._items.get(request_id)
 
-    def expire(self, now: float) -> list[Waiting]:
+    def expire(self, now: float) -> list[QueuedRequest]:
         """Remove and return the requests that can no longer meet their deadline."""
         expired = [i for i in self._items.values() if i.deadline_start_ms < now]
         for item in expired:
@@ -49,15 +51,15 @@
         item = next(iter(self._items.values()), None)
         return QueueChoice(item, "arrival") if item else None
 
-    def choose_victim(self, newcomer: Waiting) -> Waiting:
+    def choose_victim(self, newcomer: QueuedRequest) -> QueuedRequest:
         """Return `newcomer`."""
         return newcomer
 
-    def list_urgent(self, now: float, margin_ms: float) -> list[Waiting]:
+    def list_urgent(self, now: float, margin_ms: float) -> list[QueuedRequest]:
         """Return an empty list; no request takes precedence over another."""
         return []
 
-    def list_waiting(self) -> Iterable[Waiting]:
+    def list_waiting(self) -> Iterable[QueuedRequest]:
         """Return all waiting requests."""
         return self._items.values()
 
--- a/cornelnotch/queueing/limits.py
+++ b/cornelnotch/queueing/limits.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from cornelnotch.queueing.models import WorkspaceRule
+from cornelnotch.queueing.models import WorkspaceLimits
 
 __all__ = ["TokenBucket", "WorkspaceLimiter"]
 
@@ -33,10 +33,10 @@
     """Rate and concurrency limits that operators set for workspaces."""
 
     def __init__(self) -> None:
-        self._rules: dict[str, WorkspaceRule] = {}
+        self._rules: dict[str, WorkspaceLimits] = {}
         self._buckets: dict[str, TokenBucket] = {}
 
-    def configure(self, rules: dict[str, WorkspaceRule]) -> None:
+    def configure(self, rules: dict[str, WorkspaceLimits]) -> None:
         """Replace the limits."""
         self._rules = rules
         for name in [n for n in self._buckets if n not in rules]:
--- a/cornelnotch/queueing/models.py
+++ b/cornelnotch/queueing/models.py
@@ -5,23 +5,23 @@
 
 from dataclasses import dataclass, field
 
-from cornelnotch.wire.messages import Occupancy
+from cornelnotch.wire.messages import ClassOccupancy
 
 __all__ = [
-    "ClassRule",
+    "ClassConfig",
     "Grant",
-    "Pause",
+    "PreemptionNotice",
     "Refusal",
-    "Running",
-    "ServerRule",
-    "ShardRule",
-    "Waiting",
-    "WorkspaceRule",
+    "RunningRequest",
+    "ServerConfig",
+    "ShardConfig",
+    "QueuedRequest",
+    "WorkspaceLimits",
 ]
 
 
 @dataclass(frozen=True, slots=True)
-class ClassRule:
+class ClassConfig:
     """Targets and priority of a service class."""
 
     name: str
@@ -33,7 +33,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ServerRule:
+class ServerConfig:
     """Configuration of a server."""
 
     name: str
@@ -43,7 +43,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class WorkspaceRule:
+class WorkspaceLimits:
     """Rate and concurrency limits of a workspace within one shard."""
 
     requests_per_second: float | None
@@ -52,7 +52,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ShardRule:
+class ShardConfig:
     """Configuration of a shard."""
 
     name: str
@@ -61,13 +61,13 @@
     preemptible: bool
     queue_per_slot: float
     expected_ms: float
-    classes: dict[str, ClassRule]
-    servers: dict[str, ServerRule]
-    workspaces: dict[str, WorkspaceRule]
+    classes: dict[str, ClassConfig]
+    servers: dict[str, ServerConfig]
+    workspaces: dict[str, WorkspaceLimits]
 
 
 @dataclass(slots=True)
-class Waiting:
+class QueuedRequest:
     """Queued request.
 
     It misses its target if it starts after `target_start_ms`, and its deadline if
@@ -89,7 +89,7 @@
 
 
 @dataclass(slots=True)
-class Running:
+class RunningRequest:
     """Request that was granted a slot on a server.
 
     A displaced request keeps its stream, but the engine serves a higher tier
@@ -129,11 +129,11 @@
     holder: str
     reason: str
     retry_after_ms: float
-    occupancy: tuple[Occupancy, ...] = field(default=())
+    occupancy: tuple[ClassOccupancy, ...] = field(default=())
 
 
 @dataclass(frozen=True, slots=True)
-class Pause:
+class PreemptionNotice:
     """Notification to a holder that its request was paused or resumed in the engine."""
 
     request_id: str
@@ -141,4 +141,4 @@
     paused: bool
 
 
-Effect = Grant | Refusal | Pause
+Effect = Grant | Refusal | PreemptionNotice
--- a/cornelnotch/queueing/shard.py
+++ b/cornelnotch/queueing/shard.py
@@ -16,16 +16,16 @@
 from cornelnotch.queueing.models import (
     Effect,
     Grant,
-    Pause,
+    PreemptionNotice,
+    QueuedRequest,
     Refusal,
-    Running,
-    ShardRule,
-    Waiting,
+    RunningRequest,
+    ShardConfig,
 )
 from cornelnotch.wire.messages import (
     HeldPermits,
     PermitAsk,
-    PermitFinish,
+    PermitRelease,
 )
 
 __all__ = ["Shard", "create_shard"]
@@ -43,11 +43,11 @@
     """Queue, running requests and servers of one shard."""
 
     def __init__(
-        self, rule: ShardRule, discipline: Discipline, balancer: Balancer
+        self, rule: ShardConfig, discipline: Discipline, balancer: Balancer
     ) -> None:
         self.rule = rule
         self.servers: dict[str, ServerState] = {}
-        self.running: dict[str, Running] = {}
+        self.running: dict[str, RunningRequest] = {}
         self.discipline = discipline
         self.durations = DurationEstimator(rule.expected_ms)
         self.first_token_durations = DurationEstimator(rule.expected_ms / 4)
@@ -55,13 +55,13 @@
         self._limiter = WorkspaceLimiter()
         self._sequence = itertools.count()
         self._running_by_class: dict[str, int] = {}
-        self._displaced: dict[str, Running] = {}
+        self._displaced: dict[str, RunningRequest] = {}
         self._leaving: frozenset[str] = frozenset()
         self._mean_duration_ms = rule.expected_ms
         self._slots = 0
         self.configure(rule, frozenset())
 
-    def configure(self, rule: ShardRule, leaving: frozenset[str]) -> None:
+    def configure(self, rule: ShardConfig, leaving: frozenset[str]) -> None:
         """Apply a configuration and the servers that the platform lists as leaving."""
         self.rule = rule
         self._leaving = leaving
@@ -76,7 +76,7 @@
         for name in [n for n in self.servers if n not in rule.servers]:
             del self.servers[name]
         self._slots = self.count_slots()
-        places = self.count_queue_places()
+        places = self.find_queue_capacity()
         self.discipline.configure(rule.classes, self._slots, places)
         self._limiter.configure(rule.workspaces)
 
@@ -89,11 +89,11 @@
         """Return the total slots of the servers that accept requests."""
         return sum(s.slots for s in self.servers.values() if not s.leaving)
 
-    def count_queue_places(self) -> int:
+    def find_queue_capacity(self) -> int:
         """Return the capacity of the queue."""
         return max(MIN_QUEUE_PLACES, int(self._slots * self.rule.queue_per_slot))
 
-    def ask(self, ask: PermitAsk, now: float) -> list[Effect]:
+    def request_permit(self, ask: PermitAsk, now: float) -> list[Effect]:
         """Queue, grant or refuse a request."""
         known = self.running.get(ask.request_id)
         if known is not None:
@@ -115,11 +115,11 @@
         self.discipline.add(item, now)
         return effects + self.schedule(now)
 
-    def _is_full_for(self, item: Waiting) -> bool:
-        full = self.discipline.size() >= self.count_queue_places()
-        return full and not self.discipline.has_queue_floor(item)
+    def _is_full_for(self, item: QueuedRequest) -> bool:
+        full = self.discipline.size() >= self.find_queue_capacity()
+        return full and not self.discipline.has_reserved_queue_place(item)
 
-    def _create_waiting(self, ask: PermitAsk, now: float) -> Waiting:
+    def _create_waiting(self, ask: PermitAsk, now: float) -> QueuedRequest:
         arrived = now - ask.waited_ms
         rule = self.rule.classes.get(ask.class_name)
         duration = self.durations.find(ask.class_name, ask.workspace)
@@ -137,7 +137,7 @@
             target_start_ms = min(
                 target_start_ms, arrived + rule.first_token_ms - margin
             )
-        return Waiting(
+        return QueuedRequest(
             ask.request_id,
             ask.holder,
             ask.class_name,
@@ -165,7 +165,7 @@
         likely = deadline_ms - duration.mean - duration.deviation
         return likely if likely > now else deadline_ms - duration.low
 
-    def _check_admission(self, item: Waiting, now: float) -> Refusal | None:
+    def _check_admission(self, item: QueuedRequest, now: float) -> Refusal | None:
         if item.class_name not in self.rule.classes:
             return self._refuse(item, "configuration-behind", MIN_RETRY_MS)
         if not any(not s.leaving for s in self.servers.values()):
@@ -187,7 +187,7 @@
         )
         return running + waiting
 
-    def _make_room(self, item: Waiting, now: float) -> list[Effect]:
+    def _make_room(self, item: QueuedRequest, now: float) -> list[Effect]:
         """Grant the lowest-ranked request a lower tier's slot, or refuse it."""
         victim = self.discipline.choose_victim(item)
         displacement = self._displace(victim, now)
@@ -198,14 +198,14 @@
             self._refuse(victim, "queue-full", self._estimate_retry_ms(victim, now))
         ]
 
-    def cancel(self, request_id: str, now: float) -> list[Effect]:
+    def cancel_request(self, request_id: str, now: float) -> list[Effect]:
         """Remove a request that its holder cancelled."""
         self.discipline.remove(request_id)
         if request_id in self.running:
             self._release(request_id, now)
         return self.schedule(now)
 
-    def note_first_token(
+    def record_first_token(
         self, request_id: str, elapsed_ms: float, now: float
     ) -> list[Effect]:
         """Record the time that a server took to its first token."""
@@ -222,7 +222,7 @@
             self._update_slow(server)
         return []
 
-    def finish(self, finish: PermitFinish, now: float) -> list[Effect]:
+    def finish_request(self, finish: PermitRelease, now: float) -> list[Effect]:
         """Release a permit and update statistics from its holder's report."""
         running = self.running.get(finish.request_id)
         if running is None or running.server != finish.server:
@@ -234,7 +234,11 @@
         return self.schedule(now)
 
     def _update_statistics(
-        self, server: ServerState, running: Running, finish: PermitFinish, now: float
+        self,
+        server: ServerState,
+        running: RunningRequest,
+        finish: PermitRelease,
+        now: float,
     ) -> None:
         if finish.outcome in FAILED_OUTCOMES:
             server.record_failure(now)
@@ -271,7 +275,7 @@
             if permit.request_id in self.running:
                 continue
             self._add_running(
-                Running(
+                RunningRequest(
                     permit.request_id,
                     held.holder,
                     permit.class_name,
@@ -356,7 +360,7 @@
                     break
         return effects
 
-    def _displace(self, item: Waiting, now: float) -> list[Effect]:
+    def _displace(self, item: QueuedRequest, now: float) -> list[Effect]:
         """Grant `item` the slot of the newest lowest-tier request outside its floor."""
         if not self.rule.preemptible:
             return []
@@ -371,9 +375,9 @@
         server.busy -= 1
         server.paused += 1
         grant = self._grant(item, server, "displaced-lower-tier", now)
-        return [Pause(victim.request_id, victim.holder, True), grant]
+        return [PreemptionNotice(victim.request_id, victim.holder, True), grant]
 
-    def _choose_victim(self, item: Waiting, now: float) -> Running | None:
+    def _choose_victim(self, item: QueuedRequest, now: float) -> RunningRequest | None:
         return choose_displaced(
             item,
             self.running.values(),
@@ -384,11 +388,11 @@
         )
 
     def _grant(
-        self, item: Waiting, server: ServerState, reason: str, now: float
+        self, item: QueuedRequest, server: ServerState, reason: str, now: float
     ) -> Grant:
         self.discipline.remove(item.request_id)
         self.discipline.record_service(item.class_name, now)
-        running = Running(
+        running = RunningRequest(
             item.request_id,
             item.holder,
             item.class_name,
@@ -410,7 +414,7 @@
             reason,
         )
 
-    def _repeat_grant(self, running: Running, now: float) -> Effect:
+    def _repeat_grant(self, running: RunningRequest, now: float) -> Effect:
         server = self.servers.get(running.server)
         address = server.address if server else ""
         queued_ms = now - running.granted_ms
@@ -423,7 +427,7 @@
             "repeated",
         )
 
-    def _add_running(self, running: Running, now: float) -> None:
+    def _add_running(self, running: RunningRequest, now: float) -> None:
         self.running[running.request_id] = running
         name = running.class_name
         self._running_by_class[name] = self._running_by_class.get(name, 0) + 1
@@ -447,7 +451,9 @@
         server.busy -= 1
         server.record_busy(now)
 
-    def _choose_resumed(self, choice: QueueChoice | None, now: float) -> Running | None:
+    def _choose_resumed(
+        self, choice: QueueChoice | None, now: float
+    ) -> RunningRequest | None:
         """Return the displaced request that takes precedence over `choice`."""
         if not self._displaced:
             return None
@@ -461,7 +467,7 @@
                 return running
         return None
 
-    def _resume(self, running: Running, now: float) -> Effect:
+    def _resume(self, running: RunningRequest, now: float) -> Effect:
         running.displaced = False
         del self._displaced[running.request_id]
         server = self.servers[running.server]
@@ -471,7 +477,7 @@
         name = running.class_name
         self._running_by_class[name] = self._running_by_class.get(name, 0) + 1
         self.discipline.record_service(name, now)
-        return Pause(running.request_id, running.holder, False)
+        return PreemptionNotice(running.request_id, running.holder, False)
 
     def estimate_place_wait_ms(self) -> float:
         """Return the expected ms until a slot becomes free."""
@@ -487,10 +493,12 @@
         """Return the expected ms to serve the queue, for the choice between shards."""
         return self.estimate_place_wait_ms() * self.discipline.size()
 
-    def _estimate_retry_ms(self, item: Waiting, now: float) -> float:
+    def _estimate_retry_ms(self, item: QueuedRequest, now: float) -> float:
         return self.estimate_retry_ms(item.tier, now)
 
-    def _refuse(self, item: Waiting, reason: str, retry_after_ms: float) -> Refusal:
+    def _refuse(
+        self, item: QueuedRequest, reason: str, retry_after_ms: float
+    ) -> Refusal:
         return Refusal(
             item.request_id,
             item.holder,
@@ -500,7 +508,7 @@
         )
 
 
-def create_shard(rule: ShardRule) -> Shard:
+def create_shard(rule: ShardConfig) -> Shard:
     """Return an empty shard with the discipline and balancer that `rule` names."""
     discipline = create_plugin("discipline", rule.discipline)
     balancer = create_plugin("balancer", rule.balancer)
--- a/cornelnotch/queueing/tests/test_machine.py
+++ b/cornelnotch/queueing/tests/test_machine.py
@@ -3,13 +3,13 @@
 from hypothesis import settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from cornelnotch.queueing import Grant, Pause, Refusal, create_shard
-from cornelnotch.queueing.models import ClassRule, ServerRule, ShardRule
+from cornelnotch.queueing import Grant, PreemptionNotice, Refusal, create_shard
+from cornelnotch.queueing.models import ClassConfig, ServerConfig, ShardConfig
 from cornelnotch.wire.messages import (
     HeldPermit,
     HeldPermits,
     PermitAsk,
-    PermitFinish,
+    PermitRelease,
 )
 
 TIERS = {"high": 1, "mid": 3, "low": 5}
@@ -17,7 +17,7 @@
 
 
 def create_rule(slots, leaving):
-    return ShardRule(
+    return ShardConfig(
         "s",
         "tiered",
         "adaptive",
@@ -25,11 +25,11 @@
         2.0,
         100.0,
         {
-            name: ClassRule(name, tier, 300.0, None, 1000.0, 0.1)
+            name: ClassConfig(name, tier, 300.0, None, 1000.0, 0.1)
             for name, tier in TIERS.items()
         },
         {
-            f"e{n}": ServerRule(f"e{n}", f"127.0.0.1:{n + 1}", slots, n in leaving)
+            f"e{n}": ServerConfig(f"e{n}", f"127.0.0.1:{n + 1}", slots, n in leaving)
             for n in range(3)
         },
         {},
@@ -62,7 +62,7 @@
                 self.answered.add(name)
                 self.check_refusal(name, effect)
             else:
-                assert isinstance(effect, Pause)
+                assert isinstance(effect, PreemptionNotice)
                 assert name in self.shard.running
 
     def check_refusal(self, name, refusal):
@@ -87,27 +87,27 @@
         ask = PermitAsk(
             request_id, "h", "s", name, TIERS[name], "w", "", 0.0, deadline, [], 0
         )
-        self.check_effects(self.shard.ask(ask, self.now))
+        self.check_effects(self.shard.request_permit(ask, self.now))
 
     @rule(data=st.data(), outcome=st.sampled_from(OUTCOMES))
-    def finish(self, data, outcome):
+    def finish_request(self, data, outcome):
         if not self.granted:
             return
         name = data.draw(st.sampled_from(sorted(self.granted)))
         server = self.granted.pop(name)
         self.answered.add(name)
-        message = PermitFinish(name, "s", server, outcome, 80.0, 20.0, 5.0, 10)
-        self.check_effects(self.shard.finish(message, self.now))
+        message = PermitRelease(name, "s", server, outcome, 80.0, 20.0, 5.0, 10)
+        self.check_effects(self.shard.finish_request(message, self.now))
 
     @rule(data=st.data())
-    def cancel(self, data):
+    def cancel_request(self, data):
         unanswered = sorted(set(self.asked) - self.answered)
         if not unanswered:
             return
         name = data.draw(st.sampled_from(unanswered))
         self.granted.pop(name, None)
         self.answered.add(name)
-        self.check_effects(self.shard.cancel(name, self.now))
+        self.check_effects(self.shard.cancel_request(name, self.now))
 
     @rule(duration=st.floats(1, 60))
     def tick(self, duration):
--- a/cornelnotch/queueing/tiered.py
+++ b/cornelnotch/queueing/tiered.py
@@ -28,16 +28,16 @@
 
 from cornelnotch.kernel import register_plugin
 from cornelnotch.queueing.disciplines import Discipline, QueueChoice
-from cornelnotch.queueing.models import ClassRule, Running, Waiting
+from cornelnotch.queueing.models import ClassConfig, QueuedRequest, RunningRequest
 
 __all__ = ["ClassQueue", "TieredDiscipline"]
 
 
-def _rank_timely(item: Waiting) -> tuple[float, int]:
+def _rank_timely(item: QueuedRequest) -> tuple[float, int]:
     return (item.target_start_ms, item.order)
 
 
-def _rank_late(item: Waiting) -> tuple[float, int]:
+def _rank_late(item: QueuedRequest) -> tuple[float, int]:
     return (item.deadline_start_ms, item.order)
 
 
@@ -48,7 +48,7 @@
     `unserved_since_ms` is when the class was last granted a slot or began to wait.
     """
 
-    rule: ClassRule
+    rule: ClassConfig
     timely: SortedList = field(default_factory=lambda: SortedList(key=_rank_timely))
     late: SortedList = field(default_factory=lambda: SortedList(key=_rank_late))
     unserved_since_ms: float = 0.0
@@ -56,13 +56,13 @@
     def __len__(self) -> int:
         return len(self.timely) + len(self.late)
 
-    def get_head(self) -> Waiting | None:
+    def get_head(self) -> QueuedRequest | None:
         """Return the request of the class to serve next."""
         if self.timely:
             return self.timely[0]
         return self.late[0] if self.late else None
 
-    def get_eviction_candidate(self) -> Waiting | None:
+    def get_eviction_candidate(self) -> QueuedRequest | None:
         """Return the request to evict first: the newest late one, or the newest."""
         candidates = self.late or self.timely
         return max(candidates, key=lambda item: item.order, default=None)
@@ -75,7 +75,7 @@
             self.late.add(item)
 
 
-def _rank_head(item: Waiting) -> tuple[bool, float, int]:
+def _rank_head(item: QueuedRequest) -> tuple[bool, float, int]:
     return (item.late, _get_latest_start(item), item.order)
 
 
@@ -85,12 +85,14 @@
 
     def __init__(self) -> None:
         self._queues: dict[tuple[str, int], ClassQueue] = {}
-        self._items: dict[str, Waiting] = {}
-        self._rules: dict[str, ClassRule] = {}
+        self._items: dict[str, QueuedRequest] = {}
+        self._rules: dict[str, ClassConfig] = {}
         self._slots = 0
         self._queue_places = 0
 
-    def configure(self, classes: dict[str, ClassRule], slots: int, places: int) -> None:
+    def configure(
+        self, classes: dict[str, ClassConfig], slots: int, places: int
+    ) -> None:
         """Apply rules and sizes; waiting requests keep their order."""
         self._rules = classes
         self._slots = slots
@@ -98,7 +100,7 @@
         for key, queue in self._queues.items():
             queue.rule = classes.get(key[0], queue.rule)
 
-    def add(self, item: Waiting, now: float) -> None:
+    def add(self, item: QueuedRequest, now: float) -> None:
         """Enqueue a request by its class and tier."""
         key = (item.class_name, item.tier)
         queue = self._queues.get(key)
@@ -111,7 +113,7 @@
         (queue.late if item.late else queue.timely).add(item)
         self._items[item.request_id] = item
 
-    def remove(self, request_id: str) -> Waiting | None:
+    def remove(self, request_id: str) -> QueuedRequest | None:
         """Remove and return a waiting request, or return None if there is none."""
         item = self._items.pop(request_id, None)
         if item is None:
@@ -120,11 +122,11 @@
         (queue.late if item.late else queue.timely).remove(item)
         return item
 
-    def find(self, request_id: str) -> Waiting | None:
+    def find(self, request_id: str) -> QueuedRequest | None:
         """Return a waiting request, or None if there is none."""
         return self._items.get(request_id)
 
-    def expire(self, now: float) -> list[Waiting]:
+    def expire(self, now: float) -> list[QueuedRequest]:
         """Remove and return the requests that can no longer meet their deadline."""
         expired = []
         for queue in self._queues.values():
@@ -154,7 +156,7 @@
                 return QueueChoice(floor, "floor", by_floor=True)
         return QueueChoice(heads[0], "late" if heads[0].late else "tier")
 
-    def choose_victim(self, newcomer: Waiting) -> Waiting:
+    def choose_victim(self, newcomer: QueuedRequest) -> QueuedRequest:
         """Return the lowest-ranked waiting request, or `newcomer`."""
         lowest = sorted(
             (q for q in self._queues.values() if q),
@@ -172,14 +174,14 @@
                 return candidate
         return newcomer
 
-    def list_urgent(self, now: float, margin_ms: float) -> list[Waiting]:
+    def list_urgent(self, now: float, margin_ms: float) -> list[QueuedRequest]:
         """Return heads whose target, or deadline if late, is about to pass."""
         heads = self._list_heads()
         heads += [q.late[0] for q in self._queues.values() if q.timely and q.late]
         urgent = [item for item in heads if _get_latest_start(item) - now <= margin_ms]
         return sorted(urgent, key=lambda item: (item.tier, *_rank_head(item)))
 
-    def list_waiting(self) -> Iterable[Waiting]:
+    def list_waiting(self) -> Iterable[QueuedRequest]:
         """Return all waiting requests."""
         return self._items.values()
 
@@ -202,7 +204,7 @@
         rule = self._rules.get(class_name)
         return max(1, int(rule.floor * self._slots)) if rule else 0
 
-    def has_queue_floor(self, item: Waiting) -> bool:
+    def has_reserved_queue_place(self, item: QueuedRequest) -> bool:
         """Return whether the class occupies fewer queue places than its floor."""
         return self.count(item.class_name) < self._get_queue_floor(item.class_name)
 
@@ -215,7 +217,7 @@
         head = queue.get_head()
         return head.tier if head else 0
 
-    def _list_heads(self) -> list[Waiting]:
+    def _list_heads(self) -> list[QueuedRequest]:
         """Return the head of every queue in strict order."""
         heads = [q.get_head() for q in self._queues.values()]
         present = [head for head in heads if head is not None]
@@ -225,7 +227,9 @@
     def _is_below_floor(self, class_name: str, running: dict[str, int]) -> bool:
         return running.get(class_name, 0) < self.get_floor_places(class_name)
 
-    def _choose_overdue(self, now: float, running: dict[str, int]) -> Waiting | None:
+    def _choose_overdue(
+        self, now: float, running: dict[str, int]
+    ) -> QueuedRequest | None:
         overdue = [
             (now - q.unserved_since_ms - q.rule.longest_wait_ms, q)
             for q in self._queues.values()
@@ -239,11 +243,11 @@
 
     def _choose_floor(
         self,
-        heads: list[Waiting],
+        heads: list[QueuedRequest],
         now: float,
         running: dict[str, int],
         place_wait_ms: float,
-    ) -> Waiting | None:
+    ) -> QueuedRequest | None:
         """Return a head below its floor that makes no higher tier miss its target."""
         highest = heads[0].tier
         for position, item in enumerate(heads):
@@ -257,14 +261,18 @@
 
     @staticmethod
     def _can_heads_wait(
-        heads: list[Waiting], tier: int, now: float, place_wait_ms: float
+        heads: list[QueuedRequest], tier: int, now: float, place_wait_ms: float
     ) -> bool:
         """Return whether every head above `tier` can wait for one more slot."""
         higher = [h for h in heads if h.tier < tier]
         return all(_get_latest_start(h) - now > place_wait_ms for h in higher)
 
     def can_resume_within_floor(
-        self, item: Running, now: float, running: dict[str, int], place_wait_ms: float
+        self,
+        item: RunningRequest,
+        now: float,
+        running: dict[str, int],
+        place_wait_ms: float,
     ) -> bool:
         """Apply the first two rules of the module docstring to a displaced request."""
         if not self._is_below_floor(item.class_name, running):
@@ -275,6 +283,6 @@
         return self._can_heads_wait(self._list_heads(), item.tier, now, place_wait_ms)
 
 
-def _get_latest_start(item: Waiting) -> float:
+def _get_latest_start(item: QueuedRequest) -> float:
     """Return the latest start that meets the target, or the deadline if late."""
     return item.deadline_start_ms if item.late else item.target_start_ms
--- a/cornelnotch/routing/budget.py
+++ b/cornelnotch/routing/budget.py
@@ -13,11 +13,11 @@
     def __init__(self) -> None:
         self._tokens = INITIAL_TOKENS
 
-    def deposit(self) -> None:
+    def record_request(self) -> None:
         """Add the share of one first attempt."""
         self._tokens = min(self._tokens + RETRY_SHARE, MAX_TOKENS)
 
-    def take_retry(self) -> bool:
+    def try_acquire(self) -> bool:
         """Take one retry from the budget and return whether it is allowed."""
         if self._tokens < 1.0:
             return False
--- a/cornelnotch/routing/parts.py
+++ b/cornelnotch/routing/context.py
@@ -8,14 +8,14 @@
 from cornelnotch.routing.budget import RetryBudget
 from cornelnotch.routing.fleet import FleetView
 from cornelnotch.routing.permits import PermitClient
-from cornelnotch.routing.replies import Problem
+from cornelnotch.routing.responses import Problem
 from cornelnotch.routing.upstreams import EngineUpstream, ServiceUpstream
 
-__all__ = ["RequestFailedError", "FlowParts"]
+__all__ = ["RequestFailedError", "FlowContext"]
 
 
 @dataclass(frozen=True, slots=True)
-class FlowParts:
+class FlowContext:
     """Components shared by all requests of a host."""
 
     fleet: FleetView
--- a/cornelnotch/routing/dispatcher.py
+++ b/cornelnotch/routing/dispatcher.py
@@ -12,7 +12,7 @@
 from cornelnotch.observation import DecisionLog
 from cornelnotch.queueing import (
     Grant,
-    Pause,
+    PreemptionNotice,
     Refusal,
     Shard,
     create_shard,
@@ -20,20 +20,20 @@
 from cornelnotch.queueing.descriptions import describe_servers
 from cornelnotch.queueing.models import Effect
 from cornelnotch.routing.fleet import FleetView
-from cornelnotch.routing.rules import create_shard_rule
+from cornelnotch.routing.shard_config import create_shard_config
 from cornelnotch.web import HttpClient
 from cornelnotch.wire import PeerNetwork
 from cornelnotch.wire.messages import (
     HeldPermits,
     PermitAsk,
     PermitCancel,
-    PermitFinish,
     PermitFirstToken,
     PermitGrant,
-    PermitMoved,
-    PermitPause,
+    PermitPreemption,
     PermitQueued,
+    PermitRedirect,
     PermitRefusal,
+    PermitRelease,
 )
 
 __all__ = ["Dispatcher"]
@@ -99,7 +99,7 @@
         for kind in (
             PermitAsk,
             PermitCancel,
-            PermitFinish,
+            PermitRelease,
             PermitFirstToken,
             HeldPermits,
         ):
@@ -112,7 +112,7 @@
             counts.update(item.class_name for item in shard.discipline.list_waiting())
         return dict(counts)
 
-    async def run_ticks(self) -> None:
+    async def run_scheduling(self) -> None:
         """Reschedule shards with waiting requests periodically until cancelled."""
         while True:
             await self._has_waiting.wait()
@@ -122,7 +122,7 @@
             else:
                 self._has_waiting.clear()
 
-    async def run_load_reports(self) -> None:
+    async def run_load_polling(self) -> None:
         """Poll the load of the servers of owned shards until cancelled."""
         while True:
             await self._clock.sleep(LOAD_PERIOD_MS)
@@ -188,16 +188,16 @@
             return
         now = self._clock.read()
         effects: list[Effect] = []
-        if isinstance(message, PermitFinish):
+        if isinstance(message, PermitRelease):
             before = self._read_health(shard, message.server)
-            effects = shard.finish(message, now)
+            effects = shard.finish_request(message, now)
             self._record_health(shard, message.server, before)
         elif isinstance(message, PermitFirstToken):
-            effects = shard.note_first_token(
+            effects = shard.record_first_token(
                 message.request_id, message.elapsed_ms, now
             )
         elif isinstance(message, PermitCancel):
-            effects = shard.cancel(message.request_id, now)
+            effects = shard.cancel_request(message.request_id, now)
         elif isinstance(message, HeldPermits):
             self._last_heard_ms[(message.holder, message.shard)] = now
             effects = shard.sync_held_permits(message, now)
@@ -223,7 +223,7 @@
 
     def _handle_ask(self, ask: PermitAsk) -> None:
         if ask.hops == 0 and not self._is_owner(ask.shard):
-            self._peers.send(ask.holder, PermitMoved(ask.request_id, ask.shard))
+            self._peers.send(ask.holder, PermitRedirect(ask.request_id, ask.shard))
             return
         shard = self._open_shard(ask.shard)
         if shard is None:
@@ -239,7 +239,7 @@
             return
         now = self._clock.read()
         self._last_heard_ms[(ask.holder, ask.shard)] = now
-        self._apply_effects(shard, shard.ask(ask, now))
+        self._apply_effects(shard, shard.request_permit(ask, now))
         if shard.discipline.find(ask.request_id) is not None:
             self._has_waiting.set()
             queued = PermitQueued(
@@ -252,7 +252,7 @@
         plan = self._fleet.plans.get(name)
         if shard is not None or plan is None:
             return shard
-        rule = create_shard_rule(plan, self._fleet.configuration)
+        rule = create_shard_config(plan, self._fleet.configuration)
         shard = create_shard(rule)
         shard.configure(rule, self._fleet.leaving_servers)
         self.shards[name] = shard
@@ -266,7 +266,7 @@
                 self._redirect_waiting(shard)
                 del self.shards[name]
                 continue
-            rule = create_shard_rule(plan, self._fleet.configuration)
+            rule = create_shard_config(plan, self._fleet.configuration)
             shard.configure(rule, self._fleet.leaving_servers)
             self._release_dead_holders(shard, now)
             if not self._is_owner(name):
@@ -287,7 +287,7 @@
         """Redirect the waiting requests to the shard's new owner."""
         for item in list(shard.discipline.list_waiting()):
             shard.discipline.remove(item.request_id)
-            moved = PermitMoved(item.request_id, shard.rule.name)
+            moved = PermitRedirect(item.request_id, shard.rule.name)
             self._peers.send(item.holder, moved)
 
     def _apply_effects(self, shard: Shard, effects: list[Effect]) -> None:
@@ -295,7 +295,7 @@
             return
         backlog = shard.estimate_backlog_ms()
         for effect in effects:
-            if not isinstance(effect, Pause):
+            if not isinstance(effect, PreemptionNotice):
                 self._record_decision(shard, effect)
             self._peers.send(effect.holder, self._create_reply(shard, effect, backlog))
 
@@ -320,9 +320,9 @@
 
     def _create_reply(
         self, shard: Shard, effect: Effect, backlog_ms: float
-    ) -> PermitGrant | PermitRefusal | PermitPause:
-        if isinstance(effect, Pause):
-            return PermitPause(effect.request_id, shard.rule.name, effect.paused)
+    ) -> PermitGrant | PermitRefusal | PermitPreemption:
+        if isinstance(effect, PreemptionNotice):
+            return PermitPreemption(effect.request_id, shard.rule.name, effect.paused)
         if isinstance(effect, Grant):
             return PermitGrant(
                 effect.request_id,
--- a/cornelnotch/routing/engines.py
+++ b/cornelnotch/routing/engine_flow.py
@@ -8,13 +8,13 @@
 
 from cornelnotch.exceptions import UpstreamError, UpstreamStalledError
 from cornelnotch.kernel import Event
+from cornelnotch.routing.context import RequestFailedError
 from cornelnotch.routing.flow import RequestFlow
-from cornelnotch.routing.parts import RequestFailedError
 from cornelnotch.routing.permits import PermitReport
-from cornelnotch.routing.replies import (
+from cornelnotch.routing.responses import (
     Outcome,
     Problem,
-    create_headers,
+    create_response_headers,
     encode_problem,
 )
 from cornelnotch.routing.upstreams import EngineChunk, StallTimeout
@@ -91,7 +91,7 @@
                 await self._abort_stream(problem)
                 return
             if self._texts:
-                self.parts.events.record(
+                self.context.events.record(
                     Event.STREAM_RESUMED,
                     request_id=self.request.request_id,
                     position=len(self._texts),
@@ -99,7 +99,7 @@
 
     async def _dispatch(self, grant: PermitGrant) -> UpstreamError | None:
         """Run one dispatch and return its error, or None if it completed."""
-        progress = Progress(self.parts.clock.read())
+        progress = Progress(self.context.clock.read())
         outcome = "cancelled"
         try:
             await self._stream_with_timeout(grant, progress)
@@ -108,10 +108,10 @@
         except UpstreamError as error:
             outcome = error.kind
             if outcome == "mismatched":
-                self.parts.events.record(Event.ANSWER_MISMATCHED, server=grant.server)
+                self.context.events.record(Event.ANSWER_MISMATCHED, server=grant.server)
             return error
         finally:
-            report = progress.create_report(outcome, self.parts.clock.read())
+            report = progress.create_report(outcome, self.context.clock.read())
             self.release(grant, report)
 
     async def _stream_with_timeout(
@@ -122,7 +122,7 @@
                 stall_timeout = StallTimeout(
                     limit, self._compute_stall_timeout_ms(), self.get_remaining_ms()
                 )
-                self.parts.permits.set_pause_listener(grant, stall_timeout.set_paused)
+                self.context.permits.set_pause_listener(grant, stall_timeout.set_paused)
                 await self._stream(grant, progress, stall_timeout)
         except TimeoutError as error:
             raise UpstreamStalledError(
@@ -139,7 +139,7 @@
         self, grant: PermitGrant, progress: Progress, stall_timeout: StallTimeout
     ) -> None:
         answer_id = f"{self.request.request_id}.{len(self.excluded)}"
-        batches = self.parts.engines.stream(
+        batches = self.context.engines.stream(
             grant.address,
             answer_id,
             self._body,
@@ -150,16 +150,16 @@
         self.dispatched = True
         async with aclosing(batches) as stream:
             async for chunks in stream:
-                if progress.record_tokens(len(chunks), self.parts.clock.read()):
+                if progress.record_tokens(len(chunks), self.context.clock.read()):
                     self._note_first_token(grant, progress)
                 await self._deliver(chunks)
 
     def _note_first_token(self, grant: PermitGrant, progress: Progress) -> None:
         elapsed_ms = progress.first_ms - progress.started_ms
-        self.parts.permits.report_first_token(grant, elapsed_ms)
+        self.context.permits.report_first_token(grant, elapsed_ms)
         if not self._texts:
             self._first_token_at_ms = progress.first_ms - self.trace.arrived_ms
-            self.parts.metrics.observe_first_token(
+            self.context.metrics.observe_first_token(
                 self.selection.class_name, self._first_token_at_ms
             )
 
@@ -168,7 +168,7 @@
         if not self.request.stream:
             return
         if not self.exchange.started:
-            headers = create_headers(self.request.request_id, Outcome.RAN)
+            headers = create_response_headers(self.request.request_id, Outcome.RAN)
             headers["content-type"] = "text/event-stream"
             await self.exchange.start(200, headers)
         parts = []
@@ -178,11 +178,11 @@
         await self.exchange.send(b"".join(parts))
 
     async def _finish(self) -> None:
-        whole_ms = self.parts.clock.read() - self.trace.arrived_ms
-        self.parts.metrics.count_tokens("delivered", len(self._texts))
+        whole_ms = self.context.clock.read() - self.trace.arrived_ms
+        self.context.metrics.count_tokens("delivered", len(self._texts))
         if self.request.stream:
             if not self.exchange.started:
-                headers = create_headers(self.request.request_id, Outcome.RAN)
+                headers = create_response_headers(self.request.request_id, Outcome.RAN)
                 await self.exchange.start(
                     200, {**headers, "content-type": "text/event-stream"}
                 )
@@ -219,7 +219,7 @@
         }
         body = orjson.dumps(content)
         self.store_outcome(200, "application/json", body)
-        headers = create_headers(self.request.request_id, Outcome.RAN)
+        headers = create_response_headers(self.request.request_id, Outcome.RAN)
         headers["content-type"] = "application/json"
         await self.exchange.respond(200, headers, body)
 
@@ -239,8 +239,8 @@
             problem = await self.idempotency_guard.finalize_problem(
                 problem, self.dispatched
             )
-        self.parts.metrics.count_tokens("wasted", len(self._texts))
-        self.parts.metrics.windows.record(self.selection.class_name, False)
+        self.context.metrics.count_tokens("wasted", len(self._texts))
+        self.context.metrics.windows.record(self.selection.class_name, False)
         body = encode_problem(problem, self.request.request_id)
         await self.exchange.send(b"data: " + body + b"\n\n")
         await self.exchange.finish()
--- a/cornelnotch/routing/fleet.py
+++ b/cornelnotch/routing/fleet.py
@@ -34,7 +34,7 @@
     @property
     def region(self) -> str:
         """Return this host's region."""
-        return self.configuration.find_region(self._table.own.place)
+        return self.configuration.find_region(self._table.local_member.place)
 
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Register `listener` to be called after each change."""
--- a/cornelnotch/routing/flow.py
+++ b/cornelnotch/routing/flow.py
@@ -13,14 +13,14 @@
 )
 from cornelnotch.kernel import Event
 from cornelnotch.observation import Trace
+from cornelnotch.routing.context import FlowContext, RequestFailedError
 from cornelnotch.routing.idempotency import IdempotencyGuard
-from cornelnotch.routing.intake import CallerRequest
-from cornelnotch.routing.parts import FlowParts, RequestFailedError
 from cornelnotch.routing.permits import PermitReport, PermitRequest
-from cornelnotch.routing.replies import (
+from cornelnotch.routing.requests import CallerRequest
+from cornelnotch.routing.responses import (
     Outcome,
     Problem,
-    create_headers,
+    create_response_headers,
     encode_problem,
 )
 from cornelnotch.web import Exchange
@@ -38,13 +38,13 @@
 
     def __init__(
         self,
-        parts: FlowParts,
+        context: FlowContext,
         exchange: Exchange,
         request: CallerRequest,
         selection: Selection,
         trace: Trace,
     ) -> None:
-        self.parts = parts
+        self.context = context
         self.exchange = exchange
         self.request = request
         self.selection = selection
@@ -57,7 +57,7 @@
         self.idempotency_guard: IdempotencyGuard | None = None
         if self.once and request.key is not None:
             self.idempotency_guard = IdempotencyGuard(
-                parts, request, trace, self.get_remaining_ms
+                context, request, trace, self.get_remaining_ms
             )
 
     @property
@@ -67,7 +67,7 @@
 
     def get_remaining_ms(self) -> float:
         """Return the ms left until the deadline."""
-        return self.deadline_ms - self.parts.clock.read()
+        return self.deadline_ms - self.context.clock.read()
 
     async def run(self) -> None:
         """Serve the request and cancel cancellable work when the caller disconnects."""
@@ -116,7 +116,7 @@
         raise NotImplementedError
 
     async def _repeat_answer(self, outcome: ClaimOperation) -> None:
-        headers = create_headers(self.request.request_id, Outcome.RAN)
+        headers = create_response_headers(self.request.request_id, Outcome.RAN)
         headers["content-type"] = outcome.content_type
         headers["cornelnotch-repeated"] = "true"
         self._count("repeated", Outcome.RAN)
@@ -143,7 +143,7 @@
             self.deadline_ms,
             frozenset(self.excluded),
         )
-        result = await self.parts.permits.acquire(permit_request)
+        result = await self.context.permits.acquire(permit_request)
         if isinstance(result, Failure):
             raise RequestFailedError(self._create_refusal_problem(result.failure()))
         grant = result.unwrap()
@@ -154,8 +154,8 @@
             queued_ms=round(grant.queued_ms, 3),
             reason=grant.reason,
         )
-        queued_ms = self.parts.clock.read() - self.trace.arrived_ms
-        self.parts.metrics.observe_queued(self.selection.class_name, queued_ms)
+        queued_ms = self.context.clock.read() - self.trace.arrived_ms
+        self.context.metrics.observe_queued(self.selection.class_name, queued_ms)
         return grant
 
     def _create_refusal_problem(self, refusal: PermitRefusal) -> Problem:
@@ -187,10 +187,10 @@
         unsent = isinstance(error, UpstreamUnreachableError)
         if self.once and not unsent:
             return False
-        if self.get_remaining_ms() <= 0 or not self.parts.budget.take_retry():
+        if self.get_remaining_ms() <= 0 or not self.context.budget.try_acquire():
             self.trace.note("no-retry", left_ms=round(self.get_remaining_ms(), 1))
             return False
-        self.parts.metrics.count_retry(error.kind)
+        self.context.metrics.count_retry(error.kind)
         return True
 
     def create_failure_problem(self, error: UpstreamError) -> Problem:
@@ -206,7 +206,7 @@
 
     def release(self, grant: PermitGrant, report: PermitReport) -> None:
         """Release the permit of a completed dispatch."""
-        self.parts.permits.release(grant, report)
+        self.context.permits.release(grant, report)
 
     async def _refuse(self, problem: Problem) -> None:
         self.trace.note(
@@ -215,7 +215,7 @@
             kind=problem.kind,
             outcome=problem.outcome.value,
         )
-        self.parts.events.record(
+        self.context.events.record(
             Event.REQUEST_REFUSED,
             request_id=self.request.request_id,
             kind=problem.kind,
@@ -223,12 +223,14 @@
         )
         self._count(problem.kind, problem.outcome)
         if problem.status not in CALLER_ERROR_STATUSES:
-            self.parts.metrics.windows.record(self.selection.class_name, False)
+            self.context.metrics.windows.record(self.selection.class_name, False)
         await self._send_problem(problem)
 
     async def _send_problem(self, problem: Problem) -> None:
         request_id = self.request.request_id
-        headers = create_headers(request_id, problem.outcome, problem.retry_after_ms)
+        headers = create_response_headers(
+            request_id, problem.outcome, problem.retry_after_ms
+        )
         headers["content-type"] = "application/json"
         body = encode_problem(problem, request_id)
         await self.exchange.respond(problem.status, headers, body)
@@ -237,9 +239,9 @@
         """Record a complete response."""
         self.trace.note("answered", attained=attained, **details)
         self._count("attained" if attained else "late", Outcome.RAN)
-        self.parts.metrics.windows.record(self.selection.class_name, attained)
+        self.context.metrics.windows.record(self.selection.class_name, attained)
 
     def _count(self, result: str, outcome: Outcome) -> None:
-        self.parts.metrics.count_request(
+        self.context.metrics.count_request(
             self.selection.class_name, result, outcome.value
         )
--- a/cornelnotch/routing/idempotency.py
+++ b/cornelnotch/routing/idempotency.py
@@ -12,13 +12,13 @@
     ClaimVerdict,
     KeyAge,
     OperationKind,
-    judge_key_age,
+    check_key_age,
 )
 from cornelnotch.kernel import create_identifier
 from cornelnotch.observation import Trace
-from cornelnotch.routing.intake import CallerRequest
-from cornelnotch.routing.parts import FlowParts, RequestFailedError
-from cornelnotch.routing.replies import Outcome, Problem
+from cornelnotch.routing.context import FlowContext, RequestFailedError
+from cornelnotch.routing.requests import CallerRequest
+from cornelnotch.routing.responses import Outcome, Problem
 
 __all__ = ["IdempotencyGuard"]
 
@@ -36,12 +36,12 @@
 
     def __init__(
         self,
-        parts: FlowParts,
+        context: FlowContext,
         request: CallerRequest,
         trace: Trace,
         get_remaining_ms: Callable[[], float],
     ) -> None:
-        self._parts = parts
+        self._context = context
         self._request = request
         self._trace = trace
         self._get_remaining_ms = get_remaining_ms
@@ -56,7 +56,7 @@
         """
         self._check_key_age()
         self._claimed = True
-        verdict = await self._parts.claims.claim(
+        verdict = await self._context.claims.claim(
             self._request.claim_key,
             self._attempt,
             self._fingerprint,
@@ -88,9 +88,9 @@
         key = self._request.claim_key
         if problem.outcome is Outcome.NOT_RUN and self._request.is_first_attempt:
             # The outcome is certain: nothing else was ever sent under this key.
-            self._parts.claims.release_in_background(key, self._attempt)
+            self._context.claims.release_in_background(key, self._attempt)
             return problem
-        released = await self._parts.claims.release(
+        released = await self._context.claims.release(
             key, self._attempt, RELEASE_TIMEOUT_MS
         )
         outcome = problem.outcome if released else Outcome.UNKNOWN
@@ -100,7 +100,7 @@
         """Release the key in the background if the work was not dispatched."""
         if self._claimed and not dispatched:
             key = self._request.claim_key
-            self._parts.claims.release_in_background(key, self._attempt)
+            self._context.claims.release_in_background(key, self._attempt)
 
     def store_outcome(self, status: int, content_type: str, body: bytes | None) -> None:
         """Record the outcome of the work; status 0 means that it is unknown."""
@@ -118,17 +118,17 @@
             content_type,
             stored_body,
         )
-        self._parts.claims.record_outcome(operation)
+        self._context.claims.record_outcome(operation)
 
     def _check_key_age(self) -> None:
-        claims = self._parts.fleet.configuration.claims
-        wall_ms = self._parts.clock.read_wall()
+        claims = self._context.fleet.configuration.claims
+        wall_ms = self._context.clock.read_wall()
         # The horizon is capped, whatever the configuration says, so that the log
         # retains a claim for longer than its key is usable.
-        retained_ms = self._parts.retention_ms - 2 * claims.skew_ms
+        retained_ms = self._context.retention_ms - 2 * claims.skew_ms
         horizon_ms = min(claims.horizon_ms, retained_ms)
         key_ms = self._request.key_ms
-        age = judge_key_age(key_ms, wall_ms, horizon_ms, claims.skew_ms)
+        age = check_key_age(key_ms, wall_ms, horizon_ms, claims.skew_ms)
         if age is KeyAge.USABLE:
             return
         message = f"the key is {age.value}; generate a new UUIDv7 for new work"
@@ -142,9 +142,9 @@
         Raise RequestFailedError if it is unknown.
         """
         while verdict.state == "lost" and self._get_remaining_ms() > LOOKUP_PAUSE_MS:
-            await self._parts.clock.sleep(LOOKUP_PAUSE_MS)
+            await self._context.clock.sleep(LOOKUP_PAUSE_MS)
             timeout_ms = min(LOOKUP_TIMEOUT_MS, self._get_remaining_ms())
-            verdict = await self._parts.claims.look_up(
+            verdict = await self._context.claims.look_up(
                 self._request.claim_key, self._fingerprint, timeout_ms
             )
         self._trace.note("repeat", state=verdict.state)
--- a/cornelnotch/routing/permits.py
+++ b/cornelnotch/routing/permits.py
@@ -15,13 +15,13 @@
     HeldPermits,
     PermitAsk,
     PermitCancel,
-    PermitFinish,
     PermitFirstToken,
     PermitGrant,
-    PermitMoved,
-    PermitPause,
+    PermitPreemption,
     PermitQueued,
+    PermitRedirect,
     PermitRefusal,
+    PermitRelease,
 )
 
 __all__ = ["PermitClient", "PermitRequest", "PermitReport"]
@@ -34,7 +34,7 @@
 NO_SERVER_RETRY_MS = 1000.0
 SHARD_CHOICES = 2
 
-Reply = PermitGrant | PermitRefusal | PermitMoved | PermitQueued
+Reply = PermitGrant | PermitRefusal | PermitRedirect | PermitQueued
 
 
 @dataclass(slots=True)
@@ -84,9 +84,9 @@
         self._held: dict[str, HeldEntry] = {}
         self._backlogs: dict[str, float] = {}
         self._reported_boots: dict[str, str] = {}
-        for kind in (PermitGrant, PermitRefusal, PermitMoved, PermitQueued):
+        for kind in (PermitGrant, PermitRefusal, PermitRedirect, PermitQueued):
             peers.subscribe(kind, self._receive)
-        peers.subscribe(PermitPause, self._receive_pause)
+        peers.subscribe(PermitPreemption, self._receive_pause)
 
     def count_held(self) -> int:
         """Return the number of permits in use."""
@@ -150,7 +150,7 @@
                     await self._clock.sleep(OUTDATED_CONFIGURATION_WAIT_MS)
                 # PermitMoved names no successor: this host's own ranking does.
                 # Any dispatcher accepts a PermitAsk with hops > 0.
-                moves += isinstance(reply, PermitMoved)
+                moves += isinstance(reply, PermitRedirect)
                 timeouts += reply is None
             return Failure(self._create_deadline_refusal(shard, request))
         finally:
@@ -223,12 +223,12 @@
         held = self._held.get(grant.request_id)
         if held is not None and held.grant.dispatcher == grant.dispatcher:
             return
-        finish = PermitFinish(
+        finish = PermitRelease(
             grant.request_id, grant.shard, grant.server, "unused", 0.0, 0.0, 0.0, 0
         )
         self._peers.send(grant.dispatcher, finish)
 
-    def _receive_pause(self, sender: str, pause: PermitPause) -> None:
+    def _receive_pause(self, sender: str, pause: PermitPreemption) -> None:
         held = self._held.get(pause.request_id)
         if held is not None and held.listener is not None:
             held.listener(pause.paused)
@@ -249,7 +249,7 @@
     def release(self, grant: PermitGrant, report: PermitReport) -> None:
         """Release a permit and report its outcome and durations."""
         held = self._held.pop(grant.request_id, None)
-        finish = PermitFinish(
+        finish = PermitRelease(
             grant.request_id,
             grant.shard,
             grant.server,
--- a/cornelnotch/routing/intake.py
+++ b/cornelnotch/routing/requests.py
@@ -12,7 +12,7 @@
 from cornelnotch.exceptions import RequestError
 from cornelnotch.kernel import create_identifier, hash_text, read_key_time
 
-__all__ = ["CallerRequest", "read_caller_request"]
+__all__ = ["CallerRequest", "parse_caller_request"]
 
 MAX_DEADLINE_MS = 3_600_000
 AFFINITY_CHARACTERS = 64
@@ -137,7 +137,7 @@
     return Success(0.0) if key is None else read_key_time(key)
 
 
-def read_caller_request(
+def parse_caller_request(
     host: str,
     method: str,
     target: str,
--- a/cornelnotch/routing/replies.py
+++ b/cornelnotch/routing/responses.py
@@ -6,9 +6,9 @@
 
 import orjson
 
-from cornelnotch.wire.messages import Occupancy
+from cornelnotch.wire.messages import ClassOccupancy
 
-__all__ = ["Outcome", "Problem", "create_headers", "encode_problem"]
+__all__ = ["Outcome", "Problem", "create_response_headers", "encode_problem"]
 
 MS_PER_SECOND = 1000.0
 
@@ -30,10 +30,10 @@
     message: str
     outcome: Outcome
     retry_after_ms: float | None = None
-    occupancy: tuple[Occupancy, ...] = ()
+    occupancy: tuple[ClassOccupancy, ...] = ()
 
 
-def create_headers(
+def create_response_headers(
     request_id: str, outcome: Outcome, retry_after_ms: float | None = None
 ) -> dict[str, str]:
     """Return the headers of every response."""
--- a/cornelnotch/routing/services.py
+++ b/cornelnotch/routing/service_flow.py
@@ -1,10 +1,10 @@
 """Forward requests to plain services."""
 
 from cornelnotch.exceptions import UpstreamError, UpstreamUnreachableError
+from cornelnotch.routing.context import RequestFailedError
 from cornelnotch.routing.flow import RequestFlow
-from cornelnotch.routing.parts import RequestFailedError
 from cornelnotch.routing.permits import PermitReport
-from cornelnotch.routing.replies import Outcome, create_headers
+from cornelnotch.routing.responses import Outcome, create_response_headers
 from cornelnotch.routing.upstreams import ServiceAnswer
 from cornelnotch.wire.messages import PermitGrant
 
@@ -26,13 +26,13 @@
                 raise RequestFailedError(self.create_failure_problem(answer))
 
     async def _dispatch(self, grant: PermitGrant) -> ServiceAnswer | UpstreamError:
-        clock = self.parts.clock
+        clock = self.context.clock
         started_ms = clock.read()
         outcome = "cancelled"
         before = self.dispatched
         self.dispatched = True
         try:
-            answer = await self.parts.services.call(
+            answer = await self.context.services.call(
                 grant.address,
                 self.request.method,
                 self._create_target(),
@@ -70,10 +70,10 @@
 
     async def _finish(self, answer: ServiceAnswer) -> None:
         self.store_outcome(answer.status, answer.content_type, answer.body)
-        whole_ms = self.parts.clock.read() - self.trace.arrived_ms
+        whole_ms = self.context.clock.read() - self.trace.arrived_ms
         target = self.selection.service_class.whole_ms
         attained = answer.status < 500 and (target is None or whole_ms <= target)
-        headers = create_headers(self.request.request_id, Outcome.RAN)
+        headers = create_response_headers(self.request.request_id, Outcome.RAN)
         headers["content-type"] = answer.content_type
         self.finish_well(attained, status=answer.status, whole_ms=round(whole_ms, 1))
         await self.exchange.respond(answer.status, headers, answer.body)
--- a/cornelnotch/routing/rules.py
+++ b/cornelnotch/routing/shard_config.py
@@ -1,17 +1,17 @@
 """Derive the configuration of a shard from the global configuration."""
 
 from cornelnotch.configuration import Configuration, ShardPlan
-from cornelnotch.queueing import ClassRule, ServerRule, ShardRule
-from cornelnotch.queueing.models import WorkspaceRule
+from cornelnotch.queueing import ClassConfig, ServerConfig, ShardConfig
+from cornelnotch.queueing.models import WorkspaceLimits
 
-__all__ = ["create_shard_rule"]
+__all__ = ["create_shard_config"]
 
 
-def create_shard_rule(plan: ShardPlan, configuration: Configuration) -> ShardRule:
+def create_shard_config(plan: ShardPlan, configuration: Configuration) -> ShardConfig:
     """Return the configuration of one shard."""
     pool = configuration.pools[plan.pool]
     classes = {
-        name: ClassRule(
+        name: ClassConfig(
             name,
             section.tier,
             section.first_token_ms,
@@ -25,13 +25,13 @@
     for name in plan.servers:
         section = configuration.servers[name]
         leaving = section.state == "leaving"
-        servers[name] = ServerRule(name, section.address, section.slots, leaving)
+        servers[name] = ServerConfig(name, section.address, section.slots, leaving)
     workspaces = {
-        name: WorkspaceRule(w.requests_per_second, w.burst, w.concurrent)
+        name: WorkspaceLimits(w.requests_per_second, w.burst, w.concurrent)
         for name, w in configuration.workspaces.items()
         if w.requests_per_second is not None or w.concurrent is not None
     }
-    return ShardRule(
+    return ShardConfig(
         plan.name,
         pool.discipline,
         pool.balancer,
--- a/cornelnotch/routing/tests/test_permits.py
+++ b/cornelnotch/routing/tests/test_permits.py
@@ -14,8 +14,8 @@
 from cornelnotch.wire.messages import (
     HeldPermits,
     MemberUpdate,
-    PermitFinish,
     PermitGrant,
+    PermitRelease,
 )
 
 SHARD = "pool/region/0"
@@ -61,4 +61,4 @@
         permits._report_held(everything=False)
     assert peers.list_receivers(HeldPermits) == ["passing", "current"]
     permits.release(grant, PermitReport("done", 10.0))
-    assert sorted(peers.list_receivers(PermitFinish)) == ["current", "gone", "passing"]
+    assert sorted(peers.list_receivers(PermitRelease)) == ["current", "gone", "passing"]
--- a/cornelnotch/routing/tests/test_intake.py
+++ b/cornelnotch/routing/tests/test_requests.py
@@ -10,7 +10,7 @@
 
 from cornelnotch.kernel import create_identifier
 from cornelnotch.routing.budget import RetryBudget
-from cornelnotch.routing.intake import read_caller_request
+from cornelnotch.routing.requests import parse_caller_request
 
 SEED = 20261204
 CASES = int(os.environ.get("CORNELNOTCH_FUZZ", "2000"))
@@ -21,7 +21,7 @@
 def parse_request(headers=None, body=None, service=None):
     merged = {**HEADERS, **(headers or {})}
     content = orjson.dumps(CHAT) if body is None else body
-    return read_caller_request("h", "POST", "/x", service, merged, content)
+    return parse_caller_request("h", "POST", "/x", service, merged, content)
 
 
 def test_valid_request_is_parsed():
@@ -59,7 +59,7 @@
 
 
 def test_missing_workspace_header_is_named_in_error():
-    result = read_caller_request("h", "POST", "/x", None, {}, orjson.dumps(CHAT))
+    result = parse_caller_request("h", "POST", "/x", None, {}, orjson.dumps(CHAT))
     assert "cornelnotch-workspace" in str(result.failure())
 
 
@@ -80,7 +80,7 @@
     st.binary(max_size=100),
 )
 def test_any_headers_and_body_return_request_or_typed_error(headers, body):
-    result = read_caller_request("h", "POST", "/x", None, headers, body)
+    result = parse_caller_request("h", "POST", "/x", None, headers, body)
     assert isinstance(result, Success | Failure)
 
 
@@ -98,6 +98,6 @@
     budget = RetryBudget()
     spent = 0
     for _ in range(1000):
-        budget.deposit()
-        spent += budget.take_retry()
+        budget.record_request()
+        spent += budget.try_acquire()
     assert spent <= 0.2 * 1000 + 5
--- a/cornelnotch/testing/shardmodel.py
+++ b/cornelnotch/testing/shardmodel.py
@@ -8,9 +8,9 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from cornelnotch.queueing import Grant, Pause, Refusal, Shard, create_shard
-from cornelnotch.queueing.models import ClassRule, Effect, ServerRule, ShardRule
-from cornelnotch.wire.messages import Occupancy, PermitAsk, PermitFinish
+from cornelnotch.queueing import Grant, PreemptionNotice, Refusal, Shard, create_shard
+from cornelnotch.queueing.models import ClassConfig, Effect, ServerConfig, ShardConfig
+from cornelnotch.wire.messages import ClassOccupancy, PermitAsk, PermitRelease
 
 __all__ = [
     "Arrival",
@@ -114,7 +114,7 @@
     time_ms: float
     arrival: Arrival
     reason: str
-    occupancy: tuple[Occupancy, ...]
+    occupancy: tuple[ClassOccupancy, ...]
 
 
 @dataclass(slots=True)
@@ -198,9 +198,9 @@
     discipline: str = "tiered",
     balancer: str = "adaptive",
     queue_per_slot: float = 6.0,
-) -> ShardRule:
+) -> ShardConfig:
     """Return a shard configuration for the classes and engines."""
-    return ShardRule(
+    return ShardConfig(
         "model",
         discipline,
         balancer,
@@ -208,12 +208,12 @@
         queue_per_slot,
         800.0,
         {
-            c.name: ClassRule(
+            c.name: ClassConfig(
                 c.name, c.tier, c.first_token_ms, None, c.longest_wait_ms, c.floor
             )
             for c in classes
         },
-        {e.name: ServerRule(e.name, "127.0.0.1:1", e.slots, False) for e in engines},
+        {e.name: ServerConfig(e.name, "127.0.0.1:1", e.slots, False) for e in engines},
         {},
     )
 
@@ -221,7 +221,7 @@
 class ShardModel:
     """Discrete-time simulation of arrivals, a shard and engines."""
 
-    def __init__(self, rule: ShardRule, engines: list[ModelEngine]) -> None:
+    def __init__(self, rule: ShardConfig, engines: list[ModelEngine]) -> None:
         self.shard: Shard = create_shard(rule)
         self._engines = {engine.name: engine for engine in engines}
         self._streams: dict[str, Stream] = {}
@@ -261,7 +261,7 @@
             sorted(arrival.excluded),
             0,
         )
-        self._apply_effects(self.shard.ask(ask, now), now)
+        self._apply_effects(self.shard.request_permit(ask, now), now)
 
     def _apply_effects(self, effects: list[Effect], now: float) -> None:
         for effect in effects:
@@ -270,7 +270,7 @@
                 arrival.dispatches += 1
                 engine = self._engines[effect.server]
                 self._streams[effect.request_id] = Stream(arrival, engine, now)
-            elif isinstance(effect, Pause):
+            elif isinstance(effect, PreemptionNotice):
                 self._result.pauses += effect.paused
                 stream = self._streams.get(effect.request_id)
                 if stream is not None:
@@ -326,7 +326,7 @@
             stream.first_ms = now
             elapsed = now - stream.started_ms
             self._apply_effects(
-                self.shard.note_first_token(arrival.name, elapsed, now), now
+                self.shard.record_first_token(arrival.name, elapsed, now), now
             )
         if arrival.first_token_at_ms is None:
             arrival.first_token_at_ms = now
@@ -352,7 +352,7 @@
         ms_per_token = 0.0
         if first is not None and stream.generated > 1:
             ms_per_token = (now - first) / (stream.generated - 1)
-        finish = PermitFinish(
+        finish = PermitRelease(
             arrival.name,
             "model",
             stream.engine.name,
@@ -362,4 +362,4 @@
             ms_per_token,
             stream.generated,
         )
-        self._apply_effects(self.shard.finish(finish, now), now)
+        self._apply_effects(self.shard.finish_request(finish, now), now)
--- a/cornelnotch/verification/claims.py
+++ b/cornelnotch/verification/claims.py
@@ -16,7 +16,7 @@
     ClaimOperation,
     KeyAge,
     OperationKind,
-    judge_key_age,
+    check_key_age,
 )
 
 __all__ = ["ClaimMutant", "create_claim_protocol"]
@@ -92,7 +92,7 @@
 
 
 def _is_usable(state: State) -> bool:
-    return judge_key_age(0, state.time, HORIZON, 0) is KeyAge.USABLE
+    return check_key_age(0, state.time, HORIZON, 0) is KeyAge.USABLE
 
 
 def _set_phase(state: State, host: int, phase: Phase) -> State:
@@ -190,7 +190,7 @@
             retried = _count_send(_send_append(state, "claim", host), host)
             steps.append(("claim-again", retried))
         if _has_visible_record(state, "claim", host):
-            claim = _read_ledger(state).find(KEY)
+            claim = _read_ledger(state).find_claim(KEY)
             won = claim is not None and claim.attempt == str(host)
             phase = Phase.WON if won else Phase.LOST
             steps.append(("read-back", _set_phase(state, host, phase)))
@@ -211,7 +211,7 @@
         steps = []
         if _has_visible_record(state, "release", host):
             # `not-run` holds for the key only if no other attempt has claimed it.
-            claimed = _read_ledger(state).find(KEY)
+            claimed = _read_ledger(state).find_claim(KEY)
             after = _set_phase(state, host, Phase.RELEASED)
             if claimed is None and _is_usable(state):
                 after = _reply_not_run(after, host)
--- a/cornelnotch/verification/configuration.py
+++ b/cornelnotch/verification/configuration.py
@@ -14,10 +14,10 @@
 from cornelnotch.configuration import (
     Change,
     ConfigurationState,
+    apply_record,
     choose_snapshot,
     create_snapshot,
     encode_record,
-    fold_record,
     restore_snapshot,
 )
 
@@ -92,12 +92,12 @@
     ) -> ConfigurationState:
         kind, number = log[offset]
         if kind == "snapshot":
-            return fold_record(state, offset, b"{}").state
+            return apply_record(state, offset, b"{}").state
         change = CHANGES[number]
         if self._mutant is ConfigurationMutant.NO_BASE and offset % 2:
             # Without the base check, the outcome depends on the position in the log.
             change = Change(change.change_id, state.version, change.text)
-        return fold_record(state, offset, encode_record(change)).state
+        return apply_record(state, offset, encode_record(change)).state
 
     def list_steps(self, values: tuple) -> list[tuple[str, tuple]]:
         """Return all transitions that are enabled in a state."""
--- a/cornelnotch/verification/order.py
+++ b/cornelnotch/verification/order.py
@@ -18,14 +18,14 @@
     create_shard,
 )
 from cornelnotch.queueing.models import (
-    ClassRule,
+    ClassConfig,
     Effect,
-    Running,
-    ServerRule,
-    ShardRule,
-    Waiting,
+    QueuedRequest,
+    RunningRequest,
+    ServerConfig,
+    ShardConfig,
 )
-from cornelnotch.wire.messages import PermitAsk, PermitFinish
+from cornelnotch.wire.messages import PermitAsk, PermitRelease
 
 __all__ = ["THREE_TIERS", "TWO_TIERS", "OrderMutant", "create_order_protocol"]
 
@@ -56,7 +56,7 @@
 class NoVictimDiscipline(TieredDiscipline):
     """Mutant that always rejects the arriving request."""
 
-    def choose_victim(self, newcomer: Waiting) -> Waiting:
+    def choose_victim(self, newcomer: QueuedRequest) -> QueuedRequest:
         """Return the arriving request."""
         return newcomer
 
@@ -67,14 +67,16 @@
     It serves the floor of a class only if no other class is delayed.
     """
 
-    def _choose_overdue(self, now: float, running: dict[str, int]) -> Waiting | None:
+    def _choose_overdue(
+        self, now: float, running: dict[str, int]
+    ) -> QueuedRequest | None:
         return None
 
 
 class NoQueueFloorDiscipline(TieredDiscipline):
     """Mutant that reserves no queue places for a class."""
 
-    def has_queue_floor(self, item: Waiting) -> bool:
+    def has_reserved_queue_place(self, item: QueuedRequest) -> bool:
         """Return False for all requests."""
         return False
 
@@ -82,7 +84,7 @@
 class NoDisplacementShard(Shard):
     """Mutant that never displaces a running request of a lower tier."""
 
-    def _choose_victim(self, item: Waiting, now: float) -> Running | None:
+    def _choose_victim(self, item: QueuedRequest, now: float) -> RunningRequest | None:
         return None
 
 
@@ -100,8 +102,8 @@
     sizes: list[int] = field(default_factory=list)
 
 
-def _create_rule() -> ShardRule:
-    return ShardRule(
+def _create_rule() -> ShardConfig:
+    return ShardConfig(
         "order",
         "tiered",
         "adaptive",
@@ -109,10 +111,10 @@
         QUEUE_PLACES / SLOTS,
         SERVICE_MS,
         {
-            name: ClassRule(name, tier, 300.0, None, LONGEST_WAIT_MS, 0.0)
+            name: ClassConfig(name, tier, 300.0, None, LONGEST_WAIT_MS, 0.0)
             for name, tier in TIERS.items()
         },
-        {"s": ServerRule("s", "127.0.0.1:1", SLOTS, False)},
+        {"s": ServerConfig("s", "127.0.0.1:1", SLOTS, False)},
         {},
     )
 
@@ -120,7 +122,7 @@
 class NoVictimRescueShard(Shard):
     """Mutant that rejects queue victims instead of displacing for them."""
 
-    def _make_room(self, item: Waiting, now: float) -> list[Effect]:
+    def _make_room(self, item: QueuedRequest, now: float) -> list[Effect]:
         victim = self.discipline.choose_victim(item)
         if victim is item:
             return super()._make_room(item, now)
@@ -133,7 +135,7 @@
 
     places = QUEUE_PLACES
 
-    def count_queue_places(self) -> int:
+    def find_queue_capacity(self) -> int:
         """Return the queue length of the model."""
         return self.places
 
@@ -208,18 +210,18 @@
             [],
             0,
         )
-        self._check_effects(replay, replay.shard.ask(ask, replay.now))
+        self._check_effects(replay, replay.shard.request_permit(ask, replay.now))
 
-    def finish(self, replay: Replay) -> None:
+    def finish_request(self, replay: Replay) -> None:
         """Finish the longest-running request."""
         active = [r for r in replay.shard.running.values() if not r.displaced]
         if not active:
             return
         oldest = min(active, key=lambda r: r.order)
-        finish = PermitFinish(
+        finish = PermitRelease(
             oldest.request_id, "order", "s", "done", SERVICE_MS, 10.0, 1.0, 2
         )
-        self._check_effects(replay, replay.shard.finish(finish, replay.now))
+        self._check_effects(replay, replay.shard.finish_request(finish, replay.now))
 
     def wait(self, replay: Replay) -> None:
         """Advance time by `WAIT_EVENT_MS` in ticks."""
@@ -281,7 +283,7 @@
     "high": lambda system, replay: system.arrive(replay, "high"),
     "mid": lambda system, replay: system.arrive(replay, "mid"),
     "low": lambda system, replay: system.arrive(replay, "low"),
-    "finish": lambda system, replay: system.finish(replay),
+    "finish": lambda system, replay: system.finish_request(replay),
     "wait": lambda system, replay: system.wait(replay),
 }
 
--- a/cornelnotch/wire/messages.py
+++ b/cornelnotch/wire/messages.py
@@ -8,8 +8,8 @@
 
 __all__ = [
     "Ack",
-    "ClaimAnswer",
-    "ClaimAsk",
+    "ClaimResponse",
+    "ClaimRequest",
     "ConfigurationFetch",
     "ConfigurationOffer",
     "EngineRates",
@@ -19,14 +19,14 @@
     "LoadReport",
     "LoadSummary",
     "MemberUpdate",
-    "Occupancy",
+    "ClassOccupancy",
     "PermitAsk",
     "PermitCancel",
-    "PermitFinish",
+    "PermitRelease",
     "PermitFirstToken",
     "PermitGrant",
-    "PermitMoved",
-    "PermitPause",
+    "PermitRedirect",
+    "PermitPreemption",
     "PermitQueued",
     "PermitRefusal",
     "Ping",
@@ -39,11 +39,11 @@
     "ServerUpdate",
     "ServerUsage",
     "StreamProgress",
-    "TurnAsk",
-    "TurnEnd",
-    "TurnGrant",
-    "TurnStage",
-    "TurnWait",
+    "AdmissionRequest",
+    "AdmissionEnd",
+    "AdmissionGrant",
+    "AdmissionStage",
+    "AdmissionQueued",
     "list_message_types",
 ]
 
@@ -130,7 +130,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Occupancy:
+class ClassOccupancy:
     """Report queued and running requests and reserved slots of a class in a shard."""
 
     class_name: str
@@ -188,12 +188,12 @@
     shard: str
     reason: str
     retry_after_ms: float
-    occupancy: list[Occupancy]
+    occupancy: list[ClassOccupancy]
     backlog_ms: float
 
 
 @dataclass(frozen=True, slots=True)
-class PermitMoved:
+class PermitRedirect:
     """Redirect the receiver to another dispatcher."""
 
     request_id: str
@@ -201,7 +201,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PermitPause:
+class PermitPreemption:
     """Report whether a running request is preempted in its engine by higher tiers."""
 
     request_id: str
@@ -227,7 +227,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class PermitFinish:
+class PermitRelease:
     """Release a permit and report the outcome and latencies of its request."""
 
     request_id: str
@@ -261,7 +261,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ClaimAsk:
+class ClaimRequest:
     """Ask the writer of a claim stream to append and evaluate one operation."""
 
     ask_id: str
@@ -272,7 +272,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ClaimAnswer:
+class ClaimResponse:
     """Report the result of an operation on a claim stream."""
 
     ask_id: str
@@ -410,11 +410,11 @@
     longest_ms: float
 
 
-TurnStage = Literal["waiting", "sent", "begun"]
+AdmissionStage = Literal["waiting", "sent", "begun"]
 
 
 @dataclass(frozen=True, slots=True)
-class TurnAsk:
+class AdmissionRequest:
     """Ask the scheduling host to admit a request to an engine; repeated until it ends.
 
     `stage` is "waiting" until the host has sent the request and "begun" once the
@@ -428,14 +428,14 @@
     shared: list[PromptPart]
     own_tokens: int
     waited_ms: float
-    stage: TurnStage
+    stage: AdmissionStage
     gap_ms: float = 0.0
     progress: StreamProgress | None = None
     target_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
-class TurnWait:
+class AdmissionQueued:
     """Confirm that a request is queued, and for how long it may wait."""
 
     request_id: str
@@ -445,7 +445,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TurnGrant:
+class AdmissionGrant:
     """Admit a request to its engine; `unread` is the number of tokens to prefill."""
 
     request_id: str
@@ -454,7 +454,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TurnEnd:
+class AdmissionEnd:
     """Report that a request has ended or was cancelled."""
 
     request_id: str
@@ -475,21 +475,21 @@
         PermitQueued,
         PermitGrant,
         PermitRefusal,
-        PermitMoved,
-        PermitPause,
+        PermitRedirect,
+        PermitPreemption,
         PermitCancel,
         PermitFirstToken,
-        PermitFinish,
+        PermitRelease,
         HeldPermits,
-        ClaimAsk,
-        ClaimAnswer,
+        ClaimRequest,
+        ClaimResponse,
         RecordNews,
         RecordFetch,
         LoadReport,
         LoadSummary,
-        TurnAsk,
-        TurnWait,
-        TurnGrant,
-        TurnEnd,
+        AdmissionRequest,
+        AdmissionQueued,
+        AdmissionGrant,
+        AdmissionEnd,
         ServerLeaving,
     ]
--- a/cornelnotch/wire/tests/test_codec.py
+++ b/cornelnotch/wire/tests/test_codec.py
@@ -9,10 +9,10 @@
 from cornelnotch.exceptions import WireError
 from cornelnotch.wire import FrameReader, decode_message, encode_message
 from cornelnotch.wire.messages import (
+    ClassOccupancy,
     HeldPermit,
     HeldPermits,
     MemberUpdate,
-    Occupancy,
     PermitRefusal,
     Ping,
 )
@@ -22,7 +22,7 @@
 MESSAGES = [
     Ping(1, "a", 7, 3.5, [MemberUpdate("a", "h", "p", "x", "alive", 3)], []),
     HeldPermits("a", "s/r/0", [HeldPermit("r", "e", "quote", 1, "w")]),
-    PermitRefusal("r", "s", "deadline", 5.0, [Occupancy("q", 1, 2, 3, 1)], 0.0),
+    PermitRefusal("r", "s", "deadline", 5.0, [ClassOccupancy("q", 1, 2, 3, 1)], 0.0),
 ]
 
 
--- a/examples/claims.py
+++ b/examples/claims.py
@@ -12,6 +12,6 @@
 ]
 for offset, record in enumerate(RECORDS):
     ledger.apply(record, offset, 0, 0.0)
-    claim = ledger.find("booking-7")
+    claim = ledger.find_claim("booking-7")
     holder = claim.attempt if claim else "nobody"
     print(f"{record.kind.value:8} by {record.attempt:6} -> held by {holder}")
--- a/examples/classify.py
+++ b/examples/classify.py
@@ -3,8 +3,8 @@
 from cornelnotch.configuration import (
     Change,
     ConfigurationState,
+    apply_record,
     encode_record,
-    fold_record,
     select_class,
 )
 
@@ -26,7 +26,7 @@
 pool = assistants
 """
 
-verdict = fold_record(ConfigurationState(), 0, encode_record(Change("a", -1, TEXT)))
+verdict = apply_record(ConfigurationState(), 0, encode_record(Change("a", -1, TEXT)))
 print("accepted:", verdict.accepted)
 configuration = verdict.state.configuration
 for labels in ({"kind": "quote"}, {}):
@@ -36,5 +36,5 @@
 concurrent_change = Change("b", -1, "[class draft]\ntier = 4\n")
 print(
     "concurrent change:",
-    fold_record(verdict.state, 1, encode_record(concurrent_change)).error,
+    apply_record(verdict.state, 1, encode_record(concurrent_change)).error,
 )
--- a/examples/queue.py
+++ b/examples/queue.py
@@ -11,7 +11,7 @@
 shard = create_shard(create_rule(CLASSES, [ModelEngine("engine", slots=2)]))
 
 
-def ask(name: str, number: int, now: float) -> None:
+def request_permit(name: str, number: int, now: float) -> None:
     """Request a permit and print the decision of the shard."""
     model = next(c for c in CLASSES if c.name == name)
     request = PermitAsk(
@@ -27,11 +27,11 @@
         [],
         0,
     )
-    print(f"{now:5.0f} ms", request.request_id, shard.ask(request, now))
+    print(f"{now:5.0f} ms", request.request_id, shard.request_permit(request, now))
 
 
-ask("draft", 0, 0.0)
-ask("draft", 1, 0.0)
-ask("quote", 2, 10.0)
+request_permit("draft", 0, 0.0)
+request_permit("draft", 1, 0.0)
+request_permit("quote", 2, 10.0)
 for moment in (100.0, 200.0):
     print(f"{moment:5.0f} ms", shard.schedule(moment))
