--- a/cornelnotch/configuration/publisher.py
+++ b/cornelnotch/configuration/publisher.py
@@ -72,7 +72,7 @@
 
 
 async def read_history(log: LogService) -> History:
-    """Fold all readable records; raise LogUnavailableError."""
+    """Apply all readable records; raise LogUnavailableError."""
     records, earliest = await _read_records(log)
     state = ConfigurationState()
     if earliest > 0:
--- a/cornelnotch/platform/store.py
+++ b/cornelnotch/platform/store.py
@@ -20,7 +20,7 @@
 
 STATUS_OK = 200
 STATUS_GONE = 410
-# The store responds within 4 ms; fifty times as long indicates a fault.
+# The store responds within 4 ms; two hundred times as long indicates a fault.
 READ_TIMEOUT_MS = 800.0
 PAGE_HEADER = struct.Struct(">QQ")
 RECORD_LENGTH = struct.Struct(">I")
--- a/cornelnotch/queueing/descriptions.py
+++ b/cornelnotch/queueing/descriptions.py
@@ -29,7 +29,7 @@
 def describe_occupancy(
     running: Iterable[RunningRequest], discipline: Discipline
 ) -> tuple[ClassOccupancy, ...]:
-    """Return the running and waiting requests of each class."""
+    """Return the running and queued requests of each class."""
     waiting: dict[tuple[str, int], int] = {}
     held: dict[tuple[str, int], int] = {}
     for request in running:
--- a/cornelnotch/queueing/disciplines.py
+++ b/cornelnotch/queueing/disciplines.py
@@ -25,7 +25,7 @@
     def configure(
         self, classes: dict[str, ClassConfig], slots: int, places: int
     ) -> None:
-        """Apply class rules and the number of slots and queue places."""
+        """Apply class configurations and the number of slots and queue places."""
 
     @abstractmethod
     def add(self, item: QueuedRequest, now: float) -> None:
@@ -33,11 +33,11 @@
 
     @abstractmethod
     def remove(self, request_id: str) -> QueuedRequest | None:
-        """Remove and return a waiting request, or return None if there is none."""
+        """Remove and return a queued request, or return None if there is none."""
 
     @abstractmethod
     def find(self, request_id: str) -> QueuedRequest | None:
-        """Return a waiting request, or None if there is none."""
+        """Return a queued request, or None if there is none."""
 
     @abstractmethod
     def expire(self, now: float) -> list[QueuedRequest]:
@@ -76,11 +76,11 @@
 
     @abstractmethod
     def list_waiting(self) -> Iterable[QueuedRequest]:
-        """Return all waiting requests."""
+        """Return all queued requests."""
 
     @abstractmethod
     def count(self, class_name: str) -> int:
-        """Return the number of waiting requests of a class."""
+        """Return the number of queued requests of a class."""
 
     @abstractmethod
     def record_service(self, class_name: str, now: float) -> None:
@@ -95,5 +95,5 @@
         return False
 
     def size(self) -> int:
-        """Return the number of waiting requests."""
+        """Return the number of queued requests."""
         return sum(1 for _ in self.list_waiting())
--- a/cornelnotch/queueing/fifo.py
+++ b/cornelnotch/queueing/fifo.py
@@ -19,18 +19,18 @@
     def configure(
         self, classes: dict[str, ClassConfig], slots: int, places: int
     ) -> None:
-        """Do nothing; this discipline has no class rules."""
+        """Do nothing; this discipline ignores class configurations."""
 
     def add(self, item: QueuedRequest, now: float) -> None:
         """Append a request."""
         self._items[item.request_id] = item
 
     def remove(self, request_id: str) -> QueuedRequest | None:
-        """Remove and return a waiting request, or return None if there is none."""
+        """Remove and return a queued request, or return None if there is none."""
         return self._items.pop(request_id, None)
 
     def find(self, request_id: str) -> QueuedRequest | None:
-        """Return a waiting request, or None if there is none."""
+        """Return a queued request, or None if there is none."""
         return self._items.get(request_id)
 
     def expire(self, now: float) -> list[QueuedRequest]:
@@ -60,11 +60,11 @@
         return []
 
     def list_waiting(self) -> Iterable[QueuedRequest]:
-        """Return all waiting requests."""
+        """Return all queued requests."""
         return self._items.values()
 
     def count(self, class_name: str) -> int:
-        """Return the number of waiting requests of a class."""
+        """Return the number of queued requests of a class."""
         return sum(1 for i in self._items.values() if i.class_name == class_name)
 
     def record_service(self, class_name: str, now: float) -> None:
--- a/cornelnotch/queueing/shard.py
+++ b/cornelnotch/queueing/shard.py
@@ -180,7 +180,7 @@
         return None
 
     def count_workspace(self, workspace: str) -> int:
-        """Return the number of running and waiting requests of a workspace."""
+        """Return the number of running and queued requests of a workspace."""
         running = sum(1 for r in self.running.values() if r.workspace == workspace)
         waiting = sum(
             1 for w in self.discipline.list_waiting() if w.workspace == workspace
--- a/cornelnotch/queueing/tiered.py
+++ b/cornelnotch/queueing/tiered.py
@@ -12,12 +12,12 @@
    with the earliest deadline.
 
 A displaced request counts as waiting for its own server and takes precedence over the
-waiting requests of its tier.
+queued requests of its tier.
 
 A class that occupies fewer queue places than its floor is always admitted. Otherwise,
 when the queue is full, the lowest tier that occupies more queue places than its floor
 is evicted first, late requests before timely ones and the newest first. A new request
-is itself refused only when no waiting request ranks below it and no running request of
+is itself refused only when no queued request ranks below it and no running request of
 a lower tier outside its floor can be displaced.
 """
 
@@ -43,7 +43,7 @@
 
 @dataclass(slots=True)
 class ClassQueue:
-    """Waiting requests of one class.
+    """Queued requests of one class.
 
     `unserved_since_ms` is when the class was last granted a slot or began to wait.
     """
@@ -93,7 +93,7 @@
     def configure(
         self, classes: dict[str, ClassConfig], slots: int, places: int
     ) -> None:
-        """Apply rules and sizes; waiting requests keep their order."""
+        """Apply class configurations and sizes; queued requests keep their order."""
         self._rules = classes
         self._slots = slots
         self._queue_places = places
@@ -114,7 +114,7 @@
         self._items[item.request_id] = item
 
     def remove(self, request_id: str) -> QueuedRequest | None:
-        """Remove and return a waiting request, or return None if there is none."""
+        """Remove and return a queued request, or return None if there is none."""
         item = self._items.pop(request_id, None)
         if item is None:
             return None
@@ -123,7 +123,7 @@
         return item
 
     def find(self, request_id: str) -> QueuedRequest | None:
-        """Return a waiting request, or None if there is none."""
+        """Return a queued request, or None if there is none."""
         return self._items.get(request_id)
 
     def expire(self, now: float) -> list[QueuedRequest]:
@@ -157,7 +157,7 @@
         return QueueChoice(heads[0], "late" if heads[0].late else "tier")
 
     def choose_victim(self, newcomer: QueuedRequest) -> QueuedRequest:
-        """Return the lowest-ranked waiting request, or `newcomer`."""
+        """Return the lowest-ranked queued request, or `newcomer`."""
         lowest = sorted(
             (q for q in self._queues.values() if q),
             key=lambda q: -self._get_tier(q),
@@ -182,15 +182,15 @@
         return sorted(urgent, key=lambda item: (item.tier, *_rank_head(item)))
 
     def list_waiting(self) -> Iterable[QueuedRequest]:
-        """Return all waiting requests."""
+        """Return all queued requests."""
         return self._items.values()
 
     def size(self) -> int:
-        """Return the number of waiting requests."""
+        """Return the number of queued requests."""
         return len(self._items)
 
     def count(self, class_name: str) -> int:
-        """Return the number of waiting requests of a class."""
+        """Return the number of queued requests of a class."""
         return sum(len(q) for key, q in self._queues.items() if key[0] == class_name)
 
     def record_service(self, class_name: str, now: float) -> None:
--- a/cornelnotch/routing/dispatcher.py
+++ b/cornelnotch/routing/dispatcher.py
@@ -106,14 +106,14 @@
             peers.subscribe(kind, lambda sender, message: self.post(message))
 
     def count_queued(self) -> dict[str, int]:
-        """Return the number of waiting requests by class."""
+        """Return the number of queued requests by class."""
         counts: Counter[str] = Counter()
         for shard in self.shards.values():
             counts.update(item.class_name for item in shard.discipline.list_waiting())
         return dict(counts)
 
     async def run_scheduling(self) -> None:
-        """Reschedule shards with waiting requests periodically until cancelled."""
+        """Reschedule shards with queued requests periodically until cancelled."""
         while True:
             await self._has_waiting.wait()
             await self._clock.sleep(TICK_MS)
@@ -284,7 +284,7 @@
             self._apply_effects(shard, shard.release_holder(holder, now))
 
     def _redirect_waiting(self, shard: Shard) -> None:
-        """Redirect the waiting requests to the shard's new owner."""
+        """Redirect the queued requests to the shard's new owner."""
         for item in list(shard.discipline.list_waiting()):
             shard.discipline.remove(item.request_id)
             moved = PermitRedirect(item.request_id, shard.rule.name)
--- a/cornelnotch/routing/permits.py
+++ b/cornelnotch/routing/permits.py
@@ -148,7 +148,7 @@
                         settled = True
                         return Failure(reply)
                     await self._clock.sleep(OUTDATED_CONFIGURATION_WAIT_MS)
-                # PermitMoved names no successor: this host's own ranking does.
+                # PermitRedirect names no successor: this host's own ranking does.
                 # Any dispatcher accepts a PermitAsk with hops > 0.
                 moves += isinstance(reply, PermitRedirect)
                 timeouts += reply is None
