--- a/cornelnotch/gateway/admission_client.py
+++ b/cornelnotch/gateway/admission_client.py
@@ -7,7 +7,7 @@
 
 from cornelnotch.gateway.models import CallerRequest, PromptPart
 from cornelnotch.gateway.retry_after import is_infeasible
-from cornelnotch.gateway.servers import Flight, ServerView
+from cornelnotch.gateway.servers import InFlightRequest, ServerView
 from cornelnotch.kernel.clock import Clock
 from cornelnotch.kernel.hashing import select_owner
 from cornelnotch.wire import PeerNetwork
@@ -56,7 +56,7 @@
     own_tokens: int
     coordinator: str
     view: ServerView
-    flight: Flight
+    in_flight: InFlightRequest
     arrived_ms: float = 0.0
     wait_limit_ms: float = float("inf")
     gap_ms: float = 0.0
@@ -100,7 +100,7 @@
         self,
         request: CallerRequest,
         view: ServerView,
-        flight: Flight,
+        in_flight: InFlightRequest,
         arrived_ms: float,
         wait_limit_ms: float,
         gap_ms: float = 0.0,
@@ -114,7 +114,7 @@
         wants the first event within `target_ms`. During the wait,
         `has_better_server` is polled for whether another engine is clearly better.
         """
-        state = self._open_state(request, view, flight)
+        state = self._open_state(request, view, in_flight)
         state.has_better_server = has_better_server
         state.gap_ms = gap_ms
         state.target_ms = target_ms
@@ -139,16 +139,16 @@
                 if result is not None:
                     return result
 
-    def report_prefilled(self, flight: Flight) -> None:
+    def report_prefilled(self, in_flight: InFlightRequest) -> None:
         """Report that the engine has finished the prefill."""
-        state = self._states.get(flight.request_id)
+        state = self._states.get(in_flight.request_id)
         if state is not None:
             state.prefilled = True
             self._send_ask(state, "begun")
 
-    def report_end(self, flight: Flight) -> None:
+    def report_end(self, in_flight: InFlightRequest) -> None:
         """Report that the request has ended or was cancelled."""
-        state = self._states.pop(flight.request_id, None)
+        state = self._states.pop(in_flight.request_id, None)
         if state is not None:
             self._send_end(state)
 
@@ -169,14 +169,14 @@
         self,
         request: CallerRequest,
         view: ServerView,
-        flight: Flight,
+        in_flight: InFlightRequest,
     ) -> AdmissionState:
         now = self._clock.read()
         shared = list(request.prompt[:-1])
         own = request.prompt_tokens - sum(part.tokens for part in shared)
         coordinator = self._find_coordinator(view)
         name = request.request_id
-        state = AdmissionState(name, shared, max(own, 0), coordinator, view, flight)
+        state = AdmissionState(name, shared, max(own, 0), coordinator, view, in_flight)
         state.answered_ms = state.sent_ms = now
         self._states[name] = state
         return state
@@ -208,7 +208,7 @@
         return True
 
     def _send_end(self, state: AdmissionState) -> None:
-        progress = state.flight.take_progress()
+        progress = state.in_flight.take_progress()
         end = AdmissionEnd(state.request_id, state.view.record.name, progress)
         self._peers.send(state.coordinator, end)
 
@@ -224,13 +224,13 @@
         ask = AdmissionRequest(
             state.request_id,
             state.view.record.name,
-            state.flight.priority,
+            state.in_flight.priority,
             state.shared,
             state.own_tokens,
             round(now - state.arrived_ms, 1),
             stage,
             state.gap_ms,
-            state.flight.take_progress(),
+            state.in_flight.take_progress(),
             state.target_ms,
         )
         self._peers.send(state.coordinator, ask)
@@ -256,15 +256,15 @@
     def _receive_grant(self, sender: str, grant: AdmissionGrant) -> None:
         state = self._note_answer(sender, grant.request_id, grant.server)
         if state is not None:
-            state.flight.prefill_tokens = grant.unread
+            state.in_flight.prefill_tokens = grant.unread
             state.granted = True
             state.decided.set()
 
     def _receive_wait(self, sender: str, wait: AdmissionQueued) -> None:
         state = self._note_answer(sender, wait.request_id, wait.server)
         if state is not None:
-            state.flight.prefill_tokens = wait.unread
-            state.flight.wait_ms = wait.wait_ms
+            state.in_flight.prefill_tokens = wait.unread
+            state.in_flight.wait_ms = wait.wait_ms
             left_ms = state.wait_limit_ms - (state.answered_ms - state.arrived_ms)
             if is_infeasible(wait.wait_ms, left_ms) and not state.granted:
                 state.decided.set()
--- a/cornelnotch/gateway/admission_controller.py
+++ b/cornelnotch/gateway/admission_controller.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass
 
 from cornelnotch.gateway.admission_queue import AdmissionQueue, QueueEntry
+from cornelnotch.gateway.context import GatewayContext
 from cornelnotch.gateway.engine_estimates import EngineEstimate
-from cornelnotch.gateway.parts import GatewayParts
 from cornelnotch.gateway.servers import ServerView
 from cornelnotch.wire import PeerNetwork
 from cornelnotch.wire.messages import (
@@ -40,8 +40,8 @@
 class AdmissionController:
     """Admission queues of engines; answers requests of hosts with grants."""
 
-    def __init__(self, parts: GatewayParts, peers: PeerNetwork) -> None:
-        self._parts = parts
+    def __init__(self, context: GatewayContext, peers: PeerNetwork) -> None:
+        self._context = context
         self._peers = peers
         self._queues: dict[str, EngineQueue] = {}
         peers.subscribe(AdmissionRequest, self._receive_ask)
@@ -57,7 +57,7 @@
         )
 
     def _receive_ask(self, sender: str, ask: AdmissionRequest) -> None:
-        now = self._parts.clock.read()
+        now = self._context.clock.read()
         engine_queue = self._find_engine_queue(ask.server)
         request = QueueEntry(
             ask.request_id,
@@ -94,14 +94,14 @@
         engine_queue = self._queues.get(end.server)
         if engine_queue is not None:
             if end.progress is not None:
-                now = self._parts.clock.read()
+                now = self._context.clock.read()
                 engine_queue.queue.record_progress(end.request_id, end.progress, now)
             engine_queue.queue.remove(end.request_id)
             self._grant_waiting(end.server, engine_queue)
 
     def _find_engine_queue(self, server: str) -> EngineQueue:
         engine_queue = self._queues.get(server)
-        view = self._parts.pool.servers.get(server)
+        view = self._context.pool.servers.get(server)
         boot_ms = view.record.boot_ms if view else UNKNOWN_BOOT_MS
         # A lapsed record does not show that the engine has restarted.
         if engine_queue is not None and boot_ms in {
@@ -119,7 +119,7 @@
 
     def _drop_unlisted(self) -> None:
         """Drop queues of unlisted engines without waiting or running requests."""
-        listed = self._parts.pool.servers
+        listed = self._context.pool.servers
         for name, engine_queue in list(self._queues.items()):
             if name not in listed and not engine_queue.queue.entries:
                 del self._queues[name]
@@ -127,10 +127,10 @@
     def _create_queue(self, server: str, view: ServerView | None) -> AdmissionQueue:
         if view is None:
             return AdmissionQueue(UNKNOWN_SLOTS, UNKNOWN_CACHE_TOKENS)
-        service = self._parts.table.services.get(view.record.service)
+        service = self._context.table.services.get(view.record.service)
         engine = service.engine if service else None
-        tokens = engine.tokens if engine else UNKNOWN_CACHE_TOKENS
-        usual = self._parts.engine_rates.get_average(view.record.service)
+        tokens = engine.cache_tokens if engine else UNKNOWN_CACHE_TOKENS
+        usual = self._context.engine_rates.get_average(view.record.service)
         estimate = EngineEstimate(server, usual)
         return AdmissionQueue(view.record.slots, tokens, estimate)
 
@@ -142,7 +142,7 @@
 
     def _grant_waiting(self, server: str, engine_queue: EngineQueue) -> None:
         """Grant the requests for which there is room and schedule the next check."""
-        now = self._parts.clock.read()
+        now = self._context.clock.read()
         engine_queue.queue.remove_expired(now)
         for queue_entry in engine_queue.queue.grant(now):
             self._send_grant(server, queue_entry)
--- a/cornelnotch/gateway/backups.py
+++ b/cornelnotch/gateway/backups.py
@@ -13,7 +13,7 @@
 from cornelnotch.gateway.servers import ServerView
 from cornelnotch.kernel.hashing import rank_owners
 
-__all__ = ["ExposureBook", "choose_backup", "is_worth_backup"]
+__all__ = ["ExposureTracker", "choose_backup", "is_worth_backup"]
 
 # A copy pays off for streams that last this long per token of their prompt.
 MIN_EXPOSURE_MS_PER_TOKEN = 1.0
@@ -29,13 +29,13 @@
     tokens: float
 
 
-class ExposureBook:
+class ExposureTracker:
     """Moving averages of the exposure of each route's streams."""
 
     def __init__(self) -> None:
         self._routes: dict[str, Exposure] = {}
 
-    def note(self, route: str, stream_ms: float, tokens: int) -> None:
+    def record(self, route: str, stream_ms: float, tokens: int) -> None:
         """Update the averages with a stream that has ended."""
         average = self._routes.setdefault(route, Exposure(stream_ms, tokens))
         average.stream_ms += NEWEST_WEIGHT * (stream_ms - average.stream_ms)
--- a/cornelnotch/gateway/spreading.py
+++ b/cornelnotch/gateway/broadcast.py
@@ -8,10 +8,10 @@
 from cornelnotch.membership import MemberTable
 from cornelnotch.wire import PeerNetwork
 
-__all__ = ["Spreader"]
+__all__ = ["Broadcaster"]
 
 
-class Spreader:
+class Broadcaster:
     """Send messages to many hosts along a relay tree by region."""
 
     def __init__(
@@ -26,7 +26,7 @@
         self._regions = regions
         self._generator = generator
 
-    def spread(
+    def broadcast(
         self, names: Collection[str], create: Callable[[list[str]], Any]
     ) -> None:
         """Send `create(targets)`, with the hosts that the receiver must relay it to."""
@@ -38,4 +38,4 @@
         place = self._table.local_member.place
         own_region = self._regions.get(place, place)
         for branch in split_targets(shuffled, own_region, regions):
-            self._peers.send(branch.head, create(branch.rest))
+            self._peers.send(branch.head, create(branch.others))
--- a/cornelnotch/gateway/parts.py
+++ b/cornelnotch/gateway/context.py
@@ -7,12 +7,12 @@
 import orjson
 
 from cornelnotch.gateway.admission_client import AdmissionClient
-from cornelnotch.gateway.backups import ExposureBook, choose_backup, is_worth_backup
-from cornelnotch.gateway.dialect import Dialect
+from cornelnotch.gateway.backups import ExposureTracker, choose_backup, is_worth_backup
 from cornelnotch.gateway.engine_rates import EngineRateTable
+from cornelnotch.gateway.header_codec import HeaderCodec
 from cornelnotch.gateway.models import CallerLimits, CallerRequest, Route, RoutingTable
 from cornelnotch.gateway.placement import Placer
-from cornelnotch.gateway.relay import Source
+from cornelnotch.gateway.relay import ReaderCandidate
 from cornelnotch.gateway.reservation import (
     choose_reserved,
     find_latency_sensitive_gap_ms,
@@ -20,7 +20,7 @@
 from cornelnotch.gateway.retry_budget import RetryBudget
 from cornelnotch.gateway.servers import ServerPool, ServerView
 from cornelnotch.gateway.settings import HostSettings
-from cornelnotch.gateway.starting import Startup
+from cornelnotch.gateway.startup import Startup
 from cornelnotch.kernel.clock import Clock
 from cornelnotch.kernel.events import EventLog
 from cornelnotch.kernel.hashing import hash_text
@@ -28,7 +28,7 @@
 from cornelnotch.web import Exchange, HttpClient
 from cornelnotch.wire import PeerNetwork
 
-__all__ = ["GatewayParts"]
+__all__ = ["GatewayContext"]
 
 NO_VERSION = -1
 
@@ -42,7 +42,7 @@
     names: frozenset[str]
 
 
-class GatewayParts:
+class GatewayContext:
     """Components and state that the requests of one host share."""
 
     def __init__(
@@ -50,28 +50,28 @@
         settings: HostSettings,
         clock: Clock,
         events: EventLog,
-        dialect: Dialect,
+        header_codec: HeaderCodec,
         client: HttpClient,
         peers: PeerNetwork,
     ) -> None:
         self.settings = settings
         self.clock = clock
         self.events = events
-        self.dialect = dialect
+        self.header_codec = header_codec
         self.client = client
         self.metrics = NodeMetrics(settings.host.name, clock)
         self.startup = Startup(clock)
         self.pool = ServerPool()
         self.engine_rates = EngineRateTable()
-        self.exposures = ExposureBook()
+        self.exposures = ExposureTracker()
         self.placer = Placer(settings.host.domain, settings.regions, self.engine_rates)
         self.table = RoutingTable(NO_VERSION, {}, {}, None, CallerLimits())
         self.generator = random.Random(settings.host.name)
-        self.hosts: list[Source] = []
+        self.hosts: list[ReaderCandidate] = []
         self.admission = AdmissionClient(
             peers, clock, self._list_nearby_hosts, self.accepts
         )
-        self.tell_leaving: Callable[[str, int], None] = lambda server, boot_ms: None
+        self.announce_leaving: Callable[[str, int], None] = lambda server, boot_ms: None
         self._reserved: dict[str, ReservedEngines] = {}
         self._gaps: dict[str, float] = {}
         self._gaps_version = NO_VERSION
@@ -93,7 +93,7 @@
         budget.host_count = max(len(self.hosts), 1)
         return budget
 
-    def set_hosts(self, hosts: list[Source]) -> None:
+    def set_hosts(self, hosts: list[ReaderCandidate]) -> None:
         """Replace the list of hosts that serve callers."""
         self.hosts = hosts
         self.admission.reset_controllers()
@@ -173,5 +173,5 @@
         retry_after_ms: float | None,
     ) -> None:
         """Send an error response created by the gateway itself."""
-        pairs = self.dialect.create_refusal_pairs(request, retry_after_ms)
-        await exchange.respond(status, pairs, orjson.dumps({"error": reason}))
+        headers = self.header_codec.create_refusal_headers(request, retry_after_ms)
+        await exchange.respond(status, headers, orjson.dumps({"error": reason}))
--- a/cornelnotch/gateway/dispatch.py
+++ b/cornelnotch/gateway/dispatch.py
@@ -6,11 +6,11 @@
 import h11
 
 from cornelnotch.exceptions import UpstreamError, UpstreamUnreachableError
-from cornelnotch.gateway.dialect import AnswerHead, Dialect, DispatchTerms
-from cornelnotch.gateway.models import CallerRequest, Pairs
-from cornelnotch.web import HttpAnswer, HttpClient
+from cornelnotch.gateway.header_codec import DispatchOptions, HeaderCodec, ResponseHead
+from cornelnotch.gateway.models import CallerRequest, Headers
+from cornelnotch.web import HttpClient, HttpResponse
 
-__all__ = ["Answer", "DispatchOutcome", "open_answer"]
+__all__ = ["UpstreamResponse", "DispatchOutcome", "open_response"]
 
 STATUS_OK = 200
 STATUS_SERVER_ERROR = 500
@@ -30,83 +30,89 @@
 
 
 @dataclass(slots=True)
-class Answer:
+class UpstreamResponse:
     """An open answer, or the reason why there is none."""
 
     outcome: DispatchOutcome
     reason: str = ""
-    head: AnswerHead | None = None
-    source: HttpAnswer | None = None
+    head: ResponseHead | None = None
+    http_response: HttpResponse | None = None
 
     @property
-    def pairs(self) -> Pairs:
+    def headers(self) -> Headers:
         """Return the headers to forward."""
-        return self.head.pairs if self.head is not None else []
+        return self.head.headers if self.head is not None else []
 
-    async def read_part(self) -> bytes:
+    async def read_chunk(self) -> bytes:
         """Return the next part of the body, or b"" at its end.
 
         Raise UpstreamError when the body breaks off. Cancelling a call loses no data.
         """
-        assert self.source is not None
-        return await self.source.read_part()
+        assert self.http_response is not None
+        return await self.http_response.read_chunk()
 
     async def read_start(self, limit_bytes: int) -> bytes:
         """Return the whole body, or its start once that exceeds `limit_bytes`."""
-        parts = []
+        chunks = []
         size = 0
-        while size <= limit_bytes and (part := await self.read_part()):
-            parts.append(part)
-            size += len(part)
-        return b"".join(parts)
+        while size <= limit_bytes and (chunk := await self.read_chunk()):
+            chunks.append(chunk)
+            size += len(chunk)
+        return b"".join(chunks)
 
-    def is_whole(self) -> bool:
+    def is_complete(self) -> bool:
         """Return whether the body has been read to its end."""
-        return self.source is not None and self.source.complete
+        return self.http_response is not None and self.http_response.complete
 
     def close(self) -> None:
         """Discard the rest of the answer and close the connection to the server."""
-        if self.source is not None:
-            self.source.close()
+        if self.http_response is not None:
+            self.http_response.close()
 
 
-async def open_answer(
+async def open_response(
     client: HttpClient,
-    dialect: Dialect,
+    header_codec: HeaderCodec,
     address: str,
     request: CallerRequest,
-    terms: DispatchTerms,
+    options: DispatchOptions,
     fresh: bool,
-) -> Answer:
+) -> UpstreamResponse:
     """Send the request and return the classified head of the answer."""
-    pairs = dialect.create_pairs(request, terms)
+    headers = header_codec.create_dispatch_headers(request, options)
     if request.body or request.method not in {"GET", "HEAD"}:
-        pairs.append((b"content-length", str(len(request.body)).encode()))
-    head = h11.Request(method=request.method, target=request.target, headers=pairs)
+        headers.append((b"content-length", str(len(request.body)).encode()))
+    head = h11.Request(method=request.method, target=request.target, headers=headers)
     try:
-        source = await client.send(address, head, request.body, fresh)
+        http_response = await client.send(address, head, request.body, fresh)
     except UpstreamUnreachableError as error:
-        return Answer(DispatchOutcome.NOT_SENT, error.problem)
+        return UpstreamResponse(DispatchOutcome.NOT_SENT, error.problem)
     except UpstreamError as error:
-        return Answer(DispatchOutcome.BROKEN, error.problem)
-    return classify_answer(dialect, request, source)
+        return UpstreamResponse(DispatchOutcome.BROKEN, error.problem)
+    return classify_response(header_codec, request, http_response)
 
 
-def classify_answer(
-    dialect: Dialect, request: CallerRequest, source: HttpAnswer
-) -> Answer:
+def classify_response(
+    header_codec: HeaderCodec, request: CallerRequest, http_response: HttpResponse
+) -> UpstreamResponse:
     """Classify an answer by its head."""
-    head = dialect.read_answer(source.status, source.pairs)
+    head = header_codec.read_response(http_response.status, http_response.raw_headers)
     if head.request_id and head.request_id != request.request_id:
-        source.close()
-        return Answer(
+        http_response.close()
+        return UpstreamResponse(
             DispatchOutcome.BROKEN, "the answer belongs to another request", head
         )
     if head.not_run:
-        return Answer(DispatchOutcome.REFUSED, f"status {head.status}", head, source)
+        return UpstreamResponse(
+            DispatchOutcome.REFUSED, f"status {head.status}", head, http_response
+        )
     if not head.signed:
-        source.close()
-        return Answer(DispatchOutcome.BROKEN, "the answer has no signature", head)
+        http_response.close()
+        return UpstreamResponse(
+            DispatchOutcome.BROKEN, "the answer has no signature", head
+        )
     if head.status >= STATUS_SERVER_ERROR:
-        return Answer(DispatchOutcome.FAILED, f"status {head.status}", head, source)
-    return Answer(DispatchOutcome.DONE, "", head, source)
+        return UpstreamResponse(
+            DispatchOutcome.FAILED, f"status {head.status}", head, http_response
+        )
+    return UpstreamResponse(DispatchOutcome.DONE, "", head, http_response)
--- a/cornelnotch/gateway/follower.py
+++ b/cornelnotch/gateway/follower.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 
 from cornelnotch.exceptions import LogTrimmedError, LogUnavailableError
+from cornelnotch.gateway.broadcast import Broadcaster
 from cornelnotch.gateway.records import (
     NO_TIMELINE,
     KeyedView,
@@ -14,11 +15,10 @@
     RecordSource,
 )
 from cornelnotch.gateway.relay import RelayPlan
-from cornelnotch.gateway.spreading import Spreader
 from cornelnotch.kernel.clock import Clock
 from cornelnotch.kernel.events import Event, EventLog
 from cornelnotch.wire import PeerNetwork
-from cornelnotch.wire.messages import RecordFetch, RecordItem, RecordNews
+from cornelnotch.wire.messages import RecordFetch, RecordItem, RecordUpdates
 
 __all__ = ["CONFIGURATION", "SERVERS", "RecordFollower"]
 
@@ -41,9 +41,9 @@
 # After a gap of this length, lapsed entries may be about to be written again.
 OUTAGE_MS = 2000.0
 # Time after entering a timeline during which records held from before are announced.
-ANNOUNCE_HELD_MS = 60_000.0
+ANNOUNCE_OLDER_MS = 60_000.0
 # Expected number of hosts that send a reader the held records it does not announce.
-HELD_SENDERS = 3
+OLDER_RECORDS_SENDERS = 3
 MAX_VALUE_BYTES = 8 * 1024 * 1024
 
 Listener = Callable[[str, bool], None]
@@ -59,7 +59,7 @@
         source: RecordSource,
         peers: PeerNetwork,
         plan: RelayPlan,
-        spreader: Spreader,
+        broadcaster: Broadcaster,
         list_hosts: Callable[[], list[str]],
         generator: random.Random,
     ) -> None:
@@ -69,7 +69,7 @@
         self._source = source
         self._peers = peers
         self._plan = plan
-        self._spreader = spreader
+        self._broadcaster = broadcaster
         self._list_hosts = list_hosts
         self._generator = generator
         self._timeline = NO_TIMELINE
@@ -80,7 +80,7 @@
         self._fetched_ms = {topic: float("-inf") for topic in TOPICS}
         self._listener: Listener = lambda topic, after_outage: None
         self._unavailable_listener: Callable[[], None] = lambda: None
-        peers.subscribe(RecordNews, self._receive_news)
+        peers.subscribe(RecordUpdates, self._receive_updates)
         peers.subscribe(RecordFetch, self._receive_fetch)
 
     def subscribe(self, listener: Listener) -> None:
@@ -96,11 +96,11 @@
         """Return the latest known timeline of the store."""
         return self._timeline
 
-    def count_held(self) -> int:
+    def count_older_records(self) -> int:
         """Return the number of records of older timelines not yet written again."""
-        return sum(len(view.held) for view in self.views.values())
+        return sum(len(view.older_records) for view in self.views.values())
 
-    def has_read(self) -> bool:
+    def is_initialized(self) -> bool:
         """Return whether every topic has been read, here or by another host."""
         return all(view.head >= 0 for view in self.views.values())
 
@@ -176,12 +176,15 @@
         before = self._timeline
         self._timeline = timeline
         self._entered_ms = self._clock.read()
-        restored = [view.enter(timeline) for view in self.views.values()]
+        restored = [view.enter_timeline(timeline) for view in self.views.values()]
         if not any(restored):
             return
-        held = sum(len(view.held) for view in self.views.values())
+        older_count = sum(len(view.older_records) for view in self.views.values())
         self._events.record(
-            Event.LOG_TIMELINE_ENTERED, timeline=timeline, before=before, held=held
+            Event.LOG_TIMELINE_ENTERED,
+            timeline=timeline,
+            before=before,
+            held=older_count,
         )
 
     def _create_outdated_error(self, timeline: int) -> LogUnavailableError:
@@ -206,9 +209,9 @@
         now = self._clock.read()
         view = self.views[topic]
         after_outage = (
-            view.awaits_reading or self._plan.read_age(topic, now) > OUTAGE_MS
+            view.needs_full_read or self._plan.find_age_ms(topic, now) > OUTAGE_MS
         )
-        self._plan.note_age(origin, topic, age_ms, now)
+        self._plan.record_age(origin, topic, age_ms, now)
         if whole:
             before = view.records
             is_first = view.head < 0
@@ -221,12 +224,12 @@
 
     def _publish(self, topic: str, start: int, page: RecordPage) -> None:
         """Publish the records just read, or that nothing has changed."""
-        if not self._plan.must_tell(self._clock.read()):
+        if not self._plan.must_publish(self._clock.read()):
             return
         items = [_pack(record) for record in page.records]
         whole = start < 0
-        self._send_news(
-            RecordNews(
+        self._send_updates(
+            RecordUpdates(
                 self._plan.name,
                 topic,
                 max(start, 0),
@@ -236,79 +239,86 @@
                 items,
                 [],
                 self.views[topic].timeline,
-                self._list_held(topic),
+                self._list_older_records(topic),
             ),
             self._list_hosts(),
         )
 
-    def _list_held(self, topic: str) -> list[RecordItem]:
+    def _list_older_records(self, topic: str) -> list[RecordItem]:
         """Return the held records that hosts started since the restoration may lack."""
         view = self.views[topic]
-        if not view.held or self._clock.read() - self._entered_ms > ANNOUNCE_HELD_MS:
+        if (
+            not view.older_records
+            or self._clock.read() - self._entered_ms > ANNOUNCE_OLDER_MS
+        ):
             return []
-        return [_pack(record) for record in view.held.values()]
+        return [_pack(record) for record in view.older_records.values()]
 
     def _publish_age(self, topic: str) -> None:
         """Publish the age of this host's replica so that other hosts read instead."""
         now = self._clock.read()
         head = self.views[topic].head
-        if head < 0 or not self._plan.must_tell(now):
+        if head < 0 or not self._plan.must_publish(now):
             return
-        age_ms = min(self._plan.read_age(topic, now), 1e9)
+        age_ms = min(self._plan.find_age_ms(topic, now), 1e9)
         timeline = self.views[topic].timeline
-        news = RecordNews(
+        updates = RecordUpdates(
             self._plan.name, topic, head, head, age_ms, False, [], [], timeline
         )
-        self._send_news(news, self._list_hosts())
+        self._send_updates(updates, self._list_hosts())
 
-    def _send_news(self, news: RecordNews, names: list[str]) -> None:
-        self._spreader.spread(names, lambda rest: replace(news, targets=rest))
+    def _send_updates(self, updates: RecordUpdates, names: list[str]) -> None:
+        self._broadcaster.broadcast(
+            names, lambda targets: replace(updates, targets=targets)
+        )
 
-    def _receive_news(self, sender: str, news: RecordNews) -> None:
-        self._send_news(news, news.targets)
-        if news.topic not in self.views or news.origin == self._plan.name:
+    def _receive_updates(self, sender: str, updates: RecordUpdates) -> None:
+        self._send_updates(updates, updates.targets)
+        if updates.topic not in self.views or updates.origin == self._plan.name:
             return
-        if news.timeline < self._timeline:
+        if updates.timeline < self._timeline:
             return
-        self._enter_timeline(news.timeline)
-        view = self.views[news.topic]
+        self._enter_timeline(updates.timeline)
+        view = self.views[updates.topic]
         now = self._clock.read()
-        if news.held:
-            view.hold(_unpack(item) for item in news.held)
-            self._listener(news.topic, False)
-        elif news.topic == CONFIGURATION:
-            self._send_held(news.origin)
-        if news.whole and news.end < view.head:
+        if updates.held:
+            view.add_older_records(_unpack(item) for item in updates.held)
+            self._listener(updates.topic, False)
+        elif updates.topic == CONFIGURATION:
+            self._send_older_records(updates.origin)
+        if updates.whole and updates.end < view.head:
             return
-        if not news.whole and (view.head < news.start or view.head < 0):
-            self._plan.note_age(news.origin, news.topic, news.age_ms, now)
-            self._send_fetch(news.topic, news.origin)
+        if not updates.whole and (view.head < updates.start or view.head < 0):
+            self._plan.record_age(updates.origin, updates.topic, updates.age_ms, now)
+            self._send_fetch(updates.topic, updates.origin)
             return
-        records = [_unpack(item) for item in news.items]
-        page = RecordPage(records, news.end, news.end)
-        self._apply_page(news.origin, news.topic, page, news.age_ms, news.whole)
+        records = [_unpack(item) for item in updates.items]
+        page = RecordPage(records, updates.end, updates.end)
+        self._apply_page(
+            updates.origin, updates.topic, page, updates.age_ms, updates.whole
+        )
 
-    def _send_held(self, host: str) -> None:
+    def _send_older_records(self, host: str) -> None:
         """Send held records to a reader that may have started during the outage."""
-        held = self._list_held(CONFIGURATION)
-        share = HELD_SENDERS / max(len(self._list_hosts()), 1)
-        if not held or self._generator.random() > share:
+        older_records = self._list_older_records(CONFIGURATION)
+        share = OLDER_RECORDS_SENDERS / max(len(self._list_hosts()), 1)
+        if not older_records or self._generator.random() > share:
             return
         view = self.views[CONFIGURATION]
         start = max(view.head, 0)
-        news = RecordNews(
+        updates = RecordUpdates(
             self._plan.name,
             CONFIGURATION,
             start,
             start,
-            min(self._plan.read_age(CONFIGURATION, self._clock.read()), 1e9),
+            min(self._plan.find_age_ms(CONFIGURATION, self._clock.read()), 1e9),
             False,
             [],
             [],
             view.timeline,
-            held,
+            older_records,
         )
-        self._peers.send(host, news)
+        self._peers.send(host, updates)
 
     def _receive_fetch(self, sender: str, fetch: RecordFetch) -> None:
         view = self.views.get(fetch.topic)
@@ -317,11 +327,11 @@
         if fetch.timeline == view.timeline and view.head < fetch.head:
             return
         now = self._clock.read()
-        age_ms = self._plan.read_age(fetch.topic, now)
+        age_ms = self._plan.find_age_ms(fetch.topic, now)
         items = [_pack(record) for record in view.records.values()]
         self._peers.send(
             fetch.host,
-            RecordNews(
+            RecordUpdates(
                 self._plan.name,
                 fetch.topic,
                 0,
@@ -331,7 +341,7 @@
                 items,
                 [],
                 view.timeline,
-                self._list_held(fetch.topic),
+                self._list_older_records(fetch.topic),
             ),
         )
 
--- a/cornelnotch/gateway/passing.py
+++ b/cornelnotch/gateway/forwarding.py
@@ -4,30 +4,30 @@
 from collections.abc import Callable
 
 from cornelnotch.exceptions import UpstreamError, UpstreamStalledError
-from cornelnotch.gateway.dispatch import Answer
-from cornelnotch.gateway.servers import Flight
+from cornelnotch.gateway.dispatch import UpstreamResponse
+from cornelnotch.gateway.servers import InFlightRequest
 from cornelnotch.kernel.clock import Clock
 from cornelnotch.web import Exchange
 
-__all__ = ["MAX_HELD_BYTES", "EventReader", "pass_body"]
+__all__ = ["MAX_BUFFERED_BYTES", "EventReader", "forward_body"]
 
 # A body up to this size is buffered, so that another server can be tried if it breaks
 # off. A larger one is streamed, up to the second size.
-MAX_HELD_BYTES = 256 * 1024
+MAX_BUFFERED_BYTES = 256 * 1024
 MAX_BODY_BYTES = 64 * 1024 * 1024
 
 
-async def pass_body(answer: Answer, exchange: Exchange) -> None:
+async def forward_body(response: UpstreamResponse, exchange: Exchange) -> None:
     """Forward a complete response; raise UpstreamError if it is cut off or too large.
 
     Nothing was sent to the caller as long as `exchange` has not started.
     """
-    assert answer.head is not None
-    body = await answer.read_start(MAX_HELD_BYTES)
-    if answer.is_whole():
-        await exchange.respond(answer.head.status, answer.pairs, body)
+    assert response.head is not None
+    body = await response.read_start(MAX_BUFFERED_BYTES)
+    if response.is_complete():
+        await exchange.respond(response.head.status, response.headers, body)
         return
-    await exchange.start(answer.head.status, answer.pairs)
+    await exchange.start(response.head.status, response.headers)
     size = 0
     while body:
         size += len(body)
@@ -36,7 +36,7 @@
                 f"response body exceeds {MAX_BODY_BYTES} bytes", "check the server"
             )
         await exchange.send(body)
-        body = await answer.read_part()
+        body = await response.read_chunk()
     await exchange.finish()
 
 
@@ -49,14 +49,14 @@
 
     def __init__(
         self,
-        answer: Answer,
-        flight: Flight,
+        response: UpstreamResponse,
+        request: InFlightRequest,
         clock: Clock,
         stall_s: float | None,
         can_resume_elsewhere: Callable[[], bool],
     ) -> None:
-        self._answer = answer
-        self._flight = flight
+        self._response = response
+        self._request = request
         self._clock = clock
         self._stall_s = stall_s
         self._can_resume_elsewhere = can_resume_elsewhere
@@ -64,7 +64,7 @@
     async def read(self) -> bytes:
         """Return the next bytes, empty at the end; raise UpstreamError on failure."""
         if self._stall_s is None:
-            return await self._answer.read_part()
+            return await self._response.read_chunk()
         while True:
             remaining_s = self._compute_remaining_s(self._stall_s)
             if remaining_s <= 0 and self._can_resume_elsewhere():
@@ -75,10 +75,10 @@
                 async with asyncio.timeout(
                     remaining_s if remaining_s > 0 else self._stall_s
                 ):
-                    return await self._answer.read_part()
+                    return await self._response.read_chunk()
             except TimeoutError:
                 continue
 
     def _compute_remaining_s(self, stall_s: float) -> float:
-        last_event_ms = self._flight.event_ms or self._flight.first_ms
+        last_event_ms = self._request.event_ms or self._request.first_ms
         return stall_s - (self._clock.read() - last_event_ms) / 1000.0
--- a/cornelnotch/gateway/front.py
+++ b/cornelnotch/gateway/frontend.py
@@ -3,24 +3,24 @@
 from urllib.parse import urlsplit
 
 from cornelnotch.exceptions import CallerGoneError, RequestError
+from cornelnotch.gateway.context import NO_VERSION, GatewayContext
 from cornelnotch.gateway.flow import RequestFlow
 from cornelnotch.gateway.models import CallerRequest
-from cornelnotch.gateway.parts import NO_VERSION, GatewayParts
 from cornelnotch.kernel.events import Event
 from cornelnotch.web import Exchange
 
-__all__ = ["RequestHandler"]
+__all__ = ["Frontend"]
 
 STATUS_UNAUTHORIZED = 401
 STATUS_NOT_FOUND = 404
 STATUS_UNAVAILABLE = 503
 
 
-class RequestHandler:
+class Frontend:
     """Handle all caller requests of one host."""
 
-    def __init__(self, parts: GatewayParts) -> None:
-        self._parts = parts
+    def __init__(self, context: GatewayContext) -> None:
+        self._context = context
         self.active = 0
 
     async def handle(self, exchange: Exchange) -> None:
@@ -29,38 +29,42 @@
         try:
             await self._route(exchange)
         except RequestError as error:
-            if exchange.started:
+            if exchange.response_started:
                 raise CallerGoneError(
                     "the request broke off", "send the request again"
                 ) from error
-            self._parts.events.record(
+            self._context.events.record(
                 Event.REQUEST_MALFORMED, kind=error.kind, path=exchange.path
             )
-            await self._parts.refuse(exchange, None, error.status, str(error), None)
+            await self._context.refuse(exchange, None, error.status, str(error), None)
         finally:
             self.active -= 1
 
     async def _route(self, exchange: Exchange) -> None:
-        parts = self._parts
-        arrived_ms = parts.clock.read()
-        request = parts.dialect.read_request(
-            exchange.method, exchange.target, exchange.pairs
+        context = self._context
+        arrived_ms = context.clock.read()
+        request = context.header_codec.read_request(
+            exchange.method, exchange.target, exchange.raw_headers
         )
-        if not await parts.startup.wait():
+        if not await context.startup.wait():
             await self._refuse_not_ready(exchange, request, arrived_ms)
             return
-        table = parts.table
+        table = context.table
         route = table.find_route(request.host, urlsplit(request.target).path)
         if route is None:
             await self._refuse(exchange, request, STATUS_NOT_FOUND, "no-route")
             return
         workspace = table.find_workspace(request.key) if request.key else None
-        if workspace is None and table.workspaces is not None and not route.open:
+        if (
+            workspace is None
+            and table.workspaces is not None
+            and not route.is_anonymous
+        ):
             await self._refuse(exchange, request, STATUS_UNAUTHORIZED, "unknown-key")
             return
         request.body = await exchange.read_body(table.limits.body_bytes)
-        flow = RequestFlow(parts, exchange, request, route, workspace, arrived_ms)
-        parts.events.record(
+        flow = RequestFlow(context, exchange, request, route, workspace, arrived_ms)
+        context.events.record(
             Event.REQUEST_ROUTED,
             request_id=request.request_id,
             route=route.name,
@@ -69,17 +73,17 @@
             deadline_ms=request.deadline_ms,
             version=table.version,
         )
-        parts.find_retry_budget(flow.service).record_request(arrived_ms)
+        context.find_retry_budget(flow.service).record_request(arrived_ms)
         await flow.run()
 
     async def _refuse_not_ready(
         self, exchange: Exchange, request: CallerRequest, arrived_ms: float
     ) -> None:
-        is_configured = self._parts.table.version != NO_VERSION
+        is_configured = self._context.table.version != NO_VERSION
         reason = "no-servers" if is_configured else "no-configuration"
-        waited_ms = self._parts.clock.read() - arrived_ms
+        waited_ms = self._context.clock.read() - arrived_ms
         left_ms = max(request.deadline_ms - waited_ms, 0.0)
-        retry_ms = self._parts.startup.choose_retry_after_ms(left_ms)
+        retry_ms = self._context.startup.choose_retry_after_ms(left_ms)
         await self._refuse(exchange, request, STATUS_UNAVAILABLE, reason, retry_ms)
 
     async def _refuse(
@@ -90,12 +94,12 @@
         reason: str,
         retry_ms: float | None = None,
     ) -> None:
-        self._parts.events.record(
+        self._context.events.record(
             Event.REQUEST_REFUSED,
             request_id=request.request_id,
             status=status,
             reason=reason,
-            version=self._parts.table.version,
+            version=self._context.table.version,
             retry_after_ms=retry_ms,
         )
-        await self._parts.refuse(exchange, request, status, reason, retry_ms)
+        await self._context.refuse(exchange, request, status, reason, retry_ms)
--- a/cornelnotch/gateway/dialect.py
+++ b/cornelnotch/gateway/header_codec.py
@@ -3,13 +3,13 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
-from cornelnotch.gateway.models import CallerRequest, Pairs
+from cornelnotch.gateway.models import CallerRequest, Headers
 
-__all__ = ["AnswerHead", "Dialect", "DispatchTerms"]
+__all__ = ["ResponseHead", "HeaderCodec", "DispatchOptions"]
 
 
 @dataclass(frozen=True, slots=True)
-class DispatchTerms:
+class DispatchOptions:
     """Parameters of one dispatch that the server gets besides the caller's request.
 
     `cache_source` is the address of a server to fetch cached prompt parts from. The
@@ -18,17 +18,17 @@
     """
 
     server: str
-    left_ms: float
+    remaining_ms: float
     workspace: str
     priority: int | None
-    last_event: str = ""
+    last_event_id: str = ""
     cache_source: str = ""
     backup_address: str = ""
-    copy: str = ""
+    kv_copy: str = ""
 
 
 @dataclass(frozen=True, slots=True)
-class AnswerHead:
+class ResponseHead:
     """Parsed head of a server's answer.
 
     `request_id` is empty if the server sent none. With `not_run` the server states
@@ -42,29 +42,31 @@
     signed: bool
     not_run: bool
     other_server: bool
-    pairs: Pairs
+    headers: Headers
     leaving: bool = False
-    rest_ms: float = 0.0
-    malformed_rest: str = ""
+    backoff_ms: float = 0.0
+    malformed_backoff: str = ""
 
 
-class Dialect(ABC):
+class HeaderCodec(ABC):
     """Translate message heads between callers, the gateway and servers."""
 
     @abstractmethod
-    def read_request(self, method: str, target: str, pairs: Pairs) -> CallerRequest:
+    def read_request(self, method: str, target: str, headers: Headers) -> CallerRequest:
         """Return the caller's request; raise RequestError if it is malformed."""
 
     @abstractmethod
-    def create_pairs(self, request: CallerRequest, terms: DispatchTerms) -> Pairs:
+    def create_dispatch_headers(
+        self, request: CallerRequest, options: DispatchOptions
+    ) -> Headers:
         """Return the headers of one dispatch, without the content length."""
 
     @abstractmethod
-    def read_answer(self, status: int, pairs: Pairs) -> AnswerHead:
+    def read_response(self, status: int, headers: Headers) -> ResponseHead:
         """Parse the head of a server's answer."""
 
     @abstractmethod
-    def create_refusal_pairs(
+    def create_refusal_headers(
         self, request: CallerRequest | None, retry_after_ms: float | None
-    ) -> Pairs:
+    ) -> Headers:
         """Return the headers of a refusal by the gateway itself."""
--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -4,19 +4,19 @@
 import random
 
 from cornelnotch.gateway.admission_controller import AdmissionController
-from cornelnotch.gateway.dialect import Dialect
+from cornelnotch.gateway.broadcast import Broadcaster
+from cornelnotch.gateway.context import NO_VERSION, GatewayContext
 from cornelnotch.gateway.directory import Directory
 from cornelnotch.gateway.follower import RecordFollower
-from cornelnotch.gateway.front import RequestHandler
-from cornelnotch.gateway.leaving import LeavingBroadcast
+from cornelnotch.gateway.frontend import Frontend
+from cornelnotch.gateway.header_codec import HeaderCodec
+from cornelnotch.gateway.leaving_notices import LeavingNotices
 from cornelnotch.gateway.load_exchange import LoadExchange
-from cornelnotch.gateway.parts import NO_VERSION, GatewayParts
 from cornelnotch.gateway.records import RecordDecoder, RecordSource
-from cornelnotch.gateway.relay import RelayPlan, Source
+from cornelnotch.gateway.relay import ReaderCandidate, RelayPlan
+from cornelnotch.gateway.routing_state import RoutingState
 from cornelnotch.gateway.settings import HostSettings
-from cornelnotch.gateway.silence import SilenceWatch
-from cornelnotch.gateway.spreading import Spreader
-from cornelnotch.gateway.state import RoutingState
+from cornelnotch.gateway.silence import SilenceDetector
 from cornelnotch.kernel.clock import Clock
 from cornelnotch.kernel.events import Event, EventLog
 from cornelnotch.kernel.tasks import TaskGroup
@@ -53,7 +53,7 @@
         settings: HostSettings,
         clock: Clock,
         events: EventLog,
-        dialect: Dialect,
+        header_codec: HeaderCodec,
         source: RecordSource,
         decoder: RecordDecoder,
         client: HttpClient,
@@ -67,10 +67,12 @@
         self.leaving = False
         self.boot = int(clock.read_wall())
         self.peers = PeerNetwork(settings.host.name, self.boot, events, self.tasks)
-        self.parts = GatewayParts(settings, clock, events, dialect, client, self.peers)
-        self.admission_controller = AdmissionController(self.parts, self.peers)
-        self.handler = RequestHandler(self.parts)
-        self.server = HttpServer(self.handler.handle)
+        self.context = GatewayContext(
+            settings, clock, events, header_codec, client, self.peers
+        )
+        self.admission_controller = AdmissionController(self.context, self.peers)
+        self.frontend = Frontend(self.context)
+        self.server = HttpServer(self.frontend.handle)
         self._build_membership()
         self._build_state(source, decoder)
         self.directory = Directory(
@@ -99,7 +101,7 @@
     def _build_state(self, source: RecordSource, decoder: RecordDecoder) -> None:
         name = self.settings.host.name
         self.plan = RelayPlan(name)
-        spreader = Spreader(
+        broadcaster = Broadcaster(
             self.peers,
             self.prober.table,
             self.settings.regions,
@@ -111,32 +113,32 @@
             source,
             self.peers,
             self.plan,
-            spreader,
+            broadcaster,
             self._list_peers,
             random.Random(f"{name}/records"),
         )
-        self.follower.subscribe_unavailable(self.parts.startup.note_store_unavailable)
+        self.follower.subscribe_unavailable(self.context.startup.note_store_unavailable)
         self.state = RoutingState(
-            self.parts, self.follower, decoder, self._apply_table, self._become_ready
+            self.context, self.follower, decoder, self._apply_table, self._become_ready
         )
         self.load_exchange = LoadExchange(
-            self.parts,
+            self.context,
             self.peers,
             self.plan,
-            spreader,
+            broadcaster,
             self._list_entry_hosts,
             self.admission_controller.list_rates,
         )
-        self.leaving_broadcast = LeavingBroadcast(
-            self.parts, self.peers, spreader, self._list_peers
+        self.leaving_notices = LeavingNotices(
+            self.context, self.peers, broadcaster, self._list_peers
         )
-        self.parts.tell_leaving = self.leaving_broadcast.broadcast
+        self.context.announce_leaving = self.leaving_notices.broadcast
         self.prober.subscribe(self._apply_members)
 
     def _apply_members(self) -> None:
         members = self._list_entries()
-        hosts = [Source(member.name, member.place) for member in members]
-        self.parts.set_hosts(hosts)
+        hosts = [ReaderCandidate(member.name, member.place) for member in members]
+        self.context.set_hosts(hosts)
         self.plan.set_hosts(hosts)
 
     def _list_entries(self) -> list[Member]:
@@ -157,15 +159,15 @@
 
     def render_metrics(self) -> bytes:
         """Return the host's metrics in the text exposition format."""
-        metrics = self.parts.metrics
-        metrics.set_state("active", self.handler.active)
-        metrics.set_state("hosts", len(self.parts.hosts))
+        metrics = self.context.metrics
+        metrics.set_state("active", self.frontend.active)
+        metrics.set_state("hosts", len(self.context.hosts))
         metrics.set_state("turns_waiting", self.admission_controller.count_waiting())
-        metrics.set_state("version", self.parts.table.version)
+        metrics.set_state("version", self.context.table.version)
         metrics.set_state("store_timeline", self.follower.timeline)
-        metrics.set_state("held_records", self.follower.count_held())
+        metrics.set_state("held_records", self.follower.count_older_records())
         metrics.set_state("peer_bytes", self.peers.sent_bytes)
-        metrics.set_state("servers", len(self.parts.pool.servers))
+        metrics.set_state("servers", len(self.context.pool.servers))
         return metrics.render()
 
     async def start(self) -> None:
@@ -176,34 +178,36 @@
         self.tasks.keep("servers", self.follower.run_servers)
         self.tasks.keep("state", self.state.run)
         self.tasks.keep("loads", self.load_exchange.run)
-        self.tasks.keep("silence", SilenceWatch(self.parts).run)
-        self.tasks.keep("turns", self.parts.admission.run_reports)
+        self.tasks.keep("silence", SilenceDetector(self.context).run)
+        self.tasks.keep("turns", self.context.admission.run_reports)
         self.tasks.keep("probes", self.prober.run_probes)
         self.events.record(Event.HOST_STARTED, http=self.settings.listen.callers)
 
     def _apply_table(self) -> None:
         """Apply the limits of a new routing table."""
-        limits = self.parts.table.limits
+        limits = self.context.table.limits
         self.server.limits.header_bytes = limits.header_bytes
         self.server.limits.header_timeout_s = limits.header_timeout_ms / 1000.0
         self.server.limits.idle_timeout_s = limits.idle_timeout_ms / 1000.0
 
     def _become_ready(self) -> None:
         """Start serving callers once routes and servers are known."""
-        can_route = self.parts.table.version != NO_VERSION and self.follower.has_read()
+        can_route = (
+            self.context.table.version != NO_VERSION and self.follower.is_initialized()
+        )
         if can_route and not self.serving and not self.leaving:
             self.serving = True
-            self.parts.startup.set_ready()
+            self.context.startup.set_ready()
             self.prober.announce_state(MemberState.ALIVE)
-            self.events.record(Event.HOST_READY, version=self.parts.table.version)
+            self.events.record(Event.HOST_READY, version=self.context.table.version)
 
     def start_drain(self) -> None:
         """Start draining: redirect callers, finish requests, then stop the host."""
         if self.leaving:
             return
         self.leaving = True
-        self.server.limits.leaving = True
-        self.events.record(Event.HOST_LEAVING, active=self.handler.active)
+        self.server.limits.draining = True
+        self.events.record(Event.HOST_LEAVING, active=self.frontend.active)
         self.prober.announce_state(MemberState.LEAVING)
         self.tasks.start("drain", self._drain())
 
@@ -213,10 +217,10 @@
         cached_ms = ENTRY_LIFETIME_S * MAX_CACHED_LIFETIMES * 1000.0
         while self.clock.read() < started_ms + grace_ms:
             elapsed_ms = self.clock.read() - started_ms
-            if elapsed_ms >= cached_ms and not self.handler.active:
+            if elapsed_ms >= cached_ms and not self.frontend.active:
                 break
             await self.clock.sleep(DRAIN_CHECK_MS)
-        self.events.record(Event.HOST_STOPPED, active=self.handler.active)
+        self.events.record(Event.HOST_STOPPED, active=self.frontend.active)
         self.stopped.set()
 
     async def stop(self) -> None:
@@ -224,4 +228,4 @@
         await self.server.stop()
         await self.peers.stop()
         await self.tasks.stop()
-        self.parts.client.close()
+        self.context.client.close()
--- a/cornelnotch/gateway/load_exchange.py
+++ b/cornelnotch/gateway/load_exchange.py
@@ -3,11 +3,11 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+from cornelnotch.gateway.broadcast import Broadcaster
+from cornelnotch.gateway.context import GatewayContext
 from cornelnotch.gateway.engine_rates import RateUpdateFilter
 from cornelnotch.gateway.loads import LoadAggregator
-from cornelnotch.gateway.parts import GatewayParts
 from cornelnotch.gateway.relay import RelayPlan
-from cornelnotch.gateway.spreading import Spreader
 from cornelnotch.kernel.events import Event
 from cornelnotch.wire import PeerNetwork
 from cornelnotch.wire.messages import EngineRates, LoadReport, LoadSummary, ServerUsage
@@ -23,17 +23,17 @@
 
     def __init__(
         self,
-        parts: GatewayParts,
+        context: GatewayContext,
         peers: PeerNetwork,
         plan: RelayPlan,
-        spreader: Spreader,
+        broadcaster: Broadcaster,
         list_hosts: Callable[[], list[str]],
         list_rates: Callable[[], list[EngineRates]],
     ) -> None:
-        self._parts = parts
+        self._context = context
         self._peers = peers
         self._plan = plan
-        self._spreader = spreader
+        self._broadcaster = broadcaster
         self._list_hosts = list_hosts
         self._aggregator = LoadAggregator()
         self._reported: list[ServerUsage] = []
@@ -47,12 +47,12 @@
         """Report loads, and publish totals as collector, until cancelled."""
         reported_idle = False
         while True:
-            await self._parts.clock.sleep(REPORT_INTERVAL_MS)
-            now = self._parts.clock.read()
+            await self._context.clock.sleep(REPORT_INTERVAL_MS)
+            now = self._context.clock.read()
             usages = [
                 view.measure_usage(now)
-                for view in self._parts.pool.servers.values()
-                if view.flights
+                for view in self._context.pool.servers.values()
+                if view.in_flight
             ]
             collectors = self._plan.list_readers(now)[:1]
             if usages or not reported_idle:
@@ -69,7 +69,7 @@
                 self._publish(now)
 
     def _log_rates(self, rates: EngineRates) -> None:
-        self._parts.events.record(
+        self._context.events.record(
             Event.ENGINE_PACE_TOLD,
             server=rates.server,
             read_rate=round(rates.read_rate, 2),
@@ -89,18 +89,20 @@
         self._forward(summary, self._list_hosts())
 
     def _forward(self, summary: LoadSummary, names: list[str]) -> None:
-        self._spreader.spread(names, lambda targets: replace(summary, targets=targets))
+        self._broadcaster.broadcast(
+            names, lambda targets: replace(summary, targets=targets)
+        )
 
     def _receive_report(self, sender: str, report: LoadReport) -> None:
-        self._aggregator.add_report(report, self._parts.clock.read())
+        self._aggregator.add_report(report, self._context.clock.read())
 
     def _receive_summary(self, sender: str, summary: LoadSummary) -> None:
         self._forward(summary, summary.targets)
         self._apply(summary)
 
     def _apply(self, summary: LoadSummary) -> None:
-        now = self._parts.clock.read()
-        self._parts.placer.aggregates.update(summary, self._reported, now)
-        servers = self._parts.pool.servers
+        now = self._context.clock.read()
+        self._context.placer.aggregates.update(summary, self._reported, now)
+        servers = self._context.pool.servers
         services = {name: view.record.service for name, view in servers.items()}
-        self._parts.engine_rates.update(summary.paces, services)
+        self._context.engine_rates.update(summary.paces, services)
--- a/cornelnotch/gateway/models.py
+++ b/cornelnotch/gateway/models.py
@@ -19,7 +19,7 @@
     "Workspace",
 ]
 
-Pairs = list[tuple[bytes, bytes]]
+Headers = list[tuple[bytes, bytes]]
 
 
 class WorkKind(StrEnum):
@@ -51,7 +51,7 @@
     attempts: int
     priority: int
     shares: tuple[ServiceShare, ...]
-    open: bool = False
+    is_anonymous: bool = False
     resumable: bool = False
     target_itl_ms: float = 0.0
 
@@ -63,7 +63,7 @@
     `accepts_copies` is set if an engine stores KV cache copies of others' runs.
     """
 
-    tokens: int
+    cache_tokens: int
     accepts_copies: bool = False
 
 
@@ -141,7 +141,7 @@
     slots: int
     leaving: bool = False
     boot_ms: int = 0
-    written: int = field(default=0, compare=False)
+    write_count: int = field(default=0, compare=False)
 
 
 @dataclass(slots=True)
@@ -153,10 +153,10 @@
     target: str
     host: str
     path: str
-    pairs: Pairs
+    headers: Headers
     key: str = ""
     deadline_ms: float = 0.0
-    last_event: str = ""
+    last_event_id: str = ""
     prompt: tuple[PromptPart, ...] = ()
     prompt_tokens: int = 0
     body: bytes = field(default=b"", repr=False)
--- a/cornelnotch/gateway/placement.py
+++ b/cornelnotch/gateway/placement.py
@@ -141,13 +141,13 @@
         rates = self._get_rates(chosen)
         if (
             tokens < MIN_SHARED_PREFILL_MS * rates.read_rate
-            or shared[-1].name in chosen.parts
+            or shared[-1].name in chosen.cached_parts
         ):
             return None
         others = [s for s in servers if s is not chosen and not s.failures]
-        holders = [s for s in others if shared[-1].name in s.parts]
+        holders = [s for s in others if shared[-1].name in s.cached_parts]
         if holders:
-            return max(holders, key=lambda s: s.parts[shared[-1].name])
+            return max(holders, key=lambda s: s.cached_parts[shared[-1].name])
         return self._find_owner(others, request) if others else None
 
     def _get_rates(self, server: ServerView) -> EngineRates:
@@ -172,7 +172,7 @@
         """Return the number of prompt tokens probably not cached by the server."""
         cached = 0
         for part in request.prompt[:-1]:
-            if not owner and part.name not in server.parts:
+            if not owner and part.name not in server.cached_parts:
                 break
             cached += part.tokens
         return max(request.prompt_tokens - cached, 0)
--- a/cornelnotch/gateway/records.py
+++ b/cornelnotch/gateway/records.py
@@ -57,11 +57,11 @@
     head: int = -1
     records: dict[str, Record] = field(default_factory=dict)
     timeline: int = NO_TIMELINE
-    held: dict[str, Record] = field(default_factory=dict)
+    older_records: dict[str, Record] = field(default_factory=dict)
     was_restored: bool = False
-    awaits_reading: bool = False
+    needs_full_read: bool = False
 
-    def enter(self, timeline: int) -> bool:
+    def enter_timeline(self, timeline: int) -> bool:
         """Switch to a later timeline; return whether earlier records are now held."""
         if timeline <= self.timeline:
             return False
@@ -69,17 +69,17 @@
         if self.head < 0 and not self.records:
             return False
         # Records already held are newer than those of the restored copy.
-        self.hold(self.records.values())
+        self.add_older_records(self.records.values())
         self.records = {}
         self.head = -1
         self.was_restored = True
-        self.awaits_reading = True
+        self.needs_full_read = True
         return True
 
-    def hold(self, records: Iterable[Record]) -> None:
+    def add_older_records(self, records: Iterable[Record]) -> None:
         """Add records of older timelines, unless their keys are held already."""
         for record in records:
-            self.held.setdefault(record.key, record)
+            self.older_records.setdefault(record.key, record)
 
     def apply(self, page: RecordPage) -> list[Record]:
         """Apply the records of a page; return those at or after the head."""
@@ -112,7 +112,7 @@
         }
         self.records = {**newer, **listed}
         self.head = max(self.head, page.next_offset)
-        self.awaits_reading = False
+        self.needs_full_read = False
 
 
 class RecordSource(ABC):
--- a/cornelnotch/gateway/relay.py
+++ b/cornelnotch/gateway/relay.py
@@ -11,7 +11,7 @@
 
 from cornelnotch.kernel.hashing import rank_owners
 
-__all__ = ["Branch", "RelayPlan", "Source", "split_targets"]
+__all__ = ["Branch", "RelayPlan", "ReaderCandidate", "split_targets"]
 
 READERS = 2
 READING_DUTY = "records"
@@ -31,7 +31,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Source:
+class ReaderCandidate:
     """A host that can read the store, with its failure domain."""
 
     name: str
@@ -43,7 +43,7 @@
     """A host that receives a message and the hosts it forwards the message to."""
 
     head: str
-    rest: list[str]
+    others: list[str]
 
 
 def split_targets(
@@ -71,7 +71,7 @@
     """When a host became unable to read and when it last announced so."""
 
     since_ms: float
-    told_ms: float
+    announced_ms: float
 
 
 class RelayPlan:
@@ -79,25 +79,25 @@
 
     def __init__(self, name: str) -> None:
         self.name = name
-        self._ranked_hosts: list[Source] = []
+        self._ranked_hosts: list[ReaderCandidate] = []
         self._unable: dict[str, Inability] = {}
         self._read_ms: dict[str, float] = {}
         self._contact_ms: dict[str, float] = {}
 
-    def set_hosts(self, hosts: Collection[Source]) -> None:
+    def set_hosts(self, hosts: Collection[ReaderCandidate]) -> None:
         """Replace the list of live hosts."""
         by_name = {host.name: host for host in hosts}
         self._ranked_hosts = [
             by_name[name] for name in rank_owners(READING_DUTY, by_name)
         ]
 
-    def note_age(self, host: str, topic: str, age_ms: float, now: float) -> None:
+    def record_age(self, host: str, topic: str, age_ms: float, now: float) -> None:
         """Record the age of a host's last read of a topic."""
         if host != self.name:
             self._contact_ms[topic] = now
         if age_ms > UNABLE_AGE_MS:
             known = self._unable.get(host)
-            is_expired = known is None or now - known.told_ms > UNABLE_TTL_MS
+            is_expired = known is None or now - known.announced_ms > UNABLE_TTL_MS
             since_ms = now if is_expired or known is None else known.since_ms
             self._unable[host] = Inability(since_ms, now)
         else:
@@ -105,13 +105,13 @@
         read_ms = now - age_ms
         self._read_ms[topic] = max(self._read_ms.get(topic, read_ms), read_ms)
 
-    def read_age(self, topic: str, now: float) -> float:
+    def find_age_ms(self, topic: str, now: float) -> float:
         """Return the time in ms since any host is known to have read the topic."""
         return now - self._read_ms.get(topic, float("-inf"))
 
     def is_stale(self, topic: str, now: float) -> bool:
         """Return whether this host's copy of a topic is too old."""
-        return self.read_age(topic, now) > STALE_MS[topic]
+        return self.find_age_ms(topic, now) > STALE_MS[topic]
 
     def list_readers(self, now: float) -> list[str]:
         """Return the hosts that should read, in different domains if possible."""
@@ -122,11 +122,11 @@
 
     def _is_replaced(self, host: str, now: float) -> bool:
         known = self._unable.get(host)
-        if known is None or now - known.told_ms > UNABLE_TTL_MS:
+        if known is None or now - known.announced_ms > UNABLE_TTL_MS:
             return False
         return now - known.since_ms >= TAKEOVER_DELAY_MS
 
-    def _select_readers(self, hosts: list[Source]) -> list[str]:
+    def _select_readers(self, hosts: list[ReaderCandidate]) -> list[str]:
         """Return the first hosts in order, in different domains if possible."""
         first = hosts[:1]
         others = [h for h in hosts[1:] if h.domain != first[0].domain]
@@ -143,7 +143,7 @@
         has_contact = now - self._contact_ms.get(topic, float("-inf")) <= CONTACT_TTL_MS
         return self.is_stale(topic, now) and not has_contact
 
-    def must_tell(self, now: float) -> bool:
+    def must_publish(self, now: float) -> bool:
         """Return whether this host should relay what it reads."""
         default_readers = self._select_readers(self._ranked_hosts)
         return self.name in default_readers or self.name in self.list_readers(now)
--- a/cornelnotch/gateway/state.py
+++ b/cornelnotch/gateway/routing_state.py
@@ -4,16 +4,16 @@
 from collections.abc import Callable
 
 from cornelnotch.exceptions import ConfigurationError
+from cornelnotch.gateway.context import GatewayContext
 from cornelnotch.gateway.follower import CONFIGURATION, SERVERS, RecordFollower
 from cornelnotch.gateway.models import RoutingTable, ServerRecord
-from cornelnotch.gateway.parts import GatewayParts
 from cornelnotch.gateway.records import Record, RecordDecoder
 from cornelnotch.kernel.events import Event
 
 __all__ = ["RoutingState"]
 
 # Entries that expired during a store outage are rewritten within 2 s of its end.
-RETURN_MS = 2100.0
+RELISTING_GRACE_MS = 2100.0
 TICK_MS = 200.0
 # Removed servers remembered; a fleet replaces about a thousand a day.
 REMEMBERED_REMOVED = 4096
@@ -24,13 +24,13 @@
 
     def __init__(
         self,
-        parts: GatewayParts,
+        context: GatewayContext,
         follower: RecordFollower,
         decoder: RecordDecoder,
         apply_table: Callable[[], None],
         note_applied: Callable[[], None],
     ) -> None:
-        self._parts = parts
+        self._context = context
         self._follower = follower
         self._decoder = decoder
         self._apply_table = apply_table
@@ -43,12 +43,12 @@
     async def run(self) -> None:
         """Remove servers not listed again after an outage, until cancelled."""
         while True:
-            await self._parts.clock.sleep(TICK_MS)
+            await self._context.clock.sleep(TICK_MS)
             self.expire()
 
     def expire(self) -> None:
         """Remove retained servers whose grace period is over."""
-        if self._retained and self._parts.clock.read() >= self._retained_until_ms:
+        if self._retained and self._context.clock.read() >= self._retained_until_ms:
             self._retained.clear()
             self._apply_servers(False)
 
@@ -63,16 +63,16 @@
     def _apply_configuration(self) -> None:
         view = self._follower.views[CONFIGURATION]
         listed = self._decode_table(view.records)
-        held = self._decode_table(view.held)
-        if listed is not None and held is not None and listed.version >= held.version:
-            view.held.clear()
-        for table in filter(None, (listed, held)):
-            if table.version > self._parts.table.version:
-                self._parts.table = table
-                self._parts.events.record(
+        older = self._decode_table(view.older_records)
+        if listed is not None and older is not None and listed.version >= older.version:
+            view.older_records.clear()
+        for table in filter(None, (listed, older)):
+            if table.version > self._context.table.version:
+                self._context.table = table
+                self._context.events.record(
                     Event.CONFIGURATION_APPLIED,
                     version=table.version,
-                    held=table is held,
+                    held=table is older,
                 )
                 self._apply_table()
 
@@ -80,19 +80,19 @@
         try:
             return self._decoder.decode_table(records)
         except ConfigurationError as error:
-            self._parts.events.record(Event.CONFIGURATION_REJECTED, error=str(error))
+            self._context.events.record(Event.CONFIGURATION_REJECTED, error=str(error))
             return None
 
     def _list_servers(self) -> dict[str, ServerRecord]:
         """Return the listed servers, without outdated entries of a restored copy."""
         view = self._follower.views[SERVERS]
         # Servers rewrite the entries that the copy lacks, so none need to be held.
-        view.held.clear()
+        view.older_records.clear()
         decoded = map(self._decoder.decode_server, view.records.values())
         servers = {server.name: server for server in decoded if server is not None}
         for server in servers.values():
             if server.leaving and server.boot_ms:
-                self._parts.pool.note_leaving(server.name, server.boot_ms)
+                self._context.pool.mark_leaving(server.name, server.boot_ms)
         if not view.was_restored:
             return servers
         return {n: s for n, s in servers.items() if not self._is_outdated(s)}
@@ -103,7 +103,7 @@
         return (
             removed is not None
             and removed.boot_ms == server.boot_ms
-            and removed.written >= server.written
+            and removed.write_count >= server.write_count
         )
 
     def _remember_removed(self, server: ServerRecord) -> None:
@@ -113,17 +113,17 @@
 
     def _apply_servers(self, after_outage: bool) -> None:
         records = self._list_servers()
-        known = {name: v.record for name, v in self._parts.pool.servers.items()}
+        known = {name: v.record for name, v in self._context.pool.servers.items()}
         if after_outage:
             self._retained = {n: r for n, r in known.items() if n not in records}
-            self._retained_until_ms = self._parts.clock.read() + RETURN_MS
+            self._retained_until_ms = self._context.clock.read() + RELISTING_GRACE_MS
         for name in list(self._retained):
             if name in records:
                 del self._retained[name]
         merged = {**self._retained, **records}
-        for ended in self._parts.pool.replace(merged.values()):
+        for ended in self._context.pool.replace(merged.values()):
             # A request on a connection to an earlier boot is reset as if it had run.
-            self._parts.client.drop_idle(ended.address)
+            self._context.client.close_idle_connections(ended.address)
             self._remember_removed(ended)
         for name in known.keys() | merged.keys():
             self._log_server_change(name, known.get(name), merged.get(name))
@@ -136,4 +136,4 @@
         state = "gone"
         if after is not None:
             state = "leaving" if after.leaving else "serving"
-        self._parts.events.record(Event.SERVER_LISTED, server=name, state=state)
+        self._context.events.record(Event.SERVER_LISTED, server=name, state=state)
--- a/cornelnotch/gateway/servers.py
+++ b/cornelnotch/gateway/servers.py
@@ -7,7 +7,7 @@
 from cornelnotch.gateway.models import PromptPart, ServerRecord
 from cornelnotch.wire.messages import ServerUsage, StreamProgress
 
-__all__ = ["Flight", "ServerPool", "ServerView"]
+__all__ = ["InFlightRequest", "ServerPool", "ServerView"]
 
 # A failed server is ejected this long, doubled for each consecutive failure.
 EJECTION_BASE_MS = 300.0
@@ -15,7 +15,7 @@
 # Failures are forgotten after this long without another one.
 FAILURE_MEMORY_MS = 4000.0
 # The longest pause in traffic that a server may ask for; more is malformed.
-MAX_REST_MS = 600_000.0
+MAX_BACKOFF_MS = 600_000.0
 # Precedes the first boot of a server; boots without a reported time count as 0.
 NEVER_BOOTED = -1
 # Leaving servers remembered; names are not reused by the thousand.
@@ -39,7 +39,7 @@
 
 
 @dataclass(slots=True)
-class Flight:
+class InFlightRequest:
     """A dispatch in progress; `first_ms` is 0 until the response starts.
 
     `sent` is false while the dispatch is queued, for about `wait_ms` more. `tight` is
@@ -53,40 +53,42 @@
     prefill_tokens: int
     priority: int = 0
     first_ms: float = 0.0
-    heard_ms: float = 0.0
+    last_received_ms: float = 0.0
     gap_ms: float = 0.0
     wait_ms: float = 0.0
     sent: bool = False
     latency_sensitive: bool = False
     events: int = 0
     event_ms: float = 0.0
-    pause_ms: float = 0.0
-    told_events: int = 0
-    told_ms: float = 0.0
+    longest_gap_ms: float = 0.0
+    reported_events: int = 0
+    reported_ms: float = 0.0
 
-    def count_events(self, events: int, now: float) -> None:
+    def record_events(self, events: int, now: float) -> None:
         """Record the arrival of a number of complete events."""
         if not events:
             return
         if self.events:
-            self.pause_ms = max(self.pause_ms, now - self.event_ms)
+            self.longest_gap_ms = max(self.longest_gap_ms, now - self.event_ms)
         else:
             # No gap precedes the first event; events that come with it took no time.
-            self.told_events = events
-            self.told_ms = now
+            self.reported_events = events
+            self.reported_ms = now
         self.events += events
         self.event_ms = now
 
     def take_progress(self) -> StreamProgress | None:
         """Return the progress since the last call, or None without new events."""
-        events = self.events - self.told_events
+        events = self.events - self.reported_events
         if not events:
             return None
-        spent_ms = self.event_ms - self.told_ms
-        progress = StreamProgress(events, round(spent_ms, 1), round(self.pause_ms, 1))
-        self.told_events = self.events
-        self.told_ms = self.event_ms
-        self.pause_ms = 0.0
+        spent_ms = self.event_ms - self.reported_ms
+        progress = StreamProgress(
+            events, round(spent_ms, 1), round(self.longest_gap_ms, 1)
+        )
+        self.reported_events = self.events
+        self.reported_ms = self.event_ms
+        self.longest_gap_ms = 0.0
         return progress
 
 
@@ -95,61 +97,63 @@
     """Record, dispatches, failures and cached parts of one server."""
 
     record: ServerRecord
-    flights: dict[str, Flight] = field(default_factory=dict)
+    in_flight: dict[str, InFlightRequest] = field(default_factory=dict)
     failures: int = 0
     failed_ms: float = 0.0
     ejected_until_ms: float = 0.0
-    parts: OrderedDict[str, float] = field(default_factory=OrderedDict)
-    said_leaving: bool = False
-    rest_until_ms: float = 0.0
-    heard_ms: float = 0.0
-    longest_pause_ms: float = 0.0
+    cached_parts: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    announced_leaving: bool = False
+    backoff_until_ms: float = 0.0
+    last_received_ms: float = 0.0
+    longest_gap_ms: float = 0.0
 
     @property
     def leaving(self) -> bool:
         """Return whether the platform or the server itself reports it as leaving."""
-        return self.said_leaving or self.record.leaving
+        return self.announced_leaving or self.record.leaving
 
-    def rest(self, asked_ms: float, now: float) -> float:
+    def back_off(self, asked_ms: float, now: float) -> float:
         """Pause traffic for `asked_ms`, within a limit; return the ms applied."""
-        rest_ms = min(asked_ms, MAX_REST_MS)
-        self.rest_until_ms = max(self.rest_until_ms, now + rest_ms)
-        return rest_ms
+        backoff_ms = min(asked_ms, MAX_BACKOFF_MS)
+        self.backoff_until_ms = max(self.backoff_until_ms, now + backoff_ms)
+        return backoff_ms
 
-    def start(self, flight: Flight) -> None:
+    def start(self, request: InFlightRequest) -> None:
         """Add a dispatch in progress."""
-        self.flights[flight.request_id] = flight
+        self.in_flight[request.request_id] = request
 
-    def finish(self, flight: Flight) -> None:
+    def finish(self, request: InFlightRequest) -> None:
         """Remove a dispatch that has ended."""
-        self.flights.pop(flight.request_id, None)
+        self.in_flight.pop(request.request_id, None)
 
-    def hear(self, flight: Flight, now: float) -> None:
+    def record_received(self, request: InFlightRequest, now: float) -> None:
         """Record the arrival of response bytes."""
-        heard_ms = self.find_heard_ms()
-        if heard_ms is not None:
-            self._update_longest_gap(now - heard_ms, now)
-        self.heard_ms = now
-        if flight.first_ms:
-            flight.gap_ms = max(flight.gap_ms, now - flight.heard_ms)
+        last_received_ms = self.find_last_received_ms()
+        if last_received_ms is not None:
+            self._update_longest_gap(now - last_received_ms, now)
+        self.last_received_ms = now
+        if request.first_ms:
+            request.gap_ms = max(request.gap_ms, now - request.last_received_ms)
         else:
-            flight.first_ms = now
-        flight.heard_ms = now
+            request.first_ms = now
+        request.last_received_ms = now
 
-    def find_heard_ms(self) -> float | None:
+    def find_last_received_ms(self) -> float | None:
         """Return when a running stream last got bytes, or None if none runs."""
-        first_times_ms = [f.first_ms for f in self.flights.values() if f.first_ms]
-        return max(self.heard_ms, min(first_times_ms)) if first_times_ms else None
+        first_times_ms = [f.first_ms for f in self.in_flight.values() if f.first_ms]
+        return (
+            max(self.last_received_ms, min(first_times_ms)) if first_times_ms else None
+        )
 
-    def _update_longest_gap(self, pause_ms: float, now: float) -> None:
+    def _update_longest_gap(self, gap_ms: float, now: float) -> None:
         """Update the longest recent gap; growth per gap is limited."""
-        decay = 0.5 ** (max(now - self.heard_ms, 0.0) / GAP_HALF_LIFE_MS)
-        decayed_ms = self.longest_pause_ms * decay
-        if self.longest_pause_ms:
-            pause_ms = min(pause_ms, self.longest_pause_ms * MAX_GAP_GROWTH)
-        self.longest_pause_ms = max(pause_ms, decayed_ms)
+        decay = 0.5 ** (max(now - self.last_received_ms, 0.0) / GAP_HALF_LIFE_MS)
+        decayed_ms = self.longest_gap_ms * decay
+        if self.longest_gap_ms:
+            gap_ms = min(gap_ms, self.longest_gap_ms * MAX_GAP_GROWTH)
+        self.longest_gap_ms = max(gap_ms, decayed_ms)
 
-    def fail(self, now: float) -> None:
+    def record_failure(self, now: float) -> None:
         """Eject the server, longer after each consecutive failure."""
         self.failures = self.count_failures(now) + 1
         self.failed_ms = now
@@ -160,37 +164,37 @@
         """Return the number of consecutive failures, 0 once they are forgotten."""
         return self.failures if now - self.failed_ms < FAILURE_MEMORY_MS else 0
 
-    def disown(self) -> None:
+    def disable_until_relisted(self) -> None:
         """Eject the server until its record changes, since it no longer exists."""
         self.ejected_until_ms = float("inf")
 
-    def succeed(self) -> None:
+    def record_success(self) -> None:
         """Reset the failure count."""
         self.failures = 0
 
-    def remember(self, prompt: Iterable[PromptPart], now: float) -> None:
+    def record_cached(self, prompt: Iterable[PromptPart], now: float) -> None:
         """Record that the server caches the parts of a prompt."""
         for part in prompt:
-            self.parts[part.name] = now
-            self.parts.move_to_end(part.name)
-        while len(self.parts) > REMEMBERED_PARTS:
-            self.parts.popitem(last=False)
+            self.cached_parts[part.name] = now
+            self.cached_parts.move_to_end(part.name)
+        while len(self.cached_parts) > REMEMBERED_PARTS:
+            self.cached_parts.popitem(last=False)
 
     def measure_usage(self, now: float) -> ServerUsage:
         """Return the load that this host puts on the server."""
         backlog = [0] * PRIORITIES
         running = waiting = latency_sensitive = sent = 0
-        for flight in self.flights.values():
-            latency_sensitive += flight.latency_sensitive
-            if flight.first_ms:
+        for request in self.in_flight.values():
+            latency_sensitive += request.latency_sensitive
+            if request.first_ms:
                 running += 1
                 continue
             waiting += 1
-            if flight.sent:
-                sent += flight.prefill_tokens
+            if request.sent:
+                sent += request.prefill_tokens
                 continue
-            priority = min(max(flight.priority, 0), PRIORITIES - 1)
-            backlog[priority] += flight.prefill_tokens
+            priority = min(max(request.priority, 0), PRIORITIES - 1)
+            backlog[priority] += request.prefill_tokens
         return ServerUsage(
             self.record.name,
             running,
@@ -224,14 +228,14 @@
                 if known is not None:
                     ended.append(known.record)
                 self.servers[name] = ServerView(record)
-                self.servers[name].said_leaving = self._has_left(record)
+                self.servers[name].announced_leaving = self._has_left(record)
             elif known.record != record:
                 known.record = record
                 if known.ejected_until_ms == float("inf"):
                     known.ejected_until_ms = 0.0
         return ended
 
-    def note_leaving(self, name: str, boot_ms: int) -> bool:
+    def mark_leaving(self, name: str, boot_ms: int) -> bool:
         """Mark a boot of a server as leaving for good; return whether that is new.
 
         Later records and older reports do not reverse it; only a new boot does.
@@ -243,7 +247,7 @@
             self._leaving.popitem(last=False)
         view = self.servers.get(name)
         if view is not None and self._has_left(view.record):
-            view.said_leaving = True
+            view.announced_leaving = True
             self.generation += 1
         return True
 
@@ -253,7 +257,7 @@
     def accepts(self, view: ServerView, now: float) -> bool:
         """Return whether a server, since the same boot, may get work from this host."""
         known = self.servers.get(view.record.name)
-        return known is view and not view.leaving and now >= view.rest_until_ms
+        return known is view and not view.leaving and now >= view.backoff_until_ms
 
     def list_ready(self, service: str) -> list[ServerView]:
         """Return the servers of a service that are not leaving."""
@@ -265,11 +269,11 @@
 
     def list_usable(self, service: str, now: float) -> list[ServerView]:
         """Return the servers that are not ejected; if all are, those not at rest."""
-        ready = [v for v in self.list_ready(service) if now >= v.rest_until_ms]
+        ready = [v for v in self.list_ready(service) if now >= v.backoff_until_ms]
         usable = [view for view in ready if now >= view.ejected_until_ms]
         return usable or ready
 
-    def find_rest_ms(self, service: str, now: float) -> float:
+    def find_backoff_ms(self, service: str, now: float) -> float:
         """Return the time until the first rest ends, in ms; 0 if no server rests."""
-        rests = [v.rest_until_ms - now for v in self.list_ready(service)]
-        return max(min(rests, default=0.0), 0.0)
+        backoffs_ms = [v.backoff_until_ms - now for v in self.list_ready(service)]
+        return max(min(backoffs_ms, default=0.0), 0.0)
--- a/cornelnotch/gateway/silence.py
+++ b/cornelnotch/gateway/silence.py
@@ -5,71 +5,72 @@
 sooner, since an engine generates an event for each of them in every step.
 """
 
-from cornelnotch.gateway.parts import GatewayParts
+from cornelnotch.gateway.context import GatewayContext
 from cornelnotch.gateway.servers import ServerView
 from cornelnotch.kernel.events import Event
 
-__all__ = ["SilenceWatch", "find_silence_limit_ms", "is_silent"]
+__all__ = ["SilenceDetector", "find_silence_limit_ms", "is_silent"]
 
-PERIOD_MS = 100.0
+CHECK_INTERVAL_MS = 100.0
 # A check this late means that the host itself was suspended.
-LATE_MS = 3 * PERIOD_MS
+MAX_CHECK_DELAY_MS = 3 * CHECK_INTERVAL_MS
 # A healthy server does not exceed its longest recent gap by this factor.
 GAP_FACTOR = 3.0
-MIN_SILENCE_MS = 500.0
+MIN_SILENCE_LIMIT_MS = 500.0
 
 
 def find_silence_limit_ms(view: ServerView) -> float:
     """Return the time in ms without events after which a server counts as silent."""
-    if not view.longest_pause_ms:
+    if not view.longest_gap_ms:
         return float("inf")
-    return max(GAP_FACTOR * view.longest_pause_ms, MIN_SILENCE_MS)
+    return max(GAP_FACTOR * view.longest_gap_ms, MIN_SILENCE_LIMIT_MS)
 
 
 def is_silent(view: ServerView, now: float) -> bool:
     """Return whether a server with running streams exceeds its silence limit."""
-    last_heard_ms = view.find_heard_ms()
-    return last_heard_ms is not None and now - last_heard_ms > find_silence_limit_ms(
-        view
+    last_received_ms = view.find_last_received_ms()
+    return (
+        last_received_ms is not None
+        and now - last_received_ms > find_silence_limit_ms(view)
     )
 
 
-class SilenceWatch:
+class SilenceDetector:
     """Check periodically all servers at which this host has running streams."""
 
-    def __init__(self, parts: GatewayParts) -> None:
-        self._parts = parts
-        self._checked_ms = parts.clock.read()
+    def __init__(self, context: GatewayContext) -> None:
+        self._context = context
+        self._checked_ms = context.clock.read()
         self._resumed_ms = self._checked_ms
 
     async def run(self) -> None:
         """Check all servers periodically until cancelled."""
         while True:
-            await self._parts.clock.sleep(PERIOD_MS)
+            await self._context.clock.sleep(CHECK_INTERVAL_MS)
             self.check()
 
     def check(self) -> None:
         """Eject the servers that exceed their silence limit."""
-        now = self._parts.clock.read()
-        if now - self._checked_ms > LATE_MS:
+        now = self._context.clock.read()
+        if now - self._checked_ms > MAX_CHECK_DELAY_MS:
             self._resumed_ms = now
         self._checked_ms = now
-        for view in self._parts.pool.servers.values():
-            if view.flights and now >= view.ejected_until_ms:
+        for view in self._context.pool.servers.values():
+            if view.in_flight and now >= view.ejected_until_ms:
                 self._check_server(view, now)
 
     def _check_server(self, view: ServerView, now: float) -> None:
-        last_heard_ms = view.find_heard_ms()
-        if last_heard_ms is None:
+        last_received_ms = view.find_last_received_ms()
+        if last_received_ms is None:
             return
-        silent_ms = now - max(last_heard_ms, self._resumed_ms)
+        silent_ms = now - max(last_received_ms, self._resumed_ms)
         limit_ms = find_silence_limit_ms(view)
         if silent_ms <= limit_ms:
             return
-        view.fail(now)
+        view.record_failure(now)
         # The next request then has to connect, and fails before it is sent.
-        self._parts.client.drop_idle(view.record.address)
-        self._parts.events.record(
+        self._context.client.close_idle_connections(view.record.address)
+        self._context.events.record(
             Event.SERVER_SILENT,
             server=view.record.name,
             silent_ms=round(silent_ms, 1),
--- a/cornelnotch/gateway/streams.py
+++ b/cornelnotch/gateway/streams.py
@@ -13,8 +13,8 @@
 class EventSplitter:
     """Buffer the incomplete end of a stream and track the last event ID."""
 
-    def __init__(self, last_event: str = "") -> None:
-        self.last_event = last_event
+    def __init__(self, last_event_id: str = "") -> None:
+        self.last_event_id = last_event_id
         self.count = 0
         self._buffered = b""
 
@@ -53,4 +53,4 @@
         elif start < 0:
             return
         line = complete[start:].split(b"\n", 1)[0]
-        self.last_event = line[len(ID_FIELD) :].strip().decode("latin-1")
+        self.last_event_id = line[len(ID_FIELD) :].strip().decode("latin-1")
--- a/cornelnotch/gateway/tests/conftest.py
+++ b/cornelnotch/gateway/tests/conftest.py
@@ -17,7 +17,7 @@
 )
 from cornelnotch.kernel import create_clock, create_event_log
 from cornelnotch.platform.decoder import PlatformDecoder
-from cornelnotch.platform.dialect import PlatformDialect
+from cornelnotch.platform.header_codec import PlatformHeaderCodec
 from cornelnotch.platform.store import PlatformStore
 from cornelnotch.standins.store import StoreStandin
 from cornelnotch.standins.upstream import UpstreamStandin
@@ -90,7 +90,7 @@
         settings,
         create_clock(),
         create_event_log(settings.host.name),
-        PlatformDialect(),
+        PlatformHeaderCodec(),
         PlatformStore(settings.store.address, HttpClient()),
         PlatformDecoder(),
         HttpClient(),
@@ -134,7 +134,7 @@
         await wait_until(lambda: self.host.is_ready() and self.count_servers() == 4)
 
     def count_servers(self):
-        return len(self.host.parts.pool.servers)
+        return len(self.host.context.pool.servers)
 
     def configure(self, content):
         self.store.topics["keyed.op"].write("config", orjson.dumps(content))
--- a/cornelnotch/gateway/tests/fleet.py
+++ b/cornelnotch/gateway/tests/fleet.py
@@ -19,9 +19,9 @@
     RecordPage,
     RecordSource,
 )
-from cornelnotch.gateway.relay import RelayPlan, Source
+from cornelnotch.gateway.relay import ReaderCandidate, RelayPlan
+from cornelnotch.gateway.routing_state import TICK_MS, RoutingState
 from cornelnotch.gateway.servers import ServerPool
-from cornelnotch.gateway.state import TICK_MS, RoutingState
 from cornelnotch.kernel import ManualClock, create_event_log
 
 STEP_MS = 20.0
@@ -114,11 +114,11 @@
 
 
 class Client:
-    def drop_idle(self, address):
+    def close_idle_connections(self, address):
         pass
 
 
-class Parts:
+class Context:
     """The parts of a host that its routing state changes."""
 
     def __init__(self, clock, events):
@@ -143,7 +143,7 @@
     def send(self, host, message):
         self.fleet.deliver(self.name, host, message)
 
-    def spread(self, names, create):
+    def broadcast(self, names, create):
         for name in names:
             if name != self.name:
                 self.send(name, create([]))
@@ -161,7 +161,7 @@
         self.peers = Peers(fleet, name)
         self.reader = StoreReader(fleet.store)
         self.plan = RelayPlan(name)
-        self.parts = cast(Any, Parts(fleet.clock, events))
+        self.context = cast(Any, Context(fleet.clock, events))
         peers = cast(Any, self.peers)
         self.follower = RecordFollower(
             fleet.clock,
@@ -174,19 +174,19 @@
             random.Random(name),
         )
         self.state = RoutingState(
-            self.parts, self.follower, Decoder(), self._note_table, lambda: None
+            self.context, self.follower, Decoder(), self._note_table, lambda: None
         )
         self.due_ms = dict.fromkeys(TOPICS, fleet.clock.read())
 
     def _note_table(self):
-        self.versions.append(self.parts.table.version)
+        self.versions.append(self.context.table.version)
 
     @property
     def version(self):
-        return self.parts.table.version
+        return self.context.table.version
 
     def list_usable(self):
-        return {v.record.name for v in self.parts.pool.list_ready("llm")}
+        return {v.record.name for v in self.context.pool.list_ready("llm")}
 
     async def step(self, now):
         for topic in TOPICS:
@@ -225,9 +225,9 @@
 
     def _update_members(self):
         alive = [h for h in self.hosts.values() if h.is_alive]
-        sources = [Source(host.name, host.domain) for host in alive]
+        candidates = [ReaderCandidate(host.name, host.domain) for host in alive]
         for host in alive:
-            host.plan.set_hosts(sources)
+            host.plan.set_hosts(candidates)
 
     def deliver(self, sender, receiver, message):
         """Deliver a message at once if both hosts run and the link is not cut."""
--- a/cornelnotch/gateway/tests/test_admission_client.py
+++ b/cornelnotch/gateway/tests/test_admission_client.py
@@ -7,7 +7,7 @@
 from cornelnotch.gateway import admission_client
 from cornelnotch.gateway.admission_client import AdmissionClient, AdmissionResult
 from cornelnotch.gateway.models import CallerRequest, PromptPart, ServerRecord
-from cornelnotch.gateway.servers import Flight, ServerView
+from cornelnotch.gateway.servers import InFlightRequest, ServerView
 from cornelnotch.kernel import TaskGroup, create_clock, create_event_log
 from cornelnotch.wire import PeerNetwork
 from cornelnotch.wire.messages import (
@@ -55,16 +55,16 @@
         )
         record = ServerRecord("engine", "llm", "10.0.0.1:80", "a", 64)
         self.view = ServerView(record)
-        self.flight = Flight("r1", 0.0, 0, priority=2)
+        self.in_flight = InFlightRequest("r1", 0.0, 0, priority=2)
 
     def start(self, name="r1"):
         request = CallerRequest(
             name, "POST", "/", "", "/", [], prompt=PROMPT, prompt_tokens=13_500
         )
-        self.flight = Flight(name, 0.0, 0, priority=2)
+        self.in_flight = InFlightRequest(name, 0.0, 0, priority=2)
         now = create_clock().read()
         wait = self.client.wait_for_admission(
-            request, self.view, self.flight, now, WAIT_LIMIT_MS
+            request, self.view, self.in_flight, now, WAIT_LIMIT_MS
         )
         return asyncio.create_task(wait)
 
@@ -91,10 +91,10 @@
             await asyncio.sleep(0.02)
             setup.peers.deliver(AdmissionQueued("r1", "engine", 900, 50.0))
         assert not wait.done()
-        assert setup.flight.prefill_tokens == 900
+        assert setup.in_flight.prefill_tokens == 900
         setup.peers.deliver(AdmissionGrant("r1", "engine", 500))
         assert await wait is AdmissionResult.GRANTED
-        assert setup.flight.prefill_tokens == 500
+        assert setup.in_flight.prefill_tokens == 500
         host, ask = setup.peers.list_asks()[0]
         assert (host, ask.own_tokens, ask.priority) == ("h2", 500, 2)
         assert [part.name for part in ask.shared] == ["thing"]
@@ -111,7 +111,7 @@
         assert not wait.done()
         setup.peers.deliver(AdmissionQueued("r1", "engine", 900, WAIT_LIMIT_MS * 2))
         assert await wait is AdmissionResult.INFEASIBLE
-        assert setup.flight.wait_ms == WAIT_LIMIT_MS * 2
+        assert setup.in_flight.wait_ms == WAIT_LIMIT_MS * 2
 
     run_scenario(scenario)
 
@@ -164,7 +164,7 @@
 def test_a_wait_ends_when_the_engine_is_ejected():
     async def scenario(setup):
         wait = setup.start()
-        setup.view.fail(create_clock().read())
+        setup.view.record_failure(create_clock().read())
         assert await wait is AdmissionResult.ENGINE_LOST
 
     run_scenario(scenario)
@@ -175,8 +175,8 @@
         wait = setup.start()
         await asyncio.sleep(0.01)
         wait.cancel()
-        setup.client.report_end(setup.flight)
-        setup.client.report_end(setup.flight)
+        setup.client.report_end(setup.in_flight)
+        setup.client.report_end(setup.in_flight)
         ends = [m for _, m in setup.peers.sent if isinstance(m, AdmissionEnd)]
         assert ends == [AdmissionEnd("r1", "engine")]
 
@@ -190,7 +190,7 @@
         setup.peers.deliver(AdmissionGrant("r1", "engine", 1))
         await wait
         reporting = asyncio.create_task(setup.client.run_reports())
-        setup.client.report_prefilled(setup.flight)
+        setup.client.report_prefilled(setup.in_flight)
         before = len(setup.peers.list_asks("begun"))
         await asyncio.sleep(0.15)
         assert len(setup.peers.list_asks("begun")) > before
--- a/cornelnotch/gateway/tests/test_admission_controller.py
+++ b/cornelnotch/gateway/tests/test_admission_controller.py
@@ -28,7 +28,7 @@
 
     def list_engine(self, name="engine", boot_ms=1):
         record = ServerRecord(name, "llm", "10.0.0.1:80", "north-a", 64, False, boot_ms)
-        pool = self.host.parts.pool
+        pool = self.host.context.pool
         pool.replace([record, *(v.record for v in pool.servers.values())])
 
     def ask(self, name, sender="h2", own=1000, server="engine", shared=SHARED_PREFIX):
@@ -83,7 +83,7 @@
         harness.end("a")
         assert harness.ask("b")[1].unread == 1000
         harness.end("b")
-        harness.host.parts.pool.replace([])
+        harness.host.context.pool.replace([])
         assert harness.ask("c")[1].unread == 1000
         harness.end("c")
         harness.list_engine(boot_ms=2)
--- a/cornelnotch/gateway/tests/test_admission_path.py
+++ b/cornelnotch/gateway/tests/test_admission_path.py
@@ -74,7 +74,7 @@
 def test_sent_prompt_counts_as_load_until_it_ends():
     async def scenario(d, engine):
         engine.faults.first_ms = 300.0
-        view = d.host.parts.pool.servers[engine.name]
+        view = d.host.context.pool.servers[engine.name]
         first = start(d, "first", LONG)
         await wait_until(lambda: list_sent(engine) == ["first"])
         assert view.measure_usage(0.0).sent == 20_000
@@ -242,7 +242,7 @@
         engine.faults.event_ms = 20.0
         engine.faults.first_ms = 400.0
         await asyncio.gather(*(start(d, f"s{n}", LONG, "/stream/x") for n in range(3)))
-        engine_rates = d.host.parts.engine_rates
+        engine_rates = d.host.context.engine_rates
         name = engine.name
         await wait_until(lambda: engine_rates.get(name, "llm") != PRIOR_RATES, 2.0)
         rates = engine_rates.get(name, "llm")
@@ -263,7 +263,7 @@
             ),
         ]
         d.configure(create_configuration(2, routes=routes))
-        await wait_until(lambda: d.host.parts.table.version == 2, 3.0)
+        await wait_until(lambda: d.host.context.table.version == 2, 3.0)
         asks = []
         d.host.peers.subscribe(AdmissionRequest, lambda sender, ask: asks.append(ask))
         engine.events = 30
--- a/cornelnotch/gateway/tests/test_backups.py
+++ b/cornelnotch/gateway/tests/test_backups.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cornelnotch.exceptions import UpstreamError
-from cornelnotch.gateway.backups import ExposureBook, choose_backup, is_worth_backup
+from cornelnotch.gateway.backups import ExposureTracker, choose_backup, is_worth_backup
 from cornelnotch.gateway.models import (
     Engine,
     Route,
@@ -31,10 +31,10 @@
 
 
 def average_exposure(stream_ms, tokens):
-    book = ExposureBook()
+    tracker = ExposureTracker()
     for _ in range(5):
-        book.note("r", stream_ms, tokens)
-    return book.find("r")
+        tracker.record("r", stream_ms, tokens)
+    return tracker.find("r")
 
 
 def test_only_long_non_resumable_streams_of_short_prompts_are_copied():
@@ -72,7 +72,7 @@
                 {"name": "llm", "engine": {"kv_capacity": 9999, "backups": True}},
             ]
             d.configure(create_configuration(2, services=services))
-            await wait_until(lambda: d.host.parts.table.version == 2)
+            await wait_until(lambda: d.host.context.table.version == 2)
             # The first stream provides the expected duration.
             answer = await send(d, "first")
             assert await answer.read() == COMPLETE_BODY
--- a/cornelnotch/gateway/tests/test_troubled_servers.py
+++ b/cornelnotch/gateway/tests/test_faulty_servers.py
@@ -6,8 +6,8 @@
 import pytest
 
 from cornelnotch.exceptions import UpstreamError
-from cornelnotch.gateway import passing, timeouts
-from cornelnotch.gateway.servers import Flight
+from cornelnotch.gateway import forwarding, timeouts
+from cornelnotch.gateway.servers import InFlightRequest
 from cornelnotch.gateway.streams import MAX_EVENT_BYTES, EventSplitter
 from cornelnotch.gateway.tests.conftest import run_deployment, wait_until
 from cornelnotch.standins.raw import RawAnswer, RawUpstream
@@ -31,7 +31,7 @@
     "event": RawAnswer(CHUNKED, b"1000\r\n" + b"d" * 4096 + b"\r\n"),
 }
 # Machines with 128 MB run a host of 30 MB and buffer what 50 faulty servers send.
-MAX_HELD_BYTES = 64 * 1024 * 1024
+MAX_BUFFERED_BYTES = 64 * 1024 * 1024
 FAULTY_SERVERS = 50
 
 
@@ -51,7 +51,7 @@
             healthy = d.engines if service == "llm" else d.desks
             d.drop_server(healthy[0])
             d.list_server(server, service)
-            servers = d.host.parts.pool.servers
+            servers = d.host.context.pool.servers
             await wait_until(
                 lambda: "raw" in servers and healthy[0].name not in servers
             )
@@ -72,7 +72,9 @@
 def make_busy(d, name):
     """Make a server look busy so that the other one is tried first."""
     for number in range(5):
-        d.host.parts.pool.servers[name].start(Flight(f"busy {number}", 0.0, 5000))
+        d.host.context.pool.servers[name].start(
+            InFlightRequest(f"busy {number}", 0.0, 5000)
+        )
 
 
 @pytest.mark.parametrize("fault", FAULTY_ANSWERS)
@@ -100,16 +102,16 @@
 
 
 def test_an_endless_body_is_limited_and_never_looks_complete(monkeypatch):
-    monkeypatch.setattr(passing, "MAX_BODY_BYTES", 3_000_000)
+    monkeypatch.setattr(forwarding, "MAX_BODY_BYTES", 3_000_000)
 
     async def scenario(d, server):
         d.drop_server(d.desks[1])
-        await wait_until(lambda: "desk-2" not in d.host.parts.pool.servers)
+        await wait_until(lambda: "desk-2" not in d.host.context.pool.servers)
         answer = await d.send("/read/x")
         with pytest.raises(UpstreamError):
             await answer.read()
         await wait_until(lambda: server.closed == 1, 2.0)
-        assert d.host.parts.pool.servers["raw"].failures == 1
+        assert d.host.context.pool.servers["raw"].failures == 1
 
     run_scenario(
         RawAnswer(CHUNKED, b"1000\r\n" + b"d" * 4096 + b"\r\n"), scenario, "desk"
@@ -117,12 +119,12 @@
 
 
 def test_a_large_valid_body_is_forwarded_completely():
-    body = b"z" * (passing.MAX_HELD_BYTES * 3)
+    body = b"z" * (forwarding.MAX_BUFFERED_BYTES * 3)
     head = HEAD + b"content-length: %d\r\n\r\n" % len(body)
 
     async def scenario(d, server):
         d.drop_server(d.desks[1])
-        await wait_until(lambda: "desk-2" not in d.host.parts.pool.servers)
+        await wait_until(lambda: "desk-2" not in d.host.context.pool.servers)
         answer = await d.send("/read/x")
         assert await answer.read() == body
 
@@ -132,7 +134,7 @@
 def test_bytes_beyond_the_content_length_are_dropped():
     async def scenario(d, server):
         d.drop_server(d.desks[1])
-        await wait_until(lambda: "desk-2" not in d.host.parts.pool.servers)
+        await wait_until(lambda: "desk-2" not in d.host.context.pool.servers)
         for number in range(3):
             answer = await d.send("/read/x", x_attempt_id=f"r{number}")
             assert await answer.read() == b"mine"
@@ -144,7 +146,7 @@
 def test_fifty_endless_streams_keep_memory_bounded():
     async def scenario(d, server):
         d.drop_server(d.engines[1])
-        await wait_until(lambda: "llm-2" not in d.host.parts.pool.servers)
+        await wait_until(lambda: "llm-2" not in d.host.context.pool.servers)
         tracemalloc.start()
         try:
             before, _ = tracemalloc.get_traced_memory()
@@ -161,7 +163,7 @@
         finally:
             tracemalloc.stop()
         assert server.requests == FAULTY_SERVERS
-        assert peak - before < MAX_HELD_BYTES
+        assert peak - before < MAX_BUFFERED_BYTES
 
     run_scenario(RawAnswer(CHUNKED, b"10000\r\n" + b"d" * 65536 + b"\r\n"), scenario)
 
@@ -181,7 +183,7 @@
 def test_a_slow_valid_stream_without_an_alternative_server_is_kept():
     async def scenario(d, server):
         d.drop_server(d.engines[1])
-        await wait_until(lambda: "llm-2" not in d.host.parts.pool.servers)
+        await wait_until(lambda: "llm-2" not in d.host.context.pool.servers)
         answer = await d.send("/stream/x", "POST")
         body = await answer.read()
         assert body.count(b"\n\n") == 2
@@ -202,7 +204,7 @@
             await server.start()
             d.drop_server(d.engines[0])
             d.list_server(server, "llm")
-            await wait_until(lambda: "raw" in d.host.parts.pool.servers)
+            await wait_until(lambda: "raw" in d.host.context.pool.servers)
             try:
                 await scenario(d, server)
             finally:
--- a/cornelnotch/gateway/tests/test_leaving.py
+++ b/cornelnotch/gateway/tests/test_leaving_notices.py
@@ -7,14 +7,14 @@
 import pytest
 
 from cornelnotch.gateway.models import ServerRecord
-from cornelnotch.gateway.servers import MAX_REST_MS, ServerPool
+from cornelnotch.gateway.servers import MAX_BACKOFF_MS, ServerPool
 from cornelnotch.gateway.tests.conftest import (
     create_host,
     create_settings,
     run_deployment,
     wait_until,
 )
-from cornelnotch.platform.dialect import PlatformDialect
+from cornelnotch.platform.header_codec import PlatformHeaderCodec
 
 RECORD = ServerRecord("s1", "desk", "10.0.0.1:80", "north-a", 8, boot_ms=100)
 
@@ -33,9 +33,9 @@
     host = create_host(create_settings(deployment.store, "host-2", seeds=seeds))
     await host.start()
     try:
-        await wait_until(lambda: len(host.parts.hosts) == 2)
-        await wait_until(lambda: len(host.parts.pool.servers) == 4)
-        await wait_until(lambda: len(deployment.host.parts.hosts) == 2)
+        await wait_until(lambda: len(host.context.hosts) == 2)
+        await wait_until(lambda: len(host.context.pool.servers) == 4)
+        await wait_until(lambda: len(deployment.host.context.hosts) == 2)
         yield host
     finally:
         await host.stop()
@@ -78,9 +78,9 @@
         d.desks[0].faults.leaving = True
         async with run_second_host(d) as other:
             await send_calls(d, 4)
-            view = other.parts.pool.servers["desk-1"]
+            view = other.context.pool.servers["desk-1"]
             await wait_until(lambda: view.leaving, 1.0)
-            assert not other.parts.accepts(view)
+            assert not other.context.accepts(view)
 
     run_scenario(scenario)
 
@@ -88,7 +88,7 @@
 def test_a_stale_record_does_not_bring_a_leaving_server_back():
     async def scenario(d):
         d.list_server(d.desks[0], "desk", born=100)
-        pool = d.host.parts.pool
+        pool = d.host.context.pool
         await wait_until(lambda: pool.servers["desk-1"].record.boot_ms == 100, 3.0)
         d.desks[0].faults.leaving = True
         await send_calls(d, 4)
@@ -112,10 +112,10 @@
 def test_an_older_leaving_notice_does_not_affect_a_later_boot():
     pool = ServerPool()
     pool.replace([replace(RECORD, boot_ms=200)])
-    assert pool.note_leaving("s1", 100)
+    assert pool.mark_leaving("s1", 100)
     assert not pool.servers["s1"].leaving
-    assert pool.note_leaving("s1", 200)
-    assert not pool.note_leaving("s1", 200)
+    assert pool.mark_leaving("s1", 200)
+    assert not pool.mark_leaving("s1", 200)
     assert pool.servers["s1"].leaving
     pool.replace([])
     pool.replace([replace(RECORD, boot_ms=100)])
@@ -124,7 +124,7 @@
 
 def test_a_leaving_notice_applies_to_a_record_that_arrives_later():
     pool = ServerPool()
-    assert pool.note_leaving("s1", 100)
+    assert pool.mark_leaving("s1", 100)
     pool.replace([RECORD])
     assert not pool.list_usable("desk", 0.0)
     pool.replace([replace(RECORD, boot_ms=101)])
@@ -166,9 +166,9 @@
 
 def test_streams_are_not_sent_to_a_paused_engine():
     async def scenario(d):
-        view = d.host.parts.pool.servers["llm-1"]
-        view.rest(60_000.0, d.host.clock.read())
-        assert not d.host.parts.accepts(view)
+        view = d.host.context.pool.servers["llm-1"]
+        view.back_off(60_000.0, d.host.clock.read())
+        assert not d.host.context.accepts(view)
         for number in range(4):
             answer = await d.send(
                 "/stream/x",
@@ -198,22 +198,22 @@
     ],
 )
 def test_the_duration_of_a_pause_is_validated(status, text, rest_ms, malformed):
-    pairs = [(b"Retry-After", text.encode())] if text else []
-    head = PlatformDialect().read_answer(status, pairs)
-    assert head.rest_ms == rest_ms
-    assert head.malformed_rest == malformed
+    headers = [(b"Retry-After", text.encode())] if text else []
+    head = PlatformHeaderCodec().read_response(status, headers)
+    assert head.backoff_ms == rest_ms
+    assert head.malformed_backoff == malformed
 
 
 def test_a_pause_is_bounded_and_never_shortened():
     pool = ServerPool()
     pool.replace([RECORD])
     view = pool.servers["s1"]
-    assert view.rest(1e12, 0.0) == MAX_REST_MS
-    view.rest(10.0, 5.0)
-    assert view.rest_until_ms == MAX_REST_MS
-    assert pool.find_rest_ms("desk", 0.0) == MAX_REST_MS
-    assert not pool.list_usable("desk", MAX_REST_MS - 1)
-    assert pool.list_usable("desk", MAX_REST_MS)
+    assert view.back_off(1e12, 0.0) == MAX_BACKOFF_MS
+    view.back_off(10.0, 5.0)
+    assert view.backoff_until_ms == MAX_BACKOFF_MS
+    assert pool.find_backoff_ms("desk", 0.0) == MAX_BACKOFF_MS
+    assert not pool.list_usable("desk", MAX_BACKOFF_MS - 1)
+    assert pool.list_usable("desk", MAX_BACKOFF_MS)
 
 
 def test_a_notice_from_a_reused_address_does_not_affect_the_listed_server():
@@ -221,6 +221,6 @@
         d.desks[0].name = "someone-else"
         d.desks[0].faults.leaving = True
         await send_calls(d, 6)
-        assert not d.host.parts.pool.servers["desk-1"].said_leaving
+        assert not d.host.context.pool.servers["desk-1"].announced_leaving
 
     run_scenario(scenario)
--- a/cornelnotch/gateway/tests/test_placement.py
+++ b/cornelnotch/gateway/tests/test_placement.py
@@ -20,7 +20,7 @@
     count_reserved,
     find_latency_sensitive_gap_ms,
 )
-from cornelnotch.gateway.servers import Flight, ServerPool, ServerView
+from cornelnotch.gateway.servers import InFlightRequest, ServerPool, ServerView
 from cornelnotch.testing.enginemodel import (
     PlacedRequest,
     create_engines,
@@ -129,7 +129,7 @@
     views = [create_view(f"s{i}") for i in range(4)]
     owner = choose(views, create_request()).server
     holder = next(view for view in views if view is not owner)
-    holder.remember([PromptPart("s", 13_300)], 0.0)
+    holder.record_cached([PromptPart("s", 13_300)], 0.0)
     holder.record = ServerRecord(holder.record.name, "llm", "1:1", "a", 64, True)
     ready = [view for view in views if not view.record.leaving]
     placed = choose(ready, create_request())
@@ -139,10 +139,10 @@
 def test_busy_owner_is_avoided_only_when_queueing_costs_more_than_prefill():
     views = [create_view(f"s{i}") for i in range(4)]
     owner = choose(views, create_request()).server
-    owner.start(Flight("x", 0.0, 20_000, priority=0))
-    owner.start(Flight("y", 0.0, 200_000, priority=1))
+    owner.start(InFlightRequest("x", 0.0, 20_000, priority=0))
+    owner.start(InFlightRequest("y", 0.0, 200_000, priority=1))
     assert choose(views, create_request()).server is owner
-    owner.start(Flight("z", 0.0, 200_000, priority=0))
+    owner.start(InFlightRequest("z", 0.0, 200_000, priority=0))
     moved = choose(views, create_request())
     assert moved.server is not owner
     assert moved.source is owner
@@ -150,15 +150,15 @@
 
 def test_queued_work_of_lower_priority_is_ignored():
     views = [create_view("s0"), create_view("s1")]
-    views[0].start(Flight("x", 0.0, 50_000, priority=5))
-    views[1].start(Flight("y", 0.0, 5000, priority=0))
+    views[0].start(InFlightRequest("x", 0.0, 50_000, priority=5))
+    views[1].start(InFlightRequest("y", 0.0, 5000, priority=0))
     placed = choose(views, create_request(0, 500), PlacementNeed(1, ()))
     assert placed.server is views[0]
 
 
 def test_failing_and_excluded_servers_are_avoided():
     views = [create_view("s0"), create_view("s1")]
-    views[0].fail(0.0)
+    views[0].record_failure(0.0)
     assert choose(views, create_request(0, 500), now=10.0).server is views[1]
     need = PlacementNeed(1, {"s1"})
     assert choose(views, create_request(0, 500), need, 10.0).server is views[0]
@@ -199,7 +199,7 @@
 
 def test_reserved_engines_accept_only_prompts_that_fit_into_the_gap():
     views = [create_view("kept"), create_view("other")]
-    views[1].start(Flight("x", 0.0, 15_000, priority=0))
+    views[1].start(InFlightRequest("x", 0.0, 15_000, priority=0))
     need = PlacementNeed(1, (), False, frozenset({"kept"}), 250.0)
     budget = find_prefill_budget(PRIOR_RATES, 250.0)
     harmless = int(budget * placement.INTERFERENCE_FREE_SHARE)
@@ -218,5 +218,5 @@
 def test_ejected_servers_are_used_when_no_other_is_available():
     pool = ServerPool()
     pool.replace([ServerRecord("s0", "llm", "1:1", "a", 64)])
-    pool.servers["s0"].fail(0.0)
+    pool.servers["s0"].record_failure(0.0)
     assert len(pool.list_usable("llm", 1.0)) == 1
--- a/cornelnotch/gateway/tests/test_relay.py
+++ b/cornelnotch/gateway/tests/test_relay.py
@@ -6,8 +6,8 @@
 from cornelnotch.gateway.relay import (
     CONTACT_TTL_MS,
     TAKEOVER_DELAY_MS,
+    ReaderCandidate,
     RelayPlan,
-    Source,
     split_targets,
 )
 
@@ -15,7 +15,7 @@
 
 
 def create_plans(count):
-    hosts = [Source(f"host-{i}", DOMAINS[i % 3]) for i in range(count)]
+    hosts = [ReaderCandidate(f"host-{i}", DOMAINS[i % 3]) for i in range(count)]
     plans = {host.name: RelayPlan(host.name) for host in hosts}
     for plan in plans.values():
         plan.set_hosts(hosts)
@@ -28,7 +28,7 @@
 
 def note_everywhere(plans, origin, age_ms, now):
     for plan in plans.values():
-        plan.note_age(origin, "servers", age_ms, now)
+        plan.record_age(origin, "servers", age_ms, now)
 
 
 @pytest.mark.parametrize("count", [2, 9, 79, 320])
@@ -66,13 +66,13 @@
 def test_branches_reach_every_host_once_and_each_remote_region_once(count):
     regions = {f"host-{i}": "north" if i % 2 else "south" for i in range(count)}
     branches = split_targets(list(regions), "north", regions)
-    reached = [b.head for b in branches] + [n for b in branches for n in b.rest]
+    reached = [b.head for b in branches] + [n for b in branches for n in b.others]
     assert sorted(reached) == sorted(regions)
     remote = [b for b in branches if regions[b.head] == "south"]
     assert len(remote) == min(count, 1)
     assert len(branches) - len(remote) <= 16
     for branch in branches:
-        assert {regions[name] for name in branch.rest} <= {regions[branch.head]}
+        assert {regions[name] for name in branch.others} <= {regions[branch.head]}
 
 
 def simulate_outage(count, outage_ms):
@@ -95,8 +95,8 @@
             if now > outage_ms:
                 return calls, now
             calls.append(now)
-            if plan.must_tell(now):
-                age_ms = plan.read_age("servers", now)
+            if plan.must_publish(now):
+                age_ms = plan.find_age_ms("servers", now)
                 note_everywhere(plans, name, age_ms, now)
             pause = follower.RETRY_MS * 2.0 ** failures[name]
             failures[name] += pause < follower.MAX_RETRY_MS
--- a/cornelnotch/gateway/tests/test_path.py
+++ b/cornelnotch/gateway/tests/test_request_path.py
@@ -218,8 +218,8 @@
         for server in d.engines:
             server.events = 10_000
         answer = await d.send("/stream/x", "POST", b"p")
-        parts = answer.iterate()
-        await anext(parts)
+        chunks = answer.iterate_chunks()
+        await anext(chunks)
         answer.connection.abort()
         await wait_until(lambda: sum(s.left for s in d.engines) == 1, 1.0)
 
@@ -269,12 +269,12 @@
 def test_a_newer_configuration_is_applied_and_an_older_one_is_not():
     async def scenario(d):
         d.configure(create_configuration(5, tenants=[]))
-        await wait_until(lambda: d.host.parts.table.version == 5, 3.0)
+        await wait_until(lambda: d.host.context.table.version == 5, 3.0)
         d.configure(create_configuration(4))
         await asyncio.sleep(0.3)
         answer = await d.send("/read/x")
         assert answer.status == 401
-        assert d.host.parts.table.version == 5
+        assert d.host.context.table.version == 5
 
     run_scenario(scenario)
 
@@ -282,7 +282,7 @@
 def test_a_leaving_server_gets_no_new_work():
     async def scenario(d):
         d.list_server(d.desks[0], "desk", state="draining")
-        view = d.host.parts.pool.servers["desk-1"]
+        view = d.host.context.pool.servers["desk-1"]
         await wait_until(lambda: view.record.leaving, 3.0)
         for number in range(4):
             answer = await d.send("/read/x", x_attempt_id=f"r{number}")
--- a/cornelnotch/gateway/tests/test_restoration.py
+++ b/cornelnotch/gateway/tests/test_restoration.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cornelnotch.gateway.relay import STALE_MS
-from cornelnotch.gateway.state import RETURN_MS
+from cornelnotch.gateway.routing_state import RELISTING_GRACE_MS
 from cornelnotch.gateway.tests.fleet import Fleet, Store
 
 # The tightest documented bound on the delay of a change.
@@ -31,7 +31,7 @@
     return all(
         host.follower.timeline == timeline
         and host.version == version
-        and host.follower.has_read()
+        and host.follower.is_initialized()
         for host in fleet.list_alive()
     )
 
@@ -74,7 +74,7 @@
         fleet.store.configure(11)
         await fleet.run(2000.0)
         assert not any(
-            h.follower.views["configuration"].held for h in fleet.list_alive()
+            h.follower.views["configuration"].older_records for h in fleet.list_alive()
         )
         fleet.store.configure(13)
         await fleet.run(2000.0)
@@ -93,7 +93,7 @@
         fleet.store.restore(copy)
         for name in ("s3", "s4", "s5", "s6", "s7"):
             fleet.store.list_server(name, 1)
-        await fleet.run(RETURN_MS + BOUND_MS)
+        await fleet.run(RELISTING_GRACE_MS + BOUND_MS)
         for host in fleet.list_alive():
             assert host.list_usable() == {f"s{n}" for n in range(1, 8)}
 
@@ -110,7 +110,7 @@
         await fleet.run(1000.0)
         assert all(h.list_usable() >= {"s3", "s4"} for h in fleet.list_alive())
         fleet.store.list_server("s3", 2)
-        await fleet.run(RETURN_MS + BOUND_MS)
+        await fleet.run(RELISTING_GRACE_MS + BOUND_MS)
         for host in fleet.list_alive():
             assert host.list_usable() == {"s1", "s2", "s3"}
 
@@ -290,7 +290,7 @@
         fleet.deliver = deliver
         copy = {"configuration": 1, "servers": 2}
         await restore_from(fleet, copy, 500.0)
-        await fleet.run(RETURN_MS + BOUND_MS)
+        await fleet.run(RELISTING_GRACE_MS + BOUND_MS)
         for message in delayed:
             deliver(*message)
         for host in fleet.list_alive():
--- a/cornelnotch/gateway/tests/test_silence.py
+++ b/cornelnotch/gateway/tests/test_silence.py
@@ -5,12 +5,12 @@
 import pytest
 
 from cornelnotch.gateway.models import ServerRecord
-from cornelnotch.gateway.servers import Flight, ServerPool
+from cornelnotch.gateway.servers import InFlightRequest, ServerPool
 from cornelnotch.gateway.silence import (
-    LATE_MS,
-    MIN_SILENCE_MS,
-    PERIOD_MS,
-    SilenceWatch,
+    CHECK_INTERVAL_MS,
+    MAX_CHECK_DELAY_MS,
+    MIN_SILENCE_LIMIT_MS,
+    SilenceDetector,
     find_silence_limit_ms,
 )
 from cornelnotch.kernel import ManualClock, create_event_log
@@ -22,11 +22,11 @@
     def __init__(self):
         self.dropped = []
 
-    def drop_idle(self, address):
+    def close_idle_connections(self, address):
         self.dropped.append(address)
 
 
-class Parts:
+class Context:
     def __init__(self):
         self.clock = ManualClock()
         self.clock.advance(10_000.0)
@@ -40,31 +40,31 @@
     """An engine with one running stream and its silence watch."""
 
     def __init__(self):
-        self.parts = cast(Any, Parts())
-        self.view = self.parts.pool.servers["engine"]
-        self.watch = SilenceWatch(self.parts)
-        self.flight = Flight("r1", self.now, 0)
-        self.view.start(self.flight)
+        self.context = cast(Any, Context())
+        self.view = self.context.pool.servers["engine"]
+        self.detector = SilenceDetector(self.context)
+        self.in_flight = InFlightRequest("r1", self.now, 0)
+        self.view.start(self.in_flight)
 
     @property
     def now(self):
-        return self.parts.clock.read()
+        return self.context.clock.read()
 
-    def stream(self, seconds, event_ms, flight=None):
+    def stream(self, seconds, event_ms, in_flight=None):
         end_ms = self.now + seconds * 1000.0
         last_event_ms = self.now
         while self.now < end_ms:
-            self.parts.clock.advance(10.0)
+            self.context.clock.advance(10.0)
             if self.now - last_event_ms >= event_ms:
                 last_event_ms = self.now
-                self.view.hear(flight or self.flight, self.now)
-            if self.now % PERIOD_MS < 10.0:
-                self.watch.check()
+                self.view.record_received(in_flight or self.in_flight, self.now)
+            if self.now % CHECK_INTERVAL_MS < 10.0:
+                self.detector.check()
 
     def wait(self, ms):
-        for _ in range(int(ms / PERIOD_MS)):
-            self.parts.clock.advance(PERIOD_MS)
-            self.watch.check()
+        for _ in range(int(ms / CHECK_INTERVAL_MS)):
+            self.context.clock.advance(CHECK_INTERVAL_MS)
+            self.detector.check()
 
     def is_ejected(self):
         return self.now < self.view.ejected_until_ms
@@ -82,9 +82,9 @@
     fixture = SilenceFixture()
     fixture.stream(5.0, event_ms)
     limit_ms = find_silence_limit_ms(fixture.view)
-    fixture.wait(limit_ms + 3 * PERIOD_MS)
+    fixture.wait(limit_ms + 3 * CHECK_INTERVAL_MS)
     assert fixture.is_ejected()
-    assert fixture.parts.client.dropped == [ADDRESS]
+    assert fixture.context.client.dropped == [ADDRESS]
 
 
 def test_engine_stays_ejected_while_silent_and_returns_with_its_events():
@@ -101,26 +101,26 @@
     fixture.stream(5.0, 20.0)
     fixture.wait(6000.0)
     fixture.stream(1.0, 20.0)
-    assert find_silence_limit_ms(fixture.view) == MIN_SILENCE_MS
+    assert find_silence_limit_ms(fixture.view) == MIN_SILENCE_LIMIT_MS
 
 
 def test_engine_without_running_streams_is_never_silent():
     fixture = SilenceFixture()
     fixture.wait(10_000.0)
     fixture.stream(1.0, 20.0)
-    fixture.view.finish(fixture.flight)
+    fixture.view.finish(fixture.in_flight)
     fixture.wait(10_000.0)
-    late = Flight("r2", fixture.now, 0)
+    late = InFlightRequest("r2", fixture.now, 0)
     fixture.view.start(late)
-    fixture.view.hear(late, fixture.now)
-    fixture.wait(2 * PERIOD_MS)
+    fixture.view.record_received(late, fixture.now)
+    fixture.wait(2 * CHECK_INTERVAL_MS)
     assert fixture.view.failures == 0
 
 
 def test_suspended_host_ejects_no_engine():
     fixture = SilenceFixture()
     fixture.stream(5.0, 20.0)
-    fixture.parts.clock.advance(LATE_MS + 4000.0)
-    fixture.watch.check()
-    fixture.wait(2 * PERIOD_MS)
+    fixture.context.clock.advance(MAX_CHECK_DELAY_MS + 4000.0)
+    fixture.detector.check()
+    fixture.wait(2 * CHECK_INTERVAL_MS)
     assert fixture.view.failures == 0
--- a/cornelnotch/gateway/tests/test_starting.py
+++ b/cornelnotch/gateway/tests/test_startup.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from cornelnotch.gateway.starting import MIN_RETRY_AFTER_MS, STARTUP_MS, Startup
+from cornelnotch.gateway.startup import MIN_RETRY_AFTER_MS, STARTUP_MS, Startup
 from cornelnotch.gateway.tests.conftest import Deployment, create_host, wait_until
 from cornelnotch.kernel import ManualClock
 
@@ -84,7 +84,7 @@
     async def scenario(d):
         d.store.silent_topics = {"keyed.servers"}
         await d.host.start()
-        await wait_until(lambda: d.host.parts.table.version >= 0)
+        await wait_until(lambda: d.host.context.table.version >= 0)
         assert not d.host.is_ready()
         d.store.silent_topics = set()
         await wait_until(d.host.is_ready)
--- a/cornelnotch/gateway/tests/test_streams.py
+++ b/cornelnotch/gateway/tests/test_streams.py
@@ -17,7 +17,7 @@
         sent += splitter.feed(STREAM[start:end])
         complete = sent.count(b"\n\n")
         assert sent == b"".join(EVENTS[:complete])
-        assert splitter.last_event == (str(complete) if complete else "")
+        assert splitter.last_event_id == (str(complete) if complete else "")
     assert sent == STREAM
     assert splitter.take_remainder() == b""
 
@@ -25,5 +25,5 @@
 def test_an_incomplete_event_is_buffered():
     splitter = EventSplitter("4")
     assert splitter.feed(b"id: 5\nda") == b""
-    assert splitter.last_event == "4"
+    assert splitter.last_event_id == "4"
     assert splitter.take_remainder() == b"id: 5\nda"
--- a/cornelnotch/load/caller.py
+++ b/cornelnotch/load/caller.py
@@ -8,7 +8,7 @@
 
 from cornelnotch.exceptions import UpstreamError
 from cornelnotch.kernel import Clock, create_identifier
-from cornelnotch.web import HttpAnswer, HttpClient
+from cornelnotch.web import HttpClient, HttpResponse
 
 __all__ = ["CallResult", "Caller", "CallerOptions"]
 
@@ -215,7 +215,7 @@
         return result
 
     async def _read_response(
-        self, response: HttpAnswer, result: CallResult, started_ms: float
+        self, response: HttpResponse, result: CallResult, started_ms: float
     ) -> None:
         headers = response.headers
         result.status = response.status
@@ -235,7 +235,7 @@
         result.complete = response.status == STATUS_OK
 
     async def _read_stream(
-        self, response: HttpAnswer, result: CallResult, started_ms: float
+        self, response: HttpResponse, result: CallResult, started_ms: float
     ) -> None:
         texts: list[str] = []
         first_ms = 0.0
@@ -260,9 +260,9 @@
             result.between_tokens_ms = (last_ms - first_ms) / (len(texts) - 1)
 
 
-async def _split_events(response: HttpAnswer) -> AsyncIterator[bytes]:
+async def _split_events(response: HttpResponse) -> AsyncIterator[bytes]:
     buffer = b""
-    async for part in response.iterate():
+    async for part in response.iterate_chunks():
         *events, buffer = (buffer + part).split(EVENT_END)
         for event in events:
             yield event
--- a/cornelnotch/node/frontend.py
+++ b/cornelnotch/node/frontend.py
@@ -87,7 +87,7 @@
         return self._answer_unknown
 
     async def _reject_malformed(self, exchange: Exchange, error: RequestError) -> None:
-        if exchange.started:
+        if exchange.response_started:
             raise CallerGoneError("the request ended early", "send it again")
         problem = Problem(error.status, error.kind, str(error), Outcome.NOT_RUN)
         self._context.events.record(
--- a/cornelnotch/node/node.py
+++ b/cornelnotch/node/node.py
@@ -200,7 +200,7 @@
         ttl_ms = self.settings.timing.entry_ttl_ms
         await self.clock.sleep(ttl_ms + DRAIN_MARGIN_MS)
         limit = self.clock.read() + self.settings.timing.drain_limit_ms
-        self.server.refuse_new()
+        self.server.start_draining()
         while self._is_busy() and self.clock.read() < limit:
             await self.clock.sleep(DRAIN_POLL_MS)
         await self.clock.sleep(HANDOVER_MS)
--- a/cornelnotch/platform/dialect.py
+++ b/cornelnotch/platform/header_codec.py
@@ -4,10 +4,10 @@
 from urllib.parse import urlsplit
 
 from cornelnotch.exceptions import RequestError
-from cornelnotch.gateway.dialect import AnswerHead, Dialect, DispatchTerms
-from cornelnotch.gateway.models import CallerRequest, Pairs, PromptPart
+from cornelnotch.gateway.header_codec import DispatchOptions, HeaderCodec, ResponseHead
+from cornelnotch.gateway.models import CallerRequest, Headers, PromptPart
 
-__all__ = ["PlatformDialect"]
+__all__ = ["PlatformHeaderCodec"]
 
 REQUEST_ID = b"x-attempt-id"
 DEADLINE = b"x-deadline-ms"
@@ -69,9 +69,9 @@
 MS_PER_SECOND = 1000.0
 
 
-def find_header(pairs: Pairs, name: bytes) -> str:
+def find_header(headers: Headers, name: bytes) -> str:
     """Return the first value of header `name`, or an empty string."""
-    for key, value in pairs:
+    for key, value in headers:
         if key.lower() == name:
             return value.decode("latin-1").strip()
     return ""
@@ -112,87 +112,91 @@
     return tuple(parts)
 
 
-def drop_hop_by_hop_headers(pairs: Pairs) -> Pairs:
+def drop_hop_by_hop_headers(headers: Headers) -> Headers:
     """Return `pairs` without hop-by-hop headers."""
-    listed = find_header(pairs, b"connection").lower().encode("latin-1")
+    listed = find_header(headers, b"connection").lower().encode("latin-1")
     dropped = HOP_BY_HOP_HEADERS | {name.strip() for name in listed.split(b",")}
-    return [(k, v) for k, v in pairs if k.lower() not in dropped]
+    return [(k, v) for k, v in headers if k.lower() not in dropped]
 
 
-class PlatformDialect(Dialect):
+class PlatformHeaderCodec(HeaderCodec):
     """Read and write the headers defined by the platform."""
 
-    def read_request(self, method: str, target: str, pairs: Pairs) -> CallerRequest:
+    def read_request(self, method: str, target: str, headers: Headers) -> CallerRequest:
         """Return the caller's request; raise RequestError if it is malformed."""
-        request_id = find_header(pairs, REQUEST_ID)
+        request_id = find_header(headers, REQUEST_ID)
         if not request_id:
             raise RequestError("request id is missing", "send X-Attempt-Id")
-        tokens = [parse_number(t) for t in find_header(pairs, TOKEN_USAGE).split(",")]
-        forwarded = drop_hop_by_hop_headers(pairs)
+        tokens = [parse_number(t) for t in find_header(headers, TOKEN_USAGE).split(",")]
+        forwarded = drop_hop_by_hop_headers(headers)
         return CallerRequest(
             request_id,
             method,
             target,
-            find_header(pairs, b"host").lower(),
+            find_header(headers, b"host").lower(),
             urlsplit(target).path,
             [(k, v) for k, v in forwarded if k.lower() not in GATEWAY_HEADERS],
-            key=find_header(pairs, IDEMPOTENCY_KEY),
-            deadline_ms=parse_number(find_header(pairs, DEADLINE)),
-            last_event=find_header(pairs, LAST_EVENT_ID),
-            prompt=parse_prompt_segments(find_header(pairs, PROMPT_PREFIX)),
+            key=find_header(headers, IDEMPOTENCY_KEY),
+            deadline_ms=parse_number(find_header(headers, DEADLINE)),
+            last_event_id=find_header(headers, LAST_EVENT_ID),
+            prompt=parse_prompt_segments(find_header(headers, PROMPT_PREFIX)),
             prompt_tokens=int(tokens[0]),
         )
 
-    def create_pairs(self, request: CallerRequest, terms: DispatchTerms) -> Pairs:
+    def create_dispatch_headers(
+        self, request: CallerRequest, options: DispatchOptions
+    ) -> Headers:
         """Return the headers of one dispatch, without Content-Length."""
-        pairs = request.pairs
-        if terms.last_event != request.last_event:
-            pairs = [(k, v) for k, v in pairs if k.lower() != LAST_EVENT_ID]
-            pairs.append((LAST_EVENT_ID, terms.last_event.encode("latin-1")))
+        headers = request.headers
+        if options.last_event_id != request.last_event_id:
+            headers = [(k, v) for k, v in headers if k.lower() != LAST_EVENT_ID]
+            headers.append((LAST_EVENT_ID, options.last_event_id.encode("latin-1")))
         gateway_headers = [
-            (DEADLINE, str(max(int(terms.left_ms), 1)).encode()),
-            (TARGET_INSTANCE, terms.server.encode("latin-1")),
+            (DEADLINE, str(max(int(options.remaining_ms), 1)).encode()),
+            (TARGET_INSTANCE, options.server.encode("latin-1")),
         ]
-        if terms.workspace:
-            gateway_headers.append((TENANT, terms.workspace.encode("latin-1")))
-        if terms.priority is not None:
-            priority = min(max(terms.priority, 0), MAX_PRIORITY)
+        if options.workspace:
+            gateway_headers.append((TENANT, options.workspace.encode("latin-1")))
+        if options.priority is not None:
+            priority = min(max(options.priority, 0), MAX_PRIORITY)
             gateway_headers.append((PRIORITY, str(priority).encode()))
-        if terms.cache_source:
+        if options.cache_source:
             gateway_headers.append(
-                (PREFIX_SOURCE, terms.cache_source.encode("latin-1"))
+                (PREFIX_SOURCE, options.cache_source.encode("latin-1"))
             )
-        if terms.backup_address:
-            gateway_headers.append((KV_BACKUP, terms.backup_address.encode("latin-1")))
-        if terms.copy:
-            gateway_headers.append((KV_SOURCE, terms.copy.encode("latin-1")))
-        return [*pairs, *gateway_headers]
+        if options.backup_address:
+            gateway_headers.append(
+                (KV_BACKUP, options.backup_address.encode("latin-1"))
+            )
+        if options.kv_copy:
+            gateway_headers.append((KV_SOURCE, options.kv_copy.encode("latin-1")))
+        return [*headers, *gateway_headers]
 
-    def read_answer(self, status: int, pairs: Pairs) -> AnswerHead:
+    def read_response(self, status: int, headers: Headers) -> ResponseHead:
         """Return the status and headers of a server's response in decoded form."""
         misdirected = status == STATUS_MISDIRECTED
-        retry_after = find_header(pairs, RETRY_AFTER)
+        retry_after = find_header(headers, RETRY_AFTER)
         retry_after_ms = parse_retry_after(status, retry_after)
-        return AnswerHead(
+        return ResponseHead(
             status,
-            find_header(pairs, REQUEST_ID),
-            bool(find_header(pairs, SIGNATURE)),
-            misdirected or bool(find_header(pairs, NOT_EXECUTED)),
+            find_header(headers, REQUEST_ID),
+            bool(find_header(headers, SIGNATURE)),
+            misdirected or bool(find_header(headers, NOT_EXECUTED)),
             misdirected,
-            drop_hop_by_hop_headers(pairs),
-            find_header(pairs, LEAVING) == LEAVING_VALUE,
+            drop_hop_by_hop_headers(headers),
+            find_header(headers, LEAVING) == LEAVING_VALUE,
             retry_after_ms or 0.0,
             retry_after if retry_after_ms is None else "",
         )
 
-    def create_refusal_pairs(
+    def create_refusal_headers(
         self, request: CallerRequest | None, retry_after_ms: float | None
-    ) -> Pairs:
+    ) -> Headers:
         """Return the headers of a response generated by the gateway itself."""
-        pairs = [(b"content-type", b"application/json")]
+        headers = [(b"content-type", b"application/json")]
         if request is not None:
-            pairs.append((REQUEST_ID, request.request_id.encode("latin-1")))
+            headers.append((REQUEST_ID, request.request_id.encode("latin-1")))
         if retry_after_ms is not None:
             seconds = max(retry_after_ms, 0.0) / MS_PER_SECOND
-            pairs.append((RETRY_AFTER, f"{seconds:.3f}".encode()))
-        return pairs
+            headers.append((RETRY_AFTER, f"{seconds:.3f}".encode()))
+        return headers
--- a/cornelnotch/platform/program.py
+++ b/cornelnotch/platform/program.py
@@ -11,12 +11,12 @@
 from cornelnotch.kernel.events import create_event_log
 from cornelnotch.kernel.output import LogOutput
 from cornelnotch.platform.decoder import PlatformDecoder
-from cornelnotch.platform.dialect import PlatformDialect
 from cornelnotch.platform.endpoints import (
     MetricsEndpoint,
     ReadinessEndpoint,
     ResolutionEndpoint,
 )
+from cornelnotch.platform.header_codec import PlatformHeaderCodec
 from cornelnotch.platform.store import PlatformStore
 from cornelnotch.web import HttpClient, HttpServer, parse_address
 
@@ -34,12 +34,12 @@
         settings,
         clock,
         create_event_log(settings.host.name),
-        PlatformDialect(),
+        PlatformHeaderCodec(),
         PlatformStore(settings.store.address, HttpClient()),
         PlatformDecoder(),
         HttpClient(),
     )
-    host.parts.metrics.watch_state("dropped_log_lines", lambda: output.dropped)
+    host.context.metrics.watch_state("dropped_log_lines", lambda: output.dropped)
     directory = HttpServer(ResolutionEndpoint(host.directory).handle)
     readiness = HttpServer(ReadinessEndpoint(host.is_ready).handle)
     metrics = HttpServer(MetricsEndpoint(host.render_metrics).handle)
--- a/cornelnotch/platform/tests/test_restoration.py
+++ b/cornelnotch/platform/tests/test_restoration.py
@@ -88,14 +88,14 @@
         async with run_deployment() as d:
             copy = d.store.copy()
             d.configure(create_configuration(2))
-            await wait_until(lambda: d.host.parts.table.version == 2)
+            await wait_until(lambda: d.host.context.table.version == 2)
             d.drop_server(d.desks[1])
             await wait_until(lambda: d.count_servers() == 3)
             d.store.restore(copy)
             await wait_until(lambda: d.host.follower.timeline == 2)
-            assert d.host.parts.table.version == 2
+            assert d.host.context.table.version == 2
             d.configure(create_configuration(3))
-            await wait_until(lambda: d.host.parts.table.version == 3)
+            await wait_until(lambda: d.host.context.table.version == 3)
             assert d.count_servers() == 3
             answer = await d.send("/read/x")
             assert await answer.read() == b"done by desk-1"
@@ -111,7 +111,7 @@
                 await answer.read()
             copy = d.store.copy()
             d.configure(create_configuration(2))
-            await wait_until(lambda: d.host.parts.table.version == 2)
+            await wait_until(lambda: d.host.context.table.version == 2)
             d.store.restore(copy)
             await wait_until(lambda: d.host.follower.timeline == 2)
             assert d.store.paths == {"/log-newest", "/log-read"}
--- a/cornelnotch/platform/tests/test_translation.py
+++ b/cornelnotch/platform/tests/test_translation.py
@@ -5,9 +5,9 @@
 from hypothesis import given, strategies as st
 
 from cornelnotch.exceptions import ConfigurationError, RequestError
-from cornelnotch.gateway.dialect import DispatchTerms
+from cornelnotch.gateway.header_codec import DispatchOptions
 from cornelnotch.gateway.models import WorkKind
-from cornelnotch.platform.dialect import PlatformDialect
+from cornelnotch.platform.header_codec import PlatformHeaderCodec
 from cornelnotch.platform.records import decode_server, decode_table
 
 ENTRY = {
@@ -30,16 +30,16 @@
     (b"x-hop", b"1"),
     (b"x-pin-ms", b"99"),
 ]
-dialect = PlatformDialect()
+header_codec = PlatformHeaderCodec()
 
 
 def test_request_headers_are_decoded():
-    request = dialect.read_request("POST", "/a/b?c", PAIRS)
+    request = header_codec.read_request("POST", "/a/b?c", PAIRS)
     assert (request.host, request.path) == ("app.example", "/a/b")
     assert request.deadline_ms == 1500.0
     assert request.prompt_tokens == 1460
     assert [part.tokens for part in request.prompt] == [800, 410, 250]
-    names = [name for name, _ in request.pairs]
+    names = [name for name, _ in request.headers]
     assert b"x-hop" not in names
     assert b"x-pin-ms" not in names
     assert b"x-token-usage" in names
@@ -47,15 +47,15 @@
 
 def test_request_without_an_id_is_rejected():
     with pytest.raises(RequestError, match="X-Attempt-Id"):
-        dialect.read_request("GET", "/", [(b"host", b"a")])
+        header_codec.read_request("GET", "/", [(b"host", b"a")])
 
 
 def test_resumed_dispatch_sends_last_event_id_once():
-    request = dialect.read_request("POST", "/", [*PAIRS, (b"last-event-id", b"3")])
-    terms = DispatchTerms("i-1", 20.4, "acme", 12, "7", "10.0.0.2:80")
-    pairs = dialect.create_pairs(request, terms)
-    values = dict(pairs)
-    assert [v for k, v in pairs if k == b"last-event-id"] == [b"7"]
+    request = header_codec.read_request("POST", "/", [*PAIRS, (b"last-event-id", b"3")])
+    options = DispatchOptions("i-1", 20.4, "acme", 12, "7", "10.0.0.2:80")
+    headers = header_codec.create_dispatch_headers(request, options)
+    values = dict(headers)
+    assert [v for k, v in headers if k == b"last-event-id"] == [b"7"]
     assert values[b"x-deadline-ms"] == b"20"
     assert values[b"x-request-priority"] == b"9"
     assert values[b"kv-fetch"] == b"10.0.0.2:80"
@@ -74,7 +74,7 @@
 def test_work_counts_as_not_executed_only_if_the_server_declares_it(
     status, pairs, not_run
 ):
-    assert dialect.read_answer(status, pairs).not_run is not_run
+    assert header_codec.read_response(status, pairs).not_run is not_run
 
 
 def test_server_entry_is_decoded():
--- a/cornelnotch/routing/engine_flow.py
+++ b/cornelnotch/routing/engine_flow.py
@@ -77,7 +77,7 @@
                 grant = await self.acquire()
                 error = await self._dispatch(grant)
             except RequestFailedError as failure:
-                if not self.exchange.started:
+                if not self.exchange.response_started:
                     raise
                 await self._abort_stream(failure.problem)
                 return
@@ -86,7 +86,7 @@
                 return
             if not self.should_retry(error, grant):
                 problem = self.create_failure_problem(error)
-                if not self.exchange.started:
+                if not self.exchange.response_started:
                     raise RequestFailedError(problem)
                 await self._abort_stream(problem)
                 return
@@ -167,7 +167,7 @@
         self._texts += [chunk.text for chunk in chunks]
         if not self.request.stream:
             return
-        if not self.exchange.started:
+        if not self.exchange.response_started:
             headers = create_response_headers(self.request.request_id, Outcome.RAN)
             headers["content-type"] = "text/event-stream"
             await self.exchange.start(200, headers)
@@ -181,7 +181,7 @@
         whole_ms = self.context.clock.read() - self.trace.arrived_ms
         self.context.metrics.count_tokens("delivered", len(self._texts))
         if self.request.stream:
-            if not self.exchange.started:
+            if not self.exchange.response_started:
                 headers = create_response_headers(self.request.request_id, Outcome.RAN)
                 await self.exchange.start(
                     200, {**headers, "content-type": "text/event-stream"}
--- a/cornelnotch/routing/flow.py
+++ b/cornelnotch/routing/flow.py
@@ -72,7 +72,7 @@
     async def run(self) -> None:
         """Serve the request and cancel cancellable work when the caller disconnects."""
         work = asyncio.create_task(self._serve())
-        gone = asyncio.create_task(self.exchange.gone.wait())
+        gone = asyncio.create_task(self.exchange.disconnected.wait())
         try:
             await asyncio.wait({work, gone}, return_when=asyncio.FIRST_COMPLETED)
             if not work.done() and self.cancellable:
--- a/cornelnotch/routing/upstreams.py
+++ b/cornelnotch/routing/upstreams.py
@@ -10,7 +10,7 @@
     AnswerMismatchError,
     UpstreamError,
 )
-from cornelnotch.web import HttpAnswer, HttpClient
+from cornelnotch.web import HttpClient, HttpResponse
 
 __all__ = [
     "EngineChunk",
@@ -102,7 +102,7 @@
         stall_timeout.restart()
         answer = await self._open(address, headers, body)
         try:
-            parts = answer.iterate().__aiter__()
+            parts = answer.iterate_chunks().__aiter__()
             buffer = b""
             while True:
                 buffer += await self._read_chunk(parts, address)
@@ -125,7 +125,7 @@
 
     async def _open(
         self, address: str, headers: dict[str, str], body: bytes
-    ) -> HttpAnswer:
+    ) -> HttpResponse:
         answer = await self._client.request(
             address, "POST", "/v1/chat/completions", headers, body
         )
--- a/cornelnotch/standins/engine.py
+++ b/cornelnotch/standins/engine.py
@@ -191,7 +191,7 @@
         self, exchange: Exchange, sequence: Sequence
     ) -> int | None:
         position = asyncio.ensure_future(sequence.output.get())
-        gone = asyncio.ensure_future(exchange.gone.wait())
+        gone = asyncio.ensure_future(exchange.disconnected.wait())
         done, _ = await asyncio.wait(
             {position, gone}, return_when=asyncio.FIRST_COMPLETED
         )
--- a/cornelnotch/standins/store.py
+++ b/cornelnotch/standins/store.py
@@ -87,7 +87,7 @@
         self.calls += 1
         self.paths.add(exchange.path)
         if self.fault == "silent" or exchange.query["topic"] in self.silent_topics:
-            await exchange.gone.wait()
+            await exchange.disconnected.wait()
             exchange.abort()
             return
         if self.fault == "busy":
--- a/cornelnotch/standins/upstream.py
+++ b/cornelnotch/standins/upstream.py
@@ -114,7 +114,7 @@
             exchange.abort()
             return
         if self.faults.hang:
-            await exchange.gone.wait()
+            await exchange.disconnected.wait()
             self.left += 1
             return
         if exchange.path.startswith(STREAM_PREFIX):
@@ -133,7 +133,7 @@
         if "kv-from" in exchange.headers:
             breaks = stalls = None
         for number in range(start + 1, self.events + 1):
-            if exchange.gone.is_set():
+            if exchange.disconnected.is_set():
                 self.left += 1
                 exchange.abort()
                 return
@@ -143,7 +143,7 @@
                 exchange.abort()
                 return
             if stalls is not None and number > stalls:
-                await exchange.gone.wait()
+                await exchange.disconnected.wait()
                 self.left += 1
                 exchange.abort()
                 return
--- a/cornelnotch/testing/enginemodel.py
+++ b/cornelnotch/testing/enginemodel.py
@@ -20,7 +20,7 @@
 )
 from cornelnotch.gateway.placement import PlacementNeed, Placer
 from cornelnotch.gateway.reservation import choose_reserved
-from cornelnotch.gateway.servers import Flight, ServerView
+from cornelnotch.gateway.servers import InFlightRequest, ServerView
 
 __all__ = ["EngineModel", "EngineShape", "Outcome", "PlacedRequest", "play_requests"]
 
@@ -77,7 +77,7 @@
     """Request that an engine runs or that waits for admission."""
 
     outcome: Outcome
-    flight: Flight
+    in_flight: InFlightRequest
     unread_tokens: int
     remaining_tokens: int
     prompt_tokens: int = 0
@@ -118,7 +118,7 @@
     def admit(self, run: EngineRequest) -> None:
         """Admit a request; cached prompt parts are not prefilled again."""
         request = run.outcome.request
-        run.flight.sent = True
+        run.in_flight.sent = True
         run.unread_tokens = request.own_tokens
         run.prompt_tokens = request.own_tokens + request.shared_tokens
         if request.shared in self.cache:
@@ -128,7 +128,7 @@
             self.cache[request.shared] = request.shared_tokens
         while sum(self.cache.values()) > self.shape.cache_tokens:
             self.cache.popitem(last=False)
-        run.flight.prefill_tokens = run.unread_tokens
+        run.in_flight.prefill_tokens = run.unread_tokens
         self.read_tokens += run.unread_tokens
         self.runs.append(run)
 
@@ -168,16 +168,18 @@
             gap = self.free_ms - run.last_event_ms
             outcome.longest_gap_ms = max(outcome.longest_gap_ms, gap)
         run.last_event_ms = self.free_ms
-        self.view.hear(run.flight, self.free_ms)
-        run.flight.count_events(1, self.free_ms)
+        self.view.record_received(run.in_flight, self.free_ms)
+        run.in_flight.record_events(1, self.free_ms)
         if (
             run.remaining_tokens <= 0
             or self.free_ms - run.last_report_ms >= REPORT_INTERVAL_MS
         ):
             self._report_progress(run)
         if run.remaining_tokens <= 0:
-            self.view.finish(run.flight)
-            self.view.remember([_create_shared_part(outcome.request)], self.free_ms)
+            self.view.finish(run.in_flight)
+            self.view.record_cached(
+                [_create_shared_part(outcome.request)], self.free_ms
+            )
             self.runs.remove(run)
             if self.queue is not None:
                 self.queue.remove(outcome.request.name)
@@ -185,7 +187,7 @@
     def _report_progress(self, run: EngineRequest) -> None:
         """Report the progress of a stream to the turn queue."""
         run.last_report_ms = self.free_ms
-        progress = run.flight.take_progress()
+        progress = run.in_flight.take_progress()
         if self.queue is not None and progress is not None:
             name = run.outcome.request.name
             self.queue.record_progress(name, progress, self.free_ms)
@@ -265,17 +267,17 @@
         )
         placed = placer.choose(views, route, _create_call(request), need, request.at_ms)
         assert placed is not None
-        flight = Flight(
+        in_flight = InFlightRequest(
             request.name,
             request.at_ms,
             placed.prefill_tokens,
             request.priority,
             latency_sensitive=request.latency_sensitive,
         )
-        placed.server.start(flight)
+        placed.server.start(in_flight)
         outcome = Outcome(request)
         outcomes.append(outcome)
-        run = EngineRequest(outcome, flight, 0, request.answer_tokens)
+        run = EngineRequest(outcome, in_flight, 0, request.answer_tokens)
         models[placed.server.record.name].submit(run, request.at_ms)
     _advance(engines, float("inf"))
     return outcomes
@@ -284,7 +286,7 @@
 def _choose_reserved(engines: list[EngineModel]) -> frozenset[str]:
     views = [engine.view for engine in engines]
     latency_sensitive = {
-        v.record.name: sum(f.latency_sensitive for f in v.flights.values())
+        v.record.name: sum(f.latency_sensitive for f in v.in_flight.values())
         for v in views
     }
     return choose_reserved([view.record for view in views], {}, latency_sensitive)
--- a/cornelnotch/verification/restoration.py
+++ b/cornelnotch/verification/restoration.py
@@ -82,7 +82,7 @@
     if host.listed:
         view.records[KEY] = Record(KEY, b"%d" % host.listed, host.listed_at)
     if host.held:
-        view.held[KEY] = Record(KEY, b"%d" % host.held, 0)
+        view.older_records[KEY] = Record(KEY, b"%d" % host.held, 0)
     return view
 
 
@@ -211,7 +211,7 @@
         if not message.is_answer and message.end < view.head:
             return
         if message.held:
-            view.hold([Record(KEY, b"%d" % message.held, 0)])
+            view.add_older_records([Record(KEY, b"%d" % message.held, 0)])
         records = [Record(KEY, b"%d" % v, at) for at, v in message.records]
         page = RecordPage(records, message.end, message.end)
         if message.start < 0:
@@ -220,17 +220,17 @@
             view.apply(page)
 
     def _enter_timeline(self, view: KeyedView, timeline: int) -> None:
-        held = dict(view.held)
+        held = dict(view.older_records)
         listed = dict(view.records)
-        entered = view.enter(timeline)
+        entered = view.enter_timeline(timeline)
         if entered and self._mutant is RestorationMutant.NO_HOLD:
-            view.held = {}
+            view.older_records = {}
         if entered and self._mutant is RestorationMutant.COPY_FIRST:
-            view.held = {**held, **listed}
+            view.older_records = {**held, **listed}
 
     def _bring_into_force(self, before: Host, view: KeyedView) -> Host:
         listed = _read_version(view.records)
-        held = _read_version(view.held)
+        held = _read_version(view.older_records)
         if listed >= held:
             held = NO_VERSION
         in_force = max(before.in_force, listed, held)
--- a/cornelnotch/web/__init__.py
+++ b/cornelnotch/web/__init__.py
@@ -1,12 +1,12 @@
 """HTTP/1.1 client and server."""
 
-from cornelnotch.web.client import HttpAnswer, HttpClient, parse_address
+from cornelnotch.web.client import HttpClient, HttpResponse, parse_address
 from cornelnotch.web.exchange import Exchange
 from cornelnotch.web.server import HttpServer, ServerLimits
 
 __all__ = [
     "Exchange",
-    "HttpAnswer",
+    "HttpResponse",
     "HttpClient",
     "HttpServer",
     "ServerLimits",
--- a/cornelnotch/web/client.py
+++ b/cornelnotch/web/client.py
@@ -15,7 +15,7 @@
 )
 from cornelnotch.kernel.tasks import end_task
 
-__all__ = ["HttpAnswer", "HttpClient", "parse_address"]
+__all__ = ["HttpResponse", "HttpClient", "parse_address"]
 
 READ_BYTES = 65536
 MAX_IDLE_CONNECTIONS_PER_ADDRESS = 64
@@ -96,18 +96,18 @@
         one write. Cancelling a call loses no data. Raise ProtocolError if the response
         ends prematurely.
         """
-        parts: list[bytes] = []
+        chunks: list[bytes] = []
         while True:
             event = self._protocol.next_event()
             if isinstance(event, h11.Data):
-                parts.append(bytes(event.data))
+                chunks.append(bytes(event.data))
             elif event is h11.NEED_DATA:
-                if parts:
-                    return b"".join(parts)
+                if chunks:
+                    return b"".join(chunks)
                 await self._receive()
             elif isinstance(event, h11.EndOfMessage):
                 self._response_ended = True
-                return b"".join(parts)
+                return b"".join(chunks)
             else:
                 raise h11.RemoteProtocolError("connection closed within the body")
 
@@ -154,11 +154,11 @@
 
 
 @dataclass(slots=True)
-class HttpAnswer:
+class HttpResponse:
     """The head of a response, with methods to read its body."""
 
     status: int
-    pairs: list[tuple[bytes, bytes]]
+    raw_headers: list[tuple[bytes, bytes]]
     address: str
     connection: ClientConnection
     client: "HttpClient"
@@ -167,9 +167,9 @@
     @property
     def headers(self) -> dict[str, str]:
         """Return the headers as a mapping from lower-case name to value."""
-        return {k.decode(): v.decode("latin-1") for k, v in self.pairs}
+        return {k.decode(): v.decode("latin-1") for k, v in self.raw_headers}
 
-    async def read_part(self) -> bytes:
+    async def read_chunk(self) -> bytes:
         """Return the next part of the body, or b"" at its end.
 
         Cancelling a call loses no data. Raise UpstreamError if the body ends
@@ -191,25 +191,25 @@
             self.client.release(self.address, self.connection)
         return b""
 
-    async def iterate(self) -> AsyncIterator[bytes]:
+    async def iterate_chunks(self) -> AsyncIterator[bytes]:
         """Yield the parts of the body; raise UpstreamError if it ends prematurely."""
-        while data := await self.read_part():
+        while data := await self.read_chunk():
             yield data
 
     async def read(self, limit_bytes: int = MAX_RESPONSE_BYTES) -> bytes:
         """Return the whole body; raise UpstreamError if it exceeds `limit_bytes`."""
-        parts = []
+        chunks = []
         size = 0
-        async for part in self.iterate():
-            size += len(part)
+        async for chunk in self.iterate_chunks():
+            size += len(chunk)
             if size > limit_bytes:
                 self.close()
                 raise UpstreamError(
                     f"response of {self.address} exceeds {limit_bytes} bytes",
                     "request a smaller response",
                 )
-            parts.append(part)
-        return b"".join(parts)
+            chunks.append(chunk)
+        return b"".join(chunks)
 
     async def read_json(self) -> object:
         """Return the body decoded as JSON; raise UpstreamError if malformed."""
@@ -241,7 +241,7 @@
         headers: dict[str, str] | None = None,
         body: bytes = b"",
         fresh: bool = False,
-    ) -> HttpAnswer:
+    ) -> HttpResponse:
         """Send a request and return the head of its response.
 
         If `fresh` is set, no idle connection is used, so that UpstreamUnreachableError
@@ -252,7 +252,7 @@
 
     async def send(
         self, address: str, head: h11.Request, body: bytes, fresh: bool = False
-    ) -> HttpAnswer:
+    ) -> HttpResponse:
         """Send a request with a prepared head and return the head of its response."""
         connection = await self._acquire(address, fresh)
         try:
@@ -262,7 +262,7 @@
             connection.abort()
             if connection.reused:
                 # Other idle connections to the server may be dead too.
-                self.drop_idle(address)
+                self.close_idle_connections(address)
             raise UpstreamError(
                 f"{address} did not respond: {error!r}",
                 "retry if the work may be repeated",
@@ -276,7 +276,7 @@
                 f"{address} closed the connection without a response",
                 "retry if the work may be repeated",
             )
-        return HttpAnswer(
+        return HttpResponse(
             event.status_code, list(event.headers), address, connection, self
         )
 
@@ -312,7 +312,7 @@
         connection.start_idle()
         idle.append(connection)
 
-    def drop_idle(self, address: str) -> None:
+    def close_idle_connections(self, address: str) -> None:
         """Abort all idle connections to `address`, as its server may be gone."""
         for connection in self._idle_connections.pop(address, []):
             connection.abort()
@@ -320,7 +320,7 @@
     def close(self) -> None:
         """Abort all idle connections."""
         for address in list(self._idle_connections):
-            self.drop_idle(address)
+            self.close_idle_connections(address)
 
     async def _acquire(self, address: str, fresh: bool) -> ClientConnection:
         idle = self._idle_connections.get(address, [])
@@ -335,7 +335,7 @@
                     *parse_address(address), limit=READ_BYTES
                 )
         except (OSError, TimeoutError) as error:
-            self.drop_idle(address)
+            self.close_idle_connections(address)
             raise UpstreamUnreachableError(
                 f"{address} is unreachable: {error!r}",
                 "check that the server is running",
@@ -346,6 +346,6 @@
     def _create_head(
         address: str, method: str, target: str, headers: dict[str, str], body: bytes
     ) -> h11.Request:
-        pairs = [("host", address), ("content-length", str(len(body)))]
-        pairs.extend((name, value) for name, value in headers.items())
-        return h11.Request(method=method, target=target, headers=pairs)
+        raw_headers = [("host", address), ("content-length", str(len(body)))]
+        raw_headers.extend((name, value) for name, value in headers.items())
+        return h11.Request(method=method, target=target, headers=raw_headers)
--- a/cornelnotch/web/exchange.py
+++ b/cornelnotch/web/exchange.py
@@ -42,20 +42,20 @@
         self.headers = {
             name.decode(): value.decode("latin-1") for name, value in request.headers
         }
-        self.pairs = list(request.headers)
-        self.started = False
-        self.finished = False
+        self.raw_headers = list(request.headers)
+        self.response_started = False
+        self.response_finished = False
         self._buffered_event = connection.take_buffered_event()
         self._body_ended = isinstance(self._buffered_event, h11.EndOfMessage)
 
     @property
-    def gone(self) -> asyncio.Event:
+    def disconnected(self) -> asyncio.Event:
         """Return the event that is set once the caller has closed the connection."""
-        return self._connection.gone
+        return self._connection.disconnected
 
     async def read_body(self, limit_bytes: int) -> bytes:
         """Return the body; raise BodyTooLargeError if it exceeds `limit_bytes`."""
-        parts: list[bytes] = []
+        chunks: list[bytes] = []
         size = 0
         while not self._body_ended:
             event = self._buffered_event or await self._read_event_with_timeout()
@@ -64,7 +64,7 @@
                 size += len(event.data)
                 if size > limit_bytes:
                     raise BodyTooLargeError(limit_bytes)
-                parts.append(bytes(event.data))
+                chunks.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 self._body_ended = True
             else:
@@ -72,7 +72,7 @@
                     "caller closed the connection within the body", "retry the request"
                 )
         self._connection.watch_for_close()
-        return b"".join(parts)
+        return b"".join(chunks)
 
     async def _read_event_with_timeout(self) -> object:
         try:
@@ -87,20 +87,24 @@
             ) from error
 
     def _build_headers(self, headers: Headers) -> list[tuple[Any, Any]]:
-        pairs: list[tuple[Any, Any]]
-        pairs = list(headers.items()) if isinstance(headers, dict) else list(headers)
+        raw_headers: list[tuple[Any, Any]]
+        raw_headers = (
+            list(headers.items()) if isinstance(headers, dict) else list(headers)
+        )
         if not self._body_ended or self._connection.is_closing_after_response():
             # Unread body bytes cannot be told apart from the next request.
-            pairs.append(("connection", "close"))
-        return pairs
+            raw_headers.append(("connection", "close"))
+        return raw_headers
 
     async def start(self, status: int, headers: Headers) -> None:
         """Send the head of a response with a streamed body."""
-        self.started = True
-        pairs = self._build_headers(headers)
-        if not any(_is_content_length(name) for name, _ in pairs):
-            pairs.append(("transfer-encoding", "chunked"))
-        await self._connection.send(h11.Response(status_code=status, headers=pairs))
+        self.response_started = True
+        raw_headers = self._build_headers(headers)
+        if not any(_is_content_length(name) for name, _ in raw_headers):
+            raw_headers.append(("transfer-encoding", "chunked"))
+        await self._connection.send(
+            h11.Response(status_code=status, headers=raw_headers)
+        )
 
     async def send(self, data: bytes) -> None:
         """Send a part of the body, waiting while the write buffer is full."""
@@ -108,18 +112,18 @@
 
     async def finish(self) -> None:
         """End the response."""
-        self.finished = True
+        self.response_finished = True
         await self._connection.send(h11.EndOfMessage())
 
     async def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response in one write."""
-        self.started = True
-        self.finished = True
-        pairs = self._build_headers(headers)
-        pairs.append(("content-length", str(len(body))))
-        head = h11.Response(status_code=status, headers=pairs)
-        parts: list[h11.Event] = [h11.Data(data=body)] if body else []
-        await self._connection.send(head, *parts, h11.EndOfMessage())
+        self.response_started = True
+        self.response_finished = True
+        raw_headers = self._build_headers(headers)
+        raw_headers.append(("content-length", str(len(body))))
+        head = h11.Response(status_code=status, headers=raw_headers)
+        chunks: list[h11.Event] = [h11.Data(data=body)] if body else []
+        await self._connection.send(head, *chunks, h11.EndOfMessage())
 
     async def respond_json(
         self, status: int, content: object, headers: dict[str, str] | None = None
--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -36,7 +36,7 @@
     header_bytes: int = MAX_HEADER_BYTES
     header_timeout_s: float = HEADER_TIMEOUT_S
     idle_timeout_s: float = HEADER_TIMEOUT_S
-    leaving: bool = False
+    draining: bool = False
 
 
 class ServerConnection:
@@ -57,12 +57,12 @@
         self._close_watcher: asyncio.Task[None] | None = None
         self._busy = False
         self._closing = False
-        self.gone = asyncio.Event()
+        self.disconnected = asyncio.Event()
         writer.transport.set_write_buffer_limits(high=WRITE_BUFFER_HIGH_BYTES)
 
     async def serve(self, handler: Handler) -> None:
         """Handle requests until the caller or an error closes the connection."""
-        while not self.gone.is_set():
+        while not self.disconnected.is_set():
             request = await self._read_request()
             if request is None:
                 return
@@ -70,7 +70,7 @@
             self._busy = True
             await handler(exchange)
             self._busy = False
-            if not exchange.finished or self._closing:
+            if not exchange.response_finished or self._closing:
                 return
             await self._stop_watching()
             if self._protocol.our_state is h11.MUST_CLOSE:
@@ -115,7 +115,7 @@
 
     def is_closing_after_response(self) -> bool:
         """Return whether the caller should open its next connection to another host."""
-        return self._limits.leaving
+        return self._limits.draining
 
     async def _reject(self, error: h11.RemoteProtocolError) -> None:
         if self._protocol.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
@@ -199,12 +199,12 @@
         try:
             data = await self._reader.read(READ_BYTES)
         except OSError as error:
-            self.gone.set()
+            self.disconnected.set()
             raise CallerGoneError(
                 "caller closed the connection", "retry the request"
             ) from error
         if not data:
-            self.gone.set()
+            self.disconnected.set()
         self._protocol.receive_data(data)
 
     def watch_for_close(self) -> None:
@@ -224,7 +224,7 @@
             with suppress(h11.RemoteProtocolError):
                 self._protocol.receive_data(data)
             if not data:
-                self.gone.set()
+                self.disconnected.set()
                 return
 
     async def _stop_watching(self) -> None:
@@ -240,7 +240,7 @@
             self._writer.write(data)
             await self._writer.drain()
         except OSError as error:
-            self.gone.set()
+            self.disconnected.set()
             raise CallerGoneError(
                 "caller closed the connection", "retry the request"
             ) from error
@@ -282,7 +282,7 @@
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
-    def refuse_new(self) -> None:
+    def start_draining(self) -> None:
         """Close the listener and idle connections; current requests are completed."""
         self._draining = True
         if self._server is not None:
--- a/cornelnotch/web/tests/test_idle.py
+++ b/cornelnotch/web/tests/test_idle.py
@@ -71,7 +71,7 @@
         async with run_server() as (server, client, address):
             await open_connections(client, address, 4)
             server.generation = 2
-            client.drop_idle(address)
+            client.close_idle_connections(address)
             await open_connections(client, address, 2)
 
     asyncio.run(run())
--- a/cornelnotch/wire/messages.py
+++ b/cornelnotch/wire/messages.py
@@ -34,7 +34,7 @@
     "PromptPart",
     "RecordFetch",
     "RecordItem",
-    "RecordNews",
+    "RecordUpdates",
     "ServerLeaving",
     "ServerUpdate",
     "ServerUsage",
@@ -291,7 +291,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RecordNews:
+class RecordUpdates:
     """Replicate the records of a topic between two offsets.
 
     `age_ms` is the time since `origin` read the store. The receiver forwards the
@@ -483,7 +483,7 @@
         HeldPermits,
         ClaimRequest,
         ClaimResponse,
-        RecordNews,
+        RecordUpdates,
         RecordFetch,
         LoadReport,
         LoadSummary,
--- a/examples/placing.py
+++ b/examples/placing.py
@@ -9,7 +9,7 @@
     WorkKind,
 )
 from cornelnotch.gateway.placement import PlacementNeed, Placer
-from cornelnotch.gateway.servers import Flight, ServerView
+from cornelnotch.gateway.servers import InFlightRequest, ServerView
 
 PARTS = (PromptPart("history", 13_300), PromptPart("question", 900))
 ROUTE = Route(
@@ -30,4 +30,4 @@
     placed = placer.choose(engines, ROUTE, request, NEED, 0.0)
     assert placed is not None
     print(f"{placed.server.record.name}: {placed.cost_ms:.0f} ms")
-    placed.server.start(Flight(f"other {backlog}", 0.0, backlog, priority=1))
+    placed.server.start(InFlightRequest(f"other {backlog}", 0.0, backlog, priority=1))
