--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -1,4 +1,4 @@
-"""Hold the components and state that the requests of one host share."""
+"""Components and state that the requests of one host share."""
 
 import random
 from collections.abc import Callable
--- a/cornelnotch/gateway/dispatch.py
+++ b/cornelnotch/gateway/dispatch.py
@@ -1,4 +1,4 @@
-"""Send a request to one server and read the answer."""
+"""Send a request to one server and read the response."""
 
 from dataclasses import dataclass
 from enum import StrEnum
@@ -31,7 +31,7 @@
 
 @dataclass(slots=True)
 class UpstreamResponse:
-    """An open answer, or the reason why there is none."""
+    """An open response, or the reason why there is none."""
 
     outcome: DispatchOutcome
     reason: str = ""
@@ -44,7 +44,7 @@
         return self.head.headers if self.head is not None else []
 
     async def read_chunk(self) -> bytes:
-        """Return the next part of the body, or b"" at its end.
+        """Return the next chunk of the body, or b"" at its end.
 
         Raise UpstreamError when the body breaks off. Cancelling a call loses no data.
         """
@@ -65,7 +65,7 @@
         return self.http_response is not None and self.http_response.complete
 
     def close(self) -> None:
-        """Discard the rest of the answer and close the connection to the server."""
+        """Discard the rest of the response and close the connection to the server."""
         if self.http_response is not None:
             self.http_response.close()
 
@@ -78,7 +78,7 @@
     options: DispatchOptions,
     fresh: bool,
 ) -> UpstreamResponse:
-    """Send the request and return the classified head of the answer."""
+    """Send the request and return the classified head of the response."""
     headers = header_codec.create_dispatch_headers(request, options)
     if request.body or request.method not in {"GET", "HEAD"}:
         headers.append((b"content-length", str(len(request.body)).encode()))
@@ -95,7 +95,7 @@
 def classify_response(
     header_codec: HeaderCodec, request: CallerRequest, http_response: HttpResponse
 ) -> UpstreamResponse:
-    """Classify an answer by its head."""
+    """Classify a response by its head."""
     head = header_codec.read_response(http_response.status, http_response.raw_headers)
     if head.request_id and head.request_id != request.request_id:
         http_response.close()
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -1,4 +1,4 @@
-"""Dispatch one request to a server and forward the answer to the caller."""
+"""Dispatch one request to a server and forward the response to the caller."""
 
 import asyncio
 from dataclasses import replace
@@ -153,7 +153,7 @@
     async def _try_server(
         self, placement: Placement, in_flight: InFlightRequest
     ) -> bool:
-        """Return whether the caller has its final answer."""
+        """Return whether the caller has its final response."""
         if self.resuming:
             return await self._resume_from_copy(placement, in_flight)
         result = await self._wait_for_admission(placement.server, in_flight)
@@ -328,7 +328,7 @@
     async def _dispatch(
         self, placement: Placement, in_flight: InFlightRequest
     ) -> UpstreamResponse | None:
-        """Send the request; return None once it is answered, else the failed answer."""
+        """Send the request; return None once answered, else the failed response."""
         view = placement.server
         now = self.context.clock.read()
         if now >= self.limit_ms:
@@ -402,7 +402,7 @@
     def _apply_server_signals(
         self, view: ServerView, response: UpstreamResponse
     ) -> None:
-        """Apply what a server states about itself in the head of an answer."""
+        """Apply what a server states about itself in the head of a response."""
         head = response.head
         if head is None or head.other_server:
             return
@@ -522,7 +522,7 @@
         return any(other.record.name not in excluded for other in others)
 
     def _finish(self, status: int, first_ms: float, **details: object) -> None:
-        """Record a complete answer whose first byte arrived at `first_ms`."""
+        """Record a complete response whose first byte arrived at `first_ms`."""
         waited_ms = first_ms - self.arrived_ms
         attained = status < STATUS_SERVER_ERROR and waited_ms <= self.route.target_ms
         metrics = self.context.metrics
--- a/cornelnotch/gateway/follower.py
+++ b/cornelnotch/gateway/follower.py
@@ -40,9 +40,9 @@
 FETCH_HOSTS = 2
 # After a gap of this length, lapsed entries may be about to be written again.
 OUTAGE_MS = 2000.0
-# Time after entering a timeline during which records held from before are announced.
+# Time after entering a timeline during which records of older timelines are announced.
 ANNOUNCE_OLDER_MS = 60_000.0
-# Expected number of hosts that send a reader the held records it does not announce.
+# Expected number of hosts that send a reader the older records it does not announce.
 OLDER_RECORDS_SENDERS = 3
 MAX_VALUE_BYTES = 8 * 1024 * 1024
 
@@ -194,7 +194,7 @@
         )
 
     def _record_unnamed(self, topic: str) -> None:
-        """Record an answer without a timeline after others had one."""
+        """Record a response without a timeline after others had one."""
         if self._timeline == NO_TIMELINE or topic in self._unnamed:
             return
         self._unnamed.add(topic)
@@ -245,7 +245,7 @@
         )
 
     def _list_older_records(self, topic: str) -> list[RecordItem]:
-        """Return the held records that hosts started since the restoration may lack."""
+        """Return older records that hosts started since the restoration may lack."""
         view = self.views[topic]
         if (
             not view.older_records
@@ -299,7 +299,7 @@
         )
 
     def _send_older_records(self, host: str) -> None:
-        """Send held records to a reader that may have started during the outage."""
+        """Send older records to a reader that may have started during the outage."""
         older_records = self._list_older_records(CONFIGURATION)
         share = OLDER_RECORDS_SENDERS / max(len(self._list_hosts()), 1)
         if not older_records or self._generator.random() > share:
--- a/cornelnotch/gateway/header_codec.py
+++ b/cornelnotch/gateway/header_codec.py
@@ -13,8 +13,8 @@
     """Parameters of one dispatch that the server gets besides the caller's request.
 
     `cache_source` is the address of a server to fetch cached prompt parts from. The
-    KV cache of the run is copied to the server at `backup_address`; `copy` names the
-    copy from which the run of this request resumes.
+    KV cache of the run is copied to the server at `backup_address`; `kv_copy` names
+    the copy from which the run of this request resumes.
     """
 
     server: str
@@ -29,12 +29,12 @@
 
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
-    """Parsed head of a server's answer.
+    """Parsed head of a server's response.
 
     `request_id` is empty if the server sent none. With `not_run` the server states
     that the work did not run and never will, with `leaving` that it accepts no new
-    work, and with `rest_ms` for how long this host should send it none.
-    `malformed_rest` is the text that the server sent in place of a valid duration.
+    work, and with `backoff_ms` for how long this host should send it none.
+    `malformed_backoff` is the text that the server sent in place of a valid duration.
     """
 
     status: int
@@ -63,7 +63,7 @@
 
     @abstractmethod
     def read_response(self, status: int, headers: Headers) -> ResponseHead:
-        """Parse the head of a server's answer."""
+        """Parse the head of a server's response."""
 
     @abstractmethod
     def create_refusal_headers(
--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -29,7 +29,7 @@
 
 __all__ = ["GatewayHost"]
 
-# Callers cache an answer of the directory for up to three times its lifetime.
+# Callers cache a response of the directory for up to three times its lifetime.
 ENTRY_LIFETIME_S = 1.0
 MAX_CACHED_LIFETIMES = 3.0
 DRAIN_CHECK_MS = 50.0
--- a/cornelnotch/gateway/models.py
+++ b/cornelnotch/gateway/models.py
@@ -58,7 +58,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Engine:
-    """Properties of a service's engines; `tokens` is the KV cache size of each.
+    """Properties of a service's engines; `cache_tokens` is the KV cache size of each.
 
     `accepts_copies` is set if an engine stores KV cache copies of others' runs.
     """
@@ -131,7 +131,7 @@
 class ServerRecord:
     """Platform record of one server.
 
-    `written` counts the entries that the server has written since its boot.
+    `write_count` counts the entries that the server has written since its boot.
     """
 
     name: str
@@ -146,7 +146,7 @@
 
 @dataclass(slots=True)
 class CallerRequest:
-    """One request of a caller; `pairs` are the headers to forward."""
+    """One request of a caller; `headers` are the headers to forward."""
 
     request_id: str
     method: str
--- a/cornelnotch/gateway/records.py
+++ b/cornelnotch/gateway/records.py
@@ -1,7 +1,7 @@
 """Maintain the newest records of a keyed topic, without sockets or clocks.
 
 A log that is restored from an older copy assigns offsets again. Each restoration starts
-a new timeline; records of older timelines are held until they are written again.
+a new timeline; records of older timelines are kept until they are written again.
 """
 
 from abc import ABC, abstractmethod
@@ -49,9 +49,9 @@
 class KeyedView:
     """The newest record of each key up to offset `head` of a timeline.
 
-    `held` contains the records of older timelines. `was_restored` is true once one
-    timeline has replaced another, `awaits_reading` until the records of the new one
-    have been read.
+    `older_records` contains the records of older timelines. `was_restored` is true once
+    one timeline has replaced another, `needs_full_read` until the records of the new
+    one have been read.
     """
 
     head: int = -1
@@ -62,13 +62,13 @@
     needs_full_read: bool = False
 
     def enter_timeline(self, timeline: int) -> bool:
-        """Switch to a later timeline; return whether earlier records are now held."""
+        """Switch to a later timeline; return whether known records became older."""
         if timeline <= self.timeline:
             return False
         self.timeline = timeline
         if self.head < 0 and not self.records:
             return False
-        # Records already held are newer than those of the restored copy.
+        # Older records kept so far are newer than those of the restored copy.
         self.add_older_records(self.records.values())
         self.records = {}
         self.head = -1
@@ -77,7 +77,7 @@
         return True
 
     def add_older_records(self, records: Iterable[Record]) -> None:
-        """Add records of older timelines, unless their keys are held already."""
+        """Add records of older timelines, unless their keys are present."""
         for record in records:
             self.older_records.setdefault(record.key, record)
 
--- a/cornelnotch/gateway/routing_state.py
+++ b/cornelnotch/gateway/routing_state.py
@@ -86,7 +86,7 @@
     def _list_servers(self) -> dict[str, ServerRecord]:
         """Return the listed servers, without outdated entries of a restored copy."""
         view = self._follower.views[SERVERS]
-        # Servers rewrite the entries that the copy lacks, so none need to be held.
+        # Servers rewrite the entries that the copy lacks, so none need to be kept.
         view.older_records.clear()
         decoded = map(self._decoder.decode_server, view.records.values())
         servers = {server.name: server for server in decoded if server is not None}
--- a/cornelnotch/gateway/servers.py
+++ b/cornelnotch/gateway/servers.py
@@ -14,7 +14,7 @@
 MAX_EJECTION_MS = 3000.0
 # Failures are forgotten after this long without another one.
 FAILURE_MEMORY_MS = 4000.0
-# The longest pause in traffic that a server may ask for; more is malformed.
+# The longest backoff that a server may ask for; more is malformed.
 MAX_BACKOFF_MS = 600_000.0
 # Precedes the first boot of a server; boots without a reported time count as 0.
 NEVER_BOOTED = -1
@@ -44,8 +44,8 @@
 
     `sent` is false while the dispatch is queued, for about `wait_ms` more. `tight` is
     true for latency-sensitive streams. `events` counts complete events, the last of
-    which arrived at `event_ms`; `pause_ms` is the longest gap between two events since
-    `take_progress` was last called.
+    which arrived at `event_ms`; `longest_gap_ms` is the longest gap between two events
+    since `take_progress` was last called.
     """
 
     request_id: str
@@ -268,12 +268,12 @@
         ]
 
     def list_usable(self, service: str, now: float) -> list[ServerView]:
-        """Return the servers that are not ejected; if all are, those not at rest."""
+        """Return the servers not ejected; if all are, those without a backoff."""
         ready = [v for v in self.list_ready(service) if now >= v.backoff_until_ms]
         usable = [view for view in ready if now >= view.ejected_until_ms]
         return usable or ready
 
     def find_backoff_ms(self, service: str, now: float) -> float:
-        """Return the time until the first rest ends, in ms; 0 if no server rests."""
+        """Return the time in ms until the first backoff ends, 0 if there is none."""
         backoffs_ms = [v.backoff_until_ms - now for v in self.list_ready(service)]
         return max(min(backoffs_ms, default=0.0), 0.0)
--- a/cornelnotch/gateway/tests/fleet.py
+++ b/cornelnotch/gateway/tests/fleet.py
@@ -119,7 +119,7 @@
 
 
 class Context:
-    """The parts of a host that its routing state changes."""
+    """The parts of a host's context that its routing state changes."""
 
     def __init__(self, clock, events):
         self.clock = clock
--- a/cornelnotch/gateway/tests/test_leaving_notices.py
+++ b/cornelnotch/gateway/tests/test_leaving_notices.py
@@ -1,4 +1,4 @@
-"""Test that hosts stop using servers that announce leaving or ask for a pause."""
+"""Test that hosts stop using servers that announce leaving or ask for a backoff."""
 
 import asyncio
 from contextlib import asynccontextmanager
@@ -197,14 +197,14 @@
         (503, "", 0.0, ""),
     ],
 )
-def test_the_duration_of_a_pause_is_validated(status, text, rest_ms, malformed):
+def test_the_duration_of_a_backoff_is_validated(status, text, rest_ms, malformed):
     headers = [(b"Retry-After", text.encode())] if text else []
     head = PlatformHeaderCodec().read_response(status, headers)
     assert head.backoff_ms == rest_ms
     assert head.malformed_backoff == malformed
 
 
-def test_a_pause_is_bounded_and_never_shortened():
+def test_a_backoff_is_bounded_and_never_shortened():
     pool = ServerPool()
     pool.replace([RECORD])
     view = pool.servers["s1"]
--- a/cornelnotch/gateway/tests/test_silence.py
+++ b/cornelnotch/gateway/tests/test_silence.py
@@ -37,7 +37,7 @@
 
 
 class SilenceFixture:
-    """An engine with one running stream and its silence watch."""
+    """An engine with one running stream and its silence detector."""
 
     def __init__(self):
         self.context = cast(Any, Context())
--- a/cornelnotch/platform/header_codec.py
+++ b/cornelnotch/platform/header_codec.py
@@ -113,7 +113,7 @@
 
 
 def drop_hop_by_hop_headers(headers: Headers) -> Headers:
-    """Return `pairs` without hop-by-hop headers."""
+    """Return `headers` without hop-by-hop headers."""
     listed = find_header(headers, b"connection").lower().encode("latin-1")
     dropped = HOP_BY_HOP_HEADERS | {name.strip() for name in listed.split(b",")}
     return [(k, v) for k, v in headers if k.lower() not in dropped]
--- a/cornelnotch/web/client.py
+++ b/cornelnotch/web/client.py
@@ -170,7 +170,7 @@
         return {k.decode(): v.decode("latin-1") for k, v in self.raw_headers}
 
     async def read_chunk(self) -> bytes:
-        """Return the next part of the body, or b"" at its end.
+        """Return the next chunk of the body, or b"" at its end.
 
         Cancelling a call loses no data. Raise UpstreamError if the body ends
         prematurely.
@@ -192,7 +192,7 @@
         return b""
 
     async def iterate_chunks(self) -> AsyncIterator[bytes]:
-        """Yield the parts of the body; raise UpstreamError if it ends prematurely."""
+        """Yield the chunks of the body; raise UpstreamError if it ends prematurely."""
         while data := await self.read_chunk():
             yield data
 
@@ -313,7 +313,7 @@
         idle.append(connection)
 
     def close_idle_connections(self, address: str) -> None:
-        """Abort all idle connections to `address`, as its server may be gone."""
+        """Abort all idle connections to `address`, as its server may be down."""
         for connection in self._idle_connections.pop(address, []):
             connection.abort()
 
--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -30,7 +30,7 @@
 class ServerLimits:
     """Limits on requests of callers; may be changed while the server runs.
 
-    If `leaving` is set, responses ask callers to close their connections.
+    If `draining` is set, responses ask callers to close their connections.
     """
 
     header_bytes: int = MAX_HEADER_BYTES
--- a/cornelnotch/web/tests/test_idle.py
+++ b/cornelnotch/web/tests/test_idle.py
@@ -66,7 +66,7 @@
     asyncio.run(run())
 
 
-def test_drop_idle_prevents_reuse_after_a_restart():
+def test_closing_idle_connections_prevents_reuse_after_a_restart():
     async def run():
         async with run_server() as (server, client, address):
             await open_connections(client, address, 4)
