--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -29,10 +29,13 @@
 )
 from cornelnotch.kernel import create_clock, create_identifier
 from cornelnotch.membership import MemberTable
-from cornelnotch.observation import DecisionLog
+from cornelnotch.observation import TraceStore
 from cornelnotch.queueing import create_shard
 from cornelnotch.queueing.models import ClassConfig, ServerConfig, ShardConfig
-from cornelnotch.testing.samples import create_heelmark_text, create_server_section
+from cornelnotch.testing.samples import (
+    create_sample_configuration,
+    create_server_section,
+)
 from cornelnotch.wire import decode_message, encode_message
 from cornelnotch.wire.messages import (
     HeldPermit,
@@ -88,7 +91,7 @@
         f"[workspace w{n}]\nlabels = size=small\nconcurrent = 50\n"
         for n in range(workspaces)
     )
-    return create_heelmark_text(sections)
+    return create_sample_configuration(sections)
 
 
 def print_configuration() -> None:
@@ -307,10 +310,10 @@
     clock = create_clock()
     for count in (500, 1000, 5000):
 
-        def build(count: int = count) -> DecisionLog:
-            log = DecisionLog(clock)
+        def build(count: int = count) -> TraceStore:
+            log = TraceStore(clock)
             for number in range(count):
-                trace = log.open(f"host-000.{create_identifier()}")
+                trace = log.start_trace(f"host-000.{create_identifier()}")
                 trace.note(
                     "classified",
                     selector="quotes",
--- a/benchmarks/experiment.py
+++ b/benchmarks/experiment.py
@@ -12,10 +12,10 @@
 from cornelnotch.configuration import Change, encode_record
 from cornelnotch.configuration.follower import CONFIGURATION_STREAM
 from cornelnotch.kernel import create_clock, create_identifier, set_up_logging
-from cornelnotch.load.driver import Driver
-from cornelnotch.load.embedded import create_deployment
+from cornelnotch.load.embedded import create_in_process_fleet
+from cornelnotch.load.generator import LoadGenerator
 from cornelnotch.load.report import write_page
-from cornelnotch.load.results import RunResult, judge_promises, summarize_classes
+from cornelnotch.load.results import RunResult, check_guarantees, summarize_classes
 from cornelnotch.load.scenario import Scenario, read_scenario
 from cornelnotch.logservice import HttpLogService
 
@@ -33,7 +33,7 @@
 async def run_policy(policy: Policy, name: str, scenario: Scenario) -> RunResult:
     """Run a policy on a new fleet."""
     clock = create_clock()
-    fleet = create_deployment(name, clock)
+    fleet = create_in_process_fleet(name, clock)
     try:
         addresses = await fleet.start()
         pool = fleet.deployment.engine_pool
@@ -45,7 +45,7 @@
         log = HttpLogService(addresses.platform)
         await log.append(CONFIGURATION_STREAM, encode_record(change))
         await asyncio.sleep(PROPAGATION_DELAY_S)
-        result = await Driver(scenario, addresses, clock).run(lambda line: None)
+        result = await LoadGenerator(scenario, addresses, clock).run(lambda line: None)
         result.name = policy.name
         return result
     finally:
@@ -54,13 +54,13 @@
 
 def print_result(result: RunResult) -> None:
     """Print the results of one policy."""
-    promises = judge_promises(result)
+    promises = check_guarantees(result)
     attained = "  ".join(
         f"{row.class_name} {row.attainment:.3f}" for row in summarize_classes(result)
     )
     print(
         f"{result.name:16} {attained}  goodput {promises.goodput_per_second:.0f}/s  "
-        f"wasted {promises.wasted_share:.2%}  broken {promises.broken}",
+        f"wasted {promises.wasted_share:.2%}  broken {promises.violations}",
         flush=True,
     )
 
--- a/benchmarks/idle.py
+++ b/benchmarks/idle.py
@@ -11,7 +11,7 @@
 
 from benchmarks.overhead import read_processor_ms
 from cornelnotch.testing.processes import HostProcess, ProcessFleet
-from cornelnotch.testing.samples import create_heelmark_text
+from cornelnotch.testing.samples import create_sample_configuration
 
 FLEET_SIZES = (3, 6, 9)
 DURATION_S = 8.0
@@ -38,7 +38,7 @@
     fleet = ProcessFleet(folder)
     try:
         await fleet.start_platform()
-        version = await fleet.publish(create_heelmark_text(""))
+        version = await fleet.publish(create_sample_configuration(""))
         await asyncio.gather(*(fleet.start_host(f"host-{n}") for n in range(size)))
         await fleet.wait_ready(version)
         await asyncio.sleep(3.0)
--- a/benchmarks/inforce.py
+++ b/benchmarks/inforce.py
@@ -10,7 +10,7 @@
 
 from cornelnotch.kernel import create_clock
 from cornelnotch.testing.processes import HostProcess, ProcessFleet
-from cornelnotch.testing.samples import create_heelmark_text
+from cornelnotch.testing.samples import create_sample_configuration
 
 HOSTS = 9
 CHANGES = 20
@@ -23,7 +23,7 @@
     clock = create_clock()
     try:
         await fleet.start_platform()
-        version = await fleet.publish(create_heelmark_text(""))
+        version = await fleet.publish(create_sample_configuration(""))
         await asyncio.gather(*(fleet.start_host(f"host-{n}") for n in range(HOSTS)))
         await fleet.wait_ready(version)
         durations = []
--- a/benchmarks/overhead.py
+++ b/benchmarks/overhead.py
@@ -12,7 +12,10 @@
 
 from cornelnotch.kernel import Clock, create_clock
 from cornelnotch.testing.processes import ProcessFleet
-from cornelnotch.testing.samples import create_heelmark_text, create_server_section
+from cornelnotch.testing.samples import (
+    create_sample_configuration,
+    create_server_section,
+)
 from cornelnotch.web import HttpClient
 
 SHORT_TOKENS = 1
@@ -120,7 +123,7 @@
     section = create_server_section(
         "engine-0", "cobbler-assist", engine.http, slots=512
     )
-    version = await fleet.publish(create_heelmark_text(section))
+    version = await fleet.publish(create_sample_configuration(section))
     host = await fleet.start_host("host-0")
     await fleet.wait_ready(version)
     return fleet, host.http, engine.http, host.process.pid
--- a/cornelnotch/claims/client.py
+++ b/cornelnotch/claims/client.py
@@ -15,7 +15,7 @@
     Clock,
     Event,
     EventLog,
-    TaskGroup,
+    TaskSupervisor,
     create_identifier,
     hash_text,
 )
@@ -51,7 +51,7 @@
         peers: PeerNetwork,
         clock: Clock,
         events: EventLog,
-        tasks: TaskGroup,
+        tasks: TaskSupervisor,
     ) -> None:
         self._fleet = fleet
         self._peers = peers
--- a/cornelnotch/claims/tests/test_writer.py
+++ b/cornelnotch/claims/tests/test_writer.py
@@ -11,7 +11,7 @@
     encode_operations,
 )
 from cornelnotch.exceptions import LogTrimmedError, LogUnavailableError
-from cornelnotch.kernel import SystemClock, TaskGroup, create_event_log
+from cornelnotch.kernel import SystemClock, TaskSupervisor, create_event_log
 from cornelnotch.logservice import LogPage, LogRecord, LogService
 from cornelnotch.wire.messages import ClaimRequest
 
@@ -82,7 +82,7 @@
         log = FakeLog()
         peers: Any = FakePeers()
         events = create_event_log("test")
-        tasks = TaskGroup(events)
+        tasks = TaskSupervisor(events)
         clock = SystemClock()
         writer = ClaimWriter(log, clock, events, peers, tasks, 3_600_000.0)
         try:
--- a/cornelnotch/claims/writer.py
+++ b/cornelnotch/claims/writer.py
@@ -17,7 +17,7 @@
 )
 from cornelnotch.configuration import ClaimSettings
 from cornelnotch.exceptions import LogTrimmedError, LogUnavailableError
-from cornelnotch.kernel import Clock, Event, EventLog, TaskGroup
+from cornelnotch.kernel import Clock, Event, EventLog, TaskSupervisor
 from cornelnotch.logservice import LogService
 from cornelnotch.wire import PeerNetwork
 from cornelnotch.wire.messages import ClaimRequest, ClaimResponse
@@ -197,7 +197,7 @@
         clock: Clock,
         events: EventLog,
         peers: PeerNetwork,
-        tasks: TaskGroup,
+        tasks: TaskSupervisor,
         retention_ms: float,
     ) -> None:
         self.streams: dict[int, ClaimStreamWriter] = {}
@@ -249,5 +249,5 @@
                 self._retention_ms,
             )
             self.streams[stream] = writer
-            self._tasks.keep(f"claims-{stream}", writer.run)
+            self._tasks.start_supervised(f"claims-{stream}", writer.run)
         return writer
--- a/cornelnotch/commands/burn.py
+++ b/cornelnotch/commands/burn.py
@@ -17,7 +17,7 @@
 from cornelnotch.configuration.publisher import read_history
 from cornelnotch.exceptions import UpstreamError
 from cornelnotch.logservice import HttpLogService
-from cornelnotch.observation.burn import BurnReport, HostSample, compute_burn
+from cornelnotch.observation.burn import BurnReport, HostSample, compute_burn_report
 from cornelnotch.web import HttpClient
 
 __all__ = ["register_commands"]
@@ -51,7 +51,7 @@
     addresses = await find_hosts(hosts, platform)
     samples = await asyncio.gather(*(_read_metrics(client, a) for a in addresses))
     client.close()
-    return compute_burn(list(samples), objectives)
+    return compute_burn_report(list(samples), objectives)
 
 
 def _create_table(report: BurnReport) -> Table:
--- a/cornelnotch/commands/load.py
+++ b/cornelnotch/commands/load.py
@@ -14,10 +14,10 @@
 )
 from cornelnotch.exceptions import SettingsError
 from cornelnotch.kernel import create_clock, set_up_logging
-from cornelnotch.load.driver import Driver, FleetAddresses
+from cornelnotch.load.generator import FleetAddresses, LoadGenerator
 from cornelnotch.load.results import (
     RunResult,
-    judge_promises,
+    check_guarantees,
     read_result,
     summarize_classes,
     write_result,
@@ -72,7 +72,7 @@
             f"{row.whole_p95_ms:.0f} ms",
         )
     console.print(table)
-    guarantees = judge_promises(result)
+    guarantees = check_guarantees(result)
     console.print(
         f"goodput {guarantees.goodput_per_second:.0f} tokens/s, "
         f"wasted tokens {guarantees.wasted_share:.2%}"
@@ -85,7 +85,7 @@
     )
     for note in result.notes:
         console.print(f"note: {note}")
-    return guarantees.broken
+    return guarantees.violations
 
 
 async def _run_scenario(
@@ -97,7 +97,7 @@
 ) -> RunResult:
     addresses = await find_hosts(hosts, platform)
     fleet = FleetAddresses(addresses, platform or "", engines, services)
-    return await Driver(scenario, fleet, create_clock()).run(print)
+    return await LoadGenerator(scenario, fleet, create_clock()).run(print)
 
 
 def run_load(
@@ -149,17 +149,17 @@
 
 async def _run_demo(name: str, seconds: float) -> RunResult:
     # Only the demo needs nodes and simulated servers in one process.
-    from cornelnotch.load.embedded import create_deployment
+    from cornelnotch.load.embedded import create_in_process_fleet
 
     scenario = _load_scenario(Path(name))
     general = scenario.general.model_copy(update={"duration_s": seconds})
     scenario = scenario.model_copy(update={"general": general})
     clock = create_clock()
-    fleet = create_deployment(name, clock)
+    fleet = create_in_process_fleet(name, clock)
     try:
         print(f"{name}: starting platform, servers and hosts")
         addresses = await fleet.start()
-        return await Driver(scenario, addresses, clock).run(
+        return await LoadGenerator(scenario, addresses, clock).run(
             lambda line: print(f"{name}: {line}", flush=True)
         )
     finally:
--- a/cornelnotch/commands/node.py
+++ b/cornelnotch/commands/node.py
@@ -8,7 +8,7 @@
 import typer
 
 from cornelnotch.exceptions import SettingsError
-from cornelnotch.kernel.output import LogOutput
+from cornelnotch.kernel.log_output import LogOutput
 from cornelnotch.node import create_node
 from cornelnotch.settings import NodeSettings, read_node_settings
 
--- a/cornelnotch/configuration/tests/test_fold.py
+++ b/cornelnotch/configuration/tests/test_fold.py
@@ -18,11 +18,14 @@
     restore_snapshot,
     select_class,
 )
-from cornelnotch.testing.samples import create_heelmark_text, create_server_section
+from cornelnotch.testing.samples import (
+    create_sample_configuration,
+    create_server_section,
+)
 
 RANDOM_SEED = 20261204
 FUZZ_CASES = int(os.environ.get("CORNELNOTCH_FUZZ", "400"))
-INITIAL_TEXT = create_heelmark_text(
+INITIAL_TEXT = create_sample_configuration(
     create_server_section("e", "cobbler-assist", "127.0.0.1:1")
 )
 
--- a/cornelnotch/exceptions.py
+++ b/cornelnotch/exceptions.py
@@ -12,8 +12,8 @@
     "UpstreamError",
     "UpstreamStalledError",
     "UpstreamUnreachableError",
-    "AnswerMismatchError",
-    "CallerGoneError",
+    "ResponseMismatchError",
+    "CallerDisconnectedError",
 ]
 
 
@@ -119,13 +119,13 @@
     kind = "stalled"
 
 
-class AnswerMismatchError(UpstreamError):
+class ResponseMismatchError(UpstreamError):
     """Raised if a response belongs to another request."""
 
     kind = "mismatched"
 
 
-class CallerGoneError(CornelnotchError):
+class CallerDisconnectedError(CornelnotchError):
     """Raised if the caller closed its connection."""
 
     kind = "caller-gone"
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -3,7 +3,7 @@
 import asyncio
 from dataclasses import replace
 
-from cornelnotch.exceptions import CallerGoneError, UpstreamError
+from cornelnotch.exceptions import CallerDisconnectedError, UpstreamError
 from cornelnotch.gateway.admission_client import AdmissionResult
 from cornelnotch.gateway.context import GatewayContext
 from cornelnotch.gateway.dispatch import (
@@ -105,7 +105,7 @@
             await serving
         except asyncio.CancelledError:
             serving.cancel()
-            raise CallerGoneError(
+            raise CallerDisconnectedError(
                 "the caller closed the connection", "send the request again"
             ) from None
         finally:
@@ -553,7 +553,9 @@
         if self.exchange.response_started:
             self._record_event(Event.REQUEST_BROKEN_OFF, reason=response.reason)
             self.exchange.abort()
-            raise CallerGoneError("the answer broke off", "send the request again")
+            raise CallerDisconnectedError(
+                "the answer broke off", "send the request again"
+            )
         if response.outcome is DispatchOutcome.FAILED:
             assert response.head is not None
             try:
@@ -577,7 +579,9 @@
         if self.exchange.response_started:
             self._record_event(Event.REQUEST_BROKEN_OFF, reason="timeout")
             self.exchange.abort()
-            raise CallerGoneError("the answer took too long", "send the request again")
+            raise CallerDisconnectedError(
+                "the answer took too long", "send the request again"
+            )
         ran = self.dispatches.ran > 0
         status = STATUS_GATEWAY_TIMEOUT if ran else STATUS_UNAVAILABLE
         await self._refuse(status, "timeout")
--- a/cornelnotch/gateway/frontend.py
+++ b/cornelnotch/gateway/frontend.py
@@ -2,7 +2,7 @@
 
 from urllib.parse import urlsplit
 
-from cornelnotch.exceptions import CallerGoneError, RequestError
+from cornelnotch.exceptions import CallerDisconnectedError, RequestError
 from cornelnotch.gateway.context import NO_VERSION, GatewayContext
 from cornelnotch.gateway.flow import RequestFlow
 from cornelnotch.gateway.models import CallerRequest
@@ -30,7 +30,7 @@
             await self._route(exchange)
         except RequestError as error:
             if exchange.response_started:
-                raise CallerGoneError(
+                raise CallerDisconnectedError(
                     "the request broke off", "send the request again"
                 ) from error
             self._context.events.record(
--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -19,7 +19,7 @@
 from cornelnotch.gateway.silence import SilenceDetector
 from cornelnotch.kernel.clock import Clock
 from cornelnotch.kernel.events import Event, EventLog
-from cornelnotch.kernel.tasks import TaskGroup
+from cornelnotch.kernel.tasks import TaskSupervisor
 from cornelnotch.logservice.base import HostList, HostListing
 from cornelnotch.membership import Member, MemberState, MemberTable, Prober, ServerTable
 from cornelnotch.membership.prober import ProberTiming
@@ -61,7 +61,7 @@
         self.settings = settings
         self.clock = clock
         self.events = events
-        self.tasks = TaskGroup(events)
+        self.tasks = TaskSupervisor(events)
         self.stopped = asyncio.Event()
         self.serving = False
         self.leaving = False
@@ -174,13 +174,13 @@
         """Open the listeners and start every task."""
         await self.peers.start(*parse_address(self.settings.listen.peers))
         await self.server.start(*parse_address(self.settings.listen.callers))
-        self.tasks.keep("configuration", self.follower.run_configuration)
-        self.tasks.keep("servers", self.follower.run_servers)
-        self.tasks.keep("state", self.state.run)
-        self.tasks.keep("loads", self.load_exchange.run)
-        self.tasks.keep("silence", SilenceDetector(self.context).run)
-        self.tasks.keep("turns", self.context.admission.run_reports)
-        self.tasks.keep("probes", self.prober.run_probes)
+        self.tasks.start_supervised("configuration", self.follower.run_configuration)
+        self.tasks.start_supervised("servers", self.follower.run_servers)
+        self.tasks.start_supervised("state", self.state.run)
+        self.tasks.start_supervised("loads", self.load_exchange.run)
+        self.tasks.start_supervised("silence", SilenceDetector(self.context).run)
+        self.tasks.start_supervised("turns", self.context.admission.run_reports)
+        self.tasks.start_supervised("probes", self.prober.run_probes)
         self.events.record(Event.HOST_STARTED, http=self.settings.listen.callers)
 
     def _apply_table(self) -> None:
--- a/cornelnotch/gateway/tests/fleet.py
+++ b/cornelnotch/gateway/tests/fleet.py
@@ -30,7 +30,7 @@
 
 
 class Store:
-    """In-memory store of both topics; `copy` and `restore` act as a backup."""
+    """In-memory store of both topics; `create_backup` and `restore` act as a backup."""
 
     def __init__(self):
         self.topics: dict[str, list[tuple[str, bytes]]] = {t: [] for t in TOPICS}
@@ -47,7 +47,7 @@
     def list_server(self, name, written, state="ready", boot_ms=1):
         self.write(SERVERS, name, f"{state} {boot_ms} {written}".encode())
 
-    def copy(self):
+    def create_backup(self):
         return {topic: len(records) for topic, records in self.topics.items()}
 
     def restore(self, copy, by=1):
--- a/cornelnotch/gateway/tests/test_admission_client.py
+++ b/cornelnotch/gateway/tests/test_admission_client.py
@@ -8,7 +8,7 @@
 from cornelnotch.gateway.admission_client import AdmissionClient, AdmissionResult
 from cornelnotch.gateway.models import CallerRequest, PromptPart, ServerRecord
 from cornelnotch.gateway.servers import InFlightRequest, ServerView
-from cornelnotch.kernel import TaskGroup, create_clock, create_event_log
+from cornelnotch.kernel import TaskSupervisor, create_clock, create_event_log
 from cornelnotch.wire import PeerNetwork
 from cornelnotch.wire.messages import (
     AdmissionEnd,
@@ -26,7 +26,7 @@
 
     def __init__(self):
         events = create_event_log("h1")
-        super().__init__("h1", 1, events, TaskGroup(events))
+        super().__init__("h1", 1, events, TaskSupervisor(events))
         self.sent = []
 
     def send(self, host, message):
--- a/cornelnotch/gateway/tests/test_admission_path.py
+++ b/cornelnotch/gateway/tests/test_admission_path.py
@@ -38,7 +38,7 @@
 
 
 def list_sent(engine):
-    return [headers["x-attempt-id"] for headers in engine.seen]
+    return [headers["x-attempt-id"] for headers in engine.received_headers]
 
 
 def test_queued_prompts_are_sent_when_a_prefill_finishes():
@@ -173,7 +173,7 @@
         async with run_deployment() as d:
             # Either engine may be tried first.
             failing_engine, busy_engine = d.engines[first], d.engines[1 - first]
-            failing_engine.faults.break_after = 3
+            failing_engine.faults.abort_after_events = 3
             await fill_backlog(d, busy_engine)
             stream = start(d, "a", SHORT, "/stream/x")
             await wait_until(lambda: list_sent(failing_engine) == ["a"])
@@ -189,7 +189,7 @@
     async def scenario():
         async with run_deployment() as d:
             await read(d.send("/stream/x", "POST", b"b", x_attempt_id="a", **LONG))
-            owner = next(engine for engine in d.engines if engine.seen)
+            owner = next(engine for engine in d.engines if engine.received_headers)
             await fill_backlog(d, owner)
             answer = await d.send("/stream/x", "POST", b"b", x_attempt_id="b", **LONG)
             assert answer.status == 200
--- a/cornelnotch/gateway/tests/test_backups.py
+++ b/cornelnotch/gateway/tests/test_backups.py
@@ -66,7 +66,7 @@
     async def run():
         async with run_deployment() as d:
             for engine in d.engines:
-                engine.others = {other.address: other for other in d.engines}
+                engine.backup_engines = {other.address: other for other in d.engines}
             services = [
                 {"name": "desk"},
                 {"name": "llm", "engine": {"kv_capacity": 9999, "backups": True}},
@@ -86,7 +86,7 @@
 
 
 def find_runs(d, name):
-    return [e for e in d.engines for _ in range(e.ran[name])]
+    return [e for e in d.engines for _ in range(e.executions[name])]
 
 
 def set_fault(d, fault, value):
@@ -94,7 +94,7 @@
         setattr(engine.faults, fault, value)
 
 
-@pytest.mark.parametrize("fault", ["break_after", "stall_after"])
+@pytest.mark.parametrize("fault", ["abort_after_events", "stall_after_events"])
 def test_a_stream_resumes_from_its_copy_when_its_engine_fails(fault):
     async def scenario(d):
         set_fault(d, fault, 3)
@@ -102,7 +102,9 @@
         assert await answer.read() == COMPLETE_BODY
         first, second = find_runs(d, "chat")
         assert first is not second
-        resumed = next(h for e in d.engines for h in e.seen if "kv-from" in h)
+        resumed = next(
+            h for e in d.engines for h in e.received_headers if "kv-from" in h
+        )
         assert resumed["last-event-id"] == "3"
         assert "x-kv-backup" not in resumed
 
@@ -111,9 +113,9 @@
 
 def test_a_run_without_its_copy_is_not_repeated():
     async def scenario(d):
-        set_fault(d, "break_after", 3)
+        set_fault(d, "abort_after_events", 3)
         for engine in d.engines:
-            engine.others = {}
+            engine.backup_engines = {}
         answer = await send(d, "chat")
         with pytest.raises(UpstreamError):
             await answer.read()
@@ -124,7 +126,7 @@
 
 def test_a_run_that_broke_before_its_first_event_is_not_resumed():
     async def scenario(d):
-        set_fault(d, "cut", True)
+        set_fault(d, "abort", True)
         answer = await send(d, "chat")
         await answer.read()
         assert answer.status == 502
--- a/cornelnotch/gateway/tests/test_faulty_servers.py
+++ b/cornelnotch/gateway/tests/test_faulty_servers.py
@@ -10,7 +10,7 @@
 from cornelnotch.gateway.servers import InFlightRequest
 from cornelnotch.gateway.streams import MAX_EVENT_BYTES, EventSplitter
 from cornelnotch.gateway.tests.conftest import run_deployment, wait_until
-from cornelnotch.standins.raw import RawAnswer, RawUpstream
+from cornelnotch.standins.raw import RawResponse, RawUpstream
 from cornelnotch.web import client
 
 HEAD = (
@@ -20,15 +20,15 @@
 CHUNKED = HEAD + b"transfer-encoding: chunked\r\n\r\n"
 SLOW_MS = 50.0
 FAULTY_ANSWERS = {
-    "head": RawAnswer(b"HTTP/1.1 200 OK\r\n", b"x-more: " + b"y" * 500 + b"\r\n"),
-    "header": RawAnswer(b"HTTP/1.1 200 OK\r\nx-more: ", b"y" * 4096),
-    "slow head": RawAnswer(b"HTTP/1.1 200 OK\r\nx-more: ", b"y", SLOW_MS),
-    "status": RawAnswer(b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
-    "slow status": RawAnswer(b"", b"HTTP/1.1 100 Continue\r\n\r\n", SLOW_MS),
-    "no head": RawAnswer(b"", b"\x00\xff" * 4096),
-    "chunk header": RawAnswer(CHUNKED + b"5;", b"e" * 4096),
-    "trailers": RawAnswer(CHUNKED + b"0\r\n", b"x-more: " + b"y" * 4096),
-    "event": RawAnswer(CHUNKED, b"1000\r\n" + b"d" * 4096 + b"\r\n"),
+    "head": RawResponse(b"HTTP/1.1 200 OK\r\n", b"x-more: " + b"y" * 500 + b"\r\n"),
+    "header": RawResponse(b"HTTP/1.1 200 OK\r\nx-more: ", b"y" * 4096),
+    "slow head": RawResponse(b"HTTP/1.1 200 OK\r\nx-more: ", b"y", SLOW_MS),
+    "status": RawResponse(b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "slow status": RawResponse(b"", b"HTTP/1.1 100 Continue\r\n\r\n", SLOW_MS),
+    "no head": RawResponse(b"", b"\x00\xff" * 4096),
+    "chunk header": RawResponse(CHUNKED + b"5;", b"e" * 4096),
+    "trailers": RawResponse(CHUNKED + b"0\r\n", b"x-more: " + b"y" * 4096),
+    "event": RawResponse(CHUNKED, b"1000\r\n" + b"d" * 4096 + b"\r\n"),
 }
 # Machines with 128 MB run a host of 30 MB and buffer what 50 faulty servers send.
 MAX_BUFFERED_BYTES = 64 * 1024 * 1024
@@ -114,7 +114,7 @@
         assert d.host.context.pool.servers["raw"].failures == 1
 
     run_scenario(
-        RawAnswer(CHUNKED, b"1000\r\n" + b"d" * 4096 + b"\r\n"), scenario, "desk"
+        RawResponse(CHUNKED, b"1000\r\n" + b"d" * 4096 + b"\r\n"), scenario, "desk"
     )
 
 
@@ -128,7 +128,7 @@
         answer = await d.send("/read/x")
         assert await answer.read() == body
 
-    run_scenario(RawAnswer(head + body), scenario, "desk")
+    run_scenario(RawResponse(head + body), scenario, "desk")
 
 
 def test_bytes_beyond_the_content_length_are_dropped():
@@ -140,7 +140,7 @@
             assert await answer.read() == b"mine"
 
     whole = HEAD + b"content-length: 4\r\n\r\nmine"
-    run_scenario(RawAnswer(whole + whole), scenario, "desk")
+    run_scenario(RawResponse(whole + whole), scenario, "desk")
 
 
 def test_fifty_endless_streams_keep_memory_bounded():
@@ -165,7 +165,7 @@
         assert server.requests == FAULTY_SERVERS
         assert peak - before < MAX_BUFFERED_BYTES
 
-    run_scenario(RawAnswer(CHUNKED, b"10000\r\n" + b"d" * 65536 + b"\r\n"), scenario)
+    run_scenario(RawResponse(CHUNKED, b"10000\r\n" + b"d" * 65536 + b"\r\n"), scenario)
 
 
 def test_a_stream_that_trickles_bytes_resumes_elsewhere():
@@ -177,7 +177,7 @@
         assert list_events(await answer.read()) == list(range(1, 7))
         assert server.requests == 1
 
-    run_scenario(RawAnswer(start, b"1\r\nd\r\n", SLOW_MS), scenario)
+    run_scenario(RawResponse(start, b"1\r\nd\r\n", SLOW_MS), scenario)
 
 
 def test_a_slow_valid_stream_without_an_alternative_server_is_kept():
@@ -190,7 +190,7 @@
         assert server.requests == 1
 
     class SlowUpstream(RawUpstream):
-        async def _repeat(self, writer):
+        async def _write_repeatedly(self, writer):
             await asyncio.sleep(1.0)
             writer.write(b"15\r\nid: 2\ndata: piece 2\n\n\r\n0\r\n\r\n")
             await writer.drain()
@@ -200,7 +200,7 @@
     async def run():
         async with run_deployment() as d:
             start = CHUNKED + b"15\r\nid: 1\ndata: piece 1\n\n\r\n"
-            server = SlowUpstream("raw", RawAnswer(start, b"-"))
+            server = SlowUpstream("raw", RawResponse(start, b"-"))
             await server.start()
             d.drop_server(d.engines[0])
             d.list_server(server, "llm")
--- a/cornelnotch/gateway/tests/test_leaving_notices.py
+++ b/cornelnotch/gateway/tests/test_leaving_notices.py
@@ -67,8 +67,8 @@
         for number in range(8):
             answer = await d.send(path, method, x_attempt_id=f"a{number}")
             await answer.read()
-        assert len(leaving.seen) == 1
-        assert len(servers[1].seen) >= 7
+        assert len(leaving.received_headers) == 1
+        assert len(servers[1].received_headers) >= 7
 
     run_scenario(scenario)
 
@@ -97,7 +97,7 @@
         d.list_server(d.desks[0], "desk", born=100)
         await wait_until(lambda: "desk-1" in pool.servers, 3.0)
         await send_calls(d, 4)
-        assert len(d.desks[0].seen) == 1
+        assert len(d.desks[0].received_headers) == 1
         d.desks[0].faults.leaving = False
         d.list_server(d.desks[0], "desk", born=200)
         await wait_until(lambda: pool.servers["desk-1"].record.boot_ms == 200, 3.0)
@@ -138,7 +138,7 @@
         paused.faults.retry_after = "0.8"
         began = asyncio.get_running_loop().time()
         await send_calls(d, 8)
-        assert len(paused.seen) == 1
+        assert len(paused.received_headers) == 1
         paused.faults.refuse = False
         await asyncio.sleep(began + 1.0 - asyncio.get_running_loop().time())
         d.desks[1].faults.refuse = True
@@ -154,12 +154,12 @@
             server.faults.refuse = True
             server.faults.retry_after = "0.9"
         await send_calls(d, 1)
-        seen = sum(len(server.seen) for server in d.desks)
+        seen = sum(len(server.received_headers) for server in d.desks)
         answer = await d.send("/book/x", "POST", x_attempt_id="later")
         await answer.read()
         assert answer.status == 503
         assert 0.4 <= float(answer.headers["retry-after"]) <= 0.9
-        assert sum(len(server.seen) for server in d.desks) == seen
+        assert sum(len(server.received_headers) for server in d.desks) == seen
 
     run_scenario(scenario)
 
@@ -178,7 +178,7 @@
                 x_prompt_prefix="aa:900,bb:100",
             )
             await answer.read()
-        assert not d.engines[0].seen
+        assert not d.engines[0].received_headers
 
     run_scenario(scenario)
 
--- a/cornelnotch/gateway/tests/test_request_path.py
+++ b/cornelnotch/gateway/tests/test_request_path.py
@@ -21,7 +21,7 @@
 
 
 def count_runs(servers, request_id="a1"):
-    return sum(server.ran[request_id] for server in servers)
+    return sum(server.executions[request_id] for server in servers)
 
 
 def test_a_call_and_its_answer_are_forwarded_unchanged():
@@ -31,10 +31,10 @@
         assert answer.status == 200
         assert body.startswith(b"done by desk")
         assert answer.headers["x-server-signature"].endswith(".a1")
-        server = next(s for s in d.desks if s.seen)
+        server = next(s for s in d.desks if s.received_headers)
         assert server.targets == ["/book/x?y=1"]
         assert server.bodies == [b"body"]
-        seen = server.seen[0]
+        seen = server.received_headers[0]
         assert seen["x-tenant"] == "acme"
         assert seen["x-other"] == "kept"
         assert "x-key" not in seen
@@ -49,7 +49,7 @@
             "/read/x", x_tenant="other", kv_fetch="1.2.3.4:5", x_request_priority="0"
         )
         await answer.read()
-        seen = next(s for s in d.desks if s.seen).seen[0]
+        seen = next(s for s in d.desks if s.received_headers).received_headers[0]
         assert seen["x-tenant"] == "acme"
         assert seen["x-request-priority"] == "1"
         assert "kv-fetch" not in seen
@@ -78,7 +78,7 @@
 def test_non_repeatable_work_is_sent_once_when_its_answer_is_lost():
     async def scenario(d):
         for server in d.desks:
-            server.faults.cut = True
+            server.faults.abort = True
         answer = await d.send("/book/x", "POST", b"b")
         await answer.read()
         assert answer.status == 502
@@ -89,7 +89,7 @@
 
 def test_repeatable_work_is_retried_at_another_server():
     async def scenario(d):
-        d.desks[0].faults.cut = True
+        d.desks[0].faults.abort = True
         for number in range(6):
             answer = await d.send("/read/x", x_attempt_id=f"r{number}")
             assert (await answer.read()) == b"done by desk-2"
@@ -133,8 +133,8 @@
 
 def test_work_that_may_have_run_is_not_reported_as_refused():
     async def scenario(d):
-        d.desks[0].faults.cut = True
-        d.engines[0].faults.break_after = 3
+        d.desks[0].faults.abort = True
+        d.engines[0].faults.abort_after_events = 3
         for removed in (d.desks[1], d.engines[1]):
             d.drop_server(removed)
         await wait_until(lambda: d.count_servers() == 2)
@@ -176,15 +176,15 @@
 def test_a_broken_stream_resumes_elsewhere_without_gap_or_repeat():
     async def scenario(d):
         for server in d.engines:
-            server.faults.break_after = 3
+            server.faults.abort_after_events = 3
         answer = await d.send("/stream/x", "POST", b"p")
-        first = d.engines[0] if d.engines[0].seen else d.engines[1]
+        first = d.engines[0] if d.engines[0].received_headers else d.engines[1]
         other = d.engines[1] if first is d.engines[0] else d.engines[0]
-        other.faults.break_after = None
+        other.faults.abort_after_events = None
         body = await answer.read()
         numbers = [line for line in body.split(b"\n") if line.startswith(b"id:")]
         assert numbers == [b"id: %d" % n for n in range(1, 7)]
-        assert other.seen[0]["last-event-id"] == "3"
+        assert other.received_headers[0]["last-event-id"] == "3"
 
     run_scenario(scenario)
 
@@ -192,7 +192,7 @@
 def test_a_stream_that_may_not_resume_ends_incomplete():
     async def scenario(d):
         for server in d.engines:
-            server.faults.break_after = 3
+            server.faults.abort_after_events = 3
         answer = await d.send("/stream/draft/x", "POST", b"p")
         with pytest.raises(UpstreamError):
             await answer.read()
@@ -208,7 +208,7 @@
         task = asyncio.create_task(d.send("/stream/x", "POST", b"p"))
         await wait_until(lambda: count_runs(d.engines) == 1)
         task.cancel()
-        await wait_until(lambda: sum(s.left for s in d.engines) == 1, 1.0)
+        await wait_until(lambda: sum(s.disconnects for s in d.engines) == 1, 1.0)
 
     run_scenario(scenario)
 
@@ -221,7 +221,7 @@
         chunks = answer.iterate_chunks()
         await anext(chunks)
         answer.connection.abort()
-        await wait_until(lambda: sum(s.left for s in d.engines) == 1, 1.0)
+        await wait_until(lambda: sum(s.disconnects for s in d.engines) == 1, 1.0)
 
     run_scenario(scenario)
 
@@ -229,16 +229,16 @@
 def test_a_stalled_stream_resumes_elsewhere():
     async def scenario(d):
         for server in d.engines:
-            server.faults.stall_after = 3
+            server.faults.stall_after_events = 3
         answer = await d.send("/stream/x", "POST", b"p", x_deadline_ms="6000")
-        first = d.engines[0] if d.engines[0].seen else d.engines[1]
+        first = d.engines[0] if d.engines[0].received_headers else d.engines[1]
         other = d.engines[1] if first is d.engines[0] else d.engines[0]
-        other.faults.stall_after = None
+        other.faults.stall_after_events = None
         body = await answer.read()
         numbers = [line for line in body.split(b"\n") if line.startswith(b"id:")]
         assert numbers == [b"id: %d" % n for n in range(1, 7)]
         # The silent server must not continue the stream.
-        await wait_until(lambda: first.left == 1, 0.4)
+        await wait_until(lambda: first.disconnects == 1, 0.4)
 
     run_scenario(scenario)
 
@@ -297,7 +297,7 @@
         for number in range(6):
             answer = await d.send("/book/x", "POST", b"b", x_attempt_id=f"b{number}")
             assert (await answer.read()) == b"done by desk-2"
-        assert len(d.desks[0].seen) <= 1
+        assert len(d.desks[0].received_headers) <= 1
 
     run_scenario(scenario)
 
--- a/cornelnotch/gateway/tests/test_restoration.py
+++ b/cornelnotch/gateway/tests/test_restoration.py
@@ -47,7 +47,7 @@
 @pytest.mark.parametrize("count", [8, 60, 320])
 def test_readers_read_again_and_update_the_other_hosts(count):
     async def scenario(fleet):
-        copy = fleet.store.copy()
+        copy = fleet.store.create_backup()
         fleet.store.configure(11)
         await fleet.run(1500.0)
         await restore_from(fleet, copy)
@@ -65,7 +65,7 @@
 
 def test_a_version_missing_from_the_copy_stays_active_until_a_newer_one():
     async def scenario(fleet):
-        copy = fleet.store.copy()
+        copy = fleet.store.create_backup()
         fleet.store.configure(11)
         await fleet.run(1500.0)
         await restore_from(fleet, copy)
@@ -86,7 +86,7 @@
 def test_reassigned_offsets_hide_no_record():
     # Guards against a reader that continues from an offset that was reassigned.
     async def scenario(fleet):
-        copy = fleet.store.copy()
+        copy = fleet.store.create_backup()
         for written in range(2, 6):
             fleet.store.list_server("s1", written)
         await fleet.run(1500.0)
@@ -102,7 +102,7 @@
 
 def test_a_server_missing_from_the_copy_is_kept_until_its_next_write_is_due():
     async def scenario(fleet):
-        copy = fleet.store.copy()
+        copy = fleet.store.create_backup()
         fleet.store.list_server("s3", 1)
         fleet.store.list_server("s4", 1)
         await fleet.run(1500.0)
@@ -120,7 +120,7 @@
 @pytest.mark.parametrize("is_listed_leaving", [True, False])
 def test_a_leaving_or_removed_server_is_not_used_until_it_restarts(is_listed_leaving):
     async def scenario(fleet):
-        copy = fleet.store.copy()
+        copy = fleet.store.create_backup()
         if is_listed_leaving:
             fleet.store.list_server("s1", 2, "leaving")
         else:
@@ -140,7 +140,7 @@
 
 def test_a_server_with_a_lapsed_entry_is_used_once_it_writes_again():
     async def scenario(fleet):
-        copy = fleet.store.copy()
+        copy = fleet.store.create_backup()
         fleet.store.write("servers", "s1", b"")
         await fleet.run(1500.0)
         await restore_from(fleet, copy, 200.0)
@@ -153,7 +153,7 @@
 
 def test_a_host_started_after_a_restoration_receives_the_newer_version():
     async def scenario(fleet):
-        copy = fleet.store.copy()
+        copy = fleet.store.create_backup()
         fleet.store.configure(11)
         await fleet.run(1500.0)
         await restore_from(fleet, copy)
@@ -167,7 +167,7 @@
 
 def test_two_restorations_in_a_row_revert_nothing():
     async def scenario(fleet):
-        copy = fleet.store.copy()
+        copy = fleet.store.create_backup()
         fleet.store.configure(11)
         await fleet.run(1500.0)
         await restore_from(fleet, copy, 500.0)
@@ -184,7 +184,7 @@
 
 def test_readers_started_after_a_restoration_receive_held_records():
     async def scenario(fleet):
-        copy = fleet.store.copy()
+        copy = fleet.store.create_backup()
         fleet.store.configure(11)
         await fleet.run(1500.0)
         old = fleet.list_alive()
@@ -200,7 +200,7 @@
 
 def test_a_timeline_may_advance_by_two():
     async def scenario(fleet):
-        copy = fleet.store.copy()
+        copy = fleet.store.create_backup()
         fleet.store.configure(11)
         await fleet.run(1500.0)
         await restore_from(fleet, copy, by=2)
@@ -212,7 +212,7 @@
 
 def test_recovery_stays_within_the_bound_when_the_readers_fail():
     async def scenario(fleet):
-        copy = fleet.store.copy()
+        copy = fleet.store.create_backup()
         fleet.store.configure(11)
         await fleet.run(1500.0)
         await restore_from(fleet, copy, 500.0)
@@ -227,7 +227,7 @@
 
 def test_partitioned_hosts_read_the_store_themselves():
     async def scenario(fleet):
-        copy = fleet.store.copy()
+        copy = fleet.store.create_backup()
         fleet.store.configure(11)
         await fleet.run(1500.0)
         fleet.cut_domains = {"b"}
@@ -241,7 +241,7 @@
 
 def test_a_rolling_restart_during_a_restoration_ends_at_the_newest_version():
     async def scenario(fleet):
-        copy = fleet.store.copy()
+        copy = fleet.store.create_backup()
         fleet.store.configure(11)
         await fleet.run(1500.0)
         fleet.store.is_down = True
@@ -262,7 +262,7 @@
     async def scenario(fleet):
         outdated = Store()
         outdated.configure(10)
-        copy = fleet.store.copy()
+        copy = fleet.store.create_backup()
         fleet.store.configure(11)
         await fleet.run(1500.0)
         await restore_from(fleet, copy, 500.0)
--- a/cornelnotch/kernel/__init__.py
+++ b/cornelnotch/kernel/__init__.py
@@ -11,10 +11,10 @@
 )
 from cornelnotch.kernel.hashing import hash_text, rank_owners, select_owner
 from cornelnotch.kernel.registry import create_plugin, list_plugins, register_plugin
-from cornelnotch.kernel.tasks import MailboxTask, TaskGroup
+from cornelnotch.kernel.tasks import MailboxTask, TaskSupervisor
 
 if TYPE_CHECKING:
-    from cornelnotch.kernel.identifiers import create_identifier, read_key_time
+    from cornelnotch.kernel.identifiers import create_identifier, parse_key_time
 
 __all__ = [
     "Clock",
@@ -23,7 +23,7 @@
     "MailboxTask",
     "ManualClock",
     "SystemClock",
-    "TaskGroup",
+    "TaskSupervisor",
     "create_clock",
     "create_event_log",
     "create_identifier",
@@ -31,7 +31,7 @@
     "hash_text",
     "list_plugins",
     "rank_owners",
-    "read_key_time",
+    "parse_key_time",
     "register_plugin",
     "select_owner",
     "set_up_logging",
@@ -40,7 +40,7 @@
 
 def __getattr__(name: str) -> Any:
     # Hosts of the platform create no identifiers; the import takes 4 MB of memory.
-    if name in {"create_identifier", "read_key_time"}:
+    if name in {"create_identifier", "parse_key_time"}:
         from cornelnotch.kernel import identifiers
 
         return getattr(identifiers, name)
--- a/cornelnotch/kernel/identifiers.py
+++ b/cornelnotch/kernel/identifiers.py
@@ -7,7 +7,7 @@
 
 from cornelnotch.exceptions import RequestError
 
-__all__ = ["create_identifier", "read_key_time"]
+__all__ = ["create_identifier", "parse_key_time"]
 
 UUID_VERSION = 7
 TIMESTAMP_SHIFT_BITS = 80
@@ -18,7 +18,7 @@
     return str(uuid6.uuid7())
 
 
-def read_key_time(key: str) -> Result[float, RequestError]:
+def parse_key_time(key: str) -> Result[float, RequestError]:
     """Return the creation time of a UUIDv7 key, in ms since the Unix epoch."""
     try:
         value = uuid.UUID(key)
--- a/cornelnotch/kernel/tasks.py
+++ b/cornelnotch/kernel/tasks.py
@@ -7,12 +7,12 @@
 
 from cornelnotch.kernel.events import Event, EventLog
 
-__all__ = ["MailboxTask", "TaskGroup", "end_task"]
+__all__ = ["MailboxTask", "TaskSupervisor", "cancel_and_wait"]
 
 RESTART_DELAY_S = 1.0
 
 
-async def end_task(task: asyncio.Task[Any]) -> None:
+async def cancel_and_wait(task: asyncio.Task[Any]) -> None:
     """Cancel a task and wait for it; raise the error it ended with, if any.
 
     Awaiting the task directly could not distinguish its cancellation from that of the
@@ -25,7 +25,7 @@
         raise error
 
 
-class TaskGroup:
+class TaskSupervisor:
     """Set of running tasks whose failures are logged."""
 
     def __init__(self, events: EventLog) -> None:
@@ -39,7 +39,7 @@
         task.add_done_callback(self._handle_done)
         return task
 
-    def keep(
+    def start_supervised(
         self, name: str, create_work: Callable[[], Coroutine[Any, Any, None]]
     ) -> asyncio.Task[Any]:
         """Start work that must not end; restart it after a delay when it does."""
--- a/cornelnotch/kernel/tests/test_kernel.py
+++ b/cornelnotch/kernel/tests/test_kernel.py
@@ -15,8 +15,8 @@
     create_event_log,
     create_identifier,
     create_plugin,
+    parse_key_time,
     rank_owners,
-    read_key_time,
     select_owner,
     set_up_logging,
 )
@@ -52,8 +52,8 @@
 
 
 def test_key_contains_its_creation_time():
-    assert read_key_time(create_identifier()).unwrap() > 1.6e12
-    assert read_key_time("x").failure().kind == "bad-key"
+    assert parse_key_time(create_identifier()).unwrap() > 1.6e12
+    assert parse_key_time("x").failure().kind == "bad-key"
 
 
 def test_unknown_plugin_error_lists_registered_plugins():
--- a/cornelnotch/kernel/tests/test_output.py
+++ b/cornelnotch/kernel/tests/test_log_output.py
@@ -10,7 +10,7 @@
 import pytest
 
 from cornelnotch.kernel import Event, create_event_log
-from cornelnotch.kernel.output import LogOutput
+from cornelnotch.kernel.log_output import LogOutput
 
 LIMIT = 50
 LINES = 3000
@@ -85,7 +85,7 @@
 
 def test_process_exits_while_its_lines_are_not_read():
     code = (
-        "from cornelnotch.kernel.output import LogOutput\n"
+        "from cornelnotch.kernel.log_output import LogOutput\n"
         "from cornelnotch.kernel import Event, create_event_log\n"
         "with LogOutput('h', limit=50):\n"
         "    log = create_event_log('h')\n"
--- a/cornelnotch/load/caller.py
+++ b/cornelnotch/load/caller.py
@@ -66,13 +66,13 @@
         """Close idle connections."""
         self._client.close()
 
-    def pin(self, address: str) -> None:
+    def use_only_host(self, address: str) -> None:
         """Send all requests to one host, for fault tests."""
         self._seeds = [address]
         self._addresses = [address]
         self._valid_until_ms = float("inf")
 
-    async def ask_entry(self) -> list[str]:
+    async def fetch_entry_addresses(self) -> list[str]:
         """Return the addresses of hosts, refreshed when they have expired."""
         if self._addresses and self._clock.read() < self._valid_until_ms:
             return self._addresses
@@ -146,7 +146,7 @@
         result = CallResult()
         attempts = self.options.attempts if retry else 1
         for attempt in range(1, attempts + 1):
-            addresses = await self.ask_entry()
+            addresses = await self.fetch_entry_addresses()
             address = addresses[self._address_index % len(addresses)]
             result = await self._send(
                 address, method, target, labels, body, key, attempt, result, started_ms
--- a/cornelnotch/load/embedded.py
+++ b/cornelnotch/load/embedded.py
@@ -8,7 +8,7 @@
 from cornelnotch.configuration import Change, encode_record
 from cornelnotch.configuration.follower import CONFIGURATION_STREAM
 from cornelnotch.kernel import Clock, create_identifier
-from cornelnotch.load.driver import FleetAddresses
+from cornelnotch.load.generator import FleetAddresses
 from cornelnotch.logservice import HostEntry, HttpLogService
 from cornelnotch.node import Node, create_node
 from cornelnotch.settings import NodeSettings
@@ -18,8 +18,8 @@
 
 __all__ = [
     "Deployment",
-    "EmbeddedFleet",
-    "create_deployment",
+    "InProcessFleet",
+    "create_in_process_fleet",
     "list_deployments",
     "read_deployment_text",
 ]
@@ -78,7 +78,7 @@
 
 
 @dataclass(slots=True)
-class EmbeddedFleet:
+class InProcessFleet:
     """Running deployment with hosts and simulated servers in this process."""
 
     deployment: Deployment
@@ -199,6 +199,6 @@
         await self.platform.stop()
 
 
-def create_deployment(name: str, clock: Clock) -> EmbeddedFleet:
+def create_in_process_fleet(name: str, clock: Clock) -> InProcessFleet:
     """Return a fleet of the deployment `name` that has not started yet."""
-    return EmbeddedFleet(list_deployments()[name], clock, PlatformStandin(clock))
+    return InProcessFleet(list_deployments()[name], clock, PlatformStandin(clock))
--- a/cornelnotch/load/driver.py
+++ b/cornelnotch/load/generator.py
@@ -11,10 +11,10 @@
 from cornelnotch.load.caller import Caller, CallerOptions, CallResult
 from cornelnotch.load.results import RunResult, Sample
 from cornelnotch.load.scenario import FaultEvent, Scenario, TrafficClass
-from cornelnotch.standins.engine import predict_answer
+from cornelnotch.standins.engine import create_expected_response
 from cornelnotch.web import HttpClient
 
-__all__ = ["Driver", "FleetAddresses", "PlannedCall", "plan_calls"]
+__all__ = ["LoadGenerator", "FleetAddresses", "PlannedCall", "plan_calls"]
 
 SAMPLE_INTERVAL_MS = 500.0
 DISCONNECT_SHARE_OF_DEADLINE = 0.1
@@ -32,7 +32,7 @@
     engines: dict[str, str] = field(default_factory=dict)
     services: dict[str, str] = field(default_factory=dict)
 
-    def find(self, target: str) -> str | None:
+    def find_server(self, target: str) -> str | None:
         """Return the address of a simulated server, or None if it is unknown."""
         if target == "platform":
             return self.platform or None
@@ -88,7 +88,7 @@
     return sorted(calls, key=lambda call: call.at_ms)
 
 
-class Driver:
+class LoadGenerator:
     """Run of one scenario."""
 
     def __init__(self, scenario: Scenario, fleet: FleetAddresses, clock: Clock) -> None:
@@ -187,7 +187,7 @@
         reference = f"{call.class_name}-{call.number}"
         wrong = False
         if traffic.kind == "chat" and result.complete:
-            wrong = result.text != predict_answer(reference, call.tokens)
+            wrong = result.text != create_expected_response(reference, call.tokens)
         sample = Sample(
             call.class_name,
             call.at_ms,
@@ -208,7 +208,7 @@
         await self._clock.sleep(
             start_ms + event.at_s * MS_PER_SECOND - self._clock.read()
         )
-        address = self._fleet.find(event.target)
+        address = self._fleet.find_server(event.target)
         if address is None:
             self._result.notes.append(f"there is no simulated server {event.target}")
             return
--- a/cornelnotch/load/report.py
+++ b/cornelnotch/load/report.py
@@ -9,7 +9,7 @@
 
 from cornelnotch.load.results import (
     RunResult,
-    judge_promises,
+    check_guarantees,
     summarize_classes,
 )
 
@@ -127,7 +127,7 @@
             rows[f"{row.class_name}: first token p95"].append(
                 f"{row.first_token_p95_ms:.0f} ms"
             )
-        guarantees = judge_promises(result)
+        guarantees = check_guarantees(result)
         rows["wasted tokens"].append(f"{guarantees.wasted_share:.2%}")
         rows["goodput"].append(f"{guarantees.goodput_per_second:.0f} tokens/s")
         for name in ("doubled", "lost", "wrong_answers", "false_not_run"):
--- a/cornelnotch/load/results.py
+++ b/cornelnotch/load/results.py
@@ -13,7 +13,7 @@
     "GuaranteeSummary",
     "RunResult",
     "Sample",
-    "judge_promises",
+    "check_guarantees",
     "read_result",
     "summarize_classes",
     "write_result",
@@ -85,7 +85,7 @@
     goodput_per_second: float
 
     @property
-    def broken(self) -> int:
+    def violations(self) -> int:
         """Return the number of violated guarantees."""
         return (
             self.doubled
@@ -126,7 +126,7 @@
     return rows
 
 
-def judge_promises(result: RunResult) -> GuaranteeSummary:
+def check_guarantees(result: RunResult) -> GuaranteeSummary:
     """Compare the outcomes given to callers with the ledgers of the services."""
     ran: Counter[str] = Counter()
     for ledger in result.ledgers.values():
--- a/cornelnotch/load/tests/test_load.py
+++ b/cornelnotch/load/tests/test_load.py
@@ -6,12 +6,12 @@
 from returns.result import Success
 
 from cornelnotch.exceptions import SettingsError
-from cornelnotch.load.driver import plan_calls
+from cornelnotch.load.generator import plan_calls
 from cornelnotch.load.report import create_page
 from cornelnotch.load.results import (
     RunResult,
     Sample,
-    judge_promises,
+    check_guarantees,
     read_result,
     summarize_classes,
     write_result,
@@ -58,8 +58,8 @@
 )
 def test_outcomes_are_checked_against_ledger(sample, ledger, broken):
     result = RunResult("x", 1, [sample], ledgers={"desk": ledger})
-    guarantees = judge_promises(result)
-    assert guarantees.broken == (0 if broken is None else 1)
+    guarantees = check_guarantees(result)
+    assert guarantees.violations == (0 if broken is None else 1)
     if broken is not None:
         assert getattr(guarantees, broken) == 1
 
@@ -67,7 +67,7 @@
 def test_decreasing_version_violates_guarantee():
     result = RunResult("x", 1, [BOOKING], {"h": [(0.0, 3), (1.0, 2)]})
     result.ledgers = {"desk": {"booking-1": 1}}
-    assert judge_promises(result).version_reversals == 1
+    assert check_guarantees(result).version_reversals == 1
 
 
 def test_results_round_trip_and_are_compared_in_report(tmp_path):
--- a/cornelnotch/membership/prober.py
+++ b/cornelnotch/membership/prober.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from cornelnotch.exceptions import LogUnavailableError
-from cornelnotch.kernel import Clock, Event, EventLog, TaskGroup, rank_owners
+from cornelnotch.kernel import Clock, Event, EventLog, TaskSupervisor, rank_owners
 from cornelnotch.logservice.base import HostEntry, HostList
 from cornelnotch.membership.table import MemberState, MemberTable, ServerTable
 from cornelnotch.wire import PeerNetwork
@@ -53,7 +53,7 @@
         hosts: HostList,
         clock: Clock,
         events: EventLog,
-        tasks: TaskGroup,
+        tasks: TaskSupervisor,
         timing: ProberTiming,
         generator: random.Random,
     ) -> None:
--- a/cornelnotch/node/frontend.py
+++ b/cornelnotch/node/frontend.py
@@ -5,10 +5,10 @@
 from returns.result import Failure
 
 from cornelnotch.configuration import select_class
-from cornelnotch.exceptions import CallerGoneError, RequestError
+from cornelnotch.exceptions import CallerDisconnectedError, RequestError
 from cornelnotch.kernel import Event, create_identifier
 from cornelnotch.node.status import StatusReader
-from cornelnotch.observation import DecisionLog
+from cornelnotch.observation import TraceStore
 from cornelnotch.routing.context import FlowContext
 from cornelnotch.routing.engine_flow import EngineFlow
 from cornelnotch.routing.flow import RequestFlow
@@ -43,8 +43,8 @@
         settings: NodeSettings,
         context: FlowContext,
         status: StatusReader,
-        decisions: DecisionLog,
-        dispatched: DecisionLog,
+        decisions: TraceStore,
+        dispatched: TraceStore,
         peers: PeerNetwork,
         start_drain: Callable[[], None],
     ) -> None:
@@ -88,7 +88,9 @@
 
     async def _reject_malformed(self, exchange: Exchange, error: RequestError) -> None:
         if exchange.response_started:
-            raise CallerGoneError("the request ended early", "send it again")
+            raise CallerDisconnectedError(
+                "the request ended early", "retry the request"
+            )
         problem = Problem(error.status, error.kind, str(error), Outcome.NOT_RUN)
         self._context.events.record(
             Event.REQUEST_MALFORMED, kind=error.kind, path=exchange.path
@@ -205,7 +207,7 @@
         if isinstance(parsed, Failure):
             raise parsed.failure()
         request = parsed.unwrap()
-        trace = self._decisions.open(request.request_id)
+        trace = self._decisions.start_trace(request.request_id)
         refusal_reason = self._status.find_refusal_reason()
         if refusal_reason is not None:
             trace.note("refused", reason=refusal_reason)
--- a/cornelnotch/node/node.py
+++ b/cornelnotch/node/node.py
@@ -10,7 +10,7 @@
 from cornelnotch.kernel import (
     Clock,
     Event,
-    TaskGroup,
+    TaskSupervisor,
     create_clock,
     create_event_log,
     create_plugin,
@@ -20,7 +20,7 @@
 from cornelnotch.membership.prober import ProberTiming
 from cornelnotch.node.frontend import Frontend
 from cornelnotch.node.status import StatusReader
-from cornelnotch.observation import DecisionLog, NodeMetrics
+from cornelnotch.observation import NodeMetrics, TraceStore
 from cornelnotch.routing.budget import RetryBudget
 from cornelnotch.routing.context import FlowContext
 from cornelnotch.routing.dispatcher import Dispatcher
@@ -54,7 +54,7 @@
         self.settings = settings
         self.clock = clock
         self.events = create_event_log(settings.node.name)
-        self.tasks = TaskGroup(self.events)
+        self.tasks = TaskSupervisor(self.events)
         self.stopped = asyncio.Event()
         self.boot = int(clock.read_wall())
         self._client = HttpClient()
@@ -154,7 +154,7 @@
             self.settings,
             context,
             self.status,
-            DecisionLog(self.clock),
+            TraceStore(self.clock),
             self.dispatcher.decisions,
             self.peers,
             self.start_drain,
@@ -165,16 +165,16 @@
         """Open the listening sockets and start all tasks."""
         await self.peers.start(*parse_address(self.settings.node.peer))
         await self.server.start(*parse_address(self.settings.node.http))
-        self.tasks.keep("configuration", self.follower.run)
-        self.tasks.keep("status", self.status.run)
-        self.tasks.keep("snapshots", self.snapshots.run)
-        self.tasks.keep("probes", self.prober.run_probes)
-        self.tasks.keep("listing", self.prober.run_host_list_polling)
-        self.tasks.keep("dispatcher", self.dispatcher.run)
-        self.tasks.keep("ticks", self.dispatcher.run_scheduling)
-        self.tasks.keep("load-reports", self.dispatcher.run_load_polling)
-        self.tasks.keep("standby", self._run_standby)
-        self.tasks.keep("held-permits", self.permits.run_held_reports)
+        self.tasks.start_supervised("configuration", self.follower.run)
+        self.tasks.start_supervised("status", self.status.run)
+        self.tasks.start_supervised("snapshots", self.snapshots.run)
+        self.tasks.start_supervised("probes", self.prober.run_probes)
+        self.tasks.start_supervised("listing", self.prober.run_host_list_polling)
+        self.tasks.start_supervised("dispatcher", self.dispatcher.run)
+        self.tasks.start_supervised("ticks", self.dispatcher.run_scheduling)
+        self.tasks.start_supervised("load-reports", self.dispatcher.run_load_polling)
+        self.tasks.start_supervised("standby", self._run_standby)
+        self.tasks.start_supervised("held-permits", self.permits.run_held_reports)
         self.events.record(Event.HOST_STARTED, http=self.settings.node.http)
 
     async def stop(self) -> None:
--- a/cornelnotch/node/tests/conftest.py
+++ b/cornelnotch/node/tests/conftest.py
@@ -7,7 +7,10 @@
 import pytest
 
 from cornelnotch.testing.processes import ProcessFleet
-from cornelnotch.testing.samples import create_heelmark_text, create_server_section
+from cornelnotch.testing.samples import (
+    create_sample_configuration,
+    create_server_section,
+)
 
 Scenario = Callable[[ProcessFleet], Awaitable[None]]
 
@@ -38,7 +41,7 @@
     for server in fleet.servers.values():
         pool = "cobbler-assist" if server.name.startswith("engine") else "counter-desk"
         sections += create_server_section(server.name, pool, server.http, slots=slots)
-    version = await fleet.publish(create_heelmark_text(sections))
+    version = await fleet.publish(create_sample_configuration(sections))
     await fleet.wait_ready(version)
 
 
--- a/cornelnotch/node/tests/test_end_to_end.py
+++ b/cornelnotch/node/tests/test_end_to_end.py
@@ -2,18 +2,18 @@
 
 from cornelnotch.kernel import create_identifier
 from cornelnotch.node.tests.conftest import start_sample_fleet
-from cornelnotch.standins.engine import predict_answer
+from cornelnotch.standins.engine import create_expected_response
 
 
 def test_chat_and_booking_get_complete_responses(run_fleet):
     async def scenario(fleet):
         await start_sample_fleet(fleet)
         caller = fleet.create_caller()
-        assert len(await caller.ask_entry()) == 3
+        assert len(await caller.fetch_entry_addresses()) == 3
         for stream in (True, False):
             result = await caller.chat("resole brown boots", 12, "kind=quote", stream)
             assert (result.status, result.complete) == (200, True)
-            assert result.text == predict_answer("resole brown boots", 12)
+            assert result.text == create_expected_response("resole brown boots", 12)
         key = create_identifier()
         content = {"reference": "slot-7"}
         first = await caller.call("counter-desk", "/book", content, "kind=booking", key)
--- a/cornelnotch/node/tests/test_faults.py
+++ b/cornelnotch/node/tests/test_faults.py
@@ -12,9 +12,12 @@
     FAST_TIMING,
     start_sample_fleet,
 )
-from cornelnotch.standins.engine import predict_answer
+from cornelnotch.standins.engine import create_expected_response
 from cornelnotch.testing.proxy import FaultProxy
-from cornelnotch.testing.samples import create_heelmark_text, create_server_section
+from cornelnotch.testing.samples import (
+    create_sample_configuration,
+    create_server_section,
+)
 
 BOOKINGS = 12
 
@@ -24,7 +27,7 @@
     calls = []
     for host in fleet.hosts.values():
         caller = fleet.create_caller(**options)
-        caller.pin(host.http)
+        caller.use_only_host(host.http)
         calls.append(
             caller.call(
                 "counter-desk",
@@ -127,7 +130,7 @@
         blocking_tasks = [asyncio.create_task(f) for f in blocking_calls]
         await asyncio.sleep(0.6)
         winner = fleet.create_caller(deadline_ms=9000)
-        winner.pin(host.http)
+        winner.use_only_host(host.http)
         content = {"reference": "slot"}
         first = asyncio.create_task(
             winner.call(
@@ -137,7 +140,7 @@
         await asyncio.sleep(0.5)
         fleet.send_signal(host, number)
         other = fleet.create_caller(deadline_ms=2000)
-        other.pin(fleet.hosts["host-1"].http)
+        other.use_only_host(fleet.hosts["host-1"].http)
         second = await other.call(
             "counter-desk", "/book", content, "kind=booking", key, retry=False
         )
@@ -160,7 +163,9 @@
             await asyncio.sleep(number * 0.04)
             prompt = f"boots of owner {number}"
             result = await caller.chat(prompt, 40, "kind=quote")
-            return result.complete and result.text == predict_answer(prompt, 40)
+            return result.complete and result.text == create_expected_response(
+                prompt, 40
+            )
 
         async def kill():
             await asyncio.sleep(0.6)
@@ -189,7 +194,7 @@
         results = await asyncio.gather(*asked)
         for prompt, result in zip(prompts, results, strict=True):
             assert result.complete
-            assert result.text == predict_answer(prompt, 60)
+            assert result.text == create_expected_response(prompt, 60)
         traces = [await fleet.explain(r.request_id) for r in results]
         stages = [d["stage"] for t in traces for d in t["decisions"]]
         assert "failed" in stages, "no stream ran on the killed engine"
@@ -213,7 +218,7 @@
         results = await asyncio.gather(*asked)
         for prompt, result in zip(prompts, results, strict=True):
             assert result.complete, result
-            assert result.text == predict_answer(prompt, 40)
+            assert result.text == create_expected_response(prompt, 40)
 
     run_fleet(scenario)
 
@@ -318,7 +323,7 @@
         await fleet.start_platform()
         engine = await fleet.start_engine("engine-0")
         section = create_server_section("engine-0", "cobbler-assist", engine.http)
-        version = await fleet.publish(create_heelmark_text(section))
+        version = await fleet.publish(create_sample_configuration(section))
         proxy = FaultProxy(fleet.log_address)
         await proxy.start()
         await fleet.start_host("host-0")
@@ -329,7 +334,7 @@
         fleet.send_signal(fleet.hosts["host-0"], signal.SIGSTOP)
         await asyncio.sleep(3.0)
         caller = fleet.create_caller(attempts=1)
-        caller.pin(isolated.http)
+        caller.use_only_host(isolated.http)
         refused = await caller.chat("boots", 4, "kind=quote", retry=False)
         assert (refused.status, refused.kind) == (503, "isolated")
         assert refused.outcome == "not-run"
--- a/cornelnotch/node/tests/test_regions.py
+++ b/cornelnotch/node/tests/test_regions.py
@@ -6,7 +6,10 @@
 from cornelnotch.node.tests.conftest import FAST_MEMBERSHIP, FAST_TIMING
 from cornelnotch.testing.processes import find_free_port
 from cornelnotch.testing.proxy import FaultProxy
-from cornelnotch.testing.samples import create_heelmark_text, create_server_section
+from cornelnotch.testing.samples import (
+    create_sample_configuration,
+    create_server_section,
+)
 
 OVERLOAD_QUOTES = 180
 LINK_DELAY_MS = 30.0
@@ -34,7 +37,7 @@
     sections += create_server_section(
         "south-engine", "cobbler-assist", south.http, "kaohsiung-a"
     )
-    version = await fleet.publish(create_heelmark_text(sections))
+    version = await fleet.publish(create_sample_configuration(sections))
     await fleet.wait_ready(version)
     return link
 
@@ -43,7 +46,7 @@
     async def scenario(fleet):
         link = await start_two_regions(fleet)
         caller = fleet.create_caller(place="kaohsiung-a")
-        addresses = await caller.ask_entry()
+        addresses = await caller.fetch_entry_addresses()
         assert addresses[0] == fleet.hosts["south-0"].http
         results = await asyncio.gather(
             *(caller.chat(f"p{n}", 4, "kind=quote") for n in range(8))
@@ -91,7 +94,7 @@
             await link.start()
             links.append(link)
             await fleet.start_host(name, place, log, link.address, peer)
-        version = await fleet.publish(create_heelmark_text(""))
+        version = await fleet.publish(create_sample_configuration(""))
         await fleet.wait_ready(version)
         for link in links:
             link.cut()
@@ -123,7 +126,7 @@
             text = path.read_text()
             text = text.replace("[platform]\n", "[platform]\nretention_ms = 6000\n")
             path.write_text(text)
-        await fleet.publish(create_heelmark_text(""))
+        await fleet.publish(create_sample_configuration(""))
         await restart_hosts(fleet)
         version = await fleet.publish("[workspace w]\nconcurrent = 7\n")
         await fleet.wait_ready(version)
@@ -163,7 +166,7 @@
     engine = await fleet.start_engine("engine-0", "--batch", "4")
     await asyncio.gather(*(fleet.start_host(f"host-{n}") for n in range(2)))
     section = create_server_section("engine-0", "cobbler-assist", engine.http, slots=4)
-    version = await fleet.publish(create_heelmark_text(section))
+    version = await fleet.publish(create_sample_configuration(section))
     await fleet.wait_ready(version)
 
 
--- a/cornelnotch/observation/burn.py
+++ b/cornelnotch/observation/burn.py
@@ -6,7 +6,7 @@
 
 from cornelnotch.observation.windows import list_windows
 
-__all__ = ["BurnReport", "BurnRow", "HostSample", "compute_burn"]
+__all__ = ["BurnReport", "BurnRow", "HostSample", "compute_burn_report"]
 
 WINDOW_METRIC = "cornelnotch_attainment_window"
 
@@ -77,7 +77,9 @@
     )
 
 
-def compute_burn(samples: list[HostSample], objectives: dict[str, float]) -> BurnReport:
+def compute_burn_report(
+    samples: list[HostSample], objectives: dict[str, float]
+) -> BurnReport:
     """Return the report; hosts that did not respond are listed, not counted."""
     texts = [s.text for s in samples if s.text is not None]
     report = BurnReport(silent=[s.address for s in samples if s.text is None])
--- a/cornelnotch/observation/metrics.py
+++ b/cornelnotch/observation/metrics.py
@@ -104,7 +104,7 @@
         """Set the gauge of one state of the host."""
         self._state.set({"name": name}, value)
 
-    def watch_state(self, name: str, read: Callable[[], float]) -> None:
+    def register_state_gauge(self, name: str, read: Callable[[], float]) -> None:
         """Register a function that is called for a state on each scrape."""
         self._state_readers[name] = read
 
--- a/cornelnotch/observation/tests/test_burn.py
+++ b/cornelnotch/observation/tests/test_burn.py
@@ -3,8 +3,8 @@
 import pytest
 
 from cornelnotch.kernel import ManualClock
-from cornelnotch.observation import DecisionLog, NodeMetrics
-from cornelnotch.observation.burn import HostSample, compute_burn
+from cornelnotch.observation import NodeMetrics, TraceStore
+from cornelnotch.observation.burn import HostSample, compute_burn_report
 
 
 def create_metrics_text(clock, attained, missed):
@@ -21,7 +21,7 @@
         HostSample("b:1", create_metrics_text(clock, 100, 0)),
         HostSample("c:1", None),
     ]
-    report = compute_burn(samples, {"quote": 0.95, "draft": 0.9})
+    report = compute_burn_report(samples, {"quote": 0.95, "draft": 0.9})
     assert report.silent == ["c:1"]
     row = next(r for r in report.rows if (r.class_name, r.minutes) == ("quote", 5))
     assert (row.total, row.attained) == (200, 190)
@@ -42,9 +42,9 @@
 
 
 def test_traces_of_old_requests_are_evicted():
-    log = DecisionLog(ManualClock())
+    log = TraceStore(ManualClock())
     for number in range(6000):
-        log.open(str(number)).note("classified", tier=1)
+        log.start_trace(str(number)).note("classified", tier=1)
     assert log.find("0") is None
     trace = log.find("5999")
     assert trace is not None
--- a/cornelnotch/observation/decisions.py
+++ b/cornelnotch/observation/traces.py
@@ -7,7 +7,7 @@
 
 from cornelnotch.kernel import Clock
 
-__all__ = ["Decision", "DecisionLog", "Trace"]
+__all__ = ["Decision", "TraceStore", "Trace"]
 
 MAX_TRACES = 5000
 
@@ -44,14 +44,14 @@
         return [orjson.loads(decision) for decision in self.encoded]
 
 
-class DecisionLog:
+class TraceStore:
     """Traces of the most recent requests of one host."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._traces: OrderedDict[str, Trace] = OrderedDict()
 
-    def open(self, request_id: str) -> Trace:
+    def start_trace(self, request_id: str) -> Trace:
         """Start the trace of a request."""
         trace = Trace(request_id, self._clock, self._clock.read())
         self._traces[request_id] = trace
--- a/cornelnotch/platform/program.py
+++ b/cornelnotch/platform/program.py
@@ -9,7 +9,7 @@
 from cornelnotch.gateway.settings import HostSettings, read_host_settings
 from cornelnotch.kernel.clock import create_clock
 from cornelnotch.kernel.events import create_event_log
-from cornelnotch.kernel.output import LogOutput
+from cornelnotch.kernel.log_output import LogOutput
 from cornelnotch.platform.decoder import PlatformDecoder
 from cornelnotch.platform.endpoints import (
     MetricsEndpoint,
@@ -39,7 +39,9 @@
         PlatformDecoder(),
         HttpClient(),
     )
-    host.context.metrics.watch_state("dropped_log_lines", lambda: output.dropped)
+    host.context.metrics.register_state_gauge(
+        "dropped_log_lines", lambda: output.dropped
+    )
     directory = HttpServer(ResolutionEndpoint(host.directory).handle)
     readiness = HttpServer(ReadinessEndpoint(host.is_ready).handle)
     metrics = HttpServer(MetricsEndpoint(host.render_metrics).handle)
--- a/cornelnotch/platform/tests/test_restoration.py
+++ b/cornelnotch/platform/tests/test_restoration.py
@@ -49,7 +49,7 @@
 def test_responses_and_errors_include_the_timeline():
     async def scenario(store, source):
         store.topics["keyed.op"].write("config", b"1")
-        copy = store.copy()
+        copy = store.create_backup()
         store.topics["keyed.op"].write("config", b"2")
         store.restore(copy)
         assert (await source.read_newest("configuration")).timeline == 2
@@ -86,7 +86,7 @@
 def test_host_keeps_its_state_after_a_restoration_and_applies_new_records():
     async def run():
         async with run_deployment() as d:
-            copy = d.store.copy()
+            copy = d.store.create_backup()
             d.configure(create_configuration(2))
             await wait_until(lambda: d.host.context.table.version == 2)
             d.drop_server(d.desks[1])
@@ -109,7 +109,7 @@
             for path in ("/read/x", "/stream/x", "/nowhere/x"):
                 answer = await d.send(path, "POST", b"b", x_attempt_id=path)
                 await answer.read()
-            copy = d.store.copy()
+            copy = d.store.create_backup()
             d.configure(create_configuration(2))
             await wait_until(lambda: d.host.context.table.version == 2)
             d.store.restore(copy)
--- a/cornelnotch/routing/dispatcher.py
+++ b/cornelnotch/routing/dispatcher.py
@@ -9,7 +9,7 @@
 
 from cornelnotch.exceptions import UpstreamError
 from cornelnotch.kernel import Clock, Event, EventLog, MailboxTask
-from cornelnotch.observation import DecisionLog
+from cornelnotch.observation import TraceStore
 from cornelnotch.queueing import (
     Grant,
     PreemptionNotice,
@@ -88,7 +88,7 @@
     ) -> None:
         super().__init__(events)
         self.shards: dict[str, Shard] = {}
-        self.decisions = DecisionLog(clock)
+        self.decisions = TraceStore(clock)
         self._fleet = fleet
         self._peers = peers
         self._clock = clock
@@ -300,7 +300,7 @@
             self._peers.send(effect.holder, self._create_reply(shard, effect, backlog))
 
     def _record_decision(self, shard: Shard, effect: Grant | Refusal) -> None:
-        trace = self.decisions.open(effect.request_id)
+        trace = self.decisions.start_trace(effect.request_id)
         servers = describe_servers(shard.servers, self._clock.read())
         if isinstance(effect, Grant):
             trace.note(
--- a/cornelnotch/routing/flow.py
+++ b/cornelnotch/routing/flow.py
@@ -7,7 +7,7 @@
 from cornelnotch.claims import ClaimOperation
 from cornelnotch.configuration import Selection
 from cornelnotch.exceptions import (
-    CallerGoneError,
+    CallerDisconnectedError,
     UpstreamError,
     UpstreamUnreachableError,
 )
@@ -82,7 +82,7 @@
         except asyncio.CancelledError:
             work.cancel()
             self._count("cancelled", Outcome.UNKNOWN)
-            raise CallerGoneError(
+            raise CallerDisconnectedError(
                 "the caller closed the connection", "retry the request"
             ) from None
         finally:
--- a/cornelnotch/routing/requests.py
+++ b/cornelnotch/routing/requests.py
@@ -10,7 +10,7 @@
 
 from cornelnotch.configuration import parse_labels
 from cornelnotch.exceptions import RequestError
-from cornelnotch.kernel import create_identifier, hash_text, read_key_time
+from cornelnotch.kernel import create_identifier, hash_text, parse_key_time
 
 __all__ = ["CallerRequest", "parse_caller_request"]
 
@@ -134,7 +134,7 @@
 
 
 def _parse_key_ms(key: str | None) -> Result[float, RequestError]:
-    return Success(0.0) if key is None else read_key_time(key)
+    return Success(0.0) if key is None else parse_key_time(key)
 
 
 def parse_caller_request(
--- a/cornelnotch/routing/tests/test_permits.py
+++ b/cornelnotch/routing/tests/test_permits.py
@@ -1,7 +1,7 @@
 """Test which dispatchers are notified of held and released permits."""
 
 from cornelnotch.configuration import ShardPlan
-from cornelnotch.kernel import ManualClock, TaskGroup, create_event_log
+from cornelnotch.kernel import ManualClock, TaskSupervisor, create_event_log
 from cornelnotch.membership import MemberTable, ServerTable
 from cornelnotch.routing.fleet import FleetView
 from cornelnotch.routing.permits import (
@@ -26,7 +26,7 @@
 
     def __init__(self):
         events = create_event_log("h1")
-        super().__init__("h1", 1, events, TaskGroup(events))
+        super().__init__("h1", 1, events, TaskSupervisor(events))
         self.sent: list[tuple[str, object]] = []
 
     def send(self, host, message):
--- a/cornelnotch/routing/upstreams.py
+++ b/cornelnotch/routing/upstreams.py
@@ -7,7 +7,7 @@
 import orjson
 
 from cornelnotch.exceptions import (
-    AnswerMismatchError,
+    ResponseMismatchError,
     UpstreamError,
 )
 from cornelnotch.web import HttpClient, HttpResponse
@@ -136,7 +136,7 @@
             )
         if answer.headers.get(REQUEST_ID_HEADER) != headers[REQUEST_ID_HEADER]:
             answer.close()
-            raise AnswerMismatchError(
+            raise ResponseMismatchError(
                 f"{address} responded to another request", "check the engine"
             )
         return answer
@@ -169,7 +169,7 @@
                 f"{address} sent a malformed event", "check the engine"
             ) from error
         if content.get("id") != answer_id:
-            raise AnswerMismatchError(
+            raise ResponseMismatchError(
                 f"{address} mixed in an event of another response", "check the engine"
             )
         return EngineChunk(content, text)
@@ -204,7 +204,7 @@
                 echoed = answer.headers.get(REQUEST_ID_HEADER)
                 if echoed is not None and echoed != headers[REQUEST_ID_HEADER]:
                     answer.close()
-                    raise AnswerMismatchError(
+                    raise ResponseMismatchError(
                         f"{address} responded to another request", "check the service"
                     )
                 content = await answer.read(MAX_ANSWER_BYTES)
--- a/cornelnotch/standins/engine.py
+++ b/cornelnotch/standins/engine.py
@@ -7,11 +7,11 @@
 
 import orjson
 
-from cornelnotch.exceptions import CallerGoneError
+from cornelnotch.exceptions import CallerDisconnectedError
 from cornelnotch.kernel import Clock, hash_text
 from cornelnotch.web import Exchange, HttpServer
 
-__all__ = ["EngineProfile", "EngineStandin", "create_token", "predict_answer"]
+__all__ = ["EngineProfile", "EngineStandin", "create_token", "create_expected_response"]
 
 MAX_BODY_BYTES = 1024 * 1024
 DEFAULT_TOKENS = 32
@@ -51,7 +51,7 @@
     return f"{hash_text(f'{prompt}|{position}') & 0xFFFF:04x} "
 
 
-def predict_answer(prompt: str, tokens: int) -> str:
+def create_expected_response(prompt: str, tokens: int) -> str:
     """Return the complete response to `prompt`."""
     return "".join(create_token(prompt, i) for i in range(tokens))
 
@@ -178,7 +178,7 @@
                 await self._stream(exchange, sequence, headers)
             else:
                 await self._respond_complete(exchange, sequence, headers)
-        except CallerGoneError:
+        except CallerDisconnectedError:
             pass
         finally:
             if sequence in self._sequences:
@@ -198,8 +198,8 @@
         gone.cancel()
         if position not in done:
             position.cancel()
-            raise CallerGoneError(
-                "the caller closed the connection", "send the request again"
+            raise CallerDisconnectedError(
+                "the caller closed the connection", "retry the request"
             )
         return position.result()
 
--- a/cornelnotch/standins/raw.py
+++ b/cornelnotch/standins/raw.py
@@ -4,14 +4,14 @@
 from contextlib import suppress
 from dataclasses import dataclass
 
-__all__ = ["RawAnswer", "RawUpstream"]
+__all__ = ["RawResponse", "RawUpstream"]
 
 HEAD_END = b"\r\n\r\n"
 ID_FIELD = b"x-attempt-id:"
 
 
 @dataclass(frozen=True, slots=True)
-class RawAnswer:
+class RawResponse:
     """Bytes of a response; `ID` in `start` is replaced by the id of the request.
 
     After `start`, `repeated` is written every `pause_ms` until the caller closes the
@@ -26,7 +26,7 @@
 class RawUpstream:
     """Simulated server that sends the same bytes in response to each request."""
 
-    def __init__(self, name: str, answer: RawAnswer) -> None:
+    def __init__(self, name: str, answer: RawResponse) -> None:
         self.name = name
         self.answer = answer
         self.requests = 0
@@ -58,11 +58,11 @@
                 writer.write(self.answer.start.replace(b"ID", _find_id(head)))
                 await writer.drain()
                 if self.answer.repeated:
-                    await self._repeat(writer)
+                    await self._write_repeatedly(writer)
         self.closed += 1
         writer.transport.abort()
 
-    async def _repeat(self, writer: asyncio.StreamWriter) -> None:
+    async def _write_repeatedly(self, writer: asyncio.StreamWriter) -> None:
         while not writer.is_closing():
             writer.write(self.answer.repeated)
             await writer.drain()
--- a/cornelnotch/standins/store.py
+++ b/cornelnotch/standins/store.py
@@ -56,7 +56,7 @@
         self.calls = 0
         self.paths: set[str] = set()
 
-    def copy(self) -> dict[str, int]:
+    def create_backup(self) -> dict[str, int]:
         """Return a backup: the current number of records of each topic."""
         return {name: len(topic.records) for name, topic in self.topics.items()}
 
--- a/cornelnotch/standins/upstream.py
+++ b/cornelnotch/standins/upstream.py
@@ -27,12 +27,12 @@
     refuse: bool = False
     fail: bool = False
     fail_times: int = 0
-    cut: bool = False
+    abort: bool = False
     wrong_id: bool = False
     unsigned: bool = False
     hang: bool = False
-    break_after: int | None = None
-    stall_after: int | None = None
+    abort_after_events: int | None = None
+    stall_after_events: int | None = None
     event_ms: float = 5.0
     first_ms: float = 0.0
     leaving: bool = False
@@ -50,13 +50,13 @@
     name: str
     events: int = 6
     faults: UpstreamFaults = field(default_factory=UpstreamFaults)
-    ran: Counter[str] = field(default_factory=Counter)
-    seen: list[dict[str, str]] = field(default_factory=list)
+    executions: Counter[str] = field(default_factory=Counter)
+    received_headers: list[dict[str, str]] = field(default_factory=list)
     targets: list[str] = field(default_factory=list)
     bodies: list[bytes] = field(default_factory=list)
-    left: int = 0
-    copies: set[str] = field(default_factory=set)
-    others: dict[str, "UpstreamStandin"] = field(default_factory=dict)
+    disconnects: int = 0
+    backed_up_ids: set[str] = field(default_factory=set)
+    backup_engines: dict[str, "UpstreamStandin"] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.server = HttpServer(self._handle)
@@ -76,7 +76,7 @@
 
     async def _handle(self, exchange: Exchange) -> None:
         body = await exchange.read_body(MAX_BODY_BYTES)
-        self.seen.append(exchange.headers)
+        self.received_headers.append(exchange.headers)
         self.targets.append(exchange.target)
         self.bodies.append(body)
         request_id = exchange.headers.get("x-attempt-id", "")
@@ -94,15 +94,16 @@
             return
         copy = exchange.headers.get("kv-from", "")
         if copy and (
-            copy != f"{self.address}/{request_id}" or request_id not in self.copies
+            copy != f"{self.address}/{request_id}"
+            or request_id not in self.backed_up_ids
         ):
             headers["x-not-executed"] = "1"
             await exchange.respond(STATUS_UNAVAILABLE, headers, b"")
             return
-        backup = self.others.get(exchange.headers.get("x-kv-backup", ""))
+        backup = self.backup_engines.get(exchange.headers.get("x-kv-backup", ""))
         if backup is not None:
-            backup.copies.add(request_id)
-        self.ran[request_id] += 1
+            backup.backed_up_ids.add(request_id)
+        self.executions[request_id] += 1
         if self.faults.wrong_id:
             headers["x-attempt-id"] = "another"
         if not self.faults.unsigned:
@@ -110,12 +111,12 @@
         await self._answer(exchange, headers)
 
     async def _answer(self, exchange: Exchange, headers: dict[str, str]) -> None:
-        if self.faults.cut:
+        if self.faults.abort:
             exchange.abort()
             return
         if self.faults.hang:
             await exchange.disconnected.wait()
-            self.left += 1
+            self.disconnects += 1
             return
         if exchange.path.startswith(STREAM_PREFIX):
             await self._stream(exchange, headers)
@@ -129,12 +130,12 @@
         start = int(exchange.headers.get("last-event-id", "0"))
         await asyncio.sleep(self.faults.first_ms / 1000.0)
         await exchange.start(200, {**headers, "content-type": "text/event-stream"})
-        breaks, stalls = self.faults.break_after, self.faults.stall_after
+        breaks, stalls = self.faults.abort_after_events, self.faults.stall_after_events
         if "kv-from" in exchange.headers:
             breaks = stalls = None
         for number in range(start + 1, self.events + 1):
             if exchange.disconnected.is_set():
-                self.left += 1
+                self.disconnects += 1
                 exchange.abort()
                 return
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
@@ -144,7 +145,7 @@
                 return
             if stalls is not None and number > stalls:
                 await exchange.disconnected.wait()
-                self.left += 1
+                self.disconnects += 1
                 exchange.abort()
                 return
             await exchange.send(event)
--- a/cornelnotch/testing/samples.py
+++ b/cornelnotch/testing/samples.py
@@ -2,7 +2,7 @@
 
 from cornelnotch.load.embedded import read_deployment_text
 
-__all__ = ["create_heelmark_text", "create_server_section"]
+__all__ = ["create_sample_configuration", "create_server_section"]
 
 
 def create_server_section(
@@ -15,6 +15,6 @@
     )
 
 
-def create_heelmark_text(servers: str) -> str:
+def create_sample_configuration(servers: str) -> str:
     """Return the Heelmark sample configuration with the given server sections."""
     return read_deployment_text("heelmark") + servers
--- a/cornelnotch/web/client.py
+++ b/cornelnotch/web/client.py
@@ -13,7 +13,7 @@
     UpstreamError,
     UpstreamUnreachableError,
 )
-from cornelnotch.kernel.tasks import end_task
+from cornelnotch.kernel.tasks import cancel_and_wait
 
 __all__ = ["HttpResponse", "HttpClient", "parse_address"]
 
@@ -139,7 +139,7 @@
         """End the idle state and return whether the connection is usable."""
         if self._idle_task is not None:
             try:
-                await end_task(self._idle_task)
+                await cancel_and_wait(self._idle_task)
             except asyncio.CancelledError:
                 self.abort()
                 raise
--- a/cornelnotch/web/exchange.py
+++ b/cornelnotch/web/exchange.py
@@ -9,7 +9,7 @@
 
 from cornelnotch.exceptions import (
     BodyTooLargeError,
-    CallerGoneError,
+    CallerDisconnectedError,
     RequestError,
 )
 
@@ -68,7 +68,7 @@
             elif isinstance(event, h11.EndOfMessage):
                 self._body_ended = True
             else:
-                raise CallerGoneError(
+                raise CallerDisconnectedError(
                     "caller closed the connection within the body", "retry the request"
                 )
         self._connection.watch_for_close()
--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -8,8 +8,8 @@
 import h11
 import orjson
 
-from cornelnotch.exceptions import CallerGoneError, RequestError
-from cornelnotch.kernel.tasks import end_task
+from cornelnotch.exceptions import CallerDisconnectedError, RequestError
+from cornelnotch.kernel.tasks import cancel_and_wait
 from cornelnotch.web.exchange import Exchange
 
 __all__ = ["Handler", "HttpServer", "ServerConnection", "ServerLimits"]
@@ -87,7 +87,7 @@
             await self._wait_for_bytes()
             async with asyncio.timeout(self._limits.header_timeout_s):
                 event = await self.read_event()
-        except (TimeoutError, CallerGoneError):
+        except (TimeoutError, CallerDisconnectedError):
             return None
         except h11.RemoteProtocolError as error:
             await self._reject(error)
@@ -137,7 +137,7 @@
                 ("content-length", str(len(body))),
             ],
         )
-        with suppress(CallerGoneError, h11.LocalProtocolError, OSError):
+        with suppress(CallerDisconnectedError, h11.LocalProtocolError, OSError):
             await self.send(head, h11.Data(data=body), h11.EndOfMessage())
             self._writer.write_eof()
             await self._discard_input()
@@ -200,7 +200,7 @@
             data = await self._reader.read(READ_BYTES)
         except OSError as error:
             self.disconnected.set()
-            raise CallerGoneError(
+            raise CallerDisconnectedError(
                 "caller closed the connection", "retry the request"
             ) from error
         if not data:
@@ -230,18 +230,18 @@
     async def _stop_watching(self) -> None:
         if self._close_watcher is None:
             return
-        await end_task(self._close_watcher)
+        await cancel_and_wait(self._close_watcher)
         self._close_watcher = None
 
     async def send(self, *events: h11.Event) -> None:
-        """Send events; raise CallerGoneError if the connection has been closed."""
+        """Send events; raise CallerDisconnectedError if the connection is closed."""
         data = b"".join(self._protocol.send(event) or b"" for event in events)
         try:
             self._writer.write(data)
             await self._writer.drain()
         except OSError as error:
             self.disconnected.set()
-            raise CallerGoneError(
+            raise CallerDisconnectedError(
                 "caller closed the connection", "retry the request"
             ) from error
 
@@ -311,7 +311,7 @@
         self._open_connections.add(connection)
         try:
             await connection.serve(self._handler)
-        except (CallerGoneError, RequestError, h11.ProtocolError, OSError):
+        except (CallerDisconnectedError, RequestError, h11.ProtocolError, OSError):
             connection.abort()
         except asyncio.CancelledError:
             # asyncio would print a traceback for a cancelled accept callback.
--- a/cornelnotch/web/tests/test_cancel.py
+++ b/cornelnotch/web/tests/test_cancel.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cornelnotch.kernel.tasks import end_task
+from cornelnotch.kernel.tasks import cancel_and_wait
 from cornelnotch.web import HttpClient, HttpServer
 
 
@@ -38,10 +38,10 @@
     asyncio.run(run())
 
 
-def test_end_task_does_not_swallow_cancellation_of_its_caller():
+def test_cancel_and_wait_does_not_swallow_cancellation_of_its_caller():
     async def run():
         inner = asyncio.create_task(asyncio.sleep(60))
-        outer = asyncio.create_task(end_task(inner))
+        outer = asyncio.create_task(cancel_and_wait(inner))
         await asyncio.sleep(0)
         outer.cancel()
         with pytest.raises(asyncio.CancelledError):
@@ -52,7 +52,7 @@
     asyncio.run(run())
 
 
-def test_end_task_raises_the_exception_of_a_failed_task():
+def test_cancel_and_wait_raises_the_exception_of_a_failed_task():
     async def run():
         async def fail():
             raise ValueError("broken")
@@ -60,7 +60,7 @@
         inner = asyncio.create_task(fail())
         await asyncio.sleep(0)
         with pytest.raises(ValueError, match="broken"):
-            await end_task(inner)
+            await cancel_and_wait(inner)
 
     asyncio.run(run())
 
--- a/cornelnotch/wire/peers.py
+++ b/cornelnotch/wire/peers.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from cornelnotch.exceptions import WireError
-from cornelnotch.kernel import Event, EventLog, TaskGroup
+from cornelnotch.kernel import Event, EventLog, TaskSupervisor
 from cornelnotch.web import parse_address
 from cornelnotch.wire.codec import FrameReader, decode_message, encode_message
 from cornelnotch.wire.messages import Hello
@@ -91,7 +91,7 @@
     """Connections to all other hosts; dispatches incoming messages by type."""
 
     def __init__(
-        self, host: str, boot: int, events: EventLog, tasks: TaskGroup
+        self, host: str, boot: int, events: EventLog, tasks: TaskSupervisor
     ) -> None:
         self.hello = Hello(host, boot)
         self.tasks = tasks
--- a/examples/whole.py
+++ b/examples/whole.py
@@ -4,13 +4,13 @@
 
 from cornelnotch.kernel import create_clock, create_identifier
 from cornelnotch.load import Caller, CallerOptions
-from cornelnotch.load.embedded import create_deployment
+from cornelnotch.load.embedded import create_in_process_fleet
 
 
 async def run_example() -> None:
     """Start the Heelmark deployment and send requests to it."""
     clock = create_clock()
-    fleet = create_deployment("heelmark", clock)
+    fleet = create_in_process_fleet("heelmark", clock)
     addresses = await fleet.start()
     caller = Caller(addresses.hosts, CallerOptions("shop"), clock)
     chat = await caller.chat("resole brown boots", 5, "kind=quote")
