--- a/cornelnotch/kernel/tasks.py
+++ b/cornelnotch/kernel/tasks.py
@@ -26,14 +26,14 @@
 
 
 class TaskSupervisor:
-    """Set of running tasks whose failures are logged."""
+    """Set of running tasks whose failures are logged; restarts supervised ones."""
 
     def __init__(self, events: EventLog) -> None:
         self._events = events
         self._tasks: set[asyncio.Task[Any]] = set()
 
     def start(self, name: str, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
-        """Start `work` as a task that runs until it ends or the group is stopped."""
+        """Start `work` as a task, which is cancelled when the supervisor is stopped."""
         task = asyncio.get_running_loop().create_task(work, name=name)
         self._tasks.add(task)
         task.add_done_callback(self._handle_done)
--- a/cornelnotch/load/generator.py
+++ b/cornelnotch/load/generator.py
@@ -89,7 +89,7 @@
 
 
 class LoadGenerator:
-    """Run of one scenario."""
+    """Sends the calls of one scenario and records their results."""
 
     def __init__(self, scenario: Scenario, fleet: FleetAddresses, clock: Clock) -> None:
         self._scenario = scenario
--- a/cornelnotch/standins/store.py
+++ b/cornelnotch/standins/store.py
@@ -60,9 +60,9 @@
         """Return a backup: the current number of records of each topic."""
         return {name: len(topic.records) for name, topic in self.topics.items()}
 
-    def restore(self, copy: dict[str, int]) -> None:
+    def restore(self, backup: dict[str, int]) -> None:
         """Restore a backup and start the next timeline."""
-        for name, size in copy.items():
+        for name, size in backup.items():
             del self.topics[name].records[size:]
         self.timeline = str(int(self.timeline) + 1)
 
--- a/cornelnotch/standins/upstream.py
+++ b/cornelnotch/standins/upstream.py
@@ -18,10 +18,11 @@
 class UpstreamFaults:
     """Faults of the server, which apply to every request.
 
-    `break_after` is the number of complete events after which a stream is cut within
-    the next event; `stall_after` is the number after which it stops sending but stays
-    open. A stream starts after `first_ms`. The first `fail_times` calls fail. `leaving`
-    is announced in every response, `retry_after` in every refusal.
+    `abort` closes the connection without a response. `abort_after_events` is the number
+    of complete events after which a stream is aborted within the next event;
+    `stall_after_events` is the number after which it stops sending but stays open. A
+    stream starts after `first_ms`. The first `fail_times` calls fail. `leaving` is
+    announced in every response, `retry_after` in every refusal.
     """
 
     refuse: bool = False
@@ -43,8 +44,10 @@
 class UpstreamStandin:
     """Simulated server that records requests and counts executions by id.
 
-    `others` are engines by address, to which it copies the KV cache of a request if
-    asked to; `copies` contains the ids of requests that were copied to this server.
+    `backup_engines` are engines by address, to which it copies the KV cache of a
+    request if asked to; `backed_up_ids` contains the ids of requests whose KV cache was
+    copied to this server. `disconnects` counts callers that closed their connection
+    before the response was complete.
     """
 
     name: str
