--- a/cornelnotch/balancing/servers.py
+++ b/cornelnotch/balancing/servers.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 
-__all__ = ["SmoothedDuration", "ServerState", "find_median", "is_straggler"]
+__all__ = ["ServerState", "SmoothedDuration", "find_median", "is_straggler"]
 
 SMOOTHING_GAIN = 0.25
 MIN_PACE_SAMPLES = 3
--- a/cornelnotch/claims/__init__.py
+++ b/cornelnotch/claims/__init__.py
@@ -15,15 +15,15 @@
 
 __all__ = [
     "ClaimClient",
-    "ClaimWriter",
     "ClaimLedger",
     "ClaimOperation",
     "ClaimVerdict",
+    "ClaimWriter",
     "KeyAge",
     "OperationKind",
+    "check_key_age",
     "decode_operation",
     "decode_operations",
     "encode_operation",
     "encode_operations",
-    "check_key_age",
 ]
--- a/cornelnotch/configuration/fold.py
+++ b/cornelnotch/configuration/fold.py
@@ -27,11 +27,11 @@
     "RecordResult",
     "SectionState",
     "Snapshot",
+    "apply_record",
     "choose_snapshot",
     "create_snapshot",
     "decode_record",
     "encode_record",
-    "apply_record",
     "parse_sections",
     "restore_snapshot",
 ]
--- a/cornelnotch/configuration/publisher.py
+++ b/cornelnotch/configuration/publisher.py
@@ -19,7 +19,7 @@
 from cornelnotch.kernel import Clock
 from cornelnotch.logservice import LogRecord, LogService
 
-__all__ = ["HistoryEntry", "History", "PublishResult", "publish_change", "read_history"]
+__all__ = ["History", "HistoryEntry", "PublishResult", "publish_change", "read_history"]
 
 CONFIRM_ATTEMPTS = 10
 CONFIRM_RETRY_MS = 300.0
--- a/cornelnotch/exceptions.py
+++ b/cornelnotch/exceptions.py
@@ -1,19 +1,19 @@
 """Exceptions of the package; each message states the remedy."""
 
 __all__ = [
-    "CornelnotchError",
-    "SettingsError",
-    "ConfigurationError",
-    "RequestError",
     "BodyTooLargeError",
-    "LogUnavailableError",
+    "CallerDisconnectedError",
+    "ConfigurationError",
+    "CornelnotchError",
     "LogTrimmedError",
-    "WireError",
+    "LogUnavailableError",
+    "RequestError",
+    "ResponseMismatchError",
+    "SettingsError",
     "UpstreamError",
     "UpstreamStalledError",
     "UpstreamUnreachableError",
-    "ResponseMismatchError",
-    "CallerDisconnectedError",
+    "WireError",
 ]
 
 
--- a/cornelnotch/gateway/admission_client.py
+++ b/cornelnotch/gateway/admission_client.py
@@ -19,7 +19,7 @@
     AdmissionStage,
 )
 
-__all__ = ["AdmissionResult", "AdmissionClient"]
+__all__ = ["AdmissionClient", "AdmissionResult"]
 
 # Period at which waiting requests are sent again; answers carry a wait estimate.
 ASK_PERIOD_MS = 200.0
--- a/cornelnotch/gateway/admission_queue.py
+++ b/cornelnotch/gateway/admission_queue.py
@@ -24,7 +24,7 @@
 from cornelnotch.gateway.models import PromptPart
 from cornelnotch.wire.messages import StreamProgress
 
-__all__ = ["QueueEntry", "AdmissionQueue"]
+__all__ = ["AdmissionQueue", "QueueEntry"]
 
 # Prefill backlog, in time, below which an engine gets more work. It covers the delay of
 # the next grant, also from another region, so the engine does not run idle.
--- a/cornelnotch/gateway/dispatch.py
+++ b/cornelnotch/gateway/dispatch.py
@@ -10,7 +10,7 @@
 from cornelnotch.gateway.models import CallerRequest, Headers
 from cornelnotch.web import HttpClient, HttpResponse
 
-__all__ = ["UpstreamResponse", "DispatchOutcome", "open_response"]
+__all__ = ["DispatchOutcome", "UpstreamResponse", "open_response"]
 
 STATUS_OK = 200
 STATUS_SERVER_ERROR = 500
--- a/cornelnotch/gateway/engine_estimates.py
+++ b/cornelnotch/gateway/engine_estimates.py
@@ -11,7 +11,7 @@
 
 from cornelnotch.wire.messages import EngineRates, StreamProgress
 
-__all__ = ["EngineEstimate", "PRIOR_RATES", "average_rates", "find_prefill_budget"]
+__all__ = ["PRIOR_RATES", "EngineEstimate", "average_rates", "find_prefill_budget"]
 
 # Assumed for an engine without observations.
 PRIOR_RATES = EngineRates("", 25.0, 40.0, 40.0, 1.0)
--- a/cornelnotch/gateway/header_codec.py
+++ b/cornelnotch/gateway/header_codec.py
@@ -5,7 +5,7 @@
 
 from cornelnotch.gateway.models import CallerRequest, Headers
 
-__all__ = ["ResponseHead", "HeaderCodec", "DispatchOptions"]
+__all__ = ["DispatchOptions", "HeaderCodec", "ResponseHead"]
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelnotch/gateway/loads.py
+++ b/cornelnotch/gateway/loads.py
@@ -9,7 +9,7 @@
 
 from cornelnotch.wire.messages import EngineRates, LoadReport, LoadSummary, ServerUsage
 
-__all__ = ["LoadAggregator", "LoadAggregates", "add_usages"]
+__all__ = ["LoadAggregates", "LoadAggregator", "add_usages"]
 
 # Older reports come from hosts that have stopped or are unreachable.
 REPORT_TTL_MS = 1500.0
--- a/cornelnotch/gateway/relay.py
+++ b/cornelnotch/gateway/relay.py
@@ -11,7 +11,7 @@
 
 from cornelnotch.kernel.hashing import rank_owners
 
-__all__ = ["Branch", "RelayPlan", "ReaderCandidate", "split_targets"]
+__all__ = ["Branch", "ReaderCandidate", "RelayPlan", "split_targets"]
 
 READERS = 2
 READING_DUTY = "records"
--- a/cornelnotch/load/generator.py
+++ b/cornelnotch/load/generator.py
@@ -14,7 +14,7 @@
 from cornelnotch.standins.engine import create_expected_response
 from cornelnotch.web import HttpClient
 
-__all__ = ["LoadGenerator", "FleetAddresses", "PlannedCall", "plan_calls"]
+__all__ = ["FleetAddresses", "LoadGenerator", "PlannedCall", "plan_calls"]
 
 SAMPLE_INTERVAL_MS = 500.0
 DISCONNECT_SHARE_OF_DEADLINE = 0.1
--- a/cornelnotch/logservice/__init__.py
+++ b/cornelnotch/logservice/__init__.py
@@ -13,10 +13,10 @@
 __all__ = [
     "HostEntry",
     "HostList",
+    "HostListing",
     "HttpHostList",
     "HttpLogService",
     "LogPage",
     "LogRecord",
     "LogService",
-    "HostListing",
 ]
--- a/cornelnotch/observation/__init__.py
+++ b/cornelnotch/observation/__init__.py
@@ -7,7 +7,7 @@
 __all__ = [
     "AttainmentWindows",
     "Decision",
-    "TraceStore",
     "NodeMetrics",
     "Trace",
+    "TraceStore",
 ]
--- a/cornelnotch/observation/traces.py
+++ b/cornelnotch/observation/traces.py
@@ -7,7 +7,7 @@
 
 from cornelnotch.kernel import Clock
 
-__all__ = ["Decision", "TraceStore", "Trace"]
+__all__ = ["Decision", "Trace", "TraceStore"]
 
 MAX_TRACES = 5000
 
--- a/cornelnotch/queueing/__init__.py
+++ b/cornelnotch/queueing/__init__.py
@@ -23,11 +23,11 @@
     "Grant",
     "PreemptionNotice",
     "QueueChoice",
+    "QueuedRequest",
     "Refusal",
     "ServerConfig",
     "Shard",
     "ShardConfig",
     "TieredDiscipline",
-    "QueuedRequest",
     "create_shard",
 ]
--- a/cornelnotch/queueing/models.py
+++ b/cornelnotch/queueing/models.py
@@ -11,11 +11,11 @@
     "ClassConfig",
     "Grant",
     "PreemptionNotice",
+    "QueuedRequest",
     "Refusal",
     "RunningRequest",
     "ServerConfig",
     "ShardConfig",
-    "QueuedRequest",
     "WorkspaceLimits",
 ]
 
--- a/cornelnotch/routing/context.py
+++ b/cornelnotch/routing/context.py
@@ -11,7 +11,7 @@
 from cornelnotch.routing.responses import Problem
 from cornelnotch.routing.upstreams import EngineUpstream, ServiceUpstream
 
-__all__ = ["RequestFailedError", "FlowContext"]
+__all__ = ["FlowContext", "RequestFailedError"]
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelnotch/routing/permits.py
+++ b/cornelnotch/routing/permits.py
@@ -24,7 +24,7 @@
     PermitRelease,
 )
 
-__all__ = ["PermitClient", "PermitRequest", "PermitReport"]
+__all__ = ["PermitClient", "PermitReport", "PermitRequest"]
 
 ACK_TIMEOUT_MS = 400.0
 REFRESH_MS = 1000.0
--- a/cornelnotch/standins/engine.py
+++ b/cornelnotch/standins/engine.py
@@ -11,7 +11,7 @@
 from cornelnotch.kernel import Clock, hash_text
 from cornelnotch.web import Exchange, HttpServer
 
-__all__ = ["EngineProfile", "EngineStandin", "create_token", "create_expected_response"]
+__all__ = ["EngineProfile", "EngineStandin", "create_expected_response", "create_token"]
 
 MAX_BODY_BYTES = 1024 * 1024
 DEFAULT_TOKENS = 32
--- a/cornelnotch/verification/__init__.py
+++ b/cornelnotch/verification/__init__.py
@@ -19,9 +19,9 @@
 )
 
 __all__ = [
+    "THREE_TIERS",
     "ClaimMutant",
     "ConfigurationMutant",
-    "THREE_TIERS",
     "OrderMutant",
     "RestorationMutant",
     "create_claim_protocol",
--- a/cornelnotch/web/__init__.py
+++ b/cornelnotch/web/__init__.py
@@ -6,8 +6,8 @@
 
 __all__ = [
     "Exchange",
-    "HttpResponse",
     "HttpClient",
+    "HttpResponse",
     "HttpServer",
     "ServerLimits",
     "parse_address",
--- a/cornelnotch/web/client.py
+++ b/cornelnotch/web/client.py
@@ -15,7 +15,7 @@
 )
 from cornelnotch.kernel.tasks import cancel_and_wait
 
-__all__ = ["HttpResponse", "HttpClient", "parse_address"]
+__all__ = ["HttpClient", "HttpResponse", "parse_address"]
 
 READ_BYTES = 65536
 MAX_IDLE_CONNECTIONS_PER_ADDRESS = 64
