Reword unclear comments of admission, placement, load and records in the gateway

Say what each share, factor and timeout applies to, use inter-token gap for what callers accept, and correct the docstring of find_latency_sensitive_gap_ms: it returns the shortest accepted gap.

--- a/cornelnotch/gateway/admission_client.py
+++ b/cornelnotch/gateway/admission_client.py
@@ -1,4 +1,7 @@
-"""Request admission to an engine, and proceed when the coordinator is silent."""
+"""Request admission to an engine, and proceed if its coordinator does not answer.
+
+The coordinator of an engine is the host that is selected by hash of the engine's name.
+"""
 
 import asyncio
 from collections.abc import Callable
@@ -25,19 +28,20 @@
 ASK_PERIOD_MS = 200.0
 # Running requests are reported again so that a new coordinator learns of them.
 REPORT_PERIOD_MS = 1500.0
-# A coordinator answers within one round trip between regions; later is silence.
+# A coordinator answers within one round trip between regions; after this time it counts
+# as unresponsive.
 ANSWER_TIMEOUT_MS = 400.0
-# Time during which requests do not wait for a coordinator that was silent.
+# How long requests do not wait for an unresponsive coordinator.
 UNRESPONSIVE_MS = 2000.0
 
 
 class AdmissionResult(StrEnum):
     """Outcome of a wait for admission.
 
-    UNANSWERED is a grant without an answer of the coordinator. ENGINE_LOST means that
-    the engine must no longer be used, BETTER_ENGINE that another one is likely to serve
-    the request sooner, INFEASIBLE that the caller would leave before the request is
-    admitted.
+    UNANSWERED means that the coordinator did not answer and the request proceeds
+    without a grant. ENGINE_LOST means that the engine must no longer be used,
+    BETTER_ENGINE that another one is likely to serve the request sooner, INFEASIBLE
+    that the caller would leave before the request is admitted.
     """
 
     GRANTED = "granted"
@@ -110,9 +114,9 @@
         """Wait until the request may be sent; always call `report_end` afterwards.
 
         The caller has waited since `arrived_ms`, possibly for another engine, and
-        leaves after `wait_limit_ms`. It accepts pauses of `gap_ms` between events and
-        wants the first event within `target_ms`. During the wait,
-        `has_better_server` is polled for whether another engine is clearly better.
+        leaves after `wait_limit_ms`. It accepts inter-token gaps of up to `gap_ms` and
+        expects the first token within `target_ms`. During the wait, `has_better_server`
+        is polled for whether another engine is clearly better.
         """
         state = self._open_state(request, view, in_flight)
         state.has_better_server = has_better_server
--- a/cornelnotch/gateway/admission_controller.py
+++ b/cornelnotch/gateway/admission_controller.py
@@ -22,7 +22,7 @@
 MIN_CHECK_DELAY_MS = 5.0
 # Period at which a queue without messages is processed.
 MAX_CHECK_DELAY_MS = 250.0
-# Assumed cache size of an engine whose KV cache capacity is unknown.
+# Assumed for an engine whose KV cache capacity or number of slots is unknown.
 UNKNOWN_CACHE_TOKENS = 400_000
 UNKNOWN_SLOTS = 64
 UNKNOWN_BOOT_MS = -1
@@ -30,7 +30,7 @@
 
 @dataclass(slots=True)
 class EngineQueue:
-    """Admission queue of one boot of an engine, and its wake-up timer."""
+    """Admission queue of an engine since one boot, and the timer of its next check."""
 
     queue: AdmissionQueue
     boot_ms: int
@@ -80,7 +80,7 @@
         if ask.stage != "waiting":
             return
         if granted_before:
-            # The grant may have been lost.
+            # The host still asks, so the grant may have been lost and is sent again.
             self._send_grant(ask.server, queue_entry)
         elif not queue_entry.granted:
             wait = engine_queue.queue.estimate_wait_ms(queue_entry, now)
@@ -103,7 +103,7 @@
         engine_queue = self._queues.get(server)
         view = self._context.pool.servers.get(server)
         boot_ms = view.record.boot_ms if view else UNKNOWN_BOOT_MS
-        # A lapsed record does not show that the engine has restarted.
+        # A record can expire while the engine runs, so a missing one proves no restart.
         if engine_queue is not None and boot_ms in {
             engine_queue.boot_ms,
             UNKNOWN_BOOT_MS,
--- a/cornelnotch/gateway/admission_queue.py
+++ b/cornelnotch/gateway/admission_queue.py
@@ -26,27 +26,29 @@
 
 __all__ = ["AdmissionQueue", "QueueEntry"]
 
-# Prefill backlog, in time, below which an engine gets more work. It covers the delay of
-# the next grant, also from another region, so the engine does not run idle.
+# An engine gets more work once the prefill of its backlog takes less than this. That
+# covers the delay of the next grant, also from another region, so it does not run idle.
 PREFILL_AHEAD_MS = 160.0
-# Granted prefill work without a first token, in time, beyond which an engine gets no
-# more: it has become slower than estimated.
+# An engine gets no more work while its granted prompts without a first token take
+# longer than this to prefill, since it has become slower than estimated.
 MAX_UNFINISHED_MS = 4 * PREFILL_AHEAD_MS
-# Must exceed the longest inter-token gap that callers accept.
+# How long grants and prefills are remembered. Must exceed the longest inter-token gap
+# that callers accept.
 PREFILL_HISTORY_MS = 5000.0
-# Share of its waiting time by which a request gains on shorter ones; prevents
-# starvation of long prompts.
+# Each ms of waiting counts as this much less prefill time in the grant order, so that
+# long prompts do not starve.
 AGING_RATE = 0.05
 # Share of a request's slack that overtaking requests may use up.
 OVERTAKING_SLACK_SHARE = 0.5
 # Grants beyond the number of slots, so that a freed slot is filled at once.
 EXTRA_GRANTS = 2
-# Hosts repeat waiting requests every 200 ms and running ones every 1.5 s.
+# Requests are removed after this long without a report. Hosts report waiting requests
+# every 200 ms and granted ones every 1.5 s.
 WAITING_TIMEOUT_MS = 1000.0
 GRANTED_TIMEOUT_MS = 4000.0
-# Arrivals within this window predict how many requests will overtake a waiting one.
-# The rate is taken over at least the minimum, and overtaking requests are assumed to
-# use at most the given share of the engine.
+# Arrivals within this window predict how much prefill work will arrive later than a
+# waiting request but be granted before it. The arrival rate is averaged over at least
+# the minimum, and such work is assumed to take at most the given share of the engine.
 ARRIVAL_WINDOW_MS = 3000.0
 MIN_ARRIVAL_WINDOW_MS = 1000.0
 MAX_OVERTAKEN_SHARE = 0.9
@@ -57,8 +59,8 @@
     """A request that a host wants to send to an engine; times are in ms.
 
     `uncached_tokens` is the number of tokens to prefill, fixed when the request is
-    granted. The caller accepts inter-token gaps of `gap_ms`, any if that is 0, and
-    expects its first token within `target_ms`, at any time if that is 0.
+    granted. The caller accepts inter-token gaps of up to `gap_ms`, any if that is 0,
+    and expects its first token within `target_ms`, at any time if that is 0.
     """
 
     request_id: str
@@ -265,7 +267,7 @@
         return max(prefill_ms, self._compute_gap_delay_ms(first, now))
 
     def _compute_gap_delay_ms(self, entry: QueueEntry, now: float) -> float:
-        """Return how long the gaps of running streams delay a prompt, in ms."""
+        """Return how long a prompt must wait to protect running streams, in ms."""
         gap_ms = min(
             (t.gap_ms for t in self.entries.values() if t.prefilled and t.gap_ms > 0),
             default=0.0,
@@ -330,7 +332,7 @@
     def _has_capacity(self) -> bool:
         granted = [t for t in self.entries.values() if t.granted]
         unfinished = sum(t.uncached_tokens for t in granted if not t.prefilled)
-        # Prompts with a first token are prefilled, which may be sooner than estimated.
+        # Prompts with a first token are prefilled, perhaps sooner than estimated.
         self._backlog_tokens = min(self._backlog_tokens, float(unfinished))
         return (
             self._estimate_prefill_ms(self._backlog_tokens) <= PREFILL_AHEAD_MS
--- a/cornelnotch/gateway/engine_estimates.py
+++ b/cornelnotch/gateway/engine_estimates.py
@@ -13,9 +13,11 @@
 
 __all__ = ["PRIOR_RATES", "EngineEstimate", "average_rates", "find_prefill_budget"]
 
-# Assumed for an engine without observations.
+# Assumed for an engine without observations: tokens prefilled per ms, the same beside
+# running streams, ms per stream event without prefill, and the factor `ease`.
 PRIOR_RATES = EngineRates("", 25.0, 40.0, 40.0, 1.0)
-# Weight of the prior, as equivalent prefill time, stream events and prefilled tokens.
+# Weight of the prior: it counts as much as observations of this prefill time, this many
+# stream events and this many thousands of prefilled tokens.
 PRIOR_PREFILL_MS = 400.0
 PRIOR_EVENTS = 10.0
 PRIOR_KILOTOKENS = 10.0
@@ -25,13 +27,15 @@
 HALF_LIFE_MS = 10_000.0
 # Observed prefill times are clamped to this factor around the expected one.
 MAX_DELAY_FACTOR = 8.0
-# A gap longer than this share of the accepted one counts as a violation.
+# An inter-token gap above this share of the accepted one counts as a violation.
 VIOLATION_SHARE = 0.9
-# Share of a gap that prefill and one event may take, and the minimum for prefill.
+# Share of an accepted inter-token gap that prefill and one event may take together, and
+# the share that prefill may always take.
 USABLE_GAP_SHARE = 0.85
 MIN_PREFILL_SHARE = 0.25
-# The prefill budget beside streams grows while it is used without violations and
-# shrinks on each violation, which keeps violations rare.
+# The factor `ease` scales the prefill budget beside running streams. It grows while at
+# least the given share of the budget is used without violations, and shrinks on a
+# violation, at most once per interval, which keeps violations rare.
 MIN_BUDGET_USE = 0.7
 EASE_GROWTH = 1.003
 EASE_DECREASE = 0.8
@@ -42,7 +46,7 @@
 
 
 def find_prefill_budget(rates: EngineRates, gap_ms: float) -> float:
-    """Return the number of tokens an engine may prefill within a gap of `gap_ms`.
+    """Return the number of tokens to prefill within an inter-token gap of `gap_ms`.
 
     Infinity if `gap_ms` is 0.
     """
--- a/cornelnotch/gateway/load_exchange.py
+++ b/cornelnotch/gateway/load_exchange.py
@@ -19,7 +19,7 @@
 
 
 class LoadExchange:
-    """Exchange load reports; the first store reader acts as the collector."""
+    """Exchange load reports; the first host that reads the store collects them."""
 
     def __init__(
         self,
--- a/cornelnotch/gateway/placement.py
+++ b/cornelnotch/gateway/placement.py
@@ -20,6 +20,7 @@
 REGION_COST_MS = 70.0
 # A full batch slows each of its streams as much as this queueing delay.
 FULL_BATCH_COST_MS = 500.0
+# Cost of each running or waiting request on routes without streams.
 CALL_COST_MS = 20.0
 # Approximate time that a request occupies a slot. A full engine frees one slot per
 # this time divided by its number of slots.
@@ -29,19 +30,23 @@
 MAX_FAILURES = 4
 # Cost to latency-sensitive streams of a prompt that fills a whole inter-token gap.
 INTERFERENCE_COST_MS = 3000.0
-# Prompts below this share of the prefill budget of a gap leave room for others.
+# Prompts below this share of the prefill budget per inter-token gap have no such cost,
+# since they leave room for others.
 INTERFERENCE_FREE_SHARE = 1.0 / 3.0
 # Expected delay of a latency-sensitive stream that shares an engine with long prompts.
 UNRESERVED_COST_MS = 250.0
 # The admission queue grants short prompts before long ones. A prompt of mean length
-# counts the first share of the tokens queued at its priority, a shorter one
-# proportionally less, down to the second. Counting all of them moves prompts away from
-# engines that cache their parts, which costs repeated prefill.
+# counts the first share of the tokens queued at its priority, others in proportion to
+# their length, but at least the second share and at most all. Counting all for every
+# prompt moves prompts away from engines that cache their parts, which costs repeated
+# prefill.
 SAME_PRIORITY_SHARE = 0.7
 MIN_SAME_PRIORITY_SHARE = 0.1
-# Load reports of other hosts lag by this much, so a smaller gain may not be real.
+# Minimum gain for which a queued request moves to another server. Load reports of other
+# hosts lag by this much, so a smaller gain may not be real.
 MOVE_COST_MS = 250.0
-# Shared parts with a shorter prefill have no preferred server and are not fetched.
+# Shared prompt parts with a shorter prefill have no preferred server and are not
+# fetched from other servers.
 MIN_SHARED_PREFILL_MS = 14.0
 
 
--- a/cornelnotch/gateway/records.py
+++ b/cornelnotch/gateway/records.py
@@ -47,7 +47,7 @@
 
 @dataclass(slots=True)
 class KeyedView:
-    """The newest record of each key up to offset `head` of a timeline.
+    """The newest record of each key in a timeline; `head` is the next offset to read.
 
     `older_records` contains the records of older timelines. `was_restored` is true once
     one timeline has replaced another, `needs_full_read` until the records of the new
@@ -68,7 +68,7 @@
         self.timeline = timeline
         if self.head < 0 and not self.records:
             return False
-        # Older records kept so far are newer than those of the restored copy.
+        # Older records kept so far win: they are newer than those of the restored copy.
         self.add_older_records(self.records.values())
         self.records = {}
         self.head = -1
@@ -85,7 +85,7 @@
         """Apply the records of a page; return those at or after the head."""
         changed = []
         for record in page.records:
-            # Records below the head were applied before, also those of deleted keys.
+            # Records below the head were applied; repeating them could undo a deletion.
             if record.offset < self.head:
                 continue
             if record.value:
@@ -99,7 +99,7 @@
     def replace(self, page: RecordPage) -> None:
         """Replace all records by the newest ones; unlisted keys are deleted.
 
-        A page that ends before the head is outdated and ignored.
+        A page that ends before `head` is outdated and ignored.
         """
         if page.end_offset < self.head:
             return
--- a/cornelnotch/gateway/relay.py
+++ b/cornelnotch/gateway/relay.py
@@ -17,16 +17,18 @@
 READING_DUTY = "records"
 # An update older than this means that its sender cannot read the store.
 UNABLE_AGE_MS = 1500.0
-# Hosts without an update this recent read the store themselves, to meet a 3 s bound.
+# A host whose copy of a topic is older reads the store itself, so that every copy stays
+# within the bound of 3 s.
 STALE_MS = {"configuration": 1700.0, "servers": 1400.0}
 # A host does not read the store within this time after a message from another host,
 # even if that message says that the other host cannot read.
 CONTACT_TTL_MS = 1500.0
-# An announcement that a host cannot read expires unless it is repeated.
+# A host's announcement that it cannot read the store expires after this time unless it
+# is repeated.
 UNABLE_TTL_MS = 3000.0
 # Delay before the next in rank take over, so that they call a failed store one by one.
 TAKEOVER_DELAY_MS = 300.0
-# Messages that one host sends within its region per change.
+# Hosts of its region to which a host sends each change; they forward it to the others.
 FAN_OUT = 16
 
 
--- a/cornelnotch/gateway/reservation.py
+++ b/cornelnotch/gateway/reservation.py
@@ -21,7 +21,8 @@
 HEADROOM = 2.0
 MIN_SHARE = 0.12
 MAX_SHARE = 0.5
-# A route is latency-sensitive if its gap is at most this share of the longest.
+# Streams are latency-sensitive if their accepted inter-token gap is at most this share
+# of the longest accepted one.
 LATENCY_SENSITIVE_RATIO = 0.5
 
 
@@ -58,7 +59,7 @@
 
 
 def find_latency_sensitive_gap_ms(gaps_ms: Iterable[float]) -> float:
-    """Return the longest gap that counts as latency-sensitive, or 0 if none does."""
+    """Return the shortest accepted gap if it is latency-sensitive, otherwise 0."""
     known = [gap for gap in gaps_ms if gap > 0]
     if not known or min(known) > max(known) * LATENCY_SENSITIVE_RATIO:
         return 0.0
--- a/cornelnotch/gateway/retry_after.py
+++ b/cornelnotch/gateway/retry_after.py
@@ -12,16 +12,18 @@
 __all__ = ["choose_retry_after_ms", "estimate_caller_timeout_ms", "is_infeasible"]
 
 # Callers state that they give up a stream without a first event after the longest of a
-# fixed time, a multiple of its target and a multiple of the gap that it accepts.
+# fixed time, a multiple of its target and a multiple of its accepted inter-token gap.
 MIN_CALLER_TIMEOUT_MS = 2000.0
 CALLER_TIMEOUT_TARGETS = 4.0
 CALLER_TIMEOUT_GAPS = 8.0
-# Estimates ignore prompts that end early, so the wait must exceed the limit clearly.
+# Estimated waits are too long if queued requests end early, so a request is rejected
+# only if its estimate exceeds the caller's remaining time by this factor.
 CLEAR_EXCESS = 1.25
-# Shortest retry delay, and the largest share of the remaining time that callers honour.
+# Shortest retry delay, and the longest as a share of the caller's remaining time;
+# callers may ignore longer ones.
 MIN_RETRY_AFTER_MS = 500.0
 MAX_RETRY_AFTER_SHARE = 1.0 / 3.0
-# Share of the retry delay, at its end, over which retries are jittered.
+# Jitter shortens a retry delay by up to this share.
 JITTER_SHARE = 0.25
 
 
--- a/cornelnotch/gateway/retry_budget.py
+++ b/cornelnotch/gateway/retry_budget.py
@@ -9,7 +9,10 @@
 
 
 class RetryBudget:
-    """Allow retries up to a share of the requests in a sliding window."""
+    """Allow retries up to a share of the requests in a sliding window.
+
+    The hosts divide `extra` further retries per window evenly among them.
+    """
 
     def __init__(self, share: float, extra: float, window_ms: float) -> None:
         self._share = share
--- a/cornelnotch/gateway/retry_policy.py
+++ b/cornelnotch/gateway/retry_policy.py
@@ -1,7 +1,7 @@
-"""Decide which requests may be sent to another server; pure.
+"""Decide which requests may be sent to another server; no I/O.
 
-A request that must not repeat is sent again only while every server so far has proved
-that it did not run it.
+A request that must not run twice is sent again only while every server so far has
+proved that it did not run it.
 """
 
 from dataclasses import dataclass
--- a/cornelnotch/gateway/servers.py
+++ b/cornelnotch/gateway/servers.py
@@ -16,15 +16,17 @@
 FAILURE_MEMORY_MS = 4000.0
 # The longest backoff that a server may ask for; more is malformed.
 MAX_BACKOFF_MS = 600_000.0
-# Precedes the first boot of a server; boots without a reported time count as 0.
+# Less than any boot time; boots without a reported time have the time 0.
 NEVER_BOOTED = -1
-# Leaving servers remembered; names are not reused by the thousand.
+# Number of leaving servers remembered; far fewer names are used again.
 REMEMBERED_LEAVING = 4096
-# The longest recent gap decays with this half-life and grows at most by this factor per
-# gap, so that an outage does not raise the silence limit for the next one.
+# The longest recent gap between arrivals of bytes decays with this half-life and grows
+# at most by this factor per gap, so that an outage does not raise the silence limit for
+# the next one.
 GAP_HALF_LIFE_MS = 10_000.0
 MAX_GAP_GROWTH = 1.5
-# Parts remembered per server; an engine of 600,000 tokens caches about 100.
+# Prompt parts remembered per server; an engine that caches 600,000 tokens holds about
+# 100.
 REMEMBERED_PARTS = 400
 
 # Engines support the priorities 0 (most urgent) to 9.
@@ -42,10 +44,11 @@
 class InFlightRequest:
     """A dispatch in progress; `first_ms` is 0 until the response starts.
 
-    `sent` is false while the dispatch is queued, for about `wait_ms` more. `tight` is
-    true for latency-sensitive streams. `events` counts complete events, the last of
-    which arrived at `event_ms`; `longest_gap_ms` is the longest gap between two events
-    since `take_progress` was last called.
+    `sent` is false while the dispatch is queued, for about `wait_ms` more.
+    `latency_sensitive` is true for streams that accept only short inter-token gaps.
+    `events` counts complete events, the last of which arrived at `event_ms`;
+    `longest_gap_ms` is the longest gap between two events since `take_progress` was
+    last called.
     """
 
     request_id: str
@@ -113,7 +116,7 @@
         return self.announced_leaving or self.record.leaving
 
     def back_off(self, asked_ms: float, now: float) -> float:
-        """Pause traffic for `asked_ms`, within a limit; return the ms applied."""
+        """Send no requests for `asked_ms`, within a limit; return the ms applied."""
         backoff_ms = min(asked_ms, MAX_BACKOFF_MS)
         self.backoff_until_ms = max(self.backoff_until_ms, now + backoff_ms)
         return backoff_ms
@@ -255,7 +258,7 @@
         return record.boot_ms <= self._leaving.get(record.name, NEVER_BOOTED)
 
     def accepts(self, view: ServerView, now: float) -> bool:
-        """Return whether a server, since the same boot, may get work from this host."""
+        """Return whether a server has not restarted and may get work from this host."""
         known = self.servers.get(view.record.name)
         return known is view and not view.leaving and now >= view.backoff_until_ms
 
--- a/cornelnotch/gateway/silence.py
+++ b/cornelnotch/gateway/silence.py
@@ -14,7 +14,8 @@
 CHECK_INTERVAL_MS = 100.0
 # A check this late means that the host itself was suspended.
 MAX_CHECK_DELAY_MS = 3 * CHECK_INTERVAL_MS
-# A healthy server does not exceed its longest recent gap by this factor.
+# A healthy server does not exceed its longest recent gap between arrivals of bytes by
+# this factor.
 GAP_FACTOR = 3.0
 MIN_SILENCE_LIMIT_MS = 500.0
 
--- a/cornelnotch/gateway/tests/test_admission_path.py
+++ b/cornelnotch/gateway/tests/test_admission_path.py
@@ -211,7 +211,7 @@
         await answer.read()
         assert asyncio.get_running_loop().time() - started_s < 0.4
         assert answer.status == 503
-        # Callers honour a third of their remaining 3 s.
+        # Callers obey retry delays of up to a third of their remaining 3 s.
         assert 0.5 <= float(answer.headers["retry-after"]) <= 1.0
         await first
         assert list_sent(engine) == ["first"]
--- a/cornelnotch/gateway/tests/test_admission_queue.py
+++ b/cornelnotch/gateway/tests/test_admission_queue.py
@@ -176,7 +176,7 @@
 
 
 def create_overload(seed, seconds=12):
-    """Return chats and 1.5 times the uncached prompts that the engines can prefill."""
+    """Return chats, and 1.5 times as many uncached prompts as engines can prefill."""
     generator = random.Random(seed)
     requests: list[PlacedRequest] = []
     for kind, rate in (("chat", 12.0), ("long", 34.0)):
--- a/cornelnotch/gateway/tests/test_relay.py
+++ b/cornelnotch/gateway/tests/test_relay.py
@@ -1,4 +1,4 @@
-"""Test the choice of store readers, the relay of changes and the fallbacks."""
+"""Test the choice of store readers, the relay of changes and failures of both."""
 
 import pytest
 
