--- a/cornelnotch/gateway/tests/test_admission_queue.py
+++ b/cornelnotch/gateway/tests/test_admission_queue.py
@@ -125,7 +125,7 @@
     assert list(queue.entries) == ["later"]
 
 
-def test_new_queue_owner_counts_requests_granted_before():
+def test_new_coordinator_counts_requests_granted_before():
     queue = create_queue(create_entry("sent", own=20_000, granted=True))
     queue.add_or_refresh(create_entry("waits"))
     assert list_granted(queue) == []
@@ -176,7 +176,7 @@
 
 
 def create_overload(seed, seconds=12):
-    """Return chats and 1.5 times the uncached prompts that the engines can prefill."""
+    """Return chats, and 1.5 times as many uncached prompts as engines can prefill."""
     generator = random.Random(seed)
     requests: list[PlacedRequest] = []
     for kind, rate in (("chat", 12.0), ("long", 34.0)):
