Reword unclear comments and messages of platform, web, wire and gateway

Unify terms: response rather than answer, inter-token gap rather than pause. Give "retry the request" as the remedy wherever the caller closed its connection or a body was cut off.

--- a/cornelnotch/gateway/backups.py
+++ b/cornelnotch/gateway/backups.py
@@ -2,7 +2,7 @@
 
 A stream that may not be repeated fails with its engine, unless another engine holds a
 copy of its KV cache and can resume the same run. This guards against engines that crash
-during long chats. The cost of a copy grows with the size of prompt and answer, its
+during long chats. The cost of a copy grows with the size of prompt and output, its
 benefit with the duration of the stream.
 """
 
@@ -30,7 +30,7 @@
 
 
 class ExposureTracker:
-    """Moving averages of the exposure of each route's streams."""
+    """Moving averages of the duration and prompt size of each route's streams."""
 
     def __init__(self) -> None:
         self._routes: dict[str, Exposure] = {}
@@ -42,7 +42,7 @@
         average.tokens += NEWEST_WEIGHT * (tokens - average.tokens)
 
     def find(self, route: str) -> Exposure | None:
-        """Return the average exposure of a route, or None before its first stream."""
+        """Return the averages of a route, or None before its first stream."""
         return self._routes.get(route)
 
 
--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -126,7 +126,7 @@
         return choose_reserved(records, self.settings.regions, latency_sensitive)
 
     def find_latency_sensitive_gap_ms(self, service: str) -> float:
-        """Return the longest gap of a service's latency-sensitive streams, in ms."""
+        """Return the longest latency-sensitive inter-token gap of a service, in ms."""
         if self._gaps_version != self.table.version:
             gaps = self.table.list_itl_targets()
             self._gaps = {
--- a/cornelnotch/gateway/dispatch.py
+++ b/cornelnotch/gateway/dispatch.py
@@ -46,7 +46,7 @@
     async def read_chunk(self) -> bytes:
         """Return the next chunk of the body, or b"" at its end.
 
-        Raise UpstreamError when the body breaks off. Cancelling a call loses no data.
+        Raise UpstreamError if the body is cut off. Cancelling a call loses no data.
         """
         assert self.http_response is not None
         return await self.http_response.read_chunk()
@@ -100,7 +100,7 @@
     if head.request_id and head.request_id != request.request_id:
         http_response.close()
         return UpstreamResponse(
-            DispatchOutcome.BROKEN, "the answer belongs to another request", head
+            DispatchOutcome.BROKEN, "the response belongs to another request", head
         )
     if head.not_run:
         return UpstreamResponse(
@@ -109,7 +109,7 @@
     if not head.signed:
         http_response.close()
         return UpstreamResponse(
-            DispatchOutcome.BROKEN, "the answer has no signature", head
+            DispatchOutcome.BROKEN, "the response has no signature", head
         )
     if head.status >= STATUS_SERVER_ERROR:
         return UpstreamResponse(
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -43,9 +43,9 @@
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
 STATUS_GATEWAY_TIMEOUT = 504
-# Load reports of other hosts arrive late, so an overloaded engine is seldom the only
-# choice. Each try costs a round trip, and a refusal must come within a part of the
-# latency target.
+# Overloaded engines that a request may try. An engine is chosen from outdated load
+# reports, so another one is usually available, but each try costs a round trip, and a
+# refusal must be sent well within the latency target.
 MAX_OVERLOADED = 2
 # Each change of engine costs a round trip; fluctuating loads must not keep a request
 # moving between engines.
@@ -106,7 +106,7 @@
         except asyncio.CancelledError:
             serving.cancel()
             raise CallerDisconnectedError(
-                "the caller closed the connection", "send the request again"
+                "the caller closed the connection", "retry the request"
             ) from None
         finally:
             disconnected.cancel()
@@ -169,8 +169,8 @@
         self.last_outcome = response.outcome
         self.excluded.add(placement.server.record.name)
         if self.dispatches.ran:
-            # Work that may have run is not refused as overload: waiting is better than
-            # losing it.
+            # A request that may have run is not refused because of overload: it
+            # waits, so that its work is not lost.
             self.overloaded.clear()
         if self._may_resume(response):
             self.resuming = True
@@ -183,7 +183,7 @@
         return False
 
     def _may_resume(self, response: UpstreamResponse) -> bool:
-        """Return whether a broken stream can resume from its KV cache copy."""
+        """Return whether a stream that was cut off can resume from a KV cache copy."""
         if self.backup is None or response.outcome is not DispatchOutcome.BROKEN:
             return False
         if not self.exchange.response_started or not self.splitter.last_event_id:
@@ -314,7 +314,7 @@
         return result
 
     def _find_wait_limit_ms(self) -> float:
-        """Return until when the caller may be refused, in ms since its arrival."""
+        """Return how long after its arrival a request may still be refused, in ms."""
         if self.dispatches.ran or self.exchange.response_started:
             return float("inf")
         return estimate_caller_timeout_ms(self.route, self.limit_ms - self.arrived_ms)
@@ -328,7 +328,7 @@
     async def _dispatch(
         self, placement: Placement, in_flight: InFlightRequest
     ) -> UpstreamResponse | None:
-        """Send the request; return None once answered, else the failed response."""
+        """Send the request; return None on success, else the failed response."""
         view = placement.server
         now = self.context.clock.read()
         if now >= self.limit_ms:
@@ -389,7 +389,7 @@
                 )
         except TimeoutError:
             return UpstreamResponse(
-                DispatchOutcome.BROKEN, f"no answer for {timeout_s} s"
+                DispatchOutcome.BROKEN, f"no response for {timeout_s} s"
             )
 
     def _needs_new_connection(self, view: ServerView) -> bool:
@@ -554,7 +554,7 @@
             self._record_event(Event.REQUEST_BROKEN_OFF, reason=response.reason)
             self.exchange.abort()
             raise CallerDisconnectedError(
-                "the answer broke off", "send the request again"
+                "the response was cut off", "retry the request"
             )
         if response.outcome is DispatchOutcome.FAILED:
             assert response.head is not None
@@ -580,7 +580,7 @@
             self._record_event(Event.REQUEST_BROKEN_OFF, reason="timeout")
             self.exchange.abort()
             raise CallerDisconnectedError(
-                "the answer took too long", "send the request again"
+                "the response exceeded its time limit", "retry the request"
             )
         ran = self.dispatches.ran > 0
         status = STATUS_GATEWAY_TIMEOUT if ran else STATUS_UNAVAILABLE
--- a/cornelnotch/gateway/follower.py
+++ b/cornelnotch/gateway/follower.py
@@ -1,4 +1,8 @@
-"""Replicate the platform's records, by polling the store or from other hosts."""
+"""Replicate the platform's records, by polling the store or from other hosts.
+
+Each restoration of the store from a backup starts a new timeline, in which the
+offsets of earlier timelines are not valid.
+"""
 
 import random
 import zlib
@@ -38,11 +42,11 @@
 # Period at which hosts that receive no updates fetch from two others.
 FETCH_PERIOD_MS = 500.0
 FETCH_HOSTS = 2
-# After a gap of this length, lapsed entries may be about to be written again.
+# After an outage of this length, servers may not yet have rewritten expired entries.
 OUTAGE_MS = 2000.0
 # Time after entering a timeline during which records of older timelines are announced.
 ANNOUNCE_OLDER_MS = 60_000.0
-# Expected number of hosts that send a reader the older records it does not announce.
+# Expected number of hosts that send older records to a reader that announced none.
 OLDER_RECORDS_SENDERS = 3
 MAX_VALUE_BYTES = 8 * 1024 * 1024
 
@@ -189,7 +193,7 @@
 
     def _create_outdated_error(self, timeline: int) -> LogUnavailableError:
         return LogUnavailableError(
-            f"the store answered in timeline {timeline}, older than {self._timeline}",
+            f"the store responded in timeline {timeline}, older than {self._timeline}",
             "restart the store instance that serves an older copy",
         )
 
--- a/cornelnotch/gateway/forwarding.py
+++ b/cornelnotch/gateway/forwarding.py
@@ -11,7 +11,7 @@
 
 __all__ = ["MAX_BUFFERED_BYTES", "EventReader", "forward_body"]
 
-# A body up to this size is buffered, so that another server can be tried if it breaks
+# A body up to this size is buffered, so that another server can be tried if it is cut
 # off. A larger one is streamed, up to the second size.
 MAX_BUFFERED_BYTES = 256 * 1024
 MAX_BODY_BYTES = 64 * 1024 * 1024
--- a/cornelnotch/gateway/frontend.py
+++ b/cornelnotch/gateway/frontend.py
@@ -31,7 +31,8 @@
         except RequestError as error:
             if exchange.response_started:
                 raise CallerDisconnectedError(
-                    "the request broke off", "send the request again"
+                    "the request failed after its response had started",
+                    "retry the request",
                 ) from error
             self._context.events.record(
                 Event.REQUEST_MALFORMED, kind=error.kind, path=exchange.path
--- a/cornelnotch/gateway/models.py
+++ b/cornelnotch/gateway/models.py
@@ -114,7 +114,7 @@
         return None
 
     def list_itl_targets(self) -> dict[str, list[float]]:
-        """Return the longest allowed pauses between events, by service, in ms."""
+        """Return the target inter-token gaps of the routes of each service, in ms."""
         gaps: dict[str, list[float]] = {}
         for routes in self.routes.values():
             for route in routes:
--- a/cornelnotch/gateway/routing_state.py
+++ b/cornelnotch/gateway/routing_state.py
@@ -122,7 +122,8 @@
                 del self._retained[name]
         merged = {**self._retained, **records}
         for ended in self._context.pool.replace(merged.values()):
-            # A request on a connection to an earlier boot is reset as if it had run.
+            # A connection to an earlier boot is reset once used, and the request on
+            # it is then treated as if it had run.
             self._context.client.close_idle_connections(ended.address)
             self._remember_removed(ended)
         for name in known.keys() | merged.keys():
--- a/cornelnotch/gateway/tests/fleet.py
+++ b/cornelnotch/gateway/tests/fleet.py
@@ -63,7 +63,7 @@
 
 
 class StoreReader(RecordSource):
-    """Read the store for one host; `outdated` is an older store to answer from."""
+    """Read the store for one host; `outdated` is an older store to read instead."""
 
     def __init__(self, store):
         self.store = store
--- a/cornelnotch/gateway/tests/test_request_path.py
+++ b/cornelnotch/gateway/tests/test_request_path.py
@@ -1,4 +1,4 @@
-"""Test answers to callers whose requests pass through a host to fake servers."""
+"""Test responses to callers whose requests pass through a host to fake servers."""
 
 import asyncio
 
@@ -98,7 +98,7 @@
 
 
 def test_a_call_failed_by_the_only_server_is_retried_there_once():
-    # Guards against answering 502 because no other server is left.
+    # Guards against responding 502 because no other server is left.
     async def scenario(d):
         d.drop_server(d.desks[1])
         await wait_until(lambda: d.count_servers() == 3)
--- a/cornelnotch/gateway/tests/test_startup.py
+++ b/cornelnotch/gateway/tests/test_startup.py
@@ -49,7 +49,7 @@
 
 
 def test_first_callers_of_a_starting_host_are_served():
-    # Guards against answering 503 until the configuration has been read.
+    # Guards against responding 503 until the configuration has been read.
     async def scenario(d):
         await d.host.start()
         answer = await d.send("/book/x", "POST", b"b")
--- a/cornelnotch/platform/program.py
+++ b/cornelnotch/platform/program.py
@@ -22,8 +22,8 @@
 
 __all__ = ["run_host"]
 
-# Nearly all objects of a request are freed by reference counting, so the youngest
-# generation is rarely scanned for reference cycles.
+# Reference counting frees nearly all objects of a request, so a high threshold avoids
+# needless scans of the youngest generation for reference cycles.
 GC_YOUNG_THRESHOLD_OBJECTS = 10_000
 
 
--- a/cornelnotch/platform/records.py
+++ b/cornelnotch/platform/records.py
@@ -66,7 +66,7 @@
 
 
 class TenantModel(msgspec.Struct):
-    """Schema of a workspace."""
+    """Schema of a workspace, which the platform calls a tenant."""
 
     name: str
     api_keys: list[str] = []
@@ -145,7 +145,7 @@
         model.name,
         model.hostname.lower(),
         model.path_prefix,
-        # Work of an unknown type must not be repeated.
+        # A request to a route of an unknown type must not be repeated.
         WORK_KINDS.get(model.route_type, WorkKind.ONCE),
         model.timeout_ms,
         model.target_latency_ms,
--- a/cornelnotch/platform/store.py
+++ b/cornelnotch/platform/store.py
@@ -24,10 +24,12 @@
 READ_TIMEOUT_MS = 800.0
 PAGE_HEADER = struct.Struct(">QQ")
 RECORD_LENGTH = struct.Struct(">I")
-# Header that increases by one each time the store is restored from an older copy.
+# Header with the number of the store's timeline, which increases by one each time the
+# store is restored from an older copy.
 TIMELINE_HEADER = "store-era"
+# The platform's documentation prefixes the keys of these topics: `op/config` and
+# `servers/ID`.
 TOPICS = {"configuration": "keyed.op", "servers": "keyed.servers"}
-# The platform's documentation calls the keys `op/config` and `servers/ID`.
 PARTITION = 0
 
 
--- a/cornelnotch/web/client.py
+++ b/cornelnotch/web/client.py
@@ -19,7 +19,7 @@
 
 READ_BYTES = 65536
 MAX_IDLE_CONNECTIONS_PER_ADDRESS = 64
-CONNECT_TIMEOUT_S = 0.6  # ten round trips between regions
+CONNECT_TIMEOUT_S = 0.6  # ten times the round-trip time between regions
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # Servers send a response head in one piece, so one that has begun must be complete
 # within this time.
--- a/cornelnotch/web/exchange.py
+++ b/cornelnotch/web/exchange.py
@@ -92,7 +92,8 @@
             list(headers.items()) if isinstance(headers, dict) else list(headers)
         )
         if not self._body_ended or self._connection.is_closing_after_response():
-            # Unread body bytes cannot be told apart from the next request.
+            # Unread body bytes would be parsed as the next request, so the connection
+            # is closed.
             raw_headers.append(("connection", "close"))
         return raw_headers
 
--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -114,7 +114,7 @@
             await self._receive()
 
     def is_closing_after_response(self) -> bool:
-        """Return whether the caller should open its next connection to another host."""
+        """Return whether to close, so that the caller reconnects to another host."""
         return self._limits.draining
 
     async def _reject(self, error: h11.RemoteProtocolError) -> None:
--- a/cornelnotch/web/tests/test_cancel.py
+++ b/cornelnotch/web/tests/test_cancel.py
@@ -75,7 +75,8 @@
             connection = asyncio.current_task()
             assert connection is not None
             connections.append(connection)
-            # Cancels the connection while it stops its watcher after this handler.
+            # Cancels the connection's task once this handler has returned, while the
+            # task stops watching for a close by the caller.
             asyncio.get_running_loop().call_soon(connection.cancel)
 
         server, address = await start_server(handle)
--- a/cornelnotch/wire/messages.py
+++ b/cornelnotch/wire/messages.py
@@ -296,7 +296,8 @@
 
     `age_ms` is the time since `origin` read the store. The receiver forwards the
     message to `targets`. If `whole` is set, keys not listed have been deleted. `held`
-    contains the records that the origin keeps from timelines before `timeline`.
+    contains the records that the origin keeps from timelines before `timeline`; each
+    restoration of the store from a backup starts a new timeline.
     """
 
     origin: str
@@ -313,7 +314,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordFetch:
-    """Request the records of a topic that a host knows beyond offset `head`."""
+    """Request all records of a topic from a host that is not behind offset `head`."""
 
     host: str
     topic: str
@@ -326,7 +327,7 @@
     """Report the load of a server.
 
     `waiting` is the number of requests without a first chunk, `tight` the number of
-    streams with a short limit between tokens. `sent` is the number of prompt tokens
+    streams with a short inter-token gap limit. `sent` is the number of prompt tokens
     sent to the server and not yet prefilled. `backlog` is the number of prompt tokens
     waiting to be sent, indexed by priority. `failures` is the number of recent
     consecutive dispatch failures.
@@ -415,11 +416,12 @@
 
 @dataclass(frozen=True, slots=True)
 class AdmissionRequest:
-    """Ask the scheduling host to admit a request to an engine; repeated until it ends.
+    """Ask the scheduling host to admit a request to an engine.
 
-    `stage` is "waiting" until the host has sent the request and "begun" once the
-    engine has prefilled its prompt. `gap_ms` is the longest permitted gap between the
-    events of a stream, `target_ms` the target time from arrival to its first event.
+    The message is repeated until the request ends. `stage` is "waiting" until the host
+    has sent the request and "begun" once the engine has prefilled its prompt. `gap_ms`
+    is the longest permitted gap between the events of a stream, `target_ms` the target
+    time from arrival to its first event.
     """
 
     request_id: str
