--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -144,7 +144,7 @@
     def choose_backup(
         self, route: Route, request_id: str, server: ServerView
     ) -> ServerView | None:
-        """Return the engine to keep a backup of a run, or None if it gets none."""
+        """Return the engine to store the KV cache copy of a stream, or None."""
         service = self.table.services.get(server.record.service)
         if service is None:
             return None
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -241,7 +241,7 @@
         return placement
 
     def _may_retry_same_server(self) -> bool:
-        """Return whether a call may be retried at a server that answered with 5xx."""
+        """Return whether a call may be retried at a server that responded with 5xx."""
         is_repeatable = self.route.kind is WorkKind.REPEATABLE
         return is_repeatable and self.last_outcome is DispatchOutcome.FAILED
 
--- a/cornelnotch/gateway/startup.py
+++ b/cornelnotch/gateway/startup.py
@@ -3,8 +3,8 @@
 A starting host learns both within a fraction of a second, from the store or from other
 hosts, so a short wait lets it serve its first callers. When the store is unavailable
 and no other host knows them either, the duration of the outage is unknown. Callers are
-then refused after that wait; as most retry only once, they are told the longest retry
-delay that they honour.
+then refused after that wait; as most retry only once, the response carries the longest
+retry delay that they honour.
 """
 
 import asyncio
@@ -37,7 +37,7 @@
         self._is_store_unavailable = True
 
     async def wait(self) -> bool:
-        """Wait at most until the startup ends; return whether the host can route."""
+        """Wait for the startup, up to a limit; return whether the host can route."""
         left_ms = self._until_ms - self._clock.read()
         if not self._ready.is_set() and left_ms > 0:
             try:
