--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -126,7 +126,7 @@
         return choose_reserved(records, self.settings.regions, latency_sensitive)
 
     def find_latency_sensitive_gap_ms(self, service: str) -> float:
-        """Return the longest gap of a service's latency-sensitive streams, in ms."""
+        """Return the longest latency-sensitive inter-token gap of a service, in ms."""
         if self._gaps_version != self.table.version:
             gaps = self.table.list_itl_targets()
             self._gaps = {
@@ -144,7 +144,7 @@
     def choose_backup(
         self, route: Route, request_id: str, server: ServerView
     ) -> ServerView | None:
-        """Return the engine to keep a backup of a run, or None if it gets none."""
+        """Return the engine to store the KV cache copy of a stream, or None."""
         service = self.table.services.get(server.record.service)
         if service is None:
             return None
