--- a/cornelnotch/balancing/balancers.py
+++ b/cornelnotch/balancing/balancers.py
@@ -20,7 +20,8 @@
 class Balancer(ABC):
     """Base class of load balancers.
 
-    `binds_late` is whether a request waits in the queue until a server has a free slot.
+    `binds_late` is whether a request waits in the queue until a server has a free
+    slot. Otherwise it is assigned on arrival, even to a busy server.
     """
 
     binds_late = True
@@ -39,7 +40,7 @@
     def choose(
         self, servers: list[ServerState], item: QueuedRequest, now: float
     ) -> ServerState | None:
-        """Return the free server with the lowest score."""
+        """Return the free server with the lowest score, which is the best."""
         free = [server for server in servers if server.count_free(now) > 0]
         preferred = [server for server in free if server.name not in item.excluded]
         return min(
@@ -78,7 +79,7 @@
 
 @register_plugin("balancer", "least-in-flight")
 class LeastInFlightBalancer(Balancer):
-    """Balancer that chooses the server with the fewest own requests, for comparison.
+    """Balancer that chooses the server with the fewest busy slots, for comparison.
 
     It assigns requests to a server even if all its slots are busy.
     """
@@ -88,6 +89,6 @@
     def choose(
         self, servers: list[ServerState], item: QueuedRequest, now: float
     ) -> ServerState | None:
-        """Return the server with the fewest own requests."""
+        """Return the server on which this dispatcher occupies the fewest slots."""
         usable = [server for server in servers if not server.leaving]
         return min(usable, key=lambda s: (s.busy, s.name), default=None)
--- a/cornelnotch/balancing/servers.py
+++ b/cornelnotch/balancing/servers.py
@@ -33,7 +33,8 @@
 class ServerState:
     """Slots, own requests, durations and failures of one server.
 
-    `busy` counts own requests that occupy a slot and `paused` those displaced;
+    Own requests are those that this dispatcher granted. `busy` counts those that
+    occupy a slot and `paused` those paused in favour of a higher tier;
     `external` is the load from other sources, derived from the server's delayed
     reports.
     """
@@ -55,12 +56,12 @@
     history: deque[tuple[float, int]] = field(default_factory=deque)
 
     def count_free(self, now: float) -> int:
-        """Return the slots that a new request may take."""
+        """Return the number of free slots; 0 if the server is leaving or ejected."""
         if self.leaving or now < self.ejected_until_ms:
             return 0
         limit = self.slots
         if self.slow or self.failures:
-            # A periodic probe request shows whether the server has recovered.
+            # Only a periodic probe request is sent, to detect when the server recovers.
             limit = 1 if now >= self.probe_ms else 0
         return max(limit - self.busy - self.external, 0)
 
@@ -91,13 +92,17 @@
             self.affinity.popitem(last=False)
 
     def record_busy(self, now: float) -> None:
-        """Record the number of own requests, to compare with delayed reports."""
+        """Record the number of own requests, for `apply_load_report`."""
         self.history.append((now, self.busy + self.paused))
         while self.history and self.history[0][0] < now - LOAD_WINDOW_MS:
             self.history.popleft()
 
     def apply_load_report(self, reported: int, now: float) -> None:
-        """Set the external load to what exceeds own requests within the window."""
+        """Set the external load to the reported load less own requests.
+
+        The report is delayed and may include own requests that have ended, so the
+        highest number of own requests within LOAD_WINDOW_MS is subtracted.
+        """
         self.record_busy(now)
         own = max(count for _, count in self.history)
         self.external = max(reported - own, 0)
--- a/cornelnotch/claims/client.py
+++ b/cornelnotch/claims/client.py
@@ -35,7 +35,15 @@
 class ClaimVerdict:
     """State of a key in the log.
 
-    `state` is one of won, lost, answered, mismatch, free, kept and unavailable.
+    `state` is one of:
+
+    - won: this attempt holds the key
+    - lost: another attempt holds the key and has no recorded outcome
+    - answered: another attempt holds the key and `outcome` is its outcome
+    - mismatch: the key was claimed for a request with another fingerprint
+    - free: the key is not claimed
+    - kept: a release or outcome was processed and needs no retry
+    - unavailable: no writer could reach the log in time
     """
 
     state: str
@@ -77,9 +85,10 @@
         return await self._submit(operation, timeout_ms)
 
     async def release(self, key: str, attempt: str, timeout_ms: float) -> bool:
-        """Release a key whose work was not sent, and return whether it is in the log.
+        """Release a key whose work was not sent.
 
-        If it is not, a background task retries until the log has accepted it.
+        Return whether the log has accepted the release. If it has not, a background
+        task retries until it has or PERSIST_LIMIT_MS have passed.
         """
         operation = ClaimOperation(OperationKind.RELEASE, key, attempt)
         verdict = await self._submit(operation, timeout_ms)
@@ -133,7 +142,7 @@
                 return self._read_answer(answer)
             refusals += answer is not None
             if refusals >= MAX_REFUSALS:
-                # Fails fast, since MAX_REFUSALS hosts cannot reach the log.
+                # Further writers are unlikely to reach the log either.
                 break
             hops += 1
         return ClaimVerdict("unavailable")
--- a/cornelnotch/claims/keys.py
+++ b/cornelnotch/claims/keys.py
@@ -18,7 +18,8 @@
 ) -> KeyAge:
     """Return the validity of a key generated at `key_ms`.
 
-    A key is usable only while every claim on it is still in the log.
+    The horizon must be shorter than the retention of the log, so that every claim
+    on a usable key is still in the log.
     """
     if key_ms > wall_ms + skew_ms:
         return KeyAge.FUTURE
--- a/cornelnotch/claims/ledger.py
+++ b/cornelnotch/claims/ledger.py
@@ -39,7 +39,10 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimOperation:
-    """Operation on a key; status 0 means that the outcome is unknown."""
+    """Operation on a key.
+
+    For an outcome, `status` is the HTTP status of the response, or 0 if unknown.
+    """
 
     kind: OperationKind
     key: str
@@ -105,7 +108,8 @@
     def evict(self, before_ms: float) -> None:
         """Remove claims and releases older than `before_ms`.
 
-        The caller chooses it so that no usable key can refer to them.
+        The caller must choose `before_ms` early enough that no usable key has a claim
+        or release that old.
         """
         while self.claims:
             key, claim = next(iter(self.claims.items()))
--- a/cornelnotch/claims/writer.py
+++ b/cornelnotch/claims/writer.py
@@ -125,7 +125,7 @@
         await self._log.append(self._name, encode_operations(operations))
 
     def _changes_ledger(self, operation: ClaimOperation) -> bool:
-        """Return whether an operation would change the ledger."""
+        """Return whether an operation must be appended, since it changes the ledger."""
         if operation.kind is OperationKind.LOOKUP:
             return False
         if operation.attempt in self.ledger.released:
@@ -160,7 +160,7 @@
         if operation.kind in {OperationKind.RELEASE, OperationKind.OUTCOME}:
             self._send(pending, "kept")
         elif claim is None:
-            # Reached only by a lookup or by a claim whose attempt was released.
+            # The operation is a lookup, or a claim whose attempt was released.
             self._send(pending, "free")
         elif claim.attempt == operation.attempt:
             self._send(pending, "won")
--- a/cornelnotch/queueing/disciplines.py
+++ b/cornelnotch/queueing/disciplines.py
@@ -33,11 +33,11 @@
 
     @abstractmethod
     def remove(self, request_id: str) -> QueuedRequest | None:
-        """Remove and return a queued request, or return None if there is none."""
+        """Remove and return the queued request with this ID, or return None."""
 
     @abstractmethod
     def find(self, request_id: str) -> QueuedRequest | None:
-        """Return a queued request, or None if there is none."""
+        """Return the queued request with this ID, or None."""
 
     @abstractmethod
     def expire(self, now: float) -> list[QueuedRequest]:
@@ -53,7 +53,7 @@
     ) -> QueueChoice | None:
         """Return the request to serve next, without removing it.
 
-        If `floors` is false, the strict tier order applies.
+        If `floors` is false, slots reserved for classes are ignored.
         """
 
     @abstractmethod
--- a/cornelnotch/queueing/fifo.py
+++ b/cornelnotch/queueing/fifo.py
@@ -26,11 +26,11 @@
         self._items[item.request_id] = item
 
     def remove(self, request_id: str) -> QueuedRequest | None:
-        """Remove and return a queued request, or return None if there is none."""
+        """Remove and return the queued request with this ID, or return None."""
         return self._items.pop(request_id, None)
 
     def find(self, request_id: str) -> QueuedRequest | None:
-        """Return a queued request, or None if there is none."""
+        """Return the queued request with this ID, or None."""
         return self._items.get(request_id)
 
     def expire(self, now: float) -> list[QueuedRequest]:
@@ -52,7 +52,7 @@
         return QueueChoice(item, "arrival") if item else None
 
     def choose_victim(self, newcomer: QueuedRequest) -> QueuedRequest:
-        """Return `newcomer`."""
+        """Return `newcomer`, since earlier requests take precedence."""
         return newcomer
 
     def list_urgent(self, now: float, margin_ms: float) -> list[QueuedRequest]:
--- a/cornelnotch/queueing/models.py
+++ b/cornelnotch/queueing/models.py
@@ -134,7 +134,10 @@
 
 @dataclass(frozen=True, slots=True)
 class PreemptionNotice:
-    """Notification to a holder that its request was paused or resumed in the engine."""
+    """Notification that a request was paused or resumed in the engine.
+
+    It is sent to the holder, the host that forwards the request.
+    """
 
     request_id: str
     holder: str
--- a/cornelnotch/queueing/shard.py
+++ b/cornelnotch/queueing/shard.py
@@ -157,10 +157,11 @@
     ) -> float:
         """Return the latest start at which the request is likely to complete.
 
-        If the mean plus one deviation does not fit from the outset, the low
-        estimate applies, so that a tight deadline is not refused at once. A
-        request that has waited long gets no such allowance, since most would
-        be cut off at their deadline.
+        The estimated duration is the mean plus one deviation. If a new request
+        cannot meet its deadline by that estimate, the mean less two deviations
+        applies, so that it is not refused at once. A request that waited until
+        it no longer fits gets no such allowance, since most of these would
+        exceed their deadline.
         """
         likely = deadline_ms - duration.mean - duration.deviation
         return likely if likely > now else deadline_ms - duration.low
@@ -199,7 +200,7 @@
         ]
 
     def cancel_request(self, request_id: str, now: float) -> list[Effect]:
-        """Remove a request that its holder cancelled."""
+        """Remove a queued or running request that its host cancelled."""
         self.discipline.remove(request_id)
         if request_id in self.running:
             self._release(request_id, now)
@@ -290,7 +291,7 @@
         return self.schedule(now)
 
     def release_holder(self, holder: str, now: float) -> list[Effect]:
-        """Remove all requests of a host that is no longer alive."""
+        """Remove all queued and running requests of a host that is no longer alive."""
         for running in list(self.running.values()):
             if running.holder == holder:
                 self._release(running.request_id, now)
--- a/cornelnotch/queueing/tiered.py
+++ b/cornelnotch/queueing/tiered.py
@@ -7,16 +7,16 @@
 2. To a waiting class that occupies fewer slots than its floor, provided that the head
    of every higher tier would still meet its target, or its deadline once the target is
    missed, after waiting for one more slot.
-3. To the highest waiting tier, and within it to the request with the earliest latest
-   start among those that can still meet their target; if there is none, to the request
-   with the earliest deadline.
+3. To the highest waiting tier. Within it, to the request that must start soonest to
+   meet its target. If all are late, which means that they can no longer meet their
+   target, to the one that must start soonest to meet its deadline.
 
-A displaced request counts as waiting for its own server and takes precedence over the
-queued requests of its tier.
+A displaced request, which was paused in favour of a higher tier, waits for a slot on
+its own server and takes precedence over the queued requests of its tier.
 
 A class that occupies fewer queue places than its floor is always admitted. Otherwise,
 when the queue is full, the lowest tier that occupies more queue places than its floor
-is evicted first, late requests before timely ones and the newest first. A new request
+is evicted first, late requests before the others and the newest first. A new request
 is itself refused only when no queued request ranks below it and no running request of
 a lower tier outside its floor can be displaced.
 """
@@ -57,13 +57,13 @@
         return len(self.timely) + len(self.late)
 
     def get_head(self) -> QueuedRequest | None:
-        """Return the request of the class to serve next."""
+        """Return the next request of this class to serve."""
         if self.timely:
             return self.timely[0]
         return self.late[0] if self.late else None
 
     def get_eviction_candidate(self) -> QueuedRequest | None:
-        """Return the request to evict first: the newest late one, or the newest."""
+        """Return the newest late request, or the newest of all if none is late."""
         candidates = self.late or self.timely
         return max(candidates, key=lambda item: item.order, default=None)
 
@@ -114,7 +114,7 @@
         self._items[item.request_id] = item
 
     def remove(self, request_id: str) -> QueuedRequest | None:
-        """Remove and return a queued request, or return None if there is none."""
+        """Remove and return the queued request with this ID, or return None."""
         item = self._items.pop(request_id, None)
         if item is None:
             return None
@@ -123,7 +123,7 @@
         return item
 
     def find(self, request_id: str) -> QueuedRequest | None:
-        """Return a queued request, or None if there is none."""
+        """Return the queued request with this ID, or None."""
         return self._items.get(request_id)
 
     def expire(self, now: float) -> list[QueuedRequest]:
@@ -175,7 +175,10 @@
         return newcomer
 
     def list_urgent(self, now: float, margin_ms: float) -> list[QueuedRequest]:
-        """Return heads whose target, or deadline if late, is about to pass."""
+        """Return queue heads that must start within the margin, highest tier first.
+
+        A late request must start in time for its deadline, others for their target.
+        """
         heads = self._list_heads()
         heads += [q.late[0] for q in self._queues.values() if q.timely and q.late]
         urgent = [item for item in heads if _get_latest_start(item) - now <= margin_ms]
--- a/cornelnotch/routing/dispatcher.py
+++ b/cornelnotch/routing/dispatcher.py
@@ -147,7 +147,7 @@
         try:
             load = ServerLoad.model_validate(content)
         except ValidationError:
-            # Without a valid report, only own requests count towards the load.
+            # The external load of the last valid report stays in effect.
             return
         self.post(ServerLoadReport(shard, server, load.running + load.waiting))
 
--- a/cornelnotch/routing/fleet.py
+++ b/cornelnotch/routing/fleet.py
@@ -41,7 +41,7 @@
         self._listeners.append(listener)
 
     def apply_configuration(self, state: ConfigurationState) -> None:
-        """Apply a newer configuration."""
+        """Replace the configuration and recompute the shards."""
         self.configuration = state.configuration
         self.plans = plan_shards(self.configuration)
         self.apply_members()
@@ -58,7 +58,7 @@
         return self._table.list_live()
 
     def list_known(self) -> list[Member]:
-        """Return the hosts that are not known to be dead."""
+        """Return all known hosts except those marked dead."""
         members = self._table.members.values()
         return [m for m in members if m.state is not MemberState.DEAD]
 
--- a/cornelnotch/routing/idempotency.py
+++ b/cornelnotch/routing/idempotency.py
@@ -32,7 +32,7 @@
 
 
 class IdempotencyGuard:
-    """Claim of one request on its idempotency key."""
+    """Guard that executes one request at most once by claiming its key."""
 
     def __init__(
         self,
@@ -79,7 +79,11 @@
         return Outcome.NOT_RUN if first else Outcome.UNKNOWN
 
     async def finalize_problem(self, problem: Problem, dispatched: bool) -> Problem:
-        """Return the problem with its final outcome; release the key if nothing ran."""
+        """Return the problem with the outcome to report to the caller.
+
+        If the work was not dispatched, release the key. Unless this is the caller's
+        first attempt, the outcome is unknown until the log has the release.
+        """
         if not self._claimed:
             return problem
         if dispatched:
--- a/cornelnotch/routing/permits.py
+++ b/cornelnotch/routing/permits.py
@@ -289,7 +289,7 @@
                 entry.request.workspace,
             )
             by_shard.setdefault(entry.grant.shard, []).append(permit)
-        # An empty report is sent once when the host holds no more permits there.
+        # A dispatcher whose permits have all been released gets one empty report.
         for shard in by_shard.keys() | self._reported_boots.keys():
             target = self._choose_dispatcher(shard, 0)
             if target is None:
--- a/cornelnotch/routing/requests.py
+++ b/cornelnotch/routing/requests.py
@@ -93,7 +93,7 @@
         return f"{self.workspace}/{self.key}"
 
     def compute_fingerprint(self) -> str:
-        """Return a hash that distinguishes repeats from other work under the key."""
+        """Return a hash that shows whether the key is reused for another request."""
         content = b"\x00".join([self.method.encode(), self.target.encode(), self.body])
         return xxhash.xxh3_128_hexdigest(content)
 
