--- a/cornelnotch/commands/config.py
+++ b/cornelnotch/commands/config.py
@@ -128,7 +128,7 @@
 
 
 def show_history(platform: str = PLATFORM) -> None:
-    """Print every record that can be read, with its verdict."""
+    """Print every readable record and whether it was accepted."""
     table = Table("offset", "kind", "author", "verdict", "reason")
     for entry in run_async(read_history(HttpLogService(platform))).entries:
         verdict = "accepted" if entry.accepted else "rejected"
--- a/cornelnotch/commands/platform.py
+++ b/cornelnotch/commands/platform.py
@@ -1,4 +1,4 @@
-"""Command that runs a host on the platform of the users."""
+"""Command that runs a host on the hosting platform."""
 
 from pathlib import Path
 
@@ -10,7 +10,7 @@
 def run_platform_host(
     settings: Path = typer.Argument(help="INI file of the host"),
 ) -> None:
-    """Run one host on the platform until it is asked to drain."""
+    """Run one host on the hosting platform until it is asked to drain."""
     from cornelnotch.platform.program import run_host
 
     run_host(settings)
--- a/cornelnotch/configuration/fold.py
+++ b/cornelnotch/configuration/fold.py
@@ -100,7 +100,7 @@
 
 
 def decode_record(body: bytes) -> Result[Change | Snapshot, ConfigurationError]:
-    """Return the record in `body`, or a failure if it is malformed."""
+    """Return the record in `body`, or a Failure if it is malformed."""
     try:
         content = orjson.loads(body)
         record = content["record"]
@@ -131,7 +131,7 @@
 def parse_sections(
     text: str,
 ) -> Result[dict[str, dict[str, str]], ConfigurationError]:
-    """Return the sections of an INI text, or a failure if it cannot be parsed."""
+    """Return the sections of an INI text, or a Failure if it cannot be parsed."""
     parser = configparser.ConfigParser(
         interpolation=None, strict=True, default_section="\x00none"
     )
@@ -261,7 +261,10 @@
 
 
 def restore_snapshot(snapshot: Snapshot) -> ConfigurationState:
-    """Return the state stored in `snapshot`; raise ConfigurationError if invalid."""
+    """Return the state stored in `snapshot`.
+
+    Raise ConfigurationError if the snapshot is invalid.
+    """
     sections: dict[str, SectionState] = {}
     removed: dict[str, int] = {}
     for name, section in snapshot.sections.items():
--- a/cornelnotch/configuration/follower.py
+++ b/cornelnotch/configuration/follower.py
@@ -175,7 +175,10 @@
         return encode_record(create_snapshot(self.state))
 
     async def append_snapshot(self) -> None:
-        """Append the state to the stream as a snapshot; raise LogUnavailableError."""
+        """Append the state to the stream as a snapshot.
+
+        Raise LogUnavailableError on failure.
+        """
         covers = self.state.covers
         await self._log.append(CONFIGURATION_STREAM, self.encode_state())
         self._events.record(Event.SNAPSHOT_WRITTEN, covers=covers)
--- a/cornelnotch/configuration/publisher.py
+++ b/cornelnotch/configuration/publisher.py
@@ -72,7 +72,10 @@
 
 
 async def read_history(log: LogService) -> History:
-    """Apply all readable records; raise LogUnavailableError."""
+    """Return the history of the configuration stream, as far as it is readable.
+
+    Raise LogUnavailableError if the log service does not respond.
+    """
     records, earliest = await _read_records(log)
     state = ConfigurationState()
     if earliest > 0:
--- a/cornelnotch/configuration/shards.py
+++ b/cornelnotch/configuration/shards.py
@@ -32,7 +32,8 @@
     for (pool, region), names in sorted(_group_servers(configuration).items()):
         limit = configuration.pools[pool].shard_servers
         count = -(-len(names) // limit)
-        # Hash order spreads the servers of each failure domain over all shards.
+        # Sorting by the hash of the name, not by the name itself, spreads servers of
+        # one failure domain over several shards, even if names follow a pattern.
         names.sort(key=lambda name: (hash_text(name), name))
         for index in range(count):
             shard = f"{pool}/{region}/{index}"
--- a/cornelnotch/kernel/__init__.py
+++ b/cornelnotch/kernel/__init__.py
@@ -39,7 +39,8 @@
 
 
 def __getattr__(name: str) -> Any:
-    # Hosts of the platform create no identifiers; the import takes 4 MB of memory.
+    # Imported on first use because the module takes 4 MB of memory, and hosts on the
+    # platform create no identifiers.
     if name in {"create_identifier", "parse_key_time"}:
         from cornelnotch.kernel import identifiers
 
--- a/cornelnotch/membership/prober.py
+++ b/cornelnotch/membership/prober.py
@@ -120,7 +120,8 @@
     def _ping_dead(self) -> None:
         """Occasionally ping a dead host.
 
-        After a network partition, each side considers the other dead.
+        After a network partition, each side considers the other dead; these pings
+        let them find each other again.
         """
         if self._generator.random() >= PING_DEAD_PROBABILITY:
             return
--- a/cornelnotch/membership/table.py
+++ b/cornelnotch/membership/table.py
@@ -162,7 +162,10 @@
         return dead
 
     def list_live(self) -> list[Member]:
-        """Return the hosts that are assigned duties: alive or suspected."""
+        """Return the alive and suspected hosts.
+
+        Shards and claim streams are assigned to these hosts.
+        """
         live_states = {MemberState.ALIVE, MemberState.SUSPECT}
         return [m for m in self.members.values() if m.state in live_states]
 
--- a/cornelnotch/node/node.py
+++ b/cornelnotch/node/node.py
@@ -196,7 +196,8 @@
         self.events.record(Event.HOST_LEAVING)
         self.status.draining = True
         self.prober.announce_state(MemberState.LEAVING)
-        # Callers may use a cached entry response until its TTL expires.
+        # Keeps accepting requests until cached entry responses that list this host
+        # have expired at the callers.
         ttl_ms = self.settings.timing.entry_ttl_ms
         await self.clock.sleep(ttl_ms + DRAIN_MARGIN_MS)
         limit = self.clock.read() + self.settings.timing.drain_limit_ms
--- a/cornelnotch/node/tests/test_regions.py
+++ b/cornelnotch/node/tests/test_regions.py
@@ -70,7 +70,7 @@
         link = await start_two_regions(fleet)
         link.cut()
         version = await fleet.publish("[workspace w]\nconcurrent = 4\n")
-        # The disconnected host gets the version from peers within the required 8 s.
+        # The disconnected host must get the version from its peers within 8 s.
         async with asyncio.timeout(8.0):
             await fleet.wait_ready(version)
         await link.stop()
@@ -182,7 +182,7 @@
 
 
 def start_drafts(fleet, count, tokens):
-    """Start draft requests that are retried when the queue is full."""
+    """Start requests of the low-tier class `draft`, retried if they are refused."""
     caller = fleet.create_caller(
         "guild", deadline_ms=30_000, attempts=20, total_timeout_ms=30_000.0
     )
@@ -191,7 +191,7 @@
 
 
 async def check_refusals(fleet, results):
-    """Check every refusal by the trace of its request."""
+    """Check the outcome, retry delay and trace of every refused request."""
     refused = [r for r in results if not r.complete]
     assert refused, "no request was refused, so the check is void"
     for result in refused:
@@ -206,7 +206,7 @@
         quotes = await send_quotes(fleet, OVERLOAD_QUOTES // 9)
         drafts = start_drafts(fleet, 6, 20)
         quotes += await send_quotes(fleet, OVERLOAD_QUOTES)
-        # A draft that starts to wait during the overload is served during it.
+        # At least one low-tier request completes while the overload lasts.
         assert any(task.done() for task in drafts)
         await check_refusals(fleet, await asyncio.gather(*quotes))
         finished = await asyncio.gather(*drafts)
@@ -229,7 +229,7 @@
 
 
 async def check_not_refused_for_lower_tier(fleet, result):
-    """Check that at most one lower-tier request ran when `result` was refused."""
+    """Check that at most one request of class `draft` ran when `result` was refused."""
     trace = await fleet.explain(result.request_id)
     (refusal,) = [d for d in trace["decisions"] if d["stage"] == "refused"]
     for row in refusal["details"]["occupancy"]:
--- a/cornelnotch/observation/metrics.py
+++ b/cornelnotch/observation/metrics.py
@@ -97,7 +97,7 @@
         self._first_token.observe({"class": class_name}, duration_ms / 1000.0)
 
     def observe_queued(self, class_name: str, duration_ms: float) -> None:
-        """Observe the time from arrival to permit in ms."""
+        """Observe the time in ms that a request waited before its dispatch."""
         self._queued.observe({"class": class_name}, duration_ms / 1000.0)
 
     def set_state(self, name: str, value: float) -> None:
--- a/cornelnotch/packaging/unpacking.py
+++ b/cornelnotch/packaging/unpacking.py
@@ -16,8 +16,8 @@
 def choose_folder(arguments: list[str]) -> str:
     """Return the directory to unpack to.
 
-    It is `[node] unpack` of the settings file in `arguments`, else the environment
-    variable, else the default.
+    It is `[node] unpack` of the settings file in `arguments`, else CORNELNOTCH_HOME
+    from the environment, else the default.
     """
     if len(arguments) == 2 and arguments[0] == "node":
         parser = configparser.ConfigParser(interpolation=None)
@@ -25,7 +25,7 @@
             parser.read(arguments[1], encoding="utf-8")
             folder = parser.get("node", "unpack", fallback="")
         except (configparser.Error, UnicodeDecodeError):
-            # The program itself reports errors in the file.
+            # Ignored here: the program reports errors in the file after unpacking.
             folder = ""
         if folder:
             return folder
