--- a/benchmarks/burst.py
+++ b/benchmarks/burst.py
@@ -33,7 +33,7 @@
 
 
 def create_classes(load: float) -> list[ModelClass]:
-    """Return the classes; in the burst, quotes reach `load` times the capacity."""
+    """Return the classes; the burst of class `quote` is `load` times the capacity."""
     service_ms = PREFILL_MS + QUOTE_TOKENS * 1.083 * TOKEN_MS
     capacity = ENGINES * SLOTS / service_ms * 1000.0
     quote = ModelClass(
@@ -66,11 +66,11 @@
 def count_attained_by_oracle(
     arrivals: list[Arrival], engines: list[ModelEngine], shortest_first: bool
 ) -> int:
-    """Return the number of quotes that meet their target if lengths are known.
+    """Return how many requests meet their target if response lengths are known.
 
-    The oracle serves only quotes and drops those that can no longer meet their target.
-    It serves the shortest first, or the oldest first for comparison with policies that
-    do not know the lengths. Both orders are greedy.
+    The oracle serves only class `quote` and drops requests that can no longer meet
+    their target. It serves the shortest first, or the oldest first for comparison with
+    policies that do not know the lengths. Both orders are greedy.
     """
     places = [
         (0.0, index, engine)
@@ -110,7 +110,11 @@
 
 
 def count_tier_violations(result: ModelResult, rule: ShardConfig) -> int:
-    """Return the number of capacity refusals while a lower tier exceeds its floor."""
+    """Return how many requests were refused while a lower tier exceeded its floor.
+
+    The floor of a class is the number of slots or queue places reserved for it, at
+    least 1. Refusals for a workspace limit are not counted.
+    """
     slots = sum(server.slots for server in rule.servers.values())
     broken = 0
     for record in result.refusals:
--- a/benchmarks/forecast.py
+++ b/benchmarks/forecast.py
@@ -2,8 +2,8 @@
 
 Run with ``python -m benchmarks.forecast LOG``, where LOG contains the JSON log lines of
 hosts, each with an optional prefix. A host logs the predicted prefill time when a
-request gets its turn, and the observed time to the first event and the longest pause
-when the request is answered.
+request leaves the admission queue, and the observed time to the first event and the
+longest pause when the request is answered.
 """
 
 import sys
@@ -52,7 +52,7 @@
 
 
 def collect_forecasts(events: Iterable[dict[str, Any]]) -> list[Forecast]:
-    """Return the forecasts of all requests that were answered after a turn."""
+    """Return the forecasts of all answered requests with a predicted prefill time."""
     forecasts: dict[str, Forecast] = defaultdict(Forecast)
     for event in events:
         fields = event["fields"]
--- a/benchmarks/keying.py
+++ b/benchmarks/keying.py
@@ -30,7 +30,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Fleet:
-    """Sizes of one comparison."""
+    """Size of a fleet; `large` is the number of large workspaces."""
 
     hosts: int
     shards: int
@@ -41,7 +41,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Placement:
-    """Hosts that serve the stages of a request."""
+    """Hosts that serve the entry, the permit and the claim of a request."""
 
     entry: str
     dispatcher: str
@@ -50,7 +50,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Comparison:
-    """Costs of a partitioning, per request."""
+    """Mean costs per request of a partitioning of the stages over hosts.
+
+    `moved` is the fraction of requests whose hosts change when one host leaves, and
+    `imbalance` the highest load of a host relative to the mean.
+    """
 
     messages: float
     bytes: float
--- a/benchmarks/losses.py
+++ b/benchmarks/losses.py
@@ -34,7 +34,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Loss:
-    """Part of a score of 1 that is lost to one cause."""
+    """Part of the maximum score, 1, that is lost to one cause."""
 
     cause: str
     amount: float
--- a/benchmarks/turns.py
+++ b/benchmarks/turns.py
@@ -1,8 +1,9 @@
-"""Compare the share of requests served in time with and without turns.
+"""Compare the fraction of requests in time with and without admission queues.
 
 Run with ``python -m benchmarks.turns [PLOT]``. Chats and long prompts with shared
 prefixes are sent to ten engines in virtual time, the same requests for each policy. A
-chart of the share in time over the load is written to PLOT, an ``.svg`` file.
+chart of the fraction in time at each load is written to PLOT, an ``.svg`` file. In the
+results, "turns" means that engines have admission queues.
 """
 
 import random
@@ -36,7 +37,7 @@
 
 @dataclass(frozen=True, slots=True)
 class TurnPolicy:
-    """Whether prompts wait for turns and whether engines are reserved for chats."""
+    """Whether engines have admission queues and some are reserved for chats."""
 
     name: str
     turns: bool
@@ -78,7 +79,7 @@
 
 
 def compute_share_in_time(outcomes: list[Outcome], latency_sensitive: bool) -> float:
-    """Return the share of a kind that met its first-token and gap targets."""
+    """Return the fraction of chats or long prompts that met both latency targets."""
     target = CHAT_TARGET_MS if latency_sensitive else LONG_TARGET_MS
     gap = CHAT_GAP_MS if latency_sensitive else LONG_GAP_MS
     kind = [o for o in outcomes if o.request.latency_sensitive is latency_sensitive]
@@ -94,7 +95,7 @@
 
 
 def write_chart(rows: dict[str, list[float]], path: Path) -> None:
-    """Write a chart of the share in time over the load by kind and policy."""
+    """Write a chart with the fraction of requests in time at each load."""
     chart = pygal.Line(
         title="Share in time by long prompts per second, ten engines",
         style=CleanStyle,
--- a/cornelnotch/load/caller.py
+++ b/cornelnotch/load/caller.py
@@ -120,7 +120,7 @@
         key: str | None = None,
         retry: bool = True,
     ) -> CallResult:
-        """Call a service; a key makes retries idempotent."""
+        """Call a service; with a key, it runs at most once despite retries."""
         target = f"/v1/services/{service}{path}"
         body = orjson.dumps(content)
         return await self._send_with_retries("POST", target, labels, body, key, retry)
@@ -128,7 +128,7 @@
     async def book(
         self, service: str, path: str, content: object, labels: str
     ) -> CallResult:
-        """Call a service with a new key, so that retries run at most once."""
+        """Call a service with a new key, so it runs at most once despite retries."""
         key = create_identifier()
         return await self.call(service, path, content, labels, key)
 
--- a/cornelnotch/load/generator.py
+++ b/cornelnotch/load/generator.py
@@ -52,7 +52,7 @@
 
 
 def _choose_workspace(generator: random.Random, count: int, large: float) -> str:
-    """Return a random workspace; a few workspaces get the share `large` of calls."""
+    """Return a random workspace; a fraction `large` of calls goes to a few of them."""
     few = max(count // 5, 1)
     if generator.random() < large:
         return f"w{generator.randrange(few)}"
--- a/cornelnotch/load/scenario.py
+++ b/cornelnotch/load/scenario.py
@@ -63,7 +63,7 @@
 
 
 class FaultEvent(ScenarioSection):
-    """Fault set on a simulated server at a time; `set` lists the settings."""
+    """Fault to inject into a simulated server; `set` has ``name=value`` pairs."""
 
     at_s: Seconds
     target: str
--- a/cornelnotch/standins/engine.py
+++ b/cornelnotch/standins/engine.py
@@ -136,7 +136,7 @@
             await exchange.respond_json(404, {"error": "unknown path"})
 
     def count(self) -> dict[str, int]:
-        """Return the counters since the start."""
+        """Return counts of tokens, prefills and prefix cache hits since the start."""
         return {
             "generated": self.generated,
             "delivered": self.delivered,
--- a/cornelnotch/standins/platform.py
+++ b/cornelnotch/standins/platform.py
@@ -70,7 +70,7 @@
         await self.server.stop()
 
     def list_host(self, entry: HostEntry) -> None:
-        """Add or update a host; the change is visible after the lag."""
+        """Add or update a host; the change is visible after `host_list_lag_ms`."""
         self._hosts[entry.name] = entry
         self._host_history.append((self._clock.read(), dict(self._hosts)))
 
--- a/cornelnotch/standins/service.py
+++ b/cornelnotch/standins/service.py
@@ -23,7 +23,7 @@
 
 
 class ServiceStandin:
-    """Simulated service that counts the executions of each booking."""
+    """Simulated service that counts executions by the reference of the call."""
 
     def __init__(
         self, name: str, clock: Clock, profile: ServiceProfile | None = None
--- a/cornelnotch/standins/store.py
+++ b/cornelnotch/standins/store.py
@@ -41,10 +41,11 @@
 
 
 class StoreStandin:
-    """Simulated store; `fault` is empty, `busy` or `silent`.
+    """Simulated store of the platform.
 
-    Reads of `silent_topics` get no response. Every response includes `timeline`, unless
-    it is empty.
+    With the `fault` `busy` it responds that it is unavailable, and with `silent` not at
+    all; an empty `fault` means none. Reads of `silent_topics` get no response. Every
+    response includes `timeline`, unless it is empty.
     """
 
     def __init__(self) -> None:
--- a/cornelnotch/testing/enginemodel.py
+++ b/cornelnotch/testing/enginemodel.py
@@ -100,7 +100,7 @@
     read_tokens: int = 0
 
     def submit(self, run: EngineRequest, now: float) -> None:
-        """Queue a request for its turn, or admit it immediately without turns."""
+        """Add a request to the admission queue, or admit it if there is no queue."""
         if self.queue is None:
             self.admit(run)
             return
@@ -110,7 +110,7 @@
         self.admit_granted(now)
 
     def admit_granted(self, now: float) -> None:
-        """Admit the requests whose turn has come."""
+        """Admit the requests that the admission queue grants."""
         if self.queue is not None:
             for entry in self.queue.grant(now):
                 self.admit(self.waiting.pop(entry.request_id))
@@ -185,7 +185,7 @@
                 self.queue.remove(outcome.request.name)
 
     def _report_progress(self, run: EngineRequest) -> None:
-        """Report the progress of a stream to the turn queue."""
+        """Report the progress of a stream to the admission queue."""
         run.last_report_ms = self.free_ms
         progress = run.in_flight.take_progress()
         if self.queue is not None and progress is not None:
@@ -229,7 +229,7 @@
 def create_engines(
     count: int, queued: bool = False, shape: EngineShape | None = None
 ) -> list[EngineModel]:
-    """Return idle engines of one failure domain, with or without turns."""
+    """Return idle engines of one failure domain; if `queued`, with admission queues."""
     shape = shape or EngineShape()
     engines = []
     for number in range(count):
--- a/cornelnotch/testing/processes.py
+++ b/cornelnotch/testing/processes.py
@@ -225,7 +225,7 @@
         return content if isinstance(content, dict) else {}
 
     async def read_ledger(self, name: str) -> dict[str, int]:
-        """Return how many times a service executed each booking."""
+        """Return how many times a service executed each call, by reference."""
         server = self.servers[name]
         _, content = await self.client.request_json(server.http, "GET", "/ledger")
         assert isinstance(content, dict)
@@ -241,7 +241,7 @@
         return content
 
     def create_caller(self, workspace: str = "heelmark", **options: object) -> Caller:
-        """Return a caller with all hosts as seeds."""
+        """Return a caller that can get entry addresses from every host."""
         seeds = [host.http for host in self.hosts.values()]
         settings = CallerOptions(workspace, **options)  # type: ignore[arg-type]
         caller = Caller(seeds, settings, create_clock())
--- a/cornelnotch/testing/shardmodel.py
+++ b/cornelnotch/testing/shardmodel.py
@@ -95,7 +95,7 @@
 
 @dataclass(slots=True)
 class Stream:
-    """Dispatch in progress."""
+    """Response that an engine is generating for a request."""
 
     arrival: Arrival
     engine: ModelEngine
@@ -317,7 +317,7 @@
                 self._active[stream.engine.name] += 1
 
     def _compute_share(self, engine: ModelEngine) -> float:
-        """Return the relative speed of a stream when streams exceed the slots."""
+        """Return the relative speed of streams, below 1 if they exceed the slots."""
         return min(1.0, engine.slots / max(self._active[engine.name], 1))
 
     def _record_tokens(self, stream: Stream, count: int, now: float) -> None:
--- a/cornelnotch/verification/claims.py
+++ b/cornelnotch/verification/claims.py
@@ -31,7 +31,7 @@
 
 
 class ClaimMutant(StrEnum):
-    """Mechanism that is removed from the protocol."""
+    """Protocol variant: unmodified (`NONE`) or with the described fault."""
 
     NONE = "none"
     NO_READ_BACK = "dispatch before the claim is read back"
--- a/cornelnotch/verification/configuration.py
+++ b/cornelnotch/verification/configuration.py
@@ -34,7 +34,7 @@
 
 
 class ConfigurationMutant(StrEnum):
-    """Mechanism that is removed from the protocol."""
+    """Protocol variant: unmodified (`NONE`) or with the described fault."""
 
     NONE = "none"
     NEWEST_SNAPSHOT = "take the snapshot that stands last in the log"
@@ -43,7 +43,7 @@
 
 
 class Host(NamedTuple):
-    """Configuration that a host has folded; `covers` is -1 initially."""
+    """Configuration of a host up to log offset `covers`, which is -1 initially."""
 
     covers: int
     version: int
@@ -95,7 +95,8 @@
             return apply_record(state, offset, b"{}").state
         change = CHANGES[number]
         if self._mutant is ConfigurationMutant.NO_BASE and offset % 2:
-            # Without the base check, the outcome depends on the position in the log.
+            # The mutant skips the base check at odd offsets, so whether an outdated
+            # change is accepted depends on its position in the log.
             change = Change(change.change_id, state.version, change.text)
         return apply_record(state, offset, encode_record(change)).state
 
--- a/cornelnotch/verification/order.py
+++ b/cornelnotch/verification/order.py
@@ -43,7 +43,7 @@
 
 
 class OrderMutant(StrEnum):
-    """Mechanism that is removed from the scheduler."""
+    """Scheduler variant: unmodified (`NONE`) or with the described fault."""
 
     NONE = "none"
     NO_VICTIM = "refuse the newcomer whatever waits below it"
@@ -120,7 +120,7 @@
 
 
 class NoVictimRescueShard(Shard):
-    """Mutant that rejects queue victims instead of displacing for them."""
+    """Mutant that rejects a queue victim without trying to free a slot for it."""
 
     def _make_room(self, item: QueuedRequest, now: float) -> list[Effect]:
         victim = self.discipline.choose_victim(item)
@@ -145,7 +145,7 @@
 
 
 class SmallNoVictimRescueShard(NoVictimRescueShard, SmallShard):
-    """Mutant without displacement for queue victims, with a short queue."""
+    """Mutant that frees no slot for a queue victim, with a short queue."""
 
 
 class OrderTransitions:
@@ -295,8 +295,8 @@
 ) -> Protocol:
     """Return the scheduling model, or a mutant that violates an invariant.
 
-    Histories have up to `depth` events: two tiers with the passing of time, or three
-    tiers without it.
+    Histories have up to `depth` events. `TWO_TIERS` includes an event that advances
+    time; `THREE_TIERS` does not.
     """
     system = OrderTransitions(mutant, depth, events)
     return Protocol(
--- a/cornelnotch/verification/restoration.py
+++ b/cornelnotch/verification/restoration.py
@@ -21,7 +21,7 @@
 
 
 class RestorationMutant(StrEnum):
-    """Mechanism that is removed from the protocol."""
+    """Protocol variant: unmodified (`NONE`) or with the described fault."""
 
     NONE = "none"
     NO_TIMELINE = "order by offset alone"
@@ -61,7 +61,7 @@
 
 
 class State(NamedTuple):
-    """State of the system; the log lists the versions in the last timeline."""
+    """State of the system; `log` contains the versions in the current timeline."""
 
     timeline: int
     log: tuple[int, ...]
@@ -242,7 +242,7 @@
 
 
 def _lists_last_version(values: dict) -> bool:
-    """Return whether each host at the end of the log has its last version."""
+    """Return whether every host that has read the whole log lists the last version."""
     log = values["log"]
     newest = log[-1] if log else NO_VERSION
     return all(
@@ -259,8 +259,8 @@
 ) -> Protocol:
     """Return the protocol, or a mutant that violates an invariant.
 
-    The store is restored until it reaches the last of `timelines`; `restarts` bounds
-    the restarts of all hosts together.
+    The store starts in timeline 1, and each restoration begins the next one, up to
+    timeline `timelines`. `restarts` limits the total restarts of both hosts.
     """
     system = RestorationTransitions(mutant, timelines, restarts)
     initial = State(1, (), NO_VERSION, (Host(), Host()), None, 0, False, False)
