--- a/cornelnotch/gateway/admission_client.py
+++ b/cornelnotch/gateway/admission_client.py
@@ -1,6 +1,6 @@
-"""Request admission to an engine, and proceed if its coordinator does not answer.
+"""Request admission to an engine, and proceed if its controller does not answer.
 
-The coordinator of an engine is the host that is selected by hash of the engine's name.
+The controller of an engine is the host that is selected by hash of the engine's name.
 """
 
 import asyncio
@@ -26,19 +26,19 @@
 
 # Period at which waiting requests are sent again; answers carry a wait estimate.
 ASK_PERIOD_MS = 200.0
-# Running requests are reported again so that a new coordinator learns of them.
+# Running requests are reported again so that a new controller learns of them.
 REPORT_PERIOD_MS = 1500.0
-# A coordinator answers within one round trip between regions; after this time it counts
+# A controller answers within one round trip between regions; after this time it counts
 # as unresponsive.
 ANSWER_TIMEOUT_MS = 400.0
-# How long requests do not wait for an unresponsive coordinator.
+# How long requests do not wait for an unresponsive controller.
 UNRESPONSIVE_MS = 2000.0
 
 
 class AdmissionResult(StrEnum):
     """Outcome of a wait for admission.
 
-    UNANSWERED means that the coordinator did not answer and the request proceeds
+    UNANSWERED means that the controller did not answer and the request proceeds
     without a grant. ENGINE_LOST means that the engine must no longer be used,
     BETTER_ENGINE that another one is likely to serve the request sooner, INFEASIBLE
     that the caller would leave before the request is admitted.
@@ -58,7 +58,7 @@
     request_id: str
     shared: list[PromptPart]
     own_tokens: int
-    coordinator: str
+    controller: str
     view: ServerView
     in_flight: InFlightRequest
     arrived_ms: float = 0.0
@@ -88,14 +88,14 @@
         self._list_hosts = list_hosts
         self._is_listed = is_listed
         self._states: dict[str, AdmissionState] = {}
-        self._coordinators: dict[str, str] = {}
+        self._controllers: dict[str, str] = {}
         self._silent_since_ms: dict[str, float] = {}
         peers.subscribe(AdmissionGrant, self._receive_grant)
         peers.subscribe(AdmissionQueued, self._receive_wait)
 
     def reset_controllers(self) -> None:
-        """Clear the cached coordinators after a change of the set of hosts."""
-        self._coordinators.clear()
+        """Clear the cached controllers after a change of the set of hosts."""
+        self._controllers.clear()
         self._silent_since_ms = {
             k: t for k, t in self._silent_since_ms.items() if self._is_unresponsive(k)
         }
@@ -124,7 +124,7 @@
         state.target_ms = target_ms
         state.arrived_ms = arrived_ms
         state.wait_limit_ms = wait_limit_ms
-        if self._is_unresponsive(state.coordinator):
+        if self._is_unresponsive(state.controller):
             return self._proceed_unanswered(state)
         self._send_ask(state, "waiting")
         while True:
@@ -157,7 +157,7 @@
             self._send_end(state)
 
     async def run_reports(self) -> None:
-        """Report running requests to their coordinators until cancelled."""
+        """Report running requests to their controllers until cancelled."""
         while True:
             await self._clock.sleep(ASK_PERIOD_MS)
             now = self._clock.read()
@@ -166,7 +166,7 @@
                     self._report(state, now)
 
     def _report(self, state: AdmissionState, now: float) -> None:
-        if self._update_coordinator(state) or now - state.sent_ms >= REPORT_PERIOD_MS:
+        if self._update_controller(state) or now - state.sent_ms >= REPORT_PERIOD_MS:
             self._send_ask(state, "begun" if state.prefilled else "sent")
 
     def _open_state(
@@ -178,9 +178,9 @@
         now = self._clock.read()
         shared = list(request.prompt[:-1])
         own = request.prompt_tokens - sum(part.tokens for part in shared)
-        coordinator = self._find_coordinator(view)
+        controller = self._find_controller(view)
         name = request.request_id
-        state = AdmissionState(name, shared, max(own, 0), coordinator, view, in_flight)
+        state = AdmissionState(name, shared, max(own, 0), controller, view, in_flight)
         state.answered_ms = state.sent_ms = now
         self._states[name] = state
         return state
@@ -190,34 +190,34 @@
         now = self._clock.read()
         if not self._is_listed(state.view) or now < state.view.ejected_until_ms:
             return AdmissionResult.ENGINE_LOST
-        if self._update_coordinator(state):
+        if self._update_controller(state):
             state.answered_ms = now
-        elif self._is_unresponsive(state.coordinator):
+        elif self._is_unresponsive(state.controller):
             return self._proceed_unanswered(state)
         elif now - state.answered_ms >= ANSWER_TIMEOUT_MS:
-            self._silent_since_ms[state.coordinator] = now
+            self._silent_since_ms[state.controller] = now
             return self._proceed_unanswered(state)
         if state.has_better_server():
             return AdmissionResult.BETTER_ENGINE
         self._send_ask(state, "waiting")
         return None
 
-    def _update_coordinator(self, state: AdmissionState) -> bool:
-        """Switch to the current coordinator; return whether it has changed."""
-        coordinator = self._find_coordinator(state.view)
-        if coordinator == state.coordinator:
+    def _update_controller(self, state: AdmissionState) -> bool:
+        """Switch to the current controller; return whether it has changed."""
+        controller = self._find_controller(state.view)
+        if controller == state.controller:
             return False
         self._send_end(state)
-        state.coordinator = coordinator
+        state.controller = controller
         return True
 
     def _send_end(self, state: AdmissionState) -> None:
         progress = state.in_flight.take_progress()
         end = AdmissionEnd(state.request_id, state.view.record.name, progress)
-        self._peers.send(state.coordinator, end)
+        self._peers.send(state.controller, end)
 
     def _proceed_unanswered(self, state: AdmissionState) -> AdmissionResult:
-        """Proceed without an answer, reporting the request to the coordinator."""
+        """Proceed without an answer, reporting the request to the controller."""
         state.granted = True
         self._send_ask(state, "sent")
         return AdmissionResult.UNANSWERED
@@ -237,25 +237,24 @@
             state.in_flight.take_progress(),
             state.target_ms,
         )
-        self._peers.send(state.coordinator, ask)
+        self._peers.send(state.controller, ask)
 
-    def _is_unresponsive(self, coordinator: str) -> bool:
-        """Return whether a coordinator recently failed to answer."""
+    def _is_unresponsive(self, controller: str) -> bool:
+        """Return whether a controller recently failed to answer."""
         now = self._clock.read()
         return (
-            now - self._silent_since_ms.get(coordinator, float("-inf"))
-            < UNRESPONSIVE_MS
+            now - self._silent_since_ms.get(controller, float("-inf")) < UNRESPONSIVE_MS
         )
 
-    def _find_coordinator(self, view: ServerView) -> str:
-        """Return the host that coordinates admission to an engine."""
+    def _find_controller(self, view: ServerView) -> str:
+        """Return the host that controls admission to an engine."""
         name = view.record.name
-        coordinator = self._coordinators.get(name)
-        if coordinator is None:
+        controller = self._controllers.get(name)
+        if controller is None:
             hosts = self._list_hosts(view)
-            coordinator = select_owner(f"turns {name}", hosts) or self._peers.name
-            self._coordinators[name] = coordinator
-        return coordinator
+            controller = select_owner(f"turns {name}", hosts) or self._peers.name
+            self._controllers[name] = controller
+        return controller
 
     def _receive_grant(self, sender: str, grant: AdmissionGrant) -> None:
         state = self._note_answer(sender, grant.request_id, grant.server)
--- a/cornelnotch/gateway/admission_controller.py
+++ b/cornelnotch/gateway/admission_controller.py
@@ -1,4 +1,4 @@
-"""Coordinate admission to the engines that are assigned to this host."""
+"""Control admission to the engines that are assigned to this host."""
 
 import asyncio
 from dataclasses import dataclass
@@ -135,7 +135,7 @@
         return AdmissionQueue(view.record.slots, tokens, estimate)
 
     def list_rates(self) -> list[EngineRates]:
-        """Return the measured rates of the engines that this host coordinates."""
+        """Return the measured rates of the engines that this host controls."""
         return [
             engine_queue.queue.estimate.rates for engine_queue in self._queues.values()
         ]
--- a/cornelnotch/gateway/tests/test_admission_client.py
+++ b/cornelnotch/gateway/tests/test_admission_client.py
@@ -1,4 +1,4 @@
-"""Test how a host waits for admission, also when the coordinator is silent."""
+"""Test how a host waits for admission, also when the controller is silent."""
 
 import asyncio
 
@@ -41,7 +41,7 @@
 
 
 class Setup:
-    """A client, one engine and the hosts that may coordinate its admission."""
+    """A client, one engine and the hosts that may control its admission."""
 
     def __init__(self):
         self.peers = RecordingPeers()
@@ -84,7 +84,7 @@
     asyncio.run(run())
 
 
-def test_a_request_waits_while_its_coordinator_answers():
+def test_a_request_waits_while_its_controller_answers():
     async def scenario(setup):
         wait = setup.start()
         for _ in range(8):
@@ -116,7 +116,7 @@
     run_scenario(scenario)
 
 
-def test_a_silent_coordinator_delays_only_one_request():
+def test_a_silent_controller_delays_only_one_request():
     async def scenario(setup):
         assert await setup.start() is AdmissionResult.UNANSWERED
         assert setup.peers.list_asks("sent")
@@ -132,7 +132,7 @@
     run_scenario(scenario)
 
 
-def test_a_new_coordinator_is_asked_when_hosts_change():
+def test_a_new_controller_is_asked_when_hosts_change():
     async def scenario(setup):
         wait = setup.start()
         await asyncio.sleep(0.01)
@@ -183,7 +183,7 @@
     run_scenario(scenario)
 
 
-def test_running_requests_are_reported_again_and_at_once_to_a_new_coordinator():
+def test_running_requests_are_reported_again_and_at_once_to_a_new_controller():
     async def scenario(setup):
         wait = setup.start()
         await asyncio.sleep(0)
--- a/cornelnotch/gateway/tests/test_admission_controller.py
+++ b/cornelnotch/gateway/tests/test_admission_controller.py
@@ -1,4 +1,4 @@
-"""Test the answers of an admission coordinator and which state it drops."""
+"""Test the answers of an admission controller and which state it drops."""
 
 import asyncio
 import inspect
@@ -18,8 +18,8 @@
 SHARED_PREFIX = [PromptPart("thing", 40_000)]
 
 
-class CoordinatorHarness:
-    """The coordinator of a host, recording what it sends to other hosts."""
+class ControllerHarness:
+    """The controller of a host, recording what it sends to other hosts."""
 
     def __init__(self, host):
         self.host = host
@@ -48,7 +48,7 @@
 def run_scenario(scenario):
     async def run():
         async with run_deployment() as deployment:
-            result = scenario(CoordinatorHarness(deployment.host))
+            result = scenario(ControllerHarness(deployment.host))
             if inspect.isawaitable(result):
                 await result
 
--- a/cornelnotch/gateway/tests/test_admission_path.py
+++ b/cornelnotch/gateway/tests/test_admission_path.py
@@ -254,7 +254,7 @@
     run_scenario(scenario)
 
 
-def test_coordinators_receive_gap_limits_and_progress_of_streams():
+def test_controllers_receive_gap_limits_and_progress_of_streams():
     async def scenario(d, engine):
         routes = [
             create_route("chat", "/stream/", "streaming", "llm", target_itl_ms=100),
--- a/cornelnotch/gateway/tests/test_admission_queue.py
+++ b/cornelnotch/gateway/tests/test_admission_queue.py
@@ -125,7 +125,7 @@
     assert list(queue.entries) == ["later"]
 
 
-def test_new_coordinator_counts_requests_granted_before():
+def test_new_controller_counts_requests_granted_before():
     queue = create_queue(create_entry("sent", own=20_000, granted=True))
     queue.add_or_refresh(create_entry("waits"))
     assert list_granted(queue) == []
