gateway: log how each response was framed and what was left after its last event

REQUEST_ANSWERED (6006) gets framed and remainder_bytes. They tell the hypotheses on truncated streams apart: no framing at all, a framed response that was cut short, or an end made by the host.

--- a/cornelnotch/gateway/dispatch.py
+++ b/cornelnotch/gateway/dispatch.py
@@ -43,6 +43,11 @@
         """Return the headers to forward."""
         return self.head.headers if self.head is not None else []
 
+    @property
+    def framed(self) -> bool:
+        """Return whether the body has an end besides that of its connection."""
+        return self.http_response is not None and self.http_response.framed
+
     async def read_chunk(self) -> bytes:
         """Return the next chunk of the body, or b"" at its end.
 
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -493,7 +493,9 @@
         except UpstreamError as error:
             response.close()
             return UpstreamResponse(DispatchOutcome.BROKEN, error.problem)
-        self._finish(response.head.status, self.context.clock.read())
+        self._finish(
+            response.head.status, self.context.clock.read(), framed=response.framed
+        )
         return None
 
     async def _forward_stream(
@@ -539,6 +541,8 @@
             in_flight.first_ms,
             count=self.splitter.count,
             longest_gap_ms=round(in_flight.gap_ms, 1),
+            framed=response.framed,
+            remainder_bytes=len(remainder),
         )
         return None
 
--- a/cornelnotch/web/client.py
+++ b/cornelnotch/web/client.py
@@ -25,6 +25,8 @@
 # within this time.
 HEAD_TIMEOUT_S = 2.0
 MAX_INFORMATIONAL_RESPONSES = 8
+BODILESS_STATUSES = frozenset({204, 304})
+FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 
 
 def parse_address(text: str) -> tuple[str, int]:
@@ -37,6 +39,13 @@
     return name.strip("[]"), int(port)
 
 
+def is_framed(method: bytes, response: h11.Response) -> bool:
+    """Return whether a response ends independently of its connection."""
+    if method == b"HEAD" or response.status_code in BODILESS_STATUSES:
+        return True
+    return any(name in FRAMING_HEADERS for name, _ in response.headers)
+
+
 class ClientConnection:
     """One connection to a server, used for one request at a time."""
 
@@ -155,13 +164,17 @@
 
 @dataclass(slots=True)
 class HttpResponse:
-    """The head of a response, with methods to read its body."""
+    """The head of a response, with methods to read its body.
+
+    Only the end of the connection marks the end of a body that is not `framed`.
+    """
 
     status: int
     raw_headers: list[tuple[bytes, bytes]]
     address: str
     connection: ClientConnection
     client: "HttpClient"
+    framed: bool = True
     complete: bool = field(default=False)
 
     @property
@@ -277,7 +290,12 @@
                 "retry if the work may be repeated",
             )
         return HttpResponse(
-            event.status_code, list(event.headers), address, connection, self
+            event.status_code,
+            list(event.headers),
+            address,
+            connection,
+            self,
+            is_framed(head.method, event),
         )
 
     async def request_json(
