--- a/cornelnotch/standins/raw.py
+++ b/cornelnotch/standins/raw.py
@@ -1,26 +1,51 @@
 """Simulated faulty server that sends arbitrary, possibly endless responses."""
 
 import asyncio
+import socket
+import struct
 from contextlib import suppress
 from dataclasses import dataclass
+from enum import StrEnum
 
-__all__ = ["RawResponse", "RawUpstream"]
+__all__ = ["ConnectionEnd", "RawResponse", "RawUpstream", "reset_on_close"]
 
 HEAD_END = b"\r\n\r\n"
 ID_FIELD = b"x-attempt-id:"
 
 
+# Lets the peer read what was sent before the connection is reset.
+RESET_DELAY_S = 0.03
+
+
+class ConnectionEnd(StrEnum):
+    """What the server does with a connection after a response."""
+
+    KEEP = "keep"
+    CLOSE = "close"
+    RESET = "reset"
+    CLOSE_AND_EXIT = "close-and-exit"
+
+
 @dataclass(frozen=True, slots=True)
 class RawResponse:
     """Bytes of a response; `ID` in `start` is replaced by the id of the request.
 
     After `start`, `repeated` is written every `pause_ms` until the caller closes the
-    connection.
+    connection. Without `repeated`, the connection ends as `end` says; a server that
+    exits accepts no further connections.
     """
 
     start: bytes
     repeated: bytes = b""
     pause_ms: float = 0.0
+    end: ConnectionEnd = ConnectionEnd.KEEP
+
+
+def reset_on_close(writer: asyncio.StreamWriter) -> None:
+    """Make closing the connection of `writer` reset it."""
+    writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
 
 
 class RawUpstream:
@@ -32,25 +57,34 @@
         self.requests = 0
         self.closed = 0
         self._server: asyncio.Server | None = None
+        self._port = 0
+        self._writers: set[asyncio.StreamWriter] = set()
 
     @property
     def address(self) -> str:
         """Return the address that the server listens on."""
-        assert self._server is not None
-        return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        return f"127.0.0.1:{self._port}"
 
     async def start(self) -> None:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        """Listen on a free port, and on the same one after a stop."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self._port)
+        self._port = self._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
-        """Close the listening socket."""
+        """Close the listening socket and all connections."""
+        self._stop_listening()
+        for writer in self._writers:
+            writer.transport.abort()
+        await asyncio.sleep(0)
+
+    def _stop_listening(self) -> None:
         assert self._server is not None
         self._server.close()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self._writers.add(writer)
         with suppress(OSError, asyncio.IncompleteReadError):
             while True:
                 head = await reader.readuntil(HEAD_END)
@@ -59,9 +93,20 @@
                 await writer.drain()
                 if self.answer.repeated:
                     await self._write_repeatedly(writer)
+                if self.answer.end is not ConnectionEnd.KEEP:
+                    await self._end_connection(writer)
+                    break
         self.closed += 1
+        self._writers.discard(writer)
         writer.transport.abort()
 
+    async def _end_connection(self, writer: asyncio.StreamWriter) -> None:
+        if self.answer.end is ConnectionEnd.CLOSE_AND_EXIT:
+            self._stop_listening()
+        if self.answer.end is ConnectionEnd.RESET:
+            await asyncio.sleep(RESET_DELAY_S)
+            reset_on_close(writer)
+
     async def _write_repeatedly(self, writer: asyncio.StreamWriter) -> None:
         while not writer.is_closing():
             writer.write(self.answer.repeated)
