gateway: a response that was cut off never reaches its caller as complete

What callers saw: a short stream with status 200 that was framed as complete, after its engine had crashed.

Cause: responses with neither a length nor chunks end with their connection, and a crashed server closes its connections like one that has finished. The host took the end of the connection for the end of the response, and nothing checked that a stream ends after a complete event.

One function, confirm_end, now decides how a response ended: by its length or last chunk, by the end of its connection, or not at all. A stream must end after a complete event, whatever its framing. Where only the connection marks the end, the server must still accept connections; the new connection replaces the closed one in the pool.

--- a/cornelnotch/gateway/dispatch.py
+++ b/cornelnotch/gateway/dispatch.py
@@ -69,6 +69,12 @@
         """Return whether the body has been read to its end."""
         return self.http_response is not None and self.http_response.complete
 
+    async def is_server_accepting(self) -> bool:
+        """Return whether the server of the response accepts a new connection."""
+        assert self.http_response is not None
+        response = self.http_response
+        return await response.client.is_accepting(response.address)
+
     def close(self) -> None:
         """Discard the rest of the response and close the connection to the server."""
         if self.http_response is not None:
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -20,6 +20,7 @@
     Workspace,
 )
 from cornelnotch.gateway.placement import Placement, PlacementNeed
+from cornelnotch.gateway.response_ends import confirm_end
 from cornelnotch.gateway.retry_after import (
     choose_retry_after_ms,
     estimate_caller_timeout_ms,
@@ -187,7 +188,7 @@
             return True
         response.close()
         # The next server resends the incomplete event in full.
-        self.splitter.take_remainder()
+        self.splitter.restart()
         return False
 
     def _may_resume(self, response: UpstreamResponse) -> bool:
@@ -485,27 +486,35 @@
     async def _forward(
         self, response: UpstreamResponse, view: ServerView, in_flight: InFlightRequest
     ) -> UpstreamResponse | None:
-        if self.route.kind is WorkKind.STREAM:
-            return await self._forward_stream(response, view, in_flight)
         assert response.head is not None
+        has_events = (
+            self.route.kind is WorkKind.STREAM
+            and response.head.status == STATUS_OK
+            and response.head.is_event_stream
+        )
+        if has_events:
+            return await self._forward_stream(response, view, in_flight)
+        if self.exchange.response_started:
+            response.close()
+            return UpstreamResponse(
+                DispatchOutcome.BROKEN,
+                f"status {response.head.status} without events on resume",
+            )
+        # A stream of another type is forwarded as it arrives.
+        is_stream = self.route.kind is WorkKind.STREAM
+        buffered_bytes = 0 if is_stream else MAX_BUFFERED_BYTES
         try:
-            await forward_body(response, self.exchange)
+            end = await forward_body(response, self.exchange, buffered_bytes)
         except UpstreamError as error:
             response.close()
             return UpstreamResponse(DispatchOutcome.BROKEN, error.problem)
-        self._finish(
-            response.head.status, self.context.clock.read(), framed=response.framed
-        )
+        self._finish(response.head.status, self.context.clock.read(), end=end.value)
         return None
 
     async def _forward_stream(
         self, response: UpstreamResponse, view: ServerView, in_flight: InFlightRequest
     ) -> UpstreamResponse | None:
         assert response.head is not None
-        if response.head.status != STATUS_OK and self.exchange.response_started:
-            return UpstreamResponse(
-                DispatchOutcome.BROKEN, f"status {response.head.status} on resume"
-            )
         if not self.exchange.response_started:
             await self.exchange.start(response.head.status, response.headers)
         reader = EventReader(
@@ -525,6 +534,8 @@
                 )
                 if complete:
                     await self.exchange.send(complete)
+                self.splitter.check()
+            end = await confirm_end(response, self.splitter)
         except UpstreamError as error:
             response.close()
             return UpstreamResponse(DispatchOutcome.BROKEN, error.problem)
@@ -541,8 +552,7 @@
             in_flight.first_ms,
             count=self.splitter.count,
             longest_gap_ms=round(in_flight.gap_ms, 1),
-            framed=response.framed,
-            remainder_bytes=len(remainder),
+            end=end.value,
         )
         return None
 
@@ -601,9 +611,12 @@
             assert response.head is not None
             try:
                 body = await response.read_start(MAX_BUFFERED_BYTES)
+                whole = response.is_complete()
+                if whole:
+                    await confirm_end(response)
             except UpstreamError:
-                body = b""
-            if not response.is_complete():
+                whole = False
+            if not whole:
                 response.close()
                 await self._refuse(STATUS_BAD_GATEWAY, "broken")
                 return
--- a/cornelnotch/gateway/forwarding.py
+++ b/cornelnotch/gateway/forwarding.py
@@ -5,6 +5,7 @@
 
 from cornelnotch.exceptions import UpstreamError, UpstreamStalledError
 from cornelnotch.gateway.dispatch import UpstreamResponse
+from cornelnotch.gateway.response_ends import ResponseEnd, confirm_end
 from cornelnotch.gateway.servers import InFlightRequest
 from cornelnotch.kernel.clock import Clock
 from cornelnotch.web import Exchange
@@ -17,16 +18,23 @@
 MAX_BODY_BYTES = 64 * 1024 * 1024
 
 
-async def forward_body(response: UpstreamResponse, exchange: Exchange) -> None:
-    """Forward a complete response; raise UpstreamError if it is cut off or too large.
+async def forward_body(
+    response: UpstreamResponse,
+    exchange: Exchange,
+    buffered_bytes: int = MAX_BUFFERED_BYTES,
+) -> ResponseEnd:
+    """Forward a complete response and return how it ended.
 
-    Nothing was sent to the caller as long as `exchange` has not started.
+    Raise UpstreamError if it is cut off or too large. Nothing was sent to the caller
+    as long as `exchange` has not started, which it does once the body exceeds
+    `buffered_bytes`.
     """
     assert response.head is not None
-    body = await response.read_start(MAX_BUFFERED_BYTES)
+    body = await response.read_start(buffered_bytes)
     if response.is_complete():
+        end = await confirm_end(response)
         await exchange.respond(response.head.status, response.headers, body)
-        return
+        return end
     await exchange.start(response.head.status, response.headers)
     size = 0
     while body:
@@ -37,7 +45,9 @@
             )
         await exchange.send(body)
         body = await response.read_chunk()
+    end = await confirm_end(response)
     await exchange.finish()
+    return end
 
 
 class EventReader:
--- a/cornelnotch/gateway/header_codec.py
+++ b/cornelnotch/gateway/header_codec.py
@@ -36,6 +36,8 @@
     work, and with `backoff_ms` for how long this host should send it none.
     `malformed_backoff` is the text that the server sent in place of a valid duration.
 
+    `is_event_stream` is unset if the server names another type of body.
+
     `rate_limit` is the number of requests per second that the server accepts from all
     hosts together, or None if it states none. `rate_limit_text` is the text it sent,
     and `rate_limit_malformed` is set if that is not a valid number.
@@ -53,6 +55,7 @@
     rate_limit: float | None = None
     rate_limit_malformed: bool = False
     rate_limit_text: str = ""
+    is_event_stream: bool = True
 
 
 class HeaderCodec(ABC):
--- a/cornelnotch/gateway/tests/limited_fleet.py
+++ b/cornelnotch/gateway/tests/limited_fleet.py
@@ -83,6 +83,7 @@
         self.status = 200
         self.raw_headers = headers
         self.complete = False
+        self.framed = True
 
     async def read_chunk(self):
         self.complete = True
--- a/cornelnotch/platform/header_codec.py
+++ b/cornelnotch/platform/header_codec.py
@@ -29,6 +29,8 @@
 KV_BACKUP = b"x-kv-backup"
 KV_SOURCE = b"kv-from"
 RETRY_AFTER = b"retry-after"
+CONTENT_TYPE = b"content-type"
+EVENT_STREAM = "text/event-stream"
 LEAVING = b"server-leaving"
 LEAVING_VALUE = "1"
 RATE_LIMIT = b"server-limit"
@@ -204,6 +206,8 @@
             per_second,
             has_rate_limit and per_second is None,
             rate_limit,
+            find_header(headers, CONTENT_TYPE).split(";")[0].strip().lower()
+            in {"", EVENT_STREAM},
         )
 
     def create_refusal_headers(
--- a/cornelnotch/web/client.py
+++ b/cornelnotch/web/client.py
@@ -130,11 +130,14 @@
         clean = not self._protocol.trailing_data[0]
         return done and clean and self._protocol.their_state is h11.DONE
 
-    def start_idle(self) -> None:
-        """Make the connection idle; any data received while idle invalidates it."""
+    def prepare_reuse(self) -> None:
+        """Prepare the connection for the next request."""
         self.reused = True
         self._protocol.start_next_cycle()
         self._response_ended = False
+
+    def start_idle(self) -> None:
+        """Make the connection idle; any data received while idle invalidates it."""
         self._idle_task = asyncio.create_task(self._invalidate_on_data())
 
     async def _invalidate_on_data(self) -> None:
@@ -327,9 +330,20 @@
         ):
             connection.abort()
             return
+        connection.prepare_reuse()
         connection.start_idle()
         idle.append(connection)
 
+    async def is_accepting(self, address: str) -> bool:
+        """Return whether a server accepts connections; keep the new one for reuse."""
+        try:
+            connection = await self._connect(address)
+        except UpstreamUnreachableError:
+            return False
+        connection.start_idle()
+        self._idle_connections.setdefault(address, []).append(connection)
+        return True
+
     def close_idle_connections(self, address: str) -> None:
         """Abort all idle connections to `address`, as its server may be down."""
         for connection in self._idle_connections.pop(address, []):
@@ -347,6 +361,9 @@
             if await connection.resume_from_idle():
                 return connection
             connection.abort()
+        return await self._connect(address)
+
+    async def _connect(self, address: str) -> ClientConnection:
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 reader, writer = await asyncio.open_connection(
