gateway: a plain response that has begun is not requested again

A large body that was cut off after its start had reached the caller was sent to a second server, whose response could not be forwarded any more. The work ran in vain and the retry budget was charged. A broken stream is continued only by events, as the other tests of the file show.

--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -591,6 +591,8 @@
         now = self.context.clock.read()
         if now >= self.limit_ms:
             return False
+        if self.exchange.response_started and self.route.kind is not WorkKind.STREAM:
+            return False
         if not may_send_again(self.route, self.dispatches, response.outcome):
             return False
         if response.outcome is DispatchOutcome.NOT_SENT:
--- a/cornelnotch/standins/raw.py
+++ b/cornelnotch/standins/raw.py
@@ -81,6 +81,10 @@
         assert self._server is not None
         self._server.close()
 
+    def create_response(self, request_id: bytes) -> bytes:
+        """Return the bytes that are sent in response to a request."""
+        return self.answer.start.replace(b"ID", request_id)
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -89,7 +93,7 @@
             while True:
                 head = await reader.readuntil(HEAD_END)
                 self.requests += 1
-                writer.write(self.answer.start.replace(b"ID", _find_id(head)))
+                writer.write(self.create_response(_find_id(head)))
                 await writer.drain()
                 if self.answer.repeated:
                     await self._write_repeatedly(writer)
