web: breaking off a response resets the connection of an HTTP/1.0 caller

Such a caller gets no chunks: the end of the connection completes its response. Aborting closed the connection like a complete response does, so a stream that had been cut off looked complete.

--- a/cornelnotch/gateway/tests/test_broken_responses.py
+++ b/cornelnotch/gateway/tests/test_broken_responses.py
@@ -8,6 +8,8 @@
 from cornelnotch.gateway.forwarding import MAX_BUFFERED_BYTES
 from cornelnotch.gateway.servers import InFlightRequest
 from cornelnotch.gateway.tests.conftest import (
+    HOST_NAME,
+    KEY,
     run_deployment,
     wait_until,
 )
@@ -107,3 +109,23 @@
             await raw.stop()
 
     asyncio.run(run())
+
+
+def test_a_response_cut_off_resets_the_connection_of_an_http_1_0_caller():
+    async def run():
+        async with run_deployment() as d:
+            for engine in d.engines:
+                engine.faults = UpstreamFaults(abort_after_events=2)
+            name, port = d.settings.listen.callers.split(":")
+            reader, writer = await asyncio.open_connection(name, int(port))
+            writer.write(
+                b"POST /stream/draft/x HTTP/1.0\r\nhost: %s\r\nx-attempt-id: a\r\n"
+                b"x-key: %s\r\nx-deadline-ms: 3000\r\ncontent-length: 0\r\n\r\n"
+                % (HOST_NAME.encode(), KEY.encode())
+            )
+            with pytest.raises(ConnectionResetError):
+                while await reader.read(65536):
+                    pass
+            writer.close()
+
+    asyncio.run(run())
--- a/cornelnotch/standins/raw.py
+++ b/cornelnotch/standins/raw.py
@@ -1,13 +1,13 @@
 """Simulated faulty server that sends arbitrary, possibly endless responses."""
 
 import asyncio
-import socket
-import struct
 from contextlib import suppress
 from dataclasses import dataclass
 from enum import StrEnum
 
-__all__ = ["ConnectionEnd", "RawResponse", "RawUpstream", "reset_on_close"]
+from cornelnotch.web.connections import reset_on_close
+
+__all__ = ["ConnectionEnd", "RawResponse", "RawUpstream"]
 
 HEAD_END = b"\r\n\r\n"
 ID_FIELD = b"x-attempt-id:"
@@ -41,13 +41,6 @@
     end: ConnectionEnd = ConnectionEnd.KEEP
 
 
-def reset_on_close(writer: asyncio.StreamWriter) -> None:
-    """Make closing the connection of `writer` reset it."""
-    writer.get_extra_info("socket").setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-    )
-
-
 class RawUpstream:
     """Simulated server that sends the same bytes in response to each request."""
 
--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -10,6 +10,7 @@
 
 from cornelnotch.exceptions import CallerDisconnectedError, RequestError
 from cornelnotch.kernel.tasks import cancel_and_wait
+from cornelnotch.web.connections import reset_on_close
 from cornelnotch.web.exchange import Exchange
 
 __all__ = ["Handler", "HttpServer", "ServerConnection", "ServerLimits"]
@@ -21,6 +22,8 @@
 MAX_DISCARDED_BYTES = 4 * 1024 * 1024
 WRITE_BUFFER_HIGH_BYTES = 65536
 MAX_BUFFERED_BYTES = 65536
+# Callers of older versions do not understand chunked bodies.
+MIN_CHUNKED_VERSION = b"1.1"
 
 
 Handler = Callable[[Exchange], Awaitable[None]]
@@ -247,8 +250,16 @@
 
     def abort(self) -> None:
         """Abort the connection immediately."""
+        if self._is_ended_by_close():
+            reset_on_close(self._writer)
         self._writer.transport.abort()
 
+    def _is_ended_by_close(self) -> bool:
+        """Return whether closing the connection would complete a response."""
+        version = self._protocol.their_http_version
+        is_sending = self._protocol.our_state is h11.SEND_BODY
+        return is_sending and version is not None and version < MIN_CHUNKED_VERSION
+
     def close_when_idle(self) -> None:
         """Close the connection after the current request, or now if there is none."""
         self._closing = True
