gateway: a refusal without a request id proves nothing on a reused connection

A faulty server that writes an earlier refusal once more on a kept connection could make a host tell the next caller that its request had not run. A response with another request's id was already rejected, and connections are closed after a refusal; one without an id was believed. On a reused connection it may belong to an earlier request, so it counts as broken: the request may have run. Two of the five new cases failed before.

--- a/cornelnotch/gateway/dispatch.py
+++ b/cornelnotch/gateway/dispatch.py
@@ -108,7 +108,8 @@
 ) -> UpstreamResponse:
     """Classify a response by its head."""
     head = header_codec.read_response(http_response.status, http_response.raw_headers)
-    if head.request_id and head.request_id != request.request_id:
+    is_unnamed_first = not head.request_id and not http_response.reused
+    if head.request_id != request.request_id and not is_unnamed_first:
         http_response.close()
         return UpstreamResponse(
             DispatchOutcome.BROKEN, "the response belongs to another request", head
--- a/cornelnotch/gateway/tests/limited_fleet.py
+++ b/cornelnotch/gateway/tests/limited_fleet.py
@@ -84,6 +84,7 @@
         self.raw_headers = headers
         self.complete = False
         self.framed = True
+        self.reused = False
 
     async def read_chunk(self):
         self.complete = True
--- a/cornelnotch/gateway/tests/test_broken_responses.py
+++ b/cornelnotch/gateway/tests/test_broken_responses.py
@@ -129,3 +129,51 @@
             writer.close()
 
     asyncio.run(run())
+
+
+class RepeatingUpstream(RawUpstream):
+    """Answer the first request of a connection; then repeat an earlier refusal."""
+
+    def __init__(self, refusal):
+        whole = HEAD + b"content-length: 17\r\n\r\nid: 1\ndata: 123\n\n"
+        super().__init__("raw", RawResponse(whole))
+        self.refusal = refusal.replace(b"ID", b"r0")
+
+    def create_response(self, request_id):
+        if self.requests > 1:
+            return self.refusal
+        return super().create_response(request_id)
+
+
+@pytest.mark.parametrize(
+    ("path", "header"),
+    [
+        ("/read/x", b"x-attempt-id: ID\r\n"),
+        ("/read/x", b""),
+        ("/book/x", b"x-attempt-id: ID\r\n"),
+        ("/stream/draft/x", b"x-attempt-id: ID\r\n"),
+        ("/stream/draft/x", b""),
+    ],
+)
+def test_a_repeated_refusal_is_no_proof_that_the_next_request_did_not_run(path, header):
+    service = "llm" if "stream" in path else "desk"
+
+    async def run():
+        async with run_deployment() as d:
+            servers = d.engines if service == "llm" else d.desks
+            raw = RepeatingUpstream(REFUSAL % header)
+            await raw.start()
+            d.list_server(raw, service)
+            for server in servers:
+                d.drop_server(server)
+            pool = d.host.context.pool.servers
+            await wait_until(lambda: "raw" in pool and len(pool) == 3)
+            statuses = []
+            for number in range(2):
+                response = await d.send(path, "POST", x_attempt_id=f"r{number}")
+                await response.read()
+                statuses.append(response.status)
+            await raw.stop()
+            return statuses
+
+    assert asyncio.run(run()) == [200, 502]
--- a/cornelnotch/web/client.py
+++ b/cornelnotch/web/client.py
@@ -169,7 +169,8 @@
 class HttpResponse:
     """The head of a response, with methods to read its body.
 
-    Only the end of the connection marks the end of a body that is not `framed`.
+    Only the end of the connection marks the end of a body that is not `framed`. If the
+    connection was `reused`, the response may be a late one to an earlier request.
     """
 
     status: int
@@ -178,6 +179,7 @@
     connection: ClientConnection
     client: "HttpClient"
     framed: bool = True
+    reused: bool = False
     complete: bool = field(default=False)
 
     @property
@@ -299,6 +301,7 @@
             connection,
             self,
             is_framed(head.method, event),
+            connection.reused,
         )
 
     async def request_json(
