routing: an unframed response of a crashed service is not complete

The product's own path took the end of the connection for the end of a response too. The check stands once, at the response of the HTTP client, and both paths use it. The case of a service that exits failed before.

--- a/cornelnotch/gateway/dispatch.py
+++ b/cornelnotch/gateway/dispatch.py
@@ -69,11 +69,10 @@
         """Return whether the body has been read to its end."""
         return self.http_response is not None and self.http_response.complete
 
-    async def is_server_accepting(self) -> bool:
-        """Return whether the server of the response accepts a new connection."""
+    async def confirm_end(self) -> None:
+        """Raise UpstreamError if the body ended because its server crashed."""
         assert self.http_response is not None
-        response = self.http_response
-        return await response.client.is_accepting(response.address)
+        await self.http_response.confirm_end()
 
     def close(self) -> None:
         """Discard the rest of the response and close the connection to the server."""
--- a/cornelnotch/gateway/response_ends.py
+++ b/cornelnotch/gateway/response_ends.py
@@ -35,10 +35,5 @@
         raise UpstreamError(
             "the connection was closed before the first event", "check the server"
         )
-    # A server that has crashed closes its connections too, but accepts no new ones.
-    if not await response.is_server_accepting():
-        raise UpstreamError(
-            "the connection was closed by a server that accepts no further ones",
-            "retry if the work may be repeated",
-        )
+    await response.confirm_end()
     return ResponseEnd.CONNECTION
--- a/cornelnotch/routing/upstreams.py
+++ b/cornelnotch/routing/upstreams.py
@@ -208,6 +208,7 @@
                         f"{address} responded to another request", "check the service"
                     )
                 content = await answer.read(MAX_ANSWER_BYTES)
+                await answer.confirm_end()
         except TimeoutError as error:
             raise UpstreamError(
                 f"{address} did not respond within {timeout_ms:.0f} ms",
--- a/cornelnotch/web/client.py
+++ b/cornelnotch/web/client.py
@@ -229,6 +229,18 @@
             chunks.append(chunk)
         return b"".join(chunks)
 
+    async def confirm_end(self) -> None:
+        """Raise UpstreamError if the body ended because its server crashed.
+
+        A server that has crashed closes its connections like one that has finished,
+        but accepts no new ones.
+        """
+        if not self.framed and not await self.client.is_accepting(self.address):
+            raise UpstreamError(
+                f"{self.address} closed its connection and accepts no further ones",
+                "retry if the work may be repeated",
+            )
+
     async def read_json(self) -> object:
         """Return the body decoded as JSON; raise UpstreamError if malformed."""
         body = await self.read()
