gateway: detect servers that crash, and log the prompt parts that were there

A server has crashed if a response breaks off and it then refuses connections. Event 4007 SERVER_CRASHED names the server process and the shared prompt parts of the requests that were sent there, and a counter counts the crashes. They tell the hypotheses on requests that crash their servers apart.

--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -8,6 +8,7 @@
 
 from cornelnotch.gateway.admission_client import AdmissionClient
 from cornelnotch.gateway.backups import ExposureTracker, choose_backup, is_worth_backup
+from cornelnotch.gateway.crash_watch import CrashWatch
 from cornelnotch.gateway.engine_rates import EngineRateTable
 from cornelnotch.gateway.header_codec import HeaderCodec
 from cornelnotch.gateway.models import CallerLimits, CallerRequest, Route, RoutingTable
@@ -62,6 +63,7 @@
         self.header_codec = header_codec
         self.client = client
         self.metrics = NodeMetrics(settings.host.name, clock)
+        self.crash_watch = CrashWatch(client, events, self.metrics)
         self.startup = Startup(clock)
         self.pool = ServerPool()
         self.rate_limits = RateLimitTable()
--- a/cornelnotch/gateway/dispatch.py
+++ b/cornelnotch/gateway/dispatch.py
@@ -31,12 +31,16 @@
 
 @dataclass(slots=True)
 class UpstreamResponse:
-    """An open response, or the reason why there is none."""
+    """An open response, or the reason why there is none.
+
+    `timed_out` is set if this host gave up waiting for the server.
+    """
 
     outcome: DispatchOutcome
     reason: str = ""
     head: ResponseHead | None = None
     http_response: HttpResponse | None = None
+    timed_out: bool = False
 
     @property
     def headers(self) -> Headers:
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -3,7 +3,11 @@
 import asyncio
 from dataclasses import replace
 
-from cornelnotch.exceptions import CallerDisconnectedError, UpstreamError
+from cornelnotch.exceptions import (
+    CallerDisconnectedError,
+    UpstreamError,
+    UpstreamStalledError,
+)
 from cornelnotch.gateway.admission_client import UNRESPONSIVE_MS, AdmissionResult
 from cornelnotch.gateway.context import GatewayContext
 from cornelnotch.gateway.dispatch import (
@@ -176,6 +180,8 @@
         if response is None:
             return True
         self.last_outcome = response.outcome
+        if response.outcome is DispatchOutcome.BROKEN and not response.timed_out:
+            await self.context.crash_watch.note_break(placement.server, in_flight)
         self.excluded.add(placement.server.record.name)
         if self.dispatches.ran:
             # A request that may have run is not refused because of overload: it
@@ -326,6 +332,7 @@
             placement.prefill_tokens,
             self.priority,
             latency_sensitive=self.context.is_latency_sensitive(self.route),
+            shared_parts=self.request.list_shared_parts(),
         )
         placement.server.start(in_flight)
         return in_flight
@@ -453,7 +460,9 @@
                 )
         except TimeoutError:
             return UpstreamResponse(
-                DispatchOutcome.BROKEN, f"no response for {timeout_s} s"
+                DispatchOutcome.BROKEN,
+                f"no response for {timeout_s} s",
+                timed_out=True,
             )
 
     def _needs_new_connection(self, view: ServerView) -> bool:
@@ -538,7 +547,10 @@
             end = await confirm_end(response, self.splitter)
         except UpstreamError as error:
             response.close()
-            return UpstreamResponse(DispatchOutcome.BROKEN, error.problem)
+            timed_out = isinstance(error, UpstreamStalledError)
+            return UpstreamResponse(
+                DispatchOutcome.BROKEN, error.problem, timed_out=timed_out
+            )
         remainder = self.splitter.take_remainder()
         if remainder:
             await self.exchange.send(remainder)
--- a/cornelnotch/gateway/models.py
+++ b/cornelnotch/gateway/models.py
@@ -160,3 +160,7 @@
     prompt: tuple[PromptPart, ...] = ()
     prompt_tokens: int = 0
     body: bytes = field(default=b"", repr=False)
+
+    def list_shared_parts(self) -> tuple[str, ...]:
+        """Return the names of the prompt parts that other requests may have too."""
+        return tuple(part.name for part in self.prompt[:-1])
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -97,6 +97,11 @@
         logging.WARNING,
         "a server with running streams stopped sending",
     )
+    SERVER_CRASHED = (
+        4007,
+        logging.WARNING,
+        "a server crashed while it served requests",
+    )
     SERVER_RESTS = (
         3007,
         logging.INFO,
--- a/cornelnotch/observation/metrics.py
+++ b/cornelnotch/observation/metrics.py
@@ -59,6 +59,12 @@
             labels,
             registry=self._registry,
         )
+        self._server_crashes = Counter(
+            "cornelnotch_server_crashes_total",
+            "Servers that crashed while they served requests of this host.",
+            labels,
+            registry=self._registry,
+        )
         self._first_token = Histogram(
             "cornelnotch_first_token_seconds",
             "Time to first token by class.",
@@ -102,6 +108,10 @@
         """Count one request sent to a server that has a rate limit."""
         self._limited_dispatches.inc({"server": server})
 
+    def count_server_crash(self) -> None:
+        """Count one server that crashed while it served requests of this host."""
+        self._server_crashes.inc({})
+
     def observe_first_token(self, class_name: str, duration_ms: float) -> None:
         """Observe the time to first token in ms."""
         self._first_token.observe({"class": class_name}, duration_ms / 1000.0)
--- a/cornelnotch/web/__init__.py
+++ b/cornelnotch/web/__init__.py
@@ -1,6 +1,11 @@
 """HTTP/1.1 client and server."""
 
-from cornelnotch.web.client import HttpClient, HttpResponse, parse_address
+from cornelnotch.web.client import (
+    HttpClient,
+    HttpResponse,
+    Reachability,
+    parse_address,
+)
 from cornelnotch.web.exchange import Exchange
 from cornelnotch.web.server import HttpServer, ServerLimits
 
@@ -9,6 +14,7 @@
     "HttpClient",
     "HttpResponse",
     "HttpServer",
+    "Reachability",
     "ServerLimits",
     "parse_address",
 ]
--- a/cornelnotch/web/client.py
+++ b/cornelnotch/web/client.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncIterator
 from contextlib import suppress
 from dataclasses import dataclass, field
+from enum import StrEnum
 
 import h11
 import orjson
@@ -15,7 +16,7 @@
 )
 from cornelnotch.kernel.tasks import cancel_and_wait
 
-__all__ = ["HttpClient", "HttpResponse", "parse_address"]
+__all__ = ["HttpClient", "HttpResponse", "Reachability", "parse_address"]
 
 READ_BYTES = 65536
 MAX_IDLE_CONNECTIONS_PER_ADDRESS = 64
@@ -29,6 +30,14 @@
 FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 
 
+class Reachability(StrEnum):
+    """What became of an attempt to connect to a server."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    SILENT = "silent"
+
+
 def parse_address(text: str) -> tuple[str, int]:
     """Return the IP address and port in `text`; raise SettingsError if malformed."""
     name, separator, port = text.rpartition(":")
@@ -235,7 +244,9 @@
         A server that has crashed closes its connections like one that has finished,
         but accepts no new ones.
         """
-        if not self.framed and not await self.client.is_accepting(self.address):
+        if self.framed:
+            return
+        if await self.client.probe(self.address) is not Reachability.ACCEPTED:
             raise UpstreamError(
                 f"{self.address} closed its connection and accepts no further ones",
                 "retry if the work may be repeated",
@@ -349,15 +360,16 @@
         connection.start_idle()
         idle.append(connection)
 
-    async def is_accepting(self, address: str) -> bool:
-        """Return whether a server accepts connections; keep the new one for reuse."""
+    async def probe(self, address: str) -> Reachability:
+        """Try to connect to a server; keep the new connection for reuse."""
         try:
             connection = await self._connect(address)
-        except UpstreamUnreachableError:
-            return False
+        except UpstreamUnreachableError as error:
+            refused = isinstance(error.__cause__, ConnectionRefusedError)
+            return Reachability.REFUSED if refused else Reachability.SILENT
         connection.start_idle()
         self._idle_connections.setdefault(address, []).append(connection)
-        return True
+        return Reachability.ACCEPTED
 
     def close_idle_connections(self, address: str) -> None:
         """Abort all idle connections to `address`, as its server may be down."""
