--- a/cornelnotch/gateway/servers.py
+++ b/cornelnotch/gateway/servers.py
@@ -46,8 +46,8 @@
 
     `sent` is false while the dispatch is queued, for about `wait_ms` more.
     `latency_sensitive` is true for streams that accept only short inter-token gaps.
-    `shared_parts` are the prompt parts that other requests may have too. `events` counts
-    complete events, the last of which arrived at `event_ms`;
+    `shared_parts` are the prompt parts that other requests may have too.
+    `events` counts complete events, the last of which arrived at `event_ms`;
     `longest_gap_ms` is the longest gap between two events since `take_progress` was
     last called.
     """
--- a/cornelnotch/gateway/tests/limited_fleet.py
+++ b/cornelnotch/gateway/tests/limited_fleet.py
@@ -159,7 +159,7 @@
             VirtualClock(),
             create_event_log(name),
             PlatformHeaderCodec(),
-            cast(Any, Client(fleet, self)),
+            cast(Any, fleet.create_client(self)),
             peers,
         )
         self.context.table = fleet.table
@@ -237,6 +237,10 @@
             host.known = {h.name: h.candidate for h in self.hosts.values()}
             host.apply()
 
+    def create_client(self, host):
+        """Return the client with which a host reaches the servers."""
+        return Client(self, host)
+
     def start(self, coroutine):
         """Run a coroutine in the background."""
         task = asyncio.get_running_loop().create_task(coroutine)
