gateway: requests that crash servers are found out by all hosts and refused

What callers saw: engines ended one after the other, and the streams of all callers with them, for as long as requests with one part in their prompts came.

Cause: nothing told a request that crashes its server from those that only run there; it was sent on to the next server, new requests with the same part came at any host, and each host knew only its own crashes.

Hosts report crashes with the shared prompt parts that were at the server, and parts of which a response ended whole, to the collector of loads; its summary tells all hosts, those that start included. Requests with it are answered 500, without a delay to return after. A suspect is not sent on after a crash. Where all crashes came at one moment, one host tries such a request now and then.

--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -8,7 +8,8 @@
 
 from cornelnotch.gateway.admission_client import AdmissionClient
 from cornelnotch.gateway.backups import ExposureTracker, choose_backup, is_worth_backup
-from cornelnotch.gateway.crash_watch import CrashWatch
+from cornelnotch.gateway.crash_evidence import CrashEvidence
+from cornelnotch.gateway.crash_watch import CrashWatch, ServerLife
 from cornelnotch.gateway.engine_rates import EngineRateTable
 from cornelnotch.gateway.header_codec import HeaderCodec
 from cornelnotch.gateway.models import CallerLimits, CallerRequest, Route, RoutingTable
@@ -20,16 +21,16 @@
     find_latency_sensitive_gap_ms,
 )
 from cornelnotch.gateway.retry_budget import RetryBudget
-from cornelnotch.gateway.servers import ServerPool, ServerView
+from cornelnotch.gateway.servers import InFlightRequest, ServerPool, ServerView
 from cornelnotch.gateway.settings import HostSettings
 from cornelnotch.gateway.startup import Startup
 from cornelnotch.kernel.clock import Clock
 from cornelnotch.kernel.events import Event, EventLog
-from cornelnotch.kernel.hashing import hash_text
+from cornelnotch.kernel.hashing import hash_text, select_owner
 from cornelnotch.observation.metrics import NodeMetrics
 from cornelnotch.web import Exchange, HttpClient
 from cornelnotch.wire import PeerNetwork
-from cornelnotch.wire.messages import RateLimitNotice
+from cornelnotch.wire.messages import CrashEvidenceNotice, RateLimitNotice
 
 __all__ = ["GatewayContext"]
 
@@ -63,7 +64,8 @@
         self.header_codec = header_codec
         self.client = client
         self.metrics = NodeMetrics(settings.host.name, clock)
-        self.crash_watch = CrashWatch(client, events, self.metrics)
+        self.crashes = CrashEvidence()
+        self.crash_watch = CrashWatch(client, events, self.metrics, self.record_crash)
         self.startup = Startup(clock)
         self.pool = ServerPool()
         self.rate_limits = RateLimitTable()
@@ -105,6 +107,56 @@
         """Return the rate limit in force for a server, or None if it has none."""
         return self.rate_limits.find(server.record)
 
+    def record_crash(self, life: ServerLife, requests: list[InFlightRequest]) -> None:
+        """Accuse the prompts of requests at a server that has crashed."""
+        parts = [request.shared_parts for request in requests]
+        found = self.crashes.record_crash(
+            life.server, life.boot_ms, parts, self.clock.read()
+        )
+        self._log_blamed(found, self.settings.host.name)
+
+    def record_sound(self, request: CallerRequest) -> None:
+        """Clear the prompt parts of a response that ended whole."""
+        parts = request.list_shared_parts()
+        cleared = self.crashes.record_sound(parts, self.clock.read())
+        if cleared:
+            self.events.record(
+                Event.PROMPT_CLEARED, request_id=request.request_id, parts=cleared
+            )
+
+    def merge_crash_evidence(self, notice: CrashEvidenceNotice, sender: str) -> None:
+        """Apply what another host knows of crashes."""
+        self._log_blamed(self.crashes.merge(notice, self.clock.read()), sender)
+
+    def _log_blamed(self, found: list[frozenset[str]], told_by: str) -> None:
+        for parts in found:
+            self.events.record(
+                Event.PROMPT_BLAMED,
+                parts=sorted(parts),
+                crashes=self.crashes.count_crashes(),
+                told_by=told_by,
+            )
+
+    def may_try_blamed(self, request: CallerRequest) -> bool:
+        """Return whether this host may send a request whose prompt is blamed.
+
+        If the evidence is weak, one host tries such a request now and then.
+        """
+        now = self.clock.read()
+        for parts in self.crashes.list_blamed(request.list_shared_parts()):
+            is_owner = self._find_trial_owner(parts) == self.settings.host.name
+            if not is_owner or not self.crashes.try_acquire_trial(parts, now):
+                return False
+            self.events.record(
+                Event.PROMPT_TRIED, request_id=request.request_id, parts=sorted(parts)
+            )
+        return True
+
+    def _find_trial_owner(self, parts: frozenset[str]) -> str:
+        names = [host.name for host in self.hosts]
+        owner = select_owner(" ".join(sorted(parts)), names)
+        return owner or self.settings.host.name
+
     def find_retry_budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service."""
         budget = self._budgets.get(service)
--- a/cornelnotch/gateway/crash_watch.py
+++ b/cornelnotch/gateway/crash_watch.py
@@ -40,15 +40,17 @@
     """
 
     def __init__(
-        self, client: HttpClient, events: EventLog, metrics: NodeMetrics
+        self,
+        client: HttpClient,
+        events: EventLog,
+        metrics: NodeMetrics,
+        record_crash: Callable[[ServerLife, list[InFlightRequest]], None],
     ) -> None:
         self._client = client
         self._events = events
         self._metrics = metrics
+        self._record_crash = record_crash
         self._broken: OrderedDict[ServerLife, BrokenServer] = OrderedDict()
-        self.report_crash: Callable[[ServerLife, list[InFlightRequest]], None] = (
-            lambda life, requests: None
-        )
 
     async def note_break(self, view: ServerView, request: InFlightRequest) -> bool:
         """Record that a response broke off; return whether its server has crashed."""
@@ -66,8 +68,8 @@
         if not broken.crashed:
             return False
         if not was_crashed:
-            self._record_crash(life, riders)
-        self.report_crash(life, [request, *riders])
+            self._log_crash(life, riders)
+        self._record_crash(life, [request, *riders])
         return True
 
     async def _refuses(self, address: str, broken: BrokenServer) -> bool:
@@ -79,7 +81,7 @@
             if broken.probe is not None and broken.probe.done():
                 broken.probe = None
 
-    def _record_crash(self, life: ServerLife, riders: list[InFlightRequest]) -> None:
+    def _log_crash(self, life: ServerLife, riders: list[InFlightRequest]) -> None:
         parts = sorted({part for rider in riders for part in rider.shared_parts})
         self._metrics.count_server_crash()
         self._events.record(
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -46,6 +46,7 @@
 
 STATUS_OK = 200
 STATUS_SERVER_ERROR = 500
+CRASHING_PROMPT = "crashing-prompt"
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
 STATUS_GATEWAY_TIMEOUT = 504
@@ -94,6 +95,7 @@
         self.last_outcome: DispatchOutcome | None = None
         self.backup: ServerView | None = None
         self.resuming = False
+        self.tries_blamed_prompt = False
         self.splitter = EventSplitter(request.last_event_id)
         self.priority = route.priority
         if workspace is not None and workspace.priority is not None:
@@ -132,6 +134,9 @@
     async def _dispatch_until_answered(self) -> None:
         answered = False
         while not answered:
+            if not self._may_dispatch():
+                await self._refuse_crashing_prompt()
+                return
             placement = self._place_at_backup() or self._place()
             if placement is None:
                 await self._fail_without_server()
@@ -143,6 +148,25 @@
                 placement.server.finish(in_flight)
                 self.context.admission.report_end(in_flight)
 
+    def _may_dispatch(self) -> bool:
+        """Return whether the prompt is not blamed for crashes, or may be tried once."""
+        if self.tries_blamed_prompt and not self.dispatches.ran:
+            return True
+        parts = self.request.list_shared_parts()
+        is_blamed = bool(self.context.crashes.list_blamed(parts))
+        if not is_blamed:
+            return True
+        self.tries_blamed_prompt = self.context.may_try_blamed(self.request)
+        return self.tries_blamed_prompt
+
+    async def _refuse_crashing_prompt(self) -> None:
+        """Refuse for good: neither a status nor a delay invites callers to retry."""
+        if self.exchange.response_started:
+            await self._finish_failed(
+                UpstreamResponse(DispatchOutcome.BROKEN, CRASHING_PROMPT)
+            )
+        await self._refuse(STATUS_SERVER_ERROR, CRASHING_PROMPT)
+
     async def _fail_without_server(self) -> None:
         now = self.context.clock.read()
         backoff_ms = self.context.pool.find_backoff_ms(self.service, now)
@@ -176,17 +200,22 @@
             return False
         if result is AdmissionResult.INFEASIBLE:
             return await self._skip_overloaded(placement.server, in_flight)
+        if not self._may_dispatch():
+            await self._refuse_crashing_prompt()
+            return True
         response = await self._dispatch(placement, in_flight)
         if response is None:
             return True
         self.last_outcome = response.outcome
-        if response.outcome is DispatchOutcome.BROKEN and not response.timed_out:
-            await self.context.crash_watch.note_break(placement.server, in_flight)
+        may_crash_servers = await self._note_break(placement, in_flight, response)
         self.excluded.add(placement.server.record.name)
         if self.dispatches.ran:
             # A request that may have run is not refused because of overload: it
             # waits, so that its work is not lost.
             self.overloaded.clear()
+        if may_crash_servers:
+            await self._finish_failed(response)
+            return True
         if self._may_resume(response):
             self.resuming = True
         elif not self._may_retry(response):
@@ -197,6 +226,20 @@
         self.splitter.restart()
         return False
 
+    async def _note_break(
+        self,
+        placement: Placement,
+        in_flight: InFlightRequest,
+        response: UpstreamResponse,
+    ) -> bool:
+        """Note a response that broke off; return whether its prompt is suspected."""
+        if response.outcome is not DispatchOutcome.BROKEN or response.timed_out:
+            return False
+        watch = self.context.crash_watch
+        has_crashed = await watch.note_break(placement.server, in_flight)
+        parts = self.request.list_shared_parts()
+        return has_crashed and self.context.crashes.is_suspected(parts)
+
     def _may_resume(self, response: UpstreamResponse) -> bool:
         """Return whether a stream that was cut off can resume from a KV cache copy."""
         if self.backup is None or response.outcome is not DispatchOutcome.BROKEN:
@@ -586,6 +629,8 @@
 
     def _finish(self, status: int, first_ms: float, **details: object) -> None:
         """Record a complete response whose first byte arrived at `first_ms`."""
+        if status == STATUS_OK:
+            self.context.record_sound(self.request)
         waited_ms = first_ms - self.arrived_ms
         attained = status < STATUS_SERVER_ERROR and waited_ms <= self.route.target_ms
         metrics = self.context.metrics
--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -126,7 +126,7 @@
             self.peers,
             self.plan,
             broadcaster,
-            self._list_entry_hosts,
+            self._list_informed_hosts,
             self.admission_controller.list_rates,
         )
         self.leaving_notices = LeavingNotices(
@@ -145,8 +145,11 @@
     def _list_entries(self) -> list[Member]:
         return self.prober.table.list_routable()
 
-    def _list_entry_hosts(self) -> list[str]:
-        return [member.name for member in self._list_entries()]
+    def _list_informed_hosts(self) -> list[str]:
+        """Return the hosts that serve callers, or will soon."""
+        informed = {MemberState.ALIVE, MemberState.JOINING}
+        members = self.prober.table.members
+        return [name for name, m in members.items() if m.state in informed]
 
     def _list_peers(self) -> list[str]:
         """Return every host that receives updates, including those still starting."""
@@ -172,6 +175,7 @@
         metrics.set_state("store_timeline", self.follower.timeline)
         metrics.set_state("held_records", self.follower.count_older_records())
         metrics.set_state("peer_bytes", self.peers.sent_bytes)
+        metrics.set_state("blamed_prompts", self.context.crashes.count_blamed())
         metrics.set_state("limited_servers", self.context.rate_limits.count())
         metrics.set_state("servers", len(self.context.pool.servers))
         return metrics.render()
--- a/cornelnotch/gateway/load_exchange.py
+++ b/cornelnotch/gateway/load_exchange.py
@@ -11,6 +11,7 @@
 from cornelnotch.kernel.events import Event
 from cornelnotch.wire import PeerNetwork
 from cornelnotch.wire.messages import (
+    CrashEvidenceNotice,
     EngineRates,
     LoadReport,
     LoadSummary,
@@ -22,6 +23,7 @@
 
 # Half of the prefill time of a long prompt.
 REPORT_INTERVAL_MS = 250.0
+NO_EVIDENCE = CrashEvidenceNotice()
 
 
 class LoadExchange:
@@ -63,14 +65,18 @@
             collectors = self._plan.list_readers(now)[:1]
             self._context.rate_limits.drop_unlisted(self._context.pool.servers, now)
             limits = self._context.rate_limits.list_corrections(now)
-            if usages or limits or not reported_idle:
+            evidence = self._context.crashes.create_notice(now, own_only=True)
+            if usages or limits or evidence != NO_EVIDENCE or not reported_idle:
                 self._reported = usages
                 engine_rates = self._own_rate_filter.select(self._list_rates(), now)
                 for rates in engine_rates:
                     self._log_rates(rates)
                 for name in collectors:
                     self._peers.send(
-                        name, LoadReport(self._plan.name, usages, engine_rates, limits)
+                        name,
+                        LoadReport(
+                            self._plan.name, usages, engine_rates, limits, evidence
+                        ),
                     )
             reported_idle = not usages
             if self._plan.name in collectors:
@@ -96,6 +102,7 @@
             engine_rates,
             [],
             self._context.rate_limits.list_notices(now),
+            self._context.crashes.create_notice(now),
         )
         self._apply(summary)
         self._forward(summary, self._list_hosts())
@@ -108,11 +115,13 @@
     def _receive_report(self, sender: str, report: LoadReport) -> None:
         self._aggregator.add_report(report, self._context.clock.read())
         self._merge_limits(sender, report.limits)
+        self._context.merge_crash_evidence(report.evidence, sender)
 
     def _receive_summary(self, sender: str, summary: LoadSummary) -> None:
         self._forward(summary, summary.targets)
         self._apply(summary)
         self._merge_limits(sender, summary.limits)
+        self._context.merge_crash_evidence(summary.evidence, sender)
 
     def _merge_limits(self, sender: str, notices: list[RateLimitNotice]) -> None:
         for notice in notices:
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -102,6 +102,21 @@
         logging.WARNING,
         "a server crashed while it served requests",
     )
+    PROMPT_BLAMED = (
+        4008,
+        logging.WARNING,
+        "requests with a part in their prompts crash servers and are refused",
+    )
+    PROMPT_CLEARED = (
+        4009,
+        logging.INFO,
+        "prompt parts no longer count as a cause of crashes",
+    )
+    PROMPT_TRIED = (
+        4010,
+        logging.INFO,
+        "a request is sent to confirm that its prompt crashes servers",
+    )
     SERVER_RESTS = (
         3007,
         logging.INFO,
--- a/cornelnotch/wire/messages.py
+++ b/cornelnotch/wire/messages.py
@@ -13,11 +13,14 @@
     "AdmissionQueued",
     "AdmissionRequest",
     "AdmissionStage",
+    "BlamedParts",
     "ClaimRequest",
     "ClaimResponse",
     "ClassOccupancy",
     "ConfigurationFetch",
     "ConfigurationOffer",
+    "CrashEvidenceNotice",
+    "CrashReport",
     "EngineRates",
     "HeldPermit",
     "HeldPermits",
@@ -374,17 +377,51 @@
     age_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class CrashReport:
+    """Report the crash of a server `age_ms` ago, and the prompt parts accused of it.
+
+    `boot_ms` identifies the server process; `known` are parts of responses that had
+    ended whole before.
+    """
+
+    server: str
+    boot_ms: int
+    age_ms: float
+    parts: list[str]
+    known: list[str]
+
+
+@dataclass(frozen=True, slots=True)
+class BlamedParts:
+    """Report prompt parts that together crash servers."""
+
+    parts: list[str]
+    confirmed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class CrashEvidenceNotice:
+    """Report crashes, prompt parts that were cleared of late, and blamed parts."""
+
+    crashes: list[CrashReport] = field(default_factory=list)
+    cleared: list[str] = field(default_factory=list)
+    blamed: list[BlamedParts] = field(default_factory=list)
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReport:
     """Report one host's load and the throughput of the engines it schedules.
 
-    `limits` contains the rate limits that differ from those of the last summary.
+    `limits` contains the rate limits that differ from those of the last summary,
+    `evidence` the crashes that the host observed of late.
     """
 
     host: str
     uses: list[ServerUsage]
     paces: list[EngineRates]
     limits: list[RateLimitNotice] = field(default_factory=list)
+    evidence: CrashEvidenceNotice = field(default_factory=CrashEvidenceNotice)
 
 
 @dataclass(frozen=True, slots=True)
@@ -392,7 +429,7 @@
     """Report the total load of all hosts; forwarded to `targets`.
 
     `paces` contains only engines whose throughput has changed, `limits` all known rate
-    limits.
+    limits, `evidence` all that is known of crashes.
     """
 
     origin: str
@@ -400,6 +437,7 @@
     paces: list[EngineRates]
     targets: list[str]
     limits: list[RateLimitNotice] = field(default_factory=list)
+    evidence: CrashEvidenceNotice = field(default_factory=CrashEvidenceNotice)
 
 
 @dataclass(frozen=True, slots=True)
