gateway: blamed prompts reach the hosts that saw no crash

Merging a summary that names blamed parts failed with a TypeError, as removing the cleared parts made a set of the frozen one. Hosts blamed a part only once they knew its crashes themselves, which hid the fault: the simulated fleets swallowed errors of message handlers.

--- a/cornelnotch/gateway/crash_evidence.py
+++ b/cornelnotch/gateway/crash_evidence.py
@@ -202,7 +202,7 @@
                 crash.server, crash.boot_ms, crashed_ms, parts, now, known
             )
         for blamed in notice.blamed:
-            names = frozenset(blamed.parts) - self._cleared.keys()
+            names = frozenset(p for p in blamed.parts if p not in self._cleared)
             if names and self._blame(names, blamed.confirmed, now):
                 found.append(names)
         return found
--- a/cornelnotch/gateway/tests/limited_fleet.py
+++ b/cornelnotch/gateway/tests/limited_fleet.py
@@ -289,8 +289,12 @@
             loop.call_at(target.thawed_s, self._handle, sender, receiver, message)
             return
         handler = target.peers.handlers.get(type(message))
-        if handler is not None:
+        if handler is None:
+            return
+        try:
             handler(sender, message)
+        except Exception as error:
+            self.errors.append(error)
 
     def _announce(self, candidate, is_alive, observers=None):
         loop = asyncio.get_running_loop()
