gateway: load summaries carry crashes of the last seconds only

Every summary named all crashes of ten minutes, up to 64 with 256 parts each, four times a second to all hosts. Crashes are named for 3 s after they happened or changed, blamed parts always. An unchanged crash is not evaluated again.

--- a/cornelnotch/gateway/crash_evidence.py
+++ b/cornelnotch/gateway/crash_evidence.py
@@ -37,12 +37,14 @@
 class CrashRecord:
     """A server process that crashed, and the parts that may have caused it.
 
-    `known` are parts of responses that ended whole before the crash.
+    `known` are parts of responses that ended whole before the crash. The record was
+    last changed at `changed_ms`.
     """
 
     server: str
     boot_ms: int
     crashed_ms: float
+    changed_ms: float
     parts: set[str] = field(default_factory=set)
     known: set[str] = field(default_factory=set)
 
@@ -169,7 +171,7 @@
         return True
 
     def create_notice(self, now: float, own_only: bool = False) -> CrashEvidenceNotice:
-        """Return what this host knows, or what it observed itself of late."""
+        """Return the latest crashes, or those this host observed, and blamed sets."""
         self._expire(now)
         crashes = [
             CrashReport(
@@ -180,7 +182,8 @@
                 sorted(crash.known),
             )
             for key, crash in self._crashes.items()
-            if key in self._own or not own_only
+            if now - crash.changed_ms <= REPORT_TTL_MS
+            and (key in self._own or not own_only)
         ]
         blamed = [
             BlamedParts(sorted(parts), blamed.confirmed)
@@ -226,18 +229,19 @@
     ) -> list[frozenset[str]]:
         crash = self._crashes.get((server, boot_ms))
         if crash is None:
-            crash = CrashRecord(server, boot_ms, crashed_ms)
+            crash = CrashRecord(server, boot_ms, crashed_ms, now)
             self._crashes[server, boot_ms] = crash
             while len(self._crashes) > MAX_CRASHES:
                 self._crashes.popitem(last=False)
-        before = len(crash.parts) + len(crash.known)
+        before = len(crash.parts), len(crash.known)
         sound = {p for p in parts if p in self._sound} | set(known)
-        room = max(MAX_PARTS_PER_CRASH - before, 0)
+        room = max(MAX_PARTS_PER_CRASH - sum(before), 0)
         crash.known.update(sorted(sound)[:room])
         crash.parts.update(sorted(parts - sound)[:room])
         crash.parts -= crash.known
-        if len(crash.parts) + len(crash.known) == before and not sound:
+        if (len(crash.parts), len(crash.known)) == before:
             return []
+        crash.changed_ms = now
         return self._update(now)
 
     def _update(self, now: float) -> list[frozenset[str]]:
