--- a/cornelnotch/gateway/tests/test_crash_evidence.py
+++ b/cornelnotch/gateway/tests/test_crash_evidence.py
@@ -28,6 +28,15 @@
     assert not evidence.list_blamed(["shared", "a", "b"])
 
 
+def test_a_part_that_rode_along_at_explained_crashes_is_not_blamed():
+    evidence = CrashEvidence()
+    for number in range(3):
+        crash(evidence, number, ("bad",), ("rare",))
+    assert crash(evidence, 3, ("bad",)) == [frozenset({"bad"})]
+    assert not evidence.list_blamed(["rare"])
+    assert not evidence.is_suspected(["rare"])
+
+
 def test_three_reports_of_one_crash_are_one_crash():
     evidence = CrashEvidence()
     for _ in range(3):
