--- a/cornelnotch/gateway/tests/test_crash_watch.py
+++ b/cornelnotch/gateway/tests/test_crash_watch.py
@@ -5,6 +5,8 @@
 import pytest
 
 from cornelnotch.exceptions import UpstreamError
+from cornelnotch.gateway.admission_client import AdmissionResult
+from cornelnotch.gateway.servers import InFlightRequest
 from cornelnotch.gateway.tests.conftest import run_deployment, wait_until
 from cornelnotch.standins.raw import ConnectionEnd, RawResponse, RawUpstream
 
@@ -15,9 +17,9 @@
 PROMPT = "aa:100,bad:50,own%d:20"
 
 
-async def send(d, number):
+async def send(d, number, path="/stream/draft/x"):
     response = await d.send(
-        "/stream/draft/x",
+        path,
         "POST",
         x_attempt_id=f"r{number}",
         x_prompt_prefix=PROMPT % number,
@@ -69,3 +71,49 @@
             assert b"cornelnotch_server_crashes_total" in metrics
 
     asyncio.run(run())
+
+
+def record_crashes(d, count):
+    context = d.host.context
+    for number in range(count):
+        now = context.clock.read() - 2000.0 * number
+        context.crashes.record_crash(f"old-{number}", 1, [("aa", "bad")], now)
+
+
+@pytest.mark.parametrize(("earlier_crashes", "is_resumed"), [(0, True), (1, False)])
+def test_a_suspected_request_is_not_sent_on_after_a_crash(earlier_crashes, is_resumed):
+    async def run():
+        async with run_deployment() as d:
+            raw = RawUpstream(
+                "raw", RawResponse(START, end=ConnectionEnd.CLOSE_AND_EXIT)
+            )
+            await raw.start()
+            d.list_server(raw, "llm")
+            d.drop_server(d.engines[0])
+            pool = d.host.context.pool.servers
+            await wait_until(lambda: "raw" in pool and "llm-1" not in pool)
+            for number in range(5):
+                busy = InFlightRequest(f"busy {number}", 0.0, 5000)
+                pool["llm-2"].start(busy)
+            record_crashes(d, earlier_crashes)
+            status = await send(d, 1, "/stream/x")
+            assert raw.requests == 1
+            assert (status == 200, bool(d.engines[1].executions)) == (is_resumed,) * 2
+            await raw.stop()
+
+    asyncio.run(run())
+
+
+def test_a_request_blamed_while_it_waits_for_admission_is_not_sent():
+    async def run():
+        async with run_deployment() as d:
+
+            async def admit_late(*arguments):
+                record_crashes(d, 3)
+                return AdmissionResult.GRANTED
+
+            d.host.context.admission.wait_for_admission = admit_late
+            assert await send(d, 1) == 500
+            assert not any(engine.executions for engine in d.engines)
+
+    asyncio.run(run())
