gateway: a test of resumed streams that are cut off again

The table of framings, places and ends for the second server of a stream. It passes on the program as it stands; without the check that a stream ends after an event three of its four rows fail.

--- a/cornelnotch/gateway/tests/test_response_ends.py
+++ b/cornelnotch/gateway/tests/test_response_ends.py
@@ -62,8 +62,8 @@
     return framing == "chunks" or "chunk" not in place
 
 
-def create_response(framing, place, end):
-    """Return a response that breaks off at a place."""
+def create_response(framing, place, end, first=1):
+    """Return a response that begins with event `first` and breaks off at a place."""
     head = STATUS_LINES.get(framing, STATUS_LINE) + HEADERS
     if place == "before the head":
         return RawResponse(b"", end=end)
@@ -71,11 +71,12 @@
         return RawResponse(head, end=end)
     bodies = {
         "before the first byte": b"",
-        "between events": create_body([1, 2]),
+        "between events": create_body([first, first + 1]),
     }
-    body = bodies.get(place, create_body([1, 2]) + b"id: 3\nda")
+    incomplete = create_body([first, first + 1]) + b"id: %d\nda" % (first + 2)
+    body = bodies.get(place, incomplete)
     if framing == "length":
-        head += b"content-length: %d\r\n" % len(create_body(range(1, 7)))
+        head += b"content-length: %d\r\n" % len(create_body(range(first, 7)))
     if framing == "chunks":
         head += b"transfer-encoding: chunked\r\n"
         size = len(body) + (place == "within a chunk")
@@ -185,6 +186,46 @@
     assert asyncio.run(run()) == []
 
 
+def is_resumed_stream_whole(framing, place, end):
+    """Return whether nothing shows that the second server cut off a stream.
+
+    Whether a resumed stream has further events cannot be told from its last one.
+    """
+    is_ended = is_unframed(framing) and end is ConnectionEnd.CLOSE
+    return is_ended and place in {"before the first byte", "between events"}
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+def test_a_resumed_stream_that_is_cut_off_again_never_looks_complete(framing):
+    cells = [(p, e) for p in BREAKS if exists(framing, p) for e in ENDS]
+    events = [create_body(range(1, last + 1)) for last in (2, 4)]
+
+    async def run():
+        wrong = []
+        async with run_deployment() as d:
+            raw = await use_raw_server(d, "resumable stream", True)
+            first = d.engines[1]
+            first.faults.abort_after_events = 2
+            for number, (place, end) in enumerate(cells):
+                answer = create_response(framing, place, end, first=3)
+                await prepare_servers(d, raw, answer)
+                views = d.host.context.pool.servers
+                views[first.name].in_flight.clear()
+                for busy in range(5):
+                    request = InFlightRequest(f"busy {busy}", 0.0, BUSY_TOKENS)
+                    views[raw.name].start(request)
+                outcome = await send(d, "resumable stream", number)
+                assert raw.requests == 1
+                expected = is_resumed_stream_whole(framing, place, end)
+                if outcome.complete != expected or outcome.body not in events:
+                    wrong.append((place, end.value, expected, outcome))
+                views[raw.name].in_flight.clear()
+            await raw.stop()
+        return wrong
+
+    assert asyncio.run(run()) == []
+
+
 @pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"], ids=["lf", "crlf", "cr"])
 @pytest.mark.parametrize("framing", FRAMINGS)
 def test_a_stream_with_any_line_ends_is_forwarded_whole(framing, line_end):
