gateway: log how each request ends that its host cuts when it stops

No log line named these requests at their end: a host that stopped cancelled their tasks without a word.

6007 REQUEST_BROKEN_OFF now names each of them, with the time at which it came relative to the stop, whether a server ran it and how far its response was; 1003 and 1004 say what was open at the start and at the end of the drain.

--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -10,6 +10,7 @@
 from cornelnotch.gateway.backups import ExposureTracker, choose_backup, is_worth_backup
 from cornelnotch.gateway.crash_evidence import CrashEvidence
 from cornelnotch.gateway.crash_watch import CrashWatch, ServerLife
+from cornelnotch.gateway.drain import Drain
 from cornelnotch.gateway.engine_rates import EngineRateTable
 from cornelnotch.gateway.header_codec import HeaderCodec
 from cornelnotch.gateway.models import CallerLimits, CallerRequest, Route, RoutingTable
@@ -67,6 +68,7 @@
         self.crashes = CrashEvidence()
         self.crash_watch = CrashWatch(client, events, self.metrics, self.record_crash)
         self.startup = Startup(clock)
+        self.drain = Drain(clock)
         self.pool = ServerPool()
         self.rate_limits = RateLimitTable()
         self.engine_rates = EngineRateTable()
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -116,6 +116,9 @@
             await serving
         except asyncio.CancelledError:
             serving.cancel()
+            await asyncio.wait({serving})
+            if not self.exchange.disconnected.is_set():
+                self._record_cut()
             raise CallerDisconnectedError(
                 "the caller closed the connection", "retry the request"
             ) from None
@@ -699,6 +702,20 @@
         status = STATUS_GATEWAY_TIMEOUT if ran else STATUS_UNAVAILABLE
         await self._refuse(status, "timeout")
 
+    def _record_cut(self) -> None:
+        """Record that the host stopped before the request had its response."""
+        self.context.metrics.count_cut(self.route.name)
+        arrived_ms = self.context.drain.measure_age_ms(self.arrived_ms)
+        self._record_event(
+            Event.REQUEST_BROKEN_OFF,
+            reason="host-stopped",
+            ran=self.dispatches.ran,
+            started=self.exchange.response_started,
+            finished=self.exchange.response_finished,
+            count=self.splitter.count,
+            draining_ms=None if arrived_ms is None else round(arrived_ms, 1),
+        )
+
     async def _refuse(
         self, status: int, reason: str, retry_ms: float | None = None
     ) -> None:
--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -218,20 +218,32 @@
             return
         self.leaving = True
         self.server.limits.draining = True
-        self.events.record(Event.HOST_LEAVING, active=self.frontend.active)
+        grace_ms = (self.settings.bounds.grace_s - EXIT_MARGIN_S) * 1000.0
+        self.context.drain.start(grace_ms)
+        self.events.record(
+            Event.HOST_LEAVING,
+            active=self.frontend.active,
+            connections=self.server.count_connections(),
+            grace_ms=grace_ms,
+        )
         self.prober.announce_state(MemberState.LEAVING)
         self.tasks.start("drain", self._drain())
 
     async def _drain(self) -> None:
         started_ms = self.clock.read()
-        grace_ms = (self.settings.bounds.grace_s - EXIT_MARGIN_S) * 1000.0
         cached_ms = ENTRY_LIFETIME_S * MAX_CACHED_LIFETIMES * 1000.0
-        while self.clock.read() < started_ms + grace_ms:
+        while self.clock.read() < self.context.drain.end_ms:
             elapsed_ms = self.clock.read() - started_ms
             if elapsed_ms >= cached_ms and not self.frontend.active:
                 break
             await self.clock.sleep(DRAIN_CHECK_MS)
-        self.events.record(Event.HOST_STOPPED, active=self.frontend.active)
+        self.events.record(
+            Event.HOST_STOPPED,
+            active=self.frontend.active,
+            connections=self.server.count_connections(),
+            unsent_bytes=self.server.count_unsent_bytes(),
+            after_ms=round(self.clock.read() - started_ms, 1),
+        )
         self.stopped.set()
 
     async def stop(self) -> None:
--- a/cornelnotch/observation/metrics.py
+++ b/cornelnotch/observation/metrics.py
@@ -59,6 +59,12 @@
             labels,
             registry=self._registry,
         )
+        self._cut = Counter(
+            "cornelnotch_requests_cut_total",
+            "Requests without a complete response when the host stopped, by class.",
+            labels,
+            registry=self._registry,
+        )
         self._server_crashes = Counter(
             "cornelnotch_server_crashes_total",
             "Servers that crashed while they served requests of this host.",
@@ -108,6 +114,10 @@
         """Count one request sent to a server that has a rate limit."""
         self._limited_dispatches.inc({"server": server})
 
+    def count_cut(self, class_name: str) -> None:
+        """Count one request without a complete response when the host stopped."""
+        self._cut.inc({"class": class_name})
+
     def count_server_crash(self) -> None:
         """Count one server that crashed while it served requests of this host."""
         self._server_crashes.inc({})
--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -248,6 +248,10 @@
                 "caller closed the connection", "retry the request"
             ) from error
 
+    def count_unsent_bytes(self) -> int:
+        """Return the size of the responses that were not yet passed to the system."""
+        return self._writer.transport.get_write_buffer_size()
+
     def abort(self) -> None:
         """Abort the connection immediately."""
         if self._is_ended_by_close():
@@ -293,6 +297,14 @@
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
+    def count_connections(self) -> int:
+        """Return the number of open connections."""
+        return len(self._open_connections)
+
+    def count_unsent_bytes(self) -> int:
+        """Return the size of all responses not yet passed to the system."""
+        return sum(c.count_unsent_bytes() for c in self._open_connections)
+
     def start_draining(self) -> None:
         """Close the listener and idle connections; current requests are completed."""
         self._draining = True
