gateway: failing tests of requests that a stopping host cuts

A caller that keeps its connection sends a stream late in the grace period, a call waits at its server when the grace period ends, and a request comes after the host has found nothing running. On the code before, all three end without an answer after they were passed on.

--- /dev/null
+++ b/cornelnotch/gateway/tests/test_graceful_shutdown.py
@@ -0,0 +1,83 @@
+"""Test hosts that are stopped while callers keep their connections."""
+
+import asyncio
+
+from cornelnotch.gateway.tests.conftest import run_deployment, wait_until
+from cornelnotch.gateway.tests.kept_connection import KeptConnection
+
+STREAM_EVENTS = 100
+EVENT_MS = 20.0
+
+
+def run_scenario(scenario):
+    async def run():
+        async with run_deployment() as deployment:
+            await scenario(deployment)
+
+    asyncio.run(run())
+
+
+def start_drain(deployment, grace_s):
+    """Start to drain like a process that gets SIGTERM; return its task."""
+    deployment.host.settings.bounds.grace_s = grace_s
+    deployment.host.start_drain()
+    return asyncio.create_task(stop_when_drained(deployment.host))
+
+
+async def stop_when_drained(host):
+    await host.stopped.wait()
+    await host.stop()
+
+
+def count_runs(servers):
+    return sum(sum(server.executions.values()) for server in servers)
+
+
+def test_stream_that_outlasts_the_grace_period_is_refused_before_it_is_sent():
+    async def scenario(d):
+        for engine in d.engines:
+            engine.events, engine.faults.event_ms = STREAM_EVENTS, EVENT_MS
+        connection = await KeptConnection.open(d.settings.listen.callers)
+        first = await connection.send("s1", "/stream/draft/x", "POST", b"p")
+        assert first.whole
+        stopping = start_drain(d, grace_s=5.0)
+        await asyncio.sleep(3.2)
+        late = await connection.send("s2", "/stream/draft/x", "POST", b"p")
+        assert (late.status, late.whole) == (503, True)
+        assert float(late.headers["retry-after"]) >= 0.0
+        assert all("s2" not in engine.executions for engine in d.engines)
+        await stopping
+
+    run_scenario(scenario)
+
+
+def test_call_without_a_response_at_the_end_of_the_grace_period_is_answered():
+    async def scenario(d):
+        for desk in d.desks:
+            desk.faults.hang = True
+        connection = await KeptConnection.open(d.settings.listen.callers)
+        task = asyncio.create_task(connection.send("c1", "/book/x", "POST", b"b"))
+        await wait_until(lambda: count_runs(d.desks) == 1)
+        stopping = start_drain(d, grace_s=2.0)
+        reply = await task
+        assert (reply.status, reply.whole) == (504, True)
+        await stopping
+
+    run_scenario(scenario)
+
+
+def test_stopped_host_passes_on_no_request_of_an_open_connection():
+    async def scenario(d):
+        connection = await KeptConnection.open(d.settings.listen.callers)
+        assert (await connection.send("c1", "/read/x")).status == 200
+        d.host.start_drain()
+        await d.host.stopped.wait()
+        for desk in d.desks:
+            desk.faults.hang = True
+        task = asyncio.create_task(connection.send("c2", "/book/x", "POST", b"b"))
+        await asyncio.sleep(0.1)
+        await d.host.stop()
+        await task
+        assert all("c2" not in desk.executions for desk in d.desks)
+
+    run_scenario(scenario)
