web: a server that stops closes its listener and idle connections first

What callers saw: a request that arrived between a stopping host's last look at its running requests and its end was read, passed on to a server and cut without an answer. A response that had been written but not yet taken by a slow reader lost its last bytes, and a close with unread input reset the connection under a finished response.

Cause: the host decided to stop and then cancelled all connections, which went on reading and writing in between.

HttpServer.shut_down closes the listener, ends idle connections where no byte of a request has arrived, answers the part of a head with 503, waits for current responses to be read (200 ms at most), and only then aborts. A connection that the server ends stays open for reading until its caller closes it, so that unread input does not reset it.

--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -35,6 +35,8 @@
 DRAIN_CHECK_MS = 50.0
 # Part of the grace period reserved for closing connections and exiting.
 EXIT_MARGIN_S = 0.6
+# Time in which callers may take the last responses before connections are aborted.
+CLOSE_TIMEOUT_S = 0.2
 
 
 class EmptyHostList(HostList):
@@ -237,6 +239,7 @@
             if elapsed_ms >= cached_ms and not self.frontend.active:
                 break
             await self.clock.sleep(DRAIN_CHECK_MS)
+        await self.server.shut_down(CLOSE_TIMEOUT_S)
         self.events.record(
             Event.HOST_STOPPED,
             active=self.frontend.active,
--- a/cornelnotch/gateway/tests/kept_connection.py
+++ b/cornelnotch/gateway/tests/kept_connection.py
@@ -49,13 +49,15 @@
         head = h11.Request(method=method, target=path, headers=list(pairs.items()))
         sent = [head, *([h11.Data(data=body)] if body else []), h11.EndOfMessage()]
         try:
-            self.writer.write(b"".join(protocol.send(event) for event in sent))
+            self.writer.write(b"".join(protocol.send(event) or b"" for event in sent))
             return await self._read(protocol)
         except OSError:
             return Reply(0, {}, b"", False)
 
     async def _read(self, protocol):
-        status, headers, chunks = 0, {}, []
+        status = 0
+        headers: dict[str, str] = {}
+        chunks: list[bytes] = []
         while True:
             event = protocol.next_event()
             if event is h11.NEED_DATA:
--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -1,8 +1,8 @@
 """HTTP/1.1 server based on h11 and asyncio streams."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
-from contextlib import suppress
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
 
 import h11
@@ -22,6 +22,7 @@
 MAX_DISCARDED_BYTES = 4 * 1024 * 1024
 WRITE_BUFFER_HIGH_BYTES = 65536
 MAX_BUFFERED_BYTES = 65536
+STATUS_UNAVAILABLE = 503
 # Callers of older versions do not understand chunked bodies.
 MIN_CHUNKED_VERSION = b"1.1"
 
@@ -60,6 +61,7 @@
         self._close_watcher: asyncio.Task[None] | None = None
         self._busy = False
         self._closing = False
+        self._reading: asyncio.Timeout | None = None
         self.disconnected = asyncio.Event()
         writer.transport.set_write_buffer_limits(high=WRITE_BUFFER_HIGH_BYTES)
 
@@ -73,13 +75,11 @@
             self._busy = True
             await handler(exchange)
             self._busy = False
-            if not exchange.response_finished or self._closing:
+            if not exchange.response_finished:
                 return
             await self._stop_watching()
-            if self._protocol.our_state is h11.MUST_CLOSE:
-                if self._protocol.their_state is h11.SEND_BODY:
-                    self._writer.write_eof()
-                    await self._discard_input()
+            if self._closing or self._protocol.our_state is h11.MUST_CLOSE:
+                await self._linger()
                 return
             if self._protocol.their_state is not h11.DONE:
                 return
@@ -87,9 +87,7 @@
 
     async def _read_request(self) -> h11.Request | None:
         try:
-            await self._wait_for_bytes()
-            async with asyncio.timeout(self._limits.header_timeout_s):
-                event = await self.read_event()
+            event = await self._read_head()
         except (TimeoutError, CallerDisconnectedError):
             return None
         except h11.RemoteProtocolError as error:
@@ -109,30 +107,69 @@
             return None
         return event
 
+    async def _read_head(self) -> object:
+        """Return the event of a head; raise TimeoutError if it does not arrive."""
+        try:
+            await self._wait_for_bytes()
+            async with self._limit_reading(self._limits.header_timeout_s):
+                return await self.read_event()
+        except TimeoutError:
+            if not self._closing:
+                raise
+            return await self._take_last_event()
+
     async def _wait_for_bytes(self) -> None:
         """Wait for the first bytes of a request; raise TimeoutError if none arrive."""
         if self._protocol.trailing_data[0]:
             return
-        async with asyncio.timeout(self._limits.idle_timeout_s):
+        async with self._limit_reading(self._limits.idle_timeout_s):
             await self._receive()
 
+    @asynccontextmanager
+    async def _limit_reading(self, limit_s: float) -> AsyncIterator[None]:
+        """Raise TimeoutError after `limit_s`, or once the connection is to close."""
+        async with asyncio.timeout(0.0 if self._closing else limit_s) as limit:
+            self._reading = limit
+            try:
+                yield
+            finally:
+                self._reading = None
+
+    async def _take_last_event(self) -> object:
+        """Return the head of a request that has arrived, or None; refuse a part of one.
+
+        Bytes that arrived together with the end of the wait were not read yet.
+        """
+        with suppress(TimeoutError, CallerDisconnectedError):
+            async with asyncio.timeout(0.0):
+                await self._receive()
+        event = self._next_event()
+        if event is not h11.NEED_DATA:
+            return event
+        if self._protocol.trailing_data[0]:
+            await self._respond_and_close(
+                STATUS_UNAVAILABLE, "closing", "the host is stopping; retry elsewhere"
+            )
+        return None
+
     def is_closing_after_response(self) -> bool:
         """Return whether to close, so that the caller reconnects to another host."""
-        return self._limits.draining
+        return self._limits.draining or self._closing
 
     async def _reject(self, error: h11.RemoteProtocolError) -> None:
+        await self._respond_and_close(
+            error.error_status_hint,
+            "bad-http",
+            f"{error}; send well-formed HTTP/1.1",
+        )
+
+    async def _respond_and_close(self, status: int, kind: str, message: str) -> None:
+        """Send an error before a request has been read, and end the connection."""
         if self._protocol.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
             return
-        body = orjson.dumps(
-            {
-                "error": {
-                    "kind": "bad-http",
-                    "message": f"{error}; send well-formed HTTP/1.1",
-                }
-            }
-        )
+        body = orjson.dumps({"error": {"kind": kind, "message": message}})
         head = h11.Response(
-            status_code=error.error_status_hint,
+            status_code=status,
             headers=[
                 ("content-type", "application/json"),
                 ("cornelnotch-outcome", "not-run"),
@@ -142,8 +179,7 @@
         )
         with suppress(CallerDisconnectedError, h11.LocalProtocolError, OSError):
             await self.send(head, h11.Data(data=body), h11.EndOfMessage())
-            self._writer.write_eof()
-            await self._discard_input()
+            await self._linger()
 
     def take_buffered_event(self) -> object:
         """Return the event after the head if it has already arrived, else None."""
@@ -153,14 +189,15 @@
             return None
         return None if event is h11.NEED_DATA else event
 
-    async def _discard_input(self) -> None:
-        """Read and discard the rest of a rejected request.
+    async def _linger(self) -> None:
+        """End the response, and discard input until the caller closes too.
 
-        Closing with unread data would reset the connection before the caller has read
+        Closing with unread input would reset the connection before the caller has read
         the response.
         """
         discarded = 0
         with suppress(OSError, TimeoutError):
+            self._writer.write_eof()
             async with asyncio.timeout(DISCARD_TIMEOUT_S):
                 while discarded < MAX_DISCARDED_BYTES:
                     data = await self._reader.read(READ_BYTES)
@@ -267,8 +304,8 @@
     def close_when_idle(self) -> None:
         """Close the connection after the current request, or now if there is none."""
         self._closing = True
-        if not self._busy:
-            self._writer.close()
+        if self._reading is not None and not self._reading.expired():
+            self._reading.reschedule(asyncio.get_running_loop().time())
 
     async def close(self) -> None:
         """Close the connection after flushing the write buffer."""
@@ -313,6 +350,14 @@
         for connection in self._open_connections:
             connection.close_when_idle()
 
+    async def shut_down(self, timeout_s: float) -> None:
+        """Stop gracefully: wait for responses to be read, but at most `timeout_s`."""
+        self.start_draining()
+        tasks = set(self._connection_tasks)
+        if tasks:
+            await asyncio.wait(tasks, timeout=timeout_s)
+        await self.stop()
+
     async def stop(self) -> None:
         """Close the listener and all connections."""
         if self._server is not None:
