--- a/cornelnotch/commands/program.py
+++ b/cornelnotch/commands/program.py
@@ -18,6 +18,7 @@
     "burn",
     "load",
     "standin",
+    "soak",
     "catalogue",
 )
 
--- /dev/null
+++ b/cornelnotch/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded runs of real processes with callers that keep their connections."""
--- /dev/null
+++ b/cornelnotch/soak/attempts.py
@@ -0,0 +1,121 @@
+"""Draw callers' requests and record what became of them."""
+
+import random
+import re
+from dataclasses import dataclass, field
+from urllib.parse import urlencode
+
+from cornelnotch.standins.deployment import MAX_ATTEMPTS, TARGET_MS, WORK_ROUTES
+
+__all__ = ["Attempt", "Work", "draw_work"]
+
+EVENT_END = b"\n\n"
+EVENT_ID = re.compile(rb"id: (\d+)\n")
+STREAMS = ("chat", "draft")
+MS_PER_SECOND = 1000.0
+RESPONSE_TIMEOUT_MS = 2.5 * TARGET_MS
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """What one request asks for.
+
+    A call has no `events`. The body is sent over `upload_s`; `read_rate` limits the
+    bytes per second that the caller reads, unless it is 0.
+    """
+
+    route: str
+    work_ms: float
+    events: int = 0
+    gap_ms: float = 0.0
+    size: int = 64
+    body_bytes: int = 16
+    upload_s: float = 0.0
+    read_rate: float = 0.0
+
+    @property
+    def may_repeat(self) -> bool:
+        """Return whether the request may run more than once."""
+        kind, resumable = WORK_ROUTES[self.route]
+        return kind == "idempotent" or resumable
+
+    def estimate_s(self) -> float:
+        """Return the time from the last byte of the request to the end of its work."""
+        served_s = (self.work_ms + self.events * self.gap_ms) / MS_PER_SECOND
+        if self.route == "read" and self.work_ms > RESPONSE_TIMEOUT_MS:
+            # A host tries other servers before it waits for the last one.
+            served_s += (MAX_ATTEMPTS - 1) * RESPONSE_TIMEOUT_MS / MS_PER_SECOND
+        if not self.read_rate:
+            return served_s
+        return served_s + max(self.events, 1) * self.size / self.read_rate
+
+    def build_target(self) -> str:
+        """Return the path and query of the request."""
+        query = {
+            "work": self.work_ms,
+            "events": self.events,
+            "gap": self.gap_ms,
+            "size": self.size,
+        }
+        return f"/{self.route}/x?{urlencode(query)}"
+
+
+def draw_work(generator: random.Random, read_rate: float) -> Work:
+    """Return a random request of a caller that reads at `read_rate`."""
+    route = generator.choice(
+        ("read", "read", "book", "book", "book", "chat", "chat", "draft", "draft")
+    )
+    upload_s = generator.uniform(0.2, 2.5) if generator.random() < 0.1 else 0.0
+    body_bytes = generator.choice((16, 2_000, 40_000)) if upload_s else 16
+    if route in STREAMS:
+        length_s = generator.choice((0.1, 0.1, 0.2, 0.2, 0.5, 1.0, 2.0, 4.0, 9.0))
+        length_s *= generator.uniform(0.7, 1.3)
+        events = max(2, round(length_s / generator.uniform(0.05, 0.2)))
+        gap_ms = round(length_s * MS_PER_SECOND / events, 1)
+        size = generator.choice((32, 32, 4_000)) if not read_rate else 8_000
+        first_ms = generator.choice((5, 50, 300))
+        return Work(
+            route, first_ms, events, gap_ms, size, body_bytes, upload_s, read_rate
+        )
+    work_ms = round(
+        generator.choice(
+            (5, 5, 20, 20, 20, 100, 100, 100, 400, 400, 1_000, 2_000, 6_000)
+        ),
+        1,
+    )
+    size = 250_000 if read_rate else generator.choice((64, 64, 20_000))
+    return Work(route, work_ms, 0, 0.0, size, body_bytes, upload_s, read_rate)
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One request of a caller; times in monotonic seconds.
+
+    `status` is 0 without a response. `whole` is true if the response was complete.
+    `sent_s` is infinite until the last byte was sent. `waited_from_s` is the end of the
+    response before it on the connection, which the host may finish first.
+    """
+
+    request_id: str
+    work: Work
+    host: str
+    begun_s: float
+    deadline_s: float
+    sent_s: float = float("inf")
+    waited_from_s: float = 0.0
+    ended_s: float = float("inf")
+    status: int = 0
+    whole: bool = False
+    refused_connection: bool = False
+    gave_up: bool = False
+    body: bytearray = field(default_factory=bytearray)
+
+    def list_event_ids(self) -> list[int]:
+        """Return the ids of the complete events that arrived."""
+        events = bytes(self.body).split(EVENT_END)[:-1]
+        found = [EVENT_ID.match(event + b"\n") for event in events]
+        return [int(match.group(1)) if match else -1 for match in found]
+
+    def ends_inside_event(self) -> bool:
+        """Return whether bytes follow the last complete event."""
+        return bool(self.body) and not self.body.endswith(EVENT_END)
--- /dev/null
+++ b/cornelnotch/soak/plan.py
@@ -0,0 +1,135 @@
+"""Draw the plan of a soak from a seed; no I/O."""
+
+import random
+from dataclasses import dataclass
+from enum import Enum
+
+__all__ = ["Action", "Plan", "Step", "create_plan"]
+
+CALM_S = 4.0
+# Time after the last stop in which hosts restart and requests end.
+END_S = 3.0
+GRACE_S = (8.0, 8.0, 5.0)
+MAX_STOPPED_SHARE = 0.5
+MAX_CALLERS = 240
+
+
+class Action(Enum):
+    """What a step does to a host, the servers or the configuration."""
+
+    TERMINATE = "terminate"
+    START = "start"
+    HANG_UP = "hang up"
+    PAUSE = "pause"
+    CONFIGURE = "configure"
+    LEAVE = "leave"
+    CRASH = "crash"
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """One step at `at_s` after the start; `pause_s` applies to pauses only."""
+
+    at_s: float
+    action: Action
+    host: int = 0
+    pause_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """Fleet, load and steps of one soak."""
+
+    seed: int
+    seconds: float
+    hosts: int
+    callers: int
+    servers: int
+    grace_s: float
+    think_s: float
+    steps: tuple[Step, ...]
+
+
+class PlanWriter:
+    """Add steps of groups of stops."""
+
+    def __init__(self, generator: random.Random, hosts: int, grace_s: float) -> None:
+        self._generator = generator
+        self._hosts = hosts
+        self._grace_s = grace_s
+        self._free_s = dict.fromkeys(range(hosts), 0.0)
+        self.steps: list[Step] = []
+
+    def add_group(self, at_s: float) -> None:
+        """Add stops of some hosts from `at_s` on, and what happens beside them."""
+        generator = self._generator
+        free = [host for host, until_s in self._free_s.items() if until_s <= at_s]
+        limit = int(self._hosts * MAX_STOPPED_SHARE) - (self._hosts - len(free))
+        if limit < 1:
+            return
+        count = min(generator.choice((1, 1, 2, 2, 3, max(3, limit))), limit)
+        gap_s = generator.choice((0.0, 0.0, 0.3, 1.5, 3.0))
+        for index, host in enumerate(generator.sample(free, count)):
+            self._add_stop(at_s + index * gap_s, host)
+        if generator.random() < 0.4:
+            action = generator.choice((Action.LEAVE, Action.CRASH))
+            self.steps.append(Step(at_s + generator.uniform(-0.5, 4.0), action))
+        if generator.random() < 0.4:
+            self.steps.append(
+                Step(at_s + generator.uniform(-0.3, 4.0), Action.CONFIGURE)
+            )
+
+    def _add_stop(self, at_s: float, host: int) -> None:
+        generator = self._generator
+        self.steps.append(Step(at_s, Action.TERMINATE, host))
+        if generator.random() < 0.25:
+            again_s = generator.uniform(0.0, 4.0)
+            self.steps.append(Step(at_s + again_s, Action.TERMINATE, host))
+        if generator.random() < 0.25:
+            hang_up_s = generator.uniform(-0.2, 4.0)
+            self.steps.append(Step(at_s + hang_up_s, Action.HANG_UP, host))
+        if generator.random() < 0.2:
+            pause_s = generator.uniform(0.2, 1.5)
+            offset_s = generator.uniform(0.1, self._grace_s - 2.5)
+            self.steps.append(Step(at_s + offset_s, Action.PAUSE, host, pause_s))
+        start_s = at_s + self._grace_s + generator.uniform(0.1, 1.0)
+        self.steps.append(Step(start_s, Action.START, host))
+        if generator.random() < 0.3:
+            early_s = start_s + generator.uniform(0.1, 3.0)
+            self.steps.append(Step(early_s, Action.TERMINATE, host))
+            start_s = early_s + self._grace_s + 0.5
+            self.steps.append(Step(start_s, Action.START, host))
+        self._free_s[host] = start_s + 3.0
+
+
+def create_plan(
+    seed: int, seconds: float, hosts: int | None = None, grace_s: float | None = None
+) -> Plan:
+    """Return the plan of `seed`; `hosts` and `grace_s` replace what it draws."""
+    generator = random.Random(f"stops/{seed}")
+    drawn_hosts, drawn_grace_s = generator.randint(3, 6), generator.choice(GRACE_S)
+    hosts, grace_s = hosts or drawn_hosts, grace_s or drawn_grace_s
+    is_heavy = generator.random() < 0.5
+    callers = hosts * (
+        generator.randint(20, 40) if is_heavy else generator.randint(3, 8)
+    )
+    writer = PlanWriter(generator, hosts, grace_s)
+    at_s = CALM_S
+    while at_s < seconds - grace_s - END_S:
+        writer.add_group(at_s)
+        at_s += generator.uniform(2.0, grace_s + 4.0)
+    return Plan(
+        seed,
+        seconds,
+        hosts,
+        min(callers, MAX_CALLERS),
+        max(4, hosts // 4),
+        grace_s,
+        0.1 if is_heavy else 0.4,
+        tuple(
+            sorted(
+                (step for step in writer.steps if step.at_s < seconds),
+                key=lambda step: step.at_s,
+            )
+        ),
+    )
--- /dev/null
+++ b/cornelnotch/standins/deployment.py
@@ -0,0 +1,84 @@
+"""Write the platform's records and callers' requests for a simulated deployment."""
+
+import h11
+import orjson
+
+__all__ = [
+    "MAX_ATTEMPTS",
+    "TARGET_MS",
+    "WORK_ROUTES",
+    "create_configuration_record",
+    "create_request",
+    "create_server_record",
+]
+
+HOST_NAME = "soak.example"
+KEY = "soak-key"
+SERVICE = "work"
+TARGET_MS = 1000.0
+MAX_ATTEMPTS = 3
+MAX_BODY_BYTES = 4 * 1024 * 1024
+# Type of each route of a deployment, and whether its streams may be resumed.
+WORK_ROUTES = {
+    "read": ("idempotent", False),
+    "book": ("non_idempotent", False),
+    "chat": ("streaming", True),
+    "draft": ("streaming", False),
+}
+
+
+def _create_route(name: str, timeout_ms: float) -> dict[str, object]:
+    kind, resumable = WORK_ROUTES[name]
+    return {
+        "name": name,
+        "hostname": HOST_NAME,
+        "path_prefix": f"/{name}/",
+        "route_type": kind,
+        "stream_resume": resumable,
+        "timeout_ms": timeout_ms,
+        "target_latency_ms": TARGET_MS,
+        "priority": 1,
+        "service": SERVICE,
+        "max_attempts": MAX_ATTEMPTS,
+    }
+
+
+def create_configuration_record(version: int, timeout_ms: float) -> bytes:
+    """Return a configuration with one route for each kind of work."""
+    content = {
+        "version": version,
+        "routes": [_create_route(name, timeout_ms) for name in WORK_ROUTES],
+        "services": [{"name": SERVICE}],
+        "tenants": [{"name": "soak", "api_keys": [KEY, f"key-{version}"]}],
+        "limits": {"max_body_bytes": MAX_BODY_BYTES, "idle_timeout_ms": 20_000},
+    }
+    return orjson.dumps(content)
+
+
+def create_server_record(address: str, is_leaving: bool, sequence: int) -> bytes:
+    """Return the entry of a server."""
+    content = {
+        "service": SERVICE,
+        "address": address,
+        "zone": "north-a",
+        "version": "v1",
+        "capacity": 64,
+        "state": "draining" if is_leaving else "ready",
+        "warmup_left_ms": 0,
+        "sequence": sequence,
+    }
+    return orjson.dumps(content)
+
+
+def create_request(
+    request_id: str, target: str, deadline_ms: float, body_bytes: int
+) -> h11.Request:
+    """Return the head of a caller's request."""
+    headers = [
+        ("host", HOST_NAME),
+        ("x-attempt-id", request_id),
+        ("x-key", KEY),
+        ("x-deadline-ms", str(round(deadline_ms))),
+        ("content-length", str(body_bytes)),
+    ]
+    return h11.Request(method="POST", target=target, headers=headers)
