gateway: requests without a response when a host stops are answered

What callers saw: calls that waited at a server or for one when the grace period ended lost their connection without a word, among them calls that may not be repeated.

Cause: the end of the grace period cancelled the tasks of the connections. It was no limit of the requests, as their route's timeout and deadline are.

A drain now lowers the limit of every request, present and later, to its own end, so that the paths for timeouts apply: 503 with a short Retry-After for what no server has run, 504 for what may have run, a reset for a stream that has begun. Bodies that have not arrived are refused. The end comes an eighth of the grace period, at most 600 ms, before the kill, and is checked by a clock that counts pauses of the process. A response that is complete and only waits for its reader is no longer cut at a request's limit.

--- a/cornelnotch/gateway/drain.py
+++ b/cornelnotch/gateway/drain.py
@@ -1,28 +1,60 @@
 """Track the graceful shutdown of a host; no I/O."""
 
+import random
+
+from cornelnotch.gateway.retry_after import MAX_RETRY_AFTER_SHARE
 from cornelnotch.kernel.clock import Clock
 
-__all__ = ["Drain"]
+__all__ = ["Drain", "choose_drain_retry_after_ms", "find_exit_margin_ms"]
+
+# Part of the grace period that remains for closing connections and exiting: a share,
+# and the most that is needed.
+EXIT_MARGIN_SHARE = 1.0 / 8.0
+MAX_EXIT_MARGIN_MS = 600.0
+# Delay before a refused caller retries at another host, shortened by up to half.
+RETRY_AFTER_MS = 100.0
+
+
+def find_exit_margin_ms(grace_ms: float) -> float:
+    """Return the time that closing connections and exiting may take, in ms."""
+    return min(grace_ms * EXIT_MARGIN_SHARE, MAX_EXIT_MARGIN_MS)
+
+
+def choose_drain_retry_after_ms(
+    has_other_hosts: bool, left_ms: float, generator: random.Random
+) -> float:
+    """Return the jittered delay after which a refused caller may retry, in ms."""
+    longest_ms = max(left_ms, 0.0) * MAX_RETRY_AFTER_SHARE
+    delay_ms = min(RETRY_AFTER_MS, longest_ms) if has_other_hosts else longest_ms
+    return delay_ms * (1.0 - 0.5 * generator.random())
 
 
 class Drain:
-    """Start and end of the grace period of a host; times in ms."""
+    """Graceful shutdown of a host; `end_ms` is infinite until it starts."""
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._started_ms: float | None = None
         self.end_ms = float("inf")
 
-    def start(self, duration_ms: float) -> None:
-        """Start to drain; all requests must have ended after `duration_ms`."""
+    def start(self, grace_ms: float) -> None:
+        """Start to drain; the process is killed after `grace_ms`."""
         self._started_ms = self._clock.read()
-        self.end_ms = self._started_ms + duration_ms
+        self.end_ms = self._started_ms + grace_ms - find_exit_margin_ms(grace_ms)
+
+    def close(self) -> None:
+        """End the drain now, also before its time: no further request is served."""
+        self.end_ms = min(self.end_ms, self._clock.read())
 
     @property
     def has_started(self) -> bool:
         """Return whether the host is draining."""
         return self._started_ms is not None
 
+    def measure_left_ms(self) -> float:
+        """Return the time until all requests must have ended, in ms."""
+        return self.end_ms - self._clock.read()
+
     def measure_age_ms(self, at_ms: float) -> float | None:
         """Return the time from the start to `at_ms` in ms, or None before the start.
 
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -15,6 +15,7 @@
     UpstreamResponse,
     open_response,
 )
+from cornelnotch.gateway.drain import choose_drain_retry_after_ms
 from cornelnotch.gateway.forwarding import MAX_BUFFERED_BYTES, EventReader, forward_body
 from cornelnotch.gateway.header_codec import DispatchOptions
 from cornelnotch.gateway.models import (
@@ -47,6 +48,9 @@
 STATUS_OK = 200
 STATUS_SERVER_ERROR = 500
 CRASHING_PROMPT = "crashing-prompt"
+HOST_LEAVING = "host-leaving"
+HOST_STOPPED = "host-stopped"
+TIMED_OUT = "timeout"
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
 STATUS_GATEWAY_TIMEOUT = 504
@@ -84,6 +88,8 @@
         deadline = request.deadline_ms or DEFAULT_DEADLINE_MS
         self.deadline_ms = arrived_ms + deadline
         self.limit_ms = arrived_ms + min(deadline, route.timeout_ms)
+        self.limit_ms = min(self.limit_ms, context.drain.end_ms)
+        self._time_limit: asyncio.Timeout | None = None
         self.dispatches = DispatchCounts()
         self.excluded: set[str] = set()
         self.overloaded: set[str] = set()
@@ -129,10 +135,23 @@
         loop = asyncio.get_running_loop()
         left_s = (self.limit_ms - self.context.clock.read()) / 1000.0
         try:
-            async with asyncio.timeout_at(loop.time() + max(left_s, 0.0)):
+            async with asyncio.timeout_at(loop.time() + max(left_s, 0.0)) as limit:
+                self._time_limit = limit
                 await self._dispatch_until_answered()
         except TimeoutError:
+            self._time_limit = None
             await self._finish_timed_out()
+        finally:
+            self._time_limit = None
+
+    def limit_to(self, end_ms: float) -> None:
+        """Give the final response by `end_ms`, also if the limit was later."""
+        self.limit_ms = min(self.limit_ms, end_ms)
+        if self._time_limit is None or self._time_limit.expired():
+            return
+        left_s = (self.limit_ms - self.context.clock.read()) / 1000.0
+        loop = asyncio.get_running_loop()
+        self._time_limit.reschedule(loop.time() + max(left_s, 0.0))
 
     async def _dispatch_until_answered(self) -> None:
         answered = False
@@ -162,6 +181,14 @@
         self.tries_blamed_prompt = self.context.may_try_blamed(self.request)
         return self.tries_blamed_prompt
 
+    async def _refuse_leaving(self) -> None:
+        """Refuse a request that no server has run when the host stops."""
+        left_ms = self.deadline_ms - self.context.clock.read()
+        retry_ms = choose_drain_retry_after_ms(
+            bool(self.context.hosts), left_ms, self.context.generator
+        )
+        await self._refuse(STATUS_UNAVAILABLE, HOST_LEAVING, round(retry_ms, 1))
+
     async def _refuse_crashing_prompt(self) -> None:
         """Refuse for good: neither a status nor a delay invites callers to retry."""
         if self.exchange.response_started:
@@ -563,7 +590,8 @@
         except UpstreamError as error:
             response.close()
             return UpstreamResponse(DispatchOutcome.BROKEN, error.problem)
-        self._finish(response.head.status, self.context.clock.read(), end=end.value)
+        now = self.context.clock.read()
+        self._finish(response.head.status, now, end=end.value)
         return None
 
     async def _forward_stream(
@@ -692,15 +720,26 @@
             await self._refuse(STATUS_UNAVAILABLE, response.outcome.value)
 
     async def _finish_timed_out(self) -> None:
+        if self.exchange.response_finished:
+            # Only the caller's reading is left, which the connection waits for.
+            return
+        is_stop = self.limit_ms >= self.context.drain.end_ms
+        reason = HOST_STOPPED if is_stop else TIMED_OUT
         if self.exchange.response_started:
-            self._record_event(Event.REQUEST_BROKEN_OFF, reason="timeout")
+            if is_stop:
+                self._record_cut()
+            else:
+                self._record_event(Event.REQUEST_BROKEN_OFF, reason=reason)
             self.exchange.abort()
             raise CallerDisconnectedError(
                 "the response exceeded its time limit", "retry the request"
             )
         ran = self.dispatches.ran > 0
+        if is_stop and not ran:
+            await self._refuse_leaving()
+            return
         status = STATUS_GATEWAY_TIMEOUT if ran else STATUS_UNAVAILABLE
-        await self._refuse(status, "timeout")
+        await self._refuse(status, reason)
 
     def _record_cut(self) -> None:
         """Record that the host stopped before the request had its response."""
@@ -708,7 +747,7 @@
         arrived_ms = self.context.drain.measure_age_ms(self.arrived_ms)
         self._record_event(
             Event.REQUEST_BROKEN_OFF,
-            reason="host-stopped",
+            reason=HOST_STOPPED,
             ran=self.dispatches.ran,
             started=self.exchange.response_started,
             finished=self.exchange.response_finished,
--- a/cornelnotch/gateway/frontend.py
+++ b/cornelnotch/gateway/frontend.py
@@ -1,10 +1,12 @@
 """Handle requests of callers: find the route, authenticate and dispatch."""
 
+import asyncio
 from urllib.parse import urlsplit
 
 from cornelnotch.exceptions import CallerDisconnectedError, RequestError
 from cornelnotch.gateway.context import NO_VERSION, GatewayContext
-from cornelnotch.gateway.flow import RequestFlow
+from cornelnotch.gateway.drain import choose_drain_retry_after_ms
+from cornelnotch.gateway.flow import HOST_LEAVING, RequestFlow
 from cornelnotch.gateway.models import CallerRequest
 from cornelnotch.kernel.events import Event
 from cornelnotch.web import Exchange
@@ -22,6 +24,8 @@
     def __init__(self, context: GatewayContext) -> None:
         self._context = context
         self.active = 0
+        self._flows: set[RequestFlow] = set()
+        self._receiving: set[asyncio.Timeout] = set()
 
     async def handle(self, exchange: Exchange) -> None:
         """Handle one HTTP exchange."""
@@ -63,7 +67,9 @@
         ):
             await self._refuse(exchange, request, STATUS_UNAUTHORIZED, "unknown-key")
             return
-        request.body = await exchange.read_body(table.limits.body_bytes)
+        if not await self._receive_body(exchange, request):
+            await self._refuse_leaving(exchange, request)
+            return
         flow = RequestFlow(context, exchange, request, route, workspace, arrived_ms)
         context.events.record(
             Event.REQUEST_ROUTED,
@@ -75,7 +81,50 @@
             version=table.version,
         )
         context.find_retry_budget(flow.service).record_request(arrived_ms)
-        await flow.run()
+        self._flows.add(flow)
+        try:
+            await flow.run()
+        finally:
+            self._flows.discard(flow)
+
+    def limit_requests(self) -> None:
+        """Give every request its final response before the host stops."""
+        end_ms = self._context.drain.end_ms
+        for flow in self._flows:
+            flow.limit_to(end_ms)
+        for limit in self._receiving:
+            if not limit.expired():
+                limit.reschedule(self._find_receipt_end_s())
+
+    def _find_receipt_end_s(self) -> float | None:
+        """Return the loop time at which bodies must have arrived, None for never."""
+        if not self._context.drain.has_started:
+            return None
+        left_ms = max(self._context.drain.measure_left_ms(), 0.0)
+        return asyncio.get_running_loop().time() + left_ms / 1000.0
+
+    async def _receive_body(self, exchange: Exchange, request: CallerRequest) -> bool:
+        """Read the body; return False if the host stops before it has arrived."""
+        limit_bytes = self._context.table.limits.body_bytes
+        limit = asyncio.timeout_at(self._find_receipt_end_s())
+        self._receiving.add(limit)
+        try:
+            async with limit:
+                request.body = await exchange.read_body(limit_bytes)
+        except TimeoutError:
+            return False
+        finally:
+            self._receiving.discard(limit)
+        return True
+
+    async def _refuse_leaving(self, exchange: Exchange, request: CallerRequest) -> None:
+        context = self._context
+        retry_ms = choose_drain_retry_after_ms(
+            bool(context.hosts), request.deadline_ms, context.generator
+        )
+        await self._refuse(
+            exchange, request, STATUS_UNAVAILABLE, HOST_LEAVING, round(retry_ms, 1)
+        )
 
     async def _refuse_not_ready(
         self, exchange: Exchange, request: CallerRequest, arrived_ms: float
--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -33,8 +33,6 @@
 ENTRY_LIFETIME_S = 1.0
 MAX_CACHED_LIFETIMES = 3.0
 DRAIN_CHECK_MS = 50.0
-# Part of the grace period reserved for closing connections and exiting.
-EXIT_MARGIN_S = 0.6
 # Time in which callers may take the last responses before connections are aborted.
 CLOSE_TIMEOUT_S = 0.2
 
@@ -220,13 +218,13 @@
             return
         self.leaving = True
         self.server.limits.draining = True
-        grace_ms = (self.settings.bounds.grace_s - EXIT_MARGIN_S) * 1000.0
-        self.context.drain.start(grace_ms)
+        self.context.drain.start(self.settings.bounds.grace_s * 1000.0)
+        self.frontend.limit_requests()
         self.events.record(
             Event.HOST_LEAVING,
             active=self.frontend.active,
             connections=self.server.count_connections(),
-            grace_ms=grace_ms,
+            left_ms=round(self.context.drain.measure_left_ms(), 1),
         )
         self.prober.announce_state(MemberState.LEAVING)
         self.tasks.start("drain", self._drain())
@@ -234,17 +232,19 @@
     async def _drain(self) -> None:
         started_ms = self.clock.read()
         cached_ms = ENTRY_LIFETIME_S * MAX_CACHED_LIFETIMES * 1000.0
-        while self.clock.read() < self.context.drain.end_ms:
+        while self.context.drain.measure_left_ms() > 0:
             elapsed_ms = self.clock.read() - started_ms
             if elapsed_ms >= cached_ms and not self.frontend.active:
                 break
             await self.clock.sleep(DRAIN_CHECK_MS)
-        await self.server.shut_down(CLOSE_TIMEOUT_S)
+        self.context.drain.close()
+        self.frontend.limit_requests()
+        active = self.frontend.active
+        aborted = await self.server.shut_down(CLOSE_TIMEOUT_S)
         self.events.record(
             Event.HOST_STOPPED,
-            active=self.frontend.active,
-            connections=self.server.count_connections(),
-            unsent_bytes=self.server.count_unsent_bytes(),
+            active=active,
+            aborted=aborted,
             after_ms=round(self.clock.read() - started_ms, 1),
         )
         self.stopped.set()
--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -285,10 +285,6 @@
                 "caller closed the connection", "retry the request"
             ) from error
 
-    def count_unsent_bytes(self) -> int:
-        """Return the size of the responses that were not yet passed to the system."""
-        return self._writer.transport.get_write_buffer_size()
-
     def abort(self) -> None:
         """Abort the connection immediately."""
         if self._is_ended_by_close():
@@ -338,10 +334,6 @@
         """Return the number of open connections."""
         return len(self._open_connections)
 
-    def count_unsent_bytes(self) -> int:
-        """Return the size of all responses not yet passed to the system."""
-        return sum(c.count_unsent_bytes() for c in self._open_connections)
-
     def start_draining(self) -> None:
         """Close the listener and idle connections; current requests are completed."""
         self._draining = True
@@ -350,13 +342,18 @@
         for connection in self._open_connections:
             connection.close_when_idle()
 
-    async def shut_down(self, timeout_s: float) -> None:
-        """Stop gracefully: wait for responses to be read, but at most `timeout_s`."""
+    async def shut_down(self, timeout_s: float) -> int:
+        """Stop gracefully: wait for responses to be read, but at most `timeout_s`.
+
+        Return the number of connections that were aborted after that.
+        """
         self.start_draining()
         tasks = set(self._connection_tasks)
         if tasks:
             await asyncio.wait(tasks, timeout=timeout_s)
+        aborted = len(self._connection_tasks)
         await self.stop()
+        return aborted
 
     async def stop(self) -> None:
         """Close the listener and all connections."""
