gateway: a draining host refuses requests that cannot end before it stops

Cause: a draining host took every request until its last moment. Callers that keep their connections send the whole time, and nothing compared how long a request takes with the time that the host had left.

The check is repeated when a request leaves the admission queue. A request that may have run already is not refused.

--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -11,6 +11,7 @@
 from cornelnotch.gateway.crash_evidence import CrashEvidence
 from cornelnotch.gateway.crash_watch import CrashWatch, ServerLife
 from cornelnotch.gateway.drain import Drain
+from cornelnotch.gateway.durations import DurationTracker
 from cornelnotch.gateway.engine_rates import EngineRateTable
 from cornelnotch.gateway.header_codec import HeaderCodec
 from cornelnotch.gateway.models import CallerLimits, CallerRequest, Route, RoutingTable
@@ -69,6 +70,7 @@
         self.crash_watch = CrashWatch(client, events, self.metrics, self.record_crash)
         self.startup = Startup(clock)
         self.drain = Drain(clock)
+        self.durations = DurationTracker()
         self.pool = ServerPool()
         self.rate_limits = RateLimitTable()
         self.engine_rates = EngineRateTable()
--- a/cornelnotch/gateway/drain.py
+++ b/cornelnotch/gateway/drain.py
@@ -1,7 +1,15 @@
-"""Track the graceful shutdown of a host; no I/O."""
+"""Decide what becomes of requests during the graceful shutdown of a host; no I/O.
+
+Callers may use an open connection until it is closed, so requests arrive during the
+whole grace period. A request that can end in time is served like any other. Another
+one is refused before it is sent to a server: its caller can retry it at another host,
+while a response that is cut off loses the work, or leaves its caller uncertain whether
+it ran.
+"""
 
 import random
 
+from cornelnotch.gateway.models import Route, WorkKind
 from cornelnotch.gateway.retry_after import MAX_RETRY_AFTER_SHARE
 from cornelnotch.kernel.clock import Clock
 
@@ -11,6 +19,12 @@
 # and the most that is needed.
 EXIT_MARGIN_SHARE = 1.0 / 8.0
 MAX_EXIT_MARGIN_MS = 600.0
+# Factors on the estimated duration of a request, by what a wrong estimate costs its
+# caller: nothing but a retry if the work may be repeated or the stream resumed, the
+# stream so far, or certainty whether the work ran.
+REPEATABLE_FACTOR = 1.0
+STREAM_FACTOR = 1.25
+ONCE_FACTOR = 4.0
 # Delay before a refused caller retries at another host, shortened by up to half.
 RETRY_AFTER_MS = 100.0
 
@@ -20,6 +34,15 @@
     return min(grace_ms * EXIT_MARGIN_SHARE, MAX_EXIT_MARGIN_MS)
 
 
+def find_safety_factor(route: Route) -> float:
+    """Return the factor on the estimated duration of a route's requests."""
+    if route.kind is WorkKind.ONCE:
+        return ONCE_FACTOR
+    if route.kind is WorkKind.STREAM and not route.resumable:
+        return STREAM_FACTOR
+    return REPEATABLE_FACTOR
+
+
 def choose_drain_retry_after_ms(
     has_other_hosts: bool, left_ms: float, generator: random.Random
 ) -> float:
@@ -61,3 +84,18 @@
         The time is negative if `at_ms` is before the start.
         """
         return None if self._started_ms is None else at_ms - self._started_ms
+
+    def can_end(self, route: Route, expected_ms: float | None, limit_ms: float) -> bool:
+        """Return whether a request sent to a server now can end in time.
+
+        `expected_ms` is its estimated duration, or None if that is unknown. It has its
+        final response within `limit_ms`, whatever its server does.
+        """
+        left_ms = self.measure_left_ms()
+        if left_ms <= 0:
+            return False
+        if limit_ms <= left_ms:
+            return True
+        if expected_ms is None:
+            return False
+        return expected_ms * find_safety_factor(route) <= left_ms
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -159,6 +159,9 @@
             if not self._may_dispatch():
                 await self._refuse_crashing_prompt()
                 return
+            if not self._can_end(0.0):
+                await self._refuse_leaving()
+                return
             placement = self._place_at_backup() or self._place()
             if placement is None:
                 await self._fail_without_server()
@@ -181,13 +184,44 @@
         self.tries_blamed_prompt = self.context.may_try_blamed(self.request)
         return self.tries_blamed_prompt
 
+    def _can_end(self, prefill_ms: float) -> bool:
+        """Return whether the request, if sent now, can end before the host stops.
+
+        A request that may have run cannot be refused, so it uses the time left.
+        """
+        drain = self.context.drain
+        if not drain.has_started or self.dispatches.ran:
+            return True
+        expected_ms = self._estimate_duration_ms(prefill_ms)
+        now = self.context.clock.read()
+        deadline_ms = min(self.deadline_ms, self.arrived_ms + self.route.timeout_ms)
+        return drain.can_end(self.route, expected_ms, deadline_ms - now)
+
+    def _estimate_duration_ms(self, prefill_ms: float) -> float | None:
+        elapsed_ms = self.context.clock.read() - self.arrived_ms
+        durations = self.context.durations
+        tokens = self.request.output_tokens
+        expected_ms = durations.estimate_ms(self.route.name, elapsed_ms, tokens)
+        if expected_ms is None and self.route.kind is WorkKind.STREAM and tokens:
+            # Events hold one token or more, so this is an upper estimate.
+            rates = self.context.engine_rates.get_average(self.service)
+            expected_ms = self.route.target_ms + tokens * rates.event_ms
+        return None if expected_ms is None else expected_ms + prefill_ms
+
     async def _refuse_leaving(self) -> None:
-        """Refuse a request that no server has run when the host stops."""
+        """Refuse a request that cannot end before the host stops."""
         left_ms = self.deadline_ms - self.context.clock.read()
         retry_ms = choose_drain_retry_after_ms(
             bool(self.context.hosts), left_ms, self.context.generator
         )
-        await self._refuse(STATUS_UNAVAILABLE, HOST_LEAVING, round(retry_ms, 1))
+        expected_ms = self._estimate_duration_ms(0.0)
+        await self._refuse(
+            STATUS_UNAVAILABLE,
+            HOST_LEAVING,
+            round(retry_ms, 1),
+            expected_ms=None if expected_ms is None else round(expected_ms, 1),
+            left_ms=round(self.context.drain.measure_left_ms(), 1),
+        )
 
     async def _refuse_crashing_prompt(self) -> None:
         """Refuse for good: neither a status nor a delay invites callers to retry."""
@@ -233,6 +267,9 @@
         if not self._may_dispatch():
             await self._refuse_crashing_prompt()
             return True
+        if not self._can_end(self._estimate_prefill_ms(placement, in_flight)):
+            await self._refuse_leaving()
+            return True
         response = await self._dispatch(placement, in_flight)
         if response is None:
             return True
@@ -256,6 +293,13 @@
         self.splitter.restart()
         return False
 
+    def _estimate_prefill_ms(
+        self, placement: Placement, in_flight: InFlightRequest
+    ) -> float:
+        name = placement.server.record.name
+        rates = self.context.engine_rates.get(name, self.service)
+        return in_flight.prefill_tokens / rates.read_rate
+
     async def _note_break(
         self,
         placement: Placement,
@@ -372,6 +416,10 @@
         is_repeatable = self.route.kind is WorkKind.REPEATABLE
         return is_repeatable and self.last_outcome is DispatchOutcome.FAILED
 
+    def _must_leave_queue(self, view: ServerView, in_flight: InFlightRequest) -> bool:
+        """Return whether a waiting request must be placed anew or refused."""
+        return not self._can_end(0.0) or self._has_better_server(view, in_flight)
+
     def _has_better_server(self, view: ServerView, in_flight: InFlightRequest) -> bool:
         """Return whether a waiting request would now be placed at another engine."""
         if self.server_changes >= MAX_SERVER_CHANGES:
@@ -425,7 +473,7 @@
             self._find_wait_limit_ms(),
             self.route.target_itl_ms if in_flight.latency_sensitive else 0.0,
             self.route.target_ms,
-            lambda: self._has_better_server(view, in_flight),
+            lambda: self._must_leave_queue(view, in_flight),
         )
         waited_ms = self.context.clock.read() - in_flight.started_ms
         rates = self.context.engine_rates.get(view.record.name, self.service)
@@ -591,6 +639,7 @@
             response.close()
             return UpstreamResponse(DispatchOutcome.BROKEN, error.problem)
         now = self.context.clock.read()
+        self.context.durations.record(self.route.name, now - self.arrived_ms, 0.0, 0)
         self._finish(response.head.status, now, end=end.value)
         return None
 
@@ -633,6 +682,12 @@
         self.context.exposures.record(
             self.route.name, stream_ms, self.request.prompt_tokens
         )
+        self.context.durations.record(
+            self.route.name,
+            in_flight.first_ms - self.arrived_ms,
+            stream_ms,
+            self.request.output_tokens,
+        )
         self._finish(
             response.head.status,
             in_flight.first_ms,
@@ -756,7 +811,11 @@
         )
 
     async def _refuse(
-        self, status: int, reason: str, retry_ms: float | None = None
+        self,
+        status: int,
+        reason: str,
+        retry_ms: float | None = None,
+        **details: object,
     ) -> None:
         if status == STATUS_UNAVAILABLE and retry_ms is None:
             retry_ms = DEFAULT_RETRY_AFTER_MS
@@ -771,6 +830,7 @@
             refused=self.dispatches.refused,
             unsent=self.dispatches.unsent,
             retry_after_ms=retry_ms,
+            **details,
         )
         await self.context.refuse(self.exchange, self.request, status, reason, retry_ms)
 
--- a/cornelnotch/gateway/models.py
+++ b/cornelnotch/gateway/models.py
@@ -146,7 +146,10 @@
 
 @dataclass(slots=True)
 class CallerRequest:
-    """One request of a caller; `headers` are the headers to forward."""
+    """One request of a caller; `headers` are the headers to forward.
+
+    `output_tokens` is the most that it lets a server generate, or 0 if it names none.
+    """
 
     request_id: str
     method: str
@@ -159,6 +162,7 @@
     last_event_id: str = ""
     prompt: tuple[PromptPart, ...] = ()
     prompt_tokens: int = 0
+    output_tokens: int = 0
     body: bytes = field(default=b"", repr=False)
 
     def list_shared_parts(self) -> tuple[str, ...]:
--- a/cornelnotch/platform/header_codec.py
+++ b/cornelnotch/platform/header_codec.py
@@ -154,6 +154,7 @@
             last_event_id=find_header(headers, LAST_EVENT_ID),
             prompt=parse_prompt_segments(find_header(headers, PROMPT_PREFIX)),
             prompt_tokens=int(tokens[0]),
+            output_tokens=int(tokens[1]) if len(tokens) > 1 else 0,
         )
 
     def create_dispatch_headers(
