--- a/cornelnotch/gateway/tests/kept_connection.py
+++ b/cornelnotch/gateway/tests/kept_connection.py
@@ -24,6 +24,11 @@
     whole: bool
 
 
+def count_bytes(event):
+    """Return the size of the body in an event."""
+    return len(event.data) if isinstance(event, h11.Data) else 0
+
+
 class KeptConnection:
     """A connection that is used again whatever the responses say of it."""
 
@@ -37,17 +42,29 @@
 
     async def send(self, request_id, path, method="GET", body=b"", **headers):
         """Send one request on the connection and return its response."""
+        pieces = [h11.Data(data=body)] if body else []
+        return await self._exchange(
+            request_id, path, method, [*pieces, h11.EndOfMessage()], headers
+        )
+
+    async def send_part(self, request_id, path, method, part, **headers):
+        """Send a head and a part of the body, and return the response."""
+        return await self._exchange(
+            request_id, path, method, [h11.Data(data=part)], headers
+        )
+
+    async def _exchange(self, request_id, path, method, events, headers):
         protocol = h11.Connection(h11.CLIENT)
         pairs = {
             "host": HOST_NAME,
             "x-attempt-id": request_id,
             "x-key": KEY,
             "x-deadline-ms": "10000",
-            "content-length": str(len(body)),
+            "content-length": str(sum(map(count_bytes, events))),
         }
         pairs.update({k.replace("_", "-"): v for k, v in headers.items()})
         head = h11.Request(method=method, target=path, headers=list(pairs.items()))
-        sent = [head, *([h11.Data(data=body)] if body else []), h11.EndOfMessage()]
+        sent = [head, *events]
         try:
             self.writer.write(b"".join(protocol.send(event) or b"" for event in sent))
             return await self._read(protocol)
--- a/cornelnotch/gateway/tests/test_graceful_shutdown.py
+++ b/cornelnotch/gateway/tests/test_graceful_shutdown.py
@@ -81,3 +81,80 @@
         assert all("c2" not in desk.executions for desk in d.desks)
 
     run_scenario(scenario)
+
+
+def test_requests_that_can_end_are_served_during_the_drain():
+    async def scenario(d):
+        connection = await KeptConnection.open(d.settings.listen.callers)
+        for path in ("/read/x", "/book/x", "/stream/x", "/stream/draft/x"):
+            assert (await connection.send(f"calm{path}", path)).status == 200
+            connection.close()
+            connection = await KeptConnection.open(d.settings.listen.callers)
+        stopping = start_drain(d, grace_s=5.0)
+        clock = d.host.clock
+        began_ms = clock.read()
+        number = 0
+        while clock.read() < began_ms + 2500.0:
+            number += 1
+            for path in ("/read/x", "/book/x", "/stream/x", "/stream/draft/x"):
+                connection = await KeptConnection.open(d.settings.listen.callers)
+                reply = await connection.send(f"{path}/{number}", path)
+                assert (reply.status, reply.whole) == (200, True)
+        await stopping
+
+    run_scenario(scenario)
+
+
+def test_request_that_waits_for_admission_when_the_host_stops_is_refused():
+    async def scenario(d):
+        async def wait_for_ever(*arguments):
+            await asyncio.Event().wait()
+
+        d.host.context.admission.wait_for_admission = wait_for_ever
+        connection = await KeptConnection.open(d.settings.listen.callers)
+        headers = {"x-token-usage": "10,5", "x-prompt-prefix": "a:5,b:5"}
+        task = asyncio.create_task(
+            connection.send("s1", "/stream/draft/x", "POST", b"p", **headers)
+        )
+        await asyncio.sleep(0.1)
+        stopping = start_drain(d, grace_s=1.0)
+        reply = await task
+        assert (reply.status, reply.whole) == (503, True)
+        assert "retry-after" in reply.headers
+        assert count_runs(d.engines) == 0
+        await stopping
+
+    run_scenario(scenario)
+
+
+def test_request_with_an_incomplete_body_is_refused_when_the_host_stops():
+    async def scenario(d):
+        connection = await KeptConnection.open(d.settings.listen.callers)
+        headers = {"content-length": "100"}
+        task = asyncio.create_task(
+            connection.send_part("c1", "/book/x", "POST", b"part", **headers)
+        )
+        await asyncio.sleep(0.1)
+        stopping = start_drain(d, grace_s=1.0)
+        reply = await task
+        assert (reply.status, reply.whole) == (503, True)
+        assert count_runs(d.desks) == 0
+        await stopping
+
+    run_scenario(scenario)
+
+
+def test_paused_host_answers_its_requests_when_it_wakes_after_the_drain():
+    async def scenario(d):
+        for desk in d.desks:
+            desk.faults.hang = True
+        connection = await KeptConnection.open(d.settings.listen.callers)
+        task = asyncio.create_task(connection.send("c1", "/book/x", "POST", b"b"))
+        await wait_until(lambda: count_runs(d.desks) == 1)
+        stopping = start_drain(d, grace_s=3.0)
+        d.host.context.drain.end_ms = d.host.clock.read() - 1.0
+        async with asyncio.timeout(1.0):
+            assert (await task).status == 504
+            await stopping
+
+    run_scenario(scenario)
