--- a/cornelnotch/platform/program.py
+++ b/cornelnotch/platform/program.py
@@ -25,6 +25,8 @@
 # Reference counting frees nearly all objects of a request, so a high threshold avoids
 # needless scans of the youngest generation for reference cycles.
 GC_YOUNG_THRESHOLD_OBJECTS = 10_000
+# Time in which current requests of the directory, readiness and metrics may end.
+ENDPOINT_CLOSE_TIMEOUT_S = 0.05
 
 
 async def serve_host(settings: HostSettings, output: LogOutput) -> None:
@@ -58,6 +60,8 @@
     gc.freeze()
     gc.set_threshold(GC_YOUNG_THRESHOLD_OBJECTS)
     await host.stopped.wait()
+    endpoints = (directory, readiness, metrics)
+    await asyncio.gather(*(e.shut_down(ENDPOINT_CLOSE_TIMEOUT_S) for e in endpoints))
     await host.stop()
 
 
