--- a/cornelnotch/gateway/tests/limited_fleet.py
+++ b/cornelnotch/gateway/tests/limited_fleet.py
@@ -124,11 +124,13 @@
     def __init__(self):
         self.disconnected = asyncio.Event()
         self.response_started = False
+        self.response_finished = False
         self.status = 0
         self.retry_after_s = 0.0
 
     async def respond(self, status, headers, body):
         self.response_started = True
+        self.response_finished = True
         self.status = status
         fields = dict(headers)
         self.retry_after_s = float(fields.get(b"retry-after", 0))
