gateway: an empty piece between CR and LF no longer loses the LF of an event

Seen in a test only: a stream whose events end with CRLF lacked the last byte of one event, if a piece without data came between the CR and the LF. A host reads no such piece today (gateway/flow.py ends a stream at one), so no caller saw it.

Cause: EventSplitter.feed(b"") cleared the mark that the LF of an event already sent may follow, so the LF was buffered as the start of the next event.

Fix: a piece without data changes no state.

--- a/cornelnotch/gateway/streams.py
+++ b/cornelnotch/gateway/streams.py
@@ -44,7 +44,7 @@
 
         After an invalid event, `check` raises until `restart` is called.
         """
-        if self._problem:
+        if self._problem or not data:
             return b""
         line_end = b""
         if self._may_continue_line_end and data.startswith(b"\n"):
--- a/cornelnotch/gateway/tests/test_streams.py
+++ b/cornelnotch/gateway/tests/test_streams.py
@@ -35,6 +35,13 @@
     splitter.check_end()
 
 
+def test_an_empty_piece_between_cr_and_lf_does_not_swallow_the_lf():
+    splitter = EventSplitter()
+    pieces = [b"id: 1\r\ndata: a\r\n\r", b"", b"\n", b"id: 2\r\ndata: b\r\n\r\n"]
+    assert [splitter.feed(piece) for piece in pieces] == pieces
+    assert splitter.count == 2
+
+
 def test_an_incomplete_event_is_buffered():
     splitter = EventSplitter("4")
     assert splitter.feed(b"id: 5\nda") == b""
