--- a/Makefile
+++ b/Makefile
@@ -42,6 +42,8 @@
 	$(VENV)/bin/python -m benchmarks.keying
 	$(VENV)/bin/python -m benchmarks.turns
 
+fuzz: SEED := $(shell date +%s)
 fuzz: setup
-	CORNELNOTCH_FUZZ=40000 $(VENV)/bin/python -m pytest -q --timeout 600 \
-		cornelnotch/web cornelnotch/wire cornelnotch/configuration cornelnotch/routing
+	CORNELNOTCH_FUZZ=40000 CORNELNOTCH_EXAMPLES=4000 CORNELNOTCH_SEED=$(SEED) \
+		$(VENV)/bin/python -m pytest --timeout 1800 -m "fuzz or hypothesis" \
+		--hypothesis-profile search --hypothesis-seed $(SEED)
--- a/cornelnotch/claims/tests/test_ledger.py
+++ b/cornelnotch/claims/tests/test_ledger.py
@@ -1,6 +1,6 @@
 """Test the claim ledger with claims, releases and outcomes in any order."""
 
-from hypothesis import given, settings, strategies as st
+from hypothesis import given, strategies as st
 
 from cornelnotch.claims import (
     ClaimLedger,
@@ -34,7 +34,6 @@
     return ledger
 
 
-@settings(max_examples=200, deadline=None, derandomize=True)
 @given(st.lists(OPERATIONS, max_size=12))
 def test_holder_of_key_changes_only_by_its_own_release(operations):
     ledger = ClaimLedger()
@@ -54,7 +53,6 @@
     assert apply_operations([release, late]).find_claim("k") is None
 
 
-@settings(max_examples=50, deadline=None, derandomize=True)
 @given(st.lists(OPERATIONS, max_size=5))
 def test_operations_round_trip_through_encoding(operations):
     decoded = decode_operations(encode_operations(operations)).unwrap()
--- a/cornelnotch/configuration/tests/test_fold.py
+++ b/cornelnotch/configuration/tests/test_fold.py
@@ -1,11 +1,10 @@
 """Tests of folding: concurrent changes, conflicts, removals, malformed records."""
 
-import os
 import random
 import string
 
 import pytest
-from hypothesis import given, settings, strategies as st
+from hypothesis import given, strategies as st
 
 from cornelnotch.configuration import (
     Change,
@@ -18,13 +17,13 @@
     restore_snapshot,
     select_class,
 )
+from cornelnotch.testing.randominput import SEED, read_case_count
 from cornelnotch.testing.samples import (
     create_sample_configuration,
     create_server_section,
 )
 
-RANDOM_SEED = 20261204
-FUZZ_CASES = int(os.environ.get("CORNELNOTCH_FUZZ", "400"))
+FUZZ_CASES = read_case_count(400)
 INITIAL_TEXT = create_sample_configuration(
     create_server_section("e", "cobbler-assist", "127.0.0.1:1")
 )
@@ -106,8 +105,9 @@
     assert select_class(configuration, "w", {}, "nowhere").failure().status == 422
 
 
+@pytest.mark.fuzz
 def test_corrupted_records_never_abort_the_fold():
-    generator = random.Random(RANDOM_SEED)
+    generator = random.Random(SEED)
     state = create_state()
     characters = string.printable
     for offset in range(1, FUZZ_CASES):
@@ -120,7 +120,6 @@
         state = after
 
 
-@settings(max_examples=60, deadline=None, derandomize=True)
 @given(st.lists(st.tuples(st.integers(-1, 6), st.integers(0, 2)), max_size=8))
 def test_versions_never_decrease_and_snapshots_are_lossless(changes):
     state = create_state()
--- a/cornelnotch/membership/tests/test_table.py
+++ b/cornelnotch/membership/tests/test_table.py
@@ -2,7 +2,7 @@
 
 import random
 
-from hypothesis import given, settings, strategies as st
+from hypothesis import given, strategies as st
 
 from cornelnotch.membership import MemberState, MemberTable, ServerTable
 from cornelnotch.wire.messages import MemberUpdate, ServerUpdate
@@ -20,7 +20,6 @@
     return table
 
 
-@settings(max_examples=100, deadline=None, derandomize=True)
 @given(
     st.lists(st.tuples(st.sampled_from(STATES[1:]), st.integers(1, 3)), max_size=6),
     st.randoms(use_true_random=False),
--- a/cornelnotch/queueing/tests/test_machine.py
+++ b/cornelnotch/queueing/tests/test_machine.py
@@ -1,6 +1,6 @@
 """Test the invariants of a shard under arbitrary orders of events."""
 
-from hypothesis import settings, strategies as st
+from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from cornelnotch.queueing import Grant, PreemptionNotice, Refusal, create_shard
@@ -159,7 +159,4 @@
         assert not waiting & self.answered
 
 
-ShardMachine.TestCase.settings = settings(
-    max_examples=60, stateful_step_count=40, deadline=None, derandomize=True
-)
 TestShardMachine = ShardMachine.TestCase
--- a/cornelnotch/routing/tests/test_requests.py
+++ b/cornelnotch/routing/tests/test_requests.py
@@ -1,19 +1,18 @@
 """Test the validation of valid, invalid and random requests, and the retry budget."""
 
-import os
 import random
 
 import orjson
 import pytest
-from hypothesis import given, settings, strategies as st
+from hypothesis import given, strategies as st
 from returns.result import Failure, Success
 
 from cornelnotch.kernel import create_identifier
 from cornelnotch.routing.budget import RetryBudget
 from cornelnotch.routing.requests import parse_caller_request
+from cornelnotch.testing.randominput import SEED, read_case_count
 
-SEED = 20261204
-CASES = int(os.environ.get("CORNELNOTCH_FUZZ", "2000"))
+CASES = read_case_count(2000)
 HEADERS = {"cornelnotch-workspace": "w", "cornelnotch-labels": "kind=quote"}
 CHAT = {"messages": [{"role": "user", "content": "boots"}], "stream": True}
 
@@ -63,7 +62,6 @@
     assert "cornelnotch-workspace" in str(result.failure())
 
 
-@settings(max_examples=200, deadline=None, derandomize=True)
 @given(
     st.dictionaries(
         st.sampled_from(
@@ -84,6 +82,7 @@
     assert isinstance(result, Success | Failure)
 
 
+@pytest.mark.fuzz
 def test_mutated_bodies_return_request_or_typed_error():
     generator = random.Random(SEED)
     whole = orjson.dumps(CHAT)
--- a/cornelnotch/web/tests/test_border.py
+++ b/cornelnotch/web/tests/test_border.py
@@ -1,19 +1,18 @@
 """Tests of malformed HTTP: it is rejected and never crashes the server."""
 
 import asyncio
-import os
 import random
 
 import orjson
 import pytest
 
 from cornelnotch.exceptions import RequestError
+from cornelnotch.testing.randominput import SEED, read_case_count
 from cornelnotch.web import Exchange, HttpClient, HttpServer
 
 ADDRESS = "127.0.0.1"
 LIMIT_BYTES = 1000
-RANDOM_SEED = 20261204
-FUZZ_CASES = int(os.environ.get("CORNELNOTCH_FUZZ", "300"))
+FUZZ_CASES = read_case_count(300)
 VALID_REQUEST = (
     b"POST /x HTTP/1.1\r\nhost: a\r\ncontent-type: application/json\r\n"
     b"content-length: 13\r\n\r\n" + b'{"a":"bcdefg"}'[:13]
@@ -142,10 +141,11 @@
     return bytes(changed)
 
 
+@pytest.mark.fuzz
 def test_corrupted_requests_never_crash_the_server():
     async def scenario():
         echo, server = await start_echo()
-        generator = random.Random(RANDOM_SEED)
+        generator = random.Random(SEED)
         for _ in range(0, FUZZ_CASES, 50):
             batch = [mutate(generator, VALID_REQUEST) for _ in range(50)]
             await asyncio.gather(*(send_raw(server.port, data) for data in batch))
--- a/cornelnotch/wire/tests/test_codec.py
+++ b/cornelnotch/wire/tests/test_codec.py
@@ -1,12 +1,12 @@
 """Tests of message round trips and of WireError for malformed frames."""
 
-import os
 import random
 
 import msgpack
 import pytest
 
 from cornelnotch.exceptions import WireError
+from cornelnotch.testing.randominput import SEED, read_case_count
 from cornelnotch.wire import FrameReader, decode_message, encode_message
 from cornelnotch.wire.messages import (
     ClassOccupancy,
@@ -17,8 +17,7 @@
     Ping,
 )
 
-RANDOM_SEED = 20261204
-FUZZ_CASES = int(os.environ.get("CORNELNOTCH_FUZZ", "3000"))
+FUZZ_CASES = read_case_count(3000)
 MESSAGES = [
     Ping(1, "a", 7, 3.5, [MemberUpdate("a", "h", "p", "x", "alive", 3)], []),
     HeldPermits("a", "s/r/0", [HeldPermit("r", "e", "quote", 1, "w")]),
@@ -52,8 +51,9 @@
         decode_message(body)
 
 
+@pytest.mark.fuzz
 def test_corrupted_frames_decode_or_raise_wire_error():
-    generator = random.Random(RANDOM_SEED)
+    generator = random.Random(SEED)
     bodies = [encode_message(message)[4:] for message in MESSAGES]
     for _ in range(FUZZ_CASES):
         body = bytearray(generator.choice(bodies))
