web: a server that stops waits for responses of connections that it has closed

What callers saw: a caller that reads slowly lost the end of a response whose connection the server had already closed for writing.

Cause: a connection left the server's list before its write buffer was flushed, so shut_down did not wait for it and count_unsent_bytes did not count it.

Evidence: test_shutdown_waits_until_a_slow_caller_has_read_its_response with 'connection: close' failed before (0 bytes counted as unsent while more than 450,000 were). Now a connection is listed until its buffer is flushed or it is aborted.

--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -385,6 +385,9 @@
             # asyncio would print a traceback for a cancelled accept callback.
             connection.abort()
         finally:
+            try:
+                await connection.close()
+            except asyncio.CancelledError:
+                connection.abort()
             self._connection_tasks.discard(task)
             self._open_connections.discard(connection)
-            await connection.close()
