web: a server that stops waits for connections that are just being accepted

What callers saw: a request on a connection accepted as the listener closed was read and handled after shut_down had returned, so that the end of the process cut it.

Cause: asyncio starts the task of a connection some steps of the event loop after it has accepted it; shut_down looked for tasks before that.

Evidence: test_request_accepted_as_the_listener_closes_is_answered_or_not_handled failed before with 3 and 4 steps between the connect and the stop (handled, no answer). shut_down now lets the loop run 8 steps after the listener has closed; no connection is accepted any more by then. With 2 steps asyncio drops an accepted connection without closing it: its request is not read, and its caller learns of it when the process ends.

--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -23,6 +23,8 @@
 WRITE_BUFFER_HIGH_BYTES = 65536
 MAX_BUFFERED_BYTES = 65536
 STATUS_UNAVAILABLE = 503
+# Steps of the event loop from accepting a connection to its task.
+ACCEPT_STEPS = 8
 # Callers of older versions do not understand chunked bodies.
 MIN_CHUNKED_VERSION = b"1.1"
 
@@ -353,6 +355,9 @@
     async def shut_down(self, timeout_s: float) -> None:
         """Stop gracefully: wait for responses to be read, but at most `timeout_s`."""
         self.start_draining()
+        # asyncio calls `_accept` some steps after it has accepted a connection.
+        for _ in range(ACCEPT_STEPS):
+            await asyncio.sleep(0)
         tasks = set(self._connection_tasks)
         if tasks:
             await asyncio.wait(tasks, timeout=timeout_s)
--- a/cornelnotch/web/tests/test_shutdown.py
+++ b/cornelnotch/web/tests/test_shutdown.py
@@ -96,3 +96,27 @@
         assert server.count_unsent_bytes() == 0
 
     run_with_large_response(monkeypatch, scenario)
+
+
+@pytest.mark.parametrize("steps", range(8))
+def test_request_accepted_as_the_listener_closes_is_answered_or_not_handled(steps):
+    async def scenario():
+        responder = Responder(b"done", pause_s=0.2)
+        server = HttpServer(responder.handle)
+        await server.start(ADDRESS, 0)
+        caller = socket.socket()
+        caller.connect((ADDRESS, server.port))
+        caller.sendall(REQUEST)
+        for _ in range(steps):
+            await asyncio.sleep(0)
+        await server.shut_down(timeout_s=5.0)
+        caller.settimeout(2.0)
+        try:
+            received = caller.recv(4096)
+        except (ConnectionResetError, TimeoutError):
+            received = b""
+        caller.close()
+        await asyncio.sleep(0.05)
+        assert received.endswith(b"done") or responder.handled == 0
+
+    asyncio.run(scenario())
