node: a draining host waits for its connections, not for its handlers

What callers saw (product's own interface): a request that arrived as the host closed its idle connections was read, passed on and cut a second later. A caller that read slowly lost the end of its response.

Cause: the drain looked once at the requests being handled, right after it had closed the idle connections, and then waited for a second without looking again. A request whose bytes had arrived by then was read after that look; a response in the write buffer was never looked for.

Evidence: test_request_that_crosses_the_close_of_its_connection_is_completed and test_response_in_the_write_buffer_of_a_draining_host_is_delivered failed before. The host now stops once no connection, permit, claim or grant has been in use for a whole second, within the same limit.

--- a/cornelnotch/node/node.py
+++ b/cornelnotch/node/node.py
@@ -202,14 +202,27 @@
         await self.clock.sleep(ttl_ms + DRAIN_MARGIN_MS)
         limit = self.clock.read() + self.settings.timing.drain_limit_ms
         self.server.start_draining()
-        while self._is_busy() and self.clock.read() < limit:
-            await self.clock.sleep(DRAIN_POLL_MS)
-        await self.clock.sleep(HANDOVER_MS)
+        await self._wait_until_idle(limit)
         self.events.record(Event.HOST_STOPPED)
         self.stopped.set()
 
+    async def _wait_until_idle(self, limit_ms: float) -> None:
+        """Wait until nothing has been running for HANDOVER_MS, until `limit_ms`.
+
+        Requests that arrived as the connections were closed are still being read.
+        """
+        idle_since_ms = self.clock.read()
+        while (now := self.clock.read()) < limit_ms:
+            if self._is_busy():
+                idle_since_ms = now
+            elif now - idle_since_ms >= HANDOVER_MS:
+                return
+            await self.clock.sleep(DRAIN_POLL_MS)
+
     def _is_busy(self) -> bool:
-        if self.front.active or self.permits.count_held() or self.claims.pending_count:
+        if self.server.count_connections():
+            return True
+        if self.permits.count_held() or self.claims.pending_count:
             return True
         return any(shard.running for shard in self.dispatcher.shards.values())
 
