node: a draining host asks callers to close their connections

What callers saw (product's own interface): a caller that kept its connection went on using it until the host closed it, and lost each request that crossed with that close.

Cause: the node never set the server's draining flag, so its responses did not say 'Connection: close' while it drained.

Evidence: test_draining_host_asks_callers_to_close_their_connections failed before (no such header).

--- a/cornelnotch/node/node.py
+++ b/cornelnotch/node/node.py
@@ -190,6 +190,7 @@
         if self._draining:
             return
         self._draining = True
+        self.server.limits.draining = True
         self.tasks.start("drain", self._drain())
 
     async def _drain(self) -> None:
--- a/cornelnotch/node/tests/test_drain.py
+++ b/cornelnotch/node/tests/test_drain.py
@@ -194,6 +194,19 @@
     run_scenario(scenario)
 
 
+def test_draining_host_asks_callers_to_close_their_connections():
+    async def scenario(s):
+        connection = await s.connect()
+        before = await connection.ask(encode_lookup())
+        assert "connection" not in before.headers
+        stopping = s.start_drain()
+        during = await connection.ask(encode_lookup())
+        assert (during.status, during.headers["connection"]) == (200, "close")
+        await stopping
+
+    run_scenario(scenario)
+
+
 def test_response_in_the_write_buffer_of_a_draining_host_is_delivered(monkeypatch):
     monkeypatch.setattr("cornelnotch.web.server.WRITE_BUFFER_HIGH_BYTES", BODY_BYTES)
 
