--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -240,10 +240,12 @@
         self.context.drain.close()
         self.frontend.limit_requests()
         active = self.frontend.active
+        unsent_bytes = self.server.count_unsent_bytes()
         aborted = await self.server.shut_down(CLOSE_TIMEOUT_S)
         self.events.record(
             Event.HOST_STOPPED,
             active=active,
+            unsent_bytes=unsent_bytes,
             aborted=aborted,
             after_ms=round(self.clock.read() - started_ms, 1),
         )
--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -23,6 +23,8 @@
 WRITE_BUFFER_HIGH_BYTES = 65536
 MAX_BUFFERED_BYTES = 65536
 STATUS_UNAVAILABLE = 503
+# Steps of the event loop from accepting a connection to its task.
+ACCEPT_STEPS = 8
 # Callers of older versions do not understand chunked bodies.
 MIN_CHUNKED_VERSION = b"1.1"
 
@@ -285,6 +287,10 @@
                 "caller closed the connection", "retry the request"
             ) from error
 
+    def count_unsent_bytes(self) -> int:
+        """Return the size of the responses that were not yet passed to the system."""
+        return self._writer.transport.get_write_buffer_size()
+
     def abort(self) -> None:
         """Abort the connection immediately."""
         if self._is_ended_by_close():
@@ -334,6 +340,10 @@
         """Return the number of open connections."""
         return len(self._open_connections)
 
+    def count_unsent_bytes(self) -> int:
+        """Return the size of all responses not yet passed to the system."""
+        return sum(c.count_unsent_bytes() for c in self._open_connections)
+
     def start_draining(self) -> None:
         """Close the listener and idle connections; current requests are completed."""
         self._draining = True
@@ -348,6 +358,9 @@
         Return the number of connections that were aborted after that.
         """
         self.start_draining()
+        # asyncio calls `_accept` some steps after it has accepted a connection.
+        for _ in range(ACCEPT_STEPS):
+            await asyncio.sleep(0)
         tasks = set(self._connection_tasks)
         if tasks:
             await asyncio.wait(tasks, timeout=timeout_s)
@@ -382,6 +395,9 @@
             # asyncio would print a traceback for a cancelled accept callback.
             connection.abort()
         finally:
+            try:
+                await connection.close()
+            except asyncio.CancelledError:
+                connection.abort()
             self._connection_tasks.discard(task)
             self._open_connections.discard(connection)
-            await connection.close()
