wire: a host that stops sends its queued messages first

What callers saw: nothing yet; found while looking for other ends that do not know what is under way. The last messages of a stopping host, which release what its requests held in the admission queues of other hosts, were dropped with the tasks of its connections, so that engines counted those requests for up to 4 s more.

PeerNetwork.flush waits until queued messages have been sent, for a sixth of the time between the end of the drain and the kill. The time for callers to take their last responses is a third of it, so that short grace periods hold both.

Test: test_messages_queued_when_a_host_stops_reach_their_receiver fails without the flush (no message arrives) and passes now.

--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -7,6 +7,7 @@
 from cornelnotch.gateway.broadcast import Broadcaster
 from cornelnotch.gateway.context import NO_VERSION, GatewayContext
 from cornelnotch.gateway.directory import Directory
+from cornelnotch.gateway.drain import find_exit_margin_ms
 from cornelnotch.gateway.follower import RecordFollower
 from cornelnotch.gateway.frontend import Frontend
 from cornelnotch.gateway.header_codec import HeaderCodec
@@ -33,8 +34,10 @@
 ENTRY_LIFETIME_S = 1.0
 MAX_CACHED_LIFETIMES = 3.0
 DRAIN_CHECK_MS = 50.0
-# Time in which callers may take the last responses before connections are aborted.
-CLOSE_TIMEOUT_S = 0.2
+# Shares of the time between the end of the drain and the kill in which callers may take
+# the last responses, and other hosts the last messages.
+CLOSE_SHARE = 1.0 / 3.0
+FLUSH_SHARE = 1.0 / 6.0
 
 
 class EmptyHostList(HostList):
@@ -241,7 +244,9 @@
         self.frontend.limit_requests()
         active = self.frontend.active
         unsent_bytes = self.server.count_unsent_bytes()
-        aborted = await self.server.shut_down(CLOSE_TIMEOUT_S)
+        exit_s = find_exit_margin_ms(self.settings.bounds.grace_s * 1000.0) / 1000.0
+        aborted = await self.server.shut_down(exit_s * CLOSE_SHARE)
+        await self.peers.flush(exit_s * FLUSH_SHARE)
         self.events.record(
             Event.HOST_STOPPED,
             active=active,
--- a/cornelnotch/wire/peers.py
+++ b/cornelnotch/wire/peers.py
@@ -37,9 +37,13 @@
             while True:
                 async with asyncio.timeout(IDLE_TIMEOUT_S):
                     data = await self.queue.get()
+                taken = 1
                 while not self.queue.empty():
                     data += self.queue.get_nowait()
+                    taken += 1
                 writer = await self._write(writer, data)
+                for _ in range(taken):
+                    self.queue.task_done()
         except TimeoutError:
             return
         finally:
@@ -127,6 +131,14 @@
             task.cancel()
         await asyncio.gather(*incoming, return_exceptions=True)
 
+    async def flush(self, timeout_s: float) -> None:
+        """Wait until queued messages have been sent, but at most `timeout_s`."""
+        queues = [connection.queue for connection in self._connections.values()]
+        with suppress(TimeoutError):
+            async with asyncio.timeout(timeout_s):
+                for queue in queues:
+                    await queue.join()
+
     def subscribe(self, kind: type, receiver: Receiver) -> None:
         """Call `receiver` with the sender's name and each message of type `kind`."""
         self._receivers[kind] = receiver
