--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -7,6 +7,7 @@
 from cornelnotch.gateway.broadcast import Broadcaster
 from cornelnotch.gateway.context import NO_VERSION, GatewayContext
 from cornelnotch.gateway.directory import Directory
+from cornelnotch.gateway.drain import find_exit_margin_ms
 from cornelnotch.gateway.follower import RecordFollower
 from cornelnotch.gateway.frontend import Frontend
 from cornelnotch.gateway.header_codec import HeaderCodec
@@ -33,10 +34,10 @@
 ENTRY_LIFETIME_S = 1.0
 MAX_CACHED_LIFETIMES = 3.0
 DRAIN_CHECK_MS = 50.0
-# Part of the grace period reserved for closing connections and exiting.
-EXIT_MARGIN_S = 0.6
-# Time in which callers may take the last responses before connections are aborted.
-CLOSE_TIMEOUT_S = 0.2
+# Shares of the time between the end of the drain and the kill in which callers may take
+# the last responses, and other hosts the last messages.
+CLOSE_SHARE = 1.0 / 3.0
+FLUSH_SHARE = 1.0 / 6.0
 
 
 class EmptyHostList(HostList):
@@ -220,13 +221,13 @@
             return
         self.leaving = True
         self.server.limits.draining = True
-        grace_ms = (self.settings.bounds.grace_s - EXIT_MARGIN_S) * 1000.0
-        self.context.drain.start(grace_ms)
+        self.context.drain.start(self.settings.bounds.grace_s * 1000.0)
+        self.frontend.limit_requests()
         self.events.record(
             Event.HOST_LEAVING,
             active=self.frontend.active,
             connections=self.server.count_connections(),
-            grace_ms=grace_ms,
+            left_ms=round(self.context.drain.measure_left_ms(), 1),
         )
         self.prober.announce_state(MemberState.LEAVING)
         self.tasks.start("drain", self._drain())
@@ -234,17 +235,23 @@
     async def _drain(self) -> None:
         started_ms = self.clock.read()
         cached_ms = ENTRY_LIFETIME_S * MAX_CACHED_LIFETIMES * 1000.0
-        while self.clock.read() < self.context.drain.end_ms:
+        while self.context.drain.measure_left_ms() > 0:
             elapsed_ms = self.clock.read() - started_ms
             if elapsed_ms >= cached_ms and not self.frontend.active:
                 break
             await self.clock.sleep(DRAIN_CHECK_MS)
-        await self.server.shut_down(CLOSE_TIMEOUT_S)
+        self.context.drain.close()
+        self.frontend.limit_requests()
+        active = self.frontend.active
+        unsent_bytes = self.server.count_unsent_bytes()
+        exit_s = find_exit_margin_ms(self.settings.bounds.grace_s * 1000.0) / 1000.0
+        aborted = await self.server.shut_down(exit_s * CLOSE_SHARE)
+        await self.peers.flush(exit_s * FLUSH_SHARE)
         self.events.record(
             Event.HOST_STOPPED,
-            active=self.frontend.active,
-            connections=self.server.count_connections(),
-            unsent_bytes=self.server.count_unsent_bytes(),
+            active=active,
+            unsent_bytes=unsent_bytes,
+            aborted=aborted,
             after_ms=round(self.clock.read() - started_ms, 1),
         )
         self.stopped.set()
--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -23,6 +23,8 @@
 WRITE_BUFFER_HIGH_BYTES = 65536
 MAX_BUFFERED_BYTES = 65536
 STATUS_UNAVAILABLE = 503
+# Steps of the event loop from accepting a connection to its task.
+ACCEPT_STEPS = 8
 # Callers of older versions do not understand chunked bodies.
 MIN_CHUNKED_VERSION = b"1.1"
 
@@ -350,13 +352,21 @@
         for connection in self._open_connections:
             connection.close_when_idle()
 
-    async def shut_down(self, timeout_s: float) -> None:
-        """Stop gracefully: wait for responses to be read, but at most `timeout_s`."""
+    async def shut_down(self, timeout_s: float) -> int:
+        """Stop gracefully: wait for responses to be read, but at most `timeout_s`.
+
+        Return the number of connections that were aborted after that.
+        """
         self.start_draining()
+        # asyncio calls `_accept` some steps after it has accepted a connection.
+        for _ in range(ACCEPT_STEPS):
+            await asyncio.sleep(0)
         tasks = set(self._connection_tasks)
         if tasks:
             await asyncio.wait(tasks, timeout=timeout_s)
+        aborted = len(self._connection_tasks)
         await self.stop()
+        return aborted
 
     async def stop(self) -> None:
         """Close the listener and all connections."""
@@ -385,6 +395,9 @@
             # asyncio would print a traceback for a cancelled accept callback.
             connection.abort()
         finally:
+            try:
+                await connection.close()
+            except asyncio.CancelledError:
+                connection.abort()
             self._connection_tasks.discard(task)
             self._open_connections.discard(connection)
-            await connection.close()
