soak: routes with typical durations, ports that stay reserved

Half of the plans now give each route a typical duration, as on a real deployment; in the others requests of one route differ as much as all do.

--- a/cornelnotch/soak/attempts.py
+++ b/cornelnotch/soak/attempts.py
@@ -7,15 +7,23 @@
 
 from cornelnotch.standins.deployment import MAX_ATTEMPTS, TARGET_MS, WORK_ROUTES
 
-__all__ = ["Attempt", "Work", "draw_work"]
+__all__ = ["Attempt", "Work", "WorkMix", "draw_mix", "draw_work"]
 
 EVENT_END = b"\n\n"
 EVENT_ID = re.compile(rb"id: (\d+)\n")
 STREAMS = ("chat", "draft")
+ROUTES = ("read", "read", "book", "book", "book", "chat", "chat", "draft", "draft")
+STREAM_MS = (100, 100, 200, 200, 500, 1_000, 2_000, 4_000, 9_000)
+CALL_MS = (5, 20, 20, 100, 100, 400, 400, 1_000, 2_000, 6_000)
+# Share of plans in which requests of one route differ as much as those of all routes.
+WIDE_SHARE = 0.5
 MS_PER_SECOND = 1000.0
 RESPONSE_TIMEOUT_MS = 2.5 * TARGET_MS
 
 
+WorkMix = dict[str, float]
+
+
 @dataclass(frozen=True, slots=True)
 class Work:
     """What one request asks for.
@@ -60,31 +68,33 @@
         return f"/{self.route}/x?{urlencode(query)}"
 
 
-def draw_work(generator: random.Random, read_rate: float) -> Work:
+def draw_mix(generator: random.Random) -> WorkMix:
+    """Return the typical duration of each route in ms, or none for a wide mix."""
+    if generator.random() < WIDE_SHARE:
+        return {}
+    return {
+        route: float(generator.choice(STREAM_MS if route in STREAMS else CALL_MS))
+        for route in WORK_ROUTES
+    }
+
+
+def draw_work(generator: random.Random, mix: WorkMix, read_rate: float) -> Work:
     """Return a random request of a caller that reads at `read_rate`."""
-    route = generator.choice(
-        ("read", "read", "book", "book", "book", "chat", "chat", "draft", "draft")
-    )
+    route = generator.choice(ROUTES)
     upload_s = generator.uniform(0.2, 2.5) if generator.random() < 0.1 else 0.0
     body_bytes = generator.choice((16, 2_000, 40_000)) if upload_s else 16
-    if route in STREAMS:
-        length_s = generator.choice((0.1, 0.1, 0.2, 0.2, 0.5, 1.0, 2.0, 4.0, 9.0))
-        length_s *= generator.uniform(0.7, 1.3)
-        events = max(2, round(length_s / generator.uniform(0.05, 0.2)))
-        gap_ms = round(length_s * MS_PER_SECOND / events, 1)
-        size = generator.choice((32, 32, 4_000)) if not read_rate else 8_000
-        first_ms = generator.choice((5, 50, 300))
-        return Work(
-            route, first_ms, events, gap_ms, size, body_bytes, upload_s, read_rate
-        )
-    work_ms = round(
-        generator.choice(
-            (5, 5, 20, 20, 20, 100, 100, 100, 400, 400, 1_000, 2_000, 6_000)
-        ),
-        1,
+    typical_ms = mix.get(route) or generator.choice(
+        STREAM_MS if route in STREAMS else CALL_MS
     )
-    size = 250_000 if read_rate else generator.choice((64, 64, 20_000))
-    return Work(route, work_ms, 0, 0.0, size, body_bytes, upload_s, read_rate)
+    length_ms = round(typical_ms * generator.uniform(0.75, 1.35), 1)
+    if route not in STREAMS:
+        size = 250_000 if read_rate else generator.choice((64, 64, 20_000))
+        return Work(route, length_ms, 0, 0.0, size, body_bytes, upload_s, read_rate)
+    events = max(2, round(length_ms / generator.uniform(50.0, 200.0)))
+    gap_ms = round(length_ms / events, 1)
+    size = generator.choice((32, 32, 4_000)) if not read_rate else 8_000
+    first_ms = generator.choice((5, 50, 300))
+    return Work(route, first_ms, events, gap_ms, size, body_bytes, upload_s, read_rate)
 
 
 @dataclass(slots=True)
--- a/cornelnotch/soak/callers.py
+++ b/cornelnotch/soak/callers.py
@@ -11,7 +11,7 @@
 import h11
 
 from cornelnotch.kernel.tasks import cancel_and_wait
-from cornelnotch.soak.attempts import Attempt, Work, draw_work
+from cornelnotch.soak.attempts import Attempt, Work, WorkMix, draw_work
 from cornelnotch.standins.deployment import create_request
 from cornelnotch.web import parse_address
 
@@ -82,11 +82,13 @@
         generator: random.Random,
         choose_target: Callable[[random.Random, float], CallerTarget | None],
         think_s: float,
+        mix: WorkMix,
     ) -> None:
         self._name = name
         self._generator = generator
         self._choose_target = choose_target
         self._think_s = think_s
+        self._mix = mix
         self._read_rate = (
             generator.uniform(1e5, 4e5) if generator.random() < 0.1 else 0.0
         )
@@ -138,7 +140,7 @@
             self._preferred = target if self._cached_s == STALE_S else None
         except (OSError, TimeoutError):
             self._preferred = None
-            work = draw_work(self._generator, 0.0)
+            work = draw_work(self._generator, self._mix, 0.0)
             attempt = self._create_attempt(work, target.find_host())
             attempt.refused_connection = True
             attempt.ended_s = time.monotonic()
@@ -162,7 +164,7 @@
             count = self._generator.randint(1, MAX_PIPELINED)
         attempts = []
         for _ in range(count):
-            work = draw_work(self._generator, self._read_rate)
+            work = draw_work(self._generator, self._mix, self._read_rate)
             attempts.append(self._create_attempt(work, connection.host))
         upload = asyncio.create_task(self._upload(connection, attempts))
         try:
--- a/cornelnotch/soak/fleet.py
+++ b/cornelnotch/soak/fleet.py
@@ -4,6 +4,7 @@
 import os
 import random
 import signal
+import socket
 import sys
 import time
 from collections import defaultdict
@@ -45,6 +46,7 @@
 [regions]
 north-a = north
 """
+LOOPBACK = "127.0.0.1"
 LISTENERS = ("callers", "readiness", "directory", "peers")
 SEEDS = 3
 READY_TIMEOUT_S = 40.0
@@ -87,8 +89,9 @@
         self.lives: list[HostLife] = []
         self.errors: list[str] = []
         self._current: dict[int, HostLife] = {}
+        self._reserved: list[socket.socket] = []
         self._addresses = [
-            {name: f"127.0.0.1:{find_free_port()}" for name in LISTENERS}
+            {name: self._reserve_address() for name in LISTENERS}
             for _ in range(plan.hosts)
         ]
         self._generator = random.Random(f"fleet/{plan.seed}")
@@ -97,6 +100,18 @@
         self._version = 0
         self._servers = 0
 
+    def _reserve_address(self) -> str:
+        """Return an address that only this fleet's hosts will listen on.
+
+        A bound socket keeps others from the port; hosts can still listen on it.
+        """
+        reserved = socket.socket()
+        reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        port = find_free_port()
+        reserved.bind((LOOPBACK, port))
+        self._reserved.append(reserved)
+        return f"{LOOPBACK}:{port}"
+
     async def start(self) -> None:
         """Start everything and wait until all hosts are ready."""
         await self.store.start()
@@ -126,6 +141,8 @@
             await life.process.wait()
         for worker in self.workers:
             await worker.stop()
+        for reserved in self._reserved:
+            reserved.close()
         self._client.close()
         await self.store.stop()
 
--- a/cornelnotch/soak/plan.py
+++ b/cornelnotch/soak/plan.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+from cornelnotch.soak.attempts import WorkMix, draw_mix
+
 __all__ = ["Action", "Plan", "Step", "create_plan"]
 
 CALM_S = 4.0
@@ -47,6 +49,7 @@
     servers: int
     grace_s: float
     think_s: float
+    mix: WorkMix
     steps: tuple[Step, ...]
 
 
@@ -126,6 +129,7 @@
         max(4, hosts // 4),
         grace_s,
         0.1 if is_heavy else 0.4,
+        draw_mix(generator),
         tuple(
             sorted(
                 (step for step in writer.steps if step.at_s < seconds),
--- a/cornelnotch/soak/report.py
+++ b/cornelnotch/soak/report.py
@@ -9,6 +9,7 @@
 
 MAX_FINDINGS_PER_CHECK = 8
 MAX_LOG_LINES = 6
+MAX_MISSES = 4
 
 Print = Callable[[str], None]
 
@@ -19,7 +20,7 @@
     write(f"sent later than 3 s after SIGTERM: {_format_counts(verdict.late)}")
     write(f"excused: {_format_counts(verdict.excused)}")
     write(f"served in calm: {verdict.calm_served} of {verdict.calm}")
-    for miss in verdict.calm_misses + verdict.early_misses:
+    for miss in (verdict.calm_misses + verdict.early_misses)[:MAX_MISSES]:
         _print_finding(miss, logs, write)
     write(
         f"served of what was sent in the first 3 s: {verdict.early_served}"
--- a/cornelnotch/soak/stops.py
+++ b/cornelnotch/soak/stops.py
@@ -39,6 +39,7 @@
                 random.Random(f"caller/{plan.seed}/{number}"),
                 self._fleet.choose_target,
                 plan.think_s,
+                plan.mix,
             )
             for number in range(plan.callers)
         ]
@@ -137,7 +138,8 @@
     """Run a soak of planned stops; return the verdict after printing it."""
     write(
         f"seed {plan.seed}: {plan.hosts} hosts, {plan.callers} callers, "
-        f"{plan.servers} servers, grace {plan.grace_s} s, {plan.seconds} s"
+        f"{plan.servers} servers, grace {plan.grace_s} s, {plan.seconds} s, "
+        f"typical ms {plan.mix or 'wide mix'}"
     )
     soak = StopSoak(plan, folder, write)
     verdict = await soak.run()
