--- a/cornelnotch/soak/attempts.py
+++ b/cornelnotch/soak/attempts.py
@@ -117,7 +117,6 @@
     status: int = 0
     whole: bool = False
     refused_connection: bool = False
-    gave_up: bool = False
     body: bytearray = field(default_factory=bytearray)
 
     def list_event_ids(self) -> list[int]:
--- a/cornelnotch/soak/callers.py
+++ b/cornelnotch/soak/callers.py
@@ -219,9 +219,7 @@
         try:
             async with asyncio.timeout(max(limit_s, 0.0)):
                 await self._read_events(connection, protocol, attempt)
-        except TimeoutError:
-            attempt.gave_up = True
-        except (OSError, h11.RemoteProtocolError):
+        except (OSError, TimeoutError, h11.RemoteProtocolError):
             pass
         attempt.ended_s = time.monotonic()
         connection.previous_end_s = attempt.ended_s
