web: a server that stops lingers on idle connections and answers pipelined requests

What callers would have seen (found by a review, with tests that failed): the part of a response that a slow reader had not taken was lost by a reset when its next request crossed the close of the idle connection; a request that was pipelined behind a stream was read and never answered.

Idle connections now end like others: half-closed, then read until the caller closes. A connection in use ends after a response that says so, so that a request that is already there is answered first. shut_down no longer counts connections whose responses were taken.

--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -63,6 +63,7 @@
         self._close_watcher: asyncio.Task[None] | None = None
         self._busy = False
         self._closing = False
+        self.lingering = False
         self._reading: asyncio.Timeout | None = None
         self.disconnected = asyncio.Event()
         writer.transport.set_write_buffer_limits(high=WRITE_BUFFER_HIGH_BYTES)
@@ -72,6 +73,8 @@
         while not self.disconnected.is_set():
             request = await self._read_request()
             if request is None:
+                if self._closing and not self.disconnected.is_set():
+                    await self._linger()
                 return
             exchange = Exchange(self, request)
             self._busy = True
@@ -80,7 +83,7 @@
             if not exchange.response_finished:
                 return
             await self._stop_watching()
-            if self._closing or self._protocol.our_state is h11.MUST_CLOSE:
+            if self._protocol.our_state is h11.MUST_CLOSE:
                 await self._linger()
                 return
             if self._protocol.their_state is not h11.DONE:
@@ -198,6 +201,7 @@
         the response.
         """
         discarded = 0
+        self.lingering = True
         with suppress(OSError, TimeoutError):
             self._writer.write_eof()
             async with asyncio.timeout(DISCARD_TIMEOUT_S):
@@ -287,6 +291,10 @@
                 "caller closed the connection", "retry the request"
             ) from error
 
+    def is_finished(self) -> bool:
+        """Return whether all responses were passed to the system, and none follows."""
+        return self.lingering and not self.count_unsent_bytes()
+
     def count_unsent_bytes(self) -> int:
         """Return the size of the responses that were not yet passed to the system."""
         return self._writer.transport.get_write_buffer_size()
@@ -355,7 +363,7 @@
     async def shut_down(self, timeout_s: float) -> int:
         """Stop gracefully: wait for responses to be read, but at most `timeout_s`.
 
-        Return the number of connections that were aborted after that.
+        Return the number of connections whose responses were not taken by then.
         """
         self.start_draining()
         # asyncio calls `_accept` some steps after it has accepted a connection.
@@ -364,9 +372,9 @@
         tasks = set(self._connection_tasks)
         if tasks:
             await asyncio.wait(tasks, timeout=timeout_s)
-        aborted = len(self._connection_tasks)
+        unfinished = sum(not c.is_finished() for c in self._open_connections)
         await self.stop()
-        return aborted
+        return unfinished
 
     async def stop(self) -> None:
         """Close the listener and all connections."""
--- a/cornelnotch/web/tests/test_shutdown.py
+++ b/cornelnotch/web/tests/test_shutdown.py
@@ -138,3 +138,77 @@
         writer.close()
 
     run_scenario(scenario)
+
+
+async def read_to_the_end(reader, pause_s=0.0):
+    data = b""
+    while piece := await reader.read(SMALL_BUFFER_BYTES):
+        data += piece
+        await asyncio.sleep(pause_s)
+    return data
+
+
+def test_unread_response_of_an_idle_connection_survives_a_crossing_request():
+    async def scenario(running):
+        reader, writer = await running.connect()
+        running.release.set()
+        writer.write(REQUEST)
+        await asyncio.sleep(0.1)
+        shutdown = asyncio.create_task(running.server.shut_down(2.0))
+        await asyncio.sleep(0.02)
+        writer.write(REQUEST)
+        data = await read_to_the_end(reader, 0.002)
+        assert data.endswith(running.body)
+        writer.close()
+        await shutdown
+
+    run_scenario(scenario, body=b"x" * 60_000)
+
+
+def test_request_read_behind_a_running_one_is_answered_when_the_server_shuts_down():
+    async def handle(exchange):
+        await exchange.read_body(1000)
+        await exchange.start(200, {})
+        await asyncio.sleep(0.1)
+        await exchange.finish()
+
+    async def scenario(running):
+        running.server._handler = handle
+        reader, writer = await running.connect()
+        writer.write(REQUEST + REQUEST)
+        await asyncio.sleep(0.05)
+        shutdown = asyncio.create_task(running.server.shut_down(1.0))
+        data = await read_to_the_end(reader)
+        writer.close()
+        await shutdown
+        assert data.count(b"HTTP/1.1 ") == 2
+
+    run_scenario(scenario)
+
+
+def test_caller_that_keeps_its_connection_open_does_not_count_as_unfinished():
+    async def scenario(running):
+        reader, writer = await running.connect()
+        running.server.limits.draining = True
+        running.release.set()
+        writer.write(REQUEST)
+        assert (await read_to_the_end(reader)).endswith(running.body)
+        assert await running.server.shut_down(0.1) == 0
+        writer.close()
+
+    run_scenario(scenario)
+
+
+def test_http_1_0_caller_gets_its_response_when_the_server_shuts_down():
+    async def scenario(running):
+        reader, writer = await running.connect()
+        writer.write(REQUEST.replace(b"1.1", b"1.0"))
+        await asyncio.sleep(0.05)
+        shutdown = asyncio.create_task(running.server.shut_down(1.0))
+        await asyncio.sleep(0.05)
+        running.release.set()
+        assert (await read_to_the_end(reader)).endswith(running.body)
+        writer.close()
+        assert await shutdown == 0
+
+    run_scenario(scenario)
