gateway: a draining host hears of loads, rate limits and crashes while it serves

What callers would have seen (found by a review, with a test that failed): a host that drains serves for up to the whole grace period, but load summaries went only to hosts that were starting or serving. It placed by loads of seconds ago, and learned of no rate limit and no prompt that crashes servers.

Summaries now go to leaving hosts too. Test: test_draining_host_hears_of_loads_and_crashes_while_it_serves.

--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -150,8 +150,8 @@
         return self.prober.table.list_routable()
 
     def _list_informed_hosts(self) -> list[str]:
-        """Return the hosts that serve callers, or will soon."""
-        informed = {MemberState.ALIVE, MemberState.JOINING}
+        """Return the hosts that serve callers, will soon, or are draining."""
+        informed = {MemberState.ALIVE, MemberState.JOINING, MemberState.LEAVING}
         members = self.prober.table.members
         return [name for name, m in members.items() if m.state in informed]
 
--- a/cornelnotch/gateway/tests/test_graceful_shutdown.py
+++ b/cornelnotch/gateway/tests/test_graceful_shutdown.py
@@ -2,7 +2,11 @@
 
 import asyncio
 
-from cornelnotch.gateway.tests.conftest import run_deployment, wait_until
+from cornelnotch.gateway.tests.conftest import (
+    run_deployment,
+    run_second_host,
+    wait_until,
+)
 from cornelnotch.gateway.tests.kept_connection import KeptConnection
 
 STREAM_EVENTS = 100
@@ -158,3 +162,18 @@
             await stopping
 
     run_scenario(scenario)
+
+
+def test_draining_host_hears_of_loads_and_crashes_while_it_serves():
+    async def scenario(d):
+        async with run_second_host(d) as second:
+            start_drain(d, grace_s=4.0)
+            await asyncio.sleep(0.5)
+            for boot in range(4):
+                second.context.crashes.record_crash(
+                    f"llm-{boot}", boot, [("p1",)], second.clock.read()
+                )
+            crashes = d.host.context.crashes
+            await wait_until(lambda: crashes.count_crashes() == 4, 2.0)
+
+    run_scenario(scenario)
