gateway: a request that was never sent is not said to have run

What callers would have seen (found by a review, with a test that failed): a call that waited for a connection to its server when the host stopped, or at its limit, got 504 although no byte had been sent; one that may not be repeated was lost for nothing.

The client now notes when it begins to send, and only then does a cancelled dispatch count as run. Test: test_request_that_was_not_sent_when_the_host_stops_is_said_not_to_have_run.

--- a/cornelnotch/gateway/dispatch.py
+++ b/cornelnotch/gateway/dispatch.py
@@ -1,5 +1,6 @@
 """Send a request to one server and read the response."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -91,14 +92,20 @@
     request: CallerRequest,
     options: DispatchOptions,
     fresh: bool,
+    note_sending: Callable[[], None],
 ) -> UpstreamResponse:
-    """Send the request and return the classified head of the response."""
+    """Send the request and return the classified head of the response.
+
+    `note_sending` is called before the first byte is sent.
+    """
     headers = header_codec.create_dispatch_headers(request, options)
     if request.body or request.method not in {"GET", "HEAD"}:
         headers.append((b"content-length", str(len(request.body)).encode()))
     head = h11.Request(method=request.method, target=request.target, headers=headers)
     try:
-        http_response = await client.send(address, head, request.body, fresh)
+        http_response = await client.send(
+            address, head, request.body, fresh, note_sending
+        )
     except UpstreamUnreachableError as error:
         return UpstreamResponse(DispatchOutcome.NOT_SENT, error.problem)
     except UpstreamError as error:
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -102,6 +102,7 @@
         self.last_outcome: DispatchOutcome | None = None
         self.backup: ServerView | None = None
         self.resuming = False
+        self.is_sending = False
         self.tries_blamed_prompt = False
         self.splitter = EventSplitter(request.last_event_id)
         self.running = RunningRequest(arrived_ms, request.output_tokens)
@@ -540,6 +541,7 @@
             *self._find_copy_addresses(view),
         )
         response: UpstreamResponse | None = None
+        self.is_sending = False
         try:
             response = await self._open_response(view, options)
             self.dispatches.count(response.outcome)
@@ -554,10 +556,13 @@
             # The server must stop its work, also when the caller has disconnected.
             if response is not None:
                 response.close()
-            else:
+            elif self.is_sending:
                 self.dispatches.ran += 1
             raise
 
+    def _note_sending(self) -> None:
+        self.is_sending = True
+
     def _record_limited_dispatch(self, view: ServerView) -> None:
         limit = self.context.rate_limits.find(view.record)
         if limit is None:
@@ -593,6 +598,7 @@
                     self.request,
                     options,
                     self._needs_new_connection(view),
+                    self._note_sending,
                 )
         except TimeoutError:
             return UpstreamResponse(
--- a/cornelnotch/gateway/tests/crashing_fleet.py
+++ b/cornelnotch/gateway/tests/crashing_fleet.py
@@ -85,7 +85,8 @@
         self.fleet = fleet
         self.host = host
 
-    async def send(self, address, head, body, fresh=False):
+    async def send(self, address, head, body, fresh, note_sending):
+        note_sending()
         fleet = self.fleet
         server = fleet.servers[address]
         request_id = dict(head.headers)[b"x-attempt-id"]
--- a/cornelnotch/gateway/tests/limited_fleet.py
+++ b/cornelnotch/gateway/tests/limited_fleet.py
@@ -101,7 +101,8 @@
         self.fleet = fleet
         self.host = host
 
-    async def send(self, address, head, body, fresh=False):
+    async def send(self, address, head, body, fresh, note_sending):
+        note_sending()
         server = self.fleet.servers[address]
         headers = dict(head.headers)
         await self.fleet.wait_until_thawed(self.host)
--- a/cornelnotch/gateway/tests/test_graceful_shutdown.py
+++ b/cornelnotch/gateway/tests/test_graceful_shutdown.py
@@ -1,6 +1,7 @@
 """Test hosts that are stopped while callers keep their connections."""
 
 import asyncio
+import socket
 
 from cornelnotch.gateway.tests.conftest import (
     run_deployment,
@@ -177,3 +178,45 @@
             await wait_until(lambda: crashes.count_crashes() == 4, 2.0)
 
     run_scenario(scenario)
+
+
+class FullListener:
+    """A server whose queue of new connections is full."""
+
+    name = "desk-9"
+
+    def __init__(self):
+        self.listener = socket.socket()
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(0)
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.queued = [socket.socket() for _ in range(4)]
+        for connection in self.queued:
+            connection.setblocking(False)
+            connection.connect_ex(self.listener.getsockname())
+
+    def close(self):
+        for connection in (self.listener, *self.queued):
+            connection.close()
+
+
+def test_request_that_was_not_sent_when_the_host_stops_is_said_not_to_have_run():
+    async def scenario(d):
+        full = FullListener()
+        for desk in d.desks:
+            d.drop_server(desk)
+        await wait_until(lambda: d.count_servers() == 2)
+        d.list_server(full, "desk")
+        await wait_until(lambda: d.count_servers() == 3)
+        connection = await KeptConnection.open(d.settings.listen.callers)
+        headers = {"x-deadline-ms": "500"}
+        task = asyncio.create_task(
+            connection.send("c1", "/book/x", "POST", b"b", **headers)
+        )
+        await asyncio.sleep(0.3)
+        stopping = start_drain(d, grace_s=0.2)
+        assert (await task).status == 503
+        await stopping
+        full.close()
+
+    run_scenario(scenario)
--- a/cornelnotch/web/client.py
+++ b/cornelnotch/web/client.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 client based on h11 and asyncio streams."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -292,10 +292,19 @@
         return await self.send(address, head, body, fresh)
 
     async def send(
-        self, address: str, head: h11.Request, body: bytes, fresh: bool = False
+        self,
+        address: str,
+        head: h11.Request,
+        body: bytes,
+        fresh: bool = False,
+        note_sending: Callable[[], None] = lambda: None,
     ) -> HttpResponse:
-        """Send a request with a prepared head and return the head of its response."""
+        """Send a request with a prepared head and return the head of its response.
+
+        `note_sending` is called before the first byte is sent.
+        """
         connection = await self._acquire(address, fresh)
+        note_sending()
         try:
             await connection.send(head, body)
             event = await connection.read_head()
