platform: treat deeply nested records as malformed

Callers saw hosts that stopped following the list of servers: removed servers kept getting requests, new ones got none. A key with a value nested deeper than the interpreter's recursion limit made msgspec raise RecursionError, which is no MsgspecError. It left decode_server, ended the task that follows the servers, and came again each time any record changed, since all records are decoded anew.

Decoding now goes through one function that turns every error of a decoder into MalformedInputError, so the entry is left out and the last valid configuration stays in force.

--- a/cornelnotch/exceptions.py
+++ b/cornelnotch/exceptions.py
@@ -7,6 +7,7 @@
     "CornelnotchError",
     "LogTrimmedError",
     "LogUnavailableError",
+    "MalformedInputError",
     "RequestError",
     "ResponseMismatchError",
     "SettingsError",
@@ -34,6 +35,15 @@
     kind = "settings"
 
 
+class MalformedInputError(CornelnotchError):
+    """Raised if a value from outside the process is malformed or out of range."""
+
+    kind = "malformed"
+
+    def __init__(self, problem: str, remedy: str = "correct its writer") -> None:
+        super().__init__(problem, remedy)
+
+
 class ConfigurationError(CornelnotchError):
     """Raised if a configuration change is invalid."""
 
--- /dev/null
+++ b/cornelnotch/gateway/tests/test_odd_records.py
@@ -0,0 +1,87 @@
+"""A host keeps following the platform's records when one of them is odd."""
+
+import asyncio
+import json
+
+import pytest
+
+from cornelnotch.gateway.tests.conftest import (
+    create_configuration,
+    create_entry,
+    run_deployment,
+    wait_until,
+)
+from cornelnotch.testing.odd_input import DEEP_JSON
+
+
+class Unstarted:
+    """A server that never ran."""
+
+    address = "127.0.0.1:9"
+
+
+def create_odd_entry(**fields):
+    return json.dumps(create_entry(Unstarted, "desk", **fields)).encode()
+
+
+ODD_ENTRIES = {
+    "deep": b'{"service": "desk", "x": ' + DEEP_JSON.encode() + b"}",
+    "deep-zone": create_odd_entry().replace(b'"north-a"', DEEP_JSON.encode()),
+    "port-out-of-range": create_odd_entry(address="127.0.0.1:65536"),
+    "infinite": create_odd_entry().replace(b": 8,", b": 1e999,"),
+    "not-a-number": create_odd_entry().replace(b": 8,", b": NaN,"),
+    "no-text": b"\xff\xfe\x00",
+}
+ODD_TABLES = {
+    "deep": b'{"version": 9, "x": ' + DEEP_JSON.encode() + b"}",
+    "no-text": b"\xff\xfe\x00",
+}
+
+
+def write_server(deployment, key, value):
+    deployment.store.topics["keyed.servers"].write(key, value)
+
+
+async def assert_answered(deployment, count=6):
+    for index in range(count):
+        response = await deployment.send("/read/a", x_attempt_id=f"a{index}")
+        assert response.status == 200
+        await response.read()
+
+
+async def assert_list_is_followed(deployment):
+    pool = deployment.host.context.pool
+    first, second = deployment.desks
+    deployment.drop_server(second)
+    await wait_until(lambda: second.name not in pool.servers)
+    await assert_answered(deployment)
+    assert second.name not in pool.servers
+    deployment.list_server(second, "desk", sequence=2)
+    await wait_until(lambda: second.name in pool.servers)
+
+
+@pytest.mark.parametrize("name", ODD_ENTRIES)
+def test_odd_server_entry_does_not_stop_the_list(name):
+    async def run():
+        async with run_deployment() as deployment:
+            write_server(deployment, "odd", ODD_ENTRIES[name])
+            await assert_list_is_followed(deployment)
+            assert "odd" not in deployment.host.context.pool.servers
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("name", ODD_TABLES)
+def test_odd_configuration_does_not_stop_later_ones(name):
+    async def run():
+        async with run_deployment() as deployment:
+            topic = deployment.store.topics["keyed.op"]
+            topic.write("config", ODD_TABLES[name])
+            await asyncio.sleep(0.1)
+            await assert_answered(deployment)
+            deployment.configure(create_configuration(2))
+            context = deployment.host.context
+            await wait_until(lambda: context.table.version == 2)
+            await assert_answered(deployment)
+
+    asyncio.run(run())
--- a/cornelnotch/platform/records.py
+++ b/cornelnotch/platform/records.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from cornelnotch.exceptions import ConfigurationError
+from cornelnotch.exceptions import ConfigurationError, MalformedInputError
 from cornelnotch.gateway.models import (
     CallerLimits,
     Engine,
@@ -14,6 +14,7 @@
     WorkKind,
     Workspace,
 )
+from cornelnotch.kernel.parsing import decode
 
 __all__ = ["decode_server", "decode_table"]
 
@@ -113,10 +114,10 @@
 def decode_table(value: bytes) -> RoutingTable:
     """Return the routing table in `value`; raise ConfigurationError if malformed."""
     try:
-        model = _config_decoder.decode(value)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        model = decode(_config_decoder, value)
+    except MalformedInputError as error:
         raise ConfigurationError(
-            f"malformed operator configuration: {error}",
+            f"malformed operator configuration: {error.problem}",
             "write a valid configuration",
         ) from error
     routes: dict[str, list[Route]] = {}
@@ -180,8 +181,8 @@
 def decode_server(name: str, value: bytes) -> ServerRecord | None:
     """Return the server in `value`, or None if it is malformed or not usable."""
     try:
-        model = _server_decoder.decode(value)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+        model = decode(_server_decoder, value)
+    except MalformedInputError:
         return None
     if model.state not in {STATE_READY, STATE_LEAVING} or not _has_valid_address(model):
         return None
--- a/cornelnotch/platform/tests/test_translation.py
+++ b/cornelnotch/platform/tests/test_translation.py
@@ -9,6 +9,7 @@
 from cornelnotch.gateway.models import WorkKind
 from cornelnotch.platform.header_codec import PlatformHeaderCodec
 from cornelnotch.platform.records import decode_server, decode_table
+from cornelnotch.testing.odd_input import DEEP_JSON
 
 ENTRY = {
     "service": "s",
@@ -128,3 +129,10 @@
 def test_malformed_configuration_raises_configuration_error():
     with pytest.raises(ConfigurationError, match="write a valid"):
         decode_table(b'{"version": "x"}')
+
+
+def test_deeply_nested_records_are_malformed():
+    nested = b'{"x": ' + DEEP_JSON.encode() + b"}"
+    assert decode_server("i-1", nested) is None
+    with pytest.raises(ConfigurationError, match="nested too deeply"):
+        decode_table(nested)
