platform: leave out servers whose address is not IPv4 with a port

Callers saw hosts that stopped following the list of servers. The port of an entry was tested with str.isdigit, which accepts digits that int refuses, and converted at any length: a superscript digit or 4301 digits raised ValueError, which ended the task that follows the servers and came again with each change. Hosts that no resolver takes (an empty or long label, a null) were listed, and every request sent there raised UnicodeError or ValueError, which the client does not expect.

Addresses are IPv4 on this platform, so nothing else is accepted; ports go through one bounded conversion of ASCII digits.

--- a/cornelnotch/platform/records.py
+++ b/cornelnotch/platform/records.py
@@ -14,7 +14,14 @@
     WorkKind,
     Workspace,
 )
-from cornelnotch.kernel.parsing import Amount, Count, Integer, decode
+from cornelnotch.kernel.parsing import (
+    Amount,
+    Count,
+    Integer,
+    decode,
+    is_ipv4_address,
+    parse_port,
+)
 
 __all__ = ["decode_server", "decode_table"]
 
@@ -200,4 +207,4 @@
 
 def _has_valid_address(model: ServerModel) -> bool:
     host, _, port = model.address.rpartition(":")
-    return bool(host) and port.isdigit() and 0 < int(port) < 65536
+    return is_ipv4_address(host) and bool(parse_port(port))
--- a/cornelnotch/platform/tests/test_odd_records.py
+++ b/cornelnotch/platform/tests/test_odd_records.py
@@ -62,6 +62,14 @@
     assert all(node.ge is not None and node.le is not None for node in found)
 
 
+@FUZZ
+@given(json_texts(ENTRY))
+def test_decoded_entries_fit_into_messages(value):
+    server = decode_server("i-1", value)
+    if server is not None:
+        msgpack.packb([server.boot_ms, server.write_count, server.slots])
+
+
 @FUZZ
 @given(json_texts(TABLE))
 def test_odd_configurations_raise_only_configuration_errors(value):
@@ -86,3 +94,25 @@
     for name in ("born", "capacity", "sequence"):
         text = orjson.dumps({**ENTRY, name: 12345}).replace(b"12345", b"9" * 30)
         assert decode_server("i-1", text) is None
+
+
+@pytest.mark.parametrize(
+    "address",
+    [
+        "10.0.0.1:\u00b2",
+        "10.0.0.1:\u0669",
+        "10.0.0.1:" + "1" * 5000,
+        "10.0.0.1:0",
+        "10.0.0.1:65536",
+        "10.0.0.1: 80",
+        "10.0.0.\u0661:80",
+        "server.example:80",
+        "a..b:80",
+        "a" * 70 + ":80",
+        "a\x00b:80",
+        ":80",
+        "10.0.0.1",
+    ],
+)
+def test_server_without_an_ipv4_address_and_port_is_malformed(address):
+    assert decode_server("i-1", orjson.dumps({**ENTRY, "address": address})) is None
