platform: accept only names that fit into headers

Callers saw requests end without an answer: the names of servers and workspaces go into headers to servers, and a name outside Latin-1 or with control characters raised UnicodeEncodeError or LocalProtocolError in each request, which ended its connection.

A server with such a name is left out like any malformed entry; a configuration with such a workspace is rejected and the last valid one stays in force.

--- a/cornelnotch/gateway/tests/test_odd_records.py
+++ b/cornelnotch/gateway/tests/test_odd_records.py
@@ -7,6 +7,7 @@
 import pytest
 
 from cornelnotch.gateway.tests.conftest import (
+    KEY,
     create_configuration,
     create_entry,
     run_deployment,
@@ -99,3 +100,40 @@
             await assert_answered(deployment)
 
     asyncio.run(run())
+
+
+ODD_NAMES = ["\u6771\u4eac", "a\nb", "a\x00b", " a", "a ", "\x7f", ""]
+
+
+@pytest.mark.parametrize("name", ODD_NAMES)
+def test_server_whose_name_fits_no_header_gets_no_requests(name):
+    async def run():
+        async with run_deployment() as deployment:
+            entry = create_entry(deployment.desks[0], "desk")
+            for server in deployment.desks:
+                deployment.drop_server(server)
+            write_server(deployment, name, orjson.dumps(entry))
+            pool = deployment.host.context.pool
+            await wait_until(lambda: not {"desk-1", "desk-2"} & set(pool.servers))
+            response = await deployment.send("/read/a", x_deadline_ms="500")
+            assert response.status == 503
+            await response.read()
+            assert name not in pool.servers
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("name", ODD_NAMES[:-1])
+def test_configuration_with_a_workspace_that_fits_no_header_is_rejected(name):
+    async def run():
+        async with run_deployment() as deployment:
+            tenants = [{"name": name, "api_keys": [KEY]}]
+            deployment.configure(create_configuration(2, tenants=tenants))
+            await asyncio.sleep(0.1)
+            await assert_answered(deployment)
+            deployment.configure(create_configuration(3))
+            context = deployment.host.context
+            await wait_until(lambda: context.table.version == 3)
+            await assert_answered(deployment)
+
+    asyncio.run(run())
--- a/cornelnotch/kernel/parsing.py
+++ b/cornelnotch/kernel/parsing.py
@@ -1,6 +1,7 @@
 """Convert values from outside the process, with bounds that hold everywhere inside."""
 
 import math
+import re
 from ipaddress import AddressValueError, IPv4Address
 from typing import Annotated, Any, Protocol, TypeVar
 
@@ -13,6 +14,7 @@
     "Count",
     "Integer",
     "decode",
+    "is_header_value",
     "is_ipv4_address",
     "parse_amount",
     "parse_count",
@@ -26,6 +28,8 @@
 MAX_AMOUNT = 1e15
 MAX_AMOUNT_CHARACTERS = 400
 MAX_PORT = 65535
+# Latin-1 text without control characters that neither begins nor ends with a space.
+HEADER_VALUE = re.compile(r"[!-~\xa1-\xff]([ -~\xa0-\xff]*[!-~\xa1-\xff])?")
 
 Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
@@ -87,3 +91,8 @@
     except AddressValueError:
         return False
     return True
+
+
+def is_header_value(text: str) -> bool:
+    """Return whether `text` is not empty and a header can have it as its value."""
+    return HEADER_VALUE.fullmatch(text) is not None
--- a/cornelnotch/platform/records.py
+++ b/cornelnotch/platform/records.py
@@ -19,6 +19,7 @@
     Count,
     Integer,
     decode,
+    is_header_value,
     is_ipv4_address,
     parse_port,
 )
@@ -178,6 +179,12 @@
 ) -> dict[str, Workspace] | None:
     if models is None:
         return None
+    for model in models:
+        if model.name and not is_header_value(model.name):
+            raise ConfigurationError(
+                f"the name {model.name!r} of a workspace fits no header",
+                "write it in Latin-1 without control characters",
+            )
     return {
         key: Workspace(model.name, model.priority)
         for model in models
@@ -191,6 +198,8 @@
         model = decode(_server_decoder, value)
     except MalformedInputError:
         return None
+    if not is_header_value(name):
+        return None
     if model.state not in {STATE_READY, STATE_LEAVING} or not _has_valid_address(model):
         return None
     return ServerRecord(
