gateway: log a malformed entry once, and let none stop the others

Operators saw nothing of an entry that was left out, and an error of a decoder that nobody foresaw would again have stopped all servers of the list, as every record is decoded anew with each change.

Evidence: both new tests failed before, with the RuntimeError of their decoder.

decode_server now raises MalformedInputError for a malformed entry, and returns None only for a sound one whose state does not allow its use. The routing state leaves out what raises, whatever it raises, and logs it once (3011) until the entry is sound or gone; a configuration keeps the last valid one in force and is logged once.

--- a/cornelnotch/gateway/records.py
+++ b/cornelnotch/gateway/records.py
@@ -140,4 +140,7 @@
 
     @abstractmethod
     def decode_server(self, record: Record) -> ServerRecord | None:
-        """Return the server of a record, or None if it is not to be used."""
+        """Return the server of a record, or None if it is not to be used.
+
+        Raise MalformedInputError if the record is malformed.
+        """
--- a/cornelnotch/gateway/routing_state.py
+++ b/cornelnotch/gateway/routing_state.py
@@ -3,7 +3,6 @@
 from collections import OrderedDict
 from collections.abc import Callable
 
-from cornelnotch.exceptions import ConfigurationError
 from cornelnotch.gateway.context import GatewayContext
 from cornelnotch.gateway.follower import CONFIGURATION, SERVERS, RecordFollower
 from cornelnotch.gateway.models import RoutingTable, ServerRecord
@@ -38,6 +37,8 @@
         self._retained: dict[str, ServerRecord] = {}
         self._retained_until_ms = float("-inf")
         self._removed: OrderedDict[str, ServerRecord] = OrderedDict()
+        self._rejected_servers: set[str] = set()
+        self._rejected_tables: set[str] = set()
         follower.subscribe(self.apply)
 
     async def run(self) -> None:
@@ -69,6 +70,7 @@
         for table in filter(None, (listed, older)):
             if table.version > self._context.table.version:
                 self._context.table = table
+                self._rejected_tables.clear()
                 self._context.events.record(
                     Event.CONFIGURATION_APPLIED,
                     version=table.version,
@@ -76,19 +78,41 @@
                 )
                 self._apply_table()
 
+    # Records are decoded again with each change, so an error that left these two
+    # functions would keep all later changes from being applied.
+
     def _decode_table(self, records: dict[str, Record]) -> RoutingTable | None:
+        """Return the routing table, or None without a valid one."""
         try:
             return self._decoder.decode_table(records)
-        except ConfigurationError as error:
-            self._context.events.record(Event.CONFIGURATION_REJECTED, error=str(error))
+        except Exception as error:
+            text = str(error)
+            if text not in self._rejected_tables:
+                self._rejected_tables.add(text)
+                self._context.events.record(Event.CONFIGURATION_REJECTED, error=text)
+            return None
+
+    def _decode_server(self, record: Record) -> ServerRecord | None:
+        """Return the server of an entry, or None if it is not to be used."""
+        try:
+            server = self._decoder.decode_server(record)
+        except Exception as error:
+            if record.key not in self._rejected_servers:
+                self._rejected_servers.add(record.key)
+                self._context.events.record(
+                    Event.SERVER_ENTRY_REJECTED, server=record.key, error=str(error)
+                )
             return None
+        self._rejected_servers.discard(record.key)
+        return server
 
     def _list_servers(self) -> dict[str, ServerRecord]:
         """Return the listed servers, without outdated entries of a restored copy."""
         view = self._follower.views[SERVERS]
         # Servers rewrite the entries that the copy lacks, so none need to be kept.
         view.older_records.clear()
-        decoded = map(self._decoder.decode_server, view.records.values())
+        self._rejected_servers &= view.records.keys()
+        decoded = map(self._decode_server, view.records.values())
         servers = {server.name: server for server in decoded if server is not None}
         for server in servers.values():
             if server.leaving and server.boot_ms:
--- a/cornelnotch/gateway/tests/test_routing_state.py
+++ b/cornelnotch/gateway/tests/test_routing_state.py
@@ -2,12 +2,12 @@
 
 from typing import Any
 
-from cornelnotch.gateway.follower import SERVERS
-from cornelnotch.gateway.models import ServerRecord
+from cornelnotch.gateway.follower import CONFIGURATION, SERVERS
+from cornelnotch.gateway.models import CallerLimits, RoutingTable, ServerRecord
 from cornelnotch.gateway.records import KeyedView, Record, RecordDecoder, RecordPage
 from cornelnotch.gateway.routing_state import RELISTING_GRACE_MS, RoutingState
 from cornelnotch.gateway.servers import ServerPool
-from cornelnotch.kernel import ManualClock, create_event_log
+from cornelnotch.kernel import Event, ManualClock, create_event_log
 
 
 class NameDecoder(RecordDecoder):
@@ -103,3 +103,68 @@
     follower.write(3, "a", b"")
     state.apply(SERVERS, False)
     assert context.client.dropped == ["1.2.3.4:5"]
+
+
+class FailingDecoder(NameDecoder):
+    """Fail in an unforeseen way for values that begin with "odd"."""
+
+    def decode_table(self, records):
+        if not records:
+            return None
+        version = int(records["config"].value.removeprefix(b"odd "))
+        if records["config"].value.startswith(b"odd"):
+            raise RuntimeError("unforeseen")
+        return RoutingTable(version, {}, {}, None, CallerLimits())
+
+    def decode_server(self, record):
+        if record.value.startswith(b"odd"):
+            raise RuntimeError("unforeseen")
+        return super().decode_server(record)
+
+
+class RecordingLog:
+    def __init__(self):
+        self.recorded = []
+
+    def record(self, event, **fields):
+        self.recorded.append(event)
+
+
+def create_failing_state():
+    context: Any = Context()
+    context.events = RecordingLog()
+    context.table = RoutingTable(-1, {}, {}, None, CallerLimits())
+    follower: Any = Follower()
+    follower.views[CONFIGURATION] = KeyedView()
+    state = RoutingState(
+        context, follower, FailingDecoder(), lambda: None, lambda: None
+    )
+    return context, follower, state
+
+
+def test_entry_that_cannot_be_decoded_is_left_out_and_logged_once():
+    context, follower, state = create_failing_state()
+    for offset, (name, value) in enumerate(
+        [("a", b"x"), ("b", b"odd"), ("c", b"x"), ("b", b"odd again"), ("c", b"")]
+    ):
+        follower.write(offset, name, value)
+        state.apply(SERVERS, False)
+    assert set(context.pool.servers) == {"a"}
+    assert context.events.recorded.count(Event.SERVER_ENTRY_REJECTED) == 1
+    for offset, value in enumerate([b"x", b"odd"]):
+        follower.write(5 + offset, "b", value)
+        state.apply(SERVERS, False)
+    assert set(context.pool.servers) == {"a"}
+    assert context.events.recorded.count(Event.SERVER_ENTRY_REJECTED) == 2
+
+
+def test_configuration_that_cannot_be_decoded_leaves_the_last_one_in_force():
+    context, follower, state = create_failing_state()
+    for offset, value in enumerate([b"1", b"odd 2", b"odd 3"]):
+        record = Record("config", value, offset)
+        follower.views[CONFIGURATION].apply(
+            RecordPage([record], offset + 1, offset + 1)
+        )
+        state.apply(CONFIGURATION, False)
+    assert context.table.version == 1
+    assert context.events.recorded.count(Event.CONFIGURATION_REJECTED) == 1
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -137,6 +137,11 @@
         logging.WARNING,
         "a server asked for a pause of invalid length",
     )
+    SERVER_ENTRY_REJECTED = (
+        3011,
+        logging.WARNING,
+        "the entry of a server is malformed and left out",
+    )
     REQUEST_REFUSED = (6001, logging.INFO, "a request was refused")
     REQUEST_MALFORMED = (6002, logging.DEBUG, "a request was malformed")
     REQUEST_ROUTED = (6003, logging.INFO, "a request was mapped to a service")
--- a/cornelnotch/platform/decoder.py
+++ b/cornelnotch/platform/decoder.py
@@ -21,5 +21,8 @@
         return None if record is None else decode_table(record.value)
 
     def decode_server(self, record: Record) -> ServerRecord | None:
-        """Return the server, or None if the record describes no usable server."""
+        """Return the server, or None if its state does not allow its use.
+
+        Raise MalformedInputError if the record is malformed.
+        """
         return decode_server(record.key, record.value)
--- a/cornelnotch/platform/records.py
+++ b/cornelnotch/platform/records.py
@@ -193,14 +193,16 @@
 
 
 def decode_server(name: str, value: bytes) -> ServerRecord | None:
-    """Return the server in `value`, or None if it is malformed or not usable."""
-    try:
-        model = decode(_server_decoder, value)
-    except MalformedInputError:
-        return None
+    """Return the server in `value`, or None if its state does not allow its use.
+
+    Raise MalformedInputError if the entry is malformed.
+    """
+    model = decode(_server_decoder, value)
     if not is_header_value(name):
-        return None
-    if model.state not in {STATE_READY, STATE_LEAVING} or not _has_valid_address(model):
+        raise MalformedInputError(f"the name {name!r} fits no header")
+    if not _has_valid_address(model):
+        raise MalformedInputError(f"the address {model.address[:80]!r} is malformed")
+    if model.state not in {STATE_READY, STATE_LEAVING}:
         return None
     return ServerRecord(
         name,
