platform: turn odd responses of the store into its one error

Callers saw hosts that stopped following the list: an entry whose value is no base64, a page nested too deeply, or a timeline of over 4300 digits raised binascii.Error, RecursionError or ValueError, which ended the task that reads and came again with each read. Offsets and timelines beyond 64 bits raised OverflowError in the message to other hosts. A page that repeats its last key was read without end.

The schemas of responses use bounded numbers, and each malformed response is a LogUnavailableError, so it is read again and other hosts read meanwhile. An entry that cannot be decoded reaches its decoder as it is and is left out alone.

--- a/cornelnotch/platform/store.py
+++ b/cornelnotch/platform/store.py
@@ -11,9 +11,11 @@
 from cornelnotch.exceptions import (
     LogTrimmedError,
     LogUnavailableError,
+    MalformedInputError,
     UpstreamError,
 )
 from cornelnotch.gateway.records import Record, RecordPage, RecordSource
+from cornelnotch.kernel.parsing import Count, decode, parse_count
 from cornelnotch.web import HttpClient
 
 __all__ = ["PlatformStore"]
@@ -38,21 +40,21 @@
 
     key: str
     value: str = ""
-    offset: int = 0
+    offset: Count = 0
 
 
 class NewestPage(msgspec.Struct):
     """Schema of one page of newest records."""
 
     entries: list[NewestEntry]
-    end_offset: int
+    end_offset: Count
     has_more: bool = False
 
 
 class TrimmedResponse(msgspec.Struct):
     """Schema of the response to a read of trimmed records."""
 
-    earliest_offset: int = 0
+    earliest_offset: Count = 0
 
 
 _newest_decoder = msgspec.json.Decoder(NewestPage)
@@ -61,8 +63,7 @@
 
 def parse_timeline(headers: dict[str, str]) -> int | None:
     """Return the timeline in `headers`, or None if it is missing or malformed."""
-    text = headers.get(TIMELINE_HEADER, "").strip()
-    return int(text) if text.isascii() and text.isdigit() else None
+    return parse_count(headers.get(TIMELINE_HEADER, "").strip())
 
 
 def split_records(body: bytes, start: int, timeline: int | None = None) -> RecordPage:
@@ -83,6 +84,15 @@
     return RecordPage(records, offset, max(end, offset), timeline)
 
 
+def _parse_entry(entry: NewestEntry) -> Record:
+    try:
+        value = base64.b64decode(entry.value)
+    except ValueError:
+        # Whoever decodes the value rejects this record alone, not the whole page.
+        value = entry.value.encode()
+    return Record(entry.key, value, entry.offset)
+
+
 def _parse_record(content: bytes, offset: int) -> Record:
     size = content[0] if content else 0
     key = content[1 : 1 + size].decode("utf-8", "replace")
@@ -125,14 +135,16 @@
                     response.timeline,
                 )
             page = self._decode(_newest_decoder, response)
-            for entry in page.entries:
-                value = base64.b64decode(entry.value)
-                records.append(Record(entry.key, value, entry.offset))
+            records.extend(map(_parse_entry, page.entries))
             # Pages do not form a consistent snapshot, so later reads must start at the
             # end offset of the first page.
             end = page.end_offset if end is None else end
             if not page.has_more or not page.entries:
                 return RecordPage(records, end, end, first)
+            if page.entries[-1].key == after:
+                raise LogUnavailableError(
+                    "store repeated a page", "read again", response.timeline
+                )
             after = page.entries[-1].key
 
     async def read_from(self, topic: str, start: int, wait_ms: float) -> RecordPage:
@@ -153,10 +165,10 @@
     @staticmethod
     def _decode(decoder: msgspec.json.Decoder, response: StoreResponse):
         try:
-            return decoder.decode(response.body)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            return decode(decoder, response.body)
+        except MalformedInputError as error:
             raise LogUnavailableError(
-                f"malformed store response: {error}",
+                f"malformed store response: {error.problem}",
                 "read again",
                 response.timeline,
             ) from error
