platform: convert the numbers in heads of requests within bounds

Callers saw connections end without an answer: X-Token-Usage with an infinite number or one that is none, a deadline of that kind, and prompt parts with digits that int refuses or with thousands of them raised OverflowError or ValueError in the host; a part of 20 digits did so in the message to the admission controller.

Odd headers of servers did no harm.

The headers go through the bounded conversions. As before, an optional header that is malformed counts as missing: the deadline as none, token usage as unknown, and prompt parts end at the first malformed one.

--- a/cornelnotch/kernel/parsing.py
+++ b/cornelnotch/kernel/parsing.py
@@ -28,8 +28,8 @@
 MAX_AMOUNT = 1e15
 MAX_AMOUNT_CHARACTERS = 400
 MAX_PORT = 65535
-# Latin-1 text without control characters that neither begins nor ends with a space.
-HEADER_VALUE = re.compile(r"[!-~\xa1-\xff]([ -~\xa0-\xff]*[!-~\xa1-\xff])?")
+# Latin-1 text without ASCII control characters, and with no space at either end.
+HEADER_VALUE = re.compile(r"[!-~\x80-\xff]([ -~\x80-\xff]*[!-~\x80-\xff])?")
 
 Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
--- a/cornelnotch/platform/header_codec.py
+++ b/cornelnotch/platform/header_codec.py
@@ -1,12 +1,12 @@
 """Translate between HTTP headers and the gateway's requests and responses."""
 
-import math
 import re
 from urllib.parse import urlsplit
 
 from cornelnotch.exceptions import RequestError
 from cornelnotch.gateway.header_codec import DispatchOptions, HeaderCodec, ResponseHead
 from cornelnotch.gateway.models import CallerRequest, Headers, PromptPart
+from cornelnotch.kernel.parsing import parse_amount, parse_count
 
 __all__ = ["PlatformHeaderCodec"]
 
@@ -71,6 +71,8 @@
 STATUS_MISDIRECTED = 421
 STATUS_UNAVAILABLE = 503
 MAX_PRIORITY = 9
+# No model reads a prompt of this size, and sums over many prompts fit into messages.
+MAX_TOKENS = 10**9
 MS_PER_SECOND = 1000.0
 
 
@@ -82,12 +84,15 @@
     return ""
 
 
-def parse_number(text: str) -> float:
-    """Return `text` as a non-negative number, or 0 if it is not a number."""
-    try:
-        return max(float(text), 0.0)
-    except ValueError:
-        return 0.0
+def parse_deadline(text: str) -> float:
+    """Return a deadline in ms, or 0 if it is missing or malformed."""
+    return max(parse_amount(text) or 0.0, 0.0)
+
+
+def parse_prompt_tokens(text: str) -> int:
+    """Return the prompt's share of a token usage, or 0 if it is malformed."""
+    tokens = parse_amount(text.split(",")[0]) or 0.0
+    return int(tokens) if 0 <= tokens <= MAX_TOKENS else 0
 
 
 def parse_retry_after(status: int, text: str) -> float | None:
@@ -97,31 +102,24 @@
     """
     if status != STATUS_UNAVAILABLE or not text:
         return 0.0
-    try:
-        seconds = float(text)
-    except ValueError:
-        return None
-    if not math.isfinite(seconds) or seconds < 0:
-        return None
-    return seconds * MS_PER_SECOND
+    seconds = parse_amount(text)
+    return None if seconds is None or seconds < 0 else seconds * MS_PER_SECOND
 
 
 def parse_rate_limit(text: str) -> float | None:
     """Return a rate limit in requests per second, or None if it is malformed."""
-    if not DECIMAL_NUMBER.fullmatch(text):
-        return None
-    per_second = float(text)
-    return per_second if math.isfinite(per_second) else None
+    return parse_amount(text) if DECIMAL_NUMBER.fullmatch(text) else None
 
 
 def parse_prompt_segments(text: str) -> tuple[PromptPart, ...]:
     """Return the segments of a prompt in order, up to the first malformed one."""
     parts = []
     for entry in filter(None, text.split(",")):
-        name, separator, tokens = entry.strip().partition(":")
-        if not separator or not tokens.isdigit():
+        name, _, digits = entry.strip().partition(":")
+        tokens = parse_count(digits, MAX_TOKENS)
+        if tokens is None:
             break
-        parts.append(PromptPart(name, int(tokens)))
+        parts.append(PromptPart(name, tokens))
     return tuple(parts)
 
 
@@ -140,7 +138,6 @@
         request_id = find_header(headers, REQUEST_ID)
         if not request_id:
             raise RequestError("request id is missing", "send X-Attempt-Id")
-        tokens = [parse_number(t) for t in find_header(headers, TOKEN_USAGE).split(",")]
         forwarded = drop_hop_by_hop_headers(headers)
         return CallerRequest(
             request_id,
@@ -150,10 +147,10 @@
             urlsplit(target).path,
             [(k, v) for k, v in forwarded if k.lower() not in GATEWAY_HEADERS],
             key=find_header(headers, IDEMPOTENCY_KEY),
-            deadline_ms=parse_number(find_header(headers, DEADLINE)),
+            deadline_ms=parse_deadline(find_header(headers, DEADLINE)),
             last_event_id=find_header(headers, LAST_EVENT_ID),
             prompt=parse_prompt_segments(find_header(headers, PROMPT_PREFIX)),
-            prompt_tokens=int(tokens[0]),
+            prompt_tokens=parse_prompt_tokens(find_header(headers, TOKEN_USAGE)),
         )
 
     def create_dispatch_headers(
