web: refuse a malformed target with 400 and a reason

Callers saw connections end without an answer, at every listener: a target that looks like one with an authority in brackets ('//[', 'http://[::1') made urlsplit raise ValueError while the exchange was built, outside everything that answers.

Targets are split in one function that raises RequestError, and the connection answers it. The frontend uses the path that was parsed then, rather than to split the target a second time.

--- a/cornelnotch/gateway/frontend.py
+++ b/cornelnotch/gateway/frontend.py
@@ -1,7 +1,5 @@
 """Handle requests of callers: find the route, authenticate and dispatch."""
 
-from urllib.parse import urlsplit
-
 from cornelnotch.exceptions import CallerDisconnectedError, RequestError
 from cornelnotch.gateway.context import NO_VERSION, GatewayContext
 from cornelnotch.gateway.flow import RequestFlow
@@ -51,7 +49,7 @@
             await self._refuse_not_ready(exchange, request, arrived_ms)
             return
         table = context.table
-        route = table.find_route(request.host, urlsplit(request.target).path)
+        route = table.find_route(request.host, request.path)
         if route is None:
             await self._refuse(exchange, request, STATUS_NOT_FOUND, "no-route")
             return
--- a/cornelnotch/gateway/tests/test_odd_requests.py
+++ b/cornelnotch/gateway/tests/test_odd_requests.py
@@ -9,6 +9,18 @@
 
 WAIT_S = 3.0
 ODD_NUMBERS = [text for text in NUMBER_TEXTS if text.strip() == text and text]
+ODD_TARGETS = [
+    "//[",
+    "//[x]/",
+    "http://[::1",
+    "http://[/read/a",
+    "/read/a//[",
+    "//\u2100/",
+    "*",
+    "/read/[?region=[",
+    "/read/%ff%00",
+    "/read/" + "a" * 20_000,
+]
 
 
 async def send_raw(address, target, headers, method="GET"):
@@ -59,3 +71,16 @@
             await assert_answered(deployment)
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("target", ODD_TARGETS)
+def test_requests_with_odd_targets_are_answered(target):
+    async def run():
+        async with run_deployment() as deployment:
+            address = deployment.settings.listen.callers
+            line = await send_raw(address, target, create_headers())
+            assert line.startswith(b"HTTP/1.1 ")
+            assert b" 500 " not in line
+            await assert_answered(deployment)
+
+    asyncio.run(run())
--- a/cornelnotch/platform/header_codec.py
+++ b/cornelnotch/platform/header_codec.py
@@ -1,12 +1,12 @@
 """Translate between HTTP headers and the gateway's requests and responses."""
 
 import re
-from urllib.parse import urlsplit
 
 from cornelnotch.exceptions import RequestError
 from cornelnotch.gateway.header_codec import DispatchOptions, HeaderCodec, ResponseHead
 from cornelnotch.gateway.models import CallerRequest, Headers, PromptPart
 from cornelnotch.kernel.parsing import parse_amount, parse_count
+from cornelnotch.web.targets import split_target
 
 __all__ = ["PlatformHeaderCodec"]
 
@@ -144,7 +144,7 @@
             method,
             target,
             find_header(headers, b"host").lower(),
-            urlsplit(target).path,
+            split_target(target).path,
             [(k, v) for k, v in forwarded if k.lower() not in GATEWAY_HEADERS],
             key=find_header(headers, IDEMPOTENCY_KEY),
             deadline_ms=parse_deadline(find_header(headers, DEADLINE)),
--- a/cornelnotch/platform/tests/test_odd_headers.py
+++ b/cornelnotch/platform/tests/test_odd_headers.py
@@ -39,7 +39,10 @@
 
 
 @FUZZ
-@given(st.sampled_from(["/a", "*"]), headers_of(CALLER_HEADERS))
+@given(
+    st.sampled_from(["/a", "*", "//[", "http://[::1", "//[x]/"]),
+    headers_of(CALLER_HEADERS),
+)
 def test_odd_requests_raise_only_request_errors(target, odd):
     pairs = [(b"host", b"a"), (b"x-attempt-id", b"a1"), *odd]
     try:
--- a/cornelnotch/web/exchange.py
+++ b/cornelnotch/web/exchange.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from typing import TYPE_CHECKING, Any
-from urllib.parse import parse_qsl, urlsplit
+from urllib.parse import parse_qsl
 
 import h11
 import orjson
@@ -12,6 +12,7 @@
     CallerDisconnectedError,
     RequestError,
 )
+from cornelnotch.web.targets import split_target
 
 if TYPE_CHECKING:
     from cornelnotch.web.server import ServerConnection
@@ -35,9 +36,9 @@
     def __init__(self, connection: "ServerConnection", request: h11.Request) -> None:
         self._connection = connection
         self.method = request.method.decode()
-        target = urlsplit(request.target.decode("ascii", "replace"))
-        self.path = target.path
         self.target = request.target.decode("ascii", "replace")
+        target = split_target(self.target)
+        self.path = target.path
         self.query = dict(parse_qsl(target.query))
         self.headers = {
             name.decode(): value.decode("latin-1") for name, value in request.headers
--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -71,7 +71,11 @@
             request = await self._read_request()
             if request is None:
                 return
-            exchange = Exchange(self, request)
+            try:
+                exchange = Exchange(self, request)
+            except RequestError as error:
+                await self._respond_and_close(error.status, error.kind, str(error))
+                return
             self._busy = True
             await handler(exchange)
             self._busy = False
--- a/cornelnotch/web/tests/test_border.py
+++ b/cornelnotch/web/tests/test_border.py
@@ -154,3 +154,18 @@
         await server.stop()
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("target", [b"//[", b"//[x]/", b"http://[::1", b"http://[/x"])
+def test_request_with_a_malformed_target_is_refused_with_a_reason(target):
+    async def scenario():
+        echo, server = await start_echo()
+        head = b"GET " + target + b" HTTP/1.1\r\nhost: a\r\n\r\n"
+        answer = await send_raw(server.port, head)
+        assert answer.startswith(b"HTTP/1.1 400 ")
+        assert b"bad-target" in answer
+        assert echo.handled == 0
+        assert (await send_raw(server.port, VALID_REQUEST)).startswith(b"HTTP/1.1 200")
+        await server.stop()
+
+    asyncio.run(scenario())
