--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -76,7 +76,11 @@
                 if self._closing and not self.disconnected.is_set():
                     await self._linger()
                 return
-            exchange = Exchange(self, request)
+            try:
+                exchange = Exchange(self, request)
+            except RequestError as error:
+                await self._respond_and_close(error.status, error.kind, str(error))
+                return
             self._busy = True
             await handler(exchange)
             self._busy = False
