--- a/cornelnotch/platform/records.py
+++ b/cornelnotch/platform/records.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from cornelnotch.exceptions import ConfigurationError
+from cornelnotch.exceptions import ConfigurationError, MalformedInputError
 from cornelnotch.gateway.models import (
     CallerLimits,
     Engine,
@@ -14,6 +14,15 @@
     WorkKind,
     Workspace,
 )
+from cornelnotch.kernel.parsing import (
+    Amount,
+    Count,
+    Integer,
+    decode,
+    is_header_value,
+    is_ipv4_address,
+    parse_port,
+)
 
 __all__ = ["decode_server", "decode_table"]
 
@@ -30,7 +39,7 @@
     """Schema of one weighted service of a route."""
 
     service: str
-    weight: float
+    weight: Amount
 
 
 class RouteModel(msgspec.Struct):
@@ -40,21 +49,21 @@
     hostname: str
     path_prefix: str
     route_type: str
-    timeout_ms: float
-    target_latency_ms: float = 0.0
-    priority: int = 5
+    timeout_ms: Amount
+    target_latency_ms: Amount = 0.0
+    priority: Integer = 5
     service: str = ""
     traffic_split: list[SplitModel] = []
-    max_attempts: int = 1
+    max_attempts: Integer = 1
     anonymous: bool = False
     stream_resume: bool = False
-    target_itl_ms: float = 0.0
+    target_itl_ms: Amount = 0.0
 
 
 class EngineModel(msgspec.Struct):
     """Schema of the inference engine settings of a service."""
 
-    kv_capacity: int = 0
+    kv_capacity: Integer = 0
     backups: bool = False
 
 
@@ -70,22 +79,22 @@
 
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: Integer | None = None
 
 
 class LimitsModel(msgspec.Struct):
     """Schema of the limits on requests from callers."""
 
-    max_header_bytes: int = 32768
-    max_body_bytes: int = 4 * 1024 * 1024
-    header_timeout_ms: float = 5000.0
-    idle_timeout_ms: float = 60_000.0
+    max_header_bytes: Integer = 32768
+    max_body_bytes: Integer = 4 * 1024 * 1024
+    header_timeout_ms: Amount = 5000.0
+    idle_timeout_ms: Amount = 60_000.0
 
 
 class ConfigModel(msgspec.Struct):
     """Schema of the complete configuration."""
 
-    version: int
+    version: Integer
     routes: list[RouteModel] = []
     services: list[ServiceModel] = []
     tenants: list[TenantModel] | None = None
@@ -99,11 +108,11 @@
     address: str
     zone: str
     version: str
-    capacity: int
+    capacity: Integer
     state: str
-    warmup_left_ms: float
-    sequence: int
-    born: int = 0
+    warmup_left_ms: Amount
+    sequence: Integer
+    born: Count = 0
 
 
 _config_decoder = msgspec.json.Decoder(ConfigModel)
@@ -113,10 +122,10 @@
 def decode_table(value: bytes) -> RoutingTable:
     """Return the routing table in `value`; raise ConfigurationError if malformed."""
     try:
-        model = _config_decoder.decode(value)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        model = decode(_config_decoder, value)
+    except MalformedInputError as error:
         raise ConfigurationError(
-            f"malformed operator configuration: {error}",
+            f"malformed operator configuration: {error.problem}",
             "write a valid configuration",
         ) from error
     routes: dict[str, list[Route]] = {}
@@ -170,6 +179,12 @@
 ) -> dict[str, Workspace] | None:
     if models is None:
         return None
+    for model in models:
+        if model.name and not is_header_value(model.name):
+            raise ConfigurationError(
+                f"the name {model.name!r} of a workspace fits no header",
+                "write it in Latin-1 without control characters",
+            )
     return {
         key: Workspace(model.name, model.priority)
         for model in models
@@ -178,12 +193,16 @@
 
 
 def decode_server(name: str, value: bytes) -> ServerRecord | None:
-    """Return the server in `value`, or None if it is malformed or not usable."""
-    try:
-        model = _server_decoder.decode(value)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
-        return None
-    if model.state not in {STATE_READY, STATE_LEAVING} or not _has_valid_address(model):
+    """Return the server in `value`, or None if its state does not allow its use.
+
+    Raise MalformedInputError if the entry is malformed.
+    """
+    model = decode(_server_decoder, value)
+    if not is_header_value(name):
+        raise MalformedInputError(f"the name {name!r} fits no header")
+    if not _has_valid_address(model):
+        raise MalformedInputError(f"the address {model.address[:80]!r} is malformed")
+    if model.state not in {STATE_READY, STATE_LEAVING}:
         return None
     return ServerRecord(
         name,
@@ -199,4 +218,4 @@
 
 def _has_valid_address(model: ServerModel) -> bool:
     host, _, port = model.address.rpartition(":")
-    return bool(host) and port.isdigit() and 0 < int(port) < 65536
+    return is_ipv4_address(host) and bool(parse_port(port))
