--- a/cornelnotch/soak/attempts.py
+++ b/cornelnotch/soak/attempts.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from urllib.parse import urlencode
 
-from cornelnotch.standins.deployment import MAX_ATTEMPTS, TARGET_MS, WORK_ROUTES
+from cornelnotch.standins.deployment import TARGET_MS, WORK_ROUTES
 
 __all__ = ["Attempt", "Work", "WorkMix", "draw_mix", "draw_work"]
 
@@ -18,7 +18,9 @@
 # Share of plans in which requests of one route differ as much as those of all routes.
 WIDE_SHARE = 0.5
 MS_PER_SECOND = 1000.0
+# Time after which a host sends a call that may be repeated to another server.
 RESPONSE_TIMEOUT_MS = 2.5 * TARGET_MS
+DELAY_MS = 500.0
 
 
 WorkMix = dict[str, float]
@@ -47,12 +49,13 @@
         kind, resumable = WORK_ROUTES[self.route]
         return kind == "idempotent" or resumable
 
+    def may_exceed_timeout(self) -> bool:
+        """Return whether a host may give up on each server, also in calm."""
+        return self.route == "read" and self.work_ms > RESPONSE_TIMEOUT_MS - DELAY_MS
+
     def estimate_s(self) -> float:
         """Return the time from the last byte of the request to the end of its work."""
         served_s = (self.work_ms + self.events * self.gap_ms) / MS_PER_SECOND
-        if self.route == "read" and self.work_ms > RESPONSE_TIMEOUT_MS:
-            # A host tries other servers before it waits for the last one.
-            served_s += (MAX_ATTEMPTS - 1) * RESPONSE_TIMEOUT_MS / MS_PER_SECOND
         if not self.read_rate:
             return served_s
         return served_s + max(self.events, 1) * self.size / self.read_rate
--- a/cornelnotch/soak/judge.py
+++ b/cornelnotch/soak/judge.py
@@ -202,6 +202,8 @@
         """Return whether something else than a stop may explain a failure."""
         if any(run.broke for run in runs) or overlaps_pause(attempt, life):
             return True
+        if attempt.work.may_exceed_timeout():
+            return True
         if attempt.refused_connection:
             return attempt.begun_s < life.ready_s
         if attempt.whole or runs:
