web: a connection that ends reads no further requests

What callers would have seen (found by a review, with tests that failed): a caller that went on using a connection after its last response had its next request read and dropped, so that it could not know whether that had run; and the idle timeout of a connection reset a response that a slow reader had not taken yet.

A connection that ends is half-closed as before. It is now no longer read, but closed as soon as the caller's system has acknowledged all of the response; what was not read was not passed on. Only the rest of a body is still discarded, as its caller may read the response only after it has sent all. Idle timeouts end connections in the same way.

--- a/cornelnotch/web/connections.py
+++ b/cornelnotch/web/connections.py
@@ -1,13 +1,16 @@
 """Options of TCP connections."""
 
 import asyncio
+import fcntl
 import socket
 import struct
+import termios
 
-__all__ = ["reset_on_close"]
+__all__ = ["count_outstanding_bytes", "reset_on_close"]
 
 # struct linger: enabled, for 0 seconds.
 NO_LINGER = struct.pack("ii", 1, 0)
+QUEUE_SIZE = struct.Struct("i")
 
 
 def reset_on_close(writer: asyncio.StreamWriter) -> None:
@@ -15,3 +18,13 @@
     connection = writer.get_extra_info("socket")
     if connection is not None:
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
+
+
+def count_outstanding_bytes(writer: asyncio.StreamWriter) -> int:
+    """Return the size of what the peer's system has not yet acknowledged.
+
+    Raise OSError if the system does not tell.
+    """
+    connection = writer.get_extra_info("socket")
+    size = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(QUEUE_SIZE.size))
+    return writer.transport.get_write_buffer_size() + QUEUE_SIZE.unpack(size)[0]
--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -4,13 +4,14 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
+from typing import cast
 
 import h11
 import orjson
 
 from cornelnotch.exceptions import CallerDisconnectedError, RequestError
 from cornelnotch.kernel.tasks import cancel_and_wait
-from cornelnotch.web.connections import reset_on_close
+from cornelnotch.web.connections import count_outstanding_bytes, reset_on_close
 from cornelnotch.web.exchange import Exchange
 
 __all__ = ["Handler", "HttpServer", "ServerConnection", "ServerLimits"]
@@ -18,7 +19,8 @@
 READ_BYTES = 65536
 MAX_HEADER_BYTES = 32768
 HEADER_TIMEOUT_S = 60.0
-DISCARD_TIMEOUT_S = 1.0
+LINGER_TIMEOUT_S = 1.0
+LINGER_POLL_S = 0.005
 MAX_DISCARDED_BYTES = 4 * 1024 * 1024
 WRITE_BUFFER_HIGH_BYTES = 65536
 MAX_BUFFERED_BYTES = 65536
@@ -61,7 +63,6 @@
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
         self._close_watcher: asyncio.Task[None] | None = None
-        self._busy = False
         self._closing = False
         self.lingering = False
         self._reading: asyncio.Timeout | None = None
@@ -73,7 +74,7 @@
         while not self.disconnected.is_set():
             request = await self._read_request()
             if request is None:
-                if self._closing and not self.disconnected.is_set():
+                if not self.lingering and not self.disconnected.is_set():
                     await self._linger()
                 return
             try:
@@ -81,9 +82,7 @@
             except RequestError as error:
                 await self._respond_and_close(error.status, error.kind, str(error))
                 return
-            self._busy = True
             await handler(exchange)
-            self._busy = False
             if not exchange.response_finished:
                 return
             await self._stop_watching()
@@ -199,21 +198,37 @@
         return None if event is h11.NEED_DATA else event
 
     async def _linger(self) -> None:
-        """End the response, and discard input until the caller closes too.
+        """End the response, and wait until the caller's system has received it.
 
-        Closing with unread input would reset the connection before the caller has read
-        the response.
+        Closing with unread input resets the connection, which discards a response that
+        is still under way.
         """
-        discarded = 0
         self.lingering = True
         with suppress(OSError, TimeoutError):
             self._writer.write_eof()
-            async with asyncio.timeout(DISCARD_TIMEOUT_S):
-                while discarded < MAX_DISCARDED_BYTES:
-                    data = await self._reader.read(READ_BYTES)
-                    if not data:
-                        return
-                    discarded += len(data)
+            async with asyncio.timeout(LINGER_TIMEOUT_S):
+                if self._protocol.their_state in {h11.SEND_BODY, h11.ERROR}:
+                    await self._discard_input()
+                else:
+                    await self._wait_until_received()
+
+    async def _discard_input(self) -> None:
+        """Discard the rest of a request, whose caller may read only after sending."""
+        discarded = 0
+        while discarded < MAX_DISCARDED_BYTES:
+            data = await self._reader.read(READ_BYTES)
+            if not data:
+                return
+            discarded += len(data)
+
+    async def _wait_until_received(self) -> None:
+        """Wait without reading, since a further request would not be answered."""
+        transport = cast(asyncio.Transport, self._writer.transport)
+        transport.pause_reading()
+        while not transport.is_closing():
+            if not count_outstanding_bytes(self._writer):
+                return
+            await asyncio.sleep(LINGER_POLL_S)
 
     async def read_event(self) -> object:
         """Return the next h11 event; raise RequestError if the body is malformed."""
--- a/cornelnotch/web/tests/test_shutdown.py
+++ b/cornelnotch/web/tests/test_shutdown.py
@@ -212,3 +212,56 @@
         assert await shutdown == 0
 
     run_scenario(scenario)
+
+
+def test_unread_response_survives_a_request_that_crosses_the_idle_timeout():
+    async def scenario(running):
+        running.server.limits.idle_timeout_s = 0.1
+        reader, writer = await running.connect()
+        running.release.set()
+        writer.write(REQUEST)
+        await asyncio.sleep(0.16)
+        writer.write(REQUEST)
+        assert (await read_to_the_end(reader, 0.002)).endswith(running.body)
+        writer.close()
+
+    run_scenario(scenario, body=b"x" * 60_000)
+
+
+def test_request_after_the_last_response_of_a_connection_is_not_read():
+    async def scenario(running):
+        running.server.limits.draining = True
+        running.release.set()
+        reader, writer = await running.connect()
+        await asyncio.sleep(0.05)
+        (connection,) = running.server._open_connections
+        received = []
+        feed = connection._reader.feed_data
+
+        def feed_data(data):
+            received.append(data)
+            feed(data)
+
+        connection._reader.feed_data = feed_data
+        writer.write(REQUEST)
+        assert (await reader.readuntil(running.body)).endswith(running.body)
+        writer.write(REQUEST)
+        await asyncio.sleep(0.2)
+        assert running.paths == ["/a"]
+        assert received == [REQUEST]
+
+    run_scenario(scenario, body=b"x" * 100)
+
+
+def test_response_survives_input_that_arrives_after_it_was_written():
+    async def scenario(running):
+        running.server.limits.draining = True
+        reader, writer = await running.connect()
+        running.release.set()
+        writer.write(REQUEST)
+        await asyncio.sleep(0.1)
+        writer.write(REQUEST)
+        assert (await read_to_the_end(reader, 0.002)).endswith(running.body)
+        writer.close()
+
+    run_scenario(scenario, body=b"x" * 60_000)
