gateway: a draining host serves what can end, and measures what servers take

Cause: the samples counted the time of slow uploads and slow readers, and the estimate asked for more certainty than callers need: a host that refuses while its address is still in use sends callers away that it could serve.

Durations now run from the end of the body to the first event, and leave out the time that the caller lets the host wait. While callers may use the address half of the similar requests must fit, three quarters where the work may not be repeated; afterwards all, times 1.25. A request that can no longer end leaves the admission queue with an outcome of its own, and a refusal's Retry-After also counts the route's timeout.

Tests from the review guard the deadline during a drain, resumption, late admission and an early close.

--- a/cornelnotch/gateway/admission_client.py
+++ b/cornelnotch/gateway/admission_client.py
@@ -47,7 +47,7 @@
     BETTER_ENGINE that another one is likely to serve the request sooner, INFEASIBLE
     that the caller would leave before the request is admitted. RATE_LIMITED means that
     the controller did not answer and the server has a rate limit, which no host may use
-    up by itself.
+    up by itself. HOST_LEAVING means that this host stops before the request could end.
     """
 
     GRANTED = "granted"
@@ -56,6 +56,7 @@
     BETTER_ENGINE = "better"
     INFEASIBLE = "hopeless"
     RATE_LIMITED = "limited"
+    HOST_LEAVING = "leaving"
 
 
 @dataclass(slots=True)
@@ -73,6 +74,7 @@
     gap_ms: float = 0.0
     target_ms: float = 0.0
     has_better_server: Callable[[], bool] = lambda: False
+    can_end: Callable[[], bool] = lambda: True
     answered_ms: float = 0.0
     sent_ms: float = 0.0
     prefilled: bool = False
@@ -123,16 +125,19 @@
         gap_ms: float = 0.0,
         target_ms: float = 0.0,
         has_better_server: Callable[[], bool] = lambda: False,
+        can_end: Callable[[], bool] = lambda: True,
     ) -> AdmissionResult:
         """Wait until the request may be sent; always call `report_end` afterwards.
 
         The caller has waited since `arrived_ms`, possibly for another engine, and
         leaves after `wait_limit_ms`. It accepts inter-token gaps of up to `gap_ms` and
         expects the first token within `target_ms`. During the wait, `has_better_server`
-        is polled for whether another engine is clearly better.
+        is polled for whether another engine is clearly better, and `can_end` for
+        whether the request can still end before this host stops.
         """
         state = self._open_state(request, view, in_flight)
         state.has_better_server = has_better_server
+        state.can_end = can_end
         state.gap_ms = gap_ms
         state.target_ms = target_ms
         state.arrived_ms = arrived_ms
@@ -223,6 +228,8 @@
         elif now - state.answered_ms >= ANSWER_TIMEOUT_MS:
             self._silent_since_ms[state.controller] = now
             return self._proceed_unanswered(state)
+        if not state.can_end():
+            return AdmissionResult.HOST_LEAVING
         if state.has_better_server():
             return AdmissionResult.BETTER_ENGINE
         self._send_ask(state, "waiting")
--- a/cornelnotch/gateway/drain.py
+++ b/cornelnotch/gateway/drain.py
@@ -14,19 +14,25 @@
 from cornelnotch.gateway.retry_after import MAX_RETRY_AFTER_SHARE
 from cornelnotch.kernel.clock import Clock
 
-__all__ = ["USUAL_SHARE", "Drain", "choose_drain_retry_after_ms", "find_exit_margin_ms"]
+__all__ = [
+    "Drain",
+    "choose_drain_retry_after_ms",
+    "choose_share",
+    "find_exit_margin_ms",
+]
 
 # Part of the grace period that remains for closing connections and exiting: a share,
 # and the most that is needed.
 EXIT_MARGIN_SHARE = 1.0 / 8.0
 MAX_EXIT_MARGIN_MS = 600.0
 # Share of similar requests that must have ended within the time left, while callers may
-# use the host's address and later.
-USUAL_SHARE = 0.95
+# use the host's address. Work that may not be repeated needs more certainty, as a wrong
+# estimate leaves its caller uncertain whether it ran.
+USUAL_SHARE = 0.5
+ONCE_SHARE = 0.75
+# The same for later requests, which come on connections that are still open.
 LATE_SHARE = 1.0
 LATE_FACTOR = 1.25
-# Work that may not be repeated leaves its caller uncertain if it is cut off.
-ONCE_FACTOR = 2.0
 # Delay before a refused caller retries at another host, shortened by up to half.
 RETRY_AFTER_MS = 100.0
 
@@ -40,6 +46,11 @@
     return min(grace_ms * EXIT_MARGIN_SHARE, MAX_EXIT_MARGIN_MS)
 
 
+def choose_share(route: Route) -> float:
+    """Return the share of similar requests that must fit for one to be served."""
+    return ONCE_SHARE if route.kind is WorkKind.ONCE else USUAL_SHARE
+
+
 def choose_drain_retry_after_ms(
     has_other_hosts: bool, left_ms: float, generator: random.Random
 ) -> float:
@@ -98,10 +109,7 @@
         if limit_ms <= left_ms:
             return True
         is_late = self._clock.read() >= self._expected_until_ms
-        expected_ms = estimate(LATE_SHARE if is_late else USUAL_SHARE)
+        expected_ms = estimate(LATE_SHARE if is_late else choose_share(route))
         if expected_ms is None:
             return not is_late
-        factor = LATE_FACTOR if is_late else 1.0
-        if route.kind is WorkKind.ONCE:
-            factor *= ONCE_FACTOR
-        return expected_ms * factor <= left_ms
+        return expected_ms * (LATE_FACTOR if is_late else 1.0) <= left_ms
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -15,7 +15,7 @@
     UpstreamResponse,
     open_response,
 )
-from cornelnotch.gateway.drain import USUAL_SHARE, choose_drain_retry_after_ms
+from cornelnotch.gateway.drain import choose_drain_retry_after_ms, choose_share
 from cornelnotch.gateway.durations import RequestDuration, RunningRequest
 from cornelnotch.gateway.forwarding import MAX_BUFFERED_BYTES, EventReader, forward_body
 from cornelnotch.gateway.header_codec import DispatchOptions
@@ -86,6 +86,7 @@
         self.route = route
         self.workspace = workspace
         self.arrived_ms = arrived_ms
+        self.received_ms = context.clock.read()
         deadline = request.deadline_ms or DEFAULT_DEADLINE_MS
         self.deadline_ms = arrived_ms + deadline
         self.limit_ms = arrived_ms + min(deadline, route.timeout_ms)
@@ -103,6 +104,7 @@
         self.backup: ServerView | None = None
         self.resuming = False
         self.is_sending = False
+        self.writing_ms = 0.0
         self.tries_blamed_prompt = False
         self.splitter = EventSplitter(request.last_event_id)
         self.running = RunningRequest(arrived_ms, request.output_tokens)
@@ -190,6 +192,10 @@
         self.tries_blamed_prompt = self.context.may_try_blamed(self.request)
         return self.tries_blamed_prompt
 
+    def _find_limit_ms(self) -> float:
+        """Return when the request ends in any case if the host does not stop."""
+        return min(self.deadline_ms, self.arrived_ms + self.route.timeout_ms)
+
     def _can_end(self, prefill_ms: float = 0.0) -> bool:
         """Return whether the request, if sent now, can end before the host stops.
 
@@ -199,7 +205,7 @@
         if not drain.has_started or self.dispatches.ran:
             return True
         now = self.context.clock.read()
-        limit_ms = min(self.deadline_ms, self.arrived_ms + self.route.timeout_ms)
+        limit_ms = self._find_limit_ms()
         return drain.can_end(
             self.route,
             lambda share: self._estimate_duration_ms(share, prefill_ms),
@@ -211,7 +217,7 @@
     ) -> float | None:
         """Return the time that `share` of similar requests still take, if known."""
         now = self.context.clock.read()
-        waited_ms = max(now - self.arrived_ms - prefill_ms, 0.0)
+        waited_ms = max(now - self.received_ms - prefill_ms, 0.0)
         events = parse_number(self.request.last_event_id) or 0
         tokens = self.request.output_tokens
         request = RequestDuration(waited_ms, 0.0, tokens, events)
@@ -226,11 +232,11 @@
 
     async def _refuse_leaving(self) -> None:
         """Refuse a request that cannot end before the host stops."""
-        left_ms = self.deadline_ms - self.context.clock.read()
+        left_ms = self._find_limit_ms() - self.context.clock.read()
         retry_ms = choose_drain_retry_after_ms(
             bool(self.context.hosts), left_ms, self.context.generator
         )
-        expected_ms = self._estimate_duration_ms(USUAL_SHARE)
+        expected_ms = self._estimate_duration_ms(choose_share(self.route))
         await self._refuse(
             STATUS_UNAVAILABLE,
             HOST_LEAVING,
@@ -275,6 +281,9 @@
             self.limited_tries += limit is not None
         if result in {AdmissionResult.ENGINE_LOST, AdmissionResult.BETTER_ENGINE}:
             return False
+        if result is AdmissionResult.HOST_LEAVING:
+            await self._refuse_leaving()
+            return True
         if result is AdmissionResult.RATE_LIMITED:
             self._skip_limited(placement.server, UNRESPONSIVE_MS)
             return False
@@ -432,10 +441,6 @@
         is_repeatable = self.route.kind is WorkKind.REPEATABLE
         return is_repeatable and self.last_outcome is DispatchOutcome.FAILED
 
-    def _must_leave_queue(self, view: ServerView, in_flight: InFlightRequest) -> bool:
-        """Return whether a waiting request must be placed anew or refused."""
-        return not self._can_end() or self._has_better_server(view, in_flight)
-
     def _has_better_server(self, view: ServerView, in_flight: InFlightRequest) -> bool:
         """Return whether a waiting request would now be placed at another engine."""
         if self.server_changes >= MAX_SERVER_CHANGES:
@@ -489,7 +494,8 @@
             self._find_wait_limit_ms(),
             self.route.target_itl_ms if in_flight.latency_sensitive else 0.0,
             self.route.target_ms,
-            lambda: self._must_leave_queue(view, in_flight),
+            lambda: self._has_better_server(view, in_flight),
+            self._can_end,
         )
         waited_ms = self.context.clock.read() - in_flight.started_ms
         rates = self.context.engine_rates.get(view.record.name, self.service)
@@ -661,7 +667,7 @@
             return UpstreamResponse(DispatchOutcome.BROKEN, error.problem)
         now = self.context.clock.read()
         if not is_stream:
-            duration = RequestDuration(now - self.arrived_ms)
+            duration = RequestDuration(in_flight.first_ms - self.received_ms)
             self.context.durations.record(self.route.name, duration)
         self._finish(response.head.status, now, end=end.value)
         return None
@@ -689,7 +695,7 @@
                     self.splitter.count - counted, self.context.clock.read()
                 )
                 if complete:
-                    await self.exchange.send(complete)
+                    await self._send_events(complete)
                 self.splitter.check()
             end = await confirm_end(response, self.splitter)
         except UpstreamError as error:
@@ -708,8 +714,8 @@
         )
         if not self.request.last_event_id:
             duration = RequestDuration(
-                in_flight.first_ms - self.arrived_ms,
-                stream_ms,
+                in_flight.first_ms - self.received_ms,
+                stream_ms - self.writing_ms,
                 self.request.output_tokens,
                 self.splitter.count,
             )
@@ -723,6 +729,12 @@
         )
         return None
 
+    async def _send_events(self, events: bytes) -> None:
+        """Send events to the caller; measure the time that it lets the host wait."""
+        began_ms = self.context.clock.read()
+        await self.exchange.send(events)
+        self.writing_ms += self.context.clock.read() - began_ms
+
     def _find_stall_timeout_s(self) -> float | None:
         if self.backup is not None and not self.resuming:
             return find_max_gap_s(self.route)
--- a/cornelnotch/gateway/frontend.py
+++ b/cornelnotch/gateway/frontend.py
@@ -67,7 +67,8 @@
             await self._refuse(exchange, request, STATUS_UNAUTHORIZED, "unknown-key")
             return
         if not await self._receive_body(exchange, request):
-            await self._refuse_leaving(exchange, request)
+            left_ms = request.deadline_ms or route.timeout_ms
+            await self._refuse_leaving(exchange, request, left_ms)
             return
         flow = RequestFlow(context, exchange, request, route, workspace, arrived_ms)
         context.events.record(
@@ -116,10 +117,12 @@
             self._receiving.discard(limit)
         return True
 
-    async def _refuse_leaving(self, exchange: Exchange, request: CallerRequest) -> None:
+    async def _refuse_leaving(
+        self, exchange: Exchange, request: CallerRequest, left_ms: float
+    ) -> None:
         context = self._context
         retry_ms = choose_drain_retry_after_ms(
-            bool(context.hosts), request.deadline_ms, context.generator
+            bool(context.hosts), left_ms, context.generator
         )
         await self._refuse(
             exchange, request, STATUS_UNAVAILABLE, HOST_LEAVING, round(retry_ms, 1)
--- a/cornelnotch/gateway/tests/test_graceful_shutdown.py
+++ b/cornelnotch/gateway/tests/test_graceful_shutdown.py
@@ -3,6 +3,8 @@
 import asyncio
 import socket
 
+from cornelnotch.gateway.admission_client import AdmissionResult
+from cornelnotch.gateway.durations import RequestDuration
 from cornelnotch.gateway.tests.conftest import (
     run_deployment,
     run_second_host,
@@ -220,3 +222,87 @@
         full.close()
 
     run_scenario(scenario)
+
+
+def test_drain_does_not_extend_the_deadline_of_a_running_request():
+    async def scenario(d):
+        for desk in d.desks:
+            desk.faults.hang = True
+        connection = await KeptConnection.open(d.settings.listen.callers)
+        headers = {"x-deadline-ms": "700"}
+        send = connection.send("c1", "/book/x", "POST", b"b", **headers)
+        task = asyncio.create_task(send)
+        await wait_until(lambda: count_runs(d.desks) == 1)
+        stopping = start_drain(d, grace_s=4.0)
+        async with asyncio.timeout(1.5):
+            assert (await task).status == 504
+        await stopping
+
+    run_scenario(scenario)
+
+
+def test_stream_that_breaks_off_during_the_drain_is_resumed():
+    async def scenario(d):
+        for engine in d.engines:
+            engine.events, engine.faults.event_ms = 60, 20.0
+        for engine in d.engines:
+            engine.faults.abort_after_events = 40
+        connection = await KeptConnection.open(d.settings.listen.callers)
+        task = asyncio.create_task(connection.send("s1", "/stream/x", "POST", b"p"))
+        await wait_until(lambda: count_runs(d.engines) == 1)
+        stopping = start_drain(d, grace_s=3.0)
+        await asyncio.sleep(0.3)
+        for engine in d.engines:
+            if not engine.executions["s1"]:
+                engine.faults.abort_after_events = None
+        reply = await task
+        assert (reply.status, reply.whole) == (200, True)
+        assert count_runs(d.engines) == 2
+        await stopping
+
+    run_scenario(scenario)
+
+
+def test_stream_that_is_admitted_too_late_to_end_is_refused():
+    async def scenario(d):
+        async def wait(*arguments):
+            await asyncio.sleep(1.5)
+            return AdmissionResult.GRANTED
+
+        duration = RequestDuration(10.0, 2000.0, 100, 100)
+        for _ in range(60):
+            d.host.context.durations.record("draft", duration)
+        d.host.context.admission.wait_for_admission = wait
+        stopping = start_drain(d, grace_s=4.0)
+        connection = await KeptConnection.open(d.settings.listen.callers)
+        headers = {"x-token-usage": "10,100", "x-prompt-prefix": "a:5,b:5"}
+        reply = await connection.send("s1", "/stream/draft/x", "POST", b"p", **headers)
+        assert (reply.status, reply.whole) == (503, True)
+        assert count_runs(d.engines) == 0
+        await stopping
+
+    run_scenario(scenario)
+
+
+def test_request_that_crosses_an_early_close_is_refused_before_it_is_sent():
+    async def scenario(d):
+        connection = await KeptConnection.open(d.settings.listen.callers)
+        assert (await connection.send("c1", "/book/x")).status == 200
+        shut_down = d.host.server.shut_down
+
+        async def shut_down_with_arrival(timeout_s):
+            (open_connection,) = d.host.server._open_connections
+            open_connection._reader.feed_data(
+                b"POST /book/x HTTP/1.1\r\nhost: app.example\r\nx-attempt-id: c2\r\n"
+                b"x-key: key-1\r\nx-deadline-ms: 9000\r\ncontent-length: 0\r\n\r\n"
+            )
+            return await shut_down(timeout_s)
+
+        d.host.server.shut_down = shut_down_with_arrival
+        stopping = start_drain(d, grace_s=6.0)
+        data = await connection.reader.read()
+        assert data.startswith(b"HTTP/1.1 503")
+        assert all("c2" not in desk.executions for desk in d.desks)
+        await stopping
+
+    run_scenario(scenario)
