gateway: let no event ID of a server end the host's work on a stream

Callers saw streams end without a reason: an event ID with over 4300 digits raised ValueError in the order check, and one with a null or another control character was kept as the last ID, which raised LocalProtocolError when the stream was resumed.

IDs are compared as numbers only within 64 bits. An ID that fits no header makes its event invalid, like text that is no event, so the stream resumes elsewhere after the event before it.

--- a/cornelnotch/gateway/streams.py
+++ b/cornelnotch/gateway/streams.py
@@ -3,6 +3,7 @@
 import re
 
 from cornelnotch.exceptions import UpstreamError
+from cornelnotch.kernel.parsing import is_header_value, parse_count
 
 __all__ = ["EventSplitter"]
 
@@ -18,11 +19,6 @@
 MAX_EVENT_BYTES = 256 * 1024
 
 
-def parse_number(event_id: str) -> int | None:
-    """Return an event ID as a number, or None if it is not one."""
-    return int(event_id) if event_id.isascii() and event_id.isdigit() else None
-
-
 class EventSplitter:
     """Buffer the incomplete end of a stream and track the last event ID.
 
@@ -122,6 +118,9 @@
         ids = [line for line in lines if line.startswith(ID_FIELD)]
         if ids:
             event_id = ids[-1][len(ID_FIELD) :].strip().decode("latin-1")
+            if event_id and not is_header_value(event_id):
+                # No server could be asked to resume after such an event.
+                return "the ID of an event fits no header"
             problem = self._check_order(event_id)
             if problem:
                 return problem
@@ -132,7 +131,7 @@
     def _check_order(self, event_id: str) -> str:
         is_resumed = not self._follows_own_event
         self._follows_own_event = True
-        last, number = parse_number(self.last_event_id), parse_number(event_id)
+        last, number = parse_count(self.last_event_id), parse_count(event_id)
         if last is None or number is None:
             repeated = bool(self.last_event_id) and event_id == self.last_event_id
             return f"event {event_id} comes twice" if repeated else ""
--- a/cornelnotch/kernel/parsing.py
+++ b/cornelnotch/kernel/parsing.py
@@ -28,8 +28,8 @@
 MAX_AMOUNT = 1e15
 MAX_AMOUNT_CHARACTERS = 400
 MAX_PORT = 65535
-# Latin-1 text without ASCII control characters, and with no space at either end.
-HEADER_VALUE = re.compile(r"[!-~\x80-\xff]([ -~\x80-\xff]*[!-~\x80-\xff])?")
+# Latin-1 text without ASCII control characters except inner tabs and spaces.
+HEADER_VALUE = re.compile(r"[!-~\x80-\xff]([\t -~\x80-\xff]*[!-~\x80-\xff])?")
 
 Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
