wire: read on after a message that is malformed or cannot be handled

Hosts lost each other's news: a handler that raised on a valid message, or one malformed message, ended the stream from its sender, with all messages behind it; a sender that repeats the message ended each new stream too, and the error of the handler was no logged event.

Frames carry their length, so the next one can be read whatever this one holds. A handler's error is logged once for each type of message and error (3102), a malformed message once for each stream (3101). A frame that is too long and a stream that does not name its host still end it, as nothing behind them can be trusted.

--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -59,6 +59,11 @@
     HOST_REFUSING = (3003, logging.WARNING, "the host refuses requests")
     HOST_SERVING = (3004, logging.INFO, "the host accepts requests again")
     PEER_MESSAGE_REFUSED = (3101, logging.WARNING, "a peer sent a malformed message")
+    PEER_MESSAGE_FAILED = (
+        3102,
+        logging.ERROR,
+        "a message of a peer could not be handled",
+    )
     SERVER_EJECTED = (
         4001,
         logging.WARNING,
--- a/cornelnotch/wire/peers.py
+++ b/cornelnotch/wire/peers.py
@@ -105,6 +105,7 @@
         self._receivers: dict[type, Receiver] = {}
         self._server: asyncio.Server | None = None
         self._incoming_tasks: set[asyncio.Task[None]] = set()
+        self._failures: set[tuple[type, type]] = set()
 
     @property
     def name(self) -> str:
@@ -164,8 +165,27 @@
 
     def _receive(self, sender: str, message: Any) -> None:
         receiver = self._receivers.get(type(message))
-        if receiver is not None:
+        if receiver is None:
+            return
+        try:
             receiver(sender, message)
+        except Exception as error:
+            # Ending the stream would lose the messages behind this one, and the sender
+            # may repeat it.
+            self._record_failure(sender, message, error)
+
+    def _record_failure(self, sender: str, message: Any, error: Exception) -> None:
+        """Log the first error of each type for each type of message."""
+        kind = (type(message), type(error))
+        if kind in self._failures:
+            return
+        self._failures.add(kind)
+        self._events.record(
+            Event.PEER_MESSAGE_FAILED,
+            sender=sender,
+            message=kind[0].__name__,
+            error=repr(error),
+        )
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -186,9 +206,17 @@
     async def _read_messages(self, reader: asyncio.StreamReader) -> None:
         frames = FrameReader()
         sender: str | None = None
+        has_refused = False
         while data := await reader.read(READ_BYTES):
             for frame in frames.feed(data):
-                message = decode_message(frame)
+                try:
+                    message = decode_message(frame)
+                except WireError as error:
+                    # The frames behind it are intact.
+                    if not has_refused:
+                        has_refused = True
+                        self._events.record(Event.PEER_MESSAGE_REFUSED, error=error)
+                    continue
                 self.received_messages += 1
                 if isinstance(message, Hello):
                     sender = message.host
