settings: refuse odd addresses and limits when a host starts

Operators saw hosts that started and then failed each second, or failed much later: an infinite grace period or retry limit was accepted, and so was the address of a store that no resolver takes. parse_address raised ValueError for digits that int refuses, which its callers do not expect, and passed on hosts that raised UnicodeError.

Addresses go through one bounded conversion, also in the client and between hosts, where a malformed one now counts as unreachable.

--- a/cornelnotch/gateway/settings.py
+++ b/cornelnotch/gateway/settings.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from cornelnotch.exceptions import SettingsError
+from cornelnotch.kernel.parsing import MAX_AMOUNT, parse_address
 
 __all__ = ["HostSettings", "read_host_settings"]
 
@@ -18,7 +19,7 @@
 
 def describe_amount(meaning: str) -> msgspec.Meta:
     """Return metadata of a setting whose value must not be negative."""
-    return msgspec.Meta(ge=0, description=meaning)
+    return msgspec.Meta(ge=0, le=MAX_AMOUNT, description=meaning)
 
 
 class HostSection(msgspec.Struct):
@@ -93,9 +94,23 @@
         raise SettingsError(f"{path}: {message}", "correct the line") from error
     content = {name: _drop_empty(parser, name) for name in parser.sections()}
     try:
-        return msgspec.convert(content, HostSettings, strict=False)
+        settings = msgspec.convert(content, HostSettings, strict=False)
     except msgspec.ValidationError as error:
         raise SettingsError(f"{path}: {error}", "correct the value") from error
+    for name, address in _list_addresses(settings):
+        if parse_address(address) is None:
+            raise SettingsError(
+                f"{path}: {name} is not a valid address", "write it as 127.0.0.1:8080"
+            )
+    return settings
+
+
+def _list_addresses(settings: HostSettings) -> list[tuple[str, str]]:
+    """Return the names and values of the addresses without which no host can run."""
+    listen = msgspec.structs.asdict(settings.listen)
+    found = [(f"[listen] {key}", text) for key, text in listen.items()]
+    found.append(("[store] address", settings.store.address))
+    return [(name, text) for name, text in found if text and "seeds" not in name]
 
 
 def _drop_empty(parser: configparser.ConfigParser, section: str) -> dict[str, str]:
--- a/cornelnotch/kernel/parsing.py
+++ b/cornelnotch/kernel/parsing.py
@@ -10,12 +10,14 @@
 from cornelnotch.exceptions import MalformedInputError
 
 __all__ = [
+    "MAX_AMOUNT",
     "Amount",
     "Count",
     "Integer",
     "decode",
     "is_header_value",
     "is_ipv4_address",
+    "parse_address",
     "parse_amount",
     "parse_count",
     "parse_port",
@@ -30,6 +32,10 @@
 MAX_PORT = 65535
 # Latin-1 text without ASCII control characters except inner tabs and spaces.
 HEADER_VALUE = re.compile(r"[!-~\x80-\xff]([\t -~\x80-\xff]*[!-~\x80-\xff])?")
+# An IP address, a name that a resolver takes, or nothing for all interfaces.
+IPV6 = r"[0-9A-Fa-f:]{2,39}(\.[0-9]{1,3}){0,3}"
+NAME = r"[0-9A-Za-z_-]{1,63}(\.[0-9A-Za-z_-]{1,63})*"
+HOST = re.compile(rf"(\[{IPV6}\]|{IPV6}|{NAME})?")
 
 Integer = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
@@ -96,3 +102,12 @@
 def is_header_value(text: str) -> bool:
     """Return whether `text` is not empty and a header can have it as its value."""
     return HEADER_VALUE.fullmatch(text) is not None
+
+
+def parse_address(text: str) -> tuple[str, int] | None:
+    """Return the host and the port in `text`, or None if it is malformed."""
+    host, separator, digits = text.rpartition(":")
+    port = parse_port(digits)
+    if not separator or port is None or HOST.fullmatch(host) is None:
+        return None
+    return host.strip("[]"), port
--- a/cornelnotch/settings/node.py
+++ b/cornelnotch/settings/node.py
@@ -20,7 +20,7 @@
     "read_node_settings",
 ]
 
-Address = Annotated[str, Field(pattern=r"^[0-9a-fA-F.:\[\]]+:\d{1,5}$")]
+Address = Annotated[str, Field(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$")]
 Milliseconds = Annotated[float, Field(gt=0, le=86_400_000)]
 
 
--- a/cornelnotch/web/client.py
+++ b/cornelnotch/web/client.py
@@ -14,6 +14,7 @@
     UpstreamError,
     UpstreamUnreachableError,
 )
+from cornelnotch.kernel import parsing
 from cornelnotch.kernel.tasks import cancel_and_wait
 
 __all__ = ["HttpClient", "HttpResponse", "Reachability", "parse_address"]
@@ -40,12 +41,12 @@
 
 def parse_address(text: str) -> tuple[str, int]:
     """Return the IP address and port in `text`; raise SettingsError if malformed."""
-    name, separator, port = text.rpartition(":")
-    if not separator or not port.isdigit() or not 0 <= int(port) <= 65535:
+    address = parsing.parse_address(text)
+    if address is None:
         raise SettingsError(
-            f"{text!r} is not a valid address", "write it as 127.0.0.1:8080"
+            f"{text[:80]!r} is not a valid address", "write it as 127.0.0.1:8080"
         )
-    return name.strip("[]"), int(port)
+    return address
 
 
 def is_framed(method: bytes, response: h11.Response) -> bool:
@@ -396,7 +397,7 @@
                 reader, writer = await asyncio.open_connection(
                     *parse_address(address), limit=READ_BYTES
                 )
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, SettingsError) as error:
             self.close_idle_connections(address)
             raise UpstreamUnreachableError(
                 f"{address} is unreachable: {error!r}",
--- a/cornelnotch/wire/peers.py
+++ b/cornelnotch/wire/peers.py
@@ -5,7 +5,7 @@
 from contextlib import suppress
 from typing import Any
 
-from cornelnotch.exceptions import WireError
+from cornelnotch.exceptions import SettingsError, WireError
 from cornelnotch.kernel import Event, EventLog, TaskSupervisor
 from cornelnotch.web import parse_address
 from cornelnotch.wire.codec import FrameReader, decode_message, encode_message
@@ -58,7 +58,7 @@
                 await writer.drain()
             self._network.count_sent(len(data))
             return writer
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError, SettingsError):
             # The message is lost; the protocols built on this retry or time out.
             if writer is not None:
                 writer.transport.abort()
