gateway: read past a record that cannot be read

Callers would have seen hosts that stop following a topic: a response that is malformed each time was read again and again from the same offset, and an error that nobody foresaw ended the task there, which came back a second later to fail again. A response that ends within its first record was taken as one without records.

Malformed responses have an error of their own.

--- a/cornelnotch/exceptions.py
+++ b/cornelnotch/exceptions.py
@@ -5,6 +5,7 @@
     "CallerDisconnectedError",
     "ConfigurationError",
     "CornelnotchError",
+    "LogResponseError",
     "LogTrimmedError",
     "LogUnavailableError",
     "MalformedInputError",
@@ -88,6 +89,12 @@
         self.timeline = timeline
 
 
+class LogResponseError(LogUnavailableError):
+    """Raised if a response of the log service is malformed."""
+
+    kind = "log-malformed"
+
+
 class LogTrimmedError(CornelnotchError):
     """Raised if the log no longer has records at the requested offset.
 
--- a/cornelnotch/gateway/follower.py
+++ b/cornelnotch/gateway/follower.py
@@ -9,7 +9,11 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from cornelnotch.exceptions import LogTrimmedError, LogUnavailableError
+from cornelnotch.exceptions import (
+    LogResponseError,
+    LogTrimmedError,
+    LogUnavailableError,
+)
 from cornelnotch.gateway.broadcast import Broadcaster
 from cornelnotch.gateway.records import (
     NO_TIMELINE,
@@ -38,6 +42,9 @@
 # Delay after a failed read, doubled per consecutive failure up to the maximum.
 RETRY_MS = 200.0
 MAX_RETRY_MS = 800.0
+# After this many malformed responses in a row at an offset, all newest records are read
+# instead, which skips what is stored at that offset.
+MAX_MALFORMED_RESPONSES = 3
 TICK_MS = 100.0
 # Period at which hosts that receive no updates fetch from two others.
 FETCH_PERIOD_MS = 500.0
@@ -81,6 +88,7 @@
         self._unavailable: set[str] = set()
         self._unnamed: set[str] = set()
         self._failures = dict.fromkeys(TOPICS, 0)
+        self._malformed = dict.fromkeys(TOPICS, 0)
         self._fetched_ms = {topic: float("-inf") for topic in TOPICS}
         self._listener: Listener = lambda topic, after_outage: None
         self._unavailable_listener: Callable[[], None] = lambda: None
@@ -145,18 +153,18 @@
     async def _read(self, topic: str, wait_ms: float) -> bool:
         view = self.views[topic]
         start = view.head
+        if self._malformed[topic] >= MAX_MALFORMED_RESPONSES:
+            start = -1
         timeline_before = view.timeline
         try:
-            if start < 0:
-                page = await self._source.read_newest(topic)
-            else:
-                page = await self._source.read_from(topic, start, wait_ms)
+            page = await self._read_page(topic, start, wait_ms)
         except LogTrimmedError as error:
             self._enter_timeline(error.timeline)
             view.head = -1
             return await self._read(topic, wait_ms) if start >= 0 else False
         except LogUnavailableError as error:
             self._enter_timeline(error.timeline)
+            self._malformed[topic] += isinstance(error, LogResponseError)
             self._record_unavailable(topic, error)
             return False
         if page.timeline is None:
@@ -168,11 +176,26 @@
         if view.timeline != timeline_before and (start >= 0 or page.timeline is None):
             # The offsets belong to another timeline, or to an unknown one.
             return await self._read(topic, wait_ms) if start >= 0 else False
+        self._malformed[topic] = 0
         self._record_recovery(topic)
         self._apply_page(self._plan.name, topic, page, 0.0, start < 0)
         self._publish(topic, start, page)
         return True
 
+    async def _read_page(self, topic: str, start: int, wait_ms: float) -> RecordPage:
+        """Read records from offset `start`, or all newest ones if it is negative."""
+        try:
+            if start < 0:
+                return await self._source.read_newest(topic)
+            return await self._source.read_from(topic, start, wait_ms)
+        except (LogTrimmedError, LogUnavailableError):
+            raise
+        except Exception as error:
+            # It would end the task, which would fail again at the same offset.
+            raise LogResponseError(
+                f"unreadable response: {error!r}", "report the store's response"
+            ) from error
+
     def _enter_timeline(self, timeline: int | None) -> None:
         """Switch to a later timeline of the store, from which nothing was read yet."""
         if timeline is None or timeline <= self._timeline:
--- a/cornelnotch/platform/store.py
+++ b/cornelnotch/platform/store.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from cornelnotch.exceptions import (
+    LogResponseError,
     LogTrimmedError,
     LogUnavailableError,
     MalformedInputError,
@@ -142,7 +143,7 @@
             if not page.has_more or not page.entries:
                 return RecordPage(records, end, end, first)
             if page.entries[-1].key == after:
-                raise LogUnavailableError(
+                raise LogResponseError(
                     "store repeated a page", "read again", response.timeline
                 )
             after = page.entries[-1].key
@@ -157,17 +158,25 @@
             earliest = self._decode(_trimmed_decoder, response).earliest_offset
             raise LogTrimmedError(earliest, response.timeline)
         if len(response.body) < PAGE_HEADER.size:
-            raise LogUnavailableError(
+            raise LogResponseError(
                 "store response is truncated", "read again", response.timeline
             )
-        return split_records(response.body, start, response.timeline)
+        page = split_records(response.body, start, response.timeline)
+        if not page.records and len(response.body) > PAGE_HEADER.size:
+            # Reading on from here would get the same part of a record each time.
+            raise LogResponseError(
+                "store response ends within its first record",
+                "read again",
+                response.timeline,
+            )
+        return page
 
     @staticmethod
     def _decode(decoder: msgspec.json.Decoder, response: StoreResponse):
         try:
             return decode(decoder, response.body)
         except MalformedInputError as error:
-            raise LogUnavailableError(
+            raise LogResponseError(
                 f"malformed store response: {error.problem}",
                 "read again",
                 response.timeline,
--- a/cornelnotch/platform/tests/test_odd_store.py
+++ b/cornelnotch/platform/tests/test_odd_store.py
@@ -8,7 +8,11 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from cornelnotch.exceptions import LogTrimmedError, LogUnavailableError
+from cornelnotch.exceptions import (
+    LogResponseError,
+    LogTrimmedError,
+    LogUnavailableError,
+)
 from cornelnotch.gateway.tests.conftest import (
     run_deployment,
     wait_until,
@@ -153,3 +157,11 @@
             await wait_until(lambda: deployment.count_servers() == 3)
 
     asyncio.run(run())
+
+
+def test_response_that_ends_within_its_first_record_is_malformed():
+    head = struct.pack(">QQ", 9, 0)
+    for rest in (b"\x00", b"\x00\x00\x00\x09\x01a"):
+        client: Any = ScriptedClient(200, head + rest, {})
+        with pytest.raises(LogResponseError):
+            asyncio.run(PlatformStore("a:1", client).read_from("servers", 7, 0.0))
