web: answer a request whose handler fails unexpectedly

Callers saw their connection end without an answer, and over HTTP/1.0 a part of a response that looked complete: an error that no border knows left the handler, and the server just closed the connection. All odd values found so far showed this way.

Evidence: three of four new tests failed before; the fourth (HTTP/1.1 midway) passed.

The server answers 500 if the response has not started, and else aborts the connection; the error is then raised on as before, so that it is still logged. This is the net below the borders, which refuse with a reason of their own.

--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -8,7 +8,11 @@
 import h11
 import orjson
 
-from cornelnotch.exceptions import CallerDisconnectedError, RequestError
+from cornelnotch.exceptions import (
+    CallerDisconnectedError,
+    CornelnotchError,
+    RequestError,
+)
 from cornelnotch.kernel.tasks import cancel_and_wait
 from cornelnotch.web.connections import reset_on_close
 from cornelnotch.web.exchange import Exchange
@@ -22,6 +26,7 @@
 MAX_DISCARDED_BYTES = 4 * 1024 * 1024
 WRITE_BUFFER_HIGH_BYTES = 65536
 MAX_BUFFERED_BYTES = 65536
+STATUS_INTERNAL_ERROR = 500
 STATUS_UNAVAILABLE = 503
 # Callers of older versions do not understand chunked bodies.
 MIN_CHUNKED_VERSION = b"1.1"
@@ -77,7 +82,7 @@
                 await self._respond_and_close(error.status, error.kind, str(error))
                 return
             self._busy = True
-            await handler(exchange)
+            await self._handle(handler, exchange)
             self._busy = False
             if not exchange.response_finished:
                 return
@@ -89,6 +94,22 @@
                 return
             self._protocol.start_next_cycle()
 
+    async def _handle(self, handler: Handler, exchange: Exchange) -> None:
+        """Handle a request; answer it also if the handler fails unexpectedly."""
+        try:
+            await handler(exchange)
+        except (CornelnotchError, h11.ProtocolError, OSError):
+            raise
+        except Exception:
+            if exchange.response_started:
+                self.abort()
+            else:
+                self._closing = True
+                content = {"error": {"kind": "internal", "message": "internal error"}}
+                await exchange.respond_json(STATUS_INTERNAL_ERROR, content)
+                await self._linger()
+            raise
+
     async def _read_request(self) -> h11.Request | None:
         try:
             event = await self._read_head()
--- a/cornelnotch/web/tests/test_border.py
+++ b/cornelnotch/web/tests/test_border.py
@@ -169,3 +169,49 @@
         await server.stop()
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("reads_body", [True, False])
+def test_request_whose_handler_fails_is_answered(reads_body):
+    async def fail(exchange):
+        if reads_body:
+            await exchange.read_body(LIMIT_BYTES)
+        raise ZeroDivisionError("unforeseen")
+
+    async def scenario():
+        server = HttpServer(fail)
+        await server.start(ADDRESS, 0)
+        answer = await send_raw(server.port, VALID_REQUEST)
+        assert answer.startswith(b"HTTP/1.1 500 ")
+        assert b"connection: close" in answer.lower()
+        await server.stop()
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("version", [b"1.0", b"1.1"])
+def test_response_whose_handler_fails_midway_does_not_look_complete(version):
+    async def fail(exchange):
+        await exchange.start(200, {})
+        await exchange.send(b"part")
+        await asyncio.sleep(0.05)
+        raise ZeroDivisionError("unforeseen")
+
+    async def scenario():
+        server = HttpServer(fail)
+        await server.start(ADDRESS, 0)
+        reader, writer = await asyncio.open_connection(ADDRESS, server.port)
+        writer.write(b"GET /x HTTP/" + version + b"\r\nhost: a\r\n\r\n")
+        was_reset = False
+        body = b""
+        try:
+            async with asyncio.timeout(1.0):
+                while data := await reader.read(1000):
+                    body += data
+        except ConnectionError:
+            was_reset = True
+        assert was_reset or (version == b"1.1" and not body.endswith(b"0\r\n\r\n"))
+        writer.transport.abort()
+        await server.stop()
+
+    asyncio.run(scenario())
