--- a/cornelnotch/configuration/fold.py
+++ b/cornelnotch/configuration/fold.py
@@ -31,6 +31,7 @@
     "choose_snapshot",
     "create_snapshot",
     "decode_record",
+    "decode_snapshot",
     "encode_record",
     "parse_sections",
     "restore_snapshot",
@@ -128,6 +129,17 @@
         )
 
 
+def decode_snapshot(offset: int, body: bytes) -> Snapshot | None:
+    """Return the snapshot in the record at `offset`, or None if there is none.
+
+    A snapshot that claims to cover its own offset or later ones is malformed.
+    """
+    record = decode_record(body).value_or(None)
+    if not isinstance(record, Snapshot) or record.covers >= offset:
+        return None
+    return record
+
+
 def parse_sections(
     text: str,
 ) -> Result[dict[str, dict[str, str]], ConfigurationError]:
@@ -288,5 +300,10 @@
     appended late by a paused host may cover less than an earlier one.
     """
     usable = [s for s in snapshots if s.covers >= earliest - 1]
-    newest = max(usable, key=lambda s: s.covers, default=None)
-    return restore_snapshot(newest) if newest is not None else None
+    for snapshot in sorted(usable, key=lambda s: s.covers, reverse=True):
+        try:
+            return restore_snapshot(snapshot)
+        except ConfigurationError:
+            # An invalid snapshot must not hide the valid ones before it.
+            continue
+    return None
--- a/cornelnotch/configuration/follower.py
+++ b/cornelnotch/configuration/follower.py
@@ -12,6 +12,7 @@
     choose_snapshot,
     create_snapshot,
     decode_record,
+    decode_snapshot,
     encode_record,
     restore_snapshot,
 )
@@ -107,12 +108,9 @@
             self.oldest_record_ms = page.records[0].time_ms
 
     def _update_newest_snapshot(self, offset: int, time_ms: float, body: bytes) -> None:
-        decoded = decode_record(body)
-        if not isinstance(decoded, Success):
-            return
-        record = decoded.unwrap()
-        if isinstance(record, Snapshot) and record.covers > self.snapshot.covers:
-            self.snapshot = SnapshotInfo(record.covers, time_ms)
+        snapshot = decode_snapshot(offset, body)
+        if snapshot is not None and snapshot.covers > self.snapshot.covers:
+            self.snapshot = SnapshotInfo(snapshot.covers, time_ms)
 
     async def _rebuild_after_trim(self, earliest: int) -> None:
         """Rebuild the state from the newest usable snapshot and later records."""
@@ -124,11 +122,9 @@
             while True:
                 page = await self._log.read(CONFIGURATION_STREAM, position)
                 for record in page.records:
-                    decoded = decode_record(record.body)
-                    if isinstance(decoded, Success):
-                        content = decoded.unwrap()
-                        if isinstance(content, Snapshot):
-                            snapshots.append(content)
+                    snapshot = decode_snapshot(record.offset, record.body)
+                    if snapshot is not None:
+                        snapshots.append(snapshot)
                     self._update_newest_snapshot(
                         record.offset, record.time_ms, record.body
                     )
--- a/cornelnotch/configuration/publisher.py
+++ b/cornelnotch/configuration/publisher.py
@@ -9,6 +9,7 @@
     apply_record,
     choose_snapshot,
     decode_record,
+    decode_snapshot,
     encode_record,
 )
 from cornelnotch.configuration.follower import CONFIGURATION_STREAM
@@ -79,8 +80,8 @@
     records, earliest = await _read_records(log)
     state = ConfigurationState()
     if earliest > 0:
-        decoded = [decode_record(r.body).value_or(None) for r in records]
-        snapshots = [d for d in decoded if isinstance(d, Snapshot)]
+        decoded = [decode_snapshot(r.offset, r.body) for r in records]
+        snapshots = [snapshot for snapshot in decoded if snapshot is not None]
         state = choose_snapshot(snapshots, earliest) or state
     entries = []
     for record in records:
