gateway: test a host that starts while odd entries are in the list

Sixteen odd entries at once, one host that runs and one that starts among them, then a change of the list: both follow it and answer.

--- a/cornelnotch/gateway/tests/test_odd_records.py
+++ b/cornelnotch/gateway/tests/test_odd_records.py
@@ -11,6 +11,7 @@
     create_configuration,
     create_entry,
     run_deployment,
+    run_second_host,
     wait_until,
 )
 from cornelnotch.testing.odd_input import DEEP_JSON
@@ -137,3 +138,30 @@
             await assert_answered(deployment)
 
     asyncio.run(run())
+
+
+def test_host_that_starts_with_odd_entries_in_the_list_follows_it():
+    async def run():
+        async with run_deployment() as deployment:
+            for name, value in ODD_ENTRIES.items():
+                write_server(deployment, name, value)
+            await assert_list_is_followed(deployment)
+            async with run_second_host(deployment) as host:
+                callers = host.settings.listen.callers
+                second = deployment.desks[1]
+                deployment.drop_server(second)
+                hosts = [host, deployment.host]
+                await wait_until(
+                    lambda: all(
+                        set(h.context.pool.servers) == {"desk-1", "llm-1", "llm-2"}
+                        for h in hosts
+                    )
+                )
+                for index in range(6):
+                    response = await deployment.send(
+                        "/read/a", address=callers, x_attempt_id=f"b{index}"
+                    )
+                    assert response.status == 200
+                    await response.read()
+
+    asyncio.run(run())
