wire: send no message that no frame can hold

Hosts would have lost each other's news, and callers their answers: a message above the frame limit made each receiver drop the stream with all messages behind it, each time it was sent, and a number beyond 64 bits raised TypeError in whatever sent it, such as a caller's request.

Encoding raises WireError for both, and the network logs it once for each type of message (3102) and goes on. A host that lacks the message behaves as after a lost one: without updates for long enough it reads the store itself.

--- a/cornelnotch/wire/codec.py
+++ b/cornelnotch/wire/codec.py
@@ -33,10 +33,24 @@
 
 
 def encode_message(message: Any) -> bytes:
-    """Return `message` as one frame: length prefix, type id, then field values."""
+    """Return `message` as one frame: length prefix, type id, then field values.
+
+    Raise WireError if it is too long, or contains a value that no frame can hold.
+    """
     message_type = type(message)
     values = [getattr(message, name) for name in _field_names[message_type]]
-    body = msgpack.packb([_type_ids[message_type], *values], default=_to_mapping)
+    try:
+        body = msgpack.packb([_type_ids[message_type], *values], default=_to_mapping)
+    except (OverflowError, TypeError, ValueError) as error:
+        raise WireError(
+            f"a value of a {message_type.__name__} fits no frame: {error!r}",
+            "report this message",
+        ) from error
+    if len(body) > MAX_FRAME_BYTES:
+        raise WireError(
+            f"a {message_type.__name__} of {len(body)} bytes exceeds the maximum frame",
+            "write smaller records",
+        )
     return LENGTH_PREFIX.pack(len(body)) + body
 
 
--- a/cornelnotch/wire/peers.py
+++ b/cornelnotch/wire/peers.py
@@ -146,13 +146,18 @@
         if host == self.hello.host:
             asyncio.get_running_loop().call_soon(self._receive, host, message)
             return
+        try:
+            data = encode_message(message)
+        except WireError as error:
+            self._record_failure(self.name, message, error)
+            return
         connection = self._connections.get(host)
         if connection is None:
             connection = PeerConnection(self, host)
             self._connections[host] = connection
             self.tasks.start(f"link-{host}", connection.run())
         with suppress(asyncio.QueueFull):
-            connection.queue.put_nowait(encode_message(message))
+            connection.queue.put_nowait(data)
 
     def remove_connection(self, host: str) -> None:
         """Remove the connection to `host` after its task has ended."""
--- a/cornelnotch/wire/tests/test_codec.py
+++ b/cornelnotch/wire/tests/test_codec.py
@@ -68,3 +68,9 @@
 def test_oversized_frame_is_rejected_by_its_length_prefix():
     with pytest.raises(WireError):
         FrameReader().feed(b"\xff\xff\xff\xff")
+
+
+@pytest.mark.parametrize("value", [2**64, -(2**63) - 1, 10**30])
+def test_number_that_fits_no_frame_raises_wire_error(value):
+    with pytest.raises(WireError):
+        encode_message(Ping(value, "a", 7, 3.5, [], []))
--- a/cornelnotch/wire/tests/test_peers.py
+++ b/cornelnotch/wire/tests/test_peers.py
@@ -10,7 +10,7 @@
 
 from cornelnotch.kernel import Event, TaskSupervisor
 from cornelnotch.wire import PeerNetwork, encode_message
-from cornelnotch.wire.codec import LENGTH_PREFIX
+from cornelnotch.wire.codec import LENGTH_PREFIX, MAX_FRAME_BYTES
 from cornelnotch.wire.messages import Hello, RecordFetch, ServerLeaving
 
 RANDOM_SEED = 20261205
@@ -139,3 +139,22 @@
             writer.transport.abort()
 
     asyncio.run(run())
+
+
+def test_message_that_is_too_long_is_not_sent_and_does_not_end_the_stream():
+    async def run():
+        receiver, sender = Receiver(), Receiver()
+        await receiver.network.start("127.0.0.1", 0)
+        sender.network.set_address("b2", f"127.0.0.1:{receiver.network.port}")
+        for size in (MAX_FRAME_BYTES, 0):
+            topic = "x" * size or LAST_TOPIC
+            sender.network.send("b2", RecordFetch("a", topic, 1))
+        async with asyncio.timeout(2.0):
+            await receiver.is_last_read.wait()
+        assert receiver.topics == [LAST_TOPIC]
+        assert sender.count(Event.PEER_MESSAGE_FAILED) == 1
+        await receiver.network.stop()
+        await sender.tasks.stop()
+        await receiver.tasks.stop()
+
+    asyncio.run(run())
