node: requests that outlast the drain limit get an answer before the host stops

What callers saw (product's own interface): at drain_limit_ms every connection was aborted. Calls that waited for a claim or a permit and had not run, calls that their service was working on, and streams ended without a word.

Cause: the end of the drain stopped the server; no request learned of it.

At the limit the host now ends them: 503 with 'not-run' for what was not sent, 504 with 'unknown' for what was, an error event for streams, and records the outcome of keys as after any other failure. It waits for these answers for 2 s at most.

--- a/cornelnotch/node/node.py
+++ b/cornelnotch/node/node.py
@@ -42,6 +42,7 @@
 DRAIN_MARGIN_MS = 1000.0
 DRAIN_POLL_MS = 50.0
 HANDOVER_MS = 1000.0
+ANSWER_LIMIT_MS = 2000.0
 MIN_FETCH_INTERVAL_MS = 200.0
 STANDBY_PERIOD_MS = 10_000.0
 STANDBY_RANKS = 2
@@ -56,6 +57,7 @@
         self.events = create_event_log(settings.node.name)
         self.tasks = TaskSupervisor(self.events)
         self.stopped = asyncio.Event()
+        self._stopping = asyncio.Event()
         self.boot = int(clock.read_wall())
         self._client = HttpClient()
         self._draining = False
@@ -140,6 +142,7 @@
             self.clock,
             self.events,
             self.settings.platform.retention_ms,
+            self._stopping,
         )
         self.status = StatusReader(
             self.settings,
@@ -204,6 +207,9 @@
         limit = self.clock.read() + self.settings.timing.drain_limit_ms
         self.server.start_draining()
         await self._wait_until_idle(limit)
+        # Ends the requests that are still running with a true answer.
+        self._stopping.set()
+        await self._wait_until_idle(self.clock.read() + ANSWER_LIMIT_MS)
         self.events.record(Event.HOST_STOPPED)
         self.stopped.set()
 
--- a/cornelnotch/node/tests/test_drain.py
+++ b/cornelnotch/node/tests/test_drain.py
@@ -14,6 +14,7 @@
 
 READ_BYTES = 65536
 ENTRY_TTL_MS = 50
+DESK_SHARD = "counter-desk/north-tw/0"
 BODY_BYTES = 900_000
 DEPLOYMENT = Deployment(
     "heelmark",
@@ -123,7 +124,9 @@
 
     def __init__(self, fleet):
         self.fleet = fleet
-        self.node = fleet.nodes["host-1"]
+        # Drains the host that grants no permits.
+        ranking = fleet.nodes["host-1"].fleet.rank_dispatchers(DESK_SHARD)
+        self.node = fleet.nodes[ranking[-1]]
         self.desk = fleet.services["desk-1"]
         self.engine = fleet.engines["cobbler-1"]
         self.connections = []
@@ -207,6 +210,70 @@
     run_scenario(scenario)
 
 
+def test_call_that_waits_for_a_permit_at_the_drain_limit_is_refused_as_not_run():
+    async def scenario(s):
+        s.desk.profile.frozen_ms = 4000.0
+        busy = [await s.connect() for _ in range(8)]
+        for connection in busy:
+            connection.send_now(encode_lookup("filler"))
+        await wait_until(lambda: s.desk.ledger["filler"] == 8)
+        connection = await s.connect()
+        connection.send_now(encode_booking("waiting"))
+        stopping = s.start_drain(limit_ms=300)
+        reply = await connection.read()
+        assert (reply.status, reply.whole) == (503, True)
+        assert reply.headers["cornelnotch-outcome"] == "not-run"
+        assert "retry-after" in reply.headers
+        await stopping
+        assert s.desk.ledger["waiting"] == 0
+
+    run_scenario(scenario)
+
+
+def test_call_without_a_response_at_the_drain_limit_is_answered_as_unknown():
+    async def scenario(s):
+        s.desk.profile.frozen_ms = 4000.0
+        connection = await s.connect()
+        connection.send_now(encode_booking("running"))
+        await wait_until(lambda: s.desk.ledger["running"])
+        stopping = s.start_drain(limit_ms=300)
+        reply = await connection.read()
+        assert (reply.status, reply.whole) == (504, True)
+        assert reply.headers["cornelnotch-outcome"] == "unknown"
+        await stopping
+
+    run_scenario(scenario)
+
+
+def test_call_that_waits_for_its_claim_at_the_drain_limit_is_answered():
+    async def scenario(s):
+        s.fleet.platform.faults.slow_ms = 5000.0
+        connection = await s.connect()
+        connection.send_now(encode_booking("claiming"))
+        stopping = s.start_drain(limit_ms=300)
+        reply = await connection.read()
+        assert (reply.status, reply.whole) == (503, True)
+        await stopping
+        assert s.desk.ledger["claiming"] == 0
+
+    run_scenario(scenario)
+
+
+def test_stream_that_outlasts_the_drain_limit_ends_with_an_error_event():
+    async def scenario(s):
+        connection = await s.connect()
+        connection.send_now(encode_chat(400))
+        stopping = s.start_drain(limit_ms=300)
+        reply = await connection.read()
+        assert (reply.status, reply.whole) == (200, True)
+        assert b"[DONE]" not in reply.body
+        last = reply.body.strip().rpartition(b"data: ")[2]
+        assert orjson.loads(last)["error"]["outcome"] == "unknown"
+        await stopping
+
+    run_scenario(scenario)
+
+
 def test_response_in_the_write_buffer_of_a_draining_host_is_delivered(monkeypatch):
     monkeypatch.setattr("cornelnotch.web.server.WRITE_BUFFER_HIGH_BYTES", BODY_BYTES)
 
--- a/cornelnotch/routing/context.py
+++ b/cornelnotch/routing/context.py
@@ -1,5 +1,6 @@
 """Components shared by all requests of a host, and the error that ends a request."""
 
+import asyncio
 from dataclasses import dataclass
 
 from cornelnotch.claims import ClaimClient
@@ -16,7 +17,10 @@
 
 @dataclass(frozen=True, slots=True)
 class FlowContext:
-    """Components shared by all requests of a host."""
+    """Components shared by all requests of a host.
+
+    `stopping` is set shortly before the process ends.
+    """
 
     fleet: FleetView
     permits: PermitClient
@@ -28,6 +32,7 @@
     clock: Clock
     events: EventLog
     retention_ms: float
+    stopping: asyncio.Event
 
 
 class RequestFailedError(Exception):
--- a/cornelnotch/routing/engine_flow.py
+++ b/cornelnotch/routing/engine_flow.py
@@ -79,7 +79,7 @@
             except RequestFailedError as failure:
                 if not self.exchange.response_started:
                     raise
-                await self._abort_stream(failure.problem)
+                await self.abort_stream(failure.problem)
                 return
             if error is None:
                 await self._finish()
@@ -88,7 +88,7 @@
                 problem = self.create_failure_problem(error)
                 if not self.exchange.response_started:
                     raise RequestFailedError(problem)
-                await self._abort_stream(problem)
+                await self.abort_stream(problem)
                 return
             if self._texts:
                 self.context.events.record(
@@ -232,7 +232,7 @@
         )
         return all(limit is None or seen <= limit for limit, seen in limits)
 
-    async def _abort_stream(self, problem: Problem) -> None:
+    async def abort_stream(self, problem: Problem) -> None:
         """End a stream that cannot be completed, without sending [DONE]."""
         self.trace.note("broken-off", kind=problem.kind, tokens=len(self._texts))
         if self.idempotency_guard is not None:
--- a/cornelnotch/routing/flow.py
+++ b/cornelnotch/routing/flow.py
@@ -73,10 +73,19 @@
         """Serve the request and cancel cancellable work when the caller disconnects."""
         work = asyncio.create_task(self._serve())
         gone = asyncio.create_task(self.exchange.disconnected.wait())
+        stopping = asyncio.create_task(self.context.stopping.wait())
         try:
-            await asyncio.wait({work, gone}, return_when=asyncio.FIRST_COMPLETED)
-            if not work.done() and self.cancellable:
-                self.trace.note("caller-gone")
+            await asyncio.wait(
+                {work, gone, stopping}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if not work.done() and gone.done():
+                if self.cancellable:
+                    self.trace.note("caller-gone")
+                    work.cancel()
+                await asyncio.wait(
+                    {work, stopping}, return_when=asyncio.FIRST_COMPLETED
+                )
+            if not work.done():
                 work.cancel()
             await work
         except asyncio.CancelledError:
@@ -87,6 +96,7 @@
             ) from None
         finally:
             gone.cancel()
+            stopping.cancel()
 
     async def _serve(self) -> None:
         try:
@@ -100,17 +110,42 @@
             else:
                 await self._repeat_answer(earlier)
         except RequestFailedError as error:
-            problem = error.problem
-            if self.idempotency_guard is not None:
-                problem = await self.idempotency_guard.finalize_problem(
-                    problem, self.dispatched
-                )
-            await self._refuse(problem)
+            await self._fail(error.problem)
         except asyncio.CancelledError:
+            if self.context.stopping.is_set():
+                await self._end_early()
+                return
             if self.idempotency_guard is not None:
                 self.idempotency_guard.release_undispatched(self.dispatched)
             raise
 
+    async def _fail(self, problem: Problem) -> None:
+        if self.idempotency_guard is not None:
+            problem = await self.idempotency_guard.finalize_problem(
+                problem, self.dispatched
+            )
+        await self._refuse(problem)
+
+    async def _end_early(self) -> None:
+        """Answer the caller before the process ends."""
+        if self.exchange.response_finished:
+            return
+        problem = Problem(
+            504 if self.dispatched else 503,
+            "stopping",
+            "the host stopped before the request had ended; ask another host",
+            Outcome.UNKNOWN if self.dispatched else Outcome.NOT_RUN,
+            FAILED_RETRY_MS,
+        )
+        if self.exchange.response_started:
+            await self.abort_stream(problem)
+        else:
+            await self._fail(problem)
+
+    async def abort_stream(self, problem: Problem) -> None:
+        """End a response that has started and cannot be completed."""
+        raise NotImplementedError
+
     async def forward(self) -> None:
         """Forward the request to a server and the response to the caller."""
         raise NotImplementedError
