node: a request whose body is incomplete at the drain limit is refused

What callers saw (product's own interface): a caller that was still sending a body at drain_limit_ms lost its connection without an answer.

Evidence: test_request_whose_body_is_incomplete_at_the_drain_limit_is_refused failed before (no status). The host now ends the wait for such bodies with 503, 'not-run'.

--- a/cornelnotch/node/frontend.py
+++ b/cornelnotch/node/frontend.py
@@ -1,5 +1,6 @@
 """HTTP endpoints for callers and operators."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 
 from returns.result import Failure
@@ -49,6 +50,7 @@
         start_drain: Callable[[], None],
     ) -> None:
         self.active = 0
+        self._receiving: set[asyncio.Timeout] = set()
         self._settings = settings
         self._context = context
         self._status = status
@@ -195,7 +197,7 @@
         await self._route(exchange, service)
 
     async def _route(self, exchange: Exchange, service: str | None) -> None:
-        body = await exchange.read_body(self._settings.limits.body_bytes)
+        body = await self._receive_body(exchange)
         parsed = parse_caller_request(
             self._settings.node.name,
             exchange.method,
@@ -218,6 +220,31 @@
         self._context.budget.record_request()
         await flow.run()
 
+    async def _receive_body(self, exchange: Exchange) -> bytes:
+        """Return the body; raise RequestError if the host stops before its end."""
+        stopping = self._context.stopping.is_set()
+        limit = asyncio.timeout(0.0 if stopping else None)
+        self._receiving.add(limit)
+        try:
+            async with limit:
+                return await exchange.read_body(self._settings.limits.body_bytes)
+        except TimeoutError as error:
+            raise RequestError(
+                "the host stopped before the end of the body",
+                "send the request to another host",
+                503,
+                "stopping",
+            ) from error
+        finally:
+            self._receiving.discard(limit)
+
+    def end_receiving(self) -> None:
+        """Refuse the requests whose bodies have not arrived."""
+        now = asyncio.get_running_loop().time()
+        for limit in self._receiving:
+            if not limit.expired():
+                limit.reschedule(now)
+
     def _create_refusal(self, refusal_reason: str, request: CallerRequest) -> Problem:
         repeated = request.key is not None and not request.is_first_attempt
         return Problem(
--- a/cornelnotch/node/node.py
+++ b/cornelnotch/node/node.py
@@ -209,6 +209,7 @@
         await self._wait_until_idle(limit)
         # Ends the requests that are still running with a true answer.
         self._stopping.set()
+        self.front.end_receiving()
         await self._wait_until_idle(self.clock.read() + ANSWER_LIMIT_MS)
         self.events.record(Event.HOST_STOPPED)
         self.stopped.set()
--- a/cornelnotch/node/tests/test_drain.py
+++ b/cornelnotch/node/tests/test_drain.py
@@ -245,6 +245,20 @@
     run_scenario(scenario)
 
 
+def test_request_whose_body_is_incomplete_at_the_drain_limit_is_refused():
+    async def scenario(s):
+        connection = await s.connect()
+        connection.send_now(encode_booking("half")[:-5])
+        await wait_until(lambda: s.node.front.active == 1)
+        stopping = s.start_drain(limit_ms=300)
+        reply = await connection.read()
+        assert (reply.status, reply.whole) == (503, True)
+        assert reply.headers["cornelnotch-outcome"] == "not-run"
+        await stopping
+
+    run_scenario(scenario)
+
+
 def test_call_that_waits_for_its_claim_at_the_drain_limit_is_answered():
     async def scenario(s):
         s.fleet.platform.faults.slow_ms = 5000.0
