--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -352,8 +352,11 @@
         for connection in self._open_connections:
             connection.close_when_idle()
 
-    async def shut_down(self, timeout_s: float) -> None:
-        """Stop gracefully: wait for responses to be read, but at most `timeout_s`."""
+    async def shut_down(self, timeout_s: float) -> int:
+        """Stop gracefully: wait for responses to be read, but at most `timeout_s`.
+
+        Return the number of connections that were aborted after that.
+        """
         self.start_draining()
         # asyncio calls `_accept` some steps after it has accepted a connection.
         for _ in range(ACCEPT_STEPS):
@@ -361,7 +364,9 @@
         tasks = set(self._connection_tasks)
         if tasks:
             await asyncio.wait(tasks, timeout=timeout_s)
+        aborted = len(self._connection_tasks)
         await self.stop()
+        return aborted
 
     async def stop(self) -> None:
         """Close the listener and all connections."""
