verification: a model of a host that stops

States of a request: bytes in the kernel, head half read, body half read, waiting for admission or a retry, sent, response begun, written, read. The host closes its connections at the end of the drain or when idle, and exits. Callers and servers act at any later moment; the process may be paused while it drains.

Invariants: nothing is sent after the close; what was read has an answer; a refusal is true; a request that can end is served; one sent during the drain is not cut within its estimate; the process ends within the grace period.

Not in the model: a pause between the close and the exit, and callers that read later than one step after their response.

--- a/cornelnotch/verification/__init__.py
+++ b/cornelnotch/verification/__init__.py
@@ -18,17 +18,21 @@
     RestorationMutant,
     create_restoration_protocol,
 )
+from cornelnotch.verification.stops import Call, StopMutant, create_stop_protocol
 
 __all__ = [
     "THREE_TIERS",
+    "Call",
     "ClaimMutant",
     "ConfigurationMutant",
     "LimitMutant",
     "OrderMutant",
     "RestorationMutant",
+    "StopMutant",
     "create_claim_protocol",
     "create_configuration_protocol",
     "create_limit_protocol",
     "create_order_protocol",
     "create_restoration_protocol",
+    "create_stop_protocol",
 ]
--- /dev/null
+++ b/cornelnotch/verification/stops.py
@@ -0,0 +1,461 @@
+"""Model of a host that stops while callers use its connections.
+
+Callers send requests, whole or in parts, at any moment before the connections close.
+Servers run and answer what they are sent at any later time, or fail. The process may be
+paused while it drains. The end of the drain and the decision what may be sent to a
+server are the production code of a host.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import NamedTuple
+
+from minicheck import Protocol
+
+from cornelnotch.gateway.drain import Drain, find_safety_factor
+from cornelnotch.gateway.models import Route, WorkKind
+from cornelnotch.kernel.clock import ManualClock
+
+__all__ = ["Call", "StopMutant", "create_stop_protocol"]
+
+STEP_MS = 500.0
+GRACE_STEPS = 8
+# Steps until all requests must have ended.
+END_STEPS = 7
+# Steps for which callers use an address that the directory no longer lists.
+CACHED_STEPS = 3
+# Steps for which closed connections wait for their callers to read.
+CLOSE_STEPS = 1
+MAX_AGE = GRACE_STEPS + 2
+NOT_STARTED = -1
+
+
+class StopMutant(StrEnum):
+    """Protocol variant: unmodified (`NONE`) or with the described fault."""
+
+    NONE = "none"
+    REFUSE_SOON = "every request is refused once the drain has started"
+    NO_ESTIMATE = "requests are sent until the end"
+    NO_FACTOR = "estimates count without their safety factor"
+    ONE_DECISION = "the decision on arrival is not repeated before sending"
+    NO_LIMIT = "no request is ended at the end of the drain"
+    OLD_LIMIT = "the limit of requests from before the drain is not lowered"
+    REFUSE_ALL = "requests that may have run are refused at the end"
+    NO_CLOSE = "requests are sent after the connections have closed"
+    NO_WAIT = "the process ends without waiting for current requests"
+    NO_FLUSH = "the process ends without waiting for callers to read"
+    NO_MARGIN = "the drain lasts for the whole grace period"
+    PAUSED_CLOCK = "the clock of the drain stops during a pause"
+
+
+class Stage(StrEnum):
+    """State of a request at the host."""
+
+    UNSENT = "unsent"
+    KERNEL = "bytes in the kernel"
+    HEAD = "head half read"
+    BODY = "body half read"
+    WAITING = "waiting for admission or a retry"
+    SENT = "sent to a server"
+    STREAM = "response begun"
+    WRITTEN = "response written"
+    DELIVERED = "response read by the caller"
+    RESET = "stream reset"
+    UNREAD = "connection closed before the request was read"
+    CUT = "connection closed without an answer"
+
+
+class Answer(StrEnum):
+    """Final response to a request."""
+
+    NONE = "none"
+    RESULT = "result"
+    REFUSAL = "refusal"
+    UNKNOWN = "unknown"
+
+
+class Phase(StrEnum):
+    """State of the host."""
+
+    SERVING = "serving"
+    DRAINING = "draining"
+    CLOSED = "closed"
+    STOPPED = "stopped"
+
+
+HANDLED = frozenset({Stage.BODY, Stage.WAITING, Stage.SENT, Stage.STREAM})
+READ = HANDLED | {Stage.HEAD}
+FINAL = frozenset({Stage.DELIVERED, Stage.RESET, Stage.UNREAD, Stage.CUT})
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """Kind of a request; it ends within `limit` steps of its last dispatch.
+
+    `expected` is its estimated duration in steps, None if that is unknown.
+    """
+
+    kind: WorkKind
+    expected: float | None
+    limit: int = 2 * GRACE_STEPS
+
+    def create_route(self) -> Route:
+        """Return a route for requests of this kind."""
+        timeout_ms = self.limit * STEP_MS
+        return Route("r", "h", "/", self.kind, timeout_ms, 0.0, 1, 0, ())
+
+    def get_assured_steps(self) -> float:
+        """Return the duration that a server may take without being cut off."""
+        if self.expected is None:
+            return self.limit
+        factor = find_safety_factor(self.create_route())
+        return min(self.expected * factor, self.limit)
+
+
+class Request(NamedTuple):
+    """State of a request.
+
+    `age` counts the steps since it was sent to a server, or since its response was
+    written. `assured` is set while it must not be cut off. A server may run it while it
+    is `in_flight`. `ran` and `may_have_run` are the truth and what the host knows.
+    """
+
+    stage: Stage = Stage.UNSENT
+    answer: Answer = Answer.NONE
+    age: int = 0
+    assured: bool = False
+    in_flight: bool = False
+    ran: bool = False
+    may_have_run: bool = False
+    is_old: bool = False
+    is_accepted: bool = False
+
+
+class State(NamedTuple):
+    """State of the system; `time` and `closed` are steps since the signal."""
+
+    phase: Phase
+    time: int
+    paused: int
+    closed: int
+    requests: tuple[Request, ...]
+    sent_late: bool
+    cut_early: bool
+    refused_early: bool
+
+
+class StopTransitions:
+    """Transition system of the protocol or of one of its mutants."""
+
+    def __init__(
+        self, mutant: StopMutant, calls: tuple[Call, ...], max_pause: int
+    ) -> None:
+        self._mutant = mutant
+        self._calls = calls
+        self._routes = [call.create_route() for call in calls]
+        self._max_pause = max_pause
+
+    def list_steps(self, values: tuple) -> list[tuple[str, tuple]]:
+        """Return all transitions that are enabled in a state."""
+        state = State(*values)
+        steps = [*self._iterate_host_steps(state)]
+        for index, request in enumerate(state.requests):
+            steps += self._iterate_caller_steps(state, index, request)
+            steps += self._iterate_server_steps(state, index, request)
+            if state.phase is not Phase.STOPPED:
+                steps += self._iterate_request_steps(state, index, request)
+        return [(name, tuple(after)) for name, after in steps]
+
+    def _create_drain(self, state: State) -> Drain:
+        clock = ManualClock()
+        drain = Drain(clock)
+        if state.time == NOT_STARTED:
+            return drain
+        drain.start(GRACE_STEPS * STEP_MS)
+        if self._mutant is StopMutant.NO_MARGIN:
+            drain.end_ms = GRACE_STEPS * STEP_MS
+        time = state.time
+        if self._mutant is StopMutant.PAUSED_CLOCK:
+            time -= state.paused
+        if state.closed != NOT_STARTED and self._mutant is not StopMutant.NO_CLOSE:
+            clock.advance(state.closed * STEP_MS)
+            drain.close()
+            clock.advance((time - state.closed) * STEP_MS)
+        else:
+            clock.advance(time * STEP_MS)
+        return drain
+
+    def _has_ended(self, state: State) -> bool:
+        return self._create_drain(state).measure_left_ms() <= 0.0
+
+    def _iterate_host_steps(self, state: State) -> Iterator[tuple[str, State]]:
+        if state.phase is Phase.SERVING:
+            requests = tuple(
+                r._replace(is_old=r.stage in READ and self._tracks_age())
+                for r in state.requests
+            )
+            started = state._replace(phase=Phase.DRAINING, time=0, requests=requests)
+            yield "signal", started
+        if state.phase is Phase.DRAINING and self._may_close(state):
+            yield "close", state._replace(phase=Phase.CLOSED, closed=state.time)
+        if state.phase is Phase.CLOSED and self._may_exit(state):
+            yield "exit", self._exit(state)
+        is_stopping = state.phase in {Phase.DRAINING, Phase.CLOSED}
+        if is_stopping and not self._must_act(state):
+            yield "advance", self._advance(state, 1)
+        if state.phase is Phase.DRAINING:
+            for steps in range(1, self._max_pause - state.paused + 1):
+                if state.time + steps <= END_STEPS:
+                    paused = state._replace(paused=state.paused + steps)
+                    yield f"pause-{steps}", self._advance(paused, steps)
+
+    def _tracks_age(self) -> bool:
+        return self._mutant is StopMutant.OLD_LIMIT
+
+    def _may_close(self, state: State) -> bool:
+        is_idle = not any(r.stage in HANDLED for r in state.requests)
+        return self._has_ended(state) or (state.time >= CACHED_STEPS and is_idle)
+
+    def _may_exit(self, state: State) -> bool:
+        waited = state.time - state.closed >= CLOSE_STEPS
+        is_open = any(r.stage in READ for r in state.requests)
+        is_unread = any(r.stage is Stage.WRITTEN for r in state.requests)
+        if self._mutant is StopMutant.NO_WAIT:
+            is_open = False
+        if self._mutant is StopMutant.NO_FLUSH:
+            is_unread = False
+        return waited or not (is_open or is_unread)
+
+    def _must_act(self, state: State) -> bool:
+        """Return whether the host acts before time goes on."""
+        if state.phase is Phase.CLOSED and self._may_exit(state):
+            return True
+        if state.phase is Phase.DRAINING and self._has_ended(state):
+            return True
+        steps = (
+            name
+            for index, request in enumerate(state.requests)
+            for name, _ in self._iterate_request_steps(state, index, request)
+        )
+        return any(name.startswith(("end-", "expire-", "refuse-")) for name in steps)
+
+    @staticmethod
+    def _advance(state: State, steps: int) -> State:
+        requests = tuple(
+            r._replace(age=min(r.age + steps, MAX_AGE))
+            if r.stage in {Stage.SENT, Stage.STREAM, Stage.WRITTEN}
+            else r
+            for r in state.requests
+        )
+        if state.phase is Phase.CLOSED:
+            requests = tuple(
+                r._replace(stage=Stage.UNREAD) if r.stage is Stage.KERNEL else r
+                for r in requests
+            )
+        time = min(state.time + steps, GRACE_STEPS + 2)
+        return state._replace(time=time, requests=requests)
+
+    def _exit(self, state: State) -> State:
+        requests = []
+        for request in state.requests:
+            stage = request.stage
+            if stage in READ:
+                stage = Stage.CUT
+            elif stage is Stage.WRITTEN:
+                stage = Stage.DELIVERED if request.age >= CLOSE_STEPS else Stage.CUT
+            elif stage in {Stage.KERNEL, Stage.UNSENT}:
+                stage = Stage.UNREAD
+            requests.append(request._replace(stage=stage, age=0))
+        return state._replace(phase=Phase.STOPPED, requests=tuple(requests))
+
+    def _iterate_caller_steps(
+        self, state: State, index: int, request: Request
+    ) -> Iterator[tuple[str, State]]:
+        is_open = state.phase in {Phase.SERVING, Phase.DRAINING}
+        if request.stage is Stage.UNSENT and is_open:
+            yield f"call-{index}", self._move(state, index, Stage.KERNEL)
+        if request.stage is Stage.WRITTEN:
+            yield f"read-{index}", self._move(state, index, Stage.DELIVERED)
+        if request.stage is Stage.HEAD:
+            yield f"more-{index}", self._move(state, index, Stage.BODY)
+        if request.stage is Stage.BODY:
+            yield f"rest-{index}", self._receive(state, index)
+
+    def _iterate_server_steps(
+        self, state: State, index: int, request: Request
+    ) -> Iterator[tuple[str, State]]:
+        if request.in_flight and not request.ran:
+            yield f"run-{index}", self._set(state, index, request._replace(ran=True))
+        if state.phase is Phase.STOPPED or request.stage not in {
+            Stage.SENT,
+            Stage.STREAM,
+        }:
+            return
+        done = request._replace(ran=True)
+        if request.stage is Stage.SENT and self._calls[index].kind is WorkKind.STREAM:
+            begun = done._replace(stage=Stage.STREAM)
+            yield f"begin-{index}", self._set(state, index, begun)
+        else:
+            yield f"respond-{index}", self._answer(state, index, done, Answer.RESULT)
+        if request.stage is Stage.SENT and not request.ran:
+            refused = request._replace(stage=Stage.WAITING, in_flight=False, age=0)
+            yield f"decline-{index}", self._set(state, index, refused)
+        if self._calls[index].kind is not WorkKind.ONCE:
+            lost = request._replace(stage=Stage.WAITING, may_have_run=True, age=0)
+            yield f"fail-{index}", self._set(state, index, lost)
+
+    def _iterate_request_steps(
+        self, state: State, index: int, request: Request
+    ) -> Iterator[tuple[str, State]]:
+        """Yield what the host does with one request."""
+        if request.stage is Stage.KERNEL:
+            yield f"head-{index}", self._move(state, index, Stage.HEAD)
+            yield f"body-{index}", self._move(state, index, Stage.BODY)
+            yield f"whole-{index}", self._receive(state, index)
+        has_ended = self._has_ended(state)
+        if request.stage is Stage.HEAD and state.phase is Phase.CLOSED:
+            yield f"refuse-{index}", self._answer(state, index, request, Answer.REFUSAL)
+        if request.stage in HANDLED and has_ended and self._is_limited(request):
+            yield f"end-{index}", self._end(state, index, request)
+        if request.stage is Stage.WAITING:
+            if self._may_send(state, index, request):
+                yield f"send-{index}", self._send(state, index, request)
+            elif not request.may_have_run:
+                yield f"refuse-{index}", self._refuse(state, index, request)
+        expired = request.age >= self._calls[index].limit
+        if request.stage in {Stage.SENT, Stage.STREAM} and expired:
+            yield f"expire-{index}", self._give_up(state, index, request)
+
+    def _is_limited(self, request: Request) -> bool:
+        if self._mutant is StopMutant.NO_LIMIT:
+            return False
+        return not request.is_old
+
+    def _receive(self, state: State, index: int) -> State:
+        request = state.requests[index]._replace(stage=Stage.WAITING)
+        if self._mutant is StopMutant.ONE_DECISION:
+            request = request._replace(is_accepted=self._can_end(state, index))
+        return self._set(state, index, request)
+
+    def _can_end(self, state: State, index: int) -> bool:
+        drain = self._create_drain(state)
+        if not drain.has_started:
+            return True
+        call, route = self._calls[index], self._routes[index]
+        if self._mutant is StopMutant.NO_FACTOR:
+            route = Call(WorkKind.REPEATABLE, None).create_route()
+        expected_ms = None if call.expected is None else call.expected * STEP_MS
+        return drain.can_end(route, expected_ms, call.limit * STEP_MS)
+
+    def _may_send(self, state: State, index: int, request: Request) -> bool:
+        has_ended = self._has_ended(state)
+        if request.may_have_run:
+            return not has_ended
+        if self._mutant is StopMutant.REFUSE_SOON:
+            return state.phase is Phase.SERVING
+        if self._mutant is StopMutant.NO_ESTIMATE:
+            return not has_ended
+        if self._mutant is StopMutant.ONE_DECISION and request.is_accepted:
+            return not has_ended
+        return self._can_end(state, index)
+
+    def _refuse(self, state: State, index: int, request: Request) -> State:
+        could_end = END_STEPS - state.time >= self._calls[index].get_assured_steps()
+        early = state.phase is Phase.DRAINING and could_end
+        state = state._replace(refused_early=state.refused_early or early)
+        return self._answer(state, index, request, Answer.REFUSAL)
+
+    def _send(self, state: State, index: int, request: Request) -> State:
+        is_draining = state.phase is not Phase.SERVING
+        sent = request._replace(
+            stage=Stage.SENT,
+            age=0,
+            assured=is_draining and not request.may_have_run,
+            in_flight=True,
+        )
+        is_closed = state.phase in {Phase.CLOSED, Phase.STOPPED}
+        state = state._replace(sent_late=state.sent_late or is_closed)
+        return self._set(state, index, sent)
+
+    def _end(self, state: State, index: int, request: Request) -> State:
+        """Return the state after the end of the drain has ended a request."""
+        is_sent = request.stage in {Stage.SENT, Stage.STREAM}
+        if is_sent and request.assured:
+            early = request.age < self._calls[index].get_assured_steps()
+            state = state._replace(cut_early=state.cut_early or early)
+        return self._give_up(state, index, request)
+
+    def _give_up(self, state: State, index: int, request: Request) -> State:
+        if request.stage is Stage.STREAM:
+            return self._move(state, index, Stage.RESET)
+        may_have_run = request.may_have_run or request.stage is Stage.SENT
+        if may_have_run and self._mutant is not StopMutant.REFUSE_ALL:
+            return self._answer(state, index, request, Answer.UNKNOWN)
+        return self._answer(state, index, request, Answer.REFUSAL)
+
+    def _answer(
+        self, state: State, index: int, request: Request, answer: Answer
+    ) -> State:
+        written = request._replace(stage=Stage.WRITTEN, answer=answer, age=0)
+        return self._set(state, index, written)
+
+    def _move(self, state: State, index: int, stage: Stage) -> State:
+        return self._set(state, index, state.requests[index]._replace(stage=stage))
+
+    @staticmethod
+    def _set(state: State, index: int, request: Request) -> State:
+        if request.stage in FINAL | {Stage.WRITTEN}:
+            request = request._replace(
+                assured=False, may_have_run=False, is_old=False, is_accepted=False
+            )
+        if request.stage in FINAL:
+            request = request._replace(age=0)
+        requests = list(state.requests)
+        requests[index] = request
+        return state._replace(requests=tuple(requests))
+
+
+def _is_refusal_true(values: dict) -> bool:
+    return not any(r.answer is Answer.REFUSAL and r.ran for r in values["requests"])
+
+
+def create_stop_protocol(
+    mutant: StopMutant = StopMutant.NONE,
+    calls: tuple[Call, ...] = (Call(WorkKind.ONCE, 1.0),),
+    max_pause: int = 0,
+) -> Protocol:
+    """Return the protocol, or a mutant that violates an invariant.
+
+    Each caller sends one request. The process is paused for `max_pause` steps in total.
+    """
+    system = StopTransitions(mutant, calls, max_pause)
+    initial = State(
+        phase=Phase.SERVING,
+        time=NOT_STARTED,
+        paused=0,
+        closed=NOT_STARTED,
+        requests=(Request(),) * len(calls),
+        sent_late=False,
+        cut_early=False,
+        refused_early=False,
+    )
+    return Protocol(
+        name=f"stops: {mutant.value}",
+        candidate=False,
+        fields=State._fields,
+        initial=tuple(initial),
+        transitions=system.list_steps,
+        invariants={
+            "nothing_sent_after_close": lambda s: not s["sent_late"],
+            "served_if_it_can_end": lambda s: not s["refused_early"],
+            "not_cut_within_estimate": lambda s: not s["cut_early"],
+            "read_is_answered": lambda s: all(
+                r.stage is not Stage.CUT for r in s["requests"]
+            ),
+            "refusal_is_true": _is_refusal_true,
+            "ends_within_grace": lambda s: (
+                s["phase"] is Phase.STOPPED or s["time"] <= GRACE_STEPS
+            ),
+        },
+    )
--- a/cornelnotch/verification/tests/test_models.py
+++ b/cornelnotch/verification/tests/test_models.py
@@ -3,21 +3,28 @@
 import pytest
 from minicheck import check_safety
 
+from cornelnotch.gateway.models import WorkKind
 from cornelnotch.verification import (
     THREE_TIERS,
+    Call,
     ClaimMutant,
     ConfigurationMutant,
     LimitMutant,
     OrderMutant,
     RestorationMutant,
+    StopMutant,
     create_claim_protocol,
     create_configuration_protocol,
     create_limit_protocol,
     create_order_protocol,
     create_restoration_protocol,
+    create_stop_protocol,
 )
 
 MAX_STATES = 300_000
+CALL = Call(WorkKind.ONCE, expected=1.0)
+STREAM = Call(WorkKind.STREAM, expected=3.0)
+LIMITED_CALL = Call(WorkKind.REPEATABLE, expected=None, limit=2)
 
 
 def list_violations(protocol):
@@ -127,3 +134,32 @@
 )
 def test_limit_mutants_are_detected(mutant):
     assert "one_spender" in list_violations(create_limit_protocol(mutant))
+
+
+@pytest.mark.parametrize("calls", [(CALL, STREAM), (STREAM, LIMITED_CALL)])
+@pytest.mark.parametrize("max_pause", [0, 2])
+def test_stop_protocol_is_safe(calls, max_pause):
+    assert_exhaustively_safe(create_stop_protocol(calls=calls, max_pause=max_pause))
+
+
+@pytest.mark.parametrize("call", [CALL, STREAM])
+@pytest.mark.parametrize(
+    ("mutant", "broken"),
+    [
+        (StopMutant.REFUSE_SOON, "served_if_it_can_end"),
+        (StopMutant.NO_ESTIMATE, "not_cut_within_estimate"),
+        (StopMutant.NO_FACTOR, "not_cut_within_estimate"),
+        (StopMutant.ONE_DECISION, "not_cut_within_estimate"),
+        (StopMutant.NO_LIMIT, "read_is_answered"),
+        (StopMutant.OLD_LIMIT, "read_is_answered"),
+        (StopMutant.REFUSE_ALL, "refusal_is_true"),
+        (StopMutant.NO_CLOSE, "nothing_sent_after_close"),
+        (StopMutant.NO_WAIT, "read_is_answered"),
+        (StopMutant.NO_FLUSH, "read_is_answered"),
+        (StopMutant.NO_MARGIN, "ends_within_grace"),
+        (StopMutant.PAUSED_CLOCK, "ends_within_grace"),
+    ],
+)
+def test_stop_mutants_are_detected(mutant, broken, call):
+    protocol = create_stop_protocol(mutant, (call,), max_pause=2)
+    assert broken in list_violations(protocol)
