membership: a leaving host that has stopped gets no duties back

What callers saw (product's own interface): after a planned stop, requests that waited for a permit or a claim were delayed.

Cause: a host that left and exited was marked as suspected like any host that does not answer, and suspected hosts own shards and claim streams until they are declared dead (1.5 s by default). Each permit then waited 400 ms and each claim 1 s for the host that was gone.

Evidence: test_leaving_host_that_no_longer_responds_gets_no_duties_back failed before, for a suspicion of its own and for one learned from another host. A suspected host now counts as live only if it was alive before.

--- a/cornelnotch/membership/table.py
+++ b/cornelnotch/membership/table.py
@@ -52,6 +52,11 @@
     retransmissions_left: int = 0
     state_before_suspicion: MemberState = MemberState.ALIVE
 
+    def get_announced_state(self) -> MemberState:
+        """Return the state that the host itself has announced last, if known."""
+        suspected = self.state is MemberState.SUSPECT
+        return self.state_before_suspicion if suspected else self.state
+
     def create_update(self) -> MemberUpdate:
         """Return the update that announces this state to other hosts."""
         return MemberUpdate(
@@ -97,6 +102,8 @@
             known.version if known else -1,
             self._compute_retransmissions(),
         )
+        if known is not None and known.incarnation == update.incarnation:
+            member.state_before_suspicion = known.get_announced_state()
         self.members[update.host] = member
         return True
 
@@ -162,12 +169,12 @@
         return dead
 
     def list_live(self) -> list[Member]:
-        """Return the alive and suspected hosts.
+        """Return the alive hosts and those suspected after being alive.
 
         Shards and claim streams are assigned to these hosts.
         """
-        live_states = {MemberState.ALIVE, MemberState.SUSPECT}
-        return [m for m in self.members.values() if m.state in live_states]
+        members = self.members.values()
+        return [m for m in members if m.get_announced_state() is MemberState.ALIVE]
 
     def list_routable(self) -> list[Member]:
         """Return the hosts to which callers may be directed."""
--- a/cornelnotch/membership/tests/test_table.py
+++ b/cornelnotch/membership/tests/test_table.py
@@ -50,6 +50,15 @@
     assert table.members["b"].state is MemberState.LEAVING
 
 
+def test_leaving_host_that_no_longer_responds_gets_no_duties_back():
+    tables = [create_table(), create_table()]
+    for table in tables:
+        table.merge(create_update("b", "leaving", 2), 0.0)
+    tables[0].mark_suspect("b", 0.0)
+    tables[1].merge(create_update("b", "suspect", 2), 0.0)
+    assert [[m.name for m in table.list_live()] for table in tables] == [["a"], ["a"]]
+
+
 def test_unresponsive_host_is_suspected_declared_dead_and_removed():
     table = create_table()
     table.mark_suspect("b", 0.0)
