node: the last host keeps its duties while it drains

What callers saw (product's own interface): when the only host, or the last of several that stop together, began to drain, it refused every request at once, also those that it still takes for entry_ttl_ms. Outcomes and releases of keys found no writer, and the host waited for them for drain_limit_ms (10 min by default).

Cause: a leaving host owns neither shards nor claim streams, also if nobody else is there.

Evidence: test_last_host_serves_requests_while_it_drains_and_then_stops failed before (503). If no host is live, the leaving ones own everything until they stop.

--- a/cornelnotch/node/tests/test_drain.py
+++ b/cornelnotch/node/tests/test_drain.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import socket
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import h11
 import orjson
@@ -161,10 +161,13 @@
         await self.node.stop()
 
 
-def run_scenario(scenario):
+def run_scenario(scenario, hosts=2):
     async def run():
         clock = create_clock()
-        fleet = InProcessFleet(DEPLOYMENT, clock, PlatformStandin(clock))
+        names = list(DEPLOYMENT.hosts)[:hosts]
+        chosen = {name: DEPLOYMENT.hosts[name] for name in names}
+        deployment = replace(DEPLOYMENT, hosts=chosen)
+        fleet = InProcessFleet(deployment, clock, PlatformStandin(clock))
         await fleet.start()
         drained = DrainScenario(fleet)
         try:
@@ -304,3 +307,18 @@
         await stopping
 
     run_scenario(scenario)
+
+
+def test_last_host_serves_requests_while_it_drains_and_then_stops():
+    async def scenario(s):
+        s.desk.profile.work_ms = 500.0
+        connection, other = await s.connect(), await s.connect()
+        connection.send_now(encode_booking("running"))
+        await wait_until(lambda: s.desk.ledger["running"])
+        stopping = s.start_drain()
+        late = await other.ask(encode_booking("late"))
+        assert (late.status, (await connection.read()).status) == (200, 200)
+        async with asyncio.timeout(6.0):
+            await stopping
+
+    run_scenario(scenario, hosts=1)
--- a/cornelnotch/routing/fleet.py
+++ b/cornelnotch/routing/fleet.py
@@ -54,8 +54,14 @@
             listener()
 
     def list_live(self) -> list[Member]:
-        """Return the hosts that are eligible for duties."""
-        return self._table.list_live()
+        """Return the hosts that are eligible for duties.
+
+        The last hosts keep their duties until they stop.
+        """
+        leaving = MemberState.LEAVING
+        return self._table.list_live() or [
+            m for m in self._table.members.values() if m.state is leaving
+        ]
 
     def list_known(self) -> list[Member]:
         """Return all known hosts except those marked dead."""
