node: running requests keep their slots when their dispatcher drains

What servers saw (product's own interface): when the host that grants the permits of a shard began to drain, the next one granted slots that were in use, for up to a second.

Cause: a new dispatcher counts the permits that holders report to it, and holders looked for a new dispatcher only once a second.

Evidence: test_running_requests_keep_their_slots_when_their_dispatcher_drains failed before (a ninth call at a service of 8 slots). Between holders that learn of the change at different moments the window is now the time that the news takes, not a second.

--- a/cornelnotch/node/tests/test_drain.py
+++ b/cornelnotch/node/tests/test_drain.py
@@ -124,15 +124,15 @@
 
     def __init__(self, fleet):
         self.fleet = fleet
+        self.ranking = fleet.nodes["host-1"].fleet.rank_dispatchers(DESK_SHARD)
         # Drains the host that grants no permits.
-        ranking = fleet.nodes["host-1"].fleet.rank_dispatchers(DESK_SHARD)
-        self.node = fleet.nodes[ranking[-1]]
+        self.node = fleet.nodes[self.ranking[-1]]
         self.desk = fleet.services["desk-1"]
         self.engine = fleet.engines["cobbler-1"]
         self.connections = []
-        self._set_timing(entry_ttl_ms=ENTRY_TTL_MS)
+        self.set_timing(entry_ttl_ms=ENTRY_TTL_MS)
 
-    def _set_timing(self, **values):
+    def set_timing(self, **values):
         settings = self.node.settings
         timing = settings.timing.model_copy(update=values)
         self.node.settings = settings.model_copy(update={"timing": timing})
@@ -152,7 +152,7 @@
     def start_drain(self, limit_ms=None):
         """Start to drain like a process that gets SIGTERM; return its task."""
         if limit_ms is not None:
-            self._set_timing(drain_limit_ms=limit_ms)
+            self.set_timing(drain_limit_ms=limit_ms)
         self.node.start_drain()
         return asyncio.create_task(self._stop_when_drained())
 
@@ -322,3 +322,26 @@
             await stopping
 
     run_scenario(scenario, hosts=1)
+
+
+def test_running_requests_keep_their_slots_when_their_dispatcher_drains():
+    async def scenario(s):
+        s.node = s.fleet.nodes[s.ranking[0]]
+        s.set_timing(entry_ttl_ms=ENTRY_TTL_MS)
+        s.desk.profile.frozen_ms = 2500.0
+        busy = [await s.connect() for _ in range(8)]
+        for connection in busy:
+            connection.send_now(encode_booking("filler"))
+        await wait_until(lambda: s.desk.ledger["filler"] == 8)
+        s.desk.profile.frozen_ms = 0.0
+        waiting = await s.connect()
+        waiting.send_now(encode_booking("waiting"))
+        await asyncio.sleep(0.3)
+        stopping = s.start_drain()
+        replies = [asyncio.create_task(c.read()) for c in busy]
+        await asyncio.wait(replies, return_when=asyncio.FIRST_COMPLETED)
+        assert s.desk.ledger["waiting"] == 0
+        assert (await waiting.read()).status == 200
+        await stopping
+
+    run_scenario(scenario)
--- a/cornelnotch/routing/permits.py
+++ b/cornelnotch/routing/permits.py
@@ -87,6 +87,8 @@
         for kind in (PermitGrant, PermitRefusal, PermitRedirect, PermitQueued):
             peers.subscribe(kind, self._receive)
         peers.subscribe(PermitPreemption, self._receive_pause)
+        # A new dispatcher would otherwise grant slots that are in use.
+        fleet.subscribe(lambda: self._report_held(False))
 
     def count_held(self) -> int:
         """Return the number of permits in use."""
