node, web: tests of a stop before the start and of a pause during a shutdown

Both passed from the start: a host that gets SIGTERM before and while it starts stops, and a pause of the process longer than the timeout of shut_down cuts neither a response that is ready nor the refusal of half a head.

--- a/cornelnotch/node/tests/test_drain.py
+++ b/cornelnotch/node/tests/test_drain.py
@@ -9,6 +9,7 @@
 
 from cornelnotch.kernel import create_clock, create_identifier
 from cornelnotch.load.embedded import Deployment, InProcessFleet
+from cornelnotch.node import create_node
 from cornelnotch.standins.platform import PlatformStandin
 from cornelnotch.web import parse_address
 
@@ -345,3 +346,17 @@
         await stopping
 
     run_scenario(scenario)
+
+
+def test_host_that_drains_before_and_while_it_starts_stops():
+    async def scenario(s):
+        await s.node.stop()
+        early = create_node(s.node.settings, s.node.clock)
+        early.start_drain()
+        await early.start()
+        early.start_drain()
+        async with asyncio.timeout(6.0):
+            await early.stopped.wait()
+        await early.stop()
+
+    run_scenario(scenario)
--- a/cornelnotch/web/tests/test_shutdown_races.py
+++ b/cornelnotch/web/tests/test_shutdown_races.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 
 import pytest
 
@@ -120,3 +121,25 @@
         assert received.endswith(b"done") or responder.handled == 0
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("steps", [0, 2, 4])
+def test_pause_of_the_process_during_the_shutdown_cuts_no_response(steps):
+    async def scenario():
+        responder = Responder(b"done", pause_s=0.1)
+        server = HttpServer(responder.handle)
+        await server.start(ADDRESS, 0)
+        partial, whole = connect(server), connect(server)
+        partial.sendall(REQUEST[:9])
+        whole.sendall(REQUEST)
+        await wait_until(lambda: responder.handled)
+        stopping = asyncio.create_task(server.shut_down(timeout_s=0.2))
+        for _ in range(steps):
+            await asyncio.sleep(0)
+        time.sleep(0.4)  # noqa: ASYNC251
+        await stopping
+        with partial, whole:
+            assert read_all(partial).startswith(b"HTTP/1.1 503 ")
+            assert read_all(whole).endswith(b"done")
+
+    asyncio.run(scenario())
