--- a/cornelnotch/node/tests/test_faults.py
+++ b/cornelnotch/node/tests/test_faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import sys
 
 import pytest
 
@@ -271,6 +272,28 @@
     run_fleet(scenario)
 
 
+def test_drain_command_cuts_no_request_and_ends_the_process(run_fleet):
+    async def scenario(fleet):
+        await start_sample_fleet(fleet, hosts=2)
+        await fleet.set_faults(fleet.servers["desk-0"].http, frozen_ms=3500)
+        host = fleet.hosts["host-0"]
+        caller = fleet.create_caller(deadline_ms=9000)
+        caller.use_only_host(host.http)
+        content = {"reference": "slot"}
+        booking = asyncio.create_task(
+            caller.book("counter-desk", "/book", content, "kind=booking")
+        )
+        await asyncio.sleep(0.5)
+        command = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "cornelnotch", "drain", host.http
+        )
+        assert await command.wait() == 0
+        assert (await booking).outcome == "ran"
+        assert await asyncio.wait_for(host.process.wait(), 10) == 0
+
+    run_fleet(scenario)
+
+
 async def sample_versions(fleet, versions, stop):
     """Record each host's configuration version until `stop` is set."""
     while not stop.is_set():
