--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -35,13 +35,14 @@
 from cornelnotch.gateway.server_signals import apply_server_signals
 from cornelnotch.gateway.servers import InFlightRequest, ServerView
 from cornelnotch.gateway.silence import is_silent
-from cornelnotch.gateway.streams import EventSplitter, parse_number
+from cornelnotch.gateway.streams import EventSplitter
 from cornelnotch.gateway.timeouts import (
     find_max_gap_s,
     find_response_timeout_s,
     find_stall_timeout_s,
 )
 from cornelnotch.kernel.events import Event
+from cornelnotch.kernel.parsing import parse_count
 from cornelnotch.web import Exchange
 
 __all__ = ["RequestFlow"]
@@ -218,7 +219,7 @@
         """Return the time that `share` of similar requests still take, if known."""
         now = self.context.clock.read()
         waited_ms = max(now - self.received_ms - prefill_ms, 0.0)
-        events = parse_number(self.request.last_event_id) or 0
+        events = parse_count(self.request.last_event_id) or 0
         tokens = self.request.output_tokens
         request = RequestDuration(waited_ms, 0.0, tokens, events)
         expected_ms = self.context.durations.estimate_ms(
