gateway: durations scale with the allowance of tokens only where that explains them

Cause: rests were scaled by the ratio of the allowances, which outputs there rarely reach, and without a bound where few requests were similar: hosts that had just restarted refused nearly everything.

The allowance counts only if it narrows the spread of the durations of at least eight requests. Streams that run count once they take longer than any that has ended.

--- a/cornelnotch/gateway/durations.py
+++ b/cornelnotch/gateway/durations.py
@@ -1,6 +1,7 @@
 """Estimate how long requests take, from recent ones of the same route; no I/O."""
 
 import math
+import statistics
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -9,9 +10,8 @@
 
 # Recent requests of a route from which durations are estimated.
 REMEMBERED_REQUESTS = 50
-# Requests count as similar if their allowances of output tokens differ by this factor.
-SIMILAR_FACTOR = 2.0
-MIN_SIMILAR_REQUESTS = 8
+# Fewer requests do not show whether durations grow with the allowance of tokens.
+MIN_COMPARED_REQUESTS = 8
 # Part of a resumed stream that is always left.
 MIN_REMAINING_SHARE = 0.05
 
@@ -29,12 +29,6 @@
     tokens: int = 0
     events: int = 0
 
-    def scale_rest_ms(self, tokens: int) -> float:
-        """Return the time to generate `tokens` at the same pace, if both are known."""
-        if not tokens or not self.tokens:
-            return self.rest_ms
-        return self.rest_ms * tokens / self.tokens
-
 
 @dataclass(slots=True, eq=False)
 class RunningRequest:
@@ -54,18 +48,18 @@
     )
     running: set[RunningRequest] = field(default_factory=set)
 
-    def list_overdue(self, now: float, tokens: int, rest_ms: float) -> list[float]:
-        """Return how long streams run that already take longer than `rest_ms`.
+    def list_overdue(self, now: float) -> list[RequestDuration]:
+        """Return the streams that already take longer than any that has ended.
 
         They show that a service has turned slow before they end.
         """
+        longest_ms = max(duration.rest_ms for duration in self.ended)
         begun = [
             RequestDuration(0.0, now - request.begun_ms, request.tokens)
             for request in self.running
             if request.begun_ms is not None
         ]
-        found = [duration.scale_rest_ms(tokens) for duration in begun]
-        return [duration_ms for duration_ms in found if duration_ms > rest_ms]
+        return [duration for duration in begun if duration.rest_ms > longest_ms]
 
 
 def _find_quantile(values: Sequence[float], share: float) -> float:
@@ -74,10 +68,30 @@
     return ordered[max(math.ceil(share * len(ordered)) - 1, 0)]
 
 
-def _is_similar(tokens: int, other: int) -> bool:
-    if not tokens or not other:
-        return tokens == other
-    return 1.0 / SIMILAR_FACTOR <= tokens / other <= SIMILAR_FACTOR
+def _measure_spread(values: Sequence[float]) -> float:
+    """Return the standard deviation of positive values relative to their mean."""
+    mean = statistics.fmean(values)
+    return statistics.pstdev(values) / mean if mean else 0.0
+
+
+def _grows_with_allowance(durations: Sequence[RequestDuration]) -> bool:
+    """Return whether the allowance of output tokens explains the durations.
+
+    It does not where requests mostly end before they reach it.
+    """
+    named = [duration for duration in durations if duration.tokens]
+    if len(named) < MIN_COMPARED_REQUESTS:
+        return False
+    per_token = [duration.rest_ms / duration.tokens for duration in named]
+    whole = [duration.rest_ms for duration in named]
+    return _measure_spread(per_token) < _measure_spread(whole)
+
+
+def _list_rest_ms(durations: Sequence[RequestDuration], tokens: int) -> list[float]:
+    """Return the times that a request with an allowance of `tokens` would take."""
+    if not tokens or not _grows_with_allowance(durations):
+        return [duration.rest_ms for duration in durations]
+    return [d.rest_ms * tokens / d.tokens for d in durations if d.tokens]
 
 
 class DurationTracker:
@@ -112,20 +126,10 @@
         durations = self._routes.get(route)
         if durations is None or not durations.ended:
             return None
-        known = list(durations.ended)
-        tokens = request.tokens
-        similar = [d for d in known if _is_similar(tokens, d.tokens)]
-        if len(similar) >= MIN_SIMILAR_REQUESTS:
-            known = similar
-            found = [d.scale_rest_ms(tokens) for d in known]
-        else:
-            # Without similar requests, it is not known whether the allowance binds.
-            found = [max(d.rest_ms, d.scale_rest_ms(tokens)) for d in known]
-        rest_ms = _find_quantile(found, share)
-        overdue = durations.list_overdue(now, tokens, rest_ms)
-        rest_ms = _find_quantile([*found, *overdue], share)
+        known = [*durations.ended, *durations.list_overdue(now)]
+        rest_ms = _find_quantile(_list_rest_ms(known, request.tokens), share)
         if request.events:
-            events = _find_quantile([d.events for d in known], share)
+            events = _find_quantile([d.events for d in durations.ended], share)
             remaining = 1.0 - request.events / max(events, 1.0)
             rest_ms *= max(remaining, MIN_REMAINING_SHARE)
         first_ms = _find_quantile([d.first_ms for d in durations.ended], share)
--- a/cornelnotch/gateway/tests/test_durations.py
+++ b/cornelnotch/gateway/tests/test_durations.py
@@ -28,12 +28,30 @@
     assert DurationTracker().estimate_ms("chat", SHARE, request, 0.0) is None
 
 
-def test_estimate_scales_with_the_allowance_of_similar_requests():
+def test_estimate_scales_with_the_allowance_where_that_explains_durations():
     tracker = DurationTracker()
     record_many(tracker, 20, 100.0, 1000.0, 50, 50)
+    record_many(tracker, 20, 100.0, 4000.0, 200, 200)
     assert estimate_ms(tracker, 100) == 100.0 + 2000.0
 
 
+def test_estimate_exceeds_no_duration_seen_where_outputs_end_before_their_allowance():
+    generator = random.Random(3)
+    tracker = DurationTracker()
+    for _ in range(50):
+        tokens = generator.choice([64, 256, 1024, 4096])
+        rest_ms = generator.uniform(1000.0, 3000.0)
+        tracker.record("chat", RequestDuration(100.0, rest_ms, tokens, 50))
+    for tokens in (64, 256, 1024, 4096):
+        assert 1000.0 < estimate_ms(tracker, tokens, share=1.0) <= 3100.0
+
+
+def test_few_requests_are_not_scaled():
+    tracker = DurationTracker()
+    record_many(tracker, 3, 100.0, 1000.0, 20, 20)
+    assert estimate_ms(tracker, 400) == 1100.0
+
+
 def test_estimate_covers_its_share_of_requests_and_few_more():
     generator = random.Random(7)
     tracker = DurationTracker()
@@ -62,7 +80,8 @@
 
 def test_one_stream_without_an_allowance_does_not_change_the_estimate_of_others():
     tracker = DurationTracker()
-    record_many(tracker, 40, 100.0, 2000.0, 100, 100)
+    record_many(tracker, 20, 100.0, 2000.0, 100, 100)
+    record_many(tracker, 20, 100.0, 4000.0, 200, 200)
     record_many(tracker, 1, 100.0, 2000.0, 0, 100)
     assert estimate_ms(tracker, 100) == 2100.0
 
--- a/cornelnotch/verification/stops.py
+++ b/cornelnotch/verification/stops.py
@@ -129,8 +129,8 @@
     """State of a request.
 
     `age` counts the steps since it was sent to a server, or since its response was
-    written. It must not be cut off before the age `assured`. A server may run it while it
-    is `in_flight`. `ran` and `may_have_run` are the truth and what the host knows.
+    written. It must not be cut off before the age `assured`. A server may run it while
+    it is `in_flight`. `ran` and `may_have_run` are the truth and what the host knows.
     """
 
     stage: Stage = Stage.UNSENT
