node: a request that is being refused at the drain limit keeps its answer

What callers saw (product's own interface): a call with a key that was being refused as the host reached drain_limit_ms, while its key was released, ended without an answer.

Cause: the end of the drain cancelled the refusal itself.

Evidence: test_call_that_is_being_refused_at_the_drain_limit_is_answered failed before (no status).

--- a/cornelnotch/node/tests/test_drain.py
+++ b/cornelnotch/node/tests/test_drain.py
@@ -37,7 +37,7 @@
     whole: bool = False
 
 
-def encode_request(target, labels, content, key=None):
+def encode_request(target, labels, content, **more_headers):
     body = orjson.dumps(content)
     headers = {
         "host": "h",
@@ -45,19 +45,17 @@
         "cornelnotch-labels": labels,
         "content-length": str(len(body)),
     }
-    if key is not None:
-        headers["idempotency-key"] = key
+    headers.update({k.replace("_", "-"): v for k, v in more_headers.items()})
     protocol = h11.Connection(h11.CLIENT)
     head = h11.Request(method="POST", target=target, headers=list(headers.items()))
     events = [head, h11.Data(data=body), h11.EndOfMessage()]
     return b"".join(protocol.send(event) or b"" for event in events)
 
 
-def encode_booking(reference, key=None):
+def encode_booking(reference, **more_headers):
     target = "/v1/services/counter-desk/book"
-    content = {"reference": reference}
-    key = key or create_identifier()
-    return encode_request(target, "kind=booking", content, key)
+    headers = {"idempotency_key": create_identifier(), **more_headers}
+    return encode_request(target, "kind=booking", {"reference": reference}, **headers)
 
 
 def encode_lookup(reference="shelf"):
@@ -234,6 +232,28 @@
     run_scenario(scenario)
 
 
+def test_call_that_is_being_refused_at_the_drain_limit_is_answered():
+    async def scenario(s):
+        s.desk.profile.frozen_ms = 4000.0
+        busy = [await s.connect() for _ in range(8)]
+        for connection in busy:
+            connection.send_now(encode_lookup("filler"))
+        await wait_until(lambda: s.desk.ledger["filler"] == 8)
+        connection = await s.connect()
+        repeat = {"cornelnotch_attempt": "2", "cornelnotch_deadline_ms": "1300"}
+        connection.send_now(encode_booking("waiting", **repeat))
+        await asyncio.sleep(0.1)
+        # The release of the key takes its whole time limit.
+        s.fleet.platform.faults.slow_ms = 5000.0
+        stopping = s.start_drain(limit_ms=300)
+        reply = await connection.read()
+        assert (reply.status, reply.whole) == (503, True)
+        assert reply.headers["cornelnotch-outcome"] == "unknown"
+        await stopping
+
+    run_scenario(scenario)
+
+
 def test_call_without_a_response_at_the_drain_limit_is_answered_as_unknown():
     async def scenario(s):
         s.desk.profile.frozen_ms = 4000.0
--- a/cornelnotch/routing/flow.py
+++ b/cornelnotch/routing/flow.py
@@ -54,6 +54,7 @@
         deadline = request.deadline_ms or selection.service_class.deadline_ms
         self.deadline_ms = trace.arrived_ms + deadline
         self.once = selection.service_class.repeat == "once"
+        self._failing = False
         self.idempotency_guard: IdempotencyGuard | None = None
         if self.once and request.key is not None:
             self.idempotency_guard = IdempotencyGuard(
@@ -85,7 +86,7 @@
                 await asyncio.wait(
                     {work, stopping}, return_when=asyncio.FIRST_COMPLETED
                 )
-            if not work.done():
+            if not work.done() and not self._failing:
                 work.cancel()
             await work
         except asyncio.CancelledError:
@@ -120,6 +121,7 @@
             raise
 
     async def _fail(self, problem: Problem) -> None:
+        self._failing = True
         if self.idempotency_guard is not None:
             problem = await self.idempotency_guard.finalize_problem(
                 problem, self.dispatched
