--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -4,13 +4,14 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
+from typing import cast
 
 import h11
 import orjson
 
 from cornelnotch.exceptions import CallerDisconnectedError, RequestError
 from cornelnotch.kernel.tasks import cancel_and_wait
-from cornelnotch.web.connections import reset_on_close
+from cornelnotch.web.connections import count_outstanding_bytes, reset_on_close
 from cornelnotch.web.exchange import Exchange
 
 __all__ = ["Handler", "HttpServer", "ServerConnection", "ServerLimits"]
@@ -18,7 +19,8 @@
 READ_BYTES = 65536
 MAX_HEADER_BYTES = 32768
 HEADER_TIMEOUT_S = 60.0
-DISCARD_TIMEOUT_S = 1.0
+LINGER_TIMEOUT_S = 1.0
+LINGER_POLL_S = 0.005
 MAX_DISCARDED_BYTES = 4 * 1024 * 1024
 WRITE_BUFFER_HIGH_BYTES = 65536
 MAX_BUFFERED_BYTES = 65536
@@ -61,8 +63,8 @@
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
         self._close_watcher: asyncio.Task[None] | None = None
-        self._busy = False
         self._closing = False
+        self.lingering = False
         self._reading: asyncio.Timeout | None = None
         self.disconnected = asyncio.Event()
         writer.transport.set_write_buffer_limits(high=WRITE_BUFFER_HIGH_BYTES)
@@ -72,15 +74,19 @@
         while not self.disconnected.is_set():
             request = await self._read_request()
             if request is None:
+                if not self.lingering and not self.disconnected.is_set():
+                    await self._linger()
+                return
+            try:
+                exchange = Exchange(self, request)
+            except RequestError as error:
+                await self._respond_and_close(error.status, error.kind, str(error))
                 return
-            exchange = Exchange(self, request)
-            self._busy = True
             await handler(exchange)
-            self._busy = False
             if not exchange.response_finished:
                 return
             await self._stop_watching()
-            if self._closing or self._protocol.our_state is h11.MUST_CLOSE:
+            if self._protocol.our_state is h11.MUST_CLOSE:
                 await self._linger()
                 return
             if self._protocol.their_state is not h11.DONE:
@@ -192,20 +198,37 @@
         return None if event is h11.NEED_DATA else event
 
     async def _linger(self) -> None:
-        """End the response, and discard input until the caller closes too.
+        """End the response, and wait until the caller's system has received it.
 
-        Closing with unread input would reset the connection before the caller has read
-        the response.
+        Closing with unread input resets the connection, which discards a response that
+        is still under way.
         """
-        discarded = 0
+        self.lingering = True
         with suppress(OSError, TimeoutError):
             self._writer.write_eof()
-            async with asyncio.timeout(DISCARD_TIMEOUT_S):
-                while discarded < MAX_DISCARDED_BYTES:
-                    data = await self._reader.read(READ_BYTES)
-                    if not data:
-                        return
-                    discarded += len(data)
+            async with asyncio.timeout(LINGER_TIMEOUT_S):
+                if self._protocol.their_state in {h11.SEND_BODY, h11.ERROR}:
+                    await self._discard_input()
+                else:
+                    await self._wait_until_received()
+
+    async def _discard_input(self) -> None:
+        """Discard the rest of a request, whose caller may read only after sending."""
+        discarded = 0
+        while discarded < MAX_DISCARDED_BYTES:
+            data = await self._reader.read(READ_BYTES)
+            if not data:
+                return
+            discarded += len(data)
+
+    async def _wait_until_received(self) -> None:
+        """Wait without reading, since a further request would not be answered."""
+        transport = cast(asyncio.Transport, self._writer.transport)
+        transport.pause_reading()
+        while not transport.is_closing():
+            if not count_outstanding_bytes(self._writer):
+                return
+            await asyncio.sleep(LINGER_POLL_S)
 
     async def read_event(self) -> object:
         """Return the next h11 event; raise RequestError if the body is malformed."""
@@ -287,6 +310,10 @@
                 "caller closed the connection", "retry the request"
             ) from error
 
+    def is_finished(self) -> bool:
+        """Return whether all responses were passed to the system, and none follows."""
+        return self.lingering and not self.count_unsent_bytes()
+
     def count_unsent_bytes(self) -> int:
         """Return the size of the responses that were not yet passed to the system."""
         return self._writer.transport.get_write_buffer_size()
@@ -366,7 +393,7 @@
     async def shut_down(self, timeout_s: float) -> int:
         """Stop gracefully: wait for responses to be read, but at most `timeout_s`.
 
-        Return the number of connections that were aborted after that.
+        Return the number of connections whose responses were not taken by then.
         """
         self.start_draining()
         # asyncio calls `_accept` some steps after it has accepted a connection.
@@ -375,9 +402,9 @@
         tasks = set(self._connection_tasks)
         if tasks:
             await asyncio.wait(tasks, timeout=timeout_s)
-        aborted = len(self._connection_tasks)
+        unfinished = sum(not c.is_finished() for c in self._open_connections)
         await self.stop()
-        return aborted
+        return unfinished
 
     async def stop(self) -> None:
         """Close the listener and all connections."""
