soak: a pipelined request that its caller abandons is not cut by the host

Test: test_pipelined_request_that_its_caller_abandons_is_allowed; the tests of cuts by the host are as they were.

--- a/cornelnotch/soak/attempts.py
+++ b/cornelnotch/soak/attempts.py
@@ -106,7 +106,8 @@
 
     `status` is 0 without a response. `whole` is true if the response was complete.
     `sent_s` is infinite until the last byte was sent. `waited_from_s` is the end of the
-    response before it on the connection, which the host may finish first.
+    response before it on the connection, which the host may finish first. `abandoned`
+    is true if the caller closed the connection itself, at the limit of a request.
     """
 
     request_id: str
@@ -120,6 +121,7 @@
     status: int = 0
     whole: bool = False
     refused_connection: bool = False
+    abandoned: bool = False
     body: bytearray = field(default_factory=bytearray)
 
     def list_event_ids(self) -> list[int]:
--- a/cornelnotch/soak/callers.py
+++ b/cornelnotch/soak/callers.py
@@ -177,9 +177,11 @@
             has_sent = upload.done()
             await cancel_and_wait(upload)
         end_s = time.monotonic()
+        has_abandoned = any(attempt.abandoned for attempt in attempts)
         for attempt in attempts:
             if attempt.ended_s == float("inf"):
                 attempt.ended_s = attempt.waited_from_s = end_s
+                attempt.abandoned = has_abandoned
         if not has_sent or not all(attempt.whole for attempt in attempts):
             self._close()
 
@@ -219,7 +221,9 @@
         try:
             async with asyncio.timeout(max(limit_s, 0.0)):
                 await self._read_events(connection, protocol, attempt)
-        except (OSError, TimeoutError, h11.RemoteProtocolError):
+        except TimeoutError:
+            attempt.abandoned = True
+        except (OSError, h11.RemoteProtocolError):
             pass
         attempt.ended_s = time.monotonic()
         connection.previous_end_s = attempt.ended_s
--- a/cornelnotch/soak/judge.py
+++ b/cornelnotch/soak/judge.py
@@ -125,6 +125,8 @@
         last_part_s = life.terminated_s + self._grace_s * (1 - LAST_PART)
         if attempt.ended_s >= limit_s - DEADLINE_MARGIN_S:
             return "deadline or timeout"
+        if attempt.abandoned:
+            return "abandoned by its caller"
         if any(run.broke for run in runs):
             return "server broke off"
         if overlaps_pause(attempt, life):
@@ -202,7 +204,7 @@
         """Return whether something else than a stop may explain a failure."""
         if any(run.broke for run in runs) or overlaps_pause(attempt, life):
             return True
-        if attempt.work.may_exceed_timeout():
+        if attempt.abandoned or attempt.work.may_exceed_timeout():
             return True
         if attempt.refused_connection:
             return attempt.begun_s < life.ready_s
--- a/cornelnotch/soak/tests/test_judge.py
+++ b/cornelnotch/soak/tests/test_judge.py
@@ -89,6 +89,10 @@
     assert judge(attempt, create_run(broke=fault == "broke"), life=life) == []
 
 
+def test_pipelined_request_that_its_caller_abandons_is_allowed():
+    assert judge(create_attempt(abandoned=True), create_run()) == []
+
+
 def test_request_that_is_read_and_unanswered_is_found():
     assert judge(create_attempt()) == [Check.UNANSWERED]
 
