gateway: a draining host has no estimate for routes that it has not answered

Cause: without samples the estimate was the allowance of tokens times the engines' event time; events hold several tokens, and outputs end early.

An unknown duration is now unknown: such requests are served while callers may use the address, and refused later.

--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -222,14 +222,8 @@
         events = parse_count(self.request.last_event_id) or 0
         tokens = self.request.output_tokens
         request = RequestDuration(waited_ms, 0.0, tokens, events)
-        expected_ms = self.context.durations.estimate_ms(
-            self.route.name, share, request, now
-        )
-        if expected_ms is None and self.route.kind is WorkKind.STREAM and tokens:
-            # Events hold one token or more, so this is an upper estimate.
-            rates = self.context.engine_rates.get_average(self.service)
-            expected_ms = self.route.target_ms + tokens * rates.event_ms
-        return expected_ms
+        durations = self.context.durations
+        return durations.estimate_ms(self.route.name, share, request, now)
 
     async def _refuse_leaving(self) -> None:
         """Refuse a request that cannot end before the host stops."""
