--- a/cornelnotch/gateway/tests/test_graceful_shutdown.py
+++ b/cornelnotch/gateway/tests/test_graceful_shutdown.py
@@ -310,11 +310,11 @@
 
 def test_stream_of_unknown_duration_is_served_while_callers_are_expected():
     async def scenario(d):
-        start = start_drain(d, grace_s=5.0)
+        stopping = start_drain(d, grace_s=4.0)
         connection = await KeptConnection.open(d.settings.listen.callers)
         headers = {"x-token-usage": "10,4000"}
         reply = await connection.send("s1", "/stream/x", "POST", b"p", **headers)
         assert (reply.status, reply.whole) == (200, True)
-        await start
+        await stopping
 
     run_scenario(scenario)
