--- a/cornelnotch/gateway/durations.py
+++ b/cornelnotch/gateway/durations.py
@@ -34,7 +34,7 @@
 class RunningRequest:
     """A request that has not ended; `begun_ms` is None before its first event."""
 
-    arrived_ms: float
+    received_ms: float
     tokens: int
     begun_ms: float | None = None
 
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -15,8 +15,7 @@
     UpstreamResponse,
     open_response,
 )
-from cornelnotch.gateway.drain import choose_drain_retry_after_ms, choose_share
-from cornelnotch.gateway.durations import RequestDuration, RunningRequest
+from cornelnotch.gateway.drain import choose_drain_retry_after_ms
 from cornelnotch.gateway.forwarding import MAX_BUFFERED_BYTES, EventReader, forward_body
 from cornelnotch.gateway.header_codec import DispatchOptions
 from cornelnotch.gateway.models import (
@@ -26,6 +25,7 @@
     Workspace,
 )
 from cornelnotch.gateway.placement import Placement, PlacementNeed
+from cornelnotch.gateway.request_timing import RequestTiming
 from cornelnotch.gateway.response_ends import confirm_end
 from cornelnotch.gateway.retry_after import (
     choose_retry_after_ms,
@@ -42,7 +42,6 @@
     find_stall_timeout_s,
 )
 from cornelnotch.kernel.events import Event
-from cornelnotch.kernel.parsing import parse_count
 from cornelnotch.web import Exchange
 
 __all__ = ["RequestFlow"]
@@ -87,11 +86,13 @@
         self.route = route
         self.workspace = workspace
         self.arrived_ms = arrived_ms
-        self.received_ms = context.clock.read()
         deadline = request.deadline_ms or DEFAULT_DEADLINE_MS
         self.deadline_ms = arrived_ms + deadline
-        self.limit_ms = arrived_ms + min(deadline, route.timeout_ms)
-        self.limit_ms = min(self.limit_ms, context.drain.end_ms)
+        limit_ms = arrived_ms + min(deadline, route.timeout_ms)
+        self.limit_ms = min(limit_ms, context.drain.end_ms)
+        self.timing = RequestTiming(
+            context.clock, context.drain, context.durations, route, request, limit_ms
+        )
         self._time_limit: asyncio.Timeout | None = None
         self.dispatches = DispatchCounts()
         self.excluded: set[str] = set()
@@ -105,10 +106,8 @@
         self.backup: ServerView | None = None
         self.resuming = False
         self.is_sending = False
-        self.writing_ms = 0.0
         self.tries_blamed_prompt = False
         self.splitter = EventSplitter(request.last_event_id)
-        self.running = RunningRequest(arrived_ms, request.output_tokens)
         self.priority = route.priority
         if workspace is not None and workspace.priority is not None:
             self.priority = workspace.priority
@@ -116,8 +115,7 @@
 
     async def run(self) -> None:
         """Serve the request; cancel the work when the caller disconnects."""
-        durations = self.context.durations
-        durations.start(self.route.name, self.running)
+        self.timing.start()
         serving = asyncio.create_task(self._serve())
         disconnected = asyncio.create_task(self.exchange.disconnected.wait())
         try:
@@ -138,7 +136,7 @@
             ) from None
         finally:
             disconnected.cancel()
-            durations.finish(self.route.name, self.running)
+            self.timing.finish()
 
     async def _serve(self) -> None:
         loop = asyncio.get_running_loop()
@@ -193,45 +191,21 @@
         self.tries_blamed_prompt = self.context.may_try_blamed(self.request)
         return self.tries_blamed_prompt
 
-    def _find_limit_ms(self) -> float:
-        """Return when the request ends in any case if the host does not stop."""
-        return min(self.deadline_ms, self.arrived_ms + self.route.timeout_ms)
-
     def _can_end(self, prefill_ms: float = 0.0) -> bool:
         """Return whether the request, if sent now, can end before the host stops.
 
         A request that may have run cannot be refused, so it uses the time left.
         """
-        drain = self.context.drain
-        if not drain.has_started or self.dispatches.ran:
-            return True
-        now = self.context.clock.read()
-        limit_ms = self._find_limit_ms()
-        return drain.can_end(
-            self.route,
-            lambda share: self._estimate_duration_ms(share, prefill_ms),
-            limit_ms - now,
-        )
-
-    def _estimate_duration_ms(
-        self, share: float, prefill_ms: float = 0.0
-    ) -> float | None:
-        """Return the time that `share` of similar requests still take, if known."""
-        now = self.context.clock.read()
-        waited_ms = max(now - self.received_ms - prefill_ms, 0.0)
-        events = parse_count(self.request.last_event_id) or 0
-        tokens = self.request.output_tokens
-        request = RequestDuration(waited_ms, 0.0, tokens, events)
-        durations = self.context.durations
-        return durations.estimate_ms(self.route.name, share, request, now)
+        return bool(self.dispatches.ran) or self.timing.can_end(prefill_ms)
 
     async def _refuse_leaving(self) -> None:
         """Refuse a request that cannot end before the host stops."""
-        left_ms = self._find_limit_ms() - self.context.clock.read()
         retry_ms = choose_drain_retry_after_ms(
-            bool(self.context.hosts), left_ms, self.context.generator
+            bool(self.context.hosts),
+            self.timing.measure_left_ms(),
+            self.context.generator,
         )
-        expected_ms = self._estimate_duration_ms(choose_share(self.route))
+        expected_ms = self.timing.estimate_usual_ms()
         await self._refuse(
             STATUS_UNAVAILABLE,
             HOST_LEAVING,
@@ -662,8 +636,7 @@
             return UpstreamResponse(DispatchOutcome.BROKEN, error.problem)
         now = self.context.clock.read()
         if not is_stream:
-            duration = RequestDuration(in_flight.first_ms - self.received_ms)
-            self.context.durations.record(self.route.name, duration)
+            self.timing.record_call(in_flight.first_ms)
         self._finish(response.head.status, now, end=end.value)
         return None
 
@@ -672,7 +645,7 @@
     ) -> UpstreamResponse | None:
         assert response.head is not None
         if not self.exchange.response_started:
-            self.running.begun_ms = self.context.clock.read()
+            self.timing.note_begun()
             await self.exchange.start(response.head.status, response.headers)
         reader = EventReader(
             response,
@@ -707,14 +680,7 @@
         self.context.exposures.record(
             self.route.name, stream_ms, self.request.prompt_tokens
         )
-        if not self.request.last_event_id:
-            duration = RequestDuration(
-                in_flight.first_ms - self.received_ms,
-                stream_ms - self.writing_ms,
-                self.request.output_tokens,
-                self.splitter.count,
-            )
-            self.context.durations.record(self.route.name, duration)
+        self.timing.record_stream(in_flight.first_ms, stream_ms, self.splitter.count)
         self._finish(
             response.head.status,
             in_flight.first_ms,
@@ -728,7 +694,7 @@
         """Send events to the caller; measure the time that it lets the host wait."""
         began_ms = self.context.clock.read()
         await self.exchange.send(events)
-        self.writing_ms += self.context.clock.read() - began_ms
+        self.timing.add_writing(self.context.clock.read() - began_ms)
 
     def _find_stall_timeout_s(self) -> float | None:
         if self.backup is not None and not self.resuming:
--- /dev/null
+++ b/cornelnotch/gateway/request_timing.py
@@ -0,0 +1,100 @@
+"""Measure one request, and estimate whether it ends before its host stops; no I/O."""
+
+from cornelnotch.gateway.drain import Drain, choose_share
+from cornelnotch.gateway.durations import (
+    DurationTracker,
+    RequestDuration,
+    RunningRequest,
+)
+from cornelnotch.gateway.models import CallerRequest, Route
+from cornelnotch.kernel.clock import Clock
+from cornelnotch.kernel.parsing import parse_count
+
+__all__ = ["RequestTiming"]
+
+
+class RequestTiming:
+    """Times of one request whose body has arrived; `limit_ms` is when it must end."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        drain: Drain,
+        durations: DurationTracker,
+        route: Route,
+        request: CallerRequest,
+        limit_ms: float,
+    ) -> None:
+        self._clock = clock
+        self._drain = drain
+        self._durations = durations
+        self._route = route
+        self._request = request
+        self._limit_ms = limit_ms
+        self._received_ms = clock.read()
+        self._writing_ms = 0.0
+        self._running = RunningRequest(self._received_ms, request.output_tokens)
+
+    def start(self) -> None:
+        """Count the request as running."""
+        self._durations.start(self._route.name, self._running)
+
+    def finish(self) -> None:
+        """Stop counting the request as running, whatever its outcome."""
+        self._durations.finish(self._route.name, self._running)
+
+    def note_begun(self) -> None:
+        """Note that the response has begun."""
+        self._running.begun_ms = self._clock.read()
+
+    def add_writing(self, duration_ms: float) -> None:
+        """Add time for which the caller let the host wait."""
+        self._writing_ms += duration_ms
+
+    def record_call(self, first_ms: float) -> None:
+        """Record a call whose response began at `first_ms`."""
+        duration = RequestDuration(first_ms - self._received_ms)
+        self._durations.record(self._route.name, duration)
+
+    def record_stream(self, first_ms: float, stream_ms: float, events: int) -> None:
+        """Record a stream that began at `first_ms`, unless its caller resumed it."""
+        if self._request.last_event_id:
+            return
+        duration = RequestDuration(
+            first_ms - self._received_ms,
+            stream_ms - self._writing_ms,
+            self._request.output_tokens,
+            events,
+        )
+        self._durations.record(self._route.name, duration)
+
+    def estimate_ms(self, share: float, prefill_ms: float = 0.0) -> float | None:
+        """Return the time that `share` of similar requests still take, if known.
+
+        The request has been admitted to an engine that prefills it in `prefill_ms`.
+        """
+        now = self._clock.read()
+        request = RequestDuration(
+            max(now - self._received_ms - prefill_ms, 0.0),
+            tokens=self._request.output_tokens,
+            events=parse_count(self._request.last_event_id) or 0,
+        )
+        return self._durations.estimate_ms(self._route.name, share, request, now)
+
+    def estimate_usual_ms(self) -> float | None:
+        """Return the estimate on which requests are refused, or None if unknown."""
+        return self.estimate_ms(choose_share(self._route))
+
+    def measure_left_ms(self) -> float:
+        """Return the time until the request must end if the host does not stop."""
+        return self._limit_ms - self._clock.read()
+
+    def can_end(self, prefill_ms: float = 0.0) -> bool:
+        """Return whether the request, if sent now, can end before the host stops."""
+        if not self._drain.has_started:
+            return True
+        return self._drain.can_end(
+            self._route,
+            lambda share: self.estimate_ms(share, prefill_ms),
+            self.measure_left_ms(),
+        )
