gateway: a host that is stopped while it starts serves its callers

What callers saw: a host that had got SIGTERM before it was ready refused all requests with 503 no-servers for the 3 s of its drain, also once it knew routes and servers.

Cause: the host became ready only if it was not leaving, and requests wait for that.

Requests are now released once routes and servers are known; a leaving host only does not announce itself. Test: test_host_that_is_stopped_while_it_starts_serves_its_callers fails before (503).

--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -210,9 +210,12 @@
         can_route = (
             self.context.table.version != NO_VERSION and self.follower.is_initialized()
         )
-        if can_route and not self.serving and not self.leaving:
+        if not can_route or self.serving:
+            return
+        # Callers of an earlier process at this address also reach a host that leaves.
+        self.context.startup.set_ready()
+        if not self.leaving:
             self.serving = True
-            self.context.startup.set_ready()
             self.prober.announce_state(MemberState.ALIVE)
             self.events.record(Event.HOST_READY, version=self.context.table.version)
 
--- a/cornelnotch/gateway/tests/test_graceful_shutdown.py
+++ b/cornelnotch/gateway/tests/test_graceful_shutdown.py
@@ -6,6 +6,8 @@
 from cornelnotch.gateway.admission_client import AdmissionResult
 from cornelnotch.gateway.durations import RequestDuration
 from cornelnotch.gateway.tests.conftest import (
+    create_host,
+    create_settings,
     run_deployment,
     run_second_host,
     wait_until,
@@ -318,3 +320,19 @@
         await stopping
 
     run_scenario(scenario)
+
+
+def test_host_that_is_stopped_while_it_starts_serves_its_callers():
+    async def scenario(d):
+        settings = create_settings(d.store, "host-2", seeds=d.settings.listen.peers)
+        host = create_host(settings)
+        await host.start()
+        host.start_drain()
+        stopping = asyncio.create_task(stop_when_drained(host))
+        connection = await KeptConnection.open(settings.listen.callers)
+        reply = await connection.send("c1", "/read/x")
+        assert (reply.status, reply.whole) == (200, True)
+        assert not host.is_ready()
+        await stopping
+
+    run_scenario(scenario)
