soak: note the exits of hosts in threads, and the delay of the soak itself

With 60 hosts on a busy machine six exits were noted up to 0.27 s after the grace period although no process was killed at its end: the exits were noted by the event loop that also plays callers and servers.

--- a/cornelnotch/soak/fleet.py
+++ b/cornelnotch/soak/fleet.py
@@ -5,7 +5,9 @@
 import random
 import signal
 import socket
+import subprocess
 import sys
+import threading
 import time
 from collections import defaultdict
 from collections.abc import Coroutine
@@ -61,20 +63,31 @@
     """One process of a host; times in monotonic seconds."""
 
     name: str
-    process: asyncio.subprocess.Process
+    process: subprocess.Popen[bytes]
     log: Path
     started_s: float
     ready_s: float = float("inf")
     terminated_s: float = float("inf")
     exited_s: float = float("inf")
     killed: bool = False
+    ended_by_soak: bool = False
     had_logged: bool = False
     pauses: list[tuple[float, float]] = field(default_factory=list)
 
     @property
     def is_running(self) -> bool:
         """Return whether the process has not exited."""
-        return self.process.returncode is None
+        return self.process.poll() is None
+
+    def note_exit(self) -> None:
+        """Wait for the exit in a thread of its own, whose time no task delays."""
+        self.process.wait()
+        self.exited_s = time.monotonic()
+
+    async def wait(self) -> None:
+        """Wait until the process has exited."""
+        while self.exited_s == float("inf"):  # noqa: ASYNC110
+            await asyncio.sleep(POLL_S)
 
 
 class SoakFleet:
@@ -119,16 +132,14 @@
         for _ in range(self.plan.servers):
             await self._start_worker()
         for number in range(self.plan.hosts):
-            await self._start_host(number)
+            self._start_host(number)
         await asyncio.gather(*(self._wait_ready(n) for n in range(self.plan.hosts)))
 
     async def wait_stopped(self) -> None:
         """Wait for the processes that got SIGTERM."""
         for life in self.lives:
             if life.terminated_s != float("inf"):
-                await life.process.wait()
-        # The exits are noted by tasks of their own.
-        await asyncio.sleep(POLL_S)
+                await life.wait()
 
     async def stop(self) -> None:
         """Stop all processes and servers that still run."""
@@ -136,9 +147,10 @@
             task.cancel()
         for life in self.lives:
             if life.is_running:
+                life.ended_by_soak = True
                 with suppress(ProcessLookupError):
                     life.process.kill()
-            await life.process.wait()
+            await life.wait()
         for worker in self.workers:
             await worker.stop()
         for reserved in self._reserved:
@@ -189,7 +201,7 @@
         record = create_server_record(worker.address, worker.leaving, 1)
         self.store.topics["keyed.servers"].write(worker.name, record)
 
-    async def _start_host(self, number: int) -> None:
+    def _start_host(self, number: int) -> None:
         name = f"host-{number}"
         seeds = ",".join(a["peers"] for a in self._addresses[:SEEDS])
         path = self.folder / f"{name}.ini"
@@ -205,10 +217,8 @@
         count = sum(life.name.startswith(f"{name}.") for life in self.lives)
         log = self.folder / f"{name}.{count}.log"
         with log.open("wb") as output:
-            process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "cornelnotch.platform",
+            process = subprocess.Popen(
+                [sys.executable, "-m", "cornelnotch.platform"],
                 env={**os.environ, "CORNELNOTCH_NODE_FILE": str(path)},
                 stdout=output,
                 stderr=output,
@@ -216,11 +226,7 @@
         life = HostLife(f"{name}.{count}", process, log, time.monotonic())
         self.lives.append(life)
         self._current[number] = life
-        self._spawn(self._note_exit(life))
-
-    async def _note_exit(self, life: HostLife) -> None:
-        await life.process.wait()
-        life.exited_s = time.monotonic()
+        threading.Thread(target=life.note_exit, daemon=True).start()
 
     async def _wait_ready(self, number: int) -> None:
         life = self._current[number]
@@ -291,9 +297,9 @@
     async def _restart(self, number: int, life: HostLife) -> None:
         if life.terminated_s == float("inf"):
             return
-        await life.process.wait()
+        await life.wait()
         if self._current[number] is life:
-            await self._start_host(number)
+            self._start_host(number)
             await self._wait_ready(number)
 
     async def _replace_worker(self, action: Action) -> None:
--- a/cornelnotch/soak/stops.py
+++ b/cornelnotch/soak/stops.py
@@ -19,6 +19,7 @@
 # Time beyond the grace period for requests to end; later ones are not judged.
 FINISH_S = 2.0
 SETTLE_S = 0.5
+DELAY_CHECK_S = 0.05
 
 Print = Callable[[str], None]
 
@@ -53,11 +54,13 @@
             self._started_s = time.monotonic()
             callers = [asyncio.create_task(caller.run()) for caller in self._callers]
             progress = asyncio.create_task(self._report_progress())
+            delay = asyncio.create_task(self._measure_delay())
             for step in self._plan.steps:
                 await self._run_step(step)
             await asyncio.sleep(self._measure_left_s(self._plan.seconds))
             await self._finish(callers)
             progress.cancel()
+            delay.cancel()
         finally:
             await self._fleet.stop()
         self._judge_all()
@@ -88,6 +91,15 @@
         if pending:
             await asyncio.wait(pending)
 
+    async def _measure_delay(self) -> None:
+        """Measure how late the soak itself notes what it sees."""
+        verdict = self._judge.verdict
+        while True:
+            before_s = time.monotonic()
+            await asyncio.sleep(DELAY_CHECK_S)
+            delay_s = time.monotonic() - before_s - DELAY_CHECK_S
+            verdict.delay_s = max(verdict.delay_s, delay_s)
+
     def _add_error(self, detail: str) -> None:
         self._judge.verdict.findings.append(Finding(Check.HARNESS, "", "", detail))
 
