--- a/cornelnotch/gateway/drain.py
+++ b/cornelnotch/gateway/drain.py
@@ -98,6 +98,17 @@
         """
         return None if self._started_ms is None else at_ms - self._started_ms
 
+    def find_needed_ms(self, route: Route, estimate: Estimate) -> float | None:
+        """Return the time that a request must have to be served, or None if unknown."""
+        is_late = self._is_late()
+        expected_ms = estimate(LATE_SHARE if is_late else choose_share(route))
+        if expected_ms is None:
+            return None
+        return expected_ms * (LATE_FACTOR if is_late else 1.0)
+
+    def _is_late(self) -> bool:
+        return self._clock.read() >= self._expected_until_ms
+
     def can_end(self, route: Route, estimate: Estimate, limit_ms: float) -> bool:
         """Return whether a request sent to a server now can end in time.
 
@@ -108,8 +119,5 @@
             return False
         if limit_ms <= left_ms:
             return True
-        is_late = self._clock.read() >= self._expected_until_ms
-        expected_ms = estimate(LATE_SHARE if is_late else choose_share(route))
-        if expected_ms is None:
-            return not is_late
-        return expected_ms * (LATE_FACTOR if is_late else 1.0) <= left_ms
+        needed_ms = self.find_needed_ms(route, estimate)
+        return not self._is_late() if needed_ms is None else needed_ms <= left_ms
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -205,12 +205,12 @@
             self.timing.measure_left_ms(),
             self.context.generator,
         )
-        expected_ms = self.timing.estimate_usual_ms()
+        needed_ms = self.timing.find_needed_ms()
         await self._refuse(
             STATUS_UNAVAILABLE,
             HOST_LEAVING,
             round(retry_ms, 1),
-            expected_ms=None if expected_ms is None else round(expected_ms, 1),
+            needed_ms=None if needed_ms is None else round(needed_ms, 1),
             left_ms=round(self.context.drain.measure_left_ms(), 1),
         )
 
--- a/cornelnotch/gateway/request_timing.py
+++ b/cornelnotch/gateway/request_timing.py
@@ -1,6 +1,6 @@
 """Measure one request, and estimate whether it ends before its host stops; no I/O."""
 
-from cornelnotch.gateway.drain import Drain, choose_share
+from cornelnotch.gateway.drain import Drain
 from cornelnotch.gateway.durations import (
     DurationTracker,
     RequestDuration,
@@ -81,9 +81,9 @@
         )
         return self._durations.estimate_ms(self._route.name, share, request, now)
 
-    def estimate_usual_ms(self) -> float | None:
-        """Return the estimate on which requests are refused, or None if unknown."""
-        return self.estimate_ms(choose_share(self._route))
+    def find_needed_ms(self) -> float | None:
+        """Return the time that the request must have to be served, if known."""
+        return self._drain.find_needed_ms(self._route, self.estimate_ms)
 
     def measure_left_ms(self) -> float:
         """Return the time until the request must end if the host does not stop."""
--- a/cornelnotch/gateway/tests/test_drain.py
+++ b/cornelnotch/gateway/tests/test_drain.py
@@ -5,6 +5,7 @@
 import pytest
 
 from cornelnotch.gateway.drain import (
+    LATE_FACTOR,
     LATE_SHARE,
     MAX_EXIT_MARGIN_MS,
     RETRY_AFTER_MS,
@@ -95,6 +96,9 @@
     assert start_drain(EXPECTED_MS - 1.0).can_end(route, estimate, 15_000.0)
     assert start_drain(EXPECTED_MS).can_end(route, estimate, 15_000.0)
     assert asked == [USUAL_SHARE, LATE_SHARE]
+    assert start_drain().find_needed_ms(route, estimate) == 2000.0 * USUAL_SHARE
+    late = start_drain(EXPECTED_MS)
+    assert late.find_needed_ms(route, estimate) == 2000.0 * LATE_FACTOR
     long = expect(left_ms * 0.9)
     assert start_drain(EXPECTED_MS - 1.0).can_end(route, long, 15_000.0)
     assert not start_drain(EXPECTED_MS).can_end(route, long, 15_000.0)
