--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -9,7 +9,11 @@
 import h11
 import orjson
 
-from cornelnotch.exceptions import CallerDisconnectedError, RequestError
+from cornelnotch.exceptions import (
+    CallerDisconnectedError,
+    CornelnotchError,
+    RequestError,
+)
 from cornelnotch.kernel.tasks import cancel_and_wait
 from cornelnotch.web.connections import count_outstanding_bytes, reset_on_close
 from cornelnotch.web.exchange import Exchange
@@ -24,6 +28,7 @@
 MAX_DISCARDED_BYTES = 4 * 1024 * 1024
 WRITE_BUFFER_HIGH_BYTES = 65536
 MAX_BUFFERED_BYTES = 65536
+STATUS_INTERNAL_ERROR = 500
 STATUS_UNAVAILABLE = 503
 # Steps of the event loop from accepting a connection to its task.
 ACCEPT_STEPS = 8
@@ -82,7 +87,7 @@
             except RequestError as error:
                 await self._respond_and_close(error.status, error.kind, str(error))
                 return
-            await handler(exchange)
+            await self._handle(handler, exchange)
             if not exchange.response_finished:
                 return
             await self._stop_watching()
@@ -93,6 +98,22 @@
                 return
             self._protocol.start_next_cycle()
 
+    async def _handle(self, handler: Handler, exchange: Exchange) -> None:
+        """Handle a request; answer it also if the handler fails unexpectedly."""
+        try:
+            await handler(exchange)
+        except (CornelnotchError, h11.ProtocolError, OSError):
+            raise
+        except Exception:
+            if exchange.response_started:
+                self.abort()
+            else:
+                self._closing = True
+                content = {"error": {"kind": "internal", "message": "internal error"}}
+                await exchange.respond_json(STATUS_INTERNAL_ERROR, content)
+                await self._linger()
+            raise
+
     async def _read_request(self) -> h11.Request | None:
         try:
             event = await self._read_head()
--- a/cornelnotch/wire/peers.py
+++ b/cornelnotch/wire/peers.py
@@ -5,7 +5,7 @@
 from contextlib import suppress
 from typing import Any
 
-from cornelnotch.exceptions import WireError
+from cornelnotch.exceptions import SettingsError, WireError
 from cornelnotch.kernel import Event, EventLog, TaskSupervisor
 from cornelnotch.web import parse_address
 from cornelnotch.wire.codec import FrameReader, decode_message, encode_message
@@ -62,7 +62,7 @@
                 await writer.drain()
             self._network.count_sent(len(data))
             return writer
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError, SettingsError):
             # The message is lost; the protocols built on this retry or time out.
             if writer is not None:
                 writer.transport.abort()
@@ -109,6 +109,7 @@
         self._receivers: dict[type, Receiver] = {}
         self._server: asyncio.Server | None = None
         self._incoming_tasks: set[asyncio.Task[None]] = set()
+        self._failures: set[tuple[type, type]] = set()
 
     @property
     def name(self) -> str:
@@ -157,13 +158,18 @@
         if host == self.hello.host:
             asyncio.get_running_loop().call_soon(self._receive, host, message)
             return
+        try:
+            data = encode_message(message)
+        except WireError as error:
+            self._record_failure(self.name, message, error)
+            return
         connection = self._connections.get(host)
         if connection is None:
             connection = PeerConnection(self, host)
             self._connections[host] = connection
             self.tasks.start(f"link-{host}", connection.run())
         with suppress(asyncio.QueueFull):
-            connection.queue.put_nowait(encode_message(message))
+            connection.queue.put_nowait(data)
 
     def remove_connection(self, host: str) -> None:
         """Remove the connection to `host` after its task has ended."""
@@ -176,8 +182,27 @@
 
     def _receive(self, sender: str, message: Any) -> None:
         receiver = self._receivers.get(type(message))
-        if receiver is not None:
+        if receiver is None:
+            return
+        try:
             receiver(sender, message)
+        except Exception as error:
+            # Ending the stream would lose the messages behind this one, and the sender
+            # may repeat it.
+            self._record_failure(sender, message, error)
+
+    def _record_failure(self, sender: str, message: Any, error: Exception) -> None:
+        """Log the first error of each type for each type of message."""
+        kind = (type(message), type(error))
+        if kind in self._failures:
+            return
+        self._failures.add(kind)
+        self._events.record(
+            Event.PEER_MESSAGE_FAILED,
+            sender=sender,
+            message=kind[0].__name__,
+            error=repr(error),
+        )
 
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -198,9 +223,17 @@
     async def _read_messages(self, reader: asyncio.StreamReader) -> None:
         frames = FrameReader()
         sender: str | None = None
+        has_refused = False
         while data := await reader.read(READ_BYTES):
             for frame in frames.feed(data):
-                message = decode_message(frame)
+                try:
+                    message = decode_message(frame)
+                except WireError as error:
+                    # The frames behind it are intact.
+                    if not has_refused:
+                        has_refused = True
+                        self._events.record(Event.PEER_MESSAGE_REFUSED, error=error)
+                    continue
                 self.received_messages += 1
                 if isinstance(message, Hello):
                     sender = message.host
