--- a/cornelnotch/soak/callers.py
+++ b/cornelnotch/soak/callers.py
@@ -43,18 +43,32 @@
 class CallerConnection:
     """Connection of one caller; `leftover` are bytes of the next response."""
 
-    def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, host: str
-    ) -> None:
-        self.reader = reader
-        self.writer = writer
+    def __init__(self, raw: socket.socket, host: str) -> None:
+        self._raw = raw
         self.host = host
         self.leftover = b""
         self.previous_end_s = 0.0
 
     def is_closed(self) -> bool:
         """Return whether the host is known to have closed the connection."""
-        return self.reader.at_eof() or self.reader.exception() is not None
+        try:
+            return not self._raw.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+    async def receive(self) -> bytes:
+        """Return the next bytes; those before a reset arrive before its error."""
+        return await asyncio.get_running_loop().sock_recv(self._raw, READ_BYTES)
+
+    async def send(self, data: bytes) -> None:
+        """Send all bytes."""
+        await asyncio.get_running_loop().sock_sendall(self._raw, data)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._raw.close()
 
 
 async def connect(target: CallerTarget) -> CallerConnection:
@@ -66,11 +80,10 @@
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             loop = asyncio.get_running_loop()
             await loop.sock_connect(raw, parse_address(target.address))
-            reader, writer = await asyncio.open_connection(sock=raw, limit=READ_BYTES)
     except BaseException:
         raw.close()
         raise
-    return CallerConnection(reader, writer, target.find_host())
+    return CallerConnection(raw, target.find_host())
 
 
 class SoakCaller:
@@ -124,7 +137,7 @@
 
     def _close(self) -> None:
         if self._connection is not None:
-            self._connection.writer.transport.abort()
+            self._connection.close()
             self._connection = None
 
     async def _reconnect(self) -> None:
@@ -188,7 +201,6 @@
     async def _upload(
         self, connection: CallerConnection, attempts: list[Attempt]
     ) -> None:
-        writer = connection.writer
         with suppress(OSError):
             for attempt in attempts:
                 work = attempt.work
@@ -197,15 +209,14 @@
                 head = create_request(
                     attempt.request_id, work.build_target(), left_ms, work.body_bytes
                 )
-                writer.write(protocol.send(head) or b"")
+                await connection.send(protocol.send(head) or b"")
                 parts = UPLOAD_PARTS if work.upload_s else 1
                 for index in range(parts):
                     if work.upload_s:
                         await asyncio.sleep(work.upload_s / parts)
                     start = work.body_bytes * index // parts
                     end = work.body_bytes * (index + 1) // parts
-                    writer.write(b"b" * (end - start))
-                    await writer.drain()
+                    await connection.send(b"b" * (end - start))
                 attempt.sent_s = time.monotonic()
 
     async def _read_response(
@@ -248,7 +259,7 @@
 
     async def _receive(self, connection: CallerConnection, attempt: Attempt) -> bytes:
         rate = attempt.work.read_rate
-        data = await connection.reader.read(READ_BYTES)
+        data = await connection.receive()
         if rate and data:
             await asyncio.sleep(len(data) / rate)
         return data
