--- a/cornelnotch/gateway/tests/limited_fleet.py
+++ b/cornelnotch/gateway/tests/limited_fleet.py
@@ -101,7 +101,8 @@
         self.fleet = fleet
         self.host = host
 
-    async def send(self, address, head, body, fresh=False):
+    async def send(self, address, head, body, fresh, note_sending):
+        note_sending()
         server = self.fleet.servers[address]
         headers = dict(head.headers)
         await self.fleet.wait_until_thawed(self.host)
@@ -124,11 +125,13 @@
     def __init__(self):
         self.disconnected = asyncio.Event()
         self.response_started = False
+        self.response_finished = False
         self.status = 0
         self.retry_after_s = 0.0
 
     async def respond(self, status, headers, body):
         self.response_started = True
+        self.response_finished = True
         self.status = status
         fields = dict(headers)
         self.retry_after_s = float(fields.get(b"retry-after", 0))
--- a/cornelnotch/gateway/tests/test_graceful_shutdown.py
+++ b/cornelnotch/gateway/tests/test_graceful_shutdown.py
@@ -1,8 +1,13 @@
 """Test hosts that are stopped while callers keep their connections."""
 
 import asyncio
+import socket
 
-from cornelnotch.gateway.tests.conftest import run_deployment, wait_until
+from cornelnotch.gateway.tests.conftest import (
+    run_deployment,
+    run_second_host,
+    wait_until,
+)
 from cornelnotch.gateway.tests.kept_connection import KeptConnection
 
 STREAM_EVENTS = 100
@@ -41,7 +46,7 @@
         first = await connection.send("s1", "/stream/draft/x", "POST", b"p")
         assert first.whole
         stopping = start_drain(d, grace_s=5.0)
-        await asyncio.sleep(3.2)
+        await asyncio.sleep(2.6)
         late = await connection.send("s2", "/stream/draft/x", "POST", b"p")
         assert (late.status, late.whole) == (503, True)
         assert float(late.headers["retry-after"]) >= 0.0
@@ -81,3 +86,137 @@
         assert all("c2" not in desk.executions for desk in d.desks)
 
     run_scenario(scenario)
+
+
+def test_requests_that_can_end_are_served_during_the_drain():
+    async def scenario(d):
+        connection = await KeptConnection.open(d.settings.listen.callers)
+        for path in ("/read/x", "/book/x", "/stream/x", "/stream/draft/x"):
+            assert (await connection.send(f"calm{path}", path)).status == 200
+            connection.close()
+            connection = await KeptConnection.open(d.settings.listen.callers)
+        stopping = start_drain(d, grace_s=5.0)
+        clock = d.host.clock
+        began_ms = clock.read()
+        number = 0
+        while clock.read() < began_ms + 2500.0:
+            number += 1
+            for path in ("/read/x", "/book/x", "/stream/x", "/stream/draft/x"):
+                connection = await KeptConnection.open(d.settings.listen.callers)
+                reply = await connection.send(f"{path}/{number}", path)
+                assert (reply.status, reply.whole) == (200, True)
+        await stopping
+
+    run_scenario(scenario)
+
+
+def test_request_that_waits_for_admission_when_the_host_stops_is_refused():
+    async def scenario(d):
+        async def wait_for_ever(*arguments):
+            await asyncio.Event().wait()
+
+        d.host.context.admission.wait_for_admission = wait_for_ever
+        connection = await KeptConnection.open(d.settings.listen.callers)
+        headers = {"x-token-usage": "10,5", "x-prompt-prefix": "a:5,b:5"}
+        task = asyncio.create_task(
+            connection.send("s1", "/stream/draft/x", "POST", b"p", **headers)
+        )
+        await asyncio.sleep(0.1)
+        stopping = start_drain(d, grace_s=1.0)
+        reply = await task
+        assert (reply.status, reply.whole) == (503, True)
+        assert "retry-after" in reply.headers
+        assert count_runs(d.engines) == 0
+        await stopping
+
+    run_scenario(scenario)
+
+
+def test_request_with_an_incomplete_body_is_refused_when_the_host_stops():
+    async def scenario(d):
+        connection = await KeptConnection.open(d.settings.listen.callers)
+        headers = {"content-length": "100"}
+        task = asyncio.create_task(
+            connection.send_part("c1", "/book/x", "POST", b"part", **headers)
+        )
+        await asyncio.sleep(0.1)
+        stopping = start_drain(d, grace_s=1.0)
+        reply = await task
+        assert (reply.status, reply.whole) == (503, True)
+        assert count_runs(d.desks) == 0
+        await stopping
+
+    run_scenario(scenario)
+
+
+def test_paused_host_answers_its_requests_when_it_wakes_after_the_drain():
+    async def scenario(d):
+        for desk in d.desks:
+            desk.faults.hang = True
+        connection = await KeptConnection.open(d.settings.listen.callers)
+        task = asyncio.create_task(connection.send("c1", "/book/x", "POST", b"b"))
+        await wait_until(lambda: count_runs(d.desks) == 1)
+        stopping = start_drain(d, grace_s=3.0)
+        d.host.context.drain.end_ms = d.host.clock.read() - 1.0
+        async with asyncio.timeout(1.0):
+            assert (await task).status == 504
+            await stopping
+
+    run_scenario(scenario)
+
+
+def test_draining_host_hears_of_loads_and_crashes_while_it_serves():
+    async def scenario(d):
+        async with run_second_host(d) as second:
+            start_drain(d, grace_s=4.0)
+            await asyncio.sleep(0.5)
+            for boot in range(4):
+                second.context.crashes.record_crash(
+                    f"llm-{boot}", boot, [("p1",)], second.clock.read()
+                )
+            crashes = d.host.context.crashes
+            await wait_until(lambda: crashes.count_crashes() == 4, 2.0)
+
+    run_scenario(scenario)
+
+
+class FullListener:
+    """A server whose queue of new connections is full."""
+
+    name = "desk-9"
+
+    def __init__(self):
+        self.listener = socket.socket()
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(0)
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.queued = [socket.socket() for _ in range(4)]
+        for connection in self.queued:
+            connection.setblocking(False)
+            connection.connect_ex(self.listener.getsockname())
+
+    def close(self):
+        for connection in (self.listener, *self.queued):
+            connection.close()
+
+
+def test_request_that_was_not_sent_when_the_host_stops_is_said_not_to_have_run():
+    async def scenario(d):
+        full = FullListener()
+        for desk in d.desks:
+            d.drop_server(desk)
+        await wait_until(lambda: d.count_servers() == 2)
+        d.list_server(full, "desk")
+        await wait_until(lambda: d.count_servers() == 3)
+        connection = await KeptConnection.open(d.settings.listen.callers)
+        headers = {"x-deadline-ms": "500"}
+        task = asyncio.create_task(
+            connection.send("c1", "/book/x", "POST", b"b", **headers)
+        )
+        await asyncio.sleep(0.3)
+        stopping = start_drain(d, grace_s=0.2)
+        assert (await task).status == 503
+        await stopping
+        full.close()
+
+    run_scenario(scenario)
