--- a/cornelnotch/node/tests/test_drain.py
+++ b/cornelnotch/node/tests/test_drain.py
@@ -2,18 +2,20 @@
 
 import asyncio
 import socket
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import h11
 import orjson
 
 from cornelnotch.kernel import create_clock, create_identifier
 from cornelnotch.load.embedded import Deployment, InProcessFleet
+from cornelnotch.node import create_node
 from cornelnotch.standins.platform import PlatformStandin
 from cornelnotch.web import parse_address
 
 READ_BYTES = 65536
 ENTRY_TTL_MS = 50
+DESK_SHARD = "counter-desk/north-tw/0"
 BODY_BYTES = 900_000
 DEPLOYMENT = Deployment(
     "heelmark",
@@ -35,7 +37,7 @@
     whole: bool = False
 
 
-def encode_request(target, labels, content, key=None):
+def encode_request(target, labels, content, **more_headers):
     body = orjson.dumps(content)
     headers = {
         "host": "h",
@@ -43,19 +45,17 @@
         "cornelnotch-labels": labels,
         "content-length": str(len(body)),
     }
-    if key is not None:
-        headers["idempotency-key"] = key
+    headers.update({k.replace("_", "-"): v for k, v in more_headers.items()})
     protocol = h11.Connection(h11.CLIENT)
     head = h11.Request(method="POST", target=target, headers=list(headers.items()))
     events = [head, h11.Data(data=body), h11.EndOfMessage()]
     return b"".join(protocol.send(event) or b"" for event in events)
 
 
-def encode_booking(reference, key=None):
+def encode_booking(reference, **more_headers):
     target = "/v1/services/counter-desk/book"
-    content = {"reference": reference}
-    key = key or create_identifier()
-    return encode_request(target, "kind=booking", content, key)
+    headers = {"idempotency_key": create_identifier(), **more_headers}
+    return encode_request(target, "kind=booking", {"reference": reference}, **headers)
 
 
 def encode_lookup(reference="shelf"):
@@ -123,13 +123,15 @@
 
     def __init__(self, fleet):
         self.fleet = fleet
-        self.node = fleet.nodes["host-1"]
+        self.ranking = fleet.nodes["host-1"].fleet.rank_dispatchers(DESK_SHARD)
+        # Drains the host that grants no permits.
+        self.node = fleet.nodes[self.ranking[-1]]
         self.desk = fleet.services["desk-1"]
         self.engine = fleet.engines["cobbler-1"]
         self.connections = []
-        self._set_timing(entry_ttl_ms=ENTRY_TTL_MS)
+        self.set_timing(entry_ttl_ms=ENTRY_TTL_MS)
 
-    def _set_timing(self, **values):
+    def set_timing(self, **values):
         settings = self.node.settings
         timing = settings.timing.model_copy(update=values)
         self.node.settings = settings.model_copy(update={"timing": timing})
@@ -149,7 +151,7 @@
     def start_drain(self, limit_ms=None):
         """Start to drain like a process that gets SIGTERM; return its task."""
         if limit_ms is not None:
-            self._set_timing(drain_limit_ms=limit_ms)
+            self.set_timing(drain_limit_ms=limit_ms)
         self.node.start_drain()
         return asyncio.create_task(self._stop_when_drained())
 
@@ -158,10 +160,13 @@
         await self.node.stop()
 
 
-def run_scenario(scenario):
+def run_scenario(scenario, hosts=2):
     async def run():
         clock = create_clock()
-        fleet = InProcessFleet(DEPLOYMENT, clock, PlatformStandin(clock))
+        names = list(DEPLOYMENT.hosts)[:hosts]
+        chosen = {name: DEPLOYMENT.hosts[name] for name in names}
+        deployment = replace(DEPLOYMENT, hosts=chosen)
+        fleet = InProcessFleet(deployment, clock, PlatformStandin(clock))
         await fleet.start()
         drained = DrainScenario(fleet)
         try:
@@ -207,6 +212,106 @@
     run_scenario(scenario)
 
 
+def test_call_that_waits_for_a_permit_at_the_drain_limit_is_refused_as_not_run():
+    async def scenario(s):
+        s.desk.profile.frozen_ms = 4000.0
+        busy = [await s.connect() for _ in range(8)]
+        for connection in busy:
+            connection.send_now(encode_lookup("filler"))
+        await wait_until(lambda: s.desk.ledger["filler"] == 8)
+        connection = await s.connect()
+        connection.send_now(encode_booking("waiting"))
+        stopping = s.start_drain(limit_ms=300)
+        reply = await connection.read()
+        assert (reply.status, reply.whole) == (503, True)
+        assert reply.headers["cornelnotch-outcome"] == "not-run"
+        assert "retry-after" in reply.headers
+        await stopping
+        assert s.desk.ledger["waiting"] == 0
+
+    run_scenario(scenario)
+
+
+def test_call_that_is_being_refused_at_the_drain_limit_is_answered():
+    async def scenario(s):
+        s.desk.profile.frozen_ms = 4000.0
+        busy = [await s.connect() for _ in range(8)]
+        for connection in busy:
+            connection.send_now(encode_lookup("filler"))
+        await wait_until(lambda: s.desk.ledger["filler"] == 8)
+        connection = await s.connect()
+        repeat = {"cornelnotch_attempt": "2", "cornelnotch_deadline_ms": "1300"}
+        connection.send_now(encode_booking("waiting", **repeat))
+        await asyncio.sleep(0.1)
+        # The release of the key takes its whole time limit.
+        s.fleet.platform.faults.slow_ms = 5000.0
+        stopping = s.start_drain(limit_ms=300)
+        reply = await connection.read()
+        assert (reply.status, reply.whole) == (503, True)
+        assert reply.headers["cornelnotch-outcome"] == "unknown"
+        await stopping
+
+    run_scenario(scenario)
+
+
+def test_call_without_a_response_at_the_drain_limit_is_answered_as_unknown():
+    async def scenario(s):
+        s.desk.profile.frozen_ms = 4000.0
+        connection = await s.connect()
+        connection.send_now(encode_booking("running"))
+        await wait_until(lambda: s.desk.ledger["running"])
+        stopping = s.start_drain(limit_ms=300)
+        reply = await connection.read()
+        assert (reply.status, reply.whole) == (504, True)
+        assert reply.headers["cornelnotch-outcome"] == "unknown"
+        await stopping
+
+    run_scenario(scenario)
+
+
+def test_request_whose_body_is_incomplete_at_the_drain_limit_is_refused():
+    async def scenario(s):
+        connection = await s.connect()
+        connection.send_now(encode_booking("half")[:-5])
+        await wait_until(lambda: s.node.front.active == 1)
+        stopping = s.start_drain(limit_ms=300)
+        reply = await connection.read()
+        assert (reply.status, reply.whole) == (503, True)
+        assert reply.headers["cornelnotch-outcome"] == "not-run"
+        await stopping
+
+    run_scenario(scenario)
+
+
+def test_call_that_waits_for_its_claim_at_the_drain_limit_is_answered():
+    async def scenario(s):
+        s.fleet.platform.faults.slow_ms = 5000.0
+        connection = await s.connect()
+        connection.send_now(encode_booking("claiming"))
+        stopping = s.start_drain(limit_ms=300)
+        reply = await connection.read()
+        assert (reply.status, reply.whole) == (503, True)
+        await stopping
+        assert s.desk.ledger["claiming"] == 0
+
+    run_scenario(scenario)
+
+
+def test_stream_that_outlasts_the_drain_limit_ends_with_an_error_event():
+    async def scenario(s):
+        connection = await s.connect()
+        connection.send_now(encode_chat(400))
+        stopping = s.start_drain(limit_ms=300)
+        reply = await connection.read()
+        assert (reply.status, reply.whole) == (200, True)
+        assert b"[DONE]" not in reply.body
+        last = reply.body.strip().rpartition(b"data: ")[2]
+        assert orjson.loads(last)["error"]["outcome"] == "unknown"
+        await stopping
+
+    run_scenario(scenario)
+
+
 def test_response_in_the_write_buffer_of_a_draining_host_is_delivered(monkeypatch):
     monkeypatch.setattr("cornelnotch.web.server.WRITE_BUFFER_HIGH_BYTES", BODY_BYTES)
 
@@ -223,3 +328,55 @@
         await stopping
 
     run_scenario(scenario)
+
+
+def test_last_host_serves_requests_while_it_drains_and_then_stops():
+    async def scenario(s):
+        s.desk.profile.work_ms = 500.0
+        connection, other = await s.connect(), await s.connect()
+        connection.send_now(encode_booking("running"))
+        await wait_until(lambda: s.desk.ledger["running"])
+        stopping = s.start_drain()
+        late = await other.ask(encode_booking("late"))
+        assert (late.status, (await connection.read()).status) == (200, 200)
+        async with asyncio.timeout(6.0):
+            await stopping
+
+    run_scenario(scenario, hosts=1)
+
+
+def test_running_requests_keep_their_slots_when_their_dispatcher_drains():
+    async def scenario(s):
+        s.node = s.fleet.nodes[s.ranking[0]]
+        s.set_timing(entry_ttl_ms=ENTRY_TTL_MS)
+        s.desk.profile.frozen_ms = 2500.0
+        busy = [await s.connect() for _ in range(8)]
+        for connection in busy:
+            connection.send_now(encode_booking("filler"))
+        await wait_until(lambda: s.desk.ledger["filler"] == 8)
+        s.desk.profile.frozen_ms = 0.0
+        waiting = await s.connect()
+        waiting.send_now(encode_booking("waiting"))
+        await asyncio.sleep(0.3)
+        stopping = s.start_drain()
+        replies = [asyncio.create_task(c.read()) for c in busy]
+        await asyncio.wait(replies, return_when=asyncio.FIRST_COMPLETED)
+        assert s.desk.ledger["waiting"] == 0
+        assert (await waiting.read()).status == 200
+        await stopping
+
+    run_scenario(scenario)
+
+
+def test_host_that_drains_before_and_while_it_starts_stops():
+    async def scenario(s):
+        await s.node.stop()
+        early = create_node(s.node.settings, s.node.clock)
+        early.start_drain()
+        await early.start()
+        early.start_drain()
+        async with asyncio.timeout(6.0):
+            await early.stopped.wait()
+        await early.stop()
+
+    run_scenario(scenario)
--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -4,13 +4,18 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
+from typing import cast
 
 import h11
 import orjson
 
-from cornelnotch.exceptions import CallerDisconnectedError, RequestError
+from cornelnotch.exceptions import (
+    CallerDisconnectedError,
+    CornelnotchError,
+    RequestError,
+)
 from cornelnotch.kernel.tasks import cancel_and_wait
-from cornelnotch.web.connections import reset_on_close
+from cornelnotch.web.connections import count_outstanding_bytes, reset_on_close
 from cornelnotch.web.exchange import Exchange
 
 __all__ = ["Handler", "HttpServer", "ServerConnection", "ServerLimits"]
@@ -18,10 +23,12 @@
 READ_BYTES = 65536
 MAX_HEADER_BYTES = 32768
 HEADER_TIMEOUT_S = 60.0
-DISCARD_TIMEOUT_S = 1.0
+LINGER_TIMEOUT_S = 1.0
+LINGER_POLL_S = 0.005
 MAX_DISCARDED_BYTES = 4 * 1024 * 1024
 WRITE_BUFFER_HIGH_BYTES = 65536
 MAX_BUFFERED_BYTES = 65536
+STATUS_INTERNAL_ERROR = 500
 STATUS_UNAVAILABLE = 503
 # Steps of the event loop from accepting a connection to its task.
 ACCEPT_STEPS = 8
@@ -61,7 +68,6 @@
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
         self._close_watcher: asyncio.Task[None] | None = None
-        self._busy = False
         self._closing = False
         self.lingering = False
         self._reading: asyncio.Timeout | None = None
@@ -73,7 +79,7 @@
         while not self.disconnected.is_set():
             request = await self._read_request()
             if request is None:
-                if self._closing and not self.disconnected.is_set():
+                if not self.lingering and not self.disconnected.is_set():
                     await self._linger()
                 return
             try:
@@ -81,9 +87,7 @@
             except RequestError as error:
                 await self._respond_and_close(error.status, error.kind, str(error))
                 return
-            self._busy = True
-            await handler(exchange)
-            self._busy = False
+            await self._handle(handler, exchange)
             if not exchange.response_finished:
                 return
             await self._stop_watching()
@@ -94,6 +98,22 @@
                 return
             self._protocol.start_next_cycle()
 
+    async def _handle(self, handler: Handler, exchange: Exchange) -> None:
+        """Handle a request; answer it also if the handler fails unexpectedly."""
+        try:
+            await handler(exchange)
+        except (CornelnotchError, h11.ProtocolError, OSError):
+            raise
+        except Exception:
+            if exchange.response_started:
+                self.abort()
+            else:
+                self._closing = True
+                content = {"error": {"kind": "internal", "message": "internal error"}}
+                await exchange.respond_json(STATUS_INTERNAL_ERROR, content)
+                await self._linger()
+            raise
+
     async def _read_request(self) -> h11.Request | None:
         try:
             event = await self._read_head()
@@ -199,21 +219,37 @@
         return None if event is h11.NEED_DATA else event
 
     async def _linger(self) -> None:
-        """End the response, and discard input until the caller closes too.
+        """End the response, and wait until the caller's system has received it.
 
-        Closing with unread input would reset the connection before the caller has read
-        the response.
+        Closing with unread input resets the connection, which discards a response that
+        is still under way.
         """
-        discarded = 0
         self.lingering = True
         with suppress(OSError, TimeoutError):
             self._writer.write_eof()
-            async with asyncio.timeout(DISCARD_TIMEOUT_S):
-                while discarded < MAX_DISCARDED_BYTES:
-                    data = await self._reader.read(READ_BYTES)
-                    if not data:
-                        return
-                    discarded += len(data)
+            async with asyncio.timeout(LINGER_TIMEOUT_S):
+                if self._protocol.their_state in {h11.SEND_BODY, h11.ERROR}:
+                    await self._discard_input()
+                else:
+                    await self._wait_until_received()
+
+    async def _discard_input(self) -> None:
+        """Discard the rest of a request, whose caller may read only after sending."""
+        discarded = 0
+        while discarded < MAX_DISCARDED_BYTES:
+            data = await self._reader.read(READ_BYTES)
+            if not data:
+                return
+            discarded += len(data)
+
+    async def _wait_until_received(self) -> None:
+        """Wait without reading, since a further request would not be answered."""
+        transport = cast(asyncio.Transport, self._writer.transport)
+        transport.pause_reading()
+        while not transport.is_closing():
+            if not count_outstanding_bytes(self._writer):
+                return
+            await asyncio.sleep(LINGER_POLL_S)
 
     async def read_event(self) -> object:
         """Return the next h11 event; raise RequestError if the body is malformed."""
@@ -360,10 +396,21 @@
         """Close the listener and idle connections; current requests are completed."""
         self._draining = True
         if self._server is not None:
-            self._server.close()
+            self._stop_listening(self._server)
         for connection in self._open_connections:
             connection.close_when_idle()
 
+    @staticmethod
+    def _stop_listening(server: asyncio.Server) -> None:
+        """Close the listener after the connections that are just being accepted.
+
+        asyncio drops such a connection without closing it if its server is closed.
+        """
+        loop = asyncio.get_running_loop()
+        for listener in server.sockets:
+            loop.remove_reader(listener.fileno())
+        loop.call_soon(server.close)
+
     async def shut_down(self, timeout_s: float) -> int:
         """Stop gracefully: wait for responses to be read, but at most `timeout_s`.
 
