web: a connection that ends lingers while its caller receives

Cause: a connection that ends was closed after 1 s in any case, and a close with unread input resets it.

It is now closed 1 s after the caller's system has last acknowledged anything. Test: test_slow_reader_gets_all_of_its_last_response_beside_unread_input fails before (reset).

--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -24,7 +24,7 @@
 MAX_HEADER_BYTES = 32768
 HEADER_TIMEOUT_S = 60.0
 LINGER_TIMEOUT_S = 1.0
-LINGER_POLL_S = 0.005
+LINGER_POLL_S = 0.01
 MAX_DISCARDED_BYTES = 4 * 1024 * 1024
 WRITE_BUFFER_HIGH_BYTES = 65536
 MAX_BUFFERED_BYTES = 65536
@@ -227,11 +227,11 @@
         self.lingering = True
         with suppress(OSError, TimeoutError):
             self._writer.write_eof()
-            async with asyncio.timeout(LINGER_TIMEOUT_S):
-                if self._protocol.their_state in {h11.SEND_BODY, h11.ERROR}:
+            if self._protocol.their_state in {h11.SEND_BODY, h11.ERROR}:
+                async with asyncio.timeout(LINGER_TIMEOUT_S):
                     await self._discard_input()
-                else:
-                    await self._wait_until_received()
+            else:
+                await self._wait_until_received()
 
     async def _discard_input(self) -> None:
         """Discard the rest of a request, whose caller may read only after sending."""
@@ -243,13 +243,20 @@
             discarded += len(data)
 
     async def _wait_until_received(self) -> None:
-        """Wait without reading, since a further request would not be answered."""
+        """Wait while the caller receives, without reading a further request."""
         transport = cast(asyncio.Transport, self._writer.transport)
         transport.pause_reading()
-        while not transport.is_closing():
-            if not count_outstanding_bytes(self._writer):
-                return
+        loop = asyncio.get_running_loop()
+        least = count_outstanding_bytes(self._writer)
+        received_s = loop.time()
+        while least and not transport.is_closing():
             await asyncio.sleep(LINGER_POLL_S)
+            outstanding = count_outstanding_bytes(self._writer)
+            if outstanding < least:
+                least = outstanding
+                received_s = loop.time()
+            elif loop.time() - received_s >= LINGER_TIMEOUT_S:
+                return
 
     async def read_event(self) -> object:
         """Return the next h11 event; raise RequestError if the body is malformed."""
--- a/cornelnotch/web/tests/test_shutdown.py
+++ b/cornelnotch/web/tests/test_shutdown.py
@@ -265,3 +265,18 @@
         writer.close()
 
     run_scenario(scenario, body=b"x" * 60_000)
+
+
+def test_slow_reader_gets_all_of_its_last_response_beside_unread_input():
+    async def scenario(running):
+        running.server.limits.draining = True
+        running.release.set()
+        reader, writer = await running.connect()
+        writer.write(REQUEST)
+        await asyncio.sleep(0.05)
+        writer.write(REQUEST)
+        # About 2.5 s, longer than the server waits without progress.
+        assert (await read_to_the_end(reader, 0.05)).endswith(running.body)
+        writer.close()
+
+    run_scenario(scenario)
