gateway: a host that stops before it is ready sends its callers away at once

What callers saw: 503 no-servers with a Retry-After of up to 5 s from a host that was stopped before it knew routes and servers (soak, fleet of 60 hosts). That delay is for an outage of the store; a leaving host does not wait for its end.

--- a/cornelnotch/gateway/frontend.py
+++ b/cornelnotch/gateway/frontend.py
@@ -135,7 +135,13 @@
         reason = "no-servers" if is_configured else "no-configuration"
         waited_ms = self._context.clock.read() - arrived_ms
         left_ms = max(request.deadline_ms - waited_ms, 0.0)
-        retry_ms = self._context.startup.choose_retry_after_ms(left_ms)
+        if self._context.drain.has_started:
+            # A host that has just started may know no other yet.
+            retry_ms = choose_drain_retry_after_ms(
+                True, left_ms, self._context.generator
+            )
+        else:
+            retry_ms = self._context.startup.choose_retry_after_ms(left_ms)
         await self._refuse(exchange, request, STATUS_UNAVAILABLE, reason, retry_ms)
 
     async def _refuse(
--- a/cornelnotch/gateway/tests/test_graceful_shutdown.py
+++ b/cornelnotch/gateway/tests/test_graceful_shutdown.py
@@ -336,3 +336,20 @@
         await stopping
 
     run_scenario(scenario)
+
+
+def test_host_that_is_stopped_before_it_is_ready_sends_callers_away_at_once():
+    async def scenario(d):
+        d.store.fault = "silent"
+        settings = create_settings(d.store, "host-2")
+        host = create_host(settings)
+        await host.start()
+        host.start_drain()
+        stopping = asyncio.create_task(stop_when_drained(host))
+        connection = await KeptConnection.open(settings.listen.callers)
+        reply = await connection.send("c1", "/read/x")
+        assert reply.status == 503
+        assert float(reply.headers["retry-after"]) <= 0.1
+        await stopping
+
+    run_scenario(scenario)
