--- a/cornelnotch/gateway/tests/test_graceful_shutdown.py
+++ b/cornelnotch/gateway/tests/test_graceful_shutdown.py
@@ -6,6 +6,8 @@
 from cornelnotch.gateway.admission_client import AdmissionResult
 from cornelnotch.gateway.durations import RequestDuration
 from cornelnotch.gateway.tests.conftest import (
+    create_host,
+    create_settings,
     run_deployment,
     run_second_host,
     wait_until,
@@ -310,11 +312,44 @@
 
 def test_stream_of_unknown_duration_is_served_while_callers_are_expected():
     async def scenario(d):
-        start = start_drain(d, grace_s=5.0)
+        stopping = start_drain(d, grace_s=4.0)
         connection = await KeptConnection.open(d.settings.listen.callers)
         headers = {"x-token-usage": "10,4000"}
         reply = await connection.send("s1", "/stream/x", "POST", b"p", **headers)
         assert (reply.status, reply.whole) == (200, True)
-        await start
+        await stopping
+
+    run_scenario(scenario)
+
+
+def test_host_that_is_stopped_while_it_starts_serves_its_callers():
+    async def scenario(d):
+        settings = create_settings(d.store, "host-2", seeds=d.settings.listen.peers)
+        host = create_host(settings)
+        await host.start()
+        host.start_drain()
+        stopping = asyncio.create_task(stop_when_drained(host))
+        connection = await KeptConnection.open(settings.listen.callers)
+        reply = await connection.send("c1", "/read/x")
+        assert (reply.status, reply.whole) == (200, True)
+        assert not host.is_ready()
+        await stopping
+
+    run_scenario(scenario)
+
+
+def test_host_that_is_stopped_before_it_is_ready_sends_callers_away_at_once():
+    async def scenario(d):
+        d.store.fault = "silent"
+        settings = create_settings(d.store, "host-2")
+        host = create_host(settings)
+        await host.start()
+        host.start_drain()
+        stopping = asyncio.create_task(stop_when_drained(host))
+        connection = await KeptConnection.open(settings.listen.callers)
+        reply = await connection.send("c1", "/read/x")
+        assert reply.status == 503
+        assert float(reply.headers["retry-after"]) <= 0.1
+        await stopping
 
     run_scenario(scenario)
