gateway: the log of a crash names the requests that were at the server by fingerprint

A request that is repeated comes under a new id, so the log could not tell whether one request was at several crashes. A fingerprint of what the server receives (method, host, target, workspace, body; and one with the prompt parts too) is the same for each attempt. No decision uses it yet.

--- a/cornelnotch/gateway/crash_watch.py
+++ b/cornelnotch/gateway/crash_watch.py
@@ -13,7 +13,7 @@
 __all__ = ["CrashWatch", "ServerLife"]
 
 REMEMBERED_LIVES = 256
-MAX_LOGGED_PARTS = 8
+MAX_LOGGED_NAMES = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,6 +83,7 @@
 
     def _log_crash(self, life: ServerLife, riders: list[InFlightRequest]) -> None:
         parts = sorted({part for rider in riders for part in rider.shared_parts})
+        first = riders[:MAX_LOGGED_NAMES]
         self._metrics.count_server_crash()
         self._events.record(
             Event.SERVER_CRASHED,
@@ -90,5 +91,7 @@
             boot_ms=life.boot_ms,
             requests=len(riders),
             parts=len(parts),
-            first_parts=parts[:MAX_LOGGED_PARTS],
+            first_parts=parts[:MAX_LOGGED_NAMES],
+            first_requests=[rider.request_id for rider in first],
+            first_fingerprints=[rider.fingerprints[-1:] for rider in first],
         )
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -16,6 +16,7 @@
     open_response,
 )
 from cornelnotch.gateway.drain import choose_drain_retry_after_ms
+from cornelnotch.gateway.fingerprints import create_fingerprints
 from cornelnotch.gateway.forwarding import MAX_BUFFERED_BYTES, EventReader, forward_body
 from cornelnotch.gateway.header_codec import DispatchOptions
 from cornelnotch.gateway.models import (
@@ -112,6 +113,7 @@
         if workspace is not None and workspace.priority is not None:
             self.priority = workspace.priority
         self.service = context.choose_service(route, request.request_id)
+        request.fingerprints = create_fingerprints(request, workspace)
 
     async def run(self) -> None:
         """Serve the request; cancel the work when the caller disconnects."""
@@ -444,6 +446,7 @@
             self.priority,
             latency_sensitive=self.context.is_latency_sensitive(self.route),
             shared_parts=self.request.list_shared_parts(),
+            fingerprints=self.request.fingerprints,
         )
         placement.server.start(in_flight)
         return in_flight
--- a/cornelnotch/gateway/models.py
+++ b/cornelnotch/gateway/models.py
@@ -149,6 +149,7 @@
     """One request of a caller; `headers` are the headers to forward.
 
     `output_tokens` is the most that it lets a server generate, or 0 if it names none.
+    `fingerprints` are the same for requests that only differ in their ids.
     """
 
     request_id: str
@@ -164,6 +165,7 @@
     prompt_tokens: int = 0
     output_tokens: int = 0
     body: bytes = field(default=b"", repr=False)
+    fingerprints: tuple[str, ...] = ()
 
     def list_shared_parts(self) -> tuple[str, ...]:
         """Return the names of the prompt parts that other requests may have too."""
--- a/cornelnotch/gateway/servers.py
+++ b/cornelnotch/gateway/servers.py
@@ -46,7 +46,8 @@
 
     `sent` is false while the dispatch is queued, for about `wait_ms` more.
     `latency_sensitive` is true for streams that accept only short inter-token gaps.
-    `shared_parts` are the prompt parts that other requests may have too.
+    `shared_parts` are the prompt parts that other requests may have too, `fingerprints`
+    those of the whole request.
     `events` counts complete events, the last of which arrived at `event_ms`;
     `longest_gap_ms` is the longest gap between two events since `take_progress` was
     last called.
@@ -63,6 +64,7 @@
     sent: bool = False
     latency_sensitive: bool = False
     shared_parts: tuple[str, ...] = ()
+    fingerprints: tuple[str, ...] = ()
     events: int = 0
     event_ms: float = 0.0
     longest_gap_ms: float = 0.0
