gateway: a request that crashes its servers is recognized when it comes again

Callers saw: one request, repeated with the same path, caller and body at any host, crashed server after server; all others there lost their responses. Cause: crashes accused only prompt parts that requests share. A request without such parts (a call, a prompt of one part) accused nothing, and one whose parts sound requests also have was cleared by them each time. Class: what does harm is not what the evidence can name. Why it works: a crash accuses the fingerprints of the requests at the server beside their parts, through the same rules; what was at the same crashes is refused only together, so that a sound request with the same parts or the same path is not. Two requests at the same crashes are told apart by a trial. A full server's parts now fit one crash record.

--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -112,16 +112,16 @@
         return self.rate_limits.find(server.record)
 
     def record_crash(self, life: ServerLife, requests: list[InFlightRequest]) -> None:
-        """Accuse the prompts of requests at a server that has crashed."""
-        parts = [request.shared_parts for request in requests]
+        """Accuse the requests at a server that has crashed, and their prompt parts."""
+        parts = [request.shared_parts + request.fingerprints for request in requests]
         found = self.crashes.record_crash(
             life.server, life.boot_ms, parts, self.clock.read()
         )
         self._log_blamed(found, self.settings.host.name)
 
     def record_sound(self, request: CallerRequest) -> None:
-        """Clear the prompt parts of a response that ended whole."""
-        parts = request.list_shared_parts()
+        """Clear a request whose response ended whole, and its prompt parts."""
+        parts = request.list_crash_parts()
         cleared = self.crashes.record_sound(parts, self.clock.read())
         if cleared:
             self.events.record(
@@ -142,12 +142,12 @@
             )
 
     def may_try_blamed(self, request: CallerRequest) -> bool:
-        """Return whether this host may send a request whose prompt is blamed.
+        """Return whether this host may send a request that is blamed for crashes.
 
         If the evidence is weak, one host tries such a request now and then.
         """
         now = self.clock.read()
-        for parts in self.crashes.list_blamed(request.list_shared_parts()):
+        for parts in self.crashes.list_blamed(request.list_crash_parts()):
             is_owner = self._find_trial_owner(parts) == self.settings.host.name
             if not is_owner or not self.crashes.try_acquire_trial(parts, now):
                 return False
--- a/cornelnotch/gateway/crash_evidence.py
+++ b/cornelnotch/gateway/crash_evidence.py
@@ -1,14 +1,16 @@
-"""Find the prompt parts that crash servers; no I/O.
+"""Find the requests and the prompt parts that crash servers; no I/O.
 
-A crash ends all responses at its server, so it accuses all their parts. A part of which
-a response ends whole is cleared. Of the others, those that explain the most crashes are
-blamed, and crashes that they explain accuse no other part.
+A crash ends all responses at its server, so it accuses all parts of their requests:
+those of their prompts that others may share, and the fingerprints of the requests. A
+part of which a response ends whole is cleared. Of the others, those that explain the
+most crashes are blamed, and crashes that they explain accuse no other part.
 """
 
 from collections import Counter, OrderedDict
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
+from cornelnotch.gateway.fingerprints import find_content_fingerprint, is_fingerprint
 from cornelnotch.wire.messages import BlamedParts, CrashEvidenceNotice, CrashReport
 
 __all__ = ["BlamedSet", "CrashEvidence", "CrashRecord", "find_blamed_sets"]
@@ -26,10 +28,11 @@
 TRIAL_INTERVAL_MS = 2000.0
 CRASH_TTL_MS = 600_000.0
 MAX_CRASHES = 64
-MAX_PARTS_PER_CRASH = 256
+MAX_PARTS_PER_CRASH = 1024
 # Reports are repeated for this long, as a collector may be replaced meanwhile.
 REPORT_TTL_MS = 3000.0
 REMEMBERED_SOUND_PARTS = 8192
+REMEMBERED_SOUND_FINGERPRINTS = 8192
 MAX_BLAMED_SETS = 256
 
 
@@ -94,10 +97,24 @@
         ):
             ignored |= together
             continue
-        selected.append(frozenset(p for p in together if counts[p] == most))
+        selected += _split_by_request({p for p in together if counts[p] == most})
         left = [(crash, parts) for crash, parts in left if part not in parts]
 
 
+def _split_by_request(parts: set[str]) -> list[frozenset[str]]:
+    """Return the sets of parts that one request may have.
+
+    No request has the fingerprints of two. The prompt parts beside them may be those
+    of only one of the requests.
+    """
+    whole = {p for p in parts if is_fingerprint(p) and find_content_fingerprint(p) != p}
+    contents = {p for p in parts if is_fingerprint(p)} - whole
+    fingerprints = whole or contents
+    if len(fingerprints) <= 1:
+        return [frozenset(parts)]
+    return [frozenset({fingerprint}) for fingerprint in sorted(fingerprints)]
+
+
 def _is_explanation(explained: list[CrashRecord], crashes: list[CrashRecord]) -> bool:
     first = min(crash.crashed_ms for crash in explained)
     last = max(crash.crashed_ms for crash in explained)
@@ -129,6 +146,7 @@
         self._crashes: OrderedDict[tuple[str, int], CrashRecord] = OrderedDict()
         self._own: dict[tuple[str, int], float] = {}
         self._sound: OrderedDict[str, float] = OrderedDict()
+        self._sound_fingerprints: OrderedDict[str, float] = OrderedDict()
         self._cleared: dict[str, float] = {}
         self._blamed: OrderedDict[frozenset[str], BlamedSet] = OrderedDict()
         self._suspected: list[frozenset[str]] = []
@@ -136,7 +154,7 @@
     def record_crash(
         self, server: str, boot_ms: int, requests: Iterable[tuple[str, ...]], now: float
     ) -> list[frozenset[str]]:
-        """Add a crash and the shared parts of requests there; return newly blamed."""
+        """Add a crash and the parts of requests there; return newly blamed."""
         parts = {part for shared in requests for part in shared}
         self._own[server, boot_ms] = now
         return self._add(server, boot_ms, now, parts, now)
@@ -145,20 +163,23 @@
         """Clear the parts of a response that ended whole; return those accused."""
         cleared = []
         for part in parts:
-            self._sound[part] = now
-            self._sound.move_to_end(part)
+            sound = self._sound_fingerprints if is_fingerprint(part) else self._sound
+            sound[part] = now
+            sound.move_to_end(part)
             if self._clear(part, now):
                 cleared.append(part)
         while len(self._sound) > REMEMBERED_SOUND_PARTS:
             self._sound.popitem(last=False)
+        while len(self._sound_fingerprints) > REMEMBERED_SOUND_FINGERPRINTS:
+            self._sound_fingerprints.popitem(last=False)
         return cleared
 
     def list_blamed(self, parts: Collection[str]) -> list[frozenset[str]]:
-        """Return the blamed sets that a request with these shared parts contains."""
+        """Return the blamed sets that a request with these parts contains."""
         return [blamed for blamed in self._blamed if blamed.issubset(parts)]
 
     def is_suspected(self, parts: Collection[str]) -> bool:
-        """Return whether a request with these shared parts may crash servers."""
+        """Return whether a request with these parts may crash servers."""
         sets = (*self._suspected, *self._blamed)
         return any(suspected.issubset(parts) for suspected in sets)
 
@@ -234,7 +255,7 @@
             while len(self._crashes) > MAX_CRASHES:
                 self._crashes.popitem(last=False)
         before = len(crash.parts), len(crash.known)
-        sound = {p for p in parts if p in self._sound} | set(known)
+        sound = {p for p in parts if self._is_sound(p)} | set(known)
         room = max(MAX_PARTS_PER_CRASH - sum(before), 0)
         crash.known.update(sorted(sound)[:room])
         crash.parts.update(sorted(parts - sound)[:room])
@@ -244,13 +265,20 @@
         crash.changed_ms = now
         return self._update(now)
 
+    def _is_sound(self, part: str) -> bool:
+        return part in self._sound or part in self._sound_fingerprints
+
     def _update(self, now: float) -> list[frozenset[str]]:
         crashes = self._crashes.values()
         self._suspected = find_blamed_sets(crashes, SUSPECTED_CRASHES)
+        blamed = find_blamed_sets(crashes)
+        explained = [[c for c in crashes if p <= c.parts | c.known] for p in blamed]
         found = []
-        for parts in find_blamed_sets(crashes):
-            explained = [c for c in crashes if parts <= c.parts | c.known]
-            if self._blame(parts, count_moments(explained) > 1, now):
+        for parts, explained_crashes in zip(blamed, explained, strict=True):
+            # Only a trial tells requests apart that were at the same crashes.
+            is_only_one = explained.count(explained_crashes) == 1
+            confirmed = is_only_one and count_moments(explained_crashes) > 1
+            if self._blame(parts, confirmed, now):
                 found.append(parts)
         return found
 
@@ -260,7 +288,10 @@
         if known is not None:
             known.confirmed |= confirmed
             return False
-        if any(smaller < parts for smaller in self._blamed):
+        smaller_sets = [smaller for smaller in self._blamed if smaller < parts]
+        for smaller in smaller_sets:
+            self._blamed[smaller].confirmed |= confirmed
+        if smaller_sets:
             return False
         for larger in [larger for larger in self._blamed if parts < larger]:
             del self._blamed[larger]
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -186,9 +186,7 @@
         """Return whether the prompt is not blamed for crashes, or may be tried once."""
         if self.tries_blamed_prompt and not self.dispatches.ran:
             return True
-        parts = self.request.list_shared_parts()
-        is_blamed = bool(self.context.crashes.list_blamed(parts))
-        if not is_blamed:
+        if not self.context.crashes.list_blamed(self.request.list_crash_parts()):
             return True
         self.tries_blamed_prompt = self.context.may_try_blamed(self.request)
         return self.tries_blamed_prompt
@@ -307,7 +305,7 @@
             return False
         watch = self.context.crash_watch
         has_crashed = await watch.note_break(placement.server, in_flight)
-        parts = self.request.list_shared_parts()
+        parts = self.request.list_crash_parts()
         return has_crashed and self.context.crashes.is_suspected(parts)
 
     def _may_resume(self, response: UpstreamResponse) -> bool:
--- a/cornelnotch/gateway/models.py
+++ b/cornelnotch/gateway/models.py
@@ -170,3 +170,7 @@
     def list_shared_parts(self) -> tuple[str, ...]:
         """Return the names of the prompt parts that other requests may have too."""
         return tuple(part.name for part in self.prompt[:-1])
+
+    def list_crash_parts(self) -> tuple[str, ...]:
+        """Return what may be blamed for crashes: shared parts and fingerprints."""
+        return self.list_shared_parts() + self.fingerprints
--- a/cornelnotch/gateway/tests/crashing_fleet.py
+++ b/cornelnotch/gateway/tests/crashing_fleet.py
@@ -146,6 +146,11 @@
     def _list_servers(self, host):
         host.context.pool.replace(s.record for s in self.servers.values())
 
+    def create_repeated_prompt(self):
+        """Return the prompt of the one request that crashes servers by itself."""
+        parts = ["shared-0", "workspace-0", "document-0", BAD_PART]
+        return [PromptPart(name, PART_TOKENS) for name in parts]
+
     def create_prompt(self, bad):
         """Return the parts of a prompt; the bad one may stand anywhere but last."""
         choose = self.generator.randrange
@@ -160,6 +165,10 @@
         """Send requests with the bad part at random times to random hosts."""
         await self._load(per_second, duration_s, bad=True)
 
+    async def load_repeated(self, per_second, duration_s):
+        """Send the request that crashes servers at random times to random hosts."""
+        await self._load(per_second, duration_s, True, self.create_repeated_prompt())
+
     async def load(self, per_second, duration_s):
         await self._load(per_second, duration_s, bad=False)
 
@@ -172,20 +181,20 @@
             if not server.is_down:
                 server.crash()
 
-    async def _load(self, per_second, duration_s, bad):
+    async def _load(self, per_second, duration_s, bad, prompt=None):
         loop = asyncio.get_running_loop()
         end_s = loop.time() + duration_s
         while loop.time() < end_s:
             await asyncio.sleep(self.generator.expovariate(per_second))
             host = self.generator.choice(list(self.hosts.values()))
             if host.is_alive and host.thawed_s <= loop.time():
-                self.start(self.send(host, bad))
+                self.start(self.send(host, bad, prompt))
 
-    async def send(self, host, bad):
+    async def send(self, host, bad, prompt=None):
         """Send one request to a host and record what its caller got."""
         self.requests += 1
         request_id = b"r%d" % self.requests
-        prompt = self.create_prompt(bad)
+        prompt = prompt or self.create_prompt(bad)
         self.prompts[request_id] = prompt
         request = CallerRequest(
             request_id.decode(),
--- a/cornelnotch/gateway/tests/crashing_hosts.py
+++ b/cornelnotch/gateway/tests/crashing_hosts.py
@@ -4,6 +4,7 @@
 import itertools
 from contextlib import suppress
 from dataclasses import dataclass, field
+from typing import Any
 
 from cornelnotch.gateway.tests.conftest import (
     HOST_NAME,
@@ -63,7 +64,7 @@
 class CrashingUpstream(UpstreamStandin):
     """A server that crashes when it begins to run one request, and starts again."""
 
-    hosts: "CrashingHosts | None" = field(default=None, repr=False)
+    hosts: Any = field(default=None, repr=False)
     boots: int = 1
 
     async def _answer(self, exchange, headers):
--- a/cornelnotch/gateway/tests/test_crash_evidence.py
+++ b/cornelnotch/gateway/tests/test_crash_evidence.py
@@ -143,3 +143,73 @@
     }
     assert sizes[limit] <= getattr(crash_evidence, limit)
     assert len(evidence._sound) <= crash_evidence.REMEMBERED_SOUND_PARTS
+
+
+def create_request(content, prompt="p", parts=()):
+    """Return the parts of a request with these fingerprints."""
+    return (*parts, f"content,{content}", f"content,{content},{prompt}")
+
+
+ONE = create_request("1", parts=("shared",))
+TWO = create_request("2", parts=("shared",))
+
+
+def test_a_request_at_three_crashes_is_blamed_and_others_with_its_parts_are_not():
+    evidence = CrashEvidence()
+    evidence.record_sound(create_request("9", parts=("shared",)), 0.0)
+    for number in range(3):
+        crash(evidence, number, ONE, create_request(f"rider-{number}"))
+    assert evidence.list_blamed(ONE)
+    assert not evidence.list_blamed(TWO)
+    assert not evidence.list_blamed(create_request("rider-1"))
+
+
+def test_requests_at_the_same_crashes_are_both_blamed_until_a_trial_tells():
+    evidence = CrashEvidence()
+    for number in range(3):
+        crash(evidence, number, ONE, TWO)
+    (one,), (two,) = evidence.list_blamed(ONE), evidence.list_blamed(TWO)
+    assert not evidence.list_blamed(create_request("3", parts=("shared",)))
+    assert evidence.try_acquire_trial(one, 9 * SECOND_MS)
+    assert evidence.try_acquire_trial(two, 9 * SECOND_MS)
+    evidence.record_sound(TWO, 9.1 * SECOND_MS)
+    crash(evidence, 5, ONE)
+    assert not evidence.list_blamed(TWO)
+    assert evidence.list_blamed(ONE)
+    assert not evidence.try_acquire_trial(one, 60 * SECOND_MS)
+
+
+def test_requests_of_one_content_are_told_apart_by_their_prompts():
+    evidence = CrashEvidence()
+    deadly, sound = create_request("1", "a"), create_request("1", "b")
+    for number in range(3):
+        crash(evidence, number, deadly)
+        evidence.record_sound(sound, number * 2 * SECOND_MS + 1.0)
+    assert evidence.list_blamed(deadly)
+    assert not evidence.list_blamed(sound)
+
+
+def test_a_content_that_crashes_servers_with_any_prompt_is_blamed():
+    evidence = CrashEvidence()
+    for number in range(3):
+        crash(evidence, number, create_request("1", f"prompt-{number}"))
+    assert evidence.list_blamed(create_request("1", "another"))
+
+
+def test_a_part_is_blamed_after_crashes_by_different_requests_with_it():
+    evidence = CrashEvidence()
+    for number in range(3):
+        crash(evidence, number, ONE)
+    assert not evidence.list_blamed(TWO)
+    crash(evidence, 4, create_request("3", parts=("shared",)))
+    assert evidence.list_blamed(TWO)
+
+
+def test_memory_of_sound_requests_is_bounded():
+    evidence = CrashEvidence()
+    evidence.record_sound(["shared"], 0.0)
+    for number in range(crash_evidence.REMEMBERED_SOUND_FINGERPRINTS):
+        evidence.record_sound(create_request(str(number)), 0.0)
+    limit = crash_evidence.REMEMBERED_SOUND_FINGERPRINTS
+    assert len(evidence._sound_fingerprints) == limit
+    assert "shared" in evidence._sound
--- a/cornelnotch/gateway/tests/test_crashing_requests.py
+++ b/cornelnotch/gateway/tests/test_crashing_requests.py
@@ -11,6 +11,8 @@
 # share of sound requests served once it has passed twice, against that in calm.
 BOUND_S = 4.0
 MAX_LATE_SENDS = 3
+# Crashes after which the bound starts for one request that is repeated.
+REPEATED_LIVES = 3
 MIN_SOUND_SHARE = 0.9
 CALM_S = 4.0
 BAD_S = 24.0
@@ -43,14 +45,22 @@
     await fleet.partition(names[: len(names) // 3], 8.0)
 
 
-def play(hosts, bad_per_second, fault=stay_calm, sound_per_second=60.0, seed=0):
+def play(
+    hosts,
+    bad_per_second,
+    fault=stay_calm,
+    sound_per_second=60.0,
+    seed=0,
+    repeated=False,
+):
     """Return the fleet after calm, and after a span with bad requests and a fault."""
 
     async def run():
         fleet = CrashingFleet(hosts, SERVERS[hosts], seed)
         fleet.start(fleet.load(sound_per_second, CALM_S + BAD_S))
         await asyncio.sleep(CALM_S)
-        fleet.start(fleet.load_bad(bad_per_second, BAD_S))
+        load = fleet.load_repeated if repeated else fleet.load_bad
+        fleet.start(load(bad_per_second, BAD_S))
         await fault(fleet)
         await asyncio.sleep(max(CALM_S + BAD_S - asyncio.get_running_loop().time(), 0))
         await asyncio.sleep(4.0)
@@ -60,10 +70,10 @@
     return run_in_virtual_time(run())
 
 
-def check(fleet):
-    assert fleet.count_sends_after_bound(BOUND_S) <= MAX_LATE_SENDS
+def check(fleet, lives=5):
+    assert fleet.count_sends_after_bound(BOUND_S, lives) <= MAX_LATE_SENDS
     bad_crashes = [crash.at_s for crash in fleet.crashes if crash.bad]
-    settled_s = bad_crashes[:5][-1] + 2 * BOUND_S
+    settled_s = bad_crashes[:lives][-1] + 2 * BOUND_S
     calm = fleet.find_sound_share(0.0, CALM_S)
     settled = fleet.find_sound_share(settled_s, CALM_S + BAD_S)
     assert settled >= MIN_SOUND_SHARE * calm
@@ -85,3 +95,18 @@
 @pytest.mark.parametrize("hosts", [67, 320])
 def test_large_fleets_soon_refuse_requests_that_crash_their_servers(hosts):
     check(play(hosts, 10.0))
+
+
+@pytest.mark.parametrize("bad_per_second", [0.5, 5.0])
+@pytest.mark.parametrize("hosts", [3, 9, 67, 320])
+def test_fleets_of_any_size_soon_refuse_one_repeated_crashing_request(
+    hosts, bad_per_second
+):
+    check(play(hosts, bad_per_second, repeated=True), REPEATED_LIVES)
+
+
+@pytest.mark.parametrize(
+    "fault", [restart_hosts, freeze_hosts, crash_other_servers, cut_hosts]
+)
+def test_one_repeated_crashing_request_is_refused_during_other_faults(fault):
+    check(play(9, 2.0, fault, repeated=True), REPEATED_LIVES)
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -110,17 +110,17 @@
     PROMPT_BLAMED = (
         4008,
         logging.WARNING,
-        "requests with a part in their prompts crash servers and are refused",
+        "requests that crash servers are refused from now on",
     )
     PROMPT_CLEARED = (
         4009,
         logging.INFO,
-        "prompt parts no longer count as a cause of crashes",
+        "parts of a request no longer count as a cause of crashes",
     )
     PROMPT_TRIED = (
         4010,
         logging.INFO,
-        "a request is sent to confirm that its prompt crashes servers",
+        "a request is sent to confirm that it crashes servers",
     )
     SERVER_RESTS = (
         3007,
