gateway: each of several requests that crash servers is blamed

Callers saw: with five such requests at once, one still reached servers 5 times later than 4 s after its third crash (3 allowed), and 0.90 to 0.92 of sound requests were served. Cause: a part counted only if it explains half of the crashes of its time, so that none of several was blamed until others had been by chance. Class: each hides the others. Why it works: a request at three crashes that never ends whole rarely rode along, and if it did, the trial that it gets until a fourth crash clears it. Parts of prompts keep the rule.

--- a/cornelnotch/gateway/crash_evidence.py
+++ b/cornelnotch/gateway/crash_evidence.py
@@ -21,7 +21,8 @@
 KNOWN_BLAMED_MOMENTS = 4
 # A request with such a part is not sent on after a crash.
 SUSPECTED_CRASHES = 2
-# A part explains its crashes only if few other servers crash meanwhile.
+# A prompt part explains its crashes only if few other servers crash meanwhile. A
+# request that does not is blamed, but needs one crash more to be confirmed.
 MIN_EXPLAINED_SHARE = 0.5
 # Crashes within this time may have one cause besides the requests.
 MOMENT_MS = 1000.0
@@ -91,9 +92,9 @@
         # Parts that were at the same crashes cannot be told apart.
         together = set.intersection(*(parts for _, parts in explained)) - ignored
         records = [crash for crash, _ in explained]
-        if not (
-            count_moments(records) >= min_moments
-            and _is_explanation(records, [crash for crash, _ in left])
+        is_explanation = _is_explanation(records, [crash for crash, _ in left])
+        if count_moments(records) < min_moments or not (
+            is_explanation or _has_fingerprint(together)
         ):
             ignored |= together
             continue
@@ -115,6 +116,10 @@
     return [frozenset({fingerprint}) for fingerprint in sorted(fingerprints)]
 
 
+def _has_fingerprint(parts: Iterable[str]) -> bool:
+    return any(is_fingerprint(part) for part in parts)
+
+
 def _is_explanation(explained: list[CrashRecord], crashes: list[CrashRecord]) -> bool:
     first = min(crash.crashed_ms for crash in explained)
     last = max(crash.crashed_ms for crash in explained)
@@ -274,14 +279,22 @@
         blamed = find_blamed_sets(crashes)
         explained = [[c for c in crashes if p <= c.parts | c.known] for p in blamed]
         found = []
-        for parts, explained_crashes in zip(blamed, explained, strict=True):
+        for parts, records in zip(blamed, explained, strict=True):
             # Only a trial tells requests apart that were at the same crashes.
-            is_only_one = explained.count(explained_crashes) == 1
-            confirmed = is_only_one and count_moments(explained_crashes) > 1
+            is_only_one = explained.count(records) == 1
+            confirmed = is_only_one and self._is_confirmed(parts, records)
             if self._blame(parts, confirmed, now):
                 found.append(parts)
         return found
 
+    def _is_confirmed(self, parts: frozenset[str], records: list[CrashRecord]) -> bool:
+        """Return whether a set that explains these crashes needs no trial."""
+        if count_moments(records) <= 1:
+            return False
+        if not _has_fingerprint(parts) or len(records) > BLAMED_CRASHES:
+            return True
+        return _is_explanation(records, list(self._crashes.values()))
+
     def _blame(self, parts: frozenset[str], confirmed: bool, now: float) -> bool:
         """Blame a set of parts, in place of larger ones; return whether it is new."""
         known = self._blamed.get(parts)
--- a/cornelnotch/gateway/tests/crashing_fleet.py
+++ b/cornelnotch/gateway/tests/crashing_fleet.py
@@ -34,11 +34,28 @@
 
 @dataclass(frozen=True)
 class Crash:
-    """A server that crashed; `bad` if the bad part crashed it."""
+    """A server that crashed; `cause` is the bad part that crashed it, if any."""
 
     at_s: float
     server: str
-    bad: bool
+    cause: str = ""
+
+    @property
+    def bad(self):
+        return bool(self.cause)
+
+
+@dataclass(frozen=True)
+class BadSend:
+    """A request with a bad part that reached a server."""
+
+    at_s: float
+    cause: str
+
+
+def find_cause(prompt):
+    """Return the bad part of a prompt, or an empty text."""
+    return next((p.name for p in prompt if p.name.startswith(BAD_PART)), "")
 
 
 class CrashingServer:
@@ -55,8 +72,8 @@
         crashed = self.crashed
         begun = asyncio.create_task(asyncio.sleep(WORK_MS / 2000.0))
         await begun
-        if not crashed.is_set() and any(part.name == BAD_PART for part in prompt):
-            self.crash(bad=True)
+        if not crashed.is_set() and find_cause(prompt):
+            self.crash(find_cause(prompt))
         try:
             async with asyncio.timeout(WORK_MS / 2000.0):
                 await crashed.wait()
@@ -64,9 +81,9 @@
             return
         raise UpstreamError("the connection was closed", "retry")
 
-    def crash(self, bad=False):
+    def crash(self, cause=""):
         loop = asyncio.get_running_loop()
-        self.fleet.crashes.append(Crash(loop.time(), self.record.name, bad))
+        self.fleet.crashes.append(Crash(loop.time(), self.record.name, cause))
         self.crashed.set()
         self.is_down = True
         loop.call_later(DOWN_S, self._restart)
@@ -95,8 +112,9 @@
         if server.is_down:
             raise self._create_refusal(address)
         prompt = fleet.prompts[request_id]
-        if any(part.name == BAD_PART for part in prompt):
-            fleet.bad_sends_s.append(asyncio.get_running_loop().time())
+        if cause := find_cause(prompt):
+            now_s = asyncio.get_running_loop().time()
+            fleet.bad_sends.append(BadSend(now_s, cause))
         await server.serve(prompt)
         await fleet.delay()
         await fleet.wait_until_thawed(self.host)
@@ -123,7 +141,7 @@
 
     def __init__(self, hosts, servers, seed=0):
         self.crashes: list[Crash] = []
-        self.bad_sends_s: list[float] = []
+        self.bad_sends: list[BadSend] = []
         self.prompts: dict[bytes, list[PromptPart]] = {}
         self.sound: Counter[tuple[int, bool]] = Counter()
         self.bad_statuses: Counter[int] = Counter()
@@ -146,9 +164,9 @@
     def _list_servers(self, host):
         host.context.pool.replace(s.record for s in self.servers.values())
 
-    def create_repeated_prompt(self):
-        """Return the prompt of the one request that crashes servers by itself."""
-        parts = ["shared-0", "workspace-0", "document-0", BAD_PART]
+    def create_repeated_prompt(self, number):
+        """Return the prompt of a request that crashes servers by itself."""
+        parts = ["shared-0", "workspace-0", "document-0", f"{BAD_PART}-{number}"]
         return [PromptPart(name, PART_TOKENS) for name in parts]
 
     def create_prompt(self, bad):
@@ -165,9 +183,10 @@
         """Send requests with the bad part at random times to random hosts."""
         await self._load(per_second, duration_s, bad=True)
 
-    async def load_repeated(self, per_second, duration_s):
-        """Send the request that crashes servers at random times to random hosts."""
-        await self._load(per_second, duration_s, True, self.create_repeated_prompt())
+    async def load_repeated(self, per_second, duration_s, number=0):
+        """Send a request that crashes servers at random times to random hosts."""
+        prompt = self.create_repeated_prompt(number)
+        await self._load(per_second, duration_s, True, prompt)
 
     async def load(self, per_second, duration_s):
         await self._load(per_second, duration_s, bad=False)
@@ -232,9 +251,14 @@
         served = sum(n for (_, is_served), n in sent.items() if is_served)
         return served / max(sum(sent.values()), 1)
 
-    def count_sends_after_bound(self, bound_s, lives=5):
-        """Return the sends of the bad part later than `bound_s` after crash `lives`."""
-        times_s = [crash.at_s for crash in self.crashes if crash.bad]
-        if len(times_s) < lives:
+    def count_sends_after_bound(self, bound_s, lives=5, cause=""):
+        """Return the sends of a bad part later than `bound_s` after crash `lives`.
+
+        Without a `cause`, those of all bad parts count.
+        """
+        crashes = [c for c in self.crashes if c.bad and cause in {"", c.cause}]
+        if len(crashes) < lives:
             return 0
-        return sum(at_s > times_s[lives - 1] + bound_s for at_s in self.bad_sends_s)
+        end_s = crashes[lives - 1].at_s + bound_s
+        sends = [send for send in self.bad_sends if cause in {"", send.cause}]
+        return sum(send.at_s > end_s for send in sends)
--- a/cornelnotch/gateway/tests/test_crashing_requests.py
+++ b/cornelnotch/gateway/tests/test_crashing_requests.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cornelnotch.gateway.tests.crashing_fleet import CrashingFleet
+from cornelnotch.gateway.tests.crashing_fleet import BAD_PART, CrashingFleet
 from cornelnotch.testing.virtual_time import run_in_virtual_time
 
 # Targets: sends after the bound, which starts this long after the fifth crash, and the
@@ -110,3 +110,44 @@
 )
 def test_one_repeated_crashing_request_is_refused_during_other_faults(fault):
     check(play(9, 2.0, fault, repeated=True), REPEATED_LIVES)
+
+
+@pytest.mark.parametrize("causes", [2, 3, 5])
+def test_each_of_several_repeated_crashing_requests_is_refused(causes):
+    async def run():
+        fleet = CrashingFleet(9, SERVERS[9], seed=1)
+        fleet.start(fleet.load(60.0, CALM_S + BAD_S))
+        await asyncio.sleep(CALM_S)
+        for number in range(causes):
+            fleet.start(fleet.load_repeated(1.0, BAD_S, number))
+        await asyncio.sleep(BAD_S + 4.0)
+        fleet.stop()
+        return fleet
+
+    fleet = run_in_virtual_time(run())
+    for number in range(causes):
+        cause = f"{BAD_PART}-{number}"
+        late = fleet.count_sends_after_bound(BOUND_S, REPEATED_LIVES, cause)
+        assert late <= MAX_LATE_SENDS
+    served = fleet.find_sound_share(CALM_S + BAD_S / 2, CALM_S + BAD_S)
+    assert served >= MIN_SOUND_SHARE
+
+
+def test_a_bad_part_beside_repeated_crashing_requests_is_refused():
+    async def run():
+        fleet = CrashingFleet(9, SERVERS[9], seed=1)
+        fleet.start(fleet.load(60.0, CALM_S + BAD_S))
+        await asyncio.sleep(CALM_S)
+        fleet.start(fleet.load_bad(1.0, BAD_S))
+        for number in range(2):
+            fleet.start(fleet.load_repeated(1.0, BAD_S, number))
+        await asyncio.sleep(BAD_S + 4.0)
+        fleet.stop()
+        return fleet
+
+    fleet = run_in_virtual_time(run())
+    assert fleet.count_sends_after_bound(BOUND_S, 5, BAD_PART) <= MAX_LATE_SENDS
+    for number in range(2):
+        cause = f"{BAD_PART}-{number}"
+        late = fleet.count_sends_after_bound(BOUND_S, REPEATED_LIVES, cause)
+        assert late <= MAX_LATE_SENDS
