--- a/cornelnotch/gateway/tests/test_repeated_crashing_request.py
+++ b/cornelnotch/gateway/tests/test_repeated_crashing_request.py
@@ -18,6 +18,8 @@
 DEADLY_PER_SECOND = 4.0
 SOUND_PER_SECOND = 20.0
 DURATION_S = 9.0
+# A stream lasts long enough that some are at each server that crashes.
+EVENT_MS = 60.0
 PROMPTS = {"none": "", "one": "own:20", "several": "aa:100,bb:50,own:20"}
 
 
@@ -47,9 +49,11 @@
     return Request(deadly.path, b"sound text %d" % number, prompt)
 
 
-async def play(deadly, create_deadly=None, deadly_prompts=None):
+async def play(deadly, create_deadly=None, deadly_prompts=None, sound=create_sound):
     """Return hosts that got sound requests and, some times a second, the deadly one."""
     hosts = CrashingHosts(deadly, HOSTS, deadly_prompts)
+    for server in hosts.engines:
+        server.faults.event_ms = EVENT_MS
     await hosts.start()
     try:
         await asyncio.gather(
@@ -60,7 +64,7 @@
                 [],
             ),
             hosts.send_repeatedly(
-                lambda number: create_sound(deadly, number),
+                lambda number: sound(deadly, number),
                 SOUND_PER_SECOND,
                 DURATION_S,
                 hosts.sound,
@@ -92,3 +96,8 @@
         return Request(deadly.path, deadly.body, prompts[number])
 
     check(asyncio.run(play(deadly, create, set(prompts))))
+
+
+def test_a_sound_request_that_is_always_at_crashing_servers_is_served():
+    poll = Request("/stream/poll", b"the same each time", "aa:100,poll:20")
+    check(asyncio.run(play(DEADLY["prompt-of-one-part"], sound=lambda *_: poll)))
