gateway: the log names the software version of servers, and the stream that a request resumes

The platform's records name the version of each server's software and callers the request whose stream they take up; neither was decoded. SERVER_CHOSEN has software, REQUEST_ROUTED has resumes. No decision uses them yet.

--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -428,6 +428,7 @@
                 Event.SERVER_CHOSEN,
                 server=placement.server.record.name,
                 service=self.service,
+                software=placement.server.record.software,
                 cost_ms=round(placement.cost_ms, 1),
                 prefill=placement.prefill_tokens,
                 candidates=placement.candidates,
--- a/cornelnotch/gateway/frontend.py
+++ b/cornelnotch/gateway/frontend.py
@@ -78,6 +78,7 @@
             service=flow.service,
             workspace=workspace.name if workspace else "",
             deadline_ms=request.deadline_ms,
+            resumes=request.resumed_id,
             version=table.version,
         )
         context.find_retry_budget(flow.service).record_request(arrived_ms)
--- a/cornelnotch/gateway/models.py
+++ b/cornelnotch/gateway/models.py
@@ -132,6 +132,7 @@
     """Platform record of one server.
 
     `write_count` counts the entries that the server has written since its boot.
+    `software` is the version of its software.
     """
 
     name: str
@@ -142,6 +143,7 @@
     leaving: bool = False
     boot_ms: int = 0
     write_count: int = field(default=0, compare=False)
+    software: str = ""
 
 
 @dataclass(slots=True)
@@ -150,6 +152,7 @@
 
     `output_tokens` is the most that it lets a server generate, or 0 if it names none.
     `fingerprints` are the same for requests that only differ in their ids.
+    `resumed_id` names the request whose stream this one resumes, if it resumes one.
     """
 
     request_id: str
@@ -166,6 +169,7 @@
     output_tokens: int = 0
     body: bytes = field(default=b"", repr=False)
     fingerprints: tuple[str, ...] = ()
+    resumed_id: str = ""
 
     def list_shared_parts(self) -> tuple[str, ...]:
         """Return the names of the prompt parts that other requests may have too."""
--- a/cornelnotch/platform/header_codec.py
+++ b/cornelnotch/platform/header_codec.py
@@ -14,6 +14,7 @@
 DEADLINE = b"x-deadline-ms"
 IDEMPOTENCY_KEY = b"x-key"
 LAST_EVENT_ID = b"last-event-id"
+RESUMED_ID = b"resumes"
 TOKEN_USAGE = b"x-token-usage"
 PROMPT_PREFIX = b"x-prompt-prefix"
 TARGET_INSTANCE = b"x-target-instance"
@@ -154,6 +155,7 @@
             prompt=parse_prompt_segments(find_header(headers, PROMPT_PREFIX)),
             prompt_tokens=parse_tokens(prompt_tokens),
             output_tokens=parse_tokens(output_tokens),
+            resumed_id=find_header(headers, RESUMED_ID),
         )
 
     def create_dispatch_headers(
--- a/cornelnotch/platform/records.py
+++ b/cornelnotch/platform/records.py
@@ -213,6 +213,7 @@
         model.state == STATE_LEAVING,
         model.born,
         model.sequence,
+        model.version,
     )
 
 
