--- a/cornelnotch/standins/store.py
+++ b/cornelnotch/standins/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import struct
+from collections import defaultdict
 from dataclasses import dataclass, field
 
 from cornelnotch.web import Exchange, HttpServer
@@ -12,6 +13,8 @@
 PAGE_HEADER = struct.Struct(">QQ")
 RECORD_LENGTH = struct.Struct(">I")
 MAX_PAGE_ENTRIES = 3
+MAX_APPEND_BYTES = 2 * 1024 * 1024
+KEYED_PREFIX = "keyed."
 STATUS_GONE = 410
 STATUS_UNAVAILABLE = 503
 POLL_INTERVAL_S = 0.005
@@ -19,7 +22,10 @@
 
 @dataclass(slots=True)
 class StoreTopic:
-    """Records of one keyed topic; reads before `earliest` fail as trimmed."""
+    """Records of one topic; reads before `earliest` fail as trimmed.
+
+    Records of topics that are not keyed have empty keys.
+    """
 
     records: list[tuple[str, bytes]] = field(default_factory=list)
     earliest: int = 0
@@ -50,7 +56,7 @@
 
     def __init__(self) -> None:
         self.server = HttpServer(self._handle)
-        self.topics = {"keyed.op": StoreTopic(), "keyed.servers": StoreTopic()}
+        self.topics: defaultdict[str, StoreTopic] = defaultdict(StoreTopic)
         self.fault = ""
         self.silent_topics: set[str] = set()
         self.timeline = "1"
@@ -84,7 +90,7 @@
         await self.server.stop()
 
     async def _handle(self, exchange: Exchange) -> None:
-        await exchange.read_body(0)
+        body = await exchange.read_body(MAX_APPEND_BYTES)
         self.calls += 1
         self.paths.add(exchange.path)
         if self.fault == "silent" or exchange.query["topic"] in self.silent_topics:
@@ -96,11 +102,23 @@
             await exchange.respond_json(STATUS_UNAVAILABLE, {}, headers)
             return
         topic = self.topics[exchange.query["topic"]]
-        if exchange.path == "/log-newest":
+        if exchange.path == "/log-append":
+            await self._append(exchange, topic, body)
+        elif exchange.path == "/log-newest":
             await self._answer_newest(exchange, topic)
         else:
             await self._answer_read(exchange, topic)
 
+    async def _append(self, exchange: Exchange, topic: StoreTopic, body: bytes) -> None:
+        offset = len(topic.records)
+        while body:
+            (length,) = RECORD_LENGTH.unpack_from(body)
+            end = RECORD_LENGTH.size + length
+            topic.write("", body[RECORD_LENGTH.size : end])
+            body = body[end:]
+        content = {"offset": offset, "end_offset": len(topic.records)}
+        await exchange.respond_json(200, content, self._create_headers())
+
     async def _answer_newest(self, exchange: Exchange, topic: StoreTopic) -> None:
         after = exchange.query.get("after", "")
         rows = sorted(topic.list_newest().items())
@@ -130,7 +148,8 @@
         body = PAGE_HEADER.pack(len(topic.records), topic.earliest)
         for key, value in topic.records[start:]:
             name = key.encode()
-            content_bytes = bytes([len(name)]) + name + value
+            is_keyed = exchange.query["topic"].startswith(KEYED_PREFIX)
+            content_bytes = bytes([len(name)]) + name + value if is_keyed else value
             body += RECORD_LENGTH.pack(len(content_bytes)) + content_bytes
         headers["content-type"] = "application/octet-stream"
         await exchange.respond(200, headers, body)
--- a/cornelnotch/standins/upstream.py
+++ b/cornelnotch/standins/upstream.py
@@ -50,12 +50,14 @@
     `backup_engines` are engines by address, to which it copies the KV cache of a
     request if asked to; `backed_up_ids` contains the ids of requests whose KV cache was
     copied to this server. `received_s` contains the monotonic times of all requests.
+    `software` is part of each event.
     `disconnects` counts callers that closed their connection
     before the response was complete.
     """
 
     name: str
     events: int = 6
+    software: str = ""
     faults: UpstreamFaults = field(default_factory=UpstreamFaults)
     executions: Counter[str] = field(default_factory=Counter)
     received_headers: list[dict[str, str]] = field(default_factory=list)
@@ -149,7 +151,7 @@
                 self.disconnects += 1
                 exchange.abort()
                 return
-            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            event = f"id: {number}\ndata: piece {number}{self.software}\n\n".encode()
             if breaks is not None and number > breaks:
                 await exchange.send(event[:7])
                 exchange.abort()
