--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -10,6 +10,7 @@
 )
 from cornelnotch.gateway.admission_client import UNRESPONSIVE_MS, AdmissionResult
 from cornelnotch.gateway.context import GatewayContext
+from cornelnotch.gateway.crash_guard import CrashGuard
 from cornelnotch.gateway.dispatch import (
     DispatchOutcome,
     UpstreamResponse,
@@ -107,7 +108,7 @@
         self.backup: ServerView | None = None
         self.resuming = False
         self.is_sending = False
-        self.tries_blamed_prompt = False
+        self.crash_guard = CrashGuard(context, request)
         self.splitter = EventSplitter(request.last_event_id)
         self.priority = route.priority
         if workspace is not None and workspace.priority is not None:
@@ -165,7 +166,7 @@
     async def _dispatch_until_answered(self) -> None:
         answered = False
         while not answered:
-            if not self._may_dispatch():
+            if not self.crash_guard.may_dispatch(self.dispatches.ran > 0):
                 await self._refuse_crashing_prompt()
                 return
             if not self._can_end():
@@ -182,15 +183,6 @@
                 placement.server.finish(in_flight)
                 self.context.admission.report_end(in_flight)
 
-    def _may_dispatch(self) -> bool:
-        """Return whether the prompt is not blamed for crashes, or may be tried once."""
-        if self.tries_blamed_prompt and not self.dispatches.ran:
-            return True
-        if not self.context.crashes.list_blamed(self.request.list_crash_parts()):
-            return True
-        self.tries_blamed_prompt = self.context.may_try_blamed(self.request)
-        return self.tries_blamed_prompt
-
     def _can_end(self, prefill_ms: float = 0.0) -> bool:
         """Return whether the request, if sent now, can end before the host stops.
 
@@ -258,7 +250,7 @@
             return False
         if result is AdmissionResult.INFEASIBLE:
             return await self._skip_overloaded(placement.server, in_flight)
-        if not self._may_dispatch():
+        if not self.crash_guard.may_dispatch(self.dispatches.ran > 0):
             await self._refuse_crashing_prompt()
             return True
         if not self._can_end(self._estimate_prefill_ms(placement, in_flight)):
@@ -268,7 +260,9 @@
         if response is None:
             return True
         self.last_outcome = response.outcome
-        may_crash_servers = await self._note_break(placement, in_flight, response)
+        may_crash_servers = await self.crash_guard.note_break(
+            placement.server, in_flight, response
+        )
         self.excluded.add(placement.server.record.name)
         if self.dispatches.ran:
             # A request that may have run is not refused because of overload: it
@@ -294,20 +288,6 @@
         rates = self.context.engine_rates.get(name, self.service)
         return in_flight.prefill_tokens / rates.read_rate
 
-    async def _note_break(
-        self,
-        placement: Placement,
-        in_flight: InFlightRequest,
-        response: UpstreamResponse,
-    ) -> bool:
-        """Note a response that broke off; return whether its prompt is suspected."""
-        if response.outcome is not DispatchOutcome.BROKEN or response.timed_out:
-            return False
-        watch = self.context.crash_watch
-        has_crashed = await watch.note_break(placement.server, in_flight)
-        parts = self.request.list_crash_parts()
-        return has_crashed and self.context.crashes.is_suspected(parts)
-
     def _may_resume(self, response: UpstreamResponse) -> bool:
         """Return whether a stream that was cut off can resume from a KV cache copy."""
         if self.backup is None or response.outcome is not DispatchOutcome.BROKEN:
