gateway: a stream goes on within its response only at the software version that began it

Callers saw: one response, whole by its end, with events of two software versions. Cause: the platform's version of a server's software was not known to any decision, so a stream whose server failed was sent on to a server of any version, and its KV cache copied to one. Why it works: once an event has been sent to the caller, only servers of that version are candidates; if there is none, the response is broken off, as it was while no server was left.

--- a/cornelnotch/gateway/backups.py
+++ b/cornelnotch/gateway/backups.py
@@ -63,7 +63,13 @@
 ) -> ServerView | None:
     """Return the engine that stores the copy of run `name`, by region if possible."""
     region = regions.get(server.record.domain)
-    healthy = [other for other in others if other is not server and not other.failures]
+    healthy = [
+        other
+        for other in others
+        if other is not server
+        and not other.failures
+        and other.record.software == server.record.software
+    ]
     same_region = [o for o in healthy if regions.get(o.record.domain) == region]
     by_name = {other.record.name: other for other in same_region or healthy}
     ranked = rank_owners(f"backup {name}", by_name)
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -10,6 +10,7 @@
 )
 from cornelnotch.gateway.admission_client import UNRESPONSIVE_MS, AdmissionResult
 from cornelnotch.gateway.context import GatewayContext
+from cornelnotch.gateway.continuation import StreamContinuation
 from cornelnotch.gateway.crash_guard import CrashGuard
 from cornelnotch.gateway.dispatch import (
     DispatchOutcome,
@@ -109,6 +110,7 @@
         self.resuming = False
         self.is_sending = False
         self.crash_guard = CrashGuard(context, request)
+        self.continuation = StreamContinuation(context, request, route)
         self.splitter = EventSplitter(request.last_event_id)
         self.priority = route.priority
         if workspace is not None and workspace.priority is not None:
@@ -354,7 +356,7 @@
         After a few servers with rate limits, a request tries one without. If there is
         none, it is refused if the rate limits left no place in time.
         """
-        servers = self.context.pool.list_usable(self.service, now)
+        servers = self.continuation.list_usable(self.service, now)
         if self.limited_tries < MAX_OVERLOADED:
             return servers
         tried = self.excluded | self.overloaded
@@ -645,6 +647,7 @@
                     self.splitter.count - counted, self.context.clock.read()
                 )
                 if complete:
+                    self.continuation.note_event(view.record)
                     await self._send_events(complete)
                 self.splitter.check()
             end = await confirm_end(response, self.splitter)
@@ -690,7 +693,7 @@
             return is_silent(view, now) and self.context.accepts(self.backup)
         if not self.context.find_retry_budget(self.service).can_retry(now):
             return False
-        others = self.context.pool.list_usable(self.service, now)
+        others = self.continuation.list_usable(self.service, now)
         excluded = self.excluded | {view.record.name}
         return any(other.record.name not in excluded for other in others)
 
--- a/cornelnotch/gateway/servers.py
+++ b/cornelnotch/gateway/servers.py
@@ -282,9 +282,18 @@
             if view.record.service == service and not view.leaving
         ]
 
-    def list_usable(self, service: str, now: float) -> list[ServerView]:
-        """Return the servers not ejected; if all are, those without a backoff."""
-        ready = [v for v in self.list_ready(service) if now >= v.backoff_until_ms]
+    def list_usable(
+        self, service: str, now: float, software: str | None = None
+    ) -> list[ServerView]:
+        """Return the servers not ejected; if all are, those without a backoff.
+
+        With `software`, only servers of that version of their software.
+        """
+        ready = [
+            view
+            for view in self.list_ready(service)
+            if now >= view.backoff_until_ms and software in {None, view.record.software}
+        ]
         usable = [view for view in ready if now >= view.ejected_until_ms]
         return usable or ready
 
--- a/cornelnotch/gateway/tests/test_backups.py
+++ b/cornelnotch/gateway/tests/test_backups.py
@@ -152,3 +152,13 @@
         return {view.record.name for view in chosen if view}
 
     assert run_in_virtual_time(run()) == {"s2"}
+
+
+def test_streams_are_copied_only_to_engines_of_their_software_version():
+    views = [
+        ServerView(ServerRecord(f"s{n}", "llm", f"s{n}:80", "a", 8, software=version))
+        for n, version in enumerate(["v1", "v2", "v1", "v2"])
+    ]
+    chosen = [choose_backup(f"r{n}", views[0], views, {}) for n in range(50)]
+    assert {view.record.name for view in chosen if view} == {"s2"}
+    assert choose_backup("r", views[0], [views[0], views[1], views[3]], {}) is None
