gateway: a stream that a caller takes up goes on at the software version that began it

Callers saw: a second response, whole by its end, that went on from the text of another software version. Cause: no host remembered where a stream began, least of all one that had not served it. Class: what a decision needs stays at the host that may be gone.

--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -1,7 +1,7 @@
 """Components and state that the requests of one host share."""
 
 import random
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import orjson
@@ -26,6 +26,7 @@
 from cornelnotch.gateway.servers import InFlightRequest, ServerPool, ServerView
 from cornelnotch.gateway.settings import HostSettings
 from cornelnotch.gateway.startup import Startup
+from cornelnotch.gateway.stream_origins import StreamOrigin, StreamOrigins
 from cornelnotch.kernel.clock import Clock
 from cornelnotch.kernel.events import Event, EventLog
 from cornelnotch.kernel.hashing import hash_text, select_owner
@@ -85,12 +86,23 @@
         self.admission = AdmissionClient(
             peers, clock, self.list_controllers, self.accepts, self.find_rate_limit
         )
+        self.origins = StreamOrigins()
+        self.report_origin: Callable[[str, StreamOrigin], None] = lambda name, origin: (
+            None
+        )
+        self.ask_origin: Callable[[str, str], Awaitable[StreamOrigin | None]] = (
+            self._ask_nobody
+        )
         self.announce_leaving: Callable[[str, int], None] = lambda server, boot_ms: None
         self._reserved: dict[str, ReservedEngines] = {}
         self._gaps: dict[str, float] = {}
         self._gaps_version = NO_VERSION
         self._budgets: dict[str, RetryBudget] = {}
 
+    @staticmethod
+    async def _ask_nobody(request_id: str, service: str) -> StreamOrigin | None:
+        return None
+
     def accepts(self, server: ServerView) -> bool:
         """Return whether this host may send work to a server now."""
         return self.pool.accepts(server, self.clock.read())
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -166,6 +166,8 @@
         self._time_limit.reschedule(loop.time() + max(left_s, 0.0))
 
     async def _dispatch_until_answered(self) -> None:
+        if self.continuation.must_find_origin():
+            self.service = await self.continuation.find_origin(self.service)
         answered = False
         while not answered:
             if not self.crash_guard.may_dispatch(self.dispatches.ran > 0):
--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -13,6 +13,7 @@
 from cornelnotch.gateway.header_codec import HeaderCodec
 from cornelnotch.gateway.leaving_notices import LeavingNotices
 from cornelnotch.gateway.load_exchange import LoadExchange
+from cornelnotch.gateway.origin_exchange import OriginExchange
 from cornelnotch.gateway.records import RecordDecoder, RecordSource
 from cornelnotch.gateway.relay import ReaderCandidate, RelayPlan
 from cornelnotch.gateway.routing_state import RoutingState
@@ -137,6 +138,9 @@
             self.context, self.peers, broadcaster, self._list_peers
         )
         self.context.announce_leaving = self.leaving_notices.broadcast
+        self.origin_exchange = OriginExchange(self.context, self.peers, self.plan)
+        self.context.report_origin = self.origin_exchange.report
+        self.context.ask_origin = self.origin_exchange.ask
         self.prober.subscribe(self._apply_members)
 
     def _apply_members(self) -> None:
@@ -181,6 +185,7 @@
         metrics.set_state("peer_bytes", self.peers.sent_bytes)
         metrics.set_state("blamed_prompts", self.context.crashes.count_blamed())
         metrics.set_state("limited_servers", self.context.rate_limits.count())
+        metrics.set_state("known_streams", self.context.origins.count())
         metrics.set_state("servers", len(self.context.pool.servers))
         return metrics.render()
 
@@ -192,6 +197,7 @@
         self.tasks.start_supervised("servers", self.follower.run_servers)
         self.tasks.start_supervised("state", self.state.run)
         self.tasks.start_supervised("loads", self.load_exchange.run)
+        self.tasks.start_supervised("origins", self.origin_exchange.run)
         self.tasks.start_supervised("silence", SilenceDetector(self.context).run)
         self.tasks.start_supervised("turns", self.context.admission.run_reports)
         self.tasks.start_supervised("admission", self.admission_controller.run)
--- a/cornelnotch/gateway/models.py
+++ b/cornelnotch/gateway/models.py
@@ -122,6 +122,11 @@
                     gaps.setdefault(share.service, []).append(route.target_itl_ms)
         return gaps
 
+    def find_longest_stream_ms(self) -> float:
+        """Return the longest timeout of routes whose streams may be resumed, in ms."""
+        routes = (route for found in self.routes.values() for route in found)
+        return max((r.timeout_ms for r in routes if r.resumable), default=0.0)
+
     def find_workspace(self, key: str) -> Workspace | None:
         """Return the workspace that owns the API key `key`."""
         return (self.workspaces or {}).get(key)
--- a/cornelnotch/gateway/tests/test_software_versions.py
+++ b/cornelnotch/gateway/tests/test_software_versions.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from cornelnotch.gateway.tests.conftest import create_configuration, wait_until
 from cornelnotch.gateway.tests.versioned_hosts import EVENTS, VersionedHosts
 
 STREAMS = 12
@@ -174,3 +175,30 @@
             check_separate(pairs)
 
     asyncio.run(run())
+
+
+def test_a_stream_goes_on_at_the_service_that_began_it():
+    async def run():
+        async with run_hosts(2) as hosts:
+            split = [
+                {"service": "llm", "weight": 50},
+                {"service": "llm-2", "weight": 50},
+            ]
+            for engine in hosts.engines[2:]:
+                hosts.list_server(engine, "llm-2", version=engine.software)
+            content = create_configuration(2, services=[{"name": "llm"}])
+            for route in content["routes"]:
+                route["traffic_split"] = split
+            hosts.configure(content)
+            await wait_until(
+                lambda: all(
+                    host.context.table.version == 2
+                    and len(host.context.pool.list_ready("llm-2")) == 2
+                    for host in hosts.hosts
+                )
+            )
+            pairs = await resume_streams(hosts, await begin_streams(hosts), 1)
+            check_separate(pairs)
+            check_resumed(pairs)
+
+    asyncio.run(run())
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -152,6 +152,7 @@
     REQUEST_ROUTED = (6003, logging.INFO, "a request was mapped to a service")
     SERVER_CHOSEN = (6004, logging.INFO, "a server was chosen for a request")
     DISPATCH_FAILED = (6005, logging.INFO, "a server did not complete a request")
+    STREAM_ORIGIN = (6011, logging.INFO, "a caller resumes a stream")
     REQUEST_ANSWERED = (6006, logging.INFO, "a request was answered completely")
     REQUEST_BROKEN_OFF = (6007, logging.INFO, "a response ended early")
     TURN_CAME = (
--- a/cornelnotch/wire/messages.py
+++ b/cornelnotch/wire/messages.py
@@ -13,6 +13,7 @@
     "AdmissionQueued",
     "AdmissionRequest",
     "AdmissionStage",
+    "BegunStreams",
     "BlamedParts",
     "ClaimRequest",
     "ClaimResponse",
@@ -46,6 +47,9 @@
     "ServerLeaving",
     "ServerUpdate",
     "ServerUsage",
+    "StreamOriginQuery",
+    "StreamOriginReply",
+    "StreamOriginReport",
     "StreamProgress",
     "list_message_types",
 ]
@@ -530,6 +534,43 @@
     progress: StreamProgress | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class BegunStreams:
+    """The requests whose streams servers of one software version began."""
+
+    service: str
+    software: str
+    request_ids: list[str]
+
+
+@dataclass(frozen=True, slots=True)
+class StreamOriginReport:
+    """Report streams that servers began to the hosts that remember them."""
+
+    groups: list[BegunStreams]
+
+
+@dataclass(frozen=True, slots=True)
+class StreamOriginQuery:
+    """Ask at which software version the stream of a request began.
+
+    `number` identifies the query among those of its sender.
+    """
+
+    number: int
+    service: str
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class StreamOriginReply:
+    """Answer a query; `service` and `software` are empty if the stream is unknown."""
+
+    number: int
+    service: str = ""
+    software: str = ""
+
+
 def list_message_types() -> list[type]:
     """Return the message types; the index of each is its type id on the wire."""
     return [
@@ -560,4 +601,7 @@
         AdmissionGrant,
         AdmissionEnd,
         ServerLeaving,
+        StreamOriginReport,
+        StreamOriginQuery,
+        StreamOriginReply,
     ]
