gateway: a stream of unknown origin goes on only where one version can have begun it

Callers saw: after all hosts were killed while two software versions served, or just after one had left, streams that they took up went on at the other version. Cause: with its hosts, all knowledge of a stream's origin was lost, and an unknown stream was sent to any server. Class: a decision taken as if what is not known were known. Why it works: the first reader of the store appends the origins of streams and the versions that served in batches, at once when a version is new; a reader that starts reads them. A stream that is still unknown goes on only if one version served the service for as long as a caller can resume a stream, from records that were fresh all the while. Otherwise it is refused: 503 with Retry-After while an answer is missing, 500 if it stays unknown, or if no server of its version is left.

--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -25,8 +25,13 @@
 from cornelnotch.gateway.retry_budget import RetryBudget
 from cornelnotch.gateway.servers import InFlightRequest, ServerPool, ServerView
 from cornelnotch.gateway.settings import HostSettings
+from cornelnotch.gateway.software_history import SoftwareHistory
 from cornelnotch.gateway.startup import Startup
-from cornelnotch.gateway.stream_origins import StreamOrigin, StreamOrigins
+from cornelnotch.gateway.stream_origins import (
+    OriginAnswer,
+    StreamOrigin,
+    StreamOrigins,
+)
 from cornelnotch.kernel.clock import Clock
 from cornelnotch.kernel.events import Event, EventLog
 from cornelnotch.kernel.hashing import hash_text, select_owner
@@ -38,6 +43,8 @@
 __all__ = ["GatewayContext"]
 
 NO_VERSION = -1
+# A caller may resume a stream until its last attempt has timed out.
+STREAM_TIMEOUTS = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,9 +97,10 @@
         self.report_origin: Callable[[str, StreamOrigin], None] = lambda name, origin: (
             None
         )
-        self.ask_origin: Callable[[str, str], Awaitable[StreamOrigin | None]] = (
+        self.ask_origin: Callable[[str, str], Awaitable[OriginAnswer]] = (
             self._ask_nobody
         )
+        self.software_history = SoftwareHistory(clock.read())
         self.announce_leaving: Callable[[str, int], None] = lambda server, boot_ms: None
         self._reserved: dict[str, ReservedEngines] = {}
         self._gaps: dict[str, float] = {}
@@ -100,8 +108,13 @@
         self._budgets: dict[str, RetryBudget] = {}
 
     @staticmethod
-    async def _ask_nobody(request_id: str, service: str) -> StreamOrigin | None:
-        return None
+    async def _ask_nobody(request_id: str, service: str) -> OriginAnswer:
+        return OriginAnswer(None, is_final=False)
+
+    def find_first_stream_ms(self) -> float:
+        """Return the start time of the oldest stream that a caller may resume."""
+        lifetime_ms = STREAM_TIMEOUTS * self.table.find_longest_stream_ms()
+        return self.clock.read() - lifetime_ms
 
     def accepts(self, server: ServerView) -> bool:
         """Return whether this host may send work to a server now."""
--- a/cornelnotch/gateway/continuation.py
+++ b/cornelnotch/gateway/continuation.py
@@ -20,6 +20,7 @@
         self._route = route
         self._is_resumable = route.kind is WorkKind.STREAM and route.resumable
         self.origin: StreamOrigin | None = None
+        self.may_become_known = False
 
     def must_find_origin(self) -> bool:
         """Return whether the caller resumes a stream that began in another request."""
@@ -32,18 +33,21 @@
         That is `service` unless the route also leads to the one that began the stream.
         """
         resumed_id = self._request.resumed_id
-        source = "own"
-        origin = self._context.origins.find(resumed_id)
+        origin = self._context.origins.find_request(resumed_id)
+        is_own = origin is not None
         if origin is None:
-            source = "other-host"
-            origin = await self._context.ask_origin(resumed_id, service)
+            answer = await self._context.ask_origin(resumed_id, service)
+            origin = answer.origin
+            self.may_become_known = origin is None and not answer.is_final
         self.origin = origin
         self._context.events.record(
             Event.STREAM_ORIGIN,
             request_id=self._request.request_id,
             resumes=resumed_id,
+            service=service if origin is None else origin.service,
             software=None if origin is None else origin.software,
-            source="" if origin is None else source,
+            asked=not is_own,
+            may_become_known=self.may_become_known,
         )
         services = {share.service for share in self._route.shares}
         is_routed = origin is not None and origin.service in services
@@ -54,11 +58,16 @@
         if self.origin is not None:
             return
         self.origin = create_origin(record)
-        if self._is_resumable and not self.must_find_origin():
-            now = self._context.clock.read()
-            self._context.origins.add(self._request.request_id, self.origin, now)
+        if self._is_resumable:
             self._context.report_origin(self._request.request_id, self.origin)
 
+    def is_version_gone(self) -> bool:
+        """Return whether no server of the version that began the stream is left."""
+        if self.origin is None:
+            return False
+        records = (view.record for view in self._context.pool.servers.values())
+        return all(create_origin(record) != self.origin for record in records)
+
     def list_usable(self, service: str, now: float) -> list[ServerView]:
         """Return the usable servers at which the stream may begin or go on."""
         software = None if self.origin is None else self.origin.software
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -55,6 +55,8 @@
 HOST_LEAVING = "host-leaving"
 HOST_STOPPED = "host-stopped"
 TIMED_OUT = "timeout"
+STREAM_UNKNOWN = "stream-unknown"
+VERSION_GONE = "stream-version-gone"
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
 STATUS_GATEWAY_TIMEOUT = 504
@@ -168,6 +170,9 @@
     async def _dispatch_until_answered(self) -> None:
         if self.continuation.must_find_origin():
             self.service = await self.continuation.find_origin(self.service)
+            if self.continuation.origin is None:
+                await self._refuse_unknown_stream()
+                return
         answered = False
         while not answered:
             if not self.crash_guard.may_dispatch(self.dispatches.ran > 0):
@@ -210,6 +215,13 @@
             left_ms=round(self.context.drain.measure_left_ms(), 1),
         )
 
+    async def _refuse_unknown_stream(self) -> None:
+        """Refuse a stream that might go on at another software version."""
+        if self.continuation.may_become_known:
+            await self._refuse_with_retry(0.0, STREAM_UNKNOWN)
+        else:
+            await self._refuse(STATUS_SERVER_ERROR, STREAM_UNKNOWN)
+
     async def _refuse_crashing_prompt(self) -> None:
         """Refuse for good: neither a status nor a delay invites callers to retry."""
         if self.exchange.response_started:
@@ -226,6 +238,8 @@
             await self._refuse_with_retry(self.overloaded_wait_ms, "backlog")
         elif self.unadmitted and may_refuse:
             await self._refuse_with_retry(self.limited_wait_ms, "rate-limit")
+        elif may_refuse and self.continuation.is_version_gone():
+            await self._refuse(STATUS_SERVER_ERROR, VERSION_GONE)
         elif backoff_ms > 0 and may_refuse:
             await self._refuse_with_retry(backoff_ms, "servers-rest")
         else:
--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -14,6 +14,8 @@
 from cornelnotch.gateway.leaving_notices import LeavingNotices
 from cornelnotch.gateway.load_exchange import LoadExchange
 from cornelnotch.gateway.origin_exchange import OriginExchange
+from cornelnotch.gateway.origin_keeper import OriginKeeper
+from cornelnotch.gateway.origin_log import OriginLog
 from cornelnotch.gateway.records import RecordDecoder, RecordSource
 from cornelnotch.gateway.relay import ReaderCandidate, RelayPlan
 from cornelnotch.gateway.routing_state import RoutingState
@@ -62,6 +64,7 @@
         source: RecordSource,
         decoder: RecordDecoder,
         client: HttpClient,
+        origin_log: OriginLog,
     ) -> None:
         self.settings = settings
         self.clock = clock
@@ -79,7 +82,7 @@
         self.frontend = Frontend(self.context)
         self.server = HttpServer(self.frontend.handle)
         self._build_membership()
-        self._build_state(source, decoder)
+        self._build_state(source, decoder, origin_log)
         self.directory = Directory(
             self._list_entries, settings.regions, ENTRY_LIFETIME_S
         )
@@ -103,7 +106,9 @@
             random.Random(host.name),
         )
 
-    def _build_state(self, source: RecordSource, decoder: RecordDecoder) -> None:
+    def _build_state(
+        self, source: RecordSource, decoder: RecordDecoder, origin_log: OriginLog
+    ) -> None:
         name = self.settings.host.name
         self.plan = RelayPlan(name)
         broadcaster = Broadcaster(
@@ -138,7 +143,10 @@
             self.context, self.peers, broadcaster, self._list_peers
         )
         self.context.announce_leaving = self.leaving_notices.broadcast
-        self.origin_exchange = OriginExchange(self.context, self.peers, self.plan)
+        self.origin_keeper = OriginKeeper(self.context, self.plan, origin_log)
+        self.origin_exchange = OriginExchange(
+            self.context, self.peers, self.plan, self.origin_keeper
+        )
         self.context.report_origin = self.origin_exchange.report
         self.context.ask_origin = self.origin_exchange.ask
         self.prober.subscribe(self._apply_members)
@@ -197,7 +205,7 @@
         self.tasks.start_supervised("servers", self.follower.run_servers)
         self.tasks.start_supervised("state", self.state.run)
         self.tasks.start_supervised("loads", self.load_exchange.run)
-        self.tasks.start_supervised("origins", self.origin_exchange.run)
+        self.tasks.start_supervised("origins", self.origin_keeper.run)
         self.tasks.start_supervised("silence", SilenceDetector(self.context).run)
         self.tasks.start_supervised("turns", self.context.admission.run_reports)
         self.tasks.start_supervised("admission", self.admission_controller.run)
--- a/cornelnotch/gateway/origin_exchange.py
+++ b/cornelnotch/gateway/origin_exchange.py
@@ -4,11 +4,16 @@
 import itertools
 
 from cornelnotch.gateway.context import GatewayContext
+from cornelnotch.gateway.follower import SERVERS
+from cornelnotch.gateway.origin_keeper import OriginKeeper
 from cornelnotch.gateway.relay import RelayPlan
 from cornelnotch.gateway.stream_origins import (
+    OriginAnswer,
     StreamOrigin,
     group_streams,
+    list_streams,
 )
+from cornelnotch.kernel.hashing import hash_text
 from cornelnotch.wire import PeerNetwork
 from cornelnotch.wire.messages import (
     StreamOriginQuery,
@@ -22,9 +27,8 @@
 REPORT_DELAY_MS = 30.0
 # A host answers within one round trip between regions.
 ANSWER_TIMEOUT_MS = 250.0
-EXPIRY_PERIOD_MS = 1000.0
-# A caller may resume a stream until its last attempt has timed out.
-STREAM_TIMEOUTS = 2.0
+# A host that has just started reads the log of origins within this time.
+LOAD_TIMEOUT_MS = 500.0
 
 
 class OriginExchange:
@@ -34,83 +38,106 @@
     """
 
     def __init__(
-        self, context: GatewayContext, peers: PeerNetwork, plan: RelayPlan
+        self,
+        context: GatewayContext,
+        peers: PeerNetwork,
+        plan: RelayPlan,
+        keeper: OriginKeeper,
     ) -> None:
         self._context = context
         self._peers = peers
         self._plan = plan
-        self._unreported: dict[str, StreamOrigin] = {}
+        self._keeper = keeper
+        self._unreported: dict[int, StreamOrigin] = {}
         self._numbers = itertools.count()
         self._replies: dict[int, asyncio.Future[StreamOriginReply]] = {}
         peers.subscribe(StreamOriginReport, self._receive_report)
         peers.subscribe(StreamOriginQuery, self._receive_query)
         peers.subscribe(StreamOriginReply, self._receive_reply)
 
-    async def run(self) -> None:
-        """Forget streams that no caller can resume any longer, until cancelled."""
-        while True:
-            await self._context.clock.sleep(EXPIRY_PERIOD_MS)
-            now = self._context.clock.read()
-            longest_ms = self._context.table.find_longest_stream_ms()
-            self._context.origins.expire(now - STREAM_TIMEOUTS * longest_ms)
-
     def report(self, request_id: str, origin: StreamOrigin) -> None:
         """Report a stream that a server has begun for a request of this host."""
+        id_hash = hash_text(request_id)
+        self._keeper.add({id_hash: origin})
         if not self._unreported:
             loop = asyncio.get_running_loop()
             loop.call_later(REPORT_DELAY_MS / 1000.0, self._send_reports)
-        self._unreported[request_id] = origin
-
-    async def ask(self, request_id: str, service: str) -> StreamOrigin | None:
-        """Return the origin of a stream that another host knows, or None."""
+        self._unreported[id_hash] = origin
+
+    async def ask(self, request_id: str, service: str) -> OriginAnswer:
+        """Return the origin of a stream that this host does not know."""
+        id_hash = hash_text(request_id)
+        if self._is_reader():
+            await self._keeper.wait_until_loaded(LOAD_TIMEOUT_MS)
+        origin = self._context.origins.find(id_hash) or self._find_only(service)
+        if origin is not None:
+            return OriginAnswer(origin, is_final=True)
+        answers = []
+        if self._is_reader():
+            answers.append(OriginAnswer(None, self._keeper.is_loaded()))
         queries = [
-            asyncio.create_task(self._query(name, request_id, service))
-            for name in self._list_readers()
+            asyncio.create_task(self._query(name, id_hash, service))
+            for name in self._list_other_readers()
         ]
         try:
-            for answer in asyncio.as_completed(queries):
-                origin = await answer
-                if origin is not None:
-                    return origin
-            return None
+            for query in asyncio.as_completed(queries):
+                answers.append(await query)
+                if answers[-1].origin is not None:
+                    break
         finally:
-            for query in queries:
-                query.cancel()
+            for task in queries:
+                task.cancel()
+        origins = [a.origin for a in answers if a.origin is not None]
+        is_final = bool(answers) and all(answer.is_final for answer in answers)
+        return OriginAnswer(origins[-1] if origins else None, is_final)
+
+    def _find_only(self, service: str) -> StreamOrigin | None:
+        """Return the only version that can have begun streams of a service."""
+        if self._plan.is_stale(SERVERS, self._context.clock.read()):
+            return None
+        since_ms = self._context.find_first_stream_ms()
+        return self._context.software_history.find_only(service, since_ms)
 
-    async def _query(
-        self, name: str, request_id: str, service: str
-    ) -> StreamOrigin | None:
+    async def _query(self, name: str, id_hash: int, service: str) -> OriginAnswer:
         number = next(self._numbers)
         future = asyncio.get_running_loop().create_future()
         self._replies[number] = future
-        self._peers.send(name, StreamOriginQuery(number, service, request_id))
+        self._peers.send(name, StreamOriginQuery(number, service, id_hash))
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_MS / 1000.0):
                 reply = await future
         except TimeoutError:
-            return None
+            return OriginAnswer(None, is_final=False)
         finally:
             del self._replies[number]
-        return StreamOrigin(reply.service, reply.software) if reply.service else None
+        if not reply.service:
+            return OriginAnswer(None, reply.final)
+        return OriginAnswer(StreamOrigin(reply.service, reply.software), reply.final)
+
+    def _is_reader(self) -> bool:
+        return self._plan.name in self._plan.list_readers(self._context.clock.read())
 
-    def _list_readers(self) -> list[str]:
+    def _list_other_readers(self) -> list[str]:
         names = self._plan.list_readers(self._context.clock.read())
         return [name for name in names if name != self._plan.name]
 
     def _send_reports(self) -> None:
         report = StreamOriginReport(group_streams(self._unreported))
         self._unreported = {}
-        for name in self._list_readers():
+        for name in self._list_other_readers():
             self._peers.send(name, report)
 
     def _receive_report(self, sender: str, report: StreamOriginReport) -> None:
-        self._context.origins.add_groups(report.groups, self._context.clock.read())
+        self._keeper.add(list_streams(report.groups))
 
     def _receive_query(self, sender: str, query: StreamOriginQuery) -> None:
-        origin = self._context.origins.find(query.request_id)
-        reply = StreamOriginReply(query.number)
+        origin = self._context.origins.find(query.id_hash)
+        origin = origin or self._find_only(query.service)
+        reply = StreamOriginReply(query.number, self._keeper.is_loaded())
         if origin is not None:
-            reply = StreamOriginReply(query.number, origin.service, origin.software)
+            reply = StreamOriginReply(
+                query.number, reply.final, origin.service, origin.software
+            )
         self._peers.send(sender, reply)
 
     def _receive_reply(self, sender: str, reply: StreamOriginReply) -> None:
--- /dev/null
+++ b/cornelnotch/gateway/software_history.py
@@ -0,0 +1,49 @@
+"""Track which software versions may have begun the streams of a service; no I/O."""
+
+from cornelnotch.gateway.stream_origins import StreamOrigin
+
+__all__ = ["SoftwareHistory"]
+
+
+class SoftwareHistory:
+    """The software versions that served of late, and how far back that is known."""
+
+    def __init__(self, now: float) -> None:
+        self._known_since_ms = now
+        self._seen: dict[StreamOrigin, float] = {}
+
+    def note(self, origin: StreamOrigin, now: float) -> None:
+        """Note that a software version serves, or that it began a stream."""
+        self._seen[origin] = now
+
+    def extend(self, since_ms: float) -> None:
+        """Note that all versions since `since_ms` are known."""
+        self._known_since_ms = min(self._known_since_ms, since_ms)
+
+    def restart(self, now: float) -> None:
+        """Note that versions may have served unseen until now."""
+        self._known_since_ms = now
+
+    def measure_known_ms(self, now: float) -> float:
+        """Return the length of the span of which all versions are known, in ms."""
+        return now - self._known_since_ms
+
+    def list_since(self, since_ms: float) -> list[StreamOrigin]:
+        """Return the versions that served at some time since `since_ms`."""
+        return [o for o, seen_ms in self._seen.items() if seen_ms >= since_ms]
+
+    def find_only(self, service: str, since_ms: float) -> StreamOrigin | None:
+        """Return the only version of a service that served since `since_ms`.
+
+        None if there were several, or if not all of that span is known.
+        """
+        if self._known_since_ms > since_ms:
+            return None
+        found = [o for o in self.list_since(since_ms) if o.service == service]
+        return found[0] if len(found) == 1 else None
+
+    def expire(self, before_ms: float) -> None:
+        """Forget the versions that last served before a time."""
+        old = [o for o, seen_ms in self._seen.items() if seen_ms < before_ms]
+        for origin in old:
+            del self._seen[origin]
--- a/cornelnotch/gateway/stream_origins.py
+++ b/cornelnotch/gateway/stream_origins.py
@@ -5,13 +5,21 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from cornelnotch.gateway.models import ServerRecord
+from cornelnotch.kernel.hashing import hash_text
 from cornelnotch.wire.messages import BegunStreams
 
-__all__ = ["StreamOrigin", "StreamOrigins", "create_origin", "group_streams"]
+__all__ = [
+    "OriginAnswer",
+    "StreamOrigin",
+    "StreamOrigins",
+    "create_origin",
+    "group_streams",
+    "list_streams",
+]
 
 MAX_STREAMS = 65_536
 
@@ -24,6 +32,17 @@
     software: str
 
 
+@dataclass(frozen=True, slots=True)
+class OriginAnswer:
+    """Where a stream began, if that is known.
+
+    With `is_final`, those who would know have answered.
+    """
+
+    origin: StreamOrigin | None
+    is_final: bool
+
+
 @dataclass(frozen=True, slots=True)
 class KnownStream:
     """A stream that a caller may resume."""
@@ -37,39 +56,45 @@
     return StreamOrigin(record.service, record.software)
 
 
-def group_streams(origins: dict[str, StreamOrigin]) -> list[BegunStreams]:
-    """Return streams, indexed by request id, in groups of one origin each."""
-    groups: dict[StreamOrigin, list[str]] = {}
-    for request_id, origin in origins.items():
-        groups.setdefault(origin, []).append(request_id)
+def group_streams(origins: Mapping[int, StreamOrigin]) -> list[BegunStreams]:
+    """Return streams, by the hash of their request's id, in groups of one origin."""
+    groups: dict[StreamOrigin, list[int]] = {}
+    for id_hash, origin in origins.items():
+        groups.setdefault(origin, []).append(id_hash)
     return [BegunStreams(o.service, o.software, ids) for o, ids in groups.items()]
 
 
+def list_streams(groups: Iterable[BegunStreams]) -> dict[int, StreamOrigin]:
+    """Return the origins of the streams in `groups` by the hash of their ids."""
+    return {
+        id_hash: StreamOrigin(group.service, group.software)
+        for group in groups
+        for id_hash in group.id_hashes
+    }
+
+
 class StreamOrigins:
     """Origins of the streams that began of late, as far as one host knows."""
 
     def __init__(self) -> None:
-        self._streams: OrderedDict[str, KnownStream] = OrderedDict()
+        self._streams: OrderedDict[int, KnownStream] = OrderedDict()
 
-    def add(self, request_id: str, origin: StreamOrigin, now: float) -> None:
-        """Add a stream that began now."""
-        self._streams[request_id] = KnownStream(origin, now)
-        self._streams.move_to_end(request_id)
+    def add(self, id_hash: int, origin: StreamOrigin, now: float) -> None:
+        """Add a stream that began now; `id_hash` identifies its request."""
+        self._streams[id_hash] = KnownStream(origin, now)
+        self._streams.move_to_end(id_hash)
         if len(self._streams) > MAX_STREAMS:
             self._streams.popitem(last=False)
 
-    def add_groups(self, groups: Iterable[BegunStreams], now: float) -> None:
-        """Add streams that another host reports."""
-        for group in groups:
-            origin = StreamOrigin(group.service, group.software)
-            for request_id in group.request_ids:
-                self.add(request_id, origin, now)
-
-    def find(self, request_id: str) -> StreamOrigin | None:
+    def find(self, id_hash: int) -> StreamOrigin | None:
         """Return the origin of the stream of a request, or None if it is unknown."""
-        known = self._streams.get(request_id)
+        known = self._streams.get(id_hash)
         return None if known is None else known.origin
 
+    def find_request(self, request_id: str) -> StreamOrigin | None:
+        """Return the origin of the stream of a request, or None if it is unknown."""
+        return self.find(hash_text(request_id))
+
     def expire(self, before_ms: float) -> None:
         """Forget the streams that began before a time."""
         while self._streams:
--- a/cornelnotch/gateway/tests/conftest.py
+++ b/cornelnotch/gateway/tests/conftest.py
@@ -86,14 +86,16 @@
 
 
 def create_host(settings):
+    store = PlatformStore(settings.store.address, HttpClient())
     return GatewayHost(
         settings,
         create_clock(),
         create_event_log(settings.host.name),
         PlatformHeaderCodec(),
-        PlatformStore(settings.store.address, HttpClient()),
+        store,
         PlatformDecoder(),
         HttpClient(),
+        store,
     )
 
 
--- a/cornelnotch/gateway/tests/test_software_versions.py
+++ b/cornelnotch/gateway/tests/test_software_versions.py
@@ -7,6 +7,7 @@
 
 from cornelnotch.gateway.tests.conftest import create_configuration, wait_until
 from cornelnotch.gateway.tests.versioned_hosts import EVENTS, VersionedHosts
+from cornelnotch.platform.store import ORIGINS_TOPIC
 
 STREAMS = 12
 # Of the streams that are taken up, this share goes on.
@@ -202,3 +203,36 @@
             check_resumed(pairs)
 
     asyncio.run(run())
+
+
+def test_a_stream_is_asked_to_come_again_while_the_log_of_origins_is_away():
+    async def run():
+        async with run_hosts(1) as hosts:
+            begun = await begin_streams(hosts)
+            await asyncio.sleep(1.0)
+            await hosts.kill_hosts()
+            hosts.store.silent_topics.add(ORIGINS_TOPIC)
+            await hosts.start_hosts()
+            pairs = await resume_streams(hosts, begun)
+            assert {second.status for _, second in pairs} == {503}
+            hosts.store.silent_topics.clear()
+            await wait_until(hosts.hosts[0].origin_keeper.is_loaded)
+            pairs = await resume_streams(hosts, begun)
+            check_separate(pairs)
+            check_resumed(pairs)
+
+    asyncio.run(run())
+
+
+def test_a_host_without_fresh_records_does_not_assume_one_version():
+    async def run():
+        async with run_hosts(1, versions=("v1", "v1")) as hosts:
+            request_id, begun = await hosts.begin(0)
+            hosts.store.fault = "busy"
+            await asyncio.sleep(2.5)
+            unknown = await hosts.resume(0, f"unknown-{request_id}", begun)
+            known = await hosts.resume(0, request_id, begun)
+            assert unknown.status not in {0, 200}
+            assert known.is_whole(begun.numbers[-1] + 1)
+
+    asyncio.run(run())
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -153,6 +153,16 @@
     SERVER_CHOSEN = (6004, logging.INFO, "a server was chosen for a request")
     DISPATCH_FAILED = (6005, logging.INFO, "a server did not complete a request")
     STREAM_ORIGIN = (6011, logging.INFO, "a caller resumes a stream")
+    STREAM_ORIGINS_READ = (
+        6012,
+        logging.INFO,
+        "the log of the origins of streams was read",
+    )
+    STREAM_ORIGINS_UNSAVED = (
+        6013,
+        logging.WARNING,
+        "the log of the origins of streams cannot be reached",
+    )
     REQUEST_ANSWERED = (6006, logging.INFO, "a request was answered completely")
     REQUEST_BROKEN_OFF = (6007, logging.INFO, "a response ended early")
     TURN_CAME = (
--- a/cornelnotch/platform/program.py
+++ b/cornelnotch/platform/program.py
@@ -32,14 +32,16 @@
 async def serve_host(settings: HostSettings, output: LogOutput) -> None:
     """Run a host until it has drained; SIGTERM starts draining."""
     clock = create_clock()
+    store = PlatformStore(settings.store.address, HttpClient())
     host = GatewayHost(
         settings,
         clock,
         create_event_log(settings.host.name),
         PlatformHeaderCodec(),
-        PlatformStore(settings.store.address, HttpClient()),
+        store,
         PlatformDecoder(),
         HttpClient(),
+        store,
     )
     host.context.metrics.register_state_gauge(
         "dropped_log_lines", lambda: output.dropped
--- a/cornelnotch/platform/store.py
+++ b/cornelnotch/platform/store.py
@@ -15,6 +15,7 @@
     MalformedInputError,
     UpstreamError,
 )
+from cornelnotch.gateway.origin_log import OriginBatch, OriginHistory, OriginLog
 from cornelnotch.gateway.records import Record, RecordPage, RecordSource
 from cornelnotch.kernel.parsing import Count, decode, parse_count
 from cornelnotch.web import HttpClient
@@ -34,6 +35,8 @@
 # `servers/ID`.
 TOPICS = {"configuration": "keyed.op", "servers": "keyed.servers"}
 PARTITION = 0
+ORIGINS_TOPIC = "stream-origins"
+MAX_ORIGIN_PAGES = 64
 
 
 class NewestEntry(msgspec.Struct):
@@ -60,6 +63,8 @@
 
 _newest_decoder = msgspec.json.Decoder(NewestPage)
 _trimmed_decoder = msgspec.json.Decoder(TrimmedResponse)
+_batch_encoder = msgspec.msgpack.Encoder()
+_batch_decoder = msgspec.msgpack.Decoder(OriginBatch)
 
 
 def parse_timeline(headers: dict[str, str]) -> int | None:
@@ -109,8 +114,37 @@
     timeline: int | None
 
 
-class PlatformStore(RecordSource):
-    """Read records from the store over HTTP."""
+@dataclass(frozen=True, slots=True)
+class RawPage:
+    """Records of a topic without keys."""
+
+    values: list[bytes]
+    end_offset: int
+
+
+def split_raw_records(response: StoreResponse) -> RawPage:
+    """Return the records in a response; raise LogResponseError if it is malformed."""
+    body = response.body
+    if len(body) < PAGE_HEADER.size:
+        raise LogResponseError(
+            "store response is truncated", "read again", response.timeline
+        )
+    end, _ = PAGE_HEADER.unpack_from(body, 0)
+    values = []
+    position = PAGE_HEADER.size
+    while position + RECORD_LENGTH.size <= len(body):
+        (length,) = RECORD_LENGTH.unpack_from(body, position)
+        position += RECORD_LENGTH.size
+        value = body[position : position + length]
+        if len(value) < length:
+            break
+        position += length
+        values.append(value)
+    return RawPage(values, end)
+
+
+class PlatformStore(RecordSource, OriginLog):
+    """Read records from the store over HTTP, and keep the origins of streams there."""
 
     def __init__(self, address: str, client: HttpClient) -> None:
         self._address = address
@@ -182,12 +216,53 @@
                 response.timeline,
             ) from error
 
-    async def _call(self, target: str, timeout_ms: float) -> StoreResponse:
+    async def append_origins(self, batch: OriginBatch) -> None:
+        """Append a batch; raise LogUnavailableError, after which it may be there."""
+        record = _batch_encoder.encode(batch)
+        body = RECORD_LENGTH.pack(len(record)) + record
+        target = f"/log-append?topic={ORIGINS_TOPIC}&part={PARTITION}"
+        await self._call(target, READ_TIMEOUT_MS, "POST", body)
+
+    async def read_origins(self) -> OriginHistory:
+        """Return all batches that the log has; raise LogUnavailableError."""
+        batches: list[OriginBatch] = []
+        malformed = 0
+        start = 0
+        for _ in range(MAX_ORIGIN_PAGES):
+            target = f"/log-read?topic={ORIGINS_TOPIC}&part={PARTITION}&from={start}"
+            response = await self._call(target, READ_TIMEOUT_MS)
+            if response.status == STATUS_GONE:
+                start = self._find_earliest(response, start)
+                continue
+            page = split_raw_records(response)
+            for value in page.values:
+                try:
+                    batches.append(decode(_batch_decoder, value))
+                except MalformedInputError:
+                    malformed += 1
+            start += len(page.values)
+            if not page.values or start >= page.end_offset:
+                return OriginHistory(batches, page.end_offset == 0, malformed)
+        raise LogResponseError("the log of origins has no end", "read again")
+
+    def _find_earliest(self, response: StoreResponse, start: int) -> int:
+        earliest = self._decode(_trimmed_decoder, response).earliest_offset
+        if earliest <= start:
+            raise LogResponseError(
+                "store refuses the offset that it named", "read again"
+            )
+        return earliest
+
+    async def _call(
+        self, target: str, timeout_ms: float, method: str = "GET", body: bytes = b""
+    ) -> StoreResponse:
         self.calls += 1
         try:
             async with asyncio.timeout(timeout_ms / 1000.0):
-                response = await self._client.request(self._address, "GET", target)
-                body = await response.read()
+                response = await self._client.request(
+                    self._address, method, target, body=body
+                )
+                content = await response.read()
         except (UpstreamError, TimeoutError) as error:
             raise LogUnavailableError(
                 f"store did not respond: {error!r}", "read again later"
@@ -197,4 +272,4 @@
             raise LogUnavailableError(
                 f"store returned status {response.status}", "read again later", timeline
             )
-        return StoreResponse(response.status, body, timeline)
+        return StoreResponse(response.status, content, timeline)
--- a/cornelnotch/platform/tests/test_odd_store.py
+++ b/cornelnotch/platform/tests/test_odd_store.py
@@ -18,7 +18,7 @@
     wait_until,
 )
 from cornelnotch.platform import store as platform_store
-from cornelnotch.platform.store import PlatformStore, parse_timeline
+from cornelnotch.platform.store import MAX_ORIGIN_PAGES, PlatformStore, parse_timeline
 from cornelnotch.platform.tests.test_odd_records import list_numeric_types
 from cornelnotch.testing.odd_input import (
     DEEP_JSON,
@@ -35,15 +35,16 @@
 class ScriptedClient:
     """Answer each request with the same response."""
 
-    def __init__(self, status, body, headers):
+    def __init__(self, status, body, headers, most_calls=19):
         self.status = status
         self.body = body
         self.headers = headers
         self.calls = 0
+        self.most_calls = most_calls
 
-    async def request(self, address, method, target):
+    async def request(self, address, method, target, body=b""):
         self.calls += 1
-        assert self.calls < 20
+        assert self.calls <= self.most_calls
         return self
 
     async def read(self):
@@ -103,6 +104,23 @@
     read_store(200, head + body, {}, False)
 
 
+@FUZZ
+@given(
+    st.sampled_from([200, 410, 503]),
+    st.binary(max_size=60),
+    st.integers(0, 2**64 - 1),
+    st.booleans(),
+)
+def test_odd_logs_of_origins_raise_only_log_errors(status, body, end, has_head):
+    head = struct.pack(">QQ", end, 0) if has_head else b""
+    client: Any = ScriptedClient(status, head + body, {}, MAX_ORIGIN_PAGES)
+    try:
+        history = asyncio.run(PlatformStore("127.0.0.1:1", client).read_origins())
+    except LogUnavailableError:
+        return
+    assert not history.batches
+
+
 @FUZZ
 @given(number_texts())
 def test_odd_timelines_fit_into_messages(text):
--- a/cornelnotch/wire/messages.py
+++ b/cornelnotch/wire/messages.py
@@ -536,11 +536,11 @@
 
 @dataclass(frozen=True, slots=True)
 class BegunStreams:
-    """The requests whose streams servers of one software version began."""
+    """Hashes of the ids of requests whose streams one software version began."""
 
     service: str
     software: str
-    request_ids: list[str]
+    id_hashes: list[int]
 
 
 @dataclass(frozen=True, slots=True)
@@ -552,21 +552,25 @@
 
 @dataclass(frozen=True, slots=True)
 class StreamOriginQuery:
-    """Ask at which software version the stream of a request began.
+    """Ask at which software version of a service the stream of a request began.
 
-    `number` identifies the query among those of its sender.
+    `number` identifies the query among those of its sender, `id_hash` the request.
     """
 
     number: int
     service: str
-    request_id: str
+    id_hash: int
 
 
 @dataclass(frozen=True, slots=True)
 class StreamOriginReply:
-    """Answer a query; `service` and `software` are empty if the stream is unknown."""
+    """Answer a query; `service` and `software` are empty if the stream is unknown.
+
+    `final` is set if the sender would know the stream if it had been reported.
+    """
 
     number: int
+    final: bool
     service: str = ""
     software: str = ""
 
