gateway: the origins of streams are in the log at once while versions differ

Cause: batches were appended every 400 ms, whatever the need, so a third of the streams that ran when the power went was not in the log. Why it works: a stream is appended within 80 ms while several versions served of late, and within 800 ms while one did, where an unknown stream goes on. A host that starts reads the log as soon as it has a configuration.

--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -102,6 +102,8 @@
         )
         self.software_history = SoftwareHistory(clock.read())
         self.announce_leaving: Callable[[str, int], None] = lambda server, boot_ms: None
+        self._longest_of: RoutingTable | None = None
+        self._longest_stream_ms = 0.0
         self._reserved: dict[str, ReservedEngines] = {}
         self._gaps: dict[str, float] = {}
         self._gaps_version = NO_VERSION
@@ -113,8 +115,10 @@
 
     def find_first_stream_ms(self) -> float:
         """Return the start time of the oldest stream that a caller may resume."""
-        lifetime_ms = STREAM_TIMEOUTS * self.table.find_longest_stream_ms()
-        return self.clock.read() - lifetime_ms
+        if self._longest_of is not self.table:
+            self._longest_of = self.table
+            self._longest_stream_ms = self.table.find_longest_stream_ms()
+        return self.clock.read() - STREAM_TIMEOUTS * self._longest_stream_ms
 
     def accepts(self, server: ServerView) -> bool:
         """Return whether this host may send work to a server now."""
--- a/cornelnotch/gateway/continuation.py
+++ b/cornelnotch/gateway/continuation.py
@@ -44,6 +44,7 @@
             Event.STREAM_ORIGIN,
             request_id=self._request.request_id,
             resumes=resumed_id,
+            after_event=self._request.last_event_id,
             service=service if origin is None else origin.service,
             software=None if origin is None else origin.software,
             asked=not is_own,
--- a/cornelnotch/gateway/origin_exchange.py
+++ b/cornelnotch/gateway/origin_exchange.py
@@ -24,7 +24,7 @@
 __all__ = ["OriginExchange"]
 
 # Streams that begin within this time are reported in one message.
-REPORT_DELAY_MS = 30.0
+REPORT_DELAY_MS = 10.0
 # A host answers within one round trip between regions.
 ANSWER_TIMEOUT_MS = 250.0
 # A host that has just started reads the log of origins within this time.
--- a/cornelnotch/gateway/origin_keeper.py
+++ b/cornelnotch/gateway/origin_keeper.py
@@ -18,12 +18,18 @@
 
 __all__ = ["OriginKeeper"]
 
-TICK_MS = 400.0
+# Period of appends while one version serves. If all hosts are killed, streams that are
+# not in the log go on, as they can only have begun there.
+TICK_MS = 800.0
+# Period while several do: these streams are refused.
+MIXED_TICK_MS = 80.0
 # A batch is appended at least this often, so that its age tells how long no host ran.
 MAX_APPEND_PERIOD_MS = 4000.0
 # The last batch says which versions served before it only if it is not older.
 MAX_BATCH_AGE_MS = 12_000.0
 RETRY_PERIOD_MS = 1000.0
+# A host that starts reads the log as soon as it has a configuration.
+LOAD_PERIOD_MS = 50.0
 MAX_BATCH_STREAMS = 8192
 # The second reader keeps what the first may not have appended yet.
 STANDBY_MS = 2000.0
@@ -73,11 +79,21 @@
         if not self._unsaved:
             self._unsaved_since_ms = now
         self._unsaved.update(streams)
-        is_new = not self._appended_versions.issuperset(streams.values())
-        if is_new and readers[0] == self._plan.name and not self._is_failing:
-            # If all hosts are killed now, the log must not name too few versions.
+        if readers[0] == self._plan.name and self._is_urgent(streams):
             self._must_append.set()
 
+    def _is_urgent(self, streams: dict[int, StreamOrigin]) -> bool:
+        """Return whether these streams must be in the log at once.
+
+        Without them, the log may name too few versions, or they will be refused.
+        """
+        if self._is_failing:
+            return False
+        if not self._appended_versions.issuperset(streams.values()):
+            return True
+        elapsed_ms = self._context.clock.read() - self._appended_ms
+        return elapsed_ms >= MIXED_TICK_MS and self._is_mixed()
+
     async def run(self) -> None:
         """Observe versions, read and append, until cancelled."""
         while True:
@@ -86,9 +102,21 @@
             if self._context.table.find_longest_stream_ms() > 0:
                 await self._exchange_with_log()
             with suppress(TimeoutError):
-                async with asyncio.timeout(TICK_MS / 1000.0):
+                async with asyncio.timeout(self._choose_period_ms() / 1000.0):
                     await self._must_append.wait()
 
+    def _choose_period_ms(self) -> float:
+        if self._is_failing:
+            return RETRY_PERIOD_MS
+        readers = self._plan.list_readers(self._context.clock.read())
+        if not self.is_loaded() and self._plan.name in readers:
+            return LOAD_PERIOD_MS
+        return MIXED_TICK_MS if self._unsaved and self._is_mixed() else TICK_MS
+
+    def _is_mixed(self) -> bool:
+        since_ms = self._context.find_first_stream_ms()
+        return self._context.software_history.has_several(since_ms)
+
     def _observe(self) -> None:
         now = self._context.clock.read()
         history = self._context.software_history
--- a/cornelnotch/gateway/software_history.py
+++ b/cornelnotch/gateway/software_history.py
@@ -42,6 +42,11 @@
         found = [o for o in self.list_since(since_ms) if o.service == service]
         return found[0] if len(found) == 1 else None
 
+    def has_several(self, since_ms: float) -> bool:
+        """Return whether a service had several versions since `since_ms`."""
+        found = self.list_since(since_ms)
+        return len({origin.service for origin in found}) < len(found)
+
     def expire(self, before_ms: float) -> None:
         """Forget the versions that last served before a time."""
         old = [o for o, seen_ms in self._seen.items() if seen_ms < before_ms]
