--- a/cornelnotch/gateway/origin_keeper.py
+++ b/cornelnotch/gateway/origin_keeper.py
@@ -109,7 +109,7 @@
         if self._is_failing:
             return RETRY_PERIOD_MS
         readers = self._plan.list_readers(self._context.clock.read())
-        if not self.is_loaded() and self._plan.name in readers:
+        if not self.is_loaded() and (not readers or self._plan.name in readers):
             return LOAD_PERIOD_MS
         return MIXED_TICK_MS if self._unsaved and self._is_mixed() else TICK_MS
 
