gateway: a stream does not go on at a server that has restarted as another version

A server that is back under its name and address as another version got streams of the version before, until hosts had its new record; and a stream that it began then was remembered under the old version. Cause: the record names the process that served, not the one that answers. Class: a decision on a record that is older than what it describes. Evidence: test_a_stream_does_not_go_on_at_a_server_that_is_back_as_another_version and test_a_stream_that_a_restarted_server_began_is_not_joined failed before (streams of two versions). Why it works: before the first event of a stream that goes on, the host asks the server for the time of its start, and takes it for gone if the record names another. A stream of which events come after the record of a restart as another version is of no version, so it is broken off or refused rather than joined.

--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -23,6 +23,7 @@
     find_latency_sensitive_gap_ms,
 )
 from cornelnotch.gateway.retry_budget import RetryBudget
+from cornelnotch.gateway.server_identity import ServerIdentity, UnknownIdentity
 from cornelnotch.gateway.servers import InFlightRequest, ServerPool, ServerView
 from cornelnotch.gateway.settings import HostSettings
 from cornelnotch.gateway.software_history import SoftwareHistory
@@ -67,12 +68,14 @@
         header_codec: HeaderCodec,
         client: HttpClient,
         peers: PeerNetwork,
+        identity: ServerIdentity | None = None,
     ) -> None:
         self.settings = settings
         self.clock = clock
         self.events = events
         self.header_codec = header_codec
         self.client = client
+        self.identity = identity or UnknownIdentity()
         self.metrics = NodeMetrics(settings.host.name, clock)
         self.crashes = CrashEvidence()
         self.crash_watch = CrashWatch(client, events, self.metrics, self.record_crash)
--- a/cornelnotch/gateway/continuation.py
+++ b/cornelnotch/gateway/continuation.py
@@ -1,9 +1,16 @@
 """Keep a stream at the software version that began it."""
 
+from collections.abc import Collection
+
+from cornelnotch.exceptions import UpstreamError
 from cornelnotch.gateway.context import GatewayContext
-from cornelnotch.gateway.models import CallerRequest, Route, ServerRecord, WorkKind
+from cornelnotch.gateway.models import CallerRequest, Route, WorkKind
 from cornelnotch.gateway.servers import ServerView
-from cornelnotch.gateway.stream_origins import StreamOrigin, create_origin
+from cornelnotch.gateway.stream_origins import (
+    AMBIGUOUS_SOFTWARE,
+    StreamOrigin,
+    create_origin,
+)
 from cornelnotch.kernel.events import Event
 
 __all__ = ["StreamContinuation"]
@@ -20,6 +27,7 @@
         self._route = route
         self._is_resumable = route.kind is WorkKind.STREAM and route.resumable
         self.origin: StreamOrigin | None = None
+        self._first_view: ServerView | None = None
         self.may_become_known = False
 
     def must_find_origin(self) -> bool:
@@ -54,13 +62,52 @@
         is_routed = origin is not None and origin.service in services
         return origin.service if origin is not None and is_routed else service
 
-    def note_event(self, record: ServerRecord) -> None:
-        """Note that a server's event is sent to the caller."""
-        if self.origin is not None:
+    async def confirm_server(self, view: ServerView) -> None:
+        """Check that the process that answers is the one in the server's record.
+
+        Raise UpstreamError if the stream goes on and another process answers, whose
+        version is not known yet.
+        """
+        if self.origin is None:
+            self._first_view = view
+            return
+        address = view.record.address
+        boot_ms = await self._context.identity.read_boot_ms(address)
+        if boot_ms not in {None, view.record.boot_ms}:
+            view.disable_until_relisted()
+            raise UpstreamError(
+                f"{view.record.name} has restarted", "resume at another server"
+            )
+
+    def check_version(self, view: ServerView) -> None:
+        """Raise UpstreamError if a server has restarted as another version."""
+        if self._first_view is not view and self._find_origin(view) != self.origin:
+            raise UpstreamError(
+                f"{view.record.name} now has another version",
+                "resume at another server",
+            )
+
+    def note_event(self, view: ServerView) -> None:
+        """Note that an event of the server that began the stream will be sent."""
+        origin = self._find_origin(view)
+        if self._first_view is not view or origin == self.origin:
             return
-        self.origin = create_origin(record)
+        self.origin = origin
         if self._is_resumable:
-            self._context.report_origin(self._request.request_id, self.origin)
+            self._context.report_origin(self._request.request_id, origin)
+
+    def has_other_server(self, service: str, tried: Collection[str]) -> bool:
+        """Return whether the stream may go on at a server that is not in `tried`."""
+        servers = self.list_usable(service, self._context.clock.read())
+        return any(server.record.name not in tried for server in servers)
+
+    def _find_origin(self, view: ServerView) -> StreamOrigin:
+        known = self._context.pool.servers.get(view.record.name, view)
+        origin = create_origin(known.record)
+        if known is view or origin == create_origin(view.record):
+            return origin
+        # Its process may be the one before the restart or the one after.
+        return StreamOrigin(origin.service, AMBIGUOUS_SOFTWARE)
 
     def is_version_gone(self) -> bool:
         """Return whether no server of the version that began the stream is left."""
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -201,10 +201,9 @@
 
     async def _refuse_leaving(self) -> None:
         """Refuse a request that cannot end before the host stops."""
+        left_ms = self.timing.measure_left_ms()
         retry_ms = choose_drain_retry_after_ms(
-            bool(self.context.hosts),
-            self.timing.measure_left_ms(),
-            self.context.generator,
+            bool(self.context.hosts), left_ms, self.context.generator
         )
         needed_ms = self.timing.find_needed_ms()
         await self._refuse(
@@ -502,8 +501,7 @@
         view = placement.server
         now = self.context.clock.read()
         if now >= self.limit_ms:
-            # The host was suspended, so its timers have not fired yet.
-            raise TimeoutError
+            raise TimeoutError  # The host was suspended; its timers have not fired yet.
         in_flight.sent = True
         self._record_limited_dispatch(view)
         options = DispatchOptions(
@@ -644,9 +642,6 @@
         self, response: UpstreamResponse, view: ServerView, in_flight: InFlightRequest
     ) -> UpstreamResponse | None:
         assert response.head is not None
-        if not self.exchange.response_started:
-            self.timing.note_begun()
-            await self.exchange.start(response.head.status, response.headers)
         reader = EventReader(
             response,
             in_flight,
@@ -655,15 +650,20 @@
             lambda: self._can_switch_server(view),
         )
         try:
+            await self.continuation.confirm_server(view)
+            if not self.exchange.response_started:
+                self.timing.note_begun()
+                await self.exchange.start(response.head.status, response.headers)
             while data := await reader.read():
                 view.record_received(in_flight, self.context.clock.read())
+                self.continuation.check_version(view)
                 counted = self.splitter.count
                 complete = self.splitter.feed(data)
                 in_flight.record_events(
                     self.splitter.count - counted, self.context.clock.read()
                 )
                 if complete:
-                    self.continuation.note_event(view.record)
+                    self.continuation.note_event(view)
                     await self._send_events(complete)
                 self.splitter.check()
             end = await confirm_end(response, self.splitter)
@@ -709,9 +709,8 @@
             return is_silent(view, now) and self.context.accepts(self.backup)
         if not self.context.find_retry_budget(self.service).can_retry(now):
             return False
-        others = self.continuation.list_usable(self.service, now)
-        excluded = self.excluded | {view.record.name}
-        return any(other.record.name not in excluded for other in others)
+        tried = self.excluded | {view.record.name}
+        return self.continuation.has_other_server(self.service, tried)
 
     def _finish(self, status: int, first_ms: float, **details: object) -> None:
         """Record a complete response whose first byte arrived at `first_ms`."""
--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -19,6 +19,7 @@
 from cornelnotch.gateway.records import RecordDecoder, RecordSource
 from cornelnotch.gateway.relay import ReaderCandidate, RelayPlan
 from cornelnotch.gateway.routing_state import RoutingState
+from cornelnotch.gateway.server_identity import ServerIdentity
 from cornelnotch.gateway.settings import HostSettings
 from cornelnotch.gateway.silence import SilenceDetector
 from cornelnotch.kernel.clock import Clock
@@ -65,6 +66,7 @@
         decoder: RecordDecoder,
         client: HttpClient,
         origin_log: OriginLog,
+        identity: ServerIdentity,
     ) -> None:
         self.settings = settings
         self.clock = clock
@@ -76,7 +78,7 @@
         self.boot = int(clock.read_wall())
         self.peers = PeerNetwork(settings.host.name, self.boot, events, self.tasks)
         self.context = GatewayContext(
-            settings, clock, events, header_codec, client, self.peers
+            settings, clock, events, header_codec, client, self.peers, identity
         )
         self.admission_controller = AdmissionController(self.context, self.peers)
         self.frontend = Frontend(self.context)
--- a/cornelnotch/gateway/stream_origins.py
+++ b/cornelnotch/gateway/stream_origins.py
@@ -13,6 +13,7 @@
 from cornelnotch.wire.messages import BegunStreams
 
 __all__ = [
+    "AMBIGUOUS_SOFTWARE",
     "OriginAnswer",
     "StreamOrigin",
     "StreamOrigins",
@@ -22,6 +23,8 @@
 ]
 
 MAX_STREAMS = 65_536
+# The version of streams of which two versions may have sent events; no server has it.
+AMBIGUOUS_SOFTWARE = "\x00"
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelnotch/gateway/tests/conftest.py
+++ b/cornelnotch/gateway/tests/conftest.py
@@ -18,6 +18,7 @@
 from cornelnotch.kernel import create_clock, create_event_log
 from cornelnotch.platform.decoder import PlatformDecoder
 from cornelnotch.platform.header_codec import PlatformHeaderCodec
+from cornelnotch.platform.identity import PlatformServerIdentity
 from cornelnotch.platform.store import PlatformStore
 from cornelnotch.standins.store import StoreStandin
 from cornelnotch.standins.upstream import UpstreamStandin
@@ -87,6 +88,7 @@
 
 def create_host(settings):
     store = PlatformStore(settings.store.address, HttpClient())
+    client = HttpClient()
     return GatewayHost(
         settings,
         create_clock(),
@@ -94,8 +96,9 @@
         PlatformHeaderCodec(),
         store,
         PlatformDecoder(),
-        HttpClient(),
+        client,
         store,
+        PlatformServerIdentity(client),
     )
 
 
--- a/cornelnotch/gateway/tests/test_software_versions.py
+++ b/cornelnotch/gateway/tests/test_software_versions.py
@@ -6,7 +6,7 @@
 import pytest
 
 from cornelnotch.gateway.tests.conftest import create_configuration, wait_until
-from cornelnotch.gateway.tests.versioned_hosts import EVENTS, VersionedHosts
+from cornelnotch.gateway.tests.versioned_hosts import EVENT_MS, EVENTS, VersionedHosts
 from cornelnotch.platform.store import ORIGINS_TOPIC
 
 STREAMS = 12
@@ -236,3 +236,34 @@
             assert known.is_whole(begun.numbers[-1] + 1)
 
     asyncio.run(run())
+
+
+def test_a_stream_does_not_go_on_at_a_server_that_is_back_as_another_version():
+    async def run():
+        async with run_hosts(versions=("v1", "v1", "v2")) as hosts:
+            begun = await begin_streams(hosts)
+            await hosts.restart_engine(hosts.engines[0], "v2")
+            pairs = await resume_streams(hosts, begun)
+            check_separate(pairs)
+            check_resumed(pairs)
+
+    asyncio.run(run())
+
+
+def test_a_stream_that_a_restarted_server_began_is_not_joined():
+    async def run():
+        async with run_hosts(versions=("v1", "v1", "v2")) as hosts:
+            restarted = hosts.engines[0]
+            await hosts.restart_engine(restarted, "v2")
+            restarted.faults.event_ms = 5 * EVENT_MS
+            tasks = [asyncio.create_task(hosts.begin(0, 9)) for _ in range(STREAMS)]
+            await asyncio.sleep(3 * EVENT_MS / 1000.0)
+            hosts.list_engine(restarted)
+            begun = await asyncio.gather(*tasks)
+            assert restarted.executions
+            restarted.faults.event_ms = EVENT_MS
+            pairs = await resume_streams(hosts, begun)
+            check_separate([p for p in pairs if p[1].status == 200])
+            check_resumed([p for p in pairs if p[0].versions == {"v1"}])
+
+    asyncio.run(run())
--- a/cornelnotch/gateway/tests/versioned_hosts.py
+++ b/cornelnotch/gateway/tests/versioned_hosts.py
@@ -106,7 +106,16 @@
         return self.store.topics["keyed.servers"].list_newest()
 
     def list_engine(self, engine, **fields):
-        self.list_server(engine, "llm", version=engine.software, **fields)
+        fields = {"version": engine.software, "born": engine.boot_ms, **fields}
+        self.list_server(engine, "llm", **fields)
+
+    async def restart_engine(self, engine, software):
+        """Start an engine again under its name and address, as another version."""
+        port = engine.server.port
+        await engine.stop()
+        engine.software = software
+        engine.boot_ms += 1
+        await engine.server.start("127.0.0.1", port)
 
     async def drop_engines(self, software):
         for engine in self.engines:
--- a/cornelnotch/platform/program.py
+++ b/cornelnotch/platform/program.py
@@ -17,6 +17,7 @@
     ResolutionEndpoint,
 )
 from cornelnotch.platform.header_codec import PlatformHeaderCodec
+from cornelnotch.platform.identity import PlatformServerIdentity
 from cornelnotch.platform.store import PlatformStore
 from cornelnotch.web import HttpClient, HttpServer, parse_address
 
@@ -33,6 +34,7 @@
     """Run a host until it has drained; SIGTERM starts draining."""
     clock = create_clock()
     store = PlatformStore(settings.store.address, HttpClient())
+    client = HttpClient()
     host = GatewayHost(
         settings,
         clock,
@@ -40,8 +42,9 @@
         PlatformHeaderCodec(),
         store,
         PlatformDecoder(),
-        HttpClient(),
+        client,
         store,
+        PlatformServerIdentity(client),
     )
     host.context.metrics.register_state_gauge(
         "dropped_log_lines", lambda: output.dropped
--- a/cornelnotch/standins/raw.py
+++ b/cornelnotch/standins/raw.py
@@ -11,6 +11,8 @@
 
 HEAD_END = b"\r\n\r\n"
 ID_FIELD = b"x-attempt-id:"
+REPORT_START = b"GET /report "
+NO_REPORT = b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n"
 
 
 # Lets the peer read what was sent before the connection is reset.
@@ -42,7 +44,10 @@
 
 
 class RawUpstream:
-    """Simulated server that sends the same bytes in response to each request."""
+    """Simulated server that sends the same bytes in response to each request.
+
+    It has no report of itself.
+    """
 
     def __init__(self, name: str, answer: RawResponse) -> None:
         self.name = name
@@ -85,6 +90,9 @@
         with suppress(OSError, asyncio.IncompleteReadError):
             while True:
                 head = await reader.readuntil(HEAD_END)
+                if head.startswith(REPORT_START):
+                    writer.write(NO_REPORT)
+                    continue
                 self.requests += 1
                 writer.write(self.create_response(_find_id(head)))
                 await writer.drain()
--- a/cornelnotch/standins/upstream.py
+++ b/cornelnotch/standins/upstream.py
@@ -13,6 +13,7 @@
 STATUS_UNAVAILABLE = 503
 STATUS_MISDIRECTED = 421
 STREAM_PREFIX = "/stream/"
+REPORT_PATH = "/report"
 
 
 @dataclass(slots=True)
@@ -50,7 +51,7 @@
     `backup_engines` are engines by address, to which it copies the KV cache of a
     request if asked to; `backed_up_ids` contains the ids of requests whose KV cache was
     copied to this server. `received_s` contains the monotonic times of all requests.
-    `software` is part of each event.
+    `software` is part of each event. A report names `boot_ms`, the time of its start.
     `disconnects` counts callers that closed their connection
     before the response was complete.
     """
@@ -58,6 +59,8 @@
     name: str
     events: int = 6
     software: str = ""
+    boot_ms: int = 0
+    reports: int = 0
     faults: UpstreamFaults = field(default_factory=UpstreamFaults)
     executions: Counter[str] = field(default_factory=Counter)
     received_headers: list[dict[str, str]] = field(default_factory=list)
@@ -85,6 +88,10 @@
         await self.server.stop()
 
     async def _handle(self, exchange: Exchange) -> None:
+        if exchange.path == REPORT_PATH:
+            self.reports += 1
+            await exchange.respond_json(200, {"born": self.boot_ms})
+            return
         self.received_s.append(time.monotonic())
         body = await exchange.read_body(MAX_BODY_BYTES)
         self.received_headers.append(exchange.headers)
