gateway: the hosts that know most decide about streams of unknown origin

A stream whose service the route no longer leads to is refused and not sent to another one. A server without a known start time is not taken for a restarted one. While one version serves, streams are reported every 200 ms and not every 10.

--- a/cornelnotch/gateway/continuation.py
+++ b/cornelnotch/gateway/continuation.py
@@ -71,6 +71,8 @@
         if self.origin is None:
             self._first_view = view
             return
+        if not view.record.boot_ms:
+            return
         address = view.record.address
         boot_ms = await self._context.identity.read_boot_ms(address)
         if boot_ms not in {None, view.record.boot_ms}:
@@ -109,14 +111,19 @@
         # Its process may be the one before the restart or the one after.
         return StreamOrigin(origin.service, AMBIGUOUS_SOFTWARE)
 
-    def is_version_gone(self) -> bool:
+    def is_version_gone(self, service: str) -> bool:
         """Return whether no server of the version that began the stream is left."""
         if self.origin is None:
             return False
+        if self.origin.service != service:
+            return True
         records = (view.record for view in self._context.pool.servers.values())
         return all(create_origin(record) != self.origin for record in records)
 
     def list_usable(self, service: str, now: float) -> list[ServerView]:
         """Return the usable servers at which the stream may begin or go on."""
-        software = None if self.origin is None else self.origin.software
-        return self._context.pool.list_usable(service, now, software)
+        if self.origin is None:
+            return self._context.pool.list_usable(service, now)
+        if self.origin.service != service:
+            return []
+        return self._context.pool.list_usable(service, now, self.origin.software)
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -237,7 +237,7 @@
             await self._refuse_with_retry(self.overloaded_wait_ms, "backlog")
         elif self.unadmitted and may_refuse:
             await self._refuse_with_retry(self.limited_wait_ms, "rate-limit")
-        elif may_refuse and self.continuation.is_version_gone():
+        elif may_refuse and self.continuation.is_version_gone(self.service):
             await self._refuse(STATUS_SERVER_ERROR, VERSION_GONE)
         elif backoff_ms > 0 and may_refuse:
             await self._refuse_with_retry(backoff_ms, "servers-rest")
--- a/cornelnotch/gateway/origin_exchange.py
+++ b/cornelnotch/gateway/origin_exchange.py
@@ -23,8 +23,10 @@
 
 __all__ = ["OriginExchange"]
 
-# Streams that begin within this time are reported in one message.
-REPORT_DELAY_MS = 10.0
+# Streams that begin within this time are reported in one message. While one version
+# serves, an unknown stream goes on, so that there is no hurry.
+REPORT_DELAY_MS = 200.0
+MIXED_REPORT_DELAY_MS = 10.0
 # A host answers within one round trip between regions.
 ANSWER_TIMEOUT_MS = 250.0
 # A host that has just started reads the log of origins within this time.
@@ -60,8 +62,10 @@
         id_hash = hash_text(request_id)
         self._keeper.add({id_hash: origin})
         if not self._unreported:
+            is_mixed = self._keeper.is_mixed()
+            delay_ms = MIXED_REPORT_DELAY_MS if is_mixed else REPORT_DELAY_MS
             loop = asyncio.get_running_loop()
-            loop.call_later(REPORT_DELAY_MS / 1000.0, self._send_reports)
+            loop.call_later(delay_ms / 1000.0, self._send_reports)
         self._unreported[id_hash] = origin
 
     async def ask(self, request_id: str, service: str) -> OriginAnswer:
@@ -69,11 +73,11 @@
         id_hash = hash_text(request_id)
         if self._is_reader():
             await self._keeper.wait_until_loaded(LOAD_TIMEOUT_MS)
-        origin = self._context.origins.find(id_hash) or self._find_only(service)
-        if origin is not None:
-            return OriginAnswer(origin, is_final=True)
         answers = []
         if self._is_reader():
+            origin = self._context.origins.find(id_hash) or self._find_only(service)
+            if origin is not None:
+                return OriginAnswer(origin, is_final=True)
             answers.append(OriginAnswer(None, self._keeper.is_loaded()))
         queries = [
             asyncio.create_task(self._query(name, id_hash, service))
@@ -87,14 +91,18 @@
         finally:
             for task in queries:
                 task.cancel()
-        origins = [a.origin for a in answers if a.origin is not None]
         is_final = bool(answers) and all(answer.is_final for answer in answers)
-        return OriginAnswer(origins[-1] if origins else None, is_final)
+        found = [answer.origin for answer in answers if answer.origin is not None]
+        if not found and not is_final:
+            # Nobody who knows more has answered.
+            return OriginAnswer(self._find_only(service), is_final=False)
+        return OriginAnswer(found[0] if found else None, is_final)
 
     def _find_only(self, service: str) -> StreamOrigin | None:
         """Return the only version that can have begun streams of a service."""
         if self._plan.is_stale(SERVERS, self._context.clock.read()):
             return None
+        self._keeper.observe()
         since_ms = self._context.find_first_stream_ms()
         return self._context.software_history.find_only(service, since_ms)
 
--- a/cornelnotch/gateway/origin_keeper.py
+++ b/cornelnotch/gateway/origin_keeper.py
@@ -4,7 +4,7 @@
 from contextlib import suppress
 
 from cornelnotch.exceptions import LogUnavailableError
-from cornelnotch.gateway.context import GatewayContext
+from cornelnotch.gateway.context import NO_VERSION, GatewayContext
 from cornelnotch.gateway.follower import SERVERS
 from cornelnotch.gateway.origin_log import OriginBatch, OriginLog, SoftwareSeen
 from cornelnotch.gateway.relay import RelayPlan
@@ -92,13 +92,13 @@
         if not self._appended_versions.issuperset(streams.values()):
             return True
         elapsed_ms = self._context.clock.read() - self._appended_ms
-        return elapsed_ms >= MIXED_TICK_MS and self._is_mixed()
+        return elapsed_ms >= MIXED_TICK_MS and self.is_mixed()
 
     async def run(self) -> None:
         """Observe versions, read and append, until cancelled."""
         while True:
             self._must_append.clear()
-            self._observe()
+            self.observe()
             if self._context.table.find_longest_stream_ms() > 0:
                 await self._exchange_with_log()
             with suppress(TimeoutError):
@@ -108,16 +108,25 @@
     def _choose_period_ms(self) -> float:
         if self._is_failing:
             return RETRY_PERIOD_MS
-        readers = self._plan.list_readers(self._context.clock.read())
-        if not self.is_loaded() and (not readers or self._plan.name in readers):
+        if self._must_load():
             return LOAD_PERIOD_MS
-        return MIXED_TICK_MS if self._unsaved and self._is_mixed() else TICK_MS
+        return MIXED_TICK_MS if self._unsaved and self.is_mixed() else TICK_MS
+
+    def _must_load(self) -> bool:
+        """Return whether this host does not know yet what the log has, but should."""
+        table = self._context.table
+        if table.version != NO_VERSION and table.find_longest_stream_ms() == 0:
+            return False
+        readers = self._plan.list_readers(self._context.clock.read())
+        return not self.is_loaded() and (not readers or self._plan.name in readers)
 
-    def _is_mixed(self) -> bool:
+    def is_mixed(self) -> bool:
+        """Return whether several versions of a service served of late."""
         since_ms = self._context.find_first_stream_ms()
         return self._context.software_history.has_several(since_ms)
 
-    def _observe(self) -> None:
+    def observe(self) -> None:
+        """Note the versions that serve now; forget what no caller can resume."""
         now = self._context.clock.read()
         history = self._context.software_history
         if self._plan.is_stale(SERVERS, now):
--- a/cornelnotch/gateway/tests/versioned_hosts.py
+++ b/cornelnotch/gateway/tests/versioned_hosts.py
@@ -60,6 +60,7 @@
         ]
         for engine in self.engines:
             engine.faults.event_ms = EVENT_MS
+            engine.boot_ms = 1
         self.host_count = hosts
         self.hosts = []
         self.settings_by_host = []
