--- a/cornelnotch/verification/__init__.py
+++ b/cornelnotch/verification/__init__.py
@@ -14,6 +14,7 @@
     OrderMutant,
     create_order_protocol,
 )
+from cornelnotch.verification.origins import OriginMutant, create_origin_protocol
 from cornelnotch.verification.restoration import (
     RestorationMutant,
     create_restoration_protocol,
@@ -27,12 +28,14 @@
     "ConfigurationMutant",
     "LimitMutant",
     "OrderMutant",
+    "OriginMutant",
     "RestorationMutant",
     "StopMutant",
     "create_claim_protocol",
     "create_configuration_protocol",
     "create_limit_protocol",
     "create_order_protocol",
+    "create_origin_protocol",
     "create_restoration_protocol",
     "create_stop_protocol",
 ]
--- a/cornelnotch/verification/tests/test_models.py
+++ b/cornelnotch/verification/tests/test_models.py
@@ -11,12 +11,14 @@
     ConfigurationMutant,
     LimitMutant,
     OrderMutant,
+    OriginMutant,
     RestorationMutant,
     StopMutant,
     create_claim_protocol,
     create_configuration_protocol,
     create_limit_protocol,
     create_order_protocol,
+    create_origin_protocol,
     create_restoration_protocol,
     create_stop_protocol,
 )
@@ -164,3 +166,15 @@
 def test_stop_mutants_are_detected(mutant, broken, call):
     protocol = create_stop_protocol(mutant, (call,), max_pause=2)
     assert broken in list_violations(protocol)
+
+
+@pytest.mark.parametrize(("steps", "kills"), [(2, 2), (4, 1)])
+def test_no_stream_goes_on_at_another_software_version(steps, kills):
+    assert_exhaustively_safe(create_origin_protocol(steps=steps, kills=kills))
+
+
+@pytest.mark.parametrize(
+    "mutant", [mutant for mutant in OriginMutant if mutant is not OriginMutant.NONE]
+)
+def test_origin_mutants_are_detected(mutant):
+    assert "not_joined" in list_violations(create_origin_protocol(mutant))
