gateway: a repeated request is told apart from one whose prompt changes

Read as a newcomer: if a request that is repeated whole and one that comes with another prompt each time were at the same crashes, a set with the fingerprints of both was blamed, which no request has, so both went on. test_a_repeated_request_is_told_apart_from_one_with_changing_prompts failed before. Now each of the two is blamed, until a trial tells them apart. The log of a crash lists fingerprints as texts.

--- a/cornelnotch/gateway/crash_evidence.py
+++ b/cornelnotch/gateway/crash_evidence.py
@@ -108,12 +108,13 @@
     No request has the fingerprints of two. The prompt parts beside them may be those
     of only one of the requests.
     """
-    whole = {p for p in parts if is_fingerprint(p) and find_content_fingerprint(p) != p}
-    contents = {p for p in parts if is_fingerprint(p)} - whole
-    fingerprints = whole or contents
-    if len(fingerprints) <= 1:
+    fingerprints = {part for part in parts if is_fingerprint(part)}
+    # The fingerprint of a whole request stands for that of its content too.
+    whole = {f for f in fingerprints if find_content_fingerprint(f) != f}
+    requests = fingerprints - {find_content_fingerprint(f) for f in whole}
+    if len(requests) <= 1:
         return [frozenset(parts)]
-    return [frozenset({fingerprint}) for fingerprint in sorted(fingerprints)]
+    return [frozenset({fingerprint}) for fingerprint in sorted(requests)]
 
 
 def _has_fingerprint(parts: Iterable[str]) -> bool:
--- a/cornelnotch/gateway/crash_watch.py
+++ b/cornelnotch/gateway/crash_watch.py
@@ -93,5 +93,5 @@
             parts=len(parts),
             first_parts=parts[:MAX_LOGGED_NAMES],
             first_requests=[rider.request_id for rider in first],
-            first_fingerprints=[rider.fingerprints[-1:] for rider in first],
+            first_fingerprints=["".join(rider.fingerprints[-1:]) for rider in first],
         )
--- a/cornelnotch/gateway/tests/test_crash_evidence.py
+++ b/cornelnotch/gateway/tests/test_crash_evidence.py
@@ -213,3 +213,11 @@
     limit = crash_evidence.REMEMBERED_SOUND_FINGERPRINTS
     assert len(evidence._sound_fingerprints) == limit
     assert "shared" in evidence._sound
+
+
+def test_a_repeated_request_is_told_apart_from_one_with_changing_prompts():
+    evidence = CrashEvidence()
+    for number in range(3):
+        crash(evidence, number, ONE, create_request("2", f"prompt-{number}"))
+    assert evidence.list_blamed(ONE)
+    assert evidence.list_blamed(create_request("2", "another"))
