soak: servers that fall silent for a second, and bodies in chunks

The report of streams cut around SIGTERM names a server that had fallen silent, and requests whose bodies came in chunks. Neither was played.

--- a/cornelnotch/soak/attempts.py
+++ b/cornelnotch/soak/attempts.py
@@ -42,6 +42,7 @@
     body_bytes: int = 16
     upload_s: float = 0.0
     read_rate: float = 0.0
+    is_chunked: bool = False
 
     @property
     def may_repeat(self) -> bool:
--- a/cornelnotch/soak/callers.py
+++ b/cornelnotch/soak/callers.py
@@ -6,7 +6,7 @@
 import time
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import h11
 
@@ -30,6 +30,8 @@
 # longer if they cannot reach the directory.
 CACHED_S = 3.0
 STALE_S = 10.0
+# Share of the requests whose bodies are sent in chunks.
+CHUNKED_SHARE = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -167,6 +169,8 @@
             limit_s = max(limit_s, 2.0 * (work.upload_s + work.estimate_s()) + 2.0)
         deadline_s = now + limit_s
         request_id = f"{self._name}-{len(self.attempts)}"
+        is_chunked = random.Random(f"body/{request_id}").random() < CHUNKED_SHARE
+        work = replace(work, is_chunked=is_chunked)
         attempt = Attempt(request_id, work, host, now, deadline_s)
         self.attempts.append(attempt)
         return attempt
@@ -206,8 +210,9 @@
                 work = attempt.work
                 protocol = h11.Connection(h11.CLIENT)
                 left_ms = (attempt.deadline_s - attempt.begun_s) * 1000.0
+                size = None if work.is_chunked else work.body_bytes
                 head = create_request(
-                    attempt.request_id, work.build_target(), left_ms, work.body_bytes
+                    attempt.request_id, work.build_target(), left_ms, size
                 )
                 await connection.send(protocol.send(head) or b"")
                 parts = UPLOAD_PARTS if work.upload_s else 1
@@ -216,7 +221,9 @@
                         await asyncio.sleep(work.upload_s / parts)
                     start = work.body_bytes * index // parts
                     end = work.body_bytes * (index + 1) // parts
-                    await connection.send(b"b" * (end - start))
+                    part = h11.Data(data=b"b" * (end - start))
+                    await connection.send(protocol.send(part) or b"")
+                await connection.send(protocol.send(h11.EndOfMessage()) or b"")
                 attempt.sent_s = time.monotonic()
 
     async def _read_response(
--- a/cornelnotch/soak/fleet.py
+++ b/cornelnotch/soak/fleet.py
@@ -258,6 +258,9 @@
             self._spawn(self._restart(step.host, life))
         elif step.action is Action.CONFIGURE:
             self._configure()
+        elif step.action is Action.SILENCE:
+            usable = [w for w in self.workers if not w.leaving and not w.crashed]
+            self._generator.choice(usable).fall_silent(step.pause_s)
         else:
             await self._replace_worker(step.action)
 
--- a/cornelnotch/soak/plan.py
+++ b/cornelnotch/soak/plan.py
@@ -13,6 +13,9 @@
 END_S = 3.0
 GRACE_S = (8.0, 8.0, 5.0)
 MAX_STOPPED_SHARE = 0.5
+# Length of the silence of a server, and time from one to the next of a stop.
+SILENCE_S = (0.7, 1.6)
+SILENCE_GAP_S = (0.5, 2.5)
 MAX_CALLERS = 240
 
 
@@ -26,11 +29,15 @@
     CONFIGURE = "configure"
     LEAVE = "leave"
     CRASH = "crash"
+    SILENCE = "silence"
 
 
 @dataclass(frozen=True, slots=True)
 class Step:
-    """One step at `at_s` after the start; `pause_s` applies to pauses only."""
+    """One step at `at_s` after the start.
+
+    `pause_s` is the length of a pause of a host or of a silence of a server.
+    """
 
     at_s: float
     action: Action
@@ -105,6 +112,19 @@
         self._free_s[host] = start_s + 3.0
 
 
+def draw_silences(seed: int, stops: list[Step], grace_s: float) -> list[Step]:
+    """Return silences of servers, one after another, from each stop on."""
+    generator = random.Random(f"silences/{seed}")
+    silences = []
+    for stop in stops:
+        at_s = stop.at_s + generator.uniform(-1.0, 1.0)
+        while at_s < stop.at_s + grace_s:
+            pause_s = generator.uniform(*SILENCE_S)
+            silences.append(Step(at_s, Action.SILENCE, pause_s=pause_s))
+            at_s += generator.uniform(*SILENCE_GAP_S)
+    return silences
+
+
 def create_plan(
     seed: int, seconds: float, hosts: int | None = None, grace_s: float | None = None
 ) -> Plan:
@@ -121,6 +141,8 @@
     while at_s < seconds - grace_s - END_S:
         writer.add_group(at_s)
         at_s += generator.uniform(2.0, grace_s + 4.0)
+    stops = [step for step in writer.steps if step.action is Action.TERMINATE]
+    steps = [*writer.steps, *draw_silences(seed, stops, grace_s)]
     return Plan(
         seed,
         seconds,
@@ -132,7 +154,7 @@
         draw_mix(generator),
         tuple(
             sorted(
-                (step for step in writer.steps if step.at_s < seconds),
+                (step for step in steps if step.at_s < seconds),
                 key=lambda step: step.at_s,
             )
         ),
--- a/cornelnotch/soak/stops.py
+++ b/cornelnotch/soak/stops.py
@@ -10,7 +10,7 @@
 from cornelnotch.soak.callers import SoakCaller
 from cornelnotch.soak.fleet import ROUTE_TIMEOUT_MS, HostLife, SoakFleet
 from cornelnotch.soak.judge import Check, Finding, StopJudge, Verdict
-from cornelnotch.soak.plan import Plan, Step
+from cornelnotch.soak.plan import Action, Plan, Step
 from cornelnotch.soak.report import print_verdict
 
 __all__ = ["run_stops"]
@@ -71,7 +71,8 @@
 
     async def _run_step(self, step: Step) -> None:
         await asyncio.sleep(self._measure_left_s(step.at_s))
-        self._write(f"{step.at_s:6.1f} s  {step.action.value} {step.host}")
+        if step.action is not Action.SILENCE:
+            self._write(f"{step.at_s:6.1f} s  {step.action.value} {step.host}")
         await self._fleet.run_step(step)
 
     async def _finish(self, callers: list[asyncio.Task[None]]) -> None:
--- a/cornelnotch/standins/deployment.py
+++ b/cornelnotch/standins/deployment.py
@@ -69,14 +69,17 @@
 
 
 def create_request(
-    request_id: str, target: str, deadline_ms: float, body_bytes: int
+    request_id: str, target: str, deadline_ms: float, body_bytes: int | None
 ) -> h11.Request:
-    """Return the head of a caller's request."""
+    """Return the head of a caller's request; a body without a size is in chunks."""
+    framing = ("transfer-encoding", "chunked")
+    if body_bytes is not None:
+        framing = ("content-length", str(body_bytes))
     headers = [
         ("host", HOST_NAME),
         ("x-attempt-id", request_id),
         ("x-key", KEY),
         ("x-deadline-ms", str(round(deadline_ms))),
-        ("content-length", str(body_bytes)),
+        framing,
     ]
     return h11.Request(method="POST", target=target, headers=headers)
--- a/cornelnotch/standins/worker.py
+++ b/cornelnotch/standins/worker.py
@@ -45,6 +45,7 @@
     leaving: bool = False
     crashed: bool = False
     active: int = 0
+    silent_until_s: float = 0.0
     server: HttpServer = field(init=False)
 
     def __post_init__(self) -> None:
@@ -64,6 +65,10 @@
         self.crashed = True
         await self.server.stop()
 
+    def fall_silent(self, duration_s: float) -> None:
+        """Send nothing for `duration_s`, then go on."""
+        self.silent_until_s = time.monotonic() + duration_s
+
     async def _handle(self, exchange: Exchange) -> None:
         request_id = exchange.headers.get("x-attempt-id", "")
         run = WorkerRun(self.name, time.monotonic())
@@ -97,13 +102,17 @@
 
     async def _work(self, exchange: Exchange, work_ms: float) -> bool:
         """Work for `work_ms`; return false if the gateway has left meanwhile."""
-        try:
-            async with asyncio.timeout(work_ms / 1000.0):
-                await exchange.disconnected.wait()
-        except TimeoutError:
-            return True
-        exchange.abort()
-        return False
+        left_s = work_ms / 1000.0
+        while left_s > 0.0:
+            try:
+                async with asyncio.timeout(left_s):
+                    await exchange.disconnected.wait()
+            except TimeoutError:
+                left_s = self.silent_until_s - time.monotonic()
+                continue
+            exchange.abort()
+            return False
+        return True
 
     async def _stream(self, exchange: Exchange, headers: dict[str, str]) -> bool:
         first = int(exchange.headers.get("last-event-id", "0")) + 1
