--- a/cornelnotch/standins/upstream.py
+++ b/cornelnotch/standins/upstream.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections import Counter
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 from cornelnotch.web import Exchange, HttpServer
@@ -22,10 +23,11 @@
 
     `abort` closes the connection without a response. `abort_after_events` is the number
     of complete events after which a stream is aborted within the next event;
-    `stall_after_events` is the number after which it stops sending but stays open. A
-    stream starts after `first_ms`. The first `fail_times` calls fail. `leaving` is
-    announced in every response, `retry_after` in every refusal. `rate_limit` is the
-    rate limit announced in every response, unless it is None.
+    `stall_after_events` is the number after which it stops sending but stays open, for
+    `stall_ms` or until its caller leaves. A stream starts after `first_ms`. The first
+    `fail_times` calls fail. `leaving` is announced in every response, `retry_after` in
+    every refusal. `rate_limit` is the rate limit announced in every response, unless it
+    is None.
     """
 
     refuse: bool = False
@@ -37,6 +39,7 @@
     hang: bool = False
     abort_after_events: int | None = None
     stall_after_events: int | None = None
+    stall_ms: float | None = None
     event_ms: float = 5.0
     first_ms: float = 0.0
     leaving: bool = False
@@ -164,10 +167,20 @@
                 exchange.abort()
                 return
             if stalls is not None and number > stalls:
-                await exchange.disconnected.wait()
-                self.disconnects += 1
-                exchange.abort()
-                return
+                if await self._stall(exchange):
+                    return
+                stalls = None
             await exchange.send(event)
             await asyncio.sleep(self.faults.event_ms / 1000.0)
         await exchange.finish()
+
+    async def _stall(self, exchange: Exchange) -> bool:
+        """Send nothing for a while; return whether the caller has left meanwhile."""
+        stall_s = None if self.faults.stall_ms is None else self.faults.stall_ms / 1000
+        with suppress(TimeoutError):
+            async with asyncio.timeout(stall_s):
+                await exchange.disconnected.wait()
+                self.disconnects += 1
+                exchange.abort()
+                return True
+        return False
