gateway: a silent server keeps its stream until another one goes on with it

Callers saw the response of a stream cut, around SIGTERM and at other times, though its server had only fallen silent for a second or so. Cause: after 1.2 s without an event the host closed the connection to that server first, and looked for another one afterwards. Where none had room or admitted the stream, or none was left, the response was cut; where one took it, the first server's work was lost.

Now the search runs beside the silent server (replacement.py): the stream goes on at the server that sends its next event first, and the connection to the other one is closed then. A stream has thus a place in two admission queues for a while, so their entries are keyed by request and server. Event 6014 tells the silent server and the one that was found.

Before: tests of no room, no admission and of the first event to come cut the response, 3 of 3. The tests of streams, backups, limits, admission, crashes and stops pass.

--- a/cornelnotch/gateway/admission_client.py
+++ b/cornelnotch/gateway/admission_client.py
@@ -59,6 +59,14 @@
     HOST_LEAVING = "leaving"
 
 
+@dataclass(frozen=True, slots=True)
+class AdmissionKey:
+    """One request at one server; a stream may wait for a second server meanwhile."""
+
+    request_id: str
+    server: str
+
+
 @dataclass(slots=True)
 class AdmissionState:
     """Admission state of one request at one engine; times in ms."""
@@ -102,7 +110,7 @@
         self._is_listed = is_listed
         self._find_limit = find_limit
         self._generator = generator or random.Random(peers.name)
-        self._states: dict[str, AdmissionState] = {}
+        self._states: dict[AdmissionKey, AdmissionState] = {}
         self._controllers: dict[str, str] = {}
         self._silent_since_ms: dict[str, float] = {}
         peers.subscribe(AdmissionGrant, self._receive_grant)
@@ -176,14 +184,15 @@
 
     def report_prefilled(self, in_flight: InFlightRequest) -> None:
         """Report that the engine has finished the prefill."""
-        state = self._states.get(in_flight.request_id)
+        state = self._states.get(AdmissionKey(in_flight.request_id, in_flight.server))
         if state is not None:
             state.prefilled = True
             self._send_ask(state, "begun")
 
     def report_end(self, in_flight: InFlightRequest) -> None:
         """Report that the request has ended or was cancelled."""
-        state = self._states.pop(in_flight.request_id, None)
+        key = AdmissionKey(in_flight.request_id, in_flight.server)
+        state = self._states.pop(key, None)
         if state is not None:
             self._send_end(state)
 
@@ -213,7 +222,8 @@
         name = request.request_id
         state = AdmissionState(name, shared, max(own, 0), controller, view, in_flight)
         state.answered_ms = state.sent_ms = now
-        self._states[name] = state
+        in_flight.server = view.record.name
+        self._states[AdmissionKey(name, in_flight.server)] = state
         return state
 
     def _recheck(self, state: AdmissionState) -> AdmissionResult | None:
@@ -344,8 +354,8 @@
         self, sender: str, request_id: str, server: str
     ) -> AdmissionState | None:
         self._silent_since_ms.pop(sender, None)
-        state = self._states.get(request_id)
-        if state is None or state.view.record.name != server:
+        state = self._states.get(AdmissionKey(request_id, server))
+        if state is None:
             return None
         state.answered_ms = self._clock.read()
         return state
--- /dev/null
+++ b/cornelnotch/gateway/dispatcher.py
@@ -0,0 +1,128 @@
+"""Send one request to servers, and count what became of each dispatch."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from cornelnotch.gateway.context import GatewayContext
+from cornelnotch.gateway.dispatch import (
+    DispatchOutcome,
+    UpstreamResponse,
+    open_response,
+)
+from cornelnotch.gateway.header_codec import DispatchOptions
+from cornelnotch.gateway.models import CallerRequest, Route, WorkKind, Workspace
+from cornelnotch.gateway.placement import Placement
+from cornelnotch.gateway.retry_policy import DispatchCounts
+from cornelnotch.gateway.server_signals import apply_server_signals
+from cornelnotch.gateway.servers import InFlightRequest, ServerView
+from cornelnotch.gateway.timeouts import find_response_timeout_s
+from cornelnotch.kernel.events import Event
+
+__all__ = ["CacheCopy", "Dispatcher"]
+
+
+@dataclass(frozen=True, slots=True)
+class CacheCopy:
+    """Addresses for a copy of the KV cache: to write it, or to resume from it."""
+
+    backup_address: str = ""
+    source: str = ""
+
+
+class Dispatcher:
+    """Dispatches of one request, which ends at `deadline_ms`."""
+
+    def __init__(
+        self,
+        context: GatewayContext,
+        request: CallerRequest,
+        route: Route,
+        workspace: Workspace | None,
+        priority: int,
+        deadline_ms: float,
+        record_event: Callable[..., None],
+    ) -> None:
+        self._context = context
+        self._request = request
+        self._route = route
+        self._workspace = workspace
+        self._priority = priority
+        self._deadline_ms = deadline_ms
+        self._record_event = record_event
+        self.counts = DispatchCounts()
+
+    async def open(
+        self,
+        placement: Placement,
+        in_flight: InFlightRequest,
+        last_event_id: str,
+        copy: CacheCopy,
+    ) -> UpstreamResponse:
+        """Send the request and return the head of the response, or what failed."""
+        view = placement.server
+        in_flight.sent = True
+        self._record_limited_dispatch(view)
+        options = DispatchOptions(
+            view.record.name,
+            self._deadline_ms - self._context.clock.read(),
+            self._workspace.name if self._workspace else "",
+            self._priority,
+            last_event_id,
+            placement.source.record.address if placement.source else "",
+            copy.backup_address,
+            copy.source,
+        )
+        response = await self._send(view, options)
+        self.counts.count(response.outcome)
+        apply_server_signals(self._context, view, response, self._record_event)
+        if response.outcome is DispatchOutcome.DONE:
+            view.record_received(in_flight, self._context.clock.read())
+            self._context.admission.report_prefilled(in_flight)
+        return response
+
+    async def _send(
+        self, view: ServerView, options: DispatchOptions
+    ) -> UpstreamResponse:
+        """Send the request; time out on silence where another server may help."""
+        timeout_s = find_response_timeout_s(self._route, self.counts.ran)
+        sending = asyncio.Event()
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await open_response(
+                    self._context.client,
+                    self._context.header_codec,
+                    view.record.address,
+                    self._request,
+                    options,
+                    self._needs_new_connection(view),
+                    sending.set,
+                )
+        except TimeoutError:
+            return UpstreamResponse(
+                DispatchOutcome.BROKEN,
+                f"no response for {timeout_s} s",
+                timed_out=True,
+            )
+        except BaseException:
+            self.counts.ran += sending.is_set()
+            raise
+
+    def _needs_new_connection(self, view: ServerView) -> bool:
+        """Return whether a pooled connection, which may be dead, must not be used."""
+        if self._route.kind is WorkKind.ONCE:
+            return True
+        now = self._context.clock.read()
+        return self._context.placer.measure_usage(view, now).failures > 0
+
+    def _record_limited_dispatch(self, view: ServerView) -> None:
+        limit = self._context.rate_limits.find(view.record)
+        if limit is None:
+            return
+        self._context.metrics.count_limited_dispatch(view.record.name)
+        self._record_event(
+            Event.LIMITED_DISPATCH,
+            server=view.record.name,
+            per_second=limit.per_second,
+            known_ms=round(self._context.clock.read() - limit.observed_ms, 1),
+        )
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -12,15 +12,11 @@
 from cornelnotch.gateway.context import GatewayContext
 from cornelnotch.gateway.continuation import StreamContinuation
 from cornelnotch.gateway.crash_guard import CrashGuard
-from cornelnotch.gateway.dispatch import (
-    DispatchOutcome,
-    UpstreamResponse,
-    open_response,
-)
+from cornelnotch.gateway.dispatch import DispatchOutcome, UpstreamResponse
+from cornelnotch.gateway.dispatcher import CacheCopy, Dispatcher
 from cornelnotch.gateway.drain import choose_drain_retry_after_ms
 from cornelnotch.gateway.fingerprints import create_fingerprints
 from cornelnotch.gateway.forwarding import MAX_BUFFERED_BYTES, EventReader, forward_body
-from cornelnotch.gateway.header_codec import DispatchOptions
 from cornelnotch.gateway.models import (
     CallerRequest,
     Route,
@@ -28,22 +24,17 @@
     Workspace,
 )
 from cornelnotch.gateway.placement import Placement, PlacementNeed
+from cornelnotch.gateway.replacement import Replacement, ReplacementSearch
 from cornelnotch.gateway.request_timing import RequestTiming
 from cornelnotch.gateway.response_ends import confirm_end
 from cornelnotch.gateway.retry_after import (
     choose_retry_after_ms,
     estimate_caller_timeout_ms,
 )
-from cornelnotch.gateway.retry_policy import DispatchCounts, may_send_again
-from cornelnotch.gateway.server_signals import apply_server_signals
+from cornelnotch.gateway.retry_policy import may_send_again
 from cornelnotch.gateway.servers import InFlightRequest, ServerView
-from cornelnotch.gateway.silence import is_silent
 from cornelnotch.gateway.streams import EventSplitter
-from cornelnotch.gateway.timeouts import (
-    find_max_gap_s,
-    find_response_timeout_s,
-    find_stall_timeout_s,
-)
+from cornelnotch.gateway.timeouts import find_max_gap_s, find_stall_timeout_s
 from cornelnotch.kernel.events import Event
 from cornelnotch.web import Exchange
 
@@ -99,7 +90,6 @@
             context.clock, context.drain, context.durations, route, request, limit_ms
         )
         self._time_limit: asyncio.Timeout | None = None
-        self.dispatches = DispatchCounts()
         self.excluded: set[str] = set()
         self.overloaded: set[str] = set()
         self.overloaded_wait_ms = 0.0
@@ -110,13 +100,23 @@
         self.last_outcome: DispatchOutcome | None = None
         self.backup: ServerView | None = None
         self.resuming = False
-        self.is_sending = False
+        self.replacement: Replacement | None = None
         self.crash_guard = CrashGuard(context, request)
         self.continuation = StreamContinuation(context, request, route)
         self.splitter = EventSplitter(request.last_event_id)
         self.priority = route.priority
         if workspace is not None and workspace.priority is not None:
             self.priority = workspace.priority
+        self.dispatcher = Dispatcher(
+            context,
+            request,
+            route,
+            workspace,
+            self.priority,
+            self.deadline_ms,
+            self.record_event,
+        )
+        self.dispatches = self.dispatcher.counts
         self.service = context.choose_service(route, request.request_id)
         request.fingerprints = create_fingerprints(request, workspace)
 
@@ -131,7 +131,7 @@
             )
             if not serving.done():
                 serving.cancel()
-                self._record_event(Event.CALLER_LEFT, ran=self.dispatches.ran)
+                self.record_event(Event.CALLER_LEFT, ran=self.dispatches.ran)
             await serving
         except asyncio.CancelledError:
             serving.cancel()
@@ -181,16 +181,35 @@
             if not self._can_end():
                 await self._refuse_leaving()
                 return
-            placement = self._place_at_backup() or self._place()
+            if self.replacement is not None:
+                answered = await self._go_on_elsewhere(self.replacement)
+                continue
+            placement = self._place_at_backup() or self.place()
             if placement is None:
                 await self._fail_without_server()
                 return
-            in_flight = self._start_in_flight_request(placement)
+            in_flight = self.start_in_flight_request(placement)
             try:
                 answered = await self._try_server(placement, in_flight)
             finally:
-                placement.server.finish(in_flight)
-                self.context.admission.report_end(in_flight)
+                self.finish_in_flight_request(placement, in_flight)
+
+    async def _go_on_elsewhere(self, replacement: Replacement) -> bool:
+        """Forward the response of a replacement; return whether that was final."""
+        self.replacement = None
+        view, in_flight = replacement.placement.server, replacement.in_flight
+        try:
+            response = await self._receive(view, in_flight, replacement.response)
+            return await self._conclude(view, in_flight, response)
+        finally:
+            replacement.release()
+
+    def finish_in_flight_request(
+        self, placement: Placement, in_flight: InFlightRequest
+    ) -> None:
+        """End a dispatch, and its place in the admission queue."""
+        placement.server.finish(in_flight)
+        self.context.admission.report_end(in_flight)
 
     def _can_end(self, prefill_ms: float = 0.0) -> bool:
         """Return whether the request, if sent now, can end before the host stops.
@@ -252,7 +271,7 @@
         """Return whether the caller has its final response."""
         if self.resuming:
             return await self._resume_from_copy(placement, in_flight)
-        result = await self._wait_for_admission(placement.server, in_flight)
+        result = await self.wait_for_admission(placement.server, in_flight)
         if result is AdmissionResult.BETTER_ENGINE:
             self.server_changes += 1
             limit = self.context.find_rate_limit(placement.server)
@@ -274,13 +293,24 @@
             await self._refuse_leaving()
             return True
         response = await self._dispatch(placement, in_flight)
+        return await self._conclude(placement.server, in_flight, response)
+
+    async def _conclude(
+        self,
+        view: ServerView,
+        in_flight: InFlightRequest,
+        response: UpstreamResponse | None,
+    ) -> bool:
+        """Return whether the caller has its final response after a dispatch."""
         if response is None:
             return True
+        if self.replacement is not None:
+            response.close()
+            self.splitter.restart()
+            return False
         self.last_outcome = response.outcome
-        may_crash_servers = await self.crash_guard.note_break(
-            placement.server, in_flight, response
-        )
-        self.excluded.add(placement.server.record.name)
+        may_crash_servers = await self.crash_guard.note_break(view, in_flight, response)
+        self.excluded = self.excluded | {view.record.name}
         if self.dispatches.ran:
             # A request that may have run is not refused because of overload: it
             # waits, so that its work is not lost.
@@ -307,7 +337,9 @@
 
     def _may_resume(self, response: UpstreamResponse) -> bool:
         """Return whether a stream that was cut off can resume from a KV cache copy."""
-        if self.backup is None or response.outcome is not DispatchOutcome.BROKEN:
+        if self.backup is None or self.resuming:
+            return False
+        if response.outcome is not DispatchOutcome.BROKEN:
             return False
         if not self.exchange.response_started or not self.splitter.last_event_id:
             return False
@@ -319,7 +351,7 @@
     def _place_at_backup(self) -> Placement | None:
         if not self.resuming or self.backup is None:
             return None
-        self._record_event(
+        self.record_event(
             Event.STREAM_RESUMED, server=self.backup.record.name, copied=True
         )
         return Placement(self.backup, 0.0, 0, 1)
@@ -331,18 +363,18 @@
         response: UpstreamResponse | None = UpstreamResponse(
             DispatchOutcome.NOT_SENT, "the engine does not admit the stream"
         )
-        if await self._is_admitted(placement.server, in_flight):
+        if await self.is_admitted(placement.server, in_flight):
             response = await self._dispatch(placement, in_flight)
         if response is not None:
             await self._finish_failed(response)
         return True
 
-    async def _is_admitted(self, view: ServerView, in_flight: InFlightRequest) -> bool:
+    async def is_admitted(self, view: ServerView, in_flight: InFlightRequest) -> bool:
         """Wait for admission to an engine with a rate limit, but to no other engine."""
         if self.context.find_rate_limit(view) is None:
             return True
         self.server_changes = MAX_SERVER_CHANGES
-        result = await self._wait_for_admission(view, in_flight)
+        result = await self.wait_for_admission(view, in_flight)
         return result is AdmissionResult.GRANTED
 
     async def _skip_overloaded(
@@ -418,10 +450,11 @@
             view.start(in_flight)
         return placement is not None and placement.server is not view
 
-    def _place(self) -> Placement | None:
+    def place(self) -> Placement | None:
+        """Choose a server, or return None if none is left."""
         placement = self._choose_placement()
         if placement is not None:
-            self._record_event(
+            self.record_event(
                 Event.SERVER_CHOSEN,
                 server=placement.server.record.name,
                 service=self.service,
@@ -434,7 +467,8 @@
             )
         return placement
 
-    def _start_in_flight_request(self, placement: Placement) -> InFlightRequest:
+    def start_in_flight_request(self, placement: Placement) -> InFlightRequest:
+        """Count a dispatch to a server as in progress."""
         in_flight = InFlightRequest(
             self.request.request_id,
             self.context.clock.read(),
@@ -447,7 +481,7 @@
         placement.server.start(in_flight)
         return in_flight
 
-    async def _wait_for_admission(
+    async def wait_for_admission(
         self, view: ServerView, in_flight: InFlightRequest
     ) -> AdmissionResult:
         """Wait until the prompt may be sent to the engine, or must not be."""
@@ -468,7 +502,7 @@
         waited_ms = self.context.clock.read() - in_flight.started_ms
         rates = self.context.engine_rates.get(view.record.name, self.service)
         self.context.metrics.observe_queued(self.route.name, waited_ms)
-        self._record_event(
+        self.record_event(
             Event.TURN_CAME,
             server=view.record.name,
             turn=result.value,
@@ -498,105 +532,58 @@
         self, placement: Placement, in_flight: InFlightRequest
     ) -> UpstreamResponse | None:
         """Send the request; return None on success, else the failed response."""
-        view = placement.server
-        now = self.context.clock.read()
-        if now >= self.limit_ms:
+        response = await self.open(placement, in_flight)
+        return await self._receive(placement.server, in_flight, response)
+
+    async def open(
+        self, placement: Placement, in_flight: InFlightRequest
+    ) -> UpstreamResponse:
+        """Send the request; return the head of the response, or what failed.
+
+        Raise TimeoutError once the limit of the request has passed.
+        """
+        if self.context.clock.read() >= self.limit_ms:
             raise TimeoutError  # The host was suspended; its timers have not fired yet.
-        in_flight.sent = True
-        self._record_limited_dispatch(view)
-        options = DispatchOptions(
-            view.record.name,
-            self.deadline_ms - now,
-            self.workspace.name if self.workspace else "",
-            self.priority,
-            self.splitter.last_event_id,
-            placement.source.record.address if placement.source else "",
-            *self._find_copy_addresses(view),
-        )
-        response: UpstreamResponse | None = None
-        self.is_sending = False
+        copy = self._choose_copy(placement.server)
+        last_event_id = self.splitter.last_event_id
+        return await self.dispatcher.open(placement, in_flight, last_event_id, copy)
+
+    async def _receive(
+        self, view: ServerView, in_flight: InFlightRequest, response: UpstreamResponse
+    ) -> UpstreamResponse | None:
+        """Forward a response; return None on success, else the failed response."""
+        failed: UpstreamResponse | None = response
         try:
-            response = await self._open_response(view, options)
-            self.dispatches.count(response.outcome)
-            apply_server_signals(self.context, view, response, self._record_event)
             if response.outcome is DispatchOutcome.DONE:
-                view.record_received(in_flight, self.context.clock.read())
-                self.context.admission.report_prefilled(in_flight)
-                response = await self._forward(response, view, in_flight)
-            self._record_outcome(view, response)
-            return response
+                failed = await self._forward(response, view, in_flight)
+            self.record_outcome(view, failed)
+            return failed
         except BaseException:
             # The server must stop its work, also when the caller has disconnected.
-            if response is not None:
-                response.close()
-            elif self.is_sending:
-                self.dispatches.ran += 1
+            response.close()
             raise
 
-    def _note_sending(self) -> None:
-        self.is_sending = True
-
-    def _record_limited_dispatch(self, view: ServerView) -> None:
-        limit = self.context.rate_limits.find(view.record)
-        if limit is None:
-            return
-        self.context.metrics.count_limited_dispatch(view.record.name)
-        self._record_event(
-            Event.LIMITED_DISPATCH,
-            server=view.record.name,
-            per_second=limit.per_second,
-            known_ms=round(self.context.clock.read() - limit.observed_ms, 1),
-        )
-
-    def _find_copy_addresses(self, view: ServerView) -> tuple[str, str]:
-        """Return the address for the KV cache copy and the copy to resume from."""
+    def _choose_copy(self, view: ServerView) -> CacheCopy:
+        """Return where the KV cache is copied to, or the copy to resume from."""
         if self.resuming:
-            return "", f"{view.record.address}/{self.request.request_id}"
+            source = f"{view.record.address}/{self.request.request_id}"
+            return CacheCopy(source=source)
         self.backup = self.context.choose_backup(
             self.route, self.request.request_id, view
         )
-        return self.backup.record.address if self.backup else "", ""
+        return CacheCopy(self.backup.record.address if self.backup else "")
 
-    async def _open_response(
-        self, view: ServerView, options: DispatchOptions
-    ) -> UpstreamResponse:
-        """Send the request; time out on silence where another server may help."""
-        timeout_s = find_response_timeout_s(self.route, self.dispatches.ran)
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await open_response(
-                    self.context.client,
-                    self.context.header_codec,
-                    view.record.address,
-                    self.request,
-                    options,
-                    self._needs_new_connection(view),
-                    self._note_sending,
-                )
-        except TimeoutError:
-            return UpstreamResponse(
-                DispatchOutcome.BROKEN,
-                f"no response for {timeout_s} s",
-                timed_out=True,
-            )
-
-    def _needs_new_connection(self, view: ServerView) -> bool:
-        """Return whether a pooled connection, which may be dead, must not be used."""
-        if self.route.kind is WorkKind.ONCE:
-            return True
-        now = self.context.clock.read()
-        return self.context.placer.measure_usage(view, now).failures > 0
-
-    def _record_outcome(
+    def record_outcome(
         self, view: ServerView, response: UpstreamResponse | None
     ) -> None:
+        """Record what became of a dispatch; None is success."""
         now = self.context.clock.read()
         if response is None:
             view.record_success()
             if self.route.kind is WorkKind.STREAM:
                 view.record_cached(self.request.prompt, now)
             return
-        self._record_event(
+        self.record_event(
             Event.DISPATCH_FAILED,
             server=view.record.name,
             fate=response.outcome.value,
@@ -647,7 +634,7 @@
             in_flight,
             self.context.clock,
             self._find_stall_timeout_s(),
-            lambda: self._can_switch_server(view),
+            ReplacementSearch(self, view),
         )
         try:
             await self.continuation.confirm_server(view)
@@ -669,6 +656,7 @@
             end = await confirm_end(response, self.splitter)
         except UpstreamError as error:
             response.close()
+            self.replacement = reader.replacement
             timed_out = isinstance(error, UpstreamStalledError)
             return UpstreamResponse(
                 DispatchOutcome.BROKEN, error.problem, timed_out=timed_out
@@ -702,16 +690,6 @@
             return find_max_gap_s(self.route)
         return find_stall_timeout_s(self.route, self.dispatches.ran)
 
-    def _can_switch_server(self, view: ServerView) -> bool:
-        now = self.context.clock.read()
-        if self.backup is not None:
-            # A stream that may not be repeated resumes only after its server failed.
-            return is_silent(view, now) and self.context.accepts(self.backup)
-        if not self.context.find_retry_budget(self.service).can_retry(now):
-            return False
-        tried = self.excluded | {view.record.name}
-        return self.continuation.has_other_server(self.service, tried)
-
     def _finish(self, status: int, first_ms: float, **details: object) -> None:
         """Record a complete response whose first byte arrived at `first_ms`."""
         if status == STATUS_OK:
@@ -722,7 +700,7 @@
         metrics.count_request(self.route.name, "answered", str(status))
         metrics.observe_first_token(self.route.name, waited_ms)
         metrics.windows.record(self.route.name, attained)
-        self._record_event(
+        self.record_event(
             Event.REQUEST_ANSWERED,
             status=status,
             first_ms=round(waited_ms, 1),
@@ -746,7 +724,7 @@
 
     async def _finish_failed(self, response: UpstreamResponse) -> None:
         if self.exchange.response_started:
-            self._record_event(Event.REQUEST_BROKEN_OFF, reason=response.reason)
+            self.record_event(Event.REQUEST_BROKEN_OFF, reason=response.reason)
             self.exchange.abort()
             raise CallerDisconnectedError(
                 "the response was cut off", "retry the request"
@@ -783,7 +761,7 @@
             if is_stop:
                 self._record_cut()
             else:
-                self._record_event(Event.REQUEST_BROKEN_OFF, reason=reason)
+                self.record_event(Event.REQUEST_BROKEN_OFF, reason=reason)
             self.exchange.abort()
             raise CallerDisconnectedError(
                 "the response exceeded its time limit", "retry the request"
@@ -799,7 +777,7 @@
         """Record that the host stopped before the request had its response."""
         self.context.metrics.count_cut(self.route.name)
         arrived_ms = self.context.drain.measure_age_ms(self.arrived_ms)
-        self._record_event(
+        self.record_event(
             Event.REQUEST_BROKEN_OFF,
             reason=HOST_STOPPED,
             ran=self.dispatches.ran,
@@ -821,7 +799,7 @@
         outcome = "unknown" if self.dispatches.ran else "not-run"
         self.context.metrics.count_request(self.route.name, reason, outcome)
         self.context.metrics.windows.record(self.route.name, False)
-        self._record_event(
+        self.record_event(
             Event.REQUEST_REFUSED,
             status=status,
             reason=reason,
@@ -833,7 +811,8 @@
         )
         await self.context.refuse(self.exchange, self.request, status, reason, retry_ms)
 
-    def _record_event(self, event: Event, **fields: object) -> None:
+    def record_event(self, event: Event, **fields: object) -> None:
+        """Log an event of this request."""
         after_ms = round(self.context.clock.read() - self.arrived_ms, 1)
         self.context.events.record(
             event, request_id=self.request.request_id, after_ms=after_ms, **fields
--- a/cornelnotch/gateway/forwarding.py
+++ b/cornelnotch/gateway/forwarding.py
@@ -1,10 +1,10 @@
 """Forward the body of a server's response to the caller."""
 
 import asyncio
-from collections.abc import Callable
 
 from cornelnotch.exceptions import UpstreamError, UpstreamStalledError
 from cornelnotch.gateway.dispatch import UpstreamResponse
+from cornelnotch.gateway.replacement import Replacement, ReplacementSearch
 from cornelnotch.gateway.response_ends import ResponseEnd, confirm_end
 from cornelnotch.gateway.servers import InFlightRequest
 from cornelnotch.kernel.clock import Clock
@@ -53,8 +53,8 @@
 class EventReader:
     """Read a stream and detect stalls.
 
-    Only complete events count as progress. A stream that no other server can resume is
-    not cut off, since the slow server may be the only one left.
+    Only complete events count as progress. While another server is sought for a stalled
+    stream, its own server may go on with it, since that may be the only one left.
     """
 
     def __init__(
@@ -63,32 +63,66 @@
         request: InFlightRequest,
         clock: Clock,
         stall_s: float | None,
-        can_resume_elsewhere: Callable[[], bool],
+        search: ReplacementSearch,
     ) -> None:
         self._response = response
         self._request = request
         self._clock = clock
         self._stall_s = stall_s
-        self._can_resume_elsewhere = can_resume_elsewhere
+        self._search = search
+        self.replacement: Replacement | None = None
 
     async def read(self) -> bytes:
-        """Return the next bytes, empty at the end; raise UpstreamError on failure."""
+        """Return the next bytes, empty at the end; raise UpstreamError on failure.
+
+        Raise UpstreamStalledError once `replacement` goes on with the stream.
+        """
         if self._stall_s is None:
             return await self._response.read_chunk()
         while True:
-            remaining_s = self._compute_remaining_s(self._stall_s)
-            if remaining_s <= 0 and self._can_resume_elsewhere():
-                raise UpstreamStalledError(
-                    f"no event for {self._stall_s} s", "resume at another server"
-                )
+            wait_s = self._compute_remaining_s(self._stall_s)
+            if wait_s <= 0:
+                if self._search.may_start():
+                    data = await self._read_or_replace()
+                    if data is not None:
+                        return data
+                wait_s = self._stall_s
             try:
-                async with asyncio.timeout(
-                    remaining_s if remaining_s > 0 else self._stall_s
-                ):
+                async with asyncio.timeout(wait_s):
                     return await self._response.read_chunk()
             except TimeoutError:
                 continue
 
+    async def _read_or_replace(self) -> bytes | None:
+        """Return the next bytes, or None if no other server can go on."""
+        reading = asyncio.create_task(self._response.read_chunk())
+        search = asyncio.create_task(self._search.run())
+        try:
+            await asyncio.wait({reading, search}, return_when=asyncio.FIRST_COMPLETED)
+            if reading.done():
+                return reading.result()
+            self.replacement = search.result()
+            if self.replacement is None:
+                return None
+        finally:
+            await self._stop(reading, search)
+        raise UpstreamStalledError(
+            f"no event for {self._stall_s} s", "resume at another server"
+        )
+
+    async def _stop(
+        self, reading: asyncio.Task[bytes], search: asyncio.Task[Replacement | None]
+    ) -> None:
+        """End both tasks; discard a replacement that is not needed."""
+        for task in (reading, search):
+            task.cancel()
+        await asyncio.wait({reading, search})
+        if search.cancelled() or search.exception() is not None:
+            return
+        found = search.result()
+        if found is not None and found is not self.replacement:
+            found.discard()
+
     def _compute_remaining_s(self, stall_s: float) -> float:
         last_event_ms = self._request.event_ms or self._request.first_ms
         return stall_s - (self._clock.read() - last_event_ms) / 1000.0
--- a/cornelnotch/gateway/servers.py
+++ b/cornelnotch/gateway/servers.py
@@ -65,6 +65,7 @@
     latency_sensitive: bool = False
     shared_parts: tuple[str, ...] = ()
     fingerprints: tuple[str, ...] = ()
+    server: str = ""
     events: int = 0
     event_ms: float = 0.0
     longest_gap_ms: float = 0.0
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -163,6 +163,11 @@
         logging.WARNING,
         "the log of the origins of streams cannot be reached",
     )
+    STREAM_STALLED = (
+        6014,
+        logging.INFO,
+        "another server was sought for the stream of a silent one",
+    )
     REQUEST_ANSWERED = (6006, logging.INFO, "a request was answered completely")
     REQUEST_BROKEN_OFF = (6007, logging.INFO, "a response ended early")
     TURN_CAME = (
