gateway: a stopping host moves no stream to where it cannot end in time

Callers saw a stream cut at the end of the grace period whose server had been silent for a second: the host had sent it to another server, which prefilled the prompt again and needed longer than the host had left. The silent server would have ended it.

While the host drains, another server is now sought only if similar requests show that the rest of the stream, with its prompt read again, fits into the time left. Without a search the stream stays where it is, which is no worse if that server never answers.

--- a/cornelnotch/gateway/replacement.py
+++ b/cornelnotch/gateway/replacement.py
@@ -59,6 +59,8 @@
             return is_silent(self._silent, now) and flow.context.accepts(flow.backup)
         if not flow.context.find_retry_budget(flow.service).can_retry(now):
             return False
+        if not flow.timing.can_end_elsewhere(flow.splitter.count):
+            return False
         tried = flow.excluded | {self._silent.record.name}
         return flow.continuation.has_other_server(flow.service, tried)
 
--- a/cornelnotch/gateway/request_timing.py
+++ b/cornelnotch/gateway/request_timing.py
@@ -81,6 +81,24 @@
         )
         return self._durations.estimate_ms(self._route.name, share, request, now)
 
+    def can_end_elsewhere(self, events: int) -> bool:
+        """Return whether another server could end the stream before the host stops.
+
+        The caller has received `events`.
+        """
+        if not self._drain.has_started:
+            return True
+        now = self._clock.read()
+        resumed = RequestDuration(
+            0.0, tokens=self._request.output_tokens, events=events
+        )
+
+        def estimate(share: float) -> float | None:
+            name = self._route.name
+            return self._durations.estimate_ms(name, share, resumed, now)
+
+        return self._drain.can_end(self._route, estimate, self.measure_left_ms())
+
     def find_needed_ms(self) -> float | None:
         """Return the time that the request must have to be served, if known."""
         return self._drain.find_needed_ms(self._route, self.estimate_ms)
