gateway: time for a silence in the decision on late requests

A sound server may fall silent for a second or so within a request and go on.

A new test of test_drain.py; test_drain.py and test_graceful_shutdown.py pass.

--- a/cornelnotch/gateway/drain.py
+++ b/cornelnotch/gateway/drain.py
@@ -98,26 +98,38 @@
         """
         return None if self._started_ms is None else at_ms - self._started_ms
 
-    def find_needed_ms(self, route: Route, estimate: Estimate) -> float | None:
-        """Return the time that a request must have to be served, or None if unknown."""
+    def find_needed_ms(
+        self, route: Route, estimate: Estimate, silence_ms: float = 0.0
+    ) -> float | None:
+        """Return the time that a request must have to be served, or None if unknown.
+
+        A server of a late request may fall silent for `silence_ms` and go on.
+        """
         is_late = self._is_late()
         expected_ms = estimate(LATE_SHARE if is_late else choose_share(route))
         if expected_ms is None:
             return None
-        return expected_ms * (LATE_FACTOR if is_late else 1.0)
+        return expected_ms * LATE_FACTOR + silence_ms if is_late else expected_ms
 
     def _is_late(self) -> bool:
         return self._clock.read() >= self._expected_until_ms
 
-    def can_end(self, route: Route, estimate: Estimate, limit_ms: float) -> bool:
+    def can_end(
+        self,
+        route: Route,
+        estimate: Estimate,
+        limit_ms: float,
+        silence_ms: float = 0.0,
+    ) -> bool:
         """Return whether a request sent to a server now can end in time.
 
-        It has its final response within `limit_ms`, whatever its server does.
+        It has its final response within `limit_ms`, whatever its server does, which
+        may fall silent for `silence_ms` and go on.
         """
         left_ms = self.measure_left_ms()
         if left_ms <= 0:
             return False
         if limit_ms <= left_ms:
             return True
-        needed_ms = self.find_needed_ms(route, estimate)
+        needed_ms = self.find_needed_ms(route, estimate, silence_ms)
         return not self._is_late() if needed_ms is None else needed_ms <= left_ms
--- a/cornelnotch/gateway/tests/test_drain.py
+++ b/cornelnotch/gateway/tests/test_drain.py
@@ -107,6 +107,22 @@
     assert not start_drain(EXPECTED_MS).can_end(route, unknown, 15_000.0)
 
 
+def test_late_requests_need_time_for_a_silence_of_their_server():
+    left_ms = LEFT_MS - EXPECTED_MS
+    route, silence_ms = create_route(), 1200.0
+    usual, late = start_drain(EXPECTED_MS - 1.0), start_drain(EXPECTED_MS)
+    assert late.find_needed_ms(route, expect(1000.0), silence_ms) == (
+        1000.0 * LATE_FACTOR + silence_ms
+    )
+    assert usual.find_needed_ms(route, expect(1000.0), silence_ms) == 1000.0
+    longest = expect((left_ms - silence_ms) / LATE_FACTOR)
+    assert late.can_end(route, longest, 15_000.0, silence_ms)
+    longer = expect((left_ms - silence_ms) / LATE_FACTOR + 1.0)
+    assert late.can_end(route, longer, 15_000.0)
+    assert not late.can_end(route, longer, 15_000.0, silence_ms)
+    assert usual.can_end(route, longer, 15_000.0, silence_ms)
+
+
 @pytest.mark.parametrize("age_ms", [0.0, 1500.0, 2999.0, 4000.0])
 def test_few_streams_are_cut_and_few_that_could_end_are_refused(age_ms):
     generator = random.Random(5)
