verification: a server that falls silent once in the model of a stop

The model took the duration of a request as known once it is sent. In the incident a sound server falls silent within a stream and goes on, and the host leaves it for another one.

A server may now fall silent once for a number of steps. A late request that was sent is assured of that time too; Drain.can_end decides with silence_ms. The host may hedge a silent stream: the first server to send the next event goes on, the other is closed. New invariants: nothing is cut by a move that the first server would have ended, and no request ends at two servers. That the drain has ended is computed once for each moment, which the states share.

Run: the protocol holds for a call and three streams with silences, with and without a pause; all states were visited (docs/PROOFS.md). Four new mutants are caught: no allowance, moving (the second server's duration does not fit, or it has no place), both servers kept, a request with a second server counted as not sent.

--- a/cornelnotch/verification/stops.py
+++ b/cornelnotch/verification/stops.py
@@ -4,6 +4,11 @@
 Servers run and answer what they are sent at any later time, or fail. The process may be
 paused while it drains. The end of the drain and the decision what may be sent to a
 server are the production code of a host.
+
+A server may fall silent once within a request and go on. The host may then send a
+stream to another server as well: the first of the two to send the next event goes on,
+and the other one is closed. From its next event on, a stream takes the other server
+no longer than the first. Events and closes arrive at once.
 """
 
 from collections.abc import Callable, Iterator
@@ -30,6 +35,8 @@
 # Factor on the longest known duration that a late request is assured of.
 LATE_FACTOR = 1.25
 MAX_AGE = GRACE_STEPS + 2
+# Servers that ran a request to its end; more are not counted.
+MAX_ENDS = 2
 NOT_STARTED = -1
 
 
@@ -50,6 +57,10 @@
     NO_FLUSH = "the process ends without waiting for callers to read"
     NO_MARGIN = "the drain lasts for the whole grace period"
     PAUSED_CLOCK = "the clock of the drain stops during a pause"
+    NO_ALLOWANCE = "late requests are sent without time for a silence"
+    MOVE_SILENT = "a silent server is closed before another one has begun"
+    KEEP_BOTH = "the slower of two servers is not closed"
+    FORGET_BACKUP = "a request that its first server declines counts as not sent"
 
 
 class Stage(StrEnum):
@@ -69,6 +80,14 @@
     CUT = "connection closed without an answer"
 
 
+class Backup(StrEnum):
+    """State of the other server to which a stream of a silent one is sent."""
+
+    NONE = "none"
+    SENT = "sent"
+    RUNNING = "running"
+
+
 class Answer(StrEnum):
     """Final response to a request."""
 
@@ -97,12 +116,14 @@
     """Kind of a request; it ends within `limit` steps of its last dispatch.
 
     `usual` and `longest` are durations of similar requests in steps, None if unknown.
+    A server may fall silent for `silence` steps.
     """
 
     kind: WorkKind
     usual: float | None
     longest: float | None
     limit: int = 2 * GRACE_STEPS
+    silence: int = 0
 
     def create_route(self) -> Route:
         """Return a route for requests of this kind."""
@@ -114,8 +135,16 @@
         steps = self.longest if share >= 1.0 else self.usual
         return None if steps is None else steps * STEP_MS
 
+    def get_needed_steps(self, time: int) -> float:
+        """Return the time left with which a request must be served at `time`."""
+        silence = self.silence if time >= CACHED_STEPS else 0
+        return min(self.get_assured_steps(time) + silence, self.limit)
+
     def get_assured_steps(self, time: int) -> float:
-        """Return the duration that a server may take if it gets a request at `time`."""
+        """Return the duration that a server may take if it gets a request at `time`.
+
+        The time for which it falls silent is not counted.
+        """
         if time >= CACHED_STEPS:
             steps = self.limit if self.longest is None else self.longest * LATE_FACTOR
         else:
@@ -130,6 +159,11 @@
     written. It must not be cut off before it is `assured` steps old. A server may run
     it while it is `in_flight`. `ran` and `may_have_run` are the truth and what the host
     knows.
+
+    The server is `silent` for so many further steps. `backup` is the other server of
+    its stream, `has_stray` whether a server was left running, and `ends` the number of
+    servers that ran it to its end. A server that fell silent in time ends it at `due`,
+    unless the request `is_moved`.
     """
 
     stage: Stage = Stage.UNSENT
@@ -141,6 +175,14 @@
     may_have_run: bool = False
     is_old: bool = False
     is_accepted: bool = False
+    is_late: bool = False
+    silent: int = 0
+    was_silent: bool = False
+    backup: Backup = Backup.NONE
+    has_stray: bool = False
+    ends: int = 0
+    due: float = 0.0
+    is_moved: bool = False
 
 
 class State(NamedTuple):
@@ -154,6 +196,15 @@
     sent_late: bool
     cut_early: bool
     refused_early: bool
+    cut_moved: bool
+
+
+class Moment(NamedTuple):
+    """Values of a state on which the drain of the host depends."""
+
+    time: int
+    paused: int
+    closed: int
 
 
 class StopTransitions:
@@ -166,6 +217,7 @@
         self._calls = calls
         self._routes = [call.create_route() for call in calls]
         self._max_pause = max_pause
+        self._ended: dict[Moment, bool] = {}
 
     def list_steps(self, values: tuple) -> list[tuple[str, tuple]]:
         """Return all transitions that are enabled in a state."""
@@ -174,6 +226,8 @@
         for index, request in enumerate(state.requests):
             steps += self._iterate_caller_steps(state, index, request)
             steps += self._iterate_server_steps(state, index, request)
+            steps += self._iterate_silence_steps(state, index, request)
+            steps += self._iterate_backup_steps(state, index, request)
             if state.phase is not Phase.STOPPED:
                 steps += self._iterate_request_steps(state, index, request)
         return [(name, tuple(after)) for name, after in steps]
@@ -201,7 +255,12 @@
         return drain
 
     def _has_ended(self, state: State) -> bool:
-        return self._create_drain(state).measure_left_ms() <= 0.0
+        moment = Moment(state.time, state.paused, state.closed)
+        ended = self._ended.get(moment)
+        if ended is None:
+            ended = self._create_drain(state).measure_left_ms() <= 0.0
+            self._ended[moment] = ended
+        return ended
 
     def _iterate_host_steps(self, state: State) -> Iterator[tuple[str, State]]:
         if state.phase is Phase.SERVING:
@@ -257,7 +316,7 @@
     @staticmethod
     def _advance(state: State, steps: int) -> State:
         requests = tuple(
-            r._replace(age=min(r.age + steps, MAX_AGE))
+            r._replace(age=min(r.age + steps, MAX_AGE), silent=max(r.silent - steps, 0))
             if r.stage in {Stage.SENT, Stage.STREAM, Stage.WRITTEN}
             else r
             for r in state.requests
@@ -306,18 +365,134 @@
             Stage.STREAM,
         }:
             return
-        done = request._replace(ran=True)
+        if not request.silent:
+            yield from self._iterate_event_steps(state, index, request)
+        if self._calls[index].kind is not WorkKind.ONCE:
+            yield f"fail-{index}", self._set(state, index, self._fail(request))
+
+    def _iterate_event_steps(
+        self, state: State, index: int, request: Request
+    ) -> Iterator[tuple[str, State]]:
+        """Yield what the server sends that is not silent."""
+        done = self._close_slower(request)._replace(ran=True)
         if request.stage is Stage.SENT and self._calls[index].kind is WorkKind.STREAM:
             begun = done._replace(stage=Stage.STREAM)
             yield f"begin-{index}", self._set(state, index, begun)
         else:
-            yield f"respond-{index}", self._answer(state, index, done, Answer.RESULT)
+            ended = done._replace(ends=min(done.ends + 1, MAX_ENDS))
+            yield f"respond-{index}", self._answer(state, index, ended, Answer.RESULT)
+        if request.stage is Stage.STREAM and request.backup is not Backup.NONE:
+            yield f"event-{index}", self._set(state, index, done)
         if request.stage is Stage.SENT and not request.ran:
-            refused = request._replace(stage=Stage.WAITING, in_flight=False, age=0)
-            yield f"decline-{index}", self._set(state, index, refused)
-        if self._calls[index].kind is not WorkKind.ONCE:
-            lost = request._replace(stage=Stage.WAITING, may_have_run=True, age=0)
-            yield f"fail-{index}", self._set(state, index, lost)
+            yield f"decline-{index}", self._set(state, index, self._decline(request))
+        if request.is_moved and self._mutant is StopMutant.MOVE_SILENT:
+            declined = request._replace(stage=Stage.WAITING, age=0)
+            yield f"moved-decline-{index}", self._set(state, index, declined)
+
+    def _iterate_silence_steps(
+        self, state: State, index: int, request: Request
+    ) -> Iterator[tuple[str, State]]:
+        """Yield silences of the server, and what the host does during one."""
+        is_sent = request.stage in {Stage.SENT, Stage.STREAM}
+        if state.phase is Phase.STOPPED or not is_sent:
+            return
+        call = self._calls[index]
+        if not request.was_silent:
+            for steps in range(1, call.silence + 1):
+                silent = self._fall_silent(state, index, request, steps)
+                yield f"silence-{steps}-{index}", self._set(state, index, silent)
+        can_hedge = call.kind is WorkKind.STREAM and not self._has_ended(state)
+        if request.silent and request.backup is Backup.NONE and can_hedge:
+            if self._mutant is StopMutant.MOVE_SILENT:
+                hedged = self._move_silent(state, index, request)
+            else:
+                hedged = request._replace(backup=Backup.SENT)
+            yield f"hedge-{index}", self._set(state, index, hedged)
+
+    def _iterate_backup_steps(
+        self, state: State, index: int, request: Request
+    ) -> Iterator[tuple[str, State]]:
+        """Yield what the other server of a stream does."""
+        if request.has_stray:
+            ends = min(request.ends + 1, MAX_ENDS)
+            ended = request._replace(has_stray=False, ends=ends)
+            yield f"stray-{index}", self._set(state, index, ended)
+        if request.backup is Backup.SENT:
+            running = request._replace(backup=Backup.RUNNING)
+            yield f"backup-run-{index}", self._set(state, index, running)
+            declined = request._replace(backup=Backup.NONE)
+            yield f"backup-decline-{index}", self._set(state, index, declined)
+        if request.backup is not Backup.NONE:
+            begun = self._close_slower(request)._replace(
+                stage=Stage.STREAM, silent=0, ran=True, is_moved=True
+            )
+            yield f"backup-begin-{index}", self._set(state, index, begun)
+            lost = request._replace(
+                backup=Backup.NONE,
+                may_have_run=True,
+                ran=request.ran or request.backup is Backup.RUNNING,
+            )
+            yield f"backup-fail-{index}", self._set(state, index, lost)
+
+    def _close_slower(self, request: Request) -> Request:
+        """Return a request one of whose servers has sent its next event."""
+        if request.backup is Backup.NONE:
+            return request
+        stray = self._mutant is StopMutant.KEEP_BOTH
+        return request._replace(backup=Backup.NONE, has_stray=stray)
+
+    def _fall_silent(
+        self, state: State, index: int, request: Request, steps: int
+    ) -> Request:
+        """Return a request whose server falls silent and goes on after `steps`."""
+        silent = request._replace(silent=steps, was_silent=True)
+        if request.age >= request.assured:
+            return silent
+        ends = min(request.assured + steps, self._calls[index].limit)
+        return silent._replace(
+            assured=ends if request.is_late else request.assured,
+            due=state.time - request.age + ends,
+        )
+
+    def _move_silent(self, state: State, index: int, request: Request) -> Request:
+        """Return a request that another server starts anew."""
+        assured = self._calls[index].get_assured_steps(state.time)
+        return request._replace(
+            age=0,
+            assured=assured if request.due else 0.0,
+            may_have_run=True,
+            silent=0,
+            is_moved=True,
+        )
+
+    @staticmethod
+    def _use_backup(request: Request) -> Request:
+        """Return a request that only the other server has; nothing is assured of it."""
+        ran = request.ran or request.backup is Backup.RUNNING
+        return request._replace(
+            age=0,
+            assured=0.0,
+            silent=0,
+            backup=Backup.NONE,
+            ran=ran,
+            is_late=False,
+            due=0.0,
+        )
+
+    def _fail(self, request: Request) -> Request:
+        if request.backup is not Backup.NONE:
+            return self._use_backup(request)._replace(may_have_run=True)
+        return request._replace(
+            stage=Stage.WAITING, may_have_run=True, age=0, silent=0, due=0.0
+        )
+
+    def _decline(self, request: Request) -> Request:
+        waiting = request._replace(stage=Stage.WAITING, age=0)
+        if request.backup is Backup.NONE:
+            return waiting._replace(in_flight=False)
+        if self._mutant is StopMutant.FORGET_BACKUP:
+            return waiting._replace(backup=Backup.NONE)
+        return self._use_backup(request)
 
     def _iterate_request_steps(
         self, state: State, index: int, request: Request
@@ -360,7 +535,11 @@
         estimate: Callable[[float], float | None] = call.estimate_ms
         if self._mutant is StopMutant.NO_FACTOR:
             estimate = self._estimate_without_factor(call)
-        return drain.can_end(self._routes[index], estimate, call.limit * STEP_MS)
+        silence_ms = call.silence * STEP_MS
+        if self._mutant is StopMutant.NO_ALLOWANCE:
+            silence_ms = 0.0
+        limit_ms = call.limit * STEP_MS
+        return drain.can_end(self._routes[index], estimate, limit_ms, silence_ms)
 
     @staticmethod
     def _estimate_without_factor(call: Call) -> Callable[[float], float | None]:
@@ -385,8 +564,8 @@
         return self._can_end(state, index)
 
     def _refuse(self, state: State, index: int, request: Request) -> State:
-        assured = self._calls[index].get_assured_steps(state.time)
-        could_end = END_STEPS - state.time >= assured
+        needed = self._calls[index].get_needed_steps(state.time)
+        could_end = END_STEPS - state.time >= needed
         early = state.phase is Phase.DRAINING and could_end
         state = state._replace(refused_early=state.refused_early or early)
         return self._answer(state, index, request, Answer.REFUSAL)
@@ -396,7 +575,14 @@
         if state.phase is not Phase.SERVING and not request.may_have_run:
             assured = self._calls[index].get_assured_steps(state.time)
         sent = request._replace(
-            stage=Stage.SENT, age=0, assured=assured, in_flight=True
+            stage=Stage.SENT,
+            age=0,
+            assured=assured,
+            in_flight=True,
+            is_late=assured > 0.0 and state.time >= CACHED_STEPS,
+            was_silent=False,
+            is_moved=False,
+            due=0.0,
         )
         is_closed = state.phase in {Phase.CLOSED, Phase.STOPPED}
         state = state._replace(sent_late=state.sent_late or is_closed)
@@ -406,7 +592,12 @@
         """Return the state after the end of the drain has ended a request."""
         is_sent = request.stage in {Stage.SENT, Stage.STREAM}
         early = is_sent and request.age < request.assured
-        state = state._replace(cut_early=state.cut_early or early)
+        is_at_work = early or request.stage is Stage.WAITING
+        in_time = 0.0 < request.due <= state.time
+        moved = request.is_moved and is_at_work and in_time
+        state = state._replace(
+            cut_early=state.cut_early or early, cut_moved=state.cut_moved or moved
+        )
         return self._give_up(state, index, request)
 
     def _give_up(self, state: State, index: int, request: Request) -> State:
@@ -430,7 +621,16 @@
     def _set(state: State, index: int, request: Request) -> State:
         if request.stage in FINAL | {Stage.WRITTEN}:
             request = request._replace(
-                assured=0.0, may_have_run=False, is_old=False, is_accepted=False
+                assured=0.0,
+                may_have_run=False,
+                is_old=False,
+                is_accepted=False,
+                is_late=False,
+                silent=0,
+                was_silent=False,
+                backup=Backup.NONE,
+                due=0.0,
+                is_moved=False,
             )
         if request.stage in FINAL:
             request = request._replace(age=0)
@@ -462,6 +662,7 @@
         sent_late=False,
         cut_early=False,
         refused_early=False,
+        cut_moved=False,
     )
     return Protocol(
         name=f"stops: {mutant.value}",
@@ -473,6 +674,8 @@
             "nothing_sent_after_close": lambda s: not s["sent_late"],
             "served_if_it_can_end": lambda s: not s["refused_early"],
             "not_cut_within_estimate": lambda s: not s["cut_early"],
+            "not_cut_by_a_move": lambda s: not s["cut_moved"],
+            "ends_at_one_server": lambda s: all(r.ends <= 1 for r in s["requests"]),
             "read_is_answered": lambda s: all(
                 r.stage is not Stage.CUT for r in s["requests"]
             ),
--- a/cornelnotch/verification/tests/test_models.py
+++ b/cornelnotch/verification/tests/test_models.py
@@ -27,6 +27,10 @@
 CALL = Call(WorkKind.ONCE, usual=1.0, longest=2.0)
 STREAM = Call(WorkKind.STREAM, usual=2.0, longest=3.0)
 LIMITED_CALL = Call(WorkKind.REPEATABLE, usual=None, longest=None, limit=2)
+SILENT_CALL = Call(WorkKind.ONCE, usual=1.0, longest=2.0, silence=1)
+SILENT_STREAM = Call(WorkKind.STREAM, usual=1.0, longest=2.0, silence=1)
+LONG_SILENCE = Call(WorkKind.STREAM, usual=1.0, longest=1.0, silence=2)
+LIMITED_STREAM = Call(WorkKind.STREAM, usual=1.0, longest=1.0, limit=3, silence=2)
 
 
 def list_violations(protocol):
@@ -168,6 +172,36 @@
     assert broken in list_violations(protocol)
 
 
+@pytest.mark.parametrize(
+    "call", [SILENT_CALL, SILENT_STREAM, LONG_SILENCE, LIMITED_STREAM]
+)
+@pytest.mark.parametrize("max_pause", [0, 2])
+def test_stop_protocol_is_safe_while_a_server_falls_silent(call, max_pause):
+    assert_exhaustively_safe(create_stop_protocol(calls=(call,), max_pause=max_pause))
+
+
+@pytest.mark.parametrize(
+    "call", [SILENT_CALL, SILENT_STREAM, LONG_SILENCE, LIMITED_STREAM]
+)
+def test_late_requests_without_time_for_a_silence_are_cut(call):
+    protocol = create_stop_protocol(StopMutant.NO_ALLOWANCE, (call,))
+    assert "not_cut_within_estimate" in list_violations(protocol)
+
+
+@pytest.mark.parametrize("call", [SILENT_STREAM, LONG_SILENCE, LIMITED_STREAM])
+@pytest.mark.parametrize(
+    ("mutant", "broken"),
+    [
+        (StopMutant.MOVE_SILENT, "not_cut_by_a_move"),
+        (StopMutant.KEEP_BOTH, "ends_at_one_server"),
+        (StopMutant.FORGET_BACKUP, "refusal_is_true"),
+    ],
+)
+def test_mutants_of_a_stop_with_two_servers_are_detected(mutant, broken, call):
+    protocol = create_stop_protocol(mutant, (call,))
+    assert broken in list_violations(protocol)
+
+
 @pytest.mark.parametrize(("steps", "kills"), [(2, 2), (4, 1)])
 def test_no_stream_goes_on_at_another_software_version(steps, kills):
     assert_exhaustively_safe(create_origin_protocol(steps=steps, kills=kills))
