gateway: late requests of a stopping host need time for a silence of their server

Callers saw a stream cut at the end of the grace period that they had sent later than 3 s after SIGTERM, on an open connection: the host had taken it because similar requests fit into the time left, and its server fell silent for a second within it. Nobody excuses that: a refusal costs such a caller a tenth of a second, the cut costs it the work.

A late request is now served only if 1.25 times the longest similar request and the gap after which a stream counts as stalled fit into the time left. Requests of the first 3 s are decided on as before.

A late request with time enough is still served.

--- a/cornelnotch/gateway/request_timing.py
+++ b/cornelnotch/gateway/request_timing.py
@@ -7,11 +7,14 @@
     RunningRequest,
 )
 from cornelnotch.gateway.models import CallerRequest, Route
+from cornelnotch.gateway.timeouts import find_max_gap_s
 from cornelnotch.kernel.clock import Clock
 from cornelnotch.kernel.parsing import parse_count
 
 __all__ = ["RequestTiming"]
 
+MS_PER_SECOND = 1000.0
+
 
 class RequestTiming:
     """Times of one request whose body has arrived; `limit_ms` is when it must end."""
@@ -33,6 +36,7 @@
         self._limit_ms = limit_ms
         self._received_ms = clock.read()
         self._writing_ms = 0.0
+        self._silence_ms = find_max_gap_s(route) * MS_PER_SECOND
         self._running = RunningRequest(self._received_ms, request.output_tokens)
 
     def start(self) -> None:
@@ -97,11 +101,15 @@
             name = self._route.name
             return self._durations.estimate_ms(name, share, resumed, now)
 
-        return self._drain.can_end(self._route, estimate, self.measure_left_ms())
+        return self._drain.can_end(
+            self._route, estimate, self.measure_left_ms(), self._silence_ms
+        )
 
     def find_needed_ms(self) -> float | None:
         """Return the time that the request must have to be served, if known."""
-        return self._drain.find_needed_ms(self._route, self.estimate_ms)
+        return self._drain.find_needed_ms(
+            self._route, self.estimate_ms, self._silence_ms
+        )
 
     def measure_left_ms(self) -> float:
         """Return the time until the request must end if the host does not stop."""
@@ -115,4 +123,5 @@
             self._route,
             lambda share: self.estimate_ms(share, prefill_ms),
             self.measure_left_ms(),
+            self._silence_ms,
         )
