soak: plans with the load of the users' deployments

Two plans of five now play the users' load: calls of 22 ms, streams of 17 to 86 events of 20 to 40 ms, six reading speeds; most have prompts that wait for admission, and many have servers that turn requests away when full.

The judge excused a request of the first 3 s if any server was at work in the last sixth, also one that the host had moved there from a silent server that would have ended before. It asks the first server now, which notes when it would have ended.

--- a/cornelnotch/soak/attempts.py
+++ b/cornelnotch/soak/attempts.py
@@ -6,8 +6,9 @@
 from urllib.parse import urlencode
 
 from cornelnotch.standins.deployment import TARGET_MS, WORK_ROUTES
+from cornelnotch.standins.worker import PROMPT_TOKENS_PER_MS
 
-__all__ = ["Attempt", "Work", "WorkMix", "draw_mix", "draw_work"]
+__all__ = ["Attempt", "Prompt", "Work", "WorkMix", "draw_mix", "draw_work"]
 
 EVENT_END = b"\n\n"
 EVENT_ID = re.compile(rb"id: (\d+)\n")
@@ -21,11 +22,27 @@
 # Time after which a host sends a call that may be repeated to another server.
 RESPONSE_TIMEOUT_MS = 2.5 * TARGET_MS
 DELAY_MS = 500.0
+# Output tokens of an event.
+EVENT_TOKENS = 2
 
 
 WorkMix = dict[str, float]
 
 
+@dataclass(frozen=True, slots=True)
+class Prompt:
+    """Prompt of a stream: a part that others share and one of its own, in tokens."""
+
+    shared_part: str
+    shared_tokens: int
+    own_tokens: int
+
+    @property
+    def tokens(self) -> int:
+        """Return the size of the prompt."""
+        return self.shared_tokens + self.own_tokens
+
+
 @dataclass(frozen=True, slots=True)
 class Work:
     """What one request asks for.
@@ -43,6 +60,7 @@
     upload_s: float = 0.0
     read_rate: float = 0.0
     is_chunked: bool = False
+    prompt: Prompt | None = None
 
     @property
     def may_repeat(self) -> bool:
@@ -56,7 +74,9 @@
 
     def estimate_s(self) -> float:
         """Return the time from the last byte of the request to the end of its work."""
-        served_s = (self.work_ms + self.events * self.gap_ms) / MS_PER_SECOND
+        read_ms = self.prompt.tokens / PROMPT_TOKENS_PER_MS if self.prompt else 0.0
+        served_ms = read_ms + self.work_ms + self.events * self.gap_ms
+        served_s = served_ms / MS_PER_SECOND
         if not self.read_rate:
             return served_s
         return served_s + max(self.events, 1) * self.size / self.read_rate
@@ -71,6 +91,18 @@
         }
         return f"/{self.route}/x?{urlencode(query)}"
 
+    def build_prompt_headers(self, request_id: str) -> dict[str, str]:
+        """Return the headers that tell the size and the parts of the prompt."""
+        prompt = self.prompt
+        if prompt is None:
+            return {}
+        own_part = request_id.encode().hex()
+        return {
+            "x-token-usage": f"{prompt.tokens},{self.events * EVENT_TOKENS}",
+            "x-prompt-prefix": f"{prompt.shared_part}:{prompt.shared_tokens},"
+            f"{own_part}:{prompt.own_tokens}",
+        }
+
 
 def draw_mix(generator: random.Random) -> WorkMix:
     """Return the typical duration of each route in ms, or none for a wide mix."""
--- a/cornelnotch/soak/callers.py
+++ b/cornelnotch/soak/callers.py
@@ -11,7 +11,7 @@
 import h11
 
 from cornelnotch.kernel.tasks import cancel_and_wait
-from cornelnotch.soak.attempts import Attempt, Work, WorkMix, draw_work
+from cornelnotch.soak.attempts import Attempt, Work
 from cornelnotch.standins.deployment import create_request
 from cornelnotch.web import parse_address
 
@@ -97,13 +97,13 @@
         generator: random.Random,
         choose_target: Callable[[random.Random, float], CallerTarget | None],
         think_s: float,
-        mix: WorkMix,
+        draw_work: Callable[[random.Random, float], Work],
     ) -> None:
         self._name = name
         self._generator = generator
         self._choose_target = choose_target
         self._think_s = think_s
-        self._mix = mix
+        self._draw_work = draw_work
         self._read_rate = (
             generator.uniform(1e5, 4e5) if generator.random() < 0.1 else 0.0
         )
@@ -155,7 +155,7 @@
             self._preferred = target if self._cached_s == STALE_S else None
         except (OSError, TimeoutError):
             self._preferred = None
-            work = draw_work(self._generator, self._mix, 0.0)
+            work = self._draw_work(self._generator, 0.0)
             attempt = self._create_attempt(work, target.find_host())
             attempt.refused_connection = True
             attempt.ended_s = time.monotonic()
@@ -181,7 +181,7 @@
             count = self._generator.randint(1, MAX_PIPELINED)
         attempts = []
         for _ in range(count):
-            work = draw_work(self._generator, self._mix, self._read_rate)
+            work = self._draw_work(self._generator, self._read_rate)
             attempts.append(self._create_attempt(work, connection.host))
         upload = asyncio.create_task(self._upload(connection, attempts))
         try:
@@ -212,7 +212,11 @@
                 left_ms = (attempt.deadline_s - attempt.begun_s) * 1000.0
                 size = None if work.is_chunked else work.body_bytes
                 head = create_request(
-                    attempt.request_id, work.build_target(), left_ms, size
+                    attempt.request_id,
+                    work.build_target(),
+                    left_ms,
+                    size,
+                    work.build_prompt_headers(attempt.request_id),
                 )
                 await connection.send(protocol.send(head) or b"")
                 parts = UPLOAD_PARTS if work.upload_s else 1
--- a/cornelnotch/soak/fleet.py
+++ b/cornelnotch/soak/fleet.py
@@ -55,6 +55,8 @@
 POLL_S = 0.05
 ROUTE_TIMEOUT_MS = 20_000.0
 LEAVE_S = 4.5
+# Capacity that servers without a limited number of places tell.
+CAPACITY = 64
 CRASH_NOTICE_S = 2.0
 
 
@@ -192,13 +194,16 @@
 
     async def _start_worker(self) -> None:
         self._servers += 1
-        worker = WorkerStandin(f"server-{self._servers}", self.ledger)
+        name, places = f"server-{self._servers}", self.plan.profile.places
+        worker = WorkerStandin(name, self.ledger, places)
         await worker.start()
         self.workers.append(worker)
         self._write_entry(worker)
 
     def _write_entry(self, worker: WorkerStandin) -> None:
-        record = create_server_record(worker.address, worker.leaving, 1)
+        record = create_server_record(
+            worker.address, worker.leaving, 1, worker.places or CAPACITY
+        )
         self.store.topics["keyed.servers"].write(worker.name, record)
 
     def _start_host(self, number: int) -> None:
--- a/cornelnotch/soak/judge.py
+++ b/cornelnotch/soak/judge.py
@@ -133,7 +133,11 @@
         if overlaps_pause(attempt, life):
             return "pause of the host"
         was_at_work = any(run.ended_s >= last_part_s for run in runs)
-        if was_at_work and attempt.sent_s <= life.terminated_s + SERVED_S:
+        # A server's silence is no reason to move a request to where it ends later.
+        executed = [run for run in runs if run.executed]
+        is_due_before = bool(executed) and executed[0].due_s < last_part_s
+        is_early = attempt.sent_s <= life.terminated_s + SERVED_S
+        if was_at_work and is_early and not is_due_before:
             return "at work in the last sixth"
         return ""
 
--- a/cornelnotch/soak/plan.py
+++ b/cornelnotch/soak/plan.py
@@ -4,7 +4,13 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from cornelnotch.soak.attempts import WorkMix, draw_mix
+from cornelnotch.soak.attempts import Work, WorkMix, draw_mix, draw_work
+from cornelnotch.soak.profile import (
+    CALLERS_PER_HOST,
+    LoadProfile,
+    draw_profile,
+    draw_users_work,
+)
 
 __all__ = ["Action", "Plan", "Step", "create_plan"]
 
@@ -58,6 +64,13 @@
     think_s: float
     mix: WorkMix
     steps: tuple[Step, ...]
+    profile: LoadProfile
+
+    def draw_work(self, generator: random.Random, read_rate: float) -> Work:
+        """Return a random request of a caller that usually reads at `read_rate`."""
+        if self.profile.like_users:
+            return draw_users_work(generator, self.profile)
+        return draw_work(generator, self.mix, read_rate)
 
 
 class PlanWriter:
@@ -143,12 +156,16 @@
         at_s += generator.uniform(2.0, grace_s + 4.0)
     stops = [step for step in writer.steps if step.action is Action.TERMINATE]
     steps = [*writer.steps, *draw_silences(seed, stops, grace_s)]
+    servers = max(4, hosts // 4)
+    profile = draw_profile(seed, min(callers, hosts * CALLERS_PER_HOST), servers)
+    if profile.like_users:
+        callers = min(callers, hosts * CALLERS_PER_HOST)
     return Plan(
         seed,
         seconds,
         hosts,
         min(callers, MAX_CALLERS),
-        max(4, hosts // 4),
+        servers,
         grace_s,
         0.1 if is_heavy else 0.4,
         draw_mix(generator),
@@ -158,4 +175,5 @@
                 key=lambda step: step.at_s,
             )
         ),
+        profile,
     )
--- a/cornelnotch/soak/stops.py
+++ b/cornelnotch/soak/stops.py
@@ -40,7 +40,7 @@
                 random.Random(f"caller/{plan.seed}/{number}"),
                 self._fleet.choose_target,
                 plan.think_s,
-                plan.mix,
+                plan.draw_work,
             )
             for number in range(plan.callers)
         ]
@@ -152,7 +152,7 @@
     write(
         f"seed {plan.seed}: {plan.hosts} hosts, {plan.callers} callers, "
         f"{plan.servers} servers, grace {plan.grace_s} s, {plan.seconds} s, "
-        f"typical ms {plan.mix or 'wide mix'}"
+        f"typical ms {plan.mix or 'wide mix'}, {plan.profile}"
     )
     soak = StopSoak(plan, folder, write)
     verdict = await soak.run()
--- a/cornelnotch/soak/tests/test_judge.py
+++ b/cornelnotch/soak/tests/test_judge.py
@@ -78,6 +78,27 @@
     assert Check.CUT in judge(attempt, create_run(ended_s=104.0))
 
 
+@pytest.mark.parametrize(("due_s", "expected"), [(4.9, [Check.CUT]), (5.1, [])])
+def test_cut_of_what_the_first_server_had_ended_in_time_is_found(due_s, expected):
+    late = TERMINATED_S + 5.5
+    attempt = create_attempt(Work("chat", 3000.0, 3), 102.0, late)
+    first = create_run(ended_s=103.5, due_s=TERMINATED_S + due_s)
+    assert judge(attempt, first, create_run(ended_s=late)) == expected
+
+
+def test_server_that_turned_a_request_away_does_not_count_as_its_first():
+    late = TERMINATED_S + 5.5
+    attempt = create_attempt(Work("chat", 3000.0, 3), 102.0, late)
+    refused = create_run(executed=False, ended_s=102.1, due_s=102.1)
+    assert judge(attempt, refused, create_run(ended_s=late, due_s=110.0)) == []
+
+
+def test_early_request_cut_after_its_server_has_ended_is_found():
+    work = Work("read", 22.0, size=40_000, read_rate=3e4)
+    attempt = create_attempt(work, 102.9, TERMINATED_S + 5.5)
+    assert judge(attempt, create_run(finished=True, ended_s=103.0)) == [Check.CUT]
+
+
 @pytest.mark.parametrize("fault", ["broke", "pause", "deadline"])
 def test_cut_by_another_fault_is_allowed(fault):
     life, ended_s = create_life(), 104.0
--- a/cornelnotch/standins/deployment.py
+++ b/cornelnotch/standins/deployment.py
@@ -1,5 +1,7 @@
 """Write the platform's records and callers' requests for a simulated deployment."""
 
+from collections.abc import Mapping
+
 import h11
 import orjson
 
@@ -15,6 +17,8 @@
 KEY = "soak-key"
 SERVICE = "work"
 TARGET_MS = 1000.0
+# Longest gap between events for which a stream is on time.
+TARGET_GAP_MS = 120.0
 MAX_BODY_BYTES = 4 * 1024 * 1024
 # Type of each route of a deployment, and whether its streams may be resumed.
 WORK_ROUTES = {
@@ -35,6 +39,7 @@
         "stream_resume": resumable,
         "timeout_ms": timeout_ms,
         "target_latency_ms": TARGET_MS,
+        "target_itl_ms": TARGET_GAP_MS if kind == "streaming" else 0.0,
         "priority": 1,
         "service": SERVICE,
         "max_attempts": 3,
@@ -53,14 +58,16 @@
     return orjson.dumps(content)
 
 
-def create_server_record(address: str, is_leaving: bool, sequence: int) -> bytes:
+def create_server_record(
+    address: str, is_leaving: bool, sequence: int, capacity: int
+) -> bytes:
     """Return the entry of a server."""
     content = {
         "service": SERVICE,
         "address": address,
         "zone": "north-a",
         "version": "v1",
-        "capacity": 64,
+        "capacity": capacity,
         "state": "draining" if is_leaving else "ready",
         "warmup_left_ms": 0,
         "sequence": sequence,
@@ -69,7 +76,11 @@
 
 
 def create_request(
-    request_id: str, target: str, deadline_ms: float, body_bytes: int | None
+    request_id: str,
+    target: str,
+    deadline_ms: float,
+    body_bytes: int | None,
+    prompt_headers: Mapping[str, str],
 ) -> h11.Request:
     """Return the head of a caller's request; a body without a size is in chunks."""
     framing = ("transfer-encoding", "chunked")
@@ -81,5 +92,6 @@
         ("x-key", KEY),
         ("x-deadline-ms", str(round(deadline_ms))),
         framing,
+        *prompt_headers.items(),
     ]
     return h11.Request(method="POST", target=target, headers=headers)
--- a/cornelnotch/standins/worker.py
+++ b/cornelnotch/standins/worker.py
@@ -7,18 +7,21 @@
 
 from cornelnotch.web import Exchange, HttpServer
 
-__all__ = ["RunLedger", "WorkerRun", "WorkerStandin"]
+__all__ = ["PROMPT_TOKENS_PER_MS", "RunLedger", "WorkerRun", "WorkerStandin"]
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 STATUS_OK = 200
 STATUS_MISDIRECTED = 421
+STATUS_UNAVAILABLE = 503
+PROMPT_TOKENS_PER_MS = 30.0
 
 
 @dataclass(slots=True)
 class WorkerRun:
     """One request that reached a server; times in monotonic seconds.
 
-    `broke` is true if the server ended the request by crashing.
+    `broke` is true if the server ended the request by crashing. `due_s` is when it
+    would have ended its work, had the host not left before.
     """
 
     server: str
@@ -27,6 +30,7 @@
     finished: bool = False
     broke: bool = False
     ended_s: float = float("inf")
+    due_s: float = float("inf")
 
 
 RunLedger = defaultdict[str, list[WorkerRun]]
@@ -38,14 +42,21 @@
 
     Query `work` is the time to the response in ms, `size` the size of a body or event,
     `events` the number of events (none for a call), and `gap` the time between them.
+    Prompts are read one after another; the parts of those read before are cached. A
+    server with `places` turns away what comes while it works on so many requests.
     """
 
     name: str
     ledger: RunLedger
+    places: int = 0
     leaving: bool = False
     crashed: bool = False
     active: int = 0
+    running: int = 0
     silent_until_s: float = 0.0
+    read_until_s: float = 0.0
+    cached_parts: set[str] = field(default_factory=set)
+    dropped: list[WorkerRun] = field(default_factory=list)
     server: HttpServer = field(init=False)
 
     def __post_init__(self) -> None:
@@ -67,7 +78,11 @@
 
     def fall_silent(self, duration_s: float) -> None:
         """Send nothing for `duration_s`, then go on."""
-        self.silent_until_s = time.monotonic() + duration_s
+        now = time.monotonic()
+        self.silent_until_s = now + duration_s
+        for run in self.dropped:
+            if run.due_s > now:
+                run.due_s += duration_s
 
     async def _handle(self, exchange: Exchange) -> None:
         request_id = exchange.headers.get("x-attempt-id", "")
@@ -79,6 +94,8 @@
         finally:
             self.active -= 1
             run.ended_s = time.monotonic()
+            if run.due_s == float("inf"):
+                run.due_s = run.ended_s
             run.broke = self.crashed and not run.finished
 
     async def _run(self, exchange: Exchange, request_id: str, run: WorkerRun) -> None:
@@ -89,19 +106,64 @@
         if exchange.headers.get("x-target-instance") != self.name:
             await exchange.respond(STATUS_MISDIRECTED, headers, b"")
             return
+        if self.places:
+            headers["x-server-load"] = f"{self.running},0,{self.places}"
+            if self.running >= self.places:
+                headers["x-not-executed"] = "1"
+                await exchange.respond(STATUS_UNAVAILABLE, headers, b"")
+                return
+        self.running += 1
+        try:
+            headers["x-server-signature"] = f"{self.name}.{request_id}"
+            await self._execute(exchange, request_id, headers, run)
+        finally:
+            self.running -= 1
+
+    async def _execute(
+        self,
+        exchange: Exchange,
+        request_id: str,
+        headers: dict[str, str],
+        run: WorkerRun,
+    ) -> None:
         run.executed = True
-        headers["x-server-signature"] = f"{self.name}.{request_id}"
-        if not await self._work(exchange, float(exchange.query["work"])):
+        work_ms = float(exchange.query["work"]) + self._queue_prompt(exchange)
+        first = int(exchange.headers.get("last-event-id", "0")) + 1
+        events = max(int(exchange.query["events"]) + 1 - first, 0)
+        stream_ms = events * float(exchange.query["gap"])
+        if not await self._work(exchange, run, work_ms, stream_ms):
             return
         if int(exchange.query["events"]):
-            run.finished = await self._stream(exchange, headers)
+            run.finished = await self._stream(exchange, headers, run)
             return
         body = request_id.encode().ljust(int(exchange.query["size"]), b".")
         await exchange.respond(STATUS_OK, headers, body)
         run.finished = True
 
-    async def _work(self, exchange: Exchange, work_ms: float) -> bool:
-        """Work for `work_ms`; return false if the gateway has left meanwhile."""
+    def _queue_prompt(self, exchange: Exchange) -> float:
+        """Return the time in ms until the server has read the prompt."""
+        tokens = 0
+        for part in filter(
+            None, exchange.headers.get("x-prompt-prefix", "").split(",")
+        ):
+            name, _, size = part.partition(":")
+            tokens += 0 if name in self.cached_parts else int(size)
+            self.cached_parts.add(name)
+        if not tokens:
+            return 0.0
+        now = time.monotonic()
+        begin_s = max(self.read_until_s, now)
+        self.read_until_s = begin_s + tokens / PROMPT_TOKENS_PER_MS / 1000.0
+        return (self.read_until_s - now) * 1000.0
+
+    async def _work(
+        self, exchange: Exchange, run: WorkerRun, work_ms: float, later_ms: float
+    ) -> bool:
+        """Work for `work_ms`; return false if the gateway has left meanwhile.
+
+        `later_ms` is the time that the rest of the request takes.
+        """
+        end_s = time.monotonic() + work_ms / 1000.0
         left_s = work_ms / 1000.0
         while left_s > 0.0:
             try:
@@ -110,19 +172,25 @@
             except TimeoutError:
                 left_s = self.silent_until_s - time.monotonic()
                 continue
+            run.due_s = max(end_s, self.silent_until_s) + later_ms / 1000.0
+            self.dropped.append(run)
             exchange.abort()
             return False
         return True
 
-    async def _stream(self, exchange: Exchange, headers: dict[str, str]) -> bool:
+    async def _stream(
+        self, exchange: Exchange, headers: dict[str, str], run: WorkerRun
+    ) -> bool:
         first = int(exchange.headers.get("last-event-id", "0")) + 1
         padding = "." * int(exchange.query["size"])
         await exchange.start(
             STATUS_OK, {**headers, "content-type": "text/event-stream"}
         )
-        for number in range(first, int(exchange.query["events"]) + 1):
+        events, gap_ms = int(exchange.query["events"]), float(exchange.query["gap"])
+        for number in range(first, events + 1):
             await exchange.send(f"id: {number}\ndata: {padding}\n\n".encode())
-            if not await self._work(exchange, float(exchange.query["gap"])):
+            later_ms = (events - number) * gap_ms
+            if not await self._work(exchange, run, gap_ms, later_ms):
                 return False
         await exchange.finish()
         return True
