--- a/cornelnotch/soak/plan.py
+++ b/cornelnotch/soak/plan.py
@@ -157,14 +157,16 @@
     stops = [step for step in writer.steps if step.action is Action.TERMINATE]
     steps = [*writer.steps, *draw_silences(seed, stops, grace_s)]
     servers = max(4, hosts // 4)
-    profile = draw_profile(seed, min(callers, hosts * CALLERS_PER_HOST), servers)
+    callers = min(callers, MAX_CALLERS)
+    users_callers = min(callers, hosts * CALLERS_PER_HOST)
+    profile = draw_profile(seed, users_callers, servers)
     if profile.like_users:
-        callers = min(callers, hosts * CALLERS_PER_HOST)
+        callers = users_callers
     return Plan(
         seed,
         seconds,
         hosts,
-        min(callers, MAX_CALLERS),
+        callers,
         servers,
         grace_s,
         0.1 if is_heavy else 0.4,
--- a/cornelnotch/soak/tests/test_plan.py
+++ b/cornelnotch/soak/tests/test_plan.py
@@ -25,6 +25,15 @@
     assert all(plan.callers <= plan.hosts * CALLERS_PER_HOST for plan in plans)
 
 
+def test_places_are_for_the_callers_of_the_plan():
+    plans = [create_plan(seed, SECONDS, hosts=60) for seed in SEEDS]
+    limited = [plan for plan in plans if plan.profile.places]
+    assert limited
+    for plan in limited:
+        places = plan.profile.places * plan.servers
+        assert 0.7 < places / plan.callers < 1.4
+
+
 def test_other_plans_draw_their_work_as_before():
     plan = next(plan for plan in create_plans() if not plan.profile.like_users)
     assert plan.profile == LoadProfile()
