standins: a run that is dropped during a send tells when it was due

The judge would then take such a request for one that would have ended before. The time is noted before each event now; a run that a slow reader holds up counts as at work until it ends.

--- a/cornelnotch/standins/tests/test_worker_places.py
+++ b/cornelnotch/standins/tests/test_worker_places.py
@@ -9,13 +9,13 @@
 from cornelnotch.standins.worker import PROMPT_TOKENS_PER_MS, WorkerStandin
 from cornelnotch.web import HttpClient
 
-QUERY = "?work=5&size=8&events={events}&gap=100"
+QUERY = "?work=5&size={size}&events={events}&gap={gap}"
 PROMPT = {"x-prompt-prefix": "a1:9000,b1:3000"}
 
 
-async def call(worker, client, request_id="r1", events=0, **headers):
+async def call(worker, client, request_id="r1", events=0, size=8, gap=100, **headers):
     headers |= {"x-attempt-id": request_id, "x-target-instance": worker.name}
-    target = f"/read/x{QUERY.format(events=events)}"
+    target = f"/read/x{QUERY.format(events=events, size=size, gap=gap)}"
     return await client.request(worker.address, "POST", target, headers, b"")
 
 
@@ -74,3 +74,16 @@
         assert 2.5 < run.due_s - begun_s < 3.2
 
     run_scenario(scenario)
+
+
+def test_run_that_is_dropped_while_an_event_is_sent_is_due_later():
+    async def scenario(worker, client):
+        response = await call(worker, client, "r1", events=2000, size=200_000, gap=1)
+        await asyncio.sleep(0.3)
+        response.close()
+        run = worker.ledger["r1"][0]
+        while run.ended_s == float("inf"):  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+        assert run.due_s - run.ended_s > 1.0
+
+    run_scenario(scenario)
--- a/cornelnotch/standins/worker.py
+++ b/cornelnotch/standins/worker.py
@@ -94,8 +94,12 @@
         finally:
             self.active -= 1
             run.ended_s = time.monotonic()
-            if run.due_s == float("inf"):
+            if run.finished or run.due_s == float("inf"):
                 run.due_s = run.ended_s
+            else:
+                # A server that was held up by a slow reader was at work until now.
+                run.due_s = max(run.due_s, run.ended_s)
+                self.dropped.append(run)
             run.broke = self.crashed and not run.finished
 
     async def _run(self, exchange: Exchange, request_id: str, run: WorkerRun) -> None:
@@ -173,7 +177,6 @@
                 left_s = self.silent_until_s - time.monotonic()
                 continue
             run.due_s = max(end_s, self.silent_until_s) + later_ms / 1000.0
-            self.dropped.append(run)
             exchange.abort()
             return False
         return True
@@ -188,8 +191,10 @@
         )
         events, gap_ms = int(exchange.query["events"]), float(exchange.query["gap"])
         for number in range(first, events + 1):
-            await exchange.send(f"id: {number}\ndata: {padding}\n\n".encode())
             later_ms = (events - number) * gap_ms
+            # The host may leave while an event is sent.
+            run.due_s = time.monotonic() + (gap_ms + later_ms) / 1000.0
+            await exchange.send(f"id: {number}\ndata: {padding}\n\n".encode())
             if not await self._work(exchange, run, gap_ms, later_ms):
                 return False
         await exchange.finish()
