gateway: test hosts whose links to all servers are cut

Callers of such a host are refused although other hosts serve the same requests. Of first tries at one cut host of three, from 2 s after the cut on and for 2 s, 0 of 24 are served where connections hang, are refused, or are reset and then hang; 8 of 24 where open connections live on and new ones are refused. The other two hosts serve 48 of 48 each time.

--- a/cornelnotch/gateway/tests/conftest.py
+++ b/cornelnotch/gateway/tests/conftest.py
@@ -86,9 +86,9 @@
     )
 
 
-def create_host(settings):
+def create_host(settings, client=None):
     store = PlatformStore(settings.store.address, HttpClient())
-    client = HttpClient()
+    client = client or HttpClient()
     return GatewayHost(
         settings,
         create_clock(),
