soak: a request at a silent server could end only if that server would have ended it

The check of what is served in the first 3 s after SIGTERM compared the time left with the work that a request asks for, without the silences of its server. The time at which the first server that ran the request would have ended it now counts too; what the host did with it later does not. What a server would have ended in time and the host did not serve is still found, which a new test shows with both sides of the bound.

--- a/cornelnotch/soak/judge.py
+++ b/cornelnotch/soak/judge.py
@@ -185,6 +185,10 @@
         end_s = max(asked_s, attempt.waited_from_s) + needed_s
         stop_s = life.terminated_s + self._grace_s * (1 - LAST_PART)
         limit_s = min(attempt.deadline_s, attempt.begun_s + self._route_timeout_s)
+        executed = [run for run in runs if run.executed]
+        if executed and executed[0].due_s != math.inf:
+            # A server that fell silent ends later than the request asked for.
+            end_s = max(end_s, executed[0].due_s)
         if end_s > min(limit_s, stop_s):
             return
         served = attempt.whole and attempt.status == STATUS_OK
--- a/cornelnotch/soak/tests/test_judge.py
+++ b/cornelnotch/soak/tests/test_judge.py
@@ -153,6 +153,17 @@
     assert judge(attempt, create_run(finished=True)) == [Check.ORDER]
 
 
+@pytest.mark.parametrize(("due_s", "expected"), [(4.9, [Check.SERVED]), (5.1, [])])
+def test_refusal_is_found_unless_the_silent_server_would_have_ended_late(
+    due_s, expected
+):
+    sent_s = TERMINATED_S + 0.5
+    work = Work("read", 100.0)
+    attempt = answer(create_attempt(work, sent_s, TERMINATED_S + 5.5), 504)
+    run = create_run(ended_s=TERMINATED_S + 5.5, due_s=TERMINATED_S + due_s)
+    assert judge(attempt, run) == expected
+
+
 def test_whole_stream_is_allowed():
     attempt = answer(create_attempt(STREAM), 200, join_events(1, 2, 3))
     assert judge(attempt, create_run(finished=True)) == []
