gateway: a host cut off from all servers passes requests on to another host

Cause: a host had only its own links, and each request found out by itself, server after server, that they were gone.

- server_links.py: a dispatch that could not be sent raises a suspicion; a few servers are probed at once.
If none accepts while another host reaches one (peers are asked), the host is cut off from the service, until a probe is accepted.
If no host reaches one, the servers are down.
Resumable streams go on over another host.
- What a host that is cut off sees is no evidence about servers: no crash is recorded and failures are forgotten.

Nothing is added to the path of a request in calm.

--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -24,6 +24,7 @@
 )
 from cornelnotch.gateway.retry_budget import RetryBudget
 from cornelnotch.gateway.server_identity import ServerIdentity, UnknownIdentity
+from cornelnotch.gateway.server_links import ServerLinks
 from cornelnotch.gateway.servers import InFlightRequest, ServerPool, ServerView
 from cornelnotch.gateway.settings import HostSettings
 from cornelnotch.gateway.software_history import SoftwareHistory
@@ -36,6 +37,7 @@
 from cornelnotch.kernel.clock import Clock
 from cornelnotch.kernel.events import Event, EventLog
 from cornelnotch.kernel.hashing import hash_text, select_owner
+from cornelnotch.membership import Member
 from cornelnotch.observation.metrics import NodeMetrics
 from cornelnotch.web import Exchange, HttpClient
 from cornelnotch.wire import PeerNetwork
@@ -78,11 +80,16 @@
         self.identity = identity or UnknownIdentity()
         self.metrics = NodeMetrics(settings.host.name, clock)
         self.crashes = CrashEvidence()
-        self.crash_watch = CrashWatch(client, events, self.metrics, self.record_crash)
         self.startup = Startup(clock)
+        self.pool = ServerPool()
+        generator = random.Random(f"{settings.host.name}/links")
+        self.links = ServerLinks(clock, events, client, self.pool, generator)
+        self.crash_watch = CrashWatch(
+            client, events, self.metrics, self.record_crash, self.links.check
+        )
+        self.list_linked_hosts: Callable[[str], list[Member]] = lambda service: []
         self.drain = Drain(clock)
         self.durations = DurationTracker()
-        self.pool = ServerPool()
         self.rate_limits = RateLimitTable()
         self.engine_rates = EngineRateTable()
         self.exposures = ExposureTracker()
--- a/cornelnotch/gateway/crash_watch.py
+++ b/cornelnotch/gateway/crash_watch.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 from cornelnotch.gateway.servers import InFlightRequest, ServerView
@@ -45,11 +45,13 @@
         events: EventLog,
         metrics: NodeMetrics,
         record_crash: Callable[[ServerLife, list[InFlightRequest]], None],
+        is_cut_off: Callable[[str], Awaitable[bool]],
     ) -> None:
         self._client = client
         self._events = events
         self._metrics = metrics
         self._record_crash = record_crash
+        self._is_cut_off = is_cut_off
         self._broken: OrderedDict[ServerLife, BrokenServer] = OrderedDict()
 
     async def note_break(self, view: ServerView, request: InFlightRequest) -> bool:
@@ -64,7 +66,8 @@
         riders = [r for r in view.in_flight.values() if r.sent]
         was_crashed = broken.crashed
         if not was_crashed:
-            broken.crashed = await self._refuses(view.record.address, broken)
+            refuses = await self._refuses(view.record.address, broken)
+            broken.crashed = refuses and not await self._is_cut_off(view.record.service)
         if not broken.crashed:
             return False
         if not was_crashed:
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -23,6 +23,7 @@
     WorkKind,
     Workspace,
 )
+from cornelnotch.gateway.peer_dispatch import PeerDispatch
 from cornelnotch.gateway.placement import Placement, PlacementNeed
 from cornelnotch.gateway.replacement import Replacement, ReplacementSearch
 from cornelnotch.gateway.request_timing import RequestTiming
@@ -79,6 +80,9 @@
         self.context = context
         self.exchange = exchange
         self.request = request
+        if request.attempts_left:
+            attempts = min(route.attempts, request.attempts_left)
+            route = replace(route, attempts=attempts)
         self.route = route
         self.workspace = workspace
         self.arrived_ms = arrived_ms
@@ -101,6 +105,7 @@
         self.backup: ServerView | None = None
         self.resuming = False
         self.replacement: Replacement | None = None
+        self.peer_dispatch = PeerDispatch(self)
         self.crash_guard = CrashGuard(context, request)
         self.continuation = StreamContinuation(context, request, route)
         self.splitter = EventSplitter(request.last_event_id)
@@ -184,7 +189,13 @@
             if self.replacement is not None:
                 answered = await self._go_on_elsewhere(self.replacement)
                 continue
+            if self.peer_dispatch.is_cut_off():
+                answered = await self.peer_dispatch.run()
+                continue
             placement = self._place_at_backup() or self.place()
+            if placement is None and self.peer_dispatch.may_help():
+                answered = await self.peer_dispatch.run()
+                continue
             if placement is None:
                 await self._fail_without_server()
                 return
@@ -225,7 +236,7 @@
             bool(self.context.hosts), left_ms, self.context.generator
         )
         needed_ms = self.timing.find_needed_ms()
-        await self._refuse(
+        await self.refuse(
             STATUS_UNAVAILABLE,
             HOST_LEAVING,
             round(retry_ms, 1),
@@ -236,32 +247,32 @@
     async def _refuse_unknown_stream(self) -> None:
         """Refuse a stream that might go on at another software version."""
         if self.continuation.may_become_known:
-            await self._refuse_with_retry(0.0, STREAM_UNKNOWN)
+            await self.refuse_with_retry(0.0, STREAM_UNKNOWN)
         else:
-            await self._refuse(STATUS_SERVER_ERROR, STREAM_UNKNOWN)
+            await self.refuse(STATUS_SERVER_ERROR, STREAM_UNKNOWN)
 
     async def _refuse_crashing_prompt(self) -> None:
         """Refuse for good: neither a status nor a delay invites callers to retry."""
         if self.exchange.response_started:
-            await self._finish_failed(
+            await self.finish_failed(
                 UpstreamResponse(DispatchOutcome.BROKEN, CRASHING_PROMPT)
             )
-        await self._refuse(STATUS_SERVER_ERROR, CRASHING_PROMPT)
+        await self.refuse(STATUS_SERVER_ERROR, CRASHING_PROMPT)
 
     async def _fail_without_server(self) -> None:
         now = self.context.clock.read()
         backoff_ms = self.context.pool.find_backoff_ms(self.service, now)
         may_refuse = not self.dispatches.ran and not self.exchange.response_started
         if self.overloaded:
-            await self._refuse_with_retry(self.overloaded_wait_ms, "backlog")
+            await self.refuse_with_retry(self.overloaded_wait_ms, "backlog")
         elif self.unadmitted and may_refuse:
-            await self._refuse_with_retry(self.limited_wait_ms, "rate-limit")
+            await self.refuse_with_retry(self.limited_wait_ms, "rate-limit")
         elif may_refuse and self.continuation.is_version_gone(self.service):
-            await self._refuse(STATUS_SERVER_ERROR, VERSION_GONE)
+            await self.refuse(STATUS_SERVER_ERROR, VERSION_GONE)
         elif backoff_ms > 0 and may_refuse:
-            await self._refuse_with_retry(backoff_ms, "servers-rest")
+            await self.refuse_with_retry(backoff_ms, "servers-rest")
         else:
-            await self._finish_failed(
+            await self.finish_failed(
                 UpstreamResponse(DispatchOutcome.NOT_SENT, "no usable server is left")
             )
 
@@ -316,12 +327,12 @@
             # waits, so that its work is not lost.
             self.overloaded.clear()
         if may_crash_servers:
-            await self._finish_failed(response)
+            await self.finish_failed(response)
             return True
         if self._may_resume(response):
             self.resuming = True
         elif not self._may_retry(response):
-            await self._finish_failed(response)
+            await self.finish_failed(response)
             return True
         response.close()
         # The next server resends the incomplete event in full.
@@ -366,7 +377,7 @@
         if await self.is_admitted(placement.server, in_flight):
             response = await self._dispatch(placement, in_flight)
         if response is not None:
-            await self._finish_failed(response)
+            await self.finish_failed(response)
         return True
 
     async def is_admitted(self, view: ServerView, in_flight: InFlightRequest) -> bool:
@@ -388,7 +399,7 @@
         self.overloaded_wait_ms = in_flight.wait_ms
         if len(self.overloaded) < MAX_OVERLOADED:
             return False
-        await self._refuse_with_retry(self.overloaded_wait_ms, "backlog")
+        await self.refuse_with_retry(self.overloaded_wait_ms, "backlog")
         return True
 
     def _skip_limited(self, view: ServerView, wait_ms: float) -> None:
@@ -522,11 +533,11 @@
             return self.limit_ms - self.arrived_ms
         return estimate_caller_timeout_ms(self.route, self.limit_ms - self.arrived_ms)
 
-    async def _refuse_with_retry(self, wait_ms: float, reason: str) -> None:
+    async def refuse_with_retry(self, wait_ms: float, reason: str) -> None:
         """Refuse the request with a retry delay derived from the expected wait."""
         left_ms = self.deadline_ms - self.context.clock.read()
         retry_ms = choose_retry_after_ms(wait_ms, left_ms, self.context.generator)
-        await self._refuse(STATUS_UNAVAILABLE, reason, round(retry_ms))
+        await self.refuse(STATUS_UNAVAILABLE, reason, round(retry_ms))
 
     async def _dispatch(
         self, placement: Placement, in_flight: InFlightRequest
@@ -593,6 +604,8 @@
             view.disable_until_relisted()
         elif response.outcome in {DispatchOutcome.NOT_SENT, DispatchOutcome.BROKEN}:
             view.record_failure(now)
+            if response.timed_out or response.outcome is DispatchOutcome.NOT_SENT:
+                self.context.links.suspect(self.service)
 
     async def _forward(
         self, response: UpstreamResponse, view: ServerView, in_flight: InFlightRequest
@@ -622,7 +635,7 @@
         now = self.context.clock.read()
         if not is_stream:
             self.timing.record_call(in_flight.first_ms)
-        self._finish(response.head.status, now, end=end.value)
+        self.finish(response.head.status, now, end=end.value)
         return None
 
     async def _forward_stream(
@@ -651,7 +664,7 @@
                 )
                 if complete:
                     self.continuation.note_event(view)
-                    await self._send_events(complete)
+                    await self.send_events(complete)
                 self.splitter.check()
             end = await confirm_end(response, self.splitter)
         except UpstreamError as error:
@@ -670,7 +683,7 @@
             self.route.name, stream_ms, self.request.prompt_tokens
         )
         self.timing.record_stream(in_flight.first_ms, stream_ms, self.splitter.count)
-        self._finish(
+        self.finish(
             response.head.status,
             in_flight.first_ms,
             count=self.splitter.count,
@@ -679,7 +692,7 @@
         )
         return None
 
-    async def _send_events(self, events: bytes) -> None:
+    async def send_events(self, events: bytes) -> None:
         """Send events to the caller; measure the time that it lets the host wait."""
         began_ms = self.context.clock.read()
         await self.exchange.send(events)
@@ -690,7 +703,7 @@
             return find_max_gap_s(self.route)
         return find_stall_timeout_s(self.route, self.dispatches.ran)
 
-    def _finish(self, status: int, first_ms: float, **details: object) -> None:
+    def finish(self, status: int, first_ms: float, **details: object) -> None:
         """Record a complete response whose first byte arrived at `first_ms`."""
         if status == STATUS_OK:
             self.context.record_sound(self.request)
@@ -722,7 +735,8 @@
             self.context.metrics.count_retry(response.outcome.value)
         return allowed
 
-    async def _finish_failed(self, response: UpstreamResponse) -> None:
+    async def finish_failed(self, response: UpstreamResponse) -> None:
+        """Give the caller the final response after the last dispatch has failed."""
         if self.exchange.response_started:
             self.record_event(Event.REQUEST_BROKEN_OFF, reason=response.reason)
             self.exchange.abort()
@@ -740,16 +754,16 @@
                 whole = False
             if not whole:
                 response.close()
-                await self._refuse(STATUS_BAD_GATEWAY, "broken")
+                await self.refuse(STATUS_BAD_GATEWAY, "broken")
                 return
             await self.exchange.respond(response.head.status, response.headers, body)
-            self._finish(response.head.status, self.context.clock.read())
+            self.finish(response.head.status, self.context.clock.read())
             return
         response.close()
         if self.dispatches.ran:
-            await self._refuse(STATUS_BAD_GATEWAY, response.outcome.value)
+            await self.refuse(STATUS_BAD_GATEWAY, response.outcome.value)
         else:
-            await self._refuse(STATUS_UNAVAILABLE, response.outcome.value)
+            await self.refuse(STATUS_UNAVAILABLE, response.outcome.value)
 
     async def _finish_timed_out(self) -> None:
         if self.exchange.response_finished:
@@ -771,7 +785,7 @@
             await self._refuse_leaving()
             return
         status = STATUS_GATEWAY_TIMEOUT if ran else STATUS_UNAVAILABLE
-        await self._refuse(status, reason)
+        await self.refuse(status, reason)
 
     def _record_cut(self) -> None:
         """Record that the host stopped before the request had its response."""
@@ -787,13 +801,14 @@
             draining_ms=None if arrived_ms is None else round(arrived_ms, 1),
         )
 
-    async def _refuse(
+    async def refuse(
         self,
         status: int,
         reason: str,
         retry_ms: float | None = None,
         **details: object,
     ) -> None:
+        """Answer the request with an error of this host's own."""
         if status == STATUS_UNAVAILABLE and retry_ms is None:
             retry_ms = DEFAULT_RETRY_AFTER_MS
         outcome = "unknown" if self.dispatches.ran else "not-run"
--- a/cornelnotch/gateway/forwarding.py
+++ b/cornelnotch/gateway/forwarding.py
@@ -82,6 +82,8 @@
         while True:
             wait_s = self._compute_remaining_s(self._stall_s)
             if wait_s <= 0:
+                if self._search.must_leave():
+                    raise self._create_stall()
                 if self._search.may_start():
                     data = await self._read_or_replace()
                     if data is not None:
@@ -106,7 +108,10 @@
                 return None
         finally:
             await self._stop(reading, search)
-        raise UpstreamStalledError(
+        raise self._create_stall()
+
+    def _create_stall(self) -> UpstreamStalledError:
+        return UpstreamStalledError(
             f"no event for {self._stall_s} s", "resume at another server"
         )
 
--- a/cornelnotch/gateway/header_codec.py
+++ b/cornelnotch/gateway/header_codec.py
@@ -5,7 +5,7 @@
 
 from cornelnotch.gateway.models import CallerRequest, Headers
 
-__all__ = ["DispatchOptions", "HeaderCodec", "ResponseHead"]
+__all__ = ["DispatchOptions", "HeaderCodec", "PeerOptions", "ResponseHead"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,6 +27,19 @@
     kv_copy: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class PeerOptions:
+    """Parameters of a request that `host` passes on to another host.
+
+    It may be sent to `attempts` servers. A stream goes on after `last_event_id`.
+    """
+
+    host: str
+    remaining_ms: float
+    attempts: int
+    last_event_id: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
     """Parsed head of a server's response.
@@ -71,6 +84,12 @@
     ) -> Headers:
         """Return the headers of one dispatch, without the content length."""
 
+    @abstractmethod
+    def create_peer_headers(
+        self, request: CallerRequest, options: PeerOptions
+    ) -> Headers:
+        """Return the headers for another host, without the content length."""
+
     @abstractmethod
     def read_response(self, status: int, headers: Headers) -> ResponseHead:
         """Parse the head of a server's response."""
--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -16,6 +16,7 @@
 from cornelnotch.gateway.origin_exchange import OriginExchange
 from cornelnotch.gateway.origin_keeper import OriginKeeper
 from cornelnotch.gateway.origin_log import OriginLog
+from cornelnotch.gateway.peer_links import PeerLinks
 from cornelnotch.gateway.records import RecordDecoder, RecordSource
 from cornelnotch.gateway.relay import ReaderCandidate, RelayPlan
 from cornelnotch.gateway.routing_state import RoutingState
@@ -145,6 +146,17 @@
             self.context, self.peers, broadcaster, self._list_peers
         )
         self.context.announce_leaving = self.leaving_notices.broadcast
+        self.peer_links = PeerLinks(
+            self.clock,
+            self.context.links,
+            self.peers,
+            broadcaster,
+            self._list_peers,
+            self._list_entries,
+            name,
+            random.Random(f"{name}/links"),
+        )
+        self.context.list_linked_hosts = self.peer_links.list_linked
         self.origin_keeper = OriginKeeper(self.context, self.plan, origin_log)
         self.origin_exchange = OriginExchange(
             self.context, self.peers, self.plan, self.origin_keeper
@@ -206,6 +218,8 @@
         self.tasks.start_supervised("configuration", self.follower.run_configuration)
         self.tasks.start_supervised("servers", self.follower.run_servers)
         self.tasks.start_supervised("state", self.state.run)
+        self.tasks.start_supervised("links", self.context.links.run)
+        self.tasks.start_supervised("peer links", self.peer_links.run)
         self.tasks.start_supervised("loads", self.load_exchange.run)
         self.tasks.start_supervised("origins", self.origin_keeper.run)
         self.tasks.start_supervised("silence", SilenceDetector(self.context).run)
--- a/cornelnotch/gateway/models.py
+++ b/cornelnotch/gateway/models.py
@@ -158,6 +158,8 @@
     `output_tokens` is the most that it lets a server generate, or 0 if it names none.
     `fingerprints` are the same for requests that only differ in their ids.
     `resumed_id` names the request whose stream this one resumes, if it resumes one.
+    `passed_by` is the host that passed it on, if it came from a host, and
+    `attempts_left` the number of servers that it may still be sent to then.
     """
 
     request_id: str
@@ -175,6 +177,8 @@
     body: bytes = field(default=b"", repr=False)
     fingerprints: tuple[str, ...] = ()
     resumed_id: str = ""
+    passed_by: str = ""
+    attempts_left: int = 0
 
     def list_shared_parts(self) -> tuple[str, ...]:
         """Return the names of the prompt parts that other requests may have too."""
--- a/cornelnotch/gateway/replacement.py
+++ b/cornelnotch/gateway/replacement.py
@@ -64,6 +64,12 @@
         tried = flow.excluded | {self._silent.record.name}
         return flow.continuation.has_other_server(flow.service, tried)
 
+    def must_leave(self) -> bool:
+        """Return whether only another host can go on, as this one is cut off."""
+        peers = self._flow.peer_dispatch
+        is_possible = peers.is_cut_off() and peers.is_possible()
+        return is_possible and self._may_dispatch_again()
+
     async def run(self) -> Replacement | None:
         """Return a response that goes on with the stream, or None if there is none."""
         flow = self._flow
--- /dev/null
+++ b/cornelnotch/gateway/server_links.py
@@ -0,0 +1,153 @@
+"""Detect that this host has lost its links to all servers of a service.
+
+A dispatch that could not be sent raises a suspicion. A few servers of the service are
+then probed at once. If none of them accepts a connection while another host reaches
+one, this host is cut off from the service, until a server accepts a connection again.
+If no other host does, the servers are down.
+"""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable, Sequence
+
+from cornelnotch.gateway.servers import ServerPool, ServerView
+from cornelnotch.kernel.clock import Clock
+from cornelnotch.kernel.events import Event, EventLog
+from cornelnotch.web import HttpClient, Reachability
+
+__all__ = ["PROBE_INTERVAL_MS", "ServerLinks"]
+
+# Servers that a round probes; all of a large service need not be asked.
+MAX_PROBED = 6
+PROBE_INTERVAL_MS = 400.0
+
+
+class ServerLinks:
+    """Services whose servers this host reaches, as far as probes have shown."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        events: EventLog,
+        client: HttpClient,
+        pool: ServerPool,
+        generator: random.Random,
+    ) -> None:
+        self._clock = clock
+        self._events = events
+        self._client = client
+        self._pool = pool
+        self._generator = generator
+        self._suspected: set[str] = set()
+        self._cut_off: dict[str, float] = {}
+        self._wake = asyncio.Event()
+        self._rounds: dict[str, asyncio.Task[bool]] = {}
+        self.announce: Callable[[], None] = lambda: None
+        self.ask_others: Callable[[str], Awaitable[bool]] = self._ask_nobody
+
+    @staticmethod
+    async def _ask_nobody(service: str) -> bool:
+        return False
+
+    def list_cut_off(self) -> list[str]:
+        """Return the services that this host cannot reach."""
+        return sorted(self._cut_off)
+
+    def is_cut_off(self, service: str) -> bool:
+        """Return whether no server of a service accepts connections of this host."""
+        return service in self._cut_off
+
+    def suspect(self, service: str) -> None:
+        """Have the links to a service probed, as a server could not be reached."""
+        if service not in self._suspected:
+            self._suspected.add(service)
+            self._wake.set()
+
+    async def run(self) -> None:
+        """Probe suspected services until cancelled."""
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._suspected:
+                services = sorted(self._suspected)
+                await asyncio.gather(*(self.check(service) for service in services))
+                await self._clock.sleep(PROBE_INTERVAL_MS)
+
+    async def check(self, service: str) -> bool:
+        """Probe servers of a service; return whether the host is cut off from it."""
+        task = self._rounds.get(service)
+        if task is None or task.done():
+            task = asyncio.create_task(self._run_round(service))
+            self._rounds[service] = task
+        return await asyncio.shield(task)
+
+    async def _run_round(self, service: str) -> bool:
+        probed = self._sample(service)
+        began_ms = self._clock.read()
+        if await self.reach_any(probed):
+            self._suspected.discard(service)
+            self._note_reached(service)
+            return False
+        if not await self.ask_others(service):
+            # Without another host, a notice of the cut would help nobody.
+            self._cut_off.pop(service, None)
+            self._suspected.discard(service)
+            return False
+        self.suspect(service)
+        self._note_cut_off(service, probed, began_ms)
+        return True
+
+    async def reach_any(self, views: Sequence[ServerView]) -> bool:
+        """Return whether one of the servers accepts a connection."""
+        probes = [
+            asyncio.create_task(self._client.probe(view.record.address))
+            for view in views
+        ]
+        try:
+            for probe in asyncio.as_completed(probes):
+                if await probe is Reachability.ACCEPTED:
+                    return True
+            return False
+        finally:
+            for task in probes:
+                task.cancel()
+
+    async def reaches(self, service: str) -> bool:
+        """Return whether this host reaches a server of a service."""
+        return await self.reach_any(self._sample(service))
+
+    def _sample(self, service: str) -> list[ServerView]:
+        views = self._pool.list_ready(service)
+        return self._generator.sample(views, min(len(views), MAX_PROBED))
+
+    def _note_cut_off(
+        self, service: str, probed: Sequence[ServerView], began_ms: float
+    ) -> None:
+        self._forget_failures(service)
+        if service in self._cut_off:
+            return
+        self._cut_off[service] = began_ms
+        self._events.record(
+            Event.SERVICE_CUT_OFF,
+            service=service,
+            probed=[view.record.name for view in probed],
+            took_ms=round(self._clock.read() - began_ms, 1),
+        )
+        self.announce()
+
+    def _note_reached(self, service: str) -> None:
+        began_ms = self._cut_off.pop(service, None)
+        if began_ms is None:
+            return
+        self._forget_failures(service)
+        self._events.record(
+            Event.SERVICE_REACHED,
+            service=service,
+            after_ms=round(self._clock.read() - began_ms, 1),
+        )
+        self.announce()
+
+    def _forget_failures(self, service: str) -> None:
+        """Forget failures, which were those of the links and not of the servers."""
+        for view in self._pool.list_ready(service):
+            view.forget_failures()
--- a/cornelnotch/gateway/servers.py
+++ b/cornelnotch/gateway/servers.py
@@ -176,6 +176,12 @@
         ejection_ms = min(EJECTION_BASE_MS * 2 ** (self.failures - 1), MAX_EJECTION_MS)
         self.ejected_until_ms = now + ejection_ms
 
+    def forget_failures(self) -> None:
+        """Forget all failures, unless the server no longer exists."""
+        self.failures = 0
+        if self.ejected_until_ms != float("inf"):
+            self.ejected_until_ms = 0.0
+
     def count_failures(self, now: float) -> int:
         """Return the number of consecutive failures, 0 once they are forgotten."""
         return self.failures if now - self.failed_ms < FAILURE_MEMORY_MS else 0
--- a/cornelnotch/gateway/silence.py
+++ b/cornelnotch/gateway/silence.py
@@ -69,6 +69,7 @@
         if silent_ms <= limit_ms:
             return
         view.record_failure(now)
+        self._context.links.suspect(view.record.service)
         # The next request then has to connect, and fails before it is sent.
         self._context.client.close_idle_connections(view.record.address)
         self._context.events.record(
--- a/cornelnotch/gateway/tests/test_silence.py
+++ b/cornelnotch/gateway/tests/test_silence.py
@@ -26,6 +26,14 @@
         self.dropped.append(address)
 
 
+class Links:
+    def __init__(self):
+        self.suspected = []
+
+    def suspect(self, service):
+        self.suspected.append(service)
+
+
 class Context:
     def __init__(self):
         self.clock = ManualClock()
@@ -34,6 +42,7 @@
         self.pool = ServerPool()
         self.pool.replace([ServerRecord("engine", "llm", ADDRESS, "a", 64)])
         self.events = create_event_log("test")
+        self.links = Links()
 
 
 class SilenceFixture:
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -102,6 +102,16 @@
         logging.WARNING,
         "a server with running streams stopped sending",
     )
+    SERVICE_CUT_OFF = (
+        4011,
+        logging.WARNING,
+        "no server of a service accepts connections of this host",
+    )
+    SERVICE_REACHED = (
+        4012,
+        logging.INFO,
+        "this host reaches the servers of a service again",
+    )
     SERVER_CRASHED = (
         4007,
         logging.WARNING,
@@ -163,6 +173,11 @@
         logging.WARNING,
         "the log of the origins of streams cannot be reached",
     )
+    REQUEST_PASSED_ON = (
+        6015,
+        logging.INFO,
+        "a request was passed on to another host",
+    )
     STREAM_STALLED = (
         6014,
         logging.INFO,
--- a/cornelnotch/platform/header_codec.py
+++ b/cornelnotch/platform/header_codec.py
@@ -3,7 +3,12 @@
 import re
 
 from cornelnotch.exceptions import RequestError
-from cornelnotch.gateway.header_codec import DispatchOptions, HeaderCodec, ResponseHead
+from cornelnotch.gateway.header_codec import (
+    DispatchOptions,
+    HeaderCodec,
+    PeerOptions,
+    ResponseHead,
+)
 from cornelnotch.gateway.models import CallerRequest, Headers, PromptPart
 from cornelnotch.kernel.parsing import parse_amount, parse_count
 from cornelnotch.web.targets import split_target
@@ -35,6 +40,11 @@
 LEAVING = b"server-leaving"
 LEAVING_VALUE = "1"
 RATE_LIMIT = b"server-limit"
+# Between hosts only: who passed a request on, and to how many servers it may be sent.
+# A caller that sends them only forgoes retries of its own request.
+PASSED_BY = b"cornelnotch-passed-by"
+ATTEMPTS_LEFT = b"cornelnotch-attempts-left"
+MAX_ATTEMPTS = 1000
 DECIMAL_NUMBER = re.compile(r"\d+(\.\d*)?|\.\d+", re.ASCII)
 
 # Hop-by-hop headers, which must not be forwarded.
@@ -67,6 +77,8 @@
         KV_SOURCE,
         PREFIX_SOURCE,
         b"x-expected-version",
+        PASSED_BY,
+        ATTEMPTS_LEFT,
     }
 )
 STATUS_MISDIRECTED = 421
@@ -131,6 +143,14 @@
     return [(k, v) for k, v in headers if k.lower() not in dropped]
 
 
+def set_last_event_id(request: CallerRequest, last_event_id: str) -> Headers:
+    """Return the headers of a request that goes on after `last_event_id`."""
+    if last_event_id == request.last_event_id:
+        return list(request.headers)
+    headers = [(k, v) for k, v in request.headers if k.lower() != LAST_EVENT_ID]
+    return [*headers, (LAST_EVENT_ID, last_event_id.encode("latin-1"))]
+
+
 class PlatformHeaderCodec(HeaderCodec):
     """Read and write the headers defined by the platform."""
 
@@ -156,16 +176,16 @@
             prompt_tokens=parse_tokens(prompt_tokens),
             output_tokens=parse_tokens(output_tokens),
             resumed_id=find_header(headers, RESUMED_ID),
+            passed_by=find_header(headers, PASSED_BY),
+            attempts_left=parse_count(find_header(headers, ATTEMPTS_LEFT), MAX_ATTEMPTS)
+            or 0,
         )
 
     def create_dispatch_headers(
         self, request: CallerRequest, options: DispatchOptions
     ) -> Headers:
         """Return the headers of one dispatch, without Content-Length."""
-        headers = request.headers
-        if options.last_event_id != request.last_event_id:
-            headers = [(k, v) for k, v in headers if k.lower() != LAST_EVENT_ID]
-            headers.append((LAST_EVENT_ID, options.last_event_id.encode("latin-1")))
+        headers = set_last_event_id(request, options.last_event_id)
         gateway_headers = [
             (DEADLINE, str(max(int(options.remaining_ms), 1)).encode()),
             (TARGET_INSTANCE, options.server.encode("latin-1")),
@@ -187,6 +207,23 @@
             gateway_headers.append((KV_SOURCE, options.kv_copy.encode("latin-1")))
         return [*headers, *gateway_headers]
 
+    def create_peer_headers(
+        self, request: CallerRequest, options: PeerOptions
+    ) -> Headers:
+        """Return the headers for another host, without the content length."""
+        headers = set_last_event_id(request, options.last_event_id)
+        is_continued = options.last_event_id != request.last_event_id
+        if is_continued and not request.resumed_id:
+            headers.append((RESUMED_ID, request.request_id.encode("latin-1")))
+        if request.key:
+            headers.append((IDEMPOTENCY_KEY, request.key.encode("latin-1")))
+        return [
+            *headers,
+            (DEADLINE, str(max(int(options.remaining_ms), 1)).encode()),
+            (PASSED_BY, options.host.encode("latin-1")),
+            (ATTEMPTS_LEFT, str(options.attempts).encode()),
+        ]
+
     def read_response(self, status: int, headers: Headers) -> ResponseHead:
         """Return the status and headers of a server's response in decoded form."""
         misdirected = status == STATUS_MISDIRECTED
--- a/cornelnotch/wire/messages.py
+++ b/cornelnotch/wire/messages.py
@@ -26,6 +26,9 @@
     "HeldPermit",
     "HeldPermits",
     "Hello",
+    "LinkNotice",
+    "LinkQuery",
+    "LinkReply",
     "LoadReport",
     "LoadSummary",
     "MemberUpdate",
@@ -444,6 +447,34 @@
     evidence: CrashEvidenceNotice = field(default_factory=CrashEvidenceNotice)
 
 
+@dataclass(frozen=True, slots=True)
+class LinkNotice:
+    """Announce the services whose servers a host cannot reach now.
+
+    The receiver forwards the message to `targets`.
+    """
+
+    host: str
+    services: list[str]
+    targets: list[str]
+
+
+@dataclass(frozen=True, slots=True)
+class LinkQuery:
+    """Ask whether a host reaches any server of a service."""
+
+    number: int
+    service: str
+
+
+@dataclass(frozen=True, slots=True)
+class LinkReply:
+    """Answer the query of that number."""
+
+    number: int
+    reached: bool
+
+
 @dataclass(frozen=True, slots=True)
 class ServerLeaving:
     """Announce that a server declared in a response that it is shutting down.
@@ -608,4 +639,7 @@
         StreamOriginReport,
         StreamOriginQuery,
         StreamOriginReply,
+        LinkNotice,
+        LinkQuery,
+        LinkReply,
     ]
