--- a/cornelnotch/gateway/tests/severed_hosts.py
+++ b/cornelnotch/gateway/tests/severed_hosts.py
@@ -1,4 +1,4 @@
-"""Run several hosts whose links to all servers can be cut and healed."""
+"""Run several hosts whose links to servers and to each other can be cut."""
 
 import asyncio
 import itertools
@@ -32,6 +32,8 @@
 REGIONS = {"north-a": "north", "north-b": "north", "south-a": "south"}
 DEADLINE_MS = 2500
 CALLER_TIMEOUT_S = 3.0
+SETTLE_PER_SECOND = 12
+SETTLE_S = 0.5
 STATUS_OK = 200
 REFUSAL_STATUSES = frozenset({429, 503})
 REQUEST_ID = re.compile(rb"x-attempt-id: *(\S+)\r\n", re.IGNORECASE)
@@ -93,7 +95,7 @@
 
 
 class Link:
-    """Link of one host to one server."""
+    """Link of one host to one server or to another host's callers' address."""
 
     def __init__(self, target, unserved):
         self.target = target
@@ -175,17 +177,11 @@
 
 
 class LinkedClient(HttpClient):
-    """Client of a host that reaches servers only over its links."""
+    """Client of a host that reaches servers and hosts only over its links."""
 
-    def __init__(self, links, fleet):
+    def __init__(self, links):
         super().__init__()
         self._links = links
-        self._fleet = fleet
-        self.hops = 0
-
-    async def send(self, address, *arguments, **fields):
-        self.hops += address in self._fleet.list_addresses()
-        return await super().send(address, *arguments, **fields)
 
     async def _connect(self, address, *arguments, **fields):
         link = self._links.get(address)
@@ -251,8 +247,8 @@
         self.host_count = hosts
         self.hosts = []
         self.settings_by_host = []
-        self.links_by_host = []
-        self.clients = []
+        self.server_links = []
+        self.host_links = []
         self.attempts = []
         self._unserved = UnservedAddresses()
         self._ids = itertools.count()
@@ -272,12 +268,12 @@
         for number in range(self.host_count):
             self.settings_by_host.append(self._create_settings(number))
         for settings in self.settings_by_host:
-            links = {s.address: Link(s.address, self._unserved) for s in self.servers}
-            for link in links.values():
-                await link.start()
-            client = LinkedClient(links, self)
-            self.links_by_host.append(links)
-            self.clients.append(client)
+            server_links = await self._create_links({s.address for s in self.servers})
+            others = self.list_addresses() - {settings.listen.callers}
+            host_links = await self._create_links(others)
+            self.server_links.append(server_links)
+            self.host_links.append(host_links)
+            client = LinkedClient(server_links | host_links)
             self.hosts.append(create_host(settings, client))
             await self.hosts[-1].start()
         await wait_until(
@@ -298,6 +294,13 @@
         settings.regions = dict(REGIONS)
         return settings
 
+    async def _create_links(self, addresses):
+        """Return a link to each address, by address."""
+        links = {address: Link(address, self._unserved) for address in addresses}
+        for link in links.values():
+            await link.start()
+        return links
+
     def list_addresses(self):
         """Return the addresses at which hosts take requests."""
         return {settings.listen.callers for settings in self.settings_by_host}
@@ -310,14 +313,19 @@
     def cut(self, hosts, way):
         """Cut the links of hosts to all servers."""
         for host in hosts:
-            for link in self.links_by_host[host].values():
+            for link in self.server_links[host].values():
                 link.cut(way)
 
     def heal(self, hosts):
         for host in hosts:
-            for link in self.links_by_host[host].values():
+            for link in self.server_links[host].values():
                 link.heal()
 
+    def cut_between_hosts(self, host, way):
+        """Cut the links of a host to the other hosts' addresses for callers."""
+        for link in self.host_links[host].values():
+            link.cut(way)
+
     async def kill_host(self, host):
         """Stop a host at once, without a chance to tell anything."""
         await self.hosts[host].tasks.stop()
@@ -370,6 +378,11 @@
             for host in sorted(hosts):
                 self.start_request(host, kind)
 
+    async def settle(self):
+        """Send a few requests to each host, so that it has used all its links."""
+        await self.send_steadily(range(self.host_count), SETTLE_PER_SECOND, SETTLE_S)
+        await self.wait_for_requests()
+
     async def wait_for_requests(self):
         """Wait until all requests have ended."""
         while self._tasks:
@@ -409,11 +422,26 @@
         ]
 
     def count_hops(self):
-        return sum(client.hops for client in self.clients)
+        """Return the number of requests that hosts passed on to other hosts."""
+        links = [link for links in self.host_links for link in links.values()]
+        return sum(len(link.request_ids) for link in links)
+
+    def count_disconnects(self):
+        """Return how often servers were left before the end of a response."""
+        return sum(server.disconnects for server in self.servers)
+
+    def find_sender(self, request_id):
+        """Return a host that sent a request to a server, or None."""
+        senders = [
+            host
+            for host in range(self.host_count)
+            if request_id in self.list_ids_over_links(host)
+        ]
+        return senders[0] if senders else None
 
     def list_ids_over_links(self, host):
         """Return the ids of the requests that a host sent over its own links."""
-        links = self.links_by_host[host].values()
+        links = self.server_links[host].values()
         return [request_id for link in links for request_id in link.request_ids]
 
     async def stop(self):
@@ -422,7 +450,7 @@
         self.client.close()
         for host in self.hosts:
             await host.stop()
-        for links in self.links_by_host:
+        for links in self.server_links + self.host_links:
             for link in links.values():
                 await link.stop()
         for server in self.servers:
