gateway: failing tests of searches for another server beside a silent one

Seen on, each test alone and with the others: - the silent server breaks off while the other one prefills: the search is cancelled, its dispatch counts, the stream is cut (also with a KV cache copy).

--- a/cornelnotch/gateway/tests/test_backups.py
+++ b/cornelnotch/gateway/tests/test_backups.py
@@ -113,6 +113,24 @@
     run_scenario(scenario)
 
 
+def test_a_stream_resumes_from_its_copy_if_its_silent_engine_fails_meanwhile():
+    async def scenario(d):
+        async def stall(exchange):
+            await asyncio.sleep(1.5)
+            exchange.abort()
+            return True
+
+        set_fault(d, "stall_after_events", 3)
+        set_fault(d, "first_ms", 600.0)
+        for engine in d.engines:
+            engine._stall = stall
+        answer = await send(d, "chat")
+        assert await answer.read() == COMPLETE_BODY
+        assert len(find_runs(d, "chat")) == 2
+
+    run_scenario(scenario)
+
+
 def test_a_run_without_its_copy_is_not_repeated():
     async def scenario(d):
         set_fault(d, "abort_after_events", 3)
