gateway: a search for another server goes on until an event comes or it has ended

A search was cancelled by any byte of the silent server, also by comments or by the end of its connection, though its dispatch counted: the stream was cut, or stayed until its timeout. It now ends with the next event. If the silent server breaks off, its result is awaited. Bytes that have arrived are read before a search starts. A replacement that is not used is closed, whatever ends the request.

Failed before, pass now: the tests of a server that breaks off (two), of comments, of a slow reader and of a blamed request.

--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -162,6 +162,8 @@
             await self._finish_timed_out()
         finally:
             self._time_limit = None
+            if self.replacement is not None:
+                self.replacement.discard()
 
     def limit_to(self, end_ms: float) -> None:
         """Give the final response by `end_ms`, also if the limit was later."""
@@ -315,10 +317,6 @@
         """Return whether the caller has its final response after a dispatch."""
         if response is None:
             return True
-        if self.replacement is not None:
-            response.close()
-            self.splitter.restart()
-            return False
         self.last_outcome = response.outcome
         may_crash_servers = await self.crash_guard.note_break(view, in_flight, response)
         self.excluded = self.excluded | {view.record.name}
@@ -329,6 +327,10 @@
         if may_crash_servers:
             await self.finish_failed(response)
             return True
+        if self.replacement is not None:
+            response.close()
+            self.splitter.restart()
+            return False
         if self._may_resume(response):
             self.resuming = True
         elif not self._may_retry(response):
@@ -611,12 +613,7 @@
         self, response: UpstreamResponse, view: ServerView, in_flight: InFlightRequest
     ) -> UpstreamResponse | None:
         assert response.head is not None
-        has_events = (
-            self.route.kind is WorkKind.STREAM
-            and response.head.status == STATUS_OK
-            and response.head.is_event_stream
-        )
-        if has_events:
+        if self.has_events(response):
             return await self._forward_stream(response, view, in_flight)
         if self.exchange.response_started:
             response.close()
@@ -638,6 +635,15 @@
         self.finish(response.head.status, now, end=end.value)
         return None
 
+    def has_events(self, response: UpstreamResponse) -> bool:
+        """Return whether a response is a stream of events."""
+        return (
+            self.route.kind is WorkKind.STREAM
+            and response.head is not None
+            and response.head.status == STATUS_OK
+            and response.head.is_event_stream
+        )
+
     async def _forward_stream(
         self, response: UpstreamResponse, view: ServerView, in_flight: InFlightRequest
     ) -> UpstreamResponse | None:
@@ -674,6 +680,8 @@
             return UpstreamResponse(
                 DispatchOutcome.BROKEN, error.problem, timed_out=timed_out
             )
+        finally:
+            await reader.stop_search()
         remainder = self.splitter.take_remainder()
         if remainder:
             await self.exchange.send(remainder)
--- a/cornelnotch/gateway/forwarding.py
+++ b/cornelnotch/gateway/forwarding.py
@@ -16,6 +16,8 @@
 # off. A larger one is streamed, up to the second size.
 MAX_BUFFERED_BYTES = 256 * 1024
 MAX_BODY_BYTES = 64 * 1024 * 1024
+# Time to take what a server has sent before it counts as silent.
+MIN_READ_S = 0.05
 
 
 async def forward_body(
@@ -51,7 +53,7 @@
 
 
 class EventReader:
-    """Read a stream and detect stalls.
+    """Read a stream and detect stalls; call `stop_search` afterwards.
 
     Only complete events count as progress. While another server is sought for a stalled
     stream, its own server may go on with it, since that may be the only one left.
@@ -70,44 +72,82 @@
         self._clock = clock
         self._stall_s = stall_s
         self._search = search
+        self._searching: asyncio.Task[Replacement | None] | None = None
+        self._searched_ms = 0.0
+        self._searched_events = 0
         self.replacement: Replacement | None = None
 
     async def read(self) -> bytes:
         """Return the next bytes, empty at the end; raise UpstreamError on failure.
 
-        Raise UpstreamStalledError once `replacement` goes on with the stream.
+        If `replacement` is set then, it goes on with the stream.
         """
         if self._stall_s is None:
             return await self._response.read_chunk()
+        if self._request.events != self._searched_events:
+            await self.stop_search()
+        # Bytes may have arrived while the caller or this host let them wait.
+        wait_s = max(self._compute_remaining_s(self._stall_s), MIN_READ_S)
         while True:
-            wait_s = self._compute_remaining_s(self._stall_s)
-            if wait_s <= 0:
+            if self._searching is None:
+                try:
+                    async with asyncio.timeout(wait_s):
+                        return await self._response.read_chunk()
+                except TimeoutError:
+                    pass
+                wait_s = self._compute_remaining_s(self._stall_s)
+                if wait_s > 0:
+                    continue
+                wait_s = self._stall_s
                 if self._search.must_leave():
                     raise self._create_stall()
-                if self._search.may_start():
-                    data = await self._read_or_replace()
-                    if data is not None:
-                        return data
-                wait_s = self._stall_s
-            try:
-                async with asyncio.timeout(wait_s):
-                    return await self._response.read_chunk()
-            except TimeoutError:
-                continue
+                if not self._search.may_start():
+                    continue
+                self._start_search()
+            data = await self._read_or_replace()
+            if data is not None:
+                return data
+
+    async def stop_search(self) -> None:
+        """End the search for another server; discard what it has found."""
+        searching, self._searching = self._searching, None
+        if searching is None:
+            return
+        searching.cancel()
+        await asyncio.wait({searching})
+        if searching.cancelled() or searching.exception() is not None:
+            return
+        found = searching.result()
+        if found is not None:
+            found.discard()
+
+    def _start_search(self) -> None:
+        self._searched_events = self._request.events
+        self._searching = asyncio.create_task(self._search.run())
 
     async def _read_or_replace(self) -> bytes | None:
         """Return the next bytes, or None if no other server can go on."""
+        assert self._searching is not None
         reading = asyncio.create_task(self._response.read_chunk())
-        search = asyncio.create_task(self._search.run())
         try:
-            await asyncio.wait({reading, search}, return_when=asyncio.FIRST_COMPLETED)
+            await asyncio.wait(
+                {reading, self._searching}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if reading.done():
+                if reading.exception() is None:
+                    return reading.result()
+                # Its server is lost, and another one may have the stream already.
+                await asyncio.wait({self._searching})
+            searching, self._searching = self._searching, None
+            self._searched_ms = self._clock.read()
+            self.replacement = searching.result()
             if reading.done():
                 return reading.result()
-            self.replacement = search.result()
             if self.replacement is None:
                 return None
         finally:
-            await self._stop(reading, search)
+            reading.cancel()
+            await asyncio.wait({reading})
         raise self._create_stall()
 
     def _create_stall(self) -> UpstreamStalledError:
@@ -115,19 +155,7 @@
             f"no event for {self._stall_s} s", "resume at another server"
         )
 
-    async def _stop(
-        self, reading: asyncio.Task[bytes], search: asyncio.Task[Replacement | None]
-    ) -> None:
-        """End both tasks; discard a replacement that is not needed."""
-        for task in (reading, search):
-            task.cancel()
-        await asyncio.wait({reading, search})
-        if search.cancelled() or search.exception() is not None:
-            return
-        found = search.result()
-        if found is not None and found is not self.replacement:
-            found.discard()
-
     def _compute_remaining_s(self, stall_s: float) -> float:
         last_event_ms = self._request.event_ms or self._request.first_ms
-        return stall_s - (self._clock.read() - last_event_ms) / 1000.0
+        since_ms = max(last_event_ms, self._searched_ms)
+        return stall_s - (self._clock.read() - since_ms) / 1000.0
