gateway: a replacement is checked before the silent server is given up

The head of any success ended the search, also a 404 or one of a restarted process, which cut the stream afterwards. Both are now checked in the search. A server that breaks off there is noted as evidence of a crash, and refusals count as for other dispatches.

--- a/cornelnotch/gateway/replacement.py
+++ b/cornelnotch/gateway/replacement.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from cornelnotch.exceptions import UpstreamError
 from cornelnotch.gateway.admission_client import AdmissionResult
 from cornelnotch.gateway.dispatch import DispatchOutcome, UpstreamResponse
 from cornelnotch.gateway.placement import Placement
@@ -24,6 +25,11 @@
 __all__ = ["Replacement", "ReplacementSearch"]
 
 ADMITTED = frozenset({AdmissionResult.GRANTED, AdmissionResult.UNANSWERED})
+FAILURES = (
+    DispatchOutcome.BROKEN,
+    DispatchOutcome.REFUSED,
+    DispatchOutcome.NOT_SENT,
+)
 # Servers that one search asks for admission.
 MAX_TRIES = 4
 
@@ -123,8 +129,9 @@
     def _may_dispatch_again(self) -> bool:
         flow = self._flow
         in_time = flow.context.clock.read() < flow.limit_ms
-        outcome = DispatchOutcome.BROKEN
-        return in_time and may_send_again(flow.route, flow.dispatches, outcome)
+        return in_time and all(
+            may_send_again(flow.route, flow.dispatches, outcome) for outcome in FAILURES
+        )
 
     def _may_send(self) -> bool:
         """Return whether to send the stream to another server; use the retry budget."""
@@ -153,12 +160,30 @@
             admitted = await is_admitted(placement.server, in_flight)
             if admitted and self._may_send():
                 response = await flow.open(placement, in_flight)
-                if response.outcome is DispatchOutcome.DONE:
-                    found = Replacement(placement, in_flight, response, release)
-                else:
-                    response.close()
-                    flow.record_outcome(placement.server, response)
+                try:
+                    if await self._goes_on(placement.server, in_flight, response):
+                        found = Replacement(placement, in_flight, response, release)
+                finally:
+                    if found is None:
+                        response.close()
             return found
         finally:
             if found is None:
                 release()
+
+    async def _goes_on(
+        self, view: ServerView, in_flight: InFlightRequest, response: UpstreamResponse
+    ) -> bool:
+        """Return whether a response goes on with the stream; record a failed one."""
+        flow = self._flow
+        if response.outcome is not DispatchOutcome.DONE:
+            flow.record_outcome(view, response)
+            await flow.crash_guard.note_break(view, in_flight, response)
+            return False
+        if not flow.has_events(response):
+            return False
+        try:
+            await flow.continuation.confirm_server(view)
+        except UpstreamError:
+            return False
+        return True
