gateway: both servers run a stream for 0.2 s at most while the other one is checked

A call at a stopping host that moves from a server that takes 0.9 s to one that takes 8 s fails on both: 504 for 200, no fix here.

--- a/cornelnotch/gateway/replacement.py
+++ b/cornelnotch/gateway/replacement.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -32,6 +33,8 @@
 )
 # Servers that one search asks for admission.
 MAX_TRIES = 4
+# Time for which both servers may run the stream.
+MAX_OVERLAP_S = 0.2
 
 
 @dataclass(slots=True)
@@ -182,8 +185,13 @@
             return False
         if not flow.has_events(response):
             return False
+        if flow.continuation.origin is None:
+            return True
         try:
-            await flow.continuation.confirm_server(view)
+            async with asyncio.timeout(MAX_OVERLAP_S):
+                await flow.continuation.confirm_server(view)
         except UpstreamError:
             return False
+        except TimeoutError:
+            pass  # It is asked again once the silent server is given up.
         return True
