gateway: requests are refused soon where no host reaches a service

It is now cut off whenever none of its probes is accepted; what others reach decides only whether servers have crashed.

--- a/cornelnotch/gateway/server_links.py
+++ b/cornelnotch/gateway/server_links.py
@@ -1,9 +1,9 @@
 """Detect that this host has lost its links to all servers of a service.
 
 A dispatch that could not be sent raises a suspicion. A few servers of the service are
-then probed at once. If none of them accepts a connection while another host reaches
-one, this host is cut off from the service, until a server accepts a connection again.
-If no other host does, the servers are down.
+then probed at once. If none of them accepts a connection, this host is cut off from the
+service, until a server accepts a connection again. The servers are down if no other
+host reaches one either.
 """
 
 import asyncio
@@ -74,7 +74,7 @@
                 await self._clock.sleep(PROBE_INTERVAL_MS)
 
     async def check(self, service: str) -> bool:
-        """Probe servers of a service; return whether the host is cut off from it."""
+        """Probe servers of a service; return whether only the links to it are lost."""
         task = self._rounds.get(service)
         if task is None or task.done():
             task = asyncio.create_task(self._run_round(service))
@@ -84,18 +84,14 @@
     async def _run_round(self, service: str) -> bool:
         probed = self._sample(service)
         began_ms = self._clock.read()
-        if await self.reach_any(probed):
+        if not probed or await self.reach_any(probed):
             self._suspected.discard(service)
             self._note_reached(service)
             return False
-        if not await self.ask_others(service):
-            # Without another host, a notice of the cut would help nobody.
-            self._cut_off.pop(service, None)
-            self._suspected.discard(service)
-            return False
         self.suspect(service)
-        self._note_cut_off(service, probed, began_ms)
-        return True
+        others_reach = await self.ask_others(service)
+        self._note_cut_off(service, probed, began_ms, others_reach)
+        return others_reach
 
     async def reach_any(self, views: Sequence[ServerView]) -> bool:
         """Return whether one of the servers accepts a connection."""
@@ -121,7 +117,11 @@
         return self._generator.sample(views, min(len(views), MAX_PROBED))
 
     def _note_cut_off(
-        self, service: str, probed: Sequence[ServerView], began_ms: float
+        self,
+        service: str,
+        probed: Sequence[ServerView],
+        began_ms: float,
+        others_reach: bool,
     ) -> None:
         self._forget_failures(service)
         if service in self._cut_off:
@@ -131,6 +131,7 @@
             Event.SERVICE_CUT_OFF,
             service=service,
             probed=[view.record.name for view in probed],
+            others_reach=others_reach,
             took_ms=round(self._clock.read() - began_ms, 1),
         )
         self.announce()
