--- a/cornelnotch/gateway/dispatch.py
+++ b/cornelnotch/gateway/dispatch.py
@@ -8,10 +8,10 @@
 
 from cornelnotch.exceptions import UpstreamError, UpstreamUnreachableError
 from cornelnotch.gateway.header_codec import DispatchOptions, HeaderCodec, ResponseHead
-from cornelnotch.gateway.models import CallerRequest, Headers
+from cornelnotch.gateway.models import CallerRequest, Headers, Route, WorkKind
 from cornelnotch.web import HttpClient, HttpResponse
 
-__all__ = ["DispatchOutcome", "UpstreamResponse", "open_response"]
+__all__ = ["DispatchOutcome", "UpstreamResponse", "has_events", "open_response"]
 
 STATUS_OK = 200
 STATUS_SERVER_ERROR = 500
@@ -85,6 +85,16 @@
             self.http_response.close()
 
 
+def has_events(route: Route, response: UpstreamResponse) -> bool:
+    """Return whether the response on a route is a stream of events."""
+    return (
+        route.kind is WorkKind.STREAM
+        and response.head is not None
+        and response.head.status == STATUS_OK
+        and response.head.is_event_stream
+    )
+
+
 async def open_response(
     client: HttpClient,
     header_codec: HeaderCodec,
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -12,7 +12,11 @@
 from cornelnotch.gateway.context import GatewayContext
 from cornelnotch.gateway.continuation import StreamContinuation
 from cornelnotch.gateway.crash_guard import CrashGuard
-from cornelnotch.gateway.dispatch import DispatchOutcome, UpstreamResponse
+from cornelnotch.gateway.dispatch import (
+    DispatchOutcome,
+    UpstreamResponse,
+    has_events,
+)
 from cornelnotch.gateway.dispatcher import CacheCopy, Dispatcher
 from cornelnotch.gateway.drain import choose_drain_retry_after_ms
 from cornelnotch.gateway.fingerprints import create_fingerprints
@@ -613,7 +617,7 @@
         self, response: UpstreamResponse, view: ServerView, in_flight: InFlightRequest
     ) -> UpstreamResponse | None:
         assert response.head is not None
-        if self.has_events(response):
+        if has_events(self.route, response):
             return await self._forward_stream(response, view, in_flight)
         if self.exchange.response_started:
             response.close()
@@ -635,15 +639,6 @@
         self.finish(response.head.status, now, end=end.value)
         return None
 
-    def has_events(self, response: UpstreamResponse) -> bool:
-        """Return whether a response is a stream of events."""
-        return (
-            self.route.kind is WorkKind.STREAM
-            and response.head is not None
-            and response.head.status == STATUS_OK
-            and response.head.is_event_stream
-        )
-
     async def _forward_stream(
         self, response: UpstreamResponse, view: ServerView, in_flight: InFlightRequest
     ) -> UpstreamResponse | None:
--- a/cornelnotch/gateway/peer_dispatch.py
+++ b/cornelnotch/gateway/peer_dispatch.py
@@ -17,7 +17,7 @@
     UpstreamStalledError,
     UpstreamUnreachableError,
 )
-from cornelnotch.gateway.dispatch import DispatchOutcome, UpstreamResponse
+from cornelnotch.gateway.dispatch import DispatchOutcome, UpstreamResponse, has_events
 from cornelnotch.gateway.forwarding import MAX_BUFFERED_BYTES, forward_body
 from cornelnotch.gateway.header_codec import PeerOptions
 from cornelnotch.gateway.models import WorkKind
@@ -36,7 +36,6 @@
 __all__ = ["CUT_OFF", "PeerDispatch"]
 
 CUT_OFF = "cut-off"
-STATUS_OK = 200
 # Hosts that one request is passed on to, one after another.
 MAX_PEERS = 3
 # Statuses with which a host says that it did not run a request.
@@ -228,7 +227,7 @@
         is_stream = flow.route.kind is WorkKind.STREAM
         status = response.head.status
         first_ms = flow.context.clock.read()
-        if is_stream and status == STATUS_OK and response.head.is_event_stream:
+        if has_events(flow.route, response):
             await self._forward_stream(response, status)
         elif flow.exchange.response_started:
             raise UpstreamError(f"status {status} on resume", "retry the request")
--- a/cornelnotch/gateway/replacement.py
+++ b/cornelnotch/gateway/replacement.py
@@ -13,7 +13,7 @@
 
 from cornelnotch.exceptions import UpstreamError
 from cornelnotch.gateway.admission_client import AdmissionResult
-from cornelnotch.gateway.dispatch import DispatchOutcome, UpstreamResponse
+from cornelnotch.gateway.dispatch import DispatchOutcome, UpstreamResponse, has_events
 from cornelnotch.gateway.placement import Placement
 from cornelnotch.gateway.retry_policy import may_send_again
 from cornelnotch.gateway.servers import InFlightRequest, ServerView
@@ -183,7 +183,7 @@
             flow.record_outcome(view, response)
             await flow.crash_guard.note_break(view, in_flight, response)
             return False
-        if not flow.has_events(response):
+        if not has_events(flow.route, response):
             return False
         if flow.continuation.origin is None:
             return True
