--- a/cornelnotch/gateway/tests/versioned_hosts.py
+++ b/cornelnotch/gateway/tests/versioned_hosts.py
@@ -135,13 +135,16 @@
     def create_id(self):
         return f"a{next(self._ids)}"
 
+    async def connect(self, host):
+        address, _, port = self.settings_by_host[host].listen.callers.rpartition(":")
+        return await asyncio.open_connection(address, int(port))
+
     async def send_to(self, host, request_id, stop_after=None, **headers):
         """Send a request and return its answer.
 
         With `stop_after`, the caller leaves after that number of events.
         """
         # Different prompts spread the streams over all engines.
-        address, _, port = self.settings_by_host[host].listen.callers.rpartition(":")
         fields = {
             "host": HOST_NAME,
             "x-attempt-id": request_id,
@@ -157,7 +160,7 @@
         data = b""
         with suppress(OSError, TimeoutError):
             async with asyncio.timeout(TIMEOUT_S):
-                reader, writer = await asyncio.open_connection(address, int(port))
+                reader, writer = await self.connect(host)
                 try:
                     writer.write("\r\n".join([*lines, "", ""]).encode())
                     while chunk := await reader.read(4096):
