gateway: unknown streams go on only after a read begun after the take-up

A host out of step took its records for all that served: no age of them shows that no version has joined. The signature of find_only has the end of the span, so its tests name it, and the stand-ins for a host's context have a history of versions.

--- a/cornelnotch/gateway/follower.py
+++ b/cornelnotch/gateway/follower.py
@@ -15,6 +15,7 @@
     LogUnavailableError,
 )
 from cornelnotch.gateway.broadcast import Broadcaster
+from cornelnotch.gateway.record_reads import RecordReads
 from cornelnotch.gateway.records import (
     NO_TIMELINE,
     KeyedView,
@@ -92,6 +93,7 @@
         self._fetched_ms = {topic: float("-inf") for topic in TOPICS}
         self._listener: Listener = lambda topic, after_outage: None
         self._unavailable_listener: Callable[[], None] = lambda: None
+        self.reads = {topic: RecordReads() for topic in TOPICS}
         peers.subscribe(RecordUpdates, self._receive_updates)
         peers.subscribe(RecordFetch, self._receive_fetch)
 
@@ -156,6 +158,7 @@
         if self._malformed[topic] >= MAX_MALFORMED_RESPONSES:
             start = -1
         timeline_before = view.timeline
+        begun_ms = self._clock.read()
         try:
             page = await self._read_page(topic, start, wait_ms)
         except LogTrimmedError as error:
@@ -180,6 +183,8 @@
         self._record_recovery(topic)
         self._apply_page(self._plan.name, topic, page, 0.0, start < 0)
         self._publish(topic, start, page)
+        if view.head >= page.end_offset:
+            self.reads[topic].note(begun_ms)
         return True
 
     async def _read_page(self, topic: str, start: int, wait_ms: float) -> RecordPage:
@@ -242,6 +247,8 @@
         if whole:
             before = view.records
             is_first = view.head < 0
+            if not is_first and view.head < page.end_offset:
+                self.reads[topic].note_skip()
             view.replace(page)
             changed = is_first or before != view.records
         else:
--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -8,7 +8,7 @@
 from cornelnotch.gateway.context import NO_VERSION, GatewayContext
 from cornelnotch.gateway.directory import Directory
 from cornelnotch.gateway.drain import find_exit_margin_ms
-from cornelnotch.gateway.follower import RecordFollower
+from cornelnotch.gateway.follower import SERVERS, RecordFollower
 from cornelnotch.gateway.frontend import Frontend
 from cornelnotch.gateway.header_codec import HeaderCodec
 from cornelnotch.gateway.leaving_notices import LeavingNotices
@@ -23,6 +23,7 @@
 from cornelnotch.gateway.server_identity import ServerIdentity
 from cornelnotch.gateway.settings import HostSettings
 from cornelnotch.gateway.silence import SilenceDetector
+from cornelnotch.gateway.unknown_streams import UnknownStreams
 from cornelnotch.kernel.clock import Clock
 from cornelnotch.kernel.events import Event, EventLog
 from cornelnotch.kernel.tasks import TaskSupervisor
@@ -157,9 +158,18 @@
             random.Random(f"{name}/links"),
         )
         self.context.list_linked_hosts = self.peer_links.list_linked
-        self.origin_keeper = OriginKeeper(self.context, self.plan, origin_log)
+        self.origin_keeper = OriginKeeper(
+            self.context, self.plan, origin_log, self.follower.reads[SERVERS]
+        )
+        self.unknown_streams = UnknownStreams(
+            self.context, self.plan, self.origin_keeper, self.follower.reads[SERVERS]
+        )
         self.origin_exchange = OriginExchange(
-            self.context, self.peers, self.plan, self.origin_keeper
+            self.context,
+            self.peers,
+            self.plan,
+            self.origin_keeper,
+            self.unknown_streams,
         )
         self.context.report_origin = self.origin_exchange.report
         self.context.ask_origin = self.origin_exchange.ask
--- a/cornelnotch/gateway/origin_exchange.py
+++ b/cornelnotch/gateway/origin_exchange.py
@@ -4,15 +4,16 @@
 import itertools
 
 from cornelnotch.gateway.context import GatewayContext
-from cornelnotch.gateway.follower import SERVERS
 from cornelnotch.gateway.origin_keeper import OriginKeeper
 from cornelnotch.gateway.relay import RelayPlan
 from cornelnotch.gateway.stream_origins import (
     OriginAnswer,
     StreamOrigin,
+    combine_answers,
     group_streams,
     list_streams,
 )
+from cornelnotch.gateway.unknown_streams import READ_TIMEOUT_MS, UnknownStreams
 from cornelnotch.kernel.hashing import hash_text
 from cornelnotch.wire import PeerNetwork
 from cornelnotch.wire.messages import (
@@ -45,11 +46,13 @@
         peers: PeerNetwork,
         plan: RelayPlan,
         keeper: OriginKeeper,
+        unknown_streams: UnknownStreams,
     ) -> None:
         self._context = context
         self._peers = peers
         self._plan = plan
         self._keeper = keeper
+        self._unknown_streams = unknown_streams
         self._unreported: dict[int, StreamOrigin] = {}
         self._numbers = itertools.count()
         self._replies: dict[int, asyncio.Future[StreamOriginReply]] = {}
@@ -73,38 +76,23 @@
         id_hash = hash_text(request_id)
         if self._is_reader():
             await self._keeper.wait_until_loaded(LOAD_TIMEOUT_MS)
-        answers = []
-        if self._is_reader():
-            origin = self._context.origins.find(id_hash) or self._find_only(service)
-            if origin is not None:
-                return OriginAnswer(origin, is_final=True)
-            answers.append(OriginAnswer(None, self._keeper.is_loaded()))
-        queries = [
+        tasks = [
             asyncio.create_task(self._query(name, id_hash, service))
             for name in self._list_other_readers()
         ]
+        if self._is_reader() or self._unknown_streams.may_decide(service):
+            own = self._unknown_streams.find(id_hash, service)
+            tasks.append(asyncio.create_task(own))
+        answers = []
         try:
-            for query in asyncio.as_completed(queries):
-                answers.append(await query)
+            for task in asyncio.as_completed(tasks):
+                answers.append(await task)
                 if answers[-1].origin is not None:
                     break
         finally:
-            for task in queries:
+            for task in tasks:
                 task.cancel()
-        is_final = bool(answers) and all(answer.is_final for answer in answers)
-        found = [answer.origin for answer in answers if answer.origin is not None]
-        if not found and not is_final:
-            # Nobody who knows more has answered.
-            return OriginAnswer(self._find_only(service), is_final=False)
-        return OriginAnswer(found[0] if found else None, is_final)
-
-    def _find_only(self, service: str) -> StreamOrigin | None:
-        """Return the only version that can have begun streams of a service."""
-        if self._plan.is_stale(SERVERS, self._context.clock.read()):
-            return None
-        self._keeper.observe()
-        since_ms = self._context.find_first_stream_ms()
-        return self._context.software_history.find_only(service, since_ms)
+        return combine_answers(answers, self._context.unreachable_hosts)
 
     async def _query(self, name: str, id_hash: int, service: str) -> OriginAnswer:
         number = next(self._numbers)
@@ -112,7 +100,7 @@
         self._replies[number] = future
         self._peers.send(name, StreamOriginQuery(number, service, id_hash))
         try:
-            async with asyncio.timeout(ANSWER_TIMEOUT_MS / 1000.0):
+            async with asyncio.timeout(self._choose_timeout_ms() / 1000.0):
                 reply = await future
         except TimeoutError:
             return OriginAnswer(None, is_final=False)
@@ -122,6 +110,15 @@
             return OriginAnswer(None, reply.final)
         return OriginAnswer(StreamOrigin(reply.service, reply.software), reply.final)
 
+    def _choose_timeout_ms(self) -> float:
+        """Return the time in which a reader answers.
+
+        While one version serves, it reads the records before.
+        """
+        if self._keeper.is_mixed():
+            return ANSWER_TIMEOUT_MS
+        return ANSWER_TIMEOUT_MS + READ_TIMEOUT_MS
+
     def _is_reader(self) -> bool:
         return self._plan.name in self._plan.list_readers(self._context.clock.read())
 
@@ -139,12 +136,17 @@
         self._keeper.add(list_streams(report.groups))
 
     def _receive_query(self, sender: str, query: StreamOriginQuery) -> None:
-        origin = self._context.origins.find(query.id_hash)
-        origin = origin or self._find_only(query.service)
-        reply = StreamOriginReply(query.number, self._keeper.is_loaded())
-        if origin is not None:
+        self._peers.tasks.start(f"origin-{sender}", self._answer(sender, query))
+
+    async def _answer(self, sender: str, query: StreamOriginQuery) -> None:
+        answer = await self._unknown_streams.find(query.id_hash, query.service)
+        reply = StreamOriginReply(query.number, answer.is_final)
+        if answer.origin is not None:
             reply = StreamOriginReply(
-                query.number, reply.final, origin.service, origin.software
+                query.number,
+                answer.is_final,
+                answer.origin.service,
+                answer.origin.software,
             )
         self._peers.send(sender, reply)
 
--- a/cornelnotch/gateway/origin_keeper.py
+++ b/cornelnotch/gateway/origin_keeper.py
@@ -7,6 +7,7 @@
 from cornelnotch.gateway.context import NO_VERSION, GatewayContext
 from cornelnotch.gateway.follower import SERVERS
 from cornelnotch.gateway.origin_log import OriginBatch, OriginLog, SoftwareSeen
+from cornelnotch.gateway.record_reads import RecordReads
 from cornelnotch.gateway.relay import RelayPlan
 from cornelnotch.gateway.stream_origins import (
     StreamOrigin,
@@ -43,11 +44,17 @@
     """
 
     def __init__(
-        self, context: GatewayContext, plan: RelayPlan, log: OriginLog
+        self,
+        context: GatewayContext,
+        plan: RelayPlan,
+        log: OriginLog,
+        reads: RecordReads,
     ) -> None:
         self._context = context
         self._plan = plan
         self._log = log
+        self._reads = reads
+        self._skips = 0
         self._unsaved: dict[int, StreamOrigin] = {}
         self._unsaved_since_ms = 0.0
         self._appended_ms = float("-inf")
@@ -129,10 +136,13 @@
         """Note the versions that serve now; forget what no caller can resume."""
         now = self._context.clock.read()
         history = self._context.software_history
-        if self._plan.is_stale(SERVERS, now):
+        skips = self._reads.count_skips()
+        if skips > self._skips or self._plan.is_stale(SERVERS, now):
+            self._skips = skips
             history.restart(now)
         for view in self._context.pool.servers.values():
             history.note(create_origin(view.record), now)
+        history.confirm(self._reads.find_latest_ms())
         since_ms = self._context.find_first_stream_ms()
         history.expire(since_ms)
         self._context.origins.expire(since_ms)
--- a/cornelnotch/gateway/routing_state.py
+++ b/cornelnotch/gateway/routing_state.py
@@ -7,6 +7,7 @@
 from cornelnotch.gateway.follower import CONFIGURATION, SERVERS, RecordFollower
 from cornelnotch.gateway.models import RoutingTable, ServerRecord
 from cornelnotch.gateway.records import Record, RecordDecoder
+from cornelnotch.gateway.stream_origins import create_origin
 from cornelnotch.kernel.events import Event
 
 __all__ = ["RoutingState"]
@@ -145,6 +146,10 @@
             if name in records:
                 del self._retained[name]
         merged = {**self._retained, **records}
+        now = self._context.clock.read()
+        for record in merged.values():
+            # A version may join and leave before the next observation.
+            self._context.software_history.note(create_origin(record), now)
         for ended in self._context.pool.replace(merged.values()):
             # A connection to an earlier boot is reset once used, and the request on
             # it is then treated as if it had run.
--- a/cornelnotch/gateway/software_history.py
+++ b/cornelnotch/gateway/software_history.py
@@ -10,6 +10,7 @@
 
     def __init__(self, now: float) -> None:
         self._known_since_ms = now
+        self._confirmed_ms = float("-inf")
         self._seen: dict[StreamOrigin, float] = {}
 
     def note(self, origin: StreamOrigin, now: float) -> None:
@@ -32,11 +33,26 @@
         """Return the versions that served at some time since `since_ms`."""
         return [o for o, seen_ms in self._seen.items() if seen_ms >= since_ms]
 
-    def find_only(self, service: str, since_ms: float) -> StreamOrigin | None:
-        """Return the only version of a service that served since `since_ms`.
+    def confirm(self, until_ms: float) -> None:
+        """Note that all versions that were listed until `until_ms` are noted."""
+        self._confirmed_ms = max(self._confirmed_ms, until_ms)
+
+    def find_only(
+        self, service: str, since_ms: float, until_ms: float
+    ) -> StreamOrigin | None:
+        """Return the only version of a service that served in a span.
 
         None if there were several, or if not all of that span is known.
         """
+        if self._confirmed_ms < until_ms:
+            return None
+        return self.find_only_seen(service, since_ms)
+
+    def find_only_seen(self, service: str, since_ms: float) -> StreamOrigin | None:
+        """Return the only version that this host has seen since `since_ms`.
+
+        Another one may serve that it has not heard of yet.
+        """
         if self._known_since_ms > since_ms:
             return None
         found = [o for o in self.list_since(since_ms) if o.service == service]
--- a/cornelnotch/gateway/stream_origins.py
+++ b/cornelnotch/gateway/stream_origins.py
@@ -5,7 +5,7 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 
 from cornelnotch.gateway.models import ServerRecord
@@ -17,6 +17,7 @@
     "OriginAnswer",
     "StreamOrigin",
     "StreamOrigins",
+    "combine_answers",
     "create_origin",
     "group_streams",
     "list_streams",
@@ -59,6 +60,19 @@
     return StreamOrigin(record.service, record.software)
 
 
+def combine_answers(
+    answers: Collection[OriginAnswer], unreachable_hosts: int
+) -> OriginAnswer:
+    """Return what the answers of several hosts say of one stream.
+
+    A host that is out of reach may know more.
+    """
+    is_final = all(answer.is_final for answer in answers)
+    is_final = is_final and bool(answers) and not unreachable_hosts
+    found = [answer.origin for answer in answers if answer.origin is not None]
+    return OriginAnswer(found[0] if found else None, is_final)
+
+
 def group_streams(origins: Mapping[int, StreamOrigin]) -> list[BegunStreams]:
     """Return streams, by the hash of their request's id, in groups of one origin."""
     groups: dict[StreamOrigin, list[int]] = {}
--- a/cornelnotch/gateway/tests/fleet.py
+++ b/cornelnotch/gateway/tests/fleet.py
@@ -22,6 +22,7 @@
 from cornelnotch.gateway.relay import ReaderCandidate, RelayPlan
 from cornelnotch.gateway.routing_state import TICK_MS, RoutingState
 from cornelnotch.gateway.servers import ServerPool
+from cornelnotch.gateway.software_history import SoftwareHistory
 from cornelnotch.kernel import ManualClock, create_event_log
 
 STEP_MS = 20.0
@@ -127,6 +128,7 @@
         self.client = Client()
         self.pool = ServerPool()
         self.table = NO_TABLE
+        self.software_history = SoftwareHistory(clock.read())
 
 
 class Peers:
--- a/cornelnotch/gateway/tests/hosts_out_of_step.py
+++ b/cornelnotch/gateway/tests/hosts_out_of_step.py
@@ -166,10 +166,14 @@
         return await super().connect(host)
 
     def stop_process(self):
-        self.process.send_signal(signal.SIGSTOP)
+        self._send_signal(signal.SIGSTOP)
 
     def continue_process(self):
-        self.process.send_signal(signal.SIGCONT)
+        self._send_signal(signal.SIGCONT)
+
+    def _send_signal(self, number):
+        assert self.process is not None
+        self.process.send_signal(number)
 
     async def release(self):
         """Start servers of the new version and list them."""
--- a/cornelnotch/gateway/tests/test_routing_state.py
+++ b/cornelnotch/gateway/tests/test_routing_state.py
@@ -7,6 +7,7 @@
 from cornelnotch.gateway.records import KeyedView, Record, RecordDecoder, RecordPage
 from cornelnotch.gateway.routing_state import RELISTING_GRACE_MS, RoutingState
 from cornelnotch.gateway.servers import ServerPool
+from cornelnotch.gateway.software_history import SoftwareHistory
 from cornelnotch.kernel import Event, ManualClock, create_event_log
 
 
@@ -44,6 +45,7 @@
         self.clock = ManualClock()
         self.pool = ServerPool()
         self.events = create_event_log("test")
+        self.software_history = SoftwareHistory(0.0)
 
 
 def create_state():
--- a/cornelnotch/verification/origins.py
+++ b/cornelnotch/verification/origins.py
@@ -207,7 +207,8 @@
         if self._mutant is OriginMutant.ANY_VERSION:
             return state._replace(joined=True)
         history = _create_history(state.hosts[index])
-        only = history.find_only(SERVICE, state.now - LIFETIME)
+        history.confirm(state.now)
+        only = history.find_only(SERVICE, state.now - LIFETIME, state.now)
         is_joined = only is not None and only.software != str(state.version)
         return state._replace(joined=state.joined or is_joined)
 
