gateway: only the watch of links takes a service for down

Such a question now notes a cut only if another host reaches the service; the watch itself, which goes on probing, notes the rest.

--- a/cornelnotch/gateway/server_links.py
+++ b/cornelnotch/gateway/server_links.py
@@ -70,9 +70,15 @@
             self._wake.clear()
             while self._suspected:
                 services = sorted(self._suspected)
-                await asyncio.gather(*(self.check(service) for service in services))
+                await asyncio.gather(*(self._recheck(service) for service in services))
                 await self._clock.sleep(PROBE_INTERVAL_MS)
 
+    async def _recheck(self, service: str) -> None:
+        """Probe a suspected service, and note if no host reaches it."""
+        await self.check(service)
+        if service in self._suspected:
+            self._note_cut_off(service, others_reach=False)
+
     async def check(self, service: str) -> bool:
         """Probe servers of a service; return whether only the links to it are lost."""
         task = self._rounds.get(service)
@@ -83,14 +89,14 @@
 
     async def _run_round(self, service: str) -> bool:
         probed = self._sample(service)
-        began_ms = self._clock.read()
         if not probed or await self.reach_any(probed):
             self._suspected.discard(service)
             self._note_reached(service)
             return False
         self.suspect(service)
         others_reach = await self.ask_others(service)
-        self._note_cut_off(service, probed, began_ms, others_reach)
+        if others_reach:
+            self._note_cut_off(service, others_reach=True)
         return others_reach
 
     async def reach_any(self, views: Sequence[ServerView]) -> bool:
@@ -116,23 +122,15 @@
         views = self._pool.list_ready(service)
         return self._generator.sample(views, min(len(views), MAX_PROBED))
 
-    def _note_cut_off(
-        self,
-        service: str,
-        probed: Sequence[ServerView],
-        began_ms: float,
-        others_reach: bool,
-    ) -> None:
+    def _note_cut_off(self, service: str, others_reach: bool) -> None:
         self._forget_failures(service)
         if service in self._cut_off:
             return
-        self._cut_off[service] = began_ms
+        self._cut_off[service] = self._clock.read()
         self._events.record(
             Event.SERVICE_CUT_OFF,
             service=service,
-            probed=[view.record.name for view in probed],
             others_reach=others_reach,
-            took_ms=round(self._clock.read() - began_ms, 1),
         )
         self.announce()
 
