--- a/cornelnotch/gateway/tests/crashing_fleet.py
+++ b/cornelnotch/gateway/tests/crashing_fleet.py
@@ -139,6 +139,8 @@
 class CrashingFleet(LimitedFleet):
     """Hosts, servers that a bad part crashes, and callers that send it."""
 
+    server_type = CrashingServer
+
     def __init__(self, hosts, servers, seed=0):
         self.crashes: list[Crash] = []
         self.bad_sends: list[BadSend] = []
@@ -147,7 +149,7 @@
         self.bad_statuses: Counter[int] = Counter()
         domains = ("a", "b", "c")
         named = [
-            CrashingServer(self, f"s{n}", domains[n % len(domains)])
+            self.server_type(self, f"s{n}", domains[n % len(domains)])
             for n in range(servers)
         ]
         super().__init__(hosts, named, seed)
