--- a/cornelnotch/gateway/admission_client.py
+++ b/cornelnotch/gateway/admission_client.py
@@ -256,7 +256,12 @@
 
     def _send_end(self, state: AdmissionState) -> None:
         progress = state.in_flight.take_progress()
-        end = AdmissionEnd(state.request_id, state.view.record.name, progress)
+        end = AdmissionEnd(
+            state.request_id,
+            state.view.record.name,
+            progress,
+            state.in_flight.rejected,
+        )
         self._peers.send(state.controller, end)
 
     def _proceed_unanswered(self, state: AdmissionState) -> AdmissionResult:
--- a/cornelnotch/gateway/admission_controller.py
+++ b/cornelnotch/gateway/admission_controller.py
@@ -13,6 +13,7 @@
 from cornelnotch.gateway.engine_estimates import EngineEstimate
 from cornelnotch.gateway.limit_control import TAKEOVER_MS, LimitControl
 from cornelnotch.gateway.rate_limits import RateLimit
+from cornelnotch.gateway.server_room import ServerRoom
 from cornelnotch.gateway.servers import ServerView
 from cornelnotch.gateway.token_bucket import TokenBucket
 from cornelnotch.wire import PeerNetwork
@@ -93,7 +94,7 @@
         """
         limit = self._find_limit(server)
         if limit is None:
-            queue.bucket = None
+            queue.bucket = queue.room = None
             return True
         if not self._is_controller(server):
             self._control.release(server)
@@ -104,8 +105,19 @@
         if queue.bucket is None or queue.bucket.start_ms != start_ms:
             queue.bucket = TokenBucket(rate, start_ms)
         queue.bucket.set_rate(rate, now)
+        self._update_room(limit, queue)
         return True
 
+    def _update_room(self, limit: RateLimit, queue: AdmissionQueue) -> None:
+        """Apply what a brittle server bears, of which this host grants a share."""
+        if limit.rejections_borne is None:
+            queue.room = None
+            return
+        if queue.room is None:
+            queue.room = ServerRoom(self._context.generator)
+        share = self._find_share()
+        queue.room.set_bounds(queue.slots * share, limit.rejections_borne * share)
+
     def _find_limit(self, server: str) -> RateLimit | None:
         """Return the rate limit of a server, also before its record is known."""
         view = self._context.pool.servers.get(server)
@@ -175,7 +187,7 @@
             if end.progress is not None:
                 now = self._context.clock.read()
                 engine_queue.queue.record_progress(end.request_id, end.progress, now)
-            engine_queue.queue.remove(end.request_id)
+            engine_queue.queue.remove(end.request_id, end.rejected)
             self._grant_waiting(end.server, engine_queue)
 
     def _find_engine_queue(self, server: str) -> EngineQueue:
--- a/cornelnotch/gateway/admission_queue.py
+++ b/cornelnotch/gateway/admission_queue.py
@@ -10,6 +10,8 @@
 of them becomes late. This protects short prompts from the long prompts of workspaces
 with a higher priority.
 
+A brittle server gets no more than it has room for (`server_room.py`).
+
 If the server has a rate limit, each grant takes a token of a bucket, so that the grants
 of all hosts together stay within the limit.
 
@@ -26,6 +28,7 @@
 from cornelnotch.gateway.engine_estimates import EngineEstimate, find_prefill_budget
 from cornelnotch.gateway.limit_control import is_grant_current
 from cornelnotch.gateway.models import PromptPart
+from cornelnotch.gateway.server_room import CONFIRMED_MS, ServerRoom
 from cornelnotch.gateway.token_bucket import TokenBucket
 from cornelnotch.wire.messages import StreamProgress
 
@@ -47,6 +50,9 @@
 OVERTAKING_SLACK_SHARE = 0.5
 # Grants beyond the number of slots, so that a freed slot is filled at once.
 EXTRA_GRANTS = 2
+# Period at which the queue of a brittle server without room is checked. Ends of its
+# requests are noticed at once.
+ROOM_CHECK_MS = 50.0
 # Requests are removed after this long without a report. Hosts report waiting requests
 # every 200 ms and granted ones every 1.5 s.
 WAITING_TIMEOUT_MS = 1000.0
@@ -117,6 +123,7 @@
         self.slots = slots
         self.estimate = estimate or EngineEstimate()
         self.bucket: TokenBucket | None = None
+        self.room: ServerRoom | None = None
         self.entries: dict[str, QueueEntry] = {}
         self._cache_tokens = cache_tokens
         self._prefix_cache: OrderedDict[str, int] = OrderedDict()
@@ -192,9 +199,33 @@
         while self._recent_prefills[0].at_ms < now - PREFILL_HISTORY_MS:
             self._recent_prefills.popleft()
 
-    def remove(self, request_id: str) -> None:
-        """Remove a request that ended or was cancelled."""
-        self.entries.pop(request_id, None)
+    def remove(self, request_id: str, rejected: bool = False) -> None:
+        """Remove a request that ended, was cancelled or was rejected by the server."""
+        entry = self.entries.pop(request_id, None)
+        if self.room is None or entry is None or not entry.granted:
+            return
+        if rejected:
+            confirmed = self._count_confirmed(self._updated_ms)
+            self.room.note_rejection(confirmed, self._updated_ms)
+        else:
+            self.room.note_end(max(self._updated_ms - entry.granted_ms, 0.0))
+
+    def _count_granted(self) -> int:
+        return sum(entry.granted for entry in self.entries.values())
+
+    def _count_confirmed(self, now: float) -> int:
+        """Return the number of granted requests that the server did not reject."""
+        return sum(
+            entry.granted and (entry.prefilled or now - entry.granted_ms > CONFIRMED_MS)
+            for entry in self.entries.values()
+        )
+
+    def _has_room(self, now: float) -> bool:
+        """Return whether a brittle server may get another request."""
+        if self.room is None:
+            return True
+        confirmed = self._count_confirmed(now)
+        return self.room.may_grant(self._count_granted(), confirmed, now)
 
     def remove_expired(self, now: float) -> None:
         """Remove requests that their hosts no longer report."""
@@ -208,7 +239,12 @@
         self._update_backlog(now)
         waiting = [t for t in self.entries.values() if not t.granted]
         granted = []
-        while waiting and self._has_token(now) and self._has_capacity():
+        while (
+            waiting
+            and self._has_token(now)
+            and self._has_capacity()
+            and self._has_room(now)
+        ):
             entry = self._select_next(waiting, now)
             if entry is None:
                 break
@@ -290,7 +326,10 @@
         if first is None:
             return prefill_ms
         token_ms = self.bucket.find_delay_ms(now) if self.bucket is not None else 0.0
-        return max(prefill_ms, token_ms, self._compute_gap_delay_ms(first, now))
+        room_ms = ROOM_CHECK_MS if self.room is not None else 0.0
+        return max(
+            prefill_ms, token_ms, room_ms, self._compute_gap_delay_ms(first, now)
+        )
 
     def _compute_gap_delay_ms(self, entry: QueueEntry, now: float) -> float:
         """Return how long a prompt must wait to protect running streams, in ms."""
@@ -326,6 +365,9 @@
         ahead_tokens = sum(map(self.count_uncached_tokens, ahead))
         queued_ms = self._estimate_prefill_ms(ahead_tokens + self._backlog_tokens)
         wait_ms = queued_ms / (1.0 - self._estimate_overtaken_share(entry, now))
+        if self.room is not None:
+            granted = self._count_granted()
+            wait_ms = max(wait_ms, self.room.estimate_wait_ms(granted, len(ahead), now))
         if self.bucket is None:
             return wait_ms
         return max(wait_ms, self.bucket.find_delay_ms(now, len(ahead)))
--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import orjson
 
@@ -17,6 +17,7 @@
 from cornelnotch.gateway.models import CallerLimits, CallerRequest, Route, RoutingTable
 from cornelnotch.gateway.placement import Placer
 from cornelnotch.gateway.rate_limits import RateLimit, RateLimitTable
+from cornelnotch.gateway.rejections import RejectionTable
 from cornelnotch.gateway.relay import ReaderCandidate
 from cornelnotch.gateway.reservation import (
     choose_reserved,
@@ -41,7 +42,11 @@
 from cornelnotch.observation.metrics import NodeMetrics
 from cornelnotch.web import Exchange, HttpClient
 from cornelnotch.wire import PeerNetwork
-from cornelnotch.wire.messages import CrashEvidenceNotice, RateLimitNotice
+from cornelnotch.wire.messages import (
+    CrashEvidenceNotice,
+    RateLimitNotice,
+    RejectionNotice,
+)
 
 __all__ = ["GatewayContext"]
 
@@ -91,6 +96,7 @@
         self.drain = Drain(clock)
         self.durations = DurationTracker()
         self.rate_limits = RateLimitTable()
+        self.rejections = RejectionTable()
         self.engine_rates = EngineRateTable()
         self.exposures = ExposureTracker()
         self.placer = Placer(
@@ -142,6 +148,7 @@
                 server=notice.server,
                 boot_ms=notice.boot_ms,
                 per_second=notice.per_second,
+                rejections_borne=notice.rejections_borne,
                 age_ms=notice.age_ms,
                 told_by=sender,
             )
@@ -150,12 +157,21 @@
         """Return the rate limit in force for a server, or None if it has none."""
         return self.rate_limits.find(server.record)
 
+    def is_brittle(self, server: ServerView) -> bool:
+        """Return whether a server falls over if it rejects too many requests."""
+        limit = self.find_rate_limit(server)
+        return limit is not None and limit.rejections_borne is not None
+
     def record_crash(self, life: ServerLife, requests: list[InFlightRequest]) -> None:
-        """Accuse the requests at a server that has crashed, and their prompt parts."""
+        """Accuse the requests at a server that has crashed, and their prompt parts.
+
+        They are not to blame for a brittle server that had rejected others.
+        """
+        now = self.clock.read()
+        if self.rejections.explains_fall(life.server, life.boot_ms, now):
+            return
         parts = [request.shared_parts + request.fingerprints for request in requests]
-        found = self.crashes.record_crash(
-            life.server, life.boot_ms, parts, self.clock.read()
-        )
+        found = self.crashes.record_crash(life.server, life.boot_ms, parts, now)
         self._log_blamed(found, self.settings.host.name)
 
     def record_sound(self, request: CallerRequest) -> None:
@@ -169,7 +185,24 @@
 
     def merge_crash_evidence(self, notice: CrashEvidenceNotice, sender: str) -> None:
         """Apply what another host knows of crashes."""
-        self._log_blamed(self.crashes.merge(notice, self.clock.read()), sender)
+        now = self.clock.read()
+        crashes = [
+            crash
+            for crash in notice.crashes
+            if not self.rejections.explains_fall(
+                crash.server, crash.boot_ms, now - crash.age_ms
+            )
+        ]
+        notice = replace(notice, crashes=crashes)
+        self._log_blamed(self.crashes.merge(notice, now), sender)
+
+    def merge_rejections(self, notices: list[RejectionNotice]) -> None:
+        """Apply which brittle servers rejected requests of other hosts."""
+        self.rejections.merge(notices, self.clock.read())
+        for notice in notices:
+            self.crashes.forget_fall(
+                notice.server, notice.boot_ms, self.rejections.explains_fall
+            )
 
     def _log_blamed(self, found: list[frozenset[str]], told_by: str) -> None:
         for parts in found:
--- a/cornelnotch/gateway/crash_evidence.py
+++ b/cornelnotch/gateway/crash_evidence.py
@@ -7,7 +7,7 @@
 """
 
 from collections import Counter, OrderedDict
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
 from cornelnotch.gateway.fingerprints import find_content_fingerprint, is_fingerprint
@@ -165,6 +165,20 @@
         self._own[server, boot_ms] = now
         return self._add(server, boot_ms, now, parts, now)
 
+    def forget_fall(
+        self,
+        server: str,
+        boot_ms: int,
+        is_explained: Callable[[str, int, float], bool],
+    ) -> None:
+        """Forget the crash of a server process if `is_explained` by something else."""
+        crash = self._crashes.get((server, boot_ms))
+        if crash is None or not is_explained(server, boot_ms, crash.crashed_ms):
+            return
+        del self._crashes[server, boot_ms]
+        self._own.pop((server, boot_ms), None)
+        self._suspected = find_blamed_sets(self._crashes.values(), SUSPECTED_CRASHES)
+
     def record_sound(self, parts: Iterable[str], now: float) -> list[str]:
         """Clear the parts of a response that ended whole; return those accused."""
         cleared = []
--- a/cornelnotch/gateway/dispatcher.py
+++ b/cornelnotch/gateway/dispatcher.py
@@ -75,6 +75,7 @@
         )
         response = await self._send(view, options)
         self.counts.count(response.outcome)
+        in_flight.rejected = response.outcome is DispatchOutcome.REFUSED
         apply_server_signals(self._context, view, response, self._record_event)
         if response.outcome is DispatchOutcome.DONE:
             view.record_received(in_flight, self._context.clock.read())
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -324,6 +324,8 @@
         self.last_outcome = response.outcome
         may_crash_servers = await self.crash_guard.note_break(view, in_flight, response)
         self.excluded = self.excluded | {view.record.name}
+        if in_flight.rejected and self.context.is_brittle(view):
+            self._skip_limited(view, in_flight.wait_ms)
         if self.dispatches.ran:
             # A request that may have run is not refused because of overload: it
             # waits, so that its work is not lost.
--- a/cornelnotch/gateway/header_codec.py
+++ b/cornelnotch/gateway/header_codec.py
@@ -54,6 +54,10 @@
     `rate_limit` is the number of requests per second that the server accepts from all
     hosts together, or None if it states none. `rate_limit_text` is the text it sent,
     and `rate_limit_malformed` is set if that is not a valid number.
+
+    `rejections_borne` is the number of requests per second that a brittle server can
+    reject without falling over, None if it is not brittle; `brittle_text` and
+    `brittle_malformed` are as for the rate limit.
     """
 
     status: int
@@ -69,6 +73,9 @@
     rate_limit_malformed: bool = False
     rate_limit_text: str = ""
     is_event_stream: bool = True
+    rejections_borne: float | None = None
+    brittle_malformed: bool = False
+    brittle_text: str = ""
 
 
 class HeaderCodec(ABC):
--- a/cornelnotch/gateway/load_exchange.py
+++ b/cornelnotch/gateway/load_exchange.py
@@ -66,7 +66,9 @@
             self._context.rate_limits.drop_unlisted(self._context.pool.servers, now)
             limits = self._context.rate_limits.list_corrections(now)
             evidence = self._context.crashes.create_notice(now, own_only=True)
-            if usages or limits or evidence != NO_EVIDENCE or not reported_idle:
+            rejections = self._context.rejections.list_notices(now)
+            has_news = limits or evidence != NO_EVIDENCE or rejections
+            if usages or has_news or not reported_idle:
                 self._reported = usages
                 engine_rates = self._own_rate_filter.select(self._list_rates(), now)
                 for rates in engine_rates:
@@ -75,7 +77,12 @@
                     self._peers.send(
                         name,
                         LoadReport(
-                            self._plan.name, usages, engine_rates, limits, evidence
+                            self._plan.name,
+                            usages,
+                            engine_rates,
+                            limits,
+                            evidence,
+                            rejections,
                         ),
                     )
             reported_idle = not usages
@@ -103,6 +110,7 @@
             [],
             self._context.rate_limits.list_notices(now),
             self._context.crashes.create_notice(now),
+            self._context.rejections.list_notices(now),
         )
         self._apply(summary)
         self._forward(summary, self._list_hosts())
@@ -115,12 +123,14 @@
     def _receive_report(self, sender: str, report: LoadReport) -> None:
         self._aggregator.add_report(report, self._context.clock.read())
         self._merge_limits(sender, report.limits)
+        self._context.merge_rejections(report.rejections)
         self._context.merge_crash_evidence(report.evidence, sender)
 
     def _receive_summary(self, sender: str, summary: LoadSummary) -> None:
         self._forward(summary, summary.targets)
         self._apply(summary)
         self._merge_limits(sender, summary.limits)
+        self._context.merge_rejections(summary.rejections)
         self._context.merge_crash_evidence(summary.evidence, sender)
 
     def _merge_limits(self, sender: str, notices: list[RateLimitNotice]) -> None:
--- a/cornelnotch/gateway/server_signals.py
+++ b/cornelnotch/gateway/server_signals.py
@@ -22,7 +22,7 @@
     response: UpstreamResponse,
     record_event: RecordEvent,
 ) -> None:
-    """Apply the shutdown, backoff and rate limit that a response announces."""
+    """Apply what a server states about itself in a response."""
     head = response.head
     if head is None or head.other_server:
         return
@@ -51,21 +51,31 @@
     record_event: RecordEvent,
 ) -> None:
     name, boot_ms = view.record.name, view.record.boot_ms
+    per_second, rejections_borne = head.rate_limit, head.rejections_borne
+    known = context.find_rate_limit(view)
     if head.rate_limit_malformed:
         text = head.rate_limit_text[:MAX_LOGGED_CHARACTERS]
         record_event(Event.SERVER_RATE_LIMIT_MALFORMED, server=name, text=text)
-        return
+        per_second = known.per_second if known else None
+    if head.brittle_malformed:
+        text = head.brittle_text[:MAX_LOGGED_CHARACTERS]
+        record_event(Event.SERVER_BRITTLE_MALFORMED, server=name, text=text)
+        rejections_borne = known.rejections_borne if known else None
     is_whole = response.outcome in {DispatchOutcome.DONE, DispatchOutcome.FAILED}
-    if head.rate_limit is None and not is_whole:
+    is_refusal = response.outcome is DispatchOutcome.REFUSED
+    if head.rate_limit is None and head.rejections_borne is None and not is_whole:
         # A late or unsigned response does not prove that the limit was withdrawn.
         return
     now = context.clock.read()
-    if context.rate_limits.observe(name, boot_ms, head.rate_limit, now):
+    if is_refusal and rejections_borne is not None:
+        context.rejections.record(name, boot_ms, now)
+    if context.rate_limits.observe(name, boot_ms, per_second, now, rejections_borne):
         record_event(
             Event.SERVER_RATE_LIMIT,
             server=name,
             boot_ms=boot_ms,
-            per_second=head.rate_limit,
+            per_second=per_second,
+            rejections_borne=rejections_borne,
         )
 
 
--- a/cornelnotch/gateway/tests/brittle_fleet.py
+++ b/cornelnotch/gateway/tests/brittle_fleet.py
@@ -16,12 +16,19 @@
     CrashingFleet,
     CrashingServer,
 )
-from cornelnotch.gateway.tests.limited_fleet import SERVICE, Response
+from cornelnotch.gateway.tests.limited_fleet import (
+    MAX_LATENCY_S,
+    MIN_LATENCY_S,
+    SERVICE,
+    Response,
+)
 
 SLOTS = 8
 WORK_S = 0.4
 USUAL_ROOM = 8
 CONTACT_S = 4.0
+# Time between two messages on one link.
+ORDER_S = 1e-6
 STATUS_UNAVAILABLE = 503
 
 
@@ -116,11 +123,22 @@
         self.room = USUAL_ROOM
         self.rejections = 0
         self.falls: list[Crash] = []
+        self.delivered_s: dict[tuple[str, str], float] = {}
         super().__init__(hosts, servers, seed)
 
     def create_client(self, host):
         return BrittleClient(self, host)
 
+    def deliver(self, sender, receiver, message):
+        """Deliver the messages of a link in order, as a stream does."""
+        self.messages += 1
+        loop = asyncio.get_running_loop()
+        latency_s = self.generator.uniform(MIN_LATENCY_S, MAX_LATENCY_S)
+        last_s = self.delivered_s.get((sender, receiver), 0.0)
+        due_s = max(loop.time() + latency_s, last_s + ORDER_S)
+        self.delivered_s[sender, receiver] = due_s
+        loop.call_at(due_s, self._handle, sender, receiver, message)
+
     async def become_brittle(self, brittleness):
         """Announce brittleness, and let fewer requests wait after a while."""
         self.brittleness = brittleness
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -147,6 +147,11 @@
         logging.WARNING,
         "a server announced an invalid rate limit",
     )
+    SERVER_BRITTLE_MALFORMED = (
+        3011,
+        logging.WARNING,
+        "a server announced an invalid brittleness",
+    )
     SERVER_REST_MALFORMED = (
         3008,
         logging.WARNING,
--- a/cornelnotch/platform/header_codec.py
+++ b/cornelnotch/platform/header_codec.py
@@ -45,6 +45,7 @@
 PASSED_BY = b"cornelnotch-passed-by"
 ATTEMPTS_LEFT = b"cornelnotch-attempts-left"
 MAX_ATTEMPTS = 1000
+BRITTLE = b"server-brittle"
 DECIMAL_NUMBER = re.compile(r"\d+(\.\d*)?|\.\d+", re.ASCII)
 
 # Hop-by-hop headers, which must not be forwarded.
@@ -120,7 +121,7 @@
 
 
 def parse_rate_limit(text: str) -> float | None:
-    """Return a rate limit in requests per second, or None if it is malformed."""
+    """Return a number of requests per second, or None if it is malformed."""
     return parse_amount(text) if DECIMAL_NUMBER.fullmatch(text) else None
 
 
@@ -232,6 +233,9 @@
         has_rate_limit = any(key.lower() == RATE_LIMIT for key, _ in headers)
         rate_limit = find_header(headers, RATE_LIMIT)
         per_second = parse_rate_limit(rate_limit) if has_rate_limit else None
+        is_brittle = any(key.lower() == BRITTLE for key, _ in headers)
+        brittle = find_header(headers, BRITTLE)
+        rejections = parse_rate_limit(brittle) if is_brittle else None
         return ResponseHead(
             status,
             find_header(headers, REQUEST_ID),
@@ -247,6 +251,9 @@
             rate_limit,
             find_header(headers, CONTENT_TYPE).split(";")[0].strip().lower()
             in {"", EVENT_STREAM},
+            rejections,
+            is_brittle and rejections is None,
+            brittle,
         )
 
     def create_refusal_headers(
--- a/cornelnotch/wire/messages.py
+++ b/cornelnotch/wire/messages.py
@@ -375,13 +375,24 @@
 
     `per_second` is the number of requests per second that the server accepts from all
     hosts together, None if it withdrew its limit. `boot_ms` identifies the server
-    process.
+    process. `rejections_borne` is the number of requests per second that it can reject
+    without falling over, None unless it is brittle.
     """
 
     server: str
     boot_ms: int
     per_second: float | None
     age_ms: float
+    rejections_borne: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RejectionNotice:
+    """Report that a brittle server rejected a request `age_ms` ago."""
+
+    server: str
+    boot_ms: int
+    age_ms: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -429,6 +440,7 @@
     paces: list[EngineRates]
     limits: list[RateLimitNotice] = field(default_factory=list)
     evidence: CrashEvidenceNotice = field(default_factory=CrashEvidenceNotice)
+    rejections: list[RejectionNotice] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
@@ -445,6 +457,7 @@
     targets: list[str]
     limits: list[RateLimitNotice] = field(default_factory=list)
     evidence: CrashEvidenceNotice = field(default_factory=CrashEvidenceNotice)
+    rejections: list[RejectionNotice] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
@@ -558,11 +571,12 @@
 
 @dataclass(frozen=True, slots=True)
 class AdmissionEnd:
-    """Report that a request has ended or was cancelled."""
+    """Report that a request has ended, was cancelled or was rejected by the server."""
 
     request_id: str
     server: str
     progress: StreamProgress | None = None
+    rejected: bool = False
 
 
 @dataclass(frozen=True, slots=True)
