--- a/cornelnotch/wire/tests/test_socket_options.py
+++ b/cornelnotch/wire/tests/test_socket_options.py
@@ -1,26 +1,28 @@
 """Test that no socket has a time limit of its own; the program finds dead peers."""
 
 import asyncio
+import asyncio.selector_events
 import socket
+from typing import Any, cast
 
 from cornelnotch.kernel import TaskSupervisor, create_event_log
 from cornelnotch.web import HttpClient, HttpServer
 from cornelnotch.wire import PeerNetwork
 from cornelnotch.wire.messages import AdmissionEnd
 
+TRANSPORT = cast(Any, asyncio.selector_events)._SelectorSocketTransport
+
 
 def collect_sockets(monkeypatch):
     """Return the list of all sockets that asyncio connects or accepts from now on."""
     found = []
-    create = asyncio.selector_events._SelectorSocketTransport.__init__
+    create = TRANSPORT.__init__
 
     def note(transport, loop, sock, *args, **options):
         found.append(sock)
         create(transport, loop, sock, *args, **options)
 
-    monkeypatch.setattr(
-        asyncio.selector_events._SelectorSocketTransport, "__init__", note
-    )
+    monkeypatch.setattr(TRANSPORT, "__init__", note)
     return found
 
 
