gateway: links are probed while a connect still hangs

A host noticed a cut only 0.6 s after the first hanging connect, and its probes hung for another 0.6 s. They now begin once a connect takes longer than several round trips between regions; nothing changes for connects that do not hang.

--- a/cornelnotch/gateway/dispatcher.py
+++ b/cornelnotch/gateway/dispatcher.py
@@ -21,6 +21,9 @@
 
 __all__ = ["CacheCopy", "Dispatcher"]
 
+# Longer than several round trips between regions.
+SLOW_CONNECT_S = 0.25
+
 
 @dataclass(frozen=True, slots=True)
 class CacheCopy:
@@ -88,6 +91,8 @@
         """Send the request; time out on silence where another server may help."""
         timeout_s = find_response_timeout_s(self._route, self.counts.ran)
         sending = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        watch = loop.call_later(SLOW_CONNECT_S, self._check_connecting, view, sending)
         try:
             async with asyncio.timeout(timeout_s):
                 return await open_response(
@@ -108,6 +113,13 @@
         except BaseException:
             self.counts.ran += sending.is_set()
             raise
+        finally:
+            watch.cancel()
+
+    def _check_connecting(self, view: ServerView, sending: asyncio.Event) -> None:
+        """Have the links to the servers probed while a connect hangs."""
+        if not sending.is_set():
+            self._context.links.suspect(view.record.service)
 
     def _needs_new_connection(self, view: ServerView) -> bool:
         """Return whether a pooled connection, which may be dead, must not be used."""
