--- a/cornelnotch/soak/attempts.py
+++ b/cornelnotch/soak/attempts.py
@@ -5,7 +5,11 @@
 from dataclasses import dataclass, field
 from urllib.parse import urlencode
 
-from cornelnotch.standins.deployment import TARGET_MS, WORK_ROUTES
+from cornelnotch.standins.deployment import (
+    TARGET_MS,
+    WORK_ROUTES,
+    create_prompt_headers,
+)
 from cornelnotch.standins.worker import PROMPT_TOKENS_PER_MS
 
 __all__ = ["Attempt", "Prompt", "Work", "WorkMix", "draw_mix", "draw_work"]
@@ -96,12 +100,11 @@
         prompt = self.prompt
         if prompt is None:
             return {}
-        own_part = request_id.encode().hex()
-        return {
-            "x-token-usage": f"{prompt.tokens},{self.events * EVENT_TOKENS}",
-            "x-prompt-prefix": f"{prompt.shared_part}:{prompt.shared_tokens},"
-            f"{own_part}:{prompt.own_tokens}",
+        parts = {
+            prompt.shared_part: prompt.shared_tokens,
+            request_id.encode().hex(): prompt.own_tokens,
         }
+        return create_prompt_headers(parts, self.events * EVENT_TOKENS)
 
 
 def draw_mix(generator: random.Random) -> WorkMix:
--- a/cornelnotch/standins/deployment.py
+++ b/cornelnotch/standins/deployment.py
@@ -9,6 +9,7 @@
     "TARGET_MS",
     "WORK_ROUTES",
     "create_configuration_record",
+    "create_prompt_headers",
     "create_request",
     "create_server_record",
 ]
@@ -75,6 +76,17 @@
     return orjson.dumps(content)
 
 
+def create_prompt_headers(
+    parts: Mapping[str, int], output_tokens: int
+) -> dict[str, str]:
+    """Return the headers of a prompt with these parts and their tokens, in order."""
+    listed = ",".join(f"{name}:{tokens}" for name, tokens in parts.items())
+    return {
+        "x-token-usage": f"{sum(parts.values())},{output_tokens}",
+        "x-prompt-prefix": listed,
+    }
+
+
 def create_request(
     request_id: str,
     target: str,
