--- a/cornelnotch/gateway/peer_links.py
+++ b/cornelnotch/gateway/peer_links.py
@@ -77,6 +77,7 @@
         peers.subscribe(LinkReply, self._receive_reply)
         links.announce = self.broadcast
         links.ask_others = self.ask_others
+        links.has_others = self.has_others
 
     async def run(self) -> None:
         """Repeat the notice while this host is cut off, until cancelled."""
@@ -95,6 +96,10 @@
             names, lambda targets: LinkNotice(notice.host, notice.services, targets)
         )
 
+    def has_others(self) -> bool:
+        """Return whether this host knows another one."""
+        return any(member.name != self._name for member in self._list_members())
+
     async def ask_others(self, service: str) -> bool:
         """Return whether one of a few other hosts reaches a server of a service."""
         names = sorted(member.name for member in self.list_linked(service))
--- a/cornelnotch/gateway/server_links.py
+++ b/cornelnotch/gateway/server_links.py
@@ -43,6 +43,7 @@
         self._wake = asyncio.Event()
         self._rounds: dict[str, asyncio.Task[bool]] = {}
         self.announce: Callable[[], None] = lambda: None
+        self.has_others: Callable[[], bool] = lambda: False
         self.ask_others: Callable[[str], Awaitable[bool]] = self._ask_nobody
 
     @staticmethod
@@ -74,9 +75,12 @@
                 await self._clock.sleep(PROBE_INTERVAL_MS)
 
     async def _recheck(self, service: str) -> None:
-        """Probe a suspected service, and note if no host reaches it."""
+        """Probe a suspected service, and note if no host reaches it.
+
+        A host that is alone goes on trying, as nobody else can serve its callers.
+        """
         await self.check(service)
-        if service in self._suspected:
+        if service in self._suspected and self.has_others():
             self._note_cut_off(service, others_reach=False)
 
     async def check(self, service: str) -> bool:
