--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -148,7 +148,7 @@
         "a server announced an invalid rate limit",
     )
     SERVER_BRITTLE_MALFORMED = (
-        3011,
+        3012,
         logging.WARNING,
         "a server announced an invalid brittleness",
     )
