gateway: a stream taken up right after it began is not refused as unknown

Callers saw 500 stream-unknown when they took a stream up at another host within milliseconds of its beginning, while two software versions served. A host reports the streams that it begins 10 ms later, and the readers of the store answered at once that they did not know the stream, which is final.

--- a/cornelnotch/gateway/tests/test_software_versions.py
+++ b/cornelnotch/gateway/tests/test_software_versions.py
@@ -12,6 +12,7 @@
 STREAMS = 12
 # Of the streams that are taken up, this share goes on.
 MIN_RESUMED_SHARE = 0.5
+STATUS_SERVER_ERROR = 500
 
 
 @asynccontextmanager
@@ -91,6 +92,22 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("resuming_host", [0, 1, 2])
+def test_a_stream_that_is_taken_up_at_once_is_not_unknown(resuming_host):
+    async def run():
+        async with run_hosts(3) as hosts:
+            pairs = []
+            for n in range(STREAMS):
+                begun = [await hosts.begin(n % 3, events=1)]
+                pairs += await resume_streams(hosts, begun, resuming_host)
+            check_separate(pairs)
+            statuses = [second.status for _, second in pairs]
+            print(statuses)
+            assert STATUS_SERVER_ERROR not in statuses
+
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("killed", [0, 1, 2])
 def test_a_stream_is_taken_up_after_the_host_that_began_it_was_killed(killed):
     async def run():
--- a/cornelnotch/gateway/unknown_streams.py
+++ b/cornelnotch/gateway/unknown_streams.py
@@ -11,6 +11,9 @@
 
 # Readers of the store read the servers' records within this time.
 READ_TIMEOUT_MS = 1200.0
+# The report of a stream that has begun arrives within this time: its delay while
+# several versions serve, and one way between regions.
+REPORT_TIMEOUT_MS = 120.0
 
 
 class UnknownStreams:
@@ -35,8 +38,11 @@
     async def find(self, id_hash: int, service: str) -> OriginAnswer:
         """Return the origin of a stream that is taken up now, as far as it is known."""
         asked_ms = self._context.clock.read()
-        if self._context.origins.find(id_hash) is None and self.may_decide(service):
-            await self._reads.wait(asked_ms, READ_TIMEOUT_MS)
+        if self._context.origins.find(id_hash) is None:
+            if self.may_decide(service):
+                await self._reads.wait(asked_ms, READ_TIMEOUT_MS)
+            else:
+                await self._context.clock.sleep(REPORT_TIMEOUT_MS)
         is_final = self._keeper.is_loaded() and not self._is_stale()
         origin = self._context.origins.find(id_hash)
         if origin is not None:
