gateway: a version that is not listed here yet is not taken for gone

Callers saw 500 stream-version-gone, which ends a stream for good, though servers of its version stood ready: they took it up at a host that had been out of step while servers of the version joined. That host had the origin from another one before it had the records of the servers.

A version is gone only if it is not listed in records that were read after other hosts first named it here. Until then the answer is 503 with Retry-After. A version that was listed here, as in a usual release, is gone at once as before.

--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -117,6 +117,7 @@
             self._ask_nobody
         )
         self.software_history = SoftwareHistory(clock.read())
+        self.find_listed_ms: Callable[[], float] = clock.read
         self.announce_leaving: Callable[[str, int], None] = lambda server, boot_ms: None
         self._longest_of: RoutingTable | None = None
         self._longest_stream_ms = 0.0
--- a/cornelnotch/gateway/continuation.py
+++ b/cornelnotch/gateway/continuation.py
@@ -46,6 +46,9 @@
         if origin is None:
             answer = await self._context.ask_origin(resumed_id, service)
             origin = answer.origin
+            if origin is not None:
+                now = self._context.clock.read()
+                self._context.software_history.hear(origin, now)
             self.may_become_known = origin is None and not answer.is_final
         self.origin = origin
         self._context.events.record(
@@ -117,8 +120,24 @@
             return False
         if self.origin.service != service:
             return True
+        return not self._is_listed() and not self._may_be_unlisted()
+
+    def is_version_unlisted(self, service: str) -> bool:
+        """Return whether this host may not have heard of the version's servers yet."""
+        if self.origin is None or self.origin.service != service:
+            return False
+        return not self._is_listed() and self._may_be_unlisted()
+
+    def _is_listed(self) -> bool:
         records = (view.record for view in self._context.pool.servers.values())
-        return all(create_origin(record) != self.origin for record in records)
+        return any(create_origin(record) == self.origin for record in records)
+
+    def _may_be_unlisted(self) -> bool:
+        listed_ms = self._context.find_listed_ms()
+        history = self._context.software_history
+        return self.origin is not None and history.may_be_unlisted(
+            self.origin, listed_ms
+        )
 
     def list_usable(self, service: str, now: float) -> list[ServerView]:
         """Return the usable servers at which the stream may begin or go on."""
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -53,6 +53,7 @@
 TIMED_OUT = "timeout"
 STREAM_UNKNOWN = "stream-unknown"
 VERSION_GONE = "stream-version-gone"
+VERSION_UNLISTED = "stream-version-unlisted"
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
 STATUS_GATEWAY_TIMEOUT = 504
@@ -275,6 +276,8 @@
             await self.refuse_with_retry(self.limited_wait_ms, "rate-limit")
         elif may_refuse and self.continuation.is_version_gone(self.service):
             await self.refuse(STATUS_SERVER_ERROR, VERSION_GONE)
+        elif may_refuse and self.continuation.is_version_unlisted(self.service):
+            await self.refuse_with_retry(0.0, VERSION_UNLISTED)
         elif backoff_ms > 0 and may_refuse:
             await self.refuse_with_retry(backoff_ms, "servers-rest")
         else:
--- a/cornelnotch/gateway/follower.py
+++ b/cornelnotch/gateway/follower.py
@@ -244,6 +244,8 @@
             view.needs_full_read or self._plan.find_age_ms(topic, now) > OUTAGE_MS
         )
         self._plan.record_age(origin, topic, age_ms, now)
+        if origin != self._plan.name:
+            self.reads[topic].note_relayed(now - age_ms)
         if whole:
             before = view.records
             is_first = view.head < 0
--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -158,11 +158,11 @@
             random.Random(f"{name}/links"),
         )
         self.context.list_linked_hosts = self.peer_links.list_linked
-        self.origin_keeper = OriginKeeper(
-            self.context, self.plan, origin_log, self.follower.reads[SERVERS]
-        )
+        reads = self.follower.reads[SERVERS]
+        self.context.find_listed_ms = reads.find_relayed_ms
+        self.origin_keeper = OriginKeeper(self.context, self.plan, origin_log, reads)
         self.unknown_streams = UnknownStreams(
-            self.context, self.plan, self.origin_keeper, self.follower.reads[SERVERS]
+            self.context, self.plan, self.origin_keeper, reads
         )
         self.origin_exchange = OriginExchange(
             self.context,
--- a/cornelnotch/gateway/origin_keeper.py
+++ b/cornelnotch/gateway/origin_keeper.py
@@ -79,6 +79,7 @@
         now = self._context.clock.read()
         for id_hash, origin in streams.items():
             self._context.origins.add(id_hash, origin, now)
+            self._context.software_history.hear(origin, now)
             self._context.software_history.note(origin, now)
         readers = self._plan.list_readers(now)
         if self._plan.name not in readers:
@@ -177,9 +178,12 @@
             for id_hash, origin in list_streams(batch.groups).items():
                 if self._context.origins.find(id_hash) is None:
                     self._context.origins.add(id_hash, origin, now)
+                history.hear(origin, now)
                 history.note(origin, now)
             for seen in batch.seen:
-                history.note(StreamOrigin(seen.service, seen.software), now)
+                origin = StreamOrigin(seen.service, seen.software)
+                history.hear(origin, now)
+                history.note(origin, now)
         if found.is_first:
             history.extend(float("-inf"))
         elif found.batches and self._is_recent(found.batches[-1]):
--- a/cornelnotch/gateway/record_reads.py
+++ b/cornelnotch/gateway/record_reads.py
@@ -7,14 +7,15 @@
 
 
 class RecordReads:
-    """Reads of one topic that this host has begun and completed itself.
+    """Reads of one topic by this host, and those that other hosts relayed to it.
 
-    Only they show what the store had at a time: messages of other hosts may have
+    Only its own show what the store had at a time: messages of other hosts may have
     waited while this host was cut off or stood still.
     """
 
     def __init__(self) -> None:
         self._begun_ms = float("-inf")
+        self._relayed_ms = float("-inf")
         self._skips = 0
         self._read = asyncio.Event()
 
@@ -24,6 +25,14 @@
         self._read.set()
         self._read = asyncio.Event()
 
+    def note_relayed(self, read_ms: float) -> None:
+        """Note that this host has got all that another one read at `read_ms`."""
+        self._relayed_ms = max(self._relayed_ms, read_ms)
+
+    def find_relayed_ms(self) -> float:
+        """Return the time of the latest read by any host that this host has got."""
+        return max(self._begun_ms, self._relayed_ms)
+
     def note_skip(self) -> None:
         """Note that records were replaced without those in between."""
         self._skips += 1
--- a/cornelnotch/gateway/software_history.py
+++ b/cornelnotch/gateway/software_history.py
@@ -12,11 +12,21 @@
         self._known_since_ms = now
         self._confirmed_ms = float("-inf")
         self._seen: dict[StreamOrigin, float] = {}
+        self._heard: dict[StreamOrigin, float] = {}
 
     def note(self, origin: StreamOrigin, now: float) -> None:
         """Note that a software version serves, or that it began a stream."""
         self._seen[origin] = now
 
+    def hear(self, origin: StreamOrigin, now: float) -> None:
+        """Note that another host names a version, which may not be listed here yet."""
+        if origin not in self._seen:
+            self._heard.setdefault(origin, now)
+
+    def may_be_unlisted(self, origin: StreamOrigin, listed_ms: float) -> bool:
+        """Return whether a version was heard of after the records of `listed_ms`."""
+        return self._heard.get(origin, float("-inf")) > listed_ms
+
     def extend(self, since_ms: float) -> None:
         """Note that all versions since `since_ms` are known."""
         self._known_since_ms = min(self._known_since_ms, since_ms)
@@ -65,6 +75,7 @@
 
     def expire(self, before_ms: float) -> None:
         """Forget the versions that last served before a time."""
-        old = [o for o, seen_ms in self._seen.items() if seen_ms < before_ms]
-        for origin in old:
-            del self._seen[origin]
+        for versions in (self._seen, self._heard):
+            old = [o for o, known_ms in versions.items() if known_ms < before_ms]
+            for origin in old:
+                del versions[origin]
--- a/cornelnotch/gateway/tests/hosts_out_of_step.py
+++ b/cornelnotch/gateway/tests/hosts_out_of_step.py
@@ -17,6 +17,7 @@
 from cornelnotch.kernel.hashing import rank_owners
 from cornelnotch.standins.upstream import UpstreamStandin
 from cornelnotch.web import HttpClient
+from cornelnotch.wire.messages import RecordUpdates
 
 HOSTS = 4
 NEW_ENGINES = 2
@@ -136,9 +137,21 @@
         host.peers.send = lambda name, m: send(name, m) if name == own else None
         host.peers._receive = lambda name, m: receive(name, m) if name == own else None
         if from_store:
-            store = host.follower._source
-            for name in ("read_newest", "read_from", "read_origins", "append_origins"):
-                setattr(store, name, self._fail)
+            self._cut_off_from_store()
+
+    def lose_records(self):
+        """Lose the records, but no other messages to and from the host."""
+        peers = self.hosts[self.victim].peers
+        receive = peers._receive
+        peers._receive = lambda name, message: (
+            None if isinstance(message, RecordUpdates) else receive(name, message)
+        )
+        self._cut_off_from_store()
+
+    def _cut_off_from_store(self):
+        store = self.hosts[self.victim].follower._source
+        for name in ("read_newest", "read_from", "read_origins", "append_origins"):
+            setattr(store, name, self._fail)
 
     def reconnect(self):
         host = self.hosts[self.victim]
--- a/cornelnotch/gateway/tests/test_hosts_out_of_step.py
+++ b/cornelnotch/gateway/tests/test_hosts_out_of_step.py
@@ -68,6 +68,23 @@
     asyncio.run(run())
 
 
+def run_lost_records(rank, out_s):
+    async def run():
+        hosts = HostsOutOfStep(rank)
+        await hosts.start()
+        try:
+            await play_release(hosts, out_s, hosts.lose_records, hosts.reconnect)
+            check_taken_up(hosts)
+            refused = [a.status for t in hosts.taken_up for a in t.answers[:-1]]
+            print(f"refused {len(refused)}")
+            assert refused
+            assert all(stream.is_resumed() for stream in hosts.taken_up)
+        finally:
+            await hosts.stop()
+
+    asyncio.run(run())
+
+
 def run_standstill(folder, rank, out_s, lost_rank=None):
     async def run():
         hosts = HostsOutOfStep(rank, folder)
@@ -105,3 +122,8 @@
 @pytest.mark.parametrize("rank", RANKS)
 def test_a_host_that_stood_still_as_a_reader_was_lost_joins_no_versions(tmp_path, rank):
     run_standstill(tmp_path, rank, 2.0, lost_rank=1 if rank == 0 else 0)
+
+
+@pytest.mark.parametrize("rank", RANKS)
+def test_a_stream_whose_version_is_not_listed_yet_is_not_refused_for_good(rank):
+    run_lost_records(rank, 1.0)
