gateway: reports of a new version do not wait for a slower report

Callers could see 500 stream-unknown when they took up one of the first streams of a new version: its host had scheduled a report 200 ms ahead for a stream of the only version before, and the new stream waited for that. Reports of several versions are due 10 ms after they begin.

The new test fails before (no report within 50 ms) and passes after. The timer is now moved forward when a report becomes due sooner; there is one message as before.

--- a/cornelnotch/gateway/origin_exchange.py
+++ b/cornelnotch/gateway/origin_exchange.py
@@ -54,6 +54,7 @@
         self._keeper = keeper
         self._unknown_streams = unknown_streams
         self._unreported: dict[int, StreamOrigin] = {}
+        self._sending: asyncio.TimerHandle | None = None
         self._numbers = itertools.count()
         self._replies: dict[int, asyncio.Future[StreamOriginReply]] = {}
         peers.subscribe(StreamOriginReport, self._receive_report)
@@ -64,12 +65,8 @@
         """Report a stream that a server has begun for a request of this host."""
         id_hash = hash_text(request_id)
         self._keeper.add({id_hash: origin})
-        if not self._unreported:
-            is_mixed = self._keeper.is_mixed()
-            delay_ms = MIXED_REPORT_DELAY_MS if is_mixed else REPORT_DELAY_MS
-            loop = asyncio.get_running_loop()
-            loop.call_later(delay_ms / 1000.0, self._send_reports)
         self._unreported[id_hash] = origin
+        self._schedule_reports()
 
     async def ask(self, request_id: str, service: str) -> OriginAnswer:
         """Return the origin of a stream that this host does not know."""
@@ -126,7 +123,20 @@
         names = self._plan.list_readers(self._context.clock.read())
         return [name for name in names if name != self._plan.name]
 
+    def _schedule_reports(self) -> None:
+        """Send the reports later; sooner if a second version has come meanwhile."""
+        is_mixed = self._keeper.is_mixed()
+        delay_ms = MIXED_REPORT_DELAY_MS if is_mixed else REPORT_DELAY_MS
+        loop = asyncio.get_running_loop()
+        due_s = loop.time() + delay_ms / 1000.0
+        if self._sending is not None:
+            if self._sending.when() <= due_s:
+                return
+            self._sending.cancel()
+        self._sending = loop.call_at(due_s, self._send_reports)
+
     def _send_reports(self) -> None:
+        self._sending = None
         report = StreamOriginReport(group_streams(self._unreported))
         self._unreported = {}
         for name in self._list_other_readers():
