gateway: a stream that is to resume from a copy is not passed on as a new run

A stream that may not be repeated, with a copy of its KV cache at a second engine, was run a second time when its host lost its links to all servers: the host had decided to resume it from the copy, which needs no permission to repeat, and then passed it on to another host, which knows of no copy and began a new run after the last event (in the test: 2 executions of one id, a complete response of two runs). Nothing of the request says that it ran, so the other host could not tell.

Such a stream now tries its copy over the links of its own host, and ends broken off if these are gone, as before hosts passed requests on: one execution.

--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -196,7 +196,8 @@
             if self.replacement is not None:
                 answered = await self._go_on_elsewhere(self.replacement)
                 continue
-            if self.peer_dispatch.is_cut_off():
+            # Only this host knows the copy from which a stream is to resume.
+            if self.peer_dispatch.is_cut_off() and not self.resuming:
                 answered = await self.peer_dispatch.run()
                 continue
             placement = self._place_at_backup() or self.place()
