gateway: a stream begun over another host goes on at its software version

A stream that a host had passed on, and that broke there after the host's own links had healed, went on over the own links at any server: the host had never learned which version began it, as the origin of a stream was looked up only at the start of a request.

The origin is now looked up as well before a stream with events goes on over own links, under the id of its own request, which the other host reported with the first event; if nobody knows it, the stream ends broken off. Streams that never left the host know their origin, so they ask nothing.

--- a/cornelnotch/gateway/continuation.py
+++ b/cornelnotch/gateway/continuation.py
@@ -30,17 +30,20 @@
         self._first_view: ServerView | None = None
         self.may_become_known = False
 
-    def must_find_origin(self) -> bool:
-        """Return whether the caller resumes a stream that began in another request."""
-        is_resumed = self._request.resumed_id or self._request.last_event_id
-        return self._is_resumable and bool(is_resumed)
+    def must_find_origin(self, last_event_id: str) -> bool:
+        """Return whether the stream began in another request, or over another host.
+
+        It goes on after `last_event_id`.
+        """
+        is_begun = bool(self._request.resumed_id or last_event_id)
+        return self._is_resumable and self.origin is None and is_begun
 
     async def find_origin(self, service: str) -> str:
         """Find out where a resumed stream began; return the service to go on at.
 
         That is `service` unless the route also leads to the one that began the stream.
         """
-        resumed_id = self._request.resumed_id
+        resumed_id = self._request.resumed_id or self._request.request_id
         origin = self._context.origins.find_request(resumed_id)
         is_own = origin is not None
         if origin is None:
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -180,11 +180,8 @@
         self._time_limit.reschedule(loop.time() + max(left_s, 0.0))
 
     async def _dispatch_until_answered(self) -> None:
-        if self.continuation.must_find_origin():
-            self.service = await self.continuation.find_origin(self.service)
-            if self.continuation.origin is None:
-                await self._refuse_unknown_stream()
-                return
+        if not await self._find_origin():
+            return
         answered = False
         while not answered:
             if not self.crash_guard.may_dispatch(self.dispatches.ran > 0):
@@ -200,6 +197,9 @@
             if self.peer_dispatch.is_cut_off() and not self.resuming:
                 answered = await self.peer_dispatch.run()
                 continue
+            # The stream may have begun over another host.
+            if not await self._find_origin():
+                return
             placement = self._place_at_backup() or self.place()
             if placement is None and self.peer_dispatch.may_help():
                 answered = await self.peer_dispatch.run()
@@ -252,9 +252,22 @@
             left_ms=round(self.context.drain.measure_left_ms(), 1),
         )
 
+    async def _find_origin(self) -> bool:
+        """Find out where a begun stream began; refuse it if that is unknown."""
+        if not self.continuation.must_find_origin(self.splitter.last_event_id):
+            return True
+        self.service = await self.continuation.find_origin(self.service)
+        if self.continuation.origin is None:
+            await self._refuse_unknown_stream()
+            return False
+        return True
+
     async def _refuse_unknown_stream(self) -> None:
         """Refuse a stream that might go on at another software version."""
-        if self.continuation.may_become_known:
+        if self.exchange.response_started:
+            unknown = UpstreamResponse(DispatchOutcome.BROKEN, STREAM_UNKNOWN)
+            await self.finish_failed(unknown)
+        elif self.continuation.may_become_known:
             await self.refuse_with_retry(0.0, STREAM_UNKNOWN)
         else:
             await self.refuse(STATUS_SERVER_ERROR, STREAM_UNKNOWN)
--- a/cornelnotch/gateway/tests/test_passed_on_streams.py
+++ b/cornelnotch/gateway/tests/test_passed_on_streams.py
@@ -1,16 +1,20 @@
 """Test that streams which hosts pass on to other hosts stay one run."""
 
 import asyncio
+import re
 
 from cornelnotch.gateway.tests.conftest import create_configuration, wait_until
 from cornelnotch.gateway.tests.severed_hosts import Kind, Way, run_hosts
 
 DRAFT_PATH = "/stream/draft/1"
 EVENT_MS = 100.0
+LONG_EVENT_MS = 300.0
+STREAMS = 8
 FIRST_EVENTS_S = 0.35
 # Longer than a host takes to find that it is cut off, and a stream to be repeated.
 REPEAT_S = 2.0
 PROMPT = {"x_prompt_prefix": "p1:10", "x_token_usage": "10,20"}
+VERSION = re.compile(rb"data: piece \d+(v\d+)\n\n")
 
 
 def copy_streams(fleet):
@@ -44,3 +48,46 @@
             assert fleet.count_executions()["draft"] == 1
 
     asyncio.run(run())
+
+
+async def list_versions(fleet):
+    """Have the engines run two versions of their software."""
+    for engine, version in zip(fleet.engines, ("v1", "v2", "v2"), strict=True):
+        engine.software = version
+        engine.boot_ms = 1
+        engine.faults.event_ms = LONG_EVENT_MS
+        fleet.list_server(engine, "llm", version=version, born=1)
+    names = {engine.name for engine in fleet.engines}
+    await wait_until(
+        lambda: all(
+            host.context.pool.servers[name].record.boot_ms
+            for host in fleet.hosts
+            for name in names
+        )
+    )
+
+
+def find_versions(attempt):
+    return set(VERSION.findall(attempt.reply.body))
+
+
+def test_a_stream_begun_over_another_host_goes_on_at_its_version_over_own_links():
+    async def run():
+        async with run_hosts() as fleet:
+            await list_versions(fleet)
+            links = fleet.hosts[0].context.links
+            fleet.cut({0}, Way.REFUSE)
+            await fleet.send_to(0, Kind.STREAM)
+            await wait_until(lambda: links.is_cut_off("llm"))
+            begun = [fleet.start_request(0, Kind.STREAM) for _ in range(STREAMS)]
+            await asyncio.sleep(FIRST_EVENTS_S)
+            fleet.heal({0})
+            await wait_until(lambda: not links.is_cut_off("llm"))
+            fleet.cut_between_hosts(0, Way.REFUSE)
+            attempts = await asyncio.gather(*begun)
+            own = set(fleet.list_ids_over_links(0))
+            assert all(attempt.request_id in own for attempt in attempts)
+            assert not any(len(find_versions(attempt)) > 1 for attempt in attempts)
+            assert all(attempt.is_served for attempt in attempts)
+
+    asyncio.run(run())
