gateway: a request counts once for the retry budget when it is passed on

Each host counted a passed-on request for its own retry budget: the host that its caller had reached and the one that sent it to a server. With four of five hosts cut off, all hosts together allowed 27 retries for 104 requests where 0.2 of them, 20.8, are the fleet's bound (test; no extra retries). A host that is cut off from the service no longer counts requests, as it sends none to servers: 20 or fewer. A request that arrived before its host knew of the cut still counts at both.

--- a/cornelnotch/gateway/frontend.py
+++ b/cornelnotch/gateway/frontend.py
@@ -81,7 +81,9 @@
             resumes=request.resumed_id,
             version=table.version,
         )
-        context.find_retry_budget(flow.service).record_request(arrived_ms)
+        if not flow.peer_dispatch.is_cut_off():
+            # Otherwise it counts at the host that sends it to a server.
+            context.find_retry_budget(flow.service).record_request(arrived_ms)
         self._flows.add(flow)
         try:
             await flow.run()
