gateway: a request refused for its rate limit is not passed on for one dead server

Where one server of a service refused connections and the others had no place, a request that had met both was passed on to other hosts, which find the same servers full: it waited for admission again there, and its refusal came later.

--- a/cornelnotch/gateway/peer_dispatch.py
+++ b/cornelnotch/gateway/peer_dispatch.py
@@ -83,9 +83,14 @@
         return bool(self._list_candidates())
 
     def may_help(self) -> bool:
-        """Return whether another host may reach a server where this one did not."""
-        was_unsent = self._flow.last_outcome is DispatchOutcome.NOT_SENT
-        return was_unsent and self.is_possible()
+        """Return whether another host may reach a server where this one did not.
+
+        It would find the same servers overloaded, or at their rate limits.
+        """
+        flow = self._flow
+        was_unsent = flow.last_outcome is DispatchOutcome.NOT_SENT
+        is_full = flow.overloaded or flow.unadmitted
+        return was_unsent and not is_full and self.is_possible()
 
     def _list_candidates(self) -> list[Member]:
         if self._flow.request.passed_by or len(self._tried) >= MAX_PEERS:
--- a/cornelnotch/gateway/tests/test_passed_on_requests.py
+++ b/cornelnotch/gateway/tests/test_passed_on_requests.py
@@ -8,6 +8,9 @@
 HOSTS = 5
 CUT = frozenset({0, 1, 2, 3})
 READS_PER_HOST = 20
+LOW_LIMIT = "2"
+OVERLOAD_PER_SECOND = 60
+OVERLOAD_S = 2.0
 
 
 async def cut_and_wait(fleet, hosts, way):
@@ -47,3 +50,19 @@
             assert 0 < count_allowed_retries(fleet) <= share * requests
 
     asyncio.run(run())
+
+
+def test_requests_that_a_rate_limit_refuses_are_not_passed_on_for_one_dead_server():
+    async def run():
+        async with run_hosts() as fleet:
+            fleet.drop_server(fleet.desks[2])
+            fleet.desks[1].faults.rate_limit = LOW_LIMIT
+            await fleet.settle()
+            await fleet.desks[0].stop()
+            await fleet.send_steadily({0}, OVERLOAD_PER_SECOND, OVERLOAD_S)
+            await fleet.wait_for_requests()
+            refused = [each for each in fleet.attempts if each.is_refused]
+            assert refused
+            assert fleet.count_hops() == 0
+
+    asyncio.run(run())
