gateway: a late search for another server keeps no time for a second silence

What callers saw: a stream whose server was lost, or stayed silent, later than about 3 s after SIGTERM was cut at the end of the drain, though another server had room and time for the rest of it.

Cause: the decision whether a stream can end elsewhere was the one for late requests. It asks for the longest rest, times 1.25, and the time for a silence of the server besides (1.2 s at least). The search itself begins only after 1.2 s without an event, so with a grace period of 5 s there was hardly ever one after the first 3 s. The allowance compares a request with a refusal; here the alternative is a server that is silent already, and that keeps the stream until the other one has sent the next event.

The longest rest, times 1.25, still has to fit into the time left, so that no stream moves where it cannot end.

--- a/cornelnotch/gateway/request_timing.py
+++ b/cornelnotch/gateway/request_timing.py
@@ -88,7 +88,8 @@
     def can_end_elsewhere(self, events: int) -> bool:
         """Return whether another server could end the stream before the host stops.
 
-        The caller has received `events`.
+        The caller has received `events`. No time is kept for a silence of that server,
+        as the stream's own one is silent now.
         """
         if not self._drain.has_started:
             return True
@@ -101,9 +102,7 @@
             name = self._route.name
             return self._durations.estimate_ms(name, share, resumed, now)
 
-        return self._drain.can_end(
-            self._route, estimate, self.measure_left_ms(), self._silence_ms
-        )
+        return self._drain.can_end(self._route, estimate, self.measure_left_ms())
 
     def find_needed_ms(self) -> float | None:
         """Return the time that the request must have to be served, if known."""
--- a/cornelnotch/gateway/tests/test_silent_servers.py
+++ b/cornelnotch/gateway/tests/test_silent_servers.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from cornelnotch.gateway.durations import RequestDuration
-from cornelnotch.gateway.tests.conftest import wait_until
+from cornelnotch.gateway.tests.conftest import create_configuration, wait_until
 from cornelnotch.gateway.tests.kept_connection import KeptConnection
 from cornelnotch.gateway.tests.test_graceful_shutdown import (
     count_runs,
@@ -101,6 +101,28 @@
     run_scenario(scenario)
 
 
+def test_stream_of_a_server_lost_late_in_a_stop_goes_on_where_it_ends_in_time():
+    async def scenario(d):
+        configuration = create_configuration(2)
+        for route in configuration["routes"]:
+            route["timeout_ms"] = 9000
+        d.configure(configuration)
+        await wait_until(lambda: d.host.context.table.version == 2)
+        for _ in range(60):
+            duration = RequestDuration(10.0, EVENTS * EVENT_MS, 0, EVENTS)
+            d.host.context.durations.record("chat", duration)
+        busy = await keep_busy(d)
+        stopping = start_drain(d, GRACE_S)
+        await asyncio.sleep(2.4)
+        task, running, other = await begin_stream(d)
+        running.faults.stall_ms = None
+        assert is_whole(await task)
+        assert other.executions["s1"] == 1
+        await asyncio.gather(busy, stopping)
+
+    run_scenario(scenario)
+
+
 def test_stream_goes_on_at_the_server_that_sends_its_next_event_first():
     async def scenario(d):
         task, running, other = await begin_stream(d)
