gateway: the test of late requests keeps its host busy until it has sent them

Cause, in the test: the call that keeps the host busy ended at the timeout of its route, 4.0 s after it was sent, and the late requests were sent 4.0 s after the start of the drain, so a little later (in 3 of 3 traced runs). Nothing ran any more then, and the host was about to close its connections: it refused the requests for that reason, or had closed already.

Routes now have a timeout beyond the grace period, and the test checks that the call still runs. It is stricter: only the allowance for a silence can have refused the requests. It fails, as before, if drain.py keeps no such time.

--- a/cornelnotch/gateway/tests/test_silent_servers.py
+++ b/cornelnotch/gateway/tests/test_silent_servers.py
@@ -16,6 +16,7 @@
 SILENT_AFTER = 20
 SILENT_MS = 1600.0
 GRACE_S = 6.0
+TIMEOUT_MS = 9000
 
 
 def list_numbers(reply):
@@ -44,6 +45,15 @@
     return task, running, other
 
 
+async def raise_timeouts(d):
+    """Let requests run longer than any grace period here."""
+    configuration = create_configuration(2)
+    for route in configuration["routes"]:
+        route["timeout_ms"] = TIMEOUT_MS
+    d.configure(configuration)
+    await wait_until(lambda: d.host.context.table.version == 2)
+
+
 async def keep_busy(d):
     """Send a call that is not answered, so that the host drains to the end."""
     for desk in d.desks:
@@ -103,11 +113,7 @@
 
 def test_stream_of_a_server_lost_late_in_a_stop_goes_on_where_it_ends_in_time():
     async def scenario(d):
-        configuration = create_configuration(2)
-        for route in configuration["routes"]:
-            route["timeout_ms"] = 9000
-        d.configure(configuration)
-        await wait_until(lambda: d.host.context.table.version == 2)
+        await raise_timeouts(d)
         for _ in range(60):
             duration = RequestDuration(10.0, EVENTS * EVENT_MS, 0, EVENTS)
             d.host.context.durations.record("chat", duration)
@@ -147,6 +153,7 @@
 
 def test_late_request_is_taken_only_with_time_for_a_silence_of_its_server():
     async def scenario(d):
+        await raise_timeouts(d)
         duration = RequestDuration(10.0, EVENTS * EVENT_MS, 0, EVENTS)
         for route in ("chat", "draft"):
             for _ in range(60):
@@ -167,6 +174,7 @@
         )
         assert [reply.whole for reply in replies] == [True, True]
         assert {reply.status for reply in replies} <= {200, 503}
+        assert not busy.done()
         await asyncio.gather(busy, stopping)
 
     run_scenario(scenario)
