gateway: a stream whose caller reads slowly does not lengthen the estimates of a drain

What callers saw: while a caller did not read its stream, a draining host refused the requests of the same route that came later than 3 s after SIGTERM (503 host-leaving), though they could have ended.

Cause: the estimate counts running streams that already take longer than any that has ended, as they show that a service has turned slow. It counted the time for which the caller let the host wait too, which is left out of the streams that have ended. Late requests are decided on by the longest, so one such stream was enough.

A running request now tells its time without that of writing, the write under way included.

--- a/cornelnotch/gateway/durations.py
+++ b/cornelnotch/gateway/durations.py
@@ -37,6 +37,28 @@
     received_ms: float
     tokens: int
     begun_ms: float | None = None
+    writing_ms: float = 0.0
+    writing_from_ms: float | None = None
+
+    def start_writing(self, now: float) -> None:
+        """Note that the host writes to the caller, who may let it wait."""
+        self.writing_from_ms = now
+
+    def finish_writing(self, now: float) -> None:
+        """Note that the caller has taken what was written."""
+        self.writing_ms = self._measure_writing_ms(now)
+        self.writing_from_ms = None
+
+    def measure_rest_ms(self, now: float) -> float:
+        """Return the time since the first event without that of writing."""
+        if self.begun_ms is None:
+            return 0.0
+        return now - self.begun_ms - self._measure_writing_ms(now)
+
+    def _measure_writing_ms(self, now: float) -> float:
+        if self.writing_from_ms is None:
+            return self.writing_ms
+        return self.writing_ms + now - self.writing_from_ms
 
 
 @dataclass(slots=True)
@@ -54,12 +76,11 @@
         They show that a service has turned slow before they end.
         """
         longest_ms = max(duration.rest_ms for duration in self.ended)
-        begun = [
-            RequestDuration(0.0, now - request.begun_ms, request.tokens)
+        running = [
+            RequestDuration(0.0, request.measure_rest_ms(now), request.tokens)
             for request in self.running
-            if request.begun_ms is not None
         ]
-        return [duration for duration in begun if duration.rest_ms > longest_ms]
+        return [duration for duration in running if duration.rest_ms > longest_ms]
 
 
 def _find_quantile(values: Sequence[float], share: float) -> float:
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -716,9 +716,9 @@
 
     async def send_events(self, events: bytes) -> None:
         """Send events to the caller; measure the time that it lets the host wait."""
-        began_ms = self.context.clock.read()
+        self.timing.start_writing()
         await self.exchange.send(events)
-        self.timing.add_writing(self.context.clock.read() - began_ms)
+        self.timing.finish_writing()
 
     def _find_stall_timeout_s(self) -> float | None:
         if self.backup is not None and not self.resuming:
--- a/cornelnotch/gateway/request_timing.py
+++ b/cornelnotch/gateway/request_timing.py
@@ -35,7 +35,6 @@
         self._request = request
         self._limit_ms = limit_ms
         self._received_ms = clock.read()
-        self._writing_ms = 0.0
         self._silence_ms = find_max_gap_s(route) * MS_PER_SECOND
         self._running = RunningRequest(self._received_ms, request.output_tokens)
 
@@ -51,9 +50,13 @@
         """Note that the response has begun."""
         self._running.begun_ms = self._clock.read()
 
-    def add_writing(self, duration_ms: float) -> None:
-        """Add time for which the caller let the host wait."""
-        self._writing_ms += duration_ms
+    def start_writing(self) -> None:
+        """Note that the host writes to the caller, who may let it wait."""
+        self._running.start_writing(self._clock.read())
+
+    def finish_writing(self) -> None:
+        """Note that the caller has taken what was written."""
+        self._running.finish_writing(self._clock.read())
 
     def record_call(self, first_ms: float) -> None:
         """Record a call whose response began at `first_ms`."""
@@ -66,7 +69,7 @@
             return
         duration = RequestDuration(
             first_ms - self._received_ms,
-            stream_ms - self._writing_ms,
+            stream_ms - self._running.writing_ms,
             self._request.output_tokens,
             events,
         )
--- a/cornelnotch/gateway/tests/conftest.py
+++ b/cornelnotch/gateway/tests/conftest.py
@@ -28,6 +28,7 @@
 HOST_NAME = "app.example"
 KEY = "key-1"
 WAIT_S = 5.0
+LONG_TIMEOUT_MS = 9000
 
 
 def create_route(name, prefix, kind, service, **fields):
@@ -102,6 +103,15 @@
     )
 
 
+async def raise_timeouts(deployment, timeout_ms=LONG_TIMEOUT_MS):
+    """Let requests run longer than the grace periods of tests."""
+    configuration = create_configuration(2)
+    for route in configuration["routes"]:
+        route["timeout_ms"] = timeout_ms
+    deployment.configure(configuration)
+    await wait_until(lambda: deployment.host.context.table.version == 2)
+
+
 async def wait_until(condition, wait_s=WAIT_S):
     """Wait until `condition`, a function or coroutine function, is true."""
     deadline = asyncio.get_running_loop().time() + wait_s
--- a/cornelnotch/gateway/tests/test_durations.py
+++ b/cornelnotch/gateway/tests/test_durations.py
@@ -112,6 +112,18 @@
     assert estimate_ms(tracker, 50, now=4010.0) == 1010.0
 
 
+def test_streams_that_wait_for_their_callers_do_not_raise_the_estimate():
+    tracker = DurationTracker()
+    record_many(tracker, 50, 10.0, 1000.0, 50, 50)
+    for _ in range(60):
+        request = RunningRequest(0.0, 50, 10.0)
+        tracker.start("chat", request)
+        request.start_writing(100.0)
+        request.finish_writing(2100.0)
+        request.start_writing(2500.0)
+    assert estimate_ms(tracker, 50, now=4010.0) == 1010.0
+
+
 def test_only_recent_requests_count():
     tracker = DurationTracker()
     record_many(tracker, 200, 10.0, 9000.0, 50, 50)
--- a/cornelnotch/gateway/tests/test_graceful_shutdown.py
+++ b/cornelnotch/gateway/tests/test_graceful_shutdown.py
@@ -5,9 +5,11 @@
 
 from cornelnotch.gateway.admission_client import AdmissionResult
 from cornelnotch.gateway.durations import RequestDuration
+from cornelnotch.gateway.flow import RequestFlow
 from cornelnotch.gateway.tests.conftest import (
     create_host,
     create_settings,
+    raise_timeouts,
     run_deployment,
     run_second_host,
     wait_until,
@@ -353,3 +355,44 @@
         await stopping
 
     run_scenario(scenario)
+
+
+def test_stream_that_its_caller_does_not_read_does_not_lengthen_the_estimate(
+    monkeypatch,
+):
+    may_read = asyncio.Event()
+    send_events = RequestFlow.send_events
+
+    async def send_when_read(flow, events):
+        if flow.request.request_id == "s1":
+            flow.exchange.send = delay_until_read(flow.exchange.send)
+        await send_events(flow, events)
+
+    def delay_until_read(send):
+        async def wait_and_send(data):
+            await may_read.wait()
+            await send(data)
+
+        return wait_and_send
+
+    async def scenario(d):
+        await raise_timeouts(d)
+        for _ in range(60):
+            duration = RequestDuration(10.0, 1000.0, 0, STREAM_EVENTS)
+            d.host.context.durations.record("draft", duration)
+        connections = [
+            await KeptConnection.open(d.settings.listen.callers) for _ in range(2)
+        ]
+        send = connections[0].send("s1", "/stream/draft/x", "POST", b"p")
+        unread = asyncio.create_task(send)
+        await wait_until(lambda: count_runs(d.engines) == 1)
+        stopping = start_drain(d, grace_s=8.0)
+        await asyncio.sleep(3.4)
+        reply = await connections[1].send("s2", "/stream/draft/x", "POST", b"p")
+        assert (reply.status, reply.whole) == (200, True)
+        may_read.set()
+        assert (await unread).whole
+        await stopping
+
+    monkeypatch.setattr(RequestFlow, "send_events", send_when_read)
+    run_scenario(scenario)
--- a/cornelnotch/gateway/tests/test_silent_servers.py
+++ b/cornelnotch/gateway/tests/test_silent_servers.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from cornelnotch.gateway.durations import RequestDuration
-from cornelnotch.gateway.tests.conftest import create_configuration, wait_until
+from cornelnotch.gateway.tests.conftest import raise_timeouts, wait_until
 from cornelnotch.gateway.tests.kept_connection import KeptConnection
 from cornelnotch.gateway.tests.test_graceful_shutdown import (
     count_runs,
@@ -16,7 +16,6 @@
 SILENT_AFTER = 20
 SILENT_MS = 1600.0
 GRACE_S = 6.0
-TIMEOUT_MS = 9000
 
 
 def list_numbers(reply):
@@ -45,15 +44,6 @@
     return task, running, other
 
 
-async def raise_timeouts(d):
-    """Let requests run longer than any grace period here."""
-    configuration = create_configuration(2)
-    for route in configuration["routes"]:
-        route["timeout_ms"] = TIMEOUT_MS
-    d.configure(configuration)
-    await wait_until(lambda: d.host.context.table.version == 2)
-
-
 async def keep_busy(d):
     """Send a call that is not answered, so that the host drains to the end."""
     for desk in d.desks:
