tests: brittle servers in a burst of three hosts over real sockets

So far only hosts in virtual time met brittle servers. Three servers of four slots get 2.5 times what they serve for 4 s through three hosts, 4 s after they first said that they are brittle. Bound: 2 falls and a tenth of the servers; half of the capacity served where they bear 2 rejections a second or more.

--- /dev/null
+++ b/cornelnotch/gateway/tests/test_brittle_hosts.py
@@ -0,0 +1,67 @@
+"""Test over real sockets that brittle servers hardly fall over in a burst."""
+
+import asyncio
+
+import pytest
+
+from cornelnotch.gateway.tests.brittle_hosts import (
+    DEADLINE_MS,
+    SERVERS_PER_SERVICE,
+    SLOTS,
+    STATUS_OK,
+    WORK_MS,
+    run_brittle_hosts,
+)
+
+CALM_S = 1.0
+CONTACT_S = 4.0
+BURST_S = 4.0
+CAPACITY_PER_SECOND = SERVERS_PER_SERVICE * SLOTS * 1000.0 / WORK_MS
+# Requests per second in calm and in a burst, as multiples of what the servers serve.
+CALM_LOAD = 0.3
+BURST_LOAD = 2.5
+# The servers of a service may fall over this often, and once more for each ten.
+ALLOWED_FALLS = 2
+MIN_SERVED_SHARE = 0.5
+# Servers that bear as much serve this share of their capacity.
+SERVING_PER_SECOND = 2
+PATHS = ["/read/x", "/stream/x"]
+
+
+async def play(fleet, path, per_second):
+    """Send a burst to servers that are brittle; return when it began."""
+    calm = CALM_LOAD * CAPACITY_PER_SECOND
+    await fleet.load(path, calm, CALM_S)
+    brittle = asyncio.create_task(fleet.become_brittle(per_second, CONTACT_S))
+    await fleet.load(path, calm, CONTACT_S)
+    await brittle
+    burst_s = asyncio.get_running_loop().time()
+    await fleet.load(path, BURST_LOAD * CAPACITY_PER_SECOND, BURST_S)
+    await fleet.wait_for_answers()
+    return burst_s
+
+
+def check_falls(fleet, path):
+    servers = fleet.engines if path.startswith("/stream/") else fleet.desks
+    falls = sum(len(server.falls_s) for server in servers)
+    print("falls", falls, "rejections", sum(server.rejections for server in servers))
+    # Nobody waits for a response after its deadline.
+    in_time = [a for a in fleet.answers if a.took_s < DEADLINE_MS / 1000.0]
+    assert [answer for answer in in_time if not answer.whole] == []
+    assert falls <= ALLOWED_FALLS + len(servers) / 10
+
+
+@pytest.mark.parametrize("per_second", [0, 2, 10])
+@pytest.mark.parametrize("path", PATHS)
+def test_brittle_servers_hardly_fall_over_in_a_burst_of_real_hosts(path, per_second):
+    async def run():
+        async with run_brittle_hosts() as fleet:
+            burst_s = await play(fleet, path, per_second)
+            statuses = fleet.count_statuses(path, burst_s)
+            print("since the burst", statuses)
+            check_falls(fleet, path)
+            if per_second >= SERVING_PER_SECOND:
+                capacity = BURST_S * CAPACITY_PER_SECOND
+                assert statuses[STATUS_OK] >= MIN_SERVED_SHARE * capacity
+
+    asyncio.run(run())
--- a/cornelnotch/standins/upstream.py
+++ b/cornelnotch/standins/upstream.py
@@ -26,8 +26,8 @@
     `stall_after_events` is the number after which it stops sending but stays open, for
     `stall_ms` or until its caller leaves. A stream starts after `first_ms`. The first
     `fail_times` calls fail. `leaving` is announced in every response, `retry_after` in
-    every refusal. `rate_limit` is the rate limit announced in every response, unless it
-    is None.
+    every refusal. `rate_limit` and `brittle` are announced in every response, unless
+    they are None. A call takes `call_ms`, unless its caller leaves before.
     """
 
     refuse: bool = False
@@ -45,6 +45,8 @@
     leaving: bool = False
     retry_after: str = ""
     rate_limit: str | None = None
+    brittle: str | None = None
+    call_ms: float = 0.0
 
 
 @dataclass
@@ -101,11 +103,7 @@
         self.targets.append(exchange.target)
         self.bodies.append(body)
         request_id = exchange.headers.get("x-attempt-id", "")
-        headers = {"x-attempt-id": request_id}
-        if self.faults.leaving:
-            headers["server-leaving"] = "1"
-        if self.faults.rate_limit is not None:
-            headers["server-limit"] = self.faults.rate_limit
+        headers = self._create_headers(request_id)
         if exchange.headers.get("x-target-instance") != self.name:
             await exchange.respond(STATUS_MISDIRECTED, headers, b"")
             return
@@ -133,6 +131,17 @@
             headers["x-server-signature"] = f"{self.name}.{request_id}"
         await self._answer(exchange, headers)
 
+    def _create_headers(self, request_id: str) -> dict[str, str]:
+        """Return the headers of every response."""
+        headers = {"x-attempt-id": request_id}
+        if self.faults.leaving:
+            headers["server-leaving"] = "1"
+        if self.faults.rate_limit is not None:
+            headers["server-limit"] = self.faults.rate_limit
+        if self.faults.brittle is not None:
+            headers["server-brittle"] = self.faults.brittle
+        return headers
+
     async def _answer(self, exchange: Exchange, headers: dict[str, str]) -> None:
         if self.faults.abort:
             exchange.abort()
@@ -144,6 +153,8 @@
         if exchange.path.startswith(STREAM_PREFIX):
             await self._stream(exchange, headers)
             return
+        if await self._is_left_within(exchange, self.faults.call_ms):
+            return
         fails = self.faults.fail or self.faults.fail_times > 0
         self.faults.fail_times = max(self.faults.fail_times - 1, 0)
         status = 500 if fails else 200
@@ -167,18 +178,19 @@
                 exchange.abort()
                 return
             if stalls is not None and number > stalls:
-                if await self._stall(exchange):
+                if await self._is_left_within(exchange, self.faults.stall_ms):
                     return
                 stalls = None
             await exchange.send(event)
             await asyncio.sleep(self.faults.event_ms / 1000.0)
         await exchange.finish()
 
-    async def _stall(self, exchange: Exchange) -> bool:
+    async def _is_left_within(self, exchange: Exchange, wait_ms: float | None) -> bool:
         """Send nothing for a while; return whether the caller has left meanwhile."""
-        stall_s = None if self.faults.stall_ms is None else self.faults.stall_ms / 1000
+        if wait_ms == 0:
+            return False
         with suppress(TimeoutError):
-            async with asyncio.timeout(stall_s):
+            async with asyncio.timeout(None if wait_ms is None else wait_ms / 1000):
                 await exchange.disconnected.wait()
                 self.disconnects += 1
                 exchange.abort()
