gateway: the room of an abandoned request is not granted at once

Callers saw a brittle server fall over, and with it all responses there, although only its slots were granted: where a caller left, or a request met its time limit, its host told the controller of the end and closed the connection at the same moment. The next request could arrive before the server noticed, or while it took the work to its end. A trace of a stream at its time limit: end at 341 ms, next grant at 343 ms, rejection at 346 ms by a server with four held, and a fall where no rejection is borne.

Hosts now tell whether a request ended without a whole response, and its room is kept for the mean time that the server holds one, and 250 ms for the notice of the close.

--- a/cornelnotch/gateway/admission_client.py
+++ b/cornelnotch/gateway/admission_client.py
@@ -261,6 +261,7 @@
             state.view.record.name,
             progress,
             state.in_flight.rejected,
+            state.in_flight.sent and not state.in_flight.ended,
         )
         self._peers.send(state.controller, end)
 
--- a/cornelnotch/gateway/admission_controller.py
+++ b/cornelnotch/gateway/admission_controller.py
@@ -184,10 +184,10 @@
     def _receive_end(self, sender: str, end: AdmissionEnd) -> None:
         engine_queue = self._queues.get(end.server)
         if engine_queue is not None:
+            now = self._context.clock.read()
             if end.progress is not None:
-                now = self._context.clock.read()
                 engine_queue.queue.record_progress(end.request_id, end.progress, now)
-            engine_queue.queue.remove(end.request_id, end.rejected)
+            engine_queue.queue.remove(end.request_id, end.rejected, end.abandoned, now)
             self._grant_waiting(end.server, engine_queue)
 
     def _find_engine_queue(self, server: str) -> EngineQueue:
--- a/cornelnotch/gateway/admission_queue.py
+++ b/cornelnotch/gateway/admission_queue.py
@@ -199,16 +199,27 @@
         while self._recent_prefills[0].at_ms < now - PREFILL_HISTORY_MS:
             self._recent_prefills.popleft()
 
-    def remove(self, request_id: str, rejected: bool = False) -> None:
-        """Remove a request that ended, was cancelled or was rejected by the server."""
+    def remove(
+        self,
+        request_id: str,
+        rejected: bool = False,
+        abandoned: bool = False,
+        now: float | None = None,
+    ) -> None:
+        """Remove a request that ended, was cancelled or was rejected by the server.
+
+        The server may still hold one that its host has `abandoned`.
+        """
+        now = self._updated_ms if now is None else now
         entry = self.entries.pop(request_id, None)
         if self.room is None or entry is None or not entry.granted:
             return
         if rejected:
-            confirmed = self._count_confirmed(self._updated_ms)
-            self.room.note_rejection(confirmed, self._updated_ms)
+            self.room.note_rejection(self._count_confirmed(now), now)
+        elif abandoned:
+            self.room.note_abandoned(entry.granted_ms, now)
         else:
-            self.room.note_end(max(self._updated_ms - entry.granted_ms, 0.0))
+            self.room.note_end(max(now - entry.granted_ms, 0.0))
 
     def _count_granted(self) -> int:
         return sum(entry.granted for entry in self.entries.values())
--- a/cornelnotch/gateway/dispatcher.py
+++ b/cornelnotch/gateway/dispatcher.py
@@ -23,6 +23,10 @@
 
 # Longer than several round trips between regions.
 SLOW_CONNECT_S = 0.25
+# Outcomes after which the server does not hold the request.
+ENDED = frozenset(
+    {DispatchOutcome.NOT_SENT, DispatchOutcome.REFUSED, DispatchOutcome.FAILED}
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +83,7 @@
         response = await self._send(view, options)
         self.counts.count(response.outcome)
         in_flight.rejected = response.outcome is DispatchOutcome.REFUSED
+        in_flight.ended = response.outcome in ENDED
         apply_server_signals(self._context, view, response, self._record_event)
         if response.outcome is DispatchOutcome.DONE:
             view.record_received(in_flight, self._context.clock.read())
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -592,6 +592,7 @@
         try:
             if response.outcome is DispatchOutcome.DONE:
                 failed = await self._forward(response, view, in_flight)
+                in_flight.ended = failed is None
             self.record_outcome(view, failed)
             return failed
         except BaseException:
--- a/cornelnotch/gateway/server_room.py
+++ b/cornelnotch/gateway/server_room.py
@@ -19,6 +19,8 @@
 # After a rejection nothing is granted for this long, doubled for each further one.
 BASE_PAUSE_MS = 250.0
 MAX_PAUSE_MS = 4000.0
+# A server notices within this time that a connection was closed.
+CLOSE_NOTICED_MS = 250.0
 # Rejections are forgotten after this long without another one.
 REJECTION_MEMORY_MS = 8000.0
 # Weight of the newest request in the moving average of the time in the server.
@@ -37,6 +39,7 @@
         self._rejections_in_row = 0
         self._resumes_ms = 0.0
         self._held_ms = 0.0
+        self._abandoned_until_ms: list[float] = []
 
     def set_bounds(self, slots: float, rejections_borne: float) -> None:
         """Set the slots and the rejections per second that this host may use up."""
@@ -61,11 +64,22 @@
             self._held_ms = held_ms
         self._held_ms += NEWEST_WEIGHT * (held_ms - self._held_ms)
 
+    def note_abandoned(self, granted_ms: float, now: float) -> None:
+        """Keep the room of a request that its host left, as the server may run it."""
+        until_ms = max(now, granted_ms + self._held_ms)
+        self._abandoned_until_ms.append(until_ms + CLOSE_NOTICED_MS)
+
+    def _count_abandoned(self, now: float) -> int:
+        self._abandoned_until_ms = [t for t in self._abandoned_until_ms if t > now]
+        return len(self._abandoned_until_ms)
+
     def may_grant(self, granted: int, confirmed: int, now: float) -> bool:
         """Return whether to grant one request more than `granted`.
 
         `confirmed` of those granted were not rejected.
         """
+        abandoned = self._count_abandoned(now)
+        granted, confirmed = granted + abandoned, confirmed + abandoned
         self._proven = max(self._proven, confirmed)
         if now < self._resumes_ms or granted >= self.slots:
             return False
@@ -79,5 +93,6 @@
     def estimate_wait_ms(self, granted: int, ahead: int, now: float) -> float:
         """Return the expected wait of a request after `ahead` waiting ones, in ms."""
         pause_ms = max(self._resumes_ms - now, 0.0)
+        granted += self._count_abandoned(now)
         excess_requests = max(granted + ahead + 1 - self.slots, 0)
         return pause_ms + excess_requests * self._held_ms / self.slots
--- a/cornelnotch/gateway/servers.py
+++ b/cornelnotch/gateway/servers.py
@@ -47,7 +47,8 @@
     `sent` is false while the dispatch is queued, for about `wait_ms` more.
     `latency_sensitive` is true for streams that accept only short inter-token gaps.
     `shared_parts` are the prompt parts that other requests may have too, `fingerprints`
-    those of the whole request. `rejected` is true once the server did not run it.
+    those of the whole request. `rejected` is true once the server did not run it,
+    `ended` once it certainly holds it no more.
     `events` counts complete events, the last of which arrived at `event_ms`;
     `longest_gap_ms` is the longest gap between two events since `take_progress` was
     last called.
@@ -67,6 +68,7 @@
     fingerprints: tuple[str, ...] = ()
     server: str = ""
     rejected: bool = False
+    ended: bool = False
     events: int = 0
     event_ms: float = 0.0
     longest_gap_ms: float = 0.0
--- a/cornelnotch/gateway/tests/test_brittle_hosts.py
+++ b/cornelnotch/gateway/tests/test_brittle_hosts.py
@@ -16,6 +16,8 @@
 CALM_S = 1.0
 CONTACT_S = 4.0
 BURST_S = 4.0
+# Callers that leave do so while a server runs their request.
+LEAVE_S = 0.3
 CAPACITY_PER_SECOND = SERVERS_PER_SERVICE * SLOTS * 1000.0 / WORK_MS
 # Requests per second in calm and in a burst, as multiples of what the servers serve.
 CALM_LOAD = 0.3
@@ -28,7 +30,7 @@
 PATHS = ["/read/x", "/stream/x"]
 
 
-async def play(fleet, path, per_second):
+async def play(fleet, path, per_second, leave_s=None):
     """Send a burst to servers that are brittle; return when it began."""
     calm = CALM_LOAD * CAPACITY_PER_SECOND
     await fleet.load(path, calm, CALM_S)
@@ -36,7 +38,7 @@
     await fleet.load(path, calm, CONTACT_S)
     await brittle
     burst_s = asyncio.get_running_loop().time()
-    await fleet.load(path, BURST_LOAD * CAPACITY_PER_SECOND, BURST_S)
+    await fleet.load(path, BURST_LOAD * CAPACITY_PER_SECOND, BURST_S, leave_s)
     await fleet.wait_for_answers()
     return burst_s
 
@@ -65,3 +67,13 @@
                 assert statuses[STATUS_OK] >= MIN_SERVED_SHARE * capacity
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_brittle_servers_hardly_fall_over_where_callers_leave(path):
+    async def run():
+        async with run_brittle_hosts() as fleet:
+            await play(fleet, path, 0, LEAVE_S)
+            check_falls(fleet, path)
+
+    asyncio.run(run())
--- a/cornelnotch/gateway/tests/test_server_room.py
+++ b/cornelnotch/gateway/tests/test_server_room.py
@@ -81,3 +81,22 @@
     assert head.rejections_borne == 2.5
     assert not head.brittle_malformed
     assert PlatformHeaderCodec().read_response(200, []).rejections_borne is None
+
+
+def test_the_room_of_an_abandoned_request_is_not_granted_at_once():
+    room = create_room(2, 0.0)
+    assert room.may_grant(0, 0, 0.0)
+    room.note_end(400.0)
+    assert room.may_grant(1, 1, 400.0)
+    room.note_abandoned(400.0, 500.0)
+    assert not room.may_grant(1, 1, 510.0)
+    assert room.estimate_wait_ms(1, 0, 510.0) > 0.0
+    assert not room.may_grant(1, 1, 801.0)
+    assert room.may_grant(1, 1, 1200.0)
+
+
+def test_an_abandoned_request_keeps_its_room_until_the_server_notices():
+    room = create_room(1, 0.0)
+    room.note_abandoned(0.0, 5000.0)
+    assert not room.may_grant(0, 0, 5010.0)
+    assert room.may_grant(0, 0, 6000.0)
--- a/cornelnotch/wire/messages.py
+++ b/cornelnotch/wire/messages.py
@@ -571,12 +571,16 @@
 
 @dataclass(frozen=True, slots=True)
 class AdmissionEnd:
-    """Report that a request has ended, was cancelled or was rejected by the server."""
+    """Report that a request has ended, was cancelled or was rejected by the server.
+
+    `abandoned` is true if its host left it, so the server may still hold it.
+    """
 
     request_id: str
     server: str
     progress: StreamProgress | None = None
     rejected: bool = False
+    abandoned: bool = False
 
 
 @dataclass(frozen=True, slots=True)
