gateway: a response to an earlier request withdraws no rate limit

A head without a limit now counts only if its request was sent after the limit was last observed: any other may be the older of the two. A server that withdraws a limit still ends it with the next request.

The test failed before for both headers: 1 or no limit known of 2.

--- a/cornelnotch/gateway/dispatcher.py
+++ b/cornelnotch/gateway/dispatcher.py
@@ -80,11 +80,12 @@
             copy.backup_address,
             copy.source,
         )
+        sent_ms = self._context.clock.read()
         response = await self._send(view, options)
         self.counts.count(response.outcome)
         in_flight.rejected = response.outcome is DispatchOutcome.REFUSED
         in_flight.ended = response.outcome in ENDED
-        apply_server_signals(self._context, view, response, self._record_event)
+        apply_server_signals(self._context, view, response, sent_ms, self._record_event)
         if response.outcome is DispatchOutcome.DONE:
             view.record_received(in_flight, self._context.clock.read())
             self._context.admission.report_prefilled(in_flight)
--- a/cornelnotch/gateway/server_signals.py
+++ b/cornelnotch/gateway/server_signals.py
@@ -20,14 +20,18 @@
     context: GatewayContext,
     view: ServerView,
     response: UpstreamResponse,
+    sent_ms: float,
     record_event: RecordEvent,
 ) -> None:
-    """Apply what a server states about itself in a response."""
+    """Apply what a server states about itself in a response.
+
+    Its request was sent at `sent_ms`.
+    """
     head = response.head
     if head is None or head.other_server:
         return
     _apply_leaving(context, view, head, record_event)
-    _apply_rate_limit(context, view, response, head, record_event)
+    _apply_rate_limit(context, view, response, head, sent_ms, record_event)
     _apply_backoff(context, view, head, record_event)
 
 
@@ -48,6 +52,7 @@
     view: ServerView,
     response: UpstreamResponse,
     head: ResponseHead,
+    sent_ms: float,
     record_event: RecordEvent,
 ) -> None:
     name, boot_ms = view.record.name, view.record.boot_ms
@@ -63,9 +68,13 @@
         rejections_borne = known.rejections_borne if known else None
     is_whole = response.outcome in {DispatchOutcome.DONE, DispatchOutcome.FAILED}
     is_refusal = response.outcome is DispatchOutcome.REFUSED
-    if head.rate_limit is None and head.rejections_borne is None and not is_whole:
+    states_nothing = head.rate_limit is None and head.rejections_borne is None
+    if states_nothing and not is_whole:
         # A late or unsigned response does not prove that the limit was withdrawn.
         return
+    if known is not None and states_nothing and sent_ms <= known.observed_ms:
+        # The server may have written this head before it stated the limit.
+        return
     now = context.clock.read()
     if is_refusal and rejections_borne is not None:
         context.rejections.record(name, boot_ms, now)
--- a/cornelnotch/gateway/tests/test_limited_servers.py
+++ b/cornelnotch/gateway/tests/test_limited_servers.py
@@ -107,3 +107,32 @@
             assert all(table.find(views[s.name].record) is None for s in responded)
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("field", ["rate_limit", "brittle"])
+def test_a_response_to_a_request_sent_before_a_limit_does_not_withdraw_it(field):
+    async def send(d, name, count):
+        async def send_one(number):
+            answer = await d.send("/read/x", x_attempt_id=f"{name}{number}")
+            await answer.read()
+
+        async with asyncio.TaskGroup() as group:
+            for number in range(count):
+                group.create_task(send_one(number))
+
+    async def run():
+        async with run_deployment() as d:
+            table = d.host.context.rate_limits
+            for server in d.desks:
+                server.faults.call_ms = 350.0
+            early = asyncio.create_task(send(d, "early", 4))
+            await asyncio.sleep(0.1)
+            for server in d.desks:
+                setattr(server.faults, field, "50")
+                server.faults.call_ms = 0.0
+            await send(d, "stated", 6)
+            assert table.count() == 2
+            await early
+            assert table.count() == 2
+
+    asyncio.run(run())
