gateway: a host that knows that it is cut off asks others no more

A host that was cut off asked up to four others with each round of probes, every 0.4 s or so, whether they reach the service, and each of these probed up to six servers to answer: up to 24 connections to servers per round, host and service, for as long as the cut lasts, and as often where all servers of a service are down. The answer only matters when a cut begins, or when a server may have crashed.

The watch of links now asks only until a cut is noted; a possible crash is still asked about each time. Questions that come together, also from several hosts, are answered by one round of probes.

--- a/cornelnotch/gateway/server_links.py
+++ b/cornelnotch/gateway/server_links.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import random
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 
 from cornelnotch.gateway.servers import ServerPool, ServerView
 from cornelnotch.kernel.clock import Clock
@@ -42,9 +42,11 @@
         self._cut_off: dict[str, float] = {}
         self._wake = asyncio.Event()
         self._rounds: dict[str, asyncio.Task[bool]] = {}
+        self._asked: dict[str, asyncio.Task[bool]] = {}
+        self._answers: dict[str, asyncio.Task[bool]] = {}
         self.announce: Callable[[], None] = lambda: None
         self.has_others: Callable[[], bool] = lambda: False
-        self.ask_others: Callable[[str], Awaitable[bool]] = self._ask_nobody
+        self.ask_others: Callable[[str], Coroutine[None, None, bool]] = self._ask_nobody
 
     @staticmethod
     async def _ask_nobody(service: str) -> bool:
@@ -79,16 +81,43 @@
 
         A host that is alone goes on trying, as nobody else can serve its callers.
         """
-        await self.check(service)
-        if service in self._suspected and self.has_others():
-            self._note_cut_off(service, others_reach=False)
+        if await self._probe_once(service):
+            return
+        if service in self._cut_off:
+            self._forget_failures(service)
+            return
+        others_reach = await self._ask_once(service)
+        if others_reach or self.has_others():
+            self._note_cut_off(service, others_reach)
 
     async def check(self, service: str) -> bool:
         """Probe servers of a service; return whether only the links to it are lost."""
-        task = self._rounds.get(service)
+        if await self._probe_once(service):
+            return False
+        others_reach = await self._ask_once(service)
+        if others_reach:
+            self._note_cut_off(service, others_reach=True)
+        return others_reach
+
+    async def _probe_once(self, service: str) -> bool:
+        """Return whether this host reaches a service, by one round at a time."""
+        return await self._share(self._rounds, service, self._run_round)
+
+    async def _ask_once(self, service: str) -> bool:
+        """Return whether others reach a service; they are asked once at a time."""
+        return await self._share(self._asked, service, self.ask_others)
+
+    @staticmethod
+    async def _share(
+        tasks: dict[str, asyncio.Task[bool]],
+        service: str,
+        find: Callable[[str], Coroutine[None, None, bool]],
+    ) -> bool:
+        """Return what `find` finds; calls meanwhile wait for the same result."""
+        task = tasks.get(service)
         if task is None or task.done():
-            task = asyncio.create_task(self._run_round(service))
-            self._rounds[service] = task
+            task = asyncio.create_task(find(service))
+            tasks[service] = task
         return await asyncio.shield(task)
 
     async def _run_round(self, service: str) -> bool:
@@ -96,12 +125,9 @@
         if not probed or await self.reach_any(probed):
             self._suspected.discard(service)
             self._note_reached(service)
-            return False
+            return True
         self.suspect(service)
-        others_reach = await self.ask_others(service)
-        if others_reach:
-            self._note_cut_off(service, others_reach=True)
-        return others_reach
+        return False
 
     async def reach_any(self, views: Sequence[ServerView]) -> bool:
         """Return whether one of the servers accepts a connection."""
@@ -120,6 +146,9 @@
 
     async def reaches(self, service: str) -> bool:
         """Return whether this host reaches a server of a service."""
+        return await self._share(self._answers, service, self._reach_sample)
+
+    async def _reach_sample(self, service: str) -> bool:
         return await self.reach_any(self._sample(service))
 
     def _sample(self, service: str) -> list[ServerView]:
--- a/cornelnotch/gateway/tests/test_passed_on_requests.py
+++ b/cornelnotch/gateway/tests/test_passed_on_requests.py
@@ -4,6 +4,7 @@
 
 from cornelnotch.gateway.tests.conftest import wait_until
 from cornelnotch.gateway.tests.severed_hosts import Kind, Way, run_hosts
+from cornelnotch.wire.messages import LinkQuery
 
 HOSTS = 5
 CUT = frozenset({0, 1, 2, 3})
@@ -11,6 +12,7 @@
 LOW_LIMIT = "2"
 OVERLOAD_PER_SECOND = 60
 OVERLOAD_S = 2.0
+KNOWN_S = 2.0
 
 
 async def cut_and_wait(fleet, hosts, way):
@@ -66,3 +68,28 @@
             assert fleet.count_hops() == 0
 
     asyncio.run(run())
+
+
+def count_sent(host, kind):
+    """Count the messages of a kind that a host sends; return the list that grows."""
+    sent = []
+    send = host.peers.send
+
+    def count(name, message):
+        if isinstance(message, kind):
+            sent.append(name)
+        send(name, message)
+
+    host.peers.send = count
+    return sent
+
+
+def test_a_host_that_knows_that_it_is_cut_off_asks_others_no_more():
+    async def run():
+        async with run_hosts() as fleet:
+            await cut_and_wait(fleet, {0}, Way.REFUSE)
+            queries = count_sent(fleet.hosts[0], LinkQuery)
+            await asyncio.sleep(KNOWN_S)
+            assert queries == []
+
+    asyncio.run(run())
