gateway: notices of cut-off hosts do not grow as the square of the fleet

Each host that is cut off from a service told all hosts so each second.

In fleets of more than 16 hosts each repeats its notice less often, in proportion; it holds for three intervals as before. That a cut begins or ends is still told at once, and a request that is passed on to a host that is cut off too is refused there at once, so a notice that comes late costs one hop.

--- a/cornelnotch/gateway/peer_links.py
+++ b/cornelnotch/gateway/peer_links.py
@@ -16,8 +16,11 @@
 __all__ = ["PeerLinks", "choose_peer"]
 
 NOTICE_INTERVAL_MS = 1000.0
-# A notice that is not repeated expires.
-NOTICE_LIFETIME_MS = 3.0 * NOTICE_INTERVAL_MS
+# Notices go to all hosts, and many hosts may be cut off at once. In a fleet with more
+# hosts than this, each repeats its notice less often.
+NOTICED_HOSTS = 16
+# A notice that is not repeated in this many intervals expires.
+LIFETIME_INTERVALS = 3.0
 
 # Other hosts that are asked whether they reach a service.
 MAX_ASKED = 4
@@ -82,10 +85,14 @@
     async def run(self) -> None:
         """Repeat the notice while this host is cut off, until cancelled."""
         while True:
-            await self._clock.sleep(NOTICE_INTERVAL_MS)
+            await self._clock.sleep(self._find_interval_ms())
             if self._links.list_cut_off():
                 self.broadcast()
 
+    def _find_interval_ms(self) -> float:
+        """Return the time between two notices of a host in this fleet."""
+        return NOTICE_INTERVAL_MS * max(len(self._list_hosts()) / NOTICED_HOSTS, 1.0)
+
     def broadcast(self) -> None:
         """Tell all hosts what this host is cut off from now."""
         services = self._links.list_cut_off()
@@ -148,14 +155,19 @@
 
     def list_linked(self, service: str) -> list[Member]:
         """Return the other hosts not known to be cut off from a service."""
+        lifetime_ms = LIFETIME_INTERVALS * self._find_interval_ms()
+        since_ms = self._clock.read() - lifetime_ms
         return [
             member
             for member in self._list_members()
-            if member.name != self._name and not self._is_cut_off(member.name, service)
+            if member.name != self._name
+            and not self._is_cut_off(member.name, service, since_ms)
         ]
 
-    def _is_cut_off(self, host: str, service: str) -> bool:
+    def _is_cut_off(self, host: str, service: str, since_ms: float) -> bool:
         known = self._known.get(host)
-        if known is None or self._clock.read() - known.told_ms > NOTICE_LIFETIME_MS:
-            return False
-        return service in known.services
+        return (
+            known is not None
+            and known.told_ms >= since_ms
+            and service in known.services
+        )
