gateway: a silent stream is kept where no retry is left to pass it on

A host that is cut off while its open connections live on gave up a silent stream to pass it on to another host without looking at the retry budget. The stream is now given up only if a retry is left, as when another server is sought; it ends whole.

--- a/cornelnotch/gateway/replacement.py
+++ b/cornelnotch/gateway/replacement.py
@@ -75,9 +75,13 @@
 
     def must_leave(self) -> bool:
         """Return whether only another host can go on, as this one is cut off."""
-        peers = self._flow.peer_dispatch
-        is_possible = peers.is_cut_off() and peers.is_possible()
-        return is_possible and self._may_dispatch_again()
+        flow = self._flow
+        peers = flow.peer_dispatch
+        if not peers.is_cut_off() or not peers.is_possible():
+            return False
+        budget = flow.context.find_retry_budget(flow.service)
+        can_retry = budget.can_retry(flow.context.clock.read())
+        return can_retry and self._may_dispatch_again()
 
     async def run(self) -> Replacement | None:
         """Return a response that goes on with the stream, or None if there is none."""
--- a/cornelnotch/gateway/tests/test_passed_on_streams.py
+++ b/cornelnotch/gateway/tests/test_passed_on_streams.py
@@ -10,6 +10,9 @@
 EVENT_MS = 100.0
 LONG_EVENT_MS = 300.0
 STREAMS = 8
+# Longer than a gap after which a host seeks another server.
+STALL_MS = 1600.0
+DEADLINE_MS = "4000"
 FIRST_EVENTS_S = 0.35
 # Longer than a host takes to find that it is cut off, and a stream to be repeated.
 REPEAT_S = 2.0
@@ -91,3 +94,23 @@
             assert all(attempt.is_served for attempt in attempts)
 
     asyncio.run(run())
+
+
+def test_a_silent_stream_is_kept_where_no_retry_is_left_to_pass_it_on():
+    async def run():
+        async with run_hosts() as fleet:
+            for settings in fleet.settings_by_host:
+                settings.bounds.retry_extra = 0.0
+            for engine in fleet.engines:
+                engine.faults.stall_after_events = 2
+                engine.faults.stall_ms = STALL_MS
+            sending = fleet.start_request(0, Kind.STREAM, x_deadline_ms=DEADLINE_MS)
+            await asyncio.sleep(FIRST_EVENTS_S)
+            fleet.cut({0}, Way.KEEP_THEN_REFUSE)
+            links = fleet.hosts[0].context.links
+            links.suspect("llm")
+            await wait_until(lambda: links.is_cut_off("llm"))
+            attempt = await sending
+            assert attempt.is_served
+
+    asyncio.run(run())
