gateway: no request is passed on to a host with an older configuration

A host passed requests on to hosts whatever configuration they had. One whose configuration was newer, and had shown its effect, then let a request run by the old service at a host that lagged behind: its callers saw the configuration go back.

The host now sends the version of its configuration along; one with an older version refuses before it reads the body, and another host is tried. Callers that send the header have only their own request refused.

--- a/cornelnotch/gateway/frontend.py
+++ b/cornelnotch/gateway/frontend.py
@@ -15,6 +15,7 @@
 STATUS_UNAUTHORIZED = 401
 STATUS_NOT_FOUND = 404
 STATUS_UNAVAILABLE = 503
+OLD_CONFIGURATION = "old-configuration"
 
 
 class Frontend:
@@ -54,6 +55,14 @@
             await self._refuse_not_ready(exchange, request, arrived_ms)
             return
         table = context.table
+        if table.version < request.least_version:
+            # Its caller may have seen the effect of the newer version.
+            left_ms = request.deadline_ms
+            retry_ms = context.startup.choose_retry_after_ms(left_ms)
+            await self._refuse(
+                exchange, request, STATUS_UNAVAILABLE, OLD_CONFIGURATION, retry_ms
+            )
+            return
         route = table.find_route(request.host, request.path)
         if route is None:
             await self._refuse(exchange, request, STATUS_NOT_FOUND, "no-route")
--- a/cornelnotch/gateway/header_codec.py
+++ b/cornelnotch/gateway/header_codec.py
@@ -31,12 +31,14 @@
 class PeerOptions:
     """Parameters of a request that `host` passes on to another host.
 
-    It may be sent to `attempts` servers. A stream goes on after `last_event_id`.
+    It may be sent to `attempts` servers, and by no older configuration than `version`.
+    A stream goes on after `last_event_id`.
     """
 
     host: str
     remaining_ms: float
     attempts: int
+    version: int
     last_event_id: str = ""
 
 
--- a/cornelnotch/gateway/models.py
+++ b/cornelnotch/gateway/models.py
@@ -160,6 +160,7 @@
     `resumed_id` names the request whose stream this one resumes, if it resumes one.
     `passed_by` is the host that passed it on, if it came from a host, and
     `attempts_left` the number of servers that it may still be sent to then.
+    `least_version` is the version of that host's configuration.
     """
 
     request_id: str
@@ -179,6 +180,7 @@
     resumed_id: str = ""
     passed_by: str = ""
     attempts_left: int = 0
+    least_version: int = 0
 
     def list_shared_parts(self) -> tuple[str, ...]:
         """Return the names of the prompt parts that other requests may have too."""
--- a/cornelnotch/gateway/peer_dispatch.py
+++ b/cornelnotch/gateway/peer_dispatch.py
@@ -49,6 +49,7 @@
         "no-route",
         "no-servers",
         "not-sent",
+        "old-configuration",
         "unknown-key",
     }
 )
@@ -139,6 +140,7 @@
             flow.context.settings.host.name,
             flow.deadline_ms - flow.context.clock.read(),
             max(flow.route.attempts - flow.dispatches.ran, 1),
+            flow.context.table.version,
             flow.splitter.last_event_id,
         )
         headers = flow.context.header_codec.create_peer_headers(request, options)
--- a/cornelnotch/gateway/tests/test_passed_on_requests.py
+++ b/cornelnotch/gateway/tests/test_passed_on_requests.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from cornelnotch.gateway.tests.conftest import wait_until
+from cornelnotch.gateway.tests.conftest import create_configuration, wait_until
 from cornelnotch.gateway.tests.severed_hosts import Kind, Way, run_hosts
 from cornelnotch.wire.messages import LinkQuery
 
@@ -15,13 +15,13 @@
 KNOWN_S = 2.0
 
 
-async def cut_and_wait(fleet, hosts, way):
+async def cut_and_wait(fleet, hosts, way, service="desk"):
     """Cut hosts off, and wait until they know that."""
     fleet.cut(hosts, way)
     for host in hosts:
         await fleet.send_to(host, Kind.READ)
     links = [fleet.hosts[host].context.links for host in hosts]
-    await wait_until(lambda: all(each.is_cut_off("desk") for each in links))
+    await wait_until(lambda: all(each.is_cut_off(service) for each in links))
 
 
 def count_allowed_retries(fleet):
@@ -93,3 +93,28 @@
             assert queries == []
 
     asyncio.run(run())
+
+
+def move_reads(fleet):
+    """Have a new version of the configuration send reads to the engines."""
+    content = create_configuration(2)
+    read = next(route for route in content["routes"] if route["name"] == "read")
+    read["service"] = "llm"
+    fleet.configure(content)
+    return wait_until(lambda: all(h.context.table.version == 2 for h in fleet.hosts))
+
+
+def test_no_request_is_passed_on_to_a_host_with_an_older_configuration():
+    async def run():
+        async with run_hosts() as fleet:
+            older = fleet.hosts[1].context.table
+            await move_reads(fleet)
+            fleet.hosts[1].context.table = older
+            await cut_and_wait(fleet, {0}, Way.REFUSE, "llm")
+            reads = [fleet.start_request(0, Kind.READ) for _ in range(READS_PER_HOST)]
+            attempts = await asyncio.gather(*reads)
+            ids = {attempt.request_id for attempt in attempts}
+            assert not any(ids & set(server.executions) for server in fleet.desks)
+            assert all(attempt.is_served for attempt in attempts)
+
+    asyncio.run(run())
--- a/cornelnotch/platform/header_codec.py
+++ b/cornelnotch/platform/header_codec.py
@@ -40,10 +40,12 @@
 LEAVING = b"server-leaving"
 LEAVING_VALUE = "1"
 RATE_LIMIT = b"server-limit"
-# Between hosts only: who passed a request on, and to how many servers it may be sent.
-# A caller that sends them only forgoes retries of its own request.
+# Between hosts only: who passed a request on, to how many servers it may be sent, and
+# the least version of the configuration to use. A caller that sends them only forgoes
+# retries of its own request, or has it refused.
 PASSED_BY = b"cornelnotch-passed-by"
 ATTEMPTS_LEFT = b"cornelnotch-attempts-left"
+LEAST_VERSION = b"cornelnotch-least-version"
 MAX_ATTEMPTS = 1000
 BRITTLE = b"server-brittle"
 DECIMAL_NUMBER = re.compile(r"\d+(\.\d*)?|\.\d+", re.ASCII)
@@ -80,6 +82,7 @@
         b"x-expected-version",
         PASSED_BY,
         ATTEMPTS_LEFT,
+        LEAST_VERSION,
     }
 )
 STATUS_MISDIRECTED = 421
@@ -180,6 +183,7 @@
             passed_by=find_header(headers, PASSED_BY),
             attempts_left=parse_count(find_header(headers, ATTEMPTS_LEFT), MAX_ATTEMPTS)
             or 0,
+            least_version=parse_count(find_header(headers, LEAST_VERSION)) or 0,
         )
 
     def create_dispatch_headers(
@@ -223,6 +227,7 @@
             (DEADLINE, str(max(int(options.remaining_ms), 1)).encode()),
             (PASSED_BY, options.host.encode("latin-1")),
             (ATTEMPTS_LEFT, str(options.attempts).encode()),
+            (LEAST_VERSION, str(options.version).encode()),
         ]
 
     def read_response(self, status: int, headers: Headers) -> ResponseHead:
