gateway: controllers learn of requests sent before a server was brittle

Callers of a brittle server with long calls saw it fall over at the next burst: calls sent before it was brittle had no grant, so its controller took their slots for free.

Hosts now report such requests to the controller as running, with the next round of reports, and their ends. Calls are only reported where a server is brittle, so nothing is sent more elsewhere.

--- a/cornelnotch/gateway/admission_client.py
+++ b/cornelnotch/gateway/admission_client.py
@@ -103,12 +103,14 @@
         is_listed: Callable[[ServerView], bool],
         find_limit: Callable[[ServerView], RateLimit | None] = lambda view: None,
         generator: random.Random | None = None,
+        list_brittle: Callable[[], list[ServerView]] = list,
     ) -> None:
         self._peers = peers
         self._clock = clock
         self._list_hosts = list_hosts
         self._is_listed = is_listed
         self._find_limit = find_limit
+        self._list_brittle = list_brittle
         self._generator = generator or random.Random(peers.name)
         self._states: dict[AdmissionKey, AdmissionState] = {}
         self._controllers: dict[str, str] = {}
@@ -201,10 +203,22 @@
         while True:
             await self._clock.sleep(ASK_PERIOD_MS)
             now = self._clock.read()
+            self._report_unadmitted()
             for state in list(self._states.values()):
                 if state.granted:
                     self._report(state, now)
 
+    def _report_unadmitted(self) -> None:
+        """Report the requests that were sent to servers before they were brittle."""
+        for view in self._list_brittle():
+            for in_flight in list(view.in_flight.values()):
+                key = AdmissionKey(in_flight.request_id, view.record.name)
+                if in_flight.sent and key not in self._states:
+                    state = self._add_state(key, view, in_flight)
+                    state.granted = True
+                    state.prefilled = in_flight.first_ms > 0
+                    self._send_ask(state, "begun" if state.prefilled else "sent")
+
     def _report(self, state: AdmissionState, now: float) -> None:
         if self._update_controller(state) or now - state.sent_ms >= REPORT_PERIOD_MS:
             self._send_ask(state, "begun" if state.prefilled else "sent")
@@ -214,16 +228,23 @@
         request: CallerRequest,
         view: ServerView,
         in_flight: InFlightRequest,
+    ) -> AdmissionState:
+        key = AdmissionKey(request.request_id, view.record.name)
+        state = self._add_state(key, view, in_flight)
+        state.shared = list(request.prompt[:-1])
+        own = request.prompt_tokens - sum(part.tokens for part in state.shared)
+        state.own_tokens = max(own, 0)
+        return state
+
+    def _add_state(
+        self, key: AdmissionKey, view: ServerView, in_flight: InFlightRequest
     ) -> AdmissionState:
         now = self._clock.read()
-        shared = list(request.prompt[:-1])
-        own = request.prompt_tokens - sum(part.tokens for part in shared)
         controller = self.find_controller(view)
-        name = request.request_id
-        state = AdmissionState(name, shared, max(own, 0), controller, view, in_flight)
-        state.answered_ms = state.sent_ms = now
-        in_flight.server = view.record.name
-        self._states[AdmissionKey(name, in_flight.server)] = state
+        state = AdmissionState(key.request_id, [], 0, controller, view, in_flight)
+        state.arrived_ms = state.answered_ms = state.sent_ms = now
+        in_flight.server = key.server
+        self._states[key] = state
         return state
 
     def _recheck(self, state: AdmissionState) -> AdmissionResult | None:
--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -107,7 +107,12 @@
         self.hosts: list[ReaderCandidate] = []
         self.unreachable_hosts = 0
         self.admission = AdmissionClient(
-            peers, clock, self.list_controllers, self.accepts, self.find_rate_limit
+            peers,
+            clock,
+            self.list_controllers,
+            self.accepts,
+            self.find_rate_limit,
+            list_brittle=self._list_brittle,
         )
         self.origins = StreamOrigins()
         self.report_origin: Callable[[str, StreamOrigin], None] = lambda name, origin: (
@@ -158,6 +163,9 @@
         """Return the rate limit in force for a server, or None if it has none."""
         return self.rate_limits.find(server.record)
 
+    def _list_brittle(self) -> list[ServerView]:
+        return [view for view in self.pool.servers.values() if self.is_brittle(view)]
+
     def is_brittle(self, server: ServerView) -> bool:
         """Return whether a server falls over if it rejects too many requests."""
         limit = self.find_rate_limit(server)
--- a/cornelnotch/gateway/tests/brittle_hosts.py
+++ b/cornelnotch/gateway/tests/brittle_hosts.py
@@ -25,7 +25,11 @@
 STREAM_TARGET_MS = WORK_MS / 2
 EVENTS = 8
 DOWN_S = 2.0
+# Calls to paths that end so take longer than servers announce brittleness ahead.
+LONG = "/long"
+LONG_MS = 7500.0
 DEADLINE_MS = 3000
+LONG_DEADLINE_MS = 10_000
 STATUS_OK = 200
 STATUS_UNAVAILABLE = 503
 
@@ -81,6 +85,10 @@
             if boot_ms == self.boot_ms:
                 self.held -= 1
 
+    async def _is_left_within(self, exchange, wait_ms):
+        is_long = exchange.path.endswith(LONG)
+        return await super()._is_left_within(exchange, LONG_MS if is_long else wait_ms)
+
     @staticmethod
     async def _work_until(until_s):
         await asyncio.sleep(until_s - asyncio.get_running_loop().time())
@@ -153,6 +161,7 @@
             self.list_brittle(server)
         content = create_configuration()
         for route in content["routes"]:
+            route["timeout_ms"] = 2 * LONG_MS
             is_stream = route["route_type"] == "streaming"
             route["target_latency_ms"] = (
                 STREAM_TARGET_MS if is_stream else CALL_TARGET_MS
@@ -221,7 +230,9 @@
                 path,
                 address=host.settings.listen.callers,
                 x_attempt_id=f"a{number}",
-                x_deadline_ms=str(DEADLINE_MS),
+                x_deadline_ms=str(
+                    LONG_DEADLINE_MS if path.endswith(LONG) else DEADLINE_MS
+                ),
                 x_prompt_prefix=f"own-{number}:40",
                 x_token_usage="40,10",
             )
--- a/cornelnotch/gateway/tests/test_admission_client.py
+++ b/cornelnotch/gateway/tests/test_admission_client.py
@@ -47,11 +47,13 @@
         self.peers = RecordingPeers()
         self.hosts = ["h2"]
         self.listed = True
+        self.brittle: list[ServerView] = []
         self.client = AdmissionClient(
             self.peers,
             create_clock(),
             lambda view: self.hosts,
             lambda view: self.listed,
+            list_brittle=lambda: self.brittle,
         )
         record = ServerRecord("engine", "llm", "10.0.0.1:80", "a", 64)
         self.view = ServerView(record)
@@ -201,3 +203,21 @@
         reporting.cancel()
 
     run_scenario(scenario)
+
+
+def test_requests_sent_before_a_server_was_brittle_are_reported_once():
+    async def scenario(setup):
+        in_flight = InFlightRequest("r1", 0.0, 0, sent=True)
+        setup.view.start(in_flight)
+        setup.view.start(InFlightRequest("r2", 0.0, 0))
+        setup.brittle.append(setup.view)
+        reports = asyncio.create_task(setup.client.run_reports())
+        await asyncio.sleep(2.5 * admission_client.ASK_PERIOD_MS / 1000.0)
+        asks = setup.peers.list_asks()
+        assert [(h, m.request_id, m.stage) for h, m in asks] == [("h2", "r1", "sent")]
+        setup.view.finish(in_flight)
+        setup.client.report_end(in_flight)
+        assert ("h2", AdmissionEnd("r1", "engine", abandoned=True)) in setup.peers.sent
+        reports.cancel()
+
+    run_scenario(scenario)
--- a/cornelnotch/gateway/tests/test_brittle_hosts.py
+++ b/cornelnotch/gateway/tests/test_brittle_hosts.py
@@ -27,11 +27,15 @@
 MIN_SERVED_SHARE = 0.5
 # Servers that bear as much serve this share of their capacity.
 SERVING_PER_SECOND = 2
+# Calls that hold half of the slots when the servers become brittle.
+EARLY_CALLS = SERVERS_PER_SERVICE * SLOTS // 2
+EARLY_S = 0.6
+EARLY_PER_SECOND = EARLY_CALLS / EARLY_S
 PATHS = ["/read/x", "/stream/x"]
 
 
 async def play(fleet, path, per_second, leave_s=None):
-    """Send a burst to servers that are brittle; return when it began."""
+    """Send a burst to servers that become brittle; return when it began."""
     calm = CALM_LOAD * CAPACITY_PER_SECOND
     await fleet.load(path, calm, CALM_S)
     brittle = asyncio.create_task(fleet.become_brittle(per_second, CONTACT_S))
@@ -77,3 +81,14 @@
             check_falls(fleet, path)
 
     asyncio.run(run())
+
+
+def test_brittle_servers_hardly_fall_over_beside_calls_sent_before():
+    async def run():
+        async with run_brittle_hosts() as fleet:
+            await fleet.load("/book/long", EARLY_PER_SECOND, EARLY_S)
+            await play(fleet, "/read/x", 0)
+            check_falls(fleet, "/read/x")
+            assert fleet.count_statuses("/book/long", 0.0) == {STATUS_OK: EARLY_CALLS}
+
+    asyncio.run(run())
