gateway: the queue of a restarted brittle server keeps what was granted

A brittle server that came back from a crash fell over soon after the platform listed it again: hosts still sent to its new process under the old record, and with the new record its controller began a queue that knew of none of these requests.

The new queue now takes over the granted entries of the former one. Their hosts report their ends as before, and entries without reports expire.

Three servers that bear no rejection crash one after the other within a burst, restart after 0.5 s and are listed 1 s later.

--- a/cornelnotch/gateway/admission_controller.py
+++ b/cornelnotch/gateway/admission_controller.py
@@ -203,9 +203,11 @@
         self._drop_unlisted()
         if engine_queue is not None and engine_queue.timer is not None:
             engine_queue.timer.cancel()
-        engine_queue = self._queues[server] = EngineQueue(
-            self._create_queue(server, view), boot_ms
-        )
+        queue = self._create_queue(server, view)
+        if engine_queue is not None and engine_queue.queue.room is not None:
+            # The new process may hold requests that were sent under the old record.
+            queue.take_over(engine_queue.queue)
+        engine_queue = self._queues[server] = EngineQueue(queue, boot_ms)
         return engine_queue
 
     def _drop_unlisted(self) -> None:
--- a/cornelnotch/gateway/admission_queue.py
+++ b/cornelnotch/gateway/admission_queue.py
@@ -155,6 +155,11 @@
         known.prefilled = known.prefilled or entry.prefilled
         return known
 
+    def take_over(self, former: "AdmissionQueue") -> None:
+        """Add the requests that another queue for the same server has granted."""
+        granted = {name: e for name, e in former.entries.items() if e.granted}
+        self.entries.update(granted)
+
     def revoke_expired(self, request_id: str, now: float) -> None:
         """Remove a request whose grant has expired, so that it needs another one."""
         entry = self.entries.get(request_id)
--- a/cornelnotch/gateway/tests/brittle_hosts.py
+++ b/cornelnotch/gateway/tests/brittle_hosts.py
@@ -45,6 +45,8 @@
         self.room = USUAL_ROOM
         self.falls_s: list[float] = []
         self.rejections = 0
+        self.down_s = DOWN_S
+        self.relist_s = 0.0
         self.restarted = lambda server: None
         self.faults.call_ms = WORK_MS
         self.faults.event_ms = WORK_MS / EVENTS
@@ -112,15 +114,20 @@
     def _fall_over(self, now_s):
         if self._fall is None or self._fall.done():
             self.falls_s.append(now_s)
-            self._fall = asyncio.create_task(self._restart())
+            self.crash()
+
+    def crash(self):
+        """End at once, and start again after a while."""
+        self._fall = asyncio.create_task(self._restart())
 
     async def _restart(self):
         port = self.server.port
         await self.server.stop()
-        await asyncio.sleep(DOWN_S)
+        await asyncio.sleep(self.down_s)
         self.boot_ms += 1
         self._reset()
         await self.server.start("127.0.0.1", port)
+        await asyncio.sleep(self.relist_s)
         self.restarted(self)
 
 
--- a/cornelnotch/gateway/tests/test_admission_queue.py
+++ b/cornelnotch/gateway/tests/test_admission_queue.py
@@ -229,3 +229,14 @@
     longest_tenth = long_prompts[-len(long_prompts) // 10 :]
     # Callers give up after four times the target.
     assert count_in_time(longest_tenth, False, 10_000.0) >= 0.7
+
+
+def test_a_queue_takes_over_what_another_one_has_granted():
+    former = create_queue(create_entry("granted"))
+    assert list_granted(former) == ["granted"]
+    former.add_or_refresh(create_entry("waiting"))
+    queue = create_queue()
+    queue.take_over(former)
+    assert list(queue.entries) == ["granted"]
+    queue.remove("granted")
+    assert not queue.entries
--- a/cornelnotch/gateway/tests/test_brittle_hosts.py
+++ b/cornelnotch/gateway/tests/test_brittle_hosts.py
@@ -31,6 +31,11 @@
 EARLY_CALLS = SERVERS_PER_SERVICE * SLOTS // 2
 EARLY_S = 0.6
 EARLY_PER_SECOND = EARLY_CALLS / EARLY_S
+# Servers crash within the burst, and the platform lists them later than they restart.
+CRASH_S = CALM_S + CONTACT_S + 0.5
+CRASH_INTERVAL_S = 0.5
+RESTART_S = 0.5
+RELIST_S = 1.0
 PATHS = ["/read/x", "/stream/x"]
 
 
@@ -92,3 +97,16 @@
             assert fleet.count_statuses("/book/long", 0.0) == {STATUS_OK: EARLY_CALLS}
 
     asyncio.run(run())
+
+
+def test_brittle_servers_hardly_fall_over_that_are_relisted_after_a_restart():
+    async def run():
+        async with run_brittle_hosts() as fleet:
+            for number, server in enumerate(fleet.desks):
+                server.down_s, server.relist_s = RESTART_S, RELIST_S
+                crash_s = CRASH_S + number * CRASH_INTERVAL_S
+                asyncio.get_running_loop().call_later(crash_s, server.crash)
+            await play(fleet, "/read/x", 0)
+            check_falls(fleet, "/read/x")
+
+    asyncio.run(run())
