gateway: what is common to searches for another server is a base class

No change of behaviour. ReplacementSearch is the abstract base (placement, admission, budget, attempts, crash guard); StreamSearch has what only streams need: the copy of the KV cache, events, the process that answers.

--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -29,7 +29,7 @@
 )
 from cornelnotch.gateway.peer_dispatch import PeerDispatch
 from cornelnotch.gateway.placement import Placement, PlacementNeed
-from cornelnotch.gateway.replacement import Replacement, ReplacementSearch
+from cornelnotch.gateway.replacement import Replacement
 from cornelnotch.gateway.request_timing import RequestTiming
 from cornelnotch.gateway.response_ends import confirm_end
 from cornelnotch.gateway.retry_after import (
@@ -38,6 +38,7 @@
 )
 from cornelnotch.gateway.retry_policy import may_send_again
 from cornelnotch.gateway.servers import InFlightRequest, ServerView
+from cornelnotch.gateway.stream_search import StreamSearch
 from cornelnotch.gateway.streams import EventSplitter
 from cornelnotch.gateway.timeouts import find_max_gap_s, find_stall_timeout_s
 from cornelnotch.kernel.events import Event
@@ -668,7 +669,7 @@
             in_flight,
             self.context.clock,
             self._find_stall_timeout_s(),
-            ReplacementSearch(self, view),
+            StreamSearch(self, view),
         )
         try:
             await self.continuation.confirm_server(view)
--- /dev/null
+++ b/cornelnotch/gateway/stream_search.py
@@ -0,0 +1,69 @@
+"""Find another server for a stream whose server has fallen silent.
+
+The stream goes on at the server that sends its next event first.
+"""
+
+import asyncio
+
+from cornelnotch.exceptions import UpstreamError
+from cornelnotch.gateway.dispatch import UpstreamResponse, has_events
+from cornelnotch.gateway.placement import Placement
+from cornelnotch.gateway.replacement import Replacement, ReplacementSearch
+from cornelnotch.gateway.servers import ServerView
+from cornelnotch.gateway.silence import is_silent
+from cornelnotch.kernel.events import Event
+
+__all__ = ["StreamSearch"]
+
+# Time for which both servers may run the stream.
+MAX_OVERLAP_S = 0.2
+
+
+class StreamSearch(ReplacementSearch):
+    """Search for a server that goes on with the stream of a silent one."""
+
+    event = Event.STREAM_STALLED
+
+    def may_start(self) -> bool:
+        """Return whether another server may go on with the stream."""
+        flow = self._flow
+        if flow.backup is None:
+            return super().may_start()
+        # A stream that may not be repeated resumes only after its server failed.
+        now = flow.context.clock.read()
+        return is_silent(self._silent, now) and flow.context.accepts(flow.backup)
+
+    async def _find(self) -> Replacement | None:
+        backup = self._flow.backup
+        return await (
+            super()._find() if backup is None else self._resume_from_copy(backup)
+        )
+
+    async def _resume_from_copy(self, backup: ServerView) -> Replacement | None:
+        flow = self._flow
+        flow.resuming = True
+        found: Replacement | None = None
+        try:
+            placement = Placement(backup, 0.0, 0, 1)
+            found = await self._try_server(placement, flow.is_admitted)
+            return found
+        finally:
+            if found is None:
+                # A copy can be used once.
+                flow.resuming = False
+                flow.backup = None
+
+    async def _is_usable(self, view: ServerView, response: UpstreamResponse) -> bool:
+        flow = self._flow
+        if not has_events(flow.route, response):
+            return False
+        if flow.continuation.origin is None:
+            return True
+        try:
+            async with asyncio.timeout(MAX_OVERLAP_S):
+                await flow.continuation.confirm_server(view)
+        except UpstreamError:
+            return False
+        except TimeoutError:
+            pass  # It is asked again once the silent server is given up.
+        return True
