gateway: a call keeps its slow server until another one has answered

Cause: without a response head after 2.5 targets (0.4 s at least) the dispatch was closed first, and another server sought afterwards.

The first head of a response without a server error wins; the other connection is closed and its places are released. If there is no other server, or it refuses or fails, the first is waited for until the deadline. With more attempts the second server is kept in the same way while a third is sought. A host that is cut off from the service passes the call on, as before; a search of a stream ends then too, instead of trying further servers. Calls that may run once never get a second dispatch.

As before, the silent server counts as failed for placement at the timeout, when it used to be closed (6005, ejection, probe of the links), so a dead one is replaced and avoided as fast. While it is awaited the call counts as run; a dispatch that proves later that it did not run is not counted any more, so that "not run" is told more often and only if it is true for every server. 6016 CALL_STALLED names the silent server and the one that answered.

What changes for the worse: behind a dead server, a call for which no other server answers gets 504 at its deadline, not 502 at the timeout; the same if the second server answers with 5xx.

--- a/cornelnotch/gateway/crash_guard.py
+++ b/cornelnotch/gateway/crash_guard.py
@@ -15,6 +15,7 @@
         self._context = context
         self._request = request
         self._is_trial = False
+        self.is_suspected = False
 
     def may_dispatch(self, has_run: bool) -> bool:
         """Return whether the request is not blamed for crashes, or may be tried once.
@@ -39,4 +40,7 @@
             return False
         has_crashed = await self._context.crash_watch.note_break(server, in_flight)
         parts = self._request.list_crash_parts()
-        return has_crashed and self._context.crashes.is_suspected(parts)
+        if has_crashed and self._context.crashes.is_suspected(parts):
+            self.is_suspected = True
+            return True
+        return False
--- a/cornelnotch/gateway/dispatcher.py
+++ b/cornelnotch/gateway/dispatcher.py
@@ -16,7 +16,6 @@
 from cornelnotch.gateway.retry_policy import DispatchCounts
 from cornelnotch.gateway.server_signals import apply_server_signals
 from cornelnotch.gateway.servers import InFlightRequest, ServerView
-from cornelnotch.gateway.timeouts import find_response_timeout_s
 from cornelnotch.kernel.events import Event
 
 __all__ = ["CacheCopy", "Dispatcher"]
@@ -94,27 +93,19 @@
     async def _send(
         self, view: ServerView, options: DispatchOptions
     ) -> UpstreamResponse:
-        """Send the request; time out on silence where another server may help."""
-        timeout_s = find_response_timeout_s(self._route, self.counts.ran)
+        """Send the request; count it as one that may have run if it is cancelled."""
         sending = asyncio.Event()
         loop = asyncio.get_running_loop()
         watch = loop.call_later(SLOW_CONNECT_S, self._check_connecting, view, sending)
         try:
-            async with asyncio.timeout(timeout_s):
-                return await open_response(
-                    self._context.client,
-                    self._context.header_codec,
-                    view.record.address,
-                    self._request,
-                    options,
-                    self._needs_new_connection(view),
-                    sending.set,
-                )
-        except TimeoutError:
-            return UpstreamResponse(
-                DispatchOutcome.BROKEN,
-                f"no response for {timeout_s} s",
-                timed_out=True,
+            return await open_response(
+                self._context.client,
+                self._context.header_codec,
+                view.record.address,
+                self._request,
+                options,
+                self._needs_new_connection(view),
+                sending.set,
             )
         except BaseException:
             self.counts.ran += sending.is_set()
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -38,6 +38,7 @@
 )
 from cornelnotch.gateway.retry_policy import may_send_again
 from cornelnotch.gateway.servers import InFlightRequest, ServerView
+from cornelnotch.gateway.slow_calls import WatchedDispatch
 from cornelnotch.gateway.stream_search import StreamSearch
 from cornelnotch.gateway.streams import EventSplitter
 from cornelnotch.gateway.timeouts import find_max_gap_s, find_stall_timeout_s
@@ -219,7 +220,7 @@
         self.replacement = None
         view, in_flight = replacement.placement.server, replacement.in_flight
         try:
-            response = await self._receive(view, in_flight, replacement.response)
+            response = await self.receive(view, in_flight, replacement.response)
             return await self._conclude(view, in_flight, response)
         finally:
             replacement.release()
@@ -317,7 +318,7 @@
             await self._refuse_leaving()
             return True
         if result is AdmissionResult.RATE_LIMITED:
-            self._skip_limited(placement.server, UNRESPONSIVE_MS)
+            self.skip_limited(placement.server, UNRESPONSIVE_MS)
             return False
         if result is AdmissionResult.INFEASIBLE:
             return await self._skip_overloaded(placement.server, in_flight)
@@ -327,7 +328,7 @@
         if not self._can_end(self._estimate_prefill_ms(placement, in_flight)):
             await self._refuse_leaving()
             return True
-        response = await self._dispatch(placement, in_flight)
+        response = await WatchedDispatch(self, placement, in_flight).run()
         return await self._conclude(placement.server, in_flight, response)
 
     async def _conclude(
@@ -343,7 +344,7 @@
         may_crash_servers = await self.crash_guard.note_break(view, in_flight, response)
         self.excluded = self.excluded | {view.record.name}
         if in_flight.rejected and self.context.is_brittle(view):
-            self._skip_limited(view, in_flight.wait_ms)
+            self.skip_limited(view, in_flight.wait_ms)
         if self.dispatches.ran:
             # A request that may have run is not refused because of overload: it
             # waits, so that its work is not lost.
@@ -401,7 +402,7 @@
             DispatchOutcome.NOT_SENT, "the engine does not admit the stream"
         )
         if await self.is_admitted(placement.server, in_flight):
-            response = await self._dispatch(placement, in_flight)
+            response = await WatchedDispatch(self, placement, in_flight).run()
         if response is not None:
             await self.finish_failed(response)
         return True
@@ -419,7 +420,7 @@
     ) -> bool:
         """Skip an overloaded server; return whether the request was refused."""
         if self.context.find_rate_limit(view) is not None:
-            self._skip_limited(view, in_flight.wait_ms)
+            self.skip_limited(view, in_flight.wait_ms)
             return False
         self.overloaded.add(view.record.name)
         self.overloaded_wait_ms = in_flight.wait_ms
@@ -428,7 +429,7 @@
         await self.refuse_with_retry(self.overloaded_wait_ms, "backlog")
         return True
 
-    def _skip_limited(self, view: ServerView, wait_ms: float) -> None:
+    def skip_limited(self, view: ServerView, wait_ms: float) -> None:
         """Skip a server whose rate limit leaves no place in time."""
         self.unadmitted.add(view.record.name)
         self.limited_wait_ms = min(self.limited_wait_ms, wait_ms)
@@ -565,13 +566,6 @@
         retry_ms = choose_retry_after_ms(wait_ms, left_ms, self.context.generator)
         await self.refuse(STATUS_UNAVAILABLE, reason, round(retry_ms))
 
-    async def _dispatch(
-        self, placement: Placement, in_flight: InFlightRequest
-    ) -> UpstreamResponse | None:
-        """Send the request; return None on success, else the failed response."""
-        response = await self.open(placement, in_flight)
-        return await self._receive(placement.server, in_flight, response)
-
     async def open(
         self, placement: Placement, in_flight: InFlightRequest
     ) -> UpstreamResponse:
@@ -585,7 +579,7 @@
         last_event_id = self.splitter.last_event_id
         return await self.dispatcher.open(placement, in_flight, last_event_id, copy)
 
-    async def _receive(
+    async def receive(
         self, view: ServerView, in_flight: InFlightRequest, response: UpstreamResponse
     ) -> UpstreamResponse | None:
         """Forward a response; return None on success, else the failed response."""
--- a/cornelnotch/gateway/replacement.py
+++ b/cornelnotch/gateway/replacement.py
@@ -98,7 +98,7 @@
         """Try the servers one after another."""
         flow = self._flow
         for _ in range(MAX_TRIES):
-            if not self._may_dispatch_again():
+            if self.must_leave() or not self._may_dispatch_again():
                 return None
             placement = flow.place()
             if placement is None:
--- a/cornelnotch/gateway/request_timing.py
+++ b/cornelnotch/gateway/request_timing.py
@@ -89,10 +89,10 @@
         return self._durations.estimate_ms(self._route.name, share, request, now)
 
     def can_end_elsewhere(self, events: int) -> bool:
-        """Return whether another server could end the stream before the host stops.
+        """Return whether another server could end the request before the host stops.
 
         The caller has received `events`. No time is kept for a silence of that server,
-        as the stream's own one is silent now.
+        as the request's own one is silent now.
         """
         if not self._drain.has_started:
             return True
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -188,6 +188,11 @@
         logging.INFO,
         "another server was sought for the stream of a silent one",
     )
+    CALL_STALLED = (
+        6016,
+        logging.INFO,
+        "another server was sought for the call of a silent one",
+    )
     REQUEST_ANSWERED = (6006, logging.INFO, "a request was answered completely")
     REQUEST_BROKEN_OFF = (6007, logging.INFO, "a response ended early")
     TURN_CAME = (
