tests: limits in the tests of slow calls are whole ones

Two tests gave an empty object as the limit of a server. Since the code compares when a limit was observed, both got 500 from an AttributeError. They now give a limit of zero, which is as strict.

--- a/cornelnotch/gateway/tests/test_slow_calls.py
+++ b/cornelnotch/gateway/tests/test_slow_calls.py
@@ -8,6 +8,7 @@
 
 from cornelnotch.gateway.admission_client import AdmissionResult
 from cornelnotch.gateway.durations import RequestDuration
+from cornelnotch.gateway.rate_limits import RateLimit
 from cornelnotch.gateway.tests.conftest import (
     create_configuration,
     run_second_host,
@@ -215,6 +216,10 @@
     run_scenario(scenario)
 
 
+def find_zero_limit(view):
+    return RateLimit(view.record.name, view.record.boot_ms, 0.0, 0.0)
+
+
 async def delay_admission(d):
     """Let no further call be admitted; return an event that is set once one waits."""
     waiting = asyncio.Event()
@@ -223,7 +228,7 @@
         waiting.set()
         await asyncio.Event().wait()
 
-    d.host.context.find_rate_limit = lambda view: object()
+    d.host.context.find_rate_limit = find_zero_limit
     d.host.context.admission.wait_for_admission = wait_for_ever
     return waiting
 
@@ -257,7 +262,7 @@
 
         d.host.context.admission.wait_for_admission = refuse
         find_rate_limit = d.host.context.find_rate_limit
-        d.host.context.find_rate_limit = lambda view: object()
+        d.host.context.find_rate_limit = find_zero_limit
         assert (await task).status == 200
         d.host.context.find_rate_limit = find_rate_limit
         assert len(asked) == 1
