gateway: versions that served between two reads are seen

A host noted only versions that are listed after it applied records. A version that joined and left within one page was never noted, and one that left was last seen at the observation before. After a standstill or a cut with messages lost, an unknown stream of such a version may go on at the one that stayed. Now the versions before the change and in overwritten records of the page count as seen with it.

--- a/cornelnotch/gateway/records.py
+++ b/cornelnotch/gateway/records.py
@@ -51,7 +51,8 @@
 
     `older_records` contains the records of older timelines. `was_restored` is true once
     one timeline has replaced another, `needs_full_read` until the records of the new
-    one have been read.
+    one have been read. `overwritten` contains the records of the last page that later
+    ones of the same page overwrote.
     """
 
     head: int = -1
@@ -60,6 +61,7 @@
     older_records: dict[str, Record] = field(default_factory=dict)
     was_restored: bool = False
     needs_full_read: bool = False
+    overwritten: list[Record] = field(default_factory=list)
 
     def enter_timeline(self, timeline: int) -> bool:
         """Switch to a later timeline; return whether known records became older."""
@@ -94,6 +96,8 @@
                 self.records.pop(record.key, None)
             changed.append(record)
         self.head = max(self.head, page.next_offset)
+        newest = {record.key: record.offset for record in changed}
+        self.overwritten = [r for r in changed if r.offset < newest[r.key]]
         return changed
 
     def replace(self, page: RecordPage) -> None:
@@ -113,6 +117,7 @@
         self.records = {**newer, **listed}
         self.head = max(self.head, page.next_offset)
         self.needs_full_read = False
+        self.overwritten = []
 
 
 class RecordSource(ABC):
--- a/cornelnotch/gateway/routing_state.py
+++ b/cornelnotch/gateway/routing_state.py
@@ -146,10 +146,7 @@
             if name in records:
                 del self._retained[name]
         merged = {**self._retained, **records}
-        now = self._context.clock.read()
-        for record in merged.values():
-            # A version may join and leave before the next observation.
-            self._context.software_history.note(create_origin(record), now)
+        self._note_versions([*known.values(), *merged.values()])
         for ended in self._context.pool.replace(merged.values()):
             # A connection to an earlier boot is reset once used, and the request on
             # it is then treated as if it had run.
@@ -158,6 +155,18 @@
         for name in known.keys() | merged.keys():
             self._log_server_change(name, known.get(name), merged.get(name))
 
+    def _note_versions(self, servers: list[ServerRecord]) -> None:
+        """Note the versions that served since the last change, even if no longer."""
+        now = self._context.clock.read()
+        overwritten = self._follower.views[SERVERS].overwritten
+        decoded = [
+            self._decode_server(record) for record in overwritten if record.value
+        ]
+        overwritten.clear()
+        for server in (*servers, *decoded):
+            if server is not None:
+                self._context.software_history.note(create_origin(server), now)
+
     def _log_server_change(
         self, name: str, before: ServerRecord | None, after: ServerRecord | None
     ) -> None:
