gateway: records that the store forgot end the known span

After the store had deleted the records at the host's offset (410), the host read all newest ones as if for the first time, so nothing counted as skipped: a version in between went unseen, and an unknown stream of it may go on at another one. Now only a host without any records reads for the first time.

--- a/cornelnotch/gateway/follower.py
+++ b/cornelnotch/gateway/follower.py
@@ -249,7 +249,7 @@
         if whole:
             before = view.records
             is_first = view.head < 0
-            if not is_first and view.head < page.end_offset:
+            if view.would_skip(page):
                 self.reads[topic].note_skip()
             view.replace(page)
             changed = is_first or before != view.records
--- a/cornelnotch/gateway/records.py
+++ b/cornelnotch/gateway/records.py
@@ -100,6 +100,12 @@
         self.overwritten = [r for r in changed if r.offset < newest[r.key]]
         return changed
 
+    def would_skip(self, page: RecordPage) -> bool:
+        """Return whether `replace` leaves out records that were not applied."""
+        # The head is negative after the store has forgotten the records there.
+        was_read = self.head >= 0 or bool(self.records)
+        return was_read and self.head < page.end_offset
+
     def replace(self, page: RecordPage) -> None:
         """Replace all records by the newest ones; unlisted keys are deleted.
 
--- a/cornelnotch/gateway/tests/test_unseen_versions.py
+++ b/cornelnotch/gateway/tests/test_unseen_versions.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from cornelnotch.exceptions import LogTrimmedError
 from cornelnotch.gateway.follower import SERVERS
 from cornelnotch.gateway.models import ServerRecord
 from cornelnotch.gateway.origin_keeper import OriginKeeper
@@ -85,3 +86,19 @@
     play.leave("v1-1")
     play.read()
     assert play.find_only(play.fleet.clock.read()) is None
+
+
+def test_records_that_the_store_forgot_end_the_known_span(play):
+    # Regression test: streams of the versions in them went on at the one that stayed.
+    play.store.list_server("v2-1", 1)
+    play.leave("v2-1")
+    read_from = play.host.reader.read_from
+
+    async def fail(topic, start, wait_ms):
+        play.host.reader.read_from = read_from
+        raise LogTrimmedError(start + 1, play.store.timeline)
+
+    play.host.reader.read_from = fail
+    play.read()
+    assert play.reads.count_skips() == 1
+    assert play.find_only(play.find_first_ms()) is None
