verification: a host out of step judges by its own reads

The model of origins has messages for certain and records for fresh. The new one has a host that misses messages or gets them late, and reads that take any time, while a version joins and leaves and a stream begins elsewhere. Seven mutants join versions and one never goes on; all are caught.

--- a/cornelnotch/verification/__init__.py
+++ b/cornelnotch/verification/__init__.py
@@ -15,6 +15,7 @@
     create_order_protocol,
 )
 from cornelnotch.verification.origins import OriginMutant, create_origin_protocol
+from cornelnotch.verification.reads import ReadMutant, create_read_protocol
 from cornelnotch.verification.restoration import (
     RestorationMutant,
     create_restoration_protocol,
@@ -29,6 +30,7 @@
     "LimitMutant",
     "OrderMutant",
     "OriginMutant",
+    "ReadMutant",
     "RestorationMutant",
     "StopMutant",
     "create_claim_protocol",
@@ -36,6 +38,7 @@
     "create_limit_protocol",
     "create_order_protocol",
     "create_origin_protocol",
+    "create_read_protocol",
     "create_restoration_protocol",
     "create_stop_protocol",
 ]
--- a/cornelnotch/verification/tests/test_models.py
+++ b/cornelnotch/verification/tests/test_models.py
@@ -1,7 +1,7 @@
 """Exhaustive checks of the protocol models, and of the mutants they must detect."""
 
 import pytest
-from minicheck import check_safety
+from minicheck import check_liveness, check_safety
 
 from cornelnotch.gateway.models import WorkKind
 from cornelnotch.verification import (
@@ -12,6 +12,7 @@
     LimitMutant,
     OrderMutant,
     OriginMutant,
+    ReadMutant,
     RestorationMutant,
     StopMutant,
     create_claim_protocol,
@@ -19,6 +20,7 @@
     create_limit_protocol,
     create_order_protocol,
     create_origin_protocol,
+    create_read_protocol,
     create_restoration_protocol,
     create_stop_protocol,
 )
@@ -212,3 +214,34 @@
 )
 def test_origin_mutants_are_detected(mutant):
     assert "not_joined" in list_violations(create_origin_protocol(mutant))
+
+
+def test_no_stream_goes_on_at_another_version_at_a_host_out_of_step():
+    assert_exhaustively_safe(create_read_protocol())
+
+
+@pytest.mark.parametrize(
+    "mutant",
+    [
+        ReadMutant.AGE,
+        ReadMutant.EARLY_READ,
+        ReadMutant.MESSAGES,
+        ReadMutant.NO_SKIP,
+        ReadMutant.FULL_READ,
+        ReadMutant.LAST_RECORDS,
+        ReadMutant.EARLY_END,
+    ],
+)
+def test_mutants_of_reads_are_detected(mutant):
+    assert "not_joined" in list_violations(create_read_protocol(mutant))
+
+
+def test_a_stream_of_the_only_version_can_always_go_on_at_a_host_out_of_step():
+    protocol = create_read_protocol(has_release=False)
+    assert_exhaustively_safe(protocol)
+    assert check_liveness(protocol)["holds"] is True
+
+
+def test_a_host_whose_reads_do_not_count_is_detected():
+    protocol = create_read_protocol(ReadMutant.ONLY_NEWS, has_release=False)
+    assert check_liveness(protocol)["holds"] is False
