gateway: a passed-on stream runs at no more servers than its route allows

A host that broke off a response and still accepts connections now counts as having used all the attempts that it was given; one that was killed counts as one attempt, as before, and the stream goes on at a third host (test). What this costs: a stream whose connection between two live hosts is reset is not taken up by the host itself if it has no attempt left.

--- a/cornelnotch/gateway/peer_dispatch.py
+++ b/cornelnotch/gateway/peer_dispatch.py
@@ -28,7 +28,7 @@
 from cornelnotch.gateway.timeouts import find_max_gap_s
 from cornelnotch.kernel.events import Event
 from cornelnotch.membership import Member
-from cornelnotch.web import HttpResponse
+from cornelnotch.web import HttpResponse, Reachability
 
 if TYPE_CHECKING:
     from cornelnotch.gateway.flow import RequestFlow
@@ -110,7 +110,8 @@
             await self._give_up()
             return True
         self._tried.add(member.name)
-        response = await self._open(member)
+        attempts = max(flow.route.attempts - flow.dispatches.ran, 1)
+        response = await self._open(member, attempts)
         flow.dispatches.count(response.outcome)
         flow.record_event(
             Event.REQUEST_PASSED_ON,
@@ -119,7 +120,7 @@
             reason=response.reason,
         )
         try:
-            return await self._conclude(response)
+            return await self._conclude(response, member, attempts)
         except BaseException:
             response.close()
             raise
@@ -133,13 +134,13 @@
         else:
             await flow.refuse_with_retry(PROBE_INTERVAL_MS, CUT_OFF)
 
-    async def _open(self, member: Member) -> UpstreamResponse:
+    async def _open(self, member: Member, attempts: int) -> UpstreamResponse:
         flow = self._flow
         request = flow.request
         options = PeerOptions(
             flow.context.settings.host.name,
             flow.deadline_ms - flow.context.clock.read(),
-            max(flow.route.attempts - flow.dispatches.ran, 1),
+            attempts,
             flow.context.table.version,
             flow.splitter.last_event_id,
         )
@@ -180,7 +181,9 @@
             outcome = DispatchOutcome.REFUSED
         return UpstreamResponse(outcome, f"status {head.status}", head, http_response)
 
-    async def _conclude(self, response: UpstreamResponse) -> bool:
+    async def _conclude(
+        self, response: UpstreamResponse, member: Member, attempts: int
+    ) -> bool:
         """Return whether the caller has its final response."""
         if response.outcome is DispatchOutcome.NOT_SENT:
             return False
@@ -194,8 +197,21 @@
         except UpstreamError as error:
             response.close()
             failed = UpstreamResponse(DispatchOutcome.BROKEN, error.problem)
+            is_done = response.outcome is DispatchOutcome.DONE
+            if is_done and await self._has_given_up(member, error):
+                self._flow.dispatches.ran += attempts - 1
         return await self._conclude_broken(failed)
 
+    async def _has_given_up(self, member: Member, error: UpstreamError) -> bool:
+        """Return whether a host may have broken off a response after its last attempt.
+
+        One that was killed, or that stands still, has not.
+        """
+        if isinstance(error, UpstreamStalledError):
+            return False
+        reached = await self._flow.context.client.probe(member.http)
+        return reached is Reachability.ACCEPTED
+
     async def _conclude_broken(self, failed: UpstreamResponse) -> bool:
         flow = self._flow
         now = flow.context.clock.read()
--- a/cornelnotch/gateway/tests/test_passed_on_streams.py
+++ b/cornelnotch/gateway/tests/test_passed_on_streams.py
@@ -114,3 +114,39 @@
             assert attempt.is_served
 
     asyncio.run(run())
+
+
+def test_a_stream_that_another_host_breaks_off_runs_at_no_more_servers_than_allowed():
+    async def run():
+        async with run_hosts() as fleet:
+            links = fleet.hosts[0].context.links
+            fleet.cut({0}, Way.REFUSE)
+            await fleet.send_to(0, Kind.STREAM)
+            await wait_until(lambda: links.is_cut_off("llm"))
+            for engine in fleet.engines:
+                engine.faults.abort_after_events = 1
+            attempts = create_configuration()["routes"][2]["max_attempts"]
+            begun = [fleet.start_request(0, Kind.STREAM) for _ in range(STREAMS)]
+            broken = await asyncio.gather(*begun)
+            runs = fleet.count_executions()
+            assert all(0 < runs[each.request_id] <= attempts for each in broken)
+
+    asyncio.run(run())
+
+
+def test_a_stream_goes_on_over_a_third_host_when_the_second_is_killed():
+    async def run():
+        async with run_hosts() as fleet:
+            links = fleet.hosts[0].context.links
+            fleet.cut({0}, Way.REFUSE)
+            await fleet.send_to(0, Kind.STREAM)
+            await wait_until(lambda: links.is_cut_off("llm"))
+            for engine in fleet.engines:
+                engine.faults.event_ms = LONG_EVENT_MS
+            sending = fleet.start_request(0, Kind.STREAM, request_id="passed")
+            await asyncio.sleep(FIRST_EVENTS_S)
+            await fleet.kill_host(fleet.find_sender("passed"))
+            attempt = await sending
+            assert attempt.is_served
+
+    asyncio.run(run())
