gateway: the time that a brittle server holds requests outlives a restart

The room of the next process now begins with the mean of the former one. The unit test needs the new method.

--- a/cornelnotch/gateway/admission_queue.py
+++ b/cornelnotch/gateway/admission_queue.py
@@ -159,6 +159,7 @@
         """Add the requests that another queue for the same server has granted."""
         granted = {name: e for name, e in former.entries.items() if e.granted}
         self.entries.update(granted)
+        self.room = former.room.create_successor() if former.room else None
 
     def revoke_expired(self, request_id: str, now: float) -> None:
         """Remove a request whose grant has expired, so that it needs another one."""
--- a/cornelnotch/gateway/server_room.py
+++ b/cornelnotch/gateway/server_room.py
@@ -41,6 +41,12 @@
         self._held_ms = 0.0
         self._abandoned_until_ms: list[float] = []
 
+    def create_successor(self) -> "ServerRoom":
+        """Return the room of the next process, which holds requests about as long."""
+        successor = ServerRoom(self._generator)
+        successor._held_ms = self._held_ms
+        return successor
+
     def set_bounds(self, slots: float, rejections_borne: float) -> None:
         """Set the slots and the rejections per second that this host may use up."""
         self.slots = max(int(slots), 1)
--- a/cornelnotch/gateway/tests/test_server_room.py
+++ b/cornelnotch/gateway/tests/test_server_room.py
@@ -100,3 +100,13 @@
     room.note_abandoned(0.0, 5000.0)
     assert not room.may_grant(0, 0, 5010.0)
     assert room.may_grant(0, 0, 6000.0)
+
+
+def test_the_next_process_is_known_to_hold_requests_as_long():
+    former = create_room(1, 0.0)
+    former.note_end(2000.0)
+    room = former.create_successor()
+    room.set_bounds(1, 0.0)
+    room.note_abandoned(0.0, 100.0)
+    assert not room.may_grant(0, 0, 1900.0)
+    assert room.may_grant(0, 0, 2500.0)
