--- a/cornelnotch/gateway/dispatcher.py
+++ b/cornelnotch/gateway/dispatcher.py
@@ -18,7 +18,7 @@
 from cornelnotch.gateway.servers import InFlightRequest, ServerView
 from cornelnotch.kernel.events import Event
 
-__all__ = ["CacheCopy", "Dispatcher"]
+__all__ = ["CacheCopy", "Dispatcher", "SilenceNotice"]
 
 # Longer than several round trips between regions.
 SLOW_CONNECT_S = 0.25
@@ -36,6 +36,14 @@
     source: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class SilenceNotice:
+    """What to call once a server has sent no response head for `timeout_s`."""
+
+    timeout_s: float
+    note: Callable[[], None]
+
+
 class Dispatcher:
     """Dispatches of one request, which ends at `deadline_ms`."""
 
@@ -64,6 +72,7 @@
         in_flight: InFlightRequest,
         last_event_id: str,
         copy: CacheCopy,
+        notice: SilenceNotice | None = None,
     ) -> UpstreamResponse:
         """Send the request and return the head of the response, or what failed."""
         view = placement.server
@@ -80,7 +89,7 @@
             copy.source,
         )
         sent_ms = self._context.clock.read()
-        response = await self._send(view, options)
+        response = await self._send(view, options, notice)
         self.counts.count(response.outcome)
         in_flight.rejected = response.outcome is DispatchOutcome.REFUSED
         in_flight.ended = response.outcome in ENDED
@@ -91,12 +100,19 @@
         return response
 
     async def _send(
-        self, view: ServerView, options: DispatchOptions
+        self,
+        view: ServerView,
+        options: DispatchOptions,
+        notice: SilenceNotice | None,
     ) -> UpstreamResponse:
         """Send the request; count it as one that may have run if it is cancelled."""
         sending = asyncio.Event()
         loop = asyncio.get_running_loop()
-        watch = loop.call_later(SLOW_CONNECT_S, self._check_connecting, view, sending)
+        timers = [
+            loop.call_later(SLOW_CONNECT_S, self._check_connecting, view, sending)
+        ]
+        if notice is not None:
+            timers.append(loop.call_later(notice.timeout_s, notice.note))
         try:
             return await open_response(
                 self._context.client,
@@ -111,7 +127,8 @@
             self.counts.ran += sending.is_set()
             raise
         finally:
-            watch.cancel()
+            for timer in timers:
+                timer.cancel()
 
     def _check_connecting(self, view: ServerView, sending: asyncio.Event) -> None:
         """Have the links to the servers probed while a connect hangs."""
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -17,7 +17,7 @@
     UpstreamResponse,
     has_events,
 )
-from cornelnotch.gateway.dispatcher import CacheCopy, Dispatcher
+from cornelnotch.gateway.dispatcher import CacheCopy, Dispatcher, SilenceNotice
 from cornelnotch.gateway.drain import choose_drain_retry_after_ms
 from cornelnotch.gateway.fingerprints import create_fingerprints
 from cornelnotch.gateway.forwarding import MAX_BUFFERED_BYTES, EventReader, forward_body
@@ -567,7 +567,10 @@
         await self.refuse(STATUS_UNAVAILABLE, reason, round(retry_ms))
 
     async def open(
-        self, placement: Placement, in_flight: InFlightRequest
+        self,
+        placement: Placement,
+        in_flight: InFlightRequest,
+        notice: SilenceNotice | None = None,
     ) -> UpstreamResponse:
         """Send the request; return the head of the response, or what failed.
 
@@ -577,7 +580,9 @@
             raise TimeoutError  # The host was suspended; its timers have not fired yet.
         copy = self._choose_copy(placement.server)
         last_event_id = self.splitter.last_event_id
-        return await self.dispatcher.open(placement, in_flight, last_event_id, copy)
+        return await self.dispatcher.open(
+            placement, in_flight, last_event_id, copy, notice
+        )
 
     async def receive(
         self, view: ServerView, in_flight: InFlightRequest, response: UpstreamResponse
--- a/cornelnotch/gateway/slow_calls.py
+++ b/cornelnotch/gateway/slow_calls.py
@@ -12,6 +12,7 @@
 
 from cornelnotch.gateway.admission_client import UNRESPONSIVE_MS, AdmissionResult
 from cornelnotch.gateway.dispatch import DispatchOutcome, UpstreamResponse
+from cornelnotch.gateway.dispatcher import SilenceNotice
 from cornelnotch.gateway.placement import Placement
 from cornelnotch.gateway.replacement import ADMITTED, Replacement, ReplacementSearch
 from cornelnotch.gateway.server_links import PROBE_INTERVAL_MS
@@ -135,15 +136,11 @@
         if timeout_s is None:
             return await flow.open(self._placement, self._in_flight)
         self._timeout_s = timeout_s
-        loop = asyncio.get_running_loop()
-        timer = loop.call_later(timeout_s, self._start_watch)
         try:
             response = await self._wait()
         except BaseException:
             await self._stop_watch()
             raise
-        finally:
-            timer.cancel()
         try:
             if response.outcome is not DispatchOutcome.DONE:
                 self.replacement = await self._take_found()
@@ -157,9 +154,10 @@
     async def _wait(self) -> UpstreamResponse:
         """Wait for the head of the response until the server is given up."""
         flow = self._flow
+        notice = SilenceNotice(self._timeout_s, self._start_watch)
         try:
             async with self._limit:
-                return await flow.open(self._placement, self._in_flight)
+                return await flow.open(self._placement, self._in_flight, notice)
         except TimeoutError:
             if not self._limit.expired():
                 raise
