--- a/review/lab.py
+++ b/review/lab.py
@@ -439,7 +439,7 @@
             answer.body = bytes(protocol.data[start:])
             return answer.whole
         answer.whole = protocol.data.endswith(b"\r\n0\r\n\r\n")
-        if answer.whole:
+        if answer.whole and len(protocol.data) == protocol.size:
             answer.body = join_chunks(protocol.data, start)
         return answer.whole
 
