gateway: a late request is sent only if something bounds it

Cause: the longest of the last 50 requests of the route, times 1.25, was taken for the most that a late request may take. The model of stops took a duration as known, too, so that it could not show the fault.

Now only the time limit of the request, or the output tokens that it is allowed at the slowest recent pace, decides on a late request. Without a bound that fits it is refused as not run. Nothing changes for the first 3 s.

The test of late requests that end in time now gives them a bound; it asks the same of them as before. The check of late cuts asks for none, not for less than one in a hundred.

--- a/cornelnotch/gateway/drain.py
+++ b/cornelnotch/gateway/drain.py
@@ -30,8 +30,8 @@
 # estimate leaves its caller uncertain whether it ran.
 USUAL_SHARE = 0.5
 ONCE_SHARE = 0.75
-# The same for later requests, which come on connections that are still open.
-LATE_SHARE = 1.0
+# Later requests, which come on connections that are still open, must end in time even
+# if their response is longer than all before; their server may turn slower meanwhile.
 LATE_FACTOR = 1.25
 # Delay before a refused caller retries at another host, shortened by up to half.
 RETRY_AFTER_MS = 100.0
@@ -39,6 +39,8 @@
 
 # Returns the time in ms that a share of requests does not exceed, or None if unknown.
 Estimate = Callable[[float], float | None]
+# Returns the time in ms that no request of the kind exceeds, or None if unbounded.
+Bound = Callable[[], float | None]
 
 
 def find_exit_margin_ms(grace_ms: float) -> float:
@@ -99,17 +101,17 @@
         return None if self._started_ms is None else at_ms - self._started_ms
 
     def find_needed_ms(
-        self, route: Route, estimate: Estimate, silence_ms: float = 0.0
+        self, route: Route, estimate: Estimate, bound: Bound, silence_ms: float = 0.0
     ) -> float | None:
         """Return the time that a request must have to be served, or None if unknown.
 
-        A server of a late request may fall silent for `silence_ms` and go on.
+        Past durations do not bound a late request. Its server may fall silent for
+        `silence_ms` and go on.
         """
-        is_late = self._is_late()
-        expected_ms = estimate(LATE_SHARE if is_late else choose_share(route))
-        if expected_ms is None:
-            return None
-        return expected_ms * LATE_FACTOR + silence_ms if is_late else expected_ms
+        if not self._is_late():
+            return estimate(choose_share(route))
+        bound_ms = bound()
+        return None if bound_ms is None else bound_ms * LATE_FACTOR + silence_ms
 
     def _is_late(self) -> bool:
         return self._clock.read() >= self._expected_until_ms
@@ -118,6 +120,7 @@
         self,
         route: Route,
         estimate: Estimate,
+        bound: Bound,
         limit_ms: float,
         silence_ms: float = 0.0,
     ) -> bool:
@@ -131,5 +134,5 @@
             return False
         if limit_ms <= left_ms:
             return True
-        needed_ms = self.find_needed_ms(route, estimate, silence_ms)
+        needed_ms = self.find_needed_ms(route, estimate, bound, silence_ms)
         return not self._is_late() if needed_ms is None else needed_ms <= left_ms
--- a/cornelnotch/gateway/durations.py
+++ b/cornelnotch/gateway/durations.py
@@ -82,6 +82,17 @@
         ]
         return [duration for duration in running if duration.rest_ms > longest_ms]
 
+    def find_slowest_event_ms(self, now: float) -> float | None:
+        """Return the longest mean time of an event in recent streams, if there are any.
+
+        A running stream has received at most one event for each token.
+        """
+        paces = [d.rest_ms / d.events for d in self.ended if d.events]
+        if not paces:
+            return None
+        running = [d.rest_ms / d.tokens for d in self.list_overdue(now) if d.tokens]
+        return max([*paces, *running])
+
 
 def _find_quantile(values: Sequence[float], share: float) -> float:
     """Return the smallest value that at least `share` of the values do not exceed."""
@@ -136,6 +147,25 @@
         """Record the duration of a request that was answered completely."""
         self._find_route(route).ended.append(duration)
 
+    def find_bound_ms(
+        self, route: str, request: RequestDuration, now: float
+    ) -> float | None:
+        """Return the most time that a request may still take, or None if unbounded.
+
+        Only the output tokens that a request is allowed bound its response, at the
+        slowest recent pace: a response may be longer than all before it. An event holds
+        at least one token.
+        """
+        durations = self._routes.get(route)
+        if durations is None or not request.tokens:
+            return None
+        slowest_ms = durations.find_slowest_event_ms(now)
+        if slowest_ms is None:
+            return None
+        first_ms = max(duration.first_ms for duration in durations.ended)
+        events = max(request.tokens - request.events, 1)
+        return max(first_ms - request.first_ms, 0.0) + events * slowest_ms
+
     def estimate_ms(
         self, route: str, share: float, request: RequestDuration, now: float
     ) -> float | None:
--- a/cornelnotch/gateway/request_timing.py
+++ b/cornelnotch/gateway/request_timing.py
@@ -14,6 +14,8 @@
 __all__ = ["RequestTiming"]
 
 MS_PER_SECOND = 1000.0
+# Share of recent requests that took no longer than the longest of them.
+LONGEST_SHARE = 1.0
 
 
 class RequestTiming:
@@ -80,13 +82,23 @@
 
         The request has been admitted to an engine that prefills it in `prefill_ms`.
         """
-        now = self._clock.read()
-        request = RequestDuration(
-            max(now - self._received_ms - prefill_ms, 0.0),
+        return self._durations.estimate_ms(
+            self._route.name, share, self._describe(prefill_ms), self._clock.read()
+        )
+
+    def find_bound_ms(self, prefill_ms: float = 0.0) -> float | None:
+        """Return the most time that the request may still take, if it is bounded."""
+        return self._durations.find_bound_ms(
+            self._route.name, self._describe(prefill_ms), self._clock.read()
+        )
+
+    def _describe(self, prefill_ms: float) -> RequestDuration:
+        """Return the time waited, the allowance and the events already received."""
+        return RequestDuration(
+            max(self._clock.read() - self._received_ms - prefill_ms, 0.0),
             tokens=self._request.output_tokens,
             events=parse_count(self._request.last_event_id) or 0,
         )
-        return self._durations.estimate_ms(self._route.name, share, request, now)
 
     def can_end_elsewhere(self, events: int) -> bool:
         """Return whether another server could end the request before the host stops.
@@ -101,16 +113,18 @@
             0.0, tokens=self._request.output_tokens, events=events
         )
 
-        def estimate(share: float) -> float | None:
-            name = self._route.name
-            return self._durations.estimate_ms(name, share, resumed, now)
-
-        return self._drain.can_end(self._route, estimate, self.measure_left_ms())
+        name = self._route.name
+        return self._drain.can_end(
+            self._route,
+            lambda share: self._durations.estimate_ms(name, share, resumed, now),
+            lambda: self._durations.estimate_ms(name, LONGEST_SHARE, resumed, now),
+            self.measure_left_ms(),
+        )
 
     def find_needed_ms(self) -> float | None:
         """Return the time that the request must have to be served, if known."""
         return self._drain.find_needed_ms(
-            self._route, self.estimate_ms, self._silence_ms
+            self._route, self.estimate_ms, self.find_bound_ms, self._silence_ms
         )
 
     def measure_left_ms(self) -> float:
@@ -124,6 +138,7 @@
         return self._drain.can_end(
             self._route,
             lambda share: self.estimate_ms(share, prefill_ms),
+            lambda: self.find_bound_ms(prefill_ms),
             self.measure_left_ms(),
             self._silence_ms,
         )
--- a/cornelnotch/gateway/tests/test_drain.py
+++ b/cornelnotch/gateway/tests/test_drain.py
@@ -1,12 +1,12 @@
 """Test the decisions of a draining host, without sockets."""
 
+import math
 import random
 
 import pytest
 
 from cornelnotch.gateway.drain import (
     LATE_FACTOR,
-    LATE_SHARE,
     MAX_EXIT_MARGIN_MS,
     RETRY_AFTER_MS,
     USUAL_SHARE,
@@ -35,6 +35,17 @@
     return lambda share: duration_ms
 
 
+def bound(duration_ms):
+    """Return a bound, which is None if there is none."""
+    return lambda: duration_ms
+
+
+def create_bound(tracker, tokens):
+    """Return the bound of a request that has just arrived."""
+    request = RequestDuration(0.0, 0.0, tokens)
+    return lambda: tracker.find_bound_ms("r", request, 0.0)
+
+
 def create_estimate(tracker, tokens):
     """Return the estimate for a request that has just arrived."""
     request = RequestDuration(0.0, 0.0, tokens)
@@ -52,7 +63,7 @@
 def test_host_that_does_not_drain_has_no_end():
     drain = Drain(ManualClock())
     assert not drain.has_started
-    assert drain.can_end(create_route(), expect(1e9), 1e9)
+    assert drain.can_end(create_route(), expect(1e9), bound(1e9), 1e9)
     assert drain.measure_age_ms(5.0) is None
 
 
@@ -68,9 +79,11 @@
     drain = start_drain(age_ms)
     left_ms = LEFT_MS - age_ms
     for kind in WorkKind:
-        assert drain.can_end(create_route(kind), expect(left_ms / 3.0), 15_000.0)
-        assert drain.can_end(create_route(kind), expect(None), left_ms)
-        assert not drain.can_end(create_route(kind), expect(left_ms * 1.1), 15_000.0)
+        short, long = left_ms / 3.0, left_ms * 1.1
+        route = create_route(kind)
+        assert drain.can_end(route, expect(short), bound(short), 15_000.0)
+        assert drain.can_end(route, expect(None), bound(None), left_ms)
+        assert not drain.can_end(route, expect(long), bound(long), 15_000.0)
 
 
 def test_work_that_may_not_repeat_needs_more_time_than_work_that_may():
@@ -80,7 +93,7 @@
         return LEFT_MS * (1.1 if share > USUAL_SHARE else 0.9)
 
     for kind in WorkKind:
-        fits = drain.can_end(create_route(kind), estimate, 15_000.0)
+        fits = drain.can_end(create_route(kind), estimate, bound(None), 15_000.0)
         assert fits == (kind is not WorkKind.ONCE)
 
 
@@ -93,34 +106,49 @@
 
     left_ms = LEFT_MS - EXPECTED_MS
     route = create_route()
-    assert start_drain(EXPECTED_MS - 1.0).can_end(route, estimate, 15_000.0)
-    assert start_drain(EXPECTED_MS).can_end(route, estimate, 15_000.0)
-    assert asked == [USUAL_SHARE, LATE_SHARE]
-    assert start_drain().find_needed_ms(route, estimate) == 2000.0 * USUAL_SHARE
+    known = bound(2000.0)
+    assert start_drain(EXPECTED_MS - 1.0).can_end(route, estimate, known, 15_000.0)
+    assert start_drain(EXPECTED_MS).can_end(route, estimate, known, 15_000.0)
+    assert asked == [USUAL_SHARE]
+    needed_ms = start_drain().find_needed_ms(route, estimate, known)
+    assert needed_ms == 2000.0 * USUAL_SHARE
     late = start_drain(EXPECTED_MS)
-    assert late.find_needed_ms(route, estimate) == 2000.0 * LATE_FACTOR
-    long = expect(left_ms * 0.9)
-    assert start_drain(EXPECTED_MS - 1.0).can_end(route, long, 15_000.0)
-    assert not start_drain(EXPECTED_MS).can_end(route, long, 15_000.0)
-    unknown = expect(None)
-    assert start_drain(EXPECTED_MS - 1.0).can_end(route, unknown, 15_000.0)
-    assert not start_drain(EXPECTED_MS).can_end(route, unknown, 15_000.0)
+    assert late.find_needed_ms(route, estimate, known) == 2000.0 * LATE_FACTOR
+    long, longest = expect(left_ms * 0.9), bound(left_ms * 0.9)
+    assert start_drain(EXPECTED_MS - 1.0).can_end(route, long, longest, 15_000.0)
+    assert not start_drain(EXPECTED_MS).can_end(route, long, longest, 15_000.0)
+    unknown, endless = expect(None), bound(None)
+    assert start_drain(EXPECTED_MS - 1.0).can_end(route, unknown, endless, 15_000.0)
+    assert not start_drain(EXPECTED_MS).can_end(route, unknown, endless, 15_000.0)
+
+
+def test_past_durations_do_not_bound_late_requests():
+    route, short = create_route(), expect(100.0)
+    usual, late = start_drain(EXPECTED_MS - 1.0), start_drain(EXPECTED_MS)
+    for limit_ms in (LEFT_MS, 15_000.0):
+        assert usual.can_end(route, short, bound(None), limit_ms)
+        assert usual.can_end(route, short, bound(8000.0), limit_ms)
+        assert not late.can_end(route, short, bound(None), limit_ms)
+        assert not late.can_end(route, short, bound(8000.0), limit_ms)
+    assert late.can_end(route, short, bound(None), LEFT_MS - EXPECTED_MS)
+    assert late.find_needed_ms(route, short, bound(None)) is None
 
 
 def test_late_requests_need_time_for_a_silence_of_their_server():
     left_ms = LEFT_MS - EXPECTED_MS
     route, silence_ms = create_route(), 1200.0
     usual, late = start_drain(EXPECTED_MS - 1.0), start_drain(EXPECTED_MS)
-    assert late.find_needed_ms(route, expect(1000.0), silence_ms) == (
+    short, most = expect(1000.0), bound(1000.0)
+    assert late.find_needed_ms(route, short, most, silence_ms) == (
         1000.0 * LATE_FACTOR + silence_ms
     )
-    assert usual.find_needed_ms(route, expect(1000.0), silence_ms) == 1000.0
-    longest = expect((left_ms - silence_ms) / LATE_FACTOR)
-    assert late.can_end(route, longest, 15_000.0, silence_ms)
-    longer = expect((left_ms - silence_ms) / LATE_FACTOR + 1.0)
-    assert late.can_end(route, longer, 15_000.0)
-    assert not late.can_end(route, longer, 15_000.0, silence_ms)
-    assert usual.can_end(route, longer, 15_000.0, silence_ms)
+    assert usual.find_needed_ms(route, short, most, silence_ms) == 1000.0
+    most = bound((left_ms - silence_ms) / LATE_FACTOR)
+    assert late.can_end(route, short, most, 15_000.0, silence_ms)
+    most = bound((left_ms - silence_ms) / LATE_FACTOR + 1.0)
+    assert late.can_end(route, short, most, 15_000.0)
+    assert not late.can_end(route, short, most, 15_000.0, silence_ms)
+    assert usual.can_end(route, short, most, 15_000.0, silence_ms)
 
 
 @pytest.mark.parametrize("age_ms", [0.0, 1500.0, 2999.0, 4000.0])
@@ -131,19 +159,22 @@
     for number in range(4000):
         tokens = generator.randint(40, 120)
         first_ms = generator.uniform(50.0, 400.0)
-        rest_ms = tokens * generator.uniform(0.5, 1.0) * generator.uniform(20.0, 30.0)
+        events = math.ceil(tokens * generator.uniform(0.5, 1.0))
+        rest_ms = events * generator.uniform(20.0, 30.0)
         if number > 100:
             estimate = create_estimate(tracker, tokens)
-            taken = start_drain(age_ms).can_end(create_route(), estimate, 15_000.0)
+            most = create_bound(tracker, tokens)
+            drain = start_drain(age_ms)
+            taken = drain.can_end(create_route(), estimate, most, 15_000.0)
             ends = first_ms + rest_ms <= LEFT_MS - age_ms
             ended += ends
             refused += ends and not taken
             cut += taken and not ends
-        tracker.record("r", RequestDuration(first_ms, rest_ms, tokens))
+        tracker.record("r", RequestDuration(first_ms, rest_ms, tokens, events))
     if age_ms < EXPECTED_MS:
         assert refused < 0.05 * ended
     else:
-        assert cut < 0.01 * ended
+        assert cut == 0
 
 
 @pytest.mark.parametrize("age_ms", [0.0, 1500.0, 2999.0])
@@ -156,7 +187,8 @@
         call_ms = min(generator.expovariate(1 / 300.0), 2000.0)
         if number > 100:
             estimate = create_estimate(tracker, 0)
-            refused += not start_drain(age_ms).can_end(route, estimate, 15_000.0)
+            drain = start_drain(age_ms)
+            refused += not drain.can_end(route, estimate, bound(None), 15_000.0)
         tracker.record("r", RequestDuration(call_ms))
     assert refused < 40
 
@@ -165,7 +197,9 @@
     drain = start_drain(1000.0)
     drain.close()
     assert drain.measure_left_ms() == 0.0
-    assert not drain.can_end(create_route(WorkKind.REPEATABLE), expect(0.0), 0.0)
+    assert not drain.can_end(
+        create_route(WorkKind.REPEATABLE), expect(0.0), bound(0.0), 0.0
+    )
 
 
 def test_refused_callers_return_soon_if_another_host_is_there():
--- a/cornelnotch/gateway/tests/test_durations.py
+++ b/cornelnotch/gateway/tests/test_durations.py
@@ -70,6 +70,38 @@
     assert sum(excess) / len(excess) < 1.6
 
 
+def find_bound_ms(tracker, tokens, waited_ms=0.0, events=0, now=0.0):
+    request = RequestDuration(waited_ms, 0.0, tokens, events)
+    return tracker.find_bound_ms("chat", request, now)
+
+
+def test_only_an_allowance_bounds_a_request():
+    tracker = DurationTracker()
+    assert find_bound_ms(tracker, 100) is None
+    record_many(tracker, 20, 100.0, 1000.0, 100, 10)
+    assert find_bound_ms(tracker, 0) is None
+    assert find_bound_ms(tracker, 100) == 100.0 + 100 * 100.0
+    assert find_bound_ms(tracker, 100, waited_ms=300.0) == 100 * 100.0
+    assert find_bound_ms(tracker, 100, events=40) == 100.0 + 60 * 100.0
+    assert find_bound_ms(tracker, 100, events=400) == 100.0 + 100.0
+
+
+def test_bound_takes_the_slowest_pace_of_recent_and_running_streams():
+    tracker = DurationTracker()
+    record_many(tracker, 30, 100.0, 1000.0, 100, 100)
+    record_many(tracker, 1, 100.0, 100.0, 100, 5)
+    assert find_bound_ms(tracker, 50) == 100.0 + 50 * 20.0
+    tracker.start("chat", RunningRequest(0.0, 50, 0.0))
+    assert find_bound_ms(tracker, 50, now=900.0) == 100.0 + 50 * 20.0
+    assert find_bound_ms(tracker, 50, now=5000.0) == 100.0 + 5000.0
+
+
+def test_calls_have_no_bound():
+    tracker = DurationTracker()
+    record_many(tracker, 20, 100.0)
+    assert find_bound_ms(tracker, 100) is None
+
+
 def test_time_waited_already_shortens_the_rest():
     tracker = DurationTracker()
     record_many(tracker, 20, 400.0, 1000.0, 100, 100)
--- a/cornelnotch/gateway/tests/test_graceful_shutdown.py
+++ b/cornelnotch/gateway/tests/test_graceful_shutdown.py
@@ -3,6 +3,8 @@
 import asyncio
 import socket
 
+import pytest
+
 from cornelnotch.gateway.admission_client import AdmissionResult
 from cornelnotch.gateway.durations import RequestDuration
 from cornelnotch.gateway.flow import RequestFlow
@@ -44,6 +46,16 @@
     return sum(sum(server.executions.values()) for server in servers)
 
 
+async def keep_busy(deployment):
+    """Send a call that waits until the drain ends; return its task."""
+    for desk in deployment.desks:
+        desk.faults.hang = True
+    connection = await KeptConnection.open(deployment.settings.listen.callers)
+    task = asyncio.create_task(connection.send("busy", "/book/x", "POST", b"b"))
+    await wait_until(lambda: count_runs(deployment.desks) == 1)
+    return task
+
+
 def test_stream_that_outlasts_the_grace_period_is_refused_before_it_is_sent():
     async def scenario(d):
         for engine in d.engines:
@@ -62,6 +74,59 @@
     run_scenario(scenario)
 
 
+# Guards against streams that are cut at the end of a drain as they are longer than all
+# before them.
+@pytest.mark.parametrize("tokens", [0, 4 * STREAM_EVENTS])
+def test_late_stream_that_may_be_longer_than_all_before_is_refused(tokens):
+    async def scenario(d):
+        for engine in d.engines:
+            engine.events, engine.faults.event_ms = STREAM_EVENTS // 10, 1.5 * EVENT_MS
+        headers = {"x-token-usage": f"10,{tokens}", "x-prompt-prefix": "a:5,b:5"}
+        connection = await KeptConnection.open(d.settings.listen.callers)
+        for number in range(10):
+            reply = await connection.send(
+                f"s{number}", "/stream/draft/x", "POST", b"p", **headers
+            )
+            assert reply.whole
+        waiting = await keep_busy(d)
+        stopping = start_drain(d, grace_s=6.0)
+        await asyncio.sleep(3.1)
+        for engine in d.engines:
+            engine.events = STREAM_EVENTS
+        late = await connection.send("late", "/stream/draft/x", "POST", b"p", **headers)
+        assert (late.status, late.whole) == (503, True)
+        assert "retry-after" in late.headers
+        assert all("late" not in engine.executions for engine in d.engines)
+        await waiting
+        await stopping
+
+    run_scenario(scenario)
+
+
+def test_late_stream_whose_allowance_fits_is_served():
+    async def scenario(d):
+        for engine in d.engines:
+            engine.events, engine.faults.event_ms = 10, EVENT_MS
+        headers = {"x-token-usage": "10,20", "x-prompt-prefix": "a:5,b:5"}
+        connection = await KeptConnection.open(d.settings.listen.callers)
+        for number in range(10):
+            reply = await connection.send(
+                f"s{number}", "/stream/draft/x", "POST", b"p", **headers
+            )
+            assert reply.whole
+        waiting = await keep_busy(d)
+        stopping = start_drain(d, grace_s=7.0)
+        await asyncio.sleep(3.1)
+        for engine in d.engines:
+            engine.events = 20
+        late = await connection.send("late", "/stream/draft/x", "POST", b"p", **headers)
+        assert (late.status, late.whole) == (200, True)
+        await waiting
+        await stopping
+
+    run_scenario(scenario)
+
+
 def test_call_without_a_response_at_the_end_of_the_grace_period_is_answered():
     async def scenario(d):
         for desk in d.desks:
@@ -388,7 +453,10 @@
         await wait_until(lambda: count_runs(d.engines) == 1)
         stopping = start_drain(d, grace_s=8.0)
         await asyncio.sleep(3.4)
-        reply = await connections[1].send("s2", "/stream/draft/x", "POST", b"p")
+        headers = {"x-token-usage": f"10,{STREAM_EVENTS}"}
+        reply = await connections[1].send(
+            "s2", "/stream/draft/x", "POST", b"p", **headers
+        )
         assert (reply.status, reply.whole) == (200, True)
         may_read.set()
         assert (await unread).whole
--- a/cornelnotch/verification/stops.py
+++ b/cornelnotch/verification/stops.py
@@ -32,7 +32,7 @@
 CACHED_STEPS = 3
 # Steps for which closed connections wait for their callers to read.
 CLOSE_STEPS = 1
-# Factor on the longest known duration that a late request is assured of.
+# Factor on the bound of a late request that it is assured of.
 LATE_FACTOR = 1.25
 MAX_AGE = GRACE_STEPS + 2
 # Servers that ran a request to its end; more are not counted.
@@ -48,6 +48,7 @@
     NO_ESTIMATE = "requests are sent until the end"
     NO_FACTOR = "estimates of late requests count without their factor"
     LATE_AS_USUAL = "late requests are decided on like those in the first steps"
+    LONGEST_SEEN = "past durations count as a bound of late requests"
     ONE_DECISION = "the decision on arrival is not repeated before sending"
     NO_LIMIT = "no request is ended at the end of the drain"
     OLD_LIMIT = "the limit of requests from before the drain is not lowered"
@@ -115,13 +116,14 @@
 class Call:
     """Kind of a request; it ends within `limit` steps of its last dispatch.
 
-    `usual` and `longest` are durations of similar requests in steps, None if unknown.
-    A server may fall silent for `silence` steps.
+    `usual` is the duration of similar requests in steps, None if unknown. A request
+    may take longer than all before it: only `bound` holds, None if there is none. A
+    server may fall silent for `silence` steps.
     """
 
     kind: WorkKind
     usual: float | None
-    longest: float | None
+    bound: float | None
     limit: int = 2 * GRACE_STEPS
     silence: int = 0
 
@@ -132,8 +134,11 @@
 
     def estimate_ms(self, share: float) -> float | None:
         """Return the time in ms that a share of requests does not exceed."""
-        steps = self.longest if share >= 1.0 else self.usual
-        return None if steps is None else steps * STEP_MS
+        return None if self.usual is None else self.usual * STEP_MS
+
+    def find_bound_ms(self) -> float | None:
+        """Return the most time that a request takes, in ms."""
+        return None if self.bound is None else self.bound * STEP_MS
 
     def get_needed_steps(self, time: int) -> float:
         """Return the time left with which a request must be served at `time`."""
@@ -146,7 +151,7 @@
         The time for which it falls silent is not counted.
         """
         if time >= CACHED_STEPS:
-            steps = self.limit if self.longest is None else self.longest * LATE_FACTOR
+            steps = self.limit if self.bound is None else self.bound * LATE_FACTOR
         else:
             steps = 0.0 if self.usual is None else self.usual
         return min(steps, self.limit)
@@ -532,24 +537,30 @@
         if not drain.has_started:
             return True
         call = self._calls[index]
-        estimate: Callable[[float], float | None] = call.estimate_ms
+        bound: Callable[[], float | None] = call.find_bound_ms
         if self._mutant is StopMutant.NO_FACTOR:
-            estimate = self._estimate_without_factor(call)
+            bound = self._find_bound_without_factor(call)
+        if self._mutant is StopMutant.LONGEST_SEEN:
+            bound = self._find_longest_seen(call)
         silence_ms = call.silence * STEP_MS
         if self._mutant is StopMutant.NO_ALLOWANCE:
             silence_ms = 0.0
         limit_ms = call.limit * STEP_MS
-        return drain.can_end(self._routes[index], estimate, limit_ms, silence_ms)
+        return drain.can_end(
+            self._routes[index], call.estimate_ms, bound, limit_ms, silence_ms
+        )
+
+    @staticmethod
+    def _find_bound_without_factor(call: Call) -> Callable[[], float | None]:
+        def find_bound_ms() -> float | None:
+            bound_ms = call.find_bound_ms()
+            return None if bound_ms is None else bound_ms / LATE_FACTOR
+
+        return find_bound_ms
 
     @staticmethod
-    def _estimate_without_factor(call: Call) -> Callable[[float], float | None]:
-        def estimate_ms(share: float) -> float | None:
-            expected_ms = call.estimate_ms(share)
-            if expected_ms is None or share < 1.0:
-                return expected_ms
-            return expected_ms / LATE_FACTOR
-
-        return estimate_ms
+    def _find_longest_seen(call: Call) -> Callable[[], float | None]:
+        return lambda: call.estimate_ms(1.0)
 
     def _may_send(self, state: State, index: int, request: Request) -> bool:
         has_ended = self._has_ended(state)
--- a/cornelnotch/verification/tests/test_models.py
+++ b/cornelnotch/verification/tests/test_models.py
@@ -26,13 +26,16 @@
 )
 
 MAX_STATES = 300_000
-CALL = Call(WorkKind.ONCE, usual=1.0, longest=2.0)
-STREAM = Call(WorkKind.STREAM, usual=2.0, longest=3.0)
-LIMITED_CALL = Call(WorkKind.REPEATABLE, usual=None, longest=None, limit=2)
-SILENT_CALL = Call(WorkKind.ONCE, usual=1.0, longest=2.0, silence=1)
-SILENT_STREAM = Call(WorkKind.STREAM, usual=1.0, longest=2.0, silence=1)
-LONG_SILENCE = Call(WorkKind.STREAM, usual=1.0, longest=1.0, silence=2)
-LIMITED_STREAM = Call(WorkKind.STREAM, usual=1.0, longest=1.0, limit=3, silence=2)
+CALL = Call(WorkKind.ONCE, usual=1.0, bound=2.0)
+STREAM = Call(WorkKind.STREAM, usual=2.0, bound=3.0)
+LIMITED_CALL = Call(WorkKind.REPEATABLE, usual=None, bound=None, limit=2)
+UNBOUNDED_CALL = Call(WorkKind.ONCE, usual=1.0, bound=None)
+UNBOUNDED_STREAM = Call(WorkKind.STREAM, usual=1.0, bound=None)
+LONG_STREAM = Call(WorkKind.STREAM, usual=1.0, bound=6.0)
+SILENT_CALL = Call(WorkKind.ONCE, usual=1.0, bound=2.0, silence=1)
+SILENT_STREAM = Call(WorkKind.STREAM, usual=1.0, bound=2.0, silence=1)
+LONG_SILENCE = Call(WorkKind.STREAM, usual=1.0, bound=1.0, silence=2)
+LIMITED_STREAM = Call(WorkKind.STREAM, usual=1.0, bound=1.0, limit=3, silence=2)
 
 
 def list_violations(protocol):
@@ -190,6 +193,13 @@
     assert "not_cut_within_estimate" in list_violations(protocol)
 
 
+@pytest.mark.parametrize("call", [UNBOUNDED_CALL, UNBOUNDED_STREAM, LONG_STREAM])
+def test_late_requests_that_only_past_durations_bound_are_cut(call):
+    assert_exhaustively_safe(create_stop_protocol(calls=(call,)))
+    protocol = create_stop_protocol(StopMutant.LONGEST_SEEN, (call,))
+    assert "not_cut_within_estimate" in list_violations(protocol)
+
+
 @pytest.mark.parametrize("call", [SILENT_STREAM, LONG_SILENCE, LIMITED_STREAM])
 @pytest.mark.parametrize(
     ("mutant", "broken"),
