gateway: the memory of bodies is returned at once, and bounded

Cause: RequestFlow was part of reference cycles (PeerDispatch, and a bound method in Dispatcher), so that flows, requests and bodies waited for the collector of cycles, which counts objects. And nothing bounded the bodies that are held at the same time.

A flow now drops what refers back to it, and the body goes with the answer. The bytes of all bodies are counted as they arrive; a request that finds no memory ([bounds] memory_mb) is refused as not run. Long bodies are copied in pieces.

--- a/cornelnotch/exceptions.py
+++ b/cornelnotch/exceptions.py
@@ -118,6 +118,12 @@
     kind = "wire"
 
 
+class HostMemoryError(CornelnotchError):
+    """Raised if a host has no memory for a further part of a body."""
+
+    kind = "host-memory"
+
+
 class UpstreamError(CornelnotchError):
     """Raised if a server failed after bytes of the request were sent."""
 
--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -8,6 +8,7 @@
 
 from cornelnotch.gateway.admission_client import AdmissionClient
 from cornelnotch.gateway.backups import ExposureTracker, choose_backup, is_worth_backup
+from cornelnotch.gateway.body_memory import BodyMemory, measure_machine_memory_mb
 from cornelnotch.gateway.crash_evidence import CrashEvidence
 from cornelnotch.gateway.crash_watch import CrashWatch, ServerLife
 from cornelnotch.gateway.drain import Drain
@@ -95,6 +96,8 @@
         self.list_linked_hosts: Callable[[str], list[Member]] = lambda service: []
         self.drain = Drain(clock)
         self.durations = DurationTracker()
+        memory_mb = settings.bounds.memory_mb or measure_machine_memory_mb()
+        self.bodies = BodyMemory(memory_mb)
         self.rate_limits = RateLimitTable()
         self.rejections = RejectionTable()
         self.engine_rates = EngineRateTable()
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -156,6 +156,11 @@
         finally:
             disconnected.cancel()
             self.timing.finish()
+            self._release()
+
+    def _release(self) -> None:
+        """Drop what refers back to this object, so that it is freed at once."""
+        del self.peer_dispatch, self.dispatcher
 
     async def _serve(self) -> None:
         loop = asyncio.get_running_loop()
--- a/cornelnotch/gateway/frontend.py
+++ b/cornelnotch/gateway/frontend.py
@@ -2,11 +2,17 @@
 
 import asyncio
 
-from cornelnotch.exceptions import CallerDisconnectedError, RequestError
+from cornelnotch.exceptions import (
+    CallerDisconnectedError,
+    HostMemoryError,
+    RequestError,
+)
+from cornelnotch.gateway.body_memory import HeldBody
 from cornelnotch.gateway.context import NO_VERSION, GatewayContext
 from cornelnotch.gateway.drain import choose_drain_retry_after_ms
 from cornelnotch.gateway.flow import HOST_LEAVING, RequestFlow
-from cornelnotch.gateway.models import CallerRequest
+from cornelnotch.gateway.models import CallerRequest, Route
+from cornelnotch.gateway.retry_after import choose_retry_after_ms
 from cornelnotch.kernel.events import Event
 from cornelnotch.web import Exchange
 
@@ -16,6 +22,7 @@
 STATUS_NOT_FOUND = 404
 STATUS_UNAVAILABLE = 503
 OLD_CONFIGURATION = "old-configuration"
+HOST_MEMORY = "host-memory"
 
 
 class Frontend:
@@ -75,24 +82,33 @@
         ):
             await self._refuse(exchange, request, STATUS_UNAUTHORIZED, "unknown-key")
             return
-        if not await self._receive_body(exchange, request):
-            left_ms = request.deadline_ms or route.timeout_ms
-            await self._refuse_leaving(exchange, request, left_ms)
-            return
-        flow = RequestFlow(context, exchange, request, route, workspace, arrived_ms)
+        body = context.bodies.hold()
+        try:
+            if await self._receive_body(exchange, request, route, body):
+                flow = RequestFlow(
+                    context, exchange, request, route, workspace, arrived_ms
+                )
+                await self._run(flow)
+        finally:
+            request.body = b""
+            body.release()
+
+    async def _run(self, flow: RequestFlow) -> None:
+        """Serve a request that has been received."""
+        context, request, workspace = self._context, flow.request, flow.workspace
         context.events.record(
             Event.REQUEST_ROUTED,
             request_id=request.request_id,
-            route=route.name,
+            route=flow.route.name,
             service=flow.service,
             workspace=workspace.name if workspace else "",
             deadline_ms=request.deadline_ms,
             resumes=request.resumed_id,
-            version=table.version,
+            version=context.table.version,
         )
         if not flow.peer_dispatch.is_cut_off():
             # Otherwise it counts at the host that sends it to a server.
-            context.find_retry_budget(flow.service).record_request(arrived_ms)
+            context.find_retry_budget(flow.service).record_request(flow.arrived_ms)
         self._flows.add(flow)
         try:
             await flow.run()
@@ -115,14 +131,36 @@
         left_ms = max(self._context.drain.measure_left_ms(), 0.0)
         return asyncio.get_running_loop().time() + left_ms / 1000.0
 
-    async def _receive_body(self, exchange: Exchange, request: CallerRequest) -> bool:
+    async def _receive_body(
+        self, exchange: Exchange, request: CallerRequest, route: Route, body: HeldBody
+    ) -> bool:
+        """Read the body; refuse the request and return False if that is not possible.
+
+        The host may stop before the body has arrived, or have no memory for it.
+        """
+        left_ms = request.deadline_ms or route.timeout_ms
+        try:
+            if await self._read_body(exchange, request, body):
+                return True
+            await self._refuse_leaving(exchange, request, left_ms)
+        except HostMemoryError:
+            context = self._context
+            retry_ms = choose_retry_after_ms(0.0, left_ms, context.generator)
+            await self._refuse(
+                exchange, request, STATUS_UNAVAILABLE, HOST_MEMORY, round(retry_ms)
+            )
+        return False
+
+    async def _read_body(
+        self, exchange: Exchange, request: CallerRequest, body: HeldBody
+    ) -> bool:
         """Read the body; return False if the host stops before it has arrived."""
         limit_bytes = self._context.table.limits.body_bytes
         limit = asyncio.timeout_at(self._find_receipt_end_s())
         self._receiving.add(limit)
         try:
             async with limit:
-                request.body = await exchange.read_body(limit_bytes)
+                request.body = await exchange.read_body(limit_bytes, body.add)
         except TimeoutError:
             return False
         finally:
--- a/cornelnotch/gateway/settings.py
+++ b/cornelnotch/gateway/settings.py
@@ -64,6 +64,10 @@
     retry_extra: Annotated[
         float, describe_amount("retries allowed beyond the share")
     ] = 10.0
+    memory_mb: Annotated[
+        float,
+        describe_amount("memory of the process in MB; that of the machine when 0"),
+    ] = 0.0
 
 
 class HostSettings(msgspec.Struct):
--- a/cornelnotch/web/client.py
+++ b/cornelnotch/web/client.py
@@ -20,6 +20,8 @@
 __all__ = ["HttpClient", "HttpResponse", "Reachability", "parse_address"]
 
 READ_BYTES = 65536
+# A longer body is sent in pieces, of which only one is copied at a time.
+WRITE_BYTES = 65536
 MAX_IDLE_CONNECTIONS_PER_ADDRESS = 64
 CONNECT_TIMEOUT_S = 0.6  # ten times the round-trip time between regions
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
@@ -75,8 +77,14 @@
         """Send a complete request."""
         self._head = head
         data = self._protocol.send(head) or b""
-        if body:
-            data += self._protocol.send(h11.Data(data=body)) or b""
+        view = memoryview(body)
+        for start in range(0, len(body), WRITE_BYTES):
+            piece = bytes(view[start : start + WRITE_BYTES])
+            data += self._protocol.send(h11.Data(data=piece)) or b""
+            if start + WRITE_BYTES < len(body):
+                self._writer.write(data)
+                await self._writer.drain()
+                data = b""
         data += self._protocol.send(h11.EndOfMessage()) or b""
         self._writer.write(data)
         await self._writer.drain()
--- a/cornelnotch/web/exchange.py
+++ b/cornelnotch/web/exchange.py
@@ -1,6 +1,7 @@
 """One request of a caller and its response."""
 
 import asyncio
+from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 from urllib.parse import parse_qsl
 
@@ -54,18 +55,24 @@
         """Return the event that is set once the caller has closed the connection."""
         return self._connection.disconnected
 
-    async def read_body(self, limit_bytes: int) -> bytes:
-        """Return the body; raise BodyTooLargeError if it exceeds `limit_bytes`."""
-        chunks: list[bytes] = []
-        size = 0
+    async def read_body(
+        self,
+        limit_bytes: int,
+        note_received: Callable[[int], None] = lambda size: None,
+    ) -> bytes:
+        """Return the body; raise BodyTooLargeError if it exceeds `limit_bytes`.
+
+        `note_received` is called with the size of each part that arrives.
+        """
+        body = bytearray()
         while not self._body_ended:
             event = self._buffered_event or await self._read_event_with_timeout()
             self._buffered_event = None
             if isinstance(event, h11.Data):
-                size += len(event.data)
-                if size > limit_bytes:
+                if len(body) + len(event.data) > limit_bytes:
                     raise BodyTooLargeError(limit_bytes)
-                chunks.append(bytes(event.data))
+                note_received(len(event.data))
+                body += event.data
             elif isinstance(event, h11.EndOfMessage):
                 self._body_ended = True
             else:
@@ -73,7 +80,7 @@
                     "caller closed the connection within the body", "retry the request"
                 )
         self._connection.watch_for_close()
-        return b"".join(chunks)
+        return bytes(body)
 
     async def _read_event_with_timeout(self) -> object:
         try:
