gateway: a host applies its settings file again when it has changed

Cause: the file was read once at the start, and SIGHUP did nothing.

The file is read again at SIGHUP, and when it has changed without one: seeds, bounds, regions and the address of the store are applied. Invalid settings leave the former in force (event 1006). A SIGHUP while the process imports its modules no longer ends it.

--- a/cornelnotch/gateway/body_memory.py
+++ b/cornelnotch/gateway/body_memory.py
@@ -4,7 +4,7 @@
 
 from cornelnotch.exceptions import HostMemoryError
 
-__all__ = ["BodyMemory", "HeldBody", "measure_machine_memory_mb"]
+__all__ = ["BodyMemory", "HeldBody"]
 
 BYTES_PER_MB = 1_000_000
 # Share of the host's memory that bodies may take; the rest is for the process itself,
@@ -22,8 +22,14 @@
     """Bytes of bodies that a host holds, of which each body adds what has arrived."""
 
     def __init__(self, memory_mb: float) -> None:
-        self.limit_bytes = int(memory_mb * BYTES_PER_MB * BODY_SHARE)
+        self.limit_bytes = 0
         self.held_bytes = 0
+        self.set_memory(memory_mb)
+
+    def set_memory(self, memory_mb: float) -> None:
+        """Replace the memory of the process; the machine's counts if it is 0."""
+        memory_mb = memory_mb or measure_machine_memory_mb()
+        self.limit_bytes = int(memory_mb * BYTES_PER_MB * BODY_SHARE)
 
     def hold(self) -> "HeldBody":
         """Return a body of which nothing has arrived."""
--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -8,7 +8,7 @@
 
 from cornelnotch.gateway.admission_client import AdmissionClient
 from cornelnotch.gateway.backups import ExposureTracker, choose_backup, is_worth_backup
-from cornelnotch.gateway.body_memory import BodyMemory, measure_machine_memory_mb
+from cornelnotch.gateway.body_memory import BodyMemory
 from cornelnotch.gateway.crash_evidence import CrashEvidence
 from cornelnotch.gateway.crash_watch import CrashWatch, ServerLife
 from cornelnotch.gateway.drain import Drain
@@ -96,8 +96,7 @@
         self.list_linked_hosts: Callable[[str], list[Member]] = lambda service: []
         self.drain = Drain(clock)
         self.durations = DurationTracker()
-        memory_mb = settings.bounds.memory_mb or measure_machine_memory_mb()
-        self.bodies = BodyMemory(memory_mb)
+        self.bodies = BodyMemory(settings.bounds.memory_mb)
         self.rate_limits = RateLimitTable()
         self.rejections = RejectionTable()
         self.engine_rates = EngineRateTable()
@@ -257,6 +256,15 @@
         budget.host_count = self.count_known_hosts()
         return budget
 
+    def apply_bounds(self) -> None:
+        """Apply the bounds of changed settings."""
+        bounds = self.settings.bounds
+        self.bodies.set_memory(bounds.memory_mb)
+        for budget in self._budgets.values():
+            budget.set_bounds(
+                bounds.retry_share, bounds.retry_extra, bounds.retry_window_s * 1000.0
+            )
+
     def set_hosts(self, hosts: list[ReaderCandidate], unreachable: int = 0) -> None:
         """Replace the list of hosts that serve callers.
 
--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -3,6 +3,8 @@
 import asyncio
 import random
 
+import msgspec
+
 from cornelnotch.gateway.admission_controller import AdmissionController
 from cornelnotch.gateway.broadcast import Broadcaster
 from cornelnotch.gateway.context import NO_VERSION, GatewayContext
@@ -97,7 +99,6 @@
         update = MemberUpdate(
             host.name, listen.callers, listen.peers, host.domain, "joining", self.boot
         )
-        seeds = [seed for seed in listen.seeds.split(",") if seed != listen.peers]
         self.prober = Prober(
             MemberTable(update, self.clock.read()),
             ServerTable(),
@@ -106,7 +107,7 @@
             self.clock,
             self.events,
             self.tasks,
-            ProberTiming(seeds=tuple(filter(None, seeds))),
+            ProberTiming(seeds=self.settings.list_seeds()),
             random.Random(host.name),
         )
 
@@ -239,6 +240,25 @@
         self.tasks.start_supervised("probes", self.prober.run_probes)
         self.events.record(Event.HOST_STARTED, http=self.settings.listen.callers)
 
+    def apply_settings(self, settings: HostSettings) -> None:
+        """Apply changed settings; the name and the listeners stay as they are."""
+        if settings == self.settings:
+            return
+        self.settings.listen.seeds = settings.listen.seeds
+        self.settings.bounds = settings.bounds
+        self.settings.store = settings.store
+        # Other components refer to the same mapping.
+        self.settings.regions.clear()
+        self.settings.regions.update(settings.regions)
+        self.prober.set_seeds(self.settings.list_seeds())
+        self.context.apply_bounds()
+        self.events.record(
+            Event.SETTINGS_APPLIED,
+            seeds=settings.listen.seeds,
+            store=settings.store.address,
+            bounds=msgspec.structs.asdict(settings.bounds),
+        )
+
     def _apply_table(self) -> None:
         """Apply the limits of a new routing table."""
         limits = self.context.table.limits
--- a/cornelnotch/gateway/retry_budget.py
+++ b/cornelnotch/gateway/retry_budget.py
@@ -22,6 +22,12 @@
         self._retries: deque[float] = deque()
         self.host_count = 1
 
+    def set_bounds(self, share: float, extra: float, window_ms: float) -> None:
+        """Replace the limits; what was counted stays."""
+        self._share = share
+        self._extra = extra
+        self._window_ms = window_ms
+
     def record_request(self, now: float) -> None:
         """Count one caller request."""
         self._requests.append(now)
--- a/cornelnotch/gateway/settings.py
+++ b/cornelnotch/gateway/settings.py
@@ -79,6 +79,11 @@
     bounds: BoundsSection = msgspec.field(default_factory=BoundsSection)
     regions: dict[str, str] = {}
 
+    def list_seeds(self) -> tuple[str, ...]:
+        """Return the addresses of the other hosts that are named."""
+        seeds = self.listen.seeds.split(",")
+        return tuple(seed for seed in seeds if seed and seed != self.listen.peers)
+
 
 def read_host_settings(path: Path) -> HostSettings:
     """Return the validated settings; raise SettingsError if they are invalid."""
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -24,6 +24,12 @@
     HOST_READY = (1002, logging.INFO, "the first configuration is in force")
     HOST_LEAVING = (1003, logging.INFO, "the host is draining")
     HOST_STOPPED = (1004, logging.INFO, "the host has finished draining")
+    SETTINGS_APPLIED = (1005, logging.INFO, "changed settings are in force")
+    SETTINGS_REFUSED = (
+        1006,
+        logging.ERROR,
+        "the settings file is invalid; the former settings stay in force",
+    )
     TASK_FAILED = (1101, logging.ERROR, "a task failed; the process continues")
     LOG_LINES_DROPPED = (
         1102,
--- a/cornelnotch/membership/prober.py
+++ b/cornelnotch/membership/prober.py
@@ -70,6 +70,7 @@
         self._events = events
         self._tasks = tasks
         self._timing = timing
+        self._seeds = timing.seeds
         self._generator = generator
         self._sequence = 0
         self._acked_sequences: set[int] = set()
@@ -82,6 +83,11 @@
         peers.subscribe(Ack, self._receive_ack)
         peers.subscribe(PingRequest, self._receive_ping_request)
 
+    def set_seeds(self, seeds: tuple[str, ...]) -> None:
+        """Replace the addresses of the seed hosts."""
+        self._seeds = seeds
+        self._ping_seeds()
+
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Call `listener` after each change of hosts or servers."""
         self._listeners.append(listener)
@@ -113,7 +119,7 @@
         """Ping the seed hosts while this host knows no other members."""
         if len(self.table.members) > 1:
             return
-        for address in self._timing.seeds:
+        for address in self._seeds:
             name = f"seed {address}"
             self._peers.set_address(name, address)
             self._peers.send(name, self._create_ping())
--- a/cornelnotch/platform/__main__.py
+++ b/cornelnotch/platform/__main__.py
@@ -1,11 +1,11 @@
 """Run one host with the settings file named by an environment variable."""
 
 import os
+import signal
 import sys
 from pathlib import Path
 
 from cornelnotch.exceptions import CornelnotchError, SettingsError
-from cornelnotch.platform.program import run_host
 
 SETTINGS_FILE_VARIABLE = "CORNELNOTCH_NODE_FILE"
 EXIT_BAD_INPUT = 2
@@ -24,6 +24,10 @@
 
 def main() -> None:
     """Run a host; print expected errors as one line that includes the remedy."""
+    # Without a handler a SIGHUP would end the process while it imports the rest.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from cornelnotch.platform.program import run_host
+
     try:
         run_host(find_settings())
     except CornelnotchError as error:
--- a/cornelnotch/platform/program.py
+++ b/cornelnotch/platform/program.py
@@ -7,6 +7,7 @@
 
 from cornelnotch.gateway.host import GatewayHost
 from cornelnotch.gateway.settings import HostSettings, read_host_settings
+from cornelnotch.gateway.settings_watch import SettingsWatch
 from cornelnotch.kernel.clock import create_clock
 from cornelnotch.kernel.events import create_event_log
 from cornelnotch.kernel.log_output import LogOutput
@@ -30,8 +31,11 @@
 ENDPOINT_CLOSE_TIMEOUT_S = 0.05
 
 
-async def serve_host(settings: HostSettings, output: LogOutput) -> None:
-    """Run a host until it has drained; SIGTERM starts draining."""
+async def serve_host(path: Path, settings: HostSettings, output: LogOutput) -> None:
+    """Run a host until it has drained; SIGTERM starts draining.
+
+    Changes of the settings file at `path` are applied.
+    """
     clock = create_clock()
     store = PlatformStore(settings.store.address, HttpClient())
     client = HttpClient()
@@ -52,15 +56,22 @@
     directory = HttpServer(ResolutionEndpoint(host.directory).handle)
     readiness = HttpServer(ReadinessEndpoint(host.is_ready).handle)
     metrics = HttpServer(MetricsEndpoint(host.render_metrics).handle)
+
+    def apply_settings(changed: HostSettings) -> None:
+        host.apply_settings(changed)
+        store.set_address(changed.store.address)
+
+    watch = SettingsWatch(path, host.events, apply_settings)
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, host.start_drain)
     loop.add_signal_handler(signal.SIGINT, host.stopped.set)
-    loop.add_signal_handler(signal.SIGHUP, lambda: None)
+    loop.add_signal_handler(signal.SIGHUP, watch.note_signal)
     await directory.start(*parse_address(settings.listen.directory))
     await readiness.start(*parse_address(settings.listen.readiness))
     if settings.listen.metrics:
         await metrics.start(*parse_address(settings.listen.metrics))
     await host.start()
+    host.tasks.start_supervised("settings", watch.run)
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_YOUNG_THRESHOLD_OBJECTS)
@@ -74,4 +85,4 @@
     """Run a host with the settings file `path`; raise SettingsError if malformed."""
     settings = read_host_settings(path)
     with LogOutput(settings.host.name) as output:
-        asyncio.run(serve_host(settings, output))
+        asyncio.run(serve_host(path, settings, output))
--- a/cornelnotch/platform/store.py
+++ b/cornelnotch/platform/store.py
@@ -151,6 +151,10 @@
         self._client = client
         self.calls = 0
 
+    def set_address(self, address: str) -> None:
+        """Replace the address of the store."""
+        self._address = address
+
     async def read_newest(self, topic: str) -> RecordPage:
         """Return the newest record of each key; raise LogUnavailableError."""
         records: list[Record] = []
--- a/cornelnotch/platform/tests/test_process.py
+++ b/cornelnotch/platform/tests/test_process.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import sys
+from pathlib import Path
 
 import orjson
 import pytest
@@ -43,8 +44,12 @@
     def __init__(self, folder, number, store, seeds=""):
         self.ports = {listener: find_free_port() for listener in LISTENERS}
         self.path = folder / f"host-{number}.ini"
+        self.number, self.store = number, store
+        self.write_settings(seeds)
+
+    def write_settings(self, seeds):
         text = SETTINGS.format(
-            number=number, store=store.address, seeds=seeds, **self.ports
+            number=self.number, store=self.store.address, seeds=seeds, **self.ports
         )
         self.path.write_text(text)
 
@@ -139,6 +144,75 @@
     asyncio.run(scenario())
 
 
+def ignores_hangup(process):
+    status = Path(f"/proc/{process.pid}/status").read_text()
+    line = next(x for x in status.splitlines() if x.startswith("SigIgn:"))
+    return bool(int(line.split()[1], 16) & 1 << (signal.SIGHUP - 1))
+
+
+def test_changed_settings_do_not_end_a_process_that_starts(tmp_path):
+    async def scenario():
+        server = UpstreamStandin("desk-1")
+        store = await start_store(server)
+        client = HttpClient()
+        host = HostProcess(tmp_path, 1, store)
+        try:
+            await host.start()
+            await wait_until(lambda: ignores_hangup(host.process), 10)
+            host.process.send_signal(signal.SIGHUP)
+            await host.wait_ready(client)
+        finally:
+            client.close()
+            await host.kill()
+            await server.stop()
+            await store.stop()
+
+    asyncio.run(scenario())
+
+
+# Guards against hosts that never meet as they go on with the settings of their start.
+@pytest.mark.parametrize("is_signalled", [True, False])
+def test_hosts_meet_once_their_settings_name_seeds_that_are_up(tmp_path, is_signalled):
+    async def scenario():
+        server = UpstreamStandin("desk-1")
+        store = await start_store(server)
+        # The store must not help the hosts to find each other.
+        store.silent_topics.add("keyed.hosts")
+        client = HttpClient()
+        stale = f"127.0.0.1:{find_free_port()}"
+        processes = [HostProcess(tmp_path, n, store, stale) for n in (1, 2)]
+        try:
+            for process in processes:
+                await process.start()
+            for process in processes:
+                await process.wait_ready(client)
+            await asyncio.sleep(1.0)
+            assert len(await find_addresses(processes[0], client)) == 1
+            seeds = ",".join(process.address("peers") for process in processes)
+            for process in processes:
+                process.path.write_text("[host]\n")
+                process.process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.2)
+            for process in processes:
+                process.write_settings(seeds)
+                if is_signalled:
+                    process.process.send_signal(signal.SIGHUP)
+
+            async def have_met():
+                listed = [await find_addresses(p, client) for p in processes]
+                return [len(found) for found in listed] == [2, 2]
+
+            await wait_until(have_met, 1.5 if is_signalled else 4.0)
+        finally:
+            client.close()
+            for process in processes:
+                await process.kill()
+            await server.stop()
+            await store.stop()
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize(
     ("text", "remedy"),
     [("[host]\nname = a\n", "correct the value"), ("no section", "correct the line")],
