gateway: hosts whose seeds do not answer meet through the store

Hosts whose seeds are all down, at the start or for good, acted alone for ever if nobody changed their settings.

Each host lists its address once in keyed.hosts, and again after the store was restored from an older copy. Only a host that knows no other reads the list, every 2 to 3 s, and pings what it finds like seeds; entries of hosts that have ended do no harm, as they become members only when they answer. In calm this costs one call for each start of a process.

--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -13,6 +13,8 @@
 from cornelnotch.gateway.follower import SERVERS, RecordFollower
 from cornelnotch.gateway.frontend import Frontend
 from cornelnotch.gateway.header_codec import HeaderCodec
+from cornelnotch.gateway.host_discovery import HostDiscovery
+from cornelnotch.gateway.host_registry import HostRegistry
 from cornelnotch.gateway.leaving_notices import LeavingNotices
 from cornelnotch.gateway.load_exchange import LoadExchange
 from cornelnotch.gateway.origin_exchange import OriginExchange
@@ -71,6 +73,7 @@
         client: HttpClient,
         origin_log: OriginLog,
         identity: ServerIdentity,
+        registry: HostRegistry,
     ) -> None:
         self.settings = settings
         self.clock = clock
@@ -89,6 +92,15 @@
         self.server = HttpServer(self.frontend.handle)
         self._build_membership()
         self._build_state(source, decoder, origin_log)
+        self.discovery = HostDiscovery(
+            clock,
+            events,
+            registry,
+            self.prober,
+            settings.listen.peers,
+            lambda: self.follower.timeline,
+            random.Random(f"{settings.host.name}/discovery"),
+        )
         self.directory = Directory(
             self._list_entries, settings.regions, ENTRY_LIFETIME_S
         )
@@ -237,6 +249,7 @@
         self.tasks.start_supervised("silence", SilenceDetector(self.context).run)
         self.tasks.start_supervised("turns", self.context.admission.run_reports)
         self.tasks.start_supervised("admission", self.admission_controller.run)
+        self.tasks.start_supervised("discovery", self.discovery.run)
         self.tasks.start_supervised("probes", self.prober.run_probes)
         self.events.record(Event.HOST_STARTED, http=self.settings.listen.callers)
 
--- a/cornelnotch/gateway/tests/conftest.py
+++ b/cornelnotch/gateway/tests/conftest.py
@@ -100,6 +100,7 @@
         client,
         store,
         PlatformServerIdentity(client),
+        store,
     )
 
 
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -30,6 +30,11 @@
         logging.ERROR,
         "the settings file is invalid; the former settings stay in force",
     )
+    HOSTS_LISTED = (
+        1007,
+        logging.INFO,
+        "a host that knows no other pings those listed in the store",
+    )
     TASK_FAILED = (1101, logging.ERROR, "a task failed; the process continues")
     LOG_LINES_DROPPED = (
         1102,
--- a/cornelnotch/membership/prober.py
+++ b/cornelnotch/membership/prober.py
@@ -71,6 +71,7 @@
         self._tasks = tasks
         self._timing = timing
         self._seeds = timing.seeds
+        self._listed_seeds: tuple[str, ...] = ()
         self._generator = generator
         self._sequence = 0
         self._acked_sequences: set[int] = set()
@@ -88,6 +89,17 @@
         self._seeds = seeds
         self._ping_seeds()
 
+    def set_listed_seeds(self, seeds: tuple[str, ...]) -> bool:
+        """Replace the further seeds that a list names; return whether they changed."""
+        changed = seeds != self._listed_seeds
+        self._listed_seeds = seeds
+        self._ping_seeds()
+        return changed
+
+    def is_alone(self) -> bool:
+        """Return whether this host knows no other members."""
+        return len(self.table.members) <= 1
+
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Call `listener` after each change of hosts or servers."""
         self._listeners.append(listener)
@@ -117,9 +129,9 @@
 
     def _ping_seeds(self) -> None:
         """Ping the seed hosts while this host knows no other members."""
-        if len(self.table.members) > 1:
+        if not self.is_alone():
             return
-        for address in self._seeds:
+        for address in {*self._seeds, *self._listed_seeds}:
             name = f"seed {address}"
             self._peers.set_address(name, address)
             self._peers.send(name, self._create_ping())
--- a/cornelnotch/platform/program.py
+++ b/cornelnotch/platform/program.py
@@ -31,10 +31,24 @@
 ENDPOINT_CLOSE_TIMEOUT_S = 0.05
 
 
-async def serve_host(path: Path, settings: HostSettings, output: LogOutput) -> None:
+def watch_settings(
+    path: Path, host: GatewayHost, store: PlatformStore
+) -> SettingsWatch:
+    """Return a watch that applies changes of the settings file to a host."""
+
+    def apply_settings(changed: HostSettings) -> None:
+        host.apply_settings(changed)
+        store.set_address(changed.store.address)
+
+    return SettingsWatch(path, host.events, apply_settings)
+
+
+async def serve_host(
+    settings: HostSettings, output: LogOutput, path: Path | None = None
+) -> None:
     """Run a host until it has drained; SIGTERM starts draining.
 
-    Changes of the settings file at `path` are applied.
+    Changes of the settings file at `path`, if there is one, are applied.
     """
     clock = create_clock()
     store = PlatformStore(settings.store.address, HttpClient())
@@ -49,6 +63,7 @@
         client,
         store,
         PlatformServerIdentity(client),
+        store,
     )
     host.context.metrics.register_state_gauge(
         "dropped_log_lines", lambda: output.dropped
@@ -57,21 +72,18 @@
     readiness = HttpServer(ReadinessEndpoint(host.is_ready).handle)
     metrics = HttpServer(MetricsEndpoint(host.render_metrics).handle)
 
-    def apply_settings(changed: HostSettings) -> None:
-        host.apply_settings(changed)
-        store.set_address(changed.store.address)
-
-    watch = SettingsWatch(path, host.events, apply_settings)
+    watch = watch_settings(path, host, store) if path else None
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, host.start_drain)
     loop.add_signal_handler(signal.SIGINT, host.stopped.set)
-    loop.add_signal_handler(signal.SIGHUP, watch.note_signal)
+    loop.add_signal_handler(signal.SIGHUP, watch.note_signal if watch else lambda: None)
     await directory.start(*parse_address(settings.listen.directory))
     await readiness.start(*parse_address(settings.listen.readiness))
     if settings.listen.metrics:
         await metrics.start(*parse_address(settings.listen.metrics))
     await host.start()
-    host.tasks.start_supervised("settings", watch.run)
+    if watch is not None:
+        host.tasks.start_supervised("settings", watch.run)
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_YOUNG_THRESHOLD_OBJECTS)
@@ -85,4 +97,4 @@
     """Run a host with the settings file `path`; raise SettingsError if malformed."""
     settings = read_host_settings(path)
     with LogOutput(settings.host.name) as output:
-        asyncio.run(serve_host(path, settings, output))
+        asyncio.run(serve_host(settings, output, path))
--- a/cornelnotch/platform/store.py
+++ b/cornelnotch/platform/store.py
@@ -15,9 +15,10 @@
     MalformedInputError,
     UpstreamError,
 )
+from cornelnotch.gateway.host_registry import HostRegistry
 from cornelnotch.gateway.origin_log import OriginBatch, OriginHistory, OriginLog
 from cornelnotch.gateway.records import Record, RecordPage, RecordSource
-from cornelnotch.kernel.parsing import Count, decode, parse_count
+from cornelnotch.kernel.parsing import Count, decode, parse_address, parse_count
 from cornelnotch.web import HttpClient
 
 __all__ = ["PlatformStore"]
@@ -36,7 +37,10 @@
 TOPICS = {"configuration": "keyed.op", "servers": "keyed.servers"}
 PARTITION = 0
 ORIGINS_TOPIC = "stream-origins"
+HOSTS_TOPIC = "keyed.hosts"
 MAX_ORIGIN_PAGES = 64
+MAX_LISTED_HOSTS = 64
+MAX_KEY_BYTES = 255
 
 
 class NewestEntry(msgspec.Struct):
@@ -143,8 +147,11 @@
     return RawPage(values, end)
 
 
-class PlatformStore(RecordSource, OriginLog):
-    """Read records from the store over HTTP, and keep the origins of streams there."""
+class PlatformStore(RecordSource, OriginLog, HostRegistry):
+    """Read records from the store over HTTP.
+
+    The origins of streams and the addresses of hosts are kept there, too.
+    """
 
     def __init__(self, address: str, client: HttpClient) -> None:
         self._address = address
@@ -157,12 +164,15 @@
 
     async def read_newest(self, topic: str) -> RecordPage:
         """Return the newest record of each key; raise LogUnavailableError."""
+        return await self._read_topic(TOPICS[topic])
+
+    async def _read_topic(self, name: str) -> RecordPage:
         records: list[Record] = []
         after = ""
         end: int | None = None
         first: int | None = None
         while True:
-            target = f"/log-newest?topic={TOPICS[topic]}&part={PARTITION}"
+            target = f"/log-newest?topic={name}&part={PARTITION}"
             if after:
                 target += f"&after={quote(after, safe='')}"
             response = await self._call(target, READ_TIMEOUT_MS)
@@ -220,6 +230,24 @@
                 response.timeline,
             ) from error
 
+    async def register_host(self, name: str, address: str) -> None:
+        """List a host and its address for other hosts; raise LogUnavailableError."""
+        key = name.encode()[:MAX_KEY_BYTES]
+        record = bytes([len(key)]) + key + address.encode()
+        body = RECORD_LENGTH.pack(len(record)) + record
+        target = f"/log-append?topic={HOSTS_TOPIC}&part={PARTITION}"
+        await self._call(target, READ_TIMEOUT_MS, "POST", body)
+
+    async def list_host_addresses(self) -> list[str]:
+        """Return the addresses for other hosts; raise LogUnavailableError.
+
+        Those that were listed last come first, and odd ones are left out.
+        """
+        page = await self._read_topic(HOSTS_TOPIC)
+        newest = sorted(page.records, key=lambda record: -record.offset)
+        texts = [record.value.decode("utf-8", "replace") for record in newest]
+        return [text for text in texts if parse_address(text)][:MAX_LISTED_HOSTS]
+
     async def append_origins(self, batch: OriginBatch) -> None:
         """Append a batch; raise LogUnavailableError, after which it may be there."""
         record = _batch_encoder.encode(batch)
--- a/cornelnotch/standins/store.py
+++ b/cornelnotch/standins/store.py
@@ -114,10 +114,15 @@
         while body:
             (length,) = RECORD_LENGTH.unpack_from(body)
             end = RECORD_LENGTH.size + length
-            topic.write("", body[RECORD_LENGTH.size : end])
+            content = body[RECORD_LENGTH.size : end]
+            if exchange.query["topic"].startswith(KEYED_PREFIX):
+                key = content[1 : 1 + content[0]].decode()
+                topic.write(key, content[1 + content[0] :])
+            else:
+                topic.write("", content)
             body = body[end:]
-        content = {"offset": offset, "end_offset": len(topic.records)}
-        await exchange.respond_json(200, content, self._create_headers())
+        response = {"offset": offset, "end_offset": len(topic.records)}
+        await exchange.respond_json(200, response, self._create_headers())
 
     async def _answer_newest(self, exchange: Exchange, topic: StoreTopic) -> None:
         after = exchange.query.get("after", "")
