gateway: a host that knows no other spends its share only

It now counts the seeds that it is named as unreachable hosts while it knows no other, for as long as dead hosts count.

Evidence: test_host_that_knows_no_other_shares_limits_with_those_it_is_named failed before (a share of 1.0 where 0.25 is right).

--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -212,7 +212,8 @@
 
     def _count_unreachable(self) -> int:
         lost = {MemberState.SUSPECT, MemberState.DEAD}
-        return sum(m.state in lost for m in self.prober.table.members.values())
+        members = self.prober.table.members.values()
+        return sum(m.state in lost for m in members) + self.prober.count_unmet()
 
     def is_ready(self) -> bool:
         """Return whether callers may be sent to this host."""
--- a/cornelnotch/gateway/tests/test_host_discovery.py
+++ b/cornelnotch/gateway/tests/test_host_discovery.py
@@ -1,6 +1,7 @@
 """Test how hosts meet whose seeds do not answer."""
 
 import asyncio
+import copy
 import random
 from contextlib import asynccontextmanager
 from typing import Any
@@ -73,6 +74,41 @@
     return deployment.store.topics[HOSTS_TOPIC].list_newest()
 
 
+# Guards against hosts that each spend the whole limit of a server as they know no other.
+def test_host_that_knows_no_other_shares_limits_with_those_it_is_named():
+    async def scenario():
+        async with (
+            run_deployment() as d,
+            run_host(d, "host-2", create_stale_seeds()) as second,
+        ):
+            d.store.silent_topics.add(HOSTS_TOPIC)
+            context = second.context
+            await wait_until(lambda: context.count_known_hosts() == 4)
+            assert second.admission_controller._find_share() == 0.25
+            assert context.find_retry_budget("desk").host_count == 4
+            settings = copy.deepcopy(second.settings)
+            settings.listen.seeds = d.settings.listen.peers
+            second.apply_settings(settings)
+            await wait_until(lambda: have_met(d.host, second))
+            assert context.count_known_hosts() == 2
+            assert second.admission_controller._find_share() == 1.0
+
+    asyncio.run(scenario())
+
+
+def test_host_that_no_seed_answers_counts_them_no_longer_than_dead_hosts():
+    async def scenario():
+        async with (
+            run_deployment() as d,
+            run_host(d, "host-2", create_stale_seeds()) as second,
+        ):
+            second.prober._started_ms -= second.prober._timing.forget_ms
+            second.prober._notify()
+            assert second.context.count_known_hosts() == 1
+
+    asyncio.run(scenario())
+
+
 def test_odd_entries_do_not_keep_hosts_from_meeting():
     async def scenario():
         async with run_deployment() as d:
--- a/cornelnotch/membership/prober.py
+++ b/cornelnotch/membership/prober.py
@@ -72,6 +72,8 @@
         self._timing = timing
         self._seeds = timing.seeds
         self._listed_seeds: tuple[str, ...] = ()
+        self._started_ms = clock.read()
+        self._unmet = 0
         self._generator = generator
         self._sequence = 0
         self._acked_sequences: set[int] = set()
@@ -108,6 +110,16 @@
         """Call `listener` when a host with a newer configuration sends a message."""
         self._newer_version_listener = listener
 
+    def count_unmet(self) -> int:
+        """Return the number of seed hosts that may run while this one knows no other.
+
+        They count as long as dead hosts do.
+        """
+        waited_ms = self._clock.read() - self._started_ms
+        if not self.is_alone() or waited_ms >= self._timing.forget_ms:
+            return 0
+        return len(self._seeds)
+
     async def run_probes(self) -> None:
         """Probe one host per period until cancelled."""
         while True:
@@ -117,13 +129,15 @@
                 self._tasks.start(f"probe-{target}", self._probe(target))
             self._ping_dead()
             now = self._clock.read()
-            known = len(self.table.members)
+            known, unmet = len(self.table.members), self.count_unmet()
             dead = self.table.expire(
                 now, self._timing.suspicion_ms, self._timing.forget_ms
             )
             for name in dead:
                 self._events.record(Event.MEMBER_CHANGED, host=name, state="dead")
-            if dead or len(self.table.members) < known:
+            is_smaller = len(self.table.members) < known
+            if dead or is_smaller or unmet != self._unmet:
+                self._unmet = unmet
                 self._notify()
             await self._clock.sleep(self._timing.period_ms)
 
