gateway: a stream leaves its silent server late in a stop only with time to spare

Cause: the time left was compared with the rest of the stream alone, while a sound server may be silent for a second or so. A stream is now moved with time for such a silence, or else at the latest moment at which it could still end elsewhere, if its server is silent until then.

--- a/cornelnotch/gateway/drain.py
+++ b/cornelnotch/gateway/drain.py
@@ -15,6 +15,7 @@
 from cornelnotch.kernel.clock import Clock
 
 __all__ = [
+    "LONGEST_SHARE",
     "Drain",
     "choose_drain_retry_after_ms",
     "choose_share",
@@ -33,6 +34,10 @@
 # Later requests, which come on connections that are still open, must end in time even
 # if their response is longer than all before; their server may turn slower meanwhile.
 LATE_FACTOR = 1.25
+# The longest of the recent durations.
+LONGEST_SHARE = 1.0
+# Time before the latest moment at which a stream can go on at another server.
+LATEST_MOVE_MS = 250.0
 # Delay before a refused caller retries at another host, shortened by up to half.
 RETRY_AFTER_MS = 100.0
 
@@ -113,6 +118,27 @@
         bound_ms = bound()
         return None if bound_ms is None else bound_ms * LATE_FACTOR + silence_ms
 
+    def may_move(
+        self, route: Route, estimate: Estimate, limit_ms: float, silence_ms: float
+    ) -> bool:
+        """Return whether a stream may now be moved from its silent server.
+
+        The other server may fall silent for `silence_ms`, too, while the first one may
+        go on. So without time for that, the stream is moved only when it could not
+        end elsewhere any later.
+        """
+        left_ms = self.measure_left_ms()
+        if left_ms <= 0:
+            return False
+        if limit_ms <= left_ms:
+            return True
+        is_late = self._is_late()
+        rest_ms = estimate(LONGEST_SHARE if is_late else choose_share(route))
+        if rest_ms is None:
+            return not is_late
+        spare_ms = left_ms - (rest_ms * LATE_FACTOR if is_late else rest_ms)
+        return spare_ms >= silence_ms or 0.0 <= spare_ms <= LATEST_MOVE_MS
+
     def _is_late(self) -> bool:
         return self._clock.read() >= self._expected_until_ms
 
--- a/cornelnotch/gateway/forwarding.py
+++ b/cornelnotch/gateway/forwarding.py
@@ -18,6 +18,8 @@
 MAX_BODY_BYTES = 64 * 1024 * 1024
 # Time to take what a server has sent before it counts as silent.
 MIN_READ_S = 0.05
+# Period at which a stalled stream that could not be moved is checked again.
+RECHECK_S = 0.1
 
 
 async def forward_body(
@@ -102,6 +104,7 @@
                 if self._search.must_leave():
                     raise self._create_stall()
                 if not self._search.may_start():
+                    wait_s = min(self._stall_s, RECHECK_S)
                     continue
                 self._start_search()
             data = await self._read_or_replace()
--- a/cornelnotch/gateway/replacement.py
+++ b/cornelnotch/gateway/replacement.py
@@ -60,13 +60,16 @@
     def may_start(self) -> bool:
         """Return whether another server may go on with the request."""
         flow = self._flow
-        if not self._has_budget() or not flow.timing.can_end_elsewhere(
-            flow.splitter.count
-        ):
+        if not self._has_budget() or not self._is_in_time():
             return False
         tried = flow.excluded | {self._silent.record.name}
         return flow.continuation.has_other_server(flow.service, tried)
 
+    def _is_in_time(self) -> bool:
+        """Return whether the request may go on elsewhere in the time left."""
+        flow = self._flow
+        return flow.timing.can_end_elsewhere(flow.splitter.count)
+
     def must_leave(self) -> bool:
         """Return whether only another host can go on, as this one is cut off."""
         flow = self._flow
--- a/cornelnotch/gateway/request_timing.py
+++ b/cornelnotch/gateway/request_timing.py
@@ -1,12 +1,12 @@
 """Measure one request, and estimate whether it ends before its host stops; no I/O."""
 
-from cornelnotch.gateway.drain import Drain
+from cornelnotch.gateway.drain import LONGEST_SHARE, Drain
 from cornelnotch.gateway.durations import (
     DurationTracker,
     RequestDuration,
     RunningRequest,
 )
-from cornelnotch.gateway.models import CallerRequest, Route
+from cornelnotch.gateway.models import CallerRequest, Route, WorkKind
 from cornelnotch.gateway.timeouts import find_max_gap_s
 from cornelnotch.kernel.clock import Clock
 from cornelnotch.kernel.parsing import parse_count
@@ -14,8 +14,6 @@
 __all__ = ["RequestTiming"]
 
 MS_PER_SECOND = 1000.0
-# Share of recent requests that took no longer than the longest of them.
-LONGEST_SHARE = 1.0
 
 
 class RequestTiming:
@@ -87,7 +85,13 @@
         )
 
     def find_bound_ms(self, prefill_ms: float = 0.0) -> float | None:
-        """Return the most time that the request may still take, if it is bounded."""
+        """Return the most time that the request may still take, if it is bounded.
+
+        The longest of similar calls is enough for one that may be repeated: it is
+        answered at the end in any case, and its caller can send it again.
+        """
+        if self._route.kind is WorkKind.REPEATABLE:
+            return self.estimate_ms(LONGEST_SHARE, prefill_ms)
         return self._durations.find_bound_ms(
             self._route.name, self._describe(prefill_ms), self._clock.read()
         )
@@ -103,24 +107,45 @@
     def can_end_elsewhere(self, events: int) -> bool:
         """Return whether another server could end the request before the host stops.
 
-        The caller has received `events`. No time is kept for a silence of that server,
-        as the request's own one is silent now.
+        The caller has received `events`. The request's own server keeps it until the
+        other one has answered, so no time is kept for a silence of that one.
         """
         if not self._drain.has_started:
             return True
-        now = self._clock.read()
-        resumed = RequestDuration(
-            0.0, tokens=self._request.output_tokens, events=events
-        )
 
-        name = self._route.name
+        def find_longest_ms() -> float | None:
+            return self._estimate_rest_ms(LONGEST_SHARE, events)
+
         return self._drain.can_end(
             self._route,
-            lambda share: self._durations.estimate_ms(name, share, resumed, now),
-            lambda: self._durations.estimate_ms(name, LONGEST_SHARE, resumed, now),
+            lambda share: self._estimate_rest_ms(share, events),
+            find_longest_ms,
             self.measure_left_ms(),
         )
 
+    def may_move(self, events: int) -> bool:
+        """Return whether a stream may now be moved from its silent server.
+
+        The caller has received `events`.
+        """
+        if not self._drain.has_started:
+            return True
+        return self._drain.may_move(
+            self._route,
+            lambda share: self._estimate_rest_ms(share, events),
+            self.measure_left_ms(),
+            self._silence_ms,
+        )
+
+    def _estimate_rest_ms(self, share: float, events: int) -> float | None:
+        """Return the time that the rest takes at another server, if known."""
+        resumed = RequestDuration(
+            0.0, tokens=self._request.output_tokens, events=events
+        )
+        return self._durations.estimate_ms(
+            self._route.name, share, resumed, self._clock.read()
+        )
+
     def find_needed_ms(self) -> float | None:
         """Return the time that the request must have to be served, if known."""
         return self._drain.find_needed_ms(
--- a/cornelnotch/gateway/stream_search.py
+++ b/cornelnotch/gateway/stream_search.py
@@ -33,6 +33,10 @@
         now = flow.context.clock.read()
         return is_silent(self._silent, now) and flow.context.accepts(flow.backup)
 
+    def _is_in_time(self) -> bool:
+        """Return whether to move now: the silent server is closed at the next event."""
+        return self._flow.timing.may_move(self._flow.splitter.count)
+
     async def _find(self) -> Replacement | None:
         backup = self._flow.backup
         return await (
--- a/cornelnotch/gateway/tests/test_drain.py
+++ b/cornelnotch/gateway/tests/test_drain.py
@@ -7,6 +7,7 @@
 
 from cornelnotch.gateway.drain import (
     LATE_FACTOR,
+    LATEST_MOVE_MS,
     MAX_EXIT_MARGIN_MS,
     RETRY_AFTER_MS,
     USUAL_SHARE,
@@ -193,6 +194,33 @@
     assert refused < 40
 
 
+def test_stream_is_moved_with_time_for_a_silence_or_at_the_latest_moment():
+    route, silence_ms, rest_ms = create_route(resumable=True), 1200.0, 800.0
+    moved = [
+        round(left_ms)
+        for left_ms in range(50, 4400, 50)
+        if start_drain(LEFT_MS - left_ms).may_move(
+            route, expect(rest_ms), 15_000.0, silence_ms
+        )
+    ]
+    latest = rest_ms * LATE_FACTOR
+    assert min(moved) == latest
+    assert [x for x in moved if x < latest + silence_ms] == [
+        latest + later for later in range(0, int(LATEST_MOVE_MS) + 1, 50)
+    ]
+    assert max(moved) == 4350.0
+
+
+def test_stream_of_unknown_duration_is_moved_only_while_callers_are_expected():
+    route, unknown = create_route(resumable=True), expect(None)
+    assert start_drain(EXPECTED_MS - 1.0).may_move(route, unknown, 15_000.0, 1200.0)
+    assert not start_drain(EXPECTED_MS).may_move(route, unknown, 15_000.0, 1200.0)
+    assert start_drain(EXPECTED_MS).may_move(route, unknown, 4000.0, 1200.0)
+    closed = start_drain(EXPECTED_MS)
+    closed.close()
+    assert not closed.may_move(route, expect(0.0), 0.0, 0.0)
+
+
 def test_closed_drain_serves_nothing():
     drain = start_drain(1000.0)
     drain.close()
--- a/cornelnotch/gateway/tests/test_host_discovery.py
+++ b/cornelnotch/gateway/tests/test_host_discovery.py
@@ -74,7 +74,7 @@
     return deployment.store.topics[HOSTS_TOPIC].list_newest()
 
 
-# Guards against hosts that each spend the whole limit of a server as they know no other.
+# Guards against hosts that each spend the whole limit of a server while they are alone.
 def test_host_that_knows_no_other_shares_limits_with_those_it_is_named():
     async def scenario():
         async with (
--- a/cornelnotch/gateway/tests/test_silent_servers.py
+++ b/cornelnotch/gateway/tests/test_silent_servers.py
@@ -119,6 +119,28 @@
     run_scenario(scenario)
 
 
+# Guards against late streams that are moved to a server that falls silent in turn,
+# although their own one would have ended them in time.
+def test_stream_of_a_silent_server_stays_where_the_other_may_fall_silent_too():
+    async def scenario(d):
+        await raise_timeouts(d)
+        for _ in range(60):
+            duration = RequestDuration(10.0, EVENTS * EVENT_MS, 0, EVENTS)
+            d.host.context.durations.record("chat", duration)
+        busy = await keep_busy(d)
+        stopping = start_drain(d, GRACE_S)
+        await asyncio.sleep(2.0)
+        task, running, other = await begin_stream(d)
+        running.faults.stall_ms = 1350.0
+        other.faults.stall_after_events = 5
+        other.faults.stall_ms = 4000.0
+        assert is_whole(await task)
+        assert other.executions["s1"] == 0
+        await asyncio.gather(busy, stopping)
+
+    run_scenario(scenario)
+
+
 def test_stream_goes_on_at_the_server_that_sends_its_next_event_first():
     async def scenario(d):
         task, running, other = await begin_stream(d)
