web: small parts of bodies are read in turns, and endless ones refused

All parts of a read, some 11,000, were taken in one step of the event loop, for each response in turn.

A full read in parts of less than 8 bytes ends the response.

--- a/cornelnotch/web/client.py
+++ b/cornelnotch/web/client.py
@@ -16,6 +16,7 @@
 )
 from cornelnotch.kernel import parsing
 from cornelnotch.kernel.tasks import cancel_and_wait
+from cornelnotch.web.turns import WorkTurns
 
 __all__ = ["HttpClient", "HttpResponse", "Reachability", "parse_address"]
 
@@ -30,6 +31,11 @@
 HEAD_TIMEOUT_S = 2.0
 MAX_INFORMATIONAL_RESPONSES = 8
 BODILESS_STATUSES = frozenset({204, 304})
+# Parts of a body that are read in one step; further ones wait for their turn.
+PARTS_PER_STEP = 128
+# A server is faulty if a full read holds more parts, of less than 8 bytes each: no
+# event of a stream is as short, and sound servers do not fill a read like that.
+MAX_PARTS_PER_READ = 5000
 FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 
 
@@ -62,8 +68,15 @@
     """One connection to a server, used for one request at a time."""
 
     def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        turns: WorkTurns,
     ) -> None:
+        self._turns = turns
+        self._must_wait = False
+        self._is_full_read = False
+        self._parts = 0
         self._reader = reader
         self._writer = writer
         self._protocol = h11.Connection(h11.CLIENT)
@@ -114,20 +127,28 @@
                         )
 
     async def _receive(self) -> None:
-        self._protocol.receive_data(await self._reader.read(READ_BYTES))
+        data = await self._reader.read(READ_BYTES)
+        self._is_full_read = len(data) == READ_BYTES
+        self._parts = 0
+        self._protocol.receive_data(data)
 
     async def read_data(self) -> bytes:
-        """Return all available body bytes, or b"" at the end of the response.
+        """Return available body bytes, or b"" at the end of the response.
 
         Parts that arrived together are joined, so that a busy host forwards them in
-        one write. Cancelling a call loses no data. Raise ProtocolError if the response
-        ends prematurely.
+        one write. Many small parts are read in several steps. Cancelling a call loses
+        no data. Raise ProtocolError if the response ends prematurely, or without need
+        comes in parts of a few bytes.
         """
         chunks: list[bytes] = []
-        while True:
+        if self._must_wait:
+            await self._turns.take()
+            self._must_wait = False
+        while len(chunks) < PARTS_PER_STEP:
             event = self._protocol.next_event()
             if isinstance(event, h11.Data):
                 chunks.append(bytes(event.data))
+                self._parts += 1
             elif event is h11.NEED_DATA:
                 if chunks:
                     return b"".join(chunks)
@@ -137,6 +158,10 @@
                 return b"".join(chunks)
             else:
                 raise h11.RemoteProtocolError("connection closed within the body")
+        if self._is_full_read and self._parts > MAX_PARTS_PER_READ:
+            raise h11.RemoteProtocolError("the body comes in parts of a few bytes")
+        self._must_wait = True
+        return b"".join(chunks)
 
     def has_ended(self) -> bool:
         """Return whether the whole response has been read."""
@@ -282,6 +307,7 @@
 
     def __init__(self) -> None:
         self._idle_connections: dict[str, list[ClientConnection]] = {}
+        self._turns = WorkTurns()
 
     async def request(
         self,
@@ -420,7 +446,7 @@
                 f"{address} is unreachable: {error!r}",
                 "check that the server is running",
             ) from error
-        return ClientConnection(reader, writer)
+        return ClientConnection(reader, writer, self._turns)
 
     @staticmethod
     def _create_head(
--- a/cornelnotch/web/exchange.py
+++ b/cornelnotch/web/exchange.py
@@ -21,6 +21,8 @@
 __all__ = ["Exchange"]
 
 BODY_TIMEOUT_S = 20.0
+# Parts of a body that are read in one step.
+PARTS_PER_STEP = 128
 CONTENT_LENGTH = "content-length"
 
 Headers = dict[str, str] | list[tuple[Any, Any]]
@@ -65,6 +67,7 @@
         `note_received` is called with the size of each part that arrives.
         """
         body = bytearray()
+        parts = 0
         while not self._body_ended:
             event = self._buffered_event or await self._read_event_with_timeout()
             self._buffered_event = None
@@ -73,6 +76,9 @@
                     raise BodyTooLargeError(limit_bytes)
                 note_received(len(event.data))
                 body += event.data
+                parts += 1
+                if parts % PARTS_PER_STEP == 0:
+                    await self._connection.turns.take()
             elif isinstance(event, h11.EndOfMessage):
                 self._body_ended = True
             else:
--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -17,6 +17,7 @@
 from cornelnotch.kernel.tasks import cancel_and_wait
 from cornelnotch.web.connections import count_outstanding_bytes, reset_on_close
 from cornelnotch.web.exchange import Exchange
+from cornelnotch.web.turns import WorkTurns
 
 __all__ = ["Handler", "HttpServer", "ServerConnection", "ServerLimits"]
 
@@ -60,7 +61,9 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         limits: ServerLimits,
+        turns: WorkTurns,
     ) -> None:
+        self.turns = turns
         self._reader = reader
         self._writer = writer
         self._limits = limits
@@ -378,6 +381,7 @@
     def __init__(self, handler: Handler, limits: ServerLimits | None = None) -> None:
         self.limits = limits or ServerLimits()
         self._handler = handler
+        self._turns = WorkTurns()
         self._server: asyncio.Server | None = None
         self._connection_tasks: set[asyncio.Task[None]] = set()
         self._open_connections: set[ServerConnection] = set()
@@ -449,7 +453,7 @@
         task = asyncio.current_task()
         assert task is not None
         self._connection_tasks.add(task)
-        connection = ServerConnection(reader, writer, self.limits)
+        connection = ServerConnection(reader, writer, self.limits, self._turns)
         if self._draining:
             connection.close_when_idle()
         self._open_connections.add(connection)
