platform: the report of a server is read up to 256 KB

A server that sent a report without end filled up to 16 MB for each stream that went on there, and its connection stayed open when the time for it was over.

--- a/cornelnotch/platform/identity.py
+++ b/cornelnotch/platform/identity.py
@@ -15,6 +15,8 @@
 STATUS_OK = 200
 # A server answers within one round trip between regions.
 TIMEOUT_S = 0.4
+# A report lists at most the requests that one server runs.
+MAX_REPORT_BYTES = 256 * 1024
 
 
 class ReportModel(msgspec.Struct):
@@ -37,7 +39,10 @@
         try:
             async with asyncio.timeout(TIMEOUT_S):
                 response = await self._client.request(address, "GET", REPORT_PATH)
-                body = await response.read()
+                try:
+                    body = await response.read(MAX_REPORT_BYTES)
+                finally:
+                    response.close()
             if response.status != STATUS_OK:
                 return None
             return decode(_report_decoder, body).born
--- a/cornelnotch/platform/tests/test_identity.py
+++ b/cornelnotch/platform/tests/test_identity.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cornelnotch.platform.identity import PlatformServerIdentity
+from cornelnotch.platform.identity import MAX_REPORT_BYTES, PlatformServerIdentity
 from cornelnotch.web import HttpClient, HttpServer
 
 
@@ -55,3 +55,58 @@
     assert (
         asyncio.run(PlatformServerIdentity(client).read_boot_ms("127.0.0.1:1")) is None
     )
+
+
+# Guards against hosts whose memory fills with reports that have no end.
+def test_report_without_end_is_given_up_and_its_connection_closed():
+    sent_bytes = 0
+    left = asyncio.Event()
+
+    async def send_without_end(exchange):
+        nonlocal sent_bytes
+        await exchange.start(200, {})
+        try:
+            while True:
+                await exchange.send(b"x" * 65536)
+                sent_bytes += 65536
+        finally:
+            left.set()
+
+    async def run():
+        server, client = HttpServer(send_without_end), HttpClient()
+        await server.start("127.0.0.1", 0)
+        try:
+            identity = PlatformServerIdentity(client)
+            found = await identity.read_boot_ms(f"127.0.0.1:{server.port}")
+            await asyncio.wait_for(left.wait(), 2.0)
+            return found
+        finally:
+            client.close()
+            await server.stop()
+
+    assert asyncio.run(run()) is None
+    assert sent_bytes < 16 * MAX_REPORT_BYTES
+
+
+def test_report_that_stops_half_way_has_its_connection_closed():
+    left = asyncio.Event()
+
+    async def send_a_part(exchange):
+        await exchange.start(200, {})
+        await exchange.send(b"{")
+        exchange._connection.watch_for_close()
+        await exchange.disconnected.wait()
+        left.set()
+
+    async def run():
+        server, client = HttpServer(send_a_part), HttpClient()
+        await server.start("127.0.0.1", 0)
+        try:
+            identity = PlatformServerIdentity(client)
+            assert await identity.read_boot_ms(f"127.0.0.1:{server.port}") is None
+            await asyncio.wait_for(left.wait(), 2.0)
+        finally:
+            client.close()
+            await server.stop()
+
+    asyncio.run(run())
