gateway: a request whose caller is gone when it is answered has a line of its own

The log named no end of a request whose response could not be written, if the write failed before the end of the connection was noticed.

Evidence: test_caller_that_is_gone_when_its_response_is_written_is_logged failed before.

--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -145,6 +145,11 @@
                 serving.cancel()
                 self.record_event(Event.CALLER_LEFT, ran=self.dispatches.ran)
             await serving
+        except CallerDisconnectedError:
+            if self.exchange.disconnected.is_set():
+                # The write failed before the end of the connection was noticed.
+                self.record_event(Event.CALLER_LEFT, ran=self.dispatches.ran)
+            raise
         except asyncio.CancelledError:
             serving.cancel()
             await asyncio.wait({serving})
--- a/cornelnotch/gateway/tests/test_request_path.py
+++ b/cornelnotch/gateway/tests/test_request_path.py
@@ -4,12 +4,14 @@
 
 import pytest
 
-from cornelnotch.exceptions import UpstreamError
+from cornelnotch.exceptions import CallerDisconnectedError, UpstreamError
 from cornelnotch.gateway.tests.conftest import (
     create_configuration,
     run_deployment,
     wait_until,
 )
+from cornelnotch.kernel.events import Event
+from cornelnotch.web import Exchange
 
 
 def run_scenario(scenario):
@@ -314,3 +316,26 @@
             await d.host.stopped.wait()
 
     run_scenario(scenario)
+
+
+# Guards against requests whose end no line of the log names.
+def test_caller_that_is_gone_when_its_response_is_written_is_logged(monkeypatch):
+    async def scenario(d):
+        recorded = []
+        record = d.host.context.events.record
+
+        def note(event, **fields):
+            recorded.append((event, fields.get("request_id")))
+            record(event, **fields)
+
+        async def fail(exchange, *arguments):
+            exchange.disconnected.set()
+            raise CallerDisconnectedError("the caller is gone", "retry the request")
+
+        monkeypatch.setattr(d.host.context.events, "record", note)
+        monkeypatch.setattr(Exchange, "respond", fail)
+        with pytest.raises(UpstreamError):
+            await d.send("/book/x", "POST", b"b", x_attempt_id="b1")
+        await wait_until(lambda: (Event.CALLER_LEFT, "b1") in recorded)
+
+    run_scenario(scenario)
