gateway: the log of a request has a home of its own

No change for callers. Dispatchers refer to the log of a request instead of a method of its flow, and a flow is referred to by its peer dispatch without a cycle, so that nothing has to be dropped at its end. A caller that has left is logged in one place.

--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import replace
+from weakref import proxy
 
 from cornelnotch.exceptions import (
     CallerDisconnectedError,
@@ -30,6 +31,7 @@
 from cornelnotch.gateway.peer_dispatch import PeerDispatch
 from cornelnotch.gateway.placement import Placement, PlacementNeed
 from cornelnotch.gateway.replacement import Replacement
+from cornelnotch.gateway.request_log import RequestLog
 from cornelnotch.gateway.request_timing import RequestTiming
 from cornelnotch.gateway.response_ends import confirm_end
 from cornelnotch.gateway.retry_after import (
@@ -100,6 +102,7 @@
         self.timing = RequestTiming(
             context.clock, context.drain, context.durations, route, request, limit_ms
         )
+        self._log = RequestLog(context, request.request_id, arrived_ms)
         self._time_limit: asyncio.Timeout | None = None
         self.excluded: set[str] = set()
         self.overloaded: set[str] = set()
@@ -112,7 +115,8 @@
         self.backup: ServerView | None = None
         self.resuming = False
         self.replacement: Replacement | None = None
-        self.peer_dispatch = PeerDispatch(self)
+        # A reference cycle would keep the request until the next collection.
+        self.peer_dispatch = PeerDispatch(proxy(self))
         self.crash_guard = CrashGuard(context, request)
         self.continuation = StreamContinuation(context, request, route)
         self.splitter = EventSplitter(request.last_event_id)
@@ -126,7 +130,7 @@
             workspace,
             self.priority,
             self.deadline_ms,
-            self.record_event,
+            self._log.record,
         )
         self.dispatches = self.dispatcher.counts
         self.service = context.choose_service(route, request.request_id)
@@ -143,13 +147,7 @@
             )
             if not serving.done():
                 serving.cancel()
-                self.record_event(Event.CALLER_LEFT, ran=self.dispatches.ran)
             await serving
-        except CallerDisconnectedError:
-            if self.exchange.disconnected.is_set():
-                # The write failed before the end of the connection was noticed.
-                self.record_event(Event.CALLER_LEFT, ran=self.dispatches.ran)
-            raise
         except asyncio.CancelledError:
             serving.cancel()
             await asyncio.wait({serving})
@@ -161,11 +159,6 @@
         finally:
             disconnected.cancel()
             self.timing.finish()
-            self._release()
-
-    def _release(self) -> None:
-        """Drop what refers back to this object, so that it is freed at once."""
-        del self.peer_dispatch, self.dispatcher
 
     async def _serve(self) -> None:
         loop = asyncio.get_running_loop()
@@ -861,7 +854,4 @@
 
     def record_event(self, event: Event, **fields: object) -> None:
         """Log an event of this request."""
-        after_ms = round(self.context.clock.read() - self.arrived_ms, 1)
-        self.context.events.record(
-            event, request_id=self.request.request_id, after_ms=after_ms, **fields
-        )
+        self._log.record(event, **fields)
--- a/cornelnotch/gateway/frontend.py
+++ b/cornelnotch/gateway/frontend.py
@@ -112,6 +112,10 @@
         self._flows.add(flow)
         try:
             await flow.run()
+        except CallerDisconnectedError:
+            if flow.exchange.disconnected.is_set():
+                flow.record_event(Event.CALLER_LEFT, ran=flow.dispatches.ran)
+            raise
         finally:
             self._flows.discard(flow)
 
