--- a/cornelnotch/gateway/tests/test_body_memory.py
+++ b/cornelnotch/gateway/tests/test_body_memory.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import gc
-import os
+import random
 import tracemalloc
 from contextlib import contextmanager
 
@@ -58,7 +58,7 @@
 # until the next collection of reference cycles.
 def test_answered_requests_are_freed_without_a_collection():
     async def scenario(d):
-        body = os.urandom(BODY_BYTES)
+        body = random.Random(1).randbytes(BODY_BYTES)
         for path in ("/book/x", "/read/x", "/stream/x"):
             await send_bodies(d, path, b"small")
             tracemalloc.start()
@@ -77,7 +77,7 @@
 @pytest.mark.parametrize("fault", ["fail", "abort", "refuse", "unsigned"])
 def test_failed_requests_are_freed_without_a_collection(fault):
     async def scenario(d):
-        body = os.urandom(BODY_BYTES)
+        body = random.Random(1).randbytes(BODY_BYTES)
         for server in d.desks + d.engines:
             setattr(server.faults, fault, True)
         with disable_collector():
@@ -126,7 +126,7 @@
         limit_memory(d, 3)
         for desk in d.desks:
             desk.faults.hang = True
-        body = os.urandom(BODY_BYTES)
+        body = random.Random(1).randbytes(BODY_BYTES)
         tasks = [
             asyncio.create_task(
                 d.send("/book/x", "POST", body, x_attempt_id=f"b{number}")
@@ -154,7 +154,7 @@
 def test_bodies_that_stop_half_way_return_their_memory_when_their_callers_leave():
     async def scenario(d):
         limit_memory(d, 2)
-        part = os.urandom(BODY_BYTES // 2)
+        part = random.Random(1).randbytes(BODY_BYTES // 2)
         headers = {"content-length": str(BODY_BYTES)}
         connections, tasks = [], []
         for number in range(4):
