Keep ports for listeners from other tests until they are bound

Cause: find_free_port() returned a random port that was free when probed, and forgot it. A fleet of three hosts chooses twelve ports before it binds the first, so two of them are the same in 66 of 22,000 starts; over all fleets of the suite this is likely in a few runs, without another process. Ruled out: outgoing connections (their range begins at 32768).

A chosen port stays bound by a socket that does not listen until 256 more were chosen. It is bound without SO_REUSEADDR, which fails for ports that anyone holds, and set to reuse afterwards, so that the listener can start. The soak's fleet had the same reservation and the demo its own search in the ephemeral range: both use this one now.

--- a/cornelnotch/gateway/tests/conftest.py
+++ b/cornelnotch/gateway/tests/conftest.py
@@ -22,7 +22,7 @@
 from cornelnotch.platform.store import PlatformStore
 from cornelnotch.standins.store import StoreStandin
 from cornelnotch.standins.upstream import UpstreamStandin
-from cornelnotch.testing.processes import find_free_port
+from cornelnotch.testing.ports import find_free_port
 from cornelnotch.web import HttpClient
 
 HOST_NAME = "app.example"
--- a/cornelnotch/gateway/tests/test_host_discovery.py
+++ b/cornelnotch/gateway/tests/test_host_discovery.py
@@ -19,7 +19,7 @@
 )
 from cornelnotch.kernel import create_event_log
 from cornelnotch.platform.store import HOSTS_TOPIC
-from cornelnotch.testing.processes import find_free_port
+from cornelnotch.testing.ports import find_free_port
 from cornelnotch.testing.virtual_time import VirtualClock, run_in_virtual_time
 
 MEETING_S = 8.0
--- a/cornelnotch/load/embedded.py
+++ b/cornelnotch/load/embedded.py
@@ -1,7 +1,6 @@
 """Sample deployments that run in a single process."""
 
 import asyncio
-import socket
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -15,6 +14,7 @@
 from cornelnotch.standins.engine import EngineProfile, EngineStandin
 from cornelnotch.standins.platform import PlatformStandin
 from cornelnotch.standins.service import ServiceProfile, ServiceStandin
+from cornelnotch.testing.ports import find_free_port
 
 __all__ = [
     "Deployment",
@@ -71,12 +71,6 @@
     return {d.name: d for d in (HEELMARK, GUILD)}
 
 
-def _find_free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((ADDRESS, 0))
-        return probe.getsockname()[1]
-
-
 @dataclass(slots=True)
 class InProcessFleet:
     """Running deployment with hosts and simulated servers in this process."""
@@ -115,8 +109,8 @@
                 "node": {
                     "name": name,
                     "place": place,
-                    "http": self._format_address(_find_free_port()),
-                    "peer": self._format_address(_find_free_port()),
+                    "http": self._format_address(find_free_port()),
+                    "peer": self._format_address(find_free_port()),
                 },
                 "platform": {"log": platform, "hosts": platform},
                 "timing": {"entry_ttl_ms": 1000},
--- a/cornelnotch/node/tests/test_regions.py
+++ b/cornelnotch/node/tests/test_regions.py
@@ -4,7 +4,7 @@
 import signal
 
 from cornelnotch.node.tests.conftest import FAST_MEMBERSHIP, FAST_TIMING
-from cornelnotch.testing.processes import find_free_port
+from cornelnotch.testing.ports import find_free_port
 from cornelnotch.testing.proxy import FaultProxy
 from cornelnotch.testing.samples import (
     create_sample_configuration,
--- a/cornelnotch/platform/tests/test_process.py
+++ b/cornelnotch/platform/tests/test_process.py
@@ -12,11 +12,11 @@
 from cornelnotch.gateway.tests.conftest import (
     create_configuration,
     create_entry,
-    find_free_port,
     wait_until,
 )
 from cornelnotch.standins.store import StoreStandin
 from cornelnotch.standins.upstream import UpstreamStandin
+from cornelnotch.testing.ports import find_free_port
 from cornelnotch.web import HttpClient
 
 SETTINGS = """
--- a/cornelnotch/platform/tests/test_socket_options.py
+++ b/cornelnotch/platform/tests/test_socket_options.py
@@ -9,11 +9,11 @@
 
 from cornelnotch.gateway.host import GatewayHost
 from cornelnotch.gateway.tests.conftest import (
-    find_free_port,
     wait_until,
 )
 from cornelnotch.gateway.tests.versioned_hosts import VersionedHosts
 from cornelnotch.platform import program
+from cornelnotch.testing.ports import find_free_port
 
 TIME_LIMITS = {
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT),
--- a/cornelnotch/soak/fleet.py
+++ b/cornelnotch/soak/fleet.py
@@ -25,7 +25,7 @@
 )
 from cornelnotch.standins.store import StoreStandin
 from cornelnotch.standins.worker import RunLedger, WorkerStandin
-from cornelnotch.testing.processes import find_free_port
+from cornelnotch.testing.ports import reserve_port
 from cornelnotch.web import HttpClient
 
 __all__ = ["ROUTE_TIMEOUT_MS", "HostLife", "SoakFleet"]
@@ -116,16 +116,10 @@
         self._servers = 0
 
     def _reserve_address(self) -> str:
-        """Return an address that only this fleet's hosts will listen on.
-
-        A bound socket keeps others from the port; hosts can still listen on it.
-        """
-        reserved = socket.socket()
-        reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        port = find_free_port()
-        reserved.bind((LOOPBACK, port))
+        """Return an address that only this fleet's hosts will listen on."""
+        reserved = reserve_port()
         self._reserved.append(reserved)
-        return f"{LOOPBACK}:{port}"
+        return f"{LOOPBACK}:{reserved.getsockname()[1]}"
 
     async def start(self) -> None:
         """Start everything and wait until all hosts are ready."""
--- a/cornelnotch/testing/processes.py
+++ b/cornelnotch/testing/processes.py
@@ -2,11 +2,8 @@
 
 import asyncio
 import os
-import random
 import signal
-import socket
 import sys
-from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -17,28 +14,13 @@
 from cornelnotch.exceptions import UpstreamError
 from cornelnotch.kernel import create_clock, create_identifier
 from cornelnotch.load import Caller, CallerOptions
+from cornelnotch.testing.ports import ADDRESS, find_free_port
 from cornelnotch.web import HttpClient
 
-__all__ = ["HostProcess", "ProcessFleet", "find_free_port"]
+__all__ = ["HostProcess", "ProcessFleet"]
 
 START_TIMEOUT_S = 15.0
 POLL_INTERVAL_S = 0.03
-ADDRESS = "127.0.0.1"
-# Below the ephemeral port range: an outgoing connection could otherwise take a port
-# between its selection and the start of the process that listens on it.
-FIRST_PORT = 10_000
-LAST_PORT = 32_000
-
-_generator = random.SystemRandom()
-
-
-def find_free_port() -> int:
-    """Return a port that was free when probed, outside the ephemeral port range."""
-    while True:
-        port = _generator.randrange(FIRST_PORT, LAST_PORT)
-        with socket.socket() as probe, suppress(OSError):
-            probe.bind((ADDRESS, port))
-            return port
 
 
 @dataclass(slots=True)
--- a/cornelnotch/testing/tests/test_binary.py
+++ b/cornelnotch/testing/tests/test_binary.py
@@ -5,7 +5,7 @@
 import time
 from pathlib import Path
 
-from cornelnotch.testing.processes import find_free_port
+from cornelnotch.testing.ports import find_free_port
 
 BINARY = Path("dist/cornelnotch")
 OBSERVATION_S = 2.0
