soak: replace hosts of an older build by this one under load

Servers leave, crash and fall silent, and the configuration changes beside it. What callers and servers saw is judged as in a soak of planned stops. Requests that crash servers, brittle servers, limits of servers, versions of software and hosts cut off from all servers are not drawn yet.

--- a/cornelnotch/commands/soak.py
+++ b/cornelnotch/commands/soak.py
@@ -12,6 +12,13 @@
 EXIT_VIOLATED = 1
 
 
+def create_folder(folder: Path | None) -> Path:
+    """Return `folder`, or a new temporary folder, as an existing folder."""
+    path = folder or Path(mkdtemp(prefix="cornelnotch-soak-"))
+    path.mkdir(parents=True, exist_ok=True)
+    return path
+
+
 def run_stop_soak(
     seed: int = typer.Option(1, help="seed of the plan and the load"),
     seconds: float = typer.Option(60.0, help="duration in seconds"),
@@ -24,18 +31,39 @@
     from cornelnotch.soak.plan import create_plan
     from cornelnotch.soak.stops import run_stops
 
-    path = folder or Path(mkdtemp(prefix="cornelnotch-soak-"))
-    path.mkdir(parents=True, exist_ok=True)
+    path = create_folder(folder)
     plan = create_plan(seed, seconds, hosts, grace)
     verdict = run_async(run_stops(plan, path, lambda line: print(line, flush=True)))
     print(f"logs: {path}")
     raise typer.Exit(EXIT_VIOLATED if verdict.findings else 0)
 
 
+def run_upgrade_soak(
+    commit: str = typer.Option(..., "--from", help="commit of the build in service"),
+    repository: Path = typer.Option(Path(), help="work tree that has the commit"),
+    seed: int = typer.Option(1, help="seed of the plan and the load"),
+    hosts: int = typer.Option(None, help="number of hosts; drawn if absent"),
+    grace: float = typer.Option(None, help="grace period in seconds; drawn if absent"),
+    folder: Path = typer.Option(None, help="folder of the old build and hosts' logs"),
+) -> None:
+    """Replace hosts of an old build by this one under load and check responses."""
+    from cornelnotch.soak.builds import BuildPair, export_build
+    from cornelnotch.soak.stops import run_stops
+    from cornelnotch.soak.upgrades import create_upgrade_plan
+
+    path = create_folder(folder)
+    plan = create_upgrade_plan(seed, hosts, grace)
+    builds = BuildPair(export_build(commit, repository, path.resolve() / "old"))
+    verdict = run_async(
+        run_stops(plan, path, lambda line: print(line, flush=True), builds)
+    )
+    print(f"logs: {path}")
+    raise typer.Exit(EXIT_VIOLATED if verdict.findings else 0)
+
+
 def register_commands(program: typer.Typer) -> None:
     """Register the commands of this module."""
     group = typer.Typer(help="Run seeded soaks of real processes.")
-    # With a callback, the only command keeps its name.
-    group.callback()(lambda: None)
     group.command("stops")(run_stop_soak)
+    group.command("upgrade")(run_upgrade_soak)
     program.add_typer(group, name="soak")
--- a/cornelnotch/soak/fleet.py
+++ b/cornelnotch/soak/fleet.py
@@ -1,7 +1,6 @@
 """Run host processes, a store and servers, and carry out the steps of a plan."""
 
 import asyncio
-import os
 import random
 import signal
 import socket
@@ -17,6 +16,7 @@
 from typing import Any
 
 from cornelnotch.exceptions import UpstreamError
+from cornelnotch.soak.builds import BuildPair
 from cornelnotch.soak.callers import CallerTarget
 from cornelnotch.soak.plan import Action, Plan, Step
 from cornelnotch.standins.deployment import (
@@ -95,9 +95,11 @@
 class SoakFleet:
     """Hosts, servers and the store of one soak; ends only its own processes."""
 
-    def __init__(self, plan: Plan, folder: Path) -> None:
+    def __init__(self, plan: Plan, folder: Path, builds: BuildPair) -> None:
         self.plan = plan
         self.folder = folder
+        self._builds = builds
+        self._releases = dict.fromkeys(range(plan.hosts), plan.first_release)
         self.ledger: RunLedger = defaultdict(list)
         self.store = StoreStandin()
         self.workers: list[WorkerStandin] = []
@@ -215,10 +217,13 @@
         )
         count = sum(life.name.startswith(f"{name}.") for life in self.lives)
         log = self.folder / f"{name}.{count}.log"
+        build = self._builds.find(self._releases[number])
         with log.open("wb") as output:
             process = subprocess.Popen(
                 [sys.executable, "-m", "cornelnotch.platform"],
-                env={**os.environ, "CORNELNOTCH_NODE_FILE": str(path)},
+                env=build.create_environment(path.resolve()),
+                # Python searches the working directory before any other path.
+                cwd=build.source,
                 stdout=output,
                 stderr=output,
             )
@@ -254,7 +259,7 @@
         elif step.action is Action.PAUSE:
             self._spawn(self._pause(life, step.pause_s))
         elif step.action is Action.START:
-            self._spawn(self._restart(step.host, life))
+            self._spawn(self._restart(step, life))
         elif step.action is Action.CONFIGURE:
             self._configure()
         elif step.action is Action.SILENCE:
@@ -296,13 +301,14 @@
         self._send_signal(life, signal.SIGCONT)
         life.pauses[-1] = (start_s, time.monotonic())
 
-    async def _restart(self, number: int, life: HostLife) -> None:
+    async def _restart(self, step: Step, life: HostLife) -> None:
         if life.terminated_s == float("inf"):
             return
         await life.wait()
-        if self._current[number] is life:
-            self._start_host(number)
-            await self._wait_ready(number)
+        if self._current[step.host] is life:
+            self._releases[step.host] = step.release or self._releases[step.host]
+            self._start_host(step.host)
+            await self._wait_ready(step.host)
 
     async def _replace_worker(self, action: Action) -> None:
         usable = [w for w in self.workers if not w.leaving and not w.crashed]
--- a/cornelnotch/soak/plan.py
+++ b/cornelnotch/soak/plan.py
@@ -12,7 +12,16 @@
     draw_users_work,
 )
 
-__all__ = ["Action", "Plan", "Step", "create_plan"]
+__all__ = [
+    "CALM_S",
+    "END_S",
+    "Action",
+    "Plan",
+    "Release",
+    "Step",
+    "create_plan",
+    "draw_silences",
+]
 
 CALM_S = 4.0
 # Time after the last stop in which hosts restart and requests end.
@@ -38,17 +47,26 @@
     SILENCE = "silence"
 
 
+class Release(Enum):
+    """Which build of an upgrade a host runs."""
+
+    OLD = "old"
+    NEW = "new"
+
+
 @dataclass(frozen=True, slots=True)
 class Step:
     """One step at `at_s` after the start.
 
-    `pause_s` is the length of a pause of a host or of a silence of a server.
+    `pause_s` is the length of a pause of a host or of a silence of a server. A host
+    that starts without a `release` runs that of its last process.
     """
 
     at_s: float
     action: Action
     host: int = 0
     pause_s: float = 0.0
+    release: Release | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +83,7 @@
     mix: WorkMix
     steps: tuple[Step, ...]
     profile: LoadProfile
+    first_release: Release = Release.NEW
 
     def draw_work(self, generator: random.Random, read_rate: float) -> Work:
         """Return a random request of a caller that usually reads at `read_rate`."""
--- a/cornelnotch/soak/stops.py
+++ b/cornelnotch/soak/stops.py
@@ -1,4 +1,4 @@
-"""Soak of planned stops."""
+"""Soak of planned stops and upgrades."""
 
 import asyncio
 import random
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 from cornelnotch.soak.attempts import Attempt
+from cornelnotch.soak.builds import BuildPair
 from cornelnotch.soak.callers import SoakCaller
 from cornelnotch.soak.fleet import ROUTE_TIMEOUT_MS, HostLife, SoakFleet
 from cornelnotch.soak.judge import Check, Finding, StopJudge, Verdict
@@ -20,6 +21,7 @@
 FINISH_S = 2.0
 SETTLE_S = 0.5
 DELAY_CHECK_S = 0.05
+ONE_BUILD = BuildPair()
 
 Print = Callable[[str], None]
 
@@ -27,10 +29,12 @@
 class StopSoak:
     """One soak: fleet, callers and judge."""
 
-    def __init__(self, plan: Plan, folder: Path, write: Print) -> None:
+    def __init__(
+        self, plan: Plan, folder: Path, builds: BuildPair, write: Print
+    ) -> None:
         self._plan = plan
         self._write = write
-        self._fleet = SoakFleet(plan, folder)
+        self._fleet = SoakFleet(plan, folder, builds)
         self._judge = StopJudge(
             plan.grace_s, ROUTE_TIMEOUT_MS / 1000.0, self._fleet.ledger
         )
@@ -72,7 +76,8 @@
     async def _run_step(self, step: Step) -> None:
         await asyncio.sleep(self._measure_left_s(step.at_s))
         if step.action is not Action.SILENCE:
-            self._write(f"{step.at_s:6.1f} s  {step.action.value} {step.host}")
+            release = f" {step.release.value}" if step.release else ""
+            self._write(f"{step.at_s:6.1f} s  {step.action.value} {step.host}{release}")
         await self._fleet.run_step(step)
 
     async def _finish(self, callers: list[asyncio.Task[None]]) -> None:
@@ -147,14 +152,16 @@
         return {life.name: life.log for life in lives}
 
 
-async def run_stops(plan: Plan, folder: Path, write: Print) -> Verdict:
+async def run_stops(
+    plan: Plan, folder: Path, write: Print, builds: BuildPair = ONE_BUILD
+) -> Verdict:
     """Run a soak of planned stops; return the verdict after printing it."""
     write(
         f"seed {plan.seed}: {plan.hosts} hosts, {plan.callers} callers, "
         f"{plan.servers} servers, grace {plan.grace_s} s, {plan.seconds} s, "
         f"typical ms {plan.mix or 'wide mix'}, {plan.profile}"
     )
-    soak = StopSoak(plan, folder, write)
+    soak = StopSoak(plan, folder, builds, write)
     verdict = await soak.run()
     print_verdict(verdict, soak.list_logs(), write)
     return verdict
--- /dev/null
+++ b/cornelnotch/soak/upgrades.py
@@ -0,0 +1,61 @@
+"""Draw the plan of an upgrade from a seed; no I/O."""
+
+import random
+from dataclasses import replace
+
+from cornelnotch.soak.plan import (
+    CALM_S,
+    END_S,
+    Action,
+    Plan,
+    Release,
+    Step,
+    create_plan,
+    draw_silences,
+)
+
+__all__ = ["create_upgrade_plan"]
+
+ROLLBACK_SHARE = 0.5
+# Time from the end of a grace period to the next stop.
+REPLACEMENT_GAP_S = (1.0, 4.0)
+TROUBLE_SHARE = 0.5
+TROUBLES = (Action.LEAVE, Action.CRASH, Action.CONFIGURE)
+
+
+def draw_replacements(
+    generator: random.Random, hosts: int
+) -> list[tuple[int, Release]]:
+    """Return which host gets which release, in order; all end with the new one."""
+    order = generator.sample(range(hosts), hosts)
+    forward = [(host, Release.NEW) for host in order]
+    if generator.random() >= ROLLBACK_SHARE:
+        return forward
+    half = forward[: hosts // 2]
+    back = [(host, Release.OLD) for host, _ in reversed(half)]
+    return [*half, *back, *forward]
+
+
+def create_upgrade_plan(
+    seed: int, hosts: int | None = None, grace_s: float | None = None
+) -> Plan:
+    """Return a plan that replaces all hosts, some of them after a rollback."""
+    plan = create_plan(seed, 0.0, hosts, grace_s)
+    generator = random.Random(f"upgrade/{seed}")
+    steps, at_s = [], CALM_S
+    for host, release in draw_replacements(generator, plan.hosts):
+        steps.append(Step(at_s, Action.TERMINATE, host))
+        start_s = at_s + plan.grace_s
+        steps.append(Step(start_s, Action.START, host, release=release))
+        if generator.random() < TROUBLE_SHARE:
+            trouble_s = generator.uniform(at_s, start_s)
+            steps.append(Step(trouble_s, generator.choice(TROUBLES)))
+        at_s = start_s + generator.uniform(*REPLACEMENT_GAP_S)
+    stops = [step for step in steps if step.action is Action.TERMINATE]
+    steps += draw_silences(seed, stops, plan.grace_s)
+    return replace(
+        plan,
+        seconds=at_s + END_S,
+        steps=tuple(sorted(steps, key=lambda step: step.at_s)),
+        first_release=Release.OLD,
+    )
