soak: repeat a request that crashes servers while hosts are replaced

Half of the upgrades have a request that ends each server that runs it (the server is back two seconds later at its address). Callers send it to every host all the time; it is judged by the runs that hosts began later than 4 s after the third crash though they had been ready for 4 s: more than three are a finding. Processes are named by their release, so that a finding tells whose it is.

--- a/cornelnotch/soak/attempts.py
+++ b/cornelnotch/soak/attempts.py
@@ -52,7 +52,8 @@
     """What one request asks for.
 
     A call has no `events`. The body is sent over `upload_s`; `read_rate` limits the
-    bytes per second that the caller reads, unless it is 0.
+    bytes per second that the caller reads, unless it is 0. A request that `crashes`
+    ends each server that begins to run it.
     """
 
     route: str
@@ -65,6 +66,7 @@
     read_rate: float = 0.0
     is_chunked: bool = False
     prompt: Prompt | None = None
+    crashes: bool = False
 
     @property
     def may_repeat(self) -> bool:
@@ -93,6 +95,8 @@
             "gap": self.gap_ms,
             "size": self.size,
         }
+        if self.crashes:
+            query["crash"] = 1
         return f"/{self.route}/x?{urlencode(query)}"
 
     def build_prompt_headers(self, request_id: str) -> dict[str, str]:
--- a/cornelnotch/soak/callers.py
+++ b/cornelnotch/soak/callers.py
@@ -89,7 +89,10 @@
 
 
 class SoakCaller:
-    """Send requests until stopped; record each attempt."""
+    """Send requests until stopped; record each attempt.
+
+    A caller that does not keep its connections sends each request to any host.
+    """
 
     def __init__(
         self,
@@ -98,12 +101,14 @@
         choose_target: Callable[[random.Random, float], CallerTarget | None],
         think_s: float,
         draw_work: Callable[[random.Random, float], Work],
+        keeps_connections: bool = True,
     ) -> None:
         self._name = name
         self._generator = generator
         self._choose_target = choose_target
         self._think_s = think_s
         self._draw_work = draw_work
+        self._keeps_connections = keeps_connections
         self._read_rate = (
             generator.uniform(1e5, 4e5) if generator.random() < 0.1 else 0.0
         )
@@ -123,6 +128,8 @@
                 await self._reconnect()
                 continue
             await self._send_requests(self._connection)
+            if not self._keeps_connections:
+                self._close()
             await self._think()
         self._close()
 
--- a/cornelnotch/soak/fleet.py
+++ b/cornelnotch/soak/fleet.py
@@ -12,6 +12,7 @@
 from collections.abc import Coroutine
 from contextlib import suppress
 from dataclasses import dataclass, field
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -193,12 +194,17 @@
         name, places = f"server-{self._servers}", self.plan.profile.places
         worker = WorkerStandin(name, self.ledger, places)
         await worker.start()
+        worker.note_start = partial(self._write_entry, worker)
         self.workers.append(worker)
         self._write_entry(worker)
 
     def _write_entry(self, worker: WorkerStandin) -> None:
         record = create_server_record(
-            worker.address, worker.leaving, 1, worker.places or CAPACITY
+            worker.address,
+            worker.leaving,
+            1,
+            worker.places or CAPACITY,
+            worker.starts,
         )
         self.store.topics["keyed.servers"].write(worker.name, record)
 
@@ -216,8 +222,10 @@
             )
         )
         count = sum(life.name.startswith(f"{name}.") for life in self.lives)
-        log = self.folder / f"{name}.{count}.log"
-        build = self._builds.find(self._releases[number])
+        release = self._releases[number]
+        life_name = f"{name}.{count}.{release.value}"
+        log = self.folder / f"{life_name}.log"
+        build = self._builds.find(release)
         with log.open("wb") as output:
             process = subprocess.Popen(
                 [sys.executable, "-m", "cornelnotch.platform"],
@@ -227,7 +235,7 @@
                 stdout=output,
                 stderr=output,
             )
-        life = HostLife(f"{name}.{count}", process, log, time.monotonic())
+        life = HostLife(life_name, process, log, time.monotonic())
         self.lives.append(life)
         self._current[number] = life
         threading.Thread(target=life.note_exit, daemon=True).start()
--- a/cornelnotch/soak/judge.py
+++ b/cornelnotch/soak/judge.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from cornelnotch.soak.attempts import Attempt
+from cornelnotch.soak.crashes import CrashingRuns, find_crashing_runs
 from cornelnotch.soak.fleet import HostLife
 from cornelnotch.standins.worker import RunLedger, WorkerRun
 
@@ -40,6 +41,7 @@
     DENIED = "unexpected status"
     SERVED = "not served in the first 3 s"
     EXIT = "exit"
+    CRASHING = "sent to servers after it had crashed three"
     HARNESS = "error of the soak itself"
 
 
@@ -70,6 +72,7 @@
     early_misses: list[Finding] = field(default_factory=list)
     excused: Counter[str] = field(default_factory=Counter)
     exits_s: list[float] = field(default_factory=list)
+    crashing: CrashingRuns | None = None
 
     def count(self) -> Counter[str]:
         """Return the number of findings of each check."""
@@ -95,6 +98,9 @@
         else:
             label = str(attempt.status) + ("" if attempt.whole else " incomplete")
         self.verdict.statuses[label] += 1
+        if attempt.work.crashes:
+            # Nobody misses such a request; how often it ran is judged at the end.
+            return []
         found: list[Finding] = []
         if not attempt.whole and not attempt.refused_connection:
             found.extend(self._judge_incomplete(attempt, life, runs))
@@ -236,6 +242,18 @@
             if executed > 1 and not attempt.work.may_repeat:
                 self._add(Check.TWICE, attempt, str(runs))
 
+    def judge_crashing(
+        self, attempts: dict[str, Attempt], lives: dict[str, HostLife]
+    ) -> None:
+        """Judge how often a request that crashes servers reached them."""
+        found = find_crashing_runs(attempts.values(), self._ledger, lives)
+        self.verdict.crashing = found
+        if found.is_excessive:
+            since_s = found.runs[0].received_s
+            times = ", ".join(f"{run.received_s - since_s:.1f}" for run in found.runs)
+            finding = Finding(Check.CRASHING, "", "", f"{times} s after the first")
+            self.verdict.findings.append(finding)
+
     def judge_exits(self, lives: Iterable[HostLife]) -> None:
         """Judge how and when the processes that got SIGTERM exited."""
         for life in lives:
--- a/cornelnotch/soak/plan.py
+++ b/cornelnotch/soak/plan.py
@@ -84,6 +84,7 @@
     steps: tuple[Step, ...]
     profile: LoadProfile
     first_release: Release = Release.NEW
+    crashing_work: Work | None = None
 
     def draw_work(self, generator: random.Random, read_rate: float) -> Work:
         """Return a random request of a caller that usually reads at `read_rate`."""
--- a/cornelnotch/soak/report.py
+++ b/cornelnotch/soak/report.py
@@ -29,6 +29,11 @@
     if verdict.unfinished:
         write(f"callers whose last requests did not end: {verdict.unfinished}")
     write(f"longest delay of the soak itself: {verdict.delay_s:.2f} s")
+    if verdict.crashing is not None and verdict.crashing.attempts:
+        write(
+            f"request that crashes servers: sent {verdict.crashing.attempts} times, "
+            f"run {len(verdict.crashing.runs)}, late {len(verdict.crashing.late)}"
+        )
     if verdict.exits_s:
         write(
             f"stops: {len(verdict.exits_s)}, exits after {min(verdict.exits_s):.2f} to "
--- a/cornelnotch/soak/stops.py
+++ b/cornelnotch/soak/stops.py
@@ -21,6 +21,7 @@
 FINISH_S = 2.0
 SETTLE_S = 0.5
 DELAY_CHECK_S = 0.05
+CRASHING_THINK_S = 1.0
 ONE_BUILD = BuildPair()
 
 Print = Callable[[str], None]
@@ -48,9 +49,27 @@
             )
             for number in range(plan.callers)
         ]
-        self._judged = [0] * plan.callers
+        self._callers += self._create_crashing_callers()
+        self._judged = [0] * len(self._callers)
         self._started_s = 0.0
 
+    def _create_crashing_callers(self) -> list[SoakCaller]:
+        """Return a caller for each host that repeats the request with crashes."""
+        plan, work = self._plan, self._plan.crashing_work
+        if work is None:
+            return []
+        return [
+            SoakCaller(
+                f"crashing{number}",
+                random.Random(f"crashing/{plan.seed}/{number}"),
+                self._fleet.choose_target,
+                CRASHING_THINK_S,
+                lambda *_: work,
+                keeps_connections=False,
+            )
+            for number in range(plan.hosts)
+        ]
+
     async def run(self) -> Verdict:
         """Run the plan and return the verdict."""
         try:
@@ -141,6 +160,8 @@
             for attempt in caller.attempts
         }
         self._judge.judge_runs(attempts)
+        lives = {life.name: life for life in self._fleet.lives}
+        self._judge.judge_crashing(attempts, lives)
         self._judge.judge_exits(self._fleet.lives)
         self._judge.judge_service()
         for error in self._fleet.errors:
--- a/cornelnotch/soak/tests/test_upgrades.py
+++ b/cornelnotch/soak/tests/test_upgrades.py
@@ -50,6 +50,14 @@
     assert moves[-1].at_s < plan.seconds
 
 
+def test_some_plans_have_a_request_that_crashes_servers():
+    works = [create_upgrade_plan(seed).crashing_work for seed in SEEDS]
+    crashing = [work for work in works if work is not None]
+    assert 0.3 < len(crashing) / len(works) < 0.7
+    assert {work.route for work in crashing} == {"read", "book", "chat", "draft"}
+    assert all("crash=1" in work.build_target() for work in crashing)
+
+
 def test_some_plans_roll_back_half_of_the_hosts():
     plans = [create_upgrade_plan(seed) for seed in SEEDS]
     backs = [[s.release for s in list_starts(p)].count(Release.OLD) for p in plans]
@@ -87,4 +95,4 @@
     assert verdict.early_served > 0
     # Both builds served, and refused messages of each other.
     refusing = [p for p in tmp_path.glob("*.log") if REFUSED_FRAME in p.read_text()]
-    assert {path.name.split(".")[1] for path in refusing} == {"0", "1"}
+    assert {path.name.split(".")[2] for path in refusing} == {"old", "new"}
--- a/cornelnotch/soak/upgrades.py
+++ b/cornelnotch/soak/upgrades.py
@@ -3,6 +3,7 @@
 import random
 from dataclasses import replace
 
+from cornelnotch.soak.attempts import Work
 from cornelnotch.soak.plan import (
     CALM_S,
     END_S,
@@ -20,6 +21,13 @@
 # Time from the end of a grace period to the next stop.
 REPLACEMENT_GAP_S = (1.0, 4.0)
 TROUBLE_SHARE = 0.5
+CRASHING_SHARE = 0.5
+CRASHING_WORKS = (
+    Work("read", 20.0, crashes=True),
+    Work("book", 20.0, crashes=True),
+    Work("chat", 20.0, events=5, gap_ms=20.0, crashes=True),
+    Work("draft", 20.0, events=5, gap_ms=20.0, crashes=True),
+)
 TROUBLES = (Action.LEAVE, Action.CRASH, Action.CONFIGURE)
 
 
@@ -36,6 +44,14 @@
     return [*half, *back, *forward]
 
 
+def draw_crashing_work(seed: int) -> Work | None:
+    """Return a request that crashes servers, or None in plans without one."""
+    generator = random.Random(f"crashing/{seed}")
+    if generator.random() >= CRASHING_SHARE:
+        return None
+    return generator.choice(CRASHING_WORKS)
+
+
 def create_upgrade_plan(
     seed: int, hosts: int | None = None, grace_s: float | None = None
 ) -> Plan:
@@ -58,4 +74,5 @@
         seconds=at_s + END_S,
         steps=tuple(sorted(steps, key=lambda step: step.at_s)),
         first_release=Release.OLD,
+        crashing_work=draw_crashing_work(seed),
     )
--- a/cornelnotch/standins/deployment.py
+++ b/cornelnotch/standins/deployment.py
@@ -60,7 +60,7 @@
 
 
 def create_server_record(
-    address: str, is_leaving: bool, sequence: int, capacity: int
+    address: str, is_leaving: bool, sequence: int, capacity: int, born: int = 0
 ) -> bytes:
     """Return the entry of a server."""
     content = {
@@ -72,6 +72,7 @@
         "state": "draining" if is_leaving else "ready",
         "warmup_left_ms": 0,
         "sequence": sequence,
+        "born": born,
     }
     return orjson.dumps(content)
 
--- a/cornelnotch/standins/worker.py
+++ b/cornelnotch/standins/worker.py
@@ -3,8 +3,10 @@
 import asyncio
 import time
 from collections import defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from cornelnotch.kernel.tasks import cancel_and_wait
 from cornelnotch.web import Exchange, HttpServer
 
 __all__ = ["PROMPT_TOKENS_PER_MS", "RunLedger", "WorkerRun", "WorkerStandin"]
@@ -14,6 +16,7 @@
 STATUS_MISDIRECTED = 421
 STATUS_UNAVAILABLE = 503
 PROMPT_TOKENS_PER_MS = 30.0
+DOWN_S = 2.0
 
 
 @dataclass(slots=True)
@@ -43,7 +46,9 @@
     Query `work` is the time to the response in ms, `size` the size of a body or event,
     `events` the number of events (none for a call), and `gap` the time between them.
     Prompts are read one after another; the parts of those read before are cached. A
-    server with `places` turns away what comes while it works on so many requests.
+    server with `places` turns away what comes while it works on so many requests. A
+    request whose query has `crash` crashes the server, which is back after a while and
+    calls `note_start`; `starts` counts its processes.
     """
 
     name: str
@@ -57,6 +62,9 @@
     read_until_s: float = 0.0
     cached_parts: set[str] = field(default_factory=set)
     dropped: list[WorkerRun] = field(default_factory=list)
+    starts: int = 1
+    note_start: Callable[[], None] = lambda: None
+    restart: asyncio.Task[None] | None = None
     server: HttpServer = field(init=False)
 
     def __post_init__(self) -> None:
@@ -73,9 +81,24 @@
 
     async def stop(self) -> None:
         """Stop immediately, like a process that crashes."""
+        if self.restart is not None:
+            await cancel_and_wait(self.restart)
+        await self._crash()
+
+    async def _crash(self) -> None:
         self.crashed = True
         await self.server.stop()
 
+    async def _restart(self) -> None:
+        port = self.server.port
+        await self._crash()
+        await asyncio.sleep(DOWN_S)
+        await self.server.start("127.0.0.1", port)
+        self.crashed = False
+        self.cached_parts.clear()
+        self.starts += 1
+        self.note_start()
+
     def fall_silent(self, duration_s: float) -> None:
         """Send nothing for `duration_s`, then go on."""
         now = time.monotonic()
@@ -131,6 +154,12 @@
         run: WorkerRun,
     ) -> None:
         run.executed = True
+        if "crash" in exchange.query:
+            if self.restart is None or self.restart.done():
+                # Not awaited here: the stop of the server cancels this task.
+                self.restart = asyncio.create_task(self._restart())
+            await exchange.disconnected.wait()
+            return
         work_ms = float(exchange.query["work"]) + self._queue_prompt(exchange)
         first = int(exchange.headers.get("last-event-id", "0")) + 1
         events = max(int(exchange.query["events"]) + 1 - first, 0)
