soak: servers name limits while hosts are replaced

While servers name a limit, all hosts together have to keep to it, and the hosts of two builds may not hear of each other's share. Most upgrades have times in which all servers name 2, 4 or 8 requests a second; they enforce nothing, so that what arrives shows what hosts send.

Refusals while a server names a limit, or is down for a crash, are no finding of the check on what is served in the first 3 s of a stop; the other checks stay as they are.

--- a/cornelnotch/soak/fleet.py
+++ b/cornelnotch/soak/fleet.py
@@ -25,7 +25,7 @@
     create_server_record,
 )
 from cornelnotch.standins.store import StoreStandin
-from cornelnotch.standins.worker import RunLedger, WorkerStandin
+from cornelnotch.standins.worker import Disturbance, RunLedger, WorkerStandin
 from cornelnotch.testing.ports import reserve_port
 from cornelnotch.web import HttpClient
 
@@ -103,6 +103,7 @@
         self._releases = dict.fromkeys(range(plan.hosts), plan.first_release)
         self.ledger: RunLedger = defaultdict(list)
         self.store = StoreStandin()
+        self.disturbances: list[Disturbance] = []
         self.workers: list[WorkerStandin] = []
         self.lives: list[HostLife] = []
         self.errors: list[str] = []
@@ -192,7 +193,9 @@
     async def _start_worker(self) -> None:
         self._servers += 1
         name, places = f"server-{self._servers}", self.plan.profile.places
-        worker = WorkerStandin(name, self.ledger, places)
+        worker = WorkerStandin(
+            name, self.ledger, places, disturbances=self.disturbances
+        )
         await worker.start()
         worker.note_start = partial(self._write_entry, worker)
         self.workers.append(worker)
@@ -273,6 +276,9 @@
         elif step.action is Action.SILENCE:
             usable = [w for w in self.workers if not w.leaving and not w.crashed]
             self._generator.choice(usable).fall_silent(step.pause_s)
+        elif step.action is Action.LIMIT:
+            for worker in self.workers:
+                worker.name_limit(step.per_second, step.pause_s)
         else:
             await self._replace_worker(step.action)
 
--- a/cornelnotch/soak/plan.py
+++ b/cornelnotch/soak/plan.py
@@ -45,6 +45,7 @@
     LEAVE = "leave"
     CRASH = "crash"
     SILENCE = "silence"
+    LIMIT = "limit"
 
 
 class Release(Enum):
@@ -58,8 +59,9 @@
 class Step:
     """One step at `at_s` after the start.
 
-    `pause_s` is the length of a pause of a host or of a silence of a server. A host
-    that starts without a `release` runs that of its last process.
+    `pause_s` is the length of a pause of a host, of a silence of a server, or of the
+    time in which all servers name a limit of `per_second`. A host that starts without a
+    `release` runs that of its last process.
     """
 
     at_s: float
@@ -67,6 +69,7 @@
     host: int = 0
     pause_s: float = 0.0
     release: Release | None = None
+    per_second: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelnotch/soak/report.py
+++ b/cornelnotch/soak/report.py
@@ -34,6 +34,11 @@
             f"request that crashes servers: sent {verdict.crashing.attempts} times, "
             f"run {len(verdict.crashing.runs)}, late {len(verdict.crashing.late)}"
         )
+    if verdict.fullest is not None:
+        write(
+            f"most requests at a server with a limit in 4 s: {verdict.fullest.requests}"
+            f" of {verdict.fullest.allowed:.0f} allowed"
+        )
     if verdict.exits_s:
         write(
             f"stops: {len(verdict.exits_s)}, exits after {min(verdict.exits_s):.2f} to "
--- a/cornelnotch/soak/stops.py
+++ b/cornelnotch/soak/stops.py
@@ -37,7 +37,10 @@
         self._write = write
         self._fleet = SoakFleet(plan, folder, builds)
         self._judge = StopJudge(
-            plan.grace_s, ROUTE_TIMEOUT_MS / 1000.0, self._fleet.ledger
+            plan.grace_s,
+            ROUTE_TIMEOUT_MS / 1000.0,
+            self._fleet.ledger,
+            self._fleet.disturbances,
         )
         self._callers = [
             SoakCaller(
@@ -162,6 +165,8 @@
         self._judge.judge_runs(attempts)
         lives = {life.name: life for life in self._fleet.lives}
         self._judge.judge_crashing(attempts, lives)
+        limits = {worker.name: worker.limits for worker in self._fleet.workers}
+        self._judge.judge_limits(attempts, lives, limits)
         self._judge.judge_exits(self._fleet.lives)
         self._judge.judge_service()
         for error in self._fleet.errors:
--- a/cornelnotch/soak/upgrades.py
+++ b/cornelnotch/soak/upgrades.py
@@ -22,6 +22,10 @@
 REPLACEMENT_GAP_S = (1.0, 4.0)
 TROUBLE_SHARE = 0.5
 CRASHING_SHARE = 0.5
+LIMITED_SHARE = 0.5
+# Requests per second that each server takes while it names a limit, and how long.
+LIMITS_PER_SECOND = (2.0, 4.0, 8.0)
+LIMITED_S = (8.0, 20.0)
 CRASHING_WORKS = (
     Work("read", 20.0, crashes=True),
     Work("book", 20.0, crashes=True),
@@ -52,6 +56,21 @@
     return generator.choice(CRASHING_WORKS)
 
 
+def draw_limits(seed: int, end_s: float) -> list[Step]:
+    """Return the times in which all servers name a limit."""
+    generator = random.Random(f"limits/{seed}")
+    steps: list[Step] = []
+    at_s = CALM_S
+    while at_s < end_s:
+        duration_s = generator.uniform(*LIMITED_S)
+        if generator.random() < LIMITED_SHARE:
+            rate = generator.choice(LIMITS_PER_SECOND)
+            limit = Step(at_s, Action.LIMIT, pause_s=duration_s, per_second=rate)
+            steps.append(limit)
+        at_s += duration_s
+    return steps
+
+
 def create_upgrade_plan(
     seed: int, hosts: int | None = None, grace_s: float | None = None
 ) -> Plan:
@@ -69,6 +88,7 @@
         at_s = start_s + generator.uniform(*REPLACEMENT_GAP_S)
     stops = [step for step in steps if step.action is Action.TERMINATE]
     steps += draw_silences(seed, stops, plan.grace_s)
+    steps += draw_limits(seed, at_s)
     return replace(
         plan,
         seconds=at_s + END_S,
--- a/cornelnotch/standins/worker.py
+++ b/cornelnotch/standins/worker.py
@@ -9,7 +9,14 @@
 from cornelnotch.kernel.tasks import cancel_and_wait
 from cornelnotch.web import Exchange, HttpServer
 
-__all__ = ["PROMPT_TOKENS_PER_MS", "RunLedger", "WorkerRun", "WorkerStandin"]
+__all__ = [
+    "PROMPT_TOKENS_PER_MS",
+    "Disturbance",
+    "RateLimit",
+    "RunLedger",
+    "WorkerRun",
+    "WorkerStandin",
+]
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 STATUS_OK = 200
@@ -17,6 +24,8 @@
 STATUS_UNAVAILABLE = 503
 PROMPT_TOKENS_PER_MS = 30.0
 DOWN_S = 2.0
+# Time in which hosts send requests again to a server that is back.
+RETURN_S = 2.0
 
 
 @dataclass(slots=True)
@@ -36,6 +45,23 @@
     due_s: float = float("inf")
 
 
+@dataclass(frozen=True, slots=True)
+class Disturbance:
+    """Time in which a server takes less than usual; in monotonic seconds."""
+
+    since_s: float
+    until_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class RateLimit:
+    """Requests per second that a server takes, from and until monotonic seconds."""
+
+    per_second: float
+    since_s: float
+    until_s: float
+
+
 RunLedger = defaultdict[str, list[WorkerRun]]
 
 
@@ -47,8 +73,9 @@
     `events` the number of events (none for a call), and `gap` the time between them.
     Prompts are read one after another; the parts of those read before are cached. A
     server with `places` turns away what comes while it works on so many requests. A
+    server names the last of its `limits` while it lasts, but enforces none. A
     request whose query has `crash` crashes the server, which is back after a while and
-    calls `note_start`; `starts` counts its processes.
+    calls `note_start`; `starts` counts its processes. `disturbances` may be shared.
     """
 
     name: str
@@ -65,6 +92,8 @@
     starts: int = 1
     note_start: Callable[[], None] = lambda: None
     restart: asyncio.Task[None] | None = None
+    limits: list[RateLimit] = field(default_factory=list)
+    disturbances: list[Disturbance] = field(default_factory=list)
     server: HttpServer = field(init=False)
 
     def __post_init__(self) -> None:
@@ -90,7 +119,8 @@
         await self.server.stop()
 
     async def _restart(self) -> None:
-        port = self.server.port
+        port, now = self.server.port, time.monotonic()
+        self.disturbances.append(Disturbance(now, now + DOWN_S + RETURN_S))
         await self._crash()
         await asyncio.sleep(DOWN_S)
         await self.server.start("127.0.0.1", port)
@@ -107,6 +137,12 @@
             if run.due_s > now:
                 run.due_s += duration_s
 
+    def name_limit(self, per_second: float, duration_s: float) -> None:
+        """Name a rate limit in all responses for `duration_s`."""
+        now = time.monotonic()
+        self.limits.append(RateLimit(per_second, now, now + duration_s))
+        self.disturbances.append(Disturbance(now, now + duration_s))
+
     async def _handle(self, exchange: Exchange) -> None:
         request_id = exchange.headers.get("x-attempt-id", "")
         run = WorkerRun(self.name, time.monotonic())
@@ -130,6 +166,8 @@
         headers = {"x-attempt-id": request_id}
         if self.leaving:
             headers["server-leaving"] = "1"
+        if self.limits and time.monotonic() < self.limits[-1].until_s:
+            headers["server-limit"] = str(self.limits[-1].per_second)
         if exchange.headers.get("x-target-instance") != self.name:
             await exchange.respond(STATUS_MISDIRECTED, headers, b"")
             return
