tests: a request that never reached a server is accused of its crash, known red

Cause: Dispatcher.open() sets in_flight.sent before the connection is made, and the crash watch accuses all requests that are sent.

The test holds the connection of one request while another crashes the server; the first is accused with the second. It fails on this code.

--- a/cornelnotch/gateway/tests/test_crash_watch.py
+++ b/cornelnotch/gateway/tests/test_crash_watch.py
@@ -117,3 +117,52 @@
             assert not any(engine.executions for engine in d.engines)
 
     asyncio.run(run())
+
+
+def hold_first_connection(client, address, released):
+    """Let the first connection to an address wait; return the event of its begin."""
+    connect, begun = client._connect, asyncio.Event()
+
+    async def connect_late(target):
+        if target == address and not begun.is_set():
+            begun.set()
+            await released.wait()
+        return await connect(target)
+
+    client._connect = connect_late
+    return begun
+
+
+def test_a_request_that_never_reached_the_server_is_not_accused_of_its_crash():
+    async def run():
+        async with run_deployment() as d:
+            answer = RawResponse(START, end=ConnectionEnd.CLOSE_AND_EXIT)
+            raw = RawUpstream("raw", answer)
+            await raw.start()
+            for server in d.engines:
+                d.drop_server(server)
+            d.list_server(raw, "llm")
+            context = d.host.context
+            await wait_until(
+                lambda: set(context.pool.servers) == {"raw", "desk-1", "desk-2"}
+            )
+            accused: list[str] = []
+            record_crash = context.crash_watch._record_crash
+
+            def note_crash(life, requests):
+                accused.extend(request.request_id for request in requests)
+                record_crash(life, requests)
+
+            context.crash_watch._record_crash = note_crash
+            released = asyncio.Event()
+            begun = hold_first_connection(context.client, raw.address, released)
+            connecting = asyncio.create_task(send(d, 1))
+            await begun.wait()
+            assert await send(d, 2) == 0
+            released.set()
+            await connecting
+            assert raw.requests == 1
+            assert set(accused) == {"r2"}
+            await raw.stop()
+
+    asyncio.run(run())
