gateway: a crash accuses only requests that were written to a connection

Cause: Dispatcher.open marks a dispatch as sent before its connection exists, and a crash accused all that were marked. Requests that try to connect to a server that has just crashed were accused of it.

Now the callback that precedes the first byte marks the dispatch as transmitted, and crashes accuse these only. Load estimates and the ends of admission keep the earlier mark.

--- a/cornelnotch/gateway/crash_watch.py
+++ b/cornelnotch/gateway/crash_watch.py
@@ -63,7 +63,7 @@
         self._broken.move_to_end(life)
         while len(self._broken) > REMEMBERED_LIVES:
             self._broken.popitem(last=False)
-        riders = [r for r in view.in_flight.values() if r.sent]
+        riders = [r for r in view.in_flight.values() if r.transmitted]
         was_crashed = broken.crashed
         if not was_crashed:
             refuses = await self._refuses(view.record.address, broken)
--- a/cornelnotch/gateway/dispatcher.py
+++ b/cornelnotch/gateway/dispatcher.py
@@ -89,7 +89,7 @@
             copy.source,
         )
         sent_ms = self._context.clock.read()
-        response = await self._send(view, options, notice)
+        response = await self._send(view, in_flight, options, notice)
         self.counts.count(response.outcome)
         in_flight.rejected = response.outcome is DispatchOutcome.REFUSED
         in_flight.ended = response.outcome in ENDED
@@ -102,11 +102,17 @@
     async def _send(
         self,
         view: ServerView,
+        in_flight: InFlightRequest,
         options: DispatchOptions,
         notice: SilenceNotice | None,
     ) -> UpstreamResponse:
         """Send the request; count it as one that may have run if it is cancelled."""
         sending = asyncio.Event()
+
+        def note_sending() -> None:
+            sending.set()
+            in_flight.transmitted = True
+
         loop = asyncio.get_running_loop()
         timers = [
             loop.call_later(SLOW_CONNECT_S, self._check_connecting, view, sending)
@@ -121,7 +127,7 @@
                 self._request,
                 options,
                 self._needs_new_connection(view),
-                sending.set,
+                note_sending,
             )
         except BaseException:
             self.counts.ran += sending.is_set()
--- a/cornelnotch/gateway/servers.py
+++ b/cornelnotch/gateway/servers.py
@@ -44,7 +44,8 @@
 class InFlightRequest:
     """A dispatch in progress; `first_ms` is 0 until the response starts.
 
-    `sent` is false while the dispatch is queued, for about `wait_ms` more.
+    `sent` is false while the dispatch is queued, for about `wait_ms` more;
+    `transmitted` is false until the connection exists and the request is written to it.
     `latency_sensitive` is true for streams that accept only short inter-token gaps.
     `shared_parts` are the prompt parts that other requests may have too, `fingerprints`
     those of the whole request. `rejected` is true once the server did not run it,
@@ -63,6 +64,7 @@
     gap_ms: float = 0.0
     wait_ms: float = 0.0
     sent: bool = False
+    transmitted: bool = False
     latency_sensitive: bool = False
     shared_parts: tuple[str, ...] = ()
     fingerprints: tuple[str, ...] = ()
