gateway: a request that waits in a draining host does not become late

Callers whose requests waited for admission 3.0 s after the SIGTERM of their host were refused in that moment (503 host-leaving), among them calls of 22 ms with 1.4 s left, sent up to 1.2 s before.

Cause: whether a request is late was decided by the time of the decision, not of its arrival, and the decision is repeated while a request waits. Late requests must fit with the longest of similar calls, a quarter more and a silence (needed_ms 3405 where 60 was usual).

Drain.can_end and find_needed_ms take the time of arrival. A request of unknown duration is still not sent once callers are expected no more, and the move of a stream is judged by its own time.

--- a/cornelnotch/gateway/drain.py
+++ b/cornelnotch/gateway/drain.py
@@ -106,14 +106,20 @@
         return None if self._started_ms is None else at_ms - self._started_ms
 
     def find_needed_ms(
-        self, route: Route, estimate: Estimate, bound: Bound, silence_ms: float = 0.0
+        self,
+        route: Route,
+        estimate: Estimate,
+        bound: Bound,
+        silence_ms: float = 0.0,
+        received_ms: float | None = None,
     ) -> float | None:
         """Return the time that a request must have to be served, or None if unknown.
 
         Past durations do not bound a late request. Its server may fall silent for
-        `silence_ms` and go on.
+        `silence_ms` and go on. A request that was received in time, and waits since,
+        is not late; without `received_ms` it is received now.
         """
-        if not self._is_late():
+        if not self._is_late(received_ms):
             return estimate(choose_share(route))
         bound_ms = bound()
         return None if bound_ms is None else bound_ms * LATE_FACTOR + silence_ms
@@ -139,8 +145,9 @@
         spare_ms = left_ms - (rest_ms * LATE_FACTOR if is_late else rest_ms)
         return spare_ms >= silence_ms or 0.0 <= spare_ms <= LATEST_MOVE_MS
 
-    def _is_late(self) -> bool:
-        return self._clock.read() >= self._expected_until_ms
+    def _is_late(self, received_ms: float | None = None) -> bool:
+        at_ms = self._clock.read() if received_ms is None else received_ms
+        return at_ms >= self._expected_until_ms
 
     def can_end(
         self,
@@ -149,16 +156,20 @@
         bound: Bound,
         limit_ms: float,
         silence_ms: float = 0.0,
+        received_ms: float | None = None,
     ) -> bool:
         """Return whether a request sent to a server now can end in time.
 
-        It has its final response within `limit_ms`, whatever its server does, which
-        may fall silent for `silence_ms` and go on.
+        It was received at `received_ms`, or now. It has its final response within
+        `limit_ms`, whatever its server does, which may fall silent for `silence_ms`
+        and go on. Once callers are expected no more, none of unknown duration is sent.
         """
         left_ms = self.measure_left_ms()
         if left_ms <= 0:
             return False
         if limit_ms <= left_ms:
             return True
-        needed_ms = self.find_needed_ms(route, estimate, bound, silence_ms)
-        return not self._is_late() if needed_ms is None else needed_ms <= left_ms
+        needed_ms = self.find_needed_ms(route, estimate, bound, silence_ms, received_ms)
+        if needed_ms is None:
+            return not self._is_late()
+        return needed_ms <= left_ms
--- a/cornelnotch/gateway/request_timing.py
+++ b/cornelnotch/gateway/request_timing.py
@@ -121,6 +121,7 @@
             lambda share: self._estimate_rest_ms(share, events),
             find_longest_ms,
             self.measure_left_ms(),
+            received_ms=self._received_ms,
         )
 
     def may_move(self, events: int) -> bool:
@@ -149,7 +150,11 @@
     def find_needed_ms(self) -> float | None:
         """Return the time that the request must have to be served, if known."""
         return self._drain.find_needed_ms(
-            self._route, self.estimate_ms, self.find_bound_ms, self._silence_ms
+            self._route,
+            self.estimate_ms,
+            self.find_bound_ms,
+            self._silence_ms,
+            self._received_ms,
         )
 
     def measure_left_ms(self) -> float:
@@ -166,4 +171,5 @@
             lambda: self.find_bound_ms(prefill_ms),
             self.measure_left_ms(),
             self._silence_ms,
+            self._received_ms,
         )
--- a/cornelnotch/gateway/tests/test_drain.py
+++ b/cornelnotch/gateway/tests/test_drain.py
@@ -16,7 +16,8 @@
     find_exit_margin_ms,
 )
 from cornelnotch.gateway.durations import DurationTracker, RequestDuration
-from cornelnotch.gateway.models import Route, ServiceShare, WorkKind
+from cornelnotch.gateway.models import CallerRequest, Route, ServiceShare, WorkKind
+from cornelnotch.gateway.request_timing import RequestTiming
 from cornelnotch.kernel import ManualClock
 
 GRACE_MS = 8000.0
@@ -135,6 +136,33 @@
     assert late.find_needed_ms(route, short, bound(None)) is None
 
 
+def create_request():
+    return CallerRequest("r1", "GET", "/", "a", "/", [])
+
+
+def test_request_that_waited_past_the_expected_time_is_judged_by_its_arrival():
+    # Guards against refusals of all waiting requests once callers are expected no more.
+    clock = ManualClock(1000.0)
+    drain, tracker = Drain(clock), DurationTracker()
+    route = create_route(WorkKind.REPEATABLE)
+    for duration_ms in [*[60.0] * 50, 3000.0]:
+        tracker.record("r", RequestDuration(duration_ms))
+    drain.start(5000.0, EXPECTED_MS)
+    clock.advance(EXPECTED_MS - 40.0)
+    limit_ms = clock.read() + 15_000.0
+    early = RequestTiming(clock, drain, tracker, route, create_request(), limit_ms)
+    clock.advance(80.0)
+    late = RequestTiming(clock, drain, tracker, route, create_request(), limit_ms)
+    assert early.can_end()
+    assert early.can_end_elsewhere(0)
+    assert not late.can_end()
+    assert not late.can_end_elsewhere(0)
+    early_ms, late_ms = early.find_needed_ms(), late.find_needed_ms()
+    assert early_ms is not None
+    assert early_ms < 100.0
+    assert late_ms == pytest.approx(3000.0 * LATE_FACTOR + 1200.0)
+
+
 def test_late_requests_need_time_for_a_silence_of_their_server():
     left_ms = LEFT_MS - EXPECTED_MS
     route, silence_ms = create_route(), 1200.0
--- a/cornelnotch/verification/stops.py
+++ b/cornelnotch/verification/stops.py
@@ -48,6 +48,7 @@
     NO_ESTIMATE = "requests are sent until the end"
     NO_FACTOR = "estimates of late requests count without their factor"
     LATE_AS_USUAL = "late requests are decided on like those in the first steps"
+    LATE_BY_NOW = "requests that wait become late"
     LONGEST_SEEN = "past durations count as a bound of late requests"
     ONE_DECISION = "the decision on arrival is not repeated before sending"
     NO_LIMIT = "no request is ended at the end of the drain"
@@ -140,20 +141,22 @@
         """Return the most time that a request takes, in ms."""
         return None if self.bound is None else self.bound * STEP_MS
 
-    def get_needed_steps(self, time: int) -> float:
+    def get_needed_steps(self, came_late: bool, time: int) -> float:
         """Return the time left with which a request must be served at `time`."""
-        silence = self.silence if time >= CACHED_STEPS else 0
-        return min(self.get_assured_steps(time) + silence, self.limit)
+        silence = self.silence if came_late else 0
+        return min(self.get_assured_steps(came_late, time) + silence, self.limit)
 
-    def get_assured_steps(self, time: int) -> float:
+    def get_assured_steps(self, came_late: bool, time: int) -> float:
         """Return the duration that a server may take if it gets a request at `time`.
 
         The time for which it falls silent is not counted.
         """
-        if time >= CACHED_STEPS:
+        if came_late:
             steps = self.limit if self.bound is None else self.bound * LATE_FACTOR
+        elif self.usual is not None:
+            steps = self.usual
         else:
-            steps = 0.0 if self.usual is None else self.usual
+            steps = self.limit if time >= CACHED_STEPS else 0.0
         return min(steps, self.limit)
 
 
@@ -163,7 +166,7 @@
     `age` counts the steps since it was sent to a server, or since its response was
     written. It must not be cut off before it is `assured` steps old. A server may run
     it while it is `in_flight`. `ran` and `may_have_run` are the truth and what the host
-    knows.
+    knows. It `came_late` if the host received it when callers were expected no more.
 
     The server is `silent` for so many further steps. `backup` is the other server of
     its stream, `has_stray` whether a server was left running, and `ends` the number of
@@ -179,6 +182,7 @@
     ran: bool = False
     may_have_run: bool = False
     is_old: bool = False
+    came_late: bool = False
     is_accepted: bool = False
     is_late: bool = False
     silent: int = 0
@@ -461,7 +465,9 @@
 
     def _move_silent(self, state: State, index: int, request: Request) -> Request:
         """Return a request that another server starts anew."""
-        assured = self._calls[index].get_assured_steps(state.time)
+        assured = self._calls[index].get_assured_steps(
+            state.time >= CACHED_STEPS, state.time
+        )
         return request._replace(
             age=0,
             assured=assured if request.due else 0.0,
@@ -527,7 +533,10 @@
         return not request.is_old
 
     def _receive(self, state: State, index: int) -> State:
-        request = state.requests[index]._replace(stage=Stage.WAITING)
+        request = state.requests[index]._replace(
+            stage=Stage.WAITING, came_late=state.time >= CACHED_STEPS
+        )
+        state = self._set(state, index, request)
         if self._mutant is StopMutant.ONE_DECISION:
             request = request._replace(is_accepted=self._can_end(state, index))
         return self._set(state, index, request)
@@ -546,8 +555,16 @@
         if self._mutant is StopMutant.NO_ALLOWANCE:
             silence_ms = 0.0
         limit_ms = call.limit * STEP_MS
+        received_ms = None if state.requests[index].came_late else -STEP_MS
+        if self._mutant is StopMutant.LATE_BY_NOW:
+            received_ms = None
         return drain.can_end(
-            self._routes[index], call.estimate_ms, bound, limit_ms, silence_ms
+            self._routes[index],
+            call.estimate_ms,
+            bound,
+            limit_ms,
+            silence_ms,
+            received_ms,
         )
 
     @staticmethod
@@ -575,7 +592,7 @@
         return self._can_end(state, index)
 
     def _refuse(self, state: State, index: int, request: Request) -> State:
-        needed = self._calls[index].get_needed_steps(state.time)
+        needed = self._calls[index].get_needed_steps(request.came_late, state.time)
         could_end = END_STEPS - state.time >= needed
         early = state.phase is Phase.DRAINING and could_end
         state = state._replace(refused_early=state.refused_early or early)
@@ -584,13 +601,15 @@
     def _send(self, state: State, index: int, request: Request) -> State:
         assured = 0.0
         if state.phase is not Phase.SERVING and not request.may_have_run:
-            assured = self._calls[index].get_assured_steps(state.time)
+            assured = self._calls[index].get_assured_steps(
+                request.came_late, state.time
+            )
         sent = request._replace(
             stage=Stage.SENT,
             age=0,
             assured=assured,
             in_flight=True,
-            is_late=assured > 0.0 and state.time >= CACHED_STEPS,
+            is_late=assured > 0.0 and request.came_late,
             was_silent=False,
             is_moved=False,
             due=0.0,
@@ -635,6 +654,7 @@
                 assured=0.0,
                 may_have_run=False,
                 is_old=False,
+                came_late=False,
                 is_accepted=False,
                 is_late=False,
                 silent=0,
--- a/cornelnotch/verification/tests/test_models.py
+++ b/cornelnotch/verification/tests/test_models.py
@@ -161,6 +161,7 @@
         (StopMutant.NO_ESTIMATE, "not_cut_within_estimate"),
         (StopMutant.NO_FACTOR, "not_cut_within_estimate"),
         (StopMutant.LATE_AS_USUAL, "not_cut_within_estimate"),
+        (StopMutant.LATE_BY_NOW, "served_if_it_can_end"),
         (StopMutant.ONE_DECISION, "not_cut_within_estimate"),
         (StopMutant.NO_LIMIT, "read_is_answered"),
         (StopMutant.OLD_LIMIT, "read_is_answered"),
