--- a/cornelnotch/soak/upgrades.py
+++ b/cornelnotch/soak/upgrades.py
@@ -1,7 +1,7 @@
 """Draw the plan of an upgrade from a seed; no I/O."""
 
 import random
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from cornelnotch.soak.attempts import Work
 from cornelnotch.soak.plan import (
@@ -35,16 +35,22 @@
 TROUBLES = (Action.LEAVE, Action.CRASH, Action.CONFIGURE)
 
 
-def draw_replacements(
-    generator: random.Random, hosts: int
-) -> list[tuple[int, Release]]:
-    """Return which host gets which release, in order; all end with the new one."""
+@dataclass(frozen=True, slots=True)
+class Replacement:
+    """One host that stops and starts again with a release."""
+
+    host: int
+    release: Release
+
+
+def draw_replacements(generator: random.Random, hosts: int) -> list[Replacement]:
+    """Return the replacements in order; all hosts end with the new release."""
     order = generator.sample(range(hosts), hosts)
-    forward = [(host, Release.NEW) for host in order]
+    forward = [Replacement(host, Release.NEW) for host in order]
     if generator.random() >= ROLLBACK_SHARE:
         return forward
     half = forward[: hosts // 2]
-    back = [(host, Release.OLD) for host, _ in reversed(half)]
+    back = [Replacement(r.host, Release.OLD) for r in reversed(half)]
     return [*half, *back, *forward]
 
 
@@ -78,10 +84,11 @@
     plan = create_plan(seed, 0.0, hosts, grace_s)
     generator = random.Random(f"upgrade/{seed}")
     steps, at_s = [], CALM_S
-    for host, release in draw_replacements(generator, plan.hosts):
+    for replacement in draw_replacements(generator, plan.hosts):
+        host = replacement.host
         steps.append(Step(at_s, Action.TERMINATE, host))
         start_s = at_s + plan.grace_s
-        steps.append(Step(start_s, Action.START, host, release=release))
+        steps.append(Step(start_s, Action.START, host, release=replacement.release))
         if generator.random() < TROUBLE_SHARE:
             trouble_s = generator.uniform(at_s, start_s)
             steps.append(Step(trouble_s, generator.choice(TROUBLES)))
