gateway: a draining host leaves a silent server only when it counts as lost

Cause: the move closes the first server, and was allowed as soon as an estimate of the rest and one silence fitted into the time left. No estimate says whether the first server goes on. A search that had begun in calm closed it without any check.

Now a stream with time to spare stays until its server has been silent for twice the time that a sound one may be; at the latest moment at which it could end elsewhere it moves as before.

Two tests over sockets and one of the decision fail before this change. The tests of the decision name the silence now, with the same expectations for a lost server.

--- a/cornelnotch/gateway/drain.py
+++ b/cornelnotch/gateway/drain.py
@@ -38,6 +38,8 @@
 LONGEST_SHARE = 1.0
 # Time before the latest moment at which a stream can go on at another server.
 LATEST_MOVE_MS = 250.0
+# Silences of a sound server, in allowed gaps, after which its server counts as lost.
+LOST_AFTER_SILENCES = 2.0
 # Delay before a refused caller retries at another host, shortened by up to half.
 RETRY_AFTER_MS = 100.0
 
@@ -125,13 +127,19 @@
         return None if bound_ms is None else bound_ms * LATE_FACTOR + silence_ms
 
     def may_move(
-        self, route: Route, estimate: Estimate, limit_ms: float, silence_ms: float
+        self,
+        route: Route,
+        estimate: Estimate,
+        limit_ms: float,
+        silence_ms: float,
+        silent_ms: float,
     ) -> bool:
         """Return whether a stream may now be moved from its silent server.
 
-        The other server may fall silent for `silence_ms`, too, while the first one may
-        go on. So without time for that, the stream is moved only when it could not
-        end elsewhere any later.
+        The server has sent no event for `silent_ms`. A sound one goes on after about
+        `silence_ms`, and the other server may fall silent for as long. So the stream is
+        moved only when its server counts as lost and there is time for a silence of the
+        other one, or when it could not end elsewhere any later.
         """
         left_ms = self.measure_left_ms()
         if left_ms <= 0:
@@ -139,11 +147,13 @@
         if limit_ms <= left_ms:
             return True
         is_late = self._is_late()
+        is_lost = silent_ms >= LOST_AFTER_SILENCES * silence_ms
         rest_ms = estimate(LONGEST_SHARE if is_late else choose_share(route))
         if rest_ms is None:
-            return not is_late
+            return is_lost and not is_late
         spare_ms = left_ms - (rest_ms * LATE_FACTOR if is_late else rest_ms)
-        return spare_ms >= silence_ms or 0.0 <= spare_ms <= LATEST_MOVE_MS
+        has_time = is_lost and spare_ms >= silence_ms
+        return has_time or 0.0 <= spare_ms <= LATEST_MOVE_MS
 
     def _is_late(self, received_ms: float | None = None) -> bool:
         at_ms = self._clock.read() if received_ms is None else received_ms
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -671,7 +671,7 @@
             in_flight,
             self.context.clock,
             self._find_stall_timeout_s(),
-            StreamSearch(self, view),
+            StreamSearch(self, view, in_flight),
         )
         try:
             await self.continuation.confirm_server(view)
--- a/cornelnotch/gateway/forwarding.py
+++ b/cornelnotch/gateway/forwarding.py
@@ -146,6 +146,9 @@
             self.replacement = searching.result()
             if reading.done():
                 return reading.result()
+            if self.replacement is not None and not self._search.may_leave():
+                self.replacement.discard()
+                self.replacement = None
             if self.replacement is None:
                 return None
         finally:
--- a/cornelnotch/gateway/replacement.py
+++ b/cornelnotch/gateway/replacement.py
@@ -80,6 +80,10 @@
         can_retry = budget.can_retry(flow.context.clock.read())
         return can_retry and self._may_dispatch_again()
 
+    def may_leave(self) -> bool:
+        """Return whether to close the silent server, as another one has the request."""
+        return True
+
     async def run(self) -> Replacement | None:
         """Return a response that goes on with the request, or None if there is none."""
         flow = self._flow
--- a/cornelnotch/gateway/request_timing.py
+++ b/cornelnotch/gateway/request_timing.py
@@ -124,10 +124,10 @@
             received_ms=self._received_ms,
         )
 
-    def may_move(self, events: int) -> bool:
+    def may_move(self, events: int, event_ms: float) -> bool:
         """Return whether a stream may now be moved from its silent server.
 
-        The caller has received `events`.
+        The caller has received `events`, the last of this server at `event_ms`.
         """
         if not self._drain.has_started:
             return True
@@ -136,6 +136,7 @@
             lambda share: self._estimate_rest_ms(share, events),
             self.measure_left_ms(),
             self._silence_ms,
+            self._clock.read() - event_ms,
         )
 
     def _estimate_rest_ms(self, share: float, events: int) -> float | None:
--- a/cornelnotch/gateway/stream_search.py
+++ b/cornelnotch/gateway/stream_search.py
@@ -3,16 +3,22 @@
 The stream goes on at the server that sends its next event first.
 """
 
+from __future__ import annotations
+
 import asyncio
+from typing import TYPE_CHECKING
 
 from cornelnotch.exceptions import UpstreamError
 from cornelnotch.gateway.dispatch import UpstreamResponse, has_events
 from cornelnotch.gateway.placement import Placement
 from cornelnotch.gateway.replacement import Replacement, ReplacementSearch
-from cornelnotch.gateway.servers import ServerView
+from cornelnotch.gateway.servers import InFlightRequest, ServerView
 from cornelnotch.gateway.silence import is_silent
 from cornelnotch.kernel.events import Event
 
+if TYPE_CHECKING:
+    from cornelnotch.gateway.flow import RequestFlow
+
 __all__ = ["StreamSearch"]
 
 # Time for which both servers may run the stream.
@@ -24,6 +30,13 @@
 
     event = Event.STREAM_STALLED
 
+    def __init__(
+        self, flow: RequestFlow, silent: ServerView, in_flight: InFlightRequest
+    ) -> None:
+        super().__init__(flow, silent)
+        self._in_flight = in_flight
+        self._began_in_drain = False
+
     def may_start(self) -> bool:
         """Return whether another server may go on with the stream."""
         flow = self._flow
@@ -31,11 +44,25 @@
             return super().may_start()
         # A stream that may not be repeated resumes only after its server failed.
         now = flow.context.clock.read()
-        return is_silent(self._silent, now) and flow.context.accepts(flow.backup)
+        can_resume = is_silent(self._silent, now) and flow.context.accepts(flow.backup)
+        return can_resume and self._is_in_time()
+
+    def may_leave(self) -> bool:
+        """Return whether to close the silent server, as another one has the stream.
+
+        The host may have begun to drain since the search began.
+        """
+        return self._began_in_drain or self._is_in_time()
 
     def _is_in_time(self) -> bool:
         """Return whether to move now: the silent server is closed at the next event."""
-        return self._flow.timing.may_move(self._flow.splitter.count)
+        last_ms = self._in_flight.event_ms or self._in_flight.first_ms
+        return self._flow.timing.may_move(self._flow.splitter.count, last_ms)
+
+    async def run(self) -> Replacement | None:
+        """Return a response that goes on with the stream, or None if there is none."""
+        self._began_in_drain = self._flow.context.drain.has_started
+        return await super().run()
 
     async def _find(self) -> Replacement | None:
         backup = self._flow.backup
--- a/cornelnotch/gateway/tests/test_drain.py
+++ b/cornelnotch/gateway/tests/test_drain.py
@@ -8,6 +8,7 @@
 from cornelnotch.gateway.drain import (
     LATE_FACTOR,
     LATEST_MOVE_MS,
+    LOST_AFTER_SILENCES,
     MAX_EXIT_MARGIN_MS,
     RETRY_AFTER_MS,
     USUAL_SHARE,
@@ -228,7 +229,7 @@
         round(left_ms)
         for left_ms in range(50, 4400, 50)
         if start_drain(LEFT_MS - left_ms).may_move(
-            route, expect(rest_ms), 15_000.0, silence_ms
+            route, expect(rest_ms), 15_000.0, silence_ms, math.inf
         )
     ]
     latest = rest_ms * LATE_FACTOR
@@ -239,14 +240,35 @@
     assert max(moved) == 4350.0
 
 
+# Guards against moves from a sound server, which goes on, to one that falls silent.
+def test_stream_with_time_to_spare_stays_until_its_silent_server_counts_as_lost():
+    route, silence_ms, rest_ms = create_route(resumable=True), 1200.0, 800.0
+    lost_ms = LOST_AFTER_SILENCES * silence_ms
+    for left_ms in range(2100, int(LEFT_MS), 100):
+        drain = start_drain(LEFT_MS - left_ms)
+        moved = [
+            silent_ms
+            for silent_ms in range(1200, 3600, 100)
+            if drain.may_move(
+                route, expect(rest_ms), 15_000.0, silence_ms, float(silent_ms)
+            )
+        ]
+        has_time = left_ms >= rest_ms * LATE_FACTOR + silence_ms
+        assert moved == ([*range(int(lost_ms), 3600, 100)] if has_time else [])
+
+
 def test_stream_of_unknown_duration_is_moved_only_while_callers_are_expected():
     route, unknown = create_route(resumable=True), expect(None)
-    assert start_drain(EXPECTED_MS - 1.0).may_move(route, unknown, 15_000.0, 1200.0)
-    assert not start_drain(EXPECTED_MS).may_move(route, unknown, 15_000.0, 1200.0)
-    assert start_drain(EXPECTED_MS).may_move(route, unknown, 4000.0, 1200.0)
+    assert start_drain(EXPECTED_MS - 1.0).may_move(
+        route, unknown, 15_000.0, 1200.0, math.inf
+    )
+    assert not start_drain(EXPECTED_MS).may_move(
+        route, unknown, 15_000.0, 1200.0, math.inf
+    )
+    assert start_drain(EXPECTED_MS).may_move(route, unknown, 4000.0, 1200.0, math.inf)
     closed = start_drain(EXPECTED_MS)
     closed.close()
-    assert not closed.may_move(route, expect(0.0), 0.0, 0.0)
+    assert not closed.may_move(route, expect(0.0), 0.0, 0.0, 0.0)
 
 
 def test_closed_drain_serves_nothing():
--- a/cornelnotch/gateway/tests/test_silent_servers.py
+++ b/cornelnotch/gateway/tests/test_silent_servers.py
@@ -141,6 +141,36 @@
     run_scenario(scenario)
 
 
+# Guards against early streams that are moved although their server goes on after
+# about a second, and that are cut at a server that falls silent in turn.
+def test_stream_with_time_to_spare_stays_at_its_silent_server():
+    async def scenario(d):
+        await raise_timeouts(d)
+        task, running, other = await begin_stream(d)
+        other.faults.stall_after_events, other.faults.stall_ms = 5, None
+        stopping = start_drain(d, GRACE_S)
+        assert is_whole(await task)
+        assert other.executions["s1"] == 0
+        await stopping
+
+    run_scenario(scenario)
+
+
+# Guards against a move that was decided before the host began to stop.
+def test_search_from_before_a_stop_does_not_end_the_silent_server():
+    async def scenario(d):
+        await raise_timeouts(d)
+        task, running, other = await begin_stream(d)
+        other.faults.first_ms = 300.0
+        other.faults.stall_after_events, other.faults.stall_ms = 5, None
+        await wait_until(lambda: other.executions["s1"] == 1)
+        stopping = start_drain(d, GRACE_S)
+        assert is_whole(await task)
+        await stopping
+
+    run_scenario(scenario)
+
+
 def test_stream_goes_on_at_the_server_that_sends_its_next_event_first():
     async def scenario(d):
         task, running, other = await begin_stream(d)
