gateway: a server that was silent and sends again is used at once

Cause: silence was recorded like a failure; a whole response reset the count of failures but not the ejection. Now an event or a whole response ends an ejection for silence alone. A server that also fails requests, or no longer exists, stays ejected. Bytes that are no event end nothing, so that a server that trickles bytes stays out.

Tests of the ejection fail without the change.

--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -632,7 +632,10 @@
         if response.head is not None and response.head.other_server:
             view.disable_until_relisted()
         elif response.outcome in {DispatchOutcome.NOT_SENT, DispatchOutcome.BROKEN}:
-            view.record_failure(now)
+            if response.timed_out and self.route.kind is WorkKind.STREAM:
+                view.record_silence(now)
+            else:
+                view.record_failure(now)
             if response.timed_out or response.outcome is DispatchOutcome.NOT_SENT:
                 self.context.links.suspect(self.service)
 
@@ -687,6 +690,7 @@
                     self.splitter.count - counted, self.context.clock.read()
                 )
                 if complete:
+                    view.end_silence()
                     self.continuation.note_event(view)
                     await self.send_events(complete)
                 self.splitter.check()
--- a/cornelnotch/gateway/servers.py
+++ b/cornelnotch/gateway/servers.py
@@ -117,6 +117,7 @@
     failures: int = 0
     failed_ms: float = 0.0
     ejected_until_ms: float = 0.0
+    is_ejected_for_silence: bool = False
     cached_parts: OrderedDict[str, float] = field(default_factory=OrderedDict)
     announced_leaving: bool = False
     backoff_until_ms: float = 0.0
@@ -180,10 +181,23 @@
         self.failed_ms = now
         ejection_ms = min(EJECTION_BASE_MS * 2 ** (self.failures - 1), MAX_EJECTION_MS)
         self.ejected_until_ms = now + ejection_ms
+        self.is_ejected_for_silence = False
+
+    def record_silence(self, now: float) -> None:
+        """Eject the server until it sends again, at most as long as for a failure."""
+        is_failing = now < self.ejected_until_ms and not self.is_ejected_for_silence
+        self.record_failure(now)
+        self.is_ejected_for_silence = not is_failing
+
+    def end_silence(self) -> None:
+        """End the ejection of a server that was only silent, as it sends again."""
+        if self.is_ejected_for_silence:
+            self.forget_failures()
 
     def forget_failures(self) -> None:
         """Forget all failures, unless the server no longer exists."""
         self.failures = 0
+        self.is_ejected_for_silence = False
         if self.ejected_until_ms != float("inf"):
             self.ejected_until_ms = 0.0
 
@@ -196,7 +210,8 @@
         self.ejected_until_ms = float("inf")
 
     def record_success(self) -> None:
-        """Reset the failure count."""
+        """Reset the failure count, after a whole response."""
+        self.end_silence()
         self.failures = 0
 
     def record_cached(self, prompt: Iterable[PromptPart], now: float) -> None:
--- a/cornelnotch/gateway/silence.py
+++ b/cornelnotch/gateway/silence.py
@@ -68,7 +68,7 @@
         limit_ms = find_silence_limit_ms(view)
         if silent_ms <= limit_ms:
             return
-        view.record_failure(now)
+        view.record_silence(now)
         self._context.links.suspect(view.record.service)
         # The next request then has to connect, and fails before it is sent.
         self._context.client.close_idle_connections(view.record.address)
--- a/cornelnotch/gateway/tests/test_silence.py
+++ b/cornelnotch/gateway/tests/test_silence.py
@@ -105,6 +105,45 @@
     assert not fixture.is_ejected()
 
 
+# Guards against rejections by full servers while a sound one is left out.
+@pytest.mark.parametrize("is_whole", [True, False])
+def test_engine_that_sends_again_after_a_silence_is_used_at_once(is_whole):
+    fixture = SilenceFixture()
+    fixture.stream(5.0, 20.0)
+    fixture.wait(1500.0)
+    fixture.view.record_silence(fixture.now)
+    assert fixture.view.ejected_until_ms - fixture.now > 1000.0
+    if is_whole:
+        fixture.view.record_success()
+    else:
+        fixture.view.end_silence()
+    assert not fixture.is_ejected()
+    assert fixture.view.failures == 0
+
+
+def test_events_do_not_end_the_ejection_of_an_engine_that_fails_requests():
+    fixture = SilenceFixture()
+    fixture.stream(5.0, 20.0)
+    fixture.view.record_failure(fixture.now)
+    fixture.view.record_silence(fixture.now)
+    fixture.view.end_silence()
+    assert fixture.is_ejected()
+    fixture.wait(1500.0)
+    fixture.view.record_silence(fixture.now)
+    fixture.view.record_failure(fixture.now)
+    fixture.view.end_silence()
+    fixture.view.record_success()
+    assert fixture.is_ejected()
+
+
+def test_engine_that_no_longer_exists_stays_ejected_when_a_stream_ends_there():
+    fixture = SilenceFixture()
+    fixture.view.record_silence(fixture.now)
+    fixture.view.disable_until_relisted()
+    fixture.view.end_silence()
+    assert fixture.is_ejected()
+
+
 def test_silence_does_not_raise_the_limit():
     fixture = SilenceFixture()
     fixture.stream(5.0, 20.0)
