gateway: no time for a slower server brings a move in a drain forward

A stream late in a stop left its silent server at the latest moment of a duration that is lengthened by a quarter, so up to a second before the latest moment of the duration itself; its server, which went on, would have ended it before the last sixth of the grace period.

The factor still holds for a server that counts as lost.

--- a/cornelnotch/gateway/drain.py
+++ b/cornelnotch/gateway/drain.py
@@ -139,7 +139,8 @@
         The server has sent no event for `silent_ms`. A sound one goes on after about
         `silence_ms`, and the other server may fall silent for as long. So the stream is
         moved only when its server counts as lost and there is time for a silence of the
-        other one, or when it could not end elsewhere any later.
+        other one, or when it could not end elsewhere any later. Until its server counts
+        as lost, no time is kept for a slower one, as that would bring the move forward.
         """
         left_ms = self.measure_left_ms()
         if left_ms <= 0:
@@ -151,9 +152,10 @@
         rest_ms = estimate(LONGEST_SHARE if is_late else choose_share(route))
         if rest_ms is None:
             return is_lost and not is_late
+        if not is_lost:
+            return 0.0 <= left_ms - rest_ms <= LATEST_MOVE_MS
         spare_ms = left_ms - (rest_ms * LATE_FACTOR if is_late else rest_ms)
-        has_time = is_lost and spare_ms >= silence_ms
-        return has_time or 0.0 <= spare_ms <= LATEST_MOVE_MS
+        return spare_ms >= silence_ms or 0.0 <= spare_ms <= LATEST_MOVE_MS
 
     def _is_late(self, received_ms: float | None = None) -> bool:
         at_ms = self._clock.read() if received_ms is None else received_ms
--- a/cornelnotch/gateway/tests/test_drain.py
+++ b/cornelnotch/gateway/tests/test_drain.py
@@ -24,6 +24,7 @@
 GRACE_MS = 8000.0
 EXPECTED_MS = 3000.0
 LEFT_MS = GRACE_MS - MAX_EXIT_MARGIN_MS
+STALL_MS = 1200.0
 
 
 def create_route(kind=WorkKind.STREAM, resumable=False):
@@ -257,6 +258,38 @@
         assert moved == ([*range(int(lost_ms), 3600, 100)] if has_time else [])
 
 
+def find_move_ms(silent_from_ms, silence_ms, rest_ms):
+    """Return when a stream leaves a server that goes on after a silence, if it does.
+
+    Times are since the start of the drain.
+    """
+    route, limit_ms = create_route(resumable=True), 20_000.0
+    for now in range(silent_from_ms, silent_from_ms + silence_ms, 100):
+        silent_ms = float(now - silent_from_ms)
+        is_checked = silent_ms >= STALL_MS
+        drain = start_drain(float(now))
+        if is_checked and drain.may_move(
+            route, expect(float(rest_ms)), limit_ms, STALL_MS, silent_ms
+        ):
+            return now
+    return None
+
+
+# Guards against moves in a drain that cut streams which their own server, silent for a
+# while, would have ended before the last sixth of the grace period.
+@pytest.mark.parametrize("silence_ms", [1250, 1600, 2000, 2350])
+def test_stream_is_not_moved_from_a_silent_server_that_ends_it_in_time(silence_ms):
+    due_ms = GRACE_MS * 5.0 / 6.0
+    moved = [
+        (silent_from_ms, rest_ms)
+        for silent_from_ms in range(0, 6000, 100)
+        for rest_ms in range(200, 5000, 100)
+        if silent_from_ms + silence_ms + rest_ms <= due_ms
+        and find_move_ms(silent_from_ms, silence_ms, rest_ms) is not None
+    ]
+    assert moved == []
+
+
 def test_stream_of_unknown_duration_is_moved_only_while_callers_are_expected():
     route, unknown = create_route(resumable=True), expect(None)
     assert start_drain(EXPECTED_MS - 1.0).may_move(
