verification: the server to which a stream is moved in a stop may take any time

The model let the second server take no longer than the first, so that no move could cut a stream, and moved at any moment. Now the production decision on moves is played, and a moved stream counts as cut by its move whenever its own server, which goes on, would have ended it before the end, unless the timeout of its route is reached.

The mutant that moves at any silence is caught on all three streams. The conditions of before still count.

--- a/cornelnotch/verification/stops.py
+++ b/cornelnotch/verification/stops.py
@@ -7,8 +7,9 @@
 
 A server may fall silent once within a request and go on. The host may then send a
 stream to another server as well: the first of the two to send the next event goes on,
-and the other one is closed. From its next event on, a stream takes the other server
-no longer than the first. Events and closes arrive at once.
+and the other one is closed. The other server may take any time, as it may fall silent
+too; while the host drains, its production code decides whether to try it. Events and
+closes arrive at once.
 """
 
 from collections.abc import Callable, Iterator
@@ -60,6 +61,7 @@
     NO_MARGIN = "the drain lasts for the whole grace period"
     PAUSED_CLOCK = "the clock of the drain stops during a pause"
     NO_ALLOWANCE = "late requests are sent without time for a silence"
+    MOVE_SOON = "a stream is moved whenever its server is silent"
     MOVE_SILENT = "a silent server is closed before another one has begun"
     KEEP_BOTH = "the slower of two servers is not closed"
     FORGET_BACKUP = "a request that its first server declines counts as not sent"
@@ -410,7 +412,7 @@
             for steps in range(1, call.silence + 1):
                 silent = self._fall_silent(state, index, request, steps)
                 yield f"silence-{steps}-{index}", self._set(state, index, silent)
-        can_hedge = call.kind is WorkKind.STREAM and not self._has_ended(state)
+        can_hedge = call.kind is WorkKind.STREAM and self._may_move(state, index)
         if request.silent and request.backup is Backup.NONE and can_hedge:
             if self._mutant is StopMutant.MOVE_SILENT:
                 hedged = self._move_silent(state, index, request)
@@ -541,6 +543,23 @@
             request = request._replace(is_accepted=self._can_end(state, index))
         return self._set(state, index, request)
 
+    def _may_move(self, state: State, index: int) -> bool:
+        """Return whether a stream may leave its silent server, a sound one."""
+        if self._mutant in {StopMutant.MOVE_SILENT, StopMutant.MOVE_SOON}:
+            return not self._has_ended(state)
+        drain = self._create_drain(state)
+        if not drain.has_started:
+            return True
+        call = self._calls[index]
+        silence_ms = call.silence * STEP_MS
+        return drain.may_move(
+            self._routes[index],
+            call.estimate_ms,
+            call.limit * STEP_MS,
+            silence_ms,
+            silence_ms,
+        )
+
     def _can_end(self, state: State, index: int) -> bool:
         drain = self._create_drain(state)
         if not drain.has_started:
@@ -622,7 +641,9 @@
         """Return the state after the end of the drain has ended a request."""
         is_sent = request.stage in {Stage.SENT, Stage.STREAM}
         early = is_sent and request.age < request.assured
-        is_at_work = early or request.stage is Stage.WAITING
+        has_timed_out = request.age >= self._calls[index].limit
+        is_running = early or (is_sent and not has_timed_out)
+        is_at_work = is_running or request.stage is Stage.WAITING
         in_time = 0.0 < request.due <= state.time
         moved = request.is_moved and is_at_work and in_time
         state = state._replace(
--- a/cornelnotch/verification/tests/test_models.py
+++ b/cornelnotch/verification/tests/test_models.py
@@ -205,6 +205,7 @@
 @pytest.mark.parametrize(
     ("mutant", "broken"),
     [
+        (StopMutant.MOVE_SOON, "not_cut_by_a_move"),
         (StopMutant.MOVE_SILENT, "not_cut_by_a_move"),
         (StopMutant.KEEP_BOTH, "ends_at_one_server"),
         (StopMutant.FORGET_BACKUP, "refusal_is_true"),
