gateway: log that a stream stays, as its host began to stop during the search

A search from before the signal that found a server logged it (6014) and then stayed at the silent one without a word. A second 6014 without a server says so; the test reads both.

--- a/cornelnotch/gateway/stream_search.py
+++ b/cornelnotch/gateway/stream_search.py
@@ -52,7 +52,11 @@
 
         The host may have begun to drain since the search began.
         """
-        return self._began_in_drain or self._is_in_time()
+        leaves = self._began_in_drain or self._is_in_time()
+        if not leaves:
+            name = self._silent.record.name
+            self._flow.record_event(self.event, silent=name, server="")
+        return leaves
 
     def _is_in_time(self) -> bool:
         """Return whether to move now: the silent server is closed at the next event."""
--- a/cornelnotch/gateway/tests/test_silent_servers.py
+++ b/cornelnotch/gateway/tests/test_silent_servers.py
@@ -10,6 +10,7 @@
     run_scenario,
     start_drain,
 )
+from cornelnotch.kernel.events import Event
 
 EVENTS = 40
 EVENT_MS = 20.0
@@ -161,11 +162,22 @@
     async def scenario(d):
         await raise_timeouts(d)
         task, running, other = await begin_stream(d)
+        running.faults.stall_ms = 2200.0
         other.faults.first_ms = 300.0
         other.faults.stall_after_events, other.faults.stall_ms = 5, None
         await wait_until(lambda: other.executions["s1"] == 1)
+        found = []
+        record = d.host.context.events.record
+
+        def note(event, **fields):
+            if event is Event.STREAM_STALLED:
+                found.append(fields["server"])
+            record(event, **fields)
+
+        d.host.context.events.record = note
         stopping = start_drain(d, GRACE_S)
         assert is_whole(await task)
+        assert found == [other.name, ""]
         await stopping
 
     run_scenario(scenario)
