--- a/cornelnotch/gateway/drain.py
+++ b/cornelnotch/gateway/drain.py
@@ -38,7 +38,7 @@
 LONGEST_SHARE = 1.0
 # Time before the latest moment at which a stream can go on at another server.
 LATEST_MOVE_MS = 250.0
-# Silences of a sound server, in allowed gaps, after which its server counts as lost.
+# Factor on the longest silence of a sound server after which a server counts as lost.
 LOST_AFTER_SILENCES = 2.0
 # Delay before a refused caller retries at another host, shortened by up to half.
 RETRY_AFTER_MS = 100.0
