--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -39,6 +39,7 @@
     estimate_caller_timeout_ms,
 )
 from cornelnotch.gateway.retry_policy import may_send_again
+from cornelnotch.gateway.server_failures import record_failed_dispatch
 from cornelnotch.gateway.servers import InFlightRequest, ServerView
 from cornelnotch.gateway.slow_calls import WatchedDispatch
 from cornelnotch.gateway.stream_search import StreamSearch
@@ -629,15 +630,8 @@
             fate=response.outcome.value,
             reason=response.reason,
         )
-        if response.head is not None and response.head.other_server:
-            view.disable_until_relisted()
-        elif response.outcome in {DispatchOutcome.NOT_SENT, DispatchOutcome.BROKEN}:
-            if response.timed_out and self.route.kind is WorkKind.STREAM:
-                view.record_silence(now)
-            else:
-                view.record_failure(now)
-            if response.timed_out or response.outcome is DispatchOutcome.NOT_SENT:
-                self.context.links.suspect(self.service)
+        if record_failed_dispatch(view, response, self.route.kind, now):
+            self.context.links.suspect(self.service)
 
     async def _forward(
         self, response: UpstreamResponse, view: ServerView, in_flight: InFlightRequest
