--- a/cornelnotch/soak/tests/test_stops.py
+++ b/cornelnotch/soak/tests/test_stops.py
@@ -7,6 +7,8 @@
 from cornelnotch.soak.plan import create_plan, lengthen_replies
 from cornelnotch.soak.stops import run_stops
 
+pytestmark = pytest.mark.alone
+
 
 @pytest.mark.parametrize("seed", [19, 20])
 def test_planned_stops_cut_and_refuse_no_request_that_was_run(seed, tmp_path):
--- a/cornelnotch/soak/tests/test_upgrades.py
+++ b/cornelnotch/soak/tests/test_upgrades.py
@@ -15,6 +15,8 @@
 from cornelnotch.soak.stops import run_stops
 from cornelnotch.soak.upgrades import create_upgrade_plan
 
+pytestmark = pytest.mark.alone
+
 SEEDS = range(1, 101)
 # Its servers name a limit for some seconds; no host goes back to the old build.
 LIMITED_SEED = 3
