--- a/cornelnotch/gateway/settings.py
+++ b/cornelnotch/gateway/settings.py
@@ -2,7 +2,7 @@
 
 import configparser
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Literal
 
 import msgspec
 
@@ -70,6 +70,42 @@
     ] = 0.0
 
 
+class DutiesSection(msgspec.Struct):
+    """Calls to the platform's API that one host makes at a time."""
+
+    api: Annotated[str, describe("address of the platform's API; none when empty")] = ""
+    names: Annotated[str, describe("duties in force, separated by commas")] = ""
+    calls_per_s: Annotated[
+        float, describe_amount("calls per second accepted from all hosts together")
+    ] = 1.0
+    fenced: Annotated[
+        bool, describe("whether the API refuses calls with an outdated fencing token")
+    ] = False
+    lease_ms: Annotated[
+        float, describe_amount("time for which the claim to a duty holds")
+    ] = 3000.0
+    wake_slack_ms: Annotated[
+        float, describe_amount("time after a suspension in which calls may still end")
+    ] = 300.0
+    window_s: Annotated[float, describe_amount("length of a window of usage")] = 5.0
+    usage_delay_s: Annotated[
+        float, describe_amount("time after its end until the usage of a window is due")
+    ] = 10.0
+
+    def list_names(self) -> tuple[str, ...]:
+        """Return the names of the duties in force."""
+        return tuple(name.strip() for name in self.names.split(",") if name.strip())
+
+
+class PlacementSection(msgspec.Struct):
+    """How servers are chosen for prompts."""
+
+    prefix_cache: Annotated[
+        Literal["off", "weighed"],
+        describe("whether cached prefixes are weighed against the wait at a server"),
+    ] = "off"
+
+
 class HostSettings(msgspec.Struct):
     """All settings sections; `regions` maps failure domains to regions."""
 
@@ -78,6 +114,8 @@
     store: StoreSection
     bounds: BoundsSection = msgspec.field(default_factory=BoundsSection)
     regions: dict[str, str] = {}
+    duties: DutiesSection = msgspec.field(default_factory=DutiesSection)
+    placement: PlacementSection = msgspec.field(default_factory=PlacementSection)
 
     def list_seeds(self) -> tuple[str, ...]:
         """Return the addresses of the other hosts that are named."""
@@ -119,6 +157,7 @@
     listen = msgspec.structs.asdict(settings.listen)
     found = [(f"[listen] {key}", text) for key, text in listen.items()]
     found.append(("[store] address", settings.store.address))
+    found.append(("[duties] api", settings.duties.api))
     return [(name, text) for name, text in found if text and "seeds" not in name]
 
 
--- a/cornelnotch/gateway/tests/test_settings.py
+++ b/cornelnotch/gateway/tests/test_settings.py
@@ -65,3 +65,25 @@
         return
     assert 0 <= port <= 65535
     host.encode("idna")
+
+
+def test_a_deployment_without_duties_has_empty_sections(tmp_path):
+    """Guard against a part that starts on deployments that do not ask for it."""
+    path = tmp_path / "host.ini"
+    path.write_text(SETTINGS + "[duties]\napi = \nnames = \nfenced = \nwindow_s = \n")
+    settings = read_host_settings(path)
+    assert settings.duties.api == ""
+    assert settings.duties.list_names() == ()
+    assert settings.placement.prefix_cache == "off"
+
+
+def test_duties_are_read(tmp_path):
+    path = tmp_path / "host.ini"
+    path.write_text(
+        SETTINGS + "[duties]\napi = 127.0.0.1:9\nnames = metering,autoscaling\n"
+        "fenced = true\nlease_ms = 3000\n"
+    )
+    duties = read_host_settings(path).duties
+    assert duties.list_names() == ("metering", "autoscaling")
+    assert duties.fenced
+    assert duties.lease_ms == 3000.0
--- /dev/null
+++ b/cornelnotch/scaling/__init__.py
@@ -0,0 +1,1 @@
+"""Orders of servers by the work that callers ask for."""
