admission: short prompts with short targets are sent without a grant; the start of a prompt is no prefill

Callers' questions with a target of 0.4 s waited 100 to 350 ms in admission queues beside engines that were 70 % idle: each grant costs a round trip to the controller, and the rate learned for an engine counted that way and the first steps as prefill (25 tokens per ms where it reads 61). Where a streaming route's target is under a second, a prompt whose prefill and that of those as urgent before it fit in the target goes at once; engines begin urgent prompts first. Rate limits still need a grant. Longer targets are served as before.

--- a/cornelnotch/gateway/admission_client.py
+++ b/cornelnotch/gateway/admission_client.py
@@ -43,15 +43,17 @@
     """Outcome of a wait for admission.
 
     UNANSWERED means that the controller did not answer and the request proceeds
-    without a grant. ENGINE_LOST means that the engine must no longer be used,
-    BETTER_ENGINE that another one is likely to serve the request sooner, INFEASIBLE
-    that the caller would leave before the request is admitted. RATE_LIMITED means that
-    the controller did not answer and the server has a rate limit, which no host may use
-    up by itself. HOST_LEAVING means that this host stops before the request could end.
+    without a grant, DIRECT that the engine has room enough for it to do without one.
+    ENGINE_LOST means that the engine must no longer be used, BETTER_ENGINE that another
+    one is likely to serve the request sooner, INFEASIBLE that the caller would leave
+    before the request is admitted. RATE_LIMITED means that the controller did not
+    answer and the server has a rate limit, which no host may use up by itself.
+    HOST_LEAVING means that this host stops before the request could end.
     """
 
     GRANTED = "granted"
     UNANSWERED = "alone"
+    DIRECT = "direct"
     ENGINE_LOST = "lost"
     BETTER_ENGINE = "better"
     INFEASIBLE = "hopeless"
@@ -104,6 +106,9 @@
         find_limit: Callable[[ServerView], RateLimit | None] = lambda view: None,
         generator: random.Random | None = None,
         list_brittle: Callable[[], list[ServerView]] = list,
+        may_send_directly: Callable[
+            [ServerView, InFlightRequest, float], bool
+        ] = lambda view, in_flight, target_ms: False,
     ) -> None:
         self._peers = peers
         self._clock = clock
@@ -111,6 +116,7 @@
         self._is_listed = is_listed
         self._find_limit = find_limit
         self._list_brittle = list_brittle
+        self._may_send_directly = may_send_directly
         self._generator = generator or random.Random(peers.name)
         self._states: dict[AdmissionKey, AdmissionState] = {}
         self._controllers: dict[str, str] = {}
@@ -154,6 +160,8 @@
         state.wait_limit_ms = wait_limit_ms
         if self._is_unresponsive(state.controller):
             return self._proceed_unanswered(state)
+        if self._may_proceed_directly(state):
+            return self._proceed(state, AdmissionResult.DIRECT)
         self._send_ask(state, "waiting")
         while True:
             try:
@@ -290,9 +298,21 @@
         """Proceed without an answer, unless the server has a rate limit."""
         if self._find_limit(state.view) is not None:
             return AdmissionResult.RATE_LIMITED
+        return self._proceed(state, AdmissionResult.UNANSWERED)
+
+    def _may_proceed_directly(self, state: AdmissionState) -> bool:
+        """Return whether the engine takes the request without a grant."""
+        if self._find_limit(state.view) is not None:
+            return False
+        return self._may_send_directly(state.view, state.in_flight, state.target_ms)
+
+    def _proceed(
+        self, state: AdmissionState, result: AdmissionResult
+    ) -> AdmissionResult:
+        """Tell the controller that the request is sent without a grant."""
         state.granted = True
         self._send_ask(state, "sent")
-        return AdmissionResult.UNANSWERED
+        return result
 
     def _send_ask(self, state: AdmissionState, stage: AdmissionStage) -> None:
         now = self._clock.read()
--- a/cornelnotch/gateway/admission_controller.py
+++ b/cornelnotch/gateway/admission_controller.py
@@ -10,6 +10,7 @@
 
 from cornelnotch.gateway.admission_queue import AdmissionQueue, QueueEntry
 from cornelnotch.gateway.context import GatewayContext
+from cornelnotch.gateway.direct_admission import has_short_target
 from cornelnotch.gateway.engine_estimates import EngineEstimate
 from cornelnotch.gateway.limit_control import TAKEOVER_MS, LimitControl
 from cornelnotch.gateway.rate_limits import RateLimit
@@ -224,7 +225,8 @@
         engine = service.engine if service else None
         tokens = engine.cache_tokens if engine else UNKNOWN_CACHE_TOKENS
         usual = self._context.engine_rates.get_average(view.record.service)
-        estimate = EngineEstimate(server, usual)
+        targets = self._context.table.list_stream_targets(view.record.service)
+        estimate = EngineEstimate(server, usual, any(map(has_short_target, targets)))
         return AdmissionQueue(view.record.slots, tokens, estimate)
 
     def list_rates(self) -> list[EngineRates]:
--- a/cornelnotch/gateway/admission_queue.py
+++ b/cornelnotch/gateway/admission_queue.py
@@ -198,7 +198,8 @@
             self._recent_prefills[-1].at_ms if self._recent_prefills else float("-inf")
         )
         elapsed_ms = now - max(entry.granted_ms, idle_since_ms)
-        self.estimate.record_prefill(entry.uncached_tokens, elapsed_ms, now)
+        was_idle = entry.granted_ms > idle_since_ms
+        self.estimate.record_prefill(entry.uncached_tokens, elapsed_ms, now, was_idle)
         self._recent_prefills.append(
             PrefillRecord(now, entry.request_id, entry.uncached_tokens)
         )
--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -11,6 +11,7 @@
 from cornelnotch.gateway.body_memory import BodyMemory
 from cornelnotch.gateway.crash_evidence import CrashEvidence
 from cornelnotch.gateway.crash_watch import CrashWatch, ServerLife
+from cornelnotch.gateway.direct_admission import may_send_directly
 from cornelnotch.gateway.drain import Drain
 from cornelnotch.gateway.durations import DurationTracker
 from cornelnotch.gateway.engine_rates import EngineRateTable
@@ -115,6 +116,7 @@
             self.accepts,
             self.find_rate_limit,
             list_brittle=self._list_brittle,
+            may_send_directly=self._may_send_directly,
         )
         self.origins = StreamOrigins()
         self.report_origin: Callable[[str, StreamOrigin], None] = lambda name, origin: (
@@ -165,6 +167,24 @@
         """Return the rate limit in force for a server, or None if it has none."""
         return self.rate_limits.find(server.record)
 
+    def _may_send_directly(
+        self, server: ServerView, in_flight: InFlightRequest, target_ms: float
+    ) -> bool:
+        """Return whether an engine begins a prompt soon without a grant."""
+        server.finish(in_flight)
+        try:
+            usage = self.placer.measure_usage(server, self.clock.read())
+        finally:
+            server.start(in_flight)
+        return may_send_directly(
+            in_flight.prefill_tokens,
+            in_flight.priority,
+            target_ms,
+            usage,
+            server.record.slots,
+            self.engine_rates.get(server.record.name, server.record.service),
+        )
+
     def _list_brittle(self) -> list[ServerView]:
         return [view for view in self.pool.servers.values() if self.is_brittle(view)]
 
--- a/cornelnotch/gateway/engine_estimates.py
+++ b/cornelnotch/gateway/engine_estimates.py
@@ -7,8 +7,8 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass
 
+from cornelnotch.gateway.linear_fit import Coefficients, LinearFit
 from cornelnotch.wire.messages import EngineRates, StreamProgress
 
 __all__ = ["PRIOR_RATES", "EngineEstimate", "average_rates", "find_prefill_budget"]
@@ -21,6 +21,13 @@
 PRIOR_PREFILL_MS = 400.0
 PRIOR_EVENTS = 10.0
 PRIOR_KILOTOKENS = 10.0
+# Assumed time between a grant and the first token of a prompt that needs no prefill:
+# the way to the server and back, and the first steps of the engine. It counts as much
+# as this many prompts that found the engine idle, and the prior of the prefill rate as
+# one prompt of this many thousands of tokens.
+PRIOR_START_MS = 20.0
+PRIOR_STARTS = 1.0
+PRIOR_START_KILOTOKENS = 4.0
 # Estimates are clamped to this factor around the prior.
 MAX_FACTOR = 40.0
 # Observations decay exponentially with this half-life.
@@ -43,6 +50,8 @@
 MAX_EASE = 4.0
 EASE_DECREASE_INTERVAL_MS = 500.0
 TOKENS_PER_KILOTOKEN = 1000.0
+# Least time per 1,000 prefilled tokens, so that no fit leads to a negative rate.
+MIN_KILOTOKEN_MS = 1e-3
 
 
 def find_prefill_budget(rates: EngineRates, gap_ms: float) -> float:
@@ -77,50 +86,53 @@
     return min(max(value, prior / MAX_FACTOR), prior * MAX_FACTOR)
 
 
-@dataclass(slots=True)
-class ProgressSums:
-    """Decayed least-squares sums over events, thousands of prefilled tokens and ms."""
-
-    events_squared: float = 0.0
-    events_tokens: float = 0.0
-    tokens_squared: float = 0.0
-    events_ms: float = 0.0
-    tokens_ms: float = 0.0
-
-    def decay(self, factor: float) -> None:
-        """Multiply all sums by `factor`."""
-        self.events_squared *= factor
-        self.events_tokens *= factor
-        self.tokens_squared *= factor
-        self.events_ms *= factor
-        self.tokens_ms *= factor
-
-    def add(self, events: float, kilotokens: float, spent_ms: float) -> None:
-        """Add one observation."""
-        self.events_squared += events * events
-        self.events_tokens += events * kilotokens
-        self.tokens_squared += kilotokens * kilotokens
-        self.events_ms += events * spent_ms
-        self.tokens_ms += kilotokens * spent_ms
-
-
 class EngineEstimate:
-    """Estimate the rates of one engine from observations and a prior."""
+    """Estimate the rates of one engine from observations and a prior.
 
-    def __init__(self, server: str = "", prior: EngineRates = PRIOR_RATES) -> None:
+    With `separates_start`, the time that each prompt takes whatever its length does
+    not count as prefill. Where prompts are short, it would make an engine seem several
+    times slower than it is.
+    """
+
+    def __init__(
+        self,
+        server: str = "",
+        prior: EngineRates = PRIOR_RATES,
+        separates_start: bool = False,
+    ) -> None:
         self._server = server
         self._prior = prior
         self._prefilled_tokens = 0.0
         self._prefill_ms = 0.0
-        self._sums = ProgressSums()
+        self._progress = LinearFit(
+            Coefficients(prior.event_ms, TOKENS_PER_KILOTOKEN / prior.chunk_rate),
+            PRIOR_EVENTS,
+            PRIOR_KILOTOKENS,
+        )
+        self._starts: LinearFit | None = None
+        if separates_start:
+            self._starts = LinearFit(
+                Coefficients(PRIOR_START_MS, TOKENS_PER_KILOTOKEN / prior.read_rate),
+                PRIOR_STARTS,
+                PRIOR_START_KILOTOKENS,
+            )
         self._updated_ms = 0.0
         self._ease = prior.ease
         self._ease_lowered_ms = float("-inf")
         self.rates = prior
 
-    def record_prefill(self, tokens: int, elapsed_ms: float, now: float) -> None:
-        """Add the observation that a prefill took `elapsed_ms`."""
+    def record_prefill(
+        self, tokens: int, elapsed_ms: float, now: float, was_idle: bool = False
+    ) -> None:
+        """Add the observation that a prefill took `elapsed_ms`.
+
+        `was_idle` states that the engine had no other prompt to prefill before it.
+        """
         self._decay(now)
+        if self._starts is not None:
+            self._record_start(self._starts, tokens, elapsed_ms, was_idle)
+            self._update()
+            return
         expected_ms = tokens / self.rates.read_rate
         slowest_ms = max(expected_ms * MAX_DELAY_FACTOR, self.rates.event_ms)
         quickest_ms = expected_ms / MAX_DELAY_FACTOR
@@ -128,6 +140,15 @@
         self._prefill_ms += min(max(elapsed_ms, quickest_ms), slowest_ms)
         self._update()
 
+    def _record_start(
+        self, starts: LinearFit, tokens: int, elapsed_ms: float, was_idle: bool
+    ) -> None:
+        start_ms = max(starts.solve().first, 0.0) if was_idle else 0.0
+        expected_ms = start_ms + tokens / self.rates.read_rate
+        slowest_ms = max(expected_ms * MAX_DELAY_FACTOR, self.rates.event_ms)
+        kilotokens = tokens / TOKENS_PER_KILOTOKEN
+        starts.add(float(was_idle), kilotokens, min(elapsed_ms, slowest_ms))
+
     def record_progress(
         self, progress: StreamProgress, prompts: list[int], gap_ms: float, now: float
     ) -> None:
@@ -137,7 +158,7 @@
         that the caller accepts, 0 for any.
         """
         self._decay(now)
-        self._sums.add(
+        self._progress.add(
             progress.events, sum(prompts) / TOKENS_PER_KILOTOKEN, progress.spent_ms
         )
         if gap_ms > 0:
@@ -171,33 +192,25 @@
         factor = 0.5 ** (elapsed_ms / HALF_LIFE_MS)
         self._prefilled_tokens *= factor
         self._prefill_ms *= factor
-        self._sums.decay(factor)
+        self._progress.decay(factor)
+        if self._starts is not None:
+            self._starts.decay(factor)
 
     def _update(self) -> None:
-        prior = self._prior
-        read_tokens = self._prefilled_tokens + PRIOR_PREFILL_MS * prior.read_rate
-        read_rate = read_tokens / (self._prefill_ms + PRIOR_PREFILL_MS)
-        event_ms, kilotoken_ms = self._fit()
-        chunk_rate = TOKENS_PER_KILOTOKEN / max(kilotoken_ms, 1e-3)
+        fitted = self._progress.solve()
+        chunk_rate = TOKENS_PER_KILOTOKEN / max(fitted.second, MIN_KILOTOKEN_MS)
         self.rates = EngineRates(
             self._server,
-            _clamp(read_rate, PRIOR_RATES.read_rate),
+            _clamp(self._find_read_rate(), PRIOR_RATES.read_rate),
             _clamp(chunk_rate, PRIOR_RATES.chunk_rate),
-            _clamp(event_ms, PRIOR_RATES.event_ms),
+            _clamp(fitted.first, PRIOR_RATES.event_ms),
             self._ease,
         )
 
-    def _fit(self) -> tuple[float, float]:
-        """Return the ms per event and per 1,000 prefilled tokens, by least squares."""
-        sums = self._sums
-        weight = PRIOR_EVENTS**2
-        events_squared = sums.events_squared + weight
-        events_ms = sums.events_ms + weight * self._prior.event_ms
-        weight = PRIOR_KILOTOKENS**2
-        kilotoken_ms = TOKENS_PER_KILOTOKEN / self._prior.chunk_rate
-        tokens_squared = sums.tokens_squared + weight
-        tokens_ms = sums.tokens_ms + weight * kilotoken_ms
-        divisor = events_squared * tokens_squared - sums.events_tokens**2
-        event_numerator = events_ms * tokens_squared - tokens_ms * sums.events_tokens
-        token_numerator = tokens_ms * events_squared - events_ms * sums.events_tokens
-        return event_numerator / divisor, token_numerator / divisor
+    def _find_read_rate(self) -> float:
+        """Return the number of tokens prefilled per ms."""
+        if self._starts is not None:
+            kilotoken_ms = max(self._starts.solve().second, MIN_KILOTOKEN_MS)
+            return TOKENS_PER_KILOTOKEN / kilotoken_ms
+        read_tokens = self._prefilled_tokens + PRIOR_PREFILL_MS * self._prior.read_rate
+        return read_tokens / (self._prefill_ms + PRIOR_PREFILL_MS)
--- a/cornelnotch/gateway/models.py
+++ b/cornelnotch/gateway/models.py
@@ -122,6 +122,16 @@
                     gaps.setdefault(share.service, []).append(route.target_itl_ms)
         return gaps
 
+    def list_stream_targets(self, service: str) -> list[float]:
+        """Return the targets of the streaming routes of a service, in ms."""
+        return [
+            route.target_ms
+            for routes in self.routes.values()
+            for route in routes
+            if route.kind is WorkKind.STREAM
+            and any(share.service == service for share in route.shares)
+        ]
+
     def find_longest_stream_ms(self) -> float:
         """Return the longest timeout of routes whose streams may be resumed, in ms."""
         routes = (route for found in self.routes.values() for route in found)
--- a/cornelnotch/gateway/replacement.py
+++ b/cornelnotch/gateway/replacement.py
@@ -23,7 +23,9 @@
 
 __all__ = ["Replacement", "ReplacementSearch"]
 
-ADMITTED = frozenset({AdmissionResult.GRANTED, AdmissionResult.UNANSWERED})
+ADMITTED = frozenset(
+    {AdmissionResult.GRANTED, AdmissionResult.UNANSWERED, AdmissionResult.DIRECT}
+)
 FAILURES = (
     DispatchOutcome.BROKEN,
     DispatchOutcome.REFUSED,
