--- a/cornelnotch/gateway/engine_estimates.py
+++ b/cornelnotch/gateway/engine_estimates.py
@@ -27,7 +27,7 @@
 # one prompt of this many thousands of tokens.
 PRIOR_START_MS = 20.0
 PRIOR_STARTS = 1.0
-PRIOR_START_KILOTOKENS = 4.0
+PRIOR_START_KILOTOKENS = 2.0
 # Estimates are clamped to this factor around the prior.
 MAX_FACTOR = 40.0
 # Observations decay exponentially with this half-life.
