--- a/cornelnotch/platform/store.py
+++ b/cornelnotch/platform/store.py
@@ -21,10 +21,11 @@
 from cornelnotch.kernel.parsing import Count, decode, parse_address, parse_count
 from cornelnotch.web import HttpClient
 
-__all__ = ["PlatformStore"]
+__all__ = ["READ_TIMEOUT_MS", "STATUS_OK", "PlatformStore", "frame_keyed_record"]
 
 STATUS_OK = 200
 STATUS_GONE = 410
+ANSWERED = frozenset({STATUS_OK, STATUS_GONE})
 # The store responds within 4 ms; two hundred times as long indicates a fault.
 READ_TIMEOUT_MS = 800.0
 PAGE_HEADER = struct.Struct(">QQ")
@@ -76,6 +77,13 @@
     return parse_count(headers.get(TIMELINE_HEADER, "").strip())
 
 
+def frame_keyed_record(name: str, value: bytes) -> bytes:
+    """Return a record of a keyed topic as the body of an append has it."""
+    key = name.encode()[:MAX_KEY_BYTES]
+    record = bytes([len(key)]) + key + value
+    return RECORD_LENGTH.pack(len(record)) + record
+
+
 def split_records(body: bytes, start: int, timeline: int | None = None) -> RecordPage:
     """Return the records in the response to a read from offset `start`."""
     end, first = PAGE_HEADER.unpack_from(body, 0)
@@ -164,9 +172,10 @@
 
     async def read_newest(self, topic: str) -> RecordPage:
         """Return the newest record of each key; raise LogUnavailableError."""
-        return await self._read_topic(TOPICS[topic])
+        return await self.read_topic(TOPICS[topic])
 
-    async def _read_topic(self, name: str) -> RecordPage:
+    async def read_topic(self, name: str) -> RecordPage:
+        """Return the newest record of each key; raise LogUnavailableError."""
         records: list[Record] = []
         after = ""
         end: int | None = None
@@ -175,7 +184,7 @@
             target = f"/log-newest?topic={name}&part={PARTITION}"
             if after:
                 target += f"&after={quote(after, safe='')}"
-            response = await self._call(target, READ_TIMEOUT_MS)
+            response = await self.call(target, READ_TIMEOUT_MS)
             first = first if after else response.timeline
             if response.timeline != first:
                 raise LogUnavailableError(
@@ -201,7 +210,7 @@
         target = f"/log-read?topic={TOPICS[topic]}&part={PARTITION}&from={start}"
         if wait_ms > 0:
             target += f"&wait_ms={wait_ms:.0f}"
-        response = await self._call(target, READ_TIMEOUT_MS + wait_ms)
+        response = await self.call(target, READ_TIMEOUT_MS + wait_ms)
         if response.status == STATUS_GONE:
             earliest = self._decode(_trimmed_decoder, response).earliest_offset
             raise LogTrimmedError(earliest, response.timeline)
@@ -232,18 +241,16 @@
 
     async def register_host(self, name: str, address: str) -> None:
         """List a host and its address for other hosts; raise LogUnavailableError."""
-        key = name.encode()[:MAX_KEY_BYTES]
-        record = bytes([len(key)]) + key + address.encode()
-        body = RECORD_LENGTH.pack(len(record)) + record
+        body = frame_keyed_record(name, address.encode())
         target = f"/log-append?topic={HOSTS_TOPIC}&part={PARTITION}"
-        await self._call(target, READ_TIMEOUT_MS, "POST", body)
+        await self.call(target, READ_TIMEOUT_MS, "POST", body)
 
     async def list_host_addresses(self) -> list[str]:
         """Return the addresses for other hosts; raise LogUnavailableError.
 
         Those that were listed last come first, and odd ones are left out.
         """
-        page = await self._read_topic(HOSTS_TOPIC)
+        page = await self.read_topic(HOSTS_TOPIC)
         newest = sorted(page.records, key=lambda record: -record.offset)
         texts = [record.value.decode("utf-8", "replace") for record in newest]
         return [text for text in texts if parse_address(text)][:MAX_LISTED_HOSTS]
@@ -253,7 +260,7 @@
         record = _batch_encoder.encode(batch)
         body = RECORD_LENGTH.pack(len(record)) + record
         target = f"/log-append?topic={ORIGINS_TOPIC}&part={PARTITION}"
-        await self._call(target, READ_TIMEOUT_MS, "POST", body)
+        await self.call(target, READ_TIMEOUT_MS, "POST", body)
 
     async def read_origins(self) -> OriginHistory:
         """Return all batches that the log has; raise LogUnavailableError."""
@@ -262,7 +269,7 @@
         start = 0
         for _ in range(MAX_ORIGIN_PAGES):
             target = f"/log-read?topic={ORIGINS_TOPIC}&part={PARTITION}&from={start}"
-            response = await self._call(target, READ_TIMEOUT_MS)
+            response = await self.call(target, READ_TIMEOUT_MS)
             if response.status == STATUS_GONE:
                 start = self._find_earliest(response, start)
                 continue
@@ -285,9 +292,15 @@
             )
         return earliest
 
-    async def _call(
-        self, target: str, timeout_ms: float, method: str = "GET", body: bytes = b""
+    async def call(
+        self,
+        target: str,
+        timeout_ms: float,
+        method: str = "GET",
+        body: bytes = b"",
+        accepted: frozenset[int] = ANSWERED,
     ) -> StoreResponse:
+        """Return a response with an accepted status; raise LogUnavailableError."""
         self.calls += 1
         try:
             async with asyncio.timeout(timeout_ms / 1000.0):
@@ -300,7 +313,7 @@
                 f"store did not respond: {error!r}", "read again later"
             ) from error
         timeline = parse_timeline(response.headers)
-        if response.status not in {STATUS_OK, STATUS_GONE}:
+        if response.status not in accepted:
             raise LogUnavailableError(
                 f"store returned status {response.status}", "read again later", timeline
             )
