--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -126,6 +126,7 @@
         self.software_history = SoftwareHistory(clock.read())
         self.find_listed_ms: Callable[[], float] = clock.read
         self.announce_leaving: Callable[[str, int], None] = lambda server, boot_ms: None
+        self.count_usage: Callable[[str], None] = lambda workspace: None
         self._longest_of: RoutingTable | None = None
         self._longest_stream_ms = 0.0
         self._reserved: dict[str, ReservedEngines] = {}
--- a/cornelnotch/gateway/dispatcher.py
+++ b/cornelnotch/gateway/dispatcher.py
@@ -65,6 +65,7 @@
         self._deadline_ms = deadline_ms
         self._record_event = record_event
         self.counts = DispatchCounts()
+        self._is_counted = False
 
     async def open(
         self,
@@ -97,8 +98,19 @@
         if response.outcome is DispatchOutcome.DONE:
             view.record_received(in_flight, self._context.clock.read())
             self._context.admission.report_prefilled(in_flight)
+        self._count_usage(response)
         return response
 
+    def _count_usage(self, response: UpstreamResponse) -> None:
+        """Count the request for its workspace once a server began to run it."""
+        began = response.outcome is DispatchOutcome.DONE or (
+            response.outcome is DispatchOutcome.FAILED
+            and self._route.kind is not WorkKind.STREAM
+        )
+        if began and not self._is_counted and self._workspace is not None:
+            self._is_counted = True
+            self._context.count_usage(self._workspace.name)
+
     async def _send(
         self,
         view: ServerView,
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -221,6 +221,50 @@
         logging.INFO,
         "a caller disconnected before the response was complete",
     )
+    DUTY_CLAIMED = (7001, logging.INFO, "this host holds the duties")
+    DUTY_LOST = (7002, logging.WARNING, "this host no longer holds the duties")
+    DUTY_RELEASED = (7003, logging.INFO, "this host gave up the duties")
+    DUTY_STORE_FAILING = (
+        7004,
+        logging.WARNING,
+        "the store of the duties does not respond; check its address and the network",
+    )
+    DUTY_API_FAILING = (
+        7005,
+        logging.WARNING,
+        "the platform's API does not respond; check its address and the network",
+    )
+    DUTY_TOKEN_REFUSED = (
+        7006,
+        logging.WARNING,
+        "the platform's API has seen a higher fencing token; a new claim follows",
+    )
+    DUTY_RECORD_MALFORMED = (
+        7007,
+        logging.WARNING,
+        "malformed records of the duties are left out; find out who wrote them",
+    )
+    USAGE_REPORTED = (7101, logging.INFO, "the usage of a window was reported")
+    USAGE_REJECTED = (
+        7102,
+        logging.WARNING,
+        "the platform's API refused a report of usage; compare it with the API's rules",
+    )
+    USAGE_MISSING = (
+        7103,
+        logging.ERROR,
+        "the usage of a window was not reported; bill it from the platform's records",
+    )
+    USAGE_INCOMPLETE = (
+        7104,
+        logging.WARNING,
+        "usage counted by lost hosts may lack in a window; check it before billing",
+    )
+    USAGE_TOTALS_MALFORMED = (
+        7105,
+        logging.WARNING,
+        "malformed totals of a host are left out; compare its build with this one",
+    )
 
     def __init__(self, number: int, level: int, meaning: str) -> None:
         self.number = number
--- a/cornelnotch/platform/program.py
+++ b/cornelnotch/platform/program.py
@@ -4,6 +4,7 @@
 import gc
 import signal
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from cornelnotch.gateway.host import GatewayHost
 from cornelnotch.gateway.settings import HostSettings, read_host_settings
@@ -22,6 +23,9 @@
 from cornelnotch.platform.store import PlatformStore
 from cornelnotch.web import HttpClient, HttpServer, parse_address
 
+if TYPE_CHECKING:
+    from cornelnotch.duties.joining import HostDuties
+
 __all__ = ["run_host"]
 
 # Reference counting frees nearly all objects of a request, so a high threshold avoids
@@ -43,6 +47,25 @@
     return SettingsWatch(path, host.events, apply_settings)
 
 
+def start_duties(
+    host: GatewayHost, store: PlatformStore, client: HttpClient
+) -> "HostDuties | None":
+    """Start the duties that the settings name, or return None if there are none."""
+    duties = host.settings.duties
+    if not duties.api or not duties.list_names():
+        return None
+    from cornelnotch.duties.joining import HostDuties, needs_holder
+    from cornelnotch.platform.duty_api import DutyApi, PlatformUsageApi
+    from cornelnotch.platform.duty_store import PlatformDutyStore
+
+    if not needs_holder(duties.list_names()):
+        return None
+    api = DutyApi(duties.api, client)
+    joined = HostDuties(host, PlatformDutyStore(store), PlatformUsageApi(api))
+    joined.start()
+    return joined
+
+
 async def serve_host(
     settings: HostSettings, output: LogOutput, path: Path | None = None
 ) -> None:
@@ -82,12 +105,15 @@
     if settings.listen.metrics:
         await metrics.start(*parse_address(settings.listen.metrics))
     await host.start()
+    duties = start_duties(host, store, client)
     if watch is not None:
         host.tasks.start_supervised("settings", watch.run)
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_YOUNG_THRESHOLD_OBJECTS)
     await host.stopped.wait()
+    if duties is not None:
+        await duties.stop()
     endpoints = (directory, readiness, metrics)
     await asyncio.gather(*(e.shut_down(ENDPOINT_CLOSE_TIMEOUT_S) for e in endpoints))
     await host.stop()
--- a/cornelnotch/standins/store.py
+++ b/cornelnotch/standins/store.py
@@ -3,7 +3,7 @@
 import asyncio
 import base64
 import struct
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
 from cornelnotch.web import Exchange, HttpServer
@@ -16,6 +16,7 @@
 MAX_APPEND_BYTES = 2 * 1024 * 1024
 KEYED_PREFIX = "keyed."
 STATUS_GONE = 410
+STATUS_MOVED = 412
 STATUS_UNAVAILABLE = 503
 POLL_INTERVAL_S = 0.005
 
@@ -51,7 +52,8 @@
 
     With the `fault` `busy` it responds that it is unavailable, and with `silent` not at
     all; an empty `fault` means none. Reads of `silent_topics` get no response. Every
-    response includes `timeline`, unless it is empty.
+    response includes `timeline`, unless it is empty. The next `lost_appends`
+    conditional appends get no response, and are executed after `late_append_s`.
     """
 
     def __init__(self) -> None:
@@ -61,6 +63,9 @@
         self.silent_topics: set[str] = set()
         self.timeline = "1"
         self.calls = 0
+        self.lost_appends = 0
+        self.late_append_s = 0.0
+        self.topic_calls: Counter[str] = Counter()
         self.paths: set[str] = set()
 
     def create_backup(self) -> dict[str, int]:
@@ -93,6 +98,7 @@
         body = await exchange.read_body(MAX_APPEND_BYTES)
         self.calls += 1
         self.paths.add(exchange.path)
+        self.topic_calls[exchange.query["topic"]] += 1
         if self.fault == "silent" or exchange.query["topic"] in self.silent_topics:
             await exchange.disconnected.wait()
             exchange.abort()
@@ -110,7 +116,25 @@
             await self._answer_read(exchange, topic)
 
     async def _append(self, exchange: Exchange, topic: StoreTopic, body: bytes) -> None:
+        is_conditional = "at" in exchange.query
+        if is_conditional and self.lost_appends:
+            self.lost_appends -= 1
+            await asyncio.sleep(self.late_append_s)
+            if int(exchange.query["at"]) == len(topic.records):
+                self._write_records(exchange, topic, body)
+            exchange.abort()
+            return
+        if is_conditional and int(exchange.query["at"]) != len(topic.records):
+            content = {"end_offset": len(topic.records)}
+            await exchange.respond_json(STATUS_MOVED, content, self._create_headers())
+            return
         offset = len(topic.records)
+        self._write_records(exchange, topic, body)
+        response = {"offset": offset, "end_offset": len(topic.records)}
+        await exchange.respond_json(200, response, self._create_headers())
+
+    @staticmethod
+    def _write_records(exchange: Exchange, topic: StoreTopic, body: bytes) -> None:
         while body:
             (length,) = RECORD_LENGTH.unpack_from(body)
             end = RECORD_LENGTH.size + length
@@ -121,8 +145,6 @@
             else:
                 topic.write("", content)
             body = body[end:]
-        response = {"offset": offset, "end_offset": len(topic.records)}
-        await exchange.respond_json(200, response, self._create_headers())
 
     async def _answer_newest(self, exchange: Exchange, topic: StoreTopic) -> None:
         after = exchange.query.get("after", "")
--- a/cornelnotch/wire/messages.py
+++ b/cornelnotch/wire/messages.py
@@ -22,6 +22,7 @@
     "ConfigurationOffer",
     "CrashEvidenceNotice",
     "CrashReport",
+    "DutyHeartbeat",
     "EngineRates",
     "HeldPermit",
     "HeldPermits",
@@ -54,6 +55,9 @@
     "StreamOriginReply",
     "StreamOriginReport",
     "StreamProgress",
+    "UsageReceipt",
+    "UsageTotals",
+    "WindowTotals",
     "list_message_types",
 ]
 
@@ -624,6 +628,56 @@
     software: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class DutyHeartbeat:
+    """Report the claim of the host that holds the duties, and the end of its log.
+
+    With `gives_up`, the holder does not use this claim any more.
+    """
+
+    holder: str
+    boot_ms: int
+    token: int
+    timeline: int
+    skip_through: int
+    end_offset: int
+    gives_up: bool
+
+
+@dataclass(frozen=True, slots=True)
+class WindowTotals:
+    """Requests of a window that servers began to run, one count for each workspace."""
+
+    window: int
+    workspaces: list[str]
+    counts: list[int]
+
+
+@dataclass(frozen=True, slots=True)
+class UsageTotals:
+    """Report the totals of some windows, and the wall clock of their host.
+
+    Totals replace earlier ones of the same host and `boot_ms`.
+    """
+
+    host: str
+    boot_ms: int
+    wall_ms: float
+    windows: list[WindowTotals]
+
+
+@dataclass(frozen=True, slots=True)
+class UsageReceipt:
+    """Name the holder of the duties, and the time since 1970 that all hosts agree on.
+
+    A host other than the holder passes on what it knows.
+    """
+
+    holder: str
+    token: int
+    wall_ms: float
+
+
 def list_message_types() -> list[type]:
     """Return the message types; the index of each is its type id on the wire."""
     return [
@@ -660,4 +714,7 @@
         LinkNotice,
         LinkQuery,
         LinkReply,
+        DutyHeartbeat,
+        UsageTotals,
+        UsageReceipt,
     ]
