duties: model of the claim and of one window, and two faults that it found

It found that an empty log was claimed at once although it may be a restored one whose holder still acts, and that content of an earlier timeline was sent although a delayed write may have been executed after the restoration. An empty log now waits a lease like any other, and content of an earlier timeline is sent only by a host that wrote or sent it.

All five mutants are caught. The test of reported windows loads for 7 s instead of 5: 5 s contain one whole window when the load begins early in another.

--- a/cornelnotch/duties/claims.py
+++ b/cornelnotch/duties/claims.py
@@ -118,7 +118,7 @@
             self._observed_ms = now
         if log.claim is not None:
             self._highest_token = max(self._highest_token, log.claim.token)
-        if self._own is not None and log.claim != self._own:
+        if self._own is not None and log.find_valid_claim() != self._own:
             self.drop(now)
 
     def hear(self, log: ObservedLog, gives_up: bool, now: float) -> None:
@@ -186,8 +186,9 @@
             return True
         if now < self._last_held_ms + self._lease_ms:
             return False
-        if self.observed.end_offset == 0 or self._is_released():
+        if self._is_released():
             return True
+        # An empty log may be a restored one, whose last holder still acts.
         if now < self._observed_ms + self._lease_ms:
             return False
         if self.find_holder() is None:
--- a/cornelnotch/duties/keeper.py
+++ b/cornelnotch/duties/keeper.py
@@ -30,7 +30,7 @@
 IDLE_TICK_MS = 500.0
 HEARTBEAT_MS = 1000.0
 # By then a host that starts knows most others, so that few hosts read the store.
-FIRST_READ_MS = 1000.0
+FIRST_READ_MS = 500.0
 STORE_RETRY_MS = 700.0
 # Candidates that all fail to reach the API hand the claim on less often this way.
 MAX_HOLD_OFF_LEASES = 2.0
--- a/cornelnotch/duties/tests/test_claims.py
+++ b/cornelnotch/duties/tests/test_claims.py
@@ -49,7 +49,8 @@
     tracker = create_tracker(started_ms=1000.0)
     tracker.observe(ObservedLog(None, 1, 0), 1100.0)
     assert not tracker.may_claim(0, False, 3999.0)
-    assert tracker.may_claim(0, False, 4000.0)
+    assert not tracker.may_claim(0, False, 4099.0)
+    assert tracker.may_claim(0, False, 4100.0)
 
 
 # Guards against claims that overlap the lease of a holder that still acts.
--- a/cornelnotch/duties/tests/test_duty_fleet.py
+++ b/cornelnotch/duties/tests/test_duty_fleet.py
@@ -21,7 +21,7 @@
         async with run_duty_fleet(3) as fleet:
             await fleet.wait_for_holder(timeout_s=5.0)
             first = fleet.find_window() + 1
-            await fleet.send_load(fleet.list_hosts(), 5.0)
+            await fleet.send_load(fleet.list_hosts(), 7.0)
             last = fleet.find_window() - 1
             await fleet.wait_for_reports(last)
             assert last > first
--- a/cornelnotch/duties/tests/test_windows.py
+++ b/cornelnotch/duties/tests/test_windows.py
@@ -77,6 +77,9 @@
     ledger = create_ledger([late], skip_through=WINDOW - 1, timeline=2)
     assert ledger.find_unreported(SETTLED_MS) is None
     assert ledger.find_next(SETTLED_MS) == WINDOW
+    ledger = create_ledger([late], skip_through=WINDOW, timeline=2)
+    assert ledger.find_unreported(SETTLED_MS) is None
+    assert ledger.find_next(SETTLED_MS) is None
 
 
 # Guards against a content that differs from the one which this host has sent.
--- a/cornelnotch/duties/windows.py
+++ b/cornelnotch/duties/windows.py
@@ -222,15 +222,16 @@
     ) -> None:
         """Apply the windows that the store has at the start of a claim.
 
-        Windows up to `skip_through` may have been reported in an earlier timeline.
+        Windows up to `skip_through` may have been reported in an earlier timeline, with
+        contents that only the host knows which wrote them.
         """
         self._timeline = timeline
         highest = 0
         for entry in found:
             window = entry.usage.window
-            # This write was sent before a restoration and executed after it. Its
-            # writer learned of the restoration and sent no report.
-            if entry.timeline != timeline and window > skip_through:
+            # A write of an earlier timeline may have been executed after the
+            # restoration, so its content may differ from what was reported.
+            if entry.timeline != timeline:
                 continue
             highest = max(highest, window)
             known = self._written.get(window)
--- a/cornelnotch/verification/__init__.py
+++ b/cornelnotch/verification/__init__.py
@@ -8,6 +8,7 @@
     ConfigurationMutant,
     create_configuration_protocol,
 )
+from cornelnotch.verification.duties import DutyMutant, create_duty_protocol
 from cornelnotch.verification.limits import LimitMutant, create_limit_protocol
 from cornelnotch.verification.order import (
     THREE_TIERS,
@@ -27,6 +28,7 @@
     "Call",
     "ClaimMutant",
     "ConfigurationMutant",
+    "DutyMutant",
     "LimitMutant",
     "OrderMutant",
     "OriginMutant",
@@ -35,6 +37,7 @@
     "StopMutant",
     "create_claim_protocol",
     "create_configuration_protocol",
+    "create_duty_protocol",
     "create_limit_protocol",
     "create_order_protocol",
     "create_origin_protocol",
--- a/cornelnotch/verification/tests/test_models.py
+++ b/cornelnotch/verification/tests/test_models.py
@@ -9,6 +9,7 @@
     Call,
     ClaimMutant,
     ConfigurationMutant,
+    DutyMutant,
     LimitMutant,
     OrderMutant,
     OriginMutant,
@@ -17,6 +18,7 @@
     StopMutant,
     create_claim_protocol,
     create_configuration_protocol,
+    create_duty_protocol,
     create_limit_protocol,
     create_order_protocol,
     create_origin_protocol,
@@ -257,3 +259,27 @@
 def test_a_host_whose_reads_do_not_count_is_detected():
     protocol = create_read_protocol(ReadMutant.ONLY_NEWS, has_release=False)
     assert check_liveness(protocol)["holds"] is False
+
+
+@pytest.mark.parametrize(
+    ("claims", "suspensions", "restorations"), [(3, 1, 0), (3, 0, 1), (2, 1, 1)]
+)
+def test_duty_protocol_is_safe(claims, suspensions, restorations):
+    assert_exhaustively_safe(
+        create_duty_protocol(DutyMutant.NONE, claims, suspensions, restorations)
+    )
+
+
+@pytest.mark.parametrize(
+    ("mutant", "suspensions", "restorations", "broken"),
+    [
+        (DutyMutant.NO_CHECK, 1, 0, "ordered"),
+        (DutyMutant.NO_TIMELINE, 0, 1, "one_host_for_each_token"),
+        (DutyMutant.STOPPING_CLOCK, 1, 0, "ordered"),
+        (DutyMutant.SENT_UNWRITTEN, 1, 0, "one_content"),
+        (DutyMutant.WRITTEN_ANEW, 1, 0, "one_content"),
+    ],
+)
+def test_duty_mutants_are_detected(mutant, suspensions, restorations, broken):
+    protocol = create_duty_protocol(mutant, 3, suspensions, restorations)
+    assert broken in list_violations(protocol)
