duties: 320 hosts in virtual time; due reports come before repeated ones

The fleet in virtual time showed that a new holder repeats up to three overdue reports before the one that is due, which at one call a second makes that one late.

--- a/cornelnotch/duties/tests/test_windows.py
+++ b/cornelnotch/duties/tests/test_windows.py
@@ -98,6 +98,17 @@
     assert WINDOW in ledger.list_left_out(found)
 
 
+# Guards against reports that become late while older ones are repeated.
+def test_reports_that_are_due_come_before_overdue_ones():
+    found = [WrittenWindow(create_usage(WINDOW + n), 1) for n in (0, 2, 3)]
+    ledger = create_ledger(found, skip_through=0)
+    wall_ms = TIMING.find_end_ms(WINDOW + 3)
+    assert ledger.find_unreported(wall_ms) == create_usage(WINDOW + 2)
+    ledger.note_accepted(WINDOW + 2)
+    ledger.note_accepted(WINDOW + 3)
+    assert ledger.find_unreported(wall_ms) == create_usage(WINDOW)
+
+
 def test_reports_end_when_they_are_over():
     ledger = create_ledger()
     ledger.note_written(create_usage(), 1)
--- a/cornelnotch/duties/windows.py
+++ b/cornelnotch/duties/windows.py
@@ -278,8 +278,15 @@
         self._accounted = max(self._accounted, usage.window)
 
     def find_unreported(self, wall_ms: float) -> UsageWindow | None:
-        """Return the oldest written window whose report was not accepted."""
-        for window in sorted(self._written):
+        """Return the next written window whose report was not accepted.
+
+        A new holder cannot know what was accepted, and repeats it after what is due.
+        """
+
+        def rank(window: int) -> tuple[bool, int]:
+            return self._timing.is_late(window, wall_ms), window
+
+        for window in sorted(self._written, key=rank):
             entry = self._written[window]
             if entry.is_accepted or entry.timeline < self._timeline:
                 continue
