--- a/cornelnotch/commands/program.py
+++ b/cornelnotch/commands/program.py
@@ -15,6 +15,7 @@
     "platform",
     "config",
     "hosts",
+    "duties",
     "burn",
     "load",
     "standin",
--- a/cornelnotch/duties/tests/test_duty_fleet.py
+++ b/cornelnotch/duties/tests/test_duty_fleet.py
@@ -1,12 +1,19 @@
 """Test the usage reports of a fleet of hosts, with one failure at a time."""
 
 import asyncio
+import itertools
 import time
 
 from cornelnotch.duties.tests.duty_hosts import (
     WORKSPACE,
     run_duty_fleet,
 )
+from cornelnotch.wire.messages import (
+    DutyHeartbeat,
+    UsageReceipt,
+    UsageTotals,
+    WindowTotals,
+)
 
 LEASE_S = 1.0
 
@@ -256,3 +263,29 @@
                 assert set(counts) <= {WORKSPACE}
 
     run(scenario)
+
+
+# Guards against duties that end with an absurd message of another host.
+def test_absurd_messages_do_not_end_the_duties():
+    async def scenario():
+        async with run_duty_fleet(1) as fleet:
+            holder = await fleet.wait_for_holder()
+            numbers = (-(2**63), -1, 0, 2**53, 2**64 - 1)
+            times = (float("nan"), float("inf"), -1.0, 0.0, 1e308)
+            receive = holder.host.peers._receive
+            for number, wall_ms in itertools.product(numbers, times):
+                heartbeat = DutyHeartbeat(
+                    "ghost", number, number, number, number, number, False
+                )
+                receive("ghost", heartbeat)
+                receive("ghost", UsageReceipt("ghost", number, wall_ms))
+                windows = [
+                    WindowTotals(number, ["acme", "\x00"], [number, number]),
+                    WindowTotals(number, ["acme"], []),
+                ]
+                receive("ghost", UsageTotals("ghost", number, wall_ms, windows))
+            await assert_goes_on(fleet, fleet.find_window())
+            assert fleet.list_holders() == [holder]
+            assert all("\x00" not in c for c in fleet.api.list_windows().values())
+
+    run(scenario)
