duties: isolated hosts give up the claim, and do not take it

A holder that hears no other host lacks their totals and would report too little, and a candidate that hears none takes every holder for lost. Both are told apart from a fleet whose other hosts are gone by the writes of a live holder. Idle hosts wake less often.

test_duty_fleet, cut_from_*: 4 pass; test_large_fleet, test_claims pass.

--- a/cornelnotch/duties/claims.py
+++ b/cornelnotch/duties/claims.py
@@ -165,19 +165,23 @@
             and claim.token != self._given_up_token
         )
 
-    def may_claim(self, rank: int, is_lost: bool, now: float) -> bool:
+    def may_claim(
+        self, rank: int, is_lost: bool, now: float, isolated_ms: float = 0.0
+    ) -> bool:
         """Return whether to claim now as candidate `rank`, counted from 0.
 
-        `is_lost` tells whether the holder is out of reach by the host list.
+        `is_lost` tells whether the holder is out of reach by the host list. A host that
+        hears no other one cannot judge that, so it waits `isolated_ms` longer for a
+        write of the holder.
         """
-        if not self._is_vacant(is_lost, now):
+        if not self._is_vacant(is_lost, now, isolated_ms):
             self._eligible_since_ms = None
             return False
         if self._eligible_since_ms is None:
             self._eligible_since_ms = now
         return now - self._eligible_since_ms >= rank * RANK_DELAY_MS
 
-    def _is_vacant(self, is_lost: bool, now: float) -> bool:
+    def _is_vacant(self, is_lost: bool, now: float, isolated_ms: float) -> bool:
         if self.observed is None or self._own is not None:
             return False
         if now < self._started_ms + self._lease_ms:
@@ -193,6 +197,8 @@
             return False
         if self.find_holder() is None:
             return True
+        if now < self._observed_ms + self._lease_ms + isolated_ms:
+            return False
         heard_ms = max(self._heard_ms, self._started_ms)
         return is_lost or now >= heard_ms + SILENT_LEASES * self._lease_ms
 
--- a/cornelnotch/duties/fleet.py
+++ b/cornelnotch/duties/fleet.py
@@ -27,6 +27,10 @@
     def is_lost(self, host: str) -> bool:
         """Return whether a host is dead, suspected, leaving or unknown."""
 
+    @abstractmethod
+    def find_heard_ms(self) -> float:
+        """Return when a message of another host arrived last, -inf if none ever did."""
+
     @abstractmethod
     def find_timeline(self) -> int:
         """Return the newest timeline of the store that this host knows, or -1."""
--- a/cornelnotch/duties/joining.py
+++ b/cornelnotch/duties/joining.py
@@ -36,6 +36,8 @@
     def __init__(self, host: GatewayHost) -> None:
         self._host = host
         self._candidates: list[str] | None = None
+        self._received = 0
+        self._heard_ms = float("-inf")
         host.prober.subscribe(self._forget_candidates)
 
     def _forget_candidates(self) -> None:
@@ -66,6 +68,17 @@
         member = self._host.prober.table.members.get(host)
         return member is None or member.state in OUT_OF_REACH
 
+    def find_heard_ms(self) -> float:
+        """Return when a message of another host arrived last, -inf if none ever did.
+
+        The time is that of the first call after the message.
+        """
+        received = self._host.peers.received_messages
+        if received != self._received:
+            self._received = received
+            self._heard_ms = self._host.clock.read()
+        return self._heard_ms
+
     def find_timeline(self) -> int:
         """Return the newest timeline of the store that this host knows, or -1."""
         return self._host.follower.timeline
--- a/cornelnotch/duties/keeper.py
+++ b/cornelnotch/duties/keeper.py
@@ -25,13 +25,15 @@
 
 __all__ = ["DutyKeeper"]
 
-HOLDER_TICK_MS = 100.0
-CANDIDATE_TICK_MS = 200.0
-IDLE_TICK_MS = 500.0
+HOLDER_TICK_MS = 200.0
+CANDIDATE_TICK_MS = 250.0
+IDLE_TICK_MS = 1000.0
 HEARTBEAT_MS = 1000.0
 # By then a host that starts knows most others, so that few hosts read the store.
 FIRST_READ_MS = 500.0
 STORE_RETRY_MS = 700.0
+# Other hosts probe each host about once a second, and a collector gets their totals.
+ISOLATION_MS = 1800.0
 # Candidates that all fail to reach the API hand the claim on less often this way.
 MAX_HOLD_OFF_LEASES = 2.0
 # The API measures the rate of calls by its own clock.
@@ -80,6 +82,7 @@
         self._store_failed_ms: float | None = None
         self._api_failed_ms: float | None = None
         self._next_call_ms = float("-inf")
+        self._resumed_ms = float("-inf")
         self._told_holder = ""
         self._told_token = -1
         self._timeline_seen: dict[int, float] = {}
@@ -182,6 +185,9 @@
             if now - last_tick_ms > self._lease_ms:
                 # The host was suspended, and another one may have claimed.
                 self._must_renew = self._must_read = True
+            if now - last_tick_ms > ISOLATION_MS / 2.0:
+                # What others sent in the meantime is yet to be read.
+                self._resumed_ms = now
             last_tick_ms = now
             self._check_timeline()
             await self._step(now)
@@ -211,6 +217,8 @@
             await self.release("stop")
         elif self._has_failed(self._store_failed_ms, now):
             await self.release("store")
+        elif self._has_become_isolated(now):
+            await self.release("isolated")
         elif self._has_failed(self._api_failed_ms, now):
             self._events.record(Event.DUTY_API_FAILING)
             self._hold_off_until_ms = now + MAX_HOLD_OFF_LEASES * self._lease_ms
@@ -249,9 +257,27 @@
             return
         holder = self.tracker.find_holder()
         is_lost = holder is not None and self._fleet.is_lost(holder.host)
-        if self.tracker.may_claim(self._find_rank(candidates), is_lost, now):
+        # A live holder writes a window in this time.
+        isolated_ms = 2.0 * self._timing.window_ms if self._is_isolated(now) else 0.0
+        rank = self._find_rank(candidates)
+        if self.tracker.may_claim(rank, is_lost, now, isolated_ms):
             await self._claim()
 
+    def _is_isolated(self, now: float) -> bool:
+        """Return whether this host has heard others, but does not any more."""
+        heard_ms = self._fleet.find_heard_ms()
+        if heard_ms == float("-inf"):
+            return False
+        return now - max(heard_ms, self._resumed_ms) > ISOLATION_MS
+
+    def _has_become_isolated(self, now: float) -> bool:
+        """Return whether this holder lacks the totals of other hosts.
+
+        If it claims again before any other host, there is none that could.
+        """
+        heard_ms = self._fleet.find_heard_ms()
+        return self._is_isolated(now) and heard_ms >= self.tracker.claimed_ms
+
     def _find_rank(self, candidates: list[str]) -> int:
         """Return the rank of this host among those that may succeed the holder."""
         log = self.tracker.observed
--- a/cornelnotch/duties/reporter.py
+++ b/cornelnotch/duties/reporter.py
@@ -1,7 +1,6 @@
 """Collect the totals of all hosts and report the usage of each window."""
 
 import asyncio
-from contextlib import suppress
 
 from cornelnotch.duties.api import UsageApi
 from cornelnotch.duties.fleet import DutyFleet
@@ -178,9 +177,7 @@
             usage = self._find_unreported()
             if usage is None:
                 self._written.clear()
-                with suppress(TimeoutError):
-                    async with asyncio.timeout(IDLE_TICK_MS / 1000.0):
-                        await self._written.wait()
+                await self._written.wait()
                 continue
             claim = self._keeper.find_claim()
             if claim is None or not self._keeper.may_call():
--- a/cornelnotch/duties/tests/test_claims.py
+++ b/cornelnotch/duties/tests/test_claims.py
@@ -71,6 +71,14 @@
         assert not tracker.may_claim(0, False, now + 999.0)
 
 
+# Guards against an isolated host that takes the duties from a sound holder.
+def test_an_isolated_host_waits_for_a_write_of_the_holder():
+    tracker = create_tracker(started_ms=-10_000.0)
+    tracker.hear(create_log(), False, 0.0)
+    assert not tracker.may_claim(0, True, 12_999.0, isolated_ms=10_000.0)
+    assert tracker.may_claim(0, True, 13_000.0, isolated_ms=10_000.0)
+
+
 # Guards against duties that no host performs when the holder is cut from other hosts.
 def test_a_silent_holder_is_succeeded_after_two_leases():
     tracker = create_tracker(started_ms=-10_000.0)
--- a/cornelnotch/duties/tests/test_duty_fleet.py
+++ b/cornelnotch/duties/tests/test_duty_fleet.py
@@ -289,3 +289,44 @@
             assert all("\x00" not in c for c in fleet.api.list_windows().values())
 
     run(scenario)
+
+
+def cut_from_others(fleet, host):
+    """Drop all messages between a host and the others."""
+    for other in fleet.list_hosts():
+        send = other.host.peers.send
+
+        def send_uncut(name, message, other=other, send=send):
+            if (host.name in {name, other.name}) == (name == other.name == host.name):
+                send(name, message)
+
+        other.host.peers.send = send_uncut
+
+
+# Guards against a holder that reports without the totals of the others, or comes back.
+def test_a_holder_cut_from_other_hosts_hands_over_for_good():
+    async def scenario():
+        async with run_duty_fleet(3, due_s=8.0) as fleet:
+            holder = await fleet.wait_for_holder()
+            await fleet.wait_for_reports(fleet.find_window())
+            first = fleet.find_window()
+            cut_from_others(fleet, holder)
+            await fleet.wait_for_holder(excluded=holder)
+            await assert_goes_on(fleet, first + 3)
+            assert not holder.is_holder()
+            assert len(fleet.list_holders()) == 1
+
+    run(scenario)
+
+
+# Guards against a host without links that takes the duties from a sound holder.
+def test_a_candidate_cut_from_other_hosts_does_not_claim():
+    async def scenario():
+        async with run_duty_fleet(3) as fleet:
+            holder = await fleet.wait_for_holder()
+            other = next(h for h in fleet.list_hosts() if h is not holder)
+            cut_from_others(fleet, other)
+            await assert_goes_on(fleet, fleet.find_window() + 3)
+            assert fleet.list_holders() == [holder]
+
+    run(scenario)
--- a/cornelnotch/duties/tests/virtual_fleet.py
+++ b/cornelnotch/duties/tests/virtual_fleet.py
@@ -132,6 +132,7 @@
             TIMING,
         )
         self.killed_ms = None
+        self.heard_ms = float("-inf")
         self.tasks = [
             asyncio.create_task(work)
             for work in (
@@ -156,6 +157,9 @@
     def is_lost(self, host):
         return host not in self.list_live()
 
+    def find_heard_ms(self):
+        return self.heard_ms
+
     def find_timeline(self):
         return self.fleet.store.timeline
 
@@ -168,6 +172,8 @@
     def receive(self, sender, message):
         if self.killed_ms is not None:
             return
+        if sender != self.name:
+            self.heard_ms = self.clock.read()
         if isinstance(message, DutyHeartbeat):
             self.keeper.receive_heartbeat(sender, message)
         elif isinstance(message, UsageTotals):
--- a/cornelnotch/gateway/tests/test_usage_count.py
+++ b/cornelnotch/gateway/tests/test_usage_count.py
@@ -12,7 +12,7 @@
 
     async def scenario():
         async with run_deployment() as d:
-            counted = []
+            counted: list[str] = []
             d.host.context.count_usage = counted.append
             prepare(d)
             response = await d.send(path, **headers)
