--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -498,13 +498,8 @@
         if placement is not None:
             self.record_event(
                 Event.SERVER_CHOSEN,
-                server=placement.server.record.name,
                 service=self.service,
-                software=placement.server.record.software,
-                cost_ms=round(placement.cost_ms, 1),
-                prefill=placement.prefill_tokens,
-                candidates=placement.candidates,
-                source=placement.source.record.name if placement.source else "",
+                **placement.list_event_fields(),
                 version=self.context.table.version,
             )
         return placement
--- a/cornelnotch/gateway/placement.py
+++ b/cornelnotch/gateway/placement.py
@@ -1,18 +1,29 @@
 """Select the server for a request, without sockets or clocks."""
 
-from collections.abc import Collection
+from abc import ABC, abstractmethod
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass, replace
 
 from cornelnotch.gateway.engine_estimates import find_prefill_budget
 from cornelnotch.gateway.engine_rates import EngineRateTable
 from cornelnotch.gateway.loads import LoadAggregates, add_usages
-from cornelnotch.gateway.models import CallerRequest, Route, WorkKind
+from cornelnotch.gateway.models import CallerRequest, PromptPart, Route, WorkKind
 from cornelnotch.gateway.rate_limits import RateLimitTable
 from cornelnotch.gateway.servers import ServerView
 from cornelnotch.kernel.hashing import rank_owners
 from cornelnotch.wire.messages import EngineRates, ServerUsage
 
-__all__ = ["Placement", "PlacementNeed", "Placer"]
+__all__ = [
+    "GrantedPrompt",
+    "OwnerStrategy",
+    "Placement",
+    "PlacementNeed",
+    "PlacementStrategy",
+    "Placer",
+    "ServerEstimates",
+    "compute_gap_cost",
+    "estimate_tokens_ahead",
+]
 
 # Prefilling shared parts again takes capacity from all requests queued at the server.
 REPEATED_PREFILL_WEIGHT = 6.0
@@ -56,6 +67,8 @@
     """A selected server with its cost.
 
     `source` is a server that probably caches prompt parts that the selected one lacks.
+    `saved_ms` is the expected prefill time that cached parts save, `wait_ms` the
+    expected wait before the prefill; strategies that do not estimate them leave them 0.
     """
 
     server: ServerView
@@ -63,6 +76,21 @@
     prefill_tokens: int
     candidates: int
     source: ServerView | None = None
+    saved_ms: float = 0.0
+    wait_ms: float = 0.0
+
+    def list_event_fields(self) -> dict[str, object]:
+        """Return what a log event states of the selected server."""
+        return {
+            "server": self.server.record.name,
+            "software": self.server.record.software,
+            "cost_ms": round(self.cost_ms, 1),
+            "prefill": self.prefill_tokens,
+            "candidates": self.candidates,
+            "source": self.source.record.name if self.source else "",
+            "saved_ms": round(self.saved_ms, 1),
+            "wait_ms": round(self.wait_ms, 1),
+        }
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,8 +111,34 @@
     current_wait_ms: float = 0.0
 
 
-class Placer:
-    """Select servers by estimated cost, as seen from one host."""
+def estimate_tokens_ahead(usage: ServerUsage, priority: int, prefill: float) -> float:
+    """Return the expected number of queued tokens prefilled before a prompt."""
+    mean = max(sum(usage.backlog) / max(usage.waiting, 1), 1.0)
+    share = min(max(SAME_PRIORITY_SHARE * prefill / mean, MIN_SAME_PRIORITY_SHARE), 1.0)
+    same_priority_tokens = sum(usage.backlog[priority : priority + 1])
+    return usage.sent + sum(usage.backlog[:priority]) + share * same_priority_tokens
+
+
+def compute_gap_cost(
+    server: ServerView, need: PlacementNeed, prefill: float, rates: EngineRates
+) -> float:
+    """Return the cost of long prompts on latency-sensitive streams, in ms."""
+    if not need.reserved:
+        return 0.0
+    is_reserved = server.record.name in need.reserved
+    if need.latency_sensitive:
+        return 0.0 if is_reserved else UNRESERVED_COST_MS
+    if not is_reserved:
+        return 0.0
+    budget_share = prefill / find_prefill_budget(rates, need.latency_sensitive_gap_ms)
+    interference = (budget_share - INTERFERENCE_FREE_SHARE) / (
+        1.0 - INTERFERENCE_FREE_SHARE
+    )
+    return INTERFERENCE_COST_MS * min(max(interference, 0.0), 1.0)
+
+
+class ServerEstimates:
+    """What a host knows of the load, rates and limits of servers."""
 
     def __init__(
         self,
@@ -99,6 +153,95 @@
         self._domain = domain
         self._regions = regions
 
+    def measure_usage(self, server: ServerView, now: float) -> ServerUsage:
+        """Return the load of a server from this host and, if known, others."""
+        own = server.measure_usage(now)
+        others = self.aggregates.get(server.record.name, now)
+        return own if others is None else add_usages(own, others)
+
+    def is_limited(self, server: ServerView) -> bool:
+        """Return whether a server has a rate limit."""
+        return self._rate_limits.find(server.record) is not None
+
+    def get_rates(self, server: ServerView) -> EngineRates:
+        """Return the rates of an engine, or the mean rates of its service."""
+        return self._engine_rates.get(server.record.name, server.record.service)
+
+    def get_average_rates(self, service: str) -> EngineRates:
+        """Return the mean rates of a service."""
+        return self._engine_rates.get_average(service)
+
+    def compute_permit_cost(
+        self, server: ServerView, need: PlacementNeed, now: float
+    ) -> float:
+        """Return the expected wait in ms for a permit under a rate limit."""
+        if not self.is_limited(server):
+            return 0.0
+        if server.record.name == need.current:
+            return need.current_wait_ms
+        return max(server.permit_ms - now, 0.0)
+
+    def compute_distance_cost(self, domain: str) -> float:
+        """Return the round-trip time to a failure domain, in ms."""
+        if domain == self._domain:
+            return 0.0
+        if self._regions.get(domain) == self._regions.get(self._domain):
+            return DOMAIN_COST_MS
+        return REGION_COST_MS
+
+
+@dataclass(frozen=True, slots=True)
+class GrantedPrompt:
+    """A prompt that may be sent; the engine is believed to lack `uncached_tokens`."""
+
+    shared: Sequence[PromptPart]
+    own_tokens: int
+    uncached_tokens: int
+
+
+class PlacementStrategy(ABC):
+    """A rule that selects one of several servers."""
+
+    @abstractmethod
+    def choose(
+        self,
+        candidates: list[ServerView],
+        servers: list[ServerView],
+        route: Route,
+        request: CallerRequest,
+        need: PlacementNeed,
+        now: float,
+    ) -> Placement:
+        """Return the best of `candidates`, which is not empty.
+
+        `servers` also contains excluded servers, which may be sources of cached parts.
+        """
+
+    @abstractmethod
+    def record_grant(
+        self, server: ServerView, prompt: GrantedPrompt, now: float
+    ) -> None:
+        """Note that a prompt may be sent to a server."""
+
+
+class Placer:
+    """Select servers by a strategy, as seen from one host."""
+
+    def __init__(
+        self,
+        domain: str,
+        regions: dict[str, str],
+        engine_rates: EngineRateTable | None = None,
+        rate_limits: RateLimitTable | None = None,
+    ) -> None:
+        self.estimates = ServerEstimates(domain, regions, engine_rates, rate_limits)
+        self.strategy: PlacementStrategy = OwnerStrategy(self.estimates)
+
+    @property
+    def aggregates(self) -> LoadAggregates:
+        """Return the loads that other hosts put on servers."""
+        return self.estimates.aggregates
+
     def choose(
         self,
         servers: list[ServerView],
@@ -111,33 +254,55 @@
         candidates = [s for s in servers if s.record.name not in need.excluded]
         if not candidates:
             return None
-        unlimited = [s for s in candidates if not self._is_limited(s)] or candidates
+        return self.strategy.choose(candidates, servers, route, request, need, now)
+
+    def measure_usage(self, server: ServerView, now: float) -> ServerUsage:
+        """Return the load of a server from this host and, if known, others."""
+        return self.estimates.measure_usage(server, now)
+
+
+class OwnerStrategy(PlacementStrategy):
+    """Prefer one owner of each shared prompt part, by hash and fixed costs."""
+
+    def __init__(self, estimates: ServerEstimates) -> None:
+        self._estimates = estimates
+
+    def choose(
+        self,
+        candidates: list[ServerView],
+        servers: list[ServerView],
+        route: Route,
+        request: CallerRequest,
+        need: PlacementNeed,
+        now: float,
+    ) -> Placement:
+        """Return the candidate with the lowest cost."""
+        estimates = self._estimates
+        unlimited = [s for s in candidates if not estimates.is_limited(s)] or candidates
         usual = [s for s in unlimited if s.record.name not in need.reserved]
         owner = self._find_owner(usual or unlimited, request)
         best: Placement | None = None
         for server in candidates:
             prefill = self._count_prefill(server, request, server is owner)
-            rates = self._get_rates(server)
+            rates = estimates.get_rates(server)
             cost = self._compute_load_cost(
                 server, route, need.priority, prefill, rates, now
             )
             cost += self._compute_prefill_cost(request, prefill, rates)
-            cost += self._compute_gap_cost(server, need, prefill, rates)
-            cost += self._compute_permit_cost(server, need, now)
+            cost += compute_gap_cost(server, need, prefill, rates)
+            cost += estimates.compute_permit_cost(server, need, now)
             if server.record.name == need.current:
                 cost -= MOVE_COST_MS
             if best is None or cost < best.cost_ms:
                 best = Placement(server, cost, prefill, len(candidates))
-        if best is None:
-            return best
+        assert best is not None
         source = self._find_source(best.server, servers, request, now)
         return replace(best, source=source)
 
-    def measure_usage(self, server: ServerView, now: float) -> ServerUsage:
-        """Return the load of a server from this host and, if known, others."""
-        own = server.measure_usage(now)
-        others = self.aggregates.get(server.record.name, now)
-        return own if others is None else add_usages(own, others)
+    def record_grant(
+        self, server: ServerView, prompt: GrantedPrompt, now: float
+    ) -> None:
+        """Ignore the prompt; parts are recorded when a response has ended."""
 
     def _find_source(
         self,
@@ -149,7 +314,7 @@
         """Return a server to fetch shared parts from if `chosen` lacks them."""
         shared = request.prompt[:-1]
         tokens = sum(part.tokens for part in shared)
-        rates = self._get_rates(chosen)
+        rates = self._estimates.get_rates(chosen)
         if (
             tokens < MIN_SHARED_PREFILL_MS * rates.read_rate
             or shared[-1].name in chosen.cached_parts
@@ -158,35 +323,19 @@
         others = [
             s
             for s in servers
-            if s is not chosen and not s.failures and not self._is_limited(s)
+            if s is not chosen and not s.failures and not self._estimates.is_limited(s)
         ]
         holders = [s for s in others if shared[-1].name in s.cached_parts]
         if holders:
             return max(holders, key=lambda s: s.cached_parts[shared[-1].name])
         return self._find_owner(others, request) if others else None
 
-    def _is_limited(self, server: ServerView) -> bool:
-        return self._rate_limits.find(server.record) is not None
-
-    def _compute_permit_cost(
-        self, server: ServerView, need: PlacementNeed, now: float
-    ) -> float:
-        """Return the expected wait for a permit under the server's rate limit."""
-        if not self._is_limited(server):
-            return 0.0
-        if server.record.name == need.current:
-            return need.current_wait_ms
-        return max(server.permit_ms - now, 0.0)
-
-    def _get_rates(self, server: ServerView) -> EngineRates:
-        return self._engine_rates.get(server.record.name, server.record.service)
-
     def _find_owner(
         self, candidates: list[ServerView], request: CallerRequest
     ) -> ServerView | None:
         """Return the server that all hosts prefer for the shared parts of a request."""
         shared = request.prompt[:-1]
-        usual = self._engine_rates.get_average(candidates[0].record.service)
+        usual = self._estimates.get_average_rates(candidates[0].record.service)
         if (
             sum(part.tokens for part in shared)
             < MIN_SHARED_PREFILL_MS * usual.read_rate
@@ -214,29 +363,17 @@
         rates: EngineRates,
         now: float,
     ) -> float:
-        cost = self._compute_distance_cost(server.record.domain)
-        usage = self.measure_usage(server, now)
+        cost = self._estimates.compute_distance_cost(server.record.domain)
+        usage = self._estimates.measure_usage(server, now)
         if route.kind is not WorkKind.STREAM:
             cost += FAILURE_COST_MS * min(usage.failures, MAX_FAILURES)
             return cost + CALL_COST_MS * (usage.running + usage.waiting)
-        cost += self._estimate_tokens_ahead(usage, priority, prefill) / rates.read_rate
+        cost += estimate_tokens_ahead(usage, priority, prefill) / rates.read_rate
         cost += FULL_BATCH_COST_MS * usage.running / server.record.slots
         cost += FAILURE_COST_MS * min(usage.failures, MAX_FAILURES)
         excess_requests = usage.running + usage.waiting + 1 - server.record.slots
         return cost + SLOT_OCCUPANCY_MS / server.record.slots * max(excess_requests, 0)
 
-    @staticmethod
-    def _estimate_tokens_ahead(
-        usage: ServerUsage, priority: int, prefill: int
-    ) -> float:
-        """Return the expected number of queued tokens prefilled before a prompt."""
-        mean = max(sum(usage.backlog) / max(usage.waiting, 1), 1.0)
-        share = min(
-            max(SAME_PRIORITY_SHARE * prefill / mean, MIN_SAME_PRIORITY_SHARE), 1.0
-        )
-        same_priority_tokens = sum(usage.backlog[priority : priority + 1])
-        return usage.sent + sum(usage.backlog[:priority]) + share * same_priority_tokens
-
     @staticmethod
     def _compute_prefill_cost(
         request: CallerRequest, prefill: int, rates: EngineRates
@@ -244,30 +381,3 @@
         own = request.prompt[-1].tokens if request.prompt else prefill
         repeated_tokens = max(prefill - own, 0)
         return (prefill + repeated_tokens * REPEATED_PREFILL_WEIGHT) / rates.read_rate
-
-    @staticmethod
-    def _compute_gap_cost(
-        server: ServerView, need: PlacementNeed, prefill: int, rates: EngineRates
-    ) -> float:
-        """Return the cost of long prompts on latency-sensitive streams."""
-        if not need.reserved:
-            return 0.0
-        is_reserved = server.record.name in need.reserved
-        if need.latency_sensitive:
-            return 0.0 if is_reserved else UNRESERVED_COST_MS
-        if not is_reserved:
-            return 0.0
-        budget_share = prefill / find_prefill_budget(
-            rates, need.latency_sensitive_gap_ms
-        )
-        interference = (budget_share - INTERFERENCE_FREE_SHARE) / (
-            1.0 - INTERFERENCE_FREE_SHARE
-        )
-        return INTERFERENCE_COST_MS * min(max(interference, 0.0), 1.0)
-
-    def _compute_distance_cost(self, domain: str) -> float:
-        if domain == self._domain:
-            return 0.0
-        if self._regions.get(domain) == self._regions.get(self._domain):
-            return DOMAIN_COST_MS
-        return REGION_COST_MS
