prefix: weigh cached prefixes against the wait, if [placement] prefix_cache is weighed

Pure estimates in ms, rates of prompts and parts as one host sees them, holders of hot prefixes by rendezvous hash, and a strategy that chooses by the least sum. Hosts learn what is cached from the uncached tokens that admission controllers grant. Engines may state kv_token_bytes and link_mbps; without them nothing is copied between engines.

--- a/cornelnotch/gateway/admission_client.py
+++ b/cornelnotch/gateway/admission_client.py
@@ -12,6 +12,7 @@
 
 from cornelnotch.gateway.limit_control import is_grant_current
 from cornelnotch.gateway.models import CallerRequest, PromptPart
+from cornelnotch.gateway.placement import GrantedPrompt
 from cornelnotch.gateway.rate_limits import RateLimit
 from cornelnotch.gateway.retry_after import is_infeasible
 from cornelnotch.gateway.servers import InFlightRequest, ServerView
@@ -59,6 +60,10 @@
     HOST_LEAVING = "leaving"
 
 
+# Results after which the prompt is sent.
+SENT_RESULTS = frozenset({AdmissionResult.GRANTED, AdmissionResult.UNANSWERED})
+
+
 @dataclass(frozen=True, slots=True)
 class AdmissionKey:
     """One request at one server; a stream may wait for a second server meanwhile."""
@@ -74,6 +79,7 @@
     request_id: str
     shared: list[PromptPart]
     own_tokens: int
+    expected_tokens: int
     controller: str
     view: ServerView
     in_flight: InFlightRequest
@@ -104,6 +110,9 @@
         find_limit: Callable[[ServerView], RateLimit | None] = lambda view: None,
         generator: random.Random | None = None,
         list_brittle: Callable[[], list[ServerView]] = list,
+        record_grant: Callable[[ServerView, GrantedPrompt, float], None] = (
+            lambda view, prompt, now: None
+        ),
     ) -> None:
         self._peers = peers
         self._clock = clock
@@ -111,6 +120,7 @@
         self._is_listed = is_listed
         self._find_limit = find_limit
         self._list_brittle = list_brittle
+        self._record_grant = record_grant
         self._generator = generator or random.Random(peers.name)
         self._states: dict[AdmissionKey, AdmissionState] = {}
         self._controllers: dict[str, str] = {}
@@ -153,17 +163,32 @@
         state.arrived_ms = arrived_ms
         state.wait_limit_ms = wait_limit_ms
         if self._is_unresponsive(state.controller):
-            return self._proceed_unanswered(state)
+            result = self._proceed_unanswered(state)
+            self._note_result(state, result)
+            return result
         self._send_ask(state, "waiting")
         while True:
             try:
                 async with asyncio.timeout(ASK_PERIOD_MS / 1000.0):
                     await state.decided.wait()
-                result = self._conclude(state)
+                concluded = self._conclude(state)
             except TimeoutError:
-                result = self._recheck(state)
-            if result is not None:
-                return result
+                concluded = self._recheck(state)
+            if concluded is not None:
+                self._note_result(state, concluded)
+                return concluded
+
+    def _note_result(self, state: AdmissionState, result: AdmissionResult) -> None:
+        """Record a prompt that is sent now."""
+        if result not in SENT_RESULTS:
+            return
+        prompt = GrantedPrompt(
+            state.shared,
+            state.own_tokens,
+            state.expected_tokens,
+            state.in_flight.prefill_tokens,
+        )
+        self._record_grant(state.view, prompt, self._clock.read())
 
     def _conclude(self, state: AdmissionState) -> AdmissionResult | None:
         """Return the outcome that an answer decided, or None to ask again."""
@@ -241,7 +266,10 @@
     ) -> AdmissionState:
         now = self._clock.read()
         controller = self.find_controller(view)
-        state = AdmissionState(key.request_id, [], 0, controller, view, in_flight)
+        expected = in_flight.prefill_tokens
+        state = AdmissionState(
+            key.request_id, [], 0, expected, controller, view, in_flight
+        )
         state.arrived_ms = state.answered_ms = state.sent_ms = now
         in_flight.server = key.server
         self._states[key] = state
--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -15,7 +15,13 @@
 from cornelnotch.gateway.durations import DurationTracker
 from cornelnotch.gateway.engine_rates import EngineRateTable
 from cornelnotch.gateway.header_codec import HeaderCodec
-from cornelnotch.gateway.models import CallerLimits, CallerRequest, Route, RoutingTable
+from cornelnotch.gateway.models import (
+    CallerLimits,
+    CallerRequest,
+    Engine,
+    Route,
+    RoutingTable,
+)
 from cornelnotch.gateway.placement import Placer
 from cornelnotch.gateway.rate_limits import RateLimit, RateLimitTable
 from cornelnotch.gateway.rejections import RejectionTable
@@ -104,6 +110,7 @@
         self.placer = Placer(
             settings.host.domain, settings.regions, self.engine_rates, self.rate_limits
         )
+        self._install_strategy()
         self.table = RoutingTable(NO_VERSION, {}, {}, None, CallerLimits())
         self.generator = random.Random(settings.host.name)
         self.hosts: list[ReaderCandidate] = []
@@ -115,6 +122,7 @@
             self.accepts,
             self.find_rate_limit,
             list_brittle=self._list_brittle,
+            record_grant=self.placer.record_grant,
         )
         self.origins = StreamOrigins()
         self.report_origin: Callable[[str, StreamOrigin], None] = lambda name, origin: (
@@ -133,6 +141,33 @@
         self._gaps_version = NO_VERSION
         self._budgets: dict[str, RetryBudget] = {}
 
+    def _install_strategy(self) -> None:
+        """Weigh cached prefixes if the settings ask for it."""
+        if self.settings.placement.prefix_cache != "weighed":
+            return
+        # Imported only where it is used, as the memory of small hosts is priced.
+        from cornelnotch.prefix.strategy import WeighedStrategy
+
+        strategy = WeighedStrategy(
+            self.settings.host.name,
+            self.placer.estimates,
+            self._find_engine,
+            self.count_known_hosts,
+        )
+        self.placer.strategy = strategy
+        totals = strategy.totals
+        gauges = (
+            ("prefix_shared_tokens", lambda: totals.shared_tokens),
+            ("prefix_expected_tokens", lambda: totals.expected_tokens),
+            ("prefix_held_tokens", lambda: totals.held_tokens),
+        )
+        for name, read in gauges:
+            self.metrics.register_state_gauge(name, read)
+
+    def _find_engine(self, service: str) -> Engine | None:
+        found = self.table.services.get(service)
+        return found.engine if found is not None else None
+
     @staticmethod
     async def _ask_nobody(request_id: str, service: str) -> OriginAnswer:
         return OriginAnswer(None, is_final=False)
--- a/cornelnotch/gateway/models.py
+++ b/cornelnotch/gateway/models.py
@@ -60,11 +60,15 @@
 class Engine:
     """Properties of a service's engines; `cache_tokens` is the KV cache size of each.
 
-    `accepts_copies` is set if an engine stores KV cache copies of others' runs.
+    `accepts_copies` is set if an engine stores KV cache copies of others' runs. Engines
+    copy cached tokens of `kv_token_bytes` each over links of `link_mbps` megabits per
+    second; 0 means that it is not known.
     """
 
     cache_tokens: int
     accepts_copies: bool = False
+    kv_token_bytes: float = 0.0
+    link_mbps: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelnotch/gateway/placement.py
+++ b/cornelnotch/gateway/placement.py
@@ -183,19 +183,28 @@
 
     def compute_distance_cost(self, domain: str) -> float:
         """Return the round-trip time to a failure domain, in ms."""
-        if domain == self._domain:
+        return self.compute_distance_between(self._domain, domain)
+
+    def compute_distance_between(self, first: str, second: str) -> float:
+        """Return the round-trip time between two failure domains, in ms."""
+        if first == second:
             return 0.0
-        if self._regions.get(domain) == self._regions.get(self._domain):
+        if self._regions.get(first) == self._regions.get(second):
             return DOMAIN_COST_MS
         return REGION_COST_MS
 
 
 @dataclass(frozen=True, slots=True)
 class GrantedPrompt:
-    """A prompt that may be sent; the engine is believed to lack `uncached_tokens`."""
+    """A prompt that may be sent to an engine.
+
+    `expected_tokens` were expected to be prefilled when the engine was chosen. Its
+    controller believes that it lacks `uncached_tokens`.
+    """
 
     shared: Sequence[PromptPart]
     own_tokens: int
+    expected_tokens: int
     uncached_tokens: int
 
 
@@ -260,6 +269,12 @@
         """Return the load of a server from this host and, if known, others."""
         return self.estimates.measure_usage(server, now)
 
+    def record_grant(
+        self, server: ServerView, prompt: GrantedPrompt, now: float
+    ) -> None:
+        """Note that a prompt may be sent to a server."""
+        self.strategy.record_grant(server, prompt, now)
+
 
 class OwnerStrategy(PlacementStrategy):
     """Prefer one owner of each shared prompt part, by hash and fixed costs."""
--- a/cornelnotch/platform/records.py
+++ b/cornelnotch/platform/records.py
@@ -65,6 +65,8 @@
 
     kv_capacity: Integer = 0
     backups: bool = False
+    kv_token_bytes: Amount = 0.0
+    link_mbps: Amount = 0.0
 
 
 class ServiceModel(msgspec.Struct):
@@ -170,7 +172,12 @@
 def _create_service(model: ServiceModel) -> Service:
     engine = None
     if model.engine is not None:
-        engine = Engine(model.engine.kv_capacity, model.engine.backups)
+        engine = Engine(
+            model.engine.kv_capacity,
+            model.engine.backups,
+            max(model.engine.kv_token_bytes, 0.0),
+            max(model.engine.link_mbps, 0.0),
+        )
     return Service(model.name, engine)
 
 
--- /dev/null
+++ b/cornelnotch/prefix/replication.py
@@ -0,0 +1,51 @@
+"""Decide which servers hold a prefix, the same at all hosts but for the moment; no I/O.
+
+The servers rank by rendezvous hash. The first holds the prefix; the second and third
+hold it too while its traffic needs them.
+"""
+
+from cornelnotch.kernel.hashing import hash_text
+
+__all__ = ["MAX_HOLDERS", "compute_stagger", "count_holders", "estimate_queue_ms"]
+
+# More copies of one prefix take memory from the others; queues move the rest of its
+# requests.
+MAX_HOLDERS = 3
+MAX_UTILIZATION = 0.95
+HASH_RANGE = 2.0**64
+
+
+def compute_stagger(host: str, prefix: str) -> float:
+    """Return a number from 0 to 1 by which a host acts later than others."""
+    return hash_text(f"holders\x00{prefix}\x00{host}") / HASH_RANGE
+
+
+def estimate_queue_ms(utilization: float, work_ms: float) -> float:
+    """Return the mean wait at an engine that is prefilling for a share of its time.
+
+    This is the mean wait of an M/M/1 queue; prompts are about that unequal in length.
+    """
+    utilization = min(max(utilization, 0.0), MAX_UTILIZATION)
+    return work_ms * utilization / (1.0 - utilization)
+
+
+def count_holders(
+    use_rate: float,
+    work_ms: float,
+    other_utilization: float,
+    again_ms: float,
+    stagger: float,
+) -> int:
+    """Return how many servers should hold a prefix.
+
+    A further one is needed if the wait at each exceeds `again_ms`, the time to prefill
+    or copy the prefix. Each use takes `work_ms` of a server that is busy with other
+    prefixes for `other_utilization`. Hosts with a low `stagger` act at half the wait,
+    others only at up to one and a half of it.
+    """
+    limit_ms = again_ms * (0.5 + stagger)
+    for holders in range(1, MAX_HOLDERS):
+        utilization = other_utilization + use_rate * work_ms / holders
+        if estimate_queue_ms(utilization, work_ms) <= limit_ms:
+            return holders
+    return MAX_HOLDERS
