--- a/cornelnotch/prefix/estimates.py
+++ b/cornelnotch/prefix/estimates.py
@@ -22,9 +22,9 @@
 # the part is certainly held below the lifetime divided by it, certainly evicted above
 # the product.
 LIFETIME_UNCERTAINTY = 2.0
-# The share of its time that an engine is expected to prefill counts at most this much;
-# a saturated engine would have infinite queues.
-MAX_UTILIZATION = 0.9
+# The share of its time that an engine prefills counts at most this much. At the limit,
+# one ms of added work delays other requests by 24 ms; the formula has no bound.
+MAX_UTILIZATION = 0.8
 # Shares of an accepted inter-token gap; see engine_estimates.py.
 USABLE_GAP_SHARE = 0.85
 BITS_PER_BYTE = 8.0
@@ -78,16 +78,15 @@
     return busy_ms / capacity * max(requests + 1.0 - capacity, 0.0)
 
 
-def estimate_delay_to_next_ms(
-    work_ms: float, backlog_ms: float, arrival_rate: float, utilization: float
-) -> float:
-    """Return the total delay that a prefill causes to requests that arrive later.
+def estimate_delay_to_next_ms(work_ms: float, utilization: float) -> float:
+    """Return the total delay that a prefill of `work_ms` causes to other requests.
 
-    Until the engine has worked off its backlog and `work_ms`, each arriving request
-    waits `work_ms` longer. It does so at the speed that `utilization` leaves.
+    An M/M/1 queue that is busy for a share u of its time holds u^2 / (1 - u) waiting
+    requests on average. The derivative by u is the delay per ms of added work. It is
+    the same at all engines, since later requests go where the queues are short.
     """
-    busy_ms = (backlog_ms + work_ms) / (1.0 - min(utilization, MAX_UTILIZATION))
-    return work_ms * arrival_rate * busy_ms
+    busy = min(max(utilization, 0.0), MAX_UTILIZATION)
+    return work_ms * busy * (2.0 - busy) / (1.0 - busy) ** 2
 
 
 def estimate_live_share(
--- a/cornelnotch/prefix/replication.py
+++ b/cornelnotch/prefix/replication.py
@@ -11,7 +11,10 @@
 # More copies of one prefix take memory from the others; queues move the rest of its
 # requests.
 MAX_HOLDERS = 3
-MAX_UTILIZATION = 0.95
+MAX_UTILIZATION = 0.98
+# The load of other prefixes counts at most this much, so that a prefix with little
+# traffic is not spread because all servers are busy.
+USUAL_UTILIZATION = 0.7
 HASH_RANGE = 2.0**64
 
 
@@ -32,20 +35,21 @@
 def count_holders(
     use_rate: float,
     work_ms: float,
-    other_utilization: float,
+    utilization: float,
     again_ms: float,
     stagger: float,
 ) -> int:
     """Return how many servers should hold a prefix.
 
-    A further one is needed if the wait at each exceeds `again_ms`, the time to prefill
-    or copy the prefix. Each use takes `work_ms` of a server that is busy with other
-    prefixes for `other_utilization`. Hosts with a low `stagger` act at half the wait,
-    others only at up to one and a half of it.
+    A further one is needed if the wait at each exceeds that at a server of the mean
+    `utilization` by `again_ms`, the time to prefill or copy the prefix. Each use takes
+    `work_ms` of a server. Hosts with a low `stagger` act at half of that wait, others
+    only at up to one and a half of it.
     """
-    limit_ms = again_ms * (0.5 + stagger)
+    usual = min(utilization, USUAL_UTILIZATION)
+    limit_ms = estimate_queue_ms(usual, work_ms) + again_ms * (0.5 + stagger)
     for holders in range(1, MAX_HOLDERS):
-        utilization = other_utilization + use_rate * work_ms / holders
-        if estimate_queue_ms(utilization, work_ms) <= limit_ms:
+        added = use_rate * work_ms / holders
+        if estimate_queue_ms(usual + added, work_ms) <= limit_ms:
             return holders
     return MAX_HOLDERS
--- a/cornelnotch/prefix/strategy.py
+++ b/cornelnotch/prefix/strategy.py
@@ -54,7 +54,6 @@
 class Demand:
     """Rates of a service over all hosts; rates are per ms and server."""
 
-    prompt_rate: float
     own_rate: float
     inserted_rate: float
     mean_inserted: float
@@ -168,11 +167,10 @@
     def _measure_demand(self, service: str, servers: int, now: float) -> Demand:
         traffic = self._traffic.get(service)
         if traffic is None or not traffic.is_informed(now):
-            return Demand(0.0, 0.0, 0.0, 0.0, 0.0, 0.0, 1.0, is_informed=False)
+            return Demand(0.0, 0.0, 0.0, 0.0, 0.0, 1.0, is_informed=False)
         hosts = max(self._count_hosts(), 1)
         share = hosts / max(servers, 1)
         return Demand(
-            traffic.read_prompt_rate(now) * share,
             traffic.read_own_rate(now) * share,
             traffic.read_inserted_rate(now) * share,
             traffic.read_mean_inserted(now),
@@ -389,7 +387,7 @@
         first_ms = wait_ms + min(prefill_ms, copied_ms)
         cost = first_ms + self._estimates.compute_distance_cost(server.record.domain)
         cost += self._estimate_stream_harm_ms(server, usage, rates, prefill)
-        cost += self._estimate_next_ms(usage, rates, prefill, prefill_ms, backlog_ms)
+        cost += self._estimate_next_ms(usage, rates, prefill, prefill_ms)
         if server.record.name == need.current:
             cost -= MOVE_COST_MS
         cost += self._estimate_opening_ms(server, held, rates)
@@ -456,16 +454,13 @@
         rates: EngineRates,
         prefill: float,
         prefill_ms: float,
-        backlog_ms: float,
     ) -> float:
         """Return what the prefill and what it evicts cost the next requests."""
         demand = self._demand
         if not demand.is_informed:
             return 0.0
         utilization = demand.inserted_rate / rates.read_rate
-        delay_ms = terms.estimate_delay_to_next_ms(
-            prefill_ms, backlog_ms, demand.prompt_rate, utilization
-        )
+        delay_ms = terms.estimate_delay_to_next_ms(prefill_ms, utilization)
         lifetime_ms = estimate_lifetime(self._engine, demand, usage.running)
         shared_rate = max(demand.inserted_rate - demand.own_rate, 0.0)
         live_share = terms.estimate_live_share(
