--- a/cornelnotch/prefix/strategy.py
+++ b/cornelnotch/prefix/strategy.py
@@ -46,6 +46,8 @@
 # Probability that the first server by hash holds a prefix of which a host that has just
 # started knows nothing: in a deployment that has run for a while nearly all are held.
 STARTING_CHANCE = 0.8
+# Utilization that such a host assumes; a ms of prefill delays others by 5 ms then.
+STARTING_UTILIZATION = 0.6
 # From this probability on, a server is a source to copy from.
 MIN_SOURCE_CHANCE = 0.5
 
@@ -205,8 +207,10 @@
                 shared, tokens, ranked, ranked[:1], STARTING_CHANCE, chances, stagger
             )
         hosts = max(self._count_hosts(), 1)
-        use_rate = self._traffic[service].estimate_use_rate(name, hosts, now)
-        count = self._count_holders(use_rate, tokens, engine, demand, rates, stagger)
+        traffic = self._traffic[service]
+        use_rate = traffic.estimate_use_rate(name, hosts, now)
+        proven_rate = traffic.find_proven_use_rate(name, hosts, now)
+        count = self._count_holders(proven_rate, tokens, engine, demand, rates, stagger)
         lifetime_ms = estimate_lifetime(engine, demand, 0)
         chance = terms.estimate_reuse(use_rate / count, lifetime_ms)
         return Prefix(
@@ -457,9 +461,9 @@
     ) -> float:
         """Return what the prefill and what it evicts cost the next requests."""
         demand = self._demand
-        if not demand.is_informed:
-            return 0.0
-        utilization = demand.inserted_rate / rates.read_rate
+        utilization = STARTING_UTILIZATION
+        if demand.is_informed:
+            utilization = demand.inserted_rate / rates.read_rate
         delay_ms = terms.estimate_delay_to_next_ms(prefill_ms, utilization)
         lifetime_ms = estimate_lifetime(self._engine, demand, usage.running)
         shared_rate = max(demand.inserted_rate - demand.own_rate, 0.0)
--- a/cornelnotch/prefix/traffic.py
+++ b/cornelnotch/prefix/traffic.py
@@ -152,17 +152,27 @@
         """Return the uses per ms of a part, by all hosts.
 
         A host sees few uses of each part. The estimate is the mean of all parts,
-        corrected by what was seen, or what the uses seen prove if that is more.
+        corrected by what was seen.
         """
         mean_rate = self.estimate_mean_use_rate(hosts, now)
         if mean_rate <= 0:
             return 0.0
-        traffic = self._parts.get(name)
-        uses = traffic.uses.read(now) if traffic is not None else 0.0
         seen_ms = self._measure_window(now) / hosts
-        corrected = (uses + 1.0) / (seen_ms + 1.0 / mean_rate)
-        proven = (uses - 2.0 * math.sqrt(uses)) / seen_ms
-        return max(corrected, proven)
+        return (self._read_uses(name, now) + 1.0) / (seen_ms + 1.0 / mean_rate)
+
+    def find_proven_use_rate(self, name: str, hosts: int, now: float) -> float:
+        """Return the uses per ms of a part that it almost certainly has.
+
+        This is two standard deviations below what the uses seen would give, so that
+        chance does not make a prefix hot: it is 0 up to four uses.
+        """
+        uses = self._read_uses(name, now)
+        proven = max(uses - 2.0 * math.sqrt(uses), 0.0)
+        return proven * hosts / self._measure_window(now)
+
+    def _read_uses(self, name: str, now: float) -> float:
+        traffic = self._parts.get(name)
+        return traffic.uses.read(now) if traffic is not None else 0.0
 
     def count_continuations(self, name: str) -> int:
         """Return the number of different parts seen after a part, within a bound."""
