--- a/cornelnotch/prefix/strategy.py
+++ b/cornelnotch/prefix/strategy.py
@@ -140,7 +140,7 @@
         demand = self._measure_demand(service, len(servers), now)
         prefix = self._describe_prefix(candidates, request, engine, demand, need, now)
         weighing = Weighing(
-            self._estimates, route, request, need, engine, demand, prefix, now
+            self._estimates, request, need, engine, demand, prefix, service, now
         )
         return weighing.choose(candidates, servers)
 
@@ -297,16 +297,15 @@
     def __init__(
         self,
         estimates: ServerEstimates,
-        route: Route,
         request: CallerRequest,
         need: PlacementNeed,
         engine: Engine,
         demand: Demand,
         prefix: Prefix,
+        service_name: str,
         now: float,
     ) -> None:
         self._estimates = estimates
-        self._route = route
         self._request = request
         self._need = need
         self._engine = engine
@@ -316,6 +315,14 @@
         self._memory = engine.cache_tokens or UNKNOWN_CACHE_TOKENS
         self._source: ServerView | None = None
         self._source_chance = 0.0
+        # Later requests go where the queues are short, so what a prefill costs them
+        # depends on the mean of the service, not on the engine that runs it.
+        service = estimates.get_average_rates(service_name)
+        self._mean_read_rate = service.read_rate
+        utilization = STARTING_UTILIZATION
+        if demand.is_informed:
+            utilization = demand.inserted_rate / self._mean_read_rate
+        self._delay_per_ms = terms.estimate_delay_to_next_ms(1.0, utilization)
 
     def choose(
         self, candidates: list[ServerView], servers: list[ServerView]
@@ -391,7 +398,7 @@
         first_ms = wait_ms + min(prefill_ms, copied_ms)
         cost = first_ms + self._estimates.compute_distance_cost(server.record.domain)
         cost += self._estimate_stream_harm_ms(server, usage, rates, prefill)
-        cost += self._estimate_next_ms(usage, rates, prefill, prefill_ms)
+        cost += self._estimate_next_ms(usage, rates, prefill)
         if server.record.name == need.current:
             cost -= MOVE_COST_MS
         cost += self._estimate_opening_ms(server, held, rates)
@@ -457,14 +464,10 @@
         usage: ServerUsage,
         rates: EngineRates,
         prefill: float,
-        prefill_ms: float,
     ) -> float:
         """Return what the prefill and what it evicts cost the next requests."""
         demand = self._demand
-        utilization = STARTING_UTILIZATION
-        if demand.is_informed:
-            utilization = demand.inserted_rate / rates.read_rate
-        delay_ms = terms.estimate_delay_to_next_ms(prefill_ms, utilization)
+        delay_ms = prefill / self._mean_read_rate * self._delay_per_ms
         lifetime_ms = estimate_lifetime(self._engine, demand, usage.running)
         shared_rate = max(demand.inserted_rate - demand.own_rate, 0.0)
         live_share = terms.estimate_live_share(
