--- a/cornelnotch/testing/prefix_fleet.py
+++ b/cornelnotch/testing/prefix_fleet.py
@@ -36,6 +36,8 @@
 
 SERVICE = "llm"
 SUMMARY_INTERVAL_MS = 250.0
+# After this time without a first token, a host leaves a silent engine.
+SILENCE_LIMIT_MS = 1000.0
 ROUTE = Route(
     "r", "", "/", WorkKind.STREAM, 1e9, 1e9, 1, 1, (ServiceShare(SERVICE, 1.0),)
 )
@@ -74,7 +76,7 @@
     `hot_share` of them share the same one.
     """
     generator = random.Random(seed)
-    prompts = []
+    prompts: list[PrefixPrompt] = []
     at_ms = 0.0
     while at_ms < seconds * 1000.0:
         at_ms += generator.expovariate(per_s) * 1000.0
@@ -111,8 +113,9 @@
 class FleetRun(EngineRequest):
     """A request at an engine, with the host that sent it."""
 
-    host: FleetHost | None = None
-    host_view: ServerView | None = None
+    host: FleetHost = field(kw_only=True)
+    host_view: ServerView = field(kw_only=True)
+    prompt: PrefixPrompt = field(kw_only=True)
     expected_tokens: int = 0
 
 
@@ -121,14 +124,28 @@
     """An engine that caches shared and own parts, and may be stopped."""
 
     is_silent: bool = False
+    is_down: bool = False
     is_listed: bool = True
-    evicted_tokens: int = 0
+
+    def take_runs(self, before_ms: float = float("inf")) -> list[FleetRun]:
+        """Remove and return the requests that were sent before a time."""
+        taken = []
+        for run in [*self.runs, *self.waiting.values()]:
+            assert isinstance(run, FleetRun)
+            if run.in_flight.started_ms < before_ms:
+                taken.append(run)
+        for run in taken:
+            self.waiting.pop(run.prompt.name, None)
+            if run in self.runs:
+                self.runs.remove(run)
+            if self.queue is not None:
+                self.queue.remove(run.prompt.name)
+        return taken
 
     def admit(self, run: EngineRequest) -> None:
         """Admit a request; a part is cached only with all parts before it."""
         assert isinstance(run, FleetRun)
-        prompt = run.outcome.request
-        assert isinstance(prompt, PrefixPrompt)
+        prompt = run.prompt
         run.in_flight.sent = True
         run.prompt_tokens = prompt.own_tokens + prompt.shared_tokens
         run.unread_tokens = run.prompt_tokens
@@ -144,7 +161,6 @@
         run.in_flight.prefill_tokens = run.unread_tokens
         self.read_tokens += run.unread_tokens
         self.runs.append(run)
-        assert run.host is not None and run.host_view is not None
         grant = GrantedPrompt(
             prompt.parts, prompt.own_tokens, run.expected_tokens, run.unread_tokens
         )
@@ -169,6 +185,7 @@
     hosts: list[FleetHost] = field(default_factory=list)
     outcomes: list[Outcome] = field(default_factory=list)
     now: float = 0.0
+    wasted_dispatches: int = 0
     _boots: int = 0
     _summary_ms: float = float("-inf")
 
@@ -215,20 +232,28 @@
     def crash(self, name: str) -> None:
         """Stop an engine; its requests are sent to others by their hosts."""
         engine = self.engines[name]
-        engine.is_silent = True
-        runs = [*engine.runs, *engine.waiting.values()]
-        engine.runs.clear()
-        engine.waiting.clear()
-        for run in runs:
-            assert isinstance(run, FleetRun)
-            assert run.host is not None and run.host_view is not None
-            run.host_view.finish(run.in_flight)
-            engine.view.finish(run.in_flight)
-            for host in self.hosts:
-                host.views[name].record_failure(self.now)
-            prompt = run.outcome.request
-            assert isinstance(prompt, PrefixPrompt)
-            self._place(run.host, prompt, run.outcome, frozenset({name}))
+        engine.is_down = True
+        for run in engine.take_runs():
+            self._fail(run, engine, frozenset())
+
+    def silence(self, name: str) -> None:
+        """Let an engine accept requests without answering any more."""
+        self.engines[name].is_silent = True
+
+    def _leave_silent(self, engine: FleetEngine, now: float) -> None:
+        for run in engine.take_runs(now - SILENCE_LIMIT_MS):
+            self._fail(run, engine, frozenset())
+
+    def _fail(
+        self, run: FleetRun, engine: FleetEngine, excluded: frozenset[str]
+    ) -> None:
+        """Send a request that an engine did not answer to another one."""
+        self.wasted_dispatches += 1
+        name = engine.view.record.name
+        run.host_view.finish(run.in_flight)
+        engine.view.finish(run.in_flight)
+        run.host_view.record_failure(self.now)
+        self._place(run.host, run.prompt, run.outcome, excluded | {name})
 
     def unlist(self, name: str) -> None:
         """Let an engine leave: it ends its requests and gets no more."""
@@ -292,8 +317,12 @@
             prompt.answer_tokens,
             host=host,
             host_view=placed.server,
+            prompt=prompt,
             expected_tokens=placed.prefill_tokens,
         )
+        if engine.is_down:
+            self._fail(run, engine, excluded)
+            return
         if not engine.runs:
             engine.free_ms = max(engine.free_ms, self.now)
         engine.submit(run, self.now)
@@ -317,7 +346,8 @@
     def _advance_engines(self, now: float) -> None:
         self.now = now
         for engine in self.engines.values():
-            if engine.is_silent:
+            if engine.is_silent or engine.is_down:
+                self._leave_silent(engine, now)
                 continue
             while engine.free_ms < now:
                 if engine.runs:
