--- a/cornelnotch/testing/prefix_fleet.py
+++ b/cornelnotch/testing/prefix_fleet.py
@@ -32,7 +32,14 @@
 )
 from cornelnotch.wire.messages import EngineRates, LoadSummary
 
-__all__ = ["FleetShape", "PrefixFleet", "PrefixPrompt", "create_prompts"]
+__all__ = [
+    "FleetEvent",
+    "FleetShape",
+    "PrefixFleet",
+    "PrefixOutcome",
+    "PrefixPrompt",
+    "create_prompts",
+]
 
 SERVICE = "llm"
 SUMMARY_INTERVAL_MS = 250.0
@@ -50,6 +57,13 @@
     parts: tuple[PromptPart, ...] = ()
 
 
+@dataclass(slots=True)
+class PrefixOutcome(Outcome):
+    """Latencies of a prompt, and the share of it that its engine had cached."""
+
+    cached_share: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class FleetShape:
     """Number of hosts and engines, and by how much the hosts' rates are wrong."""
@@ -116,6 +130,7 @@
     host: FleetHost = field(kw_only=True)
     host_view: ServerView = field(kw_only=True)
     prompt: PrefixPrompt = field(kw_only=True)
+    answer: PrefixOutcome = field(kw_only=True)
     expected_tokens: int = 0
 
 
@@ -158,6 +173,7 @@
             self.cache.move_to_end(part.name)
         while sum(self.cache.values()) > self.shape.cache_tokens:
             self.cache.popitem(last=False)
+        run.answer.cached_share = 1.0 - run.unread_tokens / run.prompt_tokens
         run.in_flight.prefill_tokens = run.unread_tokens
         self.read_tokens += run.unread_tokens
         self.runs.append(run)
@@ -183,7 +199,7 @@
     shape: FleetShape = FleetShape()
     engines: dict[str, FleetEngine] = field(default_factory=dict)
     hosts: list[FleetHost] = field(default_factory=list)
-    outcomes: list[Outcome] = field(default_factory=list)
+    outcomes: list[PrefixOutcome] = field(default_factory=list)
     now: float = 0.0
     wasted_dispatches: int = 0
     _boots: int = 0
@@ -253,7 +269,7 @@
         run.host_view.finish(run.in_flight)
         engine.view.finish(run.in_flight)
         run.host_view.record_failure(self.now)
-        self._place(run.host, run.prompt, run.outcome, excluded | {name})
+        self._place(run.host, run.prompt, run.answer, excluded | {name})
 
     def unlist(self, name: str) -> None:
         """Let an engine leave: it ends its requests and gets no more."""
@@ -261,7 +277,7 @@
 
     def play(
         self, prompts: Sequence[PrefixPrompt], events: Sequence[FleetEvent] = ()
-    ) -> list[Outcome]:
+    ) -> list[PrefixOutcome]:
         """Play prompts, spread over the hosts, and return what their callers got."""
         left = sorted(events, key=lambda event: event.at_ms)
         generator = random.Random(1)
@@ -272,7 +288,7 @@
                 event.apply(self)
             self._advance(prompt.at_ms)
             host = self.hosts[generator.randrange(len(self.hosts))]
-            outcome = Outcome(prompt)
+            outcome = PrefixOutcome(prompt)
             self.outcomes.append(outcome)
             self._place(host, prompt, outcome, frozenset())
         self._advance(self.now + 600_000.0)
@@ -282,7 +298,7 @@
         self,
         host: FleetHost,
         prompt: PrefixPrompt,
-        outcome: Outcome,
+        outcome: PrefixOutcome,
         excluded: frozenset[str],
     ) -> None:
         self._drop_ended(host)
@@ -318,6 +334,7 @@
             host=host,
             host_view=placed.server,
             prompt=prompt,
+            answer=outcome,
             expected_tokens=placed.prefill_tokens,
         )
         if engine.is_down:
