--- a/cornelnotch/commands/config.py
+++ b/cornelnotch/commands/config.py
@@ -7,6 +7,7 @@
 from rich.console import Console
 from rich.table import Table
 
+from cornelnotch.commands.check import check_file
 from cornelnotch.commands.support import (
     HOSTS_OPTION,
     PLATFORM_OPTION,
@@ -14,8 +15,7 @@
     request_from_hosts,
     run_async,
 )
-from cornelnotch.configuration import Change, ConfigurationState, encode_record
-from cornelnotch.configuration.fold import apply_record
+from cornelnotch.configuration import Change
 from cornelnotch.configuration.publisher import (
     PublishResult,
     publish_change,
@@ -43,22 +43,6 @@
         ) from error
 
 
-def check_file(path: Path = FILE) -> None:
-    """Validate a complete configuration without publishing it."""
-    change = Change(create_identifier(), -1, _read_text(path))
-    verdict = apply_record(ConfigurationState(), 0, encode_record(change))
-    if verdict.error is not None:
-        raise ConfigurationError(
-            f"{path}: {verdict.error.problem}", verdict.error.remedy
-        )
-    configuration = verdict.state.configuration
-    print(
-        f"{path}: {len(configuration.classes)} classes, "
-        f"{len(configuration.selectors)} selectors, "
-        f"{len(configuration.servers)} servers; valid"
-    )
-
-
 async def _publish(
     path: Path, platform: str, base: int | None, author: str
 ) -> PublishResult:
--- /dev/null
+++ b/cornelnotch/review/__init__.py
@@ -0,0 +1,1 @@
+"""Review of a deployment's configuration before it is put in force."""
