platform: decode autoscaling blocks, prices and reclaimable servers

The bounds and prices of a service are decoded apart from the rest of the configuration, so that a malformed block leaves routes in force. A malformed price leaves out one domain. Each part that is ignored is logged once per version with its remedy. Without the new fields nothing changes.

--- a/cornelnotch/gateway/models.py
+++ b/cornelnotch/gateway/models.py
@@ -6,6 +6,7 @@
 from cornelnotch.wire.messages import PromptPart
 
 __all__ = [
+    "Autoscaling",
     "CallerLimits",
     "CallerRequest",
     "Engine",
@@ -67,12 +68,33 @@
     accepts_copies: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Autoscaling:
+    """Bounds and prices of the servers that may be ordered for a service.
+
+    `minimum` and `maximum` count the servers of each domain. A server second costs the
+    domain's price, of a spot server `spot_price` times it. Domains that are not in
+    `domain_prices` keep the servers that they have; None prices all domains alike.
+    """
+
+    minimum: int
+    maximum: int
+    boot_ms: float
+    spot_price: float
+    domain_prices: dict[str, float] | None = None
+
+    def find_price(self, domain: str) -> float | None:
+        """Return the price of an on-demand server second, None if it is not known."""
+        return 1.0 if self.domain_prices is None else self.domain_prices.get(domain)
+
+
 @dataclass(frozen=True, slots=True)
 class Service:
     """Group of interchangeable servers."""
 
     name: str
     engine: Engine | None = None
+    autoscaling: Autoscaling | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +120,7 @@
     """One version of routes, services and workspaces.
 
     `workspaces` is indexed by API key; None means that no request needs a key.
+    `problems` describe the parts of the configuration that are not in force.
     """
 
     version: int
@@ -105,6 +128,7 @@
     services: dict[str, Service]
     workspaces: dict[str, Workspace] | None
     limits: CallerLimits = CallerLimits()
+    problems: tuple[str, ...] = ()
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of `path`."""
@@ -137,7 +161,8 @@
     """Platform record of one server.
 
     `write_count` counts the entries that the server has written since its boot.
-    `software` is the version of its software.
+    `software` is the version of its software. The platform may take a `reclaimable`
+    server back; a leaving server stops `leaves_ms` after its entry, 0 if unknown.
     """
 
     name: str
@@ -149,6 +174,8 @@
     boot_ms: int = 0
     write_count: int = field(default=0, compare=False)
     software: str = ""
+    reclaimable: bool = False
+    leaves_ms: float = field(default=0.0, compare=False)
 
 
 @dataclass(slots=True)
--- a/cornelnotch/gateway/routing_state.py
+++ b/cornelnotch/gateway/routing_state.py
@@ -77,6 +77,10 @@
                     version=table.version,
                     held=table is older,
                 )
+                for problem in table.problems:
+                    self._context.events.record(
+                        Event.CONFIGURATION_PART_IGNORED, problem=problem
+                    )
                 self._apply_table()
 
     # Records are decoded again with each change, so an error that left these two
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -47,6 +47,11 @@
         logging.WARNING,
         "a configuration record was rejected",
     )
+    CONFIGURATION_PART_IGNORED = (
+        2004,
+        logging.WARNING,
+        "a part of the configuration is malformed and not in force",
+    )
     CONFIGURATION_BOOTSTRAPPED = (
         2003,
         logging.INFO,
--- a/cornelnotch/platform/records.py
+++ b/cornelnotch/platform/records.py
@@ -4,6 +4,7 @@
 
 from cornelnotch.exceptions import ConfigurationError, MalformedInputError
 from cornelnotch.gateway.models import (
+    Autoscaling,
     CallerLimits,
     Engine,
     Route,
@@ -31,8 +32,13 @@
     "non_idempotent": WorkKind.ONCE,
     "streaming": WorkKind.STREAM,
 }
+MS_PER_SECOND = 1000.0
 STATE_LEAVING = "draining"
 STATE_READY = "ready"
+# No deployment has domains of this size; a larger bound is a slip of the pen.
+MAX_SERVERS_PER_DOMAIN = 10_000
+# Servers that boot for longer could not follow demand at all.
+MAX_BOOT_S = 600.0
 
 
 class SplitModel(msgspec.Struct):
@@ -67,11 +73,22 @@
     backups: bool = False
 
 
+class AutoscalingModel(msgspec.Struct):
+    """Schema of the bounds and prices of a service's servers."""
+
+    min: Count
+    max: Count
+    boot_s: Amount = 4.0
+    spot_price: Amount = 0.18
+    zone_prices: dict[str, msgspec.Raw] | None = None
+
+
 class ServiceModel(msgspec.Struct):
-    """Schema of a service."""
+    """Schema of a service; its autoscaling is decoded, and ignored, on its own."""
 
     name: str
     engine: EngineModel | None = None
+    autoscaling: msgspec.Raw = msgspec.Raw()
 
 
 class TenantModel(msgspec.Struct):
@@ -113,10 +130,14 @@
     warmup_left_ms: Amount
     sequence: Integer
     born: Count = 0
+    spot: bool | None = None
+    leaves_ms: Amount | None = None
 
 
 _config_decoder = msgspec.json.Decoder(ConfigModel)
 _server_decoder = msgspec.json.Decoder(ServerModel)
+_autoscaling_decoder = msgspec.json.Decoder(AutoscalingModel | None)
+_price_decoder = msgspec.json.Decoder(Amount)
 
 
 def decode_table(value: bytes) -> RoutingTable:
@@ -128,6 +149,7 @@
             f"malformed operator configuration: {error.problem}",
             "write a valid configuration",
         ) from error
+    problems: list[str] = []
     routes: dict[str, list[Route]] = {}
     for entry in model.routes:
         routes.setdefault(entry.hostname.lower(), []).append(_create_route(entry))
@@ -137,7 +159,7 @@
             host: tuple(sorted(items, key=lambda r: -len(r.prefix)))
             for host, items in routes.items()
         },
-        {entry.name: _create_service(entry) for entry in model.services},
+        {entry.name: _create_service(entry, problems) for entry in model.services},
         _index_workspaces_by_key(model.tenants),
         CallerLimits(
             model.limits.max_header_bytes,
@@ -145,6 +167,7 @@
             model.limits.header_timeout_ms,
             model.limits.idle_timeout_ms,
         ),
+        tuple(problems),
     )
 
 
@@ -167,11 +190,65 @@
     )
 
 
-def _create_service(model: ServiceModel) -> Service:
+def _create_service(model: ServiceModel, problems: list[str]) -> Service:
     engine = None
     if model.engine is not None:
         engine = Engine(model.engine.kv_capacity, model.engine.backups)
-    return Service(model.name, engine)
+    autoscaling = None
+    if model.autoscaling:
+        try:
+            autoscaling = _create_autoscaling(model, problems)
+        except MalformedInputError as error:
+            problems.append(
+                f"autoscaling of {model.name!r}: {error.problem}; no servers are "
+                "ordered for this service; correct the value"
+            )
+    return Service(model.name, engine, autoscaling)
+
+
+def _create_autoscaling(
+    service: ServiceModel, problems: list[str]
+) -> Autoscaling | None:
+    """Return the bounds of a service; raise MalformedInputError if unusable."""
+    model = decode(_autoscaling_decoder, bytes(service.autoscaling))
+    if model is None:
+        return None
+    if model.min > model.max:
+        raise MalformedInputError(f"min {model.min} is above max {model.max}")
+    if model.max > MAX_SERVERS_PER_DOMAIN:
+        raise MalformedInputError(f"max is above {MAX_SERVERS_PER_DOMAIN}")
+    if not 0.0 <= model.boot_s <= MAX_BOOT_S:
+        raise MalformedInputError(f"boot_s is not within 0 to {MAX_BOOT_S}")
+    if model.spot_price < 0:
+        raise MalformedInputError("spot_price is negative")
+    prices = None
+    if model.zone_prices is not None:
+        prices = {
+            domain: price
+            for domain, raw in model.zone_prices.items()
+            if (price := _read_price(service.name, domain, raw, problems)) is not None
+        }
+    return Autoscaling(
+        model.min, model.max, model.boot_s * MS_PER_SECOND, model.spot_price, prices
+    )
+
+
+def _read_price(
+    service: str, domain: str, raw: msgspec.Raw, problems: list[str]
+) -> float | None:
+    """Return the price of a domain, or None and a problem if it is malformed."""
+    try:
+        price = decode(_price_decoder, bytes(raw))
+        if price >= 0:
+            return price
+        problem = f"price {price} is negative"
+    except MalformedInputError as error:
+        problem = error.problem
+    problems.append(
+        f"autoscaling of {service!r} in {domain!r}: {problem}; this domain keeps the "
+        "servers that it has; write a price of at least 0"
+    )
+    return None
 
 
 def _index_workspaces_by_key(
@@ -214,6 +291,8 @@
         model.born,
         model.sequence,
         model.version,
+        bool(model.spot),
+        max(model.leaves_ms or 0.0, 0.0),
     )
 
 
