scaling: measure demand by what callers request

Each host counts requests, refused ones included, and their tokens by service and priority at their arrival, and reports cumulative totals once per second to the holder of the duties and its successors. A lost, repeated or reordered report loses and doubles nothing. Prompt parts seen before count as cached. The recorder of a host records nothing unless scaling is started.

--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -11,6 +11,7 @@
 from cornelnotch.gateway.body_memory import BodyMemory
 from cornelnotch.gateway.crash_evidence import CrashEvidence
 from cornelnotch.gateway.crash_watch import CrashWatch, ServerLife
+from cornelnotch.gateway.demand import DemandRecorder, UnrecordedDemand
 from cornelnotch.gateway.drain import Drain
 from cornelnotch.gateway.durations import DurationTracker
 from cornelnotch.gateway.engine_rates import EngineRateTable
@@ -84,6 +85,7 @@
         self.header_codec = header_codec
         self.client = client
         self.identity = identity or UnknownIdentity()
+        self.demand: DemandRecorder = UnrecordedDemand()
         self.metrics = NodeMetrics(settings.host.name, clock)
         self.crashes = CrashEvidence()
         self.startup = Startup(clock)
--- a/cornelnotch/gateway/frontend.py
+++ b/cornelnotch/gateway/frontend.py
@@ -110,8 +110,14 @@
             # Otherwise it counts at the host that sends it to a server.
             context.find_retry_budget(flow.service).record_request(flow.arrived_ms)
         self._flows.add(flow)
+        demand = context.demand
+        if not request.passed_by:
+            # Otherwise it counts at the host that its caller sent it to.
+            demand.record_arrival(flow.service, flow.priority, request)
         try:
             await flow.run()
+            if not request.passed_by:
+                self._record_end(flow)
         except CallerDisconnectedError:
             if flow.exchange.disconnected.is_set():
                 flow.record_event(Event.CALLER_LEFT, ran=flow.dispatches.ran)
@@ -119,6 +125,15 @@
         finally:
             self._flows.discard(flow)
 
+    def _record_end(self, flow: RequestFlow) -> None:
+        """Record in the demand whether a request was served, and how long it took."""
+        demand, service = self._context.demand, flow.service
+        if flow.exchange.status == STATUS_UNAVAILABLE:
+            demand.record_refusal(service, flow.priority)
+            return
+        duration_ms = self._context.clock.read() - flow.arrived_ms
+        demand.record_served(service, flow.priority, duration_ms)
+
     def limit_requests(self) -> None:
         """Give every request its final response before the host stops."""
         end_ms = self._context.drain.end_ms
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -178,6 +178,32 @@
         logging.WARNING,
         "the entry of a server is malformed and left out",
     )
+    DEMAND_MALFORMED = (
+        7001,
+        logging.WARNING,
+        "a host reported invalid totals of its requests",
+    )
+    SERVERS_ORDERED = (7002, logging.INFO, "a number of servers was ordered")
+    SERVERS_RECLAIMED = (
+        7003,
+        logging.INFO,
+        "the platform takes spot servers of a domain back",
+    )
+    REDUCTION_HELD = (
+        7004,
+        logging.INFO,
+        "what keeps servers from being released changed",
+    )
+    DOMAIN_UNPRICED = (
+        7005,
+        logging.WARNING,
+        "a domain without a price keeps the servers that it has",
+    )
+    ORDER_FAILED = (
+        7006,
+        logging.WARNING,
+        "the platform did not accept an order of servers",
+    )
     REQUEST_REFUSED = (6001, logging.INFO, "a request was refused")
     REQUEST_MALFORMED = (6002, logging.DEBUG, "a request was malformed")
     REQUEST_ROUTED = (6003, logging.INFO, "a request was mapped to a service")
--- a/cornelnotch/observation/metrics.py
+++ b/cornelnotch/observation/metrics.py
@@ -71,6 +71,18 @@
             labels,
             registry=self._registry,
         )
+        self._server_orders = Counter(
+            "cornelnotch_server_orders_total",
+            "Orders of servers by service, domain, kind and outcome.",
+            labels,
+            registry=self._registry,
+        )
+        self._reclaimed_servers = Counter(
+            "cornelnotch_reclaimed_servers_total",
+            "Spot servers that the platform took back, by service and domain.",
+            labels,
+            registry=self._registry,
+        )
         self._first_token = Histogram(
             "cornelnotch_first_token_seconds",
             "Time to first token by class.",
@@ -122,6 +134,18 @@
         """Count one server that crashed while it served requests of this host."""
         self._server_crashes.inc({})
 
+    def count_server_order(
+        self, service: str, domain: str, kind: str, outcome: str
+    ) -> None:
+        """Count one order of servers."""
+        self._server_orders.inc(
+            {"service": service, "domain": domain, "kind": kind, "outcome": outcome}
+        )
+
+    def count_reclaimed_server(self, service: str, domain: str) -> None:
+        """Count one spot server that the platform took back."""
+        self._reclaimed_servers.inc({"service": service, "domain": domain})
+
     def observe_first_token(self, class_name: str, duration_ms: float) -> None:
         """Observe the time to first token in ms."""
         self._first_token.observe({"class": class_name}, duration_ms / 1000.0)
--- a/cornelnotch/web/exchange.py
+++ b/cornelnotch/web/exchange.py
@@ -47,6 +47,7 @@
             name.decode(): value.decode("latin-1") for name, value in request.headers
         }
         self.raw_headers = list(request.headers)
+        self.status = 0
         self.response_started = False
         self.response_finished = False
         self._buffered_event = connection.take_buffered_event()
@@ -114,6 +115,7 @@
     async def start(self, status: int, headers: Headers) -> None:
         """Send the head of a response with a streamed body."""
         self.response_started = True
+        self.status = status
         raw_headers = self._build_headers(headers)
         if not any(_is_content_length(name) for name, _ in raw_headers):
             raw_headers.append(("transfer-encoding", "chunked"))
@@ -134,6 +136,7 @@
         """Send a complete response in one write."""
         self.response_started = True
         self.response_finished = True
+        self.status = status
         raw_headers = self._build_headers(headers)
         raw_headers.append(("content-length", str(len(body))))
         head = h11.Response(status_code=status, headers=raw_headers)
--- a/cornelnotch/wire/messages.py
+++ b/cornelnotch/wire/messages.py
@@ -22,6 +22,8 @@
     "ConfigurationOffer",
     "CrashEvidenceNotice",
     "CrashReport",
+    "DemandRow",
+    "DemandTotals",
     "EngineRates",
     "HeldPermit",
     "HeldPermits",
@@ -624,6 +626,41 @@
     software: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class DemandRow:
+    """Count the requests of one service and priority since the start of a host.
+
+    `requests` counts those that callers sent, `refused` those among them that got
+    nothing. `prompt_tokens` are all tokens of their prompts, `prefill_tokens` those not
+    seen before by the host, `output_tokens` the most that they let servers generate.
+    `served` requests took `served_ms` together from arrival to the end.
+    """
+
+    service: str
+    priority: int
+    requests: int
+    refused: int
+    prompt_tokens: int
+    prefill_tokens: int
+    output_tokens: int
+    served: int
+    served_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class DemandTotals:
+    """Report what the callers of a host in `domain` have requested since its start.
+
+    Newer totals of the same `boot_ms` have a higher `sequence` and replace older ones.
+    """
+
+    host: str
+    boot_ms: int
+    domain: str
+    sequence: int
+    rows: list[DemandRow]
+
+
 def list_message_types() -> list[type]:
     """Return the message types; the index of each is its type id on the wire."""
     return [
@@ -660,4 +697,5 @@
         LinkNotice,
         LinkQuery,
         LinkReply,
+        DemandTotals,
     ]
