--- a/cornelnotch/scaling/tests/test_planner.py
+++ b/cornelnotch/scaling/tests/test_planner.py
@@ -5,7 +5,7 @@
 from cornelnotch.gateway.models import Autoscaling
 from cornelnotch.scaling.models import DomainFleet, KindCount, ServiceNeed
 from cornelnotch.scaling.planner import plan_domains, plan_targets
-from cornelnotch.scaling.tests.fleets import BOUNDS, create_fleets, create_need
+from cornelnotch.scaling.tests.fleets import BOUNDS, PRICES, create_fleets, create_need
 
 PLANS = settings(derandomize=True, deadline=None, max_examples=400, database=None)
 
@@ -65,7 +65,7 @@
 
 def test_with_no_spot_servers_anywhere_on_demand_servers_take_over():
     needs = {"a": create_need(21), "b": create_need(21)}
-    fleets = create_fleets(2, 0, unavailable=set(BOUNDS.domain_prices))
+    fleets = create_fleets(2, 0, unavailable=set(PRICES))
     plans = plan_domains(BOUNDS, fleets, needs, may_reduce=True)
     assert sum(plan.on_demand for plan in plans) >= 42
 
@@ -90,13 +90,13 @@
 
 
 def test_spot_servers_that_cost_more_are_not_ordered():
-    bounds = Autoscaling(1, 10, 4000.0, 1.5, BOUNDS.domain_prices)
+    bounds = Autoscaling(1, 10, 4000.0, 1.5, PRICES)
     plans = plan_targets(bounds, create_fleets(0), {"a": create_need(12)})
     assert sum(plan.spot for plan in plans) == 0
 
 
 def test_a_domain_without_a_price_is_left_as_it_is():
-    prices = {**BOUNDS.domain_prices, "a1": None}
+    prices = {**PRICES, "a1": None}
     fleets = create_fleets(4, prices=prices)
     plans = plan_domains(BOUNDS, fleets, {"a": create_need(12)}, may_reduce=True)
     assert "a1" not in {plan.domain for plan in plans}
--- a/cornelnotch/web/client.py
+++ b/cornelnotch/web/client.py
@@ -336,10 +336,15 @@
     ) -> HttpResponse:
         """Send a request with a prepared head and return the head of its response.
 
-        `note_sending` is called before the first byte is sent.
+        `note_sending` is called before the first byte is sent; if it raises, nothing is
+        sent.
         """
         connection = await self._acquire(address, fresh)
-        note_sending()
+        try:
+            note_sending()
+        except BaseException:
+            connection.abort()
+            raise
         try:
             await connection.send(head, body)
             event = await connection.read_head()
