scaling: start on hosts whose settings and configuration ask for it

The program starts autoscaling once it is a duty in force and a service has bounds, and imports it only then. A reclaimed domain is asked for spot servers again after 12.5 s. After a refused spot order on-demand servers come first: with equal pauses for both the spot order blocked the service and domain again and again (test_reclaimed_spot_servers_are_replaced_and_counted).

--- a/cornelnotch/platform/program.py
+++ b/cornelnotch/platform/program.py
@@ -4,6 +4,7 @@
 import gc
 import signal
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from cornelnotch.gateway.host import GatewayHost
 from cornelnotch.gateway.settings import HostSettings, read_host_settings
@@ -22,11 +23,17 @@
 from cornelnotch.platform.store import PlatformStore
 from cornelnotch.web import HttpClient, HttpServer, parse_address
 
+if TYPE_CHECKING:
+    from cornelnotch.duties.api import DutyHolder
+
 __all__ = ["run_host"]
 
 # Reference counting frees nearly all objects of a request, so a high threshold avoids
 # needless scans of the youngest generation for reference cycles.
 GC_YOUNG_THRESHOLD_OBJECTS = 10_000
+# Name of the duty in the settings, and how often its services are looked for.
+AUTOSCALING = "autoscaling"
+SCALING_CHECK_MS = 1000.0
 # Time in which current requests of the directory, readiness and metrics may end.
 ENDPOINT_CLOSE_TIMEOUT_S = 0.05
 
@@ -43,6 +50,20 @@
     return SettingsWatch(path, host.events, apply_settings)
 
 
+async def run_scaling(host: GatewayHost, holder: "DutyHolder") -> None:
+    """Start autoscaling once it is a duty in force and a service has bounds."""
+    duties = host.settings.duties
+    if not duties.api or AUTOSCALING not in duties.list_names():
+        return
+    while not any(s.autoscaling for s in host.context.table.services.values()):
+        await host.clock.sleep(SCALING_CHECK_MS)
+    # Hosts that scale nothing do not load these modules.
+    from cornelnotch.platform.scaling_api import PlatformScalingApi
+    from cornelnotch.scaling.start import start_scaling
+
+    start_scaling(host, holder, PlatformScalingApi(duties.api, host.context.client))
+
+
 async def serve_host(
     settings: HostSettings, output: LogOutput, path: Path | None = None
 ) -> None:
--- a/cornelnotch/scaling/controller.py
+++ b/cornelnotch/scaling/controller.py
@@ -41,6 +41,7 @@
 # Nothing is released if the entries of servers were read longer ago.
 MAX_LISTING_AGE_MS = 5000.0
 UNKNOWN_RATES = "unknown-rates"
+NO_REQUESTS = "no-requests"
 MS_PER_SECOND = 1000.0
 
 
@@ -60,7 +61,10 @@
         self._holder = holder
         self._api = api
         self._history = history
-        self._book = OrderBook(context.settings.duties.fenced)
+        duties = context.settings.duties
+        self._first_window_ms = max(duties.window_s * MS_PER_SECOND, MIN_HISTORY_MS)
+        proof_ms = duties.window_s * MS_PER_SECOND + duties.lease_ms + TICK_MS
+        self._book = OrderBook(duties.fenced, proof_ms)
         self._reclaims = ReclaimWatch()
         self._claim: Claim | None = None
         self._held_since_ms = 0.0
@@ -156,8 +160,13 @@
         ):
             # The rates assumed without measurements may be far off.
             return
+        is_needed = any(need.full > 0 for need in needs.values())
+        minimum = bounds.minimum
         for plan in plan_domains(bounds, fleets, needs, not held):
             fleet = next(f for f in fleets if f.domain == plan.domain)
+            if not is_needed and fleet.on_demand.level + fleet.spot.level >= minimum:
+                # Without requests there is nothing to derive a better fleet from.
+                continue
             for kind in ServerKind:
                 key = OrderKey(service.name, plan.domain, kind)
                 self._book.update(key, plan.get(kind), fleet.get(kind).serving, now)
@@ -227,10 +236,9 @@
         rates = self._context.engine_rates.get_average(service.name)
         if service.engine is not None and rates is PRIOR_RATES:
             return UNKNOWN_RATES
-        first_ms = self._context.settings.duties.window_s * MS_PER_SECOND
         known = self._context.count_known_hosts()
         missing = known - self._history.count_reporting(now)
-        if now - self._held_since_ms < max(first_ms, MIN_HISTORY_MS):
+        if now - self._held_since_ms < self._first_window_ms:
             return "new-holder"
         if self._history.measure_age_ms(now) < MIN_HISTORY_MS:
             return "short-history"
@@ -239,7 +247,7 @@
         if now - self._context.find_listed_ms() > MAX_LISTING_AGE_MS:
             return "old-entries"
         if not any(need.full > 0 for need in needs.values()):
-            return "no-requests"
+            return NO_REQUESTS
         return ""
 
     def _log_hold(self, service: str, reason: str) -> None:
--- a/cornelnotch/scaling/orders.py
+++ b/cornelnotch/scaling/orders.py
@@ -18,10 +18,15 @@
 # An order without an answer, or that the API was too busy for, is sent again after this
 # time unless the entries show that it was executed.
 RETRY_MS = 1500.0
-# Spot servers that are not to be had now are asked for again after this time, as are
-# those of a domain that has just lost them. It is longer than a report window and a
-# lease (5 s and 3 s), within which a claim that stays valid is proven by a store write.
-NO_SPOT_MS = 10_000.0
+# A domain that has just lost its spot servers gets none for about 9 s after the notice
+# of 2.4 s.
+RECLAIMED_PAUSE_MS = 12_500.0
+# Spot servers that were not to be had are asked for again after this time. It is longer
+# than `proof_ms`, so that on-demand servers can be ordered in their place.
+NO_SPOT_MS = 20_000.0
+# Time within which a claim that stays valid is proven by a store write: a report window
+# and a lease, with the defaults of the settings.
+PROOF_MS = 8500.0
 # An order that the API finds invalid is hardly valid later.
 REJECTED_PAUSE_MS = 30_000.0
 
@@ -55,9 +60,11 @@
     """Orders of all services, domains and kinds.
 
     With `fenced`, a refused spot order may mean that a higher fencing token was seen.
+    A claim that is still valid after `proof_ms` has been proven to be the newest.
     """
 
     fenced: bool = True
+    proof_ms: float = PROOF_MS
     _states: dict[OrderKey, OrderState] = field(default_factory=dict)
     _pauses: dict[tuple[str, str], SubjectPause] = field(default_factory=dict)
 
@@ -133,7 +140,7 @@
         """Order no spot servers for a while where they have just been taken back."""
         key = OrderKey(service, domain, ServerKind.SPOT)
         state = self._states.setdefault(key, OrderState())
-        state.paused_until_ms = max(state.paused_until_ms, now + NO_SPOT_MS)
+        state.paused_until_ms = max(state.paused_until_ms, now + RECLAIMED_PAUSE_MS)
         state.fresh_until_ms = now
 
     def explains_release(self, key: OrderKey, serving: int, now: float) -> bool:
@@ -179,7 +186,7 @@
         elif order.key.kind is ServerKind.SPOT:
             state.paused_until_ms = now + NO_SPOT_MS
             if self.fenced:
-                self._pause(order.key, claim, now + NO_SPOT_MS)
+                self._pause(order.key, claim, now + self.proof_ms)
         else:
             self._pause(order.key, claim, float("inf"))
             return True
