scaling: a reduction follows what was desired in the last 3 s

A reduction took the highest count since its hold had begun, so that one moment of a hold kept servers for good; the exchange for spot servers stalled at a third of the fleet. The room for bursts follows the median of 30 s instead of the mean of 20 s, and rising demand is extrapolated to at most 1.5 times that of now: in a burst both had asked for servers for a burst upon the burst.

--- a/cornelnotch/scaling/needs.py
+++ b/cornelnotch/scaling/needs.py
@@ -4,6 +4,7 @@
 what they have no room for.
 """
 
+import statistics
 from collections.abc import Sequence
 
 from cornelnotch.scaling.models import EngineSupply, ServiceNeed, Work
@@ -14,18 +15,21 @@
 # Share of a server's capacity that may be planned for. Beyond it, waits grow faster
 # than throughput, as prompts of different lengths arrive unevenly.
 USABLE_SHARE = 0.85
-# Bursts reach 2.3 times the mean demand in deployments of record, and begin faster than
-# servers boot, so that this room is held all the time.
+# Bursts reach 2.3 times the usual demand in deployments of record, and begin faster
+# than servers boot, so that this room is held all the time.
 BURST_FACTOR = 2.3
 # While servers are exchanged, part of the room for bursts is missing for some seconds.
 SECURE_FACTOR = 1.8
-# Windows over which the mean is taken: demand of the last 20 s at two windows a second.
-MEAN_WINDOWS = 40
+# Windows over which the median is taken: demand of the last 30 s at two windows a
+# second. Bursts shorter than half of it do not raise the room held for the next one.
+MEDIAN_WINDOWS = 60
 # The highest demand of the last 30 s may return.
 PEAK_WINDOWS = 60
 # The slope of rising demand is taken over the last 4 s.
 SLOPE_WINDOWS = 8
 WINDOW_STEP_MS = 500.0
+# A sudden burst rises steeply; it is not taken to rise by more than this factor.
+MAX_RISE = 1.5
 # Time from an arrival until a report of it is acted upon, added to the boot time.
 REACTION_MS = 2500.0
 
@@ -65,27 +69,23 @@
     """
     if not busy:
         return ServiceNeed(0.0, 0.0, 0.0)
-    mean = _measure_mean(busy[-MEAN_WINDOWS:])
+    usual = statistics.median(busy[-MEDIAN_WINDOWS:])
     peak = max(busy[-PEAK_WINDOWS:])
     ahead = _extrapolate(busy, boot_ms + REACTION_MS)
     urgent_peak = max(urgent[-PEAK_WINDOWS:], default=0.0)
-    urgent_mean = _measure_mean(urgent[-MEAN_WINDOWS:])
-    lasting = max(mean, urgent_peak, urgent_mean * BURST_FACTOR)
-    secure = max(peak, ahead, mean * SECURE_FACTOR, lasting)
-    full = max(secure, mean * BURST_FACTOR)
+    urgent_usual = statistics.median(urgent[-MEDIAN_WINDOWS:] or [0.0])
+    lasting = max(usual, urgent_peak, urgent_usual * BURST_FACTOR)
+    secure = max(peak, ahead, usual * SECURE_FACTOR, lasting)
+    full = max(secure, usual * BURST_FACTOR)
     return ServiceNeed(
         full / USABLE_SHARE, secure / USABLE_SHARE, lasting / USABLE_SHARE
     )
 
 
-def _measure_mean(values: Sequence[float]) -> float:
-    return sum(values) / len(values) if values else 0.0
-
-
 def _extrapolate(busy: Sequence[float], ahead_ms: float) -> float:
     """Return the demand after `ahead_ms` if it goes on rising, else that of now."""
     now = busy[-1]
     if len(busy) <= SLOPE_WINDOWS:
         return now
     slope = (now - busy[-1 - SLOPE_WINDOWS]) / (SLOPE_WINDOWS * WINDOW_STEP_MS)
-    return now + max(slope, 0.0) * ahead_ms
+    return min(now + max(slope, 0.0) * ahead_ms, now * MAX_RISE)
--- a/cornelnotch/scaling/orders.py
+++ b/cornelnotch/scaling/orders.py
@@ -4,6 +4,7 @@
 so that it is repeated until the entries of servers show it.
 """
 
+from collections import deque
 from dataclasses import dataclass, field
 
 from cornelnotch.duties.models import CallOutcome, Claim
@@ -31,6 +32,14 @@
 REJECTED_PAUSE_MS = 30_000.0
 
 
+@dataclass(frozen=True, slots=True)
+class DesiredCount:
+    """Number of servers that was desired from a time on."""
+
+    at_ms: float
+    count: int
+
+
 @dataclass(slots=True)
 class OrderState:
     """The last order of one key, and what is wanted now."""
@@ -39,8 +48,7 @@
     is_increase: bool = False
     fresh_until_ms: float = 0.0
     paused_until_ms: float = 0.0
-    lower_since_ms: float | None = None
-    lower_count: int = 0
+    desired: deque[DesiredCount] = field(default_factory=deque)
     wanted: int | None = None
     level: int = 0
     in_flight: bool = False
@@ -81,15 +89,16 @@
         """Set the number of servers that is desired now."""
         state = self._states.setdefault(key, OrderState())
         state.level = level = self.find_level(key, serving, now)
-        if desired >= level:
-            state.lower_since_ms = None
-            state.wanted = desired
-            return
-        if state.lower_since_ms is None:
-            state.lower_since_ms, state.lower_count = now, desired
-        state.lower_count = max(state.lower_count, desired)
-        is_held = now - state.lower_since_ms < REDUCE_HOLD_MS
-        state.wanted = level if is_held else state.lower_count
+        if not state.desired:
+            # Nothing is known of the time before.
+            state.desired.append(DesiredCount(now, level))
+        state.desired.append(DesiredCount(now, desired))
+        while len(state.desired) > 1 and now - state.desired[1].at_ms >= REDUCE_HOLD_MS:
+            state.desired.popleft()
+        if now - state.desired[0].at_ms >= REDUCE_HOLD_MS:
+            state.desired.popleft()
+        highest = max(item.count for item in state.desired)
+        state.wanted = desired if desired >= level else min(highest, level)
 
     def clear_wanted(self) -> None:
         """Want nothing until the next updates."""
@@ -99,7 +108,8 @@
     def stop(self) -> None:
         """Forget what is wanted and for how long, as this host holds no claim."""
         for state in self._states.values():
-            state.wanted = state.lower_since_ms = None
+            state.wanted = None
+            state.desired.clear()
 
     def list_due(self, claim: Claim, now: float) -> list[ServerOrder]:
         """Return the orders to send now, the most urgent first.
--- a/cornelnotch/scaling/tests/test_orders.py
+++ b/cornelnotch/scaling/tests/test_orders.py
@@ -73,6 +73,14 @@
     assert list_counts(book, 3000.0) == [(KEY, 4)]
 
 
+def test_a_reduction_follows_a_count_that_fell_after_the_hold_had_begun():
+    # The count of one moment of the hold must not keep servers for good.
+    book = OrderBook()
+    for second, desired in enumerate((5, 6, 5, 3, 3, 3, 3)):
+        book.update(KEY, desired, 6, second * 1000.0)
+    assert list_counts(book, 6000.0) == [(KEY, 3)]
+
+
 def test_load_that_returns_cancels_a_reduction():
     book = OrderBook()
     book.update(KEY, 3, 6, 0.0)
