scaling: a lease that has ended does not make the holder a new one

The lease of a claim runs from the last write, and windows are written less often than it lasts, so that a holder has no valid claim now and then until it renews. Only a new token begins the time in which nothing is released. A claim that is valid one lease after a refused spot order was proven since, so that calls for the service and domain resume then (3.5 s, 8.5 s before).

--- a/cornelnotch/scaling/controller.py
+++ b/cornelnotch/scaling/controller.py
@@ -63,8 +63,7 @@
         self._history = history
         duties = context.settings.duties
         self._first_window_ms = max(duties.window_s * MS_PER_SECOND, MIN_HISTORY_MS)
-        proof_ms = duties.window_s * MS_PER_SECOND + duties.lease_ms + TICK_MS
-        self._book = OrderBook(duties.fenced, proof_ms)
+        self._book = OrderBook(duties.fenced, duties.lease_ms + TICK_MS)
         self._reclaims = ReclaimWatch()
         self._claim: Claim | None = None
         self._held_since_ms = 0.0
@@ -85,12 +84,13 @@
         self._history.forget_old(now)
         self._note_reclaims(now)
         claim = self._holder.find_claim()
-        if claim is None or self._claim is None or claim.token != self._claim.token:
-            self._book.stop()
-            self._held_since_ms = now
-        self._claim = claim
         if claim is None:
+            # A claim whose lease has ended is renewed, unless another host has claimed.
             return
+        if self._claim is None or claim.token != self._claim.token:
+            self._book.forget_desired()
+            self._held_since_ms = now
+        self._claim = claim
         self._book.clear_wanted()
         for service, bounds in self._list_scaled():
             self._plan(service, bounds, now)
--- a/cornelnotch/scaling/orders.py
+++ b/cornelnotch/scaling/orders.py
@@ -25,9 +25,9 @@
 # Spot servers that were not to be had are asked for again after this time. It is longer
 # than `proof_ms`, so that on-demand servers can be ordered in their place.
 NO_SPOT_MS = 20_000.0
-# Time within which a claim that stays valid is proven by a store write: a report window
-# and a lease, with the defaults of the settings.
-PROOF_MS = 8500.0
+# The lease of a claim runs from the last write to the store that succeeded, so that a
+# claim that is valid a lease later (3 s by default) was proven in between.
+PROOF_MS = 3500.0
 # An order that the API finds invalid is hardly valid later.
 REJECTED_PAUSE_MS = 30_000.0
 
@@ -105,8 +105,8 @@
         for state in self._states.values():
             state.wanted = None
 
-    def stop(self) -> None:
-        """Forget what is wanted and for how long, as this host holds no claim."""
+    def forget_desired(self) -> None:
+        """Forget what is wanted and for how long, as this host has a new claim."""
         for state in self._states.values():
             state.wanted = None
             state.desired.clear()
--- a/cornelnotch/scaling/tests/test_fluid_fleet.py
+++ b/cornelnotch/scaling/tests/test_fluid_fleet.py
@@ -65,6 +65,18 @@
     assert result.saved_share >= 0.2
 
 
+def test_leases_that_end_between_two_writes_hold_nothing_up(monkeypatch):
+    # The holder renews its claim once asked for it: one look in six finds none.
+    fleet = FluidFleet()
+    claim, looks = fleet.holder.claim, iter(range(10**6))
+    monkeypatch.setattr(
+        fleet.holder, "find_claim", lambda: claim if next(looks) % 6 else None
+    )
+    result = fleet.run(DAY_S, steady)
+    assert result.served_share >= SERVED_SHARE
+    assert result.saved_share >= SAVED_SHARE
+
+
 def test_a_fleet_at_its_bound_still_exchanges_servers():
     result = FluidFleet(maximum=8).run(DAY_S, steady)
     assert result.served_share >= SERVED_SHARE
