--- a/cornelnotch/observation/metrics.py
+++ b/cornelnotch/observation/metrics.py
@@ -142,9 +142,9 @@
             {"service": service, "domain": domain, "kind": kind, "outcome": outcome}
         )
 
-    def count_reclaimed_server(self, service: str, domain: str) -> None:
-        """Count one spot server that the platform took back."""
-        self._reclaimed_servers.inc({"service": service, "domain": domain})
+    def count_reclaimed_servers(self, service: str, domain: str, count: int) -> None:
+        """Count spot servers that the platform took back."""
+        self._reclaimed_servers.add({"service": service, "domain": domain}, count)
 
     def observe_first_token(self, class_name: str, duration_ms: float) -> None:
         """Observe the time to first token in ms."""
--- a/cornelnotch/scaling/controller.py
+++ b/cornelnotch/scaling/controller.py
@@ -40,6 +40,8 @@
 MAX_MISSING_SHARE = 1.0 / 3.0
 # Nothing is released if the entries of servers were read longer ago.
 MAX_LISTING_AGE_MS = 5000.0
+# A holder without a valid claim for this long is none any more.
+MAX_LAPSE_MS = 2000.0
 UNKNOWN_RATES = "unknown-rates"
 NO_REQUESTS = "no-requests"
 MS_PER_SECOND = 1000.0
@@ -67,6 +69,8 @@
         self._reclaims = ReclaimWatch()
         self._claim: Claim | None = None
         self._held_since_ms = 0.0
+        self._valid_ms = float("-inf")
+        self._reclaimed: dict[OrderKey, int] = {}
         self._calls = 0
         self._unpriced: set[tuple[str, str]] = set()
         self._held: dict[str, str] = {}
@@ -86,7 +90,11 @@
         claim = self._holder.find_claim()
         if claim is None:
             # A claim whose lease has ended is renewed, unless another host has claimed.
+            if now - self._valid_ms > MAX_LAPSE_MS:
+                self._reclaimed.clear()
             return
+        self._valid_ms = now
+        self._report_reclaims()
         if self._claim is None or claim.token != self._claim.token:
             self._book.forget_desired()
             self._held_since_ms = now
@@ -131,15 +139,23 @@
                 continue
             if not self._book.explains_release(key, serving, now):
                 lost[key] = lost.get(key, 0) + 1
-                self._context.metrics.count_reclaimed_server(key.service, key.domain)
         for key, count in lost.items():
             self._book.note_reclaimed(key.service, key.domain, now)
+            self._reclaimed[key] = self._reclaimed.get(key, 0) + count
+
+    def _report_reclaims(self) -> None:
+        """Count and log reclaimed servers; only the holder does, once for all hosts."""
+        for key, count in self._reclaimed.items():
+            self._context.metrics.count_reclaimed_servers(
+                key.service, key.domain, count
+            )
             self._context.events.record(
                 Event.SERVERS_RECLAIMED,
                 service=key.service,
                 domain=key.domain,
                 count=count,
             )
+        self._reclaimed.clear()
 
     def _plan(self, service: Service, bounds: Autoscaling, now: float) -> None:
         regions = self._context.settings.regions
