gateway: KV cache copies of a spot server do not leave along with it

All spot servers of a domain are taken back at once, so that a copy beside its engine is lost with it. Event numbers of autoscaling begin at 7101.

--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -19,6 +19,7 @@
 from cornelnotch.gateway.models import CallerLimits, CallerRequest, Route, RoutingTable
 from cornelnotch.gateway.placement import Placer
 from cornelnotch.gateway.rate_limits import RateLimit, RateLimitTable
+from cornelnotch.gateway.reclaim_risk import list_safe_from_reclaim
 from cornelnotch.gateway.rejections import RejectionTable
 from cornelnotch.gateway.relay import ReaderCandidate
 from cornelnotch.gateway.reservation import (
@@ -342,6 +343,7 @@
             return None
         usable = self.pool.list_usable(service.name, self.clock.read())
         others = [v for v in usable if self.find_rate_limit(v) is None]
+        others = list_safe_from_reclaim(server, others)
         return choose_backup(request_id, server, others, self.settings.regions)
 
     @staticmethod
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -179,28 +179,28 @@
         "the entry of a server is malformed and left out",
     )
     DEMAND_MALFORMED = (
-        7001,
+        7101,
         logging.WARNING,
         "a host reported invalid totals of its requests",
     )
-    SERVERS_ORDERED = (7002, logging.INFO, "a number of servers was ordered")
+    SERVERS_ORDERED = (7102, logging.INFO, "a number of servers was ordered")
     SERVERS_RECLAIMED = (
-        7003,
+        7103,
         logging.INFO,
         "the platform takes spot servers of a domain back",
     )
     REDUCTION_HELD = (
-        7004,
+        7104,
         logging.INFO,
         "what keeps servers from being released changed",
     )
     DOMAIN_UNPRICED = (
-        7005,
+        7105,
         logging.WARNING,
         "a domain without a price keeps the servers that it has",
     )
     ORDER_FAILED = (
-        7006,
+        7106,
         logging.WARNING,
         "the platform did not accept an order of servers",
     )
--- a/cornelnotch/platform/scaling_api.py
+++ b/cornelnotch/platform/scaling_api.py
@@ -48,8 +48,10 @@
         head = _create_head(self._address, claim, body)
         try:
             async with asyncio.timeout(TIMEOUT_S):
+                # A kept connection may be dead, and a call that was sent on it would
+                # count as one that the API may execute later.
                 response = await self._client.send(
-                    self._address, head, body, note_sending=check_claim
+                    self._address, head, body, fresh=True, note_sending=check_claim
                 )
                 try:
                     await response.read(MAX_RESPONSE_BYTES)
@@ -73,6 +75,7 @@
         ("host", address),
         ("content-type", "application/json"),
         ("content-length", str(len(body))),
+        ("connection", "close"),
         ("X-Duty-Holder", claim.holder),
         ("X-Fencing-Token", str(claim.token)),
     ]
--- a/cornelnotch/scaling/history.py
+++ b/cornelnotch/scaling/history.py
@@ -103,6 +103,8 @@
         )
         if min(added.requests, added.prefill_tokens, added.output_tokens) < 0:
             return
+        if not added.requests and not added.served:
+            return
         key = DemandKey(row.service, domain, row.priority)
         buckets = self._buckets.setdefault(key, deque(maxlen=BUCKETS))
         span_ms = max(now - since_ms, 1.0)
