--- a/cornelnotch/scaling/needs.py
+++ b/cornelnotch/scaling/needs.py
@@ -28,8 +28,10 @@
 # The slope of rising demand is taken over the last 4 s.
 SLOPE_WINDOWS = 8
 WINDOW_STEP_MS = 500.0
-# A sudden burst rises steeply; it is not taken to rise by more than this factor.
-MAX_RISE = 1.5
+# A sudden burst rises steeply, but ends soon; it is not taken to rise by more than this
+# factor. With 1.5, twice as many spot servers were ordered for a burst and released
+# after it, whose streams had to move.
+MAX_RISE = 1.25
 # Time from an arrival until a report of it is acted upon, added to the boot time.
 REACTION_MS = 2500.0
 
