--- a/cornelnotch/scaling/controller.py
+++ b/cornelnotch/scaling/controller.py
@@ -36,10 +36,13 @@
 MAX_CALLS = 4
 # Nothing is released before demand has been collected for this long.
 MIN_HISTORY_MS = 5000.0
+# A service that gets no requests for this long keeps its least number of servers only.
+MIN_IDLE_MS = 30_000.0
 # Nothing is released if at least this share of the hosts does not report.
 MAX_MISSING_SHARE = 1.0 / 3.0
-# Nothing is released if the entries of servers were read longer ago.
-MAX_LISTING_AGE_MS = 5000.0
+# Nothing is released if the entries of servers were read longer ago; a host reads them
+# every 0.6 s, and another one within 1.1 s if that one fails.
+MAX_LISTING_AGE_MS = 3000.0
 # A holder without a valid claim for this long is none any more.
 MAX_LAPSE_MS = 2000.0
 UNKNOWN_RATES = "unknown-rates"
@@ -176,11 +179,13 @@
         ):
             # The rates assumed without measurements may be far off.
             return
-        is_needed = any(need.full > 0 for need in needs.values())
         minimum = bounds.minimum
         for plan in plan_domains(bounds, fleets, needs, not held):
             fleet = next(f for f in fleets if f.domain == plan.domain)
-            if not is_needed and fleet.on_demand.level + fleet.spot.level >= minimum:
+            if (
+                held == NO_REQUESTS
+                and fleet.on_demand.level + fleet.spot.level >= minimum
+            ):
                 # Without requests there is nothing to derive a better fleet from.
                 continue
             for kind in ServerKind:
@@ -249,21 +254,23 @@
         self, service: Service, needs: dict[str, ServiceNeed], now: float
     ) -> str:
         """Return why no server may be released now, empty if some may be."""
+        age_ms = self._history.measure_age_ms(now)
+        is_needed = any(need.full > 0 for need in needs.values())
         rates = self._context.engine_rates.get_average(service.name)
-        if service.engine is not None and rates is PRIOR_RATES:
+        if is_needed and service.engine is not None and rates is PRIOR_RATES:
             return UNKNOWN_RATES
+        if not is_needed and age_ms < MIN_IDLE_MS:
+            return NO_REQUESTS
         known = self._context.count_known_hosts()
         missing = known - self._history.count_reporting(now)
         if now - self._held_since_ms < self._first_window_ms:
             return "new-holder"
-        if self._history.measure_age_ms(now) < MIN_HISTORY_MS:
+        if age_ms < MIN_HISTORY_MS:
             return "short-history"
         if missing >= known * MAX_MISSING_SHARE and missing > 0:
             return "hosts-missing"
         if now - self._context.find_listed_ms() > MAX_LISTING_AGE_MS:
             return "old-entries"
-        if not any(need.full > 0 for need in needs.values()):
-            return NO_REQUESTS
         return ""
 
     def _log_hold(self, service: str, reason: str) -> None:
--- a/cornelnotch/scaling/planner.py
+++ b/cornelnotch/scaling/planner.py
@@ -70,6 +70,10 @@
             self._targets[domain].counts[kind] += 1
         return 0
 
+    def count(self) -> int:
+        """Return the number of servers allotted so far."""
+        return sum(target.count() for target in self._targets.values())
+
     def list_plans(self) -> list[DomainPlan]:
         """Return what has been allotted."""
         return [
@@ -124,7 +128,8 @@
         region: max(math.ceil(need.full) - given.get(region, 0), 0)
         for region, need in needs.items()
     }
-    at_least = len(priced) * bounds.minimum
+    # One server is left to a service that gets no requests.
+    at_least = max(len(priced) * bounds.minimum, 1)
     at_most = len(priced) * bounds.maximum
     total = min(max(sum(wanted.values()), at_least), at_most)
     lasting = math.ceil(sum(need.lasting for need in needs.values()))
@@ -137,6 +142,7 @@
         names = by_region.get(region, [])
         left = max(count - len(names) * bounds.minimum, 0)
         unmet += allotment.fill(names, left) if names else left
+    unmet = max(unmet, at_least - allotment.count())
     allotment.fill([fleet.domain for fleet in priced], unmet)
     return allotment.list_plans()
 
--- a/cornelnotch/scaling/tests/test_fluid_fleet.py
+++ b/cornelnotch/scaling/tests/test_fluid_fleet.py
@@ -4,8 +4,11 @@
 bursts of 2.3 times, servers that boot for 4 s, days of a minute.
 """
 
+import dataclasses
+
 import pytest
 
+from cornelnotch.gateway.engine_estimates import PRIOR_RATES
 from cornelnotch.scaling.tests.fluid_fleet import FluidFleet
 
 DAY_S = 60
@@ -77,6 +80,49 @@
     assert result.saved_share >= SAVED_SHARE
 
 
+def forget_rates(fleet):
+    fleet.context.engine_rates.get_average = lambda name: PRIOR_RATES
+
+
+def stop_listing(fleet):
+    read_ms = fleet.clock.read()
+    fleet.context.find_listed_ms = lambda: read_ms
+
+
+def miss_hosts(fleet):
+    fleet.context.count_known_hosts = lambda: 3
+
+
+def lose_claim(fleet):
+    fleet.holder.claim = None
+
+
+HOLDS = [forget_rates, stop_listing, miss_hosts, lose_claim]
+
+
+@pytest.mark.parametrize("lose_knowledge", HOLDS)
+def test_nothing_is_released_without_full_knowledge(lose_knowledge):
+    # Demand falls to a fifth, which the holder must not act upon.
+    fleet = FluidFleet()
+    fleet.run(3, steady)
+    lose_knowledge(fleet)
+    fleet.run(57, lambda second: LOAD / 5)
+    assert sum(server.released_ms < float("inf") for server in fleet.servers) == 0
+
+
+def test_a_service_without_requests_keeps_one_server_after_a_while():
+    fleet = FluidFleet(maximum=10)
+    fleet.bounds = dataclasses.replace(fleet.bounds, minimum=0)
+    service = dataclasses.replace(
+        fleet.context.table.services["llm"], autoscaling=fleet.bounds
+    )
+    fleet.context.table.services["llm"] = service
+    fleet.run(25, lambda second: 0.0)
+    assert all(server.released_ms == float("inf") for server in fleet.servers)
+    fleet.run(60, lambda second: 0.0)
+    assert sum(server.released_ms == float("inf") for server in fleet.servers) == 1
+
+
 def test_a_fleet_at_its_bound_still_exchanges_servers():
     result = FluidFleet(maximum=8).run(DAY_S, steady)
     assert result.served_share >= SERVED_SHARE
