scaling: prompt tokens to prefill follow what engines had to prefill

A host took the prompt parts that it had seen for cached. With many hosts the next prompt of a conversation mostly arrives at another one, so that need came out too high and no server would have been released. The share of the tokens of the last prompts that engines had to prefill, which their admission controllers tell, now applies to all that arrive. The message keeps its fields.

--- a/cornelnotch/gateway/demand.py
+++ b/cornelnotch/gateway/demand.py
@@ -19,6 +19,12 @@
     ) -> None:
         """Record a request that has arrived."""
 
+    @abstractmethod
+    def record_prefill(
+        self, service: str, prompt_tokens: int, prefill_tokens: int
+    ) -> None:
+        """Record how many tokens of a prompt a server did not have in its cache."""
+
     @abstractmethod
     def record_refusal(self, service: str, priority: int) -> None:
         """Record that a request got nothing, as servers had no room for it."""
@@ -36,6 +42,11 @@
     ) -> None:
         """Do nothing."""
 
+    def record_prefill(
+        self, service: str, prompt_tokens: int, prefill_tokens: int
+    ) -> None:
+        """Do nothing."""
+
     def record_refusal(self, service: str, priority: int) -> None:
         """Do nothing."""
 
--- a/cornelnotch/gateway/dispatcher.py
+++ b/cornelnotch/gateway/dispatcher.py
@@ -95,6 +95,11 @@
         in_flight.ended = response.outcome in ENDED
         apply_server_signals(self._context, view, response, sent_ms, self._record_event)
         if response.outcome is DispatchOutcome.DONE:
+            self._context.demand.record_prefill(
+                view.record.service,
+                self._request.prompt_tokens,
+                in_flight.prefill_tokens,
+            )
             view.record_received(in_flight, self._context.clock.read())
             self._context.admission.report_prefilled(in_flight)
         return response
--- a/cornelnotch/gateway/tests/test_demand_hook.py
+++ b/cornelnotch/gateway/tests/test_demand_hook.py
@@ -11,12 +11,16 @@
 
     def __init__(self):
         self.arrivals = []
+        self.prefills = []
         self.refusals = []
         self.served = []
 
     def record_arrival(self, service, priority, request):
         self.arrivals.append((service, priority))
 
+    def record_prefill(self, service, prompt_tokens, prefill_tokens):
+        self.prefills.append(service)
+
     def record_refusal(self, service, priority):
         self.refusals.append((service, priority))
 
@@ -45,5 +49,6 @@
     asyncio.run(send_both())
     assert demand.arrivals == [("desk", 1), ("desk", 1)]
     assert demand.refusals == [("desk", 1)]
+    assert demand.prefills == ["desk"]
     ((_, _, duration_ms),) = demand.served
     assert 0 < duration_ms < 5000
--- a/cornelnotch/scaling/counter.py
+++ b/cornelnotch/scaling/counter.py
@@ -1,6 +1,5 @@
 """Count what the callers of this host request, without I/O."""
 
-from collections import OrderedDict
 from dataclasses import dataclass
 
 from cornelnotch.gateway.demand import DemandRecorder
@@ -9,9 +8,9 @@
 
 __all__ = ["DemandCounter"]
 
-# Prompt parts remembered to tell new tokens from those that servers cache; the parts of
-# about eight engines (`gateway/servers.py`).
-REMEMBERED_PARTS = 4096
+# The share of tokens to prefill is measured over the last prompts; an older one counts
+# less by this factor for each that follows, half after 23.
+PREFILL_DECAY = 0.97
 
 
 @dataclass(slots=True)
@@ -27,12 +26,29 @@
     served_ms: float = 0.0
 
 
+@dataclass(slots=True)
+class PrefillShare:
+    """Decayed sums of the prompts that servers began; all tokens are new at first."""
+
+    prompt_tokens: float = 1.0
+    prefill_tokens: float = 1.0
+
+    def record(self, prompt_tokens: int, prefill_tokens: int) -> None:
+        """Add a prompt."""
+        self.prompt_tokens = self.prompt_tokens * PREFILL_DECAY + prompt_tokens
+        self.prefill_tokens = self.prefill_tokens * PREFILL_DECAY + prefill_tokens
+
+    def measure(self) -> float:
+        """Return the share of tokens to prefill."""
+        return self.prefill_tokens / self.prompt_tokens
+
+
 class DemandCounter(DemandRecorder):
     """Cumulative totals by service and priority."""
 
     def __init__(self) -> None:
         self._totals: dict[tuple[str, int], RequestTotals] = {}
-        self._parts: OrderedDict[str, None] = OrderedDict()
+        self._prefills: dict[str, PrefillShare] = {}
         self._sequence = 0
 
     def record_arrival(
@@ -42,9 +58,19 @@
         totals = self._find(service, priority)
         totals.requests += 1
         totals.prompt_tokens += request.prompt_tokens
-        totals.prefill_tokens += self._count_new_tokens(service, request)
+        share = self._find_prefill_share(service)
+        totals.prefill_tokens += round(request.prompt_tokens * share)
         totals.output_tokens += request.output_tokens
 
+    def record_prefill(
+        self, service: str, prompt_tokens: int, prefill_tokens: int
+    ) -> None:
+        """Record how many tokens of a prompt a server did not have in its cache."""
+        if prompt_tokens > 0:
+            prefill_tokens = min(max(prefill_tokens, 0), prompt_tokens)
+            share = self._prefills.setdefault(service, PrefillShare())
+            share.record(prompt_tokens, prefill_tokens)
+
     def record_refusal(self, service: str, priority: int) -> None:
         """Count a request that got nothing."""
         self._find(service, priority).refused += 1
@@ -77,16 +103,6 @@
     def _find(self, service: str, priority: int) -> RequestTotals:
         return self._totals.setdefault((service, priority), RequestTotals())
 
-    def _count_new_tokens(self, service: str, request: CallerRequest) -> int:
-        """Return the tokens of a prompt after the leading parts seen before."""
-        cached = 0
-        is_leading = True
-        for part in request.prompt[:-1]:
-            name = f"{service}/{part.name}"
-            is_leading = is_leading and name in self._parts
-            cached += part.tokens if is_leading else 0
-            self._parts[name] = None
-            self._parts.move_to_end(name)
-        while len(self._parts) > REMEMBERED_PARTS:
-            self._parts.popitem(last=False)
-        return max(request.prompt_tokens - cached, 0)
+    def _find_prefill_share(self, service: str) -> float:
+        """Return the share of prompt tokens that servers do not have cached."""
+        return self._prefills.setdefault(service, PrefillShare()).measure()
--- a/cornelnotch/scaling/tests/test_counter.py
+++ b/cornelnotch/scaling/tests/test_counter.py
@@ -51,23 +51,33 @@
     assert (row.served, row.served_ms) == (2, 1000.0)
 
 
-def test_leading_parts_seen_before_need_no_prefill():
+def test_tokens_that_servers_cache_need_no_prefill():
+    # Servers cached nine tenths of the last prompts, so of those to come too.
     counter = DemandCounter()
-    counter.record_arrival("llm", 1, create_request(("system", 900), ("own-1", 100)))
-    counter.record_arrival("llm", 1, create_request(("system", 900), ("own-2", 100)))
-    counter.record_arrival(
-        "llm", 1, create_request(("new", 50), ("system", 900), ("own-3", 100))
-    )
+    for _ in range(300):
+        counter.record_prefill("llm", 1000, 100)
+    counter.record_arrival("llm", 1, create_request(("own", 5000)))
     row = take_rows(counter)["llm", 1]
-    assert row.prompt_tokens == 3050
-    assert row.prefill_tokens == 1000 + 100 + 1050
+    assert row.prompt_tokens == 5000
+    assert row.prefill_tokens == 500
+
+
+def test_lost_caches_raise_the_tokens_to_prefill():
+    counter = DemandCounter()
+    for _ in range(300):
+        counter.record_prefill("llm", 1000, 100)
+    for _ in range(50):
+        counter.record_prefill("llm", 1000, 1000)
+    counter.record_arrival("llm", 1, create_request(("own", 5000)))
+    assert take_rows(counter)["llm", 1].prefill_tokens > 3500
 
 
-def test_parts_of_another_service_are_not_cached_by_its_servers():
+def test_before_any_prompt_has_run_all_tokens_are_new():
     counter = DemandCounter()
-    counter.record_arrival("llm", 1, create_request(("system", 900), ("own", 100)))
-    counter.record_arrival("other", 1, create_request(("system", 900), ("own", 100)))
-    assert take_rows(counter)["other", 1].prefill_tokens == 1000
+    counter.record_prefill("other", 1000, 100)
+    counter.record_prefill("llm", 0, 7)
+    counter.record_arrival("llm", 1, create_request(("own", 5000)))
+    assert take_rows(counter)["llm", 1].prefill_tokens == 5000
 
 
 def test_each_report_has_a_higher_sequence():
--- a/cornelnotch/wire/messages.py
+++ b/cornelnotch/wire/messages.py
@@ -631,8 +631,8 @@
     """Count the requests of one service and priority since the start of a host.
 
     `requests` counts those that callers sent, `refused` those among them that got
-    nothing. `prompt_tokens` are all tokens of their prompts, `prefill_tokens` those not
-    seen before by the host, `output_tokens` the most that they let servers generate.
+    nothing. `prompt_tokens` are all tokens of their prompts, `prefill_tokens` those
+    that servers probably do not cache, `output_tokens` the most that they may generate.
     `served` requests took `served_ms` together from arrival to the end.
     """
 
