--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -11,6 +11,7 @@
 from cornelnotch.gateway.body_memory import BodyMemory
 from cornelnotch.gateway.crash_evidence import CrashEvidence
 from cornelnotch.gateway.crash_watch import CrashWatch, ServerLife
+from cornelnotch.gateway.demand import DemandRecorder, UnrecordedDemand
 from cornelnotch.gateway.direct_admission import may_send_directly
 from cornelnotch.gateway.drain import Drain
 from cornelnotch.gateway.durations import DurationTracker
@@ -25,6 +26,7 @@
 )
 from cornelnotch.gateway.placement import Placer
 from cornelnotch.gateway.rate_limits import RateLimit, RateLimitTable
+from cornelnotch.gateway.reclaim_risk import list_safe_from_reclaim
 from cornelnotch.gateway.rejections import RejectionTable
 from cornelnotch.gateway.relay import ReaderCandidate
 from cornelnotch.gateway.reservation import (
@@ -91,6 +93,7 @@
         self.header_codec = header_codec
         self.client = client
         self.identity = identity or UnknownIdentity()
+        self.demand: DemandRecorder = UnrecordedDemand()
         self.metrics = NodeMetrics(settings.host.name, clock)
         self.crashes = CrashEvidence()
         self.startup = Startup(clock)
@@ -396,6 +399,7 @@
             return None
         usable = self.pool.list_usable(service.name, self.clock.read())
         others = [v for v in usable if self.find_rate_limit(v) is None]
+        others = list_safe_from_reclaim(server, others)
         return choose_backup(request_id, server, others, self.settings.regions)
 
     @staticmethod
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -47,6 +47,11 @@
         logging.WARNING,
         "a configuration record was rejected",
     )
+    CONFIGURATION_PART_IGNORED = (
+        2004,
+        logging.WARNING,
+        "a part of the configuration is malformed and not in force",
+    )
     CONFIGURATION_BOOTSTRAPPED = (
         2003,
         logging.INFO,
@@ -265,6 +270,32 @@
         logging.WARNING,
         "malformed totals of a host are left out; compare its build with this one",
     )
+    DEMAND_MALFORMED = (
+        7201,
+        logging.WARNING,
+        "a host reported invalid totals of its requests",
+    )
+    SERVERS_ORDERED = (7202, logging.INFO, "a number of servers was ordered")
+    SERVERS_RECLAIMED = (
+        7203,
+        logging.INFO,
+        "the platform takes spot servers of a domain back",
+    )
+    REDUCTION_HELD = (
+        7204,
+        logging.INFO,
+        "what keeps servers from being released changed",
+    )
+    DOMAIN_UNPRICED = (
+        7205,
+        logging.WARNING,
+        "a domain without a price keeps the servers that it has",
+    )
+    ORDER_FAILED = (
+        7206,
+        logging.WARNING,
+        "the platform did not accept an order of servers",
+    )
 
     def __init__(self, number: int, level: int, meaning: str) -> None:
         self.number = number
--- a/cornelnotch/platform/duty_store.py
+++ b/cornelnotch/platform/duty_store.py
@@ -66,6 +66,19 @@
 
     def __init__(self, store: PlatformStore) -> None:
         self._store = store
+        self._names_timelines = False
+
+    def _find_timeline(self, timeline: int | None) -> int:
+        """Return the timeline of a response; raise LogResponseError if it is lost.
+
+        A store that has never named one is in its first.
+        """
+        if timeline is not None:
+            self._names_timelines = True
+            return timeline
+        if self._names_timelines:
+            raise LogResponseError("a store response names no timeline", "read again")
+        return FIRST_TIMELINE
 
     async def append_claim(self, claim: StoredClaim, at: int) -> AppendResult:
         """Write a claim if the log ends at `at`; raise LogUnavailableError."""
@@ -94,12 +107,12 @@
                 f"malformed store response: {error.problem}", "read again"
             ) from error
         is_written = response.status == STATUS_OK
-        return AppendResult(is_written, end, _find_timeline(response.timeline))
+        return AppendResult(is_written, end, self._find_timeline(response.timeline))
 
     async def read(self) -> StoredDuties:
         """Return the newest claim and windows; raise LogUnavailableError."""
         page = await self._store.read_topic(TOPIC)
-        timeline = _find_timeline(page.timeline)
+        timeline = self._find_timeline(page.timeline)
         claim: StoredClaim | None = None
         windows = []
         malformed = 0
@@ -116,11 +129,6 @@
         )
 
 
-def _find_timeline(timeline: int | None) -> int:
-    """Return the timeline of a response; a store that names none is in its first."""
-    return FIRST_TIMELINE if timeline is None else timeline
-
-
 def _decode_claim(value: bytes) -> StoredClaim:
     found = decode(_claim_decoder, value)
     return StoredClaim(
--- a/cornelnotch/platform/tests/test_duty_api.py
+++ b/cornelnotch/platform/tests/test_duty_api.py
@@ -164,6 +164,7 @@
 def test_responses_without_a_timeline_are_not_used():
     async def scenario():
         async with run_store() as (standin, store):
+            await store.read()
             standin.timeline = ""
             with pytest.raises(LogUnavailableError):
                 await store.read()
@@ -171,3 +172,14 @@
                 await store.append_claim(STORED, 0)
 
     asyncio.run(scenario())
+
+
+# Guards against duties that nobody holds where a store does not name its timeline.
+def test_a_store_that_never_names_a_timeline_is_in_its_first():
+    async def scenario():
+        async with run_store() as (standin, store):
+            standin.timeline = ""
+            assert (await store.append_claim(STORED, 0)).timeline == 0
+            assert (await store.read()).log.timeline == 0
+
+    asyncio.run(scenario())
--- a/cornelnotch/review/tests/test_check.py
+++ b/cornelnotch/review/tests/test_check.py
@@ -1,6 +1,7 @@
 """Test that a review finds each mistake, and nothing in a sound configuration."""
 
 import copy
+from typing import Any
 
 import orjson
 import pytest
@@ -55,7 +56,7 @@
     """Return a copy of the sound configuration with values set at paths."""
     content = copy.deepcopy(SOUND)
     for *path, value in steps:
-        place = content
+        place: Any = content
         for key in path[:-1]:
             place = place[key]
         place[path[-1]] = value
