--- a/cornelnotch/duties/reporter.py
+++ b/cornelnotch/duties/reporter.py
@@ -164,8 +164,14 @@
 
     def _check_complete(self, window: int) -> None:
         hosts = self._collector.list_unheard(window, self._fleet.list_lost())
-        if hosts:
-            self._events.record(Event.USAGE_INCOMPLETE, window=window, hosts=hosts)
+        has_begun = self._collector.is_older_than(window)
+        if hosts or not has_begun:
+            self._events.record(
+                Event.USAGE_INCOMPLETE,
+                window=window,
+                hosts=hosts,
+                all_hosts_started_later=not has_begun,
+            )
 
     def _record_missing(self, window: int, reason: str) -> None:
         self.missing += 1
--- a/cornelnotch/duties/tests/test_duty_fleet.py
+++ b/cornelnotch/duties/tests/test_duty_fleet.py
@@ -330,3 +330,26 @@
             assert fleet.list_holders() == [holder]
 
     run(scenario)
+
+
+# Guards against requests that a stopping host counted and did not send any more.
+def test_a_planned_stop_of_the_holder_loses_no_counts():
+    async def scenario():
+        async with run_duty_fleet(3, due_s=8.0) as fleet:
+            holder = await fleet.wait_for_holder()
+            others = [h for h in fleet.list_hosts() if h is not holder]
+            first = fleet.find_window() + 1
+            await fleet.send_load(fleet.list_hosts(), 3.0)
+            stopping = asyncio.create_task(fleet.stop_host(holder))
+            await fleet.send_load(others, 3.0)
+            await stopping
+            last = fleet.find_window() - 1
+            await fleet.wait_for_reports(last)
+            windows = fleet.api.list_windows()
+            for window in range(first, last + 1):
+                sent = fleet.sent[window]
+                counted = windows[window].get(WORKSPACE, 0)
+                assert abs(counted - sent) <= max(0.05 * sent, 3), (counted, sent)
+            fleet.check()
+
+    run(scenario)
--- a/cornelnotch/duties/tests/test_windows.py
+++ b/cornelnotch/duties/tests/test_windows.py
@@ -151,6 +151,16 @@
     assert collector.list_unheard(WINDOW, set()) == []
 
 
+# Guards against a short report after all hosts were replaced.
+def test_a_window_that_began_before_all_hosts_is_known():
+    collector = UsageCollector(TIMING)
+    start_ms = int(TIMING.find_end_ms(WINDOW) - 5000)
+    collector.add("a", start_ms + 1, [create_usage()], SETTLED_MS)
+    assert not collector.is_older_than(WINDOW)
+    collector.add("b", start_ms, [], SETTLED_MS)
+    assert collector.is_older_than(WINDOW)
+
+
 # Guards against requests placed by a wall clock before true time is known.
 def test_requests_held_are_placed_by_true_time():
     counter = UsageCounter(TIMING)
--- a/cornelnotch/duties/windows.py
+++ b/cornelnotch/duties/windows.py
@@ -174,6 +174,11 @@
             total.update(usage.windows.get(window, {}))
         return dict(sorted(total.items()))
 
+    def is_older_than(self, window: int) -> bool:
+        """Return whether a host that sent totals ran when a window began."""
+        start_ms = self._timing.find_end_ms(window) - self._timing.window_ms
+        return any(boot_ms <= start_ms for _, boot_ms in self._hosts)
+
     def list_unheard(self, window: int, lost: set[str]) -> list[str]:
         """Return the lost hosts whose totals of a window may be incomplete."""
         end_ms = self._timing.find_end_ms(window)
