--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -152,7 +152,7 @@
             self.settings.host.name,
             self.placer.estimates,
             self._find_engine,
-            self.count_known_hosts,
+            lambda: len(self.hosts),
         )
         self.placer.strategy = strategy
         totals = strategy.totals
--- a/cornelnotch/prefix/strategy.py
+++ b/cornelnotch/prefix/strategy.py
@@ -148,10 +148,13 @@
         self, server: ServerView, prompt: GrantedPrompt, now: float
     ) -> None:
         """Learn from what the engine's controller knows to be cached."""
-        service = server.record.service
-        traffic = self._traffic.setdefault(service, ServiceTraffic())
         shared_tokens = sum(part.tokens for part in prompt.shared)
         total = shared_tokens + prompt.own_tokens
+        if total <= 0:
+            # A call that needed a grant because its server has a rate limit.
+            return
+        service = server.record.service
+        traffic = self._traffic.setdefault(service, ServiceTraffic())
         uncached = min(max(prompt.uncached_tokens, 0), total)
         held = min(total - uncached, shared_tokens)
         expected = max(
--- a/cornelnotch/prefix/tests/test_failures.py
+++ b/cornelnotch/prefix/tests/test_failures.py
@@ -105,12 +105,13 @@
     assert read <= usual * 1.1
 
 
+@pytest.mark.parametrize("wrong", ["rate_error", "count_error"])
 @pytest.mark.parametrize("error", [0.25, 4.0])
 @pytest.mark.parametrize("hot_share", [0.0, 0.25])
 @pytest.mark.parametrize("seed", SEEDS)
-def test_rates_wrong_by_a_factor_of_four_cost_callers_little(seed, hot_share, error):
-    """Guards against a choice that depends on exact rates."""
-    check_callers(seed, hot_share=hot_share, rate_error=error)
+def test_estimates_wrong_by_four_cost_callers_little(seed, hot_share, error, wrong):
+    """Guards against a choice that depends on exact rates of engines or of traffic."""
+    check_callers(seed, hot_share=hot_share, **{wrong: error})
 
 
 @pytest.mark.parametrize("seed", SEEDS)
--- a/cornelnotch/review/tests/test_check.py
+++ b/cornelnotch/review/tests/test_check.py
@@ -1,6 +1,7 @@
 """Test that a review finds each mistake, and nothing in a sound configuration."""
 
 import copy
+from typing import Any
 
 import orjson
 import pytest
@@ -10,7 +11,7 @@
 from cornelnotch.review.changes import describe_changes
 from cornelnotch.review.check import check_configuration
 
-SOUND = {
+SOUND: dict[str, Any] = {
     "version": 4,
     "routes": [
         {
@@ -55,7 +56,7 @@
     """Return a copy of the sound configuration with values set at paths."""
     content = copy.deepcopy(SOUND)
     for *path, value in steps:
-        place = content
+        place: Any = content
         for key in path[:-1]:
             place = place[key]
         place[path[-1]] = value
--- a/cornelnotch/testing/prefix_fleet.py
+++ b/cornelnotch/testing/prefix_fleet.py
@@ -66,12 +66,17 @@
 
 @dataclass(frozen=True, slots=True)
 class FleetShape:
-    """Number of hosts and engines, and by how much the hosts' rates are wrong."""
+    """Number of hosts and engines, and by how much hosts are wrong.
+
+    `rate_error` is a factor on the rates of engines, `count_error` on the number of
+    hosts, from which the traffic of all is estimated.
+    """
 
     engines: int = 8
     hosts: int = 12
     weighed: bool = True
     rate_error: float = 1.0
+    count_error: float = 1.0
     cache_tokens: int = 575_000
     regions: tuple[str, ...] = ("a",)
 
@@ -236,11 +241,15 @@
         engine = Engine(self.shape.cache_tokens)
         if self.shape.weighed:
             placer.strategy = WeighedStrategy(
-                name, placer.estimates, lambda service: engine, lambda: len(self.hosts)
+                name, placer.estimates, lambda service: engine, self._count_hosts
             )
         views = {n: ServerView(e.view.record) for n, e in self.engines.items()}
         return FleetHost(name, placer, views, rates)
 
+    def _count_hosts(self) -> int:
+        """Return the number of hosts that hosts believe in."""
+        return round(len(self.hosts) * self.shape.count_error)
+
     def replace_host(self, index: int) -> None:
         """Replace a host by one that has just started."""
         self.hosts[index] = self._create_host(f"new-{self.hosts[index].name}")
