prefix: expect less of servers that fail; tests of traffic and confirmed caches

After three failures, the cost of prefilling elsewhere exceeded that of the failures, so prompts returned to a failing holder once its ejection ended (seen in the new test).

--- a/cornelnotch/prefix/strategy.py
+++ b/cornelnotch/prefix/strategy.py
@@ -48,6 +48,9 @@
 STARTING_CHANCE = 0.8
 # Utilization that such a host assumes; a ms of prefill delays others by 5 ms then.
 STARTING_UTILIZATION = 0.6
+# Each consecutive failure may be a crash that lost the cache; without this share, three
+# failures cost less than prefilling the prefix elsewhere.
+HELD_AFTER_FAILURE = 0.5
 # From this probability on, a server is a source to copy from.
 MIN_SOURCE_CHANCE = 0.5
 
@@ -365,17 +368,16 @@
         lifetime_ms = estimate_lifetime(self._engine, self._demand, running)
         is_holder = server.record.name in prefix.holders
         chance = 1.0
-        before = 0
         held = 0.0
         for index, part in enumerate(prefix.shared):
             known = estimate_known(server, part.name, lifetime_ms, self._now)
             prior = prefix.holder_chance if is_holder else prefix.spread_chances[index]
             chance = min(chance, terms.combine_chances(known, prior))
-            # What exceeds the memory evicts its own beginning.
-            fitting = min(part.tokens, max(self._memory - before, 0))
-            held += chance * fitting
-            before += part.tokens
-        return held if before <= self._memory else 0.0
+            held += chance * part.tokens
+        # A prefix that exceeds the memory evicts its own beginning.
+        if prefix.tokens > self._memory:
+            return 0.0
+        return held * HELD_AFTER_FAILURE ** server.count_failures(self._now)
 
     def _measure_usage(self, server: ServerView) -> ServerUsage:
         """Return the load of a server, without a copy if this host adds nothing."""
--- a/cornelnotch/prefix/tests/test_strategy.py
+++ b/cornelnotch/prefix/tests/test_strategy.py
@@ -131,6 +131,32 @@
     assert failing.server is not owner is not failing.source
 
 
+def test_a_holder_that_failed_lately_is_left_though_it_is_no_longer_ejected():
+    """Guards against prompts that return to a server that fails time and again."""
+    views = create_views()
+    owner = find_owner(views)
+    for _ in range(3):
+        owner.record_failure(1000.0)
+    placer = create_placer(Engine(575_000))
+    assert choose(placer, views, now=2500.0).server is not owner
+    assert choose(placer, views, now=60_000.0).server is owner
+
+
+def test_what_controllers_do_not_confirm_is_expected_less():
+    """Guards against queues at holders that have lost their caches."""
+    views = create_views()
+    owner = find_owner(views)
+    prefills = []
+    for uncached in (OWN_TOKENS, OWN_TOKENS + 13_300):
+        placer = create_placer(Engine(575_000))
+        for number in range(40):
+            part = PromptPart(f"part {number}", 13_300)
+            grant = GrantedPrompt((part,), OWN_TOKENS, OWN_TOKENS, uncached)
+            placer.record_grant(owner, grant, number * 100.0)
+        prefills.append(choose(placer, [owner], now=4000.0).prefill_tokens)
+    assert prefills[0] < 3000 < prefills[1]
+
+
 def test_calls_follow_the_usual_rule():
     """Guards against estimates of prefill for requests without a prompt."""
     views = create_views()
