--- a/cornelnotch/prefix/tests/test_strategy.py
+++ b/cornelnotch/prefix/tests/test_strategy.py
@@ -148,7 +148,8 @@
     owner = find_owner(views)
     prefills = []
     for uncached in (OWN_TOKENS, OWN_TOKENS + 13_300):
-        placer = create_placer(Engine(575_000))
+        # Memory for everything, so that only what controllers say lowers the chance.
+        placer = create_placer(Engine(10**9))
         for number in range(40):
             part = PromptPart(f"part {number}", 13_300)
             grant = GrantedPrompt((part,), OWN_TOKENS, OWN_TOKENS, uncached)
