--- a/cornelnotch/review/tests/test_check.py
+++ b/cornelnotch/review/tests/test_check.py
@@ -11,7 +11,7 @@
 from cornelnotch.review.changes import describe_changes
 from cornelnotch.review.check import check_configuration
 
-SOUND = {
+SOUND: dict[str, Any] = {
     "version": 4,
     "routes": [
         {
