platform: decode X-Server-Load into a type

Servers state what they run and hold waiting for all hosts, and how long work takes there now. A field at the end of ResponseHead carries it; malformed and absurd figures are None, with the text kept for one bounded log line.

--- a/cornelnotch/gateway/header_codec.py
+++ b/cornelnotch/gateway/header_codec.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from cornelnotch.gateway.models import CallerRequest, Headers
+from cornelnotch.pressure.models import ServerLoad
 
 __all__ = ["DispatchOptions", "HeaderCodec", "PeerOptions", "ResponseHead"]
 
@@ -60,6 +61,9 @@
     `rejections_borne` is the number of requests per second that a brittle server can
     reject without falling over, None if it is not brittle; `brittle_text` and
     `brittle_malformed` are as for the rate limit.
+
+    `load` is the load that the server states, None if it states none or if that is
+    malformed; `load_malformed` and `load_text` are as for the rate limit.
     """
 
     status: int
@@ -78,6 +82,9 @@
     rejections_borne: float | None = None
     brittle_malformed: bool = False
     brittle_text: str = ""
+    load: ServerLoad | None = None
+    load_malformed: bool = False
+    load_text: str = ""
 
 
 class HeaderCodec(ABC):
--- a/cornelnotch/platform/header_codec.py
+++ b/cornelnotch/platform/header_codec.py
@@ -11,6 +11,7 @@
 )
 from cornelnotch.gateway.models import CallerRequest, Headers, PromptPart
 from cornelnotch.kernel.parsing import parse_amount, parse_count
+from cornelnotch.pressure.models import ServerLoad
 from cornelnotch.web.targets import split_target
 
 __all__ = ["PlatformHeaderCodec"]
@@ -48,6 +49,13 @@
 LEAST_VERSION = b"cornelnotch-least-version"
 MAX_ATTEMPTS = 1000
 BRITTLE = b"server-brittle"
+LOAD = b"x-server-load"
+# Running, waiting and slots; some servers add a pace, of which 100 is the usual one.
+LOAD_FIGURES = (3, 4)
+USUAL_PACE = 100.0
+# Larger figures are absurd: no server has as many slots, or changes its pace as much.
+MAX_LOAD_REQUESTS = 100_000
+MAX_PACE_FACTOR = 100.0
 DECIMAL_NUMBER = re.compile(r"\d+(\.\d*)?|\.\d+", re.ASCII)
 
 # Hop-by-hop headers, which must not be forwarded.
@@ -128,6 +136,27 @@
     return parse_amount(text) if DECIMAL_NUMBER.fullmatch(text) else None
 
 
+def parse_pace(text: str) -> float | None:
+    """Return a pace as a factor, or None if it is malformed or absurd."""
+    figure = parse_amount(text) if DECIMAL_NUMBER.fullmatch(text) else None
+    if figure is None:
+        return None
+    factor = figure / USUAL_PACE
+    return factor if 1.0 / MAX_PACE_FACTOR <= factor <= MAX_PACE_FACTOR else None
+
+
+def parse_server_load(text: str) -> ServerLoad | None:
+    """Return the load that a server states, or None if it is malformed or absurd."""
+    figures = [figure.strip() for figure in text.split(",", max(LOAD_FIGURES))]
+    if len(figures) not in LOAD_FIGURES:
+        return None
+    running, waiting, slots = (parse_count(f, MAX_LOAD_REQUESTS) for f in figures[:3])
+    pace = parse_pace(figures[3]) if len(figures) > 3 else 1.0
+    if running is None or waiting is None or not slots or pace is None:
+        return None
+    return ServerLoad(running, waiting, slots, pace)
+
+
 def parse_prompt_segments(text: str) -> tuple[PromptPart, ...]:
     """Return the segments of a prompt in order, up to the first malformed one."""
     parts = []
@@ -241,6 +270,9 @@
         is_brittle = any(key.lower() == BRITTLE for key, _ in headers)
         brittle = find_header(headers, BRITTLE)
         rejections = parse_rate_limit(brittle) if is_brittle else None
+        has_load = any(key.lower() == LOAD for key, _ in headers)
+        load_text = find_header(headers, LOAD)
+        load = parse_server_load(load_text) if has_load else None
         return ResponseHead(
             status,
             find_header(headers, REQUEST_ID),
@@ -259,6 +291,9 @@
             rejections,
             is_brittle and rejections is None,
             brittle,
+            load,
+            has_load and load is None,
+            load_text,
         )
 
     def create_refusal_headers(
