pressure: choose servers for calls by the loads that they state

A server's newest load is kept and aged with a half-life learned from how well past loads predicted the next ones; the rest of the estimate is what hosts report of themselves. Hosts that all choose the best server herd on one that looks empty, so each draws two servers in proportion to what they drain and takes the better one. Weighed: a random tie only (herds all the same), proportional random choice (also loads servers that are known to be slow). Without loads the choice and its cost are as before.

--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -41,6 +41,8 @@
 from cornelnotch.kernel.hashing import hash_text, select_owner
 from cornelnotch.membership import Member
 from cornelnotch.observation.metrics import NodeMetrics
+from cornelnotch.pressure.models import ServerLoad
+from cornelnotch.pressure.observed_load import ObservedLoads
 from cornelnotch.web import Exchange, HttpClient
 from cornelnotch.wire import PeerNetwork
 from cornelnotch.wire.messages import (
@@ -101,8 +103,14 @@
         self.rejections = RejectionTable()
         self.engine_rates = EngineRateTable()
         self.exposures = ExposureTracker()
+        self.loads = ObservedLoads()
         self.placer = Placer(
-            settings.host.domain, settings.regions, self.engine_rates, self.rate_limits
+            settings.host.domain,
+            settings.regions,
+            self.engine_rates,
+            self.rate_limits,
+            self.loads,
+            random.Random(f"{settings.host.name}/calls"),
         )
         self.table = RoutingTable(NO_VERSION, {}, {}, None, CallerLimits())
         self.generator = random.Random(settings.host.name)
@@ -125,6 +133,9 @@
         )
         self.software_history = SoftwareHistory(clock.read())
         self.find_listed_ms: Callable[[], float] = clock.read
+        self.announce_load: Callable[[ServerView, ServerLoad], None] = (
+            lambda view, load: None
+        )
         self.announce_leaving: Callable[[str, int], None] = lambda server, boot_ms: None
         self._longest_of: RoutingTable | None = None
         self._longest_stream_ms = 0.0
--- a/cornelnotch/gateway/placement.py
+++ b/cornelnotch/gateway/placement.py
@@ -1,5 +1,6 @@
 """Select the server for a request, without sockets or clocks."""
 
+import random
 from collections.abc import Collection
 from dataclasses import dataclass, replace
 
@@ -10,6 +11,8 @@
 from cornelnotch.gateway.rate_limits import RateLimitTable
 from cornelnotch.gateway.servers import ServerView
 from cornelnotch.kernel.hashing import rank_owners
+from cornelnotch.pressure.call_choice import CallChooser, CallEstimate
+from cornelnotch.pressure.observed_load import ObservedLoads
 from cornelnotch.wire.messages import EngineRates, ServerUsage
 
 __all__ = ["Placement", "PlacementNeed", "Placer"]
@@ -92,8 +95,12 @@
         regions: dict[str, str],
         engine_rates: EngineRateTable | None = None,
         rate_limits: RateLimitTable | None = None,
+        loads: ObservedLoads | None = None,
+        generator: random.Random | None = None,
     ) -> None:
         self.aggregates = LoadAggregates({})
+        self._loads = loads or ObservedLoads()
+        self._calls = CallChooser(self._loads, generator or random.Random())
         self._engine_rates = engine_rates or EngineRateTable()
         self._rate_limits = rate_limits or RateLimitTable()
         self._domain = domain
@@ -115,11 +122,17 @@
         usual = [s for s in unlimited if s.record.name not in need.reserved]
         owner = self._find_owner(usual or unlimited, request)
         best: Placement | None = None
-        for server in candidates:
+        compared, estimates = candidates, {}
+        if self.states_loads(candidates, route, now):
+            estimates = {s.record.name: self.estimate_call(s, now) for s in candidates}
+            if not need.current:
+                compared = self._draw(unlimited, estimates)
+        for server in compared:
             prefill = self._count_prefill(server, request, server is owner)
-            rates = self._get_rates(server)
+            rates = self._get_rates_now(server, now)
+            estimate = estimates.get(server.record.name)
             cost = self._compute_load_cost(
-                server, route, need.priority, prefill, rates, now
+                server, route, need.priority, prefill, rates, now, estimate
             )
             cost += self._compute_prefill_cost(request, prefill, rates)
             cost += self._compute_gap_cost(server, need, prefill, rates)
@@ -133,6 +146,22 @@
         source = self._find_source(best.server, servers, request, now)
         return replace(best, source=source)
 
+    def states_loads(self, servers: list[ServerView], route: Route, now: float) -> bool:
+        """Return whether a call may use the loads that these servers state."""
+        return route.kind is not WorkKind.STREAM and self._calls.knows_any(servers, now)
+
+    def estimate_call(self, server: ServerView, now: float) -> CallEstimate:
+        """Return what a call may expect at a server that states its load."""
+        others = self.aggregates.get(server.record.name, now)
+        return self._calls.estimate(server, others, now)
+
+    def _draw(
+        self, servers: list[ServerView], estimates: dict[str, CallEstimate]
+    ) -> list[ServerView]:
+        near = [self._is_near(server.record.domain) for server in servers]
+        found = [estimates[server.record.name] for server in servers]
+        return self._calls.draw(servers, found, near)
+
     def measure_usage(self, server: ServerView, now: float) -> ServerUsage:
         """Return the load of a server from this host and, if known, others."""
         own = server.measure_usage(now)
@@ -181,6 +210,20 @@
     def _get_rates(self, server: ServerView) -> EngineRates:
         return self._engine_rates.get(server.record.name, server.record.service)
 
+    def _get_rates_now(self, server: ServerView, now: float) -> EngineRates:
+        """Return the rates of an engine at the pace that it states now."""
+        rates = self._get_rates(server)
+        record = server.record
+        pace = self._loads.find_pace(record.name, record.boot_ms, now)
+        if pace == 1.0:
+            return rates
+        return replace(
+            rates,
+            read_rate=rates.read_rate / pace,
+            chunk_rate=rates.chunk_rate / pace,
+            event_ms=rates.event_ms * pace,
+        )
+
     def _find_owner(
         self, candidates: list[ServerView], request: CallerRequest
     ) -> ServerView | None:
@@ -213,11 +256,14 @@
         prefill: int,
         rates: EngineRates,
         now: float,
+        estimate: CallEstimate | None = None,
     ) -> float:
         cost = self._compute_distance_cost(server.record.domain)
         usage = self.measure_usage(server, now)
         if route.kind is not WorkKind.STREAM:
             cost += FAILURE_COST_MS * min(usage.failures, MAX_FAILURES)
+            if estimate is not None:
+                return cost + estimate.cost_ms
             return cost + CALL_COST_MS * (usage.running + usage.waiting)
         cost += self._estimate_tokens_ahead(usage, priority, prefill) / rates.read_rate
         cost += FULL_BATCH_COST_MS * usage.running / server.record.slots
@@ -268,6 +314,10 @@
     def _compute_distance_cost(self, domain: str) -> float:
         if domain == self._domain:
             return 0.0
-        if self._regions.get(domain) == self._regions.get(self._domain):
-            return DOMAIN_COST_MS
-        return REGION_COST_MS
+        return DOMAIN_COST_MS if self._is_near(domain) else REGION_COST_MS
+
+    def _is_near(self, domain: str) -> bool:
+        """Return whether a failure domain is in the region of this host."""
+        return domain == self._domain or (
+            self._regions.get(domain) == self._regions.get(self._domain)
+        )
--- a/cornelnotch/gateway/server_signals.py
+++ b/cornelnotch/gateway/server_signals.py
@@ -14,6 +14,7 @@
 
 # Longest part of a malformed value that is logged.
 MAX_LOGGED_CHARACTERS = 80
+STATUS_UNAVAILABLE = 503
 
 
 def apply_server_signals(
@@ -33,6 +34,35 @@
     _apply_leaving(context, view, head, record_event)
     _apply_rate_limit(context, view, response, head, sent_ms, record_event)
     _apply_backoff(context, view, head, record_event)
+    _apply_load(context, view, response, head, sent_ms, record_event)
+
+
+def _apply_load(
+    context: GatewayContext,
+    view: ServerView,
+    response: UpstreamResponse,
+    head: ResponseHead,
+    sent_ms: float,
+    record_event: RecordEvent,
+) -> None:
+    name, boot_ms = view.record.name, view.record.boot_ms
+    now = context.clock.read()
+    if head.load_malformed and context.loads.may_log_malformed(name, now):
+        text = head.load_text[:MAX_LOGGED_CHARACTERS]
+        record_event(Event.SERVER_LOAD_MALFORMED, server=name, text=text)
+    load = head.load
+    if load is None or response.outcome is DispatchOutcome.BROKEN:
+        # A broken head may be that of another server or request.
+        return
+    service = view.record.service
+    held = sum(request.sent for request in view.in_flight.values())
+    context.loads.observe(name, service, boot_ms, load, now, held)
+    is_full = head.status == STATUS_UNAVAILABLE and load.waiting > 0
+    if response.outcome is DispatchOutcome.REFUSED and is_full:
+        context.loads.note_full(name, boot_ms, load)
+    if response.outcome is DispatchOutcome.DONE:
+        context.loads.note_work(service, load, now - sent_ms)
+    context.announce_load(view, load)
 
 
 def _apply_leaving(
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -168,6 +168,11 @@
         logging.WARNING,
         "a server asked for a pause of invalid length",
     )
+    SERVER_LOAD_MALFORMED = (
+        3013,
+        logging.WARNING,
+        "a server stated an invalid load, which is ignored; correct its X-Server-Load",
+    )
     SERVER_ENTRY_REJECTED = (
         3011,
         logging.WARNING,
