pressure: hosts tell each other what servers state about their loads

A host sees a given server every some seconds, too rarely for phases of 600 ms. The load of an engine goes to its admission controller, which scales the expected prefill time by the pace, grants less, answers longer waits and tells hosts that wait there, whose placement then weighs the slow engine as such. The usual rate is learned at the usual pace, so that the pace does not count twice. A message type is appended (ServerLoadNotices); older hosts ignore it.

--- a/cornelnotch/gateway/admission_controller.py
+++ b/cornelnotch/gateway/admission_controller.py
@@ -16,6 +16,7 @@
 from cornelnotch.gateway.server_room import ServerRoom
 from cornelnotch.gateway.servers import ServerView
 from cornelnotch.gateway.token_bucket import TokenBucket
+from cornelnotch.pressure.load_news import create_notice
 from cornelnotch.wire import PeerNetwork
 from cornelnotch.wire.messages import (
     AdmissionEnd,
@@ -23,6 +24,7 @@
     AdmissionQueued,
     AdmissionRequest,
     EngineRates,
+    ServerLoadNotices,
 )
 
 __all__ = ["AdmissionController"]
@@ -36,6 +38,10 @@
 UNKNOWN_CACHE_TOKENS = 400_000
 UNKNOWN_SLOTS = 64
 UNKNOWN_BOOT_MS = -1
+# Hosts that wait at an engine hear of its load if it takes this many times as long as
+# usual and was observed within this time; a smaller change moves no request elsewhere.
+SLOW_PACE = 1.2
+FRESH_LOAD_MS = 300.0
 
 
 @dataclass(slots=True)
@@ -118,6 +124,33 @@
         share = self._find_share()
         queue.room.set_bounds(queue.slots * share, limit.rejections_borne * share)
 
+    def apply_load(self, server: str) -> None:
+        """Apply a new load of an engine; tell hosts that wait there if it is slow."""
+        engine_queue = self._queues.get(server)
+        if engine_queue is None:
+            return
+        self._grant_waiting(server, engine_queue)
+        entries = engine_queue.queue.entries.values()
+        for host in {entry.host for entry in entries if not entry.granted}:
+            self._tell_slow(host, server)
+
+    def _tell_slow(self, host: str, server: str) -> None:
+        """Tell a host that waits at an engine that this is slow now, if it is."""
+        now = self._context.clock.read()
+        newest = self._context.loads.find_newest(server)
+        if host == self._peers.name or newest is None or newest.load.pace < SLOW_PACE:
+            return
+        if now - newest.at_ms <= FRESH_LOAD_MS:
+            notice = create_notice(newest, now)
+            self._peers.send(host, ServerLoadNotices([notice], []))
+
+    def _update_pace(self, server: str, queue: AdmissionQueue, now: float) -> None:
+        """Apply the pace that the engine states, as far as it is known now."""
+        view = self._context.pool.servers.get(server)
+        if view is not None:
+            boot_ms = view.record.boot_ms
+            queue.set_pace(self._context.loads.find_pace(server, boot_ms, now), now)
+
     def _find_limit(self, server: str) -> RateLimit | None:
         """Return the rate limit of a server, also before its record is known."""
         view = self._context.pool.servers.get(server)
@@ -137,6 +170,7 @@
             self._context.merge_rate_limit(ask.limit, sender)
         engine_queue = self._find_engine_queue(ask.server)
         may_grant = self._update_bucket(ask.server, engine_queue.queue, now)
+        self._update_pace(ask.server, engine_queue.queue, now)
         if ask.stage == "waiting":
             if not may_grant:
                 self._postpone(sender, ask)
@@ -170,6 +204,7 @@
         elif not queue_entry.granted:
             wait = engine_queue.queue.estimate_wait_ms(queue_entry, now)
             uncached_tokens = engine_queue.queue.count_uncached_tokens(queue_entry)
+            self._tell_slow(sender, ask.server)
             answer = AdmissionQueued(
                 ask.request_id, ask.server, uncached_tokens, round(wait, 1)
             )
@@ -238,6 +273,7 @@
         now = self._context.clock.read()
         self._control.note_running(now)
         engine_queue.queue.remove_expired(now)
+        self._update_pace(server, engine_queue.queue, now)
         if self._update_bucket(server, engine_queue.queue, now):
             for queue_entry in engine_queue.queue.grant(now):
                 self._send_grant(server, queue_entry)
--- a/cornelnotch/gateway/admission_queue.py
+++ b/cornelnotch/gateway/admission_queue.py
@@ -124,6 +124,8 @@
         self.estimate = estimate or EngineEstimate()
         self.bucket: TokenBucket | None = None
         self.room: ServerRoom | None = None
+        # How many times its usual time work takes at the engine now.
+        self.pace = 1.0
         self.entries: dict[str, QueueEntry] = {}
         self._cache_tokens = cache_tokens
         self._prefix_cache: OrderedDict[str, int] = OrderedDict()
@@ -155,6 +157,12 @@
         known.prefilled = known.prefilled or entry.prefilled
         return known
 
+    def set_pace(self, pace: float, now: float) -> None:
+        """Set how many times its usual time work takes at the engine from now on."""
+        if pace != self.pace:
+            self._update_backlog(now)
+            self.pace = pace
+
     def take_over(self, former: "AdmissionQueue") -> None:
         """Add the requests that another queue for the same server has granted."""
         granted = {name: e for name, e in former.entries.items() if e.granted}
@@ -198,7 +206,9 @@
             self._recent_prefills[-1].at_ms if self._recent_prefills else float("-inf")
         )
         elapsed_ms = now - max(entry.granted_ms, idle_since_ms)
-        self.estimate.record_prefill(entry.uncached_tokens, elapsed_ms, now)
+        # The estimate is that of the usual pace.
+        usual_ms = elapsed_ms / self.pace
+        self.estimate.record_prefill(entry.uncached_tokens, usual_ms, now)
         self._recent_prefills.append(
             PrefillRecord(now, entry.request_id, entry.uncached_tokens)
         )
@@ -354,7 +364,9 @@
             (t.gap_ms for t in self.entries.values() if t.prefilled and t.gap_ms > 0),
             default=0.0,
         )
-        remaining_tokens = find_prefill_budget(self.estimate.rates, gap_ms)
+        # A slow engine needs the same time for fewer tokens in each gap.
+        budget_tokens = find_prefill_budget(self.estimate.rates, gap_ms)
+        remaining_tokens = budget_tokens / self.pace
         remaining_tokens -= self.count_uncached_tokens(entry)
         for record in reversed(self._recent_grants):
             if record.at_ms <= now - gap_ms:
@@ -366,7 +378,7 @@
         return 0.0
 
     def _estimate_prefill_ms(self, tokens: float) -> float:
-        return tokens / self.estimate.rates.read_rate
+        return tokens * self.pace / self.estimate.rates.read_rate
 
     def estimate_wait_ms(self, entry: QueueEntry, now: float) -> float:
         """Return the expected time until a request is granted, in ms.
@@ -436,7 +448,7 @@
 
     def _update_backlog(self, now: float) -> None:
         elapsed_ms = max(now - self._updated_ms, 0.0)
-        read = elapsed_ms * self.estimate.rates.read_rate
+        read = elapsed_ms * self.estimate.rates.read_rate / self.pace
         self._backlog_tokens = max(self._backlog_tokens - read, 0.0)
         self._updated_ms = now
 
--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -34,6 +34,7 @@
 from cornelnotch.logservice.base import HostList, HostListing
 from cornelnotch.membership import Member, MemberState, MemberTable, Prober, ServerTable
 from cornelnotch.membership.prober import ProberTiming
+from cornelnotch.pressure.load_notices import LoadNotices
 from cornelnotch.web import HttpClient, HttpServer, parse_address
 from cornelnotch.wire import PeerNetwork
 from cornelnotch.wire.messages import MemberUpdate
@@ -160,6 +161,15 @@
             self.context, self.peers, broadcaster, self._list_peers
         )
         self.context.announce_leaving = self.leaving_notices.broadcast
+        self.load_notices = LoadNotices(
+            self.context,
+            self.peers,
+            self.plan,
+            broadcaster,
+            self._list_informed_hosts,
+            self.admission_controller.apply_load,
+        )
+        self.context.announce_load = self.load_notices.announce
         self.peer_links = PeerLinks(
             self.clock,
             self.context.links,
@@ -232,6 +242,7 @@
         metrics.set_state("peer_bytes", self.peers.sent_bytes)
         metrics.set_state("blamed_prompts", self.context.crashes.count_blamed())
         metrics.set_state("limited_servers", self.context.rate_limits.count())
+        metrics.set_state("known_server_loads", self.context.loads.count())
         metrics.set_state("known_streams", self.context.origins.count())
         metrics.set_state("servers", len(self.context.pool.servers))
         return metrics.render()
--- a/cornelnotch/pressure/observed_load.py
+++ b/cornelnotch/pressure/observed_load.py
@@ -9,7 +9,7 @@
 
 from cornelnotch.pressure.models import ServerLoad
 
-__all__ = ["AgedLoad", "HalfLife", "ObservedLoads"]
+__all__ = ["AgedLoad", "HalfLife", "NewestLoad", "ObservedLoads"]
 
 # Candidate half-lives. Slow phases of a machine last some 600 ms, and reports of other
 # hosts are up to 250 ms old, so shorter or longer ones would not be told apart.
@@ -116,6 +116,16 @@
         return own + self.weight * observed_others + (1.0 - self.weight) * usual_others
 
 
+@dataclass(frozen=True, slots=True)
+class NewestLoad:
+    """The newest load of a server process and when it was observed."""
+
+    server: str
+    boot_ms: int
+    load: ServerLoad
+    at_ms: float
+
+
 class ObservedLoads:
     """The newest observed load of each server."""
 
@@ -242,9 +252,12 @@
             if now - known.at_ms > MAX_AGE_MS:
                 del self._newest[name]
 
-    def list_newest(self) -> list[tuple[str, int, ServerLoad, float]]:
-        """Return server, boot, load and time of each newest observation."""
-        return [(n, o.boot_ms, o.load, o.at_ms) for n, o in self._newest.items()]
+    def find_newest(self, server: str) -> NewestLoad | None:
+        """Return the newest observation of a server, or None if there is none."""
+        known = self._newest.get(server)
+        if known is None:
+            return None
+        return NewestLoad(server, known.boot_ms, known.load, known.at_ms)
 
     def count(self) -> int:
         """Return the number of servers whose load is known."""
--- a/cornelnotch/pressure/tests/test_call_choice.py
+++ b/cornelnotch/pressure/tests/test_call_choice.py
@@ -22,7 +22,7 @@
 
 REGIONS = {"a": "north", "b": "north", "c": "south"}
 ROUTE = Route(
-    "read", "h", "/", WorkKind.REPEATABLE, 4000, 200, 1, (ServiceShare("desk", 1),), 2
+    "read", "h", "/", WorkKind.REPEATABLE, 4000, 200, 2, 1, (ServiceShare("desk", 1),)
 )
 NEED = PlacementNeed(1, ())
 BOOT = 5
@@ -106,7 +106,7 @@
     hosts = [FakeHost(number, servers) for number in range(HOSTS)]
     per_ms = LOAD * SERVERS * SLOTS / WORK_MS
     reported_ms = float("-inf")
-    calls = []
+    calls: list[asyncio.Task[None]] = []
     while clock.read() < PLAYED_MS:
         if clock.read() - reported_ms >= REPORT_DELAY_MS:
             reported_ms = clock.read()
@@ -132,7 +132,7 @@
 
 
 def choose_often(placer, views, now, count=400):
-    names = Counter()
+    names: Counter[str] = Counter()
     for number in range(count):
         request = create_request(f"c-{number}")
         placement = placer.choose(views, ROUTE, request, NEED, now)
@@ -182,7 +182,7 @@
 @pytest.mark.parametrize("kind", [WorkKind.REPEATABLE, WorkKind.ONCE])
 def test_without_headers_the_choice_is_as_before(kind):
     # Deployments whose servers state no load must not change: no draw, the same cost.
-    route = Route("r", "h", "/", kind, 4000, 200, 1, (ServiceShare("desk", 1),), 2)
+    route = Route("r", "h", "/", kind, 4000, 200, 2, 1, (ServiceShare("desk", 1),))
     views = [create_view(f"s-{i}") for i in range(4)]
     for index, view in enumerate(views):
         for number in range(4 - index):
--- a/cornelnotch/wire/messages.py
+++ b/cornelnotch/wire/messages.py
@@ -48,6 +48,8 @@
     "RecordItem",
     "RecordUpdates",
     "ServerLeaving",
+    "ServerLoadNotice",
+    "ServerLoadNotices",
     "ServerUpdate",
     "ServerUsage",
     "StreamOriginQuery",
@@ -624,6 +626,31 @@
     software: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class ServerLoadNotice:
+    """State the load of a server process that a host observed `age_ms` ago.
+
+    `running` and `waiting` count the requests of all hosts, `pace` is how many times
+    its usual time work takes there.
+    """
+
+    server: str
+    boot_ms: int
+    running: int
+    waiting: int
+    slots: int
+    pace: float
+    age_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLoadNotices:
+    """State the loads of servers; the receiver forwards the message to `targets`."""
+
+    loads: list[ServerLoadNotice]
+    targets: list[str]
+
+
 def list_message_types() -> list[type]:
     """Return the message types; the index of each is its type id on the wire."""
     return [
@@ -660,4 +687,5 @@
         LinkNotice,
         LinkQuery,
         LinkReply,
+        ServerLoadNotices,
     ]
