pressure: a call waits at its host while its server is slow or full

A call that queues at a server in a slow phase stays there. It enters at the place where other requests wait for admission; flow.py is four lines shorter. Run: pytest pressure, test_slow_calls, test_request_path, test_limited_servers, test_odd_responses.

--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -22,12 +22,7 @@
 from cornelnotch.gateway.drain import choose_drain_retry_after_ms
 from cornelnotch.gateway.fingerprints import create_fingerprints
 from cornelnotch.gateway.forwarding import MAX_BUFFERED_BYTES, EventReader, forward_body
-from cornelnotch.gateway.models import (
-    CallerRequest,
-    Route,
-    WorkKind,
-    Workspace,
-)
+from cornelnotch.gateway.models import CallerRequest, Route, WorkKind, Workspace
 from cornelnotch.gateway.peer_dispatch import PeerDispatch
 from cornelnotch.gateway.placement import Placement, PlacementNeed
 from cornelnotch.gateway.replacement import Replacement
@@ -46,6 +41,7 @@
 from cornelnotch.gateway.streams import EventSplitter
 from cornelnotch.gateway.timeouts import find_max_gap_s, find_stall_timeout_s
 from cornelnotch.kernel.events import Event
+from cornelnotch.pressure.call_wait import hold_call
 from cornelnotch.web import Exchange
 
 __all__ = ["RequestFlow"]
@@ -529,7 +525,7 @@
         """Wait until the prompt may be sent to the engine, or must not be."""
         is_prompt = self.route.kind is WorkKind.STREAM and bool(self.request.prompt)
         if not is_prompt and self.context.find_rate_limit(view) is None:
-            return AdmissionResult.GRANTED
+            return await hold_call(self, view)
         result = await self.context.admission.wait_for_admission(
             self.request,
             view,
--- a/cornelnotch/gateway/placement.py
+++ b/cornelnotch/gateway/placement.py
@@ -155,10 +155,14 @@
         others = self.aggregates.get(server.record.name, now)
         return self._calls.estimate(server, others, now)
 
+    def is_near(self, server: ServerView) -> bool:
+        """Return whether a server is in the region of this host."""
+        return self._is_near(server.record.domain)
+
     def _draw(
         self, servers: list[ServerView], estimates: dict[str, CallEstimate]
     ) -> list[ServerView]:
-        near = [self._is_near(server.record.domain) for server in servers]
+        near = [self.is_near(server) for server in servers]
         found = [estimates[server.record.name] for server in servers]
         return self._calls.draw(servers, found, near)
 
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -209,6 +209,11 @@
         logging.INFO,
         "another server was sought for the call of a silent one",
     )
+    CALL_HELD = (
+        6017,
+        logging.INFO,
+        "a call waited at this host, as its server was slow or full",
+    )
     REQUEST_ANSWERED = (6006, logging.INFO, "a request was answered completely")
     REQUEST_BROKEN_OFF = (6007, logging.INFO, "a response ended early")
     TURN_CAME = (
--- a/cornelnotch/pressure/observed_load.py
+++ b/cornelnotch/pressure/observed_load.py
@@ -19,6 +19,8 @@
 ERROR_MEMORY = 0.98
 # The usual half-life is replaced only by one with this much smaller an error.
 MIN_ADVANTAGE = 0.02
+# Fewer pairs of observations say little about how fast loads change.
+MIN_PAIRS = 30
 # Pairs of observations that are further apart do not tell half-lives apart.
 MAX_PAIR_MS = 3000.0
 # The average of a server follows its observations with this half-life, and is
@@ -45,6 +47,7 @@
 
     def __init__(self) -> None:
         self._errors = [0.0] * len(HALF_LIVES_MS)
+        self._pairs = 0
         self.ms = USUAL_HALF_LIFE_MS
 
     def learn(self, known: float, average: float, found: float, age_ms: float) -> None:
@@ -55,6 +58,9 @@
             weight = _halve(age_ms, half_life_ms)
             error = weight * known + (1.0 - weight) * average - found
             self._errors[index] = self._errors[index] * ERROR_MEMORY + error * error
+        self._pairs += 1
+        if self._pairs < MIN_PAIRS:
+            return
         usual = self._errors[HALF_LIVES_MS.index(USUAL_HALF_LIFE_MS)]
         least = min(self._errors)
         is_better = least < usual * (1.0 - MIN_ADVANTAGE)
