pressure: count and bound the bytes that all hosts have at a server

A server whose requests exceed its memory crashes, and their parts were accused. Hosts count bodies and prompts by server and share the counts over the collector of load reports, only while one count is at least 1 MB or a crash is fresh. A crash at 1 MB or more, and at no less than 0.9 of what servers bore, is one of memory: no request is accused, and servers of that service get 0.8 of that size from then on, as the collector learned from what all hosts told. Two message types are appended.

--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -41,6 +41,7 @@
 from cornelnotch.kernel.hashing import hash_text, select_owner
 from cornelnotch.membership import Member
 from cornelnotch.observation.metrics import NodeMetrics
+from cornelnotch.pressure.held_bytes import HeldBytes
 from cornelnotch.pressure.models import ServerLoad
 from cornelnotch.pressure.observed_load import ObservedLoads
 from cornelnotch.web import Exchange, HttpClient
@@ -104,6 +105,8 @@
         self.engine_rates = EngineRateTable()
         self.exposures = ExposureTracker()
         self.loads = ObservedLoads()
+        self.held_bytes = HeldBytes(settings.host.name)
+        self.share_held_bytes: Callable[[], None] = lambda: None
         self.placer = Placer(
             settings.host.domain,
             settings.regions,
@@ -111,6 +114,7 @@
             self.rate_limits,
             self.loads,
             random.Random(f"{settings.host.name}/calls"),
+            self.held_bytes,
         )
         self.table = RoutingTable(NO_VERSION, {}, {}, None, CallerLimits())
         self.generator = random.Random(settings.host.name)
@@ -187,15 +191,41 @@
     def record_crash(self, life: ServerLife, requests: list[InFlightRequest]) -> None:
         """Accuse the requests at a server that has crashed, and their prompt parts.
 
-        They are not to blame for a brittle server that had rejected others.
+        They are not to blame for a brittle server that had rejected others, or for one
+        whose memory they exceeded together.
         """
         now = self.clock.read()
+        view = self.pool.servers.get(life.server)
+        sizes = {request.request_id: request.held_bytes for request in requests}
+        host = self.settings.host.name
+        if view is not None and self.note_memory_crash(
+            life.server, life.boot_ms, view.record.service, host, sum(sizes.values())
+        ):
+            return
         if self.rejections.explains_fall(life.server, life.boot_ms, now):
             return
         parts = [request.shared_parts + request.fingerprints for request in requests]
         found = self.crashes.record_crash(life.server, life.boot_ms, parts, now)
         self._log_blamed(found, self.settings.host.name)
 
+    def note_memory_crash(
+        self, server: str, boot_ms: int, service: str, host: str, size: int
+    ) -> bool:
+        """Note what a host had at a crashed server; return whether that explains it."""
+        now = self.clock.read()
+        was_explained = self.held_bytes.explains_fall(server, boot_ms, now)
+        is_explained = self.held_bytes.note_crash(
+            server, boot_ms, service, host, size, now
+        )
+        self.share_held_bytes()
+        if is_explained and not was_explained:
+            self.events.record(
+                Event.SERVER_MEMORY_EXCEEDED, server=server, boot_ms=boot_ms, bytes=size
+            )
+            self.metrics.count_memory_crash()
+        self.crashes.forget_fall(server, boot_ms, self.held_bytes.explains_fall)
+        return is_explained
+
     def record_sound(self, request: CallerRequest) -> None:
         """Clear a request whose response ended whole, and its prompt parts."""
         parts = request.list_crash_parts()
@@ -214,6 +244,7 @@
             if not self.rejections.explains_fall(
                 crash.server, crash.boot_ms, now - crash.age_ms
             )
+            and not self.held_bytes.explains_fall(crash.server, crash.boot_ms, now)
         ]
         notice = replace(notice, crashes=crashes)
         self._log_blamed(self.crashes.merge(notice, now), sender)
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -42,6 +42,7 @@
 from cornelnotch.gateway.timeouts import find_max_gap_s, find_stall_timeout_s
 from cornelnotch.kernel.events import Event
 from cornelnotch.pressure.call_wait import hold_call
+from cornelnotch.pressure.held_bytes import measure_request_bytes
 from cornelnotch.web import Exchange
 
 __all__ = ["RequestFlow"]
@@ -515,6 +516,7 @@
             latency_sensitive=self.context.is_latency_sensitive(self.route),
             shared_parts=self.request.list_shared_parts(),
             fingerprints=self.request.fingerprints,
+            held_bytes=measure_request_bytes(self.request),
         )
         placement.server.start(in_flight)
         return in_flight
--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -34,6 +34,7 @@
 from cornelnotch.logservice.base import HostList, HostListing
 from cornelnotch.membership import Member, MemberState, MemberTable, Prober, ServerTable
 from cornelnotch.membership.prober import ProberTiming
+from cornelnotch.pressure.byte_notices import ByteNotices
 from cornelnotch.pressure.load_notices import LoadNotices
 from cornelnotch.web import HttpClient, HttpServer, parse_address
 from cornelnotch.wire import PeerNetwork
@@ -170,6 +171,14 @@
             self.admission_controller.apply_load,
         )
         self.context.announce_load = self.load_notices.announce
+        self.byte_notices = ByteNotices(
+            self.context,
+            self.peers,
+            self.plan,
+            broadcaster,
+            self._list_informed_hosts,
+        )
+        self.context.share_held_bytes = self.byte_notices.wake
         self.peer_links = PeerLinks(
             self.clock,
             self.context.links,
--- a/cornelnotch/gateway/placement.py
+++ b/cornelnotch/gateway/placement.py
@@ -12,6 +12,7 @@
 from cornelnotch.gateway.servers import ServerView
 from cornelnotch.kernel.hashing import rank_owners
 from cornelnotch.pressure.call_choice import CallChooser, CallEstimate
+from cornelnotch.pressure.held_bytes import HeldBytes, measure_request_bytes
 from cornelnotch.pressure.observed_load import ObservedLoads
 from cornelnotch.wire.messages import EngineRates, ServerUsage
 
@@ -97,7 +98,9 @@
         rate_limits: RateLimitTable | None = None,
         loads: ObservedLoads | None = None,
         generator: random.Random | None = None,
+        held_bytes: HeldBytes | None = None,
     ) -> None:
+        self._held_bytes = held_bytes or HeldBytes("")
         self.aggregates = LoadAggregates({})
         self._loads = loads or ObservedLoads()
         self._calls = CallChooser(self._loads, generator or random.Random())
@@ -116,6 +119,8 @@
     ) -> Placement | None:
         """Return the server with the lowest cost, or None if all are excluded."""
         candidates = [s for s in servers if s.record.name not in need.excluded]
+        size = measure_request_bytes(request)
+        candidates = self._held_bytes.list_with_room(candidates, size, now)
         if not candidates:
             return None
         unlimited = [s for s in candidates if not self._is_limited(s)] or candidates
--- a/cornelnotch/gateway/server_signals.py
+++ b/cornelnotch/gateway/server_signals.py
@@ -35,6 +35,10 @@
     _apply_rate_limit(context, view, response, head, sent_ms, record_event)
     _apply_backoff(context, view, head, record_event)
     _apply_load(context, view, response, head, sent_ms, record_event)
+    if response.outcome is DispatchOutcome.DONE:
+        hosts = context.count_known_hosts()
+        context.held_bytes.note_alive(view, hosts, context.clock.read())
+        context.share_held_bytes()
 
 
 def _apply_load(
--- a/cornelnotch/gateway/servers.py
+++ b/cornelnotch/gateway/servers.py
@@ -52,7 +52,7 @@
     `ended` once it certainly holds it no more.
     `events` counts complete events, the last of which arrived at `event_ms`;
     `longest_gap_ms` is the longest gap between two events since `take_progress` was
-    last called.
+    last called. `held_bytes` is the size of the request in the memory of its server.
     """
 
     request_id: str
@@ -76,6 +76,7 @@
     longest_gap_ms: float = 0.0
     reported_events: int = 0
     reported_ms: float = 0.0
+    held_bytes: int = 0
 
     def record_events(self, events: int, now: float) -> None:
         """Record the arrival of a number of complete events."""
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -128,6 +128,11 @@
         logging.WARNING,
         "a server crashed while it served requests",
     )
+    SERVER_MEMORY_EXCEEDED = (
+        4013,
+        logging.WARNING,
+        "a server crashed as its requests exceeded its memory; add servers or memory",
+    )
     PROMPT_BLAMED = (
         4008,
         logging.WARNING,
--- a/cornelnotch/observation/metrics.py
+++ b/cornelnotch/observation/metrics.py
@@ -71,6 +71,12 @@
             labels,
             registry=self._registry,
         )
+        self._memory_crashes = Counter(
+            "cornelnotch_server_memory_crashes_total",
+            "Server crashes that the bytes of the requests there explain.",
+            labels,
+            registry=self._registry,
+        )
         self._first_token = Histogram(
             "cornelnotch_first_token_seconds",
             "Time to first token by class.",
@@ -122,6 +128,10 @@
         """Count one server that crashed while it served requests of this host."""
         self._server_crashes.inc({})
 
+    def count_memory_crash(self) -> None:
+        """Count one server whose requests exceeded its memory."""
+        self._memory_crashes.inc({})
+
     def observe_first_token(self, class_name: str, duration_ms: float) -> None:
         """Observe the time to first token in ms."""
         self._first_token.observe({"class": class_name}, duration_ms / 1000.0)
--- a/cornelnotch/wire/messages.py
+++ b/cornelnotch/wire/messages.py
@@ -47,11 +47,15 @@
     "RecordFetch",
     "RecordItem",
     "RecordUpdates",
+    "ServerBytes",
+    "ServerBytesReport",
+    "ServerBytesSummary",
     "ServerLeaving",
     "ServerLoadNotice",
     "ServerLoadNotices",
     "ServerUpdate",
     "ServerUsage",
+    "ServiceBytes",
     "StreamOriginQuery",
     "StreamOriginReply",
     "StreamOriginReport",
@@ -651,6 +655,46 @@
     targets: list[str]
 
 
+@dataclass(frozen=True, slots=True)
+class ServerBytes:
+    """State how many bytes of requests a server process holds, or held at its end."""
+
+    server: str
+    boot_ms: int
+    size: int
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceBytes:
+    """State how many bytes servers of a service bore, and how many were fatal."""
+
+    service: str
+    borne: int
+    fatal: int
+
+
+@dataclass(frozen=True, slots=True)
+class ServerBytesReport:
+    """Report the bytes of a host's requests at servers, also at crashed ones."""
+
+    host: str
+    counts: list[ServerBytes]
+    crashes: list[ServerBytes]
+
+
+@dataclass(frozen=True, slots=True)
+class ServerBytesSummary:
+    """State the bytes of all hosts at servers, and crashes for want of memory.
+
+    The receiver forwards the message to `targets`.
+    """
+
+    totals: list[ServerBytes]
+    bounds: list[ServiceBytes]
+    crashes: list[ServerBytes]
+    targets: list[str]
+
+
 def list_message_types() -> list[type]:
     """Return the message types; the index of each is its type id on the wire."""
     return [
@@ -688,4 +732,6 @@
         LinkQuery,
         LinkReply,
         ServerLoadNotices,
+        ServerBytesReport,
+        ServerBytesSummary,
     ]
