pressure: read on from servers while callers read slowly

A host waited for a slow caller, so its server's response stayed unread and was cut off after some seconds. What a caller has not taken is held in a quarter of the memory of bodies. Without room the host waits for one second, in which a caller that reads steadily makes room; then the response ends whose caller would take longest for what is held, by an abort that it can detect. Nothing is counted against the server. A caller of which nothing is held never ends, and is served as before if there is no memory. Weighed: a hook in forwarding.py (streams do not pass it), a limit for each caller (a large response to a steady caller would end). The exchange is wrapped in the front end.

--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -44,6 +44,7 @@
 from cornelnotch.pressure.held_bytes import HeldBytes
 from cornelnotch.pressure.models import ServerLoad
 from cornelnotch.pressure.observed_load import ObservedLoads
+from cornelnotch.pressure.unread_responses import UnreadMemory
 from cornelnotch.web import Exchange, HttpClient
 from cornelnotch.wire import PeerNetwork
 from cornelnotch.wire.messages import (
@@ -100,6 +101,7 @@
         self.drain = Drain(clock)
         self.durations = DurationTracker()
         self.bodies = BodyMemory(settings.bounds.memory_mb)
+        self.unread = UnreadMemory(self.bodies, clock, self._note_slow_caller)
         self.rate_limits = RateLimitTable()
         self.rejections = RejectionTable()
         self.engine_rates = EngineRateTable()
@@ -152,6 +154,16 @@
     async def _ask_nobody(request_id: str, service: str) -> OriginAnswer:
         return OriginAnswer(None, is_final=False)
 
+    def _note_slow_caller(self, held_bytes: int, spent_ms: float) -> None:
+        """Log that the response of a slow caller was ended for want of memory."""
+        self.metrics.count_slow_caller()
+        self.events.record(
+            Event.SLOW_CALLER_ENDED,
+            held_bytes=held_bytes,
+            spent_ms=round(spent_ms, 1),
+            unread_bytes=self.unread.held_bytes,
+        )
+
     def find_first_stream_ms(self) -> float:
         """Return the start time of the oldest stream that a caller may resume."""
         if self._longest_of is not self.table:
--- a/cornelnotch/gateway/frontend.py
+++ b/cornelnotch/gateway/frontend.py
@@ -1,6 +1,7 @@
 """Handle requests of callers: find the route, authenticate and dispatch."""
 
 import asyncio
+from typing import cast
 
 from cornelnotch.exceptions import (
     CallerDisconnectedError,
@@ -83,13 +84,17 @@
             await self._refuse(exchange, request, STATUS_UNAUTHORIZED, "unknown-key")
             return
         body = context.bodies.hold()
+        buffered = context.unread.wrap(exchange)
         try:
             if await self._receive_body(exchange, request, route, body):
+                # It has all that a flow uses of an exchange.
+                response = cast(Exchange, buffered)
                 flow = RequestFlow(
-                    context, exchange, request, route, workspace, arrived_ms
+                    context, response, request, route, workspace, arrived_ms
                 )
                 await self._run(flow)
         finally:
+            buffered.close()
             request.body = b""
             body.release()
 
--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -247,6 +247,7 @@
         metrics.set_state("version", self.context.table.version)
         metrics.set_state("store_timeline", self.follower.timeline)
         metrics.set_state("body_bytes", self.context.bodies.held_bytes)
+        metrics.set_state("unread_bytes", self.context.unread.held_bytes)
         metrics.set_state("held_records", self.follower.count_older_records())
         metrics.set_state("peer_bytes", self.peers.sent_bytes)
         metrics.set_state("blamed_prompts", self.context.crashes.count_blamed())
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -219,6 +219,11 @@
         logging.INFO,
         "a call waited at this host, as its server was slow or full",
     )
+    SLOW_CALLER_ENDED = (
+        6018,
+        logging.WARNING,
+        "the response of the slowest caller was ended, as unread ones fill the memory",
+    )
     REQUEST_ANSWERED = (6006, logging.INFO, "a request was answered completely")
     REQUEST_BROKEN_OFF = (6007, logging.INFO, "a response ended early")
     TURN_CAME = (
--- a/cornelnotch/observation/metrics.py
+++ b/cornelnotch/observation/metrics.py
@@ -77,6 +77,12 @@
             labels,
             registry=self._registry,
         )
+        self._slow_callers = Counter(
+            "cornelnotch_slow_callers_ended_total",
+            "Responses ended as their callers read too slowly for the host's memory.",
+            labels,
+            registry=self._registry,
+        )
         self._first_token = Histogram(
             "cornelnotch_first_token_seconds",
             "Time to first token by class.",
@@ -132,6 +138,10 @@
         """Count one server whose requests exceeded its memory."""
         self._memory_crashes.inc({})
 
+    def count_slow_caller(self) -> None:
+        """Count one response that was ended as its caller read too slowly."""
+        self._slow_callers.inc({})
+
     def observe_first_token(self, class_name: str, duration_ms: float) -> None:
         """Observe the time to first token in ms."""
         self._first_token.observe({"class": class_name}, duration_ms / 1000.0)
--- a/cornelnotch/web/exchange.py
+++ b/cornelnotch/web/exchange.py
@@ -121,6 +121,10 @@
             h11.Response(status_code=status, headers=raw_headers)
         )
 
+    def has_room(self, size: int) -> bool:
+        """Return whether a part of the body can be sent without waiting."""
+        return self._connection.has_room(size)
+
     async def send(self, data: bytes) -> None:
         """Send a part of the body, waiting while the write buffer is full."""
         await self._connection.send(h11.Data(data=data))
--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -28,6 +28,8 @@
 LINGER_POLL_S = 0.01
 MAX_DISCARDED_BYTES = 4 * 1024 * 1024
 WRITE_BUFFER_HIGH_BYTES = 65536
+# The size line of a chunk and the ends of its lines.
+MAX_CHUNK_FRAMING_BYTES = 32
 MAX_BUFFERED_BYTES = 65536
 STATUS_INTERNAL_ERROR = 500
 STATUS_UNAVAILABLE = 503
@@ -349,6 +351,11 @@
         """Return the size of the responses that were not yet passed to the system."""
         return self._writer.transport.get_write_buffer_size()
 
+    def has_room(self, size: int) -> bool:
+        """Return whether `size` bytes of a body fit into the write buffer."""
+        unsent_bytes = self.count_unsent_bytes() + size + MAX_CHUNK_FRAMING_BYTES
+        return unsent_bytes <= WRITE_BUFFER_HIGH_BYTES
+
     def abort(self) -> None:
         """Abort the connection immediately."""
         if self._is_ended_by_close():
