--- a/cornelnotch/pressure/tests/test_unread_responses.py
+++ b/cornelnotch/pressure/tests/test_unread_responses.py
@@ -1,6 +1,7 @@
 """Test that a host reads on from servers while callers read slowly."""
 
 import asyncio
+from typing import cast
 
 import pytest
 
@@ -73,7 +74,7 @@
 
 def test_beyond_the_bound_the_slowest_caller_ends_and_others_go_on():
     async def run():
-        ended = []
+        ended: list[int] = []
         memory, bodies = create_memory(20, ended)
         slow, steady = FakeExchange(take_ms=60_000.0), FakeExchange(take_ms=50.0)
         stuck, served = memory.wrap(slow), memory.wrap(steady)
@@ -98,7 +99,7 @@
 def test_a_steady_caller_of_a_large_response_is_waited_for():
     # A response may be larger than the memory; its caller must not lose it.
     async def run():
-        ended = []
+        ended: list[int] = []
         memory, _ = create_memory(5, ended)
         exchange = FakeExchange(take_ms=200.0)
         buffered = memory.wrap(exchange)
@@ -113,7 +114,7 @@
 
 def test_without_memory_a_caller_that_holds_nothing_is_served_as_before():
     async def run():
-        ended = []
+        ended: list[int] = []
         memory, bodies = create_memory(5, ended)
         bodies.hold().add(bodies.limit_bytes)
         exchange = FakeExchange(take_ms=3000.0)
@@ -157,7 +158,7 @@
     reader, writer = await asyncio.open_connection(
         *parse_address(deployment.settings.listen.callers), limit=1024
     )
-    writer.transport.pause_reading()
+    cast(asyncio.Transport, writer.transport).pause_reading()
     head = f"GET /read/a HTTP/1.1\r\nhost: {HOST_NAME}\r\nx-attempt-id: a1\r\n"
     writer.write(f"{head}x-key: {KEY}\r\nx-deadline-ms: 9000\r\n\r\n".encode())
     return reader, writer
@@ -173,7 +174,7 @@
             await wait_until(lambda: done)
             context = deployment.host.context
             size = 0
-            writer.transport.resume_reading()
+            cast(asyncio.Transport, writer.transport).resume_reading()
             async with asyncio.timeout(5.0):
                 while size < BODY_PARTS * len(BODY_PART):
                     size += (await reader.read(65536)).count(b"y")
@@ -199,7 +200,7 @@
             views = context.pool.servers.values()
             assert not any(view.failures for view in views)
             assert all(view.ejected_until_ms == 0.0 for view in views)
-            writer.transport.resume_reading()
+            cast(asyncio.Transport, writer.transport).resume_reading()
             with pytest.raises((ConnectionError, asyncio.IncompleteReadError)):
                 await reader.readexactly(BODY_PARTS * len(BODY_PART))
             writer.transport.abort()
