--- a/cornelnotch/pressure/byte_notices.py
+++ b/cornelnotch/pressure/byte_notices.py
@@ -138,4 +138,4 @@
         if any(total.size >= SHARED_BYTES for total in totals):
             held_bytes.activate(now)
         held_bytes.set_others(totals, self._reported, now)
-        held_bytes.set_bounds(summary.bounds)
+        held_bytes.set_bounds(summary.bounds, now)
--- a/cornelnotch/pressure/held_bytes.py
+++ b/cornelnotch/pressure/held_bytes.py
@@ -30,6 +30,10 @@
 FULL_SHARE = 0.9
 # Share of the size of a crash that servers get from then on.
 SAFE_SHARE = 0.8
+# A bound may be too low, as servers grow or a crash had another cause, so it is raised
+# by this share after each such time without a crash of memory.
+RAISED_SHARE = 0.02
+RAISE_INTERVAL_MS = 10_000.0
 # Sharing goes on for this long after the last reason for it.
 ACTIVE_MS = 10_000.0
 # Crashes of memory are remembered for the evidence against requests, and told to other
@@ -52,10 +56,14 @@
 
 @dataclass(slots=True)
 class ServiceMemory:
-    """The largest size that servers of a service bore, and the least that was fatal."""
+    """The largest size that servers of a service bore, and the least that was fatal.
+
+    The latter was last changed at `changed_ms`.
+    """
 
     borne: int = 0
     fatal: int = 0
+    changed_ms: float = 0.0
 
     @property
     def bound(self) -> int:
@@ -71,6 +79,7 @@
     at_ms: float
     by_host: dict[str, int] = field(default_factory=dict)
     is_explained: bool = False
+    is_learned: bool = False
 
     @property
     def size(self) -> int:
@@ -173,23 +182,31 @@
         Only the collector knows how much all hosts had there.
         """
         for crash in self._crashes.values():
-            if not crash.is_explained or now - crash.at_ms < COMPLETE_MS:
-                continue
-            memory = self._services.setdefault(crash.service, ServiceMemory())
-            memory.fatal = min(memory.fatal or crash.size, crash.size)
-            # Servers bear less now than at an earlier success.
-            memory.borne = min(memory.borne, int(memory.fatal * FULL_SHARE))
+            is_complete = now - crash.at_ms >= COMPLETE_MS
+            if crash.is_explained and is_complete and not crash.is_learned:
+                crash.is_learned = True
+                memory = self._services.setdefault(crash.service, ServiceMemory())
+                memory.fatal = min(memory.fatal or crash.size, crash.size)
+                memory.changed_ms = now
+                # Servers bear less now than at an earlier success.
+                memory.borne = min(memory.borne, int(memory.fatal * FULL_SHARE))
+        for memory in self._services.values():
+            if memory.fatal and now - memory.changed_ms >= RAISE_INTERVAL_MS:
+                memory.fatal += int(memory.fatal * RAISED_SHARE)
+                memory.changed_ms = now
         return [
             ServiceBytes(service, memory.borne, memory.fatal)
             for service, memory in self._services.items()
             if memory.fatal
         ]
 
-    def set_bounds(self, bounds: Iterable[ServiceBytes]) -> None:
+    def set_bounds(self, bounds: Iterable[ServiceBytes], now: float) -> None:
         """Apply what the collector has learned."""
         for told in bounds:
             if told.fatal >= SHARED_BYTES and 0 <= told.borne <= told.fatal:
                 memory = self._services.setdefault(told.service, ServiceMemory())
+                if memory.fatal != told.fatal:
+                    memory.changed_ms = now
                 memory.fatal = told.fatal
                 memory.borne = min(max(memory.borne, told.borne), told.fatal)
 
--- a/cornelnotch/pressure/tests/test_held_bytes.py
+++ b/cornelnotch/pressure/tests/test_held_bytes.py
@@ -11,6 +11,7 @@
 from cornelnotch.pressure.held_bytes import (
     ACTIVE_MS,
     COMPLETE_MS,
+    RAISE_INTERVAL_MS,
     SAFE_SHARE,
     HeldBytes,
 )
@@ -67,7 +68,7 @@
 
 def test_a_server_near_its_bound_gets_no_large_request():
     held_bytes = HeldBytes("h1")
-    held_bytes.set_bounds([ServiceBytes("desk", 4 * MB, 10 * MB)])
+    held_bytes.set_bounds([ServiceBytes("desk", 4 * MB, 10 * MB)], 0.0)
     full, empty = create_view("s-1", 3 * MB), create_view("s-2", 0)
     held_bytes.set_others([ServerBytes("s-1", BOOT, 7 * MB)], {"s-1": 3 * MB}, 0.0)
     assert held_bytes.measure(full, 10.0) == 7 * MB
@@ -84,7 +85,7 @@
     held_bytes.note_alive(create_view(held=2 * MB), 60, 0.0)
     assert held_bytes.is_active(ACTIVE_MS - 1.0)
     assert not held_bytes.is_active(ACTIVE_MS)
-    held_bytes.set_bounds([ServiceBytes("desk", 0, 6 * MB)])
+    held_bytes.set_bounds([ServiceBytes("desk", 0, 6 * MB)], 0.0)
     held_bytes.note_alive(create_view(held=MB // 10), 60, 20_000.0)
     assert held_bytes.is_active(20_001.0)
 
@@ -94,10 +95,26 @@
 )
 def test_absurd_bounds_of_another_host_are_ignored(told):
     held_bytes = HeldBytes("h1")
-    held_bytes.set_bounds([told])
+    held_bytes.set_bounds([told], 0.0)
     assert held_bytes.find_bound("desk") == 0
 
 
+def test_a_bound_rises_while_servers_do_not_crash():
+    # A bound that was learned too low must not refuse requests for good.
+    held_bytes = HeldBytes("h1")
+    note_crash(held_bytes, {"h1": 10 * MB}, 0.0)
+    held_bytes.learn_bounds(COMPLETE_MS)
+    bounds = [
+        held_bytes.learn_bounds(COMPLETE_MS + step * RAISE_INTERVAL_MS)[0].fatal
+        for step in range(4)
+    ]
+    assert bounds == sorted(set(bounds))
+    assert 10 * MB < bounds[-1] < 11 * MB
+    note_crash(held_bytes, {"h1": 9 * MB + MB // 2}, 50_000.0, "s-2")
+    (learned,) = held_bytes.learn_bounds(50_000.0 + COMPLETE_MS)
+    assert learned.fatal == 9 * MB + MB // 2
+
+
 def create_requests(size):
     return [
         InFlightRequest(
