--- a/cornelnotch/pressure/tests/test_stated_loads.py
+++ b/cornelnotch/pressure/tests/test_stated_loads.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from cornelnotch.gateway.tests.conftest import run_deployment
+from cornelnotch.gateway.tests.conftest import (
+    run_deployment,
+    run_second_host,
+    wait_until,
+)
 from cornelnotch.kernel.events import Event
 from cornelnotch.pressure.models import ServerLoad
 
@@ -67,3 +71,35 @@
         assert all(len(fields["text"]) <= 80 for fields in malformed)
 
     asyncio.run(run())
+
+
+def test_other_hosts_hear_of_a_load_over_the_collector():
+    # One host sees a given server only every some seconds.
+    async def run():
+        async with (
+            run_deployment() as deployment,
+            run_second_host(deployment) as second,
+        ):
+            for server in deployment.desks:
+                state_in_responses(server, "6,2,6,250")
+            hosts = [deployment.host, second]
+            for sender, hearer in (hosts, hosts[::-1]):
+                address = sender.settings.listen.callers
+                response = await deployment.send("/read/a", address=address)
+                assert response.status == 200
+                assert await response.read()
+                (name,) = {
+                    name
+                    for name in ("desk-1", "desk-2")
+                    if sender.context.loads.find_newest(name) is not None
+                }
+                await wait_until(
+                    lambda hearer=hearer, name=name: (
+                        hearer.context.loads.find_newest(name) is not None
+                    )
+                )
+                for host in hosts:
+                    host.context.loads._newest.clear()
+                    host.load_notices._news._told.clear()
+
+    asyncio.run(run())
