Merge server load, bytes in flight and slow callers

Calls whose servers state loads are placed by the placer whatever the strategy for prompts is; expected rates follow the pace that engines state.

--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -50,6 +50,10 @@
 from cornelnotch.kernel.hashing import hash_text, select_owner
 from cornelnotch.membership import Member
 from cornelnotch.observation.metrics import NodeMetrics
+from cornelnotch.pressure.held_bytes import HeldBytes
+from cornelnotch.pressure.models import ServerLoad
+from cornelnotch.pressure.observed_load import ObservedLoads
+from cornelnotch.pressure.unread_responses import UnreadMemory
 from cornelnotch.web import Exchange, HttpClient
 from cornelnotch.wire import PeerNetwork
 from cornelnotch.wire.messages import (
@@ -107,12 +111,22 @@
         self.drain = Drain(clock)
         self.durations = DurationTracker()
         self.bodies = BodyMemory(settings.bounds.memory_mb)
+        self.unread = UnreadMemory(self.bodies, clock, self._note_slow_caller)
         self.rate_limits = RateLimitTable()
         self.rejections = RejectionTable()
         self.engine_rates = EngineRateTable()
         self.exposures = ExposureTracker()
+        self.loads = ObservedLoads()
+        self.held_bytes = HeldBytes(settings.host.name)
+        self.share_held_bytes: Callable[[], None] = lambda: None
         self.placer = Placer(
-            settings.host.domain, settings.regions, self.engine_rates, self.rate_limits
+            settings.host.domain,
+            settings.regions,
+            self.engine_rates,
+            self.rate_limits,
+            self.loads,
+            random.Random(f"{settings.host.name}/calls"),
+            self.held_bytes,
         )
         self._install_strategy()
         self.table = RoutingTable(NO_VERSION, {}, {}, None, CallerLimits())
@@ -138,6 +152,9 @@
         )
         self.software_history = SoftwareHistory(clock.read())
         self.find_listed_ms: Callable[[], float] = clock.read
+        self.announce_load: Callable[[ServerView, ServerLoad], None] = (
+            lambda view, load: None
+        )
         self.announce_leaving: Callable[[str, int], None] = lambda server, boot_ms: None
         self.count_usage: Callable[[str], None] = lambda workspace: None
         self._longest_of: RoutingTable | None = None
@@ -178,6 +195,16 @@
     async def _ask_nobody(request_id: str, service: str) -> OriginAnswer:
         return OriginAnswer(None, is_final=False)
 
+    def _note_slow_caller(self, held_bytes: int, spent_ms: float) -> None:
+        """Log that the response of a slow caller was ended for want of memory."""
+        self.metrics.count_slow_caller()
+        self.events.record(
+            Event.SLOW_CALLER_ENDED,
+            held_bytes=held_bytes,
+            spent_ms=round(spent_ms, 1),
+            unread_bytes=self.unread.held_bytes,
+        )
+
     def find_first_stream_ms(self) -> float:
         """Return the start time of the oldest stream that a caller may resume."""
         if self._longest_of is not self.table:
@@ -235,15 +262,41 @@
     def record_crash(self, life: ServerLife, requests: list[InFlightRequest]) -> None:
         """Accuse the requests at a server that has crashed, and their prompt parts.
 
-        They are not to blame for a brittle server that had rejected others.
+        They are not to blame for a brittle server that had rejected others, or for one
+        whose memory they exceeded together.
         """
         now = self.clock.read()
+        view = self.pool.servers.get(life.server)
+        sizes = {request.request_id: request.held_bytes for request in requests}
+        host = self.settings.host.name
+        if view is not None and self.note_memory_crash(
+            life.server, life.boot_ms, view.record.service, host, sum(sizes.values())
+        ):
+            return
         if self.rejections.explains_fall(life.server, life.boot_ms, now):
             return
         parts = [request.shared_parts + request.fingerprints for request in requests]
         found = self.crashes.record_crash(life.server, life.boot_ms, parts, now)
         self._log_blamed(found, self.settings.host.name)
 
+    def note_memory_crash(
+        self, server: str, boot_ms: int, service: str, host: str, size: int
+    ) -> bool:
+        """Note what a host had at a crashed server; return whether that explains it."""
+        now = self.clock.read()
+        was_explained = self.held_bytes.explains_fall(server, boot_ms, now)
+        is_explained = self.held_bytes.note_crash(
+            server, boot_ms, service, host, size, now
+        )
+        self.share_held_bytes()
+        if is_explained and not was_explained:
+            self.events.record(
+                Event.SERVER_MEMORY_EXCEEDED, server=server, boot_ms=boot_ms, bytes=size
+            )
+            self.metrics.count_memory_crash()
+        self.crashes.forget_fall(server, boot_ms, self.held_bytes.explains_fall)
+        return is_explained
+
     def record_sound(self, request: CallerRequest) -> None:
         """Clear a request whose response ended whole, and its prompt parts."""
         parts = request.list_crash_parts()
@@ -262,6 +315,7 @@
             if not self.rejections.explains_fall(
                 crash.server, crash.boot_ms, now - crash.age_ms
             )
+            and not self.held_bytes.explains_fall(crash.server, crash.boot_ms, now)
         ]
         notice = replace(notice, crashes=crashes)
         self._log_blamed(self.crashes.merge(notice, now), sender)
--- a/cornelnotch/gateway/placement.py
+++ b/cornelnotch/gateway/placement.py
@@ -1,5 +1,6 @@
 """Select the server for a request, without sockets or clocks."""
 
+import random
 from abc import ABC, abstractmethod
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass, replace
@@ -11,6 +12,9 @@
 from cornelnotch.gateway.rate_limits import RateLimitTable
 from cornelnotch.gateway.servers import ServerView
 from cornelnotch.kernel.hashing import rank_owners
+from cornelnotch.pressure.call_choice import CallChooser, CallEstimate
+from cornelnotch.pressure.held_bytes import HeldBytes, measure_request_bytes
+from cornelnotch.pressure.observed_load import ObservedLoads
 from cornelnotch.wire.messages import EngineRates, ServerUsage
 
 __all__ = [
@@ -146,8 +150,10 @@
         regions: dict[str, str],
         engine_rates: EngineRateTable | None = None,
         rate_limits: RateLimitTable | None = None,
+        loads: ObservedLoads | None = None,
     ) -> None:
         self.aggregates = LoadAggregates({})
+        self._loads = loads or ObservedLoads()
         self._engine_rates = engine_rates or EngineRateTable()
         self._rate_limits = rate_limits or RateLimitTable()
         self._domain = domain
@@ -167,6 +173,27 @@
         """Return the rates of an engine, or the mean rates of its service."""
         return self._engine_rates.get(server.record.name, server.record.service)
 
+    def get_rates_now(self, server: ServerView, now: float) -> EngineRates:
+        """Return the rates of an engine at the pace that it states now."""
+        rates = self.get_rates(server)
+        record = server.record
+        pace = self._loads.find_pace(record.name, record.boot_ms, now)
+        if pace == 1.0:
+            return rates
+        return replace(
+            rates,
+            read_rate=rates.read_rate / pace,
+            chunk_rate=rates.chunk_rate / pace,
+            event_ms=rates.event_ms * pace,
+        )
+
+    def is_near(self, server: ServerView) -> bool:
+        """Return whether a server is in the region of this host."""
+        domain = server.record.domain
+        return domain == self._domain or (
+            self._regions.get(domain) == self._regions.get(self._domain)
+        )
+
     def get_average_rates(self, service: str) -> EngineRates:
         """Return the mean rates of a service."""
         return self._engine_rates.get_average(service)
@@ -242,9 +269,17 @@
         regions: dict[str, str],
         engine_rates: EngineRateTable | None = None,
         rate_limits: RateLimitTable | None = None,
+        loads: ObservedLoads | None = None,
+        generator: random.Random | None = None,
+        held_bytes: HeldBytes | None = None,
     ) -> None:
-        self.estimates = ServerEstimates(domain, regions, engine_rates, rate_limits)
+        loads = loads or ObservedLoads()
+        self.estimates = ServerEstimates(
+            domain, regions, engine_rates, rate_limits, loads
+        )
         self.strategy: PlacementStrategy = OwnerStrategy(self.estimates)
+        self._held_bytes = held_bytes or HeldBytes("")
+        self._calls = CallChooser(loads, generator or random.Random())
 
     @property
     def aggregates(self) -> LoadAggregates:
@@ -261,10 +296,56 @@
     ) -> Placement | None:
         """Return the server with the lowest cost, or None if all are excluded."""
         candidates = [s for s in servers if s.record.name not in need.excluded]
+        size = measure_request_bytes(request)
+        candidates = self._held_bytes.list_with_room(candidates, size, now)
         if not candidates:
             return None
+        if self.states_loads(candidates, route, now):
+            return self._choose_for_call(candidates, need, now)
         return self.strategy.choose(candidates, servers, route, request, need, now)
 
+    def states_loads(self, servers: list[ServerView], route: Route, now: float) -> bool:
+        """Return whether a call may use the loads that these servers state."""
+        return route.kind is not WorkKind.STREAM and self._calls.knows_any(servers, now)
+
+    def estimate_call(self, server: ServerView, now: float) -> CallEstimate:
+        """Return what a call may expect at a server that states its load."""
+        others = self.aggregates.get(server.record.name, now)
+        return self._calls.estimate(server, others, now)
+
+    def is_near(self, server: ServerView) -> bool:
+        """Return whether a server is in the region of this host."""
+        return self.estimates.is_near(server)
+
+    def _choose_for_call(
+        self, candidates: list[ServerView], need: PlacementNeed, now: float
+    ) -> Placement:
+        """Return the best of a few servers for a call, by the loads that they state.
+
+        Comparing all would send the calls of all hosts to the server that looks empty.
+        """
+        estimates = self.estimates
+        expected = {s.record.name: self.estimate_call(s, now) for s in candidates}
+        compared = candidates
+        if not need.current:
+            unlimited = [s for s in candidates if not estimates.is_limited(s)]
+            drawn = unlimited or candidates
+            near = [self.is_near(server) for server in drawn]
+            found = [expected[server.record.name] for server in drawn]
+            compared = self._calls.draw(drawn, found, near)
+        costs = []
+        for server in compared:
+            usage = estimates.measure_usage(server, now)
+            cost = estimates.compute_distance_cost(server.record.domain)
+            cost += FAILURE_COST_MS * min(usage.failures, MAX_FAILURES)
+            cost += expected[server.record.name].cost_ms
+            cost += estimates.compute_permit_cost(server, need, now)
+            if server.record.name == need.current:
+                cost -= MOVE_COST_MS
+            costs.append(cost)
+        best = min(range(len(compared)), key=costs.__getitem__)
+        return Placement(compared[best], costs[best], 0, len(candidates))
+
     def measure_usage(self, server: ServerView, now: float) -> ServerUsage:
         """Return the load of a server from this host and, if known, others."""
         return self.estimates.measure_usage(server, now)
@@ -299,7 +380,7 @@
         best: Placement | None = None
         for server in candidates:
             prefill = self._count_prefill(server, request, server is owner)
-            rates = estimates.get_rates(server)
+            rates = estimates.get_rates_now(server, now)
             cost = self._compute_load_cost(
                 server, route, need.priority, prefill, rates, now
             )
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -133,6 +133,11 @@
         logging.WARNING,
         "a server crashed while it served requests",
     )
+    SERVER_MEMORY_EXCEEDED = (
+        4013,
+        logging.WARNING,
+        "a server crashed as its requests exceeded its memory; add servers or memory",
+    )
     PROMPT_BLAMED = (
         4008,
         logging.WARNING,
@@ -173,6 +178,11 @@
         logging.WARNING,
         "a server asked for a pause of invalid length",
     )
+    SERVER_LOAD_MALFORMED = (
+        3013,
+        logging.WARNING,
+        "a server stated an invalid load, which is ignored; correct its X-Server-Load",
+    )
     SERVER_ENTRY_REJECTED = (
         3011,
         logging.WARNING,
@@ -209,6 +219,16 @@
         logging.INFO,
         "another server was sought for the call of a silent one",
     )
+    CALL_HELD = (
+        6017,
+        logging.INFO,
+        "a call waited at this host, as its server was slow or full",
+    )
+    SLOW_CALLER_ENDED = (
+        6018,
+        logging.WARNING,
+        "the response of the slowest caller was ended, as unread ones fill the memory",
+    )
     REQUEST_ANSWERED = (6006, logging.INFO, "a request was answered completely")
     REQUEST_BROKEN_OFF = (6007, logging.INFO, "a response ended early")
     TURN_CAME = (
--- a/cornelnotch/wire/messages.py
+++ b/cornelnotch/wire/messages.py
@@ -50,9 +50,15 @@
     "RecordFetch",
     "RecordItem",
     "RecordUpdates",
+    "ServerBytes",
+    "ServerBytesReport",
+    "ServerBytesSummary",
     "ServerLeaving",
+    "ServerLoadNotice",
+    "ServerLoadNotices",
     "ServerUpdate",
     "ServerUsage",
+    "ServiceBytes",
     "StreamOriginQuery",
     "StreamOriginReply",
     "StreamOriginReport",
@@ -715,6 +721,71 @@
     rows: list[DemandRow]
 
 
+@dataclass(frozen=True, slots=True)
+class ServerLoadNotice:
+    """State the load of a server process that a host observed `age_ms` ago.
+
+    `running` and `waiting` count the requests of all hosts, `pace` is how many times
+    its usual time work takes there.
+    """
+
+    server: str
+    boot_ms: int
+    running: int
+    waiting: int
+    slots: int
+    pace: float
+    age_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLoadNotices:
+    """State the loads of servers; the receiver forwards the message to `targets`."""
+
+    loads: list[ServerLoadNotice]
+    targets: list[str]
+
+
+@dataclass(frozen=True, slots=True)
+class ServerBytes:
+    """State how many bytes of requests a server process holds, or held at its end."""
+
+    server: str
+    boot_ms: int
+    size: int
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceBytes:
+    """State how many bytes servers of a service bore, and how many were fatal."""
+
+    service: str
+    borne: int
+    fatal: int
+
+
+@dataclass(frozen=True, slots=True)
+class ServerBytesReport:
+    """Report the bytes of a host's requests at servers, also at crashed ones."""
+
+    host: str
+    counts: list[ServerBytes]
+    crashes: list[ServerBytes]
+
+
+@dataclass(frozen=True, slots=True)
+class ServerBytesSummary:
+    """State the bytes of all hosts at servers, and crashes for want of memory.
+
+    The receiver forwards the message to `targets`.
+    """
+
+    totals: list[ServerBytes]
+    bounds: list[ServiceBytes]
+    crashes: list[ServerBytes]
+    targets: list[str]
+
+
 def list_message_types() -> list[type]:
     """Return the message types; the index of each is its type id on the wire."""
     return [
@@ -755,4 +826,7 @@
         UsageTotals,
         UsageReceipt,
         DemandTotals,
+        ServerLoadNotices,
+        ServerBytesReport,
+        ServerBytesSummary,
     ]
