--- a/cornelnotch/gateway/body_memory.py
+++ b/cornelnotch/gateway/body_memory.py
@@ -3,6 +3,7 @@
 import os
 
 from cornelnotch.exceptions import HostMemoryError
+from cornelnotch.web import MemoryAccount
 
 __all__ = ["BodyMemory", "HeldBody"]
 
@@ -19,9 +20,13 @@
 
 
 class BodyMemory:
-    """Bytes of bodies that a host holds, of which each body adds what has arrived."""
+    """Bytes of bodies that a host holds, of which each body adds what has arrived.
 
-    def __init__(self, memory_mb: float) -> None:
+    The bodies are part of what the connections of `account` hold.
+    """
+
+    def __init__(self, memory_mb: float, account: MemoryAccount | None = None) -> None:
+        self._account = account
         self.limit_bytes = 0
         self.held_bytes = 0
         self.set_memory(memory_mb)
@@ -31,6 +36,12 @@
         memory_mb = memory_mb or measure_machine_memory_mb()
         self.limit_bytes = int(memory_mb * BYTES_PER_MB * BODY_SHARE)
 
+    def has_room(self, size: int) -> bool:
+        """Return whether further bytes may be held."""
+        if self.held_bytes + size > self.limit_bytes:
+            return False
+        return self._account is None or self._account.find_room(size)
+
     def hold(self) -> "HeldBody":
         """Return a body of which nothing has arrived."""
         return HeldBody(self)
@@ -45,9 +56,9 @@
 
     def add(self, size: int) -> None:
         """Add bytes that have arrived; raise HostMemoryError if there is no room."""
-        if self._memory.held_bytes + size > self._memory.limit_bytes:
+        if not self._memory.has_room(size):
             raise HostMemoryError(
-                f"the bodies of requests exceed {self._memory.limit_bytes} bytes",
+                "the bodies of requests exceed the memory of the host",
                 "retry later, or at another host",
             )
         self._memory.held_bytes += size
--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -9,6 +9,7 @@
 from cornelnotch.gateway.admission_client import AdmissionClient
 from cornelnotch.gateway.backups import ExposureTracker, choose_backup, is_worth_backup
 from cornelnotch.gateway.body_memory import BodyMemory
+from cornelnotch.gateway.closed_connections import ClosedConnections
 from cornelnotch.gateway.crash_evidence import CrashEvidence
 from cornelnotch.gateway.crash_watch import CrashWatch, ServerLife
 from cornelnotch.gateway.drain import Drain
@@ -41,7 +42,7 @@
 from cornelnotch.kernel.hashing import hash_text, select_owner
 from cornelnotch.membership import Member
 from cornelnotch.observation.metrics import NodeMetrics
-from cornelnotch.web import Exchange, HttpClient
+from cornelnotch.web import Exchange, HttpClient, MemoryAccount
 from cornelnotch.wire import PeerNetwork
 from cornelnotch.wire.messages import (
     CrashEvidenceNotice,
@@ -96,7 +97,9 @@
         self.list_linked_hosts: Callable[[str], list[Member]] = lambda service: []
         self.drain = Drain(clock)
         self.durations = DurationTracker()
-        self.bodies = BodyMemory(settings.bounds.memory_mb)
+        self.memory = MemoryAccount(settings.bounds.memory_mb, clock)
+        self.memory.note_closed = ClosedConnections(clock, events, self.metrics).note
+        self.bodies = BodyMemory(settings.bounds.memory_mb, self.memory)
         self.rate_limits = RateLimitTable()
         self.rejections = RejectionTable()
         self.engine_rates = EngineRateTable()
@@ -259,6 +262,7 @@
     def apply_bounds(self) -> None:
         """Apply the bounds of changed settings."""
         bounds = self.settings.bounds
+        self.memory.set_memory(bounds.memory_mb)
         self.bodies.set_memory(bounds.memory_mb)
         for budget in self._budgets.values():
             budget.set_bounds(
--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -35,6 +35,8 @@
 from cornelnotch.membership import Member, MemberState, MemberTable, Prober, ServerTable
 from cornelnotch.membership.prober import ProberTiming
 from cornelnotch.web import HttpClient, HttpServer, parse_address
+from cornelnotch.web.descriptors import count_usable_descriptors, share_descriptors
+from cornelnotch.web.memory import measure_process_bytes
 from cornelnotch.wire import PeerNetwork
 from cornelnotch.wire.messages import MemberUpdate
 
@@ -89,7 +91,14 @@
         )
         self.admission_controller = AdmissionController(self.context, self.peers)
         self.frontend = Frontend(self.context)
-        self.server = HttpServer(self.frontend.handle)
+        self.server = HttpServer(
+            self.frontend.handle, account=self.context.memory, listener="callers"
+        )
+        self.shares = share_descriptors(
+            count_usable_descriptors(settings.bounds.reserved_descriptors)
+        )
+        self.server.limits.connections = self.shares.callers
+        self.peers.bound(self.context.memory, self.shares.peers)
         self._build_membership()
         self._build_state(source, decoder, origin_log)
         self.discovery = HostDiscovery(
@@ -228,6 +237,9 @@
         metrics.set_state("version", self.context.table.version)
         metrics.set_state("store_timeline", self.follower.timeline)
         metrics.set_state("body_bytes", self.context.bodies.held_bytes)
+        metrics.set_state("held_bytes", self.context.memory.held_bytes)
+        metrics.set_state("held_bytes_limit", self.context.memory.limit_bytes)
+        metrics.set_state("caller_connections", self.server.count_connections())
         metrics.set_state("held_records", self.follower.count_older_records())
         metrics.set_state("peer_bytes", self.peers.sent_bytes)
         metrics.set_state("blamed_prompts", self.context.crashes.count_blamed())
@@ -238,6 +250,7 @@
 
     async def start(self) -> None:
         """Open the listeners and start every task."""
+        self.context.memory.set_idle_process(measure_process_bytes())
         await self.peers.start(*parse_address(self.settings.listen.peers))
         await self.server.start(*parse_address(self.settings.listen.callers))
         self.tasks.start_supervised("configuration", self.follower.run_configuration)
@@ -277,6 +290,7 @@
         """Apply the limits of a new routing table."""
         limits = self.context.table.limits
         self.server.limits.header_bytes = limits.header_bytes
+        self.server.limits.header_fields = self.settings.bounds.header_fields
         self.server.limits.header_timeout_s = limits.header_timeout_ms / 1000.0
         self.server.limits.idle_timeout_s = limits.idle_timeout_ms / 1000.0
 
--- a/cornelnotch/gateway/settings.py
+++ b/cornelnotch/gateway/settings.py
@@ -68,6 +68,12 @@
         float,
         describe_amount("memory of the process in MB; that of the machine when 0"),
     ] = 0.0
+    header_fields: Annotated[
+        int, describe_amount("most header fields of a request from a caller")
+    ] = 512
+    reserved_descriptors: Annotated[
+        int, describe_amount("descriptors of the process that no connection takes")
+    ] = 200
 
 
 class DutiesSection(msgspec.Struct):
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -173,6 +173,11 @@
         logging.WARNING,
         "the entry of a server is malformed and left out",
     )
+    CONNECTIONS_CLOSED = (
+        6017,
+        logging.WARNING,
+        "connections were closed to keep within the memory or descriptors of the host",
+    )
     REQUEST_REFUSED = (6001, logging.INFO, "a request was refused")
     REQUEST_MALFORMED = (6002, logging.DEBUG, "a request was malformed")
     REQUEST_ROUTED = (6003, logging.INFO, "a request was mapped to a service")
--- a/cornelnotch/observation/metrics.py
+++ b/cornelnotch/observation/metrics.py
@@ -71,6 +71,12 @@
             labels,
             registry=self._registry,
         )
+        self._closed_connections = Counter(
+            "cornelnotch_closed_connections_total",
+            "Connections closed to keep within the machine, by listener and reason.",
+            labels,
+            registry=self._registry,
+        )
         self._first_token = Histogram(
             "cornelnotch_first_token_seconds",
             "Time to first token by class.",
@@ -122,6 +128,10 @@
         """Count one server that crashed while it served requests of this host."""
         self._server_crashes.inc({})
 
+    def count_closed_connection(self, listener: str, reason: str) -> None:
+        """Count one connection that was closed to keep within the machine."""
+        self._closed_connections.inc({"listener": listener, "reason": reason})
+
     def observe_first_token(self, class_name: str, duration_ms: float) -> None:
         """Observe the time to first token in ms."""
         self._first_token.observe({"class": class_name}, duration_ms / 1000.0)
--- a/cornelnotch/platform/program.py
+++ b/cornelnotch/platform/program.py
@@ -20,7 +20,7 @@
 from cornelnotch.platform.header_codec import PlatformHeaderCodec
 from cornelnotch.platform.identity import PlatformServerIdentity
 from cornelnotch.platform.store import PlatformStore
-from cornelnotch.web import HttpClient, HttpServer, parse_address
+from cornelnotch.web import HttpClient, HttpServer, ServerLimits, parse_address
 
 __all__ = ["run_host"]
 
@@ -68,9 +68,25 @@
     host.context.metrics.register_state_gauge(
         "dropped_log_lines", lambda: output.dropped
     )
-    directory = HttpServer(ResolutionEndpoint(host.directory).handle)
-    readiness = HttpServer(ReadinessEndpoint(host.is_ready).handle)
-    metrics = HttpServer(MetricsEndpoint(host.render_metrics).handle)
+    memory, shares = host.context.memory, host.shares
+    directory = HttpServer(
+        ResolutionEndpoint(host.directory).handle,
+        ServerLimits(connections=shares.directory),
+        memory,
+        "directory",
+    )
+    readiness = HttpServer(
+        ReadinessEndpoint(host.is_ready).handle,
+        ServerLimits(connections=shares.readiness),
+        memory,
+        "readiness",
+    )
+    metrics = HttpServer(
+        MetricsEndpoint(host.render_metrics).handle,
+        ServerLimits(connections=shares.metrics),
+        memory,
+        "metrics",
+    )
 
     watch = watch_settings(path, host, store) if path else None
     loop = asyncio.get_running_loop()
--- a/cornelnotch/web/__init__.py
+++ b/cornelnotch/web/__init__.py
@@ -7,6 +7,7 @@
     parse_address,
 )
 from cornelnotch.web.exchange import Exchange
+from cornelnotch.web.memory import MemoryAccount
 from cornelnotch.web.server import HttpServer, ServerLimits
 
 __all__ = [
@@ -14,6 +15,7 @@
     "HttpClient",
     "HttpResponse",
     "HttpServer",
+    "MemoryAccount",
     "Reachability",
     "ServerLimits",
     "parse_address",
--- a/cornelnotch/web/connections.py
+++ b/cornelnotch/web/connections.py
@@ -2,17 +2,28 @@
 
 import asyncio
 import fcntl
+import os
 import socket
 import struct
 import termios
 
-__all__ = ["count_outstanding_bytes", "reset_on_close"]
+__all__ = ["count_outstanding_bytes", "lengthen_queues", "reset_on_close"]
 
 # struct linger: enabled, for 0 seconds.
 NO_LINGER = struct.pack("ii", 1, 0)
 QUEUE_SIZE = struct.Struct("i")
 
 
+def lengthen_queues(server: asyncio.Server, backlog: int) -> None:
+    """Let the system queue more connections than asyncio accepts in one step.
+
+    asyncio uses one number for both.
+    """
+    for listener in server.sockets:
+        with socket.socket(fileno=os.dup(listener.fileno())) as duplicate:
+            duplicate.listen(backlog)
+
+
 def reset_on_close(writer: asyncio.StreamWriter) -> None:
     """Make closing the connection of `writer` reset it, so that its peer notices."""
     connection = writer.get_extra_info("socket")
--- a/cornelnotch/web/exchange.py
+++ b/cornelnotch/web/exchange.py
@@ -66,6 +66,9 @@
 
         `note_received` is called with the size of each part that arrives.
         """
+        if self._find_announced_bytes() > limit_bytes:
+            raise BodyTooLargeError(limit_bytes)
+        memory = self._connection.memory
         body = bytearray()
         parts = 0
         while not self._body_ended:
@@ -75,6 +78,7 @@
                 if len(body) + len(event.data) > limit_bytes:
                     raise BodyTooLargeError(limit_bytes)
                 note_received(len(event.data))
+                memory.add_part("body", len(event.data))
                 body += event.data
                 parts += 1
                 if parts % PARTS_PER_STEP == 0:
@@ -85,9 +89,17 @@
                 raise CallerDisconnectedError(
                     "caller closed the connection within the body", "retry the request"
                 )
+        # From here on the request may be at a server, and is not ended for its memory.
+        memory.protected = True
         self._connection.watch_for_close()
         return bytes(body)
 
+    def _find_announced_bytes(self) -> int:
+        """Return the size that the head announces, 0 if it does not."""
+        if self._body_ended:
+            return 0
+        return int(self.headers.get(CONTENT_LENGTH, 0))
+
     async def _read_event_with_timeout(self) -> object:
         try:
             async with asyncio.timeout(BODY_TIMEOUT_S):
--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -15,22 +15,43 @@
     RequestError,
 )
 from cornelnotch.kernel.tasks import cancel_and_wait
-from cornelnotch.web.connections import count_outstanding_bytes, reset_on_close
+from cornelnotch.web.connections import (
+    count_outstanding_bytes,
+    lengthen_queues,
+    reset_on_close,
+)
 from cornelnotch.web.exchange import Exchange
+from cornelnotch.web.input import (
+    PIECE_BYTES,
+    SMALL_PIECE_BYTES,
+    PulledProtocol,
+    PulledReader,
+)
+from cornelnotch.web.memory import MemoryAccount
 from cornelnotch.web.turns import WorkTurns
 
 __all__ = ["Handler", "HttpServer", "ServerConnection", "ServerLimits"]
 
-READ_BYTES = 65536
+READ_BYTES = PIECE_BYTES
 MAX_HEADER_BYTES = 32768
+# Heads of 32,768 bytes rarely have more than a hundred fields; each takes 500 bytes.
+MAX_HEADER_FIELDS = 512
+HEAD_PIECE_BYTES = 16384
 HEADER_TIMEOUT_S = 60.0
 LINGER_TIMEOUT_S = 1.0
 LINGER_POLL_S = 0.01
 MAX_DISCARDED_BYTES = 4 * 1024 * 1024
 WRITE_BUFFER_HIGH_BYTES = 65536
-MAX_BUFFERED_BYTES = 65536
+# Bytes of further requests that are read to notice that a caller closes.
+MAX_PIPELINED_BYTES = SMALL_PIECE_BYTES
 STATUS_INTERNAL_ERROR = 500
 STATUS_UNAVAILABLE = 503
+STATUS_HEADER_FIELDS = 431
+LISTEN_BACKLOG = 1024
+# Connections accepted in one step of the event loop, each of which may be one too many.
+ACCEPTS_PER_STEP = 16
+# Share of the connections that are closed at once to make room for others.
+CLEARED_CONNECTIONS = 0.02
 # Steps of the event loop from accepting a connection to its task.
 ACCEPT_STEPS = 8
 # Callers of older versions do not understand chunked bodies.
@@ -44,13 +65,16 @@
 class ServerLimits:
     """Limits on requests of callers; may be changed while the server runs.
 
-    If `draining` is set, responses ask callers to close their connections.
+    If `draining` is set, responses ask callers to close their connections. More than
+    `connections` are not kept; 0 means any number.
     """
 
     header_bytes: int = MAX_HEADER_BYTES
+    header_fields: int = MAX_HEADER_FIELDS
     header_timeout_s: float = HEADER_TIMEOUT_S
     idle_timeout_s: float = HEADER_TIMEOUT_S
     draining: bool = False
+    connections: int = 0
 
 
 class ServerConnection:
@@ -58,12 +82,20 @@
 
     def __init__(
         self,
-        reader: asyncio.StreamReader,
+        reader: PulledReader,
         writer: asyncio.StreamWriter,
         limits: ServerLimits,
         turns: WorkTurns,
+        account: MemoryAccount,
+        listener: str,
     ) -> None:
         self.turns = turns
+        self.memory = account.open(listener, self._close_at_once)
+        self.requests = 0
+        self.opened_ms = account.clock.read()
+        self.is_handling = False
+        self._account = account
+        self._unparsed_bytes = 0
         self._reader = reader
         self._writer = writer
         self._limits = limits
@@ -73,6 +105,7 @@
         self._close_watcher: asyncio.Task[None] | None = None
         self._closing = False
         self.lingering = False
+        self._is_head_refused = False
         self._reading: asyncio.Timeout | None = None
         self.disconnected = asyncio.Event()
         writer.transport.set_write_buffer_limits(high=WRITE_BUFFER_HIGH_BYTES)
@@ -85,21 +118,59 @@
                 if not self.lingering and not self.disconnected.is_set():
                     await self._linger()
                 return
-            try:
-                exchange = Exchange(self, request)
-            except RequestError as error:
-                await self._respond_and_close(error.status, error.kind, str(error))
-                return
-            await self._handle(handler, exchange)
-            if not exchange.response_finished:
+            if not await self._serve_request(handler, request):
                 return
-            await self._stop_watching()
-            if self._protocol.our_state is h11.MUST_CLOSE:
-                await self._linger()
+            # An idle connection must not hold the objects of its last request.
+            del request
+            if not await self._wait_until_taken():
                 return
-            if self._protocol.their_state is not h11.DONE:
-                return
-            self._protocol.start_next_cycle()
+
+    async def _serve_request(self, handler: Handler, request: h11.Request) -> bool:
+        """Handle one request; return whether another one may follow."""
+        try:
+            exchange = Exchange(self, request)
+        except RequestError as error:
+            await self._respond_and_close(error.status, error.kind, str(error))
+            return False
+        self.is_handling = True
+        self.requests += 1
+        try:
+            await self._handle(handler, exchange)
+        finally:
+            self.is_handling = False
+            self.memory.protected = False
+        if not exchange.response_finished:
+            return False
+        await self._stop_watching()
+        if self._protocol.our_state is h11.MUST_CLOSE:
+            await self._linger()
+            return False
+        if self._protocol.their_state is not h11.DONE:
+            return False
+        self._protocol.start_next_cycle()
+        self.memory.set_part("fields", 0)
+        self.memory.set_part("body", 0)
+        return True
+
+    async def _wait_until_taken(self) -> bool:
+        """Wait until the system has taken the response; return False if it does not.
+
+        A caller that reads no responses is not read from either.
+        """
+        if not self.count_unsent_bytes():
+            return True
+        transport = cast(asyncio.Transport, self._writer.transport)
+        transport.set_write_buffer_limits(high=0)
+        try:
+            async with asyncio.timeout(self._limits.idle_timeout_s):
+                await self._writer.drain()
+        except (TimeoutError, OSError):
+            self.abort()
+            return False
+        finally:
+            transport.set_write_buffer_limits(high=WRITE_BUFFER_HIGH_BYTES)
+            self.memory.set_part("response", self.count_unsent_bytes())
+        return True
 
     async def _handle(self, handler: Handler, exchange: Exchange) -> None:
         """Handle a request; answer it also if the handler fails unexpectedly."""
@@ -127,6 +198,9 @@
             return None
         if not isinstance(event, h11.Request):
             return None
+        if len(event.headers) > self._limits.header_fields:
+            await self._reject(self._create_fields_error())
+            return None
         size = sum(len(name) + len(value) for name, value in event.headers)
         if size > self._limits.header_bytes:
             # h11 limits the size only of heads that arrive in more than one piece.
@@ -137,8 +211,23 @@
                 )
             )
             return None
+        self.memory.set_fields(len(event.headers), size)
         return event
 
+    def _create_fields_error(self) -> h11.RemoteProtocolError:
+        return h11.RemoteProtocolError(
+            f"headers exceed {self._limits.header_fields} fields",
+            error_status_hint=STATUS_HEADER_FIELDS,
+        )
+
+    def _check_fields(self) -> None:
+        """Raise RemoteProtocolError if a head has too many fields to be parsed."""
+        if self._unparsed_bytes < self._limits.header_fields:
+            return
+        head, _, _ = self._protocol.trailing_data[0].partition(b"\r\n\r\n")
+        if head.count(b"\n") > self._limits.header_fields:
+            raise self._create_fields_error()
+
     async def _read_head(self) -> object:
         """Return the event of a head; raise TimeoutError if it does not arrive."""
         try:
@@ -189,6 +278,7 @@
         return self._limits.draining or self._closing
 
     async def _reject(self, error: h11.RemoteProtocolError) -> None:
+        self._is_head_refused = True
         await self._respond_and_close(
             error.error_status_hint,
             "bad-http",
@@ -216,11 +306,44 @@
     def take_buffered_event(self) -> object:
         """Return the event after the head if it has already arrived, else None."""
         try:
-            event = self._protocol.next_event()
+            event = self._take_event()
         except h11.RemoteProtocolError:
             return None
         return None if event is h11.NEED_DATA else event
 
+    def _take_event(self) -> object:
+        """Return the next event of the parser, and account for what it still holds."""
+        is_head = self._is_reading_head()
+        if is_head:
+            self._check_fields()
+        event = self._protocol.next_event()
+        if isinstance(event, h11.Data):
+            self._set_unparsed(max(self._unparsed_bytes - len(event.data), 0))
+        elif event is h11.NEED_DATA:
+            if not is_head:
+                # At most the first bytes of a chunk are left.
+                self._set_unparsed(0)
+        elif self._unparsed_bytes:
+            self._set_unparsed(len(self._protocol.trailing_data[0]))
+        return event
+
+    def _set_unparsed(self, size: int) -> None:
+        self._unparsed_bytes = size
+        self.memory.set_part("unparsed", size)
+
+    def _take_input(self, data: bytes) -> None:
+        """Pass bytes to the parser."""
+        self.memory.note_moved(len(data))
+        self._set_unparsed(self._unparsed_bytes + len(data))
+        self._protocol.receive_data(data)
+
+    async def _read_piece(self, size: int) -> bytes:
+        """Return the bytes that arrive next, fewer at a time if memory is short."""
+        if self._account.is_nearly_full():
+            size = SMALL_PIECE_BYTES
+        self._reader.piece_bytes = size
+        return await self._reader.read(size)
+
     async def _linger(self) -> None:
         """End the response, and wait until the caller's system has received it.
 
@@ -230,7 +353,8 @@
         self.lingering = True
         with suppress(OSError, TimeoutError):
             self._writer.write_eof()
-            if self._protocol.their_state in {h11.SEND_BODY, h11.ERROR}:
+            is_sending = self._protocol.their_state in {h11.SEND_BODY, h11.ERROR}
+            if is_sending or self._is_head_refused:
                 async with asyncio.timeout(LINGER_TIMEOUT_S):
                     await self._discard_input()
             else:
@@ -240,7 +364,7 @@
         """Discard the rest of a request, whose caller may read only after sending."""
         discarded = 0
         while discarded < MAX_DISCARDED_BYTES:
-            data = await self._reader.read(READ_BYTES)
+            data = await self._read_piece(READ_BYTES)
             if not data:
                 return
             discarded += len(data)
@@ -272,7 +396,7 @@
 
     def _next_event(self) -> object:
         try:
-            return self._protocol.next_event()
+            return self._take_event()
         except h11.RemoteProtocolError as error:
             if self._protocol.our_state is h11.IDLE:
                 raise
@@ -292,8 +416,9 @@
         if self._protocol.they_are_waiting_for_100_continue:
             informational = h11.InformationalResponse(status_code=100, headers=[])
             await self.send(informational)
+        size = HEAD_PIECE_BYTES if self._is_reading_head() else READ_BYTES
         try:
-            data = await self._reader.read(READ_BYTES)
+            data = await self._read_piece(size)
         except OSError as error:
             self.disconnected.set()
             raise CallerDisconnectedError(
@@ -301,7 +426,7 @@
             ) from error
         if not data:
             self.disconnected.set()
-        self._protocol.receive_data(data)
+        self._take_input(data)
 
     def watch_for_close(self) -> None:
         """Detect during the response that the caller closes the connection."""
@@ -311,14 +436,14 @@
     async def _watch_for_close(self) -> None:
         # Data received here is the beginning of the caller's next request.
         received = 0
-        while received < MAX_BUFFERED_BYTES:
+        while received < MAX_PIPELINED_BYTES:
             try:
-                data = await self._reader.read(READ_BYTES)
+                data = await self._read_piece(MAX_PIPELINED_BYTES)
             except OSError:
                 data = b""
             received += len(data)
             with suppress(h11.RemoteProtocolError):
-                self._protocol.receive_data(data)
+                self._take_input(data)
             if not data:
                 self.disconnected.set()
                 return
@@ -334,12 +459,18 @@
         data = b"".join(self._protocol.send(event) or b"" for event in events)
         try:
             self._writer.write(data)
+            unsent = self.count_unsent_bytes()
+            if unsent:
+                self.memory.set_part("response", unsent)
             await self._writer.drain()
         except OSError as error:
             self.disconnected.set()
             raise CallerDisconnectedError(
                 "caller closed the connection", "retry the request"
             ) from error
+        self.memory.note_moved(len(data))
+        if unsent:
+            self.memory.set_part("response", self.count_unsent_bytes())
 
     def is_finished(self) -> bool:
         """Return whether all responses were passed to the system, and none follows."""
@@ -349,6 +480,11 @@
         """Return the size of the responses that were not yet passed to the system."""
         return self._writer.transport.get_write_buffer_size()
 
+    def _close_at_once(self) -> None:
+        """Close the connection to free what it holds."""
+        self.disconnected.set()
+        self.abort()
+
     def abort(self) -> None:
         """Abort the connection immediately."""
         if self._is_ended_by_close():
@@ -378,8 +514,16 @@
 class HttpServer:
     """HTTP server that calls a handler for each request."""
 
-    def __init__(self, handler: Handler, limits: ServerLimits | None = None) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        limits: ServerLimits | None = None,
+        account: MemoryAccount | None = None,
+        listener: str = "http",
+    ) -> None:
         self.limits = limits or ServerLimits()
+        self.listener = listener
+        self._account = account or MemoryAccount()
         self._handler = handler
         self._turns = WorkTurns()
         self._server: asyncio.Server | None = None
@@ -390,9 +534,14 @@
 
     async def start(self, address: str, port: int) -> None:
         """Open the listening socket; port 0 selects a free port."""
-        self._server = await asyncio.start_server(
-            self._accept, address, port, limit=READ_BYTES, backlog=1024
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: PulledProtocol(self._accept),
+            address,
+            port,
+            backlog=ACCEPTS_PER_STEP,
         )
+        lengthen_queues(self._server, LISTEN_BACKLOG)
         self.port = self._server.sockets[0].getsockname()[1]
 
     def count_connections(self) -> int:
@@ -450,10 +599,21 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if not self._find_place():
+            self._account.note_closed(self.listener, "connections")
+            writer.transport.abort()
+            return
         task = asyncio.current_task()
         assert task is not None
         self._connection_tasks.add(task)
-        connection = ServerConnection(reader, writer, self.limits, self._turns)
+        connection = ServerConnection(
+            cast(PulledReader, reader),
+            writer,
+            self.limits,
+            self._turns,
+            self._account,
+            self.listener,
+        )
         if self._draining:
             connection.close_when_idle()
         self._open_connections.add(connection)
@@ -471,3 +631,23 @@
                 connection.abort()
             self._connection_tasks.discard(task)
             self._open_connections.discard(connection)
+            connection.memory.release()
+
+    def _find_place(self) -> bool:
+        """Return whether a further connection is kept; close others for it if needed.
+
+        Connections without a request go first, of these the oldest.
+        """
+        bound = self.limits.connections
+        if not bound or len(self._open_connections) < bound:
+            return True
+        closable = [
+            connection
+            for connection in self._open_connections
+            if not connection.is_handling and not connection.requests
+        ]
+        closable.sort(key=lambda connection: connection.opened_ms)
+        for connection in closable[: max(int(bound * CLEARED_CONNECTIONS), 1)]:
+            self._open_connections.discard(connection)
+            connection.memory.close("connections")
+        return len(self._open_connections) < bound
--- a/cornelnotch/wire/codec.py
+++ b/cornelnotch/wire/codec.py
@@ -91,6 +91,10 @@
     def __init__(self) -> None:
         self._buffer = bytearray()
 
+    def count_held_bytes(self) -> int:
+        """Return the size of the frame that is not complete."""
+        return len(self._buffer)
+
     def feed(self, data: bytes) -> list[bytes]:
         """Return the frames completed by `data`; raise WireError if one is too long."""
         self._buffer += data
--- a/cornelnotch/wire/peers.py
+++ b/cornelnotch/wire/peers.py
@@ -7,7 +7,9 @@
 
 from cornelnotch.exceptions import SettingsError, WireError
 from cornelnotch.kernel import Event, EventLog, TaskSupervisor
-from cornelnotch.web import parse_address
+from cornelnotch.web import MemoryAccount, parse_address
+from cornelnotch.web.connections import lengthen_queues
+from cornelnotch.web.memory import ConnectionMemory
 from cornelnotch.wire.codec import FrameReader, decode_message, encode_message
 from cornelnotch.wire.messages import Hello
 
@@ -18,6 +20,15 @@
 CONNECT_TIMEOUT_S = 1.0
 IDLE_TIMEOUT_S = 120.0
 LISTEN_BACKLOG = 512
+# Connections accepted in one step of the event loop, each of which may be one too many.
+ACCEPTS_PER_STEP = 16
+# Strangers could otherwise have a line logged for each connection.
+REFUSED_LOG_INTERVAL_S = 1.0
+# Before it has sent Hello, a peer has no reason to send more than that.
+HELLO_BYTES = 4096
+HELLO_TIMEOUT_S = 5.0
+# Limit of the reader of a connection, whose system buffers the rest.
+STREAM_BYTES = 16384
 
 Receiver = Callable[[str, Any], None]
 
@@ -110,17 +121,28 @@
         self._server: asyncio.Server | None = None
         self._incoming_tasks: set[asyncio.Task[None]] = set()
         self._failures: set[tuple[type, type]] = set()
+        self._account = MemoryAccount()
+        self._max_incoming = 0
+        # Incoming connections whose sender is not a host with a known address.
+        self._strangers: dict[asyncio.Task[None], ConnectionMemory] = {}
+        self._refused_logged_s = float("-inf")
 
     @property
     def name(self) -> str:
         """Return the name of this host."""
         return self.hello.host
 
+    def bound(self, account: MemoryAccount, connections: int) -> None:
+        """Set what incoming connections may take; 0 connections means any number."""
+        self._account = account
+        self._max_incoming = connections
+
     async def start(self, address: str, port: int) -> None:
         """Listen for other hosts; port 0 selects a free port."""
         self._server = await asyncio.start_server(
-            self._accept, address, port, backlog=LISTEN_BACKLOG
+            self._accept, address, port, backlog=ACCEPTS_PER_STEP, limit=STREAM_BYTES
         )
+        lengthen_queues(self._server, LISTEN_BACKLOG)
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def stop(self) -> None:
@@ -207,39 +229,88 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if not self._find_place():
+            self._account.note_closed("peers", "connections")
+            writer.transport.abort()
+            return
         task = asyncio.current_task()
         assert task is not None
         self._incoming_tasks.add(task)
+        memory = self._account.open("peers", writer.transport.abort)
+        self._strangers[task] = memory
         try:
-            await self._read_messages(reader)
+            await self._read_messages(reader, memory)
         except (WireError, OSError) as error:
-            self._events.record(Event.PEER_MESSAGE_REFUSED, error=error)
+            self._record_refusal(error)
         except asyncio.CancelledError:
             pass
         finally:
             self._incoming_tasks.discard(task)
+            self._strangers.pop(task, None)
+            memory.release()
             writer.transport.abort()
 
-    async def _read_messages(self, reader: asyncio.StreamReader) -> None:
+    def _find_place(self) -> bool:
+        """Return whether a further connection is kept; close a stranger's for it."""
+        if not self._max_incoming or len(self._incoming_tasks) < self._max_incoming:
+            return True
+        if not self._strangers:
+            return False
+        oldest = next(iter(self._strangers))
+        self._incoming_tasks.discard(oldest)
+        self._strangers.pop(oldest).close("connections")
+        return True
+
+    def _note_sender(self, sender: str) -> None:
+        """Keep the connection of a host whose address is known."""
+        task = asyncio.current_task()
+        if task is not None and sender in self._addresses:
+            self._strangers.pop(task, None)
+
+    def _record_refusal(self, error: Exception) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if now_s - self._refused_logged_s >= REFUSED_LOG_INTERVAL_S:
+            self._refused_logged_s = now_s
+            self._events.record(Event.PEER_MESSAGE_REFUSED, error=error)
+
+    @staticmethod
+    async def _read_piece(reader: asyncio.StreamReader, sender: str | None) -> bytes:
+        """Return what arrives next; raise TimeoutError if no Hello does."""
+        if sender is not None:
+            return await reader.read(READ_BYTES)
+        async with asyncio.timeout(HELLO_TIMEOUT_S):
+            return await reader.read(READ_BYTES)
+
+    async def _read_messages(
+        self, reader: asyncio.StreamReader, memory: ConnectionMemory
+    ) -> None:
         frames = FrameReader()
         sender: str | None = None
         has_refused = False
-        while data := await reader.read(READ_BYTES):
-            for frame in frames.feed(data):
+        while data := await self._read_piece(reader, sender):
+            memory.note_moved(len(data))
+            if sender is not None and self._strangers:
+                self._note_sender(sender)
+            complete = frames.feed(data)
+            memory.set_part("frames", frames.count_held_bytes())
+            for frame in complete:
                 try:
                     message = decode_message(frame)
                 except WireError as error:
                     # The frames behind it are intact.
                     if not has_refused:
                         has_refused = True
-                        self._events.record(Event.PEER_MESSAGE_REFUSED, error=error)
+                        self._record_refusal(error)
                     continue
                 self.received_messages += 1
                 if isinstance(message, Hello):
                     sender = message.host
+                    self._note_sender(sender)
                 elif sender is None:
                     raise WireError(
                         "peer sent a message before Hello", "check the port"
                     )
                 else:
                     self._receive(sender, message)
+            if sender is None and frames.count_held_bytes() > HELLO_BYTES:
+                raise WireError("peer sent a long frame before Hello", "check the port")
