--- a/cornelnotch/gateway/settings.py
+++ b/cornelnotch/gateway/settings.py
@@ -22,6 +22,11 @@
     return msgspec.Meta(ge=0, le=MAX_AMOUNT, description=meaning)
 
 
+def describe_count(meaning: str) -> msgspec.Meta:
+    """Return metadata of a setting that counts, of which there is at least one."""
+    return msgspec.Meta(ge=1, le=int(MAX_AMOUNT), description=meaning)
+
+
 class HostSection(msgspec.Struct):
     """Name and location of the host."""
 
@@ -69,10 +74,10 @@
         describe_amount("memory of the process in MB; that of the machine when 0"),
     ] = 0.0
     header_fields: Annotated[
-        int, describe_amount("most header fields of a request from a caller")
+        int, describe_count("most header fields of a request from a caller")
     ] = 512
     reserved_descriptors: Annotated[
-        int, describe_amount("descriptors of the process that no connection takes")
+        int, describe_count("descriptors of the process that no connection takes")
     ] = 200
 
 
--- a/cornelnotch/web/exchange.py
+++ b/cornelnotch/web/exchange.py
@@ -23,6 +23,8 @@
 BODY_TIMEOUT_S = 20.0
 # Parts of a body that are read in one step.
 PARTS_PER_STEP = 128
+# Parts of a body that are shorter are collected, as each object has a cost.
+BLOCK_BYTES = 16384
 CONTENT_LENGTH = "content-length"
 
 Headers = dict[str, str] | list[tuple[Any, Any]]
@@ -33,6 +35,35 @@
     return text.lower() == CONTENT_LENGTH
 
 
+class BodyParts:
+    """Parts of a body, which are joined only once all have arrived.
+
+    One growing array would be moved again and again, and leave gaps in the memory.
+    """
+
+    def __init__(self) -> None:
+        self.size = 0
+        self._blocks: list[bytes | bytearray] = []
+        self._small = bytearray()
+
+    def add(self, data: bytes | bytearray) -> None:
+        """Add a part."""
+        self.size += len(data)
+        if len(data) < BLOCK_BYTES:
+            self._small += data
+        if self._small and (
+            len(self._small) >= BLOCK_BYTES or len(data) >= BLOCK_BYTES
+        ):
+            self._blocks.append(bytes(self._small))
+            self._small = bytearray()
+        if len(data) >= BLOCK_BYTES:
+            self._blocks.append(data)
+
+    def join(self) -> bytes:
+        """Return the whole body."""
+        return b"".join([*self._blocks, self._small])
+
+
 class Exchange:
     """One request of a caller and its response."""
 
@@ -69,17 +100,17 @@
         if self._find_announced_bytes() > limit_bytes:
             raise BodyTooLargeError(limit_bytes)
         memory = self._connection.memory
-        body = bytearray()
+        body = BodyParts()
         parts = 0
         while not self._body_ended:
             event = self._buffered_event or await self._read_event_with_timeout()
             self._buffered_event = None
             if isinstance(event, h11.Data):
-                if len(body) + len(event.data) > limit_bytes:
+                if body.size + len(event.data) > limit_bytes:
                     raise BodyTooLargeError(limit_bytes)
                 note_received(len(event.data))
                 memory.add_part("body", len(event.data))
-                body += event.data
+                body.add(event.data)
                 parts += 1
                 if parts % PARTS_PER_STEP == 0:
                     await self._connection.turns.take()
@@ -92,7 +123,7 @@
         # From here on the request may be at a server, and is not ended for its memory.
         memory.protected = True
         self._connection.watch_for_close()
-        return bytes(body)
+        return body.join()
 
     def _find_announced_bytes(self) -> int:
         """Return the size that the head announces, 0 if it does not."""
--- a/cornelnotch/web/memory.py
+++ b/cornelnotch/web/memory.py
@@ -11,7 +11,7 @@
 BYTES_PER_MB = 1_000_000
 # Share of the memory beyond that of the idle process. The rest is for copies made while
 # a body is received and sent, for requests at work, and for the allocator.
-ACCOUNT_SHARE = 0.6
+ACCOUNT_SHARE = 0.5
 # Smallest share of the machine's memory, where the idle process already takes most.
 LEAST_SHARE = 0.1
 # Above this share of the account, no further bodies are accepted.
@@ -20,8 +20,9 @@
 SLOW_SHARE = 0.5
 # Connections are closed until this share of the account is left.
 CLEARED_SHARE = 0.9
-# Measured: 5.4 KB for the streams, the task and the parser of an idle connection.
-IDLE_CONNECTION_BYTES = 6_000
+# Measured: 5.4 KB for the streams, the task and the parser of an idle connection. A
+# small piece may arrive at all of them in one step of the event loop.
+IDLE_CONNECTION_BYTES = 10_000
 # A field is three byte strings and a tuple in the parser, and again in the request.
 FIELD_BYTES = 500
 # Time over which the progress of a connection is measured.
@@ -56,6 +57,8 @@
         self.clock = clock or create_clock()
         self.limit_bytes = 0
         self.held_bytes = 0
+        # Part of `held_bytes` of connections that were closed but have not ended yet.
+        self.closing_bytes = 0
         self.idle_process_bytes = 0
         self.note_closed: Callable[[str, str], None] = lambda listener, reason: None
         self._connections: set[ConnectionMemory] = set()
@@ -95,6 +98,14 @@
         """Return whether connections are to be read in small pieces."""
         return self.held_bytes > self.limit_bytes * SLOW_SHARE
 
+    def is_full(self) -> bool:
+        """Return whether nothing further is to be read."""
+        return self.held_bytes > self.limit_bytes
+
+    def count_remaining(self) -> int:
+        """Return what will be held once all closed connections have ended."""
+        return self.held_bytes - self.closing_bytes
+
     def find_room(self, size: int) -> bool:
         """Return whether part of a body may be held.
 
@@ -123,7 +134,7 @@
 
     def _is_far_too_full(self) -> bool:
         # Otherwise a burst within one pause could take any amount.
-        return self.held_bytes > self.limit_bytes * (2.0 - CLEARED_SHARE)
+        return self.count_remaining() > self.limit_bytes * (2.0 - CLEARED_SHARE)
 
     def _list_closable(self) -> list["ConnectionMemory"]:
         return [c for c in self._connections if c.is_closable()]
@@ -132,7 +143,7 @@
         self, connections: list["ConnectionMemory"], limit: float, reason: str
     ) -> None:
         for connection in connections:
-            if self.held_bytes <= limit:
+            if self.count_remaining() <= limit:
                 return
             connection.close(reason)
 
@@ -149,12 +160,12 @@
         "_close",
         "_former_bytes",
         "_moved_bytes",
-        "_moved_ms",
         "_parts",
         "_window_ms",
         "held_bytes",
         "is_open",
         "listener",
+        "moved_ms",
         "protected",
     )
 
@@ -174,7 +185,7 @@
         self._close = close
         self._parts: dict[str, int] = {}
         now = account.clock.read()
-        self._window_ms = self._moved_ms = now
+        self._window_ms = self.moved_ms = now
         self._moved_bytes = self._former_bytes = 0
 
     def change(self, size: int) -> None:
@@ -184,7 +195,7 @@
         account = self._account
         self.held_bytes += size
         account.held_bytes += size
-        if size > 0 and account.held_bytes > account.limit_bytes:
+        if size > 0 and account.count_remaining() > account.limit_bytes:
             account.make_room()
 
     def set_part(self, part: str, size: int) -> None:
@@ -205,7 +216,7 @@
     def note_moved(self, size: int) -> None:
         """Count bytes that the client has sent or taken."""
         now = self._account.clock.read()
-        self._moved_ms = now
+        self.moved_ms = now
         if now - self._window_ms >= PROGRESS_WINDOW_MS:
             is_recent = now - self._window_ms < 2.0 * PROGRESS_WINDOW_MS
             self._former_bytes = self._moved_bytes if is_recent else 0
@@ -219,7 +230,7 @@
 
     def has_stalled(self, now: float) -> bool:
         """Return whether the client stopped within what it sends or takes."""
-        return self.held_bytes > self._base and now - self._moved_ms >= STALLED_MS
+        return self.held_bytes > self._base and now - self.moved_ms >= STALLED_MS
 
     def rank(self, now: float) -> float:
         """Return the bytes held per byte of recent progress; the highest close first.
@@ -235,10 +246,12 @@
         return (self.held_bytes - self._base) / (recent + 1)
 
     def close(self, reason: str) -> None:
-        """Close the connection at once and return its memory."""
+        """Close the connection at once; its memory is returned when it has ended."""
         if not self.is_open:
             return
-        self.release()
+        self.is_open = False
+        self._account.forget(self)
+        self._account.closing_bytes += self.held_bytes
         self._account.note_closed(self.listener, reason)
         self._close()
 
@@ -246,6 +259,8 @@
         """Return all memory of a connection that has ended."""
         if self.is_open:
             self.is_open = False
-            self._account.held_bytes -= self.held_bytes
-            self.held_bytes = 0
             self._account.forget(self)
+        else:
+            self._account.closing_bytes -= self.held_bytes
+        self._account.held_bytes -= self.held_bytes
+        self.held_bytes = 0
--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -44,9 +44,15 @@
 WRITE_BUFFER_HIGH_BYTES = 65536
 # Bytes of further requests that are read to notice that a caller closes.
 MAX_PIPELINED_BYTES = SMALL_PIECE_BYTES
+# Pipelined requests in a row that are handled without a pause. Crowds that pipeline
+# would otherwise take the whole event loop.
+UNPAUSED_REQUESTS = 8
 STATUS_INTERNAL_ERROR = 500
 STATUS_UNAVAILABLE = 503
 STATUS_HEADER_FIELDS = 431
+# Pauses of a connection that is to be read while the memory account is full.
+FULL_PAUSE_S = 0.02
+MAX_FULL_PAUSES = 50
 LISTEN_BACKLOG = 1024
 # Connections accepted in one step of the event loop, each of which may be one too many.
 ACCEPTS_PER_STEP = 16
@@ -86,15 +92,17 @@
         writer: asyncio.StreamWriter,
         limits: ServerLimits,
         turns: WorkTurns,
+        pipeline_turns: WorkTurns,
         account: MemoryAccount,
         listener: str,
     ) -> None:
         self.turns = turns
         self.memory = account.open(listener, self._close_at_once)
         self.requests = 0
-        self.opened_ms = account.clock.read()
         self.is_handling = False
         self._account = account
+        self._pipeline_turns = pipeline_turns
+        self._pipelined = 0
         self._unparsed_bytes = 0
         self._reader = reader
         self._writer = writer
@@ -124,6 +132,7 @@
             del request
             if not await self._wait_until_taken():
                 return
+            await self._let_others_work()
 
     async def _serve_request(self, handler: Handler, request: h11.Request) -> bool:
         """Handle one request; return whether another one may follow."""
@@ -152,6 +161,17 @@
         self.memory.set_part("body", 0)
         return True
 
+    async def _let_others_work(self) -> None:
+        """Pause before a request that was sent before the last one was answered."""
+        if not self._unparsed_bytes:
+            self._pipelined = 0
+            return
+        self._pipelined += 1
+        if self._pipelined > UNPAUSED_REQUESTS:
+            await self._pipeline_turns.take()
+        else:
+            await asyncio.sleep(0)
+
     async def _wait_until_taken(self) -> bool:
         """Wait until the system has taken the response; return False if it does not.
 
@@ -327,6 +347,13 @@
             self._set_unparsed(len(self._protocol.trailing_data[0]))
         return event
 
+    async def _wait_for_memory(self) -> None:
+        """Read nothing for a while if no memory is left."""
+        for _ in range(MAX_FULL_PAUSES):
+            if not self._account.is_full() or not self.memory.is_open:
+                return
+            await asyncio.sleep(FULL_PAUSE_S)
+
     def _set_unparsed(self, size: int) -> None:
         self._unparsed_bytes = size
         self.memory.set_part("unparsed", size)
@@ -341,8 +368,15 @@
         """Return the bytes that arrive next, fewer at a time if memory is short."""
         if self._account.is_nearly_full():
             size = SMALL_PIECE_BYTES
+            await self._wait_for_memory()
         self._reader.piece_bytes = size
-        return await self._reader.read(size)
+        # Pieces may arrive at all connections before any of their tasks runs, so a
+        # large one counts before it is read.
+        self.memory.set_part("piece", size if size > SMALL_PIECE_BYTES else 0)
+        try:
+            return await self._reader.read(size)
+        finally:
+            self.memory.set_part("piece", 0)
 
     async def _linger(self) -> None:
         """End the response, and wait until the caller's system has received it.
@@ -416,7 +450,9 @@
         if self._protocol.they_are_waiting_for_100_continue:
             informational = h11.InformationalResponse(status_code=100, headers=[])
             await self.send(informational)
-        size = HEAD_PIECE_BYTES if self._is_reading_head() else READ_BYTES
+        size = READ_BYTES
+        if self._is_reading_head():
+            size = HEAD_PIECE_BYTES if self._unparsed_bytes else SMALL_PIECE_BYTES
         try:
             data = await self._read_piece(size)
         except OSError as error:
@@ -526,6 +562,7 @@
         self._account = account or MemoryAccount()
         self._handler = handler
         self._turns = WorkTurns()
+        self._pipeline_turns = WorkTurns()
         self._server: asyncio.Server | None = None
         self._connection_tasks: set[asyncio.Task[None]] = set()
         self._open_connections: set[ServerConnection] = set()
@@ -611,6 +648,7 @@
             writer,
             self.limits,
             self._turns,
+            self._pipeline_turns,
             self._account,
             self.listener,
         )
@@ -636,7 +674,7 @@
     def _find_place(self) -> bool:
         """Return whether a further connection is kept; close others for it if needed.
 
-        Connections without a request go first, of these the oldest.
+        Those that have sent no request go first, then those that have stood still.
         """
         bound = self.limits.connections
         if not bound or len(self._open_connections) < bound:
@@ -644,9 +682,9 @@
         closable = [
             connection
             for connection in self._open_connections
-            if not connection.is_handling and not connection.requests
+            if connection.memory.is_closable()
         ]
-        closable.sort(key=lambda connection: connection.opened_ms)
+        closable.sort(key=lambda c: (c.requests > 0, c.memory.moved_ms))
         for connection in closable[: max(int(bound * CLEARED_CONNECTIONS), 1)]:
             self._open_connections.discard(connection)
             connection.memory.close("connections")
