--- a/cornelnotch/web/descriptors.py
+++ b/cornelnotch/web/descriptors.py
@@ -6,10 +6,10 @@
 __all__ = ["DescriptorShares", "count_usable_descriptors", "share_descriptors"]
 
 # The rest is for connections to servers, the store and other hosts. With 4,100
-# descriptors, 200 of them reserved, callers have 3,042 and other hosts 331.
-CALLERS_SHARE = 0.78
+# descriptors, 200 of them reserved, callers have 3,120 and other hosts 331.
+CALLERS_SHARE = 0.80
 PEERS_SHARE = 0.085
-DIRECTORY_SHARE = 0.015
+DIRECTORY_SHARE = 0.01
 READINESS_SHARE = 0.005
 METRICS_SHARE = 0.005
 LEAST_CONNECTIONS = 4
--- a/cornelnotch/web/memory.py
+++ b/cornelnotch/web/memory.py
@@ -47,6 +47,10 @@
     return pages * os.sysconf("SC_PAGE_SIZE")
 
 
+def _do_nothing() -> None:
+    """Close a connection that has ended."""
+
+
 class MemoryAccount:
     """Bytes that all connections hold, and who is closed when they are too many.
 
@@ -264,3 +268,5 @@
             self._account.closing_bytes -= self.held_bytes
         self._account.held_bytes -= self.held_bytes
         self.held_bytes = 0
+        # It refers to the connection, which only the next collection would free.
+        self._close = _do_nothing
--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -50,6 +50,9 @@
 STATUS_INTERNAL_ERROR = 500
 STATUS_UNAVAILABLE = 503
 STATUS_HEADER_FIELDS = 431
+# Memory of a buffer that has grown piece by piece, per byte in it: some is allocated
+# ahead, and what it took before leaves gaps.
+GROWN_BUFFER = 2
 # Pauses of a connection that is to be read while the memory account is full.
 FULL_PAUSE_S = 0.02
 MAX_FULL_PAUSES = 50
@@ -356,7 +359,7 @@
 
     def _set_unparsed(self, size: int) -> None:
         self._unparsed_bytes = size
-        self.memory.set_part("unparsed", size)
+        self.memory.set_part("unparsed", size * GROWN_BUFFER)
 
     def _take_input(self, data: bytes) -> None:
         """Pass bytes to the parser."""
--- a/cornelnotch/web/tests/test_bounds.py
+++ b/cornelnotch/web/tests/test_bounds.py
@@ -1,6 +1,7 @@
 """Test each bound on what callers hold, and that its test fails without it."""
 
 import asyncio
+import gc
 import sys
 from contextlib import asynccontextmanager, suppress
 
@@ -16,6 +17,7 @@
 )
 from cornelnotch.web.input import PIECE_BYTES, PulledReader
 from cornelnotch.web.memory import IDLE_CONNECTION_BYTES
+from cornelnotch.web.server import ServerConnection
 
 ADDRESS = "127.0.0.1"
 SETTLE_S = 0.3
@@ -208,6 +210,36 @@
         assert connection.memory.held_bytes <= IDLE_CONNECTION_BYTES
 
 
+def count_kept_connections():
+    return sum(isinstance(found, ServerConnection) for found in gc.get_objects())
+
+
+# Guards against hosts that keep what closed connections held until the next collection
+# of reference cycles; 3,500 of them took 74 MB instead of 40 MB.
+@pytest.mark.parametrize("is_closed_by_host", [True, False])
+def test_ended_connections_are_freed_without_a_collection(is_closed_by_host):
+    async def scenario():
+        async with run_service() as service:
+            gc.collect()
+            gc.disable()
+            before = count_kept_connections()
+            for _ in range(5):
+                _, writer = await service.connect(b"GET / HTTP/1.1\r\nx: ")
+                await asyncio.sleep(SETTLE_S / 10)
+                if is_closed_by_host:
+                    (connection,) = service.list_connections()
+                    connection.memory.close("memory")
+                    del connection
+                writer.transport.abort()
+                await asyncio.sleep(SETTLE_S / 10)
+            assert count_kept_connections() == before
+
+    try:
+        asyncio.run(scenario())
+    finally:
+        gc.enable()
+
+
 def read_ahead(reader, data):
     reader._unread += len(data)
     asyncio.StreamReader.feed_data(reader, data)
