--- a/cornelnotch/web/memory.py
+++ b/cornelnotch/web/memory.py
@@ -128,6 +128,8 @@
 
     def make_room(self) -> None:
         """Close the connections with least progress for what they hold, if too full."""
+        if self.count_remaining() <= self.limit_bytes:
+            return
         now = self.clock.read()
         if now - self._searched_ms < SEARCH_PAUSE_MS and not self._is_far_too_full():
             return
--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -355,6 +355,8 @@
         for _ in range(MAX_FULL_PAUSES):
             if not self._account.is_full() or not self.memory.is_open:
                 return
+            # A search just before may have closed too few.
+            self._account.make_room()
             await asyncio.sleep(FULL_PAUSE_S)
 
     def _set_unparsed(self, size: int) -> None:
