--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -9,6 +9,7 @@
 from cornelnotch.gateway.admission_client import AdmissionClient
 from cornelnotch.gateway.backups import ExposureTracker, choose_backup, is_worth_backup
 from cornelnotch.gateway.body_memory import BodyMemory
+from cornelnotch.gateway.closed_connections import ClosedConnections
 from cornelnotch.gateway.crash_evidence import CrashEvidence
 from cornelnotch.gateway.crash_watch import CrashWatch, ServerLife
 from cornelnotch.gateway.demand import DemandRecorder, UnrecordedDemand
@@ -54,7 +55,7 @@
 from cornelnotch.pressure.models import ServerLoad
 from cornelnotch.pressure.observed_load import ObservedLoads
 from cornelnotch.pressure.unread_responses import UnreadMemory
-from cornelnotch.web import Exchange, HttpClient
+from cornelnotch.web import Exchange, HttpClient, MemoryAccount
 from cornelnotch.wire import PeerNetwork
 from cornelnotch.wire.messages import (
     CrashEvidenceNotice,
@@ -110,7 +111,9 @@
         self.list_linked_hosts: Callable[[str], list[Member]] = lambda service: []
         self.drain = Drain(clock)
         self.durations = DurationTracker()
-        self.bodies = BodyMemory(settings.bounds.memory_mb)
+        self.memory = MemoryAccount(settings.bounds.memory_mb, clock)
+        self.memory.note_closed = ClosedConnections(clock, events, self.metrics).note
+        self.bodies = BodyMemory(settings.bounds.memory_mb, self.memory)
         self.unread = UnreadMemory(self.bodies, clock, self._note_slow_caller)
         self.rate_limits = RateLimitTable()
         self.rejections = RejectionTable()
@@ -372,6 +375,7 @@
     def apply_bounds(self) -> None:
         """Apply the bounds of changed settings."""
         bounds = self.settings.bounds
+        self.memory.set_memory(bounds.memory_mb)
         self.bodies.set_memory(bounds.memory_mb)
         for budget in self._budgets.values():
             budget.set_bounds(
