pressure: loads count where servers also state their pace; a response keeps its status

Servers that state three figures are placed as before. A call that did not wait is not logged as held.

--- a/cornelnotch/gateway/header_codec.py
+++ b/cornelnotch/gateway/header_codec.py
@@ -64,6 +64,7 @@
 
     `load` is the load that the server states, None if it states none or if that is
     malformed; `load_malformed` and `load_text` are as for the rate limit.
+    `load_states_pace` is set if it also states how fast its machine works.
     """
 
     status: int
@@ -85,6 +86,7 @@
     load: ServerLoad | None = None
     load_malformed: bool = False
     load_text: str = ""
+    load_states_pace: bool = False
 
 
 class HeaderCodec(ABC):
--- a/cornelnotch/gateway/server_signals.py
+++ b/cornelnotch/gateway/server_signals.py
@@ -58,6 +58,10 @@
     if load is None or response.outcome is DispatchOutcome.BROKEN:
         # A broken head may be that of another server or request.
         return
+    if not head.load_states_pace:
+        # Servers with machines of their own keep their pace; hosts know their load from
+        # what they send, and place as they do without the header.
+        return
     service = view.record.service
     held = sum(request.sent for request in view.in_flight.values())
     context.loads.observe(name, service, boot_ms, load, now, held)
--- a/cornelnotch/platform/header_codec.py
+++ b/cornelnotch/platform/header_codec.py
@@ -50,6 +50,8 @@
 MAX_ATTEMPTS = 1000
 BRITTLE = b"server-brittle"
 LOAD = b"x-server-load"
+# Separators in a load that states the pace of its machine, too.
+PACE_SEPARATORS = 3
 # Running, waiting and slots; some servers add a pace, of which 100 is the usual one.
 LOAD_FIGURES = (3, 4)
 USUAL_PACE = 100.0
@@ -294,6 +296,7 @@
             load,
             has_load and load is None,
             load_text,
+            load is not None and load_text.count(",") == PACE_SEPARATORS,
         )
 
     def create_refusal_headers(
--- a/cornelnotch/pressure/call_wait.py
+++ b/cornelnotch/pressure/call_wait.py
@@ -79,6 +79,7 @@
         flow.arrived_ms, flow.arrived_ms + flow.route.target_ms, flow.limit_ms
     )
     started_ms = context.clock.read()
+    has_waited = False
     result = AdmissionResult.GRANTED
     while True:
         now = context.clock.read()
@@ -87,6 +88,7 @@
         hold_ms = find_hold_ms(context.placer.estimate_call(view, now), bounds, now)
         if hold_ms <= 0:
             break
+        has_waited = True
         await context.clock.sleep(hold_ms * (0.5 + 0.5 * context.generator.random()))
         now = context.clock.read()
         if not context.accepts(view):
@@ -95,8 +97,8 @@
         if has_free_slot(_estimate_others(flow, view, now)):
             result = AdmissionResult.BETTER_ENGINE
             break
-    waited_ms = context.clock.read() - started_ms
-    if waited_ms > 0 or result is not AdmissionResult.GRANTED:
+    if has_waited or result is not AdmissionResult.GRANTED:
+        waited_ms = context.clock.read() - started_ms
         context.metrics.observe_queued(flow.route.name, waited_ms)
         flow.record_event(
             Event.CALL_HELD,
--- a/cornelnotch/pressure/tests/test_stated_loads.py
+++ b/cornelnotch/pressure/tests/test_stated_loads.py
@@ -103,3 +103,16 @@
                     host.load_notices._news._told.clear()
 
     asyncio.run(run())
+
+
+def test_a_load_without_a_pace_changes_nothing():
+    """Guard deployments whose servers state three figures, which are served as before."""
+
+    async def run():
+        async with run_deployment() as deployment:
+            for server in deployment.desks:
+                state_in_responses(server, "6,2,6")
+            await send_calls(deployment, 5)
+            assert list_loads(deployment) == []
+
+    asyncio.run(run())
--- a/cornelnotch/pressure/unread_responses.py
+++ b/cornelnotch/pressure/unread_responses.py
@@ -151,6 +151,11 @@
         """Return whether the whole response was passed to the connection."""
         return self._exchange.response_finished
 
+    @property
+    def status(self) -> int:
+        """Return the status of the response, 0 before it has started."""
+        return self._exchange.status
+
     async def start(self, status: int, headers: Headers) -> None:
         """Send the head of a response with a streamed body."""
         await self._exchange.start(status, headers)
