--- a/cornelnotch/pressure/tests/test_stated_loads.py
+++ b/cornelnotch/pressure/tests/test_stated_loads.py
@@ -106,7 +106,7 @@
 
 
 def test_a_load_without_a_pace_changes_nothing():
-    """Guard deployments whose servers state three figures, which are served as before."""
+    """Guard deployments whose servers state three figures; they change nothing."""
 
     async def run():
         async with run_deployment() as deployment:
