scaling: spot servers beyond the need cover the loss of a domain

The number of spot servers was bounded by what the total exceeds the lasting need by, next to nothing in a burst, so on-demand servers stayed.

--- a/cornelnotch/scaling/planner.py
+++ b/cornelnotch/scaling/planner.py
@@ -131,9 +131,11 @@
     # One server is left to a service that gets no requests.
     at_least = max(len(priced) * bounds.minimum, 1)
     at_most = len(priced) * bounds.maximum
-    total = min(max(sum(wanted.values()), at_least), at_most)
     lasting = math.ceil(sum(need.lasting for need in needs.values()))
-    kept = min(max(lasting - sum(given.values()), 0), total)
+    lasting = max(lasting - sum(given.values()), 0)
+    total = max(sum(wanted.values()), at_least, _cover_loss(lasting, priced))
+    total = min(total, at_most)
+    kept = min(lasting, total)
     allotment = Allotment(bounds, priced, total, kept)
     for fleet in priced:
         allotment.fill([fleet.domain], bounds.minimum)
@@ -142,11 +144,20 @@
         names = by_region.get(region, [])
         left = max(count - len(names) * bounds.minimum, 0)
         unmet += allotment.fill(names, left) if names else left
-    unmet = max(unmet, at_least - allotment.count())
+    unmet = max(unmet, total - allotment.count())
     allotment.fill([fleet.domain for fleet in priced], unmet)
     return allotment.list_plans()
 
 
+def _cover_loss(lasting: int, fleets: Sequence[DomainFleet]) -> int:
+    """Return the servers of which one domain's even share may be lost.
+
+    Spot servers beyond the need cost less than on-demand servers in their place.
+    """
+    domains = sum(fleet.spot_available for fleet in fleets)
+    return math.ceil(lasting * domains / (domains - 1)) if domains > 1 else lasting
+
+
 def plan_domains(
     bounds: Autoscaling,
     fleets: Sequence[DomainFleet],
--- a/cornelnotch/scaling/tests/test_planner.py
+++ b/cornelnotch/scaling/tests/test_planner.py
@@ -173,3 +173,20 @@
         kept += min(fleet.on_demand.kept, plan.on_demand)
         kept += min(fleet.spot.kept, plan.spot)
     assert kept >= min(secure, kept_before)
+
+
+def test_spot_servers_cover_the_loss_of_a_domain_with_more_of_them():
+    """Guard against on-demand servers that stay where a few more spot ones suffice.
+
+    The load is steady, so that no room for bursts is left to release.
+    """
+    fleets = [
+        DomainFleet(name, "r", 1.0, KindCount(3, 3), KindCount(0, 0))
+        for name in "abcdef"
+    ]
+    need = ServiceNeed(18.0, 18.0, 18.0)
+    plans = plan_targets(Autoscaling(0, 10, 4000.0, 0.18, None), fleets, {"r": need})
+    spot = sum(plan.spot for plan in plans)
+    on_demand = sum(plan.on_demand for plan in plans)
+    assert on_demand + 0.18 * spot < 0.4 * 18
+    assert on_demand + spot - max(plan.spot for plan in plans) >= 18
