--- a/cornelnotch/duties/tests/test_windows.py
+++ b/cornelnotch/duties/tests/test_windows.py
@@ -195,3 +195,12 @@
     true_time = TrueTime(1e12, 0.0)
     true_time.set_agreed(float("inf"), 0.0)
     assert true_time.read(5.0) == 1e12 + 5
+
+
+# Guards against log lines that call windows missing which the host before has reported.
+def test_a_found_window_without_an_answer_is_not_known_to_be_missing():
+    found = WrittenWindow(create_usage(), 1)
+    ledger = create_ledger([found], skip_through=0)
+    ledger.note_written(create_usage(WINDOW + 1), 1)
+    over_ms = TIMING.find_end_ms(WINDOW + 1) + 20_000.0
+    assert ledger.expire(over_ms) == [WINDOW + 1]
--- a/cornelnotch/duties/windows.py
+++ b/cornelnotch/duties/windows.py
@@ -4,7 +4,7 @@
 """
 
 from collections import Counter, defaultdict
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from cornelnotch.duties.models import UsageWindow
 
@@ -200,11 +200,15 @@
 
 @dataclass(slots=True)
 class WrittenWindow:
-    """Content of a report that the store has, or had in an earlier timeline."""
+    """Content of a report that the store has, or had in an earlier timeline.
+
+    `is_found` states that another host wrote it, and may have reported it.
+    """
 
     usage: UsageWindow
     timeline: int
     is_accepted: bool = False
+    is_found: bool = False
 
 
 class ReportLedger:
@@ -242,7 +246,7 @@
             known = self._written.get(window)
             # This host may have reported what it knows, so it reports nothing else.
             if known is None:
-                self._written[window] = entry
+                self._written[window] = replace(entry, is_found=True)
             elif known.usage == entry.usage:
                 known.timeline = timeline
         self._highest = max(highest, skip_through)
@@ -305,6 +309,10 @@
             self._written[window].is_accepted = True
 
     def expire(self, wall_ms: float) -> list[int]:
-        """Forget windows that are over; return those that were not accepted."""
-        over = [w for w in self._written if self._timing.is_over(w, wall_ms)]
-        return [w for w in sorted(over) if not self._written.pop(w).is_accepted]
+        """Forget windows that are over; return those known not to be accepted.
+
+        The host that wrote a window may have reported it before another one found it.
+        """
+        over = sorted(w for w in self._written if self._timing.is_over(w, wall_ms))
+        ended = {window: self._written.pop(window) for window in over}
+        return [w for w, e in ended.items() if not (e.is_accepted or e.is_found)]
