--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -48,7 +48,7 @@
         "a configuration record was rejected",
     )
     CONFIGURATION_PART_IGNORED = (
-        2004,
+        2006,
         logging.WARNING,
         "a part of the configuration is malformed and not in force",
     )
--- a/cornelnotch/platform/tests/test_scaling_api.py
+++ b/cornelnotch/platform/tests/test_scaling_api.py
@@ -6,7 +6,7 @@
 import pytest
 
 from cornelnotch.duties.models import CallOutcome, Claim
-from cornelnotch.platform import scaling_api
+from cornelnotch.platform import duty_api
 from cornelnotch.platform.scaling_api import PlatformScalingApi
 from cornelnotch.scaling.models import OrderKey, ServerKind, ServerOrder
 from cornelnotch.standins.scaling import PlacedOrder, ScalingStandin
@@ -78,7 +78,7 @@
 
 @pytest.mark.parametrize("late_s", [0.0, 0.3])
 def test_a_silent_api_and_a_late_one_are_unanswered(monkeypatch, late_s):
-    monkeypatch.setattr(scaling_api, "TIMEOUT_S", 0.1)
+    monkeypatch.setattr(duty_api, "CALL_TIMEOUT_S", 0.1)
 
     async def place():
         async with run_platform() as (platform, api):
