--- a/cornelnotch/gateway/admission_client.py
+++ b/cornelnotch/gateway/admission_client.py
@@ -27,7 +27,7 @@
     AdmissionStage,
 )
 
-__all__ = ["AdmissionClient", "AdmissionResult"]
+__all__ = ["SENT_RESULTS", "AdmissionClient", "AdmissionResult"]
 
 # Period at which waiting requests are sent again; answers carry a wait estimate.
 ASK_PERIOD_MS = 200.0
@@ -63,7 +63,9 @@
 
 
 # Results after which the prompt is sent.
-SENT_RESULTS = frozenset({AdmissionResult.GRANTED, AdmissionResult.UNANSWERED})
+SENT_RESULTS = frozenset(
+    {AdmissionResult.GRANTED, AdmissionResult.UNANSWERED, AdmissionResult.DIRECT}
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -181,7 +181,7 @@
     SERVER_LOAD_MALFORMED = (
         3013,
         logging.WARNING,
-        "a server stated an invalid load, which is ignored; correct its X-Server-Load",
+        "a server stated an invalid load, which is ignored; correct its responses",
     )
     SERVER_ENTRY_REJECTED = (
         3011,
