--- a/cornelnotch/gateway/replacement.py
+++ b/cornelnotch/gateway/replacement.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, ClassVar
 
-from cornelnotch.gateway.admission_client import SENT_RESULTS
+from cornelnotch.gateway.admission_client import SENT_RESULTS as ADMITTED
 from cornelnotch.gateway.dispatch import DispatchOutcome, UpstreamResponse
 from cornelnotch.gateway.placement import Placement
 from cornelnotch.gateway.retry_policy import may_send_again
@@ -136,7 +136,7 @@
         return flow.context.find_retry_budget(flow.service).try_acquire(now)
 
     async def _is_admitted(self, view: ServerView, in_flight: InFlightRequest) -> bool:
-        return await self._flow.wait_for_admission(view, in_flight) in SENT_RESULTS
+        return await self._flow.wait_for_admission(view, in_flight) in ADMITTED
 
     async def _try_server(
         self,
