web: twenty connections are accepted in one step

With 128, 32 and 24 the descriptors of a host passed their bound for a moment (test_connections_without_a_byte, 603, 508 and 509 of 500); with 16 two of fifty callers beside endless streams began too late.

--- a/cornelnotch/web/server.py
+++ b/cornelnotch/web/server.py
@@ -61,8 +61,8 @@
 LISTEN_BACKLOG = 1024
 # Connections accepted in one step of the event loop, each of which may be one too many.
 # With 16, fifty callers at once began up to a second late beside servers that send
-# without end.
-ACCEPTS_PER_STEP = 128
+# without end; 24 and more exceed the bound of descriptors for a moment.
+ACCEPTS_PER_STEP = 20
 # Share of the connections that are closed at once to make room for others.
 CLEARED_CONNECTIONS = 0.02
 # Steps of the event loop from accepting a connection to its task.
