gateway: log each server that a request is sent to again, and when a server is left

No line told that a stream was sent to its copy while its server was silent, after which event, or when the connection of either server was closed; 6014 tells only how a search ended. 6020 and 6021 tell the three hypotheses of the incident apart: a dispatch without a copy, a first server that goes on, and a first server that was left.

--- a/cornelnotch/gateway/dispatcher.py
+++ b/cornelnotch/gateway/dispatcher.py
@@ -129,6 +129,7 @@
         def note_sending() -> None:
             sending.set()
             in_flight.transmitted = True
+            self._record_again(view, options)
 
         loop = asyncio.get_running_loop()
         timers = [
@@ -147,12 +148,37 @@
                 note_sending,
             )
         except BaseException:
-            self.counts.ran += sending.is_set()
+            if sending.is_set():
+                self._note_left(view)
             raise
         finally:
             for timer in timers:
                 timer.cancel()
 
+    def _record_again(self, view: ServerView, options: DispatchOptions) -> None:
+        """Log a dispatch that is not the first one of its request."""
+        counts = self.counts
+        if not counts.ran + counts.refused + counts.unsent:
+            return
+        self._record_event(
+            Event.REQUEST_SENT_AGAIN,
+            server=view.record.name,
+            ran=counts.ran,
+            refused=counts.refused,
+            unsent=counts.unsent,
+            copied=bool(options.kv_copy),
+            after_event=options.last_event_id,
+        )
+
+    def _note_left(self, view: ServerView) -> None:
+        """Note that the connection was closed before the server answered."""
+        counts = self.counts
+        if counts.ran:
+            self._record_event(
+                Event.SERVER_LEFT, server=view.record.name, answered=False
+            )
+        counts.ran += 1
+
     def _check_connecting(self, view: ServerView, sending: asyncio.Event) -> None:
         """Have the links to the servers probed while a connect hangs."""
         if not sending.is_set():
--- a/cornelnotch/gateway/forwarding.py
+++ b/cornelnotch/gateway/forwarding.py
@@ -154,6 +154,7 @@
         finally:
             reading.cancel()
             await asyncio.wait({reading})
+        self._search.note_left()
         raise self._create_stall()
 
     def _create_stall(self) -> UpstreamStalledError:
--- a/cornelnotch/gateway/replacement.py
+++ b/cornelnotch/gateway/replacement.py
@@ -40,9 +40,12 @@
     in_flight: InFlightRequest
     response: UpstreamResponse
     release: Callable[[], None]
+    record_event: Callable[..., None]
 
     def discard(self) -> None:
         """Close the response, as the request does not go on there."""
+        server = self.placement.server.record.name
+        self.record_event(Event.SERVER_LEFT, server=server, answered=True)
         self.response.close()
         self.release()
 
@@ -83,6 +86,11 @@
         """Return whether to close the silent server, as another one has the request."""
         return True
 
+    def note_left(self) -> None:
+        """Log that the connection to the silent server is closed now."""
+        name = self._silent.record.name
+        self._flow.record_event(Event.SERVER_LEFT, server=name, answered=True)
+
     async def run(self) -> Replacement | None:
         """Return a response that goes on with the request, or None if there is none."""
         flow = self._flow
@@ -176,7 +184,13 @@
 
         try:
             if await self._goes_on(placement.server, in_flight, response):
-                found = Replacement(placement, in_flight, response, release)
+                found = Replacement(
+                    placement,
+                    in_flight,
+                    response,
+                    release,
+                    self._flow.record_event,
+                )
             return found
         finally:
             if found is None:
--- /dev/null
+++ b/cornelnotch/gateway/tests/test_stream_handover.py
@@ -0,0 +1,61 @@
+"""Test streams that go on at another server while the first one may still run them."""
+
+import pytest
+
+from cornelnotch.gateway.tests.test_backups import (
+    run_scenario,
+    send,
+)
+from cornelnotch.kernel.events import Event
+
+STALL_AFTER = 3
+# A stream of the test route is sent to its copy after 1,250 ms.
+SHORT_SILENCE_MS = 1450.0
+EVENT_MS = 40.0
+SLOW_ANSWER_MS = 500.0
+
+
+def note_events(d):
+    """Return the list to which all later events of the host are added."""
+    noted = []
+    record = d.host.context.events.record
+
+    def note(event, **fields):
+        noted.append((event, fields))
+        record(event, **fields)
+
+    d.host.context.events.record = note
+    return noted
+
+
+async def begin_silent_chat(d, silence_ms):
+    """Begin a stream whose server falls silent; return both servers and the reply."""
+    for engine in d.engines:
+        engine.faults.event_ms = EVENT_MS
+        engine.faults.stall_after_events = STALL_AFTER
+        engine.faults.stall_ms = silence_ms
+    reply = await send(d, "chat")
+    running = next(e for e in d.engines if e.executions["chat"])
+    other = next(e for e in d.engines if e is not running)
+    return running, other, reply
+
+
+@pytest.mark.parametrize("answer_ms", [0.0, SLOW_ANSWER_MS])
+def test_log_names_each_server_that_a_stream_was_sent_to_and_when_it_was_left(
+    answer_ms,
+):
+    async def scenario(d):
+        noted = note_events(d)
+        running, other, reply = await begin_silent_chat(d, SHORT_SILENCE_MS)
+        other.faults.first_ms = answer_ms
+        await reply.read()
+        chat = [(e, f) for e, f in noted if f.get("request_id") == "chat"]
+        sent = [f for e, f in chat if e is Event.REQUEST_SENT_AGAIN]
+        left = [f["server"] for e, f in chat if e is Event.SERVER_LEFT]
+        assert [f["server"] for f in sent] == [other.name]
+        assert (sent[0]["copied"], sent[0]["after_event"]) == (True, str(STALL_AFTER))
+        assert len(left) == 1
+        ended = running if running.disconnects else other
+        assert left == [ended.name]
+
+    run_scenario(scenario)
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -234,6 +234,16 @@
         logging.WARNING,
         "the response of the slowest caller was ended, as unread ones fill the memory",
     )
+    REQUEST_SENT_AGAIN = (
+        6020,
+        logging.INFO,
+        "a request was sent to a further server",
+    )
+    SERVER_LEFT = (
+        6021,
+        logging.INFO,
+        "the connection to a server was closed while it held a request",
+    )
     REQUEST_ANSWERED = (6006, logging.INFO, "a request was answered completely")
     REQUEST_BROKEN_OFF = (6007, logging.INFO, "a response ended early")
     TURN_CAME = (
