tests: a stream that may not be repeated goes on at a silent server beside its copy, known red

With one host and two servers that keep copies: the first server is silent for 1.45 s, the stream is sent to its copy after 1.25 s, the second server answers 0.5 s later.

--- a/cornelnotch/gateway/tests/test_stream_handover.py
+++ b/cornelnotch/gateway/tests/test_stream_handover.py
@@ -3,6 +3,7 @@
 import pytest
 
 from cornelnotch.gateway.tests.test_backups import (
+    COMPLETE_BODY,
     run_scenario,
     send,
 )
@@ -59,3 +60,19 @@
         assert left == [ended.name]
 
     run_scenario(scenario)
+
+
+# Guards against a stream that may not be repeated and goes on at its first server
+# after a second one was sent it.
+@pytest.mark.parametrize("answer_ms", [0.0, SLOW_ANSWER_MS])
+def test_silent_server_that_sends_again_does_not_run_a_stream_beside_its_copy(
+    answer_ms,
+):
+    async def scenario(d):
+        running, other, reply = await begin_silent_chat(d, SHORT_SILENCE_MS)
+        other.faults.first_ms = answer_ms
+        assert await reply.read() == COMPLETE_BODY
+        assert other.executions["chat"] == 1
+        assert (running.disconnects, other.disconnects) == (1, 0)
+
+    run_scenario(scenario)
