gateway: a stream that may not be repeated has one server at a time

Cause: the search for another server lets two servers race for a silent stream and goes on with the one that sends first. For a stream that may not be repeated that is a speculative second execution: once the copy has been sent the stream, the first server may only go on if the second one proves that it did not run it. Here it went on whenever it sent again before the second had answered.

Now such a stream belongs to the next server from the first byte that is written to it (runs/handover.py): what the silent server sends from then on is held back, its connection is closed within 0.2 s, and it gets the stream back only after a refusal or a connection that was not made. A stream is sent nowhere if its server has sent an event since the search began, or while one is forwarded. runs/request_runs.py is asked before the first byte of every dispatch, so that no path sends a request that may not be repeated while another server may run it.

A stream that may be repeated races as before, but what its first server sends waits 0.2 s for an answer of the second one that is already under way.

--- a/cornelnotch/gateway/dispatcher.py
+++ b/cornelnotch/gateway/dispatcher.py
@@ -17,8 +17,9 @@
 from cornelnotch.gateway.server_signals import apply_server_signals
 from cornelnotch.gateway.servers import InFlightRequest, ServerView
 from cornelnotch.kernel.events import Event
+from cornelnotch.runs import RequestRuns
 
-__all__ = ["CacheCopy", "Dispatcher", "SilenceNotice"]
+__all__ = ["NO_HOOKS", "CacheCopy", "DispatchHooks", "Dispatcher"]
 
 # Longer than several round trips between regions.
 SLOW_CONNECT_S = 0.25
@@ -36,12 +37,24 @@
     source: str = ""
 
 
+def do_nothing() -> None:
+    """Do nothing, as a dispatch has no hook."""
+
+
 @dataclass(frozen=True, slots=True)
-class SilenceNotice:
-    """What to call once a server has sent no response head for `timeout_s`."""
+class DispatchHooks:
+    """What to call during a dispatch.
+
+    `claim` is called before the first byte is sent; if it raises, nothing is sent.
+    `note_silence` is called once the server has sent no response head for `silence_s`.
+    """
+
+    claim: Callable[[], None] = do_nothing
+    silence_s: float | None = None
+    note_silence: Callable[[], None] = do_nothing
+
 
-    timeout_s: float
-    note: Callable[[], None]
+NO_HOOKS = DispatchHooks()
 
 
 class Dispatcher:
@@ -65,6 +78,7 @@
         self._deadline_ms = deadline_ms
         self._record_event = record_event
         self.counts = DispatchCounts()
+        self.runs = RequestRuns(may_repeat=route.may_repeat)
         self._is_counted = False
 
     async def open(
@@ -73,7 +87,7 @@
         in_flight: InFlightRequest,
         last_event_id: str,
         copy: CacheCopy,
-        notice: SilenceNotice | None = None,
+        hooks: DispatchHooks = NO_HOOKS,
     ) -> UpstreamResponse:
         """Send the request and return the head of the response, or what failed."""
         view = placement.server
@@ -90,8 +104,10 @@
             copy.source,
         )
         sent_ms = self._context.clock.read()
-        response = await self._send(view, in_flight, options, notice)
+        response = await self._send(view, in_flight, options, hooks)
         self.counts.count(response.outcome)
+        if response.outcome is DispatchOutcome.REFUSED:
+            self.runs.release(view.record.name)
         in_flight.rejected = response.outcome is DispatchOutcome.REFUSED
         in_flight.ended = response.outcome in ENDED
         apply_server_signals(self._context, view, response, sent_ms, self._record_event)
@@ -121,12 +137,15 @@
         view: ServerView,
         in_flight: InFlightRequest,
         options: DispatchOptions,
-        notice: SilenceNotice | None,
+        hooks: DispatchHooks,
     ) -> UpstreamResponse:
         """Send the request; count it as one that may have run if it is cancelled."""
         sending = asyncio.Event()
+        claim = hooks.claim
 
         def note_sending() -> None:
+            claim()
+            self.runs.claim(view.record.name, copied=bool(options.kv_copy))
             sending.set()
             in_flight.transmitted = True
             self._record_again(view, options)
@@ -135,8 +154,8 @@
         timers = [
             loop.call_later(SLOW_CONNECT_S, self._check_connecting, view, sending)
         ]
-        if notice is not None:
-            timers.append(loop.call_later(notice.timeout_s, notice.note))
+        if hooks.silence_s is not None:
+            timers.append(loop.call_later(hooks.silence_s, hooks.note_silence))
         try:
             return await open_response(
                 self._context.client,
@@ -152,6 +171,8 @@
                 self._note_left(view)
             raise
         finally:
+            # The error of a broken connection keeps the closure, and would the request.
+            claim = do_nothing
             for timer in timers:
                 timer.cancel()
 
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -18,7 +18,12 @@
     UpstreamResponse,
     has_events,
 )
-from cornelnotch.gateway.dispatcher import CacheCopy, Dispatcher, SilenceNotice
+from cornelnotch.gateway.dispatcher import (
+    NO_HOOKS,
+    CacheCopy,
+    Dispatcher,
+    DispatchHooks,
+)
 from cornelnotch.gateway.drain import choose_drain_retry_after_ms
 from cornelnotch.gateway.fingerprints import create_fingerprints
 from cornelnotch.gateway.forwarding import MAX_BUFFERED_BYTES, EventReader, forward_body
@@ -43,6 +48,7 @@
 from cornelnotch.kernel.events import Event
 from cornelnotch.pressure.call_wait import hold_call
 from cornelnotch.pressure.held_bytes import measure_request_bytes
+from cornelnotch.runs.copies import may_use_copy
 from cornelnotch.web import Exchange
 
 __all__ = ["RequestFlow"]
@@ -376,15 +382,9 @@
 
     def _may_resume(self, response: UpstreamResponse) -> bool:
         """Return whether a stream that was cut off can resume from a KV cache copy."""
-        if self.backup is None or self.resuming:
-            return False
-        if response.outcome is not DispatchOutcome.BROKEN:
-            return False
-        if not self.exchange.response_started or not self.splitter.last_event_id:
+        if response.outcome is not DispatchOutcome.BROKEN or not may_use_copy(self):
             return False
         now = self.context.clock.read()
-        if now >= self.limit_ms or not self.context.accepts(self.backup):
-            return False
         return self.context.find_retry_budget(self.service).try_acquire(now)
 
     def _place_at_backup(self) -> Placement | None:
@@ -567,7 +567,7 @@
         self,
         placement: Placement,
         in_flight: InFlightRequest,
-        notice: SilenceNotice | None = None,
+        hooks: DispatchHooks = NO_HOOKS,
     ) -> UpstreamResponse:
         """Send the request; return the head of the response, or what failed.
 
@@ -578,7 +578,7 @@
         copy = self._choose_copy(placement.server)
         last_event_id = self.splitter.last_event_id
         return await self.dispatcher.open(
-            placement, in_flight, last_event_id, copy, notice
+            placement, in_flight, last_event_id, copy, hooks
         )
 
     async def receive(
@@ -661,7 +661,7 @@
             in_flight,
             self.context.clock,
             self._find_stall_timeout_s(),
-            StreamSearch(self, view, in_flight),
+            StreamSearch(self, view, in_flight, response),
         )
         try:
             await self.continuation.confirm_server(view)
--- a/cornelnotch/gateway/forwarding.py
+++ b/cornelnotch/gateway/forwarding.py
@@ -4,9 +4,10 @@
 
 from cornelnotch.exceptions import UpstreamError, UpstreamStalledError
 from cornelnotch.gateway.dispatch import UpstreamResponse
-from cornelnotch.gateway.replacement import Replacement, ReplacementSearch
+from cornelnotch.gateway.replacement import Replacement
 from cornelnotch.gateway.response_ends import ResponseEnd, confirm_end
 from cornelnotch.gateway.servers import InFlightRequest
+from cornelnotch.gateway.stream_search import StreamSearch
 from cornelnotch.kernel.clock import Clock
 from cornelnotch.web import Exchange
 
@@ -67,13 +68,14 @@
         request: InFlightRequest,
         clock: Clock,
         stall_s: float | None,
-        search: ReplacementSearch,
+        search: StreamSearch,
     ) -> None:
         self._response = response
         self._request = request
         self._clock = clock
         self._stall_s = stall_s
         self._search = search
+        self._handover = search.handover
         self._searching: asyncio.Task[Replacement | None] | None = None
         self._searched_ms = 0.0
         self._searched_events = 0
@@ -84,6 +86,13 @@
 
         If `replacement` is set then, it goes on with the stream.
         """
+        self._handover.is_sending = False
+        try:
+            return await self._read()
+        finally:
+            self._handover.is_sending = True
+
+    async def _read(self) -> bytes:
         if self._stall_s is None:
             return await self._response.read_chunk()
         if self._request.events != self._searched_events:
@@ -136,27 +145,37 @@
             await asyncio.wait(
                 {reading, self._searching}, return_when=asyncio.FIRST_COMPLETED
             )
-            if reading.done():
-                if reading.exception() is None:
-                    return reading.result()
-                # Its server is lost, and another one may have the stream already.
-                await asyncio.wait({self._searching})
+            if reading.done() and not await self._is_found(reading):
+                return reading.result()
             searching, self._searching = self._searching, None
             self._searched_ms = self._clock.read()
             self.replacement = searching.result()
-            if reading.done():
+            has_broken = reading.done() and reading.exception() is not None
+            if has_broken and not self._handover.has_left:
                 return reading.result()
             if self.replacement is not None and not self._search.may_leave():
                 self.replacement.discard()
                 self.replacement = None
             if self.replacement is None:
-                return None
+                self._handover.check_return()
+                return reading.result() if reading.done() else None
         finally:
             reading.cancel()
             await asyncio.wait({reading})
-        self._search.note_left()
+        self._handover.note_moved()
         raise self._create_stall()
 
+    async def _is_found(self, reading: asyncio.Task[bytes]) -> bool:
+        """Return whether the search has ended that decides on what was read.
+
+        Another server may have the stream already.
+        """
+        assert self._searching is not None
+        wait_s = self._handover.find_wait_s() if reading.exception() is None else None
+        if wait_s != 0.0:
+            await asyncio.wait({self._searching}, timeout=wait_s)
+        return self._searching.done() and wait_s != 0.0
+
     def _create_stall(self) -> UpstreamStalledError:
         return UpstreamStalledError(
             f"no event for {self._stall_s} s", "resume at another server"
--- a/cornelnotch/gateway/models.py
+++ b/cornelnotch/gateway/models.py
@@ -56,6 +56,12 @@
     resumable: bool = False
     target_itl_ms: float = 0.0
 
+    @property
+    def may_repeat(self) -> bool:
+        """Return whether a request may run more than once."""
+        is_stream = self.kind is WorkKind.STREAM
+        return self.kind is WorkKind.REPEATABLE or (is_stream and self.resumable)
+
 
 @dataclass(frozen=True, slots=True)
 class Engine:
--- a/cornelnotch/gateway/peer_dispatch.py
+++ b/cornelnotch/gateway/peer_dispatch.py
@@ -113,6 +113,8 @@
         attempts = max(flow.route.attempts - flow.dispatches.ran, 1)
         response = await self._open(member, attempts)
         flow.dispatches.count(response.outcome)
+        if response.outcome is DispatchOutcome.REFUSED:
+            flow.dispatcher.runs.release(member.name)
         flow.record_event(
             Event.REQUEST_PASSED_ON,
             host=member.name,
@@ -150,11 +152,17 @@
             method=request.method, target=request.target, headers=headers
         )
         # A pooled connection may be dead, which leaves it open whether the work ran.
-        fresh = flow.route.kind is WorkKind.ONCE
+        fresh = not flow.route.may_repeat
         sending = asyncio.Event()
+        runs = flow.dispatcher.runs
+
+        def note_sending() -> None:
+            runs.claim(member.name)
+            sending.set()
+
         try:
             http_response = await flow.context.client.send(
-                member.http, head, request.body, fresh, sending.set
+                member.http, head, request.body, fresh, note_sending
             )
         except UpstreamUnreachableError as error:
             return UpstreamResponse(DispatchOutcome.NOT_SENT, error.problem)
--- a/cornelnotch/gateway/replacement.py
+++ b/cornelnotch/gateway/replacement.py
@@ -86,11 +86,6 @@
         """Return whether to close the silent server, as another one has the request."""
         return True
 
-    def note_left(self) -> None:
-        """Log that the connection to the silent server is closed now."""
-        name = self._silent.record.name
-        self._flow.record_event(Event.SERVER_LEFT, server=name, answered=True)
-
     async def run(self) -> Replacement | None:
         """Return a response that goes on with the request, or None if there is none."""
         flow = self._flow
--- a/cornelnotch/gateway/retry_policy.py
+++ b/cornelnotch/gateway/retry_policy.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from cornelnotch.gateway.dispatch import DispatchOutcome
-from cornelnotch.gateway.models import Route, WorkKind
+from cornelnotch.gateway.models import Route
 
 __all__ = ["DispatchCounts", "may_send_again"]
 
@@ -43,8 +43,4 @@
         return counts.unsent < MAX_UNSENT_DISPATCHES
     if outcome is DispatchOutcome.REFUSED:
         return counts.refused < MAX_REFUSED_DISPATCHES
-    if counts.ran >= route.attempts:
-        return False
-    if route.kind is WorkKind.REPEATABLE:
-        return True
-    return route.kind is WorkKind.STREAM and route.resumable
+    return counts.ran < route.attempts and route.may_repeat
--- a/cornelnotch/gateway/slow_calls.py
+++ b/cornelnotch/gateway/slow_calls.py
@@ -12,7 +12,7 @@
 
 from cornelnotch.gateway.admission_client import UNRESPONSIVE_MS, AdmissionResult
 from cornelnotch.gateway.dispatch import DispatchOutcome, UpstreamResponse
-from cornelnotch.gateway.dispatcher import SilenceNotice
+from cornelnotch.gateway.dispatcher import DispatchHooks
 from cornelnotch.gateway.placement import Placement
 from cornelnotch.gateway.replacement import ADMITTED, Replacement, ReplacementSearch
 from cornelnotch.gateway.server_links import PROBE_INTERVAL_MS
@@ -154,10 +154,10 @@
     async def _wait(self) -> UpstreamResponse:
         """Wait for the head of the response until the server is given up."""
         flow = self._flow
-        notice = SilenceNotice(self._timeout_s, self._start_watch)
+        hooks = DispatchHooks(silence_s=self._timeout_s, note_silence=self._start_watch)
         try:
             async with self._limit:
-                return await flow.open(self._placement, self._in_flight, notice)
+                return await flow.open(self._placement, self._in_flight, hooks)
         except TimeoutError:
             if not self._limit.expired():
                 raise
--- a/cornelnotch/gateway/stream_search.py
+++ b/cornelnotch/gateway/stream_search.py
@@ -1,6 +1,7 @@
 """Find another server for a stream whose server has fallen silent.
 
-The stream goes on at the server that sends its next event first.
+A stream that may be repeated goes on at the server that sends its next event first; see
+the package `runs` for one that may not be repeated.
 """
 
 from __future__ import annotations
@@ -8,34 +9,51 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from cornelnotch.exceptions import UpstreamError
-from cornelnotch.gateway.dispatch import UpstreamResponse, has_events
+from cornelnotch.exceptions import StreamKeptError, UpstreamError
+from cornelnotch.gateway.dispatch import DispatchOutcome, UpstreamResponse, has_events
+from cornelnotch.gateway.dispatcher import DispatchHooks
 from cornelnotch.gateway.placement import Placement
 from cornelnotch.gateway.replacement import Replacement, ReplacementSearch
 from cornelnotch.gateway.servers import InFlightRequest, ServerView
 from cornelnotch.gateway.silence import is_silent
 from cornelnotch.kernel.events import Event
+from cornelnotch.runs import MAX_OVERLAP_S, Handover
+from cornelnotch.runs.copies import may_use_copy
 
 if TYPE_CHECKING:
     from cornelnotch.gateway.flow import RequestFlow
 
 __all__ = ["StreamSearch"]
 
-# Time for which both servers may run the stream.
-MAX_OVERLAP_S = 0.2
+NOT_RUN = frozenset({DispatchOutcome.NOT_SENT, DispatchOutcome.REFUSED})
 
 
 class StreamSearch(ReplacementSearch):
-    """Search for a server that goes on with the stream of a silent one."""
+    """Search for a server that goes on with the stream of a silent one.
+
+    `response` is that of the silent server.
+    """
 
     event = Event.STREAM_STALLED
 
     def __init__(
-        self, flow: RequestFlow, silent: ServerView, in_flight: InFlightRequest
+        self,
+        flow: RequestFlow,
+        silent: ServerView,
+        in_flight: InFlightRequest,
+        response: UpstreamResponse,
     ) -> None:
         super().__init__(flow, silent)
         self._in_flight = in_flight
         self._began_in_drain = False
+        self.handover = Handover(
+            flow.dispatcher.runs,
+            silent.record.name,
+            in_flight,
+            response,
+            flow.record_event,
+            flow.context.metrics.count_stream_move,
+        )
 
     def may_start(self) -> bool:
         """Return whether another server may go on with the stream."""
@@ -43,15 +61,16 @@
         if flow.backup is None:
             return super().may_start()
         # A stream that may not be repeated resumes only after its server failed.
-        now = flow.context.clock.read()
-        can_resume = is_silent(self._silent, now) and flow.context.accepts(flow.backup)
-        return can_resume and self._is_in_time()
+        is_silent_now = is_silent(self._silent, flow.context.clock.read())
+        return is_silent_now and may_use_copy(flow) and self._is_in_time()
 
     def may_leave(self) -> bool:
         """Return whether to close the silent server, as another one has the stream.
 
         The host may have begun to drain since the search began.
         """
+        if self.handover.is_final:
+            return True
         leaves = self._began_in_drain or self._is_in_time()
         if not leaves:
             name = self._silent.record.name
@@ -66,7 +85,28 @@
     async def run(self) -> Replacement | None:
         """Return a response that goes on with the stream, or None if there is none."""
         self._began_in_drain = self._flow.context.drain.has_started
-        return await super().run()
+        self.handover.begin()
+        try:
+            return await super().run()
+        finally:
+            self.handover.end()
+
+    def _claim(self) -> None:
+        if not self.may_leave():
+            raise StreamKeptError("the host stops", "send the stream nowhere else")
+        self.handover.claim()
+
+    async def _send(
+        self, placement: Placement, in_flight: InFlightRequest
+    ) -> Replacement | None:
+        try:
+            hooks = DispatchHooks(claim=self._claim)
+            response = await self._flow.open(placement, in_flight, hooks)
+        except StreamKeptError:
+            return None
+        if response.outcome in NOT_RUN:
+            self.handover.give_back()
+        return await self._check(placement, in_flight, response)
 
     async def _find(self) -> Replacement | None:
         backup = self._flow.backup
--- a/cornelnotch/gateway/tests/test_stream_handover.py
+++ b/cornelnotch/gateway/tests/test_stream_handover.py
@@ -1,7 +1,11 @@
 """Test streams that go on at another server while the first one may still run them."""
 
+import asyncio
+
 import pytest
 
+from cornelnotch.exceptions import UpstreamError
+from cornelnotch.gateway.tests.conftest import wait_until
 from cornelnotch.gateway.tests.test_backups import (
     COMPLETE_BODY,
     run_scenario,
@@ -14,6 +18,9 @@
 SHORT_SILENCE_MS = 1450.0
 EVENT_MS = 40.0
 SLOW_ANSWER_MS = 500.0
+LONG_ANSWER_MS = 800.0
+# Two servers may have such a stream for less than this.
+MAX_TWO_SERVERS_S = 0.4
 
 
 def note_events(d):
@@ -76,3 +83,58 @@
         assert (running.disconnects, other.disconnects) == (1, 0)
 
     run_scenario(scenario)
+
+
+def test_silent_server_keeps_a_stream_that_its_copy_refuses():
+    async def scenario(d):
+        running, other, reply = await begin_silent_chat(d, SHORT_SILENCE_MS)
+        other.faults.refuse = True
+        assert await reply.read() == COMPLETE_BODY
+        assert (running.executions["chat"], running.disconnects) == (1, 0)
+        assert other.executions["chat"] == 0
+
+    run_scenario(scenario)
+
+
+# Guards against a silent server that works on while the next one has the stream.
+def test_silent_server_is_left_soon_after_its_stream_was_sent_to_the_copy():
+    async def scenario(d):
+        running, other, reply = await begin_silent_chat(d, None)
+        other.faults.first_ms = LONG_ANSWER_MS
+        reading = asyncio.create_task(reply.read())
+        await wait_until(lambda: other.executions["chat"])
+        await wait_until(lambda: running.disconnects, MAX_TWO_SERVERS_S)
+        assert await reading == COMPLETE_BODY
+
+    run_scenario(scenario)
+
+
+def test_stream_that_its_copy_runs_and_breaks_does_not_return_to_its_first_server():
+    async def scenario(d):
+        running, other, reply = await begin_silent_chat(d, SHORT_SILENCE_MS)
+        other.faults.abort = True
+        with pytest.raises(UpstreamError):
+            await reply.read()
+        await wait_until(lambda: running.disconnects == 1)
+        assert (running.executions["chat"], other.executions["chat"]) == (1, 1)
+
+    run_scenario(scenario)
+
+
+# Guards against a stream that is sent to its copy although its server sends again.
+def test_stream_whose_server_sends_while_the_copy_is_connected_to_stays():
+    async def scenario(d):
+        running, other, reply = await begin_silent_chat(d, SHORT_SILENCE_MS)
+        client = d.host.context.client
+        acquire = client._acquire
+
+        async def acquire_late(address, fresh):
+            if address == other.address:
+                await asyncio.sleep(SLOW_ANSWER_MS / 1000.0)
+            return await acquire(address, fresh)
+
+        client._acquire = acquire_late
+        assert await reply.read() == COMPLETE_BODY
+        assert (running.disconnects, other.executions["chat"]) == (0, 0)
+
+    run_scenario(scenario)
--- a/cornelnotch/observation/metrics.py
+++ b/cornelnotch/observation/metrics.py
@@ -65,6 +65,12 @@
             labels,
             registry=self._registry,
         )
+        self._stream_moves = Counter(
+            "cornelnotch_stream_moves_total",
+            "Streams sent on from a silent server, by outcome.",
+            labels,
+            registry=self._registry,
+        )
         self._server_crashes = Counter(
             "cornelnotch_server_crashes_total",
             "Servers that crashed while they served requests of this host.",
@@ -148,6 +154,10 @@
         """Count one request without a complete response when the host stopped."""
         self._cut.inc({"class": class_name})
 
+    def count_stream_move(self, outcome: str) -> None:
+        """Count one stream that was sent on from a silent server."""
+        self._stream_moves.inc({"outcome": outcome})
+
     def count_server_crash(self) -> None:
         """Count one server that crashed while it served requests of this host."""
         self._server_crashes.inc({})
