gateway: a stream leaves its server for a copy only once the server counts as lost

A sound server may stand still for a second or so. It does not notice meanwhile that its connection was closed, so its run ends only when it wakes, possibly later than 400 ms after the second one began. Streams with a copy were moved after 1.25 s without an event, well within such a silence.

They are moved when the server has been silent for twice as long as a sound one may be, or 0.4 s before the caller gives up, whichever comes first, and not before 1.2 s; for diet-chat after 1.6 s. Such a stream is late by then either way, as its pauses may last 250 ms.

--- a/cornelnotch/gateway/drain.py
+++ b/cornelnotch/gateway/drain.py
@@ -12,6 +12,7 @@
 
 from cornelnotch.gateway.models import Route, WorkKind
 from cornelnotch.gateway.retry_after import MAX_RETRY_AFTER_SHARE
+from cornelnotch.gateway.timeouts import LOST_AFTER_SILENCES
 from cornelnotch.kernel.clock import Clock
 
 __all__ = [
@@ -38,8 +39,6 @@
 LONGEST_SHARE = 1.0
 # Time before the latest moment at which a stream can go on at another server.
 LATEST_MOVE_MS = 250.0
-# Factor on the longest silence of a sound server after which a server counts as lost.
-LOST_AFTER_SILENCES = 2.0
 # Delay before a refused caller retries at another host, shortened by up to half.
 RETRY_AFTER_MS = 100.0
 
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -44,7 +44,7 @@
 from cornelnotch.gateway.slow_calls import WatchedDispatch
 from cornelnotch.gateway.stream_search import StreamSearch
 from cornelnotch.gateway.streams import EventSplitter
-from cornelnotch.gateway.timeouts import find_max_gap_s, find_stall_timeout_s
+from cornelnotch.gateway.timeouts import find_copy_timeout_s, find_stall_timeout_s
 from cornelnotch.kernel.events import Event
 from cornelnotch.pressure.call_wait import hold_call
 from cornelnotch.pressure.held_bytes import measure_request_bytes
@@ -717,7 +717,7 @@
 
     def _find_stall_timeout_s(self) -> float | None:
         if self.backup is not None and not self.resuming:
-            return find_max_gap_s(self.route)
+            return find_copy_timeout_s(self.route)
         return find_stall_timeout_s(self.route, self.dispatches.ran)
 
     def finish(self, status: int, first_ms: float, **details: object) -> None:
