gateway: a server that the host has left does not count as broken

If the copy refuses a stream later than 0.2 s after it was sent there, the silent server has been left already. The end of its connection counted as a break of the server, which is evidence of a crash against its requests. The response now ends with what happened: another server may run the stream. The test failed before (the reason was a connection that ended prematurely).

--- a/cornelnotch/gateway/tests/test_stream_handover.py
+++ b/cornelnotch/gateway/tests/test_stream_handover.py
@@ -23,6 +23,7 @@
 EVENT_MS = 40.0
 SLOW_ANSWER_MS = 800.0
 SLOW_CONNECT_S = 0.5
+SLOW_REFUSAL_S = 0.4
 # Two servers may have such a stream for less than this.
 MAX_TWO_SERVERS_S = 0.4
 
@@ -100,6 +101,31 @@
     run_scenario(scenario)
 
 
+# Guards against a server that the host has left and that counts as broken, which blames
+# its requests for a crash.
+def test_server_that_was_left_does_not_count_as_broken_if_the_copy_refuses_late():
+    async def scenario(d):
+        noted = note_events(d)
+        running, other, reply = await begin_silent_chat(d, None)
+        handle = other._handle
+
+        async def refuse_late(exchange):
+            if exchange.headers.get("x-attempt-id") == "chat":
+                await asyncio.sleep(SLOW_REFUSAL_S)
+            await handle(exchange)
+
+        other.server._handler = refuse_late
+        other.faults.refuse = True
+        with pytest.raises(UpstreamError):
+            await reply.read()
+        failed = [f for e, f in noted if e is Event.DISPATCH_FAILED]
+        reasons = {f["server"]: f["reason"] for f in failed}
+        assert "may run" in reasons[running.name]
+        assert running.disconnects == 1
+
+    run_scenario(scenario)
+
+
 # Guards against a silent server that works on while the next one has the stream.
 def test_silent_server_is_left_soon_after_its_stream_was_sent_to_the_copy():
     async def scenario(d):
--- a/cornelnotch/runs/handover.py
+++ b/cornelnotch/runs/handover.py
@@ -107,7 +107,7 @@
 
     def check_return(self) -> None:
         """Raise UpstreamError if the silent server must not go on with the stream."""
-        if not self._runs.may_go_on(self._server):
+        if self.has_left or not self._runs.may_go_on(self._server):
             self._count_move(MoveOutcome.LOST)
             raise UpstreamStalledError(
                 "another server may run the stream", "send the request again"
