--- a/cornelnotch/gateway/forwarding.py
+++ b/cornelnotch/gateway/forwarding.py
@@ -146,6 +146,8 @@
                 {reading, self._searching}, return_when=asyncio.FIRST_COMPLETED
             )
             if reading.done() and not await self._is_found(reading):
+                # The search runs on until this method returns.
+                self._handover.is_sending = True
                 return reading.result()
             searching, self._searching = self._searching, None
             self._searched_ms = self._clock.read()
