--- a/cornelnotch/gateway/tests/test_taken_bytes.py
+++ b/cornelnotch/gateway/tests/test_taken_bytes.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from types import SimpleNamespace
+from typing import Any
 
 import pytest
 
@@ -74,13 +75,15 @@
 @pytest.mark.parametrize("steps", range(10))
 def test_no_search_claims_a_stream_whose_bytes_are_about_to_be_forwarded(steps):
     async def run():
-        clock = SimpleNamespace(read=lambda: asyncio.get_running_loop().time() * 1e3)
+        clock: Any = SimpleNamespace(
+            read=lambda: asyncio.get_running_loop().time() * 1e3
+        )
         in_flight = InFlightRequest("a", clock.read(), 0, 1)
         in_flight.first_ms = clock.read()
-        response = SilentResponse()
+        response: Any = SilentResponse()
         runs = RequestRuns(may_repeat=False)
         handover = Handover(runs, "x", in_flight, response, lambda *a, **f: None)
-        search = ClaimingSearch(handover, response.taken, steps)
+        search: Any = ClaimingSearch(handover, response.taken, steps)
         reader = EventReader(response, in_flight, clock, STALL_S, search)
         try:
             data = await reader.read()
