gateway: a copy that no server was asked for is kept

A search that ended before the stream was sent to its copy gave the copy up, so that the stream was broken off when its server failed later. It is given up only once it was asked for, as it can be used once.

--- a/cornelnotch/gateway/stream_search.py
+++ b/cornelnotch/gateway/stream_search.py
@@ -124,9 +124,9 @@
             return found
         finally:
             if found is None:
-                # A copy can be used once.
                 flow.resuming = False
-                flow.backup = None
+                if self.handover.was_claimed:
+                    flow.backup = None  # A copy can be used once.
 
     async def _is_usable(self, view: ServerView, response: UpstreamResponse) -> bool:
         flow = self._flow
--- a/cornelnotch/gateway/tests/test_stream_handover.py
+++ b/cornelnotch/gateway/tests/test_stream_handover.py
@@ -53,6 +53,19 @@
     return running, other, reply
 
 
+def connect_slowly(d, server):
+    """Have connections to a server made late."""
+    client = d.host.context.client
+    acquire = client._acquire
+
+    async def acquire_late(address, fresh):
+        if address == server.address:
+            await asyncio.sleep(SLOW_CONNECT_S)
+        return await acquire(address, fresh)
+
+    client._acquire = acquire_late
+
+
 @pytest.mark.parametrize("answer_ms", [0.0, SLOW_ANSWER_MS])
 def test_log_names_each_server_that_a_stream_was_sent_to_and_when_it_was_left(
     answer_ms,
@@ -101,6 +114,19 @@
     run_scenario(scenario)
 
 
+# Guards against a copy that is given up although it was not used.
+def test_copy_that_was_not_used_serves_when_the_server_breaks_later():
+    async def scenario(d):
+        for engine in d.engines:
+            engine.faults.abort_after_events = STALL_AFTER + 2
+        running, other, reply = await begin_silent_chat(d, LONG_SILENCE_MS)
+        connect_slowly(d, other)
+        assert await reply.read() == COMPLETE_BODY
+        assert (running.executions["chat"], other.executions["chat"]) == (1, 1)
+
+    run_scenario(scenario)
+
+
 # Guards against a server that the host has left and that counts as broken, which blames
 # its requests for a crash.
 def test_server_that_was_left_does_not_count_as_broken_if_the_copy_refuses_late():
@@ -155,15 +181,7 @@
 def test_stream_whose_server_sends_while_the_copy_is_connected_to_stays():
     async def scenario(d):
         running, other, reply = await begin_silent_chat(d, LONG_SILENCE_MS)
-        client = d.host.context.client
-        acquire = client._acquire
-
-        async def acquire_late(address, fresh):
-            if address == other.address:
-                await asyncio.sleep(SLOW_CONNECT_S)
-            return await acquire(address, fresh)
-
-        client._acquire = acquire_late
+        connect_slowly(d, other)
         assert await reply.read() == COMPLETE_BODY
         assert (running.disconnects, other.executions["chat"]) == (0, 0)
 
--- a/cornelnotch/gateway/tests/test_taken_bytes.py
+++ b/cornelnotch/gateway/tests/test_taken_bytes.py
@@ -82,7 +82,9 @@
         in_flight.first_ms = clock.read()
         response: Any = SilentResponse()
         runs = RequestRuns(may_repeat=False)
-        handover = Handover(runs, "x", in_flight, response, lambda *a, **f: None)
+        handover = Handover(
+            runs, "x", in_flight, response, lambda *a, **f: None, lambda outcome: None
+        )
         search: Any = ClaimingSearch(handover, response.taken, steps)
         reader = EventReader(response, in_flight, clock, STALL_S, search)
         try:
--- a/cornelnotch/runs/handover.py
+++ b/cornelnotch/runs/handover.py
@@ -38,7 +38,8 @@
     """One stream at its silent server `server`, whose response is `response`.
 
     `is_sending` is set while bytes of that server are forwarded; the stream is sent to
-    no other server then. `has_left` is set when its connection is closed.
+    no other server then. `was_claimed` is set if the search sent it to another server,
+    `has_left` when the connection to the silent one is closed.
     """
 
     def __init__(
@@ -60,6 +61,7 @@
         self._is_claimed = False
         self._timer: asyncio.TimerHandle | None = None
         self.is_sending = False
+        self.was_claimed = False
         self.has_left = False
 
     @property
@@ -70,7 +72,7 @@
     def begin(self) -> None:
         """Note that the search for the next server begins."""
         self._events = self._in_flight.events
-        self._is_claimed = False
+        self._is_claimed = self.was_claimed = False
 
     def claim(self) -> None:
         """Take the stream from the silent server, as the next one is about to get it.
@@ -79,7 +81,7 @@
         """
         if self.is_sending or self._in_flight.events != self._events:
             raise StreamKeptError("the silent server goes on", "send it nowhere else")
-        self._is_claimed = True
+        self._is_claimed = self.was_claimed = True
         if self.is_final:
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(MAX_OVERLAP_S, self._leave)
