--- a/cornelnotch/commands/soak.py
+++ b/cornelnotch/commands/soak.py
@@ -75,9 +75,37 @@
     raise typer.Exit(EXIT_VIOLATED if verdict.findings else 0)
 
 
+def run_copy_soak(
+    seed: int = typer.Option(1, help="seed of the plan and the load"),
+    seconds: float = typer.Option(60.0, help="duration in seconds"),
+    hosts: int = typer.Option(3, help="number of hosts"),
+    engines: int = typer.Option(5, help="number of engines"),
+    commit: str = typer.Option(None, "--build", help="commit that all hosts run"),
+    repository: Path = typer.Option(Path(), help="work tree that has the commit"),
+    folder: Path = typer.Option(None, help="folder of logs and records"),
+) -> None:
+    """Disturb engines under load and check that no request runs at two of them."""
+    from cornelnotch.soak.builds import CURRENT_BUILD, export_build
+    from cornelnotch.soak.copies.plan import create_copy_plan
+    from cornelnotch.soak.copies.run import run_copies
+
+    path = create_folder(folder)
+    plan = create_copy_plan(seed, seconds, hosts, engines)
+    build = CURRENT_BUILD
+    if commit is not None:
+        build = export_build(commit, repository, path.resolve() / "build")
+    verdict = run_async(
+        run_copies(plan, path, lambda line: print(line, flush=True), build)
+    )
+    print(f"logs: {path}")
+    has_failed = verdict.violations or verdict.errors
+    raise typer.Exit(EXIT_VIOLATED if has_failed else 0)
+
+
 def register_commands(program: typer.Typer) -> None:
     """Register the commands of this module."""
     group = typer.Typer(help="Run seeded soaks of real processes.")
     group.command("stops")(run_stop_soak)
     group.command("upgrade")(run_upgrade_soak)
+    group.command("copies")(run_copy_soak)
     program.add_typer(group, name="soak")
--- a/cornelnotch/standins/deployment.py
+++ b/cornelnotch/standins/deployment.py
@@ -9,6 +9,7 @@
     "TARGET_MS",
     "WORK_ROUTES",
     "create_configuration_record",
+    "create_copy_configuration_record",
     "create_prompt_headers",
     "create_request",
     "create_server_record",
@@ -21,6 +22,11 @@
 # Longest gap between events for which a stream is on time.
 TARGET_GAP_MS = 120.0
 MAX_BODY_BYTES = 4 * 1024 * 1024
+# Targets of streams whose runs are copied, and tokens in the memory of an engine.
+COPY_TARGET_MS = 400.0
+COPY_GAP_MS = 250.0
+COPY_TIMEOUT_MS = 15_000.0
+COPY_CAPACITY_TOKENS = 200_000
 # Type of each route of a deployment, and whether its streams may be resumed.
 WORK_ROUTES = {
     "read": ("idempotent", False),
@@ -59,6 +65,31 @@
     return orjson.dumps(content)
 
 
+def create_copy_configuration_record(version: int) -> bytes:
+    """Return a configuration whose engines keep copies of each other's runs.
+
+    Streams have tight targets, as chats have.
+    """
+    routes = [
+        {
+            **_create_route(name, COPY_TIMEOUT_MS),
+            "target_latency_ms": COPY_TARGET_MS,
+            "target_itl_ms": COPY_GAP_MS if kind == "streaming" else 0.0,
+            "max_attempts": 2 if resumable else 1,
+        }
+        for name, (kind, resumable) in WORK_ROUTES.items()
+    ]
+    engine = {"kv_capacity": COPY_CAPACITY_TOKENS, "backups": True}
+    content = {
+        "version": version,
+        "routes": routes,
+        "services": [{"name": SERVICE, "engine": engine}],
+        "tenants": [{"name": "soak", "api_keys": [KEY]}],
+        "limits": {"max_body_bytes": MAX_BODY_BYTES, "idle_timeout_ms": 20_000},
+    }
+    return orjson.dumps(content)
+
+
 def create_server_record(
     address: str, is_leaving: bool, sequence: int, capacity: int, born: int = 0
 ) -> bytes:
