--- a/cornelnotch/soak/copies/judge.py
+++ b/cornelnotch/soak/copies/judge.py
@@ -50,13 +50,17 @@
 
 @dataclass(frozen=True, slots=True)
 class CopyFinding:
-    """One fault; `is_resumable` tells the kind of its stream."""
+    """One fault; `is_resumable` tells the kind of its stream.
+
+    `events` is the number of events that the later run made.
+    """
 
     form: Form
     request_id: str
     host: str
     detail: str
     is_resumable: bool
+    events: int = 0
 
     @property
     def is_violation(self) -> bool:
@@ -98,6 +102,11 @@
         found = [f for f in self.findings if f.is_resumable is is_resumable]
         return Counter(finding.form for finding in found)
 
+    def count_without_events(self, form: Form, *, is_resumable: bool) -> int:
+        """Return in how many findings the later run made no event."""
+        found = [f for f in self.findings if f.is_resumable is is_resumable]
+        return sum(f.form is form and not f.events for f in found)
+
 
 class CopyJudge:
     """Judge all requests of a soak by the runs that the engines recorded."""
@@ -129,40 +138,44 @@
     def judge(self, attempts: Mapping[str, Attempt]) -> CopyVerdict:
         """Judge all requests."""
         self._hosts = {name: attempt.host for name, attempt in attempts.items()}
-        for request_id, runs in self._runs.items():
-            self._judge_runs(request_id, runs)
+        for runs in self._runs.values():
+            self._judge_runs(runs)
         for attempt in attempts.values():
             if attempt.work.events and not attempt.refused_connection:
                 self._judge_order(attempt)
                 self._tally(attempt)
         return self.verdict
 
-    def _add(self, form: Form, request_id: str, route: str, detail: str) -> None:
-        host = self._hosts.get(request_id, "")
-        finding = CopyFinding(form, request_id, host, detail, route == RESUMABLE)
+    def _add_run(self, form: Form, earlier: EngineRun, later: EngineRun) -> None:
+        finding = CopyFinding(
+            form,
+            later.request_id,
+            self._hosts.get(later.request_id, ""),
+            self._describe(earlier, later),
+            later.route == RESUMABLE,
+            later.events,
+        )
         self.verdict.findings.append(finding)
 
-    def _judge_runs(self, request_id: str, runs: list[EngineRun]) -> None:
+    def _judge_runs(self, runs: list[EngineRun]) -> None:
         for index, later in enumerate(runs[1:], 1):
             if not later.is_copied and later.route != RESUMABLE:
-                detail = self._describe(runs[index - 1], later)
-                self._add(Form.AGAIN, request_id, later.route, detail)
+                self._add_run(Form.AGAIN, runs[index - 1], later)
             for earlier in runs[:index]:
                 form = self._find_overlap(earlier, later)
                 if form is not None:
-                    detail = self._describe(earlier, later)
-                    self._add(form, request_id, later.route, detail)
+                    self._add_run(form, earlier, later)
 
     def _find_overlap(self, earlier: EngineRun, later: EngineRun) -> Form | None:
         limit_s = later.begin_s + MAX_OVERLAP_S
         if earlier.engine == later.engine or earlier.end_s <= limit_s:
             return None
-        if self._ended_on_waking(earlier, limit_s):
-            return Form.STOOD_STILL
         was_left = not later.is_finished and not later.was_killed
-        if was_left and later.end_s < earlier.end_s:
-            return Form.SECOND_ENDED
-        return Form.WENT_ON
+        went_on = earlier.is_finished or later.end_s < earlier.end_s
+        is_first_kept = was_left and earlier.is_finished
+        if not is_first_kept and self._ended_on_waking(earlier, limit_s):
+            return Form.STOOD_STILL
+        return Form.SECOND_ENDED if was_left and went_on else Form.WENT_ON
 
     def _ended_on_waking(self, run: EngineRun, at_s: float) -> bool:
         """Return whether a run's engine stood still at a time, and then ended it.
@@ -197,7 +210,11 @@
             return
         wrong = next((n for n, e in zip(numbers, expected, strict=True) if n != e), 0)
         detail = f"{len(numbers)} of {attempt.work.events} events, first wrong {wrong}"
-        self._add(Form.ORDER, attempt.request_id, attempt.work.route, detail)
+        is_resumable = attempt.work.route == RESUMABLE
+        finding = CopyFinding(
+            Form.ORDER, attempt.request_id, attempt.host, detail, is_resumable
+        )
+        self.verdict.findings.append(finding)
 
     def _tally(self, attempt: Attempt) -> None:
         is_resumable = attempt.work.route == RESUMABLE
--- a/cornelnotch/soak/copies/report.py
+++ b/cornelnotch/soak/copies/report.py
@@ -38,9 +38,14 @@
         f"{tally.touched_whole} of {tally.touched}; not begun {tally.not_begun}, "
         f"left by callers {tally.left}, runs from copies {tally.copied_runs}"
     )
-    counts = verdict.count(is_resumable=tally is verdict.resumable)
+    is_resumable = tally is verdict.resumable
+    counts = verdict.count(is_resumable=is_resumable)
     for form in Form:
-        write(f"  {form.value}: {counts[form]}")
+        line = f"  {form.value}: {counts[form]}"
+        if counts[form] and form is not Form.ORDER:
+            without = verdict.count_without_events(form, is_resumable=is_resumable)
+            line += f", of which the later run made no event: {without}"
+        write(line)
 
 
 def _print_finding(
@@ -50,7 +55,7 @@
     write(f"{finding.form.value}: {kind}{finding.host} {finding.request_id}")
     write(f"    {finding.detail}")
     path = logs.get(finding.host)
-    if path is None:
+    if path is None or not finding.is_violation:
         return
     name = f'"{finding.request_id}"'
     lines = [x for x in path.read_text(errors="replace").splitlines() if name in x]
