verification: the handover of a stream to its copy

Six mutants are caught: the server that sends first goes on, no timer, going back after the second server broke, sending on without a check, a refusal that gives nothing back, going back in a drain.

--- a/cornelnotch/verification/__init__.py
+++ b/cornelnotch/verification/__init__.py
@@ -9,6 +9,10 @@
     create_configuration_protocol,
 )
 from cornelnotch.verification.duties import DutyMutant, create_duty_protocol
+from cornelnotch.verification.handovers import (
+    HandoverMutant,
+    create_handover_protocol,
+)
 from cornelnotch.verification.limits import LimitMutant, create_limit_protocol
 from cornelnotch.verification.order import (
     THREE_TIERS,
@@ -29,6 +33,7 @@
     "ClaimMutant",
     "ConfigurationMutant",
     "DutyMutant",
+    "HandoverMutant",
     "LimitMutant",
     "OrderMutant",
     "OriginMutant",
@@ -38,6 +43,7 @@
     "create_claim_protocol",
     "create_configuration_protocol",
     "create_duty_protocol",
+    "create_handover_protocol",
     "create_limit_protocol",
     "create_order_protocol",
     "create_origin_protocol",
--- a/cornelnotch/verification/tests/test_models.py
+++ b/cornelnotch/verification/tests/test_models.py
@@ -10,6 +10,7 @@
     ClaimMutant,
     ConfigurationMutant,
     DutyMutant,
+    HandoverMutant,
     LimitMutant,
     OrderMutant,
     OriginMutant,
@@ -19,6 +20,7 @@
     create_claim_protocol,
     create_configuration_protocol,
     create_duty_protocol,
+    create_handover_protocol,
     create_limit_protocol,
     create_order_protocol,
     create_origin_protocol,
@@ -283,3 +285,23 @@
 def test_duty_mutants_are_detected(mutant, suspensions, restorations, broken):
     protocol = create_duty_protocol(mutant, 3, suspensions, restorations)
     assert broken in list_violations(protocol)
+
+
+def test_handover_protocol_is_safe():
+    assert_exhaustively_safe(create_handover_protocol())
+
+
+@pytest.mark.parametrize(
+    ("mutant", "broken"),
+    [
+        (HandoverMutant.RACE, "one_server"),
+        (HandoverMutant.RACE, "not_joined"),
+        (HandoverMutant.NO_TIMER, "one_server"),
+        (HandoverMutant.GO_BACK, "not_joined"),
+        (HandoverMutant.NO_CHECK, "not_joined"),
+        (HandoverMutant.NO_GIVE_BACK, "goes_on_if_refused"),
+        (HandoverMutant.DRAIN_BACK, "not_joined"),
+    ],
+)
+def test_handover_mutants_are_detected(mutant, broken):
+    assert broken in list_violations(create_handover_protocol(mutant))
