--- a/cornelnotch/exceptions.py
+++ b/cornelnotch/exceptions.py
@@ -138,18 +138,18 @@
     kind = "unreachable"
 
 
-class RepeatedRunError(UpstreamUnreachableError):
-    """Raised before a request is sent, if that could run it a second time."""
-
-    kind = "repeated-run"
-
-
 class StreamKeptError(CornelnotchError):
     """Raised before a stream is sent to another server, if it stays where it is."""
 
     kind = "stream-kept"
 
 
+class RepeatedRunError(UpstreamError):
+    """Raised before a request is sent, if that could run it a second time."""
+
+    kind = "repeated-run"
+
+
 class UpstreamStalledError(UpstreamError):
     """Raised if a server sent no data within the time limit."""
 
