--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -684,7 +684,7 @@
             end = await confirm_end(response, self.splitter)
         except UpstreamError as error:
             response.close()
-            self.replacement = reader.replacement
+            self.replacement = reader.take_replacement()
             timed_out = isinstance(error, UpstreamStalledError)
             return UpstreamResponse(
                 DispatchOutcome.BROKEN, error.problem, timed_out=timed_out
--- a/cornelnotch/gateway/forwarding.py
+++ b/cornelnotch/gateway/forwarding.py
@@ -79,12 +79,12 @@
         self._searching: asyncio.Task[Replacement | None] | None = None
         self._searched_ms = 0.0
         self._searched_events = 0
-        self.replacement: Replacement | None = None
+        self._replacement: Replacement | None = None
 
     async def read(self) -> bytes:
         """Return the next bytes, empty at the end; raise UpstreamError on failure.
 
-        If `replacement` is set then, it goes on with the stream.
+        A replacement that was found goes on with the stream then.
         """
         self._handover.is_sending = False
         try:
@@ -120,8 +120,16 @@
             if data is not None:
                 return data
 
+    def take_replacement(self) -> Replacement | None:
+        """Return the response that goes on with the stream; it is the caller's now."""
+        replacement, self._replacement = self._replacement, None
+        return replacement
+
     async def stop_search(self) -> None:
         """End the search for another server; discard what it has found."""
+        unused = self.take_replacement()
+        if unused is not None:
+            unused.discard()
         searching, self._searching = self._searching, None
         if searching is None:
             return
@@ -151,14 +159,14 @@
                 return reading.result()
             searching, self._searching = self._searching, None
             self._searched_ms = self._clock.read()
-            self.replacement = searching.result()
+            self._replacement = searching.result()
             has_broken = reading.done() and reading.exception() is not None
             if has_broken and not self._handover.has_left:
                 return reading.result()
-            if self.replacement is not None and not self._search.may_leave():
-                self.replacement.discard()
-                self.replacement = None
-            if self.replacement is None:
+            if self._replacement is not None and not self._search.may_leave():
+                self._replacement.discard()
+                self._replacement = None
+            if self._replacement is None:
                 self._handover.check_return()
                 return reading.result() if reading.done() else None
         finally:
