--- a/cornelnotch/pressure/tests/test_call_wait.py
+++ b/cornelnotch/pressure/tests/test_call_wait.py
@@ -62,6 +62,7 @@
     return response.status, body, clock.read() - started_ms
 
 
+@pytest.mark.alone
 def test_a_call_waits_until_a_slot_is_free_elsewhere():
     async def run():
         async with run_deployment() as deployment:
