--- a/cornelnotch/runs/copies.py
+++ b/cornelnotch/runs/copies.py
@@ -15,7 +15,9 @@
 
     Without an event there is nothing to go on after, and a copy can be used once.
     """
-    if flow.backup is None or flow.resuming or not flow.splitter.last_event_id:
+    if flow.backup is None or flow.resuming:
+        return False
+    if not flow.exchange.response_started or not flow.splitter.last_event_id:
         return False
     in_time = flow.context.clock.read() < flow.limit_ms
     return in_time and flow.context.accepts(flow.backup)
