standins: tests of servers that stall in their own way act on the server again

Since the stand-in of a server does not call the method that four tests replace, so they played a plain silence: comments of a stalled server, a server that breaks in its silence.

--- a/cornelnotch/standins/upstream.py
+++ b/cornelnotch/standins/upstream.py
@@ -178,13 +178,17 @@
                 exchange.abort()
                 return
             if stalls is not None and number > stalls:
-                if await self._is_left_within(exchange, self.faults.stall_ms):
+                if await self._stall(exchange):
                     return
                 stalls = None
             await exchange.send(event)
             await asyncio.sleep(self.faults.event_ms / 1000.0)
         await exchange.finish()
 
+    async def _stall(self, exchange: Exchange) -> bool:
+        """Send no event for a while; return whether the stream has ended meanwhile."""
+        return await self._is_left_within(exchange, self.faults.stall_ms)
+
     async def _is_left_within(self, exchange: Exchange, wait_ms: float | None) -> bool:
         """Send nothing for a while; return whether the caller has left meanwhile."""
         if wait_ms == 0:
