runs: a comment of a silent server does not end the search for another one

Since the second server is closed before the first one's event is forwarded, every comment of the first ended the search too, and a stream whose server sends comments only was never moved (20 of 40 events). Only a whole event ends it.

--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -675,7 +675,7 @@
                 if complete:
                     view.end_silence()
                     self.continuation.note_event(view)
-                    await reader.stop_search()
+                    await reader.note_progress()
                     await self.send_events(complete)
                 self.splitter.check()
             end = await confirm_end(response, self.splitter)
--- a/cornelnotch/gateway/tests/test_silent_server_searches.py
+++ b/cornelnotch/gateway/tests/test_silent_server_searches.py
@@ -72,6 +72,26 @@
     run_scenario(scenario)
 
 
+# Guards against a search that each comment ends and that begins anew.
+def test_comments_of_a_stalled_server_do_not_end_the_search_for_another_one():
+    async def scenario(d):
+        task, running, other = await begin_stream(d)
+
+        async def send_comments(exchange):
+            while not exchange.disconnected.is_set():
+                await exchange.send(b": working\n\n")
+                await asyncio.sleep(0.2)
+
+        running._stall = send_comments
+        running.faults.stall_ms = None
+        other.faults.first_ms = 1000.0
+        reply = await task
+        assert reply.body.count(b"id: ") == EVENTS
+        assert len(other.received_s) == 1
+
+    run_scenario(scenario)
+
+
 def test_stream_of_a_slow_reader_is_not_sent_to_another_server():
     async def scenario(d):
         await open_connections(d)
--- a/cornelnotch/runs/event_reader.py
+++ b/cornelnotch/runs/event_reader.py
@@ -57,8 +57,7 @@
     async def _read(self) -> bytes:
         if self._stall_s is None:
             return await self._response.read_chunk()
-        if self._request.events != self._searched_events:
-            await self.stop_search()
+        await self.note_progress()
         # Bytes may have arrived while the caller or this host let them wait.
         wait_s = max(self._compute_remaining_s(self._stall_s), MIN_READ_S)
         while True:
@@ -82,6 +81,11 @@
             if data is not None:
                 return data
 
+    async def note_progress(self) -> None:
+        """End the search if the silent server has sent a whole event since it began."""
+        if self._request.events != self._searched_events:
+            await self.stop_search()
+
     def take_replacement(self) -> Replacement | None:
         """Return the response that goes on with the stream; it is the caller's now."""
         replacement, self._replacement = self._replacement, None
