runs: parts of events do not keep a stream that may be repeated at its silent server

Cause: a claim fails while bytes of the silent server are forwarded, as they may hold a whole event; the search then ended and the next one began only after another 1.2 s of silence, past the caller's deadline. Only a stream that may not be repeated needs that: one that may be is sent on unless a whole event has come, as before the handover.

--- a/cornelnotch/runs/handover.py
+++ b/cornelnotch/runs/handover.py
@@ -77,9 +77,11 @@
     def claim(self) -> None:
         """Take the stream from the silent server, as the next one is about to get it.
 
-        Raise StreamKeptError if the silent server goes on.
+        Raise StreamKeptError if the silent server goes on. Bytes that are forwarded may
+        hold a whole event, after which only a stream that may be repeated is sent on.
         """
-        if self.is_sending or self._in_flight.events != self._events:
+        is_sending = self.is_sending and not self._runs.may_repeat
+        if is_sending or self._in_flight.events != self._events:
             raise StreamKeptError("the silent server goes on", "send it nowhere else")
         self._is_claimed = self.was_claimed = True
         if self.is_final:
