crashes: what is known of crashes outlives all hosts, in a record of the store

Cause: blame, and the crashes that it follows from, were in the memory of the hosts only. Ruled out: evidence that survives at some host and is not told (all processes are killed); slower learning after a start alone (three to five crashes follow although blame was complete before).

Change: the first reader of the store keeps the blamed sets, and the crashes with the parts that were at two or more of them, in one keyed record. Each host reads it when it starts. Writes are conditional, so that a call that is executed late replaces nothing newer and two writers do not undo each other. A restored store is written again and teaches nothing. The record is bounded, and ignored if no host has renewed it for ten minutes.

--- /dev/null
+++ b/cornelnotch/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Evidence of crashes that outlives the hosts which saw them."""
--- a/cornelnotch/duties/tests/duty_hosts.py
+++ b/cornelnotch/duties/tests/duty_hosts.py
@@ -92,6 +92,7 @@
             self.store,
             PlatformServerIdentity(client),
             self.store,
+            self.store,
         )
         self.duties: Any = None
 
--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -323,6 +323,11 @@
         notice = replace(notice, crashes=crashes)
         self._log_blamed(self.crashes.merge(notice, now), sender)
 
+    def restore_crash_evidence(self, notice: CrashEvidenceNotice) -> None:
+        """Apply what hosts knew of crashes before this one was started."""
+        found = self.crashes.restore(notice, self.clock.read())
+        self._log_blamed(found, "store")
+
     def merge_rejections(self, notices: list[RejectionNotice]) -> None:
         """Apply which brittle servers rejected requests of other hosts."""
         self.rejections.merge(notices, self.clock.read())
--- a/cornelnotch/gateway/crash_evidence.py
+++ b/cornelnotch/gateway/crash_evidence.py
@@ -8,7 +8,7 @@
 
 from collections import Counter, OrderedDict
 from collections.abc import Callable, Collection, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from cornelnotch.gateway.fingerprints import find_content_fingerprint, is_fingerprint
 from cornelnotch.wire.messages import BlamedParts, CrashEvidenceNotice, CrashReport
@@ -156,6 +156,7 @@
         self._cleared: dict[str, float] = {}
         self._blamed: OrderedDict[frozenset[str], BlamedSet] = OrderedDict()
         self._suspected: list[frozenset[str]] = []
+        self.note_change: Callable[[], None] = lambda: None
 
     def record_crash(
         self, server: str, boot_ms: int, requests: Iterable[tuple[str, ...]], now: float
@@ -178,6 +179,7 @@
         del self._crashes[server, boot_ms]
         self._own.pop((server, boot_ms), None)
         self._suspected = find_blamed_sets(self._crashes.values(), SUSPECTED_CRASHES)
+        self.note_change()
 
     def record_sound(self, parts: Iterable[str], now: float) -> list[str]:
         """Clear the parts of a response that ended whole; return those accused."""
@@ -233,6 +235,50 @@
         ]
         return CrashEvidenceNotice(crashes, sorted(self._cleared), blamed)
 
+    def create_snapshot(self, now: float) -> CrashEvidenceNotice:
+        """Return what suffices to refuse the same requests after a restart.
+
+        Parts that were at one crash only are left out: nothing points to them yet.
+        """
+        self._expire(now)
+        relevant = frozenset().union(*self._suspected, *self._blamed)
+        crashes = [
+            CrashReport(
+                crash.server,
+                crash.boot_ms,
+                now - crash.crashed_ms,
+                sorted(crash.parts & relevant),
+                sorted(crash.known & relevant),
+            )
+            for crash in self._crashes.values()
+            if not relevant.isdisjoint(crash.parts | crash.known)
+        ]
+        blamed = [
+            BlamedParts(sorted(parts), blamed.confirmed)
+            for parts, blamed in self._blamed.items()
+        ]
+        return CrashEvidenceNotice(crashes, [], blamed)
+
+    def restore(self, notice: CrashEvidenceNotice, now: float) -> list[frozenset[str]]:
+        """Apply what was known before a restart; return newly blamed sets.
+
+        What this host has seen end whole since is newer.
+        """
+        crashes = [
+            replace(
+                crash,
+                parts=[p for p in crash.parts if not self._is_sound(p)],
+                known=[p for p in crash.known if not self._is_sound(p)],
+            )
+            for crash in notice.crashes
+            if crash.age_ms <= CRASH_TTL_MS
+        ]
+        blamed = [
+            replace(b, parts=[p for p in b.parts if not self._is_sound(p)])
+            for b in notice.blamed
+        ]
+        return self.merge(CrashEvidenceNotice(crashes, [], blamed), now)
+
     def merge(self, notice: CrashEvidenceNotice, now: float) -> list[frozenset[str]]:
         """Apply what another host knows; return newly blamed sets."""
         for part in notice.cleared:
@@ -249,6 +295,8 @@
             names = frozenset(p for p in blamed.parts if p not in self._cleared)
             if names and self._blame(names, blamed.confirmed, now):
                 found.append(names)
+        if found:
+            self.note_change()
         return found
 
     def count_crashes(self) -> int:
@@ -300,6 +348,7 @@
             confirmed = is_only_one and self._is_confirmed(parts, records)
             if self._blame(parts, confirmed, now):
                 found.append(parts)
+        self.note_change()
         return found
 
     def _is_confirmed(self, parts: frozenset[str], records: list[CrashRecord]) -> bool:
--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from cornelnotch.crashes.keeper import CrashKeeper
+from cornelnotch.crashes.log import CrashLog
 from cornelnotch.gateway.admission_controller import AdmissionController
 from cornelnotch.gateway.broadcast import Broadcaster
 from cornelnotch.gateway.context import NO_VERSION, GatewayContext
@@ -78,6 +80,7 @@
         origin_log: OriginLog,
         identity: ServerIdentity,
         registry: HostRegistry,
+        crash_log: CrashLog,
     ) -> None:
         self.settings = settings
         self.clock = clock
@@ -103,6 +106,9 @@
         self.peers.bound(self.context.memory, self.shares.peers)
         self._build_membership()
         self._build_state(source, decoder, origin_log)
+        self.crash_keeper = CrashKeeper(
+            self.context, self.plan, crash_log, lambda: self.follower.timeline
+        )
         self.discovery = HostDiscovery(
             clock,
             events,
@@ -281,6 +287,7 @@
         self.tasks.start_supervised("peer links", self.peer_links.run)
         self.tasks.start_supervised("loads", self.load_exchange.run)
         self.tasks.start_supervised("origins", self.origin_keeper.run)
+        self.tasks.start_supervised("crashes", self.crash_keeper.run)
         self.tasks.start_supervised("silence", SilenceDetector(self.context).run)
         self.tasks.start_supervised("turns", self.context.admission.run_reports)
         self.tasks.start_supervised("admission", self.admission_controller.run)
--- a/cornelnotch/gateway/tests/conftest.py
+++ b/cornelnotch/gateway/tests/conftest.py
@@ -101,6 +101,7 @@
         store,
         PlatformServerIdentity(client),
         store,
+        store,
     )
 
 
--- a/cornelnotch/gateway/tests/crashing_hosts.py
+++ b/cornelnotch/gateway/tests/crashing_hosts.py
@@ -67,15 +67,19 @@
     hosts: Any = field(default=None, repr=False)
     boots: int = 1
 
-    async def _answer(self, exchange, headers):
+    def is_deadly(self):
+        """Return whether the latest request crashes the server."""
         received = self.received_headers[-1]
         workspace = "acme" if self.hosts.deadly.key == KEY else OTHER_WORKSPACE
-        if (
+        return (
             self.targets[-1] == self.hosts.deadly.path
             and self.bodies[-1] == self.hosts.deadly.body
             and received.get("x-prompt-prefix", "") in self.hosts.deadly_prompts
             and received.get("x-tenant") == workspace
-        ):
+        )
+
+    async def _answer(self, exchange, headers):
+        if self.is_deadly():
             self.hosts.note_deadly_send()
             self.hosts.start_task(self._crash())
             await exchange.disconnected.wait()
@@ -96,13 +100,15 @@
 class CrashingHosts(Deployment):
     """Hosts over real sockets, and servers of one service that `deadly` crashes."""
 
+    server_type = CrashingUpstream
+
     def __init__(self, deadly, hosts, deadly_prompts=None):
         super().__init__()
         self.deadly = deadly
         self.deadly_prompts = deadly_prompts or {deadly.prompt}
         self.desks = []
         self.engines = [
-            CrashingUpstream(f"llm-{n}", hosts=self) for n in range(SERVERS)
+            self.server_type(f"llm-{n}", hosts=self) for n in range(SERVERS)
         ]
         self.host_count = hosts
         self.others = []
@@ -137,6 +143,10 @@
             settings = create_settings(self.store, f"host-{number + 1}", seeds=seeds)
             self.others.append(create_host(settings))
             await self.others[-1].start()
+        await self.wait_until_joined()
+
+    async def wait_until_joined(self):
+        """Wait until each host knows all hosts and all servers."""
         await wait_until(
             lambda: all(
                 len(host.context.hosts) == self.host_count
--- a/cornelnotch/gateway/tests/limited_fleet.py
+++ b/cornelnotch/gateway/tests/limited_fleet.py
@@ -235,11 +235,15 @@
         self._tasks: set[asyncio.Task[None]] = set()
         for number in range(count):
             name = f"host-{number}"
-            self.hosts[name] = Host(self, name, DOMAINS[number % 3])
+            self.hosts[name] = self.create_host(name, DOMAINS[number % 3])
         for host in self.hosts.values():
             host.known = {h.name: h.candidate for h in self.hosts.values()}
             host.apply()
 
+    def create_host(self, name, domain):
+        """Return a host that has just started."""
+        return Host(self, name, domain)
+
     def create_client(self, host):
         """Return the client with which a host reaches the servers."""
         return Client(self, host)
@@ -316,7 +320,7 @@
         old.stop()
         self._announce(old.candidate, False)
         await asyncio.sleep(down_s)
-        host = Host(self, name, old.candidate.domain)
+        host = self.create_host(name, old.candidate.domain)
         host.known = {name: host.candidate}
         self.hosts[name] = host
         host.apply()
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -153,6 +153,16 @@
         logging.INFO,
         "a request is sent to confirm that it crashes servers",
     )
+    CRASH_EVIDENCE_READ = (
+        4014,
+        logging.INFO,
+        "what hosts knew of crashes before was read from the store",
+    )
+    CRASH_EVIDENCE_UNSAVED = (
+        4015,
+        logging.WARNING,
+        "what is known of crashes cannot be exchanged with the store",
+    )
     SERVER_RESTS = (
         3007,
         logging.INFO,
--- a/cornelnotch/platform/duty_store.py
+++ b/cornelnotch/platform/duty_store.py
@@ -9,8 +9,10 @@
 from cornelnotch.exceptions import LogResponseError, MalformedInputError
 from cornelnotch.kernel.parsing import Count, decode
 from cornelnotch.platform.store import (
+    APPENDED,
     READ_TIMEOUT_MS,
     STATUS_OK,
+    AppendResponse,
     PlatformStore,
     frame_keyed_record,
 )
@@ -22,8 +24,6 @@
 PARTITION = 0
 HOLDER_KEY = "holder"
 WINDOW_PREFIX = "window/"
-STATUS_MOVED = 412
-APPENDED = frozenset({STATUS_OK, STATUS_MOVED})
 
 
 class ClaimRecord(msgspec.Struct):
@@ -44,12 +44,6 @@
     timeline: Count
 
 
-class AppendResponse(msgspec.Struct):
-    """Schema of the response to an append."""
-
-    end_offset: Count
-
-
 _claim_decoder = msgspec.json.Decoder(ClaimRecord)
 _window_decoder = msgspec.json.Decoder(WindowRecord)
 _append_decoder = msgspec.json.Decoder(AppendResponse)
--- a/cornelnotch/platform/program.py
+++ b/cornelnotch/platform/program.py
@@ -106,6 +106,7 @@
         store,
         PlatformServerIdentity(client),
         store,
+        store,
     )
     host.context.metrics.register_state_gauge(
         "dropped_log_lines", lambda: output.dropped
--- a/cornelnotch/platform/store.py
+++ b/cornelnotch/platform/store.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from cornelnotch.crashes.log import CrashLog, StoredCrashes, StoredPosition
 from cornelnotch.exceptions import (
     LogResponseError,
     LogTrimmedError,
@@ -21,11 +22,20 @@
 from cornelnotch.kernel.parsing import Count, decode, parse_address, parse_count
 from cornelnotch.web import HttpClient
 
-__all__ = ["READ_TIMEOUT_MS", "STATUS_OK", "PlatformStore", "frame_keyed_record"]
+__all__ = [
+    "APPENDED",
+    "READ_TIMEOUT_MS",
+    "STATUS_OK",
+    "AppendResponse",
+    "PlatformStore",
+    "frame_keyed_record",
+]
 
 STATUS_OK = 200
 STATUS_GONE = 410
+STATUS_MOVED = 412
 ANSWERED = frozenset({STATUS_OK, STATUS_GONE})
+APPENDED = frozenset({STATUS_OK, STATUS_MOVED})
 # The store responds within 4 ms; two hundred times as long indicates a fault.
 READ_TIMEOUT_MS = 800.0
 PAGE_HEADER = struct.Struct(">QQ")
@@ -39,6 +49,8 @@
 PARTITION = 0
 ORIGINS_TOPIC = "stream-origins"
 HOSTS_TOPIC = "keyed.hosts"
+CRASHES_TOPIC = "keyed.crashes"
+CRASHES_KEY = "evidence"
 MAX_ORIGIN_PAGES = 64
 MAX_LISTED_HOSTS = 64
 MAX_KEY_BYTES = 255
@@ -60,6 +72,12 @@
     has_more: bool = False
 
 
+class AppendResponse(msgspec.Struct):
+    """Schema of the response to an append."""
+
+    end_offset: Count
+
+
 class TrimmedResponse(msgspec.Struct):
     """Schema of the response to a read of trimmed records."""
 
@@ -68,8 +86,10 @@
 
 _newest_decoder = msgspec.json.Decoder(NewestPage)
 _trimmed_decoder = msgspec.json.Decoder(TrimmedResponse)
-_batch_encoder = msgspec.msgpack.Encoder()
+_append_decoder = msgspec.json.Decoder(AppendResponse)
+_record_encoder = msgspec.msgpack.Encoder()
 _batch_decoder = msgspec.msgpack.Decoder(OriginBatch)
+_crashes_decoder = msgspec.msgpack.Decoder(StoredCrashes)
 
 
 def parse_timeline(headers: dict[str, str]) -> int | None:
@@ -155,10 +175,11 @@
     return RawPage(values, end)
 
 
-class PlatformStore(RecordSource, OriginLog, HostRegistry):
+class PlatformStore(RecordSource, OriginLog, CrashLog, HostRegistry):
     """Read records from the store over HTTP.
 
-    The origins of streams and the addresses of hosts are kept there, too.
+    The origins of streams, the evidence of crashes and the addresses of hosts are kept
+    there, too.
     """
 
     def __init__(self, address: str, client: HttpClient) -> None:
@@ -257,7 +278,7 @@
 
     async def append_origins(self, batch: OriginBatch) -> None:
         """Append a batch; raise LogUnavailableError, after which it may be there."""
-        record = _batch_encoder.encode(batch)
+        record = _record_encoder.encode(batch)
         body = RECORD_LENGTH.pack(len(record)) + record
         target = f"/log-append?topic={ORIGINS_TOPIC}&part={PARTITION}"
         await self.call(target, READ_TIMEOUT_MS, "POST", body)
@@ -284,6 +305,33 @@
                 return OriginHistory(batches, page.end_offset == 0, malformed)
         raise LogResponseError("the log of origins has no end", "read again")
 
+    async def read_crashes(self) -> StoredPosition:
+        """Return what is stored; raise LogUnavailableError."""
+        page = await self.read_topic(CRASHES_TOPIC)
+        for record in page.records:
+            if record.key != CRASHES_KEY:
+                continue
+            try:
+                crashes = decode(_crashes_decoder, record.value)
+            except MalformedInputError:
+                return StoredPosition(None, page.next_offset, is_malformed=True)
+            return StoredPosition(crashes, page.next_offset)
+        return StoredPosition(None, page.next_offset)
+
+    async def write_crashes(self, crashes: StoredCrashes | None, at: int) -> int | None:
+        """Replace what is stored, or delete it, if the log ends at offset `at`.
+
+        Return the offset of the end, or None if another host has written. Raise
+        LogUnavailableError, after which it may be there.
+        """
+        value = b"" if crashes is None else _record_encoder.encode(crashes)
+        body = frame_keyed_record(CRASHES_KEY, value)
+        target = f"/log-append?topic={CRASHES_TOPIC}&part={PARTITION}&at={at}"
+        response = await self.call(target, READ_TIMEOUT_MS, "POST", body, APPENDED)
+        if response.status == STATUS_MOVED:
+            return None
+        return self._decode(_append_decoder, response).end_offset
+
     def _find_earliest(self, response: StoreResponse, start: int) -> int:
         earliest = self._decode(_trimmed_decoder, response).earliest_offset
         if earliest <= start:
