--- a/cornelnotch/standins/raw.py
+++ b/cornelnotch/standins/raw.py
@@ -1,6 +1,7 @@
 """Simulated faulty server that sends arbitrary, possibly endless responses."""
 
 import asyncio
+import socket
 from contextlib import suppress
 from dataclasses import dataclass
 from enum import StrEnum
@@ -17,6 +18,9 @@
 
 # Lets the peer read what was sent before the connection is reset.
 RESET_DELAY_S = 0.03
+# Time from the end of the response to the reset of a connection that is half closed.
+HALF_CLOSED_S = 0.3
+READ_LIMIT_BYTES = 65536
 
 
 class ConnectionEnd(StrEnum):
@@ -26,6 +30,7 @@
     CLOSE = "close"
     RESET = "reset"
     CLOSE_AND_EXIT = "close-and-exit"
+    HALF_CLOSE_AND_RESET = "half-close-and-reset"
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,11 +51,15 @@
 class RawUpstream:
     """Simulated server that sends the same bytes in response to each request.
 
-    It has no report of itself.
+    It responds to the head and does not read the body, of which its system takes about
+    `receive_buffer_bytes`, unless that is 0. It has no report of itself.
     """
 
-    def __init__(self, name: str, answer: RawResponse) -> None:
+    def __init__(
+        self, name: str, answer: RawResponse, receive_buffer_bytes: int = 0
+    ) -> None:
         self.name = name
+        self.receive_buffer_bytes = receive_buffer_bytes
         self.answer = answer
         self.requests = 0
         self.closed = 0
@@ -65,8 +74,19 @@
 
     async def start(self) -> None:
         """Listen on a free port, and on the same one after a stop."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self._port)
-        self._port = self._server.sockets[0].getsockname()[1]
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        limit = READ_LIMIT_BYTES
+        if self.receive_buffer_bytes:
+            limit = min(self.receive_buffer_bytes, limit)
+            listener.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, self.receive_buffer_bytes
+            )
+        listener.bind(("127.0.0.1", self._port))
+        self._server = await asyncio.start_server(
+            self._serve, sock=listener, limit=limit
+        )
+        self._port = listener.getsockname()[1]
 
     async def stop(self) -> None:
         """Close the listening socket and all connections."""
@@ -108,6 +128,10 @@
     async def _end_connection(self, writer: asyncio.StreamWriter) -> None:
         if self.answer.end is ConnectionEnd.CLOSE_AND_EXIT:
             self._stop_listening()
+        if self.answer.end is ConnectionEnd.HALF_CLOSE_AND_RESET:
+            writer.write_eof()
+            await asyncio.sleep(HALF_CLOSED_S)
+            reset_on_close(writer)
         if self.answer.end is ConnectionEnd.RESET:
             await asyncio.sleep(RESET_DELAY_S)
             reset_on_close(writer)
