web: a status that HTTP does not define is no response

Other operators saw a server in trouble send the status 000, which its caller got as an answer.

Cause: the parser takes any three digits from 100 on, and nothing else looked at the range. RFC 9110, section 15, defines 100 to 599. The client that reads the responses of servers, other hosts and the store now ends such a connection, as it does with other bytes that are no response.

--- a/cornelnotch/web/client.py
+++ b/cornelnotch/web/client.py
@@ -31,6 +31,8 @@
 HEAD_TIMEOUT_S = 2.0
 MAX_INFORMATIONAL_RESPONSES = 8
 BODILESS_STATUSES = frozenset({204, 304})
+# The highest status that HTTP defines; h11 itself rejects those below 100.
+MAX_STATUS = 599
 # Parts of a body that are read in one step; further ones wait for their turn.
 PARTS_PER_STEP = 128
 # A server is faulty if a full read holds more parts, of less than 8 bytes each: no
@@ -366,6 +368,12 @@
                 f"{address} closed the connection without a response",
                 "retry if the work may be repeated",
             )
+        if event.status_code > MAX_STATUS:
+            connection.abort()
+            raise UpstreamError(
+                f"{address} sent the undefined status {event.status_code}",
+                "check the server",
+            )
         return HttpResponse(
             event.status_code,
             list(event.headers),
