web: a response without a length is not complete while its request is not received

A server answered an upload at once with a 200 without a length, sent a part of the body, closed its half of the connection and reset it 0.3 s later, with the upload unread. Where the upload fitted into the buffers of the system, its caller got that part as a complete response: 10 of 96 cases of the test, all with that end.

Cause: the end of the connection completes a response that has no length, and a request counted as sent once the system had taken it. A server that has not received all of a request resets the connection when it closes it, so such an end shows nothing. The client now asks the system whether the peer has acknowledged the request (as the lingering close of the server does). Where the system does not tell, what the process itself still holds decides.

--- a/cornelnotch/gateway/tests/test_early_responses.py
+++ b/cornelnotch/gateway/tests/test_early_responses.py
@@ -8,8 +8,21 @@
 from cornelnotch.gateway.tests.conftest import run_deployment, wait_until
 from cornelnotch.standins.raw import ConnectionEnd, RawResponse, RawUpstream
 
+# The second one fits into the sender's buffers, so that all of it counts as sent.
+UPLOADS_BYTES = {"long": 3_900_000, "buffered": 150_000}
+SMALL_BUFFER_BYTES = 16_384
 HEADERS = b"x-attempt-id: ID\r\nx-server-signature: s\r\n"
+EVENTS = b"content-type: text/event-stream\r\n"
+EVENT = b"id: 1\ndata: piece 1\n\n"
+FRAMINGS = {"none": b"", "close": b"connection: close\r\n"}
+PARTS = {"one-byte": b"x", "large": b"x" * 300_000}
 PATHS = {"call": "/read/x", "once": "/book/x", "stream": "/stream/draft/x"}
+ENDS = (
+    ConnectionEnd.RESET,
+    ConnectionEnd.CLOSE,
+    ConnectionEnd.CLOSE_AND_EXIT,
+    ConnectionEnd.HALF_CLOSE_AND_RESET,
+)
 
 
 async def use_only_server(d, raw, kind):
@@ -48,6 +61,28 @@
     return asyncio.run(run())
 
 
+@pytest.mark.parametrize("end", ENDS)
+@pytest.mark.parametrize("part", PARTS)
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("size", UPLOADS_BYTES)
+@pytest.mark.parametrize("kind", PATHS)
+def test_a_response_that_ends_during_the_upload_is_not_complete(
+    kind, size, framing, part, end
+):
+    """Guards against a part of a response that reaches its caller as all of it."""
+    head = b"HTTP/1.1 200 OK\r\n" + HEADERS + FRAMINGS[framing]
+    body = PARTS[part]
+    if kind == "stream":
+        head += EVENTS
+        body = EVENT * (len(body) // len(EVENT) + 1)
+    answer = RawResponse(head + b"\r\n" + body, end=end)
+    (status, is_complete, got), requests = play(
+        kind, answer, SMALL_BUFFER_BYTES, UPLOADS_BYTES[size]
+    )
+    assert requests
+    assert not (status == 200 and is_complete), (status, len(got))
+
+
 STATUS_LINES = ["000", "001", "099", "101", "199", "600", "999", "20", "0200", "2x0"]
 
 
--- a/cornelnotch/web/client.py
+++ b/cornelnotch/web/client.py
@@ -16,6 +16,7 @@
 )
 from cornelnotch.kernel import parsing
 from cornelnotch.kernel.tasks import cancel_and_wait
+from cornelnotch.web.connections import count_outstanding_bytes
 from cornelnotch.web.turns import WorkTurns
 
 __all__ = ["HttpClient", "HttpResponse", "Reachability", "parse_address"]
@@ -169,6 +170,17 @@
         """Return whether the whole response has been read."""
         return self._response_ended
 
+    def is_uploading(self) -> bool:
+        """Return whether the server's system has not received the whole request."""
+        transport = self._writer.transport
+        if transport.is_closing():
+            return transport.get_write_buffer_size() > 0
+        try:
+            return count_outstanding_bytes(self._writer) > 0
+        except OSError:
+            # The system does not tell what its own buffers hold.
+            return transport.get_write_buffer_size() > 0
+
     def is_reusable(self) -> bool:
         """Return whether the response ended cleanly and the connection stays open."""
         done = self._protocol.our_state is h11.DONE
@@ -250,10 +262,25 @@
             if data:
                 return data
         if not self.complete:
+            self._check_upload()
             self.complete = True
             self.client.release(self.address, self.connection)
         return b""
 
+    def _check_upload(self) -> None:
+        """Raise UpstreamError if the connection ended before the request was received.
+
+        A server that closes a connection with unread input resets it, so the end of the
+        connection does not show that the response is complete.
+        """
+        if self.framed or not self.connection.is_uploading():
+            return
+        self.close()
+        raise UpstreamError(
+            f"{self.address} closed its connection before it had received the request",
+            "retry if the work may be repeated",
+        )
+
     async def iterate_chunks(self) -> AsyncIterator[bytes]:
         """Yield the chunks of the body; raise UpstreamError if it ends prematurely."""
         while data := await self.read_chunk():
