web: a long body is sent while the response is read

Cause: the client sent the whole body before it read a byte. Closing a connection with unread input resets it, and the failed write hid the response that had arrived. A connection whose request was not finished is not used again, and a response that only the end of the connection completes is not complete, as before.

--- a/cornelnotch/gateway/tests/test_early_responses.py
+++ b/cornelnotch/gateway/tests/test_early_responses.py
@@ -97,3 +97,25 @@
     (code, is_complete, _), requests = play(kind, answer)
     assert requests
     assert (code, is_complete) == (502, True)
+
+
+REFUSALS = {
+    "full": b"503 Service Unavailable\r\nx-not-executed: 1\r\n",
+    "too-large": b"413 Content Too Large\r\nx-server-signature: s\r\n",
+}
+
+
+@pytest.mark.parametrize("end", ENDS)
+@pytest.mark.parametrize("size", UPLOADS_BYTES)
+@pytest.mark.parametrize("refusal", REFUSALS)
+@pytest.mark.parametrize("kind", PATHS)
+def test_a_whole_refusal_during_the_upload_reaches_the_caller(kind, refusal, size, end):
+    """Guards against a request that has not run and is told to have failed."""
+    head = b"HTTP/1.1 " + REFUSALS[refusal] + b"x-attempt-id: ID\r\n"
+    answer = RawResponse(head + b"content-length: 2\r\n\r\nno", end=end)
+    (status, is_complete, _), requests = play(
+        kind, answer, SMALL_BUFFER_BYTES, UPLOADS_BYTES[size]
+    )
+    assert requests
+    expected = 503 if refusal == "full" else 413
+    assert (status, is_complete) == (expected, True)
--- a/cornelnotch/web/client.py
+++ b/cornelnotch/web/client.py
@@ -87,24 +87,36 @@
         self._invalidated = False
         self._idle_task: asyncio.Task[None] | None = None
         self._head: h11.Request | None = None
+        self._upload: asyncio.Task[None] | None = None
         self.reused = False
 
     async def send(self, head: h11.Request, body: bytes) -> None:
-        """Send a complete request."""
+        """Send a request; a long body is sent while the response is read.
+
+        A server may respond before it has read the body, and close the connection.
+        """
         self._head = head
         data = self._protocol.send(head) or b""
-        view = memoryview(body)
-        for start in range(0, len(body), WRITE_BYTES):
-            piece = bytes(view[start : start + WRITE_BYTES])
-            data += self._protocol.send(h11.Data(data=piece)) or b""
-            if start + WRITE_BYTES < len(body):
-                self._writer.write(data)
-                await self._writer.drain()
-                data = b""
+        if len(body) > WRITE_BYTES:
+            self._writer.write(data)
+            self._upload = asyncio.create_task(self._send_in_pieces(body))
+            return
+        if body:
+            data += self._protocol.send(h11.Data(data=body)) or b""
         data += self._protocol.send(h11.EndOfMessage()) or b""
         self._writer.write(data)
         await self._writer.drain()
 
+    async def _send_in_pieces(self, body: bytes) -> None:
+        """Send a body; a failure of the connection shows when it is read from."""
+        view = memoryview(body)
+        with suppress(OSError):
+            for start in range(0, len(body), WRITE_BYTES):
+                piece = bytes(view[start : start + WRITE_BYTES])
+                self._writer.write(self._protocol.send(h11.Data(data=piece)) or b"")
+                await self._writer.drain()
+            self._writer.write(self._protocol.send(h11.EndOfMessage()) or b"")
+
     async def read_head(self) -> object:
         """Return the h11 event of the response head.
 
@@ -172,6 +184,8 @@
 
     def is_uploading(self) -> bool:
         """Return whether the server's system has not received the whole request."""
+        if self._protocol.our_state is h11.SEND_BODY:
+            return True
         transport = self._writer.transport
         if transport.is_closing():
             return transport.get_write_buffer_size() > 0
@@ -190,6 +204,7 @@
     def prepare_reuse(self) -> None:
         """Prepare the connection for the next request."""
         self.reused = True
+        self._upload = None
         self._protocol.start_next_cycle()
         self._response_ended = False
 
@@ -219,6 +234,8 @@
         """Abort the connection immediately."""
         if self._idle_task is not None and not self._invalidated:
             self._idle_task.cancel()
+        if self._upload is not None:
+            self._upload.cancel()
         self._writer.transport.abort()
 
 
