gateway: a process that starts does not spend retries that the one before it has spent

Each process that starts had its whole share of the further retries, whatever the one before had spent in the window. In its first window it now has the quarter of that share which hosts never use.

--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -166,6 +166,7 @@
         self._gaps: dict[str, float] = {}
         self._gaps_version = NO_VERSION
         self._budgets: dict[str, RetryBudget] = {}
+        self._started_ms = clock.read()
 
     def _install_strategy(self) -> None:
         """Weigh cached prefixes if the settings ask for it."""
@@ -371,7 +372,10 @@
         if budget is None:
             bounds = self.settings.bounds
             budget = RetryBudget(
-                bounds.retry_share, bounds.retry_extra, bounds.retry_window_s * 1000.0
+                bounds.retry_share,
+                bounds.retry_extra,
+                bounds.retry_window_s * 1000.0,
+                self._started_ms,
             )
             self._budgets[service] = budget
         budget.host_count = self.count_known_hosts()
--- a/cornelnotch/gateway/tests/test_retry_budget.py
+++ b/cornelnotch/gateway/tests/test_retry_budget.py
@@ -2,6 +2,8 @@
 
 import random
 
+import pytest
+
 from cornelnotch.gateway.retry_budget import RetryBudget
 from cornelnotch.gateway.settings import BoundsSection
 from cornelnotch.gateway.tests.limited_fleet import (
@@ -39,6 +41,38 @@
         assert count_between(retries, start, end) <= SHARE * within + EXTRA
 
 
+@pytest.mark.parametrize("kills_ms", [[12_000.0], [9_000.0, 14_000.0, 16_500.0]])
+def test_retries_stay_within_the_budget_after_all_hosts_were_killed(kills_ms):
+    """Guards against processes that spend again what those before them have spent."""
+    generator = random.Random(7)
+    hosts = 8
+    budgets = [RetryBudget(SHARE, EXTRA, WINDOW_MS) for _ in range(hosts)]
+    requests, retries = [], []
+    for step in range(40_000):
+        now = step * 1.0
+        if now in kills_ms:
+            budgets = [RetryBudget(SHARE, EXTRA, WINDOW_MS, now) for _ in range(hosts)]
+        if generator.random() < 0.05:
+            budget = generator.choice(budgets)
+            budget.host_count = hosts
+            budget.record_request(now)
+            requests.append(now)
+            while budget.try_acquire(now):
+                retries.append(now)
+    for start in range(0, 30_000, 250):
+        end = start + WINDOW_MS
+        earlier = count_between(requests, start - WINDOW_MS, start)
+        within = max(count_between(requests, start, end), earlier)
+        assert count_between(retries, start, end) <= SHARE * within + EXTRA
+
+
+def test_a_process_has_its_whole_share_after_its_first_window():
+    budget = RetryBudget(0.0, EXTRA, WINDOW_MS, 0.0)
+    assert sum(budget.try_acquire(1.0) for _ in range(50)) == EXTRA / 4
+    later_ms = 1.0 + WINDOW_MS
+    assert sum(budget.try_acquire(later_ms) for _ in range(50)) == EXTRA * 3 / 4
+
+
 def test_a_share_of_the_requests_may_be_retried():
     budget = RetryBudget(SHARE, 0.0, WINDOW_MS)
     for _ in range(100):
