gateway: a late stream needs time for the silence after which its server counts as lost

Callers saw: a stream of the shape of quote-draft that comes 3.7 to 4.0 s after SIGTERM is cut at the end of the drain if its server falls silent once for 1.6 s and goes on. It was moved at the latest moment to a server that fell silent in turn.

Cause: in a drain a silent server keeps its stream until it counts as lost, after 2.4 s, but late streams were taken with time for a silence of 1.2 s. Both use the same time now. Calls are as before: they have a response at the end of the drain in any case.

The tests of drains and of silent servers hold.

--- a/cornelnotch/gateway/request_timing.py
+++ b/cornelnotch/gateway/request_timing.py
@@ -7,7 +7,7 @@
     RunningRequest,
 )
 from cornelnotch.gateway.models import CallerRequest, Route, WorkKind
-from cornelnotch.gateway.timeouts import find_max_gap_s
+from cornelnotch.gateway.timeouts import LOST_AFTER_SILENCES, find_max_gap_s
 from cornelnotch.kernel.clock import Clock
 from cornelnotch.kernel.parsing import parse_count
 
@@ -36,6 +36,11 @@
         self._limit_ms = limit_ms
         self._received_ms = clock.read()
         self._silence_ms = find_max_gap_s(route) * MS_PER_SECOND
+        self._late_silence_ms = self._silence_ms
+        if route.kind is WorkKind.STREAM:
+            # A silent server keeps its stream until it counts as lost. A call is
+            # answered at the end of the drain in any case.
+            self._late_silence_ms *= LOST_AFTER_SILENCES
         self._running = RunningRequest(self._received_ms, request.output_tokens)
 
     def start(self) -> None:
@@ -154,7 +159,7 @@
             self._route,
             self.estimate_ms,
             self.find_bound_ms,
-            self._silence_ms,
+            self._late_silence_ms,
             self._received_ms,
         )
 
@@ -171,6 +176,6 @@
             lambda share: self.estimate_ms(share, prefill_ms),
             lambda: self.find_bound_ms(prefill_ms),
             self.measure_left_ms(),
-            self._silence_ms,
+            self._late_silence_ms,
             self._received_ms,
         )
--- a/cornelnotch/gateway/tests/test_silent_servers.py
+++ b/cornelnotch/gateway/tests/test_silent_servers.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from cornelnotch.gateway.durations import RequestDuration
 from cornelnotch.gateway.tests.conftest import raise_timeouts, wait_until
 from cornelnotch.gateway.tests.kept_connection import KeptConnection
@@ -16,6 +18,10 @@
 EVENT_MS = 20.0
 SILENT_AFTER = 20
 SILENT_MS = 1600.0
+# A stream that is short enough to be served late in a stop.
+FIRST_MS = 300.0
+LATE_EVENTS = 24
+LATE_TOKENS = 48
 GRACE_S = 6.0
 
 
@@ -250,3 +256,45 @@
         await asyncio.gather(busy, stopping)
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    "stall_ms",
+    [[1600.0], [1150.0, 1150.0], [1600.0, 1600.0]],
+    ids=["once", "twice-briefly", "twice"],
+)
+def test_late_stream_whose_servers_fall_silent_is_whole_or_refused(stall_ms):
+    """Guards against streams that are taken late in a stop and cut at its end."""
+
+    async def scenario(d):
+        await raise_timeouts(d)
+        duration = RequestDuration(FIRST_MS, LATE_EVENTS * EVENT_MS, LATE_TOKENS)
+        duration.events = LATE_EVENTS
+        for route in ("chat", "draft"):
+            for _ in range(60):
+                d.host.context.durations.record(route, duration)
+        for engine in d.engines:
+            engine.events, engine.faults.event_ms = LATE_EVENTS, EVENT_MS
+            engine.faults.first_ms = FIRST_MS
+            engine.faults.stall_after_events = LATE_EVENTS // 4
+            engine.faults.stall_ms = stall_ms[0]
+            engine.faults.stall_times = len(stall_ms)
+        callers = d.settings.listen.callers
+        connections = [await KeptConnection.open(callers) for _ in range(8)]
+        busy = await keep_busy(d)
+        stopping = start_drain(d, 8.0)
+
+        async def send_late(number):
+            await asyncio.sleep(3.1 + 0.3 * (number // 2))
+            path = ("/stream/x", "/stream/draft/x")[number % 2]
+            headers = {"x-token-usage": f"1460,{LATE_TOKENS}"}
+            send = connections[number].send
+            return await send(f"s{number}", path, "POST", b"p", **headers)
+
+        replies = await asyncio.gather(*map(send_late, range(len(connections))))
+        assert [reply.whole for reply in replies] == [True] * len(connections)
+        assert [reply.status for reply in replies[:2]] == [200, 200]
+        assert {reply.status for reply in replies} <= {200, 503}
+        await asyncio.gather(busy, stopping)
+
+    run_scenario(scenario)
--- a/cornelnotch/standins/upstream.py
+++ b/cornelnotch/standins/upstream.py
@@ -24,7 +24,8 @@
     `abort` closes the connection without a response. `abort_after_events` is the number
     of complete events after which a stream is aborted within the next event;
     `stall_after_events` is the number after which it stops sending but stays open, for
-    `stall_ms` or until its caller leaves. A stream starts after `first_ms`. The first
+    `stall_ms` or until its caller leaves; it does so `stall_times`, each after as many
+    further events. A stream starts after `first_ms`. The first
     `fail_times` calls fail. `leaving` is announced in every response, `retry_after` in
     every refusal. `rate_limit` and `brittle` are announced in every response, unless
     they are None. A call takes `call_ms`, unless its caller leaves before.
@@ -40,6 +41,7 @@
     abort_after_events: int | None = None
     stall_after_events: int | None = None
     stall_ms: float | None = None
+    stall_times: int = 1
     event_ms: float = 5.0
     first_ms: float = 0.0
     leaving: bool = False
@@ -165,6 +167,7 @@
         await asyncio.sleep(self.faults.first_ms / 1000.0)
         await exchange.start(200, {**headers, "content-type": "text/event-stream"})
         breaks, stalls = self.faults.abort_after_events, self.faults.stall_after_events
+        stalls_left = self.faults.stall_times
         if "kv-from" in exchange.headers:
             breaks = stalls = None
         for number in range(start + 1, self.events + 1):
@@ -180,7 +183,8 @@
             if stalls is not None and number > stalls:
                 if await self._stall(exchange):
                     return
-                stalls = None
+                stalls_left -= 1
+                stalls = stalls + stalls if stalls_left else None
             await exchange.send(event)
             await asyncio.sleep(self.faults.event_ms / 1000.0)
         await exchange.finish()
