--- a/cornelnotch/gateway/follower.py
+++ b/cornelnotch/gateway/follower.py
@@ -7,7 +7,7 @@
 import random
 import zlib
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from cornelnotch.exceptions import (
     LogResponseError,
@@ -61,6 +61,14 @@
 Listener = Callable[[str, bool], None]
 
 
+@dataclass(frozen=True, slots=True)
+class MissingRecords:
+    """Records before offset `until` that this host lacks, as it knows since `at_ms`."""
+
+    until: int
+    at_ms: float
+
+
 class RecordFollower:
     """Replicas of both topics on this host."""
 
@@ -91,6 +99,7 @@
         self._failures = dict.fromkeys(TOPICS, 0)
         self._malformed = dict.fromkeys(TOPICS, 0)
         self._fetched_ms = {topic: float("-inf") for topic in TOPICS}
+        self._missing: dict[str, MissingRecords] = {}
         self._listener: Listener = lambda topic, after_outage: None
         self._unavailable_listener: Callable[[], None] = lambda: None
         self.reads = {topic: RecordReads() for topic in TOPICS}
@@ -114,6 +123,10 @@
         """Return the number of records of older timelines not yet written again."""
         return sum(len(view.older_records) for view in self.views.values())
 
+    def find_age_ms(self, topic: str) -> float:
+        """Return how old this host takes its copy of a topic to be."""
+        return self._plan.find_age_ms(topic, self._clock.read())
+
     def is_initialized(self) -> bool:
         """Return whether every topic has been read, here or by another host."""
         return all(view.head >= 0 for view in self.views.values())
@@ -207,6 +220,7 @@
             return
         before = self._timeline
         self._timeline = timeline
+        self._missing.clear()
         self._entered_ms = self._clock.read()
         restored = [view.enter_timeline(timeline) for view in self.views.values()]
         if not any(restored):
@@ -255,6 +269,7 @@
             changed = is_first or before != view.records
         else:
             changed = bool(view.apply(page))
+        self._note_complete(origin, topic)
         if changed:
             self._listener(topic, after_outage)
 
@@ -326,6 +341,7 @@
             return
         if not updates.whole and (view.head < updates.start or view.head < 0):
             self._plan.record_age(updates.origin, updates.topic, updates.age_ms, now)
+            self._note_missing(updates, now)
             self._send_fetch(updates.topic, updates.origin)
             return
         records = [_unpack(item) for item in updates.items]
@@ -334,6 +350,36 @@
             updates.origin, updates.topic, page, updates.age_ms, updates.whole
         )
 
+    def _note_missing(self, updates: RecordUpdates, now: float) -> None:
+        """Log the first update that begins after the end of the copy."""
+        topic = updates.topic
+        head = self.views[topic].head
+        if topic in self._missing or head < 0:
+            return
+        self._missing[topic] = MissingRecords(updates.start, now)
+        self._events.record(
+            Event.RECORDS_MISSED,
+            topic=topic,
+            origin=updates.origin,
+            head=head,
+            start=updates.start,
+        )
+
+    def _note_complete(self, origin: str, topic: str) -> None:
+        """Log that records have arrived that were missing."""
+        missing = self._missing.get(topic)
+        head = self.views[topic].head
+        if missing is None or head < missing.until:
+            return
+        del self._missing[topic]
+        self._events.record(
+            Event.RECORDS_COMPLETED,
+            topic=topic,
+            origin=origin,
+            head=head,
+            after_ms=round(self._clock.read() - missing.at_ms, 1),
+        )
+
     def _send_older_records(self, host: str) -> None:
         """Send older records to a reader that may have started during the outage."""
         older_records = self._list_older_records(CONFIGURATION)
--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -12,7 +12,7 @@
 from cornelnotch.gateway.context import NO_VERSION, GatewayContext
 from cornelnotch.gateway.directory import Directory
 from cornelnotch.gateway.drain import find_exit_margin_ms
-from cornelnotch.gateway.follower import SERVERS, RecordFollower
+from cornelnotch.gateway.follower import CONFIGURATION, SERVERS, RecordFollower
 from cornelnotch.gateway.frontend import Frontend
 from cornelnotch.gateway.header_codec import HeaderCodec
 from cornelnotch.gateway.host_discovery import HostDiscovery
@@ -261,6 +261,8 @@
         metrics.set_state("turns_waiting", self.admission_controller.count_waiting())
         metrics.set_state("version", self.context.table.version)
         metrics.set_state("store_timeline", self.follower.timeline)
+        for topic in (CONFIGURATION, SERVERS):
+            metrics.set_state(f"{topic}_age_ms", self.follower.find_age_ms(topic))
         metrics.set_state("body_bytes", self.context.bodies.held_bytes)
         metrics.set_state("unread_bytes", self.context.unread.held_bytes)
         metrics.set_state("held_bytes", self.context.memory.held_bytes)
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -69,6 +69,12 @@
         logging.WARNING,
         "a response of the store has a missing or malformed timeline",
     )
+    RECORDS_MISSED = (
+        2105,
+        logging.WARNING,
+        "an update begins after the copy of a topic ends; records are missing",
+    )
+    RECORDS_COMPLETED = (2106, logging.INFO, "the missing records have arrived")
     LOG_RECOVERED = (2102, logging.INFO, "the log service responds again")
     MEMBER_CHANGED = (3001, logging.INFO, "the membership state of a host changed")
     SERVER_LEAVING = (3002, logging.INFO, "a server accepts no new requests")
