--- a/cornelnotch/gateway/tests/fleet.py
+++ b/cornelnotch/gateway/tests/fleet.py
@@ -210,6 +210,7 @@
         self.store = Store()
         self.hosts: dict[str, Host] = {}
         self.cut_domains: set[str] = set()
+        self.is_lost: Callable[[str, str, Any], bool] = lambda *message: False
         self.sent_bytes = 0
         for _ in range(count):
             self.add_host()
@@ -239,6 +240,8 @@
         if (source.domain in self.cut_domains) != (target.domain in self.cut_domains):
             return
         self.sent_bytes += len(msgspec.msgpack.encode(message))
+        if self.is_lost(sender, receiver, message):
+            return
         target.peers.handlers[type(message)](sender, message)
 
     def list_alive(self):
