--- a/cornelnotch/gateway/follower.py
+++ b/cornelnotch/gateway/follower.py
@@ -340,7 +340,7 @@
         if updates.whole and updates.end < view.head:
             return
         if not updates.whole and (view.head < updates.start or view.head < 0):
-            self._plan.record_age(updates.origin, updates.topic, updates.age_ms, now)
+            self._plan.record_missed(updates.origin, updates.topic, updates.age_ms, now)
             self._note_missing(updates, now)
             self._send_fetch(updates.topic, updates.origin)
             return
--- a/cornelnotch/gateway/relay.py
+++ b/cornelnotch/gateway/relay.py
@@ -85,6 +85,7 @@
         self._unable: dict[str, Inability] = {}
         self._read_ms: dict[str, float] = {}
         self._contact_ms: dict[str, float] = {}
+        self._missed_ms: dict[str, float] = {}
 
     def set_hosts(self, hosts: Collection[ReaderCandidate]) -> None:
         """Replace the list of live hosts."""
@@ -94,18 +95,34 @@
         ]
 
     def record_age(self, host: str, topic: str, age_ms: float, now: float) -> None:
-        """Record the age of a host's last read of a topic."""
+        """Record the age of a host's last read, of which this host has all records."""
         if host != self.name:
             self._contact_ms[topic] = now
+        self._record_ability(host, age_ms, now)
+        read_ms = now - age_ms
+        self._read_ms[topic] = max(self._read_ms.get(topic, read_ms), read_ms)
+
+    def record_missed(self, host: str, topic: str, age_ms: float, now: float) -> None:
+        """Record the age of a host's last read, of which this host lacks records.
+
+        The copy of this host does not become fresher by that. If the other host can
+        read the store, this one need not wait for it, so this is no contact either.
+        """
+        self._record_ability(host, age_ms, now)
         if age_ms > UNABLE_AGE_MS:
-            known = self._unable.get(host)
-            is_expired = known is None or now - known.announced_ms > UNABLE_TTL_MS
-            since_ms = now if is_expired or known is None else known.since_ms
-            self._unable[host] = Inability(since_ms, now)
+            self._contact_ms[topic] = now
         else:
+            self._missed_ms[topic] = now
+
+    def _record_ability(self, host: str, age_ms: float, now: float) -> None:
+        """Record whether a host can read the store, by the age of its last read."""
+        if age_ms <= UNABLE_AGE_MS:
             self._unable.pop(host, None)
-        read_ms = now - age_ms
-        self._read_ms[topic] = max(self._read_ms.get(topic, read_ms), read_ms)
+            return
+        known = self._unable.get(host)
+        is_expired = known is None or now - known.announced_ms > UNABLE_TTL_MS
+        since_ms = now if is_expired or known is None else known.since_ms
+        self._unable[host] = Inability(since_ms, now)
 
     def find_age_ms(self, topic: str, now: float) -> float:
         """Return the time in ms since any host is known to have read the topic."""
@@ -142,8 +159,16 @@
         # The default readers keep trying, so that others learn when they recover.
         if self.name in self._select_readers(self._ranked_hosts):
             return True
-        has_contact = now - self._contact_ms.get(topic, float("-inf")) <= CONTACT_TTL_MS
-        return self.is_stale(topic, now) and not has_contact
+        return self.is_stale(topic, now) and self._may_read_alone(topic, now)
+
+    def _may_read_alone(self, topic: str, now: float) -> bool:
+        """Return whether this host may read although it is no reader.
+
+        It may if no other host tells it anything, or if one has read what it lacks.
+        """
+        contact_ms = self._contact_ms.get(topic, float("-inf"))
+        missed_ms = self._missed_ms.get(topic, float("-inf"))
+        return now - contact_ms > CONTACT_TTL_MS or now - missed_ms <= CONTACT_TTL_MS
 
     def must_publish(self, now: float) -> bool:
         """Return whether this host should relay what it reads."""
--- a/cornelnotch/gateway/tests/test_lost_updates.py
+++ b/cornelnotch/gateway/tests/test_lost_updates.py
@@ -104,7 +104,7 @@
 
 @pytest.mark.parametrize("count", [9, 60])
 def test_host_that_lacks_records_adds_few_calls_while_the_store_is_down(count):
-    counts = []
+    counts: list[int] = []
 
     async def scenario(fleet):
         is_lossy = bool(counts)
