--- a/cornelnotch/testing/prefix_fleet.py
+++ b/cornelnotch/testing/prefix_fleet.py
@@ -59,9 +59,13 @@
 
 @dataclass(slots=True)
 class PrefixOutcome(Outcome):
-    """Latencies of a prompt, and the share of it that its engine had cached."""
+    """Latencies of a prompt, and the share of it that its engine had cached.
+
+    `granted_ms` is when it was sent to its last engine, 0 if it never was.
+    """
 
     cached_share: float = 0.0
+    granted_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -186,6 +190,7 @@
             prompt.parts, prompt.own_tokens, run.expected_tokens, run.unread_tokens
         )
         now = max(self.free_ms, prompt.at_ms)
+        run.answer.granted_ms = now
         run.host.placer.record_grant(run.host_view, grant, now)
 
 
@@ -227,13 +232,20 @@
         record = ServerRecord(
             name, SERVICE, "10.0.0.1:80", domain, shape.slots, boot_ms=self._boots
         )
-        queue = AdmissionQueue(shape.slots, shape.cache_tokens, EngineEstimate(name))
-        self.engines[name] = FleetEngine(
-            ServerView(record), queue, shape, free_ms=self.now
-        )
+        estimate = self._create_estimate(name)
+        queue = AdmissionQueue(shape.slots, shape.cache_tokens, estimate)
+        self.engines[name] = self._create_engine(ServerView(record), queue, shape)
         for host in self.hosts:
             host.views[name] = ServerView(record)
 
+    def _create_engine(
+        self, view: ServerView, queue: AdmissionQueue, shape: EngineShape
+    ) -> FleetEngine:
+        return FleetEngine(view, queue, shape, free_ms=self.now)
+
+    def _create_estimate(self, name: str) -> EngineEstimate:
+        return EngineEstimate(name)
+
     def _create_host(self, name: str) -> FleetHost:
         rates = EngineRateTable()
         regions = {domain: domain for domain in self.shape.regions}
@@ -297,12 +309,15 @@
                 event.apply(self)
             self._advance(prompt.at_ms)
             host = self.hosts[generator.randrange(len(self.hosts))]
-            outcome = PrefixOutcome(prompt)
+            outcome = self._create_outcome(prompt)
             self.outcomes.append(outcome)
             self._place(host, prompt, outcome, frozenset())
         self._advance(self.now + 600_000.0)
         return self.outcomes
 
+    def _create_outcome(self, prompt: PrefixPrompt) -> PrefixOutcome:
+        return PrefixOutcome(prompt)
+
     def _place(
         self,
         host: FleetHost,
