--- a/cornelnotch/gateway/admission_controller.py
+++ b/cornelnotch/gateway/admission_controller.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from cornelnotch.gateway.admission_queue import AdmissionQueue, QueueEntry
-from cornelnotch.gateway.context import GatewayContext
+from cornelnotch.gateway.context import NO_VERSION, GatewayContext
 from cornelnotch.gateway.direct_admission import has_short_target
 from cornelnotch.gateway.engine_estimates import EngineEstimate
 from cornelnotch.gateway.limit_control import TAKEOVER_MS, LimitControl
@@ -61,6 +61,9 @@
         self._context = context
         self._peers = peers
         self._queues: dict[str, EngineQueue] = {}
+        # Least urgent priority of each service, in this version of the routes.
+        self._least_urgent: dict[str, int] = {}
+        self._routes_version = NO_VERSION
         now = context.clock.read()
         self._control = LimitControl(now, now)
         peers.subscribe(AdmissionRequest, self._receive_ask)
@@ -145,12 +148,24 @@
             notice = create_notice(newest, now)
             self._peers.send(host, ServerLoadNotices([notice], []))
 
-    def _update_pace(self, server: str, queue: AdmissionQueue, now: float) -> None:
-        """Apply the pace that the engine states, as far as it is known now."""
+    def _update_queue(self, server: str, queue: AdmissionQueue, now: float) -> None:
+        """Apply the pace that the engine states, and the priorities of its service."""
         view = self._context.pool.servers.get(server)
-        if view is not None:
-            boot_ms = view.record.boot_ms
-            queue.set_pace(self._context.loads.find_pace(server, boot_ms, now), now)
+        if view is None:
+            return
+        boot_ms = view.record.boot_ms
+        queue.set_pace(self._context.loads.find_pace(server, boot_ms, now), now)
+        queue.least_urgent = self._find_least_urgent(view.record.service)
+
+    def _find_least_urgent(self, service: str) -> int:
+        """Return the priority from which prompts are the first to be refused."""
+        table = self._context.table
+        if table.version != self._routes_version:
+            self._least_urgent.clear()
+            self._routes_version = table.version
+        if service not in self._least_urgent:
+            self._least_urgent[service] = table.find_least_urgent(service)
+        return self._least_urgent[service]
 
     def _find_limit(self, server: str) -> RateLimit | None:
         """Return the rate limit of a server, also before its record is known."""
@@ -171,7 +186,7 @@
             self._context.merge_rate_limit(ask.limit, sender)
         engine_queue = self._find_engine_queue(ask.server)
         may_grant = self._update_bucket(ask.server, engine_queue.queue, now)
-        self._update_pace(ask.server, engine_queue.queue, now)
+        self._update_queue(ask.server, engine_queue.queue, now)
         if ask.stage == "waiting":
             if not may_grant:
                 self._postpone(sender, ask)
@@ -275,7 +290,7 @@
         now = self._context.clock.read()
         self._control.note_running(now)
         engine_queue.queue.remove_expired(now)
-        self._update_pace(server, engine_queue.queue, now)
+        self._update_queue(server, engine_queue.queue, now)
         if self._update_bucket(server, engine_queue.queue, now):
             for queue_entry in engine_queue.queue.grant(now):
                 self._send_grant(server, queue_entry)
--- a/cornelnotch/gateway/admission_queue.py
+++ b/cornelnotch/gateway/admission_queue.py
@@ -106,8 +106,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ArrivalRecord:
-    """The prefill work that an arriving request added."""
+class WorkRecord:
+    """The prefill work of a request that arrived or was granted."""
 
     at_ms: float
     priority: int
@@ -132,7 +132,10 @@
         self._cached_tokens = 0
         self._backlog_tokens = 0.0
         self._updated_ms = 0.0
-        self._arrivals: deque[ArrivalRecord] = deque()
+        # Requests of this priority or a less urgent one are the first to be refused.
+        self.least_urgent = 0
+        self._arrivals: deque[WorkRecord] = deque()
+        self._granted: deque[WorkRecord] = deque()
         self._first_arrival_ms = float("inf")
         self._recent_grants: deque[PrefillRecord] = deque()
         self._recent_prefills: deque[PrefillRecord] = deque()
@@ -403,27 +406,35 @@
         return max(wait_ms, self.bucket.find_delay_ms(now, len(ahead)))
 
     def _estimate_overtaken_share(self, entry: QueueEntry, now: float) -> float:
-        """Return the share of prefill capacity that later arrivals will take first."""
-        while self._arrivals and self._arrivals[0].at_ms < now - ARRIVAL_WINDOW_MS:
-            self._arrivals.popleft()
+        """Return the share of prefill capacity that later arrivals will take first.
+
+        For the least urgent requests, all that has arrived counts, also what has left
+        for other engines, so that in an overload they are refused early. For others
+        only what was granted counts, since they must not be refused before those.
+        """
+        window_ms = max(
+            min(now - self._first_arrival_ms, ARRIVAL_WINDOW_MS), MIN_ARRIVAL_WINDOW_MS
+        )
+        capacity_tokens = window_ms * self.estimate.rates.read_rate / self.pace
+        is_least_urgent = entry.priority >= self.least_urgent
+        work = self._arrivals if is_least_urgent else self._granted
+        _drop_before(work, now - ARRIVAL_WINDOW_MS)
+        if not is_least_urgent:
+            granted_tokens = sum(record.uncached_tokens for record in work)
+            capacity_tokens = max(capacity_tokens, granted_tokens)
         uncached_tokens = self.count_uncached_tokens(entry)
         overtaking_tokens = sum(
             other.uncached_tokens
-            for other in self._arrivals
+            for other in work
             if (other.priority, other.uncached_tokens)
             < (entry.priority, uncached_tokens)
         )
-        window_ms = max(
-            min(now - self._first_arrival_ms, ARRIVAL_WINDOW_MS), MIN_ARRIVAL_WINDOW_MS
-        )
-        return min(
-            self._estimate_prefill_ms(overtaking_tokens) / window_ms,
-            MAX_OVERTAKEN_SHARE,
-        )
+        return min(overtaking_tokens / capacity_tokens, MAX_OVERTAKEN_SHARE)
 
     def _record_arrival(self, entry: QueueEntry) -> None:
         uncached_tokens = self.count_uncached_tokens(entry)
-        arrival = ArrivalRecord(entry.refreshed_ms, entry.priority, uncached_tokens)
+        arrival = WorkRecord(entry.refreshed_ms, entry.priority, uncached_tokens)
+        _drop_before(self._arrivals, entry.refreshed_ms - ARRIVAL_WINDOW_MS)
         self._arrivals.append(arrival)
         self._first_arrival_ms = min(self._first_arrival_ms, entry.refreshed_ms)
 
@@ -476,6 +487,10 @@
                 self._recent_grants[0].at_ms < entry.refreshed_ms - PREFILL_HISTORY_MS
             ):
                 self._recent_grants.popleft()
+            _drop_before(self._granted, entry.refreshed_ms - ARRIVAL_WINDOW_MS)
+            self._granted.append(
+                WorkRecord(entry.refreshed_ms, entry.priority, entry.uncached_tokens)
+            )
         self._update_cache(entry.shared)
 
     def _update_cache(self, parts: Iterable[PromptPart]) -> None:
@@ -486,3 +501,8 @@
         while self._cached_tokens > self._cache_tokens and self._prefix_cache:
             _, tokens = self._prefix_cache.popitem(last=False)
             self._cached_tokens -= tokens
+
+
+def _drop_before(records: deque[WorkRecord], at_ms: float) -> None:
+    while records and records[0].at_ms < at_ms:
+        records.popleft()
--- a/cornelnotch/testing/priority_fleet.py
+++ b/cornelnotch/testing/priority_fleet.py
@@ -187,6 +187,7 @@
     def _create_engine(
         self, view: ServerView, queue: AdmissionQueue, shape: EngineShape
     ) -> FleetEngine:
+        queue.least_urgent = max(kind.priority for kind in self.kinds)
         return PriorityEngine(view, queue, shape, free_ms=self.now)
 
     def _create_estimate(self, name: str) -> EngineEstimate:
