--- a/cornelnotch/gateway/admission_controller.py
+++ b/cornelnotch/gateway/admission_controller.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from cornelnotch.gateway.admission_queue import AdmissionQueue, QueueEntry
-from cornelnotch.gateway.context import NO_VERSION, GatewayContext
+from cornelnotch.gateway.context import GatewayContext
 from cornelnotch.gateway.direct_admission import has_short_target
 from cornelnotch.gateway.engine_estimates import EngineEstimate
 from cornelnotch.gateway.limit_control import TAKEOVER_MS, LimitControl
@@ -61,9 +61,6 @@
         self._context = context
         self._peers = peers
         self._queues: dict[str, EngineQueue] = {}
-        # Least urgent priority of each service, in this version of the routes.
-        self._least_urgent: dict[str, int] = {}
-        self._routes_version = NO_VERSION
         now = context.clock.read()
         self._control = LimitControl(now, now)
         peers.subscribe(AdmissionRequest, self._receive_ask)
@@ -155,17 +152,7 @@
             return
         boot_ms = view.record.boot_ms
         queue.set_pace(self._context.loads.find_pace(server, boot_ms, now), now)
-        queue.least_urgent = self._find_least_urgent(view.record.service)
-
-    def _find_least_urgent(self, service: str) -> int:
-        """Return the priority from which prompts are the first to be refused."""
-        table = self._context.table
-        if table.version != self._routes_version:
-            self._least_urgent.clear()
-            self._routes_version = table.version
-        if service not in self._least_urgent:
-            self._least_urgent[service] = table.find_least_urgent(service)
-        return self._least_urgent[service]
+        queue.least_urgent = self._context.find_least_urgent(view.record.service)
 
     def _find_limit(self, server: str) -> RateLimit | None:
         """Return the rate limit of a server, also before its record is known."""
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -20,6 +20,7 @@
 )
 from cornelnotch.gateway.dispatcher import CacheCopy, Dispatcher, DispatchHooks
 from cornelnotch.gateway.drain import choose_drain_retry_after_ms
+from cornelnotch.gateway.engine_search import MAX_OVERLOADED, searches_on
 from cornelnotch.gateway.fingerprints import create_fingerprints
 from cornelnotch.gateway.forwarding import MAX_BUFFERED_BYTES, forward_body
 from cornelnotch.gateway.models import CallerRequest, Route, WorkKind, Workspace
@@ -61,10 +62,6 @@
 STATUS_BAD_GATEWAY = 502
 STATUS_UNAVAILABLE = 503
 STATUS_GATEWAY_TIMEOUT = 504
-# Overloaded engines that a request may try. An engine is chosen from outdated load
-# reports, so another one is usually available, but each try costs a round trip, and a
-# refusal must be sent well within the latency target.
-MAX_OVERLOADED = 2
 # Each change of engine costs a round trip; fluctuating loads must not keep a request
 # moving between engines.
 MAX_SERVER_CHANGES = 4
@@ -421,7 +418,7 @@
             return False
         self.overloaded.add(view.record.name)
         self.overloaded_wait_ms = in_flight.wait_ms
-        if len(self.overloaded) < MAX_OVERLOADED:
+        if searches_on(self, in_flight):
             return False
         await self.refuse_with_retry(self.overloaded_wait_ms, "backlog")
         return True
@@ -524,7 +521,7 @@
             view,
             in_flight,
             self.arrived_ms,
-            self._find_wait_limit_ms(),
+            self.find_wait_limit_ms(),
             self.route.target_itl_ms if in_flight.latency_sensitive else 0.0,
             self.route.target_ms,
             lambda: self._has_better_server(view, in_flight),
@@ -545,7 +542,7 @@
         )
         return result
 
-    def _find_wait_limit_ms(self) -> float:
+    def find_wait_limit_ms(self) -> float:
         """Return how long after its arrival a request may still be refused, in ms."""
         if self.dispatches.ran or self.exchange.response_started:
             return float("inf")
--- a/cornelnotch/testing/priority_fleet.py
+++ b/cornelnotch/testing/priority_fleet.py
@@ -12,7 +12,8 @@
 from cornelnotch.gateway.admission_queue import AdmissionQueue, QueueEntry
 from cornelnotch.gateway.direct_admission import has_short_target, may_send_directly
 from cornelnotch.gateway.engine_estimates import EngineEstimate
-from cornelnotch.gateway.flow import MAX_OVERLOADED, MAX_SERVER_CHANGES
+from cornelnotch.gateway.engine_search import has_room, may_ask_another
+from cornelnotch.gateway.flow import MAX_SERVER_CHANGES
 from cornelnotch.gateway.models import CallerRequest, PromptPart
 from cornelnotch.gateway.placement import PlacementNeed
 from cornelnotch.gateway.reservation import (
@@ -328,11 +329,27 @@
         search = self._searches[run.prompt.name]
         search.overloaded.add(engine.view.record.name)
         outcome.asked = len(search.overloaded)
-        if len(search.overloaded) < MAX_OVERLOADED:
+        if self._searches_on(run, search):
             self._place(run.host, run.prompt, run.answer, frozenset())
             return
         outcome.refused = True
 
+    def _searches_on(self, run: FleetRun, search: Search) -> bool:
+        kind = get_kind(run.prompt)
+        others = self._list_usable(run.host, frozenset(search.overloaded))
+        has_room_elsewhere = has_room(
+            others,
+            run.host.placer.estimates,
+            kind.priority,
+            run.in_flight.prefill_tokens,
+            kind.patience_ms - (self.now - run.prompt.at_ms),
+            self.now,
+        )
+        least_urgent = max(other.priority for other in self.kinds)
+        is_least_urgent = kind.priority >= least_urgent
+        asked = len(search.overloaded)
+        return may_ask_another(asked, is_least_urgent, has_room_elsewhere)
+
     def _recheck(self, run: FleetRun, engine: FleetEngine) -> None:
         """Let a waiting prompt leave, move or ask again."""
         prompt, kind = run.prompt, get_kind(run.prompt)
