--- a/cornelnotch/gateway/admission_controller.py
+++ b/cornelnotch/gateway/admission_controller.py
@@ -267,9 +267,15 @@
         return AdmissionQueue(view.record.slots, tokens, estimate)
 
     def list_rates(self) -> list[EngineRates]:
-        """Return the measured rates of the engines that this host controls."""
+        """Return the measured rates of the engines that this host controls.
+
+        A former controller sees no more of an engine, and its rates would replace those
+        of the current one.
+        """
         return [
-            engine_queue.queue.estimate.rates for engine_queue in self._queues.values()
+            engine_queue.queue.estimate.rates
+            for server, engine_queue in self._queues.items()
+            if self._is_controller(server)
         ]
 
     def _grant_waiting(self, server: str, engine_queue: EngineQueue) -> None:
--- a/cornelnotch/gateway/tests/test_admission_controller.py
+++ b/cornelnotch/gateway/tests/test_admission_controller.py
@@ -136,3 +136,20 @@
         assert rates.event_ms == pytest.approx(10.0, rel=0.1)
 
     run_scenario(scenario)
+
+
+def test_former_controller_of_an_engine_reports_no_rates():
+    def scenario(harness):
+        harness.list_engine()
+        harness.ask("a")
+        progress = StreamProgress(100, 1000.0, 20.0)
+        begun = AdmissionRequest(
+            "a", "engine", 1, SHARED_PREFIX, 1000, 0.0, "begun", 250.0, progress
+        )
+        harness.host.peers._receive("h2", begun)
+        controller = harness.host.admission_controller
+        assert len(controller.list_rates()) == 1
+        harness.host.context.admission.find_controller = lambda view: "h2"
+        assert controller.list_rates() == []
+
+    run_scenario(scenario)
