--- a/cornelnotch/gateway/tests/test_lost_updates.py
+++ b/cornelnotch/gateway/tests/test_lost_updates.py
@@ -125,3 +125,40 @@
         assert calls <= 160
 
     run_fleet(scenario, count)
+
+
+class Delays:
+    """Deliver what other hosts send to one host some time later."""
+
+    def __init__(self, fleet, host, delay_ms):
+        self._fleet = fleet
+        self._host = host
+        self._delay_ms = delay_ms
+        self._waiting = []
+
+    def is_lost(self, sender, receiver, message):
+        if receiver == self._host.name:
+            due_ms = self._fleet.clock.read() + self._delay_ms
+            self._waiting.append((due_ms, sender, message))
+        return receiver == self._host.name
+
+    def deliver(self):
+        """Deliver what is due; return False, so that the fleet goes on."""
+        now = self._fleet.clock.read()
+        while self._waiting and self._waiting[0][0] <= now:
+            _, sender, message = self._waiting.pop(0)
+            self._host.peers.handlers[type(message)](sender, message)
+        return False
+
+
+def test_host_whose_messages_arrive_late_is_not_behind_for_longer_than_the_bound():
+    async def scenario(fleet):
+        host = choose_follower(fleet)
+        delays = Delays(fleet, host, 6000.0)
+        fleet.is_lost = delays.is_lost
+        await fleet.run(8000.0, delays.deliver)
+        fleet.store.configure(11)
+        await fleet.run(BOUND_MS, delays.deliver)
+        assert host.version == 11
+
+    run_fleet(scenario, 9)
