--- a/cornelnotch/gateway/admission_controller.py
+++ b/cornelnotch/gateway/admission_controller.py
@@ -152,7 +152,8 @@
             return
         boot_ms = view.record.boot_ms
         queue.set_pace(self._context.loads.find_pace(server, boot_ms, now), now)
-        queue.least_urgent = self._context.find_least_urgent(view.record.service)
+        shares = self._context.priority_shares
+        queue.least_urgent = shares.find_least_urgent(view.record.service)
 
     def _find_limit(self, server: str) -> RateLimit | None:
         """Return the rate limit of a server, also before its record is known."""
--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -26,6 +26,7 @@
     RoutingTable,
 )
 from cornelnotch.gateway.placement import Placer
+from cornelnotch.gateway.priority_shares import PriorityShares
 from cornelnotch.gateway.rate_limits import RateLimit, RateLimitTable
 from cornelnotch.gateway.reclaim_risk import list_safe_from_reclaim
 from cornelnotch.gateway.rejections import RejectionTable
@@ -163,9 +164,8 @@
         self._longest_of: RoutingTable | None = None
         self._longest_stream_ms = 0.0
         self._reserved: dict[str, ReservedEngines] = {}
+        self.priority_shares = PriorityShares()
         self._gaps: dict[str, float] = {}
-        self._least_urgent: dict[str, int] = {}
-        self._least_urgent_of = self.table
         self._gaps_version = NO_VERSION
         self._budgets: dict[str, RetryBudget] = {}
         self._started_ms = clock.read()
@@ -452,15 +452,6 @@
             self._gaps_version = self.table.version
         return self._gaps.get(service, 0.0)
 
-    def find_least_urgent(self, service: str) -> int:
-        """Return the priority of a service's prompts that are refused first."""
-        if self._least_urgent_of is not self.table:
-            self._least_urgent_of = self.table
-            self._least_urgent.clear()
-        if service not in self._least_urgent:
-            self._least_urgent[service] = self.table.find_least_urgent(service)
-        return self._least_urgent[service]
-
     def is_latency_sensitive(self, route: Route) -> bool:
         """Return whether a route's streams are latency-sensitive."""
         gap_ms = self.find_latency_sensitive_gap_ms(route.shares[0].service)
--- a/cornelnotch/gateway/engine_search.py
+++ b/cornelnotch/gateway/engine_search.py
@@ -63,7 +63,8 @@
 def searches_on(flow: RequestFlow, in_flight: InFlightRequest) -> bool:
     """Return whether a request asks another engine after one was overloaded."""
     asked = len(flow.overloaded)
-    is_least_urgent = flow.priority >= flow.context.find_least_urgent(flow.service)
+    least_urgent = flow.context.priority_shares.find_least_urgent(flow.service)
+    is_least_urgent = flow.priority >= least_urgent
     if asked < MAX_OVERLOADED or is_least_urgent:
         return may_ask_another(asked, is_least_urgent, has_room_elsewhere=False)
     now = flow.context.clock.read()
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -131,6 +131,8 @@
         )
         self.dispatches = self.dispatcher.counts
         self.service = context.choose_service(route, request.request_id)
+        if route.kind is WorkKind.STREAM:
+            context.priority_shares.record(self.service, self.priority, arrived_ms)
         request.fingerprints = create_fingerprints(request, workspace)
 
     async def run(self) -> None:
--- a/cornelnotch/gateway/models.py
+++ b/cornelnotch/gateway/models.py
@@ -158,16 +158,8 @@
 
     def list_stream_targets(self, service: str) -> list[float]:
         """Return the targets of the streaming routes of a service, in ms."""
-        return [route.target_ms for route in self._list_stream_routes(service)]
-
-    def find_least_urgent(self, service: str) -> int:
-        """Return the priority of the least urgent streaming route of a service."""
-        routes = self._list_stream_routes(service)
-        return max((route.priority for route in routes), default=0)
-
-    def _list_stream_routes(self, service: str) -> list[Route]:
         return [
-            route
+            route.target_ms
             for routes in self.routes.values()
             for route in routes
             if route.kind is WorkKind.STREAM
