--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -13,7 +13,11 @@
 from cornelnotch.gateway.crash_evidence import CrashEvidence
 from cornelnotch.gateway.crash_watch import CrashWatch, ServerLife
 from cornelnotch.gateway.demand import DemandRecorder, UnrecordedDemand
-from cornelnotch.gateway.direct_admission import may_send_directly
+from cornelnotch.gateway.direct_admission import (
+    draw_share,
+    is_within_share,
+    may_send_directly,
+)
 from cornelnotch.gateway.drain import Drain
 from cornelnotch.gateway.durations import DurationTracker
 from cornelnotch.gateway.engine_rates import EngineRateTable
@@ -24,6 +28,7 @@
     Engine,
     Route,
     RoutingTable,
+    WorkKind,
 )
 from cornelnotch.gateway.placement import Placer
 from cornelnotch.gateway.priority_shares import PriorityShares
@@ -239,22 +244,37 @@
         """Return the rate limit in force for a server, or None if it has none."""
         return self.rate_limits.find(server.record)
 
+    def record_priority(
+        self, route: Route, service: str, priority: int, now: float
+    ) -> None:
+        """Count the priority of a request, if engines serve it by priority."""
+        if route.kind is WorkKind.STREAM:
+            self.priority_shares.record(service, priority, now)
+
     def _may_send_directly(
         self, server: ServerView, in_flight: InFlightRequest, target_ms: float
     ) -> bool:
         """Return whether an engine begins a prompt soon without a grant."""
+        now = self.clock.read()
+        record = server.record
+        summary_ms = self.placer.aggregates.at_ms
         server.finish(in_flight)
         try:
-            usage = self.placer.measure_usage(server, self.clock.read())
+            usage = self.placer.measure_usage(server, now)
+            recent = server.count_since(summary_ms)
         finally:
             server.start(in_flight)
+        drawn = draw_share(self.settings.host.name, record.name, summary_ms)
+        hosts = self.count_known_hosts()
+        if not is_within_share(usage, record.slots, hosts, recent, drawn):
+            return False
         return may_send_directly(
             in_flight.prefill_tokens,
             in_flight.priority,
             target_ms,
             usage,
-            server.record.slots,
-            self.engine_rates.get(server.record.name, server.record.service),
+            record.slots,
+            self.engine_rates.get(record.name, record.service),
         )
 
     def _list_brittle(self) -> list[ServerView]:
--- a/cornelnotch/gateway/direct_admission.py
+++ b/cornelnotch/gateway/direct_admission.py
@@ -4,11 +4,23 @@
 to the controller of an engine takes up to a quarter of such a target. The engine
 itself begins urgent prompts first, so a short one does not need to wait here for long
 ones to be prefilled.
+
+All hosts place by the same load summary until the next one. If all sent such prompts to
+the engine that seems best, it would hold more requests than slots and preempt some. So
+each host spreads them at random over engines that are hardly worse. Once an engine is
+half full, each sends directly no more than its share of the free slots.
 """
 
+from cornelnotch.kernel.hashing import hash_text
 from cornelnotch.wire.messages import EngineRates, ServerUsage
 
-__all__ = ["has_short_target", "may_send_directly"]
+__all__ = [
+    "draw_share",
+    "find_spread_ms",
+    "has_short_target",
+    "is_within_share",
+    "may_send_directly",
+]
 
 # Round trip to a controller in another region. It may take up to the given share of a
 # target; with a longer target, the order of the queue is worth more.
@@ -19,6 +31,14 @@
 # these are an upper bound of its wait there.
 MAX_PREFILL_SHARE = 0.5
 MAX_BACKLOG_SHARE = 1.0
+# Prompts spread over the engines whose cost is at most this share of the target higher.
+SPREAD_SHARE = 0.25
+# Share of the slots that are sent to without regard to other hosts.
+UNSHARED_SLOTS = 0.25
+# Load summaries that are on their way at any time: prompts sent since the last but one
+# are not known yet.
+UNSEEN_SUMMARIES = 2
+HASH_RANGE = 2.0**64
 
 
 def has_short_target(target_ms: float) -> bool:
@@ -26,6 +46,11 @@
     return 0 < target_ms < GRANT_ROUND_TRIP_MS / MAX_ROUND_TRIP_SHARE
 
 
+def find_spread_ms(target_ms: float) -> float:
+    """Return the cost up to which a prompt may be placed at a worse engine, in ms."""
+    return SPREAD_SHARE * target_ms if has_short_target(target_ms) else 0.0
+
+
 def may_send_directly(
     prefill_tokens: int,
     priority: int,
@@ -46,3 +71,22 @@
         return False
     ahead_tokens = usage.sent + sum(usage.backlog[: priority + 1])
     return ahead_tokens <= target_ms * MAX_BACKLOG_SHARE * rates.read_rate
+
+
+def draw_share(host: str, server: str, summary_ms: float) -> float:
+    """Return a number from 0 to 1 that stays the same until the next load summary."""
+    return hash_text(f"{host}\x00{server}\x00{summary_ms}") / HASH_RANGE
+
+
+def is_within_share(
+    usage: ServerUsage, slots: int, hosts: int, recent: int, drawn: float
+) -> bool:
+    """Return whether a host may send one more prompt to an engine without a grant.
+
+    It has sent `recent` ones since the last load summary. Shares below one are `drawn`,
+    so that on average all `hosts` together fill the free slots.
+    """
+    held = usage.running + usage.waiting
+    if not recent and held < slots * UNSHARED_SLOTS:
+        return True
+    return recent + drawn < (slots - held) / (max(hosts, 1) * UNSEEN_SUMMARIES)
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -13,6 +13,7 @@
 from cornelnotch.gateway.context import GatewayContext
 from cornelnotch.gateway.continuation import StreamContinuation
 from cornelnotch.gateway.crash_guard import CrashGuard
+from cornelnotch.gateway.direct_admission import find_spread_ms
 from cornelnotch.gateway.dispatch import (
     DispatchOutcome,
     UpstreamResponse,
@@ -131,8 +132,7 @@
         )
         self.dispatches = self.dispatcher.counts
         self.service = context.choose_service(route, request.request_id)
-        if route.kind is WorkKind.STREAM:
-            context.priority_shares.record(self.service, self.priority, arrived_ms)
+        context.record_priority(route, self.service, self.priority, arrived_ms)
         request.fingerprints = create_fingerprints(request, workspace)
 
     async def run(self) -> None:
@@ -459,6 +459,7 @@
             self.context.find_latency_sensitive_gap_ms(self.service),
             current,
             current_wait_ms,
+            find_spread_ms(self.route.target_ms),
         )
         choose = self.context.placer.choose
         placement = choose(servers, self.route, self.request, need, now)
--- a/cornelnotch/gateway/placement.py
+++ b/cornelnotch/gateway/placement.py
@@ -104,6 +104,7 @@
     `reserved` names the engines reserved for `latency_sensitive` streams, whose
     inter-token gaps must not exceed `latency_sensitive_gap_ms`. `current` names the
     server at which the request is queued, if any, for about `current_wait_ms` more.
+    Servers whose costs differ by less than `spread_ms` are chosen from at random.
     """
 
     priority: int
@@ -113,6 +114,7 @@
     latency_sensitive_gap_ms: float = 0.0
     current: str = ""
     current_wait_ms: float = 0.0
+    spread_ms: float = 0.0
 
 
 def estimate_tokens_ahead(usage: ServerUsage, priority: int, prefill: float) -> float:
@@ -277,9 +279,10 @@
         self.estimates = ServerEstimates(
             domain, regions, engine_rates, rate_limits, loads
         )
-        self.strategy: PlacementStrategy = OwnerStrategy(self.estimates)
+        generator = generator or random.Random()
+        self.strategy: PlacementStrategy = OwnerStrategy(self.estimates, generator)
         self._held_bytes = held_bytes or HeldBytes("")
-        self._calls = CallChooser(loads, generator or random.Random())
+        self._calls = CallChooser(loads, generator)
 
     @property
     def aggregates(self) -> LoadAggregates:
@@ -360,8 +363,11 @@
 class OwnerStrategy(PlacementStrategy):
     """Prefer one owner of each shared prompt part, by hash and fixed costs."""
 
-    def __init__(self, estimates: ServerEstimates) -> None:
+    def __init__(
+        self, estimates: ServerEstimates, generator: random.Random | None = None
+    ) -> None:
         self._estimates = estimates
+        self._generator = generator or random.Random()
 
     def choose(
         self,
@@ -389,6 +395,8 @@
             cost += estimates.compute_permit_cost(server, need, now)
             if server.record.name == need.current:
                 cost -= MOVE_COST_MS
+            if need.spread_ms:
+                cost += need.spread_ms * self._generator.random()
             if best is None or cost < best.cost_ms:
                 best = Placement(server, cost, prefill, len(candidates))
         assert best is not None
--- a/cornelnotch/gateway/servers.py
+++ b/cornelnotch/gateway/servers.py
@@ -223,6 +223,10 @@
         while len(self.cached_parts) > REMEMBERED_PARTS:
             self.cached_parts.popitem(last=False)
 
+    def count_since(self, at_ms: float) -> int:
+        """Return the number of requests in flight that were dispatched since a time."""
+        return sum(r.started_ms >= at_ms for r in self.in_flight.values())
+
     def measure_usage(self, now: float) -> ServerUsage:
         """Return the load that this host puts on the server."""
         backlog = [0] * PRIORITIES
--- a/cornelnotch/gateway/tests/test_direct_admission.py
+++ b/cornelnotch/gateway/tests/test_direct_admission.py
@@ -9,13 +9,26 @@
 import pytest
 
 from cornelnotch.gateway.admission_client import AdmissionClient, AdmissionResult
-from cornelnotch.gateway.direct_admission import may_send_directly
+from cornelnotch.gateway.direct_admission import (
+    UNSHARED_SLOTS,
+    draw_share,
+    find_spread_ms,
+    is_within_share,
+    may_send_directly,
+)
 from cornelnotch.gateway.engine_estimates import PRIOR_RATES, EngineEstimate
 from cornelnotch.gateway.models import CallerRequest, PromptPart, ServerRecord
 from cornelnotch.gateway.rate_limits import RateLimit
 from cornelnotch.gateway.servers import InFlightRequest, ServerView
 from cornelnotch.gateway.tests.test_admission_client import RecordingPeers
 from cornelnotch.kernel import create_clock
+from cornelnotch.testing.prefix_fleet import FleetEvent, FleetShape
+from cornelnotch.testing.priority_fleet import (
+    Burst,
+    PriorityFleet,
+    PromptKind,
+    create_load,
+)
 from cornelnotch.wire.messages import AdmissionRequest, EngineRates, ServerUsage
 
 SLOTS = 64
@@ -59,6 +72,61 @@
     assert not decide(tokens=17_000)
 
 
+# Fewer requests than this may be preempted: those that exceed the slots of an engine.
+MAX_PREEMPTED = 10
+SHORT = PromptKind(
+    "short", 0, 73.0, 40, 172, 543, 0.9, 90, 250.0, 415.0, 3200.0, 15_000.0
+)
+LONG = PromptKind(
+    "long", 1, 40.0, 1485, 6300, 2890, 1.0, 50, 1000.0, 2035.0, 6000.0, 6106.0
+)
+
+
+@pytest.mark.parametrize("is_lossy", [False, True])
+def test_burst_of_short_prompts_does_not_overfill_engines(is_lossy):
+    """Guard against preempted requests where hosts choose by the same load summary."""
+    fleet = PriorityFleet(FleetShape(45, 60, weighed=False), kinds=(SHORT, LONG))
+    prompts = create_load(fleet.kinds, [Burst("short", 2000.0, 6000.0, 8.0)], 7.0, 1)
+
+    def lose_engines(fleet):
+        for number in range(11 if is_lossy else 0):
+            fleet.crash(f"engine-{number}")
+
+    fleet.play(prompts, [FleetEvent(2500.0, lose_engines)])
+    most = max(engine.most_held for engine in fleet.list_engines())
+    assert most < SLOTS + MAX_PREEMPTED
+
+
+@pytest.mark.parametrize("hosts", [8, 60, 320])
+@pytest.mark.parametrize("running", [16, 32, 60])
+def test_hosts_share_the_free_slots_until_the_next_summary(hosts, running):
+    """Guard against engines that are filled by hosts which do not see each other."""
+    usage = ServerUsage("engine", running, 0, 0, 0, 0, [])
+    counts = []
+    for number in range(50):
+        sent = 0
+        for host in range(hosts):
+            drawn = draw_share(f"h{host}", "engine", 250.0 * number)
+            recent = 0
+            while is_within_share(usage, SLOTS, hosts, recent, drawn):
+                recent += 1
+            sent += recent
+        counts.append(sent)
+    assert 0 < sum(counts) / len(counts) <= SLOTS - running
+    assert max(counts) <= SLOTS - running + MAX_PREEMPTED
+
+
+def test_each_host_sends_one_prompt_to_an_engine_that_is_nearly_empty():
+    usage = ServerUsage("engine", int(SLOTS * UNSHARED_SLOTS) - 1, 0, 0, 0, 0, [])
+    assert is_within_share(usage, SLOTS, 320, 0, 1.0)
+    assert not is_within_share(usage, SLOTS, 320, 1, 1.0)
+
+
+def test_only_prompts_that_are_sent_directly_are_spread_over_engines():
+    assert find_spread_ms(TARGET_MS) > 0
+    assert find_spread_ms(1500.0) == find_spread_ms(0.0) == 0
+
+
 @pytest.mark.parametrize("target_ms", [0.0, 1500.0, 2500.0])
 def test_targets_that_bear_the_round_trip_keep_the_order_of_the_queue(target_ms):
     """Guard deployments with longer targets, which are served as before."""
--- a/cornelnotch/testing/prefix_fleet.py
+++ b/cornelnotch/testing/prefix_fleet.py
@@ -249,7 +249,8 @@
     def _create_host(self, name: str) -> FleetHost:
         rates = EngineRateTable()
         regions = {domain: domain for domain in self.shape.regions}
-        placer = Placer(self.shape.regions[0], regions, rates)
+        generator = random.Random(name)
+        placer = Placer(self.shape.regions[0], regions, rates, generator=generator)
         engine = Engine(self.shape.cache_tokens)
         if self.shape.weighed:
             placer.strategy = WeighedStrategy(
--- a/cornelnotch/testing/priority_fleet.py
+++ b/cornelnotch/testing/priority_fleet.py
@@ -10,7 +10,13 @@
 from dataclasses import dataclass, field
 
 from cornelnotch.gateway.admission_queue import AdmissionQueue, QueueEntry
-from cornelnotch.gateway.direct_admission import has_short_target, may_send_directly
+from cornelnotch.gateway.direct_admission import (
+    draw_share,
+    find_spread_ms,
+    has_short_target,
+    is_within_share,
+    may_send_directly,
+)
 from cornelnotch.gateway.engine_estimates import EngineEstimate
 from cornelnotch.gateway.engine_search import has_room, may_ask_another
 from cornelnotch.gateway.flow import MAX_SERVER_CHANGES
@@ -170,11 +176,17 @@
 
 @dataclass(slots=True)
 class PriorityEngine(FleetEngine):
-    """An engine that prefills the most urgent prompts first."""
+    """An engine that prefills the most urgent prompts first.
+
+    `most_held` is the highest number of requests that it held at one time.
+    """
+
+    most_held: int = 0
 
     def admit(self, run: EngineRequest) -> None:
         """Admit a request."""
         FleetEngine.admit(self, run)
+        self.most_held = max(self.most_held, len(self.runs))
         self.runs.sort(key=lambda other: other.outcome.request.priority)
 
 
@@ -191,6 +203,11 @@
         queue.least_urgent = max(kind.priority for kind in self.kinds)
         return PriorityEngine(view, queue, shape, free_ms=self.now)
 
+    def list_engines(self) -> list[PriorityEngine]:
+        """Return all engines that were ever listed and not replaced."""
+        engines = self.engines.values()
+        return [engine for engine in engines if isinstance(engine, PriorityEngine)]
+
     def _create_estimate(self, name: str) -> EngineEstimate:
         separates_start = any(has_short_target(kind.target_ms) for kind in self.kinds)
         return EngineEstimate(name, separates_start=separates_start)
@@ -215,6 +232,7 @@
             choose_reserved(records, {}, sensitive),
             gap_ms,
             current,
+            spread_ms=find_spread_ms(kind.target_ms),
         )
 
     def _list_usable(self, host: FleetHost, excluded: frozenset[str]):
@@ -302,15 +320,21 @@
     def _may_send_directly(self, run: FleetRun) -> bool:
         """Return whether a prompt is sent without a grant, as `GatewayContext` does."""
         view, estimates = run.host_view, run.host.placer.estimates
+        summary_ms = estimates.aggregates.at_ms
         view.finish(run.in_flight)
         usage = estimates.measure_usage(view, self.now)
+        recent = view.count_since(summary_ms)
         view.start(run.in_flight)
+        name, slots = view.record.name, view.record.slots
+        drawn = draw_share(run.host.name, name, summary_ms)
+        if not is_within_share(usage, slots, len(self.hosts), recent, drawn):
+            return False
         return may_send_directly(
             run.in_flight.prefill_tokens,
             run.prompt.priority,
             get_kind(run.prompt).target_ms,
             usage,
-            view.record.slots,
+            slots,
             estimates.get_rates(view),
         )
 
