--- a/cornelnotch/gateway/direct_admission.py
+++ b/cornelnotch/gateway/direct_admission.py
@@ -7,8 +7,9 @@
 
 All hosts place by the same load summary until the next one. If all sent such prompts to
 the engine that seems best, it would hold more requests than slots and preempt some. So
-each host spreads them at random over engines that are hardly worse. Once an engine is
-half full, each sends directly no more than its share of the free slots.
+each host spreads them at random over engines that are hardly worse. It sends one to an
+engine until the next summary, or its share of the free slots if that is more or if the
+engine is no longer nearly empty.
 """
 
 from cornelnotch.kernel.hashing import hash_text
@@ -33,7 +34,8 @@
 MAX_BACKLOG_SHARE = 1.0
 # Prompts spread over the engines whose cost is at most this share of the target higher.
 SPREAD_SHARE = 0.25
-# Share of the slots that are sent to without regard to other hosts.
+# Below this share of its slots, an engine gets a prompt from any host that has sent it
+# none since the last load summary.
 UNSHARED_SLOTS = 0.25
 # Load summaries that are on their way at any time: prompts sent since the last but one
 # are not known yet.
--- a/cornelnotch/gateway/tests/test_admission_controller.py
+++ b/cornelnotch/gateway/tests/test_admission_controller.py
@@ -41,6 +41,16 @@
         messages = [message for _, message in self.sent]
         return [m.request_id for m in messages if isinstance(m, AdmissionGrant)]
 
+    def report_progress(self):
+        """Run a request at a listed engine and report its progress."""
+        self.list_engine()
+        self.ask("a")
+        progress = StreamProgress(100, 1000.0, 20.0)
+        begun = AdmissionRequest(
+            "a", "engine", 1, SHARED_PREFIX, 1000, 0.0, "begun", 250.0, progress
+        )
+        self.host.peers._receive("h2", begun)
+
     def end(self, name, server="engine"):
         self.host.peers._receive("h2", AdmissionEnd(name, server))
 
@@ -125,13 +135,7 @@
 
 def test_reported_progress_updates_the_estimated_rates():
     def scenario(harness):
-        harness.list_engine()
-        harness.ask("a")
-        progress = StreamProgress(100, 1000.0, 20.0)
-        begun = AdmissionRequest(
-            "a", "engine", 1, SHARED_PREFIX, 1000, 0.0, "begun", 250.0, progress
-        )
-        harness.host.peers._receive("h2", begun)
+        harness.report_progress()
         (rates,) = harness.host.admission_controller.list_rates()
         assert rates.event_ms == pytest.approx(10.0, rel=0.1)
 
@@ -140,13 +144,7 @@
 
 def test_former_controller_of_an_engine_reports_no_rates():
     def scenario(harness):
-        harness.list_engine()
-        harness.ask("a")
-        progress = StreamProgress(100, 1000.0, 20.0)
-        begun = AdmissionRequest(
-            "a", "engine", 1, SHARED_PREFIX, 1000, 0.0, "begun", 250.0, progress
-        )
-        harness.host.peers._receive("h2", begun)
+        harness.report_progress()
         controller = harness.host.admission_controller
         assert len(controller.list_rates()) == 1
         harness.host.context.admission.find_controller = lambda view: "h2"
--- a/cornelnotch/testing/prefix_fleet.py
+++ b/cornelnotch/testing/prefix_fleet.py
@@ -20,7 +20,12 @@
     ServiceShare,
     WorkKind,
 )
-from cornelnotch.gateway.placement import GrantedPrompt, PlacementNeed, Placer
+from cornelnotch.gateway.placement import (
+    GrantedPrompt,
+    Placement,
+    PlacementNeed,
+    Placer,
+)
 from cornelnotch.gateway.servers import InFlightRequest, ServerView
 from cornelnotch.prefix.strategy import WeighedStrategy
 from cornelnotch.testing.enginemodel import (
@@ -38,6 +43,7 @@
     "PrefixFleet",
     "PrefixOutcome",
     "PrefixPrompt",
+    "create_call",
     "create_prompts",
 ]
 
@@ -122,6 +128,21 @@
     return prompts
 
 
+def create_call(prompt: PrefixPrompt) -> CallerRequest:
+    """Return the request of a prompt."""
+    own = PromptPart(f"own {prompt.name}", prompt.own_tokens)
+    return CallerRequest(
+        prompt.name,
+        "POST",
+        "/",
+        "",
+        "/",
+        [],
+        prompt=(*prompt.parts, own),
+        prompt_tokens=prompt.shared_tokens + prompt.own_tokens,
+    )
+
+
 @dataclass(slots=True)
 class FleetHost:
     """One host with its views of the engines."""
@@ -331,27 +352,38 @@
             view for name, view in host.views.items() if self.engines[name].is_listed
         ]
         usable = [v for v in listed if self.now >= v.ejected_until_ms] or listed
-        own = PromptPart(f"own {prompt.name}", prompt.own_tokens)
-        call = CallerRequest(
-            prompt.name,
-            "POST",
-            "/",
-            "",
-            "/",
-            [],
-            prompt=(*prompt.parts, own),
-            prompt_tokens=prompt.shared_tokens + prompt.own_tokens,
-        )
         need = PlacementNeed(prompt.priority, excluded)
+        call = create_call(prompt)
         placed = host.placer.choose(usable, ROUTE, call, need, self.now)
         assert placed is not None
+        run = self._start_run(host, prompt, outcome, placed, need)
+        engine = self.engines[placed.server.record.name]
+        if engine.is_down:
+            self._fail(run, engine, excluded)
+            return
+        if not engine.runs:
+            engine.free_ms = max(engine.free_ms, self.now)
+        engine.submit(run, self.now)
+
+    def _start_run(
+        self,
+        host: FleetHost,
+        prompt: PrefixPrompt,
+        outcome: PrefixOutcome,
+        placed: Placement,
+        need: PlacementNeed,
+    ) -> FleetRun:
+        """Count a prompt as in flight at the engine that was chosen for it."""
         in_flight = InFlightRequest(
-            prompt.name, self.now, placed.prefill_tokens, prompt.priority
+            prompt.name,
+            self.now,
+            placed.prefill_tokens,
+            prompt.priority,
+            latency_sensitive=need.latency_sensitive,
         )
-        engine = self.engines[placed.server.record.name]
         placed.server.start(in_flight)
-        engine.view.start(in_flight)
-        run = FleetRun(
+        self.engines[placed.server.record.name].view.start(in_flight)
+        return FleetRun(
             outcome,
             in_flight,
             0,
@@ -362,12 +394,6 @@
             answer=outcome,
             expected_tokens=placed.prefill_tokens,
         )
-        if engine.is_down:
-            self._fail(run, engine, excluded)
-            return
-        if not engine.runs:
-            engine.free_ms = max(engine.free_ms, self.now)
-        engine.submit(run, self.now)
 
     def _drop_ended(self, host: FleetHost) -> None:
         for name, view in host.views.items():
--- a/cornelnotch/testing/priority_fleet.py
+++ b/cornelnotch/testing/priority_fleet.py
@@ -20,14 +20,14 @@
 from cornelnotch.gateway.engine_estimates import EngineEstimate
 from cornelnotch.gateway.engine_search import has_room, may_ask_another
 from cornelnotch.gateway.flow import MAX_SERVER_CHANGES
-from cornelnotch.gateway.models import CallerRequest, PromptPart
+from cornelnotch.gateway.models import PromptPart
 from cornelnotch.gateway.placement import PlacementNeed
 from cornelnotch.gateway.reservation import (
     choose_reserved,
     find_latency_sensitive_gap_ms,
 )
 from cornelnotch.gateway.retry_after import is_infeasible
-from cornelnotch.gateway.servers import InFlightRequest, ServerView
+from cornelnotch.gateway.servers import ServerView
 from cornelnotch.testing.enginemodel import EngineRequest, EngineShape
 from cornelnotch.testing.prefix_fleet import (
     ROUTE,
@@ -37,6 +37,7 @@
     PrefixFleet,
     PrefixOutcome,
     PrefixPrompt,
+    create_call,
 )
 
 __all__ = [
@@ -256,29 +257,11 @@
             outcome.refused = True
             return
         need = self._create_need(prompt, without)
-        placed = host.placer.choose(usable, ROUTE, _create_call(prompt), need, self.now)
+        call = create_call(prompt)
+        placed = host.placer.choose(usable, ROUTE, call, need, self.now)
         assert placed is not None
-        in_flight = InFlightRequest(
-            prompt.name,
-            self.now,
-            placed.prefill_tokens,
-            prompt.priority,
-            latency_sensitive=need.latency_sensitive,
-        )
+        run = self._start_run(host, prompt, outcome, placed, need)
         engine = self.engines[placed.server.record.name]
-        placed.server.start(in_flight)
-        engine.view.start(in_flight)
-        run = FleetRun(
-            outcome,
-            in_flight,
-            0,
-            prompt.answer_tokens,
-            host=host,
-            host_view=placed.server,
-            prompt=prompt,
-            answer=outcome,
-            expected_tokens=placed.prefill_tokens,
-        )
         if engine.is_down:
             self._fail(run, engine, excluded)
             return
@@ -394,7 +377,7 @@
         excluded = frozenset(search.overloaded)
         need = self._create_need(run.prompt, excluded, view.record.name)
         usable = self._list_usable(host, excluded)
-        call = _create_call(run.prompt)
+        call = create_call(run.prompt)
         placed = host.placer.choose(usable, ROUTE, call, need, self.now)
         view.start(run.in_flight)
         return placed is not None and placed.server is not view
@@ -413,20 +396,6 @@
         return PriorityOutcome(prompt)
 
 
-def _create_call(prompt: PrefixPrompt) -> CallerRequest:
-    own = PromptPart(f"own {prompt.name}", prompt.own_tokens)
-    return CallerRequest(
-        prompt.name,
-        "POST",
-        "/",
-        "",
-        "/",
-        [],
-        prompt=(*prompt.parts, own),
-        prompt_tokens=prompt.shared_tokens + prompt.own_tokens,
-    )
-
-
 def find_inversions(outcomes: Sequence[PriorityOutcome]) -> list[Inversion]:
     """Return the windows in which a kind got nothing while less urgent ones began."""
     found = []
