--- a/cornelnotch/gateway/frontend.py
+++ b/cornelnotch/gateway/frontend.py
@@ -107,6 +107,7 @@
             route=flow.route.name,
             service=flow.service,
             workspace=workspace.name if workspace else "",
+            priority=flow.priority,
             deadline_ms=request.deadline_ms,
             resumes=request.resumed_id,
             version=context.table.version,
