--- a/cornelnotch/gateway/context.py
+++ b/cornelnotch/gateway/context.py
@@ -52,6 +52,7 @@
     StreamOrigin,
     StreamOrigins,
 )
+from cornelnotch.gateway.urgency import Urgency, UrgencyRanks
 from cornelnotch.kernel.clock import Clock
 from cornelnotch.kernel.events import Event, EventLog
 from cornelnotch.kernel.hashing import hash_text, select_owner
@@ -170,6 +171,7 @@
         self._longest_stream_ms = 0.0
         self._reserved: dict[str, ReservedEngines] = {}
         self.priority_shares = PriorityShares()
+        self._ranks = UrgencyRanks()
         self._gaps: dict[str, float] = {}
         self._gaps_version = NO_VERSION
         self._budgets: dict[str, RetryBudget] = {}
@@ -244,12 +246,16 @@
         """Return the rate limit in force for a server, or None if it has none."""
         return self.rate_limits.find(server.record)
 
+    def find_rank(self, service: str, urgency: Urgency) -> int:
+        """Return the rank of a request by urgency, 0 for the most urgent ones."""
+        return self._ranks.find_rank(self.table, service, urgency)
+
     def record_priority(
-        self, route: Route, service: str, priority: int, now: float
+        self, route: Route, service: str, rank: int, now: float
     ) -> None:
-        """Count the priority of a request, if engines serve it by priority."""
+        """Count the rank of a request, if engines serve it by urgency."""
         if route.kind is WorkKind.STREAM:
-            self.priority_shares.record(service, priority, now)
+            self.priority_shares.record(service, rank, now)
 
     def _may_send_directly(
         self, server: ServerView, in_flight: InFlightRequest, target_ms: float
--- a/cornelnotch/gateway/engine_search.py
+++ b/cornelnotch/gateway/engine_search.py
@@ -64,7 +64,7 @@
     """Return whether a request asks another engine after one was overloaded."""
     asked = len(flow.overloaded)
     least_urgent = flow.context.priority_shares.find_least_urgent(flow.service)
-    is_least_urgent = flow.priority >= least_urgent
+    is_least_urgent = flow.rank >= least_urgent
     if asked < MAX_OVERLOADED or is_least_urgent:
         return may_ask_another(asked, is_least_urgent, has_room_elsewhere=False)
     now = flow.context.clock.read()
@@ -74,7 +74,7 @@
     has_room_elsewhere = has_room(
         others,
         flow.context.placer.estimates,
-        flow.priority,
+        flow.rank,
         in_flight.prefill_tokens,
         flow.arrived_ms + flow.find_wait_limit_ms() - now,
         now,
--- a/cornelnotch/gateway/flow.py
+++ b/cornelnotch/gateway/flow.py
@@ -42,6 +42,7 @@
 from cornelnotch.gateway.stream_search import StreamSearch
 from cornelnotch.gateway.streams import EventSplitter
 from cornelnotch.gateway.timeouts import find_copy_timeout_s, find_stall_timeout_s
+from cornelnotch.gateway.urgency import find_urgency
 from cornelnotch.kernel.events import Event
 from cornelnotch.pressure.call_wait import hold_call
 from cornelnotch.pressure.held_bytes import measure_request_bytes
@@ -118,21 +119,20 @@
         self.crash_guard = CrashGuard(context, request)
         self.continuation = StreamContinuation(context, request, route)
         self.splitter = EventSplitter(request.last_event_id)
-        self.priority = route.priority
-        if workspace is not None and workspace.priority is not None:
-            self.priority = workspace.priority
+        self.urgency = find_urgency(route, workspace)
+        self.service = context.choose_service(route, request.request_id)
+        self.rank = context.find_rank(self.service, self.urgency)
         self.dispatcher = Dispatcher(
             context,
             request,
             route,
             workspace,
-            self.priority,
+            self.rank,
             self.deadline_ms,
             self._log.record,
         )
         self.dispatches = self.dispatcher.counts
-        self.service = context.choose_service(route, request.request_id)
-        context.record_priority(route, self.service, self.priority, arrived_ms)
+        context.record_priority(route, self.service, self.rank, arrived_ms)
         request.fingerprints = create_fingerprints(request, workspace)
 
     async def run(self) -> None:
@@ -452,7 +452,7 @@
         now = self.context.clock.read()
         servers = self._list_candidates(now)
         need = PlacementNeed(
-            self.priority,
+            self.rank,
             self.excluded | self.overloaded | self.unadmitted,
             self.context.is_latency_sensitive(self.route),
             self.context.find_reserved(self.service),
@@ -503,7 +503,7 @@
             self.request.request_id,
             self.context.clock.read(),
             placement.prefill_tokens,
-            self.priority,
+            self.rank,
             latency_sensitive=self.context.is_latency_sensitive(self.route),
             shared_parts=self.request.list_shared_parts(),
             fingerprints=self.request.fingerprints,
--- a/cornelnotch/gateway/frontend.py
+++ b/cornelnotch/gateway/frontend.py
@@ -107,7 +107,8 @@
             route=flow.route.name,
             service=flow.service,
             workspace=workspace.name if workspace else "",
-            priority=flow.priority,
+            priority=flow.urgency.priority,
+            rank=flow.rank,
             deadline_ms=request.deadline_ms,
             resumes=request.resumed_id,
             version=context.table.version,
@@ -119,7 +120,7 @@
         demand = context.demand
         if not request.passed_by:
             # Otherwise it counts at the host that its caller sent it to.
-            demand.record_arrival(flow.service, flow.priority, request)
+            demand.record_arrival(flow.service, flow.urgency.priority, request)
         try:
             await flow.run()
             if not request.passed_by:
@@ -135,10 +136,10 @@
         """Record in the demand whether a request was served, and how long it took."""
         demand, service = self._context.demand, flow.service
         if flow.exchange.status == STATUS_UNAVAILABLE:
-            demand.record_refusal(service, flow.priority)
+            demand.record_refusal(service, flow.urgency.priority)
             return
         duration_ms = self._context.clock.read() - flow.arrived_ms
-        demand.record_served(service, flow.priority, duration_ms)
+        demand.record_served(service, flow.urgency.priority, duration_ms)
 
     def limit_requests(self) -> None:
         """Give every request its final response before the host stops."""
