--- a/cornelnotch/gateway/tests/test_urgency.py
+++ b/cornelnotch/gateway/tests/test_urgency.py
@@ -1,5 +1,7 @@
 """Test the order of requests by the priorities of workspaces and routes."""
 
+import asyncio
+
 from cornelnotch.gateway.models import (
     CallerLimits,
     Route,
@@ -8,6 +10,13 @@
     WorkKind,
     Workspace,
 )
+from cornelnotch.gateway.tests.conftest import (
+    KEY,
+    create_configuration,
+    create_route as create_configured_route,
+    run_deployment,
+    wait_until,
+)
 from cornelnotch.gateway.urgency import MAX_RANKS, UrgencyRanks, find_urgency
 
 SHARES = (ServiceShare("llm", 1.0),)
@@ -63,3 +72,35 @@
     table = create_table([0, 1], [0])
     urgency = find_urgency(create_route(12), None)
     assert UrgencyRanks().find_rank(table, "llm", urgency) == MAX_RANKS - 1
+
+
+def test_servers_are_told_which_route_of_one_workspace_is_the_more_urgent():
+    """Guard against engines that preempt chats and let long prompts run on."""
+
+    async def run():
+        async with run_deployment() as deployment:
+            routes = [
+                create_configured_route(
+                    "chat", "/stream/", "streaming", "llm", priority=0
+                ),
+                create_configured_route(
+                    "draft", "/stream/draft/", "streaming", "llm", priority=2
+                ),
+            ]
+            tenants = [{"name": "acme", "api_keys": [KEY], "priority": 1}]
+            deployment.configure(
+                create_configuration(2, routes=routes, tenants=tenants)
+            )
+            context = deployment.host.context
+            await wait_until(lambda: context.table.version == 2)
+            for path in ("/stream/x", "/stream/draft/x"):
+                answer = await deployment.send(path, "POST")
+                await answer.read()
+            seen = [
+                int(headers["x-request-priority"])
+                for engine in deployment.engines
+                for headers in engine.received_headers
+            ]
+            assert len(set(seen)) == 2
+
+    asyncio.run(run())
