gateway: logs tell when a host heard that a server leaves, from whom and how late

A request reached a server 4.0 s after it had said that it leaves. The logs could not tell whether the host had heard of it late, kept the server although it was no longer listed, or used it although it knew.

3005 names the host that read the change, the age of its read and that of the copy before. 3014 is a server that is kept after an outage, 6022 a request that is sent to a server that has left since it was chosen, 2107 and 2108 who reads the store and whom it takes for the readers, 3103 and the gauge lost_peer_messages what was not delivered. No logic changes.

--- a/cornelnotch/gateway/dispatcher.py
+++ b/cornelnotch/gateway/dispatcher.py
@@ -149,6 +149,7 @@
             sending.set()
             in_flight.transmitted = True
             self._record_again(view, options)
+            self._record_leaving(view, options)
 
         loop = asyncio.get_running_loop()
         timers = [
@@ -191,6 +192,19 @@
             after_event=options.last_event_id,
         )
 
+    def _record_leaving(self, view: ServerView, options: DispatchOptions) -> None:
+        """Log a request to a server that left since it was chosen."""
+        if not view.leaving and self._context.pool.has(view):
+            return
+        self._record_event(
+            Event.LEAVING_SERVER_USED,
+            server=view.record.name,
+            listed=self._context.pool.has(view),
+            ran=self.counts.ran,
+            unsent=self.counts.unsent,
+            copied=bool(options.kv_copy),
+        )
+
     def _note_left(self, view: ServerView) -> None:
         """Note that the connection was closed before the server answered."""
         counts = self.counts
--- a/cornelnotch/gateway/follower.py
+++ b/cornelnotch/gateway/follower.py
@@ -29,7 +29,7 @@
 from cornelnotch.wire import PeerNetwork
 from cornelnotch.wire.messages import RecordFetch, RecordItem, RecordUpdates
 
-__all__ = ["CONFIGURATION", "SERVERS", "RecordFollower"]
+__all__ = ["CONFIGURATION", "SERVERS", "ChangeSource", "RecordFollower"]
 
 CONFIGURATION = "configuration"
 SERVERS = "servers"
@@ -57,8 +57,23 @@
 # Expected number of hosts that send older records to a reader that announced none.
 OLDER_RECORDS_SENDERS = 3
 MAX_VALUE_BYTES = 8 * 1024 * 1024
+# The age of a copy that was never read.
+MAX_AGE_MS = 1e9
 
-Listener = Callable[[str, bool], None]
+
+@dataclass(frozen=True, slots=True)
+class ChangeSource:
+    """Where a change comes from.
+
+    `host` read it from the store `age_ms` ago. The copy before was `gap_ms` old.
+    """
+
+    host: str = ""
+    age_ms: float = 0.0
+    gap_ms: float = 0.0
+
+
+Listener = Callable[[str, bool, ChangeSource], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,15 +114,16 @@
         self._failures = dict.fromkeys(TOPICS, 0)
         self._malformed = dict.fromkeys(TOPICS, 0)
         self._fetched_ms = {topic: float("-inf") for topic in TOPICS}
+        self._reading: set[str] = set()
         self._missing: dict[str, MissingRecords] = {}
-        self._listener: Listener = lambda topic, after_outage: None
+        self._listener: Listener = lambda topic, after_outage, source: None
         self._unavailable_listener: Callable[[], None] = lambda: None
         self.reads = {topic: RecordReads() for topic in TOPICS}
         peers.subscribe(RecordUpdates, self._receive_updates)
         peers.subscribe(RecordFetch, self._receive_fetch)
 
     def subscribe(self, listener: Listener) -> None:
-        """Call `listener` with each changed topic and whether an outage has ended."""
+        """Call `listener` with each changed topic, whether an outage ended, and how."""
         self._listener = listener
 
     def subscribe_unavailable(self, listener: Callable[[], None]) -> None:
@@ -148,7 +164,9 @@
     async def _poll(self, topic: str, wait_ms: float) -> float | None:
         """Read if this host is a reader; return the delay, or None after success."""
         now = self._clock.read()
-        if not self._plan.must_read(topic, now):
+        must_read = self._plan.must_read(topic, now)
+        self._note_reading(topic, must_read, now)
+        if not must_read:
             return TICK_MS
         if await self._read(topic, wait_ms):
             self._failures[topic] = 0
@@ -159,6 +177,18 @@
         self._failures[topic] += delay_ms < MAX_RETRY_MS
         return delay_ms * self._generator.uniform(0.8, 1.0)
 
+    def _note_reading(self, topic: str, is_reading: bool, now: float) -> None:
+        """Log that this host begins or ceases to read a topic."""
+        if is_reading == (topic in self._reading):
+            return
+        self._reading ^= {topic}
+        self._events.record(
+            Event.READING_BEGUN if is_reading else Event.READING_ENDED,
+            topic=topic,
+            readers=self._plan.list_readers(now),
+            age_ms=_round_age(self._plan.find_age_ms(topic, now)),
+        )
+
     def _choose_period_ms(self) -> float:
         readers = self._plan.list_readers(self._clock.read())
         if readers[:1] == [self._plan.name]:
@@ -254,9 +284,8 @@
         """Apply records and their age."""
         now = self._clock.read()
         view = self.views[topic]
-        after_outage = (
-            view.needs_full_read or self._plan.find_age_ms(topic, now) > OUTAGE_MS
-        )
+        gap_ms = self._plan.find_age_ms(topic, now)
+        after_outage = view.needs_full_read or gap_ms > OUTAGE_MS
         self._plan.record_age(origin, topic, age_ms, now)
         if origin != self._plan.name:
             self.reads[topic].note_relayed(now - age_ms)
@@ -271,7 +300,8 @@
             changed = bool(view.apply(page))
         self._note_complete(origin, topic)
         if changed:
-            self._listener(topic, after_outage)
+            source = ChangeSource(origin, _round_age(age_ms), _round_age(gap_ms))
+            self._listener(topic, after_outage, source)
 
     def _publish(self, topic: str, start: int, page: RecordPage) -> None:
         """Publish the records just read, or that nothing has changed."""
@@ -311,7 +341,7 @@
         head = self.views[topic].head
         if head < 0 or not self._plan.must_publish(now):
             return
-        age_ms = min(self._plan.find_age_ms(topic, now), 1e9)
+        age_ms = min(self._plan.find_age_ms(topic, now), MAX_AGE_MS)
         timeline = self.views[topic].timeline
         updates = RecordUpdates(
             self._plan.name, topic, head, head, age_ms, False, [], [], timeline
@@ -334,7 +364,7 @@
         now = self._clock.read()
         if updates.held:
             view.add_older_records(_unpack(item) for item in updates.held)
-            self._listener(updates.topic, False)
+            self._listener(updates.topic, False, ChangeSource(updates.origin))
         elif updates.topic == CONFIGURATION:
             self._send_older_records(updates.origin)
         if updates.whole and updates.end < view.head:
@@ -393,7 +423,7 @@
             CONFIGURATION,
             start,
             start,
-            min(self._plan.find_age_ms(CONFIGURATION, self._clock.read()), 1e9),
+            min(self._plan.find_age_ms(CONFIGURATION, self._clock.read()), MAX_AGE_MS),
             False,
             [],
             [],
@@ -418,7 +448,7 @@
                 fetch.topic,
                 0,
                 view.head,
-                min(age_ms, 1e9),
+                min(age_ms, MAX_AGE_MS),
                 True,
                 items,
                 [],
@@ -461,6 +491,11 @@
             self._unavailable_listener()
 
 
+def _round_age(age_ms: float) -> float:
+    """Return an age to be logged; that of a copy that was never read is infinite."""
+    return round(min(age_ms, MAX_AGE_MS), 1)
+
+
 def _pack(record: Record) -> RecordItem:
     return RecordItem(record.key, zlib.compress(record.value), record.offset)
 
--- a/cornelnotch/gateway/host.py
+++ b/cornelnotch/gateway/host.py
@@ -270,6 +270,7 @@
         metrics.set_state("caller_connections", self.server.count_connections())
         metrics.set_state("held_records", self.follower.count_older_records())
         metrics.set_state("peer_bytes", self.peers.sent_bytes)
+        metrics.set_state("lost_peer_messages", self.peers.lost_messages)
         metrics.set_state("blamed_prompts", self.context.crashes.count_blamed())
         metrics.set_state("limited_servers", self.context.rate_limits.count())
         metrics.set_state("known_server_loads", self.context.loads.count())
--- a/cornelnotch/gateway/routing_state.py
+++ b/cornelnotch/gateway/routing_state.py
@@ -4,7 +4,12 @@
 from collections.abc import Callable
 
 from cornelnotch.gateway.context import GatewayContext
-from cornelnotch.gateway.follower import CONFIGURATION, SERVERS, RecordFollower
+from cornelnotch.gateway.follower import (
+    CONFIGURATION,
+    SERVERS,
+    ChangeSource,
+    RecordFollower,
+)
 from cornelnotch.gateway.models import RoutingTable, ServerRecord
 from cornelnotch.gateway.records import Record, RecordDecoder
 from cornelnotch.gateway.stream_origins import create_origin
@@ -15,6 +20,7 @@
 # Entries that expired during a store outage are rewritten within 2 s of its end.
 RELISTING_GRACE_MS = 2100.0
 TICK_MS = 200.0
+NO_SOURCE = ChangeSource()
 # Removed servers remembered; a fleet replaces about a thousand a day.
 REMEMBERED_REMOVED = 4096
 
@@ -52,14 +58,16 @@
         """Remove retained servers whose grace period is over."""
         if self._retained and self._context.clock.read() >= self._retained_until_ms:
             self._retained.clear()
-            self._apply_servers(False)
+            self._apply_servers(False, NO_SOURCE)
 
-    def apply(self, topic: str, after_outage: bool) -> None:
+    def apply(
+        self, topic: str, after_outage: bool, source: ChangeSource = NO_SOURCE
+    ) -> None:
         """Apply the changes of a topic."""
         if topic == CONFIGURATION:
             self._apply_configuration()
         else:
-            self._apply_servers(after_outage)
+            self._apply_servers(after_outage, source)
         self._note_applied()
 
     def _apply_configuration(self) -> None:
@@ -140,7 +148,7 @@
         if len(self._removed) > REMEMBERED_REMOVED:
             self._removed.popitem(last=False)
 
-    def _apply_servers(self, after_outage: bool) -> None:
+    def _apply_servers(self, after_outage: bool, source: ChangeSource) -> None:
         records = self._list_servers()
         known = {name: v.record for name, v in self._context.pool.servers.items()}
         if after_outage:
@@ -157,7 +165,9 @@
             self._context.client.close_idle_connections(ended.address)
             self._remember_removed(ended)
         for name in known.keys() | merged.keys():
-            self._log_server_change(name, known.get(name), merged.get(name))
+            self._log_server_change(name, known.get(name), merged.get(name), source)
+        if after_outage:
+            self._log_retained(source)
 
     def _note_versions(self, servers: list[ServerRecord]) -> None:
         """Note the versions that served since the last change, even if no longer."""
@@ -171,12 +181,34 @@
             if server is not None:
                 self._context.software_history.note(create_origin(server), now)
 
+    def _log_retained(self, source: ChangeSource) -> None:
+        for name in self._retained:
+            self._context.events.record(
+                Event.SERVER_RETAINED,
+                server=name,
+                told_by=source.host,
+                age_ms=source.age_ms,
+                gap_ms=source.gap_ms,
+                grace_ms=RELISTING_GRACE_MS,
+            )
+
     def _log_server_change(
-        self, name: str, before: ServerRecord | None, after: ServerRecord | None
+        self,
+        name: str,
+        before: ServerRecord | None,
+        after: ServerRecord | None,
+        source: ChangeSource,
     ) -> None:
         if before is not None and after is not None and before.leaving == after.leaving:
             return
         state = "gone"
         if after is not None:
             state = "leaving" if after.leaving else "serving"
-        self._context.events.record(Event.SERVER_LISTED, server=name, state=state)
+        self._context.events.record(
+            Event.SERVER_LISTED,
+            server=name,
+            state=state,
+            told_by=source.host,
+            age_ms=source.age_ms,
+            gap_ms=source.gap_ms,
+        )
--- a/cornelnotch/gateway/servers.py
+++ b/cornelnotch/gateway/servers.py
@@ -301,10 +301,13 @@
     def _has_left(self, record: ServerRecord) -> bool:
         return record.boot_ms <= self._leaving.get(record.name, NEVER_BOOTED)
 
+    def has(self, view: ServerView) -> bool:
+        """Return whether a server is listed and has not restarted."""
+        return self.servers.get(view.record.name) is view
+
     def accepts(self, view: ServerView, now: float) -> bool:
         """Return whether a server has not restarted and may get work from this host."""
-        known = self.servers.get(view.record.name)
-        return known is view and not view.leaving and now >= view.backoff_until_ms
+        return self.has(view) and not view.leaving and now >= view.backoff_until_ms
 
     def list_ready(self, service: str) -> list[ServerView]:
         """Return the servers of a service that are not leaving."""
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -76,6 +76,8 @@
     )
     RECORDS_COMPLETED = (2106, logging.INFO, "the missing records have arrived")
     LOG_RECOVERED = (2102, logging.INFO, "the log service responds again")
+    READING_BEGUN = (2107, logging.INFO, "this host begins to read a topic")
+    READING_ENDED = (2108, logging.INFO, "this host reads a topic no more")
     MEMBER_CHANGED = (3001, logging.INFO, "the membership state of a host changed")
     SERVER_LEAVING = (3002, logging.INFO, "a server accepts no new requests")
     HOST_REFUSING = (3003, logging.WARNING, "the host refuses requests")
@@ -86,6 +88,11 @@
         logging.ERROR,
         "a message of a peer could not be handled",
     )
+    PEER_MESSAGES_LOST = (
+        3103,
+        logging.WARNING,
+        "messages to a host are lost until its connection is made again",
+    )
     SERVER_EJECTED = (
         4001,
         logging.WARNING,
@@ -119,6 +126,11 @@
     )
     SERVER_LISTED = (3005, logging.INFO, "the server list of the platform changed")
     SERVER_SAID_LEAVING = (3006, logging.INFO, "a server announced its shutdown")
+    SERVER_RETAINED = (
+        3014,
+        logging.INFO,
+        "a server that the list lacks is used until it must be listed again",
+    )
     SERVER_SILENT = (
         4006,
         logging.WARNING,
@@ -209,6 +221,11 @@
         logging.WARNING,
         "connections were closed to keep within the memory or descriptors of the host",
     )
+    LEAVING_SERVER_USED = (
+        6022,
+        logging.WARNING,
+        "a request is sent to a server that is known to leave",
+    )
     REQUEST_REFUSED = (6001, logging.INFO, "a request was refused")
     REQUEST_MALFORMED = (6002, logging.DEBUG, "a request was malformed")
     REQUEST_ROUTED = (6003, logging.INFO, "a request was mapped to a service")
--- a/cornelnotch/wire/peers.py
+++ b/cornelnotch/wire/peers.py
@@ -40,6 +40,7 @@
         self._network = network
         self._host = host
         self.queue: asyncio.Queue[bytes] = asyncio.Queue(MAX_QUEUED_MESSAGES)
+        self._is_losing = False
 
     async def run(self) -> None:
         """Send queued messages until idle; drop messages that cannot be delivered."""
@@ -52,7 +53,7 @@
                 while not self.queue.empty():
                     data += self.queue.get_nowait()
                     taken += 1
-                writer = await self._write(writer, data)
+                writer = await self._write(writer, data, taken)
                 for _ in range(taken):
                     self.queue.task_done()
         except TimeoutError:
@@ -63,7 +64,7 @@
                 writer.close()
 
     async def _write(
-        self, writer: asyncio.StreamWriter | None, data: bytes
+        self, writer: asyncio.StreamWriter | None, data: bytes, messages: int
     ) -> asyncio.StreamWriter | None:
         try:
             if writer is None or writer.is_closing():
@@ -72,11 +73,14 @@
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 await writer.drain()
             self._network.count_sent(len(data))
+            self._is_losing = False
             return writer
-        except (OSError, TimeoutError, SettingsError):
-            # The message is lost; the protocols built on this retry or time out.
+        except (OSError, TimeoutError, SettingsError) as error:
+            # The messages are lost; the protocols built on this retry or time out.
             if writer is not None:
                 writer.transport.abort()
+            self._network.note_lost(self._host, messages, error, self._is_losing)
+            self._is_losing = True
             return None
 
     async def _connect(self) -> asyncio.StreamWriter:
@@ -113,6 +117,7 @@
         self.port = 0
         self.sent_bytes = 0
         self.sent_messages = 0
+        self.lost_messages = 0
         self.received_messages = 0
         self._events = events
         self._connections: dict[str, PeerConnection] = {}
@@ -202,6 +207,19 @@
         self.sent_bytes += size
         self.sent_messages += 1
 
+    def note_lost(
+        self, host: str, messages: int, error: Exception, was_losing: bool
+    ) -> None:
+        """Count messages that were lost; log the first ones on a connection."""
+        self.lost_messages += messages
+        if not was_losing:
+            self._events.record(
+                Event.PEER_MESSAGES_LOST,
+                host=host,
+                messages=messages,
+                error=repr(error),
+            )
+
     def _receive(self, sender: str, message: Any) -> None:
         receiver = self._receivers.get(type(message))
         if receiver is None:
