--- a/cornelnotch/gateway/tests/fleet.py
+++ b/cornelnotch/gateway/tests/fleet.py
@@ -64,12 +64,16 @@
 
 
 class StoreReader(RecordSource):
-    """Read the store for one host; `outdated` is an older store to read instead."""
+    """Read the store for one host; `outdated` is an older store to read instead.
+
+    A host that the store rejects knows so after `hang_ms`.
+    """
 
     def __init__(self, store):
         self.store = store
         self.outdated = None
         self.is_unreachable = False
+        self.hang_ms = 0.0
 
     def _call(self):
         store = self.outdated or self.store
@@ -179,6 +183,7 @@
             self.context, self.follower, Decoder(), self._note_table, lambda: None
         )
         self.due_ms = dict.fromkeys(TOPICS, fleet.clock.read())
+        self.hanging: set[str] = set()
 
     def _note_table(self):
         self.versions.append(self.context.table.version)
@@ -190,10 +195,24 @@
     def list_usable(self):
         return {v.record.name for v in self.context.pool.list_ready("llm")}
 
+    def _hangs(self, topic, now):
+        """Return whether a read begins now that fails only after a while."""
+        if topic in self.hanging:
+            self.hanging.discard(topic)
+            return False
+        must_hang = self.reader.is_unreachable and self.reader.hang_ms > 0
+        if must_hang and self.plan.must_read(topic, now):
+            self.hanging.add(topic)
+            return True
+        return False
+
     async def step(self, now):
         for topic in TOPICS:
             if now < self.due_ms[topic]:
                 continue
+            if self._hangs(topic, now):
+                self.due_ms[topic] = now + self.reader.hang_ms
+                continue
             delay_ms = await self.follower._poll(topic, 0.0)
             if delay_ms is None:
                 delay_ms = self.follower._choose_period_ms()
--- a/cornelnotch/gateway/tests/test_leaving_notices.py
+++ b/cornelnotch/gateway/tests/test_leaving_notices.py
@@ -208,3 +208,34 @@
         assert not d.host.context.pool.servers["desk-1"].announced_leaving
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    ("path", "method"),
+    [("/read/x", "GET"), ("/book/x", "POST"), ("/stream/x", "POST")],
+)
+def test_request_is_not_sent_to_a_server_that_leaves_while_a_connection_is_made(
+    path, method, monkeypatch
+):
+    async def scenario(d):
+        context = d.host.context
+        servers = d.engines if path.startswith("/stream/") else d.desks
+        leaving = servers[0]
+        acquire = context.client._acquire
+
+        async def connect(address, fresh):
+            connection = await acquire(address, fresh)
+            for view in context.pool.servers.values():
+                if view.record.address == address == leaving.address:
+                    context.pool.mark_leaving(view.record.name, view.record.boot_ms)
+            return connection
+
+        monkeypatch.setattr(context.client, "_acquire", connect)
+        for number in range(8):
+            answer = await d.send(path, method, x_attempt_id=f"a{number}")
+            assert answer.status == 200
+            await answer.read()
+        assert any(view.leaving for view in context.pool.servers.values())
+        assert not leaving.received_headers
+
+    run_scenario(scenario)
--- a/cornelnotch/gateway/tests/test_routing_state.py
+++ b/cornelnotch/gateway/tests/test_routing_state.py
@@ -78,6 +78,18 @@
     assert set(context.pool.servers) == {"a", "c"}
 
 
+def test_grace_period_of_a_server_does_not_begin_anew_with_a_later_outage():
+    context, follower, state = create_state()
+    follower.write(3, "a", b"")
+    state.apply(SERVERS, True)
+    context.clock.advance(RELISTING_GRACE_MS - 100.0)
+    follower.write(4, "b", b"")
+    state.apply(SERVERS, True)
+    context.clock.advance(200.0)
+    state.expire()
+    assert set(context.pool.servers) == {"b", "c"}
+
+
 def test_entry_listed_again_after_an_outage_is_no_longer_retained():
     context, follower, state = create_state()
     follower.write(3, "a", b"")
