gateway: a host that cannot read the store is replaced until it has read again

Whether a host can read was judged by the age of its copy, for both topics at once. The reads of its replacement refresh that copy, and so do messages about the other topic: so the replacement was dismissed by its first read, and nobody read until all copies were 1.5 s old again.

Now only a read of its own ends the inability of a host, for each topic by itself; it is announced with the first failure, and a host knows of its own. No message changes: an update of age 0 is a read, one without records and of another age says that a read has failed.

--- a/cornelnotch/gateway/follower.py
+++ b/cornelnotch/gateway/follower.py
@@ -59,6 +59,8 @@
 MAX_VALUE_BYTES = 8 * 1024 * 1024
 # The age of a copy that was never read.
 MAX_AGE_MS = 1e9
+# The least age in an announcement; an age of 0 means that the host has just read.
+MIN_ANNOUNCED_AGE_MS = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -171,7 +173,8 @@
         if await self._read(topic, wait_ms):
             self._failures[topic] = 0
             return None
-        self._publish_age(topic)
+        self._plan.record_unable(self._plan.name, topic, self._clock.read())
+        self._announce_unable(topic)
         self._fetch_if_stale(topic)
         delay_ms = RETRY_MS * 2.0 ** self._failures[topic]
         self._failures[topic] += delay_ms < MAX_RETRY_MS
@@ -335,13 +338,14 @@
             return []
         return [_pack(record) for record in view.older_records.values()]
 
-    def _publish_age(self, topic: str) -> None:
-        """Publish the age of this host's replica so that other hosts read instead."""
+    def _announce_unable(self, topic: str) -> None:
+        """Announce that this host cannot read a topic, and how old its copy is."""
         now = self._clock.read()
         head = self.views[topic].head
         if head < 0 or not self._plan.must_publish(now):
             return
-        age_ms = min(self._plan.find_age_ms(topic, now), MAX_AGE_MS)
+        age_ms = self._plan.find_age_ms(topic, now)
+        age_ms = min(max(age_ms, MIN_ANNOUNCED_AGE_MS), MAX_AGE_MS)
         timeline = self.views[topic].timeline
         updates = RecordUpdates(
             self._plan.name, topic, head, head, age_ms, False, [], [], timeline
@@ -362,6 +366,8 @@
         self._enter_timeline(updates.timeline)
         view = self.views[updates.topic]
         now = self._clock.read()
+        if _announces_inability(updates):
+            self._plan.record_unable(updates.origin, updates.topic, now)
         if updates.held:
             view.add_older_records(_unpack(item) for item in updates.held)
             self._listener(updates.topic, False, ChangeSource(updates.origin))
@@ -491,6 +497,11 @@
             self._unavailable_listener()
 
 
+def _announces_inability(updates: RecordUpdates) -> bool:
+    """Return whether a host says that it cannot read; copies and reads have records."""
+    return updates.age_ms > 0 and not (updates.whole or updates.items or updates.held)
+
+
 def _round_age(age_ms: float) -> float:
     """Return an age to be logged; that of a copy that was never read is infinite."""
     return round(min(age_ms, MAX_AGE_MS), 1)
--- a/cornelnotch/gateway/relay.py
+++ b/cornelnotch/gateway/relay.py
@@ -82,7 +82,7 @@
     def __init__(self, name: str) -> None:
         self.name = name
         self._ranked_hosts: list[ReaderCandidate] = []
-        self._unable: dict[str, Inability] = {}
+        self._unable: dict[str, dict[str, Inability]] = {}
         self._read_ms: dict[str, float] = {}
         self._contact_ms: dict[str, float] = {}
         self._missed_ms: dict[str, float] = {}
@@ -98,7 +98,7 @@
         """Record the age of a host's last read, of which this host has all records."""
         if host != self.name:
             self._contact_ms[topic] = now
-        self._record_ability(host, age_ms, now)
+        self._record_ability(host, topic, age_ms, now)
         read_ms = now - age_ms
         self._read_ms[topic] = max(self._read_ms.get(topic, read_ms), read_ms)
 
@@ -108,21 +108,29 @@
         The copy of this host does not become fresher by that. If the other host can
         read the store, this one need not wait for it, so this is no contact either.
         """
-        self._record_ability(host, age_ms, now)
+        self._record_ability(host, topic, age_ms, now)
         if age_ms > UNABLE_AGE_MS:
             self._contact_ms[topic] = now
         else:
             self._missed_ms[topic] = now
 
-    def _record_ability(self, host: str, age_ms: float, now: float) -> None:
-        """Record whether a host can read the store, by the age of its last read."""
-        if age_ms <= UNABLE_AGE_MS:
-            self._unable.pop(host, None)
-            return
-        known = self._unable.get(host)
+    def _record_ability(self, host: str, topic: str, age_ms: float, now: float) -> None:
+        """Record whether a host can read a topic, by the age of its copy.
+
+        Only a read of its own proves that it can: others may have refreshed its copy.
+        """
+        if age_ms <= 0.0:
+            self._unable.get(topic, {}).pop(host, None)
+        elif age_ms > UNABLE_AGE_MS:
+            self.record_unable(host, topic, now)
+
+    def record_unable(self, host: str, topic: str, now: float) -> None:
+        """Record that a host has failed to read a topic."""
+        hosts = self._unable.setdefault(topic, {})
+        known = hosts.get(host)
         is_expired = known is None or now - known.announced_ms > UNABLE_TTL_MS
         since_ms = now if is_expired or known is None else known.since_ms
-        self._unable[host] = Inability(since_ms, now)
+        hosts[host] = Inability(since_ms, now)
 
     def find_age_ms(self, topic: str, now: float) -> float:
         """Return the time in ms since any host is known to have read the topic."""
@@ -140,10 +148,13 @@
         return self._select_readers(able_hosts)
 
     def _is_replaced(self, host: str, now: float) -> bool:
-        known = self._unable.get(host)
-        if known is None or now - known.announced_ms > UNABLE_TTL_MS:
-            return False
-        return now - known.since_ms >= TAKEOVER_DELAY_MS
+        """Return whether others read for a host that cannot read one of the topics."""
+        found = [hosts[host] for hosts in self._unable.values() if host in hosts]
+        return any(
+            now - known.announced_ms <= UNABLE_TTL_MS
+            and now - known.since_ms >= TAKEOVER_DELAY_MS
+            for known in found
+        )
 
     def _select_readers(self, hosts: list[ReaderCandidate]) -> list[str]:
         """Return the first hosts in order, in different domains if possible."""
