gateway: a server that is no longer listed is retained for one grace period only

Each late update after an outage began the grace period of all retained servers anew, so that a server that had left could be used for as long as updates came over 2 s apart. Each server now has an end of its own.

--- a/cornelnotch/gateway/routing_state.py
+++ b/cornelnotch/gateway/routing_state.py
@@ -2,6 +2,7 @@
 
 from collections import Counter, OrderedDict
 from collections.abc import Callable, Collection, Iterable
+from dataclasses import dataclass
 
 from cornelnotch.gateway.context import GatewayContext
 from cornelnotch.gateway.follower import (
@@ -29,6 +30,14 @@
 REMEMBERED_REMOVED = 4096
 
 
+@dataclass(frozen=True, slots=True)
+class RetainedServer:
+    """A server that the list lacks after an outage, used until `until_ms`."""
+
+    record: ServerRecord
+    until_ms: float
+
+
 class RoutingState:
     """Apply the records of the platform to the routing state of this host."""
 
@@ -45,8 +54,7 @@
         self._decoder = decoder
         self._apply_table = apply_table
         self._note_applied = note_applied
-        self._retained: dict[str, ServerRecord] = {}
-        self._retained_until_ms = float("-inf")
+        self._retained: dict[str, RetainedServer] = {}
         self._removed: OrderedDict[str, ServerRecord] = OrderedDict()
         self._rejected_servers: set[str] = set()
         self._rejected_tables: set[str] = set()
@@ -60,8 +68,11 @@
 
     def expire(self) -> None:
         """Remove retained servers whose grace period is over."""
-        if self._retained and self._context.clock.read() >= self._retained_until_ms:
-            self._retained.clear()
+        now = self._context.clock.read()
+        expired = [n for n, kept in self._retained.items() if now >= kept.until_ms]
+        for name in expired:
+            del self._retained[name]
+        if expired:
             self._apply_servers(False, NO_SOURCE)
 
     def apply(
@@ -157,13 +168,13 @@
         known = {name: v.record for name, v in self._context.pool.servers.items()}
         lacks_most = _lacks_most(known.values(), records)
         after_outage |= source.gap_ms > OUTAGE_MS and lacks_most
+        for name in self._retained.keys() & records.keys():
+            del self._retained[name]
         if after_outage:
-            self._retained = {n: r for n, r in known.items() if n not in records}
-            self._retained_until_ms = self._context.clock.read() + RELISTING_GRACE_MS
-        for name in list(self._retained):
-            if name in records:
-                del self._retained[name]
-        merged = {**self._retained, **records}
+            missing = [r for n, r in known.items() if n not in records]
+            self._retain(missing, source)
+        kept_records = {n: kept.record for n, kept in self._retained.items()}
+        merged = {**kept_records, **records}
         self._note_versions([*known.values(), *merged.values()])
         for ended in self._context.pool.replace(merged.values()):
             # A connection to an earlier boot is reset once used, and the request on
@@ -172,8 +183,6 @@
             self._remember_removed(ended)
         for name in known.keys() | merged.keys():
             self._log_server_change(name, known.get(name), merged.get(name), source)
-        if after_outage:
-            self._log_retained(source)
 
     def _note_versions(self, servers: list[ServerRecord]) -> None:
         """Note the versions that served since the last change, even if no longer."""
@@ -187,11 +196,16 @@
             if server is not None:
                 self._context.software_history.note(create_origin(server), now)
 
-    def _log_retained(self, source: ChangeSource) -> None:
-        for name in self._retained:
+    def _retain(self, servers: list[ServerRecord], source: ChangeSource) -> None:
+        """Retain servers, each for one grace period only."""
+        until_ms = self._context.clock.read() + RELISTING_GRACE_MS
+        for server in servers:
+            if server.name in self._retained:
+                continue
+            self._retained[server.name] = RetainedServer(server, until_ms)
             self._context.events.record(
                 Event.SERVER_RETAINED,
-                server=name,
+                server=server.name,
                 told_by=source.host,
                 age_ms=source.age_ms,
                 gap_ms=source.gap_ms,
