gateway: a request is not sent to a server that left while a connection was made

A server is chosen, and looked at again after each wait for admission, but not after the connection to it is made, which may take 0.6 s. This holds for every path to a server (first and further dispatches, second servers of slow calls and silent streams, copies), as all of them end in Dispatcher._send.

The check stands right before the first byte, where a dispatch counts as not sent, so the request goes to another server and uses no retry. Event 6022 says so.

--- a/cornelnotch/gateway/dispatcher.py
+++ b/cornelnotch/gateway/dispatcher.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from cornelnotch.exceptions import UpstreamUnreachableError
 from cornelnotch.gateway.context import GatewayContext
 from cornelnotch.gateway.dispatch import (
     DispatchOutcome,
@@ -144,12 +145,12 @@
         claim = hooks.claim
 
         def note_sending() -> None:
+            self._check_listed(view, options)
             claim()
             self.runs.claim(view.record.name, copied=bool(options.kv_copy))
             sending.set()
             in_flight.transmitted = True
             self._record_again(view, options)
-            self._record_leaving(view, options)
 
         loop = asyncio.get_running_loop()
         timers = [
@@ -192,18 +193,23 @@
             after_event=options.last_event_id,
         )
 
-    def _record_leaving(self, view: ServerView, options: DispatchOptions) -> None:
-        """Log a request to a server that left since it was chosen."""
-        if not view.leaving and self._context.pool.has(view):
+    def _check_listed(self, view: ServerView, options: DispatchOptions) -> None:
+        """Raise UpstreamUnreachableError if the server has left since it was chosen."""
+        is_listed = self._context.pool.has(view)
+        if is_listed and not view.leaving:
             return
         self._record_event(
-            Event.LEAVING_SERVER_USED,
+            Event.LEAVING_SERVER_SKIPPED,
             server=view.record.name,
-            listed=self._context.pool.has(view),
+            listed=is_listed,
             ran=self.counts.ran,
             unsent=self.counts.unsent,
             copied=bool(options.kv_copy),
         )
+        raise UpstreamUnreachableError(
+            "the server left while a connection to it was made",
+            "send the request to another server",
+        )
 
     def _note_left(self, view: ServerView) -> None:
         """Note that the connection was closed before the server answered."""
--- a/cornelnotch/kernel/events.py
+++ b/cornelnotch/kernel/events.py
@@ -221,10 +221,10 @@
         logging.WARNING,
         "connections were closed to keep within the memory or descriptors of the host",
     )
-    LEAVING_SERVER_USED = (
+    LEAVING_SERVER_SKIPPED = (
         6022,
-        logging.WARNING,
-        "a request is sent to a server that is known to leave",
+        logging.INFO,
+        "a request is not sent to its server, which left while it was connected to",
     )
     REQUEST_REFUSED = (6001, logging.INFO, "a request was refused")
     REQUEST_MALFORMED = (6002, logging.DEBUG, "a request was malformed")
