gateway: load reports have a collector while no host can read the store

The hosts that read the store also collect loads, origins of streams and crash evidence. In an outage of the store all hosts of a small deployment become unable to read; then the list of readers was empty, and nobody collected. The default readers, which go on trying, keep these duties now. test_loads_are_collected_while_no_host_can_read failed before.

--- a/cornelnotch/gateway/relay.py
+++ b/cornelnotch/gateway/relay.py
@@ -146,11 +146,14 @@
         return self.find_age_ms(topic, now) > STALE_MS[topic]
 
     def list_readers(self, now: float) -> list[str]:
-        """Return the hosts that should read, in different domains if possible."""
+        """Return the hosts that should read, in different domains if possible.
+
+        These are the default readers if no host can read, as other duties go with it.
+        """
         able_hosts = [
             host for host in self._ranked_hosts if not self._is_replaced(host.name, now)
         ]
-        return self._select_readers(able_hosts)
+        return self._select_readers(able_hosts or self._ranked_hosts)
 
     def _is_replaced(self, host: str, now: float) -> bool:
         """Return whether others read for a host that cannot read one of the topics."""
--- a/cornelnotch/gateway/tests/test_relay.py
+++ b/cornelnotch/gateway/tests/test_relay.py
@@ -62,6 +62,27 @@
     assert plans["host-0"].list_readers(TAKEOVER_DELAY_MS + 20.0) == readers
 
 
+def test_loads_are_collected_while_no_host_can_read():
+    plans = create_plans(9)
+    readers = plans["host-0"].list_readers(0.0)
+    for plan in plans.values():
+        for host in plans:
+            plan.record_unable(host, "servers", 0.0)
+        assert plan.list_readers(TAKEOVER_DELAY_MS) == readers
+
+
+def test_reader_that_cannot_read_stays_replaced_while_others_refresh_its_copy():
+    plans = create_plans(9)
+    readers = plans["host-0"].list_readers(0.0)
+    for plan in plans.values():
+        plan.record_unable(readers[0], "servers", 0.0)
+        plan.record_age(readers[0], "servers", 200.0, 10.0)
+        plan.record_age(readers[0], "configuration", 0.0, 10.0)
+        assert readers[0] not in plan.list_readers(TAKEOVER_DELAY_MS)
+        plan.record_age(readers[0], "servers", 0.0, TAKEOVER_DELAY_MS)
+        assert plan.list_readers(TAKEOVER_DELAY_MS + 1.0) == readers
+
+
 @pytest.mark.parametrize("count", [0, 1, 16, 17, 320])
 def test_branches_reach_every_host_once_and_each_remote_region_once(count):
     regions = {f"host-{i}": "north" if i % 2 else "south" for i in range(count)}
