gateway: a copy that was asked for does not show that the store was away

A host that had heard nothing for 2 s and then got a copy from a reader that the store rejects took the failures of that reader for an outage, and retained a removed server. Only a read shows that the store is back; a copy is as old as its sender's.

--- a/cornelnotch/gateway/follower.py
+++ b/cornelnotch/gateway/follower.py
@@ -131,7 +131,10 @@
         peers.subscribe(RecordFetch, self._receive_fetch)
 
     def subscribe(self, listener: Listener) -> None:
-        """Call `listener` with each changed topic, whether an outage ended, and how."""
+        """Call `listener` with each change.
+
+        It gets the topic, whether an outage has ended and where the change comes from.
+        """
         self._listener = listener
 
     def subscribe_unavailable(self, listener: Callable[[], None]) -> None:
@@ -294,7 +297,10 @@
         now = self._clock.read()
         view = self.views[topic]
         gap_ms = self._plan.find_age_ms(topic, now)
-        after_outage = view.needs_full_read or self._ends_outage(origin, topic, gap_ms)
+        has_just_read = age_ms <= 0
+        after_outage = view.needs_full_read or (
+            has_just_read and self._ends_outage(origin, topic, gap_ms)
+        )
         self._plan.record_age(origin, topic, age_ms, now)
         if origin != self._plan.name:
             self.reads[topic].note_relayed(now - age_ms)
--- a/cornelnotch/gateway/routing_state.py
+++ b/cornelnotch/gateway/routing_state.py
@@ -166,8 +166,8 @@
     def _apply_servers(self, after_outage: bool, source: ChangeSource) -> None:
         records = self._list_servers()
         known = {name: v.record for name, v in self._context.pool.servers.items()}
-        lacks_most = _lacks_most(known.values(), records)
-        after_outage |= source.gap_ms > OUTAGE_MS and lacks_most
+        is_late = source.gap_ms > OUTAGE_MS
+        after_outage |= is_late and _lacks_most(known.values(), records)
         for name in self._retained.keys() & records.keys():
             del self._retained[name]
         if after_outage:
--- a/cornelnotch/gateway/tests/test_leaving_servers.py
+++ b/cornelnotch/gateway/tests/test_leaving_servers.py
@@ -104,6 +104,24 @@
     run_fleet(scenario, count)
 
 
+def test_copy_from_a_rejected_reader_does_not_retain_a_removed_server():
+    async def scenario(fleet):
+        reader = fleet.list_readers()[0]
+        host = reject_readers(fleet)[-1]
+        host.reader.is_unreachable = True
+        fleet.is_lost = lambda sender, receiver, message: receiver == host.name
+        await fleet.run(1000.0)
+        fleet.store.write(SERVERS, "s0", b"")
+        await fleet.run(1500.0)
+        fleet.is_lost = lambda sender, receiver, message: (
+            receiver == host.name and sender != reader.name
+        )
+        await fleet.run(2500.0)
+        assert "s0" not in host.list_usable()
+
+    run_fleet(scenario, 9)
+
+
 @pytest.mark.parametrize(
     ("count", "outage_ms"), [(9, 4000.0), (9, 4300.0), (9, 9000.0), (60, 4300.0)]
 )
