gateway: a host that cannot read one topic goes on reading the other

Since a reader that could not read one topic was replaced for both, and with it went the origins of streams, which the next reader first had to load: streams that callers took up were refused as of an unlisted version.

Each topic has readers of its own now; other duties go with the readers of the entries of servers.

--- a/cornelnotch/gateway/follower.py
+++ b/cornelnotch/gateway/follower.py
@@ -197,7 +197,7 @@
         self._events.record(
             Event.READING_BEGUN if is_reading else Event.READING_ENDED,
             topic=topic,
-            readers=self._plan.list_readers(now),
+            readers=self._plan.list_readers(now, topic),
             age_ms=_round_age(self._plan.find_age_ms(topic, now)),
         )
 
@@ -330,7 +330,7 @@
 
     def _publish(self, topic: str, start: int, page: RecordPage) -> None:
         """Publish the records just read, or that nothing has changed."""
-        if not self._plan.must_publish(self._clock.read()):
+        if not self._plan.must_publish(topic, self._clock.read()):
             return
         items = [_pack(record) for record in page.records]
         whole = start < 0
@@ -364,7 +364,7 @@
         """Announce that this host cannot read a topic, and how old its copy is."""
         now = self._clock.read()
         head = self.views[topic].head
-        if head < 0 or not self._plan.must_publish(now):
+        if head < 0 or not self._plan.must_publish(topic, now):
             return
         age_ms = self._plan.find_age_ms(topic, now)
         age_ms = min(max(age_ms, MIN_ANNOUNCED_AGE_MS), MAX_AGE_MS)
--- a/cornelnotch/gateway/relay.py
+++ b/cornelnotch/gateway/relay.py
@@ -15,6 +15,8 @@
 
 READERS = 2
 READING_DUTY = "records"
+# Load reports and other duties go with the reading of this topic.
+DUTY_TOPIC = "servers"
 # An update older than this means that its sender cannot read the store.
 UNABLE_AGE_MS = 1500.0
 # A host whose copy of a topic is older reads the store itself, so that every copy stays
@@ -145,24 +147,24 @@
         """Return whether this host's copy of a topic is too old."""
         return self.find_age_ms(topic, now) > STALE_MS[topic]
 
-    def list_readers(self, now: float) -> list[str]:
-        """Return the hosts that should read, in different domains if possible.
+    def list_readers(self, now: float, topic: str = DUTY_TOPIC) -> list[str]:
+        """Return the hosts that should read a topic, in different domains if possible.
 
         These are the default readers if no host can read, as other duties go with it.
         """
         able_hosts = [
-            host for host in self._ranked_hosts if not self._is_replaced(host.name, now)
+            host
+            for host in self._ranked_hosts
+            if not self._is_replaced(host.name, topic, now)
         ]
         return self._select_readers(able_hosts or self._ranked_hosts)
 
-    def _is_replaced(self, host: str, now: float) -> bool:
-        """Return whether others read for a host that cannot read one of the topics."""
-        found = [hosts[host] for hosts in self._unable.values() if host in hosts]
-        return any(
-            now - known.announced_ms <= UNABLE_TTL_MS
-            and now - known.since_ms >= TAKEOVER_DELAY_MS
-            for known in found
-        )
+    def _is_replaced(self, host: str, topic: str, now: float) -> bool:
+        """Return whether others read a topic for a host that cannot."""
+        known = self._unable.get(topic, {}).get(host)
+        if known is None or now - known.announced_ms > UNABLE_TTL_MS:
+            return False
+        return now - known.since_ms >= TAKEOVER_DELAY_MS
 
     def _select_readers(self, hosts: list[ReaderCandidate]) -> list[str]:
         """Return the first hosts in order, in different domains if possible."""
@@ -173,7 +175,7 @@
 
     def must_read(self, topic: str, now: float) -> bool:
         """Return whether this host should read the topic now."""
-        if self.name in self.list_readers(now):
+        if self.name in self.list_readers(now, topic):
             return True
         # The default readers keep trying, so that others learn when they recover.
         if self.name in self._select_readers(self._ranked_hosts):
@@ -189,7 +191,8 @@
         missed_ms = self._missed_ms.get(topic, float("-inf"))
         return now - contact_ms > CONTACT_TTL_MS or now - missed_ms <= CONTACT_TTL_MS
 
-    def must_publish(self, now: float) -> bool:
-        """Return whether this host should relay what it reads."""
+    def must_publish(self, topic: str, now: float) -> bool:
+        """Return whether this host should relay what it reads of a topic."""
         default_readers = self._select_readers(self._ranked_hosts)
-        return self.name in default_readers or self.name in self.list_readers(now)
+        readers = self.list_readers(now, topic)
+        return self.name in default_readers or self.name in readers
--- a/cornelnotch/gateway/tests/test_relay.py
+++ b/cornelnotch/gateway/tests/test_relay.py
@@ -83,6 +83,16 @@
         assert plan.list_readers(TAKEOVER_DELAY_MS + 1.0) == readers
 
 
+def test_reader_that_cannot_read_one_topic_goes_on_with_the_other_and_its_duties():
+    plans = create_plans(9)
+    readers = plans["host-0"].list_readers(0.0)
+    for plan in plans.values():
+        plan.record_unable(readers[0], "configuration", 0.0)
+        found = plan.list_readers(TAKEOVER_DELAY_MS, "configuration")
+        assert readers[0] not in found
+        assert plan.list_readers(TAKEOVER_DELAY_MS) == readers
+
+
 @pytest.mark.parametrize("count", [0, 1, 16, 17, 320])
 def test_branches_reach_every_host_once_and_each_remote_region_once(count):
     regions = {f"host-{i}": "north" if i % 2 else "south" for i in range(count)}
@@ -116,7 +126,7 @@
             if now > outage_ms:
                 return calls, now
             calls.append(now)
-            if plan.must_publish(now):
+            if plan.must_publish("servers", now):
                 age_ms = plan.find_age_ms("servers", now)
                 note_everywhere(plans, name, age_ms, now)
             pause = follower.RETRY_MS * 2.0 ** failures[name]
