--- a/cornelnotch/gateway/follower.py
+++ b/cornelnotch/gateway/follower.py
@@ -520,7 +520,10 @@
 
 
 def _announces_inability(updates: RecordUpdates) -> bool:
-    """Return whether a host says that it cannot read; copies and reads have records."""
+    """Return whether an update only announces that its host cannot read.
+
+    The age of a read is 0, a copy that was asked for is whole.
+    """
     return updates.age_ms > 0 and not (updates.whole or updates.items or updates.held)
 
 
--- a/cornelnotch/gateway/relay.py
+++ b/cornelnotch/gateway/relay.py
@@ -84,6 +84,7 @@
     def __init__(self, name: str) -> None:
         self.name = name
         self._ranked_hosts: list[ReaderCandidate] = []
+        # By topic and host.
         self._unable: dict[str, dict[str, Inability]] = {}
         self._read_ms: dict[str, float] = {}
         self._contact_ms: dict[str, float] = {}
